Don't take a closed connection for one that was never made

Cause: awc reports a connection that closed after the request was sent as Connect(Disconnected); the client called it not started, so an order that ran would have been refused as not-run. Ruled out: the pool resending on a stale connection; it doesn't. Change: Disconnected counts as broken. Test seen red before, green after. Conclusion: only errors from before the connection exists prove not-run.

--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -8,6 +8,7 @@
 
 use awc::Client;
 use awc::Connector;
+use awc::error::ConnectError;
 use awc::error::SendRequestError;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -215,8 +216,15 @@
 }
 
 /// Turns a failure to send into an error that tells whether a byte may have left.
+///
+/// Failure guarded against: a false `not-run`. awc reports a connection that closed after the request was
+/// sent as `Connect(Disconnected)`, as if it had never been made; taken at its word, a caller would repeat an
+/// order that ran. The guard holds because every other connect error comes from before the connection exists.
 pub(crate) fn from_send(error: SendRequestError) -> UpstreamError {
     match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => {
+            UpstreamError::Broken("closed without an answer".to_string())
+        }
         SendRequestError::Connect(error) => UpstreamError::Connect(error.to_string()),
         SendRequestError::Timeout => UpstreamError::Timeout,
         error => UpstreamError::Broken(error.to_string()),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,3 +8,4 @@
 mod log_events;
 mod path;
 mod support;
+mod upstream;
--- /dev/null
+++ b/tests/testsuite/upstream.rs
@@ -0,0 +1,58 @@
+//! The client of upstreams: what it may claim about a request that failed.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::thread;
+use std::time::Duration;
+
+use actix_web::http::Method;
+use sequoiastream_upstream::PlainCall;
+use sequoiastream_upstream::PlainClient;
+use sequoiastream_upstream::UpstreamError;
+
+/// An upstream that reads the whole request and closes the connection without an answer.
+fn close_after_request() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut seen = Vec::new();
+        let mut buffer = [0; 1024];
+        while !seen.ends_with(b"two pellets") {
+            let count = stream.read(&mut buffer).expect("the request");
+            seen.extend_from_slice(&buffer[..count]);
+        }
+    });
+    address
+}
+
+fn order() -> PlainCall {
+    PlainCall {
+        method: Method::POST,
+        path: "/orders".to_string(),
+        headers: Vec::new(),
+        body: "two pellets".into(),
+    }
+}
+
+/// A buyer orders dry ice; the order desk books it and dies before it answers. The HTTP client reports the
+/// closed connection as a failure to connect, the instance says `not-run`, the buyer orders again, and two
+/// trucks come. Cause: awc uses its connect error `Disconnected` also for a connection that closed after the
+/// request was sent.
+#[actix_web::test]
+async fn send_closed_after_request() {
+    let address = close_after_request();
+    let result = PlainClient::new().send(address, &order(), Duration::from_secs(5)).await;
+    let error = result.expect_err("no answer came");
+    assert!(!error.is_not_started(), "{error:?} claims that the order did not run");
+}
+
+#[actix_web::test]
+async fn send_nobody_listens() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    drop(listener);
+    let result = PlainClient::new().send(address, &order(), Duration::from_secs(5)).await;
+    assert!(matches!(result, Err(UpstreamError::Connect(_))), "{result:?}");
+}
