Speak between instances with sealed postcard messages

Cause: claims, membership and configuration need one way to talk. Tests: a wrong cluster key and replayed counters are refused. Conclusion: message types are placeholders until their features come.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod arena;
 pub mod config;
+pub mod engine;
 pub mod invariant;
 pub mod log_event;
 pub mod name;
--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -26,6 +26,8 @@
     }
 }
 
+// Ranges: 1xx life of the process, 2xx configuration, 3xx platform, 4xx traffic, 5xx authority and orders,
+// 6xx claims, 7xx membership and peers, 8xx policy, 9xx invariants.
 log_events! {
     /// The daemon listens.
     100 STARTED = "started";
--- a/crates/upstream/src/wire.rs
+++ b/crates/upstream/src/wire.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use sequoiastream_core::config::Role;
+pub use sequoiastream_core::engine::Target;
 use serde::Deserialize;
 use serde::Serialize;
 use uuid::Uuid;
@@ -97,19 +98,6 @@
     pub age: u64,
 }
 
-/// What an order asks an engine to be. Orders are absolute, so that the same order twice is harmless.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Target {
-    /// The role to have.
-    pub role: Role,
-    /// The model to have loaded.
-    pub model: String,
-    /// The adapter to have loaded.
-    pub adapter: Option<String>,
-    /// Version of the model.
-    pub version: u32,
-}
-
 /// An order to an engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrderBody {
--- a/src/ops/dispatch/mod.rs
+++ b/src/ops/dispatch/mod.rs
@@ -65,7 +65,7 @@
     }
 
     fn metrics(&self) -> String {
-        String::new()
+        self.shared.metrics.page()
     }
 }
 
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -8,6 +8,7 @@
 use sequoiastream_core::snapshot::Snapshot;
 
 use crate::settings::Settings;
+use crate::util::metrics::Metrics;
 
 /// Shared between all threads of a daemon.
 #[derive(Debug)]
@@ -16,6 +17,8 @@
     pub settings: Settings,
     /// The configuration in force; swapped whole.
     pub snapshot: ArcSwap<Snapshot>,
+    /// Counts of what happened.
+    pub metrics: Metrics,
     router: Mutex<Router>,
 }
 
@@ -25,6 +28,7 @@
         Shared {
             settings,
             snapshot: ArcSwap::default(),
+            metrics: Metrics::new(),
             router: Mutex::new(Router::new()),
         }
     }
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod clock;
 pub mod logging;
+pub mod metrics;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,5 +7,6 @@
 mod grammar;
 mod log_events;
 mod path;
+mod peer;
 mod support;
 mod upstream;
--- /dev/null
+++ b/tests/testsuite/peer.rs
@@ -0,0 +1,104 @@
+//! Messages between instances.
+
+use std::time::Duration;
+
+use sequoiastream_core::name::Name;
+use sequoiastream_peer::PeerError;
+use sequoiastream_peer::call::CallClient;
+use sequoiastream_peer::call::Responder;
+use sequoiastream_peer::call::serve;
+use sequoiastream_peer::datagram::DatagramSocket;
+use sequoiastream_peer::message::Datagram;
+use sequoiastream_peer::message::Request;
+use sequoiastream_peer::message::Response;
+use sequoiastream_peer::seal::ClusterKey;
+use sequoiastream_peer::seal::ReplayWindow;
+use tokio::net::TcpListener;
+use uuid::Uuid;
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+#[derive(Clone)]
+struct Pong;
+
+impl Responder for Pong {
+    async fn respond(&self, _: Request) -> Response {
+        Response::Pong
+    }
+}
+
+fn key() -> ClusterKey {
+    ClusterKey::new("cluster-key-for-tests")
+}
+
+#[actix_web::test]
+async fn call_answered() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    actix_web::rt::spawn(serve(listener, key(), Pong));
+    let client = CallClient::new(key());
+    for _ in 0..3 {
+        assert_eq!(
+            client.call(address, &Request::Ping, LIMIT).await,
+            Ok(Response::Pong)
+        );
+    }
+}
+
+#[actix_web::test]
+async fn call_wrong_key() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    actix_web::rt::spawn(serve(listener, key(), Pong));
+    let stranger = CallClient::new(ClusterKey::new("another key altogether"));
+    let result = stranger.call(address, &Request::Ping, LIMIT).await;
+    assert!(matches!(result, Err(PeerError::Broken(_))), "{result:?}");
+}
+
+#[actix_web::test]
+async fn receive_wrong_key() {
+    let bind = |key, name: &str| {
+        let name = Name::new(name).expect("a name");
+        DatagramSocket::bind(
+            "127.0.0.1:0".parse().expect("an address"),
+            key,
+            name,
+            Uuid::now_v7(),
+        )
+    };
+    let receiver = bind(key(), "receiver").await.expect("a port is free");
+    let stranger = bind(ClusterKey::new("another key altogether"), "stranger")
+        .await
+        .expect("a port is free");
+    let to = receiver.address().expect("it is bound");
+    stranger.send(to, Datagram::Ping).await.expect("sent");
+    assert_eq!(receiver.receive().await, Err(PeerError::Forged));
+}
+
+#[test]
+fn window_replayed() {
+    let mut window = ReplayWindow::new();
+    let (name, old, new) = (
+        Name::new("a").expect("a name"),
+        Uuid::from_u128(1),
+        Uuid::from_u128(2),
+    );
+    let cases = [
+        (old, 5, Ok(())),
+        (old, 5, Err(PeerError::Replayed)),
+        (old, 3, Ok(())),
+        (old, 3, Err(PeerError::Replayed)),
+        (old, 200, Ok(())),
+        (old, 136, Err(PeerError::Replayed)),
+        (old, 137, Ok(())),
+        (new, 1, Ok(())),
+        (old, 201, Err(PeerError::Replayed)),
+    ];
+    for (incarnation, counter, expected) in cases {
+        assert_eq!(
+            window.accept(&name, incarnation, counter),
+            expected,
+            "counter {counter}"
+        );
+    }
+}
--- a/tests/testsuite/upstream.rs
+++ b/tests/testsuite/upstream.rs
@@ -43,9 +43,14 @@
 #[actix_web::test]
 async fn send_closed_after_request() {
     let address = close_after_request();
-    let result = PlainClient::new().send(address, &order(), Duration::from_secs(5)).await;
+    let result = PlainClient::new()
+        .send(address, &order(), Duration::from_secs(5))
+        .await;
     let error = result.expect_err("no answer came");
-    assert!(!error.is_not_started(), "{error:?} claims that the order did not run");
+    assert!(
+        !error.is_not_started(),
+        "{error:?} claims that the order did not run"
+    );
 }
 
 #[actix_web::test]
@@ -53,6 +58,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = listener.local_addr().expect("it is bound");
     drop(listener);
-    let result = PlainClient::new().send(address, &order(), Duration::from_secs(5)).await;
+    let result = PlainClient::new()
+        .send(address, &order(), Duration::from_secs(5))
+        .await;
     assert!(matches!(result, Err(UpstreamError::Connect(_))), "{result:?}");
 }
