Read statements with winnow and say what was expected where

Cause: the first parser walked tokens by hand, which the house style leaves to a library, and could not filter queries. Change: the grammar is winnow parsers over the text; of alternatives the one that got furthest is reported. Queries take where and limit. Tests: 15 mistakes with their column; any text and any words never panic.

--- a/crates/operator/src/error.rs
+++ b/crates/operator/src/error.rs
@@ -1,8 +1,12 @@
 //! Errors in the text of statements.
 
+use std::collections::BTreeSet;
 use std::fmt;
 
 use thiserror::Error;
+use winnow::LocatingSlice;
+use winnow::error::ParserError;
+use winnow::stream::Location;
 
 /// What is wrong with a statement, and where.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -19,6 +23,30 @@
     pub expected: String,
 }
 
+impl SyntaxError {
+    /// The error that `expected` was not found at byte `at` of `text`.
+    pub(crate) fn new(text: &str, at: usize, expected: &str) -> SyntaxError {
+        let at = at.min(text.len());
+        let before = &text[..at];
+        let start = before.rfind('\n').map_or(0, |i| i + 1);
+        let line = text[start..].lines().next().unwrap_or_default();
+        let found = match text[at..]
+            .split([' ', '\n', '\t', ';'])
+            .find(|word| !word.is_empty())
+        {
+            Some(word) => format!("`{word}`"),
+            None => "the end".to_string(),
+        };
+        SyntaxError {
+            line: before.matches('\n').count() + 1,
+            column: text[start..at].chars().count() + 1,
+            text: line.to_string(),
+            found,
+            expected: expected.to_string(),
+        }
+    }
+}
+
 impl fmt::Display for SyntaxError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
@@ -30,3 +58,53 @@
         write!(f, "  {:>width$}", "^", width = self.column)
     }
 }
+
+/// What a parser expected, and where. Of two alternatives the one that got further counts; if both failed at
+/// the same place, either could have stood there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Expected {
+    at: usize,
+    what: BTreeSet<String>,
+}
+
+impl Expected {
+    /// The error that `what` was not found at byte `at`.
+    pub(crate) fn new(at: usize, what: impl Into<String>) -> Expected {
+        Expected {
+            at,
+            what: BTreeSet::from([what.into()]),
+        }
+    }
+
+    /// The error with the text around it.
+    pub(crate) fn in_text(&self, text: &str) -> SyntaxError {
+        let what: Vec<&str> = self.what.iter().map(String::as_str).collect();
+        SyntaxError::new(text, self.at, &what.join(" or "))
+    }
+}
+
+impl<'a> ParserError<LocatingSlice<&'a str>> for Expected {
+    type Inner = Self;
+
+    fn from_input(input: &LocatingSlice<&'a str>) -> Self {
+        Expected {
+            at: input.current_token_start(),
+            what: BTreeSet::new(),
+        }
+    }
+
+    fn or(mut self, mut other: Self) -> Self {
+        match self.at.cmp(&other.at) {
+            std::cmp::Ordering::Greater => self,
+            std::cmp::Ordering::Less => other,
+            std::cmp::Ordering::Equal => {
+                self.what.append(&mut other.what);
+                self
+            }
+        }
+    }
+
+    fn into_inner(self) -> Result<Self::Inner, Self> {
+        Ok(self)
+    }
+}
--- a/crates/operator/src/http.rs
+++ b/crates/operator/src/http.rs
@@ -10,6 +10,7 @@
 use thiserror::Error;
 
 use crate::error::SyntaxError;
+use crate::statement::Table;
 use crate::wire::ErrorBody;
 use crate::wire::ReplyBody;
 use crate::wire::StatementBody;
@@ -23,6 +24,19 @@
     /// The text is no statement.
     #[error("could not read the statement: {0}")]
     Syntax(#[from] SyntaxError),
+    /// The text holds no statement, several queries, or queries and changes together.
+    #[error("could not carry out the statements: give either one query or only changes")]
+    Mixed,
+    /// A query names a column that its table doesn't have.
+    #[error("there is no column `{column}` in `{table}`; it has {columns}")]
+    Column {
+        /// The column.
+        column: String,
+        /// The table.
+        table: Table,
+        /// The columns that it has.
+        columns: String,
+    },
     /// The change can't be applied to the configuration in force.
     #[error("could not accept the change: {0}")]
     Rejected(String),
@@ -38,7 +52,9 @@
     fn status(&self) -> StatusCode {
         match self {
             OperatorError::Unauthorized => StatusCode::UNAUTHORIZED,
-            OperatorError::Syntax(_) => StatusCode::BAD_REQUEST,
+            OperatorError::Syntax(_) | OperatorError::Mixed | OperatorError::Column { .. } => {
+                StatusCode::BAD_REQUEST
+            }
             OperatorError::Rejected(_) => StatusCode::UNPROCESSABLE_ENTITY,
             OperatorError::Conflict(_) => StatusCode::CONFLICT,
             OperatorError::Platform(_) => StatusCode::SERVICE_UNAVAILABLE,
@@ -49,7 +65,7 @@
         match self {
             OperatorError::Unauthorized => Some("set SEQUOIASTREAM_OPERATOR_TOKEN"),
             OperatorError::Syntax(_) => Some("see docs/GRAMMAR.md"),
-            OperatorError::Rejected(_) => None,
+            OperatorError::Rejected(_) | OperatorError::Mixed | OperatorError::Column { .. } => None,
             OperatorError::Conflict(_) => Some("look at `show changes` and decide again"),
             OperatorError::Platform(_) => {
                 Some("give the same command id again: it takes effect at most once")
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -7,6 +7,7 @@
 mod error;
 mod grammar;
 pub mod http;
+mod select;
 mod statement;
 mod token;
 pub mod wire;
@@ -14,5 +15,8 @@
 pub use error::SyntaxError;
 pub use grammar::parse;
 pub use grammar::parse_script;
+pub use select::select;
+pub use statement::Filter;
+pub use statement::Query;
 pub use statement::Statement;
 pub use statement::Table;
--- a/crates/operator/src/token.rs
+++ b/crates/operator/src/token.rs
@@ -1,97 +1,116 @@
-//! Splits statements into words, quoted texts and separators.
+//! The smallest parts of statements: keywords, names, numbers, quoted texts.
+//!
+//! Each skips white space and comments (`--` to the end of the line) before itself and says what it expected
+//! where it fails.
+
+use std::ops::RangeInclusive;
+use std::str::FromStr;
 
 use winnow::LocatingSlice;
-use winnow::ModalResult;
 use winnow::Parser;
-use winnow::ascii::line_ending;
 use winnow::ascii::multispace1;
 use winnow::ascii::till_line_ending;
 use winnow::combinator::alt;
 use winnow::combinator::delimited;
-use winnow::combinator::eof;
-use winnow::combinator::opt;
-use winnow::combinator::preceded;
 use winnow::combinator::repeat;
-use winnow::combinator::terminated;
+use winnow::error::ErrMode;
+use winnow::stream::Location;
+use winnow::token::literal;
 use winnow::token::take_while;
 
-use crate::error::SyntaxError;
+use crate::error::Expected;
 
-/// What kind of token it is.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Kind {
-    /// A keyword, name, number or address.
-    Word(String),
-    /// A text in double quotes.
-    Quoted(String),
-    /// `;`
-    Semicolon,
-    /// `,`
-    Comma,
-}
+/// The text of statements.
+pub(crate) type Input<'a> = LocatingSlice<&'a str>;
+
+/// What a parser gives.
+pub(crate) type Parsed<T> = Result<T, ErrMode<Expected>>;
 
-/// A token and where it begins.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Token {
-    /// What it is.
-    pub kind: Kind,
-    /// Byte offset in the text.
-    pub at: usize,
+/// Skips white space and comments.
+pub(crate) fn blank(input: &mut Input<'_>) -> Parsed<()> {
+    repeat(0.., alt((multispace1.void(), ("--", till_line_ending).void()))).parse_next(input)
 }
 
-type Input<'a> = LocatingSlice<&'a str>;
+/// The error that `what` was not found at byte `at`; another alternative may still fit.
+pub(crate) fn expected<T>(at: usize, what: impl Into<String>) -> Parsed<T> {
+    Err(ErrMode::Backtrack(Expected::new(at, what)))
+}
 
-/// Splits `text` into tokens.
-pub fn tokens(text: &str) -> Result<Vec<Token>, SyntaxError> {
-    let all = terminated(repeat(0.., token), (blank, eof));
-    let mut all = all;
-    all.parse(LocatingSlice::new(text))
-        .map_err(|error| error_at(text, error.offset(), "a word, a quoted text, `,` or `;`"))
+/// A keyword, in any case. `quoted` is the keyword as error messages show it.
+pub(crate) fn keyword<'a>(
+    word: &'static str,
+    quoted: &'static str,
+) -> impl Parser<Input<'a>, (), ErrMode<Expected>> {
+    move |input: &mut Input<'a>| {
+        let (at, found) = next_word(input)?;
+        match found.eq_ignore_ascii_case(word) {
+            true => Ok(()),
+            false => expected(at, quoted),
+        }
+    }
 }
 
-/// The error that `expected` was not found at byte `at` of `text`.
-pub fn error_at(text: &str, at: usize, expected: &str) -> SyntaxError {
-    let at = at.min(text.len());
-    let before = &text[..at];
-    let start = before.rfind('\n').map_or(0, |i| i + 1);
-    let line = text[start..].lines().next().unwrap_or_default();
-    let rest = &text[at..];
-    let found = match rest.split_whitespace().next() {
-        Some(word) => format!("`{}`", word.trim_end_matches(';')),
-        None => "the end".to_string(),
+/// Writes `keyword("drain", "`drain`")` as `key!("drain")`.
+macro_rules! key {
+    ($word:literal) => {
+        $crate::token::keyword($word, concat!("`", $word, "`"))
     };
-    SyntaxError {
-        line: before.matches('\n').count() + 1,
-        column: text[start..at].chars().count() + 1,
-        text: line.to_string(),
-        found,
-        expected: expected.to_string(),
-    }
 }
+pub(crate) use key;
 
-fn token(input: &mut Input<'_>) -> ModalResult<Token> {
-    preceded(blank, alt((quoted, separator, word)).with_span())
-        .map(|(kind, span)| Token { kind, at: span.start })
-        .parse_next(input)
+/// A symbol such as `;`.
+pub(crate) fn symbol<'a>(
+    text: &'static str,
+    quoted: &'static str,
+) -> impl Parser<Input<'a>, (), ErrMode<Expected>> {
+    move |input: &mut Input<'a>| {
+        blank(input)?;
+        let at = input.current_token_start();
+        let found: Parsed<&str> = literal(text).parse_next(input);
+        found.map(|_| ()).or_else(|_| expected(at, quoted))
+    }
 }
 
-fn blank(input: &mut Input<'_>) -> ModalResult<()> {
-    let comment = ("--", till_line_ending, opt(line_ending)).void();
-    repeat(0.., alt((multispace1.void(), comment))).parse_next(input)
+/// A word that `T` can be read from.
+pub(crate) fn value<'a, T>(what: &'static str) -> impl Parser<Input<'a>, T, ErrMode<Expected>>
+where
+    T: FromStr,
+{
+    move |input: &mut Input<'a>| {
+        let (at, found) = next_word(input)?;
+        found.parse().or_else(|_| expected(at, what))
+    }
 }
 
-fn quoted(input: &mut Input<'_>) -> ModalResult<Kind> {
-    delimited('"', take_while(0.., |c: char| c != '"' && c != '\n'), '"')
-        .map(|text: &str| Kind::Quoted(text.to_string()))
-        .parse_next(input)
+/// A number within `range`.
+pub(crate) fn number<'a>(
+    range: RangeInclusive<u32>,
+    what: &'static str,
+) -> impl Parser<Input<'a>, u32, ErrMode<Expected>> {
+    move |input: &mut Input<'a>| {
+        let (at, found) = next_word(input)?;
+        match found.parse() {
+            Ok(number) if range.contains(&number) => Ok(number),
+            _ => expected(at, what),
+        }
+    }
 }
 
-fn separator(input: &mut Input<'_>) -> ModalResult<Kind> {
-    alt((';'.value(Kind::Semicolon), ','.value(Kind::Comma))).parse_next(input)
+/// A text in double quotes, not empty.
+pub(crate) fn quoted<'a>(what: &'static str) -> impl Parser<Input<'a>, String, ErrMode<Expected>> {
+    move |input: &mut Input<'a>| {
+        blank(input)?;
+        let at = input.current_token_start();
+        let inner = take_while(1.., |c: char| c != '"' && c != '\n');
+        let found: Parsed<&str> = delimited('"', inner, '"').parse_next(input);
+        found.map(str::to_string).or_else(|_| expected(at, what))
+    }
 }
 
-fn word(input: &mut Input<'_>) -> ModalResult<Kind> {
-    take_while(1.., |c: char| !c.is_whitespace() && !";,\"".contains(c))
-        .map(|text: &str| Kind::Word(text.to_string()))
-        .parse_next(input)
+/// The next word and where it begins; empty if there is none.
+fn next_word<'a>(input: &mut Input<'a>) -> Parsed<(usize, &'a str)> {
+    blank(input)?;
+    let at = input.current_token_start();
+    let word = take_while(0.., |c: char| !c.is_whitespace() && !";,\"=!".contains(c)).parse_next(input)?;
+    Ok((at, word))
 }
--- a/src/ops/control/config.rs
+++ b/src/ops/control/config.rs
@@ -24,6 +24,7 @@
 use sequoiastream_operator::Table;
 use sequoiastream_operator::http::OperatorError;
 use sequoiastream_operator::parse_script;
+use sequoiastream_operator::select;
 use sequoiastream_operator::wire::AcceptedBody;
 use sequoiastream_operator::wire::ReplyBody;
 use sequoiastream_operator::wire::StatementBody;
@@ -131,12 +132,13 @@
         }
     }
 
-    fn query(&self, table: Table) -> TableBody {
+    fn table(&self, table: Table) -> TableBody {
         match table {
             Table::Products => products(&self.config),
             Table::Services => services(&self.config),
             Table::Engines => engines(&self.config),
             Table::Changes => changes(&self.head),
+            Table::Quarantine => quarantine(&self.config),
         }
     }
 }
@@ -154,21 +156,25 @@
 
     fn handle(&mut self, Execute(body): Execute, _: &mut Context<Self>) -> Self::Result {
         let mut commands = Vec::new();
-        let mut tables = Vec::new();
+        let mut queries = Vec::new();
         match parse_script(&body.text) {
             Err(error) => return Box::pin(actix::fut::ready(Err(error.into()))),
             Ok(statements) => {
                 for statement in statements {
                     match statement {
-                        Statement::Show(table) => tables.push(table),
+                        Statement::Show(query) => queries.push(query),
                         Statement::Change(command) => commands.push(command),
                     }
                 }
             }
         }
-        if let (Some(table), true) = (tables.first(), commands.is_empty()) {
-            let reply = ReplyBody::Table(self.query(*table));
-            return Box::pin(actix::fut::ready(Ok(reply)));
+        match (queries.as_slice(), commands.is_empty()) {
+            ([], false) => {}
+            ([query], true) => {
+                let reply = select(self.table(query.table), query).map(ReplyBody::Table);
+                return Box::pin(actix::fut::ready(reply));
+            }
+            _ => return Box::pin(actix::fut::ready(Err(OperatorError::Mixed))),
         }
         let kv = self.kv.clone();
         let accept = async move { accept(&kv, &body, commands).await };
@@ -294,6 +300,11 @@
     )
 }
 
+fn quarantine(config: &Config) -> TableBody {
+    let rows = config.quarantine.iter().map(|print| vec![print.clone()]);
+    table(&["fingerprint"], rows)
+}
+
 fn changes(head: &Head) -> TableBody {
     let rows = head.tail.iter().rev().map(|c| {
         vec![
