Widen the command line: audit, status, watch, completions, exit codes

Cause: operators had only query and apply, and every failure exited with 1. Conclusion: dry-run and wait are carried but not yet acted on by the daemon.

--- a/crates/operator/src/wire.rs
+++ b/crates/operator/src/wire.rs
@@ -16,6 +16,9 @@
     /// Only say what would change.
     #[serde(default)]
     pub dry: bool,
+    /// Answer only when every reachable instance has the change in force, or after a limit.
+    #[serde(default)]
+    pub wait: bool,
 }
 
 /// A table of texts.
@@ -48,6 +51,8 @@
     Table(TableBody),
     /// Changes were accepted.
     Accepted(AcceptedBody),
+    /// What the changes would do, were they not only tried: a row for each thing that would differ.
+    Difference(TableBody),
 }
 
 /// Why statements were not carried out.
--- a/crates/testsupport/src/fleet.rs
+++ b/crates/testsupport/src/fleet.rs
@@ -203,7 +203,7 @@
         match (reply.status, reply.status == 200) {
             (_, true) => match reply.json() {
                 ReplyBody::Accepted(accepted) => accepted.version,
-                ReplyBody::Table(_) => panic!("{text} is a query"),
+                _ => panic!("{text} is a query"),
             },
             (status, _) => panic!("{text}: status {status}: {}", reply.body),
         }
@@ -216,6 +216,7 @@
             who: "tester".to_string(),
             text: text.to_string(),
             dry: false,
+            wait: false,
         };
         let url = format!("{}/operator/statement", self.daemons[index].url());
         let token = format!("Bearer {TOKEN}");
--- /dev/null
+++ b/src/bin/sequoiastream/commands/completions.rs
@@ -0,0 +1,26 @@
+//! `sequoiastream completions SHELL`
+
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use clap_complete::Shell;
+use clap_complete::generate;
+
+/// Command line of `completions`.
+pub fn cli() -> Command {
+    Command::new("completions")
+        .about("Prints a completion script for a shell")
+        .arg(
+            Arg::new("shell")
+                .required(true)
+                .value_parser(value_parser!(Shell)),
+        )
+}
+
+/// Runs `completions` for the command line `whole`.
+pub fn exec(args: &ArgMatches, mut whole: Command) -> eyre::Result<()> {
+    let shell = *args.get_one::<Shell>("shell").expect("is required");
+    generate(shell, &mut whole, "sequoiastream", &mut std::io::stdout());
+    Ok(())
+}
--- a/src/bin/sequoiastream/commands/mod.rs
+++ b/src/bin/sequoiastream/commands/mod.rs
@@ -1,7 +1,11 @@
 //! Subcommands: one file each, with `cli()` and `exec()`.
 
 mod apply;
+mod audit;
+mod completions;
 mod query;
+mod status;
+mod watch;
 
 use clap::ArgMatches;
 use clap::Command;
@@ -10,13 +14,24 @@
 
 /// All subcommands.
 pub fn cli() -> Vec<Command> {
-    vec![apply::cli(), query::cli()]
+    vec![
+        apply::cli(),
+        audit::cli(),
+        completions::cli(),
+        query::cli(),
+        status::cli(),
+        watch::cli(),
+    ]
 }
 
-/// Runs the subcommand `name`.
-pub async fn exec(name: &str, context: &Context, args: &ArgMatches) -> eyre::Result<()> {
+/// Runs the subcommand `name` of the command line `whole`.
+pub async fn exec(name: &str, context: &Context, args: &ArgMatches, whole: Command) -> eyre::Result<()> {
     match name {
         "apply" => apply::exec(context, args).await,
+        "audit" => audit::exec(context, args).await,
+        "completions" => completions::exec(args, whole),
+        "status" => status::exec(context).await,
+        "watch" => watch::exec(context, args).await,
         _ => query::exec(context, args).await,
     }
 }
--- a/src/bin/sequoiastream/commands/query.rs
+++ b/src/bin/sequoiastream/commands/query.rs
@@ -1,24 +1,60 @@
 //! `sequoiastream query STATEMENT`
 
 use clap::Arg;
+use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
+use clap::value_parser;
+use uuid::Uuid;
 
 use crate::context::Context;
+use crate::context::Request;
 
 /// Command line of `query`.
 pub fn cli() -> Command {
-    Command::new("query").about("Gives one statement").arg(
-        Arg::new("statement")
-            .required(true)
-            .num_args(1..)
-            .help("The statement, such as: show engines"),
-    )
+    Command::new("query")
+        .about("Gives one statement: a query or a command")
+        .arg(
+            Arg::new("statement")
+                .required(true)
+                .num_args(1..)
+                .help("The statement, such as: show engines where zone = lodi-a"),
+        )
+        .args(how())
+}
+
+/// Options that say how a command is carried out; `apply` has them too.
+pub fn how() -> [Arg; 3] {
+    [
+        Arg::new("id")
+            .long("id")
+            .value_parser(value_parser!(Uuid))
+            .help("Gives a command again under the id that it had: it takes effect at most once"),
+        Arg::new("dry-run")
+            .long("dry-run")
+            .action(ArgAction::SetTrue)
+            .help("Only says what would change"),
+        Arg::new("wait")
+            .long("wait")
+            .action(ArgAction::SetTrue)
+            .help("Waits until every reachable instance has the change in force"),
+    ]
+}
+
+/// The request to carry out `text` as the options say.
+pub fn request(text: String, args: &ArgMatches) -> Request {
+    Request {
+        text,
+        id: args.get_one("id").copied(),
+        dry: args.get_flag("dry-run"),
+        wait: args.get_flag("wait"),
+    }
 }
 
 /// Runs `query`.
 pub async fn exec(context: &Context, args: &ArgMatches) -> eyre::Result<()> {
     let words = args.get_many::<String>("statement").unwrap_or_default();
     let text = words.cloned().collect::<Vec<_>>().join(" ");
-    context.execute(text, false).await
+    let reply = context.execute(request(text, args)).await?;
+    context.print(&reply)
 }
--- a/src/bin/sequoiastream/main.rs
+++ b/src/bin/sequoiastream/main.rs
@@ -1,60 +1,83 @@
 //! The command-line tool for operators.
+//!
+//! Exit codes: 0 done; 1 failed otherwise; 2 the command line can't be read; 3 the statements were refused;
+//! 4 another operator's change came first; 5 no instance answered, or the platform gave no sure answer, so
+//! that it is not known whether the statements took effect.
 
 mod commands;
 mod context;
+mod output;
 
 use std::process::ExitCode;
 
 use clap::Arg;
+use clap::ArgMatches;
 use clap::Command;
+use sequoiastream::ops::client::ClientError;
 
 use crate::context::Context;
 
+const FAILED: u8 = 1;
+const REFUSED: u8 = 3;
+const CONFLICT: u8 = 4;
+const UNKNOWN: u8 = 5;
+
+/// The whole command line.
 fn cli() -> Command {
     Command::new("sequoiastream")
         .version(env!("CARGO_PKG_VERSION"))
         .about("Asks a sequoiastream deployment what holds, and tells it what shall hold")
+        .after_help("See docs/GRAMMAR.md for the statements.")
         .subcommand_required(true)
         .arg(
-            Arg::new("server")
-                .long("server")
-                .global(true)
-                .env("SEQUOIASTREAM_SERVER")
-                .default_value("http://127.0.0.1:8080")
-                .help("Any entry instance"),
-        )
-        .arg(
-            Arg::new("token")
-                .long("token")
-                .global(true)
-                .env("SEQUOIASTREAM_OPERATOR_TOKEN")
-                .hide_env_values(true)
-                .help("Operator token"),
+            global("server", "SEQUOIASTREAM_SERVER", "Any entry instance")
+                .default_value("http://127.0.0.1:8080"),
         )
+        .arg(global("token", "SEQUOIASTREAM_OPERATOR_TOKEN", "Operator token").hide_env_values(true))
+        .arg(global("who", "USER", "Your name in the audit trail").default_value("operator"))
         .arg(
-            Arg::new("format")
-                .long("format")
-                .global(true)
+            global("format", "SEQUOIASTREAM_FORMAT", "How answers are written")
                 .value_parser(["table", "json"])
-                .default_value("table")
-                .help("How answers are written"),
+                .default_value("table"),
         )
         .subcommands(commands::cli())
 }
 
+fn global(name: &'static str, env: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).env(env).help(help).global(true)
+}
+
 #[actix_web::main]
 async fn main() -> ExitCode {
     let matches = cli().get_matches();
     let (name, args) = matches.subcommand().expect("a subcommand is required");
-    let context = Context::new(args);
-    match commands::exec(name, &context, args).await {
+    match run(name, args).await {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("error: {error}");
-            for cause in error.chain().skip(1) {
-                eprintln!("caused by: {cause}");
-            }
-            ExitCode::FAILURE
-        }
+        Err(error) => report(&error),
+    }
+}
+
+async fn run(name: &str, args: &ArgMatches) -> eyre::Result<()> {
+    let context = Context::new(args);
+    commands::exec(name, &context, args, cli()).await
+}
+
+fn report(error: &eyre::Report) -> ExitCode {
+    eprintln!("error: {error}");
+    for cause in error.chain().skip(1) {
+        eprintln!("caused by: {cause}");
+    }
+    let Some(client) = error.downcast_ref::<ClientError>() else {
+        return ExitCode::from(FAILED);
+    };
+    if let Some(help) = client.help() {
+        eprintln!("help: {help}");
     }
+    ExitCode::from(match client {
+        ClientError::Unreachable { .. } => UNKNOWN,
+        ClientError::Malformed { .. } => FAILED,
+        ClientError::Refused { status: 409, .. } => CONFLICT,
+        ClientError::Refused { status: 503, .. } => UNKNOWN,
+        ClientError::Refused { .. } => REFUSED,
+    })
 }
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -8,3 +8,4 @@
 pub mod daemon;
 pub mod dispatch;
 pub mod shared;
+pub mod tables;
--- /dev/null
+++ b/src/ops/tables.rs
@@ -0,0 +1,152 @@
+//! The tables that queries show of a configuration, and the difference between two of them.
+
+use std::collections::BTreeMap;
+
+use sequoiastream_core::config::Config;
+use sequoiastream_core::config::EngineState;
+use sequoiastream_core::config::Fencing;
+use sequoiastream_core::config::ServiceKind;
+use sequoiastream_operator::Table;
+use sequoiastream_operator::wire::TableBody;
+
+/// The tables that a configuration alone decides.
+const OF_CONFIG: [Table; 4] = [
+    Table::Products,
+    Table::Services,
+    Table::Engines,
+    Table::Quarantine,
+];
+
+/// A table from its columns and rows.
+pub fn table<R>(columns: &[&str], rows: R) -> TableBody
+where
+    R: Iterator<Item = Vec<String>>,
+{
+    TableBody {
+        columns: columns.iter().map(|c| c.to_string()).collect(),
+        rows: rows.collect(),
+    }
+}
+
+/// The table `kind` of `config`; `None` if it shows something else than the configuration.
+pub fn of_config(config: &Config, kind: Table) -> Option<TableBody> {
+    match kind {
+        Table::Products => Some(products(config)),
+        Table::Services => Some(services(config)),
+        Table::Engines => Some(engines(config)),
+        Table::Quarantine => Some(quarantine(config)),
+        _ => None,
+    }
+}
+
+/// What differs between two configurations: a row for each thing that was added, removed or changed.
+pub fn difference(before: &Config, after: &Config) -> TableBody {
+    let mut rows = Vec::new();
+    for kind in OF_CONFIG {
+        let (Some(old), Some(new)) = (of_config(before, kind), of_config(after, kind)) else {
+            continue;
+        };
+        rows.extend(changed_rows(kind, &old, &new));
+    }
+    table(&["change", "table", "name", "before", "after"], rows.into_iter())
+}
+
+fn changed_rows(kind: Table, old: &TableBody, new: &TableBody) -> Vec<Vec<String>> {
+    let old = by_name(old);
+    let new = by_name(new);
+    let mut names: Vec<&String> = old.keys().chain(new.keys()).copied().collect();
+    names.sort();
+    names.dedup();
+    let mut rows = Vec::new();
+    for name in names {
+        let (before, after) = (old.get(name), new.get(name));
+        let verb = match (before, after) {
+            (None, _) => "add",
+            (_, None) => "remove",
+            (Some(a), Some(b)) if a != b => "alter",
+            _ => continue,
+        };
+        let cells = |row: Option<&String>| row.cloned().unwrap_or_default();
+        rows.push(vec![
+            verb.to_string(),
+            kind.to_string(),
+            name.clone(),
+            cells(before),
+            cells(after),
+        ]);
+    }
+    rows
+}
+
+/// The rows by their first cell, the others written as `column=cell`.
+fn by_name(table: &TableBody) -> BTreeMap<&String, String> {
+    let mut rows = BTreeMap::new();
+    for row in &table.rows {
+        let cells = table.columns.iter().zip(row).skip(1);
+        let cells: Vec<String> = cells.map(|(column, cell)| format!("{column}={cell}")).collect();
+        rows.insert(&row[0], cells.join(" "));
+    }
+    rows
+}
+
+fn products(config: &Config) -> TableBody {
+    let rows = config.products.iter().map(|(name, p)| {
+        vec![
+            name.to_string(),
+            format!("{}%", p.share),
+            format!("{}ms", p.deadline),
+            p.weight.to_string(),
+            p.keys.len().to_string(),
+        ]
+    });
+    table(&["product", "share", "deadline", "weight", "keys"], rows)
+}
+
+fn services(config: &Config) -> TableBody {
+    let rows = config.services.iter().map(|(name, service)| {
+        let engines = config.engines.values().filter(|e| e.service == *name).count();
+        let kind = match &service.kind {
+            ServiceKind::Model { model } => format!("model {model}"),
+            ServiceKind::Plain { routes } => format!("plain, {} routes", routes.len()),
+        };
+        vec![name.to_string(), kind, engines.to_string()]
+    });
+    table(&["service", "kind", "engines"], rows)
+}
+
+fn engines(config: &Config) -> TableBody {
+    let rows = config.engines.iter().map(|(name, e)| {
+        vec![
+            name.to_string(),
+            e.service.to_string(),
+            e.zone.to_string(),
+            e.address.to_string(),
+            state(e.state).to_string(),
+            e.role.map_or("auto".to_string(), |r| r.to_string()),
+            fencing(e.fencing).to_string(),
+        ]
+    });
+    table(
+        &["engine", "service", "zone", "address", "state", "role", "fencing"],
+        rows,
+    )
+}
+
+fn quarantine(config: &Config) -> TableBody {
+    let rows = config.quarantine.iter().map(|print| vec![print.clone()]);
+    table(&["fingerprint"], rows)
+}
+
+fn state(state: EngineState) -> &'static str {
+    match state {
+        EngineState::Serving => "serving",
+        EngineState::Draining => "draining",
+    }
+}
+
+fn fencing(fencing: Fencing) -> &'static str {
+    match fencing {
+        Fencing::Checked => "checked",
+        Fencing::Ignored => "ignored",
+    }
+}
