--- a/crates/caller/src/gateway.rs
+++ b/crates/caller/src/gateway.rs
@@ -8,6 +8,7 @@
 use uuid::Uuid;
 
 use crate::refusal::Refusal;
+use crate::status::RequestState;
 
 /// A request to generate.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -78,6 +79,8 @@
     pub content: Option<String>,
     /// Body.
     pub body: Bytes,
+    /// How long the caller waits; `None` for the product's default.
+    pub deadline: Option<Duration>,
 }
 
 /// A plain service's answer.
@@ -113,6 +116,18 @@
     /// [`Refusal`] if there is no answer of the service.
     fn forward(&self, call: ForwardCall) -> impl Future<Output = Result<ForwardReply, Refusal>>;
 
+    /// What is known of the product's request with this idempotency key, of one service or of all.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if the key is none.
+    fn status(
+        &self,
+        product: Name,
+        key: &str,
+        service: Option<&str>,
+    ) -> impl Future<Output = Result<RequestState, Refusal>>;
+
     /// The metrics page.
     fn metrics(&self) -> String;
 }
--- a/crates/caller/src/http.rs
+++ b/crates/caller/src/http.rs
@@ -60,6 +60,7 @@
         .route("/v1/chat/completions", web::post().to(chat::<G>))
         .route("/v1/completions", web::post().to(completion::<G>))
         .route("/services/{service}/{path:.*}", web::route().to(forward::<G>))
+        .route("/v1/requests/{key}", web::get().to(crate::status::status::<G>))
         .route("/healthz", web::get().to(health))
         .route("/readyz", web::get().to(ready::<G>))
         .route("/metrics", web::get().to(metrics::<G>));
@@ -167,7 +168,7 @@
     Some(Duration::from_millis(millis))
 }
 
-fn product<G>(gateway: &G, request: &HttpRequest) -> Result<Name, Refusal>
+pub(crate) fn product<G>(gateway: &G, request: &HttpRequest) -> Result<Name, Refusal>
 where
     G: Gateway,
 {
@@ -270,6 +271,7 @@
         key: header("idempotency-key"),
         content: header("content-type"),
         body,
+        deadline: deadline(&request),
     };
     match gateway.forward(call).await {
         Err(refusal) => refuse(&refusal),
@@ -284,7 +286,7 @@
     }
 }
 
-fn refuse(refusal: &Refusal) -> HttpResponse {
+pub(crate) fn refuse(refusal: &Refusal) -> HttpResponse {
     let mut answer = builder(refusal.status());
     answer.insert_header((OUTCOME, refusal.outcome().to_string()));
     if let Some(after) = refusal.after() {
@@ -293,6 +295,6 @@
     answer.json(error_body(refusal))
 }
 
-fn builder(status: u16) -> HttpResponseBuilder {
+pub(crate) fn builder(status: u16) -> HttpResponseBuilder {
     HttpResponse::build(StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY))
 }
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -8,7 +8,8 @@
 mod http;
 mod refusal;
 mod sse;
-pub mod wire;
+mod status;
+mod wire;
 
 pub use gateway::Answer;
 pub use gateway::AnswerEvent;
@@ -20,3 +21,4 @@
 pub use http::OUTCOME;
 pub use http::configure;
 pub use refusal::Refusal;
+pub use status::RequestState;
--- a/crates/caller/src/refusal.rs
+++ b/crates/caller/src/refusal.rs
@@ -36,6 +36,16 @@
         }
     }
 
+    /// Another request with the same idempotency key runs; ask for it after this time.
+    pub fn running(after: Duration) -> Refusal {
+        Refusal {
+            outcome: Outcome::Unknown,
+            reason: Some(Reason::KeyRunning),
+            message: "a request with this idempotency key is running".to_string(),
+            after: Some(after),
+        }
+    }
+
     /// No upstream started the request.
     pub fn not_run(proof: NotRun, message: impl Into<String>) -> Refusal {
         Refusal {
@@ -51,7 +61,7 @@
         self.outcome
     }
 
-    /// Why it did not run, if it did not.
+    /// Why it did not run, if it did not, or why its outcome is not known.
     pub fn reason(&self) -> Option<Reason> {
         self.reason
     }
@@ -71,6 +81,7 @@
         match (self.outcome, self.reason) {
             (Outcome::NotRun, Some(reason)) => status_of(reason),
             (Outcome::Failed, _) => 502,
+            (_, Some(Reason::KeyRunning)) => 409,
             _ => 504,
         }
     }
@@ -82,12 +93,13 @@
         Reason::UnknownKey => 401,
         Reason::UnknownService => 404,
         Reason::KeyRunning => 409,
-        Reason::Quarantined => 422,
+        Reason::Quarantined | Reason::KeyReused => 422,
         Reason::OverShare | Reason::TooLate | Reason::RetryBudget => 429,
         Reason::NoEngine
         | Reason::PlatformOut
         | Reason::Stopping
         | Reason::Isolated
+        | Reason::ClockStepped
         | Reason::UpstreamRefused => 503,
     }
 }
--- /dev/null
+++ b/crates/core/src/claims/entry.rs
@@ -0,0 +1,227 @@
+//! The machine of the instance at which a caller asked for something that may not be repeated.
+
+use std::time::Duration;
+
+use crate::claims::Ask;
+use crate::claims::ClaimRef;
+use crate::claims::Clocks;
+use crate::claims::Fingerprint;
+use crate::claims::Mark;
+use crate::claims::Seen;
+use crate::claims::Verdict;
+use crate::name::Name;
+use crate::outcome::NotRun;
+use crate::outcome::Reason;
+use crate::outcome::Sent;
+use crate::outcome::Unsent;
+use crate::time::Time;
+
+/// Longest wait for a claim. A key-value service that is slow, or whose answer got lost, is waited for; one
+/// that is out is not.
+const MAX_WAIT: Duration = Duration::from_secs(4);
+
+/// Least time that must be left for the call itself, or it is not worth claiming.
+const MIN_RUN: Duration = Duration::from_millis(100);
+
+/// When to come back after a refusal that names no time.
+const COME_BACK: Duration = Duration::from_secs(2);
+
+/// Owners that may say that they can't reach the key-value service before they are believed.
+const MAX_OUT: u32 = 2;
+
+/// The right to send a request once.
+///
+/// Neither `Clone` nor `Copy`, and made only by [`EntryClaim`] out of a granted claim: sending consumes it, so a
+/// second send, or a `not-run` after a send, doesn't compile.
+///
+/// ```compile_fail
+/// # use sequoiastream_core::claims::Grant;
+/// # use sequoiastream_core::outcome::Reason;
+/// fn resend(grant: Grant) {
+///     let _first = grant.send();
+///     let _second = grant.send();
+/// }
+/// ```
+///
+/// ```compile_fail
+/// # use sequoiastream_core::claims::Grant;
+/// # use sequoiastream_core::outcome::Reason;
+/// fn deny(grant: Grant) {
+///     let _sent = grant.send();
+///     let _denied = grant.refuse(Reason::NoEngine);
+/// }
+/// ```
+#[derive(Debug)]
+pub struct Grant {
+    unsent: Unsent,
+}
+
+impl Grant {
+    /// Marks the request as sent.
+    pub fn send(self) -> Sent {
+        self.unsent.send()
+    }
+
+    /// Gives the request up unsent. Its claim should then be released.
+    pub fn refuse(self, reason: Reason) -> NotRun {
+        self.unsent.refuse(reason)
+    }
+}
+
+/// Why a claim was not granted, though no other request holds it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refused {
+    /// The key-value service is out of reach.
+    Out,
+    /// Too little time is left.
+    Late,
+    /// The clocks of the instances differ too much.
+    Clock,
+    /// The bucket is full.
+    Full,
+    /// The key was used for another request.
+    Mismatch,
+}
+
+/// What happens to a claim on its way.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EntryEvent {
+    /// The asked owner answered.
+    Answered(Verdict),
+    /// The asked owner could not be reached, or showed no sign of life. It may still write the claim.
+    Silent,
+}
+
+/// What to do next.
+#[derive(Debug)]
+pub enum EntryStep {
+    /// Ask this owner, and give what comes of it to the machine.
+    Ask(Box<EntryClaim>, Name, Ask),
+    /// The request may be sent, once.
+    Granted(Grant),
+    /// Another request holds the claim.
+    Seen(Seen),
+    /// The request is not sent.
+    Refused(NotRun, Refused),
+}
+
+/// One request's way to a grant. Each event consumes it, so that nothing is left to grant or refuse once more.
+#[derive(Debug)]
+pub struct EntryClaim {
+    claim: ClaimRef,
+    mark: Mark,
+    print: Fingerprint,
+    owners: std::vec::IntoIter<Name>,
+    until: Time,
+    deadline: Time,
+    outs: u32,
+    unsent: Unsent,
+}
+
+impl EntryClaim {
+    /// Prepares to claim for a request that must end by `deadline`. `owners` are asked in turn.
+    pub fn new(
+        claim: ClaimRef,
+        mark: Mark,
+        print: Fingerprint,
+        owners: Vec<Name>,
+        now: Time,
+        deadline: Time,
+    ) -> EntryClaim {
+        EntryClaim {
+            claim,
+            mark,
+            print,
+            owners: owners.into_iter(),
+            until: (now + MAX_WAIT).min(deadline - MIN_RUN),
+            deadline,
+            outs: 0,
+            unsent: Unsent::begin(),
+        }
+    }
+
+    /// The first step.
+    pub fn begin(self, now: Clocks) -> EntryStep {
+        self.next(now, COME_BACK)
+    }
+
+    /// Takes an event.
+    pub fn on(self, now: Clocks, event: EntryEvent) -> EntryStep {
+        match event {
+            EntryEvent::Silent => self.next(now, COME_BACK),
+            EntryEvent::Answered(verdict) => self.on_verdict(now, verdict),
+        }
+    }
+
+    fn on_verdict(mut self, now: Clocks, verdict: Verdict) -> EntryStep {
+        match verdict {
+            Verdict::Granted => self.on_granted(now),
+            Verdict::Seen(seen) => EntryStep::Seen(seen),
+            Verdict::Mismatch => self.refuse(Refused::Mismatch, None),
+            Verdict::Clock => self.refuse(Refused::Clock, None),
+            Verdict::Full => self.refuse(Refused::Full, Some(COME_BACK)),
+            Verdict::Stopping | Verdict::Never => self.next(now, COME_BACK),
+            Verdict::Out(after) => {
+                self.outs += 1;
+                match self.outs < MAX_OUT {
+                    true => self.next(now, after),
+                    false => self.refuse(Refused::Out, Some(after)),
+                }
+            }
+        }
+    }
+
+    /// Failure guarded against: a process that was paused after it asked sends long after its deadline, when
+    /// its claim may no longer be kept. The claim was asked for within the deadline, so one that is used
+    /// within it stands for at least as long as its key is accepted.
+    fn on_granted(self, now: Clocks) -> EntryStep {
+        if now.time + MIN_RUN > self.deadline {
+            return self.refuse(Refused::Late, None);
+        }
+        EntryStep::Granted(Grant { unsent: self.unsent })
+    }
+
+    fn next(mut self, now: Clocks, after: Duration) -> EntryStep {
+        if now.time >= self.until {
+            return self.refuse(Refused::Out, Some(after));
+        }
+        match self.owners.next() {
+            Some(owner) => {
+                let ask = self.ask(now);
+                EntryStep::Ask(Box::new(self), owner, ask)
+            }
+            None => self.refuse(Refused::Out, Some(after)),
+        }
+    }
+
+    fn ask(&self, now: Clocks) -> Ask {
+        Ask {
+            claim: self.claim,
+            mark: self.mark,
+            print: self.print,
+            wall: now.wall,
+            wait: self.until.since(now.time),
+            run: self.deadline.since(self.until),
+        }
+    }
+
+    fn refuse(self, refused: Refused, after: Option<Duration>) -> EntryStep {
+        let proof = self.unsent.refuse(refused.reason());
+        let proof = match after {
+            Some(after) => proof.come_back(after),
+            None => proof,
+        };
+        EntryStep::Refused(proof, refused)
+    }
+}
+
+impl Refused {
+    fn reason(self) -> Reason {
+        match self {
+            Refused::Out | Refused::Full => Reason::PlatformOut,
+            Refused::Late => Reason::TooLate,
+            Refused::Clock => Reason::ClockStepped,
+            Refused::Mismatch => Reason::KeyReused,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/claims/key.rs
@@ -0,0 +1,139 @@
+//! Idempotency keys and what is derived from them.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+use uuid::Uuid;
+
+use crate::name::Name;
+use crate::time::WallTime;
+
+/// Shards of the claims. Few, so that claims share writes; enough to spread them over the instances.
+pub const SHARDS: u16 = 16;
+
+/// Time that one bucket covers, in milliseconds of the keys' own time.
+const SLOT: u64 = 10_000;
+
+/// A key that a caller gives to a request that may not be repeated: a UUIDv7, which embeds its time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct IdempotencyKey(Uuid);
+
+/// Why a key can't be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum KeyError {
+    /// It is not a UUIDv7.
+    #[error("the idempotency key must be a UUIDv7")]
+    Malformed,
+    /// Its time is longer ago than claims are kept.
+    #[error("the idempotency key is older than the retention window")]
+    Old,
+    /// Its time lies ahead of this instance's clock.
+    #[error("the idempotency key's time lies too far in the future")]
+    Future,
+    /// This instance's wall clock stepped: it can't tell how old a key is.
+    #[error("this instance's clock stepped, it can't judge the idempotency key's age")]
+    Clock,
+}
+
+impl IdempotencyKey {
+    /// When the key was made, by the caller's clock.
+    pub fn time(&self) -> WallTime {
+        WallTime((self.0.as_u128() >> 80) as u64)
+    }
+}
+
+impl FromStr for IdempotencyKey {
+    type Err = KeyError;
+
+    fn from_str(text: &str) -> Result<IdempotencyKey, KeyError> {
+        let uuid = Uuid::try_parse(text).map_err(|_| KeyError::Malformed)?;
+        match uuid.get_version_num() {
+            7 => Ok(IdempotencyKey(uuid)),
+            _ => Err(KeyError::Malformed),
+        }
+    }
+}
+
+impl fmt::Display for IdempotencyKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// Names a claim: hash of product, service and idempotency key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ClaimId([u8; 16]);
+
+/// Names the key-value entry that holds a claim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct BucketId {
+    /// Shard, below [`SHARDS`].
+    pub shard: u16,
+    /// Slot of the keys' own time.
+    pub slot: u64,
+}
+
+/// Where a claim stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ClaimRef {
+    /// The bucket.
+    pub bucket: BucketId,
+    /// The claim within it.
+    pub id: ClaimId,
+}
+
+/// Names one request at one entry instance. Never drawn twice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Mark(pub Uuid);
+
+/// Hash of a request's method, path and body, by which a reused key is noticed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Fingerprint([u8; 16]);
+
+impl ClaimRef {
+    /// The claim on `key` of `product` at `service`.
+    pub fn new(product: &Name, service: &Name, key: &IdempotencyKey) -> ClaimRef {
+        let id = hash(&[
+            product.as_str().as_bytes(),
+            service.as_str().as_bytes(),
+            key.0.as_bytes(),
+        ]);
+        let [first, second, ..] = id;
+        ClaimRef {
+            bucket: BucketId {
+                shard: u16::from_be_bytes([first, second]) % SHARDS,
+                slot: key.time().0 / SLOT,
+            },
+            id: ClaimId(id),
+        }
+    }
+}
+
+impl BucketId {
+    /// The bucket's key in the key-value service.
+    pub fn path(&self) -> String {
+        format!("claims/{}/{}", self.shard, self.slot)
+    }
+}
+
+impl Fingerprint {
+    /// The fingerprint of a request.
+    pub fn new(method: &str, path: &str, body: &[u8]) -> Fingerprint {
+        Fingerprint(hash(&[method.as_bytes(), path.as_bytes(), body]))
+    }
+}
+
+/// Hashes `parts`, each behind its length, so that no two lists of parts run together.
+fn hash(parts: &[&[u8]]) -> [u8; 16] {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    let mut short = [0; 16];
+    hasher.finalize_xof().fill(&mut short);
+    short
+}
--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -53,6 +53,20 @@
     400 ATTEMPT_FAILED = "attempt-failed";
     /// A request was refused.
     401 REFUSED = "refused";
+    /// Claims can't be written: the key-value service fails.
+    600 CLAIMS_OUT = "claims-out";
+    /// Claims can be written again.
+    601 CLAIMS_BACK = "claims-back";
+    /// A claim was refused.
+    602 CLAIM_REFUSED = "claim-refused";
+    /// A claimed request was sent, and it is not known whether it ran.
+    603 CLAIM_UNKNOWN = "claim-unknown";
+    /// An owner of claims gave no sign of life; another was asked.
+    604 OWNER_SILENT = "owner-silent";
+    /// This instance's wall clock stepped; it refuses requests that may not be repeated.
+    605 CLOCK_STEPPED = "clock-stepped";
+    /// A bucket of claims can't be read.
+    606 CLAIMS_UNREADABLE = "claims-unreadable";
     /// An invariant was broken; the action was dropped.
     900 INVARIANT_BROKEN = "invariant-broken";
 }
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -67,6 +67,10 @@
     KeyRunning,
     /// The idempotency key lies outside the retention window.
     KeyExpired,
+    /// The idempotency key was used for a request with another method, path or body.
+    KeyReused,
+    /// The clocks of the instances differ so much that the key's age can't be judged.
+    ClockStepped,
 }
 
 /// An attempt of which no byte has left this instance.
--- a/crates/operator/src/statement.rs
+++ b/crates/operator/src/statement.rs
@@ -17,6 +17,8 @@
     Changes,
     /// Fingerprints of requests that may not run.
     Quarantine,
+    /// Claims on requests that may not be repeated, as far as this instance holds them.
+    Claims,
 }
 
 impl Table {
@@ -27,6 +29,7 @@
         ("engines", Table::Engines),
         ("changes", Table::Changes),
         ("quarantine", Table::Quarantine),
+        ("claims", Table::Claims),
     ];
 }
 
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,5 +1,10 @@
 //! The messages themselves.
 
+use sequoiastream_core::claims::Ask;
+use sequoiastream_core::claims::BucketId;
+use sequoiastream_core::claims::ClaimRef;
+use sequoiastream_core::claims::Edit;
+use sequoiastream_core::claims::Verdict;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -15,6 +20,12 @@
 pub enum Request {
     /// Only asks for an answer.
     Ping,
+    /// Asks the owner of a shard for a claim.
+    Claim(Ask),
+    /// Asks the owner of a shard what is known of a claim.
+    Look(ClaimRef),
+    /// Tells the owner of a shard what became of a claim.
+    Edit(BucketId, Edit),
 }
 
 /// The answer to a question over TCP.
@@ -22,4 +33,8 @@
 pub enum Response {
     /// Answer to [`Request::Ping`].
     Pong,
+    /// Answer to [`Request::Claim`] and [`Request::Look`].
+    Verdict(Verdict),
+    /// The message was taken.
+    Taken,
 }
--- a/crates/upstream/src/plain.rs
+++ b/crates/upstream/src/plain.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use awc::Client;
+use awc::ClientRequest;
 use awc::http::Method;
 use bytes::Bytes;
+use tokio::time::timeout;
 
 use crate::engine::from_send;
 use crate::engine::http_client;
@@ -44,6 +46,7 @@
 #[derive(Clone)]
 pub struct PlainClient {
     http: Client,
+    once: Client,
 }
 
 impl Default for PlainClient {
@@ -55,7 +58,10 @@
 impl PlainClient {
     /// A client with a connection pool of its own.
     pub fn new() -> PlainClient {
-        PlainClient { http: http_client() }
+        PlainClient {
+            http: http_client(),
+            once: http_client(),
+        }
     }
 
     /// Sends `call` once and reads the whole answer within `limit`.
@@ -69,11 +75,44 @@
         call: &PlainCall,
         limit: Duration,
     ) -> Result<PlainReply, UpstreamError> {
-        let url = format!("http://{to}{}", call.path);
-        let mut request = self.http.request(call.method.clone(), url).timeout(limit);
-        for (name, value) in &call.headers {
-            request = request.insert_header((name.as_str(), value.as_str()));
-        }
+        let request = request(&self.http, to, call);
+        timeout(limit, answer(request, call))
+            .await
+            .unwrap_or(Err(UpstreamError::Timeout))
+    }
+
+    /// Like [`send`](PlainClient::send), on a connection of its own that is closed afterwards.
+    ///
+    /// Failure guarded against: the upstream closes a pooled connection as the request goes out on it, and the
+    /// HTTP client, or a proxy behind it, sends the request again; an order would run twice. This client's
+    /// pool stays empty, since no connection is kept, so there is no connection that can have gone stale.
+    ///
+    /// # Errors
+    ///
+    /// [`UpstreamError`]; after one that is not [`UpstreamError::is_not_started`] the call may have run.
+    pub async fn send_once(
+        &self,
+        to: SocketAddr,
+        call: &PlainCall,
+        limit: Duration,
+    ) -> Result<PlainReply, UpstreamError> {
+        let request = request(&self.once, to, call).force_close();
+        timeout(limit, answer(request, call))
+            .await
+            .unwrap_or(Err(UpstreamError::Timeout))
+    }
+}
+
+fn request(http: &Client, to: SocketAddr, call: &PlainCall) -> ClientRequest {
+    let url = format!("http://{to}{}", call.path);
+    let mut request = http.request(call.method.clone(), url);
+    for (name, value) in &call.headers {
+        request = request.insert_header((name.as_str(), value.as_str()));
+    }
+    request
+}
+
+async fn answer(request: ClientRequest, call: &PlainCall) -> Result<PlainReply, UpstreamError> {
         let sent = request.send_body(call.body.clone()).await;
         let mut answer = sent.map_err(from_send)?;
         let status = answer.status().as_u16();
@@ -95,7 +134,6 @@
             content,
             body,
         })
-    }
 }
 
 impl fmt::Debug for PlainClient {
--- /dev/null
+++ b/src/ops/control/claims.rs
@@ -0,0 +1,379 @@
+//! Owner of claims: writes the buckets of its shards to the key-value service.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::Actor;
+use actix::ActorFutureExt;
+use actix::AsyncContext;
+use actix::Context;
+use actix::Handler;
+use actix::Message;
+use actix::ResponseFuture;
+use actix::WrapFuture;
+use sequoiastream_core::claims::Ask;
+use sequoiastream_core::claims::Bucket;
+use sequoiastream_core::claims::BucketId;
+use sequoiastream_core::claims::ClaimRef;
+use sequoiastream_core::claims::Edit;
+use sequoiastream_core::claims::KEEP;
+use sequoiastream_core::claims::Owner;
+use sequoiastream_core::claims::OwnerAction;
+use sequoiastream_core::claims::OwnerEvent;
+use sequoiastream_core::claims::Revision;
+use sequoiastream_core::claims::State;
+use sequoiastream_core::claims::Ticket;
+use sequoiastream_core::claims::Verdict;
+use sequoiastream_core::log_event;
+use sequoiastream_core::time::Time;
+use sequoiastream_operator::wire::TableBody;
+use sequoiastream_platform::Entry;
+use sequoiastream_platform::Expect;
+use sequoiastream_platform::KvClient;
+use sequoiastream_platform::KvError;
+use sequoiastream_platform::KvVersion;
+use sequoiastream_platform::LeaseId;
+use sequoiastream_platform::Swap;
+use tokio::sync::oneshot;
+
+use crate::log_event;
+use crate::ops::shared::Shared;
+use crate::util::clock;
+
+/// How often the platform's list is read.
+const LIST_EVERY: Duration = Duration::from_secs(2);
+
+/// How long one lease serves for the buckets that are written.
+const LEASE_FOR: Duration = Duration::from_secs(600);
+
+/// Most claims that a table shows.
+const MAX_ROWS: usize = 500;
+
+/// Asks for a claim.
+#[derive(Debug)]
+pub struct Claim(pub Ask);
+
+impl Message for Claim {
+    type Result = Verdict;
+}
+
+/// Asks what is known of a claim.
+#[derive(Debug)]
+pub struct Look(pub ClaimRef);
+
+impl Message for Look {
+    type Result = Verdict;
+}
+
+/// Tells what became of a claim.
+#[derive(Debug)]
+pub struct Report(pub BucketId, pub Edit);
+
+impl Message for Report {
+    type Result = ();
+}
+
+/// Writes what is pending and refuses new claims; answered once nothing is left to write.
+#[derive(Debug)]
+pub struct Stop;
+
+impl Message for Stop {
+    type Result = ();
+}
+
+/// Asks for the table of the claims that this instance holds.
+#[derive(Debug)]
+pub struct ShowClaims;
+
+impl Message for ShowClaims {
+    type Result = TableBody;
+}
+
+/// Lease that removes buckets once they are old.
+///
+/// Failure guarded against: a bucket goes while its keys are still accepted, and a repeat runs twice. The
+/// lease is never renewed nor released, not even at shutdown: only its time ends it.
+#[derive(Debug, Clone, Copy)]
+struct Keep {
+    lease: LeaseId,
+    asked: Time,
+}
+
+/// Owner of claims.
+#[derive(Debug)]
+pub struct ClaimsActor {
+    shared: Arc<Shared>,
+    kv: KvClient,
+    owner: Owner,
+    asked: BTreeMap<Ticket, oneshot::Sender<Verdict>>,
+    stopped: Vec<oneshot::Sender<()>>,
+    tickets: u64,
+    wake: Option<Time>,
+    keep: Option<Keep>,
+    failing: bool,
+}
+
+impl ClaimsActor {
+    /// An owner that knows no bucket.
+    pub fn new(shared: Arc<Shared>, kv: KvClient) -> ClaimsActor {
+        let owner = Owner::new(shared.settings.grouping);
+        ClaimsActor {
+            shared,
+            kv,
+            owner,
+            asked: BTreeMap::new(),
+            stopped: Vec::new(),
+            tickets: 0,
+            wake: None,
+            keep: None,
+            failing: false,
+        }
+    }
+
+    fn ticket(&mut self) -> (Ticket, ResponseFuture<Verdict>) {
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        let (sender, answer) = oneshot::channel();
+        self.asked.insert(ticket, sender);
+        let answer = Box::pin(async move { answer.await.unwrap_or(Verdict::Stopping) });
+        (ticket, answer)
+    }
+
+    fn on(&mut self, event: OwnerEvent, context: &mut Context<Self>) {
+        for action in self.owner.on(clock::both(), event) {
+            match action {
+                OwnerAction::Read(bucket) => self.read(bucket, context),
+                OwnerAction::Write(bucket, revision, content) => {
+                    self.write(bucket, revision, &content, context);
+                }
+                OwnerAction::Answer(ticket, verdict) => self.answer(ticket, verdict),
+                OwnerAction::Wake(at) => self.wake(at, context),
+                OwnerAction::Broken(rule) => log_event!(error, log_event::INVARIANT_BROKEN, rule),
+            }
+        }
+        if self.owner.is_idle() {
+            for waiting in self.stopped.drain(..) {
+                let _ = waiting.send(());
+            }
+        }
+    }
+
+    fn answer(&mut self, ticket: Ticket, verdict: Verdict) {
+        self.shared.metrics.claims.count(&verdict);
+        if let Some(sender) = self.asked.remove(&ticket) {
+            // The entry may have given up; then it never sends.
+            let _ = sender.send(verdict);
+        }
+    }
+
+    fn wake(&mut self, at: Time, context: &mut Context<Self>) {
+        if self.wake.is_some_and(|wake| wake <= at) {
+            return;
+        }
+        self.wake = Some(at);
+        let pause = at.since(clock::now());
+        context.run_later(pause, move |actor, context| {
+            if actor.wake == Some(at) {
+                actor.wake = None;
+                actor.on(OwnerEvent::Tick, context);
+            }
+        });
+    }
+
+    fn read(&mut self, bucket: BucketId, context: &mut Context<Self>) {
+        self.shared.metrics.claims.reads.inc();
+        let kv = self.kv.clone();
+        let read = async move { kv.get(&bucket.path()).await };
+        context.spawn(read.into_actor(self).map(move |result, actor, context| {
+            let event = match result {
+                Ok(entry) => actor.stands(bucket, &entry),
+                Err(error) => actor.failed(bucket, &error),
+            };
+            actor.on(event, context);
+        }));
+    }
+
+    fn write(&mut self, bucket: BucketId, revision: Revision, content: &Bucket, context: &mut Context<Self>) {
+        self.shared.metrics.claims.writes.inc();
+        let value = match postcard::to_allocvec(content) {
+            Ok(value) => value,
+            Err(error) => {
+                log_event!(error, log_event::CLAIMS_UNREADABLE, %error, bucket = bucket.path());
+                return;
+            }
+        };
+        let kv = self.kv.clone();
+        let keep = self.keep;
+        let write = async move { swap(&kv, keep, bucket, revision, &value).await };
+        context.spawn(write.into_actor(self).map(move |written, actor, context| {
+            actor.keep = written.keep;
+            let event = match written.result {
+                Ok(Swap::Done(version)) => {
+                    actor.working();
+                    OwnerEvent::Written(bucket, Revision(version.0))
+                }
+                Ok(Swap::Conflict(entry)) => {
+                    actor.shared.metrics.claims.conflicts.inc();
+                    actor.stands(bucket, &entry)
+                }
+                Err(error) => actor.failed(bucket, &error),
+            };
+            actor.on(event, context);
+        }));
+    }
+
+    fn stands(&mut self, bucket: BucketId, entry: &Entry) -> OwnerEvent {
+        self.working();
+        let Some(value) = &entry.value else {
+            return OwnerEvent::Stands(bucket, Revision::default(), Bucket::default());
+        };
+        match postcard::from_bytes(value) {
+            Ok(content) => OwnerEvent::Stands(bucket, Revision(entry.version.0), content),
+            Err(error) => {
+                log_event!(error, log_event::CLAIMS_UNREADABLE, %error, bucket = bucket.path());
+                OwnerEvent::Failed { bucket, unsure: true }
+            }
+        }
+    }
+
+    fn working(&mut self) {
+        if self.failing {
+            log_event!(info, log_event::CLAIMS_BACK);
+        }
+        self.failing = false;
+    }
+
+    fn failed(&mut self, bucket: BucketId, error: &KvError) -> OwnerEvent {
+        if !self.failing {
+            log_event!(warn, log_event::CLAIMS_OUT, %error, bucket = bucket.path());
+        }
+        self.failing = true;
+        let unsure = error.is_ambiguous();
+        OwnerEvent::Failed { bucket, unsure }
+    }
+
+    fn list(&mut self, context: &mut Context<Self>) {
+        let kv = self.kv.clone();
+        let list = async move { kv.instances().await };
+        context.spawn(list.into_actor(self).map(|result, actor, context| {
+            if let Ok(listed) = result {
+                actor.shared.peers.set_listed(&listed);
+            }
+            context.run_later(LIST_EVERY, |actor, context| actor.list(context));
+        }));
+    }
+}
+
+struct Written {
+    keep: Option<Keep>,
+    result: Result<Swap, KvError>,
+}
+
+/// Swaps a bucket in, bound to a lease that lapses [`KEEP`] after this write at the earliest.
+async fn swap(
+    kv: &KvClient,
+    keep: Option<Keep>,
+    bucket: BucketId,
+    revision: Revision,
+    value: &[u8],
+) -> Written {
+    let now = clock::now();
+    let keep = match keep {
+        Some(keep) if now.since(keep.asked) < LEASE_FOR => keep,
+        _ => match kv.grant(KEEP + LEASE_FOR).await {
+            Ok(lease) => Keep { lease, asked: now },
+            // Nothing was written, whatever became of the lease.
+            Err(_) => {
+                let result = Err(KvError::Refused(0));
+                return Written { keep: None, result };
+            }
+        },
+    };
+    let expect = Expect::from(KvVersion(revision.0));
+    let result = kv.swap(&bucket.path(), expect, value, Some(keep.lease)).await;
+    let lapsed = matches!(result, Err(KvError::LeaseLapsed));
+    Written {
+        keep: (!lapsed).then_some(keep),
+        result,
+    }
+}
+
+impl Actor for ClaimsActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Context<Self>) {
+        self.list(context);
+    }
+}
+
+impl Handler<Claim> for ClaimsActor {
+    type Result = ResponseFuture<Verdict>;
+
+    fn handle(&mut self, Claim(ask): Claim, context: &mut Context<Self>) -> Self::Result {
+        let (ticket, answer) = self.ticket();
+        self.on(OwnerEvent::Ask(ticket, ask), context);
+        answer
+    }
+}
+
+impl Handler<Look> for ClaimsActor {
+    type Result = ResponseFuture<Verdict>;
+
+    fn handle(&mut self, Look(claim): Look, context: &mut Context<Self>) -> Self::Result {
+        let (ticket, answer) = self.ticket();
+        self.on(OwnerEvent::Look(ticket, claim), context);
+        answer
+    }
+}
+
+impl Handler<Report> for ClaimsActor {
+    type Result = ();
+
+    fn handle(&mut self, Report(bucket, edit): Report, context: &mut Context<Self>) {
+        self.on(OwnerEvent::Edit(bucket, edit), context);
+    }
+}
+
+impl Handler<Stop> for ClaimsActor {
+    type Result = ResponseFuture<()>;
+
+    fn handle(&mut self, _: Stop, context: &mut Context<Self>) -> Self::Result {
+        let (sender, stopped) = oneshot::channel();
+        self.stopped.push(sender);
+        self.on(OwnerEvent::Stop, context);
+        Box::pin(async move {
+            let _ = stopped.await;
+        })
+    }
+}
+
+impl Handler<ShowClaims> for ClaimsActor {
+    type Result = actix::MessageResult<ShowClaims>;
+
+    fn handle(&mut self, _: ShowClaims, _: &mut Context<Self>) -> Self::Result {
+        let mut rows = Vec::new();
+        for (bucket, content) in self.owner.buckets() {
+            for (_, record) in content.iter() {
+                let state = match &record.state {
+                    State::Granted { .. } => "granted",
+                    State::Finished { answer: Some(_) } => "finished, answer kept",
+                    State::Finished { answer: None } => "finished",
+                    State::Unknown => "unknown",
+                };
+                rows.push(vec![
+                    bucket.shard.to_string(),
+                    bucket.slot.to_string(),
+                    record.mark.0.to_string(),
+                    state.to_string(),
+                ]);
+            }
+        }
+        rows.reverse();
+        rows.truncate(MAX_ROWS);
+        actix::MessageResult(TableBody {
+            columns: ["shard", "slot", "request", "state"].map(String::from).to_vec(),
+            rows,
+        })
+    }
+}
--- a/src/ops/control/config.rs
+++ b/src/ops/control/config.rs
@@ -139,6 +139,8 @@
             Table::Engines => engines(&self.config),
             Table::Changes => changes(&self.head),
             Table::Quarantine => quarantine(&self.config),
+            // Answered by the owner of claims, see `Dispatch::execute`.
+            Table::Claims => TableBody::default(),
         }
     }
 }
--- a/src/ops/dispatch/mod.rs
+++ b/src/ops/dispatch/mod.rs
@@ -2,6 +2,8 @@
 
 mod forward;
 mod generate;
+mod once;
+mod owners;
 
 use std::sync::Arc;
 
@@ -11,17 +13,26 @@
 use sequoiastream_caller::Gateway;
 use sequoiastream_caller::GenerateCall;
 use sequoiastream_caller::Refusal;
+use sequoiastream_caller::RequestState;
 use sequoiastream_core::config::Version;
 use sequoiastream_core::name::Name;
+use sequoiastream_operator::Query;
+use sequoiastream_operator::Statement;
+use sequoiastream_operator::Table;
 use sequoiastream_operator::http::Executor;
 use sequoiastream_operator::http::OperatorError;
+use sequoiastream_operator::parse_script;
+use sequoiastream_operator::select;
 use sequoiastream_operator::wire::ReplyBody;
 use sequoiastream_operator::wire::StatementBody;
+use sequoiastream_peer::call::CallClient;
+use sequoiastream_peer::seal::ClusterKey;
 use sequoiastream_upstream::EngineClient;
 use sequoiastream_upstream::PlainClient;
 
 use crate::ops::control::Control;
 use crate::ops::control::Execute;
+use crate::ops::control::claims::ShowClaims;
 use crate::ops::shared::Shared;
 
 /// One traffic thread's side of the daemon.
@@ -31,16 +42,19 @@
     control: Control,
     engines: EngineClient,
     plain: PlainClient,
+    calls: CallClient,
 }
 
 impl Dispatch {
     /// A dispatcher with connection pools of its own.
     pub fn new(shared: Arc<Shared>, control: Control) -> Dispatch {
+        let calls = CallClient::new(ClusterKey::new(&shared.settings.cluster));
         Dispatch {
             shared,
             control,
             engines: EngineClient::new(),
             plain: PlainClient::new(),
+            calls,
         }
     }
 }
@@ -64,6 +78,10 @@
         forward::run(self, call).await
     }
 
+    async fn status(&self, product: Name, key: &str, service: Option<&str>) -> Result<RequestState, Refusal> {
+        once::status(self, &product, key, service).await
+    }
+
     fn metrics(&self) -> String {
         self.shared.metrics.page()
     }
@@ -76,9 +94,22 @@
     }
 
     async fn execute(&self, statement: StatementBody) -> Result<ReplyBody, OperatorError> {
+        if let Some(query) = claims_query(&statement) {
+            let table = self.control.claims.send(ShowClaims).await;
+            let table = table.map_err(|e| OperatorError::Platform(e.to_string()))?;
+            return select(table, &query).map(ReplyBody::Table);
+        }
         match self.control.config.send(Execute(statement)).await {
             Ok(result) => result,
             Err(error) => Err(OperatorError::Platform(error.to_string())),
         }
     }
 }
+
+/// The query for the table of claims, if the statement is just that.
+fn claims_query(statement: &StatementBody) -> Option<Query> {
+    match parse_script(&statement.text).ok()?.as_slice() {
+        [Statement::Show(query)] if query.table == Table::Claims => Some(query.clone()),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/ops/dispatch/once.rs
@@ -0,0 +1,282 @@
+//! Calls that may not be repeated: claimed first, then sent once.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sequoiastream_caller::ForwardCall;
+use sequoiastream_caller::ForwardReply;
+use sequoiastream_caller::Refusal;
+use sequoiastream_caller::RequestState;
+use sequoiastream_core::claims::Change;
+use sequoiastream_core::claims::ClaimRef;
+use sequoiastream_core::claims::Edit;
+use sequoiastream_core::claims::EntryClaim;
+use sequoiastream_core::claims::EntryEvent;
+use sequoiastream_core::claims::EntryStep;
+use sequoiastream_core::claims::Fingerprint;
+use sequoiastream_core::claims::Grant;
+use sequoiastream_core::claims::IdempotencyKey;
+use sequoiastream_core::claims::KeyError;
+use sequoiastream_core::claims::Mark;
+use sequoiastream_core::claims::Refused;
+use sequoiastream_core::claims::Seen;
+use sequoiastream_core::claims::Stored;
+use sequoiastream_core::claims::Verdict;
+use sequoiastream_core::config::ServiceKind;
+use sequoiastream_core::log_event;
+use sequoiastream_core::name::Name;
+use sequoiastream_core::outcome::NotRun;
+use sequoiastream_core::outcome::Reason;
+use sequoiastream_core::outcome::Unsent;
+use sequoiastream_core::time::Time;
+use sequoiastream_upstream::PlainCall;
+use sequoiastream_upstream::PlainReply;
+use sequoiastream_upstream::UpstreamError;
+use tokio::sync::oneshot;
+use uuid::Uuid;
+
+use crate::log_event;
+use crate::ops::dispatch::Dispatch;
+use crate::ops::dispatch::forward::Target;
+use crate::ops::dispatch::forward::reply_of;
+use crate::util::clock;
+
+/// How long after its caller's deadline an answer is still waited for, so that a repeat can be told it.
+const LATE: Duration = Duration::from_secs(60);
+
+/// When to come back for a request that runs.
+const COME_BACK: Duration = Duration::from_secs(2);
+
+/// Shortest time after which to come back.
+const SOON: Duration = Duration::from_secs(1);
+
+/// A claimed call on its way.
+struct Once {
+    dispatch: Dispatch,
+    claim: ClaimRef,
+    mark: Mark,
+    deadline: Time,
+}
+
+/// Checks the idempotency key of `call`.
+///
+/// # Errors
+///
+/// [`Refusal`] if there is no key, or it can't be used.
+pub(super) fn check_key(dispatch: &Dispatch, call: &ForwardCall) -> Result<IdempotencyKey, Refusal> {
+    let Some(text) = &call.key else {
+        let proof = Unsent::begin().refuse(Reason::BadRequest);
+        let message = "this call may not be repeated: it needs the header `idempotency-key` with a UUIDv7";
+        return Err(Refusal::not_run(proof, message));
+    };
+    let key = text.parse::<IdempotencyKey>();
+    let checked = key.and_then(|key| dispatch.shared.keys.check(&key, clock::both()).map(|()| key));
+    checked.map_err(|error| {
+        let reason = match error {
+            KeyError::Malformed | KeyError::Future => Reason::BadRequest,
+            KeyError::Old => Reason::KeyExpired,
+            KeyError::Clock => {
+                log_event!(error, log_event::CLOCK_STEPPED);
+                Reason::ClockStepped
+            }
+        };
+        Refusal::not_run(Unsent::begin().refuse(reason), error.to_string())
+    })
+}
+
+/// Claims `key` and passes the call through, at most once.
+pub(super) async fn run(
+    dispatch: &Dispatch,
+    service: &Name,
+    call: ForwardCall,
+    plain: PlainCall,
+    deadline: Time,
+) -> Result<ForwardReply, Refusal> {
+    let key = check_key(dispatch, &call)?;
+    let once = Once {
+        dispatch: dispatch.clone(),
+        claim: ClaimRef::new(&call.product, service, &key),
+        mark: Mark(Uuid::new_v4()),
+        deadline,
+    };
+    let print = Fingerprint::new(&call.method, &call.path, &call.body);
+    match once.claim(print).await {
+        EntryStep::Granted(grant) => once.send(service, grant, plain).await,
+        EntryStep::Seen(seen) => seen_reply(seen),
+        EntryStep::Refused(proof, refused) => {
+            if !matches!(refused, Refused::Mismatch) {
+                once.release();
+            }
+            Err(refusal(proof, refused))
+        }
+        EntryStep::Ask(..) => Err(Refusal::unknown("the claim was lost")),
+    }
+}
+
+impl Once {
+    /// Asks owners in turn until one decides.
+    async fn claim(&self, print: Fingerprint) -> EntryStep {
+        let owners = self.dispatch.owners(self.claim.bucket.shard);
+        let now = clock::now();
+        let machine = EntryClaim::new(self.claim, self.mark, print, owners, now, self.deadline);
+        let mut step = machine.begin(clock::both());
+        while let EntryStep::Ask(machine, owner, ask) = step {
+            let event = self.dispatch.ask(&owner, ask).await;
+            if matches!(event, EntryEvent::Silent) {
+                log_event!(warn, log_event::OWNER_SILENT, %owner, shard = self.claim.bucket.shard);
+            }
+            step = machine.on(clock::both(), event);
+        }
+        step
+    }
+
+    /// Sends the call once, in a task of its own: it goes on if the caller leaves or its deadline passes, so
+    /// that what became of it can be told.
+    async fn send(self, service: &Name, grant: Grant, plain: PlainCall) -> Result<ForwardReply, Refusal> {
+        let Some(target) = self.dispatch.pick(service, &[]) else {
+            self.release();
+            let proof = grant.refuse(Reason::NoEngine).come_back(COME_BACK);
+            return Err(Refusal::not_run(proof, "no upstream can take work now"));
+        };
+        let left = self.deadline.since(clock::now());
+        let (sender, answer) = oneshot::channel();
+        actix::spawn(async move {
+            let result = self.attempt(&target, grant, &plain, left + LATE).await;
+            self.dispatch.shared.router().done(&target.name);
+            // The caller may be gone; then nobody needs the answer.
+            let _ = sender.send(result);
+        });
+        match tokio::time::timeout(left, answer).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) => Err(Refusal::unknown("the answer was lost")),
+            Err(_) => Err(Refusal::unknown(
+                "the service gave no answer in time: ask for the request's status by its key",
+            )),
+        }
+    }
+
+    async fn attempt(
+        &self,
+        target: &Target,
+        grant: Grant,
+        plain: &PlainCall,
+        limit: Duration,
+    ) -> Result<ForwardReply, Refusal> {
+        let sent = grant.send();
+        match self.dispatch.plain.send_once(target.address, plain, limit).await {
+            Ok(reply) => {
+                self.report(Change::Finish(kept(&reply)));
+                Ok(reply_of(reply))
+            }
+            Err(error) if error.is_not_started() => {
+                self.report(Change::Release);
+                Err(Refusal::not_run(sent.vouched(), error.to_string()))
+            }
+            Err(error) => {
+                self.warn(target.address, &error);
+                self.report(Change::Lose);
+                Err(Refusal::unknown(error.to_string()))
+            }
+        }
+    }
+
+    fn warn(&self, address: SocketAddr, error: &UpstreamError) {
+        log_event!(warn, log_event::CLAIM_UNKNOWN, %address, %error, request = %self.mark.0);
+    }
+
+    fn release(&self) {
+        self.report(Change::Release);
+    }
+
+    fn report(&self, change: Change) {
+        let dispatch = self.dispatch.clone();
+        let bucket = self.claim.bucket;
+        let edit = Edit {
+            id: self.claim.id,
+            mark: self.mark,
+            change,
+        };
+        actix::spawn(async move { dispatch.report(bucket, edit).await });
+    }
+}
+
+fn kept(reply: &PlainReply) -> Option<Stored> {
+    let stored = Stored {
+        status: reply.status,
+        content: reply.content.clone(),
+        body: reply.body.to_vec(),
+    };
+    stored.is_small().then_some(stored)
+}
+
+fn seen_reply(seen: Seen) -> Result<ForwardReply, Refusal> {
+    match seen {
+        Seen::Finished(Some(stored)) => Ok(ForwardReply {
+            status: stored.status,
+            content: stored.content,
+            body: stored.body.into(),
+        }),
+        Seen::Finished(None) => Err(Refusal::unknown(
+            "the request with this key has run; its answer was too large to be kept",
+        )),
+        Seen::Running(left) => Err(Refusal::running(left.clamp(SOON, COME_BACK))),
+        Seen::Unknown => Err(Refusal::unknown(
+            "a request with this key was sent on, and it is not known whether it ran",
+        )),
+    }
+}
+
+fn refusal(proof: NotRun, refused: Refused) -> Refusal {
+    let message = match refused {
+        Refused::Out => "the key-value service is out of reach, so the request can't be claimed",
+        Refused::Late => "too little time is left for the request",
+        Refused::Clock => "the clocks of the instances differ too much to judge the key's age",
+        Refused::Full => "too many requests carry keys of the same time",
+        Refused::Mismatch => "the idempotency key was used for another request",
+    };
+    log_event!(info, log_event::CLAIM_REFUSED, message);
+    Refusal::not_run(proof, message)
+}
+
+/// What is known of the request with `key`, of the named service or of any plain service.
+pub(super) async fn status(
+    dispatch: &Dispatch,
+    product: &Name,
+    key: &str,
+    service: Option<&str>,
+) -> Result<RequestState, Refusal> {
+    let Ok(key) = key.parse::<IdempotencyKey>() else {
+        let proof = Unsent::begin().refuse(Reason::BadRequest);
+        return Err(Refusal::not_run(proof, KeyError::Malformed.to_string()));
+    };
+    if dispatch.shared.keys.check(&key, clock::both()) == Err(KeyError::Old) {
+        return Ok(RequestState::Expired);
+    }
+    for name in plain_services(dispatch, service) {
+        let verdict = dispatch.look(ClaimRef::new(product, &name, &key)).await;
+        match verdict {
+            Verdict::Never => {}
+            Verdict::Seen(Seen::Running(_)) => return Ok(RequestState::Running),
+            Verdict::Seen(Seen::Unknown) => return Ok(RequestState::Unknown),
+            Verdict::Seen(Seen::Finished(stored)) => {
+                return Ok(RequestState::Finished(stored.map(|s| ForwardReply {
+                    status: s.status,
+                    content: s.content,
+                    body: s.body.into(),
+                })));
+            }
+            _ => return Ok(RequestState::Unreachable),
+        }
+    }
+    Ok(RequestState::NeverSeen)
+}
+
+fn plain_services(dispatch: &Dispatch, only: Option<&str>) -> Vec<Name> {
+    let snapshot = dispatch.shared.snapshot.load();
+    let plain = snapshot
+        .services
+        .iter()
+        .filter(|(_, s)| matches!(s.kind, ServiceKind::Plain { .. }));
+    let wanted = plain.filter(|(_, s)| only.is_none_or(|only| s.name.as_str() == only));
+    wanted.map(|(_, s)| s.name.clone()).collect()
+}
--- /dev/null
+++ b/src/ops/dispatch/owners.rs
@@ -0,0 +1,120 @@
+//! Asking the owners of claims.
+
+use std::time::Duration;
+
+use futures_util::future::Either;
+use futures_util::future::select;
+use sequoiastream_core::claims::Ask;
+use sequoiastream_core::claims::BucketId;
+use sequoiastream_core::claims::ClaimRef;
+use sequoiastream_core::claims::Edit;
+use sequoiastream_core::claims::EntryEvent;
+use sequoiastream_core::claims::Verdict;
+use sequoiastream_core::name::Name;
+use sequoiastream_peer::message::Request;
+use sequoiastream_peer::message::Response;
+
+use crate::ops::control::claims::Claim;
+use crate::ops::control::claims::Look;
+use crate::ops::control::claims::Report;
+use crate::ops::dispatch::Dispatch;
+use crate::util::clock;
+
+/// How long an owner may be silent before it is asked whether it runs.
+const PATIENCE: Duration = Duration::from_millis(250);
+
+/// How long an instance that runs may take to say so.
+const PING: Duration = Duration::from_millis(250);
+
+/// Time for an answer to travel.
+const TRAVEL: Duration = Duration::from_millis(200);
+
+/// How long an owner may take to say what is known of a claim, or to take a report.
+const SHORT: Duration = Duration::from_secs(4);
+
+impl Dispatch {
+    /// Instances to ask about a shard, in turn; this one comes last if the list doesn't show it.
+    pub(super) fn owners(&self, shard: u16) -> Vec<Name> {
+        let own = &self.shared.settings.name;
+        let mut owners = self.shared.peers.owners().of(shard, clock::now());
+        if !owners.contains(own) {
+            owners.push(own.clone());
+        }
+        owners
+    }
+
+    /// Asks `owner` for a claim.
+    pub(super) async fn ask(&self, owner: &Name, ask: Ask) -> EntryEvent {
+        let limit = ask.wait + TRAVEL;
+        if *owner == self.shared.settings.name {
+            let answer = tokio::time::timeout(limit, self.control.claims.send(Claim(ask))).await;
+            return match answer {
+                Ok(Ok(verdict)) => EntryEvent::Answered(verdict),
+                _ => EntryEvent::Silent,
+            };
+        }
+        match self.question(owner, Request::Claim(ask), limit).await {
+            Some(Response::Verdict(verdict)) => EntryEvent::Answered(verdict),
+            _ => EntryEvent::Silent,
+        }
+    }
+
+    /// Asks what is known of a claim.
+    pub(super) async fn look(&self, claim: ClaimRef) -> Verdict {
+        for owner in self.owners(claim.bucket.shard) {
+            let verdict = match owner == self.shared.settings.name {
+                true => self.control.claims.send(Look(claim)).await.ok(),
+                false => match self.question(&owner, Request::Look(claim), SHORT).await {
+                    Some(Response::Verdict(verdict)) => Some(verdict),
+                    _ => None,
+                },
+            };
+            if let Some(verdict) = verdict.filter(|v| *v != Verdict::Stopping) {
+                return verdict;
+            }
+        }
+        Verdict::Out(SHORT)
+    }
+
+    /// Tells the owner what became of a claim; if nobody takes it, the claim stays granted and is told as
+    /// unknown.
+    pub(super) async fn report(&self, bucket: BucketId, edit: Edit) {
+        for owner in self.owners(bucket.shard) {
+            if owner == self.shared.settings.name {
+                self.control.claims.do_send(Report(bucket, edit));
+                return;
+            }
+            let request = Request::Edit(bucket, edit.clone());
+            if let Some(Response::Taken) = self.question(&owner, request, SHORT).await {
+                return;
+            }
+        }
+    }
+
+    /// Asks a peer; `None` if it can't be reached or shows no sign of life.
+    ///
+    /// Failure guarded against: a paused owner holds a caller up until its deadline. A question that takes
+    /// long is no sign of a pause, since the key-value service may be slow; a ping that nobody answers is.
+    async fn question(&self, owner: &Name, request: Request, limit: Duration) -> Option<Response> {
+        let address = self.shared.peers.address(owner)?;
+        let call = std::pin::pin!(self.calls.call(address, &request, limit));
+        let watch = std::pin::pin!(async {
+            loop {
+                tokio::time::sleep(PATIENCE).await;
+                if self.calls.call(address, &Request::Ping, PING).await.is_err() {
+                    return;
+                }
+            }
+        });
+        let answer = match select(call, watch).await {
+            Either::Left((answer, _)) => answer.ok(),
+            Either::Right(_) => None,
+        };
+        let mut owners = self.shared.peers.owners();
+        match &answer {
+            Some(_) => owners.trust(owner),
+            None => owners.suspect(owner, clock::now()),
+        }
+        answer
+    }
+}
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -4,10 +4,13 @@
 use std::sync::MutexGuard;
 
 use arc_swap::ArcSwap;
+use sequoiastream_core::claims::KeyClock;
 use sequoiastream_core::route::Router;
 use sequoiastream_core::snapshot::Snapshot;
 
+use crate::ops::peers::Peers;
 use crate::settings::Settings;
+use crate::util::clock;
 use crate::util::metrics::Metrics;
 
 /// Shared between all threads of a daemon.
@@ -19,6 +22,10 @@
     pub snapshot: ArcSwap<Snapshot>,
     /// Counts of what happened.
     pub metrics: Metrics,
+    /// The other instances.
+    pub peers: Peers,
+    /// Judges the age of idempotency keys.
+    pub keys: KeyClock,
     router: Mutex<Router>,
 }
 
@@ -29,6 +36,8 @@
             settings,
             snapshot: ArcSwap::default(),
             metrics: Metrics::new(),
+            peers: Peers::default(),
+            keys: KeyClock::new(clock::both()),
             router: Mutex::new(Router::new()),
         }
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -12,6 +12,7 @@
 use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
+use sequoiastream_core::claims::OwnerSettings;
 use sequoiastream_core::name::Name;
 use thiserror::Error;
 
@@ -50,6 +51,8 @@
     pub deadline: Duration,
     /// How long a watch waits.
     pub wait: Duration,
+    /// How claims are grouped into writes.
+    pub grouping: OwnerSettings,
     /// How log lines are written.
     pub format: LogFormat,
     /// Only check the settings.
@@ -147,6 +150,12 @@
             "How long a watch waits",
             "30000",
         ))
+        .arg(number(
+            "claim-pace-ms",
+            "SEQUOIASTREAM_CLAIM_PACE_MS",
+            "Least time between two writes of a claim bucket; 0 writes each claim by itself",
+            "80",
+        ))
         .arg(
             text(
                 "log-format",
@@ -195,6 +204,7 @@
         let workers = reader.positive("workers");
         let deadline = reader.positive("kv-deadline-ms");
         let wait = reader.positive("watch-ms");
+        let grouping = grouping(matches);
         let format = match reader.text("log-format").as_str() {
             "json" => LogFormat::Json,
             _ => LogFormat::Text,
@@ -216,12 +226,24 @@
             workers: usize::try_from(workers).unwrap_or(1),
             deadline: Duration::from_millis(deadline),
             wait: Duration::from_millis(wait),
+            grouping,
             format,
             check: matches.get_flag("check"),
         })
     }
 }
 
+fn grouping(matches: &ArgMatches) -> OwnerSettings {
+    match matches.get_one::<u64>("claim-pace-ms").copied() {
+        Some(0) => OwnerSettings::ungrouped(),
+        Some(millis) => OwnerSettings {
+            pace: Duration::from_millis(millis),
+            ..OwnerSettings::default()
+        },
+        None => OwnerSettings::default(),
+    }
+}
+
 /// Reads settings and gathers what is wrong with them.
 struct Reader<'a> {
     matches: &'a ArgMatches,
--- a/src/util/clock.rs
+++ b/src/util/clock.rs
@@ -5,6 +5,7 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use sequoiastream_core::claims::Clocks;
 use sequoiastream_core::time::Time;
 use sequoiastream_core::time::WallTime;
 
@@ -20,3 +21,11 @@
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     WallTime(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
+
+/// Both clocks.
+pub fn both() -> Clocks {
+    Clocks {
+        time: now(),
+        wall: wall(),
+    }
+}
--- a/src/util/metrics.rs
+++ b/src/util/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::registry::Registry;
+use sequoiastream_core::claims::Verdict;
 
 /// Prefix of every name.
 const PREFIX: &str = "sequoiastream";
@@ -18,6 +19,8 @@
 pub struct Metrics {
     /// Of traffic.
     pub traffic: TrafficMetrics,
+    /// Of claims.
+    pub claims: ClaimMetrics,
     registry: Mutex<Registry>,
 }
 
@@ -47,14 +50,69 @@
     }
 }
 
+/// How a claim was answered.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct VerdictLabels {
+    /// `granted`, `seen`, `mismatch`, `never`, `out`, `clock`, `full` or `stopping`.
+    pub verdict: &'static str,
+}
+
+/// Metrics of claims, as owner.
+#[derive(Debug, Clone, Default)]
+pub struct ClaimMetrics {
+    /// Answers to entries.
+    pub verdicts: Family<VerdictLabels, Counter>,
+    /// Writes of buckets begun.
+    pub writes: Counter,
+    /// Reads of buckets begun.
+    pub reads: Counter,
+    /// Writes that another owner's write came before.
+    pub conflicts: Counter,
+}
+
+impl ClaimMetrics {
+    fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "claim_verdicts",
+            "Answers to entries that asked for a claim or its state",
+            self.verdicts.clone(),
+        );
+        registry.register("claim_writes", "Writes of claim buckets", self.writes.clone());
+        registry.register("claim_reads", "Reads of claim buckets", self.reads.clone());
+        registry.register(
+            "claim_conflicts",
+            "Writes of claim buckets that lost against another owner",
+            self.conflicts.clone(),
+        );
+    }
+
+    /// Counts an answer.
+    pub fn count(&self, verdict: &Verdict) {
+        let verdict = match verdict {
+            Verdict::Granted => "granted",
+            Verdict::Seen(_) => "seen",
+            Verdict::Mismatch => "mismatch",
+            Verdict::Never => "never",
+            Verdict::Out(_) => "out",
+            Verdict::Clock => "clock",
+            Verdict::Full => "full",
+            Verdict::Stopping => "stopping",
+        };
+        self.verdicts.get_or_create(&VerdictLabels { verdict }).inc();
+    }
+}
+
 impl Metrics {
     /// All metrics at zero.
     pub fn new() -> Metrics {
         let mut registry = Registry::with_prefix(PREFIX);
         let traffic = TrafficMetrics::default();
         traffic.register(&mut registry);
+        let claims = ClaimMetrics::default();
+        claims.register(&mut registry);
         Metrics {
             traffic,
+            claims,
             registry: Mutex::new(registry),
         }
     }
