--- a/crates/core/src/claims/owner/slot.rs
+++ b/crates/core/src/claims/owner/slot.rs
@@ -186,13 +186,7 @@
         actions.extend(ends.min().map(OwnerAction::Wake));
     }
 
-    fn start(
-        &mut self,
-        now: Clocks,
-        id: BucketId,
-        settings: &OwnerSettings,
-        actions: &mut Vec<OwnerAction>,
-    ) {
+    fn start(&mut self, now: Clocks, id: BucketId, settings: &OwnerSettings, actions: &mut Vec<OwnerAction>) {
         let Some(due) = self.due(settings) else { return };
         if due > now.time {
             actions.push(OwnerAction::Wake(due));
--- a/crates/core/src/claims/route.rs
+++ b/crates/core/src/claims/route.rs
@@ -14,7 +14,9 @@
     if ["/.", "//", "%", "\\"].iter().any(|odd| path.contains(odd)) {
         return Repeat::Never;
     }
-    let matching = routes.iter().filter(|r| r.method == method && covers(&r.path, path));
+    let matching = routes
+        .iter()
+        .filter(|r| r.method == method && covers(&r.path, path));
     matching
         .max_by_key(|r| r.path.len())
         .map_or(Repeat::Never, |r| r.repeat)
--- a/crates/upstream/src/plain.rs
+++ b/crates/upstream/src/plain.rs
@@ -113,27 +113,27 @@
 }
 
 async fn answer(request: ClientRequest, call: &PlainCall) -> Result<PlainReply, UpstreamError> {
-        let sent = request.send_body(call.body.clone()).await;
-        let mut answer = sent.map_err(from_send)?;
-        let status = answer.status().as_u16();
-        if answer.headers().contains_key(NOT_STARTED) {
-            return Err(UpstreamError::NotStarted(status));
-        }
-        let content = answer
-            .headers()
-            .get("content-type")
-            .and_then(|v| v.to_str().ok())
-            .map(str::to_string);
-        let body = answer
-            .body()
-            .limit(MAX_ANSWER)
-            .await
-            .map_err(|e| UpstreamError::Broken(e.to_string()))?;
-        Ok(PlainReply {
-            status,
-            content,
-            body,
-        })
+    let sent = request.send_body(call.body.clone()).await;
+    let mut answer = sent.map_err(from_send)?;
+    let status = answer.status().as_u16();
+    if answer.headers().contains_key(NOT_STARTED) {
+        return Err(UpstreamError::NotStarted(status));
+    }
+    let content = answer
+        .headers()
+        .get("content-type")
+        .and_then(|v| v.to_str().ok())
+        .map(str::to_string);
+    let body = answer
+        .body()
+        .limit(MAX_ANSWER)
+        .await
+        .map_err(|e| UpstreamError::Broken(e.to_string()))?;
+    Ok(PlainReply {
+        status,
+        content,
+        body,
+    })
 }
 
 impl fmt::Debug for PlainClient {
--- a/src/ops/control/mod.rs
+++ b/src/ops/control/mod.rs
@@ -66,10 +66,5 @@
 /// A client with an incarnation of its own.
 fn kv_client(settings: &Settings) -> KvClient {
     let incarnation = Uuid::new_v4();
-    KvClient::new(
-        &settings.platform,
-        &settings.name,
-        settings.deadline,
-        incarnation,
-    )
+    KvClient::new(&settings.platform, &settings.name, settings.deadline, incarnation)
 }
--- a/src/ops/dispatch/forward.rs
+++ b/src/ops/dispatch/forward.rs
@@ -114,7 +114,9 @@
         let left = deadline.since(clock::now());
         let target = dispatch.pick(service, &tried);
         let target = target.or_else(|| dispatch.pick(service, &[]).filter(|_| attempt > 1));
-        let Some(target) = target.filter(|_| !left.is_zero()) else { break };
+        let Some(target) = target.filter(|_| !left.is_zero()) else {
+            break;
+        };
         let limit = match attempt < MAX_ATTEMPTS {
             true => left / SHARE,
             false => left,
