--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod http;
 mod select;
 mod statement;
+mod summary;
 mod token;
 pub mod wire;
 
@@ -20,3 +21,4 @@
 pub use statement::Query;
 pub use statement::Statement;
 pub use statement::Table;
+pub use summary::summary;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -35,6 +35,7 @@
                 .arg(listen.clone()),
         )
         .subcommand(engine_cli().arg(listen))
+        .subcommand(Command::new("uuid").about("Prints a fresh idempotency key (UUIDv7)"))
 }
 
 fn engine_cli() -> Command {
@@ -101,6 +102,10 @@
 async fn main() -> eyre::Result<()> {
     let matches = cli().get_matches();
     let (name, matches) = matches.subcommand().expect("a subcommand is required");
+    if name == "uuid" {
+        println!("{}", uuid::Uuid::now_v7());
+        return Ok(());
+    }
     let listen = *matches.get_one::<SocketAddr>("listen").expect("has a default");
     match name {
         "platform" => serve(listen, 1, platform::configure()).await,
--- a/src/ops/control/config.rs
+++ b/src/ops/control/config.rs
@@ -25,6 +25,7 @@
 use sequoiastream_operator::http::OperatorError;
 use sequoiastream_operator::parse_script;
 use sequoiastream_operator::select;
+use sequoiastream_operator::summary;
 use sequoiastream_operator::wire::AcceptedBody;
 use sequoiastream_operator::wire::ReplyBody;
 use sequoiastream_operator::wire::StatementBody;
@@ -208,7 +209,7 @@
             id: CommandId(body.id),
             who: body.who.clone(),
             when: clock::wall(),
-            statement: body.text.clone(),
+            statement: summary(&body.text),
             commands: commands.clone(),
         };
         match head.accept(&config, change).map_err(rejected)? {
--- a/src/ops/tables.rs
+++ b/src/ops/tables.rs
@@ -1,11 +1,15 @@
 //! The tables that queries show of a configuration, and the difference between two of them.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::UNIX_EPOCH;
 
 use sequoiastream_core::config::Config;
 use sequoiastream_core::config::EngineState;
 use sequoiastream_core::config::Fencing;
+use sequoiastream_core::config::Head;
 use sequoiastream_core::config::ServiceKind;
+use sequoiastream_core::time::WallTime;
 use sequoiastream_operator::Table;
 use sequoiastream_operator::wire::TableBody;
 
@@ -89,6 +93,25 @@
     rows
 }
 
+/// The audit trail, newest change first.
+pub fn changes(head: &Head) -> TableBody {
+    let rows = head.tail.iter().rev().map(|change| {
+        vec![
+            change.version.to_string(),
+            rfc3339(change.when),
+            change.who.clone(),
+            change.statement.clone(),
+        ]
+    });
+    table(&["version", "when", "who", "statement"], rows)
+}
+
+/// A wall time for people.
+fn rfc3339(time: WallTime) -> String {
+    let time = UNIX_EPOCH + Duration::from_millis(time.0);
+    humantime::format_rfc3339_seconds(time).to_string()
+}
+
 fn products(config: &Config) -> TableBody {
     let rows = config.products.iter().map(|(name, p)| {
         vec![
--- a/tests/testsuite/grammar.rs
+++ b/tests/testsuite/grammar.rs
@@ -6,6 +6,7 @@
 use sequoiastream_operator::Table;
 use sequoiastream_operator::parse;
 use sequoiastream_operator::parse_script;
+use sequoiastream_operator::summary;
 
 fn error(text: &str) -> String {
     parse(text).expect_err("no statement").to_string()
@@ -161,3 +162,21 @@
         let _ = parse_script(&words.join(" "));
     });
 }
+
+/// An operator creates a product; later somebody who may read the audit trail, but holds no key, reads the API
+/// key in the statement. Cause: the trail kept statements as they were typed.
+#[test]
+fn summary_hides_keys() {
+    let cases = [
+        (
+            "create product p -- for the docks\n  KEY \"sk-1\" share 5;\n drop service s",
+            "create product p KEY \"***\" share 5; drop service s",
+        ),
+        ("alter product p key \"sk-1", "alter product p key \"***\""),
+        ("create service s model \"key\"", "create service s model \"key\""),
+        ("key\"sk-1\"", "key \"***\""),
+    ];
+    for (text, expected) in cases {
+        assert_eq!(summary(text), expected);
+    }
+}
