Test the command line and the settings by their whole output

Cause: exit codes and messages are an interface and had no tests. Change: ten tests with whole outputs; logs are coloured only on a terminal.

--- a/crates/testsupport/src/process.rs
+++ b/crates/testsupport/src/process.rs
@@ -28,8 +28,10 @@
         I: IntoIterator<Item = S>,
         S: AsRef<OsStr>,
     {
+        let level = std::env::var("RUST_LOG").unwrap_or_else(|_| "error".to_string());
         let mut child = Command::new(binary)
             .args(args)
+            .env("RUST_LOG", level)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
--- a/src/util/logging.rs
+++ b/src/util/logging.rs
@@ -1,5 +1,7 @@
 //! Structured logs.
 
+use std::io::IsTerminal;
+
 use tracing_subscriber::EnvFilter;
 
 use crate::settings::LogFormat;
@@ -11,6 +13,7 @@
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_target(false)
+        .with_ansi(std::io::stderr().is_terminal())
         .with_writer(std::io::stderr);
     match format {
         LogFormat::Text => builder.init(),
--- /dev/null
+++ b/tests/testsuite/cli.rs
@@ -0,0 +1,259 @@
+//! The command-line tool and the daemon's settings: whole outputs and exit codes.
+
+use std::process::Command;
+use std::process::Output;
+
+use sequoiastream_testsupport::fleet::Fleet;
+use sequoiastream_testsupport::fleet::TOKEN;
+use snapbox::assert_data_eq;
+use snapbox::str;
+
+use crate::support::fleet;
+
+/// Runs the tool against daemon 0 of `fleet`.
+fn tool(fleet: &Fleet, args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_sequoiastream"))
+        .args(args)
+        .env("SEQUOIASTREAM_SERVER", fleet.daemons[0].url())
+        .env("SEQUOIASTREAM_OPERATOR_TOKEN", TOKEN)
+        .env("USER", "giulia")
+        .output()
+        .expect("the tool runs")
+}
+
+fn out(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+fn err(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+/// Runs the daemon with no settings but those given.
+fn daemon(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_sequoiastreamd"))
+        .args(args)
+        .env_clear()
+        .output()
+        .expect("the daemon runs")
+}
+
+#[actix_web::test]
+async fn query_products() {
+    let fleet = fleet().start_configured().await;
+    let output = tool(&fleet, &["query", "show", "products"]);
+    assert_data_eq!(
+        out(&output),
+        str![[r#"
+PRODUCT   SHARE  DEADLINE  WEIGHT  KEYS
+dispatch  60%    30000ms   0       1
+
+"#]]
+    );
+}
+
+#[actix_web::test]
+async fn query_filtered_json() {
+    let fleet = fleet().plain(1).start_configured().await;
+    let output = tool(
+        &fleet,
+        &[
+            "--format",
+            "json",
+            "query",
+            "show engines where service = ordini limit 1",
+        ],
+    );
+    assert_data_eq!(
+        out(&output),
+        str![[r#"
+{
+  "table": {
+    "columns": [
+      "engine",
+      "service",
+      "zone",
+      "address",
+      "state",
+      "role",
+      "fencing"
+    ],
+    "rows": [
+      [
+        "p0",
+        "ordini",
+        "lodi-a",
+        "127.0.0.1:[..]",
+        "serving",
+        "auto",
+        "ignored"
+      ]
+    ]
+  }
+}
+
+"#]]
+    );
+}
+
+#[actix_web::test]
+async fn query_column_unknown() {
+    let fleet = fleet().start_configured().await;
+    let output = tool(&fleet, &["query", "show products where colour = blue"]);
+    assert_eq!(output.status.code(), Some(3));
+    assert_data_eq!(
+        err(&output),
+        str![[r#"
+error: there is no column `colour` in `products`; it has product, share, deadline, weight, keys
+
+"#]]
+    );
+}
+
+#[actix_web::test]
+async fn query_syntax_wrong() {
+    let fleet = fleet().start().await;
+    let output = tool(&fleet, &["query", "create product dispatch share 101"]);
+    assert_eq!(output.status.code(), Some(3));
+    assert_data_eq!(
+        err(&output),
+        str![[r#"
+error: could not read the statement: line 1, column 31: expected a share in percent, 0 to 100, found `101`
+  create product dispatch share 101
+                                ^
+help: see docs/GRAMMAR.md
+
+"#]]
+    );
+}
+
+#[actix_web::test]
+async fn query_token_wrong() {
+    let fleet = fleet().start().await;
+    let output = tool(&fleet, &["--token", "guessed", "query", "show products"]);
+    assert_eq!(output.status.code(), Some(3));
+    assert_data_eq!(
+        err(&output),
+        str![[r#"
+error: the operator token is missing or wrong
+help: set SEQUOIASTREAM_OPERATOR_TOKEN
+
+"#]]
+    );
+}
+
+/// An operator applies a file whose last command can't be accepted. Nothing of the file may be in force
+/// afterwards, or the fleet would stand half changed.
+#[actix_web::test]
+async fn apply_all_or_nothing() {
+    let fleet = fleet().start_configured().await;
+    let file = std::env::temp_dir().join(format!("sequoiastream-apply-{}.sst", fleet.platform.id()));
+    std::fs::write(
+        &file,
+        "create product docks share 10;\ncreate product dispatch share 10;\n",
+    )
+    .expect("written");
+    let path = file.display().to_string();
+    let output = tool(&fleet, &["apply", &path]);
+    let after = tool(&fleet, &["query", "show products"]);
+    std::fs::remove_file(&file).expect("removed");
+    assert_eq!(output.status.code(), Some(3));
+    assert_data_eq!(
+        err(&output),
+        str![[r#"
+error: could not accept the change: command [..] can't be applied: product `dispatch` exists already
+
+"#]]
+    );
+    assert_data_eq!(
+        out(&after),
+        str![[r#"
+PRODUCT   SHARE  DEADLINE  WEIGHT  KEYS
+dispatch  60%    30000ms   0       1
+
+"#]]
+    );
+}
+
+/// An operator's connection breaks and she gives the command again under its id: it must be answered with its
+/// first outcome and not be carried out twice.
+#[actix_web::test]
+async fn query_same_id_twice() {
+    let fleet = fleet().start_configured().await;
+    let args = [
+        "query",
+        "--id",
+        "01a238d1-61c7-72ee-9d08-fa614a7b3517",
+        "create product docks share 10",
+    ];
+    let first = tool(&fleet, &args);
+    let second = tool(&fleet, &args);
+    assert_eq!((first.status.code(), second.status.code()), (Some(0), Some(0)));
+    assert_data_eq!(
+        out(&second),
+        str![[r#"
+was accepted before as version 2, in force on [..] of [..] instances
+
+"#]]
+    );
+}
+
+#[test]
+fn unreachable_server() {
+    let output = Command::new(env!("CARGO_BIN_EXE_sequoiastream"))
+        .args(["--server", "http://127.0.0.1:1", "query", "--id"])
+        .args(["01a238d1-61c7-72ee-9d08-fa614a7b3517", "drain engine e1"])
+        .output()
+        .expect("the tool runs");
+    assert_eq!(output.status.code(), Some(5));
+    assert_data_eq!(
+        err(&output),
+        str![[r#"
+note: this was command 01a238d1-61c7-72ee-9d08-fa614a7b3517; `--id` gives it again safely
+error: could not reach http://127.0.0.1:1/operator/statement: Failed to connect to host: Connection refused[..]
+help: try another instance with --server
+
+"#]]
+    );
+}
+
+/// An operator mends one setting after the other, restarting each time. All faults must be named at once.
+#[test]
+fn settings_all_faults() {
+    let output = daemon(&[
+        "--check",
+        "--name=Lodi",
+        "--listen=nowhere",
+        "--platform=10.0.0.1:7000",
+        "--operator-token=short",
+        "--workers=0",
+    ]);
+    assert_eq!(output.status.code(), Some(2));
+    assert_data_eq!(
+        err(&output),
+        str![[r#"
+error: could not accept the settings:
+  - --name "Lodi": 'L' can't stand at byte 0 of a name (lower-case letter first, then also digits, `-`, `.`, `_`)
+  - --zone is missing
+  - --listen "nowhere": invalid socket address syntax
+  - --platform "10.0.0.1:7000": must begin with http://
+  - --operator-token must have at least 16 bytes
+  - --cluster-key is missing
+  - --workers must be at least 1
+
+"#]]
+    );
+}
+
+#[test]
+fn settings_good() {
+    let output = daemon(&[
+        "--check",
+        "--name=lodi-a-1",
+        "--zone=lodi-a",
+        "--operator-token=a-token-of-some-length",
+        "--cluster-key=a-key-of-some-length",
+    ]);
+    assert_eq!(output.status.code(), Some(0));
+    assert_eq!(out(&output), "the settings are good\n");
+}
