--- a/crates/testsupport/src/http.rs
+++ b/crates/testsupport/src/http.rs
@@ -16,6 +16,8 @@
     pub status: u16,
     /// The header `sequoiastream-outcome`.
     pub outcome: Option<String>,
+    /// The header `retry-after`, in seconds.
+    pub after: Option<u64>,
     /// Body.
     pub body: String,
 }
@@ -73,10 +75,13 @@
         .map_err(|e| eyre::eyre!("{e}"))?;
     let outcome = answer.headers().get("sequoiastream-outcome");
     let outcome = outcome.and_then(|v| v.to_str().ok()).map(str::to_string);
+    let after = answer.headers().get("retry-after");
+    let after = after.and_then(|v| v.to_str().ok()?.parse().ok());
     let body = answer.body().await.map_err(|e| eyre::eyre!("{e}"))?;
     Ok(Reply {
         status: answer.status().as_u16(),
         outcome,
+        after,
         body: String::from_utf8_lossy(&body).into_owned(),
     })
 }
--- a/src/ops/control/claims.rs
+++ b/src/ops/control/claims.rs
@@ -258,7 +258,8 @@
         let list = async move { kv.instances().await };
         context.spawn(list.into_actor(self).map(|result, actor, context| {
             if let Ok(listed) = result {
-                actor.shared.peers.set_listed(&listed);
+                let count = actor.shared.peers.set_listed(&listed);
+                actor.shared.metrics.claims.listed.set(count);
             }
             context.run_later(LIST_EVERY, |actor, context| actor.list(context));
         }));
--- a/src/ops/peers.rs
+++ b/src/ops/peers.rs
@@ -19,13 +19,15 @@
 }
 
 impl Peers {
-    /// Takes a new list.
-    pub fn set_listed(&self, listed: &[Listed]) {
+    /// Takes a new list; returns how many live instances it shows.
+    pub fn set_listed(&self, listed: &[Listed]) -> i64 {
         let live = listed.iter().filter(|l| l.state == ListedState::Live);
         let addresses: BTreeMap<Name, SocketAddr> =
             live.filter_map(|l| Some((l.name.clone(), l.peer?))).collect();
         self.owners().set_listed(addresses.keys().cloned().collect());
+        let count = i64::try_from(addresses.len()).unwrap_or(i64::MAX);
         self.addresses.store(addresses.into());
+        count
     }
 
     /// Where `name` listens for other instances.
--- a/src/util/metrics.rs
+++ b/src/util/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use sequoiastream_core::claims::Verdict;
 
@@ -68,6 +69,8 @@
     pub reads: Counter,
     /// Writes that another owner's write came before.
     pub conflicts: Counter,
+    /// Live instances on the platform's list.
+    pub listed: Gauge,
 }
 
 impl ClaimMetrics {
@@ -84,6 +87,11 @@
             "Writes of claim buckets that lost against another owner",
             self.conflicts.clone(),
         );
+        registry.register(
+            "peers_listed",
+            "Live instances on the platform's list",
+            self.listed.clone(),
+        );
     }
 
     /// Counts an answer.
--- /dev/null
+++ b/tests/testsuite/claims/path.rs
@@ -0,0 +1,128 @@
+//! The way of an order through real processes when nothing fails.
+
+use sequoiastream_standin::plain::PlainFault;
+use sequoiastream_testsupport::fleet::KEY;
+use sequoiastream_testsupport::http;
+use serde_json::Value;
+use serde_json::json;
+use uuid::Uuid;
+
+use super::client::key;
+use super::client::order;
+use super::client::plain_fault;
+use super::client::runs;
+use super::client::status;
+use super::client::three;
+
+/// A dispatch clerk's client gets its answer late, and sends the order again through every instance. One truck
+/// is sent, and each repeat is told the first answer.
+#[actix_web::test]
+async fn order_repeated_elsewhere() {
+    let fleet = three().await;
+    let key = key();
+    let first = order(&fleet, 0, &key, "pellets").await;
+    assert_eq!((first.status, first.outcome.as_deref()), (200, Some("whole")));
+    for index in [1, 2, 0] {
+        let again = order(&fleet, index, &key, "pellets").await;
+        assert_eq!(again, first);
+    }
+    assert_eq!(runs(&fleet).await.get(&key), Some(&1));
+    let told = status(&fleet, 1, &key, KEY).await;
+    assert_eq!(told["state"], "finished");
+    assert_eq!(told["answer"], json!(first.body));
+}
+
+/// Two booths are booked under one key, since a client reuses it: the second must not be told that it has
+/// the first one's answer.
+#[actix_web::test]
+async fn order_key_reused() {
+    let fleet = three().await;
+    let key = key();
+    order(&fleet, 0, &key, "booth 1").await;
+    let other = order(&fleet, 1, &key, "booth 2").await;
+    assert_eq!((other.status, other.outcome.as_deref()), (422, Some("not-run")));
+    assert_eq!(other.json::<Value>()["error"]["reason"], "key-reused");
+    assert_eq!(runs(&fleet).await.get(&key), Some(&1));
+}
+
+#[actix_web::test]
+async fn order_key_refused_table() {
+    let fleet = three().await;
+    let at = |seconds: u64| {
+        let time = uuid::Timestamp::from_unix(uuid::NoContext, seconds, 0);
+        Uuid::new_v7(time).to_string()
+    };
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let now = now.expect("after the epoch").as_secs();
+    let cases = [
+        ("none", 400, "bad-request"),
+        ("f3d2bb6e-7d3c-4a77-9d0b-0b3a1c2d4e5f", 400, "bad-request"),
+        (&at(now - 3700), 400, "key-expired"),
+        (&at(now + 120), 400, "bad-request"),
+    ];
+    for (key, code, reason) in cases {
+        let reply = order(&fleet, 0, key, "pellets").await;
+        assert_eq!(
+            (reply.status, reply.outcome.as_deref()),
+            (code, Some("not-run")),
+            "{key}"
+        );
+        assert_eq!(reply.json::<Value>()["error"]["reason"], reason, "{key}");
+    }
+    assert!(runs(&fleet).await.is_empty());
+}
+
+#[actix_web::test]
+async fn order_running_then_late() {
+    let fleet = three().await;
+    let key = key();
+    let fault = PlainFault {
+        delay: 1_500,
+        ..PlainFault::default()
+    };
+    plain_fault(&fleet, &fault).await;
+    let repeat = async {
+        http::until("the order runs", || async {
+            runs(&fleet).await.contains_key(&key).then_some(())
+        })
+        .await;
+        let repeat = order(&fleet, 1, &key, "pellets").await;
+        (repeat, status(&fleet, 2, &key, KEY).await)
+    };
+    let (first, (repeat, told)) = futures_util::join!(order(&fleet, 0, &key, "pellets"), repeat);
+    assert_eq!(first.outcome.as_deref(), Some("whole"));
+    assert_eq!((repeat.status, repeat.outcome.as_deref()), (409, Some("unknown")));
+    assert!(repeat.after.is_some());
+    assert_eq!(told["state"], "running");
+    assert_eq!(runs(&fleet).await.get(&key), Some(&1));
+}
+
+/// A product asks for the key of another: it must learn nothing.
+#[actix_web::test]
+async fn status_other_product() {
+    let fleet = three().await;
+    let version = fleet
+        .apply(0, "create product rival key \"key-of-the-rival\" share 10;")
+        .await;
+    fleet.wait_for_version(version).await;
+    let key = key();
+    order(&fleet, 0, &key, "pellets").await;
+    let told = status(&fleet, 1, &key, "key-of-the-rival").await;
+    assert_eq!(told["state"], "never-seen");
+}
+
+#[actix_web::test]
+async fn show_claims() {
+    let fleet = three().await;
+    for _ in 0..8 {
+        order(&fleet, 0, &key(), "pellets").await;
+    }
+    let mut rows = 0;
+    for index in 0..3 {
+        let reply = fleet.statement(index, Uuid::new_v4(), "show claims").await;
+        rows += reply.json::<Value>()["table"]["rows"]
+            .as_array()
+            .map_or(0, Vec::len);
+    }
+    assert_eq!(rows, 8);
+}
