Keep the ports of test daemons reserved

Cause: cli::query_column_unknown failed once with 'Address already in use': the harness found a free peer port and let it go before the daemon listened there, and daemons now do listen for peers. Change: the harness holds the port bound, not listening, with address reuse.

--- a/crates/testsupport/src/fleet.rs
+++ b/crates/testsupport/src/fleet.rs
@@ -1,6 +1,8 @@
 //! A small deployment as processes: platform, engines, plain services and daemons.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Mutex;
 
 use sequoiastream_core::name::Name;
 use sequoiastream_operator::wire::ReplyBody;
@@ -8,6 +10,7 @@
 use sequoiastream_platform::Listed;
 use sequoiastream_platform::ListedState;
 use sequoiastream_standin::platform::Fault;
+use tokio::net::TcpSocket;
 use uuid::Uuid;
 
 use crate::http;
@@ -61,6 +64,7 @@
     pub plain: Vec<Process>,
     /// Daemons `i0`, `i1`, ...
     pub daemons: Vec<Process>,
+    reserved: Mutex<Vec<TcpSocket>>,
 }
 
 impl FleetBuilder {
@@ -125,6 +129,7 @@
             engines,
             plain,
             daemons: Vec::new(),
+            reserved: Mutex::default(),
         };
         for index in 0..self.daemons {
             let daemon = fleet.start_daemon(index).await;
@@ -146,9 +151,7 @@
     /// Starts a daemon named after `index` and puts it on the platform's list.
     pub async fn start_daemon(&self, index: usize) -> Process {
         let name = format!("i{index}");
-        let peer = std::net::TcpListener::bind("127.0.0.1:0")
-            .and_then(|l| l.local_addr())
-            .expect("a port is free");
+        let peer = self.reserve();
         let fixed = [
             format!("--name={name}"),
             "--zone=lodi-a".to_string(),
@@ -172,6 +175,23 @@
         daemon
     }
 
+    /// Takes a free port for a daemon's peers and keeps it reserved as long as the fleet lives.
+    ///
+    /// Failure guarded against: a port that was found free is given to another process before the daemon
+    /// listens, and the daemon ends with `Address already in use`. The kernel gives no port away that is bound,
+    /// and still lets the daemon listen on it, since both sockets allow the address to be used again and this
+    /// one never listens.
+    fn reserve(&self) -> SocketAddr {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_reuseaddr(true).expect("an option of sockets");
+        let any = "127.0.0.1:0".parse().expect("an address");
+        socket.bind(any).expect("a port is free");
+        let address = socket.local_addr().expect("it is bound");
+        let mut reserved = self.reserved.lock().expect("no thread panics with it");
+        reserved.push(socket);
+        address
+    }
+
     /// Statements that create product `dispatch`, services `assistente` and `ordini`, and place the upstreams.
     pub fn statements(&self) -> String {
         let mut text = format!(
