--- a/crates/core/src/claims/owner/slot.rs
+++ b/crates/core/src/claims/owner/slot.rs
@@ -9,7 +9,6 @@
 use crate::claims::Clocks;
 use crate::claims::Edit;
 use crate::claims::MAX_BUCKET;
-use crate::claims::Mark;
 use crate::claims::OwnerAction;
 use crate::claims::OwnerSettings;
 use crate::claims::Record;
@@ -157,9 +156,10 @@
         });
     }
 
-    /// Failure guarded against: a write whose answer was lost is taken for one that had no effect, and another
-    /// request is granted on top of it; it would show as two runs of one key. After an unsure write nothing
-    /// but a read, or a write that was compared with a version read later, says who holds a claim.
+    /// Failure guarded against: a write whose answer was lost is taken for one that took effect, its claim is
+    /// granted, and another owner's claim stands there; it would show as two runs of one key. After an unsure
+    /// write nothing but what is read, or written on top of that, says who holds a claim. (Keeping the old
+    /// view would be safe too, since the next write compares with its version; reading saves that conflict.)
     pub(super) fn failed(&mut self, unsure: bool, until: Time) {
         let wrote = matches!(self.busy.take(), Some(Busy::Write { .. }));
         self.pause = until;
@@ -339,20 +339,16 @@
     match seen {
         // Released, but not yet written so: the next write frees the claim.
         Verdict::Never => None,
-        _ if record.mark == ask.mark => Some(match record.state {
-            State::Granted { .. } if !is_edited(ask.mark, edits) => Verdict::Granted,
-            _ => seen,
-        }),
+        // An entry that has sent or given up meanwhile drops the grant.
+        _ if record.mark == ask.mark => match record.state {
+            State::Granted { .. } => Some(Verdict::Granted),
+            State::Finished { .. } | State::Unknown => Some(seen),
+        },
         _ if record.print != ask.print => Some(Verdict::Mismatch),
         _ => Some(seen),
     }
 }
 
-/// Whether the entry has already said what became of this request: it must not be granted once more.
-fn is_edited(mark: Mark, edits: &[Edit]) -> bool {
-    edits.iter().any(|edit| edit.mark == mark)
-}
-
 /// What is known of a claim, with the pending edits on top.
 fn told(record: &Record, id: ClaimId, edits: &[Edit], wall: WallTime, fresh: bool) -> Option<Verdict> {
     let mut one = Bucket::default();
