--- a/tests/testsuite/claims/rules.rs
+++ b/tests/testsuite/claims/rules.rs
@@ -1,1 +1,138 @@
-//! x
+//! Rules of claims as tables.
+
+use std::time::Duration;
+
+use sequoiastream_core::claims::Clocks;
+use sequoiastream_core::claims::FUTURE;
+use sequoiastream_core::claims::IdempotencyKey;
+use sequoiastream_core::claims::KEEP;
+use sequoiastream_core::claims::KeyClock;
+use sequoiastream_core::claims::KeyError;
+use sequoiastream_core::claims::MAX_DEADLINE;
+use sequoiastream_core::claims::MAX_SKEW;
+use sequoiastream_core::claims::Owners;
+use sequoiastream_core::claims::RETENTION;
+use sequoiastream_core::claims::repeat_of;
+use sequoiastream_core::config::Repeat;
+use sequoiastream_core::config::Route;
+use sequoiastream_core::name::Name;
+use sequoiastream_core::time::Time;
+use sequoiastream_core::time::WallTime;
+use uuid::Uuid;
+
+/// A wall clock in milliseconds.
+const WALL: u64 = 1_764_700_000_000;
+
+fn clocks(seconds: i64, step: i64) -> Clocks {
+    Clocks {
+        time: Time::from_millis((100_000 + seconds * 1_000) as u64),
+        wall: WallTime((WALL as i64 + (seconds + step) * 1_000) as u64),
+    }
+}
+
+fn key_at(seconds: i64) -> IdempotencyKey {
+    let seconds = (WALL as i64 / 1_000 + seconds) as u64;
+    let time = uuid::Timestamp::from_unix(uuid::NoContext, seconds, 0);
+    Uuid::new_v7(time).to_string().parse().expect("a UUIDv7")
+}
+
+#[test]
+fn check_window_table() {
+    let clock = KeyClock::new(clocks(0, 0));
+    let keep = RETENTION.as_secs() as i64;
+    let cases = [
+        ("now", key_at(0), clocks(0, 0), Ok(())),
+        ("last second", key_at(0), clocks(keep, 0), Ok(())),
+        ("too old", key_at(0), clocks(keep + 1, 0), Err(KeyError::Old)),
+        ("a little ahead", key_at(60), clocks(0, 0), Ok(())),
+        ("too far ahead", key_at(62), clocks(0, 0), Err(KeyError::Future)),
+        (
+            "clock stepped back",
+            key_at(0),
+            clocks(keep + 1, -keep),
+            Err(KeyError::Clock),
+        ),
+        (
+            "clock stepped ahead",
+            key_at(0),
+            clocks(10, keep),
+            Err(KeyError::Clock),
+        ),
+        ("small step", key_at(0), clocks(10, 100), Ok(())),
+    ];
+    for (case, key, now, expected) in cases {
+        assert_eq!(clock.check(&key, now), expected, "{case}");
+    }
+}
+
+/// A shipper repeats an order an hour later through an instance whose clock runs slow. If the claim were gone
+/// by then, a second truck would come. Cause: a bucket dropped while some accepted key can still name it.
+#[test]
+fn keep_outlasts_window() {
+    let slot = Duration::from_secs(10);
+    // Created as early and asked for as late as clocks that are off by the most that is put up with allow: each
+    // may be off by MAX_SKEW at its start, and step by as much later.
+    let worst = MAX_SKEW * 2;
+    let needed = FUTURE + worst + slot + RETENTION + worst + MAX_DEADLINE;
+    assert!(needed < KEEP, "{needed:?} is needed, {KEEP:?} are kept");
+}
+
+#[test]
+fn repeat_of_table() {
+    let route = |method: &str, path: &str, repeat| Route {
+        method: method.to_string(),
+        path: path.to_string(),
+        repeat,
+    };
+    let routes = [
+        route("POST", "/orders", Repeat::Never),
+        route("POST", "/orders/quote", Repeat::Safe),
+        route("POST", "/bookings", Repeat::Dedupes),
+        route("GET", "/", Repeat::Safe),
+    ];
+    let cases = [
+        ("POST", "/orders", Repeat::Never),
+        ("POST", "/orders/7?x=/quote", Repeat::Never),
+        ("POST", "/orders/quote?x=1", Repeat::Safe),
+        ("POST", "/orders/quotes", Repeat::Never),
+        ("POST", "/orders/quote/../7", Repeat::Never),
+        ("POST", "/orders/quote//", Repeat::Never),
+        ("POST", "/orders/%71uote", Repeat::Never),
+        ("POST", "/bookings", Repeat::Dedupes),
+        ("POST", "/nowhere", Repeat::Never),
+        ("GET", "/lookup?a=b", Repeat::Safe),
+        ("GET", "/../orders", Repeat::Never),
+        ("DELETE", "/orders", Repeat::Never),
+    ];
+    for (method, path, expected) in cases {
+        assert_eq!(repeat_of(&routes, method, path), expected, "{method} {path}");
+    }
+}
+
+#[test]
+fn owners_leave_only_their_shards() {
+    let name = |index: usize| Name::new(&format!("i{index}")).expect("a name");
+    let (mut all, mut fewer) = (Owners::default(), Owners::default());
+    all.set_listed((0..8).map(name).collect());
+    fewer.set_listed((0..7).map(name).collect());
+    let now = Time::from_millis(1);
+    for shard in 0..512 {
+        let before = all.of(shard, now);
+        let after = fewer.of(shard, now);
+        let kept: Vec<_> = before.iter().filter(|n| **n != name(7)).cloned().collect();
+        assert_eq!(kept, after, "shard {shard}");
+    }
+}
+
+#[test]
+fn owners_suspect_comes_last() {
+    let name = |index: usize| Name::new(&format!("i{index}")).expect("a name");
+    let mut owners = Owners::default();
+    owners.set_listed((0..3).map(name).collect());
+    let now = Time::from_millis(1);
+    let order = owners.of(5, now);
+    owners.suspect(&order[0], now);
+    let turned = vec![order[1].clone(), order[2].clone(), order[0].clone()];
+    assert_eq!(owners.of(5, now), turned);
+    assert_eq!(owners.of(5, now + Duration::from_secs(3)), order);
+}
--- a/tests/testsuite/claims/upstreams.rs
+++ b/tests/testsuite/claims/upstreams.rs
@@ -1,1 +1,183 @@
-//! x
+//! Upstreams that redirect, close connections, lose answers, or answer late.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use actix_web::http::Method;
+use sequoiastream_standin::plain::PlainFault;
+use sequoiastream_testsupport::fleet::KEY;
+use sequoiastream_testsupport::http;
+use sequoiastream_upstream::PlainCall;
+use sequoiastream_upstream::PlainClient;
+use serde_json::Value;
+use serde_json::json;
+
+use super::client::key;
+use super::client::order;
+use super::client::plain_fault;
+use super::client::runs;
+use super::client::status;
+use super::client::three;
+
+/// The order desk books an order and answers with a redirect to its own path. Followed, the redirect books
+/// the order again. Cause: an HTTP client that follows redirects by itself.
+#[actix_web::test]
+async fn order_redirected() {
+    let fleet = three().await;
+    let fault = PlainFault {
+        redirect: true,
+        ..PlainFault::default()
+    };
+    plain_fault(&fleet, &fault).await;
+    let key = key();
+    let reply = order(&fleet, 0, &key, "pellets").await;
+    assert_eq!((reply.status, reply.outcome.as_deref()), (307, Some("whole")));
+    assert_eq!(runs(&fleet).await.get(&key), Some(&1));
+}
+
+/// The order desk books an order and its connection breaks before the answer. The buyer repeats through the
+/// other instances; taken for an order that did not run, it would be booked again.
+#[actix_web::test]
+async fn order_answer_lost() {
+    let fleet = three().await;
+    let fault = PlainFault {
+        lose: 1,
+        ..PlainFault::default()
+    };
+    plain_fault(&fleet, &fault).await;
+    let key = key();
+    for index in 0..3 {
+        let reply = order(&fleet, index, &key, "pellets").await;
+        assert_eq!(
+            reply.outcome.as_deref(),
+            Some("unknown"),
+            "through {index}: {}",
+            reply.body
+        );
+    }
+    assert_eq!(status(&fleet, 1, &key, KEY).await["state"], "unknown");
+    assert_eq!(runs(&fleet).await.get(&key), Some(&1));
+}
+
+/// The order desk refuses an order and vouches that it did not start: the buyer may repeat it with its key.
+#[actix_web::test]
+async fn order_refused_then_repeated() {
+    let fleet = three().await;
+    let refusing = PlainFault {
+        refuse: true,
+        ..PlainFault::default()
+    };
+    plain_fault(&fleet, &refusing).await;
+    let key = key();
+    let reply = order(&fleet, 0, &key, "pellets").await;
+    assert_eq!(reply.outcome.as_deref(), Some("not-run"));
+    assert_eq!(runs(&fleet).await.get(&key), None);
+    plain_fault(&fleet, &PlainFault::default()).await;
+    let repeat = http::until("the claim is released", || async {
+        let reply = order(&fleet, 1, &key, "pellets").await;
+        (reply.outcome.as_deref() == Some("whole")).then_some(reply)
+    })
+    .await;
+    assert_eq!(repeat.json::<Value>()["run"], 1);
+    assert_eq!(runs(&fleet).await.get(&key), Some(&1));
+}
+
+/// The order desk answers after the buyer's deadline. The buyer is told the truth at its deadline, and the
+/// answer when it asks again.
+#[actix_web::test]
+async fn order_answered_late() {
+    let fleet = three().await;
+    let fault = PlainFault {
+        delay: 1_000,
+        ..PlainFault::default()
+    };
+    plain_fault(&fleet, &fault).await;
+    let key = key();
+    let url = format!("{}/services/ordini/orders", fleet.daemons[0].url());
+    let bearer = format!("Bearer {KEY}");
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("idempotency-key", key.as_str()),
+        ("sequoiastream-deadline-ms", "400"),
+    ];
+    let body = json!({ "item": "pellets" });
+    let reply = http::send("POST", &url, &headers, &body).await;
+    assert_eq!((reply.status, reply.outcome.as_deref()), (504, Some("unknown")));
+    http::until("the answer is told", || async {
+        let told = status(&fleet, 1, &key, KEY).await;
+        (told["state"] == "finished").then_some(())
+    })
+    .await;
+    let repeat = order(&fleet, 2, &key, "pellets").await;
+    assert_eq!((repeat.status, repeat.outcome.as_deref()), (200, Some("whole")));
+    assert_eq!(runs(&fleet).await.get(&key), Some(&1));
+}
+
+/// What an upstream saw.
+#[derive(Debug, Default)]
+struct SeenOrders {
+    connections: AtomicU32,
+    orders: AtomicU32,
+}
+
+/// An upstream that answers the first order of a connection and keeps it open, and that closes the connection
+/// without an answer after it has taken the second.
+fn close_on_second(seen: Arc<SeenOrders>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            seen.connections.fetch_add(1, Ordering::SeqCst);
+            let seen = seen.clone();
+            thread::spawn(move || {
+                let mut read = Vec::new();
+                let mut buffer = [0; 1024];
+                let mut taken = 0;
+                while let Ok(count @ 1..) = stream.read(&mut buffer) {
+                    read.extend_from_slice(&buffer[..count]);
+                    if !read.ends_with(b"two pellets") {
+                        continue;
+                    }
+                    read.clear();
+                    taken += 1;
+                    seen.orders.fetch_add(1, Ordering::SeqCst);
+                    if taken == 2 {
+                        return;
+                    }
+                    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+                }
+            });
+        }
+    });
+    address
+}
+
+/// A second buyer's order goes out on a pooled connection just as the upstream closes it. The HTTP client may
+/// send it again on another, and the order is booked twice, or the buyer is left with an order of which
+/// nobody knows. Each order that may not be repeated therefore has a connection of its own.
+#[actix_web::test]
+async fn send_once_own_connection() {
+    let seen = Arc::new(SeenOrders::default());
+    let address = close_on_second(seen.clone());
+    let client = PlainClient::new();
+    let call = PlainCall {
+        method: Method::POST,
+        path: "/orders".to_string(),
+        headers: Vec::new(),
+        body: "two pellets".into(),
+    };
+    for number in 1..=3 {
+        let reply = client.send_once(address, &call, Duration::from_secs(5)).await;
+        assert_eq!(reply.map(|r| r.status), Ok(200), "order {number}");
+        assert_eq!(seen.connections.load(Ordering::SeqCst), number);
+        assert_eq!(seen.orders.load(Ordering::SeqCst), number);
+    }
+}
