--- a/tests/testsuite/claims/faults.rs
+++ b/tests/testsuite/claims/faults.rs
@@ -1,1 +1,290 @@
-//! x
+//! Orders while instances are killed and paused and the key-value service fails, as real processes.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sequoiastream_standin::platform::Fault;
+use sequoiastream_testsupport::fleet::Fleet;
+use sequoiastream_testsupport::http;
+use sequoiastream_testsupport::http::Reply;
+use tokio::sync::watch;
+
+use super::client::key;
+use super::client::order;
+use super::client::order_at;
+use super::client::runs;
+use super::client::three;
+
+const CALLERS: usize = 8;
+const ORDERS: usize = 10;
+const TRIES: usize = 4;
+const STEPS: usize = 6;
+
+/// Longest time between two faults, in case that nobody is answered.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// What a caller was told about one key, in order; `None` for a broken connection.
+type Told = Vec<Option<String>>;
+
+/// What callers share with the observer.
+struct Board {
+    urls: Rc<RefCell<Vec<String>>>,
+    told: Rc<RefCell<BTreeMap<String, Told>>>,
+    answers: watch::Sender<usize>,
+}
+
+/// Orders ten times and repeats through other entries what it doesn't know the outcome of.
+async fn caller(board: &Board, seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    for _ in 0..ORDERS {
+        let key = key();
+        for _ in 0..TRIES {
+            let url = {
+                let urls = board.urls.borrow();
+                urls[rng.random_range(0..urls.len())].clone()
+            };
+            let reply: Option<Reply> = order_at(&url, &key, "pellets").await.ok();
+            let outcome = reply.and_then(|r| r.outcome);
+            let done = matches!(outcome.as_deref(), Some("whole" | "not-run"));
+            board
+                .told
+                .borrow_mut()
+                .entry(key.clone())
+                .or_default()
+                .push(outcome);
+            board.answers.send_modify(|count| *count += 1);
+            if done {
+                break;
+            }
+        }
+    }
+}
+
+async fn answered(answers: &mut watch::Receiver<usize>, more: usize) {
+    let until = *answers.borrow() + more;
+    // Callers may all be held up by the fault itself: then the time that passed is the event.
+    let _ = tokio::time::timeout(PATIENCE, answers.wait_for(|count| *count >= until)).await;
+}
+
+/// Makes one fault after another, each for a random number of answers.
+async fn chaos(fleet: &mut Fleet, board: &Board, seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut answers = board.answers.subscribe();
+    for _ in 0..STEPS {
+        answered(&mut answers, rng.random_range(1..8)).await;
+        let index = rng.random_range(0..fleet.daemons.len());
+        let length = rng.random_range(2..10);
+        match rng.random_range(0..6) {
+            0 | 1 => {
+                fleet.daemons[index].kill();
+                answered(&mut answers, length).await;
+                fleet.daemons[index] = fleet.start_daemon(index).await;
+                board.urls.borrow_mut()[index] = fleet.daemons[index].url();
+            }
+            2 | 3 => {
+                fleet.daemons[index].signal("STOP");
+                answered(&mut answers, length).await;
+                fleet.daemons[index].signal("CONT");
+            }
+            4 => {
+                let lose = rng.random_range(1..4);
+                let fault = Fault {
+                    lose,
+                    delay: 20,
+                    ..Fault::default()
+                };
+                fleet.platform_fault(&fault).await;
+                answered(&mut answers, length).await;
+                fleet.platform_fault(&Fault::default()).await;
+            }
+            _ => {
+                let fault = Fault {
+                    outage: true,
+                    ..Fault::default()
+                };
+                fleet.platform_fault(&fault).await;
+                answered(&mut answers, length).await;
+                fleet.platform_fault(&Fault::default()).await;
+            }
+        }
+    }
+}
+
+async fn orders_through_faults(seed: u64) {
+    let mut fleet = three().await;
+    let urls = fleet.daemons.iter().map(|d| d.url()).collect();
+    let board = Board {
+        urls: Rc::new(RefCell::new(urls)),
+        told: Rc::default(),
+        answers: watch::Sender::new(0),
+    };
+    let callers = (0..CALLERS).map(|i| caller(&board, seed * 100 + i as u64));
+    let callers = futures_util::future::join_all(callers);
+    futures_util::join!(chaos(&mut fleet, &board, seed), callers);
+    let after = http::until("orders go through again", || async {
+        let reply = order_at(&fleet.daemons[0].url(), &key(), "pellets").await.ok()?;
+        (reply.outcome.as_deref() == Some("whole")).then_some(reply)
+    })
+    .await;
+    assert_eq!(after.status, 200);
+    check(&runs(&fleet).await, &board.told.borrow());
+}
+
+fn check(runs: &BTreeMap<String, u32>, told: &BTreeMap<String, Told>) {
+    let doubled: Vec<_> = runs.iter().filter(|(_, count)| **count > 1).collect();
+    assert!(doubled.is_empty(), "ran more than once: {doubled:?}");
+    let mut whole = 0;
+    for (key, told) in told {
+        let count = runs.get(key).copied().unwrap_or_default();
+        let told: Vec<&str> = told.iter().map(|t| t.as_deref().unwrap_or("-")).collect();
+        if told.contains(&"whole") {
+            whole += 1;
+            assert_eq!(count, 1, "{key} was told {told:?}");
+        }
+        if told == ["not-run"] {
+            assert_eq!(count, 0, "{key} was told {told:?}");
+        }
+    }
+    assert!(whole > CALLERS, "only {whole} orders were whole");
+}
+
+/// Buyers order and repeat through other entries while daemons are killed, paused and woken, and the key-value
+/// service is out or takes writes without answering. A second truck, or a truck after "not run", would be a
+/// claim that was granted without standing in the key-value service, or a send after a refusal.
+#[actix_web::test]
+async fn orders_faults_seed_1() {
+    orders_through_faults(1).await;
+}
+
+#[actix_web::test]
+async fn orders_faults_seed_2() {
+    orders_through_faults(2).await;
+}
+
+#[actix_web::test]
+async fn orders_faults_seed_3() {
+    orders_through_faults(3).await;
+}
+
+/// An instance is paused just after an owner granted it a claim, so that its order goes out when everybody has
+/// given it up. Repeats meanwhile must not run, or the order runs twice once the instance wakes.
+#[actix_web::test]
+async fn order_entry_paused() {
+    let fleet = three().await;
+    let delay = Fault {
+        delay: 300,
+        ..Fault::default()
+    };
+    fleet.platform_fault(&delay).await;
+    let key = key();
+    let first = async {
+        let bodies = order_at(&fleet.daemons[0].url(), &key, "pellets").await;
+        bodies.ok().and_then(|r| r.outcome)
+    };
+    let repeats = async {
+        fleet.daemons[0].signal("STOP");
+        fleet.platform_fault(&Fault::default()).await;
+        for index in [1, 2, 1, 2] {
+            let _ = order_at(&fleet.daemons[index].url(), &key, "pellets").await;
+        }
+        fleet.daemons[0].signal("CONT");
+    };
+    futures_util::join!(first, repeats);
+    http::until("the order ran", || async {
+        runs(&fleet).await.contains_key(&key).then_some(())
+    })
+    .await;
+    for index in 0..3 {
+        order(&fleet, index, &key, "pellets").await;
+    }
+    assert_eq!(runs(&fleet).await.get(&key), Some(&1));
+}
+
+/// The key-value service goes out. A caller is refused with the truth and told when to come back, at once,
+/// since waiting can't help; orders of which the answer is known are still told it.
+#[actix_web::test]
+async fn order_platform_out() {
+    let fleet = three().await;
+    let known = key();
+    order(&fleet, 0, &known, "pellets").await;
+    let outage = Fault {
+        outage: true,
+        ..Fault::default()
+    };
+    fleet.platform_fault(&outage).await;
+    let refused = key();
+    for _ in 0..3 {
+        let reply = order(&fleet, 1, &refused, "pellets").await;
+        assert_eq!((reply.status, reply.outcome.as_deref()), (503, Some("not-run")));
+        assert!(reply.after.is_some(), "{}", reply.body);
+    }
+    fleet.platform_fault(&Fault::default()).await;
+    assert_eq!(runs(&fleet).await.get(&refused), None);
+    let reply = http::until("orders go through again", || async {
+        let reply = order(&fleet, 2, &refused, "pellets").await;
+        (reply.outcome.as_deref() == Some("whole")).then_some(reply)
+    })
+    .await;
+    assert_eq!(reply.status, 200);
+    assert_eq!(runs(&fleet).await.get(&refused), Some(&1));
+}
+
+/// The write of a claim takes effect, and its answer is lost. The order must run all the same, once: its owner
+/// finds its claim where it wrote it.
+#[actix_web::test]
+async fn order_claim_answer_lost() {
+    let fleet = three().await;
+    let lost = Fault {
+        lose: 1,
+        ..Fault::default()
+    };
+    fleet.platform_fault(&lost).await;
+    let key = key();
+    let reply = order(&fleet, 0, &key, "pellets").await;
+    assert_eq!(reply.outcome.as_deref(), Some("whole"), "{}", reply.body);
+    assert_eq!(runs(&fleet).await.get(&key), Some(&1));
+}
+
+/// The owner of an order's shard is killed between two tries of its buyer. Its successor must know the claim.
+#[actix_web::test]
+async fn order_owner_killed() {
+    let mut fleet = three().await;
+    let keys: Vec<String> = (0..12).map(|_| key()).collect();
+    for key in &keys {
+        order(&fleet, 0, key, "pellets").await;
+    }
+    // Two of three instances go: whichever owned a shard, most claims change hands.
+    fleet.daemons[1].kill();
+    fleet.daemons[2].kill();
+    for key in &keys {
+        let reply = order(&fleet, 0, key, "pellets").await;
+        let outcome = reply.outcome.as_deref();
+        assert!(matches!(outcome, Some("whole" | "unknown")), "{}", reply.body);
+    }
+    let runs = runs(&fleet).await;
+    assert!(keys.iter().all(|key| runs.get(key) == Some(&1)), "{runs:?}");
+}
+
+/// An instance is told to stop right after it passed orders on. What became of them must have been written
+/// down, or its repeats are told `unknown` for no reason.
+#[actix_web::test]
+async fn order_outcome_kept_at_stop() {
+    let mut fleet = three().await;
+    let keys: Vec<String> = (0..12).map(|_| key()).collect();
+    for key in &keys {
+        order(&fleet, 0, key, "pellets").await;
+    }
+    for index in [1, 2] {
+        fleet.daemons[index].signal("TERM");
+        assert!(fleet.daemons[index].wait().success());
+    }
+    for key in &keys {
+        let reply = order(&fleet, 0, key, "pellets").await;
+        assert_eq!(reply.outcome.as_deref(), Some("whole"), "{}", reply.body);
+    }
+}
