--- /dev/null
+++ b/crates/caller/src/addresses.rs
@@ -0,0 +1,64 @@
+//! The answer to "which address": no balancer stands in front, so callers ask any instance where to connect.
+
+use std::net::SocketAddr;
+
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web::Data;
+use actix_web::web::Query;
+use sequoiastream_core::name::Name;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::gateway::AddressCall;
+use crate::gateway::Gateway;
+use crate::http::product;
+use crate::http::refuse;
+
+/// Query of `GET /v1/addresses`.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct AddressQuery {
+    /// The service or model that the caller wants.
+    pub service: Option<String>,
+    /// What the caller calls its conversation.
+    #[serde(default)]
+    pub conversation: String,
+    /// Availability zone of the caller; the asked instance's if absent.
+    pub zone: Option<Name>,
+}
+
+/// Answer to `GET /v1/addresses`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AddressBody {
+    /// Where to connect, the best first.
+    pub addresses: Vec<SocketAddr>,
+    /// Seconds for which the answer may be kept.
+    pub keep: f64,
+}
+
+/// Handles `GET /v1/addresses`.
+pub async fn addresses<G>(gateway: Data<G>, request: HttpRequest, query: Query<AddressQuery>) -> HttpResponse
+where
+    G: Gateway,
+{
+    let product = match product(gateway.get_ref(), &request) {
+        Ok(product) => product,
+        Err(refusal) => return refuse(&refusal),
+    };
+    let query = query.into_inner();
+    let call = AddressCall {
+        product,
+        service: query.service,
+        conversation: query.conversation,
+        zone: query.zone,
+    };
+    match gateway.addresses(&call) {
+        Err(refusal) => refuse(&refusal),
+        Ok(list) => HttpResponse::Ok()
+            .insert_header(("cache-control", "no-store"))
+            .json(AddressBody {
+                addresses: list.addresses,
+                keep: list.keep.as_secs_f64(),
+            }),
+    }
+}
--- a/crates/caller/src/gateway.rs
+++ b/crates/caller/src/gateway.rs
@@ -1,5 +1,6 @@
 //! The daemon's side of this package.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -91,6 +92,28 @@
     pub body: Bytes,
 }
 
+/// A caller that asks which addresses to use.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AddressCall {
+    /// The product that asks.
+    pub product: Name,
+    /// The service or model that it wants.
+    pub service: Option<String>,
+    /// What the caller calls its conversation.
+    pub conversation: String,
+    /// Availability zone of the caller; the asked instance's if absent.
+    pub zone: Option<Name>,
+}
+
+/// Which addresses to use.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AddressList {
+    /// The addresses, the best first.
+    pub addresses: Vec<SocketAddr>,
+    /// How long the answer may be kept.
+    pub keep: Duration,
+}
+
 /// Decides what requests lead to.
 pub trait Gateway: Clone + 'static {
     /// The product that an API key belongs to.
@@ -113,6 +136,13 @@
     /// [`Refusal`] if there is no answer of the service.
     fn forward(&self, call: ForwardCall) -> impl Future<Output = Result<ForwardReply, Refusal>>;
 
+    /// Which addresses the caller should use.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if there is no such service.
+    fn addresses(&self, call: &AddressCall) -> Result<AddressList, Refusal>;
+
     /// The metrics page.
     fn metrics(&self) -> String;
 }
--- a/crates/caller/src/http.rs
+++ b/crates/caller/src/http.rs
@@ -19,6 +19,7 @@
 use sequoiastream_core::outcome::Unsent;
 use uuid::Uuid;
 
+use crate::addresses::addresses;
 use crate::gateway::Answer;
 use crate::gateway::AnswerEvent;
 use crate::gateway::ForwardCall;
@@ -60,6 +61,7 @@
         .route("/v1/chat/completions", web::post().to(chat::<G>))
         .route("/v1/completions", web::post().to(completion::<G>))
         .route("/services/{service}/{path:.*}", web::route().to(forward::<G>))
+        .route("/v1/addresses", web::get().to(addresses::<G>))
         .route("/healthz", web::get().to(health))
         .route("/readyz", web::get().to(ready::<G>))
         .route("/metrics", web::get().to(metrics::<G>));
@@ -167,7 +169,7 @@
     Some(Duration::from_millis(millis))
 }
 
-fn product<G>(gateway: &G, request: &HttpRequest) -> Result<Name, Refusal>
+pub(crate) fn product<G>(gateway: &G, request: &HttpRequest) -> Result<Name, Refusal>
 where
     G: Gateway,
 {
@@ -284,7 +286,7 @@
     }
 }
 
-fn refuse(refusal: &Refusal) -> HttpResponse {
+pub(crate) fn refuse(refusal: &Refusal) -> HttpResponse {
     let mut answer = builder(refusal.status());
     answer.insert_header((OUTCOME, refusal.outcome().to_string()));
     if let Some(after) = refusal.after() {
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -4,12 +4,16 @@
 //! services are reached under `/services/NAME/...`. What a request leads to is decided by the daemon, through
 //! [`Gateway`]. Every final answer carries its outcome in the header `sequoiastream-outcome` and in the body.
 
+mod addresses;
 mod gateway;
 mod http;
 mod refusal;
 mod sse;
 pub mod wire;
 
+pub use addresses::AddressBody;
+pub use gateway::AddressCall;
+pub use gateway::AddressList;
 pub use gateway::Answer;
 pub use gateway::AnswerEvent;
 pub use gateway::Finish;
--- a/crates/core/src/config/head.rs
+++ b/crates/core/src/config/head.rs
@@ -1,24 +1,42 @@
 //! The head of the accepted changes.
 //!
-//! One compare-and-swap on the head's key is the act of accepting a change. The head holds the last changes,
-//! so that whoever repeats a command, or lost the answer to it, is told its first outcome instead of a second
-//! execution.
+//! One compare-and-swap on the head's key is the act of accepting a change. The head holds the last changes
+//! (the tail), so that whoever follows it needs nothing else, and names the snapshot for whoever is too far
+//! behind.
 
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::fmt;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
 use uuid::Uuid;
 
+use crate::config::ApplyError;
 use crate::config::Command;
-use crate::config::Config;
-use crate::config::ConfigError;
+use crate::config::Known;
+use crate::config::State;
+use crate::config::touch::Thing;
+use crate::config::touch::touched;
 use crate::time::WallTime;
 
 /// How many changes the tail holds before its writer stores a snapshot and starts a short one.
-pub const MAX_TAIL: usize = 64;
+pub const MAX_TAIL: usize = 32;
+
+/// How many changes a shortened tail keeps, so that an instance a little behind needs no snapshot.
+pub const SHORT_TAIL: usize = 8;
+
+/// Weight, in bytes by estimate, at which a tail counts as long whatever its number of changes. The first
+/// load of a large configuration is one heavy change: without this limit each later change would write it again.
+pub const MAX_WEIGHT: usize = 48 * 1024;
+
+/// Estimated bytes of a change besides its statement and commands.
+const FRAME: usize = 200;
+
+/// Estimated bytes of a stored command.
+const COMMAND: usize = 160;
 
 /// Count of accepted changes; each accepted change raises it by one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
@@ -34,7 +52,19 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CommandId(pub Uuid);
 
-/// An accepted change: an entry of the audit trail.
+impl CommandId {
+    /// The time that the id carries, if it is a UUIDv7.
+    pub fn time(self) -> Option<WallTime> {
+        if self.0.get_version_num() != 7 {
+            return None;
+        }
+        let (seconds, nanos) = self.0.get_timestamp()?.to_unix();
+        let since = Duration::new(seconds, nanos);
+        Some(WallTime(u64::try_from(since.as_millis()).unwrap_or(u64::MAX)))
+    }
+}
+
+/// An accepted change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
     /// The version that it made.
@@ -43,6 +73,8 @@
     pub id: CommandId,
     /// The operator who gave it.
     pub who: String,
+    /// Where it came from.
+    pub from: String,
     /// When it was accepted, by the wall clock of the instance that wrote it.
     pub when: WallTime,
     /// The statement as written, secrets replaced.
@@ -51,96 +83,195 @@
     pub commands: Vec<Command>,
 }
 
+impl Change {
+    fn weight(&self) -> usize {
+        FRAME + self.statement.len() + COMMAND * self.commands.len()
+    }
+}
+
+/// A change that an operator asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Proposal {
+    /// The command's id.
+    pub id: CommandId,
+    /// The operator who gives it.
+    pub who: String,
+    /// Where it comes from.
+    pub from: String,
+    /// Wall clock of the instance that takes it.
+    pub when: WallTime,
+    /// The statement as written, secrets replaced.
+    pub statement: String,
+    /// The commands, applied together or not at all.
+    pub commands: Vec<Command>,
+    /// The version that the operator decided on.
+    pub base: Base,
+}
+
+/// The version that an operator decided on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Base {
+    /// The operator named it: any later change of the same things is a conflict.
+    Named(Version),
+    /// The version in force where the statement came in. The operator's own later changes are no conflict, since
+    /// they may have gone through another instance a moment before.
+    Implied(Version),
+}
+
+impl Base {
+    /// The version.
+    pub fn version(self) -> Version {
+        match self {
+            Base::Named(version) | Base::Implied(version) => version,
+        }
+    }
+}
+
 /// The value of the head's key.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Head {
     /// Version after the last change of the tail.
     pub version: Version,
-    /// Version of the snapshot that the tail builds on; version 0 is the empty configuration.
+    /// Version of the snapshot to begin with; version 0 is the empty configuration, which is stored nowhere.
     pub base: Version,
-    /// Changes since the snapshot, oldest first.
+    /// Version of the snapshot before that one; it stays for readers of an older head.
+    pub prior: Version,
+    /// The last changes, oldest first. A shortened tail begins before its snapshot.
     pub tail: VecDeque<Change>,
 }
 
-/// A change that was accepted, now or before.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Accepted {
-    /// The head and configuration that accepting it would make; the swap is still to be done.
-    Next {
-        /// The head to swap in.
-        head: Head,
-        /// The configuration at that head.
-        config: Config,
-    },
-    /// The same command was accepted before, as this version.
-    Before(Version),
-}
-
 /// Why a change was not accepted.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum Rejected {
     /// A command can't be applied.
-    #[error("command {index} can't be applied: {source}")]
-    Config {
-        /// Index of the command in the change.
-        index: usize,
-        /// What stands against it.
-        source: ConfigError,
+    #[error(transparent)]
+    Apply(#[from] ApplyError),
+    /// Another operator's change of the same thing came first.
+    #[error("{thing} was changed by version {version} ({who}: {statement}) after version {base}")]
+    Lost {
+        /// What both touch.
+        thing: Thing,
+        /// Version of the change that came first.
+        version: Version,
+        /// Who gave it.
+        who: String,
+        /// Its statement.
+        statement: String,
+        /// The version that the refused change was based on.
+        base: Version,
+    },
+    /// So much was changed since that the tail can't tell what.
+    #[error("version {base} is too far behind version {head} to tell what was changed since")]
+    Behind {
+        /// The version that the refused change was based on.
+        base: Version,
+        /// The version in force.
+        head: Version,
     },
+    /// The id is so old that it may have been accepted and forgotten.
+    #[error("the command id is too old to tell whether it was accepted before")]
+    Forgotten,
 }
 
 impl Head {
-    /// The configuration at this head, given its snapshot.
+    /// Whether `proposal` may be accepted on this head, whose state is `state`; its version if it was already.
     ///
     /// # Errors
     ///
-    /// [`Rejected`] if a change of the tail can't be applied: the snapshot is not the one it builds on.
-    pub fn build(&self, base: &Config) -> Result<Config, Rejected> {
-        let mut config = base.clone();
-        for change in &self.tail {
-            apply_all(&mut config, &change.commands)?;
+    /// [`Rejected`] with what stands against it.
+    pub fn check(&self, state: &State, proposal: &Proposal) -> Result<Option<Version>, Rejected> {
+        match state.find(proposal.id) {
+            Known::Accepted(version) => Ok(Some(version)),
+            Known::Forgotten => Err(Rejected::Forgotten),
+            Known::Fresh => self.check_base(proposal).map(|()| None),
         }
-        Ok(config)
     }
 
-    /// Works out the head that accepts `change` on top of this one.
-    ///
-    /// The version of `change` is set here.
+    /// The head that accepts `proposal` on top of this one, whose state is `state`.
     ///
     /// # Errors
     ///
     /// [`Rejected`] naming the command that can't be applied.
-    pub fn accept(&self, config: &Config, change: Change) -> Result<Accepted, Rejected> {
-        if let Some(before) = self.find(change.id) {
-            return Ok(Accepted::Before(before.version));
-        }
-        let mut config = config.clone();
-        apply_all(&mut config, &change.commands)?;
+    pub fn push(&self, state: &State, proposal: &Proposal) -> Result<Head, Rejected> {
+        let change = Change {
+            version: Version(self.version.0 + 1),
+            id: proposal.id,
+            who: proposal.who.clone(),
+            from: proposal.from.clone(),
+            when: proposal.when,
+            statement: proposal.statement.clone(),
+            commands: proposal.commands.clone(),
+        };
+        let mut next = state.clone();
+        next.apply(&change)?;
         let mut head = self.clone();
-        head.version = Version(self.version.0 + 1);
-        head.tail.push_back(Change {
-            version: head.version,
-            ..change
-        });
-        Ok(Accepted::Next { head, config })
+        head.version = change.version;
+        head.tail.push_back(change);
+        Ok(head)
     }
 
     /// Whether the tail has grown so long that its writer should store a snapshot and start a short one.
     pub fn is_long(&self) -> bool {
-        self.tail.len() >= MAX_TAIL
+        self.tail.len() >= MAX_TAIL || self.weight() >= MAX_WEIGHT
+    }
+
+    /// This head with a short tail on a snapshot of its own version.
+    pub fn shorten(&self) -> Head {
+        let mut head = self.clone();
+        head.prior = head.base;
+        head.base = head.version;
+        while head.tail.len() > SHORT_TAIL || (head.weight() >= MAX_WEIGHT / 2 && !head.tail.is_empty()) {
+            head.tail.pop_front();
+        }
+        head
     }
 
-    /// The change with this id, if the tail still holds it.
-    pub fn find(&self, id: CommandId) -> Option<&Change> {
-        self.tail.iter().find(|change| change.id == id)
+    /// The version before the first change of the tail: a state of this version or later needs no snapshot.
+    pub fn reach(&self) -> Version {
+        match self.tail.front() {
+            Some(change) => Version(change.version.0.saturating_sub(1)),
+            None => self.version,
+        }
+    }
+
+    fn weight(&self) -> usize {
+        self.tail.iter().map(Change::weight).sum()
     }
-}
 
-fn apply_all(config: &mut Config, commands: &[Command]) -> Result<(), Rejected> {
-    for (index, command) in commands.iter().enumerate() {
-        config
-            .apply(command)
-            .map_err(|source| Rejected::Config { index, source })?;
+    /// Guards against racing operators: the second would undo the first without having seen it. It is refused
+    /// with the name of the change that it lost to. Changes of other things don't stand in its way.
+    fn check_base(&self, proposal: &Proposal) -> Result<(), Rejected> {
+        let base = proposal.base.version();
+        if base >= self.version {
+            return Ok(());
+        }
+        if base < self.reach() {
+            return Err(Rejected::Behind {
+                base,
+                head: self.version,
+            });
+        }
+        let ours = touched(&proposal.commands);
+        for change in self.tail.iter().filter(|change| change.version > base) {
+            let own = change.who == proposal.who && matches!(proposal.base, Base::Implied(_));
+            if own {
+                continue;
+            }
+            if let Some(thing) = shared(&ours, &change.commands) {
+                return Err(Rejected::Lost {
+                    thing,
+                    version: change.version,
+                    who: change.who.clone(),
+                    statement: change.statement.clone(),
+                    base,
+                });
+            }
+        }
+        Ok(())
     }
-    Ok(())
+}
+
+fn shared(ours: &BTreeSet<Thing>, commands: &[Command]) -> Option<Thing> {
+    let theirs = touched(commands);
+    ours.intersection(&theirs).next().cloned()
 }
--- /dev/null
+++ b/crates/core/src/config/keeper.rs
@@ -0,0 +1,474 @@
+//! Accepting changes and following those of others: the decisions of the configuration's keeper.
+//!
+//! A change is accepted by one compare-and-swap on the head's key, compared on the key-value service's own
+//! version of the key. The swap that loses is worked out anew on the head that won; see
+//! `docs/design/config.md`.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use thiserror::Error;
+
+use crate::config::ApplyError;
+use crate::config::Follower;
+use crate::config::Head;
+use crate::config::Known;
+use crate::config::Progress;
+use crate::config::Proposal;
+use crate::config::Rejected;
+use crate::config::Revision;
+use crate::config::State;
+use crate::config::Stored;
+use crate::config::Update;
+use crate::config::Version;
+use crate::time::Time;
+
+/// Pause before a failed call to the key-value service is made again.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// How long a fetch from a peer may take before another peer is asked.
+const FETCH_LIMIT: Duration = Duration::from_secs(2);
+
+/// Names a proposal that was submitted here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// How a swap of the head ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Swapped {
+    /// It took effect.
+    Done(Revision),
+    /// It did not: the key stands so.
+    Conflict(Stored),
+    /// It did not take effect, for another reason.
+    Failed,
+    /// It may have taken effect.
+    Unsure,
+    /// The head is too large to be stored, in bytes.
+    TooLarge(usize),
+}
+
+/// What the keeper is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// A watch gave the head, or a read did.
+    Read(Stored),
+    /// The read asked for by [`Action::Read`] gave nothing.
+    ReadFailed,
+    /// The snapshot asked for; `None` if there was none or no answer.
+    Snapshot(Option<Box<State>>),
+    /// An operator proposes a change.
+    Submitted(Ticket, Box<Proposal>),
+    /// Whether the snapshot of this version, asked for by [`Action::Store`], is in place.
+    StoredSnapshot(Ticket, Version, bool),
+    /// How [`Action::Swap`] ended.
+    Swapped(Ticket, Swapped),
+    /// A peer has this version in force.
+    Heard(SocketAddr, Version),
+    /// What the peer asked by [`Action::Fetch`] told; `None` if nothing.
+    Fetched(Option<Update>),
+    /// Time passed.
+    Tick,
+}
+
+/// What the keeper wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Read the head; give [`Event::Read`] or [`Event::ReadFailed`].
+    Read,
+    /// Read the snapshot of this version.
+    ReadSnapshot(Version),
+    /// Store a snapshot under its version if there is none yet.
+    Store(Ticket, Box<State>),
+    /// Swap in the head if the key still has the revision.
+    Swap(Ticket, Revision, Box<Head>),
+    /// Remove the snapshot of this version: no reader can need it.
+    Remove(Version),
+    /// Ask the peer for what came after the version.
+    Fetch(SocketAddr, Version),
+    /// A new version is in force: publish it.
+    Publish,
+    /// Tell the operator.
+    Answer(Ticket, Result<Outcome, Refused>),
+    /// Input older than what is known was ignored; the version it offered.
+    Stale(Version),
+    /// Input contradicts what is known and was ignored.
+    Broken(ApplyError),
+}
+
+/// A change that is in force here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Outcome {
+    /// The version that it made.
+    pub version: Version,
+    /// Whether it had been accepted before it was submitted here.
+    pub repeated: bool,
+}
+
+/// Why a proposal was not accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Refused {
+    /// It stands against the configuration or another change.
+    #[error(transparent)]
+    Rejected(#[from] Rejected),
+    /// It was not accepted in time, and won't be.
+    #[error("the change was not accepted in time; nothing changed")]
+    Late,
+    /// It is too large to be stored.
+    #[error("the change makes a value of {0} bytes, too many; give it in parts")]
+    TooLarge(usize),
+    /// It may or may not have been accepted.
+    #[error("it could not be found out in time whether the change was accepted")]
+    Unsure,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// Waits for the head, or for the state to reach it.
+    Waiting,
+    /// Waits until the time for another try.
+    Paused(Time),
+    Storing,
+    Swapping,
+}
+
+#[derive(Debug)]
+struct Job {
+    proposal: Proposal,
+    started: Time,
+    step: Step,
+    /// Revision that our last swap compared with, while its fate is open.
+    open: Option<Revision>,
+    /// Whether a swap was tried.
+    tried: bool,
+    /// The head that our last swap offered.
+    next: Option<Head>,
+    /// Version whose snapshot we stored, or failed to store.
+    snapshot: Option<(Version, bool)>,
+}
+
+/// Keeper of the configuration of one instance.
+#[derive(Debug)]
+pub struct Keeper {
+    follower: Follower,
+    limit: Duration,
+    jobs: BTreeMap<Ticket, Job>,
+    reading: bool,
+    snapshot: Option<Version>,
+    fetching: Option<Time>,
+    heard: BTreeMap<SocketAddr, Version>,
+    actions: Vec<Action>,
+}
+
+impl Keeper {
+    /// A keeper that knows only the empty configuration and gives each proposal `limit`.
+    pub fn new(limit: Duration) -> Keeper {
+        Keeper {
+            follower: Follower::default(),
+            limit,
+            jobs: BTreeMap::new(),
+            reading: false,
+            snapshot: None,
+            fetching: None,
+            heard: BTreeMap::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// The configuration in force.
+    pub fn state(&self) -> &State {
+        self.follower.state()
+    }
+
+    /// What to tell a peer that has version `after` in force.
+    pub fn update_after(&self, after: Version) -> Update {
+        self.follower.update_after(after)
+    }
+
+    /// Works out what to do about `event`.
+    pub fn on(&mut self, now: Time, event: Event) -> Vec<Action> {
+        match event {
+            Event::Read(stored) => {
+                self.reading = false;
+                self.on_stored(now, stored);
+            }
+            Event::ReadFailed => {
+                self.reading = false;
+                self.pause_waiting(now);
+            }
+            Event::Snapshot(snapshot) => self.on_snapshot(now, snapshot),
+            Event::Submitted(ticket, proposal) => self.submit(now, ticket, *proposal),
+            Event::StoredSnapshot(ticket, version, stored) => {
+                self.on_snapshot_stored(now, ticket, (version, stored));
+            }
+            Event::Swapped(ticket, swapped) => self.on_swapped(now, ticket, swapped),
+            Event::Heard(peer, version) => {
+                self.heard.insert(peer, version);
+                self.fetch(now);
+            }
+            Event::Fetched(update) => self.on_fetched(now, update),
+            Event::Tick => self.tick(now),
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    fn on_stored(&mut self, now: Time, stored: Stored) {
+        let offered = stored.head.version;
+        let progress = self.follower.on_stored(stored);
+        self.on_progress(now, progress, offered);
+    }
+
+    fn on_progress(&mut self, now: Time, progress: Progress, offered: Version) {
+        match progress {
+            Progress::Advanced => {
+                self.actions.push(Action::Publish);
+                self.resume(now);
+            }
+            Progress::Same => self.resume(now),
+            Progress::Stale => {
+                self.actions.push(Action::Stale(offered));
+                self.pause_waiting(now);
+            }
+            Progress::Broken(error) => {
+                self.actions.push(Action::Broken(error));
+                self.pause_waiting(now);
+            }
+            Progress::Needs(base) => {
+                if self.snapshot.is_none() {
+                    self.snapshot = Some(base);
+                    self.actions.push(Action::ReadSnapshot(base));
+                }
+            }
+        }
+    }
+
+    fn on_snapshot(&mut self, now: Time, snapshot: Option<Box<State>>) {
+        let asked = self.snapshot.take();
+        match snapshot {
+            Some(state) if Some(state.version) == asked => {
+                let offered = state.version;
+                let progress = self.follower.on_snapshot(*state);
+                self.on_progress(now, progress, offered);
+            }
+            // The snapshot was removed since the head was read, or the call failed: begin with the head again.
+            _ => self.pause_waiting(now),
+        }
+    }
+
+    fn on_fetched(&mut self, now: Time, update: Option<Update>) {
+        self.fetching = None;
+        let Some(update) = update else { return };
+        let offered = match &update {
+            Update::Whole(state) => state.version,
+            Update::Changes(changes) => changes.last().map(|c| c.version).unwrap_or_default(),
+        };
+        let progress = self.follower.on_update(update);
+        self.on_progress(now, progress, offered);
+        self.fetch(now);
+    }
+
+    /// Asks a peer that is ahead, one at a time.
+    ///
+    /// Failure guarded against: the key-value service is slow or out and an accepted change isn't in force here
+    /// for as long. A peer that has it tells it instead; its version digest comes with each heartbeat.
+    fn fetch(&mut self, now: Time) {
+        if self.fetching.is_some_and(|since| now.since(since) < FETCH_LIMIT) {
+            return;
+        }
+        let ours = self.follower.state().version;
+        self.heard.retain(|_, version| *version > ours);
+        if let Some((peer, _)) = self.heard.pop_first() {
+            self.fetching = Some(now);
+            self.actions.push(Action::Fetch(peer, ours));
+        }
+    }
+
+    fn submit(&mut self, now: Time, ticket: Ticket, proposal: Proposal) {
+        let job = Job {
+            proposal,
+            started: now,
+            step: Step::Waiting,
+            open: None,
+            tried: false,
+            next: None,
+            snapshot: None,
+        };
+        self.jobs.insert(ticket, job);
+        self.attempt(now, ticket);
+    }
+
+    /// Tries the proposals that waited for the head or the state.
+    fn resume(&mut self, now: Time) {
+        let waiting = self.jobs.iter().filter(|(_, job)| job.step == Step::Waiting);
+        let waiting: Vec<Ticket> = waiting.map(|(ticket, _)| *ticket).collect();
+        for ticket in waiting {
+            self.attempt(now, ticket);
+        }
+    }
+
+    fn pause_waiting(&mut self, now: Time) {
+        for job in self.jobs.values_mut().filter(|job| job.step == Step::Waiting) {
+            job.step = Step::Paused(now + PAUSE);
+        }
+    }
+
+    fn tick(&mut self, now: Time) {
+        self.fetch(now);
+        let behind = self
+            .follower
+            .stored()
+            .is_some_and(|s| s.head.version > self.follower.state().version);
+        if behind && self.snapshot.is_none() {
+            let base = self.follower.stored().map(|s| s.head.base).unwrap_or_default();
+            self.snapshot = Some(base);
+            self.actions.push(Action::ReadSnapshot(base));
+            self.read();
+        }
+        let due = |job: &Job| match job.step {
+            Step::Paused(until) => now >= until,
+            Step::Waiting => now.since(job.started) >= self.limit,
+            Step::Storing | Step::Swapping => false,
+        };
+        let due: Vec<Ticket> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| due(j))
+            .map(|(t, _)| *t)
+            .collect();
+        for ticket in due {
+            self.attempt(now, ticket);
+        }
+    }
+
+    fn read(&mut self) {
+        if !self.reading {
+            self.reading = true;
+            self.actions.push(Action::Read);
+        }
+    }
+
+    fn answer(&mut self, ticket: Ticket, answer: Result<Outcome, Refused>) {
+        self.jobs.remove(&ticket);
+        self.actions.push(Action::Answer(ticket, answer));
+    }
+
+    /// Whether the last swap of this job may still take effect: the key stands as the swap expects it.
+    fn is_open(&self, job: &Job) -> bool {
+        let revision = self.follower.stored().map(|s| s.revision);
+        job.open.is_some() && (revision.is_none() || job.open >= revision)
+    }
+
+    /// One step towards accepting the proposal of `ticket`.
+    fn attempt(&mut self, now: Time, ticket: Ticket) {
+        let Some(mut job) = self.jobs.remove(&ticket) else {
+            return;
+        };
+        job.step = Step::Waiting;
+        if let Known::Accepted(version) = self.follower.state().find(job.proposal.id) {
+            let repeated = !job.tried;
+            return self.answer(ticket, Ok(Outcome { version, repeated }));
+        }
+        if now.since(job.started) >= self.limit {
+            let refused = match self.is_open(&job) {
+                true => Refused::Unsure,
+                false => Refused::Late,
+            };
+            return self.answer(ticket, Err(refused));
+        }
+        let version = self.follower.state().version;
+        let ready = self
+            .follower
+            .stored()
+            .filter(|s| s.head.version == version)
+            .cloned();
+        match ready {
+            Some(stored) => self.propose(ticket, job, &stored),
+            None => {
+                self.jobs.insert(ticket, job);
+                if self.snapshot.is_none() {
+                    self.read();
+                }
+            }
+        }
+    }
+
+    fn propose(&mut self, ticket: Ticket, mut job: Job, stored: &Stored) {
+        let head = &stored.head;
+        let state = self.follower.state();
+        match head.check(state, &job.proposal) {
+            Err(rejected) => return self.answer(ticket, Err(rejected.into())),
+            Ok(Some(version)) => {
+                let repeated = !job.tried;
+                return self.answer(ticket, Ok(Outcome { version, repeated }));
+            }
+            Ok(None) => {}
+        }
+        let basis = match job.snapshot.filter(|(version, _)| *version == head.version) {
+            None if head.is_long() => {
+                let state = Box::new(state.clone());
+                job.step = Step::Storing;
+                self.jobs.insert(ticket, job);
+                return self.actions.push(Action::Store(ticket, state));
+            }
+            Some((_, true)) => head.shorten(),
+            // Without a snapshot the change goes on top of the long tail; a later writer shortens it.
+            _ => head.clone(),
+        };
+        match basis.push(state, &job.proposal) {
+            Err(rejected) => self.answer(ticket, Err(rejected.into())),
+            Ok(next) => {
+                job.step = Step::Swapping;
+                job.open = Some(stored.revision);
+                job.tried = true;
+                job.next = Some(next.clone());
+                self.jobs.insert(ticket, job);
+                self.actions
+                    .push(Action::Swap(ticket, stored.revision, Box::new(next)));
+            }
+        }
+    }
+
+    fn on_snapshot_stored(&mut self, now: Time, ticket: Ticket, snapshot: (Version, bool)) {
+        if let Some(job) = self.jobs.get_mut(&ticket) {
+            job.snapshot = Some(snapshot);
+            self.attempt(now, ticket);
+        }
+    }
+
+    fn on_swapped(&mut self, now: Time, ticket: Ticket, swapped: Swapped) {
+        let Some(job) = self.jobs.get_mut(&ticket) else {
+            return;
+        };
+        job.step = Step::Waiting;
+        match swapped {
+            Swapped::Done(revision) => {
+                if let Some(head) = job.next.take() {
+                    self.on_done(now, Stored { revision, head });
+                }
+            }
+            Swapped::Conflict(stored) => {
+                job.open = None;
+                self.on_stored(now, stored);
+            }
+            Swapped::Failed => {
+                job.open = None;
+                job.step = Step::Paused(now + PAUSE);
+            }
+            Swapped::TooLarge(bytes) => self.answer(ticket, Err(Refused::TooLarge(bytes))),
+            // Read back: the command id in the head is the proof that it took effect.
+            Swapped::Unsure => self.read(),
+        }
+    }
+
+    /// Takes the head that a swap of ours made.
+    fn on_done(&mut self, now: Time, stored: Stored) {
+        let before = self.follower.stored().map(|s| s.head.clone()).unwrap_or_default();
+        // A reader may still hold a head that names `before.base`; one that names `before.prior` is a whole
+        // tail behind, finds nothing and begins again with the head.
+        if stored.head.base > before.base && before.prior > Version::default() {
+            self.actions.push(Action::Remove(before.prior));
+        }
+        self.on_stored(now, stored);
+    }
+}
--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -35,6 +35,8 @@
     101 STOPPING = "stopping";
     /// The instance has drained and exits.
     102 STOPPED = "stopped";
+    /// The instance refuses new work and finishes what runs.
+    103 REFUSING = "refusing";
     /// A new version of the configuration is in force here.
     200 CONFIG_IN_FORCE = "config-in-force";
     /// A change was accepted through this instance.
@@ -43,6 +45,8 @@
     202 CHANGE_REFUSED = "change-refused";
     /// A configuration older than the one in force was offered and ignored.
     203 CONFIG_STALE = "config-stale";
+    /// A snapshot of the configuration was stored, or could not be.
+    204 SNAPSHOT_STORED = "snapshot-stored";
     /// A call to the key-value service failed.
     300 KV_FAILED = "kv-failed";
     /// The key-value service answers again.
@@ -53,6 +57,14 @@
     400 ATTEMPT_FAILED = "attempt-failed";
     /// A request was refused.
     401 REFUSED = "refused";
+    /// This instance stands differently towards the configuration in force.
+    700 STANDING = "standing";
+    /// A call to another instance failed.
+    701 PEER_FAILED = "peer-failed";
+    /// A message was refused: forged, replayed or unreadable.
+    702 PEER_REFUSED = "peer-refused";
+    /// The upstreams that the platform's list shows as leaving changed.
+    703 UPSTREAM_LEAVING = "upstream-leaving";
     /// An invariant was broken; the action was dropped.
     900 INVARIANT_BROKEN = "invariant-broken";
 }
--- /dev/null
+++ b/crates/core/src/membership/beat.rs
@@ -0,0 +1,76 @@
+//! Heartbeats, as they go over the network.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::config::Version;
+use crate::name::Name;
+
+/// Whether an instance stays.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum MemberState {
+    /// It serves.
+    Live,
+    /// It is shutting down.
+    Leaving,
+}
+
+/// What an instance says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct About {
+    /// When the process started, in milliseconds since the Unix epoch: orders its incarnations.
+    pub incarnation: u64,
+    /// Counts the heartbeats of the incarnation.
+    pub number: u64,
+    /// Availability zone.
+    pub zone: Name,
+    /// Where callers connect.
+    pub address: SocketAddr,
+    /// Where other instances connect.
+    pub peer: SocketAddr,
+    /// Whether it stays.
+    pub state: MemberState,
+    /// The configuration in force there: the digest by which others see that they are behind.
+    pub version: Version,
+    /// Milliseconds since it had an answer of the key-value service.
+    pub silence: u32,
+}
+
+/// What an instance heard of another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rumor {
+    /// The other.
+    pub name: Name,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Its last heartbeat known.
+    pub number: u64,
+    /// Whether it stays.
+    pub state: MemberState,
+    /// The configuration in force there.
+    pub version: Version,
+    /// Milliseconds since it had an answer of the key-value service.
+    pub silence: u32,
+}
+
+/// An upstream that the platform's list shows as leaving.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Milliseconds since some instance saw it on the list.
+    pub age: u32,
+}
+
+/// A heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Of the sender.
+    pub about: About,
+    /// Of others: a part of the sender's table that rotates.
+    pub rumors: Vec<Rumor>,
+    /// Upstreams that leave.
+    pub notices: Vec<Notice>,
+}
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -94,6 +94,21 @@
         snapshot
     }
 
+    /// Gives the engines at these addresses no more work: the platform's list shows them as leaving.
+    pub fn mark_leaving(&mut self, leaving: &BTreeSet<SocketAddr>) {
+        if leaving.is_empty() {
+            return;
+        }
+        let engines = self.engines.iter();
+        let gone = engines.filter(|(_, view)| leaving.contains(&view.address));
+        let gone: Vec<EngineKey> = gone.map(|(key, _)| key).collect();
+        for key in gone {
+            if let Some(view) = self.engines.get_mut(key) {
+                view.state = EngineState::Draining;
+            }
+        }
+    }
+
     /// The product that the API key `secret` belongs to.
     pub fn product_of(&self, secret: &str) -> Option<ProductKey> {
         self.keys.get(&KeyHash::of(secret)).copied()
--- a/crates/operator/src/http.rs
+++ b/crates/operator/src/http.rs
@@ -1,5 +1,7 @@
 //! The HTTP interface for operators, mounted by the daemon.
 
+use std::net::SocketAddr;
+
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::http::StatusCode;
@@ -79,12 +81,16 @@
     /// Whether `token` may give statements.
     fn authorize(&self, token: &str) -> bool;
 
-    /// Carries out `statement`.
+    /// Carries out `statement`, which came in from the address `from`.
     ///
     /// # Errors
     ///
     /// [`OperatorError`] if nothing changed, or if that is not known.
-    fn execute(&self, statement: StatementBody) -> impl Future<Output = Result<ReplyBody, OperatorError>>;
+    fn execute(
+        &self,
+        statement: StatementBody,
+        from: Option<SocketAddr>,
+    ) -> impl Future<Output = Result<ReplyBody, OperatorError>>;
 }
 
 /// Registers the routes for `executor`.
@@ -103,7 +109,7 @@
 {
     let token = bearer(&request).unwrap_or_default();
     let result = match executor.authorize(token) {
-        true => executor.execute(body.into_inner()).await,
+        true => executor.execute(body.into_inner(), request.peer_addr()).await,
         false => Err(OperatorError::Unauthorized),
     };
     match result {
--- a/crates/operator/src/wire.rs
+++ b/crates/operator/src/wire.rs
@@ -13,6 +13,10 @@
     pub who: String,
     /// The statements.
     pub text: String,
+    /// The version that the operator decided on. A later change of the same things is then a conflict.
+    /// Without it that holds for changes of other operators after the version in force where this came in.
+    #[serde(default)]
+    pub base: Option<u64>,
     /// Only say what would change.
     #[serde(default)]
     pub dry: bool,
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -49,14 +49,20 @@
         sender: Name,
         incarnation: Uuid,
     ) -> std::io::Result<DatagramSocket> {
-        Ok(DatagramSocket {
-            socket: UdpSocket::bind(address).await?,
+        let socket = UdpSocket::bind(address).await?;
+        Ok(DatagramSocket::new(socket, key, sender, incarnation))
+    }
+
+    /// Takes a bound socket. `incarnation` must be a UUIDv7 drawn anew at each start of the process.
+    pub fn new(socket: UdpSocket, key: ClusterKey, sender: Name, incarnation: Uuid) -> DatagramSocket {
+        DatagramSocket {
+            socket,
             key,
             sender,
             incarnation,
             counter: Cell::new(0),
             window: RefCell::new(ReplayWindow::new()),
-        })
+        }
     }
 
     /// Where it is bound.
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,5 +1,8 @@
 //! The messages themselves.
 
+use sequoiastream_core::config::Update;
+use sequoiastream_core::config::Version;
+use sequoiastream_core::membership::Beat;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -8,6 +11,8 @@
 pub enum Datagram {
     /// Only shows that the sender runs.
     Ping,
+    /// A heartbeat.
+    Beat(Beat),
 }
 
 /// A question over TCP.
@@ -15,6 +20,8 @@
 pub enum Request {
     /// Only asks for an answer.
     Ping,
+    /// Asks for the configuration after this version.
+    Config(Version),
 }
 
 /// The answer to a question over TCP.
@@ -22,4 +29,8 @@
 pub enum Response {
     /// Answer to [`Request::Ping`].
     Pong,
+    /// Answer to [`Request::Config`].
+    Config(Update),
+    /// The request is not served here.
+    Unserved,
 }
--- a/crates/testsupport/src/fleet.rs
+++ b/crates/testsupport/src/fleet.rs
@@ -215,6 +215,7 @@
             id,
             who: "tester".to_string(),
             text: text.to_string(),
+            base: None,
             dry: false,
             wait: false,
         };
--- a/src/bin/sequoiastream/context.rs
+++ b/src/bin/sequoiastream/context.rs
@@ -53,6 +53,7 @@
             id: request.id.unwrap_or_else(Uuid::now_v7),
             who: self.who.clone(),
             text: request.text,
+            base: None,
             dry: request.dry,
             wait: request.wait,
         };
--- a/src/ops/control/config.rs
+++ b/src/ops/control/config.rs
@@ -1,5 +1,11 @@
-//! Keeper of the configuration: follows `config/head` and accepts changes by compare-and-swap on it.
+//! Keeper of the configuration: carries out the decisions of [`Keeper`].
 
+mod execute;
+mod store;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,310 +15,319 @@
 use actix::Context;
 use actix::Handler;
 use actix::Message;
-use actix::ResponseActFuture;
+use actix::Recipient;
 use actix::WrapFuture;
-use sequoiastream_core::config::Accepted;
-use sequoiastream_core::config::Change;
-use sequoiastream_core::config::Command;
-use sequoiastream_core::config::CommandId;
-use sequoiastream_core::config::Config;
-use sequoiastream_core::config::Head;
+use sequoiastream_core::config::Action;
+use sequoiastream_core::config::Event;
+use sequoiastream_core::config::Keeper;
+use sequoiastream_core::config::Outcome;
+use sequoiastream_core::config::Proposal;
+use sequoiastream_core::config::Refused;
+use sequoiastream_core::config::Revision;
+use sequoiastream_core::config::Stored;
+use sequoiastream_core::config::Ticket;
+use sequoiastream_core::config::Update;
 use sequoiastream_core::config::Version;
+use sequoiastream_core::invariant;
 use sequoiastream_core::log_event;
 use sequoiastream_core::snapshot::Snapshot;
-use sequoiastream_operator::Statement;
-use sequoiastream_operator::Table;
-use sequoiastream_operator::http::OperatorError;
-use sequoiastream_operator::parse_script;
-use sequoiastream_operator::select;
-use sequoiastream_operator::wire::AcceptedBody;
-use sequoiastream_operator::wire::ReplyBody;
-use sequoiastream_operator::wire::StatementBody;
-use sequoiastream_operator::wire::TableBody;
-use sequoiastream_platform::Entry;
-use sequoiastream_platform::Expect;
+use sequoiastream_core::time::Time;
+use sequoiastream_peer::call::CallClient;
+use sequoiastream_peer::message::Request;
+use sequoiastream_peer::message::Response;
 use sequoiastream_platform::KvClient;
 use sequoiastream_platform::KvError;
-use sequoiastream_platform::KvVersion;
-use sequoiastream_platform::Swap;
+use tokio::sync::oneshot;
+
+pub use execute::Execute;
 
 use crate::log_event;
+use crate::ops::control::config::store::ConfigStore;
 use crate::ops::shared::Shared;
 use crate::util::clock;
 
-/// Key of the head.
-const HEAD: &str = "config/head";
-
 /// Pause before the head is asked for again after a failed call.
 const PAUSE: Duration = Duration::from_millis(200);
 
-/// How often a change is tried on top of a head that another change moved on.
-const TRIES: u32 = 8;
+/// How often the keeper looks at what is due.
+const TICK: Duration = Duration::from_millis(100);
+
+/// How long accepting a change may take.
+const SUBMIT_LIMIT: Duration = Duration::from_secs(10);
+
+/// How long a peer may take to tell a configuration.
+const FETCH_LIMIT: Duration = Duration::from_secs(2);
+
+/// Watches end after this part of the stale limit, so that hearing nothing shows in time.
+const WATCH_PART: u32 = 3;
+
+type Answer = Result<Outcome, Refused>;
 
 /// Keeper of the configuration.
 #[derive(Debug)]
 pub struct ConfigActor {
     shared: Arc<Shared>,
-    kv: KvClient,
-    head: Head,
-    config: Config,
-    seen: KvVersion,
+    store: ConfigStore,
+    calls: CallClient,
+    keeper: Keeper,
+    /// The highest revision seen, which the watch waits to be passed.
+    seen: Revision,
+    tickets: u64,
+    waiting: BTreeMap<Ticket, oneshot::Sender<Answer>>,
+    followers: Vec<Recipient<InForce>>,
+    leaving: BTreeSet<SocketAddr>,
+    published: Version,
 }
 
-/// Carries out an operator's statements.
-#[derive(Debug)]
-pub struct Execute(pub StatementBody);
-
-impl Message for Execute {
-    type Result = Result<ReplyBody, OperatorError>;
+/// Tells that this version is in force here, or that the key-value service was heard.
+#[derive(Debug, Clone, Copy, Message)]
+#[rtype(result = "()")]
+pub struct InForce {
+    /// The version.
+    pub version: Version,
+    /// When the key-value service was known to have no later one; `None` if that is not news.
+    pub contact: Option<Time>,
 }
 
+/// Asks to be told [`InForce`].
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Follow(pub Recipient<InForce>);
+
+/// A peer at this address has this version in force.
+#[derive(Debug, Clone, Copy, Message)]
+#[rtype(result = "()")]
+pub struct Ahead(pub SocketAddr, pub Version);
+
+/// The upstreams that leave, by address.
+#[derive(Debug, Clone, Message)]
+#[rtype(result = "()")]
+pub struct Leaving(pub BTreeSet<SocketAddr>);
+
+/// Asks for what came after a version.
+#[derive(Debug, Clone, Copy, Message)]
+#[rtype(result = "Update")]
+pub struct UpdateAfter(pub Version);
+
 impl ConfigActor {
     /// A keeper that knows only the empty configuration.
-    pub fn new(shared: Arc<Shared>, kv: KvClient) -> ConfigActor {
+    pub fn new(shared: Arc<Shared>, kv: KvClient, calls: CallClient) -> ConfigActor {
         ConfigActor {
             shared,
-            kv,
-            head: Head::default(),
-            config: Config::default(),
-            seen: KvVersion::default(),
+            store: ConfigStore::new(kv),
+            calls,
+            keeper: Keeper::new(SUBMIT_LIMIT),
+            seen: Revision::default(),
+            tickets: 0,
+            waiting: BTreeMap::new(),
+            followers: Vec::new(),
+            leaving: BTreeSet::new(),
+            published: Version::default(),
         }
     }
 
-    fn follow(&mut self, context: &mut Context<Self>) {
-        let kv = self.kv.clone();
-        let after = self.seen;
-        let wait = self.shared.settings.wait;
-        let watch = async move { kv.watch(HEAD, after, wait).await };
-        context.spawn(watch.into_actor(self).map(|result, actor, context| {
-            let pause = actor.on_watch(result);
-            context.run_later(pause, |actor, context| actor.follow(context));
+    fn watch(&mut self, context: &mut Context<Self>) {
+        let settings = &self.shared.settings;
+        let wait = settings.wait.min(settings.limits.stale / WATCH_PART);
+        let (store, after) = (self.store.clone(), self.seen);
+        let sent = clock::now();
+        let watch = async move { store.watch(after, wait).await };
+        context.spawn(watch.into_actor(self).map(move |result, actor, context| {
+            let pause = match result {
+                Ok(Some(stored)) => actor.on_watched(sent, stored, context),
+                Ok(None) => {
+                    // The service found nothing new until it answered, so at least until `wait` was over.
+                    actor.tell(Some(sent + wait));
+                    Duration::ZERO
+                }
+                Err(error) => {
+                    log_event!(warn, log_event::KV_FAILED, %error, call = "watch config/head");
+                    PAUSE
+                }
+            };
+            context.run_later(pause, |actor, context| actor.watch(context));
         }));
     }
 
-    /// Takes the result of a watch; returns how long to pause before the next.
-    fn on_watch(&mut self, result: Result<Option<Entry>, KvError>) -> Duration {
-        match result {
-            Ok(Some(entry)) => {
-                self.on_entry(&entry);
-                Duration::ZERO
+    /// Takes a head; returns how long to pause before the next watch.
+    fn on_watched(&mut self, sent: Time, stored: Stored, context: &mut Context<Self>) -> Duration {
+        let revision = stored.revision;
+        self.on(Event::Read(stored), context);
+        if revision < self.seen {
+            // An answer from the past: the watch would return it at once, again and again.
+            return PAUSE;
+        }
+        self.seen = revision;
+        self.tell(Some(sent));
+        Duration::ZERO
+    }
+
+    /// Lets the keeper decide on `event` and carries out what it wants.
+    fn on(&mut self, event: Event, context: &mut Context<Self>) {
+        for action in self.keeper.on(clock::now(), event) {
+            self.act(action, context);
+        }
+    }
+
+    fn act(&mut self, action: Action, context: &mut Context<Self>) {
+        let store = self.store.clone();
+        match action {
+            Action::Read => self.spawn(context, async move { read(store.head().await) }),
+            Action::ReadSnapshot(version) => self.spawn(context, async move {
+                Event::Snapshot(store.snapshot(version).await.map(Box::new))
+            }),
+            Action::Store(ticket, state) => self.spawn(context, async move {
+                let stored = store.store(&state).await;
+                log_event!(
+                    info,
+                    log_event::SNAPSHOT_STORED,
+                    version = state.version.0,
+                    stored
+                );
+                Event::StoredSnapshot(ticket, state.version, stored)
+            }),
+            Action::Swap(ticket, expect, head) => self.spawn(context, async move {
+                Event::Swapped(ticket, store.swap(expect, &head).await)
+            }),
+            Action::Remove(version) => {
+                let remove = async move { store.remove(version).await };
+                context.spawn(remove.into_actor(self).map(|result, _, _| {
+                    if let Err(error) = result {
+                        log_event!(warn, log_event::KV_FAILED, %error, call = "remove config/snapshot");
+                    }
+                }));
+            }
+            Action::Fetch(peer, after) => {
+                let calls = self.calls.clone();
+                self.spawn(context, async move {
+                    Event::Fetched(fetch(&calls, peer, after).await)
+                });
             }
-            Ok(None) => Duration::ZERO,
-            Err(error) => {
-                log_event!(warn, log_event::KV_FAILED, %error, call = "watch config/head");
-                PAUSE
+            Action::Publish => self.publish(),
+            Action::Answer(ticket, answer) => self.answer(ticket, answer),
+            Action::Stale(version) => {
+                log_event!(warn, log_event::CONFIG_STALE, version = version.0);
             }
+            Action::Broken(error) => log_event!(error, log_event::INVARIANT_BROKEN, %error),
         }
     }
 
-    fn on_entry(&mut self, entry: &Entry) {
-        self.seen = entry.version;
-        let Some(value) = &entry.value else { return };
-        match serde_json::from_slice::<Head>(value) {
-            Ok(head) => self.adopt(head),
-            Err(error) => log_event!(error, log_event::KV_FAILED, %error, call = "read config/head"),
-        }
+    /// Runs `work` and gives the keeper the event that it ends with.
+    fn spawn<F>(&self, context: &mut Context<Self>, work: F)
+    where
+        F: Future<Output = Event> + 'static,
+    {
+        let work = work.into_actor(self);
+        context.spawn(work.map(|event, actor, context| actor.on(event, context)));
     }
 
-    fn adopt(&mut self, head: Head) {
-        if head.version < self.head.version {
-            log_event!(warn, log_event::CONFIG_STALE, version = head.version.0);
+    /// Puts the configuration in force on the traffic threads.
+    fn publish(&mut self) {
+        let state = self.keeper.state();
+        let version = state.version;
+        let rises = invariant::check(version >= self.published, "the version in force never goes back");
+        if let Err(error) = rises {
+            log_event!(error, log_event::INVARIANT_BROKEN, %error);
             return;
         }
-        match head.build(&Config::default()) {
-            Ok(config) => {
-                self.shared
-                    .snapshot
-                    .store(Arc::new(Snapshot::new(head.version, &config)));
-                log_event!(info, log_event::CONFIG_IN_FORCE, version = head.version.0);
-                self.config = config;
-                self.head = head;
-            }
-            Err(error) => log_event!(error, log_event::INVARIANT_BROKEN, %error),
+        let mut snapshot = Snapshot::new(version, &state.config);
+        snapshot.mark_leaving(&self.leaving);
+        self.shared.snapshot.store(Arc::new(snapshot));
+        if version > self.published {
+            self.published = version;
+            log_event!(info, log_event::CONFIG_IN_FORCE, version = version.0);
+            self.tell(None);
         }
     }
 
-    fn table(&self, table: Table) -> TableBody {
-        match table {
-            Table::Products => products(&self.config),
-            Table::Services => services(&self.config),
-            Table::Engines => engines(&self.config),
-            Table::Changes => changes(&self.head),
-            Table::Quarantine => quarantine(&self.config),
+    fn tell(&self, contact: Option<Time>) {
+        let version = self.published;
+        for follower in &self.followers {
+            follower.do_send(InForce { version, contact });
         }
     }
-}
 
-impl Actor for ConfigActor {
-    type Context = Context<Self>;
+    fn submit(&mut self, proposal: Proposal, context: &mut Context<Self>) -> oneshot::Receiver<Answer> {
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.insert(ticket, sender);
+        self.on(Event::Submitted(ticket, Box::new(proposal)), context);
+        receiver
+    }
 
-    fn started(&mut self, context: &mut Context<Self>) {
-        self.follow(context);
+    fn answer(&mut self, ticket: Ticket, answer: Answer) {
+        if let Some(sender) = self.waiting.remove(&ticket) {
+            // The operator may be gone; the change stands all the same.
+            let _ = sender.send(answer);
+        }
     }
 }
 
-impl Handler<Execute> for ConfigActor {
-    type Result = ResponseActFuture<Self, Result<ReplyBody, OperatorError>>;
-
-    fn handle(&mut self, Execute(body): Execute, _: &mut Context<Self>) -> Self::Result {
-        let mut commands = Vec::new();
-        let mut queries = Vec::new();
-        match parse_script(&body.text) {
-            Err(error) => return Box::pin(actix::fut::ready(Err(error.into()))),
-            Ok(statements) => {
-                for statement in statements {
-                    match statement {
-                        Statement::Show(query) => queries.push(query),
-                        Statement::Change(command) => commands.push(command),
-                    }
-                }
-            }
+fn read(result: Result<Stored, KvError>) -> Event {
+    match result {
+        Ok(stored) => Event::Read(stored),
+        Err(error) => {
+            log_event!(warn, log_event::KV_FAILED, %error, call = "read config/head");
+            Event::ReadFailed
         }
-        match (queries.as_slice(), commands.is_empty()) {
-            ([], false) => {}
-            ([query], true) => {
-                let reply = select(self.table(query.table), query).map(ReplyBody::Table);
-                return Box::pin(actix::fut::ready(reply));
-            }
-            _ => return Box::pin(actix::fut::ready(Err(OperatorError::Mixed))),
-        }
-        let kv = self.kv.clone();
-        let accept = async move { accept(&kv, &body, commands).await };
-        Box::pin(accept.into_actor(self).map(|result, actor, _| {
-            let (reply, head) = result?;
-            actor.adopt(head);
-            Ok(ReplyBody::Accepted(reply))
-        }))
     }
 }
 
-/// Accepts a change: reads the head, works out the next one and swaps it in.
-async fn accept(
-    kv: &KvClient,
-    body: &StatementBody,
-    commands: Vec<Command>,
-) -> Result<(AcceptedBody, Head), OperatorError> {
-    let platform = |error: KvError| OperatorError::Platform(error.to_string());
-    for _ in 0..TRIES {
-        let entry = kv.get(HEAD).await.map_err(platform)?;
-        let head = match &entry.value {
-            Some(value) => {
-                serde_json::from_slice(value).map_err(|e| OperatorError::Platform(e.to_string()))?
-            }
-            None => Head::default(),
-        };
-        let rejected = |e: sequoiastream_core::config::Rejected| OperatorError::Rejected(e.to_string());
-        let config = head.build(&Config::default()).map_err(rejected)?;
-        let change = Change {
-            version: Version::default(),
-            id: CommandId(body.id),
-            who: body.who.clone(),
-            when: clock::wall(),
-            statement: body.text.clone(),
-            commands: commands.clone(),
-        };
-        match head.accept(&config, change).map_err(rejected)? {
-            Accepted::Before(version) => return Ok((accepted(version, true), head)),
-            Accepted::Next { head, .. } => {
-                let value = serde_json::to_vec(&head).map_err(|e| OperatorError::Platform(e.to_string()))?;
-                match kv.swap(HEAD, Expect::from(entry.version), &value, None).await {
-                    Ok(Swap::Done(_)) => {
-                        log_event!(
-                            info,
-                            log_event::CHANGE_ACCEPTED,
-                            version = head.version.0,
-                            who = body.who
-                        );
-                        return Ok((accepted(head.version, false), head));
-                    }
-                    Ok(Swap::Conflict(_)) => continue,
-                    Err(error) => return Err(platform(error)),
-                }
-            }
+async fn fetch(calls: &CallClient, peer: SocketAddr, after: Version) -> Option<Update> {
+    let answer = calls.call(peer, &Request::Config(after), FETCH_LIMIT).await;
+    match answer {
+        Ok(Response::Config(update)) => Some(update),
+        Ok(_) => None,
+        Err(error) => {
+            log_event!(warn, log_event::PEER_FAILED, %peer, %error, call = "config");
+            None
         }
     }
-    Err(OperatorError::Conflict(
-        "other changes kept coming first".to_string(),
-    ))
 }
 
-fn accepted(version: Version, repeated: bool) -> AcceptedBody {
-    AcceptedBody {
-        version: version.0,
-        repeated,
-        force: 1,
-        known: 1,
+impl Actor for ConfigActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Context<Self>) {
+        self.watch(context);
+        context.run_interval(TICK, |actor, context| actor.on(Event::Tick, context));
     }
 }
 
-fn table<R>(columns: &[&str], rows: R) -> TableBody
-where
-    R: Iterator<Item = Vec<String>>,
-{
-    TableBody {
-        columns: columns.iter().map(|c| c.to_string()).collect(),
-        rows: rows.collect(),
+impl Handler<Follow> for ConfigActor {
+    type Result = ();
+
+    fn handle(&mut self, Follow(follower): Follow, _: &mut Context<Self>) {
+        self.followers.push(follower);
+        self.tell(None);
     }
 }
 
-fn products(config: &Config) -> TableBody {
-    let rows = config.products.iter().map(|(name, p)| {
-        vec![
-            name.to_string(),
-            format!("{}%", p.share),
-            format!("{}ms", p.deadline),
-            p.weight.to_string(),
-            p.keys.len().to_string(),
-        ]
-    });
-    table(&["product", "share", "deadline", "weight", "keys"], rows)
-}
+impl Handler<Ahead> for ConfigActor {
+    type Result = ();
 
-fn services(config: &Config) -> TableBody {
-    let rows = config.services.iter().map(|(name, service)| {
-        let engines = config.engines.values().filter(|e| e.service == *name).count();
-        let kind = match &service.kind {
-            sequoiastream_core::config::ServiceKind::Model { model } => format!("model {model}"),
-            sequoiastream_core::config::ServiceKind::Plain { routes } => {
-                format!("plain, {} routes", routes.len())
-            }
-        };
-        vec![name.to_string(), kind, engines.to_string()]
-    });
-    table(&["service", "kind", "engines"], rows)
+    fn handle(&mut self, Ahead(peer, version): Ahead, context: &mut Context<Self>) {
+        self.on(Event::Heard(peer, version), context);
+    }
 }
 
-fn engines(config: &Config) -> TableBody {
-    let rows = config.engines.iter().map(|(name, e)| {
-        vec![
-            name.to_string(),
-            e.service.to_string(),
-            e.zone.to_string(),
-            e.address.to_string(),
-            format!("{:?}", e.state).to_lowercase(),
-            e.role.map_or("auto".to_string(), |r| r.to_string()),
-            format!("{:?}", e.fencing).to_lowercase(),
-        ]
-    });
-    table(
-        &["engine", "service", "zone", "address", "state", "role", "fencing"],
-        rows,
-    )
-}
+impl Handler<Leaving> for ConfigActor {
+    type Result = ();
 
-fn quarantine(config: &Config) -> TableBody {
-    let rows = config.quarantine.iter().map(|print| vec![print.clone()]);
-    table(&["fingerprint"], rows)
+    fn handle(&mut self, Leaving(leaving): Leaving, _: &mut Context<Self>) {
+        if leaving != self.leaving {
+            self.leaving = leaving;
+            log_event!(info, log_event::UPSTREAM_LEAVING, count = self.leaving.len());
+            self.publish();
+        }
+    }
 }
 
-fn changes(head: &Head) -> TableBody {
-    let rows = head.tail.iter().rev().map(|c| {
-        vec![
-            c.version.to_string(),
-            c.when.0.to_string(),
-            c.who.clone(),
-            c.statement.clone(),
-        ]
-    });
-    table(&["version", "when", "who", "statement"], rows)
+impl Handler<UpdateAfter> for ConfigActor {
+    type Result = actix::MessageResult<UpdateAfter>;
+
+    fn handle(&mut self, UpdateAfter(after): UpdateAfter, _: &mut Context<Self>) -> Self::Result {
+        actix::MessageResult(self.keeper.update_after(after))
+    }
 }
--- /dev/null
+++ b/src/ops/control/config/execute.rs
@@ -0,0 +1,212 @@
+//! Carrying out operators' statements.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::ActorFutureExt;
+use actix::Context;
+use actix::Handler;
+use actix::Message;
+use actix::ResponseActFuture;
+use actix::WrapFuture;
+use sequoiastream_core::config::Base;
+use sequoiastream_core::config::Command;
+use sequoiastream_core::config::CommandId;
+use sequoiastream_core::config::Outcome;
+use sequoiastream_core::config::Proposal;
+use sequoiastream_core::config::Refused;
+use sequoiastream_core::config::Rejected;
+use sequoiastream_core::config::State;
+use sequoiastream_core::config::Version;
+use sequoiastream_core::log_event;
+use sequoiastream_operator::Statement;
+use sequoiastream_operator::Table;
+use sequoiastream_operator::http::OperatorError;
+use sequoiastream_operator::parse_script;
+use sequoiastream_operator::select;
+use sequoiastream_operator::wire::AcceptedBody;
+use sequoiastream_operator::wire::ReplyBody;
+use sequoiastream_operator::wire::StatementBody;
+use sequoiastream_operator::wire::TableBody;
+use tokio::time::timeout;
+
+use crate::log_event;
+use crate::ops::control::config::ConfigActor;
+use crate::ops::shared::Shared;
+use crate::ops::tables;
+use crate::util::clock;
+
+/// How long a reply waits for the reachable instances to have the change in force.
+const WAIT_LIMIT: Duration = Duration::from_secs(20);
+
+/// Stands in the audit trail in place of an API key.
+const HIDDEN: &str = "***";
+
+/// Carries out an operator's statements, which came in from the address.
+#[derive(Debug)]
+pub struct Execute(pub StatementBody, pub Option<SocketAddr>);
+
+impl Message for Execute {
+    type Result = Result<ReplyBody, OperatorError>;
+}
+
+impl Handler<Execute> for ConfigActor {
+    type Result = ResponseActFuture<Self, Result<ReplyBody, OperatorError>>;
+
+    fn handle(&mut self, Execute(body, from): Execute, context: &mut Context<Self>) -> Self::Result {
+        let ready = |reply| -> Self::Result { Box::pin(actix::fut::ready(reply)) };
+        let state = self.keeper.state();
+        let commands = match statements(&body.text, state) {
+            Ok(Asked::Commands(commands)) => commands,
+            Ok(Asked::Table(table)) => return ready(Ok(ReplyBody::Table(table))),
+            Err(error) => return ready(Err(error)),
+        };
+        if body.dry {
+            return ready(difference(state, &commands).map(ReplyBody::Difference));
+        }
+        let proposal = proposal(&body, from, state.version, commands);
+        let answer = self.submit(proposal.clone(), context);
+        let (shared, wait) = (self.shared.clone(), body.wait);
+        let reply = async move {
+            let outcome = answer.await.unwrap_or(Err(Refused::Unsure));
+            finish(&shared, &proposal, outcome, wait).await
+        };
+        Box::pin(reply.into_actor(self).map(|reply, _, _| reply))
+    }
+}
+
+enum Asked {
+    Table(TableBody),
+    Commands(Vec<Command>),
+}
+
+/// Reads the text: either one query, which is answered, or changes.
+fn statements(text: &str, state: &State) -> Result<Asked, OperatorError> {
+    let mut commands = Vec::new();
+    let mut queries = Vec::new();
+    for statement in parse_script(text)? {
+        match statement {
+            Statement::Show(query) => queries.push(query),
+            Statement::Change(command) => commands.push(command),
+        }
+    }
+    match (queries.as_slice(), commands.is_empty()) {
+        ([], false) => Ok(Asked::Commands(commands)),
+        ([query], true) => {
+            let table = tables::of_config(&state.config, query.table);
+            let table = table.unwrap_or_else(|| match query.table {
+                Table::Changes => changes(state),
+                _ => TableBody::default(),
+            });
+            select(table, query).map(Asked::Table)
+        }
+        _ => Err(OperatorError::Mixed),
+    }
+}
+
+fn difference(state: &State, commands: &[Command]) -> Result<TableBody, OperatorError> {
+    let mut after = state.config.clone();
+    for command in commands {
+        after
+            .apply(command)
+            .map_err(|error| OperatorError::Rejected(error.to_string()))?;
+    }
+    Ok(tables::difference(&state.config, &after))
+}
+
+fn proposal(
+    body: &StatementBody,
+    from: Option<SocketAddr>,
+    version: Version,
+    commands: Vec<Command>,
+) -> Proposal {
+    Proposal {
+        id: CommandId(body.id),
+        who: body.who.clone(),
+        from: from.map(|address| address.to_string()).unwrap_or_default(),
+        when: clock::wall(),
+        statement: redact(&body.text),
+        commands,
+        base: body
+            .base
+            .map_or(Base::Implied(version), |named| Base::Named(Version(named))),
+    }
+}
+
+/// Logs the outcome, and says on how many instances the change is in force.
+async fn finish(
+    shared: &Arc<Shared>,
+    proposal: &Proposal,
+    outcome: Result<Outcome, Refused>,
+    wait: bool,
+) -> Result<ReplyBody, OperatorError> {
+    let (who, from, id) = (&proposal.who, &proposal.from, proposal.id.0);
+    let outcome = outcome.map_err(|refused| {
+        let statement = &proposal.statement;
+        log_event!(warn, log_event::CHANGE_REFUSED, who, from, %id, statement, reason = %refused);
+        error(refused)
+    })?;
+    let (version, repeated) = (outcome.version, outcome.repeated);
+    let statement = &proposal.statement;
+    log_event!(info, log_event::CHANGE_ACCEPTED, version = version.0, who, from, %id, repeated, statement);
+    if wait {
+        // Past the limit the reply says on how many it is in force.
+        let _ = timeout(WAIT_LIMIT, reached(shared, version)).await;
+    }
+    let roster = shared.roster();
+    let count = |peers: usize| u32::try_from(peers + 1).unwrap_or(u32::MAX);
+    Ok(ReplyBody::Accepted(AcceptedBody {
+        version: version.0,
+        repeated,
+        force: count(roster.count_with(version)),
+        known: count(roster.peers.len()),
+    }))
+}
+
+/// Waits until every reachable instance has the version in force.
+async fn reached(shared: &Shared, version: Version) {
+    let mut rosters = shared.follow_roster();
+    // The sender lives as long as the process.
+    let _ = rosters
+        .wait_for(|roster| roster.count_without(version) == 0)
+        .await;
+}
+
+fn error(refused: Refused) -> OperatorError {
+    let text = refused.to_string();
+    match refused {
+        Refused::Rejected(Rejected::Apply(_)) | Refused::TooLarge(_) => OperatorError::Rejected(text),
+        Refused::Rejected(_) => OperatorError::Conflict(text),
+        Refused::Late | Refused::Unsure => OperatorError::Platform(text),
+    }
+}
+
+/// The audit trail, newest first.
+fn changes(state: &State) -> TableBody {
+    let rows = state.past.iter().rev().map(|past| {
+        vec![
+            past.version.to_string(),
+            past.when.0.to_string(),
+            past.who.clone(),
+            past.from.clone(),
+            "accepted".to_string(),
+            past.statement.clone(),
+        ]
+    });
+    tables::table(&["version", "when", "who", "from", "outcome", "statement"], rows)
+}
+
+/// The statement without its API keys: a quoted text that follows the word `key` is replaced.
+fn redact(text: &str) -> String {
+    let mut clean = String::with_capacity(text.len());
+    for (index, part) in text.split('"').enumerate() {
+        let quoted = index % 2 == 1;
+        let secret = quoted && clean.trim_end_matches('"').trim_end().ends_with("key");
+        if index > 0 {
+            clean.push('"');
+        }
+        clean.push_str(if secret { HIDDEN } else { part });
+    }
+    clean
+}
--- /dev/null
+++ b/src/ops/control/config/store.rs
@@ -0,0 +1,130 @@
+//! The configuration's keys in the key-value service.
+
+use std::time::Duration;
+
+use sequoiastream_core::config::Head;
+use sequoiastream_core::config::Revision;
+use sequoiastream_core::config::State;
+use sequoiastream_core::config::Stored;
+use sequoiastream_core::config::Swapped;
+use sequoiastream_core::config::Version;
+use sequoiastream_platform::Entry;
+use sequoiastream_platform::Expect;
+use sequoiastream_platform::KvClient;
+use sequoiastream_platform::KvError;
+use sequoiastream_platform::KvVersion;
+use sequoiastream_platform::Swap;
+
+/// Key of the head.
+const HEAD: &str = "config/head";
+
+/// Largest value written, in bytes; the service takes a megabyte.
+const MAX_VALUE: usize = 1_000_000;
+
+/// Life of the lease by which a snapshot is removed, should releasing it fail.
+const REMOVAL: Duration = Duration::from_secs(1);
+
+/// Reads and writes the configuration's keys. Cheap to clone; stays on one thread.
+#[derive(Debug, Clone)]
+pub struct ConfigStore {
+    kv: KvClient,
+}
+
+impl ConfigStore {
+    /// A store that calls the service by `kv`.
+    pub fn new(kv: KvClient) -> ConfigStore {
+        ConfigStore { kv }
+    }
+
+    /// The head.
+    ///
+    /// # Errors
+    ///
+    /// [`KvError`] if no usable answer came in time.
+    pub async fn head(&self) -> Result<Stored, KvError> {
+        stored(&self.kv.get(HEAD).await?)
+    }
+
+    /// Waits for another head than that of revision `after`, for at most `wait`.
+    ///
+    /// # Errors
+    ///
+    /// [`KvError`] if no usable answer came in time.
+    pub async fn watch(&self, after: Revision, wait: Duration) -> Result<Option<Stored>, KvError> {
+        let entry = self.kv.watch(HEAD, KvVersion(after.0), wait).await?;
+        entry.as_ref().map(stored).transpose()
+    }
+
+    /// Swaps in `head` if the key still has the revision `expect`.
+    pub async fn swap(&self, expect: Revision, head: &Head) -> Swapped {
+        let Ok(value) = serde_json::to_vec(head) else {
+            return Swapped::Failed;
+        };
+        if value.len() > MAX_VALUE {
+            return Swapped::TooLarge(value.len());
+        }
+        let expect = Expect::from(KvVersion(expect.0));
+        match self.kv.swap(HEAD, expect, &value, None).await {
+            Ok(Swap::Done(version)) => Swapped::Done(Revision(version.0)),
+            Ok(Swap::Conflict(entry)) => stored(&entry).map_or(Swapped::Failed, Swapped::Conflict),
+            Err(error) if error.is_ambiguous() => Swapped::Unsure,
+            Err(_) => Swapped::Failed,
+        }
+    }
+
+    /// The snapshot of `version`; `None` if there is none or no usable answer came in time.
+    pub async fn snapshot(&self, version: Version) -> Option<State> {
+        let entry = self.kv.get(&snapshot_key(version)).await.ok()?;
+        serde_json::from_slice(&entry.value?).ok()
+    }
+
+    /// Makes sure that the snapshot of `state` is stored; whether it is.
+    ///
+    /// One that is there already is as good: a state is a function of the accepted changes alone.
+    pub async fn store(&self, state: &State) -> bool {
+        let Ok(value) = serde_json::to_vec(state) else {
+            return false;
+        };
+        if value.len() > MAX_VALUE {
+            return false;
+        }
+        let key = snapshot_key(state.version);
+        match self.kv.swap(&key, Expect::Absent, &value, None).await {
+            Ok(Swap::Done(_)) => true,
+            Ok(Swap::Conflict(entry)) => entry.value.is_some(),
+            Err(_) => false,
+        }
+    }
+
+    /// Removes the snapshot of `version`: binds it to a lease and releases that.
+    ///
+    /// # Errors
+    ///
+    /// [`KvError`] if a call failed; the snapshot may then stay, which costs room and harms nobody.
+    pub async fn remove(&self, version: Version) -> Result<(), KvError> {
+        let key = snapshot_key(version);
+        let entry = self.kv.get(&key).await?;
+        if entry.value.is_none() {
+            return Ok(());
+        }
+        let lease = self.kv.grant(REMOVAL).await?;
+        let expect = Expect::from(entry.version);
+        self.kv.swap(&key, expect, b"", Some(lease)).await?;
+        self.kv.release(lease).await
+    }
+}
+
+fn snapshot_key(version: Version) -> String {
+    format!("config/snapshot/{version}")
+}
+
+fn stored(entry: &Entry) -> Result<Stored, KvError> {
+    let head = match &entry.value {
+        Some(value) => serde_json::from_slice(value).map_err(|e| KvError::Malformed(e.to_string()))?,
+        None => Head::default(),
+    };
+    Ok(Stored {
+        revision: Revision(entry.version.0),
+        head,
+    })
+}
--- /dev/null
+++ b/src/ops/control/membership.rs
@@ -0,0 +1,251 @@
+//! Membership: carries out the decisions of [`Members`], and reads the platform's lists.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::Actor;
+use actix::ActorFutureExt;
+use actix::Addr;
+use actix::AsyncContext;
+use actix::Context;
+use actix::Handler;
+use actix::Message;
+use actix::WrapFuture;
+use sequoiastream_core::config::Version;
+use sequoiastream_core::log_event;
+use sequoiastream_core::membership::About;
+use sequoiastream_core::membership::Action;
+use sequoiastream_core::membership::Beat;
+use sequoiastream_core::membership::Event;
+use sequoiastream_core::membership::Listing;
+use sequoiastream_core::membership::MemberState;
+use sequoiastream_core::membership::Members;
+use sequoiastream_core::membership::Myself;
+use sequoiastream_core::membership::Standing;
+use sequoiastream_core::name::Name;
+use sequoiastream_peer::PeerError;
+use sequoiastream_peer::datagram::DatagramSocket;
+use sequoiastream_peer::message::Datagram;
+use sequoiastream_platform::KvClient;
+use sequoiastream_platform::KvError;
+use sequoiastream_platform::Listed;
+use sequoiastream_platform::ListedState;
+
+use crate::log_event;
+use crate::ops::control::Bound;
+use crate::ops::control::config::Ahead;
+use crate::ops::control::config::ConfigActor;
+use crate::ops::control::config::Follow;
+use crate::ops::control::config::InForce;
+use crate::ops::control::config::Leaving;
+use crate::ops::shared::Shared;
+use crate::util::clock;
+
+/// Looks at the lists that a fleet of any size makes together, per second: each instance looks the less often
+/// the more there are, and tells the others what it saw.
+const LOOKS: usize = 50;
+
+/// Pause after a socket error, so that a broken socket doesn't spin.
+const SOCKET_PAUSE: Duration = Duration::from_millis(100);
+
+/// Keeper of the table of instances.
+#[derive(Debug)]
+pub struct MembershipActor {
+    shared: Arc<Shared>,
+    kv: KvClient,
+    config: Addr<ConfigActor>,
+    socket: Rc<DatagramSocket>,
+    members: Members,
+}
+
+/// This instance begins to shut down: others stop naming it.
+#[derive(Debug, Clone, Copy, Message)]
+#[rtype(result = "()")]
+pub struct Leave;
+
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+struct Received(Result<(Name, Datagram), PeerError>);
+
+impl MembershipActor {
+    /// A keeper that knows of nobody else.
+    pub fn new(
+        shared: Arc<Shared>,
+        kv: KvClient,
+        config: Addr<ConfigActor>,
+        socket: Rc<DatagramSocket>,
+        bound: Bound,
+    ) -> MembershipActor {
+        let settings = &shared.settings;
+        let about = About {
+            incarnation: clock::wall().0,
+            number: 0,
+            zone: settings.zone.clone(),
+            address: bound.listen,
+            peer: bound.peer,
+            state: MemberState::Live,
+            version: Version::default(),
+            silence: u32::MAX,
+        };
+        let myself = Myself {
+            name: settings.name.clone(),
+            seed: about.incarnation,
+            about,
+        };
+        let members = Members::new(myself, settings.limits);
+        MembershipActor {
+            shared,
+            kv,
+            config,
+            socket,
+            members,
+        }
+    }
+
+    fn on(&mut self, event: Event) {
+        for action in self.members.on(clock::now(), event) {
+            match action {
+                Action::Send(to, beat) => self.send(to, beat),
+                Action::Ahead(peer, version) => self.config.do_send(Ahead(peer, version)),
+                Action::Publish => self.publish(),
+            }
+        }
+    }
+
+    fn send(&self, to: std::net::SocketAddr, beat: Beat) {
+        let socket = self.socket.clone();
+        let metrics = self.shared.metrics.membership.clone();
+        actix::spawn(async move {
+            match socket.send(to, Datagram::Beat(beat)).await {
+                Ok(bytes) => {
+                    metrics.sent.inc();
+                    metrics.bytes.inc_by(bytes as u64);
+                }
+                Err(error) => log_event!(debug, log_event::PEER_FAILED, %to, %error, call = "heartbeat"),
+            }
+        });
+    }
+
+    fn publish(&self) {
+        let roster = self.members.roster(clock::now());
+        let standing = roster.standing;
+        let before = self.shared.publish_roster(roster);
+        if before.standing != standing {
+            log_standing(before.standing, standing);
+        }
+        let leaving = self.shared.roster().leaving.clone();
+        if before.leaving != leaving {
+            self.config.do_send(Leaving(leaving));
+        }
+    }
+
+    /// Reads the lists, again and again.
+    fn look(&mut self, context: &mut Context<Self>) {
+        let kv = self.kv.clone();
+        let lists = async move { (kv.instances().await, kv.upstreams().await) };
+        context.spawn(
+            lists
+                .into_actor(self)
+                .map(|(instances, upstreams), actor, context| {
+                    actor.on_lists(instances, upstreams);
+                    let fleet = actor.shared.roster().peers.len() + 1;
+                    let spread = Duration::from_secs(1) * u32::try_from(fleet / LOOKS).unwrap_or(u32::MAX);
+                    let pause = actor.shared.settings.lists.max(spread);
+                    context.run_later(pause, |actor, context| actor.look(context));
+                }),
+        );
+    }
+
+    fn on_lists(&mut self, instances: Result<Vec<Listed>, KvError>, upstreams: Result<Vec<Listed>, KvError>) {
+        match instances {
+            Ok(list) => self.on(Event::Listed(list.iter().filter_map(listing).collect())),
+            Err(error) => log_event!(warn, log_event::KV_FAILED, %error, call = "list instances"),
+        }
+        match upstreams {
+            Ok(list) => {
+                let leaving = list.iter().filter(|l| l.state == ListedState::Leaving);
+                self.on(Event::Leaving(leaving.map(|l| l.address).collect()));
+                self.publish();
+            }
+            Err(error) => log_event!(warn, log_event::KV_FAILED, %error, call = "list upstreams"),
+        }
+    }
+}
+
+fn listing(listed: &Listed) -> Option<Listing> {
+    Some(Listing {
+        name: listed.name.clone(),
+        zone: listed.zone.clone(),
+        address: listed.address,
+        peer: listed.peer?,
+        state: match listed.state {
+            ListedState::Live => MemberState::Live,
+            ListedState::Leaving => MemberState::Leaving,
+        },
+    })
+}
+
+fn log_standing(before: Standing, after: Standing) {
+    match after.is_open() {
+        true => log_event!(info, log_event::STANDING, ?before, ?after),
+        false => log_event!(error, log_event::STANDING, ?before, ?after),
+    }
+}
+
+/// Hands datagrams to the actor until it is gone.
+async fn receive(socket: Rc<DatagramSocket>, actor: Addr<MembershipActor>) {
+    while actor.connected() {
+        let received = socket.receive().await;
+        if matches!(received, Err(PeerError::Broken(_))) {
+            actix::clock::sleep(SOCKET_PAUSE).await;
+        }
+        actor.do_send(Received(received));
+    }
+}
+
+impl Actor for MembershipActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Context<Self>) {
+        actix::spawn(receive(self.socket.clone(), context.address()));
+        self.config.do_send(Follow(context.address().recipient()));
+        self.look(context);
+        let interval = self.shared.settings.limits.interval;
+        context.run_interval(interval, |actor, _| actor.on(Event::Tick));
+    }
+}
+
+impl Handler<Received> for MembershipActor {
+    type Result = ();
+
+    fn handle(&mut self, Received(received): Received, _: &mut Context<Self>) {
+        match received {
+            Ok((name, Datagram::Beat(beat))) => {
+                self.shared.metrics.membership.received.inc();
+                self.on(Event::Heard(name, beat));
+            }
+            Ok((_, Datagram::Ping)) => {}
+            Err(error) => log_event!(debug, log_event::PEER_REFUSED, %error),
+        }
+    }
+}
+
+impl Handler<InForce> for MembershipActor {
+    type Result = ();
+
+    fn handle(&mut self, news: InForce, _: &mut Context<Self>) {
+        match news.contact {
+            Some(at) => self.on(Event::Contact(at)),
+            None => self.on(Event::InForce(news.version)),
+        }
+    }
+}
+
+impl Handler<Leave> for MembershipActor {
+    type Result = ();
+
+    fn handle(&mut self, _: Leave, _: &mut Context<Self>) {
+        self.on(Event::Leave);
+    }
+}
--- a/src/ops/control/mod.rs
+++ b/src/ops/control/mod.rs
@@ -4,41 +4,163 @@
 //! it messages and read what it publishes in [`Shared`](crate::ops::shared::Shared).
 
 mod config;
+mod membership;
+mod peers;
 
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::UdpSocket;
+use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix::Actor;
 use actix::Addr;
 use actix::Arbiter;
+use actix::Message;
+use actix::Recipient;
+use eyre::WrapErr;
+use futures_util::future::join_all;
+use sequoiastream_peer::call::CallClient;
+use sequoiastream_peer::call::serve;
+use sequoiastream_peer::datagram::DatagramSocket;
+use sequoiastream_peer::seal::ClusterKey;
 use sequoiastream_platform::KvClient;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
 use uuid::Uuid;
 
 pub use config::ConfigActor;
 pub use config::Execute;
+pub use config::InForce;
+pub use membership::Leave;
+pub use membership::MembershipActor;
 
+use crate::ops::control::peers::PeerResponder;
 use crate::ops::shared::Shared;
+use crate::settings::Settings;
+
+/// How long an actor may take to release what it holds.
+const RELEASE_LIMIT: Duration = Duration::from_secs(5);
 
 /// Addresses of the control thread's actors.
 #[derive(Debug, Clone)]
 pub struct Control {
     /// Keeper of the configuration.
     pub config: Addr<ConfigActor>,
+    /// Keeper of the table of instances.
+    pub membership: Addr<MembershipActor>,
+    /// The addresses that this instance is bound to.
+    pub bound: Bound,
+    /// Actors that hold leases; each is told [`Shutdown`] before the process exits.
+    holders: Vec<Recipient<Shutdown>>,
+}
+
+/// The instance has drained and is about to exit: release leases and finish writes, then answer.
+#[derive(Debug, Clone, Copy, Message)]
+#[rtype(result = "()")]
+pub struct Shutdown;
+
+/// The addresses that this instance is bound to.
+#[derive(Debug, Clone, Copy)]
+pub struct Bound {
+    /// For callers and operators.
+    pub listen: SocketAddr,
+    /// For other instances.
+    pub peer: SocketAddr,
+}
+
+/// Sockets of the control thread.
+#[derive(Debug)]
+pub struct Sockets {
+    calls: TcpListener,
+    datagrams: UdpSocket,
+    bound: Bound,
+}
+
+impl Sockets {
+    /// Binds TCP and UDP to the peer address.
+    ///
+    /// # Errors
+    ///
+    /// If either can't be bound.
+    pub fn bind(settings: &Settings, listen: SocketAddr) -> eyre::Result<Sockets> {
+        let peer = settings.peer;
+        let calls = TcpListener::bind(peer).wrap_err_with(|| format!("could not listen on {peer}"))?;
+        calls.set_nonblocking(true)?;
+        let peer = calls.local_addr()?;
+        let datagrams =
+            UdpSocket::bind(peer).wrap_err_with(|| format!("could not take datagrams on {peer}"))?;
+        datagrams.set_nonblocking(true)?;
+        Ok(Sockets {
+            calls,
+            datagrams,
+            bound: Bound { listen, peer },
+        })
+    }
 }
 
 impl Control {
     /// Starts the actors on a thread of their own.
-    pub fn start(shared: Arc<Shared>) -> Control {
+    ///
+    /// # Errors
+    ///
+    /// If the thread can't begin.
+    pub async fn start(shared: Arc<Shared>, sockets: Sockets) -> eyre::Result<Control> {
         let arbiter = Arbiter::new();
-        let config = ConfigActor::start_in_arbiter(&arbiter.handle(), move |_| {
-            let settings = &shared.settings;
-            let kv = KvClient::new(
-                &settings.platform,
-                &settings.name,
-                settings.deadline,
-                Uuid::new_v4(),
-            );
-            ConfigActor::new(shared, kv)
+        let (sender, receiver) = oneshot::channel();
+        arbiter.spawn(async move {
+            let control = begin(shared, sockets);
+            // The receiver waits below.
+            let _ = sender.send(control);
         });
-        Control { config }
+        receiver.await.wrap_err("the control thread ended")?
+    }
+
+    /// Lets the actors that hold leases release them.
+    pub async fn release(&self) {
+        let asked = self.holders.iter().map(|holder| holder.send(Shutdown));
+        // What isn't released in time lapses by itself.
+        let _ = timeout(RELEASE_LIMIT, join_all(asked)).await;
     }
 }
+
+/// Starts the actors on the thread that runs this.
+fn begin(shared: Arc<Shared>, sockets: Sockets) -> eyre::Result<Control> {
+    let settings = &shared.settings;
+    let key = ClusterKey::new(&settings.cluster);
+    let calls = CallClient::new(key.clone());
+    let datagrams = tokio::net::UdpSocket::from_std(sockets.datagrams)?;
+    let socket = DatagramSocket::new(datagrams, key.clone(), settings.name.clone(), Uuid::now_v7());
+    let listener = tokio::net::TcpListener::from_std(sockets.calls)?;
+    let bound = sockets.bound;
+    let config = ConfigActor::new(shared.clone(), kv(settings), calls).start();
+    let membership = MembershipActor::new(
+        shared.clone(),
+        kv(settings),
+        config.clone(),
+        Rc::new(socket),
+        bound,
+    );
+    let membership = membership.start();
+    let responder = PeerResponder {
+        config: config.clone(),
+    };
+    actix::spawn(serve(listener, key, responder));
+    Ok(Control {
+        config,
+        membership,
+        bound,
+        holders: Vec::new(),
+    })
+}
+
+/// A client of the platform. Each has an incarnation of its own, so that its writes can be told from others'.
+fn kv(settings: &Settings) -> KvClient {
+    KvClient::new(
+        &settings.platform,
+        &settings.name,
+        settings.deadline,
+        Uuid::new_v4(),
+    )
+}
--- a/src/ops/dispatch/mod.rs
+++ b/src/ops/dispatch/mod.rs
@@ -1,10 +1,14 @@
 //! What a traffic thread does with requests: picks upstreams, starts attempts and relays answers.
 
+mod addresses;
 mod forward;
 mod generate;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
+use sequoiastream_caller::AddressCall;
+use sequoiastream_caller::AddressList;
 use sequoiastream_caller::Answer;
 use sequoiastream_caller::ForwardCall;
 use sequoiastream_caller::ForwardReply;
@@ -53,17 +57,24 @@
     }
 
     fn ready(&self) -> bool {
-        self.shared.snapshot.load().version > Version::default()
+        let closed = self.shared.is_leaving() || self.shared.closed().is_some();
+        !closed && self.shared.snapshot.load().version > Version::default()
     }
 
     async fn generate(&self, call: GenerateCall) -> Result<Answer, Refusal> {
+        addresses::check_open(self)?;
         generate::start(self, call)
     }
 
     async fn forward(&self, call: ForwardCall) -> Result<ForwardReply, Refusal> {
+        addresses::check_open(self)?;
         forward::run(self, call).await
     }
 
+    fn addresses(&self, call: &AddressCall) -> Result<AddressList, Refusal> {
+        addresses::list(self, call)
+    }
+
     fn metrics(&self) -> String {
         self.shared.metrics.page()
     }
@@ -75,8 +86,12 @@
         blake3::hash(token.as_bytes()) == blake3::hash(self.shared.settings.token.as_bytes())
     }
 
-    async fn execute(&self, statement: StatementBody) -> Result<ReplyBody, OperatorError> {
-        match self.control.config.send(Execute(statement)).await {
+    async fn execute(
+        &self,
+        statement: StatementBody,
+        from: Option<SocketAddr>,
+    ) -> Result<ReplyBody, OperatorError> {
+        match self.control.config.send(Execute(statement, from)).await {
             Ok(result) => result,
             Err(error) => Err(OperatorError::Platform(error.to_string())),
         }
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -1,11 +1,13 @@
 //! What the daemon and the command-line tool do.
 //!
-//! [`daemon`] starts the parts: [`control`] on a thread of its own, [`dispatch`] on each traffic thread, and
+//! [`daemon`] starts the parts: [`control`] on a thread of its own, [`dispatch`] on each traffic thread,
+//! [`exchange`] around each HTTP exchange, and
 //! [`shared`] between them. [`client`] is what the command-line tool uses.
 
 pub mod client;
 pub mod control;
 pub mod daemon;
 pub mod dispatch;
+pub mod exchange;
 pub mod shared;
 pub mod tables;
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -1,11 +1,18 @@
 //! What the control thread and the traffic threads share.
 
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
+use sequoiastream_core::membership::Roster;
+use sequoiastream_core::outcome::Reason;
 use sequoiastream_core::route::Router;
 use sequoiastream_core::snapshot::Snapshot;
+use tokio::sync::watch;
 
 use crate::settings::Settings;
 use crate::util::metrics::Metrics;
@@ -20,6 +27,20 @@
     /// Counts of what happened.
     pub metrics: Metrics,
     router: Mutex<Router>,
+    roster: watch::Sender<Arc<Roster>>,
+    leaving: AtomicBool,
+    refusing: AtomicBool,
+    running: Arc<AtomicUsize>,
+}
+
+/// A piece of work that a shutdown waits for, until it is dropped.
+#[derive(Debug)]
+pub struct Running(Arc<AtomicUsize>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 impl Shared {
@@ -30,6 +51,10 @@
             snapshot: ArcSwap::default(),
             metrics: Metrics::new(),
             router: Mutex::new(Router::new()),
+            roster: watch::Sender::default(),
+            leaving: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
+            running: Arc::new(AtomicUsize::new(0)),
         }
     }
 
@@ -39,4 +64,53 @@
             .lock()
             .expect("no thread panics while it holds the router")
     }
+
+    /// The other instances, as last published.
+    pub fn roster(&self) -> Arc<Roster> {
+        self.roster.borrow().clone()
+    }
+
+    /// Follows the published rosters.
+    pub fn follow_roster(&self) -> watch::Receiver<Arc<Roster>> {
+        self.roster.subscribe()
+    }
+
+    /// Publishes `roster` and returns the one before.
+    pub fn publish_roster(&self, roster: Roster) -> Arc<Roster> {
+        self.roster.send_replace(Arc::new(roster))
+    }
+
+    /// Why new work must be refused now, if it must.
+    pub fn closed(&self) -> Option<Reason> {
+        if self.refusing.load(Ordering::Acquire) {
+            return Some(Reason::Stopping);
+        }
+        (!self.roster.borrow().standing.is_open()).then_some(Reason::Isolated)
+    }
+
+    /// Counts a piece of work as running until the result is dropped.
+    pub fn begin_work(&self) -> Running {
+        self.running.fetch_add(1, Ordering::AcqRel);
+        Running(self.running.clone())
+    }
+
+    /// Pieces of work that run.
+    pub fn count_running(&self) -> usize {
+        self.running.load(Ordering::Acquire)
+    }
+
+    /// Whether this instance is shutting down.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Marks this instance as shutting down: it names itself to callers no more.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    /// Marks this instance as refusing new work.
+    pub fn refuse(&self) {
+        self.refusing.store(true, Ordering::Release);
+    }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,8 @@
 //! They are checked as a whole: [`Settings::read`] names every fault at once, so that an operator mends a
 //! start-up in one go.
 
+mod limits;
+
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,7 +14,9 @@
 use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
+use sequoiastream_core::membership::Limits;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::shutdown::Times;
 use thiserror::Error;
 
 /// Shortest operator token and cluster key, in bytes.
@@ -50,6 +54,12 @@
     pub deadline: Duration,
     /// How long a watch waits.
     pub wait: Duration,
+    /// Limits of membership.
+    pub limits: Limits,
+    /// Time between two looks at the platform's lists.
+    pub lists: Duration,
+    /// Times of a shutdown.
+    pub times: Times,
     /// How log lines are written.
     pub format: LogFormat,
     /// Only check the settings.
@@ -156,6 +166,7 @@
             .value_parser(["text", "json"])
             .default_value("text"),
         )
+        .args(limits::args())
         .arg(
             Arg::new("check")
                 .long("check")
@@ -195,6 +206,9 @@
         let workers = reader.positive("workers");
         let deadline = reader.positive("kv-deadline-ms");
         let wait = reader.positive("watch-ms");
+        let limits = limits::limits(&mut reader);
+        let lists = limits::lists(&mut reader);
+        let times = limits::times(&mut reader);
         let format = match reader.text("log-format").as_str() {
             "json" => LogFormat::Json,
             _ => LogFormat::Text,
@@ -216,6 +230,9 @@
             workers: usize::try_from(workers).unwrap_or(1),
             deadline: Duration::from_millis(deadline),
             wait: Duration::from_millis(wait),
+            limits,
+            lists,
+            times,
             format,
             check: matches.get_flag("check"),
         })
--- a/src/util/metrics.rs
+++ b/src/util/metrics.rs
@@ -18,6 +18,8 @@
 pub struct Metrics {
     /// Of traffic.
     pub traffic: TrafficMetrics,
+    /// Of membership.
+    pub membership: MembershipMetrics,
     registry: Mutex<Registry>,
 }
 
@@ -47,14 +49,44 @@
     }
 }
 
+/// Metrics of membership.
+#[derive(Debug, Clone, Default)]
+pub struct MembershipMetrics {
+    /// Heartbeats sent.
+    pub sent: Counter,
+    /// Bytes of heartbeats sent, without headers of UDP and IP.
+    pub bytes: Counter,
+    /// Heartbeats received.
+    pub received: Counter,
+}
+
+impl MembershipMetrics {
+    fn register(&self, registry: &mut Registry) {
+        registry.register("heartbeats_sent", "Heartbeats sent", self.sent.clone());
+        registry.register(
+            "heartbeat_bytes",
+            "Bytes of heartbeats sent, without headers of UDP and IP",
+            self.bytes.clone(),
+        );
+        registry.register(
+            "heartbeats_received",
+            "Heartbeats received",
+            self.received.clone(),
+        );
+    }
+}
+
 impl Metrics {
     /// All metrics at zero.
     pub fn new() -> Metrics {
         let mut registry = Registry::with_prefix(PREFIX);
         let traffic = TrafficMetrics::default();
         traffic.register(&mut registry);
+        let membership = MembershipMetrics::default();
+        membership.register(&mut registry);
         Metrics {
             traffic,
+            membership,
             registry: Mutex::new(registry),
         }
     }
