--- a/src/ops/control/config/execute.rs
+++ b/src/ops/control/config/execute.rs
@@ -25,6 +25,7 @@
 use sequoiastream_operator::http::OperatorError;
 use sequoiastream_operator::parse_script;
 use sequoiastream_operator::select;
+use sequoiastream_operator::summary;
 use sequoiastream_operator::wire::AcceptedBody;
 use sequoiastream_operator::wire::ReplyBody;
 use sequoiastream_operator::wire::StatementBody;
@@ -40,9 +41,6 @@
 /// How long a reply waits for the reachable instances to have the change in force.
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
-/// Stands in the audit trail in place of an API key.
-const HIDDEN: &str = "***";
-
 /// Carries out an operator's statements, which came in from the address.
 #[derive(Debug)]
 pub struct Execute(pub StatementBody, pub Option<SocketAddr>);
@@ -96,7 +94,7 @@
         ([query], true) => {
             let table = tables::of_config(&state.config, query.table);
             let table = table.unwrap_or_else(|| match query.table {
-                Table::Changes => changes(state),
+                Table::Changes => tables::changes(state),
                 _ => TableBody::default(),
             });
             select(table, query).map(Asked::Table)
@@ -126,7 +124,7 @@
         who: body.who.clone(),
         from: from.map(|address| address.to_string()).unwrap_or_default(),
         when: clock::wall(),
-        statement: redact(&body.text),
+        statement: summary(&body.text),
         commands,
         base: body
             .base
@@ -181,32 +179,3 @@
         Refused::Late | Refused::Unsure => OperatorError::Platform(text),
     }
 }
-
-/// The audit trail, newest first.
-fn changes(state: &State) -> TableBody {
-    let rows = state.past.iter().rev().map(|past| {
-        vec![
-            past.version.to_string(),
-            past.when.0.to_string(),
-            past.who.clone(),
-            past.from.clone(),
-            "accepted".to_string(),
-            past.statement.clone(),
-        ]
-    });
-    tables::table(&["version", "when", "who", "from", "outcome", "statement"], rows)
-}
-
-/// The statement without its API keys: a quoted text that follows the word `key` is replaced.
-fn redact(text: &str) -> String {
-    let mut clean = String::with_capacity(text.len());
-    for (index, part) in text.split('"').enumerate() {
-        let quoted = index % 2 == 1;
-        let secret = quoted && clean.trim_end_matches('"').trim_end().ends_with("key");
-        if index > 0 {
-            clean.push('"');
-        }
-        clean.push_str(if secret { HIDDEN } else { part });
-    }
-    clean
-}
