--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -7,6 +7,8 @@
 
 export SEQUOIASTREAM_OPERATOR_TOKEN=demo-operator-token
 export SEQUOIASTREAM_CLUSTER_KEY=demo-cluster-key-demo
+# Callers of the demo keep no address, so that the daemons need not serve on for long when they are stopped.
+export SEQUOIASTREAM_KEEP_MS=200 SEQUOIASTREAM_MARGIN_MS=100 SEQUOIASTREAM_REFUSE_MS=100
 export RUST_LOG=${RUST_LOG:-warn}
 key=demo-key
 
