--- a/crates/caller/src/http.rs
+++ b/crates/caller/src/http.rs
@@ -19,6 +19,7 @@
 use sequoiastream_core::outcome::Unsent;
 use uuid::Uuid;
 
+use crate::addresses::addresses;
 use crate::gateway::Answer;
 use crate::gateway::AnswerEvent;
 use crate::gateway::ForwardCall;
@@ -61,6 +62,7 @@
         .route("/v1/completions", web::post().to(completion::<G>))
         .route("/services/{service}/{path:.*}", web::route().to(forward::<G>))
         .route("/v1/requests/{key}", web::get().to(crate::status::status::<G>))
+        .route("/v1/addresses", web::get().to(addresses::<G>))
         .route("/healthz", web::get().to(health))
         .route("/readyz", web::get().to(ready::<G>))
         .route("/metrics", web::get().to(metrics::<G>));
--- a/crates/core/src/claims/mod.rs
+++ b/crates/core/src/claims/mod.rs
@@ -56,6 +56,7 @@
 pub use owner::Seen;
 pub use owner::Ticket;
 pub use owner::Verdict;
+pub use owners::Candidate;
 pub use owners::Owners;
 pub use route::repeat_of;
 pub use window::Clocks;
--- a/crates/core/src/claims/owners.rs
+++ b/crates/core/src/claims/owners.rs
@@ -4,6 +4,7 @@
 //! instances with different lists mostly agree. Where they don't, two owners write the same bucket and
 //! compare-and-swap settles it, at the price of a second write.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -13,22 +14,25 @@
 /// How long an instance that did not answer is asked last.
 const SUSPECT: Duration = Duration::from_secs(2);
 
-/// The instances that may own shards.
+/// An instance that may own shards.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate<'a> {
+    /// Its name.
+    pub name: &'a Name,
+    /// Whether it was heard of lately.
+    pub heard: bool,
+}
+
+/// Remembers which owners were silent when they were asked.
 #[derive(Debug, Clone, Default)]
 pub struct Owners {
-    listed: Vec<Name>,
     suspects: BTreeMap<Name, Time>,
 }
 
 impl Owners {
-    /// Takes the list of live instances.
-    pub fn set_listed(&mut self, listed: Vec<Name>) {
-        self.suspects.retain(|name, _| listed.contains(name));
-        self.listed = listed;
-    }
-
     /// Notes that `name` did not answer.
     pub fn suspect(&mut self, name: &Name, now: Time) {
+        self.suspects.retain(|_, until| now < *until);
         self.suspects.insert(name.clone(), now + SUSPECT);
     }
 
@@ -37,13 +41,16 @@
         self.suspects.remove(name);
     }
 
-    /// Instances in the order in which they are to be asked for `shard`, suspects last.
-    pub fn of(&self, shard: u16, now: Time) -> Vec<Name> {
+    /// Instances in the order in which they are to be asked for `shard`, silent ones last.
+    pub fn of<'a, I>(&self, candidates: I, shard: u16, now: Time) -> Vec<Name>
+    where
+        I: IntoIterator<Item = Candidate<'a>>,
+    {
         let suspect = |name: &Name| self.suspects.get(name).is_some_and(|until| now < *until);
-        let mut ranked: Vec<_> = self
-            .listed
-            .iter()
-            .map(|name| (suspect(name), std::cmp::Reverse(rank(name, shard)), name))
+        let silent = |candidate: &Candidate<'_>| !candidate.heard || suspect(candidate.name);
+        let mut ranked: Vec<_> = candidates
+            .into_iter()
+            .map(|c| (silent(&c), Reverse(rank(c.name, shard)), c.name))
             .collect();
         ranked.sort();
         ranked.into_iter().map(|(_, _, name)| name.clone()).collect()
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -5,6 +5,9 @@
 use sequoiastream_core::claims::ClaimRef;
 use sequoiastream_core::claims::Edit;
 use sequoiastream_core::claims::Verdict;
+use sequoiastream_core::config::Update;
+use sequoiastream_core::config::Version;
+use sequoiastream_core::membership::Beat;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -13,6 +16,8 @@
 pub enum Datagram {
     /// Only shows that the sender runs.
     Ping,
+    /// A heartbeat.
+    Beat(Beat),
 }
 
 /// A question over TCP.
@@ -26,6 +31,8 @@
     Look(ClaimRef),
     /// Tells the owner of a shard what became of a claim.
     Edit(BucketId, Edit),
+    /// Asks for the configuration after this version.
+    Config(Version),
 }
 
 /// The answer to a question over TCP.
@@ -37,4 +44,8 @@
     Verdict(Verdict),
     /// The message was taken.
     Taken,
+    /// Answer to [`Request::Config`].
+    Config(Update),
+    /// The request is not served here.
+    Unserved,
 }
--- a/src/ops/control/claims.rs
+++ b/src/ops/control/claims.rs
@@ -38,12 +38,10 @@
 use tokio::sync::oneshot;
 
 use crate::log_event;
+use crate::ops::control::Shutdown;
 use crate::ops::shared::Shared;
 use crate::util::clock;
 
-/// How often the platform's list is read.
-const LIST_EVERY: Duration = Duration::from_secs(2);
-
 /// How long one lease serves for the buckets that are written.
 const LEASE_FOR: Duration = Duration::from_secs(600);
 
@@ -74,14 +72,6 @@
     type Result = ();
 }
 
-/// Writes what is pending and refuses new claims; answered once nothing is left to write.
-#[derive(Debug)]
-pub struct Stop;
-
-impl Message for Stop {
-    type Result = ();
-}
-
 /// Asks for the table of the claims that this instance holds.
 #[derive(Debug)]
 pub struct ShowClaims;
@@ -252,18 +242,6 @@
         let unsure = error.is_ambiguous();
         OwnerEvent::Failed { bucket, unsure }
     }
-
-    fn list(&mut self, context: &mut Context<Self>) {
-        let kv = self.kv.clone();
-        let list = async move { kv.instances().await };
-        context.spawn(list.into_actor(self).map(|result, actor, context| {
-            if let Ok(listed) = result {
-                let count = actor.shared.peers.set_listed(&listed);
-                actor.shared.metrics.claims.listed.set(count);
-            }
-            context.run_later(LIST_EVERY, |actor, context| actor.list(context));
-        }));
-    }
 }
 
 struct Written {
@@ -302,10 +280,6 @@
 
 impl Actor for ClaimsActor {
     type Context = Context<Self>;
-
-    fn started(&mut self, context: &mut Context<Self>) {
-        self.list(context);
-    }
 }
 
 impl Handler<Claim> for ClaimsActor {
@@ -336,10 +310,11 @@
     }
 }
 
-impl Handler<Stop> for ClaimsActor {
+/// Writes what is pending and refuses new claims; answered once nothing is left to write.
+impl Handler<Shutdown> for ClaimsActor {
     type Result = ResponseFuture<()>;
 
-    fn handle(&mut self, _: Stop, context: &mut Context<Self>) -> Self::Result {
+    fn handle(&mut self, _: Shutdown, context: &mut Context<Self>) -> Self::Result {
         let (sender, stopped) = oneshot::channel();
         self.stopped.push(sender);
         self.on(OwnerEvent::Stop, context);
--- a/src/ops/dispatch/mod.rs
+++ b/src/ops/dispatch/mod.rs
@@ -1,12 +1,16 @@
 //! What a traffic thread does with requests: picks upstreams, starts attempts and relays answers.
 
+mod addresses;
 mod forward;
 mod generate;
 mod once;
 mod owners;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
+use sequoiastream_caller::AddressCall;
+use sequoiastream_caller::AddressList;
 use sequoiastream_caller::Answer;
 use sequoiastream_caller::ForwardCall;
 use sequoiastream_caller::ForwardReply;
@@ -67,14 +71,17 @@
     }
 
     fn ready(&self) -> bool {
-        self.shared.snapshot.load().version > Version::default()
+        let closed = self.shared.is_leaving() || self.shared.closed().is_some();
+        !closed && self.shared.snapshot.load().version > Version::default()
     }
 
     async fn generate(&self, call: GenerateCall) -> Result<Answer, Refusal> {
+        addresses::check_open(self)?;
         generate::start(self, call)
     }
 
     async fn forward(&self, call: ForwardCall) -> Result<ForwardReply, Refusal> {
+        addresses::check_open(self)?;
         forward::run(self, call).await
     }
 
@@ -82,6 +89,10 @@
         once::status(self, &product, key, service).await
     }
 
+    fn addresses(&self, call: &AddressCall) -> Result<AddressList, Refusal> {
+        addresses::list(self, call)
+    }
+
     fn metrics(&self) -> String {
         self.shared.metrics.page()
     }
@@ -93,13 +104,17 @@
         blake3::hash(token.as_bytes()) == blake3::hash(self.shared.settings.token.as_bytes())
     }
 
-    async fn execute(&self, statement: StatementBody) -> Result<ReplyBody, OperatorError> {
+    async fn execute(
+        &self,
+        statement: StatementBody,
+        from: Option<SocketAddr>,
+    ) -> Result<ReplyBody, OperatorError> {
         if let Some(query) = claims_query(&statement) {
             let table = self.control.claims.send(ShowClaims).await;
             let table = table.map_err(|e| OperatorError::Platform(e.to_string()))?;
             return select(table, &query).map(ReplyBody::Table);
         }
-        match self.control.config.send(Execute(statement)).await {
+        match self.control.config.send(Execute(statement, from)).await {
             Ok(result) => result,
             Err(error) => Err(OperatorError::Platform(error.to_string())),
         }
--- a/src/ops/dispatch/once.rs
+++ b/src/ops/dispatch/once.rs
@@ -140,7 +140,9 @@
         };
         let left = self.deadline.since(clock::now());
         let (sender, answer) = oneshot::channel();
+        let running = self.dispatch.shared.begin_work();
         actix::spawn(async move {
+            let _running = running;
             let result = self.attempt(&target, grant, &plain, left + LATE).await;
             self.dispatch.shared.router().done(&target.name);
             // The caller may be gone; then nobody needs the answer.
@@ -196,7 +198,12 @@
             mark: self.mark,
             change,
         };
-        actix::spawn(async move { dispatch.report(bucket, edit).await });
+        // A shutdown waits until the owner knows.
+        let running = dispatch.shared.begin_work();
+        actix::spawn(async move {
+            dispatch.report(bucket, edit).await;
+            drop(running);
+        });
     }
 }
 
--- a/src/ops/dispatch/owners.rs
+++ b/src/ops/dispatch/owners.rs
@@ -1,15 +1,19 @@
 //! Asking the owners of claims.
 
+use std::iter::once;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures_util::future::Either;
 use futures_util::future::select;
 use sequoiastream_core::claims::Ask;
 use sequoiastream_core::claims::BucketId;
+use sequoiastream_core::claims::Candidate;
 use sequoiastream_core::claims::ClaimRef;
 use sequoiastream_core::claims::Edit;
 use sequoiastream_core::claims::EntryEvent;
 use sequoiastream_core::claims::Verdict;
+use sequoiastream_core::membership::MemberState;
 use sequoiastream_core::name::Name;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
@@ -33,14 +37,25 @@
 const SHORT: Duration = Duration::from_secs(4);
 
 impl Dispatch {
-    /// Instances to ask about a shard, in turn; this one comes last if the list doesn't show it.
+    /// Instances to ask about a shard, in turn. Those that leave are not asked; this one comes last if it leaves.
     pub(super) fn owners(&self, shard: u16) -> Vec<Name> {
-        let own = &self.shared.settings.name;
-        let mut owners = self.shared.peers.owners().of(shard, clock::now());
-        if !owners.contains(own) {
-            owners.push(own.clone());
-        }
-        owners
+        let roster = self.shared.roster();
+        let staying = roster.peers.iter().filter(|p| p.state == MemberState::Live);
+        let others = staying.map(|p| Candidate {
+            name: &p.name,
+            heard: p.heard,
+        });
+        let own = Candidate {
+            name: &self.shared.settings.name,
+            heard: !self.shared.is_leaving(),
+        };
+        let candidates = others.chain(once(own));
+        self.shared.owners().of(candidates, shard, clock::now())
+    }
+
+    fn peer(&self, name: &Name) -> Option<SocketAddr> {
+        let roster = self.shared.roster();
+        roster.peers.iter().find(|p| p.name == *name).map(|p| p.peer)
     }
 
     /// Asks `owner` for a claim.
@@ -96,7 +111,7 @@
     /// Failure guarded against: a paused owner holds a caller up until its deadline. A question that takes
     /// long is no sign of a pause, since the key-value service may be slow; a ping that nobody answers is.
     async fn question(&self, owner: &Name, request: Request, limit: Duration) -> Option<Response> {
-        let address = self.shared.peers.address(owner)?;
+        let address = self.peer(owner)?;
         let call = std::pin::pin!(self.calls.call(address, &request, limit));
         let watch = std::pin::pin!(async {
             loop {
@@ -110,7 +125,7 @@
             Either::Left((answer, _)) => answer.ok(),
             Either::Right(_) => None,
         };
-        let mut owners = self.shared.peers.owners();
+        let mut owners = self.shared.owners();
         match &answer {
             Some(_) => owners.trust(owner),
             None => owners.suspect(owner, clock::now()),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,8 @@
 //! They are checked as a whole: [`Settings::read`] names every fault at once, so that an operator mends a
 //! start-up in one go.
 
+mod limits;
+
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,7 +15,9 @@
 use clap::Command;
 use clap::value_parser;
 use sequoiastream_core::claims::OwnerSettings;
+use sequoiastream_core::membership::Limits;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::shutdown::Times;
 use thiserror::Error;
 
 /// Shortest operator token and cluster key, in bytes.
@@ -53,6 +57,12 @@
     pub wait: Duration,
     /// How claims are grouped into writes.
     pub grouping: OwnerSettings,
+    /// Limits of membership.
+    pub limits: Limits,
+    /// Time between two looks at the platform's lists.
+    pub lists: Duration,
+    /// Times of a shutdown.
+    pub times: Times,
     /// How log lines are written.
     pub format: LogFormat,
     /// Only check the settings.
@@ -165,6 +175,7 @@
             .value_parser(["text", "json"])
             .default_value("text"),
         )
+        .args(limits::args())
         .arg(
             Arg::new("check")
                 .long("check")
@@ -205,6 +216,9 @@
         let deadline = reader.positive("kv-deadline-ms");
         let wait = reader.positive("watch-ms");
         let grouping = grouping(matches);
+        let limits = limits::limits(&mut reader);
+        let lists = limits::lists(&mut reader);
+        let times = limits::times(&mut reader);
         let format = match reader.text("log-format").as_str() {
             "json" => LogFormat::Json,
             _ => LogFormat::Text,
@@ -227,6 +241,9 @@
             deadline: Duration::from_millis(deadline),
             wait: Duration::from_millis(wait),
             grouping,
+            limits,
+            lists,
+            times,
             format,
             check: matches.get_flag("check"),
         })
--- a/src/util/metrics.rs
+++ b/src/util/metrics.rs
@@ -9,7 +9,6 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
-use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use sequoiastream_core::claims::Verdict;
 
@@ -22,6 +21,8 @@
     pub traffic: TrafficMetrics,
     /// Of claims.
     pub claims: ClaimMetrics,
+    /// Of membership.
+    pub membership: MembershipMetrics,
     registry: Mutex<Registry>,
 }
 
@@ -69,8 +70,6 @@
     pub reads: Counter,
     /// Writes that another owner's write came before.
     pub conflicts: Counter,
-    /// Live instances on the platform's list.
-    pub listed: Gauge,
 }
 
 impl ClaimMetrics {
@@ -87,11 +86,6 @@
             "Writes of claim buckets that lost against another owner",
             self.conflicts.clone(),
         );
-        registry.register(
-            "peers_listed",
-            "Live instances on the platform's list",
-            self.listed.clone(),
-        );
     }
 
     /// Counts an answer.
@@ -110,6 +104,33 @@
     }
 }
 
+/// Metrics of membership.
+#[derive(Debug, Clone, Default)]
+pub struct MembershipMetrics {
+    /// Heartbeats sent.
+    pub sent: Counter,
+    /// Bytes of heartbeats sent, without headers of UDP and IP.
+    pub bytes: Counter,
+    /// Heartbeats received.
+    pub received: Counter,
+}
+
+impl MembershipMetrics {
+    fn register(&self, registry: &mut Registry) {
+        registry.register("heartbeats_sent", "Heartbeats sent", self.sent.clone());
+        registry.register(
+            "heartbeat_bytes",
+            "Bytes of heartbeats sent, without headers of UDP and IP",
+            self.bytes.clone(),
+        );
+        registry.register(
+            "heartbeats_received",
+            "Heartbeats received",
+            self.received.clone(),
+        );
+    }
+}
+
 impl Metrics {
     /// All metrics at zero.
     pub fn new() -> Metrics {
@@ -118,9 +139,12 @@
         traffic.register(&mut registry);
         let claims = ClaimMetrics::default();
         claims.register(&mut registry);
+        let membership = MembershipMetrics::default();
+        membership.register(&mut registry);
         Metrics {
             traffic,
             claims,
+            membership,
             registry: Mutex::new(registry),
         }
     }
--- a/tests/testsuite/claims/client.rs
+++ b/tests/testsuite/claims/client.rs
@@ -4,6 +4,7 @@
 
 use sequoiastream_standin::plain::PlainFault;
 use sequoiastream_testsupport::fleet::Fleet;
+use sequoiastream_testsupport::fleet::FleetBuilder;
 use sequoiastream_testsupport::fleet::KEY;
 use sequoiastream_testsupport::http;
 use sequoiastream_testsupport::http::Reply;
@@ -18,25 +19,27 @@
 
 /// Three daemons before one plain service, each knowing the other two.
 pub async fn three() -> Fleet {
-    let fleet = fleet().daemons(3).plain(1).start_configured().await;
-    for index in 0..3 {
-        listed(&fleet, index).await;
-    }
-    fleet
+    known(fleet().daemons(3).plain(1)).await
 }
 
-/// Waits until daemon `index` asks others for claims: it then knows the list.
-pub async fn listed(fleet: &Fleet, index: usize) {
-    let url = format!("{}/metrics", fleet.daemons[index].url());
-    http::until("the list is known", || async {
-        let page = http::client().get(&url).send().await.ok()?.body().await.ok()?;
-        let page = String::from_utf8_lossy(&page).into_owned();
-        let listed = page
-            .lines()
-            .find_map(|l| l.strip_prefix("sequoiastream_peers_listed "));
-        (listed?.parse::<usize>().ok()? >= fleet.daemons.len()).then_some(())
-    })
-    .await;
+/// Starts the fleet and waits until each daemon knows the others.
+pub async fn known(builder: FleetBuilder) -> Fleet {
+    let builder = builder
+        .daemon_arg("--heartbeat-ms=100")
+        .daemon_arg("--list-ms=100");
+    let fleet = builder.start_configured().await;
+    let bearer = format!("Bearer {KEY}");
+    for daemon in &fleet.daemons {
+        let url = format!("{}/v1/addresses", daemon.url());
+        http::until("every instance is named", || async {
+            let reply = http::send("GET", &url, &[("authorization", &bearer)], "").await;
+            let body: Value = reply.json();
+            let named = body["addresses"].as_array().map_or(0, Vec::len);
+            (named == fleet.daemons.len()).then_some(())
+        })
+        .await;
+    }
+    fleet
 }
 
 /// A key of now.
--- a/tests/testsuite/claims/faults.rs
+++ b/tests/testsuite/claims/faults.rs
@@ -15,10 +15,12 @@
 use tokio::sync::watch;
 
 use super::client::key;
+use super::client::known;
 use super::client::order;
 use super::client::order_at;
 use super::client::runs;
 use super::client::three;
+use crate::support::fleet;
 
 const CALLERS: usize = 8;
 const ORDERS: usize = 10;
@@ -274,7 +276,10 @@
 /// down, or its repeats are told `unknown` for no reason.
 #[actix_web::test]
 async fn order_outcome_kept_at_stop() {
-    let mut fleet = three().await;
+    let quick = ["--keep-ms=100", "--margin-ms=50", "--refuse-ms=50"];
+    let builder = fleet().daemons(3).plain(1);
+    let builder = quick.iter().fold(builder, |builder, arg| builder.daemon_arg(arg));
+    let mut fleet = known(builder).await;
     let keys: Vec<String> = (0..12).map(|_| key()).collect();
     for key in &keys {
         order(&fleet, 0, key, "pellets").await;
--- a/tests/testsuite/claims/rules.rs
+++ b/tests/testsuite/claims/rules.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use sequoiastream_core::claims::Candidate;
 use sequoiastream_core::claims::Clocks;
 use sequoiastream_core::claims::FUTURE;
 use sequoiastream_core::claims::IdempotencyKey;
@@ -109,30 +110,42 @@
     }
 }
 
+fn instances(count: usize) -> Vec<Name> {
+    let name = |index| Name::new(&format!("i{index}")).expect("a name");
+    (0..count).map(name).collect()
+}
+
+fn heard(names: &[Name]) -> impl Iterator<Item = Candidate<'_>> {
+    names.iter().map(|name| Candidate { name, heard: true })
+}
+
 #[test]
 fn owners_leave_only_their_shards() {
-    let name = |index: usize| Name::new(&format!("i{index}")).expect("a name");
-    let (mut all, mut fewer) = (Owners::default(), Owners::default());
-    all.set_listed((0..8).map(name).collect());
-    fewer.set_listed((0..7).map(name).collect());
+    let owners = Owners::default();
+    let (all, fewer) = (instances(8), instances(7));
     let now = Time::from_millis(1);
     for shard in 0..512 {
-        let before = all.of(shard, now);
-        let after = fewer.of(shard, now);
-        let kept: Vec<_> = before.iter().filter(|n| **n != name(7)).cloned().collect();
+        let before = owners.of(heard(&all), shard, now);
+        let after = owners.of(heard(&fewer), shard, now);
+        let kept: Vec<_> = before.iter().filter(|n| **n != all[7]).cloned().collect();
         assert_eq!(kept, after, "shard {shard}");
     }
 }
 
 #[test]
 fn owners_suspect_comes_last() {
-    let name = |index: usize| Name::new(&format!("i{index}")).expect("a name");
     let mut owners = Owners::default();
-    owners.set_listed((0..3).map(name).collect());
+    let names = instances(3);
     let now = Time::from_millis(1);
-    let order = owners.of(5, now);
-    owners.suspect(&order[0], now);
+    let order = owners.of(heard(&names), 5, now);
     let turned = vec![order[1].clone(), order[2].clone(), order[0].clone()];
-    assert_eq!(owners.of(5, now), turned);
-    assert_eq!(owners.of(5, now + Duration::from_secs(3)), order);
+    let unheard = names.iter().map(|name| Candidate {
+        name,
+        heard: *name != order[0],
+    });
+    assert_eq!(owners.of(unheard, 5, now), turned);
+    owners.suspect(&order[0], now);
+    assert_eq!(owners.of(heard(&names), 5, now), turned);
+    let later = now + Duration::from_secs(3);
+    assert_eq!(owners.of(heard(&names), 5, later), order);
 }
