--- a/tests/testsuite/claims/machines.rs
+++ b/tests/testsuite/claims/machines.rs
@@ -54,6 +54,13 @@
     Outage(Duration),
 }
 
+/// An instance, in one of its lives.
+#[derive(Debug, Clone, Copy)]
+struct Process {
+    index: usize,
+    life: u32,
+}
+
 struct Request {
     key: usize,
     at: usize,
@@ -67,7 +74,7 @@
 struct World {
     rng: ChaCha8Rng,
     now: Time,
-    queue: BTreeMap<(Time, u64), (Option<(usize, u32)>, Event)>,
+    queue: BTreeMap<(Time, u64), (Option<Process>, Event)>,
     pushed: u64,
     kv: BTreeMap<BucketId, (Revision, Bucket)>,
     revision: u64,
@@ -139,7 +146,10 @@
 
     fn push(&mut self, after: Duration, to: Option<usize>, event: Event) {
         self.pushed += 1;
-        let to = to.map(|index| (index, self.lives[index]));
+        let to = to.map(|index| Process {
+            index,
+            life: self.lives[index],
+        });
         self.queue.insert((self.now + after, self.pushed), (to, event));
     }
 
@@ -162,8 +172,8 @@
         while let Some(((at, number), (to, event))) = self.queue.pop_first() {
             self.now = at;
             match to {
-                Some((index, life)) if self.lives[index] != life => {}
-                Some((index, _)) if self.paused[index] > at => {
+                Some(to) if self.lives[to.index] != to.life => {}
+                Some(Process { index, .. }) if self.paused[index] > at => {
                     let until = self.paused[index];
                     self.queue.insert((until, number), (to, event));
                 }
