--- a/crates/caller/src/gateway.rs
+++ b/crates/caller/src/gateway.rs
@@ -7,11 +7,14 @@
 use tokio::sync::mpsc;
 use uuid::Uuid;
 
+use crate::proof::Unsent;
 use crate::refusal::Refusal;
 
 /// A request to generate.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct GenerateCall {
+    /// The proof that it has not run; gone once it was sent.
+    pub unsent: Unsent,
     /// Names the request; the answer's events repeat it.
     pub id: Uuid,
     /// The product that asks.
@@ -62,8 +65,10 @@
 }
 
 /// A call to pass through to a plain service.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct ForwardCall {
+    /// The proof that it has not run; gone once it was sent.
+    pub unsent: Unsent,
     /// The product that asks.
     pub product: Name,
     /// The service.
--- a/crates/caller/src/http.rs
+++ b/crates/caller/src/http.rs
@@ -16,7 +16,6 @@
 use sequoiastream_core::name::Name;
 use sequoiastream_core::outcome::Outcome;
 use sequoiastream_core::outcome::Reason;
-use sequoiastream_core::outcome::Unsent;
 use uuid::Uuid;
 
 use crate::gateway::Answer;
@@ -24,6 +23,7 @@
 use crate::gateway::ForwardCall;
 use crate::gateway::Gateway;
 use crate::gateway::GenerateCall;
+use crate::proof::Unsent;
 use crate::refusal::Refusal;
 use crate::sse::Frame;
 use crate::sse::Style;
@@ -141,6 +141,7 @@
     }
     let id = Uuid::now_v7();
     Ok(GenerateCall {
+        unsent: Unsent::begin(),
         id,
         product,
         model: body.model.clone(),
@@ -263,6 +264,7 @@
             .map(str::to_string)
     };
     let call = ForwardCall {
+        unsent: Unsent::begin(),
         product,
         service,
         method: request.method().to_string(),
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod gateway;
 mod http;
+mod proof;
 mod refusal;
 mod sse;
 pub mod wire;
@@ -19,4 +20,8 @@
 pub use gateway::GenerateCall;
 pub use http::OUTCOME;
 pub use http::configure;
+pub use proof::NotRun;
+pub use proof::Ran;
+pub use proof::Sent;
+pub use proof::Unsent;
 pub use refusal::Refusal;
--- a/crates/caller/src/refusal.rs
+++ b/crates/caller/src/refusal.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use sequoiastream_core::outcome::NotRun;
 use sequoiastream_core::outcome::Outcome;
 use sequoiastream_core::outcome::Reason;
 
+use crate::proof::NotRun;
+
 /// Why a request got no whole answer.
 ///
 /// A refusal with outcome `not-run` can be made only from a [`NotRun`], which proves it.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! Invariants are checked here in release builds too, see [`invariant`].
 
+pub mod answer;
 pub mod arena;
 pub mod config;
 pub mod engine;
@@ -14,6 +15,7 @@
 pub mod log_event;
 pub mod name;
 pub mod outcome;
+pub mod poison;
 pub mod prefix;
 pub mod route;
 pub mod snapshot;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -1,11 +1,10 @@
 //! The final word on a request.
 //!
 //! A caller acts on the outcome: after `not-run` it may safely send a non-idempotent request again, after
-//! `unknown` it must ask. A wrong `not-run` doubles an order. [`NotRun`] therefore has no public constructor
-//! of its own: it is made from a proof that nothing was sent.
+//! `unknown` it must ask. A wrong `not-run` doubles an order; the proof that it takes to say `not-run` is in the
+//! package `sequoiastream-caller`, which alone can make one, when a request arrives.
 
 use std::fmt;
-use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -68,66 +67,3 @@
     /// The idempotency key lies outside the retention window.
     KeyExpired,
 }
-
-/// An attempt of which no byte has left this instance.
-///
-/// Neither `Clone` nor `Copy`: sending consumes it, so that after a send nothing is left to make a
-/// [`NotRun`] from.
-#[derive(Debug)]
-pub struct Unsent(());
-
-impl Unsent {
-    /// Begins an attempt. Each attempt begins exactly one.
-    pub fn begin() -> Unsent {
-        Unsent(())
-    }
-
-    /// Gives the attempt up before its first byte left.
-    pub fn refuse(self, reason: Reason) -> NotRun {
-        NotRun { reason, after: None }
-    }
-
-    /// Marks the first byte as sent. From here on only the upstream can vouch that nothing ran.
-    pub fn send(self) -> Sent {
-        Sent(())
-    }
-}
-
-/// An attempt of which at least one byte may have reached an upstream.
-#[derive(Debug)]
-pub struct Sent(());
-
-impl Sent {
-    /// The upstream answered with a refusal by which it vouches that the request did not start.
-    pub fn vouched(self) -> NotRun {
-        NotRun {
-            reason: Reason::UpstreamRefused,
-            after: None,
-        }
-    }
-}
-
-/// A refusal that vouches that no upstream started the request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NotRun {
-    reason: Reason,
-    after: Option<Duration>,
-}
-
-impl NotRun {
-    /// Why it was refused.
-    pub fn reason(&self) -> Reason {
-        self.reason
-    }
-
-    /// When it makes sense to come back, if it does.
-    pub fn after(&self) -> Option<Duration> {
-        self.after
-    }
-
-    /// Sets when to come back.
-    pub fn come_back(mut self, after: Duration) -> NotRun {
-        self.after = Some(after);
-        self
-    }
-}
--- /dev/null
+++ b/crates/core/src/poison.rs
@@ -0,0 +1,445 @@
+//! Requests that crash the engines that run them.
+//!
+//! Failure guarded against: a request crashes each engine that runs it, the daemon resumes it on the next one and
+//! its caller sends it again, until no engine is left. Each crash makes suspects of all requests that ran
+//! there. A suspect runs again only alone among requests that are none, so that a second crash tells which one
+//! it was: a request that has two crashes behind it while nothing else that ran there has, is convicted and runs
+//! no more. Suspicion and conviction are told to all instances before anything runs again.
+//!
+//! A false conviction refuses an innocent request, so only evidence of a crash counts in full: the engine
+//! refuses connections, or runs anew. An engine that is merely silent may be cut off from this instance:
+//! that raises suspicion, but convicts nobody; after two of these the request is withheld until suspicion ends.
+//!
+//! What a suspect needs to run is a hold on an engine and on its own fingerprint. An instance takes a hold only
+//! if all peers that answer agree; of two that ask at once, the lower fingerprint goes first.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use uuid::Uuid;
+
+use crate::invariant;
+use crate::name::Name;
+use crate::time::Time;
+
+/// How long a sure crash raises suspicion.
+pub const SUSPICION: Duration = Duration::from_secs(6 * 3600);
+
+/// How long an engine that went silent raises suspicion: while it lasts, an innocent request may be withheld.
+pub const SILENCE: Duration = Duration::from_secs(600);
+
+/// Most suspects, convicts awaiting their entry in the configuration, and crashes remembered. The oldest go first.
+pub const MAX_RECORDS: usize = 4096;
+
+/// Crashes after which a request is convicted or withheld.
+const CRASHES: usize = 2;
+
+/// What makes two requests the same: hash of product, model, prompt and limit.
+///
+/// Ids are left out, and so is the seed: most callers get a new one with each repeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Fingerprint([u8; 16]);
+
+impl Fingerprint {
+    /// The fingerprint of a request.
+    pub fn of(product: &Name, model: &str, prompt: &str, limit: u32) -> Fingerprint {
+        let mut hasher = blake3::Hasher::new();
+        for part in [product.as_str(), model, prompt] {
+            hasher.update(&(part.len() as u64).to_be_bytes());
+            hasher.update(part.as_bytes());
+        }
+        hasher.update(&limit.to_be_bytes());
+        let mut bytes = [0; 16];
+        hasher.finalize_xof().fill(&mut bytes);
+        Fingerprint(bytes)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0))
+    }
+}
+
+/// One crash of one engine: the engine's incarnation ended.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Incident {
+    /// The engine.
+    pub engine: Name,
+    /// The incarnation that ended; nil if it was not known.
+    pub incarnation: Uuid,
+}
+
+/// How sure it is that an engine crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Evidence {
+    /// It gives no answer; it may be cut off.
+    Silent,
+    /// It refuses connections, or runs as another incarnation.
+    Crashed,
+}
+
+/// What an instance tells its peers of a crash.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Note {
+    /// The crash.
+    pub incident: Incident,
+    /// How sure it is.
+    pub evidence: Evidence,
+    /// The requests of the instance that ran there.
+    pub ran: BTreeSet<Fingerprint>,
+}
+
+/// A wish to run a suspect alone on an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The suspect.
+    pub fingerprint: Fingerprint,
+    /// The engine.
+    pub engine: Name,
+    /// The instance that asks.
+    pub from: Name,
+    /// How long at most the suspect runs, in milliseconds.
+    pub millis: u64,
+}
+
+/// What the records say of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing.
+    Clear,
+    /// It ran on an engine that crashed: it may run alone.
+    Suspect,
+    /// Two engines went silent under it: it may not run before suspicion ends.
+    Withheld,
+    /// It crashed two engines: it may not run.
+    Convicted,
+}
+
+/// What follows from a crash.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Verdict {
+    /// Requests newly convicted, to be told to peers and written to the configuration.
+    pub convicted: Vec<Fingerprint>,
+    /// Attempts of suspects that must stop, to go on alone.
+    pub stop: Vec<Uuid>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Running {
+    fingerprint: Fingerprint,
+    engine: Name,
+    incarnation: Option<Uuid>,
+    alone: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Crash {
+    evidence: Evidence,
+    ran: BTreeSet<Fingerprint>,
+    at: Time,
+}
+
+impl Crash {
+    fn is_recent(&self, now: Time) -> bool {
+        let lifetime = match self.evidence {
+            Evidence::Silent => SILENCE,
+            Evidence::Crashed => SUSPICION,
+        };
+        now.since(self.at) < lifetime
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Hold {
+    fingerprint: Fingerprint,
+    owner: Name,
+    granted: bool,
+    until: Time,
+}
+
+/// The records of one instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Poison {
+    me: Name,
+    running: BTreeMap<Uuid, Running>,
+    crashes: BTreeMap<Incident, Crash>,
+    convicts: BTreeMap<Fingerprint, Time>,
+    holds: BTreeMap<Name, Hold>,
+    known: BTreeMap<Name, Uuid>,
+}
+
+impl Poison {
+    /// Empty records of instance `me`.
+    pub fn new(me: Name) -> Poison {
+        Poison {
+            me,
+            running: BTreeMap::new(),
+            crashes: BTreeMap::new(),
+            convicts: BTreeMap::new(),
+            holds: BTreeMap::new(),
+            known: BTreeMap::new(),
+        }
+    }
+
+    /// What is known of a request.
+    pub fn standing(&self, now: Time, fingerprint: Fingerprint) -> Standing {
+        if self.convicts.contains_key(&fingerprint) {
+            return Standing::Convicted;
+        }
+        let behind: Vec<&Crash> = self.crashes_of(now, fingerprint).collect();
+        let sure = behind.iter().any(|c| c.evidence == Evidence::Crashed);
+        match behind.len() {
+            0 => Standing::Clear,
+            CRASHES.. if !sure => Standing::Withheld,
+            _ => Standing::Suspect,
+        }
+    }
+
+    /// Records that an attempt is sent to an engine. `false` if it may not be sent: it is of a convict, or of a
+    /// suspect without a hold.
+    pub fn begin(&mut self, now: Time, attempt: Uuid, fingerprint: Fingerprint, engine: &Name) -> bool {
+        let held = self.holds.get(engine).is_some_and(|h| {
+            h.fingerprint == fingerprint && h.owner == self.me && h.granted && h.until > now
+        });
+        let allowed = match self.standing(now, fingerprint) {
+            Standing::Clear => true,
+            Standing::Suspect => held,
+            Standing::Withheld | Standing::Convicted => false,
+        };
+        if invariant::check(allowed, "no suspect runs without a hold, no convict at all").is_err() {
+            return false;
+        }
+        let running = Running {
+            fingerprint,
+            engine: engine.clone(),
+            incarnation: None,
+            alone: held,
+        };
+        self.running.insert(attempt, running);
+        true
+    }
+
+    /// Records which incarnation of the engine took the attempt.
+    pub fn opened(&mut self, attempt: Uuid, incarnation: Uuid) {
+        if let Some(running) = self.running.get_mut(&attempt) {
+            running.incarnation = Some(incarnation);
+            self.known.insert(running.engine.clone(), incarnation);
+        }
+    }
+
+    /// Records that an attempt has ended, after its end was judged.
+    pub fn end(&mut self, attempt: Uuid) {
+        self.running.remove(&attempt);
+    }
+
+    /// The incarnation of the engine that an attempt runs on, as far as it is known.
+    pub fn incarnation(&self, attempt: Uuid) -> Option<Uuid> {
+        let running = self.running.get(&attempt)?;
+        running
+            .incarnation
+            .or_else(|| self.known.get(&running.engine).copied())
+    }
+
+    /// What to tell the peers of the crash under `attempt`, which is still recorded as running.
+    pub fn note(&self, attempt: Uuid, evidence: Evidence) -> Option<Note> {
+        let engine = &self.running.get(&attempt)?.engine;
+        let incarnation = self.incarnation(attempt).unwrap_or(Uuid::nil());
+        let there = self
+            .running
+            .values()
+            .filter(|r| r.engine == *engine && r.incarnation.is_none_or(|i| i == incarnation));
+        Some(Note {
+            incident: Incident {
+                engine: engine.clone(),
+                incarnation,
+            },
+            evidence,
+            ran: there.map(|r| r.fingerprint).collect(),
+        })
+    }
+
+    /// Takes note of a crash, seen here or by a peer.
+    pub fn on_note(&mut self, now: Time, note: &Note) -> Verdict {
+        self.expire(now);
+        let crash = self.crashes.entry(note.incident.clone()).or_insert(Crash {
+            evidence: note.evidence,
+            ran: BTreeSet::new(),
+            at: now,
+        });
+        crash.evidence = crash.evidence.max(note.evidence);
+        crash.ran.extend(note.ran.iter().copied());
+        let convicted: Vec<Fingerprint> = self.sole_suspect(now, &note.incident).into_iter().collect();
+        for fingerprint in &convicted {
+            self.convict(now, *fingerprint);
+        }
+        trim(&mut self.crashes, |c| c.at);
+        Verdict {
+            stop: self.to_stop(&note.ran),
+            convicted,
+        }
+    }
+
+    /// Takes a conviction; returns the attempts to stop.
+    pub fn convict(&mut self, now: Time, fingerprint: Fingerprint) -> Vec<Uuid> {
+        self.convicts.insert(fingerprint, now);
+        trim(&mut self.convicts, |at| *at);
+        self.forget(fingerprint);
+        let of_it = self.running.iter().filter(|(_, r)| r.fingerprint == fingerprint);
+        of_it.map(|(attempt, _)| *attempt).collect()
+    }
+
+    /// A suspect ran alone to its end: it is innocent.
+    pub fn clear(&mut self, fingerprint: Fingerprint) {
+        self.forget(fingerprint);
+    }
+
+    /// The quarantine in the configuration changed. What stands there is decided there alone from now on, so
+    /// that an operator's pardon holds.
+    pub fn on_quarantine(&mut self, quarantine: &BTreeSet<String>) {
+        self.convicts
+            .retain(|fingerprint, _| !quarantine.contains(&fingerprint.to_string()));
+    }
+
+    /// Reserves an engine for a suspect, before the peers are asked. `false` if it or the suspect is taken.
+    pub fn ask(&mut self, now: Time, ask: &Ask) -> bool {
+        self.expire(now);
+        if self.conflicts(ask).next().is_some() {
+            return false;
+        }
+        self.hold(now, ask, false);
+        true
+    }
+
+    /// A peer asks. `true` if nothing speaks against it.
+    pub fn on_ask(&mut self, now: Time, ask: &Ask) -> bool {
+        self.expire(now);
+        if self.convicts.contains_key(&ask.fingerprint) {
+            return false;
+        }
+        let theirs = (ask.fingerprint, &ask.from);
+        let refused = self
+            .conflicts(ask)
+            .any(|(_, h)| h.granted || (h.fingerprint, &h.owner) < theirs);
+        if refused {
+            return false;
+        }
+        // The peer goes first: a reservation of ours that it conflicts with is lost.
+        let lost: Vec<Name> = self.conflicts(ask).map(|(engine, _)| engine.clone()).collect();
+        for engine in lost {
+            self.holds.remove(&engine);
+        }
+        self.hold(now, ask, true);
+        true
+    }
+
+    /// All peers agreed. `false` if the reservation was lost to a peer meanwhile.
+    pub fn on_agreed(&mut self, ask: &Ask) -> bool {
+        match self.holds.get_mut(&ask.engine) {
+            Some(hold) if hold.owner == ask.from && hold.fingerprint == ask.fingerprint => {
+                hold.granted = true;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// A hold ended, or was not granted by all.
+    pub fn release(&mut self, ask: &Ask) {
+        let ours = |h: &Hold| h.owner == ask.from && h.fingerprint == ask.fingerprint;
+        if self.holds.get(&ask.engine).is_some_and(ours) {
+            self.holds.remove(&ask.engine);
+        }
+    }
+
+    /// Crashes, convicts and holds recorded.
+    pub fn records(&self) -> usize {
+        self.crashes.len() + self.convicts.len() + self.holds.len()
+    }
+
+    /// Requests under suspicion.
+    pub fn suspects(&self) -> BTreeSet<Fingerprint> {
+        self.crashes
+            .values()
+            .flat_map(|c| c.ran.iter().copied())
+            .collect()
+    }
+
+    fn crashes_of(&self, now: Time, fingerprint: Fingerprint) -> impl Iterator<Item = &Crash> {
+        self.crashes
+            .values()
+            .filter(move |c| c.ran.contains(&fingerprint) && c.is_recent(now))
+    }
+
+    /// The only request of a sure crash that has another sure crash behind it.
+    fn sole_suspect(&self, now: Time, incident: &Incident) -> Option<Fingerprint> {
+        let crash = self.crashes.get(incident)?;
+        if crash.evidence != Evidence::Crashed {
+            return None;
+        }
+        let twice = |f: &&Fingerprint| {
+            let sure = self
+                .crashes_of(now, **f)
+                .filter(|c| c.evidence == Evidence::Crashed);
+            sure.count() >= CRASHES
+        };
+        let mut again = crash.ran.iter().filter(twice);
+        match (again.next(), again.next()) {
+            (Some(only), None) => Some(*only),
+            _ => None,
+        }
+    }
+
+    fn to_stop(&self, suspects: &BTreeSet<Fingerprint>) -> Vec<Uuid> {
+        let spread = |r: &Running| suspects.contains(&r.fingerprint) && !r.alone;
+        let running = self.running.iter().filter(|(_, r)| spread(r));
+        running.map(|(attempt, _)| *attempt).collect()
+    }
+
+    fn forget(&mut self, fingerprint: Fingerprint) {
+        for crash in self.crashes.values_mut() {
+            crash.ran.remove(&fingerprint);
+        }
+        self.crashes.retain(|_, c| !c.ran.is_empty());
+    }
+
+    fn conflicts(&self, ask: &Ask) -> impl Iterator<Item = (&Name, &Hold)> {
+        self.holds.iter().filter(|(engine, h)| {
+            let same = h.owner == ask.from && h.fingerprint == ask.fingerprint && **engine == ask.engine;
+            !same && (**engine == ask.engine || h.fingerprint == ask.fingerprint)
+        })
+    }
+
+    fn hold(&mut self, now: Time, ask: &Ask, granted: bool) {
+        let hold = Hold {
+            fingerprint: ask.fingerprint,
+            owner: ask.from.clone(),
+            granted,
+            until: now + Duration::from_millis(ask.millis),
+        };
+        self.holds.insert(ask.engine.clone(), hold);
+    }
+
+    fn expire(&mut self, now: Time) {
+        self.crashes.retain(|_, c| c.is_recent(now));
+        self.holds.retain(|_, h| h.until > now);
+    }
+}
+
+/// Removes the oldest records beyond [`MAX_RECORDS`].
+fn trim<K, V, F>(records: &mut BTreeMap<K, V>, at: F)
+where
+    K: Ord + Clone,
+    F: Fn(&V) -> Time,
+{
+    while records.len() > MAX_RECORDS {
+        let oldest = records.iter().min_by_key(|(_, v)| at(v)).map(|(k, _)| k.clone());
+        if let Some(key) = oldest {
+            records.remove(&key);
+        }
+    }
+}
--- a/crates/upstream/src/error.rs
+++ b/crates/upstream/src/error.rs
@@ -11,6 +11,9 @@
     /// The upstream refused and vouches that the request did not start.
     #[error("the upstream refused the request before it started (status {0})")]
     NotStarted(u16),
+    /// The engine has another version of the model than the attempt asks for, and did not start it.
+    #[error("the engine has another version of the model")]
+    OtherVersion,
     /// The upstream answered with an error; it may have run the request.
     #[error("the upstream answered with status {0}")]
     Status(u16),
@@ -31,6 +34,9 @@
 impl UpstreamError {
     /// Whether it is sure that the upstream did not start the request.
     pub fn is_not_started(&self) -> bool {
-        matches!(self, UpstreamError::Connect(_) | UpstreamError::NotStarted(_))
+        matches!(
+            self,
+            UpstreamError::Connect(_) | UpstreamError::NotStarted(_) | UpstreamError::OtherVersion
+        )
     }
 }
--- a/crates/upstream/src/wire.rs
+++ b/crates/upstream/src/wire.rs
@@ -11,6 +11,15 @@
 /// Header by which an upstream vouches that a request it refused did not start.
 pub const NOT_STARTED: &str = "x-not-started";
 
+/// Header by which an engine says which version of the model answers.
+pub const MODEL_VERSION: &str = "x-model-version";
+
+/// Header by which an engine names its incarnation: a new one with each start of its process.
+pub const INCARNATION: &str = "x-engine-incarnation";
+
+/// Status by which an engine refuses an attempt that asks for another version of the model than it has.
+pub const OTHER_VERSION: u16 = 412;
+
 /// Asks an engine to generate.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GenerateBody {
@@ -26,6 +35,12 @@
     pub seed: u64,
     /// Offset of the first token wanted; tokens before it are known to the caller already.
     pub offset: u32,
+    /// The version of the model that must answer, if it matters; an engine that has another one refuses.
+    #[serde(default)]
+    pub version: Option<u32>,
+    /// Text of the tokens before the offset, if it is to be continued as it stands, whatever version made it.
+    #[serde(default)]
+    pub prefix: Option<String>,
     /// 0 is the most urgent.
     pub priority: u8,
     /// Engine to fetch the prompt's KV cache from instead of processing the prompt again.
--- a/src/ops/dispatch/forward.rs
+++ b/src/ops/dispatch/forward.rs
@@ -7,7 +7,6 @@
 use sequoiastream_caller::ForwardReply;
 use sequoiastream_caller::Refusal;
 use sequoiastream_core::outcome::Reason;
-use sequoiastream_core::outcome::Unsent;
 use sequoiastream_upstream::PlainCall;
 
 use crate::ops::dispatch::Dispatch;
@@ -17,7 +16,7 @@
 
 /// Passes `call` through, once.
 pub async fn run(dispatch: &Dispatch, call: ForwardCall) -> Result<ForwardReply, Refusal> {
-    let unsent = Unsent::begin();
+    let unsent = call.unsent;
     let snapshot = dispatch.shared.snapshot.load_full();
     let Some(service) = snapshot.service_of(&call.service) else {
         let proof = unsent.refuse(Reason::UnknownService);
