Convict only whom nobody else of the crash can stand in for

Cause: seen red in convict_two_with_neighbours: a neighbour of the first poisonous request ran again beside the second, which ran for the first time; the engine crashed, and the neighbour, alone with two crashes behind it, was convicted. Further: abort() closes connections before the listener, so a probe right after the crash was broken, not refused, and no crash was noted; refused connections to dead engines used up the attempts. Ruled out: running each suspect on an emptied engine (a crash of 32 streams would stop the fleet for others); a third run (a poisonous request would take three engines). Change: two crashes make a request pending: it runs no more. It is convicted when all others of its last crash were cleared; a conviction explains its crashes for the others. Peers answer a note with what they ran there, before anything is judged. Held engines get no new work. A probe that breaks is repeated. Attempts that did not start don't count. Tests: streams (engine faults, lost engines, planned changes, coming back), poison (counts of engines lost).

--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -24,6 +24,9 @@
 /// Pause before engines that failed are tried again for an answer that the caller has a part of.
 const PAUSE: Duration = Duration::from_millis(200);
 
+/// Pauses in a row before an answer that the caller has a part of is given up: five seconds in all.
+const MAX_WAITS: u32 = 25;
+
 /// Time limits of an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -33,7 +36,7 @@
     pub between: Duration,
     /// When the whole answer must be there.
     pub deadline: Time,
-    /// Attempts in a row that bring no token.
+    /// Attempts in a row that may have run and bring no token.
     pub attempts: u32,
 }
 
@@ -166,6 +169,7 @@
     ran: bool,
     opened: bool,
     idle: u32,
+    waits: u32,
     attempts: u32,
 }
 
@@ -185,6 +189,7 @@
             ran: false,
             opened: false,
             idle: 0,
+            waits: 0,
             attempts: 0,
         }
     }
@@ -297,8 +302,8 @@
             return self.on_version_gone();
         }
         let delivered = self.next() > self.begun;
-        if delivered && self.idle < self.limits.attempts {
-            self.idle += 1;
+        if delivered && self.waits < MAX_WAITS {
+            self.waits += 1;
             return self.wait(now);
         }
         self.give_up(Reason::NoEngine, Cause::NoEngine)
@@ -343,6 +348,7 @@
             Verdict::Gap => self.leave(attempt),
             Verdict::Deliver => {
                 self.idle = 0;
+                self.waits = 0;
                 self.token = true;
                 self.alive = now;
                 vec![Action::Deliver(offset)]
@@ -372,13 +378,19 @@
         if self.current() != Some(attempt) {
             return Vec::new();
         }
+        self.splice.close();
         match failure {
-            Failure::NotStarted => {}
-            Failure::Version => self.mismatch = true,
-            Failure::Lost => self.ran = true,
+            // Nothing ran: that each engine is tried once is bound enough.
+            Failure::NotStarted => self.pick(),
+            Failure::Version => {
+                self.mismatch = true;
+                self.pick()
+            }
+            Failure::Lost => {
+                self.ran = true;
+                self.again()
+            }
         }
-        self.splice.close();
-        self.again()
     }
 
     /// Closes the attempt, cancels it and goes on elsewhere.
@@ -395,6 +407,10 @@
         if self.idle >= self.limits.attempts {
             return self.give_up(Reason::UpstreamRefused, Cause::Attempts);
         }
+        self.pick()
+    }
+
+    fn pick(&mut self) -> Vec<Action> {
         self.phase = Phase::Picking;
         vec![Action::Pick]
     }
--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -2,13 +2,15 @@
 //!
 //! Failure guarded against: a request crashes each engine that runs it, the daemon resumes it on the next one and
 //! its caller sends it again, until no engine is left. Each crash makes suspects of all requests that ran
-//! there. A suspect runs again only alone among requests that are none, so that a second crash tells which one
-//! it was: a request that has two crashes behind it while nothing else that ran there has, is convicted and runs
-//! no more. Suspicion and conviction are told to all instances before anything runs again.
+//! there. A suspect runs again only without other suspects beside it, and while it runs its engine gets no new work. One
+//! that is in a second crash runs no more, so that no request takes more than two engines.
 //!
-//! A false conviction refuses an innocent request, so only evidence of a crash counts in full: the engine
-//! refuses connections, or runs anew. An engine that is merely silent may be cut off from this instance:
-//! that raises suspicion, but convicts nobody; after two of these the request is withheld until suspicion ends.
+//! That it is in two crashes doesn't convict it yet: another poisonous request, running for the first time, may have
+//! caused the second one. It is convicted when all others of its last crash have run to their end. If one of these
+//! turns out to be the cause instead, the crash is explained and counts against nobody else.
+//!
+//! Only evidence of a crash convicts: the engine refuses connections, or runs anew. An engine that is merely
+//! silent may be cut off from this instance; that raises suspicion for a shorter time and convicts nobody.
 //!
 //! What a suspect needs to run is a hold on an engine and on its own fingerprint. An instance takes a hold only
 //! if all peers that answer agree; of two that ask at once, the lower fingerprint goes first.
@@ -32,10 +34,10 @@
 /// How long an engine that went silent raises suspicion: while it lasts, an innocent request may be withheld.
 pub const SILENCE: Duration = Duration::from_secs(600);
 
-/// Most suspects, convicts awaiting their entry in the configuration, and crashes remembered. The oldest go first.
+/// Most crashes, explained crashes, and convicts awaiting their entry in the configuration. The oldest go first.
 pub const MAX_RECORDS: usize = 4096;
 
-/// Crashes after which a request is convicted or withheld.
+/// Crashes after which a request runs no more.
 const CRASHES: usize = 2;
 
 /// What makes two requests the same: hash of product, model, prompt and limit.
@@ -117,23 +119,14 @@
 pub enum Standing {
     /// Nothing.
     Clear,
-    /// It ran on an engine that crashed: it may run alone.
+    /// It ran on an engine that crashed: it may run with a hold.
     Suspect,
-    /// Two engines went silent under it: it may not run before suspicion ends.
-    Withheld,
+    /// It ran on two: it may not run until others of these crashes were convicted or cleared.
+    Pending,
     /// It crashed two engines: it may not run.
     Convicted,
 }
 
-/// What follows from a crash.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct Verdict {
-    /// Requests newly convicted, to be told to peers and written to the configuration.
-    pub convicted: Vec<Fingerprint>,
-    /// Attempts of suspects that must stop, to go on alone.
-    pub stop: Vec<Uuid>,
-}
-
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Running {
     fingerprint: Fingerprint,
@@ -173,6 +166,7 @@
     me: Name,
     running: BTreeMap<Uuid, Running>,
     crashes: BTreeMap<Incident, Crash>,
+    explained: BTreeMap<Incident, Time>,
     convicts: BTreeMap<Fingerprint, Time>,
     holds: BTreeMap<Name, Hold>,
     known: BTreeMap<Name, Uuid>,
@@ -185,6 +179,7 @@
             me,
             running: BTreeMap::new(),
             crashes: BTreeMap::new(),
+            explained: BTreeMap::new(),
             convicts: BTreeMap::new(),
             holds: BTreeMap::new(),
             known: BTreeMap::new(),
@@ -196,11 +191,9 @@
         if self.convicts.contains_key(&fingerprint) {
             return Standing::Convicted;
         }
-        let behind: Vec<&Crash> = self.crashes_of(now, fingerprint).collect();
-        let sure = behind.iter().any(|c| c.evidence == Evidence::Crashed);
-        match behind.len() {
+        match self.crashes_of(now, fingerprint).count() {
             0 => Standing::Clear,
-            CRASHES.. if !sure => Standing::Withheld,
+            CRASHES.. => Standing::Pending,
             _ => Standing::Suspect,
         }
     }
@@ -214,7 +207,7 @@
         let allowed = match self.standing(now, fingerprint) {
             Standing::Clear => true,
             Standing::Suspect => held,
-            Standing::Withheld | Standing::Convicted => false,
+            Standing::Pending | Standing::Convicted => false,
         };
         if invariant::check(allowed, "no suspect runs without a hold, no convict at all").is_err() {
             return false;
@@ -254,23 +247,44 @@
     pub fn note(&self, attempt: Uuid, evidence: Evidence) -> Option<Note> {
         let engine = &self.running.get(&attempt)?.engine;
         let incarnation = self.incarnation(attempt).unwrap_or(Uuid::nil());
-        let there = self
-            .running
-            .values()
-            .filter(|r| r.engine == *engine && r.incarnation.is_none_or(|i| i == incarnation));
+        let incident = Incident {
+            engine: engine.clone(),
+            incarnation,
+        };
         Some(Note {
-            incident: Incident {
-                engine: engine.clone(),
-                incarnation,
-            },
+            ran: self.ran_there(&incident),
+            incident,
             evidence,
-            ran: there.map(|r| r.fingerprint).collect(),
         })
     }
 
-    /// Takes note of a crash, seen here or by a peer.
-    pub fn on_note(&mut self, now: Time, note: &Note) -> Verdict {
+    /// The requests of this instance that run, or ran until the crash, on that incarnation of an engine.
+    pub fn ran_there(&self, incident: &Incident) -> BTreeSet<Fingerprint> {
+        let there = self.running.values().filter(|r| {
+            r.engine == incident.engine && r.incarnation.is_none_or(|i| i == incident.incarnation)
+        });
+        there.map(|r| r.fingerprint).collect()
+    }
+
+    /// How many attempts of this instance run on an engine.
+    pub fn running_on(&self, engine: &Name) -> usize {
+        self.running.values().filter(|r| r.engine == *engine).count()
+    }
+
+    /// Engines on which suspects run alone; they get no new work. An innocent suspect beside whom a fresh
+    /// poisonous request runs would come under double suspicion.
+    pub fn held(&self, now: Time) -> Vec<Name> {
+        let held = self.holds.iter().filter(|(_, h)| h.until > now);
+        held.map(|(engine, _)| engine.clone()).collect()
+    }
+
+    /// Takes note of a crash, seen here or by a peer; returns attempts of suspects that must stop, to go on with
+    /// a hold.
+    pub fn on_note(&mut self, now: Time, note: &Note) -> Vec<Uuid> {
         self.expire(now);
+        if self.explained.contains_key(&note.incident) {
+            return Vec::new();
+        }
         let crash = self.crashes.entry(note.incident.clone()).or_insert(Crash {
             evidence: note.evidence,
             ran: BTreeSet::new(),
@@ -278,29 +292,38 @@
         });
         crash.evidence = crash.evidence.max(note.evidence);
         crash.ran.extend(note.ran.iter().copied());
-        let convicted: Vec<Fingerprint> = self.sole_suspect(now, &note.incident).into_iter().collect();
-        for fingerprint in &convicted {
-            self.convict(now, *fingerprint);
-        }
         trim(&mut self.crashes, |c| c.at);
-        Verdict {
-            stop: self.to_stop(&note.ran),
-            convicted,
+        self.to_stop(&note.ran)
+    }
+
+    /// Convicts whom the records convict by now, to be told to peers and written to the configuration.
+    pub fn judge(&mut self, now: Time) -> Vec<Fingerprint> {
+        let suspects = self.suspects();
+        let guilty: Vec<Fingerprint> = suspects
+            .into_iter()
+            .filter(|fingerprint| self.is_guilty(now, *fingerprint))
+            .collect();
+        for fingerprint in &guilty {
+            self.convict(now, *fingerprint);
         }
+        guilty
     }
 
     /// Takes a conviction; returns the attempts to stop.
     pub fn convict(&mut self, now: Time, fingerprint: Fingerprint) -> Vec<Uuid> {
         self.convicts.insert(fingerprint, now);
         trim(&mut self.convicts, |at| *at);
-        self.forget(fingerprint);
+        self.explain(now, fingerprint);
         let of_it = self.running.iter().filter(|(_, r)| r.fingerprint == fingerprint);
         of_it.map(|(attempt, _)| *attempt).collect()
     }
 
-    /// A suspect ran alone to its end: it is innocent.
+    /// A suspect ran with a hold to its end: it is innocent.
     pub fn clear(&mut self, fingerprint: Fingerprint) {
-        self.forget(fingerprint);
+        for crash in self.crashes.values_mut() {
+            crash.ran.remove(&fingerprint);
+        }
+        self.crashes.retain(|_, c| !c.ran.is_empty());
     }
 
     /// The quarantine in the configuration changed. What stands there is decided there alone from now on, so
@@ -363,7 +386,7 @@
 
     /// Crashes, convicts and holds recorded.
     pub fn records(&self) -> usize {
-        self.crashes.len() + self.convicts.len() + self.holds.len()
+        self.crashes.len() + self.explained.len() + self.convicts.len() + self.holds.len()
     }
 
     /// Requests under suspicion.
@@ -380,23 +403,14 @@
             .filter(move |c| c.ran.contains(&fingerprint) && c.is_recent(now))
     }
 
-    /// The only request of a sure crash that has another sure crash behind it.
-    fn sole_suspect(&self, now: Time, incident: &Incident) -> Option<Fingerprint> {
-        let crash = self.crashes.get(incident)?;
-        if crash.evidence != Evidence::Crashed {
-            return None;
-        }
-        let twice = |f: &&Fingerprint| {
-            let sure = self
-                .crashes_of(now, **f)
-                .filter(|c| c.evidence == Evidence::Crashed);
-            sure.count() >= CRASHES
-        };
-        let mut again = crash.ran.iter().filter(twice);
-        match (again.next(), again.next()) {
-            (Some(only), None) => Some(*only),
-            _ => None,
-        }
+    /// Whether a request is in two sure crashes, and everybody else of the last one was cleared.
+    fn is_guilty(&self, now: Time, fingerprint: Fingerprint) -> bool {
+        let sure: Vec<&Crash> = self
+            .crashes_of(now, fingerprint)
+            .filter(|c| c.evidence == Evidence::Crashed)
+            .collect();
+        let last = sure.iter().max_by_key(|c| c.at);
+        sure.len() >= CRASHES && last.is_some_and(|c| c.ran.len() == 1)
     }
 
     fn to_stop(&self, suspects: &BTreeSet<Fingerprint>) -> Vec<Uuid> {
@@ -405,11 +419,16 @@
         running.map(|(attempt, _)| *attempt).collect()
     }
 
-    fn forget(&mut self, fingerprint: Fingerprint) {
-        for crash in self.crashes.values_mut() {
-            crash.ran.remove(&fingerprint);
+    /// The crashes of a convict count against nobody else.
+    fn explain(&mut self, now: Time, fingerprint: Fingerprint) {
+        let of_it = |c: &Crash| c.ran.contains(&fingerprint);
+        let incidents = self.crashes.iter().filter(|(_, c)| of_it(c));
+        let incidents: Vec<Incident> = incidents.map(|(incident, _)| incident.clone()).collect();
+        for incident in incidents {
+            self.crashes.remove(&incident);
+            self.explained.insert(incident, now);
         }
-        self.crashes.retain(|_, c| !c.ran.is_empty());
+        trim(&mut self.explained, |at| *at);
     }
 
     fn conflicts(&self, ask: &Ask) -> impl Iterator<Item = (&Name, &Hold)> {
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,5 +1,7 @@
 //! The messages themselves.
 
+use std::collections::BTreeSet;
+
 use sequoiastream_core::poison::Ask;
 use sequoiastream_core::poison::Fingerprint;
 use sequoiastream_core::poison::Note;
@@ -51,6 +53,6 @@
 pub struct PoisonResponse {
     /// Whether the peer agrees to what was asked.
     pub agreed: bool,
-    /// Requests that the peer's records convict after this.
-    pub convicted: Vec<Fingerprint>,
+    /// Requests of the peer that ran on the engine that a note says has crashed.
+    pub ran: BTreeSet<Fingerprint>,
 }
--- a/crates/testsupport/src/fleet.rs
+++ b/crates/testsupport/src/fleet.rs
@@ -7,9 +7,13 @@
 use sequoiastream_operator::wire::StatementBody;
 use sequoiastream_platform::Listed;
 use sequoiastream_platform::ListedState;
+use sequoiastream_standin::engine::EngineFault;
 use sequoiastream_standin::platform::Fault;
+use sequoiastream_upstream::wire::LoadBody;
+use serde_json::Value;
 use uuid::Uuid;
 
+use crate::answer::Answer;
 use crate::http;
 use crate::http::Reply;
 use crate::process::Process;
@@ -250,4 +254,88 @@
         let key = format!("Bearer {KEY}");
         http::send("POST", &url, &[("authorization", &key)], &body).await
     }
+
+    /// Asks daemon `index` to stream a completion of `prompt` with `limit` tokens from `seed`.
+    ///
+    /// # Panics
+    ///
+    /// If the answer is not streamed.
+    pub async fn stream(&self, index: usize, prompt: &str, limit: u32, seed: u64) -> Answer {
+        let body = serde_json::json!({
+            "model": MODEL, "prompt": prompt, "max_tokens": limit, "seed": seed, "stream": true,
+        });
+        let answer = self.ask(index, &[], &body).await;
+        answer.unwrap_or_else(|reply| panic!("{reply:?}"))
+    }
+
+    /// Sends `body` to the completions of daemon `index`, with further headers.
+    ///
+    /// # Errors
+    ///
+    /// The answer, if it is not streamed.
+    pub async fn ask(&self, index: usize, headers: &[(&str, &str)], body: &Value) -> Result<Answer, Reply> {
+        let url = format!("{}/v1/completions", self.daemons[index].url());
+        let key = format!("Bearer {KEY}");
+        let mut all = vec![("authorization", key.as_str())];
+        all.extend_from_slice(headers);
+        Answer::open(&url, &all, body).await
+    }
+
+    /// Makes engine `index` misbehave.
+    pub async fn engine_fault(&self, index: usize, fault: &EngineFault) {
+        let url = format!("{}/control/fault", self.engines[index].url());
+        http::send("PUT", &url, &[], fault).await;
+    }
+
+    /// How many attempts engine `index` has taken.
+    pub async fn served(&self, index: usize) -> u64 {
+        http::read(&format!("{}/control/served", self.engines[index].url())).await
+    }
+
+    /// Waits until some engine runs a request, and returns which.
+    pub async fn serving(&self) -> usize {
+        http::until("an engine runs a request", || async {
+            for (index, engine) in self.engines.iter().enumerate() {
+                let load: LoadBody = http::read(&format!("{}/v1/load", engine.url())).await;
+                if load.running > 0 {
+                    return Some(index);
+                }
+            }
+            None
+        })
+        .await
+    }
+
+    /// The value of a metric without labels at daemon `index`.
+    pub async fn metric(&self, index: usize, name: &str) -> f64 {
+        let url = format!("{}/metrics", self.daemons[index].url());
+        let page = http::send("GET", &url, &[], "").await.body;
+        let line = page.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' '));
+        line.and_then(|v| v.parse().ok()).unwrap_or(0.0)
+    }
+
+    /// Waits until each daemon knows all others.
+    pub async fn wait_for_peers(&self) {
+        let others = (self.daemons.len() - 1) as f64;
+        for index in 0..self.daemons.len() {
+            http::until("the daemon knows its peers", || async {
+                let known = self.metric(index, "sequoiastream_peers").await;
+                (known >= others).then_some(())
+            })
+            .await;
+        }
+    }
+
+    /// Engines that have ended.
+    pub fn lost(&mut self) -> usize {
+        let running = |engine: &mut Process| engine.is_running();
+        let running = self.engines.iter_mut().map(running).filter(|r| *r).count();
+        self.engines.len() - running
+    }
+
+    /// Starts a further engine, with the arguments of the fleet's.
+    pub fn start_engine(&self) -> Process {
+        let args = ["engine".to_string(), "--decode-rate=400".to_string()];
+        Process::start(&self.binaries.standin, args)
+    }
 }
--- a/crates/testsupport/src/http.rs
+++ b/crates/testsupport/src/http.rs
@@ -3,6 +3,10 @@
 use std::time::Duration;
 
 use awc::Client;
+use awc::ClientResponse;
+use awc::error::PayloadError;
+use bytes::Bytes;
+use futures_util::Stream;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -16,6 +20,8 @@
     pub status: u16,
     /// The header `sequoiastream-outcome`.
     pub outcome: Option<String>,
+    /// The header `retry-after`, in seconds.
+    pub after: Option<u64>,
     /// Body.
     pub body: String,
 }
@@ -71,12 +77,29 @@
         .send_json(&serde_json::to_value(body)?)
         .await
         .map_err(|e| eyre::eyre!("{e}"))?;
-    let outcome = answer.headers().get("sequoiastream-outcome");
-    let outcome = outcome.and_then(|v| v.to_str().ok()).map(str::to_string);
+    reply(&mut answer).await
+}
+
+/// Reads the rest of an answer.
+///
+/// # Errors
+///
+/// If the body does not arrive.
+pub async fn reply<S>(answer: &mut ClientResponse<S>) -> eyre::Result<Reply>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>>,
+{
+    let header = |name: &str| {
+        let value = answer.headers().get(name)?;
+        value.to_str().ok().map(str::to_string)
+    };
+    let outcome = header("sequoiastream-outcome");
+    let after = header("retry-after");
     let body = answer.body().await.map_err(|e| eyre::eyre!("{e}"))?;
     Ok(Reply {
         status: answer.status().as_u16(),
         outcome,
+        after: after.and_then(|a| a.parse().ok()),
         body: String::from_utf8_lossy(&body).into_owned(),
     })
 }
--- a/crates/testsupport/src/process.rs
+++ b/crates/testsupport/src/process.rs
@@ -87,6 +87,16 @@
         let _ = self.child.wait();
     }
 
+    /// Whether it still runs.
+    ///
+    /// # Panics
+    ///
+    /// If its state can't be read.
+    pub fn is_running(&mut self) -> bool {
+        let status = self.child.try_wait().expect("a child's state can be read");
+        status.is_none()
+    }
+
     /// Waits until it has ended.
     ///
     /// # Panics
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -1,6 +1,5 @@
 //! Client of engines.
 
-use std::collections::VecDeque;
 use std::fmt;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -14,7 +13,6 @@
 use awc::error::SendRequestError;
 use awc::http::header::HeaderMap;
 use bytes::Bytes;
-use bytes::BytesMut;
 use futures_util::Stream;
 use futures_util::StreamExt;
 use serde::Serialize;
@@ -22,6 +20,7 @@
 use uuid::Uuid;
 
 use crate::error::UpstreamError;
+use crate::lines::LineReader;
 use crate::wire::CacheEvent;
 use crate::wire::CancelBody;
 use crate::wire::GenerateBody;
@@ -34,9 +33,6 @@
 use crate::wire::PieceBody;
 use crate::wire::StaleBody;
 
-/// Longest line of a streamed answer, in bytes.
-const MAX_LINE: usize = 64 * 1024;
-
 /// Time for connecting to an upstream.
 const CONNECT: Duration = Duration::from_secs(1);
 
@@ -61,6 +57,8 @@
     Runs(Option<Uuid>),
     /// Its host is there, and nobody listens.
     Refuses,
+    /// A connection was made or tried, and broke.
+    Breaks,
     /// No answer: it may be paused, or cut off.
     Silent,
 }
@@ -72,8 +70,7 @@
     /// The engine's incarnation, if it says.
     pub incarnation: Option<Uuid>,
     body: Body,
-    buffer: BytesMut,
-    ready: VecDeque<PieceBody>,
+    lines: LineReader,
 }
 
 impl Default for EngineClient {
@@ -108,8 +105,7 @@
             version: header(answer.headers(), MODEL_VERSION).unwrap_or_default(),
             incarnation: header(answer.headers(), INCARNATION),
             body: Box::pin(answer),
-            buffer: BytesMut::new(),
-            ready: VecDeque::new(),
+            lines: LineReader::default(),
         })
     }
 
@@ -144,7 +140,10 @@
             {
                 Probe::Refuses
             }
-            Err(_) => Probe::Silent,
+            Err(SendRequestError::Timeout | SendRequestError::Connect(ConnectError::Timeout)) => {
+                Probe::Silent
+            }
+            Err(_) => Probe::Breaks,
         }
     }
 
@@ -222,29 +221,16 @@
     /// piece.
     pub async fn next(&mut self) -> Result<Option<PieceBody>, UpstreamError> {
         loop {
-            if let Some(piece) = self.ready.pop_front() {
+            if let Some(piece) = self.lines.pop() {
                 return Ok(Some(piece));
             }
             match self.body.next().await {
                 None => return Ok(None),
                 Some(Err(error)) => return Err(UpstreamError::Broken(error.to_string())),
-                Some(Ok(bytes)) => self.take(&bytes)?,
+                Some(Ok(bytes)) => self.lines.push(&bytes)?,
             }
         }
     }
-
-    fn take(&mut self, bytes: &[u8]) -> Result<(), UpstreamError> {
-        self.buffer.extend_from_slice(bytes);
-        while let Some(end) = self.buffer.iter().position(|&b| b == b'\n') {
-            let line = self.buffer.split_to(end + 1);
-            let piece = serde_json::from_slice(&line).map_err(|e| UpstreamError::Malformed(e.to_string()))?;
-            self.ready.push_back(piece);
-        }
-        match self.buffer.len() > MAX_LINE {
-            true => Err(UpstreamError::Malformed("line too long".to_string())),
-            false => Ok(()),
-        }
-    }
 }
 
 fn header<T>(headers: &HeaderMap, name: &str) -> Option<T>
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod engine;
 mod error;
+mod lines;
 mod plain;
 pub mod wire;
 
@@ -13,6 +14,7 @@
 pub use engine::EngineStream;
 pub use engine::Probe;
 pub use error::UpstreamError;
+pub use lines::LineReader;
 pub use plain::PlainCall;
 pub use plain::PlainClient;
 pub use plain::PlainReply;
--- /dev/null
+++ b/crates/upstream/src/lines.rs
@@ -0,0 +1,43 @@
+//! Reading the lines of an engine's streamed answer, however the network cuts them.
+
+use std::collections::VecDeque;
+
+use bytes::BytesMut;
+
+use crate::error::UpstreamError;
+use crate::wire::PieceBody;
+
+/// Longest line, in bytes.
+pub const MAX_LINE: usize = 64 * 1024;
+
+/// Puts lines together from what arrives, and reads each as a piece.
+#[derive(Debug, Default)]
+pub struct LineReader {
+    buffer: BytesMut,
+    ready: VecDeque<PieceBody>,
+}
+
+impl LineReader {
+    /// Takes bytes that arrived.
+    ///
+    /// # Errors
+    ///
+    /// [`UpstreamError::Malformed`] if a line is no piece, or has more than [`MAX_LINE`] bytes.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), UpstreamError> {
+        self.buffer.extend_from_slice(bytes);
+        while let Some(end) = self.buffer.iter().position(|&b| b == b'\n') {
+            let line = self.buffer.split_to(end + 1);
+            let piece = serde_json::from_slice(&line).map_err(|e| UpstreamError::Malformed(e.to_string()))?;
+            self.ready.push_back(piece);
+        }
+        match self.buffer.len() > MAX_LINE {
+            true => Err(UpstreamError::Malformed("line too long".to_string())),
+            false => Ok(()),
+        }
+    }
+
+    /// The next piece, if a whole one has arrived.
+    pub fn pop(&mut self) -> Option<PieceBody> {
+        self.ready.pop_front()
+    }
+}
--- a/src/ops/control/peers.rs
+++ b/src/ops/control/peers.rs
@@ -10,6 +10,7 @@
 use actix::WrapFuture;
 use sequoiastream_core::log_event;
 use sequoiastream_platform::KvClient;
+use sequoiastream_platform::Listed;
 
 use crate::log_event;
 use crate::ops::shared::Shared;
@@ -30,12 +31,19 @@
         PeersActor { shared, kv }
     }
 
+    fn take(&mut self, listed: &[Listed]) {
+        self.shared.peers.set_listed(listed);
+        let known = self.shared.peers.others(&self.shared.settings.name).len();
+        let known = i64::try_from(known).unwrap_or(i64::MAX);
+        self.shared.metrics.peers.known.set(known);
+    }
+
     fn read(&mut self, context: &mut Context<Self>) {
         let kv = self.kv.clone();
         let read = async move { kv.instances().await };
         context.spawn(read.into_actor(self).map(|result, actor, context| {
             match result {
-                Ok(listed) => actor.shared.peers.set_listed(&listed),
+                Ok(listed) => actor.take(&listed),
                 Err(error) => log_event!(warn, log_event::KV_FAILED, %error, call = "list instances"),
             }
             context.run_later(INTERVAL, |actor, context| actor.read(context));
--- a/src/ops/control/responder.rs
+++ b/src/ops/control/responder.rs
@@ -1,5 +1,6 @@
 //! Answers the questions of other instances.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use sequoiastream_peer::call::Responder;
@@ -32,14 +33,13 @@
     let now = clock::now();
     let mut response = PoisonResponse {
         agreed: true,
-        convicted: Vec::new(),
+        ran: BTreeSet::new(),
     };
     let mut poison = shared.poison();
     match request {
         PoisonRequest::Note(note) => {
-            let verdict = poison.on_note(now, note);
-            shared.stops.stop(&verdict.stop);
-            response.convicted = verdict.convicted;
+            response.ran = poison.ran_there(&note.incident);
+            shared.stops.stop(&poison.on_note(now, note));
         }
         PoisonRequest::Ask(ask) => response.agreed = poison.on_ask(now, ask),
         PoisonRequest::Release(ask) => poison.release(ask),
--- a/src/ops/dispatch/generate.rs
+++ b/src/ops/dispatch/generate.rs
@@ -38,7 +38,6 @@
 
 use crate::log_event;
 use crate::ops::dispatch::Dispatch;
-use crate::ops::dispatch::suspects::Barred;
 use crate::ops::dispatch::suspects::Picked;
 use crate::ops::dispatch::suspects::Target;
 use crate::util::clock;
@@ -101,7 +100,7 @@
         open: None,
         text: String::new(),
         piece: None,
-        barred: None,
+        barred: false,
         isolate: false,
         finish: None,
         begun: now,
@@ -166,7 +165,7 @@
     /// The text so far, to be continued by another version of the model if need be.
     text: String,
     piece: Option<PieceBody>,
-    barred: Option<Barred>,
+    barred: bool,
     /// Whether the open attempt is stopped only to go on in isolation: its engine is not to blame.
     isolate: bool,
     finish: Option<Finish>,
@@ -183,8 +182,8 @@
                 Some(action) => self.perform(action).await,
                 None => Some(self.next_event().await),
             };
-            if let Some(barred) = self.barred.take() {
-                return self.bar(barred).await;
+            if self.barred {
+                return self.bar().await;
             }
             self.isolate |= event == Some(Event::Isolate);
             if let Some(event) = event {
@@ -229,8 +228,8 @@
             }
             Picked::Empty => Some(Event::Empty),
             Picked::Busy => Some(Event::Busy),
-            Picked::Barred(barred) => {
-                self.barred = Some(barred);
+            Picked::Barred => {
+                self.barred = true;
                 None
             }
         }
@@ -461,16 +460,9 @@
         }
     }
 
-    /// The request may not run, or not now.
-    async fn bar(self, barred: Barred) {
-        let refusal = match barred {
-            Barred::Convicted => {
-                Refusal::quarantined("the request crashed two engines and may not run again")
-            }
-            Barred::Withheld => {
-                Refusal::quarantined("two engines went silent under the request; it is withheld")
-            }
-        };
+    /// The request is convicted.
+    async fn bar(self) {
+        let refusal = Refusal::quarantined("the request crashed two engines and may not run again");
         self.finish_with(AnswerEvent::Failed(refusal)).await;
     }
 
--- a/src/ops/dispatch/suspects.rs
+++ b/src/ops/dispatch/suspects.rs
@@ -13,6 +13,7 @@
 use sequoiastream_core::poison::Ask;
 use sequoiastream_core::poison::Evidence;
 use sequoiastream_core::poison::Fingerprint;
+use sequoiastream_core::poison::Note;
 use sequoiastream_core::poison::Standing;
 use sequoiastream_core::snapshot::Snapshot;
 use sequoiastream_operator::wire::StatementBody;
@@ -39,6 +40,15 @@
 /// Bounds of the pause before a conviction is written again, in milliseconds.
 const WRITE_PAUSE: std::ops::Range<u64> = 200..1_000;
 
+/// Of the engines of a service, one in this many may be held for suspects at a time: the rest takes new work.
+const HELD_PART: usize = 2;
+
+/// How often an engine that breaks connections is asked again whether it runs.
+const PROBES: u32 = 20;
+
+/// Pause between these.
+const PROBE_PAUSE: Duration = Duration::from_millis(50);
+
 /// Who convicts, in the audit trail.
 const SYSTEM: &str = "system";
 
@@ -60,19 +70,10 @@
     Target(Target),
     /// No engine can take the request.
     Empty,
-    /// Engines are there, but other suspects run on them.
+    /// Engines are there, but the request has to wait: for a hold, or for what others of its crashes come to.
     Busy,
-    /// The request may not run.
-    Barred(Barred),
-}
-
-/// Why a request may not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Barred {
-    /// It crashed two engines.
-    Convicted,
-    /// Two engines went silent under it.
-    Withheld,
+    /// The request is convicted and may not run.
+    Barred,
 }
 
 impl Dispatch {
@@ -80,18 +81,29 @@
     pub async fn pick(&self, request: &Request, tried: &[Name]) -> Picked {
         let snapshot = self.shared.snapshot.load_full();
         if snapshot.quarantine.contains(&request.fingerprint.to_string()) {
-            return Picked::Barred(Barred::Convicted);
+            return Picked::Barred;
         }
         let standing = self.shared.poison().standing(clock::now(), request.fingerprint);
         match standing {
-            Standing::Clear => match self.route(&snapshot, request, tried) {
+            Standing::Clear => match self.route_clear(&snapshot, request, tried) {
                 Some(target) => Picked::Target(target),
                 None => Picked::Empty,
             },
             Standing::Suspect => self.hold_one(&snapshot, request, tried).await,
-            Standing::Withheld => Picked::Barred(Barred::Withheld),
-            Standing::Convicted => Picked::Barred(Barred::Convicted),
+            Standing::Pending => Picked::Busy,
+            Standing::Convicted => Picked::Barred,
+        }
+    }
+
+    /// Picks an engine without a hold, or any if all have one.
+    fn route_clear(&self, snapshot: &Snapshot, request: &Request, tried: &[Name]) -> Option<Target> {
+        let held = self.shared.poison().held(clock::now());
+        if held.is_empty() {
+            return self.route(snapshot, request, tried);
         }
+        let except: Vec<Name> = tried.iter().cloned().chain(held).collect();
+        let free = self.route(snapshot, request, &except);
+        free.or_else(|| self.route(snapshot, request, tried))
     }
 
     fn route(&self, snapshot: &Snapshot, request: &Request, except: &[Name]) -> Option<Target> {
@@ -106,10 +118,17 @@
 
     /// Takes a hold on some engine for a suspect.
     async fn hold_one(&self, snapshot: &Snapshot, request: &Request, tried: &[Name]) -> Picked {
-        let engines = candidates(snapshot, request, tried);
-        if engines.is_empty() {
+        let untried = engines_of(snapshot, request).filter(|e| !tried.contains(e));
+        if untried.count() == 0 {
             return Picked::Empty;
         }
+        let held = self.shared.poison().held(clock::now());
+        let all: Vec<Name> = engines_of(snapshot, request).collect();
+        let taken = all.iter().filter(|engine| held.contains(engine)).count();
+        if taken > 0 && (taken + 1) * HELD_PART > all.len() {
+            return Picked::Busy;
+        }
+        let engines = self.candidates(snapshot, request, tried);
         for engine in &engines {
             let left = request.deadline.since(clock::now());
             let ask = Ask {
@@ -135,6 +154,22 @@
         Picked::Busy
     }
 
+    /// Serving engines that were not tried, those first on which least runs; among equals the place to begin
+    /// depends on the request, so that suspects of one crash spread out.
+    fn candidates(&self, snapshot: &Snapshot, request: &Request, tried: &[Name]) -> Vec<Name> {
+        let mut engines: Vec<Name> = engines_of(snapshot, request)
+            .filter(|name| !tried.contains(name))
+            .collect();
+        if !engines.is_empty() {
+            let start = request.fingerprint.first() as usize % engines.len();
+            engines.rotate_left(start);
+        }
+        let poison = self.shared.poison();
+        engines.retain(|engine| !poison.held(clock::now()).contains(engine));
+        engines.sort_by_key(|engine| poison.running_on(engine));
+        engines
+    }
+
     async fn hold(&self, ask: &Ask) -> bool {
         if !self.shared.poison().ask(clock::now(), ask) {
             return false;
@@ -183,6 +218,7 @@
         if target.hold.is_some() {
             self.shared.poison().clear(request.fingerprint);
             self.tell(PoisonRequest::Clear(request.fingerprint)).await;
+            self.convict_guilty().await;
         }
     }
 
@@ -200,12 +236,25 @@
             request = %request.id,
             ?evidence
         );
-        let verdict = self.shared.poison().on_note(clock::now(), &note);
-        self.shared.stops.stop(&verdict.stop);
-        let mut convicted = verdict.convicted;
-        let answers = self.tell(PoisonRequest::Note(note)).await;
-        convicted.extend(answers.into_iter().flat_map(|a| a.convicted));
-        for fingerprint in convicted {
+        self.take(&note);
+        // Nothing is judged before the peers have said what they ran there: the crash may be one of theirs.
+        let answers = self.tell(PoisonRequest::Note(note.clone())).await;
+        let theirs = answers.into_iter().flat_map(|a| a.ran);
+        self.take(&Note {
+            ran: note.ran.iter().copied().chain(theirs).collect(),
+            ..note
+        });
+        self.convict_guilty().await;
+    }
+
+    fn take(&self, note: &Note) {
+        let stop = self.shared.poison().on_note(clock::now(), note);
+        self.shared.stops.stop(&stop);
+    }
+
+    async fn convict_guilty(&self) {
+        let guilty = self.shared.poison().judge(clock::now());
+        for fingerprint in guilty {
             self.convict(fingerprint).await;
         }
     }
@@ -218,9 +267,18 @@
             return None;
         }
         let before = self.shared.poison().incarnation(attempt);
-        match self.engines.probe(target.address).await {
+        let mut probe = self.engines.probe(target.address).await;
+        for _ in 0..PROBES {
+            if probe != Probe::Breaks {
+                break;
+            }
+            // A process that dies still takes connections for a moment, and breaks them.
+            tokio::time::sleep(PROBE_PAUSE).await;
+            probe = self.engines.probe(target.address).await;
+        }
+        match probe {
             Probe::Refuses => Some(Evidence::Crashed),
-            Probe::Silent => Some(Evidence::Silent),
+            Probe::Breaks | Probe::Silent => Some(Evidence::Silent),
             Probe::Runs(now) => match (before, now) {
                 (Some(before), Some(now)) if before != now => Some(Evidence::Crashed),
                 _ => None,
@@ -246,7 +304,7 @@
         let statement = StatementBody {
             id: Uuid::new_v4(),
             who: SYSTEM.to_string(),
-            text: format!("quarantine {fingerprint}"),
+            text: format!("quarantine fingerprint {fingerprint}"),
             dry: false,
             wait: false,
         };
@@ -278,19 +336,6 @@
     }
 }
 
-/// Serving engines of the request's service that are none of `tried`, beginning at a place that depends on the
-/// request, so that suspects of one crash spread out.
-fn candidates(snapshot: &Snapshot, request: &Request, tried: &[Name]) -> Vec<Name> {
-    let mut engines: Vec<Name> = engines_of(snapshot, request)
-        .filter(|name| !tried.contains(name))
-        .collect();
-    if !engines.is_empty() {
-        let start = request.fingerprint.first() as usize % engines.len();
-        engines.rotate_left(start);
-    }
-    engines
-}
-
 fn engines_of(snapshot: &Snapshot, request: &Request) -> impl Iterator<Item = Name> {
     let keys = snapshot
         .services
--- a/src/util/metrics.rs
+++ b/src/util/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
@@ -24,6 +25,8 @@
 pub struct Metrics {
     /// Of traffic.
     pub traffic: TrafficMetrics,
+    /// Of the other instances.
+    pub peers: PeerMetrics,
     registry: Mutex<Registry>,
 }
 
@@ -177,14 +180,34 @@
     }
 }
 
+/// Metrics of the other instances.
+#[derive(Debug, Clone, Default)]
+pub struct PeerMetrics {
+    /// Other instances on the platform's list.
+    pub known: Gauge,
+}
+
+impl PeerMetrics {
+    fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "peers",
+            "Other instances on the platform's list",
+            self.known.clone(),
+        );
+    }
+}
+
 impl Metrics {
     /// All metrics at zero.
     pub fn new() -> Metrics {
         let mut registry = Registry::with_prefix(PREFIX);
         let traffic = TrafficMetrics::default();
         traffic.register(&mut registry);
+        let peers = PeerMetrics::default();
+        peers.register(&mut registry);
         Metrics {
             traffic,
+            peers,
             registry: Mutex::new(registry),
         }
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,5 +9,7 @@
 mod log_events;
 mod path;
 mod peer;
+mod poison;
+mod streams;
 mod support;
 mod upstream;
