--- a/crates/caller/src/http.rs
+++ b/crates/caller/src/http.rs
@@ -13,6 +13,7 @@
 use sequoiastream_core::outcome::Outcome;
 use sequoiastream_core::outcome::Reason;
 
+use crate::addresses::addresses;
 use crate::gateway::ForwardCall;
 use crate::gateway::Gateway;
 use crate::generate;
@@ -36,6 +37,7 @@
         .route("/v1/completions", web::post().to(generate::completion::<G>))
         .route("/v1/models", web::get().to(models::<G>))
         .route("/services/{service}/{path:.*}", web::route().to(forward::<G>))
+        .route("/v1/addresses", web::get().to(addresses::<G>))
         .route("/healthz", web::get().to(health))
         .route("/readyz", web::get().to(ready::<G>))
         .route("/metrics", web::get().to(metrics::<G>))
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -2,6 +2,9 @@
 
 use std::collections::BTreeSet;
 
+use sequoiastream_core::config::Update;
+use sequoiastream_core::config::Version;
+use sequoiastream_core::membership::Beat;
 use sequoiastream_core::poison::Ask;
 use sequoiastream_core::poison::Fingerprint;
 use sequoiastream_core::poison::Note;
@@ -13,6 +16,8 @@
 pub enum Datagram {
     /// Only shows that the sender runs.
     Ping,
+    /// A heartbeat.
+    Beat(Beat),
 }
 
 /// A question over TCP.
@@ -20,6 +25,8 @@
 pub enum Request {
     /// Only asks for an answer.
     Ping,
+    /// Asks for the configuration after this version.
+    Config(Version),
     /// About requests that crash engines.
     Poison(PoisonRequest),
 }
@@ -29,8 +36,12 @@
 pub enum Response {
     /// Answer to [`Request::Ping`].
     Pong,
+    /// Answer to [`Request::Config`].
+    Config(Update),
     /// Answer to [`Request::Poison`].
     Poison(PoisonResponse),
+    /// The request is not served here.
+    Unserved,
 }
 
 /// What instances tell each other of requests that crash engines.
--- a/crates/testsupport/src/fleet.rs
+++ b/crates/testsupport/src/fleet.rs
@@ -142,6 +142,7 @@
         let fleet = self.start().await;
         let version = fleet.apply(0, &fleet.statements()).await;
         fleet.wait_for_version(version).await;
+        fleet.wait_until_ready().await;
         fleet
     }
 }
@@ -219,6 +220,7 @@
             id,
             who: "tester".to_string(),
             text: text.to_string(),
+            base: None,
             dry: false,
             wait: false,
         };
@@ -239,6 +241,18 @@
         }
     }
 
+    /// Waits until every daemon takes new work.
+    pub async fn wait_until_ready(&self) {
+        for daemon in &self.daemons {
+            let url = format!("{}/readyz", daemon.url());
+            http::until("the daemon is ready", || async {
+                let reply = http::send("GET", &url, &[], "").await;
+                (reply.status == 200).then_some(())
+            })
+            .await;
+        }
+    }
+
     /// Makes the platform misbehave.
     pub async fn platform_fault(&self, fault: &Fault) {
         let url = format!("{}/control/fault", self.platform.url());
--- a/src/ops/control/peers.rs
+++ b/src/ops/control/peers.rs
@@ -1,60 +1,64 @@
-//! Follows the platform's list of instances.
+//! Answers the questions of other instances.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Duration;
 
-use actix::Actor;
-use actix::ActorFutureExt;
-use actix::AsyncContext;
-use actix::Context;
-use actix::WrapFuture;
-use sequoiastream_core::log_event;
-use sequoiastream_platform::KvClient;
-use sequoiastream_platform::Listed;
+use actix::Addr;
+use sequoiastream_peer::call::Responder;
+use sequoiastream_peer::message::PoisonRequest;
+use sequoiastream_peer::message::PoisonResponse;
+use sequoiastream_peer::message::Request;
+use sequoiastream_peer::message::Response;
 
-use crate::log_event;
+use crate::ops::control::config::ConfigActor;
+use crate::ops::control::config::UpdateAfter;
 use crate::ops::shared::Shared;
+use crate::util::clock;
 
-/// How often the list is read.
-const INTERVAL: Duration = Duration::from_secs(1);
-
-/// Follower of the list.
-#[derive(Debug)]
-pub struct PeersActor {
-    shared: Arc<Shared>,
-    kv: KvClient,
+/// Passes each question to the actor that can answer it.
+#[derive(Debug, Clone)]
+pub struct PeerResponder {
+    /// Keeper of the configuration.
+    pub config: Addr<ConfigActor>,
+    /// What the control thread shares with the traffic threads.
+    pub shared: Arc<Shared>,
 }
 
-impl PeersActor {
-    /// A follower that has read nothing yet.
-    pub fn new(shared: Arc<Shared>, kv: KvClient) -> PeersActor {
-        PeersActor { shared, kv }
-    }
-
-    fn take(&mut self, listed: &[Listed]) {
-        self.shared.peers.set_listed(listed);
-        let known = self.shared.peers.others(&self.shared.settings.name).len();
-        let known = i64::try_from(known).unwrap_or(i64::MAX);
-        self.shared.metrics.peers.known.set(known);
-    }
-
-    fn read(&mut self, context: &mut Context<Self>) {
-        let kv = self.kv.clone();
-        let read = async move { kv.instances().await };
-        context.spawn(read.into_actor(self).map(|result, actor, context| {
-            match result {
-                Ok(listed) => actor.take(&listed),
-                Err(error) => log_event!(warn, log_event::KV_FAILED, %error, call = "list instances"),
+impl Responder for PeerResponder {
+    async fn respond(&self, request: Request) -> Response {
+        match request {
+            Request::Ping => Response::Pong,
+            Request::Poison(request) => Response::Poison(poison(&self.shared, &request)),
+            Request::Config(after) => {
+                let update = self.config.send(UpdateAfter(after)).await;
+                update.map_or(Response::Unserved, Response::Config)
             }
-            context.run_later(INTERVAL, |actor, context| actor.read(context));
-        }));
+        }
     }
 }
 
-impl Actor for PeersActor {
-    type Context = Context<Self>;
-
-    fn started(&mut self, context: &mut Context<Self>) {
-        self.read(context);
+/// Takes what a peer says of requests that crash engines.
+fn poison(shared: &Shared, request: &PoisonRequest) -> PoisonResponse {
+    let now = clock::now();
+    let mut response = PoisonResponse {
+        agreed: true,
+        ran: BTreeSet::new(),
+    };
+    let mut poison = shared.poison();
+    match request {
+        PoisonRequest::Note(note) => {
+            response.ran = poison.ran_there(&note.incident);
+            shared.stops.stop(&poison.on_note(now, note));
+        }
+        PoisonRequest::Ask(ask) => response.agreed = poison.on_ask(now, ask),
+        PoisonRequest::Release(ask) => poison.release(ask),
+        PoisonRequest::Clear(fingerprint) => poison.clear(*fingerprint),
+        PoisonRequest::Convict(fingerprint) => {
+            let quarantine = &shared.snapshot.load().quarantine;
+            shared.stops.stop(&poison.convict(now, *fingerprint));
+            // If the configuration has it already, it alone decides, so that a pardon holds.
+            poison.on_quarantine(quarantine);
+        }
     }
+    response
 }
--- a/src/ops/dispatch/suspects.rs
+++ b/src/ops/dispatch/suspects.rs
@@ -307,9 +307,10 @@
             text: format!("quarantine fingerprint {fingerprint}"),
             dry: false,
             wait: false,
+            base: None,
         };
         loop {
-            match self.control.config.send(Execute(statement.clone())).await {
+            match self.control.config.send(Execute(statement.clone(), None)).await {
                 Ok(Ok(_)) => return,
                 Ok(Err(error)) => log_event!(warn, log_event::CONVICTION_UNWRITTEN, %fingerprint, %error),
                 Err(error) => log_event!(warn, log_event::CONVICTION_UNWRITTEN, %fingerprint, %error),
@@ -321,11 +322,12 @@
 
     /// Tells all peers at once; returns the answers of those that gave one in time.
     async fn tell(&self, request: PoisonRequest) -> Vec<PoisonResponse> {
-        let peers = self.shared.peers.others(&self.shared.settings.name);
+        let roster = self.shared.roster();
         let request = PeerRequest::Poison(request);
-        let calls = peers
+        let calls = roster
+            .peers
             .iter()
-            .map(|peer| self.calls.call(*peer, &request, PEER_LIMIT));
+            .map(|peer| self.calls.call(peer.peer, &request, PEER_LIMIT));
         let answers = join_all(calls).await.into_iter();
         answers
             .filter_map(|answer| match answer {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,9 @@
 //! They are checked as a whole: [`Settings::read`] names every fault at once, so that an operator mends a
 //! start-up in one go.
 
+mod limits;
+mod patience;
+
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,9 +15,13 @@
 use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
+use sequoiastream_core::membership::Limits;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::shutdown::Times;
 use thiserror::Error;
 
+pub use patience::Patience;
+
 /// Shortest operator token and cluster key, in bytes.
 const MIN_SECRET: usize = 16;
 
@@ -27,15 +34,6 @@
     Json,
 }
 
-/// How long an engine may be silent before its attempt is given up and resumed elsewhere.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Patience {
-    /// Until the first token of an attempt.
-    pub first: Duration,
-    /// Between two tokens.
-    pub between: Duration,
-}
-
 /// Settings of one daemon.
 #[derive(Clone)]
 pub struct Settings {
@@ -59,6 +57,12 @@
     pub deadline: Duration,
     /// How long a watch waits.
     pub wait: Duration,
+    /// Limits of membership.
+    pub limits: Limits,
+    /// Time between two looks at the platform's lists.
+    pub lists: Duration,
+    /// Times of a shutdown.
+    pub times: Times,
     /// How long engines may be silent.
     pub patience: Patience,
     /// How log lines are written.
@@ -158,18 +162,6 @@
             "How long a watch waits",
             "30000",
         ))
-        .arg(number(
-            "first-token-ms",
-            "SEQUOIASTREAM_FIRST_TOKEN_MS",
-            "How long an engine may take to an attempt's first token",
-            "15000",
-        ))
-        .arg(number(
-            "between-tokens-ms",
-            "SEQUOIASTREAM_BETWEEN_TOKENS_MS",
-            "How long an engine may be silent between two tokens",
-            "5000",
-        ))
         .arg(
             text(
                 "log-format",
@@ -179,6 +171,8 @@
             .value_parser(["text", "json"])
             .default_value("text"),
         )
+        .args(limits::args())
+        .args(patience::args())
         .arg(
             Arg::new("check")
                 .long("check")
@@ -218,8 +212,10 @@
         let workers = reader.positive("workers");
         let deadline = reader.positive("kv-deadline-ms");
         let wait = reader.positive("watch-ms");
-        let first = reader.positive("first-token-ms");
-        let between = reader.positive("between-tokens-ms");
+        let limits = limits::limits(&mut reader);
+        let lists = limits::lists(&mut reader);
+        let times = limits::times(&mut reader);
+        let patience = patience::patience(&mut reader);
         let format = match reader.text("log-format").as_str() {
             "json" => LogFormat::Json,
             _ => LogFormat::Text,
@@ -241,10 +237,10 @@
             workers: usize::try_from(workers).unwrap_or(1),
             deadline: Duration::from_millis(deadline),
             wait: Duration::from_millis(wait),
-            patience: Patience {
-                first: Duration::from_millis(first),
-                between: Duration::from_millis(between),
-            },
+            limits,
+            lists,
+            times,
+            patience,
             format,
             check: matches.get_flag("check"),
         })
--- a/src/util/metrics.rs
+++ b/src/util/metrics.rs
@@ -25,8 +25,8 @@
 pub struct Metrics {
     /// Of traffic.
     pub traffic: TrafficMetrics,
-    /// Of the other instances.
-    pub peers: PeerMetrics,
+    /// Of membership.
+    pub membership: MembershipMetrics,
     registry: Mutex<Registry>,
 }
 
@@ -180,20 +180,33 @@
     }
 }
 
-/// Metrics of the other instances.
+/// Metrics of membership.
 #[derive(Debug, Clone, Default)]
-pub struct PeerMetrics {
-    /// Other instances on the platform's list.
-    pub known: Gauge,
+pub struct MembershipMetrics {
+    /// Heartbeats sent.
+    pub sent: Counter,
+    /// Bytes of heartbeats sent, without headers of UDP and IP.
+    pub bytes: Counter,
+    /// Heartbeats received.
+    pub received: Counter,
+    /// Other instances known.
+    pub peers: Gauge,
 }
 
-impl PeerMetrics {
+impl MembershipMetrics {
     fn register(&self, registry: &mut Registry) {
+        registry.register("heartbeats_sent", "Heartbeats sent", self.sent.clone());
         registry.register(
-            "peers",
-            "Other instances on the platform's list",
-            self.known.clone(),
+            "heartbeat_bytes",
+            "Bytes of heartbeats sent, without headers of UDP and IP",
+            self.bytes.clone(),
         );
+        registry.register(
+            "heartbeats_received",
+            "Heartbeats received",
+            self.received.clone(),
+        );
+        registry.register("peers", "Other instances known", self.peers.clone());
     }
 }
 
@@ -203,11 +216,11 @@
         let mut registry = Registry::with_prefix(PREFIX);
         let traffic = TrafficMetrics::default();
         traffic.register(&mut registry);
-        let peers = PeerMetrics::default();
-        peers.register(&mut registry);
+        let membership = MembershipMetrics::default();
+        membership.register(&mut registry);
         Metrics {
             traffic,
-            peers,
+            membership,
             registry: Mutex::new(registry),
         }
     }
