--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -57,6 +57,12 @@
     400 ATTEMPT_FAILED = "attempt-failed";
     /// A request was refused.
     401 REFUSED = "refused";
+    /// An engine crashed while requests ran there; they are suspects now.
+    402 ENGINE_CRASHED = "engine-crashed";
+    /// A request crashed a second engine and is convicted.
+    403 CONVICTED = "convicted";
+    /// A conviction could not be written to the quarantine yet.
+    404 CONVICTION_UNWRITTEN = "conviction-unwritten";
     /// This instance stands differently towards the configuration in force.
     700 STANDING = "standing";
     /// A call to another instance failed.
--- a/src/ops/control/mod.rs
+++ b/src/ops/control/mod.rs
@@ -145,6 +145,7 @@
     let membership = membership.start();
     let responder = PeerResponder {
         config: config.clone(),
+        shared: shared.clone(),
     };
     actix::spawn(serve(listener, key, responder));
     Ok(Control {
--- a/src/ops/dispatch/addresses.rs
+++ b/src/ops/dispatch/addresses.rs
@@ -3,12 +3,12 @@
 use sequoiastream_caller::AddressCall;
 use sequoiastream_caller::AddressList;
 use sequoiastream_caller::Refusal;
+use sequoiastream_caller::Unsent;
 use sequoiastream_core::membership::Caller;
 use sequoiastream_core::membership::MemberState;
 use sequoiastream_core::membership::Peer;
 use sequoiastream_core::membership::rank;
 use sequoiastream_core::outcome::Reason;
-use sequoiastream_core::outcome::Unsent;
 
 use crate::ops::dispatch::Dispatch;
 
@@ -16,12 +16,12 @@
 const MAX_ADDRESSES: usize = 8;
 
 /// The addresses for `call`.
-pub fn list(dispatch: &Dispatch, call: &AddressCall) -> Result<AddressList, Refusal> {
+pub fn list(dispatch: &Dispatch, call: AddressCall) -> Result<AddressList, Refusal> {
     let snapshot = dispatch.shared.snapshot.load();
     if let Some(service) = call.service.as_deref()
         && snapshot.service_of(service).is_none()
     {
-        let proof = Unsent::begin().refuse(Reason::UnknownService);
+        let proof = call.unsent.refuse(Reason::UnknownService);
         let message = format!("there is no model or service `{service}`");
         return Err(Refusal::not_run(proof, message));
     }
@@ -65,9 +65,9 @@
 /// Failure guarded against: an instance that doesn't know the configuration in force sends work to an engine
 /// that operators have drained; one that is about to exit cuts what it begins. Nothing was sent, so `not-run`
 /// is true, and the refusal names instances that take the request.
-pub fn check_open(dispatch: &Dispatch) -> Result<(), Refusal> {
+pub fn check_open(dispatch: &Dispatch, unsent: Unsent) -> Result<Unsent, Refusal> {
     let Some(reason) = dispatch.shared.closed() else {
-        return Ok(());
+        return Ok(unsent);
     };
     let what = match reason {
         Reason::Stopping => "this instance is stopping",
@@ -83,5 +83,5 @@
         true => what.to_string(),
         false => format!("{what}; use {}", others.join(", ")),
     };
-    Err(Refusal::not_run(Unsent::begin().refuse(reason), message))
+    Err(Refusal::not_run(unsent.refuse(reason), message))
 }
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -10,10 +10,12 @@
 use arc_swap::ArcSwap;
 use sequoiastream_core::membership::Roster;
 use sequoiastream_core::outcome::Reason;
+use sequoiastream_core::poison::Poison;
 use sequoiastream_core::route::Router;
 use sequoiastream_core::snapshot::Snapshot;
 use tokio::sync::watch;
 
+use crate::ops::stops::Stops;
 use crate::settings::Settings;
 use crate::util::metrics::Metrics;
 
@@ -26,7 +28,10 @@
     pub snapshot: ArcSwap<Snapshot>,
     /// Counts of what happened.
     pub metrics: Metrics,
+    /// Attempts that can be stopped.
+    pub stops: Stops,
     router: Mutex<Router>,
+    poison: Mutex<Poison>,
     roster: watch::Sender<Arc<Roster>>,
     leaving: AtomicBool,
     refusing: AtomicBool,
@@ -46,11 +51,14 @@
 impl Shared {
     /// Shared state before the first configuration is known.
     pub fn new(settings: Settings) -> Shared {
+        let poison = Poison::new(settings.name.clone());
         Shared {
             settings,
             snapshot: ArcSwap::default(),
             metrics: Metrics::new(),
+            stops: Stops::default(),
             router: Mutex::new(Router::new()),
+            poison: Mutex::new(poison),
             roster: watch::Sender::default(),
             leaving: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
@@ -65,6 +73,13 @@
             .expect("no thread panics while it holds the router")
     }
 
+    /// The records of requests that crash engines. Held for one decision, never across an await.
+    pub fn poison(&self) -> MutexGuard<'_, Poison> {
+        self.poison
+            .lock()
+            .expect("no thread panics while it holds the records")
+    }
+
     /// The other instances, as last published.
     pub fn roster(&self) -> Arc<Roster> {
         self.roster.borrow().clone()
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,6 +4,7 @@
 //! start-up in one go.
 
 mod limits;
+mod patience;
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -19,6 +20,8 @@
 use sequoiastream_core::shutdown::Times;
 use thiserror::Error;
 
+pub use patience::Patience;
+
 /// Shortest operator token and cluster key, in bytes.
 const MIN_SECRET: usize = 16;
 
@@ -60,6 +63,8 @@
     pub lists: Duration,
     /// Times of a shutdown.
     pub times: Times,
+    /// How long engines may be silent.
+    pub patience: Patience,
     /// How log lines are written.
     pub format: LogFormat,
     /// Only check the settings.
@@ -167,6 +172,7 @@
             .default_value("text"),
         )
         .args(limits::args())
+        .args(patience::args())
         .arg(
             Arg::new("check")
                 .long("check")
@@ -209,6 +215,7 @@
         let limits = limits::limits(&mut reader);
         let lists = limits::lists(&mut reader);
         let times = limits::times(&mut reader);
+        let patience = patience::patience(&mut reader);
         let format = match reader.text("log-format").as_str() {
             "json" => LogFormat::Json,
             _ => LogFormat::Text,
@@ -233,6 +240,7 @@
             limits,
             lists,
             times,
+            patience,
             format,
             check: matches.get_flag("check"),
         })
