--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -6,8 +6,11 @@
 
 mod addresses;
 mod gateway;
+mod generate;
 mod http;
+mod proof;
 mod refusal;
+mod request;
 mod sse;
 mod status;
 mod wire;
@@ -22,7 +25,13 @@
 pub use gateway::ForwardReply;
 pub use gateway::Gateway;
 pub use gateway::GenerateCall;
+pub use gateway::Token;
 pub use http::OUTCOME;
 pub use http::configure;
+pub use proof::NotRun;
+pub use proof::Ran;
+pub use proof::Sent;
+pub use proof::Unsent;
 pub use refusal::Refusal;
 pub use status::RequestState;
+pub use status::StatusCall;
--- a/crates/caller/src/status.rs
+++ b/crates/caller/src/status.rs
@@ -7,6 +7,7 @@
 use actix_web::web::Data;
 use actix_web::web::Path;
 use actix_web::web::Query;
+use sequoiastream_core::name::Name;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -14,10 +15,24 @@
 use crate::gateway::Gateway;
 use crate::http::product;
 use crate::http::refuse;
+use crate::proof::Unsent;
 
 /// When to ask again if nobody could say.
 const ASK_AGAIN: Duration = Duration::from_secs(2);
 
+/// A caller that asks what became of a request.
+#[derive(Debug)]
+pub struct StatusCall {
+    /// The proof that nothing of this question has run.
+    pub unsent: Unsent,
+    /// The product that asks.
+    pub product: Name,
+    /// The idempotency key of the request.
+    pub key: String,
+    /// The service; any plain service if absent.
+    pub service: Option<String>,
+}
+
 /// What is known of a request.
 #[derive(Debug, Clone)]
 pub enum RequestState {
@@ -66,7 +81,13 @@
         Err(refusal) => return refuse(&refusal),
     };
     let key = key.into_inner();
-    match gateway.status(product, &key, query.service.as_deref()).await {
+    let call = StatusCall {
+        unsent: Unsent::begin(),
+        product,
+        key: key.clone(),
+        service: query.into_inner().service,
+    };
+    match gateway.status(call).await {
         Err(refusal) => refuse(&refusal),
         Ok(state) => render(key, state),
     }
--- a/crates/core/src/claims/entry.rs
+++ b/crates/core/src/claims/entry.rs
@@ -10,10 +10,7 @@
 use crate::claims::Seen;
 use crate::claims::Verdict;
 use crate::name::Name;
-use crate::outcome::NotRun;
 use crate::outcome::Reason;
-use crate::outcome::Sent;
-use crate::outcome::Unsent;
 use crate::time::Time;
 
 /// Longest wait for a claim. A key-value service that is slow, or whose answer got lost, is waited for; one
@@ -29,42 +26,19 @@
 /// Owners that may say that they can't reach the key-value service before they are believed.
 const MAX_OUT: u32 = 2;
 
-/// The right to send a request once.
+/// The right to send a request once, with the proof `P` that it was not sent yet.
 ///
-/// Neither `Clone` nor `Copy`, and made only by [`EntryClaim`] out of a granted claim: sending consumes it, so a
-/// second send, or a `not-run` after a send, doesn't compile.
-///
-/// ```compile_fail
-/// # use sequoiastream_core::claims::Grant;
-/// # use sequoiastream_core::outcome::Reason;
-/// fn resend(grant: Grant) {
-///     let _first = grant.send();
-///     let _second = grant.send();
-/// }
-/// ```
-///
-/// ```compile_fail
-/// # use sequoiastream_core::claims::Grant;
-/// # use sequoiastream_core::outcome::Reason;
-/// fn deny(grant: Grant) {
-///     let _sent = grant.send();
-///     let _denied = grant.refuse(Reason::NoEngine);
-/// }
-/// ```
+/// Made only by [`EntryClaim`], out of a granted claim. `P` is no `Clone` in the daemon, so that one grant can't
+/// lead to two sends, nor to a `not-run` after a send.
 #[derive(Debug)]
-pub struct Grant {
-    unsent: Unsent,
+pub struct Grant<P> {
+    proof: P,
 }
 
-impl Grant {
-    /// Marks the request as sent.
-    pub fn send(self) -> Sent {
-        self.unsent.send()
-    }
-
-    /// Gives the request up unsent. Its claim should then be released.
-    pub fn refuse(self, reason: Reason) -> NotRun {
-        self.unsent.refuse(reason)
+impl<P> Grant<P> {
+    /// The proof, to be used up by sending or refusing.
+    pub fn into_proof(self) -> P {
+        self.proof
     }
 }
 
@@ -94,20 +68,21 @@
 
 /// What to do next.
 #[derive(Debug)]
-pub enum EntryStep {
+pub enum EntryStep<P> {
     /// Ask this owner, and give what comes of it to the machine.
-    Ask(Box<EntryClaim>, Name, Ask),
+    Ask(Box<EntryClaim<P>>, Name, Ask),
     /// The request may be sent, once.
-    Granted(Grant),
+    Granted(Grant<P>),
     /// Another request holds the claim.
     Seen(Seen),
-    /// The request is not sent.
-    Refused(NotRun, Refused),
+    /// The request is not sent. Come back after this time, if it makes sense.
+    Refused(P, Refused, Option<Duration>),
 }
 
-/// One request's way to a grant. Each event consumes it, so that nothing is left to grant or refuse once more.
+/// One request's way to a grant. It carries the proof `P` that the request was not sent; each event consumes it,
+/// so that nothing is left to grant or refuse once more.
 #[derive(Debug)]
-pub struct EntryClaim {
+pub struct EntryClaim<P> {
     claim: ClaimRef,
     mark: Mark,
     print: Fingerprint,
@@ -115,19 +90,20 @@
     until: Time,
     deadline: Time,
     outs: u32,
-    unsent: Unsent,
+    proof: P,
 }
 
-impl EntryClaim {
+impl<P> EntryClaim<P> {
     /// Prepares to claim for a request that must end by `deadline`. `owners` are asked in turn.
     pub fn new(
+        proof: P,
         claim: ClaimRef,
         mark: Mark,
         print: Fingerprint,
         owners: Vec<Name>,
         now: Time,
         deadline: Time,
-    ) -> EntryClaim {
+    ) -> EntryClaim<P> {
         EntryClaim {
             claim,
             mark,
@@ -136,24 +112,24 @@
             until: (now + MAX_WAIT).min(deadline - MIN_RUN),
             deadline,
             outs: 0,
-            unsent: Unsent::begin(),
+            proof,
         }
     }
 
     /// The first step.
-    pub fn begin(self, now: Clocks) -> EntryStep {
+    pub fn begin(self, now: Clocks) -> EntryStep<P> {
         self.next(now, COME_BACK)
     }
 
     /// Takes an event.
-    pub fn on(self, now: Clocks, event: EntryEvent) -> EntryStep {
+    pub fn on(self, now: Clocks, event: EntryEvent) -> EntryStep<P> {
         match event {
             EntryEvent::Silent => self.next(now, COME_BACK),
             EntryEvent::Answered(verdict) => self.on_verdict(now, verdict),
         }
     }
 
-    fn on_verdict(mut self, now: Clocks, verdict: Verdict) -> EntryStep {
+    fn on_verdict(mut self, now: Clocks, verdict: Verdict) -> EntryStep<P> {
         match verdict {
             Verdict::Granted => self.on_granted(now),
             Verdict::Seen(seen) => EntryStep::Seen(seen),
@@ -174,14 +150,14 @@
     /// Failure guarded against: a process that was paused after it asked sends long after its deadline, when
     /// its claim may no longer be kept. The claim was asked for within the deadline, so one that is used
     /// within it stands for at least as long as its key is accepted.
-    fn on_granted(self, now: Clocks) -> EntryStep {
+    fn on_granted(self, now: Clocks) -> EntryStep<P> {
         if now.time + MIN_RUN > self.deadline {
             return self.refuse(Refused::Late, None);
         }
-        EntryStep::Granted(Grant { unsent: self.unsent })
+        EntryStep::Granted(Grant { proof: self.proof })
     }
 
-    fn next(mut self, now: Clocks, after: Duration) -> EntryStep {
+    fn next(mut self, now: Clocks, after: Duration) -> EntryStep<P> {
         if now.time >= self.until {
             return self.refuse(Refused::Out, Some(after));
         }
@@ -205,18 +181,14 @@
         }
     }
 
-    fn refuse(self, refused: Refused, after: Option<Duration>) -> EntryStep {
-        let proof = self.unsent.refuse(refused.reason());
-        let proof = match after {
-            Some(after) => proof.come_back(after),
-            None => proof,
-        };
-        EntryStep::Refused(proof, refused)
+    fn refuse(self, refused: Refused, after: Option<Duration>) -> EntryStep<P> {
+        EntryStep::Refused(self.proof, refused, after)
     }
 }
 
 impl Refused {
-    fn reason(self) -> Reason {
+    /// The reason that the caller is told.
+    pub fn reason(self) -> Reason {
         match self {
             Refused::Out | Refused::Full => Reason::PlatformOut,
             Refused::Late => Reason::TooLate,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! Invariants are checked here in release builds too, see [`invariant`].
 
+pub mod answer;
 pub mod arena;
 pub mod claims;
 pub mod config;
@@ -16,6 +17,7 @@
 pub mod membership;
 pub mod name;
 pub mod outcome;
+pub mod poison;
 pub mod prefix;
 pub mod route;
 pub mod shutdown;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,6 +1,8 @@
 //! The messages themselves.
 
-use sequoiastream_core::claims::Ask;
+use std::collections::BTreeSet;
+
+use sequoiastream_core::claims::Ask as ClaimAsk;
 use sequoiastream_core::claims::BucketId;
 use sequoiastream_core::claims::ClaimRef;
 use sequoiastream_core::claims::Edit;
@@ -8,6 +10,9 @@
 use sequoiastream_core::config::Update;
 use sequoiastream_core::config::Version;
 use sequoiastream_core::membership::Beat;
+use sequoiastream_core::poison::Ask;
+use sequoiastream_core::poison::Fingerprint;
+use sequoiastream_core::poison::Note;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -26,13 +31,15 @@
     /// Only asks for an answer.
     Ping,
     /// Asks the owner of a shard for a claim.
-    Claim(Ask),
+    Claim(ClaimAsk),
     /// Asks the owner of a shard what is known of a claim.
     Look(ClaimRef),
     /// Tells the owner of a shard what became of a claim.
     Edit(BucketId, Edit),
     /// Asks for the configuration after this version.
     Config(Version),
+    /// About requests that crash engines.
+    Poison(PoisonRequest),
 }
 
 /// The answer to a question over TCP.
@@ -46,6 +53,32 @@
     Taken,
     /// Answer to [`Request::Config`].
     Config(Update),
+    /// Answer to [`Request::Poison`].
+    Poison(PoisonResponse),
     /// The request is not served here.
     Unserved,
 }
+
+/// What instances tell each other of requests that crash engines.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PoisonRequest {
+    /// An engine crashed.
+    Note(Note),
+    /// May this suspect run alone there?
+    Ask(Ask),
+    /// It runs there no more, or was not granted by all.
+    Release(Ask),
+    /// It ran to its end: it is innocent.
+    Clear(Fingerprint),
+    /// It is convicted.
+    Convict(Fingerprint),
+}
+
+/// The answer to a [`PoisonRequest`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoisonResponse {
+    /// Whether the peer agrees to what was asked.
+    pub agreed: bool,
+    /// Requests of the peer that ran on the engine that a note says has crashed.
+    pub ran: BTreeSet<Fingerprint>,
+}
--- a/src/ops/control/mod.rs
+++ b/src/ops/control/mod.rs
@@ -151,6 +151,7 @@
     let responder = PeerResponder {
         config: config.clone(),
         claims: claims.clone(),
+        shared: shared.clone(),
     };
     actix::spawn(serve(listener, key, responder));
     Ok(Control {
--- a/src/ops/control/peers.rs
+++ b/src/ops/control/peers.rs
@@ -1,9 +1,14 @@
 //! Answers the questions of other instances.
 
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
 use actix::Addr;
 use actix::MailboxError;
 use sequoiastream_core::claims::Verdict;
 use sequoiastream_peer::call::Responder;
+use sequoiastream_peer::message::PoisonRequest;
+use sequoiastream_peer::message::PoisonResponse;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
 
@@ -13,6 +18,8 @@
 use crate::ops::control::claims::Report;
 use crate::ops::control::config::ConfigActor;
 use crate::ops::control::config::UpdateAfter;
+use crate::ops::shared::Shared;
+use crate::util::clock;
 
 /// Passes each question to the actor that can answer it.
 #[derive(Debug, Clone)]
@@ -21,6 +28,8 @@
     pub config: Addr<ConfigActor>,
     /// Owner of claims.
     pub claims: Addr<ClaimsActor>,
+    /// What the control thread shares with the traffic threads.
+    pub shared: Arc<Shared>,
 }
 
 impl Responder for PeerResponder {
@@ -33,6 +42,7 @@
                 self.claims.do_send(Report(bucket, edit));
                 Response::Taken
             }
+            Request::Poison(request) => Response::Poison(poison(&self.shared, &request)),
             Request::Config(after) => {
                 let update = self.config.send(UpdateAfter(after)).await;
                 update.map_or(Response::Unserved, Response::Config)
@@ -45,3 +55,29 @@
 fn verdict(verdict: Result<Verdict, MailboxError>) -> Response {
     Response::Verdict(verdict.unwrap_or(Verdict::Stopping))
 }
+
+/// Takes what a peer says of requests that crash engines.
+fn poison(shared: &Shared, request: &PoisonRequest) -> PoisonResponse {
+    let now = clock::now();
+    let mut response = PoisonResponse {
+        agreed: true,
+        ran: BTreeSet::new(),
+    };
+    let mut poison = shared.poison();
+    match request {
+        PoisonRequest::Note(note) => {
+            response.ran = poison.ran_there(&note.incident);
+            shared.stops.stop(&poison.on_note(now, note));
+        }
+        PoisonRequest::Ask(ask) => response.agreed = poison.on_ask(now, ask),
+        PoisonRequest::Release(ask) => poison.release(ask),
+        PoisonRequest::Clear(fingerprint) => poison.clear(*fingerprint),
+        PoisonRequest::Convict(fingerprint) => {
+            let quarantine = &shared.snapshot.load().quarantine;
+            shared.stops.stop(&poison.convict(now, *fingerprint));
+            // If the configuration has it already, it alone decides, so that a pardon holds.
+            poison.on_quarantine(quarantine);
+        }
+    }
+    response
+}
--- a/src/ops/dispatch/forward.rs
+++ b/src/ops/dispatch/forward.rs
@@ -7,13 +7,15 @@
 use sequoiastream_caller::ForwardCall;
 use sequoiastream_caller::ForwardReply;
 use sequoiastream_caller::Refusal;
+use sequoiastream_caller::Sent;
+use sequoiastream_caller::Unsent;
 use sequoiastream_core::claims::MAX_DEADLINE;
+use sequoiastream_core::claims::repeat_of;
 use sequoiastream_core::config::Repeat;
 use sequoiastream_core::config::ServiceKind;
 use sequoiastream_core::log_event;
 use sequoiastream_core::name::Name;
 use sequoiastream_core::outcome::Reason;
-use sequoiastream_core::outcome::Unsent;
 use sequoiastream_core::time::Time;
 use sequoiastream_upstream::PlainCall;
 use sequoiastream_upstream::PlainReply;
@@ -46,9 +48,13 @@
 
 /// Passes `call` through: once if it may not be repeated, else with further attempts.
 pub(super) async fn run(dispatch: &Dispatch, call: ForwardCall) -> Result<ForwardReply, Refusal> {
-    let (service, repeat) = route(dispatch, &call)?;
+    let Some(Served { service, repeat }) = serve(dispatch, &call) else {
+        let proof = call.unsent.refuse(Reason::UnknownService);
+        let message = format!("there is no plain service `{}`", call.service);
+        return Err(Refusal::not_run(proof, message));
+    };
     let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
-        let proof = Unsent::begin().refuse(Reason::BadRequest);
+        let proof = call.unsent.refuse(Reason::BadRequest);
         return Err(Refusal::not_run(proof, "the method is not known"));
     };
     let mut headers = Vec::new();
@@ -65,29 +71,29 @@
     let deadline = clock::now() + deadline(dispatch, &call);
     match repeat {
         Repeat::Never => once::run(dispatch, &service, call, plain, deadline).await,
-        Repeat::Dedupes => {
-            once::check_key(dispatch, &call)?;
-            repeatable(dispatch, &service, &plain, deadline).await
-        }
-        Repeat::Safe => repeatable(dispatch, &service, &plain, deadline).await,
+        Repeat::Dedupes => match once::check_key(dispatch, call.key.as_deref()) {
+            Ok(_) => repeatable(dispatch, &service, &plain, call.unsent, deadline).await,
+            Err(fault) => Err(fault.refuse(call.unsent)),
+        },
+        Repeat::Safe => repeatable(dispatch, &service, &plain, call.unsent, deadline).await,
     }
 }
 
-/// The service of the call, and whether the call may be repeated.
-fn route(dispatch: &Dispatch, call: &ForwardCall) -> Result<(Name, Repeat), Refusal> {
+/// The service that a call goes to.
+struct Served {
+    service: Name,
+    repeat: Repeat,
+}
+
+fn serve(dispatch: &Dispatch, call: &ForwardCall) -> Option<Served> {
     let snapshot = dispatch.shared.snapshot.load();
-    let service = snapshot.service_of(&call.service);
-    let view = service.and_then(|key| snapshot.services.get(key));
-    match view.map(|view| (&view.name, &view.kind)) {
-        Some((name, ServiceKind::Plain { routes })) => Ok((
-            name.clone(),
-            sequoiastream_core::claims::repeat_of(routes, &call.method, &call.path),
-        )),
-        Some((_, ServiceKind::Model { .. })) | None => {
-            let proof = Unsent::begin().refuse(Reason::UnknownService);
-            let message = format!("there is no plain service `{}`", call.service);
-            Err(Refusal::not_run(proof, message))
-        }
+    let view = snapshot.services.get(snapshot.service_of(&call.service)?)?;
+    match &view.kind {
+        ServiceKind::Plain { routes } => Some(Served {
+            service: view.name.clone(),
+            repeat: repeat_of(routes, &call.method, &call.path),
+        }),
+        ServiceKind::Model { .. } => None,
     }
 }
 
@@ -106,47 +112,51 @@
     dispatch: &Dispatch,
     service: &Name,
     plain: &PlainCall,
+    unsent: Unsent,
     deadline: Time,
 ) -> Result<ForwardReply, Refusal> {
+    let mut proof = Some(unsent);
     let mut tried: Vec<Name> = Vec::new();
-    let mut started = None;
+    let mut last = None;
     for attempt in 1..=MAX_ATTEMPTS {
         let left = deadline.since(clock::now());
-        let target = dispatch.pick(service, &tried);
-        let target = target.or_else(|| dispatch.pick(service, &[]).filter(|_| attempt > 1));
-        let Some(target) = target.filter(|_| !left.is_zero()) else {
+        if left.is_zero() {
+            break;
+        }
+        let fresh = dispatch.pick_plain(service, &tried);
+        let Some(target) = fresh.or_else(|| dispatch.pick_plain(service, &[])) else {
             break;
         };
         let limit = match attempt < MAX_ATTEMPTS {
             true => left / SHARE,
             false => left,
         };
+        let sent = proof.take().map(Unsent::send);
         let result = dispatch.plain.send(target.address, plain, limit).await;
         dispatch.shared.router().done(&target.name);
         match result {
             Ok(reply) => return Ok(reply_of(reply)),
             Err(error) => {
                 log_event!(warn, log_event::ATTEMPT_FAILED, engine = %target.name, %error);
-                if !error.is_not_started() {
-                    started = Some(error);
-                }
+                proof = sent.filter(|_| error.is_not_started()).map(Sent::returned);
+                last = Some(error);
                 tried.push(target.name);
             }
         }
     }
-    match started {
-        Some(error) => Err(Refusal::unknown(error.to_string())),
-        None => {
-            // Every attempt ended before its upstream started, or there was none.
-            let proof = Unsent::begin().refuse(Reason::NoEngine).come_back(COME_BACK);
+    match (proof, last) {
+        (Some(unsent), _) => {
+            let proof = unsent.refuse(Reason::NoEngine).come_back(COME_BACK);
             Err(Refusal::not_run(proof, "no upstream can take work now"))
         }
+        (None, Some(error)) => Err(Refusal::unknown(error.to_string())),
+        (None, None) => Err(Refusal::unknown("the call was lost")),
     }
 }
 
 impl Dispatch {
     /// Picks an upstream of `service` and counts the call there.
-    pub(super) fn pick(&self, service: &Name, except: &[Name]) -> Option<Target> {
+    pub(super) fn pick_plain(&self, service: &Name, except: &[Name]) -> Option<Target> {
         let snapshot = self.shared.snapshot.load();
         let service = snapshot.service_of(service.as_str())?;
         let key = self.shared.router().pick(&snapshot, service, except)?;
--- a/src/ops/dispatch/mod.rs
+++ b/src/ops/dispatch/mod.rs
@@ -5,7 +5,9 @@
 mod generate;
 mod once;
 mod owners;
+mod suspects;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -18,6 +20,8 @@
 use sequoiastream_caller::GenerateCall;
 use sequoiastream_caller::Refusal;
 use sequoiastream_caller::RequestState;
+use sequoiastream_caller::StatusCall;
+use sequoiastream_core::config::ServiceKind;
 use sequoiastream_core::config::Version;
 use sequoiastream_core::name::Name;
 use sequoiastream_operator::Query;
@@ -75,21 +79,33 @@
         !closed && self.shared.snapshot.load().version > Version::default()
     }
 
+    fn models(&self) -> Vec<String> {
+        let snapshot = self.shared.snapshot.load();
+        let models = snapshot
+            .services
+            .iter()
+            .filter_map(|(_, service)| match &service.kind {
+                ServiceKind::Model { model } => Some(model.clone()),
+                ServiceKind::Plain { .. } => None,
+            });
+        models.collect::<BTreeSet<String>>().into_iter().collect()
+    }
+
     async fn generate(&self, call: GenerateCall) -> Result<Answer, Refusal> {
-        addresses::check_open(self)?;
-        generate::start(self, call)
+        let unsent = addresses::check_open(self, call.unsent)?;
+        generate::start(self, GenerateCall { unsent, ..call })
     }
 
     async fn forward(&self, call: ForwardCall) -> Result<ForwardReply, Refusal> {
-        addresses::check_open(self)?;
-        forward::run(self, call).await
+        let unsent = addresses::check_open(self, call.unsent)?;
+        forward::run(self, ForwardCall { unsent, ..call }).await
     }
 
-    async fn status(&self, product: Name, key: &str, service: Option<&str>) -> Result<RequestState, Refusal> {
-        once::status(self, &product, key, service).await
+    async fn status(&self, call: StatusCall) -> Result<RequestState, Refusal> {
+        once::status(self, call).await
     }
 
-    fn addresses(&self, call: &AddressCall) -> Result<AddressList, Refusal> {
+    fn addresses(&self, call: AddressCall) -> Result<AddressList, Refusal> {
         addresses::list(self, call)
     }
 
--- a/src/ops/dispatch/once.rs
+++ b/src/ops/dispatch/once.rs
@@ -5,8 +5,11 @@
 
 use sequoiastream_caller::ForwardCall;
 use sequoiastream_caller::ForwardReply;
+use sequoiastream_caller::NotRun;
 use sequoiastream_caller::Refusal;
 use sequoiastream_caller::RequestState;
+use sequoiastream_caller::StatusCall;
+use sequoiastream_caller::Unsent;
 use sequoiastream_core::claims::Change;
 use sequoiastream_core::claims::ClaimRef;
 use sequoiastream_core::claims::Edit;
@@ -25,9 +28,7 @@
 use sequoiastream_core::config::ServiceKind;
 use sequoiastream_core::log_event;
 use sequoiastream_core::name::Name;
-use sequoiastream_core::outcome::NotRun;
 use sequoiastream_core::outcome::Reason;
-use sequoiastream_core::outcome::Unsent;
 use sequoiastream_core::time::Time;
 use sequoiastream_upstream::PlainCall;
 use sequoiastream_upstream::PlainReply;
@@ -58,30 +59,51 @@
     deadline: Time,
 }
 
-/// Checks the idempotency key of `call`.
+/// Why a call's idempotency key can't be used.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum KeyFault {
+    /// There is none.
+    Missing,
+    /// It is refused.
+    Refused(KeyError),
+}
+
+impl KeyFault {
+    /// Refuses the call.
+    pub(super) fn refuse(self, unsent: Unsent) -> Refusal {
+        let (reason, message) = match self {
+            KeyFault::Missing => (
+                Reason::BadRequest,
+                "this call may not be repeated: it needs the header `idempotency-key` with a UUIDv7"
+                    .to_string(),
+            ),
+            KeyFault::Refused(error) => (reason_of(error), error.to_string()),
+        };
+        Refusal::not_run(unsent.refuse(reason), message)
+    }
+}
+
+fn reason_of(error: KeyError) -> Reason {
+    match error {
+        KeyError::Malformed | KeyError::Future => Reason::BadRequest,
+        KeyError::Old => Reason::KeyExpired,
+        KeyError::Clock => {
+            log_event!(error, log_event::CLOCK_STEPPED);
+            Reason::ClockStepped
+        }
+    }
+}
+
+/// Checks the idempotency key of a call.
 ///
 /// # Errors
 ///
-/// [`Refusal`] if there is no key, or it can't be used.
-pub(super) fn check_key(dispatch: &Dispatch, call: &ForwardCall) -> Result<IdempotencyKey, Refusal> {
-    let Some(text) = &call.key else {
-        let proof = Unsent::begin().refuse(Reason::BadRequest);
-        let message = "this call may not be repeated: it needs the header `idempotency-key` with a UUIDv7";
-        return Err(Refusal::not_run(proof, message));
-    };
-    let key = text.parse::<IdempotencyKey>();
-    let checked = key.and_then(|key| dispatch.shared.keys.check(&key, clock::both()).map(|()| key));
-    checked.map_err(|error| {
-        let reason = match error {
-            KeyError::Malformed | KeyError::Future => Reason::BadRequest,
-            KeyError::Old => Reason::KeyExpired,
-            KeyError::Clock => {
-                log_event!(error, log_event::CLOCK_STEPPED);
-                Reason::ClockStepped
-            }
-        };
-        Refusal::not_run(Unsent::begin().refuse(reason), error.to_string())
-    })
+/// [`KeyFault`] if there is no key, or it can't be used.
+pub(super) fn check_key(dispatch: &Dispatch, key: Option<&str>) -> Result<IdempotencyKey, KeyFault> {
+    let key = key.ok_or(KeyFault::Missing)?;
+    let key: IdempotencyKey = key.parse().map_err(KeyFault::Refused)?;
+    let checked = dispatch.shared.keys.check(&key, clock::both());
+    checked.map(|()| key).map_err(KeyFault::Refused)
 }
 
 /// Claims `key` and passes the call through, at most once.
@@ -92,7 +114,10 @@
     plain: PlainCall,
     deadline: Time,
 ) -> Result<ForwardReply, Refusal> {
-    let key = check_key(dispatch, &call)?;
+    let key = match check_key(dispatch, call.key.as_deref()) {
+        Ok(key) => key,
+        Err(fault) => return Err(fault.refuse(call.unsent)),
+    };
     let once = Once {
         dispatch: dispatch.clone(),
         claim: ClaimRef::new(&call.product, service, &key),
@@ -100,13 +125,15 @@
         deadline,
     };
     let print = Fingerprint::new(&call.method, &call.path, &call.body);
-    match once.claim(print).await {
+    match once.claim(call.unsent, print).await {
         EntryStep::Granted(grant) => once.send(service, grant, plain).await,
         EntryStep::Seen(seen) => seen_reply(seen),
-        EntryStep::Refused(proof, refused) => {
+        EntryStep::Refused(unsent, refused, after) => {
             if !matches!(refused, Refused::Mismatch) {
                 once.release();
             }
+            let proof = unsent.refuse(refused.reason());
+            let proof = after.map_or(proof, |after| proof.come_back(after));
             Err(refusal(proof, refused))
         }
         EntryStep::Ask(..) => Err(Refusal::unknown("the claim was lost")),
@@ -115,10 +142,10 @@
 
 impl Once {
     /// Asks owners in turn until one decides.
-    async fn claim(&self, print: Fingerprint) -> EntryStep {
+    async fn claim(&self, unsent: Unsent, print: Fingerprint) -> EntryStep<Unsent> {
         let owners = self.dispatch.owners(self.claim.bucket.shard);
         let now = clock::now();
-        let machine = EntryClaim::new(self.claim, self.mark, print, owners, now, self.deadline);
+        let machine = EntryClaim::new(unsent, self.claim, self.mark, print, owners, now, self.deadline);
         let mut step = machine.begin(clock::both());
         while let EntryStep::Ask(machine, owner, ask) = step {
             let event = self.dispatch.ask(&owner, ask).await;
@@ -132,10 +159,15 @@
 
     /// Sends the call once, in a task of its own: it goes on if the caller leaves or its deadline passes, so
     /// that what became of it can be told.
-    async fn send(self, service: &Name, grant: Grant, plain: PlainCall) -> Result<ForwardReply, Refusal> {
-        let Some(target) = self.dispatch.pick(service, &[]) else {
+    async fn send(
+        self,
+        service: &Name,
+        grant: Grant<Unsent>,
+        plain: PlainCall,
+    ) -> Result<ForwardReply, Refusal> {
+        let Some(target) = self.dispatch.pick_plain(service, &[]) else {
             self.release();
-            let proof = grant.refuse(Reason::NoEngine).come_back(COME_BACK);
+            let proof = grant.into_proof().refuse(Reason::NoEngine).come_back(COME_BACK);
             return Err(Refusal::not_run(proof, "no upstream can take work now"));
         };
         let left = self.deadline.since(clock::now());
@@ -160,11 +192,11 @@
     async fn attempt(
         &self,
         target: &Target,
-        grant: Grant,
+        grant: Grant<Unsent>,
         plain: &PlainCall,
         limit: Duration,
     ) -> Result<ForwardReply, Refusal> {
-        let sent = grant.send();
+        let sent = grant.into_proof().send();
         match self.dispatch.plain.send_once(target.address, plain, limit).await {
             Ok(reply) => {
                 self.report(Change::Finish(kept(&reply)));
@@ -177,6 +209,7 @@
             Err(error) => {
                 self.warn(target.address, &error);
                 self.report(Change::Lose);
+                let _ran = sent.lost();
                 Err(Refusal::unknown(error.to_string()))
             }
         }
@@ -245,17 +278,13 @@
     Refusal::not_run(proof, message)
 }
 
-/// What is known of the request with `key`, of the named service or of any plain service.
-pub(super) async fn status(
-    dispatch: &Dispatch,
-    product: &Name,
-    key: &str,
-    service: Option<&str>,
-) -> Result<RequestState, Refusal> {
-    let Ok(key) = key.parse::<IdempotencyKey>() else {
-        let proof = Unsent::begin().refuse(Reason::BadRequest);
-        return Err(Refusal::not_run(proof, KeyError::Malformed.to_string()));
+/// What is known of a request, of the named service or of any plain service.
+pub(super) async fn status(dispatch: &Dispatch, call: StatusCall) -> Result<RequestState, Refusal> {
+    let Ok(key) = call.key.parse::<IdempotencyKey>() else {
+        return Err(KeyFault::Refused(KeyError::Malformed).refuse(call.unsent));
     };
+    let product = &call.product;
+    let service = call.service.as_deref();
     if dispatch.shared.keys.check(&key, clock::both()) == Err(KeyError::Old) {
         return Ok(RequestState::Expired);
     }
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -10,4 +10,5 @@
 pub mod dispatch;
 pub mod exchange;
 pub mod shared;
+pub mod stops;
 pub mod tables;
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -12,10 +12,12 @@
 use sequoiastream_core::claims::Owners;
 use sequoiastream_core::membership::Roster;
 use sequoiastream_core::outcome::Reason;
+use sequoiastream_core::poison::Poison;
 use sequoiastream_core::route::Router;
 use sequoiastream_core::snapshot::Snapshot;
 use tokio::sync::watch;
 
+use crate::ops::stops::Stops;
 use crate::settings::Settings;
 use crate::util::clock;
 use crate::util::metrics::Metrics;
@@ -31,8 +33,11 @@
     pub metrics: Metrics,
     /// Judges the age of idempotency keys.
     pub keys: KeyClock,
+    /// Attempts that can be stopped.
+    pub stops: Stops,
     router: Mutex<Router>,
     owners: Mutex<Owners>,
+    poison: Mutex<Poison>,
     roster: watch::Sender<Arc<Roster>>,
     leaving: AtomicBool,
     refusing: AtomicBool,
@@ -52,13 +57,16 @@
 impl Shared {
     /// Shared state before the first configuration is known.
     pub fn new(settings: Settings) -> Shared {
+        let poison = Poison::new(settings.name.clone());
         Shared {
             settings,
             snapshot: ArcSwap::default(),
             metrics: Metrics::new(),
             keys: KeyClock::new(clock::both()),
-            router: Mutex::new(Router::new()),
             owners: Mutex::default(),
+            stops: Stops::default(),
+            router: Mutex::new(Router::new()),
+            poison: Mutex::new(poison),
             roster: watch::Sender::default(),
             leaving: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
@@ -80,6 +88,13 @@
             .expect("no thread panics while it holds the owners")
     }
 
+    /// The records of requests that crash engines. Held for one decision, never across an await.
+    pub fn poison(&self) -> MutexGuard<'_, Poison> {
+        self.poison
+            .lock()
+            .expect("no thread panics while it holds the records")
+    }
+
     /// The other instances, as last published.
     pub fn roster(&self) -> Arc<Roster> {
         self.roster.borrow().clone()
--- a/tests/testsuite/claims/machines.rs
+++ b/tests/testsuite/claims/machines.rs
@@ -30,7 +30,6 @@
 use sequoiastream_core::claims::Ticket;
 use sequoiastream_core::claims::Verdict;
 use sequoiastream_core::name::Name;
-use sequoiastream_core::outcome::Reason;
 use sequoiastream_core::time::Time;
 use sequoiastream_core::time::WallTime;
 use uuid::Uuid;
@@ -54,6 +53,10 @@
     Outage(Duration),
 }
 
+/// Stands for the proof that a request was not sent.
+#[derive(Debug)]
+struct Proof;
+
 /// An instance, in one of its lives.
 #[derive(Debug, Clone, Copy)]
 struct Process {
@@ -66,7 +69,7 @@
     at: usize,
     life: u32,
     mark: Mark,
-    machine: Option<EntryClaim>,
+    machine: Option<EntryClaim<Proof>>,
     /// Counts the questions, so that the answer to a former one is dropped.
     asked: u64,
 }
@@ -217,7 +220,7 @@
             .map(|i| Name::new(&format!("i{i}")).expect("a name"))
             .collect();
         let deadline = self.now + Duration::from_millis(6_000);
-        let machine = EntryClaim::new(claim(key), mark, print(key), owners, self.now, deadline);
+        let machine = EntryClaim::new(Proof, claim(key), mark, print(key), owners, self.now, deadline);
         let index = self.requests.len();
         self.requests.push(Request {
             key,
@@ -240,27 +243,27 @@
         self.step(index, step);
     }
 
-    fn step(&mut self, index: usize, step: EntryStep) {
+    fn step(&mut self, index: usize, step: EntryStep<Proof>) {
         match step {
             EntryStep::Ask(machine, owner, ask) => self.ask(index, *machine, &owner, ask),
             EntryStep::Granted(grant) => match self.rng.random_range(0..10) {
                 0 => {
-                    let _proof = grant.refuse(Reason::NoEngine);
+                    let Proof = grant.into_proof();
                     self.tell("no engine");
                     self.edit(index, Change::Release);
                 }
                 1 => {
-                    let _proof = grant.send().vouched();
+                    let Proof = grant.into_proof();
                     self.tell("vouched");
                     self.edit(index, Change::Release);
                 }
                 2 | 3 => {
-                    let _sent = grant.send();
+                    let Proof = grant.into_proof();
                     self.ran(index);
                     self.edit(index, Change::Lose);
                 }
                 _ => {
-                    let _sent = grant.send();
+                    let Proof = grant.into_proof();
                     self.ran(index);
                     let body = vec![self.requests[index].key as u8];
                     let stored = Stored {
@@ -298,7 +301,7 @@
         assert!(*runs <= 1, "key {key} ran {runs} times");
     }
 
-    fn ask(&mut self, index: usize, machine: EntryClaim, owner: &Name, ask: Ask) {
+    fn ask(&mut self, index: usize, machine: EntryClaim<Proof>, owner: &Name, ask: Ask) {
         let request = &mut self.requests[index];
         request.machine = Some(machine);
         request.asked += 1;
