Compare wall clocks between instances before keys are judged

Cause: an instance that begins with a clock hours behind takes an old key for a recent one; as owner and entry at once nobody checks it, and the claim may be gone. Ruled out: the step check (the clock runs steadily) and the owner's comparison with its entry (they are one). Change: each second one other instance is asked for its time; where more disagree than agree, keys are refused with clock-stepped.

--- a/crates/core/src/claims/mod.rs
+++ b/crates/core/src/claims/mod.rs
@@ -24,6 +24,7 @@
 mod owner;
 mod owners;
 mod route;
+mod watch;
 mod window;
 
 pub use bucket::Bucket;
@@ -59,6 +60,7 @@
 pub use owners::Candidate;
 pub use owners::Owners;
 pub use route::repeat_of;
+pub use watch::ClockWatch;
 pub use window::Clocks;
 pub use window::FUTURE;
 pub use window::KEEP;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -13,6 +13,7 @@
 use sequoiastream_core::poison::Ask;
 use sequoiastream_core::poison::Fingerprint;
 use sequoiastream_core::poison::Note;
+use sequoiastream_core::time::WallTime;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -36,6 +37,8 @@
     Look(ClaimRef),
     /// Tells the owner of a shard what became of a claim.
     Edit(BucketId, Edit),
+    /// Asks for the wall clock.
+    Clock,
     /// Asks for the configuration after this version.
     Config(Version),
     /// About requests that crash engines.
@@ -51,6 +54,8 @@
     Verdict(Verdict),
     /// The message was taken.
     Taken,
+    /// Answer to [`Request::Clock`].
+    Clock(WallTime),
     /// Answer to [`Request::Config`].
     Config(Update),
     /// Answer to [`Request::Poison`].
--- a/src/ops/control/claims.rs
+++ b/src/ops/control/claims.rs
@@ -26,8 +26,12 @@
 use sequoiastream_core::claims::Ticket;
 use sequoiastream_core::claims::Verdict;
 use sequoiastream_core::log_event;
+use sequoiastream_core::name::Name;
 use sequoiastream_core::time::Time;
 use sequoiastream_operator::wire::TableBody;
+use sequoiastream_peer::call::CallClient;
+use sequoiastream_peer::message::Request;
+use sequoiastream_peer::message::Response;
 use sequoiastream_platform::Entry;
 use sequoiastream_platform::Expect;
 use sequoiastream_platform::KvClient;
@@ -45,6 +49,12 @@
 /// How long one lease serves for the buckets that are written.
 const LEASE_FOR: Duration = Duration::from_secs(600);
 
+/// How often clocks are compared with another instance.
+const COMPARE_EVERY: Duration = Duration::from_secs(1);
+
+/// How long another instance may take to say its time; far below the difference that counts.
+const COMPARE_LIMIT: Duration = Duration::from_secs(1);
+
 /// Most claims that a table shows.
 const MAX_ROWS: usize = 500;
 
@@ -102,11 +112,13 @@
     wake: Option<Time>,
     keep: Option<Keep>,
     failing: bool,
+    calls: CallClient,
+    compared: Option<Name>,
 }
 
 impl ClaimsActor {
     /// An owner that knows no bucket.
-    pub fn new(shared: Arc<Shared>, kv: KvClient) -> ClaimsActor {
+    pub fn new(shared: Arc<Shared>, kv: KvClient, calls: CallClient) -> ClaimsActor {
         let owner = Owner::new(shared.settings.grouping);
         ClaimsActor {
             shared,
@@ -118,9 +130,34 @@
             wake: None,
             keep: None,
             failing: false,
+            calls,
+            compared: None,
         }
     }
 
+    /// Compares clocks with one other instance, and again after a while.
+    fn compare(&mut self, context: &mut Context<Self>) {
+        let roster = self.shared.roster();
+        let peers: Vec<Name> = roster.peers.iter().map(|p| p.name.clone()).collect();
+        let next = {
+            let mut watch = self.shared.clocks();
+            watch.keep(|name| peers.contains(name));
+            watch.next(&peers, self.compared.as_ref()).cloned()
+        };
+        let address = |name: &Name| roster.peers.iter().find(|p| p.name == *name).map(|p| p.peer);
+        if let Some((name, address)) = next.and_then(|name| Some((name.clone(), address(&name)?))) {
+            self.compared = Some(name.clone());
+            let calls = self.calls.clone();
+            let ask = async move { calls.call(address, &Request::Clock, COMPARE_LIMIT).await };
+            context.spawn(ask.into_actor(self).map(move |answer, actor, _| {
+                if let Ok(Response::Clock(theirs)) = answer {
+                    actor.shared.clocks().on_time(&name, clock::wall(), theirs);
+                }
+            }));
+        }
+        context.run_later(COMPARE_EVERY, |actor, context| actor.compare(context));
+    }
+
     fn ticket(&mut self) -> (Ticket, ResponseFuture<Verdict>) {
         self.tickets += 1;
         let ticket = Ticket(self.tickets);
@@ -280,6 +317,10 @@
 
 impl Actor for ClaimsActor {
     type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Context<Self>) {
+        self.compare(context);
+    }
 }
 
 impl Handler<Claim> for ClaimsActor {
--- a/src/ops/control/mod.rs
+++ b/src/ops/control/mod.rs
@@ -138,7 +138,7 @@
     let socket = DatagramSocket::new(datagrams, key.clone(), settings.name.clone(), Uuid::now_v7());
     let listener = tokio::net::TcpListener::from_std(sockets.calls)?;
     let bound = sockets.bound;
-    let config = ConfigActor::new(shared.clone(), kv(settings), calls).start();
+    let config = ConfigActor::new(shared.clone(), kv(settings), calls.clone()).start();
     let membership = MembershipActor::new(
         shared.clone(),
         kv(settings),
@@ -147,7 +147,7 @@
         bound,
     );
     let membership = membership.start();
-    let claims = ClaimsActor::new(shared.clone(), kv(settings)).start();
+    let claims = ClaimsActor::new(shared.clone(), kv(settings), calls).start();
     let responder = PeerResponder {
         config: config.clone(),
         claims: claims.clone(),
--- a/src/ops/control/peers.rs
+++ b/src/ops/control/peers.rs
@@ -38,6 +38,7 @@
             Request::Ping => Response::Pong,
             Request::Claim(ask) => verdict(self.claims.send(Claim(ask)).await),
             Request::Look(claim) => verdict(self.claims.send(Look(claim)).await),
+            Request::Clock => Response::Clock(clock::wall()),
             Request::Edit(bucket, edit) => {
                 self.claims.do_send(Report(bucket, edit));
                 Response::Taken
--- a/src/ops/dispatch/once.rs
+++ b/src/ops/dispatch/once.rs
@@ -102,6 +102,9 @@
 pub(super) fn check_key(dispatch: &Dispatch, key: Option<&str>) -> Result<IdempotencyKey, KeyFault> {
     let key = key.ok_or(KeyFault::Missing)?;
     let key: IdempotencyKey = key.parse().map_err(KeyFault::Refused)?;
+    if !dispatch.shared.clocks().is_trusted() {
+        return Err(KeyFault::Refused(KeyError::Clock));
+    }
     let checked = dispatch.shared.keys.check(&key, clock::both());
     checked.map(|()| key).map_err(KeyFault::Refused)
 }
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
+use sequoiastream_core::claims::ClockWatch;
 use sequoiastream_core::claims::KeyClock;
 use sequoiastream_core::claims::Owners;
 use sequoiastream_core::membership::Roster;
@@ -37,6 +38,7 @@
     pub stops: Stops,
     router: Mutex<Router>,
     owners: Mutex<Owners>,
+    watch: Mutex<ClockWatch>,
     poison: Mutex<Poison>,
     roster: watch::Sender<Arc<Roster>>,
     leaving: AtomicBool,
@@ -64,6 +66,7 @@
             metrics: Metrics::new(),
             keys: KeyClock::new(clock::both()),
             owners: Mutex::default(),
+            watch: Mutex::default(),
             stops: Stops::default(),
             router: Mutex::new(Router::new()),
             poison: Mutex::new(poison),
@@ -81,6 +84,13 @@
             .expect("no thread panics while it holds the router")
     }
 
+    /// What other instances' clocks said of this one's. Held for one decision, never across an await.
+    pub fn clocks(&self) -> MutexGuard<'_, ClockWatch> {
+        self.watch
+            .lock()
+            .expect("no thread panics while it holds the watch")
+    }
+
     /// Which owners of claims were silent. Held for one decision, never across an await.
     pub fn owners(&self) -> MutexGuard<'_, Owners> {
         self.owners
--- a/tests/testsuite/claims/rules.rs
+++ b/tests/testsuite/claims/rules.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use sequoiastream_core::claims::Candidate;
+use sequoiastream_core::claims::ClockWatch;
 use sequoiastream_core::claims::Clocks;
 use sequoiastream_core::claims::FUTURE;
 use sequoiastream_core::claims::IdempotencyKey;
@@ -149,3 +150,38 @@
     let later = now + Duration::from_secs(3);
     assert_eq!(owners.of(heard(&names), 5, later), order);
 }
+
+/// A clock that is wrong from the start runs as steadily as a right one; only others can tell.
+#[test]
+fn trust_clocks_table() {
+    let names = instances(3);
+    let (right, wrong) = (WallTime(WALL), WallTime(WALL - 3 * 3_600_000));
+    let cases = [
+        ("alone", vec![], true),
+        ("two that agree", vec![right], true),
+        ("two that disagree", vec![wrong], false),
+        ("one of the others is wrong", vec![right, wrong], true),
+        ("this one is wrong", vec![wrong, wrong], false),
+        ("two of three others are wrong", vec![right, wrong, wrong], false),
+    ];
+    for (case, times, expected) in cases {
+        let mut watch = ClockWatch::default();
+        for (name, time) in names.iter().zip(times) {
+            watch.on_time(name, right, time);
+        }
+        assert_eq!(watch.is_trusted(), expected, "{case}");
+    }
+}
+
+#[test]
+fn next_clock_unasked_first() {
+    let names = instances(3);
+    let mut watch = ClockWatch::default();
+    assert_eq!(watch.next(&[], None), None);
+    watch.on_time(&names[0], WallTime(WALL), WallTime(WALL));
+    assert_eq!(watch.next(&names, Some(&names[0])), Some(&names[1]));
+    watch.on_time(&names[1], WallTime(WALL), WallTime(WALL));
+    watch.on_time(&names[2], WallTime(WALL), WallTime(WALL));
+    assert_eq!(watch.next(&names, Some(&names[1])), Some(&names[2]));
+    assert_eq!(watch.next(&names, Some(&names[2])), Some(&names[0]));
+}
