--- a/tests/testsuite/claims/mod.rs
+++ b/tests/testsuite/claims/mod.rs
@@ -3,6 +3,7 @@
 mod client;
 mod faults;
 mod machines;
+mod owner;
 mod path;
 mod rules;
 mod upstreams;
--- /dev/null
+++ b/tests/testsuite/claims/owner.rs
@@ -0,0 +1,259 @@
+//! The owner's machine, driven event by event.
+
+use std::time::Duration;
+
+use sequoiastream_core::claims::Ask;
+use sequoiastream_core::claims::Bucket;
+use sequoiastream_core::claims::Change;
+use sequoiastream_core::claims::ClaimRef;
+use sequoiastream_core::claims::Clocks;
+use sequoiastream_core::claims::Edit;
+use sequoiastream_core::claims::Fingerprint;
+use sequoiastream_core::claims::MAX_ANSWER;
+use sequoiastream_core::claims::MAX_BUCKET;
+use sequoiastream_core::claims::Mark;
+use sequoiastream_core::claims::Owner;
+use sequoiastream_core::claims::OwnerAction;
+use sequoiastream_core::claims::OwnerEvent;
+use sequoiastream_core::claims::OwnerSettings;
+use sequoiastream_core::claims::Record;
+use sequoiastream_core::claims::Revision;
+use sequoiastream_core::claims::Seen;
+use sequoiastream_core::claims::State;
+use sequoiastream_core::claims::Stored;
+use sequoiastream_core::claims::Ticket;
+use sequoiastream_core::claims::Verdict;
+use sequoiastream_core::name::Name;
+use sequoiastream_core::time::Time;
+use sequoiastream_core::time::WallTime;
+use uuid::Uuid;
+
+const WALL: u64 = 1_764_700_000_000;
+
+fn at(millis: u64) -> Clocks {
+    Clocks {
+        time: Time::from_millis(10_000 + millis),
+        wall: WallTime(WALL + millis),
+    }
+}
+
+/// Claim `index`; all of them fall into one bucket.
+fn claim(index: u64) -> ClaimRef {
+    let name = |text| Name::new(text).expect("a name");
+    let key = (0..)
+        .map(|salt: u64| {
+            Uuid::from_u128(u128::from(WALL) << 80 | 7 << 76 | 2 << 62 | u128::from(index << 20 | salt))
+        })
+        .map(|uuid| {
+            ClaimRef::new(
+                &name("dispatch"),
+                &name("ordini"),
+                &uuid.to_string().parse().expect("a key"),
+            )
+        })
+        .find(|claim| claim.bucket.shard == 3);
+    key.expect("some key falls into the shard")
+}
+
+fn ask(index: u64, mark: u128) -> Ask {
+    Ask {
+        claim: claim(index),
+        mark: Mark(Uuid::from_u128(mark)),
+        print: Fingerprint::new("POST", "/orders", b""),
+        wall: WallTime(WALL),
+        wait: Duration::from_secs(4),
+        run: Duration::from_secs(10),
+    }
+}
+
+fn asked(ticket: u64, index: u64, mark: u128) -> OwnerEvent {
+    OwnerEvent::Ask(Ticket(ticket), ask(index, mark))
+}
+
+fn writes(actions: &[OwnerAction]) -> Vec<(Revision, Bucket)> {
+    let write = |action: &OwnerAction| match action {
+        OwnerAction::Write(_, revision, bucket) => Some((*revision, bucket.clone())),
+        _ => None,
+    };
+    actions.iter().filter_map(write).collect()
+}
+
+fn answers(actions: &[OwnerAction]) -> Vec<(u64, Verdict)> {
+    let answer = |action: &OwnerAction| match action {
+        OwnerAction::Answer(ticket, verdict) => Some((ticket.0, verdict.clone())),
+        _ => None,
+    };
+    actions.iter().filter_map(answer).collect()
+}
+
+fn written(revision: u64) -> OwnerEvent {
+    OwnerEvent::Written(claim(0).bucket, Revision(revision))
+}
+
+#[test]
+fn ask_alone_written_at_once() {
+    let mut owner = Owner::new(OwnerSettings::default());
+    let actions = owner.on(at(0), asked(1, 0, 1));
+    assert_eq!(writes(&actions).len(), 1);
+    assert!(answers(&actions).is_empty(), "granted before it was written");
+    let actions = owner.on(at(3), written(7));
+    assert_eq!(answers(&actions), vec![(1, Verdict::Granted)]);
+}
+
+#[test]
+fn asks_waiting_share_write() {
+    let mut owner = Owner::new(OwnerSettings::default());
+    owner.on(at(0), asked(1, 0, 1));
+    for index in 1..20 {
+        let actions = owner.on(at(1), asked(1 + index, index, u128::from(1 + index)));
+        assert!(
+            writes(&actions).is_empty(),
+            "a second write while one is under way"
+        );
+    }
+    let actions = owner.on(at(3), written(7));
+    assert!(writes(&actions).is_empty(), "the pace is not kept");
+    let actions = owner.on(at(80), OwnerEvent::Tick);
+    let all = writes(&actions);
+    assert_eq!(all.len(), 1);
+    assert_eq!((all[0].0, all[0].1.len()), (Revision(7), 20));
+    assert_eq!(answers(&owner.on(at(83), written(8))).len(), 19);
+}
+
+#[test]
+fn end_rides_along() {
+    let mut owner = Owner::new(OwnerSettings::default());
+    owner.on(at(0), asked(1, 0, 1));
+    owner.on(at(3), written(7));
+    let edit = Edit {
+        id: claim(0).id,
+        mark: Mark(Uuid::from_u128(1)),
+        change: Change::Finish(None),
+    };
+    let actions = owner.on(at(10), OwnerEvent::Edit(claim(0).bucket, edit));
+    assert!(writes(&actions).is_empty(), "the end has a write of its own");
+    // Before it is written, a repeat is told it from memory.
+    let actions = owner.on(at(20), asked(2, 0, 2));
+    assert_eq!(answers(&actions), vec![(2, Verdict::Seen(Seen::Finished(None)))]);
+    let actions = owner.on(at(200), asked(3, 1, 3));
+    let all = writes(&actions);
+    let record = all[0].1.get(&claim(0).id).expect("it stands");
+    assert_eq!(record.state, State::Finished { answer: None });
+    let actions = owner.on(at(203), written(8));
+    assert_eq!(answers(&actions), vec![(3, Verdict::Granted)]);
+    assert!(owner.is_idle());
+}
+
+/// The key-value service is out. Somebody who orders now is told at once, and not near the end of its patience,
+/// that nothing ran and when to come back. Once in a while an order is let through to try.
+#[test]
+fn ask_when_out_refused_at_once() {
+    let mut owner = Owner::new(OwnerSettings::default());
+    owner.on(at(0), asked(1, 0, 1));
+    let mut now = 5;
+    let failed = || OwnerEvent::Failed {
+        bucket: claim(0).bucket,
+        unsure: false,
+    };
+    while now < 2_000 {
+        owner.on(at(now), failed());
+        now += 1_000;
+        owner.on(at(now), OwnerEvent::Tick);
+        now += 5;
+    }
+    owner.on(at(now), failed());
+    let actions = owner.on(at(now + 1), asked(2, 1, 2));
+    let all = answers(&actions);
+    assert!(
+        matches!(all.as_slice(), [(2, Verdict::Out(after))] if *after >= Duration::from_secs(1)),
+        "{all:?}"
+    );
+    assert!(
+        answers(&owner.on(at(now + 1_500), asked(3, 2, 3)))
+            .iter()
+            .all(|(ticket, _)| *ticket != 3)
+    );
+}
+
+/// A write is unsure, and its claim is in fact there: the entry that asked may send, and no other.
+#[test]
+fn unsure_write_found() {
+    let mut owner = Owner::new(OwnerSettings::default());
+    let actions = owner.on(at(0), asked(1, 0, 1));
+    let (_, bucket) = writes(&actions).remove(0);
+    let id = claim(0).bucket;
+    let failed = OwnerEvent::Failed {
+        bucket: id,
+        unsure: true,
+    };
+    assert!(answers(&owner.on(at(1_000), failed)).is_empty());
+    owner.on(at(1_000), asked(2, 0, 2));
+    let actions = owner.on(at(1_050), OwnerEvent::Tick);
+    assert!(actions.contains(&OwnerAction::Read(id)), "{actions:?}");
+    let actions = owner.on(at(1_053), OwnerEvent::Stands(id, Revision(7), bucket));
+    let all = answers(&actions);
+    assert_eq!(all[0], (1, Verdict::Granted));
+    assert!(matches!(all[1], (2, Verdict::Seen(Seen::Running(_)))), "{all:?}");
+}
+
+/// A stale owner wakes with a claim that it wanted to write; its successor has written the key meanwhile.
+#[test]
+fn stale_owner_conflict() {
+    let mut owner = Owner::new(OwnerSettings::default());
+    owner.on(at(0), asked(1, 0, 1));
+    let mut theirs = Bucket::default();
+    let record = Record {
+        mark: Mark(Uuid::from_u128(9)),
+        print: ask(0, 9).print,
+        state: State::Unknown,
+    };
+    theirs.add(claim(0).id, record);
+    let actions = owner.on(at(3), OwnerEvent::Stands(claim(0).bucket, Revision(8), theirs));
+    assert_eq!(answers(&actions), vec![(1, Verdict::Seen(Seen::Unknown))]);
+    assert!(writes(&actions).is_empty());
+}
+
+#[test]
+fn ask_clock_differs() {
+    let mut owner = Owner::new(OwnerSettings::default());
+    let wrong = Ask {
+        wall: WallTime(WALL - 6 * 60_000),
+        ..ask(0, 1)
+    };
+    let actions = owner.on(at(0), OwnerEvent::Ask(Ticket(1), wrong));
+    assert_eq!(actions, vec![OwnerAction::Answer(Ticket(1), Verdict::Clock)]);
+}
+
+#[test]
+fn ask_bucket_full() {
+    let mut owner = Owner::new(OwnerSettings::default());
+    let mut full = Bucket::default();
+    for index in 1.. {
+        let answer = Stored {
+            status: 200,
+            content: None,
+            body: vec![0; MAX_ANSWER],
+        };
+        let record = Record {
+            mark: Mark(Uuid::from_u128(u128::from(index))),
+            print: ask(0, 1).print,
+            state: State::Finished { answer: Some(answer) },
+        };
+        full.add(claim(index).id, record);
+        if full.size() > MAX_BUCKET {
+            break;
+        }
+    }
+    owner.on(at(0), asked(1, 0, 1));
+    let actions = owner.on(at(3), OwnerEvent::Stands(claim(0).bucket, Revision(8), full));
+    assert_eq!(answers(&actions), vec![(1, Verdict::Full)]);
+    assert!(writes(&actions).is_empty());
+}
+
+#[test]
+fn ask_when_stopping() {
+    let mut owner = Owner::new(OwnerSettings::default());
+    owner.on(at(0), OwnerEvent::Stop);
+    let actions = owner.on(at(1), asked(1, 0, 1));
+    assert_eq!(actions, vec![OwnerAction::Answer(Ticket(1), Verdict::Stopping)]);
+}
