--- /dev/null
+++ b/examples/claim_writes.rs
@@ -0,0 +1,182 @@
+//! Measures what claims cost the key-value service and the caller, with and without group commit.
+//!
+//! ```text
+//! cargo build --release --workspace --bins && cargo run --release --example claim_writes
+//! ```
+//!
+//! Eight daemons, one plain service and the stand-in platform run as processes on this machine. Orders arrive
+//! by a Poisson process spread over the daemons, each with a key of its own. For each rate the example prints
+//! the platform's own counts, per order, and the latency that callers see.
+
+use std::cell::RefCell;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use awc::Client;
+use hdrhistogram::Histogram;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sequoiastream_standin::platform::Fault;
+use sequoiastream_standin::platform::Stats;
+use sequoiastream_testsupport::fleet::Binaries;
+use sequoiastream_testsupport::fleet::Fleet;
+use sequoiastream_testsupport::fleet::FleetBuilder;
+use sequoiastream_testsupport::fleet::KEY;
+use sequoiastream_testsupport::http;
+use uuid::Uuid;
+
+/// Seed of the arrivals.
+const SEED: u64 = 20_261_202;
+
+/// Entry instances, as many as run today.
+const DAEMONS: usize = 8;
+
+/// How late the platform answers, in milliseconds.
+const DELAY: u64 = 3;
+
+/// How long orders arrive at each rate.
+const LENGTH: Duration = Duration::from_secs(20);
+
+/// After the last order: time for what became of the orders to be written.
+const SETTLE: Duration = Duration::from_secs(4);
+
+/// Longest latency that is told apart, in microseconds.
+const MAX_LATENCY: u64 = 60_000_000;
+
+/// Orders a second.
+const RATES: [f64; 3] = [1.0, 20.0, 200.0];
+
+/// Paces to compare, in milliseconds; 0 writes each claim by itself.
+const PACES: [u64; 3] = [0, 80, 250];
+
+/// What one run counted.
+struct Row {
+    orders: u64,
+    whole: u64,
+    writes: u64,
+    reads: u64,
+    bytes: u64,
+    latency: Histogram<u64>,
+}
+
+fn binaries() -> eyre::Result<Binaries> {
+    let example = std::env::current_exe()?;
+    let release = example.ancestors().nth(2).map(PathBuf::from).unwrap_or_default();
+    Ok(Binaries {
+        daemon: release.join("sequoiastreamd"),
+        tool: release.join("sequoiastream"),
+        standin: release.join("sequoiastream-standin"),
+    })
+}
+
+async fn start(pace: u64) -> eyre::Result<Fleet> {
+    let fleet = FleetBuilder::new(binaries()?)
+        .daemons(DAEMONS)
+        .plain(1)
+        .daemon_arg(&format!("--claim-pace-ms={pace}"))
+        .start_configured()
+        .await;
+    let delay = Fault {
+        delay: DELAY,
+        ..Fault::default()
+    };
+    fleet.platform_fault(&delay).await;
+    // The instances learn of each other from the platform's list and by heartbeats.
+    tokio::time::sleep(SETTLE).await;
+    Ok(fleet)
+}
+
+async fn stats(fleet: &Fleet) -> Stats {
+    http::read(&format!("{}/control/stats", fleet.platform.url())).await
+}
+
+fn calls(stats: &Stats, kind: &str) -> u64 {
+    stats.calls.get(kind).copied().unwrap_or_default()
+}
+
+async fn order(client: Client, url: String, row: Rc<RefCell<Row>>) {
+    let begin = Instant::now();
+    let request = client
+        .post(url)
+        .insert_header(("authorization", format!("Bearer {KEY}")))
+        .insert_header(("idempotency-key", Uuid::now_v7().to_string()));
+    let answer = request.send_body("{\"item\":\"pellets\"}").await;
+    let mut row = row.borrow_mut();
+    row.orders += 1;
+    if answer.is_ok_and(|a| a.status().is_success()) {
+        row.whole += 1;
+        let micros = u64::try_from(begin.elapsed().as_micros()).unwrap_or(u64::MAX);
+        row.latency.saturating_record(micros);
+    }
+}
+
+async fn measure(fleet: &Fleet, rate: f64) -> eyre::Result<Row> {
+    let row = Rc::new(RefCell::new(Row {
+        orders: 0,
+        whole: 0,
+        writes: 0,
+        reads: 0,
+        bytes: 0,
+        latency: Histogram::new_with_max(MAX_LATENCY, 3)?,
+    }));
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let client = Client::builder().timeout(Duration::from_secs(30)).finish();
+    let before = stats(fleet).await;
+    let begin = Instant::now();
+    let mut at = Duration::ZERO;
+    let mut running = Vec::new();
+    loop {
+        let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
+        at += Duration::from_secs_f64(-uniform.ln() / rate);
+        if at > LENGTH {
+            break;
+        }
+        tokio::time::sleep_until((begin + at).into()).await;
+        let daemon = rng.random_range(0..fleet.daemons.len());
+        let url = format!("{}/services/ordini/orders", fleet.daemons[daemon].url());
+        running.push(actix_rt::spawn(order(client.clone(), url, row.clone())));
+    }
+    for order in running {
+        order.await?;
+    }
+    tokio::time::sleep(SETTLE).await;
+    let after = stats(fleet).await;
+    let mut row = Rc::into_inner(row)
+        .ok_or_else(|| eyre::eyre!("an order still runs"))?
+        .into_inner();
+    row.writes = calls(&after, "put") - calls(&before, "put");
+    row.reads = calls(&after, "get") - calls(&before, "get");
+    row.bytes = after.written - before.written;
+    Ok(row)
+}
+
+#[actix_web::main]
+async fn main() -> eyre::Result<()> {
+    println!(
+        "| pace | orders/s | orders | whole | KV writes/order | KV reads/order | bytes/order | p50 | p95 | p99 |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for pace in PACES {
+        let fleet = start(pace).await?;
+        for rate in RATES {
+            let row = measure(&fleet, rate).await?;
+            let orders = row.orders.max(1) as f64;
+            let millis = |quantile| row.latency.value_at_quantile(quantile) as f64 / 1_000.0;
+            println!(
+                "| {pace} ms | {rate} | {} | {} | {:.2} | {:.2} | {:.0} | {:.1} ms | {:.1} ms | {:.1} ms |",
+                row.orders,
+                row.whole,
+                row.writes as f64 / orders,
+                row.reads as f64 / orders,
+                row.bytes as f64 / orders,
+                millis(0.5),
+                millis(0.95),
+                millis(0.99),
+            );
+        }
+    }
+    Ok(())
+}
