--- a/crates/caller/src/http.rs
+++ b/crates/caller/src/http.rs
@@ -19,6 +19,7 @@
 use crate::generate;
 use crate::proof::Unsent;
 use crate::refusal::Refusal;
+use crate::request::deadline;
 use crate::request::read_body;
 use crate::sse::error_body;
 use crate::wire::ModelsBody;
@@ -37,6 +38,7 @@
         .route("/v1/completions", web::post().to(generate::completion::<G>))
         .route("/v1/models", web::get().to(models::<G>))
         .route("/services/{service}/{path:.*}", web::route().to(forward::<G>))
+        .route("/v1/requests/{key}", web::get().to(crate::status::status::<G>))
         .route("/v1/addresses", web::get().to(addresses::<G>))
         .route("/healthz", web::get().to(health))
         .route("/readyz", web::get().to(ready::<G>))
@@ -117,6 +119,10 @@
         Ok(body) => body,
         Err(refusal) => return refuse(&refusal),
     };
+    let deadline = match deadline(&request) {
+        Ok(deadline) => deadline,
+        Err(refusal) => return refuse(&refusal),
+    };
     let (service, path) = path.into_inner();
     let query = match request.query_string() {
         "" => String::new(),
@@ -138,6 +144,7 @@
         key: header("idempotency-key"),
         content: header("content-type"),
         body,
+        deadline,
     };
     match gateway.forward(call).await {
         Err(refusal) => refuse(&refusal),
@@ -166,6 +173,6 @@
     answer.json(error_body(refusal))
 }
 
-fn builder(status: u16) -> HttpResponseBuilder {
+pub(crate) fn builder(status: u16) -> HttpResponseBuilder {
     HttpResponse::build(StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY))
 }
--- a/crates/caller/src/request.rs
+++ b/crates/caller/src/request.rs
@@ -189,7 +189,8 @@
     }
 }
 
-fn deadline(request: &HttpRequest) -> Result<Option<Duration>, Refusal> {
+/// How long the caller waits, if it says so.
+pub(crate) fn deadline(request: &HttpRequest) -> Result<Option<Duration>, Refusal> {
     let Some(text) = header(request, "sequoiastream-deadline-ms")? else {
         return Ok(None);
     };
--- a/src/ops/control/peers.rs
+++ b/src/ops/control/peers.rs
@@ -4,12 +4,18 @@
 use std::sync::Arc;
 
 use actix::Addr;
+use actix::MailboxError;
+use sequoiastream_core::claims::Verdict;
 use sequoiastream_peer::call::Responder;
 use sequoiastream_peer::message::PoisonRequest;
 use sequoiastream_peer::message::PoisonResponse;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
 
+use crate::ops::control::claims::Claim;
+use crate::ops::control::claims::ClaimsActor;
+use crate::ops::control::claims::Look;
+use crate::ops::control::claims::Report;
 use crate::ops::control::config::ConfigActor;
 use crate::ops::control::config::UpdateAfter;
 use crate::ops::shared::Shared;
@@ -20,6 +26,8 @@
 pub struct PeerResponder {
     /// Keeper of the configuration.
     pub config: Addr<ConfigActor>,
+    /// Owner of claims.
+    pub claims: Addr<ClaimsActor>,
     /// What the control thread shares with the traffic threads.
     pub shared: Arc<Shared>,
 }
@@ -28,6 +36,12 @@
     async fn respond(&self, request: Request) -> Response {
         match request {
             Request::Ping => Response::Pong,
+            Request::Claim(ask) => verdict(self.claims.send(Claim(ask)).await),
+            Request::Look(claim) => verdict(self.claims.send(Look(claim)).await),
+            Request::Edit(bucket, edit) => {
+                self.claims.do_send(Report(bucket, edit));
+                Response::Taken
+            }
             Request::Poison(request) => Response::Poison(poison(&self.shared, &request)),
             Request::Config(after) => {
                 let update = self.config.send(UpdateAfter(after)).await;
@@ -37,6 +51,11 @@
     }
 }
 
+/// An owner whose actor has ended is stopping.
+fn verdict(verdict: Result<Verdict, MailboxError>) -> Response {
+    Response::Verdict(verdict.unwrap_or(Verdict::Stopping))
+}
+
 /// Takes what a peer says of requests that crash engines.
 fn poison(shared: &Shared, request: &PoisonRequest) -> PoisonResponse {
     let now = clock::now();
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -8,6 +8,8 @@
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
+use sequoiastream_core::claims::KeyClock;
+use sequoiastream_core::claims::Owners;
 use sequoiastream_core::membership::Roster;
 use sequoiastream_core::outcome::Reason;
 use sequoiastream_core::poison::Poison;
@@ -17,6 +19,7 @@
 
 use crate::ops::stops::Stops;
 use crate::settings::Settings;
+use crate::util::clock;
 use crate::util::metrics::Metrics;
 
 /// Shared between all threads of a daemon.
@@ -28,9 +31,12 @@
     pub snapshot: ArcSwap<Snapshot>,
     /// Counts of what happened.
     pub metrics: Metrics,
+    /// Judges the age of idempotency keys.
+    pub keys: KeyClock,
     /// Attempts that can be stopped.
     pub stops: Stops,
     router: Mutex<Router>,
+    owners: Mutex<Owners>,
     poison: Mutex<Poison>,
     roster: watch::Sender<Arc<Roster>>,
     leaving: AtomicBool,
@@ -56,6 +62,8 @@
             settings,
             snapshot: ArcSwap::default(),
             metrics: Metrics::new(),
+            keys: KeyClock::new(clock::both()),
+            owners: Mutex::default(),
             stops: Stops::default(),
             router: Mutex::new(Router::new()),
             poison: Mutex::new(poison),
@@ -73,6 +81,13 @@
             .expect("no thread panics while it holds the router")
     }
 
+    /// Which owners of claims were silent. Held for one decision, never across an await.
+    pub fn owners(&self) -> MutexGuard<'_, Owners> {
+        self.owners
+            .lock()
+            .expect("no thread panics while it holds the owners")
+    }
+
     /// The records of requests that crash engines. Held for one decision, never across an await.
     pub fn poison(&self) -> MutexGuard<'_, Poison> {
         self.poison
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -15,6 +15,7 @@
 use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
+use sequoiastream_core::claims::OwnerSettings;
 use sequoiastream_core::membership::Limits;
 use sequoiastream_core::name::Name;
 use sequoiastream_core::shutdown::Times;
@@ -57,6 +58,8 @@
     pub deadline: Duration,
     /// How long a watch waits.
     pub wait: Duration,
+    /// How claims are grouped into writes.
+    pub grouping: OwnerSettings,
     /// Limits of membership.
     pub limits: Limits,
     /// Time between two looks at the platform's lists.
@@ -162,6 +165,12 @@
             "How long a watch waits",
             "30000",
         ))
+        .arg(number(
+            "claim-pace-ms",
+            "SEQUOIASTREAM_CLAIM_PACE_MS",
+            "Least time between two writes of a claim bucket; 0 writes each claim by itself",
+            "80",
+        ))
         .arg(
             text(
                 "log-format",
@@ -212,6 +221,7 @@
         let workers = reader.positive("workers");
         let deadline = reader.positive("kv-deadline-ms");
         let wait = reader.positive("watch-ms");
+        let grouping = grouping(matches);
         let limits = limits::limits(&mut reader);
         let lists = limits::lists(&mut reader);
         let times = limits::times(&mut reader);
@@ -237,6 +247,7 @@
             workers: usize::try_from(workers).unwrap_or(1),
             deadline: Duration::from_millis(deadline),
             wait: Duration::from_millis(wait),
+            grouping,
             limits,
             lists,
             times,
@@ -247,6 +258,17 @@
     }
 }
 
+fn grouping(matches: &ArgMatches) -> OwnerSettings {
+    match matches.get_one::<u64>("claim-pace-ms").copied() {
+        Some(0) => OwnerSettings::ungrouped(),
+        Some(millis) => OwnerSettings {
+            pace: Duration::from_millis(millis),
+            ..OwnerSettings::default()
+        },
+        None => OwnerSettings::default(),
+    }
+}
+
 /// Reads settings and gathers what is wrong with them.
 struct Reader<'a> {
     matches: &'a ArgMatches,
--- a/src/util/metrics.rs
+++ b/src/util/metrics.rs
@@ -15,6 +15,7 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 use prometheus_client::registry::Unit;
+use sequoiastream_core::claims::Verdict;
 use sequoiastream_core::name::Name;
 use sequoiastream_core::outcome::Outcome;
 
@@ -25,6 +26,8 @@
 pub struct Metrics {
     /// Of traffic.
     pub traffic: TrafficMetrics,
+    /// Of claims.
+    pub claims: ClaimMetrics,
     /// Of membership.
     pub membership: MembershipMetrics,
     registry: Mutex<Registry>,
@@ -180,6 +183,58 @@
     }
 }
 
+/// How a claim was answered.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct VerdictLabels {
+    /// `granted`, `seen`, `mismatch`, `never`, `out`, `clock`, `full` or `stopping`.
+    pub verdict: &'static str,
+}
+
+/// Metrics of claims, as owner.
+#[derive(Debug, Clone, Default)]
+pub struct ClaimMetrics {
+    /// Answers to entries.
+    pub verdicts: Family<VerdictLabels, Counter>,
+    /// Writes of buckets begun.
+    pub writes: Counter,
+    /// Reads of buckets begun.
+    pub reads: Counter,
+    /// Writes that another owner's write came before.
+    pub conflicts: Counter,
+}
+
+impl ClaimMetrics {
+    fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "claim_verdicts",
+            "Answers to entries that asked for a claim or its state",
+            self.verdicts.clone(),
+        );
+        registry.register("claim_writes", "Writes of claim buckets", self.writes.clone());
+        registry.register("claim_reads", "Reads of claim buckets", self.reads.clone());
+        registry.register(
+            "claim_conflicts",
+            "Writes of claim buckets that lost against another owner",
+            self.conflicts.clone(),
+        );
+    }
+
+    /// Counts an answer.
+    pub fn count(&self, verdict: &Verdict) {
+        let verdict = match verdict {
+            Verdict::Granted => "granted",
+            Verdict::Seen(_) => "seen",
+            Verdict::Mismatch => "mismatch",
+            Verdict::Never => "never",
+            Verdict::Out(_) => "out",
+            Verdict::Clock => "clock",
+            Verdict::Full => "full",
+            Verdict::Stopping => "stopping",
+        };
+        self.verdicts.get_or_create(&VerdictLabels { verdict }).inc();
+    }
+}
+
 /// Metrics of membership.
 #[derive(Debug, Clone, Default)]
 pub struct MembershipMetrics {
@@ -216,10 +271,13 @@
         let mut registry = Registry::with_prefix(PREFIX);
         let traffic = TrafficMetrics::default();
         traffic.register(&mut registry);
+        let claims = ClaimMetrics::default();
+        claims.register(&mut registry);
         let membership = MembershipMetrics::default();
         membership.register(&mut registry);
         Metrics {
             traffic,
+            claims,
             membership,
             registry: Mutex::new(registry),
         }
