Route by aged load reports, own work and cached prefixes

Cause: requests went to the engine with the fewest requests of this instance, whatever the engine's role, its backlog, what other instances had there, or which prefixes it held. Ruled out: the load reports alone (stale: all instances choose the same engine until the next report). Change: core::route keeps a book per engine (last report, aged; own work since, taken as what each other instance added too) and beliefs from cache events; it compares a few candidates. The role now sets an engine's slots as well as its chunk (RoleProfile), in the stand-in too: with the chunk alone, role prefill was never worse than decode in throughput. Conclusion: wired; to be measured.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod log_event;
 pub mod name;
 pub mod outcome;
+pub mod policy;
 pub mod prefix;
 pub mod route;
 pub mod snapshot;
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -2,12 +2,14 @@
 //!
 //! A step takes a fixed time, plus a little for each running sequence, plus the time of the prompt tokens that
 //! it processes. The role sets how many prompt tokens a step may process: many in an engine for prefill (so
-//! its running sequences wait), few in one for decode (so its waiting prompts do).
+//! its running sequences wait), few in one for decode (so its waiting prompts do). The memory that a long chunk
+//! takes is not there for sequences, so the role sets too how many may run at once (`RoleProfile`).
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use sequoiastream_core::config::Role;
+use sequoiastream_core::engine::RoleProfile;
 use uuid::Uuid;
 
 /// How fast an engine is.
@@ -101,7 +103,8 @@
 
     /// Does one step; returns its time and the tokens it made.
     pub fn step(&mut self, role: Role) -> (Duration, Vec<Token>) {
-        let processed = self.process_prompts(chunk(role));
+        let profile = RoleProfile::of(role, self.rates.slots as u32);
+        let processed = self.process_prompts(profile);
         let crowd = 1.0 + self.rates.crowding * self.running.len().saturating_sub(1) as f64;
         let decode = match self.running.is_empty() {
             true => 0.0,
@@ -111,9 +114,9 @@
         (Duration::from_secs_f64(seconds), self.generate())
     }
 
-    fn process_prompts(&mut self, budget: u32) -> u32 {
-        let mut left = budget;
-        while self.running.len() < self.rates.slots {
+    fn process_prompts(&mut self, profile: RoleProfile) -> u32 {
+        let mut left = profile.chunk;
+        while self.running.len() < profile.slots as usize {
             let Some(first) = self.waiting.front_mut() else {
                 break;
             };
@@ -125,7 +128,7 @@
             }
             self.running.extend(self.waiting.pop_front());
         }
-        budget - left
+        profile.chunk - left
     }
 
     fn generate(&mut self) -> Vec<Token> {
@@ -144,12 +147,3 @@
         tokens
     }
 }
-
-/// Prompt tokens that a step may process.
-fn chunk(role: Role) -> u32 {
-    match role {
-        Role::Prefill => 2048,
-        Role::Mixed => 512,
-        Role::Decode => 96,
-    }
-}
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -380,6 +380,7 @@
         capacity: settings.capacity,
         prefill_rate: settings.rates.prefill as u32,
         decode_rate: settings.rates.decode as u32,
+        slots: settings.rates.slots as u32,
         age: 0,
     }
 }
--- a/crates/upstream/src/wire.rs
+++ b/crates/upstream/src/wire.rs
@@ -94,6 +94,8 @@
     pub prefill_rate: u32,
     /// Tokens that it generates per second for one request when alone.
     pub decode_rate: u32,
+    /// Most requests that it runs at once in role decode.
+    pub slots: u32,
     /// Age of this report in milliseconds.
     pub age: u64,
 }
--- /dev/null
+++ b/src/ops/control/load.rs
@@ -0,0 +1,184 @@
+//! Polls the engines' load reports and cache events and gives them to the router.
+//!
+//! Cells: of its own availability zone an instance follows every engine; of the others it asks a few in turn, so
+//! that what it reads a second does not grow with the fleet.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::Actor;
+use actix::ActorFutureExt;
+use actix::AsyncContext;
+use actix::Context;
+use actix::WrapFuture;
+use sequoiastream_core::config::ServiceKind;
+use sequoiastream_core::engine::Speed;
+use sequoiastream_core::name::Name;
+use sequoiastream_core::route::Report;
+use sequoiastream_core::snapshot::EngineView;
+use sequoiastream_core::snapshot::Snapshot;
+use sequoiastream_platform::KvClient;
+use sequoiastream_upstream::EngineClient;
+use sequoiastream_upstream::UpstreamError;
+use sequoiastream_upstream::wire::CacheEvent;
+use sequoiastream_upstream::wire::LoadBody;
+
+use crate::ops::shared::Shared;
+use crate::util::clock;
+
+/// Engines of the own zone that are asked in each period; with more, the period grows.
+const PER_PERIOD: usize = 16;
+
+/// Engines of other zones that are asked in each period, in turn.
+const FOREIGN: usize = 8;
+
+/// How often the platform's list is read for the number of instances.
+const LIST: Duration = Duration::from_secs(5);
+
+/// Follower of the engines' load.
+#[derive(Debug)]
+pub struct LoadActor {
+    shared: Arc<Shared>,
+    engines: EngineClient,
+    kv: KvClient,
+    numbers: BTreeMap<Name, u64>,
+    turn: usize,
+}
+
+struct Polled {
+    name: Name,
+    load: Result<LoadBody, UpstreamError>,
+    events: Vec<CacheEvent>,
+}
+
+impl LoadActor {
+    /// A follower that knows of no engines.
+    pub fn new(shared: Arc<Shared>, kv: KvClient) -> LoadActor {
+        LoadActor {
+            shared,
+            engines: EngineClient::new(),
+            kv,
+            numbers: BTreeMap::new(),
+            turn: 0,
+        }
+    }
+
+    fn tick(&mut self, context: &mut Context<Self>) {
+        let snapshot = self.shared.snapshot.load_full();
+        self.shared.router().follow(&snapshot);
+        let (own, foreign) = cells(&snapshot, &self.shared.settings.zone);
+        for engine in own.iter().copied().chain(self.in_turn(&foreign)) {
+            self.poll(engine, context);
+        }
+        self.numbers
+            .retain(|name, _| snapshot.engines.iter().any(|(_, e)| e.name == *name));
+        let stretch = own.len().div_ceil(PER_PERIOD).max(1) as u32;
+        context.run_later(self.shared.settings.poll * stretch, LoadActor::tick);
+    }
+
+    fn in_turn<'a>(&mut self, foreign: &[&'a EngineView]) -> Vec<&'a EngineView> {
+        let count = foreign.len().min(FOREIGN);
+        let chosen = (0..count).map(|i| foreign[(self.turn + i) % foreign.len()]);
+        let chosen = chosen.collect();
+        self.turn = self.turn.wrapping_add(count);
+        chosen
+    }
+
+    fn poll(&mut self, engine: &EngineView, context: &mut Context<Self>) {
+        let client = self.engines.clone();
+        let name = engine.name.clone();
+        let address = engine.address;
+        let after = self.numbers.get(&name).copied().unwrap_or(0);
+        let asked = async move {
+            let load = client.load(address).await;
+            // An engine that reports no load is not asked for more.
+            let events = match load.is_ok() {
+                true => client.cache_events(address, after).await.unwrap_or_default(),
+                false => Vec::new(),
+            };
+            Polled { name, load, events }
+        };
+        context.spawn(
+            asked
+                .into_actor(self)
+                .map(|polled, actor, _| actor.on_polled(polled)),
+        );
+    }
+
+    fn on_polled(&mut self, polled: Polled) {
+        let metrics = &self.shared.metrics.policy;
+        let Ok(body) = polled.load else {
+            metrics.polls_failed.inc();
+            return;
+        };
+        metrics.polls.inc();
+        let now = clock::now();
+        let mut router = self.shared.router();
+        router.report(&polled.name, report(&body));
+        let last = self.numbers.entry(polled.name.clone()).or_default();
+        for event in polled.events {
+            if *last > 0 && event.number > *last + 1 {
+                metrics.cache_gaps.inc();
+                router.cache_gap(&polled.name);
+            }
+            *last = event.number;
+            router.cache_event(now, &polled.name, event.block, event.stored);
+        }
+    }
+
+    fn list(&mut self, context: &mut Context<Self>) {
+        let kv = self.kv.clone();
+        let asked = async move { kv.instances().await };
+        context.spawn(asked.into_actor(self).map(|result, actor, context| {
+            if let Ok(list) = result {
+                actor.shared.router().set_instances(list.len());
+            }
+            context.run_later(LIST, LoadActor::list);
+        }));
+    }
+}
+
+impl Actor for LoadActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Context<Self>) {
+        self.tick(context);
+        self.list(context);
+    }
+}
+
+/// Model engines of the own zone, and those of the others. A small fleet is one cell.
+fn cells<'a>(snapshot: &'a Snapshot, zone: &Name) -> (Vec<&'a EngineView>, Vec<&'a EngineView>) {
+    let all: Vec<&EngineView> = snapshot
+        .engines
+        .iter()
+        .map(|(_, e)| e)
+        .filter(|e| is_model(snapshot, e))
+        .collect();
+    match all.len() <= PER_PERIOD {
+        true => (all, Vec::new()),
+        false => all.into_iter().partition(|e| e.zone == *zone),
+    }
+}
+
+fn is_model(snapshot: &Snapshot, engine: &EngineView) -> bool {
+    let service = snapshot.services.get(engine.service);
+    service.is_some_and(|s| matches!(s.kind, ServiceKind::Model { .. }))
+}
+
+fn report(body: &LoadBody) -> Report {
+    Report {
+        at: clock::now() - Duration::from_millis(body.age),
+        role: body.role,
+        away: body.away,
+        running: body.running,
+        queued: body.queued,
+        prefill: body.prefill,
+        speed: Speed {
+            prefill: f64::from(body.prefill_rate.max(1)),
+            decode: f64::from(body.decode_rate.max(1)),
+            slots: body.slots,
+        },
+    }
+}
--- a/src/ops/control/mod.rs
+++ b/src/ops/control/mod.rs
@@ -4,6 +4,7 @@
 //! it messages and read what it publishes in [`Shared`](crate::ops::shared::Shared).
 
 mod config;
+mod load;
 
 use std::sync::Arc;
 
@@ -15,8 +16,10 @@
 
 pub use config::ConfigActor;
 pub use config::Execute;
+pub use load::LoadActor;
 
 use crate::ops::shared::Shared;
+use crate::settings::Settings;
 
 /// Addresses of the control thread's actors.
 #[derive(Debug, Clone)]
@@ -29,16 +32,24 @@
     /// Starts the actors on a thread of their own.
     pub fn start(shared: Arc<Shared>) -> Control {
         let arbiter = Arbiter::new();
+        let followed = shared.clone();
+        LoadActor::start_in_arbiter(&arbiter.handle(), move |_| {
+            let kv = kv(&followed.settings);
+            LoadActor::new(followed, kv)
+        });
         let config = ConfigActor::start_in_arbiter(&arbiter.handle(), move |_| {
-            let settings = &shared.settings;
-            let kv = KvClient::new(
-                &settings.platform,
-                &settings.name,
-                settings.deadline,
-                Uuid::new_v4(),
-            );
+            let kv = kv(&shared.settings);
             ConfigActor::new(shared, kv)
         });
         Control { config }
     }
 }
+
+fn kv(settings: &Settings) -> KvClient {
+    KvClient::new(
+        &settings.platform,
+        &settings.name,
+        settings.deadline,
+        Uuid::new_v4(),
+    )
+}
--- a/src/ops/dispatch/generate.rs
+++ b/src/ops/dispatch/generate.rs
@@ -1,6 +1,5 @@
 //! Generating: attempts at engines, spliced into one whole answer.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use sequoiastream_caller::Answer;
@@ -8,11 +7,12 @@
 use sequoiastream_caller::Finish;
 use sequoiastream_caller::GenerateCall;
 use sequoiastream_caller::Refusal;
-use sequoiastream_core::arena::ServiceKey;
 use sequoiastream_core::log_event;
 use sequoiastream_core::name::Name;
 use sequoiastream_core::outcome::Reason;
 use sequoiastream_core::outcome::Unsent;
+use sequoiastream_core::route::Ask;
+use sequoiastream_core::route::Choice;
 use sequoiastream_core::splice::Splice;
 use sequoiastream_core::splice::Verdict;
 use sequoiastream_upstream::EngineStream;
@@ -23,6 +23,8 @@
 
 use crate::log_event;
 use crate::ops::dispatch::Dispatch;
+use crate::ops::dispatch::admit;
+use crate::util::clock;
 
 /// Attempts at one request.
 const MAX_ATTEMPTS: usize = 3;
@@ -41,12 +43,13 @@
             format!("there is no model or service `{}`", call.model),
         ));
     };
+    let ask = admit::ask(&snapshot, &call, service);
     let (sender, events) = mpsc::unbounded_channel();
     let run = Run {
         dispatch: dispatch.clone(),
         splice: Splice::new(call.offset),
         call,
-        service,
+        ask,
         sender,
         tried: Vec::new(),
     };
@@ -57,24 +60,19 @@
 struct Run {
     dispatch: Dispatch,
     call: GenerateCall,
-    service: ServiceKey,
+    ask: Ask,
     splice: Splice,
     sender: mpsc::UnboundedSender<AnswerEvent>,
     tried: Vec<Name>,
 }
 
-struct Target {
-    name: Name,
-    address: SocketAddr,
-}
-
 impl Run {
     async fn run(mut self) {
         let mut last = None;
         for _ in 0..MAX_ATTEMPTS {
-            let Some(target) = self.pick() else { break };
+            let Some(target) = self.choose() else { break };
             let result = self.attempt(&target).await;
-            self.dispatch.shared.router().done(&target.name);
+            self.close(&target, result.is_ok());
             match result {
                 Ok(Some(finish)) => return self.send(AnswerEvent::Done(finish)),
                 Ok(None) => return,
@@ -88,19 +86,22 @@
         self.send(AnswerEvent::Failed(refusal(last)));
     }
 
-    fn pick(&self) -> Option<Target> {
+    fn choose(&self) -> Option<Choice> {
         let snapshot = self.dispatch.shared.snapshot.load();
         let mut router = self.dispatch.shared.router();
-        let key = router.pick(&snapshot, self.service, &self.tried)?;
-        let engine = snapshot.engines.get(key)?;
-        Some(Target {
-            name: engine.name.clone(),
-            address: engine.address,
-        })
+        router.choose(clock::now(), &snapshot, &self.ask, &self.tried)
+    }
+
+    fn close(&self, target: &Choice, good: bool) {
+        let mut router = self.dispatch.shared.router();
+        match good {
+            true => router.end(&target.ticket),
+            false => router.failed(clock::now(), &target.ticket),
+        }
     }
 
     /// One attempt; `None` if the caller went away.
-    async fn attempt(&mut self, target: &Target) -> Result<Option<Finish>, UpstreamError> {
+    async fn attempt(&mut self, target: &Choice) -> Result<Option<Finish>, UpstreamError> {
         let attempt = Uuid::new_v4();
         let offset = self.splice.open(attempt);
         let body = GenerateBody {
@@ -110,11 +111,11 @@
             limit: self.call.limit,
             seed: self.call.seed,
             offset,
-            priority: 0,
+            priority: target.priority,
             import: None,
         };
         let mut stream = self.dispatch.engines.generate(target.address, &body).await?;
-        let result = self.relay(&mut stream).await;
+        let result = self.relay(target, &mut stream).await;
         self.splice.close();
         if let Ok(None) = result {
             let _ = self.dispatch.engines.cancel(target.address, attempt).await;
@@ -122,7 +123,12 @@
         result
     }
 
-    async fn relay(&mut self, stream: &mut EngineStream) -> Result<Option<Finish>, UpstreamError> {
+    async fn relay(
+        &mut self,
+        target: &Choice,
+        stream: &mut EngineStream,
+    ) -> Result<Option<Finish>, UpstreamError> {
+        let mut started = false;
         loop {
             let piece = tokio::select! {
                 piece = stream.next() => piece?,
@@ -131,6 +137,10 @@
             let Some(piece) = piece else {
                 return Err(UpstreamError::Broken("the answer ended early".to_string()));
             };
+            if !started {
+                started = true;
+                self.dispatch.shared.router().started(&target.ticket);
+            }
             match piece.finish {
                 Some(finish) if self.splice.on_finish(piece.attempt, piece.offset) => {
                     return Ok(Some(Finish {
--- a/src/ops/dispatch/mod.rs
+++ b/src/ops/dispatch/mod.rs
@@ -1,5 +1,6 @@
 //! What a traffic thread does with requests: picks upstreams, starts attempts and relays answers.
 
+mod admit;
 mod forward;
 mod generate;
 
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -25,11 +25,12 @@
 impl Shared {
     /// Shared state before the first configuration is known.
     pub fn new(settings: Settings) -> Shared {
+        let router = router(&settings);
         Shared {
             settings,
             snapshot: ArcSwap::default(),
             metrics: Metrics::new(),
-            router: Mutex::new(Router::new()),
+            router: Mutex::new(router),
         }
     }
 
@@ -40,3 +41,14 @@
             .expect("no thread panics while it holds the router")
     }
 }
+
+/// The router of an instance. Its seed comes from the instance's name, so that instances draw differently.
+fn router(settings: &Settings) -> Router {
+    let hash = blake3::hash(settings.name.as_str().as_bytes());
+    let mut seed = [0; 8];
+    seed.copy_from_slice(&hash.as_bytes()[..8]);
+    Router::new()
+        .policy(settings.policy.routing())
+        .zone(settings.zone.clone())
+        .seed(u64::from_le_bytes(seed))
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -13,11 +13,15 @@
 use clap::Command;
 use clap::value_parser;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::policy::Policy;
 use thiserror::Error;
 
 /// Shortest operator token and cluster key, in bytes.
 const MIN_SECRET: usize = 16;
 
+/// Values of `--policy`.
+const POLICIES: [&str; 5] = ["adaptive", "fixed", "threshold", "least-load", "round-robin"];
+
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LogFormat {
@@ -50,6 +54,10 @@
     pub deadline: Duration,
     /// How long a watch waits.
     pub wait: Duration,
+    /// How requests are routed and roles changed.
+    pub policy: Policy,
+    /// How often engines are asked for their load.
+    pub poll: Duration,
     /// How log lines are written.
     pub format: LogFormat,
     /// Only check the settings.
@@ -147,6 +155,21 @@
             "How long a watch waits",
             "30000",
         ))
+        .arg(
+            text(
+                "policy",
+                "SEQUOIASTREAM_POLICY",
+                "How requests are routed and roles changed; all but `adaptive` are baselines",
+            )
+            .value_parser(POLICIES)
+            .default_value("adaptive"),
+        )
+        .arg(number(
+            "load-ms",
+            "SEQUOIASTREAM_LOAD_MS",
+            "How often engines are asked for their load",
+            "500",
+        ))
         .arg(
             text(
                 "log-format",
@@ -195,6 +218,8 @@
         let workers = reader.positive("workers");
         let deadline = reader.positive("kv-deadline-ms");
         let wait = reader.positive("watch-ms");
+        let poll = reader.positive("load-ms");
+        let policy = reader.parsed::<Policy>("policy").unwrap_or_default();
         let format = match reader.text("log-format").as_str() {
             "json" => LogFormat::Json,
             _ => LogFormat::Text,
@@ -216,6 +241,8 @@
             workers: usize::try_from(workers).unwrap_or(1),
             deadline: Duration::from_millis(deadline),
             wait: Duration::from_millis(wait),
+            policy,
+            poll: Duration::from_millis(poll),
             format,
             check: matches.get_flag("check"),
         })
--- a/src/util/metrics.rs
+++ b/src/util/metrics.rs
@@ -18,6 +18,8 @@
 pub struct Metrics {
     /// Of traffic.
     pub traffic: TrafficMetrics,
+    /// Of the policy.
+    pub policy: PolicyMetrics,
     registry: Mutex<Registry>,
 }
 
@@ -47,14 +49,40 @@
     }
 }
 
+/// Metrics of the policy.
+#[derive(Debug, Clone, Default)]
+pub struct PolicyMetrics {
+    /// Load reports read.
+    pub polls: Counter,
+    /// Load reports that could not be read.
+    pub polls_failed: Counter,
+    /// Gaps seen in cache events.
+    pub cache_gaps: Counter,
+}
+
+impl PolicyMetrics {
+    fn register(&self, registry: &mut Registry) {
+        registry.register("load_polls", "Load reports read", self.polls.clone());
+        registry.register(
+            "load_polls_failed",
+            "Load reports that could not be read",
+            self.polls_failed.clone(),
+        );
+        registry.register("cache_gaps", "Gaps seen in cache events", self.cache_gaps.clone());
+    }
+}
+
 impl Metrics {
     /// All metrics at zero.
     pub fn new() -> Metrics {
         let mut registry = Registry::with_prefix(PREFIX);
         let traffic = TrafficMetrics::default();
         traffic.register(&mut registry);
+        let policy = PolicyMetrics::default();
+        policy.register(&mut registry);
         Metrics {
             traffic,
+            policy,
             registry: Mutex::new(registry),
         }
     }
