--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! All of them have a `/control` interface by which a test injects faults and reads what was recorded.
 
 pub mod engine;
+pub mod load;
 pub mod plain;
 pub mod platform;
 pub mod serve;
--- /dev/null
+++ b/crates/standin/src/load/caller.rs
@@ -0,0 +1,252 @@
+//! One caller: sends a job and notes what came back, and when.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use awc::Client;
+use futures_util::StreamExt;
+use serde::Deserialize;
+use serde_json::json;
+use uuid::Uuid;
+
+use crate::engine::expected_text;
+use crate::load::mix::Job;
+use crate::load::mix::Kind;
+
+/// How long a caller waits beyond its deadline, to learn what became of its request.
+const GRACE: Duration = Duration::from_secs(10);
+
+/// Largest answer of a plain service, in bytes.
+const MAX_ANSWER: usize = 64 * 1024;
+
+/// How a request ended, as its caller saw it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Ending {
+    /// The whole answer came.
+    Whole,
+    /// A refusal: no upstream started it.
+    NotRun,
+    /// It ran and failed.
+    Failed,
+    /// It may have run, or nothing was heard.
+    Unknown,
+    /// A whole answer that is not the one to this request.
+    Wrong,
+}
+
+/// What a caller noted.
+#[derive(Debug, Clone)]
+pub struct Note {
+    /// How it ended.
+    pub ending: Ending,
+    /// Reason of a refusal.
+    pub reason: Option<String>,
+    /// From sending to the end.
+    pub took: Duration,
+    /// From sending to the first token.
+    pub first: Option<Duration>,
+    /// Between each token and the one before.
+    pub gaps: Vec<Duration>,
+    /// Idempotency key of an order.
+    pub key: Option<Uuid>,
+}
+
+impl Note {
+    fn of(ending: Ending, sent: Instant) -> Note {
+        Note {
+            ending,
+            reason: None,
+            took: sent.elapsed(),
+            first: None,
+            gaps: Vec::new(),
+            key: None,
+        }
+    }
+}
+
+/// Where and as whom a caller asks.
+#[derive(Debug, Clone)]
+pub struct Session {
+    /// Base URL of an instance.
+    pub base: String,
+    /// API key.
+    pub key: String,
+    /// Model asked for.
+    pub model: String,
+    /// Plain service that takes orders.
+    pub service: String,
+    /// Time from sending within which the answer must be whole.
+    pub deadline: Duration,
+}
+
+#[derive(Debug, Deserialize)]
+struct EventBody {
+    #[serde(default)]
+    choices: Vec<ChoiceBody>,
+    outcome: Option<String>,
+    error: Option<ErrorBody>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChoiceBody {
+    #[serde(default)]
+    text: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct ErrorBody {
+    outcome: String,
+    reason: Option<String>,
+}
+
+/// Sends `job` and waits for its end.
+pub async fn call(client: &Client, session: &Session, job: &Job) -> Note {
+    let sent = Instant::now();
+    let limit = session.deadline + GRACE;
+    let result = match job.kind {
+        Kind::Order => tokio::time::timeout(limit, order(client, session, sent)).await,
+        Kind::Check | Kind::Chat => tokio::time::timeout(limit, generate(client, session, job, sent)).await,
+    };
+    result.unwrap_or_else(|_| Note::of(Ending::Unknown, sent))
+}
+
+async fn order(client: &Client, session: &Session, sent: Instant) -> Note {
+    let key = Uuid::now_v7();
+    let url = format!("{}/services/{}/orders", session.base, session.service);
+    let request = client
+        .post(url)
+        .bearer_auth(&session.key)
+        .insert_header(("idempotency-key", key.to_string()))
+        .insert_header((
+            "sequoiastream-deadline-ms",
+            session.deadline.as_millis().to_string(),
+        ));
+    let mut note = match request.send_json(&json!({"boxes": 4})).await {
+        Err(_) => Note::of(Ending::Unknown, sent),
+        Ok(mut answer) => {
+            let outcome = answer.headers().get("sequoiastream-outcome");
+            let outcome = outcome
+                .and_then(|v| v.to_str().ok())
+                .unwrap_or("unknown")
+                .to_string();
+            let body = answer.body().limit(MAX_ANSWER).await.unwrap_or_default();
+            let mut note = Note::of(ending(&outcome), sent);
+            note.reason = reason(&body);
+            note
+        }
+    };
+    note.key = Some(key);
+    note
+}
+
+fn ending(outcome: &str) -> Ending {
+    match outcome {
+        "whole" => Ending::Whole,
+        "not-run" => Ending::NotRun,
+        "failed" => Ending::Failed,
+        _ => Ending::Unknown,
+    }
+}
+
+fn reason(body: &[u8]) -> Option<String> {
+    let event: EventBody = serde_json::from_slice(body).ok()?;
+    event.error?.reason
+}
+
+async fn generate(client: &Client, session: &Session, job: &Job, sent: Instant) -> Note {
+    let body = json!({
+        "model": session.model, "prompt": job.prompt, "max_tokens": job.limit, "seed": job.seed, "stream": true,
+    });
+    let request = client
+        .post(format!("{}/v1/completions", session.base))
+        .bearer_auth(&session.key)
+        .insert_header((
+            "sequoiastream-deadline-ms",
+            session.deadline.as_millis().to_string(),
+        ));
+    let mut answer = match request.send_json(&body).await {
+        Ok(answer) => answer,
+        Err(_) => return Note::of(Ending::Unknown, sent),
+    };
+    if !answer.status().is_success() {
+        let body = answer.body().limit(MAX_ANSWER).await.unwrap_or_default();
+        let outcome = serde_json::from_slice::<EventBody>(&body)
+            .ok()
+            .and_then(|e| e.error);
+        let mut note = Note::of(
+            outcome.as_ref().map_or(Ending::Unknown, |e| ending(&e.outcome)),
+            sent,
+        );
+        note.reason = outcome.and_then(|e| e.reason);
+        return note;
+    }
+    let mut reader = Reader::new(sent);
+    while let Some(Ok(bytes)) = answer.next().await {
+        reader.take(&bytes);
+    }
+    reader.finish(job)
+}
+
+/// Reads server-sent events.
+struct Reader {
+    sent: Instant,
+    buffer: Vec<u8>,
+    text: String,
+    last: Option<Instant>,
+    note: Note,
+}
+
+impl Reader {
+    fn new(sent: Instant) -> Reader {
+        Reader {
+            sent,
+            buffer: Vec::new(),
+            text: String::new(),
+            last: None,
+            note: Note::of(Ending::Unknown, sent),
+        }
+    }
+
+    fn take(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+        while let Some(end) = self.buffer.iter().position(|&b| b == b'\n') {
+            let line: Vec<u8> = self.buffer.drain(..=end).collect();
+            if let Some(data) = line.strip_prefix(b"data: ") {
+                self.event(data);
+            }
+        }
+    }
+
+    fn event(&mut self, data: &[u8]) {
+        let Ok(event) = serde_json::from_slice::<EventBody>(data) else {
+            return;
+        };
+        if let Some(error) = event.error {
+            self.note.ending = ending(&error.outcome);
+            self.note.reason = error.reason;
+        } else if let Some(outcome) = event.outcome {
+            self.note.ending = ending(&outcome);
+        } else if let Some(choice) = event.choices.first() {
+            self.token(&choice.text);
+        }
+    }
+
+    fn token(&mut self, text: &str) {
+        let now = Instant::now();
+        match self.last {
+            None => self.note.first = Some(now - self.sent),
+            Some(last) => self.note.gaps.push(now - last),
+        }
+        self.last = Some(now);
+        self.text.push_str(text);
+    }
+
+    fn finish(mut self, job: &Job) -> Note {
+        self.note.took = self.sent.elapsed();
+        let whole = self.note.ending == Ending::Whole;
+        if whole && self.text != expected_text(job.seed, &job.prompt, 1, job.limit) {
+            self.note.ending = Ending::Wrong;
+        }
+        self.note
+    }
+}
--- /dev/null
+++ b/crates/standin/src/load/mix.rs
@@ -0,0 +1,191 @@
+//! What is asked for, and when: a seeded list of jobs in phases with different prompt-to-output mixes.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Standards texts that checks share.
+const STANDARDS: u64 = 4;
+
+/// Words of a standards text.
+const STANDARD_WORDS: usize = 1_600;
+
+/// Words of a spec that follows a standards text: least and most.
+const SPEC_WORDS: (usize, usize) = (400, 1_200);
+
+/// Tokens of a verdict.
+const VERDICT: u32 = 4;
+
+/// Words of a chat turn: least and most.
+const CHAT_WORDS: (usize, usize) = (30, 150);
+
+/// Tokens of a chat answer: least and most.
+const CHAT_TOKENS: (u32, u32) = (50, 130);
+
+/// What a job asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// A long spec with shared standards text, a short verdict.
+    Check,
+    /// A short chat turn, a longer answer.
+    Chat,
+    /// A non-idempotent order to a plain service.
+    Order,
+}
+
+/// Arrivals a second in a part of the run.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Phase {
+    /// Its length.
+    pub seconds: f64,
+    /// Checks a second.
+    pub checks: f64,
+    /// Chat turns a second.
+    pub chats: f64,
+    /// Orders a second.
+    pub orders: f64,
+}
+
+/// What one product asks for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Traffic {
+    /// The product.
+    pub product: String,
+    /// Its API key.
+    pub key: String,
+    /// The phases, one after the other.
+    pub phases: Vec<Phase>,
+}
+
+/// Deadlines by kind, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Deadlines {
+    /// Of a check.
+    pub check: u64,
+    /// Of a chat turn.
+    pub chat: u64,
+    /// Of an order.
+    pub order: u64,
+}
+
+impl Default for Deadlines {
+    fn default() -> Deadlines {
+        Deadlines {
+            check: 2_000,
+            chat: 3_000,
+            order: 2_000,
+        }
+    }
+}
+
+impl Deadlines {
+    /// The deadline of a job of `kind`.
+    pub fn of(&self, kind: Kind) -> Duration {
+        Duration::from_millis(match kind {
+            Kind::Check => self.check,
+            Kind::Chat => self.chat,
+            Kind::Order => self.order,
+        })
+    }
+}
+
+/// A request to be sent.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Job {
+    /// When, after the start of the run.
+    pub at: Duration,
+    /// Index of the phase.
+    pub phase: usize,
+    /// Index of the product.
+    pub product: usize,
+    /// What it asks for.
+    pub kind: Kind,
+    /// Its prompt.
+    pub prompt: String,
+    /// Tokens to generate.
+    pub limit: u32,
+    /// Seed of the sampling.
+    pub seed: u64,
+}
+
+/// The jobs of all products, by time. The same seed gives the same jobs.
+pub fn jobs(traffic: &[Traffic], seed: u64) -> Vec<Job> {
+    let mut jobs = Vec::new();
+    for (product, asked) in traffic.iter().enumerate() {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed.wrapping_mul(31).wrapping_add(product as u64));
+        let mut begin = 0.0;
+        for (phase, rates) in asked.phases.iter().enumerate() {
+            let kinds = [
+                (Kind::Check, rates.checks),
+                (Kind::Chat, rates.chats),
+                (Kind::Order, rates.orders),
+            ];
+            for (kind, rate) in kinds {
+                for at in arrivals(&mut rng, rate, rates.seconds) {
+                    let at = Duration::from_secs_f64(begin + at);
+                    jobs.push(job(&mut rng, at, phase, product, kind));
+                }
+            }
+            begin += rates.seconds;
+        }
+    }
+    jobs.sort_by_key(|job| job.at);
+    jobs
+}
+
+/// Times of a Poisson process.
+fn arrivals(rng: &mut ChaCha8Rng, rate: f64, seconds: f64) -> Vec<f64> {
+    let mut times = Vec::new();
+    if rate <= 0.0 {
+        return times;
+    }
+    let mut at = 0.0;
+    loop {
+        at -= (1.0 - rng.random::<f64>()).ln() / rate;
+        if at >= seconds {
+            return times;
+        }
+        times.push(at);
+    }
+}
+
+fn job(rng: &mut ChaCha8Rng, at: Duration, phase: usize, product: usize, kind: Kind) -> Job {
+    let (prompt, limit) = match kind {
+        Kind::Check => (check_prompt(rng), VERDICT),
+        Kind::Chat => {
+            let words = rng.random_range(CHAT_WORDS.0..=CHAT_WORDS.1);
+            let limit = rng.random_range(CHAT_TOKENS.0..=CHAT_TOKENS.1);
+            (words_of(rng.random(), words), limit)
+        }
+        Kind::Order => (String::new(), 0),
+    };
+    Job {
+        at,
+        phase,
+        product,
+        kind,
+        prompt,
+        limit,
+        seed: rng.random(),
+    }
+}
+
+/// A standards text that many checks share, then a spec of its own.
+fn check_prompt(rng: &mut ChaCha8Rng) -> String {
+    let standard = words_of(rng.random_range(0..STANDARDS), STANDARD_WORDS);
+    let words = rng.random_range(SPEC_WORDS.0..=SPEC_WORDS.1);
+    format!("{standard} {}", words_of(rng.random(), words))
+}
+
+fn words_of(seed: u64, count: usize) -> String {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let words: Vec<String> = (0..count)
+        .map(|_| format!("{:04x}", rng.random::<u16>()))
+        .collect();
+    words.join(" ")
+}
--- /dev/null
+++ b/crates/standin/src/load/mod.rs
@@ -0,0 +1,183 @@
+//! Open-loop load: sends requests at their times whatever became of those before, and reports what callers saw.
+
+pub mod addresses;
+pub mod caller;
+pub mod cli;
+pub mod mix;
+pub mod report;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use awc::Client;
+use awc::Connector;
+use uuid::Uuid;
+
+use crate::engine::OrderRecord;
+use crate::load::addresses::Addresses;
+use crate::load::caller::Ending;
+use crate::load::caller::Note;
+use crate::load::caller::Session;
+use crate::load::mix::Deadlines;
+use crate::load::mix::Job;
+use crate::load::mix::Traffic;
+use crate::load::mix::jobs;
+use crate::load::report::Recorder;
+use crate::load::report::Report;
+use crate::load::report::Targets;
+
+/// Time for connecting to an instance.
+const CONNECT: Duration = Duration::from_secs(2);
+
+/// What to send where.
+#[derive(Debug, Clone)]
+pub struct LoadSettings {
+    /// Addresses of instances, used in turn until `/v1/addresses` says others.
+    pub targets: Vec<SocketAddr>,
+    /// What each product asks for.
+    pub traffic: Vec<Traffic>,
+    /// Model asked for.
+    pub model: String,
+    /// Plain service that takes orders.
+    pub service: String,
+    /// Deadlines by kind.
+    pub deadlines: Deadlines,
+    /// Targets to count.
+    pub goals: Targets,
+    /// Seed of the jobs.
+    pub seed: u64,
+    /// Engines whose role changes are counted.
+    pub engines: Vec<SocketAddr>,
+    /// Plain upstreams whose runs are counted.
+    pub plain: Vec<SocketAddr>,
+}
+
+struct Placed {
+    key: Uuid,
+    ending: Ending,
+}
+
+/// Sends the jobs and waits until all have ended.
+///
+/// # Errors
+///
+/// If a stand-in's record can't be read.
+pub async fn run(settings: LoadSettings) -> eyre::Result<Report> {
+    let client = Client::builder()
+        .connector(Connector::new().timeout(CONNECT).limit(0))
+        .disable_redirects()
+        .disable_timeout()
+        .finish();
+    let jobs = jobs(&settings.traffic, settings.seed);
+    let recorder = Rc::new(RefCell::new(Recorder::new(settings.seed, settings.goals)));
+    let placed = Rc::new(RefCell::new(Vec::new()));
+    let settings = Rc::new(settings);
+    let addresses = Rc::new(RefCell::new(Addresses::new(&settings.targets)));
+    let start = tokio::time::Instant::now();
+    let mut calls = Vec::with_capacity(jobs.len());
+    for (index, job) in jobs.into_iter().enumerate() {
+        tokio::time::sleep_until(start + job.at).await;
+        let session = session(&settings, &addresses, &client, &job, index);
+        let (client, recorder, placed) = (client.clone(), recorder.clone(), placed.clone());
+        let settings = settings.clone();
+        calls.push(actix_rt::spawn(async move {
+            let note = caller::call(&client, &session, &job).await;
+            record(&mut recorder.borrow_mut(), &settings, &job, &note);
+            if let Some(key) = note.key {
+                placed.borrow_mut().push(Placed {
+                    key,
+                    ending: note.ending,
+                });
+            }
+        }));
+    }
+    for call in calls {
+        call.await?;
+    }
+    let seconds = start.elapsed().as_secs_f64();
+    let recorder = Rc::into_inner(recorder)
+        .expect("all calls have ended")
+        .into_inner();
+    let mut report = recorder.finish(seconds);
+    report.changes = count_changes(&client, &settings.engines).await?;
+    let placed = placed.take();
+    count_orders(&client, &settings.plain, &placed, &mut report).await?;
+    Ok(report)
+}
+
+fn session(
+    settings: &LoadSettings,
+    addresses: &Rc<RefCell<Addresses>>,
+    client: &Client,
+    job: &Job,
+    index: usize,
+) -> Session {
+    let key = settings.traffic[job.product].key.clone();
+    addresses::refresh(addresses, client, &key);
+    Session {
+        base: addresses.borrow().choose(index),
+        key,
+        model: settings.model.clone(),
+        service: settings.service.clone(),
+        deadline: settings.deadlines.of(job.kind),
+    }
+}
+
+fn record(recorder: &mut Recorder, settings: &LoadSettings, job: &Job, note: &Note) {
+    let product = &settings.traffic[job.product].product;
+    let kind = format!("{:?}", job.kind).to_lowercase();
+    let deadline = settings.deadlines.of(job.kind);
+    recorder.add(note, product, &kind, job.phase, deadline);
+}
+
+/// Orders that took effect at the engines and changed a role. Engines that don't answer count none.
+async fn count_changes(client: &Client, engines: &[SocketAddr]) -> eyre::Result<u64> {
+    let mut changes = 0;
+    for engine in engines {
+        let asked = client.get(format!("http://{engine}/control/orders"));
+        let Ok(mut answer) = asked.send().await else {
+            continue;
+        };
+        let orders: Vec<OrderRecord> = answer.json().await?;
+        let mut last = None;
+        for order in orders.into_iter().filter(|o| o.applied) {
+            // The same order repeated changes nothing.
+            if last.replace(order.order.sequence) != Some(order.order.sequence) {
+                changes += 1;
+            }
+        }
+    }
+    Ok(changes)
+}
+
+async fn count_orders(
+    client: &Client,
+    plain: &[SocketAddr],
+    placed: &[Placed],
+    report: &mut Report,
+) -> eyre::Result<()> {
+    if plain.is_empty() {
+        return Ok(());
+    }
+    let mut runs: BTreeMap<String, u32> = BTreeMap::new();
+    for upstream in plain {
+        let asked = client.get(format!("http://{upstream}/control/runs"));
+        let Ok(mut answer) = asked.send().await else {
+            continue;
+        };
+        let counted: BTreeMap<String, u32> = answer.json().limit(16 * 1024 * 1024).await?;
+        for (key, count) in counted {
+            *runs.entry(key).or_default() += count;
+        }
+    }
+    for order in placed {
+        let count = runs.get(&order.key.to_string()).copied().unwrap_or(0);
+        report.doubled += u64::from(count > 1);
+        report.lost += u64::from(count == 0 && order.ending == Ending::Whole);
+        report.untrue += u64::from(count > 0 && order.ending == Ending::NotRun);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/src/load/report.rs
@@ -0,0 +1,245 @@
+//! What the callers saw, summed up.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::load::caller::Ending;
+use crate::load::caller::Note;
+
+/// Largest time recorded, in microseconds.
+const MAX_MICROS: u64 = 120_000_000;
+
+/// Targets that the letter names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Targets {
+    /// Milliseconds until the first token.
+    pub first: u64,
+    /// Milliseconds between tokens, at the 95th percentile of an answer.
+    pub between: u64,
+}
+
+impl Default for Targets {
+    fn default() -> Targets {
+        Targets {
+            first: 560,
+            between: 48,
+        }
+    }
+}
+
+/// Percentiles in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct Percentiles {
+    /// Median.
+    pub p50: f64,
+    /// 95th.
+    pub p95: f64,
+    /// 99th.
+    pub p99: f64,
+}
+
+/// Counts of a product, or of a phase.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Counts {
+    /// Requests sent.
+    pub offered: u64,
+    /// Whole answers within their deadline.
+    pub good: u64,
+    /// Whole answers after it.
+    pub late: u64,
+    /// Refusals as not run.
+    pub refused: u64,
+    /// Ran and failed.
+    pub failed: u64,
+    /// Unknown, or nothing heard.
+    pub unknown: u64,
+    /// Answers that are not those to their requests.
+    pub wrong: u64,
+}
+
+impl Counts {
+    /// Part of the requests that got their whole answer within the deadline, in percent.
+    pub fn percent(&self) -> f64 {
+        100.0 * self.good as f64 / self.offered.max(1) as f64
+    }
+
+    fn add(&mut self, note: &Note, deadline: Duration) {
+        self.offered += 1;
+        match note.ending {
+            Ending::Whole if note.took <= deadline => self.good += 1,
+            Ending::Whole => self.late += 1,
+            Ending::NotRun => self.refused += 1,
+            Ending::Failed => self.failed += 1,
+            Ending::Unknown => self.unknown += 1,
+            Ending::Wrong => self.wrong += 1,
+        }
+    }
+}
+
+/// The report of a run.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Report {
+    /// Seed of the jobs.
+    pub seed: u64,
+    /// Length of the run in seconds.
+    pub seconds: f64,
+    /// All requests.
+    pub total: Counts,
+    /// By product.
+    pub products: BTreeMap<String, Counts>,
+    /// By phase of arrival.
+    pub phases: Vec<Counts>,
+    /// By kind of request.
+    pub kinds: BTreeMap<String, Counts>,
+    /// Refusals by reason.
+    pub reasons: BTreeMap<String, u64>,
+    /// Time to the first token.
+    pub first: Percentiles,
+    /// Time between tokens.
+    pub between: Percentiles,
+    /// Streamed answers that met both targets of the letter.
+    pub targets: u64,
+    /// Orders that ran more than once.
+    pub doubled: u64,
+    /// Orders answered as whole that never ran.
+    pub lost: u64,
+    /// Orders refused as not run that did run.
+    pub untrue: u64,
+    /// Role changes that took effect at the engines.
+    pub changes: u64,
+}
+
+/// Gathers notes.
+#[derive(Debug)]
+pub struct Recorder {
+    report: Report,
+    first: Histogram<u64>,
+    between: Histogram<u64>,
+    targets: Targets,
+}
+
+impl Recorder {
+    /// A recorder of nothing yet.
+    pub fn new(seed: u64, targets: Targets) -> Recorder {
+        let histogram = || Histogram::new_with_max(MAX_MICROS, 3).expect("the bounds are good");
+        Recorder {
+            report: Report {
+                seed,
+                ..Report::default()
+            },
+            first: histogram(),
+            between: histogram(),
+            targets,
+        }
+    }
+
+    /// Adds what a caller noted.
+    pub fn add(&mut self, note: &Note, product: &str, kind: &str, phase: usize, deadline: Duration) {
+        let report = &mut self.report;
+        report.total.add(note, deadline);
+        report
+            .products
+            .entry(product.to_string())
+            .or_default()
+            .add(note, deadline);
+        report
+            .kinds
+            .entry(kind.to_string())
+            .or_default()
+            .add(note, deadline);
+        if report.phases.len() <= phase {
+            report.phases.resize(phase + 1, Counts::default());
+        }
+        report.phases[phase].add(note, deadline);
+        if let Some(reason) = &note.reason {
+            *report.reasons.entry(reason.clone()).or_default() += 1;
+        }
+        let Some(first) = note.first else { return };
+        self.first.saturating_record(first.as_micros() as u64);
+        for gap in &note.gaps {
+            self.between.saturating_record(gap.as_micros() as u64);
+        }
+        self.report.targets += u64::from(meets(note, first, self.targets));
+    }
+
+    /// The report.
+    pub fn finish(mut self, seconds: f64) -> Report {
+        self.report.seconds = seconds;
+        self.report.first = percentiles(&self.first);
+        self.report.between = percentiles(&self.between);
+        self.report
+    }
+}
+
+fn meets(note: &Note, first: Duration, targets: Targets) -> bool {
+    let limit = Duration::from_millis(targets.between);
+    let slow = note.gaps.iter().filter(|gap| **gap > limit).count();
+    let smooth = slow * 20 <= note.gaps.len();
+    note.ending == Ending::Whole && first <= Duration::from_millis(targets.first) && smooth
+}
+
+fn percentiles(histogram: &Histogram<u64>) -> Percentiles {
+    let at = |quantile: f64| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
+    Percentiles {
+        p50: at(0.5),
+        p95: at(0.95),
+        p99: at(0.99),
+    }
+}
+
+impl fmt::Display for Counts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{:6.1}% good  offered {:6}  good {:6}  late {:5}  refused {:5}  failed {:4}  unknown {:4}  wrong {:3}",
+            self.percent(),
+            self.offered,
+            self.good,
+            self.late,
+            self.refused,
+            self.failed,
+            self.unknown,
+            self.wrong,
+        )
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "seed {}, {:.1} s", self.seed, self.seconds)?;
+        writeln!(f, "total            {}", self.total)?;
+        for (name, counts) in &self.products {
+            writeln!(f, "product {name:8} {counts}")?;
+        }
+        for (name, counts) in &self.kinds {
+            writeln!(f, "kind {name:11} {counts}")?;
+        }
+        for (index, counts) in self.phases.iter().enumerate() {
+            writeln!(f, "phase {index:<10} {counts}")?;
+        }
+        for (reason, count) in &self.reasons {
+            writeln!(f, "refused {reason}: {count}")?;
+        }
+        let (first, between) = (self.first, self.between);
+        writeln!(
+            f,
+            "first token ms    p50 {:.1}  p95 {:.1}  p99 {:.1}",
+            first.p50, first.p95, first.p99
+        )?;
+        writeln!(
+            f,
+            "between tokens ms p50 {:.1}  p95 {:.1}  p99 {:.1}",
+            between.p50, between.p95, between.p99
+        )?;
+        write!(
+            f,
+            "targets met {}  doubled {}  lost {}  untrue not-run {}  role changes {}",
+            self.targets, self.doubled, self.lost, self.untrue, self.changes
+        )
+    }
+}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,4 +1,4 @@
-//! Starts one stand-in: `platform`, `engine` or `plain`.
+//! Starts one stand-in (`platform`, `engine` or `plain`) or the callers (`load`).
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,6 +11,7 @@
 use sequoiastream_standin::engine;
 use sequoiastream_standin::engine::EngineSettings;
 use sequoiastream_standin::engine::Rates;
+use sequoiastream_standin::load;
 use sequoiastream_standin::plain;
 use sequoiastream_standin::platform;
 use sequoiastream_standin::serve::serve;
@@ -35,6 +36,7 @@
                 .arg(listen.clone()),
         )
         .subcommand(engine_cli().arg(listen))
+        .subcommand(load::cli::cli())
 }
 
 fn engine_cli() -> Command {
@@ -101,6 +103,9 @@
 async fn main() -> eyre::Result<()> {
     let matches = cli().get_matches();
     let (name, matches) = matches.subcommand().expect("a subcommand is required");
+    if name == "load" {
+        return load::cli::run(matches).await;
+    }
     let listen = *matches.get_one::<SocketAddr>("listen").expect("has a default");
     match name {
         "platform" => serve(listen, 1, platform::configure()).await,
