--- /dev/null
+++ b/crates/standin/src/experiment/cases.rs
@@ -0,0 +1,203 @@
+//! The run sets: which policies meet which traffic and faults.
+
+use sequoiastream_core::config::Role;
+
+use crate::experiment::fleet::Owed;
+use crate::load::mix::Phase;
+use crate::load::mix::Traffic;
+
+/// Engines of a run.
+pub const ENGINES: usize = 8;
+
+/// Seconds of a phase.
+const PHASE: f64 = 12.0;
+
+/// What goes wrong during a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultCase {
+    /// Nothing.
+    None,
+    /// An engine is killed.
+    EngineLost,
+    /// An engine is withdrawn by an operator.
+    EngineWithdrawn,
+    /// Load reports are five seconds late.
+    LateReports,
+    /// The key-value service is down for most of the run.
+    PlatformOut,
+    /// An entry instance is paused for a while.
+    InstancePaused,
+}
+
+/// One run, but for its seed.
+#[derive(Debug, Clone)]
+pub struct Case {
+    /// Its name in the table.
+    pub name: String,
+    /// Policy of the daemons.
+    pub policy: String,
+    /// Roles of the engines at first.
+    pub roles: Vec<Role>,
+    /// Products.
+    pub products: Vec<Owed>,
+    /// What they ask for.
+    pub traffic: Vec<Traffic>,
+    /// What goes wrong.
+    pub fault: FaultCase,
+}
+
+/// The names of the run sets.
+pub const SETS: [&str; 5] = ["shift", "splits", "dial", "faults", "greedy"];
+
+/// The cases of the run set `name`.
+pub fn cases(name: &str) -> Vec<Case> {
+    match name {
+        "splits" => splits(),
+        "dial" => dial(),
+        "faults" => faults(),
+        "greedy" => greedy(),
+        _ => shift(),
+    }
+}
+
+/// `prefill` engines for prefill, the others for decode.
+fn split(prefill: usize) -> Vec<Role> {
+    let role = |index| match index < prefill {
+        true => Role::Prefill,
+        false => Role::Decode,
+    };
+    (0..ENGINES).map(role).collect()
+}
+
+fn owed(weight: u32) -> Vec<Owed> {
+    let product = |name: &str| Owed {
+        name: name.to_string(),
+        share: 45,
+        weight,
+    };
+    vec![product("assistente"), product("sauti")]
+}
+
+/// The shifting mix: chat, then checks, then chat, then both.
+fn mix() -> Vec<Phase> {
+    let phase = |checks, chats| Phase {
+        seconds: PHASE,
+        checks,
+        chats,
+        orders: 1.0,
+    };
+    vec![
+        phase(2.0, 36.0),
+        phase(26.0, 6.0),
+        phase(2.0, 36.0),
+        phase(16.0, 18.0),
+    ]
+}
+
+fn traffic(products: &[Owed], phases: &[Phase]) -> Vec<Traffic> {
+    let of = |owed: &Owed| Traffic {
+        product: owed.name.clone(),
+        key: owed.key(),
+        phases: phases.to_vec(),
+    };
+    products.iter().map(of).collect()
+}
+
+fn case(name: &str, policy: &str, roles: Vec<Role>, weight: u32) -> Case {
+    let products = owed(weight);
+    Case {
+        name: name.to_string(),
+        policy: policy.to_string(),
+        roles,
+        traffic: traffic(&products, &mix()),
+        products,
+        fault: FaultCase::None,
+    }
+}
+
+fn shift() -> Vec<Case> {
+    let half = || split(ENGINES / 2);
+    vec![
+        case("a: fixed split, round-robin", "round-robin", half(), 0),
+        case("b: least load by reports", "least-load", half(), 0),
+        case("c: role changes by threshold", "threshold", half(), 0),
+        case("ours, no role changes", "fixed", half(), 0),
+        case("ours", "adaptive", half(), 20),
+    ]
+}
+
+fn splits() -> Vec<Case> {
+    let mut cases: Vec<Case> = [1, 2, 3, 4, 5, 6]
+        .into_iter()
+        .map(|prefill| case(&format!("split {prefill} prefill"), "fixed", split(prefill), 0))
+        .collect();
+    cases.push(case("split all mixed", "fixed", vec![Role::Mixed; ENGINES], 0));
+    cases
+}
+
+fn dial() -> Vec<Case> {
+    let half = || split(ENGINES / 2);
+    [0, 20, 50, 100]
+        .into_iter()
+        .map(|weight| case(&format!("weight {weight:3}"), "adaptive", half(), weight))
+        .collect()
+}
+
+fn faults() -> Vec<Case> {
+    let faults = [
+        ("no fault", FaultCase::None),
+        ("engine lost", FaultCase::EngineLost),
+        ("engine withdrawn", FaultCase::EngineWithdrawn),
+        ("reports 5 s late", FaultCase::LateReports),
+        ("KV out", FaultCase::PlatformOut),
+        ("instance paused", FaultCase::InstancePaused),
+    ];
+    faults
+        .into_iter()
+        .map(|(name, fault)| Case {
+            fault,
+            ..case(name, "adaptive", split(ENGINES / 2), 20)
+        })
+        .collect()
+}
+
+/// One product at its share, then another beside it at ten times its own.
+fn greedy() -> Vec<Case> {
+    let steady = |chats: f64| {
+        vec![Phase {
+            seconds: 2.0 * PHASE,
+            checks: chats / 8.0,
+            chats,
+            orders: 0.0,
+        }]
+    };
+    let build = |name: &str, policy: &str, greedy: f64| {
+        let products = vec![
+            Owed {
+                name: "modest".to_string(),
+                share: 40,
+                weight: 0,
+            },
+            Owed {
+                name: "greedy".to_string(),
+                share: 10,
+                weight: 0,
+            },
+        ];
+        let mut asked = traffic(&products, &steady(20.0));
+        asked[1].phases = steady(greedy);
+        Case {
+            name: name.to_string(),
+            policy: policy.to_string(),
+            roles: vec![Role::Mixed; ENGINES],
+            products,
+            traffic: asked,
+            fault: FaultCase::None,
+        }
+    };
+    vec![
+        build("alone", "fixed", 0.0),
+        build("greedy 10x, limits", "fixed", 60.0),
+        build("greedy 10x, no limits", "least-load", 60.0),
+    ]
+}
--- /dev/null
+++ b/crates/standin/src/experiment/cli.rs
@@ -0,0 +1,107 @@
+//! The command line of `experiment`.
+
+use std::path::Path;
+use std::path::PathBuf;
+
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use eyre::WrapErr;
+use futures_util::StreamExt;
+use futures_util::stream;
+
+use crate::experiment::cases::SETS;
+use crate::experiment::cases::cases;
+use crate::experiment::fleet::Plan;
+use crate::experiment::plot;
+use crate::experiment::run;
+use crate::experiment::table::Row;
+use crate::experiment::table::hindsight;
+use crate::experiment::table::render;
+
+/// Describes the command.
+pub fn cli() -> Command {
+    Command::new("experiment")
+        .about("Policies side by side, with daemons and stand-ins as processes of their own")
+        .arg(text(
+            "set",
+            "Run sets, with commas between: shift, splits, dial, faults, greedy",
+            "shift",
+        ))
+        .arg(text("seeds", "Seeds, with commas between", "1,2,3"))
+        .arg(text("only", "Runs only the cases whose name holds this", ""))
+        .arg(text("out", "Folder for results.json and results.svg", "."))
+        .arg(number("parallel", "Runs at once", "1"))
+        .arg(number("daemons", "Entry instances of a run", "2"))
+        .arg(number(
+            "away",
+            "Milliseconds that a role change takes an engine away",
+            "300",
+        ))
+}
+
+fn text(name: &'static str, help: &'static str, default: &'static str) -> Arg {
+    Arg::new(name).long(name).help(help).default_value(default)
+}
+
+fn number(name: &'static str, help: &'static str, default: &'static str) -> Arg {
+    text(name, help, default).value_parser(value_parser!(u64))
+}
+
+/// Runs the command: prints the table, writes `results.json` and `results.svg`.
+///
+/// # Errors
+///
+/// If a run can't be started or a file not written.
+pub async fn execute(matches: &ArgMatches) -> eyre::Result<()> {
+    let text = |name: &str| matches.get_one::<String>(name).expect("has a default").clone();
+    let number = |name: &str| *matches.get_one::<u64>(name).expect("has a default");
+    let mut seeds = Vec::new();
+    for seed in text("seeds").split(',') {
+        seeds.push(seed.parse::<u64>().wrap_err("--seeds holds no numbers")?);
+    }
+    let plan = Plan {
+        binaries: binaries()?,
+        policy: String::new(),
+        roles: Vec::new(),
+        daemons: usize::try_from(number("daemons"))?,
+        products: Vec::new(),
+        away: number("away"),
+    };
+    let only = text("only");
+    let mut runs = Vec::new();
+    for set in text("set").split(',') {
+        let set = SETS
+            .iter()
+            .find(|s| **s == set)
+            .ok_or_else(|| eyre::eyre!("no run set {set:?}"))?;
+        let chosen = cases(set).into_iter().filter(|c| c.name.contains(&only));
+        for case in chosen {
+            runs.extend(seeds.iter().map(|seed| (*set, case.clone(), *seed)));
+        }
+    }
+    let parallel = usize::try_from(number("parallel"))?;
+    let results = stream::iter(runs.into_iter().map(|(set, case, seed)| {
+        let plan = &plan;
+        async move { run(set, &case, seed, plan).await }
+    }));
+    let rows: Vec<eyre::Result<Row>> = results.buffered(parallel).collect().await;
+    let rows: Vec<Row> = rows.into_iter().collect::<eyre::Result<_>>()?;
+    write(&rows, Path::new(&text("out")))
+}
+
+fn binaries() -> eyre::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    Ok(own.parent().unwrap_or(Path::new(".")).to_path_buf())
+}
+
+fn write(rows: &[Row], out: &Path) -> eyre::Result<()> {
+    println!("{}", render(rows));
+    for (seed, percent) in hindsight(rows).into_iter().flatten() {
+        println!("best fixed split of each phase in hindsight, seed {seed}: {percent:.1}% good");
+    }
+    std::fs::create_dir_all(out)?;
+    std::fs::write(out.join("results.json"), serde_json::to_vec_pretty(rows)?)?;
+    plot::draw(rows, "sequoiastream: goodput by policy", &out.join("results.svg"))
+}
--- /dev/null
+++ b/crates/standin/src/experiment/table.rs
@@ -0,0 +1,141 @@
+//! The results as a table.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::load::report::Report;
+
+/// The result of one run.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// The run set.
+    pub set: String,
+    /// The case.
+    pub case: String,
+    /// What the callers saw.
+    pub report: Report,
+}
+
+/// Median with least and most.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Spread {
+    /// Least.
+    pub least: f64,
+    /// Median.
+    pub median: f64,
+    /// Most.
+    pub most: f64,
+}
+
+impl Spread {
+    /// Of `values`; all zero if there are none.
+    pub fn of(mut values: Vec<f64>) -> Spread {
+        values.sort_by(f64::total_cmp);
+        let at = |index: usize| values.get(index).copied().unwrap_or(0.0);
+        Spread {
+            least: at(0),
+            median: at(values.len() / 2),
+            most: at(values.len().saturating_sub(1)),
+        }
+    }
+}
+
+/// Rows of each case, in the order of the first row of each.
+pub fn by_case(rows: &[Row]) -> Vec<(&str, Vec<&Row>)> {
+    let mut cases: Vec<(&str, Vec<&Row>)> = Vec::new();
+    for row in rows {
+        match cases.iter_mut().find(|(name, _)| *name == row.case) {
+            Some((_, rows)) => rows.push(row),
+            None => cases.push((&row.case, vec![row])),
+        }
+    }
+    cases
+}
+
+/// Goodput of a run: good answers a second of its phases.
+pub fn goodput(row: &Row) -> f64 {
+    row.report.total.good as f64 / row.report.seconds.max(1.0)
+}
+
+/// The table, medians with least and most over the seeds.
+pub fn render(rows: &[Row]) -> String {
+    let mut text = String::new();
+    let _ = writeln!(
+        text,
+        "| case | good, % of offered | good by phase, % | within both targets, % | first token p95, ms | between p95, ms | role changes | refused, % | late, % | failed, unknown, wrong, doubled, lost, untrue |"
+    );
+    let _ = writeln!(
+        text,
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+    );
+    for (name, rows) in by_case(rows) {
+        let _ = writeln!(text, "| {name} | {} |", cells(&rows).join(" | "));
+    }
+    text
+}
+
+fn cells(rows: &[&Row]) -> Vec<String> {
+    let of = |value: &dyn Fn(&Report) -> f64| Spread::of(rows.iter().map(|r| value(&r.report)).collect());
+    let show = |s: Spread| format!("{:.1} ({:.1}-{:.1})", s.median, s.least, s.most);
+    let part = |count: u64, report: &Report| 100.0 * count as f64 / report.total.offered.max(1) as f64;
+    let phases = rows.iter().map(|r| r.report.phases.len()).max().unwrap_or(0);
+    let by_phase: Vec<String> = (0..phases)
+        .map(|i| {
+            format!(
+                "{:.1}",
+                of(&|r| r.phases.get(i).map_or(0.0, |c| c.percent())).median
+            )
+        })
+        .collect();
+    let sums: Vec<String> = [
+        rows.iter().map(|r| r.report.total.failed).sum::<u64>(),
+        rows.iter().map(|r| r.report.total.unknown).sum(),
+        rows.iter().map(|r| r.report.total.wrong).sum(),
+        rows.iter().map(|r| r.report.doubled).sum(),
+        rows.iter().map(|r| r.report.lost).sum(),
+        rows.iter().map(|r| r.report.untrue).sum(),
+    ]
+    .iter()
+    .map(u64::to_string)
+    .collect();
+    vec![
+        show(of(&|r| r.total.percent())),
+        by_phase.join(", "),
+        show(of(&|r| part(r.targets, r))),
+        show(of(&|r| r.first.p95)),
+        show(of(&|r| r.between.p95)),
+        show(of(&|r| r.changes as f64)),
+        show(of(&|r| part(r.total.refused, r))),
+        show(of(&|r| part(r.total.late, r))),
+        sums.join(", "),
+    ]
+}
+
+/// What the best fixed split, chosen in hindsight for each phase and seed, would have served: percent of what
+/// was offered, by seed. `None` without runs of splits.
+pub fn hindsight(rows: &[Row]) -> Option<BTreeMap<u64, f64>> {
+    let mut best: BTreeMap<u64, Vec<(u64, u64)>> = BTreeMap::new();
+    for row in rows.iter().filter(|r| r.set == "splits") {
+        let phases = best.entry(row.report.seed).or_default();
+        phases.resize(row.report.phases.len(), (0, 0));
+        for (known, counts) in phases.iter_mut().zip(&row.report.phases) {
+            *known = (known.0.max(counts.good), counts.offered);
+        }
+    }
+    let percent = |phases: Vec<(u64, u64)>| {
+        let good: u64 = phases.iter().map(|p| p.0).sum();
+        let offered: u64 = phases.iter().map(|p| p.1).sum();
+        100.0 * good as f64 / offered.max(1) as f64
+    };
+    match best.is_empty() {
+        true => None,
+        false => Some(
+            best.into_iter()
+                .map(|(seed, phases)| (seed, percent(phases)))
+                .collect(),
+        ),
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,7 +5,9 @@
 //! All of them have a `/control` interface by which a test injects faults and reads what was recorded.
 
 pub mod engine;
+pub mod experiment;
 pub mod load;
 pub mod plain;
 pub mod platform;
+pub mod process;
 pub mod serve;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -11,6 +11,7 @@
 use sequoiastream_standin::engine;
 use sequoiastream_standin::engine::EngineSettings;
 use sequoiastream_standin::engine::Rates;
+use sequoiastream_standin::experiment;
 use sequoiastream_standin::load;
 use sequoiastream_standin::plain;
 use sequoiastream_standin::platform;
@@ -37,6 +38,7 @@
         )
         .subcommand(engine_cli().arg(listen))
         .subcommand(load::cli::cli())
+        .subcommand(experiment::cli::cli())
 }
 
 fn engine_cli() -> Command {
@@ -103,8 +105,10 @@
 async fn main() -> eyre::Result<()> {
     let matches = cli().get_matches();
     let (name, matches) = matches.subcommand().expect("a subcommand is required");
-    if name == "load" {
-        return load::cli::run(matches).await;
+    match name {
+        "load" => return load::cli::run(matches).await,
+        "experiment" => return experiment::cli::execute(matches).await,
+        _ => {}
     }
     let listen = *matches.get_one::<SocketAddr>("listen").expect("has a default");
     match name {
--- a/crates/testsupport/src/lib.rs
+++ b/crates/testsupport/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod fleet;
 pub mod http;
-pub mod process;
+
+pub use sequoiastream_standin::process;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -58,6 +58,8 @@
     pub policy: Policy,
     /// How often engines are asked for their load.
     pub poll: Duration,
+    /// How long a role change takes an engine away.
+    pub away: Duration,
     /// How log lines are written.
     pub format: LogFormat,
     /// Only check the settings.
@@ -170,6 +172,12 @@
             "How often engines are asked for their load",
             "500",
         ))
+        .arg(number(
+            "away-ms",
+            "SEQUOIASTREAM_AWAY_MS",
+            "How long a role change takes an engine away; the planner's times follow from it",
+            "3000",
+        ))
         .arg(
             text(
                 "log-format",
@@ -219,6 +227,7 @@
         let deadline = reader.positive("kv-deadline-ms");
         let wait = reader.positive("watch-ms");
         let poll = reader.positive("load-ms");
+        let away = reader.positive("away-ms");
         let policy = reader.parsed::<Policy>("policy").unwrap_or_default();
         let format = match reader.text("log-format").as_str() {
             "json" => LogFormat::Json,
@@ -243,6 +252,7 @@
             wait: Duration::from_millis(wait),
             policy,
             poll: Duration::from_millis(poll),
+            away: Duration::from_millis(away),
             format,
             check: matches.get_flag("check"),
         })
