--- /dev/null
+++ b/crates/core/src/limit/mod.rs
@@ -0,0 +1,232 @@
+//! Whether a request may run now.
+//!
+//! What a product is owed is a share of a service's engine time. Requests within it are admitted; beyond it they
+//! borrow what others leave unused, in proportion to shares, while the engines are not congested. A request whose
+//! deadline can't be met is refused at once. No call to another instance is made: an instance holds each product
+//! to its part of the share, and parts follow demand (see [`Limiter::set_part`]).
+
+mod usage;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+pub use usage::MEMORY;
+pub use usage::Usage;
+
+use crate::config::Role;
+use crate::engine::RoleProfile;
+use crate::engine::Speed;
+use crate::engine::step_time;
+use crate::name::Name;
+use crate::outcome::Reason;
+use crate::time::Time;
+
+/// How often it is worked out what may be lent.
+const SETTLE: Duration = Duration::from_millis(200);
+
+/// Part of the capacity that may be in use before nothing more is lent.
+const LEND: f64 = 0.9;
+
+/// Part of the time left to its deadline that a borrowing request may be expected to take.
+const LEND_TIME: f64 = 0.6;
+
+/// Part of the time left that the expected time may take before the service counts as congested.
+const CONGESTED: f64 = 0.8;
+
+/// A request is refused as too late if it is expected to take this many times the time left.
+const TOO_LATE: f64 = 1.0;
+
+/// Factor on what is taken for capacity after each [`SETTLE`] in which the service was congested.
+const TIGHTEN: f64 = 0.9;
+
+/// The same after each that was not.
+const LOOSEN: f64 = 1.03;
+
+/// Least factor on the capacity.
+const TIGHTEST: f64 = 0.2;
+
+/// Shortest and longest time named to come back, in seconds.
+const COME_BACK: (f64, f64) = (0.2, 30.0);
+
+/// A request as its limits see it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Need {
+    /// Engine seconds that it takes.
+    pub cost: f64,
+    /// Seconds until its answer would be whole.
+    pub total: f64,
+    /// Seconds to its deadline.
+    pub left: f64,
+}
+
+/// What a product is owed of the service that it asks.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Owed {
+    /// Share of engine time, in percent.
+    pub share: u32,
+    /// Engines of the service.
+    pub engines: usize,
+}
+
+/// Whether a request may run.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Verdict {
+    /// It is within the product's share.
+    Owed,
+    /// It uses what others leave.
+    Lent,
+    /// It may not run now.
+    Refused(Reason, Duration),
+}
+
+#[derive(Debug, Clone, Default)]
+struct Account {
+    usage: Usage,
+    share: f64,
+    owed: f64,
+    part: Option<f64>,
+}
+
+/// Limits of one instance.
+#[derive(Debug, Clone)]
+pub struct Limiter {
+    accounts: BTreeMap<Name, Account>,
+    capacity: f64,
+    part: f64,
+    tight: f64,
+    congested: bool,
+    spare: f64,
+    borrowers: f64,
+    settled: Time,
+    rng: ChaCha8Rng,
+}
+
+/// Engine seconds that `prefill` uncached prompt tokens and `output` tokens take in a busy engine.
+pub fn cost(speed: Speed, prefill: u32, output: u32) -> f64 {
+    let slots = f64::from(RoleProfile::of(Role::Decode, speed.slots).slots);
+    f64::from(prefill) / speed.prefill + f64::from(output) * step_time(speed, slots) / slots
+}
+
+impl Limiter {
+    /// Limits of an instance that has seen no requests. `seed` draws the jitter of times to come back.
+    pub fn new(seed: u64) -> Limiter {
+        Limiter {
+            accounts: BTreeMap::new(),
+            capacity: 0.0,
+            part: 1.0,
+            tight: 1.0,
+            congested: false,
+            spare: 0.0,
+            borrowers: 0.0,
+            settled: Time::ZERO,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Sets how many instances share the engines. Each has an even part, where no demand is known.
+    pub fn set_instances(&mut self, count: usize) {
+        self.part = 1.0 / count.max(1) as f64;
+    }
+
+    /// Sets which part of `product`'s share this instance gives out, from 0 to 1: its part of the demand that
+    /// all instances saw.
+    pub fn set_part(&mut self, product: &Name, part: f64) {
+        self.accounts.entry(product.clone()).or_default().part = Some(part.clamp(0.0, 1.0));
+    }
+
+    /// Engine seconds a second that `product` used here lately.
+    pub fn rate(&self, now: Time, product: &Name) -> f64 {
+        self.accounts.get(product).map_or(0.0, |a| a.usage.rate(now))
+    }
+
+    /// Factor from 0 to 1 on the capacity, lowered while requests run late.
+    pub fn tightness(&self) -> f64 {
+        self.tight
+    }
+
+    /// Decides on a request of `product`, and counts it if it may run.
+    pub fn admit(&mut self, now: Time, product: &Name, owed: Owed, need: Need) -> Verdict {
+        if now.since(self.settled) >= SETTLE {
+            self.settle(now, owed.engines);
+        }
+        let even = self.part;
+        let capacity = self.capacity;
+        let account = self.accounts.entry(product.clone()).or_default();
+        account.share = f64::from(owed.share) / 100.0;
+        account.owed = capacity * account.share * account.part.unwrap_or(even);
+        let rate = account.usage.with(now, need.cost);
+        let within = rate <= account.owed;
+        if need.total > CONGESTED * need.left {
+            self.congested = true;
+        }
+        if need.total > TOO_LATE * need.left {
+            return self.refuse(Reason::TooLate, need.total - need.left);
+        }
+        if !within && !self.lends(now, product, rate, need) {
+            let owed = self.accounts.get(product).map_or(0.0, |a| a.owed);
+            let over = rate / owed.max(f64::MIN_POSITIVE);
+            return self.refuse(Reason::OverShare, MEMORY.as_secs_f64() * over.max(1.0).ln());
+        }
+        if let Some(account) = self.accounts.get_mut(product) {
+            account.usage.add(now, need.cost);
+        }
+        match within {
+            true => Verdict::Owed,
+            false => Verdict::Lent,
+        }
+    }
+
+    /// Counts a request that [`Limiter::admit`] let run as not run after all.
+    pub fn give_back(&mut self, now: Time, product: &Name, cost: f64) {
+        if let Some(account) = self.accounts.get_mut(product) {
+            account
+                .usage
+                .add(now, -cost.min(account.usage.rate(now) * MEMORY.as_secs_f64()));
+        }
+    }
+
+    /// Whether the product may borrow up to `rate`: its part of what is spare, by shares among borrowers.
+    fn lends(&self, _now: Time, product: &Name, rate: f64, need: Need) -> bool {
+        let Some(account) = self.accounts.get(product) else {
+            return false;
+        };
+        let weight = match self.borrowers > 0.0 {
+            true => account.share.max(0.01) / self.borrowers.max(account.share.max(0.01)),
+            false => 1.0,
+        };
+        rate <= account.owed + self.spare * weight && need.total <= LEND_TIME * need.left
+    }
+
+    /// Works out what is spare, and moves the factor on the capacity.
+    ///
+    /// Failure guarded against: a capacity taken too high (engines lost, roles that don't fit the mix, costs
+    /// guessed too low). All products would then be within their shares, and the one that asks most would take
+    /// from the others. The guard lowers what counts as capacity until the admitted requests run in time.
+    fn settle(&mut self, now: Time, engines: usize) {
+        self.settled = now;
+        let factor = if self.congested { TIGHTEN } else { LOOSEN };
+        self.tight = (self.tight * factor).clamp(TIGHTEST, 1.0);
+        self.congested = false;
+        self.capacity = engines as f64 * self.tight;
+        let mut used = 0.0;
+        self.borrowers = 0.0;
+        for account in self.accounts.values() {
+            let rate = account.usage.rate(now);
+            used += rate.min(account.owed);
+            if rate > account.owed * LEND {
+                self.borrowers += account.share.max(0.01);
+            }
+        }
+        self.spare = (self.capacity * self.part * LEND - used).max(0.0);
+    }
+
+    fn refuse(&mut self, reason: Reason, seconds: f64) -> Verdict {
+        let jitter = 1.0 + 0.5 * self.rng.random::<f64>();
+        let seconds = (seconds * jitter).clamp(COME_BACK.0, COME_BACK.1);
+        Verdict::Refused(reason, Duration::from_secs_f64(seconds))
+    }
+}
