--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -39,6 +39,7 @@
         .subcommand(engine_cli().arg(listen))
         .subcommand(load::cli::cli())
         .subcommand(experiment::cli::cli())
+        .subcommand(Command::new("uuid").about("Prints a fresh idempotency key (UUIDv7)"))
 }
 
 fn engine_cli() -> Command {
@@ -108,6 +109,10 @@
     match name {
         "load" => return load::cli::run(matches).await,
         "experiment" => return experiment::cli::execute(matches).await,
+        "uuid" => {
+            println!("{}", uuid::Uuid::now_v7());
+            return Ok(());
+        }
         _ => {}
     }
     let listen = *matches.get_one::<SocketAddr>("listen").expect("has a default");
--- a/src/ops/control/load.rs
+++ b/src/ops/control/load.rs
@@ -18,7 +18,6 @@
 use sequoiastream_core::route::Report;
 use sequoiastream_core::snapshot::EngineView;
 use sequoiastream_core::snapshot::Snapshot;
-use sequoiastream_platform::KvClient;
 use sequoiastream_upstream::EngineClient;
 use sequoiastream_upstream::UpstreamError;
 use sequoiastream_upstream::wire::CacheEvent;
@@ -33,15 +32,11 @@
 /// Engines of other zones that are asked in each period, in turn.
 const FOREIGN: usize = 8;
 
-/// How often the platform's list is read for the number of instances.
-const LIST: Duration = Duration::from_secs(5);
-
 /// Follower of the engines' load.
 #[derive(Debug)]
 pub struct LoadActor {
     shared: Arc<Shared>,
     engines: EngineClient,
-    kv: KvClient,
     numbers: BTreeMap<Name, u64>,
     turn: usize,
 }
@@ -54,11 +49,10 @@
 
 impl LoadActor {
     /// A follower that knows of no engines.
-    pub fn new(shared: Arc<Shared>, kv: KvClient) -> LoadActor {
+    pub fn new(shared: Arc<Shared>) -> LoadActor {
         LoadActor {
             shared,
             engines: EngineClient::new(),
-            kv,
             numbers: BTreeMap::new(),
             turn: 0,
         }
@@ -66,7 +60,12 @@
 
     fn tick(&mut self, context: &mut Context<Self>) {
         let snapshot = self.shared.snapshot.load_full();
-        self.shared.router().follow(&snapshot);
+        let heard = self.shared.roster().peers.iter().filter(|p| p.heard).count();
+        {
+            let mut router = self.shared.router();
+            router.follow(&snapshot);
+            router.set_instances(1 + heard);
+        }
         let (own, foreign) = cells(&snapshot, &self.shared.settings.zone);
         for engine in own.iter().copied().chain(self.in_turn(&foreign)) {
             self.poll(engine, context);
@@ -126,17 +125,6 @@
             router.cache_event(now, &polled.name, event.block, event.stored);
         }
     }
-
-    fn list(&mut self, context: &mut Context<Self>) {
-        let kv = self.kv.clone();
-        let asked = async move { kv.instances().await };
-        context.spawn(asked.into_actor(self).map(|result, actor, context| {
-            if let Ok(list) = result {
-                actor.shared.router().set_instances(list.len());
-            }
-            context.run_later(LIST, LoadActor::list);
-        }));
-    }
 }
 
 impl Actor for LoadActor {
@@ -144,7 +132,6 @@
 
     fn started(&mut self, context: &mut Context<Self>) {
         self.tick(context);
-        self.list(context);
     }
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,8 @@
 //! They are checked as a whole: [`Settings::read`] names every fault at once, so that an operator mends a
 //! start-up in one go.
 
+mod limits;
+
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,8 +14,10 @@
 use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
+use sequoiastream_core::membership::Limits;
 use sequoiastream_core::name::Name;
 use sequoiastream_core::policy::Policy;
+use sequoiastream_core::shutdown::Times;
 use thiserror::Error;
 
 /// Shortest operator token and cluster key, in bytes.
@@ -60,6 +64,12 @@
     pub poll: Duration,
     /// How long a role change takes an engine away.
     pub away: Duration,
+    /// Limits of membership.
+    pub limits: Limits,
+    /// Time between two looks at the platform's lists.
+    pub lists: Duration,
+    /// Times of a shutdown.
+    pub times: Times,
     /// How log lines are written.
     pub format: LogFormat,
     /// Only check the settings.
@@ -187,6 +197,7 @@
             .value_parser(["text", "json"])
             .default_value("text"),
         )
+        .args(limits::args())
         .arg(
             Arg::new("check")
                 .long("check")
@@ -229,6 +240,9 @@
         let poll = reader.positive("load-ms");
         let away = reader.positive("away-ms");
         let policy = reader.parsed::<Policy>("policy").unwrap_or_default();
+        let limits = limits::limits(&mut reader);
+        let lists = limits::lists(&mut reader);
+        let times = limits::times(&mut reader);
         let format = match reader.text("log-format").as_str() {
             "json" => LogFormat::Json,
             _ => LogFormat::Text,
@@ -253,6 +267,9 @@
             policy,
             poll: Duration::from_millis(poll),
             away: Duration::from_millis(away),
+            limits,
+            lists,
+            times,
             format,
             check: matches.get_flag("check"),
         })
--- a/src/util/metrics.rs
+++ b/src/util/metrics.rs
@@ -20,6 +20,8 @@
     pub traffic: TrafficMetrics,
     /// Of the policy.
     pub policy: PolicyMetrics,
+    /// Of membership.
+    pub membership: MembershipMetrics,
     registry: Mutex<Registry>,
 }
 
@@ -72,6 +74,33 @@
     }
 }
 
+/// Metrics of membership.
+#[derive(Debug, Clone, Default)]
+pub struct MembershipMetrics {
+    /// Heartbeats sent.
+    pub sent: Counter,
+    /// Bytes of heartbeats sent, without headers of UDP and IP.
+    pub bytes: Counter,
+    /// Heartbeats received.
+    pub received: Counter,
+}
+
+impl MembershipMetrics {
+    fn register(&self, registry: &mut Registry) {
+        registry.register("heartbeats_sent", "Heartbeats sent", self.sent.clone());
+        registry.register(
+            "heartbeat_bytes",
+            "Bytes of heartbeats sent, without headers of UDP and IP",
+            self.bytes.clone(),
+        );
+        registry.register(
+            "heartbeats_received",
+            "Heartbeats received",
+            self.received.clone(),
+        );
+    }
+}
+
 impl Metrics {
     /// All metrics at zero.
     pub fn new() -> Metrics {
@@ -80,9 +109,12 @@
         traffic.register(&mut registry);
         let policy = PolicyMetrics::default();
         policy.register(&mut registry);
+        let membership = MembershipMetrics::default();
+        membership.register(&mut registry);
         Metrics {
             traffic,
             policy,
+            membership,
             registry: Mutex::new(registry),
         }
     }
