--- a/crates/standin/src/experiment/cases.rs
+++ b/crates/standin/src/experiment/cases.rs
@@ -88,9 +88,9 @@
     };
     vec![
         phase(2.0, 36.0),
-        phase(26.0, 6.0),
+        phase(40.0, 6.0),
         phase(2.0, 36.0),
-        phase(16.0, 18.0),
+        phase(25.0, 15.0),
     ]
 }
 
--- a/crates/standin/src/experiment/fleet.rs
+++ b/crates/standin/src/experiment/fleet.rs
@@ -194,10 +194,16 @@
 
     async fn wait_in_force(&self, daemon: &Process) -> eyre::Result<()> {
         let url = format!("{}/version", daemon.url());
+        let ready = format!("{}/readyz", daemon.url());
         let waiting = async {
             loop {
                 if let Ok(mut answer) = client().get(&url).send().await
                     && answer.json::<u64>().await.is_ok_and(|version| version > 0)
+                    && client()
+                        .get(&ready)
+                        .send()
+                        .await
+                        .is_ok_and(|a| a.status().is_success())
                 {
                     return;
                 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,5 +9,6 @@
 mod log_events;
 mod path;
 mod peer;
+mod policy;
 mod support;
 mod upstream;
--- /dev/null
+++ b/tests/testsuite/policy/limits.rs
@@ -0,0 +1,124 @@
+use std::time::Duration;
+
+use sequoiastream_core::limit::Limiter;
+use sequoiastream_core::limit::Need;
+use sequoiastream_core::limit::Owed;
+use sequoiastream_core::limit::Verdict;
+use sequoiastream_core::name::Name;
+use sequoiastream_core::outcome::Reason;
+use sequoiastream_core::time::Time;
+
+use super::name;
+
+/// Engine seconds of each request.
+const COST: f64 = 0.05;
+
+/// Engines of the service: it works off so many engine seconds a second.
+const ENGINES: usize = 8;
+
+/// Time to its deadline of each request, in seconds.
+const LEFT: f64 = 3.0;
+
+/// A service that works off its backlog in order, and the limiter before it.
+struct Model {
+    limiter: Limiter,
+    backlog: f64,
+    at: Time,
+}
+
+impl Model {
+    fn new() -> Model {
+        Model {
+            limiter: Limiter::new(7),
+            backlog: 0.0,
+            at: Time::from_millis(1_000),
+        }
+    }
+
+    fn ask(&mut self, now: Time, product: &Name, share: u32) -> Verdict {
+        let passed = now.since(self.at).as_secs_f64();
+        self.at = now;
+        self.backlog = (self.backlog - passed * ENGINES as f64).max(0.0);
+        let owed = Owed {
+            share,
+            engines: ENGINES,
+        };
+        let need = Need {
+            cost: COST,
+            total: self.backlog / ENGINES as f64 + 0.5,
+            left: LEFT,
+        };
+        let verdict = self.limiter.admit(now, product, owed, need);
+        if !matches!(verdict, Verdict::Refused(..)) {
+            self.backlog += COST;
+        }
+        verdict
+    }
+}
+
+fn admitted(verdicts: &[Verdict]) -> usize {
+    let runs = verdicts.iter().filter(|v| !matches!(v, Verdict::Refused(..)));
+    runs.count()
+}
+
+// Orders of a modest product are refused or late while another floods the system with ten times its share. The
+// greedy one's requests fill the engines' queues, so that nobody's deadline can be met. Cause: admission by
+// deadline alone.
+#[test]
+fn admit_greedy_product() {
+    let mut model = Model::new();
+    let (modest, greedy) = (name("modest"), name("greedy"));
+    let mut verdicts = Vec::new();
+    // The modest product asks for 0.3 of the engine time at a share of 40%; the greedy one for 1.0 at 10%.
+    for millis in (1_000..31_000).step_by(5) {
+        let now = Time::from_millis(millis);
+        if millis % 20 == 0 {
+            verdicts.push(model.ask(now, &modest, 40));
+        }
+        let _ = model.ask(now, &greedy, 10);
+    }
+    let part = admitted(&verdicts) as f64 / verdicts.len() as f64;
+    assert!(part >= 0.95, "{part} of the modest product's requests ran");
+}
+
+#[test]
+fn admit_lent_and_taken_back() {
+    let mut model = Model::new();
+    let (owner, borrower) = (name("owner"), name("borrower"));
+    let mut lent = 0;
+    for millis in (1_000..11_000).step_by(10) {
+        let verdict = model.ask(Time::from_millis(millis), &borrower, 10);
+        lent += usize::from(verdict == Verdict::Lent);
+    }
+    assert!(lent > 500, "{lent} of 1000 requests ran on unused share");
+    let mut verdicts = Vec::new();
+    for millis in (11_000..14_000).step_by(10) {
+        let now = Time::from_millis(millis);
+        let _ = model.ask(now, &borrower, 10);
+        verdicts.push(model.ask(now, &owner, 80));
+    }
+    let late = &verdicts[verdicts.len() * 2 / 3..];
+    assert_eq!(admitted(late), late.len());
+}
+
+#[test]
+fn admit_too_late() {
+    let mut limiter = Limiter::new(7);
+    let owed = Owed {
+        share: 50,
+        engines: 1,
+    };
+    let need = Need {
+        cost: COST,
+        total: 5.0,
+        left: 3.0,
+    };
+    let verdict = limiter.admit(Time::from_millis(1_000), &name("p"), owed, need);
+    let Verdict::Refused(Reason::TooLate, after) = verdict else {
+        panic!("{verdict:?}");
+    };
+    assert!(
+        after >= Duration::from_secs(2) && after <= Duration::from_secs(3),
+        "{after:?}"
+    );
+}
