--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -9,5 +9,6 @@
 pub mod daemon;
 pub mod dispatch;
 pub mod exchange;
+pub mod policy;
 pub mod shared;
 pub mod tables;
--- /dev/null
+++ b/src/ops/policy.rs
@@ -0,0 +1,70 @@
+//! Limits, retry budgets and demand, shared between the traffic threads.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use sequoiastream_core::limit::Limiter;
+use sequoiastream_core::name::Name;
+use sequoiastream_core::retry::Retries;
+use sequoiastream_core::roles::Demand;
+
+use crate::settings::Settings;
+
+/// The policy's state in one daemon. Each lock is held for one decision, never across an await.
+#[derive(Debug)]
+pub struct PolicyState {
+    limiter: Mutex<Limiter>,
+    retries: Mutex<Retries>,
+    demand: Mutex<BTreeMap<Name, Demand>>,
+}
+
+impl PolicyState {
+    /// The state before any request.
+    pub fn new(settings: &Settings) -> PolicyState {
+        PolicyState {
+            limiter: Mutex::new(Limiter::new(seed(settings))),
+            retries: Mutex::new(Retries::new(seed(settings))),
+            demand: Mutex::default(),
+        }
+    }
+
+    /// What products may use.
+    pub fn limiter(&self) -> MutexGuard<'_, Limiter> {
+        self.limiter
+            .lock()
+            .expect("no thread panics while it holds the limits")
+    }
+
+    /// The retry budgets.
+    pub fn retries(&self) -> MutexGuard<'_, Retries> {
+        self.retries
+            .lock()
+            .expect("no thread panics while it holds the budgets")
+    }
+
+    /// Adds work that callers asked of `service`, whether it was admitted or not.
+    pub fn ask(&self, service: &Name, prefill: f64, decode: f64) {
+        let mut demand = self.demands();
+        demand.entry(service.clone()).or_default().add(prefill, decode);
+    }
+
+    /// Takes the work asked of each service since the last call.
+    pub fn take_demand(&self) -> BTreeMap<Name, Demand> {
+        std::mem::take(&mut self.demands())
+    }
+
+    fn demands(&self) -> MutexGuard<'_, BTreeMap<Name, Demand>> {
+        self.demand
+            .lock()
+            .expect("no thread panics while it holds the demand")
+    }
+}
+
+/// A seed that differs between instances, so that they don't draw alike.
+pub fn seed(settings: &Settings) -> u64 {
+    let hash = blake3::hash(settings.name.as_str().as_bytes());
+    let mut seed = [0; 8];
+    seed.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(seed)
+}
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -14,6 +14,8 @@
 use sequoiastream_core::snapshot::Snapshot;
 use tokio::sync::watch;
 
+use crate::ops::policy;
+use crate::ops::policy::PolicyState;
 use crate::settings::Settings;
 use crate::util::metrics::Metrics;
 
@@ -26,6 +28,8 @@
     pub snapshot: ArcSwap<Snapshot>,
     /// Counts of what happened.
     pub metrics: Metrics,
+    /// Limits, retry budgets and demand.
+    pub policy: PolicyState,
     router: Mutex<Router>,
     roster: watch::Sender<Arc<Roster>>,
     leaving: AtomicBool,
@@ -47,10 +51,12 @@
     /// Shared state before the first configuration is known.
     pub fn new(settings: Settings) -> Shared {
         let router = router(&settings);
+        let policy = PolicyState::new(&settings);
         Shared {
             settings,
             snapshot: ArcSwap::default(),
             metrics: Metrics::new(),
+            policy,
             router: Mutex::new(router),
             roster: watch::Sender::default(),
             leaving: AtomicBool::new(false),
@@ -118,11 +124,8 @@
 
 /// The router of an instance. Its seed comes from the instance's name, so that instances draw differently.
 fn router(settings: &Settings) -> Router {
-    let hash = blake3::hash(settings.name.as_str().as_bytes());
-    let mut seed = [0; 8];
-    seed.copy_from_slice(&hash.as_bytes()[..8]);
     Router::new()
         .policy(settings.policy.routing())
         .zone(settings.zone.clone())
-        .seed(u64::from_le_bytes(seed))
+        .seed(policy::seed(settings))
 }
