--- a/crates/caller/src/addresses.rs
+++ b/crates/caller/src/addresses.rs
@@ -14,6 +14,7 @@
 use crate::gateway::Gateway;
 use crate::http::product;
 use crate::http::refuse;
+use crate::proof::Unsent;
 
 /// Query of `GET /v1/addresses`.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
@@ -47,12 +48,13 @@
     };
     let query = query.into_inner();
     let call = AddressCall {
+        unsent: Unsent::begin(),
         product,
         service: query.service,
         conversation: query.conversation,
         zone: query.zone,
     };
-    match gateway.addresses(&call) {
+    match gateway.addresses(call) {
         Err(refusal) => refuse(&refusal),
         Ok(list) => HttpResponse::Ok()
             .insert_header(("cache-control", "no-store"))
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! Invariants are checked here in release builds too, see [`invariant`].
 
+pub mod answer;
 pub mod arena;
 pub mod config;
 pub mod engine;
@@ -16,6 +17,7 @@
 pub mod membership;
 pub mod name;
 pub mod outcome;
+pub mod poison;
 pub mod policy;
 pub mod prefix;
 pub mod retry;
--- a/crates/core/src/limit/mod.rs
+++ b/crates/core/src/limit/mod.rs
@@ -52,6 +52,15 @@
 /// Shortest and longest time named to come back, in seconds.
 const COME_BACK: (f64, f64) = (0.2, 30.0);
 
+/// Tokens that an answer is expected to have at most, before any answers of its product were seen.
+const FIRST_OUTPUT: f64 = 256.0;
+
+/// An answer is expected to have at most this many times the mean of its product's answers.
+const OUTPUT_SPREAD: f64 = 2.0;
+
+/// Weight of the last answer in that mean.
+const OUTPUT_WEIGHT: f64 = 0.05;
+
 /// A request as its limits see it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Need {
@@ -89,6 +98,7 @@
     share: f64,
     owed: f64,
     part: Option<f64>,
+    output: Option<f64>,
 }
 
 /// Limits of one instance.
@@ -101,7 +111,7 @@
     congested: bool,
     spare: f64,
     borrowers: f64,
-    settled: Time,
+    settled: Option<Time>,
     rng: ChaCha8Rng,
 }
 
@@ -122,7 +132,7 @@
             congested: false,
             spare: 0.0,
             borrowers: 0.0,
-            settled: Time::ZERO,
+            settled: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -148,9 +158,27 @@
         self.tight
     }
 
+    /// Tokens that an answer of `product` with at most `limit` tokens is expected to have.
+    ///
+    /// Callers set a limit far above what most answers have; taken at its word it would have nearly everything
+    /// refused as too late.
+    pub fn expect(&self, product: &Name, limit: u32) -> u32 {
+        let mean = self.accounts.get(product).and_then(|a| a.output);
+        let most = mean.map_or(FIRST_OUTPUT, |m| (m * OUTPUT_SPREAD).max(FIRST_OUTPUT));
+        limit.min(most as u32)
+    }
+
+    /// Notes that an answer of `product` had `tokens` tokens.
+    pub fn finished(&mut self, product: &Name, tokens: u32) {
+        let account = self.accounts.entry(product.clone()).or_default();
+        let tokens = f64::from(tokens);
+        let mean = account.output.unwrap_or(tokens);
+        account.output = Some(mean + OUTPUT_WEIGHT * (tokens - mean));
+    }
+
     /// Decides on a request of `product`, and counts it if it may run.
     pub fn admit(&mut self, now: Time, product: &Name, owed: Owed, need: Need) -> Verdict {
-        if now.since(self.settled) >= SETTLE {
+        if self.settled.is_none_or(|at| now.since(at) >= SETTLE) {
             self.settle(now, owed.engines);
         }
         let even = self.part;
@@ -158,15 +186,16 @@
         let account = self.accounts.entry(product.clone()).or_default();
         account.share = f64::from(owed.share) / 100.0;
         account.owed = capacity * account.share * account.part.unwrap_or(even);
+        // What it used before counts: a request that alone is more than a small share must be able to run.
+        let within = account.usage.rate(now) < account.owed;
         let rate = account.usage.with(now, need.cost);
-        let within = rate <= account.owed;
         if need.total > CONGESTED * need.left {
             self.congested = true;
         }
         if need.total > TOO_LATE * need.left {
             return self.refuse(Reason::TooLate, need.total - need.left);
         }
-        if !within && !self.lends(now, product, rate, need) {
+        if !within && !self.lends(product, rate, need) {
             let owed = self.accounts.get(product).map_or(0.0, |a| a.owed);
             let over = rate / owed.max(f64::MIN_POSITIVE);
             return self.refuse(Reason::OverShare, MEMORY.as_secs_f64() * over.max(1.0).ln());
@@ -180,17 +209,8 @@
         }
     }
 
-    /// Counts a request that [`Limiter::admit`] let run as not run after all.
-    pub fn give_back(&mut self, now: Time, product: &Name, cost: f64) {
-        if let Some(account) = self.accounts.get_mut(product) {
-            account
-                .usage
-                .add(now, -cost.min(account.usage.rate(now) * MEMORY.as_secs_f64()));
-        }
-    }
-
     /// Whether the product may borrow up to `rate`: its part of what is spare, by shares among borrowers.
-    fn lends(&self, _now: Time, product: &Name, rate: f64, need: Need) -> bool {
+    fn lends(&self, product: &Name, rate: f64, need: Need) -> bool {
         let Some(account) = self.accounts.get(product) else {
             return false;
         };
@@ -207,7 +227,7 @@
     /// guessed too low). All products would then be within their shares, and the one that asks most would take
     /// from the others. The guard lowers what counts as capacity until the admitted requests run in time.
     fn settle(&mut self, now: Time, engines: usize) {
-        self.settled = now;
+        self.settled = Some(now);
         let factor = if self.congested { TIGHTEN } else { LOOSEN };
         self.tight = (self.tight * factor).clamp(TIGHTEST, 1.0);
         self.congested = false;
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -29,6 +29,7 @@
 use crate::arena::ServiceKey;
 use crate::config::EngineState;
 use crate::config::Version;
+use crate::engine::Speed;
 use crate::name::Name;
 use crate::snapshot::Snapshot;
 use crate::time::Time;
@@ -102,6 +103,17 @@
     pub priority: u8,
 }
 
+/// What a request would meet at the best engine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Foreseen {
+    /// What it is expected to meet.
+    pub estimate: Estimate,
+    /// Prompt tokens that are not cached there.
+    pub prefill: u32,
+    /// How fast the engine is.
+    pub speed: Speed,
+}
+
 /// What this instance knows of engines, and its choice among them.
 #[derive(Debug, Clone)]
 pub struct Router {
@@ -236,12 +248,16 @@
     }
 
     /// The best estimate for `ask`, without counting it anywhere.
-    pub fn foresee(&mut self, now: Time, snapshot: &Snapshot, ask: &Ask) -> Option<Estimate> {
+    pub fn foresee(&mut self, now: Time, snapshot: &Snapshot, ask: &Ask) -> Option<Foreseen> {
         self.follow(snapshot);
         let holders = self.affinity.holders(now, &ask.digests);
         let candidates = self.candidates(now, snapshot, ask, &[], &holders);
-        let (_, _, estimate) = self.best(now, snapshot, ask, &candidates, &holders)?;
-        Some(estimate)
+        let (key, cached, estimate) = self.best(now, snapshot, ask, &candidates, &holders)?;
+        Some(Foreseen {
+            estimate,
+            prefill: ask.prompt.saturating_sub(cached),
+            speed: self.view(now, snapshot, key).speed,
+        })
     }
 
     /// Notes the first token of a request.
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,8 +1,13 @@
 //! The messages themselves.
 
+use std::collections::BTreeSet;
+
 use sequoiastream_core::config::Update;
 use sequoiastream_core::config::Version;
 use sequoiastream_core::membership::Beat;
+use sequoiastream_core::poison::Ask;
+use sequoiastream_core::poison::Fingerprint;
+use sequoiastream_core::poison::Note;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -22,6 +27,8 @@
     Ping,
     /// Asks for the configuration after this version.
     Config(Version),
+    /// About requests that crash engines.
+    Poison(PoisonRequest),
 }
 
 /// The answer to a question over TCP.
@@ -31,6 +38,32 @@
     Pong,
     /// Answer to [`Request::Config`].
     Config(Update),
+    /// Answer to [`Request::Poison`].
+    Poison(PoisonResponse),
     /// The request is not served here.
     Unserved,
 }
+
+/// What instances tell each other of requests that crash engines.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PoisonRequest {
+    /// An engine crashed.
+    Note(Note),
+    /// May this suspect run alone there?
+    Ask(Ask),
+    /// It runs there no more, or was not granted by all.
+    Release(Ask),
+    /// It ran to its end: it is innocent.
+    Clear(Fingerprint),
+    /// It is convicted.
+    Convict(Fingerprint),
+}
+
+/// The answer to a [`PoisonRequest`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoisonResponse {
+    /// Whether the peer agrees to what was asked.
+    pub agreed: bool,
+    /// Requests of the peer that ran on the engine that a note says has crashed.
+    pub ran: BTreeSet<Fingerprint>,
+}
--- a/src/ops/control/membership.rs
+++ b/src/ops/control/membership.rs
@@ -130,6 +130,8 @@
     fn publish(&self) {
         let roster = self.members.roster(clock::now());
         let standing = roster.standing;
+        let peers = i64::try_from(roster.peers.len()).unwrap_or(i64::MAX);
+        self.shared.metrics.membership.peers.set(peers);
         let before = self.shared.publish_roster(roster);
         if before.standing != standing {
             log_standing(before.standing, standing);
--- a/src/ops/control/mod.rs
+++ b/src/ops/control/mod.rs
@@ -148,6 +148,7 @@
     LoadActor::new(shared.clone()).start();
     let responder = PeerResponder {
         config: config.clone(),
+        shared: shared.clone(),
     };
     actix::spawn(serve(listener, key, responder));
     Ok(Control {
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -11,4 +11,5 @@
 pub mod exchange;
 pub mod policy;
 pub mod shared;
+pub mod stops;
 pub mod tables;
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -10,12 +10,14 @@
 use arc_swap::ArcSwap;
 use sequoiastream_core::membership::Roster;
 use sequoiastream_core::outcome::Reason;
+use sequoiastream_core::poison::Poison;
 use sequoiastream_core::route::Router;
 use sequoiastream_core::snapshot::Snapshot;
 use tokio::sync::watch;
 
 use crate::ops::policy;
 use crate::ops::policy::PolicyState;
+use crate::ops::stops::Stops;
 use crate::settings::Settings;
 use crate::util::metrics::Metrics;
 
@@ -30,7 +32,10 @@
     pub metrics: Metrics,
     /// Limits, retry budgets and demand.
     pub policy: PolicyState,
+    /// Attempts that can be stopped.
+    pub stops: Stops,
     router: Mutex<Router>,
+    poison: Mutex<Poison>,
     roster: watch::Sender<Arc<Roster>>,
     leaving: AtomicBool,
     refusing: AtomicBool,
@@ -52,12 +57,15 @@
     pub fn new(settings: Settings) -> Shared {
         let router = router(&settings);
         let policy = PolicyState::new(&settings);
+        let poison = Poison::new(settings.name.clone());
         Shared {
             settings,
             snapshot: ArcSwap::default(),
             metrics: Metrics::new(),
             policy,
             router: Mutex::new(router),
+            stops: Stops::default(),
+            poison: Mutex::new(poison),
             roster: watch::Sender::default(),
             leaving: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
@@ -72,6 +80,13 @@
             .expect("no thread panics while it holds the router")
     }
 
+    /// The records of requests that crash engines. Held for one decision, never across an await.
+    pub fn poison(&self) -> MutexGuard<'_, Poison> {
+        self.poison
+            .lock()
+            .expect("no thread panics while it holds the records")
+    }
+
     /// The other instances, as last published.
     pub fn roster(&self) -> Arc<Roster> {
         self.roster.borrow().clone()
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,6 +4,7 @@
 //! start-up in one go.
 
 mod limits;
+mod patience;
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -20,6 +21,8 @@
 use sequoiastream_core::shutdown::Times;
 use thiserror::Error;
 
+pub use patience::Patience;
+
 /// Shortest operator token and cluster key, in bytes.
 const MIN_SECRET: usize = 16;
 
@@ -70,6 +73,8 @@
     pub lists: Duration,
     /// Times of a shutdown.
     pub times: Times,
+    /// How long engines may be silent.
+    pub patience: Patience,
     /// How log lines are written.
     pub format: LogFormat,
     /// Only check the settings.
@@ -198,6 +203,7 @@
             .default_value("text"),
         )
         .args(limits::args())
+        .args(patience::args())
         .arg(
             Arg::new("check")
                 .long("check")
@@ -243,6 +249,7 @@
         let limits = limits::limits(&mut reader);
         let lists = limits::lists(&mut reader);
         let times = limits::times(&mut reader);
+        let patience = patience::patience(&mut reader);
         let format = match reader.text("log-format").as_str() {
             "json" => LogFormat::Json,
             _ => LogFormat::Text,
@@ -270,6 +277,7 @@
             limits,
             lists,
             times,
+            patience,
             format,
             check: matches.get_flag("check"),
         })
--- a/src/util/metrics.rs
+++ b/src/util/metrics.rs
@@ -4,12 +4,21 @@
 
 use std::fmt;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
+use prometheus_client::registry::Unit;
+use sequoiastream_core::limit::Verdict;
+use sequoiastream_core::name::Name;
+use sequoiastream_core::outcome::Outcome;
+use sequoiastream_core::outcome::Reason;
 
 /// Prefix of every name.
 const PREFIX: &str = "sequoiastream";
@@ -35,10 +44,59 @@
 }
 
 /// Metrics of traffic.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct TrafficMetrics {
     /// Final answers by product and outcome.
     pub outcomes: Family<OutcomeLabels, Counter>,
+    /// Answers whose caller went away, by product.
+    pub abandoned: Family<ProductLabels, Counter>,
+    /// Pieces of answers that were late, doubled, crossed or of a closed attempt.
+    pub dropped: Counter,
+    /// Answers resumed on another engine, or for a caller that came back.
+    pub resumes: Counter,
+    /// Attempts that an engine was asked to stop.
+    pub cancels: Counter,
+    /// Requests convicted here of crashing engines.
+    pub convictions: Counter,
+    first: Family<ProductLabels, Histogram, fn() -> Histogram>,
+    between: Family<ProductLabels, Histogram, fn() -> Histogram>,
+    queue: Family<ProductLabels, Histogram, fn() -> Histogram>,
+}
+
+/// A product.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ProductLabels {
+    /// The product.
+    pub product: String,
+}
+
+impl ProductLabels {
+    fn of(product: &Name) -> ProductLabels {
+        ProductLabels {
+            product: product.to_string(),
+        }
+    }
+}
+
+/// Buckets of 5 ms to 40 s, each twice the one before; 48 ms and 0.56 s, the users' goals, lie inside.
+fn seconds() -> Histogram {
+    Histogram::new(exponential_buckets(0.005, 2.0, 14))
+}
+
+impl Default for TrafficMetrics {
+    fn default() -> Self {
+        TrafficMetrics {
+            outcomes: Family::default(),
+            abandoned: Family::default(),
+            dropped: Counter::default(),
+            resumes: Counter::default(),
+            cancels: Counter::default(),
+            convictions: Counter::default(),
+            first: Family::new_with_constructor(seconds),
+            between: Family::new_with_constructor(seconds),
+            queue: Family::new_with_constructor(seconds),
+        }
+    }
 }
 
 impl TrafficMetrics {
@@ -48,6 +106,81 @@
             "Final answers by product and outcome",
             self.outcomes.clone(),
         );
+        registry.register(
+            "abandoned",
+            "Answers whose caller went away, by product",
+            self.abandoned.clone(),
+        );
+        registry.register(
+            "dropped_pieces",
+            "Pieces of answers that were late, doubled, crossed or of a closed attempt",
+            self.dropped.clone(),
+        );
+        registry.register(
+            "resumes",
+            "Answers resumed behind their first token",
+            self.resumes.clone(),
+        );
+        registry.register(
+            "cancels",
+            "Attempts that an engine was asked to stop",
+            self.cancels.clone(),
+        );
+        registry.register(
+            "convictions",
+            "Requests convicted here of crashing engines",
+            self.convictions.clone(),
+        );
+        registry.register_with_unit(
+            "first_token",
+            "Time from a request's arrival to the first token, by product",
+            Unit::Seconds,
+            self.first.clone(),
+        );
+        registry.register_with_unit(
+            "between_tokens",
+            "Time between two tokens of an answer, by product",
+            Unit::Seconds,
+            self.between.clone(),
+        );
+        registry.register_with_unit(
+            "queue",
+            "Time from a request's arrival until an engine took it, by product",
+            Unit::Seconds,
+            self.queue.clone(),
+        );
+    }
+
+    /// Counts a final answer.
+    pub fn outcome(&self, product: &Name, outcome: Outcome) {
+        let labels = OutcomeLabels {
+            product: product.to_string(),
+            outcome: outcome.to_string(),
+        };
+        self.outcomes.get_or_create(&labels).inc();
+    }
+
+    /// Counts an answer whose caller went away.
+    pub fn gone(&self, product: &Name) {
+        self.abandoned.get_or_create(&ProductLabels::of(product)).inc();
+    }
+
+    /// Observes the time to a first token.
+    pub fn first_token(&self, product: &Name, time: Duration) {
+        let histogram = self.first.get_or_create(&ProductLabels::of(product));
+        histogram.observe(time.as_secs_f64());
+    }
+
+    /// Observes the time between two tokens.
+    pub fn between_tokens(&self, product: &Name, time: Duration) {
+        let histogram = self.between.get_or_create(&ProductLabels::of(product));
+        histogram.observe(time.as_secs_f64());
+    }
+
+    /// Observes the time until an engine took a request.
+    pub fn queued(&self, product: &Name, time: Duration) {
+        let histogram = self.queue.get_or_create(&ProductLabels::of(product));
+        histogram.observe(time.as_secs_f64());
     }
 }
 
@@ -60,9 +193,39 @@
     pub polls_failed: Counter,
     /// Gaps seen in cache events.
     pub cache_gaps: Counter,
+    /// Admissions by product and verdict.
+    pub verdicts: Family<VerdictLabels, Counter>,
+    /// Retries that the budget did not allow.
+    pub retries_denied: Counter,
+    /// Role changes proposed.
+    pub changes_proposed: Counter,
+}
+
+/// How a request was admitted.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct VerdictLabels {
+    /// The product.
+    pub product: String,
+    /// `owed`, `lent`, `over-share` or `too-late`.
+    pub verdict: String,
 }
 
 impl PolicyMetrics {
+    /// Counts an admission.
+    pub fn verdict(&self, product: &Name, verdict: Verdict) {
+        let verdict = match verdict {
+            Verdict::Owed => "owed",
+            Verdict::Lent => "lent",
+            Verdict::Refused(Reason::TooLate, _) => "too-late",
+            Verdict::Refused(..) => "over-share",
+        };
+        let labels = VerdictLabels {
+            product: product.to_string(),
+            verdict: verdict.to_string(),
+        };
+        self.verdicts.get_or_create(&labels).inc();
+    }
+
     fn register(&self, registry: &mut Registry) {
         registry.register("load_polls", "Load reports read", self.polls.clone());
         registry.register(
@@ -71,6 +234,21 @@
             self.polls_failed.clone(),
         );
         registry.register("cache_gaps", "Gaps seen in cache events", self.cache_gaps.clone());
+        registry.register(
+            "admissions",
+            "Admissions by product and verdict",
+            self.verdicts.clone(),
+        );
+        registry.register(
+            "retries_denied",
+            "Retries that the budget did not allow",
+            self.retries_denied.clone(),
+        );
+        registry.register(
+            "role_changes_proposed",
+            "Role changes proposed by the planner",
+            self.changes_proposed.clone(),
+        );
     }
 }
 
@@ -83,6 +261,8 @@
     pub bytes: Counter,
     /// Heartbeats received.
     pub received: Counter,
+    /// Other instances known.
+    pub peers: Gauge,
 }
 
 impl MembershipMetrics {
@@ -98,6 +278,7 @@
             "Heartbeats received",
             self.received.clone(),
         );
+        registry.register("peers", "Other instances known", self.peers.clone());
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,8 @@
 mod log_events;
 mod path;
 mod peer;
+mod poison;
 mod policy;
+mod streams;
 mod support;
 mod upstream;
--- a/tests/testsuite/policy/routing.rs
+++ b/tests/testsuite/policy/routing.rs
@@ -105,7 +105,10 @@
     let choice = router.choose(NOW, &snapshot, &ask(&snapshot, digests), &[]);
     let estimate = choice.expect("an engine takes work").estimate;
     let fresh = router.foresee(NOW, &snapshot, &ask(&snapshot, Vec::new()));
-    assert_eq!(estimate.prefill, fresh.expect("an engine takes work").prefill);
+    assert_eq!(
+        estimate.prefill,
+        fresh.expect("an engine takes work").estimate.prefill
+    );
 }
 
 #[test]
