--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -17,6 +17,8 @@
 use sequoiastream_core::snapshot::Snapshot;
 use tokio::sync::watch;
 
+use crate::ops::policy;
+use crate::ops::policy::PolicyState;
 use crate::ops::stops::Stops;
 use crate::settings::Settings;
 use crate::util::clock;
@@ -33,6 +35,8 @@
     pub metrics: Metrics,
     /// Judges the age of idempotency keys.
     pub keys: KeyClock,
+    /// Limits, retry budgets and demand.
+    pub policy: PolicyState,
     /// Attempts that can be stopped.
     pub stops: Stops,
     router: Mutex<Router>,
@@ -57,6 +61,8 @@
 impl Shared {
     /// Shared state before the first configuration is known.
     pub fn new(settings: Settings) -> Shared {
+        let router = router(&settings);
+        let policy = PolicyState::new(&settings);
         let poison = Poison::new(settings.name.clone());
         Shared {
             settings,
@@ -64,8 +70,9 @@
             metrics: Metrics::new(),
             keys: KeyClock::new(clock::both()),
             owners: Mutex::default(),
+            policy,
+            router: Mutex::new(router),
             stops: Stops::default(),
-            router: Mutex::new(Router::new()),
             poison: Mutex::new(poison),
             roster: watch::Sender::default(),
             leaving: AtomicBool::new(false),
@@ -144,3 +151,11 @@
         self.refusing.store(true, Ordering::Release);
     }
 }
+
+/// The router of an instance. Its seed comes from the instance's name, so that instances draw differently.
+fn router(settings: &Settings) -> Router {
+    Router::new()
+        .policy(settings.policy.routing())
+        .zone(settings.zone.clone())
+        .seed(policy::seed(settings))
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -18,6 +18,7 @@
 use sequoiastream_core::claims::OwnerSettings;
 use sequoiastream_core::membership::Limits;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::policy::Policy;
 use sequoiastream_core::shutdown::Times;
 use thiserror::Error;
 
@@ -26,6 +27,9 @@
 /// Shortest operator token and cluster key, in bytes.
 const MIN_SECRET: usize = 16;
 
+/// Values of `--policy`.
+const POLICIES: [&str; 5] = ["adaptive", "fixed", "threshold", "least-load", "round-robin"];
+
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LogFormat {
@@ -60,6 +64,12 @@
     pub wait: Duration,
     /// How claims are grouped into writes.
     pub grouping: OwnerSettings,
+    /// How requests are routed and roles changed.
+    pub policy: Policy,
+    /// How often engines are asked for their load.
+    pub poll: Duration,
+    /// How long a role change takes an engine away.
+    pub away: Duration,
     /// Limits of membership.
     pub limits: Limits,
     /// Time between two looks at the platform's lists.
@@ -171,6 +181,27 @@
             "Least time between two writes of a claim bucket; 0 writes each claim by itself",
             "80",
         ))
+        .arg(
+            text(
+                "policy",
+                "SEQUOIASTREAM_POLICY",
+                "How requests are routed and roles changed; all but `adaptive` are baselines",
+            )
+            .value_parser(POLICIES)
+            .default_value("adaptive"),
+        )
+        .arg(number(
+            "load-ms",
+            "SEQUOIASTREAM_LOAD_MS",
+            "How often engines are asked for their load",
+            "500",
+        ))
+        .arg(number(
+            "away-ms",
+            "SEQUOIASTREAM_AWAY_MS",
+            "How long a role change takes an engine away; the planner's times follow from it",
+            "3000",
+        ))
         .arg(
             text(
                 "log-format",
@@ -222,6 +253,9 @@
         let deadline = reader.positive("kv-deadline-ms");
         let wait = reader.positive("watch-ms");
         let grouping = grouping(matches);
+        let poll = reader.positive("load-ms");
+        let away = reader.positive("away-ms");
+        let policy = reader.parsed::<Policy>("policy").unwrap_or_default();
         let limits = limits::limits(&mut reader);
         let lists = limits::lists(&mut reader);
         let times = limits::times(&mut reader);
@@ -248,6 +282,9 @@
             deadline: Duration::from_millis(deadline),
             wait: Duration::from_millis(wait),
             grouping,
+            policy,
+            poll: Duration::from_millis(poll),
+            away: Duration::from_millis(away),
             limits,
             lists,
             times,
--- a/src/util/metrics.rs
+++ b/src/util/metrics/traffic.rs
@@ -1,38 +1,17 @@
-//! Metrics of the daemon. `docs/METRICS.md` lists them; a test keeps both equal.
-//!
-//! One struct a concern, each registering its own families, so that whoever adds a concern touches one place.
+//! Metrics of traffic.
 
-use std::fmt;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
-use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
-use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 use prometheus_client::registry::Unit;
-use sequoiastream_core::claims::Verdict;
 use sequoiastream_core::name::Name;
 use sequoiastream_core::outcome::Outcome;
 
-/// Prefix of every name.
-const PREFIX: &str = "sequoiastream";
-
-/// All metrics of a daemon.
-pub struct Metrics {
-    /// Of traffic.
-    pub traffic: TrafficMetrics,
-    /// Of claims.
-    pub claims: ClaimMetrics,
-    /// Of membership.
-    pub membership: MembershipMetrics,
-    registry: Mutex<Registry>,
-}
-
 /// How requests ended.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct OutcomeLabels {
@@ -99,7 +78,7 @@
 }
 
 impl TrafficMetrics {
-    fn register(&self, registry: &mut Registry) {
+    pub(super) fn register(&self, registry: &mut Registry) {
         registry.register(
             "outcomes",
             "Final answers by product and outcome",
@@ -182,129 +161,3 @@
         histogram.observe(time.as_secs_f64());
     }
 }
-
-/// How a claim was answered.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct VerdictLabels {
-    /// `granted`, `seen`, `mismatch`, `never`, `out`, `clock`, `full` or `stopping`.
-    pub verdict: &'static str,
-}
-
-/// Metrics of claims, as owner.
-#[derive(Debug, Clone, Default)]
-pub struct ClaimMetrics {
-    /// Answers to entries.
-    pub verdicts: Family<VerdictLabels, Counter>,
-    /// Writes of buckets begun.
-    pub writes: Counter,
-    /// Reads of buckets begun.
-    pub reads: Counter,
-    /// Writes that another owner's write came before.
-    pub conflicts: Counter,
-}
-
-impl ClaimMetrics {
-    fn register(&self, registry: &mut Registry) {
-        registry.register(
-            "claim_verdicts",
-            "Answers to entries that asked for a claim or its state",
-            self.verdicts.clone(),
-        );
-        registry.register("claim_writes", "Writes of claim buckets", self.writes.clone());
-        registry.register("claim_reads", "Reads of claim buckets", self.reads.clone());
-        registry.register(
-            "claim_conflicts",
-            "Writes of claim buckets that lost against another owner",
-            self.conflicts.clone(),
-        );
-    }
-
-    /// Counts an answer.
-    pub fn count(&self, verdict: &Verdict) {
-        let verdict = match verdict {
-            Verdict::Granted => "granted",
-            Verdict::Seen(_) => "seen",
-            Verdict::Mismatch => "mismatch",
-            Verdict::Never => "never",
-            Verdict::Out(_) => "out",
-            Verdict::Clock => "clock",
-            Verdict::Full => "full",
-            Verdict::Stopping => "stopping",
-        };
-        self.verdicts.get_or_create(&VerdictLabels { verdict }).inc();
-    }
-}
-
-/// Metrics of membership.
-#[derive(Debug, Clone, Default)]
-pub struct MembershipMetrics {
-    /// Heartbeats sent.
-    pub sent: Counter,
-    /// Bytes of heartbeats sent, without headers of UDP and IP.
-    pub bytes: Counter,
-    /// Heartbeats received.
-    pub received: Counter,
-    /// Other instances known.
-    pub peers: Gauge,
-}
-
-impl MembershipMetrics {
-    fn register(&self, registry: &mut Registry) {
-        registry.register("heartbeats_sent", "Heartbeats sent", self.sent.clone());
-        registry.register(
-            "heartbeat_bytes",
-            "Bytes of heartbeats sent, without headers of UDP and IP",
-            self.bytes.clone(),
-        );
-        registry.register(
-            "heartbeats_received",
-            "Heartbeats received",
-            self.received.clone(),
-        );
-        registry.register("peers", "Other instances known", self.peers.clone());
-    }
-}
-
-impl Metrics {
-    /// All metrics at zero.
-    pub fn new() -> Metrics {
-        let mut registry = Registry::with_prefix(PREFIX);
-        let traffic = TrafficMetrics::default();
-        traffic.register(&mut registry);
-        let claims = ClaimMetrics::default();
-        claims.register(&mut registry);
-        let membership = MembershipMetrics::default();
-        membership.register(&mut registry);
-        Metrics {
-            traffic,
-            claims,
-            membership,
-            registry: Mutex::new(registry),
-        }
-    }
-
-    /// The page that a Prometheus server reads.
-    pub fn page(&self) -> String {
-        let registry = self
-            .registry
-            .lock()
-            .expect("no thread panics while it holds the registry");
-        let mut page = String::new();
-        match encode(&mut page, &registry) {
-            Ok(()) => page,
-            Err(error) => format!("# could not encode: {error}\n"),
-        }
-    }
-}
-
-impl Default for Metrics {
-    fn default() -> Self {
-        Metrics::new()
-    }
-}
-
-impl fmt::Debug for Metrics {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Metrics").finish_non_exhaustive()
-    }
-}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod path;
 mod peer;
 mod poison;
+mod policy;
 mod streams;
 mod support;
 mod upstream;
