--- a/crates/testsupport/src/lib.rs
+++ b/crates/testsupport/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod answer;
 pub mod fleet;
 pub mod http;
-pub mod process;
+
+pub use sequoiastream_standin::process;
--- a/src/ops/control/mod.rs
+++ b/src/ops/control/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod claims;
 mod config;
+mod load;
 mod membership;
 mod peers;
 
@@ -35,6 +36,7 @@
 pub use config::ConfigActor;
 pub use config::Execute;
 pub use config::InForce;
+pub use load::LoadActor;
 pub use membership::Leave;
 pub use membership::MembershipActor;
 
@@ -148,6 +150,7 @@
     );
     let membership = membership.start();
     let claims = ClaimsActor::new(shared.clone(), kv(settings), calls).start();
+    LoadActor::new(shared.clone()).start();
     let responder = PeerResponder {
         config: config.clone(),
         claims: claims.clone(),
--- a/src/ops/dispatch/generate.rs
+++ b/src/ops/dispatch/generate.rs
@@ -26,7 +26,7 @@
 use sequoiastream_core::name::Name;
 use sequoiastream_core::outcome::Reason;
 use sequoiastream_core::poison::Fingerprint;
-use sequoiastream_core::snapshot::Snapshot;
+use sequoiastream_core::route::Ask;
 use sequoiastream_core::time::Time;
 use sequoiastream_upstream::EngineStream;
 use sequoiastream_upstream::UpstreamError;
@@ -38,6 +38,7 @@
 
 use crate::log_event;
 use crate::ops::dispatch::Dispatch;
+use crate::ops::dispatch::admit;
 use crate::ops::dispatch::suspects::Picked;
 use crate::ops::dispatch::suspects::Target;
 use crate::util::clock;
@@ -51,9 +52,6 @@
 /// How long the last event waits for a caller that doesn't read.
 const LINGER: Duration = Duration::from_secs(30);
 
-/// Deadline of a request of a product that sets none.
-const DEADLINE: Duration = Duration::from_secs(60);
-
 /// Bounds of the time to come back in, in milliseconds; drawn between them, so that callers that were refused
 /// together don't come back together.
 const COME_BACK: std::ops::Range<u64> = 500..3_000;
@@ -70,13 +68,14 @@
     let now = clock::now();
     let limit = call
         .deadline
-        .unwrap_or_else(|| default_deadline(&snapshot, &call));
+        .unwrap_or_else(|| admit::default_deadline(&snapshot, &call));
     let limits = Limits {
         first: dispatch.shared.settings.patience.first,
         between: dispatch.shared.settings.patience.between,
         deadline: now + limit,
         attempts: MAX_ATTEMPTS,
     };
+    let ask = admit::ask(&dispatch.shared, &snapshot, &call, service);
     let request = Request {
         id: call.id,
         fingerprint: Fingerprint::of(&call.product, &call.model, &call.prompt, call.limit),
@@ -88,6 +87,7 @@
         priority: call.priority,
         service,
         deadline: limits.deadline,
+        ask,
     };
     let run = Run {
         dispatch: dispatch.clone(),
@@ -110,14 +110,6 @@
     Ok(Answer { events })
 }
 
-fn default_deadline(snapshot: &Snapshot, call: &GenerateCall) -> Duration {
-    let product = snapshot.products.iter().find(|(_, p)| p.name == call.product);
-    match product {
-        Some((_, product)) if product.deadline > 0 => Duration::from_millis(u64::from(product.deadline)),
-        _ => DEADLINE,
-    }
-}
-
 /// What is asked, apart from the proof that it has not run.
 #[derive(Debug, Clone)]
 pub struct Request {
@@ -141,6 +133,8 @@
     pub fingerprint: Fingerprint,
     /// When the answer must be there.
     pub deadline: Time,
+    /// The request as the router sees it.
+    pub ask: Ask,
 }
 
 /// The attempt that is sent or open.
@@ -210,7 +204,25 @@
         }
     }
 
+    /// Whether a further attempt is within the product's retry budget. An answer that was begun is finished in
+    /// any case: its engines have done most of the work.
+    fn may_retry(&self) -> bool {
+        let attempts = self.answer.attempts();
+        if attempts == 0 {
+            return true;
+        }
+        let mut retries = self.dispatch.shared.policy.retries();
+        let granted = retries.retry(&self.request.product, attempts).is_some();
+        if !granted {
+            self.dispatch.shared.metrics.policy.retries_denied.inc();
+        }
+        granted || self.last.is_some()
+    }
+
     async fn pick(&mut self) -> Option<Event> {
+        if !self.may_retry() {
+            return Some(Event::Empty);
+        }
         match self.dispatch.pick(&self.request, &self.tried).await {
             Picked::Target(target) => {
                 let attempt = Uuid::new_v4();
@@ -236,6 +248,10 @@
     }
 
     async fn send(&mut self, send: answer::Send) -> Event {
+        let priority = match &self.open {
+            Some(open) => open.target.priority,
+            None => self.request.priority,
+        };
         let body = GenerateBody {
             attempt: send.attempt,
             model: self.request.model.clone(),
@@ -245,7 +261,7 @@
             offset: send.offset,
             version: send.version,
             prefix: send.continued.then(|| self.text.clone()),
-            priority: self.request.priority,
+            priority,
             import: None,
         };
         if self.answer.attempts() > 1 && send.offset > 0 {
@@ -313,6 +329,7 @@
             }
         }
         self.tried.push(open.target.name.clone());
+        self.dispatch.avoid(&open.target);
         self.dispatch.close(open.target, open.attempt).await;
         Event::Broke(open.attempt, failure)
     }
@@ -394,7 +411,12 @@
         let now = clock::now();
         let traffic = &self.dispatch.shared.metrics.traffic;
         match self.last.replace(now) {
-            None => traffic.first_token(&self.request.product, now.since(self.begun)),
+            None => {
+                traffic.first_token(&self.request.product, now.since(self.begun));
+                if let Some(open) = &self.open {
+                    self.dispatch.started(&open.target);
+                }
+            }
             Some(before) => traffic.between_tokens(&self.request.product, now.since(before)),
         }
     }
@@ -442,7 +464,11 @@
             self.dispatch.close(open.target, open.attempt).await;
         }
         match self.finish.take() {
-            Some(finish) => AnswerEvent::Done(finish),
+            Some(finish) => {
+                let mut limiter = self.dispatch.shared.policy.limiter();
+                limiter.finished(&self.request.product, finish.output);
+                AnswerEvent::Done(finish)
+            }
             None => AnswerEvent::Failed(Refusal::unknown("the answer's last line was lost")),
         }
     }
--- a/src/ops/dispatch/mod.rs
+++ b/src/ops/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! What a traffic thread does with requests: picks upstreams, starts attempts and relays answers.
 
 mod addresses;
+mod admit;
 mod forward;
 mod generate;
 mod once;
@@ -93,7 +94,8 @@
 
     async fn generate(&self, call: GenerateCall) -> Result<Answer, Refusal> {
         let unsent = addresses::check_open(self, call.unsent)?;
-        generate::start(self, GenerateCall { unsent, ..call })
+        let call = admit::admit(self, GenerateCall { unsent, ..call })?;
+        generate::start(self, call)
     }
 
     async fn forward(&self, call: ForwardCall) -> Result<ForwardReply, Refusal> {
--- a/src/ops/dispatch/suspects.rs
+++ b/src/ops/dispatch/suspects.rs
@@ -15,6 +15,7 @@
 use sequoiastream_core::poison::Fingerprint;
 use sequoiastream_core::poison::Note;
 use sequoiastream_core::poison::Standing;
+use sequoiastream_core::route::Ticket;
 use sequoiastream_core::snapshot::Snapshot;
 use sequoiastream_operator::wire::StatementBody;
 use sequoiastream_peer::message::PoisonRequest;
@@ -59,6 +60,10 @@
     pub name: Name,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Priority there; 0 is the most urgent.
+    pub priority: u8,
+    /// What the router knows the attempt by.
+    ticket: Ticket,
     /// The hold under which a suspect runs there alone.
     hold: Option<Ask>,
 }
@@ -107,15 +112,27 @@
     }
 
     fn route(&self, snapshot: &Snapshot, request: &Request, except: &[Name]) -> Option<Target> {
-        let key = self.shared.router().pick(snapshot, request.service, except)?;
-        let engine = snapshot.engines.get(key)?;
+        let now = clock::now();
+        let choice = self.shared.router().choose(now, snapshot, &request.ask, except)?;
         Some(Target {
-            name: engine.name.clone(),
-            address: engine.address,
+            name: choice.name,
+            address: choice.address,
+            priority: choice.priority.max(request.priority),
+            ticket: choice.ticket,
             hold: None,
         })
     }
 
+    /// Tells the router that an attempt brought its first token.
+    pub fn started(&self, target: &Target) {
+        self.shared.router().started(&target.ticket);
+    }
+
+    /// Tells the router that an attempt failed before its end: the engine gets no work for a moment.
+    pub fn avoid(&self, target: &Target) {
+        self.shared.router().failed(clock::now(), &target.ticket);
+    }
+
     /// Takes a hold on some engine for a suspect.
     async fn hold_one(&self, snapshot: &Snapshot, request: &Request, tried: &[Name]) -> Picked {
         let untried = engines_of(snapshot, request).filter(|e| !tried.contains(e));
@@ -200,7 +217,7 @@
 
     /// Gives a target back that no attempt was sent to.
     pub async fn release(&self, target: Target) {
-        self.shared.router().done(&target.name);
+        self.shared.router().end(&target.ticket);
         if let Some(ask) = target.hold {
             self.free(ask).await;
         }
