Ask further owners where one alone can't reach the key-value service

Cause: an owner that is cut off from the key-value service, but not from the entries, used up the whole wait of a claim, and orders of its shards were refused though others could claim for them. Change: each owner gets half of what is left, three are asked, and one that says that the service is out is asked last for two seconds.

--- a/crates/core/src/claims/entry.rs
+++ b/crates/core/src/claims/entry.rs
@@ -24,7 +24,7 @@
 const COME_BACK: Duration = Duration::from_secs(2);
 
 /// Owners that may say that they can't reach the key-value service before they are believed.
-const MAX_OUT: u32 = 2;
+const MAX_OUT: u32 = 3;
 
 /// The right to send a request once, with the proof `P` that it was not sent yet.
 ///
@@ -163,20 +163,23 @@
         }
         match self.owners.next() {
             Some(owner) => {
-                let ask = self.ask(now);
+                let ask = self.ask(now, !self.owners.as_slice().is_empty());
                 EntryStep::Ask(Box::new(self), owner, ask)
             }
             None => self.refuse(Refused::Out, Some(after)),
         }
     }
 
-    fn ask(&self, now: Clocks) -> Ask {
+    /// Failure guarded against: an owner that alone can't reach the key-value service uses up the whole wait, and
+    /// orders of its shards fail while others could claim for them. So each owner gets half of what is left.
+    fn ask(&self, now: Clocks, others: bool) -> Ask {
+        let left = self.until.since(now.time);
         Ask {
             claim: self.claim,
             mark: self.mark,
             print: self.print,
             wall: now.wall,
-            wait: self.until.since(now.time),
+            wait: if others { left / 2 } else { left },
             run: self.deadline.since(self.until),
         }
     }
--- a/src/ops/dispatch/owners.rs
+++ b/src/ops/dispatch/owners.rs
@@ -69,7 +69,13 @@
             };
         }
         match self.question(owner, Request::Claim(ask), limit).await {
-            Some(Response::Verdict(verdict)) => EntryEvent::Answered(verdict),
+            Some(Response::Verdict(verdict)) => {
+                if let Verdict::Out(_) = verdict {
+                    // Others may reach the key-value service; for a while they are asked first.
+                    self.shared.owners().suspect(owner, clock::now());
+                }
+                EntryEvent::Answered(verdict)
+            }
             _ => EntryEvent::Silent,
         }
     }
--- a/tests/testsuite/claims/faults.rs
+++ b/tests/testsuite/claims/faults.rs
@@ -5,9 +5,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use base64::Engine as _;
+use base64::prelude::BASE64_STANDARD;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use sequoiastream_core::claims::Bucket;
+use sequoiastream_core::claims::ClaimRef;
+use sequoiastream_core::name::Name;
+use sequoiastream_platform::EntryBody;
 use sequoiastream_standin::platform::Fault;
 use sequoiastream_testsupport::fleet::Fleet;
 use sequoiastream_testsupport::http;
@@ -173,38 +179,107 @@
     orders_through_faults(3).await;
 }
 
-/// An instance is paused just after an owner granted it a claim, so that its order goes out when everybody has
-/// given it up. Repeats meanwhile must not run, or the order runs twice once the instance wakes.
+/// An instance is paused while the claim that it asked for stands and its order has not gone out. Repeats through
+/// other entries must not run meanwhile, or the order runs twice once the instance wakes.
 #[actix_web::test]
 async fn order_entry_paused() {
     let fleet = three().await;
-    let delay = Fault {
-        delay: 300,
+    // Every owner has made a write by then, and holds what it needs for the next.
+    for _ in 0..32 {
+        order(&fleet, 0, &key(), "pellets").await;
+    }
+    let lost = Fault {
+        lose: u32::MAX,
         ..Fault::default()
     };
-    fleet.platform_fault(&delay).await;
+    fleet.platform_fault(&lost).await;
     let key = key();
-    let first = async {
-        let bodies = order_at(&fleet.daemons[0].url(), &key, "pellets").await;
-        bodies.ok().and_then(|r| r.outcome)
-    };
+    let url = fleet.daemons[0].url();
+    let first = order_at(&url, &key, "pellets");
     let repeats = async {
+        http::until("the claim stands", || async {
+            stands(&fleet, &key).await.then_some(())
+        })
+        .await;
         fleet.daemons[0].signal("STOP");
         fleet.platform_fault(&Fault::default()).await;
         for index in [1, 2, 1, 2] {
-            let _ = order_at(&fleet.daemons[index].url(), &key, "pellets").await;
+            let reply = order(&fleet, index, &key, "pellets").await;
+            assert_eq!(reply.outcome.as_deref(), Some("unknown"), "{}", reply.body);
         }
+        assert_eq!(runs(&fleet).await.get(&key), None);
         fleet.daemons[0].signal("CONT");
     };
-    futures_util::join!(first, repeats);
-    http::until("the order ran", || async {
-        runs(&fleet).await.contains_key(&key).then_some(())
-    })
-    .await;
-    for index in 0..3 {
-        order(&fleet, index, &key, "pellets").await;
+    let (first, ()) = futures_util::join!(first, repeats);
+    let outcome = first.expect("an answer").outcome;
+    let count = runs(&fleet).await.get(&key).copied().unwrap_or_default();
+    match outcome.as_deref() {
+        Some("whole") => assert_eq!(count, 1),
+        other => assert_eq!((other, count), (Some("not-run"), 0)),
     }
-    assert_eq!(runs(&fleet).await.get(&key), Some(&1));
+}
+
+/// Two of three instances lose touch with the key-value service alone. Orders of their shards are claimed by the
+/// third.
+#[actix_web::test]
+async fn order_owners_cut() {
+    let fleet = three().await;
+    let cut = Fault {
+        cut: vec!["i1".to_string(), "i2".to_string()],
+        ..Fault::default()
+    };
+    fleet.platform_fault(&cut).await;
+    let keys: Vec<String> = (0..6).map(|_| key()).collect();
+    let orders = keys.iter().map(|key| order(&fleet, 0, key, "pellets"));
+    for reply in futures_util::future::join_all(orders).await {
+        assert_eq!(reply.outcome.as_deref(), Some("whole"), "{}", reply.body);
+    }
+    let runs = runs(&fleet).await;
+    assert!(keys.iter().all(|key| runs.get(key) == Some(&1)), "{runs:?}");
+}
+
+/// The key-value service is slow. Its owners are no less alive for it: orders take longer and go through.
+#[actix_web::test]
+async fn order_platform_slow() {
+    let fleet = three().await;
+    let slow = Fault {
+        delay: 600,
+        ..Fault::default()
+    };
+    fleet.platform_fault(&slow).await;
+    let keys: Vec<String> = (0..6).map(|_| key()).collect();
+    let orders = keys.iter().map(|key| order(&fleet, 0, key, "pellets"));
+    for reply in futures_util::future::join_all(orders).await {
+        assert_eq!(reply.outcome.as_deref(), Some("whole"), "{}", reply.body);
+    }
+}
+
+/// Whether the claim on `key` stands in the key-value service.
+async fn stands(fleet: &Fleet, key: &str) -> bool {
+    let name = |text| Name::new(text).expect("a name");
+    let claim = ClaimRef::new(
+        &name("dispatch"),
+        &name("ordini"),
+        &key.parse().expect("a UUIDv7"),
+    );
+    let url = format!("{}/v1/kv/{}", fleet.platform.url(), claim.bucket.path());
+    let Ok(body) = http::client()
+        .get(&url)
+        .send()
+        .await
+        .expect("an answer")
+        .json()
+        .await
+    else {
+        return false;
+    };
+    let body: EntryBody = body;
+    let value = BASE64_STANDARD
+        .decode(body.value.unwrap_or_default())
+        .expect("base64");
+    // The service's clients put 24 bytes before each value, which name the write.
+    let bucket: Bucket = postcard::from_bytes(value.get(24..).unwrap_or_default()).unwrap_or_default();
+    bucket.get(&claim.id).is_some()
 }
 
 /// The key-value service goes out. A caller is refused with the truth and told when to come back, at once,
