--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod answer;
 pub mod arena;
+pub mod claims;
 pub mod config;
 pub mod engine;
 pub mod invariant;
--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -63,6 +63,20 @@
     403 CONVICTED = "convicted";
     /// A conviction could not be written to the quarantine yet.
     404 CONVICTION_UNWRITTEN = "conviction-unwritten";
+    /// Claims can't be written: the key-value service fails.
+    600 CLAIMS_OUT = "claims-out";
+    /// Claims can be written again.
+    601 CLAIMS_BACK = "claims-back";
+    /// A claim was refused.
+    602 CLAIM_REFUSED = "claim-refused";
+    /// A claimed request was sent, and it is not known whether it ran.
+    603 CLAIM_UNKNOWN = "claim-unknown";
+    /// An owner of claims gave no sign of life; another was asked.
+    604 OWNER_SILENT = "owner-silent";
+    /// This instance's wall clock stepped; it refuses requests that may not be repeated.
+    605 CLOCK_STEPPED = "clock-stepped";
+    /// A bucket of claims can't be read.
+    606 CLAIMS_UNREADABLE = "claims-unreadable";
     /// This instance stands differently towards the configuration in force.
     700 STANDING = "standing";
     /// A call to another instance failed.
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -2,6 +2,11 @@
 
 use std::collections::BTreeSet;
 
+use sequoiastream_core::claims::Ask as ClaimAsk;
+use sequoiastream_core::claims::BucketId;
+use sequoiastream_core::claims::ClaimRef;
+use sequoiastream_core::claims::Edit;
+use sequoiastream_core::claims::Verdict;
 use sequoiastream_core::config::Update;
 use sequoiastream_core::config::Version;
 use sequoiastream_core::membership::Beat;
@@ -25,6 +30,12 @@
 pub enum Request {
     /// Only asks for an answer.
     Ping,
+    /// Asks the owner of a shard for a claim.
+    Claim(ClaimAsk),
+    /// Asks the owner of a shard what is known of a claim.
+    Look(ClaimRef),
+    /// Tells the owner of a shard what became of a claim.
+    Edit(BucketId, Edit),
     /// Asks for the configuration after this version.
     Config(Version),
     /// About requests that crash engines.
@@ -36,6 +47,10 @@
 pub enum Response {
     /// Answer to [`Request::Ping`].
     Pong,
+    /// Answer to [`Request::Claim`] and [`Request::Look`].
+    Verdict(Verdict),
+    /// The message was taken.
+    Taken,
     /// Answer to [`Request::Config`].
     Config(Update),
     /// Answer to [`Request::Poison`].
--- a/src/ops/dispatch/mod.rs
+++ b/src/ops/dispatch/mod.rs
@@ -4,6 +4,8 @@
 mod admit;
 mod forward;
 mod generate;
+mod once;
+mod owners;
 mod suspects;
 
 use std::collections::BTreeSet;
@@ -18,11 +20,18 @@
 use sequoiastream_caller::Gateway;
 use sequoiastream_caller::GenerateCall;
 use sequoiastream_caller::Refusal;
+use sequoiastream_caller::RequestState;
+use sequoiastream_caller::StatusCall;
 use sequoiastream_core::config::ServiceKind;
 use sequoiastream_core::config::Version;
 use sequoiastream_core::name::Name;
+use sequoiastream_operator::Query;
+use sequoiastream_operator::Statement;
+use sequoiastream_operator::Table;
 use sequoiastream_operator::http::Executor;
 use sequoiastream_operator::http::OperatorError;
+use sequoiastream_operator::parse_script;
+use sequoiastream_operator::select;
 use sequoiastream_operator::wire::ReplyBody;
 use sequoiastream_operator::wire::StatementBody;
 use sequoiastream_peer::call::CallClient;
@@ -32,6 +41,7 @@
 
 use crate::ops::control::Control;
 use crate::ops::control::Execute;
+use crate::ops::control::claims::ShowClaims;
 use crate::ops::shared::Shared;
 
 /// One traffic thread's side of the daemon.
@@ -93,6 +103,10 @@
         forward::run(self, ForwardCall { unsent, ..call }).await
     }
 
+    async fn status(&self, call: StatusCall) -> Result<RequestState, Refusal> {
+        once::status(self, call).await
+    }
+
     fn addresses(&self, call: AddressCall) -> Result<AddressList, Refusal> {
         addresses::list(self, call)
     }
@@ -113,9 +127,22 @@
         statement: StatementBody,
         from: Option<SocketAddr>,
     ) -> Result<ReplyBody, OperatorError> {
+        if let Some(query) = claims_query(&statement) {
+            let table = self.control.claims.send(ShowClaims).await;
+            let table = table.map_err(|e| OperatorError::Platform(e.to_string()))?;
+            return select(table, &query).map(ReplyBody::Table);
+        }
         match self.control.config.send(Execute(statement, from)).await {
             Ok(result) => result,
             Err(error) => Err(OperatorError::Platform(error.to_string())),
         }
     }
 }
+
+/// The query for the table of claims, if the statement is just that.
+fn claims_query(statement: &StatementBody) -> Option<Query> {
+    match parse_script(&statement.text).ok()?.as_slice() {
+        [Statement::Show(query)] if query.table == Table::Claims => Some(query.clone()),
+        _ => None,
+    }
+}
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -8,6 +8,8 @@
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
+use sequoiastream_core::claims::KeyClock;
+use sequoiastream_core::claims::Owners;
 use sequoiastream_core::membership::Roster;
 use sequoiastream_core::outcome::Reason;
 use sequoiastream_core::poison::Poison;
@@ -19,6 +21,7 @@
 use crate::ops::policy::PolicyState;
 use crate::ops::stops::Stops;
 use crate::settings::Settings;
+use crate::util::clock;
 use crate::util::metrics::Metrics;
 
 /// Shared between all threads of a daemon.
@@ -32,9 +35,12 @@
     pub metrics: Metrics,
     /// Limits, retry budgets and demand.
     pub policy: PolicyState,
+    /// Judges the age of idempotency keys.
+    pub keys: KeyClock,
     /// Attempts that can be stopped.
     pub stops: Stops,
     router: Mutex<Router>,
+    owners: Mutex<Owners>,
     poison: Mutex<Poison>,
     roster: watch::Sender<Arc<Roster>>,
     leaving: AtomicBool,
@@ -64,6 +70,8 @@
             metrics: Metrics::new(),
             policy,
             router: Mutex::new(router),
+            keys: KeyClock::new(clock::both()),
+            owners: Mutex::default(),
             stops: Stops::default(),
             poison: Mutex::new(poison),
             roster: watch::Sender::default(),
@@ -80,6 +88,13 @@
             .expect("no thread panics while it holds the router")
     }
 
+    /// Which owners of claims were silent. Held for one decision, never across an await.
+    pub fn owners(&self) -> MutexGuard<'_, Owners> {
+        self.owners
+            .lock()
+            .expect("no thread panics while it holds the owners")
+    }
+
     /// The records of requests that crash engines. Held for one decision, never across an await.
     pub fn poison(&self) -> MutexGuard<'_, Poison> {
         self.poison
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -15,6 +15,7 @@
 use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
+use sequoiastream_core::claims::OwnerSettings;
 use sequoiastream_core::membership::Limits;
 use sequoiastream_core::name::Name;
 use sequoiastream_core::policy::Policy;
@@ -67,6 +68,8 @@
     pub poll: Duration,
     /// How long a role change takes an engine away.
     pub away: Duration,
+    /// How claims are grouped into writes.
+    pub grouping: OwnerSettings,
     /// Limits of membership.
     pub limits: Limits,
     /// Time between two looks at the platform's lists.
@@ -172,6 +175,12 @@
             "How long a watch waits",
             "30000",
         ))
+        .arg(number(
+            "claim-pace-ms",
+            "SEQUOIASTREAM_CLAIM_PACE_MS",
+            "Least time between two writes of a claim bucket; 0 writes each claim by itself",
+            "80",
+        ))
         .arg(
             text(
                 "policy",
@@ -246,6 +255,7 @@
         let poll = reader.positive("load-ms");
         let away = reader.positive("away-ms");
         let policy = reader.parsed::<Policy>("policy").unwrap_or_default();
+        let grouping = grouping(matches);
         let limits = limits::limits(&mut reader);
         let lists = limits::lists(&mut reader);
         let times = limits::times(&mut reader);
@@ -274,6 +284,7 @@
             policy,
             poll: Duration::from_millis(poll),
             away: Duration::from_millis(away),
+            grouping,
             limits,
             lists,
             times,
@@ -284,6 +295,17 @@
     }
 }
 
+fn grouping(matches: &ArgMatches) -> OwnerSettings {
+    match matches.get_one::<u64>("claim-pace-ms").copied() {
+        Some(0) => OwnerSettings::ungrouped(),
+        Some(millis) => OwnerSettings {
+            pace: Duration::from_millis(millis),
+            ..OwnerSettings::default()
+        },
+        None => OwnerSettings::default(),
+    }
+}
+
 /// Reads settings and gathers what is wrong with them.
 struct Reader<'a> {
     matches: &'a ArgMatches,
--- a/src/util/metrics.rs
+++ b/src/util/metrics.rs
@@ -2,6 +2,8 @@
 //!
 //! One struct a concern, each registering its own families, so that whoever adds a concern touches one place.
 
+mod policy;
+
 use std::fmt;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -15,10 +17,11 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 use prometheus_client::registry::Unit;
-use sequoiastream_core::limit::Verdict;
+use sequoiastream_core::claims::Verdict;
 use sequoiastream_core::name::Name;
 use sequoiastream_core::outcome::Outcome;
-use sequoiastream_core::outcome::Reason;
+
+pub use policy::PolicyMetrics;
 
 /// Prefix of every name.
 const PREFIX: &str = "sequoiastream";
@@ -29,6 +32,8 @@
     pub traffic: TrafficMetrics,
     /// Of the policy.
     pub policy: PolicyMetrics,
+    /// Of claims.
+    pub claims: ClaimMetrics,
     /// Of membership.
     pub membership: MembershipMetrics,
     registry: Mutex<Registry>,
@@ -184,72 +189,56 @@
     }
 }
 
-/// Metrics of the policy.
-#[derive(Debug, Clone, Default)]
-pub struct PolicyMetrics {
-    /// Load reports read.
-    pub polls: Counter,
-    /// Load reports that could not be read.
-    pub polls_failed: Counter,
-    /// Gaps seen in cache events.
-    pub cache_gaps: Counter,
-    /// Admissions by product and verdict.
-    pub verdicts: Family<VerdictLabels, Counter>,
-    /// Retries that the budget did not allow.
-    pub retries_denied: Counter,
-    /// Role changes proposed.
-    pub changes_proposed: Counter,
-}
-
-/// How a request was admitted.
+/// How a claim was answered.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct VerdictLabels {
-    /// The product.
-    pub product: String,
-    /// `owed`, `lent`, `over-share` or `too-late`.
-    pub verdict: String,
+    /// `granted`, `seen`, `mismatch`, `never`, `out`, `clock`, `full` or `stopping`.
+    pub verdict: &'static str,
 }
 
-impl PolicyMetrics {
-    /// Counts an admission.
-    pub fn verdict(&self, product: &Name, verdict: Verdict) {
-        let verdict = match verdict {
-            Verdict::Owed => "owed",
-            Verdict::Lent => "lent",
-            Verdict::Refused(Reason::TooLate, _) => "too-late",
-            Verdict::Refused(..) => "over-share",
-        };
-        let labels = VerdictLabels {
-            product: product.to_string(),
-            verdict: verdict.to_string(),
-        };
-        self.verdicts.get_or_create(&labels).inc();
-    }
+/// Metrics of claims, as owner.
+#[derive(Debug, Clone, Default)]
+pub struct ClaimMetrics {
+    /// Answers to entries.
+    pub verdicts: Family<VerdictLabels, Counter>,
+    /// Writes of buckets begun.
+    pub writes: Counter,
+    /// Reads of buckets begun.
+    pub reads: Counter,
+    /// Writes that another owner's write came before.
+    pub conflicts: Counter,
+}
 
+impl ClaimMetrics {
     fn register(&self, registry: &mut Registry) {
-        registry.register("load_polls", "Load reports read", self.polls.clone());
-        registry.register(
-            "load_polls_failed",
-            "Load reports that could not be read",
-            self.polls_failed.clone(),
-        );
-        registry.register("cache_gaps", "Gaps seen in cache events", self.cache_gaps.clone());
         registry.register(
-            "admissions",
-            "Admissions by product and verdict",
+            "claim_verdicts",
+            "Answers to entries that asked for a claim or its state",
             self.verdicts.clone(),
         );
+        registry.register("claim_writes", "Writes of claim buckets", self.writes.clone());
+        registry.register("claim_reads", "Reads of claim buckets", self.reads.clone());
         registry.register(
-            "retries_denied",
-            "Retries that the budget did not allow",
-            self.retries_denied.clone(),
-        );
-        registry.register(
-            "role_changes_proposed",
-            "Role changes proposed by the planner",
-            self.changes_proposed.clone(),
+            "claim_conflicts",
+            "Writes of claim buckets that lost against another owner",
+            self.conflicts.clone(),
         );
     }
+
+    /// Counts an answer.
+    pub fn count(&self, verdict: &Verdict) {
+        let verdict = match verdict {
+            Verdict::Granted => "granted",
+            Verdict::Seen(_) => "seen",
+            Verdict::Mismatch => "mismatch",
+            Verdict::Never => "never",
+            Verdict::Out(_) => "out",
+            Verdict::Clock => "clock",
+            Verdict::Full => "full",
+            Verdict::Stopping => "stopping",
+        };
+        self.verdicts.get_or_create(&VerdictLabels { verdict }).inc();
+    }
 }
 
 /// Metrics of membership.
@@ -290,11 +279,14 @@
         traffic.register(&mut registry);
         let policy = PolicyMetrics::default();
         policy.register(&mut registry);
+        let claims = ClaimMetrics::default();
+        claims.register(&mut registry);
         let membership = MembershipMetrics::default();
         membership.register(&mut registry);
         Metrics {
             traffic,
             policy,
+            claims,
             membership,
             registry: Mutex::new(registry),
         }
