--- a/src/ops/control/mod.rs
+++ b/src/ops/control/mod.rs
@@ -149,8 +149,8 @@
         bound,
     );
     let membership = membership.start();
-    LoadActor::new(shared.clone()).start();
     let claims = ClaimsActor::new(shared.clone(), kv(settings)).start();
+    LoadActor::new(shared.clone()).start();
     let responder = PeerResponder {
         config: config.clone(),
         claims: claims.clone(),
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -33,10 +33,10 @@
     pub snapshot: ArcSwap<Snapshot>,
     /// Counts of what happened.
     pub metrics: Metrics,
-    /// Limits, retry budgets and demand.
-    pub policy: PolicyState,
     /// Judges the age of idempotency keys.
     pub keys: KeyClock,
+    /// Limits, retry budgets and demand.
+    pub policy: PolicyState,
     /// Attempts that can be stopped.
     pub stops: Stops,
     router: Mutex<Router>,
@@ -68,10 +68,10 @@
             settings,
             snapshot: ArcSwap::default(),
             metrics: Metrics::new(),
-            policy,
-            router: Mutex::new(router),
             keys: KeyClock::new(clock::both()),
             owners: Mutex::default(),
+            policy,
+            router: Mutex::new(router),
             stops: Stops::default(),
             poison: Mutex::new(poison),
             roster: watch::Sender::default(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -62,14 +62,14 @@
     pub deadline: Duration,
     /// How long a watch waits.
     pub wait: Duration,
+    /// How claims are grouped into writes.
+    pub grouping: OwnerSettings,
     /// How requests are routed and roles changed.
     pub policy: Policy,
     /// How often engines are asked for their load.
     pub poll: Duration,
     /// How long a role change takes an engine away.
     pub away: Duration,
-    /// How claims are grouped into writes.
-    pub grouping: OwnerSettings,
     /// Limits of membership.
     pub limits: Limits,
     /// Time between two looks at the platform's lists.
@@ -252,10 +252,10 @@
         let workers = reader.positive("workers");
         let deadline = reader.positive("kv-deadline-ms");
         let wait = reader.positive("watch-ms");
+        let grouping = grouping(matches);
         let poll = reader.positive("load-ms");
         let away = reader.positive("away-ms");
         let policy = reader.parsed::<Policy>("policy").unwrap_or_default();
-        let grouping = grouping(matches);
         let limits = limits::limits(&mut reader);
         let lists = limits::lists(&mut reader);
         let times = limits::times(&mut reader);
@@ -281,10 +281,10 @@
             workers: usize::try_from(workers).unwrap_or(1),
             deadline: Duration::from_millis(deadline),
             wait: Duration::from_millis(wait),
+            grouping,
             policy,
             poll: Duration::from_millis(poll),
             away: Duration::from_millis(away),
-            grouping,
             limits,
             lists,
             times,
--- a/src/util/metrics/policy.rs
+++ b/src/util/metrics/policy.rs
@@ -1,4 +1,4 @@
-//! Metrics of routing, limits, retries and roles.
+//! Metrics of the policy.
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
