Take a suspect engine where no other is left

Ruled out: no suspicion at all: attempts then go back to a dead engine until its report is missing. Change: suspects are left out while another engine is open, and taken otherwise. Red without the fallback, green with it: route_only_suspects. The experiment's table shows goodput by product.

--- a/crates/core/src/route/book.rs
+++ b/crates/core/src/route/book.rs
@@ -140,10 +140,14 @@
         self.suspect = Some(until);
     }
 
-    /// Whether the engine can be given work.
-    pub fn takes(&self, now: Time) -> bool {
-        let away = self.report.is_some_and(|r| r.away && now.since(r.at) < STALE);
-        !away && self.suspect.is_none_or(|until| until <= now)
+    /// Whether the engine is here: not away for an order.
+    pub fn is_here(&self, now: Time) -> bool {
+        !self.report.is_some_and(|r| r.away && now.since(r.at) < STALE)
+    }
+
+    /// Whether an attempt there failed a moment ago.
+    pub fn is_suspect(&self, now: Time) -> bool {
+        self.suspect.is_some_and(|until| until > now)
     }
 
     /// The state now. `scale` is the number of instances that send work there as this one does: a report is
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -114,6 +114,12 @@
     pub speed: Speed,
 }
 
+/// Engines that are left out of a choice.
+struct Leave<'a> {
+    names: &'a [Name],
+    suspects: bool,
+}
+
 /// What this instance knows of engines, and its choice among them.
 #[derive(Debug, Clone)]
 pub struct Router {
@@ -219,7 +225,7 @@
             Routing::Estimate => self.affinity.holders(now, &ask.digests),
             Routing::RoundRobin | Routing::LeastReported => Vec::new(),
         };
-        let candidates = self.candidates(now, snapshot, ask, except, &holders);
+        let candidates = self.open_candidates(now, snapshot, ask, except, &holders);
         let (key, cached, estimate) = match self.policy {
             Routing::RoundRobin => self.in_turn(now, snapshot, ask, &candidates)?,
             Routing::LeastReported => self.least_reported(now, snapshot, ask, &candidates)?,
@@ -251,7 +257,7 @@
     pub fn foresee(&mut self, now: Time, snapshot: &Snapshot, ask: &Ask) -> Option<Foreseen> {
         self.follow(snapshot);
         let holders = self.affinity.holders(now, &ask.digests);
-        let candidates = self.candidates(now, snapshot, ask, &[], &holders);
+        let candidates = self.open_candidates(now, snapshot, ask, &[], &holders);
         let (key, cached, estimate) = self.best(now, snapshot, ask, &candidates, &holders)?;
         Some(Foreseen {
             estimate,
@@ -337,13 +343,35 @@
         URGENT.iter().filter(|limit| left > **limit).count() as u8
     }
 
+    /// The engines to compare. Where only suspects are left they are taken after all: one broken answer must not
+    /// leave a service without engines.
+    fn open_candidates(
+        &mut self,
+        now: Time,
+        snapshot: &Snapshot,
+        ask: &Ask,
+        except: &[Name],
+        holders: &[Holder],
+    ) -> Vec<EngineKey> {
+        let mut leave = Leave {
+            names: except,
+            suspects: true,
+        };
+        let candidates = self.candidates(now, snapshot, ask, &leave, holders);
+        if !candidates.is_empty() {
+            return candidates;
+        }
+        leave.suspects = false;
+        self.candidates(now, snapshot, ask, &leave, holders)
+    }
+
     /// The engines to compare: all of a small service; of a large one, some at random and the holders.
     fn candidates(
         &mut self,
         now: Time,
         snapshot: &Snapshot,
         ask: &Ask,
-        except: &[Name],
+        leave: &Leave<'_>,
         holders: &[Holder],
     ) -> Vec<EngineKey> {
         let Some(service) = snapshot.services.get(ask.service) else {
@@ -352,12 +380,12 @@
         let engines = &service.engines;
         let all = self.policy != Routing::Estimate || engines.len() <= 2 * CANDIDATES;
         if all {
-            let takes = |key: &&EngineKey| self.is_open(now, snapshot, **key, except);
+            let takes = |key: &&EngineKey| self.is_open(now, snapshot, **key, leave);
             return engines.iter().filter(takes).copied().collect();
         }
         let mut chosen: Vec<EngineKey> = Vec::with_capacity(CANDIDATES + HOLDERS);
         let near = holders.iter().take(HOLDERS).map(|h| h.engine);
-        chosen.extend(near.filter(|key| self.is_open(now, snapshot, *key, except)));
+        chosen.extend(near.filter(|key| self.is_open(now, snapshot, *key, leave)));
         let mut zone_mates = 0;
         // Engines of other zones are drawn too, but only half as many are kept.
         for _ in 0..6 * CANDIDATES {
@@ -365,7 +393,7 @@
                 break;
             }
             let key = engines[self.rng.random_range(0..engines.len())];
-            if chosen.contains(&key) || !self.is_open(now, snapshot, key, except) {
+            if chosen.contains(&key) || !self.is_open(now, snapshot, key, leave) {
                 continue;
             }
             let near = self.is_near(snapshot, key);
@@ -378,12 +406,13 @@
         chosen
     }
 
-    fn is_open(&self, now: Time, snapshot: &Snapshot, key: EngineKey, except: &[Name]) -> bool {
+    fn is_open(&self, now: Time, snapshot: &Snapshot, key: EngineKey, leave: &Leave<'_>) -> bool {
         let serving = snapshot
             .engines
             .get(key)
-            .is_some_and(|e| e.state == EngineState::Serving && !except.contains(&e.name));
-        serving && self.books.get(key.index() as usize).is_some_and(|b| b.takes(now))
+            .is_some_and(|e| e.state == EngineState::Serving && !leave.names.contains(&e.name));
+        let book = self.books.get(key.index() as usize);
+        serving && book.is_some_and(|b| b.is_here(now) && !(leave.suspects && b.is_suspect(now)))
     }
 
     fn is_near(&self, snapshot: &Snapshot, key: EngineKey) -> bool {
--- a/crates/standin/src/experiment/table.rs
+++ b/crates/standin/src/experiment/table.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::load::report::Counts;
 use crate::load::report::Report;
 
 /// The result of one run.
@@ -65,11 +66,11 @@
     let mut text = String::new();
     let _ = writeln!(
         text,
-        "| case | good, % of offered | good by phase, % | within both targets, % | first token p95, ms | between p95, ms | role changes | refused, % | late, % | failed, unknown, wrong, doubled, lost, untrue |"
+        "| case | good, % of offered | good by phase, % | good by product, % | within both targets, % | first token p95, ms | between p95, ms | role changes | refused, % | late, % | failed, unknown, wrong, doubled, lost, untrue |"
     );
     let _ = writeln!(
         text,
-        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
     );
     for (name, rows) in by_case(rows) {
         let _ = writeln!(text, "| {name} | {} |", cells(&rows).join(" | "));
@@ -104,6 +105,7 @@
     vec![
         show(of(&|r| r.total.percent())),
         by_phase.join(", "),
+        by_product(rows),
         show(of(&|r| part(r.targets, r))),
         show(of(&|r| r.first.p95)),
         show(of(&|r| r.between.p95)),
@@ -114,6 +116,22 @@
     ]
 }
 
+fn by_product(rows: &[&Row]) -> String {
+    let names = rows
+        .first()
+        .map(|r| r.report.products.keys())
+        .into_iter()
+        .flatten();
+    let show = |name: &String| {
+        let percents = rows
+            .iter()
+            .filter_map(|r| r.report.products.get(name))
+            .map(Counts::percent);
+        format!("{name} {:.1}", Spread::of(percents.collect()).median)
+    };
+    names.map(show).collect::<Vec<String>>().join(", ")
+}
+
 /// What the best fixed split, chosen in hindsight for each phase and seed, would have served: percent of what
 /// was offered, by seed. `None` without runs of splits.
 pub fn hindsight(rows: &[Row]) -> Option<BTreeMap<u64, f64>> {
--- a/tests/testsuite/policy/routing.rs
+++ b/tests/testsuite/policy/routing.rs
@@ -153,3 +153,18 @@
     };
     assert_ne!(chosen(&mut router, &snapshot, &chat, NOW), name("e0"));
 }
+
+// A service of one engine refuses everything for half a second after a single answer broke off. Cause: an engine
+// that failed an attempt gets no work for a moment, even where there is no other.
+#[test]
+fn route_only_suspects() {
+    let snapshot = snapshot(2);
+    let mut router = router(&snapshot, 1);
+    let ask = ask(&snapshot, Vec::new());
+    let first = router.choose(NOW, &snapshot, &ask, &[]).expect("an engine");
+    router.failed(NOW, &first.ticket);
+    let second = router.choose(NOW, &snapshot, &ask, &[]).expect("an engine");
+    assert_ne!(first.name, second.name);
+    router.failed(NOW, &second.ticket);
+    assert!(router.choose(NOW, &snapshot, &ask, &[]).is_some());
+}
