--- a/examples/claim_writes.rs
+++ b/examples/claim_writes.rs
@@ -1,7 +1,7 @@
 //! Measures what claims cost the key-value service and the caller, with and without group commit.
 //!
 //! ```text
-//! cargo build --release --workspace --bins && cargo run --release --example claim_writes
+//! cargo build --release --workspace --bins && cargo run --release --example claim_writes [take-over]
 //! ```
 //!
 //! Eight daemons, one plain service and the stand-in platform run as processes on this machine. Orders arrive
@@ -40,6 +40,9 @@
 /// How long orders arrive at each rate.
 const LENGTH: Duration = Duration::from_secs(20);
 
+/// How long orders arrive in each phase of a take-over.
+const PHASE: Duration = Duration::from_secs(8);
+
 /// After the last order: time for what became of the orders to be written.
 const SETTLE: Duration = Duration::from_secs(4);
 
@@ -113,7 +116,8 @@
     }
 }
 
-async fn measure(fleet: &Fleet, rate: f64) -> eyre::Result<Row> {
+/// Lets orders arrive at the first `entries` daemons for `length`, and waits until all are answered.
+async fn arrive(fleet: &Fleet, rate: f64, entries: usize, length: Duration) -> eyre::Result<Row> {
     let row = Rc::new(RefCell::new(Row {
         orders: 0,
         whole: 0,
@@ -124,37 +128,67 @@
     }));
     let mut rng = ChaCha8Rng::seed_from_u64(SEED);
     let client = Client::builder().timeout(Duration::from_secs(30)).finish();
-    let before = stats(fleet).await;
     let begin = Instant::now();
     let mut at = Duration::ZERO;
     let mut running = Vec::new();
     loop {
         let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
         at += Duration::from_secs_f64(-uniform.ln() / rate);
-        if at > LENGTH {
+        if at > length {
             break;
         }
         tokio::time::sleep_until((begin + at).into()).await;
-        let daemon = rng.random_range(0..fleet.daemons.len());
+        let daemon = rng.random_range(0..entries);
         let url = format!("{}/services/ordini/orders", fleet.daemons[daemon].url());
         running.push(actix_rt::spawn(order(client.clone(), url, row.clone())));
     }
     for order in running {
         order.await?;
     }
+    let row = Rc::into_inner(row).ok_or_else(|| eyre::eyre!("an order still runs"))?;
+    Ok(row.into_inner())
+}
+
+async fn measure(fleet: &Fleet, rate: f64) -> eyre::Result<Row> {
+    let before = stats(fleet).await;
+    let mut row = arrive(fleet, rate, fleet.daemons.len(), LENGTH).await?;
     tokio::time::sleep(SETTLE).await;
     let after = stats(fleet).await;
-    let mut row = Rc::into_inner(row)
-        .ok_or_else(|| eyre::eyre!("an order still runs"))?
-        .into_inner();
     row.writes = calls(&after, "put") - calls(&before, "put");
     row.reads = calls(&after, "get") - calls(&before, "get");
     row.bytes = after.written - before.written;
     Ok(row)
 }
 
+/// Orders through six daemons while the other two, owners of shards, are paused or killed.
+async fn take_over() -> eyre::Result<()> {
+    println!("| owners | orders | whole | p50 | p99 | longest |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    let mut fleet = start(PACES[1]).await?;
+    let entries = DAEMONS - 2;
+    for phase in ["all run", "one paused", "it woke", "one killed"] {
+        match phase {
+            "one paused" => fleet.daemons[entries].signal("STOP"),
+            "it woke" => fleet.daemons[entries].signal("CONT"),
+            "one killed" => fleet.daemons[entries + 1].kill(),
+            _ => {}
+        }
+        let row = arrive(&fleet, RATES[1], entries, PHASE).await?;
+        let millis = |quantile| row.latency.value_at_quantile(quantile) as f64 / 1_000.0;
+        let (half, most, max) = (millis(0.5), millis(0.99), millis(1.0));
+        println!(
+            "| {phase} | {} | {} | {half:.1} ms | {most:.1} ms | {max:.1} ms |",
+            row.orders, row.whole
+        );
+    }
+    Ok(())
+}
+
 #[actix_web::main]
 async fn main() -> eyre::Result<()> {
+    if std::env::args().any(|argument| argument == "take-over") {
+        return take_over().await;
+    }
     println!(
         "| pace | orders/s | orders | whole | KV writes/order | KV reads/order | bytes/order | p50 | p95 | p99 |"
     );
@@ -178,5 +212,6 @@
             );
         }
     }
-    Ok(())
+    println!();
+    take_over().await
 }
