Run suspects on emptied engines, and let a conviction explain without clearing

Ruled out: no explanation at all, since an innocent beside two poisonous requests would be convicted by elimination. Change: a held engine is emptied: all instances move their streams elsewhere (PoisonRequest::Vacate) and send nothing there, so a crash under a hold has one cause. A conviction marks its crashes as explained; others of them stay suspects and run again alone. Conclusion: emptying costs the moved streams a prefill each, for the time of suspects only; kept.

--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -79,8 +79,8 @@
     Last(Uuid, u32),
     /// The attempt ended without a last line.
     Broke(Uuid, Failure),
-    /// The request must go on elsewhere, in isolation.
-    Isolate,
+    /// The request must go on elsewhere, though its engine is not to blame.
+    Move,
     /// The caller went away.
     Gone,
     /// Time passed.
@@ -215,7 +215,7 @@
             Event::Delivered => self.touch(now),
             Event::Last(attempt, offset) => self.on_last(attempt, offset),
             Event::Broke(attempt, failure) => self.on_broke(attempt, failure),
-            Event::Isolate => self.isolate(),
+            Event::Move => self.leave_for_others(),
             Event::Gone => Vec::new(),
             Event::Tick => self.on_tick(now),
         }
@@ -415,7 +415,7 @@
         vec![Action::Pick]
     }
 
-    fn isolate(&mut self) -> Vec<Action> {
+    fn leave_for_others(&mut self) -> Vec<Action> {
         match self.current() {
             Some(attempt) => {
                 self.ran = true;
--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -2,12 +2,13 @@
 //!
 //! Failure guarded against: a request crashes each engine that runs it, the daemon resumes it on the next one and
 //! its caller sends it again, until no engine is left. Each crash makes suspects of all requests that ran
-//! there. A suspect runs again only without other suspects beside it, and while it runs its engine gets no new work. One
-//! that is in a second crash runs no more, so that no request takes more than two engines.
+//! there. A suspect runs again only alone: it holds an engine, whose other streams move elsewhere and which gets
+//! no new work meanwhile. One that is in a second crash runs no more, so that no request takes more than two engines.
 //!
-//! That it is in two crashes doesn't convict it yet: another poisonous request, running for the first time, may have
-//! caused the second one. It is convicted when all others of its last crash have run to their end. If one of these
-//! turns out to be the cause instead, the crash is explained and counts against nobody else.
+//! That it is in two crashes doesn't convict it yet: another poisonous request may just have been on its way
+//! out when the engine crashed. It is convicted when all others of its last crash have run to their end, at once
+//! if there are none. If one of these turns out to be the cause instead, the crash is explained: the others may run
+//! again, still alone, since two poisonous requests may have been there.
 //!
 //! Only evidence of a crash convicts: the engine refuses connections, or runs anew. An engine that is merely
 //! silent may be cut off from this instance; that raises suspicion for a shorter time and convicts nobody.
@@ -34,7 +35,7 @@
 /// How long an engine that went silent raises suspicion: while it lasts, an innocent request may be withheld.
 pub const SILENCE: Duration = Duration::from_secs(600);
 
-/// Most crashes, explained crashes, and convicts awaiting their entry in the configuration. The oldest go first.
+/// Most crashes, and most convicts awaiting their entry in the configuration. The oldest go first.
 pub const MAX_RECORDS: usize = 4096;
 
 /// Crashes after which a request runs no more.
@@ -139,6 +140,8 @@
 struct Crash {
     evidence: Evidence,
     ran: BTreeSet<Fingerprint>,
+    /// Whether somebody was convicted who ran there.
+    explained: bool,
     at: Time,
 }
 
@@ -166,7 +169,6 @@
     me: Name,
     running: BTreeMap<Uuid, Running>,
     crashes: BTreeMap<Incident, Crash>,
-    explained: BTreeMap<Incident, Time>,
     convicts: BTreeMap<Fingerprint, Time>,
     holds: BTreeMap<Name, Hold>,
     known: BTreeMap<Name, Uuid>,
@@ -179,7 +181,6 @@
             me,
             running: BTreeMap::new(),
             crashes: BTreeMap::new(),
-            explained: BTreeMap::new(),
             convicts: BTreeMap::new(),
             holds: BTreeMap::new(),
             known: BTreeMap::new(),
@@ -191,19 +192,25 @@
         if self.convicts.contains_key(&fingerprint) {
             return Standing::Convicted;
         }
-        match self.crashes_of(now, fingerprint).count() {
-            0 => Standing::Clear,
-            CRASHES.. => Standing::Pending,
-            _ => Standing::Suspect,
+        let crashes: Vec<&Crash> = self.crashes_of(now, fingerprint).collect();
+        let open = crashes.iter().filter(|c| !c.explained).count();
+        match (crashes.is_empty(), open) {
+            (true, _) => Standing::Clear,
+            (false, CRASHES..) => Standing::Pending,
+            (false, _) => Standing::Suspect,
         }
     }
 
-    /// Records that an attempt is sent to an engine. `false` if it may not be sent: it is of a convict, or of a
-    /// suspect without a hold.
+    /// Records that an attempt is sent to an engine. `false` if it may not be sent: it is of a convict, of a
+    /// suspect without a hold, or the engine is held for a suspect.
     pub fn begin(&mut self, now: Time, attempt: Uuid, fingerprint: Fingerprint, engine: &Name) -> bool {
         let held = self.holds.get(engine).is_some_and(|h| {
             h.fingerprint == fingerprint && h.owner == self.me && h.granted && h.until > now
         });
+        let taken = self.held(now).contains(engine) && !held;
+        if taken {
+            return false;
+        }
         let allowed = match self.standing(now, fingerprint) {
             Standing::Clear => true,
             Standing::Suspect => held,
@@ -271,23 +278,30 @@
         self.running.values().filter(|r| r.engine == *engine).count()
     }
 
-    /// Engines on which suspects run alone; they get no new work. An innocent suspect beside whom a fresh
+    /// Engines on which suspects run alone. They get no other work: an innocent suspect beside which a fresh
     /// poisonous request runs would come under double suspicion.
     pub fn held(&self, now: Time) -> Vec<Name> {
         let held = self.holds.iter().filter(|(_, h)| h.until > now);
         held.map(|(engine, _)| engine.clone()).collect()
     }
 
+    /// Attempts that must move elsewhere, because a suspect is about to run alone on the engine.
+    pub fn to_move(&self, engine: &Name) -> Vec<Uuid> {
+        let others = self
+            .running
+            .iter()
+            .filter(|(_, r)| r.engine == *engine && !r.alone);
+        others.map(|(attempt, _)| *attempt).collect()
+    }
+
     /// Takes note of a crash, seen here or by a peer; returns attempts of suspects that must stop, to go on with
     /// a hold.
     pub fn on_note(&mut self, now: Time, note: &Note) -> Vec<Uuid> {
         self.expire(now);
-        if self.explained.contains_key(&note.incident) {
-            return Vec::new();
-        }
         let crash = self.crashes.entry(note.incident.clone()).or_insert(Crash {
             evidence: note.evidence,
             ran: BTreeSet::new(),
+            explained: false,
             at: now,
         });
         crash.evidence = crash.evidence.max(note.evidence);
@@ -313,7 +327,7 @@
     pub fn convict(&mut self, now: Time, fingerprint: Fingerprint) -> Vec<Uuid> {
         self.convicts.insert(fingerprint, now);
         trim(&mut self.convicts, |at| *at);
-        self.explain(now, fingerprint);
+        self.explain(fingerprint);
         let of_it = self.running.iter().filter(|(_, r)| r.fingerprint == fingerprint);
         of_it.map(|(attempt, _)| *attempt).collect()
     }
@@ -386,7 +400,7 @@
 
     /// Crashes, convicts and holds recorded.
     pub fn records(&self) -> usize {
-        self.crashes.len() + self.explained.len() + self.convicts.len() + self.holds.len()
+        self.crashes.len() + self.convicts.len() + self.holds.len()
     }
 
     /// Requests under suspicion.
@@ -410,7 +424,7 @@
             .filter(|c| c.evidence == Evidence::Crashed)
             .collect();
         let last = sure.iter().max_by_key(|c| c.at);
-        sure.len() >= CRASHES && last.is_some_and(|c| c.ran.len() == 1)
+        sure.len() >= CRASHES && last.is_some_and(|c| c.ran.len() == 1 && !c.explained)
     }
 
     fn to_stop(&self, suspects: &BTreeSet<Fingerprint>) -> Vec<Uuid> {
@@ -419,16 +433,12 @@
         running.map(|(attempt, _)| *attempt).collect()
     }
 
-    /// The crashes of a convict count against nobody else.
-    fn explain(&mut self, now: Time, fingerprint: Fingerprint) {
-        let of_it = |c: &Crash| c.ran.contains(&fingerprint);
-        let incidents = self.crashes.iter().filter(|(_, c)| of_it(c));
-        let incidents: Vec<Incident> = incidents.map(|(incident, _)| incident.clone()).collect();
-        for incident in incidents {
-            self.crashes.remove(&incident);
-            self.explained.insert(incident, now);
+    /// A convict is the likely cause of the crashes that it is in. Others of them may run again.
+    fn explain(&mut self, fingerprint: Fingerprint) {
+        for crash in self.crashes.values_mut() {
+            crash.explained |= crash.ran.remove(&fingerprint);
         }
-        trim(&mut self.explained, |at| *at);
+        self.crashes.retain(|_, c| !c.ran.is_empty());
     }
 
     fn conflicts(&self, ask: &Ask) -> impl Iterator<Item = (&Name, &Hold)> {
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -5,6 +5,7 @@
 use sequoiastream_core::config::Update;
 use sequoiastream_core::config::Version;
 use sequoiastream_core::membership::Beat;
+use sequoiastream_core::name::Name;
 use sequoiastream_core::poison::Ask;
 use sequoiastream_core::poison::Fingerprint;
 use sequoiastream_core::poison::Note;
@@ -51,6 +52,8 @@
     Note(Note),
     /// May this suspect run alone there?
     Ask(Ask),
+    /// It runs there now: whatever else runs there must move.
+    Vacate(Name),
     /// It runs there no more, or was not granted by all.
     Release(Ask),
     /// It ran to its end: it is innocent.
--- a/src/ops/control/peers.rs
+++ b/src/ops/control/peers.rs
@@ -51,6 +51,7 @@
             shared.stops.stop(&poison.on_note(now, note));
         }
         PoisonRequest::Ask(ask) => response.agreed = poison.on_ask(now, ask),
+        PoisonRequest::Vacate(engine) => shared.stops.stop(&poison.to_move(engine)),
         PoisonRequest::Release(ask) => poison.release(ask),
         PoisonRequest::Clear(fingerprint) => poison.clear(*fingerprint),
         PoisonRequest::Convict(fingerprint) => {
--- a/src/ops/dispatch/generate.rs
+++ b/src/ops/dispatch/generate.rs
@@ -101,7 +101,7 @@
         text: String::new(),
         piece: None,
         barred: false,
-        isolate: false,
+        moving: false,
         finish: None,
         begun: now,
         last: None,
@@ -166,8 +166,8 @@
     text: String,
     piece: Option<PieceBody>,
     barred: bool,
-    /// Whether the open attempt is stopped only to go on in isolation: its engine is not to blame.
-    isolate: bool,
+    /// Whether the open attempt only moves: its engine is not to blame.
+    moving: bool,
     finish: Option<Finish>,
     begun: Time,
     last: Option<Time>,
@@ -185,7 +185,7 @@
             if self.barred {
                 return self.bar().await;
             }
-            self.isolate |= event == Some(Event::Isolate);
+            self.moving |= event == Some(Event::Move);
             if let Some(event) = event {
                 actions.extend(self.answer.on(clock::now(), event));
             }
@@ -259,7 +259,7 @@
         let result = tokio::select! {
             result = generated => result,
             () = self.sender.closed() => return Event::Gone,
-            () = open.stop.notified() => return Event::Isolate,
+            () = open.stop.notified() => return Event::Move,
             () = clock::until(self.answer.due()) => return Event::Tick,
         };
         match result {
@@ -333,7 +333,7 @@
         let piece = tokio::select! {
             piece = stream.next() => piece,
             () = self.sender.closed() => return Event::Gone,
-            () = stop.notified() => return Event::Isolate,
+            () = stop.notified() => return Event::Move,
             () = clock::until(due) => return Event::Tick,
         };
         match piece {
@@ -412,7 +412,7 @@
             // An engine that can't be reached sees the closed connection.
             let _ = engines.cancel(address, attempt).await;
         });
-        if !std::mem::take(&mut self.isolate) {
+        if !std::mem::take(&mut self.moving) {
             self.tried.push(open.target.name.clone());
         }
         if self.answer.is_silent(clock::now()) {
--- a/src/ops/dispatch/suspects.rs
+++ b/src/ops/dispatch/suspects.rs
@@ -85,25 +85,25 @@
         }
         let standing = self.shared.poison().standing(clock::now(), request.fingerprint);
         match standing {
-            Standing::Clear => match self.route_clear(&snapshot, request, tried) {
-                Some(target) => Picked::Target(target),
-                None => Picked::Empty,
-            },
+            Standing::Clear => self.route_clear(&snapshot, request, tried),
             Standing::Suspect => self.hold_one(&snapshot, request, tried).await,
             Standing::Pending => Picked::Busy,
             Standing::Convicted => Picked::Barred,
         }
     }
 
-    /// Picks an engine without a hold, or any if all have one.
-    fn route_clear(&self, snapshot: &Snapshot, request: &Request, tried: &[Name]) -> Option<Target> {
+    /// Picks an engine that no suspect holds.
+    fn route_clear(&self, snapshot: &Snapshot, request: &Request, tried: &[Name]) -> Picked {
         let held = self.shared.poison().held(clock::now());
-        if held.is_empty() {
-            return self.route(snapshot, request, tried);
+        let except: Vec<Name> = tried.iter().chain(&held).cloned().collect();
+        if let Some(target) = self.route(snapshot, request, &except) {
+            return Picked::Target(target);
+        }
+        let waits = engines_of(snapshot, request).any(|e| held.contains(&e) && !tried.contains(&e));
+        match waits {
+            true => Picked::Busy,
+            false => Picked::Empty,
         }
-        let except: Vec<Name> = tried.iter().cloned().chain(held).collect();
-        let free = self.route(snapshot, request, &except);
-        free.or_else(|| self.route(snapshot, request, tried))
     }
 
     fn route(&self, snapshot: &Snapshot, request: &Request, except: &[Name]) -> Option<Target> {
@@ -177,6 +177,9 @@
         let answers = self.tell(PoisonRequest::Ask(ask.clone())).await;
         let agreed = answers.iter().all(|a| a.agreed);
         if agreed && self.shared.poison().on_agreed(ask) {
+            let moving = self.shared.poison().to_move(&ask.engine);
+            self.shared.stops.stop(&moving);
+            self.tell(PoisonRequest::Vacate(ask.engine.clone())).await;
             return true;
         }
         self.free(ask.clone()).await;
--- /dev/null
+++ b/tests/testsuite/answers.rs
@@ -0,0 +1,331 @@
+//! The decisions about one answer: endings in tables, and seeded runs in which engines do everything wrong.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use sequoiastream_core::answer::Action;
+use sequoiastream_core::answer::Answer;
+use sequoiastream_core::answer::Cause;
+use sequoiastream_core::answer::Ending;
+use sequoiastream_core::answer::Event;
+use sequoiastream_core::answer::Failure;
+use sequoiastream_core::answer::Limits;
+use sequoiastream_core::answer::Resume;
+use sequoiastream_core::outcome::Reason;
+use sequoiastream_core::time::Time;
+use uuid::Uuid;
+
+const LIMITS: Limits = Limits {
+    first: Duration::from_millis(100),
+    between: Duration::from_millis(50),
+    deadline: Time::from_millis(10_000),
+    attempts: 3,
+};
+
+fn attempt(number: u128) -> Uuid {
+    Uuid::from_u128(number)
+}
+
+fn ending(actions: &[Action]) -> Option<Ending> {
+    actions.iter().find_map(|action| match action {
+        Action::End(ending) => Some(*ending),
+        _ => None,
+    })
+}
+
+/// A buyer is told `not-run` and orders the same work again, or waits for a refusal that was decided long ago.
+/// Order: attempts fail in one way or the other; the last one is refused. Cause: only the last attempt counts, or the
+/// refusal is kept until the deadline.
+#[test]
+fn end_by_history() {
+    let (a, b) = (attempt(1), attempt(2));
+    let refused = [Event::Picked(a), Event::Broke(a, Failure::NotStarted)];
+    let lost = [Event::Picked(a), Event::Broke(a, Failure::Lost)];
+    let broken = [
+        Event::Picked(a),
+        Event::Opened(a, 1),
+        Event::Broke(a, Failure::Lost),
+    ];
+    let then_refused = [Event::Picked(b), Event::Broke(b, Failure::NotStarted)];
+    let cases = [
+        ("no engine", vec![], Ending::NotRun(Reason::NoEngine)),
+        ("refused", refused.to_vec(), Ending::NotRun(Reason::NoEngine)),
+        (
+            "refused twice",
+            [refused, then_refused].concat(),
+            Ending::NotRun(Reason::NoEngine),
+        ),
+        ("lost", lost.to_vec(), Ending::Unknown(Cause::NoEngine)),
+        (
+            "lost, then refused",
+            [lost, then_refused].concat(),
+            Ending::Unknown(Cause::NoEngine),
+        ),
+        (
+            "begun, then refused",
+            [broken.to_vec(), then_refused.to_vec()].concat(),
+            Ending::Failed(Cause::NoEngine),
+        ),
+    ];
+    for (name, events, expected) in cases {
+        let mut answer = Answer::new(Time::ZERO, LIMITS, Resume::default());
+        for event in events {
+            assert_eq!(ending(&answer.on(Time::ZERO, event)), None, "{name}");
+        }
+        // The decision falls with the event that makes it, at the very time of that event.
+        let last = answer.on(Time::ZERO, Event::Empty);
+        assert_eq!(ending(&last), Some(expected), "{name}");
+        assert!(
+            answer.on(Time::ZERO, Event::Empty).is_empty(),
+            "{name}: ended twice"
+        );
+    }
+}
+
+#[test]
+fn end_at_deadline() {
+    let a = attempt(1);
+    let late = LIMITS.deadline;
+    let cases = [
+        ("waiting", vec![], Ending::NotRun(Reason::TooLate)),
+        ("sent", vec![Event::Picked(a)], Ending::Unknown(Cause::Deadline)),
+        (
+            "open",
+            vec![Event::Picked(a), Event::Opened(a, 1)],
+            Ending::Failed(Cause::Deadline),
+        ),
+    ];
+    for (name, events, expected) in cases {
+        let mut answer = Answer::new(Time::ZERO, LIMITS, Resume::default());
+        for event in events {
+            answer.on(Time::ZERO, event);
+        }
+        assert_eq!(answer.due().min(late), answer.due(), "{name}");
+        assert_eq!(ending(&answer.on(late, Event::Tick)), Some(expected), "{name}");
+    }
+}
+
+/// Half of a verdict by one version of the model, half by another. Order: an answer is resumed on an engine that
+/// was given a new version meanwhile. Cause: seed and prompt are the same, so nobody looks at the version.
+#[test]
+fn resume_version_gone() {
+    let (a, b, c) = (attempt(1), attempt(2), attempt(3));
+    let mut answer = Answer::new(Time::ZERO, LIMITS, Resume::default());
+    answer.on(Time::ZERO, Event::Picked(a));
+    answer.on(Time::ZERO, Event::Opened(a, 1));
+    assert_eq!(
+        answer.on(Time::ZERO, Event::Token(a, 0)),
+        vec![Action::Deliver(0)]
+    );
+    answer.on(Time::ZERO, Event::Broke(a, Failure::Lost));
+    let sent = answer.on(Time::ZERO, Event::Picked(b));
+    assert!(
+        matches!(sent[..], [Action::Send(send)] if send.version == Some(1) && send.offset == 1),
+        "{sent:?}"
+    );
+    // An engine that doesn't look at the version must not have its tokens delivered.
+    let opened = answer.on(Time::ZERO, Event::Opened(b, 2));
+    assert_eq!(opened, vec![Action::Cancel(b), Action::Pick]);
+    assert!(answer.on(Time::ZERO, Event::Token(b, 1)).is_empty());
+    assert_eq!(
+        answer.on(Time::ZERO, Event::Empty),
+        vec![Action::Forget, Action::Pick]
+    );
+    let sent = answer.on(Time::ZERO, Event::Picked(c));
+    assert!(
+        matches!(sent[..], [Action::Send(send)] if send.continued),
+        "{sent:?}"
+    );
+    answer.on(Time::ZERO, Event::Opened(c, 2));
+    assert_eq!(
+        answer.on(Time::ZERO, Event::Token(c, 1)),
+        vec![Action::Deliver(1)]
+    );
+    assert_eq!(answer.version(), None);
+}
+
+/// One engine's side of a seeded run.
+struct Stream {
+    attempt: Uuid,
+    version: u32,
+    next: u32,
+    closed: bool,
+}
+
+/// A seeded run: what the caller got, and what the engines did.
+struct Run {
+    rng: StdRng,
+    now: Time,
+    answer: Answer,
+    streams: Vec<Stream>,
+    delivered: Vec<(u32, u32)>,
+    pieces: Vec<(Uuid, u32, u32)>,
+    started: bool,
+    continued: bool,
+    ended: Option<Ending>,
+    numbers: u128,
+}
+
+const LENGTH: u32 = 12;
+
+impl Run {
+    fn new(seed: u64) -> Run {
+        Run {
+            rng: StdRng::seed_from_u64(seed),
+            now: Time::ZERO,
+            answer: Answer::new(Time::ZERO, LIMITS, Resume::default()),
+            streams: Vec::new(),
+            delivered: Vec::new(),
+            pieces: Vec::new(),
+            started: false,
+            continued: false,
+            ended: None,
+            numbers: 0,
+        }
+    }
+
+    fn feed(&mut self, event: Event, version: u32) {
+        let actions = self.answer.on(self.now, event);
+        self.carry_out(&actions, version);
+    }
+
+    fn carry_out(&mut self, actions: &[Action], version: u32) {
+        for action in actions {
+            assert_eq!(self.ended, None, "{action:?} after the end");
+            match action {
+                Action::Pick => self.pick(),
+                Action::Send(send) => self.send(*send),
+                Action::Deliver(offset) => self.delivered.push((*offset, version)),
+                Action::Cancel(attempt) => self.close(*attempt),
+                Action::End(ending) => self.ended = Some(*ending),
+                Action::Forget => {}
+            }
+        }
+    }
+
+    fn pick(&mut self) {
+        match self.rng.random_range(0..10) {
+            0 => self.feed(Event::Empty, 0),
+            1 => self.feed(Event::Busy, 0),
+            _ => {
+                self.numbers += 1;
+                self.feed(Event::Picked(attempt(self.numbers * 2)), 0);
+            }
+        }
+    }
+
+    fn send(&mut self, send: sequoiastream_core::answer::Send) {
+        let version = self.rng.random_range(1..3);
+        self.continued |= send.continued;
+        match self.rng.random_range(0..8) {
+            0 => self.feed(Event::Broke(send.attempt, Failure::NotStarted), 0),
+            1 => {
+                self.started = true;
+                self.feed(Event::Broke(send.attempt, Failure::Lost), 0);
+            }
+            _ if send.version.is_some_and(|v| v != version) && self.rng.random_bool(0.7) => {
+                self.feed(Event::Broke(send.attempt, Failure::Version), 0);
+            }
+            _ => {
+                self.started = true;
+                self.streams.push(Stream {
+                    attempt: send.attempt,
+                    version,
+                    next: send.offset,
+                    closed: false,
+                });
+                self.feed(Event::Opened(send.attempt, version), 0);
+            }
+        }
+    }
+
+    fn close(&mut self, attempt: Uuid) {
+        // Pieces of a closed stream may still come: an engine may have ignored the cancel.
+        for stream in self.streams.iter_mut().filter(|s| s.attempt == attempt) {
+            stream.closed = true;
+        }
+    }
+
+    /// Some engine does something, or time passes.
+    fn step(&mut self) {
+        self.now = self.now + Duration::from_millis(self.rng.random_range(0..8));
+        if self.streams.is_empty() || self.rng.random_bool(0.05) {
+            self.now = self.answer.due();
+            return self.feed(Event::Tick, 0);
+        }
+        let index = self.rng.random_range(0..self.streams.len());
+        let (attempt, version, next) = {
+            let stream = &self.streams[index];
+            (stream.attempt, stream.version, stream.next)
+        };
+        if next >= LENGTH && self.rng.random_bool(0.7) {
+            return self.feed(Event::Last(attempt, next), version);
+        }
+        match self.rng.random_range(0..40) {
+            0 => self.streams[index].next += 1,
+            1 => self.feed(Event::Last(attempt, next + 1), version),
+            2 => self.feed(
+                Event::Token(Uuid::from_u128(attempt.as_u128() ^ 1), next),
+                version,
+            ),
+            3 if !self.pieces.is_empty() => self.repeat(),
+            4 => {
+                self.feed(Event::Broke(attempt, Failure::Lost), version);
+                self.streams[index].closed = true;
+            }
+            5 => self.feed(Event::Move, version),
+            _ if next < LENGTH => {
+                self.pieces.push((attempt, next, version));
+                self.streams[index].next += 1;
+                self.feed(Event::Token(attempt, next), version);
+                self.feed(Event::Delivered, version);
+            }
+            _ => {}
+        }
+    }
+
+    /// A piece that came before comes once more.
+    fn repeat(&mut self) {
+        let index = self.rng.random_range(0..self.pieces.len());
+        let (attempt, offset, version) = self.pieces[index];
+        self.feed(Event::Token(attempt, offset), version);
+    }
+
+    fn check(&self, seed: u64) {
+        for (index, (offset, _)) in self.delivered.iter().enumerate() {
+            assert_eq!(*offset, index as u32, "seed {seed}: gap or repeat");
+        }
+        let mixed = self.delivered.windows(2).any(|pair| pair[0].1 != pair[1].1);
+        assert!(!mixed || self.continued, "seed {seed}: two versions mixed");
+        let whole = self.ended == Some(Ending::Whole);
+        assert!(
+            !whole || self.delivered.len() >= LENGTH as usize,
+            "seed {seed}: cut"
+        );
+        let not_run = matches!(self.ended, Some(Ending::NotRun(_)));
+        assert!(!not_run || !self.started, "seed {seed}: a false not-run");
+    }
+}
+
+/// Whatever engines send, in whatever order, twice or not at all: no gap, no repeat, no foreign token, no false
+/// `not-run`, and an end by the deadline.
+#[test]
+fn deliver_seeded_runs() {
+    let mut whole = 0;
+    for seed in 0..2_000 {
+        let mut run = Run::new(seed);
+        run.pick();
+        for _ in 0..20_000 {
+            if run.ended.is_some() {
+                break;
+            }
+            run.step();
+        }
+        assert!(run.ended.is_some(), "seed {seed}: no end");
+        run.check(seed);
+        whole += usize::from(run.ended == Some(Ending::Whole));
+    }
+    assert!(whole > 500, "only {whole} whole: the runs prove little");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 //! Tests of failures run real processes; tests of decisions drive `sequoiastream-core` directly. Nothing here
 //! sleeps to let something happen: tests wait on events.
 
+mod answers;
 mod cli;
 mod config;
 mod grammar;
@@ -12,4 +13,5 @@
 mod poison;
 mod streams;
 mod support;
+mod suspects;
 mod upstream;
--- /dev/null
+++ b/tests/testsuite/suspects.rs
@@ -0,0 +1,383 @@
+//! The records of requests that crash engines: seeded runs over several instances.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use sequoiastream_core::name::Name;
+use sequoiastream_core::poison::Ask;
+use sequoiastream_core::poison::Evidence;
+use sequoiastream_core::poison::Fingerprint;
+use sequoiastream_core::poison::Incident;
+use sequoiastream_core::poison::MAX_RECORDS;
+use sequoiastream_core::poison::Note;
+use sequoiastream_core::poison::Poison;
+use sequoiastream_core::poison::Standing;
+use sequoiastream_core::time::Time;
+use uuid::Uuid;
+
+const INSTANCES: usize = 3;
+const ENGINES: usize = 9;
+const INNOCENT: usize = 12;
+const POISONOUS: usize = 2;
+const LENGTH: u32 = 8;
+
+fn name(text: &str) -> Name {
+    Name::new(text).expect("a name")
+}
+
+fn engine(index: usize) -> Name {
+    name(&format!("e{index}"))
+}
+
+fn fingerprint(index: usize) -> Fingerprint {
+    Fingerprint::of(&name("p"), "m", &index.to_string(), 8)
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Phase {
+    Waiting,
+    Running {
+        engine: usize,
+        attempt: Uuid,
+        ask: Option<Ask>,
+    },
+    Broken {
+        attempt: Uuid,
+        ask: Option<Ask>,
+    },
+    Whole,
+    Refused,
+}
+
+#[derive(Debug)]
+struct Request {
+    instance: usize,
+    fingerprint: Fingerprint,
+    fatal: Option<u32>,
+    offset: u32,
+    phase: Phase,
+    repeats: u32,
+}
+
+/// Instances, engines and requests; messages between instances arrive at once.
+struct Fleet {
+    rng: StdRng,
+    now: Time,
+    records: Vec<Poison>,
+    alive: Vec<bool>,
+    requests: Vec<Request>,
+    lost: BTreeMap<Fingerprint, u32>,
+    numbers: u128,
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Fleet {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let requests = (0..INNOCENT + POISONOUS).map(|index| Request {
+            instance: rng.random_range(0..INSTANCES),
+            fingerprint: fingerprint(index),
+            fatal: (index >= INNOCENT).then(|| rng.random_range(0..LENGTH)),
+            offset: 0,
+            phase: Phase::Waiting,
+            repeats: 0,
+        });
+        Fleet {
+            requests: requests.collect(),
+            rng,
+            now: Time::ZERO,
+            records: (0..INSTANCES)
+                .map(|i| Poison::new(name(&format!("i{i}"))))
+                .collect(),
+            alive: vec![true; ENGINES],
+            lost: BTreeMap::new(),
+            numbers: 0,
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + Duration::from_millis(1);
+        let index = self.rng.random_range(0..self.requests.len());
+        match self.requests[index].phase.clone() {
+            Phase::Waiting => self.start(index),
+            Phase::Running { engine, attempt, ask } => self.run(index, engine, attempt, ask),
+            Phase::Broken { attempt, ask } => self.judge(index, attempt, ask),
+            Phase::Refused if self.requests[index].repeats < 3 => self.repeat(index),
+            Phase::Refused | Phase::Whole => {}
+        }
+    }
+
+    /// The caller sends its request again, through another instance.
+    fn repeat(&mut self, index: usize) {
+        let instance = self.rng.random_range(0..INSTANCES);
+        let request = &mut self.requests[index];
+        request.instance = instance;
+        request.offset = 0;
+        request.phase = Phase::Waiting;
+        request.repeats += 1;
+    }
+
+    fn start(&mut self, index: usize) {
+        let (instance, fingerprint) = (self.requests[index].instance, self.requests[index].fingerprint);
+        match self.records[instance].standing(self.now, fingerprint) {
+            Standing::Pending => {}
+            Standing::Convicted => self.requests[index].phase = Phase::Refused,
+            Standing::Clear => {
+                let held = self.records[instance].held(self.now);
+                let free = |e: &usize| self.alive[*e] && !held.contains(&engine(*e));
+                let engines: Vec<usize> = (0..ENGINES).filter(free).collect();
+                if let Some(chosen) = self.choose(&engines) {
+                    self.begin(index, chosen, None);
+                }
+            }
+            Standing::Suspect => self.hold(index),
+        }
+    }
+
+    fn choose(&mut self, engines: &[usize]) -> Option<usize> {
+        match engines.is_empty() {
+            true => None,
+            false => Some(engines[self.rng.random_range(0..engines.len())]),
+        }
+    }
+
+    fn hold(&mut self, index: usize) {
+        let engines: Vec<usize> = (0..ENGINES).filter(|e| self.alive[*e]).collect();
+        let Some(chosen) = self.choose(&engines) else {
+            return;
+        };
+        let instance = self.requests[index].instance;
+        let ask = Ask {
+            fingerprint: self.requests[index].fingerprint,
+            engine: engine(chosen),
+            from: name(&format!("i{instance}")),
+            millis: 1_000_000,
+        };
+        if !self.records[instance].ask(self.now, &ask) {
+            return;
+        }
+        let now = self.now;
+        let others = (0..INSTANCES).filter(|i| *i != instance);
+        let mut agreed = true;
+        for other in others {
+            agreed &= self.records[other].on_ask(now, &ask);
+        }
+        match agreed && self.records[instance].on_agreed(&ask) {
+            true => {
+                self.vacate(&ask.engine);
+                self.begin(index, chosen, Some(ask));
+            }
+            false => self.release(&ask),
+        }
+    }
+
+    fn vacate(&mut self, engine: &Name) {
+        for instance in 0..INSTANCES {
+            let moving = self.records[instance].to_move(engine);
+            self.stop(instance, &moving);
+        }
+    }
+
+    fn release(&mut self, ask: &Ask) {
+        for records in &mut self.records {
+            records.release(ask);
+        }
+    }
+
+    fn begin(&mut self, index: usize, engine_index: usize, ask: Option<Ask>) {
+        self.numbers += 1;
+        let attempt = Uuid::from_u128(self.numbers);
+        let request = &mut self.requests[index];
+        let records = &mut self.records[request.instance];
+        let begun = records.begin(self.now, attempt, request.fingerprint, &engine(engine_index));
+        assert!(begun, "the records contradict themselves");
+        records.opened(attempt, Uuid::from_u128(engine_index as u128 + 1));
+        request.phase = Phase::Running {
+            engine: engine_index,
+            attempt,
+            ask,
+        };
+    }
+
+    fn run(&mut self, index: usize, engine_index: usize, attempt: Uuid, ask: Option<Ask>) {
+        let request = &mut self.requests[index];
+        if request.fatal == Some(request.offset) {
+            return self.crash(index, engine_index);
+        }
+        request.offset += 1;
+        if request.offset < LENGTH {
+            return;
+        }
+        request.phase = Phase::Whole;
+        let (instance, fingerprint) = (request.instance, request.fingerprint);
+        self.records[instance].end(attempt);
+        if let Some(ask) = ask {
+            for records in &mut self.records {
+                records.clear(fingerprint);
+            }
+            self.convict_guilty(instance);
+            self.release(&ask);
+        }
+    }
+
+    fn crash(&mut self, index: usize, engine_index: usize) {
+        self.alive[engine_index] = false;
+        *self.lost.entry(self.requests[index].fingerprint).or_default() += 1;
+        for request in &mut self.requests {
+            if let Phase::Running { engine, attempt, ask } = request.phase.clone()
+                && engine == engine_index
+            {
+                request.phase = Phase::Broken { attempt, ask };
+            }
+        }
+    }
+
+    /// What an instance does when a stream broke: note, tell, judge, tell.
+    fn judge(&mut self, index: usize, attempt: Uuid, ask: Option<Ask>) {
+        let instance = self.requests[index].instance;
+        let note = self.records[instance]
+            .note(attempt, Evidence::Crashed)
+            .expect("it runs");
+        let mut ran = note.ran.clone();
+        self.take(instance, &note);
+        for other in (0..INSTANCES).filter(|i| *i != instance) {
+            ran.extend(self.records[other].ran_there(&note.incident));
+            self.take(other, &note);
+        }
+        self.take(instance, &Note { ran, ..note });
+        self.convict_guilty(instance);
+        self.records[instance].end(attempt);
+        if let Some(ask) = ask {
+            self.release(&ask);
+        }
+        let request = &mut self.requests[index];
+        request.phase = Phase::Waiting;
+    }
+
+    fn take(&mut self, instance: usize, note: &Note) {
+        let stop = self.records[instance].on_note(self.now, note);
+        self.stop(instance, &stop);
+    }
+
+    fn stop(&mut self, instance: usize, stop: &[Uuid]) {
+        for request in &mut self.requests {
+            if let Phase::Running { attempt, ask, .. } = request.phase.clone()
+                && stop.contains(&attempt)
+            {
+                assert_eq!(ask, None, "a suspect with a hold is stopped");
+                self.records[instance].end(attempt);
+                request.phase = Phase::Waiting;
+            }
+        }
+    }
+
+    fn convict_guilty(&mut self, instance: usize) {
+        for fingerprint in self.records[instance].judge(self.now) {
+            for records in &mut self.records {
+                records.convict(self.now, fingerprint);
+            }
+        }
+    }
+
+    fn check(&self, seed: u64) {
+        for (fingerprint, lost) in &self.lost {
+            assert!(*lost <= 2, "seed {seed}: {lost} engines lost to {fingerprint}");
+        }
+        for records in &self.records {
+            for request in self.requests.iter().filter(|r| r.fatal.is_none()) {
+                let standing = records.standing(self.now, request.fingerprint);
+                assert_ne!(
+                    standing,
+                    Standing::Convicted,
+                    "seed {seed}: an innocent is convicted"
+                );
+            }
+        }
+        let mut holders = BTreeSet::new();
+        for request in &self.requests {
+            if let Phase::Running {
+                engine, ask: Some(_), ..
+            } = &request.phase
+            {
+                assert!(holders.insert(*engine), "seed {seed}: two suspects on one engine");
+            }
+        }
+    }
+}
+
+/// Two requests that crash their engines at any point, twelve that don't, three instances, callers that repeat
+/// through any of them: no request takes more than two engines, no innocent is convicted, and nearly all
+/// innocents end whole.
+#[test]
+fn convict_seeded_runs() {
+    let (mut whole, mut convicted) = (0, 0);
+    for seed in 0..200 {
+        let mut fleet = Fleet::new(seed);
+        for _ in 0..6_000 {
+            fleet.step();
+            fleet.check(seed);
+        }
+        let innocent = fleet.requests.iter().filter(|r| r.fatal.is_none());
+        whole += innocent.filter(|r| r.phase == Phase::Whole).count();
+        let poisonous = fleet.requests.iter().filter(|r| r.fatal.is_some());
+        convicted += poisonous.filter(|r| r.phase == Phase::Refused).count();
+    }
+    assert!(whole > INNOCENT * 198, "only {whole} innocents ended whole");
+    assert!(convicted > POISONOUS * 190, "only {convicted} convicted");
+}
+
+fn note(number: u128, evidence: Evidence, ran: &[usize]) -> Note {
+    Note {
+        incident: Incident {
+            engine: engine(0),
+            incarnation: Uuid::from_u128(number),
+        },
+        evidence,
+        ran: ran.iter().map(|i| fingerprint(*i)).collect(),
+    }
+}
+
+/// An innocent request is refused for good because a cable was pulled twice while it ran. Cause: silence is
+/// taken for a crash.
+#[test]
+fn judge_silent_engines() {
+    let mut records = Poison::new(name("i0"));
+    for number in 1..4 {
+        records.on_note(Time::ZERO, &note(number, Evidence::Silent, &[0]));
+    }
+    assert!(records.judge(Time::ZERO).is_empty());
+    assert_eq!(records.standing(Time::ZERO, fingerprint(0)), Standing::Pending);
+    let later = Time::from_millis(11 * 60 * 1_000);
+    assert_eq!(records.standing(later, fingerprint(0)), Standing::Clear);
+}
+
+/// A neighbour is refused with the request that crashed both its engines. Order: it runs beside one poisonous
+/// request, then beside another. Cause: two crashes are taken for proof.
+#[test]
+fn judge_beside_another() {
+    let mut records = Poison::new(name("i0"));
+    let (neighbour, first, second) = (0, 1, 2);
+    records.on_note(Time::ZERO, &note(1, Evidence::Crashed, &[neighbour, first]));
+    let later = Time::from_millis(5);
+    records.on_note(later, &note(2, Evidence::Crashed, &[neighbour, second]));
+    assert!(records.judge(later).is_empty());
+    assert_eq!(records.standing(later, fingerprint(neighbour)), Standing::Pending);
+    let last = Time::from_millis(9);
+    records.on_note(last, &note(3, Evidence::Crashed, &[second]));
+    assert_eq!(records.judge(last), vec![fingerprint(second)]);
+    assert_eq!(records.standing(last, fingerprint(neighbour)), Standing::Suspect);
+}
+
+#[test]
+fn records_bounded() {
+    let mut records = Poison::new(name("i0"));
+    for number in 0..MAX_RECORDS + 200 {
+        let time = Time::from_millis(number as u64);
+        records.on_note(time, &note(number as u128, Evidence::Crashed, &[number]));
+        records.convict(time, fingerprint(number + 1_000_000));
+    }
+    assert!(records.records() <= 2 * MAX_RECORDS, "{}", records.records());
+}
