--- a/crates/caller/src/gateway.rs
+++ b/crates/caller/src/gateway.rs
@@ -11,6 +11,8 @@
 
 use crate::proof::Unsent;
 use crate::refusal::Refusal;
+use crate::status::RequestState;
+use crate::status::StatusCall;
 
 /// A request to generate.
 #[derive(Debug)]
@@ -99,6 +101,8 @@
     pub content: Option<String>,
     /// Body.
     pub body: Bytes,
+    /// How long the caller waits; `None` for the product's default.
+    pub deadline: Option<Duration>,
 }
 
 /// A plain service's answer.
@@ -164,6 +168,12 @@
     /// [`Refusal`] if there is no answer of the service.
     fn forward(&self, call: ForwardCall) -> impl Future<Output = Result<ForwardReply, Refusal>>;
 
+    /// What is known of the product's request with this idempotency key, of one service or of all.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if the key is none.
+    fn status(&self, call: StatusCall) -> impl Future<Output = Result<RequestState, Refusal>>;
     /// Which addresses the caller should use.
     ///
     /// # Errors
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -12,7 +12,8 @@
 mod refusal;
 mod request;
 mod sse;
-pub mod wire;
+mod status;
+mod wire;
 
 pub use addresses::AddressBody;
 pub use gateway::AddressCall;
@@ -32,3 +33,5 @@
 pub use proof::Sent;
 pub use proof::Unsent;
 pub use refusal::Refusal;
+pub use status::RequestState;
+pub use status::StatusCall;
--- a/crates/caller/src/refusal.rs
+++ b/crates/caller/src/refusal.rs
@@ -38,6 +38,16 @@
         }
     }
 
+    /// Another request with the same idempotency key runs; ask for it after this time.
+    pub fn running(after: Duration) -> Refusal {
+        Refusal {
+            outcome: Outcome::Unknown,
+            reason: Some(Reason::KeyRunning),
+            message: "a request with this idempotency key is running".to_string(),
+            after: Some(after),
+        }
+    }
+
     /// It crashed engines, or is suspected to, and may not run.
     pub fn quarantined(message: impl Into<String>) -> Refusal {
         Refusal {
@@ -71,7 +81,7 @@
         self.outcome
     }
 
-    /// Why it did not run, if it did not.
+    /// Why it did not run, if it did not, or why its outcome is not known.
     pub fn reason(&self) -> Option<Reason> {
         self.reason
     }
@@ -92,6 +102,7 @@
             (Outcome::NotRun, Some(reason)) => status_of(reason),
             (Outcome::Failed, Some(Reason::Quarantined)) => 422,
             (Outcome::Failed, _) => 502,
+            (_, Some(Reason::KeyRunning)) => 409,
             _ => 504,
         }
     }
@@ -103,12 +114,13 @@
         Reason::UnknownKey => 401,
         Reason::UnknownService => 404,
         Reason::KeyRunning => 409,
-        Reason::Quarantined => 422,
+        Reason::Quarantined | Reason::KeyReused => 422,
         Reason::OverShare | Reason::TooLate | Reason::RetryBudget => 429,
         Reason::NoEngine
         | Reason::PlatformOut
         | Reason::Stopping
         | Reason::Isolated
+        | Reason::ClockStepped
         | Reason::UpstreamRefused => 503,
     }
 }
--- a/crates/caller/src/request.rs
+++ b/crates/caller/src/request.rs
@@ -69,7 +69,7 @@
     if body.tools.as_ref().is_some_and(|tools| !tools.is_empty()) {
         return Err(Refusal::bad_request("`tools` are not supported"));
     }
-    match body.max_tokens {
+    match body.limit() {
         Some(0) => Err(Refusal::bad_request("`max_tokens` must be at least 1")),
         Some(limit) if limit > MAX_LIMIT => Err(Refusal::bad_request(format!(
             "`max_tokens` must be at most {MAX_LIMIT}"
@@ -96,7 +96,7 @@
     if prompt.trim().is_empty() {
         return Err(Refusal::bad_request("the prompt is empty"));
     }
-    let limit = body.max_tokens.unwrap_or(DEFAULT_LIMIT);
+    let limit = body.limit().unwrap_or(DEFAULT_LIMIT);
     let (id, resume) = match header(request, "last-event-id")? {
         Some(text) => come_back(text, limit)?,
         None => (Uuid::now_v7(), Resume::default()),
@@ -186,7 +186,8 @@
     }
 }
 
-fn deadline(request: &HttpRequest) -> Result<Option<Duration>, Refusal> {
+/// How long the caller waits, if it says so.
+pub(crate) fn deadline(request: &HttpRequest) -> Result<Option<Duration>, Refusal> {
     let Some(text) = header(request, "sequoiastream-deadline-ms")? else {
         return Ok(None);
     };
--- a/src/ops/control/mod.rs
+++ b/src/ops/control/mod.rs
@@ -3,6 +3,7 @@
 //! Each concern is an actor of its own around a state machine of `sequoiastream-core`; traffic threads send
 //! it messages and read what it publishes in [`Shared`](crate::ops::shared::Shared).
 
+pub mod claims;
 mod config;
 mod membership;
 mod peers;
@@ -30,6 +31,7 @@
 use tokio::time::timeout;
 use uuid::Uuid;
 
+pub use claims::ClaimsActor;
 pub use config::ConfigActor;
 pub use config::Execute;
 pub use config::InForce;
@@ -48,6 +50,8 @@
 pub struct Control {
     /// Keeper of the configuration.
     pub config: Addr<ConfigActor>,
+    /// Owner of claims.
+    pub claims: Addr<ClaimsActor>,
     /// Keeper of the table of instances.
     pub membership: Addr<MembershipActor>,
     /// The addresses that this instance is bound to.
@@ -143,16 +147,19 @@
         bound,
     );
     let membership = membership.start();
+    let claims = ClaimsActor::new(shared.clone(), kv(settings)).start();
     let responder = PeerResponder {
         config: config.clone(),
+        claims: claims.clone(),
         shared: shared.clone(),
     };
     actix::spawn(serve(listener, key, responder));
     Ok(Control {
         config,
+        claims: claims.clone(),
         membership,
         bound,
-        holders: Vec::new(),
+        holders: vec![claims.recipient()],
     })
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 
 mod answers;
 mod callers;
+mod claims;
 mod cli;
 mod config;
 mod grammar;
