Test broken connections, withdrawn engines and pardons against the records of crashes

Cause: nothing showed that a broken connection or a planned stop is no crash, nor that a pardon holds after a conviction that an instance made itself. Change: tests, and the counter crashed_streams by which they see that nothing was noted.

--- a/src/ops/dispatch/suspects.rs
+++ b/src/ops/dispatch/suspects.rs
@@ -232,6 +232,7 @@
         };
         let note = self.shared.poison().note(attempt, evidence);
         let Some(note) = note else { return };
+        self.shared.metrics.traffic.crashed.inc();
         log_event!(
             warn,
             log_event::ENGINE_CRASHED,
--- a/src/util/metrics.rs
+++ b/src/util/metrics.rs
@@ -55,6 +55,8 @@
     pub resumes: Counter,
     /// Attempts that an engine was asked to stop.
     pub cancels: Counter,
+    /// Streams under which an engine crashed or went silent.
+    pub crashed: Counter,
     /// Requests convicted here of crashing engines.
     pub convictions: Counter,
     first: Family<ProductLabels, Histogram, fn() -> Histogram>,
@@ -90,6 +92,7 @@
             dropped: Counter::default(),
             resumes: Counter::default(),
             cancels: Counter::default(),
+            crashed: Counter::default(),
             convictions: Counter::default(),
             first: Family::new_with_constructor(seconds),
             between: Family::new_with_constructor(seconds),
@@ -125,6 +128,11 @@
             "Attempts that an engine was asked to stop",
             self.cancels.clone(),
         );
+        registry.register(
+            "crashed_streams",
+            "Streams under which an engine crashed or went silent",
+            self.crashed.clone(),
+        );
         registry.register(
             "convictions",
             "Requests convicted here of crashing engines",
--- a/tests/testsuite/poison.rs
+++ b/tests/testsuite/poison.rs
@@ -1,6 +1,7 @@
 //! Requests that crash engines, with real processes: engines lost are counted, neighbours must be whole.
 
 use sequoiastream_core::poison::Fingerprint;
+use sequoiastream_standin::engine::EngineFault;
 use sequoiastream_standin::engine::expected_text;
 use sequoiastream_standin::platform::Fault;
 use sequoiastream_testsupport::fleet::Fleet;
@@ -123,10 +124,73 @@
     assert_eq!(fleet.metric(0, "sequoiastream_convictions_total").await, 0.0);
 }
 
-/// An operator pardons a request after the engine was mended, and it is still refused. Order: quarantine,
-/// refusal, pardon. Cause: an instance keeps its own record of the conviction.
+/// A request is refused for good because engines closed its connections. Order: both engines break off in
+/// mid-answer, again and again, and go on running. Cause: a broken connection is taken for a crash.
+#[actix_web::test]
+async fn suspect_connections_broken() {
+    let fleet = deployment(2, 1).await;
+    let ends = EngineFault {
+        ends: 3,
+        ..EngineFault::default()
+    };
+    for index in [0, 1] {
+        fleet.engine_fault(index, &ends).await;
+    }
+    let reply = fleet.complete(0, "a question on a bad line", 10, 1).await;
+    assert_eq!(
+        (reply.status, reply.outcome.as_deref()),
+        (502, Some("failed")),
+        "{reply:?}"
+    );
+    for index in [0, 1] {
+        fleet.engine_fault(index, &EngineFault::default()).await;
+    }
+    let reply = fleet.complete(0, "a question on a bad line", 10, 1).await;
+    assert_eq!(reply.outcome.as_deref(), Some("whole"), "{reply:?}");
+    assert_eq!(fleet.metric(0, "sequoiastream_crashed_streams_total").await, 0.0);
+}
+
+/// Requests come under suspicion because an operator stopped an engine. Order: an engine is withdrawn and its
+/// process ended while it streams. Cause: a planned stop is taken for a crash.
+#[actix_web::test]
+async fn suspect_engine_withdrawn() {
+    let mut fleet = deployment(2, 1).await;
+    let prompt = "a question through a replacement";
+    let mut answer = fleet.stream(0, prompt, 150, 3).await;
+    answer.read(10).await;
+    let serving = fleet.serving().await;
+    let version = fleet.apply(0, &format!("withdraw engine e{serving}")).await;
+    fleet.wait_for_version(version).await;
+    fleet.engines[serving].kill();
+    answer.read_all().await;
+    assert_eq!(answer.text, expected_text(3, prompt, 1, 150));
+    assert_eq!(fleet.metric(0, "sequoiastream_crashed_streams_total").await, 0.0);
+}
+
+/// An operator pardons a request after the engines were mended, and it is still refused. Order: it crashes two
+/// engines and is convicted; the operator pardons it; it is sent again. Cause: an instance keeps a record of
+/// its own of the conviction.
 #[actix_web::test]
 async fn pardon_runs_again() {
+    let mut fleet = deployment(5, 2).await;
+    let prompt = "poison:2 until mended";
+    let reply = fleet.complete(0, prompt, 10, 1).await;
+    assert!(is_convicted(&reply), "{reply:?}");
+    let fingerprint = fingerprint(prompt, 10);
+    let version = fleet.apply(1, &format!("pardon fingerprint {fingerprint}")).await;
+    fleet.wait_for_version(version).await;
+    for index in [1, 0] {
+        let before = fleet.lost();
+        let reply = fleet.complete(index, prompt, 10, 1).await;
+        assert!(is_convicted(&reply), "{reply:?}");
+        // Only the first of them runs: it crashes two more engines, since none was mended.
+        assert_eq!(fleet.lost() > before, index == 1, "instance {index}");
+    }
+}
+
+/// An operator's own quarantine holds on every instance, and so does its end.
+#[actix_web::test]
+async fn quarantine_by_operator() {
     let fleet = deployment(1, 2).await;
     let prompt = "accused but innocent";
     let fingerprint = fingerprint(prompt, 10);
--- a/tests/testsuite/suspects.rs
+++ b/tests/testsuite/suspects.rs
@@ -381,3 +381,43 @@
     }
     assert!(records.records() <= 2 * MAX_RECORDS, "{}", records.records());
 }
+
+/// A caller loses patience and sends its request again through another instance while the first still runs; it
+/// crashes a second engine there, and a third. The second attempt must stop when the first one's crash is told.
+#[test]
+fn note_stops_elsewhere() {
+    let mut records = Poison::new(name("i0"));
+    let attempt = Uuid::from_u128(5);
+    assert!(records.begin(Time::ZERO, attempt, fingerprint(0), &engine(1)));
+    let stop = records.on_note(Time::ZERO, &note(1, Evidence::Crashed, &[0]));
+    assert_eq!(stop, vec![attempt]);
+    records.end(attempt);
+    assert!(
+        !records.begin(Time::ZERO, Uuid::from_u128(6), fingerprint(0), &engine(1)),
+        "a suspect runs without a hold"
+    );
+}
+
+/// Two instances ask for the same engine, or for the same suspect, at the same time: exactly one gets it.
+#[test]
+fn ask_at_once() {
+    let ask = |fingerprint_index: usize, engine_index: usize, from: &str| Ask {
+        fingerprint: fingerprint(fingerprint_index),
+        engine: engine(engine_index),
+        from: name(from),
+        millis: 1_000,
+    };
+    let cases = [
+        ("same engine", ask(1, 0, "i0"), ask(2, 0, "i1")),
+        ("same suspect", ask(1, 0, "i0"), ask(1, 1, "i1")),
+    ];
+    for (case, first, second) in cases {
+        let (mut here, mut there) = (Poison::new(name("i0")), Poison::new(name("i1")));
+        assert!(here.ask(Time::ZERO, &first) && there.ask(Time::ZERO, &second));
+        let first_agreed = there.on_ask(Time::ZERO, &first);
+        let second_agreed = here.on_ask(Time::ZERO, &second);
+        let first_has = first_agreed && here.on_agreed(&first);
+        let second_has = second_agreed && there.on_agreed(&second);
+        assert!(first_has != second_has, "{case}: {first_has} {second_has}");
+    }
+}
