--- a/crates/caller/src/request.rs
+++ b/crates/caller/src/request.rs
@@ -32,10 +32,7 @@
 /// Largest request body, in bytes.
 const MAX_BODY: usize = 4 * 1024 * 1024;
 
-/// Time for a request's whole body to arrive.
-const BODY_TIME: Duration = Duration::from_secs(10);
-
-/// Reads a request's whole body.
+/// Reads a request's whole body, which must arrive within `time`.
 ///
 /// Failure guarded against: a caller that sends its body byte by byte, or without end, holds a connection and
 /// memory for good. Both size and time have a limit.
@@ -43,9 +40,9 @@
 /// # Errors
 ///
 /// [`Refusal`] if the body is too large, too slow or breaks off.
-pub async fn read_body(payload: Payload) -> Result<Bytes, Refusal> {
+pub async fn read_body(payload: Payload, time: Duration) -> Result<Bytes, Refusal> {
     let read = payload.to_bytes_limited(MAX_BODY);
-    match tokio::time::timeout(BODY_TIME, read).await {
+    match tokio::time::timeout(time, read).await {
         Err(_) => Err(Refusal::bad_request("the request's body did not arrive in time")),
         Ok(Err(_)) => Err(Refusal::bad_request(format!(
             "the request's body has more than {MAX_BODY} bytes"
@@ -72,7 +69,7 @@
     if body.tools.as_ref().is_some_and(|tools| !tools.is_empty()) {
         return Err(Refusal::bad_request("`tools` are not supported"));
     }
-    match body.max_tokens {
+    match body.limit() {
         Some(0) => Err(Refusal::bad_request("`max_tokens` must be at least 1")),
         Some(limit) if limit > MAX_LIMIT => Err(Refusal::bad_request(format!(
             "`max_tokens` must be at most {MAX_LIMIT}"
@@ -99,7 +96,7 @@
     if prompt.trim().is_empty() {
         return Err(Refusal::bad_request("the prompt is empty"));
     }
-    let limit = body.max_tokens.unwrap_or(DEFAULT_LIMIT);
+    let limit = body.limit().unwrap_or(DEFAULT_LIMIT);
     let (id, resume) = match header(request, "last-event-id")? {
         Some(text) => come_back(text, limit)?,
         None => (Uuid::now_v7(), Resume::default()),
