Tell a refused connection to the platform from a broken one; cut streams at a role change

Cause: every failed connection of a write counted as ambiguous, so a swap at a platform that nobody listens at ended Unresolved after four tries; and the stand-in engine let streams run through a role change, so no test could show that a planned change cuts one. Ruled out: taking every connect error of awc as sure. It reports a connection closed after sending as Connect(Disconnected). Change: KvError::Connect for a connection that was never made, Disconnected stays ambiguous. The stand-in engine ends running streams without a finish at a target change and counts them. Grammar: show leases, show orders, release order.

--- a/crates/core/src/config/model.rs
+++ b/crates/core/src/config/model.rs
@@ -157,6 +157,9 @@
     pub engines: BTreeMap<Name, Engine>,
     /// Fingerprints of requests that may not run, in hexadecimal.
     pub quarantine: BTreeSet<String>,
+    /// Highest sequence number of the orders that operators released, by engine.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub released: BTreeMap<Name, u64>,
 }
 
 /// Why a command can't be applied to a configuration.
@@ -219,6 +222,7 @@
             Command::DrainEngine { name } => self.engine_mut(name).map(|e| e.state = EngineState::Draining),
             Command::ResumeEngine { name } => self.engine_mut(name).map(|e| e.state = EngineState::Serving),
             Command::WithdrawEngine { name } => remove(&mut self.engines, "engine", name),
+            Command::ReleaseOrder { name, sequence } => self.release_order(name, *sequence),
             Command::ReplaceEngine { name, with, place } => self.replace_engine(name, with, place),
             Command::SetRole { name, role } => self.engine_mut(name).map(|e| e.role = *role),
             Command::Quarantine { fingerprint } => {
@@ -306,6 +310,13 @@
         self.engine_mut(name).map(|e| e.state = EngineState::Draining)
     }
 
+    fn release_order(&mut self, name: &Name, sequence: u64) -> Result<(), ConfigError> {
+        self.engine_mut(name)?;
+        let released = self.released.entry(name.clone()).or_default();
+        *released = sequence.max(*released);
+        Ok(())
+    }
+
     fn engine_mut(&mut self, name: &Name) -> Result<&mut Engine, ConfigError> {
         get_mut(&mut self.engines, "engine", name)
     }
--- a/crates/core/src/config/statement.rs
+++ b/crates/core/src/config/statement.rs
@@ -139,4 +139,12 @@
         /// The fingerprint in hexadecimal.
         fingerprint: String,
     },
+    /// Declares that an order to an engine which ignores fencing numbers can't arrive any more, though
+    /// nothing shows that it took effect.
+    ReleaseOrder {
+        /// The engine.
+        name: Name,
+        /// Sequence number of the order.
+        sequence: u64,
+    },
 }
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -76,6 +76,8 @@
     pub products: Arena<ProductKey, ProductView>,
     /// Fingerprints of requests that may not run.
     pub quarantine: BTreeSet<String>,
+    /// Highest sequence number of the orders that operators released, by engine.
+    pub released: BTreeMap<Name, u64>,
     keys: BTreeMap<KeyHash, ProductKey>,
     names: BTreeMap<String, ServiceKey>,
 }
@@ -86,6 +88,7 @@
         let mut snapshot = Snapshot {
             version,
             quarantine: config.quarantine.clone(),
+            released: config.released.clone(),
             ..Snapshot::default()
         };
         snapshot.add_products(config);
--- a/crates/operator/src/grammar.rs
+++ b/crates/operator/src/grammar.rs
@@ -172,6 +172,7 @@
     Set,
     Quarantine,
     Pardon,
+    Release,
 }
 
 const VERBS: &[(&str, Verb)] = &[
@@ -187,6 +188,7 @@
     ("set", Verb::Set),
     ("quarantine", Verb::Quarantine),
     ("pardon", Verb::Pardon),
+    ("release", Verb::Release),
 ];
 
 fn statement(cursor: &mut Cursor<'_>) -> Result<Statement, SyntaxError> {
@@ -213,6 +215,7 @@
         Verb::Pardon => Command::Pardon {
             fingerprint: fingerprint(cursor)?,
         },
+        Verb::Release => release_order(cursor)?,
     };
     Ok(Statement::Change(command))
 }
@@ -223,6 +226,8 @@
         ("services", Table::Services),
         ("engines", Table::Engines),
         ("changes", Table::Changes),
+        ("leases", Table::Leases),
+        ("orders", Table::Orders),
     ])
 }
 
@@ -390,3 +395,11 @@
     cursor.expect("fingerprint")?;
     cursor.value("a fingerprint in hexadecimal")
 }
+
+fn release_order(cursor: &mut Cursor<'_>) -> Result<Command, SyntaxError> {
+    cursor.expect("order")?;
+    let name = name(cursor)?;
+    cursor.expect("sequence")?;
+    let sequence = cursor.value("the order's sequence number")?;
+    Ok(Command::ReleaseOrder { name, sequence })
+}
--- a/crates/operator/src/statement.rs
+++ b/crates/operator/src/statement.rs
@@ -13,6 +13,10 @@
     Engines,
     /// The audit trail.
     Changes,
+    /// Who holds the authority of each service.
+    Leases,
+    /// The last order to each engine, and whether it is settled.
+    Orders,
 }
 
 /// A statement.
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -7,6 +7,7 @@
 
 use awc::Client;
 use awc::ClientResponse;
+use awc::error::ConnectError;
 use awc::error::SendRequestError;
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
@@ -374,8 +375,8 @@
     {
         match timeout(limit, send).await {
             Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(SendRequestError::Timeout)) | Err(_) => Err(KvError::Timeout(limit)),
-            Ok(Err(error)) => Err(KvError::Connection(error.to_string())),
+            Ok(Err(error)) => Err(from_send(error, limit)),
+            Err(_) => Err(KvError::Timeout(limit)),
         }
     }
 }
@@ -400,6 +401,26 @@
     }
 }
 
+/// Turns a failure to send into an error that tells whether the call may have left.
+///
+/// Failure guarded against: a write that took effect is taken for one that did not. awc reports a connection
+/// that closed after the call was sent as `Connect(Disconnected)`; taken at its word, the writer would act as
+/// if its value were not stored. The guard holds because every other connect error comes from before the
+/// connection exists, when no byte of the call can have left.
+fn from_send(error: SendRequestError, limit: Duration) -> KvError {
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => {
+            KvError::Connection("closed without an answer".to_string())
+        }
+        SendRequestError::Connect(ConnectError::Timeout) => {
+            KvError::Connect("no connection in time".to_string())
+        }
+        SendRequestError::Connect(error) => KvError::Connect(error.to_string()),
+        SendRequestError::Timeout => KvError::Timeout(limit),
+        error => KvError::Connection(error.to_string()),
+    }
+}
+
 fn expect_success<S>(answer: &ClientResponse<S>) -> Result<(), KvError> {
     match answer.status().is_success() {
         true => Ok(()),
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -10,8 +10,11 @@
     /// No answer within the call's deadline. A write may or may not have taken effect.
     #[error("the platform gave no answer within {0:?}")]
     Timeout(Duration),
+    /// No connection was made: the call did not leave.
+    #[error("could not connect to the platform: {0}")]
+    Connect(String),
     /// The connection failed. A write may or may not have taken effect.
-    #[error("could not reach the platform: {0}")]
+    #[error("the connection to the platform broke: {0}")]
     Connection(String),
     /// The platform answered that it can't serve the call; it did not take effect.
     #[error("the platform refused the call with status {0}")]
@@ -37,7 +40,7 @@
             KvError::Timeout(_) | KvError::Connection(_) | KvError::Malformed(_) | KvError::Unresolved => {
                 true
             }
-            KvError::Refused(_) | KvError::Budget | KvError::LeaseLapsed => false,
+            KvError::Connect(_) | KvError::Refused(_) | KvError::Budget | KvError::LeaseLapsed => false,
         }
     }
 }
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -116,6 +116,7 @@
     fault: EngineFault,
     reports: Vec<(Instant, LoadBody)>,
     served: u64,
+    cut: u64,
 }
 
 /// Shared state of the server.
@@ -152,7 +153,8 @@
             .route("/v1/order", web::post().to(order))
             .route("/control/fault", web::put().to(set_fault))
             .route("/control/orders", web::get().to(orders))
-            .route("/control/served", web::get().to(served));
+            .route("/control/served", web::get().to(served))
+            .route("/control/cut", web::get().to(cut));
     }
 }
 
@@ -175,6 +177,7 @@
         fault: EngineFault::default(),
         reports: Vec::new(),
         served: 0,
+        cut: 0,
     };
     Engine {
         settings,
@@ -427,6 +430,11 @@
         state.target = order.target;
         state.away = Some(Instant::now() + settings.away);
         state.cache.clear();
+        // The worst case: what still runs is cut, its streams end without a finish.
+        state.cut += state.answers.len() as u64;
+        for attempt in std::mem::take(&mut state.answers).into_keys() {
+            state.batch.cancel(attempt);
+        }
     }
 }
 
@@ -442,3 +450,8 @@
 async fn served(engine: Data<Engine>) -> HttpResponse {
     HttpResponse::Ok().json(engine.lock().served)
 }
+
+/// Streams that an order cut.
+async fn cut(engine: Data<Engine>) -> HttpResponse {
+    HttpResponse::Ok().json(engine.lock().cut)
+}
--- a/src/ops/control/config.rs
+++ b/src/ops/control/config.rs
@@ -137,6 +137,10 @@
             Table::Services => services(&self.config),
             Table::Engines => engines(&self.config),
             Table::Changes => changes(&self.head),
+            Table::Leases | Table::Orders => TableBody {
+                columns: Vec::new(),
+                rows: Vec::new(),
+            },
         }
     }
 }
--- a/tests/testsuite/grammar.rs
+++ b/tests/testsuite/grammar.rs
@@ -1,5 +1,9 @@
 //! The statement language.
 
+use sequoiastream_core::config::Command;
+use sequoiastream_core::name::Name;
+use sequoiastream_operator::Statement;
+use sequoiastream_operator::Table;
 use sequoiastream_operator::parse;
 
 fn error(text: &str) -> String {
@@ -10,7 +14,7 @@
 fn parse_verb_wrong() {
     assert_eq!(
         error("show engine"),
-        "line 1, column 6: expected `products` or `services` or `engines` or `changes`, found `engine`\n  \
+        "line 1, column 6: expected `products` or `services` or `engines` or `changes` or `leases` or `orders`, found `engine`\n  \
          show engine\n       ^"
     );
 }
@@ -23,3 +27,17 @@
          zone z address 10.0.0.1\n                   ^"
     );
 }
+
+#[test]
+fn parse_release_order() {
+    let expected = Command::ReleaseOrder {
+        name: Name::new("e1").expect("a name"),
+        sequence: 12,
+    };
+    assert_eq!(
+        parse("release order e1 sequence 12"),
+        Ok(Statement::Change(expected))
+    );
+    assert_eq!(parse("show orders"), Ok(Statement::Show(Table::Orders)));
+    assert_eq!(parse("show leases"), Ok(Statement::Show(Table::Leases)));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,5 +8,6 @@
 mod log_events;
 mod path;
 mod peer;
+mod platform;
 mod support;
 mod upstream;
