Decide on the authority of a service as a state machine

Cause: nothing gave orders to engines. Change: core::authority: lease belief from the send time, take-over by compare-and-swap, drain, opened order records, repeats with the own number at checking engines, no order at ignoring ones until the last is settled. Not wired yet.

--- /dev/null
+++ b/crates/core/src/authority/mod.rs
@@ -0,0 +1,38 @@
+//! The authority over the engines of one service: who may give orders, and when an order may leave.
+//!
+//! [`Authority`] is the decision of one instance for one service. It competes for a lease, takes the
+//! persistent [`Record`] over by a compare-and-swap that raises the fencing number, drains an engine before a
+//! change, opens the order's record and only then lets the order leave. `docs/design/authority.md` weighs the
+//! ways that were considered.
+
+mod engine;
+mod event;
+mod lease;
+mod machine;
+mod orders;
+mod record;
+mod settings;
+mod wish;
+
+pub use event::Action;
+pub use event::Answer;
+pub use event::CallId;
+pub use event::EngineWish;
+pub use event::Event;
+pub use event::HoldAnswer;
+pub use event::Report;
+pub use event::Send;
+pub use event::Settlement;
+pub use event::Written;
+pub use lease::LeaseBelief;
+pub use machine::Authority;
+pub use record::Closing;
+pub use record::Fence;
+pub use record::Incarnation;
+pub use record::Order;
+pub use record::OrderRecord;
+pub use record::Phase;
+pub use record::Record;
+pub use record::RecordVersion;
+pub use settings::Settings;
+pub use settings::Timing;
--- a/crates/core/src/config/model.rs
+++ b/crates/core/src/config/model.rs
@@ -157,7 +157,7 @@
     pub engines: BTreeMap<Name, Engine>,
     /// Fingerprints of requests that may not run, in hexadecimal.
     pub quarantine: BTreeSet<String>,
-    /// Highest sequence number of the orders that operators released, by engine.
+    /// Sequence number of the order that operators released last, by engine.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub released: BTreeMap<Name, u64>,
 }
@@ -312,8 +312,7 @@
 
     fn release_order(&mut self, name: &Name, sequence: u64) -> Result<(), ConfigError> {
         self.engine_mut(name)?;
-        let released = self.released.entry(name.clone()).or_default();
-        *released = sequence.max(*released);
+        self.released.insert(name.clone(), sequence);
         Ok(())
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 //! Invariants are checked here in release builds too, see [`invariant`].
 
 pub mod arena;
+pub mod authority;
 pub mod config;
 pub mod engine;
 pub mod invariant;
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -76,7 +76,7 @@
     pub products: Arena<ProductKey, ProductView>,
     /// Fingerprints of requests that may not run.
     pub quarantine: BTreeSet<String>,
-    /// Highest sequence number of the orders that operators released, by engine.
+    /// Sequence number of the order that operators released last, by engine.
     pub released: BTreeMap<Name, u64>,
     keys: BTreeMap<KeyHash, ProductKey>,
     names: BTreeMap<String, ServiceKey>,
