--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -7,12 +7,18 @@
 mod error;
 mod grammar;
 pub mod http;
+mod select;
 mod statement;
+mod summary;
 mod token;
 pub mod wire;
 
 pub use error::SyntaxError;
 pub use grammar::parse;
 pub use grammar::parse_script;
+pub use select::select;
+pub use statement::Filter;
+pub use statement::Query;
 pub use statement::Statement;
 pub use statement::Table;
+pub use summary::summary;
