Keep authorities and give orders from the daemon

Cause: no order ever left; an operator's fixed role had no effect. Change: an actor that competes for each service's lease, takes the record over, drains an engine at all instances, opens the order and sends it; peers answer Hold, Unhold and Settle over TCP; show leases, show orders, release order. Figures: KV calls for a service at rest: one waiting watch per instance and 30 s, one renewal per third of the lease (0.3/s at 10 s).

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -53,6 +53,20 @@
     400 ATTEMPT_FAILED = "attempt-failed";
     /// A request was refused.
     401 REFUSED = "refused";
+    /// This instance holds the authority of a service now.
+    500 AUTHORITY_TAKEN = "authority-taken";
+    /// This instance no longer holds the authority of a service.
+    501 AUTHORITY_LOST = "authority-lost";
+    /// An order leaves for an engine.
+    502 ORDER_SENT = "order-sent";
+    /// An order is settled.
+    503 ORDER_CLOSED = "order-closed";
+    /// An engine gets no order until its last one is settled.
+    504 ORDER_UNSETTLED = "order-unsettled";
+    /// An engine gave no usable answer to an order.
+    505 ORDER_UNANSWERED = "order-unanswered";
+    /// The weight store refused what an engine is to load.
+    506 WEIGHTS_REFUSED = "weights-refused";
     /// An invariant was broken; the action was dropped.
     900 INVARIANT_BROKEN = "invariant-broken";
 }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -34,6 +34,11 @@
         Some(key)
     }
 
+    /// Requests of this instance at `engine`.
+    pub fn in_flight(&self, engine: &Name) -> u32 {
+        self.inflight.get(engine).copied().unwrap_or_default()
+    }
+
     /// Counts a request at `engine` as ended.
     pub fn done(&mut self, engine: &Name) {
         if let Some(count) = self.inflight.get_mut(engine) {
--- a/crates/testsupport/src/fleet.rs
+++ b/crates/testsupport/src/fleet.rs
@@ -46,6 +46,7 @@
     daemons: usize,
     engine_args: Vec<String>,
     daemon_args: Vec<String>,
+    placement: String,
 }
 
 /// A small deployment. Its processes end with it.
@@ -53,6 +54,8 @@
 pub struct Fleet {
     binaries: Binaries,
     daemon_args: Vec<String>,
+    engine_args: Vec<String>,
+    placement: String,
     /// The platform.
     pub platform: Process,
     /// Engines `e0`, `e1`, ... of service `assistente`.
@@ -73,9 +76,16 @@
             daemons: 1,
             engine_args: Vec::new(),
             daemon_args: Vec::new(),
+            placement: String::new(),
         }
     }
 
+    /// Sets words added where engines are placed, such as `fencing checked`.
+    pub fn placement(mut self, words: &str) -> Self {
+        self.placement = words.to_string();
+        self
+    }
+
     /// Sets the number of engines.
     pub fn engines(mut self, count: usize) -> Self {
         self.engines = count;
@@ -121,6 +131,8 @@
         let mut fleet = Fleet {
             binaries: self.binaries.clone(),
             daemon_args: self.daemon_args.clone(),
+            engine_args: self.engine_args.clone(),
+            placement: self.placement.clone(),
             platform,
             engines,
             plain,
@@ -172,6 +184,14 @@
         daemon
     }
 
+    /// Starts engine `index` anew at its address, after it ended.
+    pub fn restart_engine(&mut self, index: usize) {
+        let listen = format!("--listen={}", self.engines[index].address());
+        let args = ["engine".to_string(), "--decode-rate=400".to_string(), listen];
+        let args = args.into_iter().chain(self.engine_args.clone());
+        self.engines[index] = Process::start(&self.binaries.standin, args);
+    }
+
     /// Statements that create product `dispatch`, services `assistente` and `ordini`, and place the upstreams.
     pub fn statements(&self) -> String {
         let mut text = format!(
@@ -181,8 +201,10 @@
         );
         for (index, engine) in self.engines.iter().enumerate() {
             let address = engine.address();
-            let line = format!("place engine e{index} service assistente zone lodi-a address {address};\n");
-            text.push_str(&line);
+            let words = &self.placement;
+            text.push_str(&format!(
+                "place engine e{index} service assistente zone lodi-a address {address} {words};\n"
+            ));
         }
         for (index, plain) in self.plain.iter().enumerate() {
             let address = plain.address();
--- a/crates/testsupport/src/http.rs
+++ b/crates/testsupport/src/http.rs
@@ -102,6 +102,21 @@
         .unwrap_or_else(|e| panic!("GET {url}: {e}"))
 }
 
+/// Reads a text.
+///
+/// # Panics
+///
+/// If no answer comes.
+pub async fn text(url: &str) -> String {
+    let mut answer = client()
+        .get(url)
+        .send()
+        .await
+        .unwrap_or_else(|e| panic!("GET {url}: {e}"));
+    let body = answer.body().await.unwrap_or_else(|e| panic!("GET {url}: {e}"));
+    String::from_utf8_lossy(&body).into_owned()
+}
+
 /// Repeats `probe` until it gives a value.
 ///
 /// # Panics
--- a/crates/testsupport/src/lib.rs
+++ b/crates/testsupport/src/lib.rs
@@ -3,6 +3,7 @@
 //! Tests run the real binaries as processes on ephemeral ports and wait on events: the line `listening` that
 //! each process prints, a version that is in force, a count that is reached.
 
+pub mod delay;
 pub mod fleet;
 pub mod http;
 pub mod process;
--- /dev/null
+++ b/src/ops/control/authority/kv.rs
@@ -0,0 +1,191 @@
+//! The authority's calls to the platform.
+
+use std::time::Duration;
+
+use sequoiastream_core::authority::CallId;
+use sequoiastream_core::authority::Event;
+use sequoiastream_core::authority::Record;
+use sequoiastream_core::authority::RecordVersion;
+use sequoiastream_core::authority::Written;
+use sequoiastream_core::log_event;
+use sequoiastream_core::name::Name;
+use sequoiastream_core::time::Time;
+use sequoiastream_platform::Entry;
+use sequoiastream_platform::Expect;
+use sequoiastream_platform::KvClient;
+use sequoiastream_platform::KvError;
+use sequoiastream_platform::KvVersion;
+use sequoiastream_platform::LeaseId;
+use sequoiastream_platform::Swap;
+
+use crate::log_event;
+use crate::util::clock;
+
+/// A lease that was granted and bound to the service's key.
+#[derive(Debug, Clone, Copy)]
+pub struct Acquired {
+    /// The lease.
+    pub lease: LeaseId,
+    /// When its grant was sent.
+    pub sent: Time,
+}
+
+/// Key of a service's lease.
+pub fn lease_key(service: &Name) -> String {
+    format!("lease/{service}")
+}
+
+/// Key of a service's record.
+pub fn record_key(service: &Name) -> String {
+    format!("authority/{service}")
+}
+
+/// How long this instance waits before it competes for a vacant lease: each instance another time for each
+/// service, so that holders spread and only one or two compete at once.
+pub fn delay(ttl: Duration, service: &Name, instance: &Name) -> Duration {
+    let hash = blake3::hash(format!("{service}/{instance}").as_bytes());
+    let part = f64::from(hash.as_bytes()[0]) / f64::from(u8::MAX);
+    ttl / 20 + (ttl / 5).mul_f64(part)
+}
+
+/// Waits for the lease's key to change. The first call reads it.
+pub async fn watch(
+    kv: KvClient,
+    service: Name,
+    after: KvVersion,
+    wait: Duration,
+) -> Result<Option<Entry>, KvError> {
+    let key = lease_key(&service);
+    match after == KvVersion::default() {
+        // A watch of an absent key would only tell after its whole wait that it is absent.
+        true => {
+            let entry = kv.get(&key).await?;
+            match entry.version == after {
+                true => kv
+                    .watch(&key, after, wait.min(FIRST))
+                    .await
+                    .map(|e| e.or(Some(entry))),
+                false => Ok(Some(entry)),
+            }
+        }
+        false => kv.watch(&key, after, wait).await,
+    }
+}
+
+/// How long the watch of a key that never existed waits.
+const FIRST: Duration = Duration::from_millis(200);
+
+/// Asks for a lease and binds the service's key to it.
+pub async fn acquire(
+    kv: KvClient,
+    service: Name,
+    name: Name,
+    old: Option<LeaseId>,
+    ttl: Duration,
+) -> Option<Acquired> {
+    if let Some(old) = old {
+        let _ = kv.release(old).await;
+    }
+    let key = lease_key(&service);
+    let entry = kv.get(&key).await.ok()?;
+    if entry.value.is_some() {
+        return None;
+    }
+    let sent = clock::now();
+    let lease = kv.grant(ttl).await.ok()?;
+    let value = name.as_str().as_bytes();
+    match kv.swap(&key, Expect::Absent, value, Some(lease)).await {
+        Ok(Swap::Done(_)) => Some(Acquired { lease, sent }),
+        Ok(Swap::Conflict(_)) | Err(_) => {
+            // If its key was bound all the same, this unbinds it.
+            let _ = kv.release(lease).await;
+            None
+        }
+    }
+}
+
+/// Renews the lease.
+pub async fn renew(kv: KvClient, call: CallId, lease: Option<LeaseId>) -> Event {
+    let Some(lease) = lease else {
+        return Event::Lapsed { call };
+    };
+    let sent = clock::now();
+    match kv.renew(lease).await {
+        Ok(()) => Event::Renewed { call, sent },
+        Err(KvError::LeaseLapsed) => Event::Lapsed { call },
+        Err(error) => {
+            log_event!(warn, log_event::KV_FAILED, %error, call = "renew lease");
+            Event::RenewFailed { call }
+        }
+    }
+}
+
+/// Reads the record.
+pub async fn read(kv: KvClient, service: Name, call: CallId) -> Event {
+    match read_record(&kv, &service).await {
+        Ok((version, record)) => Event::Read {
+            call,
+            version,
+            record,
+        },
+        Err(error) => {
+            log_event!(warn, log_event::KV_FAILED, %error, call = "read authority");
+            Event::ReadFailed { call }
+        }
+    }
+}
+
+/// Reads the record of `service` and the version of its key; version 0 if there is none.
+pub async fn read_record(kv: &KvClient, service: &Name) -> Result<(RecordVersion, Option<Record>), KvError> {
+    let entry = kv.get(&record_key(service)).await?;
+    let Some(value) = entry.value else {
+        return Ok((RecordVersion::default(), None));
+    };
+    let record = serde_json::from_slice(&value).map_err(|e| KvError::Malformed(e.to_string()))?;
+    Ok((RecordVersion(entry.version.0), Some(record)))
+}
+
+/// Writes the record if its key still has the version `expect`.
+pub async fn write(
+    kv: KvClient,
+    service: Name,
+    call: CallId,
+    expect: RecordVersion,
+    record: Record,
+) -> Event {
+    let written = match serde_json::to_vec(&record) {
+        Ok(value) => swap(&kv, &service, expect, &value).await,
+        Err(error) => {
+            log_event!(error, log_event::KV_FAILED, %error, call = "write authority");
+            Written::Unknown
+        }
+    };
+    Event::Wrote { call, written }
+}
+
+async fn swap(kv: &KvClient, service: &Name, expect: RecordVersion, value: &[u8]) -> Written {
+    let expect = Expect::from(KvVersion(expect.0));
+    match kv.swap(&record_key(service), expect, value, None).await {
+        Ok(Swap::Done(version)) => Written::Done(RecordVersion(version.0)),
+        Ok(Swap::Conflict(_)) => Written::Conflict,
+        Err(error) => {
+            log_event!(warn, log_event::KV_FAILED, %error, call = "write authority");
+            Written::Unknown
+        }
+    }
+}
+
+/// Asks the weight store whether `model` can be read, before an engine is told to load it.
+pub async fn ask_weights(kv: KvClient, engine: Name, model: String) -> Event {
+    let asked = match Name::new(&model) {
+        Ok(model) => kv.weights(&model).await.map_err(|e| e.to_string()),
+        Err(error) => Err(error.to_string()),
+    };
+    if let Err(error) = &asked {
+        log_event!(warn, log_event::WEIGHTS_REFUSED, %engine, model, %error);
+    }
+    Event::Weights {
+        engine,
+        ready: asked.is_ok(),
+    }
+}
--- /dev/null
+++ b/src/ops/control/authority/mod.rs
@@ -0,0 +1,574 @@
+//! Keeper of the authorities: for each model service, competes for its lease and gives orders to its engines.
+//!
+//! The decisions are those of [`sequoiastream_core::authority`]; this actor carries their actions out.
+
+mod drain;
+mod kv;
+mod tables;
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::Actor;
+use actix::ActorFutureExt;
+use actix::AsyncContext;
+use actix::Context;
+use actix::Handler;
+use actix::Message;
+use actix::ResponseActFuture;
+use actix::ResponseFuture;
+use actix::WrapFuture;
+use futures_util::future::join_all;
+use sequoiastream_core::authority::Action;
+use sequoiastream_core::authority::Answer;
+use sequoiastream_core::authority::Authority;
+use sequoiastream_core::authority::EngineWish;
+use sequoiastream_core::authority::Event;
+use sequoiastream_core::authority::Incarnation;
+use sequoiastream_core::authority::Report;
+use sequoiastream_core::authority::Send;
+use sequoiastream_core::authority::Settings;
+use sequoiastream_core::authority::Settlement;
+use sequoiastream_core::authority::Timing;
+use sequoiastream_core::config::ServiceKind;
+use sequoiastream_core::config::Version;
+use sequoiastream_core::engine::Target;
+use sequoiastream_core::log_event;
+use sequoiastream_core::name::Name;
+use sequoiastream_core::snapshot::Snapshot;
+use sequoiastream_operator::Table;
+use sequoiastream_operator::http::OperatorError;
+use sequoiastream_operator::wire::TableBody;
+use sequoiastream_peer::call::CallClient;
+use sequoiastream_peer::seal::ClusterKey;
+use sequoiastream_platform::Entry;
+use sequoiastream_platform::KvClient;
+use sequoiastream_platform::KvError;
+use sequoiastream_platform::KvVersion;
+use sequoiastream_platform::LeaseId;
+use sequoiastream_upstream::EngineClient;
+use sequoiastream_upstream::UpstreamError;
+use sequoiastream_upstream::wire::LoadBody;
+use sequoiastream_upstream::wire::OrderBody;
+use uuid::Uuid;
+
+use crate::log_event;
+use crate::ops::control::authority::drain::Peers;
+use crate::ops::control::authority::kv::Acquired;
+use crate::ops::shared::Shared;
+use crate::util::clock;
+
+/// Pause before a failed watch is made again, doubled up to [`MAX_PAUSE`].
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest pause between two watches.
+const MAX_PAUSE: Duration = Duration::from_secs(5);
+
+/// Part of the lease's time between two ticks.
+const TICKS: u32 = 100;
+
+/// Keeper of the authorities.
+pub struct AuthorityActor {
+    shared: Arc<Shared>,
+    kv: KvClient,
+    engines: EngineClient,
+    peers: Rc<Peers>,
+    incarnation: Incarnation,
+    units: BTreeMap<Name, Unit>,
+    seen: Version,
+}
+
+/// One service.
+struct Unit {
+    machine: Authority,
+    lease: Option<LeaseId>,
+    /// Whether the lease's key is absent; `None` if it is not known.
+    vacant: Option<bool>,
+    watched: KvVersion,
+    pause: Duration,
+}
+
+/// Says what the planner wants an engine to be. Taken only by the holder; a role that an operator fixed goes
+/// before it.
+#[derive(Debug, Clone, Message)]
+#[rtype(result = "()")]
+pub struct Propose {
+    /// The engine.
+    pub engine: Name,
+    /// What it shall be.
+    pub target: Target,
+}
+
+/// Asks whether this instance holds the authority of a service and believes in its lease.
+#[derive(Debug, Clone, Message)]
+#[rtype(result = "bool")]
+pub struct IsHolder(pub Name);
+
+/// Asks what this process knows of an order that it opened.
+#[derive(Debug, Clone, Message)]
+#[rtype(result = "Settlement")]
+pub struct Settle {
+    /// The service.
+    pub service: Name,
+    /// The process that opened it.
+    pub incarnation: Incarnation,
+    /// The engine.
+    pub engine: Name,
+    /// The order's sequence number.
+    pub sequence: u64,
+}
+
+/// Asks for the table of leases or orders.
+#[derive(Debug, Clone, Copy, Message)]
+#[rtype(result = "Result<TableBody, OperatorError>")]
+pub struct ShowAuthorities(pub Table);
+
+/// Gives all authorities up, since this instance leaves. Answered once the leases are released.
+#[derive(Debug, Clone, Copy, Message)]
+#[rtype(result = "()")]
+pub struct Resign;
+
+impl AuthorityActor {
+    /// A keeper that holds nothing.
+    pub fn new(shared: Arc<Shared>, kv: KvClient) -> AuthorityActor {
+        let key = ClusterKey::new(&shared.settings.cluster);
+        AuthorityActor {
+            peers: Rc::new(Peers::new(shared.clone(), kv.clone(), CallClient::new(key))),
+            shared,
+            kv,
+            engines: EngineClient::new(),
+            incarnation: Incarnation(Uuid::new_v4()),
+            units: BTreeMap::new(),
+            seen: Version::default(),
+        }
+    }
+
+    fn tick(&mut self, context: &mut Context<Self>) {
+        self.configure(context);
+        let services: Vec<Name> = self.units.keys().cloned().collect();
+        for service in services {
+            match self.units.get(&service).and_then(|unit| unit.vacant) {
+                Some(true) => self.feed(&service, Event::Vacant, context),
+                Some(false) => self.feed(&service, Event::Occupied, context),
+                None => {}
+            }
+            self.feed(&service, Event::Tick, context);
+        }
+        let now = clock::now();
+        let believed = self.units.values().filter(|unit| unit.machine.is_holder(now));
+        let believed = i64::try_from(believed.count()).unwrap_or(i64::MAX);
+        self.shared.metrics.authority.believed.set(believed);
+    }
+
+    /// Takes over a new version of the configuration.
+    fn configure(&mut self, context: &mut Context<Self>) {
+        let snapshot = self.shared.snapshot.load_full();
+        if snapshot.version == self.seen {
+            return;
+        }
+        self.seen = snapshot.version;
+        let mut models = BTreeMap::new();
+        for (_, service) in snapshot.services.iter() {
+            if let ServiceKind::Model { model } = &service.kind {
+                models.insert(
+                    service.name.clone(),
+                    (model.clone(), wishes(&snapshot, &service.engines)),
+                );
+            }
+        }
+        let gone: Vec<Name> = self
+            .units
+            .keys()
+            .filter(|s| !models.contains_key(*s))
+            .cloned()
+            .collect();
+        for service in gone {
+            self.feed(&service, Event::Resign, context);
+            self.units.remove(&service);
+        }
+        for (service, (model, engines)) in models {
+            if !self.units.contains_key(&service) {
+                self.units.insert(service.clone(), self.new_unit(&service));
+                self.watch(service.clone(), context);
+            }
+            self.feed(&service, Event::Configured { model, engines }, context);
+        }
+    }
+
+    fn new_unit(&self, service: &Name) -> Unit {
+        let ttl = self.shared.settings.lease;
+        let settings = Settings {
+            service: service.clone(),
+            name: self.shared.settings.name.clone(),
+            incarnation: self.incarnation,
+            timing: Timing::new(ttl, kv::delay(ttl, service, &self.shared.settings.name)),
+        };
+        Unit {
+            machine: Authority::new(settings),
+            lease: None,
+            vacant: None,
+            watched: KvVersion::default(),
+            pause: PAUSE,
+        }
+    }
+
+    /// Watches the key of a service's lease, one call at a time.
+    fn watch(&mut self, service: Name, context: &mut Context<Self>) {
+        let Some(unit) = self.units.get(&service) else {
+            return;
+        };
+        let watch = kv::watch(
+            self.kv.clone(),
+            service.clone(),
+            unit.watched,
+            self.shared.settings.wait,
+        );
+        context.spawn(watch.into_actor(self).map(move |result, actor, context| {
+            let Some(unit) = actor.units.get_mut(&service) else {
+                return;
+            };
+            let pause = unit.on_watch(result);
+            context.run_later(pause, move |actor, context| actor.watch(service, context));
+        }));
+    }
+
+    /// Gives an event to a service's machine and carries out what it decides.
+    fn feed(&mut self, service: &Name, event: Event, context: &mut Context<Self>) {
+        let Some(unit) = self.units.get_mut(service) else {
+            return;
+        };
+        for action in unit.machine.on(clock::now(), event) {
+            self.perform(service, action, context);
+        }
+    }
+
+    fn perform(&mut self, service: &Name, action: Action, context: &mut Context<Self>) {
+        let kv = self.kv.clone();
+        match action {
+            Action::Acquire(call) => self.acquire(service, call, context),
+            Action::Renew(call) => {
+                let lease = self.units.get(service).and_then(|unit| unit.lease);
+                self.later(service, kv::renew(kv, call, lease), context);
+            }
+            Action::Release => self.release(service, context),
+            Action::Read(call) => self.later(service, kv::read(kv, service.clone(), call), context),
+            Action::Write { call, expect, record } => {
+                let write = kv::write(kv, service.clone(), call, expect, record);
+                self.later(service, write, context);
+            }
+            Action::Probe(engine) => self.probe(service, engine, context),
+            Action::Hold(engine) => {
+                let peers = self.peers.clone();
+                let hold = self.shared.settings.lease;
+                self.maybe(service, async move { peers.hold(engine, hold).await }, context);
+            }
+            Action::Unhold(engine) => {
+                let peers = self.peers.clone();
+                context.spawn(async move { peers.unhold(engine).await }.into_actor(self));
+            }
+            Action::AskWeights { engine, model } => {
+                self.later(service, kv::ask_weights(kv, engine, model), context);
+            }
+            Action::Send(send) => self.send(service, send, context),
+            Action::Ask {
+                holder,
+                incarnation,
+                engine,
+                sequence,
+            } => {
+                let peers = self.peers.clone();
+                let ask = Settle {
+                    service: service.clone(),
+                    incarnation,
+                    engine,
+                    sequence,
+                };
+                self.maybe(service, async move { peers.ask(&holder, ask).await }, context);
+            }
+            told => self.tell(service, told),
+        }
+    }
+
+    /// Runs `future` and gives the event that it ends with to the machine.
+    fn later<F>(&self, service: &Name, future: F, context: &mut Context<Self>)
+    where
+        F: Future<Output = Event> + 'static,
+    {
+        self.maybe(service, async move { Some(future.await) }, context);
+    }
+
+    fn maybe<F>(&self, service: &Name, future: F, context: &mut Context<Self>)
+    where
+        F: Future<Output = Option<Event>> + 'static,
+    {
+        let service = service.clone();
+        context.spawn(future.into_actor(self).map(move |event, actor, context| {
+            if let Some(event) = event {
+                actor.feed(&service, event, context);
+            }
+        }));
+    }
+
+    fn acquire(
+        &mut self,
+        service: &Name,
+        call: sequoiastream_core::authority::CallId,
+        context: &mut Context<Self>,
+    ) {
+        let old = self.units.get_mut(service).and_then(|unit| unit.lease.take());
+        let name = self.shared.settings.name.clone();
+        let acquire = kv::acquire(
+            self.kv.clone(),
+            service.clone(),
+            name,
+            old,
+            self.shared.settings.lease,
+        );
+        let service = service.clone();
+        context.spawn(acquire.into_actor(self).map(move |acquired, actor, context| {
+            let event = match acquired {
+                Some(Acquired { lease, sent }) => {
+                    if let Some(unit) = actor.units.get_mut(&service) {
+                        unit.lease = Some(lease);
+                    }
+                    Event::Acquired { call, sent }
+                }
+                None => Event::NotAcquired { call },
+            };
+            actor.feed(&service, event, context);
+        }));
+    }
+
+    fn release(&mut self, service: &Name, context: &mut Context<Self>) {
+        let lease = self.units.get_mut(service).and_then(|unit| unit.lease.take());
+        if let Some(lease) = lease {
+            let kv = self.kv.clone();
+            // If this fails the lease lapses by itself.
+            let release = async move {
+                let _ = kv.release(lease).await;
+            };
+            context.spawn(release.into_actor(self));
+        }
+    }
+
+    fn probe(&mut self, service: &Name, engine: Name, context: &mut Context<Self>) {
+        let Some(address) = self.address(&engine) else {
+            return;
+        };
+        let engines = self.engines.clone();
+        let probe = async move {
+            let asked = clock::now();
+            let body = engines.load(address).await.ok()?;
+            let report = report(&body, asked);
+            Some(Event::Reported { engine, report })
+        };
+        self.maybe(service, probe, context);
+    }
+
+    /// Sends an order, unless its time has passed by now.
+    ///
+    /// Failure guarded against: the process was paused since the decision, and another holds the authority.
+    /// The check is the last thing before the send; what a pause right after it can do is covered by the
+    /// order's record, which stands open.
+    fn send(&mut self, service: &Name, send: Send, context: &mut Context<Self>) {
+        let address = self.address(&send.engine);
+        let engines = self.engines.clone();
+        let metrics = self.shared.metrics.authority.clone();
+        let order = OrderBody {
+            fence: send.order.fence.0,
+            sequence: send.order.sequence,
+            id: send.order.id,
+            target: send.order.target.clone(),
+        };
+        log_event!(
+            info,
+            log_event::ORDER_SENT,
+            engine = %send.engine,
+            sequence = order.sequence,
+            fence = order.fence
+        );
+        let run = async move {
+            let answer = match address {
+                Some(address) if clock::now() < send.until => answer(engines.order(address, &order).await),
+                _ => Answer::Unsent,
+            };
+            metrics.count_order(answer);
+            Event::Answered {
+                call: send.call,
+                engine: send.engine,
+                answer,
+            }
+        };
+        self.later(service, run, context);
+    }
+
+    fn address(&self, engine: &Name) -> Option<std::net::SocketAddr> {
+        let snapshot = self.shared.snapshot.load();
+        let found = snapshot.engines.iter().find(|(_, e)| e.name == *engine);
+        found.map(|(_, e)| e.address)
+    }
+
+    /// Tells operators.
+    fn tell(&self, service: &Name, action: Action) {
+        let metrics = &self.shared.metrics.authority;
+        match action {
+            Action::TookOver(fence) => {
+                metrics.held.inc();
+                log_event!(info, log_event::AUTHORITY_TAKEN, %service, %fence);
+            }
+            Action::SteppedDown => {
+                metrics.held.dec();
+                log_event!(warn, log_event::AUTHORITY_LOST, %service);
+            }
+            Action::Closed {
+                engine,
+                sequence,
+                closing,
+            } => log_event!(info, log_event::ORDER_CLOSED, %engine, sequence, %closing),
+            Action::Unsettled { engine, sequence } => {
+                metrics.unsettled.inc();
+                log_event!(warn, log_event::ORDER_UNSETTLED, %engine, sequence);
+            }
+            Action::Broken(rule) => log_event!(error, log_event::INVARIANT_BROKEN, %service, rule),
+            _ => {}
+        }
+    }
+}
+
+impl Unit {
+    /// Takes the result of a watch; returns how long to pause before the next.
+    fn on_watch(&mut self, result: Result<Option<Entry>, KvError>) -> Duration {
+        match result {
+            Ok(entry) => {
+                if let Some(entry) = entry {
+                    self.watched = entry.version;
+                    self.vacant = Some(entry.value.is_none());
+                }
+                self.pause = PAUSE;
+                Duration::ZERO
+            }
+            Err(error) => {
+                log_event!(warn, log_event::KV_FAILED, %error, call = "watch lease");
+                // While the service is out it isn't known who holds the lease: nobody competes, so its
+                // return brings no storm.
+                self.vacant = None;
+                self.watched = KvVersion::default();
+                self.pause = (self.pause * 2).min(MAX_PAUSE);
+                self.pause.mul_f64(rand::random_range(0.5..1.0))
+            }
+        }
+    }
+}
+
+fn wishes(snapshot: &Snapshot, engines: &[sequoiastream_core::arena::EngineKey]) -> Vec<EngineWish> {
+    let views = engines.iter().filter_map(|key| snapshot.engines.get(*key));
+    views
+        .map(|view| EngineWish {
+            name: view.name.clone(),
+            fencing: view.fencing,
+            role: view.role,
+            released: snapshot.released.get(&view.name).copied().unwrap_or_default(),
+        })
+        .collect()
+}
+
+fn report(body: &LoadBody, asked: sequoiastream_core::time::Time) -> Report {
+    Report {
+        target: Target {
+            role: body.role,
+            model: body.model.clone(),
+            adapter: body.adapter.clone(),
+            version: body.version,
+        },
+        away: body.away,
+        idle: body.running == 0 && body.queued == 0,
+        sequence: body.sequence,
+        taken: asked - Duration::from_millis(body.age),
+    }
+}
+
+fn answer(result: Result<(), UpstreamError>) -> Answer {
+    match result {
+        Ok(()) => Answer::Applied,
+        Err(UpstreamError::Stale(fence)) => Answer::Stale(sequoiastream_core::authority::Fence(fence)),
+        Err(error) => {
+            log_event!(warn, log_event::ORDER_UNANSWERED, %error);
+            match error.is_not_started() {
+                true => Answer::Unsent,
+                false => Answer::Unknown,
+            }
+        }
+    }
+}
+
+impl Actor for AuthorityActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Context<Self>) {
+        let tick = self.shared.settings.lease / TICKS;
+        context.run_interval(tick, |actor, context| actor.tick(context));
+    }
+}
+
+impl Handler<Propose> for AuthorityActor {
+    type Result = ();
+
+    fn handle(&mut self, Propose { engine, target }: Propose, context: &mut Context<Self>) {
+        let snapshot = self.shared.snapshot.load();
+        let view = snapshot.engines.iter().find(|(_, e)| e.name == engine);
+        let service = view.and_then(|(_, e)| snapshot.services.get(e.service));
+        if let Some(service) = service.map(|s| s.name.clone()) {
+            self.feed(&service, Event::Proposed { engine, target }, context);
+        }
+    }
+}
+
+impl Handler<IsHolder> for AuthorityActor {
+    type Result = bool;
+
+    fn handle(&mut self, IsHolder(service): IsHolder, _: &mut Context<Self>) -> bool {
+        let unit = self.units.get(&service);
+        unit.is_some_and(|unit| unit.machine.is_holder(clock::now()))
+    }
+}
+
+impl Handler<Settle> for AuthorityActor {
+    type Result = actix::MessageResult<Settle>;
+
+    fn handle(&mut self, ask: Settle, _: &mut Context<Self>) -> Self::Result {
+        let unit = self.units.get_mut(&ask.service);
+        let said = unit.map(|u| u.machine.settlement(ask.incarnation, &ask.engine, ask.sequence));
+        actix::MessageResult(said.unwrap_or(Settlement::Unknown))
+    }
+}
+
+impl Handler<ShowAuthorities> for AuthorityActor {
+    type Result = ResponseFuture<Result<TableBody, OperatorError>>;
+
+    fn handle(&mut self, ShowAuthorities(table): ShowAuthorities, _: &mut Context<Self>) -> Self::Result {
+        let services = self.units.keys().cloned().collect();
+        let kv = self.kv.clone();
+        Box::pin(async move { tables::show(&kv, services, table).await })
+    }
+}
+
+impl Handler<Resign> for AuthorityActor {
+    type Result = ResponseActFuture<Self, ()>;
+
+    fn handle(&mut self, Resign: Resign, context: &mut Context<Self>) -> Self::Result {
+        let mut leases = Vec::new();
+        let services: Vec<Name> = self.units.keys().cloned().collect();
+        for service in services {
+            // Taken out first, so that the release is waited for here.
+            leases.extend(self.units.get_mut(&service).and_then(|unit| unit.lease.take()));
+            self.feed(&service, Event::Resign, context);
+        }
+        let kv = self.kv.clone();
+        let release = async move {
+            let _ = join_all(leases.into_iter().map(|lease| kv.release(lease))).await;
+        };
+        Box::pin(release.into_actor(self))
+    }
+}
--- a/src/ops/control/config.rs
+++ b/src/ops/control/config.rs
@@ -39,6 +39,7 @@
 
 use crate::log_event;
 use crate::ops::shared::Shared;
+use crate::ops::tables;
 use crate::util::clock;
 
 /// Key of the head.
@@ -140,6 +141,8 @@
             Table::Engines => engines(&self.config),
             Table::Changes => changes(&self.head),
             Table::Quarantine => quarantine(&self.config),
+            // Shown by the keeper of the authorities.
+            Table::Leases | Table::Orders => tables::table(&[], std::iter::empty()),
         }
     }
 }
--- a/src/ops/dispatch/generate.rs
+++ b/src/ops/dispatch/generate.rs
@@ -23,6 +23,7 @@
 
 use crate::log_event;
 use crate::ops::dispatch::Dispatch;
+use crate::util::clock;
 
 /// Attempts at one request.
 const MAX_ATTEMPTS: usize = 3;
@@ -91,7 +92,9 @@
     fn pick(&self) -> Option<Target> {
         let snapshot = self.dispatch.shared.snapshot.load();
         let mut router = self.dispatch.shared.router();
-        let key = router.pick(&snapshot, self.service, &self.tried)?;
+        let mut except = self.dispatch.shared.held(clock::now());
+        except.extend_from_slice(&self.tried);
+        let key = router.pick(&snapshot, self.service, &except)?;
         let engine = snapshot.engines.get(key)?;
         Some(Target {
             name: engine.name.clone(),
--- a/src/ops/dispatch/mod.rs
+++ b/src/ops/dispatch/mod.rs
@@ -13,8 +13,12 @@
 use sequoiastream_caller::Refusal;
 use sequoiastream_core::config::Version;
 use sequoiastream_core::name::Name;
+use sequoiastream_operator::Statement;
+use sequoiastream_operator::Table;
 use sequoiastream_operator::http::Executor;
 use sequoiastream_operator::http::OperatorError;
+use sequoiastream_operator::parse;
+use sequoiastream_operator::select;
 use sequoiastream_operator::wire::ReplyBody;
 use sequoiastream_operator::wire::StatementBody;
 use sequoiastream_upstream::EngineClient;
@@ -22,6 +26,7 @@
 
 use crate::ops::control::Control;
 use crate::ops::control::Execute;
+use crate::ops::control::ShowAuthorities;
 use crate::ops::shared::Shared;
 
 /// One traffic thread's side of the daemon.
@@ -76,6 +81,13 @@
     }
 
     async fn execute(&self, statement: StatementBody) -> Result<ReplyBody, OperatorError> {
+        if let Ok(Statement::Show(query)) = parse(&statement.text)
+            && matches!(query.table, Table::Leases | Table::Orders)
+        {
+            let shown = self.control.authority.send(ShowAuthorities(query.table)).await;
+            let table = shown.map_err(|e| OperatorError::Platform(e.to_string()))??;
+            return select(table, &query).map(ReplyBody::Table);
+        }
         match self.control.config.send(Execute(statement)).await {
             Ok(result) => result,
             Err(error) => Err(OperatorError::Platform(error.to_string())),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -50,6 +50,8 @@
     pub deadline: Duration,
     /// How long a watch waits.
     pub wait: Duration,
+    /// How long the lease of a service's authority lasts after its last renewal.
+    pub lease: Duration,
     /// How log lines are written.
     pub format: LogFormat,
     /// Only check the settings.
@@ -147,6 +149,12 @@
             "How long a watch waits",
             "30000",
         ))
+        .arg(number(
+            "lease-ms",
+            "SEQUOIASTREAM_LEASE_MS",
+            "How long the lease of a service's authority lasts after its last renewal",
+            "10000",
+        ))
         .arg(
             text(
                 "log-format",
@@ -195,6 +203,7 @@
         let workers = reader.positive("workers");
         let deadline = reader.positive("kv-deadline-ms");
         let wait = reader.positive("watch-ms");
+        let lease = reader.positive("lease-ms");
         let format = match reader.text("log-format").as_str() {
             "json" => LogFormat::Json,
             _ => LogFormat::Text,
@@ -216,6 +225,7 @@
             workers: usize::try_from(workers).unwrap_or(1),
             deadline: Duration::from_millis(deadline),
             wait: Duration::from_millis(wait),
+            lease: Duration::from_millis(lease),
             format,
             check: matches.get_flag("check"),
         })
--- /dev/null
+++ b/tests/testsuite/authority/processes.rs
@@ -0,0 +1,316 @@
+//! With real processes. The stand-in engines record every order; what counts is that record.
+
+use std::collections::BTreeMap;
+
+use sequoiastream_core::config::Role;
+use sequoiastream_operator::wire::ReplyBody;
+use sequoiastream_standin::engine::EngineFault;
+use sequoiastream_standin::engine::OrderRecord;
+use sequoiastream_standin::engine::expected_text;
+use sequoiastream_standin::platform::Fault;
+use sequoiastream_testsupport::delay::Relay;
+use sequoiastream_testsupport::fleet::Fleet;
+use sequoiastream_testsupport::fleet::FleetBuilder;
+use sequoiastream_testsupport::http;
+use sequoiastream_testsupport::process::Process;
+use sequoiastream_upstream::wire::LoadBody;
+use uuid::Uuid;
+
+use crate::support::fleet;
+
+/// Two daemons and one engine, with short leases and role changes.
+fn small(fencing: &str) -> FleetBuilder {
+    fleet()
+        .daemons(2)
+        .daemon_arg("--lease-ms=1000")
+        .engine_arg("--away=100")
+        .engine_arg(&format!("--fencing={fencing}"))
+        .placement(&format!("fencing {fencing}"))
+}
+
+/// The fleet, configured with a relay before its engine.
+async fn relayed(fencing: &str) -> (Fleet, Relay) {
+    let fleet = small(fencing).start().await;
+    let engine = fleet.engines[0].address();
+    let relay = Relay::start(engine).await;
+    let text = fleet
+        .statements()
+        .replace(&engine.to_string(), &relay.address().to_string());
+    let version = fleet.apply(0, &text).await;
+    fleet.wait_for_version(version).await;
+    (fleet, relay)
+}
+
+/// The rows of a table, each by its first cell.
+async fn rows(fleet: &Fleet, index: usize, text: &str) -> Option<BTreeMap<String, Vec<String>>> {
+    let reply = fleet.statement(index, Uuid::new_v4(), text).await;
+    match reply.status {
+        200 => match reply.json() {
+            ReplyBody::Table(table) => Some(table.rows.into_iter().map(|r| (r[0].clone(), r)).collect()),
+            _ => panic!("{text} is no query"),
+        },
+        _ => None,
+    }
+}
+
+/// Waits until an instance holds the lease that daemon `index` does not find in `except`; returns its index.
+async fn holder(fleet: &Fleet, index: usize, except: Option<usize>) -> usize {
+    let found = http::until("an instance holds the lease", || async {
+        let rows = rows(fleet, index, "show leases").await?;
+        let row = rows.get("assistente")?;
+        let of = |cell: &String| cell.strip_prefix('i')?.parse::<usize>().ok();
+        let lease = of(&row[1])?;
+        (Some(lease) != except && of(&row[2]) == Some(lease)).then_some(lease)
+    });
+    found.await
+}
+
+/// Waits until the last order to `e0` is in this phase.
+async fn phase(fleet: &Fleet, index: usize, sequence: u64, phase: &str) {
+    http::until("the order is in its phase", || async {
+        let rows = rows(fleet, index, "show orders").await?;
+        let row = rows.get("e0")?;
+        (row[2] == sequence.to_string() && row[6] == phase).then_some(())
+    })
+    .await;
+}
+
+async fn orders(engine: &Process) -> Vec<OrderRecord> {
+    http::read(&format!("{}/control/orders", engine.url())).await
+}
+
+async fn role(engine: &Process, role: Role) {
+    let url = format!("{}/v1/load", engine.url());
+    http::until("the engine has the role", || async {
+        let load: LoadBody = http::read(&url).await;
+        (load.role == role && !load.away).then_some(())
+    })
+    .await;
+}
+
+async fn fault(engine: &Process, fault: &EngineFault) {
+    let url = format!("{}/control/fault", engine.url());
+    http::send("PUT", &url, &[], fault).await;
+}
+
+/// No two orders that took effect conflict, and none of a stale holder took effect.
+fn assert_sound(orders: &[OrderRecord]) {
+    let applied: Vec<_> = orders.iter().filter(|o| o.applied).map(|o| &o.order).collect();
+    for pair in applied.windows(2) {
+        assert!(
+            pair[0].sequence <= pair[1].sequence,
+            "an older order came after: {orders:#?}"
+        );
+        assert!(
+            pair[0].fence <= pair[1].fence,
+            "a stale holder's order took effect: {orders:#?}"
+        );
+        if pair[0].sequence == pair[1].sequence {
+            assert_eq!(
+                (&pair[0].id, &pair[0].target),
+                (&pair[1].id, &pair[1].target),
+                "two orders under one number: {orders:#?}"
+            );
+        }
+    }
+}
+
+/// An operator changes an engine's role while a caller's answer streams from it. The caller must get its
+/// whole answer: the engine is changed only once it is empty. Cause of the cut without the guard: a change
+/// ends what runs.
+#[actix_web::test]
+async fn role_change_drains() {
+    let fleet = small("checked").start_configured().await;
+    let index = holder(&fleet, 0, None).await;
+    let (reply, ()) = futures_util::join!(fleet.complete(1 - index, "long check", 400, 3), async {
+        let url = format!("{}/v1/load", fleet.engines[0].url());
+        http::until("the answer streams", || async {
+            let load: LoadBody = http::read(&url).await;
+            (load.running > 0).then_some(())
+        })
+        .await;
+        fleet.apply(0, "set engine e0 role decode").await;
+    });
+    assert_eq!(reply.outcome.as_deref(), Some("whole"));
+    let body: serde_json::Value = reply.json();
+    assert_eq!(body["choices"][0]["text"], expected_text(3, "long check", 1, 400));
+    role(&fleet.engines[0], Role::Decode).await;
+    let cut: u64 = http::read(&format!("{}/control/cut", fleet.engines[0].url())).await;
+    assert_eq!(cut, 0);
+    phase(&fleet, 0, 1, "answered").await;
+    assert_eq!(orders(&fleet.engines[0]).await.len(), 1);
+}
+
+/// A holder is paused right as its order leaves. Another takes over and gives the same engine another order.
+/// The paused one's order arrives after that, and the engine, which checks numbers, must refuse it.
+#[actix_web::test]
+async fn paused_holder_checked() {
+    let (fleet, relay) = relayed("checked").await;
+    let first = holder(&fleet, 0, None).await;
+    let other = 1 - first;
+    relay.keep_next(1);
+    fleet.apply(other, "set engine e0 role decode").await;
+    relay.wait_for_kept(1).await;
+    fleet.daemons[first].signal("STOP");
+    assert_eq!(holder(&fleet, other, Some(first)).await, other);
+    phase(&fleet, other, 1, "answered").await;
+    fleet.apply(other, "set engine e0 role prefill").await;
+    phase(&fleet, other, 2, "answered").await;
+    relay.let_go();
+    http::until("the late order arrives", || async {
+        (orders(&fleet.engines[0]).await.len() == 3).then_some(())
+    })
+    .await;
+    fleet.daemons[first].signal("CONT");
+    holder(&fleet, first, None).await;
+    let orders = orders(&fleet.engines[0]).await;
+    assert_sound(&orders);
+    assert!(!orders[2].applied, "{orders:#?}");
+    role(&fleet.engines[0], Role::Prefill).await;
+}
+
+/// The same, at an engine that ignores numbers: nothing could stop the late order there. So the successor
+/// gives no order while the first may still arrive, and goes on once the engine's report shows it.
+#[actix_web::test]
+async fn paused_holder_ignored() {
+    let (fleet, relay) = relayed("ignored").await;
+    let first = holder(&fleet, 0, None).await;
+    let other = 1 - first;
+    relay.keep_next(1);
+    fleet.apply(other, "set engine e0 role decode").await;
+    relay.wait_for_kept(1).await;
+    fleet.daemons[first].signal("STOP");
+    holder(&fleet, other, Some(first)).await;
+    let version = fleet.apply(other, "set engine e0 role prefill").await;
+    metric(&fleet.daemons[other], "sequoiastream_orders_unsettled_total").await;
+    phase(&fleet, other, 1, "open").await;
+    assert_eq!(orders(&fleet.engines[0]).await.len(), 0);
+    relay.let_go();
+    phase(&fleet, other, 2, "answered").await;
+    fleet.daemons[first].signal("CONT");
+    fleet.wait_for_version(version).await;
+    let orders = orders(&fleet.engines[0]).await;
+    assert_sound(&orders);
+    let sequences: Vec<u64> = orders.iter().map(|o| o.order.sequence).collect();
+    assert_eq!(sequences, [1, 2]);
+    role(&fleet.engines[0], Role::Prefill).await;
+}
+
+/// Waits until a counter of a daemon is not zero.
+async fn metric(daemon: &Process, name: &str) {
+    let url = format!("{}/metrics", daemon.url());
+    http::until("the counter counts", || async {
+        let page = http::text(&url).await;
+        let value = page.lines().find_map(|line| line.strip_prefix(name))?;
+        (value.trim() != "0").then_some(())
+    })
+    .await;
+}
+
+/// A holder is killed with an order under way that never arrives. The engine ignores numbers, so nothing
+/// shows that it can't come: the engine serves on in its role until an operator releases the order.
+#[actix_web::test]
+async fn killed_holder_released() {
+    let (mut fleet, relay) = relayed("ignored").await;
+    let first = holder(&fleet, 0, None).await;
+    let other = 1 - first;
+    relay.keep_next(1);
+    fleet.apply(other, "set engine e0 role decode").await;
+    relay.wait_for_kept(1).await;
+    fleet.daemons[first].kill();
+    holder(&fleet, other, Some(first)).await;
+    metric(&fleet.daemons[other], "sequoiastream_orders_unsettled_total").await;
+    let reply = fleet.complete(other, "still served", 4, 9).await;
+    assert_eq!(reply.outcome.as_deref(), Some("whole"));
+    assert_eq!(orders(&fleet.engines[0]).await.len(), 0);
+    fleet.apply(other, "release order e0 sequence 1").await;
+    phase(&fleet, other, 2, "answered").await;
+    let rows = rows(&fleet, other, "show changes").await.expect("a table");
+    let audited = rows
+        .values()
+        .any(|row| row.iter().any(|c| c == "release order e0 sequence 1"));
+    assert!(audited, "{rows:#?}");
+    role(&fleet.engines[0], Role::Decode).await;
+    assert_sound(&orders(&fleet.engines[0]).await);
+}
+
+/// The answers to the writes of a take-over are lost after they took effect. There must be a holder all the
+/// same, and the order that follows is given once.
+#[actix_web::test]
+async fn lease_answer_lost() {
+    let fleet = small("checked").start().await;
+    let lost = Fault {
+        lose: 3,
+        ..Fault::default()
+    };
+    let version = fleet.apply(0, &fleet.statements()).await;
+    fleet.platform_fault(&lost).await;
+    fleet.wait_for_version(version).await;
+    holder(&fleet, 0, None).await;
+    fleet.apply(0, "set engine e0 role decode").await;
+    phase(&fleet, 0, 1, "answered").await;
+    let orders = orders(&fleet.engines[0]).await;
+    assert_sound(&orders);
+    assert_eq!(orders.len(), 1);
+}
+
+/// The key-value service goes down while an order is under way, and stays away longer than the lease lasts.
+/// The order took effect; nobody may give another until the service is back and the order's record closed.
+#[actix_web::test]
+async fn kv_down_in_the_middle() {
+    for fencing in ["checked", "ignored"] {
+        let (fleet, relay) = relayed(fencing).await;
+        let first = holder(&fleet, 0, None).await;
+        relay.keep_next(1);
+        fleet.apply(first, "set engine e0 role decode").await;
+        relay.wait_for_kept(1).await;
+        let outage = Fault {
+            outage: true,
+            ..Fault::default()
+        };
+        fleet.platform_fault(&outage).await;
+        relay.let_go();
+        role(&fleet.engines[0], Role::Decode).await;
+        let lapsed = format!("{}/metrics", fleet.daemons[first].url());
+        http::until("the holder stops to believe", || async {
+            let page = http::text(&lapsed).await;
+            page.contains("sequoiastream_authorities_believed 0")
+                .then_some(())
+        })
+        .await;
+        assert_eq!(orders(&fleet.engines[0]).await.len(), 1);
+        fleet.platform_fault(&Fault::default()).await;
+        holder(&fleet, 0, None).await;
+        fleet.apply(0, "set engine e0 role mixed").await;
+        phase(&fleet, 0, 2, "answered").await;
+        assert_sound(&orders(&fleet.engines[0]).await);
+    }
+}
+
+/// The engine crashes in the middle of a change and comes back as it was at first. One that checks numbers is
+/// given the same order again; one that ignores them gets none until an operator says that the first can't
+/// arrive any more.
+#[actix_web::test]
+async fn engine_crash_mid_change() {
+    for (fencing, sequence) in [("checked", 1), ("ignored", 2)] {
+        let mut fleet = small(fencing).start_configured().await;
+        let index = holder(&fleet, 0, None).await;
+        let crash = EngineFault {
+            crash: true,
+            ..EngineFault::default()
+        };
+        fault(&fleet.engines[0], &crash).await;
+        fleet.apply(0, "set engine e0 role decode").await;
+        fleet.engines[0].wait();
+        fleet.restart_engine(0);
+        if fencing == "ignored" {
+            metric(&fleet.daemons[index], "sequoiastream_orders_unsettled_total").await;
+            fleet.apply(0, "release order e0 sequence 1").await;
+        }
+        phase(&fleet, 0, sequence, "answered").await;
+        role(&fleet.engines[0], Role::Decode).await;
+        let orders = orders(&fleet.engines[0]).await;
+        assert_sound(&orders);
+        assert_eq!(orders.len(), 1, "{orders:#?}");
+    }
+}
--- /dev/null
+++ b/tests/testsuite/authority/seeded.rs
@@ -0,0 +1,1 @@
+//! Seeded runs.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 //! Tests of failures run real processes; tests of decisions drive `sequoiastream-core` directly. Nothing here
 //! sleeps to let something happen: tests wait on events.
 
+mod authority;
 mod cli;
 mod config;
 mod grammar;
