--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -4,12 +4,20 @@
 //! services are reached under `/services/NAME/...`. What a request leads to is decided by the daemon, through
 //! [`Gateway`]. Every final answer carries its outcome in the header `sequoiastream-outcome` and in the body.
 
+mod addresses;
 mod gateway;
+mod generate;
 mod http;
+mod proof;
 mod refusal;
+mod request;
 mod sse;
-pub mod wire;
+mod status;
+mod wire;
 
+pub use addresses::AddressBody;
+pub use gateway::AddressCall;
+pub use gateway::AddressList;
 pub use gateway::Answer;
 pub use gateway::AnswerEvent;
 pub use gateway::Finish;
@@ -17,6 +25,13 @@
 pub use gateway::ForwardReply;
 pub use gateway::Gateway;
 pub use gateway::GenerateCall;
+pub use gateway::Token;
 pub use http::OUTCOME;
 pub use http::configure;
+pub use proof::NotRun;
+pub use proof::Ran;
+pub use proof::Sent;
+pub use proof::Unsent;
 pub use refusal::Refusal;
+pub use status::RequestState;
+pub use status::StatusCall;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,16 +7,21 @@
 //!
 //! Invariants are checked here in release builds too, see [`invariant`].
 
+pub mod answer;
 pub mod arena;
 pub mod authority;
+pub mod claims;
 pub mod config;
 pub mod engine;
 pub mod invariant;
 pub mod log_event;
+pub mod membership;
 pub mod name;
 pub mod outcome;
+pub mod poison;
 pub mod prefix;
 pub mod route;
+pub mod shutdown;
 pub mod snapshot;
 pub mod splice;
 pub mod time;
--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -35,6 +35,8 @@
     101 STOPPING = "stopping";
     /// The instance has drained and exits.
     102 STOPPED = "stopped";
+    /// The instance refuses new work and finishes what runs.
+    103 REFUSING = "refusing";
     /// A new version of the configuration is in force here.
     200 CONFIG_IN_FORCE = "config-in-force";
     /// A change was accepted through this instance.
@@ -43,6 +45,8 @@
     202 CHANGE_REFUSED = "change-refused";
     /// A configuration older than the one in force was offered and ignored.
     203 CONFIG_STALE = "config-stale";
+    /// A snapshot of the configuration was stored, or could not be.
+    204 SNAPSHOT_STORED = "snapshot-stored";
     /// A call to the key-value service failed.
     300 KV_FAILED = "kv-failed";
     /// The key-value service answers again.
@@ -53,6 +57,12 @@
     400 ATTEMPT_FAILED = "attempt-failed";
     /// A request was refused.
     401 REFUSED = "refused";
+    /// An engine crashed while requests ran there; they are suspects now.
+    402 ENGINE_CRASHED = "engine-crashed";
+    /// A request crashed a second engine and is convicted.
+    403 CONVICTED = "convicted";
+    /// A conviction could not be written to the quarantine yet.
+    404 CONVICTION_UNWRITTEN = "conviction-unwritten";
     /// This instance holds the authority of a service now.
     500 AUTHORITY_TAKEN = "authority-taken";
     /// This instance no longer holds the authority of a service.
@@ -67,6 +77,28 @@
     505 ORDER_UNANSWERED = "order-unanswered";
     /// The weight store refused what an engine is to load.
     506 WEIGHTS_REFUSED = "weights-refused";
+    /// Claims can't be written: the key-value service fails.
+    600 CLAIMS_OUT = "claims-out";
+    /// Claims can be written again.
+    601 CLAIMS_BACK = "claims-back";
+    /// A claim was refused.
+    602 CLAIM_REFUSED = "claim-refused";
+    /// A claimed request was sent, and it is not known whether it ran.
+    603 CLAIM_UNKNOWN = "claim-unknown";
+    /// An owner of claims gave no sign of life; another was asked.
+    604 OWNER_SILENT = "owner-silent";
+    /// This instance's wall clock stepped; it refuses requests that may not be repeated.
+    605 CLOCK_STEPPED = "clock-stepped";
+    /// A bucket of claims can't be read.
+    606 CLAIMS_UNREADABLE = "claims-unreadable";
+    /// This instance stands differently towards the configuration in force.
+    700 STANDING = "standing";
+    /// A call to another instance failed.
+    701 PEER_FAILED = "peer-failed";
+    /// A message was refused: forged, replayed or unreadable.
+    702 PEER_REFUSED = "peer-refused";
+    /// The upstreams that the platform's list shows as leaving changed.
+    703 UPSTREAM_LEAVING = "upstream-leaving";
     /// An invariant was broken; the action was dropped.
     900 INVARIANT_BROKEN = "invariant-broken";
 }
--- a/crates/operator/src/statement.rs
+++ b/crates/operator/src/statement.rs
@@ -21,6 +21,8 @@
     Leases,
     /// The last order to each engine, and whether it is settled.
     Orders,
+    /// Claims on requests that may not be repeated, as far as this instance holds them.
+    Claims,
 }
 
 impl Table {
@@ -33,6 +35,7 @@
         ("quarantine", Table::Quarantine),
         ("leases", Table::Leases),
         ("orders", Table::Orders),
+        ("claims", Table::Claims),
     ];
 }
 
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,8 +1,21 @@
 //! The messages themselves.
 
+use std::collections::BTreeSet;
+
 use sequoiastream_core::authority::Incarnation;
 use sequoiastream_core::authority::Settlement;
+use sequoiastream_core::claims::Ask as ClaimAsk;
+use sequoiastream_core::claims::BucketId;
+use sequoiastream_core::claims::ClaimRef;
+use sequoiastream_core::claims::Edit;
+use sequoiastream_core::claims::Verdict;
+use sequoiastream_core::config::Update;
+use sequoiastream_core::config::Version;
+use sequoiastream_core::membership::Beat;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::poison::Ask;
+use sequoiastream_core::poison::Fingerprint;
+use sequoiastream_core::poison::Note;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -11,6 +24,8 @@
 pub enum Datagram {
     /// Only shows that the sender runs.
     Ping,
+    /// A heartbeat.
+    Beat(Beat),
 }
 
 /// A question over TCP.
@@ -18,6 +33,16 @@
 pub enum Request {
     /// Only asks for an answer.
     Ping,
+    /// Asks the owner of a shard for a claim.
+    Claim(ClaimAsk),
+    /// Asks the owner of a shard what is known of a claim.
+    Look(ClaimRef),
+    /// Tells the owner of a shard what became of a claim.
+    Edit(BucketId, Edit),
+    /// Asks for the configuration after this version.
+    Config(Version),
+    /// About requests that crash engines.
+    Poison(PoisonRequest),
     /// Asks to keep new work from an engine.
     Hold(Hold),
     /// Says that this engine may get work again.
@@ -31,12 +56,20 @@
 pub enum Response {
     /// Answer to [`Request::Ping`].
     Pong,
+    /// Answer to [`Request::Claim`] and [`Request::Look`].
+    Verdict(Verdict),
+    /// The message was taken.
+    Taken,
+    /// Answer to [`Request::Config`].
+    Config(Update),
+    /// Answer to [`Request::Poison`].
+    Poison(PoisonResponse),
     /// Answer to [`Request::Hold`]: requests that the peer has at the engine.
     InFlight(u32),
-    /// Answer to [`Request::Unhold`].
-    Unheld,
     /// Answer to [`Request::Settle`].
     Settled(Settlement),
+    /// The request is not served here.
+    Unserved,
 }
 
 /// Asks to keep new work from an engine before it is changed. Asked again while the change goes on.
@@ -60,3 +93,27 @@
     /// The order's sequence number.
     pub sequence: u64,
 }
+
+/// What instances tell each other of requests that crash engines.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PoisonRequest {
+    /// An engine crashed.
+    Note(Note),
+    /// May this suspect run alone there?
+    Ask(Ask),
+    /// It runs there no more, or was not granted by all.
+    Release(Ask),
+    /// It ran to its end: it is innocent.
+    Clear(Fingerprint),
+    /// It is convicted.
+    Convict(Fingerprint),
+}
+
+/// The answer to a [`PoisonRequest`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoisonResponse {
+    /// Whether the peer agrees to what was asked.
+    pub agreed: bool,
+    /// Requests of the peer that ran on the engine that a note says has crashed.
+    pub ran: BTreeSet<Fingerprint>,
+}
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -6,12 +6,15 @@
 
 mod engine;
 mod error;
+mod lines;
 mod plain;
 pub mod wire;
 
 pub use engine::EngineClient;
 pub use engine::EngineStream;
+pub use engine::Probe;
 pub use error::UpstreamError;
+pub use lines::LineReader;
 pub use plain::PlainCall;
 pub use plain::PlainClient;
 pub use plain::PlainReply;
--- a/src/ops/control/authority/drain.rs
+++ b/src/ops/control/authority/drain.rs
@@ -1,6 +1,5 @@
 //! Asking the other instances: to keep work from an engine, and what became of an order.
 
-use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,39 +9,28 @@
 use sequoiastream_core::authority::Event;
 use sequoiastream_core::authority::HoldAnswer;
 use sequoiastream_core::name::Name;
-use sequoiastream_core::time::Time;
 use sequoiastream_peer::call::CallClient;
 use sequoiastream_peer::message::Hold;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
 use sequoiastream_peer::message::SettleOrder;
 use sequoiastream_platform::KvClient;
-use sequoiastream_platform::Listed;
 
 use crate::ops::control::authority::Settle;
 use crate::ops::shared::Shared;
 use crate::util::clock;
 
-/// Age after which the platform's list is read again.
-const LIST_AGE: Duration = Duration::from_secs(3);
-
-/// The other instances, as the platform lists them.
+/// Calls to the other instances.
 pub struct Peers {
     shared: Arc<Shared>,
     kv: KvClient,
     client: CallClient,
-    list: RefCell<Option<(Time, Vec<Listed>)>>,
 }
 
 impl Peers {
-    /// Knows no instance yet.
+    /// Calls through `client`.
     pub fn new(shared: Arc<Shared>, kv: KvClient, client: CallClient) -> Peers {
-        Peers {
-            shared,
-            kv,
-            client,
-            list: RefCell::new(None),
-        }
+        Peers { shared, kv, client }
     }
 
     /// Asks all listed instances to keep work from `engine` for `time`; `None` if there is no list.
@@ -108,20 +96,15 @@
         }
     }
 
+    /// The other instances and their addresses. Before any is known, the platform's list is asked: an
+    /// instance that is missed would send work to an engine that is being changed.
     async fn others(&self) -> Option<BTreeMap<Name, SocketAddr>> {
-        let old = self
-            .list
-            .borrow()
-            .as_ref()
-            .is_none_or(|(at, _)| clock::now() >= *at + LIST_AGE);
-        if old && let Ok(list) = self.kv.instances().await {
-            *self.list.borrow_mut() = Some((clock::now(), list));
+        let roster = self.shared.roster();
+        if !roster.peers.is_empty() {
+            return Some(roster.peers.iter().map(|p| (p.name.clone(), p.peer)).collect());
         }
-        let list = self.list.borrow();
-        let (_, list) = list.as_ref()?;
-        let others = list
-            .iter()
-            .filter(|listed| listed.name != self.shared.settings.name);
-        Some(others.filter_map(|l| Some((l.name.clone(), l.peer?))).collect())
+        let list = self.kv.instances().await.ok()?;
+        let others = list.into_iter().filter(|l| l.name != self.shared.settings.name);
+        Some(others.filter_map(|l| Some((l.name, l.peer?))).collect())
     }
 }
--- a/src/ops/control/authority/mod.rs
+++ b/src/ops/control/authority/mod.rs
@@ -42,7 +42,7 @@
 use sequoiastream_operator::http::OperatorError;
 use sequoiastream_operator::wire::TableBody;
 use sequoiastream_peer::call::CallClient;
-use sequoiastream_peer::seal::ClusterKey;
+use sequoiastream_peer::message::SettleOrder;
 use sequoiastream_platform::Entry;
 use sequoiastream_platform::KvClient;
 use sequoiastream_platform::KvError;
@@ -55,6 +55,7 @@
 use uuid::Uuid;
 
 use crate::log_event;
+use crate::ops::control::Shutdown;
 use crate::ops::control::authority::drain::Peers;
 use crate::ops::control::authority::kv::Acquired;
 use crate::ops::shared::Shared;
@@ -125,17 +126,22 @@
 #[rtype(result = "Result<TableBody, OperatorError>")]
 pub struct ShowAuthorities(pub Table);
 
-/// Gives all authorities up, since this instance leaves. Answered once the leases are released.
-#[derive(Debug, Clone, Copy, Message)]
-#[rtype(result = "()")]
-pub struct Resign;
+impl From<SettleOrder> for Settle {
+    fn from(ask: SettleOrder) -> Settle {
+        Settle {
+            service: ask.service,
+            incarnation: ask.incarnation,
+            engine: ask.engine,
+            sequence: ask.sequence,
+        }
+    }
+}
 
 impl AuthorityActor {
     /// A keeper that holds nothing.
-    pub fn new(shared: Arc<Shared>, kv: KvClient) -> AuthorityActor {
-        let key = ClusterKey::new(&shared.settings.cluster);
+    pub fn new(shared: Arc<Shared>, kv: KvClient, calls: CallClient) -> AuthorityActor {
         AuthorityActor {
-            peers: Rc::new(Peers::new(shared.clone(), kv.clone(), CallClient::new(key))),
+            peers: Rc::new(Peers::new(shared.clone(), kv.clone(), calls)),
             shared,
             kv,
             engines: EngineClient::new(),
@@ -554,10 +560,11 @@
     }
 }
 
-impl Handler<Resign> for AuthorityActor {
+/// Gives all authorities up; answered once the leases are released, so that others can take over at once.
+impl Handler<Shutdown> for AuthorityActor {
     type Result = ResponseActFuture<Self, ()>;
 
-    fn handle(&mut self, Resign: Resign, context: &mut Context<Self>) -> Self::Result {
+    fn handle(&mut self, Shutdown: Shutdown, context: &mut Context<Self>) -> Self::Result {
         let mut leases = Vec::new();
         let services: Vec<Name> = self.units.keys().cloned().collect();
         for service in services {
--- a/src/ops/dispatch/mod.rs
+++ b/src/ops/dispatch/mod.rs
@@ -1,32 +1,47 @@
 //! What a traffic thread does with requests: picks upstreams, starts attempts and relays answers.
 
+mod addresses;
 mod forward;
 mod generate;
+mod once;
+mod owners;
+mod suspects;
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
+use sequoiastream_caller::AddressCall;
+use sequoiastream_caller::AddressList;
 use sequoiastream_caller::Answer;
 use sequoiastream_caller::ForwardCall;
 use sequoiastream_caller::ForwardReply;
 use sequoiastream_caller::Gateway;
 use sequoiastream_caller::GenerateCall;
 use sequoiastream_caller::Refusal;
+use sequoiastream_caller::RequestState;
+use sequoiastream_caller::StatusCall;
+use sequoiastream_core::config::ServiceKind;
 use sequoiastream_core::config::Version;
 use sequoiastream_core::name::Name;
+use sequoiastream_operator::Query;
 use sequoiastream_operator::Statement;
 use sequoiastream_operator::Table;
 use sequoiastream_operator::http::Executor;
 use sequoiastream_operator::http::OperatorError;
-use sequoiastream_operator::parse;
+use sequoiastream_operator::parse_script;
 use sequoiastream_operator::select;
 use sequoiastream_operator::wire::ReplyBody;
 use sequoiastream_operator::wire::StatementBody;
+use sequoiastream_peer::call::CallClient;
+use sequoiastream_peer::seal::ClusterKey;
 use sequoiastream_upstream::EngineClient;
 use sequoiastream_upstream::PlainClient;
 
 use crate::ops::control::Control;
 use crate::ops::control::Execute;
 use crate::ops::control::ShowAuthorities;
+use crate::ops::control::claims::ShowClaims;
 use crate::ops::shared::Shared;
 
 /// One traffic thread's side of the daemon.
@@ -36,16 +51,19 @@
     control: Control,
     engines: EngineClient,
     plain: PlainClient,
+    calls: CallClient,
 }
 
 impl Dispatch {
     /// A dispatcher with connection pools of its own.
     pub fn new(shared: Arc<Shared>, control: Control) -> Dispatch {
+        let calls = CallClient::new(ClusterKey::new(&shared.settings.cluster));
         Dispatch {
             shared,
             control,
             engines: EngineClient::new(),
             plain: PlainClient::new(),
+            calls,
         }
     }
 }
@@ -58,15 +76,38 @@
     }
 
     fn ready(&self) -> bool {
-        self.shared.snapshot.load().version > Version::default()
+        let closed = self.shared.is_leaving() || self.shared.closed().is_some();
+        !closed && self.shared.snapshot.load().version > Version::default()
+    }
+
+    fn models(&self) -> Vec<String> {
+        let snapshot = self.shared.snapshot.load();
+        let models = snapshot
+            .services
+            .iter()
+            .filter_map(|(_, service)| match &service.kind {
+                ServiceKind::Model { model } => Some(model.clone()),
+                ServiceKind::Plain { .. } => None,
+            });
+        models.collect::<BTreeSet<String>>().into_iter().collect()
     }
 
     async fn generate(&self, call: GenerateCall) -> Result<Answer, Refusal> {
-        generate::start(self, call)
+        let unsent = addresses::check_open(self, call.unsent)?;
+        generate::start(self, GenerateCall { unsent, ..call })
     }
 
     async fn forward(&self, call: ForwardCall) -> Result<ForwardReply, Refusal> {
-        forward::run(self, call).await
+        let unsent = addresses::check_open(self, call.unsent)?;
+        forward::run(self, ForwardCall { unsent, ..call }).await
+    }
+
+    async fn status(&self, call: StatusCall) -> Result<RequestState, Refusal> {
+        once::status(self, call).await
+    }
+
+    fn addresses(&self, call: AddressCall) -> Result<AddressList, Refusal> {
+        addresses::list(self, call)
     }
 
     fn metrics(&self) -> String {
@@ -80,17 +121,42 @@
         blake3::hash(token.as_bytes()) == blake3::hash(self.shared.settings.token.as_bytes())
     }
 
-    async fn execute(&self, statement: StatementBody) -> Result<ReplyBody, OperatorError> {
-        if let Ok(Statement::Show(query)) = parse(&statement.text)
-            && matches!(query.table, Table::Leases | Table::Orders)
-        {
+    async fn execute(
+        &self,
+        statement: StatementBody,
+        from: Option<SocketAddr>,
+    ) -> Result<ReplyBody, OperatorError> {
+        if let Some(query) = claims_query(&statement) {
+            let table = self.control.claims.send(ShowClaims).await;
+            let table = table.map_err(|e| OperatorError::Platform(e.to_string()))?;
+            return select(table, &query).map(ReplyBody::Table);
+        }
+        if let Some(query) = authority_query(&statement) {
             let shown = self.control.authority.send(ShowAuthorities(query.table)).await;
             let table = shown.map_err(|e| OperatorError::Platform(e.to_string()))??;
             return select(table, &query).map(ReplyBody::Table);
         }
-        match self.control.config.send(Execute(statement)).await {
+        match self.control.config.send(Execute(statement, from)).await {
             Ok(result) => result,
             Err(error) => Err(OperatorError::Platform(error.to_string())),
         }
     }
 }
+
+/// The query for the table of claims, if the statement is just that.
+fn claims_query(statement: &StatementBody) -> Option<Query> {
+    match parse_script(&statement.text).ok()?.as_slice() {
+        [Statement::Show(query)] if query.table == Table::Claims => Some(query.clone()),
+        _ => None,
+    }
+}
+
+/// The query for the table of leases or orders, if the statement is just that.
+fn authority_query(statement: &StatementBody) -> Option<Query> {
+    match parse_script(&statement.text).ok()?.as_slice() {
+        [Statement::Show(query)] if matches!(query.table, Table::Leases | Table::Orders) => {
+            Some(query.clone())
+        }
+        _ => None,
+    }
+}
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -1,16 +1,28 @@
 //! What the control thread and the traffic threads share.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
+use sequoiastream_core::claims::KeyClock;
+use sequoiastream_core::claims::Owners;
+use sequoiastream_core::membership::Roster;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::outcome::Reason;
+use sequoiastream_core::poison::Poison;
 use sequoiastream_core::route::Router;
 use sequoiastream_core::snapshot::Snapshot;
 use sequoiastream_core::time::Time;
+use tokio::sync::watch;
 
+use crate::ops::stops::Stops;
 use crate::settings::Settings;
+use crate::util::clock;
 use crate::util::metrics::Metrics;
 
 /// Shared between all threads of a daemon.
@@ -22,22 +34,58 @@
     pub snapshot: ArcSwap<Snapshot>,
     /// Counts of what happened.
     pub metrics: Metrics,
+    /// Judges the age of idempotency keys.
+    pub keys: KeyClock,
+    /// Attempts that can be stopped.
+    pub stops: Stops,
     router: Mutex<Router>,
     held: Mutex<BTreeMap<Name, Time>>,
+    owners: Mutex<Owners>,
+    poison: Mutex<Poison>,
+    roster: watch::Sender<Arc<Roster>>,
+    leaving: AtomicBool,
+    refusing: AtomicBool,
+    running: Arc<AtomicUsize>,
+}
+
+/// A piece of work that a shutdown waits for, until it is dropped.
+#[derive(Debug)]
+pub struct Running(Arc<AtomicUsize>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 impl Shared {
     /// Shared state before the first configuration is known.
     pub fn new(settings: Settings) -> Shared {
+        let poison = Poison::new(settings.name.clone());
         Shared {
             settings,
             snapshot: ArcSwap::default(),
             metrics: Metrics::new(),
+            keys: KeyClock::new(clock::both()),
+            owners: Mutex::default(),
+            stops: Stops::default(),
             router: Mutex::new(Router::new()),
             held: Mutex::default(),
+            poison: Mutex::new(poison),
+            roster: watch::Sender::default(),
+            leaving: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
+            running: Arc::new(AtomicUsize::new(0)),
         }
     }
 
+    /// The router. Held for one decision, never across an await.
+    pub fn router(&self) -> MutexGuard<'_, Router> {
+        self.router
+            .lock()
+            .expect("no thread panics while it holds the router")
+    }
+
     /// Keeps new work from `engine` until `until`, and tells how many requests this instance has there.
     ///
     /// The router is locked first: a request that was given to the engine before is counted, and a later one
@@ -68,10 +116,66 @@
             .expect("no thread panics while it holds the held engines")
     }
 
-    /// The router. Held for one decision, never across an await.
-    pub fn router(&self) -> MutexGuard<'_, Router> {
-        self.router
+    /// Which owners of claims were silent. Held for one decision, never across an await.
+    pub fn owners(&self) -> MutexGuard<'_, Owners> {
+        self.owners
             .lock()
-            .expect("no thread panics while it holds the router")
+            .expect("no thread panics while it holds the owners")
+    }
+
+    /// The records of requests that crash engines. Held for one decision, never across an await.
+    pub fn poison(&self) -> MutexGuard<'_, Poison> {
+        self.poison
+            .lock()
+            .expect("no thread panics while it holds the records")
+    }
+
+    /// The other instances, as last published.
+    pub fn roster(&self) -> Arc<Roster> {
+        self.roster.borrow().clone()
+    }
+
+    /// Follows the published rosters.
+    pub fn follow_roster(&self) -> watch::Receiver<Arc<Roster>> {
+        self.roster.subscribe()
+    }
+
+    /// Publishes `roster` and returns the one before.
+    pub fn publish_roster(&self, roster: Roster) -> Arc<Roster> {
+        self.roster.send_replace(Arc::new(roster))
+    }
+
+    /// Why new work must be refused now, if it must.
+    pub fn closed(&self) -> Option<Reason> {
+        if self.refusing.load(Ordering::Acquire) {
+            return Some(Reason::Stopping);
+        }
+        (!self.roster.borrow().standing.is_open()).then_some(Reason::Isolated)
+    }
+
+    /// Counts a piece of work as running until the result is dropped.
+    pub fn begin_work(&self) -> Running {
+        self.running.fetch_add(1, Ordering::AcqRel);
+        Running(self.running.clone())
+    }
+
+    /// Pieces of work that run.
+    pub fn count_running(&self) -> usize {
+        self.running.load(Ordering::Acquire)
+    }
+
+    /// Whether this instance is shutting down.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Marks this instance as shutting down: it names itself to callers no more.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    /// Marks this instance as refusing new work.
+    pub fn refuse(&self) {
+        self.refusing.store(true, Ordering::Release);
     }
 }
--- a/src/ops/tables.rs
+++ b/src/ops/tables.rs
@@ -7,8 +7,8 @@
 use sequoiastream_core::config::Config;
 use sequoiastream_core::config::EngineState;
 use sequoiastream_core::config::Fencing;
-use sequoiastream_core::config::Head;
 use sequoiastream_core::config::ServiceKind;
+use sequoiastream_core::config::State;
 use sequoiastream_core::time::WallTime;
 use sequoiastream_operator::Table;
 use sequoiastream_operator::wire::TableBody;
@@ -93,17 +93,19 @@
     rows
 }
 
-/// The audit trail, newest change first.
-pub fn changes(head: &Head) -> TableBody {
-    let rows = head.tail.iter().rev().map(|change| {
+/// The audit trail, newest change first. Refused changes have no entry; event 202 logs them.
+pub fn changes(state: &State) -> TableBody {
+    let rows = state.past.iter().rev().map(|past| {
         vec![
-            change.version.to_string(),
-            rfc3339(change.when),
-            change.who.clone(),
-            change.statement.clone(),
+            past.version.to_string(),
+            rfc3339(past.when),
+            past.who.clone(),
+            past.from.clone(),
+            "accepted".to_string(),
+            past.statement.clone(),
         ]
     });
-    table(&["version", "when", "who", "statement"], rows)
+    table(&["version", "when", "who", "from", "outcome", "statement"], rows)
 }
 
 /// A wall time for people.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,9 @@
 //! They are checked as a whole: [`Settings::read`] names every fault at once, so that an operator mends a
 //! start-up in one go.
 
+mod limits;
+mod patience;
+
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,9 +15,14 @@
 use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
+use sequoiastream_core::claims::OwnerSettings;
+use sequoiastream_core::membership::Limits;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::shutdown::Times;
 use thiserror::Error;
 
+pub use patience::Patience;
+
 /// Shortest operator token and cluster key, in bytes.
 const MIN_SECRET: usize = 16;
 
@@ -52,6 +60,16 @@
     pub wait: Duration,
     /// How long the lease of a service's authority lasts after its last renewal.
     pub lease: Duration,
+    /// How claims are grouped into writes.
+    pub grouping: OwnerSettings,
+    /// Limits of membership.
+    pub limits: Limits,
+    /// Time between two looks at the platform's lists.
+    pub lists: Duration,
+    /// Times of a shutdown.
+    pub times: Times,
+    /// How long engines may be silent.
+    pub patience: Patience,
     /// How log lines are written.
     pub format: LogFormat,
     /// Only check the settings.
@@ -155,6 +173,12 @@
             "How long the lease of a service's authority lasts after its last renewal",
             "10000",
         ))
+        .arg(number(
+            "claim-pace-ms",
+            "SEQUOIASTREAM_CLAIM_PACE_MS",
+            "Least time between two writes of a claim bucket; 0 writes each claim by itself",
+            "80",
+        ))
         .arg(
             text(
                 "log-format",
@@ -164,6 +188,8 @@
             .value_parser(["text", "json"])
             .default_value("text"),
         )
+        .args(limits::args())
+        .args(patience::args())
         .arg(
             Arg::new("check")
                 .long("check")
@@ -204,6 +230,11 @@
         let deadline = reader.positive("kv-deadline-ms");
         let wait = reader.positive("watch-ms");
         let lease = reader.positive("lease-ms");
+        let grouping = grouping(matches);
+        let limits = limits::limits(&mut reader);
+        let lists = limits::lists(&mut reader);
+        let times = limits::times(&mut reader);
+        let patience = patience::patience(&mut reader);
         let format = match reader.text("log-format").as_str() {
             "json" => LogFormat::Json,
             _ => LogFormat::Text,
@@ -226,12 +257,28 @@
             deadline: Duration::from_millis(deadline),
             wait: Duration::from_millis(wait),
             lease: Duration::from_millis(lease),
+            grouping,
+            limits,
+            lists,
+            times,
+            patience,
             format,
             check: matches.get_flag("check"),
         })
     }
 }
 
+fn grouping(matches: &ArgMatches) -> OwnerSettings {
+    match matches.get_one::<u64>("claim-pace-ms").copied() {
+        Some(0) => OwnerSettings::ungrouped(),
+        Some(millis) => OwnerSettings {
+            pace: Duration::from_millis(millis),
+            ..OwnerSettings::default()
+        },
+        None => OwnerSettings::default(),
+    }
+}
+
 /// Reads settings and gathers what is wrong with them.
 struct Reader<'a> {
     matches: &'a ArgMatches,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 //! sleeps to let something happen: tests wait on events.
 
 mod authority;
+mod claims;
 mod cli;
 mod config;
 mod grammar;
@@ -11,5 +12,7 @@
 mod path;
 mod peer;
 mod platform;
+mod poison;
+mod streams;
 mod support;
 mod upstream;
