--- a/crates/caller/src/wire.rs
+++ b/crates/caller/src/wire.rs
@@ -81,8 +81,11 @@
     #[serde(default)]
     pub prompt: Option<Prompt>,
     /// Most tokens to generate.
-    #[serde(default, alias = "max_completion_tokens")]
+    #[serde(default)]
     pub max_tokens: Option<u32>,
+    /// The same by its newer name.
+    #[serde(default, rename = "max_completion_tokens")]
+    pub max_completion: Option<u32>,
     /// Whether to stream the answer.
     #[serde(default, deserialize_with = "or_default")]
     pub stream: bool,
@@ -103,6 +106,13 @@
     pub tools: Option<Vec<serde_json::Value>>,
 }
 
+impl CompletionBody {
+    /// Most tokens to generate, by whichever name the caller used.
+    pub fn limit(&self) -> Option<u32> {
+        self.max_completion.or(self.max_tokens)
+    }
+}
+
 /// Takes `null` for the default, as ordinary clients do.
 fn or_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
 where
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,15 +3,19 @@
 //! Tests of failures run real processes; tests of decisions drive `sequoiastream-core` directly. Nothing here
 //! sleeps to let something happen: tests wait on events.
 
+mod answers;
+mod callers;
 mod claims;
 mod cli;
 mod config;
 mod grammar;
 mod log_events;
+mod outcomes;
 mod path;
 mod peer;
 mod poison;
 mod policy;
 mod streams;
 mod support;
+mod suspects;
 mod upstream;
