--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -101,6 +101,8 @@
     Note(Note),
     /// May this suspect run alone there?
     Ask(Ask),
+    /// It runs there now: whatever else runs there must move.
+    Vacate(Name),
     /// It runs there no more, or was not granted by all.
     Release(Ask),
     /// It ran to its end: it is innocent.
--- a/crates/testsupport/src/lib.rs
+++ b/crates/testsupport/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod delay;
 pub mod fleet;
 pub mod http;
-pub mod process;
+
+pub use sequoiastream_standin::process;
--- a/src/ops/control/mod.rs
+++ b/src/ops/control/mod.rs
@@ -6,6 +6,7 @@
 mod authority;
 pub mod claims;
 mod config;
+mod load;
 mod membership;
 mod peers;
 
@@ -40,6 +41,7 @@
 pub use config::ConfigActor;
 pub use config::Execute;
 pub use config::InForce;
+pub use load::LoadActor;
 pub use membership::Leave;
 pub use membership::MembershipActor;
 
@@ -156,6 +158,7 @@
     let membership = membership.start();
     let claims = ClaimsActor::new(shared.clone(), kv(settings)).start();
     let authority = AuthorityActor::new(shared.clone(), kv(settings), calls).start();
+    LoadActor::new(shared.clone()).start();
     let responder = PeerResponder {
         authority: authority.clone(),
         config: config.clone(),
--- a/src/ops/dispatch/mod.rs
+++ b/src/ops/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! What a traffic thread does with requests: picks upstreams, starts attempts and relays answers.
 
 mod addresses;
+mod admit;
 mod forward;
 mod generate;
 mod once;
@@ -10,6 +11,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use sequoiastream_caller::AddressCall;
 use sequoiastream_caller::AddressList;
@@ -80,6 +82,10 @@
         !closed && self.shared.snapshot.load().version > Version::default()
     }
 
+    fn body_time(&self) -> Duration {
+        self.shared.settings.patience.body
+    }
+
     fn models(&self) -> Vec<String> {
         let snapshot = self.shared.snapshot.load();
         let models = snapshot
@@ -94,7 +100,8 @@
 
     async fn generate(&self, call: GenerateCall) -> Result<Answer, Refusal> {
         let unsent = addresses::check_open(self, call.unsent)?;
-        generate::start(self, GenerateCall { unsent, ..call })
+        let call = admit::admit(self, GenerateCall { unsent, ..call })?;
+        generate::start(self, call)
     }
 
     async fn forward(&self, call: ForwardCall) -> Result<ForwardReply, Refusal> {
--- a/src/ops/dispatch/suspects.rs
+++ b/src/ops/dispatch/suspects.rs
@@ -15,6 +15,7 @@
 use sequoiastream_core::poison::Fingerprint;
 use sequoiastream_core::poison::Note;
 use sequoiastream_core::poison::Standing;
+use sequoiastream_core::route::Ticket;
 use sequoiastream_core::snapshot::Snapshot;
 use sequoiastream_operator::wire::StatementBody;
 use sequoiastream_peer::message::PoisonRequest;
@@ -59,6 +60,10 @@
     pub name: Name,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Priority there; 0 is the most urgent.
+    pub priority: u8,
+    /// What the router knows the attempt by.
+    ticket: Ticket,
     /// The hold under which a suspect runs there alone.
     hold: Option<Ask>,
 }
@@ -85,40 +90,52 @@
         }
         let standing = self.shared.poison().standing(clock::now(), request.fingerprint);
         match standing {
-            Standing::Clear => match self.route_clear(&snapshot, request, tried) {
-                Some(target) => Picked::Target(target),
-                None => Picked::Empty,
-            },
+            Standing::Clear => self.route_clear(&snapshot, request, tried),
             Standing::Suspect => self.hold_one(&snapshot, request, tried).await,
             Standing::Pending => Picked::Busy,
             Standing::Convicted => Picked::Barred,
         }
     }
 
-    /// Picks an engine without a hold, or any if all have one.
-    fn route_clear(&self, snapshot: &Snapshot, request: &Request, tried: &[Name]) -> Option<Target> {
+    /// Picks an engine that no suspect holds.
+    fn route_clear(&self, snapshot: &Snapshot, request: &Request, tried: &[Name]) -> Picked {
         let held = self.shared.poison().held(clock::now());
-        if held.is_empty() {
-            return self.route(snapshot, request, tried);
+        let except: Vec<Name> = tried.iter().chain(&held).cloned().collect();
+        if let Some(target) = self.route(snapshot, request, &except) {
+            return Picked::Target(target);
+        }
+        let waits = engines_of(snapshot, request).any(|e| held.contains(&e) && !tried.contains(&e));
+        match waits {
+            true => Picked::Busy,
+            false => Picked::Empty,
         }
-        let except: Vec<Name> = tried.iter().cloned().chain(held).collect();
-        let free = self.route(snapshot, request, &except);
-        free.or_else(|| self.route(snapshot, request, tried))
     }
 
     fn route(&self, snapshot: &Snapshot, request: &Request, except: &[Name]) -> Option<Target> {
+        let now = clock::now();
         let mut router = self.shared.router();
         let mut except = except.to_vec();
-        except.extend(self.shared.held(clock::now()));
-        let key = router.pick(snapshot, request.service, &except)?;
-        let engine = snapshot.engines.get(key)?;
+        except.extend(self.shared.held(now));
+        let choice = router.choose(now, snapshot, &request.ask, &except)?;
         Some(Target {
-            name: engine.name.clone(),
-            address: engine.address,
+            name: choice.name,
+            address: choice.address,
+            priority: choice.priority.max(request.priority),
+            ticket: choice.ticket,
             hold: None,
         })
     }
 
+    /// Tells the router that an attempt brought its first token.
+    pub fn started(&self, target: &Target) {
+        self.shared.router().started(&target.ticket);
+    }
+
+    /// Tells the router that an attempt failed before its end: the engine gets no work for a moment.
+    pub fn avoid(&self, target: &Target) {
+        self.shared.router().failed(clock::now(), &target.ticket);
+    }
+
     /// Takes a hold on some engine for a suspect.
     async fn hold_one(&self, snapshot: &Snapshot, request: &Request, tried: &[Name]) -> Picked {
         let untried = engines_of(snapshot, request).filter(|e| !tried.contains(e));
@@ -180,6 +197,9 @@
         let answers = self.tell(PoisonRequest::Ask(ask.clone())).await;
         let agreed = answers.iter().all(|a| a.agreed);
         if agreed && self.shared.poison().on_agreed(ask) {
+            let moving = self.shared.poison().to_move(&ask.engine);
+            self.shared.stops.stop(&moving);
+            self.tell(PoisonRequest::Vacate(ask.engine.clone())).await;
             return true;
         }
         self.free(ask.clone()).await;
@@ -203,7 +223,7 @@
 
     /// Gives a target back that no attempt was sent to.
     pub async fn release(&self, target: Target) {
-        self.shared.router().done(&target.name);
+        self.shared.router().end(&target.ticket);
         if let Some(ask) = target.hold {
             self.free(ask).await;
         }
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -9,6 +9,7 @@
 pub mod daemon;
 pub mod dispatch;
 pub mod exchange;
+pub mod policy;
 pub mod shared;
 pub mod stops;
 pub mod tables;
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -20,6 +20,8 @@
 use sequoiastream_core::time::Time;
 use tokio::sync::watch;
 
+use crate::ops::policy;
+use crate::ops::policy::PolicyState;
 use crate::ops::stops::Stops;
 use crate::settings::Settings;
 use crate::util::clock;
@@ -36,6 +38,8 @@
     pub metrics: Metrics,
     /// Judges the age of idempotency keys.
     pub keys: KeyClock,
+    /// Limits, retry budgets and demand.
+    pub policy: PolicyState,
     /// Attempts that can be stopped.
     pub stops: Stops,
     router: Mutex<Router>,
@@ -61,6 +65,8 @@
 impl Shared {
     /// Shared state before the first configuration is known.
     pub fn new(settings: Settings) -> Shared {
+        let router = router(&settings);
+        let policy = PolicyState::new(&settings);
         let poison = Poison::new(settings.name.clone());
         Shared {
             settings,
@@ -68,8 +74,9 @@
             metrics: Metrics::new(),
             keys: KeyClock::new(clock::both()),
             owners: Mutex::default(),
+            policy,
+            router: Mutex::new(router),
             stops: Stops::default(),
-            router: Mutex::new(Router::new()),
             held: Mutex::default(),
             poison: Mutex::new(poison),
             roster: watch::Sender::default(),
@@ -179,3 +186,11 @@
         self.refusing.store(true, Ordering::Release);
     }
 }
+
+/// The router of an instance. Its seed comes from the instance's name, so that instances draw differently.
+fn router(settings: &Settings) -> Router {
+    Router::new()
+        .policy(settings.policy.routing())
+        .zone(settings.zone.clone())
+        .seed(policy::seed(settings))
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -18,6 +18,7 @@
 use sequoiastream_core::claims::OwnerSettings;
 use sequoiastream_core::membership::Limits;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::policy::Policy;
 use sequoiastream_core::shutdown::Times;
 use thiserror::Error;
 
@@ -26,6 +27,9 @@
 /// Shortest operator token and cluster key, in bytes.
 const MIN_SECRET: usize = 16;
 
+/// Values of `--policy`.
+const POLICIES: [&str; 5] = ["adaptive", "fixed", "threshold", "least-load", "round-robin"];
+
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LogFormat {
@@ -62,13 +66,19 @@
     pub lease: Duration,
     /// How claims are grouped into writes.
     pub grouping: OwnerSettings,
+    /// How requests are routed and roles changed.
+    pub policy: Policy,
+    /// How often engines are asked for their load.
+    pub poll: Duration,
+    /// How long a role change takes an engine away.
+    pub away: Duration,
     /// Limits of membership.
     pub limits: Limits,
     /// Time between two looks at the platform's lists.
     pub lists: Duration,
     /// Times of a shutdown.
     pub times: Times,
-    /// How long engines may be silent.
+    /// How long engines and callers may be silent.
     pub patience: Patience,
     /// How log lines are written.
     pub format: LogFormat,
@@ -179,6 +189,27 @@
             "Least time between two writes of a claim bucket; 0 writes each claim by itself",
             "80",
         ))
+        .arg(
+            text(
+                "policy",
+                "SEQUOIASTREAM_POLICY",
+                "How requests are routed and roles changed; all but `adaptive` are baselines",
+            )
+            .value_parser(POLICIES)
+            .default_value("adaptive"),
+        )
+        .arg(number(
+            "load-ms",
+            "SEQUOIASTREAM_LOAD_MS",
+            "How often engines are asked for their load",
+            "500",
+        ))
+        .arg(number(
+            "away-ms",
+            "SEQUOIASTREAM_AWAY_MS",
+            "How long a role change takes an engine away; the planner's times follow from it",
+            "3000",
+        ))
         .arg(
             text(
                 "log-format",
@@ -231,6 +262,9 @@
         let wait = reader.positive("watch-ms");
         let lease = reader.positive("lease-ms");
         let grouping = grouping(matches);
+        let poll = reader.positive("load-ms");
+        let away = reader.positive("away-ms");
+        let policy = reader.parsed::<Policy>("policy").unwrap_or_default();
         let limits = limits::limits(&mut reader);
         let lists = limits::lists(&mut reader);
         let times = limits::times(&mut reader);
@@ -258,6 +292,9 @@
             wait: Duration::from_millis(wait),
             lease: Duration::from_millis(lease),
             grouping,
+            policy,
+            poll: Duration::from_millis(poll),
+            away: Duration::from_millis(away),
             limits,
             lists,
             times,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,16 +3,21 @@
 //! Tests of failures run real processes; tests of decisions drive `sequoiastream-core` directly. Nothing here
 //! sleeps to let something happen: tests wait on events.
 
+mod answers;
 mod authority;
+mod callers;
 mod claims;
 mod cli;
 mod config;
 mod grammar;
 mod log_events;
+mod outcomes;
 mod path;
 mod peer;
 mod platform;
 mod poison;
+mod policy;
 mod streams;
 mod support;
+mod suspects;
 mod upstream;
