Keep a call budget per instance and spread calls after an outage

Cause: nothing bounded the calls of an instance, a swap's tries followed each other at once, and no metric showed calls. Ruled out: failing calls at the first one over the budget, which would drop lease renewals in a burst of claims; a call waits its turn up to its deadline instead. Change: one token bucket (--kv-rate, 100 a second, twice as many at once) shared by all clients of an instance; a random pause before calls while calls fail; a total deadline for a write's tries; metrics platform_calls, _failed, _refused by kind. A table of faults for swap and lease against the stand-in platform, racing writers, a write overwritten before its writer learned of it. Seen red, each with its guard taken out and green with it: ambiguous conflict told as a conflict (swap_overwritten_after_lost_answer, swap_concurrent_writers), own operation not recognised (swap_table), no budget (meter_budget_spent), no pause (meter_outage_pauses), lapsed lease told as renewed (lease_table).

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::fmt;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use awc::Client;
@@ -16,11 +17,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::time::sleep;
 use tokio::time::timeout;
 use uuid::Uuid;
 
 use crate::budget::CallKind;
-use crate::budget::CallStats;
+use crate::budget::CallMeter;
+use crate::budget::pause;
 use crate::envelope;
 use crate::envelope::Operation;
 use crate::error::KvError;
@@ -35,6 +38,9 @@
 /// How often an ambiguous write is tried and read back before it is given up as unresolved.
 const RESOLVE_TRIES: u32 = 4;
 
+/// Longest time of a write with all its tries, in deadlines of one call.
+const TOTAL_DEADLINES: u32 = 4;
+
 /// Largest answer read, in bytes: a value of a megabyte in base64, and its frame.
 const MAX_ANSWER: usize = 2 * 1024 * 1024;
 
@@ -90,7 +96,7 @@
     deadline: Duration,
     incarnation: Uuid,
     numbers: Rc<Cell<u64>>,
-    stats: Rc<CallStats>,
+    meter: Arc<CallMeter>,
 }
 
 impl KvClient {
@@ -109,13 +115,14 @@
             deadline,
             incarnation,
             numbers: Rc::new(Cell::new(0)),
-            stats: Rc::new(CallStats::default()),
+            meter: Arc::default(),
         }
     }
 
-    /// Calls made so far.
-    pub fn stats(&self) -> &CallStats {
-        &self.stats
+    /// Shares the call budget of `meter` with the other clients of the instance.
+    pub fn meter(mut self, meter: Arc<CallMeter>) -> KvClient {
+        self.meter = meter;
+        self
     }
 
     /// Reads `key`.
@@ -124,10 +131,12 @@
     ///
     /// [`KvError`] if no usable answer came in time.
     pub async fn get(&self, key: &str) -> Result<Entry, KvError> {
-        self.stats.count(CallKind::Read);
         let url = format!("{}/v1/kv/{key}", self.base);
-        let answer = self.call(self.http.get(url).send(), self.deadline).await?;
-        self.entry(answer).await.map(|(entry, _)| entry)
+        let get = async {
+            let answer = self.call(self.http.get(url).send(), self.deadline).await?;
+            self.entry(answer).await.map(|(entry, _)| entry)
+        };
+        self.metered(CallKind::Read, get).await
     }
 
     /// Writes `value` to `key` if the key still stands as `expect` says.
@@ -149,8 +158,24 @@
     ) -> Result<Swap, KvError> {
         let operation = self.next_operation();
         let body = Bytes::from(envelope::wrap(operation, value));
+        let tries = self.swap_tries(key, expect, operation, body, lease);
+        match timeout(self.deadline * TOTAL_DEADLINES, tries).await {
+            Ok(result) => result,
+            Err(_) => Err(KvError::Unresolved),
+        }
+    }
+
+    async fn swap_tries(
+        &self,
+        key: &str,
+        expect: Expect,
+        operation: Operation,
+        body: Bytes,
+        lease: Option<LeaseId>,
+    ) -> Result<Swap, KvError> {
         let mut ambiguous = false;
-        for _ in 0..RESOLVE_TRIES {
+        for tried in 0..RESOLVE_TRIES {
+            sleep(pause(tried)).await;
             match self.try_swap(key, expect, body.clone(), lease).await {
                 Ok(TrySwap::Done(version)) => return Ok(Swap::Done(version)),
                 Ok(TrySwap::Conflict(entry, Some(by))) if by == operation => {
@@ -175,7 +200,6 @@
     ///
     /// [`KvError`] if no usable answer came within `wait` and the call's deadline.
     pub async fn watch(&self, key: &str, after: KvVersion, wait: Duration) -> Result<Option<Entry>, KvError> {
-        self.stats.count(CallKind::Watch);
         let url = format!(
             "{}/v1/watch/{key}?after={}&wait_ms={}",
             self.base,
@@ -183,11 +207,14 @@
             wait.as_millis()
         );
         let limit = wait + self.deadline;
-        let answer = self.call(self.http.get(url).timeout(limit).send(), limit).await?;
-        match answer.status().as_u16() {
-            304 => Ok(None),
-            _ => self.entry(answer).await.map(|(entry, _)| Some(entry)),
-        }
+        let watch = async {
+            let answer = self.call(self.http.get(url).timeout(limit).send(), limit).await?;
+            match answer.status().as_u16() {
+                304 => Ok(None),
+                _ => self.entry(answer).await.map(|(entry, _)| Some(entry)),
+            }
+        };
+        self.metered(CallKind::Watch, watch).await
     }
 
     /// Asks for a lease that lapses `ttl` after its last renewal.
@@ -196,11 +223,13 @@
     ///
     /// [`KvError`] if no usable answer came in time; a lease that was granted all the same lapses by itself.
     pub async fn grant(&self, ttl: Duration) -> Result<LeaseId, KvError> {
-        self.stats.count(CallKind::Lease);
         let url = format!("{}/v1/lease?ttl_ms={}", self.base, ttl.as_millis());
-        let answer = self.call(self.http.post(url).send(), self.deadline).await?;
-        let body: LeaseBody = self.json(answer).await?;
-        Ok(LeaseId(body.id))
+        let grant = async {
+            let answer = self.call(self.http.post(url).send(), self.deadline).await?;
+            let body: LeaseBody = self.json(answer).await?;
+            Ok(LeaseId(body.id))
+        };
+        self.metered(CallKind::Lease, grant).await
     }
 
     /// Renews a lease. The holder counts its time from before this call was sent.
@@ -209,13 +238,15 @@
     ///
     /// [`KvError::LeaseLapsed`] if it has lapsed; another [`KvError`] if no usable answer came in time.
     pub async fn renew(&self, lease: LeaseId) -> Result<(), KvError> {
-        self.stats.count(CallKind::Lease);
         let url = format!("{}/v1/lease/{}", self.base, lease.0);
-        let answer = self.call(self.http.put(url).send(), self.deadline).await?;
-        match answer.status().as_u16() {
-            404 => Err(KvError::LeaseLapsed),
-            _ => expect_success(&answer),
-        }
+        let renew = async {
+            let answer = self.call(self.http.put(url).send(), self.deadline).await?;
+            match answer.status().as_u16() {
+                404 => Err(KvError::LeaseLapsed),
+                _ => expect_success(&answer),
+            }
+        };
+        self.metered(CallKind::Lease, renew).await
     }
 
     /// Releases a lease and the keys bound to it.
@@ -224,10 +255,12 @@
     ///
     /// [`KvError`] if no usable answer came in time; the lease then lapses by itself.
     pub async fn release(&self, lease: LeaseId) -> Result<(), KvError> {
-        self.stats.count(CallKind::Lease);
         let url = format!("{}/v1/lease/{}", self.base, lease.0);
-        let answer = self.call(self.http.delete(url).send(), self.deadline).await?;
-        expect_success(&answer)
+        let release = async {
+            let answer = self.call(self.http.delete(url).send(), self.deadline).await?;
+            expect_success(&answer)
+        };
+        self.metered(CallKind::Lease, release).await
     }
 
     /// The platform's list of entry instances, as old as its lag.
@@ -255,17 +288,21 @@
     ///
     /// [`KvError::Refused`] with status 429 if the store's rate is used up.
     pub async fn weights(&self, model: &Name) -> Result<(), KvError> {
-        self.stats.count(CallKind::Weights);
         let url = format!("{}/v1/weights/{model}", self.base);
-        let answer = self.call(self.http.get(url).send(), self.deadline).await?;
-        expect_success(&answer)
+        let read = async {
+            let answer = self.call(self.http.get(url).send(), self.deadline).await?;
+            expect_success(&answer)
+        };
+        self.metered(CallKind::Weights, read).await
     }
 
     async fn list(&self, kind: &str) -> Result<Vec<Listed>, KvError> {
-        self.stats.count(CallKind::List);
         let url = format!("{}/v1/list/{kind}", self.base);
-        let answer = self.call(self.http.get(url).send(), self.deadline).await?;
-        self.json(answer).await
+        let read = async {
+            let answer = self.call(self.http.get(url).send(), self.deadline).await?;
+            self.json(answer).await
+        };
+        self.metered(CallKind::List, read).await
     }
 
     async fn try_swap(
@@ -275,27 +312,42 @@
         body: Bytes,
         lease: Option<LeaseId>,
     ) -> Result<TrySwap, KvError> {
-        self.stats.count(CallKind::Write);
         let expect = match expect {
             Expect::Absent => 0,
             Expect::Version(version) => version.0,
         };
         let lease = lease.map(|l| format!("&lease={}", l.0)).unwrap_or_default();
         let url = format!("{}/v1/kv/{key}?expect={expect}{lease}", self.base);
-        let answer = self
-            .call(self.http.put(url).send_body(body), self.deadline)
-            .await?;
-        match answer.status().as_u16() {
-            409 => {
-                let (entry, by) = self.entry_of(answer).await?;
-                Ok(TrySwap::Conflict(entry, by))
-            }
-            410 => Err(KvError::LeaseLapsed),
-            _ => {
-                let body: VersionBody = self.json(answer).await?;
-                Ok(TrySwap::Done(KvVersion(body.version)))
+        let put = async {
+            let sent = self.http.put(url).send_body(body);
+            let answer = self.call(sent, self.deadline).await?;
+            match answer.status().as_u16() {
+                409 => {
+                    let (entry, by) = self.entry_of(answer).await?;
+                    Ok(TrySwap::Conflict(entry, by))
+                }
+                410 => Err(KvError::LeaseLapsed),
+                _ => {
+                    let body: VersionBody = self.json(answer).await?;
+                    Ok(TrySwap::Done(KvVersion(body.version)))
+                }
             }
+        };
+        self.metered(CallKind::Write, put).await
+    }
+
+    /// Makes a call within the budget and counts it.
+    async fn metered<F, T>(&self, kind: CallKind, call: F) -> Result<T, KvError>
+    where
+        F: Future<Output = Result<T, KvError>>,
+    {
+        let wait = self.meter.take(kind, self.deadline)?;
+        if !wait.is_zero() {
+            sleep(wait).await;
         }
+        let result = call.await;
+        self.meter.end(kind, result.as_ref().err());
+        result
     }
 
     fn next_operation(&self) -> Operation {
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -34,6 +34,15 @@
 }
 
 impl KvError {
+    /// Whether the platform gave no usable answer, as in an outage.
+    pub fn is_outage(&self) -> bool {
+        match self {
+            KvError::Timeout(_) | KvError::Connect(_) | KvError::Connection(_) => true,
+            KvError::Refused(status) => *status >= 500,
+            KvError::Malformed(_) | KvError::Budget | KvError::LeaseLapsed | KvError::Unresolved => false,
+        }
+    }
+
     /// Whether a write that ended so may have taken effect.
     pub fn is_ambiguous(&self) -> bool {
         match self {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,7 +4,7 @@
 //! live and leaving machines; and a rate-limited weight store. This package speaks its published HTTP
 //! protocol, described in `docs/design/platform-protocol.md`.
 //!
-//! Every call has a deadline and is counted in [`CallStats`]. A write whose answer was lost is resolved by
+//! Every call has a deadline and is counted by the instance's [`CallMeter`], which also keeps the call budget. A write whose answer was lost is resolved by
 //! reading back, see [`KvClient::swap`].
 
 mod budget;
@@ -14,8 +14,10 @@
 mod lists;
 mod wire;
 
+pub use budget::CallCount;
 pub use budget::CallKind;
-pub use budget::CallStats;
+pub use budget::CallMeter;
+pub use budget::DEFAULT_RATE;
 pub use client::Entry;
 pub use client::Expect;
 pub use client::KvClient;
--- a/src/ops/control/mod.rs
+++ b/src/ops/control/mod.rs
@@ -147,17 +147,17 @@
     let socket = DatagramSocket::new(datagrams, key.clone(), settings.name.clone(), Uuid::now_v7());
     let listener = tokio::net::TcpListener::from_std(sockets.calls)?;
     let bound = sockets.bound;
-    let config = ConfigActor::new(shared.clone(), kv(settings), calls.clone()).start();
+    let config = ConfigActor::new(shared.clone(), kv(&shared), calls.clone()).start();
     let membership = MembershipActor::new(
         shared.clone(),
-        kv(settings),
+        kv(&shared),
         config.clone(),
         Rc::new(socket),
         bound,
     );
     let membership = membership.start();
-    let claims = ClaimsActor::new(shared.clone(), kv(settings)).start();
-    let authority = AuthorityActor::new(shared.clone(), kv(settings), calls).start();
+    let claims = ClaimsActor::new(shared.clone(), kv(&shared)).start();
+    let authority = AuthorityActor::new(shared.clone(), kv(&shared), calls).start();
     LoadActor::new(shared.clone()).start();
     let responder = PeerResponder {
         authority: authority.clone(),
@@ -177,11 +177,13 @@
 }
 
 /// A client of the platform. Each has an incarnation of its own, so that its writes can be told from others'.
-fn kv(settings: &Settings) -> KvClient {
-    KvClient::new(
+fn kv(shared: &Shared) -> KvClient {
+    let settings = &shared.settings;
+    let client = KvClient::new(
         &settings.platform,
         &settings.name,
         settings.deadline,
         Uuid::new_v4(),
-    )
+    );
+    client.meter(shared.calls.clone())
 }
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -18,6 +18,7 @@
 use sequoiastream_core::route::Router;
 use sequoiastream_core::snapshot::Snapshot;
 use sequoiastream_core::time::Time;
+use sequoiastream_platform::CallMeter;
 use tokio::sync::watch;
 
 use crate::ops::policy;
@@ -36,6 +37,8 @@
     pub snapshot: ArcSwap<Snapshot>,
     /// Counts of what happened.
     pub metrics: Metrics,
+    /// The budget of calls to the platform, and what was spent.
+    pub calls: Arc<CallMeter>,
     /// Judges the age of idempotency keys.
     pub keys: KeyClock,
     /// Limits, retry budgets and demand.
@@ -68,10 +71,12 @@
         let router = router(&settings);
         let policy = PolicyState::new(&settings);
         let poison = Poison::new(settings.name.clone());
+        let calls = Arc::new(CallMeter::new(settings.rate));
         Shared {
             settings,
             snapshot: ArcSwap::default(),
-            metrics: Metrics::new(),
+            metrics: Metrics::new(calls.clone()),
+            calls,
             keys: KeyClock::new(clock::both()),
             owners: Mutex::default(),
             policy,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -62,6 +62,8 @@
     pub deadline: Duration,
     /// How long a watch waits.
     pub wait: Duration,
+    /// Calls a second to the platform that this instance may make.
+    pub rate: u32,
     /// How long the lease of a service's authority lasts after its last renewal.
     pub lease: Duration,
     /// How claims are grouped into writes.
@@ -177,6 +179,12 @@
             "How long a watch waits",
             "30000",
         ))
+        .arg(number(
+            "kv-rate",
+            "SEQUOIASTREAM_KV_RATE",
+            "Calls a second to the platform that this instance may make, and twice as many at once",
+            "100",
+        ))
         .arg(number(
             "lease-ms",
             "SEQUOIASTREAM_LEASE_MS",
@@ -260,6 +268,7 @@
         let workers = reader.positive("workers");
         let deadline = reader.positive("kv-deadline-ms");
         let wait = reader.positive("watch-ms");
+        let rate = reader.positive("kv-rate");
         let lease = reader.positive("lease-ms");
         let grouping = grouping(matches);
         let poll = reader.positive("load-ms");
@@ -290,6 +299,7 @@
             workers: usize::try_from(workers).unwrap_or(1),
             deadline: Duration::from_millis(deadline),
             wait: Duration::from_millis(wait),
+            rate: u32::try_from(rate).unwrap_or(u32::MAX),
             lease: Duration::from_millis(lease),
             grouping,
             policy,
--- a/src/util/metrics/mod.rs
+++ b/src/util/metrics/mod.rs
@@ -6,14 +6,17 @@
 mod authority;
 mod claims;
 mod membership;
+mod platform;
 mod policy;
 mod traffic;
 
 use std::fmt;
+use std::sync::Arc;
 use std::sync::Mutex;
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::registry::Registry;
+use sequoiastream_platform::CallMeter;
 
 pub use authority::AuthorityMetrics;
 pub use claims::ClaimMetrics;
@@ -41,7 +44,7 @@
 
 impl Metrics {
     /// All metrics at zero.
-    pub fn new() -> Metrics {
+    pub fn new(calls: Arc<CallMeter>) -> Metrics {
         let mut registry = Registry::with_prefix(PREFIX);
         let traffic = TrafficMetrics::default();
         traffic.register(&mut registry);
@@ -49,6 +52,7 @@
         authority.register(&mut registry);
         let claims = ClaimMetrics::default();
         claims.register(&mut registry);
+        platform::register(&mut registry, calls);
         let policy = PolicyMetrics::default();
         policy.register(&mut registry);
         let membership = MembershipMetrics::default();
@@ -79,7 +83,7 @@
 
 impl Default for Metrics {
     fn default() -> Self {
-        Metrics::new()
+        Metrics::new(Arc::default())
     }
 }
 
--- /dev/null
+++ b/src/util/metrics/platform.rs
@@ -0,0 +1,66 @@
+//! Metrics of the calls to the platform, read from the meter that also keeps their budget.
+
+use std::fmt;
+use std::sync::Arc;
+
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::DescriptorEncoder;
+use prometheus_client::encoding::EncodeMetric;
+use prometheus_client::metrics::MetricType;
+use prometheus_client::metrics::counter::ConstCounter;
+use prometheus_client::registry::Registry;
+use sequoiastream_platform::CallCount;
+use sequoiastream_platform::CallKind;
+use sequoiastream_platform::CallMeter;
+
+/// Shows what a meter counted.
+#[derive(Debug)]
+struct CallCollector(Arc<CallMeter>);
+
+/// Registers the metrics of `calls`.
+pub(super) fn register(registry: &mut Registry, calls: Arc<CallMeter>) {
+    registry.register_collector(Box::new(CallCollector(calls)));
+}
+
+impl CallCollector {
+    fn family<F>(
+        &self,
+        encoder: &mut DescriptorEncoder<'_>,
+        name: &str,
+        help: &str,
+        value: F,
+    ) -> Result<(), fmt::Error>
+    where
+        F: Fn(CallCount) -> u64,
+    {
+        let mut family = encoder.encode_descriptor(name, help, None, MetricType::Counter)?;
+        for kind in CallKind::ALL {
+            let counter = ConstCounter::new(value(self.0.count(kind)));
+            counter.encode(family.encode_family(&[("kind", kind.label())])?)?;
+        }
+        Ok(())
+    }
+}
+
+impl Collector for CallCollector {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
+        self.family(
+            &mut encoder,
+            "platform_calls",
+            "Calls to the platform by kind",
+            |count| count.calls,
+        )?;
+        self.family(
+            &mut encoder,
+            "platform_calls_failed",
+            "Calls to the platform that got no usable answer",
+            |count| count.failed,
+        )?;
+        self.family(
+            &mut encoder,
+            "platform_calls_refused",
+            "Calls to the platform that were not made, since this instance's budget was spent",
+            |count| count.refused,
+        )
+    }
+}
