--- a/src/ops/control/mod.rs
+++ b/src/ops/control/mod.rs
@@ -156,7 +156,7 @@
         bound,
     );
     let membership = membership.start();
-    let claims = ClaimsActor::new(shared.clone(), kv(&shared)).start();
+    let claims = ClaimsActor::new(shared.clone(), kv(&shared), calls.clone()).start();
     let authority = AuthorityActor::new(shared.clone(), kv(&shared), calls).start();
     LoadActor::new(shared.clone()).start();
     let responder = PeerResponder {
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
+use sequoiastream_core::claims::ClockWatch;
 use sequoiastream_core::claims::KeyClock;
 use sequoiastream_core::claims::Owners;
 use sequoiastream_core::membership::Roster;
@@ -48,6 +49,7 @@
     router: Mutex<Router>,
     held: Mutex<BTreeMap<Name, Time>>,
     owners: Mutex<Owners>,
+    watch: Mutex<ClockWatch>,
     poison: Mutex<Poison>,
     roster: watch::Sender<Arc<Roster>>,
     leaving: AtomicBool,
@@ -79,6 +81,7 @@
             calls,
             keys: KeyClock::new(clock::both()),
             owners: Mutex::default(),
+            watch: Mutex::default(),
             policy,
             router: Mutex::new(router),
             stops: Stops::default(),
@@ -128,6 +131,13 @@
             .expect("no thread panics while it holds the held engines")
     }
 
+    /// What other instances' clocks said of this one's. Held for one decision, never across an await.
+    pub fn clocks(&self) -> MutexGuard<'_, ClockWatch> {
+        self.watch
+            .lock()
+            .expect("no thread panics while it holds the watch")
+    }
+
     /// Which owners of claims were silent. Held for one decision, never across an await.
     pub fn owners(&self) -> MutexGuard<'_, Owners> {
         self.owners
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,6 +5,7 @@
 
 mod limits;
 mod patience;
+mod platform;
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -167,30 +168,7 @@
             "Threads for traffic",
             "2",
         ))
-        .arg(number(
-            "kv-deadline-ms",
-            "SEQUOIASTREAM_KV_DEADLINE_MS",
-            "Deadline of a call to the platform",
-            "1000",
-        ))
-        .arg(number(
-            "watch-ms",
-            "SEQUOIASTREAM_WATCH_MS",
-            "How long a watch waits",
-            "30000",
-        ))
-        .arg(number(
-            "kv-rate",
-            "SEQUOIASTREAM_KV_RATE",
-            "Calls a second to the platform that this instance may make, and twice as many at once",
-            "100",
-        ))
-        .arg(number(
-            "lease-ms",
-            "SEQUOIASTREAM_LEASE_MS",
-            "How long the lease of a service's authority lasts after its last renewal",
-            "10000",
-        ))
+        .args(platform::args())
         .arg(number(
             "claim-pace-ms",
             "SEQUOIASTREAM_CLAIM_PACE_MS",
--- a/tests/testsuite/authority/seeded.rs
+++ b/tests/testsuite/authority/seeded.rs
@@ -79,7 +79,7 @@
     released: u64,
 }
 
-#[derive(Default)]
+#[derive(Debug, Default)]
 struct Kv {
     version: u64,
     record: Option<Record>,
@@ -88,7 +88,7 @@
     out: Time,
 }
 
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 enum Call {
     Acquire,
     Renew,
@@ -96,7 +96,7 @@
     Write(u64, Box<Record>),
 }
 
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 enum Message {
     Node(usize, Incarnation, Event),
     Kv(usize, Incarnation, CallId, Call, Time),
