--- a/crates/operator/src/statement.rs
+++ b/crates/operator/src/statement.rs
@@ -17,6 +17,10 @@
     Changes,
     /// Fingerprints of requests that may not run.
     Quarantine,
+    /// Who holds the authority of each service.
+    Leases,
+    /// The last order to each engine, and whether it is settled.
+    Orders,
     /// Claims on requests that may not be repeated, as far as this instance holds them.
     Claims,
 }
@@ -29,6 +33,8 @@
         ("engines", Table::Engines),
         ("changes", Table::Changes),
         ("quarantine", Table::Quarantine),
+        ("leases", Table::Leases),
+        ("orders", Table::Orders),
         ("claims", Table::Claims),
     ];
 }
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -10,8 +10,11 @@
     /// No answer within the call's deadline. A write may or may not have taken effect.
     #[error("the platform gave no answer within {0:?}")]
     Timeout(Duration),
+    /// No connection was made: the call did not leave.
+    #[error("could not connect to the platform: {0}")]
+    Connect(String),
     /// The connection failed. A write may or may not have taken effect.
-    #[error("could not reach the platform: {0}")]
+    #[error("the connection to the platform broke: {0}")]
     Connection(String),
     /// The platform answered that it can't serve the call; it did not take effect.
     #[error("the platform refused the call with status {0}")]
@@ -31,13 +34,22 @@
 }
 
 impl KvError {
+    /// Whether the platform gave no usable answer, as in an outage.
+    pub fn is_outage(&self) -> bool {
+        match self {
+            KvError::Timeout(_) | KvError::Connect(_) | KvError::Connection(_) => true,
+            KvError::Refused(status) => *status >= 500,
+            KvError::Malformed(_) | KvError::Budget | KvError::LeaseLapsed | KvError::Unresolved => false,
+        }
+    }
+
     /// Whether a write that ended so may have taken effect.
     pub fn is_ambiguous(&self) -> bool {
         match self {
             KvError::Timeout(_) | KvError::Connection(_) | KvError::Malformed(_) | KvError::Unresolved => {
                 true
             }
-            KvError::Refused(_) | KvError::Budget | KvError::LeaseLapsed => false,
+            KvError::Connect(_) | KvError::Refused(_) | KvError::Budget | KvError::LeaseLapsed => false,
         }
     }
 }
--- a/src/ops/dispatch/mod.rs
+++ b/src/ops/dispatch/mod.rs
@@ -42,6 +42,7 @@
 
 use crate::ops::control::Control;
 use crate::ops::control::Execute;
+use crate::ops::control::ShowAuthorities;
 use crate::ops::control::claims::ShowClaims;
 use crate::ops::shared::Shared;
 
@@ -137,6 +138,11 @@
             let table = table.map_err(|e| OperatorError::Platform(e.to_string()))?;
             return select(table, &query).map(ReplyBody::Table);
         }
+        if let Some(query) = authority_query(&statement) {
+            let shown = self.control.authority.send(ShowAuthorities(query.table)).await;
+            let table = shown.map_err(|e| OperatorError::Platform(e.to_string()))??;
+            return select(table, &query).map(ReplyBody::Table);
+        }
         match self.control.config.send(Execute(statement, from)).await {
             Ok(result) => result,
             Err(error) => Err(OperatorError::Platform(error.to_string())),
@@ -151,3 +157,13 @@
         _ => None,
     }
 }
+
+/// The query for the table of leases or orders, if the statement is just that.
+fn authority_query(statement: &StatementBody) -> Option<Query> {
+    match parse_script(&statement.text).ok()?.as_slice() {
+        [Statement::Show(query)] if matches!(query.table, Table::Leases | Table::Orders) => {
+            Some(query.clone())
+        }
+        _ => None,
+    }
+}
