--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod answer;
 pub mod arena;
+pub mod authority;
 pub mod claims;
 pub mod config;
 pub mod engine;
--- /dev/null
+++ b/src/ops/control/authority/drain.rs
@@ -0,0 +1,110 @@
+//! Asking the other instances: to keep work from an engine, and what became of an order.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use sequoiastream_core::authority::Event;
+use sequoiastream_core::authority::HoldAnswer;
+use sequoiastream_core::name::Name;
+use sequoiastream_peer::call::CallClient;
+use sequoiastream_peer::message::Hold;
+use sequoiastream_peer::message::Request;
+use sequoiastream_peer::message::Response;
+use sequoiastream_peer::message::SettleOrder;
+use sequoiastream_platform::KvClient;
+
+use crate::ops::control::authority::Settle;
+use crate::ops::shared::Shared;
+use crate::util::clock;
+
+/// Calls to the other instances.
+pub struct Peers {
+    shared: Arc<Shared>,
+    kv: KvClient,
+    client: CallClient,
+}
+
+impl Peers {
+    /// Calls through `client`.
+    pub fn new(shared: Arc<Shared>, kv: KvClient, client: CallClient) -> Peers {
+        Peers { shared, kv, client }
+    }
+
+    /// Asks all listed instances to keep work from `engine` for `time`; `None` if there is no list.
+    pub async fn hold(&self, engine: Name, time: Duration) -> Option<Event> {
+        let others = self.others().await?;
+        let asked = clock::now();
+        let own = self.shared.hold(engine.clone(), asked + time);
+        let request = Request::Hold(Hold {
+            engine: engine.clone(),
+            millis: u64::try_from(time.as_millis()).unwrap_or(u64::MAX),
+        });
+        let asks = others.iter().map(|(name, address)| {
+            let request = &request;
+            async move {
+                let answer = self.client.call(*address, request, time / 10).await;
+                let answer = match answer {
+                    Ok(Response::InFlight(count)) => HoldAnswer::InFlight(count),
+                    _ => HoldAnswer::Missing,
+                };
+                (name.clone(), answer)
+            }
+        });
+        let mut answers: BTreeMap<Name, HoldAnswer> = join_all(asks).await.into_iter().collect();
+        answers.insert(self.shared.settings.name.clone(), HoldAnswer::InFlight(own));
+        Some(Event::Held {
+            engine,
+            asked,
+            done: clock::now(),
+            answers,
+        })
+    }
+
+    /// Tells all listed instances that `engine` may get work again. Where this fails the hold lapses.
+    pub async fn unhold(&self, engine: Name) {
+        self.shared.unhold(&engine);
+        let others = self.others().await.unwrap_or_default();
+        let limit = self.shared.settings.lease / 10;
+        let request = Request::Unhold(engine);
+        let asks = others
+            .values()
+            .map(|address| self.client.call(*address, &request, limit));
+        join_all(asks).await;
+    }
+
+    /// Asks the instance that opened an order what became of it.
+    pub async fn ask(&self, holder: &Name, ask: Settle) -> Option<Event> {
+        let others = self.others().await?;
+        let address = others.get(holder)?;
+        let request = Request::Settle(SettleOrder {
+            service: ask.service,
+            incarnation: ask.incarnation,
+            engine: ask.engine.clone(),
+            sequence: ask.sequence,
+        });
+        let limit = self.shared.settings.lease / 10;
+        match self.client.call(*address, &request, limit).await {
+            Ok(Response::Settled(settlement)) => Some(Event::Settled {
+                engine: ask.engine,
+                sequence: ask.sequence,
+                settlement,
+            }),
+            _ => None,
+        }
+    }
+
+    /// The other instances and their addresses. Before any is known, the platform's list is asked: an
+    /// instance that is missed would send work to an engine that is being changed.
+    async fn others(&self) -> Option<BTreeMap<Name, SocketAddr>> {
+        let roster = self.shared.roster();
+        if !roster.peers.is_empty() {
+            return Some(roster.peers.iter().map(|p| (p.name.clone(), p.peer)).collect());
+        }
+        let list = self.kv.instances().await.ok()?;
+        let others = list.into_iter().filter(|l| l.name != self.shared.settings.name);
+        Some(others.filter_map(|l| Some((l.name, l.peer?))).collect())
+    }
+}
--- a/tests/testsuite/grammar.rs
+++ b/tests/testsuite/grammar.rs
@@ -1,5 +1,7 @@
 //! The statement language.
 
+use sequoiastream_core::config::Command;
+use sequoiastream_core::name::Name;
 use sequoiastream_operator::Filter;
 use sequoiastream_operator::Query;
 use sequoiastream_operator::Statement;
@@ -17,7 +19,7 @@
     assert_eq!(
         error("show engine"),
         "line 1, column 6: expected `products` or `services` or `engines` or `changes` \
-         or `quarantine` or `claims`, found `engine`\n  show engine\n       ^"
+         or `quarantine` or `leases` or `orders` or `claims`, found `engine`\n  show engine\n       ^"
     );
 }
 
@@ -30,6 +32,18 @@
     );
 }
 
+#[test]
+fn parse_release_order() {
+    let expected = Command::ReleaseOrder {
+        name: Name::new("e1").expect("a name"),
+        sequence: 12,
+    };
+    assert_eq!(
+        parse("release order e1 sequence 12"),
+        Ok(Statement::Change(expected))
+    );
+}
+
 /// Mistakes, the column of the caret, and what is expected there.
 #[test]
 fn parse_mistakes_table() {
@@ -72,6 +86,7 @@
         ),
         ("show engines where zone lodi-a", 25, "`!=` or `=`"),
         ("show engines limit 0", 20, "a number of rows"),
+        ("release order e1 sequence x", 27, "the order's sequence number"),
         ("show engines; drop product p q", 30, "`;` or the end"),
     ];
     for (text, column, expected) in cases {
