--- a/crates/standin/src/experiment/cli.rs
+++ b/crates/standin/src/experiment/cli.rs
@@ -13,6 +13,7 @@
 
 use crate::experiment::cases::SETS;
 use crate::experiment::cases::cases;
+use crate::experiment::entry;
 use crate::experiment::fleet::Plan;
 use crate::experiment::plot;
 use crate::experiment::run;
@@ -20,13 +21,16 @@
 use crate::experiment::table::hindsight;
 use crate::experiment::table::render;
 
+/// Numbers of streams at which an entry instance is measured.
+const ENTRY_STREAMS: [usize; 4] = [0, 100, 300, 1_000];
+
 /// Describes the command.
 pub fn cli() -> Command {
     Command::new("experiment")
         .about("Policies side by side, with daemons and stand-ins as processes of their own")
         .arg(text(
             "set",
-            "Run sets, with commas between: shift, splits, dial, faults, greedy",
+            "Run sets, with commas between: shift, splits, dial, faults, greedy, or entry",
             "shift",
         ))
         .arg(text("seeds", "Seeds, with commas between", "1,2,3"))
@@ -68,7 +72,12 @@
         daemons: usize::try_from(number("daemons"))?,
         products: Vec::new(),
         away: number("away"),
+        slots: 16,
+        decode: 100,
     };
+    if text("set") == "entry" {
+        return entry(&plan, Path::new(&text("out"))).await;
+    }
     let only = text("only");
     let mut runs = Vec::new();
     for set in text("set").split(',') {
@@ -91,6 +100,20 @@
     write(&rows, Path::new(&text("out")))
 }
 
+/// Measures what an entry instance adds, at several numbers of streams.
+async fn entry(plan: &Plan, out: &Path) -> eyre::Result<()> {
+    let mut results = Vec::new();
+    println!("{}", entry::HEAD);
+    for streams in ENTRY_STREAMS {
+        let result = entry::measure(streams, plan).await?;
+        println!("{}", result.line());
+        results.push(result);
+    }
+    std::fs::create_dir_all(out)?;
+    std::fs::write(out.join("entry.json"), serde_json::to_vec_pretty(&results)?)?;
+    Ok(())
+}
+
 fn binaries() -> eyre::Result<PathBuf> {
     let own = std::env::current_exe()?;
     Ok(own.parent().unwrap_or(Path::new(".")).to_path_buf())
--- /dev/null
+++ b/crates/standin/src/experiment/entry.rs
@@ -0,0 +1,180 @@
+//! What an entry instance adds to a request's time, and how many tokens a second a core of it relays.
+//!
+//! Time is measured with short calls to a plain service, sent directly and through the instance in turn, while
+//! streams run through the instance: an engine's steps, of tens of milliseconds, would hide it.
+
+use std::fs;
+use std::time::Duration;
+use std::time::Instant;
+
+use awc::Client;
+use awc::Connector;
+use eyre::WrapErr;
+use hdrhistogram::Histogram;
+use sequoiastream_core::config::Role;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::experiment::fleet::Fleet;
+use crate::experiment::fleet::MODEL;
+use crate::experiment::fleet::Owed;
+use crate::experiment::fleet::Plan;
+use crate::load::caller::Ending;
+use crate::load::caller::Session;
+use crate::load::caller::call;
+use crate::load::mix::Job;
+use crate::load::mix::Kind;
+
+/// Short calls of each way.
+const CALLS: usize = 1_000;
+
+/// Pause between them.
+const PAUSE: Duration = Duration::from_millis(4);
+
+/// Tokens of a stream.
+const TOKENS: u32 = 400;
+
+/// Until the streams run.
+const RAMP: Duration = Duration::from_secs(2);
+
+/// Ticks of processor time a second in `/proc`.
+const TICKS: f64 = 100.0;
+
+/// The result at one number of streams.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Streams through the instance.
+    pub streams: usize,
+    /// Median and 99th percentile of a direct call, in microseconds.
+    pub direct: [u64; 2],
+    /// The same through the instance.
+    pub through: [u64; 2],
+    /// Tokens relayed.
+    pub tokens: u64,
+    /// Processor seconds of the instance.
+    pub processor: f64,
+    /// Streams that were not whole.
+    pub broken: usize,
+}
+
+impl Entry {
+    /// One line of the table.
+    pub fn line(&self) -> String {
+        let added = |i: usize| self.through[i] as f64 / 1_000.0 - self.direct[i] as f64 / 1_000.0;
+        format!(
+            "| {} | {:.2} / {:.2} | {:.2} / {:.2} | {:.2} / {:.2} | {:.0} | {} |",
+            self.streams,
+            self.direct[0] as f64 / 1_000.0,
+            self.direct[1] as f64 / 1_000.0,
+            self.through[0] as f64 / 1_000.0,
+            self.through[1] as f64 / 1_000.0,
+            added(0),
+            added(1),
+            self.tokens as f64 / self.processor.max(0.01),
+            self.broken,
+        )
+    }
+}
+
+/// Heading of the table.
+pub const HEAD: &str = "| streams | direct p50 / p99, ms | through p50 / p99, ms | added p50 / p99, ms | tokens a processor second | broken |\n| --- | --- | --- | --- | --- | --- |";
+
+/// Measures with `streams` streams.
+///
+/// # Errors
+///
+/// If a process doesn't start.
+pub async fn measure(streams: usize, plan: &Plan) -> eyre::Result<Entry> {
+    let plan = Plan {
+        policy: "round-robin".to_string(),
+        roles: vec![Role::Decode; 4],
+        daemons: 1,
+        slots: 1_024,
+        decode: 150,
+        products: vec![Owed {
+            name: "assistente".to_string(),
+            share: 100,
+            weight: 0,
+        }],
+        ..plan.clone()
+    };
+    let fleet = Fleet::start(&plan).await?;
+    let client = Client::builder()
+        .connector(Connector::new().limit(0))
+        .disable_redirects()
+        .disable_timeout()
+        .finish();
+    let session = Session {
+        base: fleet.daemons[0].url(),
+        key: plan.products[0].key(),
+        model: MODEL.to_string(),
+        service: "ordini".to_string(),
+        deadline: Duration::from_secs(120),
+    };
+    let before = processor_seconds(fleet.daemons[0].id())?;
+    let running: Vec<_> = (0..streams)
+        .map(|index| start(&client, &session, index))
+        .collect();
+    tokio::time::sleep(RAMP).await;
+    let path = "/lookup";
+    let direct = format!("{}{path}", fleet.plain.url());
+    let through = format!("{}/services/ordini{path}", session.base);
+    let mut times = [histogram()?, histogram()?];
+    for _ in 0..CALLS {
+        times[0].saturating_record(timed(&client, &direct, &session.key).await);
+        times[1].saturating_record(timed(&client, &through, &session.key).await);
+        tokio::time::sleep(PAUSE).await;
+    }
+    let mut whole = 0;
+    for stream in running {
+        whole += usize::from(stream.await?);
+    }
+    let processor = processor_seconds(fleet.daemons[0].id())? - before;
+    let both = |h: &Histogram<u64>| [h.value_at_quantile(0.5), h.value_at_quantile(0.99)];
+    Ok(Entry {
+        streams,
+        direct: both(&times[0]),
+        through: both(&times[1]),
+        tokens: whole as u64 * u64::from(TOKENS),
+        processor,
+        broken: streams - whole,
+    })
+}
+
+fn histogram() -> eyre::Result<Histogram<u64>> {
+    Histogram::new_with_max(10_000_000, 3).wrap_err("the bounds are good")
+}
+
+fn start(client: &Client, session: &Session, index: usize) -> actix_rt::task::JoinHandle<bool> {
+    let (client, session) = (client.clone(), session.clone());
+    let job = Job {
+        at: Duration::ZERO,
+        phase: 0,
+        product: 0,
+        kind: Kind::Chat,
+        prompt: format!("stream {index}"),
+        limit: TOKENS,
+        seed: index as u64,
+    };
+    actix_rt::spawn(async move { call(&client, &session, &job).await.ending == Ending::Whole })
+}
+
+/// Microseconds of one call.
+async fn timed(client: &Client, url: &str, key: &str) -> u64 {
+    let begun = Instant::now();
+    let sent = client.get(url).bearer_auth(key).send().await;
+    if let Ok(mut answer) = sent {
+        let _ = answer.body().await;
+    }
+    begun.elapsed().as_micros() as u64
+}
+
+/// Processor seconds that a process has used.
+fn processor_seconds(id: u32) -> eyre::Result<f64> {
+    let stat = fs::read_to_string(format!("/proc/{id}/stat"))?;
+    let fields = stat.rsplit(')').next().unwrap_or_default();
+    let numbers: Vec<f64> = fields.split_whitespace().filter_map(|f| f.parse().ok()).collect();
+    // Behind the state letter, user and system time are the 11th and 12th numbers.
+    let ticks = numbers.get(10).copied().unwrap_or(0.0) + numbers.get(11).copied().unwrap_or(0.0);
+    Ok(ticks / TICKS)
+}
--- a/crates/standin/src/experiment/fleet.rs
+++ b/crates/standin/src/experiment/fleet.rs
@@ -65,6 +65,10 @@
     pub products: Vec<Owed>,
     /// Milliseconds that a role change takes an engine away.
     pub away: u64,
+    /// Requests that an engine runs at once in role decode.
+    pub slots: u32,
+    /// Tokens a second of a request that runs alone.
+    pub decode: u32,
 }
 
 /// The running processes; they end with it.
@@ -93,8 +97,8 @@
             let args = [
                 "engine".to_string(),
                 "--prefill-rate=16000".to_string(),
-                "--decode-rate=100".to_string(),
-                "--slots=16".to_string(),
+                format!("--decode-rate={}", plan.decode),
+                format!("--slots={}", plan.slots),
                 "--cache=16000".to_string(),
                 format!("--away={}", plan.away),
                 format!("--role={role}"),
@@ -157,7 +161,7 @@
             ));
         }
         text.push_str(&format!("create service assistente model \"{MODEL}\";\n"));
-        text.push_str("create service ordini plain route POST \"/orders\" never;\n");
+        text.push_str("create service ordini plain route POST \"/orders\" never route GET \"/\" safe;\n");
         for (index, engine) in self.engines.iter().enumerate() {
             let address = engine.address();
             text.push_str(&format!(
--- a/crates/standin/src/experiment/mod.rs
+++ b/crates/standin/src/experiment/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod cases;
 pub mod cli;
+pub mod entry;
 pub mod fleet;
 pub mod plot;
 pub mod table;
