Weigh the demand of the last minutes when planning roles

Ruled out: drains alone (changes of 1.2 s would still be behind after a third of the phase). Phases of 24 s, as answers and drains aren't compressed with the time.

--- a/crates/core/src/roles/mod.rs
+++ b/crates/core/src/roles/mod.rs
@@ -26,7 +26,7 @@
 const FAST: u32 = 4;
 
 /// Time constant of the slow mean, in times away.
-const SLOW: u32 = 20;
+const SLOW: u32 = 100;
 
 /// Time over which a change must pay, in times away.
 const HORIZON: u32 = 30;
@@ -49,8 +49,9 @@
 /// Part of the horizon's goodput that a change must gain where its weight is 0, beside its seconds away.
 const LEAST_GAIN: f64 = 0.01;
 
-/// Part of the horizon that counts while the slow mean does not yet say the same.
-const DOUBT: f64 = 0.5;
+/// Weight of the fast mean against the slow one. The slow mean holds the mix of the last minutes: roles that serve
+/// only the mix of this moment are paid for again with the next shift.
+const NOW: f64 = 0.6;
 
 /// Seconds of an answer, which a drain takes before the change.
 const DRAIN: f64 = 1.0;
@@ -192,23 +193,15 @@
     fn worthwhile(&self, now: Time, evidence: &Evidence) -> Option<Change> {
         let speed = mean_speed(&evidence.engines);
         let counts = counts(&evidence.engines);
-        let (fast, slow) = (self.fast.rate(), self.slow.rate());
-        let before = served(counts, speed, fast);
+        let before = self.worth(counts, speed);
         let horizon = (self.away * HORIZON).as_secs_f64();
         let mut best: Option<Change> = None;
         for (from, to) in moves() {
             let Some(engine) = self.candidate(now, evidence, from) else {
                 continue;
             };
-            let after = counts.minus(from).plus(to);
-            let better = served(after, speed, fast) - before;
-            if better <= 0.0 {
-                continue;
-            }
-            let lasting = served(after, speed, slow) >= served(counts, speed, slow);
-            let counted = if lasting { horizon } else { DOUBT * horizon };
-            let gain = better * counted;
-            let lost = before - served(counts.minus(from), speed, fast);
+            let gain = horizon * (self.worth(counts.minus(from).plus(to), speed) - before);
+            let lost = before - self.worth(counts.minus(from), speed);
             let price = lost * (self.away.as_secs_f64() + DRAIN) + horizon * least_gain(evidence.weight);
             if gain > price && best.as_ref().is_none_or(|b| gain > b.gain) {
                 best = Some(Change {
@@ -222,6 +215,11 @@
         best
     }
 
+    /// The part of the demand that these roles serve, now and as it was on the whole.
+    fn worth(&self, counts: Counts, speed: Speed) -> f64 {
+        NOW * served(counts, speed, self.fast.rate()) + (1.0 - NOW) * served(counts, speed, self.slow.rate())
+    }
+
     /// The engine of role `from` that has least to drain.
     fn candidate<'a>(&self, now: Time, evidence: &'a Evidence, from: Role) -> Option<&'a EngineSeen> {
         let rest = self.away * ENGINE_REST;
--- a/crates/standin/src/experiment/cases.rs
+++ b/crates/standin/src/experiment/cases.rs
@@ -10,7 +10,7 @@
 pub const ENGINES: usize = 8;
 
 /// Seconds of a phase.
-const PHASE: f64 = 12.0;
+const PHASE: f64 = 24.0;
 
 /// What goes wrong during a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -165,7 +165,7 @@
 fn greedy() -> Vec<Case> {
     let steady = |chats: f64| {
         vec![Phase {
-            seconds: 2.0 * PHASE,
+            seconds: PHASE,
             checks: chats / 8.0,
             chats,
             orders: 0.0,
