--- a/crates/operator/src/grammar.rs
+++ b/crates/operator/src/grammar.rs
@@ -94,6 +94,7 @@
         preceded(key!("replace"), cut_err(service::replace)).map(Statement::Change),
         engine_command.map(Statement::Change),
         fingerprint_command.map(Statement::Change),
+        preceded(key!("release"), cut_err(release_order)).map(Statement::Change),
     ))
     .parse_next(input)
 }
@@ -203,3 +204,14 @@
         false => expected(at, WHAT),
     }
 }
+
+fn release_order(input: &mut Input<'_>) -> Parsed<Command> {
+    key!("order").parse_next(input)?;
+    let name = name(input)?;
+    key!("sequence").parse_next(input)?;
+    let sequence = number(1..=u32::MAX, "the order's sequence number").parse_next(input)?;
+    Ok(Command::ReleaseOrder {
+        name,
+        sequence: u64::from(sequence),
+    })
+}
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -128,6 +128,7 @@
     fault: EngineFault,
     reports: Vec<(Instant, LoadBody)>,
     served: u64,
+    cut: u64,
     last: Option<Uuid>,
 }
 
@@ -166,7 +167,8 @@
             .route("/v1/order", web::post().to(order))
             .route("/control/fault", web::put().to(set_fault))
             .route("/control/orders", web::get().to(orders))
-            .route("/control/served", web::get().to(served));
+            .route("/control/served", web::get().to(served))
+            .route("/control/cut", web::get().to(cut));
     }
 }
 
@@ -189,6 +191,7 @@
         fault: EngineFault::default(),
         reports: Vec::new(),
         served: 0,
+        cut: 0,
         last: None,
     };
     Engine {
@@ -481,6 +484,11 @@
         state.target = order.target;
         state.away = Some(Instant::now() + settings.away);
         state.cache.clear();
+        // The worst case: what still runs is cut, its streams end without a finish.
+        state.cut += state.answers.len() as u64;
+        for attempt in std::mem::take(&mut state.answers).into_keys() {
+            state.batch.cancel(attempt);
+        }
     }
 }
 
@@ -496,3 +504,8 @@
 async fn served(engine: Data<Engine>) -> HttpResponse {
     HttpResponse::Ok().json(engine.lock().served)
 }
+
+/// Streams that an order cut.
+async fn cut(engine: Data<Engine>) -> HttpResponse {
+    HttpResponse::Ok().json(engine.lock().cut)
+}
--- a/src/ops/control/mod.rs
+++ b/src/ops/control/mod.rs
@@ -3,6 +3,7 @@
 //! Each concern is an actor of its own around a state machine of `sequoiastream-core`; traffic threads send
 //! it messages and read what it publishes in [`Shared`](crate::ops::shared::Shared).
 
+mod authority;
 pub mod claims;
 mod config;
 mod load;
@@ -32,6 +33,10 @@
 use tokio::time::timeout;
 use uuid::Uuid;
 
+pub use authority::AuthorityActor;
+pub use authority::IsHolder;
+pub use authority::Propose;
+pub use authority::ShowAuthorities;
 pub use claims::ClaimsActor;
 pub use config::ConfigActor;
 pub use config::Execute;
@@ -52,6 +57,8 @@
 pub struct Control {
     /// Keeper of the configuration.
     pub config: Addr<ConfigActor>,
+    /// Keeper of the authorities.
+    pub authority: Addr<AuthorityActor>,
     /// Owner of claims.
     pub claims: Addr<ClaimsActor>,
     /// Keeper of the table of instances.
@@ -140,18 +147,20 @@
     let socket = DatagramSocket::new(datagrams, key.clone(), settings.name.clone(), Uuid::now_v7());
     let listener = tokio::net::TcpListener::from_std(sockets.calls)?;
     let bound = sockets.bound;
-    let config = ConfigActor::new(shared.clone(), kv(settings), calls.clone()).start();
+    let config = ConfigActor::new(shared.clone(), kv(&shared), calls.clone()).start();
     let membership = MembershipActor::new(
         shared.clone(),
-        kv(settings),
+        kv(&shared),
         config.clone(),
         Rc::new(socket),
         bound,
     );
     let membership = membership.start();
-    let claims = ClaimsActor::new(shared.clone(), kv(settings), calls).start();
+    let claims = ClaimsActor::new(shared.clone(), kv(&shared), calls.clone()).start();
+    let authority = AuthorityActor::new(shared.clone(), kv(&shared), calls).start();
     LoadActor::new(shared.clone()).start();
     let responder = PeerResponder {
+        authority: authority.clone(),
         config: config.clone(),
         claims: claims.clone(),
         shared: shared.clone(),
@@ -159,19 +168,22 @@
     actix::spawn(serve(listener, key, responder));
     Ok(Control {
         config,
+        authority: authority.clone(),
         claims: claims.clone(),
         membership,
         bound,
-        holders: vec![claims.recipient()],
+        holders: vec![authority.recipient(), claims.recipient()],
     })
 }
 
 /// A client of the platform. Each has an incarnation of its own, so that its writes can be told from others'.
-fn kv(settings: &Settings) -> KvClient {
-    KvClient::new(
+fn kv(shared: &Shared) -> KvClient {
+    let settings = &shared.settings;
+    let client = KvClient::new(
         &settings.platform,
         &settings.name,
         settings.deadline,
         Uuid::new_v4(),
-    )
+    );
+    client.meter(shared.calls.clone())
 }
--- a/src/ops/dispatch/suspects.rs
+++ b/src/ops/dispatch/suspects.rs
@@ -113,7 +113,10 @@
 
     fn route(&self, snapshot: &Snapshot, request: &Request, except: &[Name]) -> Option<Target> {
         let now = clock::now();
-        let choice = self.shared.router().choose(now, snapshot, &request.ask, except)?;
+        let mut router = self.shared.router();
+        let mut except = except.to_vec();
+        except.extend(self.shared.held(now));
+        let choice = router.choose(now, snapshot, &request.ask, &except)?;
         Some(Target {
             name: choice.name,
             address: choice.address,
