Give each product ten retries before its first request

Cause: outcomes::refuse_after_run failed once in five runs: a product that had asked four times had spent its first three retries, and a request whose first engine refused it got not-run, though another engine was there. Ruled out: not counting refused attempts: at the end of an outage engines refuse, and those attempts are the storm. Change: a product begins with what it can save up, ten.

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -16,12 +16,10 @@
 /// Retries that each fresh request earns.
 pub const RATIO: f64 = 0.2;
 
-/// Retries that a product can have saved up.
+/// Retries that a product can have saved up, and has before its first request: one with little traffic must get
+/// over an engine that fails.
 const SAVED: f64 = 10.0;
 
-/// Retries that a product has before its first request.
-const FIRST: f64 = 3.0;
-
 /// Pause before the first retry of a request; doubles with each.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -55,7 +53,7 @@
 
     /// Counts a fresh request of `product`.
     pub fn fresh(&mut self, product: &Name) {
-        let saved = self.saved.entry(product.clone()).or_insert(FIRST);
+        let saved = self.saved.entry(product.clone()).or_insert(SAVED);
         *saved = (*saved + RATIO).min(SAVED);
     }
 
@@ -65,7 +63,7 @@
         if retry >= MAX_ATTEMPTS {
             return None;
         }
-        let saved = self.saved.entry(product.clone()).or_insert(FIRST);
+        let saved = self.saved.entry(product.clone()).or_insert(SAVED);
         if *saved < 1.0 {
             return None;
         }
