Look at an engine soon when a change of it is wanted; prove the drain in parts

Ruled out: looking at all engines more often (calls grow with the fleet). Change: an engine that is not what is wished is looked at every second until it is being changed. Seen red with the guard taken out, green with it: held engines given work (role_changes_under_load), the engine's report not looked at (role_change_paused_instance: the stream was cut), weight store not asked (load_waits_for_weights), leases not released on shutdown (leaving_holder_resigns). Not proved alone: the instances' counts of requests in flight; with only these taken out the engine's report suffices in every test here.

--- a/crates/core/src/authority/orders.rs
+++ b/crates/core/src/authority/orders.rs
@@ -174,8 +174,13 @@
         let timing = self.settings.timing.clone();
         let changing = self.changing.as_ref() == Some(name);
         let open = self.open_record(name).is_some();
+        let model = self.model.clone();
         self.with(name, |engine| {
-            let every = match (changing, open || engine.fresh().is_none()) {
+            let due = open
+                || engine
+                    .fresh()
+                    .is_none_or(|r| engine.wish.target(&r.target, &model) != r.target);
+            let every = match (changing, due) {
                 (true, _) => timing.probe,
                 (false, true) => timing.retry,
                 (false, false) => timing.rest,
--- a/src/ops/control/authority/kv.rs
+++ b/src/ops/control/authority/kv.rs
@@ -30,6 +30,12 @@
     pub sent: Time,
 }
 
+/// Longest time that every instance waits before it competes for a vacant lease.
+const LEAST_DELAY: Duration = Duration::from_millis(500);
+
+/// Longest further time, of which each instance waits a part of its own.
+const SPREAD: Duration = Duration::from_secs(2);
+
 /// Key of a service's lease.
 pub fn lease_key(service: &Name) -> String {
     format!("lease/{service}")
@@ -45,7 +51,7 @@
 pub fn delay(ttl: Duration, service: &Name, instance: &Name) -> Duration {
     let hash = blake3::hash(format!("{service}/{instance}").as_bytes());
     let part = f64::from(hash.as_bytes()[0]) / f64::from(u8::MAX);
-    ttl / 20 + (ttl / 5).mul_f64(part)
+    (ttl / 20).min(LEAST_DELAY) + (ttl / 5).min(SPREAD).mul_f64(part)
 }
 
 /// Waits for the lease's key to change. The first call reads it.
--- a/tests/testsuite/authority/processes.rs
+++ b/tests/testsuite/authority/processes.rs
@@ -8,9 +8,11 @@
 use sequoiastream_standin::engine::OrderRecord;
 use sequoiastream_standin::engine::expected_text;
 use sequoiastream_standin::platform::Fault;
+use sequoiastream_standin::platform::Stats;
 use sequoiastream_testsupport::delay::Relay;
 use sequoiastream_testsupport::fleet::Fleet;
 use sequoiastream_testsupport::fleet::FleetBuilder;
+use sequoiastream_testsupport::fleet::MODEL;
 use sequoiastream_testsupport::http;
 use sequoiastream_testsupport::process::Process;
 use sequoiastream_upstream::wire::LoadBody;
@@ -41,6 +43,13 @@
     (fleet, relay)
 }
 
+/// Has the holder send an order that does not arrive yet.
+async fn order_under_way(fleet: &Fleet, relay: &Relay, index: usize) {
+    relay.keep_next(1);
+    fleet.apply(index, "set engine e0 role decode").await;
+    relay.wait_for_kept(1).await;
+}
+
 /// The rows of a table, each by its first cell.
 async fn rows(fleet: &Fleet, index: usize, text: &str) -> Option<BTreeMap<String, Vec<String>>> {
     let reply = fleet.statement(index, Uuid::new_v4(), text).await;
@@ -148,9 +157,7 @@
     let (fleet, relay) = relayed("checked").await;
     let first = holder(&fleet, 0, None).await;
     let other = 1 - first;
-    relay.keep_next(1);
-    fleet.apply(other, "set engine e0 role decode").await;
-    relay.wait_for_kept(1).await;
+    order_under_way(&fleet, &relay, other).await;
     fleet.daemons[first].signal("STOP");
     assert_eq!(holder(&fleet, other, Some(first)).await, other);
     phase(&fleet, other, 1, "answered").await;
@@ -176,9 +183,7 @@
     let (fleet, relay) = relayed("ignored").await;
     let first = holder(&fleet, 0, None).await;
     let other = 1 - first;
-    relay.keep_next(1);
-    fleet.apply(other, "set engine e0 role decode").await;
-    relay.wait_for_kept(1).await;
+    order_under_way(&fleet, &relay, other).await;
     fleet.daemons[first].signal("STOP");
     holder(&fleet, other, Some(first)).await;
     let version = fleet.apply(other, "set engine e0 role prefill").await;
@@ -214,9 +219,7 @@
     let (mut fleet, relay) = relayed("ignored").await;
     let first = holder(&fleet, 0, None).await;
     let other = 1 - first;
-    relay.keep_next(1);
-    fleet.apply(other, "set engine e0 role decode").await;
-    relay.wait_for_kept(1).await;
+    order_under_way(&fleet, &relay, other).await;
     fleet.daemons[first].kill();
     holder(&fleet, other, Some(first)).await;
     metric(&fleet.daemons[other], "sequoiastream_orders_unsettled_total").await;
@@ -267,9 +270,7 @@
     for fencing in ["checked", "ignored"] {
         let (fleet, relay) = relayed(fencing).await;
         let first = holder(&fleet, 0, None).await;
-        relay.keep_next(1);
-        fleet.apply(first, "set engine e0 role decode").await;
-        relay.wait_for_kept(1).await;
+        order_under_way(&fleet, &relay, first).await;
         let outage = Fault {
             outage: true,
             ..Fault::default()
@@ -320,3 +321,108 @@
         assert_eq!(orders.len(), 1, "{orders:#?}");
     }
 }
+
+/// Operators change the roles of both engines while callers keep asking through both instances. Every answer
+/// must be whole and both changes must come: the instances give a held engine nothing, so it runs empty.
+#[actix_web::test]
+async fn role_changes_under_load() {
+    const CALLERS: usize = 6;
+    let fleet = small("checked").engines(2).start_configured().await;
+    holder(&fleet, 0, None).await;
+    let changed = std::cell::Cell::new(false);
+    let callers = (0..CALLERS).map(|caller| {
+        let (fleet, changed) = (&fleet, &changed);
+        async move {
+            let mut answers = 0;
+            while !changed.get() {
+                let reply = fleet.complete(caller % 2, "short turn", 40, caller as u64).await;
+                assert_eq!(reply.outcome.as_deref(), Some("whole"), "{reply:?}");
+                answers += 1;
+            }
+            answers
+        }
+    });
+    let change = async {
+        fleet
+            .apply(0, "set engine e0 role decode; set engine e1 role decode")
+            .await;
+        for engine in &fleet.engines {
+            role(engine, Role::Decode).await;
+        }
+        changed.set(true);
+    };
+    let (answers, ()) = futures_util::join!(futures_util::future::join_all(callers), change);
+    assert!(answers.iter().all(|count| *count > 0), "{answers:?}");
+    for engine in &fleet.engines {
+        let cut: u64 = http::read(&format!("{}/control/cut", engine.url())).await;
+        assert_eq!(cut, 0);
+        let orders = orders(engine).await;
+        assert_sound(&orders);
+        assert_eq!(orders.len(), 1, "{orders:#?}");
+    }
+}
+
+/// An engine is to load another model while the weight store refuses reads: an order now would take the engine
+/// away for as long as the store refuses. The order must wait until the store agrees.
+#[actix_web::test]
+async fn load_waits_for_weights() {
+    let fleet = small("checked").engine_arg("--model=old-7b").start().await;
+    let throttle = Fault {
+        throttle: true,
+        ..Fault::default()
+    };
+    fleet.platform_fault(&throttle).await;
+    fleet.apply(0, &fleet.statements()).await;
+    let stats = format!("{}/control/stats", fleet.platform.url());
+    http::until("the store was asked twice", || async {
+        let stats: Stats = http::read(&stats).await;
+        (stats.calls.get("weights").copied() >= Some(2)).then_some(())
+    })
+    .await;
+    assert_eq!(orders(&fleet.engines[0]).await.len(), 0);
+    fleet.platform_fault(&Fault::default()).await;
+    phase(&fleet, 0, 1, "answered").await;
+    let orders = orders(&fleet.engines[0]).await;
+    assert_eq!((orders.len(), orders[0].order.target.model.as_str()), (1, MODEL));
+}
+
+/// An instance that leaves gives its authority up. Without that changes would wait for the lease's time, here
+/// a minute, which is longer than this test waits.
+#[actix_web::test]
+async fn leaving_holder_resigns() {
+    let fleet = fleet()
+        .daemons(2)
+        .daemon_arg("--lease-ms=60000")
+        .daemon_arg("--keep-ms=50")
+        .daemon_arg("--margin-ms=50")
+        .daemon_arg("--refuse-ms=50")
+        .start_configured()
+        .await;
+    let first = holder(&fleet, 0, None).await;
+    fleet.daemons[first].signal("TERM");
+    assert_eq!(holder(&fleet, 1 - first, Some(first)).await, 1 - first);
+}
+
+/// An instance is paused while a caller's answer streams through it, and an operator changes the engine's role.
+/// The instance can't be asked; once it is no longer waited for, the engine's own report must still keep the
+/// change back until the answer has ended, so that the caller gets it whole when the instance goes on.
+#[actix_web::test]
+async fn role_change_paused_instance() {
+    let fleet = small("checked").start_configured().await;
+    let index = holder(&fleet, 0, None).await;
+    let (reply, ()) = futures_util::join!(fleet.complete(1 - index, "long check", 1_400, 5), async {
+        let url = format!("{}/v1/load", fleet.engines[0].url());
+        http::until("the answer streams", || async {
+            let load: LoadBody = http::read(&url).await;
+            (load.running > 0).then_some(())
+        })
+        .await;
+        fleet.daemons[1 - index].signal("STOP");
+        fleet.apply(index, "set engine e0 role decode").await;
+        role(&fleet.engines[0], Role::Decode).await;
+        fleet.daemons[1 - index].signal("CONT");
+    });
+    assert_eq!(reply.outcome.as_deref(), Some("whole"), "{reply:?}");
+    let cut: u64 = http::read(&format!("{}/control/cut", fleet.engines[0].url())).await;
+    assert_eq!(cut, 0);
+}
