Propose role changes to the holder of a service's authority

Cause: the planner was wired to nothing while the authority's Propose was not there. Change: control::roles follows the demand in each instance and plans where the authority is held; event 800.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -99,6 +99,8 @@
     702 PEER_REFUSED = "peer-refused";
     /// The upstreams that the platform's list shows as leaving changed.
     703 UPSTREAM_LEAVING = "upstream-leaving";
+    /// The planner proposes a role change.
+    800 ROLE_PROPOSED = "role-proposed";
     /// An invariant was broken; the action was dropped.
     900 INVARIANT_BROKEN = "invariant-broken";
 }
--- a/src/ops/control/mod.rs
+++ b/src/ops/control/mod.rs
@@ -9,6 +9,7 @@
 mod load;
 mod membership;
 mod peers;
+mod roles;
 
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -46,6 +47,7 @@
 pub use membership::MembershipActor;
 
 use crate::ops::control::peers::PeerResponder;
+use crate::ops::control::roles::RolesActor;
 use crate::ops::shared::Shared;
 use crate::settings::Settings;
 
@@ -159,6 +161,7 @@
     let claims = ClaimsActor::new(shared.clone(), kv(&shared), calls.clone()).start();
     let authority = AuthorityActor::new(shared.clone(), kv(&shared), calls).start();
     LoadActor::new(shared.clone()).start();
+    RolesActor::new(shared.clone(), authority.clone()).start();
     let responder = PeerResponder {
         authority: authority.clone(),
         config: config.clone(),
--- /dev/null
+++ b/src/ops/control/roles.rs
@@ -0,0 +1,205 @@
+//! Runs the role planners: each instance follows the demand, and the holder of a service's authority proposes
+//! role changes to it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::Actor;
+use actix::ActorFutureExt;
+use actix::Addr;
+use actix::AsyncContext;
+use actix::Context;
+use actix::WrapFuture;
+use futures_util::future::join_all;
+use sequoiastream_core::config::EngineState;
+use sequoiastream_core::config::ServiceKind;
+use sequoiastream_core::engine::Target;
+use sequoiastream_core::log_event;
+use sequoiastream_core::membership::Standing;
+use sequoiastream_core::name::Name;
+use sequoiastream_core::roles::Change;
+use sequoiastream_core::roles::EngineSeen;
+use sequoiastream_core::roles::Evidence;
+use sequoiastream_core::roles::Planner;
+use sequoiastream_core::route::Router;
+use sequoiastream_core::snapshot::EngineView;
+use sequoiastream_core::snapshot::ServiceView;
+use sequoiastream_core::snapshot::Snapshot;
+use sequoiastream_core::time::Time;
+use sequoiastream_upstream::EngineClient;
+use sequoiastream_upstream::wire::LoadBody;
+
+use crate::log_event;
+use crate::ops::control::AuthorityActor;
+use crate::ops::control::IsHolder;
+use crate::ops::control::Propose;
+use crate::ops::shared::Shared;
+use crate::util::clock;
+
+/// Bounds of the time between two plans.
+const PERIOD: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
+
+/// Reports are evidence up to an age of so many times the time between two polls.
+const LAG_POLLS: u32 = 4;
+
+/// Runs the planners.
+#[derive(Debug)]
+pub struct RolesActor {
+    shared: Arc<Shared>,
+    authority: Addr<AuthorityActor>,
+    engines: EngineClient,
+    planners: BTreeMap<Name, Planner>,
+}
+
+impl RolesActor {
+    /// Planners that saw no demand yet.
+    pub fn new(shared: Arc<Shared>, authority: Addr<AuthorityActor>) -> RolesActor {
+        RolesActor {
+            shared,
+            authority,
+            engines: EngineClient::new(),
+            planners: BTreeMap::new(),
+        }
+    }
+
+    fn tick(&mut self, context: &mut Context<Self>) {
+        let snapshot = self.shared.snapshot.load_full();
+        let services = model_services(&snapshot);
+        self.follow_demand(&services);
+        let asked = services.into_iter().map(|service| {
+            let authority = self.authority.clone();
+            async move {
+                let held = authority.send(IsHolder(service.clone())).await;
+                held.unwrap_or(false).then_some(service)
+            }
+        });
+        context.spawn(join_all(asked).into_actor(self).map(|held, actor, context| {
+            for service in held.into_iter().flatten() {
+                actor.plan(&service, context);
+            }
+        }));
+        let period = (self.shared.settings.away / 3).clamp(PERIOD.0, PERIOD.1);
+        context.run_later(period, RolesActor::tick);
+    }
+
+    /// Feeds what this instance was asked, times the number of instances: callers spread evenly over them.
+    fn follow_demand(&mut self, services: &[Name]) {
+        let now = clock::now();
+        let settings = &self.shared.settings;
+        let heard = self.shared.roster().peers.iter().filter(|p| p.heard).count();
+        let demand = self.shared.policy.take_demand();
+        self.planners.retain(|name, _| services.contains(name));
+        for service in services {
+            let planner = self.planners.entry(service.clone());
+            let planner = planner.or_insert_with(|| Planner::new(settings.policy, settings.away));
+            let work = demand.get(service).copied().unwrap_or_default();
+            planner.observe(now, work.scaled(1.0 + heard as f64));
+        }
+    }
+
+    fn plan(&mut self, service: &Name, context: &mut Context<Self>) {
+        let snapshot = self.shared.snapshot.load_full();
+        let evidence = self.evidence(&snapshot, service);
+        let Some(planner) = self.planners.get_mut(service) else {
+            return;
+        };
+        let Some(change) = planner.plan(clock::now(), &evidence) else {
+            return;
+        };
+        let mut engines = snapshot.engines.iter().map(|(_, engine)| engine);
+        let Some(engine) = engines.find(|e| e.name == change.engine) else {
+            return;
+        };
+        let client = self.engines.clone();
+        let address = engine.address;
+        let asked = async move { client.load(address).await };
+        context.spawn(asked.into_actor(self).map(move |load, actor, _| {
+            if let Ok(body) = load {
+                actor.propose(change, body);
+            }
+        }));
+    }
+
+    fn propose(&self, change: Change, body: LoadBody) {
+        log_event!(
+            info,
+            log_event::ROLE_PROPOSED,
+            engine = %change.engine,
+            role = %change.role,
+            gain = change.gain,
+            price = change.price
+        );
+        self.shared.metrics.policy.changes_proposed.inc();
+        let target = Target {
+            role: change.role,
+            model: body.model,
+            adapter: body.adapter,
+            version: body.version,
+        };
+        self.authority.do_send(Propose {
+            engine: change.engine,
+            target,
+        });
+    }
+
+    fn evidence(&self, snapshot: &Snapshot, service: &Name) -> Evidence {
+        let now = clock::now();
+        let roster = self.shared.roster();
+        let router = self.shared.router();
+        let view = service_view(snapshot, service);
+        let engines = view.into_iter().flat_map(|s| s.engines.iter());
+        let seen = engines
+            .filter_map(|key| snapshot.engines.get(*key))
+            .filter(|engine| !roster.leaving.contains(&engine.address))
+            .filter_map(|engine| seen(now, &router, engine));
+        Evidence {
+            engines: seen.collect(),
+            weight: weight(snapshot),
+            lag: self.shared.settings.poll * LAG_POLLS,
+            platform: roster.standing == Standing::Current,
+        }
+    }
+}
+
+impl Actor for RolesActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Context<Self>) {
+        self.tick(context);
+    }
+}
+
+fn model_services(snapshot: &Snapshot) -> Vec<Name> {
+    let services = snapshot.services.iter().map(|(_, service)| service);
+    let models = services.filter(|s| matches!(s.kind, ServiceKind::Model { .. }));
+    models.map(|s| s.name.clone()).collect()
+}
+
+fn service_view<'a>(snapshot: &'a Snapshot, name: &Name) -> Option<&'a ServiceView> {
+    let mut services = snapshot.services.iter().map(|(_, service)| service);
+    services.find(|service| service.name == *name)
+}
+
+/// An engine as its last report shows it; `None` if there is none.
+fn seen(now: Time, router: &Router, engine: &EngineView) -> Option<EngineSeen> {
+    let report = router.book(&engine.name)?.last()?;
+    Some(EngineSeen {
+        name: engine.name.clone(),
+        role: report.role,
+        fixed: engine.role.is_some() || engine.state != EngineState::Serving,
+        away: report.away,
+        requests: report.running + report.queued,
+        speed: report.speed,
+        age: now.since(report.at),
+    })
+}
+
+/// The weight of role changes of all products, each counted by what it is owed.
+fn weight(snapshot: &Snapshot) -> u32 {
+    let products = snapshot.products.iter().map(|(_, product)| product);
+    let (sum, shares) = products.fold((0, 0), |(sum, shares), p| {
+        (sum + p.weight * p.share, shares + p.share)
+    });
+    sum.checked_div(shares).unwrap_or(0)
+}
