--- a/tests/testsuite/claims/mod.rs
+++ b/tests/testsuite/claims/mod.rs
@@ -1,6 +1,7 @@
 //! At most once: claims on requests that may not be repeated.
 
 mod client;
+mod entry;
 mod faults;
 mod machines;
 mod owner;
