Tell known ends of claims while the key-value service is out

Cause: an owner that had found the service out refused every question, also about claims of which it held the end, which never changes. Change: such ends are told from memory. ask_when_out_end_known: red without ('Out(4.195s)' in place of the end), green with it; order_platform_out repeats an answered order during the outage.

--- a/crates/core/src/claims/owner.rs
+++ b/crates/core/src/claims/owner.rs
@@ -240,7 +240,7 @@
         let refusal = match () {
             () if self.stopping => Some(Verdict::Stopping),
             () if !window::agree(now.wall, ask.wall) => Some(Verdict::Clock),
-            () if self.is_out(now.time) => Some(Verdict::Out(self.come_back(now.time, &ask))),
+            () if self.is_out(now.time) => Some(self.refuse_out(now, &ask)),
             () => None,
         };
         if let Some(refusal) = refusal {
@@ -254,8 +254,11 @@
 
     fn on_look(&mut self, now: Clocks, ticket: Ticket, claim: ClaimRef, actions: &mut Vec<OwnerAction>) {
         if self.is_out(now.time) {
+            let slot = self.slots.get(&claim.bucket);
+            let known = slot.and_then(|slot| slot.end_of(claim.id, now.wall));
             let after = self.probe.since(now.time).max(OUT_AFTER);
-            actions.push(OwnerAction::Answer(ticket, Verdict::Out(after)));
+            let verdict = known.unwrap_or(Verdict::Out(after));
+            actions.push(OwnerAction::Answer(ticket, verdict));
             return;
         }
         self.slot(claim.bucket, now).look(ticket, claim.id, now.time);
@@ -283,6 +286,13 @@
         long && now < self.probe
     }
 
+    /// What is said while the key-value service is out: the end of a claim if it is known, since it never changes.
+    fn refuse_out(&self, now: Clocks, ask: &Ask) -> Verdict {
+        let slot = self.slots.get(&ask.claim.bucket);
+        let known = slot.and_then(|slot| slot.ended(ask, now.wall));
+        known.unwrap_or_else(|| Verdict::Out(self.come_back(now.time, ask)))
+    }
+
     /// When a refused caller should come back: after the next try, spread so that they don't come together.
     fn come_back(&self, now: Time, ask: &Ask) -> Duration {
         let spread = Duration::from_secs(1 + ask.mark.0.as_u64_pair().1 % SPREAD);
--- a/crates/core/src/claims/owner/slot.rs
+++ b/crates/core/src/claims/owner/slot.rs
@@ -114,6 +114,17 @@
         }
     }
 
+    /// The verdict on `ask` if the claim that stands has ended, however old the view is.
+    pub(super) fn ended(&self, ask: &Ask, wall: WallTime) -> Option<Verdict> {
+        let record = self.known()?.get(&ask.claim.id)?;
+        judge(record, ask, &self.edits, wall, false)
+    }
+
+    /// How the claim that stands has ended, if it has, however old the view is.
+    pub(super) fn end_of(&self, id: ClaimId, wall: WallTime) -> Option<Verdict> {
+        told(self.known()?.get(&id)?, id, &self.edits, wall, false)
+    }
+
     pub(super) fn ask(&mut self, ticket: Ticket, ask: Ask, now: Time) {
         let until = now + ask.wait;
         self.used = now;
--- a/tests/testsuite/claims/faults.rs
+++ b/tests/testsuite/claims/faults.rs
@@ -305,6 +305,8 @@
         assert_eq!((reply.status, reply.outcome.as_deref()), (503, Some("not-run")));
         assert!(reply.after.is_some(), "{}", reply.body);
     }
+    let told = order(&fleet, 2, &known, "pellets").await;
+    assert_eq!((told.status, told.outcome.as_deref()), (200, Some("whole")));
     fleet.platform_fault(&Fault::default()).await;
     assert_eq!(runs(&fleet).await.get(&refused), None);
     let reply = http::until("orders go through again", || async {
--- a/tests/testsuite/claims/owner.rs
+++ b/tests/testsuite/claims/owner.rs
@@ -175,6 +175,48 @@
     );
 }
 
+/// An owner whose first claim ended well, and that then found the key-value service out for two seconds.
+fn owner_out() -> Owner {
+    let mut owner = Owner::new(OwnerSettings::default());
+    owner.on(at(0), asked(1, 0, 1));
+    owner.on(at(3), written(7));
+    let edit = Edit {
+        id: claim(0).id,
+        mark: Mark(Uuid::from_u128(1)),
+        change: Change::Finish(None),
+    };
+    owner.on(at(10), OwnerEvent::Edit(claim(0).bucket, edit));
+    for now in [100, 1_100, 2_100] {
+        owner.on(at(now), asked(2, 1, 2));
+        let failed = OwnerEvent::Failed {
+            bucket: claim(0).bucket,
+            unsure: false,
+        };
+        owner.on(at(now + 5), failed);
+    }
+    owner
+}
+
+/// The key-value service is out, and a buyer repeats an order that was answered before. Its owner knows the answer,
+/// and an end never changes: the buyer is told it.
+#[test]
+fn ask_when_out_end_known() {
+    let mut owner = owner_out();
+    let finished = Verdict::Seen(Seen::Finished(None));
+    let actions = owner.on(at(2_110), asked(3, 0, 3));
+    assert_eq!(actions, vec![OwnerAction::Answer(Ticket(3), finished.clone())]);
+    let actions = owner.on(at(2_110), OwnerEvent::Look(Ticket(4), claim(0)));
+    assert_eq!(actions, vec![OwnerAction::Answer(Ticket(4), finished)]);
+    let actions = owner.on(at(2_110), OwnerEvent::Look(Ticket(5), claim(1)));
+    assert!(
+        matches!(
+            actions.as_slice(),
+            [OwnerAction::Answer(Ticket(5), Verdict::Out(_))]
+        ),
+        "{actions:?}"
+    );
+}
+
 /// A write is unsure, and its claim is in fact there: the entry that asked may send, and no other.
 #[test]
 fn unsure_write_found() {
