--- a/crates/caller/src/gateway.rs
+++ b/crates/caller/src/gateway.rs
@@ -4,15 +4,21 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use sequoiastream_core::answer::Resume;
 use sequoiastream_core::name::Name;
 use tokio::sync::mpsc;
 use uuid::Uuid;
 
+use crate::proof::Unsent;
 use crate::refusal::Refusal;
+use crate::status::RequestState;
+use crate::status::StatusCall;
 
 /// A request to generate.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct GenerateCall {
+    /// The proof that it has not run; gone once it was sent.
+    pub unsent: Unsent,
     /// Names the request; the answer's events repeat it.
     pub id: Uuid,
     /// The product that asks.
@@ -25,8 +31,10 @@
     pub limit: u32,
     /// Seed of the sampling.
     pub seed: u64,
-    /// Tokens that the caller has already.
-    pub offset: u32,
+    /// What the caller has already.
+    pub resume: Resume,
+    /// 0 is the most urgent.
+    pub priority: u8,
     /// How long the caller waits; `None` for the product's default.
     pub deadline: Option<Duration>,
 }
@@ -44,11 +52,23 @@
     pub output: u32,
 }
 
+/// A token of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Token {
+    /// Its offset in the whole output.
+    pub offset: u32,
+    /// Its text.
+    pub text: String,
+    /// Version of the model that made the text up to here; `None` if several did, so that a caller can't come
+    /// back for the rest.
+    pub version: Option<u32>,
+}
+
 /// Part of an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AnswerEvent {
-    /// The token at this offset.
-    Token(u32, String),
+    /// A token.
+    Token(Token),
     /// The answer is whole.
     Done(Finish),
     /// The answer ends here without being whole.
@@ -58,13 +78,15 @@
 /// The events of one answer. Dropping it cancels the request.
 #[derive(Debug)]
 pub struct Answer {
-    /// The events.
-    pub events: mpsc::UnboundedReceiver<AnswerEvent>,
+    /// The events. Bounded, so that a caller that doesn't read holds its engine back instead of filling memory.
+    pub events: mpsc::Receiver<AnswerEvent>,
 }
 
 /// A call to pass through to a plain service.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct ForwardCall {
+    /// The proof that it has not run; gone once it was sent.
+    pub unsent: Unsent,
     /// The product that asks.
     pub product: Name,
     /// The service.
@@ -79,6 +101,8 @@
     pub content: Option<String>,
     /// Body.
     pub body: Bytes,
+    /// How long the caller waits; `None` for the product's default.
+    pub deadline: Option<Duration>,
 }
 
 /// A plain service's answer.
@@ -93,8 +117,10 @@
 }
 
 /// A caller that asks which addresses to use.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct AddressCall {
+    /// The proof that nothing of it has run.
+    pub unsent: Unsent,
     /// The product that asks.
     pub product: Name,
     /// The service or model that it wants.
@@ -122,6 +148,12 @@
     /// Whether this instance takes new work.
     fn ready(&self) -> bool;
 
+    /// How long a caller may take to send the body of a request.
+    fn body_time(&self) -> Duration;
+
+    /// The models and services that callers can name.
+    fn models(&self) -> Vec<String>;
+
     /// Starts to generate.
     ///
     /// # Errors
@@ -136,12 +168,18 @@
     /// [`Refusal`] if there is no answer of the service.
     fn forward(&self, call: ForwardCall) -> impl Future<Output = Result<ForwardReply, Refusal>>;
 
+    /// What is known of the product's request with this idempotency key, of one service or of all.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if the key is none.
+    fn status(&self, call: StatusCall) -> impl Future<Output = Result<RequestState, Refusal>>;
     /// Which addresses the caller should use.
     ///
     /// # Errors
     ///
     /// [`Refusal`] if there is no such service.
-    fn addresses(&self, call: &AddressCall) -> Result<AddressList, Refusal>;
+    fn addresses(&self, call: AddressCall) -> Result<AddressList, Refusal>;
 
     /// The metrics page.
     fn metrics(&self) -> String;
--- a/crates/caller/src/refusal.rs
+++ b/crates/caller/src/refusal.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-use sequoiastream_core::outcome::NotRun;
 use sequoiastream_core::outcome::Outcome;
 use sequoiastream_core::outcome::Reason;
 
+use crate::proof::NotRun;
+use crate::proof::Unsent;
+
 /// Why a request got no whole answer.
 ///
 /// A refusal with outcome `not-run` can be made only from a [`NotRun`], which proves it.
@@ -36,6 +38,34 @@
         }
     }
 
+    /// Another request with the same idempotency key runs; ask for it after this time.
+    pub fn running(after: Duration) -> Refusal {
+        Refusal {
+            outcome: Outcome::Unknown,
+            reason: Some(Reason::KeyRunning),
+            message: "a request with this idempotency key is running".to_string(),
+            after: Some(after),
+        }
+    }
+
+    /// It crashed engines, or is suspected to, and may not run.
+    pub fn quarantined(message: impl Into<String>) -> Refusal {
+        Refusal {
+            reason: Some(Reason::Quarantined),
+            ..Refusal::failed(message)
+        }
+    }
+
+    /// The request itself is wrong.
+    pub(crate) fn bad_request(message: impl Into<String>) -> Refusal {
+        Refusal::not_run(Unsent::begin().refuse(Reason::BadRequest), message)
+    }
+
+    /// Nothing is served there.
+    pub(crate) fn unknown_path(message: impl Into<String>) -> Refusal {
+        Refusal::not_run(Unsent::begin().refuse(Reason::UnknownService), message)
+    }
+
     /// No upstream started the request.
     pub fn not_run(proof: NotRun, message: impl Into<String>) -> Refusal {
         Refusal {
@@ -51,7 +81,7 @@
         self.outcome
     }
 
-    /// Why it did not run, if it did not.
+    /// Why it did not run, if it did not, or why its outcome is not known.
     pub fn reason(&self) -> Option<Reason> {
         self.reason
     }
@@ -70,7 +100,9 @@
     pub fn status(&self) -> u16 {
         match (self.outcome, self.reason) {
             (Outcome::NotRun, Some(reason)) => status_of(reason),
+            (Outcome::Failed, Some(Reason::Quarantined)) => 422,
             (Outcome::Failed, _) => 502,
+            (_, Some(Reason::KeyRunning)) => 409,
             _ => 504,
         }
     }
@@ -82,12 +114,13 @@
         Reason::UnknownKey => 401,
         Reason::UnknownService => 404,
         Reason::KeyRunning => 409,
-        Reason::Quarantined => 422,
+        Reason::Quarantined | Reason::KeyReused => 422,
         Reason::OverShare | Reason::TooLate | Reason::RetryBudget => 429,
         Reason::NoEngine
         | Reason::PlatformOut
         | Reason::Stopping
         | Reason::Isolated
+        | Reason::ClockStepped
         | Reason::UpstreamRefused => 503,
     }
 }
--- a/crates/testsupport/src/fleet.rs
+++ b/crates/testsupport/src/fleet.rs
@@ -1,15 +1,22 @@
 //! A small deployment as processes: platform, engines, plain services and daemons.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Mutex;
 
 use sequoiastream_core::name::Name;
 use sequoiastream_operator::wire::ReplyBody;
 use sequoiastream_operator::wire::StatementBody;
 use sequoiastream_platform::Listed;
 use sequoiastream_platform::ListedState;
+use sequoiastream_standin::engine::EngineFault;
 use sequoiastream_standin::platform::Fault;
+use sequoiastream_upstream::wire::LoadBody;
+use serde_json::Value;
+use tokio::net::TcpSocket;
 use uuid::Uuid;
 
+use crate::answer::Answer;
 use crate::http;
 use crate::http::Reply;
 use crate::process::Process;
@@ -61,6 +68,7 @@
     pub plain: Vec<Process>,
     /// Daemons `i0`, `i1`, ...
     pub daemons: Vec<Process>,
+    reserved: Mutex<Vec<TcpSocket>>,
 }
 
 impl FleetBuilder {
@@ -125,6 +133,7 @@
             engines,
             plain,
             daemons: Vec::new(),
+            reserved: Mutex::default(),
         };
         for index in 0..self.daemons {
             let daemon = fleet.start_daemon(index).await;
@@ -138,6 +147,7 @@
         let fleet = self.start().await;
         let version = fleet.apply(0, &fleet.statements()).await;
         fleet.wait_for_version(version).await;
+        fleet.wait_until_ready().await;
         fleet
     }
 }
@@ -146,9 +156,7 @@
     /// Starts a daemon named after `index` and puts it on the platform's list.
     pub async fn start_daemon(&self, index: usize) -> Process {
         let name = format!("i{index}");
-        let peer = std::net::TcpListener::bind("127.0.0.1:0")
-            .and_then(|l| l.local_addr())
-            .expect("a port is free");
+        let peer = self.reserve();
         let fixed = [
             format!("--name={name}"),
             "--zone=lodi-a".to_string(),
@@ -172,6 +180,23 @@
         daemon
     }
 
+    /// Takes a free port for a daemon's peers and keeps it reserved as long as the fleet lives.
+    ///
+    /// Failure guarded against: a port that was found free is given to another process before the daemon
+    /// listens, and the daemon ends with `Address already in use`. The kernel gives no port away that is bound,
+    /// and still lets the daemon listen on it, since both sockets allow the address to be used again and this
+    /// one never listens.
+    fn reserve(&self) -> SocketAddr {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_reuseaddr(true).expect("an option of sockets");
+        let any = "127.0.0.1:0".parse().expect("an address");
+        socket.bind(any).expect("a port is free");
+        let address = socket.local_addr().expect("it is bound");
+        let mut reserved = self.reserved.lock().expect("no thread panics with it");
+        reserved.push(socket);
+        address
+    }
+
     /// Statements that create product `dispatch`, services `assistente` and `ordini`, and place the upstreams.
     pub fn statements(&self) -> String {
         let mut text = format!(
@@ -236,6 +261,18 @@
         }
     }
 
+    /// Waits until every daemon takes new work.
+    pub async fn wait_until_ready(&self) {
+        for daemon in &self.daemons {
+            let url = format!("{}/readyz", daemon.url());
+            http::until("the daemon is ready", || async {
+                let reply = http::send("GET", &url, &[], "").await;
+                (reply.status == 200).then_some(())
+            })
+            .await;
+        }
+    }
+
     /// Makes the platform misbehave.
     pub async fn platform_fault(&self, fault: &Fault) {
         let url = format!("{}/control/fault", self.platform.url());
@@ -251,4 +288,88 @@
         let key = format!("Bearer {KEY}");
         http::send("POST", &url, &[("authorization", &key)], &body).await
     }
+
+    /// Asks daemon `index` to stream a completion of `prompt` with `limit` tokens from `seed`.
+    ///
+    /// # Panics
+    ///
+    /// If the answer is not streamed.
+    pub async fn stream(&self, index: usize, prompt: &str, limit: u32, seed: u64) -> Answer {
+        let body = serde_json::json!({
+            "model": MODEL, "prompt": prompt, "max_tokens": limit, "seed": seed, "stream": true,
+        });
+        let answer = self.ask(index, &[], &body).await;
+        answer.unwrap_or_else(|reply| panic!("{reply:?}"))
+    }
+
+    /// Sends `body` to the completions of daemon `index`, with further headers.
+    ///
+    /// # Errors
+    ///
+    /// The answer, if it is not streamed.
+    pub async fn ask(&self, index: usize, headers: &[(&str, &str)], body: &Value) -> Result<Answer, Reply> {
+        let url = format!("{}/v1/completions", self.daemons[index].url());
+        let key = format!("Bearer {KEY}");
+        let mut all = vec![("authorization", key.as_str())];
+        all.extend_from_slice(headers);
+        Answer::open(&url, &all, body).await
+    }
+
+    /// Makes engine `index` misbehave.
+    pub async fn engine_fault(&self, index: usize, fault: &EngineFault) {
+        let url = format!("{}/control/fault", self.engines[index].url());
+        http::send("PUT", &url, &[], fault).await;
+    }
+
+    /// How many attempts engine `index` has taken.
+    pub async fn served(&self, index: usize) -> u64 {
+        http::read(&format!("{}/control/served", self.engines[index].url())).await
+    }
+
+    /// Waits until some engine runs a request, and returns which.
+    pub async fn serving(&self) -> usize {
+        http::until("an engine runs a request", || async {
+            for (index, engine) in self.engines.iter().enumerate() {
+                let load: LoadBody = http::read(&format!("{}/v1/load", engine.url())).await;
+                if load.running > 0 {
+                    return Some(index);
+                }
+            }
+            None
+        })
+        .await
+    }
+
+    /// The value of a metric without labels at daemon `index`.
+    pub async fn metric(&self, index: usize, name: &str) -> f64 {
+        let url = format!("{}/metrics", self.daemons[index].url());
+        let page = http::send("GET", &url, &[], "").await.body;
+        let line = page.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' '));
+        line.and_then(|v| v.parse().ok()).unwrap_or(0.0)
+    }
+
+    /// Waits until each daemon knows all others.
+    pub async fn wait_for_peers(&self) {
+        let others = (self.daemons.len() - 1) as f64;
+        for index in 0..self.daemons.len() {
+            http::until("the daemon knows its peers", || async {
+                let known = self.metric(index, "sequoiastream_peers").await;
+                (known >= others).then_some(())
+            })
+            .await;
+        }
+    }
+
+    /// Engines that have ended.
+    pub fn lost(&mut self) -> usize {
+        let running = |engine: &mut Process| engine.is_running();
+        let running = self.engines.iter_mut().map(running).filter(|r| *r).count();
+        self.engines.len() - running
+    }
+
+    /// Starts a further engine, with the arguments of the fleet's.
+    pub fn start_engine(&self) -> Process {
+        let args = ["engine".to_string(), "--decode-rate=400".to_string()];
+        Process::start(&self.binaries.standin, args)
+    }
 }
--- a/src/ops/control/peers.rs
+++ b/src/ops/control/peers.rs
@@ -1,24 +1,48 @@
 //! Answers the questions of other instances.
 
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
 use actix::Addr;
+use actix::MailboxError;
+use sequoiastream_core::claims::Verdict;
 use sequoiastream_peer::call::Responder;
+use sequoiastream_peer::message::PoisonRequest;
+use sequoiastream_peer::message::PoisonResponse;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
 
+use crate::ops::control::claims::Claim;
+use crate::ops::control::claims::ClaimsActor;
+use crate::ops::control::claims::Look;
+use crate::ops::control::claims::Report;
 use crate::ops::control::config::ConfigActor;
 use crate::ops::control::config::UpdateAfter;
+use crate::ops::shared::Shared;
+use crate::util::clock;
 
 /// Passes each question to the actor that can answer it.
 #[derive(Debug, Clone)]
 pub struct PeerResponder {
     /// Keeper of the configuration.
     pub config: Addr<ConfigActor>,
+    /// Owner of claims.
+    pub claims: Addr<ClaimsActor>,
+    /// What the control thread shares with the traffic threads.
+    pub shared: Arc<Shared>,
 }
 
 impl Responder for PeerResponder {
     async fn respond(&self, request: Request) -> Response {
         match request {
             Request::Ping => Response::Pong,
+            Request::Claim(ask) => verdict(self.claims.send(Claim(ask)).await),
+            Request::Look(claim) => verdict(self.claims.send(Look(claim)).await),
+            Request::Edit(bucket, edit) => {
+                self.claims.do_send(Report(bucket, edit));
+                Response::Taken
+            }
+            Request::Poison(request) => Response::Poison(poison(&self.shared, &request)),
             Request::Config(after) => {
                 let update = self.config.send(UpdateAfter(after)).await;
                 update.map_or(Response::Unserved, Response::Config)
@@ -26,3 +50,35 @@
         }
     }
 }
+
+/// An owner whose actor has ended is stopping.
+fn verdict(verdict: Result<Verdict, MailboxError>) -> Response {
+    Response::Verdict(verdict.unwrap_or(Verdict::Stopping))
+}
+
+/// Takes what a peer says of requests that crash engines.
+fn poison(shared: &Shared, request: &PoisonRequest) -> PoisonResponse {
+    let now = clock::now();
+    let mut response = PoisonResponse {
+        agreed: true,
+        ran: BTreeSet::new(),
+    };
+    let mut poison = shared.poison();
+    match request {
+        PoisonRequest::Note(note) => {
+            response.ran = poison.ran_there(&note.incident);
+            shared.stops.stop(&poison.on_note(now, note));
+        }
+        PoisonRequest::Ask(ask) => response.agreed = poison.on_ask(now, ask),
+        PoisonRequest::Vacate(engine) => shared.stops.stop(&poison.to_move(engine)),
+        PoisonRequest::Release(ask) => poison.release(ask),
+        PoisonRequest::Clear(fingerprint) => poison.clear(*fingerprint),
+        PoisonRequest::Convict(fingerprint) => {
+            let quarantine = &shared.snapshot.load().quarantine;
+            shared.stops.stop(&poison.convict(now, *fingerprint));
+            // If the configuration has it already, it alone decides, so that a pardon holds.
+            poison.on_quarantine(quarantine);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/src/ops/dispatch/admit.rs
@@ -0,0 +1,115 @@
+//! What the policy has to know of a request, and whether it may run now.
+
+use std::time::Duration;
+
+use sequoiastream_caller::GenerateCall;
+use sequoiastream_caller::Refusal;
+use sequoiastream_core::arena::ServiceKey;
+use sequoiastream_core::limit;
+use sequoiastream_core::limit::Need;
+use sequoiastream_core::limit::Owed;
+use sequoiastream_core::limit::Verdict;
+use sequoiastream_core::name::Name;
+use sequoiastream_core::outcome::Reason;
+use sequoiastream_core::prefix::block_digests;
+use sequoiastream_core::route::Ask;
+use sequoiastream_core::snapshot::ProductView;
+use sequoiastream_core::snapshot::Snapshot;
+
+use crate::ops::dispatch::Dispatch;
+use crate::ops::shared::Shared;
+use crate::util::clock;
+
+/// Deadline of a request of a product that sets none.
+const DEADLINE: Duration = Duration::from_secs(60);
+
+/// Priority at the engine of work on borrowed time.
+const LENT_PRIORITY: u8 = 4;
+
+/// Describes `call` to the router.
+pub fn ask(shared: &Shared, snapshot: &Snapshot, call: &GenerateCall, service: ServiceKey) -> Ask {
+    let limit = call.deadline.unwrap_or_else(|| default_deadline(snapshot, call));
+    let output = shared.policy.limiter().expect(&call.product, call.limit);
+    let prompt = call.prompt.split_whitespace().count();
+    Ask {
+        service,
+        prompt: u32::try_from(prompt)
+            .unwrap_or(u32::MAX)
+            .saturating_add(call.resume.offset),
+        output: output.saturating_sub(call.resume.offset),
+        digests: block_digests(&call.prompt),
+        deadline: clock::now() + limit,
+    }
+}
+
+/// Deadline of a request that names none.
+pub fn default_deadline(snapshot: &Snapshot, call: &GenerateCall) -> Duration {
+    match product(snapshot, &call.product) {
+        Some(product) if product.deadline > 0 => Duration::from_millis(u64::from(product.deadline)),
+        _ => DEADLINE,
+    }
+}
+
+/// Lets `call` through if its product may use the engines now and its deadline can be met. An answer that was
+/// begun before is let through always.
+///
+/// # Errors
+///
+/// A refusal, given at once: nothing was sent.
+pub fn admit(dispatch: &Dispatch, mut call: GenerateCall) -> Result<GenerateCall, Refusal> {
+    let shared = &dispatch.shared;
+    let snapshot = shared.snapshot.load();
+    let Some(service) = snapshot.service_of(&call.model) else {
+        return Ok(call);
+    };
+    shared.policy.retries().fresh(&call.product);
+    let ask = ask(shared, &snapshot, &call, service);
+    let now = clock::now();
+    let Some(foreseen) = shared.router().foresee(now, &snapshot, &ask) else {
+        return Ok(call);
+    };
+    let Some(view) = snapshot.services.get(service) else {
+        return Ok(call);
+    };
+    shared
+        .policy
+        .ask(&view.name, f64::from(foreseen.prefill), f64::from(ask.output));
+    if !shared.settings.policy.limits() || call.resume.offset > 0 {
+        return Ok(call);
+    }
+    let owed = Owed {
+        share: product(&snapshot, &call.product).map_or(0, |p| p.share),
+        engines: view.engines.len(),
+    };
+    let need = Need {
+        cost: limit::cost(foreseen.speed, foreseen.prefill, ask.output),
+        total: foreseen.estimate.total(),
+        left: ask.deadline.since(now).as_secs_f64(),
+    };
+    let verdict = shared.policy.limiter().admit(now, &call.product, owed, need);
+    shared.metrics.policy.verdict(&call.product, verdict);
+    match verdict {
+        Verdict::Owed => Ok(call),
+        Verdict::Lent => {
+            // Work on borrowed time goes behind the work of those who are owed it.
+            call.priority = call.priority.max(LENT_PRIORITY);
+            Ok(call)
+        }
+        Verdict::Refused(reason, after) => {
+            let proof = call.unsent.refuse(reason).come_back(after);
+            Err(Refusal::not_run(proof, message(reason)))
+        }
+    }
+}
+
+fn product<'a>(snapshot: &'a Snapshot, name: &Name) -> Option<&'a ProductView> {
+    let mut products = snapshot.products.iter().map(|(_, product)| product);
+    products.find(|product| product.name == *name)
+}
+
+fn message(reason: Reason) -> &'static str {
+    match reason {
+        Reason::TooLate => "no engine can finish the request before its deadline",
+        _ => "the product's share of engine time is used up and nobody lends",
+    }
+}
--- a/src/ops/dispatch/mod.rs
+++ b/src/ops/dispatch/mod.rs
@@ -1,11 +1,17 @@
 //! What a traffic thread does with requests: picks upstreams, starts attempts and relays answers.
 
 mod addresses;
+mod admit;
 mod forward;
 mod generate;
+mod once;
+mod owners;
+mod suspects;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use sequoiastream_caller::AddressCall;
 use sequoiastream_caller::AddressList;
@@ -15,17 +21,28 @@
 use sequoiastream_caller::Gateway;
 use sequoiastream_caller::GenerateCall;
 use sequoiastream_caller::Refusal;
+use sequoiastream_caller::RequestState;
+use sequoiastream_caller::StatusCall;
+use sequoiastream_core::config::ServiceKind;
 use sequoiastream_core::config::Version;
 use sequoiastream_core::name::Name;
+use sequoiastream_operator::Query;
+use sequoiastream_operator::Statement;
+use sequoiastream_operator::Table;
 use sequoiastream_operator::http::Executor;
 use sequoiastream_operator::http::OperatorError;
+use sequoiastream_operator::parse_script;
+use sequoiastream_operator::select;
 use sequoiastream_operator::wire::ReplyBody;
 use sequoiastream_operator::wire::StatementBody;
+use sequoiastream_peer::call::CallClient;
+use sequoiastream_peer::seal::ClusterKey;
 use sequoiastream_upstream::EngineClient;
 use sequoiastream_upstream::PlainClient;
 
 use crate::ops::control::Control;
 use crate::ops::control::Execute;
+use crate::ops::control::claims::ShowClaims;
 use crate::ops::shared::Shared;
 
 /// One traffic thread's side of the daemon.
@@ -35,16 +52,19 @@
     control: Control,
     engines: EngineClient,
     plain: PlainClient,
+    calls: CallClient,
 }
 
 impl Dispatch {
     /// A dispatcher with connection pools of its own.
     pub fn new(shared: Arc<Shared>, control: Control) -> Dispatch {
+        let calls = CallClient::new(ClusterKey::new(&shared.settings.cluster));
         Dispatch {
             shared,
             control,
             engines: EngineClient::new(),
             plain: PlainClient::new(),
+            calls,
         }
     }
 }
@@ -61,17 +81,38 @@
         !closed && self.shared.snapshot.load().version > Version::default()
     }
 
+    fn body_time(&self) -> Duration {
+        self.shared.settings.patience.body
+    }
+
+    fn models(&self) -> Vec<String> {
+        let snapshot = self.shared.snapshot.load();
+        let models = snapshot
+            .services
+            .iter()
+            .filter_map(|(_, service)| match &service.kind {
+                ServiceKind::Model { model } => Some(model.clone()),
+                ServiceKind::Plain { .. } => None,
+            });
+        models.collect::<BTreeSet<String>>().into_iter().collect()
+    }
+
     async fn generate(&self, call: GenerateCall) -> Result<Answer, Refusal> {
-        addresses::check_open(self)?;
+        let unsent = addresses::check_open(self, call.unsent)?;
+        let call = admit::admit(self, GenerateCall { unsent, ..call })?;
         generate::start(self, call)
     }
 
     async fn forward(&self, call: ForwardCall) -> Result<ForwardReply, Refusal> {
-        addresses::check_open(self)?;
-        forward::run(self, call).await
+        let unsent = addresses::check_open(self, call.unsent)?;
+        forward::run(self, ForwardCall { unsent, ..call }).await
     }
 
-    fn addresses(&self, call: &AddressCall) -> Result<AddressList, Refusal> {
+    async fn status(&self, call: StatusCall) -> Result<RequestState, Refusal> {
+        once::status(self, call).await
+    }
+
+    fn addresses(&self, call: AddressCall) -> Result<AddressList, Refusal> {
         addresses::list(self, call)
     }
 
@@ -91,9 +132,22 @@
         statement: StatementBody,
         from: Option<SocketAddr>,
     ) -> Result<ReplyBody, OperatorError> {
+        if let Some(query) = claims_query(&statement) {
+            let table = self.control.claims.send(ShowClaims).await;
+            let table = table.map_err(|e| OperatorError::Platform(e.to_string()))?;
+            return select(table, &query).map(ReplyBody::Table);
+        }
         match self.control.config.send(Execute(statement, from)).await {
             Ok(result) => result,
             Err(error) => Err(OperatorError::Platform(error.to_string())),
         }
     }
 }
+
+/// The query for the table of claims, if the statement is just that.
+fn claims_query(statement: &StatementBody) -> Option<Query> {
+    match parse_script(&statement.text).ok()?.as_slice() {
+        [Statement::Show(query)] if query.table == Table::Claims => Some(query.clone()),
+        _ => None,
+    }
+}
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -8,13 +8,20 @@
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
+use sequoiastream_core::claims::KeyClock;
+use sequoiastream_core::claims::Owners;
 use sequoiastream_core::membership::Roster;
 use sequoiastream_core::outcome::Reason;
+use sequoiastream_core::poison::Poison;
 use sequoiastream_core::route::Router;
 use sequoiastream_core::snapshot::Snapshot;
 use tokio::sync::watch;
 
+use crate::ops::policy;
+use crate::ops::policy::PolicyState;
+use crate::ops::stops::Stops;
 use crate::settings::Settings;
+use crate::util::clock;
 use crate::util::metrics::Metrics;
 
 /// Shared between all threads of a daemon.
@@ -26,7 +33,15 @@
     pub snapshot: ArcSwap<Snapshot>,
     /// Counts of what happened.
     pub metrics: Metrics,
+    /// Judges the age of idempotency keys.
+    pub keys: KeyClock,
+    /// Limits, retry budgets and demand.
+    pub policy: PolicyState,
+    /// Attempts that can be stopped.
+    pub stops: Stops,
     router: Mutex<Router>,
+    owners: Mutex<Owners>,
+    poison: Mutex<Poison>,
     roster: watch::Sender<Arc<Roster>>,
     leaving: AtomicBool,
     refusing: AtomicBool,
@@ -46,11 +61,19 @@
 impl Shared {
     /// Shared state before the first configuration is known.
     pub fn new(settings: Settings) -> Shared {
+        let router = router(&settings);
+        let policy = PolicyState::new(&settings);
+        let poison = Poison::new(settings.name.clone());
         Shared {
             settings,
             snapshot: ArcSwap::default(),
             metrics: Metrics::new(),
-            router: Mutex::new(Router::new()),
+            keys: KeyClock::new(clock::both()),
+            owners: Mutex::default(),
+            policy,
+            router: Mutex::new(router),
+            stops: Stops::default(),
+            poison: Mutex::new(poison),
             roster: watch::Sender::default(),
             leaving: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
@@ -65,6 +88,20 @@
             .expect("no thread panics while it holds the router")
     }
 
+    /// Which owners of claims were silent. Held for one decision, never across an await.
+    pub fn owners(&self) -> MutexGuard<'_, Owners> {
+        self.owners
+            .lock()
+            .expect("no thread panics while it holds the owners")
+    }
+
+    /// The records of requests that crash engines. Held for one decision, never across an await.
+    pub fn poison(&self) -> MutexGuard<'_, Poison> {
+        self.poison
+            .lock()
+            .expect("no thread panics while it holds the records")
+    }
+
     /// The other instances, as last published.
     pub fn roster(&self) -> Arc<Roster> {
         self.roster.borrow().clone()
@@ -114,3 +151,11 @@
         self.refusing.store(true, Ordering::Release);
     }
 }
+
+/// The router of an instance. Its seed comes from the instance's name, so that instances draw differently.
+fn router(settings: &Settings) -> Router {
+    Router::new()
+        .policy(settings.policy.routing())
+        .zone(settings.zone.clone())
+        .seed(policy::seed(settings))
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,6 +4,7 @@
 //! start-up in one go.
 
 mod limits;
+mod patience;
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -14,14 +15,21 @@
 use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
+use sequoiastream_core::claims::OwnerSettings;
 use sequoiastream_core::membership::Limits;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::policy::Policy;
 use sequoiastream_core::shutdown::Times;
 use thiserror::Error;
 
+pub use patience::Patience;
+
 /// Shortest operator token and cluster key, in bytes.
 const MIN_SECRET: usize = 16;
 
+/// Values of `--policy`.
+const POLICIES: [&str; 5] = ["adaptive", "fixed", "threshold", "least-load", "round-robin"];
+
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LogFormat {
@@ -54,12 +62,22 @@
     pub deadline: Duration,
     /// How long a watch waits.
     pub wait: Duration,
+    /// How claims are grouped into writes.
+    pub grouping: OwnerSettings,
+    /// How requests are routed and roles changed.
+    pub policy: Policy,
+    /// How often engines are asked for their load.
+    pub poll: Duration,
+    /// How long a role change takes an engine away.
+    pub away: Duration,
     /// Limits of membership.
     pub limits: Limits,
     /// Time between two looks at the platform's lists.
     pub lists: Duration,
     /// Times of a shutdown.
     pub times: Times,
+    /// How long engines and callers may be silent.
+    pub patience: Patience,
     /// How log lines are written.
     pub format: LogFormat,
     /// Only check the settings.
@@ -157,6 +175,33 @@
             "How long a watch waits",
             "30000",
         ))
+        .arg(number(
+            "claim-pace-ms",
+            "SEQUOIASTREAM_CLAIM_PACE_MS",
+            "Least time between two writes of a claim bucket; 0 writes each claim by itself",
+            "80",
+        ))
+        .arg(
+            text(
+                "policy",
+                "SEQUOIASTREAM_POLICY",
+                "How requests are routed and roles changed; all but `adaptive` are baselines",
+            )
+            .value_parser(POLICIES)
+            .default_value("adaptive"),
+        )
+        .arg(number(
+            "load-ms",
+            "SEQUOIASTREAM_LOAD_MS",
+            "How often engines are asked for their load",
+            "500",
+        ))
+        .arg(number(
+            "away-ms",
+            "SEQUOIASTREAM_AWAY_MS",
+            "How long a role change takes an engine away; the planner's times follow from it",
+            "3000",
+        ))
         .arg(
             text(
                 "log-format",
@@ -167,6 +212,7 @@
             .default_value("text"),
         )
         .args(limits::args())
+        .args(patience::args())
         .arg(
             Arg::new("check")
                 .long("check")
@@ -206,9 +252,14 @@
         let workers = reader.positive("workers");
         let deadline = reader.positive("kv-deadline-ms");
         let wait = reader.positive("watch-ms");
+        let grouping = grouping(matches);
+        let poll = reader.positive("load-ms");
+        let away = reader.positive("away-ms");
+        let policy = reader.parsed::<Policy>("policy").unwrap_or_default();
         let limits = limits::limits(&mut reader);
         let lists = limits::lists(&mut reader);
         let times = limits::times(&mut reader);
+        let patience = patience::patience(&mut reader);
         let format = match reader.text("log-format").as_str() {
             "json" => LogFormat::Json,
             _ => LogFormat::Text,
@@ -230,15 +281,31 @@
             workers: usize::try_from(workers).unwrap_or(1),
             deadline: Duration::from_millis(deadline),
             wait: Duration::from_millis(wait),
+            grouping,
+            policy,
+            poll: Duration::from_millis(poll),
+            away: Duration::from_millis(away),
             limits,
             lists,
             times,
+            patience,
             format,
             check: matches.get_flag("check"),
         })
     }
 }
 
+fn grouping(matches: &ArgMatches) -> OwnerSettings {
+    match matches.get_one::<u64>("claim-pace-ms").copied() {
+        Some(0) => OwnerSettings::ungrouped(),
+        Some(millis) => OwnerSettings {
+            pace: Duration::from_millis(millis),
+            ..OwnerSettings::default()
+        },
+        None => OwnerSettings::default(),
+    }
+}
+
 /// Reads settings and gathers what is wrong with them.
 struct Reader<'a> {
     matches: &'a ArgMatches,
--- /dev/null
+++ b/src/settings/patience.rs
@@ -0,0 +1,53 @@
+//! Settings of how long engines and callers may be silent.
+
+use std::time::Duration;
+
+use clap::Arg;
+
+use crate::settings::Reader;
+use crate::settings::number;
+
+/// How long engines and callers may be silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Patience {
+    /// An engine until the first token of an attempt, which is then given up and resumed elsewhere.
+    pub first: Duration,
+    /// An engine between two tokens, likewise.
+    pub between: Duration,
+    /// A caller until the whole body of its request has arrived.
+    pub body: Duration,
+}
+
+/// Flags that [`patience`] reads.
+pub fn args() -> Vec<Arg> {
+    vec![
+        number(
+            "first-token-ms",
+            "SEQUOIASTREAM_FIRST_TOKEN_MS",
+            "How long an engine may take to an attempt's first token",
+            "15000",
+        ),
+        number(
+            "between-tokens-ms",
+            "SEQUOIASTREAM_BETWEEN_TOKENS_MS",
+            "How long an engine may be silent between two tokens",
+            "5000",
+        ),
+        number(
+            "body-ms",
+            "SEQUOIASTREAM_BODY_MS",
+            "How long a caller may take to send the body of a request",
+            "10000",
+        ),
+    ]
+}
+
+/// How long engines and callers may be silent.
+pub fn patience(reader: &mut Reader<'_>) -> Patience {
+    let mut millis = |name: &str| Duration::from_millis(reader.positive(name));
+    Patience {
+        first: millis("first-token-ms"),
+        between: millis("between-tokens-ms"),
+        body: millis("body-ms"),
+    }
+}
