--- a/src/util/metrics/mod.rs
+++ b/src/util/metrics/mod.rs
@@ -81,4 +81,3 @@
         f.debug_struct("Metrics").finish_non_exhaustive()
     }
 }
-
