Replace all instances under load, and serve through cuts and outages

Cause: no test had real processes for membership, isolation, leaving upstreams and shutdown. They showed two faults. (1) An instance that was replaced under its name was learnt by rumor without its new address, and callers were named the dead one (thousands of refused connections in the rolling replacement). (2) An instance restarted while it can't reach the platform was sought by its peers at the old address, and one that fell silent before a list had shown it was not missed.

--- a/crates/core/src/membership/beat.rs
+++ b/crates/core/src/membership/beat.rs
@@ -43,16 +43,11 @@
 pub struct Rumor {
     /// The other.
     pub name: Name,
-    /// Its incarnation.
-    pub incarnation: u64,
-    /// Its last heartbeat known.
-    pub number: u64,
-    /// Whether it stays.
-    pub state: MemberState,
-    /// The configuration in force there.
-    pub version: Version,
-    /// Milliseconds since it had an answer of the key-value service.
-    pub silence: u32,
+    /// What it said of itself.
+    pub about: About,
+    /// Milliseconds since it said so. Ages only grow on their way, so that what is told of an instance that is gone
+    /// ends.
+    pub age: u32,
 }
 
 /// An upstream that the platform's list shows as leaving.
--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -29,9 +29,6 @@
 /// Most notices in a heartbeat.
 const MAX_NOTICES: usize = 12;
 
-/// How long an instance that is on no list is remembered after it was last heard of.
-const FORGET: Duration = Duration::from_secs(60);
-
 /// Peers that are told at once of a new version or of leaving: all of a small fleet.
 const EAGER: usize = 16;
 
@@ -95,6 +92,22 @@
     pub state: MemberState,
 }
 
+impl Listing {
+    /// What the instance would say of itself, as far as the list tells.
+    fn into_about(self) -> About {
+        About {
+            incarnation: 0,
+            number: 0,
+            zone: self.zone,
+            address: self.address,
+            peer: self.peer,
+            state: MemberState::Live,
+            version: Version::default(),
+            silence: u32::MAX,
+        }
+    }
+}
+
 /// What membership is told.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
@@ -127,52 +140,44 @@
 
 #[derive(Debug)]
 struct Member {
-    listing: Listing,
+    /// What it last said of itself, or what the list shows of one that was not heard of lately.
+    about: About,
     /// What the platform's list shows, if it shows the instance.
     listed: Option<MemberState>,
-    incarnation: u64,
-    number: u64,
-    version: Version,
+    /// When it said so, by our clock.
     heard: Option<Time>,
     /// When it last had an answer of the key-value service, by our clock.
     contact: Option<Time>,
 }
 
 impl Member {
-    fn new(listing: Listing) -> Member {
+    fn new(about: About) -> Member {
         Member {
-            listing,
+            about,
             listed: None,
-            incarnation: 0,
-            number: 0,
-            version: Version::default(),
             heard: None,
             contact: None,
         }
     }
 
-    /// Takes news of this member unless it knows later ones.
-    fn update(&mut self, now: Time, news: &Rumor) -> bool {
-        if (news.incarnation, news.number) <= (self.incarnation, self.number) {
+    /// Takes what the member said of itself at `at`, unless it has said something later. Whether anything that
+    /// matters to others changed.
+    fn update(&mut self, at: Time, about: About) -> bool {
+        let order = |a: &About| (a.incarnation, a.number);
+        if self.heard.is_some() && order(&about) <= order(&self.about) {
             return false;
         }
-        let restarted = news.incarnation > self.incarnation;
-        self.incarnation = news.incarnation;
-        self.number = news.number;
-        self.listing.state = news.state;
-        // A version never goes back, but a restarted instance begins anew.
-        self.version = match restarted {
-            true => news.version,
-            false => self.version.max(news.version),
-        };
-        self.heard = Some(now);
-        self.contact = self.contact.max(ago(now, news.silence));
-        true
+        self.contact = self.contact.max(ago(at, about.silence));
+        let matters = |a: &About| (a.state, a.version, a.address);
+        let changed = self.heard.is_none() || matters(&about) != matters(&self.about);
+        self.heard = self.heard.max(Some(at));
+        self.about = about;
+        changed
     }
 
     /// Leaving, if the instance or the list says so.
     fn state(&self) -> MemberState {
-        self.listing.state.max(self.listed.unwrap_or(MemberState::Live))
+        self.about.state.max(self.listed.unwrap_or(MemberState::Live))
     }
 }
 
@@ -209,7 +214,7 @@
     /// Works out what to do about `event`.
     pub fn on(&mut self, now: Time, event: Event) -> Vec<Action> {
         match event {
-            Event::Listed(list) => self.on_list(list),
+            Event::Listed(list) => self.on_list(now, list),
             Event::Leaving(addresses) => {
                 for address in addresses {
                     self.note(address, now);
@@ -226,7 +231,7 @@
                 self.send(now, EAGER);
             }
             Event::Tick => {
-                self.forget(now);
+                self.notices.retain(|_, at| now.since(*at) <= NOTICE_LIMIT);
                 self.send(now, self.limits.fanout);
                 self.actions.push(Action::Publish);
             }
@@ -236,16 +241,27 @@
 
     /// The others, the upstreams that leave, and how this instance stands.
     pub fn roster(&self, now: Time) -> Roster {
-        let peers = self.members.values().map(|member| Peer {
-            name: member.listing.name.clone(),
-            zone: member.listing.zone.clone(),
-            address: member.listing.address,
-            peer: member.listing.peer,
+        let peers = self.members.iter().map(|(name, member)| Peer {
+            name: name.clone(),
+            zone: member.about.zone.clone(),
+            address: member.about.address,
+            peer: member.about.peer,
             state: member.state(),
-            heard: self.is_heard(now, member),
-            version: member.version,
+            heard: self.is_heard(now, member.heard),
+            version: member.about.version,
         });
+        let about = &self.myself.about;
+        let myself = Peer {
+            name: self.myself.name.clone(),
+            zone: about.zone.clone(),
+            address: about.address,
+            peer: about.peer,
+            state: about.state,
+            heard: true,
+            version: about.version,
+        };
         Roster {
+            myself: Some(myself),
             peers: peers.collect(),
             leaving: self.leaving(now),
             standing: judge(&self.witness(now), self.limits.stale, self.limits.rule),
@@ -254,21 +270,20 @@
 
     /// A peer counts as heard for the silent limit, or for as long as the table takes to go round
     /// [`ROUNDS`] times if that is longer.
-    fn is_heard(&self, now: Time, member: &Member) -> bool {
+    fn is_heard(&self, now: Time, heard: Option<Time>) -> bool {
         let each = (self.limits.fanout * (self.limits.part + 1)).max(1);
         let round = u32::try_from(self.members.len().div_ceil(each)).unwrap_or(u32::MAX);
         let limit = self
             .limits
             .silent
             .max(self.limits.interval.saturating_mul(round.saturating_mul(ROUNDS)));
-        member.heard.is_some_and(|at| now.since(at) <= limit)
+        heard.is_some_and(|at| now.since(at) <= limit)
     }
 
     fn witness(&self, now: Time) -> Witness {
-        let heard = self.members.values().filter(|m| self.is_heard(now, m));
+        let heard = self.members.values().filter(|m| self.is_heard(now, m.heard));
         let contacts = heard.clone().filter_map(|m| m.contact);
-        let stays = |m: &&Member| m.listed.is_some() && m.state() == MemberState::Live;
-        let missing = |m: &&Member| stays(m) && !self.is_heard(now, m);
+        let missing = |m: &&Member| m.state() == MemberState::Live && !self.is_heard(now, m.heard);
         Witness {
             own: self.contact.map(|at| now.since(at)),
             listed: self.listed,
@@ -286,7 +301,7 @@
         fresh.map(|(address, _)| *address).collect()
     }
 
-    fn on_list(&mut self, list: Vec<Listing>) {
+    fn on_list(&mut self, now: Time, list: Vec<Listing>) {
         self.listed = true;
         for member in self.members.values_mut() {
             member.listed = None;
@@ -295,16 +310,34 @@
             if listing.name == self.myself.name {
                 continue;
             }
-            let member = self
-                .members
-                .entry(listing.name.clone())
-                .or_insert_with(|| Member::new(listing.clone()));
-            member.listed = Some(listing.state);
-            // Heartbeats are fresher than the list, but for an instance that was not heard of.
-            if member.heard.is_none() {
-                member.listing = listing;
+            let member = self.members.get(&listing.name);
+            let heard = member.is_some_and(|m| self.is_heard(now, m.heard));
+            let state = listing.state;
+            let name = listing.name.clone();
+            let about = listing.into_about();
+            let member = self.members.entry(name);
+            let member = member.or_insert_with(|| Member::new(about.clone()));
+            member.listed = Some(state);
+            // Heartbeats are fresher than the list. One that is silent may have been replaced under its name by one
+            // that listens elsewhere, and that can't reach the platform to find us.
+            if !heard {
+                member.about.zone = about.zone;
+                member.about.address = about.address;
+                member.about.peer = about.peer;
             }
         }
+        // Only a list takes an instance out: one that was heard and fell silent while no list can be read may be
+        // on the far side of a cut.
+        let gone = |m: &Member| m.listed.is_none() && !self.is_heard(now, m.heard);
+        let gone: Vec<Name> = self
+            .members
+            .iter()
+            .filter(|(_, m)| gone(m))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in gone {
+            self.members.remove(&name);
+        }
         self.actions.push(Action::Publish);
     }
 
@@ -312,55 +345,33 @@
         if name == self.myself.name {
             return;
         }
-        let before = (self.myself.about.version, self.notices.len());
-        let about = &beat.about;
-        let listing = Listing {
-            name: name.clone(),
-            zone: about.zone.clone(),
-            address: about.address,
-            peer: about.peer,
-            state: about.state,
-        };
-        let news = Rumor {
-            name: name.clone(),
-            incarnation: about.incarnation,
-            number: about.number,
-            state: about.state,
-            version: about.version,
-            silence: about.silence,
-        };
-        let member = self
-            .members
-            .entry(name)
-            .or_insert_with(|| Member::new(listing.clone()));
-        let was = (member.state(), member.version, member.heard.is_some());
-        if member.update(now, &news) {
-            member.listing = listing;
+        let (version, notices) = (self.myself.about.version, self.notices.len());
+        if beat.about.version > version {
+            self.actions
+                .push(Action::Ahead(beat.about.peer, beat.about.version));
         }
-        let changed = was != (member.state(), member.version, true);
-        if about.version > before.0 {
-            self.actions.push(Action::Ahead(about.peer, about.version));
+        let mut changed = self.hear(now, name, beat.about);
+        for rumor in beat.rumors {
+            let Some(at) = ago(now, rumor.age) else { continue };
+            let known = self.members.contains_key(&rumor.name);
+            if rumor.name != self.myself.name && (known || self.is_heard(now, Some(at))) {
+                changed |= self.hear(at, rumor.name, rumor.about);
+            }
         }
-        let rumored = self.on_rumors(now, &beat.rumors);
         for notice in beat.notices {
-            self.note(notice.address, now - Duration::from_millis(u64::from(notice.age)));
+            if let Some(at) = ago(now, notice.age) {
+                self.note(notice.address, at);
+            }
         }
-        if changed || rumored || self.notices.len() != before.1 {
+        if changed || self.notices.len() != notices {
             self.actions.push(Action::Publish);
         }
     }
 
-    fn on_rumors(&mut self, now: Time, rumors: &[Rumor]) -> bool {
-        let mut changed = false;
-        for rumor in rumors {
-            let Some(member) = self.members.get_mut(&rumor.name) else {
-                continue;
-            };
-            let was = (member.state(), member.version);
-            member.update(now, rumor);
-            changed |= was != (member.state(), member.version);
-        }
-        changed
+    fn hear(&mut self, at: Time, name: Name, about: About) -> bool {
+        let member = self.members.entry(name);
+        let member = member.or_insert_with(|| Member::new(about.clone()));
+        member.update(at, about)
     }
 
     /// Takes note that the list showed the upstream as leaving at `at`. Ages only grow on their way from
@@ -370,16 +381,10 @@
         *known = (*known).max(at);
     }
 
-    fn forget(&mut self, now: Time) {
-        self.notices.retain(|_, at| now.since(*at) <= NOTICE_LIMIT);
-        self.members
-            .retain(|_, m| m.listed.is_some() || m.heard.is_some_and(|at| now.since(at) <= FORGET));
-    }
-
     fn send(&mut self, now: Time, count: usize) {
         self.myself.about.number += 1;
         self.myself.about.silence = self.contact.map_or(u32::MAX, |at| millis(now.since(at)));
-        let peers = self.members.values().map(|m| m.listing.peer);
+        let peers = self.members.values().map(|m| m.about.peer);
         let chosen = peers.sample(&mut self.random, count);
         let beat = Beat {
             about: self.myself.about.clone(),
@@ -401,7 +406,7 @@
             .members
             .iter()
             .filter(|(name, _)| cursor.as_ref().is_none_or(|c| *name <= c));
-        let known = after.chain(upto).filter(|(_, m)| self.is_heard(now, m));
+        let known = after.chain(upto).filter(|(_, m)| self.is_heard(now, m.heard));
         let rumors: Vec<Rumor> = known
             .take(self.limits.part)
             .map(|(name, m)| rumor(now, name, m))
@@ -429,11 +434,8 @@
 fn rumor(now: Time, name: &Name, member: &Member) -> Rumor {
     Rumor {
         name: name.clone(),
-        incarnation: member.incarnation,
-        number: member.number,
-        state: member.listing.state,
-        version: member.version,
-        silence: member.contact.map_or(u32::MAX, |at| millis(now.since(at))),
+        about: member.about.clone(),
+        age: member.heard.map_or(u32::MAX, |at| millis(now.since(at))),
     }
 }
 
--- a/crates/core/src/membership/roster.rs
+++ b/crates/core/src/membership/roster.rs
@@ -37,6 +37,8 @@
 /// The instances as this one sees them.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Roster {
+    /// This instance; `None` before the first look around.
+    pub myself: Option<Peer>,
     /// The others, in the order of their names.
     pub peers: Vec<Peer>,
     /// Upstreams that leave, by address.
--- a/crates/core/src/membership/standing.rs
+++ b/crates/core/src/membership/standing.rs
@@ -55,7 +55,7 @@
     pub listed: bool,
     /// Peers heard of lately.
     pub heard: usize,
-    /// Instances of the last list, other than this one and those that left, that are silent.
+    /// Instances of the last list, or heard of since, that are silent; not counting this one and those that left.
     pub silent: usize,
 }
 
--- a/crates/operator/src/statement.rs
+++ b/crates/operator/src/statement.rs
@@ -19,6 +19,8 @@
     Quarantine,
     /// Claims on requests that may not be repeated, as far as this instance holds them.
     Claims,
+    /// Entry instances, as this one sees them.
+    Instances,
 }
 
 impl Table {
@@ -30,6 +32,7 @@
         ("changes", Table::Changes),
         ("quarantine", Table::Quarantine),
         ("claims", Table::Claims),
+        ("instances", Table::Instances),
     ];
 }
 
--- a/crates/testsupport/src/fleet.rs
+++ b/crates/testsupport/src/fleet.rs
@@ -168,16 +168,32 @@
         ];
         let args = fixed.into_iter().chain(self.daemon_args.clone());
         let daemon = Process::start(&self.binaries.daemon, args);
+        self.list(&name, daemon.address(), Some(peer), ListedState::Live)
+            .await;
+        daemon
+    }
+
+    /// Lets the platform's list show daemon `index` in this state.
+    pub async fn list_instance(&self, index: usize, state: ListedState) {
+        let listed: Vec<Listed> = http::read(&format!("{}/v1/list/instances", self.platform.url())).await;
+        let name = format!("i{index}");
+        let peer = listed
+            .iter()
+            .find(|l| l.name.as_str() == name)
+            .and_then(|l| l.peer);
+        self.list(&name, self.daemons[index].address(), peer, state).await;
+    }
+
+    async fn list(&self, name: &str, address: SocketAddr, peer: Option<SocketAddr>, state: ListedState) {
         let listed = Listed {
-            name: Name::new(&name).expect("a name"),
+            name: Name::new(name).expect("a name"),
             zone: Name::new("lodi-a").expect("a name"),
-            address: daemon.address(),
-            peer: Some(peer),
-            state: ListedState::Live,
+            address,
+            peer,
+            state,
         };
         let url = format!("{}/control/list/instances", self.platform.url());
         http::send("PUT", &url, &[], &listed).await;
-        daemon
     }
 
     /// Takes a free port for a daemon's peers and keeps it reserved as long as the fleet lives.
--- a/src/ops/control/config/execute.rs
+++ b/src/ops/control/config/execute.rs
@@ -20,6 +20,7 @@
 use sequoiastream_core::config::State;
 use sequoiastream_core::config::Version;
 use sequoiastream_core::log_event;
+use sequoiastream_core::membership::Roster;
 use sequoiastream_operator::Statement;
 use sequoiastream_operator::Table;
 use sequoiastream_operator::http::OperatorError;
@@ -55,7 +56,7 @@
     fn handle(&mut self, Execute(body, from): Execute, context: &mut Context<Self>) -> Self::Result {
         let ready = |reply| -> Self::Result { Box::pin(actix::fut::ready(reply)) };
         let state = self.keeper.state();
-        let commands = match statements(&body.text, state) {
+        let commands = match statements(&body.text, state, &self.shared.roster()) {
             Ok(Asked::Commands(commands)) => commands,
             Ok(Asked::Table(table)) => return ready(Ok(ReplyBody::Table(table))),
             Err(error) => return ready(Err(error)),
@@ -80,7 +81,7 @@
 }
 
 /// Reads the text: either one query, which is answered, or changes.
-fn statements(text: &str, state: &State) -> Result<Asked, OperatorError> {
+fn statements(text: &str, state: &State, roster: &Roster) -> Result<Asked, OperatorError> {
     let mut commands = Vec::new();
     let mut queries = Vec::new();
     for statement in parse_script(text)? {
@@ -95,6 +96,7 @@
             let table = tables::of_config(&state.config, query.table);
             let table = table.unwrap_or_else(|| match query.table {
                 Table::Changes => tables::changes(state),
+                Table::Instances => tables::instances(roster),
                 _ => TableBody::default(),
             });
             select(table, query).map(Asked::Table)
--- a/src/ops/tables.rs
+++ b/src/ops/tables.rs
@@ -9,6 +9,8 @@
 use sequoiastream_core::config::Fencing;
 use sequoiastream_core::config::ServiceKind;
 use sequoiastream_core::config::State;
+use sequoiastream_core::membership::MemberState;
+use sequoiastream_core::membership::Roster;
 use sequoiastream_core::time::WallTime;
 use sequoiastream_operator::Table;
 use sequoiastream_operator::wire::TableBody;
@@ -108,6 +110,29 @@
     table(&["version", "when", "who", "from", "outcome", "statement"], rows)
 }
 
+/// The instances as this one sees them, itself first.
+pub fn instances(roster: &Roster) -> TableBody {
+    let standing = format!("{:?}", roster.standing).to_lowercase();
+    let rows = roster.myself.iter().chain(&roster.peers).map(|peer| {
+        let state = match (peer.heard, peer.state) {
+            (false, _) => "silent",
+            (true, MemberState::Live) => "live",
+            (true, MemberState::Leaving) => "leaving",
+        };
+        let myself = roster.myself.as_ref().is_some_and(|m| m.name == peer.name);
+        vec![
+            peer.name.to_string(),
+            peer.zone.to_string(),
+            peer.address.to_string(),
+            state.to_string(),
+            peer.version.to_string(),
+            if myself { standing.clone() } else { "-".to_string() },
+        ]
+    });
+    let columns = &["instance", "zone", "address", "state", "version", "standing"];
+    table(columns, rows)
+}
+
 /// A wall time for people.
 fn rfc3339(time: WallTime) -> String {
     let time = UNIX_EPOCH + Duration::from_millis(time.0);
--- /dev/null
+++ b/tests/testsuite/config_fleet.rs
@@ -0,0 +1,185 @@
+//! Configuration over several real processes.
+
+use futures_util::future::join;
+use sequoiastream_standin::platform::Fault;
+use sequoiastream_testsupport::http;
+
+use crate::support::accepted;
+use crate::support::column;
+use crate::support::give;
+use crate::support::quick_fleet;
+use crate::support::statement;
+use crate::support::wait_for_standing;
+
+/// One instance is cut off from the key-value service. An operator drains an engine through another. The cut
+/// instance must not send it work for as long as the cut lasts: it learns the change from its peers.
+#[actix_web::test]
+async fn apply_cut_instance() {
+    let fleet = quick_fleet().daemons(4).engines(2).start_configured().await;
+    let cut = Fault {
+        cut: vec!["i2".to_string()],
+        ..Fault::default()
+    };
+    fleet.platform_fault(&cut).await;
+    let mut body = statement("amina", "drain engine e0");
+    body.wait = true;
+    let reply = accepted(&give(&fleet, 0, &body).await);
+    assert_eq!((reply.version, reply.force, reply.known), (2, 4, 4));
+    fleet.wait_for_version(2).await;
+    let states = column(&fleet, 2, "show engines where engine = e0", "state").await;
+    assert_eq!(states, ["draining"]);
+}
+
+/// The key-value service takes 400 ms for each call, nearly the deadline of one. A change must be in force on all
+/// instances all the same.
+#[actix_web::test]
+async fn apply_slow_service() {
+    let fleet = quick_fleet().daemons(3).start_configured().await;
+    let slow = Fault {
+        delay: 400,
+        ..Fault::default()
+    };
+    fleet.platform_fault(&slow).await;
+    let mut body = statement("amina", "drain engine e0");
+    body.wait = true;
+    let reply = accepted(&give(&fleet, 0, &body).await);
+    assert_eq!((reply.version, reply.force, reply.known), (2, 3, 3));
+}
+
+/// Two operators look at the same version and change the same engine through two instances at the same moment.
+/// One must win, and the other be told which change came first; a third who changes another engine is not in
+/// their way.
+#[actix_web::test]
+async fn apply_racing() {
+    let fleet = quick_fleet().daemons(3).engines(2).start_configured().await;
+    let mut drain = statement("amina", "drain engine e0");
+    let mut role = statement("baraka", "set engine e0 role decode");
+    drain.base = Some(1);
+    role.base = Some(1);
+    let (a, b) = join(give(&fleet, 0, &drain), give(&fleet, 1, &role)).await;
+    let (won, lost, winner) = match a.status {
+        200 => (a, b, "amina: drain engine e0"),
+        _ => (b, a, "baraka: set engine e0 role decode"),
+    };
+    assert_eq!((won.status, lost.status), (200, 409), "{won:?} {lost:?}");
+    let names = format!("engine `e0` was changed by version 2 ({winner}) after version 1");
+    assert!(lost.body.contains(&names), "{}", lost.body);
+    let mut other = statement("chiku", "drain engine e1");
+    other.base = Some(1);
+    assert_eq!(accepted(&give(&fleet, 2, &other).await).version, 3);
+}
+
+/// The service writes a change, but its answer is lost, and the operator gives the command again through another
+/// instance. It must have taken effect once, and both must be told the same version.
+#[actix_web::test]
+async fn apply_answer_lost() {
+    let fleet = quick_fleet().daemons(2).start_configured().await;
+    let lost = Fault {
+        lose: 1,
+        ..Fault::default()
+    };
+    fleet.platform_fault(&lost).await;
+    let body = statement("amina", "create product studio key \"secret-of-studio\" share 5");
+    let first = accepted(&give(&fleet, 0, &body).await);
+    let again = accepted(&give(&fleet, 1, &body).await);
+    assert_eq!((first.version, first.repeated), (2, false));
+    assert_eq!((again.version, again.repeated), (2, true));
+    let trail = column(&fleet, 1, "show changes", "statement").await;
+    assert_eq!(trail[0], "create product studio key \"***\" share 5");
+    let from = column(&fleet, 1, "show changes", "from").await;
+    assert!(from[0].starts_with("127.0.0.1:"), "{from:?}");
+}
+
+/// An instance is paused for so long that the others accept more changes than a tail holds, and wakes without the
+/// key-value service. It must neither bring its old configuration back to the others nor keep it: its peers
+/// tell it the one in force.
+#[actix_web::test]
+async fn apply_stale_peer() {
+    let fleet = quick_fleet().daemons(3).start_configured().await;
+    fleet.daemons[2].signal("STOP");
+    let mut version = 1;
+    for round in 0..40 {
+        version = fleet
+            .apply(0, &format!("quarantine fingerprint {round:016x}"))
+            .await;
+    }
+    let cut = Fault {
+        cut: vec!["i2".to_string()],
+        ..Fault::default()
+    };
+    fleet.platform_fault(&cut).await;
+    fleet.daemons[2].signal("CONT");
+    fleet.wait_for_version(version).await;
+    for index in 0..3 {
+        let held = column(&fleet, index, "show quarantine", "fingerprint").await;
+        assert_eq!(held.len(), 40, "instance {index}");
+    }
+}
+
+/// A change waits in the slow service when its writer is paused; others accept changes meanwhile. Whatever its
+/// operator is told after it wakes must be true, and nothing of the others' changes may be undone.
+#[actix_web::test]
+async fn apply_paused_writer() {
+    let fleet = quick_fleet().daemons(2).engines(2).start_configured().await;
+    let slow = Fault {
+        delay: 300,
+        ..Fault::default()
+    };
+    fleet.platform_fault(&slow).await;
+    let body = statement("amina", "drain engine e0");
+    let writer = give(&fleet, 0, &body);
+    let others = async {
+        let puts = || async {
+            let stats: sequoiastream_standin::platform::Stats =
+                http::read(&format!("{}/control/stats", fleet.platform.url())).await;
+            stats.calls.get("put").copied().unwrap_or_default()
+        };
+        let before = puts().await;
+        http::until("the write is on its way", || async {
+            (puts().await > before).then_some(())
+        })
+        .await;
+        fleet.daemons[0].signal("STOP");
+        fleet.platform_fault(&Fault::default()).await;
+        for round in 0..40 {
+            fleet
+                .apply(1, &format!("quarantine fingerprint {round:016x}"))
+                .await;
+        }
+        fleet.daemons[0].signal("CONT");
+    };
+    let (reply, ()) = join(writer, others).await;
+    let trail = column(&fleet, 1, "show changes where who = amina", "version").await;
+    match reply.status {
+        200 => assert_eq!(trail, [accepted(&reply).version.to_string()]),
+        // Too far behind to tell what was changed, or too late: either way nothing of it was accepted.
+        409 | 503 => assert!(trail.is_empty(), "{reply:?}"),
+        status => panic!("{status}: {reply:?}"),
+    }
+    let held = column(&fleet, 1, "show quarantine", "fingerprint").await;
+    assert_eq!(held.len(), 40);
+}
+
+/// An instance is restarted while the key-value service is out. It must serve by the configuration in force, told
+/// by a peer, not refuse every product as unknown.
+#[actix_web::test]
+async fn restart_service_out() {
+    let mut fleet = quick_fleet().daemons(3).start_configured().await;
+    let outage = Fault {
+        outage: true,
+        ..Fault::default()
+    };
+    fleet.platform_fault(&outage).await;
+    fleet.daemons[1].kill();
+    fleet.daemons[1] = fleet.start_daemon(1).await;
+    // It can't read the list either, so a peer must find it: only the list at the peers names it.
+    fleet
+        .platform_fault(&Fault {
+            cut: vec!["i1".to_string()],
+            ..Fault::default()
+        })
+        .await;
+    fleet.wait_for_version(1).await;
+    wait_for_standing(&fleet, 1, "current").await;
+    assert_eq!(fleet.complete(1, "which crossover", 3, 1).await.status, 200);
+}
--- a/tests/testsuite/grammar.rs
+++ b/tests/testsuite/grammar.rs
@@ -17,7 +17,7 @@
     assert_eq!(
         error("show engine"),
         "line 1, column 6: expected `products` or `services` or `engines` or `changes` \
-         or `quarantine` or `claims`, found `engine`\n  show engine\n       ^"
+         or `quarantine` or `claims` or `instances`, found `engine`\n  show engine\n       ^"
     );
 }
 
--- /dev/null
+++ b/tests/testsuite/membership.rs
@@ -0,0 +1,303 @@
+//! Membership: who is heard, who may take work, and who is named.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use sequoiastream_caller::AddressBody;
+use sequoiastream_core::config::Version;
+use sequoiastream_core::membership::Caller;
+use sequoiastream_core::membership::CutRule;
+use sequoiastream_core::membership::MemberState;
+use sequoiastream_core::membership::Peer;
+use sequoiastream_core::membership::Standing;
+use sequoiastream_core::membership::Witness;
+use sequoiastream_core::membership::judge;
+use sequoiastream_core::membership::rank;
+use sequoiastream_core::name::Name;
+use sequoiastream_platform::Listed;
+use sequoiastream_platform::ListedState;
+use sequoiastream_standin::platform::Fault;
+use sequoiastream_testsupport::fleet::Fleet;
+use sequoiastream_testsupport::fleet::KEY;
+use sequoiastream_testsupport::http;
+use serde_json::Value;
+
+use crate::support::column;
+use crate::support::quick_fleet;
+use crate::support::quick_fleet_keeping;
+use crate::support::wait_for_standing;
+
+fn name(text: &str) -> Name {
+    Name::new(text).expect("a name")
+}
+
+fn cut(names: &[&str]) -> Fault {
+    Fault {
+        cut: names.iter().map(|n| n.to_string()).collect(),
+        ..Fault::default()
+    }
+}
+
+fn outage() -> Fault {
+    Fault {
+        outage: true,
+        ..Fault::default()
+    }
+}
+
+#[test]
+fn judge_cases() {
+    let stale = Duration::from_secs(15);
+    let (fresh, old) = (Some(Duration::from_secs(1)), Some(Duration::from_secs(60)));
+    let witness = |own, peers, heard, silent| Witness {
+        own,
+        peers,
+        listed: true,
+        heard,
+        silent,
+    };
+    let unlisted = Witness {
+        listed: false,
+        ..witness(None, None, 2, 0)
+    };
+    let cases = [
+        ("hears the service", witness(fresh, None, 0, 7), Standing::Current),
+        (
+            "hears a peer that does",
+            witness(old, fresh, 7, 0),
+            Standing::Current,
+        ),
+        (
+            "all are heard, none does",
+            witness(old, old, 7, 0),
+            Standing::Outage,
+        ),
+        (
+            "alone in the deployment",
+            witness(old, None, 0, 0),
+            Standing::Outage,
+        ),
+        ("one is silent", witness(old, old, 6, 1), Standing::Cut),
+        ("hears nobody", witness(old, None, 0, 7), Standing::Isolated),
+        ("never had a list", unlisted, Standing::Cut),
+    ];
+    for (case, witness, expected) in cases {
+        assert_eq!(judge(&witness, stale, CutRule::Stop), expected, "{case}");
+    }
+    let split = witness(old, old, 6, 1);
+    assert_eq!(judge(&split, stale, CutRule::Serve), Standing::Guessing);
+}
+
+/// Requests of one conversation go to one instance, for its prefix cache; those of another elsewhere. When an
+/// instance leaves, only its conversations move.
+#[test]
+fn rank_conversations() {
+    let zones = ["lodi-a", "lodi-b"];
+    let peer = |i: u16| Peer {
+        name: name(&format!("i{i}")),
+        zone: name(zones[usize::from(i % 2)]),
+        address: SocketAddr::from(([10, 0, 0, 1], i)),
+        peer: SocketAddr::from(([10, 0, 0, 2], i)),
+        state: MemberState::Live,
+        heard: true,
+        version: Version(1),
+    };
+    let mut peers: Vec<Peer> = (0..8).map(peer).collect();
+    let (zone, product) = (name("lodi-a"), name("dispatch"));
+    let order = |peers: &[Peer], conversation: usize| {
+        let conversation = conversation.to_string();
+        let caller = Caller {
+            zone: &zone,
+            product: &product,
+            conversation: &conversation,
+        };
+        rank(peers, &caller)
+    };
+    let before: Vec<_> = (0..400).map(|c| order(&peers, c)).collect();
+    for addresses in &before {
+        let near = addresses[..4].iter().all(|a| a.port() % 2 == 0);
+        assert!(near && addresses.len() == 8, "same zone first: {addresses:?}");
+    }
+    peers[2].state = MemberState::Leaving;
+    peers[4].heard = false;
+    for (conversation, before) in before.iter().enumerate() {
+        let after = order(&peers, conversation);
+        let kept: Vec<_> = before
+            .iter()
+            .filter(|a| ![2, 4].contains(&a.port()))
+            .copied()
+            .collect();
+        assert_eq!(after, kept);
+    }
+    let first = |port| before.iter().filter(|a| a[0].port() == port).count();
+    assert!(
+        [0, 2, 4, 6].iter().all(|port| first(*port) > 60),
+        "the load is spread"
+    );
+}
+
+async fn refusal(fleet: &Fleet, index: usize) -> (u16, Value) {
+    let reply = fleet.complete(index, "which crossover", 3, 1).await;
+    let body: Value = reply.json();
+    (reply.status, body["error"]["reason"].clone())
+}
+
+/// An instance loses both the key-value service and its peer. Operators drain engines through others, and it
+/// doesn't know. After the stale limit it must refuse new work, and say truly that nothing ran; when it is
+/// connected again it serves.
+#[actix_web::test]
+async fn serve_isolated() {
+    let fleet = quick_fleet().daemons(2).start_configured().await;
+    fleet.platform_fault(&cut(&["i0"])).await;
+    fleet.daemons[1].signal("STOP");
+    wait_for_standing(&fleet, 0, "isolated").await;
+    let before = fleet.served(0).await;
+    assert_eq!(refusal(&fleet, 0).await, (503, "isolated".into()));
+    assert_eq!(fleet.served(0).await, before, "`not-run` is true");
+    fleet.daemons[1].signal("CONT");
+    wait_for_standing(&fleet, 0, "current").await;
+    assert_eq!(fleet.complete(0, "which crossover", 3, 1).await.status, 200);
+}
+
+/// The key-value service is out for all. Nobody can accept a change, and all of the list hear each other: going
+/// on is safe, and a fleet that stopped would be no use to anyone.
+#[actix_web::test]
+async fn serve_outage() {
+    let fleet = quick_fleet().daemons(3).start_configured().await;
+    fleet.platform_fault(&outage()).await;
+    for index in 0..3 {
+        wait_for_standing(&fleet, index, "outage").await;
+        assert_eq!(fleet.complete(index, "which crossover", 3, 1).await.status, 200);
+    }
+}
+
+/// The same, but one of the list is silent. It may have crashed, or it may have the service and accept changes on
+/// the far side of a cut. The others must stop, or serve on if operators said so.
+#[actix_web::test]
+async fn serve_cut() {
+    for (rule, standing, status) in [("stop", "cut", 503), ("serve", "guessing", 200)] {
+        let fleet = quick_fleet().daemons(3).daemon_arg(&format!("--on-cut={rule}"));
+        let fleet = fleet.start_configured().await;
+        fleet.platform_fault(&outage()).await;
+        fleet.daemons[2].signal("STOP");
+        wait_for_standing(&fleet, 0, standing).await;
+        let reply = fleet.complete(0, "which crossover", 3, 1).await;
+        assert_eq!(reply.status, status, "{rule}");
+    }
+}
+
+async fn list_leaving(fleet: &Fleet, index: usize) {
+    let listed = Listed {
+        name: name(&format!("machine-{index}")),
+        zone: name("lodi-a"),
+        address: fleet.engines[index].address(),
+        peer: None,
+        state: ListedState::Leaving,
+    };
+    let url = format!("{}/control/list/upstreams", fleet.platform.url());
+    http::send("PUT", &url, &[], &listed).await;
+}
+
+/// Waits until daemon `index` gives engine 0 nothing in as many requests as make a chance improbable.
+async fn wait_until_spared(fleet: &Fleet, index: usize) {
+    http::until("the engine gets no work", || async {
+        let before = fleet.served(0).await;
+        for seed in 0..12 {
+            assert_eq!(
+                fleet.complete(index, "which crossover", 1, seed).await.status,
+                200
+            );
+        }
+        (fleet.served(0).await == before).then_some(())
+    })
+    .await;
+}
+
+/// The platform's list shows an engine's machine as leaving. It must get no new work within 3 s, also from an
+/// instance that is cut off from the platform; a stream that runs there ends whole.
+#[actix_web::test]
+async fn leave_upstream_cut_instance() {
+    let fleet = quick_fleet().daemons(3).engines(2).start_configured().await;
+    fleet.platform_fault(&cut(&["i2"])).await;
+    // One of these runs at the engine that will leave, whatever the router chooses.
+    let mut streams = Vec::new();
+    for index in 0..3 {
+        for seed in 0..2 {
+            streams.push(fleet.stream(index, "a long stream", 900, seed).await);
+        }
+    }
+    let listed = Instant::now();
+    list_leaving(&fleet, 0).await;
+    for index in 0..3 {
+        wait_until_spared(&fleet, index).await;
+    }
+    assert!(
+        listed.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        listed.elapsed()
+    );
+    for stream in &mut streams {
+        stream.read_all().await;
+        assert_eq!((stream.outcome.as_deref(), stream.tokens), (Some("whole"), 900));
+    }
+    assert!(fleet.served(0).await > 0);
+}
+
+/// An operator withdraws an engine while streams run there and one instance is cut off from the platform. It
+/// must get no new work within 3 s of the accepted change; the streams end whole.
+#[actix_web::test]
+async fn withdraw_engine_cut_instance() {
+    let fleet = quick_fleet().daemons(3).engines(2).start_configured().await;
+    fleet.platform_fault(&cut(&["i2"])).await;
+    let mut streams = Vec::new();
+    for index in 0..3 {
+        for seed in 0..2 {
+            streams.push(fleet.stream(index, "a long stream", 900, seed).await);
+        }
+    }
+    fleet.apply(0, "withdraw engine e0").await;
+    let accepted = Instant::now();
+    for index in 0..3 {
+        wait_until_spared(&fleet, index).await;
+    }
+    assert!(
+        accepted.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        accepted.elapsed()
+    );
+    for stream in &mut streams {
+        stream.read_all().await;
+        assert_eq!((stream.outcome.as_deref(), stream.tokens), (Some("whole"), 900));
+    }
+}
+
+/// An instance that leaves is named no more, neither by itself nor by others, while it serves on.
+#[actix_web::test]
+async fn name_leaving() {
+    let fleet = quick_fleet_keeping(30_000).daemons(3).start_configured().await;
+    let named = |index: usize| {
+        let url = format!("{}/v1/addresses?conversation=c", fleet.daemons[index].url());
+        async move {
+            let key = format!("Bearer {KEY}");
+            let reply = http::send("GET", &url, &[("authorization", &key)], "").await;
+            reply.json::<AddressBody>()
+        }
+    };
+    http::until("all are named", || async {
+        (named(0).await.addresses.len() == 3).then_some(())
+    })
+    .await;
+    assert_eq!(named(0).await.keep, 30.0);
+    let leaving = fleet.daemons[2].address();
+    fleet.daemons[2].signal("TERM");
+    for index in 0..3 {
+        http::until("it is named no more", || async {
+            (!named(index).await.addresses.contains(&leaving)).then_some(())
+        })
+        .await;
+    }
+    assert_eq!(fleet.complete(2, "which crossover", 3, 1).await.status, 200);
+    let states = column(&fleet, 0, "show instances where instance = i2", "state").await;
+    assert_eq!(states, ["leaving"]);
+}
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -1,9 +1,17 @@
-//! Where the binaries under test are.
+//! Where the binaries under test are, and what several modules ask of a fleet.
 
 use std::path::PathBuf;
 
+use sequoiastream_operator::wire::AcceptedBody;
+use sequoiastream_operator::wire::ReplyBody;
+use sequoiastream_operator::wire::StatementBody;
 use sequoiastream_testsupport::fleet::Binaries;
+use sequoiastream_testsupport::fleet::Fleet;
 use sequoiastream_testsupport::fleet::FleetBuilder;
+use sequoiastream_testsupport::fleet::TOKEN;
+use sequoiastream_testsupport::http;
+use sequoiastream_testsupport::http::Reply;
+use uuid::Uuid;
 
 /// A builder of fleets of the binaries that were built with this test.
 pub fn fleet() -> FleetBuilder {
@@ -15,3 +23,68 @@
         standin,
     })
 }
+
+/// A builder of fleets whose limits of membership and shutdown are short.
+pub fn quick_fleet() -> FleetBuilder {
+    quick_fleet_keeping(600)
+}
+
+/// The same, with callers that keep an address for `keep` milliseconds.
+pub fn quick_fleet_keeping(keep: u32) -> FleetBuilder {
+    fleet()
+        .daemon_arg("--heartbeat-ms=100")
+        .daemon_arg("--silent-ms=1000")
+        .daemon_arg("--stale-ms=2000")
+        .daemon_arg("--list-ms=100")
+        .daemon_arg(&format!("--keep-ms={keep}"))
+        .daemon_arg("--margin-ms=400")
+        .daemon_arg("--refuse-ms=200")
+        .daemon_arg("--kv-deadline-ms=500")
+}
+
+/// A statement of `who` under a new id.
+pub fn statement(who: &str, text: &str) -> StatementBody {
+    StatementBody {
+        id: Uuid::now_v7(),
+        who: who.to_string(),
+        text: text.to_string(),
+        base: None,
+        dry: false,
+        wait: false,
+    }
+}
+
+/// Gives `body` to daemon `index`.
+pub async fn give(fleet: &Fleet, index: usize, body: &StatementBody) -> Reply {
+    let url = format!("{}/operator/statement", fleet.daemons[index].url());
+    let token = format!("Bearer {TOKEN}");
+    http::send("POST", &url, &[("authorization", &token)], body).await
+}
+
+/// What was accepted.
+pub fn accepted(reply: &Reply) -> AcceptedBody {
+    match reply.json() {
+        ReplyBody::Accepted(accepted) => accepted,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// The column `column` of the table that `query` shows at daemon `index`.
+pub async fn column(fleet: &Fleet, index: usize, query: &str, column: &str) -> Vec<String> {
+    let reply = give(fleet, index, &statement("tester", query)).await;
+    let ReplyBody::Table(table) = reply.json() else {
+        panic!("{reply:?}");
+    };
+    let at = table.columns.iter().position(|c| c == column).expect("a column");
+    table.rows.iter().map(|row| row[at].clone()).collect()
+}
+
+/// Waits until daemon `index` stands so towards the configuration in force.
+pub async fn wait_for_standing(fleet: &Fleet, index: usize, standing: &str) {
+    let query = format!("show instances where instance = i{index}");
+    http::until("the instance stands so", || async {
+        let seen = column(fleet, index, &query, "standing").await;
+        (seen == [standing]).then_some(())
+    })
+    .await;
+}
