Open an instance at its first contact, and name all instances in ordinary replies

Cause: a new instance stayed isolated until the next tick of membership, up to a second after it had read the head; a reply right after a change named one instance, since the digests of the others come a moment later. Change: contact with the key-value service publishes the roster at once; a reply without wait gives digests 300 ms.

--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -221,7 +221,10 @@
                 }
             }
             Event::Heard(name, beat) => self.on_beat(now, name, beat),
-            Event::Contact(at) => self.contact = self.contact.max(Some(at)),
+            Event::Contact(at) => {
+                self.contact = self.contact.max(Some(at));
+                self.actions.push(Action::Publish);
+            }
             Event::InForce(version) => {
                 self.myself.about.version = version;
                 self.send(now, EAGER);
--- a/src/ops/control/config/execute.rs
+++ b/src/ops/control/config/execute.rs
@@ -42,6 +42,9 @@
 /// How long a reply waits for the reachable instances to have the change in force.
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
+/// How long any reply waits, so that in ordinary times it names all instances.
+const SHORT_WAIT: Duration = Duration::from_millis(300);
+
 /// Carries out an operator's statements, which came in from the address.
 #[derive(Debug)]
 pub struct Execute(pub StatementBody, pub Option<SocketAddr>);
@@ -150,10 +153,9 @@
     let (version, repeated) = (outcome.version, outcome.repeated);
     let statement = &proposal.statement;
     log_event!(info, log_event::CHANGE_ACCEPTED, version = version.0, who, from, %id, repeated, statement);
-    if wait {
-        // Past the limit the reply says on how many it is in force.
-        let _ = timeout(WAIT_LIMIT, reached(shared, version)).await;
-    }
+    let limit = if wait { WAIT_LIMIT } else { SHORT_WAIT };
+    // Past the limit the reply says on how many it is in force.
+    let _ = timeout(limit, reached(shared, version)).await;
     let roster = shared.roster();
     let count = |peers: usize| u32::try_from(peers + 1).unwrap_or(u32::MAX);
     Ok(ReplyBody::Accepted(AcceptedBody {
