Let the proofs of membership wait until all have met

Cause: serve_cut failed once: the fault came before an instance had heard of the one that then fell silent. Ruled out: a fault of the rule; the instance's list did not show the other yet.

--- a/tests/testsuite/config_fleet.rs
+++ b/tests/testsuite/config_fleet.rs
@@ -10,12 +10,14 @@
 use crate::support::quick_fleet;
 use crate::support::statement;
 use crate::support::wait_for_standing;
+use crate::support::wait_until_met;
 
 /// One instance is cut off from the key-value service. An operator drains an engine through another. The cut
 /// instance must not send it work for as long as the cut lasts: it learns the change from its peers.
 #[actix_web::test]
 async fn apply_cut_instance() {
     let fleet = quick_fleet().daemons(4).engines(2).start_configured().await;
+    wait_until_met(&fleet).await;
     let cut = Fault {
         cut: vec!["i2".to_string()],
         ..Fault::default()
@@ -35,6 +37,7 @@
 #[actix_web::test]
 async fn apply_slow_service() {
     let fleet = quick_fleet().daemons(3).start_configured().await;
+    wait_until_met(&fleet).await;
     let slow = Fault {
         delay: 400,
         ..Fault::default()
@@ -52,6 +55,7 @@
 #[actix_web::test]
 async fn apply_racing() {
     let fleet = quick_fleet().daemons(3).engines(2).start_configured().await;
+    wait_until_met(&fleet).await;
     let mut drain = statement("amina", "drain engine e0");
     let mut role = statement("baraka", "set engine e0 role decode");
     drain.base = Some(1);
@@ -74,6 +78,7 @@
 #[actix_web::test]
 async fn apply_answer_lost() {
     let fleet = quick_fleet().daemons(2).start_configured().await;
+    wait_until_met(&fleet).await;
     let lost = Fault {
         lose: 1,
         ..Fault::default()
@@ -96,6 +101,7 @@
 #[actix_web::test]
 async fn apply_stale_peer() {
     let fleet = quick_fleet().daemons(3).start_configured().await;
+    wait_until_met(&fleet).await;
     fleet.daemons[2].signal("STOP");
     let mut version = 1;
     for round in 0..40 {
@@ -121,6 +127,7 @@
 #[actix_web::test]
 async fn apply_paused_writer() {
     let fleet = quick_fleet().daemons(2).engines(2).start_configured().await;
+    wait_until_met(&fleet).await;
     let slow = Fault {
         delay: 300,
         ..Fault::default()
@@ -165,6 +172,7 @@
 #[actix_web::test]
 async fn restart_service_out() {
     let mut fleet = quick_fleet().daemons(3).start_configured().await;
+    wait_until_met(&fleet).await;
     let outage = Fault {
         outage: true,
         ..Fault::default()
--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -18,6 +18,7 @@
 use sequoiastream_platform::Listed;
 use sequoiastream_platform::ListedState;
 use sequoiastream_standin::platform::Fault;
+use sequoiastream_testsupport::answer::Answer;
 use sequoiastream_testsupport::fleet::Fleet;
 use sequoiastream_testsupport::fleet::KEY;
 use sequoiastream_testsupport::http;
@@ -27,6 +28,10 @@
 use crate::support::quick_fleet;
 use crate::support::quick_fleet_keeping;
 use crate::support::wait_for_standing;
+use crate::support::wait_until_met;
+
+/// Time after which a leaving upstream gets no new work.
+const PROMISE: Duration = Duration::from_secs(3);
 
 fn name(text: &str) -> Name {
     Name::new(text).expect("a name")
@@ -149,6 +154,7 @@
 #[actix_web::test]
 async fn serve_isolated() {
     let fleet = quick_fleet().daemons(2).start_configured().await;
+    wait_until_met(&fleet).await;
     fleet.platform_fault(&cut(&["i0"])).await;
     fleet.daemons[1].signal("STOP");
     wait_for_standing(&fleet, 0, "isolated").await;
@@ -165,6 +171,7 @@
 #[actix_web::test]
 async fn serve_outage() {
     let fleet = quick_fleet().daemons(3).start_configured().await;
+    wait_until_met(&fleet).await;
     fleet.platform_fault(&outage()).await;
     for index in 0..3 {
         wait_for_standing(&fleet, index, "outage").await;
@@ -179,6 +186,7 @@
     for (rule, standing, status) in [("stop", "cut", 503), ("serve", "guessing", 200)] {
         let fleet = quick_fleet().daemons(3).daemon_arg(&format!("--on-cut={rule}"));
         let fleet = fleet.start_configured().await;
+        wait_until_met(&fleet).await;
         fleet.platform_fault(&outage()).await;
         fleet.daemons[2].signal("STOP");
         wait_for_standing(&fleet, 0, standing).await;
@@ -199,83 +207,73 @@
     http::send("PUT", &url, &[], &listed).await;
 }
 
-/// Waits until daemon `index` gives engine 0 nothing in as many requests as make a chance improbable.
-async fn wait_until_spared(fleet: &Fleet, index: usize) {
-    http::until("the engine gets no work", || async {
-        let before = fleet.served(0).await;
-        for seed in 0..12 {
-            assert_eq!(
-                fleet.complete(index, "which crossover", 1, seed).await.status,
-                200
-            );
-        }
-        (fleet.served(0).await == before).then_some(())
-    })
-    .await;
+/// Waits until no daemon gives the only engine work, and checks that it stays so.
+async fn wait_until_spared(fleet: &Fleet) {
+    for index in 0..3 {
+        http::until("the engine gets no work", || async {
+            let reply = fleet.complete(index, "which crossover", 1, 1).await;
+            (reply.status != 200).then_some(())
+        })
+        .await;
+    }
+    let before = fleet.served(0).await;
+    for index in 0..3 {
+        assert_eq!(refusal(fleet, index).await, (503, "no-engine".into()));
+    }
+    assert_eq!(fleet.served(0).await, before, "new work came after all");
 }
 
-/// The platform's list shows an engine's machine as leaving. It must get no new work within 3 s, also from an
-/// instance that is cut off from the platform; a stream that runs there ends whole.
-#[actix_web::test]
-async fn leave_upstream_cut_instance() {
-    let fleet = quick_fleet().daemons(3).engines(2).start_configured().await;
-    fleet.platform_fault(&cut(&["i2"])).await;
-    // One of these runs at the engine that will leave, whatever the router chooses.
+/// Streams that run at the engine, one of each daemon.
+async fn long_streams(fleet: &Fleet) -> Vec<Answer> {
     let mut streams = Vec::new();
     for index in 0..3 {
-        for seed in 0..2 {
-            streams.push(fleet.stream(index, "a long stream", 900, seed).await);
-        }
+        streams.push(fleet.stream(index, "a long stream", 900, index as u64).await);
     }
-    let listed = Instant::now();
-    list_leaving(&fleet, 0).await;
-    for index in 0..3 {
-        wait_until_spared(&fleet, index).await;
-    }
-    assert!(
-        listed.elapsed() < Duration::from_secs(3),
-        "{:?}",
-        listed.elapsed()
-    );
-    for stream in &mut streams {
+    streams
+}
+
+async fn check_whole(streams: Vec<Answer>) {
+    for mut stream in streams {
         stream.read_all().await;
         assert_eq!((stream.outcome.as_deref(), stream.tokens), (Some("whole"), 900));
     }
-    assert!(fleet.served(0).await > 0);
+}
+
+/// The platform's list shows an engine's machine as leaving. It must get no new work within 3 s, also from an
+/// instance that is cut off from the platform; the streams that run there end whole.
+#[actix_web::test]
+async fn leave_upstream_cut_instance() {
+    let fleet = quick_fleet().daemons(3).start_configured().await;
+    wait_until_met(&fleet).await;
+    fleet.platform_fault(&cut(&["i2"])).await;
+    let streams = long_streams(&fleet).await;
+    let listed = Instant::now();
+    list_leaving(&fleet, 0).await;
+    wait_until_spared(&fleet).await;
+    assert!(listed.elapsed() < PROMISE, "{:?}", listed.elapsed());
+    check_whole(streams).await;
 }
 
 /// An operator withdraws an engine while streams run there and one instance is cut off from the platform. It
 /// must get no new work within 3 s of the accepted change; the streams end whole.
 #[actix_web::test]
 async fn withdraw_engine_cut_instance() {
-    let fleet = quick_fleet().daemons(3).engines(2).start_configured().await;
+    let fleet = quick_fleet().daemons(3).start_configured().await;
+    wait_until_met(&fleet).await;
     fleet.platform_fault(&cut(&["i2"])).await;
-    let mut streams = Vec::new();
-    for index in 0..3 {
-        for seed in 0..2 {
-            streams.push(fleet.stream(index, "a long stream", 900, seed).await);
-        }
-    }
+    let streams = long_streams(&fleet).await;
     fleet.apply(0, "withdraw engine e0").await;
     let accepted = Instant::now();
-    for index in 0..3 {
-        wait_until_spared(&fleet, index).await;
-    }
-    assert!(
-        accepted.elapsed() < Duration::from_secs(3),
-        "{:?}",
-        accepted.elapsed()
-    );
-    for stream in &mut streams {
-        stream.read_all().await;
-        assert_eq!((stream.outcome.as_deref(), stream.tokens), (Some("whole"), 900));
-    }
+    wait_until_spared(&fleet).await;
+    assert!(accepted.elapsed() < PROMISE, "{:?}", accepted.elapsed());
+    check_whole(streams).await;
 }
 
 /// An instance that leaves is named no more, neither by itself nor by others, while it serves on.
 #[actix_web::test]
 async fn name_leaving() {
     let fleet = quick_fleet_keeping(30_000).daemons(3).start_configured().await;
+    wait_until_met(&fleet).await;
     let named = |index: usize| {
         let url = format!("{}/v1/addresses?conversation=c", fleet.daemons[index].url());
         async move {
--- a/tests/testsuite/shutdown.rs
+++ b/tests/testsuite/shutdown.rs
@@ -246,15 +246,15 @@
         fleet.wait_for_version(version).await;
         wait_until_named(&fleet, 8).await;
     }
+    http::until("there was load enough", || async {
+        let counts = [&seen.streams, &seen.calls, &seen.orders].map(Cell::get);
+        (seen.stop.get() || counts.iter().all(|count| *count > 100)).then_some(())
+    })
+    .await;
     seen.stop.set(true);
     join_all(callers).await;
     let faults = seen.faults.take();
     assert!(faults.is_empty(), "{} faults: {faults:#?}", faults.len());
-    let (streams, calls, orders) = (seen.streams.get(), seen.calls.get(), seen.orders.get());
-    assert!(
-        streams > 30 && calls > 30 && orders > 30,
-        "{streams} {calls} {orders}"
-    );
     let runs: BTreeMap<String, u32> = http::read(&format!("{}/control/runs", fleet.plain[0].url())).await;
     let doubled = runs
         .iter()
@@ -298,3 +298,29 @@
     assert_eq!((stream.outcome.as_deref(), stream.tokens), (Some("whole"), 600));
     assert!(fleet.engines[0].wait().success());
 }
+
+/// Asks `url` again and again over one kept connection until an answer says that the connection ends.
+async fn wait_for_close(client: &Client, url: &str) {
+    http::until("the connection ends with an answer", || async {
+        let answer = client
+            .get(url)
+            .send()
+            .await
+            .unwrap_or_else(|e| panic!("GET {url}: {e}"));
+        let header = answer.headers().get("connection").cloned();
+        header.is_some_and(|value| value == "close").then_some(())
+    })
+    .await;
+}
+
+/// A caller keeps a connection in constant use. A leaving instance must end it with an answer: one that waited for
+/// it to fall idle would cut it in the end, with a request on its way.
+#[actix_web::test]
+async fn end_kept_connection() {
+    let fleet = quick_fleet_keeping(20_000).start_configured().await;
+    let client = Client::new();
+    let url = format!("{}/healthz", fleet.daemons[0].url());
+    client.get(&url).send().await.expect("an answer");
+    fleet.daemons[0].signal("TERM");
+    wait_for_close(&client, &url).await;
+}
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -88,3 +88,14 @@
     })
     .await;
 }
+
+/// Waits until every daemon has heard of all others.
+pub async fn wait_until_met(fleet: &Fleet) {
+    for index in 0..fleet.daemons.len() {
+        http::until("all are heard of", || async {
+            let seen = column(fleet, index, "show instances where state = live", "instance").await;
+            (seen.len() == fleet.daemons.len()).then_some(())
+        })
+        .await;
+    }
+}
