--- a/crates/core/src/config/touch.rs
+++ b/crates/core/src/config/touch.rs
@@ -48,7 +48,8 @@
             | Command::DrainEngine { name }
             | Command::ResumeEngine { name }
             | Command::WithdrawEngine { name }
-            | Command::SetRole { name, .. } => Thing::Engine(name.clone()),
+            | Command::SetRole { name, .. }
+            | Command::ReleaseOrder { name, .. } => Thing::Engine(name.clone()),
             Command::Quarantine { fingerprint } | Command::Pardon { fingerprint } => {
                 Thing::Fingerprint(fingerprint.clone())
             }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -302,6 +302,13 @@
         Some(key)
     }
 
+    /// Requests of this instance at `engine`.
+    pub fn in_flight(&self, engine: &Name) -> u32 {
+        let picked = self.inflight.get(engine).copied().unwrap_or_default();
+        let chosen = self.book(engine).map_or(0, Book::own);
+        picked.saturating_add(u32::try_from(chosen).unwrap_or(u32::MAX))
+    }
+
     /// Counts a request that [`Router::pick`] placed at `engine` as ended.
     pub fn done(&mut self, engine: &Name) {
         if let Some(count) = self.inflight.get_mut(engine) {
--- a/crates/testsupport/src/lib.rs
+++ b/crates/testsupport/src/lib.rs
@@ -4,6 +4,7 @@
 //! each process prints, a version that is in force, a count that is reached.
 
 pub mod answer;
+pub mod delay;
 pub mod fleet;
 pub mod http;
 
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -1,5 +1,6 @@
 //! What the control thread and the traffic threads share.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -12,10 +13,13 @@
 use sequoiastream_core::claims::KeyClock;
 use sequoiastream_core::claims::Owners;
 use sequoiastream_core::membership::Roster;
+use sequoiastream_core::name::Name;
 use sequoiastream_core::outcome::Reason;
 use sequoiastream_core::poison::Poison;
 use sequoiastream_core::route::Router;
 use sequoiastream_core::snapshot::Snapshot;
+use sequoiastream_core::time::Time;
+use sequoiastream_platform::CallMeter;
 use tokio::sync::watch;
 
 use crate::ops::policy;
@@ -34,6 +38,8 @@
     pub snapshot: ArcSwap<Snapshot>,
     /// Counts of what happened.
     pub metrics: Metrics,
+    /// The budget of calls to the platform, and what was spent.
+    pub calls: Arc<CallMeter>,
     /// Judges the age of idempotency keys.
     pub keys: KeyClock,
     /// Limits, retry budgets and demand.
@@ -41,6 +47,7 @@
     /// Attempts that can be stopped.
     pub stops: Stops,
     router: Mutex<Router>,
+    held: Mutex<BTreeMap<Name, Time>>,
     owners: Mutex<Owners>,
     watch: Mutex<ClockWatch>,
     poison: Mutex<Poison>,
@@ -66,16 +73,19 @@
         let router = router(&settings);
         let policy = PolicyState::new(&settings);
         let poison = Poison::new(settings.name.clone());
+        let calls = Arc::new(CallMeter::new(settings.rate));
         Shared {
             settings,
             snapshot: ArcSwap::default(),
-            metrics: Metrics::new(),
+            metrics: Metrics::new(calls.clone()),
+            calls,
             keys: KeyClock::new(clock::both()),
             owners: Mutex::default(),
             watch: Mutex::default(),
             policy,
             router: Mutex::new(router),
             stops: Stops::default(),
+            held: Mutex::default(),
             poison: Mutex::new(poison),
             roster: watch::Sender::default(),
             leaving: AtomicBool::new(false),
@@ -91,6 +101,36 @@
             .expect("no thread panics while it holds the router")
     }
 
+    /// Keeps new work from `engine` until `until`, and tells how many requests this instance has there.
+    ///
+    /// The router is locked first: a request that was given to the engine before is counted, and a later one
+    /// sees the hold.
+    pub fn hold(&self, engine: Name, until: Time) -> u32 {
+        let router = self.router();
+        let count = router.in_flight(&engine);
+        self.holds().insert(engine, until);
+        count
+    }
+
+    /// Gives `engine` work again.
+    pub fn unhold(&self, engine: &Name) {
+        self.holds().remove(engine);
+    }
+
+    /// Engines that get no work now. Ask while the router is locked. A hold that was not renewed lapses, so
+    /// that a holder that died keeps no engine idle.
+    pub fn held(&self, now: Time) -> Vec<Name> {
+        let mut held = self.holds();
+        held.retain(|_, until| now < *until);
+        held.keys().cloned().collect()
+    }
+
+    fn holds(&self) -> MutexGuard<'_, BTreeMap<Name, Time>> {
+        self.held
+            .lock()
+            .expect("no thread panics while it holds the held engines")
+    }
+
     /// What other instances' clocks said of this one's. Held for one decision, never across an await.
     pub fn clocks(&self) -> MutexGuard<'_, ClockWatch> {
         self.watch
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,6 +5,7 @@
 
 mod limits;
 mod patience;
+mod platform;
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -62,6 +63,10 @@
     pub deadline: Duration,
     /// How long a watch waits.
     pub wait: Duration,
+    /// Calls a second to the platform that this instance may make.
+    pub rate: u32,
+    /// How long the lease of a service's authority lasts after its last renewal.
+    pub lease: Duration,
     /// How claims are grouped into writes.
     pub grouping: OwnerSettings,
     /// How requests are routed and roles changed.
@@ -163,18 +168,7 @@
             "Threads for traffic",
             "2",
         ))
-        .arg(number(
-            "kv-deadline-ms",
-            "SEQUOIASTREAM_KV_DEADLINE_MS",
-            "Deadline of a call to the platform",
-            "1000",
-        ))
-        .arg(number(
-            "watch-ms",
-            "SEQUOIASTREAM_WATCH_MS",
-            "How long a watch waits",
-            "30000",
-        ))
+        .args(platform::args())
         .arg(number(
             "claim-pace-ms",
             "SEQUOIASTREAM_CLAIM_PACE_MS",
@@ -252,6 +246,8 @@
         let workers = reader.positive("workers");
         let deadline = reader.positive("kv-deadline-ms");
         let wait = reader.positive("watch-ms");
+        let rate = reader.positive("kv-rate");
+        let lease = reader.positive("lease-ms");
         let grouping = grouping(matches);
         let poll = reader.positive("load-ms");
         let away = reader.positive("away-ms");
@@ -281,6 +277,8 @@
             workers: usize::try_from(workers).unwrap_or(1),
             deadline: Duration::from_millis(deadline),
             wait: Duration::from_millis(wait),
+            rate: u32::try_from(rate).unwrap_or(u32::MAX),
+            lease: Duration::from_millis(lease),
             grouping,
             policy,
             poll: Duration::from_millis(poll),
--- a/src/util/metrics/mod.rs
+++ b/src/util/metrics/mod.rs
@@ -3,17 +3,22 @@
 //! One module a concern, each with a struct that registers its own families, so that whoever adds a concern
 //! touches one place.
 
+mod authority;
 mod claims;
 mod membership;
+mod platform;
 mod policy;
 mod traffic;
 
 use std::fmt;
+use std::sync::Arc;
 use std::sync::Mutex;
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::registry::Registry;
+use sequoiastream_platform::CallMeter;
 
+pub use authority::AuthorityMetrics;
 pub use claims::ClaimMetrics;
 pub use membership::MembershipMetrics;
 pub use policy::PolicyMetrics;
@@ -26,6 +31,8 @@
 pub struct Metrics {
     /// Of traffic.
     pub traffic: TrafficMetrics,
+    /// Of the authority over engines.
+    pub authority: AuthorityMetrics,
     /// Of claims.
     pub claims: ClaimMetrics,
     /// Of the policy.
@@ -37,18 +44,22 @@
 
 impl Metrics {
     /// All metrics at zero.
-    pub fn new() -> Metrics {
+    pub fn new(calls: Arc<CallMeter>) -> Metrics {
         let mut registry = Registry::with_prefix(PREFIX);
         let traffic = TrafficMetrics::default();
         traffic.register(&mut registry);
+        let authority = AuthorityMetrics::default();
+        authority.register(&mut registry);
         let claims = ClaimMetrics::default();
         claims.register(&mut registry);
+        platform::register(&mut registry, calls);
         let policy = PolicyMetrics::default();
         policy.register(&mut registry);
         let membership = MembershipMetrics::default();
         membership.register(&mut registry);
         Metrics {
             traffic,
+            authority,
             claims,
             policy,
             membership,
@@ -72,7 +83,7 @@
 
 impl Default for Metrics {
     fn default() -> Self {
-        Metrics::new()
+        Metrics::new(Arc::default())
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 //! sleeps to let something happen: tests wait on events.
 
 mod answers;
+mod authority;
 mod callers;
 mod claims;
 mod cli;
@@ -17,6 +18,7 @@
 mod outcomes;
 mod path;
 mod peer;
+mod platform;
 mod poison;
 mod policy;
 mod shutdown;
