--- a/crates/operator/src/statement.rs
+++ b/crates/operator/src/statement.rs
@@ -23,6 +23,8 @@
     Orders,
     /// Claims on requests that may not be repeated, as far as this instance holds them.
     Claims,
+    /// Entry instances, as this one sees them.
+    Instances,
 }
 
 impl Table {
@@ -36,6 +38,7 @@
         ("leases", Table::Leases),
         ("orders", Table::Orders),
         ("claims", Table::Claims),
+        ("instances", Table::Instances),
     ];
 }
 
