Test that an order goes on when its caller leaves

Suspected: actix drops a handler whose caller disconnects, so that a claim stands whose order is never sent. Ruled out by the test: actix-web goes on with the handler, the order is sent, and the repeat gets its answer. The test stays, since the claim's code rests on that behaviour. Green; there is no guard of ours to take out.

--- a/tests/testsuite/claims/faults.rs
+++ b/tests/testsuite/claims/faults.rs
@@ -15,6 +15,7 @@
 use sequoiastream_core::name::Name;
 use sequoiastream_platform::EntryBody;
 use sequoiastream_standin::platform::Fault;
+use sequoiastream_standin::platform::Stats;
 use sequoiastream_testsupport::fleet::Fleet;
 use sequoiastream_testsupport::http;
 use sequoiastream_testsupport::http::Reply;
@@ -224,6 +225,45 @@
     }
 }
 
+/// A driver's connection breaks just after its order was claimed. The order must not hang there claimed and never sent:
+/// the driver repeats it, and would be told for an hour that nobody knows whether it ran.
+#[actix_web::test]
+async fn order_caller_left() {
+    let fleet = three().await;
+    let slow = Fault {
+        delay: 400,
+        ..Fault::default()
+    };
+    fleet.platform_fault(&slow).await;
+    let key = key();
+    let url = fleet.daemons[0].url();
+    let before = writes(&fleet).await;
+    let asked = http::until("the claim is on its way", || async {
+        (writes(&fleet).await > before).then_some(())
+    });
+    let order_first = Box::pin(order_at(&url, &key, "pellets"));
+    let left = futures_util::future::select(order_first, Box::pin(asked)).await;
+    // What is dropped here is the order with its connection.
+    assert!(
+        matches!(left, futures_util::future::Either::Right(_)),
+        "answered too early"
+    );
+    drop(left);
+    fleet.platform_fault(&Fault::default()).await;
+    let reply = http::until("the repeat is answered", || async {
+        let reply = order(&fleet, 1, &key, "pellets").await;
+        (reply.outcome.as_deref() == Some("whole")).then_some(reply)
+    })
+    .await;
+    assert_eq!(reply.status, 200);
+    assert_eq!(runs(&fleet).await.get(&key), Some(&1));
+}
+
+async fn writes(fleet: &Fleet) -> u64 {
+    let stats: Stats = http::read(&format!("{}/control/stats", fleet.platform.url())).await;
+    stats.calls.get("put").copied().unwrap_or_default()
+}
+
 /// Two of three instances lose touch with the key-value service alone. Orders of their shards are claimed by the
 /// third.
 #[actix_web::test]
