--- a/tests/testsuite/claims/mod.rs
+++ b/tests/testsuite/claims/mod.rs
@@ -4,6 +4,7 @@
 mod entry;
 mod faults;
 mod machines;
+mod orders;
 mod owner;
 mod path;
 mod rules;
