Send each token when it comes, and notice callers that leave in silence

Cause: cancel_caller_gone, made stricter (an engine that falls silent), hung: the body of a stream held each event back until the next one had come, so a caller waited one token longer than it must, for good if the engine stalled. That mended, it failed in 30 s: the server sees that a caller is gone only when it writes to it. Ruled out: watching the socket, which the server doesn't hand out. Change: the stream's state knows events that came and events to come; after a second of silence a comment is sent.

--- a/crates/caller/src/generate.rs
+++ b/crates/caller/src/generate.rs
@@ -1,5 +1,7 @@
 //! The endpoints that generate: the answer as server-sent events, or whole.
 
+use std::time::Duration;
+
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::web::Data;
@@ -71,11 +73,15 @@
     };
     let mut head = HttpResponse::Ok();
     head.insert_header((REQUEST, frame.name(version_of(&first))));
-    let events = futures_util::stream::unfold(Some((first, answer)), next_event);
+    let events = futures_util::stream::unfold(Pending::Event(first, answer), next_event);
     let mut opening = true;
     let body = events.map(move |event| {
         let opening = std::mem::replace(&mut opening, false);
-        Ok::<Bytes, actix_web::Error>(render(&frame, &event, opening))
+        let bytes = match event {
+            Some(event) => render(&frame, &event, opening),
+            None => Bytes::from_static(COMMENT),
+        };
+        Ok::<Bytes, actix_web::Error>(bytes)
     });
     Ok(head
         .content_type("text/event-stream")
@@ -90,16 +96,43 @@
     }
 }
 
-type Pending = Option<(AnswerEvent, Answer)>;
+/// After so long without an event a comment is sent, which clients skip.
+///
+/// Failure guarded against: a caller leaves while its engine is silent. The server sees that a caller is gone only
+/// when it writes to it, so the engine would be kept busy for nobody until its next token.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
 
-async fn next_event(pending: Pending) -> Option<(AnswerEvent, Pending)> {
-    let (event, mut answer) = pending?;
-    if !matches!(event, AnswerEvent::Token(..)) {
-        return Some((event, None));
-    }
-    let lost = || AnswerEvent::Failed(Refusal::unknown("the answer was lost"));
-    let next = answer.events.recv().await.unwrap_or_else(lost);
-    Some((event, Some((next, answer))))
+/// The comment.
+const COMMENT: &[u8] = b": waiting\n\n";
+
+/// What of an answer is still to be sent.
+enum Pending {
+    /// An event that has come already, and what follows.
+    Event(AnswerEvent, Answer),
+    /// Events still to come.
+    Rest(Answer),
+    /// Nothing.
+    End,
+}
+
+/// The next event to send, or `None` for a comment. Each is sent when it comes; none waits for the one after it.
+async fn next_event(pending: Pending) -> Option<(Option<AnswerEvent>, Pending)> {
+    let (event, answer) = match pending {
+        Pending::Event(event, answer) => (event, answer),
+        Pending::Rest(mut answer) => {
+            let lost = || AnswerEvent::Failed(Refusal::unknown("the answer was lost"));
+            match tokio::time::timeout(KEEP_ALIVE, answer.events.recv()).await {
+                Ok(event) => (event.unwrap_or_else(lost), answer),
+                Err(_) => return Some((None, Pending::Rest(answer))),
+            }
+        }
+        Pending::End => return None,
+    };
+    let pending = match event {
+        AnswerEvent::Token(_) => Pending::Rest(answer),
+        AnswerEvent::Done(_) | AnswerEvent::Failed(_) => Pending::End,
+    };
+    Some((Some(event), pending))
 }
 
 fn render(frame: &Frame, event: &AnswerEvent, opening: bool) -> Bytes {
--- a/tests/testsuite/streams.rs
+++ b/tests/testsuite/streams.rs
@@ -237,12 +237,22 @@
     }
 }
 
-/// Engines stay busy for callers that left, and those that wait get nothing. Order: a caller disconnects in
-/// mid-answer. Cause: the attempt is not cancelled at its engine.
+/// Engines stay busy for callers that left, and those that wait get nothing. Order: a caller disconnects while its
+/// engine is silent. Cause: that the caller is gone is seen only when the next token can't be delivered.
 #[actix_web::test]
 async fn cancel_caller_gone() {
-    let fleet = fleet().start_configured().await;
-    let mut answer = fleet.stream(0, PROMPT, 20_000, 7).await;
+    let fleet = fleet()
+        .daemon_arg("--between-tokens-ms=3600000")
+        .start_configured()
+        .await;
+    let stall = EngineFault {
+        stall: 5,
+        ..EngineFault::default()
+    };
+    fleet.engine_fault(0, &stall).await;
+    let headers = [("sequoiastream-deadline-ms", "3600000")];
+    let body = json!({"model": MODEL, "prompt": PROMPT, "max_tokens": 32_000, "stream": true});
+    let mut answer = fleet.ask(0, &headers, &body).await.expect("streamed");
     answer.read(5).await;
     drop(answer);
     let url = format!("{}/v1/load", fleet.engines[0].url());
