--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,16 +9,21 @@
 
 pub mod answer;
 pub mod arena;
+pub mod authority;
 pub mod claims;
 pub mod config;
 pub mod engine;
 pub mod invariant;
+pub mod limit;
 pub mod log_event;
 pub mod membership;
 pub mod name;
 pub mod outcome;
 pub mod poison;
+pub mod policy;
 pub mod prefix;
+pub mod retry;
+pub mod roles;
 pub mod route;
 pub mod shutdown;
 pub mod snapshot;
--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -63,6 +63,20 @@
     403 CONVICTED = "convicted";
     /// A conviction could not be written to the quarantine yet.
     404 CONVICTION_UNWRITTEN = "conviction-unwritten";
+    /// This instance holds the authority of a service now.
+    500 AUTHORITY_TAKEN = "authority-taken";
+    /// This instance no longer holds the authority of a service.
+    501 AUTHORITY_LOST = "authority-lost";
+    /// An order leaves for an engine.
+    502 ORDER_SENT = "order-sent";
+    /// An order is settled.
+    503 ORDER_CLOSED = "order-closed";
+    /// An engine gets no order until its last one is settled.
+    504 ORDER_UNSETTLED = "order-unsettled";
+    /// An engine gave no usable answer to an order.
+    505 ORDER_UNANSWERED = "order-unanswered";
+    /// The weight store refused what an engine is to load.
+    506 WEIGHTS_REFUSED = "weights-refused";
     /// Claims can't be written: the key-value service fails.
     600 CLAIMS_OUT = "claims-out";
     /// Claims can be written again.
@@ -85,6 +99,8 @@
     702 PEER_REFUSED = "peer-refused";
     /// The upstreams that the platform's list shows as leaving changed.
     703 UPSTREAM_LEAVING = "upstream-leaving";
+    /// The planner proposes a role change.
+    800 ROLE_PROPOSED = "role-proposed";
     /// An invariant was broken; the action was dropped.
     900 INVARIANT_BROKEN = "invariant-broken";
 }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeSet;
 
+use sequoiastream_core::authority::Incarnation;
+use sequoiastream_core::authority::Settlement;
 use sequoiastream_core::claims::Ask as ClaimAsk;
 use sequoiastream_core::claims::BucketId;
 use sequoiastream_core::claims::ClaimRef;
@@ -14,6 +16,7 @@
 use sequoiastream_core::poison::Ask;
 use sequoiastream_core::poison::Fingerprint;
 use sequoiastream_core::poison::Note;
+use sequoiastream_core::time::WallTime;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -37,10 +40,18 @@
     Look(ClaimRef),
     /// Tells the owner of a shard what became of a claim.
     Edit(BucketId, Edit),
+    /// Asks for the wall clock.
+    Clock,
     /// Asks for the configuration after this version.
     Config(Version),
     /// About requests that crash engines.
     Poison(PoisonRequest),
+    /// Asks to keep new work from an engine.
+    Hold(Hold),
+    /// Says that this engine may get work again.
+    Unhold(Name),
+    /// Asks what became of an order.
+    Settle(SettleOrder),
 }
 
 /// The answer to a question over TCP.
@@ -52,14 +63,42 @@
     Verdict(Verdict),
     /// The message was taken.
     Taken,
+    /// Answer to [`Request::Clock`].
+    Clock(WallTime),
     /// Answer to [`Request::Config`].
     Config(Update),
     /// Answer to [`Request::Poison`].
     Poison(PoisonResponse),
+    /// Answer to [`Request::Hold`]: requests that the peer has at the engine.
+    InFlight(u32),
+    /// Answer to [`Request::Settle`].
+    Settled(Settlement),
     /// The request is not served here.
     Unserved,
 }
 
+/// Asks to keep new work from an engine before it is changed. Asked again while the change goes on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hold {
+    /// The engine.
+    pub engine: Name,
+    /// Milliseconds after which the hold lapses.
+    pub millis: u64,
+}
+
+/// Asks the process that opened an order what became of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettleOrder {
+    /// The service.
+    pub service: Name,
+    /// The process.
+    pub incarnation: Incarnation,
+    /// The engine.
+    pub engine: Name,
+    /// The order's sequence number.
+    pub sequence: u64,
+}
+
 /// What instances tell each other of requests that crash engines.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PoisonRequest {
--- a/src/ops/control/claims.rs
+++ b/src/ops/control/claims.rs
@@ -26,8 +26,12 @@
 use sequoiastream_core::claims::Ticket;
 use sequoiastream_core::claims::Verdict;
 use sequoiastream_core::log_event;
+use sequoiastream_core::name::Name;
 use sequoiastream_core::time::Time;
 use sequoiastream_operator::wire::TableBody;
+use sequoiastream_peer::call::CallClient;
+use sequoiastream_peer::message::Request;
+use sequoiastream_peer::message::Response;
 use sequoiastream_platform::Entry;
 use sequoiastream_platform::Expect;
 use sequoiastream_platform::KvClient;
@@ -45,6 +49,12 @@
 /// How long one lease serves for the buckets that are written.
 const LEASE_FOR: Duration = Duration::from_secs(600);
 
+/// How often clocks are compared with another instance.
+const COMPARE_EVERY: Duration = Duration::from_secs(1);
+
+/// How long another instance may take to say its time; far below the difference that counts.
+const COMPARE_LIMIT: Duration = Duration::from_secs(1);
+
 /// Most claims that a table shows.
 const MAX_ROWS: usize = 500;
 
@@ -102,11 +112,13 @@
     wake: Option<Time>,
     keep: Option<Keep>,
     failing: bool,
+    calls: CallClient,
+    compared: Option<Name>,
 }
 
 impl ClaimsActor {
     /// An owner that knows no bucket.
-    pub fn new(shared: Arc<Shared>, kv: KvClient) -> ClaimsActor {
+    pub fn new(shared: Arc<Shared>, kv: KvClient, calls: CallClient) -> ClaimsActor {
         let owner = Owner::new(shared.settings.grouping);
         ClaimsActor {
             shared,
@@ -118,7 +130,32 @@
             wake: None,
             keep: None,
             failing: false,
+            calls,
+            compared: None,
+        }
+    }
+
+    /// Compares clocks with one other instance, and again after a while.
+    fn compare(&mut self, context: &mut Context<Self>) {
+        let roster = self.shared.roster();
+        let peers: Vec<Name> = roster.peers.iter().map(|p| p.name.clone()).collect();
+        let next = {
+            let mut watch = self.shared.clocks();
+            watch.keep(|name| peers.contains(name));
+            watch.next(&peers, self.compared.as_ref()).cloned()
+        };
+        let address = |name: &Name| roster.peers.iter().find(|p| p.name == *name).map(|p| p.peer);
+        if let Some((name, address)) = next.and_then(|name| Some((name.clone(), address(&name)?))) {
+            self.compared = Some(name.clone());
+            let calls = self.calls.clone();
+            let ask = async move { calls.call(address, &Request::Clock, COMPARE_LIMIT).await };
+            context.spawn(ask.into_actor(self).map(move |answer, actor, _| {
+                if let Ok(Response::Clock(theirs)) = answer {
+                    actor.shared.clocks().on_time(&name, clock::wall(), theirs);
+                }
+            }));
         }
+        context.run_later(COMPARE_EVERY, |actor, context| actor.compare(context));
     }
 
     fn ticket(&mut self) -> (Ticket, ResponseFuture<Verdict>) {
@@ -178,7 +215,8 @@
         context.spawn(read.into_actor(self).map(move |result, actor, context| {
             let event = match result {
                 Ok(entry) => actor.stands(bucket, &entry),
-                Err(error) => actor.failed(bucket, &error),
+                // Reading changes nothing, whatever became of it.
+                Err(error) => actor.failed(bucket, &error, false),
             };
             actor.on(event, context);
         }));
@@ -199,6 +237,7 @@
         context.spawn(write.into_actor(self).map(move |written, actor, context| {
             actor.keep = written.keep;
             let event = match written.result {
+                Err(Failed { error, unsure }) => actor.failed(bucket, &error, unsure),
                 Ok(Swap::Done(version)) => {
                     actor.working();
                     OwnerEvent::Written(bucket, Revision(version.0))
@@ -207,7 +246,6 @@
                     actor.shared.metrics.claims.conflicts.inc();
                     actor.stands(bucket, &entry)
                 }
-                Err(error) => actor.failed(bucket, &error),
             };
             actor.on(event, context);
         }));
@@ -234,19 +272,26 @@
         self.failing = false;
     }
 
-    fn failed(&mut self, bucket: BucketId, error: &KvError) -> OwnerEvent {
+    fn failed(&mut self, bucket: BucketId, error: &KvError, unsure: bool) -> OwnerEvent {
         if !self.failing {
             log_event!(warn, log_event::CLAIMS_OUT, %error, bucket = bucket.path());
         }
         self.failing = true;
-        let unsure = error.is_ambiguous();
         OwnerEvent::Failed { bucket, unsure }
     }
 }
 
+/// How a write ended.
 struct Written {
     keep: Option<Keep>,
-    result: Result<Swap, KvError>,
+    result: Result<Swap, Failed>,
+}
+
+/// A write that failed.
+struct Failed {
+    error: KvError,
+    /// Whether it may have taken effect, or may yet.
+    unsure: bool,
 }
 
 /// Swaps a bucket in, bound to a lease that lapses [`KEEP`] after this write at the earliest.
@@ -262,9 +307,10 @@
         Some(keep) if now.since(keep.asked) < LEASE_FOR => keep,
         _ => match kv.grant(KEEP + LEASE_FOR).await {
             Ok(lease) => Keep { lease, asked: now },
-            // Nothing was written, whatever became of the lease.
-            Err(_) => {
-                let result = Err(KvError::Refused(0));
+            // No write was begun, whatever became of the lease.
+            Err(error) => {
+                let unsure = false;
+                let result = Err(Failed { error, unsure });
                 return Written { keep: None, result };
             }
         },
@@ -274,12 +320,19 @@
     let lapsed = matches!(result, Err(KvError::LeaseLapsed));
     Written {
         keep: (!lapsed).then_some(keep),
-        result,
+        result: result.map_err(|error| Failed {
+            unsure: error.is_ambiguous(),
+            error,
+        }),
     }
 }
 
 impl Actor for ClaimsActor {
     type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Context<Self>) {
+        self.compare(context);
+    }
 }
 
 impl Handler<Claim> for ClaimsActor {
--- a/src/ops/control/peers.rs
+++ b/src/ops/control/peers.rs
@@ -2,9 +2,11 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix::Addr;
 use actix::MailboxError;
+use sequoiastream_core::authority::Settlement;
 use sequoiastream_core::claims::Verdict;
 use sequoiastream_peer::call::Responder;
 use sequoiastream_peer::message::PoisonRequest;
@@ -12,6 +14,8 @@
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
 
+use crate::ops::control::authority::AuthorityActor;
+use crate::ops::control::authority::Settle;
 use crate::ops::control::claims::Claim;
 use crate::ops::control::claims::ClaimsActor;
 use crate::ops::control::claims::Look;
@@ -26,6 +30,8 @@
 pub struct PeerResponder {
     /// Keeper of the configuration.
     pub config: Addr<ConfigActor>,
+    /// Keeper of the authorities.
+    pub authority: Addr<AuthorityActor>,
     /// Owner of claims.
     pub claims: Addr<ClaimsActor>,
     /// What the control thread shares with the traffic threads.
@@ -38,11 +44,24 @@
             Request::Ping => Response::Pong,
             Request::Claim(ask) => verdict(self.claims.send(Claim(ask)).await),
             Request::Look(claim) => verdict(self.claims.send(Look(claim)).await),
+            Request::Clock => Response::Clock(clock::wall()),
             Request::Edit(bucket, edit) => {
                 self.claims.do_send(Report(bucket, edit));
                 Response::Taken
             }
             Request::Poison(request) => Response::Poison(poison(&self.shared, &request)),
+            Request::Hold(hold) => {
+                let until = clock::now() + Duration::from_millis(hold.millis);
+                Response::InFlight(self.shared.hold(hold.engine, until))
+            }
+            Request::Unhold(engine) => {
+                self.shared.unhold(&engine);
+                Response::Taken
+            }
+            Request::Settle(ask) => {
+                let said = self.authority.send(Settle::from(ask)).await;
+                Response::Settled(said.unwrap_or(Settlement::Unknown))
+            }
             Request::Config(after) => {
                 let update = self.config.send(UpdateAfter(after)).await;
                 update.map_or(Response::Unserved, Response::Config)
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,6 +5,7 @@
 
 mod limits;
 mod patience;
+mod platform;
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -18,6 +19,7 @@
 use sequoiastream_core::claims::OwnerSettings;
 use sequoiastream_core::membership::Limits;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::policy::Policy;
 use sequoiastream_core::shutdown::Times;
 use thiserror::Error;
 
@@ -26,6 +28,9 @@
 /// Shortest operator token and cluster key, in bytes.
 const MIN_SECRET: usize = 16;
 
+/// Values of `--policy`.
+const POLICIES: [&str; 5] = ["adaptive", "fixed", "threshold", "least-load", "round-robin"];
+
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LogFormat {
@@ -58,8 +63,18 @@
     pub deadline: Duration,
     /// How long a watch waits.
     pub wait: Duration,
+    /// Calls a second to the platform that this instance may make.
+    pub rate: u32,
+    /// How long the lease of a service's authority lasts after its last renewal.
+    pub lease: Duration,
     /// How claims are grouped into writes.
     pub grouping: OwnerSettings,
+    /// How requests are routed and roles changed.
+    pub policy: Policy,
+    /// How often engines are asked for their load.
+    pub poll: Duration,
+    /// How long a role change takes an engine away.
+    pub away: Duration,
     /// Limits of membership.
     pub limits: Limits,
     /// Time between two looks at the platform's lists.
@@ -153,24 +168,34 @@
             "Threads for traffic",
             "2",
         ))
-        .arg(number(
-            "kv-deadline-ms",
-            "SEQUOIASTREAM_KV_DEADLINE_MS",
-            "Deadline of a call to the platform",
-            "1000",
-        ))
-        .arg(number(
-            "watch-ms",
-            "SEQUOIASTREAM_WATCH_MS",
-            "How long a watch waits",
-            "30000",
-        ))
+        .args(platform::args())
         .arg(number(
             "claim-pace-ms",
             "SEQUOIASTREAM_CLAIM_PACE_MS",
             "Least time between two writes of a claim bucket; 0 writes each claim by itself",
             "80",
         ))
+        .arg(
+            text(
+                "policy",
+                "SEQUOIASTREAM_POLICY",
+                "How requests are routed and roles changed; all but `adaptive` are baselines",
+            )
+            .value_parser(POLICIES)
+            .default_value("adaptive"),
+        )
+        .arg(number(
+            "load-ms",
+            "SEQUOIASTREAM_LOAD_MS",
+            "How often engines are asked for their load",
+            "500",
+        ))
+        .arg(number(
+            "away-ms",
+            "SEQUOIASTREAM_AWAY_MS",
+            "How long a role change takes an engine away; the planner's times follow from it",
+            "3000",
+        ))
         .arg(
             text(
                 "log-format",
@@ -221,7 +246,12 @@
         let workers = reader.positive("workers");
         let deadline = reader.positive("kv-deadline-ms");
         let wait = reader.positive("watch-ms");
+        let rate = reader.positive("kv-rate");
+        let lease = reader.positive("lease-ms");
         let grouping = grouping(matches);
+        let poll = reader.positive("load-ms");
+        let away = reader.positive("away-ms");
+        let policy = reader.parsed::<Policy>("policy").unwrap_or_default();
         let limits = limits::limits(&mut reader);
         let lists = limits::lists(&mut reader);
         let times = limits::times(&mut reader);
@@ -247,7 +277,12 @@
             workers: usize::try_from(workers).unwrap_or(1),
             deadline: Duration::from_millis(deadline),
             wait: Duration::from_millis(wait),
+            rate: u32::try_from(rate).unwrap_or(u32::MAX),
+            lease: Duration::from_millis(lease),
             grouping,
+            policy,
+            poll: Duration::from_millis(poll),
+            away: Duration::from_millis(away),
             limits,
             lists,
             times,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 //! sleeps to let something happen: tests wait on events.
 
 mod answers;
+mod authority;
 mod callers;
 mod claims;
 mod cli;
@@ -13,7 +14,9 @@
 mod outcomes;
 mod path;
 mod peer;
+mod platform;
 mod poison;
+mod policy;
 mod streams;
 mod support;
 mod suspects;
