Key arenas without a trait

Cause: house-check pointed at a trait in the decision package, where only process edges have traits. Change: Key<V> carries the kind of its entry; the trait and its macro go.

--- a/crates/core/src/arena.rs
+++ b/crates/core/src/arena.rs
@@ -1,68 +1,90 @@
 //! Dense storage addressed by small `Copy` keys.
 
-use std::fmt::Debug;
+use std::cmp::Ordering;
+use std::fmt;
 use std::marker::PhantomData;
 
-/// A key into an [`Arena`]: a thin wrapper around an index.
-pub trait ArenaKey: Copy + Debug + Ord {
-    /// The key of the entry at `index`.
-    fn from_index(index: u32) -> Self;
-    /// The index of the entry.
-    fn index(self) -> u32;
+use crate::snapshot::EngineView;
+use crate::snapshot::ProductView;
+use crate::snapshot::ServiceView;
+
+/// A key of an [`Arena`] of `V`: an index that can't be mixed up with one of another kind.
+pub struct Key<V> {
+    index: u32,
+    kind: PhantomData<fn() -> V>,
 }
 
-/// Declares an [`ArenaKey`] type.
-#[macro_export]
-macro_rules! arena_key {
-    ($(#[$doc:meta])* $name:ident) => {
-        $(#[$doc])*
-        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-        pub struct $name(u32);
-
-        impl $crate::arena::ArenaKey for $name {
-            fn from_index(index: u32) -> Self {
-                $name(index)
-            }
-            fn index(self) -> u32 {
-                self.0
-            }
+/// An engine or plain upstream within one snapshot of the configuration.
+pub type EngineKey = Key<EngineView>;
+
+/// A product within one snapshot of the configuration.
+pub type ProductKey = Key<ProductView>;
+
+/// A service within one snapshot of the configuration.
+pub type ServiceKey = Key<ServiceView>;
+
+impl<V> Key<V> {
+    fn new(index: u32) -> Key<V> {
+        Key {
+            index,
+            kind: PhantomData,
         }
-    };
+    }
+
+    /// The index of the entry.
+    pub fn index(self) -> u32 {
+        self.index
+    }
 }
 
-arena_key!(
-    /// An engine or plain upstream within one snapshot of the configuration.
-    EngineKey
-);
-arena_key!(
-    /// A product within one snapshot of the configuration.
-    ProductKey
-);
-arena_key!(
-    /// A service within one snapshot of the configuration.
-    ServiceKey
-);
-
-/// Entries in the order in which they were added, addressed by `K`.
+// Written out, since a derive would ask the same of `V`.
+impl<V> fmt::Debug for Key<V> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Key({})", self.index)
+    }
+}
+
+impl<V> Clone for Key<V> {
+    fn clone(&self) -> Self {
+        *self
+    }
+}
+
+impl<V> Copy for Key<V> {}
+
+impl<V> PartialEq for Key<V> {
+    fn eq(&self, other: &Self) -> bool {
+        self.index == other.index
+    }
+}
+
+impl<V> Eq for Key<V> {}
+
+impl<V> PartialOrd for Key<V> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<V> Ord for Key<V> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.index.cmp(&other.index)
+    }
+}
+
+/// Entries in the order in which they were added.
 #[derive(Debug, Clone)]
-pub struct Arena<K, V> {
+pub struct Arena<V> {
     entries: Vec<V>,
-    key: PhantomData<K>,
 }
 
-impl<K, V> Default for Arena<K, V> {
+impl<V> Default for Arena<V> {
     fn default() -> Self {
-        Arena {
-            entries: Vec::new(),
-            key: PhantomData,
-        }
+        Arena { entries: Vec::new() }
     }
 }
 
-impl<K, V> Arena<K, V>
-where
-    K: ArenaKey,
-{
+impl<V> Arena<V> {
     /// An empty arena.
     pub fn new() -> Self {
         Arena::default()
@@ -73,28 +95,28 @@
     /// # Panics
     ///
     /// If the arena already holds `u32::MAX` entries.
-    pub fn push(&mut self, value: V) -> K {
+    pub fn push(&mut self, value: V) -> Key<V> {
         let index = u32::try_from(self.entries.len()).expect("an arena holds fewer than 2^32 entries");
         self.entries.push(value);
-        K::from_index(index)
+        Key::new(index)
     }
 
     /// The entry of `key`, if the key is of this arena.
-    pub fn get(&self, key: K) -> Option<&V> {
-        self.entries.get(key.index() as usize)
+    pub fn get(&self, key: Key<V>) -> Option<&V> {
+        self.entries.get(key.index as usize)
     }
 
     /// The entry of `key`, to change it.
-    pub fn get_mut(&mut self, key: K) -> Option<&mut V> {
-        self.entries.get_mut(key.index() as usize)
+    pub fn get_mut(&mut self, key: Key<V>) -> Option<&mut V> {
+        self.entries.get_mut(key.index as usize)
     }
 
     /// Keys and entries in the order of adding.
-    pub fn iter(&self) -> impl Iterator<Item = (K, &V)> {
+    pub fn iter(&self) -> impl Iterator<Item = (Key<V>, &V)> {
         self.entries
             .iter()
             .enumerate()
-            .map(|(i, v)| (K::from_index(i as u32), v))
+            .map(|(i, v)| (Key::new(i as u32), v))
     }
 
     /// How many entries there are.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -24,7 +24,6 @@
 pub use book::STALE;
 pub use book::View;
 
-use crate::arena::ArenaKey;
 use crate::arena::EngineKey;
 use crate::arena::ServiceKey;
 use crate::config::EngineState;
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -69,11 +69,11 @@
     /// The version.
     pub version: Version,
     /// Engines, in the order of their names.
-    pub engines: Arena<EngineKey, EngineView>,
+    pub engines: Arena<EngineView>,
     /// Services, in the order of their names.
-    pub services: Arena<ServiceKey, ServiceView>,
+    pub services: Arena<ServiceView>,
     /// Products, in the order of their names.
-    pub products: Arena<ProductKey, ProductView>,
+    pub products: Arena<ProductView>,
     /// Fingerprints of requests that may not run.
     pub quarantine: BTreeSet<String>,
     /// Sequence number of the order that operators released last, by engine.
