--- a/tests/testsuite/authority/seeded.rs
+++ b/tests/testsuite/authority/seeded.rs
@@ -36,7 +36,10 @@
 use uuid::Uuid;
 
 /// Seeds that each run of the test suite takes.
-const SEEDS: u64 = 150;
+const SEEDS: std::ops::Range<u64> = 0..150;
+
+/// Names other seeds for a long run, such as `1000..5000`. A failure names its seed.
+const SEEDS_FROM: &str = "SEQUOIASTREAM_SEEDS";
 
 /// Simulated time with faults, and after them.
 const FAULTY: Duration = Duration::from_secs(240);
@@ -567,11 +570,22 @@
 /// no conflicting and no stale order, and once the faults end each must become what operators want.
 #[test]
 fn machines_any_faults() {
+    let seeds = seeds();
+    let count = seeds.end - seeds.start;
     let mut applied = 0;
-    for seed in 0..SEEDS {
+    for seed in seeds {
         let mut world = World::new(seed);
         world.run();
         applied += world.applied;
     }
-    assert!(applied > 5 * SEEDS, "the runs change too little: {applied}");
+    assert!(applied > 5 * count, "the runs change too little: {applied}");
+}
+
+fn seeds() -> std::ops::Range<u64> {
+    let Ok(text) = std::env::var(SEEDS_FROM) else {
+        return SEEDS;
+    };
+    let ends = text.split_once("..").expect("FROM..TO");
+    let end = |text: &str| text.parse().expect("a number");
+    end(ends.0)..end(ends.1)
 }
