Don't leave empty fields out of what goes over postcard

Cause: Config.released was skipped when empty (serde skip_serializing_if). Postcard has no field names, so a peer could not read a configuration without released orders: config_fleet::apply_stale_peer failed every time, with 'could not read the message' at the instance that asked its peers. Ruled out: the call budget and the pause in an outage (the test fails the same with the pause taken out). Change: the field is always written. Seen red before and green after: config_fleet::apply_stale_peer.

--- a/crates/core/src/config/model.rs
+++ b/crates/core/src/config/model.rs
@@ -158,7 +158,7 @@
     /// Fingerprints of requests that may not run, in hexadecimal.
     pub quarantine: BTreeSet<String>,
     /// Sequence number of the order that operators released last, by engine.
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    #[serde(default)]
     pub released: BTreeMap<Name, u64>,
 }
 
