--- a/tests/testsuite/claims/mod.rs
+++ b/tests/testsuite/claims/mod.rs
@@ -1,8 +1,10 @@
 //! At most once: claims on requests that may not be repeated.
 
 mod client;
+mod entry;
 mod faults;
 mod machines;
+mod orders;
 mod owner;
 mod path;
 mod rules;
