--- a/src/ops/dispatch/once.rs
+++ b/src/ops/dispatch/once.rs
@@ -34,6 +34,7 @@
 use sequoiastream_upstream::PlainReply;
 use sequoiastream_upstream::UpstreamError;
 use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 use uuid::Uuid;
 
 use crate::log_event;
@@ -45,6 +46,9 @@
 /// How long after its caller's deadline an answer is still waited for, so that a repeat can be told it.
 const LATE: Duration = Duration::from_secs(60);
 
+/// How long a caller waits at most until the owner of its claim knows what became of its call.
+const TELL: Duration = Duration::from_secs(1);
+
 /// When to come back for a request that runs.
 const COME_BACK: Duration = Duration::from_secs(2);
 
@@ -202,16 +206,16 @@
         let sent = grant.into_proof().send();
         match self.dispatch.plain.send_once(target.address, plain, limit).await {
             Ok(reply) => {
-                self.report(Change::Finish(kept(&reply)));
+                self.tell(Change::Finish(kept(&reply))).await;
                 Ok(reply_of(reply))
             }
             Err(error) if error.is_not_started() => {
-                self.report(Change::Release);
+                self.tell(Change::Release).await;
                 Err(Refusal::not_run(sent.vouched(), error.to_string()))
             }
             Err(error) => {
                 self.warn(target.address, &error);
-                self.report(Change::Lose);
+                self.tell(Change::Lose).await;
                 let _ran = sent.lost();
                 Err(Refusal::unknown(error.to_string()))
             }
@@ -223,10 +227,20 @@
     }
 
     fn release(&self) {
-        self.report(Change::Release);
+        // Nobody waits for it; the caller is told at once.
+        let _task = self.report(Change::Release);
+    }
+
+    /// Tells the owner what became of the call, before the caller hears.
+    ///
+    /// Failure guarded against: a caller that has its answer sends the call again, and is told that it still runs,
+    /// since the owner doesn't know better yet. An owner that is silent doesn't hold the caller up for long; it
+    /// is told all the same.
+    async fn tell(&self, change: Change) {
+        let _ = tokio::time::timeout(TELL, self.report(change)).await;
     }
 
-    fn report(&self, change: Change) {
+    fn report(&self, change: Change) -> JoinHandle<()> {
         let dispatch = self.dispatch.clone();
         let bucket = self.claim.bucket;
         let edit = Edit {
@@ -239,7 +253,7 @@
         actix::spawn(async move {
             dispatch.report(bucket, edit).await;
             drop(running);
-        });
+        })
     }
 }
 
