--- a/src/ops/control/config/execute.rs
+++ b/src/ops/control/config/execute.rs
@@ -20,6 +20,7 @@
 use sequoiastream_core::config::State;
 use sequoiastream_core::config::Version;
 use sequoiastream_core::log_event;
+use sequoiastream_core::membership::Roster;
 use sequoiastream_operator::Statement;
 use sequoiastream_operator::Table;
 use sequoiastream_operator::http::OperatorError;
@@ -41,6 +42,9 @@
 /// How long a reply waits for the reachable instances to have the change in force.
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
+/// How long any reply waits, so that in ordinary times it names all instances.
+const SHORT_WAIT: Duration = Duration::from_millis(300);
+
 /// Carries out an operator's statements, which came in from the address.
 #[derive(Debug)]
 pub struct Execute(pub StatementBody, pub Option<SocketAddr>);
@@ -55,7 +59,7 @@
     fn handle(&mut self, Execute(body, from): Execute, context: &mut Context<Self>) -> Self::Result {
         let ready = |reply| -> Self::Result { Box::pin(actix::fut::ready(reply)) };
         let state = self.keeper.state();
-        let commands = match statements(&body.text, state) {
+        let commands = match statements(&body.text, state, &self.shared.roster()) {
             Ok(Asked::Commands(commands)) => commands,
             Ok(Asked::Table(table)) => return ready(Ok(ReplyBody::Table(table))),
             Err(error) => return ready(Err(error)),
@@ -80,7 +84,7 @@
 }
 
 /// Reads the text: either one query, which is answered, or changes.
-fn statements(text: &str, state: &State) -> Result<Asked, OperatorError> {
+fn statements(text: &str, state: &State, roster: &Roster) -> Result<Asked, OperatorError> {
     let mut commands = Vec::new();
     let mut queries = Vec::new();
     for statement in parse_script(text)? {
@@ -95,6 +99,7 @@
             let table = tables::of_config(&state.config, query.table);
             let table = table.unwrap_or_else(|| match query.table {
                 Table::Changes => tables::changes(state),
+                Table::Instances => tables::instances(roster),
                 _ => TableBody::default(),
             });
             select(table, query).map(Asked::Table)
@@ -148,10 +153,9 @@
     let (version, repeated) = (outcome.version, outcome.repeated);
     let statement = &proposal.statement;
     log_event!(info, log_event::CHANGE_ACCEPTED, version = version.0, who, from, %id, repeated, statement);
-    if wait {
-        // Past the limit the reply says on how many it is in force.
-        let _ = timeout(WAIT_LIMIT, reached(shared, version)).await;
-    }
+    let limit = if wait { WAIT_LIMIT } else { SHORT_WAIT };
+    // Past the limit the reply says on how many it is in force.
+    let _ = timeout(limit, reached(shared, version)).await;
     let roster = shared.roster();
     let count = |peers: usize| u32::try_from(peers + 1).unwrap_or(u32::MAX);
     Ok(ReplyBody::Accepted(AcceptedBody {
