--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod config;
 mod grammar;
 mod log_events;
+mod metrics;
 mod outcomes;
 mod path;
 mod peer;
--- /dev/null
+++ b/tests/testsuite/metrics.rs
@@ -0,0 +1,41 @@
+//! The page of metrics.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+
+/// Names that the sources register: the first text after each call of `register`, or after the encoder that a
+/// collector gives its families.
+fn registered() -> BTreeSet<String> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("src/util/metrics");
+    let mut names = BTreeSet::new();
+    for entry in fs::read_dir(folder).expect("the folder of metrics") {
+        let path = entry.expect("an entry").path();
+        let source = fs::read_to_string(path).expect("a source");
+        let families = source.split("&mut encoder,").skip(1);
+        names.extend(families.filter_map(|call| {
+            let rest = call.trim_start().strip_prefix('"')?;
+            rest.split('"').next().map(str::to_string)
+        }));
+        let calls = source.split(".register").skip(1);
+        names.extend(calls.filter_map(|call| {
+            let (kind, rest) = call.split_once('(')?;
+            let name = rest.trim_start().strip_prefix('"')?.split('"').next()?;
+            matches!(kind, "" | "_with_unit").then(|| name.to_string())
+        }));
+    }
+    names
+}
+
+#[test]
+fn page_complete() {
+    let page = include_str!("../../docs/METRICS.md");
+    let rows = page.lines().filter_map(|l| l.strip_prefix("| `sequoiastream_"));
+    let listed: BTreeSet<String> = rows
+        .filter_map(|row| row.split('`').next())
+        .map(str::to_string)
+        .collect();
+    let expected: BTreeSet<String> = registered();
+    assert!(expected.len() > 20, "{expected:?}");
+    assert_eq!(listed, expected);
+}
