Count every final answer, also refusals and answers of plain services

Cause: outcomes were counted at the end of a started answer only; refusals by admission or a closed instance, and all calls to plain services, were missing from the counts that goodput is read from. Change: the gateway counts what doesn't reach a started answer.

--- a/src/ops/dispatch/mod.rs
+++ b/src/ops/dispatch/mod.rs
@@ -26,6 +26,7 @@
 use sequoiastream_core::config::ServiceKind;
 use sequoiastream_core::config::Version;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::outcome::Outcome;
 use sequoiastream_operator::Query;
 use sequoiastream_operator::Statement;
 use sequoiastream_operator::Table;
@@ -70,6 +71,23 @@
     }
 }
 
+impl Dispatch {
+    fn start(&self, call: GenerateCall) -> Result<Answer, Refusal> {
+        let unsent = addresses::check_open(self, call.unsent)?;
+        let call = admit::admit(self, GenerateCall { unsent, ..call })?;
+        generate::start(self, call)
+    }
+
+    async fn pass(&self, call: ForwardCall) -> Result<ForwardReply, Refusal> {
+        let unsent = addresses::check_open(self, call.unsent)?;
+        forward::run(self, ForwardCall { unsent, ..call }).await
+    }
+
+    fn count(&self, product: &Name, outcome: Outcome) {
+        self.shared.metrics.traffic.outcome(product, outcome);
+    }
+}
+
 impl Gateway for Dispatch {
     fn product(&self, key: &str) -> Option<Name> {
         let snapshot = self.shared.snapshot.load();
@@ -99,14 +117,21 @@
     }
 
     async fn generate(&self, call: GenerateCall) -> Result<Answer, Refusal> {
-        let unsent = addresses::check_open(self, call.unsent)?;
-        let call = admit::admit(self, GenerateCall { unsent, ..call })?;
-        generate::start(self, call)
+        let product = call.product.clone();
+        let started = self.start(call);
+        // How an answer that was started ends is counted at its end.
+        if let Err(refusal) = &started {
+            self.count(&product, refusal.outcome());
+        }
+        started
     }
 
     async fn forward(&self, call: ForwardCall) -> Result<ForwardReply, Refusal> {
-        let unsent = addresses::check_open(self, call.unsent)?;
-        forward::run(self, ForwardCall { unsent, ..call }).await
+        let product = call.product.clone();
+        let result = self.pass(call).await;
+        let outcome = result.as_ref().map_or_else(Refusal::outcome, |_| Outcome::Whole);
+        self.count(&product, outcome);
+        result
     }
 
     async fn status(&self, call: StatusCall) -> Result<RequestState, Refusal> {
--- a/tests/testsuite/outcomes.rs
+++ b/tests/testsuite/outcomes.rs
@@ -5,7 +5,9 @@
 use futures_util::future::Either;
 use futures_util::future::select;
 use sequoiastream_standin::engine::EngineFault;
+use sequoiastream_testsupport::fleet::KEY;
 use sequoiastream_testsupport::fleet::MODEL;
+use sequoiastream_testsupport::http;
 use serde_json::Value;
 use serde_json::json;
 
@@ -80,6 +82,23 @@
     assert_eq!(fleet.served(0).await, served);
 }
 
+/// Goodput per product is read from these counts: each final answer counts once, whoever gave it.
+#[actix_web::test]
+async fn outcomes_counted() {
+    let fleet = fleet().engines(1).plain(1).start_configured().await;
+    fleet.complete(0, PROMPT, 2, 1).await;
+    let key = format!("Bearer {KEY}");
+    let url = format!("{}/services/ordini/lookup", fleet.daemons[0].url());
+    http::send("GET", &url, &[("authorization", &key)], "").await;
+    let version = fleet.apply(0, "drain engine e0").await;
+    fleet.wait_for_version(version).await;
+    fleet.complete(0, PROMPT, 2, 1).await;
+    for (outcome, count) in [("whole", 2.0), ("not-run", 1.0)] {
+        let name = format!("sequoiastream_outcomes_total{{product=\"dispatch\",outcome=\"{outcome}\"}}");
+        assert_eq!(fleet.metric(0, &name).await, count, "{outcome}");
+    }
+}
+
 /// An answer that comes after its deadline is worth nothing, yet holds an engine. Order: a request sets a
 /// deadline that can be met; its only engine stalls in mid-answer.
 #[actix_web::test]
