--- a/crates/core/src/config/model.rs
+++ b/crates/core/src/config/model.rs
@@ -158,7 +158,9 @@
     /// Fingerprints of requests that may not run, in hexadecimal.
     pub quarantine: BTreeSet<String>,
     /// Sequence number of the order that operators released last, by engine.
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    // Never skipped: instances tell each other configurations by postcard, which has no names of fields and reads
+    // what follows in the place of one that is left out.
+    #[serde(default)]
     pub released: BTreeMap<Name, u64>,
 }
 
--- a/tests/testsuite/peer.rs
+++ b/tests/testsuite/peer.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use sequoiastream_core::config::Update;
+use sequoiastream_core::config::Version;
 use sequoiastream_core::name::Name;
 use sequoiastream_peer::PeerError;
 use sequoiastream_peer::call::CallClient;
@@ -102,3 +104,22 @@
         );
     }
 }
+
+/// An instance that is far behind asks a peer for the configuration and can't read the answer: a field that is left
+/// out when it is empty shifts all that follows, since postcard writes no names.
+#[actix_web::test]
+async fn call_config_whole() {
+    #[derive(Clone)]
+    struct Whole;
+    impl Responder for Whole {
+        async fn respond(&self, _: Request) -> Response {
+            Response::Config(Update::Whole(Box::default()))
+        }
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    actix_web::rt::spawn(serve(listener, key(), Whole));
+    let client = CallClient::new(key());
+    let answer = client.call(address, &Request::Config(Version(0)), LIMIT).await;
+    assert_eq!(answer, Ok(Response::Config(Update::Whole(Box::default()))));
+}
