Lend longer before deadlines are at risk; rest less after a change

Change: borrow up to 0.8 of the time left (0.6), congested from 0.9 (0.8); the service rests once the time away (twice).

--- a/crates/core/src/limit/mod.rs
+++ b/crates/core/src/limit/mod.rs
@@ -32,10 +32,10 @@
 const LEND: f64 = 0.9;
 
 /// Part of the time left to its deadline that a borrowing request may be expected to take.
-const LEND_TIME: f64 = 0.6;
+const LEND_TIME: f64 = 0.8;
 
 /// Part of the time left that the expected time may take before the service counts as congested.
-const CONGESTED: f64 = 0.8;
+const CONGESTED: f64 = 0.9;
 
 /// A request is refused as too late if it is expected to take this many times the time left.
 const TOO_LATE: f64 = 1.0;
--- a/crates/core/src/roles/mod.rs
+++ b/crates/core/src/roles/mod.rs
@@ -32,7 +32,7 @@
 const HORIZON: u32 = 30;
 
 /// Pause after a change of the service, in times away.
-const REST: u32 = 2;
+const REST: u32 = 1;
 
 /// Pause of an engine after its change, in times away.
 const ENGINE_REST: u32 = 12;
