Stop instances and change roles while the platform fails or peers die

Cause: writing the table of promises showed that planned changes and planned stops had no test beside a fault. Change: seven tests: a stop and a role change under each fault of the platform, a stop that is paused, one whose peer is killed, a role change whose holder is killed, drains with a killed instance and with lost answers. Conclusion: which guards turn them red is still to be seen.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,4 +26,5 @@
 mod streams;
 mod support;
 mod suspects;
+mod together;
 mod upstream;
