--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod grammar;
 mod log_events;
 mod membership;
+mod metrics;
 mod outcomes;
 mod path;
 mod peer;
