Keep a heartbeat within a datagram whatever the names

Cause: with names of 63 bytes a heartbeat had over 1,400 bytes (2,026 in the test); it would not have been sent at all, and each instance would have taken all others for silent. Change: rumors take at most 720 bytes by estimate.

--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -23,6 +23,13 @@
 use crate::name::Name;
 use crate::time::Time;
 
+/// Bytes that rumors may take in a heartbeat, by estimate. With the longest names for all, and with everything else that
+/// a datagram carries, it stays below what crosses an ordinary network unfragmented.
+const MAX_RUMORS: usize = 720;
+
+/// Estimated bytes of a rumor besides its names.
+const RUMOR: usize = 72;
+
 /// How long an upstream counts as leaving after the platform's list last showed it so.
 const NOTICE_LIMIT: Duration = Duration::from_secs(30);
 
@@ -410,8 +417,16 @@
             .iter()
             .filter(|(name, _)| cursor.as_ref().is_none_or(|c| *name <= c));
         let known = after.chain(upto).filter(|(_, m)| self.is_heard(now, m.heard));
+        let mut left = MAX_RUMORS;
+        let mut fits = |name: &Name, about: &About| {
+            let size = RUMOR + name.as_str().len() + about.zone.as_str().len();
+            let rest = left.checked_sub(size);
+            left = rest.unwrap_or_default();
+            rest.is_some()
+        };
         let rumors: Vec<Rumor> = known
             .take(self.limits.part)
+            .take_while(|(name, m)| fits(name, &m.about))
             .map(|(name, m)| rumor(now, name, m))
             .collect();
         self.cursor = rumors.last().map(|r| r.name.clone());
--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -6,15 +6,24 @@
 
 use sequoiastream_caller::AddressBody;
 use sequoiastream_core::config::Version;
+use sequoiastream_core::membership::About;
+use sequoiastream_core::membership::Action;
+use sequoiastream_core::membership::Beat;
 use sequoiastream_core::membership::Caller;
 use sequoiastream_core::membership::CutRule;
+use sequoiastream_core::membership::Event;
+use sequoiastream_core::membership::Limits;
 use sequoiastream_core::membership::MemberState;
+use sequoiastream_core::membership::Members;
+use sequoiastream_core::membership::Myself;
 use sequoiastream_core::membership::Peer;
 use sequoiastream_core::membership::Standing;
 use sequoiastream_core::membership::Witness;
 use sequoiastream_core::membership::judge;
 use sequoiastream_core::membership::rank;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::time::Time;
+use sequoiastream_peer::datagram::MAX_DATAGRAM;
 use sequoiastream_platform::Listed;
 use sequoiastream_platform::ListedState;
 use sequoiastream_standin::platform::Fault;
@@ -142,6 +151,51 @@
     );
 }
 
+/// Operators give their instances and zones the longest names there are. A heartbeat that outgrew a datagram would
+/// not be sent at all, and each instance would take all others for silent.
+#[test]
+fn send_longest_names() {
+    let long = |i: usize| name(&format!("i{i:0>62}"));
+    let about = |i: u16| About {
+        incarnation: u64::MAX,
+        number: u64::MAX / 2,
+        zone: long(usize::from(i)),
+        address: SocketAddr::from(([255; 16], 60_000 + i)),
+        peer: SocketAddr::from(([255; 16], 61_000 + i)),
+        state: MemberState::Live,
+        version: Version(u64::MAX),
+        silence: u32::MAX,
+    };
+    let myself = Myself {
+        name: long(0),
+        about: about(0),
+        seed: 1,
+    };
+    let now = Time::from_millis(3_600_000);
+    let mut members = Members::new(myself, Limits::default());
+    for i in 1..30 {
+        let beat = Beat {
+            about: about(i),
+            rumors: Vec::new(),
+            notices: Vec::new(),
+        };
+        members.on(now, Event::Heard(long(usize::from(i)), beat));
+    }
+    let leaving = (0..40).map(|i| SocketAddr::from(([255; 16], 50_000 + i)));
+    members.on(now, Event::Leaving(leaving.collect()));
+    let mut sent = 0;
+    for action in members.on(now, Event::Tick) {
+        if let Action::Send(_, beat) = action {
+            let bytes = postcard::to_allocvec(&beat).expect("it can be written").len();
+            // The frame adds its sender, incarnation, counter and tag.
+            assert!(bytes + 64 + 16 + 10 + 16 <= MAX_DATAGRAM, "{bytes}");
+            assert!(beat.rumors.len() >= 2, "{}", beat.rumors.len());
+            sent += 1;
+        }
+    }
+    assert_eq!(sent, 2);
+}
+
 async fn refusal(fleet: &Fleet, index: usize) -> (u16, Value) {
     let reply = fleet.complete(index, "which crossover", 3, 1).await;
     let body: Value = reply.json();
--- a/tests/testsuite/peer.rs
+++ b/tests/testsuite/peer.rs
@@ -109,7 +109,7 @@
 /// out when it is empty shifts all that follows, since postcard writes no names.
 #[actix_web::test]
 async fn call_config_whole() {
-    #[derive(Clone)]
+    #[derive(Debug, Clone)]
     struct Whole;
     impl Responder for Whole {
         async fn respond(&self, _: Request) -> Response {
