Take no new work after a pause until the configuration is confirmed anew

Ruled out: a shorter stale limit, which would stop instances in short outages; trusting heartbeats at once, since some waited in the socket. Change: membership notices a gap between events (--asleep-ms, 2 s); what was known before proves nothing after it, and the head is read at once. Traffic refuses while the roster itself is old. Conclusion: recovery after a pause takes one read of the head or one interval.

--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -58,6 +58,8 @@
     pub stale: Duration,
     /// What a group cut off together does.
     pub rule: CutRule,
+    /// An instance that did not run for so long takes no new work until it knows anew how things stand.
+    pub asleep: Duration,
 }
 
 impl Default for Limits {
@@ -69,6 +71,7 @@
             silent: Duration::from_secs(5),
             stale: Duration::from_secs(15),
             rule: CutRule::Stop,
+            asleep: Duration::from_secs(2),
         }
     }
 }
@@ -143,6 +146,8 @@
     Ahead(SocketAddr, Version),
     /// The roster may have changed.
     Publish,
+    /// This instance did not run for a while: ask the key-value service at once.
+    Woke,
 }
 
 #[derive(Debug)]
@@ -200,6 +205,10 @@
     cursor: Option<Name>,
     random: ChaCha8Rng,
     actions: Vec<Action>,
+    /// When the last event came.
+    latest: Option<Time>,
+    /// When this instance last went on after it had not run for a while.
+    woken: Option<Time>,
 }
 
 impl Members {
@@ -215,11 +224,14 @@
             listed: false,
             cursor: None,
             actions: Vec::new(),
+            latest: None,
+            woken: None,
         }
     }
 
     /// Works out what to do about `event`.
     pub fn on(&mut self, now: Time, event: Event) -> Vec<Action> {
+        self.notice_pause(now);
         match event {
             Event::Listed(list) => self.on_list(now, list),
             Event::Leaving(addresses) => {
@@ -249,6 +261,20 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Notices that this instance did not run for a while; ticks come far more often.
+    ///
+    /// Failure guarded against: an instance is paused, operators drain an engine meanwhile, and when the instance
+    /// goes on it takes the requests that waited in its sockets by the configuration from before. What it knew
+    /// before it woke proves nothing any more, see [`Self::witness`].
+    fn notice_pause(&mut self, now: Time) {
+        let latest = self.latest.replace(now);
+        if latest.is_some_and(|at| now.since(at) > self.limits.asleep) {
+            self.woken = Some(now);
+            self.actions.push(Action::Woke);
+            self.actions.push(Action::Publish);
+        }
+    }
+
     /// The others, the upstreams that leave, and how this instance stands.
     pub fn roster(&self, now: Time) -> Roster {
         let peers = self.members.iter().map(|(name, member)| Peer {
@@ -275,6 +301,7 @@
             peers: peers.collect(),
             leaving: self.leaving(now),
             standing: judge(&self.witness(now), self.limits.stale, self.limits.rule),
+            judged: now,
         }
     }
 
@@ -290,12 +317,20 @@
         heard.is_some_and(|at| now.since(at) <= limit)
     }
 
+    /// What the standing rests on: of what was known before this instance woke, nothing. Heartbeats that waited
+    /// in the socket meanwhile are read at once after waking, so they count only an interval later.
     fn witness(&self, now: Time) -> Witness {
-        let heard = self.members.values().filter(|m| self.is_heard(now, m.heard));
+        let fresh = |at: Time| self.woken.is_none_or(|woken| at > woken + self.limits.interval);
+        let is_heard = |m: &Member| self.is_heard(now, m.heard) && m.heard.is_some_and(fresh);
+        let heard = self.members.values().filter(|m| is_heard(m));
         let contacts = heard.clone().filter_map(|m| m.contact);
-        let missing = |m: &&Member| m.state() == MemberState::Live && !self.is_heard(now, m.heard);
+        let contacts = contacts.filter(|at| self.woken.is_none_or(|woken| *at > woken));
+        let missing = |m: &&Member| m.state() == MemberState::Live && !is_heard(m);
+        let own = self
+            .contact
+            .filter(|at| self.woken.is_none_or(|woken| *at >= woken));
         Witness {
-            own: self.contact.map(|at| now.since(at)),
+            own: own.map(|at| now.since(at)),
             listed: self.listed,
             peers: contacts.max().map(|at| now.since(at)),
             heard: heard.count(),
--- a/crates/core/src/membership/roster.rs
+++ b/crates/core/src/membership/roster.rs
@@ -7,6 +7,7 @@
 use crate::membership::MemberState;
 use crate::membership::Standing;
 use crate::name::Name;
+use crate::time::Time;
 
 /// Another instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -45,6 +46,8 @@
     pub leaving: BTreeSet<SocketAddr>,
     /// Whether this instance may take new work.
     pub standing: Standing,
+    /// When this was judged; each tick judges anew.
+    pub judged: Time,
 }
 
 impl Roster {
--- a/examples/membership_cost.rs
+++ b/examples/membership_cost.rs
@@ -115,7 +115,7 @@
                         self.versions[at] = version.0;
                         queue.push((at, Event::InForce(version)));
                     }
-                    Action::Ahead(..) | Action::Publish => {}
+                    Action::Ahead(..) | Action::Publish | Action::Woke => {}
                 }
             }
         }
--- a/src/ops/control/config.rs
+++ b/src/ops/control/config.rs
@@ -99,6 +99,11 @@
 #[rtype(result = "()")]
 pub struct Ahead(pub SocketAddr, pub Version);
 
+/// This instance did not run for a while: the head must be read anew before what is known counts.
+#[derive(Debug, Clone, Copy, Message)]
+#[rtype(result = "()")]
+pub struct Confirm;
+
 /// The upstreams that leave, by address.
 #[derive(Debug, Clone, Message)]
 #[rtype(result = "()")]
@@ -151,14 +156,17 @@
 
     /// Takes a head; returns how long to pause before the next watch.
     fn on_watched(&mut self, sent: Time, stored: Stored, context: &mut Context<Self>) -> Duration {
-        let revision = stored.revision;
+        let (revision, version) = (stored.revision, stored.head.version);
         self.on(Event::Read(stored), context);
         if revision < self.seen {
             // An answer from the past: the watch would return it at once, again and again.
             return PAUSE;
         }
         self.seen = revision;
-        self.tell(Some(sent));
+        // A head whose snapshot is still to be read is not in force yet, so nothing is confirmed.
+        if self.published >= version {
+            self.tell(Some(sent));
+        }
         Duration::ZERO
     }
 
@@ -313,6 +321,23 @@
     }
 }
 
+impl Handler<Confirm> for ConfigActor {
+    type Result = ();
+
+    fn handle(&mut self, _: Confirm, context: &mut Context<Self>) {
+        let store = self.store.clone();
+        let sent = clock::now();
+        let read = async move { store.head().await };
+        context.spawn(
+            read.into_actor(self)
+                .map(move |result, actor, context| match result {
+                    Ok(stored) => drop(actor.on_watched(sent, stored, context)),
+                    Err(error) => log_event!(warn, log_event::KV_FAILED, %error, call = "read config/head"),
+                }),
+        );
+    }
+}
+
 impl Handler<Leaving> for ConfigActor {
     type Result = ();
 
--- a/src/ops/control/membership.rs
+++ b/src/ops/control/membership.rs
@@ -36,6 +36,7 @@
 use crate::ops::control::Bound;
 use crate::ops::control::config::Ahead;
 use crate::ops::control::config::ConfigActor;
+use crate::ops::control::config::Confirm;
 use crate::ops::control::config::Follow;
 use crate::ops::control::config::InForce;
 use crate::ops::control::config::Leaving;
@@ -109,6 +110,7 @@
                 Action::Send(to, beat) => self.send(to, beat),
                 Action::Ahead(peer, version) => self.config.do_send(Ahead(peer, version)),
                 Action::Publish => self.publish(),
+                Action::Woke => self.config.do_send(Confirm),
             }
         }
     }
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -168,11 +168,17 @@
     }
 
     /// Why new work must be refused now, if it must.
+    ///
+    /// Failure guarded against: an instance that was paused goes on, and a traffic thread takes a request before
+    /// the control thread has noticed. The roster is judged anew at each tick; one that is older than the limit
+    /// shows that the control thread did not run.
     pub fn closed(&self) -> Option<Reason> {
         if self.refusing.load(Ordering::Acquire) {
             return Some(Reason::Stopping);
         }
-        (!self.roster.borrow().standing.is_open()).then_some(Reason::Isolated)
+        let roster = self.roster.borrow();
+        let awake = clock::now().since(roster.judged) <= self.settings.limits.asleep;
+        (!awake || !roster.standing.is_open()).then_some(Reason::Isolated)
     }
 
     /// Counts a piece of work as running until the result is dropped.
--- a/src/settings/limits.rs
+++ b/src/settings/limits.rs
@@ -33,6 +33,12 @@
             "Longest time for which the configuration known here may go unconfirmed",
             "15000",
         ),
+        number(
+            "asleep-ms",
+            "SEQUOIASTREAM_ASLEEP_MS",
+            "An instance that did not run for so long takes no new work until it knows anew how things stand",
+            "2000",
+        ),
         text(
             "on-cut",
             "SEQUOIASTREAM_ON_CUT",
@@ -80,6 +86,7 @@
         interval: millis("heartbeat-ms"),
         silent: millis("silent-ms"),
         stale: millis("stale-ms"),
+        asleep: millis("asleep-ms"),
         rule: rule(reader.matches),
         ..Limits::default()
     };
@@ -88,6 +95,11 @@
             "--silent-ms must be at least twice --heartbeat-ms, or instances seem silent between heartbeats";
         reader.faults.push(fault.to_string());
     }
+    if limits.asleep < limits.interval * 2 {
+        let fault =
+            "--asleep-ms must be at least twice --heartbeat-ms, or instances seem paused between heartbeats";
+        reader.faults.push(fault.to_string());
+    }
     if limits.stale < limits.silent {
         let fault = "--stale-ms must be at least --silent-ms";
         reader.faults.push(fault.to_string());
--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -353,3 +353,89 @@
     let states = column(&fleet, 0, "show instances where instance = i2", "state").await;
     assert_eq!(states, ["leaving"]);
 }
+
+/// An instance is paused while an operator drains an engine, and callers' requests wait in its sockets. When it goes
+/// on it must not take them by the configuration from before: none may reach the drained engine.
+#[actix_web::test]
+async fn drain_paused_instance() {
+    let fleet = quick_fleet()
+        .daemon_arg("--asleep-ms=400")
+        .daemons(2)
+        .engines(2)
+        .start_configured()
+        .await;
+    wait_until_met(&fleet).await;
+    fleet.daemons[0].signal("STOP");
+    let waiting = (0..12).map(|seed| fleet.complete(0, "short turn", 3, seed));
+    let others = async {
+        let version = fleet.apply(1, "drain engine e0").await;
+        let in_force = || async {
+            let seen = column(&fleet, 1, "show instances where instance = i1", "version").await;
+            (seen == [version.to_string()]).then_some(())
+        };
+        http::until("the change is in force at the other", in_force).await;
+        let silent = || async {
+            let seen = column(&fleet, 1, "show instances where instance = i0", "state").await;
+            (seen == ["silent"]).then_some(())
+        };
+        http::until("the paused one is missed", silent).await;
+        let served = fleet.served(0).await;
+        fleet.daemons[0].signal("CONT");
+        served
+    };
+    let (replies, served) = futures_util::join!(futures_util::future::join_all(waiting), others);
+    assert_eq!(fleet.served(0).await, served, "the drained engine got work");
+    for reply in replies {
+        let outcome = reply.outcome.as_deref();
+        assert!(matches!(outcome, Some("whole" | "not-run")), "{reply:?}");
+    }
+    fleet.wait_until_ready().await;
+}
+
+/// What was known before a pause proves nothing after it: neither the key-value service's last answer, nor heartbeats
+/// that waited in the socket. Fresh evidence opens the instance again.
+#[test]
+fn judge_after_pause() {
+    let about = |name: &str| About {
+        incarnation: 1,
+        number: 1,
+        zone: Name::new("lodi-a").expect("a name"),
+        address: format!("127.0.0.{}:80", name.len()).parse().expect("an address"),
+        peer: format!("127.0.0.{}:90", name.len()).parse().expect("an address"),
+        state: MemberState::Live,
+        version: Version(1),
+        silence: 0,
+    };
+    let beat = |number| Beat {
+        about: About {
+            number,
+            ..about("peer")
+        },
+        rumors: Vec::new(),
+        notices: Vec::new(),
+    };
+    let peer = Name::new("peer").expect("a name");
+    let myself = Myself {
+        name: Name::new("me").expect("a name"),
+        about: about("me"),
+        seed: 1,
+    };
+    let at = Time::from_millis;
+    let mut members = Members::new(myself, Limits::default());
+    members.on(at(0), Event::Contact(at(0)));
+    members.on(at(100), Event::Heard(peer.clone(), beat(1)));
+    assert_eq!(members.roster(at(1_000)).standing, Standing::Current);
+    members.on(at(1_000), Event::Tick);
+
+    let woke = members.on(at(9_000), Event::Heard(peer.clone(), beat(2)));
+    assert!(woke.contains(&Action::Woke), "{woke:?}");
+    assert!(!members.roster(at(9_000)).standing.is_open());
+    members.on(at(9_100), Event::Contact(at(900)));
+    assert!(
+        !members.roster(at(9_100)).standing.is_open(),
+        "an answer from before the pause"
+    );
+
+    members.on(at(10_500), Event::Heard(peer, beat(3)));
+    assert_eq!(members.roster(at(10_500)).standing, Standing::Current);
+}
