--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod platform;
 mod poison;
 mod policy;
+mod promises;
 mod shutdown;
 mod streams;
 mod support;
--- /dev/null
+++ b/tests/testsuite/promises.rs
@@ -0,0 +1,43 @@
+//! The page of promises.
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+/// The functions of the test suite's sources, as `module::function`.
+fn functions(folder: &Path, prefix: &str) -> Vec<String> {
+    let mut names = Vec::new();
+    for entry in fs::read_dir(folder).expect("the sources").flatten() {
+        let path = entry.path();
+        let stem = path
+            .file_stem()
+            .and_then(|s| s.to_str())
+            .expect("a name")
+            .to_string();
+        let module = match stem.as_str() {
+            "mod" => prefix.to_string(),
+            stem => format!("{prefix}{stem}::"),
+        };
+        if path.is_dir() {
+            names.extend(functions(&path, &module));
+            continue;
+        }
+        let text = fs::read_to_string(&path).expect("a source");
+        let found = text
+            .lines()
+            .filter_map(|l| l.trim_start_matches("async ").strip_prefix("fn "));
+        names.extend(found.filter_map(|l| Some(format!("{module}{}", l.split_once('(')?.0))));
+    }
+    names
+}
+
+/// Somebody trusts a promise because a test is named beside it, and there is no such test.
+#[test]
+fn page_names_tests() {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
+    let known = functions(&root.join("tests/testsuite"), "");
+    let page = include_str!("../../docs/PROMISES.md");
+    let named = page.split('`').skip(1).step_by(2).filter(|n| n.contains("::"));
+    let missing: Vec<&str> = named.filter(|n| !known.iter().any(|k| k == n)).collect();
+    assert_eq!(missing, Vec::<&str>::new());
+}
