Write each token's event without a tree of JSON values

Change: typed events, histograms looked up once an answer, no timer while there is room; events that have come together go out in one write. The bound of retry_outage_end is stricter: after the first round nothing tops 1.2. What is left is a read, a write and two wake-ups for each token.

--- a/crates/caller/src/generate.rs
+++ b/crates/caller/src/generate.rs
@@ -7,6 +7,7 @@
 use actix_web::web::Data;
 use actix_web::web::Payload;
 use bytes::Bytes;
+use bytes::BytesMut;
 use futures_util::StreamExt;
 use sequoiastream_core::outcome::Outcome;
 
@@ -73,16 +74,9 @@
     };
     let mut head = HttpResponse::Ok();
     head.insert_header((REQUEST, frame.name(version_of(&first))));
-    let events = futures_util::stream::unfold(Pending::Event(first, answer), next_event);
+    let parts = futures_util::stream::unfold(Pending::Event(first, answer), next_part);
     let mut opening = true;
-    let body = events.map(move |event| {
-        let opening = std::mem::replace(&mut opening, false);
-        let bytes = match event {
-            Some(event) => render(&frame, &event, opening),
-            None => Bytes::from_static(COMMENT),
-        };
-        Ok::<Bytes, actix_web::Error>(bytes)
-    });
+    let body = parts.map(move |part| Ok::<Bytes, actix_web::Error>(render_part(&frame, &part, &mut opening)));
     Ok(head
         .content_type("text/event-stream")
         .insert_header(("cache-control", "no-store"))
@@ -115,24 +109,49 @@
     End,
 }
 
-/// The next event to send, or `None` for a comment. Each is sent when it comes; none waits for the one after it.
-async fn next_event(pending: Pending) -> Option<(Option<AnswerEvent>, Pending)> {
-    let (event, answer) = match pending {
+/// Most events that are written at once.
+const MAX_PART: usize = 64;
+
+/// The events to write next, none for a comment. Each is sent when it comes; none waits for the one after it. Those
+/// that have come together, since the thread was busy, go out in one write.
+async fn next_part(pending: Pending) -> Option<(Vec<AnswerEvent>, Pending)> {
+    let (event, mut answer) = match pending {
         Pending::Event(event, answer) => (event, answer),
         Pending::Rest(mut answer) => {
             let lost = || AnswerEvent::Failed(Refusal::unknown("the answer was lost"));
             match tokio::time::timeout(KEEP_ALIVE, answer.events.recv()).await {
                 Ok(event) => (event.unwrap_or_else(lost), answer),
-                Err(_) => return Some((None, Pending::Rest(answer))),
+                Err(_) => return Some((Vec::new(), Pending::Rest(answer))),
             }
         }
         Pending::End => return None,
     };
-    let pending = match event {
-        AnswerEvent::Token(_) => Pending::Rest(answer),
-        AnswerEvent::Done(_) | AnswerEvent::Failed(_) => Pending::End,
+    let mut part = vec![event];
+    while part.len() < MAX_PART && matches!(part.last(), Some(AnswerEvent::Token(_))) {
+        match answer.events.try_recv() {
+            Ok(event) => part.push(event),
+            Err(_) => return Some((part, Pending::Rest(answer))),
+        }
+    }
+    let pending = match part.last() {
+        Some(AnswerEvent::Token(_)) => Pending::Rest(answer),
+        _ => Pending::End,
     };
-    Some((Some(event), pending))
+    Some((part, pending))
+}
+
+fn render_part(frame: &Frame, part: &[AnswerEvent], opening: &mut bool) -> Bytes {
+    match part {
+        [] => Bytes::from_static(COMMENT),
+        [event] => render(frame, event, std::mem::replace(opening, false)),
+        events => {
+            let mut bytes = BytesMut::new();
+            for event in events {
+                bytes.extend_from_slice(&render(frame, event, std::mem::replace(opening, false)));
+            }
+            bytes.freeze()
+        }
+    }
 }
 
 fn render(frame: &Frame, event: &AnswerEvent, opening: bool) -> Bytes {
--- a/crates/caller/src/sse.rs
+++ b/crates/caller/src/sse.rs
@@ -1,10 +1,12 @@
 //! Answers in the style of OpenAI, streamed as server-sent events or whole.
 
+use std::io::Write;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use bytes::Bytes;
 use sequoiastream_core::outcome::Outcome;
+use serde::Serialize;
 use serde_json::Value;
 use serde_json::json;
 use uuid::Uuid;
@@ -16,6 +18,9 @@
 use crate::wire::ErrorDetail;
 use crate::wire::Usage;
 
+/// Bytes that a token's event mostly has.
+const EVENT: usize = 320;
+
 /// Whether the answer is to a chat or to a completion.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Style {
@@ -63,21 +68,41 @@
     }
 
     /// The event of a token; `opening` if it is the first on its connection. Its id lets the caller come back
-    /// behind it.
+    /// behind it. Written without a tree of JSON values in between, since this runs for each token.
     pub fn token(&self, token: &Token, opening: bool) -> Bytes {
-        let text = &token.text;
-        let choice = match (self.style, opening) {
-            (Style::Chat, true) => json!({
-                "index": 0,
-                "delta": {"role": "assistant", "content": text},
-                "finish_reason": null,
-            }),
-            (Style::Chat, false) => json!({"index": 0, "delta": {"content": text}, "finish_reason": null}),
-            (Style::Text, _) => json!({"index": 0, "text": text, "finish_reason": null}),
+        let choice = match self.style {
+            Style::Chat => TokenChoice {
+                delta: Some(Delta {
+                    content: &token.text,
+                    role: opening.then_some("assistant"),
+                }),
+                finish_reason: None,
+                index: 0,
+                text: None,
+            },
+            Style::Text => TokenChoice {
+                delta: None,
+                finish_reason: None,
+                index: 0,
+                text: Some(&token.text),
+            },
         };
-        let data = self.chunk(vec![choice]);
-        let name = self.name(token.version);
-        Bytes::from(format!("id: {name}/{}\ndata: {data}\n\n", token.offset + 1))
+        let chunk = TokenChunk {
+            choices: [choice],
+            created: self.created,
+            id: self.id,
+            model: &self.model,
+            object: self.object(),
+        };
+        let mut bytes = Vec::with_capacity(EVENT);
+        // Writing into memory can't fail, and the values are plain.
+        let _ = match token.version {
+            Some(version) => write!(bytes, "id: {}.{version}/{}\ndata: ", self.id, token.offset + 1),
+            None => write!(bytes, "id: {}/{}\ndata: ", self.id, token.offset + 1),
+        };
+        let _ = serde_json::to_writer(&mut bytes, &chunk);
+        bytes.extend_from_slice(b"\n\n");
+        Bytes::from(bytes)
     }
 
     /// The last events of a whole answer.
@@ -127,15 +152,46 @@
     fn chunk(&self, choices: Vec<Value>) -> Value {
         json!({
             "id": self.id.to_string(),
-            "object": match self.style {
-                Style::Chat => "chat.completion.chunk",
-                Style::Text => "text_completion",
-            },
+            "object": self.object(),
             "created": self.created,
             "model": self.model,
             "choices": choices,
         })
     }
+
+    fn object(&self) -> &'static str {
+        match self.style {
+            Style::Chat => "chat.completion.chunk",
+            Style::Text => "text_completion",
+        }
+    }
+}
+
+/// The JSON of a token's event; fields in the order of their names, as the other events have them.
+#[derive(Debug, Serialize)]
+struct TokenChunk<'a> {
+    choices: [TokenChoice<'a>; 1],
+    created: u64,
+    id: Uuid,
+    model: &'a str,
+    object: &'static str,
+}
+
+#[derive(Debug, Serialize)]
+struct TokenChoice<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<Delta<'a>>,
+    finish_reason: Option<&'static str>,
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+}
+
+#[derive(Debug, Serialize)]
+struct Delta<'a> {
+    content: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    role: Option<&'static str>,
 }
 
 fn usage(finish: &Finish) -> Value {
--- a/src/ops/dispatch/generate.rs
+++ b/src/ops/dispatch/generate.rs
@@ -34,6 +34,7 @@
 use sequoiastream_upstream::wire::PieceBody;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
 use uuid::Uuid;
 
 use crate::log_event;
@@ -42,6 +43,7 @@
 use crate::ops::dispatch::suspects::Picked;
 use crate::ops::dispatch::suspects::Target;
 use crate::util::clock;
+use crate::util::metrics::AnswerTimes;
 
 /// Events that wait for a caller that reads slowly. After that its engine is held back.
 const BACKLOG: usize = 32;
@@ -90,6 +92,7 @@
         ask,
     };
     let run = Run {
+        times: dispatch.shared.metrics.traffic.times(&request.product),
         dispatch: dispatch.clone(),
         answer: answer::Answer::new(now, limits, call.resume),
         request,
@@ -165,6 +168,7 @@
     finish: Option<Finish>,
     begun: Time,
     last: Option<Time>,
+    times: AnswerTimes,
 }
 
 impl Run {
@@ -398,6 +402,12 @@
             text: piece.text,
             version: self.answer.version(),
         });
+        // Mostly there is room; a timer for each token would cost more than the token.
+        let token = match self.sender.try_send(token) {
+            Ok(()) => return Event::Delivered,
+            Err(TrySendError::Closed(_)) => return Event::Gone,
+            Err(TrySendError::Full(token)) => token,
+        };
         tokio::select! {
             sent = self.sender.send(token) => match sent {
                 Ok(()) => Event::Delivered,
@@ -409,15 +419,14 @@
 
     fn observe(&mut self) {
         let now = clock::now();
-        let traffic = &self.dispatch.shared.metrics.traffic;
         match self.last.replace(now) {
             None => {
-                traffic.first_token(&self.request.product, now.since(self.begun));
+                self.times.first_token(now.since(self.begun));
                 if let Some(open) = &self.open {
                     self.dispatch.started(&open.target);
                 }
             }
-            Some(before) => traffic.between_tokens(&self.request.product, now.since(before)),
+            Some(before) => self.times.between_tokens(now.since(before)),
         }
     }
 
--- a/src/util/metrics/mod.rs
+++ b/src/util/metrics/mod.rs
@@ -22,6 +22,7 @@
 pub use claims::ClaimMetrics;
 pub use membership::MembershipMetrics;
 pub use policy::PolicyMetrics;
+pub use traffic::AnswerTimes;
 pub use traffic::TrafficMetrics;
 
 /// Prefix of every name.
--- a/src/util/metrics/traffic.rs
+++ b/src/util/metrics/traffic.rs
@@ -43,6 +43,25 @@
     queue: Family<ProductLabels, Histogram, fn() -> Histogram>,
 }
 
+/// Where the times of one answer's tokens are observed.
+#[derive(Debug, Clone)]
+pub struct AnswerTimes {
+    first: Histogram,
+    between: Histogram,
+}
+
+impl AnswerTimes {
+    /// Observes the time to the first token.
+    pub fn first_token(&self, time: Duration) {
+        self.first.observe(time.as_secs_f64());
+    }
+
+    /// Observes the time between two tokens.
+    pub fn between_tokens(&self, time: Duration) {
+        self.between.observe(time.as_secs_f64());
+    }
+}
+
 /// A product.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ProductLabels {
@@ -151,16 +170,13 @@
         self.abandoned.get_or_create(&ProductLabels::of(product)).inc();
     }
 
-    /// Observes the time to a first token.
-    pub fn first_token(&self, product: &Name, time: Duration) {
-        let histogram = self.first.get_or_create(&ProductLabels::of(product));
-        histogram.observe(time.as_secs_f64());
-    }
-
-    /// Observes the time between two tokens.
-    pub fn between_tokens(&self, product: &Name, time: Duration) {
-        let histogram = self.between.get_or_create(&ProductLabels::of(product));
-        histogram.observe(time.as_secs_f64());
+    /// The clocks of one answer to `product`. Looked up once, not for each token.
+    pub fn times(&self, product: &Name) -> AnswerTimes {
+        let labels = ProductLabels::of(product);
+        AnswerTimes {
+            first: self.first.get_or_create(&labels).clone(),
+            between: self.between.get_or_create(&labels).clone(),
+        }
     }
 
     /// Observes the time until an engine took a request.
--- a/tests/testsuite/policy/retries.rs
+++ b/tests/testsuite/policy/retries.rs
@@ -6,22 +6,28 @@
 // the fresh ones. Cause: each request decides alone that it may be tried again.
 #[test]
 fn retry_outage_end() {
+    const FRESH: u32 = 1_000;
     let mut retries = Retries::new(3);
     let product = name("assistente");
-    let fresh = 1_000;
-    let mut sent = 0;
-    for _ in 0..fresh {
-        retries.fresh(&product);
-        sent += 1;
-        let mut attempt = 1;
-        while retries.retry(&product, attempt).is_some() {
+    for round in 0..3 {
+        let mut sent = 0;
+        for _ in 0..FRESH {
+            retries.fresh(&product);
             sent += 1;
-            attempt += 1;
+            let mut attempt = 1;
+            while retries.retry(&product, attempt).is_some() {
+                sent += 1;
+                attempt += 1;
+            }
         }
+        // Ten retries are there before the first request; from then on nothing comes on top of the share.
+        let start = if round == 0 { 10 } else { 0 };
+        assert!(
+            sent <= FRESH * 12 / 10 + start,
+            "{sent} sent for {FRESH} fresh ones"
+        );
+        assert!(sent > FRESH * 11 / 10, "{sent}: the budget is usable");
     }
-    // Ten retries are there before the first request.
-    assert!(sent <= fresh * 12 / 10 + 10, "{sent} sent for {fresh} fresh ones");
-    assert!(sent > fresh * 11 / 10, "{sent}: the budget is usable");
 }
 
 #[test]
