--- a/tests/testsuite/claims/mod.rs
+++ b/tests/testsuite/claims/mod.rs
@@ -1,6 +1,6 @@
 //! At most once: claims on requests that may not be repeated.
 
-mod client;
+pub mod client;
 mod entry;
 mod faults;
 mod machines;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -27,3 +27,4 @@
 mod support;
 mod suspects;
 mod upstream;
+mod whole;
--- /dev/null
+++ b/tests/testsuite/whole/engines.rs
@@ -0,0 +1,105 @@
+//! The engines: one checks fencing numbers, one ignores them. Both check what reaches them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sequoiastream_core::authority::Answer;
+use sequoiastream_core::authority::Fence;
+use sequoiastream_core::authority::Order;
+use sequoiastream_core::authority::Report;
+use sequoiastream_core::config::Fencing;
+use sequoiastream_core::config::Role;
+use sequoiastream_core::engine::Target;
+use sequoiastream_core::time::Time;
+
+/// How long an engine is away when it changes.
+const CHANGE: Duration = Duration::from_secs(2);
+
+struct Past {
+    at: Time,
+    target: Target,
+    sequence: u64,
+    away: Time,
+}
+
+pub struct Engine {
+    pub fencing: Fencing,
+    pub target: Target,
+    sequence: u64,
+    fence: Fence,
+    away: Time,
+    orders: BTreeMap<u64, Order>,
+    history: Vec<Past>,
+}
+
+impl Engine {
+    pub fn new(fencing: Fencing) -> Engine {
+        let mut engine = Engine {
+            fencing,
+            target: Target {
+                role: Role::Mixed,
+                model: "m".to_string(),
+                adapter: None,
+                version: 1,
+            },
+            sequence: 0,
+            fence: Fence(0),
+            away: Time::ZERO,
+            orders: BTreeMap::new(),
+            history: Vec::new(),
+        };
+        engine.note(Time::ZERO);
+        engine
+    }
+
+    fn note(&mut self, at: Time) {
+        self.history.push(Past {
+            at,
+            target: self.target.clone(),
+            sequence: self.sequence,
+            away: self.away,
+        });
+    }
+
+    /// An order arrives. What takes effect must be the last recorded order, come after all before it, and be the
+    /// same whenever it comes again. Gives the answer, and whether the engine changed.
+    pub fn apply(&mut self, now: Time, order: Order, recorded: &Order) -> (Answer, bool) {
+        if self.fencing == Fencing::Checked && order.fence < self.fence {
+            return (Answer::Stale(self.fence), false);
+        }
+        assert_eq!(
+            recorded.sequence, order.sequence,
+            "{now}: order of a stale holder took effect"
+        );
+        assert!(
+            order.sequence >= self.sequence,
+            "{now}: an older order took effect"
+        );
+        let first = self.orders.entry(order.sequence).or_insert_with(|| order.clone());
+        let same = first.id == order.id && first.target == order.target;
+        assert!(same, "{now}: conflicting orders took effect");
+        self.fence = self.fence.max(order.fence);
+        self.sequence = order.sequence;
+        let changed = self.target != order.target;
+        if changed {
+            self.target = order.target;
+            self.away = now + CHANGE;
+        }
+        self.note(now);
+        (Answer::Applied, changed)
+    }
+
+    /// What a probe that lags shows.
+    pub fn report(&self, now: Time, lag: Duration) -> Report {
+        let taken = now - lag;
+        let shown = self.history.iter().rev().find(|past| past.at <= taken);
+        let past = shown.unwrap_or(&self.history[0]);
+        Report {
+            target: past.target.clone(),
+            away: taken < past.away,
+            idle: true,
+            sequence: past.sequence,
+            taken,
+        }
+    }
+}
--- /dev/null
+++ b/tests/testsuite/whole/kv.rs
@@ -0,0 +1,242 @@
+//! The fake key-value service that the machines of all instances use.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sequoiastream_core::authority;
+use sequoiastream_core::authority::CallId;
+use sequoiastream_core::authority::Incarnation;
+use sequoiastream_core::authority::RecordVersion;
+use sequoiastream_core::authority::Written;
+use sequoiastream_core::claims;
+use sequoiastream_core::claims::Bucket;
+use sequoiastream_core::claims::BucketId;
+use sequoiastream_core::claims::OwnerEvent;
+use sequoiastream_core::config;
+use sequoiastream_core::config::CommandId;
+use sequoiastream_core::config::Config;
+use sequoiastream_core::config::Head;
+use sequoiastream_core::config::State;
+use sequoiastream_core::config::Swapped;
+use sequoiastream_core::config::Version;
+use sequoiastream_core::time::Time;
+
+use super::world::Message;
+
+/// Time to live of the authority's lease.
+pub const TTL: Duration = Duration::from_secs(10);
+
+/// A call of one of an instance's machines.
+#[derive(Debug, Clone)]
+pub enum Call {
+    Acquire(CallId, Time),
+    Renew(CallId, Time),
+    ReadRecord(CallId),
+    WriteRecord(CallId, RecordVersion, Box<authority::Record>),
+    ReadHead,
+    ReadSnapshot(Version),
+    Store(config::Ticket, Box<State>),
+    Swap(config::Ticket, config::Revision, Box<Head>),
+    Remove(Version),
+    ReadBucket(BucketId),
+    WriteBucket(BucketId, claims::Revision, Bucket),
+}
+
+impl Call {
+    /// Whether it compares before it writes, so that a second copy can do nothing.
+    pub fn is_compared(&self) -> bool {
+        matches!(
+            self,
+            Call::WriteRecord(..) | Call::Swap(..) | Call::WriteBucket(..)
+        )
+    }
+
+    /// What its machine is told if no answer came; `unsure` if the call may have taken effect.
+    pub fn failed(&self, unsure: bool) -> Option<Message> {
+        let message = match self {
+            Call::Acquire(call, _) => Message::Authority(authority::Event::NotAcquired { call: *call }),
+            Call::Renew(call, _) => Message::Authority(authority::Event::RenewFailed { call: *call }),
+            Call::ReadRecord(call) => Message::Authority(authority::Event::ReadFailed { call: *call }),
+            Call::WriteRecord(call, ..) => Message::Authority(authority::Event::Wrote {
+                call: *call,
+                written: Written::Unknown,
+            }),
+            Call::ReadHead => Message::Keeper(config::Event::ReadFailed),
+            Call::ReadSnapshot(_) => Message::Keeper(config::Event::Snapshot(None)),
+            Call::Store(ticket, state) => {
+                Message::Keeper(config::Event::StoredSnapshot(*ticket, state.version, false))
+            }
+            Call::Swap(ticket, ..) => {
+                let swapped = match unsure {
+                    true => Swapped::Unsure,
+                    false => Swapped::Failed,
+                };
+                Message::Keeper(config::Event::Swapped(*ticket, swapped))
+            }
+            Call::Remove(_) => return None,
+            Call::ReadBucket(bucket) => Message::Owner(OwnerEvent::Failed {
+                bucket: *bucket,
+                unsure: false,
+            }),
+            Call::WriteBucket(bucket, ..) => Message::Owner(OwnerEvent::Failed {
+                bucket: *bucket,
+                unsure,
+            }),
+        };
+        Some(message)
+    }
+}
+
+/// A change that was accepted, and the configuration after it.
+#[derive(Debug)]
+pub struct Accepted {
+    pub id: CommandId,
+    pub at: Time,
+    pub config: Config,
+}
+
+#[derive(Debug, Default)]
+pub struct Kv {
+    /// Outage and slowness last until these times.
+    pub out: Time,
+    pub slow: Time,
+    pub record: Option<authority::Record>,
+    version: u64,
+    /// Instance, incarnation and end of the lease.
+    lease: Option<(usize, Incarnation, Time)>,
+    pub stored: config::Stored,
+    snapshots: BTreeMap<Version, State>,
+    /// The accepted changes; version n is at index n - 1.
+    pub accepted: Vec<Accepted>,
+    buckets: BTreeMap<BucketId, (claims::Revision, Bucket)>,
+    revision: u64,
+}
+
+impl Kv {
+    /// Whether someone holds the lease.
+    pub fn is_held(&self, now: Time) -> bool {
+        self.lease.is_some_and(|(.., end)| now < end)
+    }
+
+    /// Ends the lease if this instance's incarnation has it.
+    pub fn release(&mut self, index: usize, by: Incarnation) {
+        if self.lease.is_some_and(|(i, b, _)| (i, b) == (index, by)) {
+            self.lease = None;
+        }
+    }
+
+    /// Carries out a call that arrived, and gives the answer.
+    pub fn serve(&mut self, now: Time, index: usize, by: Incarnation, call: Call) -> Option<Message> {
+        match call {
+            Call::Acquire(call, sent) => Some(self.acquire(now, (index, by), call, sent)),
+            Call::Renew(call, sent) => Some(self.renew(now, (index, by), call, sent)),
+            Call::ReadRecord(call) => Some(Message::Authority(authority::Event::Read {
+                call,
+                version: RecordVersion(self.version),
+                record: self.record.clone(),
+            })),
+            Call::WriteRecord(call, expect, record) => Some(self.write_record(call, expect, *record)),
+            Call::ReadHead => Some(Message::Keeper(config::Event::Read(self.stored.clone()))),
+            Call::ReadSnapshot(version) => {
+                let snapshot = self.snapshots.get(&version).cloned().map(Box::new);
+                Some(Message::Keeper(config::Event::Snapshot(snapshot)))
+            }
+            Call::Store(ticket, state) => {
+                let version = state.version;
+                self.snapshots.entry(version).or_insert(*state);
+                let stored = config::Event::StoredSnapshot(ticket, version, true);
+                Some(Message::Keeper(stored))
+            }
+            Call::Swap(ticket, expect, head) => {
+                let swapped = self.swap(now, expect, *head);
+                Some(Message::Keeper(config::Event::Swapped(ticket, swapped)))
+            }
+            Call::Remove(version) => {
+                self.snapshots.remove(&version);
+                None
+            }
+            Call::ReadBucket(bucket) => {
+                let (revision, content) = self.buckets.get(&bucket).cloned().unwrap_or_default();
+                Some(Message::Owner(OwnerEvent::Stands(bucket, revision, content)))
+            }
+            Call::WriteBucket(bucket, expect, content) => Some(self.write_bucket(bucket, expect, content)),
+        }
+    }
+
+    fn acquire(&mut self, now: Time, by: (usize, Incarnation), call: CallId, sent: Time) -> Message {
+        if self.is_held(now) {
+            return Message::Authority(authority::Event::NotAcquired { call });
+        }
+        self.lease = Some((by.0, by.1, now + TTL));
+        Message::Authority(authority::Event::Acquired { call, sent })
+    }
+
+    fn renew(&mut self, now: Time, by: (usize, Incarnation), call: CallId, sent: Time) -> Message {
+        let owned = self.lease.is_some_and(|(i, b, end)| (i, b) == by && now < end);
+        if !owned {
+            return Message::Authority(authority::Event::Lapsed { call });
+        }
+        self.lease = Some((by.0, by.1, now + TTL));
+        Message::Authority(authority::Event::Renewed { call, sent })
+    }
+
+    fn write_record(&mut self, call: CallId, expect: RecordVersion, record: authority::Record) -> Message {
+        let written = match expect.0 == self.version {
+            true => {
+                self.version += 1;
+                self.record = Some(record);
+                Written::Done(RecordVersion(self.version))
+            }
+            false => Written::Conflict,
+        };
+        Message::Authority(authority::Event::Wrote { call, written })
+    }
+
+    fn write_bucket(&mut self, bucket: BucketId, expect: claims::Revision, content: Bucket) -> Message {
+        let (revision, stands) = self.buckets.get(&bucket).cloned().unwrap_or_default();
+        if revision != expect {
+            return Message::Owner(OwnerEvent::Stands(bucket, revision, stands));
+        }
+        self.revision += 1;
+        let revision = claims::Revision(self.revision);
+        self.buckets.insert(bucket, (revision, content));
+        Message::Owner(OwnerEvent::Written(bucket, revision))
+    }
+
+    /// Swaps the head. Accepted changes must follow on each other, and each id be accepted once.
+    fn swap(&mut self, now: Time, expect: config::Revision, head: Head) -> Swapped {
+        if self.stored.revision != expect {
+            return Swapped::Conflict(self.stored.clone());
+        }
+        assert_eq!(
+            head.version.0,
+            self.accepted.len() as u64 + 1,
+            "versions follow on each other"
+        );
+        let change = head.tail.back().expect("the head ends with its change").clone();
+        assert!(
+            self.accepted.iter().all(|a| a.id != change.id),
+            "{:?} accepted twice",
+            change.id
+        );
+        let mut config = self.accepted.last().map(|a| a.config.clone()).unwrap_or_default();
+        for command in &change.commands {
+            config.apply(command).expect("an accepted command can be applied");
+        }
+        self.accepted.push(Accepted {
+            id: change.id,
+            at: now,
+            config,
+        });
+        self.stored = config::Stored {
+            revision: config::Revision(expect.0 + 1),
+            head,
+        };
+        Swapped::Done(self.stored.revision)
+    }
+
+    /// The version in force by `at`; 0 before the first.
+    pub fn version_at(&self, at: Time) -> Version {
+        Version(self.accepted.iter().filter(|a| a.at <= at).count() as u64)
+    }
+}
--- /dev/null
+++ b/tests/testsuite/whole/operators.rs
@@ -0,0 +1,267 @@
+//! Operators' statements, the keepers that accept and follow them, and what is checked of configurations.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::RngExt;
+use sequoiastream_core::authority::Phase;
+use sequoiastream_core::config::Action;
+use sequoiastream_core::config::Base;
+use sequoiastream_core::config::Command;
+use sequoiastream_core::config::CommandId;
+use sequoiastream_core::config::EngineState;
+use sequoiastream_core::config::Event;
+use sequoiastream_core::config::Fencing;
+use sequoiastream_core::config::PlaceEngine;
+use sequoiastream_core::config::Proposal;
+use sequoiastream_core::config::Revision;
+use sequoiastream_core::config::Role;
+use sequoiastream_core::config::Service;
+use sequoiastream_core::config::ServiceKind;
+use sequoiastream_core::config::State;
+use sequoiastream_core::config::Swapped;
+use sequoiastream_core::config::Ticket;
+use sequoiastream_core::name::Name;
+use sequoiastream_core::time::WallTime;
+use uuid::Uuid;
+
+use super::kv::Call;
+use super::world::INSTANCES;
+use super::world::Message;
+use super::world::Process;
+use super::world::World;
+use super::world::name;
+
+const ROLES: [Role; 3] = [Role::Prefill, Role::Decode, Role::Mixed];
+
+/// Within which an accepted drain reaches each instance that runs and is connected.
+const DRAIN_LIMIT: Duration = Duration::from_secs(3);
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], index as u16))
+}
+
+fn place(service: &str, port: u16, fencing: Fencing) -> PlaceEngine {
+    PlaceEngine {
+        service: name(service),
+        zone: name("z1"),
+        address: SocketAddr::from(([10, 0, 1, 1], port)),
+        fencing,
+        role: (service == "model").then_some(Role::Mixed),
+    }
+}
+
+fn first_commands() -> Vec<Command> {
+    let service = |text, kind| Command::CreateService {
+        name: name(text),
+        service: Service { kind },
+    };
+    let engine = |text, place| Command::PlaceEngine {
+        name: name(text),
+        place,
+    };
+    let model = "m".to_string();
+    vec![
+        service("model", ServiceKind::Model { model }),
+        service("plain", ServiceKind::Plain { routes: Vec::new() }),
+        engine("e0", place("model", 1, Fencing::Checked)),
+        engine("e1", place("model", 2, Fencing::Ignored)),
+        engine("u0", place("plain", 3, Fencing::Ignored)),
+        engine("u1", place("plain", 4, Fencing::Ignored)),
+    ]
+}
+
+impl World {
+    /// The first change, accepted before any instance starts.
+    pub fn found(&mut self) {
+        let proposal = self.proposal(first_commands(), Base::Implied(Default::default()));
+        let head = self.kv.stored.head.push(&State::default(), &proposal);
+        let head = head.expect("the first change can be applied");
+        let Some(Message::Keeper(Event::Swapped(_, swapped))) = self.kv.serve(
+            self.now,
+            0,
+            sequoiastream_core::authority::Incarnation(Uuid::nil()),
+            Call::Swap(Ticket(0), Revision(0), Box::new(head)),
+        ) else {
+            panic!("a swap is answered");
+        };
+        assert!(matches!(swapped, Swapped::Done(_)));
+    }
+
+    fn proposal(&mut self, commands: Vec<Command>, base: Base) -> Proposal {
+        let id = CommandId(Uuid::from_u128(self.rng.random()));
+        self.proposed.insert(id, commands.clone());
+        Proposal {
+            id,
+            who: format!("operator-{}", self.rng.random_range(0..3)),
+            from: String::new(),
+            when: WallTime(0),
+            statement: "statement".to_string(),
+            commands,
+            base,
+        }
+    }
+
+    /// An operator gives a statement, or repeats an earlier one with its id, through any instance.
+    pub fn submit(&mut self, index: usize) {
+        let base = Base::Implied(self.instances[index].keeper.state().version);
+        if self.rng.random_bool(0.2) {
+            let at = self.rng.random_range(0..self.proposed.len());
+            let (id, commands) = self.proposed.iter().nth(at).expect("in range");
+            let (id, commands) = (*id, commands.clone());
+            let mut again = self.proposal(commands, base);
+            self.proposed.remove(&again.id);
+            again.id = id;
+            return self.propose(index, again);
+        }
+        let engine = name(["e0", "e1"][self.rng.random_range(0..2)]);
+        let upstream = name(["u0", "u1"][self.rng.random_range(0..2)]);
+        let role = Some(ROLES[self.rng.random_range(0..ROLES.len())]);
+        let command = match self.rng.random_range(0..4) {
+            0 | 1 => Command::SetRole { name: engine, role },
+            2 => Command::DrainEngine { name: upstream },
+            _ => Command::ResumeEngine { name: upstream },
+        };
+        let proposal = self.proposal(vec![command], base);
+        self.propose(index, proposal);
+    }
+
+    fn propose(&mut self, index: usize, proposal: Proposal) {
+        let ticket = Ticket(self.rng.random());
+        let event = Event::Submitted(ticket, Box::new(proposal));
+        let to = self.process(index);
+        let travel = self.millis(1..50);
+        self.post(travel, Some(to), Message::Keeper(event));
+    }
+
+    /// Releases orders that surely can't arrive: their process is gone, and no copy is on its way.
+    pub fn release_orders(&mut self) {
+        let Some(record) = &self.kv.record else { return };
+        let mut gone = Vec::new();
+        for (engine, open) in &record.engines {
+            let sequence = open.order.sequence;
+            let alive = self.instances.iter().any(|i| i.incarnation == open.incarnation);
+            let stuck = open.phase == Phase::Open && (!alive || !self.faulty);
+            if stuck && !self.is_underway(engine, sequence) {
+                gone.push((engine.clone(), sequence));
+            }
+        }
+        for (engine, sequence) in gone {
+            // Without faults one statement for an order is enough.
+            if !self.faulty && !self.released.insert((engine.clone(), sequence)) {
+                continue;
+            }
+            let index = self.rng.random_range(0..INSTANCES);
+            let base = Base::Implied(self.instances[index].keeper.state().version);
+            let command = Command::ReleaseOrder {
+                name: engine,
+                sequence,
+            };
+            let proposal = self.proposal(vec![command], base);
+            self.propose(index, proposal);
+        }
+    }
+
+    /// Tells another instance the version in force here.
+    pub fn gossip(&mut self, index: usize) {
+        let to = (index + self.rng.random_range(1..INSTANCES)) % INSTANCES;
+        let version = self.instances[index].published;
+        let to = self.process(to);
+        if !self.chance(10) {
+            let travel = self.delay();
+            let heard = Event::Heard(address(index), version);
+            self.post(travel, Some(to), Message::Keeper(heard));
+        }
+    }
+
+    pub fn tell_keeper(&mut self, index: usize, event: Event) {
+        let actions = self.instances[index].keeper.on(self.now, event);
+        for action in actions {
+            self.keeper_acts(index, action);
+        }
+    }
+
+    fn keeper_acts(&mut self, index: usize, action: Action) {
+        match action {
+            Action::Read => self.call(index, Call::ReadHead),
+            Action::ReadSnapshot(version) => self.call(index, Call::ReadSnapshot(version)),
+            Action::Store(ticket, state) => self.call(index, Call::Store(ticket, state)),
+            Action::Swap(ticket, expect, head) => self.call(index, Call::Swap(ticket, expect, head)),
+            Action::Remove(version) => self.call(index, Call::Remove(version)),
+            Action::Fetch(peer, after) => {
+                let from = self.process(index);
+                let asked = self.process(usize::from(peer.port()));
+                let travel = self.millis(1..50);
+                self.post(travel, Some(asked), Message::Fetch(from, index, after));
+            }
+            Action::Publish => self.publish(index),
+            Action::Answer(_, Ok(outcome)) => {
+                let told = self.kv.accepted.len() as u64;
+                assert!(
+                    outcome.version.0 <= told,
+                    "an operator was told a version that is none"
+                );
+            }
+            Action::Answer(..) | Action::Stale(_) => {}
+            Action::Broken(error) => panic!("{error}"),
+        }
+    }
+
+    /// A peer is asked for what came after a version.
+    pub fn fetched(&mut self, index: usize, from: Process, message: Message) {
+        let Message::Fetch(_, _, after) = message else {
+            return;
+        };
+        let update = self.instances[index].keeper.update_after(after);
+        let travel = self.millis(1..50);
+        let update = Event::Fetched(Some(update));
+        self.post(travel, Some(from), Message::Keeper(update));
+    }
+
+    /// A version comes in force: it must be later than all before in this life, and what was accepted.
+    fn publish(&mut self, index: usize) {
+        let state = self.instances[index].keeper.state();
+        let before = self.instances[index].published;
+        assert!(state.version > before, "i{index} went back from {before}");
+        let accepted = &self.kv.accepted[state.version.0 as usize - 1];
+        assert_eq!(state.config, accepted.config, "version {}", state.version);
+        self.instances[index].published = state.version;
+    }
+
+    /// An instance picked an upstream: it must not have heard that this one drains; and if it ran undisturbed
+    /// and could learn of it, the drain must not have been accepted more than 3 s ago.
+    pub fn check_pick(&self, index: usize, upstream: &Name) {
+        let told = self.instances[index].published;
+        self.check_serving(index, upstream, told.0);
+        let since = self.now - DRAIN_LIMIT;
+        let connected = self.now >= self.kv.out + DRAIN_LIMIT && self.now >= self.kv.slow + DRAIN_LIMIT;
+        let instance = &self.instances[index];
+        let reaches = self.now >= instance.cut + DRAIN_LIMIT;
+        if connected && reaches && instance.disturbed < since {
+            self.check_serving(index, upstream, self.kv.version_at(since).0.max(told.0));
+        }
+    }
+
+    fn check_serving(&self, index: usize, upstream: &Name, version: u64) {
+        let config = &self.kv.accepted[version as usize - 1].config;
+        let state = config.engines[upstream].state;
+        assert_eq!(
+            state,
+            EngineState::Serving,
+            "{}: i{index} picked {upstream}, which drains by version {version}",
+            self.now
+        );
+    }
+
+    pub fn check_end(&self) {
+        let last = self.kv.accepted.len() as u64;
+        for (index, instance) in self.instances.iter().enumerate() {
+            assert_eq!(instance.published.0, last, "i{index} has the last version");
+        }
+        let config = &self.kv.accepted.last().expect("the first change").config;
+        for (name, engine) in &self.engines {
+            let wished = config.engines[name].role;
+            assert_eq!(Some(engine.target.role), wished, "{name} is what was wished");
+        }
+    }
+}
