--- a/tests/testsuite/whole/mod.rs
+++ b/tests/testsuite/whole/mod.rs
@@ -26,6 +26,8 @@
     let mut orders = 0;
     let mut changes = 0;
     let mut refused = 0;
+    let mut timely = 0;
+    let mut by_peers = 0;
     let seeds = seeds_or(SEEDS);
     let count = seeds.end - seeds.start;
     for seed in seeds {
@@ -36,12 +38,18 @@
         orders += world.applied;
         changes += world.kv.accepted.len() as u64;
         refused += world.refused;
+        timely += world.timely;
+        by_peers += world.by_peers;
     }
     // The run means something only if each of these happened often.
-    let seen = format!("{runs} runs, {orders} orders, {changes} changes, {refused} refused");
+    let seen = format!(
+        "{runs} runs, {orders} orders, {changes} changes, {refused} refused, {timely} picks in time, {by_peers} cut off"
+    );
     eprintln!("{count} seeds: {seen}");
     assert!(runs > 5 * count, "{seen}");
     assert!(orders > 2 * count, "{seen}");
     assert!(changes > 10 * count, "{seen}");
     assert!(refused > count, "{seen}");
+    assert!(timely > 4 * count, "{seen}");
+    assert!(10 * by_peers > count, "{seen}");
 }
--- a/tests/testsuite/whole/operators.rs
+++ b/tests/testsuite/whole/operators.rs
@@ -21,12 +21,15 @@
 use sequoiastream_core::config::State;
 use sequoiastream_core::config::Swapped;
 use sequoiastream_core::config::Ticket;
+use sequoiastream_core::config::Version;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::time::Time;
 use sequoiastream_core::time::WallTime;
 use uuid::Uuid;
 
 use super::kv::Call;
 use super::world::INSTANCES;
+use super::world::Instance;
 use super::world::Message;
 use super::world::Process;
 use super::world::World;
@@ -192,7 +195,7 @@
                 let from = self.process(index);
                 let asked = self.process(usize::from(peer.port()));
                 let travel = self.millis(1..50);
-                self.post(travel, Some(asked), Message::Fetch(from, index, after));
+                self.post(travel, Some(asked), Message::Fetch(from, after));
             }
             Action::Publish => self.publish(index),
             Action::Answer(_, Ok(outcome)) => {
@@ -208,10 +211,7 @@
     }
 
     /// A peer is asked for what came after a version.
-    pub fn fetched(&mut self, index: usize, from: Process, message: Message) {
-        let Message::Fetch(_, _, after) = message else {
-            return;
-        };
+    pub fn fetched(&mut self, index: usize, from: Process, after: Version) {
         let update = self.instances[index].keeper.update_after(after);
         let travel = self.millis(1..50);
         let update = Event::Fetched(Some(update));
@@ -229,17 +229,31 @@
     }
 
     /// An instance picked an upstream: it must not have heard that this one drains; and if it ran undisturbed
-    /// and could learn of it, the drain must not have been accepted more than 3 s ago.
-    pub fn check_pick(&self, index: usize, upstream: &Name) {
+    /// and could learn of it from the service or a peer, the drain must not have been accepted over 3 s ago.
+    pub fn check_pick(&mut self, index: usize, upstream: &Name) {
         let told = self.instances[index].published;
         self.check_serving(index, upstream, told.0);
         let since = self.now - DRAIN_LIMIT;
-        let connected = self.now >= self.kv.out + DRAIN_LIMIT && self.now >= self.kv.slow + DRAIN_LIMIT;
-        let instance = &self.instances[index];
-        let reaches = self.now >= instance.cut + DRAIN_LIMIT;
-        if connected && reaches && instance.disturbed < since {
-            self.check_serving(index, upstream, self.kv.version_at(since).0.max(told.0));
+        if !self.could_learn(index) {
+            return;
         }
+        let version = self.kv.version_at(since).0;
+        self.check_serving(index, upstream, version.max(told.0));
+        self.timely += 1;
+        self.by_peers += u64::from(self.now < self.instances[index].cut);
+    }
+
+    /// Whether for the whole limit the service answered in time, this instance ran, and either it was not cut
+    /// off from the service or both its peers ran and were not.
+    fn could_learn(&self, index: usize) -> bool {
+        let before = |end: Time| self.now >= end + DRAIN_LIMIT;
+        let runs = |i: &Instance| before(i.disturbed);
+        let reaches = |i: &Instance| before(i.cut);
+        let others = self.instances.iter().enumerate().filter(|(i, _)| *i != index);
+        let mut peers = others.map(|(_, instance)| instance);
+        let own = &self.instances[index];
+        let peers = peers.all(|i| runs(i) && reaches(i));
+        before(self.kv.out) && before(self.kv.slow) && runs(own) && (reaches(own) || peers)
     }
 
     fn check_serving(&self, index: usize, upstream: &Name, version: u64) {
--- a/tests/testsuite/whole/world.rs
+++ b/tests/testsuite/whole/world.rs
@@ -78,7 +78,7 @@
     Kv(Process, Call, bool),
     Order(Process, CallId, Name, Order),
     Run(usize),
-    Fetch(Process, usize, Version),
+    Fetch(Process, Version),
 }
 
 /// The machines of one process: they are paused, killed and cut off together.
@@ -116,6 +116,9 @@
     pub released: BTreeSet<(Name, u64)>,
     pub applied: u64,
     pub refused: u64,
+    /// Picks checked against what was accepted 3 s before; and those of instances cut off from the service.
+    pub timely: u64,
+    pub by_peers: u64,
 }
 
 impl World {
@@ -138,6 +141,8 @@
             released: BTreeSet::new(),
             applied: 0,
             refused: 0,
+            timely: 0,
+            by_peers: 0,
         };
         world.found();
         for index in 0..INSTANCES {
@@ -315,7 +320,7 @@
             Message::Ask(request, ask) => self.asked(index, request, ask),
             Message::Entry(request, asked, verdict) => self.entry(request, asked, verdict),
             Message::Ended(request, answered) => self.ended(request, answered),
-            Message::Fetch(from, ..) => self.fetched(index, from, message),
+            Message::Fetch(from, after) => self.fetched(index, from, after),
             other => panic!("{other:?} is not for a process"),
         }
     }
