--- a/tests/testsuite/claims/machines.rs
+++ b/tests/testsuite/claims/machines.rs
@@ -42,7 +42,8 @@
 const REQUESTS: usize = 60;
 const SEEDS: u64 = 600;
 const TIMEOUT: Duration = Duration::from_millis(1_000);
-const WALL: u64 = 1_764_700_000_000;
+/// Wall clock at the start, in milliseconds.
+pub const WALL: u64 = 1_764_700_000_000;
 
 /// What is delivered, and to which process; a process that was killed since gets nothing.
 enum Event {
@@ -95,7 +96,8 @@
     told: BTreeMap<&'static str, u32>,
 }
 
-fn keys(index: usize) -> IdempotencyKey {
+/// The idempotency key of this index, the same in each run.
+pub fn keys(index: usize) -> IdempotencyKey {
     let time = uuid::Timestamp::from_unix(uuid::NoContext, WALL / 1_000 + index as u64 % 3, 0);
     let mut bytes = *Uuid::new_v7(time).as_bytes();
     bytes[8..].fill(0x80 | index as u8);
--- a/tests/testsuite/claims/mod.rs
+++ b/tests/testsuite/claims/mod.rs
@@ -3,7 +3,7 @@
 pub mod client;
 mod entry;
 mod faults;
-mod machines;
+pub mod machines;
 mod orders;
 mod owner;
 mod path;
--- a/tests/testsuite/whole/requests.rs
+++ b/tests/testsuite/whole/requests.rs
@@ -12,7 +12,6 @@
 use sequoiastream_core::claims::EntryEvent;
 use sequoiastream_core::claims::EntryStep;
 use sequoiastream_core::claims::Fingerprint;
-use sequoiastream_core::claims::IdempotencyKey;
 use sequoiastream_core::claims::Mark;
 use sequoiastream_core::claims::OwnerAction;
 use sequoiastream_core::claims::OwnerEvent;
@@ -27,9 +26,9 @@
 use super::world::INSTANCES;
 use super::world::Message;
 use super::world::Process;
-use super::world::WALL;
 use super::world::World;
 use super::world::name;
+use crate::claims::machines::keys;
 
 /// Keys in use at the same time, and in all.
 const KEYS: usize = 4;
@@ -50,17 +49,8 @@
     refused: bool,
 }
 
-fn key(index: usize) -> IdempotencyKey {
-    let time = uuid::Timestamp::from_unix(uuid::NoContext, WALL / 1_000 + index as u64 % 3, 0);
-    let mut bytes = *Uuid::new_v7(time).as_bytes();
-    bytes[8..].fill(0x80 | index as u8);
-    bytes[6] = 0x70;
-    bytes[7] = 0;
-    Uuid::from_bytes(bytes).to_string().parse().expect("a UUIDv7")
-}
-
 fn claim(index: usize) -> ClaimRef {
-    ClaimRef::new(&name("dispatch"), &name("plain"), &key(index))
+    ClaimRef::new(&name("dispatch"), &name("plain"), &keys(index))
 }
 
 impl World {
--- a/tests/testsuite/whole/world.rs
+++ b/tests/testsuite/whole/world.rs
@@ -37,12 +37,10 @@
 use super::kv::Kv;
 use super::kv::TTL;
 use super::requests::Request;
+use crate::claims::machines::WALL;
 
 pub const INSTANCES: usize = 3;
 
-/// Wall clock at the start, in milliseconds.
-pub const WALL: u64 = 1_764_700_000_000;
-
 /// Simulated time with faults, and after them.
 const FAULTY: Duration = Duration::from_secs(90);
 const QUIET: Duration = Duration::from_secs(240);
