--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,5 +26,6 @@
 mod streams;
 mod support;
 mod suspects;
+mod together;
 mod upstream;
 mod whole;
--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -6,15 +6,24 @@
 
 use sequoiastream_caller::AddressBody;
 use sequoiastream_core::config::Version;
+use sequoiastream_core::membership::About;
+use sequoiastream_core::membership::Action;
+use sequoiastream_core::membership::Beat;
 use sequoiastream_core::membership::Caller;
 use sequoiastream_core::membership::CutRule;
+use sequoiastream_core::membership::Event;
+use sequoiastream_core::membership::Limits;
 use sequoiastream_core::membership::MemberState;
+use sequoiastream_core::membership::Members;
+use sequoiastream_core::membership::Myself;
 use sequoiastream_core::membership::Peer;
 use sequoiastream_core::membership::Standing;
 use sequoiastream_core::membership::Witness;
 use sequoiastream_core::membership::judge;
 use sequoiastream_core::membership::rank;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::time::Time;
+use sequoiastream_peer::datagram::MAX_DATAGRAM;
 use sequoiastream_platform::Listed;
 use sequoiastream_platform::ListedState;
 use sequoiastream_standin::platform::Fault;
@@ -142,6 +151,51 @@
     );
 }
 
+/// Operators give their instances and zones the longest names there are. A heartbeat that outgrew a datagram would
+/// not be sent at all, and each instance would take all others for silent.
+#[test]
+fn send_longest_names() {
+    let long = |i: usize| name(&format!("i{i:0>62}"));
+    let about = |i: u16| About {
+        incarnation: u64::MAX,
+        number: u64::MAX / 2,
+        zone: long(usize::from(i)),
+        address: SocketAddr::from(([255; 16], 60_000 + i)),
+        peer: SocketAddr::from(([255; 16], 61_000 + i)),
+        state: MemberState::Live,
+        version: Version(u64::MAX),
+        silence: u32::MAX,
+    };
+    let myself = Myself {
+        name: long(0),
+        about: about(0),
+        seed: 1,
+    };
+    let now = Time::from_millis(3_600_000);
+    let mut members = Members::new(myself, Limits::default());
+    for i in 1..30 {
+        let beat = Beat {
+            about: about(i),
+            rumors: Vec::new(),
+            notices: Vec::new(),
+        };
+        members.on(now, Event::Heard(long(usize::from(i)), beat));
+    }
+    let leaving = (0..40).map(|i| SocketAddr::from(([255; 16], 50_000 + i)));
+    members.on(now, Event::Leaving(leaving.collect()));
+    let mut sent = 0;
+    for action in members.on(now, Event::Tick) {
+        if let Action::Send(_, beat) = action {
+            let bytes = postcard::to_allocvec(&beat).expect("it can be written").len();
+            // The frame adds its sender, incarnation, counter and tag.
+            assert!(bytes + 64 + 16 + 10 + 16 <= MAX_DATAGRAM, "{bytes}");
+            assert!(beat.rumors.len() >= 2, "{}", beat.rumors.len());
+            sent += 1;
+        }
+    }
+    assert_eq!(sent, 2);
+}
+
 async fn refusal(fleet: &Fleet, index: usize) -> (u16, Value) {
     let reply = fleet.complete(index, "which crossover", 3, 1).await;
     let body: Value = reply.json();
@@ -299,3 +353,89 @@
     let states = column(&fleet, 0, "show instances where instance = i2", "state").await;
     assert_eq!(states, ["leaving"]);
 }
+
+/// An instance is paused while an operator drains an engine, and callers' requests wait in its sockets. When it goes
+/// on it must not take them by the configuration from before: none may reach the drained engine.
+#[actix_web::test]
+async fn drain_paused_instance() {
+    let fleet = quick_fleet()
+        .daemon_arg("--asleep-ms=400")
+        .daemons(2)
+        .engines(2)
+        .start_configured()
+        .await;
+    wait_until_met(&fleet).await;
+    fleet.daemons[0].signal("STOP");
+    let waiting = (0..12).map(|seed| fleet.complete(0, "short turn", 3, seed));
+    let others = async {
+        let version = fleet.apply(1, "drain engine e0").await;
+        let in_force = || async {
+            let seen = column(&fleet, 1, "show instances where instance = i1", "version").await;
+            (seen == [version.to_string()]).then_some(())
+        };
+        http::until("the change is in force at the other", in_force).await;
+        let silent = || async {
+            let seen = column(&fleet, 1, "show instances where instance = i0", "state").await;
+            (seen == ["silent"]).then_some(())
+        };
+        http::until("the paused one is missed", silent).await;
+        let served = fleet.served(0).await;
+        fleet.daemons[0].signal("CONT");
+        served
+    };
+    let (replies, served) = futures_util::join!(futures_util::future::join_all(waiting), others);
+    assert_eq!(fleet.served(0).await, served, "the drained engine got work");
+    for reply in replies {
+        let outcome = reply.outcome.as_deref();
+        assert!(matches!(outcome, Some("whole" | "not-run")), "{reply:?}");
+    }
+    fleet.wait_until_ready().await;
+}
+
+/// What was known before a pause proves nothing after it: neither the key-value service's last answer, nor heartbeats
+/// that waited in the socket. Fresh evidence opens the instance again.
+#[test]
+fn judge_after_pause() {
+    let about = |name: &str| About {
+        incarnation: 1,
+        number: 1,
+        zone: Name::new("lodi-a").expect("a name"),
+        address: format!("127.0.0.{}:80", name.len()).parse().expect("an address"),
+        peer: format!("127.0.0.{}:90", name.len()).parse().expect("an address"),
+        state: MemberState::Live,
+        version: Version(1),
+        silence: 0,
+    };
+    let beat = |number| Beat {
+        about: About {
+            number,
+            ..about("peer")
+        },
+        rumors: Vec::new(),
+        notices: Vec::new(),
+    };
+    let peer = Name::new("peer").expect("a name");
+    let myself = Myself {
+        name: Name::new("me").expect("a name"),
+        about: about("me"),
+        seed: 1,
+    };
+    let at = Time::from_millis;
+    let mut members = Members::new(myself, Limits::default());
+    members.on(at(0), Event::Contact(at(0)));
+    members.on(at(100), Event::Heard(peer.clone(), beat(1)));
+    assert_eq!(members.roster(at(1_000)).standing, Standing::Current);
+    members.on(at(1_000), Event::Tick);
+
+    let woke = members.on(at(9_000), Event::Heard(peer.clone(), beat(2)));
+    assert!(woke.contains(&Action::Woke), "{woke:?}");
+    assert!(!members.roster(at(9_000)).standing.is_open());
+    members.on(at(9_100), Event::Contact(at(900)));
+    assert!(
+        !members.roster(at(9_100)).standing.is_open(),
+        "an answer from before the pause"
+    );
+
+    members.on(at(10_500), Event::Heard(peer, beat(3)));
+    assert_eq!(members.roster(at(10_500)).standing, Standing::Current);
+}
