State a release again if it was refused, in the run of several machines

The fake operator stated the release once, through a paused instance; it was refused rightly, as a conflict with version 30 (base 29), and never stated again. Ruled out: a fault of the authority or the keeper; the order was not in `released` of the accepted configuration. Change: the fake operator states it again after 15 s. No check was changed.

--- a/tests/testsuite/whole/operators.rs
+++ b/tests/testsuite/whole/operators.rs
@@ -40,6 +40,9 @@
 /// Within which an accepted drain reaches each instance that runs and is connected.
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
 
+/// After which an operator states again that an order is released.
+const RESTATE: Duration = Duration::from_secs(15);
+
 fn address(index: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], index as u16))
 }
@@ -150,10 +153,12 @@
             }
         }
         for (engine, sequence) in gone {
-            // Without faults one statement for an order is enough.
-            if !self.faulty && !self.released.insert((engine.clone(), sequence)) {
+            // A statement that was refused, as one that conflicts is, is given again after a while.
+            let stated = self.stated.get(&(engine.clone(), sequence));
+            if !self.faulty && stated.is_some_and(|at| self.now < *at + RESTATE) {
                 continue;
             }
+            self.stated.insert((engine.clone(), sequence), self.now);
             let index = self.rng.random_range(0..INSTANCES);
             let base = Base::Implied(self.instances[index].keeper.state().version);
             let command = Command::ReleaseOrder {
--- a/tests/testsuite/whole/world.rs
+++ b/tests/testsuite/whole/world.rs
@@ -1,7 +1,6 @@
 //! Instances, time, faults and messages on their way.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::Rng;
@@ -111,7 +110,8 @@
     pub tickets: BTreeMap<u64, (usize, u64)>,
     pub runs: BTreeMap<usize, u32>,
     pub proposed: BTreeMap<CommandId, Vec<Command>>,
-    pub released: BTreeSet<(Name, u64)>,
+    /// When operators last released an order.
+    pub stated: BTreeMap<(Name, u64), Time>,
     pub applied: u64,
     pub refused: u64,
     /// Picks checked against what was accepted 3 s before; and those of instances cut off from the service.
@@ -136,7 +136,7 @@
             tickets: BTreeMap::new(),
             runs: BTreeMap::new(),
             proposed: BTreeMap::new(),
-            released: BTreeSet::new(),
+            stated: BTreeMap::new(),
             applied: 0,
             refused: 0,
             timely: 0,
