--- a/tests/testsuite/claims/mod.rs
+++ b/tests/testsuite/claims/mod.rs
@@ -1,9 +1,9 @@
 //! At most once: claims on requests that may not be repeated.
 
-mod client;
+pub mod client;
 mod entry;
 mod faults;
-mod machines;
+pub mod machines;
 mod orders;
 mod owner;
 mod path;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -29,3 +29,4 @@
 mod suspects;
 mod together;
 mod upstream;
+mod whole;
