Allow a late copy that changes nothing, in the run of several machines

Cause: seed 108 failed: a copy of the last order came late to an engine that checks numbers, after the next was recorded and before it arrived. Trace: same id, target, sequence and number; nothing changed there. Ruled out: a fault of the machines; the next order's number refuses the copy. The seed stays, as a test of its own.

--- a/tests/testsuite/whole/engines.rs
+++ b/tests/testsuite/whole/engines.rs
@@ -62,13 +62,19 @@
     }
 
     /// An order arrives. What takes effect must be the last recorded order, come after all before it, and be the
-    /// same whenever it comes again. Gives the answer, and whether the engine changed.
+    /// same whenever it comes again. A late copy of the one before may reach an engine that checks numbers while
+    /// the next is not there yet (seed 108); it must change nothing, not even the number. Gives the answer, and
+    /// whether the engine changed.
     pub fn apply(&mut self, now: Time, order: Order, recorded: &Order) -> (Answer, bool) {
         if self.fencing == Fencing::Checked && order.fence < self.fence {
             return (Answer::Stale(self.fence), false);
         }
-        assert_eq!(
-            recorded.sequence, order.sequence,
+        let copy = self.fencing == Fencing::Checked
+            && order.fence <= self.fence
+            && order.sequence == self.sequence
+            && order.target == self.target;
+        assert!(
+            recorded.sequence == order.sequence || copy,
             "{now}: order of a stale holder took effect"
         );
         assert!(
--- a/tests/testsuite/whole/mod.rs
+++ b/tests/testsuite/whole/mod.rs
@@ -22,13 +22,24 @@
 /// former holder, or a drained engine get work, where one machine relies on what another no longer holds.
 #[test]
 fn machines_together() {
+    together(seeds_or(SEEDS));
+}
+
+/// A late copy of an order that an engine has carried out arrives while the next one is recorded and not there yet.
+/// It must change nothing.
+#[test]
+fn machines_late_copy() {
+    let _failing = Failing(108);
+    World::new(108).run();
+}
+
+fn together(seeds: std::ops::Range<u64>) {
     let mut runs = 0;
     let mut orders = 0;
     let mut changes = 0;
     let mut refused = 0;
     let mut timely = 0;
     let mut by_peers = 0;
-    let seeds = seeds_or(SEEDS);
     let count = seeds.end - seeds.start;
     for seed in seeds {
         let _failing = Failing(seed);
