Keep the daemon's settings in a file a concern

Cause: one function of the command line had grown over 100 lines, and each flag named its environment variable a second time. Change: a file a concern, headings in the help, variables derived from flags.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,9 +3,12 @@
 //! They are checked as a whole: [`Settings::read`] names every fault at once, so that an operator mends a
 //! start-up in one go.
 
+mod identity;
 mod limits;
 mod patience;
 mod platform;
+mod times;
+mod traffic;
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -28,8 +31,8 @@
 /// Shortest operator token and cluster key, in bytes.
 const MIN_SECRET: usize = 16;
 
-/// Values of `--policy`.
-const POLICIES: [&str; 5] = ["adaptive", "fixed", "threshold", "least-load", "round-robin"];
+/// Beginning of the environment variables.
+const PREFIX: &str = "SEQUOIASTREAM_";
 
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -116,97 +119,12 @@
         .version(env!("CARGO_PKG_VERSION"))
         .about("Entry instance of sequoiastream")
         .after_help("Each flag can be given as an environment variable. Secrets are best given so.")
-        .arg(text("name", "SEQUOIASTREAM_NAME", "Name of this instance"))
-        .arg(text(
-            "zone",
-            "SEQUOIASTREAM_ZONE",
-            "Availability zone of this instance",
-        ))
-        .arg(
-            text(
-                "listen",
-                "SEQUOIASTREAM_LISTEN",
-                "Where callers and operators connect",
-            )
-            .default_value("127.0.0.1:8080"),
-        )
-        .arg(
-            text(
-                "peer",
-                "SEQUOIASTREAM_PEER",
-                "Where other instances connect, over UDP and TCP",
-            )
-            .default_value("127.0.0.1:8090"),
-        )
-        .arg(
-            text(
-                "platform",
-                "SEQUOIASTREAM_PLATFORM",
-                "Base address of the platform",
-            )
-            .default_value("http://127.0.0.1:7000"),
-        )
-        .arg(
-            text(
-                "operator-token",
-                "SEQUOIASTREAM_OPERATOR_TOKEN",
-                "What operators authenticate with",
-            )
-            .hide_env_values(true),
-        )
-        .arg(
-            text(
-                "cluster-key",
-                "SEQUOIASTREAM_CLUSTER_KEY",
-                "Key of the messages between instances",
-            )
-            .hide_env_values(true),
-        )
-        .arg(number(
-            "workers",
-            "SEQUOIASTREAM_WORKERS",
-            "Threads for traffic",
-            "2",
-        ))
-        .args(platform::args())
-        .arg(number(
-            "claim-pace-ms",
-            "SEQUOIASTREAM_CLAIM_PACE_MS",
-            "Least time between two writes of a claim bucket; 0 writes each claim by itself",
-            "80",
-        ))
-        .arg(
-            text(
-                "policy",
-                "SEQUOIASTREAM_POLICY",
-                "How requests are routed and roles changed; all but `adaptive` are baselines",
-            )
-            .value_parser(POLICIES)
-            .default_value("adaptive"),
-        )
-        .arg(number(
-            "load-ms",
-            "SEQUOIASTREAM_LOAD_MS",
-            "How often engines are asked for their load",
-            "500",
-        ))
-        .arg(number(
-            "away-ms",
-            "SEQUOIASTREAM_AWAY_MS",
-            "How long a role change takes an engine away; the planner's times follow from it",
-            "3000",
-        ))
-        .arg(
-            text(
-                "log-format",
-                "SEQUOIASTREAM_LOG_FORMAT",
-                "How log lines are written",
-            )
-            .value_parser(["text", "json"])
-            .default_value("text"),
-        )
-        .args(limits::args())
-        .args(patience::args())
+        .args(under("Instance", identity::args()))
+        .args(under("Platform", platform::args()))
+        .args(under("Traffic", traffic::args()))
+        .args(under("Engines and callers", patience::args()))
+        .args(under("Membership", limits::args()))
+        .args(under("Shutdown", times::args()))
         .arg(
             Arg::new("check")
                 .long("check")
@@ -215,12 +133,20 @@
         )
 }
 
-fn text(name: &'static str, env: &'static str, help: &'static str) -> Arg {
-    Arg::new(name).long(name).env(env).help(help)
+/// Puts `args` under a heading of the help.
+fn under(heading: &'static str, args: Vec<Arg>) -> impl Iterator<Item = Arg> {
+    args.into_iter().map(move |arg| arg.help_heading(heading))
 }
 
-fn number(name: &'static str, env: &'static str, help: &'static str, default: &'static str) -> Arg {
-    text(name, env, help)
+/// A flag that is also read from the environment variable `SEQUOIASTREAM_NAME`.
+fn text(name: &'static str, help: &'static str) -> Arg {
+    let variable = format!("{PREFIX}{}", name.to_ascii_uppercase().replace('-', "_"));
+    Arg::new(name).long(name).env(variable).help(help)
+}
+
+/// The same, with a whole number.
+fn number(name: &'static str, help: &'static str, default: &'static str) -> Arg {
+    text(name, help)
         .default_value(default)
         .value_parser(value_parser!(u64))
 }
@@ -248,13 +174,13 @@
         let wait = reader.positive("watch-ms");
         let rate = reader.positive("kv-rate");
         let lease = reader.positive("lease-ms");
-        let grouping = grouping(matches);
+        let grouping = traffic::grouping(matches);
         let poll = reader.positive("load-ms");
         let away = reader.positive("away-ms");
         let policy = reader.parsed::<Policy>("policy").unwrap_or_default();
         let limits = limits::limits(&mut reader);
         let lists = limits::lists(&mut reader);
-        let times = limits::times(&mut reader);
+        let times = times::times(&mut reader);
         let patience = patience::patience(&mut reader);
         let format = match reader.text("log-format").as_str() {
             "json" => LogFormat::Json,
@@ -293,17 +219,6 @@
     }
 }
 
-fn grouping(matches: &ArgMatches) -> OwnerSettings {
-    match matches.get_one::<u64>("claim-pace-ms").copied() {
-        Some(0) => OwnerSettings::ungrouped(),
-        Some(millis) => OwnerSettings {
-            pace: Duration::from_millis(millis),
-            ..OwnerSettings::default()
-        },
-        None => OwnerSettings::default(),
-    }
-}
-
 /// Reads settings and gathers what is wrong with them.
 struct Reader<'a> {
     matches: &'a ArgMatches,
--- a/src/settings/patience.rs
+++ b/src/settings/patience.rs
@@ -23,19 +23,16 @@
     vec![
         number(
             "first-token-ms",
-            "SEQUOIASTREAM_FIRST_TOKEN_MS",
             "How long an engine may take to an attempt's first token",
             "15000",
         ),
         number(
             "between-tokens-ms",
-            "SEQUOIASTREAM_BETWEEN_TOKENS_MS",
             "How long an engine may be silent between two tokens",
             "5000",
         ),
         number(
             "body-ms",
-            "SEQUOIASTREAM_BODY_MS",
             "How long a caller may take to send the body of a request",
             "10000",
         ),
--- /dev/null
+++ b/src/settings/times.rs
@@ -0,0 +1,42 @@
+//! Settings of the steps of a shutdown.
+
+use std::time::Duration;
+
+use clap::Arg;
+use sequoiastream_core::shutdown::Times;
+
+use crate::settings::Reader;
+use crate::settings::number;
+
+/// Flags that [`times`] reads.
+pub fn args() -> Vec<Arg> {
+    vec![
+        number("keep-ms", "How long callers keep an address", "10000"),
+        number(
+            "margin-ms",
+            "How much longer a leaving instance serves new work",
+            "2000",
+        ),
+        number(
+            "refuse-ms",
+            "Shortest time for which it then refuses new work before it closes",
+            "1000",
+        ),
+        number(
+            "drain-ms",
+            "Longest time for which it awaits running work",
+            "60000",
+        ),
+    ]
+}
+
+/// Times of a shutdown.
+pub fn times(reader: &mut Reader<'_>) -> Times {
+    let mut millis = |name: &str| Duration::from_millis(reader.positive(name));
+    Times {
+        keep: millis("keep-ms"),
+        margin: millis("margin-ms"),
+        refuse: millis("refuse-ms"),
+        drain: millis("drain-ms"),
+    }
+}
--- /dev/null
+++ b/src/settings/traffic.rs
@@ -0,0 +1,48 @@
+//! Settings of routing, role changes and claims.
+
+use std::time::Duration;
+
+use clap::Arg;
+use clap::ArgMatches;
+use sequoiastream_core::claims::OwnerSettings;
+
+use crate::settings::number;
+use crate::settings::text;
+
+/// Values of `--policy`.
+const POLICIES: [&str; 5] = ["adaptive", "fixed", "threshold", "least-load", "round-robin"];
+
+/// Flags of routing, role changes and claims.
+pub fn args() -> Vec<Arg> {
+    vec![
+        text(
+            "policy",
+            "How requests are routed and roles changed; all but `adaptive` are baselines",
+        )
+        .value_parser(POLICIES)
+        .default_value("adaptive"),
+        number("load-ms", "How often engines are asked for their load", "500"),
+        number(
+            "away-ms",
+            "How long a role change takes an engine away; the planner's times follow from it",
+            "3000",
+        ),
+        number(
+            "claim-pace-ms",
+            "Least time between two writes of a claim bucket; 0 writes each claim by itself",
+            "80",
+        ),
+    ]
+}
+
+/// How claims are grouped into writes.
+pub fn grouping(matches: &ArgMatches) -> OwnerSettings {
+    match matches.get_one::<u64>("claim-pace-ms").copied() {
+        Some(0) => OwnerSettings::ungrouped(),
+        Some(millis) => OwnerSettings {
+            pace: Duration::from_millis(millis),
+            ..OwnerSettings::default()
+        },
+        None => OwnerSettings::default(),
+    }
+}
