--- a/crates/core/benches/policy.rs
+++ b/crates/core/benches/policy.rs
@@ -15,6 +15,7 @@
 use sequoiastream_core::config::Role;
 use sequoiastream_core::config::Service;
 use sequoiastream_core::config::ServiceKind;
+use sequoiastream_core::config::Share;
 use sequoiastream_core::config::Version;
 use sequoiastream_core::engine::Speed;
 use sequoiastream_core::limit::Limiter;
@@ -135,7 +136,7 @@
         let mut limiter = Limiter::new(1);
         let names: Vec<Name> = (0..products).map(|i| name("p", i)).collect();
         let owed = Owed {
-            share: 1,
+            share: Share::percent(1),
             engines: 600,
         };
         let need = Need {
--- a/crates/core/src/config/model.rs
+++ b/crates/core/src/config/model.rs
@@ -12,11 +12,9 @@
 use crate::config::AlterProduct;
 use crate::config::Command;
 use crate::config::PlaceEngine;
+use crate::config::Share;
 use crate::name::Name;
 
-/// Highest sum of shares that operators may promise, in percent of a service's engine time.
-pub const MAX_SHARES: u32 = 100;
-
 /// Hash of an API key, in hexadecimal. The configuration never holds the key itself.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct KeyHash(String);
@@ -138,8 +136,8 @@
 pub struct Product {
     /// Hashes of its API keys.
     pub keys: BTreeSet<KeyHash>,
-    /// Share of engine time it is owed, in percent.
-    pub share: u32,
+    /// Share of engine time it is owed.
+    pub share: Share,
     /// Default deadline of its requests, in milliseconds.
     pub deadline: u32,
     /// Weight of one role change against goodput, 0 (only goodput counts) to 100.
@@ -184,10 +182,10 @@
         name: Name,
     },
     /// Products would be owed more than there is.
-    #[error("shares would add up to {sum}%, more than {MAX_SHARES}%")]
+    #[error("shares would add up to {sum}, more than {}", Share::WHOLE)]
     Shares {
-        /// The sum, in percent.
-        sum: u32,
+        /// The sum.
+        sum: Share,
     },
     /// The service still has engines.
     #[error("service `{service}` still has engine `{engine}`: withdraw it first")]
@@ -264,10 +262,10 @@
         Ok(())
     }
 
-    fn check_shares(&self, name: &Name, share: u32) -> Result<(), ConfigError> {
+    fn check_shares(&self, name: &Name, share: Share) -> Result<(), ConfigError> {
         let others = self.products.iter().filter(|(n, _)| *n != name);
         let sum = others.fold(share, |sum, (_, p)| sum.saturating_add(p.share));
-        match sum <= MAX_SHARES {
+        match sum <= Share::WHOLE {
             true => Ok(()),
             false => Err(ConfigError::Shares { sum }),
         }
--- a/crates/core/src/config/statement.rs
+++ b/crates/core/src/config/statement.rs
@@ -12,6 +12,7 @@
 use crate::config::Product;
 use crate::config::Role;
 use crate::config::Service;
+use crate::config::Share;
 use crate::name::Name;
 
 /// Where and as what an engine is placed in service.
@@ -48,8 +49,8 @@
 pub struct AlterProduct {
     /// A further API key.
     pub key: Option<KeyHash>,
-    /// Share of engine time, in percent.
-    pub share: Option<u32>,
+    /// Share of engine time.
+    pub share: Option<Share>,
     /// Default deadline, in milliseconds.
     pub deadline: Option<u32>,
     /// Weight of one role change, 0 to 100.
--- a/crates/core/src/limit/mod.rs
+++ b/crates/core/src/limit/mod.rs
@@ -18,6 +18,7 @@
 pub use usage::Usage;
 
 use crate::config::Role;
+use crate::config::Share;
 use crate::engine::RoleProfile;
 use crate::engine::Speed;
 use crate::engine::step_time;
@@ -75,8 +76,8 @@
 /// What a product is owed of the service that it asks.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Owed {
-    /// Share of engine time, in percent.
-    pub share: u32,
+    /// Share of engine time.
+    pub share: Share,
     /// Engines of the service.
     pub engines: usize,
 }
@@ -184,7 +185,7 @@
         let even = self.part;
         let capacity = self.capacity;
         let account = self.accounts.entry(product.clone()).or_default();
-        account.share = f64::from(owed.share) / 100.0;
+        account.share = owed.share.fraction();
         account.owed = capacity * account.share * account.part.unwrap_or(even);
         // What it used before counts: a request that alone is more than a small share must be able to run.
         let within = account.usage.rate(now) < account.owed;
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -17,6 +17,7 @@
 use crate::config::KeyHash;
 use crate::config::Role;
 use crate::config::ServiceKind;
+use crate::config::Share;
 use crate::config::Version;
 use crate::name::Name;
 
@@ -55,8 +56,8 @@
 pub struct ProductView {
     /// Its name.
     pub name: Name,
-    /// Share of engine time, in percent.
-    pub share: u32,
+    /// Share of engine time.
+    pub share: Share,
     /// Default deadline, in milliseconds.
     pub deadline: u32,
     /// Weight of one role change, 0 to 100.
--- a/crates/operator/src/grammar/product.rs
+++ b/crates/operator/src/grammar/product.rs
@@ -6,6 +6,7 @@
 use sequoiastream_core::config::Command;
 use sequoiastream_core::config::KeyHash;
 use sequoiastream_core::config::Product;
+use sequoiastream_core::config::Share;
 use winnow::Parser;
 use winnow::combinator::alt;
 use winnow::combinator::cut_err;
@@ -23,6 +24,7 @@
 use crate::token::key;
 use crate::token::number;
 use crate::token::quoted;
+use crate::token::value;
 
 /// Deadline of a product that states none, in milliseconds.
 const DEFAULT_DEADLINE: u32 = 30_000;
@@ -34,7 +36,7 @@
 #[derive(Debug, Clone)]
 enum Setting {
     Key(KeyHash),
-    Share(u32),
+    Share(Share),
     Deadline(u32),
     Weight(u32),
 }
@@ -96,7 +98,7 @@
 
 fn setting(input: &mut Input<'_>) -> Parsed<Setting> {
     let key = quoted("an API key in double quotes").map(|secret| KeyHash::of(&secret));
-    let share = number(0..=100, "a share in percent, 0 to 100");
+    let share = value("a share in percent, 0 to 100");
     let deadline = number(1..=MAX_DEADLINE, "a deadline in milliseconds, 1 to 86400000");
     let weight = number(0..=100, "a weight, 0 to 100");
     alt((
--- a/crates/testsupport/examples/slopes.rs
+++ b/crates/testsupport/examples/slopes.rs
@@ -115,7 +115,9 @@
 fn statements(case: Case, port: u16) -> String {
     let mut text = "create service assistente model \"ghiaccio-7b\";\n".to_string();
     for index in 0..case.products {
-        text.push_str(&format!("create product p{index} key \"key-{index}\" share 0;\n"));
+        text.push_str(&format!(
+            "create product p{index} key \"key-{index}\" share 0.05;\n"
+        ));
     }
     for index in 0..case.engines {
         let address = format!("127.1.{}.{}:{port}", index / 200, 1 + index % 200);
--- a/src/ops/control/roles.rs
+++ b/src/ops/control/roles.rs
@@ -199,7 +199,10 @@
 fn weight(snapshot: &Snapshot) -> u32 {
     let products = snapshot.products.iter().map(|(_, product)| product);
     let (sum, shares) = products.fold((0, 0), |(sum, shares), p| {
-        (sum + p.weight * p.share, shares + p.share)
+        (
+            sum + p.weight * p.share.millionths(),
+            shares + p.share.millionths(),
+        )
     });
     sum.checked_div(shares).unwrap_or(0)
 }
--- a/src/ops/dispatch/admit.rs
+++ b/src/ops/dispatch/admit.rs
@@ -5,6 +5,7 @@
 use sequoiastream_caller::GenerateCall;
 use sequoiastream_caller::Refusal;
 use sequoiastream_core::arena::ServiceKey;
+use sequoiastream_core::config::Share;
 use sequoiastream_core::limit;
 use sequoiastream_core::limit::Need;
 use sequoiastream_core::limit::Owed;
@@ -78,7 +79,7 @@
         return Ok(call);
     }
     let owed = Owed {
-        share: product(&snapshot, &call.product).map_or(0, |p| p.share),
+        share: product(&snapshot, &call.product).map_or(Share::default(), |p| p.share),
         engines: view.engines.len(),
     };
     let need = Need {
--- a/src/ops/tables.rs
+++ b/src/ops/tables.rs
@@ -143,7 +143,7 @@
     let rows = config.products.iter().map(|(name, p)| {
         vec![
             name.to_string(),
-            format!("{}%", p.share),
+            p.share.to_string(),
             format!("{}ms", p.deadline),
             p.weight.to_string(),
             p.keys.len().to_string(),
--- a/tests/testsuite/config.rs
+++ b/tests/testsuite/config.rs
@@ -1,6 +1,8 @@
 //! Accepting changes of the configuration.
 
 use sequoiastream_core::config::Config;
+use sequoiastream_core::config::Share;
+use sequoiastream_core::config::ShareError;
 use sequoiastream_operator::Statement;
 use sequoiastream_operator::parse;
 
@@ -29,3 +31,39 @@
     let error = apply(&mut config, "drop service s").expect_err("refused");
     assert_eq!(error, "service `s` still has engine `e`: withdraw it first");
 }
+
+/// A platform of 1,500 products owes each less than a tenth of a percent; rounded to whole percents each would be
+/// owed nothing, or all together far more than there is.
+#[test]
+fn share_small_products() {
+    let mut config = Config::default();
+    for index in 0..1_500 {
+        let text = format!("create product p{index} share 0.0666");
+        apply(&mut config, &text).expect("accepted");
+    }
+    let error = apply(&mut config, "create product more share 0.2").expect_err("refused");
+    assert_eq!(error, "shares would add up to 100.1%, more than 100%");
+}
+
+#[test]
+fn share_texts_table() {
+    let cases = [
+        ("60", Ok("60%")),
+        ("0.05", Ok("0.05%")),
+        ("99.9999", Ok("99.9999%")),
+        ("100.0000", Ok("100%")),
+        ("100.0001", Err(ShareError)),
+        ("0.00001", Err(ShareError)),
+        ("4294967295", Err(ShareError)),
+        ("-1", Err(ShareError)),
+        ("+1", Err(ShareError)),
+        ("1.", Err(ShareError)),
+        (".5", Err(ShareError)),
+        ("1e1", Err(ShareError)),
+        ("", Err(ShareError)),
+    ];
+    for (text, expected) in cases {
+        let share = text.parse::<Share>().map(|share| share.to_string());
+        assert_eq!(share.as_deref(), expected.as_ref().copied(), "{text}");
+    }
+}
--- a/tests/testsuite/policy/limits.rs
+++ b/tests/testsuite/policy/limits.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use sequoiastream_core::config::Share;
 use sequoiastream_core::limit::Limiter;
 use sequoiastream_core::limit::Need;
 use sequoiastream_core::limit::Owed;
@@ -40,7 +41,7 @@
         self.at = now;
         self.backlog = (self.backlog - passed * ENGINES as f64).max(0.0);
         let owed = Owed {
-            share,
+            share: Share::percent(share),
             engines: ENGINES,
         };
         let need = Need {
@@ -105,7 +106,7 @@
 fn admit_too_late() {
     let mut limiter = Limiter::new(7);
     let owed = Owed {
-        share: 50,
+        share: Share::percent(50),
         engines: 1,
     };
     let need = Need {
