--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -63,7 +63,7 @@
 for i in 1 2 3; do
     peer=127.0.0.1:$((20000 + RANDOM % 10000))
     start "daemon-$i" "$bin/sequoiastreamd" --name "i$i" --zone lodi-a --listen 127.0.0.1:0 --peer "$peer" \
-        --platform "$platform"
+        --platform "$platform" --keep-ms 1000 --margin-ms 200 --refuse-ms 100
     servers+=("http://$address")
     curl -sf -X PUT "$platform/control/list/instances" -H 'content-type: application/json' \
         -d "{\"name\":\"i$i\",\"zone\":\"lodi-a\",\"address\":\"$address\",\"peer\":\"$peer\",\"state\":\"live\"}"
@@ -74,6 +74,11 @@
 "$bin/sequoiastream" apply --wait - <<<"$config"
 for server in "${servers[@]}"; do
     until [ "$(curl -s "$server/version")" -ge 1 ] && curl -sf "$server/readyz" >/dev/null; do sleep 0.05; done
+    # Until they have heard of each other, two instances may differ about who owns an order's claim; the repeat below
+    # would then be told to come back (409) for a moment instead of the answer.
+    until [ "$("$bin/sequoiastream" --server "$server" query show instances where state = live | wc -l)" -eq 4 ]; do
+        sleep 0.05
+    done
 done
 
 chat() { # chat SERVER TOKENS: a streamed chat request
