Hold a product to its share of each service by itself; show limits

Cause: reading the limits to show them: an instance had one account for each product, whichever service it asked, and took the capacity from the service asked last; what a product used of a large service was held against a small one. Ruled out: one capacity over all services: engines of one can't serve another. Change: limit::Limits keeps a Limiter for each service; show limits.

--- a/crates/core/src/limit/mod.rs
+++ b/crates/core/src/limit/mod.rs
@@ -5,6 +5,7 @@
 //! deadline can't be met is refused at once. No call to another instance is made: an instance holds each product
 //! to its part of the share, and parts follow demand (see [`Limiter::set_part`]).
 
+mod services;
 mod usage;
 
 use std::collections::BTreeMap;
@@ -14,6 +15,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+pub use services::Limits;
 pub use usage::MEMORY;
 pub use usage::Usage;
 
@@ -102,7 +104,18 @@
     output: Option<f64>,
 }
 
-/// Limits of one instance.
+/// What a product is owed and uses of one service, through one instance.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AccountView {
+    /// The product.
+    pub product: Name,
+    /// Engine seconds a second that it is owed here.
+    pub owed: f64,
+    /// Engine seconds a second that it used lately.
+    pub used: f64,
+}
+
+/// Limits of one service in one instance.
 #[derive(Debug, Clone)]
 pub struct Limiter {
     accounts: BTreeMap<Name, Account>,
@@ -154,6 +167,15 @@
         self.accounts.get(product).map_or(0.0, |a| a.usage.rate(now))
     }
 
+    /// What each product that asked is owed and uses, in the order of their names.
+    pub fn accounts(&self, now: Time) -> impl Iterator<Item = AccountView> {
+        self.accounts.iter().map(move |(product, account)| AccountView {
+            product: product.clone(),
+            owed: account.owed,
+            used: account.usage.rate(now),
+        })
+    }
+
     /// Factor from 0 to 1 on the capacity, lowered while requests run late.
     pub fn tightness(&self) -> f64 {
         self.tight
--- a/crates/operator/src/statement.rs
+++ b/crates/operator/src/statement.rs
@@ -25,6 +25,8 @@
     Claims,
     /// Entry instances, as this one sees them.
     Instances,
+    /// What products are owed and use of each service through the asked instance.
+    Limits,
 }
 
 impl Table {
@@ -39,6 +41,7 @@
         ("orders", Table::Orders),
         ("claims", Table::Claims),
         ("instances", Table::Instances),
+        ("limits", Table::Limits),
     ];
 }
 
--- a/src/ops/control/load.rs
+++ b/src/ops/control/load.rs
@@ -66,7 +66,7 @@
             router.follow(&snapshot);
             router.set_instances(1 + heard);
         }
-        self.shared.policy.limiter().set_instances(1 + heard);
+        self.shared.policy.limits().set_instances(1 + heard);
         let (own, foreign) = cells(&snapshot, &self.shared.settings.zone);
         for engine in own.iter().copied().chain(self.in_turn(&foreign)) {
             self.poll(engine, context);
--- a/src/ops/dispatch/admit.rs
+++ b/src/ops/dispatch/admit.rs
@@ -30,7 +30,14 @@
 /// Describes `call` to the router.
 pub fn ask(shared: &Shared, snapshot: &Snapshot, call: &GenerateCall, service: ServiceKey) -> Ask {
     let limit = call.deadline.unwrap_or_else(|| default_deadline(snapshot, call));
-    let output = shared.policy.limiter().expect(&call.product, call.limit);
+    let output = match snapshot.services.get(service) {
+        Some(view) => shared
+            .policy
+            .limits()
+            .at(&view.name)
+            .expect(&call.product, call.limit),
+        None => call.limit,
+    };
     let prompt = call.prompt.split_whitespace().count();
     Ask {
         service,
@@ -87,7 +94,11 @@
         total: foreseen.estimate.total(),
         left: ask.deadline.since(now).as_secs_f64(),
     };
-    let verdict = shared.policy.limiter().admit(now, &call.product, owed, need);
+    let verdict = shared
+        .policy
+        .limits()
+        .at(&view.name)
+        .admit(now, &call.product, owed, need);
     shared.metrics.policy.verdict(&call.product, verdict);
     match verdict {
         Verdict::Owed => Ok(call),
--- a/src/ops/dispatch/generate.rs
+++ b/src/ops/dispatch/generate.rs
@@ -474,14 +474,22 @@
         }
         match self.finish.take() {
             Some(finish) => {
-                let mut limiter = self.dispatch.shared.policy.limiter();
-                limiter.finished(&self.request.product, finish.output);
+                self.note_output(finish.output);
                 AnswerEvent::Done(finish)
             }
             None => AnswerEvent::Failed(Refusal::unknown("the answer's last line was lost")),
         }
     }
 
+    /// Tells the limits how long the answer was, so that the next is judged by it.
+    fn note_output(&self, tokens: u32) {
+        let shared = &self.dispatch.shared;
+        if let Some(view) = shared.snapshot.load().services.get(self.request.service) {
+            let mut limits = shared.policy.limits();
+            limits.at(&view.name).finished(&self.request.product, tokens);
+        }
+    }
+
     fn not_run(&mut self, reason: Reason) -> Refusal {
         let after = Duration::from_millis(rand::rng().random_range(COME_BACK));
         let unsent = self.unsent.take();
--- a/src/ops/dispatch/mod.rs
+++ b/src/ops/dispatch/mod.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use actix::MailboxError;
 use sequoiastream_caller::AddressCall;
 use sequoiastream_caller::AddressList;
 use sequoiastream_caller::Answer;
@@ -36,6 +37,7 @@
 use sequoiastream_operator::select;
 use sequoiastream_operator::wire::ReplyBody;
 use sequoiastream_operator::wire::StatementBody;
+use sequoiastream_operator::wire::TableBody;
 use sequoiastream_peer::call::CallClient;
 use sequoiastream_peer::seal::ClusterKey;
 use sequoiastream_upstream::EngineClient;
@@ -46,6 +48,8 @@
 use crate::ops::control::ShowAuthorities;
 use crate::ops::control::claims::ShowClaims;
 use crate::ops::shared::Shared;
+use crate::ops::tables;
+use crate::util::clock;
 
 /// One traffic thread's side of the daemon.
 #[derive(Debug, Clone)]
@@ -88,6 +92,22 @@
     }
 }
 
+impl Dispatch {
+    /// The table `kind`, if it shows something else than the configuration.
+    async fn show(&self, kind: Table) -> Result<Option<TableBody>, OperatorError> {
+        let gone = |error: MailboxError| OperatorError::Platform(error.to_string());
+        match kind {
+            Table::Claims => self.control.claims.send(ShowClaims).await.map(Some).map_err(gone),
+            Table::Leases | Table::Orders => {
+                let shown = self.control.authority.send(ShowAuthorities(kind)).await;
+                shown.map_err(gone)?.map(Some)
+            }
+            Table::Limits => Ok(Some(tables::limits(&self.shared.policy.limits(), clock::now()))),
+            _ => Ok(None),
+        }
+    }
+}
+
 impl Gateway for Dispatch {
     fn product(&self, key: &str) -> Option<Name> {
         let snapshot = self.shared.snapshot.load();
@@ -158,14 +178,9 @@
         statement: StatementBody,
         from: Option<SocketAddr>,
     ) -> Result<ReplyBody, OperatorError> {
-        if let Some(query) = claims_query(&statement) {
-            let table = self.control.claims.send(ShowClaims).await;
-            let table = table.map_err(|e| OperatorError::Platform(e.to_string()))?;
-            return select(table, &query).map(ReplyBody::Table);
-        }
-        if let Some(query) = authority_query(&statement) {
-            let shown = self.control.authority.send(ShowAuthorities(query.table)).await;
-            let table = shown.map_err(|e| OperatorError::Platform(e.to_string()))??;
+        if let Some(query) = only_query(&statement)
+            && let Some(table) = self.show(query.table).await?
+        {
             return select(table, &query).map(ReplyBody::Table);
         }
         match self.control.config.send(Execute(statement, from)).await {
@@ -175,20 +190,10 @@
     }
 }
 
-/// The query for the table of claims, if the statement is just that.
-fn claims_query(statement: &StatementBody) -> Option<Query> {
+/// The query, if the statement is just one.
+fn only_query(statement: &StatementBody) -> Option<Query> {
     match parse_script(&statement.text).ok()?.as_slice() {
-        [Statement::Show(query)] if query.table == Table::Claims => Some(query.clone()),
-        _ => None,
-    }
-}
-
-/// The query for the table of leases or orders, if the statement is just that.
-fn authority_query(statement: &StatementBody) -> Option<Query> {
-    match parse_script(&statement.text).ok()?.as_slice() {
-        [Statement::Show(query)] if matches!(query.table, Table::Leases | Table::Orders) => {
-            Some(query.clone())
-        }
+        [Statement::Show(query)] => Some(query.clone()),
         _ => None,
     }
 }
--- a/src/ops/policy.rs
+++ b/src/ops/policy.rs
@@ -4,7 +4,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 
-use sequoiastream_core::limit::Limiter;
+use sequoiastream_core::limit::Limits;
 use sequoiastream_core::name::Name;
 use sequoiastream_core::retry::Retries;
 use sequoiastream_core::roles::Demand;
@@ -14,7 +14,7 @@
 /// The policy's state in one daemon. Each lock is held for one decision, never across an await.
 #[derive(Debug)]
 pub struct PolicyState {
-    limiter: Mutex<Limiter>,
+    limits: Mutex<Limits>,
     retries: Mutex<Retries>,
     demand: Mutex<BTreeMap<Name, Demand>>,
 }
@@ -23,15 +23,15 @@
     /// The state before any request.
     pub fn new(settings: &Settings) -> PolicyState {
         PolicyState {
-            limiter: Mutex::new(Limiter::new(seed(settings))),
+            limits: Mutex::new(Limits::new(seed(settings))),
             retries: Mutex::new(Retries::new(seed(settings))),
             demand: Mutex::default(),
         }
     }
 
-    /// What products may use.
-    pub fn limiter(&self) -> MutexGuard<'_, Limiter> {
-        self.limiter
+    /// What products may use of each service.
+    pub fn limits(&self) -> MutexGuard<'_, Limits> {
+        self.limits
             .lock()
             .expect("no thread panics while it holds the limits")
     }
--- a/src/ops/tables.rs
+++ b/src/ops/tables.rs
@@ -9,8 +9,10 @@
 use sequoiastream_core::config::Fencing;
 use sequoiastream_core::config::ServiceKind;
 use sequoiastream_core::config::State;
+use sequoiastream_core::limit::Limits;
 use sequoiastream_core::membership::MemberState;
 use sequoiastream_core::membership::Roster;
+use sequoiastream_core::time::Time;
 use sequoiastream_core::time::WallTime;
 use sequoiastream_operator::Table;
 use sequoiastream_operator::wire::TableBody;
@@ -133,6 +135,23 @@
     table(columns, rows)
 }
 
+/// What products are owed and use of each service through this instance, in engine seconds a second.
+pub fn limits(limits: &Limits, now: Time) -> TableBody {
+    let rows = limits.iter().flat_map(|(service, limiter)| {
+        let accounts = limiter.accounts(now);
+        accounts.map(move |account| {
+            vec![
+                service.to_string(),
+                account.product.to_string(),
+                format!("{:.3}", account.owed),
+                format!("{:.3}", account.used),
+                format!("{:.2}", limiter.tightness()),
+            ]
+        })
+    });
+    table(&["service", "product", "owed", "used", "capacity"], rows)
+}
+
 /// A wall time for people.
 fn rfc3339(time: WallTime) -> String {
     let time = UNIX_EPOCH + Duration::from_millis(time.0);
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -96,6 +96,21 @@
     );
 }
 
+#[actix_web::test]
+async fn query_limits() {
+    let fleet = fleet().start_configured().await;
+    fleet.complete(0, "how much dry ice", 5, 1).await;
+    let output = tool(&fleet, &["query", "show limits"]);
+    assert_data_eq!(
+        out(&output),
+        str![[r#"
+SERVICE     PRODUCT   OWED   USED   CAPACITY
+assistente  dispatch  0.600  0.[..]  1.00
+
+"#]]
+    );
+}
+
 #[actix_web::test]
 async fn query_column_unknown() {
     let fleet = fleet().start_configured().await;
--- a/tests/testsuite/grammar.rs
+++ b/tests/testsuite/grammar.rs
@@ -19,7 +19,8 @@
     assert_eq!(
         error("show engine"),
         "line 1, column 6: expected `products` or `services` or `engines` or `changes` \
-         or `quarantine` or `leases` or `orders` or `claims` or `instances`, found `engine`\n  \
+         or `quarantine` or `leases` or `orders` or `claims` or `instances` \
+         or `limits`, found `engine`\n  \
          show engine\n       ^"
     );
 }
--- a/tests/testsuite/policy/limits.rs
+++ b/tests/testsuite/policy/limits.rs
@@ -2,6 +2,7 @@
 
 use sequoiastream_core::config::Share;
 use sequoiastream_core::limit::Limiter;
+use sequoiastream_core::limit::Limits;
 use sequoiastream_core::limit::Need;
 use sequoiastream_core::limit::Owed;
 use sequoiastream_core::limit::Verdict;
@@ -123,3 +124,36 @@
         "{after:?}"
     );
 }
+
+/// A product that uses its share of a large service is refused at a small one, though it has asked little there.
+/// Cause: what it used was held against whichever service it asked last.
+#[test]
+fn admit_services_apart() {
+    let (large, small, product) = (name("assistente"), name("ordini"), name("dispatch"));
+    let mut limits = Limits::new(7);
+    let owed = |engines| Owed {
+        share: Share::percent(50),
+        engines,
+    };
+    let need = |cost| Need {
+        cost,
+        total: 0.1,
+        left: LEFT,
+    };
+    for step in 0..400 {
+        let now = Time::from_millis(1_000 + step * 20);
+        limits.at(&large).admit(now, &product, owed(9), need(0.08));
+    }
+    let now = Time::from_millis(9_000);
+    let verdict = limits.at(&small).admit(now, &product, owed(1), need(0.01));
+    assert_eq!(verdict, Verdict::Owed);
+    let used: Vec<String> = limits
+        .iter()
+        .flat_map(|(service, limiter)| {
+            limiter
+                .accounts(now)
+                .map(move |a| format!("{service} {:.1}", a.used))
+        })
+        .collect();
+    assert_eq!(used, ["assistente 3.9", "ordini 0.0"]);
+}
