--- a/crates/core/benches/policy.rs
+++ b/crates/core/benches/policy.rs
@@ -33,10 +33,10 @@
 use sequoiastream_core::snapshot::Snapshot;
 use sequoiastream_core::time::Time;
 
-/// Engines of a fleet: today's, a larger one's, the letter's.
+/// Engines of a fleet: today's, a larger one's, the design size's.
 const ENGINES: [u32; 3] = [14, 60, 600];
 
-/// Products: today's, a larger deployment's, the letter's.
+/// Products: today's, a larger deployment's, the design size's.
 const PRODUCTS: [u32; 3] = [5, 150, 1_500];
 
 /// Requests of this instance at each engine.
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -14,7 +14,7 @@
 /// Largest time recorded, in microseconds.
 const MAX_MICROS: u64 = 120_000_000;
 
-/// Targets that the letter names.
+/// Targets of the design size (`docs/DEVELOPERS.md`).
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Targets {
     /// Milliseconds until the first token.
@@ -102,7 +102,7 @@
     pub first: Percentiles,
     /// Time between tokens.
     pub between: Percentiles,
-    /// Streamed answers that met both targets of the letter.
+    /// Streamed answers that met both targets.
     pub targets: u64,
     /// Orders that ran more than once.
     pub doubled: u64,
--- a/examples/membership_cost.rs
+++ b/examples/membership_cost.rs
@@ -166,7 +166,7 @@
 
 /// Share of instance time in outages of the service during which a rule takes no new work.
 ///
-/// In a year of outages: exponential, ten minutes on average, one each week. Crashes come at the brief's rate of 6 a
+/// In a year of outages: exponential, ten minutes on average, one each week. Crashes come at the design size's rate of 6 a
 /// day among 350; a crashed instance stays on the list if it fell within the list's lag before the outage, or in it.
 fn availability(count: usize, random: &mut ChaCha8Rng) {
     const OUTAGES: usize = 20_000;
