Weigh engines in one place of the router

Cause: duplicates showed two baselines with the same tail, and decisions passed triples around. Change: Weighed, weigh(); the baselines only choose a key; the jitter of scores has a name.

--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -39,6 +39,9 @@
 /// Engines compared because they hold the prompt's prefix.
 const HOLDERS: usize = 4;
 
+/// Part of a score that is drawn, so that instances with the same reports don't all choose the same engine.
+const JITTER: f64 = 0.02;
+
 /// Seconds that another availability zone adds to an estimate.
 const OTHER_ZONE: f64 = 0.005;
 
@@ -225,9 +228,13 @@
             Routing::RoundRobin | Routing::LeastReported => Vec::new(),
         };
         let candidates = self.open_candidates(now, snapshot, ask, except, &holders);
-        let (key, cached, estimate) = match self.policy {
-            Routing::RoundRobin => self.in_turn(now, snapshot, ask, &candidates)?,
-            Routing::LeastReported => self.least_reported(now, snapshot, ask, &candidates)?,
+        let Weighed {
+            key,
+            cached,
+            estimate,
+        } = match self.policy {
+            Routing::RoundRobin => self.weigh(now, snapshot, ask, self.in_turn(&candidates)?, 0),
+            Routing::LeastReported => self.weigh(now, snapshot, ask, self.least_reported(&candidates)?, 0),
             Routing::Estimate => self.best(now, snapshot, ask, &candidates, &holders)?,
         };
         let engine = snapshot.engines.get(key)?;
@@ -257,7 +264,11 @@
         self.follow(snapshot);
         let holders = self.affinity.holders(now, &ask.digests);
         let candidates = self.open_candidates(now, snapshot, ask, &[], &holders);
-        let (key, cached, estimate) = self.best(now, snapshot, ask, &candidates, &holders)?;
+        let Weighed {
+            key,
+            cached,
+            estimate,
+        } = self.best(now, snapshot, ask, &candidates, &holders)?;
         Some(Foreseen {
             estimate,
             prefill: ask.prompt.saturating_sub(cached),
@@ -431,6 +442,15 @@
         self.books[key.index() as usize].view(now, role, self.scale)
     }
 
+    fn weigh(&self, now: Time, snapshot: &Snapshot, ask: &Ask, key: EngineKey, cached: u32) -> Weighed {
+        let prompt = ask.prompt.saturating_sub(cached);
+        Weighed {
+            key,
+            cached,
+            estimate: self.view(now, snapshot, key).estimate(prompt, ask.output),
+        }
+    }
+
     fn best(
         &mut self,
         now: Time,
@@ -438,54 +458,47 @@
         ask: &Ask,
         candidates: &[EngineKey],
         holders: &[Holder],
-    ) -> Option<(EngineKey, u32, Estimate)> {
-        let mut best: Option<(f64, EngineKey, u32, Estimate)> = None;
+    ) -> Option<Weighed> {
+        let mut best = None;
+        let mut least = f64::INFINITY;
         for key in candidates {
             let holder = holders.iter().find(|h| h.engine == *key);
             let cached = holder.map_or(0, |h| h.cached.min(ask.prompt));
-            let estimate = self
-                .view(now, snapshot, *key)
-                .estimate(ask.prompt - cached, ask.output);
-            let zone = if self.is_near(snapshot, *key) {
-                0.0
-            } else {
-                OTHER_ZONE
+            let weighed = self.weigh(now, snapshot, ask, *key, cached);
+            let zone = match self.is_near(snapshot, *key) {
+                true => 0.0,
+                false => OTHER_ZONE,
             };
-            let jitter = 1.0 + 0.02 * self.rng.random::<f64>();
+            let jitter = 1.0 + JITTER * self.rng.random::<f64>();
+            let estimate = &weighed.estimate;
             let score = (estimate.total() + HARM * estimate.harm + zone) * jitter;
-            if best.as_ref().is_none_or(|(least, ..)| score < *least) {
-                best = Some((score, *key, cached, estimate));
+            if score < least {
+                least = score;
+                best = Some(weighed);
             }
         }
-        best.map(|(_, key, cached, estimate)| (key, cached, estimate))
+        best
     }
 
-    fn in_turn(
-        &mut self,
-        now: Time,
-        snapshot: &Snapshot,
-        ask: &Ask,
-        candidates: &[EngineKey],
-    ) -> Option<(EngineKey, u32, Estimate)> {
+    fn in_turn(&self, candidates: &[EngineKey]) -> Option<EngineKey> {
         let turn = usize::try_from(self.next).unwrap_or(0);
-        let key = *candidates.get(turn % candidates.len().max(1))?;
-        let estimate = self.view(now, snapshot, key).estimate(ask.prompt, ask.output);
-        Some((key, 0, estimate))
+        candidates.get(turn % candidates.len().max(1)).copied()
     }
 
-    fn least_reported(
-        &mut self,
-        now: Time,
-        snapshot: &Snapshot,
-        ask: &Ask,
-        candidates: &[EngineKey],
-    ) -> Option<(EngineKey, u32, Estimate)> {
-        let load = |key: &EngineKey| {
+    fn least_reported(&self, candidates: &[EngineKey]) -> Option<EngineKey> {
+        let load = |key: &&EngineKey| {
             let report = self.books[key.index() as usize].last();
             report.map_or(0, |r| r.running + r.queued)
         };
-        let key = *candidates.iter().min_by_key(|key| load(key))?;
-        let estimate = self.view(now, snapshot, key).estimate(ask.prompt, ask.output);
-        Some((key, 0, estimate))
+        candidates.iter().min_by_key(load).copied()
     }
 }
+
+/// What a request would find at an engine.
+#[derive(Debug, Clone, Copy)]
+struct Weighed {
+    key: EngineKey,
+    /// Leading tokens of the prompt that the engine is believed to hold.
+    cached: u32,
+    estimate: Estimate,
+}
