--- a/src/ops/control/membership.rs
+++ b/src/ops/control/membership.rs
@@ -135,8 +135,11 @@
         let peers = i64::try_from(roster.peers.len()).unwrap_or(i64::MAX);
         self.shared.metrics.membership.peers.set(peers);
         let before = self.shared.publish_roster(roster);
-        if before.standing != standing {
-            log_standing(before.standing, standing);
+        match before.myself {
+            // Right after its start an instance knows nothing yet; that is no fault.
+            None => log_event!(info, log_event::STANDING, after = ?standing),
+            Some(_) if before.standing != standing => log_standing(before.standing, standing),
+            Some(_) => {}
         }
         let leaving = self.shared.roster().leaving.clone();
         if before.leaving != leaving {
