Stop also when nobody reads the log

Cause: found by a daemon whose log reader had ended and that did not stop for ten minutes after SIGTERM: the log library reports a failed write on standard error, panics as that fails too, and takes the stopping thread with it. Ruled out: a hang of the drain; stop_platform_faults stops with the platform out. Change: a line that can't be written is lost. Tests: stop_log_unread red before (it ended with a failure), green after.

--- a/src/util/logging.rs
+++ b/src/util/logging.rs
@@ -13,6 +13,10 @@
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_target(false)
+        // Failure guarded against: whoever reads the log ends, and the daemon neither serves well nor stops. The
+        // library would report the failed write on standard error too, and panic since that fails as well; a
+        // thread that panics takes the shutdown with it. A line that can't be written is lost instead.
+        .log_internal_errors(false)
         .with_ansi(std::io::stderr().is_terminal())
         .with_writer(std::io::stderr);
     match format {
--- a/tests/testsuite/shutdown.rs
+++ b/tests/testsuite/shutdown.rs
@@ -324,3 +324,45 @@
     fleet.daemons[0].signal("TERM");
     wait_for_close(&client, &url).await;
 }
+
+/// An operator stops an instance whose log nobody reads any more, and it never ends. Order: the reader of its standard
+/// error ends; a line is to be written; SIGTERM comes. Cause: the failed write makes the thread panic that stops.
+#[actix_web::test]
+async fn stop_log_unread() {
+    let fixed = [
+        "--name=i0",
+        "--zone=lodi-a",
+        "--listen=127.0.0.1:0",
+        "--peer=127.0.0.1:0",
+        "--keep-ms=100",
+    ];
+    let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_sequoiastreamd"))
+        .args(fixed)
+        .args([
+            "--margin-ms=100",
+            "--refuse-ms=100",
+            "--platform=http://127.0.0.1:1",
+        ])
+        .args([
+            "--operator-token=operator-token-for-tests",
+            "--cluster-key=cluster-key-for-tests",
+        ])
+        .env("RUST_LOG", "info")
+        .stderr(std::process::Stdio::piped())
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    drop(child.stderr.take());
+    let mut line = String::new();
+    let out = child.stdout.take().expect("it is piped");
+    std::io::BufRead::read_line(&mut std::io::BufReader::new(out), &mut line).expect("it listens");
+    let id = child.id().to_string();
+    let sent = std::process::Command::new("kill").args(["-TERM", &id]).status();
+    assert!(sent.expect("kill can be run").success());
+    let ended = http::until("it ends", || {
+        let status = child.try_wait().expect("it can be waited for");
+        async move { status }
+    })
+    .await;
+    assert!(ended.success(), "{ended}");
+}
