--- a/tests/testsuite/config.rs
+++ b/tests/testsuite/config.rs
@@ -5,6 +5,7 @@
 use sequoiastream_core::config::ShareError;
 use sequoiastream_operator::Statement;
 use sequoiastream_operator::parse;
+use sequoiastream_operator::parse_script;
 
 fn apply(config: &mut Config, text: &str) -> Result<(), String> {
     match parse(text).expect("a statement") {
@@ -67,3 +68,23 @@
         assert_eq!(share.as_deref(), expected.as_ref().copied(), "{text}");
     }
 }
+
+/// A newcomer applies an example and is refused.
+#[test]
+fn examples_accepted() {
+    let cases = [
+        (include_str!("../../examples/padano.sst"), 4, 3, 15),
+        (include_str!("../../examples/chama.sst"), 3, 3, 15),
+    ];
+    for (text, products, services, engines) in cases {
+        let mut config = Config::default();
+        for statement in parse_script(text).expect("statements") {
+            match statement {
+                Statement::Change(command) => config.apply(&command).expect("accepted"),
+                Statement::Show(_) => panic!("a query"),
+            }
+        }
+        let counts = (config.products.len(), config.services.len(), config.engines.len());
+        assert_eq!(counts, (products, services, engines));
+    }
+}
