--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod poison;
 pub mod policy;
 pub mod prefix;
+pub mod relay;
 pub mod retry;
 pub mod roles;
 pub mod route;
--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -47,12 +47,18 @@
     203 CONFIG_STALE = "config-stale";
     /// A snapshot of the configuration was stored, or could not be.
     204 SNAPSHOT_STORED = "snapshot-stored";
+    /// A configuration can't be read; the one in force stays.
+    205 CONFIG_UNREADABLE = "config-unreadable";
     /// A call to the key-value service failed.
     300 KV_FAILED = "kv-failed";
     /// The key-value service answers again.
     301 KV_BACK = "kv-back";
     /// An answer of the key-value service was lost; the outcome was found by reading back.
     302 KV_RESOLVED = "kv-resolved";
+    /// An entry of an engine or an instance can't be read; it names nobody.
+    303 ENTRY_UNREADABLE = "entry-unreadable";
+    /// The engines that are known, or that may get work, changed.
+    304 ENGINES_CHANGED = "engines-changed";
     /// An attempt at an upstream failed.
     400 ATTEMPT_FAILED = "attempt-failed";
     /// A request was refused.
@@ -63,6 +69,12 @@
     403 CONVICTED = "convicted";
     /// A conviction could not be written to the quarantine yet.
     404 CONVICTION_UNWRITTEN = "conviction-unwritten";
+    /// A request was forwarded and answered.
+    405 FORWARDED = "forwarded";
+    /// A stream goes on at another engine.
+    406 RESUMED = "resumed";
+    /// An answer was broken off towards its caller.
+    407 BROKEN_OFF = "broken-off";
     /// This instance holds the authority of a service now.
     500 AUTHORITY_TAKEN = "authority-taken";
     /// This instance no longer holds the authority of a service.
--- /dev/null
+++ b/crates/core/src/relay/book.rs
@@ -0,0 +1,176 @@
+//! What an instance knows of the load and health of each engine.
+//!
+//! Two sources: the work that this instance has there, to the moment, and what its peers last said of theirs.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::relay::engines::EngineKey;
+use crate::relay::verdict::End;
+use crate::time::Time;
+
+/// How long an engine gets no new work after its first fault, if another can take it; doubles with each.
+const AVOID: Duration = Duration::from_millis(500);
+
+/// Doublings of [`AVOID`]: 8 s at most, the time a crashed engine takes to come back.
+const MAX_DOUBLINGS: u32 = 4;
+
+/// What peers said counts for so long: three of their messages may be lost in a row.
+const PEER_STALE: Duration = Duration::from_millis(1_000);
+
+/// Part of a new observation in the mean rate of failures.
+const FAILURE_GAIN: f64 = 0.1;
+
+/// Work at an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Work {
+    /// Requests.
+    pub requests: u32,
+    /// Prompt tokens that are yet to be read.
+    pub tokens: u64,
+}
+
+impl Work {
+    /// Both together.
+    pub fn plus(self, other: Work) -> Work {
+        Work {
+            requests: self.requests + other.requests,
+            tokens: self.tokens + other.tokens,
+        }
+    }
+}
+
+/// One piece of work that this instance has at an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket(u64);
+
+#[derive(Debug, Clone, Copy)]
+struct Job {
+    engine: EngineKey,
+    tokens: u64,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Load {
+    own: Work,
+    faults: u32,
+    avoid: Option<Time>,
+    failures: f64,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Told {
+    at: Time,
+    work: BTreeMap<EngineKey, Work>,
+}
+
+/// The load and health of all engines, as this instance sees them.
+#[derive(Debug, Clone, Default)]
+pub struct Book {
+    loads: BTreeMap<EngineKey, Load>,
+    jobs: BTreeMap<Ticket, Job>,
+    peers: BTreeMap<String, Told>,
+    next: u64,
+}
+
+impl Book {
+    /// Nothing known.
+    pub fn new() -> Book {
+        Book::default()
+    }
+
+    /// Notes work that is sent to an engine.
+    pub fn begin(&mut self, engine: EngineKey, tokens: u64) -> Ticket {
+        let ticket = Ticket(self.next);
+        self.next += 1;
+        let load = self.loads.entry(engine).or_default();
+        load.own = load.own.plus(Work { requests: 1, tokens });
+        self.jobs.insert(ticket, Job { engine, tokens });
+        ticket
+    }
+
+    /// Notes that the prompt of a piece of work is read.
+    pub fn read(&mut self, ticket: Ticket) {
+        let Some(job) = self.jobs.get_mut(&ticket) else {
+            return;
+        };
+        let tokens = std::mem::take(&mut job.tokens);
+        if let Some(load) = self.loads.get_mut(&job.engine) {
+            load.own.tokens = load.own.tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Notes that a piece of work is over; a second call changes nothing.
+    pub fn end(&mut self, ticket: Ticket) {
+        self.read(ticket);
+        let Some(job) = self.jobs.remove(&ticket) else {
+            return;
+        };
+        if let Some(load) = self.loads.get_mut(&job.engine) {
+            load.own.requests = load.own.requests.saturating_sub(1);
+        }
+    }
+
+    /// Notes what the end of an attempt says of the engine.
+    pub fn judge(&mut self, now: Time, engine: EngineKey, end: End) {
+        let load = self.loads.entry(engine).or_default();
+        let failed = f64::from(u8::from(end.is_fault()));
+        load.failures += FAILURE_GAIN * (failed - load.failures);
+        match end {
+            End::Answered => {
+                load.faults = 0;
+                load.avoid = None;
+            }
+            End::Declined | End::Failed => {}
+            End::Unsent | End::Misdirected | End::Broken | End::Silent => {
+                let pause = AVOID * (1 << load.faults.min(MAX_DOUBLINGS));
+                load.faults += 1;
+                load.avoid = Some(now + pause);
+            }
+        }
+    }
+
+    /// Notes the work that a peer says it has.
+    pub fn on_peer(&mut self, now: Time, peer: &str, work: BTreeMap<EngineKey, Work>) {
+        let told = self.peers.entry(peer.to_string()).or_default();
+        *told = Told { at: now, work };
+    }
+
+    /// Work at an engine, of this instance and of those peers that were heard lately.
+    pub fn work(&self, now: Time, engine: EngineKey) -> Work {
+        let recent = self.peers.values().filter(|t| now.since(t.at) <= PEER_STALE);
+        let told = recent.filter_map(|t| t.work.get(&engine));
+        told.fold(self.own(engine), |sum, work| sum.plus(*work))
+    }
+
+    /// Work of this instance at an engine.
+    pub fn own(&self, engine: EngineKey) -> Work {
+        self.loads.get(&engine).map_or_else(Work::default, |l| l.own)
+    }
+
+    /// Work of this instance at every engine where it has some.
+    pub fn all(&self) -> BTreeMap<EngineKey, Work> {
+        let busy = self.loads.iter().filter(|(_, l)| l.own != Work::default());
+        busy.map(|(key, load)| (*key, load.own)).collect()
+    }
+
+    /// Whether an engine is to get no work now if another can take it.
+    pub fn is_avoided(&self, now: Time, engine: EngineKey) -> bool {
+        let load = self.loads.get(&engine);
+        load.and_then(|l| l.avoid).is_some_and(|until| now < until)
+    }
+
+    /// Mean rate of failed attempts at an engine, 0 to 1, over about its last ten.
+    pub fn failures(&self, engine: EngineKey) -> f64 {
+        self.loads.get(&engine).map_or(0.0, |l| l.failures)
+    }
+
+    /// Forgets engines that `known` denies and that have no work left.
+    pub fn retain<F>(&mut self, known: F)
+    where
+        F: Fn(EngineKey) -> bool,
+    {
+        self.loads
+            .retain(|key, load| known(*key) || load.own.requests > 0);
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/budget.rs
@@ -0,0 +1,89 @@
+//! The budget of extra attempts, shared by all instances without a shared counter.
+//!
+//! Failure guarded against: an engine fails, every instance repeats its requests, and the others drown in
+//! repeats. Over any window, extra attempts at a service stay below a share of the requests for it and a fixed
+//! allowance. Each instance counts its own requests and takes its part of the allowance, so that the sum keeps
+//! the bound whatever the others do.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// Part of the bound that is used: clocks and windows of instances differ, and a call may be counted at an engine
+/// later than here.
+const USED: f64 = 0.7;
+
+/// What bounds extra attempts.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Rule {
+    /// Extra attempts for each request.
+    pub ratio: f64,
+    /// Length of a window.
+    pub window: Duration,
+    /// Extra attempts in a window of the whole fleet, whatever its requests.
+    pub slack: f64,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Counts {
+    requests: VecDeque<Time>,
+    extras: VecDeque<Time>,
+}
+
+impl Counts {
+    fn expire(&mut self, now: Time, window: Duration) {
+        for times in [&mut self.requests, &mut self.extras] {
+            while times.front().is_some_and(|at| now.since(*at) > window) {
+                times.pop_front();
+            }
+        }
+    }
+}
+
+/// Budgets of all services at one instance.
+#[derive(Debug, Clone)]
+pub struct Budget {
+    rule: Rule,
+    services: BTreeMap<String, Counts>,
+}
+
+impl Budget {
+    /// Nothing counted yet.
+    pub fn new(rule: Rule) -> Budget {
+        Budget {
+            rule,
+            services: BTreeMap::new(),
+        }
+    }
+
+    /// Counts a request for `service`.
+    pub fn request(&mut self, now: Time, service: &str) {
+        let window = self.rule.window;
+        let counts = self.counts(service);
+        counts.expire(now, window);
+        counts.requests.push_back(now);
+    }
+
+    /// Takes one extra attempt at `service` if there is one left, at one of `instances`.
+    pub fn take(&mut self, now: Time, service: &str, instances: usize) -> bool {
+        let rule = self.rule;
+        let counts = self.counts(service);
+        counts.expire(now, rule.window);
+        let part = rule.slack / instances.max(1) as f64;
+        let allowed = USED * (rule.ratio * counts.requests.len() as f64 + part);
+        if (counts.extras.len() + 1) as f64 > allowed {
+            return false;
+        }
+        counts.extras.push_back(now);
+        true
+    }
+
+    fn counts(&mut self, service: &str) -> &mut Counts {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.to_string(), Counts::default());
+        }
+        self.services.get_mut(service).expect("it was just inserted")
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/digest.rs
@@ -0,0 +1,43 @@
+//! What instances tell each other many times a second: their work at each engine.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::relay::book::Work;
+
+/// Work at one engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// The engine's id.
+    pub engine: String,
+    /// Requests.
+    pub requests: u32,
+    /// Prompt tokens yet to be read.
+    pub tokens: u64,
+}
+
+/// A message about load.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The sender's work, engine by engine.
+    pub shares: Vec<Share>,
+    /// Revision of the store up to which the sender knows the engines.
+    pub revision: u64,
+}
+
+impl Digest {
+    /// The message about `work`.
+    pub fn new(work: BTreeMap<String, Work>, revision: u64) -> Digest {
+        let shares = work.into_iter().map(|(engine, work)| Share {
+            engine,
+            requests: work.requests,
+            tokens: work.tokens,
+        });
+        Digest {
+            shares: shares.collect(),
+            revision,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/engines.rs
@@ -0,0 +1,241 @@
+//! The engines that registered themselves, and which of them may get work.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// How long an engine whose entry vanished around an outage of the store may go on getting work: entries that
+/// lapsed meanwhile are back within two seconds of the store's return if their engine lives.
+pub const RETURN: Duration = Duration::from_millis(2_000);
+
+/// A call to the store that failed so short a time ago makes a vanished entry doubtful.
+pub const DOUBT: Duration = Duration::from_millis(3_000);
+
+/// An engine in one of its lives: another registration under the same id is another key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EngineKey(pub u32);
+
+/// Which part of a model's work an engine does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// Everything, or it runs no model.
+    Whole,
+    /// Reads prompts for others.
+    Prefill,
+    /// Generates, and reads prompts that nobody read for it.
+    Decode,
+}
+
+/// What an engine registered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// Its id, new with each start.
+    pub id: String,
+    /// The service it is of.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it said that it leaves.
+    pub leaving: bool,
+    /// Which part of the work it does.
+    pub stage: Stage,
+    /// The store's revision at which the registration was created.
+    pub born: u64,
+}
+
+/// An engine that may be sent work.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Engine {
+    /// Its key.
+    pub key: EngineKey,
+    /// What it registered.
+    pub entry: Entry,
+}
+
+#[derive(Debug, Clone)]
+struct Known {
+    engine: Engine,
+    revision: u64,
+    /// When its entry vanished in doubt.
+    missing: Option<Time>,
+}
+
+/// What the store said of one engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum News {
+    /// Its entry, at this revision.
+    Entry(u64, Entry),
+    /// The engine of this id is gone since this revision.
+    Gone(u64, String),
+}
+
+/// All engines, as the store last showed them.
+///
+/// Revisions never go back: news that are older than what is known of an engine change nothing, in whatever order
+/// the store and the peers bring them.
+#[derive(Debug, Clone, Default)]
+pub struct Engines {
+    known: BTreeMap<String, Known>,
+    gone: BTreeMap<String, u64>,
+    next: u32,
+    failed: Option<Time>,
+}
+
+/// Ids of engines that are gone, kept against late news of peers.
+const MAX_GONE: usize = 1_024;
+
+impl Engines {
+    /// Nobody yet.
+    pub fn new() -> Engines {
+        Engines::default()
+    }
+
+    /// Notes that a call to the store failed.
+    pub fn on_failure(&mut self, now: Time) {
+        self.failed = Some(now);
+    }
+
+    /// Takes news; whether anything changed.
+    pub fn on_news(&mut self, now: Time, news: News) -> bool {
+        match news {
+            News::Entry(revision, entry) => self.on_entry(revision, entry),
+            News::Gone(revision, id) => self.on_gone(now, revision, id),
+        }
+    }
+
+    /// Takes everything that the store holds as of `revision`; whether anything changed.
+    pub fn on_all(&mut self, now: Time, revision: u64, entries: Vec<(u64, Entry)>) -> bool {
+        let named: Vec<String> = entries.iter().map(|(_, e)| e.id.clone()).collect();
+        let mut changed = false;
+        for (at, entry) in entries {
+            changed |= self.on_entry(at, entry);
+        }
+        let absent = |(id, known): (&String, &Known)| {
+            (!named.contains(id) && known.revision <= revision).then(|| id.clone())
+        };
+        let absent: Vec<String> = self.known.iter().filter_map(absent).collect();
+        for id in absent {
+            changed |= self.on_gone(now, revision, id);
+        }
+        changed
+    }
+
+    fn on_entry(&mut self, revision: u64, entry: Entry) -> bool {
+        if self.gone.get(&entry.id).is_some_and(|gone| *gone >= revision) {
+            return false;
+        }
+        if let Some(known) = self.known.get_mut(&entry.id) {
+            if known.revision > revision || (known.revision == revision && known.missing.is_none()) {
+                return false;
+            }
+            known.revision = revision;
+            known.missing = None;
+            if known.engine.entry.born == entry.born {
+                let changed = known.engine.entry != entry;
+                known.engine.entry = entry;
+                return changed;
+            }
+        }
+        let key = EngineKey(self.next);
+        self.next += 1;
+        let id = entry.id.clone();
+        self.gone.remove(&id);
+        let known = Known {
+            engine: Engine { key, entry },
+            revision,
+            missing: None,
+        };
+        self.known.insert(id, known);
+        true
+    }
+
+    /// Failure guarded against: the store was away, all entries lapsed meanwhile, and on its return it shows no
+    /// engine at all; every request would be refused until the engines have registered again. An entry that
+    /// vanishes within [`DOUBT`] of a failed call keeps its engine for [`RETURN`]. An engine that left for good is
+    /// found out by its first refused connection at the latest.
+    fn on_gone(&mut self, now: Time, revision: u64, id: String) -> bool {
+        let doubtful = self.failed.is_some_and(|at| now.since(at) < DOUBT);
+        match self.known.get_mut(&id) {
+            Some(known) if known.revision > revision => false,
+            Some(known) if doubtful && !known.engine.entry.leaving => {
+                known.revision = revision;
+                known.missing.get_or_insert(now);
+                false
+            }
+            Some(_) => {
+                self.known.remove(&id);
+                self.bury(id, revision);
+                true
+            }
+            None => {
+                self.bury(id, revision);
+                false
+            }
+        }
+    }
+
+    fn bury(&mut self, id: String, revision: u64) {
+        let at = self.gone.entry(id).or_default();
+        *at = revision.max(*at);
+        while self.gone.len() > MAX_GONE {
+            let oldest = self.gone.iter().min_by_key(|(_, at)| **at);
+            let Some(id) = oldest.map(|(id, _)| id.clone()) else {
+                break;
+            };
+            self.gone.remove(&id);
+        }
+    }
+
+    /// Drops engines whose entry did not come back in time; whether any was.
+    pub fn on_tick(&mut self, now: Time) -> bool {
+        let late = |known: &Known| known.missing.is_some_and(|at| now.since(at) >= RETURN);
+        let lost: Vec<(String, u64)> = self
+            .known
+            .iter()
+            .filter(|(_, known)| late(known))
+            .map(|(id, known)| (id.clone(), known.revision))
+            .collect();
+        for (id, revision) in &lost {
+            self.known.remove(id);
+            self.bury(id.clone(), *revision);
+        }
+        !lost.is_empty()
+    }
+
+    /// The engines that may get new work, by service, in the order of their ids.
+    pub fn open(&self) -> BTreeMap<String, Vec<Engine>> {
+        let mut services: BTreeMap<String, Vec<Engine>> = BTreeMap::new();
+        let open = self.known.values().filter(|k| !k.engine.entry.leaving);
+        for known in open {
+            let service = services.entry(known.engine.entry.service.clone()).or_default();
+            service.push(known.engine.clone());
+        }
+        services
+    }
+
+    /// Whether an engine's entry is missing in doubt.
+    pub fn is_waiting(&self) -> bool {
+        self.known.values().any(|k| k.missing.is_some())
+    }
+
+    /// Every engine that is known, and the revision of what is known of it.
+    pub fn all(&self) -> impl Iterator<Item = (u64, &Entry)> {
+        self.known.values().map(|k| (k.revision, &k.engine.entry))
+    }
+
+    /// How many are known.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Whether none is known.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/place.rs
@@ -0,0 +1,111 @@
+//! Which engine gets a request.
+//!
+//! A prompt's shared parts cost more to read than all else, so its requests go where those parts were read before:
+//! every instance works out the same home for a part by rendezvous hashing, without a message. The home is left when
+//! the wait there is longer than reading the parts anew elsewhere takes.
+
+use crate::relay::book::Book;
+use crate::relay::engines::Engine;
+use crate::relay::engines::EngineKey;
+use crate::relay::engines::Stage;
+use crate::relay::prompt::Prompt;
+use crate::time::Time;
+
+/// Prompt tokens to which one request in progress is equal when waits are compared: about the time of a batch's
+/// step, which every further request makes longer.
+const REQUEST_TOKENS: u64 = 200;
+
+/// Prompt tokens to which another availability zone is equal: what the round trip takes.
+const ZONE_TOKENS: u64 = 300;
+
+/// A mean rate of failures from which on an engine counts as failing, if others of its service are half as bad.
+const FAILING: f64 = 0.3;
+
+/// What a choice is made by.
+#[derive(Debug, Clone, Copy)]
+pub struct Chooser<'a> {
+    /// Load and health.
+    pub book: &'a Book,
+    /// Now.
+    pub now: Time,
+    /// Availability zone of this instance, or of the engine that holds the prompt.
+    pub zone: &'a str,
+    /// Engines that failed this request already.
+    pub tried: &'a [EngineKey],
+}
+
+impl Chooser<'_> {
+    /// The engine for a request without a prompt: a healthy one of the same zone with the least work.
+    pub fn plain<'e>(&self, engines: &'e [Engine]) -> Option<&'e Engine> {
+        let open = self.open(engines);
+        open.into_iter().min_by_key(|e| (self.wait(e), e.key))
+    }
+
+    /// The engine that reads a prompt, of those at `stage`.
+    pub fn reader<'e>(&self, engines: &'e [Engine], stage: Stage, prompt: &Prompt) -> Option<&'e Engine> {
+        let staged: Vec<Engine> = staged(engines, stage).cloned().collect();
+        let open = self.open(&staged);
+        let shared = prompt.shared();
+        let home = shared.and_then(|part| home(open.iter().copied(), part.id));
+        let best = open.into_iter().min_by_key(|e| {
+            let known = home == Some(e.key);
+            let read = if known { prompt.own_tokens() } else { prompt.input };
+            (self.wait(e) + u64::from(read), e.key)
+        })?;
+        engines.iter().find(|e| e.key == best.key)
+    }
+
+    /// The engine that generates, of those at `stage`.
+    pub fn generator<'e>(&self, engines: &'e [Engine], stage: Stage) -> Option<&'e Engine> {
+        let staged: Vec<Engine> = staged(engines, stage).cloned().collect();
+        let best = self.plain(&staged)?.key;
+        engines.iter().find(|e| e.key == best)
+    }
+
+    /// Healthy engines that were not tried yet; else those that were not tried; else none.
+    fn open<'e>(&self, engines: &'e [Engine]) -> Vec<&'e Engine> {
+        let fresh: Vec<&Engine> = engines.iter().filter(|e| !self.tried.contains(&e.key)).collect();
+        let least = fresh.iter().map(|e| self.book.failures(e.key));
+        let least = least.fold(1.0, f64::min);
+        let healthy = |e: &Engine| {
+            let failures = self.book.failures(e.key);
+            !self.book.is_avoided(self.now, e.key) && (failures < FAILING || failures < 2.0 * least)
+        };
+        let sound: Vec<&Engine> = fresh.iter().copied().filter(|e| healthy(e)).collect();
+        match sound.is_empty() {
+            true => fresh,
+            false => sound,
+        }
+    }
+
+    /// The wait at an engine, in prompt tokens.
+    fn wait(&self, engine: &Engine) -> u64 {
+        let work = self.book.work(self.now, engine.key);
+        let zone = if engine.entry.zone == self.zone { 0 } else { ZONE_TOKENS };
+        work.tokens + u64::from(work.requests) * REQUEST_TOKENS + zone
+    }
+}
+
+fn staged(engines: &[Engine], stage: Stage) -> impl Iterator<Item = &Engine> {
+    engines.iter().filter(move |e| e.entry.stage == stage)
+}
+
+/// The engine at which the requests with this part meet: highest hash of both, so that one engine's end moves only
+/// its own parts.
+fn home<'e, I>(engines: I, part: u64) -> Option<EngineKey>
+where
+    I: Iterator<Item = &'e Engine>,
+{
+    let best = engines.max_by_key(|e| (score(&e.entry.id, part), e.key));
+    best.map(|e| e.key)
+}
+
+/// FNV-1a over the engine's id and the part, finished by a multiply-shift so that the high bits mix.
+fn score(engine: &str, part: u64) -> u64 {
+    let bytes = engine.bytes().chain(part.to_be_bytes());
+    let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    let mixed = (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed ^ (mixed >> 29)
+}
--- /dev/null
+++ b/crates/core/src/relay/routes.rs
@@ -0,0 +1,185 @@
+//! Routes: which service may run a request, and what may be done with it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What may be repeated of a request, by the route it came on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// May run more than once.
+    Idempotent,
+    /// Runs at most once.
+    Once,
+    /// A stream of events that runs at most once.
+    Stream,
+    /// A stream of events that may go on at another engine after the last event delivered.
+    Resumable,
+}
+
+impl Kind {
+    /// Whether a request that may have run may run again.
+    pub fn is_repeatable(self) -> bool {
+        matches!(self, Kind::Idempotent | Kind::Resumable)
+    }
+
+    /// Whether the answer is a stream of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Kind::Stream | Kind::Resumable)
+    }
+}
+
+/// A service that a route leads to, with its part of the requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    /// The service.
+    pub service: String,
+    /// Its part, against the sum of all parts.
+    pub weight: u32,
+}
+
+/// A route.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// Host that requests name.
+    pub host: String,
+    /// What their path begins with; begins and ends with a slash.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// Longest time for which a caller is kept waiting.
+    pub timeout: Duration,
+    /// Time within which an answer, or the first event of a stream, is worth all.
+    pub target: Duration,
+    /// Longest pause between two events of a stream that is on time.
+    pub pause: Duration,
+    /// Rank; 0 goes first.
+    pub priority: u8,
+    /// Engines that one request may be sent to.
+    pub attempts: u32,
+    /// Whether its requests carry a prompt and gain from the engine that knows its parts.
+    pub affine: bool,
+    /// Where its requests go.
+    pub targets: Vec<Target>,
+}
+
+impl Route {
+    /// The service for a request that drew `draw`; `None` if the route leads nowhere.
+    pub fn service(&self, draw: u64) -> Option<&str> {
+        let total: u64 = self.targets.iter().map(|t| u64::from(t.weight)).sum();
+        let mut left = draw.checked_rem(total)?;
+        for target in &self.targets {
+            let weight = u64::from(target.weight);
+            if left < weight {
+                return Some(&target.service);
+            }
+            left -= weight;
+        }
+        None
+    }
+}
+
+/// What the engines of a service can do, as the operators describe it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Memory {
+    /// Tokens that an engine keeps.
+    pub tokens: u64,
+    /// Bytes of one token.
+    pub bytes: u64,
+    /// Megabits a second of an engine's link.
+    pub megabits: f64,
+    /// How long an engine keeps a prompt that was read for another.
+    pub keep: Duration,
+    /// How long an engine is away when its stage changes.
+    pub switch: Duration,
+    /// How many calls for cache events an engine keeps waiting.
+    pub waiting: u32,
+}
+
+/// A service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// Connections that one of its engines accepts from all callers.
+    pub connections: u32,
+    /// Set where its engines run models.
+    pub memory: Option<Memory>,
+}
+
+/// What a caller may send, and how long it may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest body, in bytes.
+    pub body: usize,
+    /// How long a connection may stay idle.
+    pub idle: Duration,
+}
+
+impl Default for Limits {
+    /// Before any configuration: a megabyte, and the shortest idle time that the HTTP libraries use by default.
+    fn default() -> Limits {
+        Limits {
+            body: 1 << 20,
+            idle: Duration::from_secs(5),
+        }
+    }
+}
+
+/// All routes and services of one version of the configuration.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    /// The version; 0 before any.
+    pub version: u64,
+    /// Limits on callers.
+    pub limits: Limits,
+    /// Services by name.
+    pub services: BTreeMap<String, Service>,
+    hosts: BTreeMap<String, BTreeMap<String, Arc<Route>>>,
+}
+
+impl Table {
+    /// A table of `routes` and `services`.
+    pub fn new(version: u64, limits: Limits, routes: Vec<Route>, services: Vec<Service>) -> Table {
+        let mut hosts: BTreeMap<String, BTreeMap<String, Arc<Route>>> = BTreeMap::new();
+        for route in routes {
+            let host = hosts.entry(route.host.to_ascii_lowercase()).or_default();
+            host.insert(route.prefix.clone(), Arc::new(route));
+        }
+        let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
+        Table {
+            version,
+            limits,
+            services,
+            hosts,
+        }
+    }
+
+    /// The route with the longest prefix that begins `path`.
+    ///
+    /// Prefixes end with a slash, so that only the parts of the path up to each of its slashes are looked up: the
+    /// cost grows with the path, not with the number of routes.
+    pub fn find(&self, host: &str, path: &str) -> Option<Arc<Route>> {
+        let routes = self.hosts.get(&host.to_ascii_lowercase())?;
+        let mut rest = path;
+        while let Some(slash) = rest.rfind('/') {
+            if let Some(route) = routes.get(&rest[..=slash]) {
+                return Some(route.clone());
+            }
+            rest = &rest[..slash];
+        }
+        None
+    }
+
+    /// All routes, by host and prefix.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flat_map(BTreeMap::values)
+    }
+
+    /// Whether `host` has any route.
+    pub fn has_host(&self, host: &str) -> bool {
+        self.hosts.contains_key(&host.to_ascii_lowercase())
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/kv/src/lib.rs
@@ -12,6 +12,7 @@
 mod envelope;
 mod error;
 mod lists;
+pub mod store;
 mod wire;
 
 pub use budget::CallCount;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -16,6 +16,7 @@
 use sequoiastream_core::poison::Ask;
 use sequoiastream_core::poison::Fingerprint;
 use sequoiastream_core::poison::Note;
+use sequoiastream_core::relay::digest::Digest;
 use sequoiastream_core::time::WallTime;
 use serde::Deserialize;
 use serde::Serialize;
@@ -27,6 +28,8 @@
     Ping,
     /// A heartbeat.
     Beat(Beat),
+    /// The sender's work at the engines.
+    Load(Digest),
 }
 
 /// A question over TCP.
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use sequoiastream_core::name::Name;
-use sequoiastream_platform::Listed;
+use sequoiastream_kv::Listed;
 
 /// A stored value.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/testsupport/src/fleet.rs
+++ b/crates/testsupport/src/fleet.rs
@@ -5,10 +5,10 @@
 use std::sync::Mutex;
 
 use sequoiastream_core::name::Name;
+use sequoiastream_kv::Listed;
+use sequoiastream_kv::ListedState;
 use sequoiastream_operator::wire::ReplyBody;
 use sequoiastream_operator::wire::StatementBody;
-use sequoiastream_platform::Listed;
-use sequoiastream_platform::ListedState;
 use sequoiastream_standin::engine::EngineFault;
 use sequoiastream_standin::platform::Fault;
 use sequoiastream_upstream::wire::LoadBody;
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -4,8 +4,10 @@
 //! an engine. The client never repeats a request by itself and follows no redirect: whether an attempt may be
 //! repeated is decided in the core.
 
+pub mod channel;
 mod engine;
 mod error;
+pub mod events;
 mod lines;
 mod plain;
 pub mod wire;
--- a/src/ops/control/authority/drain.rs
+++ b/src/ops/control/authority/drain.rs
@@ -9,12 +9,12 @@
 use sequoiastream_core::authority::Event;
 use sequoiastream_core::authority::HoldAnswer;
 use sequoiastream_core::name::Name;
+use sequoiastream_kv::KvClient;
 use sequoiastream_peer::call::CallClient;
 use sequoiastream_peer::message::Hold;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
 use sequoiastream_peer::message::SettleOrder;
-use sequoiastream_platform::KvClient;
 
 use crate::ops::control::authority::Settle;
 use crate::ops::shared::Shared;
--- a/src/ops/control/authority/tables.rs
+++ b/src/ops/control/authority/tables.rs
@@ -4,11 +4,11 @@
 use sequoiastream_core::authority::Phase;
 use sequoiastream_core::authority::Record;
 use sequoiastream_core::name::Name;
+use sequoiastream_kv::KvClient;
+use sequoiastream_kv::KvError;
 use sequoiastream_operator::Table;
 use sequoiastream_operator::http::OperatorError;
 use sequoiastream_operator::wire::TableBody;
-use sequoiastream_platform::KvClient;
-use sequoiastream_platform::KvError;
 
 use crate::ops::control::authority::kv::lease_key;
 use crate::ops::control::authority::kv::read_record;
--- a/src/ops/control/config.rs
+++ b/src/ops/control/config.rs
@@ -32,11 +32,11 @@
 use sequoiastream_core::log_event;
 use sequoiastream_core::snapshot::Snapshot;
 use sequoiastream_core::time::Time;
+use sequoiastream_kv::KvClient;
+use sequoiastream_kv::KvError;
 use sequoiastream_peer::call::CallClient;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
-use sequoiastream_platform::KvClient;
-use sequoiastream_platform::KvError;
 use tokio::sync::oneshot;
 
 pub use execute::Execute;
--- a/src/ops/control/config/store.rs
+++ b/src/ops/control/config/store.rs
@@ -8,12 +8,12 @@
 use sequoiastream_core::config::Stored;
 use sequoiastream_core::config::Swapped;
 use sequoiastream_core::config::Version;
-use sequoiastream_platform::Entry;
-use sequoiastream_platform::Expect;
-use sequoiastream_platform::KvClient;
-use sequoiastream_platform::KvError;
-use sequoiastream_platform::KvVersion;
-use sequoiastream_platform::Swap;
+use sequoiastream_kv::Entry;
+use sequoiastream_kv::Expect;
+use sequoiastream_kv::KvClient;
+use sequoiastream_kv::KvError;
+use sequoiastream_kv::KvVersion;
+use sequoiastream_kv::Swap;
 
 /// Key of the head.
 const HEAD: &str = "config/head";
--- a/src/ops/control/membership.rs
+++ b/src/ops/control/membership.rs
@@ -24,13 +24,13 @@
 use sequoiastream_core::membership::Myself;
 use sequoiastream_core::membership::Standing;
 use sequoiastream_core::name::Name;
+use sequoiastream_kv::KvClient;
+use sequoiastream_kv::KvError;
+use sequoiastream_kv::Listed;
+use sequoiastream_kv::ListedState;
 use sequoiastream_peer::PeerError;
 use sequoiastream_peer::datagram::DatagramSocket;
 use sequoiastream_peer::message::Datagram;
-use sequoiastream_platform::KvClient;
-use sequoiastream_platform::KvError;
-use sequoiastream_platform::Listed;
-use sequoiastream_platform::ListedState;
 
 use crate::log_event;
 use crate::ops::control::Bound;
@@ -232,7 +232,7 @@
                 self.shared.metrics.membership.received.inc();
                 self.on(Event::Heard(name, beat));
             }
-            Ok((_, Datagram::Ping)) => {}
+            Ok((_, Datagram::Ping | Datagram::Load(_))) => {}
             Err(error) => log_event!(debug, log_event::PEER_REFUSED, %error),
         }
     }
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`daemon`] starts the parts: [`control`] on a thread of its own, [`dispatch`] on each traffic thread,
 //! [`exchange`] around each HTTP exchange, and
-//! [`shared`] between them. [`client`] is what the command-line tool uses.
+//! [`shared`] between them. [`relay`] forwards requests unchanged, by routes. [`client`] is what the command-line tool uses.
 
 pub mod client;
 pub mod control;
@@ -10,6 +10,7 @@
 pub mod dispatch;
 pub mod exchange;
 pub mod policy;
+pub mod relay;
 pub mod shared;
 pub mod stops;
 pub mod tables;
--- /dev/null
+++ b/src/ops/relay/edge.rs
@@ -0,0 +1,129 @@
+//! Where somebody else's protocol meets the product: names and formats, nothing that decides.
+
+use http::HeaderName;
+use sequoiastream_core::relay::engines::Entry;
+use sequoiastream_core::relay::prompt::Prompt;
+use sequoiastream_core::relay::routes::Table;
+use sequoiastream_kv::store::Item;
+use thiserror::Error;
+
+/// Why something from outside can't be read.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{what}: {why}")]
+pub struct Malformed {
+    /// What was read.
+    pub what: &'static str,
+    /// What is wrong with it.
+    pub why: String,
+}
+
+impl Malformed {
+    /// `what` can't be read because of `why`.
+    pub fn new<W>(what: &'static str, why: W) -> Malformed
+    where
+        W: std::fmt::Display,
+    {
+        let why = why.to_string();
+        Malformed { what, why }
+    }
+}
+
+/// Names of the headers by what they say.
+#[derive(Debug, Clone)]
+pub struct Names {
+    /// Id of one attempt of a caller.
+    pub request: HeaderName,
+    /// Milliseconds that the sender still waits.
+    pub deadline: HeaderName,
+    /// The last event that the caller has.
+    pub resume: HeaderName,
+    /// An engine's signature of its answer.
+    pub seal: HeaderName,
+    /// The engine that is meant; any other declines.
+    pub expect: HeaderName,
+    /// An engine's word that it did not execute the request.
+    pub declined: HeaderName,
+    /// Which part of a model's work is asked for.
+    pub stage: HeaderName,
+    /// The word in it that asks to read the prompt only.
+    pub prefill: &'static str,
+    /// Where a prompt that was read before lies.
+    pub source: HeaderName,
+    /// The model that is to answer.
+    pub model: HeaderName,
+    /// Prompt tokens, and most tokens of the answer.
+    pub tokens: HeaderName,
+    /// Parts of the prompt.
+    pub parts: HeaderName,
+    /// Headers that only this system may set.
+    pub reserved: Vec<HeaderName>,
+}
+
+/// Keys of the store.
+#[derive(Debug, Clone)]
+pub struct Keys {
+    /// The configuration.
+    pub config: String,
+    /// What the keys of engines begin with.
+    pub engines: String,
+    /// What the keys of this product begin with.
+    pub own: String,
+}
+
+/// Paths of calls that others make to an instance.
+#[derive(Debug, Clone)]
+pub struct Paths {
+    /// Whether it is ready.
+    pub ready: String,
+    /// Which addresses to use.
+    pub resolve: String,
+}
+
+/// The translation between somebody else's formats and the product's types.
+pub trait Translate: Send + Sync {
+    /// Names of headers.
+    fn names(&self) -> &Names;
+
+    /// Keys of the store.
+    fn keys(&self) -> &Keys;
+
+    /// Paths of calls to an instance.
+    fn paths(&self) -> &Paths;
+
+    /// Reads the configuration.
+    ///
+    /// # Errors
+    ///
+    /// [`Malformed`] if it can't be read.
+    fn config(&self, value: &[u8]) -> Result<Table, Malformed>;
+
+    /// Reads an engine's entry.
+    ///
+    /// # Errors
+    ///
+    /// [`Malformed`] if it can't be read.
+    fn engine(&self, item: &Item) -> Result<Entry, Malformed>;
+
+    /// The id of the engine under a key, if it is one.
+    fn engine_id<'k>(&self, key: &'k str) -> Option<&'k str>;
+
+    /// Reads a prompt's shape from the words for model, tokens and parts.
+    ///
+    /// # Errors
+    ///
+    /// [`Malformed`] if it can't be read.
+    fn prompt(&self, model: &str, tokens: &str, parts: &str) -> Result<Prompt, Malformed>;
+
+    /// Reads the name of a prompt that an engine has read and keeps.
+    ///
+    /// # Errors
+    ///
+    /// [`Malformed`] if it can't be read.
+    fn kept(&self, body: &[u8]) -> Result<String, Malformed>;
+
+    /// The path of the call that frees a prompt that is kept.
+    fn release(&self, kept: &str) -> String;
+
+    /// Writes the answer to the question for addresses.
+    fn addresses(&self, addresses: &[std::net::SocketAddr], keep: std::time::Duration) -> String;
+}
--- /dev/null
+++ b/src/ops/relay/follow.rs
@@ -0,0 +1,224 @@
+//! Keeping up with the configuration and the engines.
+//!
+//! One watch covers both. It is resumed from the revision of its last answer. Failures guarded against: history that
+//! is no longer kept, a watch that was cut, and one that stays silent on a connection that looks alive. Each ends in
+//! a read of everything, which asks the store itself, not a copy that lags. The longest silence of a watch that
+//! is not noticed is [`Options::wait`](crate::ops::relay::options::Options) and [`ANSWER`].
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use sequoiastream_core::log_event;
+use sequoiastream_core::relay::engines::Engines;
+use sequoiastream_core::relay::engines::Entry;
+use sequoiastream_core::relay::engines::News;
+use sequoiastream_core::relay::routes::Table;
+use sequoiastream_kv::store::Change;
+use sequoiastream_kv::store::Item;
+use sequoiastream_kv::store::Store;
+use sequoiastream_kv::store::StoreError;
+
+use crate::log_event;
+use crate::ops::relay::peers::Fleet;
+use crate::ops::relay::register;
+use crate::ops::relay::shared::Shared;
+use crate::util::clock;
+
+/// Pause after the first failed call; doubles with each.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause: with it, an instance knows within a second that the store is back.
+const LONGEST: Duration = Duration::from_millis(800);
+
+/// How often engines whose entry is missing are looked through.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Everything that begins with this is read and watched.
+const ALL: &str = "";
+
+struct Follower {
+    shared: Arc<Shared>,
+    store: Rc<dyn Store>,
+    fleet: Fleet,
+    engines: Engines,
+    /// Revision of the configuration that is in force.
+    config: u64,
+    failures: u32,
+}
+
+/// Follows until the process ends.
+pub async fn run(shared: Arc<Shared>, store: Rc<dyn Store>, fleet: Fleet) {
+    let mut follower = Follower {
+        shared,
+        store,
+        fleet,
+        engines: Engines::new(),
+        config: 0,
+        failures: 0,
+    };
+    let mut from = None;
+    loop {
+        let known = match from {
+            None => follower.read().await,
+            Some(revision) => follower.watch(revision).await,
+        };
+        from = match known {
+            Ok(revision) => {
+                follower.on_success();
+                Some(revision)
+            }
+            Err(error) => {
+                follower.on_failure(&error).await;
+                None
+            }
+        };
+    }
+}
+
+impl Follower {
+    /// Reads everything, page by page.
+    async fn read(&mut self) -> Result<u64, StoreError> {
+        let mut items: Vec<Item> = Vec::new();
+        let mut revision = u64::MAX;
+        loop {
+            let after = items.last().map_or("", |item| &item.key);
+            let page = self.store.range(ALL, after).await?;
+            // Pages are no snapshot: what changed after the first one is in the watch that follows.
+            revision = revision.min(page.revision);
+            let last = page.items.is_empty();
+            items.extend(page.items);
+            if !page.more || last {
+                break;
+            }
+        }
+        self.on_all(revision, &items);
+        Ok(revision)
+    }
+
+    async fn watch(&mut self, revision: u64) -> Result<u64, StoreError> {
+        let wait = self.shared.options.wait;
+        let watch = self.store.clone();
+        let mut watch = watch.watch(ALL, revision, wait);
+        let changes = loop {
+            tokio::select! {
+                changes = &mut watch => break changes?,
+                () = tokio::time::sleep(TICK), if self.engines.is_waiting() => self.on_tick(),
+            }
+        };
+        for change in changes.changes {
+            self.on_change(change);
+        }
+        Ok(changes.revision.max(revision))
+    }
+
+    fn on_all(&mut self, revision: u64, items: &[Item]) {
+        let now = clock::now();
+        let entries = items.iter().filter_map(|item| self.entry(item));
+        let entries: Vec<(u64, Entry)> = entries.collect();
+        if self.engines.on_all(now, revision, entries) {
+            self.publish_engines();
+        }
+        for item in items {
+            self.on_config(item);
+        }
+        self.fleet.on_listed(register::listings(&self.shared, items));
+    }
+
+    fn on_change(&mut self, change: Change) {
+        let now = clock::now();
+        let news = match &change {
+            Change::Put(item) => {
+                self.on_config(item);
+                self.fleet.on_item(register::listing(&self.shared, item));
+                self.entry(item).map(|(at, entry)| News::Entry(at, entry))
+            }
+            Change::Removed { key, revision } => {
+                self.fleet.on_removed(register::name(&self.shared, key));
+                let id = self.shared.translate.engine_id(key);
+                id.map(|id| News::Gone(*revision, id.to_string()))
+            }
+        };
+        if news.is_some_and(|news| self.engines.on_news(now, news)) {
+            self.publish_engines();
+        }
+    }
+
+    fn on_tick(&mut self) {
+        if self.engines.on_tick(clock::now()) {
+            self.publish_engines();
+        }
+    }
+
+    /// An entry that can't be read names no engine; it doesn't stop the others.
+    fn entry(&self, item: &Item) -> Option<(u64, Entry)> {
+        self.shared.translate.engine_id(&item.key)?;
+        match self.shared.translate.engine(item) {
+            Ok(entry) => Some((item.revision, entry)),
+            Err(error) => {
+                log_event!(warn, log_event::ENTRY_UNREADABLE, key = %item.key, revision = item.revision, %error);
+                None
+            }
+        }
+    }
+
+    fn on_config(&mut self, item: &Item) {
+        if item.key != self.shared.translate.keys().config || item.revision <= self.config {
+            return;
+        }
+        match self.shared.translate.config(&item.value) {
+            Ok(table) => self.install(item.revision, table),
+            Err(error) => {
+                log_event!(error, log_event::CONFIG_UNREADABLE, revision = item.revision, %error);
+            }
+        }
+    }
+
+    /// Versions never go back, whoever offers them.
+    fn install(&mut self, revision: u64, table: Table) {
+        let before = self.shared.view.load().table.version;
+        if table.version < before {
+            log_event!(warn, log_event::CONFIG_STALE, before, offered = table.version);
+            return;
+        }
+        self.config = revision;
+        let version = table.version;
+        self.shared.publish(|view| view.table = Arc::new(table));
+        self.fleet.on_version(version);
+        log_event!(info, log_event::CONFIG_IN_FORCE, before, after = version, revision);
+    }
+
+    fn publish_engines(&self) {
+        let engines = Arc::new(self.engines.open());
+        let count = self.engines.len();
+        self.shared.publish(|view| view.engines = engines);
+        let view = self.shared.view.load();
+        let known: Vec<_> = view.keys().into_values().collect();
+        self.shared.ledger().book.retain(|key| known.contains(&key));
+        log_event!(info, log_event::ENGINES_CHANGED, known = count, open = known.len());
+    }
+
+    fn on_success(&mut self) {
+        if self.failures > 0 {
+            log_event!(info, log_event::KV_BACK, failures = self.failures);
+        }
+        self.failures = 0;
+        self.on_tick();
+    }
+
+    async fn on_failure(&mut self, error: &StoreError) {
+        if *error == StoreError::Compacted {
+            log_event!(info, log_event::KV_RESOLVED, %error);
+            return;
+        }
+        if self.failures == 0 {
+            log_event!(warn, log_event::KV_FAILED, %error, call = "follow");
+        }
+        self.engines.on_failure(clock::now());
+        let pause = PAUSE.saturating_mul(1 << self.failures.min(8)).min(LONGEST);
+        self.failures += 1;
+        let pause = pause.mul_f64(0.5 + rand::rng().random::<f64>());
+        tokio::time::sleep(pause).await;
+    }
+}
--- /dev/null
+++ b/src/ops/relay/forward.rs
@@ -0,0 +1,386 @@
+//! The attempts at one request, from its arrival to its final answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_web::HttpResponse;
+use actix_web::HttpResponseBuilder;
+use actix_web::http::StatusCode;
+use actix_web::http::header::HeaderName;
+use actix_web::http::header::HeaderValue;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::header;
+use sequoiastream_core::log_event;
+use sequoiastream_core::relay::book::Ticket;
+use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_core::relay::engines::EngineKey;
+use sequoiastream_core::relay::engines::Stage;
+use sequoiastream_core::relay::place::Chooser;
+use sequoiastream_core::relay::routes::Route;
+use sequoiastream_core::relay::verdict::Attempts;
+use sequoiastream_core::relay::verdict::End;
+use sequoiastream_core::relay::verdict::Next;
+use sequoiastream_upstream::channel::Answer;
+use sequoiastream_upstream::channel::Pool;
+
+use crate::log_event;
+use crate::ops::relay::reply::Reply;
+use crate::ops::relay::send::Ask;
+use crate::ops::relay::send::Extra;
+use crate::ops::relay::send::Failure;
+use crate::ops::relay::send::MAX_ANSWER;
+use crate::ops::relay::send::release;
+use crate::ops::relay::send::send;
+use crate::ops::relay::shared::Running;
+use crate::ops::relay::shared::Shared;
+use crate::ops::relay::shared::View;
+use crate::ops::relay::stream;
+use crate::ops::relay::stream::Opened;
+use crate::util::clock;
+
+/// How long freeing a kept prompt may take.
+const RELEASE: Duration = Duration::from_millis(500);
+
+/// Work noted at an engine; ends when dropped.
+pub struct Held {
+    shared: Arc<Shared>,
+    ticket: Ticket,
+}
+
+impl Held {
+    /// Notes that the prompt is read.
+    pub fn read(&self) {
+        self.shared.ledger().book.read(self.ticket);
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.shared.ledger().book.end(self.ticket);
+    }
+}
+
+/// A prompt that an engine has read and keeps.
+struct Kept {
+    engine: Engine,
+    name: String,
+}
+
+impl Kept {
+    fn source(&self) -> String {
+        format!("{}/{}", self.engine.entry.address, self.name)
+    }
+}
+
+/// One request on its way.
+pub struct Forward {
+    /// State of the instance.
+    pub shared: Arc<Shared>,
+    /// Connections to engines.
+    pub pool: Pool,
+    /// What the request is answered by.
+    pub view: Arc<View>,
+    /// The route it came on.
+    pub route: Arc<Route>,
+    /// What is asked.
+    pub ask: Ask,
+    /// The attempts so far.
+    pub attempts: Attempts,
+    tried: Vec<EngineKey>,
+    service: Option<String>,
+    running: Option<Running>,
+}
+
+impl Forward {
+    /// A request that was read.
+    pub fn new(
+        shared: Arc<Shared>,
+        pool: Pool,
+        view: Arc<View>,
+        route: Arc<Route>,
+        ask: Ask,
+        running: Running,
+    ) -> Forward {
+        let draw = ask.id.as_bytes().iter().fold(7_u64, |hash, byte| {
+            hash.wrapping_mul(31).wrapping_add(u64::from(*byte))
+        });
+        let attempts = Attempts::new(route.kind, route.attempts);
+        let service = route.service(draw).map(str::to_string);
+        Forward {
+            shared,
+            pool,
+            view,
+            ask,
+            attempts,
+            tried: Vec::new(),
+            service,
+            running: Some(running),
+            route,
+        }
+    }
+
+    /// Makes the attempts and returns the final answer.
+    pub async fn run(mut self) -> HttpResponse {
+        if let Some(service) = &self.service {
+            self.shared.ledger().budget.request(clock::now(), service);
+        }
+        if self.route.kind.is_stream() {
+            return self.stream().await;
+        }
+        loop {
+            match self.attempt().await {
+                Ok(response) => return response,
+                Err(Some(reply)) => return self.finish(reply),
+                Err(None) => {}
+            }
+        }
+    }
+
+    async fn stream(mut self) -> HttpResponse {
+        loop {
+            match self.open(self.ask.resume).await {
+                Ok(opened) => {
+                    let running = self.running.take();
+                    return stream::respond(self, opened, running);
+                }
+                Err(Some(reply)) => return self.finish(reply),
+                Err(None) => {}
+            }
+        }
+    }
+
+    fn finish(&self, reply: Reply) -> HttpResponse {
+        let waited = clock::now().since(self.ask.arrived).as_millis() as u64;
+        let id = String::from_utf8_lossy(self.ask.id.as_bytes());
+        log_event!(info, log_event::REFUSED, request = %id, route = %self.route.name, ?reply, waited,
+            sent = self.attempts.sent(), tried = self.tried.len());
+        reply.into_response()
+    }
+
+    /// One attempt at a request with a whole answer. `Err(None)` asks for another.
+    async fn attempt(&mut self) -> Result<HttpResponse, Option<Reply>> {
+        let Some(engine) = self.pick(|chooser, engines| chooser.plain(engines).cloned()) else {
+            return Err(Some(self.give_up()));
+        };
+        let _held = self.hold(&engine, 0);
+        let result = self.exchange(&engine).await;
+        match result {
+            Ok((answer, body)) => {
+                let failed = answer.head.status.is_server_error();
+                let end = if failed { End::Failed } else { End::Answered };
+                self.judge(engine.key, end);
+                let response = whole(&answer.head.headers, answer.head.status.as_u16(), body);
+                self.pool.keep(engine.entry.address, answer);
+                if failed && self.may_go_on(end) {
+                    return Err(None);
+                }
+                Ok(response)
+            }
+            Err(failure) => Err(self.on_failure(&engine, &failure)),
+        }
+    }
+
+    async fn exchange(&self, engine: &Engine) -> Result<(Answer, Bytes), Failure> {
+        let names = self.shared.translate.names();
+        let mut answer = send(&self.pool, names, &self.ask, engine, &Extra::default()).await?;
+        let body = answer.read(MAX_ANSWER, self.ask.left()).await?;
+        Ok((answer, body))
+    }
+
+    /// One attempt at a stream, up to its first event. `Err(None)` asks for another.
+    pub async fn open(&mut self, resume: Option<u64>) -> Result<Opened, Option<Reply>> {
+        let kept = match self.wants_reader() {
+            true => self.read_prompt().await?,
+            false => None,
+        };
+        let picked = self.pick(|chooser, engines| generator(chooser, engines).cloned());
+        let Some(engine) = picked else {
+            self.free(kept);
+            return Err(Some(self.give_up()));
+        };
+        let unread = match (&kept, &self.ask.prompt) {
+            (None, Some(prompt)) => u64::from(prompt.input),
+            _ => 0,
+        };
+        let held = self.hold(&engine, unread);
+        let extra = Extra {
+            prefill: false,
+            source: kept.as_ref().map(Kept::source),
+            resume,
+        };
+        let names = self.shared.translate.names();
+        let sent = send(&self.pool, names, &self.ask, &engine, &extra).await;
+        let opened = match sent {
+            Ok(answer) => stream::open(answer, engine.clone(), held, self.ask.left()).await,
+            Err(failure) => Err(failure),
+        };
+        match opened {
+            Ok(opened) => Ok(opened),
+            Err(failure) => {
+                if failure.end.proves_not_run() {
+                    self.free(kept);
+                }
+                Err(self.on_failure(&engine, &failure))
+            }
+        }
+    }
+
+    fn wants_reader(&self) -> bool {
+        let engines = self.service.as_ref().and_then(|s| self.view.engines.get(s));
+        let has_reader = engines.is_some_and(|e| e.iter().any(|e| e.entry.stage == Stage::Prefill));
+        self.ask.prompt.is_some() && has_reader
+    }
+
+    /// Has the prompt read. `Ok(None)` if no engine could: the generating one reads it then.
+    async fn read_prompt(&mut self) -> Result<Option<Kept>, Option<Reply>> {
+        let prompt = self.ask.prompt.clone();
+        let Some(prompt) = prompt else {
+            return Ok(None);
+        };
+        let picked = self.pick(|chooser, engines| chooser.reader(engines, Stage::Prefill, &prompt).cloned());
+        let Some(engine) = picked else {
+            return Ok(None);
+        };
+        let _held = self.hold(&engine, u64::from(prompt.own_tokens()));
+        let extra = Extra {
+            prefill: true,
+            ..Extra::default()
+        };
+        let read = self.call_reader(&engine, &extra).await;
+        match read {
+            Ok(name) => {
+                self.judge(engine.key, End::Answered);
+                Ok(Some(Kept { engine, name }))
+            }
+            Err(failure) => {
+                self.log_failure(&engine, &failure, "prefill");
+                self.judge(engine.key, failure.end);
+                if self.ask.left().is_zero() {
+                    return Err(Some(self.give_up()));
+                }
+                Ok(None)
+            }
+        }
+    }
+
+    async fn call_reader(&self, engine: &Engine, extra: &Extra) -> Result<String, Failure> {
+        let names = self.shared.translate.names();
+        let mut answer = send(&self.pool, names, &self.ask, engine, extra).await?;
+        let status = answer.head.status;
+        let body = answer.read(MAX_ANSWER, self.ask.left()).await?;
+        self.pool.keep(engine.entry.address, answer);
+        if !status.is_success() {
+            return Err(Failure::new(End::Failed, format!("status {status}")));
+        }
+        let kept = self.shared.translate.kept(&body);
+        kept.map_err(|e| Failure::new(End::Broken, e))
+    }
+
+    /// Frees a kept prompt that nobody will take.
+    fn free(&self, kept: Option<Kept>) {
+        let Some(kept) = kept else {
+            return;
+        };
+        let path = self.shared.translate.release(&kept.name);
+        let pool = self.pool.clone();
+        actix_rt::spawn(async move {
+            let address = kept.engine.entry.address;
+            if let Err(failure) = release(&pool, address, &path, RELEASE).await {
+                log_event!(debug, log_event::ATTEMPT_FAILED, engine = %kept.engine.entry.id, why = failure.why, call = "release");
+            }
+        });
+    }
+
+    fn pick<F>(&self, choose: F) -> Option<Engine>
+    where
+        F: FnOnce(&Chooser<'_>, &[Engine]) -> Option<Engine>,
+    {
+        let service = self.service.as_ref()?;
+        // The engines of now: one that left since the request came gets no work any more.
+        let view = self.shared.view.load();
+        let engines = view.engines.get(service)?;
+        let ledger = self.shared.ledger();
+        let chooser = Chooser {
+            book: &ledger.book,
+            now: clock::now(),
+            zone: self.shared.options.zone.as_str(),
+            tried: &self.tried,
+        };
+        choose(&chooser, engines)
+    }
+
+    fn hold(&self, engine: &Engine, tokens: u64) -> Held {
+        let ticket = self.shared.ledger().book.begin(engine.key, tokens);
+        Held {
+            shared: self.shared.clone(),
+            ticket,
+        }
+    }
+
+    /// Notes what the end of an attempt says of its engine.
+    pub fn judge(&self, engine: EngineKey, end: End) {
+        self.shared.ledger().book.judge(clock::now(), engine, end);
+    }
+
+    fn log_failure(&self, engine: &Engine, failure: &Failure, call: &str) {
+        let id = String::from_utf8_lossy(self.ask.id.as_bytes());
+        log_event!(info, log_event::ATTEMPT_FAILED, request = %id, route = %self.route.name,
+            engine = %engine.entry.id, end = ?failure.end, why = failure.why, call);
+    }
+
+    /// Takes the failure of an attempt; `None` if another may follow.
+    pub fn on_failure(&mut self, engine: &Engine, failure: &Failure) -> Option<Reply> {
+        self.log_failure(engine, failure, "send");
+        self.judge(engine.key, failure.end);
+        self.tried.push(engine.key);
+        match self.may_go_on(failure.end) {
+            true => None,
+            false => Some(self.give_up()),
+        }
+    }
+
+    /// Whether another attempt may follow one that ended so: by what it proved, and by the budget of all.
+    fn may_go_on(&mut self, end: End) -> bool {
+        if self.attempts.on_end(end) != Next::Again || self.ask.left().is_zero() {
+            return false;
+        }
+        let Some(service) = &self.service else {
+            return false;
+        };
+        let instances = self.view.instances;
+        !self.attempts.is_extra() || self.shared.ledger().budget.take(clock::now(), service, instances)
+    }
+
+    /// The final answer if nothing more is tried.
+    pub fn give_up(&self) -> Reply {
+        Reply::refuse(&self.attempts, self.ask.left())
+    }
+}
+
+fn generator<'e>(chooser: &Chooser<'_>, engines: &'e [Engine]) -> Option<&'e Engine> {
+    let decode = chooser.generator(engines, Stage::Decode);
+    decode.or_else(|| chooser.generator(engines, Stage::Whole))
+}
+
+/// The head of an answer as it goes to the caller.
+pub fn head(headers: &HeaderMap, status: u16) -> HttpResponseBuilder {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = HttpResponseBuilder::new(status);
+    for (name, value) in headers {
+        let hop = [header::CONNECTION, header::TRANSFER_ENCODING, header::CONTENT_LENGTH, header::TRAILER];
+        if hop.contains(name) || name == "keep-alive" {
+            continue;
+        }
+        let name = HeaderName::from_bytes(name.as_str().as_bytes());
+        let value = HeaderValue::from_bytes(value.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            builder.append_header((name, value));
+        }
+    }
+    builder
+}
+
+fn whole(headers: &HeaderMap, status: u16, body: Bytes) -> HttpResponse {
+    head(headers, status).body(body)
+}
--- /dev/null
+++ b/src/ops/relay/mod.rs
@@ -0,0 +1,88 @@
+//! Forwarding requests unchanged between callers and upstreams that both speak somebody else's protocol.
+//!
+//! [`edge`] is where that protocol comes in: names of headers, and the decoding of what the store and the engines
+//! hold. Control state lives on the thread that runs [`run`]: [`follow`] keeps up with the configuration and the
+//! engines, [`register`] makes this instance known, [`peers`] tells the others about load. They publish a view that
+//! the traffic thread reads: [`server`] takes requests, [`forward`] makes the attempts, [`stream`] passes events on.
+
+pub mod edge;
+pub mod follow;
+pub mod forward;
+pub mod options;
+pub mod peers;
+pub mod register;
+pub mod reply;
+pub mod send;
+pub mod server;
+pub mod shared;
+pub mod stream;
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use sequoiastream_core::log_event;
+use sequoiastream_kv::store::Store;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::log_event;
+use crate::ops::relay::edge::Translate;
+use crate::ops::relay::options::Options;
+use crate::ops::relay::shared::Shared;
+use crate::util::clock;
+
+/// How often a shutdown looks whether the last request is answered.
+const STEP: Duration = Duration::from_millis(20);
+
+/// Time at the end of the grace period that is left for the process itself to end.
+const EXIT: Duration = Duration::from_millis(500);
+
+/// Callers keep an address for up to so many times the time that the answer said.
+const KEEP_FACTOR: u32 = 3;
+
+/// Runs an instance until SIGTERM or SIGINT, then shuts down gracefully.
+///
+/// # Errors
+///
+/// If an address can't be bound or the server fails.
+pub async fn run(options: Options, store: Rc<dyn Store>, translate: Arc<dyn Translate>) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let shared = Arc::new(Shared::new(options, translate));
+    let server = server::start(shared.clone()).wrap_err("could not serve")?;
+    let socket = peers::bind(&shared).await.wrap_err("could not open the peers' socket")?;
+    let fleet = peers::start(shared.clone(), socket);
+    actix_rt::spawn(follow::run(shared.clone(), store.clone(), fleet.clone()));
+    let registration = register::start(shared.clone(), store);
+    log_event!(info, log_event::STARTED, address = %shared.options.front);
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    log_event!(info, log_event::STOPPING, running = shared.running());
+    shared.leaving.store(true, Ordering::SeqCst);
+    fleet.leave();
+    registration.end().await;
+    drain(&shared).await;
+    server.stop(false).await;
+    log_event!(info, log_event::STOPPED, running = shared.running());
+    Ok(())
+}
+
+/// Serves on for as long as callers may keep this address, then until the last answer is out or the grace ends.
+async fn drain(shared: &Shared) {
+    let begun = clock::now();
+    let kept = shared.options.keep * KEEP_FACTOR;
+    let most = shared.options.grace.saturating_sub(EXIT);
+    loop {
+        let passed = clock::now().since(begun);
+        let idle = shared.running() == 0;
+        if passed >= most || (passed >= kept && idle) {
+            return;
+        }
+        tokio::time::sleep(STEP).await;
+    }
+}
--- /dev/null
+++ b/src/ops/relay/options.rs
@@ -0,0 +1,34 @@
+//! Settings of a relaying instance.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sequoiastream_core::name::Name;
+use sequoiastream_core::relay::budget::Rule;
+
+/// Settings of a relaying instance.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Name of this instance, unique in the deployment.
+    pub name: Name,
+    /// Availability zone of this instance.
+    pub zone: Name,
+    /// Where callers send requests.
+    pub front: SocketAddr,
+    /// Where the platform asks whether this instance is ready.
+    pub ready: Option<SocketAddr>,
+    /// Where callers ask for addresses.
+    pub directory: Option<SocketAddr>,
+    /// Where other instances connect.
+    pub peer: SocketAddr,
+    /// Secret that all instances of the deployment share.
+    pub cluster: String,
+    /// How long callers are told to keep an answer about addresses.
+    pub keep: Duration,
+    /// Time between SIGTERM and the end.
+    pub grace: Duration,
+    /// What bounds extra attempts.
+    pub rule: Rule,
+    /// How long a watch of the store waits.
+    pub wait: Duration,
+}
--- /dev/null
+++ b/src/ops/relay/peers.rs
@@ -0,0 +1,267 @@
+//! The other instances: who they are, whether they are alive, and how much work they have at each engine.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sequoiastream_core::config::Version;
+use sequoiastream_core::log_event;
+use sequoiastream_core::membership::About;
+use sequoiastream_core::membership::Action;
+use sequoiastream_core::membership::CutRule;
+use sequoiastream_core::membership::Event;
+use sequoiastream_core::membership::Limits;
+use sequoiastream_core::membership::Listing;
+use sequoiastream_core::membership::MemberState;
+use sequoiastream_core::membership::Members;
+use sequoiastream_core::membership::Myself;
+use sequoiastream_core::name::Name;
+use sequoiastream_core::relay::book::Work;
+use sequoiastream_core::relay::digest::Digest;
+use sequoiastream_core::relay::engines::EngineKey;
+use sequoiastream_peer::PeerError;
+use sequoiastream_peer::datagram::DatagramSocket;
+use sequoiastream_peer::message::Datagram;
+use sequoiastream_peer::seal::ClusterKey;
+use uuid::Uuid;
+
+use crate::log_event;
+use crate::ops::relay::shared::Shared;
+use crate::util::clock;
+
+/// Time between two heartbeats.
+const INTERVAL: Duration = Duration::from_millis(400);
+
+/// A peer not heard of for so long isn't named to callers: four heartbeats may be lost in a row.
+const SILENT: Duration = Duration::from_millis(1_800);
+
+/// Peers that get each heartbeat and each message about load: all of today's fleet.
+const FANOUT: usize = 16;
+
+/// Time between two messages about load. An engine works off a request in tens of milliseconds; older news would
+/// describe work that is done.
+const LOAD_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Pause after the socket failed.
+const SOCKET_PAUSE: Duration = Duration::from_millis(100);
+
+/// Opens the socket on which peers speak.
+///
+/// # Errors
+///
+/// If the address can't be bound.
+pub async fn bind(shared: &Shared) -> std::io::Result<DatagramSocket> {
+    let options = &shared.options;
+    let key = ClusterKey::new(&options.cluster);
+    DatagramSocket::bind(options.peer, key, options.name.clone(), Uuid::now_v7()).await
+}
+
+struct State {
+    shared: Arc<Shared>,
+    socket: DatagramSocket,
+    members: RefCell<Members>,
+    listed: RefCell<BTreeMap<Name, Listing>>,
+    quiet: RefCell<bool>,
+}
+
+/// The fleet as this instance sees it; cheap to clone, stays on one thread.
+#[derive(Clone)]
+pub struct Fleet(Rc<State>);
+
+/// Starts to speak with the peers.
+pub fn start(shared: Arc<Shared>, socket: DatagramSocket) -> Fleet {
+    let options = &shared.options;
+    let about = About {
+        incarnation: clock::wall().0,
+        number: 0,
+        zone: options.zone.clone(),
+        address: options.front,
+        peer: options.peer,
+        state: MemberState::Live,
+        version: Version::default(),
+        silence: u32::MAX,
+    };
+    let myself = Myself {
+        name: options.name.clone(),
+        seed: about.incarnation,
+        about,
+    };
+    let limits = Limits {
+        interval: INTERVAL,
+        fanout: FANOUT,
+        silent: SILENT,
+        rule: CutRule::Serve,
+        ..Limits::default()
+    };
+    let fleet = Fleet(Rc::new(State {
+        shared,
+        socket,
+        members: RefCell::new(Members::new(myself, limits)),
+        listed: RefCell::default(),
+        quiet: RefCell::new(true),
+    }));
+    actix_rt::spawn(receive(fleet.clone()));
+    actix_rt::spawn(beat(fleet.clone()));
+    actix_rt::spawn(tell(fleet.clone()));
+    fleet
+}
+
+async fn receive(fleet: Fleet) {
+    loop {
+        match fleet.0.socket.receive().await {
+            Ok((name, Datagram::Beat(beat))) => fleet.on(Event::Heard(name, beat)),
+            Ok((name, Datagram::Load(digest))) => fleet.on_load(&name, digest),
+            Ok((_, Datagram::Ping)) => {}
+            Err(PeerError::Broken(error)) => {
+                log_event!(warn, log_event::PEER_FAILED, %error, call = "receive");
+                tokio::time::sleep(SOCKET_PAUSE).await;
+            }
+            Err(error) => log_event!(debug, log_event::PEER_REFUSED, %error),
+        }
+    }
+}
+
+async fn beat(fleet: Fleet) {
+    loop {
+        fleet.on(Event::Tick);
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
+
+async fn tell(fleet: Fleet) {
+    loop {
+        tokio::time::sleep(LOAD_INTERVAL).await;
+        fleet.tell().await;
+    }
+}
+
+impl Fleet {
+    /// Takes the list of instances in the store.
+    pub fn on_listed(&self, listings: Vec<Listing>) {
+        let listed = listings.into_iter().map(|l| (l.name.clone(), l)).collect();
+        *self.0.listed.borrow_mut() = listed;
+        self.relist();
+    }
+
+    /// Takes an instance that was added to the list, if it is one.
+    pub fn on_item(&self, listing: Option<Listing>) {
+        let Some(listing) = listing else {
+            return;
+        };
+        self.0.listed.borrow_mut().insert(listing.name.clone(), listing);
+        self.relist();
+    }
+
+    /// Takes an instance off the list, if it is one.
+    pub fn on_removed(&self, name: Option<Name>) {
+        let Some(name) = name else {
+            return;
+        };
+        self.0.listed.borrow_mut().remove(&name);
+        self.relist();
+    }
+
+    /// Tells the peers which configuration is in force here.
+    pub fn on_version(&self, version: u64) {
+        self.on(Event::InForce(Version(version)));
+    }
+
+    /// Tells the peers that this instance leaves.
+    pub fn leave(&self) {
+        self.on(Event::Leave);
+    }
+
+    fn relist(&self) {
+        let listed = self.0.listed.borrow().values().cloned().collect();
+        self.on(Event::Listed(listed));
+    }
+
+    fn on(&self, event: Event) {
+        let actions = self.0.members.borrow_mut().on(clock::now(), event);
+        let mut publish = false;
+        for action in actions {
+            match action {
+                Action::Send(to, beat) => self.send(to, Datagram::Beat(beat)),
+                Action::Publish => publish = true,
+                Action::Ahead(..) | Action::Woke => {}
+            }
+        }
+        if publish {
+            self.publish();
+        }
+    }
+
+    fn send(&self, to: SocketAddr, body: Datagram) {
+        let fleet = self.clone();
+        actix_rt::spawn(async move {
+            if let Err(error) = fleet.0.socket.send(to, body).await {
+                log_event!(debug, log_event::PEER_FAILED, %to, %error, call = "send");
+            }
+        });
+    }
+
+    fn publish(&self) {
+        let roster = self.0.members.borrow().roster(clock::now());
+        let own = self.0.shared.options.front;
+        let open = roster.peers.iter().filter(|p| p.is_open());
+        let mut addresses: Vec<SocketAddr> = open.map(|p| p.address).collect();
+        if self.0.shared.is_ready() {
+            addresses.push(own);
+        }
+        addresses.sort();
+        addresses.dedup();
+        let instances = roster.peers.len() + 1;
+        let view = self.0.shared.view.load();
+        if view.addresses != addresses || view.instances != instances {
+            self.0.shared.publish(|view| {
+                view.addresses = addresses;
+                view.instances = instances;
+            });
+        }
+    }
+
+    fn on_load(&self, name: &Name, digest: Digest) {
+        let view = self.0.shared.view.load();
+        let keys = view.keys();
+        let work: BTreeMap<EngineKey, Work> = digest
+            .shares
+            .into_iter()
+            .filter_map(|share| {
+                let key = keys.get(share.engine.as_str())?;
+                let (requests, tokens) = (share.requests, share.tokens);
+                Some((*key, Work { requests, tokens }))
+            })
+            .collect();
+        let mut ledger = self.0.shared.ledger();
+        ledger.book.on_peer(clock::now(), name.as_str(), work);
+    }
+
+    /// Tells the peers about this instance's work, unless there is none and they know it.
+    async fn tell(&self) {
+        let view = self.0.shared.view.load_full();
+        let all = self.0.shared.ledger().book.all();
+        let quiet = all.is_empty();
+        if self.0.quiet.replace(quiet) && quiet {
+            return;
+        }
+        let keys = view.keys();
+        let work = keys.iter().filter_map(|(id, key)| {
+            let work = all.get(key)?;
+            Some((id.to_string(), *work))
+        });
+        let digest = Digest::new(work.collect(), 0);
+        let peers: Vec<SocketAddr> = {
+            let roster = self.0.members.borrow().roster(clock::now());
+            let heard = roster.peers.iter().filter(|p| p.heard);
+            heard.map(|p| p.peer).take(FANOUT).collect()
+        };
+        for peer in peers {
+            if let Err(error) = self.0.socket.send(peer, Datagram::Load(digest.clone())).await {
+                log_event!(debug, log_event::PEER_FAILED, to = %peer, %error, call = "load");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/ops/relay/send.rs
@@ -0,0 +1,188 @@
+//! One attempt: a request on its way to one engine, until the head of an answer that is the engine's own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::Uri;
+use http_body_util::Full;
+use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_core::relay::prompt::Prompt;
+use sequoiastream_core::relay::verdict::End;
+use sequoiastream_core::time::Time;
+use sequoiastream_upstream::channel::Answer;
+use sequoiastream_upstream::channel::ChannelError;
+use sequoiastream_upstream::channel::Pool;
+
+use crate::ops::relay::edge::Names;
+use crate::util::clock;
+
+/// How long a new connection to an engine is waited for: engines answer the opening packet at once or are full.
+const CONNECT: Duration = Duration::from_millis(400);
+
+/// Longest answer that is not a stream, in bytes.
+pub const MAX_ANSWER: usize = 8 << 20;
+
+/// What a caller asks, decoded.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// Method.
+    pub method: Method,
+    /// Path and query, as they came.
+    pub uri: Uri,
+    /// Headers that are passed on.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Id of the caller's attempt.
+    pub id: HeaderValue,
+    /// The shape of the prompt, if it carries one.
+    pub prompt: Option<Prompt>,
+    /// The last event that the caller has.
+    pub resume: Option<u64>,
+    /// When it came.
+    pub arrived: Time,
+    /// When its time is over: the caller's deadline or the route's timeout.
+    pub until: Time,
+    /// When the caller stops waiting.
+    pub deadline: Time,
+}
+
+impl Ask {
+    /// What is left of its time.
+    pub fn left(&self) -> Duration {
+        self.until.since(clock::now())
+    }
+}
+
+/// What goes with an attempt besides what the caller asked.
+#[derive(Debug, Clone, Default)]
+pub struct Extra {
+    /// Ask only to read the prompt.
+    pub prefill: bool,
+    /// Where the prompt lies that was read.
+    pub source: Option<String>,
+    /// The last event delivered.
+    pub resume: Option<u64>,
+}
+
+/// Why an attempt brought no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Failure {
+    /// What it proves.
+    pub end: End,
+    /// For the log.
+    pub why: String,
+}
+
+impl Failure {
+    /// An attempt that ended as `end` because of `why`.
+    pub fn new<W>(end: End, why: W) -> Failure
+    where
+        W: std::fmt::Display,
+    {
+        let why = why.to_string();
+        Failure { end, why }
+    }
+}
+
+impl From<ChannelError> for Failure {
+    fn from(error: ChannelError) -> Failure {
+        let end = match &error {
+            ChannelError::Unsent(_) => End::Unsent,
+            ChannelError::Broken(_) | ChannelError::TooLong(_) => End::Broken,
+            ChannelError::Silent => End::Silent,
+        };
+        Failure::new(end, error)
+    }
+}
+
+/// Sends `ask` to `engine` and returns the head of its answer, once it is sure that it is the engine's answer to this
+/// request.
+///
+/// # Errors
+///
+/// [`Failure`] says what the end proves.
+pub async fn send(
+    pool: &Pool,
+    names: &Names,
+    ask: &Ask,
+    engine: &Engine,
+    extra: &Extra,
+) -> Result<Answer, Failure> {
+    let address = engine.entry.address;
+    let channel = pool.take(address, CONNECT.min(ask.left())).await?;
+    let left = ask.left();
+    if left.is_zero() {
+        return Err(Failure::new(End::Unsent, "its time is over"));
+    }
+    let request = request(names, ask, engine, extra)?;
+    let answer = channel.send(request, left).await?;
+    check(names, ask, extra, answer)
+}
+
+fn request(names: &Names, ask: &Ask, engine: &Engine, extra: &Extra) -> Result<Request<Full<Bytes>>, Failure> {
+    let unsent = |e: &dyn std::fmt::Display| Failure::new(End::Unsent, e);
+    let mut request = Request::new(Full::new(ask.body.clone()));
+    *request.method_mut() = ask.method.clone();
+    *request.uri_mut() = ask.uri.clone();
+    let headers = request.headers_mut();
+    *headers = ask.headers.clone();
+    let left = ask.deadline.since(clock::now()).min(ask.left());
+    headers.insert(&names.deadline, HeaderValue::from(left.as_millis() as u64));
+    let expect = HeaderValue::from_str(&engine.entry.id).map_err(|e| unsent(&e))?;
+    headers.insert(&names.expect, expect);
+    if extra.prefill {
+        headers.insert(&names.stage, HeaderValue::from_static(names.prefill));
+    }
+    if let Some(source) = &extra.source {
+        let source = HeaderValue::from_str(source).map_err(|e| unsent(&e))?;
+        headers.insert(&names.source, source);
+    }
+    if let Some(event) = extra.resume.or(ask.resume) {
+        headers.insert(&names.resume, HeaderValue::from(event));
+    }
+    Ok(request)
+}
+
+/// Failure guarded against: the engine sends a second answer to an earlier request, or somebody else's, where this one
+/// is due. Its id tells. An answer that declines proves that nothing ran; a success must be signed.
+fn check(names: &Names, ask: &Ask, extra: &Extra, answer: Answer) -> Result<Answer, Failure> {
+    let headers = &answer.head.headers;
+    let status = answer.head.status;
+    let foreign = headers.get(&names.request).is_some_and(|id| id != ask.id);
+    if foreign {
+        return Err(Failure::new(End::Broken, "the answer is another request's"));
+    }
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(Failure::new(End::Misdirected, "another engine has the address"));
+    }
+    if headers.contains_key(&names.declined) {
+        return Err(Failure::new(End::Declined, format!("declined with {status}")));
+    }
+    if status.is_success() && !extra.prefill && !headers.contains_key(&names.seal) {
+        return Err(Failure::new(End::Broken, "the answer is not signed"));
+    }
+    if status.is_informational() || headers.contains_key(http::header::CONTENT_ENCODING) {
+        return Err(Failure::new(End::Broken, "the answer is not the engine's own bytes"));
+    }
+    Ok(answer)
+}
+
+/// Frees a prompt that an engine keeps and nobody will take.
+pub async fn release(pool: &Pool, address: SocketAddr, path: &str, limit: Duration) -> Result<(), Failure> {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.method_mut() = Method::DELETE;
+    *request.uri_mut() = path
+        .parse()
+        .map_err(|e: http::uri::InvalidUri| Failure::new(End::Unsent, e))?;
+    let host = HeaderValue::from_str(&address.to_string()).map_err(|e| Failure::new(End::Unsent, e))?;
+    request.headers_mut().insert(http::header::HOST, host);
+    sequoiastream_upstream::channel::call(pool, address, request, MAX_ANSWER, limit).await?;
+    Ok(())
+}
--- /dev/null
+++ b/src/ops/relay/shared.rs
@@ -0,0 +1,133 @@
+//! What the control thread and the traffic thread share.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use arc_swap::ArcSwap;
+use sequoiastream_core::relay::book::Book;
+use sequoiastream_core::relay::budget::Budget;
+use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_core::relay::engines::EngineKey;
+use sequoiastream_core::relay::routes::Table;
+
+use crate::ops::relay::edge::Translate;
+use crate::ops::relay::options::Options;
+
+/// What requests are answered by: never changed, only replaced.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    /// Routes and services.
+    pub table: Arc<Table>,
+    /// Engines that may get work, by service.
+    pub engines: Arc<BTreeMap<String, Vec<Engine>>>,
+    /// Where callers may go, this instance included.
+    pub addresses: Vec<SocketAddr>,
+    /// Instances that share the budget of extra attempts.
+    pub instances: usize,
+}
+
+impl View {
+    /// Whether a configuration is known.
+    pub fn is_configured(&self) -> bool {
+        self.table.version > 0
+    }
+
+    /// The key of each engine by its id.
+    pub fn keys(&self) -> BTreeMap<&str, EngineKey> {
+        let engines = self.engines.values().flatten();
+        engines.map(|e| (e.entry.id.as_str(), e.key)).collect()
+    }
+}
+
+/// Load, health and budget: changed by every request, under a lock that is never held across an await.
+#[derive(Debug)]
+pub struct Ledger {
+    /// Load and health of engines.
+    pub book: Book,
+    /// Budget of extra attempts.
+    pub budget: Budget,
+}
+
+/// What the threads of an instance share.
+pub struct Shared {
+    /// Settings.
+    pub options: Options,
+    /// The edge to the protocol spoken.
+    pub translate: Arc<dyn Translate>,
+    /// What requests are answered by.
+    pub view: ArcSwap<View>,
+    /// Set once the instance shuts down.
+    pub leaving: AtomicBool,
+    ledger: Mutex<Ledger>,
+    running: Arc<AtomicUsize>,
+}
+
+/// Counts one request as running until dropped.
+#[derive(Debug)]
+pub struct Running(Arc<AtomicUsize>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Shared {
+    /// State before anything is known.
+    pub fn new(options: Options, translate: Arc<dyn Translate>) -> Shared {
+        let ledger = Ledger {
+            book: Book::new(),
+            budget: Budget::new(options.rule),
+        };
+        Shared {
+            options,
+            translate,
+            view: ArcSwap::default(),
+            leaving: AtomicBool::new(false),
+            ledger: Mutex::new(ledger),
+            running: Arc::default(),
+        }
+    }
+
+    /// Load, health and budget.
+    pub fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().expect("no thread panics while it holds the ledger")
+    }
+
+    /// Replaces the view by a changed copy.
+    pub fn publish<F>(&self, change: F)
+    where
+        F: FnOnce(&mut View),
+    {
+        let mut view = View::clone(&self.view.load());
+        change(&mut view);
+        self.view.store(Arc::new(view));
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.view.load().is_configured()
+    }
+
+    /// Whether the instance shuts down.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Counts a request as running.
+    pub fn begin(&self) -> Running {
+        self.running.fetch_add(1, Ordering::SeqCst);
+        Running(self.running.clone())
+    }
+
+    /// Requests that are running.
+    pub fn running(&self) -> usize {
+        self.running.load(Ordering::SeqCst)
+    }
+}
--- a/src/ops/shared.rs
+++ b/src/ops/shared.rs
@@ -19,7 +19,7 @@
 use sequoiastream_core::route::Router;
 use sequoiastream_core::snapshot::Snapshot;
 use sequoiastream_core::time::Time;
-use sequoiastream_platform::CallMeter;
+use sequoiastream_kv::CallMeter;
 use tokio::sync::watch;
 
 use crate::ops::policy;
--- a/src/util/metrics/mod.rs
+++ b/src/util/metrics/mod.rs
@@ -16,7 +16,7 @@
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::registry::Registry;
-use sequoiastream_platform::CallMeter;
+use sequoiastream_kv::CallMeter;
 
 pub use authority::AuthorityMetrics;
 pub use claims::ClaimMetrics;
--- a/src/util/metrics/platform.rs
+++ b/src/util/metrics/platform.rs
@@ -9,9 +9,9 @@
 use prometheus_client::metrics::MetricType;
 use prometheus_client::metrics::counter::ConstCounter;
 use prometheus_client::registry::Registry;
-use sequoiastream_platform::CallCount;
-use sequoiastream_platform::CallKind;
-use sequoiastream_platform::CallMeter;
+use sequoiastream_kv::CallCount;
+use sequoiastream_kv::CallKind;
+use sequoiastream_kv::CallMeter;
 
 /// Shows what a meter counted.
 #[derive(Debug)]
--- a/tests/testsuite/claims/faults.rs
+++ b/tests/testsuite/claims/faults.rs
@@ -13,7 +13,7 @@
 use sequoiastream_core::claims::Bucket;
 use sequoiastream_core::claims::ClaimRef;
 use sequoiastream_core::name::Name;
-use sequoiastream_platform::EntryBody;
+use sequoiastream_kv::EntryBody;
 use sequoiastream_standin::platform::Fault;
 use sequoiastream_standin::platform::Stats;
 use sequoiastream_testsupport::fleet::Fleet;
--- a/tests/testsuite/shutdown.rs
+++ b/tests/testsuite/shutdown.rs
@@ -16,7 +16,7 @@
 use sequoiastream_core::shutdown::Shutdown;
 use sequoiastream_core::shutdown::Times;
 use sequoiastream_core::time::Time;
-use sequoiastream_platform::ListedState;
+use sequoiastream_kv::ListedState;
 use sequoiastream_standin::engine::expected_text;
 use sequoiastream_testsupport::fleet::Fleet;
 use sequoiastream_testsupport::fleet::KEY;
