--- a/crates/core/src/relay/book.rs
+++ b/crates/core/src/relay/book.rs
@@ -21,6 +21,24 @@
 /// Part of a new observation in the mean rate of failures.
 const FAILURE_GAIN: f64 = 0.1;
 
+/// Prompt tokens that an engine reads in a millisecond, until it was seen at it: what the users' sheets say.
+const SPEED: f64 = 400.0;
+
+/// Speeds outside are taken for faults of the measurement.
+const SPEEDS: std::ops::RangeInclusive<f64> = 10.0..=2_000.0;
+
+/// Part of a new observation in the mean speed: a slow engine shows after about ten prompts.
+const SPEED_GAIN: f64 = 0.1;
+
+/// Fewest tokens whose reading says something of the speed; below, the call itself takes as long.
+const SPEED_TOKENS: u64 = 2_000;
+
+/// Time from a prompt's being read to the first event, until it was seen: transfer, a step and two calls.
+const HANDOVER: Duration = Duration::from_millis(15);
+
+/// Part of a new observation in the mean of that time.
+const HANDOVER_GAIN: f64 = 0.05;
+
 /// Work at an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Work {
@@ -56,6 +74,7 @@
     faults: u32,
     avoid: Option<Time>,
     failures: f64,
+    speed: Option<f64>,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -67,6 +86,7 @@
 /// The load and health of all engines, as this instance sees them.
 #[derive(Debug, Clone, Default)]
 pub struct Book {
+    handover: Option<Duration>,
     loads: BTreeMap<EngineKey, Load>,
     jobs: BTreeMap<Ticket, Job>,
     peers: BTreeMap<String, Told>,
@@ -130,6 +150,35 @@
         }
     }
 
+    /// Notes that an engine read `tokens`, its whole backlog when they were sent, in `took`.
+    pub fn on_read(&mut self, engine: EngineKey, tokens: u64, took: Duration) {
+        let millis = took.as_secs_f64() * 1_000.0;
+        if tokens < SPEED_TOKENS || millis <= 0.0 {
+            return;
+        }
+        let seen = (tokens as f64 / millis).clamp(*SPEEDS.start(), *SPEEDS.end());
+        let load = self.loads.entry(engine).or_default();
+        let speed = load.speed.unwrap_or(SPEED);
+        load.speed = Some(speed + SPEED_GAIN * (seen - speed));
+    }
+
+    /// Prompt tokens that an engine reads in a millisecond.
+    pub fn speed(&self, engine: EngineKey) -> f64 {
+        let seen = self.loads.get(&engine).and_then(|load| load.speed);
+        seen.unwrap_or(SPEED)
+    }
+
+    /// Notes how long it took from a prompt's being read to the first event.
+    pub fn on_handover(&mut self, took: Duration) {
+        let mean = self.handover();
+        self.handover = Some(mean.mul_f64(1.0 - HANDOVER_GAIN) + took.mul_f64(HANDOVER_GAIN));
+    }
+
+    /// How long it takes from a prompt's being read to the first event.
+    pub fn handover(&self) -> Duration {
+        self.handover.unwrap_or(HANDOVER)
+    }
+
     /// Notes the work that a peer says it has.
     pub fn on_peer(&mut self, now: Time, peer: &str, work: BTreeMap<EngineKey, Work>) {
         let told = self.peers.entry(peer.to_string()).or_default();
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -11,4 +11,5 @@
 pub mod place;
 pub mod prompt;
 pub mod routes;
+pub mod stages;
 pub mod verdict;
--- a/crates/core/src/relay/place.rs
+++ b/crates/core/src/relay/place.rs
@@ -4,6 +4,8 @@
 //! every instance works out the same home for a part by rendezvous hashing, without a message. The home is left when
 //! the wait there is longer than reading the parts anew elsewhere takes.
 
+use std::time::Duration;
+
 use crate::relay::book::Book;
 use crate::relay::engines::Engine;
 use crate::relay::engines::EngineKey;
@@ -21,6 +23,19 @@
 /// A mean rate of failures from which on an engine counts as failing, if others of its service are half as bad.
 const FAILING: f64 = 0.3;
 
+/// A prompt that an engine is to read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reading {
+    /// The engine.
+    pub engine: Engine,
+    /// Tokens that it will have to read for it.
+    pub tokens: u64,
+    /// These, and all that are before them.
+    pub backlog: u64,
+    /// How long that takes.
+    pub takes: Duration,
+}
+
 /// What a choice is made by.
 #[derive(Debug, Clone, Copy)]
 pub struct Chooser<'a> {
@@ -41,18 +56,25 @@
         open.into_iter().min_by_key(|e| (self.wait(e), e.key))
     }
 
-    /// The engine that reads a prompt, of those at `stage`.
-    pub fn reader<'e>(&self, engines: &'e [Engine], stage: Stage, prompt: &Prompt) -> Option<&'e Engine> {
+    /// The engine that reads a prompt, of those at `stage`, and when it will have read it.
+    pub fn reader(&self, engines: &[Engine], stage: Stage, prompt: &Prompt) -> Option<Reading> {
         let staged: Vec<Engine> = staged(engines, stage).cloned().collect();
         let open = self.open(&staged);
         let shared = prompt.shared();
         let home = shared.and_then(|part| home(open.iter().copied(), part.id));
-        let best = open.into_iter().min_by_key(|e| {
-            let known = home == Some(e.key);
-            let read = if known { prompt.own_tokens() } else { prompt.input };
-            (self.wait(e) + u64::from(read), e.key)
-        })?;
-        engines.iter().find(|e| e.key == best.key)
+        let readings = open.into_iter().map(|engine| {
+            let known = home == Some(engine.key);
+            let tokens = if known { prompt.own_tokens() } else { prompt.input };
+            let backlog = self.book.work(self.now, engine.key).tokens + u64::from(tokens);
+            let millis = backlog as f64 / self.book.speed(engine.key);
+            Reading {
+                engine: engine.clone(),
+                tokens: u64::from(tokens),
+                backlog,
+                takes: Duration::from_secs_f64(millis / 1_000.0),
+            }
+        });
+        readings.min_by_key(|reading| (reading.takes, reading.engine.key))
     }
 
     /// The engine that generates, of those at `stage`.
@@ -62,6 +84,12 @@
         engines.iter().find(|e| e.key == best)
     }
 
+    /// Whether an engine has all the work that it can hold: what it works on, and as much again that waits.
+    pub fn is_full(&self, engine: &Engine) -> bool {
+        let slots = engine.entry.slots.max(1);
+        self.book.work(self.now, engine.key).requests >= 2 * slots
+    }
+
     /// Healthy engines that were not tried yet; else those that were not tried; else none.
     fn open<'e>(&self, engines: &'e [Engine]) -> Vec<&'e Engine> {
         let fresh: Vec<&Engine> = engines.iter().filter(|e| !self.tried.contains(&e.key)).collect();
@@ -81,7 +109,11 @@
     /// The wait at an engine, in prompt tokens.
     fn wait(&self, engine: &Engine) -> u64 {
         let work = self.book.work(self.now, engine.key);
-        let zone = if engine.entry.zone == self.zone { 0 } else { ZONE_TOKENS };
+        let zone = if engine.entry.zone == self.zone {
+            0
+        } else {
+            ZONE_TOKENS
+        };
         work.tokens + u64::from(work.requests) * REQUEST_TOKENS + zone
     }
 }
--- /dev/null
+++ b/crates/core/src/relay/stages.rs
@@ -0,0 +1,61 @@
+//! How many engines of a service read prompts for the others, and which ones change their stage for that.
+//!
+//! An order to change stage may be lost, or carried out seconds later, and an engine need not check who gives it. So an
+//! engine gets one order in its life at most: whoever creates its record in the store gives it, and nobody else ever
+//! does. There is no holder to be overtaken, and no order that a late one could conflict with. What is paid for it: the
+//! split follows the engines that come and go, not each swing of the mix.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::relay::engines::Engine;
+use crate::relay::engines::Stage;
+
+/// Engines that generate, at least: one may be lost.
+const MIN_GENERATORS: usize = 2;
+
+/// An order that is to be given.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StageOrder {
+    /// The engine's id.
+    pub engine: String,
+    /// What it is to be.
+    pub stage: Stage,
+}
+
+/// The orders that bring the engines of a service to the split in which `readers` of 1.0 read. `ordered` are those
+/// that have had their order.
+pub fn plan(engines: &[Engine], ordered: &BTreeMap<String, Stage>, readers: f64) -> Vec<StageOrder> {
+    let staged: Vec<&Engine> = engines.iter().filter(|e| e.entry.stage != Stage::Whole).collect();
+    let most = staged.len().saturating_sub(MIN_GENERATORS);
+    let wanted = ((staged.len() as f64 * readers).round() as usize).min(most);
+    // An engine that was ordered to is counted as what it will be.
+    let becomes = |e: &Engine| ordered.get(&e.entry.id).copied().unwrap_or(e.entry.stage);
+    let reading = staged.iter().filter(|e| becomes(e) == Stage::Prefill).count();
+    let (stage, count) = match reading.cmp(&wanted) {
+        std::cmp::Ordering::Less => (Stage::Prefill, wanted - reading),
+        std::cmp::Ordering::Equal => return Vec::new(),
+        std::cmp::Ordering::Greater => (Stage::Decode, reading - wanted),
+    };
+    let mut left: Vec<&Engine> = staged.into_iter().filter(|e| becomes(e) != stage).collect();
+    let mut orders = Vec::new();
+    while orders.len() < count {
+        let Some(at) = next(&left, ordered) else {
+            break;
+        };
+        let engine = left.remove(at);
+        orders.push(StageOrder {
+            engine: engine.entry.id.clone(),
+            stage,
+        });
+    }
+    orders
+}
+
+/// The engine that changes next: of the zone with most of its stage left, so that each zone keeps some.
+fn next(left: &[&Engine], ordered: &BTreeMap<String, Stage>) -> Option<usize> {
+    let zone = |e: &Engine| left.iter().filter(|o| o.entry.zone == e.entry.zone).count();
+    let taken: BTreeSet<&str> = ordered.keys().map(String::as_str).collect();
+    let free = (0..left.len()).filter(|i| !taken.contains(left[*i].entry.id.as_str()));
+    free.max_by_key(|i| (zone(left[*i]), &left[*i].entry.id))
+}
--- a/src/ops/relay/edge.rs
+++ b/src/ops/relay/edge.rs
@@ -2,6 +2,7 @@
 
 use http::HeaderName;
 use sequoiastream_core::relay::engines::Entry;
+use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::prompt::Prompt;
 use sequoiastream_core::relay::routes::Table;
 use sequoiastream_kv::store::Item;
@@ -66,17 +67,21 @@
     pub config: String,
     /// What the keys of engines begin with.
     pub engines: String,
-    /// What the keys of this product begin with.
+    /// What the keys of instances begin with.
     pub own: String,
+    /// What the keys of orders to engines begin with.
+    pub orders: String,
 }
 
-/// Paths of calls that others make to an instance.
+/// Paths of calls that others make to an instance, and that it makes to engines.
 #[derive(Debug, Clone)]
 pub struct Paths {
     /// Whether it is ready.
     pub ready: String,
     /// Which addresses to use.
     pub resolve: String,
+    /// An order to an engine.
+    pub order: String,
 }
 
 /// The translation between somebody else's formats and the product's types.
@@ -124,6 +129,9 @@
     /// The path of the call that frees a prompt that is kept.
     fn release(&self, kept: &str) -> String;
 
+    /// Writes an order to change stage.
+    fn order(&self, stage: Stage, holder: &str, fence: u64) -> String;
+
     /// Writes the answer to the question for addresses.
     fn addresses(&self, addresses: &[std::net::SocketAddr], keep: std::time::Duration) -> String;
 }
--- a/src/ops/relay/follow.rs
+++ b/src/ops/relay/follow.rs
@@ -21,6 +21,7 @@
 use sequoiastream_kv::store::StoreError;
 
 use crate::log_event;
+use crate::ops::relay::orders::Ordered;
 use crate::ops::relay::peers::Fleet;
 use crate::ops::relay::register;
 use crate::ops::relay::shared::Shared;
@@ -122,6 +123,7 @@
         }
         for item in items {
             self.on_config(item);
+            self.on_order(item);
         }
         self.fleet.on_listed(register::listings(&self.shared, items));
     }
@@ -131,6 +133,7 @@
         let news = match &change {
             Change::Put(item) => {
                 self.on_config(item);
+                self.on_order(item);
                 self.fleet.on_item(register::listing(&self.shared, item));
                 self.entry(item).map(|(at, entry)| News::Entry(at, entry))
             }
@@ -151,6 +154,13 @@
         }
     }
 
+    fn on_order(&mut self, item: &Item) {
+        let mut ordered = Ordered::clone(&self.shared.view.load().ordered);
+        if ordered.on_item(self.shared.translate.as_ref(), item) {
+            self.shared.publish(|view| view.ordered = Arc::new(ordered));
+        }
+    }
+
     /// An entry that can't be read names no engine; it doesn't stop the others.
     fn entry(&self, item: &Item) -> Option<(u64, Entry)> {
         self.shared.translate.engine_id(&item.key)?;
@@ -186,7 +196,13 @@
         let version = table.version;
         self.shared.publish(|view| view.table = Arc::new(table));
         self.fleet.on_version(version);
-        log_event!(info, log_event::CONFIG_IN_FORCE, before, after = version, revision);
+        log_event!(
+            info,
+            log_event::CONFIG_IN_FORCE,
+            before,
+            after = version,
+            revision
+        );
     }
 
     fn publish_engines(&self) {
@@ -196,7 +212,12 @@
         let view = self.shared.view.load();
         let known: Vec<_> = view.keys().into_values().collect();
         self.shared.ledger().book.retain(|key| known.contains(&key));
-        log_event!(info, log_event::ENGINES_CHANGED, known = count, open = known.len());
+        log_event!(
+            info,
+            log_event::ENGINES_CHANGED,
+            known = count,
+            open = known.len()
+        );
     }
 
     fn on_success(&mut self) {
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -17,10 +17,12 @@
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::place::Chooser;
+use sequoiastream_core::relay::place::Reading;
 use sequoiastream_core::relay::routes::Route;
 use sequoiastream_core::relay::verdict::Attempts;
 use sequoiastream_core::relay::verdict::End;
 use sequoiastream_core::relay::verdict::Next;
+use sequoiastream_core::time::Time;
 use sequoiastream_upstream::channel::Answer;
 use sequoiastream_upstream::channel::Pool;
 
@@ -42,6 +44,16 @@
 /// How long freeing a kept prompt may take.
 const RELEASE: Duration = Duration::from_millis(500);
 
+/// Prompts up to so many tokens are read by the engine that generates: it takes less than the hand-over.
+const SHORT_PROMPT: u32 = 1_024;
+
+/// Engines that are asked in turn to read a prompt.
+const MAX_READS: u32 = 2;
+
+/// Part of a route's target by which an answer must be expected to begin: the rest is for the ways to and from the
+/// caller and for what the prediction misses.
+const ON_TIME: f64 = 0.8;
+
 /// Work noted at an engine; ends when dropped.
 pub struct Held {
     shared: Arc<Shared>,
@@ -61,10 +73,13 @@
     }
 }
 
-/// A prompt that an engine has read and keeps.
+/// A prompt that an engine has read and keeps; freed when dropped, unless it was taken.
 struct Kept {
+    shared: Arc<Shared>,
+    pool: Pool,
     engine: Engine,
     name: String,
+    taken: bool,
 }
 
 impl Kept {
@@ -73,6 +88,24 @@
     }
 }
 
+impl Drop for Kept {
+    /// Failure guarded against: the caller leaves, or no engine takes the prompt, and it fills the memory of its
+    /// engine until it expires.
+    fn drop(&mut self) {
+        if self.taken {
+            return;
+        }
+        let path = self.shared.translate.release(&self.name);
+        let pool = self.pool.clone();
+        let engine = self.engine.clone();
+        actix_rt::spawn(async move {
+            if let Err(failure) = release(&pool, engine.entry.address, &path, RELEASE).await {
+                log_event!(debug, log_event::ATTEMPT_FAILED, engine = %engine.entry.id, why = failure.why, call = "release");
+            }
+        });
+    }
+}
+
 /// One request on its way.
 pub struct Forward {
     /// State of the instance.
@@ -89,6 +122,9 @@
     pub attempts: Attempts,
     tried: Vec<EngineKey>,
     service: Option<String>,
+    kept: Option<Kept>,
+    /// When the prompt was read, or the request was sent to an engine that reads it itself.
+    read: Option<Time>,
     running: Option<Running>,
 }
 
@@ -115,6 +151,8 @@
             attempts,
             tried: Vec::new(),
             service,
+            kept: None,
+            read: None,
             running: Some(running),
             route,
         }
@@ -160,7 +198,11 @@
 
     /// One attempt at a request with a whole answer. `Err(None)` asks for another.
     async fn attempt(&mut self) -> Result<HttpResponse, Option<Reply>> {
-        let Some(engine) = self.pick(|chooser, engines| chooser.plain(engines).cloned()) else {
+        let picked = self.pick(|chooser, engines| {
+            let engine = chooser.plain(engines)?;
+            (!chooser.is_full(engine)).then(|| engine.clone())
+        });
+        let Some(engine) = picked else {
             return Err(Some(self.give_up()));
         };
         let _held = self.hold(&engine, 0);
@@ -190,83 +232,128 @@
 
     /// One attempt at a stream, up to its first event. `Err(None)` asks for another.
     pub async fn open(&mut self, resume: Option<u64>) -> Result<Opened, Option<Reply>> {
-        let kept = match self.wants_reader() {
-            true => self.read_prompt().await?,
-            false => None,
-        };
-        let picked = self.pick(|chooser, engines| generator(chooser, engines).cloned());
-        let Some(engine) = picked else {
-            self.free(kept);
+        let is_fresh = self.attempts.sent() == 0;
+        if self.kept.is_none() && self.wants_reader() {
+            self.read_prompt(is_fresh).await?;
+        }
+        let Some(engine) = self.pick_generator(is_fresh) else {
             return Err(Some(self.give_up()));
         };
-        let unread = match (&kept, &self.ask.prompt) {
+        let unread = match (&self.kept, &self.ask.prompt) {
             (None, Some(prompt)) => u64::from(prompt.input),
             _ => 0,
         };
         let held = self.hold(&engine, unread);
+        let begun = clock::now();
+        let opened = self.generate(&engine, held, resume).await;
+        match opened {
+            Ok(opened) => {
+                self.on_opened(begun);
+                Ok(opened)
+            }
+            Err(failure) => Err(self.on_failure(&engine, &failure)),
+        }
+    }
+
+    async fn generate(
+        &mut self,
+        engine: &Engine,
+        held: Held,
+        resume: Option<u64>,
+    ) -> Result<Opened, Failure> {
         let extra = Extra {
             prefill: false,
-            source: kept.as_ref().map(Kept::source),
+            source: self.kept.as_ref().map(Kept::source),
             resume,
         };
         let names = self.shared.translate.names();
-        let sent = send(&self.pool, names, &self.ask, &engine, &extra).await;
-        let opened = match sent {
-            Ok(answer) => stream::open(answer, engine.clone(), held, self.ask.left()).await,
-            Err(failure) => Err(failure),
-        };
-        match opened {
-            Ok(opened) => Ok(opened),
-            Err(failure) => {
-                if failure.end.proves_not_run() {
-                    self.free(kept);
-                }
-                Err(self.on_failure(&engine, &failure))
-            }
+        let sent = send(&self.pool, names, &self.ask, engine, &extra).await;
+        let is_untaken = sent.as_ref().is_err_and(|failure| failure.end.proves_not_run());
+        if !is_untaken && let Some(mut kept) = self.kept.take() {
+            kept.taken = true;
         }
+        stream::open(sent?, engine.clone(), held, self.ask.left()).await
     }
 
+    fn on_opened(&self, begun: Time) {
+        let now = clock::now();
+        let id = String::from_utf8_lossy(self.ask.id.as_bytes());
+        let first = now.since(self.ask.arrived).as_millis() as u64;
+        log_event!(debug, log_event::FORWARDED, request = %id, route = %self.route.name, first);
+        if self.read.is_some() {
+            self.shared.ledger().book.on_handover(now.since(begun));
+        }
+    }
+
+    /// Whether another engine is to read the prompt: where some do nothing else, and it is so long that reading it
+    /// there costs less than the hand-over.
     fn wants_reader(&self) -> bool {
+        let is_long = self.ask.prompt.as_ref().is_some_and(|p| p.input > SHORT_PROMPT);
         let engines = self.service.as_ref().and_then(|s| self.view.engines.get(s));
-        let has_reader = engines.is_some_and(|e| e.iter().any(|e| e.entry.stage == Stage::Prefill));
-        self.ask.prompt.is_some() && has_reader
+        is_long && engines.is_some_and(|e| e.iter().any(|e| e.entry.stage == Stage::Prefill))
     }
 
-    /// Has the prompt read. `Ok(None)` if no engine could: the generating one reads it then.
-    async fn read_prompt(&mut self) -> Result<Option<Kept>, Option<Reply>> {
-        let prompt = self.ask.prompt.clone();
-        let Some(prompt) = prompt else {
-            return Ok(None);
-        };
-        let picked = self.pick(|chooser, engines| chooser.reader(engines, Stage::Prefill, &prompt).cloned());
-        let Some(engine) = picked else {
-            return Ok(None);
-        };
-        let _held = self.hold(&engine, u64::from(prompt.own_tokens()));
-        let extra = Extra {
-            prefill: true,
-            ..Extra::default()
+    /// Has the prompt read. Without an engine that could, the generating one reads it.
+    async fn read_prompt(&mut self, is_fresh: bool) -> Result<(), Option<Reply>> {
+        let Some(prompt) = self.ask.prompt.clone() else {
+            return Ok(());
         };
-        let read = self.call_reader(&engine, &extra).await;
-        match read {
-            Ok(name) => {
-                self.judge(engine.key, End::Answered);
-                Ok(Some(Kept { engine, name }))
+        for attempt in 0..MAX_READS {
+            let picked = self.pick(|chooser, engines| chooser.reader(engines, Stage::Prefill, &prompt));
+            let Some(reading) = picked else {
+                return Ok(());
+            };
+            let handover = self.shared.ledger().book.handover();
+            if is_fresh && attempt == 0 && !self.is_on_time(reading.takes + handover) {
+                return Err(Some(self.give_up()));
+            }
+            if attempt > 0 && !self.take_extra() {
+                break;
             }
-            Err(failure) => {
-                self.log_failure(&engine, &failure, "prefill");
-                self.judge(engine.key, failure.end);
-                if self.ask.left().is_zero() {
-                    return Err(Some(self.give_up()));
+            match self.read_at(&reading).await {
+                Ok(()) => return Ok(()),
+                Err(failure) => {
+                    self.log_failure(&reading.engine, &failure, "read the prompt");
+                    self.judge(reading.engine.key, failure.end);
+                    self.tried.push(reading.engine.key);
                 }
-                Ok(None)
+            }
+            if self.ask.left().is_zero() {
+                break;
             }
         }
+        Err(Some(self.give_up()))
+    }
+
+    async fn read_at(&mut self, reading: &Reading) -> Result<(), Failure> {
+        let _held = self.hold(&reading.engine, reading.tokens);
+        let begun = clock::now();
+        let name = self.call_reader(&reading.engine).await?;
+        let now = clock::now();
+        let mut ledger = self.shared.ledger();
+        ledger.book.judge(now, reading.engine.key, End::Answered);
+        ledger
+            .book
+            .on_read(reading.engine.key, reading.backlog, now.since(begun));
+        drop(ledger);
+        self.read = Some(now);
+        self.kept = Some(Kept {
+            shared: self.shared.clone(),
+            pool: self.pool.clone(),
+            engine: reading.engine.clone(),
+            name,
+            taken: false,
+        });
+        Ok(())
     }
 
-    async fn call_reader(&self, engine: &Engine, extra: &Extra) -> Result<String, Failure> {
+    async fn call_reader(&self, engine: &Engine) -> Result<String, Failure> {
         let names = self.shared.translate.names();
-        let mut answer = send(&self.pool, names, &self.ask, engine, extra).await?;
+        let extra = Extra {
+            prefill: true,
+            ..Extra::default()
+        };
+        let mut answer = send(&self.pool, names, &self.ask, engine, &extra).await?;
         let status = answer.head.status;
         let body = answer.read(MAX_ANSWER, self.ask.left()).await?;
         self.pool.keep(engine.entry.address, answer);
@@ -277,24 +364,35 @@
         kept.map_err(|e| Failure::new(End::Broken, e))
     }
 
-    /// Frees a kept prompt that nobody will take.
-    fn free(&self, kept: Option<Kept>) {
-        let Some(kept) = kept else {
-            return;
-        };
-        let path = self.shared.translate.release(&kept.name);
-        let pool = self.pool.clone();
-        actix_rt::spawn(async move {
-            let address = kept.engine.entry.address;
-            if let Err(failure) = release(&pool, address, &path, RELEASE).await {
-                log_event!(debug, log_event::ATTEMPT_FAILED, engine = %kept.engine.entry.id, why = failure.why, call = "release");
-            }
-        });
+    /// Whether an answer that begins after `takes` is in time for all that it is worth.
+    ///
+    /// Under overload this keeps the queues as long as what they hold is still of full worth: an engine that is
+    /// never idle and never late serves the most. Whoever is refused knows at once.
+    fn is_on_time(&self, takes: Duration) -> bool {
+        let passed = clock::now().since(self.ask.arrived);
+        self.route.target.is_zero() || passed + takes <= self.route.target.mul_f64(ON_TIME)
     }
 
-    fn pick<F>(&self, choose: F) -> Option<Engine>
+    /// The engine that generates: near the one that has read the prompt.
+    fn pick_generator(&self, is_fresh: bool) -> Option<Engine> {
+        let zone = self.kept.as_ref().map(|kept| kept.engine.entry.zone.as_str());
+        self.pick_near(zone, |chooser, engines| {
+            let engine = generator(chooser, engines)?;
+            let is_open = !is_fresh || !chooser.is_full(engine);
+            is_open.then(|| engine.clone())
+        })
+    }
+
+    fn pick<T, F>(&self, choose: F) -> Option<T>
     where
-        F: FnOnce(&Chooser<'_>, &[Engine]) -> Option<Engine>,
+        F: FnOnce(&Chooser<'_>, &[Engine]) -> Option<T>,
+    {
+        self.pick_near(None, choose)
+    }
+
+    fn pick_near<T, F>(&self, zone: Option<&str>, choose: F) -> Option<T>
+    where
+        F: FnOnce(&Chooser<'_>, &[Engine]) -> Option<T>,
     {
         let service = self.service.as_ref()?;
         // The engines of now: one that left since the request came gets no work any more.
@@ -304,7 +402,7 @@
         let chooser = Chooser {
             book: &ledger.book,
             now: clock::now(),
-            zone: self.shared.options.zone.as_str(),
+            zone: zone.unwrap_or(self.shared.options.zone.as_str()),
             tried: &self.tried,
         };
         choose(&chooser, engines)
@@ -345,11 +443,16 @@
         if self.attempts.on_end(end) != Next::Again || self.ask.left().is_zero() {
             return false;
         }
+        !self.attempts.is_extra() || self.take_extra()
+    }
+
+    /// Takes an extra attempt from the budget of all.
+    fn take_extra(&self) -> bool {
         let Some(service) = &self.service else {
             return false;
         };
-        let instances = self.view.instances;
-        !self.attempts.is_extra() || self.shared.ledger().budget.take(clock::now(), service, instances)
+        let instances = self.shared.view.load().instances;
+        self.shared.ledger().budget.take(clock::now(), service, instances)
     }
 
     /// The final answer if nothing more is tried.
@@ -368,7 +471,12 @@
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut builder = HttpResponseBuilder::new(status);
     for (name, value) in headers {
-        let hop = [header::CONNECTION, header::TRANSFER_ENCODING, header::CONTENT_LENGTH, header::TRAILER];
+        let hop = [
+            header::CONNECTION,
+            header::TRANSFER_ENCODING,
+            header::CONTENT_LENGTH,
+            header::TRAILER,
+        ];
         if hop.contains(name) || name == "keep-alive" {
             continue;
         }
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -2,13 +2,14 @@
 //!
 //! [`edge`] is where that protocol comes in: names of headers, and the decoding of what the store and the engines
 //! hold. Control state lives on the thread that runs [`run`]: [`follow`] keeps up with the configuration and the
-//! engines, [`register`] makes this instance known, [`peers`] tells the others about load. They publish a view that
+//! engines, [`orders`] gives engines their stage, [`register`] makes this instance known, [`peers`] tells the others about load. They publish a view that
 //! the traffic thread reads: [`server`] takes requests, [`forward`] makes the attempts, [`stream`] passes events on.
 
 pub mod edge;
 pub mod follow;
 pub mod forward;
 pub mod options;
+pub mod orders;
 pub mod peers;
 pub mod register;
 pub mod reply;
@@ -53,9 +54,12 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     let shared = Arc::new(Shared::new(options, translate));
     let server = server::start(shared.clone()).wrap_err("could not serve")?;
-    let socket = peers::bind(&shared).await.wrap_err("could not open the peers' socket")?;
+    let socket = peers::bind(&shared)
+        .await
+        .wrap_err("could not open the peers' socket")?;
     let fleet = peers::start(shared.clone(), socket);
     actix_rt::spawn(follow::run(shared.clone(), store.clone(), fleet.clone()));
+    actix_rt::spawn(orders::run(shared.clone(), store.clone()));
     let registration = register::start(shared.clone(), store);
     log_event!(info, log_event::STARTED, address = %shared.options.front);
     tokio::select! {
--- a/src/ops/relay/options.rs
+++ b/src/ops/relay/options.rs
@@ -29,6 +29,8 @@
     pub grace: Duration,
     /// What bounds extra attempts.
     pub rule: Rule,
+    /// Part of a service's model engines that read prompts for the others, 0 to 1.
+    pub readers: f64,
     /// How long a watch of the store waits.
     pub wait: Duration,
 }
--- /dev/null
+++ b/src/ops/relay/orders.rs
@@ -0,0 +1,190 @@
+//! Giving engines their one order, as [`sequoiastream_core::relay::stages`] plans.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::header;
+use http_body_util::Full;
+use sequoiastream_core::log_event;
+use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_core::relay::engines::Stage;
+use sequoiastream_core::relay::stages::StageOrder;
+use sequoiastream_core::relay::stages::plan;
+use sequoiastream_kv::store::Item;
+use sequoiastream_kv::store::Put;
+use sequoiastream_kv::store::Store;
+use sequoiastream_kv::store::StoreError;
+use sequoiastream_kv::store::Write;
+use sequoiastream_upstream::channel::Pool;
+use sequoiastream_upstream::channel::call;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::log_event;
+use crate::ops::relay::edge::Translate;
+use crate::ops::relay::shared::Shared;
+
+/// Time between two looks at the plan.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// How long an engine's answer to an order is waited for.
+const ANSWER: Duration = Duration::from_secs(2);
+
+/// Longest answer to an order, in bytes.
+const MAX_ANSWER: usize = 64 * 1024;
+
+/// Who gives an engine its order, and which.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Record {
+    holder: String,
+    reader: bool,
+}
+
+/// The records of orders, as the store shows them.
+#[derive(Debug, Clone, Default)]
+pub struct Ordered(BTreeMap<String, Stage>);
+
+impl Ordered {
+    /// Takes an item of the store; one that can't be read counts as an order too, so that no second is given.
+    pub fn on_item(&mut self, translate: &dyn Translate, item: &Item) -> bool {
+        let Some(id) = item.key.strip_prefix(translate.keys().orders.as_str()) else {
+            return false;
+        };
+        let stage = match serde_json::from_slice::<Record>(&item.value) {
+            Ok(record) if record.reader => Stage::Prefill,
+            Ok(_) => Stage::Decode,
+            Err(error) => {
+                log_event!(warn, log_event::ENTRY_UNREADABLE, key = %item.key, revision = item.revision, %error);
+                Stage::Whole
+            }
+        };
+        self.0.insert(id.to_string(), stage);
+        true
+    }
+
+    /// The engines that have had their order.
+    pub fn engines(&self) -> &BTreeMap<String, Stage> {
+        &self.0
+    }
+}
+
+/// Looks at the plan again and again and gives the orders that it is this instance's turn to give.
+pub async fn run(shared: Arc<Shared>, store: Rc<dyn Store>) {
+    let pool = Pool::new();
+    let mut tried: BTreeSet<String> = BTreeSet::new();
+    let mut due: BTreeMap<String, u32> = BTreeMap::new();
+    loop {
+        tokio::time::sleep(LOOK).await;
+        if shared.is_leaving() || !shared.view.load().is_configured() {
+            continue;
+        }
+        let orders = planned(&shared);
+        due.retain(|engine, _| orders.iter().any(|(_, o)| o.engine == *engine));
+        for (engine, order) in orders {
+            let looks = due.entry(order.engine.clone()).or_default();
+            *looks += 1;
+            // The first of the live instances gives it, the next one a look later if it didn't.
+            if *looks <= shared.view.load().rank || tried.contains(&order.engine) {
+                continue;
+            }
+            tried.insert(order.engine.clone());
+            give(&shared, store.as_ref(), &pool, &engine, &order).await;
+        }
+    }
+}
+
+fn planned(shared: &Shared) -> Vec<(Engine, StageOrder)> {
+    let view = shared.view.load();
+    let engines = view.engines.values();
+    let orders = engines.flat_map(|engines| {
+        let orders = plan(engines, view.ordered.engines(), shared.options.readers);
+        orders.into_iter().filter_map(|order| {
+            let engine = engines.iter().find(|e| e.entry.id == order.engine)?;
+            Some((engine.clone(), order))
+        })
+    });
+    orders.collect()
+}
+
+/// Gives an engine its order, if the record of it can be created.
+///
+/// Failures guarded against: two instances give an engine different orders; one repeats an order that may still be on
+/// its way. The record is created once and never written again, and only its creator sends, once. If the answer of
+/// the store is lost, reading back tells whose record it is; if that is not known, nothing is sent.
+async fn give(shared: &Shared, store: &dyn Store, pool: &Pool, engine: &Engine, order: &StageOrder) {
+    let record = Record {
+        holder: format!("{}/{}", shared.options.name, uuid::Uuid::new_v4()),
+        reader: order.stage == Stage::Prefill,
+    };
+    let fence = match create(shared, store, &order.engine, &record).await {
+        Ok(Some(fence)) => fence,
+        Ok(None) => return,
+        Err(error) => {
+            log_event!(warn, log_event::ORDER_UNSETTLED, engine = %order.engine, %error);
+            return;
+        }
+    };
+    log_event!(info, log_event::ORDER_SENT, engine = %order.engine, stage = ?order.stage, fence);
+    let body = shared.translate.order(order.stage, &record.holder, fence);
+    match send(shared, pool, engine, body).await {
+        Ok(status) => log_event!(info, log_event::ORDER_CLOSED, engine = %order.engine, status),
+        Err(error) => log_event!(warn, log_event::ORDER_UNANSWERED, engine = %order.engine, error),
+    }
+}
+
+/// Creates the record; its revision is the fencing number. `None` if somebody else has created it.
+async fn create(
+    shared: &Shared,
+    store: &dyn Store,
+    engine: &str,
+    record: &Record,
+) -> Result<Option<u64>, StoreError> {
+    let key = format!("{}{engine}", shared.translate.keys().orders);
+    let value = serde_json::to_vec(record).map_err(|e| StoreError::Unreadable(e.to_string()))?;
+    let put = Put {
+        key: key.clone(),
+        value: Bytes::from(value),
+        lease: None,
+    };
+    let write = Write {
+        expect: vec![(key.clone(), 0)],
+        puts: vec![put],
+        removes: Vec::new(),
+    };
+    match store.write(write).await {
+        Ok(revision) => Ok(Some(revision)),
+        Err(StoreError::Conflict) => Ok(None),
+        Err(StoreError::Unknown(_)) => {
+            let page = store.range(&key, "").await?;
+            let found = page.items.into_iter().find(|item| item.key == key);
+            let own = found
+                .filter(|item| serde_json::from_slice::<Record>(&item.value).ok().as_ref() == Some(record));
+            Ok(own.map(|item| item.revision))
+        }
+        Err(error) => Err(error),
+    }
+}
+
+async fn send(shared: &Shared, pool: &Pool, engine: &Engine, body: String) -> Result<u16, String> {
+    let address = engine.entry.address;
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(shared.translate.paths().order.as_str())
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .header(
+            &shared.translate.names().expect,
+            HeaderValue::from_str(&engine.entry.id).map_err(|e| e.to_string())?,
+        )
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|e| e.to_string())?;
+    let answer = call(pool, address, request, MAX_ANSWER, ANSWER).await;
+    answer.map(|a| a.status().as_u16()).map_err(|e| e.to_string())
+}
--- a/src/ops/relay/peers.rs
+++ b/src/ops/relay/peers.rs
@@ -41,9 +41,9 @@
 /// Peers that get each heartbeat and each message about load: all of today's fleet.
 const FANOUT: usize = 16;
 
-/// Time between two messages about load. An engine works off a request in tens of milliseconds; older news would
+/// Time between two messages about load. An engine reads a prompt in about eight milliseconds; older news would
 /// describe work that is done.
-const LOAD_INTERVAL: Duration = Duration::from_millis(100);
+const LOAD_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Pause after the socket failed.
 const SOCKET_PAUSE: Duration = Duration::from_millis(100);
@@ -214,11 +214,17 @@
         addresses.sort();
         addresses.dedup();
         let instances = roster.peers.len() + 1;
+        let before = roster
+            .peers
+            .iter()
+            .filter(|p| p.is_open() && p.name < self.0.shared.options.name);
+        let rank = u32::try_from(before.count()).unwrap_or(u32::MAX);
         let view = self.0.shared.view.load();
-        if view.addresses != addresses || view.instances != instances {
+        if view.addresses != addresses || view.instances != instances || view.rank != rank {
             self.0.shared.publish(|view| {
                 view.addresses = addresses;
                 view.instances = instances;
+                view.rank = rank;
             });
         }
     }
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -25,6 +25,9 @@
 /// How long a new connection to an engine is waited for: engines answer the opening packet at once or are full.
 const CONNECT: Duration = Duration::from_millis(400);
 
+/// How long the rest of an answer that declines is waited for.
+const REST: Duration = Duration::from_millis(50);
+
 /// Longest answer that is not a stream, in bytes.
 pub const MAX_ANSWER: usize = 8 << 20;
 
@@ -123,10 +126,31 @@
     }
     let request = request(names, ask, engine, extra)?;
     let answer = channel.send(request, left).await?;
-    check(names, ask, extra, answer)
+    match check(names, ask, extra, &answer) {
+        Ok(()) => Ok(answer),
+        Err(failure) => {
+            if failure.end.proves_not_run() {
+                give_back(pool, address, answer).await;
+            }
+            Err(failure)
+        }
+    }
+}
+
+/// Keeps the connection of an engine that declined: there may be many of these, and each new connection costs the
+/// engine time.
+async fn give_back(pool: &Pool, address: SocketAddr, mut answer: Answer) {
+    if answer.read(MAX_ANSWER, REST).await.is_ok() {
+        pool.keep(address, answer);
+    }
 }
 
-fn request(names: &Names, ask: &Ask, engine: &Engine, extra: &Extra) -> Result<Request<Full<Bytes>>, Failure> {
+fn request(
+    names: &Names,
+    ask: &Ask,
+    engine: &Engine,
+    extra: &Extra,
+) -> Result<Request<Full<Bytes>>, Failure> {
     let unsent = |e: &dyn std::fmt::Display| Failure::new(End::Unsent, e);
     let mut request = Request::new(Full::new(ask.body.clone()));
     *request.method_mut() = ask.method.clone();
@@ -152,7 +176,7 @@
 
 /// Failure guarded against: the engine sends a second answer to an earlier request, or somebody else's, where this one
 /// is due. Its id tells. An answer that declines proves that nothing ran; a success must be signed.
-fn check(names: &Names, ask: &Ask, extra: &Extra, answer: Answer) -> Result<Answer, Failure> {
+fn check(names: &Names, ask: &Ask, extra: &Extra, answer: &Answer) -> Result<(), Failure> {
     let headers = &answer.head.headers;
     let status = answer.head.status;
     let foreign = headers.get(&names.request).is_some_and(|id| id != ask.id);
@@ -169,9 +193,12 @@
         return Err(Failure::new(End::Broken, "the answer is not signed"));
     }
     if status.is_informational() || headers.contains_key(http::header::CONTENT_ENCODING) {
-        return Err(Failure::new(End::Broken, "the answer is not the engine's own bytes"));
+        return Err(Failure::new(
+            End::Broken,
+            "the answer is not the engine's own bytes",
+        ));
     }
-    Ok(answer)
+    Ok(())
 }
 
 /// Frees a prompt that an engine keeps and nobody will take.
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -18,6 +18,7 @@
 
 use crate::ops::relay::edge::Translate;
 use crate::ops::relay::options::Options;
+use crate::ops::relay::orders::Ordered;
 
 /// What requests are answered by: never changed, only replaced.
 #[derive(Debug, Clone, Default)]
@@ -28,6 +29,10 @@
     pub engines: Arc<BTreeMap<String, Vec<Engine>>>,
     /// Where callers may go, this instance included.
     pub addresses: Vec<SocketAddr>,
+    /// Engines that have had their order.
+    pub ordered: Arc<Ordered>,
+    /// Place of this instance among the live ones, by name.
+    pub rank: u32,
     /// Instances that share the budget of extra attempts.
     pub instances: usize,
 }
@@ -97,7 +102,9 @@
 
     /// Load, health and budget.
     pub fn ledger(&self) -> MutexGuard<'_, Ledger> {
-        self.ledger.lock().expect("no thread panics while it holds the ledger")
+        self.ledger
+            .lock()
+            .expect("no thread panics while it holds the ledger")
     }
 
     /// Replaces the view by a changed copy.
--- a/src/ops/relay/stream.rs
+++ b/src/ops/relay/stream.rs
@@ -56,7 +56,10 @@
         body: None,
     };
     if !opened.answer.head.status.is_success() {
-        let body = opened.answer.read(crate::ops::relay::send::MAX_ANSWER, limit).await?;
+        let body = opened
+            .answer
+            .read(crate::ops::relay::send::MAX_ANSWER, limit)
+            .await?;
         opened.body = Some(body);
         return Ok(opened);
     }
@@ -156,7 +159,9 @@
         let Some(opened) = self.opened.take() else {
             return Err(BrokenOff);
         };
-        let Opened { engine, answer, held, .. } = opened;
+        let Opened {
+            engine, answer, held, ..
+        } = opened;
         drop(answer);
         drop(held);
         let mut reply = self.forward.on_failure(&engine, failure);
