--- a/crates/core/src/relay/book.rs
+++ b/crates/core/src/relay/book.rs
@@ -33,6 +33,9 @@
 /// Fewest tokens whose reading says something of the speed; below, the call itself takes as long.
 const SPEED_TOKENS: u64 = 2_000;
 
+/// Part of a new observation in the mean time that requests stay at an engine.
+const STAY_GAIN: f64 = 0.05;
+
 /// Time from a prompt's being read to the first event, until it was seen: transfer, a step and two calls.
 const HANDOVER: Duration = Duration::from_millis(15);
 
@@ -66,6 +69,7 @@
 struct Job {
     engine: EngineKey,
     tokens: u64,
+    since: Time,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -75,6 +79,8 @@
     avoid: Option<Time>,
     failures: f64,
     speed: Option<f64>,
+    /// Mean time for which a request stays at the engine, in seconds.
+    stay: Option<f64>,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -100,12 +106,20 @@
     }
 
     /// Notes work that is sent to an engine.
-    pub fn begin(&mut self, engine: EngineKey, tokens: u64) -> Ticket {
+    pub fn begin(&mut self, now: Time, engine: EngineKey, tokens: u64) -> Ticket {
         let ticket = Ticket(self.next);
         self.next += 1;
         let load = self.loads.entry(engine).or_default();
         load.own = load.own.plus(Work { requests: 1, tokens });
-        self.jobs.insert(ticket, Job { engine, tokens });
+        let since = now;
+        self.jobs.insert(
+            ticket,
+            Job {
+                engine,
+                tokens,
+                since,
+            },
+        );
         ticket
     }
 
@@ -121,13 +135,16 @@
     }
 
     /// Notes that a piece of work is over; a second call changes nothing.
-    pub fn end(&mut self, ticket: Ticket) {
+    pub fn end(&mut self, now: Time, ticket: Ticket) {
         self.read(ticket);
         let Some(job) = self.jobs.remove(&ticket) else {
             return;
         };
         if let Some(load) = self.loads.get_mut(&job.engine) {
             load.own.requests = load.own.requests.saturating_sub(1);
+            let stay = now.since(job.since).as_secs_f64();
+            let mean = load.stay.unwrap_or(stay);
+            load.stay = Some(mean + STAY_GAIN * (stay - mean));
         }
     }
 
@@ -168,7 +185,19 @@
         seen.unwrap_or(SPEED)
     }
 
-    /// Notes how long it took from a prompt's being read to the first event.
+    /// How long a request waits at an engine with `slots` before it is worked on.
+    pub fn queue(&self, now: Time, engine: EngineKey, slots: u32) -> Duration {
+        let requests = self.work(now, engine).requests;
+        let waiting = (requests + 1).saturating_sub(slots.max(1));
+        let stay = self
+            .loads
+            .get(&engine)
+            .and_then(|load| load.stay)
+            .unwrap_or_default();
+        Duration::from_secs_f64(stay * f64::from(waiting) / f64::from(slots.max(1)))
+    }
+
+    /// Notes how long it took from a prompt's being read to the first event, at an engine with slots to spare.
     pub fn on_handover(&mut self, took: Duration) {
         let mean = self.handover();
         self.handover = Some(mean.mul_f64(1.0 - HANDOVER_GAIN) + took.mul_f64(HANDOVER_GAIN));
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -69,7 +69,7 @@
 
 impl Drop for Held {
     fn drop(&mut self) {
-        self.shared.ledger().book.end(self.ticket);
+        self.shared.ledger().book.end(clock::now(), self.ticket);
     }
 }
 
@@ -214,6 +214,7 @@
                 self.judge(engine.key, end);
                 let response = whole(&answer.head.headers, answer.head.status.as_u16(), body);
                 self.pool.keep(engine.entry.address, answer);
+                self.tried.push(engine.key);
                 if failed && self.may_go_on(end) {
                     return Err(None);
                 }
@@ -248,7 +249,7 @@
         let opened = self.generate(&engine, held, resume).await;
         match opened {
             Ok(opened) => {
-                self.on_opened(begun);
+                self.on_opened(&engine, begun);
                 Ok(opened)
             }
             Err(failure) => Err(self.on_failure(&engine, &failure)),
@@ -275,12 +276,14 @@
         stream::open(sent?, engine.clone(), held, self.ask.left()).await
     }
 
-    fn on_opened(&self, begun: Time) {
+    fn on_opened(&self, engine: &Engine, begun: Time) {
+        let requests = self.shared.ledger().book.work(clock::now(), engine.key).requests;
         let now = clock::now();
         let id = String::from_utf8_lossy(self.ask.id.as_bytes());
         let first = now.since(self.ask.arrived).as_millis() as u64;
-        log_event!(debug, log_event::FORWARDED, request = %id, route = %self.route.name, first);
-        if self.read.is_some() {
+        let handover = now.since(begun).as_millis() as u64;
+        log_event!(info, log_event::FORWARDED, request = %id, route = %self.route.name, engine = %engine.entry.id, first, handover, requests);
+        if self.read.is_some() && requests < engine.entry.slots {
             self.shared.ledger().book.on_handover(now.since(begun));
         }
     }
@@ -303,8 +306,9 @@
             let Some(reading) = picked else {
                 return Ok(());
             };
-            let handover = self.shared.ledger().book.handover();
+            let handover = self.handover();
             if is_fresh && attempt == 0 && !self.is_on_time(reading.takes + handover) {
+                log_event!(info, log_event::REFUSED, why="predicted", takes=?reading.takes, ?handover, backlog=reading.backlog, engine=%reading.engine.entry.id);
                 return Err(Some(self.give_up()));
             }
             if attempt > 0 && !self.take_extra() {
@@ -325,6 +329,15 @@
         Err(Some(self.give_up()))
     }
 
+    /// How long it takes from the prompt's being read to the first event, at the engine that is free first.
+    fn handover(&self) -> Duration {
+        let queue = self.pick(|chooser, engines| {
+            let engine = generator(chooser, engines)?;
+            Some(chooser.book.queue(chooser.now, engine.key, engine.entry.slots))
+        });
+        self.shared.ledger().book.handover() + queue.unwrap_or_default()
+    }
+
     async fn read_at(&mut self, reading: &Reading) -> Result<(), Failure> {
         let _held = self.hold(&reading.engine, reading.tokens);
         let begun = clock::now();
@@ -409,7 +422,7 @@
     }
 
     fn hold(&self, engine: &Engine, tokens: u64) -> Held {
-        let ticket = self.shared.ledger().book.begin(engine.key, tokens);
+        let ticket = self.shared.ledger().book.begin(clock::now(), engine.key, tokens);
         Held {
             shared: self.shared.clone(),
             ticket,
--- a/src/ops/relay/orders.rs
+++ b/src/ops/relay/orders.rs
@@ -34,6 +34,9 @@
 /// Time between two looks at the plan.
 const LOOK: Duration = Duration::from_millis(500);
 
+/// Looks for which the engines must have stayed the same before any gets an order.
+const STEADY: u32 = 3;
+
 /// How long an engine's answer to an order is waited for.
 const ANSWER: Duration = Duration::from_secs(2);
 
@@ -80,11 +83,15 @@
     let pool = Pool::new();
     let mut tried: BTreeSet<String> = BTreeSet::new();
     let mut due: BTreeMap<String, u32> = BTreeMap::new();
+    let mut steady = Steady::default();
     loop {
         tokio::time::sleep(LOOK).await;
         if shared.is_leaving() || !shared.view.load().is_configured() {
             continue;
         }
+        if !steady.is_steady(&shared) {
+            continue;
+        }
         let orders = planned(&shared);
         due.retain(|engine, _| orders.iter().any(|(_, o)| o.engine == *engine));
         for (engine, order) in orders {
@@ -100,6 +107,29 @@
     }
 }
 
+/// Whether the engines have stayed the same for some looks.
+///
+/// Failure guarded against: a fleet starts, its engines register one by one, and the plan for the first few gives an
+/// engine the one order of its life that the whole fleet would not have given.
+#[derive(Debug, Default)]
+struct Steady {
+    known: BTreeSet<String>,
+    looks: u32,
+}
+
+impl Steady {
+    fn is_steady(&mut self, shared: &Shared) -> bool {
+        let view = shared.view.load();
+        let known: BTreeSet<String> = view.keys().into_keys().map(str::to_string).collect();
+        if known != self.known {
+            self.known = known;
+            self.looks = 0;
+        }
+        self.looks += 1;
+        self.looks > STEADY
+    }
+}
+
 fn planned(shared: &Shared) -> Vec<(Engine, StageOrder)> {
     let view = shared.view.load();
     let engines = view.engines.values();
