Forget a slow hand-over while nothing is seen, and never take an engine's older word

Change: the hand-over is kept per engine and loses half its weight in 500 ms; entries carry the engine's own count. Also: one engine too many or too few gets no order.

--- a/crates/core/src/relay/book.rs
+++ b/crates/core/src/relay/book.rs
@@ -39,8 +39,11 @@
 /// Time from a prompt's being read to the first event, until it was seen: transfer, a step and two calls.
 const HANDOVER: Duration = Duration::from_millis(15);
 
+/// Time in which what was seen of it loses half of its weight.
+const FORGET: Duration = Duration::from_millis(500);
+
 /// Part of a new observation in the mean of that time.
-const HANDOVER_GAIN: f64 = 0.05;
+const HANDOVER_GAIN: f64 = 0.1;
 
 /// Work at an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -79,6 +82,8 @@
     avoid: Option<Time>,
     failures: f64,
     speed: Option<f64>,
+    /// Mean time from a prompt's being read to the first event here, and when it was last seen.
+    handover: Option<(Time, Duration)>,
     /// Mean time for which a request stays at the engine, in seconds.
     stay: Option<f64>,
 }
@@ -92,7 +97,6 @@
 /// The load and health of all engines, as this instance sees them.
 #[derive(Debug, Clone, Default)]
 pub struct Book {
-    handover: Option<Duration>,
     loads: BTreeMap<EngineKey, Load>,
     jobs: BTreeMap<Ticket, Job>,
     peers: BTreeMap<String, Told>,
@@ -198,14 +202,24 @@
     }
 
     /// Notes how long it took from a prompt's being read to the first event, at an engine with slots to spare.
-    pub fn on_handover(&mut self, took: Duration) {
-        let mean = self.handover();
-        self.handover = Some(mean.mul_f64(1.0 - HANDOVER_GAIN) + took.mul_f64(HANDOVER_GAIN));
+    pub fn on_handover(&mut self, now: Time, engine: EngineKey, took: Duration) {
+        let mean = self.handover(now, engine);
+        let mean = mean.mul_f64(1.0 - HANDOVER_GAIN) + took.mul_f64(HANDOVER_GAIN);
+        self.loads.entry(engine).or_default().handover = Some((now, mean));
     }
 
-    /// How long it takes from a prompt's being read to the first event.
-    pub fn handover(&self) -> Duration {
-        self.handover.unwrap_or(HANDOVER)
+    /// How long it takes from a prompt's being read to the first event at an engine.
+    ///
+    /// Failure guarded against: links are slow for a while, the mean grows beyond what any request can wait, all are
+    /// refused, and so nothing is seen any more that could correct it. What was seen loses half of its weight in each
+    /// [`FORGET`].
+    pub fn handover(&self, now: Time, engine: EngineKey) -> Duration {
+        let seen = self.loads.get(&engine).and_then(|load| load.handover);
+        let Some((at, mean)) = seen else {
+            return HANDOVER;
+        };
+        let weight = 0.5_f64.powf(now.since(at).as_secs_f64() / FORGET.as_secs_f64());
+        mean.mul_f64(weight) + HANDOVER.mul_f64(1.0 - weight)
     }
 
     /// Notes the work that a peer says it has.
--- a/crates/core/src/relay/engines.rs
+++ b/crates/core/src/relay/engines.rs
@@ -45,6 +45,8 @@
     pub leaving: bool,
     /// Which part of the work it does.
     pub stage: Stage,
+    /// Counts what the engine wrote of itself.
+    pub sequence: u64,
     /// The store's revision at which the registration was created.
     pub born: u64,
 }
@@ -66,6 +68,13 @@
     missing: Option<Time>,
 }
 
+/// What is kept of an engine that is gone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+struct Grave {
+    revision: u64,
+    sequence: u64,
+}
+
 /// What the store said of one engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum News {
@@ -77,12 +86,13 @@
 
 /// All engines, as the store last showed them.
 ///
-/// Revisions never go back: news that are older than what is known of an engine change nothing, in whatever order
-/// the store and the peers bring them.
+/// Neither revisions nor what an engine wrote of itself go back. Failure guarded against: an engine says that it
+/// leaves, and an earlier word of it reaches the store later; the entry shows it as ready again, or is created anew
+/// after the engine has left, and work goes to an engine that ends under it. Each engine counts its words.
 #[derive(Debug, Clone, Default)]
 pub struct Engines {
     known: BTreeMap<String, Known>,
-    gone: BTreeMap<String, u64>,
+    gone: BTreeMap<String, Grave>,
     next: u32,
     failed: Option<Time>,
 }
@@ -127,7 +137,8 @@
     }
 
     fn on_entry(&mut self, revision: u64, entry: Entry) -> bool {
-        if self.gone.get(&entry.id).is_some_and(|gone| *gone >= revision) {
+        let grave = self.gone.get(&entry.id);
+        if grave.is_some_and(|g| g.revision >= revision || g.sequence >= entry.sequence) {
             return false;
         }
         if let Some(known) = self.known.get_mut(&entry.id) {
@@ -135,6 +146,10 @@
                 return false;
             }
             known.revision = revision;
+            // The entry's revision is the store's count, its sequence the engine's own.
+            if known.engine.entry.sequence > entry.sequence {
+                return false;
+            }
             known.missing = None;
             if known.engine.entry.born == entry.born {
                 let changed = known.engine.entry != entry;
@@ -168,23 +183,25 @@
                 known.missing.get_or_insert(now);
                 false
             }
-            Some(_) => {
+            Some(known) => {
+                let sequence = known.engine.entry.sequence;
                 self.known.remove(&id);
-                self.bury(id, revision);
+                self.bury(id, Grave { revision, sequence });
                 true
             }
             None => {
-                self.bury(id, revision);
+                self.bury(id, Grave { revision, sequence: 0 });
                 false
             }
         }
     }
 
-    fn bury(&mut self, id: String, revision: u64) {
-        let at = self.gone.entry(id).or_default();
-        *at = revision.max(*at);
+    fn bury(&mut self, id: String, grave: Grave) {
+        let kept = self.gone.entry(id).or_default();
+        kept.revision = kept.revision.max(grave.revision);
+        kept.sequence = kept.sequence.max(grave.sequence);
         while self.gone.len() > MAX_GONE {
-            let oldest = self.gone.iter().min_by_key(|(_, at)| **at);
+            let oldest = self.gone.iter().min_by_key(|(_, g)| g.revision);
             let Some(id) = oldest.map(|(id, _)| id.clone()) else {
                 break;
             };
@@ -195,15 +212,19 @@
     /// Drops engines whose entry did not come back in time; whether any was.
     pub fn on_tick(&mut self, now: Time) -> bool {
         let late = |known: &Known| known.missing.is_some_and(|at| now.since(at) >= RETURN);
-        let lost: Vec<(String, u64)> = self
+        let grave = |known: &Known| Grave {
+            revision: known.revision,
+            sequence: known.engine.entry.sequence,
+        };
+        let lost: Vec<(String, Grave)> = self
             .known
             .iter()
             .filter(|(_, known)| late(known))
-            .map(|(id, known)| (id.clone(), known.revision))
+            .map(|(id, known)| (id.clone(), grave(known)))
             .collect();
-        for (id, revision) in &lost {
+        for (id, grave) in &lost {
             self.known.remove(id);
-            self.bury(id.clone(), *revision);
+            self.bury(id.clone(), *grave);
         }
         !lost.is_empty()
     }
--- a/crates/core/src/relay/stages.rs
+++ b/crates/core/src/relay/stages.rs
@@ -14,6 +14,10 @@
 /// Engines that generate, at least: one may be lost.
 const MIN_GENERATORS: usize = 2;
 
+/// Engines too many or too few that are left so once a service has been split: an engine that is lost for a moment
+/// isn't worth an order.
+const TOLERANCE: usize = 1;
+
 /// An order that is to be given.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StageOrder {
@@ -32,6 +36,14 @@
     // An engine that was ordered to is counted as what it will be.
     let becomes = |e: &Engine| ordered.get(&e.entry.id).copied().unwrap_or(e.entry.stage);
     let reading = staged.iter().filter(|e| becomes(e) == Stage::Prefill).count();
+    let generating = staged.len() - reading;
+    let is_split = staged.iter().any(|e| ordered.contains_key(&e.entry.id));
+    let tolerance = if is_split { TOLERANCE } else { 0 };
+    let is_close = reading.abs_diff(wanted) <= tolerance;
+    let is_able = (reading > 0 || wanted == 0) && generating >= MIN_GENERATORS.min(staged.len());
+    if is_close && is_able {
+        return Vec::new();
+    }
     let (stage, count) = match reading.cmp(&wanted) {
         std::cmp::Ordering::Less => (Stage::Prefill, wanted - reading),
         std::cmp::Ordering::Equal => return Vec::new(),
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -284,7 +284,7 @@
         let handover = now.since(begun).as_millis() as u64;
         log_event!(info, log_event::FORWARDED, request = %id, route = %self.route.name, engine = %engine.entry.id, first, handover, requests);
         if self.read.is_some() && requests < engine.entry.slots {
-            self.shared.ledger().book.on_handover(now.since(begun));
+            self.shared.ledger().book.on_handover(now, engine.key, now.since(begun));
         }
     }
 
@@ -331,11 +331,12 @@
 
     /// How long it takes from the prompt's being read to the first event, at the engine that is free first.
     fn handover(&self) -> Duration {
-        let queue = self.pick(|chooser, engines| {
+        let wait = self.pick(|chooser, engines| {
             let engine = generator(chooser, engines)?;
-            Some(chooser.book.queue(chooser.now, engine.key, engine.entry.slots))
+            let queue = chooser.book.queue(chooser.now, engine.key, engine.entry.slots);
+            Some(queue + chooser.book.handover(chooser.now, engine.key))
         });
-        self.shared.ledger().book.handover() + queue.unwrap_or_default()
+        wait.unwrap_or_default()
     }
 
     async fn read_at(&mut self, reading: &Reading) -> Result<(), Failure> {
