--- a/crates/core/src/relay/engines.rs
+++ b/crates/core/src/relay/engines.rs
@@ -6,12 +6,14 @@
 
 use crate::time::Time;
 
-/// How long an engine whose entry vanished around an outage of the store may go on getting work: entries that
-/// lapsed meanwhile are back within two seconds of the store's return if their engine lives.
-pub const RETURN: Duration = Duration::from_millis(2_000);
+/// How long an engine whose entry vanished around an outage of the store may go on getting work. Entries that lapsed
+/// meanwhile are back within about two seconds of the store's return if their engine lives; an engine that has left
+/// must have no work two seconds after the store said so.
+pub const RETURN: Duration = Duration::from_millis(1_700);
 
-/// A call to the store that failed so short a time ago makes a vanished entry doubtful.
-pub const DOUBT: Duration = Duration::from_millis(3_000);
+/// A call to the store that failed so short a time ago makes a vanished entry doubtful: a store that is back is asked
+/// within the longest pause between two calls.
+pub const DOUBT: Duration = Duration::from_millis(1_300);
 
 /// An engine in one of its lives: another registration under the same id is another key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -20,7 +20,6 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use eyre::WrapErr;
@@ -32,6 +31,7 @@
 use crate::log_event;
 use crate::ops::relay::edge::Translate;
 use crate::ops::relay::options::Options;
+use crate::ops::relay::shared::KEEP_FACTOR;
 use crate::ops::relay::shared::Shared;
 use crate::util::clock;
 
@@ -41,9 +41,6 @@
 /// Time at the end of the grace period that is left for the process itself to end.
 const EXIT: Duration = Duration::from_millis(500);
 
-/// Callers keep an address for up to so many times the time that the answer said.
-const KEEP_FACTOR: u32 = 3;
-
 /// Runs an instance until SIGTERM or SIGINT, then shuts down gracefully.
 ///
 /// # Errors
@@ -67,7 +64,7 @@
         _ = interrupt.recv() => {}
     }
     log_event!(info, log_event::STOPPING, running = shared.running());
-    shared.leaving.store(true, Ordering::SeqCst);
+    shared.leave(clock::now());
     fleet.leave();
     registration.end().await;
     drain(&shared).await;
--- a/src/ops/relay/server.rs
+++ b/src/ops/relay/server.rs
@@ -49,6 +49,9 @@
 /// Deadline of a request that names none.
 const DEADLINE: Duration = Duration::from_secs(30);
 
+/// When a caller may come back, to another instance.
+const ELSEWHERE: Duration = Duration::from_millis(100);
+
 /// Headers that concern one connection only.
 const HOP: [HeaderName; 8] = [
     header::CONNECTION,
@@ -159,8 +162,8 @@
         Ok(body) => body,
         Err(reply) => return reply.into_response(),
     };
-    if !view.is_configured() {
-        return Reply::Refused(Duration::from_millis(500)).into_response();
+    if !view.is_configured() || shared.is_closed(arrived) {
+        return Reply::Refused(ELSEWHERE).into_response();
     }
     let head = match Head::read(request, shared.translate.names()) {
         Ok(head) => head,
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::atomic::AtomicBool;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
@@ -15,11 +15,15 @@
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::routes::Table;
+use sequoiastream_core::time::Time;
 
 use crate::ops::relay::edge::Translate;
 use crate::ops::relay::options::Options;
 use crate::ops::relay::orders::Ordered;
 
+/// Callers keep an address for up to so many times the time that the answer said.
+pub const KEEP_FACTOR: u32 = 3;
+
 /// What requests are answered by: never changed, only replaced.
 #[derive(Debug, Clone, Default)]
 pub struct View {
@@ -67,8 +71,7 @@
     pub translate: Arc<dyn Translate>,
     /// What requests are answered by.
     pub view: ArcSwap<View>,
-    /// Set once the instance shuts down.
-    pub leaving: AtomicBool,
+    leaving: OnceLock<Time>,
     ledger: Mutex<Ledger>,
     running: Arc<AtomicUsize>,
 }
@@ -94,7 +97,7 @@
             options,
             translate,
             view: ArcSwap::default(),
-            leaving: AtomicBool::new(false),
+            leaving: OnceLock::new(),
             ledger: Mutex::new(ledger),
             running: Arc::default(),
         }
@@ -124,7 +127,20 @@
 
     /// Whether the instance shuts down.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::SeqCst)
+        self.leaving.get().is_some()
+    }
+
+    /// Begins to shut down.
+    pub fn leave(&self, now: Time) {
+        self.leaving.get_or_init(|| now);
+    }
+
+    /// Whether new requests are refused: callers have had the time to learn that this address is no longer named.
+    ///
+    /// Failure guarded against: a stream that is accepted late in a shutdown is cut when the process ends.
+    pub fn is_closed(&self, now: Time) -> bool {
+        let kept = self.options.keep * KEEP_FACTOR;
+        self.leaving.get().is_some_and(|at| now.since(*at) >= kept)
     }
 
     /// Counts a request as running.
