Send nothing to engines that change their stage or decline, and leave checks a rest of the slots

Change: an engine gets nothing while its order is carried out, and nothing for 250 ms after it declined; requests that others outrank fill three quarters of the slots; a refused write is tried again.

--- a/crates/core/src/relay/book.rs
+++ b/crates/core/src/relay/book.rs
@@ -12,6 +12,9 @@
 /// How long an engine gets no new work after its first fault, if another can take it; doubles with each.
 const AVOID: Duration = Duration::from_millis(500);
 
+/// How long an engine that declined gets no new work, if another can take it: a slot is free again after about that.
+const DECLINED: Duration = Duration::from_millis(250);
+
 /// Doublings of [`AVOID`]: 8 s at most, the time a crashed engine takes to come back.
 const MAX_DOUBLINGS: u32 = 4;
 
@@ -162,7 +165,9 @@
                 load.faults = 0;
                 load.avoid = None;
             }
-            End::Declined | End::Failed => {}
+            End::Failed => {}
+            // Failure guarded against: an engine that declines all has no work, so it looks like the best choice.
+            End::Declined => load.avoid = Some(now + DECLINED),
             End::Unsent | End::Misdirected | End::Broken | End::Silent => {
                 let pause = AVOID * (1 << load.faults.min(MAX_DOUBLINGS));
                 load.faults += 1;
--- a/crates/core/src/relay/engines.rs
+++ b/crates/core/src/relay/engines.rs
@@ -192,7 +192,13 @@
                 true
             }
             None => {
-                self.bury(id, Grave { revision, sequence: 0 });
+                self.bury(
+                    id,
+                    Grave {
+                        revision,
+                        sequence: 0,
+                    },
+                );
                 false
             }
         }
--- a/crates/core/src/relay/place.rs
+++ b/crates/core/src/relay/place.rs
@@ -84,10 +84,10 @@
         engines.iter().find(|e| e.key == best)
     }
 
-    /// Whether an engine has all the work that it can hold: what it works on, and as much again that waits.
-    pub fn is_full(&self, engine: &Engine) -> bool {
-        let slots = engine.entry.slots.max(1);
-        self.book.work(self.now, engine.key).requests >= 2 * slots
+    /// Whether an engine has `part` of the work that it can do at once.
+    pub fn is_full(&self, engine: &Engine, part: f64) -> bool {
+        let slots = f64::from(engine.entry.slots.max(1));
+        f64::from(self.book.work(self.now, engine.key).requests) >= slots * part
     }
 
     /// Healthy engines that were not tried yet; else those that were not tried; else none.
--- a/crates/core/src/relay/routes.rs
+++ b/crates/core/src/relay/routes.rs
@@ -173,6 +173,18 @@
         None
     }
 
+    /// Whether another route to one of the same services is more urgent.
+    pub fn is_outranked(&self, route: &Route) -> bool {
+        let shares = |other: &Route| {
+            other
+                .targets
+                .iter()
+                .any(|t| route.targets.iter().any(|r| r.service == t.service))
+        };
+        self.routes()
+            .any(|other| other.priority < route.priority && shares(other))
+    }
+
     /// All routes, by host and prefix.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.hosts.values().flat_map(BTreeMap::values)
--- a/src/ops/relay/follow.rs
+++ b/src/ops/relay/follow.rs
@@ -156,7 +156,7 @@
 
     fn on_order(&mut self, item: &Item) {
         let mut ordered = Ordered::clone(&self.shared.view.load().ordered);
-        if ordered.on_item(self.shared.translate.as_ref(), item) {
+        if ordered.on_item(clock::now(), self.shared.translate.as_ref(), item) {
             self.shared.publish(|view| view.ordered = Arc::new(ordered));
         }
     }
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -50,6 +50,13 @@
 /// Engines that are asked in turn to read a prompt.
 const MAX_READS: u32 = 2;
 
+/// Work that an engine may have, against what it does at once: as much again may wait.
+const QUEUE: f64 = 2.0;
+
+/// Part of an engine's slots that requests may fill which others of the service outrank. Long answers hold a slot for
+/// seconds; without a rest for the others, these would wait behind them.
+const UNRESERVED: f64 = 0.75;
+
 /// Part of a route's target by which an answer must be expected to begin: the rest is for the ways to and from the
 /// caller and for what the prediction misses.
 const ON_TIME: f64 = 0.8;
@@ -200,7 +207,7 @@
     async fn attempt(&mut self) -> Result<HttpResponse, Option<Reply>> {
         let picked = self.pick(|chooser, engines| {
             let engine = chooser.plain(engines)?;
-            (!chooser.is_full(engine)).then(|| engine.clone())
+            (!chooser.is_full(engine, QUEUE)).then(|| engine.clone())
         });
         let Some(engine) = picked else {
             return Err(Some(self.give_up()));
@@ -284,7 +291,10 @@
         let handover = now.since(begun).as_millis() as u64;
         log_event!(info, log_event::FORWARDED, request = %id, route = %self.route.name, engine = %engine.entry.id, first, handover, requests);
         if self.read.is_some() && requests < engine.entry.slots {
-            self.shared.ledger().book.on_handover(now, engine.key, now.since(begun));
+            self.shared
+                .ledger()
+                .book
+                .on_handover(now, engine.key, now.since(begun));
         }
     }
 
@@ -390,9 +400,14 @@
     /// The engine that generates: near the one that has read the prompt.
     fn pick_generator(&self, is_fresh: bool) -> Option<Engine> {
         let zone = self.kept.as_ref().map(|kept| kept.engine.entry.zone.as_str());
+        let part = match (&self.kept, self.view.table.is_outranked(&self.route)) {
+            (Some(_), _) => QUEUE,
+            (None, false) => 1.0,
+            (None, true) => UNRESERVED,
+        };
         self.pick_near(zone, |chooser, engines| {
             let engine = generator(chooser, engines)?;
-            let is_open = !is_fresh || !chooser.is_full(engine);
+            let is_open = !is_fresh || !chooser.is_full(engine, part);
             is_open.then(|| engine.clone())
         })
     }
@@ -412,14 +427,19 @@
         // The engines of now: one that left since the request came gets no work any more.
         let view = self.shared.view.load();
         let engines = view.engines.get(service)?;
+        let now = clock::now();
+        let staying = engines
+            .iter()
+            .filter(|e| !view.ordered.is_changing(now, &e.entry));
+        let staying: Vec<Engine> = staying.cloned().collect();
         let ledger = self.shared.ledger();
         let chooser = Chooser {
             book: &ledger.book,
-            now: clock::now(),
+            now,
             zone: zone.unwrap_or(self.shared.options.zone.as_str()),
             tried: &self.tried,
         };
-        choose(&chooser, engines)
+        choose(&chooser, &staying)
     }
 
     fn hold(&self, engine: &Engine, tokens: u64) -> Held {
--- a/src/ops/relay/orders.rs
+++ b/src/ops/relay/orders.rs
@@ -14,9 +14,11 @@
 use http_body_util::Full;
 use sequoiastream_core::log_event;
 use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_core::relay::engines::Entry;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::stages::StageOrder;
 use sequoiastream_core::relay::stages::plan;
+use sequoiastream_core::time::Time;
 use sequoiastream_kv::store::Item;
 use sequoiastream_kv::store::Put;
 use sequoiastream_kv::store::Store;
@@ -34,6 +36,10 @@
 /// Time between two looks at the plan.
 const LOOK: Duration = Duration::from_millis(500);
 
+/// Longest time for which an engine is left alone after its order: the longest answers take some seconds, the change
+/// three. An order that is carried out later still shows by the engine's declining.
+const CHANGE: Duration = Duration::from_secs(8);
+
 /// Looks for which the engines must have stayed the same before any gets an order.
 const STEADY: u32 = 3;
 
@@ -52,11 +58,14 @@
 
 /// The records of orders, as the store shows them.
 #[derive(Debug, Clone, Default)]
-pub struct Ordered(BTreeMap<String, Stage>);
+pub struct Ordered {
+    stages: BTreeMap<String, Stage>,
+    since: BTreeMap<String, Time>,
+}
 
 impl Ordered {
     /// Takes an item of the store; one that can't be read counts as an order too, so that no second is given.
-    pub fn on_item(&mut self, translate: &dyn Translate, item: &Item) -> bool {
+    pub fn on_item(&mut self, now: Time, translate: &dyn Translate, item: &Item) -> bool {
         let Some(id) = item.key.strip_prefix(translate.keys().orders.as_str()) else {
             return false;
         };
@@ -68,13 +77,24 @@
                 Stage::Whole
             }
         };
-        self.0.insert(id.to_string(), stage);
+        self.stages.insert(id.to_string(), stage);
+        self.since.entry(id.to_string()).or_insert(now);
         true
     }
 
     /// The engines that have had their order.
     pub fn engines(&self) -> &BTreeMap<String, Stage> {
-        &self.0
+        &self.stages
+    }
+
+    /// Whether an engine is about to change its stage, and declines what is sent to it.
+    pub fn is_changing(&self, now: Time, entry: &Entry) -> bool {
+        let differs = self
+            .stages
+            .get(&entry.id)
+            .is_some_and(|stage| *stage != entry.stage);
+        let since = self.since.get(&entry.id);
+        differs && since.is_some_and(|at| now.since(*at) < CHANGE)
     }
 }
 
@@ -89,10 +109,8 @@
         if shared.is_leaving() || !shared.view.load().is_configured() {
             continue;
         }
-        if !steady.is_steady(&shared) {
-            continue;
-        }
-        let orders = planned(&shared);
+        let is_steady = steady.is_steady(&shared);
+        let orders = planned(&shared, is_steady);
         due.retain(|engine, _| orders.iter().any(|(_, o)| o.engine == *engine));
         for (engine, order) in orders {
             let looks = due.entry(order.engine.clone()).or_default();
@@ -102,7 +120,9 @@
                 continue;
             }
             tried.insert(order.engine.clone());
-            give(&shared, store.as_ref(), &pool, &engine, &order).await;
+            if !give(&shared, store.as_ref(), &pool, &engine, &order).await {
+                tried.remove(&order.engine);
+            }
         }
     }
 }
@@ -130,11 +150,18 @@
     }
 }
 
-fn planned(shared: &Shared) -> Vec<(Engine, StageOrder)> {
+/// The orders that are due. A service that was never split waits until its engines are steady; later an engine that
+/// comes is split at once.
+fn planned(shared: &Shared, is_steady: bool) -> Vec<(Engine, StageOrder)> {
     let view = shared.view.load();
-    let engines = view.engines.values();
+    let ordered = view.ordered.engines();
+    let is_split = |engines: &[Engine]| engines.iter().any(|e| ordered.contains_key(&e.entry.id));
+    let engines = view
+        .engines
+        .values()
+        .filter(|engines| is_steady || is_split(engines));
     let orders = engines.flat_map(|engines| {
-        let orders = plan(engines, view.ordered.engines(), shared.options.readers);
+        let orders = plan(engines, ordered, shared.options.readers);
         orders.into_iter().filter_map(|order| {
             let engine = engines.iter().find(|e| e.entry.id == order.engine)?;
             Some((engine.clone(), order))
@@ -148,17 +175,19 @@
 /// Failures guarded against: two instances give an engine different orders; one repeats an order that may still be on
 /// its way. The record is created once and never written again, and only its creator sends, once. If the answer of
 /// the store is lost, reading back tells whose record it is; if that is not known, nothing is sent.
-async fn give(shared: &Shared, store: &dyn Store, pool: &Pool, engine: &Engine, order: &StageOrder) {
+///
+/// `false` if nothing was done and it may be tried again.
+async fn give(shared: &Shared, store: &dyn Store, pool: &Pool, engine: &Engine, order: &StageOrder) -> bool {
     let record = Record {
         holder: format!("{}/{}", shared.options.name, uuid::Uuid::new_v4()),
         reader: order.stage == Stage::Prefill,
     };
     let fence = match create(shared, store, &order.engine, &record).await {
         Ok(Some(fence)) => fence,
-        Ok(None) => return,
+        Ok(None) => return true,
         Err(error) => {
             log_event!(warn, log_event::ORDER_UNSETTLED, engine = %order.engine, %error);
-            return;
+            return !matches!(error, StoreError::Refused(_));
         }
     };
     log_event!(info, log_event::ORDER_SENT, engine = %order.engine, stage = ?order.stage, fence);
@@ -167,6 +196,7 @@
         Ok(status) => log_event!(info, log_event::ORDER_CLOSED, engine = %order.engine, status),
         Err(error) => log_event!(warn, log_event::ORDER_UNANSWERED, engine = %order.engine, error),
     }
+    true
 }
 
 /// Creates the record; its revision is the fencing number. `None` if somebody else has created it.
