--- a/tests/testsuite/relay/engine.rs
+++ b/tests/testsuite/relay/engine.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -10,6 +11,10 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
+/// Longest time for which a test waits: far above the milliseconds that it takes, far below the idle time of a
+/// connection, after which what is waited for would happen anyhow.
+const LIMIT: Duration = Duration::from_secs(20);
+
 /// What an engine does next on a connection.
 #[derive(Debug, Clone)]
 pub enum Act {
@@ -99,7 +104,8 @@
         F: FnMut(&Log) -> bool,
     {
         let mut log = self.log.subscribe();
-        log.wait_for(done).await.expect("the engine runs");
+        let wait = tokio::time::timeout(LIMIT, log.wait_for(done)).await;
+        wait.expect("it happens in time").expect("the engine runs");
     }
 }
 
