--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -37,6 +37,10 @@
     102 STOPPED = "stopped";
     /// The instance refuses new work and finishes what runs.
     103 REFUSING = "refusing";
+    /// The settings were read anew.
+    104 RELOADED = "reloaded";
+    /// Changed settings can't be accepted; those in force stay.
+    105 RELOAD_REFUSED = "reload-refused";
     /// A new version of the configuration is in force here.
     200 CONFIG_IN_FORCE = "config-in-force";
     /// A change was accepted through this instance.
--- a/crates/core/src/relay/book.rs
+++ b/crates/core/src/relay/book.rs
@@ -24,6 +24,9 @@
 /// Part of a new observation in the mean rate of failures.
 const FAILURE_GAIN: f64 = 0.1;
 
+/// Time in which that mean loses half of its weight while nothing is seen.
+const FORGIVE: Duration = Duration::from_secs(2);
+
 /// Prompt tokens that an engine reads in a millisecond, until it was seen at it: what the users' sheets say.
 const SPEED: f64 = 400.0;
 
@@ -83,7 +86,8 @@
     own: Work,
     faults: u32,
     avoid: Option<Time>,
-    failures: f64,
+    /// Mean rate of failed attempts, and when it was last seen.
+    failures: (Time, f64),
     speed: Option<f64>,
     /// Mean time from a prompt's being read to the first event here, and when it was last seen.
     handover: Option<(Time, Duration)>,
@@ -91,6 +95,15 @@
     stay: Option<f64>,
 }
 
+impl Load {
+    /// Failure guarded against: an engine fails for a while, gets nothing any more, and is left out for ever, since
+    /// nothing is seen that could clear it.
+    fn failures(&self, now: Time) -> f64 {
+        let (at, mean) = self.failures;
+        mean * 0.5_f64.powf(now.since(at).as_secs_f64() / FORGIVE.as_secs_f64())
+    }
+}
+
 #[derive(Debug, Clone, Default)]
 struct Told {
     at: Time,
@@ -159,7 +172,8 @@
     pub fn judge(&mut self, now: Time, engine: EngineKey, end: End) {
         let load = self.loads.entry(engine).or_default();
         let failed = f64::from(u8::from(end.is_fault()));
-        load.failures += FAILURE_GAIN * (failed - load.failures);
+        let mean = load.failures(now);
+        load.failures = (now, mean + FAILURE_GAIN * (failed - mean));
         match end {
             End::Answered => {
                 load.faults = 0;
@@ -258,8 +272,8 @@
     }
 
     /// Mean rate of failed attempts at an engine, 0 to 1, over about its last ten.
-    pub fn failures(&self, engine: EngineKey) -> f64 {
-        self.loads.get(&engine).map_or(0.0, |l| l.failures)
+    pub fn failures(&self, now: Time, engine: EngineKey) -> f64 {
+        self.loads.get(&engine).map_or(0.0, |load| load.failures(now))
     }
 
     /// Forgets engines that `known` denies and that have no work left.
--- a/crates/core/src/relay/budget.rs
+++ b/crates/core/src/relay/budget.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Bounds by another rule from now on.
+    pub fn set_rule(&mut self, rule: Rule) {
+        self.rule = rule;
+    }
+
     /// Counts a request for `service`.
     pub fn request(&mut self, now: Time, service: &str) {
         let window = self.rule.window;
--- a/crates/core/src/relay/place.rs
+++ b/crates/core/src/relay/place.rs
@@ -94,10 +94,10 @@
     /// Healthy engines that were not tried yet; else those that were not tried; else none.
     fn open<'e>(&self, engines: &'e [Engine]) -> Vec<&'e Engine> {
         let fresh: Vec<&Engine> = engines.iter().filter(|e| !self.tried.contains(&e.key)).collect();
-        let least = fresh.iter().map(|e| self.book.failures(e.key));
+        let least = fresh.iter().map(|e| self.book.failures(self.now, e.key));
         let least = least.fold(1.0, f64::min);
         let healthy = |e: &Engine| {
-            let failures = self.book.failures(e.key);
+            let failures = self.book.failures(self.now, e.key);
             !self.book.is_avoided(self.now, e.key) && (failures < FAILING || failures < 2.0 * least)
         };
         let sound: Vec<&Engine> = fresh.iter().copied().filter(|e| healthy(e)).collect();
--- a/src/ops/relay/follow.rs
+++ b/src/ops/relay/follow.rs
@@ -3,7 +3,7 @@
 //! One watch covers both. It is resumed from the revision of its last answer. Failures guarded against: history that
 //! is no longer kept, a watch that was cut, and one that stays silent on a connection that looks alive. Each ends in
 //! a read of everything, which asks the store itself, not a copy that lags. The longest silence of a watch that
-//! is not noticed is [`Options::wait`](crate::ops::relay::options::Options) and [`ANSWER`].
+//! is not noticed is [`Tuning::wait`](crate::ops::relay::options::Tuning) and [`ANSWER`].
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -103,7 +103,7 @@
     }
 
     async fn watch(&mut self, revision: u64) -> Result<u64, StoreError> {
-        let wait = self.shared.options.wait;
+        let wait = self.shared.tuning().wait;
         let watch = self.store.clone();
         let mut watch = watch.watch(ALL, revision, wait);
         let changes = loop {
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -26,6 +26,7 @@
 use eyre::WrapErr;
 use sequoiastream_core::log_event;
 use sequoiastream_kv::store::Store;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -33,6 +34,7 @@
 use crate::ops::relay::edge::Translate;
 use crate::ops::relay::known::Known;
 use crate::ops::relay::options::Options;
+use crate::ops::relay::options::Reload;
 use crate::ops::relay::shared::KEEP_FACTOR;
 use crate::ops::relay::shared::Shared;
 use crate::util::clock;
@@ -54,9 +56,11 @@
     store: Rc<dyn Store>,
     translate: Arc<dyn Translate>,
     budget: SharedBudget,
+    reload: Reload,
 ) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let hangup = signal(SignalKind::hangup())?;
     let shared = Arc::new(Shared::new(options, translate, budget));
     let server = server::start(shared.clone()).wrap_err("could not serve")?;
     let sockets = peers::Sockets::bind(&shared)
@@ -67,6 +71,7 @@
     actix_rt::spawn(follow::run(shared.clone(), store.clone(), fleet.clone(), known));
     actix_rt::spawn(orders::run(shared.clone(), store.clone()));
     let registration = register::start(shared.clone(), store);
+    actix_rt::spawn(reload_on(hangup, shared.clone(), reload));
     log_event!(info, log_event::STARTED, address = %shared.options.front);
     tokio::select! {
         _ = terminate.recv() => {}
@@ -82,11 +87,26 @@
     Ok(())
 }
 
+/// Reads the settings anew at each SIGHUP. Without this the signal would end the process. Settings that can't be read
+/// change nothing; names and addresses change with the next start only.
+async fn reload_on(mut hangup: Signal, shared: Arc<Shared>, reload: Reload) {
+    while hangup.recv().await.is_some() {
+        match reload() {
+            Ok(options) => {
+                let changed = options.tuning != *shared.tuning();
+                shared.tune(options.tuning);
+                log_event!(info, log_event::RELOADED, changed);
+            }
+            Err(error) => log_event!(error, log_event::RELOAD_REFUSED, error),
+        }
+    }
+}
+
 /// Serves on for as long as callers may keep this address, then until the last answer is out or the grace ends.
 async fn drain(shared: &Shared) {
     let begun = clock::now();
-    let kept = shared.options.keep * KEEP_FACTOR;
-    let most = shared.options.grace.saturating_sub(EXIT);
+    let kept = shared.tuning().keep * KEEP_FACTOR;
+    let most = shared.tuning().grace.saturating_sub(EXIT);
     loop {
         let passed = clock::now().since(begun);
         let idle = shared.running() == 0;
--- a/src/ops/relay/options.rs
+++ b/src/ops/relay/options.rs
@@ -25,6 +25,13 @@
     pub peer: SocketAddr,
     /// Secret that all instances of the deployment share.
     pub cluster: String,
+    /// What may change while the instance runs.
+    pub tuning: Tuning,
+}
+
+/// Settings that may change while an instance runs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Tuning {
     /// How long callers are told to keep an answer about addresses.
     pub keep: Duration,
     /// Time between SIGTERM and the end.
@@ -36,3 +43,6 @@
     /// How long a watch of the store waits.
     pub wait: Duration,
 }
+
+/// Reads the settings anew.
+pub type Reload = Box<dyn Fn() -> Result<Options, String>>;
--- a/src/ops/relay/orders.rs
+++ b/src/ops/relay/orders.rs
@@ -161,7 +161,7 @@
         .values()
         .filter(|engines| is_steady || is_split(engines));
     let orders = engines.flat_map(|engines| {
-        let orders = plan(engines, ordered, shared.options.readers);
+        let orders = plan(engines, ordered, shared.tuning().readers);
         orders.into_iter().filter_map(|order| {
             let engine = engines.iter().find(|e| e.entry.id == order.engine)?;
             Some((engine.clone(), order))
--- a/src/ops/relay/server.rs
+++ b/src/ops/relay/server.rs
@@ -174,7 +174,7 @@
     if view.addresses.is_empty() {
         return HttpResponse::ServiceUnavailable().finish();
     }
-    let body = shared.translate.addresses(&view.addresses, shared.options.keep);
+    let body = shared.translate.addresses(&view.addresses, shared.tuning().keep);
     HttpResponse::Ok().content_type("application/json").body(body)
 }
 
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -20,6 +20,7 @@
 
 use crate::ops::relay::edge::Translate;
 use crate::ops::relay::options::Options;
+use crate::ops::relay::options::Tuning;
 use crate::ops::relay::orders::Ordered;
 use crate::util::logging::SharedBudget;
 use crate::util::metrics::RelayMetrics;
@@ -78,6 +79,7 @@
     pub view: ArcSwap<View>,
     /// Metrics.
     pub metrics: RelayMetrics,
+    tuning: ArcSwap<Tuning>,
     leaving: OnceLock<Time>,
     ledger: Mutex<Ledger>,
     running: Arc<AtomicUsize>,
@@ -98,10 +100,11 @@
     pub fn new(options: Options, translate: Arc<dyn Translate>, budget: SharedBudget) -> Shared {
         let ledger = Ledger {
             book: Book::new(),
-            budget: Budget::new(options.rule),
+            budget: Budget::new(options.tuning.rule),
             suspects: Suspects::new(),
         };
         Shared {
+            tuning: ArcSwap::from_pointee(options.tuning.clone()),
             options,
             translate,
             view: ArcSwap::default(),
@@ -112,6 +115,17 @@
         }
     }
 
+    /// Settings that may change.
+    pub fn tuning(&self) -> Arc<Tuning> {
+        self.tuning.load_full()
+    }
+
+    /// Puts changed settings into force.
+    pub fn tune(&self, tuning: Tuning) {
+        self.ledger().budget.set_rule(tuning.rule);
+        self.tuning.store(Arc::new(tuning));
+    }
+
     /// Load, health and budget.
     pub fn ledger(&self) -> MutexGuard<'_, Ledger> {
         self.ledger
@@ -148,7 +162,7 @@
     ///
     /// Failure guarded against: a stream that is accepted late in a shutdown is cut when the process ends.
     pub fn is_closed(&self, now: Time) -> bool {
-        let kept = self.options.keep * KEEP_FACTOR;
+        let kept = self.tuning().keep * KEEP_FACTOR;
         self.leaving.get().is_some_and(|at| now.since(*at) >= kept)
     }
 
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -15,6 +15,7 @@
 use sequoiastream::ops::relay::edge::Paths;
 use sequoiastream::ops::relay::edge::Translate;
 use sequoiastream::ops::relay::options::Options;
+use sequoiastream::ops::relay::options::Tuning;
 use sequoiastream::ops::relay::server;
 use sequoiastream::ops::relay::shared::Shared;
 use sequoiastream::util::log_budget::LogBudget;
@@ -203,15 +204,17 @@
         metrics: Some(own_address(7_005)),
         peer: own_address(7_004),
         cluster: "a secret of the tests".to_string(),
-        keep: Duration::from_millis(50),
-        grace: Duration::from_secs(8),
-        rule: Rule {
-            ratio: 0.2,
-            window: Duration::from_secs(10),
-            slack: 56.0,
+        tuning: Tuning {
+            keep: Duration::from_millis(50),
+            grace: Duration::from_secs(8),
+            rule: Rule {
+                ratio: 0.2,
+                window: Duration::from_secs(10),
+                slack: 56.0,
+            },
+            readers: 0.5,
+            wait: Duration::from_millis(200),
         },
-        readers: 0.5,
-        wait: Duration::from_millis(200),
     }
 }
 
--- a/tests/testsuite/relay/place.rs
+++ b/tests/testsuite/relay/place.rs
@@ -137,6 +137,23 @@
     assert_eq!(picked, Some(EngineKey(1)));
 }
 
+/// An engine that failed for a while gets nothing for ever. Order: it fails, others are chosen, it is sound again. Cause:
+/// a rate of failures that only new attempts correct.
+#[test]
+fn plain_forgives_failing() {
+    let engines = fleet(&[Stage::Whole; 2]);
+    let mut book = Book::new();
+    for _ in 0..40 {
+        book.judge(Time::ZERO, EngineKey(0), End::Failed);
+        book.judge(Time::ZERO, EngineKey(1), End::Answered);
+    }
+    book.begin(Time::ZERO, EngineKey(1), 0);
+    let mut chooser = chooser(&book, &[]);
+    assert_eq!(chooser.plain(&engines).map(|e| e.key), Some(EngineKey(1)));
+    chooser.now = Time::from_millis(6_000);
+    assert_eq!(chooser.plain(&engines).map(|e| e.key), Some(EngineKey(0)));
+}
+
 #[test]
 fn plain_near_before_far() {
     let mut engines = fleet(&[Stage::Whole; 2]);
