Count what is read anew three times when a session's home is left

Cause: under overload the waits of engines differ by more than the 16 ms that reading 6,000 shared tokens takes, so sessions left their homes all the time, and a quarter of what engines read were shared parts once more. What is read anew takes its time from all behind it, not from one request only. Ruled out: homes that differ between instances (reader_same_everywhere).

--- a/crates/core/src/relay/place.rs
+++ b/crates/core/src/relay/place.rs
@@ -18,6 +18,10 @@
 /// step, which every further request makes longer.
 const REQUEST_TOKENS: u64 = 200;
 
+/// How often the reading of shared parts anew counts besides this request's own wait, when engines are compared. Under
+/// load an engine that reads them has no time for others.
+const ANEW: f64 = 2.0;
+
 /// Prompt tokens to which another availability zone is equal: what the round trip takes.
 const ZONE_TOKENS: u64 = 300;
 
@@ -75,7 +79,13 @@
                 takes: Duration::from_secs_f64(millis / 1_000.0),
             }
         });
-        readings.min_by_key(|reading| (reading.takes, reading.engine.key))
+        // What is read anew costs this request its time, and all behind it the engine's.
+        let anew = |r: &Reading| r.tokens.saturating_sub(u64::from(prompt.own_tokens()));
+        let cost = |r: &Reading| {
+            let millis = anew(r) as f64 / self.book.speed(r.engine.key);
+            r.takes + Duration::from_secs_f64(millis * ANEW / 1_000.0)
+        };
+        readings.min_by_key(|reading| (cost(reading), reading.engine.key))
     }
 
     /// The engine that generates, of those at `stage`.
