--- a/crates/core/src/relay/place.rs
+++ b/crates/core/src/relay/place.rs
@@ -20,7 +20,7 @@
 
 /// How often the reading of shared parts anew counts besides this request's own wait, when engines are compared. Under
 /// load an engine that reads them has no time for others.
-const ANEW: f64 = 2.0;
+const ANEW: f64 = 6.0;
 
 /// Prompt tokens to which another availability zone is equal: what the round trip takes.
 const ZONE_TOKENS: u64 = 300;
