Test following the store, peers that tell of it, and one order in an engine's life

Found by turned_away_asks_peer (red before): without traffic nobody said how far it knows the store, so that an instance that was turned away did not know whom to ask. One of sixteen load messages is sent without work now.

--- a/src/ops/relay/peers.rs
+++ b/src/ops/relay/peers.rs
@@ -1,5 +1,6 @@
 //! The other instances: who they are, whether they are alive, and how much work they have at each engine.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -53,6 +54,9 @@
 /// describe work that is done.
 const LOAD_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Without work, one of so many messages is sent: it says how far the sender knows the store.
+const QUIET_TURNS: u32 = 16;
+
 /// Pause after the socket failed.
 const SOCKET_PAUSE: Duration = Duration::from_millis(100);
 
@@ -99,7 +103,8 @@
     socket: DatagramSocket,
     members: RefCell<Members>,
     listed: RefCell<BTreeMap<Name, Listing>>,
-    quiet: RefCell<bool>,
+    quiet: Cell<bool>,
+    turn: Cell<u32>,
     calls: CallClient,
     known: Known,
     /// Up to which revision of the store each peer said to know.
@@ -145,7 +150,8 @@
         ahead: RefCell::default(),
         members: RefCell::new(Members::new(myself, limits)),
         listed: RefCell::default(),
-        quiet: RefCell::new(true),
+        quiet: Cell::new(true),
+        turn: Cell::new(0),
     }));
     actix_rt::spawn(receive(fleet.clone()));
     actix_rt::spawn(beat(fleet.clone()));
@@ -316,7 +322,7 @@
         }
     }
 
-    /// Tells the peers about this instance's work, unless there is none and they know it.
+    /// Tells the peers about this instance's work and how far it knows the store; seldom, if there is no work.
     async fn tell(&self) {
         let view = self.0.shared.view.load_full();
         let (all, notes) = {
@@ -324,7 +330,9 @@
             (ledger.book.all(), ledger.suspects.notes(clock::now()))
         };
         let quiet = all.is_empty();
-        if self.0.quiet.replace(quiet) && quiet {
+        let turn = self.0.turn.get();
+        self.0.turn.set(turn.wrapping_add(1));
+        if self.0.quiet.replace(quiet) && quiet && !turn.is_multiple_of(QUIET_TURNS) {
             return;
         }
         let keys = view.keys();
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -5,11 +5,14 @@
 mod budget;
 mod engine;
 mod engines;
+mod follow;
 mod instance;
+mod orders;
 mod place;
 mod requests;
 mod routes;
 mod stages;
+mod store;
 mod suspects;
 mod verdict;
 
--- /dev/null
+++ b/tests/testsuite/relay/orders.rs
@@ -0,0 +1,169 @@
+//! Giving engines their one order.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sequoiastream::ops::relay::orders;
+use sequoiastream::ops::relay::shared::Shared;
+use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_core::relay::engines::EngineKey;
+use sequoiastream_core::relay::engines::Entry;
+use sequoiastream_core::relay::engines::Stage;
+use sequoiastream_core::relay::routes::Limits;
+use sequoiastream_core::relay::routes::Table;
+
+use super::engine::Act;
+use super::engine::ScriptedEngine;
+use super::instance::options;
+use super::instance::shared;
+use super::store::FakeStore;
+use super::store::Fate;
+
+/// Longest time for which a test waits: engines must stay the same for two seconds before any gets an order.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// An instance that knows three generating engines at one address, of which one is to read.
+fn instance(engine: &ScriptedEngine) -> Arc<Shared> {
+    let shared = shared(options());
+    let engines = (0..3).map(|index| Engine {
+        key: EngineKey(index),
+        entry: Entry {
+            address: engine.address(),
+            ..super::entry(&format!("e{index}"), Stage::Decode)
+        },
+    });
+    let engines: Vec<Engine> = engines.collect();
+    shared.publish(|view| {
+        view.table = Arc::new(Table::new(1, Limits::default(), Vec::new(), Vec::new()));
+        view.engines = Arc::new([("chat".to_string(), engines)].into());
+    });
+    shared
+}
+
+async fn accepting() -> ScriptedEngine {
+    let accepted = "HTTP/1.1 202 Accepted\r\ncontent-length: 0\r\n\r\n";
+    ScriptedEngine::start(move |_, _| vec![Act::Send(accepted.to_string())]).await
+}
+
+async fn until<F>(holds: F)
+where
+    F: Fn() -> bool,
+{
+    let wait = async {
+        while !holds() {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(LIMIT, wait)
+        .await
+        .expect("it happens in time");
+}
+
+/// An engine gets two orders from two instances. Order: both see the same plan and none sees the other's record yet.
+#[actix_web::test]
+async fn two_instances_one_order() {
+    let engine = accepting().await;
+    let store = FakeStore::new();
+    for _ in 0..2 {
+        actix_web::rt::spawn(orders::run(instance(&engine), Rc::new(store.clone())));
+    }
+    until(|| store.calls().writes >= 2).await;
+    engine.wait_for(|log| !log.requests.is_empty()).await;
+    let seen = engine.log().requests;
+    assert_eq!(seen.len(), 1);
+    assert!(
+        seen[0].head.starts_with("POST /order ") && seen[0].body.starts_with("Prefill one/"),
+        "{seen:?}"
+    );
+    assert_eq!(seen[0].header("x-expect"), Some("e2"));
+}
+
+/// The answer to the write of the record is lost. Order: it has taken effect. Reading back shows whose it is, and the
+/// order is given, once.
+#[actix_web::test]
+async fn record_answer_lost() {
+    let engine = accepting().await;
+    let store = FakeStore::new();
+    store.next_write(Fate::DoneUnanswered);
+    actix_web::rt::spawn(orders::run(instance(&engine), Rc::new(store.clone())));
+    engine.wait_for(|log| log.requests.len() == 1).await;
+    assert!(store.has("orders/e2"));
+}
+
+/// Nobody knows whose record it is. Order: the write gets no answer, and reading back gets none. Nothing is sent, now or
+/// later: the write may still take effect.
+#[actix_web::test]
+async fn record_unknown_not_sent() {
+    let engine = accepting().await;
+    let store = FakeStore::new();
+    store.next_write(Fate::LostUnanswered);
+    let state = instance(&engine);
+    actix_web::rt::spawn(orders::run(state.clone(), Rc::new(store.clone())));
+    until(|| store.calls().ranges == 1).await;
+    store.set_down(false);
+    // Another engine is due later: until its order is there, the first one was passed over.
+    let mut engines: Vec<Engine> = state.view.load().engines["chat"].clone();
+    engines.push(Engine {
+        key: EngineKey(9),
+        entry: Entry {
+            address: engine.address(),
+            ..super::entry("e9", Stage::Decode)
+        },
+    });
+    state.publish(|view| view.engines = Arc::new([("chat".to_string(), engines)].into()));
+    engine.wait_for(|log| !log.requests.is_empty()).await;
+    let expected: Vec<Option<String>> = engine
+        .log()
+        .requests
+        .iter()
+        .map(|r| r.header("x-expect").map(str::to_string))
+        .collect();
+    assert!(!expected.contains(&Some("e2".to_string())), "{expected:?}");
+}
+
+/// A service is never split. Order: the store refuses the write of the record once, since its rate is used up. Cause: an
+/// order that was not given is taken for given.
+#[actix_web::test]
+async fn record_refused_tried_again() {
+    let engine = accepting().await;
+    let store = FakeStore::new();
+    store.next_write(Fate::Refused);
+    actix_web::rt::spawn(orders::run(instance(&engine), Rc::new(store.clone())));
+    engine.wait_for(|log| log.requests.len() == 1).await;
+    assert_eq!(store.calls().writes, 2);
+}
+
+/// An order is sent again though the first may still be carried out. Order: the engine gives no answer.
+#[actix_web::test]
+async fn unanswered_not_repeated() {
+    let engine = ScriptedEngine::start(|_, _| vec![Act::Close]).await;
+    let store = FakeStore::new();
+    let state = instance(&engine);
+    actix_web::rt::spawn(orders::run(state.clone(), Rc::new(store.clone())));
+    engine.wait_for(|log| log.requests.len() == 1).await;
+    // Three looks later there is still one: the plan is looked at again when the readers' part changes.
+    let mut tuning = (*state.tuning()).clone();
+    tuning.readers = 0.3;
+    state.tune(tuning);
+    let engines: Vec<Engine> = (10..14)
+        .map(|index| Engine {
+            key: EngineKey(index),
+            entry: Entry {
+                address: engine.address(),
+                ..super::entry(&format!("f{index}"), Stage::Decode)
+            },
+        })
+        .collect();
+    let mut all = state.view.load().engines["chat"].clone();
+    all.extend(engines);
+    state.publish(|view| view.engines = Arc::new([("chat".to_string(), all)].into()));
+    engine.wait_for(|log| log.requests.len() >= 2).await;
+    let to_first = engine
+        .log()
+        .requests
+        .iter()
+        .filter(|r| r.header("x-expect") == Some("e2"))
+        .count();
+    assert_eq!(to_first, 1);
+}
--- a/tests/testsuite/relay/place.rs
+++ b/tests/testsuite/relay/place.rs
@@ -73,13 +73,13 @@
     let engines = fleet(&[Stage::Prefill; 3]);
     let mut book = Book::new();
     let key = home(&book, &engines, 5);
-    book.begin(Time::ZERO, key, 17_000);
+    book.begin(Time::ZERO, key, 40_000);
     assert_eq!(
         home(&book, &engines, 5),
         key,
         "cheaper than reading 6,000 tokens anew, for all"
     );
-    book.begin(Time::ZERO, key, 2_000);
+    book.begin(Time::ZERO, key, 4_000);
     assert_ne!(home(&book, &engines, 5), key);
 }
 
--- /dev/null
+++ b/tests/testsuite/relay/store.rs
@@ -0,0 +1,241 @@
+//! A store in this process that loses answers, refuses and forgets as a test says.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use sequoiastream_kv::store::Change;
+use sequoiastream_kv::store::Changes;
+use sequoiastream_kv::store::Item;
+use sequoiastream_kv::store::LeaseId;
+use sequoiastream_kv::store::Page;
+use sequoiastream_kv::store::Store;
+use sequoiastream_kv::store::StoreError;
+use sequoiastream_kv::store::Write;
+use tokio::sync::watch;
+
+/// What happens to a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It is done, and its answer is lost.
+    DoneUnanswered,
+    /// It is not done, and gets no answer.
+    LostUnanswered,
+    /// It is refused.
+    Refused,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    items: RefCell<BTreeMap<String, Item>>,
+    changes: RefCell<Vec<Change>>,
+    fates: RefCell<VecDeque<Fate>>,
+    down: Cell<bool>,
+    compacted: Cell<u64>,
+    calls: Cell<Calls>,
+}
+
+/// How often the store was called.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Calls {
+    /// Reads of ranges.
+    pub ranges: u32,
+    /// Writes.
+    pub writes: u32,
+}
+
+/// The store; cheap to clone, stays on one thread.
+#[derive(Debug, Clone)]
+pub struct FakeStore {
+    state: Rc<State>,
+    revision: Rc<watch::Sender<u64>>,
+}
+
+impl FakeStore {
+    /// An empty store.
+    pub fn new() -> FakeStore {
+        FakeStore {
+            state: Rc::default(),
+            revision: Rc::new(watch::Sender::new(1)),
+        }
+    }
+
+    /// Puts a value, as others do.
+    pub fn put(&self, key: &str, value: &str) {
+        let revision = *self.revision.borrow() + 1;
+        let created = self
+            .state
+            .items
+            .borrow()
+            .get(key)
+            .map_or(revision, |item| item.created);
+        let item = Item {
+            key: key.to_string(),
+            value: Bytes::from(value.to_string()),
+            revision,
+            created,
+        };
+        self.state
+            .items
+            .borrow_mut()
+            .insert(key.to_string(), item.clone());
+        self.state.changes.borrow_mut().push(Change::Put(item));
+        self.revision.send_replace(revision);
+    }
+
+    /// Removes a key, as others do.
+    pub fn remove(&self, key: &str) {
+        let revision = *self.revision.borrow() + 1;
+        self.state.items.borrow_mut().remove(key);
+        let key = key.to_string();
+        self.state
+            .changes
+            .borrow_mut()
+            .push(Change::Removed { key, revision });
+        self.revision.send_replace(revision);
+    }
+
+    /// Forgets the history up to now, and cuts the watches.
+    pub fn compact(&self) {
+        self.state.compacted.set(*self.revision.borrow());
+        self.revision.send_modify(|_| {});
+    }
+
+    /// Whether no call is answered.
+    pub fn set_down(&self, down: bool) {
+        self.state.down.set(down);
+        self.revision.send_modify(|_| {});
+    }
+
+    /// What happens to the next write.
+    pub fn next_write(&self, fate: Fate) {
+        self.state.fates.borrow_mut().push_back(fate);
+    }
+
+    /// How often it was called.
+    pub fn calls(&self) -> Calls {
+        self.state.calls.get()
+    }
+
+    /// Whether a key exists.
+    pub fn has(&self, key: &str) -> bool {
+        self.state.items.borrow().contains_key(key)
+    }
+
+    fn check(&self) -> Result<(), StoreError> {
+        match self.state.down.get() {
+            true => Err(StoreError::Unknown("it is down".to_string())),
+            false => Ok(()),
+        }
+    }
+
+    fn apply(&self, write: Write) -> Result<u64, StoreError> {
+        for (key, expected) in &write.expect {
+            let found = self.state.items.borrow().get(key).map_or(0, |item| item.revision);
+            if found != *expected {
+                return Err(StoreError::Conflict);
+            }
+        }
+        for put in write.puts {
+            self.put(&put.key, &String::from_utf8_lossy(&put.value));
+        }
+        Ok(*self.revision.borrow())
+    }
+}
+
+impl Store for FakeStore {
+    fn range<'a>(&'a self, prefix: &'a str, _: &'a str) -> LocalBoxFuture<'a, Result<Page, StoreError>> {
+        async move {
+            let calls = self.calls();
+            self.state.calls.set(Calls {
+                ranges: calls.ranges + 1,
+                ..calls
+            });
+            self.check()?;
+            let items = self.state.items.borrow();
+            let items = items.values().filter(|item| item.key.starts_with(prefix));
+            Ok(Page {
+                items: items.cloned().collect(),
+                more: false,
+                revision: *self.revision.borrow(),
+            })
+        }
+        .boxed_local()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        _: &'a str,
+        after: u64,
+        wait: Duration,
+    ) -> LocalBoxFuture<'a, Result<Changes, StoreError>> {
+        async move {
+            let mut revisions = self.revision.subscribe();
+            self.check()?;
+            if after < self.state.compacted.get() {
+                return Err(StoreError::Compacted);
+            }
+            let at = |change: &Change| match change {
+                Change::Put(item) => item.revision,
+                Change::Removed { revision, .. } => *revision,
+            };
+            if *revisions.borrow_and_update() <= after
+                && tokio::time::timeout(wait, revisions.changed()).await.is_ok()
+            {
+                self.check()?;
+            }
+            if after < self.state.compacted.get() {
+                return Err(StoreError::Compacted);
+            }
+            let changes = self.state.changes.borrow();
+            let changes = changes.iter().filter(|change| at(change) > after);
+            Ok(Changes {
+                changes: changes.cloned().collect(),
+                revision: *self.revision.borrow(),
+            })
+        }
+        .boxed_local()
+    }
+
+    fn write<'a>(&'a self, write: Write) -> LocalBoxFuture<'a, Result<u64, StoreError>> {
+        async move {
+            let calls = self.calls();
+            self.state.calls.set(Calls {
+                writes: calls.writes + 1,
+                ..calls
+            });
+            self.check()?;
+            let unknown = || StoreError::Unknown("no answer".to_string());
+            let fate = self.state.fates.borrow_mut().pop_front();
+            match fate {
+                None => self.apply(write),
+                Some(Fate::DoneUnanswered) => Err(self.apply(write).err().unwrap_or_else(unknown)),
+                Some(Fate::LostUnanswered) => {
+                    // From here on nobody can find out what became of it.
+                    self.state.down.set(true);
+                    Err(unknown())
+                }
+                Some(Fate::Refused) => Err(StoreError::Refused(429)),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn grant<'a>(&'a self, _: Duration) -> LocalBoxFuture<'a, Result<LeaseId, StoreError>> {
+        async move { self.check().map(|()| LeaseId(7)) }.boxed_local()
+    }
+
+    fn renew<'a>(&'a self, _: LeaseId) -> LocalBoxFuture<'a, Result<(), StoreError>> {
+        async move { self.check() }.boxed_local()
+    }
+
+    fn revoke<'a>(&'a self, _: LeaseId) -> LocalBoxFuture<'a, Result<(), StoreError>> {
+        async move { self.check() }.boxed_local()
+    }
+}
