Explain a request out of the instances' logs

sequoiastream explain REQUEST-ID FILE...: the request's lines of all files, each file's own order kept whatever the clocks say, the line that decided, and what the instance believed then. Golden tests.

--- a/src/bin/sequoiastream/commands/mod.rs
+++ b/src/bin/sequoiastream/commands/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod audit;
 mod completions;
+mod explain;
 mod query;
 mod status;
 mod watch;
@@ -18,6 +19,7 @@
         apply::cli(),
         audit::cli(),
         completions::cli(),
+        explain::cli(),
         query::cli(),
         status::cli(),
         watch::cli(),
@@ -30,6 +32,7 @@
         "apply" => apply::exec(context, args).await,
         "audit" => audit::exec(context, args).await,
         "completions" => completions::exec(args, whole),
+        "explain" => explain::exec(args),
         "status" => status::exec(context).await,
         "watch" => watch::exec(context, args).await,
         _ => query::exec(context, args).await,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod config_fleet;
 mod config_keeper;
 mod config_run;
+mod explain;
 mod grammar;
 mod log_events;
 mod membership;
