Let engines that do everything meet their conversations too, and claim no reach that isn't known

Cause 1: without engines that only read, a long prompt went to whichever engine had the least work, and was let in without a prediction. Test prompt_at_home_without_readers.

--- a/src/bin/sequoiastream/output.rs
+++ b/src/bin/sequoiastream/output.rs
@@ -37,7 +37,7 @@
         "accepted"
     };
     format!(
-        "{verb} version {}, in force on {} of {} instances",
+        "{verb} version {}, in force on {} of the {} instances heard of",
         body.version, body.force, body.known
     )
 }
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -49,6 +49,10 @@
 /// Prompts up to so many tokens are read by the engine that generates: it takes less than the hand-over.
 const SHORT_PROMPT: u32 = 1_024;
 
+/// How much longer an engine that generates for others takes to read a prompt: it reads between their tokens, at half
+/// the speed.
+const DECODE_READING: u32 = 2;
+
 /// Engines that are asked in turn to read a prompt.
 const MAX_READS: u32 = 2;
 
@@ -282,12 +286,12 @@
         if self.kept.is_none() && self.wants_reader() {
             self.read_prompt(is_fresh).await?;
         }
-        let Some(engine) = self.pick_generator(is_fresh) else {
-            return Err(Some(self.give_up()));
+        let picked = match self.kept.is_none() && self.has_long_prompt() {
+            true => self.pick_reading_generator(is_fresh),
+            false => self.pick_generator(is_fresh),
         };
-        let unread = match (&self.kept, &self.ask.prompt) {
-            (None, Some(prompt)) => u64::from(prompt.input),
-            _ => 0,
+        let Some((engine, unread)) = picked else {
+            return Err(Some(self.give_up()));
         };
         let held = self.hold(&engine, unread);
         let begun = clock::now();
@@ -339,9 +343,8 @@
     /// Whether another engine is to read the prompt: where some do nothing else, and it is so long that reading it
     /// there costs less than the hand-over.
     fn wants_reader(&self) -> bool {
-        let is_long = self.ask.prompt.as_ref().is_some_and(|p| p.input > SHORT_PROMPT);
         let engines = self.service.as_ref().and_then(|s| self.view.engines.get(s));
-        is_long && engines.is_some_and(|e| e.iter().any(|e| e.entry.stage == Stage::Prefill))
+        self.has_long_prompt() && engines.is_some_and(|e| e.iter().any(|e| e.entry.stage == Stage::Prefill))
     }
 
     /// Has the prompt read. Without an engine that could, the generating one reads it.
@@ -441,8 +444,29 @@
         self.route.target.is_zero() || passed + takes <= self.route.target.mul_f64(ON_TIME)
     }
 
-    /// The engine that generates: near the one that has read the prompt.
-    fn pick_generator(&self, is_fresh: bool) -> Option<Engine> {
+    /// The engine that reads a long prompt itself and generates, and the tokens that it reads: one that knows the shared
+    /// parts and is in time.
+    fn pick_reading_generator(&mut self, is_fresh: bool) -> Option<(Engine, u64)> {
+        let prompt = self.ask.prompt.clone()?;
+        let reading = self.pick(|chooser, engines| {
+            let decode = chooser.reader(engines, Stage::Decode, &prompt);
+            decode.or_else(|| chooser.reader(engines, Stage::Whole, &prompt))
+        })?;
+        let slower = match reading.engine.entry.stage {
+            Stage::Decode => DECODE_READING,
+            Stage::Prefill | Stage::Whole => 1,
+        };
+        let takes = reading.takes * slower;
+        if is_fresh && !self.is_on_time(takes) {
+            let why = "it would be late";
+            self.refusal = Some(Refusal { why, takes });
+            return None;
+        }
+        Some((reading.engine, reading.tokens))
+    }
+
+    /// The engine that generates, near the one that has read the prompt, and the tokens that it reads.
+    fn pick_generator(&self, is_fresh: bool) -> Option<(Engine, u64)> {
         let zone = self.kept.as_ref().map(|kept| kept.engine.entry.zone.as_str());
         let part = match (&self.kept, self.view.table.is_outranked(&self.route)) {
             (Some(_), _) => QUEUE,
@@ -452,10 +476,24 @@
         self.pick_near(zone, |chooser, engines| {
             let engine = generator(chooser, engines)?;
             let is_open = !is_fresh || !chooser.is_full(engine, part);
-            is_open.then(|| engine.clone())
+            let unread = if self.kept.is_some() {
+                0
+            } else {
+                self.prompt_tokens()
+            };
+            is_open.then(|| (engine.clone(), unread))
         })
     }
 
+    fn prompt_tokens(&self) -> u64 {
+        self.ask.prompt.as_ref().map_or(0, |p| u64::from(p.input))
+    }
+
+    /// Whether reading the prompt counts: shorter ones take less than the hand-over.
+    fn has_long_prompt(&self) -> bool {
+        self.prompt_tokens() > u64::from(SHORT_PROMPT)
+    }
+
     fn pick<T, F>(&self, choose: F) -> Option<T>
     where
         F: FnOnce(&Chooser<'_>, &[Engine]) -> Option<T>,
--- a/tests/testsuite/relay/answers.rs
+++ b/tests/testsuite/relay/answers.rs
@@ -292,6 +292,37 @@
     assert_eq!(generated[0].header("x-stage"), None);
 }
 
+/// Prompts are read anew by every engine in turn. Order: a service whose engines do everything gets the requests of one
+/// conversation. They meet at one engine.
+#[actix_web::test]
+async fn prompt_at_home_without_readers() {
+    let serve =
+        |_: usize, request: &super::engine::Seen| vec![Act::Send(stream_of(request, 1..=1) + "0\r\n\r\n")];
+    let (first, second) = (
+        ScriptedEngine::start(serve).await,
+        ScriptedEngine::start(serve).await,
+    );
+    let instance = Instance::start(
+        Kind::Stream,
+        &[(&first, Stage::Whole), (&second, Stage::Whole)],
+        |_| {},
+    );
+    let mut at_first = Vec::new();
+    for conversation in 0..12 {
+        let parts = format!("x-tokens: 9000\r\nx-parts: {conversation}\r\n");
+        let before = first.log().requests.len();
+        for number in 0..3 {
+            let got = instance
+                .get("/r/x", &format!("q{conversation}-{number}"), &parts)
+                .await;
+            assert!(got.contains("token 1"), "{got}");
+        }
+        at_first.push(first.log().requests.len() - before);
+    }
+    assert!(at_first.iter().all(|n| [0, 3].contains(n)), "{at_first:?}");
+    assert!(at_first.contains(&0) && at_first.contains(&3), "{at_first:?}");
+}
+
 /// An engine's memory fills with prompts that nobody takes. Order: a prompt is read, no engine generates. What was read
 /// is freed, and the caller is told that nothing ran.
 #[actix_web::test]
