--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -12,13 +12,9 @@
 use http::HeaderMap;
 use http::header;
 use sequoiastream_core::log_event;
-use sequoiastream_core::relay::book::Ticket;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::EngineKey;
-use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::hash::Hash;
-use sequoiastream_core::relay::place::Chooser;
-use sequoiastream_core::relay::place::Reading;
 use sequoiastream_core::relay::routes::Route;
 use sequoiastream_core::relay::suspects::Note;
 use sequoiastream_core::relay::verdict::Attempts;
@@ -29,12 +25,14 @@
 use sequoiastream_upstream::channel::Pool;
 
 use crate::log_event;
+use crate::ops::relay::pick::Held;
+use crate::ops::relay::pick::QUEUE;
+use crate::ops::relay::reading::Kept;
 use crate::ops::relay::reply::Reply;
 use crate::ops::relay::send::Ask;
 use crate::ops::relay::send::Extra;
 use crate::ops::relay::send::Failure;
 use crate::ops::relay::send::MAX_ANSWER;
-use crate::ops::relay::send::release;
 use crate::ops::relay::send::send;
 use crate::ops::relay::shared::Running;
 use crate::ops::relay::shared::Shared;
@@ -43,82 +41,6 @@
 use crate::ops::relay::stream::Opened;
 use crate::util::clock;
 
-/// How long freeing a kept prompt may take.
-const RELEASE: Duration = Duration::from_millis(500);
-
-/// Prompts up to so many tokens are read by the engine that generates: it takes less than the hand-over.
-const SHORT_PROMPT: u32 = 1_024;
-
-/// How much longer an engine that generates for others takes to read a prompt: it reads between their tokens, at half
-/// the speed.
-const DECODE_READING: u32 = 2;
-
-/// Engines that are asked in turn to read a prompt.
-const MAX_READS: u32 = 2;
-
-/// Work that an engine may have, against what it does at once: as much again may wait.
-const QUEUE: f64 = 2.0;
-
-/// Part of an engine's slots that requests may fill which others of the service outrank. Long answers hold a slot for
-/// seconds; without a rest for the others, these would wait behind them.
-const UNRESERVED: f64 = 0.75;
-
-/// Part of a route's target by which an answer must be expected to begin: the rest is for the ways to and from the
-/// caller and for what the prediction misses.
-const ON_TIME: f64 = 0.8;
-
-/// Work noted at an engine; ends when dropped.
-pub struct Held {
-    shared: Arc<Shared>,
-    ticket: Ticket,
-}
-
-impl Held {
-    /// Notes that the prompt is read.
-    pub fn read(&self) {
-        self.shared.ledger().book.read(self.ticket);
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.shared.ledger().book.end(clock::now(), self.ticket);
-    }
-}
-
-/// A prompt that an engine has read and keeps; freed when dropped, unless it was taken.
-struct Kept {
-    shared: Arc<Shared>,
-    pool: Pool,
-    engine: Engine,
-    name: String,
-    taken: bool,
-}
-
-impl Kept {
-    fn source(&self) -> String {
-        format!("{}/{}", self.engine.entry.address, self.name)
-    }
-}
-
-impl Drop for Kept {
-    /// Failure guarded against: the caller leaves, or no engine takes the prompt, and it fills the memory of its
-    /// engine until it expires.
-    fn drop(&mut self) {
-        if self.taken {
-            return;
-        }
-        let path = self.shared.translate.release(&self.name);
-        let pool = self.pool.clone();
-        let engine = self.engine.clone();
-        actix_rt::spawn(async move {
-            if let Err(failure) = release(&pool, engine.entry.address, &path, RELEASE).await {
-                log_event!(debug, log_event::ATTEMPT_FAILED, engine = %engine.entry.id, why = failure.why, call = "release");
-            }
-        });
-    }
-}
-
 /// One request on its way.
 pub struct Forward {
     /// State of the instance.
@@ -133,22 +55,22 @@
     pub ask: Ask,
     /// The attempts so far.
     pub attempts: Attempts,
-    tried: Vec<EngineKey>,
-    service: Option<String>,
-    kept: Option<Kept>,
+    pub(super) tried: Vec<EngineKey>,
+    pub(super) service: Option<String>,
+    pub(super) kept: Option<Kept>,
     /// When the prompt was read, or the request was sent to an engine that reads it itself.
-    read: Option<Time>,
+    pub(super) read: Option<Time>,
     /// When the first event was expected, since the arrival.
-    predicted: Option<Duration>,
-    refusal: Option<Refusal>,
+    pub(super) predicted: Option<Duration>,
+    pub(super) refusal: Option<Refusal>,
     running: Option<Running>,
 }
 
 /// Why a request is refused before it is sent.
 #[derive(Debug, Clone, Copy)]
-struct Refusal {
-    why: &'static str,
-    takes: Duration,
+pub(super) struct Refusal {
+    pub(super) why: &'static str,
+    pub(super) takes: Duration,
 }
 
 impl Forward {
@@ -340,205 +262,13 @@
         }
     }
 
-    /// Whether another engine is to read the prompt: where some do nothing else, and it is so long that reading it
-    /// there costs less than the hand-over.
-    fn wants_reader(&self) -> bool {
-        let engines = self.service.as_ref().and_then(|s| self.view.engines.get(s));
-        self.has_long_prompt() && engines.is_some_and(|e| e.iter().any(|e| e.entry.stage == Stage::Prefill))
-    }
-
-    /// Has the prompt read. Without an engine that could, the generating one reads it.
-    async fn read_prompt(&mut self, is_fresh: bool) -> Result<(), Option<Reply>> {
-        let Some(prompt) = self.ask.prompt.clone() else {
-            return Ok(());
-        };
-        for attempt in 0..MAX_READS {
-            let picked = self.pick(|chooser, engines| chooser.reader(engines, Stage::Prefill, &prompt));
-            let Some(reading) = picked else {
-                return Ok(());
-            };
-            let handover = self.handover();
-            let takes = reading.takes + handover;
-            if is_fresh && attempt == 0 {
-                self.predicted = Some(clock::now().since(self.ask.arrived) + takes);
-            }
-            if is_fresh && attempt == 0 && !self.is_on_time(takes) {
-                let why = "it would be late";
-                self.refusal = Some(Refusal { why, takes });
-                return Err(Some(self.give_up()));
-            }
-            // Only the first call to read a prompt is free: one for another attempt draws on the budget as well.
-            if (attempt > 0 || !is_fresh) && !self.take_extra() {
-                break;
-            }
-            match self.read_at(&reading).await {
-                Ok(()) => return Ok(()),
-                Err(failure) => {
-                    self.log_failure(&reading.engine, &failure, "read the prompt");
-                    self.judge(reading.engine.key, failure.end);
-                    self.tried.push(reading.engine.key);
-                }
-            }
-            if self.ask.left().is_zero() {
-                break;
-            }
-        }
-        Err(Some(self.give_up()))
-    }
-
-    /// How long it takes from the prompt's being read to the first event, at the engine that is free first.
-    fn handover(&self) -> Duration {
-        let wait = self.pick(|chooser, engines| {
-            let engine = generator(chooser, engines)?;
-            let queue = chooser.book.queue(chooser.now, engine.key, engine.entry.slots);
-            Some(queue + chooser.book.handover(chooser.now, engine.key))
-        });
-        wait.unwrap_or_default()
-    }
-
-    async fn read_at(&mut self, reading: &Reading) -> Result<(), Failure> {
-        let _held = self.hold(&reading.engine, reading.tokens);
-        let begun = clock::now();
-        let name = self.call_reader(&reading.engine).await?;
-        let now = clock::now();
-        let mut ledger = self.shared.ledger();
-        ledger.book.judge(now, reading.engine.key, End::Answered);
-        ledger
-            .book
-            .on_read(reading.engine.key, reading.backlog, now.since(begun));
-        drop(ledger);
-        self.read = Some(now);
-        self.kept = Some(Kept {
-            shared: self.shared.clone(),
-            pool: self.pool.clone(),
-            engine: reading.engine.clone(),
-            name,
-            taken: false,
-        });
-        Ok(())
-    }
-
-    async fn call_reader(&self, engine: &Engine) -> Result<String, Failure> {
-        let names = self.shared.translate.names();
-        let extra = Extra {
-            prefill: true,
-            ..Extra::default()
-        };
-        let mut answer = send(&self.pool, names, &self.ask, engine, &extra).await?;
-        let status = answer.head.status;
-        let body = answer.read(MAX_ANSWER, self.ask.left()).await?;
-        self.pool.keep(engine.entry.address, answer);
-        if !status.is_success() {
-            return Err(Failure::new(End::Failed, format!("status {status}")));
-        }
-        let kept = self.shared.translate.kept(&body);
-        kept.map_err(|e| Failure::new(End::Broken, e))
-    }
-
-    /// Whether an answer that begins after `takes` is in time for all that it is worth.
-    ///
-    /// Under overload this keeps the queues as long as what they hold is still of full worth: an engine that is
-    /// never idle and never late serves the most. Whoever is refused knows at once.
-    fn is_on_time(&self, takes: Duration) -> bool {
-        let passed = clock::now().since(self.ask.arrived);
-        self.route.target.is_zero() || passed + takes <= self.route.target.mul_f64(ON_TIME)
-    }
-
-    /// The engine that reads a long prompt itself and generates, and the tokens that it reads: one that knows the shared
-    /// parts and is in time.
-    fn pick_reading_generator(&mut self, is_fresh: bool) -> Option<(Engine, u64)> {
-        let prompt = self.ask.prompt.clone()?;
-        let reading = self.pick(|chooser, engines| {
-            let decode = chooser.reader(engines, Stage::Decode, &prompt);
-            decode.or_else(|| chooser.reader(engines, Stage::Whole, &prompt))
-        })?;
-        let slower = match reading.engine.entry.stage {
-            Stage::Decode => DECODE_READING,
-            Stage::Prefill | Stage::Whole => 1,
-        };
-        let takes = reading.takes * slower;
-        if is_fresh && !self.is_on_time(takes) {
-            let why = "it would be late";
-            self.refusal = Some(Refusal { why, takes });
-            return None;
-        }
-        Some((reading.engine, reading.tokens))
-    }
-
-    /// The engine that generates, near the one that has read the prompt, and the tokens that it reads.
-    fn pick_generator(&self, is_fresh: bool) -> Option<(Engine, u64)> {
-        let zone = self.kept.as_ref().map(|kept| kept.engine.entry.zone.as_str());
-        let part = match (&self.kept, self.view.table.is_outranked(&self.route)) {
-            (Some(_), _) => QUEUE,
-            (None, false) => 1.0,
-            (None, true) => UNRESERVED,
-        };
-        self.pick_near(zone, |chooser, engines| {
-            let engine = generator(chooser, engines)?;
-            let is_open = !is_fresh || !chooser.is_full(engine, part);
-            let unread = if self.kept.is_some() {
-                0
-            } else {
-                self.prompt_tokens()
-            };
-            is_open.then(|| (engine.clone(), unread))
-        })
-    }
-
-    fn prompt_tokens(&self) -> u64 {
-        self.ask.prompt.as_ref().map_or(0, |p| u64::from(p.input))
-    }
-
-    /// Whether reading the prompt counts: shorter ones take less than the hand-over.
-    fn has_long_prompt(&self) -> bool {
-        self.prompt_tokens() > u64::from(SHORT_PROMPT)
-    }
-
-    fn pick<T, F>(&self, choose: F) -> Option<T>
-    where
-        F: FnOnce(&Chooser<'_>, &[Engine]) -> Option<T>,
-    {
-        self.pick_near(None, choose)
-    }
-
-    fn pick_near<T, F>(&self, zone: Option<&str>, choose: F) -> Option<T>
-    where
-        F: FnOnce(&Chooser<'_>, &[Engine]) -> Option<T>,
-    {
-        let service = self.service.as_ref()?;
-        // The engines of now: one that left since the request came gets no work any more.
-        let view = self.shared.view.load();
-        let engines = view.engines.get(service)?;
-        let now = clock::now();
-        let staying = engines
-            .iter()
-            .filter(|e| !view.ordered.is_changing(now, &e.entry));
-        let staying: Vec<Engine> = staying.cloned().collect();
-        let ledger = self.shared.ledger();
-        let chooser = Chooser {
-            book: &ledger.book,
-            now,
-            zone: zone.unwrap_or(self.shared.options.zone.as_str()),
-            tried: &self.tried,
-        };
-        choose(&chooser, &staying)
-    }
-
-    fn hold(&self, engine: &Engine, tokens: u64) -> Held {
-        let ticket = self.shared.ledger().book.begin(clock::now(), engine.key, tokens);
-        Held {
-            shared: self.shared.clone(),
-            ticket,
-        }
-    }
-
     /// Notes what the end of an attempt says of its engine.
     pub fn judge(&self, engine: EngineKey, end: End) {
         self.shared.metrics.attempt(end.label());
         self.shared.ledger().book.judge(clock::now(), engine, end);
     }
 
-    fn log_failure(&self, engine: &Engine, failure: &Failure, call: &str) {
+    pub(super) fn log_failure(&self, engine: &Engine, failure: &Failure, call: &str) {
         log_event!(info, log_event::ATTEMPT_FAILED, request = self.id(), route = %self.route.name,
             engine = %engine.entry.id, end = ?failure.end, why = failure.why, call);
     }
@@ -574,7 +304,7 @@
     }
 
     /// Takes an extra attempt from the budget of all.
-    fn take_extra(&self) -> bool {
+    pub(super) fn take_extra(&self) -> bool {
         let Some(service) = &self.service else {
             return false;
         };
@@ -590,11 +320,6 @@
     }
 }
 
-fn generator<'e>(chooser: &Chooser<'_>, engines: &'e [Engine]) -> Option<&'e Engine> {
-    let decode = chooser.generator(engines, Stage::Decode);
-    decode.or_else(|| chooser.generator(engines, Stage::Whole))
-}
-
 /// The head of an answer as it goes to the caller.
 pub fn head(headers: &HeaderMap, status: u16) -> HttpResponseBuilder {
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -3,7 +3,8 @@
 //! [`edge`] is where that protocol comes in: names of headers, and the decoding of what the store and the engines
 //! hold. Control state lives on the thread that runs [`run`]: [`follow`] keeps up with the configuration and the
 //! engines, [`orders`] gives engines their stage, [`register`] makes this instance known, [`peers`] tells the others about load. They publish a view that
-//! the traffic thread reads: [`server`] takes requests, [`forward`] makes the attempts, [`stream`] passes events on.
+//! the traffic thread reads: [`server`] takes requests, [`forward`] makes the attempts, `pick` chooses engines,
+//! `reading` has prompts read, [`stream`] passes events on.
 
 pub mod edge;
 pub mod follow;
@@ -12,6 +13,8 @@
 pub mod options;
 pub mod orders;
 pub mod peers;
+mod pick;
+mod reading;
 pub mod register;
 pub mod reply;
 pub mod send;
--- /dev/null
+++ b/src/ops/relay/pick.rs
@@ -0,0 +1,142 @@
+//! Choosing engines for a request, and noting what it has there.
+
+use std::sync::Arc;
+
+use sequoiastream_core::relay::book::Ticket;
+use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_core::relay::engines::Stage;
+use sequoiastream_core::relay::place::Chooser;
+
+use crate::ops::relay::forward::Forward;
+use crate::ops::relay::forward::Refusal;
+use crate::ops::relay::shared::Shared;
+use crate::util::clock;
+
+/// Prompts up to so many tokens are read by the engine that generates: it takes less than the hand-over.
+const SHORT_PROMPT: u32 = 1_024;
+
+/// How much longer an engine that generates for others takes to read a prompt: it reads between their tokens, at half
+/// the speed.
+const DECODE_READING: u32 = 2;
+
+/// Work that an engine may have, against what it does at once: as much again may wait.
+pub(super) const QUEUE: f64 = 2.0;
+
+/// Part of an engine's slots that requests may fill which others of the service outrank. Long answers hold a slot for
+/// seconds; without a rest for the others, these would wait behind them.
+const UNRESERVED: f64 = 0.75;
+
+/// Work noted at an engine; ends when dropped.
+pub struct Held {
+    shared: Arc<Shared>,
+    ticket: Ticket,
+}
+
+impl Held {
+    /// Notes that the prompt is read.
+    pub fn read(&self) {
+        self.shared.ledger().book.read(self.ticket);
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.shared.ledger().book.end(clock::now(), self.ticket);
+    }
+}
+
+impl Forward {
+    /// The engine that reads a long prompt itself and generates, and the tokens that it reads: one that knows the shared
+    /// parts and is in time.
+    pub(super) fn pick_reading_generator(&mut self, is_fresh: bool) -> Option<(Engine, u64)> {
+        let prompt = self.ask.prompt.clone()?;
+        let reading = self.pick(|chooser, engines| {
+            let decode = chooser.reader(engines, Stage::Decode, &prompt);
+            decode.or_else(|| chooser.reader(engines, Stage::Whole, &prompt))
+        })?;
+        let slower = match reading.engine.entry.stage {
+            Stage::Decode => DECODE_READING,
+            Stage::Prefill | Stage::Whole => 1,
+        };
+        let takes = reading.takes * slower;
+        if is_fresh && !self.is_on_time(takes) {
+            let why = "it would be late";
+            self.refusal = Some(Refusal { why, takes });
+            return None;
+        }
+        Some((reading.engine, reading.tokens))
+    }
+
+    /// The engine that generates, near the one that has read the prompt, and the tokens that it reads.
+    pub(super) fn pick_generator(&self, is_fresh: bool) -> Option<(Engine, u64)> {
+        let zone = self.kept.as_ref().map(|kept| kept.engine.entry.zone.as_str());
+        let part = match (&self.kept, self.view.table.is_outranked(&self.route)) {
+            (Some(_), _) => QUEUE,
+            (None, false) => 1.0,
+            (None, true) => UNRESERVED,
+        };
+        self.pick_near(zone, |chooser, engines| {
+            let engine = generator(chooser, engines)?;
+            let is_open = !is_fresh || !chooser.is_full(engine, part);
+            let unread = if self.kept.is_some() {
+                0
+            } else {
+                self.prompt_tokens()
+            };
+            is_open.then(|| (engine.clone(), unread))
+        })
+    }
+
+    pub(super) fn prompt_tokens(&self) -> u64 {
+        self.ask.prompt.as_ref().map_or(0, |p| u64::from(p.input))
+    }
+
+    /// Whether reading the prompt counts: shorter ones take less than the hand-over.
+    pub(super) fn has_long_prompt(&self) -> bool {
+        self.prompt_tokens() > u64::from(SHORT_PROMPT)
+    }
+
+    pub(super) fn pick<T, F>(&self, choose: F) -> Option<T>
+    where
+        F: FnOnce(&Chooser<'_>, &[Engine]) -> Option<T>,
+    {
+        self.pick_near(None, choose)
+    }
+
+    pub(super) fn pick_near<T, F>(&self, zone: Option<&str>, choose: F) -> Option<T>
+    where
+        F: FnOnce(&Chooser<'_>, &[Engine]) -> Option<T>,
+    {
+        let service = self.service.as_ref()?;
+        // The engines of now: one that left since the request came gets no work any more.
+        let view = self.shared.view.load();
+        let engines = view.engines.get(service)?;
+        let now = clock::now();
+        let staying = engines
+            .iter()
+            .filter(|e| !view.ordered.is_changing(now, &e.entry));
+        let staying: Vec<Engine> = staying.cloned().collect();
+        let ledger = self.shared.ledger();
+        let chooser = Chooser {
+            book: &ledger.book,
+            now,
+            zone: zone.unwrap_or(self.shared.options.zone.as_str()),
+            tried: &self.tried,
+        };
+        choose(&chooser, &staying)
+    }
+
+    pub(super) fn hold(&self, engine: &Engine, tokens: u64) -> Held {
+        let ticket = self.shared.ledger().book.begin(clock::now(), engine.key, tokens);
+        Held {
+            shared: self.shared.clone(),
+            ticket,
+        }
+    }
+}
+
+/// The engine that generates: one that does only that, else one that does everything.
+pub(super) fn generator<'e>(chooser: &Chooser<'_>, engines: &'e [Engine]) -> Option<&'e Engine> {
+    let decode = chooser.generator(engines, Stage::Decode);
+    decode.or_else(|| chooser.generator(engines, Stage::Whole))
+}
--- /dev/null
+++ b/src/ops/relay/reading.rs
@@ -0,0 +1,173 @@
+//! Having a prompt read by an engine that does nothing else, for another one that generates.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sequoiastream_core::log_event;
+use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_core::relay::engines::Stage;
+use sequoiastream_core::relay::place::Reading;
+use sequoiastream_core::relay::verdict::End;
+use sequoiastream_upstream::channel::Pool;
+
+use crate::log_event;
+use crate::ops::relay::forward::Forward;
+use crate::ops::relay::forward::Refusal;
+use crate::ops::relay::pick::generator;
+use crate::ops::relay::reply::Reply;
+use crate::ops::relay::send::Extra;
+use crate::ops::relay::send::Failure;
+use crate::ops::relay::send::MAX_ANSWER;
+use crate::ops::relay::send::release;
+use crate::ops::relay::send::send;
+use crate::ops::relay::shared::Shared;
+use crate::util::clock;
+
+/// How long freeing a kept prompt may take.
+const RELEASE: Duration = Duration::from_millis(500);
+
+/// Engines that are asked in turn to read a prompt.
+const MAX_READS: u32 = 2;
+
+/// Part of a route's target by which an answer must be expected to begin: the rest is for the ways to and from the
+/// caller and for what the prediction misses.
+const ON_TIME: f64 = 0.8;
+
+/// A prompt that an engine has read and keeps; freed when dropped, unless it was taken.
+pub(super) struct Kept {
+    shared: Arc<Shared>,
+    pool: Pool,
+    pub(super) engine: Engine,
+    name: String,
+    pub(super) taken: bool,
+}
+
+impl Kept {
+    pub(super) fn source(&self) -> String {
+        format!("{}/{}", self.engine.entry.address, self.name)
+    }
+}
+
+impl Drop for Kept {
+    /// Failure guarded against: the caller leaves, or no engine takes the prompt, and it fills the memory of its
+    /// engine until it expires.
+    fn drop(&mut self) {
+        if self.taken {
+            return;
+        }
+        let path = self.shared.translate.release(&self.name);
+        let pool = self.pool.clone();
+        let engine = self.engine.clone();
+        actix_rt::spawn(async move {
+            if let Err(failure) = release(&pool, engine.entry.address, &path, RELEASE).await {
+                log_event!(debug, log_event::ATTEMPT_FAILED, engine = %engine.entry.id, why = failure.why, call = "release");
+            }
+        });
+    }
+}
+
+impl Forward {
+    /// Whether another engine is to read the prompt: where some do nothing else, and it is so long that reading it
+    /// there costs less than the hand-over.
+    pub(super) fn wants_reader(&self) -> bool {
+        let engines = self.service.as_ref().and_then(|s| self.view.engines.get(s));
+        self.has_long_prompt() && engines.is_some_and(|e| e.iter().any(|e| e.entry.stage == Stage::Prefill))
+    }
+
+    /// Has the prompt read. Without an engine that could, the generating one reads it.
+    pub(super) async fn read_prompt(&mut self, is_fresh: bool) -> Result<(), Option<Reply>> {
+        let Some(prompt) = self.ask.prompt.clone() else {
+            return Ok(());
+        };
+        for attempt in 0..MAX_READS {
+            let picked = self.pick(|chooser, engines| chooser.reader(engines, Stage::Prefill, &prompt));
+            let Some(reading) = picked else {
+                return Ok(());
+            };
+            let handover = self.handover();
+            let takes = reading.takes + handover;
+            if is_fresh && attempt == 0 {
+                self.predicted = Some(clock::now().since(self.ask.arrived) + takes);
+            }
+            if is_fresh && attempt == 0 && !self.is_on_time(takes) {
+                let why = "it would be late";
+                self.refusal = Some(Refusal { why, takes });
+                return Err(Some(self.give_up()));
+            }
+            // Only the first call to read a prompt is free: one for another attempt draws on the budget as well.
+            if (attempt > 0 || !is_fresh) && !self.take_extra() {
+                break;
+            }
+            match self.read_at(&reading).await {
+                Ok(()) => return Ok(()),
+                Err(failure) => {
+                    self.log_failure(&reading.engine, &failure, "read the prompt");
+                    self.judge(reading.engine.key, failure.end);
+                    self.tried.push(reading.engine.key);
+                }
+            }
+            if self.ask.left().is_zero() {
+                break;
+            }
+        }
+        Err(Some(self.give_up()))
+    }
+
+    /// How long it takes from the prompt's being read to the first event, at the engine that is free first.
+    pub(super) fn handover(&self) -> Duration {
+        let wait = self.pick(|chooser, engines| {
+            let engine = generator(chooser, engines)?;
+            let queue = chooser.book.queue(chooser.now, engine.key, engine.entry.slots);
+            Some(queue + chooser.book.handover(chooser.now, engine.key))
+        });
+        wait.unwrap_or_default()
+    }
+
+    pub(super) async fn read_at(&mut self, reading: &Reading) -> Result<(), Failure> {
+        let _held = self.hold(&reading.engine, reading.tokens);
+        let begun = clock::now();
+        let name = self.call_reader(&reading.engine).await?;
+        let now = clock::now();
+        let mut ledger = self.shared.ledger();
+        ledger.book.judge(now, reading.engine.key, End::Answered);
+        ledger
+            .book
+            .on_read(reading.engine.key, reading.backlog, now.since(begun));
+        drop(ledger);
+        self.read = Some(now);
+        self.kept = Some(Kept {
+            shared: self.shared.clone(),
+            pool: self.pool.clone(),
+            engine: reading.engine.clone(),
+            name,
+            taken: false,
+        });
+        Ok(())
+    }
+
+    pub(super) async fn call_reader(&self, engine: &Engine) -> Result<String, Failure> {
+        let names = self.shared.translate.names();
+        let extra = Extra {
+            prefill: true,
+            ..Extra::default()
+        };
+        let mut answer = send(&self.pool, names, &self.ask, engine, &extra).await?;
+        let status = answer.head.status;
+        let body = answer.read(MAX_ANSWER, self.ask.left()).await?;
+        self.pool.keep(engine.entry.address, answer);
+        if !status.is_success() {
+            return Err(Failure::new(End::Failed, format!("status {status}")));
+        }
+        let kept = self.shared.translate.kept(&body);
+        kept.map_err(|e| Failure::new(End::Broken, e))
+    }
+
+    /// Whether an answer that begins after `takes` is in time for all that it is worth.
+    ///
+    /// Under overload this keeps the queues as long as what they hold is still of full worth: an engine that is
+    /// never idle and never late serves the most. Whoever is refused knows at once.
+    pub(super) fn is_on_time(&self, takes: Duration) -> bool {
+        let passed = clock::now().since(self.ask.arrived);
+        self.route.target.is_zero() || passed + takes <= self.route.target.mul_f64(ON_TIME)
+    }
+}
--- a/src/ops/relay/stream.rs
+++ b/src/ops/relay/stream.rs
@@ -20,8 +20,8 @@
 
 use crate::log_event;
 use crate::ops::relay::forward::Forward;
-use crate::ops::relay::forward::Held;
 use crate::ops::relay::forward::head;
+use crate::ops::relay::pick::Held;
 use crate::ops::relay::send::Failure;
 use crate::ops::relay::shared::Running;
 
--- a/src/util/metrics/mod.rs
+++ b/src/util/metrics/mod.rs
@@ -72,15 +72,19 @@
 
     /// The page that a Prometheus server reads.
     pub fn page(&self) -> String {
-        let registry = self
-            .registry
-            .lock()
-            .expect("no thread panics while it holds the registry");
-        let mut page = String::new();
-        match encode(&mut page, &registry) {
-            Ok(()) => page,
-            Err(error) => format!("# could not encode: {error}\n"),
-        }
+        page(&self.registry)
+    }
+}
+
+/// The page of a registry.
+fn page(registry: &Mutex<Registry>) -> String {
+    let registry = registry
+        .lock()
+        .expect("no thread panics while it holds the registry");
+    let mut page = String::new();
+    match encode(&mut page, &registry) {
+        Ok(()) => page,
+        Err(error) => format!("# could not encode: {error}\n"),
     }
 }
 
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -8,7 +8,6 @@
 use prometheus_client::encoding::DescriptorEncoder;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::EncodeMetric;
-use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::MetricType;
 use prometheus_client::metrics::counter::ConstCounter;
 use prometheus_client::metrics::counter::Counter;
@@ -172,15 +171,7 @@
 
     /// The page that a Prometheus server reads.
     pub fn page(&self) -> String {
-        let registry = self
-            .registry
-            .lock()
-            .expect("no thread panics while it holds the registry");
-        let mut page = String::new();
-        match encode(&mut page, &registry) {
-            Ok(()) => page,
-            Err(error) => format!("# could not encode: {error}\n"),
-        }
+        super::page(&self.registry)
     }
 }
 
--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use sequoiastream::ops::relay::follow;
 use sequoiastream::ops::relay::known::Known;
@@ -14,24 +13,7 @@
 use super::instance::options;
 use super::instance::shared;
 use super::store::FakeStore;
-
-/// Longest time for which a test waits for what takes milliseconds.
-const LIMIT: Duration = Duration::from_secs(20);
-
-/// Waits until `holds`.
-async fn until<F>(holds: F)
-where
-    F: Fn() -> bool,
-{
-    let wait = async {
-        while !holds() {
-            tokio::task::yield_now().await;
-        }
-    };
-    tokio::time::timeout(LIMIT, wait)
-        .await
-        .expect("it happens in time");
-}
+use super::until;
 
 async fn start(options: Options, store: &FakeStore) -> Arc<Shared> {
     let shared = shared(options);
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -42,12 +42,17 @@
 /// Addresses given out so far.
 static COUNT: AtomicU32 = AtomicU32::new(0);
 
+/// Addresses of one network: when more were given out than it has, the first were given out again, and a test met the
+/// server of another.
+const PER_NET: u32 = 250;
+
 /// An address of the loopback range that no other test of this run uses.
 pub fn own_address(port: u16) -> SocketAddr {
     let number = COUNT.fetch_add(1, Ordering::Relaxed);
     let [.., high, low] = std::process::id().to_be_bytes();
-    let last = u8::try_from(number % 250).expect("below 250") + 1;
-    SocketAddr::from(([127, high | 1, low, last], port))
+    let last = u8::try_from(number % PER_NET).expect("below 250") + 1;
+    let net = u8::try_from(number / PER_NET).expect("few addresses");
+    SocketAddr::from(([127, high | 1, low.wrapping_add(net), last], port))
 }
 
 /// A protocol for tests: engines as `SERVICE ADDRESS STAGE SEQUENCE`, a configuration as `VERSION PREFIX`.
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -17,6 +17,7 @@
 mod verdict;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::EngineKey;
@@ -46,3 +47,22 @@
     });
     engines.collect()
 }
+
+/// Longest time for which a test waits: engines must stay the same for two seconds before any gets an order, all else
+/// takes milliseconds.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Waits until `holds`.
+async fn until<F>(holds: F)
+where
+    F: Fn() -> bool,
+{
+    let wait = async {
+        while !holds() {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(LIMIT, wait)
+        .await
+        .expect("it happens in time");
+}
--- a/tests/testsuite/relay/orders.rs
+++ b/tests/testsuite/relay/orders.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use sequoiastream::ops::relay::orders;
 use sequoiastream::ops::relay::shared::Shared;
@@ -19,9 +18,7 @@
 use super::instance::shared;
 use super::store::FakeStore;
 use super::store::Fate;
-
-/// Longest time for which a test waits: engines must stay the same for two seconds before any gets an order.
-const LIMIT: Duration = Duration::from_secs(20);
+use super::until;
 
 /// An instance that knows three generating engines at one address, of which one is to read.
 fn instance(engine: &ScriptedEngine) -> Arc<Shared> {
@@ -46,20 +43,6 @@
     ScriptedEngine::start(move |_, _| vec![Act::Send(accepted.to_string())]).await
 }
 
-async fn until<F>(holds: F)
-where
-    F: Fn() -> bool,
-{
-    let wait = async {
-        while !holds() {
-            tokio::task::yield_now().await;
-        }
-    };
-    tokio::time::timeout(LIMIT, wait)
-        .await
-        .expect("it happens in time");
-}
-
 /// An engine gets two orders from two instances. Order: both see the same plan and none sees the other's record yet.
 #[actix_web::test]
 async fn two_instances_one_order() {
