Leave an engine that says nothing, where another attempt may follow

Cause: a request waited its whole time at an engine that had accepted it and said nothing; a chat that had begun stood still until its caller left. core::retry::patience was called by nobody. Change: it bounds the wait for an idempotent answer, for the first event of a stream that may be resumed, and for the reading of a prompt; a stream that may be resumed goes on elsewhere after four times its route's pause. Tests: silent_engine_left, silent_reader_left.

--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -20,6 +20,7 @@
 use sequoiastream_core::relay::verdict::Attempts;
 use sequoiastream_core::relay::verdict::End;
 use sequoiastream_core::relay::verdict::Next;
+use sequoiastream_core::retry;
 use sequoiastream_core::time::Time;
 use sequoiastream_upstream::channel::Answer;
 use sequoiastream_upstream::channel::Pool;
@@ -197,7 +198,12 @@
 
     async fn exchange(&self, engine: &Engine) -> Result<(Answer, Bytes), Failure> {
         let names = self.shared.translate.names();
-        let mut answer = send(&self.pool, names, &self.ask, engine, &Extra::default()).await?;
+        let patience = self.patience(Duration::ZERO);
+        let extra = Extra {
+            patience,
+            ..Extra::default()
+        };
+        let mut answer = send(&self.pool, names, &self.ask, engine, &extra).await?;
         let body = answer.read(MAX_ANSWER, self.ask.left()).await?;
         Ok((answer, body))
     }
@@ -233,10 +239,12 @@
         held: Held,
         resume: Option<u64>,
     ) -> Result<Opened, Failure> {
+        let patience = self.patience(self.handover());
         let extra = Extra {
             prefill: false,
             source: self.kept.as_ref().map(Kept::source),
             resume,
+            patience,
         };
         let names = self.shared.translate.names();
         let sent = send(&self.pool, names, &self.ask, engine, &extra).await;
@@ -244,7 +252,9 @@
         if !is_untaken && let Some(mut kept) = self.kept.take() {
             kept.taken = true;
         }
-        stream::open(sent?, engine.clone(), held, self.ask.left()).await
+        let left = self.ask.left();
+        let limit = patience.map_or(left, |patience| patience.min(left));
+        stream::open(sent?, engine.clone(), held, limit).await
     }
 
     fn on_opened(&mut self, engine: &Engine, begun: Time) {
@@ -303,6 +313,14 @@
         !self.attempts.is_extra() || self.take_extra()
     }
 
+    /// How long an engine's answer is waited for that is expected after `expected`, if another attempt may follow.
+    ///
+    /// Failure guarded against: an engine accepts a request and says nothing, and the caller's whole time passes there.
+    pub fn patience(&self, expected: Duration) -> Option<Duration> {
+        let may_repeat = self.route.kind.is_repeatable() && self.attempts.sent() + 1 < self.route.attempts;
+        may_repeat.then(|| retry::patience(self.ask.left(), expected, 0))
+    }
+
     /// Takes an extra attempt from the budget of all.
     pub(super) fn take_extra(&self) -> bool {
         let Some(service) = &self.service else {
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -8,6 +8,7 @@
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::place::Reading;
 use sequoiastream_core::relay::verdict::End;
+use sequoiastream_core::retry;
 use sequoiastream_upstream::channel::Pool;
 
 use crate::log_event;
@@ -98,7 +99,9 @@
             if (attempt > 0 || !is_fresh) && !self.take_extra() {
                 break;
             }
-            match self.read_at(&reading).await {
+            let may_repeat = attempt + 1 < MAX_READS;
+            let patience = may_repeat.then(|| retry::patience(self.ask.left(), reading.takes, 0));
+            match self.read_at(&reading, patience).await {
                 Ok(()) => return Ok(()),
                 Err(failure) => {
                     self.log_failure(&reading.engine, &failure, "read the prompt");
@@ -123,10 +126,14 @@
         wait.unwrap_or_default()
     }
 
-    pub(super) async fn read_at(&mut self, reading: &Reading) -> Result<(), Failure> {
+    pub(super) async fn read_at(
+        &mut self,
+        reading: &Reading,
+        patience: Option<Duration>,
+    ) -> Result<(), Failure> {
         let _held = self.hold(&reading.engine, reading.tokens);
         let begun = clock::now();
-        let name = self.call_reader(&reading.engine).await?;
+        let name = self.call_reader(&reading.engine, patience).await?;
         let now = clock::now();
         let mut ledger = self.shared.ledger();
         ledger.book.judge(now, reading.engine.key, End::Answered);
@@ -145,10 +152,15 @@
         Ok(())
     }
 
-    pub(super) async fn call_reader(&self, engine: &Engine) -> Result<String, Failure> {
+    pub(super) async fn call_reader(
+        &self,
+        engine: &Engine,
+        patience: Option<Duration>,
+    ) -> Result<String, Failure> {
         let names = self.shared.translate.names();
         let extra = Extra {
             prefill: true,
+            patience,
             ..Extra::default()
         };
         let mut answer = send(&self.pool, names, &self.ask, engine, &extra).await?;
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -74,6 +74,8 @@
     pub source: Option<String>,
     /// The last event delivered.
     pub resume: Option<u64>,
+    /// How long the answer's head is waited for, if another attempt may follow.
+    pub patience: Option<Duration>,
 }
 
 /// Why an attempt brought no answer.
@@ -127,7 +129,8 @@
         return Err(Failure::new(End::Unsent, "its time is over"));
     }
     let request = request(names, ask, engine, extra)?;
-    let answer = channel.send(request, left).await?;
+    let limit = extra.patience.map_or(left, |patience| patience.min(left));
+    let answer = channel.send(request, limit).await?;
     match check(names, ask, extra, &answer) {
         Ok(()) => Ok(answer),
         Err(failure) => {
--- a/src/ops/relay/stream.rs
+++ b/src/ops/relay/stream.rs
@@ -25,6 +25,12 @@
 use crate::ops::relay::send::Failure;
 use crate::ops::relay::shared::Running;
 
+/// Pauses that are still on time which an engine may be silent for: callers leave after eight.
+const GAP_PAUSES: u32 = 4;
+
+/// Shortest silence after which an engine is given up: callers leave after two seconds.
+const LEAST_GAP: Duration = Duration::from_millis(600);
+
 /// A stream that was broken off.
 #[derive(Debug, Error)]
 #[error("the stream was broken off")]
@@ -122,15 +128,15 @@
 /// The next bytes for the caller.
 async fn step(mut stream: Stream) -> Result<Option<(Bytes, Stream)>, BrokenOff> {
     loop {
+        let limit = stream.limit();
         let Some(opened) = stream.opened.as_mut() else {
             return Ok(None);
         };
-        let left = stream.forward.ask.left();
         let next = match opened.first.take() {
             Some(first) => Ok(Some(first)),
-            None => timeout(left, opened.next())
+            None => timeout(limit, opened.next())
                 .await
-                .unwrap_or_else(|_| Err(Failure::new(End::Silent, "its time is over"))),
+                .unwrap_or_else(|_| Err(Failure::new(End::Silent, "no event in time"))),
         };
         match next {
             Ok(Some(event)) => {
@@ -147,6 +153,15 @@
 }
 
 impl Stream {
+    /// How long the next event is waited for.
+    fn limit(&self) -> Duration {
+        let left = self.forward.ask.left();
+        match self.forward.patience(Duration::ZERO) {
+            Some(_) => (self.forward.route.pause * GAP_PAUSES).max(LEAST_GAP).min(left),
+            None => left,
+        }
+    }
+
     fn close(&mut self) {
         let Some(opened) = self.opened.take() else {
             return;
--- a/tests/testsuite/relay/answers.rs
+++ b/tests/testsuite/relay/answers.rs
@@ -407,6 +407,59 @@
     assert!((1..=bound).contains(&extras), "{extras}");
 }
 
+/// A caller's whole time passes at one engine. Order: it accepts a request, or begins a chat, and says nothing more.
+/// Another engine answers; the first one's connection is closed.
+#[actix_web::test]
+async fn silent_engine_left() {
+    let mute = ScriptedEngine::start(|_, _| vec![Act::Hold]).await;
+    let begun =
+        ScriptedEngine::start(|_, request| vec![Act::Send(stream_of(request, 1..=2)), Act::Hold]).await;
+    let whole = ScriptedEngine::start(|_, request| vec![answer(request, "whole")]).await;
+    let chat = ScriptedEngine::start(|_, request| {
+        let from: u64 = request
+            .header("x-resume")
+            .map_or(0, |id| id.parse().expect("an id"));
+        vec![Act::Send(stream_of(request, from + 1..=3) + "0\r\n\r\n")]
+    })
+    .await;
+    let cases = [
+        (Kind::Idempotent, &mute, &whole, "whole"),
+        (Kind::Resumable, &mute, &chat, "id: 3"),
+        (Kind::Resumable, &begun, &chat, "id: 3"),
+    ];
+    for (kind, silent, sound, end) in cases {
+        let left = silent.log().left;
+        let instance = Instance::start(kind, &[(silent, Stage::Whole), (sound, Stage::Whole)], |_| {});
+        let got = instance.get("/r/x", "q1", "x-deadline: 8000\r\n").await;
+        assert!(got.contains(end), "{kind:?} {got}");
+        silent.wait_for(|log| log.left > left).await;
+    }
+}
+
+/// A prompt's reader says nothing. Another one reads it, also for a request that runs at most once: reading is no run.
+#[actix_web::test]
+async fn silent_reader_left() {
+    let mute = ScriptedEngine::start(|_, _| vec![Act::Hold]).await;
+    let reader = ScriptedEngine::start(|_, request| vec![answer(request, "kept h7")]).await;
+    let generator =
+        ScriptedEngine::start(|_, request| vec![Act::Send(stream_of(request, 1..=1) + "0\r\n\r\n")]).await;
+    let engines = [
+        (&mute, Stage::Prefill),
+        (&reader, Stage::Prefill),
+        (&generator, Stage::Decode),
+    ];
+    let instance = Instance::start(Kind::Stream, &engines, |_| {});
+    for number in 0..6 {
+        let parts = format!("x-tokens: 9000\r\nx-parts: {number}\r\nx-deadline: 8000\r\n");
+        let got = instance.get("/r/x", &format!("q{number}"), &parts).await;
+        assert!(got.contains("token 1"), "{got}");
+    }
+    assert!(
+        !mute.log().requests.is_empty(),
+        "the mute one was some conversation's home"
+    );
+}
+
 /// Callers who may repeat get the budget's share of extra attempts, and no more.
 #[actix_web::test]
 async fn extra_attempts_bounded() {
