Tell all of a large fleet about load in turn, and say which command the tests need

Cause: the first sixteen peers by name were told, so that in a larger fleet the others never heard of anybody's load. Test part_goes_round.

--- a/crates/core/src/relay/digest.rs
+++ b/crates/core/src/relay/digest.rs
@@ -1,6 +1,7 @@
 //! What instances tell each other many times a second: their work at each engine, and how far they know the store.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -45,3 +46,10 @@
         }
     }
 }
+
+/// The peers that are told in a turn: `most` of them, and with each turn the next ones, round and round.
+pub fn part(peers: &[SocketAddr], turn: u32, most: usize) -> Vec<SocketAddr> {
+    let first = (turn as usize).wrapping_mul(most).checked_rem(peers.len());
+    let next = peers.iter().cycle().skip(first.unwrap_or_default());
+    next.take(most.min(peers.len())).copied().collect()
+}
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -35,7 +35,10 @@
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
-            .unwrap_or_else(|e| panic!("could not start {}: {e}", binary.display()));
+            .unwrap_or_else(|e| {
+                let hint = "the tests need all binaries: run `cargo build --workspace --bins` first";
+                panic!("could not start {}: {e}; {hint}", binary.display())
+            });
         let out = child.stdout.take().expect("standard output is piped");
         let mut line = String::new();
         BufReader::new(out)
--- a/src/ops/relay/peers.rs
+++ b/src/ops/relay/peers.rs
@@ -21,6 +21,7 @@
 use sequoiastream_core::membership::Myself;
 use sequoiastream_core::name::Name;
 use sequoiastream_core::relay::book::Work;
+use sequoiastream_core::relay::digest;
 use sequoiastream_core::relay::digest::Digest;
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_peer::PeerError;
@@ -47,7 +48,8 @@
 /// A peer not heard of for so long isn't named to callers: four heartbeats may be lost in a row.
 const SILENT: Duration = Duration::from_millis(1_800);
 
-/// Peers that get each heartbeat and each message about load: all of today's fleet.
+/// Peers that get each heartbeat and each message about load: all of today's fleet. In a larger one the messages about
+/// load go round.
 const FANOUT: usize = 16;
 
 /// Time between two messages about load. An engine reads a prompt in about eight milliseconds; older news would
@@ -344,7 +346,8 @@
         let peers: Vec<SocketAddr> = {
             let roster = self.0.members.borrow().roster(clock::now());
             let heard = roster.peers.iter().filter(|p| p.heard);
-            heard.map(|p| p.peer).take(FANOUT).collect()
+            let heard: Vec<SocketAddr> = heard.map(|p| p.peer).collect();
+            digest::part(&heard, turn, FANOUT)
         };
         for peer in peers {
             if let Err(error) = self.0.socket.send(peer, Datagram::Load(digest.clone())).await {
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod book;
 mod budget;
+mod digest;
 mod engine;
 mod engines;
 mod follow;
