--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -41,6 +41,8 @@
     104 RELOADED = "reloaded";
     /// Changed settings can't be accepted; those in force stay.
     105 RELOAD_REFUSED = "reload-refused";
+    /// The HTTP server ended by itself.
+    106 SERVER_FAILED = "server-failed";
     /// A new version of the configuration is in force here.
     200 CONFIG_IN_FORCE = "config-in-force";
     /// A change was accepted through this instance.
--- a/crates/core/src/relay/routes.rs
+++ b/crates/core/src/relay/routes.rs
@@ -129,10 +129,11 @@
 }
 
 impl Default for Limits {
-    /// Before any configuration: a megabyte, and the shortest idle time that the HTTP libraries use by default.
+    /// Before any configuration: more than any is known to allow, since whoever is refused then is refused for want of a
+    /// configuration; and the idle time that the HTTP libraries use by default.
     fn default() -> Limits {
         Limits {
-            body: 1 << 20,
+            body: 16 << 20,
             idle: Duration::from_secs(5),
         }
     }
--- a/src/ops/relay/options.rs
+++ b/src/ops/relay/options.rs
@@ -6,6 +6,21 @@
 use sequoiastream_core::name::Name;
 use sequoiastream_core::relay::budget::Rule;
 
+/// How long callers are told to keep an answer about addresses. Some keep it three times as long: that must pass
+/// within the grace period of a shutdown, with time left for the longest streams: these take five seconds.
+pub const KEEP: Duration = Duration::from_secs(1);
+
+/// How long a watch of the store waits. With the time for its answer it stays below the two seconds by which a change
+/// must be in force, so that a watch that fell silent is found out in time.
+pub const WAIT: Duration = Duration::from_millis(1_000);
+
+/// Port of the metrics, the same as in the deploy file.
+pub const METRICS_PORT: u16 = 9_464;
+
+/// Part of a service's model engines that read prompts for the others, unless operators say otherwise. Measured at
+/// 0.45, 0.55 and 0.65 on the mixes of both users; docs/MEASUREMENTS.md.
+pub const READERS: f64 = 0.65;
+
 /// Settings of a relaying instance.
 #[derive(Debug, Clone)]
 pub struct Options {
--- a/src/ops/relay/server.rs
+++ b/src/ops/relay/server.rs
@@ -112,7 +112,7 @@
     let handle = server.handle();
     actix_rt::spawn(async move {
         if let Err(error) = server.await {
-            log_event!(error, log_event::REFUSING, %error, why = "the server failed");
+            log_event!(error, log_event::SERVER_FAILED, %error);
         }
     });
     Ok(handle)
@@ -204,7 +204,13 @@
     let Some(route) = view.table.find(&head.host, head.uri.path()) else {
         return Reply::NoRoute.into_response();
     };
-    let ask = head.into_ask(shared, &route, arrived, body);
+    let ask = match head.into_ask(shared, &route, arrived, body) {
+        Ok(ask) => ask,
+        Err(why) => {
+            log_event!(warn, log_event::REFUSED, why, path = request.path());
+            return Reply::Bad.into_response();
+        }
+    };
     let forward = Forward::new(shared.clone(), worker.pool.clone(), view, route, ask, running);
     forward.run().await
 }
@@ -219,7 +225,11 @@
 async fn read(mut payload: Payload, most: usize) -> Result<Bytes, Reply> {
     let mut whole = BytesMut::new();
     while let Some(part) = payload.next().await {
-        let part = part.map_err(|_| Reply::Bad)?;
+        let part = part.map_err(|error| {
+            // A caller that left, or broke the framing of its body.
+            log_event!(debug, log_event::REFUSED, %error, why = "the body broke off");
+            Reply::Bad
+        })?;
         if whole.len() + part.len() > most {
             return Err(Reply::TooLong);
         }
@@ -274,19 +284,32 @@
         })
     }
 
-    fn into_ask(self, shared: &Shared, route: &Route, arrived: Time, body: Bytes) -> Ask {
+    /// A deadline or a last event that can't be read is refused: without it a caller would wait beyond its time, or get
+    /// events once more.
+    fn into_ask(
+        self,
+        shared: &Shared,
+        route: &Route,
+        arrived: Time,
+        body: Bytes,
+    ) -> Result<Ask, &'static str> {
         let names = shared.translate.names();
-        let text = |name: &HeaderName| self.headers.get(name).and_then(|v| v.to_str().ok());
-        let millis = text(&names.deadline).and_then(|t| t.trim().parse().ok());
-        let wait = millis.map_or(DEADLINE, Duration::from_millis);
-        let resume = text(&names.resume).and_then(|t| t.trim().parse().ok());
+        let deadline: Option<f64> = number(&self.headers, &names.deadline).map_err(|_| "the deadline")?;
+        let wait = match deadline {
+            Some(millis) => Duration::try_from_secs_f64(millis / 1_000.0).map_err(|_| "the deadline")?,
+            None => DEADLINE,
+        };
+        let resume = match route.kind.is_stream() {
+            true => number(&self.headers, &names.resume).map_err(|_| "the last event")?,
+            false => None,
+        };
         let prompt = match route.affine || route.kind.is_stream() {
             true => prompt(shared, &self.headers),
             false => None,
         };
         let deadline = arrived + wait;
         let print = (!body.is_empty()).then(|| print(&self.method, &self.uri, &body));
-        Ask {
+        Ok(Ask {
             print,
             prompt,
             resume,
@@ -298,10 +321,25 @@
             headers: self.headers,
             id: self.id,
             body,
-        }
+        })
     }
 }
 
+/// The number in a header, if it is there.
+fn number<T>(headers: &HeaderMap, name: &HeaderName) -> Result<Option<T>, Unreadable>
+where
+    T: std::str::FromStr,
+{
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| Unreadable)?;
+    text.trim().parse().map(Some).map_err(|_| Unreadable)
+}
+
+/// A header that holds no number.
+struct Unreadable;
+
 fn print(method: &Method, uri: &Uri, body: &[u8]) -> u64 {
     let path = uri.path_and_query().map_or("", |path| path.as_str());
     let hash = Hash::new().with(method.as_str().as_bytes());
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -208,6 +208,14 @@
     }
 }
 
+/// Bodies of a megabyte at most.
+fn limits() -> Limits {
+    Limits {
+        body: 1 << 20,
+        ..Limits::default()
+    }
+}
+
 /// Settings of an instance on an address of its own.
 pub fn options() -> Options {
     Options {
@@ -264,7 +272,7 @@
         });
         let engines: Vec<Engine> = engines.collect();
         shared.publish(|view| {
-            view.table = Arc::new(Table::new(3, Limits::default(), vec![route], Vec::new()));
+            view.table = Arc::new(Table::new(3, limits(), vec![route], Vec::new()));
             view.engines = Arc::new([("chat".to_string(), engines)].into());
             view.instances = 1;
         });
--- a/tests/testsuite/relay/requests.rs
+++ b/tests/testsuite/relay/requests.rs
@@ -103,6 +103,17 @@
     let cases = [
         (get("/r/", "host: shop.example\r\n"), "400"),
         (get("/r/", "x-request: q\r\n"), "400"),
+        (
+            get(
+                "/r/",
+                "host: shop.example\r\nx-request: q\r\nx-deadline: soon\r\n",
+            ),
+            "400",
+        ),
+        (
+            get("/r/", "host: shop.example\r\nx-request: q\r\nx-deadline: -5\r\n"),
+            "400",
+        ),
         (get("/none/", "host: shop.example\r\nx-request: q\r\n"), "404"),
         (get("/r/", "host: other.example\r\nx-request: q\r\n"), "404"),
         (format!("{head}content-length: {}\r\n\r\n", (1 << 20) + 1), "413"),
