--- a/crates/core/src/membership/beat.rs
+++ b/crates/core/src/membership/beat.rs
@@ -38,6 +38,22 @@
     pub silence: u32,
 }
 
+impl About {
+    /// What is known of an instance at first, before it has said anything.
+    pub fn new(incarnation: u64, zone: Name, address: SocketAddr, peer: SocketAddr) -> About {
+        About {
+            incarnation,
+            number: 0,
+            zone,
+            address,
+            peer,
+            state: MemberState::Live,
+            version: Version::default(),
+            silence: u32::MAX,
+        }
+    }
+}
+
 /// What an instance heard of another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rumor {
--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -105,16 +105,7 @@
 impl Listing {
     /// What the instance would say of itself, as far as the list tells.
     fn into_about(self) -> About {
-        About {
-            incarnation: 0,
-            number: 0,
-            zone: self.zone,
-            address: self.address,
-            peer: self.peer,
-            state: MemberState::Live,
-            version: Version::default(),
-            silence: u32::MAX,
-        }
+        About::new(0, self.zone, self.address, self.peer)
     }
 }
 
--- a/crates/core/src/relay/book.rs
+++ b/crates/core/src/relay/book.rs
@@ -100,10 +100,15 @@
     /// nothing is seen that could clear it.
     fn failures(&self, now: Time) -> f64 {
         let (at, mean) = self.failures;
-        mean * 0.5_f64.powf(now.since(at).as_secs_f64() / FORGIVE.as_secs_f64())
+        mean * faded(now.since(at), FORGIVE)
     }
 }
 
+/// What is left of an observation's weight after `passed`, if half goes in each `half`.
+fn faded(passed: Duration, half: Duration) -> f64 {
+    0.5_f64.powf(passed.as_secs_f64() / half.as_secs_f64())
+}
+
 #[derive(Debug, Clone, Default)]
 struct Told {
     at: Time,
@@ -237,7 +242,7 @@
         let Some((at, mean)) = seen else {
             return HANDOVER;
         };
-        let weight = 0.5_f64.powf(now.since(at).as_secs_f64() / FORGET.as_secs_f64());
+        let weight = faded(now.since(at), FORGET);
         mean.mul_f64(weight) + HANDOVER.mul_f64(1.0 - weight)
     }
 
--- a/crates/core/src/relay/engines.rs
+++ b/crates/core/src/relay/engines.rs
@@ -253,11 +253,6 @@
         self.known.values().any(|k| k.missing.is_some())
     }
 
-    /// Every engine that is known, and the revision of what is known of it.
-    pub fn all(&self) -> impl Iterator<Item = (u64, &Entry)> {
-        self.known.values().map(|k| (k.revision, &k.engine.entry))
-    }
-
     /// How many are known.
     pub fn len(&self) -> usize {
         self.known.len()
--- a/crates/core/src/relay/place.rs
+++ b/crates/core/src/relay/place.rs
@@ -57,14 +57,12 @@
 impl Chooser<'_> {
     /// The engine for a request without a prompt: a healthy one of the same zone with the least work.
     pub fn plain<'e>(&self, engines: &'e [Engine]) -> Option<&'e Engine> {
-        let open = self.open(engines);
-        open.into_iter().min_by_key(|e| (self.wait(e), e.key))
+        self.least(engines.iter())
     }
 
     /// The engine that reads a prompt, of those at `stage`, and when it will have read it.
     pub fn reader(&self, engines: &[Engine], stage: Stage, prompt: &Prompt) -> Option<Reading> {
-        let staged: Vec<Engine> = staged(engines, stage).cloned().collect();
-        let open = self.open(&staged);
+        let open = self.open(staged(engines, stage));
         let shared = prompt.shared();
         let home = shared.and_then(|part| home(open.iter().copied(), part.id));
         let readings = open.into_iter().map(|engine| {
@@ -90,9 +88,16 @@
 
     /// The engine that generates, of those at `stage`.
     pub fn generator<'e>(&self, engines: &'e [Engine], stage: Stage) -> Option<&'e Engine> {
-        let staged: Vec<Engine> = staged(engines, stage).cloned().collect();
-        let best = self.plain(&staged)?.key;
-        engines.iter().find(|e| e.key == best)
+        self.least(staged(engines, stage))
+    }
+
+    /// The healthy engine with the least wait.
+    fn least<'e, I>(&self, engines: I) -> Option<&'e Engine>
+    where
+        I: Iterator<Item = &'e Engine>,
+    {
+        let open = self.open(engines);
+        open.into_iter().min_by_key(|e| (self.wait(e), e.key))
     }
 
     /// Whether an engine has `part` of the work that it can do at once.
@@ -102,8 +107,11 @@
     }
 
     /// Healthy engines that were not tried yet; else those that were not tried; else none.
-    fn open<'e>(&self, engines: &'e [Engine]) -> Vec<&'e Engine> {
-        let fresh: Vec<&Engine> = engines.iter().filter(|e| !self.tried.contains(&e.key)).collect();
+    fn open<'e, I>(&self, engines: I) -> Vec<&'e Engine>
+    where
+        I: Iterator<Item = &'e Engine>,
+    {
+        let fresh: Vec<&Engine> = engines.filter(|e| !self.tried.contains(&e.key)).collect();
         let least = fresh.iter().map(|e| self.book.failures(self.now, e.key));
         let least = least.fold(1.0, f64::min);
         let healthy = |e: &Engine| {
--- a/crates/core/src/relay/routes.rs
+++ b/crates/core/src/relay/routes.rs
@@ -149,6 +149,8 @@
     /// Services by name.
     pub services: BTreeMap<String, Service>,
     hosts: BTreeMap<String, BTreeMap<String, Arc<Route>>>,
+    /// The most urgent rank of the routes to each service.
+    ranks: BTreeMap<String, u8>,
 }
 
 impl Table {
@@ -159,12 +161,20 @@
             let host = hosts.entry(route.host.to_ascii_lowercase()).or_default();
             host.insert(route.prefix.clone(), Arc::new(route));
         }
+        let mut ranks: BTreeMap<String, u8> = BTreeMap::new();
+        for route in hosts.values().flat_map(BTreeMap::values) {
+            for target in &route.targets {
+                let rank = ranks.entry(target.service.clone()).or_insert(route.priority);
+                *rank = route.priority.min(*rank);
+            }
+        }
         let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
         Table {
             version,
             limits,
             services,
             hosts,
+            ranks,
         }
     }
 
@@ -186,23 +196,8 @@
 
     /// Whether another route to one of the same services is more urgent.
     pub fn is_outranked(&self, route: &Route) -> bool {
-        let shares = |other: &Route| {
-            other
-                .targets
-                .iter()
-                .any(|t| route.targets.iter().any(|r| r.service == t.service))
-        };
-        self.routes()
-            .any(|other| other.priority < route.priority && shares(other))
-    }
-
-    /// All routes, by host and prefix.
-    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
-        self.hosts.values().flat_map(BTreeMap::values)
-    }
-
-    /// Whether `host` has any route.
-    pub fn has_host(&self, host: &str) -> bool {
-        self.hosts.contains_key(&host.to_ascii_lowercase())
+        let rank = |target: &Target| self.ranks.get(&target.service).copied();
+        let mut ranks = route.targets.iter().filter_map(rank);
+        ranks.any(|rank| rank < route.priority)
     }
 }
--- a/src/ops/control/membership.rs
+++ b/src/ops/control/membership.rs
@@ -12,7 +12,6 @@
 use actix::Handler;
 use actix::Message;
 use actix::WrapFuture;
-use sequoiastream_core::config::Version;
 use sequoiastream_core::log_event;
 use sequoiastream_core::membership::About;
 use sequoiastream_core::membership::Action;
@@ -79,16 +78,7 @@
         bound: Bound,
     ) -> MembershipActor {
         let settings = &shared.settings;
-        let about = About {
-            incarnation: clock::wall().0,
-            number: 0,
-            zone: settings.zone.clone(),
-            address: bound.listen,
-            peer: bound.peer,
-            state: MemberState::Live,
-            version: Version::default(),
-            silence: u32::MAX,
-        };
+        let about = About::new(clock::wall().0, settings.zone.clone(), bound.listen, bound.peer);
         let myself = Myself {
             name: settings.name.clone(),
             seed: about.incarnation,
--- a/src/ops/relay/peers.rs
+++ b/src/ops/relay/peers.rs
@@ -16,7 +16,6 @@
 use sequoiastream_core::membership::Event;
 use sequoiastream_core::membership::Limits;
 use sequoiastream_core::membership::Listing;
-use sequoiastream_core::membership::MemberState;
 use sequoiastream_core::membership::Members;
 use sequoiastream_core::membership::Myself;
 use sequoiastream_core::name::Name;
@@ -120,16 +119,7 @@
 /// Starts to speak with the peers.
 pub fn start(shared: Arc<Shared>, sockets: Sockets, known: Known) -> Fleet {
     let options = &shared.options;
-    let about = About {
-        incarnation: clock::wall().0,
-        number: 0,
-        zone: options.zone.clone(),
-        address: options.front,
-        peer: options.peer,
-        state: MemberState::Live,
-        version: Version::default(),
-        silence: u32::MAX,
-    };
+    let about = About::new(clock::wall().0, options.zone.clone(), options.front, options.peer);
     let myself = Myself {
         name: options.name.clone(),
         seed: about.incarnation,
--- a/src/ops/relay/pick.rs
+++ b/src/ops/relay/pick.rs
@@ -1,14 +1,15 @@
 //! Choosing engines for a request, and noting what it has there.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 
 use sequoiastream_core::relay::book::Ticket;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::place::Chooser;
+use sequoiastream_core::relay::place::Reading;
 
 use crate::ops::relay::forward::Forward;
-use crate::ops::relay::forward::Refusal;
 use crate::ops::relay::shared::Shared;
 use crate::util::clock;
 
@@ -49,24 +50,25 @@
     /// The engine that reads a long prompt itself and generates, and the tokens that it reads: one that knows the shared
     /// parts and is in time.
     pub(super) fn pick_reading_generator(&mut self, is_fresh: bool) -> Option<(Engine, u64)> {
-        let prompt = self.ask.prompt.clone()?;
-        let reading = self.pick(|chooser, engines| {
-            let decode = chooser.reader(engines, Stage::Decode, &prompt);
-            decode.or_else(|| chooser.reader(engines, Stage::Whole, &prompt))
-        })?;
+        let decode = self.pick_reader(Stage::Decode);
+        let reading = decode.or_else(|| self.pick_reader(Stage::Whole))?;
         let slower = match reading.engine.entry.stage {
             Stage::Decode => DECODE_READING,
             Stage::Prefill | Stage::Whole => 1,
         };
         let takes = reading.takes * slower;
-        if is_fresh && !self.is_on_time(takes) {
-            let why = "it would be late";
-            self.refusal = Some(Refusal { why, takes });
+        if is_fresh && self.would_be_late(takes) {
             return None;
         }
         Some((reading.engine, reading.tokens))
     }
 
+    /// The engine at `stage` that reads the prompt.
+    pub(super) fn pick_reader(&self, stage: Stage) -> Option<Reading> {
+        let prompt = self.ask.prompt.as_ref()?;
+        self.pick(|chooser, engines| chooser.reader(engines, stage, prompt))
+    }
+
     /// The engine that generates, near the one that has read the prompt, and the tokens that it reads.
     pub(super) fn pick_generator(&self, is_fresh: bool) -> Option<(Engine, u64)> {
         let zone = self.kept.as_ref().map(|kept| kept.engine.entry.zone.as_str());
@@ -112,10 +114,12 @@
         let view = self.shared.view.load();
         let engines = view.engines.get(service)?;
         let now = clock::now();
-        let staying = engines
-            .iter()
-            .filter(|e| !view.ordered.is_changing(now, &e.entry));
-        let staying: Vec<Engine> = staying.cloned().collect();
+        let is_changing = |e: &Engine| view.ordered.is_changing(now, &e.entry);
+        // Seldom does any change its stage; only then is a copy made.
+        let staying: Cow<'_, [Engine]> = match engines.iter().any(is_changing) {
+            true => engines.iter().filter(|e| !is_changing(e)).cloned().collect(),
+            false => Cow::Borrowed(engines),
+        };
         let ledger = self.shared.ledger();
         let chooser = Chooser {
             book: &ledger.book,
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -77,26 +77,21 @@
 
     /// Has the prompt read. Without an engine that could, the generating one reads it.
     pub(super) async fn read_prompt(&mut self, is_fresh: bool) -> Result<(), Option<Reply>> {
-        let Some(prompt) = self.ask.prompt.clone() else {
-            return Ok(());
-        };
         for attempt in 0..MAX_READS {
-            let picked = self.pick(|chooser, engines| chooser.reader(engines, Stage::Prefill, &prompt));
-            let Some(reading) = picked else {
+            let Some(reading) = self.pick_reader(Stage::Prefill) else {
                 return Ok(());
             };
             let handover = self.handover();
             let takes = reading.takes + handover;
-            if is_fresh && attempt == 0 {
+            let is_first = is_fresh && attempt == 0;
+            if is_first {
                 self.predicted = Some(clock::now().since(self.ask.arrived) + takes);
             }
-            if is_fresh && attempt == 0 && !self.is_on_time(takes) {
-                let why = "it would be late";
-                self.refusal = Some(Refusal { why, takes });
-                return Err(Some(self.give_up()));
+            if is_first && self.would_be_late(takes) {
+                break;
             }
             // Only the first call to read a prompt is free: one for another attempt draws on the budget as well.
-            if (attempt > 0 || !is_fresh) && !self.take_extra() {
+            if !is_first && !self.take_extra() {
                 break;
             }
             let may_repeat = attempt + 1 < MAX_READS;
@@ -174,11 +169,21 @@
         kept.map_err(|e| Failure::new(End::Broken, e))
     }
 
+    /// Whether an answer that begins after `takes` would be late; notes it as the reason of the refusal.
+    pub(super) fn would_be_late(&mut self, takes: Duration) -> bool {
+        let is_late = !self.is_on_time(takes);
+        if is_late {
+            let why = "it would be late";
+            self.refusal = Some(Refusal { why, takes });
+        }
+        is_late
+    }
+
     /// Whether an answer that begins after `takes` is in time for all that it is worth.
     ///
     /// Under overload this keeps the queues as long as what they hold is still of full worth: an engine that is
     /// never idle and never late serves the most. Whoever is refused knows at once.
-    pub(super) fn is_on_time(&self, takes: Duration) -> bool {
+    fn is_on_time(&self, takes: Duration) -> bool {
         let passed = clock::now().since(self.ask.arrived);
         self.route.target.is_zero() || passed + takes <= self.route.target.mul_f64(ON_TIME)
     }
