Wait for the last log lines before the process ends

Cause: lines are written by a thread of their own; the process ended while the last ones waited for it. Ruled out: a shutdown that hangs (the process had ended with success).

--- a/src/util/logging.rs
+++ b/src/util/logging.rs
@@ -8,6 +8,7 @@
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::sync_channel;
+use std::time::Duration;
 
 use tracing::Event;
 use tracing::Metadata;
@@ -29,6 +30,10 @@
 /// Lines that wait for whoever reads them; more are dropped.
 const MAX_WAITING: usize = 512;
 
+/// How long the end of the process waits for lines that are not written yet. A reader that stopped reading must not hold
+/// up a shutdown.
+const LAST_LINES: Duration = Duration::from_millis(200);
+
 /// Sends log lines to standard error in the given format; `RUST_LOG` sets the level, `info` by default.
 pub fn init(format: LogFormat) {
     let filter =
@@ -59,32 +64,67 @@
 /// The budget of log lines, shared with whoever shows what was dropped.
 pub type SharedBudget = Arc<Mutex<LogBudget>>;
 
+/// What the thread that writes is handed.
+#[derive(Debug)]
+enum Output {
+    Line(Vec<u8>),
+    /// All lines before this are written; say so.
+    Last(SyncSender<()>),
+}
+
+/// The log of a process whose lines a thread of their own writes.
+#[derive(Debug, Clone)]
+pub struct BoundedLog {
+    /// The budget of its lines.
+    pub budget: SharedBudget,
+    sender: SyncSender<Output>,
+}
+
+impl BoundedLog {
+    /// Waits until the lines so far are written, but not for long.
+    ///
+    /// Failure guarded against: the process ends while its last lines wait for their thread. Why it ended is what
+    /// whoever reads the log looks for.
+    pub fn finish(&self) {
+        let (written, wait) = sync_channel(1);
+        // A full queue means that nobody reads: then there is nobody to wait for.
+        if self.sender.try_send(Output::Last(written)).is_ok() {
+            let _ = wait.recv_timeout(LAST_LINES);
+        }
+    }
+}
+
 /// Sends log lines as JSON to standard output, within a budget, by a thread of their own: a reader that stops reading
 /// costs lines, and nothing else. `RUST_LOG` sets the level, `info` by default.
-pub fn init_bounded() -> SharedBudget {
+pub fn init_bounded() -> BoundedLog {
     let budget = Arc::new(Mutex::new(LogBudget::new(clock::now())));
     let levels =
         EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info,actix_server=warn"));
     let (sender, receiver) = sync_channel(MAX_WAITING);
     std::thread::spawn(move || write_lines(&receiver));
-    let lines = Lines {
-        sender,
-        budget: budget.clone(),
-    };
+    let log = BoundedLog { budget, sender };
     let layer = tracing_subscriber::fmt::layer()
         .json()
         .with_target(false)
         .log_internal_errors(false)
-        .with_writer(lines)
-        .with_filter(Within(budget.clone()));
+        .with_writer(log.clone())
+        .with_filter(Within(log.budget.clone()));
     tracing_subscriber::registry().with(levels).with(layer).init();
-    budget
+    log
 }
 
-fn write_lines(lines: &Receiver<Vec<u8>>) {
+fn write_lines(lines: &Receiver<Output>) {
     let mut out = io::stdout();
-    while let Ok(line) = lines.recv() {
-        if out.write_all(&line).and_then(|()| out.flush()).is_err() {
+    while let Ok(output) = lines.recv() {
+        let written = match output {
+            Output::Line(line) => out.write_all(&line).and_then(|()| out.flush()),
+            Output::Last(written) => {
+                // Whoever asked may have stopped waiting.
+                let _ = written.send(());
+                Ok(())
+            }
+        };
+        if written.is_err() {
             // Nobody reads any more, and there is no other place to say so.
             return;
         }
@@ -92,15 +132,9 @@
 }
 
 /// Hands whole lines to the thread that writes them.
-#[derive(Debug, Clone)]
-struct Lines {
-    sender: SyncSender<Vec<u8>>,
-    budget: SharedBudget,
-}
-
-impl Write for Lines {
+impl Write for BoundedLog {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if self.sender.try_send(line.to_vec()).is_err() {
+        if self.sender.try_send(Output::Line(line.to_vec())).is_err() {
             let mut budget = self
                 .budget
                 .lock()
@@ -115,10 +149,10 @@
     }
 }
 
-impl<'a> MakeWriter<'a> for Lines {
-    type Writer = Lines;
+impl<'a> MakeWriter<'a> for BoundedLog {
+    type Writer = BoundedLog;
 
-    fn make_writer(&'a self) -> Lines {
+    fn make_writer(&'a self) -> BoundedLog {
         self.clone()
     }
 }
