Decide attempts in one place of core, for relay, calls and answers

Cause: three roads counted attempts and judged what their ends prove each in its own way (relay::verdict, dispatch::forward, core::answer). The road of plain calls had forgotten the product's retry budget: with two upstreams that lose their answers 30 calls became 90 runs. Ruled out: one driver for all three; a generation's driver delivers tokens and holds suspects, the relay's passes bytes. What they share is the decision, and that is in core now. Change: core::attempt (End, Next, Bound, Attempts) replaces relay::verdict and the counters of core::answer; UpstreamError says its End; plain calls use it, retry::patience and the retry budget.

--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -15,6 +15,11 @@
 
 use uuid::Uuid;
 
+use crate::attempt::Attempts;
+use crate::attempt::Bound;
+use crate::attempt::End;
+use crate::attempt::Next;
+use crate::config::Repeat;
 use crate::invariant;
 use crate::outcome::Reason;
 use crate::splice::Splice;
@@ -60,6 +65,15 @@
     Lost,
 }
 
+impl Failure {
+    fn end(self) -> End {
+        match self {
+            Failure::NotStarted | Failure::Version => End::Declined,
+            Failure::Lost => End::Broken,
+        }
+    }
+}
+
 /// What happened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Event {
@@ -166,11 +180,10 @@
     version: Option<u32>,
     continued: bool,
     mismatch: bool,
-    ran: bool,
     opened: bool,
-    idle: u32,
     waits: u32,
-    attempts: u32,
+    picked: u32,
+    attempts: Attempts,
 }
 
 impl Answer {
@@ -186,11 +199,10 @@
             version: resume.version.filter(|_| resume.offset > 0),
             continued: false,
             mismatch: false,
-            ran: false,
             opened: false,
-            idle: 0,
             waits: 0,
-            attempts: 0,
+            picked: 0,
+            attempts: Attempts::new(Repeat::Safe, Bound::Fruitless(limits.attempts)),
         }
     }
 
@@ -249,7 +261,7 @@
 
     /// Attempts sent.
     pub fn attempts(&self) -> u32 {
-        self.attempts
+        self.picked
     }
 
     /// Whether the last attempt was silent for longer than it may be.
@@ -259,7 +271,7 @@
 
     /// Whether an engine may have run some of it.
     pub fn is_run(&self) -> bool {
-        self.ran
+        self.attempts.may_have_run()
     }
 
     /// How long the open attempt may be silent.
@@ -285,7 +297,7 @@
         self.phase = Phase::Sent(attempt);
         self.alive = now;
         self.token = false;
-        self.attempts += 1;
+        self.picked += 1;
         vec![Action::Send(Send {
             attempt,
             offset,
@@ -327,7 +339,7 @@
         if self.phase != Phase::Sent(attempt) {
             return vec![Action::Cancel(attempt)];
         }
-        self.ran = true;
+        self.attempts.on_run();
         self.opened = true;
         if !self.continued && self.version.is_some_and(|v| v != version) {
             // The engine took the attempt without looking at the version: its tokens don't fit the text.
@@ -347,7 +359,7 @@
             Verdict::Foreign | Verdict::Repeat => Vec::new(),
             Verdict::Gap => self.leave(attempt),
             Verdict::Deliver => {
-                self.idle = 0;
+                self.attempts.on_progress();
                 self.waits = 0;
                 self.token = true;
                 self.alive = now;
@@ -379,46 +391,32 @@
             return Vec::new();
         }
         self.splice.close();
-        match failure {
-            // Nothing ran: that each engine is tried once is bound enough.
-            Failure::NotStarted => self.pick(),
-            Failure::Version => {
-                self.mismatch = true;
-                self.pick()
-            }
-            Failure::Lost => {
-                self.ran = true;
-                self.again()
-            }
-        }
+        self.mismatch |= failure == Failure::Version;
+        self.go_on(failure.end())
     }
 
     /// Closes the attempt, cancels it and goes on elsewhere.
     fn leave(&mut self, attempt: Uuid) -> Vec<Action> {
-        self.ran = true;
         self.splice.close();
         let mut actions = vec![Action::Cancel(attempt)];
-        actions.extend(self.again());
+        actions.extend(self.go_on(End::Broken));
         actions
     }
 
-    fn again(&mut self) -> Vec<Action> {
-        self.idle += 1;
-        if self.idle >= self.limits.attempts {
-            return self.give_up(Reason::UpstreamRefused, Cause::Attempts);
+    fn go_on(&mut self, end: End) -> Vec<Action> {
+        match self.attempts.on_end(end) {
+            Next::Again => {
+                self.phase = Phase::Picking;
+                vec![Action::Pick]
+            }
+            Next::Refuse | Next::Fail => self.give_up(Reason::UpstreamRefused, Cause::Attempts),
         }
-        self.pick()
-    }
-
-    fn pick(&mut self) -> Vec<Action> {
-        self.phase = Phase::Picking;
-        vec![Action::Pick]
     }
 
     fn leave_for_others(&mut self) -> Vec<Action> {
         match self.current() {
             Some(attempt) => {
-                self.ran = true;
+                self.attempts.on_run();
                 self.splice.close();
                 self.phase = Phase::Picking;
                 vec![Action::Cancel(attempt), Action::Pick]
@@ -442,7 +440,7 @@
 
     fn give_up(&mut self, reason: Reason, cause: Cause) -> Vec<Action> {
         let sent = self.current().is_some();
-        let ending = match (self.ran || sent, self.opened) {
+        let ending = match (self.attempts.may_have_run() || sent, self.opened) {
             (false, _) => Ending::NotRun(reason),
             (true, true) => Ending::Failed(cause),
             (true, false) => Ending::Unknown(cause),
--- a/crates/core/src/arena.rs
+++ b/crates/core/src/arena.rs
@@ -4,25 +4,12 @@
 use std::fmt;
 use std::marker::PhantomData;
 
-use crate::snapshot::EngineView;
-use crate::snapshot::ProductView;
-use crate::snapshot::ServiceView;
-
 /// A key of an [`Arena`] of `V`: an index that can't be mixed up with one of another kind.
 pub struct Key<V> {
     index: u32,
     kind: PhantomData<fn() -> V>,
 }
 
-/// An engine or plain upstream within one snapshot of the configuration.
-pub type EngineKey = Key<EngineView>;
-
-/// A product within one snapshot of the configuration.
-pub type ProductKey = Key<ProductView>;
-
-/// A service within one snapshot of the configuration.
-pub type ServiceKey = Key<ServiceView>;
-
 impl<V> Key<V> {
     fn new(index: u32) -> Key<V> {
         Key {
--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -1,11 +1,11 @@
-//! What the end of an attempt proves, and what may follow.
+//! What the end of an attempt proves, and what may follow: for calls and streams alike, whoever speaks with the caller.
 //!
 //! Failure guarded against: an order runs twice because an attempt that was sent on a connection which broke was
 //! taken for one that never ran. Only three ends prove that nothing ran: not one byte was written, the engine
 //! says that it did not execute the request, or the answer came from another engine than the one meant. All
 //! others count as run.
 
-use crate::relay::routes::Kind;
+use crate::config::Repeat;
 
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -54,7 +54,7 @@
 /// What to do after an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Next {
-    /// Try another engine.
+    /// Try another upstream.
     Again,
     /// Refuse: it did not run, and the caller may come back.
     Refuse,
@@ -62,27 +62,39 @@
     Fail,
 }
 
+/// What bounds the attempts at one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Bound {
+    /// So many that reached an upstream, or may have.
+    Sent(u32),
+    /// So many in a row that may have run and brought the caller nothing. One that declined costs no engine time, and
+    /// each engine is tried once.
+    Fruitless(u32),
+}
+
 /// The attempts at one request so far.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Attempts {
-    kind: Kind,
-    most: u32,
+    repeat: Repeat,
+    bound: Bound,
     sent: u32,
+    fruitless: u32,
     ran: bool,
 }
 
 impl Attempts {
-    /// None yet, of at most `most`.
-    pub fn new(kind: Kind, most: u32) -> Attempts {
+    /// None yet.
+    pub fn new(repeat: Repeat, bound: Bound) -> Attempts {
         Attempts {
-            kind,
-            most: most.max(1),
+            repeat,
+            bound,
             sent: 0,
+            fruitless: 0,
             ran: false,
         }
     }
 
-    /// Attempts that reached an engine, or may have.
+    /// Attempts that reached an upstream, or may have.
     pub fn sent(&self) -> u32 {
         self.sent
     }
@@ -92,19 +104,41 @@
         self.ran
     }
 
-    /// Whether another attempt draws on the budget of extra attempts.
+    /// Whether another attempt is one more than the request itself.
     pub fn is_extra(&self) -> bool {
         self.sent > 0
     }
 
+    /// Whether one more attempt could follow the one that is sent now, even if that one ran.
+    pub fn leaves_another(&self) -> bool {
+        let most = match self.bound {
+            Bound::Sent(most) | Bound::Fruitless(most) => most,
+        };
+        self.repeat != Repeat::Never && self.used() + 1 < most
+    }
+
+    /// Notes that an attempt runs at an upstream, before its end is known.
+    pub fn on_run(&mut self) {
+        self.ran = true;
+    }
+
+    /// Notes that an attempt brought the caller a part of its answer.
+    pub fn on_progress(&mut self) {
+        self.ran = true;
+        self.fruitless = 0;
+    }
+
     /// Takes the end of an attempt and says what may follow.
     pub fn on_end(&mut self, end: End) -> Next {
         if end != End::Unsent {
             self.sent += 1;
         }
-        self.ran |= !end.proves_not_run();
-        let may_repeat = !self.ran || self.kind.is_repeatable();
-        match may_repeat && self.sent < self.most {
+        if !end.proves_not_run() {
+            self.ran = true;
+            self.fruitless += 1;
+        }
+        let may_repeat = !self.ran || self.repeat != Repeat::Never;
+        match may_repeat && !self.is_used_up() {
             true => Next::Again,
             false => self.give_up(),
         }
@@ -117,4 +151,19 @@
             false => Next::Refuse,
         }
     }
+
+    fn used(&self) -> u32 {
+        match self.bound {
+            Bound::Sent(_) => self.sent,
+            Bound::Fruitless(_) => self.fruitless,
+        }
+    }
+
+    fn is_used_up(&self) -> bool {
+        match self.bound {
+            // A route that names none still allows the request itself.
+            Bound::Sent(most) => self.sent >= most.max(1),
+            Bound::Fruitless(most) => self.fruitless >= most,
+        }
+    }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod answer;
 pub mod arena;
+pub mod attempt;
 pub mod authority;
 pub mod claims;
 pub mod config;
--- a/crates/core/src/relay/book.rs
+++ b/crates/core/src/relay/book.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::attempt::End;
 use crate::relay::engines::EngineKey;
-use crate::relay::verdict::End;
 use crate::time::Time;
 
 /// How long an engine gets no new work after its first fault, if another can take it; doubles with each.
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -1,7 +1,7 @@
 //! Forwarding requests unchanged, by routes that operators configure.
 //!
 //! A route leads from a host and a path prefix to services. [`routes`] finds it, [`engines`] knows who serves,
-//! [`place`] picks an engine, [`verdict`] says what the end of an attempt proves and whether another may follow,
+//! [`place`] picks an engine, [`attempt`](crate::attempt) says what its end proves and whether another may follow,
 //! [`budget`] bounds how often that happens over the whole fleet, [`stages`] splits a service into engines that read
 //! prompts and engines that generate, and [`suspects`] knows requests that crash engines.
 
@@ -15,4 +15,3 @@
 pub mod routes;
 pub mod stages;
 pub mod suspects;
-pub mod verdict;
--- a/crates/core/src/relay/routes.rs
+++ b/crates/core/src/relay/routes.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::config::Repeat;
+
 /// What may be repeated of a request, by the route it came on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Kind {
@@ -19,8 +21,11 @@
 
 impl Kind {
     /// Whether a request that may have run may run again.
-    pub fn is_repeatable(self) -> bool {
-        matches!(self, Kind::Idempotent | Kind::Resumable)
+    pub fn repeat(self) -> Repeat {
+        match self {
+            Kind::Idempotent | Kind::Resumable => Repeat::Safe,
+            Kind::Once | Kind::Stream => Repeat::Never,
+        }
     }
 
     /// Its name in metrics.
--- a/crates/core/src/route/affinity.rs
+++ b/crates/core/src/route/affinity.rs
@@ -7,8 +7,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::arena::EngineKey;
 use crate::prefix::BLOCK_TOKENS;
+use crate::snapshot::EngineKey;
 use crate::time::Time;
 
 /// Engines remembered for one block.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -24,12 +24,12 @@
 pub use book::STALE;
 pub use book::View;
 
-use crate::arena::EngineKey;
-use crate::arena::ServiceKey;
 use crate::config::EngineState;
 use crate::config::Version;
 use crate::engine::Speed;
 use crate::name::Name;
+use crate::snapshot::EngineKey;
+use crate::snapshot::ServiceKey;
 use crate::snapshot::Snapshot;
 use crate::time::Time;
 
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -8,9 +8,7 @@
 use std::net::SocketAddr;
 
 use crate::arena::Arena;
-use crate::arena::EngineKey;
-use crate::arena::ProductKey;
-use crate::arena::ServiceKey;
+use crate::arena::Key;
 use crate::config::Config;
 use crate::config::EngineState;
 use crate::config::Fencing;
@@ -21,6 +19,15 @@
 use crate::config::Version;
 use crate::name::Name;
 
+/// An engine or plain upstream within one snapshot of the configuration.
+pub type EngineKey = Key<EngineView>;
+
+/// A product within one snapshot of the configuration.
+pub type ProductKey = Key<ProductView>;
+
+/// A service within one snapshot of the configuration.
+pub type ServiceKey = Key<ServiceView>;
+
 /// An engine or plain upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EngineView {
--- a/crates/upstream/src/error.rs
+++ b/crates/upstream/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of calls to upstreams.
 
+use sequoiastream_core::attempt::End;
 use thiserror::Error;
 
 /// Why an attempt at an upstream gave no whole answer.
@@ -32,11 +33,19 @@
 }
 
 impl UpstreamError {
+    /// What it proves of the request.
+    pub fn end(&self) -> End {
+        match self {
+            UpstreamError::Connect(_) => End::Unsent,
+            UpstreamError::NotStarted(_) | UpstreamError::OtherVersion => End::Declined,
+            UpstreamError::Status(_) | UpstreamError::Stale(_) => End::Failed,
+            UpstreamError::Broken(_) | UpstreamError::Malformed(_) => End::Broken,
+            UpstreamError::Timeout => End::Silent,
+        }
+    }
+
     /// Whether it is sure that the upstream did not start the request.
     pub fn is_not_started(&self) -> bool {
-        matches!(
-            self,
-            UpstreamError::Connect(_) | UpstreamError::NotStarted(_) | UpstreamError::OtherVersion
-        )
+        self.end().proves_not_run()
     }
 }
--- a/src/ops/control/authority/mod.rs
+++ b/src/ops/control/authority/mod.rs
@@ -468,7 +468,7 @@
     }
 }
 
-fn wishes(snapshot: &Snapshot, engines: &[sequoiastream_core::arena::EngineKey]) -> Vec<EngineWish> {
+fn wishes(snapshot: &Snapshot, engines: &[sequoiastream_core::snapshot::EngineKey]) -> Vec<EngineWish> {
     let views = engines.iter().filter_map(|key| snapshot.engines.get(*key));
     views
         .map(|view| EngineWish {
--- a/src/ops/dispatch/admit.rs
+++ b/src/ops/dispatch/admit.rs
@@ -4,7 +4,6 @@
 
 use sequoiastream_caller::GenerateCall;
 use sequoiastream_caller::Refusal;
-use sequoiastream_core::arena::ServiceKey;
 use sequoiastream_core::config::Share;
 use sequoiastream_core::limit;
 use sequoiastream_core::limit::Need;
@@ -15,6 +14,7 @@
 use sequoiastream_core::prefix::block_digests;
 use sequoiastream_core::route::Ask;
 use sequoiastream_core::snapshot::ProductView;
+use sequoiastream_core::snapshot::ServiceKey;
 use sequoiastream_core::snapshot::Snapshot;
 
 use crate::ops::dispatch::Dispatch;
--- a/src/ops/dispatch/forward.rs
+++ b/src/ops/dispatch/forward.rs
@@ -1,6 +1,5 @@
 //! Passing calls through to plain services.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix_web::http::Method;
@@ -9,6 +8,9 @@
 use sequoiastream_caller::Refusal;
 use sequoiastream_caller::Sent;
 use sequoiastream_caller::Unsent;
+use sequoiastream_core::attempt::Attempts;
+use sequoiastream_core::attempt::Bound;
+use sequoiastream_core::attempt::Next;
 use sequoiastream_core::claims::MAX_DEADLINE;
 use sequoiastream_core::claims::repeat_of;
 use sequoiastream_core::config::Repeat;
@@ -16,36 +18,25 @@
 use sequoiastream_core::log_event;
 use sequoiastream_core::name::Name;
 use sequoiastream_core::outcome::Reason;
+use sequoiastream_core::retry;
 use sequoiastream_core::time::Time;
 use sequoiastream_upstream::PlainCall;
 use sequoiastream_upstream::PlainReply;
+use sequoiastream_upstream::UpstreamError;
 
 use crate::log_event;
 use crate::ops::dispatch::Dispatch;
 use crate::ops::dispatch::once;
+use crate::ops::dispatch::plain::Target;
+use crate::ops::dispatch::plain::reply_of;
 use crate::util::clock;
 
 /// Deadline of a call whose product is not in the configuration any more.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
-/// Attempts at a call that may be repeated.
-const MAX_ATTEMPTS: usize = 3;
-
-/// Time one attempt at a call that may be repeated leaves for another.
-const SHARE: u32 = 2;
-
 /// When to come back if no upstream can take work.
 const COME_BACK: Duration = Duration::from_secs(1);
 
-/// A picked upstream.
-#[derive(Debug, Clone)]
-pub(super) struct Target {
-    /// Its name.
-    pub(super) name: Name,
-    /// Where it listens.
-    pub(super) address: SocketAddr,
-}
-
 /// Passes `call` through: once if it may not be repeated, else with further attempts.
 pub(super) async fn run(dispatch: &Dispatch, call: ForwardCall) -> Result<ForwardReply, Refusal> {
     let Some(Served { service, repeat }) = serve(dispatch, &call) else {
@@ -69,14 +60,24 @@
         body: call.body.clone(),
     };
     let deadline = clock::now() + deadline(dispatch, &call);
-    match repeat {
-        Repeat::Never => once::run(dispatch, &service, call, plain, deadline).await,
-        Repeat::Dedupes => match once::check_key(dispatch, call.key.as_deref()) {
-            Ok(_) => repeatable(dispatch, &service, &plain, call.unsent, deadline).await,
-            Err(fault) => Err(fault.refuse(call.unsent)),
-        },
-        Repeat::Safe => repeatable(dispatch, &service, &plain, call.unsent, deadline).await,
+    if repeat == Repeat::Never {
+        return once::run(dispatch, &service, call, plain, deadline).await;
+    }
+    if repeat == Repeat::Dedupes
+        && let Err(fault) = once::check_key(dispatch, call.key.as_deref())
+    {
+        return Err(fault.refuse(call.unsent));
     }
+    let repeated = Repeated {
+        dispatch,
+        service: &service,
+        product: &call.product,
+        plain: &plain,
+        deadline,
+        attempts: Attempts::new(repeat, Bound::Sent(retry::MAX_ATTEMPTS)),
+        tried: Vec::new(),
+    };
+    repeated.run(call.unsent).await
 }
 
 /// The service that a call goes to.
@@ -107,72 +108,75 @@
     call.deadline.unwrap_or(default).min(MAX_DEADLINE)
 }
 
-/// Passes a call through that may be repeated, at further upstreams if one fails.
-async fn repeatable(
-    dispatch: &Dispatch,
-    service: &Name,
-    plain: &PlainCall,
-    unsent: Unsent,
+/// A call that may be repeated, at further upstreams if one fails.
+struct Repeated<'a> {
+    dispatch: &'a Dispatch,
+    service: &'a Name,
+    product: &'a Name,
+    plain: &'a PlainCall,
     deadline: Time,
-) -> Result<ForwardReply, Refusal> {
-    let mut proof = Some(unsent);
-    let mut tried: Vec<Name> = Vec::new();
-    let mut last = None;
-    for attempt in 1..=MAX_ATTEMPTS {
-        let left = deadline.since(clock::now());
-        if left.is_zero() {
-            break;
+    attempts: Attempts,
+    tried: Vec<Name>,
+}
+
+impl Repeated<'_> {
+    async fn run(mut self, unsent: Unsent) -> Result<ForwardReply, Refusal> {
+        self.dispatch.shared.policy.retries().fresh(self.product);
+        let mut proof = Some(unsent);
+        let mut last = None;
+        while self.may_go_on()
+            && let Some(target) = self.pick()
+        {
+            let sent = proof.take().map(Unsent::send);
+            let error = match self.send(&target).await {
+                Ok(reply) => return Ok(reply_of(reply)),
+                Err(error) => error,
+            };
+            log_event!(warn, log_event::ATTEMPT_FAILED, engine = %target.name, %error);
+            let end = error.end();
+            proof = sent.filter(|_| end.proves_not_run()).map(Sent::returned);
+            last = Some(error);
+            self.tried.push(target.name);
+            if self.attempts.on_end(end) != Next::Again {
+                break;
+            }
         }
-        let fresh = dispatch.pick_plain(service, &tried);
-        let Some(target) = fresh.or_else(|| dispatch.pick_plain(service, &[])) else {
-            break;
-        };
-        let limit = match attempt < MAX_ATTEMPTS {
-            true => left / SHARE,
-            false => left,
-        };
-        let sent = proof.take().map(Unsent::send);
-        let result = dispatch.plain.send(target.address, plain, limit).await;
-        dispatch.shared.router().done(&target.name);
-        match result {
-            Ok(reply) => return Ok(reply_of(reply)),
-            Err(error) => {
-                log_event!(warn, log_event::ATTEMPT_FAILED, engine = %target.name, %error);
-                proof = sent.filter(|_| error.is_not_started()).map(Sent::returned);
-                last = Some(error);
-                tried.push(target.name);
+        match (proof, last) {
+            (Some(unsent), _) => {
+                let proof = unsent.refuse(Reason::NoEngine).come_back(COME_BACK);
+                Err(Refusal::not_run(proof, "no upstream can take work now"))
             }
+            (None, Some(error)) => Err(Refusal::unknown(error.to_string())),
+            (None, None) => Err(Refusal::unknown("the call was lost")),
         }
     }
-    match (proof, last) {
-        (Some(unsent), _) => {
-            let proof = unsent.refuse(Reason::NoEngine).come_back(COME_BACK);
-            Err(Refusal::not_run(proof, "no upstream can take work now"))
-        }
-        (None, Some(error)) => Err(Refusal::unknown(error.to_string())),
-        (None, None) => Err(Refusal::unknown("the call was lost")),
+
+    /// Whether the product's retry budget and the deadline allow one more attempt.
+    fn may_go_on(&self) -> bool {
+        let retry = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
+        let granted = retry == 0 || self.dispatch.may_retry(self.product, retry);
+        granted && !self.left().is_zero()
     }
-}
 
-impl Dispatch {
-    /// Picks an upstream of `service` and counts the call there.
-    pub(super) fn pick_plain(&self, service: &Name, except: &[Name]) -> Option<Target> {
-        let snapshot = self.shared.snapshot.load();
-        let service = snapshot.service_of(service.as_str())?;
-        let key = self.shared.router().pick(&snapshot, service, except)?;
-        let engine = snapshot.engines.get(key)?;
-        Some(Target {
-            name: engine.name.clone(),
-            address: engine.address,
-        })
+    fn left(&self) -> Duration {
+        self.deadline.since(clock::now())
+    }
+
+    /// An upstream that was not tried, else any.
+    fn pick(&self) -> Option<Target> {
+        let fresh = self.dispatch.pick_plain(self.service, &self.tried);
+        fresh.or_else(|| self.dispatch.pick_plain(self.service, &[]))
     }
-}
 
-/// The answer to the caller.
-pub(super) fn reply_of(reply: PlainReply) -> ForwardReply {
-    ForwardReply {
-        status: reply.status,
-        content: reply.content,
-        body: reply.body,
+    async fn send(&self, target: &Target) -> Result<PlainReply, UpstreamError> {
+        let left = self.left();
+        // How long a service takes is not known: it may be all that is left.
+        let limit = match self.attempts.leaves_another() {
+            true => retry::patience(left, left, 0),
+            false => left,
+        };
+        let result = self.dispatch.plain.send(target.address, self.plain, limit).await;
+        self.dispatch.shared.router().done(&target.name);
+        result
     }
 }
--- a/src/ops/dispatch/generate.rs
+++ b/src/ops/dispatch/generate.rs
@@ -20,13 +20,11 @@
 use sequoiastream_core::answer::Event;
 use sequoiastream_core::answer::Failure;
 use sequoiastream_core::answer::Limits;
-use sequoiastream_core::arena::ServiceKey;
 use sequoiastream_core::invariant;
 use sequoiastream_core::log_event;
 use sequoiastream_core::name::Name;
 use sequoiastream_core::outcome::Reason;
 use sequoiastream_core::poison::Fingerprint;
-use sequoiastream_core::route::Ask;
 use sequoiastream_core::time::Time;
 use sequoiastream_upstream::EngineStream;
 use sequoiastream_upstream::UpstreamError;
@@ -40,6 +38,7 @@
 use crate::log_event;
 use crate::ops::dispatch::Dispatch;
 use crate::ops::dispatch::admit;
+use crate::ops::dispatch::request::Request;
 use crate::ops::dispatch::suspects::Picked;
 use crate::ops::dispatch::suspects::Target;
 use crate::util::clock;
@@ -113,33 +112,6 @@
     Ok(Answer { events })
 }
 
-/// What is asked, apart from the proof that it has not run.
-#[derive(Debug, Clone)]
-pub struct Request {
-    /// Names the request.
-    pub id: Uuid,
-    /// The product that asks.
-    pub product: Name,
-    /// Service or model.
-    pub model: String,
-    /// The prompt.
-    pub prompt: String,
-    /// Most tokens to generate.
-    pub limit: u32,
-    /// Seed of the sampling.
-    pub seed: u64,
-    /// 0 is the most urgent.
-    pub priority: u8,
-    /// The service.
-    pub service: ServiceKey,
-    /// By which two requests are known to be the same.
-    pub fingerprint: Fingerprint,
-    /// When the answer must be there.
-    pub deadline: Time,
-    /// The request as the router sees it.
-    pub ask: Ask,
-}
-
 /// The attempt that is sent or open.
 struct Open {
     attempt: Uuid,
@@ -212,15 +184,7 @@
     /// any case: its engines have done most of the work.
     fn may_retry(&self) -> bool {
         let attempts = self.answer.attempts();
-        if attempts == 0 {
-            return true;
-        }
-        let mut retries = self.dispatch.shared.policy.retries();
-        let granted = retries.retry(&self.request.product, attempts).is_some();
-        if !granted {
-            self.dispatch.shared.metrics.policy.retries_denied.inc();
-        }
-        granted || self.last.is_some()
+        attempts == 0 || self.dispatch.may_retry(&self.request.product, attempts) || self.last.is_some()
     }
 
     async fn pick(&mut self) -> Option<Event> {
--- a/src/ops/dispatch/mod.rs
+++ b/src/ops/dispatch/mod.rs
@@ -6,6 +6,8 @@
 mod generate;
 mod once;
 mod owners;
+mod plain;
+mod request;
 mod suspects;
 
 use std::collections::BTreeSet;
@@ -87,6 +89,15 @@
         forward::run(self, ForwardCall { unsent, ..call }).await
     }
 
+    /// Takes retry number `retry` of a request from the product's retry budget.
+    fn may_retry(&self, product: &Name, retry: u32) -> bool {
+        let granted = self.shared.policy.retries().retry(product, retry).is_some();
+        if !granted {
+            self.shared.metrics.policy.retries_denied.inc();
+        }
+        granted
+    }
+
     fn count(&self, product: &Name, outcome: Outcome) {
         self.shared.metrics.traffic.outcome(product, outcome);
     }
--- a/src/ops/dispatch/once.rs
+++ b/src/ops/dispatch/once.rs
@@ -39,8 +39,8 @@
 
 use crate::log_event;
 use crate::ops::dispatch::Dispatch;
-use crate::ops::dispatch::forward::Target;
-use crate::ops::dispatch::forward::reply_of;
+use crate::ops::dispatch::plain::Target;
+use crate::ops::dispatch::plain::reply_of;
 use crate::util::clock;
 
 /// How long after its caller's deadline an answer is still waited for, so that a repeat can be told it.
--- a/src/ops/dispatch/suspects.rs
+++ b/src/ops/dispatch/suspects.rs
@@ -29,7 +29,7 @@
 use crate::log_event;
 use crate::ops::control::Execute;
 use crate::ops::dispatch::Dispatch;
-use crate::ops::dispatch::generate::Request;
+use crate::ops::dispatch::request::Request;
 use crate::util::clock;
 
 /// How long a peer may take to answer. One that takes longer is passed over: it is gone, paused or cut off.
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -11,15 +11,16 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::header;
+use sequoiastream_core::attempt::Attempts;
+use sequoiastream_core::attempt::Bound;
+use sequoiastream_core::attempt::End;
+use sequoiastream_core::attempt::Next;
 use sequoiastream_core::log_event;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::hash::Hash;
 use sequoiastream_core::relay::routes::Route;
 use sequoiastream_core::relay::suspects::Note;
-use sequoiastream_core::relay::verdict::Attempts;
-use sequoiastream_core::relay::verdict::End;
-use sequoiastream_core::relay::verdict::Next;
 use sequoiastream_core::retry;
 use sequoiastream_core::time::Time;
 use sequoiastream_upstream::channel::Answer;
@@ -85,7 +86,7 @@
         running: Running,
     ) -> Forward {
         let draw = Hash::new().with(ask.id.as_bytes()).value();
-        let attempts = Attempts::new(route.kind, route.attempts);
+        let attempts = Attempts::new(route.kind.repeat(), Bound::Sent(route.attempts));
         let service = route.service(draw).map(str::to_string);
         Forward {
             shared,
@@ -317,8 +318,9 @@
     ///
     /// Failure guarded against: an engine accepts a request and says nothing, and the caller's whole time passes there.
     pub fn patience(&self, expected: Duration) -> Option<Duration> {
-        let may_repeat = self.route.kind.is_repeatable() && self.attempts.sent() + 1 < self.route.attempts;
-        may_repeat.then(|| retry::patience(self.ask.left(), expected, 0))
+        let left = self.ask.left();
+        let leaves = self.attempts.leaves_another();
+        leaves.then(|| retry::patience(left, expected, 0))
     }
 
     /// Takes an extra attempt from the budget of all.
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sequoiastream_core::attempt::End;
 use sequoiastream_core::log_event;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::place::Reading;
-use sequoiastream_core::relay::verdict::End;
 use sequoiastream_core::retry;
 use sequoiastream_upstream::channel::Pool;
 
--- a/src/ops/relay/reply.rs
+++ b/src/ops/relay/reply.rs
@@ -10,7 +10,7 @@
 use actix_web::http::StatusCode;
 use actix_web::http::header;
 use rand::RngExt;
-use sequoiastream_core::relay::verdict::Attempts;
+use sequoiastream_core::attempt::Attempts;
 
 /// Shortest time after which a refused caller is asked to come back.
 const BACK_LEAST: Duration = Duration::from_millis(100);
--- a/tests/testsuite/attempts.rs
+++ b/tests/testsuite/attempts.rs
@@ -1,9 +1,11 @@
 //! What the end of an attempt proves.
 
+use sequoiastream_core::attempt::Attempts;
+use sequoiastream_core::attempt::Bound;
+use sequoiastream_core::attempt::End;
+use sequoiastream_core::attempt::Next;
+use sequoiastream_core::config::Repeat;
 use sequoiastream_core::relay::routes::Kind;
-use sequoiastream_core::relay::verdict::Attempts;
-use sequoiastream_core::relay::verdict::End;
-use sequoiastream_core::relay::verdict::Next;
 
 const ENDS: [End; 6] = [
     End::Unsent,
@@ -20,7 +22,7 @@
 fn next_once_needs_proof() {
     for kind in [Kind::Once, Kind::Stream] {
         for end in ENDS {
-            let next = Attempts::new(kind, 5).on_end(end);
+            let next = Attempts::new(kind.repeat(), Bound::Sent(5)).on_end(end);
             let expected = match end {
                 End::Unsent | End::Declined | End::Misdirected => Next::Again,
                 _ => Next::Fail,
@@ -34,7 +36,7 @@
 fn next_repeatable_until_most() {
     for kind in [Kind::Idempotent, Kind::Resumable] {
         for end in ENDS {
-            let mut attempts = Attempts::new(kind, 2);
+            let mut attempts = Attempts::new(kind.repeat(), Bound::Sent(2));
             assert_eq!(attempts.on_end(end), Next::Again, "{kind:?} {end:?}");
             let second = attempts.on_end(End::Broken);
             let expected = if end == End::Unsent {
@@ -51,7 +53,7 @@
 /// second one declines. Cause: only the last attempt is looked at.
 #[test]
 fn refuse_only_if_none_ran() {
-    let mut attempts = Attempts::new(Kind::Idempotent, 9);
+    let mut attempts = Attempts::new(Repeat::Safe, Bound::Sent(9));
     attempts.on_end(End::Declined);
     assert_eq!(attempts.give_up(), Next::Refuse);
     attempts.on_end(End::Silent);
@@ -61,7 +63,7 @@
 
 #[test]
 fn extra_only_after_sent() {
-    let mut attempts = Attempts::new(Kind::Idempotent, 3);
+    let mut attempts = Attempts::new(Repeat::Safe, Bound::Sent(3));
     attempts.on_end(End::Unsent);
     assert!(!attempts.is_extra());
     attempts.on_end(End::Declined);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 //! sleeps to let something happen: tests wait on events.
 
 mod answers;
+mod attempts;
 mod authority;
 mod callers;
 mod claims;
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -1,6 +1,9 @@
 //! The whole path: caller, daemon, upstream, with the configuration from the platform.
 
+use std::collections::BTreeMap;
+
 use sequoiastream_standin::engine::expected_text;
+use sequoiastream_standin::plain::PlainFault;
 use sequoiastream_testsupport::fleet::KEY;
 use sequoiastream_testsupport::fleet::MODEL;
 use sequoiastream_testsupport::http;
@@ -26,6 +29,35 @@
     );
 }
 
+/// A service that breaks every call gets three times its calls, and that on top of what made it break. Order: both of its
+/// upstreams lose their answers while thirty calls come that may be repeated. Cause: each call is sent again without
+/// asking the retry budget of its product.
+#[actix_web::test]
+async fn plain_calls_within_budget() {
+    let fleet = fleet().plain(2).start_configured().await;
+    for plain in &fleet.plain {
+        let fault = PlainFault {
+            lose: u32::MAX,
+            ..PlainFault::default()
+        };
+        let url = format!("{}/control/fault", plain.url());
+        http::send("PUT", &url, &[], &fault).await;
+    }
+    let url = format!("{}/services/ordini/lookup", fleet.daemons[0].url());
+    let key = format!("Bearer {KEY}");
+    for _ in 0..30 {
+        let reply = http::send("GET", &url, &[("authorization", &key)], "").await;
+        assert_eq!(reply.outcome.as_deref(), Some("unknown"));
+    }
+    let mut runs = 0;
+    for plain in &fleet.plain {
+        let of: BTreeMap<String, u32> = http::read(&format!("{}/control/runs", plain.url())).await;
+        runs += of.values().sum::<u32>();
+    }
+    // Thirty, ten that a product has saved up, and one for every five.
+    assert!((30..=46).contains(&runs), "{runs} runs");
+}
+
 #[actix_web::test]
 async fn chat_streamed() {
     let fleet = fleet().start_configured().await;
--- a/tests/testsuite/relay/book.rs
+++ b/tests/testsuite/relay/book.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use sequoiastream_core::attempt::End;
 use sequoiastream_core::relay::book::Book;
 use sequoiastream_core::relay::book::Work;
 use sequoiastream_core::relay::engines::EngineKey;
-use sequoiastream_core::relay::verdict::End;
 use sequoiastream_core::time::Time;
 
 const ENGINE: EngineKey = EngineKey(3);
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -15,7 +15,6 @@
 mod stages;
 mod store;
 mod suspects;
-mod verdict;
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/tests/testsuite/relay/place.rs
+++ b/tests/testsuite/relay/place.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use sequoiastream_core::attempt::End;
 use sequoiastream_core::relay::book::Book;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::EngineKey;
@@ -9,7 +10,6 @@
 use sequoiastream_core::relay::place::Chooser;
 use sequoiastream_core::relay::prompt::Part;
 use sequoiastream_core::relay::prompt::Prompt;
-use sequoiastream_core::relay::verdict::End;
 use sequoiastream_core::time::Time;
 
 use super::fleet;
