Give engines the model's name, whatever name the caller used

Cause: a service's name as `model` went to engines as it was; they know only the model and declined, so that the caller got 503 "no engine can take work now" while all were idle. The name of a plain service was worse: the generation was sent to its upstreams and came back 502 "failed". Change: the model is taken from the service; a plain service is refused with 404 that says how to call it. Two services of one model stay apart, since the caller's name still finds the service.

--- a/src/ops/dispatch/admit.rs
+++ b/src/ops/dispatch/admit.rs
@@ -4,6 +4,7 @@
 
 use sequoiastream_caller::GenerateCall;
 use sequoiastream_caller::Refusal;
+use sequoiastream_core::config::ServiceKind;
 use sequoiastream_core::config::Share;
 use sequoiastream_core::limit;
 use sequoiastream_core::limit::Need;
@@ -58,6 +59,24 @@
     }
 }
 
+/// The service that runs what callers name `name`, and its model. Callers may name the service that serves a model;
+/// engines know only the model.
+///
+/// # Errors
+///
+/// Why there is none.
+pub fn served<'s>(snapshot: &'s Snapshot, name: &str) -> Result<(ServiceKey, &'s str), String> {
+    let service = snapshot.service_of(name);
+    let view = service.and_then(|key| Some((key, snapshot.services.get(key)?)));
+    match view.map(|(key, view)| (key, &view.kind)) {
+        Some((key, ServiceKind::Model { model })) => Ok((key, model)),
+        Some((_, ServiceKind::Plain { .. })) => Err(format!(
+            "`{name}` is a plain service and runs no model: call it under /services/{name}/"
+        )),
+        None => Err(format!("there is no model or service `{name}`")),
+    }
+}
+
 /// Lets `call` through if its product may use the engines now and its deadline can be met. An answer that was
 /// begun before is let through always.
 ///
@@ -67,8 +86,9 @@
 pub fn admit(dispatch: &Dispatch, mut call: GenerateCall) -> Result<GenerateCall, Refusal> {
     let shared = &dispatch.shared;
     let snapshot = shared.snapshot.load();
-    let Some(service) = snapshot.service_of(&call.model) else {
-        return Ok(call);
+    let service = match served(&snapshot, &call.model) {
+        Ok((service, _)) => service,
+        Err(why) => return Err(Refusal::not_run(call.unsent.refuse(Reason::UnknownService), why)),
     };
     shared.policy.retries().fresh(&call.product);
     let ask = ask(shared, &snapshot, &call, service);
--- a/src/ops/dispatch/generate.rs
+++ b/src/ops/dispatch/generate.rs
@@ -60,10 +60,9 @@
 /// Starts to generate in a task of its own; the answer's events come through the returned channel.
 pub fn start(dispatch: &Dispatch, call: GenerateCall) -> Result<Answer, Refusal> {
     let snapshot = dispatch.shared.snapshot.load();
-    let Some(service) = snapshot.service_of(&call.model) else {
-        let message = format!("there is no model or service `{}`", call.model);
-        let proof = call.unsent.refuse(Reason::UnknownService);
-        return Err(Refusal::not_run(proof, message));
+    let (service, model) = match admit::served(&snapshot, &call.model) {
+        Ok(served) => served,
+        Err(why) => return Err(Refusal::not_run(call.unsent.refuse(Reason::UnknownService), why)),
     };
     let (sender, events) = mpsc::channel(BACKLOG);
     let now = clock::now();
@@ -79,9 +78,9 @@
     let ask = admit::ask(&dispatch.shared, &snapshot, &call, service);
     let request = Request {
         id: call.id,
-        fingerprint: Fingerprint::of(&call.product, &call.model, &call.prompt, call.limit),
+        fingerprint: Fingerprint::of(&call.product, model, &call.prompt, call.limit),
         product: call.product,
-        model: call.model,
+        model: model.to_string(),
         prompt: call.prompt,
         limit: call.limit,
         seed: call.seed,
--- a/src/ops/dispatch/request.rs
+++ b/src/ops/dispatch/request.rs
@@ -14,7 +14,7 @@
     pub id: Uuid,
     /// The product that asks.
     pub product: Name,
-    /// Service or model.
+    /// The model, as engines know it.
     pub model: String,
     /// The prompt.
     pub prompt: String,
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -29,6 +29,35 @@
     );
 }
 
+/// A caller names the service instead of the model and is told that no engine can take work, though all are idle.
+/// Cause: its word goes to engines, which know only the model's name, and each declines.
+#[actix_web::test]
+async fn completion_by_service() {
+    let fleet = fleet().start_configured().await;
+    let url = format!("{}/v1/completions", fleet.daemons[0].url());
+    let body = json!({"model": "assistente", "prompt": "how much ice", "max_tokens": 3, "seed": 2});
+    let key = format!("Bearer {KEY}");
+    let reply = http::send("POST", &url, &[("authorization", &key)], &body).await;
+    assert_eq!(reply.status, 200, "{reply:?}");
+    let body: Value = reply.json();
+    assert_eq!(body["choices"][0]["text"], expected_text(2, "how much ice", 1, 3));
+}
+
+#[actix_web::test]
+async fn completion_by_plain_service() {
+    let fleet = fleet().plain(1).start_configured().await;
+    let url = format!("{}/v1/completions", fleet.daemons[0].url());
+    let key = format!("Bearer {KEY}");
+    let body = json!({"model": "ordini", "prompt": "how much ice"});
+    let reply = http::send("POST", &url, &[("authorization", &key)], &body).await;
+    assert_eq!((reply.status, reply.outcome.as_deref()), (404, Some("not-run")));
+    let body: Value = reply.json();
+    assert_eq!(
+        body["error"]["message"],
+        "`ordini` is a plain service and runs no model: call it under /services/ordini/"
+    );
+}
+
 /// A service that breaks every call gets three times its calls, and that on top of what made it break. Order: both of its
 /// upstreams lose their answers while thirty calls come that may be repeated. Cause: each call is sent again without
 /// asking the retry budget of its product.
