--- a/src/ops/relay/follow.rs
+++ b/src/ops/relay/follow.rs
@@ -131,8 +131,8 @@
         }
         for item in items {
             self.on_config(item);
-            self.on_order(item);
         }
+        self.on_orders(items);
         self.fleet.on_listed(register::listings(&self.shared, items));
     }
 
@@ -141,7 +141,7 @@
         let news = match &change {
             Change::Put(item) => {
                 self.on_config(item);
-                self.on_order(item);
+                self.on_orders(std::slice::from_ref(item));
                 self.fleet.on_item(register::listing(&self.shared, item));
                 self.entry(item).map(|(at, entry)| News::Entry(at, entry))
             }
@@ -162,9 +162,16 @@
         }
     }
 
-    fn on_order(&mut self, item: &Item) {
-        let mut ordered = Ordered::clone(&self.shared.view.load().ordered);
-        if ordered.on_item(clock::now(), self.shared.translate.as_ref(), item) {
+    /// Publishes once for all: each copy of the view costs the traffic thread its cache.
+    fn on_orders(&self, items: &[Item]) {
+        let now = clock::now();
+        let translate = self.shared.translate.as_ref();
+        let mut ordered = None;
+        for item in items.iter().filter(|item| Ordered::is_record(translate, item)) {
+            let ordered = ordered.get_or_insert_with(|| Ordered::clone(&self.shared.view.load().ordered));
+            ordered.on_item(now, translate, item);
+        }
+        if let Some(ordered) = ordered {
             self.shared.publish(|view| view.ordered = Arc::new(ordered));
         }
     }
--- a/src/ops/relay/orders.rs
+++ b/src/ops/relay/orders.rs
@@ -64,10 +64,15 @@
 }
 
 impl Ordered {
+    /// Whether an item of the store is the record of an order.
+    pub fn is_record(translate: &dyn Translate, item: &Item) -> bool {
+        item.key.starts_with(&translate.keys().orders)
+    }
+
     /// Takes an item of the store; one that can't be read counts as an order too, so that no second is given.
-    pub fn on_item(&mut self, now: Time, translate: &dyn Translate, item: &Item) -> bool {
+    pub fn on_item(&mut self, now: Time, translate: &dyn Translate, item: &Item) {
         let Some(id) = item.key.strip_prefix(translate.keys().orders.as_str()) else {
-            return false;
+            return;
         };
         let stage = match serde_json::from_slice::<Record>(&item.value) {
             Ok(record) if record.reader => Stage::Prefill,
@@ -79,7 +84,6 @@
         };
         self.stages.insert(id.to_string(), stage);
         self.since.entry(id.to_string()).or_insert(now);
-        true
     }
 
     /// The engines that have had their order.
