Let a chat go on elsewhere when its engine fails before the first event

Cause: an answer of status 5xx to a stream was passed on as it came, though the route allows a second run and other engines are free; only a stream that broke off counted as a failed attempt. Plain calls had gone on in that case. An engine's 4xx to a stream also counted against the engine's health. Change: Forward::leave; a 5xx before the first event is a failed attempt within the same budget; if nothing more may follow it is passed on with the engine's own words. A 4xx counts as answered. Figures: relay::answers::stream_failed_at_first and stream_failed_everywhere red before, green after.

--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -130,6 +130,7 @@
     async fn stream(mut self) -> HttpResponse {
         loop {
             match self.open(self.ask.resume).await {
+                Ok(opened) if opened.is_failure() && self.may_go_on(End::Failed) => self.leave(opened),
                 Ok(opened) => {
                     let running = self.running.take();
                     return stream::respond(self, opened, running);
@@ -140,6 +141,18 @@
         }
     }
 
+    /// Leaves an engine that failed before the first event, for another one.
+    ///
+    /// Failure guarded against: an engine fails part of its requests, and the caller gets its failure though the chat
+    /// may run again and another engine is free.
+    fn leave(&mut self, opened: Opened) {
+        let (engine, answer) = opened.into_parts();
+        self.log_failure(&engine, &Failure::new(End::Failed, "the engine failed"), "send");
+        self.judge(engine.key, End::Failed);
+        self.tried.push(engine.key);
+        self.pool.keep(engine.entry.address, answer);
+    }
+
     fn finish(&self, reply: Reply) -> HttpResponse {
         let waited = clock::now().since(self.ask.arrived).as_millis() as u64;
         let why = match (reply, &self.refusal) {
@@ -227,7 +240,9 @@
         let opened = self.generate(&engine, held, resume).await;
         match opened {
             Ok(opened) => {
-                self.on_opened(&engine, begun);
+                if !opened.is_failure() {
+                    self.on_opened(&engine, begun);
+                }
                 Ok(opened)
             }
             Err(failure) => Err(self.on_failure(&engine, &failure)),
--- a/src/ops/relay/stream.rs
+++ b/src/ops/relay/stream.rs
@@ -76,6 +76,16 @@
 }
 
 impl Opened {
+    /// Whether the engine failed instead of generating.
+    pub fn is_failure(&self) -> bool {
+        self.answer.head.status.is_server_error()
+    }
+
+    /// The engine and what is left of its answer.
+    pub fn into_parts(self) -> (Engine, Answer) {
+        (self.engine, self.answer)
+    }
+
     /// The next event; `None` at the proper end.
     async fn next(&mut self) -> Result<Option<Event>, Failure> {
         loop {
@@ -110,9 +120,15 @@
     let parts = &opened.answer.head;
     let mut builder = head(&parts.headers, parts.status.as_u16());
     if let Some(body) = opened.body.clone() {
-        forward.judge(opened.engine.key, End::Failed);
-        forward.count(End::Failed.label());
-        let Opened { answer, engine, .. } = opened;
+        // Other failures are the request's own: the engine did its part.
+        let end = if opened.is_failure() {
+            End::Failed
+        } else {
+            End::Answered
+        };
+        forward.judge(opened.engine.key, end);
+        forward.count(end.label());
+        let (engine, answer) = opened.into_parts();
         forward.pool.keep(engine.entry.address, answer);
         return builder.body(body);
     }
--- a/tests/testsuite/relay/answers.rs
+++ b/tests/testsuite/relay/answers.rs
@@ -261,6 +261,36 @@
     }
 }
 
+/// A caller gets the failure of one engine though others would answer its chat. Order: the engine fails part of its
+/// requests before the first event. Cause: only an answer that breaks off counts as a failed attempt.
+#[actix_web::test]
+async fn stream_failed_at_first() {
+    let failing = "HTTP/1.1 500 Internal Server Error\r\nx-seal: s\r\ncontent-length: 4\r\n\r\noops";
+    let grey = ScriptedEngine::start(move |_, _| vec![Act::Send(failing.to_string())]).await;
+    let sound =
+        ScriptedEngine::start(|_, request| vec![Act::Send(stream_of(request, 1..=2) + "0\r\n\r\n")]).await;
+    let engines = [(&grey, Stage::Decode), (&sound, Stage::Decode)];
+    let instance = Instance::start(Kind::Resumable, &engines, |_| {});
+    let got = instance.get("/r/x", "q1", "").await;
+    assert!(got.contains("token 2") && status(&got) == "200", "{got}");
+    assert_eq!(grey.log().requests.len(), 1);
+}
+
+/// A chat that may not run twice, or whose engines all fail, ends with the engine's own words.
+#[actix_web::test]
+async fn stream_failed_everywhere() {
+    let failing = "HTTP/1.1 500 Internal Server Error\r\nx-seal: s\r\ncontent-length: 4\r\n\r\noops";
+    for (kind, runs) in [(Kind::Stream, 1), (Kind::Resumable, 2)] {
+        let one = ScriptedEngine::start(move |_, _| vec![Act::Send(failing.to_string())]).await;
+        let other = ScriptedEngine::start(move |_, _| vec![Act::Send(failing.to_string())]).await;
+        let engines = [(&one, Stage::Decode), (&other, Stage::Decode)];
+        let instance = Instance::start(kind, &engines, |route| route.attempts = 2);
+        let got = instance.get("/r/x", "q1", "").await;
+        assert!(status(&got) == "500" && got.ends_with("oops"), "{got}");
+        assert_eq!(one.log().requests.len() + other.log().requests.len(), runs);
+    }
+}
+
 /// A verdict that was cut is taken for whole. Order: the engine breaks off a stream that may not be resumed. The
 /// caller's own answer must not look complete.
 #[actix_web::test]
