Metrics: services, reasons, ages, the budget left, store calls by kind

Cause: the page could not tell which service was refused and why, how old the knowledge of the store and of the peers was, how much of the retry budget was left, nor which calls to the store failed. Change: relay_answers and relay_first_event by service and kind (calls are timed too), relay_refusals by reason, relay_budget_left, relay_work (own, fleet, slots), relay_store_age, relay_peers_age, relay_store_calls by kind and result, counted in one place before any store. Tests relay::metrics::*.

--- a/crates/core/src/relay/book.rs
+++ b/crates/core/src/relay/book.rs
@@ -261,6 +261,11 @@
         self.own(engine).plus(self.told.work(now, engine))
     }
 
+    /// Age of the oldest report of a peer that still counts, nothing without one.
+    pub fn oldest_report(&self, now: Time) -> Duration {
+        self.told.oldest(now)
+    }
+
     /// Work of this instance at an engine.
     pub fn own(&self, engine: EngineKey) -> Work {
         self.loads.get(engine).map_or_else(Work::default, |l| l.own)
--- a/crates/core/src/relay/budget.rs
+++ b/crates/core/src/relay/budget.rs
@@ -73,16 +73,21 @@
 
     /// Takes one extra attempt at `service` if there is one left, at one of `instances`.
     pub fn take(&mut self, now: Time, service: &str, instances: usize) -> bool {
+        if self.left(now, service, instances) < 1.0 {
+            return false;
+        }
+        self.counts(service).extras.push_back(now);
+        true
+    }
+
+    /// Extra attempts at `service` that are left now at one of `instances`.
+    pub fn left(&mut self, now: Time, service: &str, instances: usize) -> f64 {
         let rule = self.rule;
         let counts = self.counts(service);
         counts.expire(now, rule.window);
         let part = rule.slack / instances.max(1) as f64;
         let allowed = USED * (rule.ratio * counts.requests.len() as f64 + part);
-        if (counts.extras.len() + 1) as f64 > allowed {
-            return false;
-        }
-        counts.extras.push_back(now);
-        true
+        (allowed - counts.extras.len() as f64).max(0.0)
     }
 
     fn counts(&mut self, service: &str) -> &mut Counts {
--- a/crates/core/src/relay/told.rs
+++ b/crates/core/src/relay/told.rs
@@ -60,6 +60,12 @@
         work.fold(Work::default(), |sum, work| sum.plus(*work))
     }
 
+    /// Age of the oldest report that still counts, nothing without one.
+    pub fn oldest(&self, now: Time) -> Duration {
+        let ages = self.peers.values().map(|r| now.since(r.at));
+        ages.filter(|age| *age <= STALE).max().unwrap_or_default()
+    }
+
     fn is_stale(&self, now: Time, at: Time) -> bool {
         now.since(at) > STALE
     }
--- a/crates/kv/src/store.rs
+++ b/crates/kv/src/store.rs
@@ -109,6 +109,20 @@
     Unreadable(String),
 }
 
+impl StoreError {
+    /// Its name in metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            StoreError::Refused(_) => "refused",
+            StoreError::Conflict => "conflict",
+            StoreError::LeaseEnded => "lease-ended",
+            StoreError::Compacted => "compacted",
+            StoreError::Unknown(_) => "unknown",
+            StoreError::Unreadable(_) => "unreadable",
+        }
+    }
+}
+
 /// A store, as seen from one thread.
 pub trait Store {
     /// Items whose key begins with `prefix`, behind the key `after`.
--- a/src/ops/relay/follow.rs
+++ b/src/ops/relay/follow.rs
@@ -236,7 +236,7 @@
     }
 
     fn on_success(&mut self) {
-        self.shared.metrics.store("answered");
+        self.shared.on_store(clock::now());
         if self.failures > 0 {
             log_event!(info, log_event::KV_BACK, failures = self.failures);
         }
@@ -257,11 +257,9 @@
 
     async fn on_failure(&mut self, error: &StoreError) {
         if *error == StoreError::Compacted {
-            self.shared.metrics.store("compacted");
             log_event!(info, log_event::KV_RESOLVED, %error);
             return;
         }
-        self.shared.metrics.store("failed");
         if self.failures == 0 {
             log_event!(warn, log_event::KV_FAILED, %error, call = "follow");
         }
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -42,6 +42,7 @@
 use crate::ops::relay::stream;
 use crate::ops::relay::stream::Opened;
 use crate::util::clock;
+use crate::util::metrics::Path;
 
 /// One request on its way.
 pub struct Forward {
@@ -167,6 +168,7 @@
             why, takes, waited, left = self.ask.left().as_millis() as u64, sent = self.attempts.sent(),
             tried = self.tried.len(), config = self.view.table.version);
         self.count(reply.label());
+        self.shared.metrics.refusal(why);
         reply.into_response()
     }
 
@@ -175,9 +177,17 @@
         String::from_utf8_lossy(self.ask.id.as_bytes()).into_owned()
     }
 
+    /// The service and kind of the request, as metrics show them.
+    fn path(&self) -> Path {
+        Path {
+            service: self.service.clone().unwrap_or_default(),
+            kind: self.route.kind.label(),
+        }
+    }
+
     /// Counts the final answer.
     pub fn count(&self, outcome: &str) {
-        self.shared.metrics.answer(self.route.kind.label(), outcome);
+        self.shared.metrics.answer(&self.path(), outcome);
     }
 
     /// One attempt at a request with a whole answer. `Err(None)` asks for another.
@@ -204,6 +214,8 @@
                     return Err(None);
                 }
                 self.count(end.label());
+                let took = clock::now().since(self.ask.arrived);
+                self.shared.metrics.first(&self.path(), took);
                 Ok(response)
             }
             Err(failure) => Err(self.on_failure(&engine, &failure)),
@@ -277,7 +289,10 @@
         let now = clock::now();
         let first = now.since(self.ask.arrived);
         let requests = self.shared.ledger().book.work(now, engine.key).requests;
-        self.shared.metrics.first(first, self.predicted.take());
+        self.shared.metrics.first(&self.path(), first);
+        if let Some(predicted) = self.predicted.take() {
+            self.shared.metrics.error(first, predicted);
+        }
         log_event!(info, log_event::FORWARDED, request = self.id(), route = %self.route.name, engine = %engine.entry.id,
             first = first.as_millis() as u64, handover = now.since(begun).as_millis() as u64, requests);
         if self.read.is_some() && requests < engine.entry.slots {
--- /dev/null
+++ b/src/ops/relay/gauges.rs
@@ -0,0 +1,49 @@
+//! What the page of metrics shows of the moment at which it is read.
+
+use sequoiastream_core::relay::book::Work;
+
+use crate::ops::relay::shared::Shared;
+use crate::util::clock;
+
+/// The page of metrics.
+pub fn page(shared: &Shared) -> String {
+    let now = clock::now();
+    let view = shared.view.load();
+    let metrics = &shared.metrics;
+    metrics.running.set(count(shared.running()));
+    metrics
+        .engines
+        .set(count(view.engines.values().map(Vec::len).sum()));
+    metrics.instances.set(count(view.addresses.len()));
+    metrics
+        .version
+        .set(i64::try_from(view.table.version).unwrap_or(i64::MAX));
+    let mut ledger = shared.ledger();
+    metrics.store_age.set(shared.store_age(now).as_secs_f64());
+    metrics
+        .peers_age
+        .set(ledger.book.oldest_report(now).as_secs_f64());
+    for (service, engines) in view.engines.iter() {
+        let own = sum(engines.iter().map(|e| ledger.book.own(e.key)));
+        let fleet = sum(engines.iter().map(|e| ledger.book.work(now, e.key)));
+        let slots: u32 = engines.iter().map(|e| e.entry.slots).sum();
+        let left = ledger.budget.left(now, service, view.instances);
+        metrics.work(service, "own", own.requests);
+        metrics.work(service, "fleet", fleet.requests);
+        metrics.work(service, "slots", slots);
+        metrics.budget(service, left);
+    }
+    drop(ledger);
+    metrics.page()
+}
+
+fn sum<I>(work: I) -> Work
+where
+    I: Iterator<Item = Work>,
+{
+    work.fold(Work::default(), Work::plus)
+}
+
+fn count(number: usize) -> i64 {
+    i64::try_from(number).unwrap_or(i64::MAX)
+}
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -6,9 +6,11 @@
 //! the traffic thread reads: [`server`] takes requests, [`forward`] makes the attempts, `pick` chooses engines,
 //! `reading` has prompts read, [`stream`] passes events on.
 
+mod counted;
 pub mod edge;
 pub mod follow;
 pub mod forward;
+mod gauges;
 pub mod known;
 pub mod options;
 pub mod orders;
@@ -34,6 +36,7 @@
 use tokio::signal::unix::signal;
 
 use crate::log_event;
+use crate::ops::relay::counted::Counted;
 use crate::ops::relay::edge::Translate;
 use crate::ops::relay::known::Known;
 use crate::ops::relay::options::Options;
@@ -65,6 +68,7 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     let hangup = signal(SignalKind::hangup())?;
     let shared = Arc::new(Shared::new(options, translate, budget));
+    let store: Rc<dyn Store> = Rc::new(Counted::new(store, shared.clone()));
     let server = server::start(shared.clone()).wrap_err("could not serve")?;
     let sockets = peers::Sockets::bind(&shared)
         .await
--- a/src/ops/relay/server.rs
+++ b/src/ops/relay/server.rs
@@ -33,6 +33,7 @@
 use crate::log_event;
 use crate::ops::relay::edge::Names;
 use crate::ops::relay::forward::Forward;
+use crate::ops::relay::gauges;
 use crate::ops::relay::reply::Reply;
 use crate::ops::relay::send::Ask;
 use crate::ops::relay::shared::Shared;
@@ -153,20 +154,9 @@
 }
 
 fn metrics(shared: &Shared) -> HttpResponse {
-    let view = shared.view.load();
-    let count = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
-    let metrics = &shared.metrics;
-    metrics.running.set(count(shared.running()));
-    metrics
-        .engines
-        .set(count(view.engines.values().map(Vec::len).sum()));
-    metrics.instances.set(count(view.addresses.len()));
-    metrics
-        .version
-        .set(i64::try_from(view.table.version).unwrap_or(i64::MAX));
     HttpResponse::Ok()
         .content_type("text/plain; version=0.0.4")
-        .body(metrics.page())
+        .body(gauges::page(shared))
 }
 
 fn addresses(shared: &Shared) -> HttpResponse {
@@ -185,36 +175,47 @@
     let view = shared.view.load_full();
     let most = view.table.limits.body;
     if declared(request) > most {
-        return Reply::TooLong.into_response();
+        return refuse(shared, Reply::TooLong);
     }
     let body = match read(payload, most).await {
         Ok(body) => body,
-        Err(reply) => return reply.into_response(),
+        Err(reply) => return refuse(shared, reply),
     };
     if !view.is_configured() || shared.is_closed(arrived) {
-        return Reply::Refused(ELSEWHERE).into_response();
+        return refuse(shared, Reply::Refused(ELSEWHERE));
     }
     let head = match Head::read(request, shared.translate.names()) {
         Ok(head) => head,
         Err(why) => {
             log_event!(warn, log_event::REFUSED, why, path = request.path());
-            return Reply::Bad.into_response();
+            return refuse(shared, Reply::Bad);
         }
     };
     let Some(route) = view.table.find(&head.host, head.uri.path()) else {
-        return Reply::NoRoute.into_response();
+        return refuse(shared, Reply::NoRoute);
     };
     let ask = match head.into_ask(shared, &route, arrived, body) {
         Ok(ask) => ask,
         Err(why) => {
             log_event!(warn, log_event::REFUSED, why, path = request.path());
-            return Reply::Bad.into_response();
+            return refuse(shared, Reply::Bad);
         }
     };
     let forward = Forward::new(shared.clone(), worker.pool.clone(), view, route, ask, running);
     forward.run().await
 }
 
+/// Answers a request that got no further than here.
+fn refuse(shared: &Shared, reply: Reply) -> HttpResponse {
+    shared.metrics.refusal(match reply {
+        Reply::NoRoute => "no route leads from there",
+        Reply::TooLong => "the body is too long",
+        Reply::Refused(_) => "the instance is not ready",
+        _ => "the request can't be read",
+    });
+    reply.into_response()
+}
+
 /// The length that the head of a request declares, zero if none.
 fn declared(request: &HttpRequest) -> usize {
     let length = request.headers().get(actix_web::http::header::CONTENT_LENGTH);
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -6,8 +6,10 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use sequoiastream_core::relay::book::Book;
@@ -81,6 +83,8 @@
     pub metrics: RelayMetrics,
     tuning: ArcSwap<Tuning>,
     leaving: OnceLock<Time>,
+    /// When the store last confirmed what is known of it.
+    confirmed: AtomicU64,
     ledger: Mutex<Ledger>,
     running: Arc<AtomicUsize>,
 }
@@ -110,6 +114,7 @@
             view: ArcSwap::default(),
             metrics: RelayMetrics::new(budget),
             leaving: OnceLock::new(),
+            confirmed: AtomicU64::default(),
             ledger: Mutex::new(ledger),
             running: Arc::default(),
         }
@@ -143,6 +148,16 @@
         self.view.store(Arc::new(view));
     }
 
+    /// Notes that the store confirmed what is known of it.
+    pub fn on_store(&self, now: Time) {
+        self.confirmed.store(now.as_micros(), Ordering::Relaxed);
+    }
+
+    /// How old the configuration and the list of engines may be; since the start if the store never answered.
+    pub fn store_age(&self, now: Time) -> Duration {
+        now.since(Time::from_micros(self.confirmed.load(Ordering::Relaxed)))
+    }
+
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
         !self.is_leaving() && self.view.load().is_configured()
--- a/src/util/metrics/mod.rs
+++ b/src/util/metrics/mod.rs
@@ -23,6 +23,7 @@
 pub use claims::ClaimMetrics;
 pub use membership::MembershipMetrics;
 pub use policy::PolicyMetrics;
+pub use relay::Path;
 pub use relay::RelayMetrics;
 pub use traffic::AnswerTimes;
 pub use traffic::TrafficMetrics;
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -1,7 +1,9 @@
 //! Metrics of forwarding by routes.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::collector::Collector;
@@ -26,10 +28,25 @@
 /// Bounds of the error of predictions, in seconds.
 const ERRORS: [f64; 9] = [-0.1, -0.03, -0.01, 0.0, 0.01, 0.03, 0.1, 0.3, 1.0];
 
-/// How a request ended, or a step of it. Labels are closed sets, whatever the number of products.
+/// Services that are shown by name; more are shown together as [`OTHERS`]. Operators may configure any number.
+const MAX_SERVICES: usize = 64;
+
+/// Services beyond [`MAX_SERVICES`].
+const OTHERS: &str = "others";
+
+/// The way of a request.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct Path {
+    /// The service that may answer it.
+    pub service: String,
+    /// The kind of its route.
+    pub kind: &'static str,
+}
+
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
-pub struct ByKind {
-    kind: String,
+struct ByOutcome {
+    service: String,
+    kind: &'static str,
     outcome: String,
 }
 
@@ -38,16 +55,44 @@
     result: String,
 }
 
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ByCall {
+    call: &'static str,
+    result: &'static str,
+}
+
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ByReason {
+    reason: &'static str,
+}
+
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ByService {
+    service: String,
+}
+
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ByScope {
+    service: String,
+    scope: &'static str,
+}
+
 /// Metrics of forwarding by routes.
 pub struct RelayMetrics {
-    answers: Family<ByKind, Counter>,
+    answers: Family<ByOutcome, Counter>,
+    refusals: Family<ByReason, Counter>,
     attempts: Family<By, Counter>,
-    store: Family<By, Counter>,
+    store: Family<ByCall, Counter>,
     extras: Family<By, Counter>,
-    /// From a request's arrival to its first event.
-    pub first: Histogram,
-    /// First event against its prediction.
-    pub error: Histogram,
+    budget: Family<ByService, Gauge<f64, AtomicU64>>,
+    work: Family<ByScope, Gauge>,
+    first: Family<Path, Histogram, fn() -> Histogram>,
+    error: Histogram,
+    /// Seconds since the store confirmed what is known of it.
+    pub store_age: Gauge<f64, AtomicU64>,
+    /// Seconds since the peer that was silent longest told of its work.
+    pub peers_age: Gauge<f64, AtomicU64>,
+    names: Mutex<BTreeSet<String>>,
     /// Requests that are running.
     pub running: Gauge,
     /// Version of the configuration in force.
@@ -71,10 +116,16 @@
         let mut registry = Registry::with_prefix(PREFIX);
         let metrics = RelayMetrics {
             answers: Family::default(),
+            refusals: Family::default(),
             attempts: Family::default(),
             store: Family::default(),
             extras: Family::default(),
-            first: Histogram::new(FIRST),
+            budget: Family::default(),
+            work: Family::default(),
+            first: Family::new_with_constructor(|| Histogram::new(FIRST)),
+            store_age: Gauge::default(),
+            peers_age: Gauge::default(),
+            names: Mutex::default(),
             error: Histogram::new(ERRORS),
             running: Gauge::default(),
             version: Gauge::default(),
@@ -93,9 +144,36 @@
     fn register(&self, registry: &mut Registry) {
         registry.register(
             "relay_answers",
-            "Final answers by kind of route and outcome",
+            "Final answers by service, kind of route and outcome",
             self.answers.clone(),
         );
+        registry.register(
+            "relay_refusals",
+            "Final answers of this instance's own, by reason",
+            self.refusals.clone(),
+        );
+        registry.register(
+            "relay_budget_left",
+            "Extra attempts that this instance may still make",
+            self.budget.clone(),
+        );
+        registry.register(
+            "relay_work",
+            "Requests at the engines of a service: of this instance, of all, and slots",
+            self.work.clone(),
+        );
+        registry.register_with_unit(
+            "relay_store_age",
+            "Since the store last confirmed configuration and engines",
+            Unit::Seconds,
+            self.store_age.clone(),
+        );
+        registry.register_with_unit(
+            "relay_peers_age",
+            "Since the peer that was silent longest told of its work",
+            Unit::Seconds,
+            self.peers_age.clone(),
+        );
         registry.register(
             "relay_attempts",
             "Attempts at engines by how they ended",
@@ -103,7 +181,7 @@
         );
         registry.register(
             "relay_store_calls",
-            "Calls that follow the store, by result",
+            "Calls to the store, by kind and result",
             self.store.clone(),
         );
         registry.register(
@@ -113,7 +191,7 @@
         );
         registry.register_with_unit(
             "relay_first_event",
-            "From a request's arrival to its first event",
+            "From a request's arrival to its first event, or its whole answer",
             Unit::Seconds,
             self.first.clone(),
         );
@@ -138,9 +216,18 @@
     }
 
     /// Counts a final answer.
-    pub fn answer(&self, kind: &str, outcome: &str) {
-        let (kind, outcome) = (kind.to_string(), outcome.to_string());
-        self.answers.get_or_create(&ByKind { kind, outcome }).inc();
+    pub fn answer(&self, path: &Path, outcome: &str) {
+        let by = ByOutcome {
+            service: self.name(&path.service),
+            kind: path.kind,
+            outcome: outcome.to_string(),
+        };
+        self.answers.get_or_create(&by).inc();
+    }
+
+    /// Counts a final answer of this instance's own.
+    pub fn refusal(&self, reason: &'static str) {
+        self.refusals.get_or_create(&ByReason { reason }).inc();
     }
 
     /// Counts the end of an attempt.
@@ -150,9 +237,8 @@
     }
 
     /// Counts a call to the store.
-    pub fn store(&self, result: &str) {
-        let result = result.to_string();
-        self.store.get_or_create(&By { result }).inc();
+    pub fn store(&self, call: &'static str, result: &'static str) {
+        self.store.get_or_create(&ByCall { call, result }).inc();
     }
 
     /// Counts an extra attempt that was asked for.
@@ -161,12 +247,44 @@
         self.extras.get_or_create(&By { result }).inc();
     }
 
-    /// Notes the time to a first event, and the prediction if there was one.
-    pub fn first(&self, took: Duration, predicted: Option<Duration>) {
-        self.first.observe(took.as_secs_f64());
-        if let Some(predicted) = predicted {
-            self.error.observe(took.as_secs_f64() - predicted.as_secs_f64());
+    /// Notes the time to a first event, or to a whole answer.
+    pub fn first(&self, path: &Path, took: Duration) {
+        let path = Path {
+            service: self.name(&path.service),
+            kind: path.kind,
+        };
+        self.first.get_or_create(&path).observe(took.as_secs_f64());
+    }
+
+    /// Notes a first event against its prediction.
+    pub fn error(&self, took: Duration, predicted: Duration) {
+        self.error.observe(took.as_secs_f64() - predicted.as_secs_f64());
+    }
+
+    /// Shows the requests at the engines of a service.
+    pub fn work(&self, service: &str, scope: &'static str, requests: u32) {
+        let service = self.name(service);
+        let work = self.work.get_or_create(&ByScope { service, scope });
+        work.set(i64::from(requests));
+    }
+
+    /// Shows the extra attempts that are left for a service.
+    pub fn budget(&self, service: &str, left: f64) {
+        let service = self.name(service);
+        self.budget.get_or_create(&ByService { service }).set(left);
+    }
+
+    /// The name that a service is shown by.
+    fn name(&self, service: &str) -> String {
+        let mut names = self
+            .names
+            .lock()
+            .expect("no thread panics while it holds the names");
+        if names.contains(service) || names.len() < MAX_SERVICES {
+            names.insert(service.to_string());
+            return service.to_string();
         }
+        OTHERS.to_string()
     }
 
     /// The page that a Prometheus server reads.
--- /dev/null
+++ b/tests/testsuite/relay/metrics.rs
@@ -0,0 +1,64 @@
+//! The page of metrics of an instance.
+
+use sequoiastream_core::relay::engines::Stage;
+use sequoiastream_core::relay::routes::Kind;
+
+use super::engine::ScriptedEngine;
+use super::engine::answer;
+use super::instance::Caller;
+use super::instance::Instance;
+
+/// The samples of the families that `names` name.
+async fn samples(instance: &Instance, names: &[&str]) -> Vec<String> {
+    let address = instance.shared.options.metrics.expect("metrics are served");
+    let mut caller = Caller::connect(address).await;
+    caller
+        .send("GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+        .await;
+    let page = caller.rest().await;
+    let wanted = |line: &&str| names.iter().any(|name| line.starts_with(name));
+    page.lines().filter(wanted).map(str::to_string).collect()
+}
+
+#[actix_web::test]
+async fn page_after_answers() {
+    let engine = ScriptedEngine::start(|_, request| vec![answer(request, "whole")]).await;
+    let instance = Instance::start(Kind::Idempotent, &[(&engine, Stage::Whole)], |_| {});
+    instance.get("/r/x", "q1", "").await;
+    instance.get("/r/x", "q2", "").await;
+    instance.get("/nowhere/", "q3", "").await;
+    let names = [
+        "sequoiastream_relay_answers",
+        "sequoiastream_relay_refusals",
+        "sequoiastream_relay_work",
+        "sequoiastream_relay_budget_left",
+        "sequoiastream_relay_first_event_seconds_count",
+    ];
+    let mut samples = samples(&instance, &names).await;
+    samples.sort();
+    assert_eq!(
+        samples,
+        [
+            // 0.7 of 56 for the one instance, and of 0.2 for each of two requests.
+            "sequoiastream_relay_answers_total{service=\"chat\",kind=\"idempotent\",outcome=\"answered\"} 2",
+            "sequoiastream_relay_budget_left{service=\"chat\"} 39.48",
+            "sequoiastream_relay_first_event_seconds_count{service=\"chat\",kind=\"idempotent\"} 2",
+            "sequoiastream_relay_refusals_total{reason=\"no route leads from there\"} 1",
+            "sequoiastream_relay_work{service=\"chat\",scope=\"fleet\"} 0",
+            "sequoiastream_relay_work{service=\"chat\",scope=\"own\"} 0",
+            "sequoiastream_relay_work{service=\"chat\",scope=\"slots\"} 16",
+        ]
+    );
+}
+
+/// The page grows with every service that operators ever made. Names beyond a bound are shown together.
+#[actix_web::test]
+async fn page_bounded() {
+    let instance = Instance::start(Kind::Idempotent, &[], |_| {});
+    for number in 0..1_500 {
+        instance.shared.metrics.budget(&format!("s{number}"), 1.0);
+    }
+    let names = ["sequoiastream_relay_budget_left"];
+    let samples = samples(&instance, &names).await;
+    assert_eq!(samples.len(), 65);
+}
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -8,6 +8,7 @@
 mod engines;
 mod follow;
 mod instance;
+mod metrics;
 mod orders;
 mod place;
 mod requests;
