--- a/crates/core/src/relay/suspects.rs
+++ b/crates/core/src/relay/suspects.rs
@@ -5,6 +5,7 @@
 //! under it are counted over all instances: each tells the others what it saw.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -18,9 +19,21 @@
 /// How long what was seen counts: crashed engines are back after some seconds, and callers come again within minutes.
 pub const MEMORY: Duration = Duration::from_secs(120);
 
-/// How long an instance tells the others what it saw: some of the messages may be lost.
+/// How long an instance tells the others in every message what it saw: some may be lost.
 const TELL: Duration = Duration::from_millis(500);
 
+/// Time between two times that it tells them again, for as long as it counts.
+///
+/// Failure guarded against: an instance that was paused, cut off or started later never hears of a crash, and sends the
+/// request to one engine more each time it comes. Three seconds after such trouble it must know.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// Notes in a message, the latest first: 640 bytes at most, beside the load of 50 engines in one packet.
+const MAX_NOTES: usize = 32;
+
+/// Notes of its own that an instance keeps.
+const MAX_OWN: usize = 256;
+
 /// Requests remembered; the oldest go first.
 const MAX_CASES: usize = 1_024;
 
@@ -37,7 +50,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct Suspects {
     cases: BTreeMap<u64, BTreeMap<u64, Time>>,
-    own: Vec<(Time, Note)>,
+    own: VecDeque<(Time, Note)>,
+    /// When all of its own were last told.
+    told: Time,
 }
 
 impl Suspects {
@@ -48,8 +63,10 @@
 
     /// Notes what this instance saw.
     pub fn on_break(&mut self, now: Time, note: Note) {
-        self.own.retain(|(at, _)| now.since(*at) < TELL);
-        self.own.push((now, note));
+        self.own.push_back((now, note));
+        if self.own.len() > MAX_OWN {
+            self.own.pop_front();
+        }
         self.on_note(now, note);
     }
 
@@ -63,9 +80,15 @@
     }
 
     /// What to tell the peers now.
-    pub fn notes(&self, now: Time) -> Vec<Note> {
-        let recent = self.own.iter().filter(|(at, _)| now.since(*at) < TELL);
-        recent.map(|(_, note)| *note).collect()
+    pub fn notes(&mut self, now: Time) -> Vec<Note> {
+        self.own.retain(|(at, _)| now.since(*at) < MEMORY);
+        let again = now.since(self.told) >= AGAIN;
+        if again {
+            self.told = now;
+        }
+        let due = self.own.iter().rev();
+        let due = due.filter(|(at, _)| again || now.since(*at) < TELL);
+        due.map(|(_, note)| *note).take(MAX_NOTES).collect()
     }
 
     /// Whether a request is run no more.
--- a/src/ops/relay/peers.rs
+++ b/src/ops/relay/peers.rs
@@ -342,10 +342,10 @@
     /// Tells the peers about this instance's work and how far it knows the store; seldom, if there is no work.
     async fn tell(&self) {
         let (all, notes) = {
-            let ledger = self.0.shared.ledger();
+            let mut ledger = self.0.shared.ledger();
             (ledger.book.all(), ledger.suspects.notes(clock::now()))
         };
-        let quiet = all.is_empty();
+        let quiet = all.is_empty() && notes.is_empty();
         let turn = self.0.turn.get();
         self.0.turn.set(turn.wrapping_add(1));
         if self.0.quiet.replace(quiet) && quiet && !turn.is_multiple_of(QUIET_TURNS) {
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -13,6 +13,7 @@
 mod place;
 mod requests;
 mod routes;
+mod seeded;
 mod stages;
 mod store;
 mod suspects;
