Close idle connections to engines that left, and keep to a share of them

Connections to engines that are gone stayed in the pool for as long as the instance lived; and each instance kept up to 24 idle ones to an engine, whatever the engine accepts from all (MaxConnections was read and not used). Change: each traffic thread looks once a second; the limit of an engine is what it accepts less what may be at work there, divided by the instances.

--- a/crates/core/src/relay/routes.rs
+++ b/crates/core/src/relay/routes.rs
@@ -118,12 +118,21 @@
 pub struct Service {
     /// Its name.
     pub name: String,
-    /// Connections that one of its engines accepts from all callers.
+    /// Connections that one of its engines accepts from all callers, 0 if it doesn't say.
     pub connections: u32,
     /// Set where its engines run models.
     pub memory: Option<Memory>,
 }
 
+impl Service {
+    /// Idle connections that each of `instances` may keep to an engine that has `busy` at work at most, if the engine
+    /// bounds them.
+    pub fn idle_share(&self, busy: u32, instances: usize) -> Option<usize> {
+        let rest = self.connections.saturating_sub(busy) as usize / instances.max(1);
+        (self.connections > 0).then_some(rest.max(1))
+    }
+}
+
 /// What a caller may send, and how long it may take.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
--- a/crates/upstream/src/channel.rs
+++ b/crates/upstream/src/channel.rs
@@ -234,6 +234,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Pool {
     idle: Rc<RefCell<BTreeMap<SocketAddr, Vec<Channel>>>>,
+    /// Most idle connections to an upstream, where it is less than [`MAX_IDLE`].
+    most: Rc<RefCell<BTreeMap<SocketAddr, usize>>>,
 }
 
 impl Pool {
@@ -269,21 +271,28 @@
         };
         let mut idle = self.idle.borrow_mut();
         let channels = idle.entry(address).or_default();
-        if channels.len() < MAX_IDLE {
+        if channels.len() < self.most(&address) {
             channels.push(channel);
         }
     }
 
-    /// Closes the connections that can't be used any more, and all to upstreams that `known` denies.
-    pub fn sweep<F>(&self, known: F)
-    where
-        F: Fn(&SocketAddr) -> bool,
-    {
+    /// Takes the upstreams that are still there, with the most idle connections to each, and closes all others.
+    ///
+    /// Failure guarded against: connections to upstreams that are gone pile up for as long as the process lives; and many
+    /// instances keep so many idle ones that the upstream accepts no more.
+    pub fn sweep(&self, most: BTreeMap<SocketAddr, usize>) {
         let mut idle = self.idle.borrow_mut();
-        for channels in idle.values_mut() {
+        for (address, channels) in idle.iter_mut() {
             channels.retain(Channel::is_usable);
+            channels.truncate(most.get(address).copied().unwrap_or_default());
         }
-        idle.retain(|address, channels| !channels.is_empty() && known(address));
+        idle.retain(|_, channels| !channels.is_empty());
+        *self.most.borrow_mut() = most;
+    }
+
+    fn most(&self, address: &SocketAddr) -> usize {
+        let most = self.most.borrow().get(address).copied();
+        most.map_or(MAX_IDLE, |most| most.min(MAX_IDLE))
     }
 }
 
--- /dev/null
+++ b/src/ops/relay/idle.rs
@@ -0,0 +1,37 @@
+//! Closing idle connections to engines that nobody needs any more.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sequoiastream_upstream::channel::Pool;
+
+use crate::ops::relay::pick::QUEUE;
+use crate::ops::relay::shared::Shared;
+use crate::ops::relay::shared::View;
+
+/// Time between two looks.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// Looks for as long as the thread lives.
+pub async fn sweep(shared: Arc<Shared>, pool: Pool) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        pool.sweep(idle_most(&shared.view.load()));
+    }
+}
+
+/// The most idle connections to each engine.
+fn idle_most(view: &View) -> BTreeMap<SocketAddr, usize> {
+    let engines = view.engines.iter().flat_map(|(name, engines)| {
+        let service = view.table.services.get(name);
+        engines.iter().map(move |engine| (service, engine))
+    });
+    let most = engines.map(|(service, engine)| {
+        let busy = (f64::from(engine.entry.slots) * QUEUE) as u32;
+        let share = service.and_then(|s| s.idle_share(busy, view.instances));
+        (engine.entry.address, share.unwrap_or(usize::MAX))
+    });
+    most.collect()
+}
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -11,6 +11,7 @@
 pub mod follow;
 pub mod forward;
 mod gauges;
+mod idle;
 pub mod known;
 pub mod options;
 pub mod orders;
--- a/src/ops/relay/server.rs
+++ b/src/ops/relay/server.rs
@@ -34,6 +34,7 @@
 use crate::ops::relay::edge::Names;
 use crate::ops::relay::forward::Forward;
 use crate::ops::relay::gauges;
+use crate::ops::relay::idle;
 use crate::ops::relay::reply::Reply;
 use crate::ops::relay::send::Ask;
 use crate::ops::relay::shared::Shared;
@@ -92,6 +93,7 @@
     let state = shared.clone();
     let mut server = HttpServer::new(move || {
         let pool = Pool::new();
+        actix_rt::spawn(idle::sweep(state.clone(), pool.clone()));
         let worker = Worker {
             shared: state.clone(),
             pool,
--- a/tests/testsuite/relay/requests.rs
+++ b/tests/testsuite/relay/requests.rs
@@ -3,7 +3,9 @@
 use sequoiastream::util::clock;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::routes::Kind;
+use sequoiastream_core::relay::routes::Service;
 
+use super::engine::Act;
 use super::engine::ScriptedEngine;
 use super::engine::answer;
 use super::instance::Caller;
@@ -212,3 +214,28 @@
     }
     assert_eq!(engine.log().requests.len(), 20);
 }
+
+/// Connections pile up for as long as an instance lives. Order: engines leave one after the other. Cause: idle connections
+/// are looked at only when their engine gets the next request, and it gets none.
+#[actix_web::test]
+async fn idle_closed_when_engine_leaves() {
+    let engine = ScriptedEngine::start(|_, request| vec![answer(request, "whole"), Act::Hold]).await;
+    let instance = Instance::start(Kind::Idempotent, &[(&engine, Stage::Whole)], |_| {});
+    let got = instance.get("/r/x", "q1", "").await;
+    assert_eq!(status(&got), "200");
+    instance.shared.publish(|view| view.engines = Default::default());
+    engine.wait_for(|log| log.left == 1).await;
+}
+
+#[test]
+fn idle_share_by_instances() {
+    let service = |connections: u32| Service {
+        name: "s".to_string(),
+        connections,
+        memory: None,
+    };
+    assert_eq!(service(180).idle_share(32, 8), Some(18));
+    assert_eq!(service(180).idle_share(32, 350), Some(1));
+    assert_eq!(service(20).idle_share(32, 8), Some(1));
+    assert_eq!(service(0).idle_share(32, 8), None);
+}
