One dialect in place of three getters, metrics registered by concern

Change: Translate::dialect, the getters are the trait's; register splits into answers, work and knowledge.

--- a/src/ops/relay/edge.rs
+++ b/src/ops/relay/edge.rs
@@ -84,16 +84,36 @@
     pub order: String,
 }
 
+/// All names of somebody else's protocol.
+#[derive(Debug, Clone)]
+pub struct Dialect {
+    /// Headers.
+    pub names: Names,
+    /// Keys of the store.
+    pub keys: Keys,
+    /// Paths of calls.
+    pub paths: Paths,
+}
+
 /// The translation between somebody else's formats and the product's types.
 pub trait Translate: Send + Sync {
+    /// All names.
+    fn dialect(&self) -> &Dialect;
+
     /// Names of headers.
-    fn names(&self) -> &Names;
+    fn names(&self) -> &Names {
+        &self.dialect().names
+    }
 
     /// Keys of the store.
-    fn keys(&self) -> &Keys;
+    fn keys(&self) -> &Keys {
+        &self.dialect().keys
+    }
 
     /// Paths of calls to an instance.
-    fn paths(&self) -> &Paths;
+    fn paths(&self) -> &Paths {
+        &self.dialect().paths
+    }
 
     /// Reads the configuration.
     ///
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -152,38 +152,11 @@
             "Final answers of this instance's own, by reason",
             self.refusals.clone(),
         );
-        registry.register(
-            "relay_budget_left",
-            "Extra attempts that this instance may still make",
-            self.budget.clone(),
-        );
-        registry.register(
-            "relay_work",
-            "Requests at the engines of a service: of this instance, of all, and slots",
-            self.work.clone(),
-        );
-        registry.register_with_unit(
-            "relay_store_age",
-            "Since the store last confirmed configuration and engines",
-            Unit::Seconds,
-            self.store_age.clone(),
-        );
-        registry.register_with_unit(
-            "relay_peers_age",
-            "Since the peer that was silent longest told of its work",
-            Unit::Seconds,
-            self.peers_age.clone(),
-        );
         registry.register(
             "relay_attempts",
             "Attempts at engines by how they ended",
             self.attempts.clone(),
         );
-        registry.register(
-            "relay_store_calls",
-            "Calls to the store, by kind and result",
-            self.store.clone(),
-        );
         registry.register(
             "relay_extra_attempts",
             "Extra attempts that the budget allowed or denied",
@@ -201,13 +174,48 @@
             Unit::Seconds,
             self.error.clone(),
         );
+        self.register_work(registry);
+        self.register_knowledge(registry);
+    }
+
+    fn register_work(&self, registry: &mut Registry) {
         registry.register("relay_running", "Requests that are running", self.running.clone());
+        registry.register("relay_engines", "Engines that may get work", self.engines.clone());
+        registry.register(
+            "relay_work",
+            "Requests at the engines of a service: of this instance, of all, and slots",
+            self.work.clone(),
+        );
+        registry.register(
+            "relay_budget_left",
+            "Extra attempts that this instance may still make",
+            self.budget.clone(),
+        );
+    }
+
+    fn register_knowledge(&self, registry: &mut Registry) {
+        registry.register(
+            "relay_store_calls",
+            "Calls to the store, by kind and result",
+            self.store.clone(),
+        );
+        registry.register_with_unit(
+            "relay_store_age",
+            "Since the store last confirmed configuration and engines",
+            Unit::Seconds,
+            self.store_age.clone(),
+        );
+        registry.register_with_unit(
+            "relay_peers_age",
+            "Since the peer that was silent longest told of its work",
+            Unit::Seconds,
+            self.peers_age.clone(),
+        );
         registry.register(
             "relay_config_version",
             "Version of the configuration in force",
             self.version.clone(),
         );
-        registry.register("relay_engines", "Engines that may get work", self.engines.clone());
         registry.register(
             "relay_instances",
             "Instances that callers are told of",
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -9,6 +9,7 @@
 
 use actix_web::dev::ServerHandle;
 use http::HeaderName;
+use sequoiastream::ops::relay::edge::Dialect;
 use sequoiastream::ops::relay::edge::Keys;
 use sequoiastream::ops::relay::edge::Malformed;
 use sequoiastream::ops::relay::edge::Names;
@@ -57,16 +58,12 @@
 
 /// A protocol for tests: engines as `SERVICE ADDRESS STAGE SEQUENCE`, a configuration as `VERSION PREFIX`.
 #[derive(Debug)]
-pub struct TestDialect {
-    names: Names,
-    keys: Keys,
-    paths: Paths,
-}
+pub struct TestDialect(Dialect);
 
 impl TestDialect {
     fn new() -> TestDialect {
         let name = HeaderName::from_static;
-        TestDialect {
+        TestDialect(Dialect {
             names: Names {
                 request: name("x-request"),
                 deadline: name("x-deadline"),
@@ -93,21 +90,13 @@
                 resolve: "/addresses".to_string(),
                 order: "/order".to_string(),
             },
-        }
+        })
     }
 }
 
 impl Translate for TestDialect {
-    fn names(&self) -> &Names {
-        &self.names
-    }
-
-    fn keys(&self) -> &Keys {
-        &self.keys
-    }
-
-    fn paths(&self) -> &Paths {
-        &self.paths
+    fn dialect(&self) -> &Dialect {
+        &self.0
     }
 
     fn config(&self, value: &[u8]) -> Result<Table, Malformed> {
