--- a/crates/caller/src/addresses.rs
+++ b/crates/caller/src/addresses.rs
@@ -13,8 +13,9 @@
 use crate::gateway::AddressCall;
 use crate::gateway::Gateway;
 use crate::http::product;
-use crate::http::refuse;
+use crate::http::respond;
 use crate::proof::Unsent;
+use crate::refusal::Refusal;
 
 /// Query of `GET /v1/addresses`.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
@@ -42,11 +43,14 @@
 where
     G: Gateway,
 {
-    let product = match product(gateway.get_ref(), &request) {
-        Ok(product) => product,
-        Err(refusal) => return refuse(&refusal),
-    };
-    let query = query.into_inner();
+    respond(list(gateway.get_ref(), &request, query.into_inner()))
+}
+
+fn list<G>(gateway: &G, request: &HttpRequest, query: AddressQuery) -> Result<HttpResponse, Refusal>
+where
+    G: Gateway,
+{
+    let product = product(gateway, request)?;
     let call = AddressCall {
         unsent: Unsent::begin(),
         product,
@@ -54,13 +58,12 @@
         conversation: query.conversation,
         zone: query.zone,
     };
-    match gateway.addresses(call) {
-        Err(refusal) => refuse(&refusal),
-        Ok(list) => HttpResponse::Ok()
-            .insert_header(("cache-control", "no-store"))
-            .json(AddressBody {
-                addresses: list.addresses,
-                keep: list.keep.as_secs_f64(),
-            }),
-    }
+    let list = gateway.addresses(call)?;
+    let answer = AddressBody {
+        addresses: list.addresses,
+        keep: list.keep.as_secs_f64(),
+    };
+    Ok(HttpResponse::Ok()
+        .insert_header(("cache-control", "no-store"))
+        .json(answer))
 }
--- a/crates/caller/src/generate.rs
+++ b/crates/caller/src/generate.rs
@@ -16,7 +16,7 @@
 use crate::gateway::Gateway;
 use crate::http::OUTCOME;
 use crate::http::product;
-use crate::http::refuse;
+use crate::http::respond;
 use crate::refusal::Refusal;
 use crate::request::generate_call;
 use crate::request::parse_body;
@@ -32,8 +32,7 @@
 where
     G: Gateway,
 {
-    let answer = generate(gateway.get_ref(), &request, payload, Style::Chat).await;
-    answer.unwrap_or_else(|refusal| refuse(&refusal))
+    respond(generate(gateway.get_ref(), &request, payload, Style::Chat).await)
 }
 
 /// `POST /v1/completions`
@@ -41,8 +40,7 @@
 where
     G: Gateway,
 {
-    let answer = generate(gateway.get_ref(), &request, payload, Style::Text).await;
-    answer.unwrap_or_else(|refusal| refuse(&refusal))
+    respond(generate(gateway.get_ref(), &request, payload, Style::Text).await)
 }
 
 async fn generate<G>(
--- a/crates/caller/src/http.rs
+++ b/crates/caller/src/http.rs
@@ -111,19 +111,22 @@
 where
     G: Gateway,
 {
-    let product = match product(gateway.get_ref(), &request) {
-        Ok(product) => product,
-        Err(refusal) => return refuse(&refusal),
-    };
-    let body = match read_body(payload, gateway.body_time()).await {
-        Ok(body) => body,
-        Err(refusal) => return refuse(&refusal),
-    };
-    let deadline = match deadline(&request) {
-        Ok(deadline) => deadline,
-        Err(refusal) => return refuse(&refusal),
-    };
-    let (service, path) = path.into_inner();
+    respond(pass(gateway.get_ref(), &request, path.into_inner(), payload).await)
+}
+
+async fn pass<G>(
+    gateway: &G,
+    request: &HttpRequest,
+    path: (String, String),
+    payload: Payload,
+) -> Result<HttpResponse, Refusal>
+where
+    G: Gateway,
+{
+    let product = product(gateway, request)?;
+    let body = read_body(payload, gateway.body_time()).await?;
+    let deadline = deadline(request)?;
+    let (service, path) = path;
     let query = match request.query_string() {
         "" => String::new(),
         query => format!("?{query}"),
@@ -146,17 +149,18 @@
         body,
         deadline,
     };
-    match gateway.forward(call).await {
-        Err(refusal) => refuse(&refusal),
-        Ok(reply) => {
-            let mut answer = builder(reply.status);
-            answer.insert_header((OUTCOME, Outcome::Whole.to_string()));
-            if let Some(content) = reply.content {
-                answer.insert_header(("content-type", content));
-            }
-            answer.body(reply.body)
-        }
+    let reply = gateway.forward(call).await?;
+    let mut answer = builder(reply.status);
+    answer.insert_header((OUTCOME, Outcome::Whole.to_string()));
+    if let Some(content) = reply.content {
+        answer.insert_header(("content-type", content));
     }
+    Ok(answer.body(reply.body))
+}
+
+/// The answer, or the one that tells the refusal.
+pub(crate) fn respond(answer: Result<HttpResponse, Refusal>) -> HttpResponse {
+    answer.unwrap_or_else(|refusal| refuse(&refusal))
 }
 
 /// The answer that tells a refusal.
--- a/crates/caller/src/status.rs
+++ b/crates/caller/src/status.rs
@@ -14,8 +14,9 @@
 use crate::gateway::ForwardReply;
 use crate::gateway::Gateway;
 use crate::http::product;
-use crate::http::refuse;
+use crate::http::respond;
 use crate::proof::Unsent;
+use crate::refusal::Refusal;
 
 /// When to ask again if nobody could say.
 const ASK_AGAIN: Duration = Duration::from_secs(2);
@@ -76,21 +77,27 @@
 where
     G: Gateway,
 {
-    let product = match product(gateway.get_ref(), &request) {
-        Ok(product) => product,
-        Err(refusal) => return refuse(&refusal),
-    };
-    let key = key.into_inner();
+    respond(ask(gateway.get_ref(), &request, key.into_inner(), query.into_inner()).await)
+}
+
+async fn ask<G>(
+    gateway: &G,
+    request: &HttpRequest,
+    key: String,
+    query: StatusQuery,
+) -> Result<HttpResponse, Refusal>
+where
+    G: Gateway,
+{
+    let product = product(gateway, request)?;
     let call = StatusCall {
         unsent: Unsent::begin(),
         product,
         key: key.clone(),
-        service: query.into_inner().service,
+        service: query.service,
     };
-    match gateway.status(call).await {
-        Err(refusal) => refuse(&refusal),
-        Ok(state) => render(key, state),
-    }
+    let state = gateway.status(call).await?;
+    Ok(render(key, state))
 }
 
 fn render(key: String, state: RequestState) -> HttpResponse {
