--- a/src/settings.rs
+++ b/src/settings.rs
@@ -43,6 +43,16 @@
     Json,
 }
 
+impl LogFormat {
+    /// The format that `word` names; text for any but `json`.
+    pub fn of(word: &str) -> LogFormat {
+        match word {
+            "json" => LogFormat::Json,
+            _ => LogFormat::Text,
+        }
+    }
+}
+
 /// Settings of one daemon.
 #[derive(Clone)]
 pub struct Settings {
@@ -182,10 +192,7 @@
         let lists = limits::lists(&mut reader);
         let times = times::times(&mut reader);
         let patience = patience::patience(&mut reader);
-        let format = match reader.text("log-format").as_str() {
-            "json" => LogFormat::Json,
-            _ => LogFormat::Text,
-        };
+        let format = LogFormat::of(&reader.text("log-format"));
         let faults = reader.faults;
         let (Some(name), Some(zone), Some(listen), Some(peer), true) =
             (name, zone, listen, peer, faults.is_empty())
--- a/src/util/logging.rs
+++ b/src/util/logging.rs
@@ -94,9 +94,9 @@
     }
 }
 
-/// Sends log lines as JSON to standard output, within a budget, by a thread of their own: a reader that stops reading
-/// costs lines, and nothing else. `RUST_LOG` sets the level, `info` by default.
-pub fn init_bounded() -> BoundedLog {
+/// Sends log lines to standard output in the given format, within a budget, by a thread of their own: a reader that stops
+/// reading costs lines, and nothing else. `RUST_LOG` sets the level, `info` by default.
+pub fn init_bounded(format: LogFormat) -> BoundedLog {
     let budget = Arc::new(Mutex::new(LogBudget::new(clock::now())));
     let levels =
         EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info,actix_server=warn"));
@@ -104,11 +104,15 @@
     std::thread::spawn(move || write_lines(&receiver));
     let log = BoundedLog { budget, sender };
     let layer = tracing_subscriber::fmt::layer()
-        .json()
         .with_target(false)
+        .with_ansi(false)
         .log_internal_errors(false)
-        .with_writer(log.clone())
-        .with_filter(Within(log.budget.clone()));
+        .with_writer(log.clone());
+    let layer = match format {
+        LogFormat::Text => layer.boxed(),
+        LogFormat::Json => layer.json().boxed(),
+    };
+    let layer = layer.with_filter(Within(log.budget.clone()));
     tracing_subscriber::registry().with(levels).with(layer).init();
     log
 }
