Remove the records of orders whose engines are gone

Cause: each engine's order left a record in the store for good. Found in reading. Ruled out: a lease under the record; it would end with the instance that gave the order, while the engine lives on. Change: an engine that was gone for ten minutes without a pause (core::relay::records) has its record removed by the first of the living instances, if the record is the one that was seen; the others hear of it as of any change, and a read of everything drops what the store no longer holds. Ten minutes: an order is carried out within twelve seconds. Figures: relay::records::due_only_without_pause, relay::follow::record_of_gone_engine_removed (red while the fake store ignored removals, green after). Numbers of events are tested for being unique now: the first number taken, 506, was another's, and the catalogue's test had passed.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -95,6 +95,8 @@
     505 ORDER_UNANSWERED = "order-unanswered";
     /// The weight store refused what an engine is to load.
     506 WEIGHTS_REFUSED = "weights-refused";
+    /// The record of an order was removed, its engine being gone.
+    507 ORDER_FORGOTTEN = "order-forgotten";
     /// Claims can't be written: the key-value service fails.
     600 CLAIMS_OUT = "claims-out";
     /// Claims can be written again.
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -13,6 +13,7 @@
 pub mod hash;
 pub mod place;
 pub mod prompt;
+pub mod records;
 pub mod routes;
 pub mod stages;
 pub mod suspects;
--- a/src/ops/relay/follow.rs
+++ b/src/ops/relay/follow.rs
@@ -133,6 +133,7 @@
             self.on_config(item);
         }
         self.on_orders(items);
+        self.on_all_orders(items);
         self.fleet.on_listed(register::listings(&self.shared, items));
     }
 
@@ -146,6 +147,7 @@
                 self.entry(item).map(|(at, entry)| News::Entry(at, entry))
             }
             Change::Removed { key, revision } => {
+                self.on_record_gone(key);
                 self.fleet.on_removed(register::name(&self.shared, key));
                 let id = self.shared.translate.engine_id(key);
                 id.map(|id| News::Gone(*revision, id.to_string()))
@@ -176,6 +178,21 @@
         }
     }
 
+    fn on_all_orders(&self, items: &[Item]) {
+        let mut ordered = Ordered::clone(&self.shared.view.load().ordered);
+        ordered.on_all(self.shared.translate.as_ref(), items);
+        self.shared.publish(|view| view.ordered = Arc::new(ordered));
+    }
+
+    fn on_record_gone(&self, key: &str) {
+        let Some(engine) = key.strip_prefix(&self.shared.translate.keys().orders) else {
+            return;
+        };
+        let mut ordered = Ordered::clone(&self.shared.view.load().ordered);
+        ordered.on_removed(engine);
+        self.shared.publish(|view| view.ordered = Arc::new(ordered));
+    }
+
     /// An entry that can't be read names no engine; it doesn't stop the others.
     fn entry(&self, item: &Item) -> Option<(u64, Entry)> {
         self.shared.translate.engine_id(&item.key)?;
--- a/src/ops/relay/options.rs
+++ b/src/ops/relay/options.rs
@@ -21,6 +21,10 @@
 /// 0.45, 0.55 and 0.65 on the mixes of both users; docs/MEASUREMENTS.md.
 pub const READERS: f64 = 0.65;
 
+/// How long an engine must be gone until the record of its order is removed. One that was cut off for so long and comes back
+/// gets an order anew, long after the first was carried out: that takes twelve seconds at most.
+pub const FORGET: Duration = Duration::from_secs(600);
+
 /// Settings of a relaying instance.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -57,6 +61,8 @@
     pub readers: f64,
     /// How long a watch of the store waits.
     pub wait: Duration,
+    /// How long an engine must be gone until the record of its order is removed.
+    pub forget: Duration,
 }
 
 /// Reads the settings anew.
--- a/src/ops/relay/orders.rs
+++ b/src/ops/relay/orders.rs
@@ -16,6 +16,7 @@
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::Entry;
 use sequoiastream_core::relay::engines::Stage;
+use sequoiastream_core::relay::records::Absences;
 use sequoiastream_core::relay::stages::StageOrder;
 use sequoiastream_core::relay::stages::plan;
 use sequoiastream_core::time::Time;
@@ -32,6 +33,7 @@
 use crate::log_event;
 use crate::ops::relay::edge::Translate;
 use crate::ops::relay::shared::Shared;
+use crate::util::clock;
 
 /// Time between two looks at the plan.
 const LOOK: Duration = Duration::from_millis(500);
@@ -46,6 +48,9 @@
 /// How long an engine's answer to an order is waited for.
 const ANSWER: Duration = Duration::from_secs(2);
 
+/// Records removed in one look: the store takes few writes a second.
+const MAX_FORGOTTEN: usize = 4;
+
 /// Longest answer to an order, in bytes.
 const MAX_ANSWER: usize = 64 * 1024;
 
@@ -56,11 +61,18 @@
     reader: bool,
 }
 
+/// When the record of an order was first seen, and at which revision of the store.
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    at: Time,
+    revision: u64,
+}
+
 /// The records of orders, as the store shows them.
 #[derive(Debug, Clone, Default)]
 pub struct Ordered {
     stages: BTreeMap<String, Stage>,
-    since: BTreeMap<String, Time>,
+    seen: BTreeMap<String, Seen>,
     /// When the last order was first seen.
     latest: Option<Time>,
 }
@@ -85,10 +97,27 @@
             }
         };
         self.stages.insert(id.to_string(), stage);
-        self.since.entry(id.to_string()).or_insert(now);
+        let revision = item.revision;
+        self.seen
+            .entry(id.to_string())
+            .or_insert(Seen { at: now, revision });
         self.latest = Some(now);
     }
 
+    /// Drops the records that `items`, all that the store holds, don't name.
+    pub fn on_all(&mut self, translate: &dyn Translate, items: &[Item]) {
+        let prefix = translate.keys().orders.as_str();
+        let named: BTreeSet<&str> = items.iter().filter_map(|i| i.key.strip_prefix(prefix)).collect();
+        self.stages.retain(|engine, _| named.contains(engine.as_str()));
+        self.seen.retain(|engine, _| named.contains(engine.as_str()));
+    }
+
+    /// Drops the record of an engine, which is no longer in the store.
+    pub fn on_removed(&mut self, engine: &str) {
+        self.stages.remove(engine);
+        self.seen.remove(engine);
+    }
+
     /// The engines that have had their order.
     pub fn engines(&self) -> &BTreeMap<String, Stage> {
         &self.stages
@@ -106,8 +135,8 @@
             .stages
             .get(&entry.id)
             .is_some_and(|stage| *stage != entry.stage);
-        let since = self.since.get(&entry.id);
-        differs && since.is_some_and(|at| now.since(*at) < CHANGE)
+        let seen = self.seen.get(&entry.id);
+        differs && seen.is_some_and(|seen| now.since(seen.at) < CHANGE)
     }
 }
 
@@ -117,6 +146,7 @@
     let mut tried: BTreeSet<String> = BTreeSet::new();
     let mut due: BTreeMap<String, u32> = BTreeMap::new();
     let mut steady = Steady::default();
+    let mut absences = Absences::new();
     loop {
         tokio::time::sleep(LOOK).await;
         if shared.is_leaving() || !shared.view.load().is_configured() {
@@ -137,6 +167,11 @@
                 tried.remove(&order.engine);
             }
         }
+        let gone = absent(&shared, &mut absences);
+        tried.retain(|engine| !gone.contains(engine));
+        if shared.view.load().rank == 0 {
+            forget(&shared, store.as_ref(), &gone).await;
+        }
     }
 }
 
@@ -183,6 +218,36 @@
     orders.collect()
 }
 
+/// Engines with a record that are gone for so long that nobody needs it.
+fn absent(shared: &Shared, absences: &mut Absences) -> Vec<String> {
+    let view = shared.view.load();
+    let keys = view.keys();
+    let recorded = view.ordered.engines().keys().map(String::as_str);
+    let forget = shared.tuning().forget;
+    absences.due(clock::now(), forget, recorded, |id| keys.contains_key(id))
+}
+
+/// Removes the records of engines that are gone; the follower hears of it as of any change.
+async fn forget(shared: &Shared, store: &dyn Store, engines: &[String]) {
+    let view = shared.view.load_full();
+    for engine in engines.iter().take(MAX_FORGOTTEN) {
+        let Some(seen) = view.ordered.seen.get(engine) else {
+            continue;
+        };
+        let key = format!("{}{engine}", shared.translate.keys().orders);
+        let write = Write {
+            expect: vec![(key.clone(), seen.revision)],
+            puts: Vec::new(),
+            removes: vec![key],
+        };
+        match store.write(write).await {
+            Ok(_) => log_event!(info, log_event::ORDER_FORGOTTEN, %engine),
+            // Another instance has removed it, or will at its next look.
+            Err(error) => log_event!(debug, log_event::KV_FAILED, %error, call = "forget"),
+        }
+    }
+}
+
 /// Gives an engine its order, if the record of it can be created.
 ///
 /// Failures guarded against: two instances give an engine different orders; one repeats an order that may still be on
--- a/tests/testsuite/log_events.rs
+++ b/tests/testsuite/log_events.rs
@@ -23,3 +23,13 @@
         .collect();
     assert_eq!(numbers, known);
 }
+
+/// Whoever looks up a number finds two events.
+#[test]
+fn numbers_unique() {
+    let mut numbers: Vec<u16> = log_event::ALL.iter().map(|e| e.number).collect();
+    let count = numbers.len();
+    numbers.sort();
+    numbers.dedup();
+    assert_eq!(numbers.len(), count);
+}
--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -2,10 +2,12 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use sequoiastream::ops::relay::follow;
 use sequoiastream::ops::relay::known::Known;
 use sequoiastream::ops::relay::options::Options;
+use sequoiastream::ops::relay::orders;
 use sequoiastream::ops::relay::peers;
 use sequoiastream::ops::relay::register;
 use sequoiastream::ops::relay::shared::Shared;
@@ -132,6 +134,26 @@
     until(|| version(&second) == 8 && engines(&second).is_empty()).await;
 }
 
+/// Records of orders pile up in the store for as long as the deployment lives. Order: the engine of one is gone for good, that
+/// of another is there.
+#[actix_web::test]
+async fn record_of_gone_engine_removed() {
+    let store = FakeStore::new();
+    store.put("config", "3 /a/");
+    store.put("engines/e1", "chat 127.0.0.1:9 ready 1");
+    for id in ["e1", "gone"] {
+        store.put(&format!("orders/{id}"), r#"{"holder":"one/1","reader":true}"#);
+    }
+    let mut options = options();
+    options.tuning.forget = Duration::from_millis(100);
+    let shared = start(options, &store).await;
+    actix_web::rt::spawn(orders::run(shared.clone(), Rc::new(store.clone())));
+    let recorded = || -> Vec<String> { shared.view.load().ordered.engines().keys().cloned().collect() };
+    until(|| recorded() == ["e1", "gone"]).await;
+    until(|| recorded() == ["e1"]).await;
+    assert!(store.has("orders/e1") && !store.has("orders/gone"));
+}
+
 /// Callers are sent to instances that they can't reach, or to none. Two instances find each other by the store and name
 /// each other while they hear each other.
 #[actix_web::test]
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -226,6 +226,7 @@
             },
             readers: 0.5,
             wait: Duration::from_millis(200),
+            forget: Duration::from_secs(600),
         },
     }
 }
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod orders;
 mod place;
+mod records;
 mod requests;
 mod routes;
 mod seeded;
--- a/tests/testsuite/relay/store.rs
+++ b/tests/testsuite/relay/store.rs
@@ -142,6 +142,9 @@
                 return Err(StoreError::Conflict);
             }
         }
+        for key in write.removes {
+            self.remove(&key);
+        }
         for put in write.puts {
             self.put(&put.key, &String::from_utf8_lossy(&put.value));
         }
