--- a/src/ops/relay/gauges.rs
+++ b/src/ops/relay/gauges.rs
@@ -23,6 +23,7 @@
     metrics
         .peers_age
         .set(ledger.book.oldest_report(now).as_secs_f64());
+    metrics.forget_services();
     for (service, engines) in view.engines.iter() {
         let own = sum(engines.iter().map(|e| ledger.book.own(e.key)));
         let fleet = sum(engines.iter().map(|e| ledger.book.work(now, e.key)));
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -269,6 +269,12 @@
         self.error.observe(took.as_secs_f64() - predicted.as_secs_f64());
     }
 
+    /// Drops what is shown of services at a moment: one whose engines are gone would be shown as it was, for good.
+    pub fn forget_services(&self) {
+        self.work.clear();
+        self.budget.clear();
+    }
+
     /// Shows the requests at the engines of a service.
     pub fn work(&self, service: &str, scope: &'static str, requests: u32) {
         let service = self.name(service);
--- a/tests/testsuite/relay/metrics.rs
+++ b/tests/testsuite/relay/metrics.rs
@@ -1,5 +1,6 @@
 //! The page of metrics of an instance.
 
+use sequoiastream::util::metrics::Path;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::routes::Kind;
 
@@ -60,5 +61,17 @@
     }
     let names = ["sequoiastream_relay_budget_left"];
     let samples = samples(&instance, &names).await;
+    // Only `chat` is there, and it came after the first 64.
+    let chat = "sequoiastream_relay_budget_left{service=\"others\"} 39.";
+    assert!(samples.len() == 1 && samples[0].starts_with(chat), "{samples:?}");
+    for number in 0..1_500 {
+        let path = Path {
+            service: format!("s{number}"),
+            kind: "once",
+        };
+        instance.shared.metrics.answer(&path, "answered");
+    }
+    let names = ["sequoiastream_relay_answers"];
+    let samples = self::samples(&instance, &names).await;
     assert_eq!(samples.len(), 65);
 }
