Say when it was the retry budget that refused a plain call

Cause: a call that an upstream declined and that the budget kept from the next one was told that no upstream can take work. Change: reason retry-budget, 429, as docs/API.md lists it.

--- a/src/ops/dispatch/forward.rs
+++ b/src/ops/dispatch/forward.rs
@@ -76,6 +76,7 @@
         deadline,
         attempts: Attempts::new(repeat, Bound::Sent(retry::MAX_ATTEMPTS)),
         tried: Vec::new(),
+        denied: false,
     };
     repeated.run(call.unsent).await
 }
@@ -117,6 +118,8 @@
     deadline: Time,
     attempts: Attempts,
     tried: Vec<Name>,
+    /// Whether the retry budget denied a further attempt.
+    denied: bool,
 }
 
 impl Repeated<'_> {
@@ -142,20 +145,28 @@
             }
         }
         match (proof, last) {
-            (Some(unsent), _) => {
-                let proof = unsent.refuse(Reason::NoEngine).come_back(COME_BACK);
-                Err(Refusal::not_run(proof, "no upstream can take work now"))
-            }
+            (Some(unsent), _) => Err(self.refuse(unsent)),
             (None, Some(error)) => Err(Refusal::unknown(error.to_string())),
             (None, None) => Err(Refusal::unknown("the call was lost")),
         }
     }
 
+    fn refuse(&self, unsent: Unsent) -> Refusal {
+        let (reason, message) = match self.denied {
+            true => (
+                Reason::RetryBudget,
+                "an upstream refused it, and the retry budget is spent",
+            ),
+            false => (Reason::NoEngine, "no upstream can take work now"),
+        };
+        Refusal::not_run(unsent.refuse(reason).come_back(COME_BACK), message)
+    }
+
     /// Whether the product's retry budget and the deadline allow one more attempt.
-    fn may_go_on(&self) -> bool {
+    fn may_go_on(&mut self) -> bool {
         let retry = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
-        let granted = retry == 0 || self.dispatch.may_retry(self.product, retry);
-        granted && !self.left().is_zero()
+        self.denied = retry > 0 && !self.dispatch.may_retry(self.product, retry);
+        !self.denied && !self.left().is_zero()
     }
 
     fn left(&self) -> Duration {
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -1,6 +1,7 @@
 //! The whole path: caller, daemon, upstream, with the configuration from the platform.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use sequoiastream_standin::engine::expected_text;
 use sequoiastream_standin::plain::PlainFault;
@@ -87,6 +88,32 @@
     assert!((30..=46).contains(&runs), "{runs} runs");
 }
 
+/// A caller is told that no upstream can take work, while it was the retry budget that kept it from the second one.
+#[actix_web::test]
+async fn plain_call_denied_by_budget() {
+    let fleet = fleet().plain(2).start_configured().await;
+    for plain in &fleet.plain {
+        let fault = PlainFault {
+            refuse: true,
+            ..PlainFault::default()
+        };
+        let url = format!("{}/control/fault", plain.url());
+        http::send("PUT", &url, &[], &fault).await;
+    }
+    let url = format!("{}/services/ordini/lookup", fleet.daemons[0].url());
+    let key = format!("Bearer {KEY}");
+    let mut reasons = BTreeSet::new();
+    for _ in 0..20 {
+        let reply = http::send("GET", &url, &[("authorization", &key)], "").await;
+        assert_eq!(reply.outcome.as_deref(), Some("not-run"));
+        let body: Value = reply.json();
+        let reason = body["error"]["reason"].as_str().map(str::to_string);
+        reasons.insert((reply.status, reason.expect("a reason")));
+    }
+    let expected = [(503, "no-engine"), (429, "retry-budget")].map(|(s, r)| (s, r.to_string()));
+    assert_eq!(reasons, BTreeSet::from(expected));
+}
+
 #[actix_web::test]
 async fn chat_streamed() {
     let fleet = fleet().start_configured().await;
