Start-up and split plans that don't grow with the cube of the fleet

While a fleet starts every registration published all engines, and forgot load with a search through a list for each engine; the plan of the split counted zones anew for each pair of candidates (readers x engines x engines), at every look of every instance until the orders are given. Change: engines are published once for each answer of the watch; known keys and ids are sets; the plan counts zones once and takes from the fullest. Same plans: relay::stages::* unchanged and green, 97 relay tests. Also relay::answers::deadline_is_what_is_left, since the header with the time left could be taken out without any test's noticing (red so).

--- a/crates/core/src/relay/engines.rs
+++ b/crates/core/src/relay/engines.rs
@@ -1,6 +1,7 @@
 //! The engines that registered themselves, and which of them may get work.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -134,7 +135,7 @@
 
     /// Takes everything that the store holds as of `revision`; whether anything changed.
     pub fn on_all(&mut self, now: Time, revision: u64, entries: Vec<(u64, Entry)>) -> bool {
-        let named: Vec<String> = entries.iter().map(|(_, e)| e.id.clone()).collect();
+        let named: BTreeSet<String> = entries.iter().map(|(_, e)| e.id.clone()).collect();
         let mut changed = false;
         for (at, entry) in entries {
             changed |= self.on_entry(at, entry);
--- a/crates/core/src/relay/stages.rs
+++ b/crates/core/src/relay/stages.rs
@@ -6,7 +6,6 @@
 //! split follows the engines that come and go, not each swing of the mix.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use crate::relay::engines::Engine;
 use crate::relay::engines::Stage;
@@ -49,25 +48,52 @@
         std::cmp::Ordering::Equal => return Vec::new(),
         std::cmp::Ordering::Greater => (Stage::Decode, reading - wanted),
     };
-    let mut left: Vec<&Engine> = staged.into_iter().filter(|e| becomes(e) != stage).collect();
-    let mut orders = Vec::new();
-    while orders.len() < count {
-        let Some(at) = next(&left, ordered) else {
-            break;
-        };
-        let engine = left.remove(at);
-        orders.push(StageOrder {
-            engine: engine.entry.id.clone(),
-            stage,
-        });
-    }
-    orders
+    let mut zones = Zones::new(staged.into_iter().filter(|e| becomes(e) != stage), ordered);
+    let next = std::iter::from_fn(|| zones.next());
+    let orders = next.take(count).map(|engine| StageOrder {
+        engine: engine.entry.id.clone(),
+        stage,
+    });
+    orders.collect()
+}
+
+/// Engines that could change their stage, by availability zone.
+struct Zones<'e> {
+    zones: BTreeMap<&'e str, Zone<'e>>,
+}
+
+#[derive(Debug, Default)]
+struct Zone<'e> {
+    /// Engines of the stage that is left, ordered to or not.
+    left: usize,
+    /// Those that had no order, by their ids.
+    free: BTreeMap<&'e str, &'e Engine>,
 }
 
-/// The engine that changes next: of the zone with most of its stage left, so that each zone keeps some.
-fn next(left: &[&Engine], ordered: &BTreeMap<String, Stage>) -> Option<usize> {
-    let zone = |e: &Engine| left.iter().filter(|o| o.entry.zone == e.entry.zone).count();
-    let taken: BTreeSet<&str> = ordered.keys().map(String::as_str).collect();
-    let free = (0..left.len()).filter(|i| !taken.contains(left[*i].entry.id.as_str()));
-    free.max_by_key(|i| (zone(left[*i]), &left[*i].entry.id))
+impl<'e> Zones<'e> {
+    fn new<I>(engines: I, ordered: &BTreeMap<String, Stage>) -> Zones<'e>
+    where
+        I: Iterator<Item = &'e Engine>,
+    {
+        let mut zones: BTreeMap<&str, Zone<'_>> = BTreeMap::new();
+        for engine in engines {
+            let zone = zones.entry(engine.entry.zone.as_str()).or_default();
+            zone.left += 1;
+            if !ordered.contains_key(&engine.entry.id) {
+                zone.free.insert(engine.entry.id.as_str(), engine);
+            }
+        }
+        Zones { zones }
+    }
+
+    /// The engine that changes next: of the zone with most of its stage left, so that each zone keeps some.
+    fn next(&mut self) -> Option<&'e Engine> {
+        let rank = |zone: &Zone<'e>| Some((zone.left, *zone.free.last_key_value()?.0));
+        let zones = self.zones.values_mut();
+        let zone = zones
+            .filter(|zone| !zone.free.is_empty())
+            .max_by_key(|zone| rank(zone))?;
+        zone.left -= 1;
+        zone.free.pop_last().map(|(_, engine)| engine)
+    }
 }
--- a/src/ops/relay/follow.rs
+++ b/src/ops/relay/follow.rs
@@ -5,12 +5,14 @@
 //! a read of everything, which asks the store itself, not a copy that lags. The longest silence of a watch that
 //! is not noticed is [`Tuning::wait`](crate::ops::relay::options::Tuning) and [`ANSWER`].
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::RngExt;
 use sequoiastream_core::log_event;
+use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::engines::Engines;
 use sequoiastream_core::relay::engines::Entry;
 use sequoiastream_core::relay::engines::News;
@@ -112,9 +114,14 @@
                 () = tokio::time::sleep(TICK), if self.engines.is_waiting() => self.on_tick(),
             }
         };
+        let mut changed = false;
         for change in changes.changes {
             self.known.on_change(self.shared.translate.keys(), &change);
-            self.on_change(change);
+            changed |= self.on_change(change);
+        }
+        // Once for all: a fleet that starts brings hundreds in one answer, and each copy is as long as the fleet.
+        if changed {
+            self.publish_engines();
         }
         let revision = changes.revision.max(revision);
         self.known.on_revision(revision);
@@ -137,7 +144,8 @@
         self.fleet.on_listed(register::listings(&self.shared, items));
     }
 
-    fn on_change(&mut self, change: Change) {
+    /// Takes a change; whether the engines are others now.
+    fn on_change(&mut self, change: Change) -> bool {
         let now = clock::now();
         let news = match &change {
             Change::Put(item) => {
@@ -153,9 +161,7 @@
                 id.map(|id| News::Gone(*revision, id.to_string()))
             }
         };
-        if news.is_some_and(|news| self.engines.on_news(now, news)) {
-            self.publish_engines();
-        }
+        news.is_some_and(|news| self.engines.on_news(now, news))
     }
 
     fn on_tick(&mut self) {
@@ -242,7 +248,7 @@
         let count = self.engines.len();
         self.shared.publish(|view| view.engines = engines);
         let view = self.shared.view.load();
-        let known: Vec<_> = view.keys().into_values().collect();
+        let known: BTreeSet<EngineKey> = view.keys().into_values().collect();
         self.shared.ledger().book.retain(|key| known.contains(&key));
         log_event!(
             info,
--- a/src/ops/relay/orders.rs
+++ b/src/ops/relay/orders.rs
@@ -161,7 +161,8 @@
         }
         let is_steady = steady.is_steady(&shared);
         let orders = planned(&shared, is_steady);
-        due.retain(|engine, _| orders.iter().any(|(_, o)| o.engine == *engine));
+        let planned: BTreeSet<&str> = orders.iter().map(|(_, o)| o.engine.as_str()).collect();
+        due.retain(|engine, _| planned.contains(engine.as_str()));
         for (engine, order) in orders {
             let looks = due.entry(order.engine.clone()).or_default();
             *looks += 1;
@@ -217,10 +218,12 @@
         .filter(|engines| is_steady || is_split(engines));
     let orders = engines.flat_map(|engines| {
         let orders = plan(engines, ordered, shared.tuning().readers);
-        orders.into_iter().filter_map(|order| {
-            let engine = engines.iter().find(|e| e.entry.id == order.engine)?;
-            Some((engine.clone(), order))
-        })
+        let engines: BTreeMap<&str, &Engine> = engines.iter().map(|e| (e.entry.id.as_str(), e)).collect();
+        let orders = orders.into_iter().filter_map(|order| {
+            let engine = engines.get(order.engine.as_str())?;
+            Some((Engine::clone(engine), order))
+        });
+        orders.collect::<Vec<_>>()
     });
     orders.collect()
 }
--- a/tests/testsuite/relay/answers.rs
+++ b/tests/testsuite/relay/answers.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::routes::Kind;
@@ -399,7 +400,7 @@
     let engine = ScriptedEngine::start(|_, _| vec![Act::Hold]).await;
     for kind in [Kind::Once, Kind::Stream] {
         let instance = Instance::start(kind, &[(&engine, Stage::Whole)], |route| {
-            route.timeout = std::time::Duration::from_millis(200);
+            route.timeout = Duration::from_millis(200);
         });
         let got = instance.get("/r/x", "q1", "x-deadline: 60000\r\n").await;
         assert_eq!(status(&got), "504", "{kind:?} {got}");
@@ -466,6 +467,31 @@
     }
 }
 
+/// An engine works on for a caller who has left long since. Order: the first engine says nothing for half a second, then
+/// another one gets the request. Cause: it is told the time that the caller had at first, or none where it named none.
+#[actix_web::test]
+async fn deadline_is_what_is_left() {
+    let mute = ScriptedEngine::start(|_, _| vec![Act::Hold]).await;
+    let sound = ScriptedEngine::start(|_, request| vec![answer(request, "whole")]).await;
+    let engines = [(&mute, Stage::Whole), (&sound, Stage::Whole)];
+    let instance = Instance::start(Kind::Idempotent, &engines, |route| {
+        route.timeout = Duration::from_secs(9);
+    });
+    for (number, deadline) in ["x-deadline: 8000\r\n", ""].iter().enumerate() {
+        let got = instance.get("/r/x", &format!("q{number}"), deadline).await;
+        assert!(got.contains("whole"), "{got}");
+    }
+    let told = |log: &super::engine::Log| -> Vec<u64> {
+        let told = log.requests.iter().map(|r| r.header("x-deadline"));
+        told.map(|d| d.and_then(|d| d.parse().ok()).expect("milliseconds"))
+            .collect()
+    };
+    let (first, second) = (told(&mute.log()), told(&sound.log()));
+    assert!(first[0] <= 8_000, "{first:?}");
+    assert!(second[0] <= 7_600, "half a second later: {second:?}");
+    assert!(second.iter().all(|ms| *ms <= 9_000), "{second:?}");
+}
+
 /// A prompt's reader says nothing. Another one reads it, also for a request that runs at most once: reading is no run.
 #[actix_web::test]
 async fn silent_reader_left() {
