--- a/crates/core/benches/relay.rs
+++ b/crates/core/benches/relay.rs
@@ -25,6 +25,7 @@
 use sequoiastream_core::relay::routes::Route;
 use sequoiastream_core::relay::routes::Table;
 use sequoiastream_core::relay::routes::Target;
+use sequoiastream_core::relay::stages::plan;
 use sequoiastream_core::time::Time;
 
 /// Engines and instances of a fleet: today's, a larger one's, the design size's.
@@ -133,6 +134,23 @@
     group.finish();
 }
 
+/// The plan of a service that was never split: what each instance works out twice a second until the orders are given.
+fn stages(c: &mut Criterion) {
+    let mut group = c.benchmark_group("stages");
+    for (engines, _) in FLEETS {
+        let all = (0..engines).map(|index| {
+            let mut engine = engine(index);
+            engine.entry.stage = Stage::Decode;
+            engine
+        });
+        let all: Vec<Engine> = all.collect();
+        group.bench_function(BenchmarkId::new("plan", engines), |b| {
+            b.iter(|| plan(black_box(&all), &BTreeMap::new(), 0.65));
+        });
+    }
+    group.finish();
+}
+
 fn routes(c: &mut Criterion) {
     let mut group = c.benchmark_group("routes");
     for routes in ROUTES {
@@ -179,5 +197,5 @@
     });
 }
 
-criterion_group!(benches, place, peers, routes, budget);
+criterion_group!(benches, place, peers, stages, routes, budget);
 criterion_main!(benches);
