--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -2,9 +2,11 @@
 //!
 //! [`edge`] is where that protocol comes in: names of headers, and the decoding of what the store and the engines
 //! hold. Control state lives on the thread that runs [`run`]: [`follow`] keeps up with the configuration and the
-//! engines, [`orders`] gives engines their stage, [`register`] makes this instance known, [`peers`] tells the others about load. They publish a view that
-//! the traffic thread reads: [`server`] takes requests, `head` reads what they ask, [`forward`] makes the attempts, `pick` chooses engines,
-//! `reading` has prompts read, [`stream`] passes events on.
+//! engines, [`orders`] gives engines their stage, [`register`] makes this instance known, [`peers`] tells the others
+//! about load; `counted` counts what they ask of the store. They publish a view that the traffic thread reads:
+//! [`server`] takes requests, `head` reads what they ask, [`forward`] makes the attempts, `pick` chooses engines,
+//! `reading` has prompts read, [`stream`] passes events on, `idle` closes connections that nobody needs. `gauges` fills
+//! the page of metrics.
 
 mod counted;
 pub mod edge;
