Publish once for each answer; one piece where two did the same

No behaviour changes. - Records of orders were state of the view that the follower copied, changed and published in three ways, twice for each read of everything and once for each record of an answer. They are the follower's own state now, as the engines are, and published once for an answer. - The keys of the engines were a cache of the peers beside View::keys, which made the map anew for everybody else. Tests keep their assertions; four set the engines by View::set_engines, and one passes the time to Ordered::on_all.

--- a/src/ops/relay/follow.rs
+++ b/src/ops/relay/follow.rs
@@ -43,12 +43,21 @@
 /// Everything that begins with this is read and watched.
 const ALL: &str = "";
 
+/// What an answer of the store has changed, and is published once for all of it: a fleet that starts brings hundreds of
+/// changes in one answer, and each copy is as long as the fleet.
+#[derive(Debug, Default)]
+struct Changed {
+    engines: bool,
+    orders: bool,
+}
+
 struct Follower {
     shared: Arc<Shared>,
     store: Rc<dyn Store>,
     fleet: Fleet,
     known: Known,
     engines: Engines,
+    ordered: Ordered,
     /// Revision of the configuration that is in force.
     config: u64,
     failures: u32,
@@ -62,6 +71,7 @@
         fleet,
         known,
         engines: Engines::new(),
+        ordered: Ordered::default(),
         config: 0,
         failures: 0,
     };
@@ -114,15 +124,12 @@
                 () = tokio::time::sleep(TICK), if self.engines.is_waiting() => self.on_tick(),
             }
         };
-        let mut changed = false;
+        let mut changed = Changed::default();
         for change in changes.changes {
             self.known.on_change(self.shared.translate.keys(), &change);
-            changed |= self.on_change(change);
-        }
-        // Once for all: a fleet that starts brings hundreds in one answer, and each copy is as long as the fleet.
-        if changed {
-            self.publish_engines();
+            self.on_change(change, &mut changed);
         }
+        self.publish(&changed);
         let revision = changes.revision.max(revision);
         self.known.on_revision(revision);
         Ok(revision)
@@ -133,35 +140,36 @@
         self.known.on_all(self.shared.translate.keys(), revision, items);
         let entries = items.iter().filter_map(|item| self.entry(item));
         let entries: Vec<(u64, Entry)> = entries.collect();
-        if self.engines.on_all(now, revision, entries) {
-            self.publish_engines();
-        }
+        let engines = self.engines.on_all(now, revision, entries);
+        self.ordered
+            .on_all(now, self.shared.translate.as_ref(), revision, items);
         for item in items {
             self.on_config(item);
         }
-        self.on_orders(items);
-        self.on_all_orders(revision, items);
+        let orders = true;
+        self.publish(&Changed { engines, orders });
         self.fleet.on_listed(register::listings(&self.shared, items));
     }
 
-    /// Takes a change; whether the engines are others now.
-    fn on_change(&mut self, change: Change) -> bool {
+    fn on_change(&mut self, change: Change, changed: &mut Changed) {
         let now = clock::now();
         let news = match &change {
             Change::Put(item) => {
                 self.on_config(item);
-                self.on_orders(std::slice::from_ref(item));
+                let translate = self.shared.translate.as_ref();
+                changed.orders |= self.ordered.on_item(now, translate, item);
                 self.fleet.on_item(register::listing(&self.shared, item));
                 self.entry(item).map(|(at, entry)| News::Entry(at, entry))
             }
             Change::Removed { key, revision } => {
-                self.on_record_gone(key);
+                let translate = self.shared.translate.as_ref();
+                changed.orders |= self.ordered.on_removed(translate, key);
                 self.fleet.on_removed(register::name(&self.shared, key));
                 let id = self.shared.translate.engine_id(key);
                 id.map(|id| News::Gone(*revision, id.to_string()))
             }
         };
-        news.is_some_and(|news| self.engines.on_news(now, news))
+        changed.engines |= news.is_some_and(|news| self.engines.on_news(now, news));
     }
 
     fn on_tick(&mut self) {
@@ -170,35 +178,6 @@
         }
     }
 
-    /// Publishes once for all: each copy of the view costs the traffic thread its cache.
-    fn on_orders(&self, items: &[Item]) {
-        let now = clock::now();
-        let translate = self.shared.translate.as_ref();
-        let mut ordered = None;
-        for item in items.iter().filter(|item| Ordered::is_record(translate, item)) {
-            let ordered = ordered.get_or_insert_with(|| Ordered::clone(&self.shared.view.load().ordered));
-            ordered.on_item(now, translate, item);
-        }
-        if let Some(ordered) = ordered {
-            self.shared.publish(|view| view.ordered = Arc::new(ordered));
-        }
-    }
-
-    fn on_all_orders(&self, revision: u64, items: &[Item]) {
-        let mut ordered = Ordered::clone(&self.shared.view.load().ordered);
-        ordered.on_all(self.shared.translate.as_ref(), revision, items);
-        self.shared.publish(|view| view.ordered = Arc::new(ordered));
-    }
-
-    fn on_record_gone(&self, key: &str) {
-        let Some(engine) = key.strip_prefix(&self.shared.translate.keys().orders) else {
-            return;
-        };
-        let mut ordered = Ordered::clone(&self.shared.view.load().ordered);
-        ordered.on_removed(engine);
-        self.shared.publish(|view| view.ordered = Arc::new(ordered));
-    }
-
     /// An entry that can't be read names no engine; it doesn't stop the others.
     fn entry(&self, item: &Item) -> Option<(u64, Entry)> {
         self.shared.translate.engine_id(&item.key)?;
@@ -243,12 +222,22 @@
         );
     }
 
+    fn publish(&self, changed: &Changed) {
+        if changed.engines {
+            self.publish_engines();
+        }
+        if changed.orders {
+            let ordered = Arc::new(self.ordered.clone());
+            self.shared.publish(|view| view.ordered = ordered);
+        }
+    }
+
     fn publish_engines(&self) {
-        let engines = Arc::new(self.engines.open());
+        let engines = self.engines.open();
         let count = self.engines.len();
-        self.shared.publish(|view| view.engines = engines);
+        self.shared.publish(|view| view.set_engines(engines));
         let view = self.shared.view.load();
-        let known: BTreeSet<EngineKey> = view.keys().into_values().collect();
+        let known: BTreeSet<EngineKey> = view.keys().values().copied().collect();
         self.shared.ledger().book.retain(|key| known.contains(&key));
         log_event!(
             info,
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -35,6 +35,7 @@
 use crate::ops::relay::send::Extra;
 use crate::ops::relay::send::Failure;
 use crate::ops::relay::send::MAX_ANSWER;
+use crate::ops::relay::send::end_of;
 use crate::ops::relay::send::send;
 use crate::ops::relay::shared::Running;
 use crate::ops::relay::shared::Shared;
@@ -131,7 +132,10 @@
     async fn stream(mut self) -> HttpResponse {
         loop {
             match self.open(self.ask.resume).await {
-                Ok(opened) if opened.is_failure() && self.may_go_on(End::Failed) => self.leave(opened),
+                Ok(opened) if opened.is_failure() && self.may_go_on(End::Failed) => {
+                    let (engine, answer) = opened.into_parts();
+                    self.leave(&engine, answer);
+                }
                 Ok(opened) => {
                     let running = self.running.take();
                     return stream::respond(self, opened, running);
@@ -142,13 +146,12 @@
         }
     }
 
-    /// Leaves an engine that failed before the first event, for another one.
+    /// Leaves an engine that failed before its answer began, for another one.
     ///
-    /// Failure guarded against: an engine fails part of its requests, and the caller gets its failure though the chat
+    /// Failure guarded against: an engine fails part of its requests, and the caller gets its failure though the request
     /// may run again and another engine is free.
-    fn leave(&mut self, opened: Opened) {
-        let (engine, answer) = opened.into_parts();
-        self.log_failure(&engine, &Failure::new(End::Failed, "the engine failed"), "send");
+    fn leave(&mut self, engine: &Engine, answer: Answer) {
+        self.log_failure(engine, &Failure::new(End::Failed, "the engine failed"), "send");
         self.judge(engine.key, End::Failed);
         self.tried.push(engine.key);
         self.pool.keep(engine.entry.address, answer);
@@ -203,16 +206,14 @@
         let result = self.exchange(&engine).await;
         match result {
             Ok((answer, body)) => {
-                let failed = answer.head.status.is_server_error();
-                let end = if failed { End::Failed } else { End::Answered };
+                let end = end_of(&answer);
+                if end == End::Failed && self.may_go_on(end) {
+                    self.leave(&engine, answer);
+                    return Err(None);
+                }
                 self.judge(engine.key, end);
                 let response = whole(&answer.head.headers, answer.head.status.as_u16(), body);
                 self.pool.keep(engine.entry.address, answer);
-                self.tried.push(engine.key);
-                if failed && self.may_go_on(end) {
-                    self.log_failure(&engine, &Failure::new(end, "the engine failed"), "send");
-                    return Err(None);
-                }
                 self.count(end.label());
                 let took = clock::now().since(self.ask.arrived);
                 self.shared.metrics.first(&self.path(), took);
--- a/src/ops/relay/gauges.rs
+++ b/src/ops/relay/gauges.rs
@@ -13,7 +13,7 @@
     metrics.running.set(count(shared.running()));
     metrics
         .engines
-        .set(count(view.engines.values().map(Vec::len).sum()));
+        .set(count(view.engines().values().map(Vec::len).sum()));
     metrics.instances.set(count(view.addresses.len()));
     metrics
         .version
@@ -24,7 +24,7 @@
         .peers_age
         .set(ledger.book.oldest_report(now).as_secs_f64());
     metrics.forget_services();
-    for (service, engines) in view.engines.iter() {
+    for (service, engines) in view.engines() {
         let own = sum(engines.iter().map(|e| ledger.book.own(e.key)));
         let fleet = sum(engines.iter().map(|e| ledger.book.work(now, e.key)));
         let slots: u32 = engines.iter().map(|e| e.entry.slots).sum();
--- a/src/ops/relay/idle.rs
+++ b/src/ops/relay/idle.rs
@@ -24,7 +24,7 @@
 
 /// The most idle connections to each engine.
 fn idle_most(view: &View) -> BTreeMap<SocketAddr, usize> {
-    let engines = view.engines.iter().flat_map(|(name, engines)| {
+    let engines = view.engines().iter().flat_map(|(name, engines)| {
         let service = view.table.services.get(name);
         engines.iter().map(move |engine| (service, engine))
     });
--- a/src/ops/relay/orders.rs
+++ b/src/ops/relay/orders.rs
@@ -14,6 +14,7 @@
 use http_body_util::Full;
 use sequoiastream_core::log_event;
 use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::engines::Entry;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::records::Absences;
@@ -78,15 +79,11 @@
 }
 
 impl Ordered {
-    /// Whether an item of the store is the record of an order.
-    pub fn is_record(translate: &dyn Translate, item: &Item) -> bool {
-        item.key.starts_with(&translate.keys().orders)
-    }
-
-    /// Takes an item of the store; one that can't be read counts as an order too, so that no second is given.
-    pub fn on_item(&mut self, now: Time, translate: &dyn Translate, item: &Item) {
+    /// Takes an item of the store; whether it is the record of an order. One that can't be read counts as an order too,
+    /// so that no second is given.
+    pub fn on_item(&mut self, now: Time, translate: &dyn Translate, item: &Item) -> bool {
         let Some(id) = item.key.strip_prefix(translate.keys().orders.as_str()) else {
-            return;
+            return false;
         };
         let stage = match serde_json::from_slice::<Record>(&item.value) {
             Ok(record) if record.reader => Stage::Prefill,
@@ -102,10 +99,14 @@
         let seen = self.seen.entry(id.to_string()).or_insert(first);
         seen.revision = seen.revision.max(revision);
         self.latest = Some(now);
+        true
     }
 
-    /// Drops the records that `items`, all that the store held as of `revision`, don't name; later ones stay.
-    pub fn on_all(&mut self, translate: &dyn Translate, revision: u64, items: &[Item]) {
+    /// Takes all that the store held as of `revision`: records that it doesn't name are dropped, but later ones stay.
+    pub fn on_all(&mut self, now: Time, translate: &dyn Translate, revision: u64, items: &[Item]) {
+        for item in items {
+            self.on_item(now, translate, item);
+        }
         let prefix = translate.keys().orders.as_str();
         let named: BTreeSet<&str> = items.iter().filter_map(|i| i.key.strip_prefix(prefix)).collect();
         self.seen
@@ -119,10 +120,13 @@
         self.seen.get(engine).map(|seen| seen.revision)
     }
 
-    /// Drops the record of an engine, which is no longer in the store.
-    pub fn on_removed(&mut self, engine: &str) {
-        self.stages.remove(engine);
+    /// Takes the removal of a key; whether a record was dropped.
+    pub fn on_removed(&mut self, translate: &dyn Translate, key: &str) -> bool {
+        let Some(engine) = key.strip_prefix(translate.keys().orders.as_str()) else {
+            return false;
+        };
         self.seen.remove(engine);
+        self.stages.remove(engine).is_some()
     }
 
     /// The engines that have had their order.
@@ -189,16 +193,15 @@
 /// engine the one order of its life that the whole fleet would not have given.
 #[derive(Debug, Default)]
 struct Steady {
-    known: BTreeSet<String>,
+    known: Arc<BTreeMap<String, EngineKey>>,
     looks: u32,
 }
 
 impl Steady {
     fn is_steady(&mut self, shared: &Shared) -> bool {
         let view = shared.view.load();
-        let known: BTreeSet<String> = view.keys().into_keys().map(str::to_string).collect();
-        if known != self.known {
-            self.known = known;
+        if !view.keys().keys().eq(self.known.keys()) {
+            self.known = view.keys().clone();
             self.looks = 0;
         }
         self.looks += 1;
@@ -213,7 +216,7 @@
     let ordered = view.ordered.engines();
     let is_split = |engines: &[Engine]| engines.iter().any(|e| ordered.contains_key(&e.entry.id));
     let engines = view
-        .engines
+        .engines()
         .values()
         .filter(|engines| is_steady || is_split(engines));
     let orders = engines.flat_map(|engines| {
--- a/src/ops/relay/peers.rs
+++ b/src/ops/relay/peers.rs
@@ -22,7 +22,6 @@
 use sequoiastream_core::relay::book::Work;
 use sequoiastream_core::relay::digest;
 use sequoiastream_core::relay::digest::Digest;
-use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_peer::PeerError;
 use sequoiastream_peer::call;
@@ -40,7 +39,6 @@
 use crate::log_event;
 use crate::ops::relay::known::Known;
 use crate::ops::relay::shared::Shared;
-use crate::ops::relay::shared::View;
 use crate::util::clock;
 
 /// Time between two heartbeats.
@@ -101,24 +99,6 @@
     }
 }
 
-/// Keys of the engines by id, kept until the engines change: each message about load needs them.
-#[derive(Debug, Default)]
-struct EngineKeys {
-    engines: Arc<BTreeMap<String, Vec<Engine>>>,
-    keys: Rc<BTreeMap<String, EngineKey>>,
-}
-
-impl EngineKeys {
-    fn of(&mut self, view: &View) -> Rc<BTreeMap<String, EngineKey>> {
-        if !Arc::ptr_eq(&self.engines, &view.engines) {
-            let keys = view.keys().into_iter().map(|(id, key)| (id.to_string(), key));
-            self.keys = Rc::new(keys.collect());
-            self.engines = view.engines.clone();
-        }
-        self.keys.clone()
-    }
-}
-
 struct State {
     shared: Arc<Shared>,
     socket: DatagramSocket,
@@ -126,7 +106,6 @@
     listed: RefCell<BTreeMap<Name, Listing>>,
     quiet: Cell<bool>,
     turn: Cell<u32>,
-    keys: RefCell<EngineKeys>,
     calls: CallClient,
     known: Known,
     /// Up to which revision of the store each peer said to know.
@@ -165,7 +144,6 @@
         listed: RefCell::default(),
         quiet: Cell::new(true),
         turn: Cell::new(0),
-        keys: RefCell::default(),
     }));
     actix_rt::spawn(receive(fleet.clone()));
     actix_rt::spawn(beat(fleet.clone()));
@@ -315,13 +293,9 @@
         }
     }
 
-    fn keys(&self) -> Rc<BTreeMap<String, EngineKey>> {
-        self.0.keys.borrow_mut().of(&self.0.shared.view.load())
-    }
-
     fn on_load(&self, name: &Name, digest: Digest) {
         self.0.ahead.borrow_mut().insert(name.clone(), digest.revision);
-        let keys = self.keys();
+        let keys = self.0.shared.view.load().keys().clone();
         let work: BTreeMap<EngineKey, Work> = digest
             .shares
             .into_iter()
@@ -351,7 +325,7 @@
         if self.0.quiet.replace(quiet) && quiet && !turn.is_multiple_of(QUIET_TURNS) {
             return;
         }
-        let keys = self.keys();
+        let keys = self.0.shared.view.load().keys().clone();
         let work = keys.iter().filter_map(|(id, key)| {
             let work = all.get(key)?;
             Some((id.clone(), *work))
--- a/src/ops/relay/pick.rs
+++ b/src/ops/relay/pick.rs
@@ -112,7 +112,7 @@
         let service = self.service.as_ref()?;
         // The engines of now: one that left since the request came gets no work any more.
         let view = self.shared.view.load();
-        let engines = view.engines.get(service)?;
+        let engines = view.engines().get(service)?;
         let now = clock::now();
         let is_changing = |e: &Engine| view.ordered.is_changing(now, &e.entry);
         // Seldom does any change its stage; only then is a copy made.
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -71,7 +71,7 @@
     /// Whether another engine is to read the prompt: where some do nothing else, and it is so long that reading it
     /// there costs less than the hand-over.
     pub(super) fn wants_reader(&self) -> bool {
-        let engines = self.service.as_ref().and_then(|s| self.view.engines.get(s));
+        let engines = self.service.as_ref().and_then(|s| self.view.engines().get(s));
         self.has_long_prompt() && engines.is_some_and(|e| e.iter().any(|e| e.entry.stage == Stage::Prefill))
     }
 
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -206,6 +206,14 @@
     Ok(())
 }
 
+/// What a whole answer says of its engine: failures other than a server's are the request's own.
+pub fn end_of(answer: &Answer) -> End {
+    match answer.head.status.is_server_error() {
+        true => End::Failed,
+        false => End::Answered,
+    }
+}
+
 /// Frees a prompt that an engine keeps and nobody will take.
 pub async fn release(pool: &Pool, address: SocketAddr, path: &str, limit: Duration) -> Result<(), Failure> {
     let mut request = Request::new(Full::new(Bytes::new()));
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -35,8 +35,9 @@
 pub struct View {
     /// Routes and services.
     pub table: Arc<Table>,
-    /// Engines that may get work, by service.
-    pub engines: Arc<BTreeMap<String, Vec<Engine>>>,
+    engines: Arc<BTreeMap<String, Vec<Engine>>>,
+    /// Derived from them: each message about load needs it.
+    keys: Arc<BTreeMap<String, EngineKey>>,
     /// Where callers may go, this instance included.
     pub addresses: Vec<SocketAddr>,
     /// Engines that have had their order.
@@ -53,10 +54,21 @@
         self.table.version > 0
     }
 
+    /// Engines that may get work, by service.
+    pub fn engines(&self) -> &BTreeMap<String, Vec<Engine>> {
+        &self.engines
+    }
+
     /// The key of each engine by its id.
-    pub fn keys(&self) -> BTreeMap<&str, EngineKey> {
-        let engines = self.engines.values().flatten();
-        engines.map(|e| (e.entry.id.as_str(), e.key)).collect()
+    pub fn keys(&self) -> &Arc<BTreeMap<String, EngineKey>> {
+        &self.keys
+    }
+
+    /// Replaces the engines.
+    pub fn set_engines(&mut self, engines: BTreeMap<String, Vec<Engine>>) {
+        let keys = engines.values().flatten().map(|e| (e.entry.id.clone(), e.key));
+        self.keys = Arc::new(keys.collect());
+        self.engines = Arc::new(engines);
     }
 }
 
--- a/src/ops/relay/stream.rs
+++ b/src/ops/relay/stream.rs
@@ -23,6 +23,7 @@
 use crate::ops::relay::forward::head;
 use crate::ops::relay::pick::Held;
 use crate::ops::relay::send::Failure;
+use crate::ops::relay::send::end_of;
 use crate::ops::relay::shared::Running;
 
 /// Pauses that are still on time which an engine may be silent for: callers leave after eight.
@@ -78,7 +79,7 @@
 impl Opened {
     /// Whether the engine failed instead of generating.
     pub fn is_failure(&self) -> bool {
-        self.answer.head.status.is_server_error()
+        end_of(&self.answer) == End::Failed
     }
 
     /// The engine and what is left of its answer.
@@ -120,12 +121,7 @@
     let parts = &opened.answer.head;
     let mut builder = head(&parts.headers, parts.status.as_u16());
     if let Some(body) = opened.body.clone() {
-        // Other failures are the request's own: the engine did its part.
-        let end = if opened.is_failure() {
-            End::Failed
-        } else {
-            End::Answered
-        };
+        let end = end_of(&opened.answer);
         forward.judge(opened.engine.key, end);
         forward.count(end.label());
         let (engine, answer) = opened.into_parts();
--- a/src/util/logging.rs
+++ b/src/util/logging.rs
@@ -36,10 +36,8 @@
 
 /// Sends log lines to standard error in the given format; `RUST_LOG` sets the level, `info` by default.
 pub fn init(format: LogFormat) {
-    let filter =
-        EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info,actix_server=warn"));
     let builder = tracing_subscriber::fmt()
-        .with_env_filter(filter)
+        .with_env_filter(levels())
         .with_target(false)
         // Failure guarded against: whoever reads the log ends, and the daemon neither serves well nor stops. The
         // library would report the failed write on standard error too, and panic since that fails as well; a
@@ -53,6 +51,11 @@
     }
 }
 
+/// The levels of `RUST_LOG`, `info` by default.
+fn levels() -> EnvFilter {
+    EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info,actix_server=warn"))
+}
+
 /// Logs a numbered event: `log_event!(info, log_event::STARTED, address = %a)`.
 #[macro_export]
 macro_rules! log_event {
@@ -98,8 +101,6 @@
 /// reading costs lines, and nothing else. `RUST_LOG` sets the level, `info` by default.
 pub fn init_bounded(format: LogFormat) -> BoundedLog {
     let budget = Arc::new(Mutex::new(LogBudget::new(clock::now())));
-    let levels =
-        EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info,actix_server=warn"));
     let (sender, receiver) = sync_channel(MAX_WAITING);
     std::thread::spawn(move || write_lines(&receiver));
     let log = BoundedLog { budget, sender };
@@ -113,7 +114,7 @@
         LogFormat::Json => layer.json().boxed(),
     };
     let layer = layer.with_filter(Within(log.budget.clone()));
-    tracing_subscriber::registry().with(levels).with(layer).init();
+    tracing_subscriber::registry().with(levels()).with(layer).init();
     log
 }
 
--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -30,7 +30,7 @@
 
 fn engines(shared: &Shared) -> Vec<String> {
     let view = shared.view.load();
-    let ids = view.engines.values().flatten().map(|e| e.entry.id.clone());
+    let ids = view.engines().values().flatten().map(|e| e.entry.id.clone());
     ids.collect()
 }
 
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -265,7 +265,7 @@
         let engines: Vec<Engine> = engines.collect();
         shared.publish(|view| {
             view.table = Arc::new(Table::new(3, limits(), vec![route], Vec::new()));
-            view.engines = Arc::new([("chat".to_string(), engines)].into());
+            view.set_engines([("chat".to_string(), engines)].into());
             view.instances = 1;
         });
         let server = server::start(shared.clone()).expect("an address of its own");
--- a/tests/testsuite/relay/orders.rs
+++ b/tests/testsuite/relay/orders.rs
@@ -38,7 +38,7 @@
     let engines: Vec<Engine> = engines.collect();
     shared.publish(|view| {
         view.table = Arc::new(Table::new(1, Limits::default(), Vec::new(), Vec::new()));
-        view.engines = Arc::new([("chat".to_string(), engines)].into());
+        view.set_engines([("chat".to_string(), engines)].into());
     });
     shared
 }
@@ -91,13 +91,13 @@
     until(|| store.calls().ranges == 1).await;
     store.set_down(false);
     // Another engine is due later: until its order is there, the first one was passed over.
-    let mut engines: Vec<Engine> = state.view.load().engines["chat"].clone();
+    let mut engines: Vec<Engine> = state.view.load().engines()["chat"].clone();
     let ninth = Entry {
         address: engine.address(),
         ..super::entry("e9", Stage::Decode)
     };
     engines.push(Engine::new(EngineKey(9), ninth));
-    state.publish(|view| view.engines = Arc::new([("chat".to_string(), engines)].into()));
+    state.publish(|view| view.set_engines([("chat".to_string(), engines)].into()));
     engine.wait_for(|log| !log.requests.is_empty()).await;
     let expected: Vec<Option<String>> = engine
         .log()
@@ -141,9 +141,9 @@
             Engine::new(EngineKey(index), entry)
         })
         .collect();
-    let mut all = state.view.load().engines["chat"].clone();
+    let mut all = state.view.load().engines()["chat"].clone();
     all.extend(engines);
-    state.publish(|view| view.engines = Arc::new([("chat".to_string(), all)].into()));
+    state.publish(|view| view.set_engines([("chat".to_string(), all)].into()));
     engine.wait_for(|log| log.requests.len() >= 2).await;
     let to_first = engine
         .log()
@@ -171,13 +171,13 @@
     let mut ordered = Ordered::default();
     ordered.on_item(Time::ZERO, &translate, &record("e1", 7));
     ordered.on_item(Time::ZERO, &translate, &record("e2", 9));
-    ordered.on_all(&translate, 8, &[record("e1", 7)]);
+    ordered.on_all(Time::ZERO, &translate, 8, &[record("e1", 7)]);
     assert_eq!(
         (ordered.revision("e1"), ordered.revision("e2")),
         (Some(7), Some(9))
     );
     ordered.on_item(Time::ZERO, &translate, &record("e1", 12));
-    ordered.on_all(&translate, 12, &[record("e1", 12)]);
+    ordered.on_all(Time::ZERO, &translate, 12, &[record("e1", 12)]);
     assert_eq!((ordered.revision("e1"), ordered.revision("e2")), (Some(12), None));
     assert_eq!(ordered.engines().len(), 1);
 }
--- a/tests/testsuite/relay/requests.rs
+++ b/tests/testsuite/relay/requests.rs
@@ -223,7 +223,9 @@
     let instance = Instance::start(Kind::Idempotent, &[(&engine, Stage::Whole)], |_| {});
     let got = instance.get("/r/x", "q1", "").await;
     assert_eq!(status(&got), "200");
-    instance.shared.publish(|view| view.engines = Default::default());
+    instance
+        .shared
+        .publish(|view| view.set_engines(Default::default()));
     engine.wait_for(|log| log.left == 1).await;
 }
 
--- a/tests/testsuite/relay/seeded.rs
+++ b/tests/testsuite/relay/seeded.rs
@@ -60,7 +60,7 @@
 type Truth = BTreeMap<String, (u64, Entry)>;
 
 /// The store: what it holds, and all that happened there.
-#[derive(Default)]
+#[derive(Debug, Default)]
 struct Store {
     revision: u64,
     items: Truth,
@@ -95,7 +95,7 @@
 }
 
 /// What an engine does with its id: each word is counted, in all of its lives.
-#[derive(Default)]
+#[derive(Debug, Default)]
 struct Words {
     sequence: u64,
     leaving: bool,
@@ -121,7 +121,7 @@
 }
 
 /// One instance, and what it can be held to.
-#[derive(Default)]
+#[derive(Debug, Default)]
 struct Instance {
     engines: Engines,
     known: u64,
