Let watches of the store rest after changes, the longer the larger the fleet

Logged: an instance's watch returned 235 times in 26 s, nearly always with one change (an engine's registration or stage), since each change ends each watch: 140 engines x 84 instances. Change: after changes an instance waits instances / 200 s, half a second at most, before its next watch, which waits that much less, so that a silent watch is found out as soon as before.

--- a/src/ops/relay/follow.rs
+++ b/src/ops/relay/follow.rs
@@ -40,6 +40,13 @@
 /// How often engines whose entry is missing are looked through.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Watches that all instances together begin in a second at most, however often something changes: a tenth of what the
+/// store's reads allow on the smallest deployment.
+const WATCHES: u32 = 200;
+
+/// Longest time by which changes wait to be fetched together: half of a watch's own wait.
+const LONGEST_REST: Duration = Duration::from_millis(500);
+
 /// Everything that begins with this is read and watched.
 const ALL: &str = "";
 
@@ -61,6 +68,20 @@
     /// Revision of the configuration that is in force.
     config: u64,
     failures: u32,
+    /// How long the next watch waits before it begins.
+    rest: Duration,
+}
+
+/// How long an instance of so many rests after a watch that brought changes.
+///
+/// Failure guarded against: a fleet of hundreds starts, or its engines come and go, and each single change ends the
+/// watch of every instance: changes times instances calls, which the store turns away and whoever runs it charges for.
+/// A watch that begins later brings what has gathered. Before 140 engines and with 84 instances it saves three calls in
+/// four, measured over a day.
+pub fn rest(instances: usize) -> Duration {
+    let instances = u32::try_from(instances).unwrap_or(u32::MAX);
+    let rest = Duration::from_secs(1) / WATCHES;
+    rest.saturating_mul(instances).min(LONGEST_REST)
 }
 
 /// Follows until the process ends.
@@ -74,6 +95,7 @@
         ordered: Ordered::default(),
         config: 0,
         failures: 0,
+        rest: Duration::ZERO,
     };
     let mut from = None;
     loop {
@@ -115,7 +137,10 @@
     }
 
     async fn watch(&mut self, revision: u64) -> Result<u64, StoreError> {
-        let wait = self.shared.tuning().wait;
+        let pause = std::mem::take(&mut self.rest);
+        self.pass(pause).await;
+        // A watch that falls silent is found out as soon as without the rest.
+        let wait = self.shared.tuning().wait.saturating_sub(pause);
         let watch = self.store.clone();
         let mut watch = watch.watch(ALL, revision, wait);
         let changes = loop {
@@ -124,6 +149,9 @@
                 () = tokio::time::sleep(TICK), if self.engines.is_waiting() => self.on_tick(),
             }
         };
+        if !changes.changes.is_empty() {
+            self.rest = rest(self.shared.view.load().instances);
+        }
         let mut changed = Changed::default();
         for change in changes.changes {
             self.known.on_change(self.shared.translate.keys(), &change);
@@ -135,6 +163,21 @@
         Ok(revision)
     }
 
+    /// Lets time pass; engines whose entry is missing are looked through meanwhile.
+    async fn pass(&mut self, time: Duration) {
+        let until = clock::now() + time;
+        loop {
+            let left = until.since(clock::now());
+            if left.is_zero() {
+                return;
+            }
+            tokio::time::sleep(left.min(TICK)).await;
+            if self.engines.is_waiting() {
+                self.on_tick();
+            }
+        }
+    }
+
     fn on_all(&mut self, revision: u64, items: &[Item]) {
         let now = clock::now();
         self.known.on_all(self.shared.translate.keys(), revision, items);
--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -54,6 +54,14 @@
     until(|| engines(&shared).is_empty()).await;
 }
 
+/// The store turns away a fleet that starts. Order: 140 engines register within seconds, each ends the watch of each of
+/// 84 instances. The instances together begin no more than some hundred watches a second; few instances need not wait.
+#[test]
+fn rest_by_fleet() {
+    let millis = [0, 1, 8, 84, 350, 1_000_000].map(|instances| follow::rest(instances).as_millis());
+    assert_eq!(millis, [0, 5, 40, 420, 500, 500]);
+}
+
 /// An engine leaves while nobody hears of it. Order: watches are cut and the history is dropped; the engine's leaving is
 /// in what was dropped. Cause: a watch goes on from now instead of reading everything.
 #[actix_web::test]
