Tell which parts were read where; serve the longest prompts late; wait for nearly the whole target

Change: messages about load carry what was read where (hash of the engine, part, tokens); core::relay::parts reckons from it and from the engines' memory who keeps a part. A reading is expected, placed and fetched by that. Since the longest prompts are now known to be late everywhere, they are let in where the wait is short (a tenth of the target), else they would starve. The limit goes from 0.8 to 0.95 of the target.

--- a/crates/core/src/relay/book.rs
+++ b/crates/core/src/relay/book.rs
@@ -9,6 +9,8 @@
 use crate::relay::by_engine::ByEngine;
 use crate::relay::engines::EngineKey;
 use crate::relay::pace::Pace;
+use crate::relay::parts::Parts;
+use crate::relay::parts::Read;
 use crate::relay::place::Reading;
 use crate::relay::told::Told;
 use crate::time::Time;
@@ -136,6 +138,8 @@
     next: u64,
     /// What reading takes the engines of each service.
     paces: BTreeMap<String, Pace>,
+    /// Which engine keeps which shared parts of prompts.
+    pub parts: Parts,
 }
 
 impl Book {
@@ -215,7 +219,7 @@
     /// Notes that an engine read a prompt in `took`.
     pub fn on_read(&mut self, now: Time, reading: &Reading, took: Duration) {
         let entry = &reading.engine.entry;
-        if reading.alone {
+        if reading.before.is_zero() {
             let pace = self.paces.entry(entry.service.clone()).or_default();
             pace.on_alone(reading.load, took);
         }
@@ -229,6 +233,16 @@
         self.loads.at(key).slowness = Some((now, mean + SLOWNESS_GAIN * (seen - mean)));
     }
 
+    /// Notes that an engine is sent a prompt to read: whoever asks for the same parts behind it finds them there.
+    pub fn on_sent(&mut self, now: Time, reading: &Reading, part: u64) {
+        let read = Read {
+            engine: reading.engine.hash,
+            part,
+            tokens: reading.adds,
+        };
+        self.parts.on_own(now, reading.engine.key, read);
+    }
+
     /// Time that readings take at an engine against what they take the engines of its service; 1 if nothing is known.
     pub fn slowness(&self, now: Time, engine: EngineKey) -> f64 {
         let mean = self.mean_slowness(now, engine);
@@ -322,8 +336,9 @@
         F: Fn(EngineKey) -> bool,
     {
         let gone = |key: EngineKey, load: &Load| !known(key) && load.own.requests == 0;
-        for (_, load) in self.loads.iter_mut().filter(|(key, load)| gone(*key, load)) {
+        for (key, load) in self.loads.iter_mut().filter(|(key, load)| gone(*key, load)) {
             *load = Load::default();
+            self.parts.forget(key);
         }
     }
 }
--- a/crates/core/src/relay/digest.rs
+++ b/crates/core/src/relay/digest.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::relay::book::Work;
+use crate::relay::parts::Read;
 use crate::relay::suspects::Note;
 
 /// Work at one engine.
@@ -27,13 +28,15 @@
     pub shares: Vec<Share>,
     /// Engines that broke off under a request lately.
     pub notes: Vec<Note>,
+    /// What the sender has had read lately.
+    pub reads: Vec<Read>,
     /// Revision of the store up to which the sender knows the engines.
     pub revision: u64,
 }
 
 impl Digest {
     /// The message about `work`.
-    pub fn new(work: BTreeMap<String, Work>, notes: Vec<Note>, revision: u64) -> Digest {
+    pub fn new(work: BTreeMap<String, Work>, notes: Vec<Note>, reads: Vec<Read>, revision: u64) -> Digest {
         let shares = work.into_iter().map(|(engine, work)| Share {
             engine,
             requests: work.requests,
@@ -42,6 +45,7 @@
         Digest {
             shares: shares.collect(),
             notes,
+            reads,
             revision,
         }
     }
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -12,6 +12,7 @@
 pub mod engines;
 pub mod hash;
 pub mod pace;
+pub mod parts;
 pub mod place;
 pub mod prompt;
 pub mod records;
--- a/crates/core/src/relay/place.rs
+++ b/crates/core/src/relay/place.rs
@@ -25,6 +25,9 @@
 /// load an engine that reads them has no time for others.
 const ANEW: f64 = 12.0;
 
+/// How often reading parts that no engine keeps counts besides, elsewhere than at their home.
+const HOME: f64 = 12.0;
+
 /// What another availability zone counts: half a round trip.
 const ZONE: Duration = Duration::from_micros(750);
 
@@ -38,10 +41,12 @@
     pub engine: Engine,
     /// What it has to read for it.
     pub load: Load,
+    /// Tokens that it has to put into its memory for it.
+    pub adds: u32,
     /// How long that keeps it from others.
     pub busy: Duration,
-    /// Whether it has nothing else to read.
-    pub alone: bool,
+    /// How long what it has to read before that takes.
+    pub before: Duration,
     /// How long it takes until the prompt is read, with all that is before it.
     pub takes: Duration,
     /// The other engine that most probably keeps its shared parts.
@@ -54,11 +59,22 @@
     pub fetch: Option<SocketAddr>,
 }
 
+/// Where an engine has the shared parts of a prompt from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Parts {
+    /// It keeps them.
+    Kept,
+    /// Another engine keeps them.
+    Fetched,
+    /// They have to be read.
+    Read,
+}
+
 /// What it would come to if an engine read a prompt.
 struct Estimate<'e> {
     engine: &'e Engine,
-    known: bool,
-    alone: bool,
+    parts: Parts,
+    before: Duration,
     takes: Duration,
     /// What it takes, and what the reading costs all others.
     cost: Duration,
@@ -72,6 +88,10 @@
     own: Duration,
     /// All of it.
     all: Duration,
+    /// The engine where requests with these parts meet.
+    home: Option<EngineKey>,
+    /// How long fetching the parts takes, if an engine keeps them.
+    fetch: Option<Duration>,
 }
 
 /// What a choice is made by.
@@ -85,6 +105,8 @@
     pub zone: &'a str,
     /// Engines that failed this request already.
     pub tried: &'a [EngineKey],
+    /// Tokens that an engine's memory holds, if that is known.
+    pub memory: Option<u64>,
 }
 
 impl Chooser<'_> {
@@ -96,43 +118,65 @@
     /// The engine that reads a prompt, of those at `stage`, and when it will have read it.
     pub fn reader(&self, engines: &[Engine], stage: Stage, prompt: &Prompt) -> Option<Reading> {
         let open = self.open(staged(engines, stage));
-        let homes = prompt.shared().map_or([None, None], |part| homes(&open, part.id));
-        let home = homes[0].map(|e| e.key);
+        let shared = prompt.shared();
+        let homes = shared.map_or([None, None], |part| homes(&open, part.id));
+        let keeps =
+            |e: &Engine| shared.is_some_and(|p| self.book.parts.keeps(self.now, e.key, p.id, self.memory));
+        let keeper = homes
+            .into_iter()
+            .flatten()
+            .chain(open.iter().copied())
+            .find(|e| keeps(e));
         let pace = self.book.pace(&open.first()?.entry.service);
         let loads = [prompt.input, prompt.own_tokens()].map(|tokens| Load::new(prompt, tokens));
         let need = Need {
             fixed: pace.fixed(),
             own: pace.busy(loads[1]),
             all: pace.busy(loads[0]),
+            home: homes[0].map(|e| e.key),
+            fetch: keeper.map(|e| self.book.handover(self.now, e.key)),
         };
-        let estimates = open
-            .into_iter()
-            .map(|e| self.estimate(e, home == Some(e.key), need));
+        let estimates = open.iter().map(|e| self.estimate(e, keeps(e), need));
         let best = estimates.min_by_key(|e| (e.cost, e.engine.key))?;
-        let keeper = homes.into_iter().flatten().find(|e| e.key != best.engine.key);
+        // Where nobody is known to keep the parts, the home may all the same: asking it costs nothing.
+        let mut sources = keeper.into_iter().chain(homes.into_iter().flatten());
+        let source = sources.find(|e| e.key != best.engine.key && best.parts != Parts::Kept);
+        let reads = usize::from(best.parts != Parts::Read);
         Some(Reading {
             engine: best.engine.clone(),
-            load: loads[usize::from(best.known)],
-            busy: if best.known { need.own } else { need.all },
-            alone: best.alone,
+            load: loads[reads],
+            adds: if best.parts == Parts::Kept {
+                prompt.own_tokens()
+            } else {
+                prompt.input
+            },
+            busy: [need.all, need.own][reads],
+            before: best.before,
             takes: best.takes,
-            fetch: keeper.map(|e| e.entry.address),
+            fetch: source.map(|e| e.entry.address),
         })
     }
 
-    fn estimate<'e>(&self, engine: &'e Engine, known: bool, need: Need) -> Estimate<'e> {
+    fn estimate<'e>(&self, engine: &'e Engine, keeps: bool, need: Need) -> Estimate<'e> {
         let slowness = self.book.slowness(self.now, engine.key);
         let before = self.book.work(self.now, engine.key).reading;
-        let busy = if known { need.own } else { need.all };
-        let takes = (need.fixed + before + busy).mul_f64(slowness);
-        // What is read anew costs this request its time, and all behind it the engine's.
-        let anew = busy - need.own.min(busy);
+        let anew = need.all.saturating_sub(need.own);
+        // What is read or fetched anew costs this request its time, and all behind it the engine's, or its memory. What
+        // no engine keeps costs the same everywhere, but at home others find it without being told.
+        let (parts, besides, weight) = match (keeps, need.fetch) {
+            (true, _) => (Parts::Kept, Duration::ZERO, 0.0),
+            (false, Some(fetch)) if fetch < anew => (Parts::Fetched, fetch, ANEW),
+            (false, Some(_)) => (Parts::Read, anew, ANEW),
+            (false, None) if need.home == Some(engine.key) => (Parts::Read, anew, 0.0),
+            (false, None) => (Parts::Read, anew, HOME),
+        };
+        let takes = (need.fixed + before + need.own + besides).mul_f64(slowness);
         Estimate {
             engine,
-            known,
-            alone: before.is_zero(),
+            parts,
+            before,
             takes,
-            cost: takes + anew.mul_f64(ANEW * slowness),
+            cost: takes + besides.mul_f64(weight * slowness),
         }
     }
 
--- a/src/ops/relay/peers.rs
+++ b/src/ops/relay/peers.rs
@@ -312,15 +312,32 @@
         for note in digest.notes {
             ledger.suspects.on_note(now, note);
         }
+        let view = self.0.shared.view.load();
+        for read in digest.reads {
+            // An engine that is not known here yet, or no more, gets no work from here.
+            if let Some(engine) = view.hashes().get(&read.engine) {
+                ledger.book.parts.on_read(now, *engine, read);
+            }
+        }
+    }
+
+    /// Where the peers that were heard lately listen.
+    fn heard(&self) -> Vec<SocketAddr> {
+        let roster = self.0.members.borrow().roster(clock::now());
+        let heard = roster.peers.iter().filter(|p| p.heard);
+        heard.map(|p| p.peer).collect()
     }
 
     /// Tells the peers about this instance's work and how far it knows the store; seldom, if there is no work.
     async fn tell(&self) {
-        let (all, notes) = {
+        let heard = self.heard();
+        let turns = heard.len().div_ceil(FANOUT).max(1);
+        let (all, notes, reads) = {
             let mut ledger = self.0.shared.ledger();
-            (ledger.book.all(), ledger.suspects.notes(clock::now()))
+            let reads = ledger.book.parts.tell(u32::try_from(turns).unwrap_or(u32::MAX));
+            (ledger.book.all(), ledger.suspects.notes(clock::now()), reads)
         };
-        let quiet = all.is_empty() && notes.is_empty();
+        let quiet = all.is_empty() && notes.is_empty() && reads.is_empty();
         let turn = self.0.turn.get();
         self.0.turn.set(turn.wrapping_add(1));
         if self.0.quiet.replace(quiet) && quiet && !turn.is_multiple_of(QUIET_TURNS) {
@@ -331,13 +348,8 @@
             let work = all.get(key)?;
             Some((id.clone(), *work))
         });
-        let digest = Digest::new(work.collect(), notes, self.0.known.revision());
-        let peers: Vec<SocketAddr> = {
-            let roster = self.0.members.borrow().roster(clock::now());
-            let heard = roster.peers.iter().filter(|p| p.heard);
-            let heard: Vec<SocketAddr> = heard.map(|p| p.peer).collect();
-            digest::part(&heard, turn, FANOUT)
-        };
+        let digest = Digest::new(work.collect(), notes, reads, self.0.known.revision());
+        let peers = digest::part(&heard, turn, FANOUT);
         for peer in peers {
             if let Err(error) = self.0.socket.send(peer, Datagram::Load(digest.clone())).await {
                 log_event!(debug, log_event::PEER_FAILED, to = %peer, %error, call = "load");
--- a/src/ops/relay/pick.rs
+++ b/src/ops/relay/pick.rs
@@ -10,6 +10,7 @@
 use sequoiastream_core::relay::pace::Load;
 use sequoiastream_core::relay::place::Chooser;
 use sequoiastream_core::relay::place::Reading;
+use sequoiastream_core::relay::prompt::Prompt;
 
 use crate::ops::relay::forward::Forward;
 use crate::ops::relay::shared::Shared;
@@ -59,9 +60,10 @@
             Stage::Prefill | Stage::Whole => 1,
         };
         let takes = reading.takes * slower;
-        if is_fresh && self.would_be_late(takes) {
+        if is_fresh && self.would_be_late(takes, reading.before) {
             return None;
         }
+        self.note_sent(&reading);
         Some((reading.engine, reading.busy))
     }
 
@@ -131,10 +133,23 @@
             now,
             zone: zone.unwrap_or(self.shared.options.zone.as_str()),
             tried: &self.tried,
+            memory: view
+                .table
+                .services
+                .get(service)
+                .and_then(|s| Some(s.memory.as_ref()?.tokens)),
         };
         choose(&chooser, &staying)
     }
 
+    /// Notes which shared parts an engine is sent to read.
+    pub(super) fn note_sent(&self, reading: &Reading) {
+        let part = self.ask.prompt.as_ref().and_then(Prompt::shared);
+        if let Some(part) = part {
+            self.shared.ledger().book.on_sent(clock::now(), reading, part.id);
+        }
+    }
+
     pub(super) fn hold(&self, engine: &Engine, reading: Duration) -> Held {
         let ticket = self.shared.ledger().book.begin(clock::now(), engine.key, reading);
         Held {
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -32,7 +32,10 @@
 
 /// Part of a route's target by which an answer must be expected to begin: the rest is for the ways to and from the
 /// caller and for what the prediction misses.
-const ON_TIME: f64 = 0.8;
+const ON_TIME: f64 = 0.95;
+
+/// Part of a route's target that is a short wait: a request that would be late all the same is let in by it.
+const SHORT_WAIT: f64 = 0.1;
 
 /// A prompt that an engine has read and keeps; freed when dropped, unless it was taken.
 pub(super) struct Kept {
@@ -87,7 +90,7 @@
             if is_first {
                 self.predicted = Some(clock::now().since(self.ask.arrived) + takes);
             }
-            if is_first && self.would_be_late(takes) {
+            if is_first && self.would_be_late(takes, reading.before) {
                 break;
             }
             // Only the first call to read a prompt is free: one for another attempt draws on the budget as well.
@@ -126,6 +129,7 @@
         reading: &Reading,
         patience: Option<Duration>,
     ) -> Result<(), Failure> {
+        self.note_sent(reading);
         let _held = self.hold(&reading.engine, reading.busy);
         let begun = clock::now();
         let name = self.call_reader(reading, patience).await?;
@@ -170,8 +174,11 @@
     }
 
     /// Whether an answer that begins after `takes` would be late; notes it as the reason of the refusal.
-    pub(super) fn would_be_late(&mut self, takes: Duration) -> bool {
-        let is_late = !self.is_on_time(takes);
+    ///
+    /// Failure guarded against: the longest prompts take longer than their target on an engine that has nothing else to
+    /// do, and are refused for ever. What waits for little besides itself is served, late if need be.
+    pub(super) fn would_be_late(&mut self, takes: Duration, wait: Duration) -> bool {
+        let is_late = !self.is_on_time(takes) && wait > self.route.target.mul_f64(SHORT_WAIT);
         if is_late {
             let why = "it would be late";
             self.refusal = Some(Refusal { why, takes });
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -38,6 +38,7 @@
     engines: Arc<BTreeMap<String, Vec<Engine>>>,
     /// Derived from them: each message about load needs it.
     keys: Arc<BTreeMap<String, EngineKey>>,
+    hashes: Arc<BTreeMap<u64, EngineKey>>,
     /// Where callers may go, this instance included.
     pub addresses: Vec<SocketAddr>,
     /// Engines that have had their order.
@@ -64,10 +65,17 @@
         &self.keys
     }
 
+    /// The key of each engine by the hash of its id.
+    pub fn hashes(&self) -> &BTreeMap<u64, EngineKey> {
+        &self.hashes
+    }
+
     /// Replaces the engines.
     pub fn set_engines(&mut self, engines: BTreeMap<String, Vec<Engine>>) {
         let keys = engines.values().flatten().map(|e| (e.entry.id.clone(), e.key));
         self.keys = Arc::new(keys.collect());
+        let hashes = engines.values().flatten().map(|e| (e.hash, e.key));
+        self.hashes = Arc::new(hashes.collect());
         self.engines = Arc::new(engines);
     }
 }
--- a/tests/testsuite/relay/answers.rs
+++ b/tests/testsuite/relay/answers.rs
@@ -323,6 +323,33 @@
     assert_eq!(generated[0].header("x-stage"), None);
 }
 
+/// The longest prompts are refused for ever. Order: one takes longer than its target on an engine that has nothing else to do;
+/// it is expected to be late, and refused, and so is its caller's next attempt. It is served late, but not behind others.
+#[actix_web::test]
+async fn prompt_too_long_for_target() {
+    let asked = Cell::new(0);
+    let reader = ScriptedEngine::start(move |_, request| match asked.replace(asked.get() + 1) {
+        0 => vec![answer(request, "kept h7")],
+        _ => vec![Act::Hold],
+    })
+    .await;
+    let generator =
+        ScriptedEngine::start(|_, request| vec![Act::Send(stream_of(request, 1..=1) + "0\r\n\r\n")]).await;
+    let engines = [(&reader, Stage::Prefill), (&generator, Stage::Decode)];
+    let instance = Instance::start(Kind::Stream, &engines, |route| {
+        route.target = Duration::from_millis(100);
+    });
+    let got = instance.get("/r/x", "q1", "x-tokens: 100000\r\n").await;
+    assert!(got.contains("token 1"), "{got}");
+    let ask = "x-tokens: 1000000\r\nx-deadline: 900\r\n";
+    let (_, behind) = tokio::join!(instance.get("/r/x", "q2", ask), async {
+        super::until(|| reader.log().requests.len() == 2).await;
+        instance.get("/r/x", "q3", ask).await
+    });
+    assert_eq!(status(&behind), "503", "{behind}");
+    assert_eq!(reader.log().requests.len(), 2, "the last one was not sent");
+}
+
 /// The engine that reads a prompt is told who may keep its shared parts, and the one that generates is not.
 #[actix_web::test]
 async fn prompt_fetched() {
--- a/tests/testsuite/relay/book.rs
+++ b/tests/testsuite/relay/book.rs
@@ -96,6 +96,7 @@
         now,
         zone: "a",
         tried: &[],
+        memory: None,
     };
     let prompt = Prompt {
         model: "m".to_string(),
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod orders;
 mod pace;
+mod parts;
 mod place;
 mod records;
 mod requests;
