Free a claim whose write lands after its release

Change: an owner remembers releases for 30 s, 64 a bucket, and applies one again when its claim, by its mark, turns up.

--- a/crates/core/src/claims/owner/slot.rs
+++ b/crates/core/src/claims/owner/slot.rs
@@ -1,10 +1,12 @@
 //! One bucket in the hands of an owner.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::claims::Ask;
 use crate::claims::Bucket;
 use crate::claims::BucketId;
+use crate::claims::Change;
 use crate::claims::ClaimId;
 use crate::claims::Clocks;
 use crate::claims::Edit;
@@ -28,6 +30,12 @@
 /// How long a question for what is known waits.
 const LOOK: Duration = Duration::from_secs(3);
 
+/// How long a release is remembered after it was taken: a write that was sent before may land some seconds later.
+const REMEMBER: Duration = Duration::from_secs(30);
+
+/// Releases that are remembered; beyond, the oldest are forgotten, and their claims end with their time.
+const MAX_RELEASES: usize = 64;
+
 /// What is known of the key-value entry.
 #[derive(Debug)]
 enum View {
@@ -78,6 +86,8 @@
     asks: Vec<Waiting>,
     looks: Vec<Look>,
     edits: Vec<Edit>,
+    /// Releases taken lately.
+    released: VecDeque<(Time, Edit)>,
     edited: Time,
     wrote: Option<Time>,
     pause: Time,
@@ -92,6 +102,7 @@
             asks: Vec::new(),
             looks: Vec::new(),
             edits: Vec::new(),
+            released: VecDeque::new(),
             edited: now,
             wrote: None,
             pause: Time::ZERO,
@@ -141,9 +152,38 @@
         if self.edits.is_empty() {
             self.edited = now;
         }
+        if edit.change == Change::Release {
+            self.released.push_back((now, edit.clone()));
+            if self.released.len() > MAX_RELEASES {
+                self.released.pop_front();
+            }
+        }
         self.edits.push(edit);
     }
 
+    /// Failure guarded against: a release finds nothing to free, since its claim's write is still on its way, and is
+    /// forgotten; the write lands, and the key stays "running" until its time is over, though its caller was told that
+    /// nothing runs. A claim bears the mark of one attempt, so that a release frees no other's.
+    fn release_again(&mut self, now: Time) {
+        self.released.retain(|(at, _)| now.since(*at) < REMEMBER);
+        let View::Seen(image) = &self.view else { return };
+        let stands = |edit: &Edit| {
+            let record = image.bucket.get(&edit.id);
+            record.is_some_and(|r| r.mark == edit.mark && matches!(r.state, State::Granted { .. }))
+        };
+        let late: Vec<Edit> = self
+            .released
+            .iter()
+            .map(|(_, edit)| edit)
+            .filter(|edit| stands(edit) && !self.edits.contains(edit))
+            .cloned()
+            .collect();
+        if self.edits.is_empty() {
+            self.edited = now;
+        }
+        self.edits.extend(late);
+    }
+
     pub(super) fn written(&mut self, revision: Revision, now: Time) {
         if let Some(Busy::Write { bucket, edits }) = self.busy.take() {
             self.edits.drain(..edits);
@@ -165,6 +205,7 @@
             bucket,
             at: now,
         });
+        self.release_again(now);
     }
 
     /// Failure guarded against: a write whose answer was lost is taken for one that took effect, its claim is
--- a/tests/testsuite/claims/owner.rs
+++ b/tests/testsuite/claims/owner.rs
@@ -255,6 +255,47 @@
     assert!(writes(&actions).is_empty());
 }
 
+/// An order is refused with "not run", and its key stays "running" until its deadline, 30 s later, though the platform is
+/// well. Order: one owner's write of the claim is unsure; the entry gives up and releases the claim at another owner, which reads
+/// the bucket, finds nothing to free and forgets the release; then the write lands; the buyer comes again. Cause: a release
+/// is taken for done because its claim isn't there yet.
+#[test]
+fn release_before_its_claim() {
+    let mut owner = Owner::new(OwnerSettings::default());
+    let id = claim(0).bucket;
+    let release = Edit {
+        id: claim(0).id,
+        mark: Mark(Uuid::from_u128(1)),
+        change: Change::Release,
+    };
+    owner.on(at(0), OwnerEvent::Edit(id, release));
+    let actions = owner.on(at(2_000), OwnerEvent::Tick);
+    assert_eq!(actions[0], OwnerAction::Read(id));
+    owner.on(at(2_005), OwnerEvent::Stands(id, Revision(3), Bucket::default()));
+    // The other owner's write takes effect now.
+    let mut late = Bucket::default();
+    let granted = Record {
+        mark: Mark(Uuid::from_u128(1)),
+        print: Fingerprint::new("POST", "/orders", b""),
+        state: State::Granted {
+            until: WallTime(WALL + 30_000),
+        },
+    };
+    late.add(claim(0).id, granted);
+    let actions = owner.on(at(2_500), asked(2, 0, 2));
+    assert_eq!(writes(&actions).len(), 1, "nothing is known there");
+    let actions = owner.on(at(2_505), OwnerEvent::Stands(id, Revision(4), late));
+    assert_eq!(answers(&actions), Vec::new(), "not running: it was released");
+    let all = writes(&actions);
+    let marks: Vec<Option<Mark>> = all
+        .iter()
+        .map(|(_, b)| b.get(&claim(0).id).map(|r| r.mark))
+        .collect();
+    assert_eq!(marks, [Some(Mark(Uuid::from_u128(2)))]);
+    let actions = owner.on(at(2_510), OwnerEvent::Written(id, Revision(5)));
+    assert_eq!(answers(&actions), vec![(2, Verdict::Granted)]);
+}
+
 #[test]
 fn ask_clock_differs() {
     let mut owner = Owner::new(OwnerSettings::default());
