Stand-in engine: report an answer whose last token is in the step that goes on

Cause (KNOWN-RED role_change_paused_instance): the stand-in takes a finished sequence off its batch when the last step begins and delivers its last token when the step ends; in between its report says that nothing runs, the holder takes the engine for empty, and the order cuts the answer. The product's wait for an empty report was right. report_counts_last_step shows it with a step of a second (red before). Change: the report counts such answers.

--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -118,6 +118,9 @@
 
 struct State {
     batch: Batch,
+    /// Answers whose last token is in the step that goes on: a report without them would call the engine empty, and an
+    /// order would cut them.
+    ending: usize,
     cache: PrefixCache,
     answers: BTreeMap<Uuid, Answer>,
     target: Target,
@@ -181,6 +184,7 @@
     };
     let state = State {
         batch: Batch::new(settings.rates),
+        ending: 0,
         cache: PrefixCache::new(settings.capacity),
         answers: BTreeMap::new(),
         target,
@@ -214,7 +218,9 @@
                 true => None,
                 false => {
                     let role = state.target.role;
-                    Some(state.batch.step(role))
+                    let step = state.batch.step(role);
+                    state.ending = step.1.iter().filter(|token| token.last).count();
+                    Some(step)
                 }
             }
         };
@@ -222,7 +228,9 @@
             None => work.await,
             Some((time, tokens)) => {
                 tokio::time::sleep(time).await;
-                deliver(&mut engine.lock(), &tokens);
+                let mut state = engine.lock();
+                deliver(&mut state, &tokens);
+                state.ending = 0;
             }
         }
     }
@@ -429,7 +437,7 @@
         away: state.away.is_some_and(|until| now < until),
         fence: state.fence,
         sequence: state.sequence,
-        running: state.batch.running() as u32,
+        running: (state.batch.running() + state.ending) as u32,
         queued: state.batch.queued() as u32,
         prefill: state.batch.prefill_left(),
         used: state.cache.used(),
--- a/tests/testsuite/authority/processes.rs
+++ b/tests/testsuite/authority/processes.rs
@@ -1,5 +1,6 @@
 //! With real processes. The stand-in engines record every order; what counts is that record.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
 use sequoiastream_core::config::Role;
@@ -426,3 +427,31 @@
     let cut: u64 = http::read(&format!("{}/control/cut", fleet.engines[0].url())).await;
     assert_eq!(cut, 0);
 }
+
+/// An order cuts an answer whose last token is a moment away. Order: an engine begins the step that ends its last answer; until
+/// that step is over its report says that nothing runs; the holder takes it for empty and changes it. Cause: an answer that
+/// still has a token to come is not counted.
+#[actix_web::test]
+async fn report_counts_last_step() {
+    let fleet = fleet()
+        .daemons(1)
+        .engine_arg("--prefill-rate=10")
+        .start_configured()
+        .await;
+    let url = format!("{}/v1/load", fleet.engines[0].url());
+    // Reading the prompt and the one token are one step, of a second.
+    let prompt = ["word"; 10].join(" ");
+    let answered = Cell::new(false);
+    let ask = async {
+        let reply = fleet.complete(0, &prompt, 1, 5).await;
+        answered.set(true);
+        reply
+    };
+    let look = http::until("the engine works or has answered", || async {
+        let load: LoadBody = http::read(&url).await;
+        (load.running > 0 || answered.get()).then_some(load.running > 0)
+    });
+    let (reply, was_running) = futures_util::join!(ask, look);
+    assert_eq!(reply.outcome.as_deref(), Some("whole"), "{reply:?}");
+    assert!(was_running, "idle while its answer was due");
+}
