--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -119,8 +119,12 @@
     702 PEER_REFUSED = "peer-refused";
     /// The upstreams that the platform's list shows as leaving changed.
     703 UPSTREAM_LEAVING = "upstream-leaving";
-    /// A peer told what it knows of the store, which this instance can't reach.
+    /// A peer told all that it knows of the store.
     704 PEER_TOLD = "peer-told";
+    /// This instance begins or ends to watch the store for the others of its zone.
+    705 WATCHER = "watcher";
+    /// No peer confirmed in time what this instance knows of the store; it watches by itself.
+    706 UNCONFIRMED = "unconfirmed";
     /// The planner proposes a role change.
     800 ROLE_PROPOSED = "role-proposed";
     /// An invariant was broken; the action was dropped.
--- a/crates/core/src/relay/digest.rs
+++ b/crates/core/src/relay/digest.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -9,6 +10,7 @@
 use crate::relay::book::Work;
 use crate::relay::parts::Read;
 use crate::relay::suspects::Note;
+use crate::relay::watchers::Word;
 
 /// Work at one engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,11 +34,13 @@
     pub reads: Vec<Read>,
     /// Revision of the store up to which the sender knows the engines.
     pub revision: u64,
+    /// Milliseconds since the store had nothing beyond that; the largest number if the sender can't tell.
+    pub age: u32,
 }
 
 impl Digest {
-    /// The message about `work`.
-    pub fn new(work: BTreeMap<String, Work>, notes: Vec<Note>, reads: Vec<Read>, revision: u64) -> Digest {
+    /// The message about `work`; it says nothing of the store yet.
+    pub fn new(work: BTreeMap<String, Work>, notes: Vec<Note>, reads: Vec<Read>) -> Digest {
         let shares = work.into_iter().map(|(engine, work)| Share {
             engine,
             requests: work.requests,
@@ -46,7 +50,25 @@
             shares: shares.collect(),
             notes,
             reads,
-            revision,
+            revision: 0,
+            age: u32::MAX,
+        }
+    }
+
+    /// The message with what the sender knows of the store.
+    pub fn with_word(mut self, word: Option<Word>) -> Digest {
+        if let Some(word) = word {
+            self.revision = word.revision;
+            self.age = u32::try_from(word.age.as_millis()).unwrap_or(u32::MAX);
+        }
+        self
+    }
+
+    /// What the sender knows of the store.
+    pub fn word(&self) -> Word {
+        Word {
+            revision: self.revision,
+            age: Duration::from_millis(u64::from(self.age)),
         }
     }
 }
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -20,3 +20,4 @@
 pub mod stages;
 pub mod suspects;
 pub mod told;
+pub mod watchers;
--- /dev/null
+++ b/crates/core/src/relay/watchers.rs
@@ -0,0 +1,176 @@
+//! Which instances watch the store for all, and how old what the others act on may be.
+//!
+//! A store is asked by a few instances of each availability zone. The others hear from their peers, in the messages that
+//! they get anyway, up to which revision these know the store and when the store last confirmed it; whoever is behind
+//! asks the peer for what it lacks. Nothing has to be agreed on: an instance works out its own place by the peers that it
+//! hears, two that disagree both watch, and one that has heard no recent confirmation watches by itself, whoever should
+//! have done so.
+
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// Instances of a zone for which one of them watches: what these ask it for stays a small part of its time.
+const EACH: usize = 16;
+
+/// Watchers of a zone, at least: one may be lost unnoticed.
+const LEAST: usize = 2;
+
+/// Part of the time within which a change must be in force for which a watch waits: one that falls silent is found out by
+/// its deadline with time left to read everything.
+const WAIT: f64 = 0.5;
+
+/// Part of it after which an instance that heard nothing watches by itself: longer than a watch waits, so that nobody
+/// calls the store while the watchers are well, and with time left for the answer.
+const PATIENCE: f64 = 0.7;
+
+/// Part of it over which the instances of a zone spread that: the first one that asks spares the others the call.
+const SPREAD: f64 = 0.1;
+
+/// An instance that did not run for so long has messages waiting that are as old.
+const ASLEEP: Duration = Duration::from_millis(500);
+
+/// How long it believes no message after that: what waited is read at once.
+const BACKLOG: Duration = Duration::from_millis(200);
+
+/// How many of so many instances of a zone watch.
+pub fn count(members: usize) -> usize {
+    members.div_ceil(EACH).max(LEAST).min(members)
+}
+
+/// The place of an instance among those of its zone that it hears, itself included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Seat {
+    /// How many come before it.
+    pub rank: usize,
+    /// How many there are.
+    pub members: usize,
+}
+
+impl Default for Seat {
+    /// An instance that hears nobody.
+    fn default() -> Seat {
+        Seat { rank: 0, members: 1 }
+    }
+}
+
+impl Seat {
+    /// Whether it watches for the others.
+    pub fn is_watcher(self) -> bool {
+        self.rank < count(self.members)
+    }
+}
+
+/// The times that follow from how soon a change must be in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bound(pub Duration);
+
+impl Bound {
+    /// How long a watch waits.
+    pub fn wait(self) -> Duration {
+        self.0.mul_f64(WAIT)
+    }
+
+    /// How old what an instance knows may be until it watches by itself.
+    pub fn patience(self, seat: Seat) -> Duration {
+        let turn = seat.rank as f64 / seat.members.max(1) as f64;
+        self.0.mul_f64(PATIENCE + SPREAD * turn)
+    }
+}
+
+/// What a peer says of its knowledge of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Word {
+    /// Up to which revision it knows the store.
+    pub revision: u64,
+    /// How long ago the store had nothing beyond that.
+    pub age: Duration,
+}
+
+/// What an instance is to do now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Duty {
+    /// Watch the store.
+    Watch,
+    /// Listen to the peers until then.
+    Listen(Time),
+}
+
+/// How far this instance knows the store, and since when that is all there is.
+#[derive(Debug, Clone, Default)]
+pub struct Reach {
+    revision: u64,
+    confirmed: Option<Time>,
+    /// The last time at which this instance ran.
+    latest: Option<Time>,
+    /// When it last ran again after a pause.
+    woken: Option<Time>,
+}
+
+impl Reach {
+    /// Up to which revision everything was taken in.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// How old what it knows may be; `None` if the store never confirmed it.
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        self.confirmed.map(|at| now.since(at))
+    }
+
+    /// Takes the store's own answer: all up to `revision`, asked for at `sent` with leave to wait for `wait`.
+    ///
+    /// Failure guarded against: an instance is paused while its watch waits, and when it goes on takes an answer from
+    /// before for one of now. The store has answered when the wait was over at the latest.
+    pub fn on_answer(&mut self, now: Time, sent: Time, wait: Duration, revision: u64) {
+        self.revision = self.revision.max(revision);
+        let answered = now.min(sent + wait);
+        self.confirmed = self.confirmed.max(Some(answered));
+    }
+
+    /// Takes in what a peer had: everything up to its word.
+    pub fn on_news(&mut self, now: Time, word: Word) {
+        self.revision = self.revision.max(word.revision);
+        self.on_word(now, word);
+    }
+
+    /// Takes what a peer says; whether the peer knows more.
+    pub fn on_word(&mut self, now: Time, word: Word) -> bool {
+        if word.revision > self.revision {
+            return true;
+        }
+        let is_backlog = self.woken.is_some_and(|at| now.since(at) < BACKLOG);
+        if !is_backlog && now.since(Time::ZERO) >= word.age {
+            self.confirmed = self.confirmed.max(Some(now - word.age));
+        }
+        false
+    }
+
+    /// Notes that this instance runs; to be called more often than [`ASLEEP`].
+    ///
+    /// Failure guarded against: an instance is paused, and the messages that came meanwhile pass for ones of now.
+    pub fn on_tick(&mut self, now: Time) {
+        let latest = self.latest.replace(now);
+        if latest.is_some_and(|at| now.since(at) > ASLEEP) {
+            self.woken = Some(now);
+        }
+    }
+
+    /// What it tells its peers; nothing before the store has confirmed anything.
+    pub fn word(&self, now: Time) -> Option<Word> {
+        let (revision, age) = (self.revision, self.age(now)?);
+        Some(Word { revision, age })
+    }
+
+    /// Whether to watch, or to listen until what it knows is too old.
+    pub fn duty(&self, seat: Seat, bound: Bound, now: Time) -> Duty {
+        let Some(confirmed) = self.confirmed else {
+            return Duty::Watch;
+        };
+        let until = confirmed + bound.patience(seat);
+        match seat.is_watcher() || now >= until {
+            true => Duty::Watch,
+            false => Duty::Listen(until),
+        }
+    }
+}
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -55,8 +55,10 @@
     Unhold(Name),
     /// Asks what became of an order.
     Settle(SettleOrder),
-    /// Asks for what the peer knows of the store.
+    /// Asks for all that the peer knows of the store.
     State,
+    /// Asks for what the peer knows of the store after this revision.
+    Since(u64),
 }
 
 /// The answer to a question over TCP.
@@ -78,8 +80,10 @@
     InFlight(u32),
     /// Answer to [`Request::Settle`].
     Settled(Settlement),
-    /// Answer to [`Request::State`].
+    /// Answer to [`Request::State`], and to [`Request::Since`] if the peer doesn't know all that happened since.
     State(StoreState),
+    /// Answer to [`Request::Since`].
+    News(StoreNews),
     /// The request is not served here.
     Unserved,
 }
@@ -111,10 +115,29 @@
 pub struct StoreState {
     /// Up to which revision.
     pub revision: u64,
+    /// Milliseconds since the store had nothing beyond that.
+    pub age: u32,
     /// The items.
     pub items: Vec<StoreItem>,
 }
 
+/// What happened in the store after a revision, as an instance knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreNews {
+    /// Up to which revision.
+    pub revision: u64,
+    /// Milliseconds since the store had nothing beyond that.
+    pub age: u32,
+    /// Milliseconds since a call to the store failed, there or where the news came from.
+    pub failed: Option<u32>,
+    /// Items that were written.
+    pub items: Vec<StoreItem>,
+    /// Keys that were removed, and at which revision.
+    pub removed: Vec<(u64, String)>,
+    /// Items that were written and are too large to be told: their revisions and keys.
+    pub large: Vec<(u64, String)>,
+}
+
 /// An item of the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreItem {
--- a/src/ops/relay/follow.rs
+++ b/src/ops/relay/follow.rs
@@ -3,9 +3,13 @@
 //! One watch covers both. It is resumed from the revision of its last answer. Failures guarded against: history that
 //! is no longer kept, a watch that was cut, and one that stays silent on a connection that looks alive. Each ends in
 //! a read of everything, which asks the store itself, not a copy that lags. The longest silence of a watch that
-//! is not noticed is [`Tuning::wait`](crate::ops::relay::options::Tuning) and [`ANSWER`].
+//! is not noticed is [`Bound::wait`](sequoiastream_core::relay::watchers::Bound::wait) and [`ANSWER`].
+//!
+//! Only a few instances watch, see [`watchers`](sequoiastream_core::relay::watchers): the others listen to their peers and
+//! ask one that knows more.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,16 +21,22 @@
 use sequoiastream_core::relay::engines::Entry;
 use sequoiastream_core::relay::engines::News;
 use sequoiastream_core::relay::routes::Table;
+use sequoiastream_core::relay::watchers::Duty;
+use sequoiastream_core::relay::watchers::Word;
+use sequoiastream_core::time::Time;
 use sequoiastream_kv::store::Change;
 use sequoiastream_kv::store::Item;
 use sequoiastream_kv::store::Store;
 use sequoiastream_kv::store::StoreError;
+use sequoiastream_peer::message::StoreNews;
+use sequoiastream_peer::message::StoreState;
 
 use crate::log_event;
 use crate::ops::relay::known;
 use crate::ops::relay::known::Known;
 use crate::ops::relay::orders::Ordered;
 use crate::ops::relay::peers::Fleet;
+use crate::ops::relay::peers::Told;
 use crate::ops::relay::register;
 use crate::ops::relay::shared::Shared;
 use crate::util::clock;
@@ -34,17 +44,21 @@
 /// Pause after the first failed call; doubles with each.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// Longest pause: with it, an instance knows within a second that the store is back.
+/// Longest pause of an instance that watches for others: with it, it knows within a second that the store is back.
 const LONGEST: Duration = Duration::from_millis(800);
 
+/// Longest pause of all other instances: they hear of the store's return from those.
+const LONGEST_LISTENER: Duration = Duration::from_millis(2_000);
+
 /// How often engines whose entry is missing are looked through.
 const TICK: Duration = Duration::from_millis(100);
 
-/// Watches that all instances together begin in a second at most, however often something changes: a tenth of what the
+/// Watches that all watchers together begin in a second at most, however often something changes: a tenth of what the
 /// store's reads allow on the smallest deployment.
 const WATCHES: u32 = 200;
 
-/// Longest time by which changes wait to be fetched together: half of a watch's own wait.
+/// Longest time by which changes wait to be fetched together: a quarter of the shortest time by which they must be in
+/// force.
 const LONGEST_REST: Duration = Duration::from_millis(500);
 
 /// Everything that begins with this is read and watched.
@@ -56,6 +70,7 @@
 struct Changed {
     engines: bool,
     orders: bool,
+    instances: bool,
 }
 
 struct Follower {
@@ -70,18 +85,19 @@
     failures: u32,
     /// How long the next watch waits before it begins.
     rest: Duration,
+    /// Whether all up to the known revision was taken in, and the store still tells what follows it.
+    complete: bool,
 }
 
-/// How long an instance of so many rests after a watch that brought changes.
+/// How long one of so many watchers rests after a watch that brought changes.
 ///
 /// Failure guarded against: a fleet of hundreds starts, or its engines come and go, and each single change ends the
-/// watch of every instance: changes times instances calls, which the store turns away and whoever runs it charges for.
-/// A watch that begins later brings what has gathered. Before 140 engines and with 84 instances it saves 68 to 77 calls
-/// in a hundred, measured over three days.
-pub fn rest(instances: usize) -> Duration {
-    let instances = u32::try_from(instances).unwrap_or(u32::MAX);
+/// watch of every watcher: changes times watchers calls, which the store turns away and whoever runs it charges for.
+/// A watch that begins later brings what has gathered.
+pub fn rest(watchers: usize) -> Duration {
+    let watchers = u32::try_from(watchers).unwrap_or(u32::MAX);
     let rest = Duration::from_secs(1) / WATCHES;
-    rest.saturating_mul(instances).min(LONGEST_REST)
+    rest.saturating_mul(watchers).min(LONGEST_REST)
 }
 
 /// Follows until the process ends.
@@ -96,31 +112,64 @@
         config: 0,
         failures: 0,
         rest: Duration::ZERO,
+        complete: false,
     };
-    let mut from = None;
     loop {
-        let known = match from {
-            None => follower.read().await,
-            Some(revision) => follower.watch(revision).await,
-        };
-        from = match known {
-            Ok(revision) => {
-                follower.on_success();
-                Some(revision)
-            }
-            Err(error) => {
-                follower.on_failure(&error).await;
-                None
-            }
-        };
+        follower.step().await;
     }
 }
 
 impl Follower {
+    /// Asks the store, or listens to the peers until one knows more or too much time has passed.
+    async fn step(&mut self) {
+        let now = clock::now();
+        let tuning = self.shared.tuning();
+        let duty = self.known.duty(self.fleet.seat(), tuning.bound, now);
+        let asked = match duty {
+            Duty::Listen(until) => return self.listen(until).await,
+            Duty::Watch if self.complete => {
+                self.log_unconfirmed(now);
+                self.watch(self.known.revision()).await
+            }
+            Duty::Watch => self.read().await,
+        };
+        self.complete = asked.is_ok();
+        match asked {
+            Ok(()) => self.on_success(),
+            Err(error) => self.on_failure(&error).await,
+        }
+    }
+
+    /// An instance that should listen and watches all the same has not heard of the store for too long.
+    fn log_unconfirmed(&self, now: Time) {
+        if self.fleet.seat().is_watcher() {
+            return;
+        }
+        let age = known::millis(self.known.age(now));
+        log_event!(
+            info,
+            log_event::UNCONFIRMED,
+            age,
+            revision = self.known.revision()
+        );
+    }
+
+    /// Listens to the peers until `until`, and takes what they know more.
+    async fn listen(&mut self, until: Time) {
+        let fleet = self.fleet.clone();
+        tokio::select! {
+            () = fleet.news() => {}
+            () = self.pass(until.since(clock::now())) => {}
+        }
+        while self.ask_peer().await {}
+        self.on_confirmed();
+    }
+
     /// Reads everything, page by page.
-    async fn read(&mut self) -> Result<u64, StoreError> {
+    async fn read(&mut self) -> Result<(), StoreError> {
         let mut items: Vec<Item> = Vec::new();
         let mut revision = u64::MAX;
+        let sent = clock::now();
         loop {
             let after = items.last().map_or("", |item| &item.key);
             let page = self.store.range(ALL, after).await?;
@@ -133,34 +182,48 @@
             }
         }
         self.on_all(revision, &items);
-        Ok(revision)
+        self.known.on_answer(clock::now(), sent, Duration::ZERO, revision);
+        Ok(())
     }
 
-    async fn watch(&mut self, revision: u64) -> Result<u64, StoreError> {
+    async fn watch(&mut self, revision: u64) -> Result<(), StoreError> {
         let pause = std::mem::take(&mut self.rest);
         self.pass(pause).await;
         // A watch that falls silent is found out as soon as without the rest.
-        let wait = self.shared.tuning().wait.saturating_sub(pause);
+        let wait = self.shared.tuning().bound.wait().saturating_sub(pause);
         let watch = self.store.clone();
+        let sent = clock::now();
         let mut watch = watch.watch(ALL, revision, wait);
+        let fleet = self.fleet.clone();
         let changes = loop {
             tokio::select! {
                 changes = &mut watch => break changes?,
                 () = tokio::time::sleep(TICK), if self.engines.is_waiting() => self.on_tick(),
+                // Others watch for it again, and know more by now.
+                () = fleet.news() => if !fleet.seat().is_watcher() {
+                    while self.ask_peer().await {}
+                    return Ok(());
+                }
             }
         };
         if !changes.changes.is_empty() {
-            self.rest = rest(self.shared.view.load().instances);
+            self.rest = rest(self.fleet.watchers());
         }
+        self.on_changes(changes.changes);
+        let now = clock::now();
+        self.known
+            .on_answer(now, sent, wait, changes.revision.max(revision));
+        Ok(())
+    }
+
+    /// Takes in what has changed, in the order in which it did.
+    fn on_changes(&mut self, changes: Vec<Change>) {
         let mut changed = Changed::default();
-        for change in changes.changes {
+        for change in changes {
             self.known.on_change(self.shared.translate.keys(), &change);
             self.on_change(change, &mut changed);
         }
         self.publish(&changed);
-        let revision = changes.revision.max(revision);
-        self.known.on_revision(revision);
-        Ok(revision)
     }
 
     /// Lets time pass; engines whose entry is missing are looked through meanwhile.
@@ -189,8 +252,11 @@
         for item in items {
             self.on_config(item);
         }
-        let orders = true;
-        self.publish(&Changed { engines, orders });
+        self.publish(&Changed {
+            engines,
+            orders: true,
+            instances: false,
+        });
         self.fleet.on_listed(register::listings(&self.shared, items));
     }
 
@@ -201,13 +267,13 @@
                 self.on_config(item);
                 let translate = self.shared.translate.as_ref();
                 changed.orders |= self.ordered.on_item(now, translate, item);
-                self.fleet.on_item(register::listing(&self.shared, item));
+                changed.instances |= self.fleet.on_item(register::listing(&self.shared, item));
                 self.entry(item).map(|(at, entry)| News::Entry(at, entry))
             }
             Change::Removed { key, revision } => {
                 let translate = self.shared.translate.as_ref();
                 changed.orders |= self.ordered.on_removed(translate, key);
-                self.fleet.on_removed(register::name(&self.shared, key));
+                changed.instances |= self.fleet.on_removed(register::name(&self.shared, key));
                 let id = self.shared.translate.engine_id(key);
                 id.map(|id| News::Gone(*revision, id.to_string()))
             }
@@ -273,6 +339,9 @@
             let ordered = Arc::new(self.ordered.clone());
             self.shared.publish(|view| view.ordered = ordered);
         }
+        if changed.instances {
+            self.fleet.relist();
+        }
     }
 
     fn publish_engines(&self) {
@@ -291,7 +360,7 @@
     }
 
     fn on_success(&mut self) {
-        self.shared.on_store(clock::now());
+        self.on_confirmed();
         if self.failures > 0 {
             log_event!(info, log_event::KV_BACK, failures = self.failures);
         }
@@ -299,15 +368,89 @@
         self.on_tick();
     }
 
-    /// Takes what a peer knows of the store, if one knows more.
-    async fn ask_peer(&mut self) {
-        let Some(told) = self.fleet.ask_ahead(self.known.revision()).await else {
-            return;
-        };
-        let revision = told.revision;
-        let items = known::items(told);
-        self.on_all(revision, &items);
-        log_event!(info, log_event::PEER_TOLD, revision, items = items.len());
+    /// Shows how old what is known may be.
+    fn on_confirmed(&self) {
+        let now = clock::now();
+        if let Some(age) = self.known.age(now) {
+            self.shared.on_store(now - age);
+        }
+    }
+
+    /// Takes what a peer knows of the store, if one knows more; whether one did.
+    async fn ask_peer(&mut self) -> bool {
+        match self.fleet.ask_ahead(self.known.revision()).await {
+            Some(Told::All(told)) => {
+                self.on_state(told);
+                true
+            }
+            Some(Told::Since(peer, told)) => self.on_told(peer, told).await,
+            None => false,
+        }
+    }
+
+    /// Takes all that a peer knows of the store.
+    fn on_state(&mut self, told: StoreState) {
+        let word = word(told.revision, told.age);
+        let items: Vec<Item> = told.items.into_iter().map(known::item).collect();
+        self.on_all(word.revision, &items);
+        self.known.on_news(clock::now(), word);
+        self.complete = true;
+        log_event!(
+            info,
+            log_event::PEER_TOLD,
+            revision = word.revision,
+            items = items.len()
+        );
+    }
+
+    /// Takes what happened in the store since, as a peer knows it; whether all of it could be had.
+    ///
+    /// Failure guarded against: the store was away, entries of engines lapsed meanwhile, and an instance that didn't ask
+    /// the store itself takes their removal for their end. The peer says when the store last failed it.
+    async fn on_told(&mut self, peer: SocketAddr, told: StoreNews) -> bool {
+        let mut items: Vec<Item> = told.items.into_iter().map(known::item).collect();
+        for (revision, key) in &told.large {
+            match self.large(*revision, key).await {
+                Some(item) => items.push(item),
+                None => {
+                    let all = self.fleet.ask_all(peer).await;
+                    let is_told = all.is_some();
+                    all.into_iter().for_each(|all| self.on_state(all));
+                    return is_told;
+                }
+            }
+        }
+        let now = clock::now();
+        if let Some(millis) = told.failed {
+            let at = now - Duration::from_millis(u64::from(millis));
+            self.engines.on_failure(at);
+            self.known.on_failure(at);
+        }
+        let removed = told
+            .removed
+            .into_iter()
+            .map(|(revision, key)| Change::Removed { key, revision });
+        let mut changes: Vec<Change> = items.into_iter().map(Change::Put).chain(removed).collect();
+        changes.sort_by_key(revision);
+        self.on_changes(changes);
+        self.known.on_news(now, word(told.revision, told.age));
+        self.complete = true;
+        true
+    }
+
+    /// The item under a key from the store itself, as of a revision or later. One that is gone by then counts as not had:
+    /// the peer's whole state says so.
+    async fn large(&self, revision: u64, key: &str) -> Option<Item> {
+        match self.store.range(key, "").await {
+            Ok(page) => {
+                let found = page.items.into_iter().find(|item| item.key == key);
+                found.filter(|item| item.revision >= revision)
+            }
+            Err(error) => {
+                log_event!(info, log_event::KV_FAILED, %error, call = "large");
+                None
+            }
+        }
     }
 
     async fn on_failure(&mut self, error: &StoreError) {
@@ -318,11 +461,31 @@
         if self.failures == 0 {
             log_event!(warn, log_event::KV_FAILED, %error, call = "follow");
         }
-        self.engines.on_failure(clock::now());
-        let pause = PAUSE.saturating_mul(1 << self.failures.min(8)).min(LONGEST);
+        let now = clock::now();
+        self.engines.on_failure(now);
+        self.known.on_failure(now);
+        let longest = match self.fleet.seat().is_watcher() {
+            true => LONGEST,
+            false => LONGEST_LISTENER,
+        };
+        let pause = PAUSE.saturating_mul(1 << self.failures.min(8)).min(longest);
         self.failures += 1;
         self.ask_peer().await;
         let pause = pause.mul_f64(0.5 + rand::rng().random::<f64>());
-        tokio::time::sleep(pause).await;
+        self.pass(pause).await;
+    }
+}
+
+fn word(revision: u64, age: u32) -> Word {
+    Word {
+        revision,
+        age: Duration::from_millis(u64::from(age)),
+    }
+}
+
+fn revision(change: &Change) -> u64 {
+    match change {
+        Change::Put(item) => item.revision,
+        Change::Removed { revision, .. } => *revision,
     }
 }
--- a/src/ops/relay/known.rs
+++ b/src/ops/relay/known.rs
@@ -1,25 +1,47 @@
-//! What this instance knows of the store, kept for peers that can't reach it.
+//! What this instance knows of the store, kept for peers that don't ask it themselves.
 //!
-//! Failure guarded against: the store turns some instances away and serves the others. Those that are turned away would
-//! send work to engines that have left, by routes that are no longer in force, until they are let in again. They ask a
-//! peer that is further ahead instead; it answers with what it knows.
+//! Failures guarded against: hundreds of instances ask the store for each change; the store turns some instances away and
+//! serves the others, and those that are turned away would send work to engines that have left, by routes that are no
+//! longer in force. They ask a peer that is further ahead instead; it answers with what they lack.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use sequoiastream_core::relay::watchers::Bound;
+use sequoiastream_core::relay::watchers::Duty;
+use sequoiastream_core::relay::watchers::Reach;
+use sequoiastream_core::relay::watchers::Seat;
+use sequoiastream_core::relay::watchers::Word;
+use sequoiastream_core::time::Time;
 use sequoiastream_kv::store::Change;
 use sequoiastream_kv::store::Item;
 use sequoiastream_peer::message::StoreItem;
+use sequoiastream_peer::message::StoreNews;
 use sequoiastream_peer::message::StoreState;
 
 use crate::ops::relay::edge::Keys;
 
+/// Removals that are kept for peers that lag; beyond, they are told everything.
+const MAX_REMOVED: usize = 1_024;
+
+/// Largest value that is told with the news, in bytes. The link of a small instance takes a second for a configuration of
+/// a megabyte, and all its neighbours would ask for it at once; the store's is a hundred times as wide.
+const MAX_TOLD: usize = 16 * 1024;
+
 #[derive(Debug, Default)]
 struct State {
-    revision: u64,
+    reach: Reach,
     items: BTreeMap<String, Item>,
+    /// Removals, by revision.
+    removed: BTreeSet<(u64, String)>,
+    /// All removals after this revision are known.
+    horizon: u64,
+    /// When a call to the store last failed, here or where the news came from.
+    failed: Option<Time>,
 }
 
 /// What is known; cheap to clone, stays on one thread.
@@ -34,18 +56,58 @@
 
     /// Up to which revision.
     pub fn revision(&self) -> u64 {
-        self.0.borrow().revision
+        self.0.borrow().reach.revision()
+    }
+
+    /// Whether to watch the store or to listen to the peers.
+    pub fn duty(&self, seat: Seat, bound: Bound, now: Time) -> Duty {
+        self.0.borrow().reach.duty(seat, bound, now)
+    }
+
+    /// What the peers are told of it.
+    pub fn word(&self, now: Time) -> Option<Word> {
+        self.0.borrow().reach.word(now)
+    }
+
+    /// When the store last confirmed it.
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        self.0.borrow().reach.age(now)
+    }
+
+    /// Takes the word of a peer; whether the peer knows more.
+    pub fn on_word(&self, now: Time, word: Word) -> bool {
+        self.0.borrow_mut().reach.on_word(now, word)
+    }
+
+    /// Notes that this instance runs.
+    pub fn on_tick(&self, now: Time) {
+        self.0.borrow_mut().reach.on_tick(now);
+    }
+
+    /// Notes when a call to the store failed.
+    pub fn on_failure(&self, at: Time) {
+        let mut state = self.0.borrow_mut();
+        state.failed = state.failed.max(Some(at));
     }
 
     /// Takes all items as of `revision`, unless more is known already.
     pub fn on_all(&self, keys: &Keys, revision: u64, items: &[Item]) {
         let mut state = self.0.borrow_mut();
-        if revision < state.revision {
+        if revision < state.reach.revision() {
             return;
         }
         let kept = items.iter().filter(|item| is_shared(keys, &item.key));
-        state.items = kept.map(|item| (item.key.clone(), item.clone())).collect();
-        state.revision = revision;
+        let kept = kept.map(|item| (item.key.clone(), item.clone())).collect();
+        let before = std::mem::replace(&mut state.items, kept);
+        if state.reach.revision() == 0 {
+            state.horizon = revision;
+        }
+        // What is no longer there went since the last answer: peers that lag are told just that.
+        let gone: Vec<String> = before
+            .into_keys()
+            .filter(|key| !state.items.contains_key(key))
+            .collect();
+        gone.iter().for_each(|key| state.remove(key, revision));
     }
 
     /// Takes a change.
@@ -56,43 +118,89 @@
                 state.items.insert(item.key.clone(), item.clone());
             }
             Change::Put(_) => {}
-            Change::Removed { key, .. } => {
-                state.items.remove(key);
-            }
+            Change::Removed { key, revision } if is_shared(keys, key) => state.remove(key, *revision),
+            Change::Removed { .. } => {}
         }
     }
 
-    /// Notes that all changes up to `revision` were taken.
-    pub fn on_revision(&self, revision: u64) {
-        let mut state = self.0.borrow_mut();
-        state.revision = state.revision.max(revision);
+    /// Notes that the store's answer was taken in, see [`Reach::on_answer`].
+    pub fn on_answer(&self, now: Time, sent: Time, wait: Duration, revision: u64) {
+        self.0.borrow_mut().reach.on_answer(now, sent, wait, revision);
+    }
+
+    /// Notes that what a peer had was taken in.
+    pub fn on_news(&self, now: Time, word: Word) {
+        self.0.borrow_mut().reach.on_news(now, word);
     }
 
-    /// What a peer that asks is told.
-    pub fn tell(&self) -> StoreState {
+    /// Everything, for a peer that asks.
+    pub fn tell(&self, now: Time) -> StoreState {
         let state = self.0.borrow();
-        let items = state.items.values().map(|item| StoreItem {
-            key: item.key.clone(),
-            value: item.value.to_vec(),
-            revision: item.revision,
-            created: item.created,
-        });
         StoreState {
-            revision: state.revision,
-            items: items.collect(),
+            revision: state.reach.revision(),
+            age: millis(state.reach.age(now)),
+            items: state.items.values().map(told).collect(),
         }
     }
+
+    /// What happened after a revision, for a peer that knows the store up to there; `None` if that is no longer known.
+    pub fn tell_since(&self, now: Time, revision: u64) -> Option<StoreNews> {
+        let state = self.0.borrow();
+        if revision < state.horizon {
+            return None;
+        }
+        let changed = state.items.values().filter(|item| item.revision > revision);
+        let (large, small): (Vec<&Item>, Vec<&Item>) = changed.partition(|item| item.value.len() > MAX_TOLD);
+        let later = state.removed.range((revision + 1, String::new())..);
+        Some(StoreNews {
+            revision: state.reach.revision(),
+            age: millis(state.reach.age(now)),
+            failed: state.failed.map(|at| millis(Some(now.since(at)))),
+            items: small.into_iter().map(told).collect(),
+            removed: later.cloned().collect(),
+            large: large
+                .into_iter()
+                .map(|item| (item.revision, item.key.clone()))
+                .collect(),
+        })
+    }
 }
 
-/// The items that a peer told of.
-pub fn items(told: StoreState) -> Vec<Item> {
-    let items = told.items.into_iter().map(|item| Item {
-        key: item.key,
-        value: Bytes::from(item.value),
+impl State {
+    fn remove(&mut self, key: &str, revision: u64) {
+        self.items.remove(key);
+        self.removed.insert((revision, key.to_string()));
+        while self.removed.len() > MAX_REMOVED
+            && let Some((oldest, _)) = self.removed.pop_first()
+        {
+            self.horizon = self.horizon.max(oldest);
+        }
+    }
+}
+
+fn told(item: &Item) -> StoreItem {
+    StoreItem {
+        key: item.key.clone(),
+        value: item.value.to_vec(),
         revision: item.revision,
         created: item.created,
-    });
-    items.collect()
+    }
+}
+
+/// The item that a peer told of.
+pub fn item(told: StoreItem) -> Item {
+    Item {
+        key: told.key,
+        value: Bytes::from(told.value),
+        revision: told.revision,
+        created: told.created,
+    }
+}
+
+/// An age as messages carry it; the longest if there is none.
+pub fn millis(age: Option<Duration>) -> u32 {
+    let millis = age.and_then(|age| u32::try_from(age.as_millis()).ok());
+    millis.unwrap_or(u32::MAX)
 }
 
 fn is_shared(keys: &Keys, key: &str) -> bool {
--- a/src/ops/relay/options.rs
+++ b/src/ops/relay/options.rs
@@ -5,14 +5,14 @@
 
 use sequoiastream_core::name::Name;
 use sequoiastream_core::relay::budget::Rule;
+use sequoiastream_core::relay::watchers::Bound;
 
 /// How long callers are told to keep an answer about addresses. Some keep it three times as long: that must pass
 /// within the grace period of a shutdown, with time left for the longest streams: these take five seconds.
 pub const KEEP: Duration = Duration::from_secs(1);
 
-/// How long a watch of the store waits. With the time for its answer it stays below the two seconds by which a change
-/// must be in force, so that a watch that fell silent is found out in time.
-pub const WAIT: Duration = Duration::from_millis(1_000);
+/// Within which time a change of the store must be in force on every instance, unless the settings say otherwise.
+pub const IN_FORCE: Duration = Duration::from_secs(2);
 
 /// Port of the metrics, the same as in the deploy file.
 pub const METRICS_PORT: u16 = 9_464;
@@ -59,8 +59,8 @@
     pub rule: Rule,
     /// Part of a service's model engines that read prompts for the others, 0 to 1.
     pub readers: f64,
-    /// How long a watch of the store waits.
-    pub wait: Duration,
+    /// Within which time a change of the store must be in force here.
+    pub bound: Bound,
     /// How long an engine must be gone until the record of its order is removed.
     pub forget: Duration,
 }
--- a/src/ops/relay/peers.rs
+++ b/src/ops/relay/peers.rs
@@ -18,11 +18,15 @@
 use sequoiastream_core::membership::Listing;
 use sequoiastream_core::membership::Members;
 use sequoiastream_core::membership::Myself;
+use sequoiastream_core::membership::Peer;
+use sequoiastream_core::membership::Roster;
 use sequoiastream_core::name::Name;
 use sequoiastream_core::relay::book::Work;
 use sequoiastream_core::relay::digest;
 use sequoiastream_core::relay::digest::Digest;
 use sequoiastream_core::relay::engines::EngineKey;
+use sequoiastream_core::relay::watchers;
+use sequoiastream_core::relay::watchers::Seat;
 use sequoiastream_peer::PeerError;
 use sequoiastream_peer::call;
 use sequoiastream_peer::call::CallClient;
@@ -31,9 +35,11 @@
 use sequoiastream_peer::message::Datagram;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
+use sequoiastream_peer::message::StoreNews;
 use sequoiastream_peer::message::StoreState;
 use sequoiastream_peer::seal::ClusterKey;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use uuid::Uuid;
 
 use crate::log_event;
@@ -64,6 +70,15 @@
 /// How long a peer may take to say what it knows of the store.
 const STATE: Duration = Duration::from_millis(300);
 
+/// What a peer knows of the store beyond what is known here.
+#[derive(Debug)]
+pub enum Told {
+    /// Everything.
+    All(StoreState),
+    /// What happened since, and whom it was heard of.
+    Since(SocketAddr, StoreNews),
+}
+
 /// Where peers speak.
 pub struct Sockets {
     datagrams: DatagramSocket,
@@ -93,7 +108,12 @@
     async fn respond(&self, request: Request) -> Response {
         match request {
             Request::Ping => Response::Pong,
-            Request::State => Response::State(self.0.tell()),
+            Request::State => Response::State(self.0.tell(clock::now())),
+            Request::Since(revision) => {
+                let now = clock::now();
+                let news = self.0.tell_since(now, revision);
+                news.map_or_else(|| Response::State(self.0.tell(now)), Response::News)
+            }
             _ => Response::Unserved,
         }
     }
@@ -110,6 +130,12 @@
     known: Known,
     /// Up to which revision of the store each peer said to know.
     ahead: RefCell<BTreeMap<Name, u64>>,
+    /// Place of this instance among those of its zone.
+    seat: Cell<Seat>,
+    /// How many instances of all zones watch the store.
+    watchers: Cell<usize>,
+    /// Wakes whoever listens to the peers instead of the store: one knows more, or the seat changed.
+    news: Notify,
 }
 
 /// The fleet as this instance sees it; cheap to clone, stays on one thread.
@@ -144,6 +170,9 @@
         listed: RefCell::default(),
         quiet: Cell::new(true),
         turn: Cell::new(0),
+        seat: Cell::default(),
+        watchers: Cell::new(1),
+        news: Notify::new(),
     }));
     actix_rt::spawn(receive(fleet.clone()));
     actix_rt::spawn(beat(fleet.clone()));
@@ -188,22 +217,18 @@
         self.relist();
     }
 
-    /// Takes an instance that was added to the list, if it is one.
-    pub fn on_item(&self, listing: Option<Listing>) {
+    /// Takes an instance that was added to the list, if it is one; [`Self::relist`] is to follow.
+    pub fn on_item(&self, listing: Option<Listing>) -> bool {
         let Some(listing) = listing else {
-            return;
+            return false;
         };
         self.0.listed.borrow_mut().insert(listing.name.clone(), listing);
-        self.relist();
+        true
     }
 
-    /// Takes an instance off the list, if it is one.
-    pub fn on_removed(&self, name: Option<Name>) {
-        let Some(name) = name else {
-            return;
-        };
-        self.0.listed.borrow_mut().remove(&name);
-        self.relist();
+    /// Takes an instance off the list, if it is one; [`Self::relist`] is to follow.
+    pub fn on_removed(&self, name: Option<Name>) -> bool {
+        name.is_some_and(|name| self.0.listed.borrow_mut().remove(&name).is_some())
     }
 
     /// Tells the peers which configuration is in force here.
@@ -216,7 +241,8 @@
         self.on(Event::Leave);
     }
 
-    fn relist(&self) {
+    /// Puts the list in force, once for all that an answer has changed: each time costs as much as the fleet is large.
+    pub fn relist(&self) {
         let listed = self.0.listed.borrow().values().cloned().collect();
         self.on(Event::Listed(listed));
     }
@@ -261,6 +287,7 @@
             .iter()
             .filter(|p| p.is_open() && p.name < self.0.shared.options.name);
         let rank = u32::try_from(before.count()).unwrap_or(u32::MAX);
+        self.sit(&roster);
         let view = self.0.shared.view.load();
         if view.addresses != addresses || view.instances != instances || view.rank != rank {
             self.0.shared.publish(|view| {
@@ -271,20 +298,96 @@
         }
     }
 
-    /// What a peer knows of the store that knows it beyond `revision`.
-    pub async fn ask_ahead(&self, revision: u64) -> Option<StoreState> {
-        let peer = {
-            let roster = self.0.members.borrow().roster(clock::now());
-            let ahead = self.0.ahead.borrow();
-            let known = |name: &Name| ahead.get(name).copied().unwrap_or_default();
-            let heard = roster
-                .peers
-                .iter()
-                .filter(|p| p.heard && known(&p.name) > revision);
-            heard.max_by_key(|p| known(&p.name)).map(|p| p.peer)?
+    /// Works out the place of this instance among those of its zone.
+    fn sit(&self, roster: &Roster) {
+        let options = &self.0.shared.options;
+        let neighbours = roster
+            .peers
+            .iter()
+            .filter(|p| p.is_open() && p.zone == options.zone);
+        let (before, after): (Vec<&Peer>, Vec<&Peer>) = neighbours.partition(|p| p.name < options.name);
+        let seat = Seat {
+            rank: before.len(),
+            members: before.len() + after.len() + 1,
+        };
+        let mut zones: BTreeMap<&Name, usize> = BTreeMap::new();
+        for peer in roster.peers.iter().filter(|p| p.is_open()) {
+            *zones.entry(&peer.zone).or_default() += 1;
+        }
+        *zones.entry(&options.zone).or_default() += 1;
+        let heard: usize = zones.values().sum();
+        let all = roster.peers.len() + 1;
+        let watchers = match 2 * heard < all {
+            true => all,
+            false => zones.values().map(|members| watchers::count(*members)).sum(),
+        };
+        self.0.watchers.set(watchers);
+        let former = self.0.seat.replace(seat);
+        if former.is_watcher() != seat.is_watcher() {
+            let watches = seat.is_watcher();
+            log_event!(
+                info,
+                log_event::WATCHER,
+                watches,
+                rank = seat.rank,
+                members = seat.members
+            );
+            self.0.news.notify_one();
+        }
+    }
+
+    /// Place of this instance among those of its zone.
+    pub fn seat(&self) -> Seat {
+        self.0.seat.get()
+    }
+
+    /// How many instances of all zones watch the store. While most of the listed ones are not heard yet, as in a fleet that
+    /// starts, each of them may.
+    pub fn watchers(&self) -> usize {
+        self.0.watchers.get()
+    }
+
+    /// Returns when a peer knows more of the store, or when the seat has changed.
+    pub async fn news(&self) {
+        self.0.news.notified().await;
+    }
+
+    /// A peer that knows the store beyond `revision`, the furthest ahead.
+    fn ahead(&self, revision: u64) -> Option<(Name, SocketAddr)> {
+        let roster = self.0.members.borrow().roster(clock::now());
+        let ahead = self.0.ahead.borrow();
+        let known = |name: &Name| ahead.get(name).copied().unwrap_or_default();
+        let heard = roster
+            .peers
+            .iter()
+            .filter(|p| p.heard && known(&p.name) > revision);
+        let furthest = heard.max_by_key(|p| known(&p.name))?;
+        Some((furthest.name.clone(), furthest.peer))
+    }
+
+    /// What a peer knows of the store beyond `revision`, if one does.
+    pub async fn ask_ahead(&self, revision: u64) -> Option<Told> {
+        let (name, peer) = self.ahead(revision)?;
+        let told = match self.0.calls.call(peer, &Request::Since(revision), STATE).await {
+            Ok(Response::News(news)) if news.revision > revision => Some(Told::Since(peer, news)),
+            Ok(Response::State(state)) if state.revision > revision => Some(Told::All(state)),
+            Ok(_) => None,
+            Err(error) => {
+                log_event!(debug, log_event::PEER_FAILED, to = %peer, %error, call = "since");
+                None
+            }
         };
+        if told.is_none() {
+            // It says so anew if it can be asked.
+            self.0.ahead.borrow_mut().remove(&name);
+        }
+        told
+    }
+
+    /// All that a peer knows of the store.
+    pub async fn ask_all(&self, peer: SocketAddr) -> Option<StoreState> {
         match self.0.calls.call(peer, &Request::State, STATE).await {
-            Ok(Response::State(state)) if state.revision > revision => Some(state),
+            Ok(Response::State(state)) => Some(state),
             Ok(_) => None,
             Err(error) => {
                 log_event!(debug, log_event::PEER_FAILED, to = %peer, %error, call = "state");
@@ -294,7 +397,11 @@
     }
 
     fn on_load(&self, name: &Name, digest: Digest) {
+        let now = clock::now();
         self.0.ahead.borrow_mut().insert(name.clone(), digest.revision);
+        if self.0.known.on_word(now, digest.word()) {
+            self.0.news.notify_one();
+        }
         let keys = self.0.shared.view.load().keys().clone();
         let work: BTreeMap<EngineKey, Work> = digest
             .shares
@@ -306,7 +413,6 @@
                 Some((*key, Work { requests, reading }))
             })
             .collect();
-        let now = clock::now();
         let mut ledger = self.0.shared.ledger();
         ledger.book.on_peer(now, name.as_str(), work);
         for note in digest.notes {
@@ -330,12 +436,14 @@
 
     /// Tells the peers about this instance's work and how far it knows the store; seldom, if there is no work.
     async fn tell(&self) {
+        let now = clock::now();
+        self.0.known.on_tick(now);
         let heard = self.heard();
         let turns = heard.len().div_ceil(FANOUT).max(1);
         let (all, notes, reads) = {
             let mut ledger = self.0.shared.ledger();
             let reads = ledger.book.parts.tell(u32::try_from(turns).unwrap_or(u32::MAX));
-            (ledger.book.all(), ledger.suspects.notes(clock::now()), reads)
+            (ledger.book.all(), ledger.suspects.notes(now), reads)
         };
         let quiet = all.is_empty() && notes.is_empty() && reads.is_empty();
         let turn = self.0.turn.get();
@@ -348,7 +456,7 @@
             let work = all.get(key)?;
             Some((id.clone(), *work))
         });
-        let digest = Digest::new(work.collect(), notes, reads, self.0.known.revision());
+        let digest = Digest::new(work.collect(), notes, reads).with_word(self.0.known.word(now));
         let peers = digest::part(&heard, turn, FANOUT);
         for peer in peers {
             if let Err(error) = self.0.socket.send(peer, Datagram::Load(digest.clone())).await {
--- a/src/ops/relay/register.rs
+++ b/src/ops/relay/register.rs
@@ -26,11 +26,12 @@
 use crate::log_event;
 use crate::ops::relay::shared::Shared;
 
-/// How long the key outlives its instance.
-const TTL: Duration = Duration::from_secs(12);
+/// How long the key outlives its instance. Whoever reads it meanwhile sends heartbeats to nobody, and names no instance
+/// to callers that it doesn't hear.
+const TTL: Duration = Duration::from_secs(30);
 
 /// Time between two renewals: two may fail.
-const RENEW: Duration = Duration::from_secs(4);
+const RENEW: Duration = Duration::from_secs(10);
 
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(700);
--- a/src/util/clock.rs
+++ b/src/util/clock.rs
@@ -1,19 +1,31 @@
 //! Reading clocks, so that decisions don't.
 
 use std::sync::OnceLock;
-use std::time::Instant;
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
 use sequoiastream_core::claims::Clocks;
 use sequoiastream_core::time::Time;
 use sequoiastream_core::time::WallTime;
 
-/// The monotonic time of this process.
+/// The monotonic time of this process, counting the time for which its machine was suspended.
+///
+/// Failure guarded against: a machine is suspended for seconds, and what its processes know, hold or believe seems as
+/// fresh as before. The clock that stops meanwhile can't tell.
 pub fn now() -> Time {
-    static ORIGIN: OnceLock<Instant> = OnceLock::new();
-    let origin = *ORIGIN.get_or_init(Instant::now);
-    Time::from_micros(u64::try_from(origin.elapsed().as_micros()).unwrap_or(u64::MAX))
+    static ORIGIN: OnceLock<Duration> = OnceLock::new();
+    let since_boot = since_boot();
+    let origin = *ORIGIN.get_or_init(|| since_boot);
+    let passed = since_boot.saturating_sub(origin);
+    Time::from_micros(u64::try_from(passed.as_micros()).unwrap_or(u64::MAX))
+}
+
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::try_from(time).expect("no time before the boot")
 }
 
 /// Waits until `time`, at once if it is past.
--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -9,8 +9,11 @@
 use sequoiastream::ops::relay::options::Options;
 use sequoiastream::ops::relay::orders;
 use sequoiastream::ops::relay::peers;
+use sequoiastream::ops::relay::peers::Fleet;
 use sequoiastream::ops::relay::register;
 use sequoiastream::ops::relay::shared::Shared;
+use sequoiastream::util::clock;
+use sequoiastream_core::relay::watchers::Bound;
 
 use super::instance::options;
 use super::instance::shared;
@@ -18,14 +21,51 @@
 use super::until;
 
 async fn start(options: Options, store: &FakeStore) -> Arc<Shared> {
+    start_seated(options, store).await.0
+}
+
+async fn start_seated(options: Options, store: &FakeStore) -> (Arc<Shared>, Fleet) {
     let shared = shared(options);
     let sockets = peers::Sockets::bind(&shared)
         .await
         .expect("an address of its own");
     let known = Known::new();
     let fleet = peers::start(shared.clone(), sockets, known.clone());
-    actix_web::rt::spawn(follow::run(shared.clone(), Rc::new(store.clone()), fleet, known));
-    shared
+    let store = Rc::new(store.clone());
+    actix_web::rt::spawn(follow::run(shared.clone(), store, fleet.clone(), known));
+    (shared, fleet)
+}
+
+/// Three instances of a zone: two watch `served`, the third listens to them and has a store of its own.
+async fn listener(served: &FakeStore, own: &FakeStore, bound: Duration) -> [(Arc<Shared>, Fleet); 3] {
+    let named = |name: &str| {
+        let mut options = options();
+        options.tuning.bound = Bound(bound);
+        options.name = name.parse().expect("a name");
+        options
+    };
+    let options = ["a", "b", "c"].map(named);
+    for store in [served, own] {
+        store.put("config", "3 /a/");
+        store.put("engines/e1", "chat 127.0.0.1:9 ready 1");
+        for Options {
+            name, front, peer, ..
+        } in &options
+        {
+            let card = format!(r#"{{"zone":"a","front":"{front}","peer":"{peer}"}}"#);
+            store.put(&format!("own/{name}"), &card);
+        }
+    }
+    let [a, b, c] = options;
+    let instances = [
+        start_seated(a, served).await,
+        start_seated(b, served).await,
+        start_seated(c, own).await,
+    ];
+    let [.., (_, listener)] = &instances;
+    until(|| instances.iter().all(|(shared, _)| version(shared) == 3)).await;
+    until(|| !listener.seat().is_watcher()).await;
+    instances
 }
 
 fn engines(shared: &Shared) -> Vec<String> {
@@ -55,10 +95,11 @@
 }
 
 /// The store turns away a fleet that starts. Order: 140 engines register within seconds, each ends the watch of each of
-/// 84 instances. The instances together begin no more than some hundred watches a second; few instances need not wait.
+/// 84 instances that don't hear each other yet. All watchers together begin no more than some hundred watches a second;
+/// few need not wait.
 #[test]
 fn rest_by_fleet() {
-    let millis = [0, 1, 8, 84, 350, 1_000_000].map(|instances| follow::rest(instances).as_millis());
+    let millis = [0, 1, 8, 84, 350, 1_000_000].map(|watchers| follow::rest(watchers).as_millis());
     assert_eq!(millis, [0, 5, 40, 420, 500, 500]);
 }
 
@@ -184,3 +225,48 @@
         registration.end().await;
     }
 }
+
+/// The store is called by every instance of a fleet of hundreds, for every change. One that others watch for hears of
+/// changes from them, large ones too, and calls the store only for what peers don't tell.
+#[actix_web::test]
+async fn listener_hears_of_changes() {
+    let (served, own) = (FakeStore::new(), FakeStore::new());
+    // So long that the instance need not watch by itself, however slow the test's machine is.
+    let [_, _, (listener, _)] = listener(&served, &own, Duration::from_secs(60)).await;
+    served.put("engines/e2", "chat 127.0.0.1:9 ready 1");
+    served.remove("engines/e1");
+    served.put("config", "7 /b/");
+    until(|| version(&listener) == 7 && engines(&listener) == ["e2"]).await;
+    let watches = own.calls().watches;
+    served.put("config", &format!("9 /{}/", "long".repeat(10_000)));
+    served.put("engines/e3", "chat 127.0.0.1:9 ready 1");
+    until(|| version(&listener) == 9 && engines(&listener) == ["e2", "e3"]).await;
+    assert_eq!(own.calls().watches, watches);
+}
+
+/// Nobody tells an instance of a change. Order: the watchers of its zone live, and the store turns them away. It asks the
+/// store itself once what it knows is too old.
+#[actix_web::test]
+async fn listener_unconfirmed_watches() {
+    let (served, own) = (FakeStore::new(), FakeStore::new());
+    let [_, _, (listener, _)] = listener(&served, &own, Duration::from_millis(400)).await;
+    served.set_down(true);
+    own.put("engines/e2", "chat 127.0.0.1:9 ready 1");
+    until(|| engines(&listener) == ["e1", "e2"]).await;
+}
+
+/// Every request is refused for seconds after an outage of the store. Order: the store is away, all entries lapse, it is
+/// back before the engines have registered anew; the watchers know that it was away, and tell the others what vanished.
+#[actix_web::test]
+async fn lapse_told_with_doubt() {
+    let (served, own) = (FakeStore::new(), FakeStore::new());
+    let [(watcher, _), _, (listener, _)] = listener(&served, &own, Duration::from_millis(400)).await;
+    served.set_down(true);
+    until(|| watcher.store_age(clock::now()) > Duration::from_millis(400)).await;
+    served.remove("engines/e1");
+    served.put("config", "5 /a/");
+    served.set_down(false);
+    until(|| version(&listener) == 5).await;
+    assert_eq!([engines(&watcher), engines(&listener)], [["e1"], ["e1"]]);
+    until(|| engines(&listener).is_empty()).await;
+}
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -32,6 +32,7 @@
 use sequoiastream_core::relay::routes::Route;
 use sequoiastream_core::relay::routes::Table;
 use sequoiastream_core::relay::routes::Target;
+use sequoiastream_core::relay::watchers::Bound;
 use sequoiastream_core::time::Time;
 use sequoiastream_kv::store::Item;
 use tokio::io::AsyncReadExt;
@@ -227,7 +228,7 @@
                 slack: 56.0,
             },
             readers: 0.5,
-            wait: Duration::from_millis(200),
+            bound: Bound(Duration::from_millis(400)),
             forget: Duration::from_secs(600),
         },
     }
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -21,6 +21,7 @@
 mod store;
 mod suspects;
 mod told;
+mod watchers;
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/tests/testsuite/relay/store.rs
+++ b/tests/testsuite/relay/store.rs
@@ -48,6 +48,8 @@
     pub ranges: u32,
     /// Writes.
     pub writes: u32,
+    /// Watches.
+    pub watches: u32,
 }
 
 /// The store; cheap to clone, stays on one thread.
@@ -179,6 +181,11 @@
         wait: Duration,
     ) -> LocalBoxFuture<'a, Result<Changes, StoreError>> {
         async move {
+            let calls = self.calls();
+            self.state.calls.set(Calls {
+                watches: calls.watches + 1,
+                ..calls
+            });
             let mut revisions = self.revision.subscribe();
             self.check()?;
             if after < self.state.compacted.get() {
--- /dev/null
+++ b/tests/testsuite/relay/watchers.rs
@@ -0,0 +1,431 @@
+//! Who watches the store, and how old what the others act on may be.
+//!
+//! The seeded runs draw fleets of 1 to 400 instances in 1 to 12 availability zones. `SEQUOIASTREAM_SEEDS=1000..5000 cargo
+//! test --release --test testsuite relay::watchers` runs others for as long as one likes.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::seq::IteratorRandom;
+use rand_chacha::ChaCha8Rng;
+use sequoiastream_core::relay::watchers::Bound;
+use sequoiastream_core::relay::watchers::Duty;
+use sequoiastream_core::relay::watchers::Reach;
+use sequoiastream_core::relay::watchers::Seat;
+use sequoiastream_core::relay::watchers::Word;
+use sequoiastream_core::relay::watchers::count;
+use sequoiastream_core::time::Time;
+use sequoiastream_kv::store::ANSWER;
+
+use crate::claims::client::Failing;
+use crate::claims::client::seeds_or;
+
+const SEEDS: std::ops::Range<u64> = 0..16;
+
+/// Time between two messages of an instance.
+const STEP: Duration = Duration::from_millis(25);
+
+/// Peers that get each message.
+const FANOUT: usize = 16;
+
+/// A peer not heard of for so long doesn't count as a neighbour.
+const SILENT: Duration = Duration::from_millis(1_800);
+
+/// Within which time a change must be in force, on the strictest sheet.
+const BOUND: Bound = Bound(Duration::from_secs(2));
+
+/// How long an instance must have been without trouble of its own until it is held to that.
+const STABLE: Duration = Duration::from_secs(3);
+
+/// How often an instance works out its place among its neighbours.
+const SEAT: Duration = Duration::from_millis(400);
+
+/// Time for a call that the store answers at once.
+const CALL: Duration = Duration::from_millis(25);
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(10_000 + millis)
+}
+
+fn word(revision: u64, millis: u64) -> Word {
+    let age = Duration::from_millis(millis);
+    Word { revision, age }
+}
+
+#[test]
+fn count_by_zone() {
+    assert_eq!([1, 2, 8, 33, 100].map(count), [1, 2, 2, 3, 7]);
+}
+
+/// Nobody in a zone watches, each taking another for the watcher. Order: instances disagree on who lives. Whoever hears
+/// nobody before itself watches.
+#[test]
+fn seat_alone_watches() {
+    assert!(Seat::default().is_watcher());
+    for members in 1..400 {
+        let watchers = (0..members).filter(|rank| Seat { rank: *rank, members }.is_watcher());
+        assert_eq!(watchers.count(), count(members));
+    }
+}
+
+#[test]
+fn duty_listens_while_confirmed() {
+    let seat = Seat { rank: 4, members: 8 };
+    let mut reach = Reach::default();
+    assert_eq!(
+        reach.duty(seat, BOUND, at(0)),
+        Duty::Watch,
+        "nothing is known yet"
+    );
+    reach.on_answer(at(10), at(0), Duration::ZERO, 7);
+    assert_eq!(reach.duty(seat, BOUND, at(10)), Duty::Listen(at(1_500)));
+    assert!(!reach.on_word(at(900), word(7, 300)));
+    assert_eq!(reach.duty(seat, BOUND, at(1_500)), Duty::Listen(at(2_100)));
+    assert_eq!(reach.duty(seat, BOUND, at(2_100)), Duty::Watch);
+    let watcher = Seat { rank: 1, members: 8 };
+    assert_eq!(reach.duty(watcher, BOUND, at(10)), Duty::Watch);
+}
+
+/// Work goes to an engine that has left. Order: a peer knows of its leaving, and its word passes for a confirmation of
+/// what is known here.
+#[test]
+fn word_ahead_confirms_nothing() {
+    let mut reach = Reach::default();
+    reach.on_answer(at(0), at(0), Duration::ZERO, 7);
+    assert!(reach.on_word(at(1_000), word(8, 0)));
+    assert_eq!(reach.age(at(1_000)), Some(Duration::from_secs(1)));
+    reach.on_news(at(1_010), word(8, 5));
+    assert_eq!(
+        (reach.revision(), reach.age(at(1_010))),
+        (8, Some(Duration::from_millis(5)))
+    );
+}
+
+/// An instance acts on news of ten seconds ago and tells its zone that they are of now. Order: its watch waits for a second,
+/// the instance is paused, the answer waits in its socket, it goes on.
+#[test]
+fn answer_after_pause_is_old() {
+    let mut reach = Reach::default();
+    reach.on_answer(at(11_000), at(1_000), BOUND.wait(), 7);
+    assert_eq!(reach.age(at(11_000)), Some(Duration::from_secs(9)));
+}
+
+/// The same for messages of peers that waited meanwhile: they say what was so when they were sent.
+#[test]
+fn word_after_pause_not_believed() {
+    let mut reach = Reach::default();
+    reach.on_tick(at(0));
+    reach.on_answer(at(0), at(0), Duration::ZERO, 7);
+    reach.on_tick(at(10_000));
+    assert!(!reach.on_word(at(10_001), word(7, 20)));
+    assert_eq!(reach.age(at(10_001)), Some(Duration::from_millis(10_001)));
+    reach.on_tick(at(10_025));
+    reach.on_word(at(10_400), word(7, 20));
+    assert_eq!(reach.age(at(10_400)), Some(Duration::from_millis(20)));
+}
+
+/// What an instance does at the store.
+#[derive(Debug, Clone, Copy)]
+enum Call {
+    None,
+    /// A watch that began then, or a read if the wait is nothing.
+    Waiting {
+        sent: Time,
+        wait: Duration,
+        revision: u64,
+    },
+    /// The last call failed; the next begins then.
+    Pause(Time),
+    /// None until then.
+    Listening(Time),
+}
+
+#[derive(Debug)]
+struct Instance {
+    zone: usize,
+    reach: Reach,
+    call: Call,
+    /// When each peer was last heard.
+    heard: Vec<Option<Time>>,
+    turn: usize,
+    /// Paused or dead until then.
+    gone: Time,
+    /// The store doesn't answer it until then.
+    away: Time,
+    /// A watch that is open falls silent.
+    silent: bool,
+    /// Since when nothing of its own went wrong.
+    sound: Time,
+}
+
+struct World {
+    random: ChaCha8Rng,
+    now: Time,
+    revision: u64,
+    /// When each revision came, from the first.
+    changed: Vec<Time>,
+    instances: Vec<Instance>,
+    /// Zones that hear nobody elsewhere, until then.
+    cut: Vec<Time>,
+    calls: u64,
+}
+
+impl World {
+    fn new(seed: u64) -> World {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        // Mostly fleets of today, now and then one of hundreds.
+        let most = if seed.is_multiple_of(8) { 400 } else { 60 };
+        let size = random.random_range(1..=most);
+        let zones = random.random_range(1..=12);
+        let now = at(0);
+        let instance = |index: usize| Instance {
+            zone: index % zones,
+            reach: Reach::default(),
+            call: Call::None,
+            heard: vec![None; size],
+            turn: index,
+            gone: now,
+            away: now,
+            silent: false,
+            sound: now,
+        };
+        World {
+            random,
+            now,
+            revision: 1,
+            changed: vec![now],
+            instances: (0..size).map(instance).collect(),
+            cut: vec![now; zones],
+            calls: 0,
+        }
+    }
+
+    fn run(mut self, seconds: u32) {
+        let steps = seconds * 40;
+        for step in 0..steps {
+            self.now = self.now + STEP;
+            if self.random.random_bool(0.05) {
+                self.revision += 1;
+                self.changed.push(self.now);
+            }
+            if self.random.random_bool(0.02) {
+                self.trouble();
+            }
+            self.exchange();
+            for index in 0..self.instances.len() {
+                self.follow(index);
+            }
+            if step > 80 {
+                self.check();
+            }
+        }
+        self.calm();
+    }
+
+    /// After all trouble: the store is called by the watchers only.
+    fn calm(mut self) {
+        let later = self.now + Duration::from_secs(10);
+        while self.now < later {
+            self.now = self.now + STEP;
+            self.exchange();
+            for index in 0..self.instances.len() {
+                self.follow(index);
+            }
+        }
+        let zones = self.cut.len();
+        let members = |zone| self.instances.iter().filter(|i| i.zone == zone).count();
+        let watchers: usize = (0..zones).map(|zone| count(members(zone))).sum();
+        let before = self.calls;
+        let later = self.now + Duration::from_secs(10);
+        while self.now < later {
+            self.now = self.now + STEP;
+            self.exchange();
+            for index in 0..self.instances.len() {
+                self.follow(index);
+            }
+        }
+        let calls = self.calls - before;
+        // A watch a second each, and one that was about to begin.
+        let most = u64::try_from(watchers * 11).expect("few calls");
+        assert!(
+            calls <= most,
+            "{calls} calls in ten seconds by {watchers} watchers"
+        );
+    }
+
+    fn trouble(&mut self) {
+        let now = self.now;
+        let long = Duration::from_millis(self.random.random_range(200..6_000));
+        let size = self.instances.len();
+        let zone = self.random.random_range(0..self.cut.len());
+        let part = *[1, 1, 2, size.div_ceil(2), size]
+            .iter()
+            .choose(&mut self.random)
+            .expect("some");
+        let zonal = self.random.random_bool(0.3);
+        let kind = self.random.random_range(0..8);
+        if kind >= 6 {
+            // The store turns away just those that watch, everywhere or in a zone that hears nobody else.
+            let zones = self.cut.len();
+            self.cut[zone] = now + long;
+            for index in (0..size.min(3 * zones)).filter(|index| kind == 6 || index % zones == zone) {
+                let instance = &mut self.instances[index];
+                instance.away = instance.away.max(now + long);
+                instance.sound = instance.sound.max(now + long);
+            }
+            return;
+        }
+        if kind == 5 {
+            // Cut off from the other zones, not from the store: no trouble that excuses an instance.
+            self.cut[zone] = now + long;
+            return;
+        }
+        let chosen = (0..size).filter(|index| !zonal || self.instances[*index].zone == zone);
+        let chosen = chosen.sample(&mut self.random, part);
+        for index in chosen {
+            let instance = &mut self.instances[index];
+            // Troubles overlap: the later one may end first.
+            let sound = if kind == 4 { now } else { now + long };
+            instance.sound = instance.sound.max(sound);
+            match kind {
+                // Paused: goes on with what it had, its calls and its messages.
+                0 => instance.gone = instance.gone.max(now + long),
+                // Killed, and started anew.
+                1 => {
+                    instance.gone = instance.gone.max(now + long);
+                    instance.reach = Reach::default();
+                    instance.call = Call::None;
+                    instance.heard.fill(None);
+                }
+                // The store turns it away or says nothing.
+                2 | 3 => instance.away = instance.away.max(now + long),
+                // Its open connection to the store falls silent for good; new ones work.
+                _ => instance.silent = true,
+            }
+        }
+    }
+
+    fn is_up(&self, index: usize) -> bool {
+        self.instances[index].gone <= self.now
+    }
+
+    fn hears(&self, from: usize, to: usize) -> bool {
+        let [from, to] = [from, to].map(|index| self.instances[index].zone);
+        from == to || [from, to].iter().all(|zone| self.cut[*zone] <= self.now)
+    }
+
+    fn exchange(&mut self) {
+        let now = self.now;
+        let size = self.instances.len();
+        for from in (0..size).filter(|index| self.is_up(*index)).collect::<Vec<_>>() {
+            self.instances[from].reach.on_tick(now);
+            let word = self.instances[from].reach.word(now);
+            let turn = self.instances[from].turn;
+            self.instances[from].turn += 1;
+            for next in 0..FANOUT.min(size - 1) {
+                let to = (from + 1 + (turn * FANOUT + next) % (size - 1)) % size;
+                // One in ten is lost. What comes to a paused instance is read when it goes on: lost is as good here.
+                if !self.is_up(to) || !self.hears(from, to) || self.random.random_bool(0.1) {
+                    continue;
+                }
+                self.instances[to].heard[from] = Some(now);
+                let Some(word) = word else { continue };
+                if self.instances[to].reach.on_word(now, word) {
+                    self.instances[to].reach.on_news(now, word);
+                }
+            }
+        }
+    }
+
+    fn seat(&self, index: usize) -> Seat {
+        let own = &self.instances[index];
+        let heard = |peer: &usize| {
+            let recent = own.heard[*peer].is_some_and(|at| self.now.since(at) <= SILENT);
+            recent && self.instances[*peer].zone == own.zone
+        };
+        Seat {
+            rank: (0..index).filter(heard).count(),
+            members: (0..self.instances.len()).filter(heard).count() + 1,
+        }
+    }
+
+    fn follow(&mut self, index: usize) {
+        if !self.is_up(index) {
+            return;
+        }
+        let now = self.now;
+        let seat = match self.instances[index].call {
+            Call::Waiting { .. } => Seat::default(),
+            Call::Pause(until) | Call::Listening(until) if now < until => Seat::default(),
+            Call::None | Call::Pause(_) | Call::Listening(_) => self.seat(index),
+        };
+        let instance = &mut self.instances[index];
+        let reached = instance.away <= now;
+        match instance.call {
+            Call::Pause(until) | Call::Listening(until) if now < until => {}
+            Call::None | Call::Pause(_) | Call::Listening(_) => {
+                let failed = matches!(instance.call, Call::Pause(_));
+                if let Duty::Listen(until) = instance.reach.duty(seat, BOUND, now) {
+                    // Looks again then, or when its seat may have changed.
+                    instance.call = Call::Listening(until.min(now + SEAT));
+                    return;
+                }
+                self.calls += 1;
+                let read = failed || instance.reach.revision() == 0;
+                let wait = if read { Duration::ZERO } else { BOUND.wait() };
+                let revision = instance.reach.revision();
+                // Silence strikes connections that are open, not new ones.
+                instance.silent = false;
+                instance.call = Call::Waiting {
+                    sent: now,
+                    wait,
+                    revision,
+                };
+            }
+            Call::Waiting { sent, wait, revision } => {
+                let due = now.since(sent) >= CALL && (self.revision > revision || now.since(sent) >= wait);
+                if due && reached && !instance.silent {
+                    instance.reach.on_answer(now, sent, wait.max(CALL), self.revision);
+                    instance.call = Call::None;
+                } else if now.since(sent) >= wait + ANSWER {
+                    instance.call = Call::Pause(now + Duration::from_millis(100));
+                }
+            }
+        }
+    }
+
+    /// Nobody that is in touch lags behind the store by more than the bound, whoever its watchers are.
+    fn check(&self) {
+        let now = self.now;
+        for (index, instance) in self.instances.iter().enumerate() {
+            let sound = now.since(Time::ZERO) > STABLE && instance.sound + STABLE <= now;
+            if !sound || !self.is_up(index) {
+                continue;
+            }
+            let missed = usize::try_from(instance.reach.revision()).expect("a few");
+            let lag = self
+                .changed
+                .get(missed)
+                .map_or(Duration::ZERO, |at| now.since(*at));
+            assert!(
+                lag <= BOUND.0,
+                "instance {index} of {} lags by {lag:?} at {now}: {:?}, {:?}",
+                self.instances.len(),
+                instance.call,
+                instance.reach
+            );
+        }
+    }
+}
+
+/// Work goes to engines that have left, by routes no longer in force. Order: any mix of watchers that are killed, paused
+/// and woken with old news, turned away by the store or left without an answer on a connection that looks alive; half of
+/// the fleet at once; zones cut off from each other.
+#[test]
+fn lag_within_bound() {
+    for seed in seeds_or(SEEDS) {
+        let _failing = Failing(seed);
+        World::new(seed).run(30);
+    }
+}
