Tell callers the instances of their zone and others by capacity; rest between what peers tell

(3) Until the instances of a starting fleet hear each other, all of them watch. Change: core::relay::directory chooses 64, the same ones while the fleet stays the same; instances tell in their key in the store what they can carry. Listeners rest between questions as watchers do between watches. An instance that has just started counts those that the store lists. A gauge shows who watches.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod by_engine;
 pub mod digest;
+pub mod directory;
 pub mod engines;
 pub mod hash;
 pub mod pace;
--- a/src/ops/relay/edge.rs
+++ b/src/ops/relay/edge.rs
@@ -86,6 +86,15 @@
     pub order: String,
 }
 
+/// How callers ask for addresses.
+#[derive(Debug, Clone)]
+pub struct Directory {
+    /// The field of the query that names the caller's availability zone.
+    pub zone: String,
+    /// Addresses of an answer that callers take.
+    pub most: usize,
+}
+
 /// All names of somebody else's protocol.
 #[derive(Debug, Clone)]
 pub struct Dialect {
@@ -95,6 +104,8 @@
     pub keys: Keys,
     /// Paths of calls.
     pub paths: Paths,
+    /// How callers ask for addresses.
+    pub directory: Directory,
 }
 
 /// The translation between somebody else's formats and the product's types.
--- a/src/ops/relay/follow.rs
+++ b/src/ops/relay/follow.rs
@@ -54,7 +54,7 @@
 const TICK: Duration = Duration::from_millis(100);
 
 /// Watches that all watchers together begin in a second at most, however often something changes: a tenth of what the
-/// store's reads allow on the smallest deployment.
+/// store's reads allow on the smallest deployment. As many questions do all instances ask their peers.
 const WATCHES: u32 = 200;
 
 /// Longest time by which changes wait to be fetched together: a quarter of the shortest time by which they must be in
@@ -89,15 +89,17 @@
     complete: bool,
 }
 
-/// How long one of so many watchers rests after a watch that brought changes.
+/// How long one of so many watchers rests after a watch that brought changes, and one of so many instances after what a
+/// peer told.
 ///
 /// Failure guarded against: a fleet of hundreds starts, or its engines come and go, and each single change ends the
-/// watch of every watcher: changes times watchers calls, which the store turns away and whoever runs it charges for.
-/// A watch that begins later brings what has gathered.
-pub fn rest(watchers: usize) -> Duration {
-    let watchers = u32::try_from(watchers).unwrap_or(u32::MAX);
+/// watch of every watcher: changes times watchers calls, which the store turns away and whoever runs it charges for; and
+/// each makes every instance take in a list as long as the fleet, which keeps the smallest from serving for half a
+/// minute. What begins later brings what has gathered.
+pub fn rest(askers: usize) -> Duration {
+    let askers = u32::try_from(askers).unwrap_or(u32::MAX);
     let rest = Duration::from_secs(1) / WATCHES;
-    rest.saturating_mul(watchers).min(LONGEST_REST)
+    rest.saturating_mul(askers).min(LONGEST_REST)
 }
 
 /// Follows until the process ends.
@@ -161,8 +163,15 @@
             () = fleet.news() => {}
             () = self.pass(until.since(clock::now())) => {}
         }
-        while self.ask_peer().await {}
+        let mut is_told = false;
+        while self.ask_peer().await {
+            is_told = true;
+        }
         self.on_confirmed();
+        if is_told {
+            // What follows is fetched together: taking changes in costs as much as the fleet is large, each time.
+            self.pass(rest(self.shared.view.load().instances)).await;
+        }
     }
 
     /// Reads everything, page by page.
--- a/src/ops/relay/gauges.rs
+++ b/src/ops/relay/gauges.rs
@@ -14,7 +14,7 @@
     metrics
         .engines
         .set(count(view.engines().values().map(Vec::len).sum()));
-    metrics.instances.set(count(view.addresses.len()));
+    metrics.instances.set(count(view.entrances.len()));
     metrics
         .version
         .set(i64::try_from(view.table.version).unwrap_or(i64::MAX));
--- a/src/ops/relay/options.rs
+++ b/src/ops/relay/options.rs
@@ -42,6 +42,8 @@
     pub metrics: Option<SocketAddr>,
     /// Where other instances connect.
     pub peer: SocketAddr,
+    /// What this instance can carry, in thousandths of a core; 0 if that isn't known.
+    pub capacity: u32,
     /// Secret that all instances of the deployment share.
     pub cluster: String,
     /// What may change while the instance runs.
--- a/src/ops/relay/peers.rs
+++ b/src/ops/relay/peers.rs
@@ -15,7 +15,7 @@
 use sequoiastream_core::membership::CutRule;
 use sequoiastream_core::membership::Event;
 use sequoiastream_core::membership::Limits;
-use sequoiastream_core::membership::Listing;
+use sequoiastream_core::membership::MemberState;
 use sequoiastream_core::membership::Members;
 use sequoiastream_core::membership::Myself;
 use sequoiastream_core::membership::Peer;
@@ -24,9 +24,11 @@
 use sequoiastream_core::relay::book::Work;
 use sequoiastream_core::relay::digest;
 use sequoiastream_core::relay::digest::Digest;
+use sequoiastream_core::relay::directory::Entrance;
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::watchers;
 use sequoiastream_core::relay::watchers::Seat;
+use sequoiastream_core::time::Time;
 use sequoiastream_peer::PeerError;
 use sequoiastream_peer::call;
 use sequoiastream_peer::call::CallClient;
@@ -44,6 +46,7 @@
 
 use crate::log_event;
 use crate::ops::relay::known::Known;
+use crate::ops::relay::register::Listed;
 use crate::ops::relay::shared::Shared;
 use crate::util::clock;
 
@@ -64,6 +67,10 @@
 /// Without work, one of so many messages is sent: it says how far the sender knows the store.
 const QUIET_TURNS: u32 = 16;
 
+/// How long after its start an instance takes those that the store lists for present: by then it has heard of all that
+/// live.
+const YOUNG: Duration = Duration::from_secs(3);
+
 /// Pause after the socket failed.
 const SOCKET_PAUSE: Duration = Duration::from_millis(100);
 
@@ -123,13 +130,14 @@
     shared: Arc<Shared>,
     socket: DatagramSocket,
     members: RefCell<Members>,
-    listed: RefCell<BTreeMap<Name, Listing>>,
+    listed: RefCell<BTreeMap<Name, Listed>>,
     quiet: Cell<bool>,
     turn: Cell<u32>,
     calls: CallClient,
     known: Known,
     /// Up to which revision of the store each peer said to know.
     ahead: RefCell<BTreeMap<Name, u64>>,
+    started: Time,
     /// Place of this instance among those of its zone.
     seat: Cell<Seat>,
     /// How many instances of all zones watch the store.
@@ -170,6 +178,7 @@
         listed: RefCell::default(),
         quiet: Cell::new(true),
         turn: Cell::new(0),
+        started: clock::now(),
         seat: Cell::default(),
         watchers: Cell::new(1),
         news: Notify::new(),
@@ -211,18 +220,22 @@
 
 impl Fleet {
     /// Takes the list of instances in the store.
-    pub fn on_listed(&self, listings: Vec<Listing>) {
-        let listed = listings.into_iter().map(|l| (l.name.clone(), l)).collect();
+    pub fn on_listed(&self, listings: Vec<Listed>) {
+        let listed = listings
+            .into_iter()
+            .map(|l| (l.listing.name.clone(), l))
+            .collect();
         *self.0.listed.borrow_mut() = listed;
         self.relist();
     }
 
     /// Takes an instance that was added to the list, if it is one; [`Self::relist`] is to follow.
-    pub fn on_item(&self, listing: Option<Listing>) -> bool {
-        let Some(listing) = listing else {
+    pub fn on_item(&self, listed: Option<Listed>) -> bool {
+        let Some(listed) = listed else {
             return false;
         };
-        self.0.listed.borrow_mut().insert(listing.name.clone(), listing);
+        let name = listed.listing.name.clone();
+        self.0.listed.borrow_mut().insert(name, listed);
         true
     }
 
@@ -243,7 +256,13 @@
 
     /// Puts the list in force, once for all that an answer has changed: each time costs as much as the fleet is large.
     pub fn relist(&self) {
-        let listed = self.0.listed.borrow().values().cloned().collect();
+        let listed = self
+            .0
+            .listed
+            .borrow()
+            .values()
+            .map(|l| l.listing.clone())
+            .collect();
         self.on(Event::Listed(listed));
     }
 
@@ -273,14 +292,7 @@
 
     fn publish(&self) {
         let roster = self.0.members.borrow().roster(clock::now());
-        let own = self.0.shared.options.front;
-        let open = roster.peers.iter().filter(|p| p.is_open());
-        let mut addresses: Vec<SocketAddr> = open.map(|p| p.address).collect();
-        if self.0.shared.is_ready() {
-            addresses.push(own);
-        }
-        addresses.sort();
-        addresses.dedup();
+        let entrances = self.entrances(&roster);
         let instances = roster.peers.len() + 1;
         let before = roster
             .peers
@@ -289,49 +301,59 @@
         let rank = u32::try_from(before.count()).unwrap_or(u32::MAX);
         self.sit(&roster);
         let view = self.0.shared.view.load();
-        if view.addresses != addresses || view.instances != instances || view.rank != rank {
+        if view.entrances != entrances || view.instances != instances || view.rank != rank {
             self.0.shared.publish(|view| {
-                view.addresses = addresses;
+                view.entrances = entrances;
                 view.instances = instances;
                 view.rank = rank;
             });
         }
     }
 
+    /// Where callers may go, each address once.
+    fn entrances(&self, roster: &Roster) -> Vec<Entrance> {
+        let listed = self.0.listed.borrow();
+        let options = &self.0.shared.options;
+        let own = self.0.shared.is_ready().then(|| Entrance {
+            address: options.front,
+            zone: options.zone.clone(),
+            capacity: options.capacity,
+        });
+        let open = roster.peers.iter().filter(|p| p.is_open()).map(|p| Entrance {
+            address: p.address,
+            zone: p.zone.clone(),
+            capacity: listed.get(&p.name).map_or(0, |l| l.capacity),
+        });
+        let mut entrances: Vec<Entrance> = open.chain(own).collect();
+        entrances.sort();
+        entrances.dedup_by_key(|e| e.address);
+        entrances
+    }
+
     /// Works out the place of this instance among those of its zone.
+    ///
+    /// Failure guarded against: a fleet of hundreds starts, and until they hear each other all of its instances watch, each
+    /// ended by every registration. Just after its start an instance takes those that the store lists for present; if
+    /// they are not, what it knows grows old, and it watches by itself.
     fn sit(&self, roster: &Roster) {
         let options = &self.0.shared.options;
-        let neighbours = roster
-            .peers
-            .iter()
-            .filter(|p| p.is_open() && p.zone == options.zone);
-        let (before, after): (Vec<&Peer>, Vec<&Peer>) = neighbours.partition(|p| p.name < options.name);
-        let seat = Seat {
-            rank: before.len(),
-            members: before.len() + after.len() + 1,
-        };
-        let mut zones: BTreeMap<&Name, usize> = BTreeMap::new();
-        for peer in roster.peers.iter().filter(|p| p.is_open()) {
+        let is_young = clock::now().since(self.0.started) < YOUNG;
+        let is_present = |p: &&Peer| p.is_open() || (is_young && !p.heard && p.state == MemberState::Live);
+        let mut zones: BTreeMap<&Name, usize> = BTreeMap::from([(&options.zone, 1)]);
+        let mut rank = 0;
+        for peer in roster.peers.iter().filter(is_present) {
             *zones.entry(&peer.zone).or_default() += 1;
+            rank += usize::from(peer.zone == options.zone && peer.name < options.name);
         }
-        *zones.entry(&options.zone).or_default() += 1;
-        let heard: usize = zones.values().sum();
-        let all = roster.peers.len() + 1;
-        let watchers = match 2 * heard < all {
-            true => all,
-            false => zones.values().map(|members| watchers::count(*members)).sum(),
-        };
+        let members = zones[&options.zone];
+        let watchers = zones.values().map(|members| watchers::count(*members)).sum();
         self.0.watchers.set(watchers);
+        let seat = Seat { rank, members };
         let former = self.0.seat.replace(seat);
         if former.is_watcher() != seat.is_watcher() {
             let watches = seat.is_watcher();
-            log_event!(
-                info,
-                log_event::WATCHER,
-                watches,
-                rank = seat.rank,
-                members = seat.members
-            );
+            self.0.shared.metrics.watcher.set(i64::from(watches));
+            log_event!(info, log_event::WATCHER, watches, rank, members);
             self.0.news.notify_one();
         }
     }
@@ -341,8 +363,7 @@
         self.0.seat.get()
     }
 
-    /// How many instances of all zones watch the store. While most of the listed ones are not heard yet, as in a fleet that
-    /// starts, each of them may.
+    /// How many instances of all zones watch the store.
     pub fn watchers(&self) -> usize {
         self.0.watchers.get()
     }
--- a/src/ops/relay/register.rs
+++ b/src/ops/relay/register.rs
@@ -42,6 +42,18 @@
     zone: Name,
     front: SocketAddr,
     peer: SocketAddr,
+    /// Thousandths of a core.
+    #[serde(default)]
+    capacity: u32,
+}
+
+/// An instance that the store lists.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listed {
+    /// Who and where it is.
+    pub listing: Listing,
+    /// What it can carry, in thousandths of a core.
+    pub capacity: u32,
 }
 
 /// The running registration.
@@ -108,6 +120,7 @@
         zone: options.zone.clone(),
         front: options.front,
         peer: options.peer,
+        capacity: options.capacity,
     };
     let value = serde_json::to_vec(&card).map_err(|e| StoreError::Unreadable(e.to_string()))?;
     let put = Put {
@@ -130,15 +143,18 @@
 }
 
 /// The instance that an item describes.
-pub fn listing(shared: &Shared, item: &Item) -> Option<Listing> {
+pub fn listing(shared: &Shared, item: &Item) -> Option<Listed> {
     let name = name(shared, &item.key)?;
     match serde_json::from_slice::<Card>(&item.value) {
-        Ok(card) => Some(Listing {
-            name,
-            zone: card.zone,
-            address: card.front,
-            peer: card.peer,
-            state: MemberState::Live,
+        Ok(card) => Some(Listed {
+            listing: Listing {
+                name,
+                zone: card.zone,
+                address: card.front,
+                peer: card.peer,
+                state: MemberState::Live,
+            },
+            capacity: card.capacity,
         }),
         Err(error) => {
             log_event!(warn, log_event::ENTRY_UNREADABLE, key = %item.key, revision = item.revision, %error);
@@ -148,6 +164,6 @@
 }
 
 /// The instances that items describe.
-pub fn listings(shared: &Shared, items: &[Item]) -> Vec<Listing> {
+pub fn listings(shared: &Shared, items: &[Item]) -> Vec<Listed> {
     items.iter().filter_map(|item| listing(shared, item)).collect()
 }
--- a/src/ops/relay/server.rs
+++ b/src/ops/relay/server.rs
@@ -1,6 +1,7 @@
 //! The servers: callers' requests, the question which addresses to use, and the question whether this instance is
 //! ready.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,13 +15,16 @@
 use actix_web::web;
 use actix_web::web::Data;
 use actix_web::web::Payload;
+use actix_web::web::Query;
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::StreamExt;
 use sequoiastream_core::log_event;
+use sequoiastream_core::relay::directory;
 use sequoiastream_upstream::channel::Pool;
 
 use crate::log_event;
+use crate::ops::relay::edge::Directory;
 use crate::ops::relay::forward::Forward;
 use crate::ops::relay::gauges;
 use crate::ops::relay::head::Head;
@@ -120,7 +124,7 @@
         });
     }
     if at(options.directory) && request.path() == paths.resolve {
-        return Some(addresses(shared));
+        return Some(addresses(shared, request));
     }
     if at(options.metrics) && request.path() == METRICS {
         return Some(metrics(shared));
@@ -135,12 +139,19 @@
         .body(gauges::page(shared))
 }
 
-fn addresses(shared: &Shared) -> HttpResponse {
+fn addresses(shared: &Shared, request: &HttpRequest) -> HttpResponse {
     let view = shared.view.load();
-    if view.addresses.is_empty() {
+    if view.entrances.is_empty() {
         return HttpResponse::ServiceUnavailable().finish();
     }
-    let body = shared.translate.addresses(&view.addresses, shared.tuning().keep);
+    let Directory { zone, most } = &shared.translate.dialect().directory;
+    // A query that can't be read names no zone.
+    let query = Query::<BTreeMap<String, String>>::from_query(request.query_string()).ok();
+    let zone = query.as_ref().and_then(|query| query.get(zone));
+    let caller = request.peer_addr().map(|address| address.ip().to_string());
+    let caller = caller.unwrap_or_default();
+    let addresses = directory::choose(&view.entrances, zone.map(String::as_str), &caller, *most);
+    let body = shared.translate.addresses(&addresses, shared.tuning().keep);
     HttpResponse::Ok().content_type("application/json").body(body)
 }
 
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -1,7 +1,6 @@
 //! What the control thread and the traffic thread share.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -14,6 +13,7 @@
 use arc_swap::ArcSwap;
 use sequoiastream_core::relay::book::Book;
 use sequoiastream_core::relay::budget::Budget;
+use sequoiastream_core::relay::directory::Entrance;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::routes::Table;
@@ -40,7 +40,7 @@
     keys: Arc<BTreeMap<String, EngineKey>>,
     hashes: Arc<BTreeMap<u64, EngineKey>>,
     /// Where callers may go, this instance included.
-    pub addresses: Vec<SocketAddr>,
+    pub entrances: Vec<Entrance>,
     /// Engines that have had their order.
     pub ordered: Arc<Ordered>,
     /// Place of this instance among the live ones, by name.
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -92,6 +92,8 @@
     pub store_age: Gauge<f64, AtomicU64>,
     /// Seconds since the peer that was silent longest told of its work.
     pub peers_age: Gauge<f64, AtomicU64>,
+    /// 1 while this instance watches the store for its zone.
+    pub watcher: Gauge,
     names: Mutex<BTreeSet<String>>,
     /// Requests that are running.
     pub running: Gauge,
@@ -125,6 +127,7 @@
             first: Family::new_with_constructor(|| Histogram::new(FIRST)),
             store_age: Gauge::default(),
             peers_age: Gauge::default(),
+            watcher: Gauge::default(),
             names: Mutex::default(),
             error: Histogram::new(ERRORS),
             running: Gauge::default(),
@@ -205,6 +208,11 @@
             Unit::Seconds,
             self.store_age.clone(),
         );
+        registry.register(
+            "relay_watcher",
+            "Whether this instance watches the store for its zone",
+            self.watcher.clone(),
+        );
         registry.register_with_unit(
             "relay_peers_age",
             "Since the peer that was silent longest told of its work",
--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -1,5 +1,6 @@
 //! Keeping up with the store, through its own answers and through peers.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -74,6 +75,11 @@
     ids.collect()
 }
 
+fn addresses(shared: &Shared) -> Vec<SocketAddr> {
+    let view = shared.view.load();
+    view.entrances.iter().map(|e| e.address).collect()
+}
+
 fn version(shared: &Shared) -> u64 {
     shared.view.load().table.version
 }
@@ -218,7 +224,7 @@
     let second = start(far, &store).await;
     let registrations = [&first, &second].map(|s| register::start(s.clone(), Rc::new(store.clone())));
     for shared in [&first, &second] {
-        until(|| shared.view.load().addresses == both).await;
+        until(|| addresses(shared) == both).await;
     }
     assert!(store.has("own/one") && store.has("own/two"));
     for registration in registrations {
@@ -270,3 +276,20 @@
     assert_eq!([engines(&watcher), engines(&listener)], [["e1"], ["e1"]]);
     until(|| engines(&listener).is_empty()).await;
 }
+
+/// The store is asked by all of a fleet that starts, and every registration ends every watch. An instance that has just
+/// started leaves the watching to those that the store lists, and does it itself if it hears none of them.
+#[actix_web::test]
+async fn start_leaves_watching_to_listed() {
+    let store = FakeStore::new();
+    store.put("config", "3 /a/");
+    for number in 10..30 {
+        let card = r#"{"zone":"a","front":"127.0.0.1:1","peer":"127.0.0.1:1"}"#;
+        store.put(&format!("own/a{number}"), card);
+    }
+    let (shared, fleet) = start_seated(options(), &store).await;
+    until(|| version(&shared) == 3).await;
+    assert!(!fleet.seat().is_watcher(), "{:?}", fleet.seat());
+    store.put("config", "5 /a/");
+    until(|| version(&shared) == 5).await;
+}
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -10,6 +10,7 @@
 use actix_web::dev::ServerHandle;
 use http::HeaderName;
 use sequoiastream::ops::relay::edge::Dialect;
+use sequoiastream::ops::relay::edge::Directory;
 use sequoiastream::ops::relay::edge::Keys;
 use sequoiastream::ops::relay::edge::Malformed;
 use sequoiastream::ops::relay::edge::Names;
@@ -93,6 +94,10 @@
                 resolve: "/addresses".to_string(),
                 order: "/order".to_string(),
             },
+            directory: Directory {
+                zone: "zone".to_string(),
+                most: 4,
+            },
         })
     }
 }
@@ -218,6 +223,7 @@
         directory: Some(own_address(7_003)),
         metrics: Some(own_address(7_005)),
         peer: own_address(7_004),
+        capacity: 250,
         cluster: "a secret of the tests".to_string(),
         tuning: Tuning {
             keep: Duration::from_millis(50),
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -4,6 +4,7 @@
 mod book;
 mod budget;
 mod digest;
+mod directory;
 mod engine;
 mod engines;
 mod follow;
--- a/tests/testsuite/relay/requests.rs
+++ b/tests/testsuite/relay/requests.rs
@@ -1,6 +1,9 @@
 //! What callers send, and what reaches the engine of it; readiness, addresses, shutdown.
 
+use std::net::SocketAddr;
+
 use sequoiastream::util::clock;
+use sequoiastream_core::relay::directory::Entrance;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::routes::Kind;
 use sequoiastream_core::relay::routes::Service;
@@ -150,7 +153,9 @@
         options.directory
     };
     let mut caller = Caller::connect(address.expect("an address")).await;
-    let raw = format!("GET /{path}?name=shop.example HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    let (path, query) = path.split_once('&').unwrap_or((path, ""));
+    let raw =
+        format!("GET /{path}?name=shop.example&{query} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
     caller.send(&raw).await;
     let got = caller.rest().await;
     match path {
@@ -164,9 +169,28 @@
     let instance = Instance::start(Kind::Once, &[], |_| {});
     assert_eq!(status(&ask(&instance, "addresses").await), "503");
     let front = instance.shared.options.front;
-    instance.shared.publish(|view| view.addresses = vec![front]);
+    let entrance = |address: SocketAddr, zone: &str| Entrance {
+        address,
+        zone: zone.parse().expect("a name"),
+        capacity: 250,
+    };
+    instance
+        .shared
+        .publish(|view| view.entrances = vec![entrance(front, "a")]);
     let got = ask(&instance, "addresses").await;
     assert!(got.ends_with(&format!("[{front}] 50")), "{got}");
+    // Of more than a caller takes, those of its zone.
+    let many = (1..=8_u16).map(|port| {
+        let zone = if port % 2 == 0 { "a" } else { "b" };
+        entrance(SocketAddr::from(([127, 0, 0, 1], port)), zone)
+    });
+    let many: Vec<Entrance> = many.collect();
+    instance.shared.publish(|view| view.entrances = many);
+    let got = ask(&instance, "addresses&zone=b").await;
+    assert!(
+        got.ends_with("[127.0.0.1:1, 127.0.0.1:3, 127.0.0.1:5, 127.0.0.1:7] 50"),
+        "{got}"
+    );
 }
 
 /// A chat is cut by a planned stop. Order: callers keep an address for a while after its instance was told to stop.
