--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -25,7 +25,7 @@
 /// The addresses for `caller` in `zone`, which takes `most` of them, in the order of the addresses.
 ///
 /// Failure guarded against: callers take the first so many of a longer list. All of them go to the same few instances, of
-/// one or two zones, while the others stand idle; a third of 195 carried everything.
+/// one or two zones, while the others stand idle.
 pub fn choose(entrances: &[Entrance], zone: Option<&str>, caller: &str, most: usize) -> Vec<SocketAddr> {
     if entrances.len() <= most {
         return entrances.iter().map(|e| e.address).collect();
--- a/crates/core/src/relay/place.rs
+++ b/crates/core/src/relay/place.rs
@@ -22,8 +22,7 @@
 const REQUEST: Duration = Duration::from_micros(500);
 
 /// How often the reading or fetching of shared parts anew counts besides this request's own wait, when engines are
-/// compared. Under load an engine that reads them has no time for others. Measured at 3 to 12 and without bound on three
-/// mixes; docs/design/readings.md.
+/// compared. Under load an engine that reads them has no time for others, and memory that takes them in drops others'.
 const ANEW: f64 = 12.0;
 
 /// How often reading parts that no engine keeps counts besides, elsewhere than at their home: with 1 an instance reads
@@ -56,8 +55,7 @@
     /// Failure guarded against: an engine leaves, or its home is avoided for a long queue, and parts of many thousand
     /// tokens are read again though an engine a few milliseconds away keeps them. An engine that is told whom to ask
     /// fetches what it lacks and reads only the rest; it is the home for all others, and for the home the engine that
-    /// was the home before it came. Where the home has 6,000 to 13,000 tokens of a prompt, measured on three mixes, a
-    /// third to a half less is read again; where nothing is kept the question costs nothing.
+    /// was the home before it came. Where nothing is kept the question costs nothing.
     pub fetch: Option<SocketAddr>,
 }
 
--- a/src/ops/relay/options.rs
+++ b/src/ops/relay/options.rs
@@ -17,8 +17,8 @@
 /// Port of the metrics, the same as in the deploy file.
 pub const METRICS_PORT: u16 = 9_464;
 
-/// Part of a service's model engines that read prompts for the others, unless operators say otherwise. Measured at
-/// 0.45, 0.55 and 0.65 on the mixes of both users; docs/MEASUREMENTS.md.
+/// Part of a service's model engines that read prompts for the others, unless operators say otherwise. A reading keeps
+/// its engine from others, a batch does not: readers must be less busy than those that generate.
 pub const READERS: f64 = 0.65;
 
 /// How long an engine must be gone until the record of its order is removed. One that was cut off for so long and comes back
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -31,7 +31,7 @@
 const MAX_READS: u32 = 2;
 
 /// Part of a route's target by which an answer must be expected to begin: the rest is for the ways to and from the
-/// caller. Measured at 0.8 and 0.95; docs/design/readings.md.
+/// caller.
 const ON_TIME: f64 = 0.95;
 
 /// Part of a route's target that is a short wait: a request that would be late all the same is let in by it. Long
--- /dev/null
+++ b/tests/testsuite/ci.rs
@@ -0,0 +1,40 @@
+//! What CI passes over.
+
+use std::collections::BTreeSet;
+use std::process::Command;
+
+/// The names of this suite's tests that a run with these arguments would run.
+fn listed(arguments: &[&str]) -> BTreeSet<String> {
+    let suite = std::env::current_exe().expect("the path of this suite");
+    let output = Command::new(suite).arg("--list").args(arguments).output();
+    let output = output.expect("a list");
+    let text = String::from_utf8(output.stdout).expect("text");
+    let names = text.lines().filter_map(|line| line.strip_suffix(": test"));
+    names.map(str::to_string).collect()
+}
+
+/// A fault goes unseen. Order: a test is known to fail and is listed; CI passes over another one as well, whose name begins
+/// like it.
+#[test]
+fn skip_whole_names_only() {
+    let all = listed(&[]);
+    let none = listed(&["--exact", "--skip", "ci::skip_whole"]);
+    assert_eq!(none, all);
+    let mut but_one = all.clone();
+    but_one.remove("ci::skip_whole_names_only");
+    let passed = listed(&["--exact", "--skip", "ci::skip_whole_names_only"]);
+    assert_eq!(passed, but_one);
+    let script = include_str!("../../.ci/run");
+    assert!(script.contains("cargo test --locked --workspace -- --exact \"${skips[@]}\"\n"));
+}
+
+/// A line of the list names a test that is no more: nothing is passed over, and the fault it stands for is forgotten.
+#[test]
+fn known_red_exist() {
+    let all = listed(&[]);
+    let known = include_str!("../../KNOWN-RED.txt");
+    for line in known.lines().filter(|line| !line.trim().is_empty()) {
+        let name = line.split('|').next().unwrap_or_default().trim();
+        assert!(all.contains(name), "{name} is no test of this suite");
+    }
+}
--- /dev/null
+++ b/tests/testsuite/relay/known.rs
@@ -0,0 +1,110 @@
+//! What an instance tells peers of the store.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use sequoiastream::ops::relay::edge::Keys;
+use sequoiastream::ops::relay::edge::Translate;
+use sequoiastream::ops::relay::known::Known;
+use sequoiastream_core::relay::watchers::Word;
+use sequoiastream_core::time::Time;
+use sequoiastream_kv::store::Change;
+use sequoiastream_kv::store::Item;
+
+use super::instance::TestDialect;
+
+const NOW: Time = Time::from_millis(60_000);
+
+fn keys() -> Keys {
+    TestDialect::new().keys().clone()
+}
+
+fn item(key: &str, revision: u64, bytes: usize) -> Item {
+    Item {
+        key: key.to_string(),
+        value: Bytes::from(vec![b'x'; bytes]),
+        revision,
+        created: revision,
+    }
+}
+
+/// Knows two engines as of revision 10.
+fn known() -> Known {
+    let known = Known::new();
+    known.on_all(&keys(), 10, &[item("engines/a", 3, 1), item("engines/b", 7, 1)]);
+    known.on_answer(NOW, NOW, Duration::ZERO, 10);
+    known
+}
+
+fn gone(key: &str, revision: u64) -> Change {
+    let key = key.to_string();
+    Change::Removed { key, revision }
+}
+
+/// What is told after a revision: revisions written, keys removed, large items.
+fn told(known: &Known, revision: u64) -> Option<(Vec<u64>, Vec<String>, Vec<u64>)> {
+    let news = known.tell_since(NOW, revision)?;
+    let items = news.items.iter().map(|item| item.revision).collect();
+    let removed = news.removed.into_iter().map(|(_, key)| key).collect();
+    let large = news.large.iter().map(|(revision, _)| *revision).collect();
+    Some((items, removed, large))
+}
+
+#[test]
+fn tell_since_what_changed() {
+    let known = known();
+    known.on_change(&keys(), &Change::Put(item("engines/a", 11, 1)));
+    known.on_change(&keys(), &gone("engines/b", 12));
+    known.on_change(&keys(), &Change::Put(item("config", 13, 20_000)));
+    known.on_change(&keys(), &Change::Put(item("others/x", 14, 1)));
+    known.on_answer(NOW, NOW, Duration::ZERO, 14);
+    let b = "engines/b".to_string();
+    assert_eq!(told(&known, 10), Some((vec![11], vec![b.clone()], vec![13])));
+    assert_eq!(told(&known, 11), Some((vec![], vec![b], vec![13])));
+    assert_eq!(told(&known, 13), Some((vec![], vec![], vec![])));
+}
+
+/// Work goes to an engine that is gone. Order: an instance lags behind what its peer has read of removals, and takes what
+/// the peer tells for all that happened.
+#[test]
+fn tell_since_before_it_knew() {
+    let known = known();
+    assert_eq!(told(&known, 9), None);
+    for revision in 11..2_100 {
+        known.on_change(&keys(), &gone(&format!("engines/{revision}"), revision));
+    }
+    known.on_answer(NOW, NOW, Duration::ZERO, 2_100);
+    assert_eq!(told(&known, 10), None);
+    let (_, removed, _) = told(&known, 2_000).expect("a short while ago");
+    assert_eq!(removed.len(), 99);
+}
+
+/// Each listener is told everything after each failed call of its watcher. Cause: a read of everything passes for a new
+/// beginning, though what went since can be worked out.
+#[test]
+fn tell_since_across_a_read() {
+    let known = known();
+    known.on_all(&keys(), 20, &[item("engines/b", 7, 1), item("engines/c", 15, 1)]);
+    known.on_answer(NOW, NOW, Duration::ZERO, 20);
+    let a = "engines/a".to_string();
+    assert_eq!(told(&known, 10), Some((vec![15], vec![a], vec![])));
+}
+
+#[test]
+fn tell_ages() {
+    let known = known();
+    known.on_failure(NOW);
+    let later = NOW + Duration::from_millis(300);
+    let news = known.tell_since(later, 10).expect("all that happened");
+    assert_eq!(
+        (news.age, news.failed, known.tell(later).age),
+        (300, Some(300), 300)
+    );
+    let word = Word {
+        revision: 10,
+        age: Duration::from_millis(40),
+    };
+    assert!(!known.on_word(later, word));
+    assert_eq!(known.tell(later).age, 40);
+    assert_eq!(Known::new().tell(later).age, u32::MAX);
+}
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -9,6 +9,7 @@
 mod engines;
 mod follow;
 mod instance;
+mod known;
 mod metrics;
 mod orders;
 mod pace;
