Doubt what vanished only after an outage that this instance saw

One watcher had been cut off from the store alone and told, with its news, that calls had failed it; the instances that heard of the engine's end from it doubted that end for 1.7 s as after an outage of the store. Change: a peer's failures say nothing.

--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -128,8 +128,6 @@
     pub revision: u64,
     /// Milliseconds since the store had nothing beyond that.
     pub age: u32,
-    /// Milliseconds since a call to the store failed, there or where the news came from.
-    pub failed: Option<u32>,
     /// Items that were written.
     pub items: Vec<StoreItem>,
     /// Keys that were removed, and at which revision.
--- a/src/ops/relay/follow.rs
+++ b/src/ops/relay/follow.rs
@@ -83,6 +83,8 @@
     /// Revision of the configuration that is in force.
     config: u64,
     failures: u32,
+    /// When the last call failed.
+    failed: Option<Time>,
     /// How long the next watch waits before it begins.
     rest: Duration,
     /// Whether all up to the known revision was taken in, and the store still tells what follows it.
@@ -113,6 +115,7 @@
         ordered: Ordered::default(),
         config: 0,
         failures: 0,
+        failed: None,
         rest: Duration::ZERO,
         complete: false,
     };
@@ -125,6 +128,7 @@
     /// Asks the store, or listens to the peers until one knows more or too much time has passed.
     async fn step(&mut self) {
         let now = clock::now();
+        self.on_heard(now);
         let tuning = self.shared.tuning();
         let duty = self.known.duty(self.fleet.seat(), tuning.bound, now);
         let asked = match duty {
@@ -399,6 +403,7 @@
 
     /// Takes all that a peer knows of the store.
     fn on_state(&mut self, told: StoreState) {
+        self.doubt();
         let word = word(told.revision, told.age);
         let items: Vec<Item> = told.items.into_iter().map(known::item).collect();
         self.on_all(word.revision, &items);
@@ -413,9 +418,6 @@
     }
 
     /// Takes what happened in the store since, as a peer knows it; whether all of it could be had.
-    ///
-    /// Failure guarded against: the store was away, entries of engines lapsed meanwhile, and an instance that didn't ask
-    /// the store itself takes their removal for their end. The peer says when the store last failed it.
     async fn on_told(&mut self, peer: SocketAddr, told: StoreNews) -> bool {
         let mut items: Vec<Item> = told.items.into_iter().map(known::item).collect();
         for (revision, key) in &told.large {
@@ -429,12 +431,7 @@
                 }
             }
         }
-        let now = clock::now();
-        if let Some(millis) = told.failed {
-            let at = now - Duration::from_millis(u64::from(millis));
-            self.engines.on_failure(at);
-            self.known.on_failure(at);
-        }
+        self.doubt();
         let removed = told
             .removed
             .into_iter()
@@ -442,11 +439,32 @@
         let mut changes: Vec<Change> = items.into_iter().map(Change::Put).chain(removed).collect();
         changes.sort_by_key(revision);
         self.on_changes(changes);
-        self.known.on_news(now, word(told.revision, told.age));
+        self.known.on_news(clock::now(), word(told.revision, told.age));
         self.complete = true;
         true
     }
 
+    /// Doubts what a peer tells of entries that vanished, if the store failed this instance and nobody has confirmed
+    /// anything since.
+    ///
+    /// Failure guarded against: the store was away, entries of engines lapsed meanwhile, and an instance that hears of its
+    /// return from a peer takes their removal for their end. A peer's own failures say nothing: it may have been cut off
+    /// alone, and an engine that has left would keep its work at all who hear of it from that peer.
+    fn doubt(&mut self) {
+        if self.failures > 0 {
+            self.engines.on_failure(clock::now());
+        }
+    }
+
+    /// Notes that peers have heard of the store again since it failed this instance.
+    fn on_heard(&mut self, now: Time) {
+        let confirmed = self.known.age(now).map(|age| now - age);
+        if self.failures > 0 && confirmed > self.failed {
+            self.doubt();
+            self.on_success();
+        }
+    }
+
     /// The item under a key from the store itself, as of a revision or later. One that is gone by then counts as not had:
     /// the peer's whole state says so.
     async fn large(&self, revision: u64, key: &str) -> Option<Item> {
@@ -472,7 +490,7 @@
         }
         let now = clock::now();
         self.engines.on_failure(now);
-        self.known.on_failure(now);
+        self.failed = Some(now);
         let longest = match self.fleet.seat().is_watcher() {
             true => LONGEST,
             false => LONGEST_LISTENER,
--- a/src/ops/relay/known.rs
+++ b/src/ops/relay/known.rs
@@ -40,8 +40,6 @@
     removed: BTreeSet<(u64, String)>,
     /// All removals after this revision are known.
     horizon: u64,
-    /// When a call to the store last failed, here or where the news came from.
-    failed: Option<Time>,
 }
 
 /// What is known; cheap to clone, stays on one thread.
@@ -84,12 +82,6 @@
         self.0.borrow_mut().reach.on_tick(now);
     }
 
-    /// Notes when a call to the store failed.
-    pub fn on_failure(&self, at: Time) {
-        let mut state = self.0.borrow_mut();
-        state.failed = state.failed.max(Some(at));
-    }
-
     /// Takes all items as of `revision`, unless more is known already.
     pub fn on_all(&self, keys: &Keys, revision: u64, items: &[Item]) {
         let mut state = self.0.borrow_mut();
@@ -155,7 +147,6 @@
         Some(StoreNews {
             revision: state.reach.revision(),
             age: millis(state.reach.age(now)),
-            failed: state.failed.map(|at| millis(Some(now.since(at)))),
             items: small.into_iter().map(told).collect(),
             removed: later.cloned().collect(),
             large: large
