--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -14,6 +14,7 @@
 use sequoiastream::ops::relay::register;
 use sequoiastream::ops::relay::shared::Shared;
 use sequoiastream::util::clock;
+use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::watchers::Bound;
 
 use super::instance::options;
@@ -312,3 +313,33 @@
     until(|| version(&listener) == 5).await;
     assert_eq!(engines(&listener), Vec::<String>::new());
 }
+
+/// A fleet serves nothing for half a minute after all of it was killed. Order: hundreds of instances register, one change
+/// after the other; each instance asks a peer at once for each of them, and each answer is a list as long as the fleet to
+/// take in. What comes next is fetched together.
+#[actix_web::test]
+async fn listener_rests_between_questions() {
+    let (served, own) = (FakeStore::new(), FakeStore::new());
+    for number in 100..220 {
+        let card = r#"{"zone":"a","front":"127.0.0.1:1","peer":"127.0.0.1:1"}"#;
+        for store in [&served, &own] {
+            store.put(&format!("own/z{number}"), card);
+        }
+    }
+    let [(first, _), (second, _), (listener, _)] = listener(&served, &own, Duration::from_secs(60)).await;
+    until(|| listener.view.load().instances > 100).await;
+    // With work they tell of it, and of what they know of the store, forty times a second.
+    for watcher in [&first, &second] {
+        watcher
+            .ledger()
+            .book
+            .begin(clock::now(), EngineKey(0), Duration::ZERO);
+    }
+    let begun = clock::now();
+    for change in 4..9 {
+        served.put("config", &format!("{change} /a/"));
+        until(|| version(&listener) == change).await;
+    }
+    let rests = follow::rest(listener.view.load().instances) * 4;
+    assert!(clock::now().since(begun) >= rests, "{rests:?}");
+}
