Split following by peers and the roster's consequences off; show a watcher from its start

Moves only, but for the gauge relay_watcher, which stayed 0 on an instance that watched from its start; the listeners' tests check it now (red before on two of three).

--- a/src/ops/relay/follow.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -8,8 +8,9 @@
 //! Only a few instances watch, see [`watchers`](sequoiastream_core::relay::watchers): the others listen to their peers and
 //! ask one that knows more.
 
+mod listen;
+
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,21 +23,17 @@
 use sequoiastream_core::relay::engines::News;
 use sequoiastream_core::relay::routes::Table;
 use sequoiastream_core::relay::watchers::Duty;
-use sequoiastream_core::relay::watchers::Word;
 use sequoiastream_core::time::Time;
 use sequoiastream_kv::store::Change;
 use sequoiastream_kv::store::Item;
 use sequoiastream_kv::store::Store;
 use sequoiastream_kv::store::StoreError;
-use sequoiastream_peer::message::StoreNews;
-use sequoiastream_peer::message::StoreState;
 
 use crate::log_event;
 use crate::ops::relay::known;
 use crate::ops::relay::known::Known;
 use crate::ops::relay::orders::Ordered;
 use crate::ops::relay::peers::Fleet;
-use crate::ops::relay::peers::Told;
 use crate::ops::relay::register;
 use crate::ops::relay::shared::Shared;
 use crate::util::clock;
@@ -160,24 +157,6 @@
         );
     }
 
-    /// Listens to the peers until `until`, and takes what they know more.
-    async fn listen(&mut self, until: Time) {
-        let fleet = self.fleet.clone();
-        tokio::select! {
-            () = fleet.news() => {}
-            () = self.pass(until.since(clock::now())) => {}
-        }
-        let mut is_told = false;
-        while self.ask_peer().await {
-            is_told = true;
-        }
-        self.on_confirmed();
-        if is_told {
-            // What follows is fetched together: taking changes in costs as much as the fleet is large, each time.
-            self.pass(rest(self.shared.view.load().instances)).await;
-        }
-    }
-
     /// Reads everything, page by page.
     async fn read(&mut self) -> Result<(), StoreError> {
         let mut items: Vec<Item> = Vec::new();
@@ -389,97 +368,6 @@
         }
     }
 
-    /// Takes what a peer knows of the store, if one knows more; whether one did.
-    async fn ask_peer(&mut self) -> bool {
-        match self.fleet.ask_ahead(self.known.revision()).await {
-            Some(Told::All(told)) => {
-                self.on_state(told);
-                true
-            }
-            Some(Told::Since(peer, told)) => self.on_told(peer, told).await,
-            None => false,
-        }
-    }
-
-    /// Takes all that a peer knows of the store.
-    fn on_state(&mut self, told: StoreState) {
-        self.doubt();
-        let word = word(told.revision, told.age);
-        let items: Vec<Item> = told.items.into_iter().map(known::item).collect();
-        self.on_all(word.revision, &items);
-        self.known.on_news(clock::now(), word);
-        self.complete = true;
-        log_event!(
-            info,
-            log_event::PEER_TOLD,
-            revision = word.revision,
-            items = items.len()
-        );
-    }
-
-    /// Takes what happened in the store since, as a peer knows it; whether all of it could be had.
-    async fn on_told(&mut self, peer: SocketAddr, told: StoreNews) -> bool {
-        let mut items: Vec<Item> = told.items.into_iter().map(known::item).collect();
-        for (revision, key) in &told.large {
-            match self.large(*revision, key).await {
-                Some(item) => items.push(item),
-                None => {
-                    let all = self.fleet.ask_all(peer).await;
-                    let is_told = all.is_some();
-                    all.into_iter().for_each(|all| self.on_state(all));
-                    return is_told;
-                }
-            }
-        }
-        self.doubt();
-        let removed = told
-            .removed
-            .into_iter()
-            .map(|(revision, key)| Change::Removed { key, revision });
-        let mut changes: Vec<Change> = items.into_iter().map(Change::Put).chain(removed).collect();
-        changes.sort_by_key(revision);
-        self.on_changes(changes);
-        self.known.on_news(clock::now(), word(told.revision, told.age));
-        self.complete = true;
-        true
-    }
-
-    /// Doubts what a peer tells of entries that vanished, if the store failed this instance and nobody has confirmed
-    /// anything since.
-    ///
-    /// Failure guarded against: the store was away, entries of engines lapsed meanwhile, and an instance that hears of its
-    /// return from a peer takes their removal for their end. A peer's own failures say nothing: it may have been cut off
-    /// alone, and an engine that has left would keep its work at all who hear of it from that peer.
-    fn doubt(&mut self) {
-        if self.failures > 0 {
-            self.engines.on_failure(clock::now());
-        }
-    }
-
-    /// Notes that peers have heard of the store again since it failed this instance.
-    fn on_heard(&mut self, now: Time) {
-        let confirmed = self.known.age(now).map(|age| now - age);
-        if self.failures > 0 && confirmed > self.failed {
-            self.doubt();
-            self.on_success();
-        }
-    }
-
-    /// The item under a key from the store itself, as of a revision or later. One that is gone by then counts as not had:
-    /// the peer's whole state says so.
-    async fn large(&self, revision: u64, key: &str) -> Option<Item> {
-        match self.store.range(key, "").await {
-            Ok(page) => {
-                let found = page.items.into_iter().find(|item| item.key == key);
-                found.filter(|item| item.revision >= revision)
-            }
-            Err(error) => {
-                log_event!(info, log_event::KV_FAILED, %error, call = "large");
-                None
-            }
-        }
-    }
-
     async fn on_failure(&mut self, error: &StoreError) {
         if *error == StoreError::Compacted {
             log_event!(info, log_event::KV_RESOLVED, %error);
@@ -502,17 +390,3 @@
         self.pass(pause).await;
     }
 }
-
-fn word(revision: u64, age: u32) -> Word {
-    Word {
-        revision,
-        age: Duration::from_millis(u64::from(age)),
-    }
-}
-
-fn revision(change: &Change) -> u64 {
-    match change {
-        Change::Put(item) => item.revision,
-        Change::Removed { revision, .. } => *revision,
-    }
-}
--- a/src/ops/relay/peers.rs
+++ b/src/ops/relay/peers/mod.rs
@@ -1,5 +1,8 @@
 //! The other instances: who they are, whether they are alive, and how much work they have at each engine.
 
+mod ask;
+mod roster;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -15,18 +18,13 @@
 use sequoiastream_core::membership::CutRule;
 use sequoiastream_core::membership::Event;
 use sequoiastream_core::membership::Limits;
-use sequoiastream_core::membership::MemberState;
 use sequoiastream_core::membership::Members;
 use sequoiastream_core::membership::Myself;
-use sequoiastream_core::membership::Peer;
-use sequoiastream_core::membership::Roster;
 use sequoiastream_core::name::Name;
 use sequoiastream_core::relay::book::Work;
 use sequoiastream_core::relay::digest;
 use sequoiastream_core::relay::digest::Digest;
-use sequoiastream_core::relay::directory::Entrance;
 use sequoiastream_core::relay::engines::EngineKey;
-use sequoiastream_core::relay::watchers;
 use sequoiastream_core::relay::watchers::Seat;
 use sequoiastream_core::time::Time;
 use sequoiastream_peer::PeerError;
@@ -37,8 +35,6 @@
 use sequoiastream_peer::message::Datagram;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
-use sequoiastream_peer::message::StoreNews;
-use sequoiastream_peer::message::StoreState;
 use sequoiastream_peer::seal::ClusterKey;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -46,6 +42,7 @@
 
 use crate::log_event;
 use crate::ops::relay::known::Known;
+pub use crate::ops::relay::peers::ask::Told;
 use crate::ops::relay::register::Listed;
 use crate::ops::relay::shared::Shared;
 use crate::util::clock;
@@ -67,25 +64,9 @@
 /// Without work, one of so many messages is sent: it says how far the sender knows the store.
 const QUIET_TURNS: u32 = 16;
 
-/// How long after its start an instance takes those that the store lists for present: by then it has heard of all that
-/// live.
-const YOUNG: Duration = Duration::from_secs(3);
-
 /// Pause after the socket failed.
 const SOCKET_PAUSE: Duration = Duration::from_millis(100);
 
-/// How long a peer may take to say what it knows of the store.
-const STATE: Duration = Duration::from_millis(300);
-
-/// What a peer knows of the store beyond what is known here.
-#[derive(Debug)]
-pub enum Told {
-    /// Everything.
-    All(StoreState),
-    /// What happened since, and whom it was heard of.
-    Since(SocketAddr, StoreNews),
-}
-
 /// Where peers speak.
 pub struct Sockets {
     datagrams: DatagramSocket,
@@ -290,74 +271,6 @@
         });
     }
 
-    fn publish(&self) {
-        let roster = self.0.members.borrow().roster(clock::now());
-        let entrances = self.entrances(&roster);
-        let instances = roster.peers.len() + 1;
-        let before = roster
-            .peers
-            .iter()
-            .filter(|p| p.is_open() && p.name < self.0.shared.options.name);
-        let rank = u32::try_from(before.count()).unwrap_or(u32::MAX);
-        self.sit(&roster);
-        let view = self.0.shared.view.load();
-        if view.entrances != entrances || view.instances != instances || view.rank != rank {
-            self.0.shared.publish(|view| {
-                view.entrances = entrances;
-                view.instances = instances;
-                view.rank = rank;
-            });
-        }
-    }
-
-    /// Where callers may go, each address once.
-    fn entrances(&self, roster: &Roster) -> Vec<Entrance> {
-        let listed = self.0.listed.borrow();
-        let options = &self.0.shared.options;
-        let own = self.0.shared.is_ready().then(|| Entrance {
-            address: options.front,
-            zone: options.zone.clone(),
-            capacity: options.capacity,
-        });
-        let open = roster.peers.iter().filter(|p| p.is_open()).map(|p| Entrance {
-            address: p.address,
-            zone: p.zone.clone(),
-            capacity: listed.get(&p.name).map_or(0, |l| l.capacity),
-        });
-        let mut entrances: Vec<Entrance> = open.chain(own).collect();
-        entrances.sort();
-        entrances.dedup_by_key(|e| e.address);
-        entrances
-    }
-
-    /// Works out the place of this instance among those of its zone.
-    ///
-    /// Failure guarded against: a fleet of hundreds starts, and until they hear each other all of its instances watch, each
-    /// ended by every registration. Just after its start an instance takes those that the store lists for present; if
-    /// they are not, what it knows grows old, and it watches by itself.
-    fn sit(&self, roster: &Roster) {
-        let options = &self.0.shared.options;
-        let is_young = clock::now().since(self.0.started) < YOUNG;
-        let is_present = |p: &&Peer| p.is_open() || (is_young && !p.heard && p.state == MemberState::Live);
-        let mut zones: BTreeMap<&Name, usize> = BTreeMap::from([(&options.zone, 1)]);
-        let mut rank = 0;
-        for peer in roster.peers.iter().filter(is_present) {
-            *zones.entry(&peer.zone).or_default() += 1;
-            rank += usize::from(peer.zone == options.zone && peer.name < options.name);
-        }
-        let members = zones[&options.zone];
-        let watchers = zones.values().map(|members| watchers::count(*members)).sum();
-        self.0.watchers.set(watchers);
-        let seat = Seat { rank, members };
-        let former = self.0.seat.replace(seat);
-        if former.is_watcher() != seat.is_watcher() {
-            let watches = seat.is_watcher();
-            self.0.shared.metrics.watcher.set(i64::from(watches));
-            log_event!(info, log_event::WATCHER, watches, rank, members);
-            self.0.news.notify_one();
-        }
-    }
-
     /// Place of this instance among those of its zone.
     pub fn seat(&self) -> Seat {
         self.0.seat.get()
@@ -373,50 +286,6 @@
         self.0.news.notified().await;
     }
 
-    /// A peer that knows the store beyond `revision`, the furthest ahead.
-    fn ahead(&self, revision: u64) -> Option<(Name, SocketAddr)> {
-        let roster = self.0.members.borrow().roster(clock::now());
-        let ahead = self.0.ahead.borrow();
-        let known = |name: &Name| ahead.get(name).copied().unwrap_or_default();
-        let heard = roster
-            .peers
-            .iter()
-            .filter(|p| p.heard && known(&p.name) > revision);
-        let furthest = heard.max_by_key(|p| known(&p.name))?;
-        Some((furthest.name.clone(), furthest.peer))
-    }
-
-    /// What a peer knows of the store beyond `revision`, if one does.
-    pub async fn ask_ahead(&self, revision: u64) -> Option<Told> {
-        let (name, peer) = self.ahead(revision)?;
-        let told = match self.0.calls.call(peer, &Request::Since(revision), STATE).await {
-            Ok(Response::News(news)) if news.revision > revision => Some(Told::Since(peer, news)),
-            Ok(Response::State(state)) if state.revision > revision => Some(Told::All(state)),
-            Ok(_) => None,
-            Err(error) => {
-                log_event!(debug, log_event::PEER_FAILED, to = %peer, %error, call = "since");
-                None
-            }
-        };
-        if told.is_none() {
-            // It says so anew if it can be asked.
-            self.0.ahead.borrow_mut().remove(&name);
-        }
-        told
-    }
-
-    /// All that a peer knows of the store.
-    pub async fn ask_all(&self, peer: SocketAddr) -> Option<StoreState> {
-        match self.0.calls.call(peer, &Request::State, STATE).await {
-            Ok(Response::State(state)) => Some(state),
-            Ok(_) => None,
-            Err(error) => {
-                log_event!(debug, log_event::PEER_FAILED, to = %peer, %error, call = "state");
-                None
-            }
-        }
-    }
-
     fn on_load(&self, name: &Name, digest: Digest) {
         let now = clock::now();
         self.0.ahead.borrow_mut().insert(name.clone(), digest.revision);
--- /dev/null
+++ b/src/ops/relay/peers/roster.rs
@@ -0,0 +1,91 @@
+//! What follows from who is heard: where callers may go, and who watches the store.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sequoiastream_core::log_event;
+use sequoiastream_core::membership::MemberState;
+use sequoiastream_core::membership::Peer;
+use sequoiastream_core::membership::Roster;
+use sequoiastream_core::name::Name;
+use sequoiastream_core::relay::directory::Entrance;
+use sequoiastream_core::relay::watchers;
+use sequoiastream_core::relay::watchers::Seat;
+
+use crate::log_event;
+use crate::ops::relay::peers::Fleet;
+use crate::util::clock;
+
+/// How long after its start an instance takes those that the store lists for present: by then it has heard of all that
+/// live.
+const YOUNG: Duration = Duration::from_secs(3);
+
+impl Fleet {
+    pub(super) fn publish(&self) {
+        let roster = self.0.members.borrow().roster(clock::now());
+        let entrances = self.entrances(&roster);
+        let instances = roster.peers.len() + 1;
+        let before = roster
+            .peers
+            .iter()
+            .filter(|p| p.is_open() && p.name < self.0.shared.options.name);
+        let rank = u32::try_from(before.count()).unwrap_or(u32::MAX);
+        self.sit(&roster);
+        let view = self.0.shared.view.load();
+        if view.entrances != entrances || view.instances != instances || view.rank != rank {
+            self.0.shared.publish(|view| {
+                view.entrances = entrances;
+                view.instances = instances;
+                view.rank = rank;
+            });
+        }
+    }
+
+    /// Where callers may go, each address once.
+    fn entrances(&self, roster: &Roster) -> Vec<Entrance> {
+        let listed = self.0.listed.borrow();
+        let options = &self.0.shared.options;
+        let own = self.0.shared.is_ready().then(|| Entrance {
+            address: options.front,
+            zone: options.zone.clone(),
+            capacity: options.capacity,
+        });
+        let open = roster.peers.iter().filter(|p| p.is_open()).map(|p| Entrance {
+            address: p.address,
+            zone: p.zone.clone(),
+            capacity: listed.get(&p.name).map_or(0, |l| l.capacity),
+        });
+        let mut entrances: Vec<Entrance> = open.chain(own).collect();
+        entrances.sort();
+        entrances.dedup_by_key(|e| e.address);
+        entrances
+    }
+
+    /// Works out the place of this instance among those of its zone.
+    ///
+    /// Failure guarded against: a fleet of hundreds starts, and until they hear each other all of its instances watch, each
+    /// ended by every registration. Just after its start an instance takes those that the store lists for present; if
+    /// they are not, what it knows grows old, and it watches by itself.
+    fn sit(&self, roster: &Roster) {
+        let options = &self.0.shared.options;
+        let is_young = clock::now().since(self.0.started) < YOUNG;
+        let is_present = |p: &&Peer| p.is_open() || (is_young && !p.heard && p.state == MemberState::Live);
+        let mut zones: BTreeMap<&Name, usize> = BTreeMap::from([(&options.zone, 1)]);
+        let mut rank = 0;
+        for peer in roster.peers.iter().filter(is_present) {
+            *zones.entry(&peer.zone).or_default() += 1;
+            rank += usize::from(peer.zone == options.zone && peer.name < options.name);
+        }
+        let members = zones[&options.zone];
+        let watchers = zones.values().map(|members| watchers::count(*members)).sum();
+        self.0.watchers.set(watchers);
+        let seat = Seat { rank, members };
+        let watches = seat.is_watcher();
+        self.0.shared.metrics.watcher.set(i64::from(watches));
+        let former = self.0.seat.replace(seat);
+        if former.is_watcher() != watches {
+            log_event!(info, log_event::WATCHER, watches, rank, members);
+            self.0.news.notify_one();
+        }
+    }
+}
--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -67,6 +67,10 @@
     let [.., (_, listener)] = &instances;
     until(|| instances.iter().all(|(shared, _)| version(shared) == 3)).await;
     until(|| !listener.seat().is_watcher()).await;
+    let gauges = instances
+        .each_ref()
+        .map(|(shared, _)| shared.metrics.watcher.get());
+    assert_eq!(gauges, [1, 1, 0]);
     instances
 }
 
