--- a/crates/core/src/relay/watchers.rs
+++ b/crates/core/src/relay/watchers.rs
@@ -27,6 +27,12 @@
 /// Part of it over which the instances of a zone spread that: the first one that asks spares the others the call.
 const SPREAD: f64 = 0.1;
 
+/// A store can't be watched so closely that a change is in force sooner.
+const SOONEST: Duration = Duration::from_millis(500);
+
+/// Stores let a watch wait for some thirty seconds, and it waits for half of this.
+const LATEST: Duration = Duration::from_secs(20);
+
 /// An instance that did not run for so long has messages waiting that are as old.
 const ASLEEP: Duration = Duration::from_millis(500);
 
@@ -66,6 +72,11 @@
 pub struct Bound(pub Duration);
 
 impl Bound {
+    /// The times by which a change is in force within `time`, as far as a watch can do that.
+    pub fn within(time: Duration) -> Bound {
+        Bound(time.clamp(SOONEST, LATEST))
+    }
+
     /// How long a watch waits.
     pub fn wait(self) -> Duration {
         self.0.mul_f64(WAIT)
