One piece turns a peer's word into milliseconds and back

The age that messages carry was worked out in four places (digest both ways, known, listen). Word does it now.

--- a/crates/core/src/relay/digest.rs
+++ b/crates/core/src/relay/digest.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -59,17 +58,14 @@
     pub fn with_word(mut self, word: Option<Word>) -> Digest {
         if let Some(word) = word {
             self.revision = word.revision;
-            self.age = u32::try_from(word.age.as_millis()).unwrap_or(u32::MAX);
+            self.age = word.millis();
         }
         self
     }
 
     /// What the sender knows of the store.
     pub fn word(&self) -> Word {
-        Word {
-            revision: self.revision,
-            age: Duration::from_millis(u64::from(self.age)),
-        }
+        Word::new(self.revision, self.age)
     }
 }
 
--- a/crates/core/src/relay/watchers.rs
+++ b/crates/core/src/relay/watchers.rs
@@ -98,6 +98,19 @@
     pub age: Duration,
 }
 
+impl Word {
+    /// The word as messages carry it: its age in milliseconds.
+    pub fn new(revision: u64, millis: u32) -> Word {
+        let age = Duration::from_millis(u64::from(millis));
+        Word { revision, age }
+    }
+
+    /// Its age in milliseconds, the longest that messages carry if it is longer.
+    pub fn millis(self) -> u32 {
+        u32::try_from(self.age.as_millis()).unwrap_or(u32::MAX)
+    }
+}
+
 /// What an instance is to do now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Duty {
--- a/src/ops/relay/follow/listen.rs
+++ b/src/ops/relay/follow/listen.rs
@@ -1,7 +1,6 @@
 //! Hearing of changes from peers, instead of asking the store.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use sequoiastream_core::log_event;
 use sequoiastream_core::relay::watchers::Word;
@@ -52,7 +51,7 @@
     /// Takes all that a peer knows of the store.
     fn on_state(&mut self, told: StoreState) {
         self.doubt();
-        let word = word(told.revision, told.age);
+        let word = Word::new(told.revision, told.age);
         let items: Vec<Item> = told.items.into_iter().map(known::item).collect();
         self.on_all(word.revision, &items);
         self.known.on_news(clock::now(), word);
@@ -87,7 +86,8 @@
         let mut changes: Vec<Change> = items.into_iter().map(Change::Put).chain(removed).collect();
         changes.sort_by_key(revision);
         self.on_changes(changes);
-        self.known.on_news(clock::now(), word(told.revision, told.age));
+        self.known
+            .on_news(clock::now(), Word::new(told.revision, told.age));
         self.complete = true;
         true
     }
@@ -129,13 +129,6 @@
     }
 }
 
-fn word(revision: u64, age: u32) -> Word {
-    Word {
-        revision,
-        age: Duration::from_millis(u64::from(age)),
-    }
-}
-
 fn revision(change: &Change) -> u64 {
     match change {
         Change::Put(item) => item.revision,
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -23,6 +23,7 @@
 use sequoiastream_core::relay::engines::News;
 use sequoiastream_core::relay::routes::Table;
 use sequoiastream_core::relay::watchers::Duty;
+use sequoiastream_core::relay::watchers::Word;
 use sequoiastream_core::time::Time;
 use sequoiastream_kv::store::Change;
 use sequoiastream_kv::store::Item;
@@ -30,7 +31,6 @@
 use sequoiastream_kv::store::StoreError;
 
 use crate::log_event;
-use crate::ops::relay::known;
 use crate::ops::relay::known::Known;
 use crate::ops::relay::orders::Ordered;
 use crate::ops::relay::peers::Fleet;
@@ -148,7 +148,7 @@
         if self.fleet.seat().is_watcher() {
             return;
         }
-        let age = known::millis(self.known.age(now));
+        let age = self.known.word(now).map(Word::millis);
         log_event!(
             info,
             log_event::UNCONFIRMED,
--- a/src/ops/relay/known.rs
+++ b/src/ops/relay/known.rs
@@ -130,7 +130,7 @@
         let state = self.0.borrow();
         StoreState {
             revision: state.reach.revision(),
-            age: millis(state.reach.age(now)),
+            age: state.age(now),
             items: state.items.values().map(told).collect(),
         }
     }
@@ -146,7 +146,7 @@
         let later = state.removed.range((revision + 1, String::new())..);
         Some(StoreNews {
             revision: state.reach.revision(),
-            age: millis(state.reach.age(now)),
+            age: state.age(now),
             items: small.into_iter().map(told).collect(),
             removed: later.cloned().collect(),
             large: large
@@ -158,6 +158,11 @@
 }
 
 impl State {
+    /// The age as messages carry it; the longest if the store never confirmed anything.
+    fn age(&self, now: Time) -> u32 {
+        self.reach.word(now).map_or(u32::MAX, Word::millis)
+    }
+
     fn remove(&mut self, key: &str, revision: u64) {
         self.items.remove(key);
         self.removed.insert((revision, key.to_string()));
@@ -188,12 +193,6 @@
     }
 }
 
-/// An age as messages carry it; the longest if there is none.
-pub fn millis(age: Option<Duration>) -> u32 {
-    let millis = age.and_then(|age| u32::try_from(age.as_millis()).ok());
-    millis.unwrap_or(u32::MAX)
-}
-
 fn is_shared(keys: &Keys, key: &str) -> bool {
     let prefixes = [&keys.engines, &keys.orders, &keys.own];
     key == keys.config || prefixes.iter().any(|prefix| key.starts_with(prefix.as_str()))
