Limit engines ordered to read prompts by the instances' capacity

Cause: 0.65 of all model engines of a service are ordered to read prompts, regardless of how many prompts can arrive.

Change: the number of reading engines is limited to 12 for each core of the instances' total capacity. Engines that read already keep reading. If the capacity is unknown, no limit applies.

--- a/crates/core/src/relay/stages.rs
+++ b/crates/core/src/relay/stages.rs
@@ -17,6 +17,10 @@
 /// isn't worth an order.
 const TOLERANCE: usize = 1;
 
+/// Reading engines that one core of the instances can keep busy: a core forwards about 150 prompts per second, and the
+/// slowest engines take 80 ms to read one.
+const READERS_PER_CORE: f64 = 12.0;
+
 /// An order that is to be given.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StageOrder {
@@ -26,6 +30,33 @@
     pub stage: Stage,
 }
 
+/// Limits the fraction `readers` of a service's engines that read to what the instances can keep busy. `capacity` is their
+/// total capacity in thousandths of a core; 0 means unknown and leaves `readers` unchanged. Engines that read already are
+/// never ordered back by this limit.
+///
+/// Guards against taking thousands of engines out of service for seconds, and loading the store, for readers that stay idle.
+pub fn limit_readers(
+    engines: &[Engine],
+    ordered: &BTreeMap<String, Stage>,
+    readers: f64,
+    capacity: u32,
+) -> f64 {
+    if capacity == 0 {
+        return readers;
+    }
+    let staged = || engines.iter().filter(|e| e.entry.stage != Stage::Whole);
+    let reading = staged().filter(|e| becomes(e, ordered) == Stage::Prefill).count();
+    let needed = (f64::from(capacity) / 1e3 * READERS_PER_CORE).ceil();
+    let limit = needed.max(reading as f64);
+    readers.min(limit / staged().count().max(1) as f64)
+}
+
+/// The stage of an engine after its order, if any, has been carried out.
+fn becomes(engine: &Engine, ordered: &BTreeMap<String, Stage>) -> Stage {
+    let ordered = ordered.get(&engine.entry.id);
+    ordered.copied().unwrap_or(engine.entry.stage)
+}
+
 /// The orders that bring the engines of a service to the split in which `readers` of 1.0 read. `ordered` are those
 /// that have had their order.
 pub fn plan(engines: &[Engine], ordered: &BTreeMap<String, Stage>, readers: f64) -> Vec<StageOrder> {
@@ -33,8 +64,10 @@
     let most = staged.len().saturating_sub(MIN_GENERATORS);
     let wanted = ((staged.len() as f64 * readers).round() as usize).min(most);
     // An engine that was ordered to is counted as what it will be.
-    let becomes = |e: &Engine| ordered.get(&e.entry.id).copied().unwrap_or(e.entry.stage);
-    let reading = staged.iter().filter(|e| becomes(e) == Stage::Prefill).count();
+    let reading = staged
+        .iter()
+        .filter(|e| becomes(e, ordered) == Stage::Prefill)
+        .count();
     let generating = staged.len() - reading;
     let is_split = staged.iter().any(|e| ordered.contains_key(&e.entry.id));
     let tolerance = if is_split { TOLERANCE } else { 0 };
@@ -48,7 +81,10 @@
         std::cmp::Ordering::Equal => return Vec::new(),
         std::cmp::Ordering::Greater => (Stage::Decode, reading - wanted),
     };
-    let mut zones = Zones::new(staged.into_iter().filter(|e| becomes(e) != stage), ordered);
+    let mut zones = Zones::new(
+        staged.into_iter().filter(|e| becomes(e, ordered) != stage),
+        ordered,
+    );
     let next = std::iter::from_fn(|| zones.next());
     let orders = next.take(count).map(|engine| StageOrder {
         engine: engine.entry.id.clone(),
--- a/src/ops/relay/orders.rs
+++ b/src/ops/relay/orders.rs
@@ -19,6 +19,7 @@
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::records::Absences;
 use sequoiastream_core::relay::stages::StageOrder;
+use sequoiastream_core::relay::stages::limit_readers;
 use sequoiastream_core::relay::stages::plan;
 use sequoiastream_core::time::Time;
 use sequoiastream_kv::store::Item;
@@ -214,13 +215,15 @@
 fn planned(shared: &Shared, is_steady: bool) -> Vec<(Engine, StageOrder)> {
     let view = shared.view.load();
     let ordered = view.ordered.engines();
+    let capacity = view.entrances.iter().map(|e| e.capacity).sum();
     let is_split = |engines: &[Engine]| engines.iter().any(|e| ordered.contains_key(&e.entry.id));
     let engines = view
         .engines()
         .values()
         .filter(|engines| is_steady || is_split(engines));
     let orders = engines.flat_map(|engines| {
-        let orders = plan(engines, ordered, shared.tuning().readers);
+        let readers = limit_readers(engines, ordered, shared.tuning().readers, capacity);
+        let orders = plan(engines, ordered, readers);
         let engines: BTreeMap<&str, &Engine> = engines.iter().map(|e| (e.entry.id.as_str(), e)).collect();
         let orders = orders.into_iter().filter_map(|order| {
             let engine = engines.get(order.engine.as_str())?;
--- a/tests/testsuite/relay/stages.rs
+++ b/tests/testsuite/relay/stages.rs
@@ -4,6 +4,7 @@
 
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::Stage;
+use sequoiastream_core::relay::stages::limit_readers;
 use sequoiastream_core::relay::stages::plan;
 
 use super::fleet;
@@ -45,6 +46,27 @@
     }
 }
 
+/// Guards against ordering more engines of a large fleet to read than its instances can keep busy.
+#[test]
+fn readers_limited_by_capacity() {
+    let cases = [
+        ((40, 60), 120_000, 0.65),
+        ((40, 60), 4_000, 0.48),
+        ((40, 60), 1_000, 0.4),
+        ((80, 20), 1_000, 0.65),
+        ((3, 6), 2_000, 0.65),
+        ((0, 4), 0, 0.65),
+    ];
+    for ((readers, generators), capacity, expected) in cases {
+        let engines = split(readers, generators);
+        let limited = limit_readers(&engines, &BTreeMap::new(), 0.65, capacity);
+        assert_eq!(limited, expected, "{readers}:{generators} at {capacity}");
+    }
+    let engines = split(36, 54);
+    let readers = limit_readers(&engines, &BTreeMap::new(), 0.65, 1_000);
+    assert_eq!(plan(&engines, &BTreeMap::new(), readers), Vec::new());
+}
+
 #[test]
 fn plan_small_services() {
     for engines in [split(0, 1), split(0, 2), split(0, 0), fleet(&[Stage::Whole; 6])] {
