Watch the store from two instances per fleet and batch changes

Cause: two instances of each zone watched the store, and each change of any engine ended the watch of all of them, so the number of calls was watchers times changes.

Change: the instances of all zones are ranked in one order: the first of each zone, then the second of each zone, and so on. The first two watch, or one for each 128 instances if that is more. After changes, a watcher waits for 0.3 to 0.4 of the time within which a change must be in force (0.08 before), at most 2 s, drawn anew each time, and fetches what has accumulated in one batch. The limit on the age of the data that other instances act on is unchanged: an instance that has heard no confirmation for 0.7 to 0.8 of that time asks the store itself.

Ruled out: the renewals (a tenth of a call each) and the lists (one each).

Most of the remaining calls are registration (a grant, a write, renewals and a read for each instance).

--- a/crates/core/src/relay/watchers.rs
+++ b/crates/core/src/relay/watchers.rs
@@ -1,19 +1,20 @@
 //! Which instances watch the store for all, and how old what the others act on may be.
 //!
-//! A store is asked by a few instances of each availability zone. The others hear from their peers, in the messages that
-//! they get anyway, up to which revision these know the store and when the store last confirmed it; whoever is behind
-//! asks the peer for what it lacks. Nothing has to be agreed on: an instance works out its own place by the peers that it
-//! hears, two that disagree both watch, and one that has heard no recent confirmation watches by itself, whoever should
-//! have done so.
+//! A few instances of the fleet, spread across availability zones, ask the store. The others hear from their peers, in the
+//! messages that they get anyway, up to which revision these know the store and when the store last confirmed it;
+//! whoever is behind asks the peer for what it lacks. Nothing has to be agreed on: an instance works out its own place by
+//! the peers that it hears, two that disagree both watch, and one that has heard no recent confirmation watches by itself,
+//! whoever should have done so.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use crate::time::Time;
 
-/// Instances of a zone for which one of them watches: what these ask it for stays a small part of its time.
-const EACH: usize = 16;
+/// Instances per watcher: answering their questions takes a small part of a watcher's time.
+const EACH: usize = 128;
 
-/// Watchers of a zone, at least: one may be lost unnoticed.
+/// Minimum number of watchers in a fleet: the loss of one may go unnoticed.
 const LEAST: usize = 2;
 
 /// Part of the time within which a change must be in force for which a watch waits: one that falls silent is found out by
@@ -24,7 +25,7 @@
 /// calls the store while the watchers are well, and with time left for the answer.
 const PATIENCE: f64 = 0.7;
 
-/// Part of it over which the instances of a zone spread that: the first one that asks spares the others the call.
+/// Part of it over which the instances spread that call: the first one to ask spares the others theirs.
 const SPREAD: f64 = 0.1;
 
 /// A store can't be watched so closely that a change is in force sooner.
@@ -43,18 +44,51 @@
 /// shows in its ordinary course, so that watchers needn't ask.
 const ASK: f64 = 0.4;
 
-/// Part of it from which on not only the watchers of the zone are asked.
+/// Part of it from which on the first instance of each zone is asked as well as the watchers.
 const ASK_ALL: f64 = 0.55;
 
-/// Part of it from which on an instance asks the store itself, and over which the instances of a zone spread that.
+/// Part of it from which on an instance asks the store itself; the instances spread these calls over [`SPREAD`].
 const PROVE: f64 = 0.75;
 
-/// How many of so many instances of a zone watch.
+/// The number of watchers in a fleet of `members` instances.
 pub fn count(members: usize) -> usize {
     members.div_ceil(EACH).max(LEAST).min(members)
 }
 
-/// The place of an instance among those of its zone that it hears, itself included.
+/// An instance that may watch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate<'n> {
+    /// Availability zone.
+    pub zone: &'n str,
+    /// Capacity in thousandths of a core.
+    pub capacity: u32,
+    /// Name, unique in the fleet.
+    pub name: &'n str,
+}
+
+/// Ranks instances as watchers: the first of each zone, then the second of each zone, and so on. Within a zone, instances
+/// are ordered by descending capacity, then by name.
+///
+/// Guards against all watchers being in a single zone that is cut off.
+pub fn rank_candidates(mut candidates: Vec<Candidate<'_>>) -> Vec<Candidate<'_>> {
+    candidates.sort_by_key(|c| (c.zone, Reverse(c.capacity), c.name));
+    let mut previous = None;
+    let mut zone_rank = 0;
+    let mut ranked: Vec<(usize, Candidate<'_>)> = Vec::with_capacity(candidates.len());
+    for candidate in candidates {
+        zone_rank = if previous == Some(candidate.zone) {
+            zone_rank + 1
+        } else {
+            0
+        };
+        previous = Some(candidate.zone);
+        ranked.push((zone_rank, candidate));
+    }
+    ranked.sort_by_key(|(zone_rank, _)| *zone_rank);
+    ranked.into_iter().map(|(_, candidate)| candidate).collect()
+}
+
+/// The rank of an instance among those that it hears, itself included.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Seat {
     /// How many come before it.
@@ -71,6 +105,15 @@
 }
 
 impl Seat {
+    /// The seat of the instance `name` among `ranked`, which is in the order of [`rank_candidates`].
+    pub fn among(ranked: &[Candidate<'_>], name: &str) -> Seat {
+        let rank = ranked.iter().position(|c| c.name == name);
+        Seat {
+            rank: rank.unwrap_or_default(),
+            members: ranked.len().max(1),
+        }
+    }
+
     /// Whether it watches for the others.
     pub fn is_watcher(self) -> bool {
         self.rank < count(self.members)
@@ -157,9 +200,9 @@
 pub enum Asked {
     /// Nobody: its own is new.
     Nobody,
-    /// The watchers of its zone.
-    Zone,
-    /// Those of the other zones too.
+    /// The watchers.
+    Watchers,
+    /// The watchers and the first instance of each zone.
     All,
 }
 
@@ -228,7 +271,7 @@
     pub fn asks(&self, limit: Duration, now: Time) -> Asked {
         match self.proof_age(now) {
             Some(age) if age < limit.mul_f64(ASK) => Asked::Nobody,
-            Some(age) if age < limit.mul_f64(ASK_ALL) => Asked::Zone,
+            Some(age) if age < limit.mul_f64(ASK_ALL) => Asked::Watchers,
             _ => Asked::All,
         }
     }
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -54,16 +54,19 @@
 /// How often engines whose entry is missing are looked through.
 const TICK: Duration = Duration::from_millis(100);
 
-/// Watches that all watchers together begin in a second at most, however often something changes: a tenth of what the
-/// store's reads allow on the smallest deployment. As many questions do all instances ask their peers.
-const WATCHES: u32 = 200;
+/// Maximum number of questions per second that all instances together ask their peers.
+const MAX_QUESTIONS_PER_SECOND: u32 = 200;
 
-/// Longest time by which changes wait to be fetched together: a quarter of the shortest time by which they must be in
-/// force.
+/// Longest time that an instance waits after hearing of changes from peers, to fetch them in one batch.
 const LONGEST_REST: Duration = Duration::from_millis(500);
 
-/// Part of the time within which a change must be in force for which changes gather.
-const GATHER: f64 = 0.08;
+/// Range from which a watcher draws how long it batches changes, as a part of the time within which a change must be in
+/// force. Shorter than the wait of a watch, so that a silent watch is detected no later; random, so that the watchers don't
+/// all call the store at the same time.
+const GATHER: std::ops::Range<f64> = 0.3..0.4;
+
+/// Longest time that a watcher batches changes.
+const LONGEST_WATCHER_REST: Duration = Duration::from_secs(2);
 
 /// How long a look at the store waits for something to happen.
 const LOOK: Duration = Duration::from_millis(1);
@@ -100,23 +103,22 @@
     complete: bool,
 }
 
-/// How long one of so many watchers rests after a watch that brought changes, and one of so many instances after what a
-/// peer told.
+/// How long one of `askers` instances waits after a peer reported changes, before it fetches them in one batch.
 ///
-/// Failure guarded against: a fleet of hundreds starts, or its engines come and go, and each single change ends the
-/// watch of every watcher: changes times watchers calls, which the store turns away and whoever runs it charges for; and
-/// each makes every instance take in a list as long as the fleet, which keeps the smallest from serving for half a
-/// minute. What begins later brings what has gathered.
+/// Guards against every change making each instance process a list as long as the fleet, which keeps the smallest instances
+/// from serving for half a minute when hundreds of instances start or engines come and go.
 pub fn rest(askers: usize) -> Duration {
     let askers = u32::try_from(askers).unwrap_or(u32::MAX);
-    let rest = Duration::from_secs(1) / WATCHES;
+    let rest = Duration::from_secs(1) / MAX_QUESTIONS_PER_SECOND;
     rest.saturating_mul(askers).min(LONGEST_REST)
 }
 
-/// How long a watcher rests after changes: also a part of the time within which they must be in force. Engines change what they
-/// say of themselves all the time, and each change would end the watch of every watcher.
-fn watcher_rest(watchers: usize, bound: Bound) -> Duration {
-    rest(watchers).max(bound.0.mul_f64(GATHER)).min(LONGEST_REST)
+/// How long a watcher waits after changes before it watches again.
+///
+/// Guards against each of the frequent updates of engine entries ending the watch of every watcher.
+fn watcher_rest(bound: Bound) -> Duration {
+    let rest = bound.0.mul_f64(rand::rng().random_range(GATHER));
+    rest.min(LONGEST_WATCHER_REST)
 }
 
 /// Follows until the process ends.
@@ -238,7 +240,7 @@
         };
         let is_quiet = changes.changes.is_empty();
         if !is_quiet {
-            self.rest = watcher_rest(self.fleet.watchers(), self.shared.tuning().bound);
+            self.rest = watcher_rest(self.shared.tuning().bound);
         }
         self.on_changes(changes.changes);
         let now = clock::now();
--- a/src/ops/relay/peers/mod.rs
+++ b/src/ops/relay/peers/mod.rs
@@ -134,10 +134,8 @@
     proofs: Proofs,
     tallies: Tallies,
     started: Time,
-    /// Place of this instance among those of its zone.
+    /// Rank of this instance among those that it hears.
     seat: Cell<Seat>,
-    /// How many instances of all zones watch the store.
-    watchers: Cell<usize>,
     /// Wakes whoever listens to the peers instead of the store: one knows more, or the seat changed.
     news: Notify,
 }
@@ -178,7 +176,6 @@
         turn: Cell::new(0),
         started: clock::now(),
         seat: Cell::default(),
-        watchers: Cell::new(1),
         news: Notify::new(),
     }));
     actix_rt::spawn(receive(fleet.clone()));
@@ -291,16 +288,11 @@
         });
     }
 
-    /// Place of this instance among those of its zone.
+    /// Rank of this instance among those that it hears.
     pub fn seat(&self) -> Seat {
         self.0.seat.get()
     }
 
-    /// How many instances of all zones watch the store.
-    pub fn watchers(&self) -> usize {
-        self.0.watchers.get()
-    }
-
     /// Returns when a peer knows more of the store, or when the seat has changed.
     pub async fn news(&self) {
         self.0.news.notified().await;
--- a/src/ops/relay/peers/prove.rs
+++ b/src/ops/relay/peers/prove.rs
@@ -7,6 +7,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -39,10 +40,10 @@
     questions: Cell<[Option<Question>; 2]>,
     /// Up to when each peer said that its knowledge is proven.
     told: RefCell<BTreeMap<Name, Time>>,
-    /// Peers that watch the store for the zone of this instance.
-    pub(super) near: RefCell<Vec<SocketAddr>>,
-    /// One for each of the other zones.
-    pub(super) far: RefCell<Vec<SocketAddr>>,
+    /// Peers that watch the store.
+    pub(super) watchers: RefCell<Vec<SocketAddr>>,
+    /// The first peer of each zone in the order of watchers.
+    pub(super) zone_peers: RefCell<Vec<SocketAddr>>,
     /// Whether requests with keys may be let in here, as last logged.
     proven: Cell<bool>,
 }
@@ -76,6 +77,12 @@
         questions.filter(|q| q.number == number).map(|q| q.sent).next()
     }
 
+    /// The watchers and the first peer of each zone, without duplicates.
+    fn all(&self) -> BTreeSet<SocketAddr> {
+        let (watchers, zone_peers) = (self.watchers.borrow(), self.zone_peers.borrow());
+        watchers.iter().chain(zone_peers.iter()).copied().collect()
+    }
+
     fn is_early(&self, now: Time) -> bool {
         let [latest, _] = self.questions.get();
         latest.is_some_and(|q| now.since(q.sent) < AGAIN)
@@ -101,10 +108,10 @@
         if proofs.is_early(now) {
             return;
         }
-        let peers = match known.asks(limit, now) {
+        let peers: BTreeSet<SocketAddr> = match known.asks(limit, now) {
             Asked::Nobody => return,
-            Asked::Zone => proofs.near.borrow().clone(),
-            Asked::All => [proofs.near.borrow().clone(), proofs.far.borrow().clone()].concat(),
+            Asked::Watchers => proofs.watchers.borrow().iter().copied().collect(),
+            Asked::All => proofs.all(),
         };
         let number = proofs.ask(now);
         for peer in peers {
--- a/src/ops/relay/peers/roster.rs
+++ b/src/ops/relay/peers/roster.rs
@@ -1,6 +1,8 @@
 //! What follows from who is heard: where callers may go, and who watches the store.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use sequoiastream_core::log_event;
@@ -10,11 +12,13 @@
 use sequoiastream_core::name::Name;
 use sequoiastream_core::relay::directory::Entrance;
 use sequoiastream_core::relay::watchers;
+use sequoiastream_core::relay::watchers::Candidate;
 use sequoiastream_core::relay::watchers::Seat;
 
 use crate::log_event;
 use crate::ops::relay::peers::Fleet;
 use crate::ops::relay::peers::counts::STAND_BY;
+use crate::ops::relay::register::Listed;
 use crate::util::clock;
 
 /// How long after its start an instance takes those that the store lists for present: by then it has heard of all that
@@ -74,22 +78,7 @@
         entrances
     }
 
-    /// Notes whom to ask for proofs: the watchers of this zone, and the first of each other one.
-    fn note_watchers(&self, roster: &Roster, zones: &BTreeMap<&Name, usize>) {
-        let proofs = &self.0.proofs;
-        let (mut near, mut far) = (proofs.near.borrow_mut(), proofs.far.borrow_mut());
-        near.clear();
-        far.clear();
-        for (zone, members) in zones {
-            let mut open = roster.peers.iter().filter(|p| p.is_open() && p.zone == **zone);
-            match **zone == self.0.shared.options.zone {
-                true => near.extend(open.take(watchers::count(*members)).map(|p| p.peer)),
-                false => far.extend(open.next().map(|p| p.peer)),
-            }
-        }
-    }
-
-    /// Works out the place of this instance among those of its zone.
+    /// Determines the rank of this instance among those that it hears, and which peers to ask for proofs.
     ///
     /// Failure guarded against: a fleet of hundreds starts, and until they hear each other all of its instances watch, each
     /// ended by every registration. Just after its start an instance takes those that the store lists for present; if
@@ -98,23 +87,43 @@
         let options = &self.0.shared.options;
         let is_young = clock::now().since(self.0.started) < YOUNG;
         let is_present = |p: &&Peer| p.is_open() || (is_young && !p.heard && p.state == MemberState::Live);
-        let mut zones: BTreeMap<&Name, usize> = BTreeMap::from([(&options.zone, 1)]);
-        let mut rank = 0;
-        for peer in roster.peers.iter().filter(is_present) {
-            *zones.entry(&peer.zone).or_default() += 1;
-            rank += usize::from(peer.zone == options.zone && peer.name < options.name);
-        }
-        self.note_watchers(roster, &zones);
-        let members = zones[&options.zone];
-        let watchers = zones.values().map(|members| watchers::count(*members)).sum();
-        self.0.watchers.set(watchers);
-        let seat = Seat { rank, members };
+        let present: Vec<&Peer> = roster.peers.iter().filter(is_present).collect();
+        let listed = self.0.listed.borrow();
+        let others = present.iter().map(|p| candidate(&listed, &p.name, &p.zone));
+        // Its own capacity comes from the list too: with different sources, two instances could both rank themselves first.
+        let own = candidate(&listed, &options.name, &options.zone);
+        let ranked = watchers::rank_candidates(others.chain([own]).collect());
+        let zones: BTreeSet<&str> = ranked.iter().map(|c| c.zone).collect();
+        let watcher_count = watchers::count(ranked.len());
+        let addresses: BTreeMap<&str, SocketAddr> =
+            present.iter().map(|p| (p.name.as_str(), p.peer)).collect();
+        let top_addresses = |count: usize| {
+            ranked
+                .iter()
+                .take(count)
+                .filter_map(|c| addresses.get(c.name).copied())
+        };
+        *self.0.proofs.watchers.borrow_mut() = top_addresses(watcher_count).collect();
+        *self.0.proofs.zone_peers.borrow_mut() = top_addresses(zones.len()).collect();
+        self.update_seat(Seat::among(&ranked, options.name.as_str()));
+    }
+
+    fn update_seat(&self, seat: Seat) {
         let watches = seat.is_watcher();
         self.0.shared.metrics.watcher.set(i64::from(watches));
         let former = self.0.seat.replace(seat);
         if former.is_watcher() != watches {
+            let (rank, members) = (seat.rank, seat.members);
             log_event!(info, log_event::WATCHER, watches, rank, members);
             self.0.news.notify_one();
         }
     }
 }
+
+fn candidate<'n>(listed: &BTreeMap<Name, Listed>, name: &'n Name, zone: &'n Name) -> Candidate<'n> {
+    Candidate {
+        zone: zone.as_str(),
+        capacity: listed.get(name).map_or(0, |l| l.capacity),
+        name: name.as_str(),
+    }
+}
