Register without a lease, and load the store from peers at startup

Cause: each instance took a lease, wrote its key under it, renewed it every 10 s, and read the whole store at startup. With 985 instances and 10,000 engines, the reads alone are about 20,000 pages; a store outage in which leases expire makes the whole fleet register again. A peer could not send everything it knew either: with ten thousand engines the answer exceeds the maximum frame size (2 MB), so every instance read the store.

Change: the key has no lease. It is written once, and not again by an instance that finds its own key still there. It is removed by the instance when it stops, or by the first instance of the fleet after ten minutes of silence (not while that instance hears no peer). Keys are grouped under the zone. An instance that finds more than one page in the store lists only its zone, and requests the rest from peers of its zone in pages of 512 KB. An instance serves a few peers per second, according to its capacity, and answers others that it is busy. Only the watchers, and instances that are not served in time, read everything.

A transfer's age counts from when its first page was requested. Seen red: `isolated_instance_keeps_keys` without its guard, `large_store_loaded_from_peer` while peers without a configuration did not count as present (six reads instead of two).

The leases of the store's interface serve nobody now and are left in place.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -143,6 +143,8 @@
     706 UNCONFIRMED = "unconfirmed";
     /// This instance may let requests with keys in, or may no longer: the proof of what it knows is too old.
     707 PROOF = "proof";
+    /// The keys of instances that sent no heartbeat for a long time are removed.
+    708 INSTANCES_FORGOTTEN = "instances-forgotten";
     /// The planner proposes a role change.
     800 ROLE_PROPOSED = "role-proposed";
     /// An invariant was broken; the action was dropped.
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -62,8 +62,8 @@
     Unhold(Name),
     /// Asks what became of an order.
     Settle(SettleOrder),
-    /// Asks for all that the peer knows of the store.
-    State,
+    /// Asks for a page of what the peer knows of the store: the items after this key, in key order.
+    Page(String),
     /// Asks for what the peer knows of the store after this revision.
     Since(u64),
 }
@@ -87,8 +87,11 @@
     InFlight(u32),
     /// Answer to [`Request::Settle`].
     Settled(Settlement),
-    /// Answer to [`Request::State`], and to [`Request::Since`] if the peer doesn't know all that happened since.
-    State(StoreState),
+    /// Answer to [`Request::Page`]; also to [`Request::Since`], as the first page, if the peer doesn't know all changes
+    /// since that revision.
+    Page(StorePage),
+    /// The peer has reached its limit of full transfers; retry later or ask another peer.
+    Busy,
     /// Answer to [`Request::Since`].
     News(StoreNews),
     /// The request is not served here.
@@ -128,15 +131,17 @@
     pub age: u32,
 }
 
-/// What an instance knows of the store.
+/// A page of what an instance knows of the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StoreState {
+pub struct StorePage {
     /// Up to which revision.
     pub revision: u64,
     /// Milliseconds since the store had nothing beyond that.
     pub age: u32,
     /// The items.
     pub items: Vec<StoreItem>,
+    /// Whether further items follow.
+    pub more: bool,
 }
 
 /// What happened in the store after a revision, as an instance knows it.
--- a/src/ops/control/peers.rs
+++ b/src/ops/control/peers.rs
@@ -42,7 +42,7 @@
     async fn respond(&self, request: Request) -> Response {
         match request {
             Request::Ping => Response::Pong,
-            Request::State | Request::Since(_) => Response::Unserved,
+            Request::Page(_) | Request::Since(_) => Response::Unserved,
             Request::Claim(ask) => verdict(self.claims.send(Claim(ask)).await),
             Request::Look(claim) => verdict(self.claims.send(Look(claim)).await),
             Request::Clock => Response::Clock(clock::wall()),
--- a/src/ops/relay/follow/listen.rs
+++ b/src/ops/relay/follow/listen.rs
@@ -1,6 +1,7 @@
 //! Hearing of changes from peers, instead of asking the store.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use sequoiastream_core::log_event;
 use sequoiastream_core::relay::watchers::Word;
@@ -8,7 +9,7 @@
 use sequoiastream_kv::store::Change;
 use sequoiastream_kv::store::Item;
 use sequoiastream_peer::message::StoreNews;
-use sequoiastream_peer::message::StoreState;
+use sequoiastream_peer::message::StorePage;
 
 use crate::log_event;
 use crate::ops::relay::follow::Follower;
@@ -20,11 +21,7 @@
 impl Follower {
     /// Listens to the peers until `until`, and takes what they know more.
     pub(super) async fn listen(&mut self, until: Time) {
-        let fleet = self.fleet.clone();
-        tokio::select! {
-            () = fleet.news() => {}
-            () = self.pass(until.since(clock::now())) => {}
-        }
+        self.wait_for_news(until.since(clock::now())).await;
         let mut is_told = false;
         while self.ask_peer().await {
             is_told = true;
@@ -36,20 +33,38 @@
         }
     }
 
+    /// Waits until a peer knows more, for at most `timeout`.
+    pub(super) async fn wait_for_news(&mut self, timeout: Duration) {
+        let fleet = self.fleet.clone();
+        tokio::select! {
+            () = fleet.news() => {}
+            () = self.pass(timeout) => {}
+        }
+    }
+
     /// Takes what a peer knows of the store, if one knows more; whether one did.
     pub(super) async fn ask_peer(&mut self) -> bool {
-        match self.fleet.ask_ahead(self.known.revision()).await {
-            Some(Told::All(told)) => {
-                self.on_state(told);
-                true
-            }
+        match self
+            .fleet
+            .ask_ahead(self.known.revision(), self.may_ask_other_zones(clock::now()))
+            .await
+        {
+            Some(Told::All(peer, first)) => self.on_first_page(peer, first).await,
             Some(Told::Since(peer, told)) => self.on_told(peer, told).await,
             None => false,
         }
     }
 
+    /// Fetches the pages that follow `first` and takes them all; `false` if a page could not be fetched.
+    async fn on_first_page(&mut self, peer: SocketAddr, first: StorePage) -> bool {
+        let all = self.fleet.ask_remaining(peer, first).await;
+        let is_told = all.is_some();
+        all.into_iter().for_each(|all| self.on_state(all));
+        is_told
+    }
+
     /// Takes all that a peer knows of the store.
-    fn on_state(&mut self, told: StoreState) {
+    fn on_state(&mut self, told: StorePage) {
         self.doubt();
         let word = Word::new(told.revision, told.age);
         let items: Vec<Item> = told.items.into_iter().map(known::item).collect();
@@ -71,10 +86,10 @@
             match self.large(*revision, key).await {
                 Some(item) => items.push(item),
                 None => {
-                    let all = self.fleet.ask_all(peer).await;
-                    let is_told = all.is_some();
-                    all.into_iter().for_each(|all| self.on_state(all));
-                    return is_told;
+                    return match self.fleet.ask_first_page(peer).await {
+                        Some(first) => self.on_first_page(peer, first).await,
+                        None => false,
+                    };
                 }
             }
         }
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -8,6 +8,7 @@
 //! Only a few instances watch, see [`watchers`](sequoiastream_core::relay::watchers): the others listen to their peers and
 //! ask one that knows more.
 
+mod join;
 mod listen;
 
 use std::collections::BTreeSet;
@@ -34,6 +35,7 @@
 use sequoiastream_kv::store::StoreError;
 
 use crate::log_event;
+use crate::ops::relay::follow::join::Startup;
 use crate::ops::relay::known::Known;
 use crate::ops::relay::lead;
 use crate::ops::relay::orders::Ordered;
@@ -101,6 +103,7 @@
     rest: Duration,
     /// Whether all up to the known revision was taken in, and the store still tells what follows it.
     complete: bool,
+    startup: Startup,
 }
 
 /// How long one of `askers` instances waits after a peer reported changes, before it fetches them in one batch.
@@ -136,6 +139,7 @@
         failed: None,
         rest: Duration::ZERO,
         complete: false,
+        startup: Startup::new(clock::now()),
     };
     loop {
         follower.step().await;
@@ -147,6 +151,9 @@
     async fn step(&mut self) {
         let now = clock::now();
         self.on_heard(now);
+        if self.startup.is_joining() && self.known.revision() == 0 {
+            return self.join(now).await;
+        }
         let tuning = self.shared.tuning();
         let duty = self.known.duty(self.fleet.seat(), tuning.bound, now);
         let prove = self
@@ -162,8 +169,13 @@
             }
             (Duty::Watch, _) => self.read().await,
         };
-        self.complete = asked.is_ok();
-        match asked {
+        self.on_result(asked).await;
+    }
+
+    /// Handles the result of a call to the store.
+    async fn on_result(&mut self, result: Result<(), StoreError>) {
+        self.complete = result.is_ok() && self.known.revision() > 0;
+        match result {
             Ok(()) => self.on_success(),
             Err(error) => self.on_failure(&error).await,
         }
@@ -198,6 +210,9 @@
             if !page.more || last {
                 break;
             }
+            if self.startup.defer_large_read() {
+                return Ok(());
+            }
         }
         self.on_all(revision, &items);
         self.known.on_answer(clock::now(), sent, Duration::ZERO, revision);
--- a/src/ops/relay/known.rs
+++ b/src/ops/relay/known.rs
@@ -7,12 +7,13 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::ops::Bound;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use sequoiastream_core::relay::watchers;
 use sequoiastream_core::relay::watchers::Asked;
-use sequoiastream_core::relay::watchers::Bound;
 use sequoiastream_core::relay::watchers::Duty;
 use sequoiastream_core::relay::watchers::Reach;
 use sequoiastream_core::relay::watchers::Seat;
@@ -22,7 +23,7 @@
 use sequoiastream_kv::store::Item;
 use sequoiastream_peer::message::StoreItem;
 use sequoiastream_peer::message::StoreNews;
-use sequoiastream_peer::message::StoreState;
+use sequoiastream_peer::message::StorePage;
 
 use crate::ops::relay::edge::Keys;
 
@@ -34,6 +35,9 @@
 /// the keys of a hundred workspaces is told.
 const MAX_TOLD: usize = 48 * 1024;
 
+/// Maximum size of a page, in bytes of keys and values: a small instance sends it in a fifth of a second.
+const MAX_PAGE_BYTES: usize = 512 * 1024;
+
 #[derive(Debug, Default)]
 struct State {
     reach: Reach,
@@ -60,7 +64,7 @@
     }
 
     /// Whether to watch the store or to listen to the peers.
-    pub fn duty(&self, seat: Seat, bound: Bound, now: Time) -> Duty {
+    pub fn duty(&self, seat: Seat, bound: watchers::Bound, now: Time) -> Duty {
         self.0.borrow().reach.duty(seat, bound, now)
     }
 
@@ -157,13 +161,37 @@
         self.0.borrow_mut().reach.on_news(now, word);
     }
 
-    /// Everything, for a peer that asks.
-    pub fn tell(&self, now: Time) -> StoreState {
+    /// The item under a key, if it is known.
+    pub fn item(&self, key: &str) -> Option<Item> {
+        self.0.borrow().items.get(key).cloned()
+    }
+
+    /// The page of items that follow the key `after`, for a peer that asks.
+    ///
+    /// Guards against an answer that exceeds the frame limit, as with ten thousand engines, so that a starting peer
+    /// gets nothing.
+    pub fn tell_page(&self, now: Time, after: &str) -> StorePage {
         let state = self.0.borrow();
-        StoreState {
+        let mut remaining = MAX_PAGE_BYTES;
+        let mut items = Vec::new();
+        let mut more = false;
+        for (key, item) in state
+            .items
+            .range::<str, _>((Bound::Excluded(after), Bound::Unbounded))
+        {
+            let size = key.len() + item.value.len();
+            if size > remaining && !items.is_empty() {
+                more = true;
+                break;
+            }
+            remaining = remaining.saturating_sub(size);
+            items.push(told(item));
+        }
+        StorePage {
             revision: state.reach.revision(),
             age: state.age(now),
-            items: state.items.values().map(told).collect(),
+            items,
+            more,
         }
     }
 
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -88,7 +88,7 @@
     actix_rt::spawn(follow::run(shared.clone(), store.clone(), fleet.clone(), known));
     actix_rt::spawn(orders::run(shared.clone(), store.clone()));
     act(&shared, &store, &fleet);
-    let registration = register::start(shared.clone(), store);
+    let registration = register::start(shared.clone(), store, fleet.clone());
     actix_rt::spawn(reload_on(hangup, shared.clone(), reload));
     log_event!(info, log_event::STARTED, address = %shared.options.front);
     tokio::select! {
--- a/src/ops/relay/options.rs
+++ b/src/ops/relay/options.rs
@@ -86,7 +86,8 @@
     pub bound: Bound,
     /// How old what is known of callers' keys may be.
     pub keys: KeyAges,
-    /// How long an engine must be gone until the record of its order is removed.
+    /// How long an engine must be gone until the record of its order is removed, and how long an instance must not be
+    /// heard until its key is removed.
     pub forget: Duration,
 }
 
--- a/src/ops/relay/peers/ask.rs
+++ b/src/ops/relay/peers/ask.rs
@@ -7,45 +7,65 @@
 use sequoiastream_core::membership::Peer;
 use sequoiastream_core::name::Name;
 use sequoiastream_core::relay::watchers::furthest;
+use sequoiastream_core::time::Time;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
 use sequoiastream_peer::message::StoreNews;
-use sequoiastream_peer::message::StoreState;
+use sequoiastream_peer::message::StorePage;
 
 use crate::log_event;
 use crate::ops::relay::peers::Fleet;
 use crate::util::clock;
 
-/// How long a peer may take to say what it knows of the store.
-const STATE: Duration = Duration::from_millis(300);
+/// Time limit for a peer's answer with the changes since a revision.
+const NEWS_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time limit for a peer's answer with a page: eight peers may share its link at once.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What a peer knows of the store beyond what is known here.
 #[derive(Debug)]
 pub enum Told {
-    /// Everything.
-    All(StoreState),
+    /// The first page of everything, and the peer that sent it.
+    All(SocketAddr, StorePage),
     /// What happened since, and whom it was heard of.
     Since(SocketAddr, StoreNews),
 }
 
 impl Fleet {
-    /// A peer that knows the store beyond `revision`, one of those furthest ahead.
-    fn ahead(&self, revision: u64) -> Option<(Name, SocketAddr)> {
+    /// A peer that knows the store beyond `revision`: one of those furthest ahead in this zone. If there is none and
+    /// `other_zones` is set, one of those furthest ahead in the other zones.
+    fn ahead(&self, revision: u64, other_zones: bool) -> Option<(Name, SocketAddr)> {
         let roster = self.0.members.borrow().roster(clock::now());
         let ahead = self.0.ahead.borrow();
-        let heard: Vec<&Peer> = roster.peers.iter().filter(|p| p.heard).collect();
+        let zone = &self.0.shared.options.zone;
+        let heard = |same_zone: bool| -> Vec<&Peer> {
+            let peers = roster.peers.iter().filter(|p| p.heard);
+            peers.filter(|p| (p.zone == *zone) == same_zone).collect()
+        };
         let known = |peer: &&Peer| ahead.get(&peer.name).copied().unwrap_or_default();
-        let known: Vec<u64> = heard.iter().map(known).collect();
-        let asked = heard[furthest(&known, revision, rand::random::<u32>() as usize)?];
-        Some((asked.name.clone(), asked.peer))
+        let choose = |peers: Vec<&Peer>| {
+            let known: Vec<u64> = peers.iter().map(known).collect();
+            let asked = peers[furthest(&known, revision, rand::random::<u32>() as usize)?];
+            Some((asked.name.clone(), asked.peer))
+        };
+        choose(heard(true)).or_else(|| choose(heard(false)).filter(|_| other_zones))
     }
 
-    /// What a peer knows of the store beyond `revision`, if one does.
-    pub async fn ask_ahead(&self, revision: u64) -> Option<Told> {
-        let (name, peer) = self.ahead(revision)?;
-        let told = match self.0.calls.call(peer, &Request::Since(revision), STATE).await {
+    /// What a peer knows of the store beyond `revision`, if one does. Peers of other zones are asked only if
+    /// `other_zones` is set.
+    pub async fn ask_ahead(&self, revision: u64, other_zones: bool) -> Option<Told> {
+        let (name, peer) = self.ahead(revision, other_zones)?;
+        let (request, timeout) = match revision {
+            0 => (Request::Page(String::new()), PAGE_TIMEOUT),
+            _ => (Request::Since(revision), NEWS_TIMEOUT),
+        };
+        let sent = clock::now();
+        let told = match self.0.calls.call(peer, &request, timeout).await {
             Ok(Response::News(news)) if news.revision > revision => Some(Told::Since(peer, news)),
-            Ok(Response::State(state)) if state.revision > revision => Some(Told::All(state)),
+            Ok(Response::Page(page)) if page.revision > revision => {
+                Some(Told::All(peer, add_elapsed(page, sent)))
+            }
             Ok(_) => None,
             Err(error) => {
                 log_event!(debug, log_event::PEER_FAILED, to = %peer, %error, call = "since");
@@ -59,15 +79,42 @@
         told
     }
 
-    /// All that a peer knows of the store.
-    pub async fn ask_all(&self, peer: SocketAddr) -> Option<StoreState> {
-        match self.0.calls.call(peer, &Request::State, STATE).await {
-            Ok(Response::State(state)) => Some(state),
+    /// The first page of what a peer knows of the store.
+    pub async fn ask_first_page(&self, peer: SocketAddr) -> Option<StorePage> {
+        self.ask_page(peer, String::new()).await
+    }
+
+    /// Appends all following pages to the first one; `None` if a page could not be fetched. The pages are not a
+    /// snapshot: the result has the revision of the first page, and later changes are requested from there.
+    pub async fn ask_remaining(&self, peer: SocketAddr, first: StorePage) -> Option<StorePage> {
+        let started = clock::now();
+        let mut all = first;
+        while all.more {
+            let after = all.items.last().map(|item| item.key.clone())?;
+            let next = self.ask_page(peer, after).await?;
+            all.more = next.more && !next.items.is_empty();
+            all.items.extend(next.items);
+        }
+        Some(add_elapsed(all, started))
+    }
+
+    async fn ask_page(&self, peer: SocketAddr, after: String) -> Option<StorePage> {
+        let sent = clock::now();
+        match self.0.calls.call(peer, &Request::Page(after), PAGE_TIMEOUT).await {
+            Ok(Response::Page(page)) => Some(add_elapsed(page, sent)),
             Ok(_) => None,
             Err(error) => {
-                log_event!(debug, log_event::PEER_FAILED, to = %peer, %error, call = "state");
+                log_event!(debug, log_event::PEER_FAILED, to = %peer, %error, call = "page");
                 None
             }
         }
     }
 }
+
+/// Adds the time since `sent` to the page's age, as its upper bound: over a slow link the answer takes seconds.
+fn add_elapsed(page: StorePage, sent: Time) -> StorePage {
+    let elapsed = clock::now().since(sent).as_millis();
+    let elapsed = u32::try_from(elapsed).unwrap_or(u32::MAX);
+    let age = page.age.saturating_add(elapsed);
+    StorePage { age, ..page }
+}
--- a/src/ops/relay/peers/mod.rs
+++ b/src/ops/relay/peers/mod.rs
@@ -8,6 +8,8 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -72,6 +74,10 @@
 /// Part of what would just fit to which a message about load that is too long is cut: not all of it can be cut.
 const FITS: f64 = 0.8;
 
+/// Capacity, in thousandths of a core, that allows one full transfer of the known store to a peer per second. A
+/// transfer is three megabytes for ten thousand engines.
+const CAPACITY_PER_TRANSFER: u32 = 60;
+
 /// Pause after the socket failed.
 const SOCKET_PAUSE: Duration = Duration::from_millis(100);
 
@@ -103,17 +109,56 @@
 
 /// Answers calls of peers.
 #[derive(Debug, Clone)]
-struct Answers(Known);
+struct Answers {
+    known: Known,
+    /// Capacity of this instance, in thousandths of a core.
+    capacity: u32,
+    /// Start times of the full transfers of the last second.
+    transfers: Rc<RefCell<VecDeque<Time>>>,
+}
+
+impl Answers {
+    fn new(known: Known, capacity: u32) -> Answers {
+        Answers {
+            known,
+            capacity,
+            transfers: Rc::default(),
+        }
+    }
+
+    /// Starts a full transfer if the limit per second allows another one.
+    ///
+    /// Guards against all instances of a starting fleet loading from the first one that knows the store: they share its
+    /// link, and none finishes in time.
+    fn begin_transfer(&self, now: Time) -> bool {
+        let mut transfers = self.transfers.borrow_mut();
+        transfers.retain(|at| now.since(*at) < Duration::from_secs(1));
+        let limit = (self.capacity / CAPACITY_PER_TRANSFER).max(1) as usize;
+        let is_allowed = transfers.len() < limit;
+        if is_allowed {
+            transfers.push_back(now);
+        }
+        is_allowed
+    }
+
+    /// Answers with the page after a key. Only the first page of a transfer counts against the limit.
+    fn page(&self, after: &str) -> Response {
+        let now = clock::now();
+        match !after.is_empty() || self.begin_transfer(now) {
+            true => Response::Page(self.known.tell_page(now, after)),
+            false => Response::Busy,
+        }
+    }
+}
 
 impl Responder for Answers {
     async fn respond(&self, request: Request) -> Response {
         match request {
             Request::Ping => Response::Pong,
-            Request::State => Response::State(self.0.tell(clock::now())),
+            Request::Page(after) => self.page(&after),
             Request::Since(revision) => {
-                let now = clock::now();
-                let news = self.0.tell_since(now, revision);
-                news.map_or_else(|| Response::State(self.0.tell(now)), Response::News)
+                let news = self.known.tell_since(clock::now(), revision);
+                news.map_or_else(|| self.page(""), Response::News)
             }
             _ => Response::Unserved,
         }
@@ -161,7 +206,11 @@
         ..Limits::default()
     };
     let key = ClusterKey::new(&shared.options.cluster);
-    actix_rt::spawn(call::serve(sockets.calls, key.clone(), Answers(known.clone())));
+    actix_rt::spawn(call::serve(
+        sockets.calls,
+        key.clone(),
+        Answers::new(known.clone(), shared.options.capacity),
+    ));
     let fleet = Fleet(Rc::new(State {
         shared,
         socket: sockets.datagrams,
@@ -242,6 +291,27 @@
         name.is_some_and(|name| self.0.listed.borrow_mut().remove(&name).is_some())
     }
 
+    /// What this instance knows of the store.
+    pub fn known(&self) -> &Known {
+        &self.0.known
+    }
+
+    /// The zones of the instances that the store lists.
+    pub fn listed_zones(&self) -> BTreeMap<Name, Name> {
+        let listed = self.0.listed.borrow();
+        listed
+            .iter()
+            .map(|(name, l)| (name.clone(), l.listing.zone.clone()))
+            .collect()
+    }
+
+    /// Names of the peers that are currently heard.
+    pub fn heard_names(&self) -> BTreeSet<String> {
+        let roster = self.0.members.borrow().roster(clock::now());
+        let heard = roster.peers.iter().filter(|p| p.heard);
+        heard.map(|p| p.name.to_string()).collect()
+    }
+
     /// Tells the peers which configuration is in force here.
     pub fn on_version(&self, version: u64) {
         self.on(Event::InForce(Version(version)));
--- a/src/ops/relay/peers/roster.rs
+++ b/src/ops/relay/peers/roster.rs
@@ -86,7 +86,9 @@
     fn sit(&self, roster: &Roster) {
         let options = &self.0.shared.options;
         let is_young = clock::now().since(self.0.started) < YOUNG;
-        let is_present = |p: &&Peer| p.is_open() || (is_young && !p.heard && p.state == MemberState::Live);
+        // Peers without a configuration count too: before the first one is installed, every instance would watch
+        // otherwise.
+        let is_present = |p: &&Peer| p.state == MemberState::Live && (p.heard || is_young);
         let present: Vec<&Peer> = roster.peers.iter().filter(is_present).collect();
         let listed = self.0.listed.borrow();
         let others = present.iter().map(|p| candidate(&listed, &p.name, &p.zone));
--- a/src/ops/relay/register.rs
+++ b/src/ops/relay/register.rs
@@ -1,7 +1,9 @@
-//! Making this instance known: a key in the store under a lease, so that the others find it.
+//! Making this instance known: a key in the store, so that the others find it.
 //!
-//! The key vanishes soon after its instance. Whether an instance serves is known sooner from its heartbeats; the key
-//! only says where to send them.
+//! The key has no lease. Renewals would cost each instance a call every few seconds, and a store outage that outlasts
+//! the leases would make the whole fleet register again. Whether an instance serves is known from its heartbeats; the
+//! key only says where to send them. An instance removes its key when it stops; the first-ranked instance removes the
+//! keys of instances that were not heard for a long time.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,8 +15,8 @@
 use sequoiastream_core::membership::Listing;
 use sequoiastream_core::membership::MemberState;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::relay::records::Absences;
 use sequoiastream_kv::store::Item;
-use sequoiastream_kv::store::LeaseId;
 use sequoiastream_kv::store::Put;
 use sequoiastream_kv::store::Store;
 use sequoiastream_kv::store::StoreError;
@@ -24,18 +26,22 @@
 use tokio::sync::oneshot;
 
 use crate::log_event;
+use crate::ops::relay::peers::Fleet;
 use crate::ops::relay::shared::Shared;
+use crate::util::clock;
 
-/// How long the key outlives its instance. Whoever reads it meanwhile sends heartbeats to nobody, and names no instance
-/// to callers that it doesn't hear.
-const TTL: Duration = Duration::from_secs(30);
+/// Time between two checks of the known keys.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time between two renewals: two may fail.
-const RENEW: Duration = Duration::from_secs(10);
+/// Delay of the first check, in which a starting instance may learn that its key still exists.
+const START_DELAY: Duration = Duration::from_millis(200);
 
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(700);
 
+/// Maximum number of keys that are removed in one write.
+const MAX_REMOVED: usize = 16;
+
 /// What an instance says of itself in the store.
 #[derive(Debug, Serialize, Deserialize)]
 struct Card {
@@ -77,31 +83,34 @@
 }
 
 /// Registers this instance and keeps it so.
-pub fn start(shared: Arc<Shared>, store: Rc<dyn Store>) -> Registration {
+pub fn start(shared: Arc<Shared>, store: Rc<dyn Store>, fleet: Fleet) -> Registration {
     let (stop, mut stopped) = oneshot::channel();
     let (end, ended) = oneshot::channel();
     actix_rt::spawn(async move {
-        let mut lease = None;
+        let mut registrar = Registrar {
+            shared,
+            store,
+            fleet,
+            written_revision: None,
+            absences: Absences::new(),
+        };
+        let mut pause = START_DELAY;
         loop {
-            let step = tokio::select! {
-                step = keep(&shared, store.as_ref(), lease) => step,
-                _ = &mut stopped => break,
-            };
-            let pause = if step.is_ok() { RENEW } else { PAUSE };
-            match step {
-                Ok(held) => lease = Some(held),
-                Err(StoreError::LeaseEnded) => lease = None,
-                Err(error) => log_event!(debug, log_event::KV_FAILED, %error, call = "register"),
-            }
             tokio::select! {
                 () = tokio::time::sleep(pause) => {}
                 _ = &mut stopped => break,
             }
+            let step = tokio::select! {
+                step = registrar.step() => step,
+                _ = &mut stopped => break,
+            };
+            pause = if step.is_ok() { CHECK_INTERVAL } else { PAUSE };
+            if let Err(error) = step {
+                log_event!(debug, log_event::KV_FAILED, %error, call = "register");
+            }
         }
-        if let Some(lease) = lease
-            && let Err(error) = store.revoke(lease).await
-        {
-            log_event!(warn, log_event::KV_FAILED, %error, call = "revoke");
+        if let Err(error) = registrar.remove_own().await {
+            log_event!(warn, log_event::KV_FAILED, %error, call = "end registration");
         }
         // The other end waits at most so long; if it is gone, nobody needs to know.
         let _ = end.send(());
@@ -109,36 +118,138 @@
     Registration { stop, ended }
 }
 
-async fn keep(shared: &Shared, store: &dyn Store, lease: Option<LeaseId>) -> Result<LeaseId, StoreError> {
-    if let Some(lease) = lease {
-        store.renew(lease).await?;
-        return Ok(lease);
+struct Registrar {
+    shared: Arc<Shared>,
+    store: Rc<dyn Store>,
+    fleet: Fleet,
+    /// Store revision of this process's last write of its key.
+    written_revision: Option<u64>,
+    absences: Absences,
+}
+
+impl Registrar {
+    async fn step(&mut self) -> Result<(), StoreError> {
+        if self.needs_write() {
+            self.write().await?;
+        }
+        self.remove_silent().await
+    }
+
+    /// Whether the key must be written: it is missing, or an earlier process wrote it with different contents.
+    ///
+    /// Guards against two processes with the same name overwriting each other's key forever: each replaces an existing
+    /// key at most once.
+    fn needs_write(&self) -> bool {
+        let known = self.fleet.known();
+        match (known.item(&self.key()), self.written_revision) {
+            (Some(_), Some(_)) => false,
+            (Some(item), None) => item.value != self.card(),
+            // The known state may predate the write.
+            (None, Some(written)) => known.revision() > written,
+            (None, None) => true,
+        }
+    }
+
+    async fn write(&mut self) -> Result<(), StoreError> {
+        let put = Put {
+            key: self.key(),
+            value: self.card(),
+            lease: None,
+        };
+        let write = Write {
+            puts: vec![put],
+            ..Write::default()
+        };
+        self.written_revision = Some(self.store.write(write).await?);
+        Ok(())
+    }
+
+    /// Removes the keys of instances that were not heard for a long time, if this instance ranks first.
+    ///
+    /// Guards against an isolated instance, which hears no peer, removing the keys of all others.
+    async fn remove_silent(&mut self) -> Result<(), StoreError> {
+        if self.fleet.seat().rank > 0 {
+            return Ok(());
+        }
+        let listed = self.fleet.listed_zones();
+        let heard = self.fleet.heard_names();
+        let is_present = |name: &str| name == self.shared.options.name.as_str() || heard.contains(name);
+        let names = listed.keys().map(Name::as_str);
+        let forget = self.shared.tuning().forget;
+        let silent = self.absences.due(clock::now(), forget, names, is_present);
+        if silent.is_empty() || heard.is_empty() {
+            return Ok(());
+        }
+        let known = self.fleet.known();
+        let silent = listed
+            .iter()
+            .filter(|(name, _)| silent.iter().any(|s| s == name.as_str()));
+        let items = silent.filter_map(|(name, zone)| known.item(&key(&self.shared, zone, name)));
+        let items = items.take(MAX_REMOVED);
+        let (expect, removes) = items
+            .map(|item| ((item.key.clone(), item.revision), item.key))
+            .unzip();
+        let write = Write {
+            expect,
+            puts: Vec::new(),
+            removes,
+        };
+        if write.removes.is_empty() {
+            return Ok(());
+        }
+        log_event!(info, log_event::INSTANCES_FORGOTTEN, count = write.removes.len());
+        self.store.write(write).await.map(|_| ())
+    }
+
+    /// Removes the key of this instance, unless another process has replaced it.
+    async fn remove_own(self) -> Result<(), StoreError> {
+        let item = self.fleet.known().item(&self.key());
+        let known = item
+            .filter(|item| item.value == self.card())
+            .map(|item| item.revision);
+        let Some(revision) = known.max(self.written_revision) else {
+            return Ok(());
+        };
+        let write = Write {
+            expect: vec![(self.key(), revision)],
+            puts: Vec::new(),
+            removes: vec![self.key()],
+        };
+        self.store.write(write).await.map(|_| ())
     }
-    let lease = store.grant(TTL).await?;
-    let options = &shared.options;
-    let card = Card {
-        zone: options.zone.clone(),
-        front: options.front,
-        peer: options.peer,
-        capacity: options.capacity,
-    };
-    let value = serde_json::to_vec(&card).map_err(|e| StoreError::Unreadable(e.to_string()))?;
-    let put = Put {
-        key: format!("{}{}", shared.translate.keys().own, options.name),
-        value: Bytes::from(value),
-        lease: Some(lease),
-    };
-    let write = Write {
-        puts: vec![put],
-        ..Write::default()
-    };
-    store.write(write).await?;
-    Ok(lease)
+
+    fn key(&self) -> String {
+        let options = &self.shared.options;
+        key(&self.shared, &options.zone, &options.name)
+    }
+
+    fn card(&self) -> Bytes {
+        let options = &self.shared.options;
+        let card = Card {
+            zone: options.zone.clone(),
+            front: options.front,
+            peer: options.peer,
+            capacity: options.capacity,
+        };
+        Bytes::from(
+            serde_json::to_vec(&card).expect("a card of names, addresses and a number serializes to JSON"),
+        )
+    }
+}
+
+/// Common prefix of the keys of a zone's instances.
+pub fn zone_prefix(shared: &Shared, zone: &Name) -> String {
+    format!("{}{zone}/", shared.translate.keys().own)
+}
+
+fn key(shared: &Shared, zone: &Name, name: &Name) -> String {
+    format!("{}{name}", zone_prefix(shared, zone))
 }
 
-/// The name of the instance under a key, if it is one's.
+/// The name of the instance that a key belongs to, if it is an instance's key: the last segment, after the zone.
 pub fn name(shared: &Shared, key: &str) -> Option<Name> {
-    let name = key.strip_prefix(&shared.translate.keys().own)?;
+    let path = key.strip_prefix(&shared.translate.keys().own)?;
+    let name = path.rsplit('/').next()?;
     Name::new(name).ok()
 }
 
--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -55,7 +55,7 @@
         } in &options
         {
             let card = format!(r#"{{"zone":"a","front":"{front}","peer":"{peer}"}}"#);
-            store.put(&format!("own/{name}"), &card);
+            store.put(&format!("own/a/{name}"), &card);
         }
     }
     let [a, b, c] = options;
@@ -225,18 +225,54 @@
     far.name = "two".parse().expect("a name");
     let mut both = vec![near.front, far.front];
     both.sort();
-    let first = start(near, &store).await;
-    let second = start(far, &store).await;
-    let registrations = [&first, &second].map(|s| register::start(s.clone(), Rc::new(store.clone())));
-    for shared in [&first, &second] {
+    let instances = [start_seated(near, &store).await, start_seated(far, &store).await];
+    let registrations = instances
+        .clone()
+        .map(|(s, fleet)| register::start(s, Rc::new(store.clone()), fleet));
+    for (shared, _) in &instances {
         until(|| addresses(shared) == both).await;
     }
-    assert!(store.has("own/one") && store.has("own/two"));
+    assert!(store.has("own/a/one") && store.has("own/a/two"));
     for registration in registrations {
         registration.end().await;
     }
 }
 
+/// Guards against every instance of a starting fleet reading the whole store. One that finds more than one page lists
+/// its zone and loads the rest from a peer.
+#[actix_web::test]
+async fn large_store_loaded_from_peer() {
+    let (served, own) = (FakeStore::new(), FakeStore::new());
+    for store in [&served, &own] {
+        store.set_page_size(3);
+        for number in 2..9 {
+            store.put(&format!("engines/e{number}"), "chat 127.0.0.1:9 ready 1");
+        }
+    }
+    let [_, _, (listener, _)] = listener(&served, &own, Duration::from_secs(60)).await;
+    let known: Vec<String> = (1..9).map(|number| format!("e{number}")).collect();
+    until(|| engines(&listener) == known).await;
+    assert_eq!(
+        own.calls().ranges,
+        2,
+        "one page and the list of the zone's instances"
+    );
+}
+
+/// Guards against an instance waiting forever for a peer to send a large store. Without peers it reads the store
+/// itself.
+#[actix_web::test]
+async fn large_store_read_without_peers() {
+    let store = FakeStore::new();
+    store.set_page_size(3);
+    store.put("config", "3 /a/");
+    for number in 1..9 {
+        store.put(&format!("engines/e{number}"), "chat 127.0.0.1:9 ready 1");
+    }
+    let shared = start(options(), &store).await;
+    until(|| version(&shared) == 3 && engines(&shared).len() == 8).await;
+}
+
 /// The store is called by every instance of a fleet of hundreds, for every change. One that others watch for hears of
 /// changes from them, large ones too, and calls the store only for what peers don't tell.
 #[actix_web::test]
@@ -285,6 +321,73 @@
     until(|| engines(&listener).is_empty()).await;
 }
 
+/// Guards against keys of stopped instances accumulating in the store. The first-ranked instance removes the key of one
+/// that is not heard, and keeps those of live ones.
+#[actix_web::test]
+async fn silent_instance_key_removed() {
+    let store = FakeStore::new();
+    store.put("config", "3 /a/");
+    store.put(
+        "own/a/gone",
+        r#"{"zone":"a","front":"127.0.0.1:1","peer":"127.0.0.1:1"}"#,
+    );
+    let named = |name: &str| {
+        let mut options = options();
+        options.name = name.parse().expect("a name");
+        options.tuning.forget = Duration::from_secs(3);
+        options
+    };
+    let (first, second) = (named("one"), named("two"));
+    let instances = [
+        start_seated(first, &store).await,
+        start_seated(second, &store).await,
+    ];
+    let registrations = instances
+        .clone()
+        .map(|(s, fleet)| register::start(s, Rc::new(store.clone()), fleet));
+    until(|| !store.has("own/a/gone")).await;
+    assert!(store.has("own/a/one") && store.has("own/a/two"));
+    let [one, _two] = registrations;
+    one.end().await;
+    assert!(!store.has("own/a/one"), "an instance that stops removes its key");
+}
+
+/// Guards against an isolated instance, which hears no peer, removing the keys of all others.
+#[actix_web::test]
+async fn isolated_instance_keeps_keys() {
+    let store = FakeStore::new();
+    store.put("config", "3 /a/");
+    store.put(
+        "own/a/two",
+        r#"{"zone":"a","front":"127.0.0.1:1","peer":"127.0.0.1:1"}"#,
+    );
+    let mut options = options();
+    options.tuning.forget = Duration::from_millis(50);
+    let (shared, fleet) = start_seated(options, &store).await;
+    let _registration = register::start(shared.clone(), Rc::new(store.clone()), fleet.clone());
+    until(|| store.has("own/a/one") && fleet.seat().rank == 0).await;
+    // Each check of the keys begins with rewriting the instance's own key if it is missing.
+    for _ in 0..3 {
+        store.remove("own/a/one");
+        until(|| store.has("own/a/one")).await;
+    }
+    assert!(store.has("own/a/two"));
+}
+
+/// Guards against an instance whose key was removed staying undiscoverable. It detects the missing key and writes it
+/// again.
+#[actix_web::test]
+async fn missing_key_rewritten() {
+    let store = FakeStore::new();
+    store.put("config", "3 /a/");
+    let (shared, fleet) = start_seated(options(), &store).await;
+    let _registration = register::start(shared, Rc::new(store.clone()), fleet);
+    until(|| store.has("own/a/one")).await;
+    store.remove("own/a/one");
+    until(|| store.has("own/a/one")).await;
+    assert_eq!(store.calls().writes, 2);
+}
+
 /// The store is asked by all of a fleet that starts, and every registration ends every watch. An instance that has just
 /// started leaves the watching to those that the store lists, and does it itself if it hears none of them.
 #[actix_web::test]
--- a/tests/testsuite/relay/known.rs
+++ b/tests/testsuite/relay/known.rs
@@ -95,12 +95,32 @@
     let known = known();
     let later = NOW + Duration::from_millis(300);
     let news = known.tell_since(later, 10).expect("all that happened");
-    assert_eq!((news.age, known.tell(later).age), (300, 300));
+    assert_eq!((news.age, known.tell_page(later, "").age), (300, 300));
     let word = Word {
         revision: 10,
         age: Duration::from_millis(40),
     };
     assert!(!known.on_word(later, word));
-    assert_eq!(known.tell(later).age, 40);
-    assert_eq!(Known::new().tell(later).age, u32::MAX);
+    assert_eq!(known.tell_page(later, "").age, 40);
+    assert_eq!(Known::new().tell_page(later, "").age, u32::MAX);
+}
+
+/// Guards against an answer to a starting peer that exceeds the frame limit, as with ten thousand engines.
+#[test]
+fn tell_in_pages() {
+    let known = Known::new();
+    let items = ["a", "b", "c", "d"].map(|name| item(&format!("engines/{name}"), 3, 200 * 1024));
+    known.on_all(&keys(), 10, &items);
+    let mut after = String::new();
+    let mut pages = Vec::new();
+    loop {
+        let page = known.tell_page(NOW, &after);
+        pages.push(page.items.iter().map(|item| item.key.clone()).collect::<Vec<_>>());
+        assert_eq!(page.revision, known.revision());
+        match page.more {
+            true => after = page.items.last().expect("a non-empty page").key.clone(),
+            false => break,
+        }
+    }
+    assert_eq!(pages, [["engines/a", "engines/b"], ["engines/c", "engines/d"]]);
 }
--- a/tests/testsuite/relay/store.rs
+++ b/tests/testsuite/relay/store.rs
@@ -38,6 +38,7 @@
     fates: RefCell<VecDeque<Fate>>,
     down: Cell<bool>,
     compacted: Cell<u64>,
+    page_size: Cell<Option<usize>>,
     calls: Cell<Calls>,
 }
 
@@ -109,6 +110,11 @@
         self.revision.send_modify(|_| {});
     }
 
+    /// Sets the maximum number of items per page.
+    pub fn set_page_size(&self, limit: usize) {
+        self.state.page_size.set(Some(limit));
+    }
+
     /// Whether no call is answered.
     pub fn set_down(&self, down: bool) {
         self.state.down.set(down);
@@ -155,7 +161,7 @@
 }
 
 impl Store for FakeStore {
-    fn range<'a>(&'a self, prefix: &'a str, _: &'a str) -> LocalBoxFuture<'a, Result<Page, StoreError>> {
+    fn range<'a>(&'a self, prefix: &'a str, after: &'a str) -> LocalBoxFuture<'a, Result<Page, StoreError>> {
         async move {
             let calls = self.calls();
             self.state.calls.set(Calls {
@@ -165,9 +171,11 @@
             self.check()?;
             let items = self.state.items.borrow();
             let items = items.values().filter(|item| item.key.starts_with(prefix));
+            let items: Vec<Item> = items.filter(|item| item.key.as_str() > after).cloned().collect();
+            let limit = self.state.page_size.get().unwrap_or(items.len());
             Ok(Page {
-                items: items.cloned().collect(),
-                more: false,
+                more: items.len() > limit,
+                items: items.into_iter().take(limit).collect(),
                 revision: *self.revision.borrow(),
             })
         }
