--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -65,7 +65,7 @@
 /// Range from which a watcher draws how long it batches changes, as a part of the time within which a change must be in
 /// force. Shorter than the wait of a watch, so that a silent watch is detected no later; random, so that the watchers don't
 /// all call the store at the same time.
-const GATHER: std::ops::Range<f64> = 0.3..0.4;
+const GATHER: std::ops::Range<f64> = 0.08..0.12;
 
 /// Longest time that a watcher batches changes.
 const LONGEST_WATCHER_REST: Duration = Duration::from_secs(2);
