Limit cross-zone messages in large fleets and split large change sets

Cause: in a fleet of 985 instances, each instance sent its load 40 times a second to 16 peers in turn, regardless of zone, and heartbeats to 16 more. A list of all peers was built 40 times a second, and again for each heartbeat that brought news. The work of an instance at its engines was found by scanning all engines. While thousands of engines register, some peer is always ahead, so every instance asked again without a pause; a truncated watch answer was treated as complete, and a peer's answer with changes exceeded the frame limit.

Change: of sixteen heartbeats, two go to other zones. With more than 256 peers, messages about load go to the busy peers of the same zone, and every 400 ms to eight peers of the zone and one peer of another zone. The list of peers is kept from tick to tick. An instance asks a peer once, then batches changes before asking again. Answers with changes are split into parts of 512 KB, oldest first, and a partial answer confirms nothing. A watch answer with 250 changes or 256 KB is followed at once by the next watch, and proves nothing. The timeout of an answer with changes is 800 ms (300 before), since small links take longer for such a part; an order plan without orders no longer copies the engines.

--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -49,6 +49,9 @@
     pub interval: Duration,
     /// Peers that get each heartbeat.
     pub fanout: usize,
+    /// Number of these that are in other zones, if there are more than [`Self::fanout`] peers. More are chosen from
+    /// other zones only if the instance's own zone has too few peers.
+    pub cross_zone: usize,
     /// Rumors in a heartbeat.
     pub part: usize,
     /// A peer not heard of for so long counts as silent; longer in a fleet so large that its table takes
@@ -67,6 +70,7 @@
         Limits {
             interval: Duration::from_secs(1),
             fanout: 2,
+            cross_zone: usize::MAX,
             part: 8,
             silent: Duration::from_secs(5),
             stale: Duration::from_secs(15),
@@ -296,6 +300,11 @@
         }
     }
 
+    /// The address at which an instance receives messages from its peers, if the instance is known.
+    pub fn address(&self, name: &Name) -> Option<SocketAddr> {
+        self.members.get(name).map(|m| m.about.peer)
+    }
+
     /// A peer counts as heard for the silent limit, or for as long as the table takes to go round
     /// [`ROUNDS`] times if that is longer.
     fn is_heard(&self, now: Time, heard: Option<Time>) -> bool {
@@ -420,8 +429,7 @@
     fn send(&mut self, now: Time, count: usize) {
         self.myself.about.number += 1;
         self.myself.about.silence = self.contact.map_or(u32::MAX, |at| millis(now.since(at)));
-        let peers = self.members.values().map(|m| m.about.peer);
-        let chosen = peers.sample(&mut self.random, count);
+        let chosen = self.sample_peers(count);
         let beat = Beat {
             about: self.myself.about.clone(),
             rumors: self.rumors(now),
@@ -431,6 +439,30 @@
         self.actions.extend(sends);
     }
 
+    /// Samples `count` peers, limiting those in other zones to [`Limits::cross_zone`] if the own zone has enough peers.
+    ///
+    /// Guards against nearly all heartbeats of a large fleet crossing zones, where traffic is expensive. Peers of the
+    /// same zone pass on what they receive.
+    fn sample_peers(&mut self, count: usize) -> Vec<SocketAddr> {
+        if self.members.len() <= count || self.limits.cross_zone >= count {
+            let all = self.members.values().map(|m| m.about.peer);
+            return all.sample(&mut self.random, count);
+        }
+        let zone = &self.myself.about.zone;
+        let (same_zone, other_zones): (Vec<&Member>, Vec<&Member>) =
+            self.members.values().partition(|m| m.about.zone == *zone);
+        let mut chosen = same_zone
+            .into_iter()
+            .sample(&mut self.random, count - self.limits.cross_zone);
+        // If the own zone has too few peers, the rest come from other zones.
+        chosen.extend(
+            other_zones
+                .into_iter()
+                .sample(&mut self.random, count - chosen.len()),
+        );
+        chosen.into_iter().map(|m| m.about.peer).collect()
+    }
+
     /// The next part of the table, going round by name.
     fn rumors(&mut self, now: Time) -> Vec<Rumor> {
         let cursor = self.cursor.clone();
--- a/crates/core/src/relay/book.rs
+++ b/crates/core/src/relay/book.rs
@@ -321,8 +321,8 @@
 
     /// Work of this instance at every engine where it has some.
     pub fn all(&self) -> BTreeMap<EngineKey, Work> {
-        let busy = self.loads.iter().filter(|(_, l)| l.own != Work::default());
-        busy.map(|(key, load)| (key, load.own)).collect()
+        let busy = self.jobs.values().map(|job| job.engine);
+        busy.map(|key| (key, self.own(key))).collect()
     }
 
     /// Whether an engine is to get no work now if another can take it.
--- a/crates/core/src/relay/digest.rs
+++ b/crates/core/src/relay/digest.rs
@@ -11,6 +11,24 @@
 use crate::relay::suspects::Note;
 use crate::relay::watchers::Word;
 
+/// Peers that get each heartbeat and each message about load. In a fleet with more peers, successive messages about load
+/// go to successive groups of peers.
+pub const FANOUT: usize = 16;
+
+/// An idle instance sends a message about load only once in this many turns, to report the store revision it knows.
+const QUIET_TURNS: u32 = 16;
+
+/// Maximum number of turns for a message about load to reach all peers; later it would be outdated. In a fleet that needs
+/// more turns, only busy peers of the same zone get a message in every turn.
+const MAX_TURNS: usize = 16;
+
+/// Peers of the same zone, busy or not, that get a message once in [`QUIET_TURNS`] in a large fleet. It spreads the store
+/// revision that the sender knows.
+const LARGE_FLEET_SAME_ZONE: usize = 8;
+
+/// Peers of other zones that get a message once in [`QUIET_TURNS`] in a large fleet.
+const LARGE_FLEET_OTHER_ZONES: usize = 1;
+
 /// Work at one engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
@@ -95,6 +113,64 @@
     }
 }
 
+/// Number of turns in which messages about load reach all of `peers` peers.
+pub fn turns(peers: usize) -> usize {
+    peers.div_ceil(FANOUT).max(1)
+}
+
+/// Whether there are too many peers to reach all of them within [`MAX_TURNS`].
+pub fn is_large_fleet(peers: usize) -> bool {
+    turns(peers) > MAX_TURNS
+}
+
+/// Whether an idle instance sends messages about load in this turn.
+pub fn is_quiet_turn(turn: u32) -> bool {
+    turn.is_multiple_of(QUIET_TURNS)
+}
+
+/// Peers to which messages about load may be sent.
+///
+/// Guards against all-to-all messages in a fleet of a thousand instances, where small instances would spend all their time
+/// on messages that they have no use for.
+#[derive(Debug, Clone, Copy)]
+pub struct LoadPeers<'a> {
+    /// Peers of the same zone.
+    pub same_zone: &'a [SocketAddr],
+    /// Peers of other zones.
+    pub other_zones: &'a [SocketAddr],
+    /// Peers of the same zone that have work.
+    pub busy: &'a [SocketAddr],
+}
+
+impl LoadPeers<'_> {
+    fn is_large_fleet(&self) -> bool {
+        is_large_fleet(self.same_zone.len() + self.other_zones.len())
+    }
+
+    /// Recipients of the message of a turn.
+    pub fn recipients(&self, turn: u32) -> Vec<SocketAddr> {
+        if !self.is_large_fleet() {
+            return part(&[self.same_zone, self.other_zones].concat(), turn, FANOUT);
+        }
+        let mut chosen = part(self.busy, turn, FANOUT);
+        if is_quiet_turn(turn) {
+            let round = turn / QUIET_TURNS;
+            chosen.extend(part(self.same_zone, round, LARGE_FLEET_SAME_ZONE));
+            chosen.extend(part(self.other_zones, round, LARGE_FLEET_OTHER_ZONES));
+        }
+        chosen
+    }
+
+    /// Number of turns in which a message reaches all its recipients: the busy peers in a large fleet, otherwise all
+    /// peers.
+    pub fn turns(&self) -> usize {
+        match self.is_large_fleet() {
+            true => turns(self.busy.len()),
+            false => turns(self.same_zone.len() + self.other_zones.len()),
+        }
+    }
+}
+
 /// The peers that are told in a turn: `most` of them, and with each turn the next ones, round and round.
 pub fn part(peers: &[SocketAddr], turn: u32, most: usize) -> Vec<SocketAddr> {
     let first = (turn as usize).wrapping_mul(most).checked_rem(peers.len());
--- a/src/ops/relay/follow/listen.rs
+++ b/src/ops/relay/follow/listen.rs
@@ -22,10 +22,8 @@
     /// Listens to the peers until `until`, and takes what they know more.
     pub(super) async fn listen(&mut self, until: Time) {
         self.wait_for_news(until.since(clock::now())).await;
-        let mut is_told = false;
-        while self.ask_peer().await {
-            is_told = true;
-        }
+        // Asks only once: while a fleet starts, some peer is always ahead, and a loop would ask without a pause.
+        let is_told = self.ask_peer().await;
         self.on_confirmed();
         if is_told {
             // What follows is fetched together: taking changes in costs as much as the fleet is large, each time.
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -70,6 +70,16 @@
 /// Longest time that a watcher batches changes.
 const LONGEST_WATCHER_REST: Duration = Duration::from_secs(2);
 
+/// Number of changes from which the answer of a watch may be truncated. The store returns about five hundred changes or a
+/// megabyte at once. Such an answer does not prove that the instance is up to date, and the next watch begins at once.
+///
+/// Guards against an instance that pauses after each answer while ten thousand engines register: it would know them half a
+/// minute late, and treat each truncated answer as complete.
+const TRUNCATION_CHANGES: usize = 250;
+
+/// Total size of the changed values, in bytes, from which the answer of a watch may be truncated.
+const TRUNCATION_BYTES: usize = 256 * 1024;
+
 /// How long a look at the store waits for something to happen.
 const LOOK: Duration = Duration::from_millis(1);
 
@@ -124,6 +134,14 @@
     rest.min(LONGEST_WATCHER_REST)
 }
 
+fn may_be_truncated(changes: &[Change]) -> bool {
+    let size = |change: &Change| match change {
+        Change::Put(item) => item.value.len(),
+        Change::Removed { .. } => 0,
+    };
+    changes.len() >= TRUNCATION_CHANGES || changes.iter().map(size).sum::<usize>() >= TRUNCATION_BYTES
+}
+
 /// Follows until the process ends.
 pub async fn run(shared: Arc<Shared>, store: Rc<dyn Store>, fleet: Fleet, known: Known) {
     let mut follower = Follower {
@@ -248,19 +266,24 @@
                 () = tokio::time::sleep(TICK), if self.engines.is_waiting() => self.on_tick(),
                 // Others watch for it again, and know more by now.
                 () = fleet.news() => if !fleet.seat().is_watcher() {
-                    while self.ask_peer().await {}
+                    self.ask_peer().await;
                     return Ok(());
                 }
             }
         };
         let is_quiet = changes.changes.is_empty();
+        let may_be_truncated = may_be_truncated(&changes.changes);
+        self.on_changes(changes.changes);
+        let revision = changes.revision.max(revision);
+        let now = clock::now();
+        if may_be_truncated {
+            self.known.on_news(now, Word::new(revision, u32::MAX));
+            return Ok(());
+        }
         if !is_quiet {
             self.rest = watcher_rest(self.shared.tuning().bound);
         }
-        self.on_changes(changes.changes);
-        let now = clock::now();
-        self.known
-            .on_answer(now, sent, wait, changes.revision.max(revision));
+        self.known.on_answer(now, sent, wait, revision);
         self.known.on_proof(watchers::proof(now, sent, wait, is_quiet));
         Ok(())
     }
--- a/src/ops/relay/known.rs
+++ b/src/ops/relay/known.rs
@@ -201,12 +201,24 @@
         if revision < state.horizon {
             return None;
         }
-        let changed = state.items.values().filter(|item| item.revision > revision);
+        let mut changed: Vec<&Item> = state
+            .items
+            .values()
+            .filter(|item| item.revision > revision)
+            .collect();
+        changed.sort_by_key(|item| item.revision);
+        // A truncated answer must not confirm that the peer is up to date.
+        let (last, age) = match truncation_revision(&changed) {
+            Some(last) => (last, u32::MAX),
+            None => (state.reach.revision(), state.age(now)),
+        };
+        let changed = changed.into_iter().filter(|item| item.revision <= last);
         let (large, small): (Vec<&Item>, Vec<&Item>) = changed.partition(|item| item.value.len() > MAX_TOLD);
         let later = state.removed.range((revision + 1, String::new())..);
+        let later = later.take_while(|(at, _)| *at <= last);
         Some(StoreNews {
-            revision: state.reach.revision(),
-            age: state.age(now),
+            revision: last,
+            age,
             items: small.into_iter().map(told).collect(),
             removed: later.cloned().collect(),
             large: large
@@ -217,6 +229,18 @@
     }
 }
 
+/// The last revision that fits into one answer, or `None` if all of `changed` fits. `changed` must be sorted by revision.
+fn truncation_revision(changed: &[&Item]) -> Option<u64> {
+    let mut remaining = MAX_PAGE_BYTES;
+    for pair in changed.windows(2) {
+        remaining = remaining.saturating_sub(pair[0].key.len() + pair[0].value.len().min(MAX_TOLD));
+        if remaining == 0 && pair[0].revision < pair[1].revision {
+            return Some(pair[0].revision);
+        }
+    }
+    None
+}
+
 impl State {
     /// The age as messages carry it; the longest if the store never confirmed anything.
     fn age(&self, now: Time) -> u32 {
--- a/src/ops/relay/orders.rs
+++ b/src/ops/relay/orders.rs
@@ -224,6 +224,9 @@
     let orders = engines.flat_map(|engines| {
         let readers = limit_readers(engines, ordered, shared.tuning().readers, capacity);
         let orders = plan(engines, ordered, readers);
+        if orders.is_empty() {
+            return Vec::new();
+        }
         let engines: BTreeMap<&str, &Engine> = engines.iter().map(|e| (e.entry.id.as_str(), e)).collect();
         let orders = orders.into_iter().filter_map(|order| {
             let engine = engines.get(order.engine.as_str())?;
--- a/src/ops/relay/peers/ask.rs
+++ b/src/ops/relay/peers/ask.rs
@@ -18,7 +18,7 @@
 use crate::util::clock;
 
 /// Time limit for a peer's answer with the changes since a revision.
-const NEWS_TIMEOUT: Duration = Duration::from_millis(300);
+const NEWS_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Time limit for a peer's answer with a page: eight peers may share its link at once.
 const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
--- a/src/ops/relay/peers/mod.rs
+++ b/src/ops/relay/peers/mod.rs
@@ -28,6 +28,8 @@
 use sequoiastream_core::relay::book::Work;
 use sequoiastream_core::relay::digest;
 use sequoiastream_core::relay::digest::Digest;
+use sequoiastream_core::relay::digest::FANOUT;
+use sequoiastream_core::relay::digest::LoadPeers;
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::watchers::Seat;
 use sequoiastream_core::time::Time;
@@ -60,16 +62,12 @@
 /// A peer not heard of for so long isn't named to callers: four heartbeats may be lost in a row.
 const SILENT: Duration = Duration::from_millis(1_800);
 
-/// Peers that get each heartbeat and each message about load: all of today's fleet. In a larger one the messages about
-/// load go round.
-const FANOUT: usize = 16;
-
 /// Time between two messages about load. An engine reads a prompt in about eight milliseconds; older news would
 /// describe work that is done.
 const LOAD_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Without work, one of so many messages is sent: it says how far the sender knows the store.
-const QUIET_TURNS: u32 = 16;
+/// How long a peer counts as busy after it reported work.
+const BUSY_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Part of what would just fit to which a message about load that is too long is cut: not all of it can be cut.
 const FITS: f64 = 0.8;
@@ -81,10 +79,8 @@
 /// Pause after the socket failed.
 const SOCKET_PAUSE: Duration = Duration::from_millis(100);
 
-/// In how many messages about load all of so many peers are told.
-pub fn turns(peers: usize) -> usize {
-    peers.div_ceil(FANOUT).max(1)
-}
+/// Of the [`FANOUT`] peers that get each heartbeat, those in other zones, in a fleet with more peers.
+const CROSS_ZONE_FANOUT: usize = 2;
 
 /// Where peers speak.
 pub struct Sockets {
@@ -174,6 +170,10 @@
     turn: Cell<u32>,
     calls: CallClient,
     known: Known,
+    /// Addresses of the peers that are heard, as of the last roster: those of this zone, then those of other zones.
+    heard: RefCell<[Vec<SocketAddr>; 2]>,
+    /// When each peer last reported work.
+    busy: RefCell<BTreeMap<SocketAddr, Time>>,
     /// Up to which revision of the store each peer said to know.
     ahead: RefCell<BTreeMap<Name, u64>>,
     proofs: Proofs,
@@ -201,6 +201,7 @@
     let limits = Limits {
         interval: INTERVAL,
         fanout: FANOUT,
+        cross_zone: CROSS_ZONE_FANOUT,
         silent: SILENT,
         rule: CutRule::Serve,
         ..Limits::default()
@@ -216,6 +217,8 @@
         socket: sockets.datagrams,
         calls: CallClient::new(key),
         known,
+        heard: RefCell::default(),
+        busy: RefCell::default(),
         ahead: RefCell::default(),
         proofs: Proofs::default(),
         tallies: Tallies::new(),
@@ -335,6 +338,7 @@
     }
 
     fn on(&self, event: Event) {
+        let is_heartbeat = matches!(event, Event::Heard(..));
         let actions = self.0.members.borrow_mut().on(clock::now(), event);
         let mut publish = false;
         for action in actions {
@@ -344,7 +348,11 @@
                 Action::Ahead(..) | Action::Woke => {}
             }
         }
-        if publish {
+        // The cost of publishing grows with the size of the fleet, and in a large fleet heartbeats with news arrive all the
+        // time: these wait for the next tick.
+        let peers: usize = self.0.heard.borrow().iter().map(Vec::len).sum();
+        let is_deferred = is_heartbeat && digest::is_large_fleet(peers);
+        if publish && !is_deferred {
             self.publish();
         }
     }
@@ -376,6 +384,11 @@
         if self.0.known.on_word(now, digest.word()) {
             self.0.news.notify_one();
         }
+        if !digest.shares.is_empty()
+            && let Some(peer) = self.0.members.borrow().address(name)
+        {
+            self.0.busy.borrow_mut().insert(peer, now);
+        }
         let keys = self.0.shared.view.load().keys().clone();
         let work: BTreeMap<EngineKey, Work> = digest
             .shares
@@ -401,11 +414,21 @@
         }
     }
 
-    /// Where the peers that were heard lately listen.
-    fn heard(&self) -> Vec<SocketAddr> {
-        let roster = self.0.members.borrow().roster(clock::now());
-        let heard = roster.peers.iter().filter(|p| p.heard);
-        heard.map(|p| p.peer).collect()
+    /// Recipients of this turn's message about load, and the number of turns in which messages reach all recipients.
+    fn load_recipients(&self, now: Time, turn: u32) -> (Vec<SocketAddr>, usize) {
+        let [same_zone, other_zones] = &*self.0.heard.borrow();
+        let mut busy = self.0.busy.borrow_mut();
+        busy.retain(|_, at| now.since(*at) <= BUSY_TIMEOUT);
+        let load_peers = LoadPeers {
+            same_zone,
+            other_zones,
+            busy: &same_zone
+                .iter()
+                .copied()
+                .filter(|peer| busy.contains_key(peer))
+                .collect::<Vec<_>>(),
+        };
+        (load_peers.recipients(turn), load_peers.turns())
     }
 
     /// Tells the peers about this instance's work and how far it knows the store; seldom, if there is no work.
@@ -414,27 +437,24 @@
         self.0.known.on_tick(now);
         self.prove(now);
         self.count(now);
-        let heard = self.heard();
-        let turns = turns(heard.len());
+        let turn = self.0.turn.get();
+        self.0.turn.set(turn.wrapping_add(1));
+        let (peers, turns) = self.load_recipients(now, turn);
         let (all, notes, reads) = {
             let mut ledger = self.0.shared.ledger();
             let reads = ledger.book.parts.tell(u32::try_from(turns).unwrap_or(u32::MAX));
             (ledger.book.all(), ledger.suspects.notes(now), reads)
         };
         let quiet = all.is_empty() && notes.is_empty() && reads.is_empty();
-        let turn = self.0.turn.get();
-        self.0.turn.set(turn.wrapping_add(1));
-        if self.0.quiet.replace(quiet) && quiet && !turn.is_multiple_of(QUIET_TURNS) {
+        if self.0.quiet.replace(quiet) && quiet && !digest::is_quiet_turn(turn) {
             return;
         }
-        let keys = self.0.shared.view.load().keys().clone();
-        let work = keys.iter().filter_map(|(id, key)| {
-            let work = all.get(key)?;
-            Some((id.clone(), *work))
-        });
+        let ids = self.0.shared.view.load().ids().clone();
+        let work = all
+            .into_iter()
+            .filter_map(|(key, work)| Some((ids.get(&key)?.clone(), work)));
         let digest = Digest::new(work.collect(), notes, reads).with_word(self.0.known.word(now));
         let mut digest = digest.with_clock(clock::wall_micros(), self.0.known.proof_word(now));
-        let peers = digest::part(&heard, turn, FANOUT);
         for peer in peers {
             let mut sent = self.0.socket.send(peer, Datagram::Load(digest.clone())).await;
             if let Err(PeerError::TooLong(length)) = sent {
--- a/src/ops/relay/peers/roster.rs
+++ b/src/ops/relay/peers/roster.rs
@@ -36,6 +36,7 @@
             .filter(|p| p.is_open() && p.name < self.0.shared.options.name);
         let rank = u32::try_from(before.count()).unwrap_or(u32::MAX);
         self.sit(&roster);
+        self.note_heard(&roster);
         let open = roster.peers.iter().filter(|p| p.is_open()).map(|p| p.peer);
         self.note_stand_by(open.take(STAND_BY).collect());
         let view = self.0.shared.view.load();
@@ -48,6 +49,14 @@
         }
     }
 
+    fn note_heard(&self, roster: &Roster) {
+        let zone = &self.0.shared.options.zone;
+        let heard = roster.peers.iter().filter(|p| p.heard);
+        let (same_zone, other_zones): (Vec<&Peer>, Vec<&Peer>) = heard.partition(|p| p.zone == *zone);
+        let addresses = |peers: Vec<&Peer>| peers.into_iter().map(|p| p.peer).collect();
+        *self.0.heard.borrow_mut() = [addresses(same_zone), addresses(other_zones)];
+    }
+
     /// Where callers may go, each address once.
     fn entrances(&self, roster: &Roster) -> Vec<Entrance> {
         let listed = self.0.listed.borrow();
--- a/src/ops/relay/pick.rs
+++ b/src/ops/relay/pick.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use sequoiastream_core::relay::book::Ticket;
+use sequoiastream_core::relay::digest::turns;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::pace::Load;
@@ -13,7 +14,6 @@
 use sequoiastream_core::relay::prompt::Prompt;
 
 use crate::ops::relay::forward::Forward;
-use crate::ops::relay::peers::turns;
 use crate::ops::relay::shared::Shared;
 use crate::util::clock;
 
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -44,6 +44,7 @@
     /// Derived from them: each message about load needs it.
     keys: Arc<BTreeMap<String, EngineKey>>,
     hashes: Arc<BTreeMap<u64, EngineKey>>,
+    ids: Arc<BTreeMap<EngineKey, String>>,
     /// Where callers may go, this instance included.
     pub entrances: Vec<Entrance>,
     /// Engines that have had their order.
@@ -77,12 +78,19 @@
         &self.hashes
     }
 
+    /// The id of each engine by its key.
+    pub fn ids(&self) -> &Arc<BTreeMap<EngineKey, String>> {
+        &self.ids
+    }
+
     /// Replaces the engines.
     pub fn set_engines(&mut self, engines: BTreeMap<String, Vec<Engine>>) {
         let keys = engines.values().flatten().map(|e| (e.entry.id.clone(), e.key));
         self.keys = Arc::new(keys.collect());
         let hashes = engines.values().flatten().map(|e| (e.hash, e.key));
         self.hashes = Arc::new(hashes.collect());
+        let ids = engines.values().flatten().map(|e| (e.key, e.entry.id.clone()));
+        self.ids = Arc::new(ids.collect());
         self.engines = Arc::new(engines);
     }
 }
--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -1,5 +1,6 @@
 //! Membership: who is heard, who may take work, and who is named.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -13,6 +14,7 @@
 use sequoiastream_core::membership::CutRule;
 use sequoiastream_core::membership::Event;
 use sequoiastream_core::membership::Limits;
+use sequoiastream_core::membership::Listing;
 use sequoiastream_core::membership::MemberState;
 use sequoiastream_core::membership::Members;
 use sequoiastream_core::membership::Myself;
@@ -196,6 +198,50 @@
     assert_eq!(sent, 2);
 }
 
+/// Guards against nearly all heartbeats of a large fleet crossing zones, where traffic is expensive: two of sixteen do at
+/// both fleet sizes, and nearly all peers get some.
+#[test]
+fn send_mostly_in_zone() {
+    for size in [985, 2_000] {
+        let zone = |i: u16| name(["a", "b", "c", "d", "e", "f"][usize::from(i % 6)]);
+        let address = |i: u16| SocketAddr::from(([10, 0, 0, 1], 10_000 + i));
+        let about = |i: u16| About::new(1, zone(i), address(i), address(i));
+        let myself = Myself {
+            name: name("i0"),
+            about: about(0),
+            seed: 1,
+        };
+        let limits = Limits {
+            fanout: 16,
+            cross_zone: 2,
+            ..Limits::default()
+        };
+        let mut members = Members::new(myself, limits);
+        let now = Time::from_millis(3_600_000);
+        let listing = |i: u16| Listing {
+            name: name(&format!("i{i}")),
+            zone: zone(i),
+            address: address(i),
+            peer: address(i),
+            state: MemberState::Live,
+        };
+        members.on(now, Event::Listed((1..size).map(listing).collect()));
+        let mut reached = BTreeSet::new();
+        for _ in 0..4_000 {
+            let sends = members.on(now, Event::Tick).into_iter();
+            let sends = sends.filter_map(|action| match action {
+                Action::Send(to, _) => Some(to),
+                _ => None,
+            });
+            let sends: Vec<SocketAddr> = sends.collect();
+            let cross_zone = sends.iter().filter(|to| (to.port() - 10_000) % 6 != 0).count();
+            assert_eq!((sends.len(), cross_zone), (16, 2));
+            reached.extend(sends);
+        }
+        assert!(reached.len() > usize::from(size) * 99 / 100, "{}", reached.len());
+    }
+}
+
 async fn refusal(fleet: &Fleet, index: usize) -> (u16, Value) {
     let reply = fleet.complete(index, "which crossover", 3, 1).await;
     let body: Value = reply.json();
--- a/tests/testsuite/relay/digest.rs
+++ b/tests/testsuite/relay/digest.rs
@@ -1,11 +1,13 @@
 //! Whom an instance tells about its load.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use sequoiastream_core::relay::book::Work;
 use sequoiastream_core::relay::digest::Digest;
+use sequoiastream_core::relay::digest::LoadPeers;
 use sequoiastream_core::relay::digest::part;
 use sequoiastream_core::relay::parts::Read;
 use sequoiastream_peer::datagram::MAX_DATAGRAM;
@@ -40,6 +42,41 @@
     assert!(told.values().all(|times| *times == 16));
 }
 
+/// Guards against a thousand small instances spending all their time on messages about each other's load. Idle instances
+/// get messages from few peers at any fleet size, and every instance reaches all peers eventually; busy instances of one
+/// zone get each other's messages as in a small fleet.
+#[test]
+fn recipients_by_fleet_size() {
+    let few = peers(16);
+    let (same_zone, other_zones) = few.split_at(4);
+    fn count(same_zone: &[SocketAddr], other_zones: &[SocketAddr], busy: &[SocketAddr], turn: u32) -> usize {
+        let load_peers = LoadPeers {
+            same_zone,
+            other_zones,
+            busy,
+        };
+        load_peers.recipients(turn).len()
+    }
+    assert_eq!(count(same_zone, other_zones, &[], 1), 16, "all of a small fleet");
+    for size in [985, 2_000] {
+        let all = peers(size);
+        let (same_zone, other_zones) = all.split_at(usize::from(size / 6));
+        let busy = &same_zone[..10];
+        assert_eq!(count(same_zone, other_zones, busy, 1), 10);
+        assert_eq!(count(same_zone, other_zones, &[], 1), 0);
+        assert_eq!(count(same_zone, other_zones, &[], 32), 9);
+        let load_peers = LoadPeers {
+            same_zone,
+            other_zones,
+            busy,
+        };
+        assert_eq!(load_peers.turns(), 1);
+        let rounds = (0..u32::from(size)).flat_map(|round| load_peers.recipients(round * 16));
+        let reached: BTreeSet<SocketAddr> = rounds.collect();
+        assert_eq!(reached.len(), usize::from(size));
+    }
+}
+
 /// Nobody hears of the work of the busiest instance. Order: it has work at 200 engines, its message is longer than a datagram may be
 /// and is not sent. Cut to what fits, it tells of the engines where it has most.
 #[test]
--- a/tests/testsuite/relay/known.rs
+++ b/tests/testsuite/relay/known.rs
@@ -124,3 +124,24 @@
     }
     assert_eq!(pages, [["engines/a", "engines/b"], ["engines/c", "engines/d"]]);
 }
+
+/// Guards against an answer that exceeds the frame limit while ten thousand engines register, and against a truncated
+/// answer that passes for a complete one.
+#[test]
+fn tell_since_in_parts() {
+    let known = known();
+    for revision in 11..61 {
+        known.on_change(
+            &keys(),
+            &Change::Put(item(&format!("engines/{revision}"), revision, 20_000)),
+        );
+    }
+    known.on_change(&keys(), &gone("engines/a", 62));
+    known.on_answer(NOW, NOW, Duration::ZERO, 62);
+    let first = known.tell_since(NOW, 10).expect("a short while ago");
+    assert_eq!((first.items.len(), first.revision, first.age), (27, 37, u32::MAX));
+    assert_eq!(first.removed, []);
+    let second = known.tell_since(NOW, first.revision).expect("a short while ago");
+    assert_eq!((second.items.len(), second.revision, second.age), (23, 62, 0));
+    assert_eq!(second.removed, [(62, "engines/a".to_string())]);
+}
