List the zone after registering in a large starting fleet

Cause: when hundreds of instances register at once, each reads the list before most of the others are on it. All of them send their heartbeats to the few that registered first. An instance that is on nobody's list learns of others only through these heartbeats: three seconds after the start it hears 5 of 985 instances and considers itself one of the two watchers.

This costs one additional call per instance in such a fleet, and none in others.

--- a/src/ops/relay/follow/join.rs
+++ b/src/ops/relay/follow/join.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use sequoiastream_core::time::Time;
-use sequoiastream_kv::store::StoreError;
 
 use crate::ops::relay::follow::Follower;
 use crate::ops::relay::register;
@@ -75,7 +74,7 @@
             return self.on_result(result).await;
         }
         if self.startup.stage == Stage::Large && age >= REGISTRATION_TIME {
-            let listed = self.list_zone().await;
+            let listed = register::list_zone(&self.shared, self.store.as_ref(), &self.fleet).await;
             self.startup.stage = Stage::Listed;
             if let Err(error) = listed {
                 return self.on_failure(&error).await;
@@ -85,17 +84,6 @@
         self.ask_peer().await;
     }
 
-    /// Reads the list of this zone's instances from the store.
-    async fn list_zone(&mut self) -> Result<(), StoreError> {
-        let prefix = register::zone_prefix(&self.shared, &self.shared.options.zone);
-        let page = self.store.range(&prefix, "").await?;
-        for item in &page.items {
-            self.fleet.on_item(register::listing(&self.shared, item));
-        }
-        self.fleet.relist();
-        Ok(())
-    }
-
     /// Whether peers of other zones may be asked. During startup, peers of this zone are preferred because a full
     /// transfer between zones costs more.
     pub(super) fn may_ask_other_zones(&self, now: Time) -> bool {
--- a/src/ops/relay/register.rs
+++ b/src/ops/relay/register.rs
@@ -42,6 +42,12 @@
 /// Maximum number of keys that are removed in one write.
 const MAX_REMOVED: usize = 16;
 
+/// Largest number of revisions by which the known state may lag behind the registration without the zone being listed.
+///
+/// Guards against a slow start of a large fleet: when hundreds of instances register at the same time, each knows only
+/// those that registered earlier, all send their heartbeats to these few, and for seconds each acts as a watcher.
+const MAX_REVISION_LAG: u64 = 64;
+
 /// What an instance says of itself in the store.
 #[derive(Debug, Serialize, Deserialize)]
 struct Card {
@@ -92,6 +98,7 @@
             store,
             fleet,
             written_revision: None,
+            needs_listing: false,
             absences: Absences::new(),
         };
         let mut pause = START_DELAY;
@@ -124,11 +131,17 @@
     fleet: Fleet,
     /// Store revision of this process's last write of its key.
     written_revision: Option<u64>,
+    /// Whether the next check lists the instances of the zone.
+    needs_listing: bool,
     absences: Absences,
 }
 
 impl Registrar {
     async fn step(&mut self) -> Result<(), StoreError> {
+        if self.needs_listing {
+            list_zone(&self.shared, self.store.as_ref(), &self.fleet).await?;
+            self.needs_listing = false;
+        }
         if self.needs_write() {
             self.write().await?;
         }
@@ -160,7 +173,9 @@
             puts: vec![put],
             ..Write::default()
         };
-        self.written_revision = Some(self.store.write(write).await?);
+        let revision = self.store.write(write).await?;
+        self.written_revision = Some(revision);
+        self.needs_listing = revision > self.fleet.known().revision() + MAX_REVISION_LAG;
         Ok(())
     }
 
@@ -237,6 +252,22 @@
     }
 }
 
+/// Reads the list of this zone's instances from the store and applies it to `fleet`.
+///
+/// # Errors
+///
+/// [`StoreError`] if the store can't be read.
+pub async fn list_zone(shared: &Shared, store: &dyn Store, fleet: &Fleet) -> Result<(), StoreError> {
+    let page = store
+        .range(&zone_prefix(shared, &shared.options.zone), "")
+        .await?;
+    for item in &page.items {
+        fleet.on_item(listing(shared, item));
+    }
+    fleet.relist();
+    Ok(())
+}
+
 /// Common prefix of the keys of a zone's instances.
 pub fn zone_prefix(shared: &Shared, zone: &Name) -> String {
     format!("{}{zone}/", shared.translate.keys().own)
--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -352,6 +352,27 @@
     assert!(!store.has("own/a/one"), "an instance that stops removes its key");
 }
 
+/// Guards against instances staying unknown to each other when hundreds of them register at once.
+#[actix_web::test]
+async fn zone_listed_after_many_changes() {
+    let store = FakeStore::new();
+    store.put("config", "3 /a/");
+    let card = r#"{"zone":"a","front":"127.0.0.1:1","peer":"127.0.0.1:1"}"#;
+    for name in ["a1", "a2", "a3"] {
+        store.put(&format!("own/a/{name}"), card);
+    }
+    let mut options = options();
+    options.tuning.bound = Bound(Duration::from_secs(60));
+    let (shared, fleet) = start_seated(options, &store).await;
+    until(|| version(&shared) == 3 && !fleet.seat().is_watcher()).await;
+    for number in 0..70 {
+        store.put(&format!("engines/e{number}"), "chat 127.0.0.1:9 ready 1");
+    }
+    store.put("own/a/a4", card);
+    let _registration = register::start(shared, Rc::new(store.clone()), fleet.clone());
+    until(|| fleet.listed_zones().keys().any(|name| name.as_str() == "a4")).await;
+}
+
 /// Guards against an isolated instance, which hears no peer, removing the keys of all others.
 #[actix_web::test]
 async fn isolated_instance_keeps_keys() {
