Compress large messages between instances

Cause: each of 985 instances loads 3.3 MB of engine entries from peers at startup, 3 GB in total, over links of 20 Mbit/s.

Change: messages of 4 KB or more in calls between instances are compressed with lz4 (`lz4_flex`). The uncompressed message is limited to four times the maximum frame size. Rejected alternative: a custom format for entries, because peers forward the contents of the store without parsing them.

Figures: a page of 10,000 similar entries (3.4 MB, above the maximum frame size of 2 MB) arrives in one frame (`peer::call_compressed`).

An oversized declared length counts as malformed: the peer has seen the request.

--- a/crates/peer/src/call.rs
+++ b/crates/peer/src/call.rs
@@ -1,5 +1,6 @@
 //! Calls over TCP: one question, one answer, many in turn on a connection.
 
+use std::borrow::Cow;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -27,6 +28,22 @@
 /// Connections kept open to one peer.
 const MAX_IDLE: usize = 4;
 
+/// Smallest message, in bytes, that is compressed.
+///
+/// Guards against pages with thousands of similar engine entries occupying the link of a small instance for seconds.
+const MIN_COMPRESSED: usize = 4 * 1024;
+
+/// Largest message, in bytes, before compression.
+///
+/// Guards against memory exhaustion by a frame that declares an excessive decompressed length.
+const MAX_MESSAGE: usize = 4 * MAX_FRAME;
+
+/// Encoding byte at the start of a frame's body: the message follows uncompressed.
+const UNCOMPRESSED: u8 = 0;
+
+/// Encoding byte at the start of a frame's body: the uncompressed length follows, then the compressed message.
+const COMPRESSED: u8 = 1;
+
 const NONCE: usize = 16;
 
 /// Answers the questions of peers; the daemon's side of this package.
@@ -181,7 +198,11 @@
         self.sent += 1;
         let mut frame = prefix(self.side, self.sent);
         let head = frame.len();
-        frame.extend(postcard::to_allocvec(message)?);
+        let message = postcard::to_allocvec(message)?;
+        if message.len() > MAX_MESSAGE {
+            return Err(PeerError::TooLong(message.len()));
+        }
+        frame.extend(encode(message));
         let sealed = self.key.seal(frame);
         let payload = &sealed[head..];
         if payload.len() > MAX_FRAME {
@@ -213,7 +234,7 @@
         frame.resize(head + length, 0);
         self.stream.read_exact(&mut frame[head..]).await.map_err(broken)?;
         let message = self.key.open(&frame)?;
-        Ok(postcard::from_bytes(&message[head..])?)
+        Ok(postcard::from_bytes(&decode(&message[head..])?)?)
     }
 }
 
@@ -223,3 +244,29 @@
     prefix.extend_from_slice(&number.to_be_bytes());
     prefix
 }
+
+/// Encodes a message as a frame's body: an encoding byte, then the message, compressed if it is large.
+fn encode(message: Vec<u8>) -> Vec<u8> {
+    if message.len() < MIN_COMPRESSED {
+        return [vec![UNCOMPRESSED], message].concat();
+    }
+    [vec![COMPRESSED], lz4_flex::compress_prepend_size(&message)].concat()
+}
+
+/// Decodes the message in a frame's body.
+fn decode(body: &[u8]) -> Result<Cow<'_, [u8]>, PeerError> {
+    let malformed = |reason: String| PeerError::Malformed(reason);
+    match body.split_first() {
+        Some((&UNCOMPRESSED, message)) => Ok(Cow::Borrowed(message)),
+        Some((&COMPRESSED, compressed)) => {
+            let (length, compressed) =
+                lz4_flex::block::uncompressed_size(compressed).map_err(|e| malformed(e.to_string()))?;
+            if length > MAX_MESSAGE {
+                return Err(malformed(format!("the message declares {length} bytes")));
+            }
+            let message = lz4_flex::decompress(compressed, length).map_err(|e| malformed(e.to_string()))?;
+            Ok(Cow::Owned(message))
+        }
+        _ => Err(malformed("missing or unknown message encoding".to_string())),
+    }
+}
--- a/tests/testsuite/peer.rs
+++ b/tests/testsuite/peer.rs
@@ -7,12 +7,15 @@
 use sequoiastream_core::name::Name;
 use sequoiastream_peer::PeerError;
 use sequoiastream_peer::call::CallClient;
+use sequoiastream_peer::call::MAX_FRAME;
 use sequoiastream_peer::call::Responder;
 use sequoiastream_peer::call::serve;
 use sequoiastream_peer::datagram::DatagramSocket;
 use sequoiastream_peer::message::Datagram;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
+use sequoiastream_peer::message::StoreItem;
+use sequoiastream_peer::message::StorePage;
 use sequoiastream_peer::seal::ClusterKey;
 use sequoiastream_peer::seal::ReplayWindow;
 use tokio::net::TcpListener;
@@ -123,3 +126,64 @@
     let answer = client.call(address, &Request::Config(Version(0)), LIMIT).await;
     assert_eq!(answer, Ok(Response::Config(Update::Whole(Box::default()))));
 }
+
+/// A page of `count` engine entries of similar size.
+fn engine_page(count: u64) -> StorePage {
+    let item = |number: u64| StoreItem {
+        key: format!("engines/i-{number:010}"),
+        value: format!(
+            "{{\"service\":\"chat\",\"address\":\"10.1.64.9:8080\",\"seq\":{number},\"rest\":\"{:0>200}\"}}",
+            7
+        )
+        .into_bytes(),
+        revision: number,
+        created: number,
+    };
+    StorePage {
+        revision: count,
+        age: 3,
+        items: (0..count).map(item).collect(),
+        more: false,
+    }
+}
+
+/// Answers every request with a page of this many entries.
+#[derive(Clone)]
+struct PageResponder(u64);
+
+impl Responder for PageResponder {
+    async fn respond(&self, _: Request) -> Response {
+        Response::Page(engine_page(self.0))
+    }
+}
+
+async fn request_page(count: u64) -> Result<Response, PeerError> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    actix_web::rt::spawn(serve(listener, key(), PageResponder(count)));
+    let client = CallClient::new(key());
+    client.call(address, &Request::Page(String::new()), LIMIT).await
+}
+
+/// Guards against pages of thousands of engine entries exceeding the frame limit and saturating the links of small
+/// instances at startup.
+#[actix_web::test]
+async fn call_compressed() {
+    let count = 10_000;
+    let size = postcard::to_allocvec(&engine_page(count))
+        .expect("a page serializes")
+        .len();
+    assert!(size > MAX_FRAME, "{size}");
+    assert_eq!(request_page(count).await, Ok(Response::Page(engine_page(count))));
+}
+
+/// Guards against sending an answer that exceeds the limit for uncompressed messages, even if it compresses well.
+#[actix_web::test]
+async fn call_too_long() {
+    let answer = request_page(40_000).await;
+    assert!(
+        matches!(answer, Err(PeerError::Broken(_))),
+        "{:?}",
+        answer.is_ok()
+    );
+}
