Use one watcher per 32 instances and index store items by revision

While engines register continuously, an instance is confirmed only by a peer's answer. With 8 watchers for 985 instances, most answers passed through several listeners or waited for the zone's only watcher, which scanned all items for each answer.

Use one watcher per 32 instances instead of 128, with a minimum of two as before. `Known` now indexes item keys by revision.

Figures: nothing changes with up to 64 instances, which keep two watchers.

--- a/crates/core/src/relay/watchers.rs
+++ b/crates/core/src/relay/watchers.rs
@@ -12,7 +12,7 @@
 use crate::time::Time;
 
 /// Instances per watcher: answering their questions takes a small part of a watcher's time.
-const EACH: usize = 128;
+const EACH: usize = 32;
 
 /// Minimum number of watchers in a fleet: the loss of one may go unnoticed.
 const LEAST: usize = 2;
--- a/src/ops/relay/known.rs
+++ b/src/ops/relay/known.rs
@@ -42,6 +42,8 @@
 struct State {
     reach: Reach,
     items: BTreeMap<String, Item>,
+    /// Keys of `items`, by revision. Finds the changes after a revision without a full scan.
+    revisions: BTreeSet<(u64, String)>,
     /// Removals, by revision.
     removed: BTreeSet<(u64, String)>,
     /// All removals after this revision are known.
@@ -97,6 +99,11 @@
         let kept = items.iter().filter(|item| is_shared(keys, &item.key));
         let kept = kept.map(|item| (item.key.clone(), item.clone())).collect();
         let before = std::mem::replace(&mut state.items, kept);
+        state.revisions = state
+            .items
+            .values()
+            .map(|item| (item.revision, item.key.clone()))
+            .collect();
         if state.reach.revision() == 0 {
             state.horizon = revision;
         }
@@ -113,7 +120,7 @@
         let mut state = self.0.borrow_mut();
         match change {
             Change::Put(item) if is_shared(keys, &item.key) => {
-                state.items.insert(item.key.clone(), item.clone());
+                state.insert(item.clone());
             }
             Change::Put(_) => {}
             Change::Removed { key, revision } if is_shared(keys, key) => state.remove(key, *revision),
@@ -201,12 +208,8 @@
         if revision < state.horizon {
             return None;
         }
-        let mut changed: Vec<&Item> = state
-            .items
-            .values()
-            .filter(|item| item.revision > revision)
-            .collect();
-        changed.sort_by_key(|item| item.revision);
+        let changed = state.revisions.range((revision + 1, String::new())..);
+        let changed: Vec<&Item> = changed.filter_map(|(_, key)| state.items.get(key)).collect();
         // A truncated answer must not confirm that the peer is up to date.
         let (last, age) = match truncation_revision(&changed) {
             Some(last) => (last, u32::MAX),
@@ -247,8 +250,18 @@
         self.reach.word(now).map_or(u32::MAX, Word::millis)
     }
 
+    fn insert(&mut self, item: Item) {
+        self.revisions.insert((item.revision, item.key.clone()));
+        let before = self.items.insert(item.key.clone(), item.clone());
+        if let Some(before) = before.filter(|before| before.revision != item.revision) {
+            self.revisions.remove(&(before.revision, before.key));
+        }
+    }
+
     fn remove(&mut self, key: &str, revision: u64) {
-        self.items.remove(key);
+        if let Some(item) = self.items.remove(key) {
+            self.revisions.remove(&(item.revision, item.key));
+        }
         self.removed.insert((revision, key.to_string()));
         while self.removed.len() > MAX_REMOVED
             && let Some((oldest, _)) = self.removed.pop_first()
--- a/tests/testsuite/relay/watchers.rs
+++ b/tests/testsuite/relay/watchers.rs
@@ -61,7 +61,7 @@
 
 #[test]
 fn count_by_members() {
-    assert_eq!([1, 2, 8, 195, 985, 2_000].map(count), [1, 2, 2, 2, 8, 16]);
+    assert_eq!([1, 2, 8, 64, 195, 985, 2_000].map(count), [1, 2, 2, 2, 7, 31, 63]);
 }
 
 fn candidate<'n>(zone: &'n str, capacity: u32, name: &'n str) -> Candidate<'n> {
