Do not accept a truncated watch answer as proof

Cause: an instance that asks the store for a proof, because no peer gave one in time, treats the answer as everything that happened, even if the store truncated it. A key whose removal lies beyond the truncation would keep working. Found by reading the code; no run showed it.

Change: one function processes the answers of both calls, and a truncated answer confirms and proves nothing. The refusal of a proof has no test of its own: no test configuration has both keys and a store that truncates.

--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -30,6 +30,7 @@
 use sequoiastream_core::relay::watchers::Word;
 use sequoiastream_core::time::Time;
 use sequoiastream_kv::store::Change;
+use sequoiastream_kv::store::Changes;
 use sequoiastream_kv::store::Item;
 use sequoiastream_kv::store::Store;
 use sequoiastream_kv::store::StoreError;
@@ -244,10 +245,10 @@
         let revision = self.known.revision();
         let sent = clock::now();
         let changes = self.store.watch(ALL, revision, LOOK).await?;
-        self.on_changes(changes.changes);
-        let revision = changes.revision.max(revision);
-        self.known.on_answer(clock::now(), sent, LOOK, revision);
-        self.known.on_proof(sent);
+        if let Some(revision) = self.on_watch_answer(changes, revision) {
+            self.known.on_answer(clock::now(), sent, LOOK, revision);
+            self.known.on_proof(sent);
+        }
         Ok(())
     }
 
@@ -272,14 +273,10 @@
             }
         };
         let is_quiet = changes.changes.is_empty();
-        let may_be_truncated = may_be_truncated(&changes.changes);
-        self.on_changes(changes.changes);
-        let revision = changes.revision.max(revision);
-        let now = clock::now();
-        if may_be_truncated {
-            self.known.on_news(now, Word::new(revision, u32::MAX));
+        let Some(revision) = self.on_watch_answer(changes, revision) else {
             return Ok(());
-        }
+        };
+        let now = clock::now();
         if !is_quiet {
             self.rest = watcher_rest(self.shared.tuning().bound);
         }
@@ -288,6 +285,18 @@
         Ok(())
     }
 
+    /// Applies the answer to a watch for changes after the revision `since`. Returns the revision up to which all
+    /// changes are known, or `None` if the answer may be truncated: such an answer confirms and proves nothing.
+    fn on_watch_answer(&mut self, changes: Changes, since: u64) -> Option<u64> {
+        let is_complete = !may_be_truncated(&changes.changes);
+        let revision = changes.revision.max(since);
+        self.on_changes(changes.changes);
+        if !is_complete {
+            self.known.on_news(clock::now(), Word::new(revision, u32::MAX));
+        }
+        is_complete.then_some(revision)
+    }
+
     /// Takes in what has changed, in the order in which it did.
     fn on_changes(&mut self, changes: Vec<Change>) {
         let mut changed = Changed::default();
--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -114,6 +114,22 @@
     assert_eq!(millis, [0, 5, 40, 420, 500, 500]);
 }
 
+/// Guards against a watcher pausing after each truncated answer while thousands of engines register.
+#[actix_web::test]
+async fn truncated_watch_repeated_at_once() {
+    let store = FakeStore::new();
+    store.set_batch_size(250);
+    store.put("config", "3 /a/");
+    let mut options = options();
+    options.tuning.bound = Bound(Duration::from_secs(60));
+    let shared = start(options, &store).await;
+    until(|| version(&shared) == 3).await;
+    for number in 0..4_000 {
+        store.put(&format!("engines/e{number}"), "chat 127.0.0.1:9 ready 1");
+    }
+    until(|| engines(&shared).len() == 4_000).await;
+}
+
 /// An engine leaves while nobody hears of it. Order: watches are cut and the history is dropped; the engine's leaving is
 /// in what was dropped. Cause: a watch goes on from now instead of reading everything.
 #[actix_web::test]
--- a/tests/testsuite/relay/store.rs
+++ b/tests/testsuite/relay/store.rs
@@ -39,6 +39,7 @@
     down: Cell<bool>,
     compacted: Cell<u64>,
     page_size: Cell<Option<usize>>,
+    batch_size: Cell<Option<usize>>,
     calls: Cell<Calls>,
 }
 
@@ -115,6 +116,11 @@
         self.state.page_size.set(Some(limit));
     }
 
+    /// Sets the maximum number of changes per answer to a watch.
+    pub fn set_batch_size(&self, limit: usize) {
+        self.state.batch_size.set(Some(limit));
+    }
+
     /// Whether no call is answered.
     pub fn set_down(&self, down: bool) {
         self.state.down.set(down);
@@ -212,10 +218,15 @@
                 return Err(StoreError::Compacted);
             }
             let changes = self.state.changes.borrow();
-            let changes = changes.iter().filter(|change| at(change) > after);
+            let later: Vec<&Change> = changes.iter().filter(|change| at(change) > after).collect();
+            let limit = self.state.batch_size.get().unwrap_or(later.len());
+            let revision = match later.len() > limit {
+                true => at(later[limit - 1]),
+                false => *self.revision.borrow(),
+            };
             Ok(Changes {
-                changes: changes.cloned().collect(),
-                revision: *self.revision.borrow(),
+                changes: later.into_iter().take(limit).cloned().collect(),
+                revision,
             })
         }
         .boxed_local()
