Note busy peers only in large fleets

Cause: each message about load looked its sender up and noted it as busy, also in fleets of up to 256 peers, where nobody reads that; and the size of a fleet was counted in its own lines beside it. Found by the last read of the change.

Change: one method says whether the fleet is large, and only then busy peers are noted. Just after a fleet grows beyond 256 peers they are known from the next message on.

--- a/src/ops/relay/peers/mod.rs
+++ b/src/ops/relay/peers/mod.rs
@@ -350,8 +350,7 @@
         }
         // The cost of publishing grows with the size of the fleet, and in a large fleet heartbeats with news arrive all the
         // time: these wait for the next tick.
-        let peers: usize = self.0.heard.borrow().iter().map(Vec::len).sum();
-        let is_deferred = is_heartbeat && digest::is_large_fleet(peers);
+        let is_deferred = is_heartbeat && self.is_large();
         if publish && !is_deferred {
             self.publish();
         }
@@ -384,7 +383,8 @@
         if self.0.known.on_word(now, digest.word()) {
             self.0.news.notify_one();
         }
-        if !digest.shares.is_empty()
+        if self.is_large()
+            && !digest.shares.is_empty()
             && let Some(peer) = self.0.members.borrow().address(name)
         {
             self.0.busy.borrow_mut().insert(peer, now);
@@ -414,6 +414,12 @@
         }
     }
 
+    /// Whether there are too many peers to tell all of them about load in time.
+    fn is_large(&self) -> bool {
+        let peers = self.0.heard.borrow().iter().map(Vec::len).sum();
+        digest::is_large_fleet(peers)
+    }
+
     /// Recipients of this turn's message about load, and the number of turns in which messages reach all recipients.
     fn load_recipients(&self, now: Time, turn: u32) -> (Vec<SocketAddr>, usize) {
         let [same_zone, other_zones] = &*self.0.heard.borrow();
