Log requests that no route matches, with the configuration version

A request refused because no route matched it was not logged, so a route that reached an instance late could not be told from one that never existed.

--- a/src/ops/relay/head.rs
+++ b/src/ops/relay/head.rs
@@ -45,7 +45,8 @@
     /// Host, without its port.
     pub host: String,
     headers: HeaderMap,
-    id: HeaderValue,
+    /// Id that the caller gave this attempt.
+    pub id: HeaderValue,
     /// Key of the caller.
     pub key: Option<HeaderValue>,
 }
--- a/src/ops/relay/server.rs
+++ b/src/ops/relay/server.rs
@@ -34,6 +34,7 @@
 use crate::ops::relay::idle;
 use crate::ops::relay::reply::Reply;
 use crate::ops::relay::shared::Shared;
+use crate::ops::relay::shared::View;
 use crate::util::clock;
 
 /// How long an idle connection of a caller is kept open: longer than callers reuse one, so that no request is sent
@@ -187,7 +188,7 @@
         }
     };
     let Some(route) = view.table.find(&head.host, head.uri.path()) else {
-        return refuse(shared, Reply::NoRoute);
+        return refuse_unrouted(shared, &view, &head, ages);
     };
     let key = head.key.as_ref().map(|key| key.as_bytes());
     let workspace = match view
@@ -216,6 +217,16 @@
     forward.run().await
 }
 
+/// Refuses a request that no route matches. Logs the version of the configuration and the time since the store's last
+/// confirmation, so that a route that had not reached this instance yet can be told from one that doesn't exist.
+fn refuse_unrouted(shared: &Shared, view: &View, head: &RequestHead, ages: StoreAges) -> HttpResponse {
+    let reply = Reply::NoRoute;
+    let request = String::from_utf8_lossy(head.id.as_bytes()).into_owned();
+    log_event!(info, log_event::REFUSED, request, outcome = reply.label(), why = "no route matches it", host = %head.host,
+        path = head.uri.path(), config = view.table.version, heard = ages.reported.as_millis() as u64);
+    refuse(shared, reply)
+}
+
 /// Refuses a request whose key no workspace holds, or whose key can't be checked because the known keys are too old.
 fn refuse_key(
     shared: &Shared,
