--- a/tests/testsuite/relay/watchers.rs
+++ b/tests/testsuite/relay/watchers.rs
@@ -3,6 +3,7 @@
 //! The seeded runs draw fleets of 1 to 400 instances in 1 to 12 availability zones. `SEQUOIASTREAM_SEEDS=1000..5000
 //! cargo test --release --test testsuite relay::watchers` runs other seeds, as many as wanted.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -29,6 +30,15 @@
 /// Time between two messages of an instance.
 const STEP: Duration = Duration::from_millis(25);
 
+/// Steps of [`STEP`] are divided into this many ticks, if messages take time.
+const TICKS_PER_STEP: u32 = 25;
+
+/// Time that most messages take, in milliseconds: within a zone, between zones, and in the queues of both instances.
+const TRANSIT_MILLIS: std::ops::RangeInclusive<u64> = 1..=4;
+
+/// Time that one in fifty messages takes, in milliseconds: it waits in the queue of a link.
+const SLOW_TRANSIT_MILLIS: std::ops::RangeInclusive<u64> = 5..=60;
+
 /// Number of peers that get each message.
 const FANOUT: usize = 16;
 
@@ -177,6 +187,30 @@
     assert_eq!(state.age(at(10_400)), Some(Duration::from_millis(20)));
 }
 
+/// Guards against a confirmation that never becomes old: two instances whose last confirmation by the store lies back
+/// tell each other its age, each message takes time, and with each one the age that the receiver assumes is shorter.
+#[test]
+fn confirmation_ages_while_relayed() {
+    let transit = Duration::from_millis(3);
+    let mut states = [SyncState::default(), SyncState::default()];
+    for state in &mut states {
+        state.on_store_answer(at(0), at(0), Duration::ZERO, 7);
+    }
+    for message in 1..=800 {
+        let sent = at(message * 12);
+        let (from, to) = ((message % 2) as usize, ((message + 1) % 2) as usize);
+        let status = states[from].sync_status(sent).expect("the store has answered");
+        let received = sent + transit;
+        states[to].on_peer_status(received, status);
+        let age = states[to].age(received).expect("the store has answered");
+        let elapsed = received.since(at(0));
+        assert!(
+            age + transit >= elapsed,
+            "after {elapsed:?} the instance assumes an age of {age:?}"
+        );
+    }
+}
+
 /// State of an instance's calls to the store.
 #[derive(Debug, Clone, Copy)]
 enum Call {
@@ -213,8 +247,28 @@
     healthy_since: Time,
 }
 
+/// A message on its way.
+#[derive(Debug, Clone, Copy)]
+struct Message {
+    from: usize,
+    to: usize,
+    status: Option<SyncStatus>,
+}
+
+/// How long messages take, and when instances act.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Timing {
+    /// Messages arrive at once, and all instances act at the same time.
+    Lockstep,
+    /// Messages take [`TRANSIT_MILLIS`] or [`SLOW_TRANSIT_MILLIS`], and each instance acts at its own time.
+    Delayed,
+}
+
 struct World {
     random: ChaCha8Rng,
+    timing: Timing,
+    /// Messages on their way, by the time of their arrival.
+    in_transit: BTreeMap<Time, Vec<Message>>,
     now: Time,
     revision: u64,
     /// Time of each revision, from the first one.
@@ -228,7 +282,7 @@
 }
 
 impl World {
-    fn new(seed: u64) -> World {
+    fn new(seed: u64, timing: Timing) -> World {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         // Most runs have up to 60 instances, as today's fleets do; one in eight has up to 400.
         let max_size = if seed.is_multiple_of(8) { 400 } else { 60 };
@@ -248,6 +302,8 @@
         };
         World {
             random,
+            timing,
+            in_transit: BTreeMap::new(),
             now,
             revision: 1,
             changed: vec![now],
@@ -262,18 +318,15 @@
     fn run(mut self, seconds: u32) {
         let steps = seconds * 40;
         for step in 0..steps {
-            self.now = self.now + STEP;
-            if self.random.random_bool(0.05) {
-                self.revision += 1;
-                self.changed.push(self.now);
-            }
-            if self.random.random_bool(0.02) {
-                self.inject_fault();
-            }
-            self.exchange_messages();
-            for index in 0..self.instances.len() {
-                self.follow_store(index);
-            }
+            self.advance(|world| {
+                if world.random.random_bool(0.05) {
+                    world.revision += 1;
+                    world.changed.push(world.now);
+                }
+                if world.random.random_bool(0.02) {
+                    world.inject_fault();
+                }
+            });
             if step > 80 {
                 self.check_lag();
             }
@@ -281,15 +334,45 @@
         self.check_call_rate();
     }
 
+    /// Runs for [`STEP`], in which each instance acts once. `change` is called at its start.
+    fn advance<F>(&mut self, change: F)
+    where
+        F: FnOnce(&mut World),
+    {
+        match self.timing {
+            Timing::Lockstep => {
+                self.now = self.now + STEP;
+                change(self);
+                (0..self.instances.len()).for_each(|index| self.send_messages(index));
+                (0..self.instances.len()).for_each(|index| self.follow_store(index));
+            }
+            Timing::Delayed => {
+                change(self);
+                (0..TICKS_PER_STEP as usize).for_each(|tick| self.advance_tick(tick));
+            }
+        }
+    }
+
+    /// Delivers the messages that arrive in this tick; then the instances act whose turn it is.
+    fn advance_tick(&mut self, tick: usize) {
+        self.now = self.now + STEP / TICKS_PER_STEP;
+        while let Some(arrivals) = self.in_transit.first_entry().filter(|e| *e.key() <= self.now) {
+            let messages = arrivals.remove();
+            messages.into_iter().for_each(|message| self.deliver(message));
+        }
+        // Consecutive instances act at different times.
+        let turns = (0..self.instances.len()).filter(|index| index * 7 % TICKS_PER_STEP as usize == tick);
+        for index in turns.collect::<Vec<_>>() {
+            self.send_messages(index);
+            self.follow_store(index);
+        }
+    }
+
     /// Runs ten seconds without new faults.
     fn run_quiet(&mut self) {
         let later = self.now + Duration::from_secs(10);
         while self.now < later {
-            self.now = self.now + STEP;
-            self.exchange_messages();
-            for index in 0..self.instances.len() {
-                self.follow_store(index);
-            }
+            self.advance(|_| {});
         }
     }
 
@@ -371,30 +454,58 @@
         from == to || [from, to].iter().all(|zone| self.cut[*zone] <= self.now)
     }
 
-    fn exchange_messages(&mut self) {
+    /// Sends the messages of an instance's turn.
+    fn send_messages(&mut self, from: usize) {
+        if !self.is_up(from) {
+            return;
+        }
         let now = self.now;
         let size = self.instances.len();
-        for from in (0..size).filter(|index| self.is_up(*index)).collect::<Vec<_>>() {
-            self.instances[from].state.on_tick(now);
-            let status = self.instances[from].state.sync_status(now);
-            let turn = self.instances[from].turn;
-            self.instances[from].turn += 1;
-            for next in 0..FANOUT.min(size - 1) {
-                let to = (from + 1 + (turn * FANOUT + next) % (size - 1)) % size;
-                // One in ten messages is lost. A paused instance would read its messages on resuming; here they are
-                // lost, which serves the test as well.
-                if !self.is_up(to) || !self.hears(from, to) || self.random.random_bool(0.1) {
-                    continue;
-                }
-                self.instances[to].heard[from] = Some(now);
-                let Some(status) = status else { continue };
-                if self.instances[to].state.on_peer_status(now, status) {
-                    self.instances[to].state.on_peer_changes(now, status);
+        let sender = &mut self.instances[from];
+        sender.state.on_tick(now);
+        let status = sender.state.sync_status(now);
+        let turn = sender.turn;
+        sender.turn += 1;
+        for next in 0..FANOUT.min(size - 1) {
+            let to = (from + 1 + (turn * FANOUT + next) % (size - 1)) % size;
+            // One in ten messages is lost. A paused instance would read its messages on resuming; here they are lost,
+            // which serves the test as well.
+            if !self.is_up(to) || !self.hears(from, to) || self.random.random_bool(0.1) {
+                continue;
+            }
+            let message = Message { from, to, status };
+            match self.timing {
+                Timing::Lockstep => self.deliver(message),
+                Timing::Delayed => {
+                    let arrival = now + self.draw_transit();
+                    self.in_transit.entry(arrival).or_default().push(message);
                 }
             }
         }
     }
 
+    fn draw_transit(&mut self) -> Duration {
+        let range = match self.random.random_bool(0.02) {
+            true => SLOW_TRANSIT_MILLIS,
+            false => TRANSIT_MILLIS,
+        };
+        Duration::from_millis(self.random.random_range(range))
+    }
+
+    /// Delivers a message, unless its receiver went down while it was on its way.
+    fn deliver(&mut self, message: Message) {
+        let Message { from, to, status } = message;
+        if !self.is_up(to) {
+            return;
+        }
+        let now = self.now;
+        self.instances[to].heard[from] = Some(now);
+        let Some(status) = status else { return };
+        if self.instances[to].state.on_peer_status(now, status) {
+            self.instances[to].state.on_peer_changes(now, status);
+        }
+    }
+
     fn rank(&self, index: usize) -> FleetRank {
         let own = &self.instances[index];
         let heard = |peer: &usize| own.heard[*peer].is_some_and(|at| self.now.since(at) <= SILENCE_LIMIT);
@@ -495,6 +606,16 @@
 fn lag_within_bound() {
     for seed in seeds_or(SEEDS) {
         let _failing = PrintSeedOnPanic(seed);
-        World::new(seed).run(30);
+        World::new(seed, Timing::Lockstep).run(30);
+    }
+}
+
+/// Guards against the same failure if messages take time: all watchers lose the store, the others tell each other that
+/// the store confirmed their data a moment ago, and none calls the store itself.
+#[test]
+fn lag_within_bound_delayed() {
+    for seed in seeds_or(SEEDS) {
+        let _failing = PrintSeedOnPanic(seed);
+        World::new(seed, Timing::Delayed).run(30);
     }
 }
