Accept each confirmation by the store once, whichever peer relays it

Callers got 404 for a route that had been in the store for over three seconds. Watchers that had lost the store reported the age of their last confirmation to the other instances, which relayed it. The age in a message excludes the message's transit time, so each relay made the confirmation appear slightly younger. In a fleet of 60 instances that exchange 40 messages a second, the age stayed at 0.9 s while no instance had received an answer from the store for 4 s, and none of them called the store in place of the watchers.

A confirmation now carries the ID of the process whose call the store answered and an increasing number. Each process accepts it only once. Ages in messages are rounded up.

--- a/crates/core/src/relay/load_message.rs
+++ b/crates/core/src/relay/load_message.rs
@@ -10,6 +10,8 @@
 use crate::relay::cached_parts::PrefillRecord;
 use crate::relay::load_tracker::Work;
 use crate::relay::suspects::CrashNote;
+use crate::relay::watchers::ConfirmationId;
+use crate::relay::watchers::ConfirmedStatus;
 use crate::relay::watchers::SyncStatus;
 
 /// Peers that get each heartbeat and each message about load. In a fleet with more peers, successive messages about
@@ -54,6 +56,8 @@
     pub revision: u64,
     /// Milliseconds since the store had nothing beyond that revision; `u32::MAX` if the sender can't tell.
     pub age: u32,
+    /// The store's confirmation from which the age is counted.
+    pub confirmation: ConfirmationId,
     /// Milliseconds since the last proof of that; `u32::MAX` without one.
     pub proof: u32,
     /// Microseconds since the Unix epoch by the sender's wall clock when the message was sent.
@@ -78,6 +82,7 @@
             reads,
             revision: 0,
             age: u32::MAX,
+            confirmation: ConfirmationId::default(),
             proof: u32::MAX,
             wall: 0,
         }
@@ -104,17 +109,18 @@
     }
 
     /// The message with how far the sender has read the store.
-    pub fn with_sync_status(mut self, status: Option<SyncStatus>) -> LoadMessage {
-        if let Some(status) = status {
+    pub fn with_sync_status(mut self, status: Option<ConfirmedStatus>) -> LoadMessage {
+        if let Some(ConfirmedStatus { status, confirmation }) = status {
             self.revision = status.revision;
             self.age = status.age_millis();
+            self.confirmation = confirmation;
         }
         self
     }
 
     /// How far the sender has read the store.
-    pub fn sync_status(&self) -> SyncStatus {
-        SyncStatus::new(self.revision, self.age)
+    pub fn sync_status(&self) -> ConfirmedStatus {
+        ConfirmedStatus::new(self.revision, self.age, self.confirmation)
     }
 }
 
--- a/crates/core/src/relay/watchers.rs
+++ b/crates/core/src/relay/watchers.rs
@@ -7,8 +7,12 @@
 //! recent confirmation watches the store itself, whichever instance should have done so.
 
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::time::Time;
 
 /// Instances per watcher: answering their requests takes a small part of a watcher's time.
@@ -41,6 +45,10 @@
 /// How long after such a pause messages don't count as confirmations: the backlog is read immediately on resuming.
 const BACKLOG_TIME: Duration = Duration::from_millis(200);
 
+/// Retention of the last confirmation accepted from a process: longer than the longest fallback age, so that a
+/// confirmation that is received again after this time is too old to count.
+const CONFIRMATION_RETENTION: Duration = Duration::from_secs(60);
+
 /// Age of a proof from which on an instance asks the watchers for a newer one, as a fraction of the maximum age. It is
 /// older than proofs become while watches work normally, so that watchers needn't ask.
 const ASK_WATCHERS_FRACTION: f64 = 0.4;
@@ -179,12 +187,48 @@
         SyncStatus { revision, age }
     }
 
-    /// Its age in milliseconds; `u32::MAX`, the maximum in messages, if it is older.
+    /// Its age in milliseconds, rounded up so that it is not reported as shorter than it is; `u32::MAX`, the maximum in
+    /// messages, if it is older.
     pub fn age_millis(self) -> u32 {
-        u32::try_from(self.age.as_millis()).unwrap_or(u32::MAX)
+        u32::try_from(self.age.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
+    }
+}
+
+/// Identifies a confirmation by the store that the data of an instance is up to date.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ConfirmationId {
+    /// Random ID of the process whose call the store answered, new with each start.
+    pub process: u64,
+    /// Increases with each confirmation that this process receives from the store.
+    pub number: u64,
+}
+
+/// How far an instance has read the store, and the store's confirmation of that, its own or one reported by a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConfirmedStatus {
+    /// The status.
+    pub status: SyncStatus,
+    /// The confirmation.
+    pub confirmation: ConfirmationId,
+}
+
+impl ConfirmedStatus {
+    /// The status as carried in messages, with its age in milliseconds.
+    pub fn new(revision: u64, millis: u32, confirmation: ConfirmationId) -> ConfirmedStatus {
+        ConfirmedStatus {
+            status: SyncStatus::new(revision, millis),
+            confirmation,
+        }
     }
 }
 
+/// The last confirmation accepted from another process.
+#[derive(Debug, Clone, Copy)]
+struct AcceptedConfirmation {
+    number: u64,
+    at: Time,
+}
+
 /// How an instance follows the store now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WatchAction {
@@ -195,10 +239,16 @@
 }
 
 /// How far this instance has read the store, and when that was last confirmed to be up to date.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct SyncState {
     revision: u64,
     confirmed: Option<Time>,
+    /// The confirmation that `confirmed` is derived from.
+    confirmation: ConfirmationId,
+    /// Random ID of this process.
+    process: u64,
+    /// The last confirmation accepted from each other process.
+    accepted: BTreeMap<u64, AcceptedConfirmation>,
     /// Time of the last [`SyncState::on_tick`].
     last_tick: Option<Time>,
     /// When it last resumed after a pause.
@@ -231,6 +281,20 @@
 }
 
 impl SyncState {
+    /// The state of an instance that has read nothing; `process` is the random ID of its process.
+    pub fn new(process: u64) -> SyncState {
+        SyncState {
+            revision: 0,
+            confirmed: None,
+            confirmation: ConfirmationId::default(),
+            process,
+            accepted: BTreeMap::new(),
+            last_tick: None,
+            resumed: None,
+            proven: None,
+        }
+    }
+
     /// Revision up to which all changes were read.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -249,7 +313,19 @@
     pub fn on_store_answer(&mut self, now: Time, sent: Time, wait: Duration, revision: u64) {
         self.revision = self.revision.max(revision);
         let answered = now.min(sent + wait);
-        self.confirmed = self.confirmed.max(Some(answered));
+        let confirmation = ConfirmationId {
+            process: self.process,
+            number: answered.as_micros(),
+        };
+        self.confirm(answered, confirmation);
+    }
+
+    /// Records a confirmation as of `at`, unless a later one is known.
+    fn confirm(&mut self, at: Time, confirmation: ConfirmationId) {
+        if self.confirmed < Some(at) {
+            self.confirmed = Some(at);
+            self.confirmation = confirmation;
+        }
     }
 
     /// Time since the last proof that all changes were read; `None` without one. A status that peers send unasked is no
@@ -297,23 +373,45 @@
     }
 
     /// Notes that the changes of a peer were applied: everything up to its status.
-    pub fn on_peer_changes(&mut self, now: Time, status: SyncStatus) {
-        self.revision = self.revision.max(status.revision);
+    pub fn on_peer_changes(&mut self, now: Time, status: ConfirmedStatus) {
+        self.revision = self.revision.max(status.status.revision);
         self.on_peer_status(now, status);
     }
 
     /// Handles a status sent by a peer. Returns whether the peer has a higher revision.
-    pub fn on_peer_status(&mut self, now: Time, status: SyncStatus) -> bool {
+    ///
+    /// Guards against confirmations that never expire: the age in a message excludes its transit time, so instances
+    /// that relay the same confirmation to each other would keep it recent, and none would call the store in place of
+    /// watchers that have lost it. Each confirmation is therefore accepted only once, with the age in the first message
+    /// that reports it.
+    pub fn on_peer_status(&mut self, now: Time, status: ConfirmedStatus) -> bool {
+        let ConfirmedStatus { status, confirmation } = status;
         if status.revision > self.revision {
             return true;
         }
         let is_in_backlog = self.resumed.is_some_and(|at| now.since(at) < BACKLOG_TIME);
-        if !is_in_backlog && now.since(Time::ZERO) >= status.age {
-            self.confirmed = self.confirmed.max(Some(now - status.age));
+        if !is_in_backlog && now.since(Time::ZERO) >= status.age && self.is_new(confirmation) {
+            self.accept(now, confirmation);
+            self.confirm(now - status.age, confirmation);
         }
         false
     }
 
+    /// Whether a confirmation is from another process and later than the last one accepted from that process.
+    fn is_new(&self, confirmation: ConfirmationId) -> bool {
+        let ConfirmationId { process, number } = confirmation;
+        let accepted = self.accepted.get(&process);
+        process != self.process && accepted.is_none_or(|accepted| accepted.number < number)
+    }
+
+    fn accept(&mut self, now: Time, confirmation: ConfirmationId) {
+        let ConfirmationId { process, number } = confirmation;
+        self.accepted
+            .retain(|_, accepted| now.since(accepted.at) < CONFIRMATION_RETENTION);
+        self.accepted
+            .insert(process, AcceptedConfirmation { number, at: now });
+    }
+
     /// Notes that this instance runs; must be called more often than [`PAUSE_THRESHOLD`].
     ///
     /// Guards against an instance that is paused and then takes the messages that arrived meanwhile for current ones.
@@ -325,9 +423,12 @@
     }
 
     /// The status to send to peers; `None` until the store has confirmed anything.
-    pub fn sync_status(&self, now: Time) -> Option<SyncStatus> {
+    pub fn sync_status(&self, now: Time) -> Option<ConfirmedStatus> {
         let (revision, age) = (self.revision, self.age(now)?);
-        Some(SyncStatus { revision, age })
+        Some(ConfirmedStatus {
+            status: SyncStatus { revision, age },
+            confirmation: self.confirmation,
+        })
     }
 
     /// Whether to watch the store, or to rely on peers until the last confirmation is too old.
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -18,6 +18,7 @@
 use sequoiastream_core::poison::HoldRequest;
 use sequoiastream_core::relay::load_message::LoadMessage;
 use sequoiastream_core::relay::usage::CountsMessage;
+use sequoiastream_core::relay::watchers::ConfirmationId;
 use sequoiastream_core::time::WallTime;
 use serde::Deserialize;
 use serde::Serialize;
@@ -144,6 +145,8 @@
     pub revision: u64,
     /// Milliseconds since the store had no later changes.
     pub age: u32,
+    /// The store's confirmation from which the age is counted.
+    pub confirmation: ConfirmationId,
     /// The items.
     pub items: Vec<StoreItem>,
     /// Whether further items follow.
@@ -157,6 +160,8 @@
     pub revision: u64,
     /// Milliseconds since the store had no later changes.
     pub age: u32,
+    /// The store's confirmation from which the age is counted.
+    pub confirmation: ConfirmationId,
     /// Items that were written.
     pub items: Vec<StoreItem>,
     /// Removed keys with the revisions of their removal.
--- a/src/ops/relay/follow/listen.rs
+++ b/src/ops/relay/follow/listen.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use sequoiastream_core::log_event;
-use sequoiastream_core::relay::watchers::SyncStatus;
+use sequoiastream_core::relay::watchers::ConfirmedStatus;
 use sequoiastream_core::time::Time;
 use sequoiastream_kv::store::Change;
 use sequoiastream_kv::store::Item;
@@ -66,17 +66,13 @@
     /// Applies the complete contents of the store as sent by a peer.
     fn on_peer_snapshot(&mut self, page: StorePage) {
         self.distrust_removals();
-        let status = SyncStatus::new(page.revision, page.age);
+        let status = ConfirmedStatus::new(page.revision, page.age, page.confirmation);
+        let revision = page.revision;
         let items: Vec<Item> = page.items.into_iter().map(known::from_message).collect();
-        self.on_snapshot(status.revision, &items);
+        self.on_snapshot(revision, &items);
         self.known.on_peer_changes(clock::now(), status);
         self.complete = true;
-        log_event!(
-            info,
-            log_event::PEER_TOLD,
-            revision = status.revision,
-            items = items.len()
-        );
+        log_event!(info, log_event::PEER_TOLD, revision, items = items.len());
     }
 
     /// Applies the changes since the known revision as sent by a peer. Returns whether all of them could be fetched.
@@ -101,8 +97,8 @@
         let mut changes: Vec<Change> = items.into_iter().map(Change::Put).chain(removed).collect();
         changes.sort_by_key(change_revision);
         self.on_changes(changes);
-        self.known
-            .on_peer_changes(clock::now(), SyncStatus::new(news.revision, news.age));
+        let status = ConfirmedStatus::new(news.revision, news.age, news.confirmation);
+        self.known.on_peer_changes(clock::now(), status);
         self.complete = true;
         true
     }
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -27,7 +27,8 @@
 use sequoiastream_core::relay::routes::RoutingTable;
 use sequoiastream_core::relay::watchers;
 use sequoiastream_core::relay::watchers::ApplyLimit;
-use sequoiastream_core::relay::watchers::SyncStatus;
+use sequoiastream_core::relay::watchers::ConfirmationId;
+use sequoiastream_core::relay::watchers::ConfirmedStatus;
 use sequoiastream_core::relay::watchers::WatchAction;
 use sequoiastream_core::time::Time;
 use sequoiastream_kv::store::Change;
@@ -217,7 +218,7 @@
         if self.fleet.watch_rank().is_watcher() {
             return;
         }
-        let age = self.known.sync_status(now).map(SyncStatus::age_millis);
+        let age = self.known.sync_status(now).map(|s| s.status.age_millis());
         log_event!(
             info,
             log_event::UNCONFIRMED,
@@ -313,8 +314,8 @@
         let revision = changes.revision.max(since);
         self.on_changes(changes.changes);
         if !is_complete {
-            self.known
-                .on_peer_changes(clock::now(), SyncStatus::new(revision, u32::MAX));
+            let unconfirmed = ConfirmedStatus::new(revision, u32::MAX, ConfirmationId::default());
+            self.known.on_peer_changes(clock::now(), unconfirmed);
         }
         is_complete.then_some(revision)
     }
--- a/src/ops/relay/known.rs
+++ b/src/ops/relay/known.rs
@@ -14,6 +14,8 @@
 
 use bytes::Bytes;
 use sequoiastream_core::relay::watchers;
+use sequoiastream_core::relay::watchers::ConfirmationId;
+use sequoiastream_core::relay::watchers::ConfirmedStatus;
 use sequoiastream_core::relay::watchers::FleetRank;
 use sequoiastream_core::relay::watchers::ProofPeers;
 use sequoiastream_core::relay::watchers::SyncState;
@@ -40,7 +42,7 @@
 /// Maximum size of a page, in bytes of keys and values: a small instance sends it in a fifth of a second.
 const MAX_PAGE_BYTES: usize = 512 * 1024;
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     sync: SyncState,
     items: BTreeMap<String, Item>,
@@ -53,13 +55,25 @@
 }
 
 /// A replica of the items of the store that all instances share. Cheap to clone; stays on one thread.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct StoreReplica(Rc<RefCell<State>>);
 
+impl Default for StoreReplica {
+    fn default() -> StoreReplica {
+        StoreReplica::new()
+    }
+}
+
 impl StoreReplica {
     /// An empty replica.
     pub fn new() -> StoreReplica {
-        StoreReplica::default()
+        StoreReplica(Rc::new(RefCell::new(State {
+            sync: SyncState::new(rand::random()),
+            items: BTreeMap::new(),
+            revisions: BTreeSet::new(),
+            removed: BTreeSet::new(),
+            compact_revision: 0,
+        })))
     }
 
     /// The revision up to which all changes were read.
@@ -73,7 +87,7 @@
     }
 
     /// The status to send to peers, see [`SyncState::sync_status`].
-    pub fn sync_status(&self, now: Time) -> Option<SyncStatus> {
+    pub fn sync_status(&self, now: Time) -> Option<ConfirmedStatus> {
         self.0.borrow().sync.sync_status(now)
     }
 
@@ -83,7 +97,7 @@
     }
 
     /// Handles a status sent by a peer. Returns whether the peer has a higher revision.
-    pub fn on_peer_status(&self, now: Time, status: SyncStatus) -> bool {
+    pub fn on_peer_status(&self, now: Time, status: ConfirmedStatus) -> bool {
         self.0.borrow_mut().sync.on_peer_status(now, status)
     }
 
@@ -171,7 +185,7 @@
     }
 
     /// Notes that the changes of a peer were applied: everything up to its status.
-    pub fn on_peer_changes(&self, now: Time, status: SyncStatus) {
+    pub fn on_peer_changes(&self, now: Time, status: ConfirmedStatus) {
         self.0.borrow_mut().sync.on_peer_changes(now, status);
     }
 
@@ -201,9 +215,11 @@
             remaining = remaining.saturating_sub(size);
             items.push(to_message(item));
         }
+        let (age, confirmation) = state.age(now);
         StorePage {
             revision: state.sync.revision(),
-            age: state.age(now),
+            age,
+            confirmation,
             items,
             more,
         }
@@ -219,8 +235,8 @@
         let changed = state.revisions.range((revision + 1, String::new())..);
         let changed: Vec<&Item> = changed.filter_map(|(_, key)| state.items.get(key)).collect();
         // A truncated answer must not confirm that the peer is up to date.
-        let (last, age) = match truncation_revision(&changed) {
-            Some(last) => (last, u32::MAX),
+        let (last, (age, confirmation)) = match truncation_revision(&changed) {
+            Some(last) => (last, (u32::MAX, ConfirmationId::default())),
             None => (state.sync.revision(), state.age(now)),
         };
         let changed = changed.into_iter().filter(|item| item.revision <= last);
@@ -231,6 +247,7 @@
         Some(StoreChanges {
             revision: last,
             age,
+            confirmation,
             items: small.into_iter().map(to_message).collect(),
             removed: removed.cloned().collect(),
             large: large
@@ -255,12 +272,13 @@
 }
 
 impl State {
-    /// Time since the last confirmation, as carried in messages: in milliseconds; `u32::MAX` if the store never gave
-    /// one.
-    fn age(&self, now: Time) -> u32 {
-        self.sync
-            .sync_status(now)
-            .map_or(u32::MAX, SyncStatus::age_millis)
+    /// Time since the last confirmation, as carried in messages, and the ID of that confirmation. The time is in
+    /// milliseconds; `u32::MAX` if the store never gave one.
+    fn age(&self, now: Time) -> (u32, ConfirmationId) {
+        let status = self.sync.sync_status(now);
+        status.map_or((u32::MAX, ConfirmationId::default()), |s| {
+            (s.status.age_millis(), s.confirmation)
+        })
     }
 
     fn insert(&mut self, item: Item) {
--- a/src/ops/relay/peers/prove.rs
+++ b/src/ops/relay/peers/prove.rs
@@ -147,8 +147,7 @@
             let proof = StoreProof {
                 question: number,
                 revision: status.revision,
-                // Rounded up: the age must not be reported as shorter than it is.
-                age: status.age_millis().saturating_add(1),
+                age: status.age_millis(),
             };
             self.send(peer, Datagram::Proof(proof));
         }
--- a/tests/testsuite/peer.rs
+++ b/tests/testsuite/peer.rs
@@ -5,6 +5,7 @@
 use sequoiastream_core::config::Update;
 use sequoiastream_core::config::Version;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::relay::watchers::ConfirmationId;
 use sequoiastream_peer::PeerError;
 use sequoiastream_peer::call::CallClient;
 use sequoiastream_peer::call::MAX_FRAME;
@@ -142,6 +143,7 @@
     StorePage {
         revision: count,
         age: 3,
+        confirmation: ConfirmationId::default(),
         items: (0..count).map(item).collect(),
         more: false,
     }
--- a/tests/testsuite/relay/known.rs
+++ b/tests/testsuite/relay/known.rs
@@ -6,7 +6,8 @@
 use sequoiastream::ops::relay::edge::StoreKeys;
 use sequoiastream::ops::relay::edge::Translate;
 use sequoiastream::ops::relay::known::StoreReplica;
-use sequoiastream_core::relay::watchers::SyncStatus;
+use sequoiastream_core::relay::watchers::ConfirmationId;
+use sequoiastream_core::relay::watchers::ConfirmedStatus;
 use sequoiastream_core::time::Time;
 use sequoiastream_kv::store::Change;
 use sequoiastream_kv::store::Item;
@@ -100,12 +101,15 @@
     let later = NOW + Duration::from_millis(300);
     let changes = replica.changes_since(later, 10).expect("the full history");
     assert_eq!((changes.age, replica.page(later, "").age), (300, 300));
-    let status = SyncStatus {
-        revision: 10,
-        age: Duration::from_millis(40),
+    assert_eq!(changes.confirmation, replica.page(later, "").confirmation);
+    let confirmation = ConfirmationId {
+        process: 1,
+        number: 1,
     };
+    let status = ConfirmedStatus::new(10, 40, confirmation);
     assert!(!replica.on_peer_status(later, status));
-    assert_eq!(replica.page(later, "").age, 40);
+    let page = replica.page(later, "");
+    assert_eq!((page.age, page.confirmation), (40, confirmation));
     assert_eq!(StoreReplica::new().page(later, "").age, u32::MAX);
 }
 
--- a/tests/testsuite/relay/proofs.rs
+++ b/tests/testsuite/relay/proofs.rs
@@ -8,6 +8,8 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use sequoiastream_core::relay::watchers::ConfirmationId;
+use sequoiastream_core::relay::watchers::ConfirmedStatus;
 use sequoiastream_core::relay::watchers::FleetRank;
 use sequoiastream_core::relay::watchers::ProofPeers;
 use sequoiastream_core::relay::watchers::SyncState;
@@ -53,7 +55,7 @@
 
 #[test]
 fn asks_by_age() {
-    let mut state = SyncState::default();
+    let mut state = SyncState::new(0);
     assert_eq!(state.proof_peers(LIMIT, at(0)), ProofPeers::All);
     state.on_proof(at(0));
     assert_eq!(state.proof_peers(LIMIT, at(1_500)), ProofPeers::Nobody);
@@ -66,11 +68,15 @@
 /// Guards against the answer to a request that was sent long ago making the data appear recent.
 #[test]
 fn peer_proof_counts_from_question() {
-    let mut state = SyncState::default();
+    let mut state = SyncState::new(0);
     let status = |revision, age| SyncStatus::new(revision, age);
     assert!(state.on_peer_proof(at(0), status(3, 10)), "the peer knows more");
     assert_eq!(state.proof_age(at(0)), None);
-    state.on_peer_changes(at(0), status(3, 10));
+    let confirmation = ConfirmationId {
+        process: 1,
+        number: 1,
+    };
+    state.on_peer_changes(at(0), ConfirmedStatus::new(3, 10, confirmation));
     assert!(!state.on_peer_proof(at(100), status(3, 10)));
     assert_eq!(state.proof_age(at(5_000)), Some(Duration::from_millis(4_910)));
     assert!(
@@ -112,7 +118,7 @@
         World {
             rng,
             changes: Vec::new(),
-            states: vec![SyncState::default(); count],
+            states: vec![SyncState::new(0); count],
             paused: vec![Time::ZERO; count],
             watching: vec![false; count],
             messages: BTreeMap::new(),
@@ -149,13 +155,18 @@
         match message {
             Message::Request(from, sent) => {
                 let status = self.states[index].proof_status(now);
-                let status = status.map(|status| SyncStatus::new(status.revision, status.age_millis() + 1));
+                let status = status.map(|status| SyncStatus::new(status.revision, status.age_millis()));
                 if let Some(status) = status {
                     self.send(now, from, Message::Response(sent, status));
                 }
             }
             Message::Response(sent, status) => {
                 if self.states[index].on_peer_proof(sent, status) {
+                    let confirmation = ConfirmationId {
+                        process: 1,
+                        number: now.as_micros(),
+                    };
+                    let status = ConfirmedStatus { status, confirmation };
                     self.states[index].on_peer_changes(now, status);
                 }
             }
--- a/tests/testsuite/relay/watchers.rs
+++ b/tests/testsuite/relay/watchers.rs
@@ -12,9 +12,10 @@
 use rand_chacha::ChaCha8Rng;
 use sequoiastream_core::relay::watchers::ApplyLimit;
 use sequoiastream_core::relay::watchers::Candidate;
+use sequoiastream_core::relay::watchers::ConfirmationId;
+use sequoiastream_core::relay::watchers::ConfirmedStatus;
 use sequoiastream_core::relay::watchers::FleetRank;
 use sequoiastream_core::relay::watchers::SyncState;
-use sequoiastream_core::relay::watchers::SyncStatus;
 use sequoiastream_core::relay::watchers::WatchAction;
 use sequoiastream_core::relay::watchers::most_advanced;
 use sequoiastream_core::relay::watchers::rank_candidates;
@@ -30,13 +31,14 @@
 /// Time between two messages of an instance.
 const STEP: Duration = Duration::from_millis(25);
 
-/// Steps of [`STEP`] are divided into this many ticks, if messages take time.
+/// Number of ticks per [`STEP`] with [`Timing::Delayed`].
 const TICKS_PER_STEP: u32 = 25;
 
-/// Time that most messages take, in milliseconds: within a zone, between zones, and in the queues of both instances.
+/// Transit time of most messages, in milliseconds: the network within and between zones, and the queues of both
+/// instances.
 const TRANSIT_MILLIS: std::ops::RangeInclusive<u64> = 1..=4;
 
-/// Time that one in fifty messages takes, in milliseconds: it waits in the queue of a link.
+/// Transit time of one in fifty messages, in milliseconds, due to queueing on a link.
 const SLOW_TRANSIT_MILLIS: std::ops::RangeInclusive<u64> = 5..=60;
 
 /// Number of peers that get each message.
@@ -64,9 +66,13 @@
     Time::from_millis(10_000 + millis)
 }
 
-fn status(revision: u64, millis: u64) -> SyncStatus {
-    let age = Duration::from_millis(millis);
-    SyncStatus { revision, age }
+/// The status of a peer with its own confirmation by the store.
+fn status(revision: u64, millis: u32) -> ConfirmedStatus {
+    let confirmation = ConfirmationId {
+        process: 1,
+        number: revision,
+    };
+    ConfirmedStatus::new(revision, millis, confirmation)
 }
 
 #[test]
@@ -126,7 +132,7 @@
 #[test]
 fn duty_listens_while_confirmed() {
     let rank = FleetRank { rank: 4, members: 8 };
-    let mut state = SyncState::default();
+    let mut state = SyncState::new(0);
     assert_eq!(
         state.watch_action(rank, LIMIT, at(0)),
         WatchAction::Watch,
@@ -151,7 +157,7 @@
 /// peer's status counts as a confirmation of the older data here.
 #[test]
 fn word_ahead_confirms_nothing() {
-    let mut state = SyncState::default();
+    let mut state = SyncState::new(0);
     state.on_store_answer(at(0), at(0), Duration::ZERO, 7);
     assert!(state.on_peer_status(at(1_000), status(8, 0)));
     assert_eq!(state.age(at(1_000)), Some(Duration::from_secs(1)));
@@ -167,7 +173,7 @@
 /// resumes.
 #[test]
 fn answer_after_pause_is_old() {
-    let mut state = SyncState::default();
+    let mut state = SyncState::new(0);
     state.on_store_answer(at(11_000), at(1_000), LIMIT.watch_timeout(), 7);
     assert_eq!(state.age(at(11_000)), Some(Duration::from_secs(9)));
 }
@@ -176,7 +182,7 @@
 /// at which they were sent.
 #[test]
 fn word_after_pause_not_believed() {
-    let mut state = SyncState::default();
+    let mut state = SyncState::new(0);
     state.on_tick(at(0));
     state.on_store_answer(at(0), at(0), Duration::ZERO, 7);
     state.on_tick(at(10_000));
@@ -187,12 +193,12 @@
     assert_eq!(state.age(at(10_400)), Some(Duration::from_millis(20)));
 }
 
-/// Guards against a confirmation that never becomes old: two instances whose last confirmation by the store lies back
-/// tell each other its age, each message takes time, and with each one the age that the receiver assumes is shorter.
+/// Guards against a confirmation that never expires. Sequence: two instances that no longer reach the store report the
+/// age of its last confirmation to each other, and the transit time of each message is missing from that age.
 #[test]
 fn confirmation_ages_while_relayed() {
     let transit = Duration::from_millis(3);
-    let mut states = [SyncState::default(), SyncState::default()];
+    let mut states = [1, 2].map(SyncState::new);
     for state in &mut states {
         state.on_store_answer(at(0), at(0), Duration::ZERO, 7);
     }
@@ -206,7 +212,7 @@
         let elapsed = received.since(at(0));
         assert!(
             age + transit >= elapsed,
-            "after {elapsed:?} the instance assumes an age of {age:?}"
+            "the age of the confirmation is {age:?} after {elapsed:?}"
         );
     }
 }
@@ -247,27 +253,27 @@
     healthy_since: Time,
 }
 
-/// A message on its way.
+/// A message in transit.
 #[derive(Debug, Clone, Copy)]
 struct Message {
     from: usize,
     to: usize,
-    status: Option<SyncStatus>,
+    status: Option<ConfirmedStatus>,
 }
 
 /// How long messages take, and when instances act.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Timing {
-    /// Messages arrive at once, and all instances act at the same time.
+    /// Messages arrive immediately, and all instances act at the same time.
     Lockstep,
-    /// Messages take [`TRANSIT_MILLIS`] or [`SLOW_TRANSIT_MILLIS`], and each instance acts at its own time.
+    /// Messages take [`TRANSIT_MILLIS`] or [`SLOW_TRANSIT_MILLIS`], and instances act at different times.
     Delayed,
 }
 
 struct World {
     random: ChaCha8Rng,
     timing: Timing,
-    /// Messages on their way, by the time of their arrival.
+    /// Messages in transit, by time of arrival.
     in_transit: BTreeMap<Time, Vec<Message>>,
     now: Time,
     revision: u64,
@@ -291,7 +297,7 @@
         let now = at(0);
         let instance = |index: usize| Instance {
             zone: index % zones,
-            state: SyncState::default(),
+            state: SyncState::new(index as u64),
             call: Call::None,
             heard: vec![None; size],
             turn: index,
@@ -334,35 +340,35 @@
         self.check_call_rate();
     }
 
-    /// Runs for [`STEP`], in which each instance acts once. `change` is called at its start.
-    fn advance<F>(&mut self, change: F)
+    /// Runs for [`STEP`], in which each instance acts once. `on_start` is called at the start of the step.
+    fn advance<F>(&mut self, on_start: F)
     where
         F: FnOnce(&mut World),
     {
         match self.timing {
             Timing::Lockstep => {
                 self.now = self.now + STEP;
-                change(self);
+                on_start(self);
                 (0..self.instances.len()).for_each(|index| self.send_messages(index));
                 (0..self.instances.len()).for_each(|index| self.follow_store(index));
             }
             Timing::Delayed => {
-                change(self);
+                on_start(self);
                 (0..TICKS_PER_STEP as usize).for_each(|tick| self.advance_tick(tick));
             }
         }
     }
 
-    /// Delivers the messages that arrive in this tick; then the instances act whose turn it is.
+    /// Delivers the messages that arrive in this tick, then runs the instances that act in it.
     fn advance_tick(&mut self, tick: usize) {
         self.now = self.now + STEP / TICKS_PER_STEP;
         while let Some(arrivals) = self.in_transit.first_entry().filter(|e| *e.key() <= self.now) {
             let messages = arrivals.remove();
             messages.into_iter().for_each(|message| self.deliver(message));
         }
-        // Consecutive instances act at different times.
-        let turns = (0..self.instances.len()).filter(|index| index * 7 % TICKS_PER_STEP as usize == tick);
-        for index in turns.collect::<Vec<_>>() {
+        // Consecutive instances act in different ticks.
+        let acting = (0..self.instances.len()).filter(|index| index * 7 % TICKS_PER_STEP as usize == tick);
+        for index in acting.collect::<Vec<_>>() {
             self.send_messages(index);
             self.follow_store(index);
         }
@@ -433,7 +439,7 @@
                 // Killed and restarted.
                 1 => {
                     instance.paused = instance.paused.max(now + length);
-                    instance.state = SyncState::default();
+                    instance.state = SyncState::new(now.as_micros() << 10 | index as u64);
                     instance.call = Call::None;
                     instance.heard.fill(None);
                 }
@@ -454,7 +460,7 @@
         from == to || [from, to].iter().all(|zone| self.cut[*zone] <= self.now)
     }
 
-    /// Sends the messages of an instance's turn.
+    /// Sends the messages of an instance for one step.
     fn send_messages(&mut self, from: usize) {
         if !self.is_up(from) {
             return;
@@ -468,8 +474,8 @@
         sender.turn += 1;
         for next in 0..FANOUT.min(size - 1) {
             let to = (from + 1 + (turn * FANOUT + next) % (size - 1)) % size;
-            // One in ten messages is lost. A paused instance would read its messages on resuming; here they are lost,
-            // which serves the test as well.
+            // One in ten messages is lost. A paused instance would read its messages on resuming; the simulation drops
+            // them.
             if !self.is_up(to) || !self.hears(from, to) || self.random.random_bool(0.1) {
                 continue;
             }
@@ -477,14 +483,14 @@
             match self.timing {
                 Timing::Lockstep => self.deliver(message),
                 Timing::Delayed => {
-                    let arrival = now + self.draw_transit();
+                    let arrival = now + self.draw_transit_time();
                     self.in_transit.entry(arrival).or_default().push(message);
                 }
             }
         }
     }
 
-    fn draw_transit(&mut self) -> Duration {
+    fn draw_transit_time(&mut self) -> Duration {
         let range = match self.random.random_bool(0.02) {
             true => SLOW_TRANSIT_MILLIS,
             false => TRANSIT_MILLIS,
@@ -492,7 +498,7 @@
         Duration::from_millis(self.random.random_range(range))
     }
 
-    /// Delivers a message, unless its receiver went down while it was on its way.
+    /// Delivers a message, unless its receiver is down.
     fn deliver(&mut self, message: Message) {
         let Message { from, to, status } = message;
         if !self.is_up(to) {
@@ -610,8 +616,8 @@
     }
 }
 
-/// Guards against the same failure if messages take time: all watchers lose the store, the others tell each other that
-/// the store confirmed their data a moment ago, and none calls the store itself.
+/// Guards against the same failure when messages take time. Sequence: all watchers lose the store, the others keep
+/// reporting a recent confirmation to each other, and none calls the store itself.
 #[test]
 fn lag_within_bound_delayed() {
     for seed in seeds_or(SEEDS) {
