Count the age of a peer's changes from the request

The age of a peer's changes was counted from when they were applied. The time between the request and that point includes the call, up to 0.8 s, and the read of values that are too large for the answer, up to 0.7 s: an instance could take its data for up to 1.5 s fresher than it was.

--- a/crates/core/src/relay/watchers.rs
+++ b/crates/core/src/relay/watchers.rs
@@ -372,10 +372,10 @@
         self.proven.unwrap_or(Time::ZERO) + limit.mul_f64(ASK_STORE_FRACTION + SPREAD_FRACTION * fraction)
     }
 
-    /// Notes that the changes of a peer were applied: everything up to its status.
-    pub fn on_peer_changes(&mut self, now: Time, status: ConfirmedStatus) {
+    /// Notes that the changes of a peer, requested at `asked`, were applied: everything up to its status.
+    pub fn on_peer_changes(&mut self, asked: Time, status: ConfirmedStatus) {
         self.revision = self.revision.max(status.status.revision);
-        self.on_peer_status(now, status);
+        self.on_peer_status(asked, status);
     }
 
     /// Handles a status sent by a peer. Returns whether the peer has a higher revision.
--- a/src/ops/relay/follow/listen.rs
+++ b/src/ops/relay/follow/listen.rs
@@ -16,6 +16,7 @@
 use crate::ops::relay::follow::batch_delay;
 use crate::ops::relay::known;
 use crate::ops::relay::peers::PeerAnswer;
+use crate::ops::relay::peers::StoreParts;
 use crate::util::clock;
 
 impl Follower {
@@ -44,46 +45,50 @@
     /// Fetches and applies the changes of a peer that is ahead. Returns whether there was one and its changes were
     /// applied.
     pub(super) async fn ask_peer(&mut self) -> bool {
-        match self
+        let answer = self
             .fleet
             .ask_for_changes(self.known.revision(), self.may_ask_other_zones(clock::now()))
-            .await
-        {
-            Some(PeerAnswer::FirstPage(peer, first)) => self.on_first_page(peer, first).await,
-            Some(PeerAnswer::Changes(peer, changes)) => self.on_peer_changes(peer, changes).await,
-            None => false,
+            .await;
+        let Some(PeerAnswer { peer, asked, parts }) = answer else {
+            return false;
+        };
+        match parts {
+            StoreParts::FirstPage(first) => self.on_first_page(peer, asked, first).await,
+            StoreParts::Changes(changes) => self.on_peer_changes(peer, asked, changes).await,
         }
     }
 
     /// Fetches the pages that follow `first` and applies all of them; `false` if a page could not be fetched.
-    async fn on_first_page(&mut self, peer: SocketAddr, first: StorePage) -> bool {
+    async fn on_first_page(&mut self, peer: SocketAddr, asked: Time, first: StorePage) -> bool {
         let all = self.fleet.ask_remaining(peer, first).await;
         let is_complete = all.is_some();
-        all.into_iter().for_each(|all| self.on_peer_snapshot(all));
+        all.into_iter().for_each(|all| self.on_peer_snapshot(asked, all));
         is_complete
     }
 
-    /// Applies the complete contents of the store as sent by a peer.
-    fn on_peer_snapshot(&mut self, page: StorePage) {
+    /// Applies the complete contents of the store as sent by a peer in answer to a request sent at `asked`.
+    fn on_peer_snapshot(&mut self, asked: Time, page: StorePage) {
         self.distrust_removals();
         let status = ConfirmedStatus::new(page.revision, page.age, page.confirmation);
         let revision = page.revision;
         let items: Vec<Item> = page.items.into_iter().map(known::from_message).collect();
         self.on_snapshot(revision, &items);
-        self.known.on_peer_changes(clock::now(), status);
+        self.known.on_peer_changes(asked, status);
         self.complete = true;
         log_event!(info, log_event::PEER_TOLD, revision, items = items.len());
     }
 
-    /// Applies the changes since the known revision as sent by a peer. Returns whether all of them could be fetched.
-    async fn on_peer_changes(&mut self, peer: SocketAddr, news: StoreChanges) -> bool {
+    /// Applies the changes since the known revision as sent by a peer in answer to a request sent at `asked`. Returns
+    /// whether all of them could be fetched.
+    async fn on_peer_changes(&mut self, peer: SocketAddr, asked: Time, news: StoreChanges) -> bool {
         let mut items: Vec<Item> = news.items.into_iter().map(known::from_message).collect();
         for (revision, key) in &news.large {
             match self.fetch_large(*revision, key).await {
                 Some(item) => items.push(item),
                 None => {
+                    let asked = clock::now();
                     return match self.fleet.ask_first_page(peer).await {
-                        Some(first) => self.on_first_page(peer, first).await,
+                        Some(first) => self.on_first_page(peer, asked, first).await,
                         None => false,
                     };
                 }
@@ -98,7 +103,7 @@
         changes.sort_by_key(change_revision);
         self.on_changes(changes);
         let status = ConfirmedStatus::new(news.revision, news.age, news.confirmation);
-        self.known.on_peer_changes(clock::now(), status);
+        self.known.on_peer_changes(asked, status);
         self.complete = true;
         true
     }
--- a/src/ops/relay/known.rs
+++ b/src/ops/relay/known.rs
@@ -184,9 +184,9 @@
         self.0.borrow().sync.store_proof_due(rank, limit)
     }
 
-    /// Notes that the changes of a peer were applied: everything up to its status.
-    pub fn on_peer_changes(&self, now: Time, status: ConfirmedStatus) {
-        self.0.borrow_mut().sync.on_peer_changes(now, status);
+    /// Notes that the changes of a peer, requested at `asked`, were applied: everything up to its status.
+    pub fn on_peer_changes(&self, asked: Time, status: ConfirmedStatus) {
+        self.0.borrow_mut().sync.on_peer_changes(asked, status);
     }
 
     /// The item with this key, if there is one.
--- a/src/ops/relay/peers/ask.rs
+++ b/src/ops/relay/peers/ask.rs
@@ -23,13 +23,25 @@
 /// Timeout of a request for a page: eight peers may share the answering peer's link at the same time.
 const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// A peer's answer with parts of the store that are not known here, and the address of that peer.
+/// A peer's answer with parts of the store that are not known here.
 #[derive(Debug)]
-pub enum PeerAnswer {
+pub struct PeerAnswer {
+    /// The peer's address.
+    pub peer: SocketAddr,
+    /// When the request was sent. The age in the answer is counted from then, so that it includes the time until the
+    /// answer is applied: a second or more over a slow link or if large values are read from the store.
+    pub asked: Time,
+    /// The data that the peer sent.
+    pub parts: StoreParts,
+}
+
+/// Parts of the store that a peer sent.
+#[derive(Debug)]
+pub enum StoreParts {
     /// The first page of the whole store.
-    FirstPage(SocketAddr, StorePage),
+    FirstPage(StorePage),
     /// The changes since the known revision.
-    Changes(SocketAddr, StoreChanges),
+    Changes(StoreChanges),
 }
 
 impl Fleet {
@@ -60,25 +72,23 @@
             0 => (Request::Page(String::new()), PAGE_TIMEOUT),
             _ => (Request::Since(revision), CHANGES_TIMEOUT),
         };
-        let sent = clock::now();
-        let answer = match self.0.calls.call(peer, &request, timeout).await {
+        let asked = clock::now();
+        let parts = match self.0.calls.call(peer, &request, timeout).await {
             Ok(Response::Changes(changes)) if changes.revision > revision => {
-                Some(PeerAnswer::Changes(peer, changes))
-            }
-            Ok(Response::Page(page)) if page.revision > revision => {
-                Some(PeerAnswer::FirstPage(peer, add_elapsed(page, sent)))
+                Some(StoreParts::Changes(changes))
             }
+            Ok(Response::Page(page)) if page.revision > revision => Some(StoreParts::FirstPage(page)),
             Ok(_) => None,
             Err(error) => {
                 log_event!(debug, log_event::PEER_FAILED, to = %peer, %error, call = "since");
                 None
             }
         };
-        if answer.is_none() {
+        if parts.is_none() {
             // Its next message about load sets the revision again, if the peer can still be reached.
             self.0.peer_revisions.borrow_mut().remove(&name);
         }
-        answer
+        parts.map(|parts| PeerAnswer { peer, asked, parts })
     }
 
     /// Asks a peer for the first page of the store; `None` if it could not be fetched.
@@ -89,7 +99,6 @@
     /// Appends all following pages to the first one; `None` if a page could not be fetched. The pages are not a
     /// snapshot: the result has the revision of the first page, and later changes are requested from there.
     pub async fn ask_remaining(&self, peer: SocketAddr, first: StorePage) -> Option<StorePage> {
-        let started = clock::now();
         let mut all = first;
         while all.more {
             let after = all.items.last().map(|item| item.key.clone())?;
@@ -97,13 +106,12 @@
             all.more = next.more && !next.items.is_empty();
             all.items.extend(next.items);
         }
-        Some(add_elapsed(all, started))
+        Some(all)
     }
 
     async fn ask_page(&self, peer: SocketAddr, after: String) -> Option<StorePage> {
-        let sent = clock::now();
         match self.0.calls.call(peer, &Request::Page(after), PAGE_TIMEOUT).await {
-            Ok(Response::Page(page)) => Some(add_elapsed(page, sent)),
+            Ok(Response::Page(page)) => Some(page),
             Ok(_) => None,
             Err(error) => {
                 log_event!(debug, log_event::PEER_FAILED, to = %peer, %error, call = "page");
@@ -112,12 +120,3 @@
         }
     }
 }
-
-/// Adds the time since `sent` to the age of the page, which makes it an upper bound: over a slow link, the answer takes
-/// seconds.
-fn add_elapsed(page: StorePage, sent: Time) -> StorePage {
-    let elapsed = clock::now().since(sent).as_millis();
-    let elapsed = u32::try_from(elapsed).unwrap_or(u32::MAX);
-    let age = page.age.saturating_add(elapsed);
-    StorePage { age, ..page }
-}
--- a/src/ops/relay/peers/mod.rs
+++ b/src/ops/relay/peers/mod.rs
@@ -51,6 +51,7 @@
 use crate::log_event;
 use crate::ops::relay::known::StoreReplica;
 pub use crate::ops::relay::peers::ask::PeerAnswer;
+pub use crate::ops::relay::peers::ask::StoreParts;
 use crate::ops::relay::peers::counts::UsageState;
 use crate::ops::relay::peers::prove::ProofState;
 use crate::ops::relay::register::ListedInstance;
--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -310,6 +310,30 @@
     assert_eq!(own.calls().watches, watches);
 }
 
+/// Guards against the age of a peer's changes being counted from when they are applied instead of from the request.
+/// Sequence: a value that is too large for the peer's answer is read from a slow store before the changes are applied.
+#[actix_web::test]
+async fn peer_changes_age_while_applied() {
+    let (served, own) = (FakeStore::new(), FakeStore::new());
+    let [_, _, (listener, fleet)] = start_zone(&served, &own, Duration::from_secs(60)).await;
+    own.set_reads_blocked(true);
+    let ranges = own.calls().ranges;
+    let config = format!("9 /{}/", "long".repeat(20_000));
+    // The listener's store must have at least the revision of the change.
+    (0..8).for_each(|_| own.put("config", &config));
+    served.put("config", &config);
+    wait_until(|| own.calls().ranges > ranges).await;
+    let (blocked_since, wait) = (clock::now(), Duration::from_millis(1_500));
+    wait_until(|| clock::now().since(blocked_since) >= wait).await;
+    own.set_reads_blocked(false);
+    wait_until(|| version(&listener) == 9).await;
+    let age = fleet
+        .known()
+        .age(clock::now())
+        .expect("a peer has reported a confirmation");
+    assert!(age >= wait, "{age:?}");
+}
+
 /// Guards against an instance that never learns of a change. Sequence: the watchers of its zone are alive, but the
 /// store refuses their calls. The instance calls the store itself once the last confirmation is too old.
 #[actix_web::test]
--- a/tests/testsuite/relay/store.rs
+++ b/tests/testsuite/relay/store.rs
@@ -37,6 +37,7 @@
     changes: RefCell<Vec<Change>>,
     outcomes: RefCell<VecDeque<WriteOutcome>>,
     down: Cell<bool>,
+    reads_blocked: watch::Sender<bool>,
     compacted: Cell<u64>,
     page_size: Cell<Option<usize>>,
     batch_size: Cell<Option<usize>>,
@@ -127,6 +128,11 @@
         self.revision.send_modify(|_| {});
     }
 
+    /// Sets whether reads block; a blocked read returns the items as of its release.
+    pub fn set_reads_blocked(&self, blocked: bool) {
+        self.state.reads_blocked.send_replace(blocked);
+    }
+
     /// Sets the outcome of the next write. Several calls set those of successive writes.
     pub fn set_next_write(&self, outcome: WriteOutcome) {
         self.state.outcomes.borrow_mut().push_back(outcome);
@@ -174,6 +180,11 @@
                 ranges: calls.ranges + 1,
                 ..calls
             });
+            let mut reads_blocked = self.state.reads_blocked.subscribe();
+            reads_blocked
+                .wait_for(|blocked| !blocked)
+                .await
+                .expect("the store exists");
             self.check()?;
             let items = self.state.items.borrow();
             let items = items.values().filter(|item| item.key.starts_with(prefix));
