Count an answer's confirmation without using it up, and detect a pause before each message

From the review of the fix: a confirmation that came with a slow answer was marked as accepted with the age counted from the request, and later messages with a shorter age were ignored.

relay::watchers::message_after_slow_answer_counts, message_before_tick_not_believed and confirmation_counts_once.

--- a/crates/core/src/relay/load_message.rs
+++ b/crates/core/src/relay/load_message.rs
@@ -56,12 +56,12 @@
     pub revision: u64,
     /// Milliseconds since the store had nothing beyond that revision; `u32::MAX` if the sender can't tell.
     pub age: u32,
-    /// The store's confirmation from which the age is counted.
-    pub confirmation: ConfirmationId,
     /// Milliseconds since the last proof of that; `u32::MAX` without one.
     pub proof: u32,
     /// Microseconds since the Unix epoch by the sender's wall clock when the message was sent.
     pub wall: u64,
+    /// The store's confirmation from which `age` is counted.
+    pub confirmation: ConfirmationId,
 }
 
 impl LoadMessage {
@@ -82,9 +82,9 @@
             reads,
             revision: 0,
             age: u32::MAX,
-            confirmation: ConfirmationId::default(),
             proof: u32::MAX,
             wall: 0,
+            confirmation: ConfirmationId::default(),
         }
     }
 
--- a/crates/core/src/relay/watchers.rs
+++ b/crates/core/src/relay/watchers.rs
@@ -374,8 +374,12 @@
 
     /// Notes that the changes of a peer, requested at `asked`, were applied: everything up to its status.
     pub fn on_peer_changes(&mut self, asked: Time, status: ConfirmedStatus) {
-        self.revision = self.revision.max(status.status.revision);
-        self.on_peer_status(asked, status);
+        let ConfirmedStatus { status, confirmation } = status;
+        self.revision = self.revision.max(status.revision);
+        // Counted from the request, the age is not too short, so the confirmation need not be marked as accepted.
+        if asked.since(Time::ZERO) >= status.age {
+            self.confirm(asked - status.age, confirmation);
+        }
     }
 
     /// Handles a status sent by a peer. Returns whether the peer has a higher revision.
@@ -389,6 +393,7 @@
         if status.revision > self.revision {
             return true;
         }
+        self.detect_pause(now);
         let is_in_backlog = self.resumed.is_some_and(|at| now.since(at) < BACKLOG_TIME);
         if !is_in_backlog && now.since(Time::ZERO) >= status.age && self.is_new(confirmation) {
             self.accept(now, confirmation);
@@ -416,8 +421,14 @@
     ///
     /// Guards against an instance that is paused and then takes the messages that arrived meanwhile for current ones.
     pub fn on_tick(&mut self, now: Time) {
-        let latest = self.last_tick.replace(now);
-        if latest.is_some_and(|at| now.since(at) > PAUSE_THRESHOLD) {
+        self.detect_pause(now);
+        self.last_tick = Some(now);
+    }
+
+    /// Notes that this instance has resumed if its last tick is too long ago. Also called for each message: after a
+    /// pause, messages may be read before the next tick.
+    fn detect_pause(&mut self, now: Time) {
+        if self.last_tick.is_some_and(|at| now.since(at) > PAUSE_THRESHOLD) {
             self.resumed = Some(now);
         }
     }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -145,12 +145,12 @@
     pub revision: u64,
     /// Milliseconds since the store had no later changes.
     pub age: u32,
-    /// The store's confirmation from which the age is counted.
-    pub confirmation: ConfirmationId,
     /// The items.
     pub items: Vec<StoreItem>,
     /// Whether further items follow.
     pub more: bool,
+    /// The store's confirmation from which `age` is counted.
+    pub confirmation: ConfirmationId,
 }
 
 /// Store changes after a revision, as known to an instance.
@@ -160,14 +160,14 @@
     pub revision: u64,
     /// Milliseconds since the store had no later changes.
     pub age: u32,
-    /// The store's confirmation from which the age is counted.
-    pub confirmation: ConfirmationId,
     /// Items that were written.
     pub items: Vec<StoreItem>,
     /// Removed keys with the revisions of their removal.
     pub removed: Vec<(u64, String)>,
     /// Revisions and keys of written items that are too large to be included.
     pub large: Vec<(u64, String)>,
+    /// The store's confirmation from which `age` is counted.
+    pub confirmation: ConfirmationId,
 }
 
 /// An item of the store.
--- a/tests/testsuite/relay/watchers.rs
+++ b/tests/testsuite/relay/watchers.rs
@@ -16,6 +16,7 @@
 use sequoiastream_core::relay::watchers::ConfirmedStatus;
 use sequoiastream_core::relay::watchers::FleetRank;
 use sequoiastream_core::relay::watchers::SyncState;
+use sequoiastream_core::relay::watchers::SyncStatus;
 use sequoiastream_core::relay::watchers::WatchAction;
 use sequoiastream_core::relay::watchers::most_advanced;
 use sequoiastream_core::relay::watchers::rank_candidates;
@@ -217,6 +218,45 @@
     }
 }
 
+/// Guards against the same failure if messages that arrived during the pause are read before the next tick.
+#[test]
+fn message_before_tick_not_believed() {
+    let mut state = SyncState::new(0);
+    state.on_tick(at(0));
+    state.on_store_answer(at(0), at(0), Duration::ZERO, 7);
+    state.on_peer_status(at(10_000), status(7, 20));
+    assert_eq!(state.age(at(10_000)), Some(Duration::from_secs(10)));
+}
+
+/// Guards against a confirmation that appears older than it is: the answer to a request that took long reported it
+/// first, with an age counted from the request, and a later message that reports the same one is ignored.
+#[test]
+fn message_after_slow_answer_counts() {
+    let mut state = SyncState::new(0);
+    state.on_peer_changes(at(0), status(8, 100));
+    assert_eq!(state.age(at(900)), Some(Duration::from_secs(1)));
+    state.on_peer_status(at(900), status(8, 200));
+    assert_eq!(state.age(at(900)), Some(Duration::from_millis(200)));
+}
+
+/// Guards against a confirmation that counts again because it was forgotten, and against an age that is rounded down
+/// each time that it is reported.
+#[test]
+fn confirmation_counts_once() {
+    let mut state = SyncState::new(0);
+    state.on_store_answer(at(0), at(0), Duration::ZERO, 7);
+    state.on_peer_status(at(1_000), status(7, 0));
+    let other = ConfirmationId {
+        process: 2,
+        number: 1,
+    };
+    state.on_peer_status(at(16_000), ConfirmedStatus::new(7, 15_000, other));
+    state.on_peer_status(at(16_000), status(7, 0));
+    assert_eq!(state.age(at(16_000)), Some(Duration::from_secs(15)));
+    let age = Duration::from_micros(15_000_001);
+    assert_eq!(SyncStatus { revision: 7, age }.age_millis(), 15_001);
+}
+
 /// State of an instance's calls to the store.
 #[derive(Debug, Clone, Copy)]
 enum Call {
