--- a/tests/testsuite/relay/suspects.rs
+++ b/tests/testsuite/relay/suspects.rs
@@ -56,6 +56,18 @@
     assert!(!suspects.is_blocked(Time::ZERO + NOTE_TTL, 7));
 }
 
+/// Guards against a request that is blocked only once: it crashes the same engines again after the first notes have
+/// expired, and these expired notes are kept in place of the new ones.
+#[test]
+fn convict_again() {
+    let mut suspects = Suspects::new();
+    let later = Time::ZERO + NOTE_TTL + Duration::from_secs(9);
+    for at in [Time::ZERO, later] {
+        (0..MIN_CRASHES as u64).for_each(|engine| suspects.on_engine_broke(at, note(7, engine)));
+        assert!(suspects.is_blocked(at, 7), "at {at}");
+    }
+}
+
 #[test]
 fn memory_bounded() {
     let mut suspects = Suspects::new();
