Read the state that engines report in their answers

A leaving engine says so in all its answers (`Server-Leaving: 1`). An engine that answers a request with 503 may state for how long it accepts no requests from this instance (`Retry-After`). Neither header was read.

The adapter now decodes both, and the product logs them: events 305 engine-leaving, 306 engine-paused, 307 notice-unreadable. No decision depends on them yet.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -65,6 +65,12 @@
     303 ENTRY_UNREADABLE = "entry-unreadable";
     /// The set of known engines, or of engines that may receive requests, changed.
     304 ENGINES_CHANGED = "engines-changed";
+    /// An engine reported in an answer that it is leaving.
+    305 ENGINE_LEAVING = "engine-leaving";
+    /// An engine answered with status 503 and asked for no further requests for a limited time.
+    306 ENGINE_PAUSED = "engine-paused";
+    /// A header in which an engine reports its state is invalid; it is ignored.
+    307 NOTICE_UNREADABLE = "notice-unreadable";
     /// An attempt at an upstream failed.
     400 ATTEMPT_FAILED = "attempt-failed";
     /// A request was refused.
--- a/src/ops/relay/edge.rs
+++ b/src/ops/relay/edge.rs
@@ -1,6 +1,10 @@
 //! The boundary between the protocol of a deployment and the product: names and formats only, no decisions.
 
+use std::time::Duration;
+
+use http::HeaderMap;
 use http::HeaderName;
+use http::StatusCode;
 use sequoiastream_core::relay::engines::Entry;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::prompt::Prompt;
@@ -179,6 +183,22 @@
     /// [`Malformed`] if the answer is invalid.
     fn prefilled_name(&self, body: &[u8]) -> Result<String, Malformed>;
 
+    /// Whether an engine reports in the headers of an answer that it is leaving.
+    ///
+    /// # Errors
+    ///
+    /// [`Malformed`] if the header is invalid.
+    fn is_leaving(&self, headers: &HeaderMap) -> Result<bool, Malformed>;
+
+    /// For how long an engine accepts no further requests from this instance, according to the status and the headers
+    /// of an answer; `None` if the answer asks for no pause.
+    ///
+    /// # Errors
+    ///
+    /// [`Malformed`] if the header is invalid.
+    fn requested_pause(&self, status: StatusCode, headers: &HeaderMap)
+    -> Result<Option<Duration>, Malformed>;
+
     /// Returns the path of the call that frees the result of the prefill called `name`.
     fn release_path(&self, name: &str) -> String;
 
@@ -192,5 +212,5 @@
     fn scale(&self, order: &ScaleOrder) -> String;
 
     /// Formats the answer to a query for addresses, which callers may use for the time `keep`.
-    fn addresses(&self, addresses: &[std::net::SocketAddr], keep: std::time::Duration) -> String;
+    fn addresses(&self, addresses: &[std::net::SocketAddr], keep: Duration) -> String;
 }
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -250,13 +250,12 @@
     }
 
     async fn exchange(&self, engine: &Engine) -> Result<(Answer, Bytes), AttemptFailure> {
-        let names = self.shared.translate.names();
         let attempt_timeout = self.attempt_timeout(Duration::ZERO);
         let options = AttemptOptions {
             attempt_timeout,
             ..AttemptOptions::default()
         };
-        let mut answer = send(&self.pool, names, &self.incoming, engine, &options).await?;
+        let mut answer = send(&self.shared, &self.pool, &self.incoming, engine, &options).await?;
         let body = answer.read(MAX_ANSWER_BYTES, self.incoming.time_left()).await?;
         Ok((answer, body))
     }
@@ -302,8 +301,7 @@
             last_event,
             attempt_timeout,
         };
-        let names = self.shared.translate.names();
-        let sent = send(&self.pool, names, &self.incoming, engine, &options).await;
+        let sent = send(&self.shared, &self.pool, &self.incoming, engine, &options).await;
         let is_not_run = sent.as_ref().is_err_and(|failure| failure.end.proves_not_run());
         if !is_not_run && let Some(mut prefilled) = self.prefilled.take() {
             prefilled.taken = true;
--- a/src/ops/relay/orders.rs
+++ b/src/ops/relay/orders.rs
@@ -349,5 +349,7 @@
         .body(Full::new(Bytes::from(body)))
         .map_err(|e| e.to_string())?;
     let answer = call(pool, address, request, MAX_ANSWER_BYTES, ANSWER_TIMEOUT).await;
-    answer.map(|a| a.status().as_u16()).map_err(|e| e.to_string())
+    let answer = answer.map_err(|e| e.to_string())?;
+    shared.on_engine_answer(engine, answer.status(), answer.headers());
+    Ok(answer.status().as_u16())
 }
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -65,8 +65,9 @@
         let path = self.shared.translate.release_path(&self.name);
         let pool = self.pool.clone();
         let engine = self.engine.clone();
+        let shared = self.shared.clone();
         actix_rt::spawn(async move {
-            if let Err(failure) = release(&pool, engine.entry.address, &path, RELEASE_TIMEOUT).await {
+            if let Err(failure) = release(&shared, &pool, &engine, &path, RELEASE_TIMEOUT).await {
                 log_event!(debug, log_event::ATTEMPT_FAILED, engine = %engine.entry.id, why = failure.reason, call = "release");
             }
         });
@@ -162,14 +163,13 @@
         attempt_timeout: Option<Duration>,
     ) -> Result<String, AttemptFailure> {
         let engine = &plan.engine;
-        let names = self.shared.translate.names();
         let options = AttemptOptions {
             prefill: true,
             fetch_from: plan.fetch_from,
             attempt_timeout,
             ..AttemptOptions::default()
         };
-        let mut answer = send(&self.pool, names, &self.incoming, engine, &options).await?;
+        let mut answer = send(&self.shared, &self.pool, &self.incoming, engine, &options).await?;
         let status = answer.head.status;
         let body = answer.read(MAX_ANSWER_BYTES, self.incoming.time_left()).await?;
         self.pool.keep(engine.entry.address, answer);
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -20,6 +20,7 @@
 use sequoiastream_upstream::channel::Pool;
 
 use crate::ops::relay::edge::HeaderNames;
+use crate::ops::relay::shared::Shared;
 use crate::util::clock;
 
 /// Time limit for a new connection to an engine. Engines answer the first packet of a connection immediately unless
@@ -125,12 +126,13 @@
 ///
 /// [`AttemptFailure`], whose end says whether the request may have run.
 pub async fn send(
+    shared: &Shared,
     pool: &Pool,
-    names: &HeaderNames,
     incoming: &IncomingRequest,
     engine: &Engine,
     options: &AttemptOptions,
 ) -> Result<Answer, AttemptFailure> {
+    let names = shared.translate.names();
     let address = engine.entry.address;
     let channel = pool
         .take(address, CONNECT_TIMEOUT.min(incoming.time_left()))
@@ -144,7 +146,12 @@
         .attempt_timeout
         .map_or(left, |attempt_timeout| attempt_timeout.min(left));
     let answer = channel.send(request, limit).await?;
-    match check_answer(names, incoming, options, &answer) {
+    let checked = check_answer(names, incoming, options, &answer);
+    // An answer that failed any other check may not come from this engine.
+    if checked.as_ref().err().is_none_or(|f| f.end == End::Declined) {
+        shared.on_engine_answer(engine, answer.head.status, &answer.head.headers);
+    }
+    match checked {
         Ok(()) => Ok(answer),
         Err(failure) => {
             if failure.end.proves_not_run() {
@@ -254,8 +261,9 @@
 
 /// Asks an engine to free the result of a prefill that no other engine will fetch.
 pub async fn release(
+    shared: &Shared,
     pool: &Pool,
-    address: SocketAddr,
+    engine: &Engine,
     path: &str,
     limit: Duration,
 ) -> Result<(), AttemptFailure> {
@@ -264,9 +272,12 @@
     *request.uri_mut() = path
         .parse()
         .map_err(|e: http::uri::InvalidUri| AttemptFailure::new(End::Unsent, e))?;
+    let address = engine.entry.address;
     let host =
         HeaderValue::from_str(&address.to_string()).map_err(|e| AttemptFailure::new(End::Unsent, e))?;
     request.headers_mut().insert(http::header::HOST, host);
-    sequoiastream_upstream::channel::call(pool, address, request, MAX_ANSWER_BYTES, limit).await?;
+    let answer =
+        sequoiastream_upstream::channel::call(pool, address, request, MAX_ANSWER_BYTES, limit).await?;
+    shared.on_engine_answer(engine, answer.status(), answer.headers());
     Ok(())
 }
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -11,6 +11,9 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use http::HeaderMap;
+use http::StatusCode;
+use sequoiastream_core::log_event;
 use sequoiastream_core::relay::budget::RetryBudget;
 use sequoiastream_core::relay::directory::Endpoint;
 use sequoiastream_core::relay::engines::Engine;
@@ -24,6 +27,7 @@
 use sequoiastream_core::relay::workspaces::StoreAges;
 use sequoiastream_core::time::Time;
 
+use crate::log_event;
 use crate::ops::relay::edge::Translate;
 use crate::ops::relay::options::Options;
 use crate::ops::relay::options::ReloadableOptions;
@@ -276,6 +280,28 @@
         self.leaving.get().is_some_and(|at| now.since(*at) >= max_kept)
     }
 
+    /// Records the state that an engine reports in an answer to this instance.
+    pub fn on_engine_answer(&self, engine: &Engine, status: StatusCode, headers: &HeaderMap) {
+        // The answer comes from another engine that has the same address.
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let id = &engine.entry.id;
+        match self.translate.is_leaving(headers) {
+            Ok(true) => log_event!(debug, log_event::ENGINE_LEAVING, engine = %id),
+            Ok(false) => {}
+            Err(error) => log_event!(warn, log_event::NOTICE_UNREADABLE, engine = %id, %error),
+        }
+        match self.translate.requested_pause(status, headers) {
+            Ok(Some(pause)) => {
+                let millis = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+                log_event!(debug, log_event::ENGINE_PAUSED, engine = %id, pause = millis);
+            }
+            Ok(None) => {}
+            Err(error) => log_event!(warn, log_event::NOTICE_UNREADABLE, engine = %id, %error),
+        }
+    }
+
     /// Counts a request as running until the returned guard is dropped.
     pub fn begin(&self) -> Running {
         self.running.fetch_add(1, Ordering::SeqCst);
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -8,7 +8,11 @@
 use std::time::Duration;
 
 use actix_web::dev::ServerHandle;
+use http::HeaderMap;
 use http::HeaderName;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header;
 use sequoiastream::ops::relay::edge::Dialect;
 use sequoiastream::ops::relay::edge::Directory;
 use sequoiastream::ops::relay::edge::HeaderNames;
@@ -199,6 +203,28 @@
         Ok(name.to_string())
     }
 
+    fn is_leaving(&self, headers: &HeaderMap) -> Result<bool, Malformed> {
+        match headers.get("x-leaving").map(HeaderValue::as_bytes) {
+            None => Ok(false),
+            Some(b"1") => Ok(true),
+            Some(other) => Err(Malformed::new("x-leaving", String::from_utf8_lossy(other))),
+        }
+    }
+
+    fn requested_pause(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Result<Option<Duration>, Malformed> {
+        let value = headers.get(header::RETRY_AFTER).and_then(|v| v.to_str().ok());
+        let Some(value) = value.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) else {
+            return Ok(None);
+        };
+        let seconds: f64 = value.parse().map_err(|e| Malformed::new("retry-after", e))?;
+        let pause = Duration::try_from_secs_f64(seconds).map_err(|e| Malformed::new("retry-after", e))?;
+        Ok(Some(pause))
+    }
+
     fn release_path(&self, name: &str) -> String {
         format!("/release/{name}")
     }
