Tests: engines that report in their answers that they are leaving or want a pause

They cover every way to an engine: first attempt, retry, prefill, generation, keyed route, stream, resumption, fetch and the call that frees a prefill result; and each kind of answer that may carry the header.

The scripted engine can wait for the test (Action::Await); following a store and requiring keys are shared with the new module. What can't be read, comes without a 503, or comes from another engine at the address (421) changes nothing.

--- a/tests/testsuite/relay/answers.rs
+++ b/tests/testsuite/relay/answers.rs
@@ -233,7 +233,11 @@
     }
 }
 
-fn event_stream(request: &super::engine::ReceivedRequest, ids: std::ops::RangeInclusive<u64>) -> String {
+/// The head and the events `ids` of a signed stream that answers `request`, without the last chunk.
+pub(super) fn event_stream(
+    request: &super::engine::ReceivedRequest,
+    ids: std::ops::RangeInclusive<u64>,
+) -> String {
     let events = ids.map(|id| chunk(&event(id)));
     head(request, CHUNKED) + &events.collect::<String>()
 }
--- a/tests/testsuite/relay/engine.rs
+++ b/tests/testsuite/relay/engine.rs
@@ -8,6 +8,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
@@ -26,6 +27,8 @@
     Reset,
     /// Keeps the connection open until the peer closes it.
     Hold,
+    /// Waits until the test notifies the engine.
+    Await(Rc<Notify>),
 }
 
 /// A request as the engine received it.
@@ -128,6 +131,7 @@
                         return;
                     }
                 }
+                Action::Await(notify) => notify.notified().await,
                 Action::Close => return,
                 Action::Reset => {
                     stream.set_zero_linger().expect("a socket");
--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -28,12 +28,18 @@
 
 async fn start_with_fleet(options: Options, store: &FakeStore) -> (Arc<Shared>, Fleet) {
     let shared = shared(options);
-    let sockets = peers::Sockets::bind(&shared).await.expect("a free address");
+    let fleet = follow_store(&shared, store).await;
+    (shared, fleet)
+}
+
+/// Starts the tasks by which an instance follows `store`.
+pub(super) async fn follow_store(shared: &Arc<Shared>, store: &FakeStore) -> Fleet {
+    let sockets = peers::Sockets::bind(shared).await.expect("a free address");
     let replica = StoreReplica::new();
     let fleet = peers::start(shared.clone(), sockets, replica.clone());
     let store = Rc::new(store.clone());
     actix_web::rt::spawn(follow::run(shared.clone(), store, fleet.clone(), replica));
-    (shared, fleet)
+    fleet
 }
 
 /// Starts three instances of a zone: two watch `served`, the third listens to them and has the store `own` to itself.
--- a/tests/testsuite/relay/keys.rs
+++ b/tests/testsuite/relay/keys.rs
@@ -22,11 +22,18 @@
     ScriptedEngine::start(|_, request| vec![answer(request, "done")]).await
 }
 
-/// An instance whose callers need keys: `k1` belongs to the workspace `huka`. Its known keys are proven to be current.
+/// An instance that requires keys, see [`require_keys`].
 fn instance_with_keys(engine: &ScriptedEngine, public: bool) -> Instance {
     let instance = Instance::start(RouteKind::Once, &[(engine, Stage::Whole)], |route| {
         route.public = public
     });
+    require_keys(&instance);
+    instance
+}
+
+/// Makes an instance require keys of its callers: `k1` belongs to the workspace `huka`. The known keys are proven to be
+/// current.
+pub(super) fn require_keys(instance: &Instance) {
     let workspace = Workspace {
         name: "huka".to_string(),
         priority: Some(2),
@@ -45,7 +52,6 @@
     });
     instance.shared.on_store_answer(clock::now());
     instance.shared.on_proof(clock::now());
-    instance
 }
 
 /// Guards against an engine that learns a caller's key, or that trusts a workspace header sent by the caller.
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -14,6 +14,7 @@
 mod known;
 mod lead;
 mod metrics;
+mod notices;
 mod orders;
 mod pace;
 mod parts;
