Send no more work to an engine that reports in an answer that it is leaving

Callers' requests reached an engine 2.08 s and 2.11 s after it had told the instance that it was leaving; the bound is 2 s. Only the engine's entry in the store was taken into account, and the store was unreachable from 6 s to 19 s.

The report now applies to the engine's incarnation (id and start time), regardless of its entry, and to every way to it: first attempt, retry, prefill, generation, stream, resumption, fetch and order.

--- a/crates/core/benches/relay.rs
+++ b/crates/core/benches/relay.rs
@@ -60,6 +60,7 @@
         spot: false,
         sequence: 1,
         create_revision: 1,
+        started: None,
     };
     Engine::new(EngineKey(index), entry)
 }
--- a/crates/core/src/relay/engines.rs
+++ b/crates/core/src/relay/engines.rs
@@ -32,6 +32,15 @@
     Decode,
 }
 
+/// Identifies one start of an engine. It stays the same when the engine registers again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Incarnation {
+    /// Hash of the engine's id.
+    pub id: u64,
+    /// When the engine started, see [`Entry::started`].
+    pub started: Option<u64>,
+}
+
 /// Registration of an engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Entry {
@@ -55,6 +64,9 @@
     pub sequence: u64,
     /// Store revision at which the registration was created.
     pub create_revision: u64,
+    /// When the engine started, in milliseconds since the Unix epoch; `None` if it does not report that. An engine may
+    /// restart under the same id.
+    pub started: Option<u64>,
 }
 
 /// An engine that may be sent work.
@@ -74,6 +86,14 @@
         let hash = Hash::new().with(entry.id.as_bytes()).value();
         Engine { key, entry, hash }
     }
+
+    /// Returns the identity of this start of the engine.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            id: self.hash,
+            started: self.entry.started,
+        }
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -269,6 +289,11 @@
         services
     }
 
+    /// Returns the incarnations of all known engines, leaving ones included.
+    pub fn incarnations(&self) -> BTreeSet<Incarnation> {
+        self.known.values().map(|k| k.engine.incarnation()).collect()
+    }
+
     /// Whether any engine is kept although its entry has disappeared.
     pub fn has_missing(&self) -> bool {
         self.known.values().any(|k| k.missing_since.is_some())
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -15,6 +15,7 @@
 pub mod leader_lease;
 pub mod load_message;
 pub mod load_tracker;
+pub mod notices;
 pub mod peer_work;
 pub mod placement;
 pub mod prefill_time;
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -479,7 +479,7 @@
         self.shared.publish(|view| view.set_engines(engines));
         let view = self.shared.view.load();
         let known: BTreeSet<EngineKey> = view.keys().values().copied().collect();
-        self.shared.traffic().load.retain(|key| known.contains(&key));
+        self.remove_absent_engines(&known);
         log_event!(
             info,
             log_event::ENGINES_CHANGED,
@@ -488,6 +488,16 @@
         );
     }
 
+    /// Drops the load of engines whose keys are not `known`, and the notices of engines that have been absent for long.
+    fn remove_absent_engines(&self, known: &BTreeSet<EngineKey>) {
+        let incarnations = self.engines.incarnations();
+        let mut ledger = self.shared.traffic();
+        ledger.load.retain(|key| known.contains(&key));
+        ledger
+            .notices
+            .retain(clock::now(), |engine| incarnations.contains(&engine));
+    }
+
     fn on_success(&mut self) {
         self.on_confirmed();
         if self.failures > 0 {
--- a/src/ops/relay/orders.rs
+++ b/src/ops/relay/orders.rs
@@ -174,6 +174,9 @@
         for (engine, order) in orders {
             let checks = due_checks.entry(order.engine.clone()).or_default();
             *checks += 1;
+            if shared.is_unavailable(&engine) {
+                continue;
+            }
             // The live instance that ranks first gives the order; if it did not, the next one does so a check later.
             if *checks <= shared.view.load().rank || attempted.contains(&order.engine) {
                 continue;
--- a/src/ops/relay/pick.rs
+++ b/src/ops/relay/pick.rs
@@ -132,14 +132,17 @@
         let view = self.shared.view.load();
         let engines = view.engines().get(service)?;
         let now = clock::now();
-        let is_changing = |e: &Engine| view.orders.is_changing(now, &e.entry);
-        // Engines rarely change their stage; the list is copied only if one does.
-        let any = view.orders.may_change(now) && engines.iter().any(is_changing);
+        let ledger = self.shared.traffic();
+        let is_excluded = |e: &Engine| {
+            view.orders.is_changing(now, &e.entry) || ledger.notices.is_unavailable(e.incarnation())
+        };
+        // Engines are rarely excluded, so the list is copied only if one is.
+        let any = (view.orders.may_change(now) || ledger.notices.any_unavailable())
+            && engines.iter().any(is_excluded);
         let staying: Cow<'_, [Engine]> = match any {
-            true => engines.iter().filter(|e| !is_changing(e)).cloned().collect(),
+            true => engines.iter().filter(|e| !is_excluded(e)).cloned().collect(),
             false => Cow::Borrowed(engines),
         };
-        let ledger = self.shared.traffic();
         let selector = EngineSelector {
             loads: &ledger.load,
             now,
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -20,6 +20,7 @@
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::leader_lease::LeaseRecord;
 use sequoiastream_core::relay::load_tracker::LoadTracker;
+use sequoiastream_core::relay::notices::EngineNotices;
 use sequoiastream_core::relay::routes::RoutingTable;
 use sequoiastream_core::relay::suspects::Suspects;
 use sequoiastream_core::relay::usage::Tally;
@@ -106,6 +107,8 @@
     pub load: LoadTracker,
     /// Retry budget.
     pub budget: RetryBudget,
+    /// State that engines have reported in their answers.
+    pub notices: EngineNotices,
     /// Requests suspected of crashing engines.
     pub suspects: Suspects,
     /// Requests that engines began, by window and workspace.
@@ -150,6 +153,7 @@
         let traffic = TrafficState {
             load: LoadTracker::new(),
             budget: RetryBudget::new(options.reloadable.budget_limits),
+            notices: EngineNotices::new(),
             suspects: Suspects::new(),
             tally: Tally::default(),
         };
@@ -280,6 +284,11 @@
         self.leaving.get().is_some_and(|at| now.since(*at) >= max_kept)
     }
 
+    /// Whether an engine must get no requests from this instance, because it has reported that it is leaving.
+    pub fn is_unavailable(&self, engine: &Engine) -> bool {
+        self.traffic().notices.is_unavailable(engine.incarnation())
+    }
+
     /// Records the state that an engine reports in an answer to this instance.
     pub fn on_engine_answer(&self, engine: &Engine, status: StatusCode, headers: &HeaderMap) {
         // The answer comes from another engine that has the same address.
@@ -288,8 +297,10 @@
         }
         let id = &engine.entry.id;
         match self.translate.is_leaving(headers) {
-            Ok(true) => log_event!(debug, log_event::ENGINE_LEAVING, engine = %id),
-            Ok(false) => {}
+            Ok(true) if self.traffic().notices.on_leaving(engine.incarnation()) => {
+                log_event!(info, log_event::ENGINE_LEAVING, engine = %id);
+            }
+            Ok(_) => {}
             Err(error) => log_event!(warn, log_event::NOTICE_UNREADABLE, engine = %id, %error),
         }
         match self.translate.requested_pause(status, headers) {
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -168,6 +168,7 @@
             spot: false,
             sequence: sequence.parse().map_err(|e| Malformed::new("engine", e))?,
             create_revision: item.created,
+            started: None,
         })
     }
 
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -32,6 +32,7 @@
 mod truth;
 mod usage;
 mod watchers;
+mod withdrawals;
 mod workspaces;
 
 use std::net::SocketAddr;
@@ -55,6 +56,7 @@
         spot: false,
         sequence: 1,
         create_revision: 1,
+        started: None,
     }
 }
 
