Do not trust removals in the first answer after failed calls

What callers saw: after an outage of the store in which engine entries expired, an instance could refuse every request until the engines had registered again, up to two seconds, although all of them ran.

Cause: whether a removal is trusted was decided, for the answers of the store itself, by the time since the last failed call, 1.3 s. The first answer may come later than that: an instance that does not watch pauses up to 3 s between calls, a slow answer takes longer still, and a process that is not scheduled for a second does not see the time pass. Changes that a peer sent were distrusted whatever the time.

Change: every answer that is applied while the instance's last call counts as failed is distrusted, whether it comes from the store or from a peer. The engines are kept for the same time as before. An instance whose peers confirmed the store since then is not affected, as before.

Evidence: follow::lapse_long_after_failure holds the first answer back for longer than 1.3 s.

--- a/crates/core/src/relay/engines.rs
+++ b/crates/core/src/relay/engines.rs
@@ -13,8 +13,8 @@
 /// that has left must get no work two seconds after the store reported it.
 pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(1_700);
 
-/// If a call to the store failed less than this time ago, the removal of an entry is not trusted. A store that has
-/// come back is called within the longest pause between two calls, which this time covers.
+/// If a call to the store failed less than this time ago, the removal of an entry is not trusted. The first answer after
+/// failed calls counts as a failure, however late it arrives, so that the removals that it reports are not trusted.
 pub const STORE_FAILURE_WINDOW: Duration = Duration::from_millis(1_300);
 
 /// Identifies one registration of an engine: a new registration under the same id gets a new key.
@@ -123,7 +123,7 @@
         Engines::default()
     }
 
-    /// Records that a call to the store failed.
+    /// Records that a call to the store failed, or that the first answer after failed calls is about to be applied.
     pub fn on_store_failure(&mut self, now: Time) {
         self.store_failure = Some(now);
     }
--- a/src/ops/relay/follow/listen.rs
+++ b/src/ops/relay/follow/listen.rs
@@ -77,7 +77,6 @@
 
     /// Applies the complete contents of the store as sent by a peer.
     fn on_peer_snapshot(&mut self, page: StorePage) {
-        self.distrust_removals();
         let status = SyncStatus::new(page.revision, page.age);
         let items: Vec<Item> = page.items.into_iter().map(known::from_message).collect();
         self.on_snapshot(status.revision, &items);
@@ -105,7 +104,6 @@
                 }
             }
         }
-        self.distrust_removals();
         let removed = news
             .removed
             .into_iter()
@@ -119,14 +117,15 @@
         true
     }
 
-    /// Makes removals of engine entries that a peer reports not trusted, if the last calls of this instance to the
-    /// store failed and nothing was confirmed since.
+    /// Makes removals of engine entries that the store or a peer reports not trusted, if the last calls of this instance
+    /// to the store failed and nothing was confirmed since.
     ///
-    /// Guards against an instance that learns from a peer that the store is back after an outage, and takes the removal
-    /// of engine entries that expired during the outage as the end of those engines. Only failures of this instance
+    /// Guards against an instance that learns from a peer or from the store that the store is back after an outage, and
+    /// takes the removal of engine entries that expired during the outage as the end of those engines. The time since
+    /// the last failed call does not tell: a pause or an answer may take seconds. Only failures of this instance
     /// count, not those of the peer: the peer alone may have been partitioned from the store, and otherwise an engine
     /// that has left would continue to get work from all instances that learn of its removal from that peer.
-    fn distrust_removals(&mut self) {
+    pub(super) fn distrust_removals(&mut self) {
         if self.failures > 0 {
             self.engines.on_store_failure(clock::now());
         }
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -322,6 +322,7 @@
 
     /// Applies changes, in the order in which they occurred.
     fn on_changes(&mut self, changes: Vec<Change>) {
+        self.distrust_removals();
         let mut changed = Changed::default();
         for change in changes {
             self.known.on_change(self.shared.translate.keys(), &change);
@@ -347,6 +348,7 @@
 
     /// Applies the complete contents of the store as of `revision`.
     fn on_snapshot(&mut self, revision: u64, items: &[Item]) {
+        self.distrust_removals();
         let now = clock::now();
         self.known
             .on_snapshot(self.shared.translate.keys(), revision, items);
--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -15,6 +15,7 @@
 use sequoiastream::ops::relay::shared::Shared;
 use sequoiastream::util::clock;
 use sequoiastream_core::relay::engines::EngineKey;
+use sequoiastream_core::relay::engines::STORE_FAILURE_WINDOW;
 use sequoiastream_core::relay::watchers::ApplyLimit;
 
 use super::instance::options;
@@ -341,6 +342,34 @@
     wait_until(|| engines(&listener).is_empty()).await;
 }
 
+/// Guards against every request being refused after an outage of the store by an instance whose first answer comes long
+/// after its last failed call, because of a long pause or a slow answer: it takes the missing entries for engines that
+/// are gone, before the engines could register again.
+#[actix_web::test]
+async fn lapse_long_after_failure() {
+    let store = FakeStore::new();
+    store.put("config", "3 /a/");
+    store.put("engines/e1", "chat 127.0.0.1:9 ready 1");
+    let shared = start(options(), &store).await;
+    wait_until(|| version(&shared) == 3 && engines(&shared) == ["e1"]).await;
+    let calls = || store.calls().ranges + store.calls().watches;
+    let before = calls();
+    store.set_down(true);
+    wait_until(|| calls() > before).await;
+    let failed = calls();
+    store.set_down(false);
+    store.set_silent(true);
+    wait_until(|| calls() > failed).await;
+    let called = clock::now();
+    wait_until(|| clock::now().since(called) >= STORE_FAILURE_WINDOW).await;
+    store.remove("engines/e1");
+    store.put("config", "5 /a/");
+    store.set_silent(false);
+    wait_until(|| version(&shared) == 5).await;
+    assert_eq!(engines(&shared), ["e1"]);
+    wait_until(|| engines(&shared).is_empty()).await;
+}
+
 /// Guards against a request reaching an engine more than two seconds after it has announced that it leaves. Sequence: no
 /// instance gets an answer from the store, then the watchers do; an instance whose own calls failed has just begun one
 /// of its longest pauses. It learns of the announcement from the watchers, and not only after its next call.
