Check relay::follow::lapse_told_in_doubt as each instance learns

What was seen: the known red test failed with [[], ["e1"]], the watcher without the engine when the listener reached version 5.

The third is the test: it asked the watcher for the engine when the listener was told. A watcher keeps an engine whose entry is missing for 1.7 s from when it saw the removal, because an engine that is really gone must get no work later than two seconds after that. If the process stands still, or is slow to send, the listener is told after that time, and the watcher has rightly dropped the engine.

Change: each of the two is checked at the moment it learns of the removal, and it must then keep the engine until REREGISTRATION_GRACE after the store's return at least. The test asked only the listener to drop the engine in the end, and now asks both. The listener's own call must have failed before the store is back, which the test took for granted. That a pausing listener hears in time is asked of listener_failing_hears_of_changes, without a clock.

--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -15,6 +15,7 @@
 use sequoiastream::ops::relay::shared::Shared;
 use sequoiastream::util::clock;
 use sequoiastream_core::relay::engines::EngineKey;
+use sequoiastream_core::relay::engines::REREGISTRATION_GRACE;
 use sequoiastream_core::relay::engines::STORE_FAILURE_WINDOW;
 use sequoiastream_core::relay::watchers::ApplyLimit;
 
@@ -324,22 +325,31 @@
 
 /// Guards against every request being refused for seconds after an outage of the store. Sequence: no instance can reach
 /// the store, entries expire, and the store is back before the engines have registered again; a watcher sees it first
-/// and reports the missing entries to the others.
+/// and reports the missing entries to the others. Each instance is checked when it learns of them: a watcher that has
+/// known of them for as long as it keeps engines may rightly have dropped its own when a late listener is told.
 #[actix_web::test]
 async fn lapse_told_in_doubt() {
     let (served, own) = (FakeStore::new(), FakeStore::new());
     let [(watcher, _), _, (listener, _)] = start_zone(&served, &own, Duration::from_millis(400)).await;
+    let own_calls = || own.calls().ranges + own.calls().watches;
+    let before = own_calls();
     served.set_down(true);
     own.set_down(true);
+    wait_until(|| own_calls() > before).await;
     for shared in [&watcher, &listener] {
         wait_until(|| shared.store_age(clock::now()) > Duration::from_millis(600)).await;
     }
     served.remove("engines/e1");
     served.put("config", "5 /a/");
+    let back = clock::now();
     served.set_down(false);
-    wait_until(|| version(&listener) == 5).await;
-    assert_eq!([engines(&watcher), engines(&listener)], [["e1"], ["e1"]]);
-    wait_until(|| engines(&listener).is_empty()).await;
+    let kept_for_a_while = async |shared: &Shared| {
+        wait_until(|| version(shared) == 5).await;
+        assert_eq!(engines(shared), ["e1"]);
+        wait_until(|| engines(shared).is_empty()).await;
+        assert!(clock::now().since(back) >= REREGISTRATION_GRACE);
+    };
+    tokio::join!(kept_for_a_while(&watcher), kept_for_a_while(&listener));
 }
 
 /// Guards against every request being refused after an outage of the store by an instance whose first answer comes long
