--- a/src/ops/relay/follow/listen.rs
+++ b/src/ops/relay/follow/listen.rs
@@ -33,6 +33,18 @@
         }
     }
 
+    /// Applies the changes of peers that are ahead until `until`, when the next call to the store is due.
+    ///
+    /// Guards against an instance that learns seconds after its peers that the store is back: it would send requests to
+    /// engines that have left meanwhile, and keep engines whose entry is missing for longer than its peers do. The call
+    /// itself is not made earlier, so that a store that refuses calls does not get more of them.
+    pub(super) async fn listen_during_pause(&mut self, until: Time) {
+        while clock::now() < until {
+            self.listen(until).await;
+            self.detect_recovery(clock::now());
+        }
+    }
+
     /// Waits until a peer is ahead or this instance becomes a watcher or stops being one, for at most `timeout`.
     pub(super) async fn wait_for_update(&mut self, timeout: Duration) {
         let fleet = self.fleet.clone();
@@ -68,7 +80,6 @@
 
     /// Applies the complete contents of the store as sent by a peer in answer to a request sent at `asked`.
     fn on_peer_snapshot(&mut self, asked: Time, page: StorePage) {
-        self.distrust_removals();
         let status = ConfirmedStatus::new(page.revision, page.age, page.confirmation);
         let revision = page.revision;
         let items: Vec<Item> = page.items.into_iter().map(known::from_message).collect();
@@ -94,7 +105,6 @@
                 }
             }
         }
-        self.distrust_removals();
         let removed = news
             .removed
             .into_iter()
@@ -108,14 +118,15 @@
         true
     }
 
-    /// Makes removals of engine entries that a peer reports not trusted, if the last calls of this instance to the
-    /// store failed and nothing was confirmed since.
+    /// Makes removals of engine entries that the store or a peer reports not trusted, if the last calls of this instance
+    /// to the store failed and nothing was confirmed since.
     ///
-    /// Guards against an instance that learns from a peer that the store is back after an outage, and takes the removal
-    /// of engine entries that expired during the outage as the end of those engines. Only failures of this instance
+    /// Guards against an instance that learns from a peer or from the store that the store is back after an outage, and
+    /// takes the removal of engine entries that expired during the outage as the end of those engines. The time since
+    /// the last failed call does not tell: a pause or an answer may take seconds. Only failures of this instance
     /// count, not those of the peer: the peer alone may have been partitioned from the store, and otherwise an engine
     /// that has left would continue to get work from all instances that learn of its removal from that peer.
-    fn distrust_removals(&mut self) {
+    pub(super) fn distrust_removals(&mut self) {
         if self.failures > 0 {
             self.engines.on_store_failure(clock::now());
         }
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -53,7 +53,8 @@
 /// Longest pause of a watcher after failed calls: it lets a watcher notice within a second that the store is back.
 const MAX_WATCHER_BACKOFF: Duration = Duration::from_millis(800);
 
-/// Longest pause of all other instances: they learn from the watchers that the store is back.
+/// Longest pause of all other instances: they learn from the watchers that the store is back, and listen to them during
+/// the pause.
 const MAX_LISTENER_BACKOFF: Duration = Duration::from_millis(2_000);
 
 /// Interval at which engines whose entry is missing are checked.
@@ -322,6 +323,7 @@
 
     /// Applies changes, in the order in which they occurred.
     fn on_changes(&mut self, changes: Vec<Change>) {
+        self.distrust_removals();
         let mut changed = Changed::default();
         for change in changes {
             self.known.on_change(self.shared.translate.keys(), &change);
@@ -347,6 +349,7 @@
 
     /// Applies the complete contents of the store as of `revision`.
     fn on_snapshot(&mut self, revision: u64, items: &[Item]) {
+        self.distrust_removals();
         let now = clock::now();
         self.known
             .on_snapshot(self.shared.translate.keys(), revision, items);
@@ -515,8 +518,9 @@
         }
     }
 
-    /// Handles a failed call to the store: asks a peer instead, then waits, with exponential backoff and jitter. If the
-    /// store no longer has the history of a watch, everything is read again at once.
+    /// Handles a failed call to the store: asks a peer instead, then listens to peers until the next call is due, with
+    /// exponential backoff and jitter. If the store no longer has the history of a watch, everything is read again at
+    /// once.
     async fn on_failure(&mut self, error: &StoreError) {
         if *error == StoreError::Compacted {
             log_event!(info, log_event::KV_RESOLVED, %error);
@@ -536,6 +540,6 @@
         self.failures += 1;
         self.ask_peer().await;
         let pause = pause.mul_f64(0.5 + rand::rng().random::<f64>());
-        self.wait(pause).await;
+        self.listen_during_pause(clock::now() + pause).await;
     }
 }
--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -15,6 +15,8 @@
 use sequoiastream::ops::relay::shared::Shared;
 use sequoiastream::util::clock;
 use sequoiastream_core::relay::engines::EngineKey;
+use sequoiastream_core::relay::engines::REREGISTRATION_GRACE;
+use sequoiastream_core::relay::engines::STORE_FAILURE_WINDOW;
 use sequoiastream_core::relay::watchers::ApplyLimit;
 
 use super::instance::options;
@@ -322,7 +324,7 @@
 async fn peer_changes_age_while_applied() {
     let (served, own) = (FakeStore::new(), FakeStore::new());
     let [_, _, (listener, fleet)] = start_zone(&served, &own, Duration::from_secs(60)).await;
-    own.set_reads_blocked(true);
+    own.set_silent(true);
     let ranges = own.calls().ranges;
     let config = format!("9 /{}/", "long".repeat(20_000));
     // The listener's store must have at least the revision of the change.
@@ -331,7 +333,7 @@
     wait_until(|| own.calls().ranges > ranges).await;
     let (blocked_since, wait) = (clock::now(), Duration::from_millis(1_500));
     wait_until(|| clock::now().since(blocked_since) >= wait).await;
-    own.set_reads_blocked(false);
+    own.set_silent(false);
     wait_until(|| version(&listener) == 9).await;
     let age = fleet
         .known()
@@ -353,22 +355,88 @@
 
 /// Guards against every request being refused for seconds after an outage of the store. Sequence: no instance can reach
 /// the store, entries expire, and the store is back before the engines have registered again; a watcher sees it first
-/// and reports the missing entries to the others.
+/// and reports the missing entries to the others. Each instance is checked when it learns of them: a watcher that has
+/// known of them for as long as it keeps engines may rightly have dropped its own when a late listener is told.
 #[actix_web::test]
 async fn lapse_told_in_doubt() {
     let (served, own) = (FakeStore::new(), FakeStore::new());
     let [(watcher, _), _, (listener, _)] = start_zone(&served, &own, Duration::from_millis(400)).await;
+    let own_calls = || own.calls().ranges + own.calls().watches;
+    let before = own_calls();
     served.set_down(true);
     own.set_down(true);
+    wait_until(|| own_calls() > before).await;
     for shared in [&watcher, &listener] {
         wait_until(|| shared.store_age(clock::now()) > Duration::from_millis(600)).await;
     }
     served.remove("engines/e1");
     served.put("config", "5 /a/");
+    let back = clock::now();
     served.set_down(false);
+    let kept_for_a_while = async |shared: &Shared| {
+        wait_until(|| version(shared) == 5).await;
+        assert_eq!(engines(shared), ["e1"]);
+        wait_until(|| engines(shared).is_empty()).await;
+        assert!(clock::now().since(back) >= REREGISTRATION_GRACE);
+    };
+    tokio::join!(kept_for_a_while(&watcher), kept_for_a_while(&listener));
+}
+
+/// Guards against every request being refused after an outage of the store by an instance whose first answer comes long
+/// after its last failed call, because of a long pause or a slow answer: it takes the missing entries for engines that
+/// are gone, before the engines could register again.
+#[actix_web::test]
+async fn lapse_long_after_failure() {
+    let store = FakeStore::new();
+    store.put("config", "3 /a/");
+    store.put("engines/e1", "chat 127.0.0.1:9 ready 1");
+    let shared = start(options(), &store).await;
+    wait_until(|| version(&shared) == 3 && engines(&shared) == ["e1"]).await;
+    let calls = || store.calls().ranges + store.calls().watches;
+    let before = calls();
+    store.set_down(true);
+    wait_until(|| calls() > before).await;
+    let failed = calls();
+    store.set_down(false);
+    store.set_silent(true);
+    wait_until(|| calls() > failed).await;
+    let called = clock::now();
+    wait_until(|| clock::now().since(called) >= STORE_FAILURE_WINDOW).await;
+    store.remove("engines/e1");
+    store.put("config", "5 /a/");
+    store.set_silent(false);
+    wait_until(|| version(&shared) == 5).await;
+    assert_eq!(engines(&shared), ["e1"]);
+    wait_until(|| engines(&shared).is_empty()).await;
+}
+
+/// Guards against a request reaching an engine more than two seconds after it has announced that it leaves. Sequence: no
+/// instance gets an answer from the store, then the watchers do; an instance whose own calls failed has just begun one
+/// of its longest pauses. It learns of the announcement from the watchers, and not only after its next call.
+#[actix_web::test]
+async fn listener_failing_hears_of_changes() {
+    let (served, own) = (FakeStore::new(), FakeStore::new());
+    let [(first, _), (second, _), (listener, _)] =
+        start_zone(&served, &own, Duration::from_millis(400)).await;
+    // With load they report it, and the store revision that they know, forty times a second.
+    for watcher in [&first, &second] {
+        watcher
+            .traffic()
+            .load
+            .begin(clock::now(), EngineKey(0), Duration::ZERO);
+    }
+    let own_calls = || own.calls().ranges + own.calls().watches;
+    let before = own_calls();
+    served.set_silent(true);
+    own.set_down(true);
+    // The pause after the sixth failed call is the first that lasts a second at least.
+    wait_until(|| own_calls() == before + 6).await;
+    served.put("engines/e1", "chat 127.0.0.1:9 leaving 2");
+    served.put("config", "5 /a/");
+    served.set_silent(false);
     wait_until(|| version(&listener) == 5).await;
-    assert_eq!([engines(&watcher), engines(&listener)], [["e1"], ["e1"]]);
-    wait_until(|| engines(&listener).is_empty()).await;
+    assert_eq!(engines(&listener), Vec::<String>::new());
+    assert_eq!(own_calls(), before + 6);
 }
 
 /// Guards against keys of stopped instances accumulating in the store. The first-ranked instance removes the key of one
