Order an engine's updates by its start time first

By reading: an engine that starts again under its id counts its updates from the start, and was ignored until it had made more than the one before, in the known entry and after its removal. Its start time, decoded since the notices of engines, comes before the number; an entry with another start time is another engine, of which nothing known holds. relay::engines::restarted_counts_anew failed before (0 engines available, 1 expected).

--- a/crates/core/src/relay/engines.rs
+++ b/crates/core/src/relay/engines.rs
@@ -108,9 +108,25 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 struct Tombstone {
     revision: u64,
+    version: EntryVersion,
+}
+
+/// Orders the updates of an engine: each start of it numbers its updates from the beginning.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+struct EntryVersion {
+    started: Option<u64>,
     sequence: u64,
 }
 
+impl EntryVersion {
+    fn of(entry: &Entry) -> EntryVersion {
+        EntryVersion {
+            started: entry.started,
+            sequence: entry.sequence,
+        }
+    }
+}
+
 /// A change to one engine in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EngineUpdate {
@@ -125,7 +141,7 @@
 /// Neither store revisions nor an engine's own updates may go backwards. Failure guarded against: an engine announces
 /// that it is leaving, and an earlier update of it reaches the store afterwards. The entry then shows it as ready
 /// again, or is created anew after the engine has left, and work goes to an engine that is shutting down. Each engine
-/// therefore numbers its updates.
+/// therefore numbers its updates, anew with each start.
 #[derive(Debug, Clone, Default)]
 pub struct Engines {
     known: BTreeMap<String, KnownEngine>,
@@ -175,7 +191,7 @@
 
     fn on_entry(&mut self, revision: u64, entry: Entry) -> bool {
         let tombstone = self.tombstones.get(&entry.id);
-        if tombstone.is_some_and(|t| t.revision >= revision || t.sequence >= entry.sequence) {
+        if tombstone.is_some_and(|t| t.revision >= revision || t.version >= EntryVersion::of(&entry)) {
             return false;
         }
         if let Some(known) = self.known.get_mut(&entry.id) {
@@ -184,13 +200,14 @@
             }
             known.revision = revision;
             // The revision is assigned by the store, the sequence number by the engine.
-            if known.engine.entry.sequence > entry.sequence {
+            let before = &mut known.engine.entry;
+            if EntryVersion::of(before) > EntryVersion::of(&entry) {
                 return false;
             }
             known.missing_since = None;
-            if known.engine.entry.create_revision == entry.create_revision {
-                let changed = known.engine.entry != entry;
-                known.engine.entry = entry;
+            if (before.create_revision, before.started) == (entry.create_revision, entry.started) {
+                let changed = *before != entry;
+                *before = entry;
                 return changed;
             }
         }
@@ -223,9 +240,9 @@
                 false
             }
             Some(known) => {
-                let sequence = known.engine.entry.sequence;
+                let version = EntryVersion::of(&known.engine.entry);
                 self.known.remove(&id);
-                self.add_tombstone(id, Tombstone { revision, sequence });
+                self.add_tombstone(id, Tombstone { revision, version });
                 true
             }
             None => {
@@ -233,7 +250,7 @@
                     id,
                     Tombstone {
                         revision,
-                        sequence: 0,
+                        version: EntryVersion::default(),
                     },
                 );
                 false
@@ -244,7 +261,7 @@
     fn add_tombstone(&mut self, id: String, tombstone: Tombstone) {
         let kept = self.tombstones.entry(id).or_default();
         kept.revision = kept.revision.max(tombstone.revision);
-        kept.sequence = kept.sequence.max(tombstone.sequence);
+        kept.version = kept.version.max(tombstone.version);
         while self.tombstones.len() > MAX_TOMBSTONES {
             let oldest = self.tombstones.iter().min_by_key(|(_, t)| t.revision);
             let Some(id) = oldest.map(|(id, _)| id.clone()) else {
@@ -263,7 +280,7 @@
         };
         let tombstone = |known: &KnownEngine| Tombstone {
             revision: known.revision,
-            sequence: known.engine.entry.sequence,
+            version: EntryVersion::of(&known.engine.entry),
         };
         let overdue: Vec<(String, Tombstone)> = self
             .known
--- a/tests/testsuite/relay/engines.rs
+++ b/tests/testsuite/relay/engines.rs
@@ -121,6 +121,27 @@
     assert_ne!(engines.available()["chat"][0].key, before);
 }
 
+/// Guards against an engine that gets no work for as long as the one that had its id before it was running. Sequence: it
+/// starts again under its id and counts its updates from the start. Cause: they are taken for late ones of the first.
+#[test]
+fn restarted_counts_anew() {
+    let started = |entry: Entry, at| Entry {
+        started: Some(at),
+        ..entry
+    };
+    for removed in [false, true] {
+        let mut engines = Engines::new();
+        engines.on_update(Time::ZERO, EngineUpdate::Entry(5, started(leaving(40), 1)));
+        if removed {
+            engines.on_update(Time::ZERO, removal(6));
+        }
+        engines.on_update(Time::ZERO, EngineUpdate::Entry(7, started(ready(1, 5), 2)));
+        assert_eq!(available_count(&engines), 1, "removed: {removed}");
+        assert!(!engines.on_update(Time::ZERO, EngineUpdate::Entry(8, started(leaving(41), 1))));
+        assert_eq!(available_count(&engines), 1, "removed: {removed}");
+    }
+}
+
 #[test]
 fn all_drops_absent() {
     let mut engines = Engines::new();
