Refuse a claim that was released before it is written

What callers saw: by reading, an order is refused as `not-run`, and each repeat is told that its key is in use. Cause: an owner applies a release only to claims that are stored. One that arrives while its claim waits for the next write, or before the claim request, finds nothing to free; the claim is then written and granted to a request that no longer exists. Why it holds: a released token is never sent, so a claim under it need never be written, and every write is preceded by the refusal.

--- a/crates/core/src/claims/owner/owned_bucket.rs
+++ b/crates/core/src/claims/owner/owned_bucket.rs
@@ -373,11 +373,15 @@
         });
     }
 
-    /// Refuses requests and queries whose wait has ended. A write with the claim may still be in flight; the entry
-    /// instance has given up by then and never sends, so the refusal stays correct.
+    /// Refuses requests and queries whose wait has ended, and requests that were released. A write with the claim may
+    /// still be in flight; the entry instance has given up by then and never sends, so the refusal stays correct.
+    ///
+    /// Failure guarded against: a claim is written after its release, and its key is taken by a request that was
+    /// refused, because the release arrives while the claim waits for its write, or before the claim request.
     fn expire(&mut self, now: Time, actions: &mut Vec<OwnerAction>) {
+        let released = &self.released;
         self.claims.retain(|waiting| {
-            let waits = now < waiting.until;
+            let waits = now < waiting.until && !is_released(released, &waiting.request);
             if !waits {
                 actions.push(OwnerAction::Answer(
                     waiting.query_id,
@@ -399,6 +403,12 @@
     }
 }
 
+fn is_released(released: &VecDeque<(Time, Edit)>, request: &ClaimRequest) -> bool {
+    released
+        .iter()
+        .any(|(_, edit)| edit.id == request.claim.id && edit.token == request.token)
+}
+
 fn granted_record(request: &ClaimRequest, wall: WallTime) -> Record {
     Record {
         token: request.token,
--- a/tests/testsuite/claims/owner.rs
+++ b/tests/testsuite/claims/owner.rs
@@ -325,6 +325,41 @@
     assert_eq!(answers(&actions), vec![(2, Verdict::Granted)]);
 }
 
+/// Guards against a claim that is written after its release: the entry instance gives up on the owner while the claim
+/// still waits there for its write, or the claim request arrives late. The order is refused as "not run", but its key
+/// then stays taken by a request that no longer exists.
+#[test]
+fn release_before_its_write() {
+    let release = Edit {
+        id: claim_ref(1).id,
+        token: ClaimToken(Uuid::from_u128(2)),
+        change: Change::Release,
+    };
+    let id = claim_ref(0).bucket;
+    for released_first in [false, true] {
+        let mut owner = Owner::new(OwnerSettings::default());
+        owner.on(clocks_at(0), claim_event(1, 0, 1));
+        owner.on(clocks_at(3), written(7));
+        let mut events = [claim_event(2, 1, 2), OwnerEvent::Edit(id, release.clone())];
+        if released_first {
+            events.reverse();
+        }
+        let mut actions = Vec::new();
+        for (millis, event) in (4..).zip(events) {
+            actions.extend(owner.on(clocks_at(millis), event));
+        }
+        for millis in [80, 2_100, 4_100] {
+            actions.extend(owner.on(clocks_at(millis), OwnerEvent::Tick));
+        }
+        assert_eq!(writes(&actions), Vec::new(), "released first: {released_first}");
+        assert_eq!(
+            answers(&actions),
+            vec![(2, Verdict::Unavailable(Duration::from_secs(1)))]
+        );
+        assert!(owner.is_idle());
+    }
+}
+
 #[test]
 fn ask_clock_differs() {
     let mut owner = Owner::new(OwnerSettings::default());
