Confirm no roster by what was known before a pause

What callers saw: by reading, an instance that was paused while an engine was drained sends requests to it that waited in its sockets when it resumes. Cause: the table notices a pause by the time of its events, but the roster is computed by a second reading of the clock. If the pause falls between the two, the roster is up to date by its time, and its standing rests on what was known before the pause; the traffic threads take and send requests until the next event. (Product at fault; class: two readings of the clock where one decision needs one.) Change: the standing of a roster whose time is further from the last event than the pause limit counts as after a pause: nothing known before is evidence. Why it holds: the traffic threads ask for a recent roster that accepts work, and no recent roster accepts work across a pause any more, whichever side of the pause the clock was read on.

--- a/crates/core/src/membership/member_table.rs
+++ b/crates/core/src/membership/member_table.rs
@@ -262,12 +262,29 @@
     /// instance processes the requests that waited in its sockets with the old configuration. What it knew before
     /// it resumed is no longer evidence, see [`Self::reachability`].
     fn detect_pause(&mut self, now: Time) {
-        let latest = self.last_event.replace(now);
-        if latest.is_some_and(|at| now.since(at) > self.limits.pause_limit) {
+        if self.was_paused(now) {
             self.resumed_at = Some(now);
             self.actions.push(Action::Resumed);
             self.actions.push(Action::Publish);
         }
+        self.last_event = Some(now);
+    }
+
+    /// Whether this instance was paused between the last event and `now`.
+    fn was_paused(&self, now: Time) -> bool {
+        self.last_event
+            .is_some_and(|at| now.since(at) > self.limits.pause_limit)
+    }
+
+    /// When this instance last resumed after a pause, as of `now`.
+    ///
+    /// Failure guarded against: a pause falls between an event and the roster that it publishes. The roster would be
+    /// up to date by its time, and confirm the configuration by what was known before the pause.
+    fn resumed_at(&self, now: Time) -> Option<Time> {
+        match self.was_paused(now) {
+            true => Some(now),
+            false => self.resumed_at,
+        }
     }
 
     /// Returns the known instances, the upstreams that are leaving, and the standing of this instance.
@@ -326,18 +343,16 @@
     /// that waited in the socket during a pause are read right after it, so only those received more than an
     /// interval after resuming count.
     fn reachability(&self, now: Time) -> Reachability {
-        let fresh = |at: Time| {
-            self.resumed_at
-                .is_none_or(|resumed| at > resumed + self.limits.interval)
-        };
+        let resumed_at = self.resumed_at(now);
+        let fresh = |at: Time| resumed_at.is_none_or(|resumed| at > resumed + self.limits.interval);
         let is_heard = |m: &Member| self.is_heard(now, m.heard) && m.heard.is_some_and(fresh);
         let heard = self.members.values().filter(|m| is_heard(m));
         let contacts = heard.clone().filter_map(|m| m.kv_contact);
-        let contacts = contacts.filter(|at| self.resumed_at.is_none_or(|resumed| *at > resumed));
+        let contacts = contacts.filter(|at| resumed_at.is_none_or(|resumed| *at > resumed));
         let missing = |m: &&Member| m.state() == MemberState::Live && !is_heard(m);
         let own = self
             .kv_contact
-            .filter(|at| self.resumed_at.is_none_or(|resumed| *at >= resumed));
+            .filter(|at| resumed_at.is_none_or(|resumed| *at >= resumed));
         Reachability {
             own_contact: own.map(|at| now.since(at)),
             listed: self.listed,
--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -501,3 +501,29 @@
     members.on(at(10_500), Event::Heartbeat(peer, beat(3)));
     assert_eq!(members.roster(at(10_500)).standing, Standing::Current);
 }
+
+/// Guards against a roster that is computed after a pause before any event has told the table of it, as when the pause
+/// falls between an event and the roster that it publishes. It would be as recent as the clock and confirm the
+/// configuration by what was known before the pause, so that the requests that waited in the sockets are sent by it.
+#[test]
+fn judge_before_event_after_pause() {
+    let zone = Name::new("lodi-a").expect("a name");
+    let address: SocketAddr = "127.0.0.1:80".parse().expect("an address");
+    let myself = LocalInstance {
+        name: Name::new("me").expect("a name"),
+        info: InstanceInfo::new(1, zone, address, address),
+        seed: 1,
+    };
+    let at = Time::from_millis;
+    let mut members = MemberTable::new(myself, Limits::default());
+    members.on(at(0), Event::KvContact(at(0)));
+    members.on(at(1_000), Event::Tick);
+    assert!(members.roster(at(2_500)).standing.accepts_work(), "not paused");
+    let roster = members.roster(at(9_000));
+    assert!(!roster.standing.accepts_work(), "{:?}", roster.standing);
+
+    assert!(members.on(at(9_001), Event::Tick).contains(&Action::Resumed));
+    assert!(!members.roster(at(9_001)).standing.accepts_work());
+    members.on(at(9_100), Event::KvContact(at(9_050)));
+    assert_eq!(members.roster(at(9_100)).standing, Standing::Current);
+}
