Release a claim at each instance that was asked for it

What callers saw: an order is refused as `not-run` while the key-value service is out; when it works again, each repeat is told 409, first that the key is in use, then that it is not known whether the order ran. Cause: an entry that gets no answer from an owner asks the next. The owner, busy for longer than an unanswered ping (250 ms) or paused, still holds the claim request and may store it later. The release went to the first instance that accepted it, found nothing there, and the owner that stored the claim never learned of it. Change: a release goes on to each other instance that was asked, repeated for 30 s to one that doesn't accept it. Ruled out: that the release is lost on its way; that the owner forgets a release (it remembers it, but is not asked).

--- a/src/ops/dispatch/once.rs
+++ b/src/ops/dispatch/once.rs
@@ -61,6 +61,8 @@
     claim: ClaimRef,
     token: ClaimToken,
     deadline: Time,
+    /// Instances that were asked for the claim; each of them may store it, now or later.
+    asked: Vec<Name>,
 }
 
 /// Why a call's idempotency key can't be used.
@@ -125,11 +127,12 @@
         Ok(key) => key,
         Err(invalid) => return Err(invalid.refuse(call.unsent)),
     };
-    let claimed = ClaimedCall {
+    let mut claimed = ClaimedCall {
         dispatch: dispatch.clone(),
         claim: ClaimRef::new(&call.product, service, &key),
         token: ClaimToken(Uuid::new_v4()),
         deadline,
+        asked: Vec::new(),
     };
     let fingerprint = Fingerprint::new(&call.method, &call.path, &call.body);
     match claimed.claim(call.unsent, fingerprint).await {
@@ -149,7 +152,7 @@
 
 impl ClaimedCall {
     /// Asks the owners in order until one decides on the claim.
-    async fn claim(&self, unsent: Unsent, fingerprint: Fingerprint) -> EntryStep<Unsent> {
+    async fn claim(&mut self, unsent: Unsent, fingerprint: Fingerprint) -> EntryStep<Unsent> {
         let owners = self.dispatch.ranked_owners(self.claim.bucket.shard);
         let now = clock::now();
         let entry = EntryClaim::new(
@@ -163,6 +166,7 @@
         );
         let mut step = entry.begin(clock::clocks());
         while let EntryStep::Ask(entry, owner, request) = step {
+            self.asked.push(owner.clone());
             let event = self.dispatch.request_claim(&owner, request).await;
             if matches!(event, EntryEvent::NoAnswer) {
                 log_event!(warn, log_event::OWNER_SILENT, %owner, shard = self.claim.bucket.shard);
@@ -266,10 +270,21 @@
             token: self.token,
             change,
         };
+        let asked = match edit.change {
+            Change::Release => self.asked.clone(),
+            Change::Finish(_) | Change::Unknown => Vec::new(),
+        };
         // A shutdown waits until the report has ended.
         let running = dispatch.shared.begin_work();
         actix::spawn(async move {
-            dispatch.send_edit(bucket, edit).await;
+            let accepted_by = dispatch.send_edit(bucket, &edit).await;
+            let others = asked
+                .into_iter()
+                .filter(|name| Some(name) != accepted_by.as_ref());
+            for owner in others {
+                let (dispatch, edit) = (dispatch.clone(), edit.clone());
+                actix::spawn(async move { dispatch.repeat_edit(&owner, bucket, &edit).await });
+            }
             drop(running);
         })
     }
--- a/src/ops/dispatch/owners.rs
+++ b/src/ops/dispatch/owners.rs
@@ -37,6 +37,12 @@
 /// a query.
 const OWNER_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// How long the release of a claim is repeated to an instance that was asked for the claim and does not answer.
+const REPEAT_LIMIT: Duration = Duration::from_secs(30);
+
+/// Pause between two of these attempts.
+const REPEAT_PAUSE: Duration = Duration::from_secs(1);
+
 impl Dispatch {
     /// Instances to ask about a shard, in order. Other instances that are leaving are left out; this one comes last if
     /// it is leaving.
@@ -106,19 +112,43 @@
         Verdict::Unavailable(OWNER_TIMEOUT)
     }
 
-    /// Sends the change of a claim to its owner. If no owner accepts it, the claim stays granted, and its status is
-    /// reported as unknown.
-    pub(super) async fn send_edit(&self, bucket: BucketId, edit: Edit) {
+    /// Sends the change of a claim to its owner and returns the instance that accepted it. If none does, the claim stays
+    /// granted, and its status is reported as unknown.
+    pub(super) async fn send_edit(&self, bucket: BucketId, edit: &Edit) -> Option<Name> {
         for owner in self.ranked_owners(bucket.shard) {
-            if owner == self.shared.settings.name {
-                self.control.claims.do_send(EditClaim(bucket, edit));
-                return;
+            if self.try_edit(&owner, bucket, edit).await {
+                return Some(owner);
             }
-            let request = Request::Edit(bucket, edit.clone());
-            if let Some(Response::Accepted) = self.call_owner(&owner, request, OWNER_TIMEOUT).await {
+        }
+        None
+    }
+
+    /// Sends the change of a claim to this owner until it accepts it, is no longer listed, or [`REPEAT_LIMIT`] has
+    /// passed.
+    ///
+    /// Failure guarded against: an instance that was asked for a claim and did not answer stores it after another
+    /// instance accepted its release and found nothing to free. The request was refused as not run, and each repeat is
+    /// told that its key is in use. Whatever the order in which the instance receives the claim request and the
+    /// release, it then frees the claim.
+    pub(super) async fn repeat_edit(&self, owner: &Name, bucket: BucketId, edit: &Edit) {
+        let end = clock::now() + REPEAT_LIMIT;
+        while !self.try_edit(owner, bucket, edit).await {
+            if self.peer_address(owner).is_none() || clock::now() >= end {
                 return;
             }
+            tokio::time::sleep(REPEAT_PAUSE).await;
+        }
+    }
+
+    /// Sends the change of a claim to this owner once; returns whether it accepted it.
+    async fn try_edit(&self, owner: &Name, bucket: BucketId, edit: &Edit) -> bool {
+        if *owner == self.shared.settings.name {
+            self.control.claims.do_send(EditClaim(bucket, edit.clone()));
+            return true;
         }
+        let request = Request::Edit(bucket, edit.clone());
+        let answer = self.call_owner(owner, request, OWNER_TIMEOUT).await;
+        matches!(answer, Some(Response::Accepted))
     }
 
     /// Calls a peer; returns `None` if it is unreachable or stops answering pings.
--- a/tests/testsuite/claims/faults.rs
+++ b/tests/testsuite/claims/faults.rs
@@ -11,12 +11,16 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use sequoiastream_core::claims::Bucket;
+use sequoiastream_core::claims::Candidate;
 use sequoiastream_core::claims::ClaimRef;
+use sequoiastream_core::claims::Owners;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::time::Time;
 use sequoiastream_kv::EntryBody;
 use sequoiastream_standin::platform::Fault;
 use sequoiastream_standin::platform::Stats;
 use sequoiastream_testsupport::fleet::Fleet;
+use sequoiastream_testsupport::fleet::KEY;
 use sequoiastream_testsupport::http;
 use sequoiastream_testsupport::http::Reply;
 use tokio::sync::watch;
@@ -29,6 +33,7 @@
 use super::client::seeds_or;
 use super::client::start_fleet;
 use super::client::start_three_daemons;
+use super::client::status;
 use crate::support::fleet;
 
 const CALLERS: usize = 8;
@@ -365,6 +370,69 @@
     assert_eq!(runs(&fleet).await.get(&refused_key), Some(&1));
 }
 
+/// Guards against a claim that outlives its refused order: the owner that was asked first is paused and stores the
+/// claim when it resumes, after another instance took its release and found nothing to free. Every repeat of an order
+/// that was answered "not run" would be told that its key is in use.
+#[actix_web::test]
+async fn order_owner_resumes_after_refusal() {
+    // A single traffic thread, so that the connection over which the claim is requested is open before the pause.
+    let fleet = start_fleet(fleet().daemons(2).plain(1).daemon_arg("--workers=1")).await;
+    order(&fleet, 1, &new_key_owned_by("i0"), "pellets").await;
+    let outage = Fault {
+        outage: true,
+        ..Fault::default()
+    };
+    let key = new_key_owned_by("i0");
+    let verdicts = claim_verdict_count(&fleet, 0).await;
+    fleet.platform_fault(&outage).await;
+    fleet.daemons[0].signal("STOP");
+    let refused = order(&fleet, 1, &key, "pellets").await;
+    assert_eq!(
+        (refused.status, refused.outcome.as_deref()),
+        (503, Some("not-run"))
+    );
+    fleet.platform_fault(&Fault::default()).await;
+    http::until("the other instance has read the bucket", || async {
+        let state = status(&fleet, 1, &key, KEY).await["state"].clone();
+        (state == "never-seen").then_some(())
+    })
+    .await;
+    fleet.daemons[0].signal("CONT");
+    http::until("the paused owner has answered", || async {
+        (claim_verdict_count(&fleet, 0).await > verdicts).then_some(())
+    })
+    .await;
+    http::until("the order goes through", || async {
+        let reply = order(&fleet, 0, &key, "pellets").await;
+        (reply.outcome.as_deref() == Some("whole")).then_some(())
+    })
+    .await;
+    assert_eq!(runs(&fleet).await.get(&key), Some(&1));
+}
+
+/// Creates an idempotency key of a shard that instance `owner` owns in a fleet of `i0` and `i1`.
+fn new_key_owned_by(owner: &str) -> String {
+    let name = |text| Name::new(text).expect("a name");
+    let names = ["i0", "i1"].map(name);
+    let is_owned = |key: &String| {
+        let key = key.parse().expect("a UUIDv7");
+        let shard = ClaimRef::new(&name("dispatch"), &name("ordini"), &key)
+            .bucket
+            .shard;
+        let candidates = names.iter().map(|name| Candidate { name, heard: true });
+        let ranked = Owners::default().ranked(candidates, shard, Time::ZERO);
+        ranked[0].as_str() == owner
+    };
+    let keys = std::iter::repeat_with(new_key);
+    keys.into_iter().find(is_owned).expect("the sequence is endless")
+}
+
+/// Number of claim requests that daemon `index` has granted or refused as owner.
+async fn claim_verdict_count(fleet: &Fleet, index: usize) -> f64 {
+    let metric = |verdict| format!("sequoiastream_claim_verdicts_total{{verdict=\"{verdict}\"}}");
+    fleet.metric(index, &metric("granted")).await + fleet.metric(index, &metric("out")).await
+}
+
 /// The write of a claim takes effect, but its answer is lost. The order must nevertheless run, and run once: the owner
 /// reads the bucket and finds the claim that it wrote.
 #[actix_web::test]
