Let a peer's contact confirm only the version that the peer has

What callers saw: by reading, an instance that resumes after a pause, or is cut off from the key-value service, sends requests to an engine that was drained, although a peer's heartbeat has told it of the later version. Cause: a peer's contact with the key-value service confirms the version that the peer has in force. It was taken as confirming this instance's, also while that was older and the change was still being fetched; likewise all being heard was taken as proof that no change was accepted. (Product at fault; class: evidence counted for what it doesn't show.) Change: a contact counts only with a report whose version is not later than ours; what an earlier report confirmed still counts up to the stale limit. No `outage` while a peer has a later version. Evidence: membership::judge_peer_ahead and a case of judge_cases, red before (`Current`, `Outage`), green with it; claims::, membership::, config_fleet::, together::, shutdown:: 89 of 89. Why it holds: an instance that is behind has no evidence until it has the version, which its peer sends at once.

--- a/crates/core/src/membership/member_table.rs
+++ b/crates/core/src/membership/member_table.rs
@@ -153,7 +153,7 @@
     listed: Option<MemberState>,
     /// When it last reported about itself, by our clock.
     heard: Option<Time>,
-    /// When it last had a response from the key-value service, by our clock.
+    /// When it last had a response from the key-value service that confirmed our version, by our clock.
     kv_contact: Option<Time>,
 }
 
@@ -167,14 +167,20 @@
         }
     }
 
-    /// Records what the member reported about itself at `at`, unless a later report is known. Returns whether the
-    /// state, version or address for callers changed, or the member was not heard from before.
-    fn update(&mut self, at: Time, info: InstanceInfo) -> bool {
+    /// Records what the member reported about itself at `at`, unless a later report is known; `ours` is the version in
+    /// force here. Returns whether the state, version or address for callers changed, or the member was not heard from
+    /// before.
+    ///
+    /// Failure guarded against: a member's contact with the key-value service confirms the member's version. Taken as
+    /// confirming an older one, it lets this instance send work to an engine that was drained.
+    fn update(&mut self, at: Time, info: InstanceInfo, ours: Version) -> bool {
         let order = |a: &InstanceInfo| (a.incarnation, a.number);
         if self.heard.is_some() && order(&info) <= order(&self.info) {
             return false;
         }
-        self.kv_contact = self.kv_contact.max(ago(at, info.silence));
+        if info.version <= ours {
+            self.kv_contact = self.kv_contact.max(ago(at, info.silence));
+        }
         let matters = |a: &InstanceInfo| (a.state, a.version, a.address);
         let changed = self.heard.is_none() || matters(&info) != matters(&self.info);
         self.heard = self.heard.max(Some(at));
@@ -350,6 +356,7 @@
         let contacts = heard.clone().filter_map(|m| m.kv_contact);
         let contacts = contacts.filter(|at| resumed_at.is_none_or(|resumed| *at > resumed));
         let missing = |m: &&Member| m.state() == MemberState::Live && !is_heard(m);
+        let ahead = |m: &&Member| is_heard(m) && m.info.version > self.local.info.version;
         let own = self
             .kv_contact
             .filter(|at| resumed_at.is_none_or(|resumed| *at >= resumed));
@@ -359,6 +366,7 @@
             peer_contact: contacts.max().map(|at| now.since(at)),
             heard: heard.count(),
             silent: self.members.values().filter(missing).count(),
+            ahead: self.members.values().filter(ahead).count(),
         }
     }
 
@@ -442,7 +450,7 @@
     fn record_info(&mut self, at: Time, name: Name, info: InstanceInfo) -> bool {
         let member = self.members.entry(name);
         let member = member.or_insert_with(|| Member::new(info.clone()));
-        member.update(at, info)
+        member.update(at, info, self.local.info.version)
     }
 
     /// Records that the list showed the upstream as leaving at `at`. Ages only grow as notices are passed on between
--- a/crates/core/src/membership/standing.rs
+++ b/crates/core/src/membership/standing.rs
@@ -25,9 +25,11 @@
     #[default]
     Current,
     /// Neither this instance nor any peer it hears from reaches the key-value service, but all instances on the last
-    /// list are heard from: no change can have been accepted, since every change goes through an instance.
+    /// list are heard from and have no later version: no change can have been accepted, since every change goes through
+    /// an instance.
     Outage,
-    /// As for `Outage`, but an instance on the last list is silent, and the policy is [`PartitionPolicy::Serve`].
+    /// As for `Outage`, but an instance on the last list is silent or an instance has a later version, and the policy is
+    /// [`PartitionPolicy::Serve`].
     Guessing,
     /// As for `Guessing`, but the policy is [`PartitionPolicy::Stop`].
     Cut,
@@ -59,6 +61,8 @@
     /// Number of silent instances among those on the last list or heard from since; this instance and those that are
     /// leaving are not counted.
     pub silent: usize,
+    /// Number of peers heard from recently that have a later version of the configuration in force.
+    pub ahead: usize,
 }
 
 /// Determines the standing of an instance. `stale_after` is the maximum time since the configuration was last
@@ -75,7 +79,7 @@
     if confirmed.is_some_and(|since| since <= stale_after) {
         return Standing::Current;
     }
-    if reachability.listed && reachability.silent == 0 {
+    if reachability.listed && reachability.silent == 0 && reachability.ahead == 0 {
         return Standing::Outage;
     }
     if reachability.heard == 0 {
--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -72,11 +72,16 @@
         listed: true,
         heard,
         silent,
+        ahead: 0,
     };
     let unlisted = Reachability {
         listed: false,
         ..reachability(None, None, 2, 0)
     };
+    let behind = Reachability {
+        ahead: 1,
+        ..reachability(old, old, 7, 0)
+    };
     let cases = [
         (
             "hears the service",
@@ -101,6 +106,7 @@
         ("one is silent", reachability(old, old, 6, 1), Standing::Cut),
         ("hears nobody", reachability(old, None, 0, 7), Standing::Isolated),
         ("never had a list", unlisted, Standing::Cut),
+        ("all are heard, one has a later version", behind, Standing::Cut),
     ];
     for (case, reachability, expected) in cases {
         assert_eq!(
@@ -527,3 +533,54 @@
     members.on(at(9_100), Event::KvContact(at(9_050)));
     assert_eq!(members.roster(at(9_100)).standing, Standing::Current);
 }
+
+/// Guards against a peer's contact with the key-value service confirming an older version than the peer's. An instance
+/// that resumes after a pause hears from a peer that an engine was drained meanwhile, and would send it the requests
+/// that waited until it has fetched the change.
+#[test]
+fn judge_peer_ahead() {
+    let name = |text| Name::new(text).expect("a name");
+    let info = |port: u16| {
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        InstanceInfo::new(1, name("lodi-a"), address, address)
+    };
+    let beat = |number, version| Heartbeat {
+        info: InstanceInfo {
+            number,
+            version: Version(version),
+            silence: 0,
+            ..info(81)
+        },
+        rumors: Vec::new(),
+        notices: Vec::new(),
+    };
+    let myself = LocalInstance {
+        name: name("me"),
+        info: info(80),
+        seed: 1,
+    };
+    let at = Time::from_millis;
+    let mut members = MemberTable::new(myself, Limits::default());
+    let listing = Listing {
+        name: name("peer"),
+        zone: name("lodi-a"),
+        address: info(81).address,
+        peer_address: info(81).peer_address,
+        state: MemberState::Live,
+    };
+    members.on(at(0), Event::Listed(vec![listing]));
+    members.on(at(0), Event::InForce(Version(1)));
+    members.on(at(0), Event::KvContact(at(0)));
+    members.on(at(100), Event::Heartbeat(name("peer"), beat(1, 1)));
+
+    members.on(at(9_000), Event::Tick);
+    members.on(at(10_500), Event::Heartbeat(name("peer"), beat(2, 2)));
+    let standing = members.roster(at(10_500)).standing;
+    assert!(
+        !standing.accepts_work(),
+        "{standing:?} without the peer's version"
+    );
+    members.on(at(10_600), Event::InForce(Version(2)));
+    members.on(at(11_500), Event::Heartbeat(name("peer"), beat(3, 2)));
+    assert_eq!(members.roster(at(11_500)).standing, Standing::Current);
+}
