Ask whether a request may be sent once the engine is connected

What callers saw: an instance that was paused while an engine was drained sends requests to it when it resumes (membership::drain_paused_instance, "the drained engine got work"). Cause: whether the configuration is confirmed was asked when the engine was picked; the request then waited for its connection to the engine. A pause that falls into that wait is not noticed: the connection stands when the instance resumes, and the request is sent by the decision from before. Change: a request of which nothing was delivered goes out by a client that asks again when the connection stands, and closes it unused if the configuration is not confirmed: not started. An answer that was begun goes on, as before. actix-service and actix-tls, named for it, were in the tree already, below awc. Why it holds: nothing waits between the question and the first byte but the thread itself.

--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -7,10 +7,15 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use actix_rt::net::TcpStream;
+use actix_service::Service;
+use actix_tls::connect::ConnectInfo;
+use actix_tls::connect::Connection;
 use awc::Client;
 use awc::Connector;
 use awc::error::ConnectError;
 use awc::error::SendRequestError;
+use awc::http::Uri;
 use awc::http::header::HeaderMap;
 use bytes::Bytes;
 use futures_util::Stream;
@@ -21,6 +26,8 @@
 
 use crate::error::UpstreamError;
 use crate::lines::LineReader;
+use crate::permit::Permit;
+use crate::permit::PermitConnector;
 use crate::wire::CacheEvent;
 use crate::wire::CancelBody;
 use crate::wire::GenerateBody;
@@ -85,6 +92,15 @@
         EngineClient { http: http_client() }
     }
 
+    /// Creates a client with its own connection pool that asks for `permit` whenever a connection was established. A
+    /// request that is then not permitted fails with [`UpstreamError::Connect`]: nothing was sent.
+    pub fn with_permit(permit: Permit) -> EngineClient {
+        let connector = Connector::new().connector(PermitConnector::new(permit));
+        EngineClient {
+            http: client_with(connector),
+        }
+    }
+
     /// Starts an attempt. The core validates the stream's pieces; this client doesn't.
     ///
     /// # Errors
@@ -242,8 +258,20 @@
 
 /// Creates an HTTP client that follows no redirects: following one would send a request twice.
 pub(crate) fn http_client() -> Client {
+    client_with(Connector::new())
+}
+
+fn client_with<S>(connector: Connector<S>) -> Client
+where
+    S: Service<
+            ConnectInfo<Uri>,
+            Response = Connection<Uri, TcpStream>,
+            Error = actix_tls::connect::ConnectError,
+        > + Clone
+        + 'static,
+{
     Client::builder()
-        .connector(Connector::new().timeout(CONNECT_TIMEOUT).limit(0))
+        .connector(connector.timeout(CONNECT_TIMEOUT).limit(0))
         .disable_redirects()
         .disable_timeout()
         .finish()
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 pub mod events;
 mod lines;
+mod permit;
 mod plain;
 pub mod wire;
 
@@ -16,6 +17,7 @@
 pub use engine::Probe;
 pub use error::UpstreamError;
 pub use lines::LineReader;
+pub use permit::Permit;
 pub use plain::PlainCall;
 pub use plain::PlainClient;
 pub use plain::PlainReply;
--- a/src/ops/dispatch/generate.rs
+++ b/src/ops/dispatch/generate.rs
@@ -186,7 +186,8 @@
     /// delivered is always continued.
     ///
     /// Failure guarded against: an instance is paused after it admitted a request and before it sends it; meanwhile
-    /// operators drain an engine, and the instance sends the request there when it resumes.
+    /// operators drain an engine, and the instance sends the request there when it resumes. [`Self::send`] asks again
+    /// once it is connected to the engine.
     fn may_pick(&self) -> bool {
         self.last_token.is_some() || self.dispatch.shared.is_confirmed()
     }
@@ -246,7 +247,11 @@
             return Event::AttemptFailed(send.attempt, Failure::NotStarted);
         };
         self.sent = self.unsent.take().map(Unsent::send);
-        let generated = self.dispatch.engine_client.generate(open.target.address, &body);
+        let client = match self.last_token {
+            Some(_) => &self.dispatch.engine_client,
+            None => &self.dispatch.permit_client,
+        };
+        let generated = client.generate(open.target.address, &body);
         let result = tokio::select! {
             result = generated => result,
             () = self.sender.closed() => return Event::CallerGone,
--- a/src/ops/dispatch/mod.rs
+++ b/src/ops/dispatch/mod.rs
@@ -12,6 +12,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -59,6 +60,8 @@
     shared: Arc<Shared>,
     control: Control,
     engine_client: EngineClient,
+    /// Client for requests of which nothing was delivered: they are sent only while the configuration is confirmed.
+    permit_client: EngineClient,
     plain_client: PlainClient,
     peer_client: CallClient,
 }
@@ -67,10 +70,12 @@
     /// Creates a dispatcher with its own connection pools.
     pub fn new(shared: Arc<Shared>, control: Control) -> Dispatch {
         let peer_client = CallClient::new(ClusterKey::new(&shared.settings.cluster_key));
+        let state = shared.clone();
         Dispatch {
             shared,
             control,
             engine_client: EngineClient::new(),
+            permit_client: EngineClient::with_permit(Rc::new(move || state.is_confirmed())),
             plain_client: PlainClient::new(),
             peer_client,
         }
--- a/tests/testsuite/upstream.rs
+++ b/tests/testsuite/upstream.rs
@@ -1,15 +1,20 @@
 //! The upstream client: what it may report about a request that failed.
 
+use std::cell::RefCell;
 use std::io::Read;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::rc::Rc;
 use std::thread;
 use std::time::Duration;
 
 use actix_web::http::Method;
+use sequoiastream_upstream::EngineClient;
 use sequoiastream_upstream::PlainCall;
 use sequoiastream_upstream::PlainClient;
 use sequoiastream_upstream::UpstreamError;
+use sequoiastream_upstream::wire::GenerateBody;
+use uuid::Uuid;
 
 /// An upstream that reads the whole request and closes the connection without an answer.
 fn close_after_request() -> SocketAddr {
@@ -62,3 +67,40 @@
         .await;
     assert!(matches!(result, Err(UpstreamError::Connect(_))), "{result:?}");
 }
+
+/// Guards against a request that reaches a drained engine: the instance is paused while it connects to the engine, the
+/// engine is drained meanwhile, and the instance sends the request when it resumes, as it decided before the pause.
+#[actix_web::test]
+async fn generate_permit_lost_while_connecting() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    listener.set_nonblocking(true).expect("an option of sockets");
+    let accepted = Rc::new(RefCell::new(None));
+    let connection = accepted.clone();
+    let client = EngineClient::with_permit(Rc::new(move || {
+        let (stream, _) = listener.accept().expect("asked once it is connected");
+        *connection.borrow_mut() = Some(stream);
+        false
+    }));
+    let body = GenerateBody {
+        attempt: Uuid::from_u128(1),
+        model: "m".to_string(),
+        prompt: "short turn".to_string(),
+        limit: 3,
+        seed: 1,
+        offset: 0,
+        version: None,
+        prefix: None,
+        priority: 0,
+        import: None,
+    };
+    let generated = tokio::time::timeout(Duration::from_secs(5), client.generate(address, &body)).await;
+    let result = generated.expect("no answer is awaited without a permit");
+    let error = result.expect_err("not permitted");
+    assert!(error.is_not_started(), "{error:?}");
+    let mut stream = accepted.take().expect("the permit was asked for");
+    stream.set_nonblocking(false).expect("an option of sockets");
+    let mut seen = Vec::new();
+    stream.read_to_end(&mut seen).expect("the connection is closed");
+    assert_eq!(seen, b"", "sent without a permit");
+}
