End each notice of a leaving upstream, however it is passed on

An upstream that was back under its address got no work from the whole fleet for longer than the 30 s for which a notice counts. The age in a heartbeat excludes the message's transit time, and a table kept the latest time that it computed: a notice became younger each time it was passed on, and an instance that read its messages late renewed it for all.

Notices for an upstream now carry a number, whichever instance made them. An instance that reads the list takes a number higher than the last one that it knows. A higher number replaces a lower one; the same number can only become older; a lower one counts for nothing. So what goes round, or is read late, renews nothing, and each reading of the list does. A first number is the wall clock; an instance whose clock is behind learns the higher number from its peers, to which notices are sent for 5 minutes, and an own reading is kept over an older one with a higher number. Notices are forgotten after 10 minutes; heartbeats carry 12 at most, as before. Heartbeats without notices are as before; those with notices can't be exchanged with instances of an older version.

--- a/crates/core/src/membership/member_table.rs
+++ b/crates/core/src/membership/member_table.rs
@@ -1,7 +1,6 @@
 //! The table of known instances, updated from heartbeats and the platform's lists; the source of outgoing heartbeats.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,7 +11,6 @@
 use crate::config::Version;
 use crate::membership::Heartbeat;
 use crate::membership::InstanceInfo;
-use crate::membership::LeavingNotice;
 use crate::membership::MemberState;
 use crate::membership::PartitionPolicy;
 use crate::membership::Peer;
@@ -20,6 +18,7 @@
 use crate::membership::Roster;
 use crate::membership::Rumor;
 use crate::membership::evaluate_standing;
+use crate::membership::notices::Notices;
 use crate::name::Name;
 use crate::time::Time;
 
@@ -30,12 +29,6 @@
 /// Estimated size of a rumor without its names, in bytes.
 const RUMOR_BASE_BYTES: usize = 72;
 
-/// How long an upstream counts as leaving after the platform's list last showed it as leaving.
-const NOTICE_TTL: Duration = Duration::from_secs(30);
-
-/// Maximum number of notices in a heartbeat.
-const MAX_NOTICES: usize = 12;
-
 /// Number of peers that are notified at once of a new version or of a shutdown: all peers in a small fleet.
 const URGENT_FANOUT: usize = 16;
 
@@ -194,7 +187,7 @@
     local: LocalInstance,
     limits: Limits,
     members: BTreeMap<Name, Member>,
-    notices: BTreeMap<SocketAddr, Time>,
+    notices: Notices,
     kv_contact: Option<Time>,
     listed: bool,
     cursor: Option<Name>,
@@ -214,7 +207,7 @@
             local,
             limits,
             members: BTreeMap::new(),
-            notices: BTreeMap::new(),
+            notices: Notices::default(),
             kv_contact: None,
             listed: false,
             cursor: None,
@@ -230,8 +223,13 @@
         match event {
             Event::Listed(list) => self.on_list(now, list),
             Event::Leaving(addresses) => {
+                let wall = self
+                    .local
+                    .info
+                    .incarnation
+                    .saturating_add(now.as_micros() / 1_000);
                 for address in addresses {
-                    self.record_notice(address, now);
+                    self.notices.on_listed(now, address, wall);
                 }
             }
             Event::Heartbeat(name, heartbeat) => self.on_heartbeat(now, name, heartbeat),
@@ -248,7 +246,7 @@
                 self.send(now, URGENT_FANOUT);
             }
             Event::Tick => {
-                self.notices.retain(|_, at| now.since(*at) <= NOTICE_TTL);
+                self.notices.prune(now);
                 self.send(now, self.limits.fanout);
                 self.actions.push(Action::Publish);
             }
@@ -294,7 +292,7 @@
         Roster {
             local: Some(local),
             peers: peers.collect(),
-            leaving: self.leaving(now),
+            leaving: self.notices.leaving(now),
             standing: evaluate_standing(
                 &self.reachability(now),
                 self.limits.stale_after,
@@ -347,14 +345,6 @@
         }
     }
 
-    fn leaving(&self, now: Time) -> BTreeSet<SocketAddr> {
-        let fresh = self
-            .notices
-            .iter()
-            .filter(|(_, at)| now.since(**at) <= NOTICE_TTL);
-        fresh.map(|(address, _)| *address).collect()
-    }
-
     fn on_list(&mut self, now: Time, list: Vec<Listing>) {
         self.listed = true;
         for member in self.members.values_mut() {
@@ -399,7 +389,7 @@
         if name == self.local.name {
             return;
         }
-        let (version, notices) = (self.local.info.version, self.notices.len());
+        let (version, leaving) = (self.local.info.version, self.notices.leaving(now));
         if heartbeat.info.version > version {
             self.actions.push(Action::PeerAhead(
                 heartbeat.info.peer_address,
@@ -415,11 +405,9 @@
             }
         }
         for notice in heartbeat.notices {
-            if let Some(at) = ago(now, notice.age) {
-                self.record_notice(notice.address, at);
-            }
+            self.notices.on_received(now, notice);
         }
-        if changed || self.notices.len() != notices {
+        if changed || self.notices.leaving(now) != leaving {
             self.actions.push(Action::Publish);
         }
     }
@@ -430,13 +418,6 @@
         member.update(at, info)
     }
 
-    /// Records that the list showed the upstream as leaving at `at`. Ages only grow as notices are passed on between
-    /// instances, so a notice expires once the list no longer shows it.
-    fn record_notice(&mut self, address: SocketAddr, at: Time) {
-        let known = self.notices.entry(address).or_insert(at);
-        *known = (*known).max(at);
-    }
-
     fn send(&mut self, now: Time, count: usize) {
         self.local.info.number += 1;
         self.local.info.silence = self.kv_contact.map_or(u32::MAX, |at| millis(now.since(at)));
@@ -444,7 +425,7 @@
         let heartbeat = Heartbeat {
             info: self.local.info.clone(),
             rumors: self.rumors(now),
-            notices: self.notices(now),
+            notices: self.notices.to_send(now),
         };
         let sends = chosen.into_iter().map(|to| Action::Send(to, heartbeat.clone()));
         self.actions.extend(sends);
@@ -501,21 +482,6 @@
         self.cursor = rumors.last().map(|r| r.name.clone());
         rumors
     }
-
-    /// The most recent notices, up to [`MAX_NOTICES`].
-    fn notices(&self, now: Time) -> Vec<LeavingNotice> {
-        let mut notices: Vec<LeavingNotice> = self
-            .notices
-            .iter()
-            .map(|(address, at)| LeavingNotice {
-                address: *address,
-                age: millis(now.since(*at)),
-            })
-            .collect();
-        notices.sort_by_key(|notice| notice.age);
-        notices.truncate(MAX_NOTICES);
-        notices
-    }
 }
 
 fn rumor(now: Time, name: &Name, member: &Member) -> Rumor {
@@ -528,11 +494,11 @@
 
 /// The time `age` milliseconds before `now`; `None` if that is before our clock started. An age of `u32::MAX` means
 /// never.
-fn ago(now: Time, age: u32) -> Option<Time> {
+pub(super) fn ago(now: Time, age: u32) -> Option<Time> {
     let age = Duration::from_millis(u64::from(age));
     (now.since(Time::ZERO) >= age).then(|| now - age)
 }
 
-fn millis(duration: Duration) -> u32 {
+pub(super) fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -6,6 +6,7 @@
 
 mod heartbeat;
 mod member_table;
+mod notices;
 mod rank;
 mod roster;
 mod standing;
--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -1,10 +1,16 @@
 //! Membership: which instances are reachable, which may accept work, and which are advertised to callers.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::ops::Range;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 use std::time::Instant;
 
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use sequoiastream_caller::AddressBody;
 use sequoiastream_core::config::Version;
 use sequoiastream_core::membership::Action;
@@ -12,6 +18,7 @@
 use sequoiastream_core::membership::Event;
 use sequoiastream_core::membership::Heartbeat;
 use sequoiastream_core::membership::InstanceInfo;
+use sequoiastream_core::membership::LeavingNotice;
 use sequoiastream_core::membership::Limits;
 use sequoiastream_core::membership::Listing;
 use sequoiastream_core::membership::LocalInstance;
@@ -35,6 +42,8 @@
 use sequoiastream_testsupport::http;
 use serde_json::Value;
 
+use crate::claims::client::PrintSeedOnPanic;
+use crate::claims::client::seeds_or;
 use crate::support::column;
 use crate::support::quick_fleet;
 use crate::support::quick_fleet_keeping;
@@ -501,3 +510,339 @@
     members.on(at(10_500), Event::Heartbeat(peer, beat(3)));
     assert_eq!(members.roster(at(10_500)).standing, Standing::Current);
 }
+
+/// How long an upstream counts as leaving after it was last listed as leaving.
+const NOTICE_TTL: Duration = Duration::from_secs(30);
+
+/// Start of the runs with notices.
+const START: Time = Time::from_millis(3_600_000);
+
+/// Step of the runs with notices.
+const STEP: Duration = Duration::from_millis(20);
+
+/// An upstream that is leaving.
+fn upstream() -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 3], 80))
+}
+
+/// The table of one of `count` instances that know each other; `incarnation` is its start by its wall clock.
+fn member_table(index: usize, count: usize, incarnation: u64) -> MemberTable {
+    let address = |i: usize| SocketAddr::from(([10, 0, 0, 1], 10_000 + i as u16));
+    let local = LocalInstance {
+        name: name(&format!("i{index}")),
+        info: InstanceInfo::new(incarnation, name("a"), address(index), address(index)),
+        seed: index as u64,
+    };
+    let listing = |i: usize| Listing {
+        name: name(&format!("i{i}")),
+        zone: name("a"),
+        address: address(i),
+        peer_address: address(i),
+        state: MemberState::Live,
+    };
+    let mut table = MemberTable::new(local, Limits::default());
+    table.on(START, Event::Listed((0..count).map(listing).collect()));
+    table
+}
+
+/// Instances that send heartbeats to each other, all on one monotonic clock.
+struct NoticeRun {
+    tables: Vec<MemberTable>,
+    rng: ChaCha8Rng,
+    /// Time of a message on its way, in milliseconds, drawn for each.
+    transit: RangeInclusive<u64>,
+    /// Fraction of the messages that are lost.
+    loss: f64,
+    /// The last instance reads messages that arrive within this time only at its end.
+    late: Range<Time>,
+    /// Recipient, sender and message, in the order of arrival.
+    messages: BTreeMap<(Time, usize), (usize, Name, Heartbeat)>,
+    sent: usize,
+    /// For each instance, how often it stopped counting the upstream as leaving, and when it last counted it so.
+    spans: Vec<(usize, Time)>,
+}
+
+impl NoticeRun {
+    fn new(count: usize, millis: u64) -> NoticeRun {
+        NoticeRun {
+            tables: (0..count).map(|i| member_table(i, count, 1_000)).collect(),
+            rng: ChaCha8Rng::seed_from_u64(1),
+            transit: millis..=millis,
+            loss: 0.0,
+            late: START..START,
+            messages: BTreeMap::new(),
+            sent: 0,
+            spans: vec![(0, Time::ZERO); count],
+        }
+    }
+
+    fn handle(&mut self, now: Time, index: usize, event: Event) {
+        for action in self.tables[index].on(now, event) {
+            let Action::Send(to, beat) = action else { continue };
+            let to = usize::from(to.port() - 10_000);
+            let transit = self.rng.random_range(self.transit.clone());
+            let is_lost = self.rng.random_bool(self.loss);
+            if is_lost {
+                continue;
+            }
+            let mut arrival = now + Duration::from_millis(transit);
+            if to + 1 == self.tables.len() && self.late.contains(&arrival) {
+                arrival = self.late.end;
+            }
+            let message = (to, name(&format!("i{index}")), beat);
+            self.messages.insert((arrival, self.sent), message);
+            self.sent += 1;
+        }
+    }
+
+    /// Runs for `time`. Those of `listers` see the upstream as leaving, each second until `listed`. Returns for how
+    /// long after that any instance last counted it as leaving.
+    fn run(&mut self, time: Duration, listers: Range<usize>, listed: Duration) -> Duration {
+        let mut now = START;
+        while now <= START + time {
+            while let Some(message) = self.messages.first_entry().filter(|m| m.key().0 <= now) {
+                let (to, from, beat) = message.remove();
+                self.handle(now, to, Event::Heartbeat(from, beat));
+            }
+            for index in 0..self.tables.len() {
+                let phase = STEP * (index as u32 * 7 % 50);
+                if (now.since(START) + phase).as_millis().is_multiple_of(1_000) {
+                    if listers.contains(&index) && now <= START + listed {
+                        self.handle(now, index, Event::Leaving(vec![upstream()]));
+                    }
+                    self.handle(now, index, Event::Tick);
+                }
+            }
+            self.note_leaving(now);
+            now = now + STEP;
+        }
+        let last = self.spans.iter().map(|(_, last)| *last).max();
+        last.expect("an instance").since(START + listed)
+    }
+
+    fn note_leaving(&mut self, now: Time) {
+        for (table, (ends, last)) in self.tables.iter().zip(&mut self.spans) {
+            if table.roster(now).leaving.contains(&upstream()) {
+                *last = now;
+            } else if *last + STEP == now {
+                *ends += 1;
+            }
+        }
+    }
+}
+
+/// Guards against a notice that gets younger each time it is passed on, since its age leaves out its time on the way:
+/// an upstream that is back would get no work from the whole fleet for minutes.
+#[test]
+fn notice_ends_while_relayed() {
+    let cases = [(2, 0), (2, 200), (2, 400), (8, 200), (8, 400)];
+    let run = |(count, millis)| {
+        let mut run = NoticeRun::new(count, millis);
+        run.run(Duration::from_secs(300), 0..1, Duration::ZERO)
+    };
+    let lasted = cases.map(run);
+    let range = NOTICE_TTL..=NOTICE_TTL + Duration::from_secs(2);
+    assert!(lasted.iter().all(|l| range.contains(l)), "{cases:?}: {lasted:?}");
+}
+
+/// Guards against an instance that reads its messages late and takes the old notices in them for recent ones: it would
+/// renew them for the whole fleet, whichever instance made them.
+#[test]
+fn notice_ends_read_late() {
+    // Who lists the upstream as leaving, until which second, and the second from which messages are late.
+    let cases = [
+        (0..1, 0, 12),
+        (0..1, 0, 0),
+        (0..8, 3, 12),
+        (0..7, 8, 12),
+        (0..7, 8, 6),
+    ];
+    let second = Duration::from_secs;
+    let run = |(listers, listed, from)| {
+        let mut run = NoticeRun::new(8, 20);
+        run.late = START + second(from)..START + second(35 + listed);
+        run.run(second(300), listers, second(listed))
+    };
+    let lasted = cases.clone().map(run);
+    let limit = NOTICE_TTL + second(2);
+    assert!(lasted.iter().all(|l| *l <= limit), "{cases:?}: {lasted:?}");
+}
+
+/// Guards against the same failures with any number of listers, any transit times and lost messages, wall clocks up to
+/// an hour apart, and an instance that reads its messages late; and against a notice that ends while it is listed.
+#[test]
+fn notice_ends_drawn() {
+    let second = Duration::from_secs;
+    for seed in seeds_or(0..16) {
+        let _failing = PrintSeedOnPanic(seed);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let count = rng.random_range(2..=12);
+        let mut run = NoticeRun::new(count, 0);
+        for index in 0..count {
+            run.tables[index] = member_table(index, count, rng.random_range(1..3_600_000));
+        }
+        run.transit = rng.random_range(0..=20)..=rng.random_range(20..=500);
+        run.loss = rng.random_range(0.0..0.3);
+        run.rng = ChaCha8Rng::seed_from_u64(seed);
+        let (listers, listed) = (0..rng.random_range(1..count), rng.random_range(0..40));
+        let late = rng.random_range(0..60);
+        run.late = START + second(late)..START + second(late + rng.random_range(0..60));
+        run.run(second(200), listers.clone(), second(listed));
+        let reading = run.late.end;
+        let ends = START + second(listed) + NOTICE_TTL;
+        for (index, (stops, last)) in run.spans.iter().enumerate() {
+            let is_late = index + 1 == count;
+            let limit = match is_late {
+                true => ends.max(reading) + second(4),
+                false => ends + second(4),
+            };
+            assert!(
+                *last <= limit,
+                "i{index} counts it until {last}, {ends} is the end"
+            );
+            let is_whole = *stops == 1 && *last + second(2) >= ends;
+            assert!(
+                is_late || is_whole,
+                "i{index} stops {stops} times, last at {last}"
+            );
+        }
+    }
+}
+
+/// Guards against a notice that is taken for an old one while the upstream is still listed as leaving: the listing
+/// passes from one instance to another whose wall clock is two hours behind, and that one restarts.
+#[test]
+fn notice_renewed_while_listed() {
+    let second = Duration::from_secs;
+    let mut run = NoticeRun::new(4, 200);
+    run.tables[0] = member_table(0, 4, 9_000_000);
+    assert_eq!(run.run(second(5), 0..1, second(5)), Duration::ZERO);
+    run.messages.clear();
+    let beat = |table: &mut MemberTable, now| {
+        let sends = table.on(now, Event::Tick).into_iter();
+        let mut beats = sends.filter_map(|action| match action {
+            Action::Send(_, beat) => Some(beat),
+            _ => None,
+        });
+        beats.next().expect("it sends heartbeats")
+    };
+    let mut lister = run.tables.remove(1);
+    let mut listener = run.tables.remove(1);
+    for s in 6..120 {
+        let now = START + second(s);
+        if s == 60 {
+            let heard = beat(&mut listener, now);
+            lister = member_table(1, 4, 61_000);
+            lister.on(now, Event::Heartbeat(name("i2"), heard));
+        }
+        lister.on(now, Event::Leaving(vec![upstream()]));
+        let sent = beat(&mut lister, now);
+        listener.on(now, Event::Heartbeat(name("i1"), sent));
+        assert!(listener.roster(now).leaving.contains(&upstream()), "second {s}");
+    }
+    let ends = START + second(119) + NOTICE_TTL;
+    assert!(listener.roster(ends).leaving.contains(&upstream()));
+    assert!(listener.roster(ends + second(1)).leaving.is_empty());
+}
+
+/// Guards against an instance that sees the upstream as leaving and takes an older notice, of an instance whose wall
+/// clock is ahead, for a later one.
+#[test]
+fn notice_kept_despite_skew() {
+    let second = Duration::from_secs;
+    let mut run = NoticeRun::new(2, 0);
+    run.tables[0] = member_table(0, 2, 9_000_000);
+    run.handle(START, 0, Event::Leaving(vec![upstream()]));
+    run.handle(START + second(20), 1, Event::Leaving(vec![upstream()]));
+    for now in [25, 26, 27].map(|s| START + second(s)) {
+        run.handle(now, 0, Event::Tick);
+        run.handle(now, 1, Event::Tick);
+        while let Some((_, (to, from, beat))) = run.messages.pop_first() {
+            run.handle(now, to, Event::Heartbeat(from, beat));
+        }
+    }
+    for (index, table) in run.tables.iter().enumerate() {
+        let leaving = |s| table.roster(START + second(s)).leaving.len();
+        assert_eq!((leaving(50), leaving(51)), (1, 0), "instance {index}");
+    }
+}
+
+/// Guards against an instance that restarts with its wall clock behind, sees an upstream leave again, and whose notices
+/// the others take for older than the last one that they know.
+#[test]
+fn notice_renewed_clock_behind() {
+    let second = Duration::from_secs;
+    let mut run = NoticeRun::new(3, 20);
+    run.tables[0] = member_table(0, 3, 9_000_000);
+    let ended = run.run(second(100), 0..1, Duration::ZERO);
+    assert!(ended < second(32), "{ended:?}");
+    run.messages.clear();
+    run.tables[0] = member_table(0, 3, 1_000);
+    let mut leaving_at = None;
+    for s in 100..110 {
+        let now = START + second(s);
+        run.handle(now, 0, Event::Leaving(vec![upstream()]));
+        for index in 0..3 {
+            run.handle(now, index, Event::Tick);
+        }
+        while let Some((_, (to, from, beat))) = run.messages.pop_first() {
+            run.handle(now, to, Event::Heartbeat(from, beat));
+        }
+        let leaves = |t: &MemberTable| t.roster(now).leaving.contains(&upstream());
+        if run.tables.iter().all(leaves) {
+            leaving_at = leaving_at.or(Some(s));
+        }
+    }
+    assert!(leaving_at.is_some_and(|s| s <= 101), "{leaving_at:?}");
+}
+
+/// Guards against an instance that has just started, hears of a notice from before its start, and numbers its own ones
+/// lower.
+#[test]
+fn notice_number_older_than_start() {
+    let mut run = NoticeRun::new(2, 0);
+    let old = LeavingNotice {
+        address: upstream(),
+        age: 4_000_000,
+        number: u64::MAX / 2,
+    };
+    let peer = SocketAddr::from(([10, 0, 0, 1], 10_000));
+    let beat = Heartbeat {
+        info: InstanceInfo::new(1, name("a"), peer, peer),
+        rumors: Vec::new(),
+        notices: vec![old],
+    };
+    run.handle(START, 1, Event::Heartbeat(name("i0"), beat));
+    assert!(run.tables[1].roster(START).leaving.is_empty());
+    run.handle(START, 1, Event::Leaving(vec![upstream()]));
+    run.handle(START, 1, Event::Tick);
+    let (_, _, sent) = run.messages.values().next().expect("a heartbeat");
+    assert_eq!((sent.notices[0].age, sent.notices[0].number), (0, old.number + 1));
+}
+
+/// Guards against notices that are kept or sent forever.
+#[test]
+fn notice_forgotten() {
+    let minutes = |m: u64| Duration::from_secs(m * 60);
+    let mut run = NoticeRun::new(3, 400);
+    run.run(minutes(6), 0..1, Duration::ZERO);
+    let now = START + minutes(6);
+    assert!(run.messages.values().all(|(_, _, beat)| beat.notices.is_empty()));
+    let old = LeavingNotice {
+        address: upstream(),
+        age: 0,
+        number: 1,
+    };
+    let mut beat = Heartbeat {
+        info: InstanceInfo::new(1, name("a"), upstream(), upstream()),
+        rumors: Vec::new(),
+        notices: vec![old],
+    };
+    run.handle(now, 1, Event::Heartbeat(name("i0"), beat.clone()));
+    assert!(run.tables[1].roster(now).leaving.is_empty(), "still known");
+    let now = START + minutes(11);
+    run.handle(now, 1, Event::Tick);
+    beat.info.number += 1;
+    run.handle(now, 1, Event::Heartbeat(name("i0"), beat));
+    assert_eq!(run.tables[1].roster(now).leaving.len(), 1, "forgotten");
+}
