--- a/tests/testsuite/relay/orders.rs
+++ b/tests/testsuite/relay/orders.rs
@@ -2,11 +2,13 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use sequoiastream::ops::relay::orders;
 use sequoiastream::ops::relay::orders::OrderRecords;
 use sequoiastream::ops::relay::shared::Shared;
+use sequoiastream::util::clock;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::engines::Entry;
@@ -73,6 +75,22 @@
     assert_eq!(requests[0].header("x-expect"), Some("e2"));
 }
 
+/// Guards against an order reaching an engine during its pause.
+#[actix_web::test]
+async fn paused_engine_ordered_later() {
+    let engine = accepting_engine().await;
+    let shared = instance(&engine);
+    let ordered = shared.view.load().engines()["chat"][2].incarnation();
+    // Without the pause, the order is sent after two seconds.
+    let pause = Duration::from_secs(4);
+    let paused_at = clock::now();
+    shared.traffic().notices.on_pause(paused_at, ordered, pause);
+    actix_web::rt::spawn(orders::run(shared, Rc::new(FakeStore::new())));
+    engine.wait_for(|log| !log.requests.is_empty()).await;
+    assert!(clock::now().since(paused_at) >= pause);
+    assert_eq!(engine.log().requests[0].header("x-expect"), Some("e2"));
+}
+
 /// The answer to the write of the record is lost, but the write was applied. Reading the record back shows whose it is,
 /// and the order is sent once.
 #[actix_web::test]
