--- a/crates/core/src/claims/owner/owned_bucket.rs
+++ b/crates/core/src/claims/owner/owned_bucket.rs
@@ -373,11 +373,11 @@
         });
     }
 
-    /// Refuses requests and queries whose wait has ended, and requests that were released. A write with the claim may
-    /// still be in flight; the entry instance has given up by then and never sends, so the refusal stays correct.
+    /// Refuses requests and queries that have timed out, and requests whose claim was released. A write with the claim
+    /// may still be in flight; the entry instance has given up by then and never sends, so the refusal stays correct.
     ///
-    /// Failure guarded against: a claim is written after its release, and its key is taken by a request that was
-    /// refused, because the release arrives while the claim waits for its write, or before the claim request.
+    /// Guards against writing a claim after its release, which would leave the key taken by a refused request. The
+    /// release may arrive while the claim is queued for its write, or before the claim request.
     fn expire(&mut self, now: Time, actions: &mut Vec<OwnerAction>) {
         let released = &self.released;
         self.claims.retain(|waiting| {
--- a/crates/core/src/membership/heartbeat.rs
+++ b/crates/core/src/membership/heartbeat.rs
@@ -68,14 +68,15 @@
     pub age: u32,
 }
 
-/// Notice that the platform's list shows an upstream as leaving, or showed it so at that age.
+/// Notice that the platform's list shows an upstream as leaving, or did so `age` milliseconds ago.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeavingNotice {
     /// Address of the upstream.
     pub address: SocketAddr,
-    /// Milliseconds since an instance last saw it so on the list. The message's transit time is not part of it.
+    /// Milliseconds since an instance last read a list that shows it as leaving, excluding the transit time of
+    /// messages.
     pub age: u32,
-    /// Orders the notices for this upstream, whichever instances made them: a later one has a higher number.
+    /// Orders the notices for this upstream across all instances: a later notice has a higher number.
     pub number: u64,
 }
 
@@ -87,6 +88,6 @@
     pub info: InstanceInfo,
     /// Information about other instances: a rotating part of the sender's table.
     pub rumors: Vec<Rumor>,
-    /// Upstreams that are leaving, or were a few minutes ago.
+    /// Upstreams that are leaving, or were leaving a few minutes ago.
     pub notices: Vec<LeavingNotice>,
 }
--- a/crates/core/src/membership/member_table.rs
+++ b/crates/core/src/membership/member_table.rs
@@ -146,7 +146,7 @@
     listed: Option<MemberState>,
     /// When it last reported about itself, by our clock.
     heard: Option<Time>,
-    /// When it last had a response from the key-value service that confirmed our version, by our clock.
+    /// When it last had a response from the key-value service that confirmed the local version, by our clock.
     kv_contact: Option<Time>,
 }
 
@@ -160,18 +160,19 @@
         }
     }
 
-    /// Records what the member reported about itself at `at`, unless a later report is known; `ours` is the version in
-    /// force here. Returns whether the state, version or address for callers changed, or the member was not heard from
-    /// before.
+    /// Records what the member reported about itself at `at`, unless a later report is known; `local_version` is the
+    /// version in force at this instance. Returns whether the state, version or address for callers changed, or the
+    /// member was not heard from before.
     ///
-    /// Failure guarded against: a member's contact with the key-value service confirms the member's version. Taken as
-    /// confirming an older one, it lets this instance send work to an engine that was drained.
-    fn update(&mut self, at: Time, info: InstanceInfo, ours: Version) -> bool {
+    /// A member's contact with the key-value service confirms only the member's version. Guards against accepting it as
+    /// a confirmation of an older local version, with which this instance would send work to an engine that was
+    /// drained.
+    fn update(&mut self, at: Time, info: InstanceInfo, local_version: Version) -> bool {
         let order = |a: &InstanceInfo| (a.incarnation, a.number);
         if self.heard.is_some() && order(&info) <= order(&self.info) {
             return false;
         }
-        if info.version <= ours {
+        if info.version <= local_version {
             self.kv_contact = self.kv_contact.max(ago(at, info.silence));
         }
         let matters = |a: &InstanceInfo| (a.state, a.version, a.address);
@@ -229,13 +230,13 @@
         match event {
             Event::Listed(list) => self.on_list(now, list),
             Event::Leaving(addresses) => {
-                let wall = self
+                let wall_millis = self
                     .local
                     .info
                     .incarnation
                     .saturating_add(now.as_micros() / 1_000);
                 for address in addresses {
-                    self.notices.on_listed(now, address, wall);
+                    self.notices.on_listed(now, address, wall_millis);
                 }
             }
             Event::Heartbeat(name, heartbeat) => self.on_heartbeat(now, name, heartbeat),
@@ -282,8 +283,8 @@
 
     /// When this instance last resumed after a pause, as of `now`.
     ///
-    /// Failure guarded against: a pause falls between an event and the roster that it publishes. The roster would be
-    /// up to date by its time, and confirm the configuration by what was known before the pause.
+    /// Also detects a pause between an event and the roster computed for it. Guards against a roster with a current
+    /// time that confirms the configuration by contacts from before the pause.
     fn resumed_at(&self, now: Time) -> Option<Time> {
         match self.was_paused(now) {
             true => Some(now),
--- a/crates/core/src/membership/notices.rs
+++ b/crates/core/src/membership/notices.rs
@@ -1,4 +1,5 @@
-//! Notices that upstreams are leaving, made by the instances that read the platform's list and passed on in heartbeats.
+//! Notices that upstreams are leaving, created by the instances that read the platform's list and relayed in
+//! heartbeats.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -13,14 +14,14 @@
 /// How long an upstream counts as leaving after the platform's list last showed it as leaving.
 const NOTICE_TTL: Duration = Duration::from_secs(30);
 
-/// How long the last notice for an upstream is kept, so that an earlier one in a message that is read late is not taken
-/// for a new one.
+/// How long the last notice for an upstream is kept, so that an earlier notice in a delayed message is not accepted as
+/// a new one.
 const NOTICE_RETENTION: Duration = Duration::from_secs(600);
 
-/// How long a notice is sent to peers. One that no longer counts tells them that an earlier one doesn't count either.
-/// It is shorter than the retention by more than messages are delayed, so that instances don't return to each other
-/// what they have just removed.
-const NOTICE_SHARED: Duration = Duration::from_secs(300);
+/// How long a notice is sent to peers. An expired notice is still sent, so that peers discard earlier ones. This is
+/// shorter than [`NOTICE_RETENTION`] by more than the delay of messages, so that peers don't send each other notices
+/// that they have just removed.
+const NOTICE_SEND_PERIOD: Duration = Duration::from_secs(300);
 
 /// Maximum number of notices in a heartbeat.
 const MAX_NOTICES: usize = 12;
@@ -28,33 +29,33 @@
 /// The last known notice that an upstream is leaving.
 #[derive(Debug, Clone, Copy)]
 struct Notice {
-    /// Its number, see [`LeavingNotice::number`].
+    /// See [`LeavingNotice::number`].
     number: u64,
     /// When the list showed the upstream as leaving, by our clock; `None` if that was before our clock started.
     at: Option<Time>,
-    /// Whether this instance read that list itself.
-    own: bool,
+    /// Whether this instance read that list itself instead of receiving the notice from a peer.
+    is_local: bool,
 }
 
 impl Notice {
-    /// Whether the list showed the upstream as leaving no longer than `limit` ago.
+    /// Whether the list showed the upstream as leaving at most `limit` ago.
     fn is_within(&self, now: Time, limit: Duration) -> bool {
         self.at.is_some_and(|at| now.since(at) <= limit)
     }
 
     /// Merges a notice received from a peer.
     ///
-    /// Guards against notices that never end: the age in a message excludes its transit time, so a notice would become
-    /// younger each time it is passed on, and one that is read late would be renewed for the whole fleet. A higher
-    /// number replaces a lower one, and a notice with the same number can only become older. The numbers depend on wall
-    /// clocks: a later reading of our own is therefore kept, under a number higher than the received one.
+    /// Guards against notices that never expire: the age in a message excludes its transit time, so the age of a notice
+    /// would decrease with each relay, and a delayed message would renew it for the whole fleet. A higher number
+    /// replaces a lower one, and the age of a notice with the same number can only increase. Numbers depend on wall
+    /// clocks that may differ, so a later local reading of the list is kept and gets a number above the received one.
     fn merge(&mut self, received: Notice) {
         if received.number > self.number {
-            match self.own && self.at > received.at {
+            match self.is_local && self.at > received.at {
                 true => self.number = received.number.saturating_add(1),
                 false => *self = received,
             }
-        } else if received.number == self.number && !self.own {
+        } else if received.number == self.number && !self.is_local {
             self.at = self.at.min(received.at);
         }
     }
@@ -65,16 +66,16 @@
 pub(super) struct Notices(BTreeMap<SocketAddr, Notice>);
 
 impl Notices {
-    /// Records that the list shows the upstream as leaving, at the time `wall` by our wall clock in milliseconds. The
-    /// notice gets a number higher than that of the last known one. An instance that knows none uses its wall clock,
-    /// which exceeds the numbers that others may still know; if the clock is behind, it learns their number from their
-    /// heartbeats.
-    pub(super) fn on_listed(&mut self, now: Time, address: SocketAddr, wall: u64) {
+    /// Records that the list shows the upstream as leaving; `wall_millis` is the time by our wall clock. The notice
+    /// gets a number above that of the last known notice. Without a known notice, the number is the wall clock time,
+    /// which exceeds the numbers that peers may still know; if our clock is behind, their heartbeats report the higher
+    /// number.
+    pub(super) fn on_listed(&mut self, now: Time, address: SocketAddr, wall_millis: u64) {
         let known = self.0.get(&address).map_or(0, |notice| notice.number);
         let notice = Notice {
-            number: wall.max(known.saturating_add(1)),
+            number: wall_millis.max(known.saturating_add(1)),
             at: Some(now),
-            own: true,
+            is_local: true,
         };
         self.0.insert(address, notice);
     }
@@ -84,13 +85,13 @@
         let received = Notice {
             number: notice.number,
             at: ago(now, notice.age),
-            own: false,
+            is_local: false,
         };
         let known = self.0.entry(notice.address).or_insert(received);
         known.merge(received);
     }
 
-    /// Removes notices that are too old to be received again.
+    /// Removes notices that are older than [`NOTICE_RETENTION`].
     pub(super) fn prune(&mut self, now: Time) {
         let age = |notice: &Notice| now.since(notice.at.unwrap_or_default());
         self.0.retain(|_, notice| age(notice) <= NOTICE_RETENTION);
@@ -104,8 +105,11 @@
 
     /// The most recent notices, up to [`MAX_NOTICES`].
     pub(super) fn to_send(&self, now: Time) -> Vec<LeavingNotice> {
-        let shared = self.0.iter().filter(|(_, n)| n.is_within(now, NOTICE_SHARED));
-        let mut notices: Vec<LeavingNotice> = shared
+        let sendable = self
+            .0
+            .iter()
+            .filter(|(_, n)| n.is_within(now, NOTICE_SEND_PERIOD));
+        let mut notices: Vec<LeavingNotice> = sendable
             .map(|(address, notice)| LeavingNotice {
                 address: *address,
                 age: notice.at.map_or(u32::MAX, |at| millis(now.since(at))),
--- a/crates/core/src/membership/standing.rs
+++ b/crates/core/src/membership/standing.rs
@@ -25,11 +25,11 @@
     #[default]
     Current,
     /// Neither this instance nor any peer it hears from reaches the key-value service, but all instances on the last
-    /// list are heard from and have no later version: no change can have been accepted, since every change goes through
-    /// an instance.
+    /// list are heard from and no peer has a later version: no change can have been accepted, since every change goes
+    /// through an instance.
     Outage,
-    /// As for `Outage`, but an instance on the last list is silent or an instance has a later version, and the policy is
-    /// [`PartitionPolicy::Serve`].
+    /// As for `Outage`, but an instance on the last list is silent or an instance has a later version, and the policy
+    /// is [`PartitionPolicy::Serve`].
     Guessing,
     /// As for `Guessing`, but the policy is [`PartitionPolicy::Stop`].
     Cut,
@@ -61,7 +61,7 @@
     /// Number of silent instances among those on the last list or heard from since; this instance and those that are
     /// leaving are not counted.
     pub silent: usize,
-    /// Number of peers heard from recently that have a later version of the configuration in force.
+    /// Number of peers heard from recently whose configuration version is later than the local one.
     pub ahead: usize,
 }
 
--- a/crates/core/src/relay/engines.rs
+++ b/crates/core/src/relay/engines.rs
@@ -13,8 +13,8 @@
 /// that has left must get no work two seconds after the store reported it.
 pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(1_700);
 
-/// If a call to the store failed less than this time ago, the removal of an entry is not trusted. The first answer after
-/// failed calls counts as a failure, however late it arrives, so that the removals that it reports are not trusted.
+/// If a call to the store failed less than this time ago, the removal of an entry is not trusted. The first answer
+/// after failed calls counts as a failure regardless of its delay, so that the removals it reports are not trusted.
 pub const STORE_FAILURE_WINDOW: Duration = Duration::from_millis(1_300);
 
 /// Identifies one registration of an engine: a new registration under the same id gets a new key.
@@ -32,12 +32,12 @@
     Decode,
 }
 
-/// Identifies one start of an engine. It stays the same when the engine registers again.
+/// Identifies one run of an engine process. It does not change when the engine registers again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Incarnation {
     /// Hash of the engine's id.
     pub id: u64,
-    /// When the engine started, see [`Entry::started`].
+    /// Start time of the engine, see [`Entry::started`].
     pub started: Option<u64>,
 }
 
@@ -64,8 +64,8 @@
     pub sequence: u64,
     /// Store revision at which the registration was created.
     pub create_revision: u64,
-    /// When the engine started, in milliseconds since the Unix epoch; `None` if it does not report that. An engine may
-    /// restart under the same id.
+    /// Start time of the engine, in milliseconds since the Unix epoch; `None` if not reported. A restarted engine may
+    /// have the same id.
     pub started: Option<u64>,
 }
 
@@ -87,7 +87,7 @@
         Engine { key, entry, hash }
     }
 
-    /// Returns the identity of this start of the engine.
+    /// Returns the incarnation of the engine.
     pub fn incarnation(&self) -> Incarnation {
         Incarnation {
             id: self.hash,
@@ -111,7 +111,7 @@
     version: EntryVersion,
 }
 
-/// Orders the updates of an engine: each start of it numbers its updates from the beginning.
+/// Orders the updates of an engine: by start time first, because a restarted engine resets its sequence number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 struct EntryVersion {
     started: Option<u64>,
@@ -141,7 +141,7 @@
 /// Neither store revisions nor an engine's own updates may go backwards. Failure guarded against: an engine announces
 /// that it is leaving, and an earlier update of it reaches the store afterwards. The entry then shows it as ready
 /// again, or is created anew after the engine has left, and work goes to an engine that is shutting down. Each engine
-/// therefore numbers its updates, anew with each start.
+/// therefore numbers its updates, starting again after each restart.
 #[derive(Debug, Clone, Default)]
 pub struct Engines {
     known: BTreeMap<String, KnownEngine>,
@@ -159,7 +159,7 @@
         Engines::default()
     }
 
-    /// Records that a call to the store failed, or that the first answer after failed calls is about to be applied.
+    /// Records a failed call to the store. Also called before the first answer after failed calls is applied.
     pub fn on_store_failure(&mut self, now: Time) {
         self.store_failure = Some(now);
     }
@@ -200,14 +200,14 @@
             }
             known.revision = revision;
             // The revision is assigned by the store, the sequence number by the engine.
-            let before = &mut known.engine.entry;
-            if EntryVersion::of(before) > EntryVersion::of(&entry) {
+            let known_entry = &mut known.engine.entry;
+            if EntryVersion::of(known_entry) > EntryVersion::of(&entry) {
                 return false;
             }
             known.missing_since = None;
-            if (before.create_revision, before.started) == (entry.create_revision, entry.started) {
-                let changed = *before != entry;
-                *before = entry;
+            if (known_entry.create_revision, known_entry.started) == (entry.create_revision, entry.started) {
+                let changed = *known_entry != entry;
+                *known_entry = entry;
                 return changed;
             }
         }
@@ -306,7 +306,7 @@
         services
     }
 
-    /// Returns the incarnations of all known engines, leaving ones included.
+    /// Returns the incarnations of all known engines, including leaving ones.
     pub fn incarnations(&self) -> BTreeSet<Incarnation> {
         self.known.values().map(|k| k.engine.incarnation()).collect()
     }
--- a/crates/core/src/relay/suspects.rs
+++ b/crates/core/src/relay/suspects.rs
@@ -74,7 +74,7 @@
     /// Adds a note of a peer, which may be a repetition.
     pub fn on_note(&mut self, now: Time, note: CrashNote) {
         let engines = self.requests.entry(note.request).or_default();
-        // A repetition doesn't extend the time of a note; a new one follows an expired one.
+        // A repeated note does not extend the lifetime of a valid one, but replaces an expired one.
         let at = engines.entry(note.engine).or_insert(now);
         if now.since(*at) >= NOTE_TTL {
             *at = now;
--- a/crates/core/src/relay/watchers.rs
+++ b/crates/core/src/relay/watchers.rs
@@ -372,13 +372,13 @@
         self.proven.unwrap_or(Time::ZERO) + limit.mul_f64(ASK_STORE_FRACTION + SPREAD_FRACTION * fraction)
     }
 
-    /// Notes that the changes of a peer, requested at `asked`, were applied: everything up to its status.
-    pub fn on_peer_changes(&mut self, asked: Time, status: ConfirmedStatus) {
+    /// Records that all changes up to a peer's status, requested from the peer at `requested_at`, were applied.
+    pub fn on_peer_changes(&mut self, requested_at: Time, status: ConfirmedStatus) {
         let ConfirmedStatus { status, confirmation } = status;
         self.revision = self.revision.max(status.revision);
-        // Counted from the request, the age is not too short, so the confirmation need not be marked as accepted.
-        if asked.since(Time::ZERO) >= status.age {
-            self.confirm(asked - status.age, confirmation);
+        // Counted from the request, the age is never too low, so the confirmation need not be recorded as accepted.
+        if requested_at.since(Time::ZERO) >= status.age {
+            self.confirm(requested_at - status.age, confirmation);
         }
     }
 
@@ -425,8 +425,8 @@
         self.last_tick = Some(now);
     }
 
-    /// Notes that this instance has resumed if its last tick is too long ago. Also called for each message: after a
-    /// pause, messages may be read before the next tick.
+    /// Records that this instance has resumed after a pause if its last tick is more than [`PAUSE_THRESHOLD`] ago. Also
+    /// called for each message, because messages may be read before the first tick after a pause.
     fn detect_pause(&mut self, now: Time) {
         if self.last_tick.is_some_and(|at| now.since(at) > PAUSE_THRESHOLD) {
             self.resumed = Some(now);
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -92,8 +92,8 @@
         EngineClient { http: http_client() }
     }
 
-    /// Creates a client with its own connection pool that asks for `permit` whenever a connection was established. A
-    /// request that is then not permitted fails with [`UpstreamError::Connect`]: nothing was sent.
+    /// Creates a client with its own connection pool that calls `permit` after each connection is established. If it
+    /// returns `false`, the request fails with [`UpstreamError::Connect`] and nothing is sent.
     pub fn with_permit(permit: Permit) -> EngineClient {
         let connector = Connector::new().connector(PermitConnector::new(permit));
         EngineClient {
--- a/crates/upstream/src/permit.rs
+++ b/crates/upstream/src/permit.rs
@@ -1,4 +1,4 @@
-//! Connections that carry a request only if it is still permitted once they are established.
+//! A connector that checks, after connecting, whether the request may still be sent.
 
 use std::io::Error;
 use std::rc::Rc;
@@ -12,14 +12,14 @@
 use awc::http::Uri;
 use futures_util::future::LocalBoxFuture;
 
-/// Asked after each connection is established: whether the request may be sent on it.
+/// Called after each connection is established; returns whether the request may be sent on it.
 pub type Permit = Rc<dyn Fn() -> bool>;
 
-/// Connects, then asks for the permit.
+/// Connects, then calls the permit and drops the connection if it returns `false`.
 ///
-/// Failure guarded against: an instance is paused while it connects to an engine, operators drain the engine meanwhile,
-/// and the instance sends the request when it resumes, by a decision from before the pause. Connecting is the only
-/// wait between the decision and the request, so a pause there is noticed before anything is sent.
+/// Guards against a request to a drained engine: the process is paused while it connects, and operators drain the
+/// engine before it resumes. Connecting is the only wait between the choice of the engine and the request, so the
+/// permit detects such a pause before anything is sent.
 #[derive(Clone)]
 pub(crate) struct PermitConnector {
     connector: ConnectorService,
--- a/src/ops/dispatch/generate.rs
+++ b/src/ops/dispatch/generate.rs
@@ -186,8 +186,8 @@
     /// delivered is always continued.
     ///
     /// Failure guarded against: an instance is paused after it admitted a request and before it sends it; meanwhile
-    /// operators drain an engine, and the instance sends the request there when it resumes. [`Self::send`] asks again
-    /// once it is connected to the engine.
+    /// operators drain an engine, and the instance sends the request there when it resumes. [`Self::send`] checks again
+    /// after connecting to the engine.
     fn may_pick(&self) -> bool {
         self.last_token.is_some() || self.dispatch.shared.is_confirmed()
     }
--- a/src/ops/dispatch/mod.rs
+++ b/src/ops/dispatch/mod.rs
@@ -60,7 +60,7 @@
     shared: Arc<Shared>,
     control: Control,
     engine_client: EngineClient,
-    /// Client for requests of which nothing was delivered: they are sent only while the configuration is confirmed.
+    /// Client for requests of which no output was delivered. It sends them only while the configuration is confirmed.
     permit_client: EngineClient,
     plain_client: PlainClient,
     peer_client: CallClient,
--- a/src/ops/dispatch/once.rs
+++ b/src/ops/dispatch/once.rs
@@ -61,8 +61,8 @@
     claim: ClaimRef,
     token: ClaimToken,
     deadline: Time,
-    /// Instances that were asked for the claim; each of them may store it, now or later.
-    asked: Vec<Name>,
+    /// Instances that were asked for the claim. Each of them may store it, possibly with a delay.
+    asked_owners: Vec<Name>,
 }
 
 /// Why a call's idempotency key can't be used.
@@ -132,7 +132,7 @@
         claim: ClaimRef::new(&call.product, service, &key),
         token: ClaimToken(Uuid::new_v4()),
         deadline,
-        asked: Vec::new(),
+        asked_owners: Vec::new(),
     };
     let fingerprint = Fingerprint::new(&call.method, &call.path, &call.body);
     match claimed.claim(call.unsent, fingerprint).await {
@@ -166,7 +166,7 @@
         );
         let mut step = entry.begin(clock::clocks());
         while let EntryStep::Ask(entry, owner, request) = step {
-            self.asked.push(owner.clone());
+            self.asked_owners.push(owner.clone());
             let event = self.dispatch.request_claim(&owner, request).await;
             if matches!(event, EntryEvent::NoAnswer) {
                 log_event!(warn, log_event::OWNER_SILENT, %owner, shard = self.claim.bucket.shard);
@@ -270,20 +270,20 @@
             token: self.token,
             change,
         };
-        let asked = match edit.change {
-            Change::Release => self.asked.clone(),
+        let asked_owners = match edit.change {
+            Change::Release => self.asked_owners.clone(),
             Change::Finish(_) | Change::Unknown => Vec::new(),
         };
         // A shutdown waits until the report has ended.
         let running = dispatch.shared.begin_work();
         actix::spawn(async move {
             let accepted_by = dispatch.send_edit(bucket, &edit).await;
-            let others = asked
+            let others = asked_owners
                 .into_iter()
                 .filter(|name| Some(name) != accepted_by.as_ref());
             for owner in others {
                 let (dispatch, edit) = (dispatch.clone(), edit.clone());
-                actix::spawn(async move { dispatch.repeat_edit(&owner, bucket, &edit).await });
+                actix::spawn(async move { dispatch.retry_edit(&owner, bucket, &edit).await });
             }
             drop(running);
         })
--- a/src/ops/dispatch/owners.rs
+++ b/src/ops/dispatch/owners.rs
@@ -37,11 +37,11 @@
 /// a query.
 const OWNER_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// How long the release of a claim is repeated to an instance that was asked for the claim and does not answer.
-const REPEAT_LIMIT: Duration = Duration::from_secs(30);
+/// How long the release of a claim is retried at an instance that was asked for the claim and does not answer.
+const RELEASE_RETRY_LIMIT: Duration = Duration::from_secs(30);
 
-/// Pause between two of these attempts.
-const REPEAT_PAUSE: Duration = Duration::from_secs(1);
+/// Pause between these attempts.
+const RELEASE_RETRY_PAUSE: Duration = Duration::from_secs(1);
 
 impl Dispatch {
     /// Instances to ask about a shard, in order. Other instances that are leaving are left out; this one comes last if
@@ -112,8 +112,8 @@
         Verdict::Unavailable(OWNER_TIMEOUT)
     }
 
-    /// Sends the change of a claim to its owner and returns the instance that accepted it. If none does, the claim stays
-    /// granted, and its status is reported as unknown.
+    /// Sends the change of a claim to its owner and returns the instance that accepted it. If none does, the claim
+    /// stays granted, and its status is reported as unknown.
     pub(super) async fn send_edit(&self, bucket: BucketId, edit: &Edit) -> Option<Name> {
         for owner in self.ranked_owners(bucket.shard) {
             if self.try_edit(&owner, bucket, edit).await {
@@ -123,20 +123,20 @@
         None
     }
 
-    /// Sends the change of a claim to this owner until it accepts it, is no longer listed, or [`REPEAT_LIMIT`] has
-    /// passed.
+    /// Sends the change of a claim to this owner until it accepts it, is no longer listed, or
+    /// [`RELEASE_RETRY_LIMIT`] has passed.
     ///
-    /// Failure guarded against: an instance that was asked for a claim and did not answer stores it after another
-    /// instance accepted its release and found nothing to free. The request was refused as not run, and each repeat is
-    /// told that its key is in use. Whatever the order in which the instance receives the claim request and the
-    /// release, it then frees the claim.
-    pub(super) async fn repeat_edit(&self, owner: &Name, bucket: BucketId, edit: &Edit) {
-        let end = clock::now() + REPEAT_LIMIT;
+    /// Guards against a claim that is never released: an instance that did not answer the claim request stores the
+    /// claim after another instance accepted its release. The request was refused as not run, but its repeats would be
+    /// refused because the key is in use. The instance frees the claim in whichever order it receives the claim request
+    /// and the release.
+    pub(super) async fn retry_edit(&self, owner: &Name, bucket: BucketId, edit: &Edit) {
+        let end = clock::now() + RELEASE_RETRY_LIMIT;
         while !self.try_edit(owner, bucket, edit).await {
             if self.peer_address(owner).is_none() || clock::now() >= end {
                 return;
             }
-            tokio::time::sleep(REPEAT_PAUSE).await;
+            tokio::time::sleep(RELEASE_RETRY_PAUSE).await;
         }
     }
 
--- a/src/ops/relay/follow/listen.rs
+++ b/src/ops/relay/follow/listen.rs
@@ -35,9 +35,9 @@
 
     /// Applies the changes of peers that are ahead until `until`, when the next call to the store is due.
     ///
-    /// Guards against an instance that learns seconds after its peers that the store is back: it would send requests to
-    /// engines that have left meanwhile, and keep engines whose entry is missing for longer than its peers do. The call
-    /// itself is not made earlier, so that a store that refuses calls does not get more of them.
+    /// Guards against an instance that detects the recovery of the store seconds after its peers: it would send
+    /// requests to engines that have left meanwhile, and keep engines whose entry is missing for longer than its peers
+    /// do. The next call is not made earlier, to limit the load on a store that refuses calls.
     pub(super) async fn listen_during_pause(&mut self, until: Time) {
         while clock::now() < until {
             self.listen(until).await;
@@ -118,14 +118,14 @@
         true
     }
 
-    /// Makes removals of engine entries that the store or a peer reports not trusted, if the last calls of this instance
-    /// to the store failed and nothing was confirmed since.
+    /// Makes removals of engine entries that the store or a peer reports not trusted, if the last calls of this
+    /// instance to the store failed and nothing was confirmed since.
     ///
     /// Guards against an instance that learns from a peer or from the store that the store is back after an outage, and
-    /// takes the removal of engine entries that expired during the outage as the end of those engines. The time since
-    /// the last failed call does not tell: a pause or an answer may take seconds. Only failures of this instance
-    /// count, not those of the peer: the peer alone may have been partitioned from the store, and otherwise an engine
-    /// that has left would continue to get work from all instances that learn of its removal from that peer.
+    /// drops engines whose entries expired during the outage. The time since the last failed call is no criterion,
+    /// because a pause or an answer may take seconds. Only failures of this instance count, not those of the peer: the
+    /// peer alone may have been partitioned from the store, and otherwise an engine that has left would continue to get
+    /// work from all instances that learn of its removal from that peer.
     pub(super) fn distrust_removals(&mut self) {
         if self.failures > 0 {
             self.engines.on_store_failure(clock::now());
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -53,8 +53,7 @@
 /// Longest pause of a watcher after failed calls: it lets a watcher notice within a second that the store is back.
 const MAX_WATCHER_BACKOFF: Duration = Duration::from_millis(800);
 
-/// Longest pause of all other instances: they learn from the watchers that the store is back, and listen to them during
-/// the pause.
+/// Longest pause of all other instances: they learn from the watchers that the store is back, also during the pause.
 const MAX_LISTENER_BACKOFF: Duration = Duration::from_millis(2_000);
 
 /// Interval at which engines whose entry is missing are checked.
@@ -491,7 +490,8 @@
         );
     }
 
-    /// Drops the load of engines whose keys are not `known`, and the notices of engines that have been absent for long.
+    /// Removes the load of engines whose keys are not in `known`, and the notices of engines that have long been
+    /// absent.
     fn remove_absent_engines(&self, known: &BTreeSet<EngineKey>) {
         let incarnations = self.engines.incarnations();
         let mut ledger = self.shared.traffic();
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -290,17 +290,17 @@
         self.traffic().notices.is_unavailable(now, engine.incarnation())
     }
 
-    /// Waits until an engine is not paused.
+    /// Waits until the pause requested by an engine has ended.
     pub async fn wait_for_pause_end(&self, engine: &Engine) {
-        let left = || {
+        let remaining = || {
             let now = clock::now();
             self.traffic().notices.pause_left(now, engine.incarnation())
         };
-        let mut pause = left();
-        // The engine may extend its pause meanwhile.
+        let mut pause = remaining();
+        // The engine may extend its pause during the wait.
         while !pause.is_zero() {
             tokio::time::sleep(pause).await;
-            pause = left();
+            pause = remaining();
         }
     }
 
--- a/tests/testsuite/claims/faults.rs
+++ b/tests/testsuite/claims/faults.rs
@@ -370,12 +370,12 @@
     assert_eq!(runs(&fleet).await.get(&refused_key), Some(&1));
 }
 
-/// Guards against a claim that outlives its refused order: the owner that was asked first is paused and stores the
-/// claim when it resumes, after another instance took its release and found nothing to free. Every repeat of an order
-/// that was answered "not run" would be told that its key is in use.
+/// Guards against a claim that outlives its refused order: the owner that was asked first is paused, and stores the
+/// claim when it resumes, after another instance has accepted the release. Repeats of the order, which was answered
+/// "not run", would be refused because the key is in use.
 #[actix_web::test]
 async fn order_owner_resumes_after_refusal() {
-    // A single traffic thread, so that the connection over which the claim is requested is open before the pause.
+    // With a single traffic thread, the connection used for the claim request is open before the pause.
     let fleet = start_fleet(fleet().daemons(2).plain(1).daemon_arg("--workers=1")).await;
     order(&fleet, 1, &new_key_owned_by("i0"), "pellets").await;
     let outage = Fault {
@@ -402,7 +402,7 @@
         (claim_verdict_count(&fleet, 0).await > verdicts).then_some(())
     })
     .await;
-    http::until("the order goes through", || async {
+    http::until("the repeated order succeeds", || async {
         let reply = order(&fleet, 0, &key, "pellets").await;
         (reply.outcome.as_deref() == Some("whole")).then_some(())
     })
@@ -410,7 +410,7 @@
     assert_eq!(runs(&fleet).await.get(&key), Some(&1));
 }
 
-/// Creates an idempotency key of a shard that instance `owner` owns in a fleet of `i0` and `i1`.
+/// Creates an idempotency key in a shard owned by instance `owner` in a fleet of `i0` and `i1`.
 fn new_key_owned_by(owner: &str) -> String {
     let name = |text| Name::new(text).expect("a name");
     let names = ["i0", "i1"].map(name);
--- a/tests/testsuite/claims/owner.rs
+++ b/tests/testsuite/claims/owner.rs
@@ -326,8 +326,8 @@
 }
 
 /// Guards against a claim that is written after its release: the entry instance gives up on the owner while the claim
-/// still waits there for its write, or the claim request arrives late. The order is refused as "not run", but its key
-/// then stays taken by a request that no longer exists.
+/// is queued there for its write, or the claim request arrives after the release. The order is refused as "not run",
+/// but its key would stay taken.
 #[test]
 fn release_before_its_write() {
     let release = Edit {
--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -517,9 +517,9 @@
     assert_eq!(members.roster(at(10_500)).standing, Standing::Current);
 }
 
-/// Guards against a roster that is computed after a pause before any event has told the table of it, as when the pause
-/// falls between an event and the roster that it publishes. It would be as recent as the clock and confirm the
-/// configuration by what was known before the pause, so that the requests that waited in the sockets are sent by it.
+/// Guards against a roster that is computed after a pause but before the next event, as when the pause falls between an
+/// event and the roster published for it. The roster would confirm the configuration by contacts from before the pause,
+/// and the requests that waited in the sockets would be sent with an outdated configuration.
 #[test]
 fn judge_before_event_after_pause() {
     let zone = Name::new("lodi-a").expect("a name");
@@ -543,9 +543,9 @@
     assert_eq!(members.roster(at(9_100)).standing, Standing::Current);
 }
 
-/// Guards against a peer's contact with the key-value service confirming an older version than the peer's. An instance
-/// that resumes after a pause hears from a peer that an engine was drained meanwhile, and would send it the requests
-/// that waited until it has fetched the change.
+/// Guards against a peer's contact with the key-value service confirming an older version than the peer's. Sequence: an
+/// engine is drained while an instance is paused, and a heartbeat reports the new version when the instance resumes.
+/// Until it has fetched that version, it would send waiting requests to the drained engine.
 #[test]
 fn judge_peer_ahead() {
     let name = |text| Name::new(text).expect("a name");
@@ -597,10 +597,10 @@
 /// How long an upstream counts as leaving after it was last listed as leaving.
 const NOTICE_TTL: Duration = Duration::from_secs(30);
 
-/// Start of the runs with notices.
+/// Start time of the notice simulations.
 const START: Time = Time::from_millis(3_600_000);
 
-/// Step of the runs with notices.
+/// Time step of the notice simulations.
 const STEP: Duration = Duration::from_millis(20);
 
 /// An upstream that is leaving.
@@ -608,7 +608,7 @@
     SocketAddr::from(([10, 0, 0, 3], 80))
 }
 
-/// The table of one of `count` instances that know each other; `incarnation` is its start by its wall clock.
+/// The table of one of `count` instances that know each other; `incarnation` is its start time by its wall clock.
 fn member_table(index: usize, count: usize, incarnation: u64) -> MemberTable {
     let address = |i: usize| SocketAddr::from(([10, 0, 0, 1], 10_000 + i as u16));
     let local = LocalInstance {
@@ -628,34 +628,34 @@
     table
 }
 
-/// Instances that send heartbeats to each other, all on one monotonic clock.
-struct NoticeRun {
+/// Simulation of instances that send heartbeats to each other and share a monotonic clock.
+struct NoticeSimulation {
     tables: Vec<MemberTable>,
     rng: ChaCha8Rng,
-    /// Time of a message on its way, in milliseconds, drawn for each.
-    transit: RangeInclusive<u64>,
-    /// Fraction of the messages that are lost.
+    /// Range of the random transit time of each message, in milliseconds.
+    transit_millis: RangeInclusive<u64>,
+    /// Probability that a message is lost.
     loss: f64,
-    /// The last instance reads messages that arrive within this time only at its end.
-    late: Range<Time>,
-    /// Recipient, sender and message, in the order of arrival.
+    /// Messages to the last instance that arrive in this interval are delivered at its end.
+    delayed: Range<Time>,
+    /// Recipient, sender and heartbeat, by arrival time and sequence number.
     messages: BTreeMap<(Time, usize), (usize, Name, Heartbeat)>,
     sent: usize,
-    /// For each instance, how often it stopped counting the upstream as leaving, and when it last counted it so.
-    spans: Vec<(usize, Time)>,
+    /// For each instance, how often its notice expired, and when it last counted the upstream as leaving.
+    expirations: Vec<(usize, Time)>,
 }
 
-impl NoticeRun {
-    fn new(count: usize, millis: u64) -> NoticeRun {
-        NoticeRun {
+impl NoticeSimulation {
+    fn new(count: usize, millis: u64) -> NoticeSimulation {
+        NoticeSimulation {
             tables: (0..count).map(|i| member_table(i, count, 1_000)).collect(),
             rng: ChaCha8Rng::seed_from_u64(1),
-            transit: millis..=millis,
+            transit_millis: millis..=millis,
             loss: 0.0,
-            late: START..START,
+            delayed: START..START,
             messages: BTreeMap::new(),
             sent: 0,
-            spans: vec![(0, Time::ZERO); count],
+            expirations: vec![(0, Time::ZERO); count],
         }
     }
 
@@ -663,14 +663,14 @@
         for action in self.tables[index].on(now, event) {
             let Action::Send(to, beat) = action else { continue };
             let to = usize::from(to.port() - 10_000);
-            let transit = self.rng.random_range(self.transit.clone());
+            let transit = self.rng.random_range(self.transit_millis.clone());
             let is_lost = self.rng.random_bool(self.loss);
             if is_lost {
                 continue;
             }
             let mut arrival = now + Duration::from_millis(transit);
-            if to + 1 == self.tables.len() && self.late.contains(&arrival) {
-                arrival = self.late.end;
+            if to + 1 == self.tables.len() && self.delayed.contains(&arrival) {
+                arrival = self.delayed.end;
             }
             let message = (to, name(&format!("i{index}")), beat);
             self.messages.insert((arrival, self.sent), message);
@@ -678,9 +678,9 @@
         }
     }
 
-    /// Runs for `time`. Those of `listers` see the upstream as leaving, each second until `listed`. Returns for how
-    /// long after that any instance last counted it as leaving.
-    fn run(&mut self, time: Duration, listers: Range<usize>, listed: Duration) -> Duration {
+    /// Runs for `time`. The instances `list_readers` read a list that shows the upstream as leaving, each second until
+    /// `listed`. Returns how long after that an instance last counted it as leaving.
+    fn run(&mut self, time: Duration, list_readers: Range<usize>, listed: Duration) -> Duration {
         let mut now = START;
         while now <= START + time {
             while let Some(message) = self.messages.first_entry().filter(|m| m.key().0 <= now) {
@@ -690,37 +690,37 @@
             for index in 0..self.tables.len() {
                 let phase = STEP * (index as u32 * 7 % 50);
                 if (now.since(START) + phase).as_millis().is_multiple_of(1_000) {
-                    if listers.contains(&index) && now <= START + listed {
+                    if list_readers.contains(&index) && now <= START + listed {
                         self.handle(now, index, Event::Leaving(vec![upstream()]));
                     }
                     self.handle(now, index, Event::Tick);
                 }
             }
-            self.note_leaving(now);
+            self.record_leaving(now);
             now = now + STEP;
         }
-        let last = self.spans.iter().map(|(_, last)| *last).max();
+        let last = self.expirations.iter().map(|(_, last)| *last).max();
         last.expect("an instance").since(START + listed)
     }
 
-    fn note_leaving(&mut self, now: Time) {
-        for (table, (ends, last)) in self.tables.iter().zip(&mut self.spans) {
+    fn record_leaving(&mut self, now: Time) {
+        for (table, (expired, last)) in self.tables.iter().zip(&mut self.expirations) {
             if table.roster(now).leaving.contains(&upstream()) {
                 *last = now;
             } else if *last + STEP == now {
-                *ends += 1;
+                *expired += 1;
             }
         }
     }
 }
 
-/// Guards against a notice that gets younger each time it is passed on, since its age leaves out its time on the way:
-/// an upstream that is back would get no work from the whole fleet for minutes.
+/// Guards against a notice whose age decreases with each relay, because the age in a message excludes its transit time:
+/// an upstream that is available again would get no work from the whole fleet for minutes.
 #[test]
 fn notice_ends_while_relayed() {
     let cases = [(2, 0), (2, 200), (2, 400), (8, 200), (8, 400)];
     let run = |(count, millis)| {
-        let mut run = NoticeRun::new(count, millis);
+        let mut run = NoticeSimulation::new(count, millis);
         run.run(Duration::from_secs(300), 0..1, Duration::ZERO)
     };
     let lasted = cases.map(run);
@@ -728,11 +728,11 @@
     assert!(lasted.iter().all(|l| range.contains(l)), "{cases:?}: {lasted:?}");
 }
 
-/// Guards against an instance that reads its messages late and takes the old notices in them for recent ones: it would
-/// renew them for the whole fleet, whichever instance made them.
+/// Guards against an instance that receives delayed messages and accepts the old notices in them as recent: it would
+/// renew them for the whole fleet.
 #[test]
 fn notice_ends_read_late() {
-    // Who lists the upstream as leaving, until which second, and the second from which messages are late.
+    // Instances that read the list, last second of the listing, and first second of the delay.
     let cases = [
         (0..1, 0, 12),
         (0..1, 0, 0),
@@ -741,18 +741,19 @@
         (0..7, 8, 6),
     ];
     let second = Duration::from_secs;
-    let run = |(listers, listed, from)| {
-        let mut run = NoticeRun::new(8, 20);
-        run.late = START + second(from)..START + second(35 + listed);
-        run.run(second(300), listers, second(listed))
+    let run = |(list_readers, listed, from)| {
+        let mut run = NoticeSimulation::new(8, 20);
+        run.delayed = START + second(from)..START + second(35 + listed);
+        run.run(second(300), list_readers, second(listed))
     };
     let lasted = cases.clone().map(run);
     let limit = NOTICE_TTL + second(2);
     assert!(lasted.iter().all(|l| *l <= limit), "{cases:?}: {lasted:?}");
 }
 
-/// Guards against the same failures with any number of listers, any transit times and lost messages, wall clocks up to
-/// an hour apart, and an instance that reads its messages late; and against a notice that ends while it is listed.
+/// Guards against the same failures with random numbers of list readers, transit times, lost messages, wall clocks up
+/// to an hour apart, and an instance that receives delayed messages; and against a notice that expires while the
+/// upstream is listed as leaving.
 #[test]
 fn notice_ends_drawn() {
     let second = Duration::from_secs;
@@ -760,80 +761,79 @@
         let _failing = PrintSeedOnPanic(seed);
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let count = rng.random_range(2..=12);
-        let mut run = NoticeRun::new(count, 0);
+        let mut run = NoticeSimulation::new(count, 0);
         for index in 0..count {
             run.tables[index] = member_table(index, count, rng.random_range(1..3_600_000));
         }
-        run.transit = rng.random_range(0..=20)..=rng.random_range(20..=500);
+        run.transit_millis = rng.random_range(0..=20)..=rng.random_range(20..=500);
         run.loss = rng.random_range(0.0..0.3);
         run.rng = ChaCha8Rng::seed_from_u64(seed);
-        let (listers, listed) = (0..rng.random_range(1..count), rng.random_range(0..40));
-        let late = rng.random_range(0..60);
-        run.late = START + second(late)..START + second(late + rng.random_range(0..60));
-        run.run(second(200), listers.clone(), second(listed));
-        let reading = run.late.end;
-        let ends = START + second(listed) + NOTICE_TTL;
-        for (index, (stops, last)) in run.spans.iter().enumerate() {
-            let is_late = index + 1 == count;
-            let limit = match is_late {
-                true => ends.max(reading) + second(4),
-                false => ends + second(4),
+        let (list_readers, listed) = (0..rng.random_range(1..count), rng.random_range(0..40));
+        let from = rng.random_range(0..60);
+        run.delayed = START + second(from)..START + second(from + rng.random_range(0..60));
+        run.run(second(200), list_readers.clone(), second(listed));
+        let delay_end = run.delayed.end;
+        let expiration = START + second(listed) + NOTICE_TTL;
+        for (index, (expired, last)) in run.expirations.iter().enumerate() {
+            let is_delayed = index + 1 == count;
+            let limit = match is_delayed {
+                true => expiration.max(delay_end) + second(4),
+                false => expiration + second(4),
             };
             assert!(
                 *last <= limit,
-                "i{index} counts it until {last}, {ends} is the end"
+                "i{index} counts the upstream as leaving until {last}, expected until {expiration}"
             );
-            let is_whole = *stops == 1 && *last + second(2) >= ends;
+            let is_uninterrupted = *expired == 1 && *last + second(2) >= expiration;
             assert!(
-                is_late || is_whole,
-                "i{index} stops {stops} times, last at {last}"
+                is_delayed || is_uninterrupted,
+                "on i{index} the notice expires {expired} times, last at {last}"
             );
         }
     }
 }
 
-/// Guards against a notice that is taken for an old one while the upstream is still listed as leaving: the listing
-/// passes from one instance to another whose wall clock is two hours behind, and that one restarts.
+/// Guards against a notice that is ignored as outdated while the upstream is still listed as leaving. Sequence: the
+/// list is read by one instance, then by another whose wall clock is two hours behind, and that instance restarts.
 #[test]
 fn notice_renewed_while_listed() {
     let second = Duration::from_secs;
-    let mut run = NoticeRun::new(4, 200);
+    let mut run = NoticeSimulation::new(4, 200);
     run.tables[0] = member_table(0, 4, 9_000_000);
     assert_eq!(run.run(second(5), 0..1, second(5)), Duration::ZERO);
     run.messages.clear();
-    let beat = |table: &mut MemberTable, now| {
+    let next_heartbeat = |table: &mut MemberTable, now| {
         let sends = table.on(now, Event::Tick).into_iter();
         let mut beats = sends.filter_map(|action| match action {
             Action::Send(_, beat) => Some(beat),
             _ => None,
         });
-        beats.next().expect("it sends heartbeats")
+        beats.next().expect("each tick sends heartbeats")
     };
-    let mut lister = run.tables.remove(1);
-    let mut listener = run.tables.remove(1);
+    let mut list_reader = run.tables.remove(1);
+    let mut receiver = run.tables.remove(1);
     for s in 6..120 {
         let now = START + second(s);
         if s == 60 {
-            let heard = beat(&mut listener, now);
-            lister = member_table(1, 4, 61_000);
-            lister.on(now, Event::Heartbeat(name("i2"), heard));
+            let heartbeat = next_heartbeat(&mut receiver, now);
+            list_reader = member_table(1, 4, 61_000);
+            list_reader.on(now, Event::Heartbeat(name("i2"), heartbeat));
         }
-        lister.on(now, Event::Leaving(vec![upstream()]));
-        let sent = beat(&mut lister, now);
-        listener.on(now, Event::Heartbeat(name("i1"), sent));
-        assert!(listener.roster(now).leaving.contains(&upstream()), "second {s}");
+        list_reader.on(now, Event::Leaving(vec![upstream()]));
+        let heartbeat = next_heartbeat(&mut list_reader, now);
+        receiver.on(now, Event::Heartbeat(name("i1"), heartbeat));
+        assert!(receiver.roster(now).leaving.contains(&upstream()), "second {s}");
     }
-    let ends = START + second(119) + NOTICE_TTL;
-    assert!(listener.roster(ends).leaving.contains(&upstream()));
-    assert!(listener.roster(ends + second(1)).leaving.is_empty());
+    let expiration = START + second(119) + NOTICE_TTL;
+    assert!(receiver.roster(expiration).leaving.contains(&upstream()));
+    assert!(receiver.roster(expiration + second(1)).leaving.is_empty());
 }
 
-/// Guards against an instance that sees the upstream as leaving and takes an older notice, of an instance whose wall
-/// clock is ahead, for a later one.
+/// Guards against an older notice, from an instance whose wall clock is ahead, replacing the later local one.
 #[test]
 fn notice_kept_despite_skew() {
     let second = Duration::from_secs;
-    let mut run = NoticeRun::new(2, 0);
+    let mut run = NoticeSimulation::new(2, 0);
     run.tables[0] = member_table(0, 2, 9_000_000);
     run.handle(START, 0, Event::Leaving(vec![upstream()]));
     run.handle(START + second(20), 1, Event::Leaving(vec![upstream()]));
@@ -850,15 +850,15 @@
     }
 }
 
-/// Guards against an instance that restarts with its wall clock behind, sees an upstream leave again, and whose notices
-/// the others take for older than the last one that they know.
+/// Guards against the notices of an instance that has restarted with its wall clock behind being ignored by its peers,
+/// because they know a notice with a higher number.
 #[test]
 fn notice_renewed_clock_behind() {
     let second = Duration::from_secs;
-    let mut run = NoticeRun::new(3, 20);
+    let mut run = NoticeSimulation::new(3, 20);
     run.tables[0] = member_table(0, 3, 9_000_000);
-    let ended = run.run(second(100), 0..1, Duration::ZERO);
-    assert!(ended < second(32), "{ended:?}");
+    let lasted = run.run(second(100), 0..1, Duration::ZERO);
+    assert!(lasted < second(32), "{lasted:?}");
     run.messages.clear();
     run.tables[0] = member_table(0, 3, 1_000);
     let mut leaving_at = None;
@@ -871,19 +871,19 @@
         while let Some((_, (to, from, beat))) = run.messages.pop_first() {
             run.handle(now, to, Event::Heartbeat(from, beat));
         }
-        let leaves = |t: &MemberTable| t.roster(now).leaving.contains(&upstream());
-        if run.tables.iter().all(leaves) {
+        let is_leaving = |t: &MemberTable| t.roster(now).leaving.contains(&upstream());
+        if run.tables.iter().all(is_leaving) {
             leaving_at = leaving_at.or(Some(s));
         }
     }
     assert!(leaving_at.is_some_and(|s| s <= 101), "{leaving_at:?}");
 }
 
-/// Guards against an instance that has just started, hears of a notice from before its start, and numbers its own ones
-/// lower.
+/// Guards against a notice with too low a number from an instance that has just started and has received a notice from
+/// before its start.
 #[test]
 fn notice_number_older_than_start() {
-    let mut run = NoticeRun::new(2, 0);
+    let mut run = NoticeSimulation::new(2, 0);
     let old = LeavingNotice {
         address: upstream(),
         age: 4_000_000,
@@ -903,11 +903,11 @@
     assert_eq!((sent.notices[0].age, sent.notices[0].number), (0, old.number + 1));
 }
 
-/// Guards against notices that are kept or sent forever.
+/// Guards against notices that are stored or sent indefinitely.
 #[test]
 fn notice_forgotten() {
     let minutes = |m: u64| Duration::from_secs(m * 60);
-    let mut run = NoticeRun::new(3, 400);
+    let mut run = NoticeSimulation::new(3, 400);
     run.run(minutes(6), 0..1, Duration::ZERO);
     let now = START + minutes(6);
     assert!(run.messages.values().all(|(_, _, beat)| beat.notices.is_empty()));
@@ -922,10 +922,17 @@
         notices: vec![old],
     };
     run.handle(now, 1, Event::Heartbeat(name("i0"), beat.clone()));
-    assert!(run.tables[1].roster(now).leaving.is_empty(), "still known");
+    assert!(
+        run.tables[1].roster(now).leaving.is_empty(),
+        "a retained notice is not renewed"
+    );
     let now = START + minutes(11);
     run.handle(now, 1, Event::Tick);
     beat.info.number += 1;
     run.handle(now, 1, Event::Heartbeat(name("i0"), beat));
-    assert_eq!(run.tables[1].roster(now).leaving.len(), 1, "forgotten");
+    assert_eq!(
+        run.tables[1].roster(now).leaving.len(),
+        1,
+        "a removed notice is accepted again"
+    );
 }
--- a/tests/testsuite/relay/engines.rs
+++ b/tests/testsuite/relay/engines.rs
@@ -121,8 +121,8 @@
     assert_ne!(engines.available()["chat"][0].key, before);
 }
 
-/// Guards against an engine that gets no work for as long as the one that had its id before it was running. Sequence: it
-/// starts again under its id and counts its updates from the start. Cause: they are taken for late ones of the first.
+/// Guards against a restarted engine that gets no work: its sequence numbers start again, and its updates would be
+/// discarded as late updates from before the restart.
 #[test]
 fn restarted_counts_anew() {
     let started = |entry: Entry, at| Entry {
--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -34,7 +34,7 @@
     (shared, fleet)
 }
 
-/// Starts the tasks by which an instance follows `store`.
+/// Starts the tasks that follow `store` for an instance.
 pub(super) async fn follow_store(shared: &Arc<Shared>, store: &FakeStore) -> Fleet {
     let sockets = peers::Sockets::bind(shared).await.expect("a free address");
     let replica = StoreReplica::new();
@@ -324,7 +324,7 @@
 async fn peer_changes_age_while_applied() {
     let (served, own) = (FakeStore::new(), FakeStore::new());
     let [_, _, (listener, fleet)] = start_zone(&served, &own, Duration::from_secs(60)).await;
-    own.set_silent(true);
+    own.set_unresponsive(true);
     let ranges = own.calls().ranges;
     let config = format!("9 /{}/", "long".repeat(20_000));
     // The listener's store must have at least the revision of the change.
@@ -333,7 +333,7 @@
     wait_until(|| own.calls().ranges > ranges).await;
     let (blocked_since, wait) = (clock::now(), Duration::from_millis(1_500));
     wait_until(|| clock::now().since(blocked_since) >= wait).await;
-    own.set_silent(false);
+    own.set_unresponsive(false);
     wait_until(|| version(&listener) == 9).await;
     let age = fleet
         .known()
@@ -355,8 +355,8 @@
 
 /// Guards against every request being refused for seconds after an outage of the store. Sequence: no instance can reach
 /// the store, entries expire, and the store is back before the engines have registered again; a watcher sees it first
-/// and reports the missing entries to the others. Each instance is checked when it learns of them: a watcher that has
-/// known of them for as long as it keeps engines may rightly have dropped its own when a late listener is told.
+/// and reports the missing entries to the others. Each instance is checked separately, because the watcher may already
+/// have dropped the engine after its grace period when the listener learns of the missing entry.
 #[actix_web::test]
 async fn lapse_told_in_doubt() {
     let (served, own) = (FakeStore::new(), FakeStore::new());
@@ -371,20 +371,20 @@
     }
     served.remove("engines/e1");
     served.put("config", "5 /a/");
-    let back = clock::now();
+    let restored_at = clock::now();
     served.set_down(false);
-    let kept_for_a_while = async |shared: &Shared| {
+    let check_grace_period = async |shared: &Shared| {
         wait_until(|| version(shared) == 5).await;
         assert_eq!(engines(shared), ["e1"]);
         wait_until(|| engines(shared).is_empty()).await;
-        assert!(clock::now().since(back) >= REREGISTRATION_GRACE);
+        assert!(clock::now().since(restored_at) >= REREGISTRATION_GRACE);
     };
-    tokio::join!(kept_for_a_while(&watcher), kept_for_a_while(&listener));
+    tokio::join!(check_grace_period(&watcher), check_grace_period(&listener));
 }
 
-/// Guards against every request being refused after an outage of the store by an instance whose first answer comes long
-/// after its last failed call, because of a long pause or a slow answer: it takes the missing entries for engines that
-/// are gone, before the engines could register again.
+/// Guards against an instance that refuses every request after an outage of the store. Sequence: its first answer comes
+/// long after its last failed call, because of a long pause or a slow answer, and it drops the engines whose entries
+/// have expired before they can register again.
 #[actix_web::test]
 async fn lapse_long_after_failure() {
     let store = FakeStore::new();
@@ -393,26 +393,26 @@
     let shared = start(options(), &store).await;
     wait_until(|| version(&shared) == 3 && engines(&shared) == ["e1"]).await;
     let calls = || store.calls().ranges + store.calls().watches;
-    let before = calls();
+    let calls_before = calls();
     store.set_down(true);
-    wait_until(|| calls() > before).await;
-    let failed = calls();
+    wait_until(|| calls() > calls_before).await;
+    let failed_calls = calls();
     store.set_down(false);
-    store.set_silent(true);
-    wait_until(|| calls() > failed).await;
-    let called = clock::now();
-    wait_until(|| clock::now().since(called) >= STORE_FAILURE_WINDOW).await;
+    store.set_unresponsive(true);
+    wait_until(|| calls() > failed_calls).await;
+    let called_at = clock::now();
+    wait_until(|| clock::now().since(called_at) >= STORE_FAILURE_WINDOW).await;
     store.remove("engines/e1");
     store.put("config", "5 /a/");
-    store.set_silent(false);
+    store.set_unresponsive(false);
     wait_until(|| version(&shared) == 5).await;
     assert_eq!(engines(&shared), ["e1"]);
     wait_until(|| engines(&shared).is_empty()).await;
 }
 
-/// Guards against a request reaching an engine more than two seconds after it has announced that it leaves. Sequence: no
-/// instance gets an answer from the store, then the watchers do; an instance whose own calls failed has just begun one
-/// of its longest pauses. It learns of the announcement from the watchers, and not only after its next call.
+/// Guards against a request reaching an engine more than two seconds after it has announced that it leaves. Sequence:
+/// no instance gets an answer from the store, then the watchers do, while an instance whose own calls failed has just
+/// begun one of its longest pauses. It must learn of the announcement from the watchers before its next call.
 #[actix_web::test]
 async fn listener_failing_hears_of_changes() {
     let (served, own) = (FakeStore::new(), FakeStore::new());
@@ -427,13 +427,13 @@
     }
     let own_calls = || own.calls().ranges + own.calls().watches;
     let before = own_calls();
-    served.set_silent(true);
+    served.set_unresponsive(true);
     own.set_down(true);
-    // The pause after the sixth failed call is the first that lasts a second at least.
+    // The pause after the sixth failed call is the first one of at least a second.
     wait_until(|| own_calls() == before + 6).await;
     served.put("engines/e1", "chat 127.0.0.1:9 leaving 2");
     served.put("config", "5 /a/");
-    served.set_silent(false);
+    served.set_unresponsive(false);
     wait_until(|| version(&listener) == 5).await;
     assert_eq!(engines(&listener), Vec::<String>::new());
     assert_eq!(own_calls(), before + 6);
--- a/tests/testsuite/relay/notices.rs
+++ b/tests/testsuite/relay/notices.rs
@@ -392,7 +392,7 @@
     assert_eq!(seen, kinds.map(|kind| (kind, 1, true)));
 }
 
-/// Guards against the call that frees a prefill result reaching an engine during its pause.
+/// Guards against the call that releases a prefill result reaching an engine during its pause.
 #[actix_web::test]
 async fn paused_release_delayed() {
     let paused_at = Rc::new(Cell::new(None));
--- a/tests/testsuite/relay/store.rs
+++ b/tests/testsuite/relay/store.rs
@@ -37,7 +37,7 @@
     changes: RefCell<Vec<Change>>,
     outcomes: RefCell<VecDeque<WriteOutcome>>,
     down: Cell<bool>,
-    silent: Cell<bool>,
+    unresponsive: Cell<bool>,
     compacted: Cell<u64>,
     page_size: Cell<Option<usize>>,
     batch_size: Cell<Option<usize>>,
@@ -128,10 +128,10 @@
         self.revision.send_modify(|_| {});
     }
 
-    /// Sets whether reads and watches get no answer for now. They are answered by the state of the store when it is
-    /// silent no longer.
-    pub fn set_silent(&self, silent: bool) {
-        self.state.silent.set(silent);
+    /// Sets whether reads and watches get no answer. Pending calls are answered from the current state once this is
+    /// reset.
+    pub fn set_unresponsive(&self, unresponsive: bool) {
+        self.state.unresponsive.set(unresponsive);
         self.revision.send_modify(|_| {});
     }
 
@@ -157,10 +157,10 @@
         }
     }
 
-    /// Waits while the store is silent.
-    async fn wait_for_answer(&self) {
+    /// Waits while the store is unresponsive.
+    async fn wait_until_responsive(&self) {
         let mut revisions = self.revision.subscribe();
-        while self.state.silent.get() && revisions.changed().await.is_ok() {}
+        while self.state.unresponsive.get() && revisions.changed().await.is_ok() {}
     }
 
     fn apply(&self, write: Write) -> Result<u64, StoreError> {
@@ -188,7 +188,7 @@
                 ranges: calls.ranges + 1,
                 ..calls
             });
-            self.wait_for_answer().await;
+            self.wait_until_responsive().await;
             self.check()?;
             let items = self.state.items.borrow();
             let items = items.values().filter(|item| item.key.starts_with(prefix));
@@ -225,10 +225,10 @@
                 Change::Removed { revision, .. } => *revision,
             };
             if *revisions.borrow_and_update() <= after {
-                // Without a change, the watch is answered at the end of the wait.
+                // A watch without changes is answered when its wait time ends.
                 let _ = tokio::time::timeout(wait, revisions.changed()).await;
             }
-            self.wait_for_answer().await;
+            self.wait_until_responsive().await;
             self.check()?;
             if after < self.state.compacted.get() {
                 return Err(StoreError::Compacted);
--- a/tests/testsuite/relay/suspects.rs
+++ b/tests/testsuite/relay/suspects.rs
@@ -56,8 +56,8 @@
     assert!(!suspects.is_blocked(Time::ZERO + NOTE_TTL, 7));
 }
 
-/// Guards against a request that is blocked only once: it crashes the same engines again after the first notes have
-/// expired, and these expired notes are kept in place of the new ones.
+/// Guards against a request that is not blocked again when it crashes the same engines after its first notes expired,
+/// because the expired notes are kept in place of the new ones.
 #[test]
 fn convict_again() {
     let mut suspects = Suspects::new();
--- a/tests/testsuite/relay/watchers.rs
+++ b/tests/testsuite/relay/watchers.rs
@@ -218,7 +218,7 @@
     }
 }
 
-/// Guards against the same failure if messages that arrived during the pause are read before the next tick.
+/// Guards against messages from before a pause counting as confirmations if they are read before the next tick.
 #[test]
 fn message_before_tick_not_believed() {
     let mut state = SyncState::new(0);
@@ -228,8 +228,8 @@
     assert_eq!(state.age(at(10_000)), Some(Duration::from_secs(10)));
 }
 
-/// Guards against a confirmation that appears older than it is: the answer to a request that took long reported it
-/// first, with an age counted from the request, and a later message that reports the same one is ignored.
+/// Guards against a confirmation that appears older than it is: the slow answer to a request reports it first, with an
+/// age counted from the request, and a later message with the same confirmation is ignored.
 #[test]
 fn message_after_slow_answer_counts() {
     let mut state = SyncState::new(0);
@@ -239,8 +239,8 @@
     assert_eq!(state.age(at(900)), Some(Duration::from_millis(200)));
 }
 
-/// Guards against a confirmation that counts again because it was forgotten, and against an age that is rounded down
-/// each time that it is reported.
+/// Guards against a confirmation that is accepted again because its record was removed, and against an age that is
+/// rounded down in messages.
 #[test]
 fn confirmation_counts_once() {
     let mut state = SyncState::new(0);
--- a/tests/testsuite/upstream.rs
+++ b/tests/testsuite/upstream.rs
@@ -69,16 +69,16 @@
 }
 
 /// Guards against a request that reaches a drained engine: the instance is paused while it connects to the engine, the
-/// engine is drained meanwhile, and the instance sends the request when it resumes, as it decided before the pause.
+/// engine is drained during the pause, and the instance sends the request when it resumes.
 #[actix_web::test]
 async fn generate_permit_lost_while_connecting() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = listener.local_addr().expect("it is bound");
-    listener.set_nonblocking(true).expect("an option of sockets");
+    listener.set_nonblocking(true).expect("the option is supported");
     let accepted = Rc::new(RefCell::new(None));
     let connection = accepted.clone();
     let client = EngineClient::with_permit(Rc::new(move || {
-        let (stream, _) = listener.accept().expect("asked once it is connected");
+        let (stream, _) = listener.accept().expect("the permit is called after connecting");
         *connection.borrow_mut() = Some(stream);
         false
     }));
@@ -95,12 +95,14 @@
         import: None,
     };
     let generated = tokio::time::timeout(Duration::from_secs(5), client.generate(address, &body)).await;
-    let result = generated.expect("no answer is awaited without a permit");
+    let result = generated.expect("a refused request fails without waiting");
     let error = result.expect_err("not permitted");
     assert!(error.is_not_started(), "{error:?}");
-    let mut stream = accepted.take().expect("the permit was asked for");
-    stream.set_nonblocking(false).expect("an option of sockets");
-    let mut seen = Vec::new();
-    stream.read_to_end(&mut seen).expect("the connection is closed");
-    assert_eq!(seen, b"", "sent without a permit");
+    let mut stream = accepted.take().expect("the permit was called");
+    stream.set_nonblocking(false).expect("the option is supported");
+    let mut received = Vec::new();
+    stream
+        .read_to_end(&mut received)
+        .expect("the connection is closed");
+    assert_eq!(received, b"", "sent without a permit");
 }
