Collect the incarnations of engines only if there are notices to prune

Each publication of the engines built a set of all their incarnations, also at the start, when thousands register and no engine has reported anything. It is built now when the first notice is checked; what is pruned stays the same.

--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -12,6 +12,7 @@
 mod join;
 mod listen;
 
+use std::cell::LazyCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -493,7 +494,8 @@
     /// Removes the load of engines whose keys are not in `known`, and the notices of engines that have long been
     /// absent.
     fn remove_absent_engines(&self, known: &BTreeSet<EngineKey>) {
-        let incarnations = self.engines.incarnations();
+        // Only needed if there are notices, which is rare.
+        let incarnations = LazyCell::new(|| self.engines.incarnations());
         let mut ledger = self.shared.traffic();
         ledger.load.retain(|key| known.contains(&key));
         ledger
