Read the request limits that engines report in their answers

No log line or metric told that an engine had named a limit, so that the logs could not tell whether an instance knew it. The adapter decodes the header once; core::relay::rate_limits keeps the limit by the engine's incarnation. Events 308 and 309 log its begin, change and end, relay_limited_engines counts the engines.

Answers may overtake each other: a report applies if its request was sent after the one that applies was received, or, if the order is uncertain, if it is stricter. Only an answer to a request that the engine served ends a limit. Engines are chosen as before.

Tests: relay::limit_reports, decode::limit_values.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -71,6 +71,10 @@
     306 ENGINE_PAUSED = "engine-paused";
     /// A header in which an engine reports its state is invalid; it is ignored.
     307 NOTICE_UNREADABLE = "notice-unreadable";
+    /// An engine reported a limit on the requests per second that it accepts from all instances together, or changed it.
+    308 ENGINE_LIMITED = "engine-limited";
+    /// An engine answered without reporting the limit that it had reported before.
+    309 ENGINE_LIMIT_ENDED = "engine-limit-ended";
     /// An attempt at an upstream failed.
     400 ATTEMPT_FAILED = "attempt-failed";
     /// A request was refused.
--- a/src/ops/relay/edge.rs
+++ b/src/ops/relay/edge.rs
@@ -7,6 +7,7 @@
 use http::StatusCode;
 use sequoiastream_core::relay::engines::Entry;
 use sequoiastream_core::relay::engines::Stage;
+use sequoiastream_core::relay::limit_report::RequestRate;
 use sequoiastream_core::relay::prompt::Prompt;
 use sequoiastream_core::relay::routes::RoutingTable;
 use sequoiastream_core::relay::scale::ScaleOrder;
@@ -199,6 +200,14 @@
     fn requested_pause(&self, status: StatusCode, headers: &HeaderMap)
     -> Result<Option<Duration>, Malformed>;
 
+    /// The requests per second that an engine accepts from all instances together, according to the headers of an
+    /// answer; `None` if the answer reports no limit.
+    ///
+    /// # Errors
+    ///
+    /// [`Malformed`] if the header is invalid.
+    fn request_limit(&self, headers: &HeaderMap) -> Result<Option<RequestRate>, Malformed>;
+
     /// Returns the path of the call that frees the result of the prefill called `name`.
     fn release_path(&self, name: &str) -> String;
 
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -494,13 +494,16 @@
     /// Removes the load of engines whose keys are not in `known`, and the notices of engines that have long been
     /// absent.
     fn remove_absent_engines(&self, known: &BTreeSet<EngineKey>) {
-        // Only needed if there are notices, which is rare.
+        // Only needed if there are notices or limits, which is rare.
         let incarnations = LazyCell::new(|| self.engines.incarnations());
         let mut ledger = self.shared.traffic();
         ledger.load.retain(|key| known.contains(&key));
         ledger
             .notices
             .retain(clock::now(), |engine| incarnations.contains(&engine));
+        ledger
+            .rate_limits
+            .retain(clock::now(), |engine| incarnations.contains(&engine));
     }
 
     fn on_success(&mut self) {
--- a/src/ops/relay/gauges.rs
+++ b/src/ops/relay/gauges.rs
@@ -28,6 +28,7 @@
     metrics
         .peers_age
         .set(traffic.load.oldest_report_age(now).as_secs_f64());
+    metrics.limited_engines.set(count(traffic.rate_limits.count()));
     metrics.clear_services();
     for (service, engines) in view.engines() {
         let own = sum(engines.iter().map(|e| traffic.load.own_work(e.key)));
--- a/src/ops/relay/orders.rs
+++ b/src/ops/relay/orders.rs
@@ -34,6 +34,7 @@
 
 use crate::log_event;
 use crate::ops::relay::edge::Translate;
+use crate::ops::relay::shared::AnswerHead;
 use crate::ops::relay::shared::Shared;
 use crate::util::clock;
 
@@ -351,8 +352,15 @@
         )
         .body(Full::new(Bytes::from(body)))
         .map_err(|e| e.to_string())?;
+    let sent = clock::now();
     let answer = call(pool, address, request, MAX_ANSWER_BYTES, ANSWER_TIMEOUT).await;
     let answer = answer.map_err(|e| e.to_string())?;
-    shared.on_engine_answer(engine, answer.status(), answer.headers());
+    let head = AnswerHead {
+        sent,
+        is_served: false,
+        status: answer.status(),
+        headers: answer.headers(),
+    };
+    shared.on_engine_answer(engine, &head);
     Ok(answer.status().as_u16())
 }
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -20,6 +20,7 @@
 use sequoiastream_upstream::channel::Pool;
 
 use crate::ops::relay::edge::HeaderNames;
+use crate::ops::relay::shared::AnswerHead;
 use crate::ops::relay::shared::Shared;
 use crate::util::clock;
 
@@ -145,11 +146,19 @@
     let limit = options
         .attempt_timeout
         .map_or(left, |attempt_timeout| attempt_timeout.min(left));
+    let sent = clock::now();
     let answer = channel.send(request, limit).await?;
     let checked = check_answer(names, incoming, options, &answer);
     // An answer that failed any other check may not come from this engine.
     if checked.as_ref().err().is_none_or(|f| f.end == End::Declined) {
-        shared.on_engine_answer(engine, answer.head.status, &answer.head.headers);
+        let (status, headers) = (answer.head.status, &answer.head.headers);
+        let head = AnswerHead {
+            sent,
+            is_served: checked.is_ok() && status.is_success(),
+            status,
+            headers,
+        };
+        shared.on_engine_answer(engine, &head);
     }
     match checked {
         Ok(()) => Ok(answer),
@@ -276,8 +285,15 @@
     let host =
         HeaderValue::from_str(&address.to_string()).map_err(|e| AttemptFailure::new(End::Unsent, e))?;
     request.headers_mut().insert(http::header::HOST, host);
+    let sent = clock::now();
     let answer =
         sequoiastream_upstream::channel::call(pool, address, request, MAX_ANSWER_BYTES, limit).await?;
-    shared.on_engine_answer(engine, answer.status(), answer.headers());
+    let head = AnswerHead {
+        sent,
+        is_served: false,
+        status: answer.status(),
+        headers: answer.headers(),
+    };
+    shared.on_engine_answer(engine, &head);
     Ok(())
 }
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -19,8 +19,12 @@
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::leader_lease::LeaseRecord;
+use sequoiastream_core::relay::limit_report::LimitReport;
+use sequoiastream_core::relay::limit_report::RequestRate;
 use sequoiastream_core::relay::load_tracker::LoadTracker;
 use sequoiastream_core::relay::notices::EngineNotices;
+use sequoiastream_core::relay::rate_limits::LimitChange;
+use sequoiastream_core::relay::rate_limits::RateLimits;
 use sequoiastream_core::relay::routes::RoutingTable;
 use sequoiastream_core::relay::suspects::Suspects;
 use sequoiastream_core::relay::usage::Tally;
@@ -100,6 +104,19 @@
     }
 }
 
+/// The head of an engine's answer to a call.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerHead<'a> {
+    /// When the call was sent.
+    pub sent: Time,
+    /// Whether the engine served a request, so that the answer reports its whole state.
+    pub is_served: bool,
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: &'a HeaderMap,
+}
+
 /// State that every request changes, under a lock that is never held across an await.
 #[derive(Debug)]
 pub struct TrafficState {
@@ -109,6 +126,8 @@
     pub budget: RetryBudget,
     /// State that engines have reported in their answers.
     pub notices: EngineNotices,
+    /// Limits on requests per second that engines have reported.
+    pub rate_limits: RateLimits,
     /// Requests suspected of crashing engines.
     pub suspects: Suspects,
     /// Requests that engines began, by window and workspace.
@@ -154,6 +173,7 @@
             load: LoadTracker::new(),
             budget: RetryBudget::new(options.reloadable.budget_limits),
             notices: EngineNotices::new(),
+            rate_limits: RateLimits::new(),
             suspects: Suspects::new(),
             tally: Tally::default(),
         };
@@ -305,11 +325,13 @@
     }
 
     /// Records the state that an engine reports in an answer to this instance.
-    pub fn on_engine_answer(&self, engine: &Engine, status: StatusCode, headers: &HeaderMap) {
+    pub fn on_engine_answer(&self, engine: &Engine, answer: &AnswerHead<'_>) {
+        let AnswerHead { status, headers, .. } = *answer;
         // The answer comes from another engine that has the same address.
         if status == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
+        self.on_request_limit(engine, answer);
         let id = &engine.entry.id;
         match self.translate.is_leaving(headers) {
             Ok(true) if self.traffic().notices.on_leaving(engine.incarnation()) => {
@@ -331,6 +353,29 @@
         }
     }
 
+    /// Records the limit that an engine reports in an answer, or that it no longer reports one.
+    fn on_request_limit(&self, engine: &Engine, answer: &AnswerHead<'_>) {
+        let id = &engine.entry.id;
+        let limit = match self.translate.request_limit(answer.headers) {
+            // Engines may omit the header when they decline, fail, or answer other calls.
+            Ok(None) if !answer.is_served => return,
+            Ok(limit) => limit,
+            Err(error) => {
+                log_event!(warn, log_event::NOTICE_UNREADABLE, engine = %id, %error);
+                return;
+            }
+        };
+        let report = LimitReport {
+            limit,
+            sent: answer.sent,
+            received: clock::now(),
+        };
+        let change = self.traffic().rate_limits.on_answer(engine.incarnation(), report);
+        if let Some(change) = change {
+            log_limit_change(id, change);
+        }
+    }
+
     /// Counts a request as running until the returned guard is dropped.
     pub fn begin(&self) -> Running {
         self.running.fetch_add(1, Ordering::SeqCst);
@@ -342,3 +387,11 @@
         self.running.load(Ordering::SeqCst)
     }
 }
+
+fn log_limit_change(engine: &str, change: LimitChange) {
+    let before = change.before.map(RequestRate::as_f64);
+    match change.after.map(RequestRate::as_f64) {
+        Some(limit) => log_event!(info, log_event::ENGINE_LIMITED, engine, limit, before),
+        None => log_event!(info, log_event::ENGINE_LIMIT_ENDED, engine, before),
+    }
+}
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -106,6 +106,8 @@
     pub config_version: Gauge,
     /// Number of engines that may receive requests.
     pub engines: Gauge,
+    /// Number of engines that currently limit the requests per second that they accept.
+    pub limited_engines: Gauge,
     /// Number of instances listed to callers.
     pub instances: Gauge,
     registry: Mutex<Registry>,
@@ -140,6 +142,7 @@
             running: Gauge::default(),
             config_version: Gauge::default(),
             engines: Gauge::default(),
+            limited_engines: Gauge::default(),
             instances: Gauge::default(),
             registry: Mutex::default(),
         };
@@ -246,6 +249,11 @@
             "Version of the configuration in force",
             self.config_version.clone(),
         );
+        registry.register(
+            "relay_limited_engines",
+            "Engines that currently limit the requests per second that they accept from all instances together",
+            self.limited_engines.clone(),
+        );
         registry.register(
             "relay_instances",
             "Instances listed to callers",
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -30,6 +30,7 @@
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::engines::Entry;
 use sequoiastream_core::relay::engines::Stage;
+use sequoiastream_core::relay::limit_report::RequestRate;
 use sequoiastream_core::relay::prompt::Part;
 use sequoiastream_core::relay::prompt::Prompt;
 use sequoiastream_core::relay::routes::CallerLimits;
@@ -226,6 +227,19 @@
         Ok(Some(pause))
     }
 
+    fn request_limit(&self, headers: &HeaderMap) -> Result<Option<RequestRate>, Malformed> {
+        let Some(value) = headers.get("x-limit") else {
+            return Ok(None);
+        };
+        let malformed = || Malformed::new("x-limit", format!("{value:?}"));
+        let rate = value
+            .to_str()
+            .ok()
+            .and_then(|v| v.parse().ok())
+            .ok_or_else(malformed)?;
+        RequestRate::per_second(rate).map(Some).ok_or_else(malformed)
+    }
+
     fn release_path(&self, name: &str) -> String {
         format!("/release/{name}")
     }
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -13,6 +13,7 @@
 mod keys;
 mod known;
 mod lead;
+mod limit_reports;
 mod metrics;
 mod notices;
 mod orders;
