--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -358,6 +358,11 @@
             view.set_engines([("chat".to_string(), engines)].into());
             view.instances = 1;
         });
+        Instance::serve(shared)
+    }
+
+    /// Starts the server of an instance with this state.
+    pub fn serve(shared: Arc<Shared>) -> Instance {
         let server = server::start(shared.clone()).expect("an unused address");
         Instance { shared, server }
     }
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -14,6 +14,7 @@
 mod known;
 mod lead;
 mod limit_reports;
+mod limits;
 mod metrics;
 mod notices;
 mod orders;
--- a/tests/testsuite/relay/notices.rs
+++ b/tests/testsuite/relay/notices.rs
@@ -5,7 +5,6 @@
 
 use tokio::sync::Notify;
 
-use super::answers::event_stream;
 use super::engine::Action;
 use super::engine::ScriptedEngine;
 use super::follow::follow_store;
@@ -21,12 +20,15 @@
 use super::request_kinds::SERVED;
 use super::request_kinds::ScriptedAnswer;
 use super::request_kinds::assert_ignored;
+use super::request_kinds::broken_stream;
 use super::request_kinds::constant_engine;
 use super::request_kinds::is_refusal;
 use super::request_kinds::request_count;
+use super::request_kinds::requests_refused;
 use super::request_kinds::scripted_answer;
 use super::request_kinds::send_request;
 use super::request_kinds::send_requests;
+use super::request_kinds::send_second_requests;
 use super::request_kinds::start;
 use super::request_kinds::start_request;
 use super::store::FakeStore;
@@ -65,26 +67,6 @@
     assert_eq!(send_second_requests(PAUSED).await, requests_refused());
 }
 
-/// Sends two requests of each kind to a single engine, which answers the first one with `notice`. Returns how many
-/// reached it, and whether the second one was refused.
-async fn send_second_requests(notice: ScriptedAnswer) -> Vec<(RequestKind, usize, bool)> {
-    let mut seen = Vec::new();
-    for kind in REQUEST_KINDS {
-        let engines = EngineGroup::single(kind, notice).await;
-        let instance = start(kind, &engines.engines).await;
-        send_request(&instance, kind, 0).await;
-        let got = send_request(&instance, kind, 1).await;
-        assert!(is_refusal(&got) || status(&got) == "200", "{kind:?} {got}");
-        seen.push((kind, request_count(engines.reporting()), is_refusal(&got)));
-    }
-    seen
-}
-
-/// What [`send_second_requests`] returns if the second request doesn't reach the engine.
-fn requests_refused() -> Vec<(RequestKind, usize, bool)> {
-    REQUEST_KINDS.map(|kind| (kind, 1, !kind.has_fallback())).to_vec()
-}
-
 /// Guards against a leaving engine that gets requests because the header is not read in every answer: when it declines,
 /// when it fails, or in the answer to a prefill.
 #[actix_web::test]
@@ -175,55 +157,6 @@
     assert_eq!(seen, expected);
 }
 
-/// Outcome of a stream that its first engine breaks off after two events.
-#[derive(Debug)]
-struct BrokenStream {
-    /// What the caller received.
-    received: String,
-    /// The engine that became leaving or paused while the stream was running.
-    unavailable: ScriptedEngine,
-    /// An idle engine, which belongs to the service only if the test asks for it.
-    idle: ScriptedEngine,
-}
-
-/// Runs a resumable stream. While it is running, another engine answers a request with `notice`. Then the first engine
-/// of the stream breaks it off. `has_idle` adds an idle engine to the service.
-async fn broken_stream(notice: ScriptedAnswer, has_idle: bool) -> BrokenStream {
-    let kind = RequestKind::Resumable;
-    let notify = Rc::new(Notify::new());
-    let awaited = notify.clone();
-    let breaking = ScriptedEngine::start(move |number, request| match number {
-        0 => vec![
-            Action::Send(event_stream(request, 1..=2)),
-            Action::Await(awaited.clone()),
-            Action::Close,
-        ],
-        _ => vec![SERVED.answer(kind, request)],
-    })
-    .await;
-    let engines = EngineGroup::single(kind, notice).await;
-    let unavailable = engines.engines[0].clone();
-    let idle = constant_engine(kind, SERVED).await;
-    let all = [&breaking, &unavailable, &idle];
-    let instance = start(kind, all.into_iter().take(if has_idle { 3 } else { 2 })).await;
-    let mut caller = start_request(&instance).await;
-    caller.read_until("token 2").await;
-    let got = send_request(&instance, kind, 1).await;
-    assert_eq!(status(&got), "200", "{got}");
-    assert_eq!(
-        request_count(&unavailable),
-        1,
-        "the engine without a stream gets the second request"
-    );
-    notify.notify_one();
-    let received = caller.read_to_end().await;
-    BrokenStream {
-        received,
-        unavailable,
-        idle,
-    }
-}
-
 /// Guards against a stream that is resumed at a leaving or paused engine because no other engine is left. The caller
 /// must receive a truncated response.
 #[actix_web::test]
--- a/tests/testsuite/relay/request_kinds.rs
+++ b/tests/testsuite/relay/request_kinds.rs
@@ -1,5 +1,6 @@
 //! Requests of each kind, and engines that report their state in the headers of their answers.
 
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -7,6 +8,7 @@
 use sequoiastream_core::relay::engines::Entry;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::routes::RouteKind;
+use tokio::sync::Notify;
 
 use super::answers::event_stream;
 use super::engine::Action;
@@ -294,3 +296,72 @@
         );
     }
 }
+
+/// Sends two requests of each kind to a single engine, which answers the first one with `notice`. Returns how many
+/// reached it, and whether the second one was refused.
+pub async fn send_second_requests(notice: ScriptedAnswer) -> Vec<(RequestKind, usize, bool)> {
+    let mut seen = Vec::new();
+    for kind in REQUEST_KINDS {
+        let engines = EngineGroup::single(kind, notice).await;
+        let instance = start(kind, &engines.engines).await;
+        send_request(&instance, kind, 0).await;
+        let got = send_request(&instance, kind, 1).await;
+        assert!(is_refusal(&got) || status(&got) == "200", "{kind:?} {got}");
+        seen.push((kind, request_count(engines.reporting()), is_refusal(&got)));
+    }
+    seen
+}
+
+/// What [`send_second_requests`] returns if the second request doesn't reach the engine.
+pub fn requests_refused() -> Vec<(RequestKind, usize, bool)> {
+    REQUEST_KINDS.map(|kind| (kind, 1, !kind.has_fallback())).to_vec()
+}
+
+/// Outcome of a stream that its first engine breaks off after two events.
+#[derive(Debug)]
+pub struct BrokenStream {
+    /// What the caller received.
+    pub received: String,
+    /// The engine that reported that it accepts no more requests while the stream was running.
+    pub unavailable: ScriptedEngine,
+    /// An idle engine, which belongs to the service only if the test asks for it.
+    pub idle: ScriptedEngine,
+}
+
+/// Runs a resumable stream. While it is running, another engine answers a request with `notice`. Then the first engine
+/// of the stream breaks it off. `has_idle` adds an idle engine to the service.
+pub async fn broken_stream(notice: ScriptedAnswer, has_idle: bool) -> BrokenStream {
+    let kind = RequestKind::Resumable;
+    let notify = Rc::new(Notify::new());
+    let awaited = notify.clone();
+    let breaking = ScriptedEngine::start(move |number, request| match number {
+        0 => vec![
+            Action::Send(event_stream(request, 1..=2)),
+            Action::Await(awaited.clone()),
+            Action::Close,
+        ],
+        _ => vec![SERVED.answer(kind, request)],
+    })
+    .await;
+    let engines = EngineGroup::single(kind, notice).await;
+    let unavailable = engines.engines[0].clone();
+    let idle = constant_engine(kind, SERVED).await;
+    let all = [&breaking, &unavailable, &idle];
+    let instance = start(kind, all.into_iter().take(if has_idle { 3 } else { 2 })).await;
+    let mut caller = start_request(&instance).await;
+    caller.read_until("token 2").await;
+    let got = send_request(&instance, kind, 1).await;
+    assert_eq!(status(&got), "200", "{got}");
+    assert_eq!(
+        request_count(&unavailable),
+        1,
+        "the engine without a stream gets the second request"
+    );
+    notify.notify_one();
+    let received = caller.read_to_end().await;
+    BrokenStream {
+        received,
+        unavailable,
+        idle,
+    }
+}
