Keep the request limits that engines report

Engines that had reported limits of 26.5 and 19.2 requests a second got 251 and 129 in 4 s from 8 instances that knew it (allowed 164 and 120); callers were served.

Each instance now keeps to its share, by a token bucket that every way to an engine takes from: first call, retry, prefill, generation, resumption, order, release. An engine without a token is left out of the choice, also as the source of a fetch. Why the sum holds: shares are computed from the fleet as each instance knows it and add up to the limit whatever the others send. A limit of less than 2 a second for each live instance is split among fewer instances, other ones for each engine, because each may send one request at once. Leaving and silent instances count, as they may still send. What was sent in the last second before the limit was learned is taken off, at most three seconds' worth: the rule's first windows begin before the limit.

Answers and messages overtake each other; the later report applies, the stricter one if the order is uncertain.

--- a/crates/core/src/relay/limit_report.rs
+++ b/crates/core/src/relay/limit_report.rs
@@ -1,8 +1,11 @@
 //! What an engine reports about the requests per second that it accepts from all instances together.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::relay::engines::Incarnation;
 use crate::time::Time;
 
 /// Parts of a request per second in which rates are counted.
@@ -59,3 +62,51 @@
         }
     }
 }
+
+/// A report as an instance passes it on to its peers. Clocks of instances can't be compared, so it contains ages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerLimitReport {
+    /// Hash of the engine's id.
+    pub engine: u64,
+    /// Start time of the engine, as in its registration.
+    pub started: Option<u64>,
+    /// The limit; `None` if the engine no longer reports one.
+    pub limit: Option<RequestRate>,
+    /// Milliseconds since the request was sent that the engine answered.
+    pub sent: u32,
+    /// Milliseconds since the answer was received.
+    pub received: u32,
+}
+
+impl PeerLimitReport {
+    /// The message about `report`, if it is sent at `now`.
+    pub fn new(now: Time, engine: Incarnation, report: LimitReport) -> PeerLimitReport {
+        let millis = |micros: u128| u32::try_from(micros / 1_000).unwrap_or(u32::MAX);
+        PeerLimitReport {
+            engine: engine.id,
+            started: engine.started,
+            limit: report.limit,
+            // The interval between both times may only become longer.
+            sent: millis(now.since(report.sent).as_micros() + 999),
+            received: millis(now.since(report.received).as_micros()),
+        }
+    }
+
+    /// The incarnation of the engine.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            id: self.engine,
+            started: self.started,
+        }
+    }
+
+    /// The report, if the message is received at `now`.
+    pub fn report(&self, now: Time) -> LimitReport {
+        let before = |millis: u32| now - Duration::from_millis(u64::from(millis));
+        LimitReport {
+            limit: self.limit,
+            sent: before(self.sent),
+            received: before(self.received),
+        }
+    }
+}
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -16,6 +16,7 @@
 use sequoiastream_core::poison::CrashReport;
 use sequoiastream_core::poison::Fingerprint;
 use sequoiastream_core::poison::HoldRequest;
+use sequoiastream_core::relay::limit_report::PeerLimitReport;
 use sequoiastream_core::relay::load_message::LoadMessage;
 use sequoiastream_core::relay::usage::CountsMessage;
 use sequoiastream_core::relay::watchers::ConfirmationId;
@@ -39,6 +40,8 @@
     Proof(StoreProof),
     /// Number of requests that engines started for the sender.
     Counts(CountsMessage),
+    /// Request limits that engines reported to the sender.
+    Limits(Vec<PeerLimitReport>),
 }
 
 /// A request over TCP.
--- a/src/ops/relay/orders.rs
+++ b/src/ops/relay/orders.rs
@@ -352,6 +352,7 @@
         )
         .body(Full::new(Bytes::from(body)))
         .map_err(|e| e.to_string())?;
+    shared.on_send(engine);
     let sent = clock::now();
     let answer = call(pool, address, request, MAX_ANSWER_BYTES, ANSWER_TIMEOUT).await;
     let answer = answer.map_err(|e| e.to_string())?;
--- a/src/ops/relay/peers/mod.rs
+++ b/src/ops/relay/peers/mod.rs
@@ -1,8 +1,9 @@
 //! The other instances of the fleet: which ones exist, whether they are alive, how much work they have at each engine,
-//! and how far they have read the store.
+//! which request limits engines reported to them, and how far they have read the store.
 
 mod ask;
 mod counts;
+mod limits;
 mod prove;
 mod roster;
 
@@ -177,6 +178,8 @@
     quiet: Cell<bool>,
     /// Number of the next turn of messages about load.
     turn: Cell<u32>,
+    /// Number of messages about request limits sent.
+    limit_turn: Cell<u32>,
     calls: CallClient,
     known: StoreReplica,
     /// Addresses of the peers that are currently heard, as of the last roster: those of this zone, then those of other
@@ -242,6 +245,7 @@
         listed: RefCell::default(),
         quiet: Cell::new(true),
         turn: Cell::new(0),
+        limit_turn: Cell::new(0),
         started: clock::now(),
         watch_rank: Cell::default(),
         updates: Notify::new(),
@@ -261,6 +265,7 @@
             Ok((name, Datagram::Prove(number))) => fleet.on_proof_request(&name, number),
             Ok((_, Datagram::Proof(proof))) => fleet.on_proof(proof),
             Ok((name, Datagram::Counts(message))) => fleet.on_counts(&name, message),
+            Ok((_, Datagram::Limits(reports))) => fleet.on_limits(&reports),
             Ok((_, Datagram::Ping)) => {}
             Err(PeerError::Broken(error)) => {
                 log_event!(warn, log_event::PEER_FAILED, %error, call = "receive");
@@ -474,6 +479,7 @@
         self.send_counts(now);
         let turn = self.0.turn.get();
         self.0.turn.set(turn.wrapping_add(1));
+        self.send_limits(now, turn);
         let (peers, turns) = self.load_recipients(now, turn);
         let (load, notes, reads) = {
             let mut ledger = self.0.shared.traffic();
--- a/src/ops/relay/peers/roster.rs
+++ b/src/ops/relay/peers/roster.rs
@@ -12,6 +12,7 @@
 use sequoiastream_core::membership::Roster;
 use sequoiastream_core::name::Name;
 use sequoiastream_core::relay::directory::Endpoint;
+use sequoiastream_core::relay::limit_share::FleetPosition;
 use sequoiastream_core::relay::watchers;
 use sequoiastream_core::relay::watchers::Candidate;
 use sequoiastream_core::relay::watchers::FleetRank;
@@ -37,6 +38,12 @@
             .iter()
             .filter(|p| p.accepts_work() && p.name < self.0.shared.options.name);
         let rank = u32::try_from(before.count()).unwrap_or(u32::MAX);
+        let live = roster.peers.iter().filter(|p| p.accepts_work()).count() + 1;
+        self.0.shared.traffic().rate_limits.set_position(FleetPosition {
+            rank,
+            live,
+            known: instances,
+        });
         self.update_watchers(&roster);
         self.update_heard(&roster);
         let open = roster
--- a/src/ops/relay/pick.rs
+++ b/src/ops/relay/pick.rs
@@ -134,11 +134,15 @@
         let now = clock::now();
         let ledger = self.shared.traffic();
         let is_excluded = |e: &Engine| {
-            view.orders.is_changing(now, &e.entry) || ledger.notices.is_unavailable(now, e.incarnation())
+            let engine = e.incarnation();
+            view.orders.is_changing(now, &e.entry)
+                || ledger.notices.is_unavailable(now, engine)
+                || !ledger.rate_limits.has_room(now, engine)
         };
         // Engines are rarely excluded, so the list is copied only if one is.
-        let any = (view.orders.may_change(now) || ledger.notices.any_unavailable(now))
-            && engines.iter().any(is_excluded);
+        let may_exclude =
+            view.orders.may_change(now) || ledger.notices.any_unavailable(now) || ledger.rate_limits.any();
+        let any = may_exclude && engines.iter().any(is_excluded);
         let staying: Cow<'_, [Engine]> = match any {
             true => engines.iter().filter(|e| !is_excluded(e)).cloned().collect(),
             false => Cow::Borrowed(engines),
@@ -170,12 +174,13 @@
         }
     }
 
+    /// Records that an engine is sent this request.
     pub(super) fn begin_job(&self, engine: &Engine, prefill: Duration) -> JobGuard {
-        let id = self
-            .shared
-            .traffic()
-            .load
-            .begin(clock::now(), engine.key, prefill);
+        let now = clock::now();
+        let mut ledger = self.shared.traffic();
+        ledger.rate_limits.on_send(now, engine);
+        let id = ledger.load.begin(now, engine.key, prefill);
+        drop(ledger);
         JobGuard {
             shared: self.shared.clone(),
             id,
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -27,6 +27,9 @@
 /// Time limit for the call that frees the result of a prefill.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Maximum time for which that call waits because the engine is at its request limit.
+const MAX_RELEASE_WAIT: Duration = Duration::from_secs(5);
+
 /// Maximum number of engines that are asked to compute a prefill, one after the other.
 const MAX_PREFILL_ATTEMPTS: u32 = 2;
 
@@ -67,10 +70,16 @@
         let engine = self.engine.clone();
         let shared = self.shared.clone();
         actix_rt::spawn(async move {
-            // A paused engine accepts no calls. It discards the result itself after a while.
-            shared.wait_for_pause_end(&engine).await;
-            if let Err(failure) = release(&shared, &pool, &engine, &path, RELEASE_TIMEOUT).await {
-                log_event!(debug, log_event::ATTEMPT_FAILED, engine = %engine.entry.id, why = failure.reason, call = "release");
+            // The engine discards the result itself after a while.
+            let reason = match shared.wait_for_call(&engine, MAX_RELEASE_WAIT).await {
+                true => release(&shared, &pool, &engine, &path, RELEASE_TIMEOUT)
+                    .await
+                    .err()
+                    .map(|failure| failure.reason),
+                false => Some("the engine is at its request limit".to_string()),
+            };
+            if let Some(why) = reason {
+                log_event!(debug, log_event::ATTEMPT_FAILED, engine = %engine.entry.id, why, call = "release");
             }
         });
     }
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -285,6 +285,7 @@
     let host =
         HeaderValue::from_str(&address.to_string()).map_err(|e| AttemptFailure::new(End::Unsent, e))?;
     request.headers_mut().insert(http::header::HOST, host);
+    shared.on_send(engine);
     let sent = clock::now();
     let answer =
         sequoiastream_upstream::channel::call(pool, address, request, MAX_ANSWER_BYTES, limit).await?;
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -304,23 +304,44 @@
         self.leaving.get().is_some_and(|at| now.since(*at) >= max_kept)
     }
 
-    /// Whether an engine must get no requests from this instance, because it has reported that it is leaving or paused.
+    /// Whether an engine must get no order from this instance now, because it has reported that it is leaving, paused,
+    /// or at its request limit.
     pub fn is_unavailable(&self, engine: &Engine) -> bool {
         let now = clock::now();
-        self.traffic().notices.is_unavailable(now, engine.incarnation())
+        let traffic = self.traffic();
+        let incarnation = engine.incarnation();
+        let delay = traffic.rate_limits.call_delay(now, incarnation);
+        traffic.notices.is_unavailable(now, incarnation) || delay != Some(Duration::ZERO)
     }
 
-    /// Waits until the pause requested by an engine has ended.
-    pub async fn wait_for_pause_end(&self, engine: &Engine) {
-        let remaining = || {
+    /// Records a request or call that is sent to an engine.
+    pub fn on_send(&self, engine: &Engine) {
+        self.traffic().rate_limits.on_send(clock::now(), engine);
+    }
+
+    /// Waits until an engine that may be paused or at its request limit accepts a call. Returns `false` if this
+    /// instance may send it none within `max_wait` after its pauses.
+    pub async fn wait_for_call(&self, engine: &Engine, max_wait: Duration) -> bool {
+        let incarnation = engine.incarnation();
+        let mut waited = Duration::ZERO;
+        // The engine may extend its pause during the wait, and requests may be sent to it.
+        loop {
             let now = clock::now();
-            self.traffic().notices.pause_left(now, engine.incarnation())
-        };
-        let mut pause = remaining();
-        // The engine may extend its pause during the wait.
-        while !pause.is_zero() {
-            tokio::time::sleep(pause).await;
-            pause = remaining();
+            let (pause, delay) = {
+                let traffic = self.traffic();
+                let pause = traffic.notices.pause_left(now, incarnation);
+                (pause, traffic.rate_limits.call_delay(now, incarnation))
+            };
+            let delay = match delay {
+                _ if !pause.is_zero() => pause,
+                Some(Duration::ZERO) => return true,
+                Some(delay) if waited + delay <= max_wait => {
+                    waited += delay;
+                    delay
+                }
+                _ => return false,
+            };
+            tokio::time::sleep(delay).await;
         }
     }
 
@@ -370,9 +391,9 @@
             sent: answer.sent,
             received: clock::now(),
         };
-        let change = self.traffic().rate_limits.on_answer(engine.incarnation(), report);
+        let change = self.traffic().rate_limits.on_answer(engine, report);
         if let Some(change) = change {
-            log_limit_change(id, change);
+            log_limit_change(id, change, "engine");
         }
     }
 
@@ -388,10 +409,20 @@
     }
 }
 
-fn log_limit_change(engine: &str, change: LimitChange) {
+/// Logs a change of an engine's request limit; `from` says who reported it.
+pub(super) fn log_limit_change(engine: &str, change: LimitChange, from: &str) {
     let before = change.before.map(RequestRate::as_f64);
+    let share = change.share;
     match change.after.map(RequestRate::as_f64) {
-        Some(limit) => log_event!(info, log_event::ENGINE_LIMITED, engine, limit, before),
-        None => log_event!(info, log_event::ENGINE_LIMIT_ENDED, engine, before),
+        Some(limit) => log_event!(
+            info,
+            log_event::ENGINE_LIMITED,
+            engine,
+            limit,
+            share,
+            before,
+            from
+        ),
+        None => log_event!(info, log_event::ENGINE_LIMIT_ENDED, engine, before, from),
     }
 }
--- a/tests/testsuite/relay/limit_reports.rs
+++ b/tests/testsuite/relay/limit_reports.rs
@@ -1,6 +1,8 @@
 //! Which report of an engine's request limit applies, and how long reports are kept.
 
-use sequoiastream_core::relay::engines::Incarnation;
+use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_core::relay::engines::EngineKey;
+use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::limit_report::LimitReport;
 use sequoiastream_core::relay::limit_report::RequestRate;
 use sequoiastream_core::relay::rate_limits::LimitChange;
@@ -24,15 +26,20 @@
     }
 }
 
-const ENGINE: Incarnation = Incarnation {
-    id: 7,
-    started: Some(1),
-};
+/// An engine that started at `started`.
+fn engine(started: u64) -> Engine {
+    let mut entry = super::entry("e0", Stage::Decode);
+    entry.started = Some(started);
+    Engine::new(EngineKey(0), entry)
+}
 
 #[test]
 fn limit_begins_changes_ends() {
     let mut limits = RateLimits::new();
-    let change = |before, after| Some(LimitChange { before, after });
+    let change = |before, after: Option<RequestRate>| {
+        let share = after.map_or(0.0, RequestRate::as_f64);
+        Some(LimitChange { before, after, share })
+    };
     let seen = [
         (None, 100, None),
         (rate(26.5), 200, change(None, rate(26.5))),
@@ -45,11 +52,11 @@
     ];
     for (limit, received, expected) in seen {
         assert_eq!(
-            limits.on_answer(ENGINE, report(limit, received)),
+            limits.on_answer(&engine(1), report(limit, received)),
             expected,
             "at {received} ms"
         );
-        assert_eq!(limits.limit(ENGINE), limit, "at {received} ms");
+        assert_eq!(limits.limit(engine(1).incarnation()), limit, "at {received} ms");
         assert_eq!(limits.count(), usize::from(limit.is_some()), "at {received} ms");
     }
 }
@@ -59,20 +66,20 @@
 #[test]
 fn limit_kept_if_order_uncertain() {
     let mut limits = RateLimits::new();
-    limits.on_answer(ENGINE, report(rate(20.0), 200));
+    limits.on_answer(&engine(1), report(rate(20.0), 200));
     for limit in [None, rate(30.0)] {
-        assert_eq!(limits.on_answer(ENGINE, report(limit, 210)), None);
+        assert_eq!(limits.on_answer(&engine(1), report(limit, 210)), None);
     }
-    let stricter = limits.on_answer(ENGINE, report(rate(10.0), 210));
+    let stricter = limits.on_answer(&engine(1), report(rate(10.0), 210));
     assert_eq!(stricter.map(|c| c.after), Some(rate(10.0)));
-    limits.on_answer(ENGINE, report(rate(10.0), 300));
+    limits.on_answer(&engine(1), report(rate(10.0), 300));
     assert_eq!(
-        limits.on_answer(ENGINE, report(None, 310)),
+        limits.on_answer(&engine(1), report(None, 310)),
         None,
         "not later than the confirmation"
     );
     assert_eq!(
-        limits.on_answer(ENGINE, report(None, 320)).map(|c| c.after),
+        limits.on_answer(&engine(1), report(None, 320)).map(|c| c.after),
         Some(None)
     );
 }
@@ -81,10 +88,10 @@
 #[test]
 fn limit_not_restored_by_earlier_report() {
     let mut limits = RateLimits::new();
-    limits.on_answer(ENGINE, report(rate(20.0), 200));
-    limits.on_answer(ENGINE, report(None, 300));
-    assert_eq!(limits.on_answer(ENGINE, report(rate(20.0), 280)), None);
-    let later = limits.on_answer(ENGINE, report(rate(20.0), 290));
+    limits.on_answer(&engine(1), report(rate(20.0), 200));
+    limits.on_answer(&engine(1), report(None, 300));
+    assert_eq!(limits.on_answer(&engine(1), report(rate(20.0), 280)), None);
+    let later = limits.on_answer(&engine(1), report(rate(20.0), 290));
     assert_eq!(later.map(|c| c.after), Some(rate(20.0)), "the order is uncertain");
 }
 
@@ -93,12 +100,8 @@
 #[test]
 fn limit_of_incarnation() {
     let mut limits = RateLimits::new();
-    limits.on_answer(ENGINE, report(rate(20.0), 200));
-    let restarted = Incarnation {
-        started: Some(2),
-        ..ENGINE
-    };
-    assert_eq!(limits.limit(restarted), None);
+    limits.on_answer(&engine(1), report(rate(20.0), 200));
+    assert_eq!(limits.limit(engine(2).incarnation()), None);
     for (second, known, limit) in [
         (0, true, rate(20.0)),
         (900, false, rate(20.0)),
@@ -108,7 +111,7 @@
         (2_100, false, None),
     ] {
         limits.retain(at(second * 1_000), |_| known);
-        assert_eq!(limits.limit(ENGINE), limit, "at {second} s");
+        assert_eq!(limits.limit(engine(1).incarnation()), limit, "at {second} s");
     }
 }
 
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -13,6 +13,7 @@
 mod keys;
 mod known;
 mod lead;
+mod limit_fleet;
 mod limit_reports;
 mod limits;
 mod metrics;
