Tell callers refused for request limits when an engine may get their request

Callers refused because all engines of their service were at their limits were told a random time within the first third of their time left, and long prompts were prefilled although no engine might generate the answer. Now each is told the time at which this instance may send the next request that no earlier caller was told, if callers comply with it, else a random time as before; the line of the refusal (event 401) and relay_refusals name the reason. No prefill is computed if no engine may generate.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -24,6 +24,7 @@
 pub mod prompt;
 pub mod rate_limits;
 pub mod records;
+pub mod return_schedule;
 pub mod routes;
 pub mod scale;
 pub mod stages;
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -31,6 +31,7 @@
 use crate::ops::relay::pick::MAX_LOAD_FACTOR;
 use crate::ops::relay::reading::PrefilledPrompt;
 use crate::ops::relay::reply::Reply;
+use crate::ops::relay::reply::max_retry_after;
 use crate::ops::relay::send::AttemptFailure;
 use crate::ops::relay::send::AttemptOptions;
 use crate::ops::relay::send::IncomingRequest;
@@ -80,7 +81,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Refusal {
     pub(super) reason: &'static str,
-    pub(super) expected: Duration,
+    /// When the first event was expected, or an engine may be sent a request, if known.
+    pub(super) expected: Option<Duration>,
 }
 
 impl ForwardedRequest {
@@ -184,7 +186,8 @@
             (_, Some(refusal)) => refusal.reason,
             (_, None) => "no engine can take it",
         };
-        let expected = self.refusal.as_ref().map(|r| r.expected.as_millis() as u64);
+        let expected = self.refusal.as_ref().and_then(|r| r.expected);
+        let expected = expected.map(|expected| expected.as_millis() as u64);
         log_event!(info, log_event::REFUSED, request = self.id(), route = %self.route.name, outcome = reply.label(),
             why = reason, takes = expected, waited, left = self.incoming.time_left().as_millis() as u64,
             sent = self.attempts.sent(), tried = self.tried.len(), config = self.view.table.version);
@@ -218,7 +221,7 @@
             (!selector.is_full(engine, MAX_LOAD_FACTOR)).then(|| engine.clone())
         });
         let Some(engine) = selected else {
-            return Err(Some(self.give_up()));
+            return Err(Some(self.refuse()));
         };
         let _job = self.begin_job(&engine, Duration::ZERO);
         let sent = clock::now();
@@ -271,7 +274,7 @@
             false => self.choose_decode(is_fresh),
         };
         let Some((engine, prefill)) = selected else {
-            return Err(Some(self.give_up()));
+            return Err(Some(self.refuse()));
         };
         let job = self.begin_job(&engine, prefill);
         let started = clock::now();
@@ -293,7 +296,7 @@
         job: JobGuard,
         last_event: Option<u64>,
     ) -> Result<OpenedStream, AttemptFailure> {
-        let attempt_timeout = self.attempt_timeout(self.handover());
+        let attempt_timeout = self.attempt_timeout(self.handover().unwrap_or_default());
         let options = AttemptOptions {
             prefill: false,
             prompt_source: self.prefilled.as_ref().map(PrefilledPrompt::source),
@@ -417,6 +420,27 @@
         allowed
     }
 
+    /// The final answer if no engine was chosen. If all engines that could be are at their request limits, a refused
+    /// caller is told when one of them may be sent a request.
+    pub(super) fn refuse(&mut self) -> Reply {
+        let reply = self.give_up();
+        let (Some(service), Some(limited)) = (&self.service, self.limited_service()) else {
+            return reply;
+        };
+        let max = max_retry_after(self.incoming.time_left());
+        let now = clock::now();
+        let delay = self
+            .shared
+            .traffic()
+            .returns
+            .next_delay(now, service, limited, max);
+        self.refusal = Some(Refusal {
+            reason: "its engines are at their request limits",
+            expected: limited.wait,
+        });
+        delay.map_or(reply, |delay| reply.with_delay(delay))
+    }
+
     /// The final answer if no further attempt is made.
     pub fn give_up(&self) -> Reply {
         Reply::refuse(&self.attempts, self.incoming.time_left())
--- a/src/ops/relay/pick.rs
+++ b/src/ops/relay/pick.rs
@@ -12,6 +12,7 @@
 use sequoiastream_core::relay::placement::PrefillPlan;
 use sequoiastream_core::relay::prefill_time::PrefillWork;
 use sequoiastream_core::relay::prompt::Prompt;
+use sequoiastream_core::relay::return_schedule::LimitedService;
 
 use crate::ops::relay::forward::ForwardedRequest;
 use crate::ops::relay::shared::Shared;
@@ -163,6 +164,31 @@
         choose(&selector, &staying)
     }
 
+    /// The limits of the engines that could generate the answer, if all of them are at their request limits.
+    pub(super) fn limited_service(&self) -> Option<LimitedService> {
+        let view = self.shared.view.load();
+        let engines = view.engines().get(self.service.as_ref()?)?;
+        let now = clock::now();
+        let ledger = self.shared.traffic();
+        let mut limited = None;
+        for engine in engines {
+            let incarnation = engine.incarnation();
+            if engine.entry.stage == Stage::Prefill
+                || self.tried.contains(&engine.key)
+                || view.orders.is_changing(now, &engine.entry)
+                || ledger.notices.is_unavailable(now, incarnation)
+            {
+                continue;
+            }
+            if ledger.rate_limits.has_room(now, incarnation) {
+                return None;
+            }
+            let (rate, wait) = ledger.rate_limits.wait(now, incarnation)?;
+            limited = Some(limited.unwrap_or(LimitedService::default()).with(rate, wait));
+        }
+        limited
+    }
+
     /// Records that an engine is sent the shared parts of this prompt, which it will have cached.
     pub(super) fn record_prefill_sent(&self, plan: &PrefillPlan) {
         let part = self.incoming.prompt.as_ref().and_then(Prompt::shared);
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -99,7 +99,10 @@
             let Some(plan) = self.choose_prefill(Stage::Prefill) else {
                 return Ok(());
             };
-            let handover = self.handover();
+            // A prefill without an engine to generate the answer would be in vain.
+            let Some(handover) = self.handover() else {
+                return Err(Some(self.refuse()));
+            };
             let expected = plan.total_time + handover;
             let is_first = is_fresh && attempt == 0;
             if is_first {
@@ -131,16 +134,16 @@
         Err(Some(self.give_up()))
     }
 
-    /// Expected time from the end of the prefill to the first event, at the engine with the shortest wait.
-    pub(super) fn handover(&self) -> Duration {
-        let wait = self.select(|selector, engines| {
+    /// Expected time from the end of the prefill to the first event, at the engine with the shortest wait; `None` if no
+    /// engine may generate the answer.
+    pub(super) fn handover(&self) -> Option<Duration> {
+        self.select(|selector, engines| {
             let engine = decode_engine(selector, engines)?;
             let queue = selector
                 .loads
                 .queue_time(selector.now, engine.key, engine.entry.slots);
             Some(queue + selector.loads.handover(selector.now, engine.key))
-        });
-        wait.unwrap_or_default()
+        })
     }
 
     pub(super) async fn prefill_at(
@@ -205,6 +208,7 @@
             !self.is_on_time(expected) && queue_time > self.route.latency_target.mul_f64(SHORT_WAIT_PART);
         if is_late {
             let reason = "it would be late";
+            let expected = Some(expected);
             self.refusal = Some(Refusal { reason, expected });
         }
         is_late
--- a/src/ops/relay/reply.rs
+++ b/src/ops/relay/reply.rs
@@ -52,6 +52,14 @@
         }
     }
 
+    /// This reply, with another time after which a refused caller may retry.
+    pub fn with_delay(self, delay: Duration) -> Reply {
+        match self {
+            Reply::Refused(_) => Reply::Refused(delay),
+            other => other,
+        }
+    }
+
     /// The value of the label in metrics.
     pub fn label(self) -> &'static str {
         match self {
@@ -90,10 +98,15 @@
     }
 }
 
+/// Returns the maximum delay before a retry with which a caller complies that has `left` left.
+pub fn max_retry_after(left: Duration) -> Duration {
+    left.mul_f64(MAX_RETRY_AFTER_PART).max(MIN_RETRY_AFTER)
+}
+
 /// Returns a random delay before a retry, within the first third of the time left, so that callers that were refused
 /// together don't retry together.
 fn retry_after(left: Duration) -> Duration {
-    let max = left.mul_f64(MAX_RETRY_AFTER_PART).max(MIN_RETRY_AFTER);
+    let max = max_retry_after(left);
     let min = max.mul_f64(0.3).max(MIN_RETRY_AFTER);
     let spread = max.saturating_sub(min);
     min + spread.mul_f64(rand::rng().random::<f64>())
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -25,6 +25,7 @@
 use sequoiastream_core::relay::notices::EngineNotices;
 use sequoiastream_core::relay::rate_limits::LimitChange;
 use sequoiastream_core::relay::rate_limits::RateLimits;
+use sequoiastream_core::relay::return_schedule::ReturnSchedule;
 use sequoiastream_core::relay::routes::RoutingTable;
 use sequoiastream_core::relay::suspects::Suspects;
 use sequoiastream_core::relay::usage::Tally;
@@ -128,6 +129,8 @@
     pub notices: EngineNotices,
     /// Limits on requests per second that engines have reported.
     pub rate_limits: RateLimits,
+    /// When callers that were refused because of these limits return.
+    pub returns: ReturnSchedule,
     /// Requests suspected of crashing engines.
     pub suspects: Suspects,
     /// Requests that engines began, by window and workspace.
@@ -174,6 +177,7 @@
             budget: RetryBudget::new(options.reloadable.budget_limits),
             notices: EngineNotices::new(),
             rate_limits: RateLimits::new(),
+            returns: ReturnSchedule::new(),
             suspects: Suspects::new(),
             tally: Tally::default(),
         };
