Prefill no more prompts than engines at their limits may answer

Several prompts were prefilled at the same time for one request that the generating engine had left; the others were refused after their prefill.

--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -65,6 +65,8 @@
     pub(super) tried: Vec<EngineKey>,
     pub(super) service: Option<String>,
     pub(super) prefilled: Option<PrefilledPrompt>,
+    /// The engine that limits its requests and is to generate the answer; this request is already counted there.
+    pub(super) reserved: Option<EngineKey>,
     /// When another engine completed the prefill of the prompt.
     pub(super) prefilled_at: Option<Time>,
     /// Predicted time from the arrival to the first event.
@@ -108,6 +110,7 @@
             tried: Vec::new(),
             service,
             prefilled: None,
+            reserved: None,
             prefilled_at: None,
             predicted: None,
             refusal: None,
--- a/src/ops/relay/pick.rs
+++ b/src/ops/relay/pick.rs
@@ -94,7 +94,8 @@
             (None, true) => LOW_PRIORITY_PART,
         };
         self.select_near(zone, |selector, engines| {
-            let engine = decode_engine(selector, engines)?;
+            let reserved = engines.iter().find(|e| self.reserved == Some(e.key));
+            let engine = reserved.or_else(|| decode_engine(selector, engines))?;
             let has_room = !is_fresh || !selector.is_full(engine, part);
             let prefill = match (&self.prefilled, &self.incoming.prompt) {
                 (None, Some(prompt)) => {
@@ -138,7 +139,7 @@
             let engine = e.incarnation();
             view.orders.is_changing(now, &e.entry)
                 || ledger.notices.is_unavailable(now, engine)
-                || !ledger.rate_limits.has_room(now, engine)
+                || (self.reserved != Some(e.key) && !ledger.rate_limits.has_room(now, engine))
         };
         // Engines are rarely excluded, so the list is copied only if one is.
         let may_exclude =
@@ -200,11 +201,33 @@
         }
     }
 
+    /// Chooses the engine that is to generate the answer if it limits its requests, and counts this request there.
+    ///
+    /// Guards against several prompts that are prefilled at the same time although an engine may generate the answer to
+    /// one of them only.
+    pub(super) fn reserve_decode(&mut self) {
+        if self.reserved.is_some() {
+            return;
+        }
+        let engine = self.select(|selector, engines| decode_engine(selector, engines).cloned());
+        let now = clock::now();
+        let mut ledger = self.shared.traffic();
+        let limited = engine.filter(|e| ledger.rate_limits.wait(now, e.incarnation()).is_some());
+        if let Some(engine) = &limited {
+            ledger.rate_limits.on_send(now, engine);
+        }
+        drop(ledger);
+        self.reserved = limited.map(|engine| engine.key);
+    }
+
     /// Records that an engine is sent this request.
-    pub(super) fn begin_job(&self, engine: &Engine, prefill: Duration) -> JobGuard {
+    pub(super) fn begin_job(&mut self, engine: &Engine, prefill: Duration) -> JobGuard {
         let now = clock::now();
+        let is_reserved = self.reserved.take_if(|key| *key == engine.key).is_some();
         let mut ledger = self.shared.traffic();
-        ledger.rate_limits.on_send(now, engine);
+        if !is_reserved {
+            ledger.rate_limits.on_send(now, engine);
+        }
         let id = ledger.load.begin(now, engine.key, prefill);
         drop(ledger);
         JobGuard {
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -116,6 +116,7 @@
             if !is_first && !self.take_extra_attempt() {
                 break;
             }
+            self.reserve_decode();
             let may_repeat = attempt + 1 < MAX_PREFILL_ATTEMPTS;
             let attempt_timeout =
                 may_repeat.then(|| retry::first_token_timeout(self.incoming.time_left(), plan.total_time, 0));
--- a/tests/testsuite/relay/limits.rs
+++ b/tests/testsuite/relay/limits.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use sequoiastream::util::clock;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::routes::RouteKind;
 use tokio::sync::Notify;
@@ -210,6 +211,43 @@
     assert_eq!((request_count(&prefill), request_count(&decode)), (1, 1));
 }
 
+/// Guards against several prompts that are prefilled at the same time although an engine may generate the answer to
+/// one of them only.
+#[actix_web::test]
+async fn limited_prefills_as_allowed() {
+    let kind = RequestKind::Decode;
+    let notify = Rc::new(Notify::new());
+    let awaited = notify.clone();
+    let prefill = ScriptedEngine::start(move |number, request| match number {
+        0 => vec![SERVED.answer(kind, request)],
+        _ => vec![Action::Await(awaited.clone()), SERVED.answer(kind, request)],
+    })
+    .await;
+    let decode = constant_engine(kind, scripted_answer("200 OK", "x-limit: 2\r\n")).await;
+    let engines = [(&prefill, Stage::Prefill), (&decode, Stage::Decode)];
+    let instance = Instance::start(kind.route_kind(), &engines, |_| {});
+    send_request(&instance, kind, 0).await;
+    let incarnation = instance.shared.view.load().engines()["chat"][1].incarnation();
+    let has_room = || {
+        let traffic = instance.shared.traffic();
+        traffic.rate_limits.has_room(clock::now(), incarnation)
+    };
+    wait_until(has_room).await;
+    let mut caller = instance.connect().await;
+    let lines = kind.header_lines(1);
+    let request = format!(
+        "GET /r/x HTTP/1.1\r\nhost: shop.example\r\nx-request: q1\r\nconnection: close\r\n{lines}\r\n"
+    );
+    caller.send(&request).await;
+    prefill.wait_for(|log| log.requests.len() == 2).await;
+    let got = send_request(&instance, kind, 2).await;
+    assert!(is_refusal(&got), "{got}");
+    notify.notify_waiters();
+    let got = caller.read_to_end().await;
+    assert!(status(&got) == "200" && got.contains("token 4"), "{got}");
+    assert_eq!((request_count(&prefill), request_count(&decode)), (2, 2));
+}
+
 /// Guards against an instance that sends more requests than the limit, or hardly any, and against callers that are not
 /// refused at once.
 #[actix_web::test]
