Continue reading a large store after a refused call

On a trial site of 100 instances and 1,000 engines, all killed at the end, the store answered 25 reads a second and refused about 230 with 429 (cost of a page of 500 entries; with 143 engines it refuses none). A watcher needs three pages, and began again with the first after each refused call: at one answer in ten, about one try in a thousand succeeds, and nobody knew the store for 7.5 s. That is the outlier: it waits for a run of answered calls.

The pages are kept now for 10 s and the read goes on after the last. If it took more than 500 ms, the changes since the first page are fetched before anything is applied, so that no instance begins with an old configuration or with engines that have left.

relay::follow::large_store_read_despite_refusals: red without the kept pages (never read), and red without the changes (the old configuration is in force).

--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -11,6 +11,7 @@
 
 mod join;
 mod listen;
+mod read;
 
 use std::cell::LazyCell;
 use std::collections::BTreeSet;
@@ -40,6 +41,7 @@
 
 use crate::log_event;
 use crate::ops::relay::follow::join::Startup;
+use crate::ops::relay::follow::read::PartialRead;
 use crate::ops::relay::known::StoreReplica;
 use crate::ops::relay::lead;
 use crate::ops::relay::orders::OrderRecords;
@@ -122,6 +124,8 @@
     /// Whether all changes up to the known revision were applied and the store still has the history after it, so that
     /// a watch can resume there.
     complete: bool,
+    /// Pages that were read before a call to the store failed.
+    partial: Option<PartialRead>,
     startup: Startup,
 }
 
@@ -168,6 +172,7 @@
         last_failure: None,
         watch_delay: Duration::ZERO,
         complete: false,
+        partial: None,
         startup: Startup::new(clock::now()),
     };
     loop {
@@ -228,32 +233,6 @@
         );
     }
 
-    /// Reads everything, page by page. Stops early if [`Startup::defer_large_read`] requires it.
-    async fn read_all(&mut self) -> Result<(), StoreError> {
-        let mut items: Vec<Item> = Vec::new();
-        let mut revision = u64::MAX;
-        let sent = clock::now();
-        loop {
-            let after = items.last().map_or("", |item| &item.key);
-            let page = self.store.range(ALL_KEYS, after).await?;
-            // The pages are not a snapshot: the watch that follows reports what changed after the first one.
-            revision = revision.min(page.revision);
-            let last = page.items.is_empty();
-            items.extend(page.items);
-            if !page.more || last {
-                break;
-            }
-            if self.startup.defer_large_read() {
-                return Ok(());
-            }
-        }
-        self.on_snapshot(revision, &items);
-        self.known
-            .on_store_answer(clock::now(), sent, Duration::ZERO, revision);
-        self.known.on_proof(sent);
-        Ok(())
-    }
-
     /// Asks the store for the changes since the known revision, without waiting for further ones. Called when no peer
     /// has proven in time that all changes are known.
     async fn poll(&mut self) -> Result<(), StoreError> {
--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -300,6 +300,34 @@
     wait_until(|| version(&shared) == 3 && engines(&shared).len() == 8).await;
 }
 
+/// Guards against an instance that never finishes reading a large store that refuses many calls, because it begins
+/// again after each refused one. Guards also against such an instance beginning with an old configuration, or with
+/// engines that have left since it read their entries.
+#[actix_web::test]
+async fn large_store_read_despite_refusals() {
+    let store = FakeStore::new();
+    store.set_page_size(5);
+    store.set_refuse_alternate(true);
+    store.set_refuse_watches(true);
+    store.put("config", "3 /a/");
+    for number in 1..9 {
+        store.put(&format!("engines/e{number}"), "chat 127.0.0.1:9 ready 1");
+    }
+    let shared = start(options(), &store).await;
+    wait_until(|| store.calls().ranges > 0).await;
+    store.put("config", "4 /a/");
+    store.put("engines/e1", "chat 127.0.0.1:9 leaving 2");
+    wait_until(|| store.calls().watches >= 2).await;
+    assert_eq!(
+        version(&shared),
+        0,
+        "the changes since the first page are not known"
+    );
+    store.set_refuse_watches(false);
+    wait_until(|| version(&shared) > 0).await;
+    assert_eq!((version(&shared), engines(&shared).len()), (4, 7));
+}
+
 /// Guards against every instance of a fleet of hundreds calling the store for every change. An instance that others
 /// watch for learns of changes from them, large ones too, and calls the store only for what peers don't send.
 #[actix_web::test]
--- a/tests/testsuite/relay/store.rs
+++ b/tests/testsuite/relay/store.rs
@@ -40,6 +40,8 @@
     unresponsive: Cell<bool>,
     compacted: Cell<u64>,
     page_size: Cell<Option<usize>>,
+    refuse_alternate: Cell<bool>,
+    refuse_watches: Cell<bool>,
     batch_size: Cell<Option<usize>>,
     calls: Cell<Calls>,
 }
@@ -117,6 +119,16 @@
         self.state.page_size.set(Some(limit));
     }
 
+    /// Sets whether every second read of a range is refused with status 429.
+    pub fn set_refuse_alternate(&self, refuse: bool) {
+        self.state.refuse_alternate.set(refuse);
+    }
+
+    /// Sets whether watches are refused with status 429.
+    pub fn set_refuse_watches(&self, refuse: bool) {
+        self.state.refuse_watches.set(refuse);
+    }
+
     /// Sets the maximum number of changes per answer to a watch.
     pub fn set_batch_size(&self, limit: usize) {
         self.state.batch_size.set(Some(limit));
@@ -190,6 +202,9 @@
             });
             self.wait_until_responsive().await;
             self.check()?;
+            if self.state.refuse_alternate.get() && calls.ranges % 2 == 1 {
+                return Err(StoreError::Refused(429));
+            }
             let items = self.state.items.borrow();
             let items = items.values().filter(|item| item.key.starts_with(prefix));
             let items: Vec<Item> = items.filter(|item| item.key.as_str() > after).cloned().collect();
@@ -217,6 +232,9 @@
             });
             let mut revisions = self.revision.subscribe();
             self.check()?;
+            if self.state.refuse_watches.get() {
+                return Err(StoreError::Refused(429));
+            }
             if after < self.state.compacted.get() {
                 return Err(StoreError::Compacted);
             }
