Tests of starts and of reports in their own files; one copy of what stood twice

Both were seen red again: without the kept pages (never read), and without the changes since the first page.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -6,6 +6,7 @@
 //! a service into those that process prompts and those that generate, and [`suspects`] detects requests that crash
 //! engines.
 
+pub mod absence;
 pub mod budget;
 pub mod cached_parts;
 pub mod directory;
--- a/crates/core/src/relay/notices.rs
+++ b/crates/core/src/relay/notices.rs
@@ -8,20 +8,17 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::relay::absence::Absence;
 use crate::relay::engines::Incarnation;
 use crate::time::Time;
 
-/// How long a notice is kept after its engine is no longer known: the engine may register again.
-const ABSENCE_RETENTION: Duration = Duration::from_secs(600);
-
 /// State that an engine has reported.
 #[derive(Debug, Clone, Copy, Default)]
 struct Notice {
     leaving: bool,
     /// Until when it accepts no requests from this instance.
     paused_until: Option<Time>,
-    /// When the engine was found to be no longer known.
-    absent_since: Option<Time>,
+    absence: Absence,
 }
 
 impl Notice {
@@ -76,20 +73,13 @@
         until.map_or(Duration::ZERO, |until| until.since(now))
     }
 
-    /// Removes the notices of engines for which `known` has returned false for [`ABSENCE_RETENTION`], and expired
-    /// pauses.
+    /// Removes the notices of engines for which `known` has long returned false, and expired pauses.
     pub fn retain<F>(&mut self, now: Time, known: F)
     where
         F: Fn(Incarnation) -> bool,
     {
         self.0.retain(|engine, notice| {
-            notice.absent_since = match known(*engine) {
-                true => None,
-                false => notice.absent_since.or(Some(now)),
-            };
-            let is_retained = notice
-                .absent_since
-                .is_none_or(|at| now.since(at) < ABSENCE_RETENTION);
+            let is_retained = notice.absence.update(now, known(*engine));
             notice.is_unavailable(now) && is_retained
         });
     }
--- a/crates/core/src/relay/rate_limits.rs
+++ b/crates/core/src/relay/rate_limits.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::relay::absence::Absence;
 use crate::relay::engine_map::EngineMap;
 use crate::relay::engines::Engine;
 use crate::relay::engines::EngineKey;
@@ -17,9 +18,6 @@
 use crate::relay::token_bucket::TokenBucket;
 use crate::time::Time;
 
-/// How long a limit is kept after its engine is no longer known: the engine may register again.
-const ABSENCE_RETENTION: Duration = Duration::from_secs(600);
-
 /// How long the end of a limit is kept, so that earlier reports of the limit are recognized as such.
 const END_RETENTION: Duration = Duration::from_secs(30);
 
@@ -62,8 +60,7 @@
     changed: Time,
     /// When this instance last received the report from the engine itself.
     own_at: Option<Time>,
-    /// When the engine was found to be no longer known.
-    absent_since: Option<Time>,
+    absence: Absence,
 }
 
 impl EngineLimit {
@@ -73,12 +70,8 @@
         self.report.limit.is_some() && is_confirmed
     }
 
-    fn is_retained(&self, now: Time) -> bool {
-        let is_ended = self.report.limit.is_none() && now.since(self.report.received) >= END_RETENTION;
-        let is_gone = self
-            .absent_since
-            .is_some_and(|at| now.since(at) >= ABSENCE_RETENTION);
-        !is_ended && !is_gone
+    fn is_long_ended(&self, now: Time) -> bool {
+        self.report.limit.is_none() && now.since(self.report.received) >= END_RETENTION
     }
 }
 
@@ -194,14 +187,14 @@
         if is_lower {
             bucket.charge_excess(now, share, sent);
         }
-        let absent_since = known.and_then(|known| known.absent_since);
+        let absence = known.map_or_else(Absence::default, |known| known.absence);
         let limit = EngineLimit {
             report,
             bucket,
             share,
             changed: now,
             own_at: None,
-            absent_since,
+            absence,
         };
         self.limits.insert(engine, limit);
         Some(LimitChange {
@@ -257,18 +250,15 @@
         self.limits.values().filter(|l| l.report.limit.is_some()).count()
     }
 
-    /// Removes the limits of engines for which `known` has returned false for [`ABSENCE_RETENTION`], and those that
-    /// ended [`END_RETENTION`] ago.
+    /// Removes the limits of engines for which `known` has long returned false, and those that ended
+    /// [`END_RETENTION`] ago.
     pub fn retain<F>(&mut self, now: Time, known: F)
     where
         F: Fn(Incarnation) -> bool,
     {
         self.limits.retain(|engine, limit| {
-            limit.absent_since = match known(*engine) {
-                true => None,
-                false => limit.absent_since.or(Some(now)),
-            };
-            limit.is_retained(now)
+            let is_retained = limit.absence.update(now, known(*engine));
+            is_retained && !limit.is_long_ended(now)
         });
     }
 
--- a/src/ops/relay/orders.rs
+++ b/src/ops/relay/orders.rs
@@ -356,12 +356,6 @@
     let sent = clock::now();
     let answer = call(pool, address, request, MAX_ANSWER_BYTES, ANSWER_TIMEOUT).await;
     let answer = answer.map_err(|e| e.to_string())?;
-    let head = AnswerHead {
-        sent,
-        is_served: false,
-        status: answer.status(),
-        headers: answer.headers(),
-    };
-    shared.on_engine_answer(engine, &head);
+    shared.on_engine_answer(engine, &AnswerHead::of_call(sent, &answer));
     Ok(answer.status().as_u16())
 }
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -289,12 +289,6 @@
     let sent = clock::now();
     let answer =
         sequoiastream_upstream::channel::call(pool, address, request, MAX_ANSWER_BYTES, limit).await?;
-    let head = AnswerHead {
-        sent,
-        is_served: false,
-        status: answer.status(),
-        headers: answer.headers(),
-    };
-    shared.on_engine_answer(engine, &head);
+    shared.on_engine_answer(engine, &AnswerHead::of_call(sent, &answer));
     Ok(())
 }
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -12,6 +12,7 @@
 
 use arc_swap::ArcSwap;
 use http::HeaderMap;
+use http::Response;
 use http::StatusCode;
 use sequoiastream_core::log_event;
 use sequoiastream_core::relay::budget::RetryBudget;
@@ -118,6 +119,18 @@
     pub headers: &'a HeaderMap,
 }
 
+impl<'a> AnswerHead<'a> {
+    /// The head of the answer to an order or to a call that frees a prefill result, sent at `sent`.
+    pub fn of_call<B>(sent: Time, answer: &'a Response<B>) -> AnswerHead<'a> {
+        AnswerHead {
+            sent,
+            is_served: false,
+            status: answer.status(),
+            headers: answer.headers(),
+        }
+    }
+}
+
 /// State that every request changes, under a lock that is never held across an await.
 #[derive(Debug)]
 pub struct TrafficState {
--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -24,11 +24,11 @@
 use super::store::FakeStore;
 use super::wait_until;
 
-async fn start(options: Options, store: &FakeStore) -> Arc<Shared> {
+pub(super) async fn start(options: Options, store: &FakeStore) -> Arc<Shared> {
     start_with_fleet(options, store).await.0
 }
 
-async fn start_with_fleet(options: Options, store: &FakeStore) -> (Arc<Shared>, Fleet) {
+pub(super) async fn start_with_fleet(options: Options, store: &FakeStore) -> (Arc<Shared>, Fleet) {
     let shared = shared(options);
     let fleet = follow_store(&shared, store).await;
     (shared, fleet)
@@ -45,7 +45,11 @@
 }
 
 /// Starts three instances of a zone: two watch `served`, the third listens to them and has the store `own` to itself.
-async fn start_zone(served: &FakeStore, own: &FakeStore, limit: Duration) -> [(Arc<Shared>, Fleet); 3] {
+pub(super) async fn start_zone(
+    served: &FakeStore,
+    own: &FakeStore,
+    limit: Duration,
+) -> [(Arc<Shared>, Fleet); 3] {
     let named = |name: &str| {
         let mut options = options();
         options.reloadable.apply_limit = ApplyLimit(limit);
@@ -80,7 +84,7 @@
     instances
 }
 
-fn engines(shared: &Shared) -> Vec<String> {
+pub(super) fn engines(shared: &Shared) -> Vec<String> {
     let view = shared.view.load();
     let ids = view.engines().values().flatten().map(|e| e.entry.id.clone());
     ids.collect()
@@ -91,7 +95,7 @@
     view.endpoints.iter().map(|e| e.address).collect()
 }
 
-fn version(shared: &Shared) -> u64 {
+pub(super) fn version(shared: &Shared) -> u64 {
     shared.view.load().table.version
 }
 
@@ -265,69 +269,6 @@
     }
 }
 
-/// Guards against every instance of a starting fleet reading the whole store. One that finds more than one page lists
-/// its zone and loads the rest from a peer.
-#[actix_web::test]
-async fn large_store_loaded_from_peer() {
-    let (served, own) = (FakeStore::new(), FakeStore::new());
-    for store in [&served, &own] {
-        store.set_page_size(3);
-        for number in 2..9 {
-            store.put(&format!("engines/e{number}"), "chat 127.0.0.1:9 ready 1");
-        }
-    }
-    let [_, _, (listener, _)] = start_zone(&served, &own, Duration::from_secs(60)).await;
-    let known: Vec<String> = (1..9).map(|number| format!("e{number}")).collect();
-    wait_until(|| engines(&listener) == known).await;
-    assert_eq!(
-        own.calls().ranges,
-        2,
-        "one page and the list of the zone's instances"
-    );
-}
-
-/// Guards against an instance waiting forever for a peer to send a large store. Without peers it reads the store
-/// itself.
-#[actix_web::test]
-async fn large_store_read_without_peers() {
-    let store = FakeStore::new();
-    store.set_page_size(3);
-    store.put("config", "3 /a/");
-    for number in 1..9 {
-        store.put(&format!("engines/e{number}"), "chat 127.0.0.1:9 ready 1");
-    }
-    let shared = start(options(), &store).await;
-    wait_until(|| version(&shared) == 3 && engines(&shared).len() == 8).await;
-}
-
-/// Guards against an instance that never finishes reading a large store that refuses many calls, because it begins
-/// again after each refused one. Guards also against such an instance beginning with an old configuration, or with
-/// engines that have left since it read their entries.
-#[actix_web::test]
-async fn large_store_read_despite_refusals() {
-    let store = FakeStore::new();
-    store.set_page_size(5);
-    store.set_refuse_alternate(true);
-    store.set_refuse_watches(true);
-    store.put("config", "3 /a/");
-    for number in 1..9 {
-        store.put(&format!("engines/e{number}"), "chat 127.0.0.1:9 ready 1");
-    }
-    let shared = start(options(), &store).await;
-    wait_until(|| store.calls().ranges > 0).await;
-    store.put("config", "4 /a/");
-    store.put("engines/e1", "chat 127.0.0.1:9 leaving 2");
-    wait_until(|| store.calls().watches >= 2).await;
-    assert_eq!(
-        version(&shared),
-        0,
-        "the changes since the first page are not known"
-    );
-    store.set_refuse_watches(false);
-    wait_until(|| version(&shared) > 0).await;
-    assert_eq!((version(&shared), engines(&shared).len()), (4, 7));
-}
-
 /// Guards against every instance of a fleet of hundreds calling the store for every change. An instance that others
 /// watch for learns of changes from them, large ones too, and calls the store only for what peers don't send.
 #[actix_web::test]
@@ -498,27 +439,6 @@
     assert!(!store.has("own/a/one"), "an instance that stops removes its key");
 }
 
-/// Guards against instances staying unknown to each other when hundreds of them register at once.
-#[actix_web::test]
-async fn zone_listed_after_many_changes() {
-    let store = FakeStore::new();
-    store.put("config", "3 /a/");
-    let record = r#"{"zone":"a","front":"127.0.0.1:1","peer":"127.0.0.1:1"}"#;
-    for name in ["a1", "a2", "a3"] {
-        store.put(&format!("own/a/{name}"), record);
-    }
-    let mut options = options();
-    options.reloadable.apply_limit = ApplyLimit(Duration::from_secs(60));
-    let (shared, fleet) = start_with_fleet(options, &store).await;
-    wait_until(|| version(&shared) == 3 && !fleet.watch_rank().is_watcher()).await;
-    for number in 0..70 {
-        store.put(&format!("engines/e{number}"), "chat 127.0.0.1:9 ready 1");
-    }
-    store.put("own/a/a4", record);
-    let _registration = register::start(shared, Rc::new(store.clone()), fleet.clone());
-    wait_until(|| fleet.listed_zones().keys().any(|name| name.as_str() == "a4")).await;
-}
-
 /// Guards against an isolated instance, which hears no peer, removing the keys of all others.
 #[actix_web::test]
 async fn isolated_instance_keeps_keys() {
@@ -555,24 +475,6 @@
     assert_eq!(store.calls().writes, 2);
 }
 
-/// Guards against the store being called by all instances of a starting fleet, while every registration ends every
-/// watch. An instance that has just started leaves watching to those that the store lists, and watches itself if it
-/// hears none of them.
-#[actix_web::test]
-async fn start_leaves_watching_to_listed() {
-    let store = FakeStore::new();
-    store.put("config", "3 /a/");
-    for number in 10..30 {
-        let record = r#"{"zone":"a","front":"127.0.0.1:1","peer":"127.0.0.1:1"}"#;
-        store.put(&format!("own/a{number}"), record);
-    }
-    let (shared, fleet) = start_with_fleet(options(), &store).await;
-    wait_until(|| version(&shared) == 3).await;
-    assert!(!fleet.watch_rank().is_watcher(), "{:?}", fleet.watch_rank());
-    store.put("config", "5 /a/");
-    wait_until(|| version(&shared) == 5).await;
-}
-
 /// Guards against a request reaching an engine more than two seconds after the engine has announced that it leaves.
 /// Sequence: only a watcher was cut off from the store, and it is back when the engine's entry disappears; an instance
 /// that was never cut off learns of that from this watcher. Cause: the watcher's uncertainty whether the store itself
--- a/tests/testsuite/relay/limits.rs
+++ b/tests/testsuite/relay/limits.rs
@@ -26,11 +26,13 @@
 use super::request_kinds::SERVED;
 use super::request_kinds::ScriptedAnswer;
 use super::request_kinds::assert_ignored;
+use super::request_kinds::assert_read_in_each_answer;
 use super::request_kinds::broken_stream;
 use super::request_kinds::constant_engine;
 use super::request_kinds::is_refusal;
 use super::request_kinds::request_count;
 use super::request_kinds::requests_refused;
+use super::request_kinds::requests_with_other_idle;
 use super::request_kinds::scripted_answer;
 use super::request_kinds::send_request;
 use super::request_kinds::send_requests;
@@ -59,16 +61,7 @@
 /// for one kind of request.
 #[actix_web::test]
 async fn limited_other_idle() {
-    let mut seen = Vec::new();
-    for kind in REQUEST_KINDS {
-        let engines = EngineGroup::start(kind, LIMITED, 0, 2).await;
-        let instance = start(kind, &engines.engines).await;
-        engines.await_notice(&instance, kind).await;
-        for got in send_requests(&instance, kind).await {
-            assert_eq!(status(&got), "200", "{kind:?} {got}");
-        }
-        seen.push((kind, request_count(engines.reporting())));
-    }
+    let seen = requests_with_other_idle(LIMITED).await;
     assert_eq!(seen, REQUEST_KINDS.map(|kind| (kind, 1)));
 }
 
@@ -83,24 +76,7 @@
 /// when it fails, or in the answer to a prefill.
 #[actix_web::test]
 async fn limited_in_each_answer() {
-    let failed = ScriptedAnswer {
-        lines: LIMITED.lines,
-        ..FAILED
-    };
-    let unknown = scripted_answer("404 Not Found", LIMITED.lines);
-    let mut seen = Vec::new();
-    let mut expected = Vec::new();
-    for kind in REQUEST_KINDS {
-        for notice in [LIMITED, LIMITED_DECLINED, failed, unknown] {
-            let engines = EngineGroup::single(kind, notice).await;
-            let instance = start(kind, &engines.engines).await;
-            send_request(&instance, kind, 0).await;
-            send_request(&instance, kind, 1).await;
-            seen.push((kind, notice.status, request_count(engines.reporting())));
-            expected.push((kind, notice.status, 1));
-        }
-    }
-    assert_eq!(seen, expected);
+    assert_read_in_each_answer(LIMITED, LIMITED_DECLINED).await;
 }
 
 /// Guards against requests beyond an engine's limit while the stream with its notice is running, because the headers
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -31,6 +31,7 @@
 mod scale;
 mod seeded;
 mod stages;
+mod starts;
 mod store;
 mod suspects;
 mod told;
--- a/tests/testsuite/relay/notices.rs
+++ b/tests/testsuite/relay/notices.rs
@@ -20,6 +20,7 @@
 use super::request_kinds::SERVED;
 use super::request_kinds::ScriptedAnswer;
 use super::request_kinds::assert_ignored;
+use super::request_kinds::assert_read_in_each_answer;
 use super::request_kinds::broken_stream;
 use super::request_kinds::constant_engine;
 use super::request_kinds::is_refusal;
@@ -71,24 +72,7 @@
 /// when it fails, or in the answer to a prefill.
 #[actix_web::test]
 async fn leaving_in_each_answer() {
-    let failed = ScriptedAnswer {
-        lines: LEAVING.lines,
-        ..FAILED
-    };
-    let unknown = scripted_answer("404 Not Found", LEAVING.lines);
-    let mut seen = Vec::new();
-    let mut expected = Vec::new();
-    for kind in REQUEST_KINDS {
-        for notice in [LEAVING, LEAVING_DECLINED, failed, unknown] {
-            let engines = EngineGroup::single(kind, notice).await;
-            let instance = start(kind, &engines.engines).await;
-            send_request(&instance, kind, 0).await;
-            send_request(&instance, kind, 1).await;
-            seen.push((kind, notice.status, request_count(engines.reporting())));
-            expected.push((kind, notice.status, 1));
-        }
-    }
-    assert_eq!(seen, expected);
+    assert_read_in_each_answer(LEAVING, LEAVING_DECLINED).await;
 }
 
 /// Guards against a leaving engine that gets requests while the stream with its notice is running, because the headers
--- a/tests/testsuite/relay/pauses.rs
+++ b/tests/testsuite/relay/pauses.rs
@@ -32,6 +32,7 @@
 use super::request_kinds::constant_engine;
 use super::request_kinds::is_refusal;
 use super::request_kinds::request_count;
+use super::request_kinds::requests_with_other_idle;
 use super::request_kinds::scripted_answer;
 use super::request_kinds::send_request;
 use super::request_kinds::send_requests;
@@ -42,16 +43,7 @@
 /// is only avoided for the short time that applies to engines that decline without asking for a pause.
 #[actix_web::test]
 async fn paused_other_idle() {
-    let mut seen = Vec::new();
-    for kind in REQUEST_KINDS {
-        let engines = EngineGroup::start(kind, PAUSED, 0, 2).await;
-        let instance = start(kind, &engines.engines).await;
-        engines.await_notice(&instance, kind).await;
-        for got in send_requests(&instance, kind).await {
-            assert_eq!(status(&got), "200", "{kind:?} {got}");
-        }
-        seen.push((kind, request_count(engines.reporting())));
-    }
+    let seen = requests_with_other_idle(PAUSED).await;
     assert_eq!(seen, REQUEST_KINDS.map(|kind| (kind, 1)));
 }
 
--- a/tests/testsuite/relay/request_kinds.rs
+++ b/tests/testsuite/relay/request_kinds.rs
@@ -365,3 +365,42 @@
         idle,
     }
 }
+
+/// For each kind of request: has one of two engines answer a request with `notice`, and sends requests, all of which
+/// must be served, for a while. Returns how many have reached that engine.
+pub async fn requests_with_other_idle(notice: ScriptedAnswer) -> Vec<(RequestKind, usize)> {
+    let mut seen = Vec::new();
+    for kind in REQUEST_KINDS {
+        let engines = EngineGroup::start(kind, notice, 0, 2).await;
+        let instance = start(kind, &engines.engines).await;
+        engines.await_notice(&instance, kind).await;
+        for got in send_requests(&instance, kind).await {
+            assert_eq!(status(&got), "200", "{kind:?} {got}");
+        }
+        seen.push((kind, request_count(engines.reporting())));
+    }
+    seen
+}
+
+/// Checks that a single engine that answers its first request with `notice`, or with these header lines and a failure
+/// or an unknown path, gets no second one.
+pub async fn assert_read_in_each_answer(notice: ScriptedAnswer, declined: ScriptedAnswer) {
+    let failed = ScriptedAnswer {
+        lines: notice.lines,
+        ..FAILED
+    };
+    let unknown = scripted_answer("404 Not Found", notice.lines);
+    let mut seen = Vec::new();
+    let mut expected = Vec::new();
+    for kind in REQUEST_KINDS {
+        for notice in [notice, declined, failed, unknown] {
+            let engines = EngineGroup::single(kind, notice).await;
+            let instance = start(kind, &engines.engines).await;
+            send_request(&instance, kind, 0).await;
+            send_request(&instance, kind, 1).await;
+            seen.push((kind, notice.status, request_count(engines.reporting())));
+            expected.push((kind, notice.status, 1));
+        }
+    }
+    assert_eq!(seen, expected);
+}
--- a/tests/testsuite/relay/store.rs
+++ b/tests/testsuite/relay/store.rs
@@ -41,6 +41,7 @@
     compacted: Cell<u64>,
     page_size: Cell<Option<usize>>,
     refuse_alternate: Cell<bool>,
+    refuse_ranges: Cell<bool>,
     refuse_watches: Cell<bool>,
     batch_size: Cell<Option<usize>>,
     calls: Cell<Calls>,
@@ -124,6 +125,11 @@
         self.state.refuse_alternate.set(refuse);
     }
 
+    /// Sets whether reads of ranges are refused with status 429.
+    pub fn set_refuse_ranges(&self, refuse: bool) {
+        self.state.refuse_ranges.set(refuse);
+    }
+
     /// Sets whether watches are refused with status 429.
     pub fn set_refuse_watches(&self, refuse: bool) {
         self.state.refuse_watches.set(refuse);
@@ -202,7 +208,8 @@
             });
             self.wait_until_responsive().await;
             self.check()?;
-            if self.state.refuse_alternate.get() && calls.ranges % 2 == 1 {
+            let is_alternate = self.state.refuse_alternate.get() && calls.ranges % 2 == 1;
+            if is_alternate || self.state.refuse_ranges.get() {
                 return Err(StoreError::Refused(429));
             }
             let items = self.state.items.borrow();
