One copy of what a poll applies and of which engines are left out

Follower::apply_checked repeated what poll does with its answer (on_poll_answer now serves both); limited_service repeated two of the conditions of select_near (is_unavailable). A long prompt chose its generating engine a second time before the prefill also if no engine limits its requests; it no longer does.

--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -239,12 +239,17 @@
         let revision = self.known.revision();
         let sent = clock::now();
         let changes = self.store.watch(ALL_KEYS, revision, POLL_WAIT).await?;
-        if let Some(revision) = self.on_watch_answer(changes, revision) {
+        self.on_poll_answer(sent, changes, revision);
+        Ok(())
+    }
+
+    /// Applies the answer to a watch for changes after the revision `since` that was sent at `sent` and did not wait.
+    fn on_poll_answer(&mut self, sent: Time, changes: Changes, since: u64) {
+        if let Some(revision) = self.on_watch_answer(changes, since) {
             self.known
                 .on_store_answer(clock::now(), sent, POLL_WAIT, revision);
             self.known.on_proof(sent);
         }
-        Ok(())
     }
 
     /// Watches the store for changes after `revision` and applies them.
--- a/src/ops/relay/follow/read.rs
+++ b/src/ops/relay/follow/read.rs
@@ -106,11 +106,7 @@
             }
         };
         self.on_snapshot(read.revision, &read.items);
-        if let Some(revision) = self.on_watch_answer(changes, read.revision) {
-            self.known
-                .on_store_answer(clock::now(), sent, POLL_WAIT, revision);
-            self.known.on_proof(sent);
-        }
+        self.on_poll_answer(sent, changes, read.revision);
         Ok(())
     }
 }
--- a/src/ops/relay/pick.rs
+++ b/src/ops/relay/pick.rs
@@ -13,9 +13,12 @@
 use sequoiastream_core::relay::prefill_time::PrefillWork;
 use sequoiastream_core::relay::prompt::Prompt;
 use sequoiastream_core::relay::return_schedule::LimitedService;
+use sequoiastream_core::time::Time;
 
 use crate::ops::relay::forward::ForwardedRequest;
 use crate::ops::relay::shared::Shared;
+use crate::ops::relay::shared::TrafficState;
+use crate::ops::relay::shared::View;
 use crate::util::clock;
 
 /// Prompts with at most this many tokens are processed by the engine that generates the answer, which takes less time
@@ -136,10 +139,8 @@
         let now = clock::now();
         let ledger = self.shared.traffic();
         let is_excluded = |e: &Engine| {
-            let engine = e.incarnation();
-            view.orders.is_changing(now, &e.entry)
-                || ledger.notices.is_unavailable(now, engine)
-                || (self.reserved != Some(e.key) && !ledger.rate_limits.has_room(now, engine))
+            is_unavailable(&view, &ledger, now, e)
+                || (self.reserved != Some(e.key) && !ledger.rate_limits.has_room(now, e.incarnation()))
         };
         // Engines are rarely excluded, so the list is copied only if one is.
         let may_exclude =
@@ -171,13 +172,12 @@
         let engines = view.engines().get(self.service.as_ref()?)?;
         let now = clock::now();
         let ledger = self.shared.traffic();
-        let mut limited = None;
+        let mut limited: Option<LimitedService> = None;
         for engine in engines {
             let incarnation = engine.incarnation();
             if engine.entry.stage == Stage::Prefill
                 || self.tried.contains(&engine.key)
-                || view.orders.is_changing(now, &engine.entry)
-                || ledger.notices.is_unavailable(now, incarnation)
+                || is_unavailable(&view, &ledger, now, engine)
             {
                 continue;
             }
@@ -185,7 +185,7 @@
                 return None;
             }
             let (rate, wait) = ledger.rate_limits.wait(now, incarnation)?;
-            limited = Some(limited.unwrap_or(LimitedService::default()).with(rate, wait));
+            limited = Some(limited.unwrap_or_default().with(rate, wait));
         }
         limited
     }
@@ -206,7 +206,7 @@
     /// Guards against several prompts that are prefilled at the same time although an engine may generate the answer to
     /// one of them only.
     pub(super) fn reserve_decode(&mut self) {
-        if self.reserved.is_some() {
+        if self.reserved.is_some() || !self.shared.traffic().rate_limits.any() {
             return;
         }
         let engine = self.select(|selector, engines| decode_engine(selector, engines).cloned());
@@ -237,6 +237,11 @@
     }
 }
 
+/// Whether an engine must get no requests, because it is being ordered to another stage, leaving, or paused.
+fn is_unavailable(view: &View, ledger: &TrafficState, now: Time, engine: &Engine) -> bool {
+    view.orders.is_changing(now, &engine.entry) || ledger.notices.is_unavailable(now, engine.incarnation())
+}
+
 /// The engine that generates the answer: one that only generates, otherwise one that also computes prefills.
 pub(super) fn decode_engine<'e>(selector: &EngineSelector<'_>, engines: &'e [Engine]) -> Option<&'e Engine> {
     let decode = selector.choose_decode(engines, Stage::Decode);
