Log and count requests that are dropped before their final answer

A request whose caller's connection ends, or that is running when the instance ends, left neither a line nor a count, so that an answer lost by this instance could not be told from a caller that left. Test: relay::metrics::page_after_abandoned.

--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -1,5 +1,6 @@
 //! Forwards one request to engines, in one or more attempts, from its arrival to its final answer.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -75,6 +76,8 @@
     running: Option<Running>,
     /// Whether an engine has started the request, so that it has been counted for its workspace.
     started: bool,
+    /// Whether the final answer was given, or aborted.
+    ended: Cell<bool>,
     /// Random value derived from the request id, used to choose a service and to break ties between engines.
     pub(super) draw: u64,
 }
@@ -116,6 +119,7 @@
             refusal: None,
             running: Some(running),
             started: false,
+            ended: Cell::new(false),
             draw,
             route,
         }
@@ -214,6 +218,7 @@
 
     /// Counts the final answer in the metrics.
     pub fn count(&self, outcome: &str) {
+        self.ended.set(true);
         self.shared.metrics.count_answer(&self.path(), outcome);
     }
 
@@ -450,6 +455,19 @@
     }
 }
 
+impl Drop for ForwardedRequest {
+    /// Logs a request that is dropped before its final answer, which nothing else shows.
+    fn drop(&mut self) {
+        if self.ended.get() {
+            return;
+        }
+        self.count("abandoned");
+        let waited = clock::now().since(self.incoming.arrived).as_millis() as u64;
+        log_event!(info, log_event::ABANDONED, request = self.id(), route = %self.route.name, waited,
+            left = self.incoming.time_left().as_millis() as u64, sent = self.attempts.sent(), tried = self.tried.len());
+    }
+}
+
 /// Starts the answer to the caller: the status and headers of an engine's answer, without the hop-by-hop headers.
 pub fn response_head(headers: &HeaderMap, status: u16) -> HttpResponseBuilder {
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
--- a/tests/testsuite/relay/metrics.rs
+++ b/tests/testsuite/relay/metrics.rs
@@ -4,6 +4,7 @@
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::routes::RouteKind;
 
+use super::engine::Action;
 use super::engine::ScriptedEngine;
 use super::engine::answer;
 use super::instance::Caller;
@@ -52,6 +53,25 @@
     );
 }
 
+/// Guards against a request that ends without a final answer and leaves no trace.
+#[actix_web::test]
+async fn page_after_abandoned() {
+    let engine = ScriptedEngine::start(|_, _| vec![Action::Hold]).await;
+    let instance = Instance::start(RouteKind::Once, &[(&engine, Stage::Whole)], |_| {});
+    let mut caller = instance.connect().await;
+    caller
+        .send("GET /r/x HTTP/1.1\r\nhost: shop.example\r\nx-request: q\r\n\r\n")
+        .await;
+    engine.wait_for(|log| log.requests.len() == 1).await;
+    drop(caller);
+    engine.wait_for(|log| log.disconnects == 1).await;
+    let samples = samples(&instance, &["sequoiastream_relay_answers"]).await;
+    assert_eq!(
+        samples,
+        ["sequoiastream_relay_answers_total{service=\"chat\",kind=\"once\",outcome=\"abandoned\"} 1"]
+    );
+}
+
 /// Guards against a page that grows with every service that operators ever created. Services beyond a limit are
 /// aggregated.
 #[actix_web::test]
