--- a/tests/testsuite/relay/metrics.rs
+++ b/tests/testsuite/relay/metrics.rs
@@ -11,7 +11,7 @@
 use super::instance::Instance;
 
 /// The samples of the metric families with these name prefixes.
-async fn samples(instance: &Instance, names: &[&str]) -> Vec<String> {
+pub(super) async fn samples(instance: &Instance, names: &[&str]) -> Vec<String> {
     let address = instance.shared.options.metrics.expect("metrics are served");
     let mut caller = Caller::connect(address).await;
     caller
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -30,6 +30,7 @@
 mod routes;
 mod scale;
 mod seeded;
+mod silence;
 mod stages;
 mod starts;
 mod store;
