Keep a silent engine's answer until another engine delivers

LOST: a caller's stream ended without its end, and without a refusal. An engine that sent no event for 0.6 s (or four times the route's gap target) was treated as lost: its connection was closed before another engine was asked. If no extra attempt remained, there was no other engine or the next one declined, the stream was aborted, although a healthy engine may be silent for a second and then continue. Class of fault: a local time limit on silence discards an answer before a replacement is known to exist. Before the first byte, the same limit failed idempotent requests and streams with 502 when no other engine could be asked.

A silent engine now keeps the stream while another one is asked. Both may hold it for at most 0.3 s; the one that delivers first continues it. If the other engine declines or fails within that time, or no attempt may follow, the first one keeps the request until the request's own time limit. Before the first byte, a silent engine is abandoned only if there is another engine and an extra attempt; the attempt is taken from the budget at that moment.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -93,7 +93,7 @@
     407 BROKEN_OFF = "broken-off";
     /// A request was refused because of its API key: no product has the key, or the keys known here are too old.
     408 KEY_REFUSED = "key-refused";
-    /// A request was dropped before its final answer: its caller's connection ended, or this instance did.
+    /// A request was dropped before its final answer: its caller disconnected, or this instance stopped.
     409 ABANDONED = "abandoned";
     /// This instance acquired the authority over a service.
     500 AUTHORITY_TAKEN = "authority-taken";
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards one request to engines, in one or more attempts, from its arrival to its final answer.
 
 use std::cell::Cell;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,6 +27,7 @@
 use sequoiastream_core::time::Time;
 use sequoiastream_upstream::channel::Answer;
 use sequoiastream_upstream::channel::Pool;
+use tokio::time::timeout;
 
 use crate::log_event;
 use crate::ops::relay::pick::JobGuard;
@@ -76,8 +78,10 @@
     running: Option<Running>,
     /// Whether an engine has started the request, so that it has been counted for its workspace.
     started: bool,
-    /// Whether the final answer was given, or aborted.
-    ended: Cell<bool>,
+    /// Whether the outcome has been counted in the metrics.
+    outcome_counted: Cell<bool>,
+    /// Whether the next attempt has already been taken from the budget of extra attempts.
+    attempt_reserved: Cell<bool>,
     /// Random value derived from the request id, used to choose a service and to break ties between engines.
     pub(super) draw: u64,
 }
@@ -119,7 +123,8 @@
             refusal: None,
             running: Some(running),
             started: false,
-            ended: Cell::new(false),
+            outcome_counted: Cell::new(false),
+            attempt_reserved: Cell::new(false),
             draw,
             route,
         }
@@ -218,7 +223,7 @@
 
     /// Counts the final answer in the metrics.
     pub fn count(&self, outcome: &str) {
-        self.ended.set(true);
+        self.outcome_counted.set(true);
         self.shared.metrics.count_answer(&self.path(), outcome);
     }
 
@@ -262,11 +267,11 @@
 
     async fn exchange(&self, engine: &Engine) -> Result<(Answer, Bytes), AttemptFailure> {
         let attempt_timeout = self.attempt_timeout(Duration::ZERO);
-        let options = AttemptOptions {
-            attempt_timeout,
-            ..AttemptOptions::default()
-        };
-        let mut answer = send(&self.shared, &self.pool, &self.incoming, engine, &options).await?;
+        let options = AttemptOptions::default();
+        let attempt = send(&self.shared, &self.pool, &self.incoming, engine, &options);
+        let mut answer = self
+            .with_attempt_timeout(engine, attempt_timeout, attempt)
+            .await?;
         let body = answer.read(MAX_ANSWER_BYTES, self.incoming.time_left()).await?;
         Ok((answer, body))
     }
@@ -306,20 +311,23 @@
     ) -> Result<OpenedStream, AttemptFailure> {
         let attempt_timeout = self.attempt_timeout(self.handover().unwrap_or_default());
         let options = AttemptOptions {
-            prefill: false,
             prompt_source: self.prefilled.as_ref().map(PrefilledPrompt::source),
-            fetch_from: None,
             last_event,
-            attempt_timeout,
+            ..AttemptOptions::default()
+        };
+        let attempt = async {
+            let answer = send(&self.shared, &self.pool, &self.incoming, engine, &options).await?;
+            if let Some(prefilled) = &self.prefilled {
+                prefilled.taken.set(true);
+            }
+            stream::open(answer, engine.clone(), job, self.incoming.time_left()).await
         };
-        let sent = send(&self.shared, &self.pool, &self.incoming, engine, &options).await;
-        let is_not_run = sent.as_ref().is_err_and(|failure| failure.end.proves_not_run());
-        if !is_not_run && let Some(mut prefilled) = self.prefilled.take() {
-            prefilled.taken = true;
+        let opened = self.with_attempt_timeout(engine, attempt_timeout, attempt).await;
+        let is_not_run = opened.as_ref().is_err_and(|failure| failure.end.proves_not_run());
+        if !is_not_run && let Some(prefilled) = self.prefilled.take() {
+            prefilled.taken.set(true);
         }
-        let left = self.incoming.time_left();
-        let limit = attempt_timeout.map_or(left, |attempt_timeout| attempt_timeout.min(left));
-        stream::open(sent?, engine.clone(), job, limit).await
+        opened
     }
 
     /// Counts the request for its workspace, at most once.
@@ -393,6 +401,11 @@
             .on_engine_broke(clock::now(), CrashNote { request, engine });
     }
 
+    /// Records an attempt that was cancelled before its result was known. The engine may have run the request.
+    pub(super) fn on_attempt_cancelled(&mut self) {
+        self.attempts.on_end(End::Silent);
+    }
+
     /// Whether another attempt may follow one that ended with `end`. Depends on whether the request may have run, and
     /// on the instance's share of the budget of extra attempts.
     fn may_retry(&mut self, end: End) -> bool {
@@ -402,8 +415,8 @@
         !self.attempts.next_is_retry() || self.take_extra_attempt()
     }
 
-    /// How long to wait for an answer that is expected after `expected`. `None` if no further attempt may follow, so
-    /// that only the request's own time limit applies.
+    /// How long to wait for an answer that is expected after `expected` before asking another engine. `None` if no
+    /// further attempt may follow, so that only the request's own time limit applies.
     ///
     /// Failure guarded against: an engine accepts a request and never answers, and all of the caller's time is spent
     /// waiting for it.
@@ -413,8 +426,53 @@
         may_retry.then(|| retry::first_token_timeout(left, expected, 0))
     }
 
+    /// Awaits an attempt at `engine`. After `attempt_timeout`, the attempt is cancelled if another engine can be asked
+    /// and the budget has an extra attempt; otherwise only the request's own time limit applies.
+    ///
+    /// Guards against a request that fails because its engine was briefly silent, although no other engine could be
+    /// asked.
+    async fn with_attempt_timeout<T, F>(
+        &self,
+        engine: &Engine,
+        attempt_timeout: Option<Duration>,
+        attempt: F,
+    ) -> Result<T, AttemptFailure>
+    where
+        F: Future<Output = Result<T, AttemptFailure>>,
+    {
+        let mut attempt = pin!(attempt);
+        if let Some(attempt_timeout) = attempt_timeout {
+            match timeout(attempt_timeout, &mut attempt).await {
+                Ok(result) => return result,
+                Err(_) if self.reserve_extra_attempt(engine) => {
+                    return Err(AttemptFailure::new(
+                        End::Silent,
+                        "no answer within the time limit",
+                    ));
+                }
+                Err(_) => {}
+            }
+        }
+        attempt.await
+    }
+
+    /// Takes an extra attempt from the budget in advance, for a retry at another engine than `engine`; `false` if there
+    /// is no such engine, or the budget is exhausted.
+    fn reserve_extra_attempt(&self, engine: &Engine) -> bool {
+        let is_other = |e: &Engine| {
+            e.key != engine.key && e.entry.stage == engine.entry.stage && !self.tried.contains(&e.key)
+        };
+        let other = self.select(|_, engines| engines.iter().any(is_other).then_some(()));
+        let is_reserved = other.is_some() && self.take_extra_attempt();
+        self.attempt_reserved.set(is_reserved);
+        is_reserved
+    }
+
     /// Takes an extra attempt from the budget that all instances share; `false` if the budget is exhausted.
     pub(super) fn take_extra_attempt(&self) -> bool {
+        if self.attempt_reserved.take() {
+            return true;
+        }
         let Some(service) = &self.service else {
             return false;
         };
@@ -456,9 +514,9 @@
 }
 
 impl Drop for ForwardedRequest {
-    /// Logs a request that is dropped before its final answer, which nothing else shows.
+    /// Counts and logs a request that is dropped before its final answer, which is recorded nowhere else.
     fn drop(&mut self) {
-        if self.ended.get() {
+        if self.outcome_counted.get() {
             return;
         }
         self.count("abandoned");
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -1,5 +1,6 @@
 //! Has the prefill computed by an engine that does nothing else, for another engine that generates the answer.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use sequoiastream_core::relay::placement::PrefillPlan;
 use sequoiastream_core::retry;
 use sequoiastream_upstream::channel::Pool;
+use tokio::time::timeout;
 
 use crate::log_event;
 use crate::ops::relay::forward::ForwardedRequest;
@@ -49,7 +51,7 @@
     pool: Pool,
     pub(super) engine: Engine,
     name: String,
-    pub(super) taken: bool,
+    pub(super) taken: Cell<bool>,
 }
 
 impl PrefilledPrompt {
@@ -62,7 +64,7 @@
     /// Failure guarded against: the caller disconnects, or no engine accepts the request, and the result occupies
     /// memory of its engine until it expires.
     fn drop(&mut self) {
-        if self.taken {
+        if self.taken.get() {
             return;
         }
         let path = self.shared.translate.release_path(&self.name);
@@ -167,7 +169,7 @@
             pool: self.pool.clone(),
             engine: plan.engine.clone(),
             name,
-            taken: false,
+            taken: Cell::new(false),
         });
         Ok(())
     }
@@ -181,10 +183,17 @@
         let options = AttemptOptions {
             prefill: true,
             fetch_from: plan.fetch_from,
-            attempt_timeout,
             ..AttemptOptions::default()
         };
-        let mut answer = send(&self.shared, &self.pool, &self.incoming, engine, &options).await?;
+        let left = self.incoming.time_left();
+        let limit = attempt_timeout.map_or(left, |attempt_timeout| attempt_timeout.min(left));
+        let answer = timeout(
+            limit,
+            send(&self.shared, &self.pool, &self.incoming, engine, &options),
+        )
+        .await;
+        let mut answer =
+            answer.map_err(|_| AttemptFailure::new(End::Silent, "no answer within the time limit"))??;
         let status = answer.head.status;
         let body = answer.read(MAX_ANSWER_BYTES, self.incoming.time_left()).await?;
         self.pool.keep(engine.entry.address, answer);
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -85,8 +85,6 @@
     pub fetch_from: Option<SocketAddr>,
     /// Id of the last event that was delivered to the caller.
     pub last_event: Option<u64>,
-    /// How long to wait for the head of the answer, if another attempt may follow.
-    pub attempt_timeout: Option<Duration>,
 }
 
 /// Why an attempt brought no answer.
@@ -143,11 +141,8 @@
         return Err(AttemptFailure::new(End::Unsent, "the request has expired"));
     }
     let request = build_request(names, incoming, engine, options)?;
-    let limit = options
-        .attempt_timeout
-        .map_or(left, |attempt_timeout| attempt_timeout.min(left));
     let sent = clock::now();
-    let answer = channel.send(request, limit).await?;
+    let answer = channel.send(request, left).await?;
     let checked = check_answer(names, incoming, options, &answer);
     // An answer that failed any other check may not come from this engine.
     if checked.as_ref().err().is_none_or(|f| f.end == End::Declined) {
--- a/src/ops/relay/stream.rs
+++ b/src/ops/relay/stream.rs
@@ -2,8 +2,11 @@
 //!
 //! Nothing is sent to the caller before the first event is complete, so that an engine that fails until then can still
 //! be replaced. After that, a resumable stream continues at another engine after the last event delivered. Any other
-//! stream is aborted towards the caller as well, so that the caller can't take it for complete.
+//! stream is aborted towards the caller as well, so that the caller can't take it for complete. The connection to an
+//! engine that is only silent stays open for a limited time while another engine is asked, and remains in use if that
+//! attempt fails in this time or no attempt may follow.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use actix_web::HttpResponse;
@@ -22,17 +25,23 @@
 use crate::ops::relay::forward::ForwardedRequest;
 use crate::ops::relay::forward::response_head;
 use crate::ops::relay::pick::JobGuard;
+use crate::ops::relay::reply::Reply;
 use crate::ops::relay::send::AttemptFailure;
 use crate::ops::relay::send::end_of;
 use crate::ops::relay::shared::Running;
 
-/// Multiple of the route's target for the gap between two events after which a silent engine is abandoned. Callers
-/// abandon a stream after eight times the target.
+/// Multiple of the route's target for the gap between two events after which another engine is asked to continue the
+/// stream. Callers abandon a stream after eight times the target.
 const GAP_TIMEOUT_FACTOR: u32 = 4;
 
-/// Minimum time of silence after which an engine is abandoned. Callers abandon a stream after two seconds of silence.
+/// Minimum time of silence after which another engine is asked to continue the stream. Callers abandon a stream
+/// after two seconds of silence.
 const MIN_GAP_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Maximum time for which the connection to a silent engine stays open during an attempt to continue the stream at
+/// another engine. Limits the time in which both engines may work on the stream.
+const MAX_OVERLAP: Duration = Duration::from_millis(300);
+
 /// A stream was aborted before its end.
 #[derive(Debug, Error)]
 #[error("the stream was aborted before its end")]
@@ -44,6 +53,7 @@
     engine: Engine,
     job: JobGuard,
     reader: EventReader,
+    /// An event that has been received but not yet returned by [`Self::next`].
     first: Option<Event>,
     /// The whole body, if the answer is an error and not a stream.
     body: Option<Bytes>,
@@ -94,8 +104,19 @@
         (self.engine, self.answer)
     }
 
+    /// Waits until the next event has been received or the stream has ended properly, without consuming the event.
+    async fn peek(&mut self) -> Result<(), AttemptFailure> {
+        if self.first.is_none() {
+            self.first = self.next().await?;
+        }
+        Ok(())
+    }
+
     /// Returns the next event, or `None` if the stream ended properly.
     async fn next(&mut self) -> Result<Option<Event>, AttemptFailure> {
+        if let Some(first) = self.first.take() {
+            return Ok(Some(first));
+        }
         loop {
             if let Some(event) = self.reader.next_event() {
                 return Ok(Some(event));
@@ -157,22 +178,17 @@
         let Some(opened) = stream.opened.as_mut() else {
             return Ok(None);
         };
-        let next = match opened.first.take() {
-            Some(first) => Ok(Some(first)),
-            None => timeout(limit, opened.next())
-                .await
-                .unwrap_or_else(|_| Err(AttemptFailure::new(End::Silent, "no event within the time limit"))),
-        };
-        match next {
-            Ok(Some(event)) => {
+        match timeout(limit, opened.next()).await {
+            Ok(Ok(Some(event))) => {
                 stream.last_event = event.id.or(stream.last_event);
                 return Ok(Some((event.bytes, stream)));
             }
-            Ok(None) => {
+            Ok(Ok(None)) => {
                 stream.close();
                 return Ok(None);
             }
-            Err(failure) => stream.resume(&failure).await?,
+            Ok(Err(failure)) => stream.resume(&failure).await?,
+            Err(_) => stream.on_silence().await?,
         }
     }
 }
@@ -209,23 +225,105 @@
         } = opened;
         drop(answer);
         drop(job);
-        let mut reply = self.forward.on_failure(&engine, failure);
+        let reply = self.forward.on_failure(&engine, failure);
+        self.reopen(&engine, failure, reply).await
+    }
+
+    /// Sends the request to other engines until one of them continues the stream. The stream is aborted once there is a
+    /// final answer, which means that no further attempt may follow.
+    async fn reopen(
+        &mut self,
+        from: &Engine,
+        failure: &AttemptFailure,
+        mut reply: Option<Reply>,
+    ) -> Result<(), StreamAborted> {
         while reply.is_none() {
-            match self.forward.open(self.last_event).await {
-                Ok(next) if next.body.is_none() => {
-                    log_event!(info, log_event::RESUMED, request = self.forward.id(), after = self.last_event, from = %engine.entry.id, to = %next.engine.entry.id);
-                    self.opened = Some(next);
-                    return Ok(());
-                }
-                Ok(next) => {
-                    let failure = AttemptFailure::new(End::Failed, "the answer is not a stream");
-                    reply = self.forward.on_failure(&next.engine, &failure);
-                }
-                Err(given_up) => reply = given_up,
+            let result = self.forward.open(self.last_event).await;
+            match self.accept(from, result) {
+                Ok(()) => return Ok(()),
+                Err(next) => reply = next,
             }
         }
         self.forward.count("broken-off");
-        log_event!(info, log_event::BROKEN_OFF, request = self.forward.id(), engine = %engine.entry.id, why = failure.reason, ?reply);
+        log_event!(info, log_event::BROKEN_OFF, request = self.forward.id(), engine = %from.entry.id, why = failure.reason, ?reply);
         Err(StreamAborted)
     }
+
+    /// Continues with the result of an attempt if it is a stream. Otherwise returns the final answer, or `None` if
+    /// another attempt may follow.
+    fn accept(
+        &mut self,
+        from: &Engine,
+        result: Result<OpenedStream, Option<Reply>>,
+    ) -> Result<(), Option<Reply>> {
+        let next = result?;
+        if next.body.is_some() {
+            let failure = AttemptFailure::new(End::Failed, "the answer is not a stream");
+            return Err(self.forward.on_failure(&next.engine, &failure));
+        }
+        log_event!(info, log_event::RESUMED, request = self.forward.id(), after = self.last_event, from = %from.entry.id, to = %next.engine.entry.id);
+        self.opened = Some(next);
+        Ok(())
+    }
+
+    /// Asks other engines to continue a stream whose engine is silent, and continues with the engine that delivers
+    /// first.
+    ///
+    /// Guards against a stream that is aborted because its engine was briefly silent and no other engine accepted it.
+    async fn on_silence(&mut self) -> Result<(), StreamAborted> {
+        let failure = AttemptFailure::new(End::Silent, "no event within the time limit");
+        if self.forward.incoming.time_left().is_zero() {
+            return self.resume(&failure).await;
+        }
+        let Some(silent) = self.opened.take() else {
+            return Err(StreamAborted);
+        };
+        let engine = silent.engine.clone();
+        let mut previous = Some(silent);
+        let mut reply = self.forward.on_failure(&engine, &failure);
+        while reply.is_none()
+            && let Some(silent) = previous.take()
+        {
+            let attempt = self.forward.open(self.last_event);
+            let (remaining, result) = race_silent(silent, attempt).await;
+            previous = remaining;
+            let Some(result) = result else {
+                self.forward.on_attempt_cancelled();
+                break;
+            };
+            match self.accept(&engine, result) {
+                Ok(()) => return Ok(()),
+                Err(next) => reply = next,
+            }
+        }
+        if previous.is_none() {
+            return self.reopen(&engine, &failure, reply).await;
+        }
+        self.opened = previous;
+        Ok(())
+    }
+}
+
+/// Waits until a silent stream continues or the attempt to replace it has a result. The silent stream is closed after
+/// [`MAX_OVERLAP`], or if it fails. Returns the silent stream unless it was closed, and the result unless the attempt
+/// was cancelled because the silent stream continues.
+async fn race_silent<F>(
+    mut silent: OpenedStream,
+    attempt: F,
+) -> (Option<OpenedStream>, Option<Result<OpenedStream, Option<Reply>>>)
+where
+    F: Future<Output = Result<OpenedStream, Option<Reply>>>,
+{
+    let mut attempt = pin!(attempt);
+    tokio::select! {
+        biased;
+        peeked = timeout(MAX_OVERLAP, silent.peek()) => match peeked {
+            Ok(Ok(())) => (Some(silent), None),
+            Ok(Err(_)) | Err(_) => {
+                drop(silent);
+                (None, Some(attempt.await))
+            }
+        },
+        result = &mut attempt => (Some(silent), Some(result)),
+    }
 }
--- a/tests/testsuite/relay/metrics.rs
+++ b/tests/testsuite/relay/metrics.rs
@@ -53,7 +53,7 @@
     );
 }
 
-/// Guards against a request that ends without a final answer and leaves no trace.
+/// Guards against a request that is dropped before its final answer and missing from the metrics.
 #[actix_web::test]
 async fn page_after_abandoned() {
     let engine = ScriptedEngine::start(|_, _| vec![Action::Hold]).await;
