Count the overlap of two engines from the send, and limit head and first event separately

- The 0.3 s for which a silent engine keeps its stream began with the search for another engine.
They were over while a connection was still being opened or a prompt prefilled, before any other engine had the stream; the stream was then aborted if the other engine could not be reached or declined.
The time now begins when the request is sent to the engine that is to generate the answer.
- put connection, head and first event under one time limit.
A hanging connection counted as an attempt that may have run (504 instead of 503, and one extra attempt used), and an engine that sent its head in time was abandoned before its first event was due.
Connecting has its own limit again; head and first event each have the full limit.
- An engine without room no longer counts as another engine to ask.
The extra attempt is taken only if there is another engine with room, and it is asked for again after each time limit.
- One attempt that was first silent and later broken off counted as two against the route's maximum.

--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -137,6 +137,11 @@
             self.ran = true;
             self.without_progress += 1;
         }
+        self.next_step()
+    }
+
+    /// What to do after the attempts recorded so far.
+    pub fn next_step(&self) -> NextStep {
         let may_repeat = !self.ran || self.repeat != Repeat::Never;
         match may_repeat && !self.is_exhausted() {
             true => NextStep::Retry,
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::pin::pin;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,6 +28,7 @@
 use sequoiastream_core::time::Time;
 use sequoiastream_upstream::channel::Answer;
 use sequoiastream_upstream::channel::Pool;
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::log_event;
@@ -39,6 +41,7 @@
 use crate::ops::relay::send::AttemptOptions;
 use crate::ops::relay::send::IncomingRequest;
 use crate::ops::relay::send::MAX_ANSWER_BYTES;
+use crate::ops::relay::send::connect;
 use crate::ops::relay::send::end_of;
 use crate::ops::relay::send::send;
 use crate::ops::relay::shared::Running;
@@ -82,6 +85,8 @@
     outcome_counted: Cell<bool>,
     /// Whether the next attempt has already been taken from the budget of extra attempts.
     attempt_reserved: Cell<bool>,
+    /// Notified when the request is about to be sent to the engine that is to generate the answer.
+    pub(super) generation_sent: Rc<Notify>,
     /// Random value derived from the request id, used to choose a service and to break ties between engines.
     pub(super) draw: u64,
 }
@@ -125,6 +130,7 @@
             started: false,
             outcome_counted: Cell::new(false),
             attempt_reserved: Cell::new(false),
+            generation_sent: Rc::new(Notify::new()),
             draw,
             route,
         }
@@ -268,7 +274,15 @@
     async fn exchange(&self, engine: &Engine) -> Result<(Answer, Bytes), AttemptFailure> {
         let attempt_timeout = self.attempt_timeout(Duration::ZERO);
         let options = AttemptOptions::default();
-        let attempt = send(&self.shared, &self.pool, &self.incoming, engine, &options);
+        let channel = connect(&self.pool, &self.incoming, engine).await?;
+        let attempt = send(
+            &self.shared,
+            &self.pool,
+            &self.incoming,
+            engine,
+            channel,
+            &options,
+        );
         let mut answer = self
             .with_attempt_timeout(engine, attempt_timeout, attempt)
             .await?;
@@ -315,19 +329,29 @@
             last_event,
             ..AttemptOptions::default()
         };
-        let attempt = async {
-            let answer = send(&self.shared, &self.pool, &self.incoming, engine, &options).await?;
-            if let Some(prefilled) = &self.prefilled {
-                prefilled.taken.set(true);
-            }
-            stream::open(answer, engine.clone(), job, self.incoming.time_left()).await
-        };
-        let opened = self.with_attempt_timeout(engine, attempt_timeout, attempt).await;
-        let is_not_run = opened.as_ref().is_err_and(|failure| failure.end.proves_not_run());
-        if !is_not_run && let Some(prefilled) = self.prefilled.take() {
-            prefilled.taken.set(true);
+        let sent = self
+            .send_generation_request(engine, attempt_timeout, &options)
+            .await;
+        let is_not_run = sent.as_ref().is_err_and(|failure| failure.end.proves_not_run());
+        if !is_not_run && let Some(mut prefilled) = self.prefilled.take() {
+            prefilled.taken = true;
         }
-        opened
+        let opened = stream::open(sent?, engine.clone(), job, self.incoming.time_left());
+        self.with_attempt_timeout(engine, attempt_timeout, opened).await
+    }
+
+    /// Connects to the engine that is to generate the answer, sends the request and returns the head of the answer.
+    /// `attempt_timeout` doesn't include the time to connect.
+    async fn send_generation_request(
+        &self,
+        engine: &Engine,
+        attempt_timeout: Option<Duration>,
+        options: &AttemptOptions,
+    ) -> Result<Answer, AttemptFailure> {
+        let channel = connect(&self.pool, &self.incoming, engine).await?;
+        self.generation_sent.notify_one();
+        let attempt = send(&self.shared, &self.pool, &self.incoming, engine, channel, options);
+        self.with_attempt_timeout(engine, attempt_timeout, attempt).await
     }
 
     /// Counts the request for its workspace, at most once.
@@ -379,9 +403,7 @@
 
     /// Handles a failed attempt. Returns `None` if another attempt may follow, otherwise the final answer.
     pub fn on_failure(&mut self, engine: &Engine, failure: &AttemptFailure) -> Option<Reply> {
-        self.log_failure(engine, failure, "send");
-        self.record_end(engine.key, failure.end);
-        self.record_crash(engine, failure.end);
+        self.record_failure(engine, failure);
         self.tried.push(engine.key);
         match self.may_retry(failure.end) {
             true => None,
@@ -389,6 +411,27 @@
         }
     }
 
+    /// Handles the failure of an attempt that has already been counted because its engine was silent. Returns `None` if
+    /// another attempt may follow, otherwise the final answer.
+    pub(super) fn on_failure_after_silence(
+        &self,
+        engine: &Engine,
+        failure: &AttemptFailure,
+    ) -> Option<Reply> {
+        self.record_failure(engine, failure);
+        let may_retry = self.attempts.next_step() == NextStep::Retry && !self.incoming.time_left().is_zero();
+        match may_retry && self.take_extra_attempt() {
+            true => None,
+            false => Some(self.give_up()),
+        }
+    }
+
+    fn record_failure(&self, engine: &Engine, failure: &AttemptFailure) {
+        self.log_failure(engine, failure, "send");
+        self.record_end(engine.key, failure.end);
+        self.record_crash(engine, failure.end);
+    }
+
     /// Records that an engine broke off this request, which may have crashed it.
     fn record_crash(&self, engine: &Engine, end: End) {
         let Some(request) = self.incoming.fingerprint.filter(|_| end == End::Broken) else {
@@ -401,9 +444,12 @@
             .on_engine_broke(clock::now(), CrashNote { request, engine });
     }
 
-    /// Records an attempt that was cancelled before its result was known. The engine may have run the request.
+    /// Records an attempt that was cancelled before its result was known, and discards its prefill and its reservation.
+    /// The engine may have run the request.
     pub(super) fn on_attempt_cancelled(&mut self) {
         self.attempts.on_end(End::Silent);
+        self.prefilled = None;
+        self.reserved = None;
     }
 
     /// Whether another attempt may follow one that ended with `end`. Depends on whether the request may have run, and
@@ -426,8 +472,8 @@
         may_retry.then(|| retry::first_token_timeout(left, expected, 0))
     }
 
-    /// Awaits an attempt at `engine`. After `attempt_timeout`, the attempt is cancelled if another engine can be asked
-    /// and the budget has an extra attempt; otherwise only the request's own time limit applies.
+    /// Awaits an attempt at `engine`. After each `attempt_timeout`, the attempt is cancelled if another engine can be
+    /// asked and the budget has an extra attempt. Otherwise it continues, at most until the request's own time limit.
     ///
     /// Guards against a request that fails because its engine was briefly silent, although no other engine could be
     /// asked.
@@ -441,7 +487,7 @@
         F: Future<Output = Result<T, AttemptFailure>>,
     {
         let mut attempt = pin!(attempt);
-        if let Some(attempt_timeout) = attempt_timeout {
+        while let Some(attempt_timeout) = attempt_timeout.filter(|limit| !limit.is_zero()) {
             match timeout(attempt_timeout, &mut attempt).await {
                 Ok(result) => return result,
                 Err(_) if self.reserve_extra_attempt(engine) => {
@@ -457,12 +503,15 @@
     }
 
     /// Takes an extra attempt from the budget in advance, for a retry at another engine than `engine`; `false` if there
-    /// is no such engine, or the budget is exhausted.
-    fn reserve_extra_attempt(&self, engine: &Engine) -> bool {
-        let is_other = |e: &Engine| {
+    /// is no such engine with room, or the budget is exhausted.
+    pub(super) fn reserve_extra_attempt(&self, engine: &Engine) -> bool {
+        let is_other = |e: &&Engine| {
             e.key != engine.key && e.entry.stage == engine.entry.stage && !self.tried.contains(&e.key)
         };
-        let other = self.select(|_, engines| engines.iter().any(is_other).then_some(()));
+        let other = self.select(|selector, engines| {
+            let mut others = engines.iter().filter(is_other);
+            others.find(|e| !selector.is_full(e, MAX_LOAD_FACTOR)).map(|_| ())
+        });
         let is_reserved = other.is_some() && self.take_extra_attempt();
         self.attempt_reserved.set(is_reserved);
         is_reserved
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -1,6 +1,5 @@
 //! Has the prefill computed by an engine that does nothing else, for another engine that generates the answer.
 
-use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +20,7 @@
 use crate::ops::relay::send::AttemptFailure;
 use crate::ops::relay::send::AttemptOptions;
 use crate::ops::relay::send::MAX_ANSWER_BYTES;
+use crate::ops::relay::send::connect;
 use crate::ops::relay::send::release;
 use crate::ops::relay::send::send;
 use crate::ops::relay::shared::Shared;
@@ -51,7 +51,7 @@
     pool: Pool,
     pub(super) engine: Engine,
     name: String,
-    pub(super) taken: Cell<bool>,
+    pub(super) taken: bool,
 }
 
 impl PrefilledPrompt {
@@ -64,7 +64,7 @@
     /// Failure guarded against: the caller disconnects, or no engine accepts the request, and the result occupies
     /// memory of its engine until it expires.
     fn drop(&mut self) {
-        if self.taken.get() {
+        if self.taken {
             return;
         }
         let path = self.shared.translate.release_path(&self.name);
@@ -169,7 +169,7 @@
             pool: self.pool.clone(),
             engine: plan.engine.clone(),
             name,
-            taken: Cell::new(false),
+            taken: false,
         });
         Ok(())
     }
@@ -185,11 +185,19 @@
             fetch_from: plan.fetch_from,
             ..AttemptOptions::default()
         };
+        let channel = connect(&self.pool, &self.incoming, engine).await?;
         let left = self.incoming.time_left();
         let limit = attempt_timeout.map_or(left, |attempt_timeout| attempt_timeout.min(left));
         let answer = timeout(
             limit,
-            send(&self.shared, &self.pool, &self.incoming, engine, &options),
+            send(
+                &self.shared,
+                &self.pool,
+                &self.incoming,
+                engine,
+                channel,
+                &options,
+            ),
         )
         .await;
         let mut answer =
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -16,6 +16,7 @@
 use sequoiastream_core::relay::prompt::Prompt;
 use sequoiastream_core::time::Time;
 use sequoiastream_upstream::channel::Answer;
+use sequoiastream_upstream::channel::Channel;
 use sequoiastream_upstream::channel::ChannelError;
 use sequoiastream_upstream::channel::Pool;
 
@@ -118,8 +119,26 @@
     }
 }
 
-/// Sends `incoming` to `engine` and returns the head of the answer, after checking that it is the engine's answer to
-/// this request.
+/// Returns a connection to `engine` from the pool, or opens a new one.
+///
+/// # Errors
+///
+/// [`AttemptFailure`] if no connection is available before the time limit. Nothing has been sent then.
+pub async fn connect(
+    pool: &Pool,
+    incoming: &IncomingRequest,
+    engine: &Engine,
+) -> Result<Channel, AttemptFailure> {
+    let limit = CONNECT_TIMEOUT.min(incoming.time_left());
+    let channel = pool.take(engine.entry.address, limit).await?;
+    match incoming.time_left().is_zero() {
+        true => Err(AttemptFailure::new(End::Unsent, "the request has expired")),
+        false => Ok(channel),
+    }
+}
+
+/// Sends `incoming` to `engine` on `channel` and returns the head of the answer, after checking that it is the engine's
+/// answer to this request.
 ///
 /// # Errors
 ///
@@ -129,20 +148,14 @@
     pool: &Pool,
     incoming: &IncomingRequest,
     engine: &Engine,
+    channel: Channel,
     options: &AttemptOptions,
 ) -> Result<Answer, AttemptFailure> {
     let names = shared.translate.names();
     let address = engine.entry.address;
-    let channel = pool
-        .take(address, CONNECT_TIMEOUT.min(incoming.time_left()))
-        .await?;
-    let left = incoming.time_left();
-    if left.is_zero() {
-        return Err(AttemptFailure::new(End::Unsent, "the request has expired"));
-    }
     let request = build_request(names, incoming, engine, options)?;
     let sent = clock::now();
-    let answer = channel.send(request, left).await?;
+    let answer = channel.send(request, incoming.time_left()).await?;
     let checked = check_answer(names, incoming, options, &answer);
     // An answer that failed any other check may not come from this engine.
     if checked.as_ref().err().is_none_or(|f| f.end == End::Declined) {
--- a/src/ops/relay/stream.rs
+++ b/src/ops/relay/stream.rs
@@ -7,6 +7,7 @@
 //! attempt fails in this time or no attempt may follow.
 
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_web::HttpResponse;
@@ -19,6 +20,8 @@
 use sequoiastream_upstream::events::Event;
 use sequoiastream_upstream::events::EventReader;
 use thiserror::Error;
+use tokio::sync::Notify;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::log_event;
@@ -38,8 +41,8 @@
 /// after two seconds of silence.
 const MIN_GAP_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Maximum time for which the connection to a silent engine stays open during an attempt to continue the stream at
-/// another engine. Limits the time in which both engines may work on the stream.
+/// Maximum time for which the connection to a silent engine stays open after the request is sent to another engine.
+/// Limits the time in which both engines may work on the stream.
 const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
 /// A stream was aborted before its end.
@@ -57,6 +60,8 @@
     first: Option<Event>,
     /// The whole body, if the answer is an error and not a stream.
     body: Option<Bytes>,
+    /// Whether the attempt has already been counted because its engine was silent.
+    attempt_counted: bool,
 }
 
 /// Reads the first event of an answer, or the whole body if its status is not a success.
@@ -77,6 +82,7 @@
         reader: EventReader::new(),
         first: None,
         body: None,
+        attempt_counted: false,
     };
     if !opened.answer.head.status.is_success() {
         let body = opened
@@ -221,14 +227,30 @@
             return Err(StreamAborted);
         };
         let OpenedStream {
-            engine, answer, job, ..
+            engine,
+            answer,
+            job,
+            attempt_counted,
+            ..
         } = opened;
         drop(answer);
         drop(job);
-        let reply = self.forward.on_failure(&engine, failure);
+        let reply = self.on_failure(&engine, failure, attempt_counted);
         self.reopen(&engine, failure, reply).await
     }
 
+    fn on_failure(
+        &mut self,
+        engine: &Engine,
+        failure: &AttemptFailure,
+        attempt_counted: bool,
+    ) -> Option<Reply> {
+        match attempt_counted {
+            true => self.forward.on_failure_after_silence(engine, failure),
+            false => self.forward.on_failure(engine, failure),
+        }
+    }
+
     /// Sends the request to other engines until one of them continues the stream. The stream is aborted once there is a
     /// final answer, which means that no further attempt may follow.
     async fn reopen(
@@ -275,17 +297,24 @@
         if self.forward.incoming.time_left().is_zero() {
             return self.resume(&failure).await;
         }
-        let Some(silent) = self.opened.take() else {
+        let Some(mut silent) = self.opened.take() else {
             return Err(StreamAborted);
         };
         let engine = silent.engine.clone();
+        if !self.forward.reserve_extra_attempt(&engine) {
+            self.opened = Some(silent);
+            return Ok(());
+        }
+        let mut reply = self.on_failure(&engine, &failure, silent.attempt_counted);
+        silent.attempt_counted = true;
         let mut previous = Some(silent);
-        let mut reply = self.forward.on_failure(&engine, &failure);
         while reply.is_none()
             && let Some(silent) = previous.take()
         {
+            let generation_sent = Rc::new(Notify::new());
+            self.forward.generation_sent = generation_sent.clone();
             let attempt = self.forward.open(self.last_event);
-            let (remaining, result) = race_silent(silent, attempt).await;
+            let (remaining, result) = race_silent(silent, &generation_sent, attempt).await;
             previous = remaining;
             let Some(result) = result else {
                 self.forward.on_attempt_cancelled();
@@ -304,26 +333,31 @@
     }
 }
 
-/// Waits until a silent stream continues or the attempt to replace it has a result. The silent stream is closed after
-/// [`MAX_OVERLAP`], or if it fails. Returns the silent stream unless it was closed, and the result unless the attempt
-/// was cancelled because the silent stream continues.
+/// Waits until a silent stream continues or the attempt to replace it has a result. The silent stream is closed if it
+/// fails, or [`MAX_OVERLAP`] after `generation_sent` is notified. Returns the silent stream unless it was closed, and
+/// the result unless the attempt was cancelled because the silent stream continues.
 async fn race_silent<F>(
     mut silent: OpenedStream,
+    generation_sent: &Notify,
     attempt: F,
 ) -> (Option<OpenedStream>, Option<Result<OpenedStream, Option<Reply>>>)
 where
     F: Future<Output = Result<OpenedStream, Option<Reply>>>,
 {
     let mut attempt = pin!(attempt);
-    tokio::select! {
+    let overlap_end = async {
+        generation_sent.notified().await;
+        sleep(MAX_OVERLAP).await;
+    };
+    let continues = tokio::select! {
         biased;
-        peeked = timeout(MAX_OVERLAP, silent.peek()) => match peeked {
-            Ok(Ok(())) => (Some(silent), None),
-            Ok(Err(_)) | Err(_) => {
-                drop(silent);
-                (None, Some(attempt.await))
-            }
-        },
-        result = &mut attempt => (Some(silent), Some(result)),
+        peeked = silent.peek() => peeked.is_ok(),
+        () = overlap_end => false,
+        result = &mut attempt => return (Some(silent), Some(result)),
+    };
+    if continues {
+        return (Some(silent), None);
     }
+    drop(silent);
+    (None, Some(attempt.await))
 }
