Write answers before a shutdown ends

A caller that reads slowly got part of its answer when its instance was stopped: a request no longer counts as running when its answer is handed to the HTTP server, and the server was then stopped without waiting for what it had still to write. The server is now stopped gracefully, for what is left of the grace period; idle connections are closed at once. The grace period is counted from the signal: the removal of the registration, up to 0.7 s, came on top of it.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -43,6 +43,8 @@
     105 RELOAD_REFUSED = "reload-refused";
     /// The HTTP server stopped unexpectedly.
     106 SERVER_FAILED = "server-failed";
+    /// A shutdown ended before all answers were written to their callers.
+    107 ANSWERS_UNWRITTEN = "answers-unwritten";
     /// A new version of the configuration is in force on this instance.
     200 CONFIG_IN_FORCE = "config-in-force";
     /// A configuration change was accepted through this instance.
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -40,6 +40,7 @@
 
 use eyre::WrapErr;
 use sequoiastream_core::log_event;
+use sequoiastream_core::time::Time;
 use sequoiastream_kv::store::Store;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
@@ -60,9 +61,12 @@
 /// Time between two checks during a shutdown of whether the last request is answered.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Time that is left at the end of the grace period for the process to exit.
+/// Time that is left at the end of the grace period for the last answers to be written and the process to exit.
 const EXIT_TIME: Duration = Duration::from_millis(500);
 
+/// Part of [`EXIT_TIME`] in which only the process exits.
+const PROCESS_END_TIME: Duration = Duration::from_millis(100);
+
 /// Runs an instance until SIGTERM or SIGINT, then shuts down gracefully.
 ///
 /// # Errors
@@ -97,11 +101,16 @@
         _ = interrupt.recv() => {}
     }
     log_event!(info, log_event::STOPPING, running = shared.running());
-    shared.leave(clock::now());
+    let begun = clock::now();
+    shared.leave(begun);
     fleet.leave();
     registration.end().await;
-    drain(&shared).await;
-    server.stop(false).await;
+    drain(&shared, begun).await;
+    let left = shared
+        .reloadable()
+        .grace_period
+        .saturating_sub(clock::now().since(begun));
+    server::stop(&server, left.saturating_sub(PROCESS_END_TIME)).await;
     log_event!(info, log_event::STOPPED, running = shared.running());
     Ok(())
 }
@@ -143,13 +152,12 @@
 }
 
 /// Continues to serve for as long as callers may use a cached address, then until the last request is answered or the
-/// grace period ends.
-async fn drain(shared: &Shared) {
-    let started = clock::now();
+/// grace period ends, which began at `begun`.
+async fn drain(shared: &Shared, begun: Time) {
     let min_time = shared.reloadable().address_ttl * ADDRESS_TTL_FACTOR;
     let max_time = shared.reloadable().grace_period.saturating_sub(EXIT_TIME);
     loop {
-        let elapsed = clock::now().since(started);
+        let elapsed = clock::now().since(begun);
         let is_idle = shared.running() == 0;
         if elapsed >= max_time || (elapsed >= min_time && is_idle) {
             return;
--- a/src/ops/relay/server.rs
+++ b/src/ops/relay/server.rs
@@ -25,6 +25,7 @@
 use sequoiastream_core::relay::workspaces::KeyDigest;
 use sequoiastream_core::relay::workspaces::StoreAges;
 use sequoiastream_upstream::channel::Pool;
+use tokio::time::timeout;
 
 use crate::log_event;
 use crate::ops::relay::edge::Directory;
@@ -104,6 +105,21 @@
     Ok(handle)
 }
 
+/// Stops the servers: idle connections are closed at once, the others when their answers are written. Returns after
+/// `limit` at the latest; connections that are still open end with the process.
+///
+/// Guards against answers that are cut by a shutdown: a request counts as answered before its answer is written, and
+/// callers may read slowly.
+pub async fn stop(server: &ServerHandle, limit: Duration) {
+    if timeout(limit, server.stop(true)).await.is_err() {
+        log_event!(
+            warn,
+            log_event::SERVER_FAILED,
+            error = "answers were not written in time"
+        );
+    }
+}
+
 async fn handle(request: HttpRequest, payload: Payload, worker: Data<Worker>) -> HttpResponse {
     let shared = &worker.shared;
     let local = request.app_config().local_addr();
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -367,6 +367,11 @@
         Instance { shared, server }
     }
 
+    /// Stops the server as at the end of a shutdown.
+    pub async fn stop(&self, limit: Duration) {
+        server::stop(&self.server, limit).await;
+    }
+
     /// Opens a connection of a caller.
     pub async fn connect(&self) -> Caller {
         Caller::connect(self.shared.options.front).await
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -33,6 +33,7 @@
 mod silence;
 mod stages;
 mod starts;
+mod stops;
 mod store;
 mod suspects;
 mod told;
