Decisions for engines that are reachable only through a peer

An instance may be partitioned from all engines for seconds while callers, the store and its peers still reach it; its callers saw refused or late requests.

--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -39,6 +39,42 @@
     pub capacity: u32,
 }
 
+/// An instance that is considered for the directory.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    /// Its address, zone and capacity.
+    pub endpoint: Endpoint,
+    /// Whether it may admit requests with API keys.
+    pub proven: bool,
+    /// Whether it has lost its direct links to the engines.
+    pub detached: bool,
+}
+
+/// The endpoints that are offered to callers, in the order of their addresses and without duplicate addresses.
+///
+/// If no instance may admit requests, callers are given all of them: whichever recovers first serves them. Of these,
+/// instances that have lost their engines are offered only if there are no others: they serve, but more slowly, and
+/// each of their requests occupies a peer too.
+pub fn offered(candidates: Vec<Candidate>) -> Vec<Endpoint> {
+    let candidates = preferred(candidates, |c| c.proven);
+    let candidates = preferred(candidates, |c| !c.detached);
+    let mut endpoints: Vec<Endpoint> = candidates.into_iter().map(|c| c.endpoint).collect();
+    endpoints.sort();
+    endpoints.dedup_by_key(|e| e.address);
+    endpoints
+}
+
+/// The candidates for which `is_preferred` returns true; all of them if there are none.
+fn preferred<F>(candidates: Vec<Candidate>, is_preferred: F) -> Vec<Candidate>
+where
+    F: Fn(&Candidate) -> bool,
+{
+    match candidates.iter().any(&is_preferred) {
+        true => candidates.into_iter().filter(is_preferred).collect(),
+        false => candidates,
+    }
+}
+
 /// Maximum number of addresses that a caller may be told. Callers pick among them at random, so with more addresses the
 /// largest instances would get less than their capacity and the others more. Where all instances are alike, any number
 /// is fair; the more they differ, the fewer addresses are drawn, by capacity.
--- a/crates/core/src/relay/load_message.rs
+++ b/crates/core/src/relay/load_message.rs
@@ -62,6 +62,8 @@
     pub wall: u64,
     /// The store's confirmation from which `age` is counted.
     pub confirmation: ConfirmationId,
+    /// Whether the sender has lost its direct links to the engines.
+    pub detached: bool,
 }
 
 impl LoadMessage {
@@ -85,6 +87,7 @@
             proof: u32::MAX,
             wall: 0,
             confirmation: ConfirmationId::default(),
+            detached: false,
         }
     }
 
@@ -94,6 +97,11 @@
         LoadMessage { proof, wall, ..self }
     }
 
+    /// The message with whether the sender has lost its direct links to the engines.
+    pub fn with_detached(self, detached: bool) -> LoadMessage {
+        LoadMessage { detached, ..self }
+    }
+
     /// The message with the `fraction` of its load and its reads: the engines with most load, the latest reads.
     ///
     /// Guards against an instance with load on hundreds of engines whose message is longer than a datagram may be: the
@@ -139,6 +147,43 @@
     turn.is_multiple_of(QUIET_TURNS)
 }
 
+/// What an instance has to report in a turn.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Report {
+    /// No work, and nothing that changed.
+    Nothing,
+    /// Work, engines that broke off requests, or prompts that were processed.
+    Work,
+    /// The engines were lost or regained.
+    Change,
+}
+
+/// Decides in which turns an instance sends a message about load.
+#[derive(Debug, Default)]
+pub struct SendTurns {
+    /// Whether there was something to report in the last turn.
+    reported: bool,
+    /// Number of turns until all recipients were told of the last change.
+    change_turns: usize,
+}
+
+impl SendTurns {
+    /// Whether a message is sent in this turn. A message reaches all recipients within `all_turns` turns.
+    ///
+    /// Guards against peers that learn late that an idle instance has lost its engines: a change is sent to all
+    /// recipients at once, even if there is no work to report. After the last work, one message reports that there is
+    /// none.
+    pub fn is_due(&mut self, turn: u32, report: Report, all_turns: usize) -> bool {
+        if report == Report::Change {
+            self.change_turns = all_turns;
+        }
+        let reports = report != Report::Nothing || self.change_turns > 0;
+        self.change_turns = self.change_turns.saturating_sub(1);
+        let reported = std::mem::replace(&mut self.reported, reports);
+        reports || reported || is_quiet_turn(turn)
+    }
+}
+
 /// Peers to which messages about load may be sent.
 ///
 /// Guards against all-to-all messages in a fleet of a thousand instances, where small instances would spend all their
