An instance that has lost its engines is no longer named to callers

Readiness is unchanged. View.tunnel_peers holds the peers that may be asked for a tunnel. Gauge relay_detached_engines, log events 310 and 311.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -77,6 +77,10 @@
     308 ENGINE_LIMITED = "engine-limited";
     /// An engine answered without reporting the limit that it had reported before.
     309 ENGINE_LIMIT_ENDED = "engine-limit-ended";
+    /// This instance reaches at least half of the engines only through peers.
+    310 ENGINES_LOST = "engines-lost";
+    /// This instance reaches more than three quarters of the engines directly again.
+    311 ENGINES_REGAINED = "engines-regained";
     /// An attempt at an upstream failed.
     400 ATTEMPT_FAILED = "attempt-failed";
     /// A request was refused.
--- a/src/ops/relay/gauges.rs
+++ b/src/ops/relay/gauges.rs
@@ -29,6 +29,9 @@
         .peers_age
         .set(traffic.load.oldest_report_age(now).as_secs_f64());
     metrics.limited_engines.set(count(traffic.rate_limits.count()));
+    metrics
+        .detached_engines
+        .set(count(traffic.reachability.detached_count(now)));
     metrics.clear_services();
     for (service, engines) in view.engines() {
         let own = sum(engines.iter().map(|e| traffic.load.own_work(e.key)));
--- a/src/ops/relay/peers/mod.rs
+++ b/src/ops/relay/peers/mod.rs
@@ -32,6 +32,8 @@
 use sequoiastream_core::relay::load_message::FANOUT;
 use sequoiastream_core::relay::load_message::LoadMessage;
 use sequoiastream_core::relay::load_message::LoadPeers;
+use sequoiastream_core::relay::load_message::Report;
+use sequoiastream_core::relay::load_message::SendTurns;
 use sequoiastream_core::relay::load_tracker::Work;
 use sequoiastream_core::relay::watchers::FleetRank;
 use sequoiastream_core::time::Time;
@@ -174,8 +176,11 @@
     members: RefCell<MemberTable>,
     /// Instances that the store lists.
     listed: RefCell<BTreeMap<Name, ListedInstance>>,
-    /// Whether there was nothing to report in the last turn.
-    quiet: Cell<bool>,
+    send_turns: RefCell<SendTurns>,
+    /// Whether this instance has lost its direct links to the engines.
+    detached: Cell<bool>,
+    /// Peers that reported that they have lost theirs.
+    detached_peers: RefCell<BTreeSet<Name>>,
     /// Number of the next turn of messages about load.
     turn: Cell<u32>,
     /// Number of messages about request limits sent.
@@ -243,7 +248,9 @@
         usage: UsageState::new(),
         members: RefCell::new(MemberTable::new(local, limits)),
         listed: RefCell::default(),
-        quiet: Cell::new(true),
+        send_turns: RefCell::default(),
+        detached: Cell::new(false),
+        detached_peers: RefCell::default(),
         turn: Cell::new(0),
         limit_turn: Cell::new(0),
         started: clock::now(),
@@ -413,6 +420,7 @@
             .insert(name.clone(), message.revision);
         self.0.proofs.on_proof_age(now, name, message.proof);
         self.on_clock(now, name, message.wall);
+        self.on_peer_detached(name, message.detached);
         if self.0.known.on_peer_status(now, message.sync_status()) {
             self.0.updates.notify_one();
         }
@@ -480,6 +488,7 @@
         let turn = self.0.turn.get();
         self.0.turn.set(turn.wrapping_add(1));
         self.send_limits(now, turn);
+        let changed = self.update_detached(now);
         let (peers, turns) = self.load_recipients(now, turn);
         let (load, notes, reads) = {
             let mut ledger = self.0.shared.traffic();
@@ -489,8 +498,12 @@
                 .records_to_send(u32::try_from(turns).unwrap_or(u32::MAX));
             (ledger.load.own_by_engine(), ledger.suspects.notes(now), reads)
         };
-        let quiet = load.is_empty() && notes.is_empty() && reads.is_empty();
-        if self.0.quiet.replace(quiet) && quiet && !load_message::is_quiet_turn(turn) {
+        let report = match load.is_empty() && notes.is_empty() && reads.is_empty() {
+            _ if changed => Report::Change,
+            true => Report::Nothing,
+            false => Report::Work,
+        };
+        if !self.0.send_turns.borrow_mut().is_due(turn, report, turns) {
             return;
         }
         let ids = self.0.shared.view.load().ids().clone();
@@ -499,7 +512,8 @@
             .filter_map(|(key, work)| Some((ids.get(&key)?.clone(), work)));
         let message =
             LoadMessage::new(work.collect(), notes, reads).with_sync_status(self.0.known.sync_status(now));
-        let mut message = message.with_clock(clock::wall_micros(), self.0.known.proof_status(now));
+        let message = message.with_clock(clock::wall_micros(), self.0.known.proof_status(now));
+        let mut message = message.with_detached(self.0.detached.get());
         for peer in peers {
             let mut result = self.0.socket.send(peer, Datagram::Load(message.clone())).await;
             if let Err(PeerError::TooLong(length)) = result {
--- a/src/ops/relay/peers/roster.rs
+++ b/src/ops/relay/peers/roster.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use sequoiastream_core::log_event;
@@ -11,11 +12,14 @@
 use sequoiastream_core::membership::Peer;
 use sequoiastream_core::membership::Roster;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::relay::directory;
 use sequoiastream_core::relay::directory::Endpoint;
 use sequoiastream_core::relay::limit_share::FleetPosition;
+use sequoiastream_core::relay::tunnel_peers::TunnelPeer;
 use sequoiastream_core::relay::watchers;
 use sequoiastream_core::relay::watchers::Candidate;
 use sequoiastream_core::relay::watchers::FleetRank;
+use sequoiastream_core::time::Time;
 
 use crate::log_event;
 use crate::ops::relay::peers::Fleet;
@@ -31,7 +35,9 @@
     /// Updates everything that depends on the roster, and replaces the view of the traffic thread if it changed.
     pub(super) fn publish(&self) {
         let roster = self.0.members.borrow().roster(clock::now());
+        self.retain_detached(&roster);
         let endpoints = self.caller_endpoints(&roster);
+        let tunnel_peers = self.tunnel_peers(&roster);
         let instances = roster.peers.len() + 1;
         let before = roster
             .peers
@@ -53,11 +59,16 @@
             .map(|p| p.peer_address);
         self.set_standbys(open.take(STANDBY_COUNT).collect());
         let view = self.0.shared.view.load();
-        if view.endpoints != endpoints || view.instances != instances || view.rank != rank {
+        let is_changed = view.endpoints != endpoints
+            || view.instances != instances
+            || view.rank != rank
+            || *view.tunnel_peers != tunnel_peers;
+        if is_changed {
             self.0.shared.publish(|view| {
                 view.endpoints = endpoints;
                 view.instances = instances;
                 view.rank = rank;
+                view.tunnel_peers = Arc::new(tunnel_peers);
             });
         }
     }
@@ -73,32 +84,89 @@
     /// The endpoints that callers may use, without duplicate addresses.
     fn caller_endpoints(&self, roster: &Roster) -> Vec<Endpoint> {
         let listed = self.0.listed.borrow();
+        let detached = self.0.detached_peers.borrow();
         let options = &self.0.shared.options;
-        let own = self.0.shared.is_ready().then(|| Endpoint {
-            address: options.front,
-            zone: options.zone.clone(),
-            capacity: options.capacity,
+        let own = self.0.shared.is_ready().then(|| directory::Candidate {
+            endpoint: Endpoint {
+                address: options.front,
+                zone: options.zone.clone(),
+                capacity: options.capacity,
+            },
+            proven: true,
+            detached: self.0.detached.get(),
         });
         let now = clock::now();
         let limit = self.0.shared.max_proof_age();
         let is_proven =
-            |p: &&Peer| limit.is_none_or(|limit| self.0.proofs.is_peer_proven(now, &p.name, limit));
-        let open: Vec<&Peer> = roster.peers.iter().filter(|p| p.accepts_work()).collect();
-        let proven: Vec<&Peer> = open.iter().copied().filter(is_proven).collect();
-        // If no instance may admit requests, callers are given all of them: whichever recovers first serves them.
-        let offered = match proven.is_empty() && own.is_none() {
-            true => open,
-            false => proven,
-        };
-        let open = offered.into_iter().map(|p| Endpoint {
-            address: p.address,
+            |p: &Peer| limit.is_none_or(|limit| self.0.proofs.is_peer_proven(now, &p.name, limit));
+        let open = roster.peers.iter().filter(|p| p.accepts_work());
+        let peers = open.map(|p| directory::Candidate {
+            endpoint: Endpoint {
+                address: p.address,
+                zone: p.zone.clone(),
+                capacity: listed.get(&p.name).map_or(0, |l| l.capacity),
+            },
+            proven: is_proven(p),
+            detached: detached.contains(&p.name),
+        });
+        directory::offered(peers.chain(own).collect())
+    }
+
+    /// The peers that may be asked for a tunnel.
+    fn tunnel_peers(&self, roster: &Roster) -> Vec<TunnelPeer> {
+        let detached = self.0.detached_peers.borrow();
+        let open = roster.peers.iter().filter(|p| p.accepts_work());
+        let peers = open.map(|p| TunnelPeer {
             zone: p.zone.clone(),
-            capacity: listed.get(&p.name).map_or(0, |l| l.capacity),
+            address: p.peer_address,
+            detached: detached.contains(&p.name),
         });
-        let mut endpoints: Vec<Endpoint> = open.chain(own).collect();
-        endpoints.sort();
-        endpoints.dedup_by_key(|e| e.address);
-        endpoints
+        peers.collect()
+    }
+
+    /// Forgets the detachment of peers that are no longer in the roster.
+    fn retain_detached(&self, roster: &Roster) {
+        let mut detached = self.0.detached_peers.borrow_mut();
+        if !detached.is_empty() {
+            let names: BTreeSet<&Name> = roster.peers.iter().map(|p| &p.name).collect();
+            detached.retain(|name| names.contains(name));
+        }
+    }
+
+    /// Determines whether this instance has lost its direct links to the engines; logs and publishes a change. Returns
+    /// whether it changed.
+    pub(super) fn update_detached(&self, now: Time) -> bool {
+        let engines = self.0.shared.view.load().keys().len();
+        let (lost, detached) = {
+            let reachability = &mut self.0.shared.traffic().reachability;
+            let lost = reachability.lost_engines(now, engines);
+            (lost, reachability.detached_count(now))
+        };
+        if self.0.detached.replace(lost) == lost {
+            return false;
+        }
+        match lost {
+            true => log_event!(warn, log_event::ENGINES_LOST, detached, engines),
+            false => log_event!(info, log_event::ENGINES_REGAINED, detached, engines),
+        }
+        self.publish();
+        true
+    }
+
+    /// Handles a peer's report of whether it has lost its direct links to the engines; publishes a change.
+    pub(super) fn on_peer_detached(&self, name: &Name, is_detached: bool) {
+        let is_member = self.0.members.borrow().address(name).is_some();
+        let changed = {
+            let mut detached = self.0.detached_peers.borrow_mut();
+            match is_detached && is_member {
+                true => detached.insert(name.clone()),
+                false => detached.remove(name),
+            }
+        };
+        // In a large fleet, hundreds may change at the same time: these changes are published at the next tick.
+        if changed && !self.is_large() {
+            self.publish();
+        }
     }
 
     /// Determines the rank of this instance among those that it hears, and which peers to ask for proofs.
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -26,9 +26,11 @@
 use sequoiastream_core::relay::notices::EngineNotices;
 use sequoiastream_core::relay::rate_limits::LimitChange;
 use sequoiastream_core::relay::rate_limits::RateLimits;
+use sequoiastream_core::relay::reachability::Reachability;
 use sequoiastream_core::relay::return_schedule::ReturnSchedule;
 use sequoiastream_core::relay::routes::RoutingTable;
 use sequoiastream_core::relay::suspects::Suspects;
+use sequoiastream_core::relay::tunnel_peers::TunnelPeer;
 use sequoiastream_core::relay::usage::Tally;
 use sequoiastream_core::relay::usage::Window;
 use sequoiastream_core::relay::workspaces::StoreAges;
@@ -58,6 +60,8 @@
     ids: Arc<BTreeMap<EngineKey, String>>,
     /// Instances that callers may be sent to, including this one.
     pub endpoints: Vec<Endpoint>,
+    /// Peers that may be asked for a tunnel to an engine.
+    pub tunnel_peers: Arc<Vec<TunnelPeer>>,
     /// The orders that engines have been given.
     pub orders: Arc<OrderRecords>,
     /// Rank of this instance among the live ones, by name.
@@ -144,6 +148,8 @@
     pub rate_limits: RateLimits,
     /// When callers that were refused because of these limits return.
     pub returns: ReturnSchedule,
+    /// Which engines this instance reaches only through a peer.
+    pub reachability: Reachability,
     /// Requests suspected of crashing engines.
     pub suspects: Suspects,
     /// Requests that engines began, by window and workspace.
@@ -191,6 +197,7 @@
             notices: EngineNotices::new(),
             rate_limits: RateLimits::new(),
             returns: ReturnSchedule::new(),
+            reachability: Reachability::new(),
             suspects: Suspects::new(),
             tally: Tally::default(),
         };
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -108,6 +108,8 @@
     pub engines: Gauge,
     /// Number of engines that currently limit the requests per second that they accept.
     pub limited_engines: Gauge,
+    /// Number of engines that this instance currently reaches only through a peer.
+    pub detached_engines: Gauge,
     /// Number of instances listed to callers.
     pub instances: Gauge,
     registry: Mutex<Registry>,
@@ -143,6 +145,7 @@
             config_version: Gauge::default(),
             engines: Gauge::default(),
             limited_engines: Gauge::default(),
+            detached_engines: Gauge::default(),
             instances: Gauge::default(),
             registry: Mutex::default(),
         };
@@ -254,6 +257,11 @@
             "Engines that currently limit the requests per second that they accept from all instances together",
             self.limited_engines.clone(),
         );
+        registry.register(
+            "relay_detached_engines",
+            "Engines that this instance currently reaches only through a peer",
+            self.detached_engines.clone(),
+        );
         registry.register(
             "relay_instances",
             "Instances listed to callers",
