Peer: tunnels to engines through a peer

An instance that lost its links to the engines but still reaches its peers can connect to an engine through one of them: tunnel::open. The peer relays bytes only.

--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -1,5 +1,7 @@
 //! Errors of messages between instances.
 
+use std::io::ErrorKind;
+
 use thiserror::Error;
 
 /// Reason why a message was not delivered or not accepted.
@@ -26,12 +28,18 @@
     /// The message exceeds the maximum length.
     #[error("message too long: {0} bytes")]
     TooLong(usize),
+    /// The peer opened no tunnel: it can't reach the upstream or serves too many tunnels.
+    #[error("the peer can't connect to the upstream")]
+    Unreachable,
 }
 
 impl PeerError {
-    /// Whether the peer has definitely not received the message.
+    /// Whether the peer has definitely not received the message or, for a tunnel, has passed nothing on.
     pub fn is_not_sent(&self) -> bool {
-        matches!(self, PeerError::Connect(_) | PeerError::TooLong(_))
+        matches!(
+            self,
+            PeerError::Connect(_) | PeerError::TooLong(_) | PeerError::Unreachable
+        )
     }
 }
 
@@ -40,3 +48,17 @@
         PeerError::Malformed(error.to_string())
     }
 }
+
+impl From<PeerError> for std::io::Error {
+    fn from(error: PeerError) -> std::io::Error {
+        let kind = match &error {
+            PeerError::Connect(_) | PeerError::Broken(_) => ErrorKind::ConnectionReset,
+            PeerError::Timeout => ErrorKind::TimedOut,
+            PeerError::Unreachable => ErrorKind::HostUnreachable,
+            PeerError::Forged | PeerError::Replayed | PeerError::Malformed(_) | PeerError::TooLong(_) => {
+                ErrorKind::InvalidData
+            }
+        };
+        std::io::Error::new(kind, error)
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -2,12 +2,15 @@
 //!
 //! UDP carries messages that may get lost ([`datagram`]): heartbeats and digests. TCP carries requests that need a
 //! response ([`call`]): claims, configuration, hand-over. An instance without the cluster key can't communicate with
-//! its peers: each message carries a keyed hash, and replayed messages are rejected ([`seal`]).
+//! its peers: each message carries a keyed hash, and replayed messages are rejected ([`seal`]). An instance that can't
+//! reach an engine connects to it through a peer ([`tunnel`]).
 
 pub mod call;
+mod channel;
 pub mod datagram;
 mod error;
 pub mod message;
 pub mod seal;
+pub mod tunnel;
 
 pub use error::PeerError;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between instances.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use sequoiastream_core::authority::Incarnation;
 use sequoiastream_core::authority::Settlement;
@@ -72,6 +73,9 @@
     Page(String),
     /// Requests the store changes after this revision that the peer knows.
     Since(u64),
+    /// Asks the peer to connect to this address of an engine and to turn the connection into a tunnel to it
+    /// ([`crate::tunnel`]).
+    Connect(SocketAddr),
 }
 
 /// Response to a request over TCP.
@@ -105,6 +109,10 @@
     /// This instance does not serve the request.
     #[serde(rename = "Unserved")]
     NotServed,
+    /// Response to [`Request::Connect`]: from now on the connection carries the tunnel.
+    Connected,
+    /// Response to [`Request::Connect`]: the peer can't reach the address or serves too many tunnels.
+    Unreachable,
 }
 
 /// Asks a peer not to send new work to an engine before it is changed. Repeated while the change is in progress.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod outcomes;
 mod path;
 mod peer;
+mod peer_tunnel;
 mod platform;
 mod poison;
 mod policy;
