Tunnels: the peer counts them as running, and frees them when their opener vanishes

A peer that shuts down would have cut the requests of others that go through it: what a Responder opens for a tunnel now carries a guard that lives as long as the tunnel.

--- a/crates/peer/src/call.rs
+++ b/crates/peer/src/call.rs
@@ -21,6 +21,7 @@
 use crate::tunnel;
 use crate::tunnel::MAX_TUNNELS;
 use crate::tunnel::TunnelSlots;
+use crate::tunnel::Upstream;
 
 /// Maximum number of idle connections kept open to one peer.
 const MAX_IDLE: usize = 4;
@@ -32,7 +33,7 @@
 
     /// Connects to `upstream` for a tunnel that a peer opens. `None` if this instance does not serve tunnels to it or
     /// can't reach it. Dropped if the peer leaves meanwhile.
-    fn connect(&self, _upstream: SocketAddr) -> impl Future<Output = Option<TcpStream>> {
+    fn connect(&self, _upstream: SocketAddr) -> impl Future<Output = Option<Upstream>> {
         std::future::ready(None)
     }
 
--- a/crates/peer/src/tunnel.rs
+++ b/crates/peer/src/tunnel.rs
@@ -6,6 +6,7 @@
 //! The peer announces the end of the engine's connection in a frame of its own. A tunnel that ends without that frame
 //! was cut: an answer without a length ends with its connection, and one that was cut must not look complete.
 
+use std::any::Any;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::io::ErrorKind;
@@ -15,6 +16,7 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -30,6 +32,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
 use tokio::net::tcp::WriteHalf;
+use tokio::time::timeout;
 use tokio_util::io::StreamReader;
 
 use crate::call::Responder;
@@ -49,6 +52,11 @@
 /// Maximum number of relayed bytes in a frame: bounds the memory of a tunnel and how long a frame delays the next one.
 const MAX_DATA: usize = 64 * 1024;
 
+/// How long the peer may take to close a tunnel whose upstream has ended.
+///
+/// Guards against tunnels that are never freed because the peer's host vanished without closing its connections.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// A frame of a tunnel. The opener sends only data.
 #[derive(Debug, Serialize, Deserialize)]
 enum Frame {
@@ -242,10 +250,36 @@
     }
 }
 
-/// Connection to an upstream that a tunnel needs.
+/// Connection to an upstream that a [`Responder`] opened for a tunnel.
 #[derive(Debug)]
-pub(crate) struct UpstreamConnection {
+pub struct Upstream {
     stream: TcpStream,
+    _guard: Box<dyn Any>,
+}
+
+impl Upstream {
+    /// Creates a connection for a tunnel. `guard` is dropped when the tunnel ends.
+    pub fn new<G>(stream: TcpStream, guard: G) -> Upstream
+    where
+        G: 'static,
+    {
+        Upstream {
+            stream,
+            _guard: Box::new(guard),
+        }
+    }
+}
+
+impl From<TcpStream> for Upstream {
+    fn from(stream: TcpStream) -> Upstream {
+        Upstream::new(stream, ())
+    }
+}
+
+/// Connection to an upstream that counts as a tunnel.
+#[derive(Debug)]
+pub(crate) struct UpstreamConnection {
+    upstream: Upstream,
     _slot: TunnelSlot,
 }
 
@@ -268,8 +302,8 @@
         return Ok(None);
     };
     tokio::select! {
-        stream = responder.connect(upstream) => {
-            Ok(stream.map(|stream| UpstreamConnection { stream, _slot: slot }))
+        upstream = responder.connect(upstream) => {
+            Ok(upstream.map(|upstream| UpstreamConnection { upstream, _slot: slot }))
         }
         error = channel.receiver.closed() => Err(error),
     }
@@ -282,23 +316,24 @@
 /// [`PeerError`]: why the tunnel ended. Always [`PeerError::Broken`] if the peer closed it.
 pub(crate) async fn relay(channel: Channel, mut connection: UpstreamConnection) -> Result<(), PeerError> {
     let set = channel.stream().set_nodelay(true);
-    set.and_then(|()| connection.stream.set_nodelay(true))
+    set.and_then(|()| connection.upstream.stream.set_nodelay(true))
         .map_err(|e| PeerError::Broken(e.to_string()))?;
     let Channel { sender, mut receiver } = channel;
     let mut sender = uncompressed(sender);
     sender.send(&Response::Connected).await?;
     let failure = Cell::new(None);
-    let (mut reader, mut writer) = connection.stream.split();
+    let (mut reader, mut writer) = connection.upstream.stream.split();
     let last = tokio::select! {
         result = upload(&mut receiver, &mut writer, &failure) => match result? {},
         result = download(&mut reader, &mut sender, &failure) => result?,
     };
-    let UpstreamConnection { stream, _slot } = connection;
-    drop(stream);
+    let UpstreamConnection { upstream, _slot } = connection;
+    drop(upstream.stream);
     // Closing a connection with unread bytes would destroy frames on their way to the peer: it closes first.
     let left = async { Err::<Infallible, _>(receiver.discard().await) };
     let sent = sender.send(&last);
-    tokio::try_join!(left, sent).map(|_| ())
+    let ended = timeout(CLOSE_TIMEOUT, async { tokio::try_join!(left, sent) }).await;
+    ended.map_err(|_| PeerError::Timeout)?.map(|_| ())
 }
 
 /// Passes the peer's bytes to the upstream until the peer leaves.
