Reachability: failed probes keep an engine detached

An instance that callers avoid opens no tunnels, so that after five seconds its engines no longer counted as detached, in the middle of a partition. A failed direct attempt at a detached engine is evidence too. failed_probes_continue fails without it; in the property test, evidence is the last tunnel or failure.

--- a/crates/core/src/relay/reachability.rs
+++ b/crates/core/src/relay/reachability.rs
@@ -20,7 +20,8 @@
 /// few attempts are wasted.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// How long a failed direct attempt and an opened tunnel count as evidence: about as long as a partition lasts.
+/// How long a failed direct attempt and an opened tunnel count as evidence: about as long as a partition lasts. A
+/// detached engine stays detached for this long after the last of either.
 pub const EVIDENCE_TTL: Duration = Duration::from_secs(5);
 
 /// Number of tunnels that fail in a row after which an engine no longer counts as detached: probably it has crashed.
@@ -65,19 +66,22 @@
     last_probe: Option<Time>,
     /// Number of tunnels in a row that failed.
     tunnel_failures: u32,
-    /// Whether the engine was found to be detached; it ends without an opened tunnel within [`EVIDENCE_TTL`].
+    /// Whether the engine was found to be detached; it ends without further evidence within [`EVIDENCE_TTL`].
     detached: bool,
+    /// When there was last evidence that a detached engine still is: an opened tunnel or a failed direct attempt.
+    last_evidence: Option<Time>,
 }
 
 impl EngineState {
     fn is_detached(&self, now: Time) -> bool {
-        self.detached && is_recent(now, self.last_tunnel)
+        self.detached && is_recent(now, self.last_evidence)
     }
 
-    /// Updates whether the engine is detached; `was_detached` says whether it was before the latest evidence.
+    /// Updates whether the engine is detached after new evidence at `now`; `was_detached` says whether it was before.
     fn update(&mut self, now: Time, was_detached: bool) {
         let begins = is_recent(now, self.direct_failure) && is_recent(now, self.last_tunnel);
         self.detached = was_detached || begins;
+        self.last_evidence = Some(now);
     }
 
     fn on_direct_failed(&mut self, now: Time) {
@@ -102,6 +106,7 @@
         if self.tunnel_failures >= MAX_TUNNEL_FAILURES {
             self.last_tunnel = None;
             self.detached = false;
+            self.last_evidence = None;
         }
     }
 
@@ -167,10 +172,16 @@
         state.is_some_and(|state| state.is_detached(now))
     }
 
+    /// The engines that this instance currently reaches only through a peer.
+    pub fn detached(&self, now: Time) -> Vec<EngineKey> {
+        let states = self.engines.iter();
+        let detached = states.filter(|(_, state)| state.is_detached(now));
+        detached.map(|(key, _)| key).collect()
+    }
+
     /// Number of engines that this instance currently reaches only through a peer.
     pub fn detached_count(&self, now: Time) -> usize {
-        let states = self.engines.iter().map(|(_, state)| state);
-        states.filter(|state| state.is_detached(now)).count()
+        self.detached(now).len()
     }
 
     /// Whether this instance has lost its engines, of which `engines` get work: it is so once at least half of them are
