Tests: an instance that reaches its engines only through a peer (failing)

RECOVER: callers of instances that have lost their links to the engines are refused while all other instances reach them.

--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -40,6 +40,7 @@
 mod told;
 mod truth;
 mod tunnel_peers;
+mod tunnels;
 mod usage;
 mod watchers;
 mod withdrawals;
--- /dev/null
+++ b/tests/testsuite/relay/tunnels.rs
@@ -0,0 +1,331 @@
+//! Instances that can't connect to their engines and reach them through a peer.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sequoiastream::util::clock;
+use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_core::relay::engines::EngineKey;
+use sequoiastream_core::relay::engines::Entry;
+use sequoiastream_core::relay::engines::Stage;
+use sequoiastream_core::relay::routes::RouteKind;
+use sequoiastream_core::relay::tunnel_peers::TunnelPeer;
+use sequoiastream_peer::call;
+use sequoiastream_peer::call::Responder;
+use sequoiastream_peer::message::Request;
+use sequoiastream_peer::message::Response;
+use sequoiastream_peer::seal::ClusterKey;
+use sequoiastream_peer::tunnel::Upstream;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+use super::answers::event_stream;
+use super::engine::Action;
+use super::engine::ReceivedRequest;
+use super::engine::ScriptedEngine;
+use super::engine::answer;
+use super::engine::head;
+use super::instance::Instance;
+use super::instance::status;
+
+/// A peer that reaches the engine.
+#[derive(Clone)]
+struct Peer {
+    /// Address at which the peer finds the engine; `None` if it can't connect either.
+    engine: Option<SocketAddr>,
+    /// Number of tunnels that it was asked for.
+    asked: Rc<Cell<usize>>,
+}
+
+impl Peer {
+    fn new(engine: Option<SocketAddr>) -> Peer {
+        Peer {
+            engine,
+            asked: Rc::default(),
+        }
+    }
+
+    /// Starts to serve and returns its address.
+    async fn start(&self, instance: &Instance) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("a bound listener");
+        let serve = call::serve(
+            listener,
+            ClusterKey::new(&instance.shared.options.cluster_key),
+            self.clone(),
+        );
+        actix_web::rt::spawn(serve);
+        address
+    }
+}
+
+impl Responder for Peer {
+    async fn respond(&self, _: Request) -> Response {
+        Response::NotServed
+    }
+
+    async fn connect(&self, _: SocketAddr) -> Option<Upstream> {
+        self.asked.set(self.asked.get() + 1);
+        TcpStream::connect(self.engine?).await.ok().map(Upstream::from)
+    }
+}
+
+/// Forwards one connection to the peer at `address` until `lost` is notified, as if the peer were lost then.
+async fn fragile_link(address: SocketAddr, lost: &Rc<Notify>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let link = listener.local_addr().expect("a bound listener");
+    let lost = lost.clone();
+    actix_web::rt::spawn(async move {
+        let (mut near, _) = listener.accept().await.expect("a connection");
+        let mut far = TcpStream::connect(address).await.expect("a listening peer");
+        tokio::select! {
+            _ = tokio::io::copy_bidirectional(&mut near, &mut far) => {}
+            () = lost.notified() => {}
+        }
+    });
+    link
+}
+
+/// How direct connections to an engine fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cut {
+    Refused,
+    Hanging,
+}
+
+/// An address that connections fail to, and what keeps it so.
+async fn dead_address(cut: Cut) -> (SocketAddr, Vec<TcpStream>, Option<std::net::TcpListener>) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("a bound listener");
+    match cut {
+        Cut::Refused => (address, Vec::new(), None),
+        Cut::Hanging => {
+            // Without a place in the queue of the listener, the packet that opens a connection is dropped.
+            let raw = tokio::net::TcpSocket::new_v4().expect("a socket");
+            raw.bind("127.0.0.1:0".parse().expect("an address"))
+                .expect("a port is free");
+            let full = raw
+                .listen(1)
+                .expect("a bound socket")
+                .into_std()
+                .expect("a listener");
+            let address = full.local_addr().expect("a bound listener");
+            let mut waiting = Vec::new();
+            while let Ok(Ok(stream)) =
+                tokio::time::timeout(Duration::from_millis(200), TcpStream::connect(address)).await
+            {
+                waiting.push(stream);
+            }
+            (address, waiting, Some(full))
+        }
+    }
+}
+
+/// Makes the instance find its only engine at `address`, and `peer` reach it.
+fn detach(instance: &Instance, address: SocketAddr, peers: &[SocketAddr]) {
+    let entry = Entry {
+        address,
+        ..super::entry("e0", Stage::Whole)
+    };
+    let peers = peers.iter().map(|address| TunnelPeer {
+        zone: "a".parse().expect("a name"),
+        address: *address,
+        detached: false,
+    });
+    let peers = Arc::new(peers.collect());
+    instance.shared.publish(|view| {
+        view.set_engines([("chat".to_string(), vec![Engine::new(EngineKey(0), entry)])].into());
+        view.tunnel_peers = peers;
+    });
+}
+
+fn whole_stream(request: &ReceivedRequest) -> Action {
+    Action::Send(event_stream(request, 1..=2) + "0\r\n\r\n")
+}
+
+/// Guards against an instance that fails its callers because its own links to the engines are cut, while its peers reach
+/// all of them.
+#[actix_web::test]
+async fn served_through_peer() {
+    for cut in [Cut::Refused, Cut::Hanging] {
+        for kind in [
+            RouteKind::Once,
+            RouteKind::Idempotent,
+            RouteKind::Stream,
+            RouteKind::Resumable,
+        ] {
+            let engine = ScriptedEngine::start(move |_, request| {
+                vec![match kind.is_stream() {
+                    true => whole_stream(request),
+                    false => answer(request, "whole"),
+                }]
+            })
+            .await;
+            let (dead, _waiting, _listener) = dead_address(cut).await;
+            let instance = Instance::start(kind, &[], |_| {});
+            let peer = Peer::new(Some(engine.address()));
+            detach(&instance, dead, &[peer.start(&instance).await]);
+            let got = instance.get("/r/x", "q1", "x-deadline: 1000\r\n").await;
+            assert_eq!(status(&got), "200", "{cut:?} {kind:?} {got}");
+            let log = engine.log();
+            assert_eq!(log.requests.len(), 1, "{cut:?} {kind:?}");
+            let left: u64 = log.requests[0]
+                .header("x-deadline")
+                .and_then(|left| left.parse().ok())
+                .expect("the time left");
+            assert!(left < 1_000, "{cut:?} {kind:?} {left}");
+        }
+    }
+}
+
+/// Guards against a request that may not be repeated and is executed twice: the peer that passes it on is lost after the
+/// engine received it. The caller must not be told that it was not executed.
+#[actix_web::test]
+async fn once_peer_lost() {
+    let lost = Rc::new(Notify::new());
+    let on_request = lost.clone();
+    let engine = ScriptedEngine::start(move |_, _| {
+        on_request.notify_one();
+        vec![Action::Hold]
+    })
+    .await;
+    let (dead, ..) = dead_address(Cut::Refused).await;
+    let instance = Instance::start(RouteKind::Once, &[], |route| route.max_attempts = 3);
+    let peer = Peer::new(Some(engine.address()));
+    let address = peer.start(&instance).await;
+    let links = [
+        fragile_link(address, &lost).await,
+        fragile_link(address, &lost).await,
+    ];
+    detach(&instance, dead, &links);
+    let got = instance.get("/r/x", "q1", "").await;
+    assert_eq!(status(&got), "502", "{got}");
+    assert_eq!(engine.log().requests.len(), 1);
+    engine.wait_for(|log| log.disconnects == 1).await;
+}
+
+/// Guards against an answer without a length that is taken for complete because the peer that passed it on was lost.
+#[actix_web::test]
+async fn answer_peer_lost() {
+    let lost = Rc::new(Notify::new());
+    let on_request = lost.clone();
+    let engine = ScriptedEngine::start(move |_, request| {
+        on_request.notify_one();
+        let head = head(request, "connection: close\r\n");
+        vec![Action::Send(head + "text"), Action::Hold]
+    })
+    .await;
+    let (dead, ..) = dead_address(Cut::Refused).await;
+    let instance = Instance::start(RouteKind::Once, &[], |_| {});
+    let peer = Peer::new(Some(engine.address()));
+    let link = fragile_link(peer.start(&instance).await, &lost).await;
+    detach(&instance, dead, &[link]);
+    let got = instance.get("/r/x", "q1", "").await;
+    assert_eq!(status(&got), "502", "{got}");
+}
+
+/// Guards against an answer without a length that is cut at the engine and looks complete when it comes through a peer.
+#[actix_web::test]
+async fn answer_cut_not_whole() {
+    for (end, expected) in [(Action::Close, "200"), (Action::Reset, "502")] {
+        let engine = ScriptedEngine::start(move |_, request| {
+            let head = head(request, "connection: close\r\n");
+            vec![Action::Send(head + "text"), end.clone()]
+        })
+        .await;
+        let (dead, ..) = dead_address(Cut::Refused).await;
+        let instance = Instance::start(RouteKind::Once, &[], |_| {});
+        let peer = Peer::new(Some(engine.address()));
+        detach(&instance, dead, &[peer.start(&instance).await]);
+        let got = instance.get("/r/x", "q1", "").await;
+        assert_eq!(status(&got), expected, "{got}");
+    }
+}
+
+/// Guards against an engine that works for a caller that has left an instance which reaches the engine through a peer.
+#[actix_web::test]
+async fn caller_left() {
+    let engine = ScriptedEngine::start(|_, _| vec![Action::Hold]).await;
+    let (dead, ..) = dead_address(Cut::Refused).await;
+    let instance = Instance::start(RouteKind::Once, &[], |_| {});
+    let peer = Peer::new(Some(engine.address()));
+    detach(&instance, dead, &[peer.start(&instance).await]);
+    let mut caller = instance.connect().await;
+    caller
+        .send("GET /r/x HTTP/1.1\r\nhost: shop.example\r\nx-request: q\r\n\r\n")
+        .await;
+    engine.wait_for(|log| log.requests.len() == 1).await;
+    drop(caller);
+    engine.wait_for(|log| log.disconnects == 1).await;
+}
+
+/// Guards against a request that is passed around between instances none of which reaches the engine, or held until its
+/// deadline: each peer is asked once, and the refusal says that nothing was executed.
+#[actix_web::test]
+async fn refused_if_no_peer_reaches() {
+    let (dead, ..) = dead_address(Cut::Refused).await;
+    let instance = Instance::start(RouteKind::Once, &[], |_| {});
+    let (one, other) = (Peer::new(None), Peer::new(None));
+    let peers = [one.start(&instance).await, other.start(&instance).await];
+    detach(&instance, dead, &peers);
+    let got = instance.get("/r/x", "q1", "x-deadline: 5000\r\n").await;
+    assert_eq!(status(&got), "503", "{got}");
+    assert_eq!([one.asked.get(), other.asked.get()], [1, 1]);
+}
+
+/// Guards against requests that go on through peers when the instance reaches its engine again.
+#[actix_web::test]
+async fn direct_again() {
+    let engine = ScriptedEngine::start(|_, request| vec![answer(request, "whole")]).await;
+    let (dead, ..) = dead_address(Cut::Refused).await;
+    let instance = Instance::start(RouteKind::Idempotent, &[], |_| {});
+    let peer = Peer::new(Some(engine.address()));
+    let peers = [peer.start(&instance).await];
+    detach(&instance, dead, &peers);
+    assert_eq!(status(&instance.get("/r/x", "q1", "").await), "200");
+    let is_detached = || {
+        let now = clock::now();
+        instance
+            .shared
+            .traffic()
+            .reachability
+            .is_detached(now, EngineKey(0))
+    };
+    assert!(is_detached());
+    detach(&instance, engine.address(), &peers);
+    for number in 0.. {
+        let got = instance.get("/r/x", &format!("again{number}"), "").await;
+        assert_eq!(status(&got), "200");
+        if !is_detached() {
+            break;
+        }
+    }
+    let asked = peer.asked.get();
+    assert_eq!(status(&instance.get("/r/x", "last", "").await), "200");
+    assert_eq!(peer.asked.get(), asked);
+}
+
+/// Guards against requests that are all sent on idle connections which hang since the links were cut: after the first
+/// one without an answer, the others are closed.
+#[actix_web::test]
+async fn idle_connections_closed() {
+    let hanging = ScriptedEngine::start(|number, request| match number {
+        0 => vec![answer(request, "direct")],
+        _ => vec![Action::Hold],
+    })
+    .await;
+    let instance = Instance::start(RouteKind::Once, &[(&hanging, Stage::Whole)], |route| {
+        route.timeout = Duration::from_millis(300);
+    });
+    assert_eq!(status(&instance.get("/r/x", "q0", "").await), "200");
+    assert_eq!(status(&instance.get("/r/x", "q1", "").await), "504");
+    let engine = ScriptedEngine::start(|_, request| vec![answer(request, "whole")]).await;
+    let (dead, ..) = dead_address(Cut::Refused).await;
+    let peer = Peer::new(Some(engine.address()));
+    detach(&instance, dead, &[peer.start(&instance).await]);
+    assert_eq!(status(&instance.get("/r/x", "q2", "").await), "200");
+}
