--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -52,9 +52,9 @@
 
 /// The endpoints that are offered to callers, in the order of their addresses and without duplicate addresses.
 ///
-/// If no instance may admit requests, callers are given all of them: whichever recovers first serves them. Of these,
-/// instances that have lost their engines are offered only if there are no others: they serve, but more slowly, and
-/// each of their requests occupies a peer too.
+/// If no instance may admit requests, all instances are offered, so that callers reach the first one that recovers.
+/// Among the offered ones, detached instances are included only if there are no others: their requests take longer and
+/// also load a peer.
 pub fn offered(candidates: Vec<Candidate>) -> Vec<Endpoint> {
     let candidates = preferred(candidates, |c| c.proven);
     let candidates = preferred(candidates, |c| !c.detached);
--- a/crates/core/src/relay/load_message.rs
+++ b/crates/core/src/relay/load_message.rs
@@ -152,30 +152,30 @@
 pub enum Report {
     /// No work, and nothing that changed.
     Nothing,
-    /// Work, engines that broke off requests, or prompts that were processed.
+    /// Load, notes about suspect requests, or records of processed prompts.
     Work,
-    /// The engines were lost or regained.
+    /// The direct links to the engines were lost or regained.
     Change,
 }
 
 /// Decides in which turns an instance sends a message about load.
 #[derive(Debug, Default)]
-pub struct SendTurns {
+pub struct SendSchedule {
     /// Whether there was something to report in the last turn.
     reported: bool,
-    /// Number of turns until all recipients were told of the last change.
+    /// Number of turns until the last change has been sent to all recipients.
     change_turns: usize,
 }
 
-impl SendTurns {
-    /// Whether a message is sent in this turn. A message reaches all recipients within `all_turns` turns.
+impl SendSchedule {
+    /// Whether a message is sent in this turn. All recipients are covered within `cycle_turns` turns.
     ///
-    /// Guards against peers that learn late that an idle instance has lost its engines: a change is sent to all
-    /// recipients at once, even if there is no work to report. After the last work, one message reports that there is
-    /// none.
-    pub fn is_due(&mut self, turn: u32, report: Report, all_turns: usize) -> bool {
+    /// Guards against peers learning late that an idle instance has lost its engines: a change is sent to all
+    /// recipients immediately, even if there is no work to report. After the last work, one message reports that there
+    /// is none.
+    pub fn is_due(&mut self, turn: u32, report: Report, cycle_turns: usize) -> bool {
         if report == Report::Change {
-            self.change_turns = all_turns;
+            self.change_turns = cycle_turns;
         }
         let reports = report != Report::Nothing || self.change_turns > 0;
         self.change_turns = self.change_turns.saturating_sub(1);
--- a/crates/core/src/relay/reachability.rs
+++ b/crates/core/src/relay/reachability.rs
@@ -3,8 +3,8 @@
 //! Guards against an instance that is partitioned from the engines for seconds while its callers, the store and its
 //! peers still reach it: its connection attempts hang or are refused, and it fails requests that a peer could have
 //! forwarded. An engine is detached while this instance can reach it only through a tunnel, which is a connection that
-//! a peer opens on its behalf. Only a tunnel that was opened proves that the engine runs: an engine that has crashed,
-//! and that nobody reaches, is not detached.
+//! a peer opens on its behalf. Only an opened tunnel proves that the engine is running: an engine that has crashed, and
+//! that no peer reaches, is not detached.
 
 use std::time::Duration;
 
@@ -13,26 +13,26 @@
 use crate::time::Time;
 
 /// Time after which a direct attempt that has not succeeded is hedged by a tunnel. A normal handshake takes 1 to 3 ms,
-/// and a lost packet is repeated much later.
+/// and a lost packet is retransmitted much later.
 pub const HEDGE_DELAY: Duration = Duration::from_millis(60);
 
-/// Time between two direct attempts at a detached engine: short compared with a partition of seconds, long enough that
-/// few attempts are wasted.
+/// Time between two direct attempts to connect to a detached engine: short compared with a partition of seconds, long
+/// enough that few attempts are wasted.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// How long a failed direct attempt and an opened tunnel count as evidence: about as long as a partition lasts. A
 /// detached engine stays detached for this long after the last of either.
 pub const EVIDENCE_TTL: Duration = Duration::from_secs(5);
 
-/// Number of tunnels that fail in a row after which an engine no longer counts as detached: probably it has crashed.
-/// One failure may be the peer's, and at most two peers are tried for one connection.
+/// Number of consecutive tunnel failures after which an engine no longer counts as detached: it has probably crashed. A
+/// single failure may be the peer's, and at most two peers are tried for one connection.
 pub const MAX_TUNNEL_FAILURES: u32 = 3;
 
-/// An instance has lost its engines once one in this many is detached.
+/// An instance has lost its engines once at least one in this many is detached.
 const LOST_DIVISOR: usize = 2;
 
-/// An instance has regained its engines once fewer than one in this many are detached. It differs from
-/// [`LOST_DIVISOR`] so that the directory doesn't change with every engine.
+/// An instance has regained its engines once fewer than one in this many are detached. Larger than [`LOST_DIVISOR`]:
+/// without hysteresis, the directory would change with every engine.
 const REGAINED_DIVISOR: usize = 4;
 
 /// How a connection to an engine was opened.
@@ -55,18 +55,18 @@
     Both,
 }
 
-/// What the connection attempts at an engine have shown since the last direct success.
+/// Results of the connection attempts to an engine since the last direct success.
 #[derive(Debug, Default)]
 struct EngineState {
     /// When a direct attempt last failed.
     direct_failure: Option<Time>,
     /// When a tunnel was last opened.
     last_tunnel: Option<Time>,
-    /// When a direct attempt was last begun, as far as is known.
+    /// When a direct attempt last started, as far as is known.
     last_probe: Option<Time>,
-    /// Number of tunnels in a row that failed.
+    /// Number of consecutive tunnel failures.
     tunnel_failures: u32,
-    /// Whether the engine was found to be detached; it ends without further evidence within [`EVIDENCE_TTL`].
+    /// Whether the engine was found to be detached; expires after [`EVIDENCE_TTL`] without further evidence.
     detached: bool,
     /// When there was last evidence that a detached engine still is: an opened tunnel or a failed direct attempt.
     last_evidence: Option<Time>,
@@ -79,15 +79,15 @@
 
     /// Updates whether the engine is detached after new evidence at `now`; `was_detached` says whether it was before.
     fn update(&mut self, now: Time, was_detached: bool) {
-        let begins = is_recent(now, self.direct_failure) && is_recent(now, self.last_tunnel);
-        self.detached = was_detached || begins;
+        let starts = is_recent(now, self.direct_failure) && is_recent(now, self.last_tunnel);
+        self.detached = was_detached || starts;
         self.last_evidence = Some(now);
     }
 
     fn on_direct_failed(&mut self, now: Time) {
         let was_detached = self.is_detached(now);
         self.direct_failure = Some(now);
-        // The failure of a probe doesn't postpone the next probe: it may be known only long after the probe began.
+        // A failed probe doesn't postpone the next one: the failure may be detected long after the probe started.
         if !was_detached {
             self.last_probe = Some(now);
         }
@@ -126,7 +126,7 @@
     evidence.is_some_and(|at| now.since(at) < EVIDENCE_TTL)
 }
 
-/// What this instance's own connection attempts have shown for each engine.
+/// Reachability of each engine, derived from this instance's own connection attempts.
 #[derive(Debug, Default)]
 pub struct Reachability {
     engines: EngineMap<EngineState>,
--- a/crates/core/src/relay/tunnel_peers.rs
+++ b/crates/core/src/relay/tunnel_peers.rs
@@ -7,8 +7,8 @@
 use crate::relay::hash::Hash;
 use crate::relay::hash::hash_pair;
 
-/// Maximum number of peers that are asked for one tunnel: one may have just crashed; with more, a request waits too
-/// long for an engine that nobody reaches.
+/// Maximum number of peers that are asked for one tunnel: tolerates one crashed peer and bounds how long a request
+/// waits for an engine that no peer reaches.
 pub const MAX_TUNNEL_PEERS: usize = 2;
 
 /// A peer that may open tunnels.
@@ -26,7 +26,7 @@
 /// never asked: its own connections would need a tunnel.
 ///
 /// Guards against an instance that overloads a single peer with the tunnels of all its requests. `draw` is a random
-/// number by which peers are chosen among equals.
+/// number that orders peers of equal preference.
 pub fn choose(peers: &[TunnelPeer], zone: &str, draw: u64) -> Vec<SocketAddr> {
     let usable = peers.iter().filter(|peer| !peer.detached);
     let rank = |peer: &TunnelPeer| {
--- a/crates/peer/src/call.rs
+++ b/crates/peer/src/call.rs
@@ -32,12 +32,12 @@
     fn respond(&self, request: Request) -> impl Future<Output = Response>;
 
     /// Connects to `upstream` for a tunnel that a peer opens. `None` if this instance does not serve tunnels to it or
-    /// can't reach it. Dropped if the peer leaves meanwhile.
+    /// can't reach it. The future is dropped if the peer closes its connection in the meantime.
     fn connect(&self, _upstream: SocketAddr) -> impl Future<Output = Option<Upstream>> {
         std::future::ready(None)
     }
 
-    /// Number of tunnels that are served at the same time.
+    /// Maximum number of tunnels that are served at the same time.
     fn tunnel_limit(&self) -> usize {
         MAX_TUNNELS
     }
--- a/crates/peer/src/channel.rs
+++ b/crates/peer/src/channel.rs
@@ -68,7 +68,7 @@
 /// Sending half of a [`Channel`].
 #[derive(Debug)]
 pub struct FrameSender {
-    /// The connection.
+    /// Write half of the TCP stream.
     pub stream: OwnedWriteHalf,
     /// Whether large messages are compressed.
     pub compress: bool,
@@ -144,7 +144,7 @@
         matches!(read, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
     }
 
-    /// The connection.
+    /// The underlying TCP stream.
     pub fn stream(&self) -> &TcpStream {
         self.receiver.stream.as_ref()
     }
@@ -216,10 +216,10 @@
         Ok(postcard::from_bytes(&decode(&message[head..])?)?)
     }
 
-    /// Waits until the other side has closed or reset the connection, even if there are bytes to read.
+    /// Waits until the other side has closed or reset the connection, even if there are unread bytes.
     pub async fn closed(&self) -> PeerError {
-        let gone = Interest::ERROR.add(Interest::PRIORITY);
-        match self.stream.ready(gone).await {
+        let closed = Interest::ERROR.add(Interest::PRIORITY);
+        match self.stream.ready(closed).await {
             Ok(_) => PeerError::Broken("the peer closed the connection".to_string()),
             Err(error) => broken(error),
         }
--- a/crates/peer/src/tunnel.rs
+++ b/crates/peer/src/tunnel.rs
@@ -1,10 +1,11 @@
 //! Tunnels: an instance that can't reach an engine connects to it through a peer.
 //!
 //! The peer only relays bytes. Requests, retries, limits and deadlines stay with the instance that opened the tunnel.
-//! All frames are sealed and numbered as those of calls. Neither side buffers more than one frame in each direction.
+//! All frames are sealed and numbered like those of calls. Neither side buffers more than one frame in each direction.
 //!
-//! The peer announces the end of the engine's connection in a frame of its own. A tunnel that ends without that frame
-//! was cut: an answer without a length ends with its connection, and one that was cut must not look complete.
+//! The peer reports the end of the engine's connection in a separate frame. A tunnel that ends without that frame was
+//! cut off: an answer without a length is delimited by the end of its connection, and a truncated one must not look
+//! complete.
 
 use std::any::Any;
 use std::cell::Cell;
@@ -77,7 +78,7 @@
 /// the upstream has received nothing.
 pub async fn open(key: &ClusterKey, peer: SocketAddr, upstream: SocketAddr) -> Result<Tunnel, PeerError> {
     let mut channel = Channel::connect(peer, key).await?;
-    // A drop resets the connection, so that the peer learns of it even if it doesn't read.
+    // Dropping resets the connection, which the peer detects even if it doesn't read.
     let linger = channel.stream().set_zero_linger();
     linger.map_err(|e| PeerError::Connect(e.to_string()))?;
     channel.sender.send(&Request::Connect(upstream)).await?;
@@ -93,7 +94,7 @@
 /// Connection to an upstream through a peer.
 ///
 /// Reading returns the end of the stream only if the upstream closed its connection; otherwise an error
-/// ([`ErrorKind::ConnectionReset`] if a connection was lost). Shutting down gives up the tunnel in both directions, as
+/// ([`ErrorKind::ConnectionReset`] if a connection was lost). Shutting down closes the tunnel in both directions, as
 /// dropping does: the peer closes its connection to the upstream at once, whether or not it has accepted what was
 /// written. There is no half-close.
 pub struct Tunnel {
@@ -121,7 +122,8 @@
     }
 }
 
-/// Guards against connections that hold many times as many bytes as their buffers: they would delay backpressure.
+/// Disables compression. Guards against connections that hold many times more bytes than their buffers, which would
+/// delay backpressure.
 fn uncompressed(mut sender: FrameSender) -> FrameSender {
     sender.compress = false;
     sender
@@ -151,7 +153,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        // Doesn't wait for the peer, which may be unable to pass on what was written.
+        // Doesn't wait for the peer, which may be unable to forward what was written.
         if let Poll::Ready(Err(error)) = self.writer.poll_flush(context) {
             return Poll::Ready(Err(error));
         }
@@ -166,7 +168,7 @@
 }
 
 impl Incoming {
-    /// Receives the next bytes. An error is repeated: the end of the stream must not follow it.
+    /// Receives the next bytes. After an error, every further call returns it again instead of the end of the stream.
     async fn next(self) -> Option<(std::io::Result<Bytes>, Incoming)> {
         let mut receiver = match self {
             Incoming::Open(receiver) => receiver,
@@ -276,7 +278,7 @@
     }
 }
 
-/// Connection to an upstream that counts as a tunnel.
+/// Connection to an upstream that occupies a tunnel slot.
 #[derive(Debug)]
 pub(crate) struct UpstreamConnection {
     upstream: Upstream,
@@ -287,7 +289,7 @@
 ///
 /// # Errors
 ///
-/// [`PeerError::Broken`] if the peer leaves meanwhile.
+/// [`PeerError::Broken`] if the peer closes its connection in the meantime.
 pub(crate) async fn connect<R>(
     channel: &Channel,
     responder: &R,
@@ -298,7 +300,7 @@
     R: Responder,
 {
     let Some(slot) = slots.take() else {
-        tracing::debug!(%upstream, limit = slots.limit, "too many tunnels");
+        tracing::debug!(%upstream, limit = slots.limit, "tunnel limit reached");
         return Ok(None);
     };
     tokio::select! {
@@ -323,22 +325,22 @@
     sender.send(&Response::Connected).await?;
     let failure = Cell::new(None);
     let (mut reader, mut writer) = connection.upstream.stream.split();
-    let last = tokio::select! {
+    let final_frame = tokio::select! {
         result = upload(&mut receiver, &mut writer, &failure) => match result? {},
         result = download(&mut reader, &mut sender, &failure) => result?,
     };
     let UpstreamConnection { upstream, _slot } = connection;
     drop(upstream.stream);
-    // Closing a connection with unread bytes would destroy frames on their way to the peer: it closes first.
-    let left = async { Err::<Infallible, _>(receiver.discard().await) };
-    let sent = sender.send(&last);
-    let ended = timeout(CLOSE_TIMEOUT, async { tokio::try_join!(left, sent) }).await;
+    // Closing a connection with unread bytes would discard frames in flight to the peer, so the peer closes first.
+    let closed = async { Err::<Infallible, _>(receiver.discard().await) };
+    let sent = sender.send(&final_frame);
+    let ended = timeout(CLOSE_TIMEOUT, async { tokio::try_join!(closed, sent) }).await;
     ended.map_err(|_| PeerError::Timeout)?.map(|_| ())
 }
 
-/// Passes the peer's bytes to the upstream until the peer leaves.
+/// Forwards the peer's bytes to the upstream until the peer closes its connection.
 ///
-/// If the upstream doesn't accept them any more, its answer may still be on its way: [`download`] finds its end.
+/// If the upstream no longer accepts them, its answer may still be in flight: [`download`] detects its end.
 async fn upload(
     receiver: &mut FrameReceiver,
     writer: &mut WriteHalf<'_>,
@@ -357,9 +359,9 @@
             }
         };
         if let Err(error) = written {
-            tracing::debug!(%error, "upstream of a tunnel accepts no more");
-            // The upstream reset its connection without closing it before. The error is reported only once: reading
-            // would return the end of the stream.
+            tracing::debug!(%error, "could not write to the upstream of a tunnel");
+            // The upstream reset its connection without closing it first. The socket reports the error only once:
+            // reading would return the end of the stream.
             if error.kind() != ErrorKind::BrokenPipe {
                 failure.set(Some(error.to_string()));
             }
@@ -368,7 +370,8 @@
     }
 }
 
-/// Makes the upstream's connection end with a reset: the upstream isn't reading, and an orderly end would wait for it.
+/// Makes the upstream's connection close with a reset: the upstream isn't reading, and an orderly close would wait for
+/// it.
 fn reset(writer: &WriteHalf<'_>) {
     let stream: &TcpStream = writer.as_ref();
     if let Err(error) = stream.set_zero_linger() {
@@ -376,7 +379,8 @@
     }
 }
 
-/// Passes the upstream's bytes to the peer until the upstream's connection ends, and returns the frame that reports how.
+/// Forwards the upstream's bytes to the peer until the upstream's connection ends, and returns the frame that reports
+/// how.
 async fn download(
     reader: &mut ReadHalf<'_>,
     sender: &mut FrameSender,
--- a/crates/upstream/src/channel.rs
+++ b/crates/upstream/src/channel.rs
@@ -25,7 +25,10 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use sequoiastream_core::relay::reachability::Path;
 use thiserror::Error;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
@@ -40,6 +43,10 @@
 /// Maximum time for which an idle connection is kept, whatever idle timeout the upstream reports.
 const MAX_KEEP_ALIVE: Duration = Duration::from_secs(20);
 
+/// Maximum age at which a tunnel is reused for another request. A peer that shuts down waits only a limited time for
+/// its tunnels to end.
+const MAX_TUNNEL_AGE: Duration = Duration::from_secs(1);
+
 /// Minimum idle time of a connection between two requests. An upstream that wrongly sends a second answer sends it
 /// right after the first; a request sent before it arrives would take it for its own answer.
 const REUSE_DELAY: Duration = Duration::from_millis(30);
@@ -73,6 +80,8 @@
     sender: http1::SendRequest<Full<Bytes>>,
     /// Closes the connection on drop.
     _task: Closer,
+    path: Path,
+    opened: Instant,
     idle_since: Instant,
     keep_alive: Duration,
 }
@@ -88,39 +97,54 @@
 }
 
 impl Channel {
-    /// Connects within `limit`.
+    /// Connects directly within `limit`.
     ///
     /// # Errors
     ///
     /// [`ChannelError::Unsent`] if no connection can be established.
     pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Channel, ChannelError> {
-        let unsent = |e: &dyn std::fmt::Display| ChannelError::Unsent(e.to_string());
+        let unsent = |e: std::io::Error| ChannelError::Unsent(e.to_string());
         let connected = timeout(limit, TcpStream::connect(address)).await;
         let stream = connected
             .map_err(|_| ChannelError::Unsent("no connection in time".to_string()))?
-            .map_err(|e| unsent(&e))?;
-        stream.set_nodelay(true).map_err(|e| unsent(&e))?;
+            .map_err(unsent)?;
+        stream.set_nodelay(true).map_err(unsent)?;
+        Channel::handshake(stream, Path::Direct).await
+    }
+
+    /// Performs the HTTP handshake on a byte stream to an upstream that was opened by `path`.
+    ///
+    /// # Errors
+    ///
+    /// [`ChannelError::Unsent`] if the stream is closed already.
+    pub async fn handshake<S>(stream: S, path: Path) -> Result<Channel, ChannelError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + 'static,
+    {
         let io = TokioIo::new(stream);
         let mut builder = http1::Builder::new();
         let opened = builder.max_buf_size(READ_BUFFER).handshake(io).await;
-        let (sender, connection) = opened.map_err(|e| unsent(&e))?;
+        let (sender, connection) = opened.map_err(|e| ChannelError::Unsent(e.to_string()))?;
         let (handle, registration) = AbortHandle::new_pair();
         spawn_local(async move {
             let ended = Abortable::new(connection, registration).await;
             if let Ok(Err(error)) = ended {
-                tracing::debug!(%address, %error, "connection of an upstream ended");
+                tracing::debug!(?path, %error, "connection of an upstream ended");
             }
         });
         Ok(Channel {
             sender,
             _task: Closer(handle),
+            path,
+            opened: Instant::now(),
             idle_since: Instant::now(),
             keep_alive: DEFAULT_KEEP_ALIVE,
         })
     }
 
     fn is_usable(&self) -> bool {
-        self.sender.is_ready() && self.idle_since.elapsed() < self.keep_alive
+        let is_expired = self.path == Path::Tunnel && self.opened.elapsed() >= MAX_TUNNEL_AGE;
+        self.sender.is_ready() && self.idle_since.elapsed() < self.keep_alive && !is_expired
     }
 
     fn can_reuse(&self) -> bool {
@@ -255,13 +279,14 @@
     ///
     /// [`ChannelError::Unsent`] if no connection can be established.
     pub async fn take(&self, address: SocketAddr, limit: Duration) -> Result<Channel, ChannelError> {
-        if let Some(channel) = self.idle(address) {
+        if let Some(channel) = self.take_idle(address) {
             return Ok(channel);
         }
         Channel::connect(address, limit).await
     }
 
-    fn idle(&self, address: SocketAddr) -> Option<Channel> {
+    /// An idle connection that may be reused.
+    pub fn take_idle(&self, address: SocketAddr) -> Option<Channel> {
         let mut idle = self.idle.borrow_mut();
         let channels = idle.get_mut(&address)?;
         channels.retain(Channel::is_usable);
@@ -271,9 +296,13 @@
 
     /// Returns the connection of a completely read answer to the pool.
     pub fn keep(&self, address: SocketAddr, answer: Answer) {
-        let Some(channel) = answer.finish() else {
-            return;
-        };
+        if let Some(channel) = answer.finish() {
+            self.put(address, channel);
+        }
+    }
+
+    /// Adds an idle connection to the pool, or closes it if the pool has enough of them.
+    pub fn put(&self, address: SocketAddr, channel: Channel) {
         let mut idle = self.idle.borrow_mut();
         let channels = idle.entry(address).or_default();
         if channels.len() < self.max_idle(&address) {
@@ -281,6 +310,13 @@
         }
     }
 
+    /// Closes the idle connections to `address`; only those opened by `path` if it is given.
+    pub fn close_idle(&self, address: SocketAddr, path: Option<Path>) {
+        if let Some(channels) = self.idle.borrow_mut().get_mut(&address) {
+            channels.retain(|channel| path.is_some_and(|path| channel.path != path));
+        }
+    }
+
     /// Sets the current upstreams, with the maximum number of idle connections to each, and closes all other idle
     /// connections.
     ///
@@ -315,8 +351,34 @@
     limit: Duration,
 ) -> Result<Response<Bytes>, ChannelError> {
     let begun = Instant::now();
-    let left = || limit.saturating_sub(begun.elapsed());
     let channel = pool.take(address, limit).await?;
+    exchange(
+        pool,
+        address,
+        channel,
+        request,
+        max_len,
+        limit.saturating_sub(begun.elapsed()),
+    )
+    .await
+}
+
+/// Sends a request on `channel`, reads the complete answer, of at most `max_len` bytes, and returns the connection to the
+/// pool.
+///
+/// # Errors
+///
+/// [`ChannelError`] says whether anything was sent.
+pub async fn exchange(
+    pool: &Pool,
+    address: SocketAddr,
+    channel: Channel,
+    request: Request<Full<Bytes>>,
+    max_len: usize,
+    limit: Duration,
+) -> Result<Response<Bytes>, ChannelError> {
+    let begun = Instant::now();
+    let left = || limit.saturating_sub(begun.elapsed());
     let mut answer = channel.send(request, left()).await?;
     let body = answer.read(max_len, left()).await?;
     let response = Response::from_parts(answer.head.clone(), body);
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -482,6 +482,7 @@
         let incarnations = LazyCell::new(|| self.engines.incarnations());
         let mut ledger = self.shared.traffic();
         ledger.load.retain(|key| known.contains(&key));
+        ledger.reachability.retain(|key| known.contains(&key));
         ledger
             .notices
             .retain(clock::now(), |engine| incarnations.contains(&engine));
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -32,6 +32,7 @@
 use tokio::time::timeout;
 
 use crate::log_event;
+use crate::ops::relay::connect;
 use crate::ops::relay::pick::JobGuard;
 use crate::ops::relay::pick::MAX_LOAD_FACTOR;
 use crate::ops::relay::reading::PrefilledPrompt;
@@ -41,7 +42,6 @@
 use crate::ops::relay::send::AttemptOptions;
 use crate::ops::relay::send::IncomingRequest;
 use crate::ops::relay::send::MAX_ANSWER_BYTES;
-use crate::ops::relay::send::connect;
 use crate::ops::relay::send::end_of;
 use crate::ops::relay::send::send;
 use crate::ops::relay::shared::Running;
@@ -190,7 +190,7 @@
             &AttemptFailure::new(End::Failed, "the engine answered with a server error"),
             "send",
         );
-        self.record_end(engine.key, End::Failed);
+        self.record_end(engine, End::Failed);
         self.tried.push(engine.key);
         self.pool.keep(engine.entry.address, answer);
     }
@@ -259,7 +259,7 @@
                     self.switch_engine(&engine, answer);
                     return Err(None);
                 }
-                self.record_end(engine.key, end);
+                self.record_end(&engine, end);
                 let response = full_response(&answer.head.headers, answer.head.status.as_u16(), body);
                 self.pool.keep(engine.entry.address, answer);
                 self.count(end.label());
@@ -274,7 +274,7 @@
     async fn exchange(&self, engine: &Engine) -> Result<(Answer, Bytes), AttemptFailure> {
         let attempt_timeout = self.attempt_timeout(Duration::ZERO);
         let options = AttemptOptions::default();
-        let channel = connect(&self.pool, &self.incoming, engine).await?;
+        let channel = connect::for_request(&self.shared, &self.pool, &self.incoming, engine).await?;
         let attempt = send(
             &self.shared,
             &self.pool,
@@ -348,7 +348,7 @@
         attempt_timeout: Option<Duration>,
         options: &AttemptOptions,
     ) -> Result<Answer, AttemptFailure> {
-        let channel = connect(&self.pool, &self.incoming, engine).await?;
+        let channel = connect::for_request(&self.shared, &self.pool, &self.incoming, engine).await?;
         self.generation_sent.notify_one();
         let attempt = send(&self.shared, &self.pool, &self.incoming, engine, channel, options);
         self.with_attempt_timeout(engine, attempt_timeout, attempt).await
@@ -388,12 +388,18 @@
     }
 
     /// Counts the end of an attempt in the metrics and in the health of its engine.
-    pub fn record_end(&self, engine: EngineKey, end: End) {
+    ///
+    /// Closes the idle connections of an engine that didn't answer. Guards against sending further requests on
+    /// connections that hang.
+    pub fn record_end(&self, engine: &Engine, end: End) {
         self.shared.metrics.count_attempt(end.label());
         self.shared
             .traffic()
             .load
-            .on_attempt_end(clock::now(), engine, end);
+            .on_attempt_end(clock::now(), engine.key, end);
+        if end == End::Silent {
+            self.pool.close_idle(engine.entry.address, None);
+        }
     }
 
     pub(super) fn log_failure(&self, engine: &Engine, failure: &AttemptFailure, call: &str) {
@@ -428,7 +434,7 @@
 
     fn record_failure(&self, engine: &Engine, failure: &AttemptFailure) {
         self.log_failure(engine, failure, "send");
-        self.record_end(engine.key, failure.end);
+        self.record_end(engine, failure.end);
         self.record_crash(engine, failure.end);
     }
 
--- a/src/ops/relay/idle.rs
+++ b/src/ops/relay/idle.rs
@@ -1,4 +1,4 @@
-//! Closes idle connections to engines that are no longer needed.
+//! Closes idle connections to engines that are no longer needed, and probes engines that can't be reached directly.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -7,6 +7,7 @@
 
 use sequoiastream_upstream::channel::Pool;
 
+use crate::ops::relay::connect;
 use crate::ops::relay::pick::MAX_LOAD_FACTOR;
 use crate::ops::relay::shared::Shared;
 use crate::ops::relay::shared::View;
@@ -14,11 +15,12 @@
 /// Interval between two sweeps.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Closes surplus idle connections at every interval, for as long as the thread runs.
+/// Closes surplus idle connections and probes detached engines at every interval, for as long as the thread runs.
 pub async fn sweep(shared: Arc<Shared>, pool: Pool) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         pool.sweep(max_idle(&shared.view.load()));
+        connect::probe(&shared, &pool).await;
     }
 }
 
--- a/src/ops/relay/peers/mod.rs
+++ b/src/ops/relay/peers/mod.rs
@@ -33,7 +33,7 @@
 use sequoiastream_core::relay::load_message::LoadMessage;
 use sequoiastream_core::relay::load_message::LoadPeers;
 use sequoiastream_core::relay::load_message::Report;
-use sequoiastream_core::relay::load_message::SendTurns;
+use sequoiastream_core::relay::load_message::SendSchedule;
 use sequoiastream_core::relay::load_tracker::Work;
 use sequoiastream_core::relay::watchers::FleetRank;
 use sequoiastream_core::time::Time;
@@ -46,12 +46,13 @@
 use sequoiastream_peer::message::Datagram;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
-use sequoiastream_peer::seal::ClusterKey;
+use sequoiastream_peer::tunnel::Upstream;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use uuid::Uuid;
 
 use crate::log_event;
+use crate::ops::relay::connect;
 use crate::ops::relay::known::StoreReplica;
 pub use crate::ops::relay::peers::ask::PeerAnswer;
 pub use crate::ops::relay::peers::ask::StoreParts;
@@ -103,29 +104,28 @@
     /// If the address can't be bound.
     pub async fn bind(shared: &Shared) -> std::io::Result<Sockets> {
         let options = &shared.options;
-        let key = ClusterKey::new(&options.cluster_key);
+        let key = shared.key.clone();
         let calls = TcpListener::bind(options.peer).await?;
         let datagrams = DatagramSocket::bind(options.peer, key, options.name.clone(), Uuid::now_v7()).await?;
         Ok(Sockets { datagrams, calls })
     }
 }
 
-/// Answers the calls of peers for changes and pages of the store.
-#[derive(Debug, Clone)]
-struct StoreResponder {
+/// Answers the calls of peers for changes and pages of the store, and connects to engines for their tunnels.
+#[derive(Clone)]
+struct PeerResponder {
     known: StoreReplica,
-    /// Capacity of this instance, in thousandths of a core.
-    capacity: u32,
+    shared: Arc<Shared>,
     /// Start times of the full transfers of the last second.
     transfers: Rc<RefCell<VecDeque<Time>>>,
 }
 
-impl StoreResponder {
+impl PeerResponder {
     /// Creates a responder without any transfers yet.
-    fn new(known: StoreReplica, capacity: u32) -> StoreResponder {
-        StoreResponder {
+    fn new(known: StoreReplica, shared: Arc<Shared>) -> PeerResponder {
+        PeerResponder {
             known,
-            capacity,
+            shared,
             transfers: Rc::default(),
         }
     }
@@ -137,7 +137,7 @@
     fn begin_transfer(&self, now: Time) -> bool {
         let mut transfers = self.transfers.borrow_mut();
         transfers.retain(|at| now.since(*at) < Duration::from_secs(1));
-        let limit = (self.capacity / CAPACITY_PER_TRANSFER).max(1) as usize;
+        let limit = (self.shared.options.capacity / CAPACITY_PER_TRANSFER).max(1) as usize;
         let is_allowed = transfers.len() < limit;
         if is_allowed {
             transfers.push_back(now);
@@ -155,7 +155,7 @@
     }
 }
 
-impl Responder for StoreResponder {
+impl Responder for PeerResponder {
     async fn respond(&self, request: Request) -> Response {
         match request {
             Request::Ping => Response::Pong,
@@ -167,6 +167,10 @@
             _ => Response::NotServed,
         }
     }
+
+    async fn connect(&self, upstream: SocketAddr) -> Option<Upstream> {
+        connect::for_peer(&self.shared, upstream).await
+    }
 }
 
 /// State shared by all clones of a [`Fleet`].
@@ -176,10 +180,10 @@
     members: RefCell<MemberTable>,
     /// Instances that the store lists.
     listed: RefCell<BTreeMap<Name, ListedInstance>>,
-    send_turns: RefCell<SendTurns>,
+    send_schedule: RefCell<SendSchedule>,
     /// Whether this instance has lost its direct links to the engines.
     detached: Cell<bool>,
-    /// Peers that reported that they have lost theirs.
+    /// Peers that reported that they have lost their direct links to the engines.
     detached_peers: RefCell<BTreeSet<Name>>,
     /// Number of the next turn of messages about load.
     turn: Cell<u32>,
@@ -230,11 +234,11 @@
         partition_policy: PartitionPolicy::Serve,
         ..Limits::default()
     };
-    let key = ClusterKey::new(&shared.options.cluster_key);
+    let key = shared.key.clone();
     actix_rt::spawn(call::serve(
         sockets.calls,
         key.clone(),
-        StoreResponder::new(known.clone(), shared.options.capacity),
+        PeerResponder::new(known.clone(), shared.clone()),
     ));
     let fleet = Fleet(Rc::new(State {
         shared,
@@ -248,7 +252,7 @@
         usage: UsageState::new(),
         members: RefCell::new(MemberTable::new(local, limits)),
         listed: RefCell::default(),
-        send_turns: RefCell::default(),
+        send_schedule: RefCell::default(),
         detached: Cell::new(false),
         detached_peers: RefCell::default(),
         turn: Cell::new(0),
@@ -503,7 +507,7 @@
             true => Report::Nothing,
             false => Report::Work,
         };
-        if !self.0.send_turns.borrow_mut().is_due(turn, report, turns) {
+        if !self.0.send_schedule.borrow_mut().is_due(turn, report, turns) {
             return;
         }
         let ids = self.0.shared.view.load().ids().clone();
--- a/src/ops/relay/peers/roster.rs
+++ b/src/ops/relay/peers/roster.rs
@@ -124,7 +124,7 @@
         peers.collect()
     }
 
-    /// Forgets the detachment of peers that are no longer in the roster.
+    /// Discards the detached state of peers that are no longer in the roster.
     fn retain_detached(&self, roster: &Roster) {
         let mut detached = self.0.detached_peers.borrow_mut();
         if !detached.is_empty() {
@@ -163,7 +163,8 @@
                 false => detached.remove(name),
             }
         };
-        // In a large fleet, hundreds may change at the same time: these changes are published at the next tick.
+        // In a large fleet, hundreds of peers may change at the same time: these changes are published at the next
+        // tick.
         if changed && !self.is_large() {
             self.publish();
         }
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::log_event;
+use crate::ops::relay::connect;
 use crate::ops::relay::forward::ForwardedRequest;
 use crate::ops::relay::forward::Refusal;
 use crate::ops::relay::pick::decode_engine;
@@ -20,7 +21,6 @@
 use crate::ops::relay::send::AttemptFailure;
 use crate::ops::relay::send::AttemptOptions;
 use crate::ops::relay::send::MAX_ANSWER_BYTES;
-use crate::ops::relay::send::connect;
 use crate::ops::relay::send::release;
 use crate::ops::relay::send::send;
 use crate::ops::relay::shared::Shared;
@@ -126,7 +126,7 @@
                 Ok(()) => return Ok(()),
                 Err(failure) => {
                     self.log_failure(&plan.engine, &failure, "prefill");
-                    self.record_end(plan.engine.key, failure.end);
+                    self.record_end(&plan.engine, failure.end);
                     self.tried.push(plan.engine.key);
                 }
             }
@@ -185,7 +185,7 @@
             fetch_from: plan.fetch_from,
             ..AttemptOptions::default()
         };
-        let channel = connect(&self.pool, &self.incoming, engine).await?;
+        let channel = connect::for_request(&self.shared, &self.pool, &self.incoming, engine).await?;
         let left = self.incoming.time_left();
         let limit = attempt_timeout.map_or(left, |attempt_timeout| attempt_timeout.min(left));
         let answer = timeout(
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -15,20 +15,18 @@
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::prompt::Prompt;
 use sequoiastream_core::time::Time;
+use sequoiastream_upstream::channel;
 use sequoiastream_upstream::channel::Answer;
 use sequoiastream_upstream::channel::Channel;
 use sequoiastream_upstream::channel::ChannelError;
 use sequoiastream_upstream::channel::Pool;
 
+use crate::ops::relay::connect;
 use crate::ops::relay::edge::HeaderNames;
 use crate::ops::relay::shared::AnswerHead;
 use crate::ops::relay::shared::Shared;
 use crate::util::clock;
 
-/// Time limit for a new connection to an engine. Engines answer the first packet of a connection immediately unless
-/// they are full.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Time limit for reading the remaining body of an answer by which an engine declines a request.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -119,24 +117,6 @@
     }
 }
 
-/// Returns a connection to `engine` from the pool, or opens a new one.
-///
-/// # Errors
-///
-/// [`AttemptFailure`] if no connection is available before the time limit. Nothing has been sent then.
-pub async fn connect(
-    pool: &Pool,
-    incoming: &IncomingRequest,
-    engine: &Engine,
-) -> Result<Channel, AttemptFailure> {
-    let limit = CONNECT_TIMEOUT.min(incoming.time_left());
-    let channel = pool.take(engine.entry.address, limit).await?;
-    match incoming.time_left().is_zero() {
-        true => Err(AttemptFailure::new(End::Unsent, "the request has expired")),
-        false => Ok(channel),
-    }
-}
-
 /// Sends `incoming` to `engine` on `channel` and returns the head of the answer, after checking that it is the engine's
 /// answer to this request.
 ///
@@ -293,10 +273,12 @@
     let host =
         HeaderValue::from_str(&address.to_string()).map_err(|e| AttemptFailure::new(End::Unsent, e))?;
     request.headers_mut().insert(http::header::HOST, host);
+    let begun = clock::now();
+    let channel = connect::take(shared, pool, engine, limit).await?;
     shared.on_send(engine);
     let sent = clock::now();
-    let answer =
-        sequoiastream_upstream::channel::call(pool, address, request, MAX_ANSWER_BYTES, limit).await?;
+    let left = limit.saturating_sub(sent.since(begun));
+    let answer = channel::exchange(pool, address, channel, request, MAX_ANSWER_BYTES, left).await?;
     shared.on_engine_answer(engine, &AnswerHead::of_call(sent, &answer));
     Ok(())
 }
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -35,6 +35,7 @@
 use sequoiastream_core::relay::usage::Window;
 use sequoiastream_core::relay::workspaces::StoreAges;
 use sequoiastream_core::time::Time;
+use sequoiastream_peer::seal::ClusterKey;
 
 use crate::log_event;
 use crate::ops::relay::edge::Translate;
@@ -162,6 +163,8 @@
     pub options: Options,
     /// Translates to and from the protocol of callers and upstreams.
     pub translate: Arc<dyn Translate>,
+    /// Key that authenticates the instances to each other.
+    pub key: ClusterKey,
     /// The current view.
     pub view: ArcSwap<View>,
     /// Metrics.
@@ -203,6 +206,7 @@
         };
         Shared {
             reloadable: ArcSwap::from_pointee(options.reloadable.clone()),
+            key: ClusterKey::new(&options.cluster_key),
             options,
             translate,
             view: ArcSwap::default(),
--- a/src/ops/relay/stream.rs
+++ b/src/ops/relay/stream.rs
@@ -162,7 +162,7 @@
     let mut builder = response_head(&parts.headers, parts.status.as_u16());
     if let Some(body) = opened.body.clone() {
         let end = end_of(&opened.answer);
-        forward.record_end(opened.engine.key, end);
+        forward.record_end(&opened.engine, end);
         forward.count(end.label());
         let (engine, answer) = opened.into_parts();
         forward.pool.keep(engine.entry.address, answer);
@@ -215,7 +215,7 @@
         let Some(opened) = self.opened.take() else {
             return;
         };
-        self.forward.record_end(opened.engine.key, End::Answered);
+        self.forward.record_end(&opened.engine, End::Answered);
         self.forward.count(End::Answered.label());
         self.forward.pool.keep(opened.engine.entry.address, opened.answer);
     }
--- a/tests/testsuite/peer_tunnel/ends.rs
+++ b/tests/testsuite/peer_tunnel/ends.rs
@@ -1,4 +1,4 @@
-//! How tunnels end: whole answers, cut answers, and frames that are not authentic.
+//! How tunnels end: complete answers, truncated answers, and frames that are not authentic.
 
 use std::io::ErrorKind;
 
@@ -87,7 +87,7 @@
     drop(upstream);
 }
 
-/// Guards against a cut answer looking complete after the upstream reset its connection.
+/// Guards against a truncated answer looking complete after the upstream reset its connection.
 #[actix_web::test]
 async fn read_upstream_reset() {
     within_limit(async {
@@ -102,7 +102,8 @@
     .await;
 }
 
-/// Guards against a cut answer looking complete because writing to the upstream met its reset before reading did.
+/// Guards against a truncated answer looking complete because a write to the upstream detected its reset before a read
+/// did.
 #[actix_web::test]
 async fn read_upstream_reset_blocked() {
     within_limit(async {
@@ -125,7 +126,7 @@
             let part = random_bytes(seed, PART);
             upstream.write_all(&part).await.expect("written");
             reset(upstream);
-            // The peer discards this: closing its connection with unread bytes would destroy the part.
+            // The peer must discard this: closing its connection with unread bytes would discard the part in flight.
             tunnel.write_all(&vec![0; REQUEST]).await.expect("written");
             let mut received = Vec::new();
             assert_reset(tunnel.read_to_end(&mut received).await);
@@ -154,7 +155,7 @@
     .await;
 }
 
-/// Guards against a cut answer looking complete after the connection to the peer ended in an orderly way.
+/// Guards against a truncated answer looking complete after an orderly close of the connection to the peer.
 #[actix_web::test]
 async fn read_peer_gone() {
     within_limit(async {
@@ -170,7 +171,7 @@
     .await;
 }
 
-/// Guards against passing on an altered or repeated part of an answer.
+/// Guards against accepting an altered or replayed part of an answer.
 #[actix_web::test]
 async fn read_not_authentic() {
     within_limit(async {
@@ -189,7 +190,7 @@
     .await;
 }
 
-/// Guards against passing an altered or repeated part of a request to the upstream.
+/// Guards against forwarding an altered or replayed part of a request to the upstream.
 #[actix_web::test]
 async fn write_not_authentic() {
     within_limit(async {
--- a/tests/testsuite/peer_tunnel/leaving.rs
+++ b/tests/testsuite/peer_tunnel/leaving.rs
@@ -1,4 +1,4 @@
-//! Instances that leave a tunnel: the peer closes its connection to the upstream at once.
+//! Instances that close a tunnel: the peer closes its connection to the upstream immediately.
 
 use std::future::pending;
 use std::net::SocketAddr;
@@ -24,7 +24,7 @@
 use crate::peer_tunnel::within_limit;
 use crate::peer_tunnel::write_until_stalled;
 
-/// Guards against an engine that computes for a caller who has left.
+/// Guards against an engine that computes for a caller that has disconnected.
 #[actix_web::test]
 async fn drop_silent_upstream() {
     within_limit(async {
@@ -36,7 +36,8 @@
     .await;
 }
 
-/// Guards against an engine that computes for a caller who has left while the peer waits for the engine to read.
+/// Guards against an engine that computes for a caller that has disconnected while the peer waits for the engine to
+/// read.
 #[actix_web::test]
 async fn drop_blocked_upload() {
     within_limit(async {
@@ -48,7 +49,8 @@
     .await;
 }
 
-/// Guards against an engine that computes for a caller who has left while the peer waits for the caller to read.
+/// Guards against an engine that computes for a caller that has disconnected while the peer waits for the caller to
+/// read.
 #[actix_web::test]
 async fn drop_blocked_download() {
     within_limit(async {
@@ -98,7 +100,7 @@
     .await;
 }
 
-/// Guards against a shutdown that waits for an engine that doesn't read, and so never reaches it.
+/// Guards against a shutdown that never reaches the engine because it waits for the engine to read.
 #[actix_web::test]
 async fn shutdown_blocked_upload() {
     within_limit(async {
@@ -130,7 +132,7 @@
 struct Connecting {
     /// Notified when a connection is attempted.
     started: Rc<Notify>,
-    /// Notified when an attempt is given up.
+    /// Notified when an attempt is dropped.
     dropped: Rc<Notify>,
 }
 
@@ -154,7 +156,7 @@
     }
 }
 
-/// Guards against a peer that goes on connecting to an engine for an instance that has given up.
+/// Guards against a peer that keeps connecting to an engine for an instance that has closed its connection.
 #[actix_web::test]
 async fn drop_while_connecting() {
     within_limit(async {
--- a/tests/testsuite/peer_tunnel/mod.rs
+++ b/tests/testsuite/peer_tunnel/mod.rs
@@ -31,8 +31,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// How long a test may take before it counts as hung.
-const LIMIT: Duration = Duration::from_secs(60);
+/// Time after which a test counts as hung.
+const TEST_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Number of turns of all tasks without progress after which a writer counts as stalled.
 const STALL_TURNS: usize = 2_000;
@@ -111,13 +111,13 @@
 where
     T: Future,
 {
-    timeout(LIMIT, test).await.expect("the test hangs")
+    timeout(TEST_TIMEOUT, test).await.expect("the test hangs")
 }
 
 /// Waits until the connection was closed or reset by the other side, without reading from it.
 async fn closed(stream: &TcpStream) {
-    let gone = Interest::ERROR.add(Interest::PRIORITY);
-    stream.ready(gone).await.expect("the connection is watched");
+    let closed = Interest::ERROR.add(Interest::PRIORITY);
+    stream.ready(closed).await.expect("the connection is watched");
 }
 
 /// Writes until the writer makes no progress any more, and returns the number of bytes written.
--- a/tests/testsuite/peer_tunnel/proxy.rs
+++ b/tests/testsuite/peer_tunnel/proxy.rs
@@ -1,4 +1,4 @@
-//! Connection between an instance and a peer that alters or replays frames, or is cut.
+//! Proxy between an instance and a peer that alters or replays frames, or cuts connections.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
--- a/tests/testsuite/peer_tunnel/serving.rs
+++ b/tests/testsuite/peer_tunnel/serving.rs
@@ -21,7 +21,7 @@
 use crate::peer_tunnel::start;
 use crate::peer_tunnel::within_limit;
 
-const CALL_LIMIT: Duration = Duration::from_secs(30);
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// An address where nothing listens.
 async fn unused_address() -> SocketAddr {
@@ -38,7 +38,7 @@
     }
 }
 
-/// Guards against taking a peer that can't reach the engine for one that is down.
+/// Guards against treating a peer that can't reach the engine as one that is down.
 #[actix_web::test]
 async fn open_unreachable() {
     within_limit(async {
@@ -61,9 +61,9 @@
         let proxy = Proxy::start(start(Pong).await, Change::None, Change::None).await;
         let client = CallClient::new(key());
         let connect = Request::Connect(unused_address().await);
-        let answer = client.call(proxy.address, &connect, CALL_LIMIT).await;
+        let answer = client.call(proxy.address, &connect, CALL_TIMEOUT).await;
         assert_eq!(answer, Ok(Response::Unreachable));
-        let answer = client.call(proxy.address, &Request::Ping, CALL_LIMIT).await;
+        let answer = client.call(proxy.address, &Request::Ping, CALL_TIMEOUT).await;
         assert_eq!(answer, Ok(Response::Pong));
         assert_eq!(proxy.accepted.get(), 1);
     })
--- a/tests/testsuite/relay/reachability.rs
+++ b/tests/testsuite/relay/reachability.rs
@@ -14,7 +14,7 @@
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::load_message::LoadMessage;
 use sequoiastream_core::relay::load_message::Report;
-use sequoiastream_core::relay::load_message::SendTurns;
+use sequoiastream_core::relay::load_message::SendSchedule;
 use sequoiastream_core::relay::reachability::ConnectPlan;
 use sequoiastream_core::relay::reachability::EVIDENCE_TTL;
 use sequoiastream_core::relay::reachability::MAX_TUNNEL_FAILURES;
@@ -48,8 +48,8 @@
     }
 }
 
-/// Reports the failure of a direct attempt and an opened tunnel at these times, in their order.
-fn after(failed: Time, opened: Time) -> Reachability {
+/// State after a failed direct attempt and an opened tunnel, recorded in the order of their times.
+fn state_after(failed: Time, opened: Time) -> Reachability {
     let mut reachability = Reachability::new();
     if failed <= opened {
         reachability.on_direct_failed(failed, ENGINE);
@@ -64,7 +64,7 @@
 #[test]
 fn detached_by_failure_and_tunnel() {
     for (failed, opened) in [(0, 5), (5, 0), (0, 4_999), (4_999, 0)] {
-        let reachability = after(at(failed), at(opened));
+        let reachability = state_after(at(failed), at(opened));
         let now = at(failed.max(opened));
         assert!(reachability.is_detached(now, ENGINE), "{failed} {opened}");
         assert_eq!(reachability.detached_count(now), 1);
@@ -72,11 +72,11 @@
     }
 }
 
-/// Guards against a failure of a minute ago and a tunnel of now that are taken for one spell.
+/// Guards against combining an expired failure or tunnel with a recent one as evidence of the same partition.
 #[test]
 fn detached_not_by_old_evidence() {
     for (failed, opened) in [(0, 5_000), (5_000, 0)] {
-        let reachability = after(at(failed), at(opened));
+        let reachability = state_after(at(failed), at(opened));
         assert!(!reachability.is_detached(at(5_000), ENGINE), "{failed} {opened}");
     }
 }
@@ -96,7 +96,7 @@
 
 #[test]
 fn direct_success_ends() {
-    let mut reachability = after(at(0), at(5));
+    let mut reachability = state_after(at(0), at(5));
     reachability.on_connected(at(6), ENGINE, Path::Direct);
     assert!(!reachability.is_detached(at(6), ENGINE));
     assert_eq!(reachability.plan(at(6), ENGINE), ConnectPlan::Direct);
@@ -109,7 +109,7 @@
 
 #[test]
 fn no_evidence_ends() {
-    let mut reachability = after(at(0), at(5));
+    let mut reachability = state_after(at(0), at(5));
     reachability.on_connected(at(3_000), ENGINE, Path::Tunnel);
     let end = at(3_000) + EVIDENCE_TTL;
     assert!(reachability.is_detached(end - MILLI, ENGINE));
@@ -117,10 +117,10 @@
     assert_eq!(reachability.plan(end, ENGINE), ConnectPlan::Direct);
 }
 
-/// Guards against an instance without requests that counts as having its engines again in the middle of a partition.
+/// Guards against an idle instance that counts its engines as regained during a partition.
 #[test]
 fn failed_probes_continue() {
-    let mut reachability = after(at(0), at(5));
+    let mut reachability = state_after(at(0), at(5));
     for seconds in 1..30 {
         reachability.on_direct_failed(at(seconds * 1_000), ENGINE);
         assert!(reachability.is_detached(at(seconds * 1_000 + 900), ENGINE));
@@ -128,10 +128,10 @@
     assert!(!reachability.is_detached(at(29_000) + EVIDENCE_TTL, ENGINE));
 }
 
-/// Guards against an engine that crashes while it is detached and is tried through peers until the evidence is old.
+/// Guards against an engine that crashes while it is detached and is tried through peers until the evidence expires.
 #[test]
 fn tunnel_failures_end() {
-    let mut reachability = after(at(0), at(5));
+    let mut reachability = state_after(at(0), at(5));
     for _ in 1..MAX_TUNNEL_FAILURES {
         reachability.on_tunnel_failed(at(10), ENGINE);
     }
@@ -159,11 +159,11 @@
     assert_eq!(plans, [tunnel, tunnel, both, tunnel, tunnel, both]);
 }
 
-/// Guards against direct attempts that hang for a second and fail late, so that the next probe is put off and the end
-/// of a partition is noticed late.
+/// Guards against direct attempts that hang for a second and fail late, so that the next probe is postponed and the end
+/// of a partition is detected late.
 #[test]
 fn plan_probes_despite_late_failures() {
-    let mut reachability = after(at(0), at(0));
+    let mut reachability = state_after(at(0), at(0));
     assert_eq!(reachability.plan(at(500), ENGINE), ConnectPlan::Both);
     reachability.on_direct_failed(at(999), ENGINE);
     assert_eq!(reachability.plan(at(1_000), ENGINE), ConnectPlan::Both);
@@ -210,7 +210,7 @@
     assert_eq!(detached, [true, true, false, true]);
 }
 
-/// What happens to an engine.
+/// Event at an engine.
 #[derive(Debug, Clone, Copy, TypeGenerator)]
 enum Step {
     DirectOpened,
@@ -220,9 +220,9 @@
     Plan,
 }
 
-/// The latest steps at one engine, as the test records them.
+/// Times of the latest events at one engine, as recorded by the test.
 #[derive(Debug, Clone, Copy, Default)]
-struct Seen {
+struct EventTimes {
     direct: Option<Time>,
     failure: Option<Time>,
     tunnel: Option<Time>,
@@ -231,66 +231,70 @@
     detached: Option<Time>,
 }
 
-/// Checks a plan against what was seen.
-fn check_plan(plan: ConnectPlan, now: Time, seen: &mut Seen) {
-    let is_reached = seen.direct.is_some() && seen.direct > seen.failure;
+/// Checks a plan against the recorded times.
+fn check_plan(plan: ConnectPlan, now: Time, times: &mut EventTimes) {
+    let is_reached = times.direct.is_some() && times.direct > times.failure;
     if is_reached {
-        assert_eq!(plan, ConnectPlan::Direct, "{seen:?}");
+        assert_eq!(plan, ConnectPlan::Direct, "{times:?}");
     }
-    assert_eq!(plan == ConnectPlan::Direct, seen.detached.is_none(), "{seen:?}");
+    assert_eq!(plan == ConnectPlan::Direct, times.detached.is_none(), "{times:?}");
     match plan {
         ConnectPlan::Tunnel => {
-            let since = seen.detached.max(seen.probe).expect("it is detached");
-            assert!(now.since(since) < PROBE_INTERVAL, "no probe is due: {seen:?}");
+            let since = times.detached.max(times.probe).expect("it is detached");
+            assert!(now.since(since) < PROBE_INTERVAL, "no probe is due: {times:?}");
         }
-        ConnectPlan::Direct | ConnectPlan::Both => seen.probe = Some(now),
+        ConnectPlan::Direct | ConnectPlan::Both => times.probe = Some(now),
     }
 }
 
-/// Guards against a reachable engine that is no longer tried directly, after any sequence of events: detachment needs a
-/// failed direct attempt since the last success and a recent tunnel, and is probed in time.
+/// Guards against a reachable engine that is no longer tried directly, after any sequence of events: detachment
+/// requires a failed direct attempt since the last success and a recent tunnel, and a detached engine is probed in
+/// time.
 #[test]
 fn plan_after_any_events() {
     bolero::check!()
         .with_type::<Vec<(u16, u8, Step)>>()
         .for_each(|steps| {
             let mut reachability = Reachability::new();
-            let mut engines: BTreeMap<EngineKey, Seen> = BTreeMap::new();
+            let mut engines: BTreeMap<EngineKey, EventTimes> = BTreeMap::new();
             let mut now = Time::from_millis(10_000);
             for (pause, engine, step) in steps {
                 now = now + Duration::from_millis(u64::from(pause % 1_024));
                 let key = EngineKey(u32::from(engine % 2));
-                let seen = engines.entry(key).or_default();
+                let times = engines.entry(key).or_default();
                 if !reachability.is_detached(now, key) {
-                    seen.detached = None;
+                    times.detached = None;
                 }
                 match step {
                     Step::DirectOpened => {
                         reachability.on_connected(now, key, Path::Direct);
-                        (seen.direct, seen.tunnel) = (Some(now), None);
+                        (times.direct, times.tunnel) = (Some(now), None);
                     }
                     Step::DirectFailed => {
                         reachability.on_direct_failed(now, key);
                         // At the same time, the later event counts.
-                        seen.failure = Some(now);
-                        seen.direct = seen.direct.filter(|at| *at < now);
+                        times.failure = Some(now);
+                        times.direct = times.direct.filter(|at| *at < now);
                     }
                     Step::TunnelOpened => {
                         reachability.on_connected(now, key, Path::Tunnel);
-                        seen.tunnel = Some(now);
+                        times.tunnel = Some(now);
                     }
                     Step::TunnelFailed => reachability.on_tunnel_failed(now, key),
-                    Step::Plan => check_plan(reachability.plan(now, key), now, seen),
+                    Step::Plan => check_plan(reachability.plan(now, key), now, times),
                 }
-                seen.detached = match reachability.is_detached(now, key) {
-                    true => seen.detached.or(Some(now)),
+                times.detached = match reachability.is_detached(now, key) {
+                    true => times.detached.or(Some(now)),
                     false => None,
                 };
-                if seen.detached.is_some() {
-                    assert!(seen.failure >= seen.direct && seen.failure.is_some(), "{seen:?}");
-                    assert!(seen.tunnel.is_some(), "a tunnel proves that it runs: {seen:?}");
-                    let evidence = seen.tunnel.max(seen.failure).expect("a tunnel");
-                    assert!(now.since(evidence) < EVIDENCE_TTL, "{seen:?}");
+                if times.detached.is_some() {
+                    assert!(
+                        times.failure >= times.direct && times.failure.is_some(),
+                        "{times:?}"
+                    );
+                    assert!(times.tunnel.is_some(), "a tunnel proves that it runs: {times:?}");
+                    let evidence = times.tunnel.max(times.failure).expect("a tunnel");
+                    assert!(now.since(evidence) < EVIDENCE_TTL, "{times:?}");
                 }
             }
         });
@@ -336,8 +340,8 @@
     assert_eq!(offered_of(&[(false, true), (false, false)]), [2]);
 }
 
-/// Guards against a directory that names nobody, or only instances that may admit nobody, because all others are
-/// detached.
+/// Guards against a directory that is empty, or that lists only instances that may not admit requests, because all
+/// others are detached.
 #[test]
 fn offered_detached_if_no_other() {
     assert_eq!(offered_of(&[(true, true), (true, true)]), [1, 2]);
@@ -354,11 +358,11 @@
     assert_eq!(offered(vec![restarted, candidate(1, true, false)]).len(), 1);
 }
 
-/// Guards against an idle instance that tells its peers late, or only some of them, that it has lost its engines.
+/// Guards against an idle instance that reports the loss of its engines late, or only to some of its peers.
 #[test]
 fn change_sent_at_once() {
-    let mut turns = SendTurns::default();
-    let mut due = |turn, report| turns.is_due(turn, report, 3);
+    let mut schedule = SendSchedule::default();
+    let mut due = |turn, report| schedule.is_due(turn, report, 3);
     assert!(due(0, Report::Nothing), "a quiet turn");
     assert!(!due(1, Report::Nothing));
     assert!(due(2, Report::Change));
@@ -383,8 +387,8 @@
     assert_eq!(read, message);
 }
 
-/// Addresses that callers are told.
-fn fronts(shared: &Shared) -> Vec<SocketAddr> {
+/// Addresses that are offered to callers.
+fn offered_addresses(shared: &Shared) -> Vec<SocketAddr> {
     let view = shared.view.load();
     view.endpoints.iter().map(|e| e.address).collect()
 }
@@ -405,8 +409,8 @@
     let [cut, peer, other] = instances.each_ref().map(|(shared, _)| shared.as_ref());
     let mut all = [cut, peer, other].map(|shared| shared.options.front);
     all.sort();
-    let names = |shared: &Shared, expected: &[SocketAddr]| fronts(shared) == expected;
-    wait_until(|| [cut, peer, other].iter().all(|shared| names(shared, &all))).await;
+    let offers = |shared: &Shared, expected: &[SocketAddr]| offered_addresses(shared) == expected;
+    wait_until(|| [cut, peer, other].iter().all(|shared| offers(shared, &all))).await;
     let address = cut.options.peer;
     wait_until(|| detached_peers(peer).get(&address) == Some(&false)).await;
 
@@ -420,13 +424,13 @@
             .on_connected(clock::now(), engine, Path::Tunnel);
     }
     let rest: Vec<SocketAddr> = all.into_iter().filter(|a| *a != cut.options.front).collect();
-    wait_until(|| [cut, peer, other].iter().all(|shared| names(shared, &rest))).await;
+    wait_until(|| [cut, peer, other].iter().all(|shared| offers(shared, &rest))).await;
     assert_eq!(detached_peers(peer).get(&address), Some(&true));
     assert!(cut.is_ready());
 
     let now = clock::now();
     cut.traffic().reachability.on_connected(now, engine, Path::Direct);
-    wait_until(|| [cut, peer, other].iter().all(|shared| names(shared, &all))).await;
+    wait_until(|| [cut, peer, other].iter().all(|shared| offers(shared, &all))).await;
     assert_eq!(detached_peers(peer).get(&address), Some(&false));
 }
 
--- a/tests/testsuite/relay/tunnel_peers.rs
+++ b/tests/testsuite/relay/tunnel_peers.rs
@@ -43,7 +43,7 @@
     assert!(choices(&["a", "b", "a"]).keys().all(|pair| !pair.contains(&2)));
 }
 
-/// Guards against peers that have lost their engines too and are asked to open tunnels.
+/// Guards against tunnel requests to peers that have lost their engines too.
 #[test]
 fn choose_no_detached() {
     assert_eq!(choices(&["A", "b"]).into_keys().collect::<Vec<_>>(), [[2]]);
--- a/tests/testsuite/relay/tunnels.rs
+++ b/tests/testsuite/relay/tunnels.rs
@@ -6,18 +6,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sequoiastream::ops::relay::connect;
 use sequoiastream::util::clock;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::engines::Entry;
 use sequoiastream_core::relay::engines::Stage;
+use sequoiastream_core::relay::reachability::Path;
 use sequoiastream_core::relay::routes::RouteKind;
 use sequoiastream_core::relay::tunnel_peers::TunnelPeer;
 use sequoiastream_peer::call;
 use sequoiastream_peer::call::Responder;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
-use sequoiastream_peer::seal::ClusterKey;
 use sequoiastream_peer::tunnel::Upstream;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -31,6 +32,7 @@
 use super::engine::head;
 use super::instance::Instance;
 use super::instance::status;
+use super::wait_until;
 
 /// A peer that reaches the engine.
 #[derive(Clone)]
@@ -53,11 +55,7 @@
     async fn start(&self, instance: &Instance) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
         let address = listener.local_addr().expect("a bound listener");
-        let serve = call::serve(
-            listener,
-            ClusterKey::new(&instance.shared.options.cluster_key),
-            self.clone(),
-        );
+        let serve = call::serve(listener, instance.shared.key.clone(), self.clone());
         actix_web::rt::spawn(serve);
         address
     }
@@ -74,8 +72,8 @@
     }
 }
 
-/// Forwards one connection to the peer at `address` until `lost` is notified, as if the peer were lost then.
-async fn fragile_link(address: SocketAddr, lost: &Rc<Notify>) -> SocketAddr {
+/// Forwards one connection to the peer at `address` until `lost` is notified, which simulates the loss of the peer.
+async fn breakable_link(address: SocketAddr, lost: &Rc<Notify>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let link = listener.local_addr().expect("a bound listener");
     let lost = lost.clone();
@@ -92,19 +90,21 @@
 
 /// How direct connections to an engine fail.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Cut {
+enum ConnectFailure {
     Refused,
     Hanging,
 }
 
-/// An address that connections fail to, and what keeps it so.
-async fn dead_address(cut: Cut) -> (SocketAddr, Vec<TcpStream>, Option<std::net::TcpListener>) {
+/// An address to which connections fail, and the sockets that must stay open for this.
+async fn unreachable_address(
+    failure: ConnectFailure,
+) -> (SocketAddr, Vec<TcpStream>, Option<std::net::TcpListener>) {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = listener.local_addr().expect("a bound listener");
-    match cut {
-        Cut::Refused => (address, Vec::new(), None),
-        Cut::Hanging => {
-            // Without a place in the queue of the listener, the packet that opens a connection is dropped.
+    match failure {
+        ConnectFailure::Refused => (address, Vec::new(), None),
+        ConnectFailure::Hanging => {
+            // A listener with a full accept queue drops the packet that opens a connection.
             let raw = tokio::net::TcpSocket::new_v4().expect("a socket");
             raw.bind("127.0.0.1:0".parse().expect("an address"))
                 .expect("a port is free");
@@ -125,7 +125,7 @@
     }
 }
 
-/// Makes the instance find its only engine at `address`, and `peer` reach it.
+/// Sets the instance's only engine to one at `address`, and its tunnel peers to `peers`.
 fn detach(instance: &Instance, address: SocketAddr, peers: &[SocketAddr]) {
     let entry = Entry {
         address,
@@ -151,7 +151,7 @@
 /// all of them.
 #[actix_web::test]
 async fn served_through_peer() {
-    for cut in [Cut::Refused, Cut::Hanging] {
+    for failure in [ConnectFailure::Refused, ConnectFailure::Hanging] {
         for kind in [
             RouteKind::Once,
             RouteKind::Idempotent,
@@ -165,25 +165,25 @@
                 }]
             })
             .await;
-            let (dead, _waiting, _listener) = dead_address(cut).await;
+            let (unreachable, _waiting, _listener) = unreachable_address(failure).await;
             let instance = Instance::start(kind, &[], |_| {});
             let peer = Peer::new(Some(engine.address()));
-            detach(&instance, dead, &[peer.start(&instance).await]);
+            detach(&instance, unreachable, &[peer.start(&instance).await]);
             let got = instance.get("/r/x", "q1", "x-deadline: 1000\r\n").await;
-            assert_eq!(status(&got), "200", "{cut:?} {kind:?} {got}");
+            assert_eq!(status(&got), "200", "{failure:?} {kind:?} {got}");
             let log = engine.log();
-            assert_eq!(log.requests.len(), 1, "{cut:?} {kind:?}");
+            assert_eq!(log.requests.len(), 1, "{failure:?} {kind:?}");
             let left: u64 = log.requests[0]
                 .header("x-deadline")
                 .and_then(|left| left.parse().ok())
                 .expect("the time left");
-            assert!(left < 1_000, "{cut:?} {kind:?} {left}");
+            assert!(left < 1_000, "{failure:?} {kind:?} {left}");
         }
     }
 }
 
-/// Guards against a request that may not be repeated and is executed twice: the peer that passes it on is lost after the
-/// engine received it. The caller must not be told that it was not executed.
+/// Guards against executing a non-repeatable request twice when the peer that relays it is lost after the engine
+/// received it. The caller must not be told that it was not executed.
 #[actix_web::test]
 async fn once_peer_lost() {
     let lost = Rc::new(Notify::new());
@@ -193,22 +193,22 @@
         vec![Action::Hold]
     })
     .await;
-    let (dead, ..) = dead_address(Cut::Refused).await;
+    let (unreachable, ..) = unreachable_address(ConnectFailure::Refused).await;
     let instance = Instance::start(RouteKind::Once, &[], |route| route.max_attempts = 3);
     let peer = Peer::new(Some(engine.address()));
     let address = peer.start(&instance).await;
     let links = [
-        fragile_link(address, &lost).await,
-        fragile_link(address, &lost).await,
+        breakable_link(address, &lost).await,
+        breakable_link(address, &lost).await,
     ];
-    detach(&instance, dead, &links);
+    detach(&instance, unreachable, &links);
     let got = instance.get("/r/x", "q1", "").await;
     assert_eq!(status(&got), "502", "{got}");
     assert_eq!(engine.log().requests.len(), 1);
     engine.wait_for(|log| log.disconnects == 1).await;
 }
 
-/// Guards against an answer without a length that is taken for complete because the peer that passed it on was lost.
+/// Guards against treating an answer without a length as complete after the peer that relayed it was lost.
 #[actix_web::test]
 async fn answer_peer_lost() {
     let lost = Rc::new(Notify::new());
@@ -219,16 +219,16 @@
         vec![Action::Send(head + "text"), Action::Hold]
     })
     .await;
-    let (dead, ..) = dead_address(Cut::Refused).await;
+    let (unreachable, ..) = unreachable_address(ConnectFailure::Refused).await;
     let instance = Instance::start(RouteKind::Once, &[], |_| {});
     let peer = Peer::new(Some(engine.address()));
-    let link = fragile_link(peer.start(&instance).await, &lost).await;
-    detach(&instance, dead, &[link]);
+    let link = breakable_link(peer.start(&instance).await, &lost).await;
+    detach(&instance, unreachable, &[link]);
     let got = instance.get("/r/x", "q1", "").await;
     assert_eq!(status(&got), "502", "{got}");
 }
 
-/// Guards against an answer without a length that is cut at the engine and looks complete when it comes through a peer.
+/// Guards against an answer without a length that is truncated by the engine and looks complete when relayed by a peer.
 #[actix_web::test]
 async fn answer_cut_not_whole() {
     for (end, expected) in [(Action::Close, "200"), (Action::Reset, "502")] {
@@ -237,23 +237,23 @@
             vec![Action::Send(head + "text"), end.clone()]
         })
         .await;
-        let (dead, ..) = dead_address(Cut::Refused).await;
+        let (unreachable, ..) = unreachable_address(ConnectFailure::Refused).await;
         let instance = Instance::start(RouteKind::Once, &[], |_| {});
         let peer = Peer::new(Some(engine.address()));
-        detach(&instance, dead, &[peer.start(&instance).await]);
+        detach(&instance, unreachable, &[peer.start(&instance).await]);
         let got = instance.get("/r/x", "q1", "").await;
         assert_eq!(status(&got), expected, "{got}");
     }
 }
 
-/// Guards against an engine that works for a caller that has left an instance which reaches the engine through a peer.
+/// Guards against an engine that computes for a caller that has disconnected from an instance that uses a tunnel.
 #[actix_web::test]
 async fn caller_left() {
     let engine = ScriptedEngine::start(|_, _| vec![Action::Hold]).await;
-    let (dead, ..) = dead_address(Cut::Refused).await;
+    let (unreachable, ..) = unreachable_address(ConnectFailure::Refused).await;
     let instance = Instance::start(RouteKind::Once, &[], |_| {});
     let peer = Peer::new(Some(engine.address()));
-    detach(&instance, dead, &[peer.start(&instance).await]);
+    detach(&instance, unreachable, &[peer.start(&instance).await]);
     let mut caller = instance.connect().await;
     caller
         .send("GET /r/x HTTP/1.1\r\nhost: shop.example\r\nx-request: q\r\n\r\n")
@@ -263,29 +263,29 @@
     engine.wait_for(|log| log.disconnects == 1).await;
 }
 
-/// Guards against a request that is passed around between instances none of which reaches the engine, or held until its
+/// Guards against a request that is forwarded between instances none of which reaches the engine, or held until its
 /// deadline: each peer is asked once, and the refusal says that nothing was executed.
 #[actix_web::test]
 async fn refused_if_no_peer_reaches() {
-    let (dead, ..) = dead_address(Cut::Refused).await;
+    let (unreachable, ..) = unreachable_address(ConnectFailure::Refused).await;
     let instance = Instance::start(RouteKind::Once, &[], |_| {});
     let (one, other) = (Peer::new(None), Peer::new(None));
     let peers = [one.start(&instance).await, other.start(&instance).await];
-    detach(&instance, dead, &peers);
+    detach(&instance, unreachable, &peers);
     let got = instance.get("/r/x", "q1", "x-deadline: 5000\r\n").await;
     assert_eq!(status(&got), "503", "{got}");
     assert_eq!([one.asked.get(), other.asked.get()], [1, 1]);
 }
 
-/// Guards against requests that go on through peers when the instance reaches its engine again.
+/// Guards against requests that still use tunnels after the instance reaches its engine directly again.
 #[actix_web::test]
 async fn direct_again() {
     let engine = ScriptedEngine::start(|_, request| vec![answer(request, "whole")]).await;
-    let (dead, ..) = dead_address(Cut::Refused).await;
+    let (unreachable, ..) = unreachable_address(ConnectFailure::Refused).await;
     let instance = Instance::start(RouteKind::Idempotent, &[], |_| {});
     let peer = Peer::new(Some(engine.address()));
     let peers = [peer.start(&instance).await];
-    detach(&instance, dead, &peers);
+    detach(&instance, unreachable, &peers);
     assert_eq!(status(&instance.get("/r/x", "q1", "").await), "200");
     let is_detached = || {
         let now = clock::now();
@@ -309,6 +309,24 @@
     assert_eq!(peer.asked.get(), asked);
 }
 
+/// Guards against an instance that gets no requests because it has lost its engines, and that therefore never detects
+/// that it reaches them again.
+#[actix_web::test]
+async fn direct_again_without_requests() {
+    let engine = ScriptedEngine::start(|_, request| vec![answer(request, "whole")]).await;
+    let (unreachable, ..) = unreachable_address(ConnectFailure::Refused).await;
+    let instance = Instance::start(RouteKind::Idempotent, &[], |_| {});
+    let peer = Peer::new(Some(engine.address()));
+    let peers = [peer.start(&instance).await];
+    detach(&instance, unreachable, &peers);
+    assert_eq!(status(&instance.get("/r/x", "q1", "").await), "200");
+    detach(&instance, engine.address(), &peers);
+    let detached = || instance.shared.traffic().reachability.detached(clock::now());
+    assert_eq!(detached(), [EngineKey(0)]);
+    wait_until(|| detached().is_empty()).await;
+    assert_eq!(engine.log().requests.len(), 1);
+}
+
 /// Guards against requests that are all sent on idle connections which hang since the links were cut: after the first
 /// one without an answer, the others are closed.
 #[actix_web::test]
@@ -324,8 +342,43 @@
     assert_eq!(status(&instance.get("/r/x", "q0", "").await), "200");
     assert_eq!(status(&instance.get("/r/x", "q1", "").await), "504");
     let engine = ScriptedEngine::start(|_, request| vec![answer(request, "whole")]).await;
-    let (dead, ..) = dead_address(Cut::Refused).await;
+    let (unreachable, ..) = unreachable_address(ConnectFailure::Refused).await;
     let peer = Peer::new(Some(engine.address()));
-    detach(&instance, dead, &[peer.start(&instance).await]);
+    detach(&instance, unreachable, &[peer.start(&instance).await]);
     assert_eq!(status(&instance.get("/r/x", "q2", "").await), "200");
 }
+
+/// Guards against an instance that connects to arbitrary addresses for its peers, or that chains tunnels: it connects
+/// directly, and only to engines that it knows and can reach.
+#[actix_web::test]
+async fn connects_only_directly() {
+    let engine = ScriptedEngine::start(|_, _| vec![Action::Hold]).await;
+    let stranger = ScriptedEngine::start(|_, _| vec![Action::Hold]).await;
+    let instance = Instance::start(RouteKind::Once, &[(&engine, Stage::Whole)], |_| {});
+    let shared = &instance.shared;
+    assert!(connect::for_peer(shared, stranger.address()).await.is_none());
+    assert!(connect::for_peer(shared, engine.address()).await.is_some());
+    {
+        let (now, mut traffic) = (clock::now(), shared.traffic());
+        traffic.reachability.on_direct_failed(now, EngineKey(0));
+        traffic.reachability.on_connected(now, EngineKey(0), Path::Tunnel);
+    }
+    assert!(connect::for_peer(shared, engine.address()).await.is_none());
+    assert_eq!(stranger.log().connections, 0);
+}
+
+/// Guards against a shutdown that aborts requests relayed for a peer: the instance waits for them and opens no more
+/// tunnels.
+#[actix_web::test]
+async fn shutdown_waits_for_tunnels() {
+    let engine = ScriptedEngine::start(|_, _| vec![Action::Hold]).await;
+    let instance = Instance::start(RouteKind::Once, &[(&engine, Stage::Whole)], |_| {});
+    let shared = &instance.shared;
+    let tunnel = connect::for_peer(shared, engine.address()).await;
+    assert!(tunnel.is_some());
+    assert_eq!(shared.running(), 1);
+    shared.leave(clock::now());
+    assert!(connect::for_peer(shared, engine.address()).await.is_none());
+    drop(tunnel);
+    assert_eq!(shared.running(), 0);
+}
