--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -6,9 +6,9 @@
 //! exchanges load and status with the other instances; `counted` counts the calls to the store. [`lead`] holds the
 //! lease of the leader, the one instance that calls the cloud API for all through `cloud`: `usage` reports the usage,
 //! `scaling` orders engines. These tasks publish a view that the traffic thread reads: [`server`] accepts requests,
-//! `head` parses their heads, [`forward`] makes the attempts, `pick` chooses engines, `connect` connects to them,
-//! `reading` has prefills computed, [`stream`] passes events on, `idle` closes connections that are no longer used and
-//! probes detached engines. `gauges` sets the gauges on the page of metrics.
+//! `head` parses their heads, [`forward`] makes the attempts, `retries` decides what follows each, `pick` chooses
+//! engines, [`connect`] connects to them, `reading` has prefills computed, [`stream`] passes events on, `idle` closes
+//! connections that are no longer used and probes detached engines. `gauges` sets the gauges on the page of metrics.
 
 mod cloud;
 pub mod connect;
@@ -28,6 +28,7 @@
 mod reading;
 pub mod register;
 pub mod reply;
+mod retries;
 mod scaling;
 pub mod send;
 pub mod server;
--- /dev/null
+++ b/src/ops/relay/retries.rs
@@ -0,0 +1,175 @@
+//! What follows the end of an attempt: its records, and whether another attempt may be made.
+
+use std::pin::pin;
+use std::time::Duration;
+
+use sequoiastream_core::attempt::End;
+use sequoiastream_core::attempt::NextStep;
+use sequoiastream_core::log_event;
+use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_core::relay::suspects::CrashNote;
+use sequoiastream_core::retry;
+use tokio::time::timeout;
+
+use crate::log_event;
+use crate::ops::relay::forward::ForwardedRequest;
+use crate::ops::relay::pick::MAX_LOAD_FACTOR;
+use crate::ops::relay::reply::Reply;
+use crate::ops::relay::send::AttemptFailure;
+use crate::util::clock;
+
+impl ForwardedRequest {
+    /// Counts the end of an attempt in the metrics and in the health of its engine.
+    ///
+    /// Closes the idle connections of an engine that didn't answer. Guards against sending further requests on
+    /// connections that hang.
+    pub fn record_end(&self, engine: &Engine, end: End) {
+        self.shared.metrics.count_attempt(end.label());
+        self.shared
+            .traffic()
+            .load
+            .on_attempt_end(clock::now(), engine.key, end);
+        if end == End::Silent {
+            self.pool.close_idle(engine.entry.address, None);
+        }
+    }
+
+    pub(super) fn log_failure(&self, engine: &Engine, failure: &AttemptFailure, call: &str) {
+        log_event!(info, log_event::ATTEMPT_FAILED, request = self.id(), route = %self.route.name,
+            engine = %engine.entry.id, end = ?failure.end, why = failure.reason, call);
+    }
+
+    /// Handles a failed attempt. Returns `None` if another attempt may follow, otherwise the final answer.
+    pub fn on_failure(&mut self, engine: &Engine, failure: &AttemptFailure) -> Option<Reply> {
+        self.record_failure(engine, failure);
+        self.tried.push(engine.key);
+        match self.may_retry(failure.end) {
+            true => None,
+            false => Some(self.give_up()),
+        }
+    }
+
+    /// Handles the failure of an attempt that has already been counted because its engine was silent. Returns `None` if
+    /// another attempt may follow, otherwise the final answer.
+    pub(super) fn on_failure_after_silence(
+        &self,
+        engine: &Engine,
+        failure: &AttemptFailure,
+    ) -> Option<Reply> {
+        self.record_failure(engine, failure);
+        let may_retry = self.attempts.next_step() == NextStep::Retry && !self.incoming.time_left().is_zero();
+        match may_retry && self.take_extra_attempt() {
+            true => None,
+            false => Some(self.give_up()),
+        }
+    }
+
+    fn record_failure(&self, engine: &Engine, failure: &AttemptFailure) {
+        self.log_failure(engine, failure, "send");
+        self.record_end(engine, failure.end);
+        self.record_crash(engine, failure.end);
+    }
+
+    /// Records that an engine broke off this request, which may have crashed it.
+    fn record_crash(&self, engine: &Engine, end: End) {
+        let Some(request) = self.incoming.fingerprint.filter(|_| end == End::Broken) else {
+            return;
+        };
+        let engine = engine.hash;
+        let mut ledger = self.shared.traffic();
+        ledger
+            .suspects
+            .on_engine_broke(clock::now(), CrashNote { request, engine });
+    }
+
+    /// Records an attempt that was cancelled before its result was known, and discards its prefill and its reservation.
+    /// The engine may have run the request.
+    pub(super) fn on_attempt_cancelled(&mut self) {
+        self.attempts.on_end(End::Silent);
+        self.prefilled = None;
+        self.reserved = None;
+    }
+
+    /// Whether another attempt may follow one that ended with `end`. Depends on whether the request may have run, and
+    /// on the instance's share of the budget of extra attempts.
+    pub(super) fn may_retry(&mut self, end: End) -> bool {
+        if self.attempts.on_end(end) != NextStep::Retry || self.incoming.time_left().is_zero() {
+            return false;
+        }
+        !self.attempts.next_is_retry() || self.take_extra_attempt()
+    }
+
+    /// How long to wait for an answer that is expected after `expected` before asking another engine. `None` if no
+    /// further attempt may follow, so that only the request's own time limit applies.
+    ///
+    /// Failure guarded against: an engine accepts a request and never answers, and all of the caller's time is spent
+    /// waiting for it.
+    pub fn attempt_timeout(&self, expected: Duration) -> Option<Duration> {
+        let left = self.incoming.time_left();
+        let may_retry = self.attempts.allows_another();
+        may_retry.then(|| retry::first_token_timeout(left, expected, 0))
+    }
+
+    /// Awaits an attempt at `engine`. After each `attempt_timeout`, the attempt is cancelled if another engine can be
+    /// asked and the budget has an extra attempt. Otherwise it continues, at most until the request's own time limit.
+    ///
+    /// Guards against a request that fails because its engine was briefly silent, although no other engine could be
+    /// asked.
+    pub(super) async fn with_attempt_timeout<T, F>(
+        &self,
+        engine: &Engine,
+        attempt_timeout: Option<Duration>,
+        attempt: F,
+    ) -> Result<T, AttemptFailure>
+    where
+        F: Future<Output = Result<T, AttemptFailure>>,
+    {
+        let mut attempt = pin!(attempt);
+        while let Some(attempt_timeout) = attempt_timeout.filter(|limit| !limit.is_zero()) {
+            match timeout(attempt_timeout, &mut attempt).await {
+                Ok(result) => return result,
+                Err(_) if self.reserve_extra_attempt(engine) => {
+                    return Err(AttemptFailure::new(
+                        End::Silent,
+                        "no answer within the time limit",
+                    ));
+                }
+                Err(_) => {}
+            }
+        }
+        attempt.await
+    }
+
+    /// Takes an extra attempt from the budget in advance, for a retry at another engine than `engine`; `false` if there
+    /// is no such engine with room, or the budget is exhausted.
+    pub(super) fn reserve_extra_attempt(&self, engine: &Engine) -> bool {
+        let is_other = |e: &&Engine| {
+            e.key != engine.key && e.entry.stage == engine.entry.stage && !self.tried.contains(&e.key)
+        };
+        let other = self.select(|selector, engines| {
+            let mut others = engines.iter().filter(is_other);
+            others.find(|e| !selector.is_full(e, MAX_LOAD_FACTOR)).map(|_| ())
+        });
+        let is_reserved = other.is_some() && self.take_extra_attempt();
+        self.attempt_reserved.set(is_reserved);
+        is_reserved
+    }
+
+    /// Takes an extra attempt from the budget that all instances share; `false` if the budget is exhausted.
+    pub(super) fn take_extra_attempt(&self) -> bool {
+        if self.attempt_reserved.take() {
+            return true;
+        }
+        let Some(service) = &self.service else {
+            return false;
+        };
+        let instances = self.shared.view.load().instances;
+        let allowed = self
+            .shared
+            .traffic()
+            .budget
+            .try_take(clock::now(), service, instances);
+        self.shared.metrics.count_extra(allowed);
+        allowed
+    }
+}
