--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod book;
 mod budget;
+mod confirmations;
 mod digest;
 mod directory;
 mod engine;
