--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -80,8 +80,8 @@
     outcome_counted: Cell<bool>,
     /// Whether the next attempt has already been taken from the budget of extra attempts.
     pub(super) attempt_reserved: Cell<bool>,
-    /// Notified when the request is about to be sent to the engine that is to generate the answer.
-    pub(super) generation_sent: Rc<Notify>,
+    /// Notified when the request is about to be sent to the engine that is to answer.
+    pub(super) request_sent: Rc<Notify>,
     /// Random value derived from the request id, used to choose a service and to break ties between engines.
     pub(super) draw: u64,
 }
@@ -125,7 +125,7 @@
             started: false,
             outcome_counted: Cell::new(false),
             attempt_reserved: Cell::new(false),
-            generation_sent: Rc::new(Notify::new()),
+            request_sent: Rc::new(Notify::new()),
             draw,
             route,
         }
@@ -269,18 +269,7 @@
     async fn exchange(&self, engine: &Engine) -> Result<(Answer, Bytes), AttemptFailure> {
         let attempt_timeout = self.attempt_timeout(Duration::ZERO);
         let options = AttemptOptions::default();
-        let channel = connect::for_request(&self.shared, &self.pool, &self.incoming, engine).await?;
-        let attempt = send(
-            &self.shared,
-            &self.pool,
-            &self.incoming,
-            engine,
-            channel,
-            &options,
-        );
-        let mut answer = self
-            .with_attempt_timeout(engine, attempt_timeout, attempt)
-            .await?;
+        let mut answer = self.send_to(engine, attempt_timeout, &options).await?;
         let body = answer.read(MAX_ANSWER_BYTES, self.incoming.time_left()).await?;
         Ok((answer, body))
     }
@@ -324,9 +313,7 @@
             last_event,
             ..AttemptOptions::default()
         };
-        let sent = self
-            .send_generation_request(engine, attempt_timeout, &options)
-            .await;
+        let sent = self.send_to(engine, attempt_timeout, &options).await;
         let is_not_run = sent.as_ref().is_err_and(|failure| failure.end.proves_not_run());
         if !is_not_run && let Some(mut prefilled) = self.prefilled.take() {
             prefilled.taken = true;
@@ -335,16 +322,16 @@
         self.with_attempt_timeout(engine, attempt_timeout, opened).await
     }
 
-    /// Connects to the engine that is to generate the answer, sends the request and returns the head of the answer.
-    /// `attempt_timeout` doesn't include the time to connect.
-    async fn send_generation_request(
+    /// Connects to the engine that is to answer, sends the request and returns the head of the answer. `attempt_timeout`
+    /// doesn't include the time to connect.
+    async fn send_to(
         &self,
         engine: &Engine,
         attempt_timeout: Option<Duration>,
         options: &AttemptOptions,
     ) -> Result<Answer, AttemptFailure> {
         let channel = connect::for_request(&self.shared, &self.pool, &self.incoming, engine).await?;
-        self.generation_sent.notify_one();
+        self.request_sent.notify_one();
         let attempt = send(&self.shared, &self.pool, &self.incoming, engine, channel, options);
         self.with_attempt_timeout(engine, attempt_timeout, attempt).await
     }
--- a/src/ops/relay/stream.rs
+++ b/src/ops/relay/stream.rs
@@ -311,10 +311,10 @@
         while reply.is_none()
             && let Some(silent) = previous.take()
         {
-            let generation_sent = Rc::new(Notify::new());
-            self.forward.generation_sent = generation_sent.clone();
+            let request_sent = Rc::new(Notify::new());
+            self.forward.request_sent = request_sent.clone();
             let attempt = self.forward.open(self.last_event);
-            let (remaining, result) = race_silent(silent, &generation_sent, attempt).await;
+            let (remaining, result) = race_silent(silent, &request_sent, attempt).await;
             previous = remaining;
             let Some(result) = result else {
                 self.forward.on_attempt_cancelled();
@@ -334,11 +334,11 @@
 }
 
 /// Waits until a silent stream continues or the attempt to replace it has a result. The silent stream is closed if it
-/// fails, or [`MAX_OVERLAP`] after `generation_sent` is notified. Returns the silent stream unless it was closed, and
+/// fails, or [`MAX_OVERLAP`] after `request_sent` is notified. Returns the silent stream unless it was closed, and
 /// the result unless the attempt was cancelled because the silent stream continues.
 async fn race_silent<F>(
     mut silent: OpenedStream,
-    generation_sent: &Notify,
+    request_sent: &Notify,
     attempt: F,
 ) -> (Option<OpenedStream>, Option<Result<OpenedStream, Option<Reply>>>)
 where
@@ -346,7 +346,7 @@
 {
     let mut attempt = pin!(attempt);
     let overlap_end = async {
-        generation_sent.notified().await;
+        request_sent.notified().await;
         sleep(MAX_OVERLAP).await;
     };
     let continues = tokio::select! {
