--- a/crates/core/src/relay/reachability.rs
+++ b/crates/core/src/relay/reachability.rs
@@ -174,14 +174,18 @@
 
     /// The engines that this instance currently reaches only through a peer.
     pub fn detached(&self, now: Time) -> Vec<EngineKey> {
+        self.detached_keys(now).collect()
+    }
+
+    fn detached_keys(&self, now: Time) -> impl Iterator<Item = EngineKey> {
         let states = self.engines.iter();
-        let detached = states.filter(|(_, state)| state.is_detached(now));
-        detached.map(|(key, _)| key).collect()
+        let detached = states.filter(move |(_, state)| state.is_detached(now));
+        detached.map(|(key, _)| key)
     }
 
     /// Number of engines that this instance currently reaches only through a peer.
     pub fn detached_count(&self, now: Time) -> usize {
-        self.detached(now).len()
+        self.detached_keys(now).count()
     }
 
     /// Whether this instance has lost its engines, of which `engines` get work: it is so once at least half of them are
--- a/src/ops/relay/peers/roster.rs
+++ b/src/ops/relay/peers/roster.rs
@@ -137,14 +137,11 @@
     /// whether it changed.
     pub(super) fn update_detached(&self, now: Time) -> bool {
         let engines = self.0.shared.view.load().keys().len();
-        let (lost, detached) = {
-            let reachability = &mut self.0.shared.traffic().reachability;
-            let lost = reachability.lost_engines(now, engines);
-            (lost, reachability.detached_count(now))
-        };
+        let lost = self.0.shared.traffic().reachability.lost_engines(now, engines);
         if self.0.detached.replace(lost) == lost {
             return false;
         }
+        let detached = self.0.shared.traffic().reachability.detached_count(now);
         match lost {
             true => log_event!(warn, log_event::ENGINES_LOST, detached, engines),
             false => log_event!(info, log_event::ENGINES_REGAINED, detached, engines),
--- a/tests/testsuite/relay/engine.rs
+++ b/tests/testsuite/relay/engine.rs
@@ -7,6 +7,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::watch;
@@ -207,3 +208,51 @@
 pub fn event(id: u64) -> String {
     format!("id: {id}\ndata: token {id}\n\n")
 }
+
+/// An address to which connections fail for as long as this exists.
+#[derive(Debug)]
+pub struct UnreachableAddress {
+    /// The address.
+    pub address: SocketAddr,
+    /// Keeps the port from being assigned to others.
+    _socket: Option<TcpSocket>,
+    _listener: Option<TcpListener>,
+    _accepted: Option<TcpStream>,
+}
+
+impl UnreachableAddress {
+    fn bind() -> TcpSocket {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket
+            .bind("127.0.0.1:0".parse().expect("an address"))
+            .expect("a free port");
+        socket
+    }
+
+    /// An address that refuses connections: nothing listens there.
+    pub fn refusing() -> UnreachableAddress {
+        let socket = UnreachableAddress::bind();
+        UnreachableAddress {
+            address: socket.local_addr().expect("a bound socket"),
+            _socket: Some(socket),
+            _listener: None,
+            _accepted: None,
+        }
+    }
+
+    /// An address to which connections stay pending, like that of a host that can't be reached.
+    pub async fn hanging() -> UnreachableAddress {
+        let listener = UnreachableAddress::bind().listen(0).expect("a bound socket");
+        let address = listener.local_addr().expect("a bound listener");
+        // Fills the accept queue, so that further connections stay pending.
+        let accepted = TcpStream::connect(address)
+            .await
+            .expect("a free place in the accept queue");
+        UnreachableAddress {
+            address,
+            _socket: None,
+            _listener: Some(listener),
+            _accepted: Some(accepted),
+        }
+    }
+}
--- a/tests/testsuite/relay/silence.rs
+++ b/tests/testsuite/relay/silence.rs
@@ -12,15 +12,13 @@
 use sequoiastream_core::relay::engines::Entry;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::routes::RouteKind;
-use tokio::net::TcpListener;
-use tokio::net::TcpSocket;
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 use super::answers::event_stream;
 use super::engine::Action;
 use super::engine::ReceivedRequest;
 use super::engine::ScriptedEngine;
+use super::engine::UnreachableAddress;
 use super::engine::answer;
 use super::engine::chunk;
 use super::engine::decline;
@@ -38,33 +36,6 @@
 /// Longer than the connection to a silent engine stays open after the request is sent to another engine.
 const PAST_OVERLAP: Duration = Duration::from_millis(350);
 
-/// An address to which connections stay pending, like that of a host that can't be reached.
-struct UnreachableAddress {
-    address: SocketAddr,
-    _listener: TcpListener,
-    _accepted: TcpStream,
-}
-
-impl UnreachableAddress {
-    async fn start() -> UnreachableAddress {
-        let socket = TcpSocket::new_v4().expect("a socket");
-        socket
-            .bind("127.0.0.1:0".parse().expect("an address"))
-            .expect("a free port");
-        let listener = socket.listen(0).expect("a bound socket");
-        let address = listener.local_addr().expect("a bound listener");
-        // Fills the accept queue, so that further connections stay pending.
-        let accepted = TcpStream::connect(address)
-            .await
-            .expect("a free place in the accept queue");
-        UnreachableAddress {
-            address,
-            _listener: listener,
-            _accepted: accepted,
-        }
-    }
-}
-
 /// Replaces the address of the service's engine at `index`.
 fn replace_address(instance: &Instance, index: usize, address: SocketAddr) {
     instance.shared.publish(|view| {
@@ -254,7 +225,7 @@
     let notify = Rc::new(Notify::new());
     let silent = pausing_engine(&notify).await;
     let unused = ScriptedEngine::start(|_, request| vec![decline(request)]).await;
-    let unreachable = UnreachableAddress::start().await;
+    let unreachable = UnreachableAddress::hanging().await;
     let engines = [(&silent, Stage::Decode), (&unused, Stage::Decode)];
     let instance = Instance::start(RouteKind::Resumable, &engines, |_| {});
     let change = async {
@@ -361,8 +332,8 @@
 async fn refuse_unreachable() {
     let unused = ScriptedEngine::start(|_, _| vec![Action::Hold]).await;
     let unreachable = [
-        UnreachableAddress::start().await,
-        UnreachableAddress::start().await,
+        UnreachableAddress::hanging().await,
+        UnreachableAddress::hanging().await,
     ];
     let engines = [(&unused, Stage::Whole), (&unused, Stage::Whole)];
     let instance = Instance::start(RouteKind::Idempotent, &engines, |_| {});
--- a/tests/testsuite/relay/tunnels.rs
+++ b/tests/testsuite/relay/tunnels.rs
@@ -28,6 +28,7 @@
 use super::engine::Action;
 use super::engine::ReceivedRequest;
 use super::engine::ScriptedEngine;
+use super::engine::UnreachableAddress;
 use super::engine::answer;
 use super::engine::head;
 use super::instance::Instance;
@@ -95,33 +96,11 @@
     Hanging,
 }
 
-/// An address to which connections fail, and the sockets that must stay open for this.
-async fn unreachable_address(
-    failure: ConnectFailure,
-) -> (SocketAddr, Vec<TcpStream>, Option<std::net::TcpListener>) {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let address = listener.local_addr().expect("a bound listener");
+/// An address to which connections fail in this way.
+async fn unreachable_address(failure: ConnectFailure) -> UnreachableAddress {
     match failure {
-        ConnectFailure::Refused => (address, Vec::new(), None),
-        ConnectFailure::Hanging => {
-            // A listener with a full accept queue drops the packet that opens a connection.
-            let raw = tokio::net::TcpSocket::new_v4().expect("a socket");
-            raw.bind("127.0.0.1:0".parse().expect("an address"))
-                .expect("a port is free");
-            let full = raw
-                .listen(1)
-                .expect("a bound socket")
-                .into_std()
-                .expect("a listener");
-            let address = full.local_addr().expect("a bound listener");
-            let mut waiting = Vec::new();
-            while let Ok(Ok(stream)) =
-                tokio::time::timeout(Duration::from_millis(200), TcpStream::connect(address)).await
-            {
-                waiting.push(stream);
-            }
-            (address, waiting, Some(full))
-        }
+        ConnectFailure::Refused => UnreachableAddress::refusing(),
+        ConnectFailure::Hanging => UnreachableAddress::hanging().await,
     }
 }
 
@@ -165,10 +144,10 @@
                 }]
             })
             .await;
-            let (unreachable, _waiting, _listener) = unreachable_address(failure).await;
+            let unreachable = unreachable_address(failure).await;
             let instance = Instance::start(kind, &[], |_| {});
             let peer = Peer::new(Some(engine.address()));
-            detach(&instance, unreachable, &[peer.start(&instance).await]);
+            detach(&instance, unreachable.address, &[peer.start(&instance).await]);
             let got = instance.get("/r/x", "q1", "x-deadline: 1000\r\n").await;
             assert_eq!(status(&got), "200", "{failure:?} {kind:?} {got}");
             let log = engine.log();
@@ -193,7 +172,7 @@
         vec![Action::Hold]
     })
     .await;
-    let (unreachable, ..) = unreachable_address(ConnectFailure::Refused).await;
+    let unreachable = UnreachableAddress::refusing();
     let instance = Instance::start(RouteKind::Once, &[], |route| route.max_attempts = 3);
     let peer = Peer::new(Some(engine.address()));
     let address = peer.start(&instance).await;
@@ -201,7 +180,7 @@
         breakable_link(address, &lost).await,
         breakable_link(address, &lost).await,
     ];
-    detach(&instance, unreachable, &links);
+    detach(&instance, unreachable.address, &links);
     let got = instance.get("/r/x", "q1", "").await;
     assert_eq!(status(&got), "502", "{got}");
     assert_eq!(engine.log().requests.len(), 1);
@@ -219,11 +198,11 @@
         vec![Action::Send(head + "text"), Action::Hold]
     })
     .await;
-    let (unreachable, ..) = unreachable_address(ConnectFailure::Refused).await;
+    let unreachable = UnreachableAddress::refusing();
     let instance = Instance::start(RouteKind::Once, &[], |_| {});
     let peer = Peer::new(Some(engine.address()));
     let link = breakable_link(peer.start(&instance).await, &lost).await;
-    detach(&instance, unreachable, &[link]);
+    detach(&instance, unreachable.address, &[link]);
     let got = instance.get("/r/x", "q1", "").await;
     assert_eq!(status(&got), "502", "{got}");
 }
@@ -237,10 +216,10 @@
             vec![Action::Send(head + "text"), end.clone()]
         })
         .await;
-        let (unreachable, ..) = unreachable_address(ConnectFailure::Refused).await;
+        let unreachable = UnreachableAddress::refusing();
         let instance = Instance::start(RouteKind::Once, &[], |_| {});
         let peer = Peer::new(Some(engine.address()));
-        detach(&instance, unreachable, &[peer.start(&instance).await]);
+        detach(&instance, unreachable.address, &[peer.start(&instance).await]);
         let got = instance.get("/r/x", "q1", "").await;
         assert_eq!(status(&got), expected, "{got}");
     }
@@ -250,10 +229,10 @@
 #[actix_web::test]
 async fn caller_left() {
     let engine = ScriptedEngine::start(|_, _| vec![Action::Hold]).await;
-    let (unreachable, ..) = unreachable_address(ConnectFailure::Refused).await;
+    let unreachable = UnreachableAddress::refusing();
     let instance = Instance::start(RouteKind::Once, &[], |_| {});
     let peer = Peer::new(Some(engine.address()));
-    detach(&instance, unreachable, &[peer.start(&instance).await]);
+    detach(&instance, unreachable.address, &[peer.start(&instance).await]);
     let mut caller = instance.connect().await;
     caller
         .send("GET /r/x HTTP/1.1\r\nhost: shop.example\r\nx-request: q\r\n\r\n")
@@ -267,11 +246,11 @@
 /// deadline: each peer is asked once, and the refusal says that nothing was executed.
 #[actix_web::test]
 async fn refused_if_no_peer_reaches() {
-    let (unreachable, ..) = unreachable_address(ConnectFailure::Refused).await;
+    let unreachable = UnreachableAddress::refusing();
     let instance = Instance::start(RouteKind::Once, &[], |_| {});
     let (one, other) = (Peer::new(None), Peer::new(None));
     let peers = [one.start(&instance).await, other.start(&instance).await];
-    detach(&instance, unreachable, &peers);
+    detach(&instance, unreachable.address, &peers);
     let got = instance.get("/r/x", "q1", "x-deadline: 5000\r\n").await;
     assert_eq!(status(&got), "503", "{got}");
     assert_eq!([one.asked.get(), other.asked.get()], [1, 1]);
@@ -281,11 +260,11 @@
 #[actix_web::test]
 async fn direct_again() {
     let engine = ScriptedEngine::start(|_, request| vec![answer(request, "whole")]).await;
-    let (unreachable, ..) = unreachable_address(ConnectFailure::Refused).await;
+    let unreachable = UnreachableAddress::refusing();
     let instance = Instance::start(RouteKind::Idempotent, &[], |_| {});
     let peer = Peer::new(Some(engine.address()));
     let peers = [peer.start(&instance).await];
-    detach(&instance, unreachable, &peers);
+    detach(&instance, unreachable.address, &peers);
     assert_eq!(status(&instance.get("/r/x", "q1", "").await), "200");
     let is_detached = || {
         let now = clock::now();
@@ -314,11 +293,11 @@
 #[actix_web::test]
 async fn direct_again_without_requests() {
     let engine = ScriptedEngine::start(|_, request| vec![answer(request, "whole")]).await;
-    let (unreachable, ..) = unreachable_address(ConnectFailure::Refused).await;
+    let unreachable = UnreachableAddress::refusing();
     let instance = Instance::start(RouteKind::Idempotent, &[], |_| {});
     let peer = Peer::new(Some(engine.address()));
     let peers = [peer.start(&instance).await];
-    detach(&instance, unreachable, &peers);
+    detach(&instance, unreachable.address, &peers);
     assert_eq!(status(&instance.get("/r/x", "q1", "").await), "200");
     detach(&instance, engine.address(), &peers);
     let detached = || instance.shared.traffic().reachability.detached(clock::now());
@@ -342,9 +321,9 @@
     assert_eq!(status(&instance.get("/r/x", "q0", "").await), "200");
     assert_eq!(status(&instance.get("/r/x", "q1", "").await), "504");
     let engine = ScriptedEngine::start(|_, request| vec![answer(request, "whole")]).await;
-    let (unreachable, ..) = unreachable_address(ConnectFailure::Refused).await;
+    let unreachable = UnreachableAddress::refusing();
     let peer = Peer::new(Some(engine.address()));
-    detach(&instance, unreachable, &[peer.start(&instance).await]);
+    detach(&instance, unreachable.address, &[peer.start(&instance).await]);
     assert_eq!(status(&instance.get("/r/x", "q2", "").await), "200");
 }
 
