Hold a silent engine before the first byte until another one delivers

What callers saw: a request whose engine was silent for half a second was answered 502, because the other engine that was asked instead declined or failed it, although the first engine would have answered. Between the events of a stream this was mended before; up to the first byte the silent engine was still closed before anything was known of the other one.

Cause: two mechanisms. Attempts up to the first byte borrowed the state of the request, so that none could be held while another was made.

Change: an attempt owns what it needs (relay::attempt), and one mechanism (relay::deliver) makes attempts until an engine delivers an answer, its first event or its next event. A silent attempt stays open while another one is made, at most 300 ms after that one was sent; the first that delivers is used, and if the other one fails or none may follow, the request stays with the silent engine. A server error of the other engine counts as such a failure while the silent one is held.

A request whose engine never answers and whose other engine declines now waits for the first engine until its own time limit, where it was answered 502 at once.

--- /dev/null
+++ b/src/ops/relay/attempt.rs
@@ -0,0 +1,298 @@
+//! One attempt at a request: from its send to an engine to the end of that engine's answer.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use sequoiastream_core::attempt::End;
+use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_core::time::Time;
+use sequoiastream_upstream::channel::Answer;
+use sequoiastream_upstream::channel::Channel;
+use sequoiastream_upstream::channel::Pool;
+use sequoiastream_upstream::events::Event;
+use sequoiastream_upstream::events::EventReader;
+
+use crate::ops::relay::pick::JobGuard;
+use crate::ops::relay::reading::PrefilledPrompt;
+use crate::ops::relay::send::AttemptFailure;
+use crate::ops::relay::send::AttemptOptions;
+use crate::ops::relay::send::IncomingRequest;
+use crate::ops::relay::send::MAX_ANSWER_BYTES;
+use crate::ops::relay::send::end_of;
+use crate::ops::relay::send::send;
+use crate::ops::relay::shared::Shared;
+
+/// An attempt whose request is being sent or was sent to an engine. Dropping it closes the connection.
+pub struct ActiveAttempt {
+    engine: Rc<Engine>,
+    job: JobGuard,
+    source: Source,
+    progress: Progress,
+    /// How long the engine may be silent before it delivers, if another attempt may follow.
+    silence_limit: Option<Duration>,
+    /// When the engine was chosen.
+    started: Time,
+    /// The result of a prefill that the engine was told to fetch, until the engine answers.
+    prefilled: Option<PrefilledPrompt>,
+    /// Whether the attempt has been counted as one whose engine was silent.
+    counted: bool,
+    /// Whether the engine has delivered an answer or an event.
+    delivered: bool,
+}
+
+/// What an attempt needs besides its engine and its connection.
+pub(super) struct AttemptParts {
+    pub(super) shared: Arc<Shared>,
+    pub(super) pool: Pool,
+    pub(super) incoming: Rc<IncomingRequest>,
+    pub(super) prefilled: Option<PrefilledPrompt>,
+    pub(super) last_event: Option<u64>,
+    pub(super) is_stream: bool,
+    pub(super) silence_limit: Option<Duration>,
+    pub(super) started: Time,
+}
+
+/// Where the answer comes from.
+enum Source {
+    /// The request is being sent, or the head of the answer has not arrived.
+    Sent(LocalBoxFuture<'static, Result<Source, AttemptFailure>>),
+    /// A stream of events.
+    Events(Box<(Answer, EventReader)>),
+    /// A successful answer that is not a stream; its body has not been read.
+    Body(Box<Answer>),
+    /// A complete answer whose status is not a success.
+    Error(Box<(Answer, Bytes)>),
+}
+
+/// What has been received and not yet taken from the attempt.
+enum Progress {
+    /// Nothing.
+    Waiting,
+    /// The head of a stream.
+    Head,
+    /// An event of a stream; `None` for its proper end.
+    Event(Option<Event>),
+    /// The head of an answer that is not a stream, and its body unless that is a success.
+    Answer,
+}
+
+impl ActiveAttempt {
+    /// Sends the request on `channel` once the attempt is first awaited.
+    pub(super) fn new(engine: Engine, job: JobGuard, channel: Channel, parts: AttemptParts) -> ActiveAttempt {
+        let engine = Rc::new(engine);
+        let options = AttemptOptions {
+            prompt_source: parts.prefilled.as_ref().map(PrefilledPrompt::source),
+            last_event: parts.last_event,
+            ..AttemptOptions::default()
+        };
+        let AttemptParts {
+            shared,
+            pool,
+            incoming,
+            is_stream,
+            ..
+        } = parts;
+        let target = engine.clone();
+        let sent = async move {
+            let mut answer = send(&shared, &pool, &incoming, &target, channel, &options).await?;
+            if !answer.head.status.is_success() {
+                let body = answer.read(MAX_ANSWER_BYTES, incoming.time_left()).await?;
+                return Ok(Source::Error(Box::new((answer, body))));
+            }
+            Ok(match is_stream {
+                true => Source::Events(Box::new((answer, EventReader::new()))),
+                false => Source::Body(Box::new(answer)),
+            })
+        };
+        ActiveAttempt {
+            engine,
+            job,
+            source: Source::Sent(sent.boxed_local()),
+            progress: Progress::Waiting,
+            silence_limit: parts.silence_limit,
+            started: parts.started,
+            prefilled: parts.prefilled,
+            counted: false,
+            delivered: false,
+        }
+    }
+
+    /// The engine that the request was sent to.
+    pub fn engine(&self) -> &Rc<Engine> {
+        &self.engine
+    }
+
+    /// When the engine was chosen.
+    pub(super) fn started(&self) -> Time {
+        self.started
+    }
+
+    /// How long the engine may be silent before it delivers, if another attempt may follow.
+    pub(super) fn silence_limit(&self) -> Option<Duration> {
+        self.silence_limit
+    }
+
+    /// Whether an answer, its next event or its end has been received.
+    pub(super) fn is_ready(&self) -> bool {
+        matches!(self.progress, Progress::Event(_) | Progress::Answer)
+    }
+
+    /// Waits until [`Self::is_ready`]. Nothing is lost if the future is dropped.
+    ///
+    /// # Errors
+    ///
+    /// [`AttemptFailure`] if the answer ends before that.
+    pub(super) async fn ready(&mut self) -> Result<(), AttemptFailure> {
+        while !self.is_ready() {
+            self.advance().await?;
+        }
+        Ok(())
+    }
+
+    /// Waits for the head of the answer or, after it, for the next event of a stream. Nothing is lost if the future is
+    /// dropped.
+    ///
+    /// # Errors
+    ///
+    /// [`AttemptFailure`] if the answer ends before that.
+    pub(super) async fn advance(&mut self) -> Result<(), AttemptFailure> {
+        match &mut self.source {
+            Source::Sent(sent) => {
+                self.source = sent.await?;
+                self.progress = match &self.source {
+                    Source::Events(_) => Progress::Head,
+                    _ => Progress::Answer,
+                };
+            }
+            Source::Events(stream) => {
+                let (answer, reader) = stream.as_mut();
+                self.progress = Progress::Event(next_event(answer, reader).await?);
+            }
+            Source::Body(_) | Source::Error(_) => {}
+        }
+        Ok(())
+    }
+
+    /// Takes the event that was received; `None` if the stream has ended properly.
+    pub(super) fn take_event(&mut self) -> Option<Event> {
+        match std::mem::replace(&mut self.progress, Progress::Head) {
+            Progress::Event(event) => event,
+            _ => None,
+        }
+    }
+
+    /// The complete answer if its status is not a success.
+    pub(super) fn error_body(&self) -> Option<&Bytes> {
+        match &self.source {
+            Source::Error(error) => Some(&error.1),
+            _ => None,
+        }
+    }
+
+    /// The answer, once its head has been received.
+    pub(super) fn answer(&self) -> Option<&Answer> {
+        match &self.source {
+            Source::Sent(_) => None,
+            Source::Events(stream) => Some(&stream.0),
+            Source::Body(answer) => Some(answer),
+            Source::Error(error) => Some(&error.0),
+        }
+    }
+
+    /// Whether the engine answered with a server error.
+    pub(super) fn is_failure(&self) -> bool {
+        self.answer().is_some_and(|answer| end_of(answer) == End::Failed)
+    }
+
+    /// Reads the body of an answer that is not a stream, within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// [`AttemptFailure`] if the body is incomplete or too long.
+    pub(super) async fn read_body(&mut self, limit: Duration) -> Result<Bytes, AttemptFailure> {
+        match &mut self.source {
+            Source::Error(error) => Ok(error.1.clone()),
+            Source::Body(answer) => Ok(answer.read(MAX_ANSWER_BYTES, limit).await?),
+            Source::Sent(_) | Source::Events(_) => {
+                Err(AttemptFailure::new(End::Broken, "the answer has no single body"))
+            }
+        }
+    }
+
+    /// Ends the attempt and returns its connection to the pool if it can be reused.
+    pub(super) fn finish(self, pool: &Pool) {
+        let address = self.engine.entry.address;
+        match self.source {
+            Source::Sent(_) => {}
+            Source::Events(stream) => pool.keep(address, stream.0),
+            Source::Body(answer) => pool.keep(address, *answer),
+            Source::Error(error) => pool.keep(address, error.0),
+        }
+    }
+
+    /// Closes the connection and returns the result of the prefill.
+    pub(super) fn close(self) -> Option<PrefilledPrompt> {
+        self.prefilled
+    }
+
+    /// Records that the engine may have fetched the result of the prefill.
+    pub(super) fn take_prefilled(&mut self) {
+        if let Some(mut prefilled) = self.prefilled.take() {
+            prefilled.taken = true;
+        }
+    }
+
+    /// Whether the attempt has been counted as one whose engine was silent.
+    pub(super) fn is_counted(&self) -> bool {
+        self.counted
+    }
+
+    /// Marks the attempt as counted because its engine was silent.
+    pub(super) fn set_counted(&mut self) {
+        self.counted = true;
+    }
+
+    /// Whether the engine has delivered an answer or an event.
+    pub(super) fn has_delivered(&self) -> bool {
+        self.delivered
+    }
+
+    /// Records that the engine has delivered an answer or an event.
+    pub(super) fn set_delivered(&mut self) {
+        self.delivered = true;
+    }
+
+    /// Records that the engine has completed the prefill.
+    pub(super) fn finish_prefill(&self) {
+        self.job.finish_prefill();
+    }
+}
+
+/// Returns the next event of a stream, or `None` if the stream ended properly.
+async fn next_event(answer: &mut Answer, reader: &mut EventReader) -> Result<Option<Event>, AttemptFailure> {
+    loop {
+        if let Some(event) = reader.next_event() {
+            return Ok(Some(event));
+        }
+        if reader.is_too_long() {
+            return Err(AttemptFailure::new(
+                End::Broken,
+                "an event exceeds the size limit",
+            ));
+        }
+        match answer.next().await? {
+            Some(data) => reader.push(&data),
+            None if reader.has_rest() => {
+                return Err(AttemptFailure::new(
+                    End::Broken,
+                    "the stream ended within an event",
+                ));
+            }
+            None => return Ok(None),
+        }
+    }
+}
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -15,35 +15,29 @@
 use http::header;
 use sequoiastream_core::attempt::AttemptLimit;
 use sequoiastream_core::attempt::Attempts;
-use sequoiastream_core::attempt::End;
 use sequoiastream_core::log_event;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::hash::Hash;
 use sequoiastream_core::relay::routes::Route;
 use sequoiastream_core::time::Time;
-use sequoiastream_upstream::channel::Answer;
 use sequoiastream_upstream::channel::Pool;
 use tokio::sync::Notify;
 
 use crate::log_event;
+use crate::ops::relay::attempt::ActiveAttempt;
+use crate::ops::relay::attempt::AttemptParts;
 use crate::ops::relay::connect;
-use crate::ops::relay::pick::JobGuard;
 use crate::ops::relay::pick::MAX_LOAD_FACTOR;
 use crate::ops::relay::reading::PrefilledPrompt;
 use crate::ops::relay::reply::Reply;
 use crate::ops::relay::reply::max_retry_after;
-use crate::ops::relay::send::AttemptFailure;
-use crate::ops::relay::send::AttemptOptions;
 use crate::ops::relay::send::IncomingRequest;
-use crate::ops::relay::send::MAX_ANSWER_BYTES;
 use crate::ops::relay::send::end_of;
-use crate::ops::relay::send::send;
 use crate::ops::relay::shared::Running;
 use crate::ops::relay::shared::Shared;
 use crate::ops::relay::shared::View;
 use crate::ops::relay::stream;
-use crate::ops::relay::stream::OpenedStream;
 use crate::util::clock;
 use crate::util::metrics::RouteLabels;
 
@@ -58,7 +52,7 @@
     /// The route that the request matches.
     pub route: Arc<Route>,
     /// The request as received from the caller.
-    pub incoming: IncomingRequest,
+    pub incoming: Rc<IncomingRequest>,
     /// Priority; 0 is served first.
     pub priority: u8,
     /// Record of the attempts so far.
@@ -76,8 +70,12 @@
     running: Option<Running>,
     /// Whether an engine has started the request, so that it has been counted for its workspace.
     started: bool,
+    /// Whether a part of a stream has been passed on to the caller.
+    pub(super) answer_begun: bool,
     /// Whether the outcome has been counted in the metrics.
     outcome_counted: Cell<bool>,
+    /// Engine and reason of the last failed attempt, for the log.
+    pub(super) last_failure: Option<(String, String)>,
     /// Whether the next attempt has already been taken from the budget of extra attempts.
     pub(super) attempt_reserved: Cell<bool>,
     /// Notified when the request is about to be sent to the engine that is to answer.
@@ -112,7 +110,7 @@
             pool,
             view,
             priority: incoming.priority.unwrap_or(route.priority),
-            incoming,
+            incoming: Rc::new(incoming),
             attempts,
             tried: Vec::new(),
             service,
@@ -123,7 +121,9 @@
             refusal: None,
             running: Some(running),
             started: false,
+            answer_begun: false,
             outcome_counted: Cell::new(false),
+            last_failure: None,
             attempt_reserved: Cell::new(false),
             request_sent: Rc::new(Notify::new()),
             draw,
@@ -132,7 +132,7 @@
     }
 
     /// Makes the attempts and returns the final answer.
-    pub async fn run(mut self) -> HttpResponse {
+    pub async fn run(self) -> HttpResponse {
         if let Some(fingerprint) = self.incoming.fingerprint
             && self
                 .shared
@@ -145,52 +145,58 @@
         if let Some(service) = &self.service {
             self.shared.traffic().budget.on_request(clock::now(), service);
         }
-        if self.route.kind.is_stream() {
-            return self.stream().await;
+        match self.route.kind.is_stream() {
+            true => self.stream().await,
+            false => self.exchange().await,
         }
-        loop {
-            match self.attempt().await {
-                Ok(response) => return response,
-                Err(Some(reply)) => return self.finish(reply),
-                Err(None) => {}
+    }
+
+    async fn stream(mut self) -> HttpResponse {
+        match self.deliver(None, self.incoming.last_event).await {
+            Ok(attempt) => {
+                let running = self.running.take();
+                stream::respond(self, attempt, running)
             }
+            Err(reply) => self.finish(reply),
         }
     }
 
-    async fn stream(mut self) -> HttpResponse {
+    /// Makes the attempts at a request whose answer is not a stream.
+    async fn exchange(mut self) -> HttpResponse {
         loop {
-            match self.open(self.incoming.last_event).await {
-                Ok(opened) if opened.is_failure() && self.may_retry(End::Failed) => {
-                    let (engine, answer) = opened.into_parts();
-                    self.switch_engine(&engine, answer);
-                }
-                Ok(opened) => {
-                    let running = self.running.take();
-                    return stream::respond(self, opened, running);
+            let mut attempt = match self.deliver(None, None).await {
+                Ok(attempt) => attempt,
+                Err(reply) => return self.finish(reply),
+            };
+            match attempt.read_body(self.incoming.time_left()).await {
+                Ok(body) => return self.respond(attempt, body),
+                Err(failure) => {
+                    if let Some(reply) = self.on_attempt_failure(attempt, &failure) {
+                        return self.finish(reply);
+                    }
                 }
-                Err(Some(reply)) => return self.finish(reply),
-                Err(None) => {}
             }
         }
     }
 
-    /// Abandons an engine that answered with an error before any of its answer was passed on, so that the request can
-    /// be sent to another one.
-    ///
-    /// Failure guarded against: an engine fails some of its requests, and callers receive these errors although the
-    /// request may be repeated and another engine is free.
-    fn switch_engine(&mut self, engine: &Engine, answer: Answer) {
-        self.log_failure(
-            engine,
-            &AttemptFailure::new(End::Failed, "the engine answered with a server error"),
-            "send",
-        );
-        self.record_end(engine, End::Failed);
-        self.tried.push(engine.key);
-        self.pool.keep(engine.entry.address, answer);
+    /// Passes on a complete answer.
+    pub(super) fn respond(&self, attempt: ActiveAttempt, body: Bytes) -> HttpResponse {
+        let Some(answer) = attempt.answer() else {
+            return self.finish(self.give_up());
+        };
+        let end = end_of(answer);
+        let mut builder = response_head(&answer.head.headers, answer.head.status.as_u16());
+        self.record_end(attempt.engine(), end);
+        self.count(end.label());
+        if !self.route.kind.is_stream() {
+            let took = clock::now().since(self.incoming.arrived);
+            self.shared.metrics.observe_first_event(&self.path(), took);
+        }
+        attempt.finish(&self.pool);
+        builder.body(body)
     }
 
-    fn finish(&self, reply: Reply) -> HttpResponse {
+    pub(super) fn finish(&self, reply: Reply) -> HttpResponse {
         let waited = clock::now().since(self.incoming.arrived).as_millis() as u64;
         let reason = match (reply, &self.refusal) {
             (Reply::Failed, _) => "it may have run at the engine that failed",
@@ -228,54 +234,57 @@
         self.shared.metrics.count_answer(&self.path(), outcome);
     }
 
-    /// Makes one attempt at a request whose answer is not a stream. `Err(None)` means that another attempt may follow.
-    async fn attempt(&mut self) -> Result<HttpResponse, Option<Reply>> {
+    /// Chooses an engine and connects to it. `Err(None)` means that another attempt may follow.
+    pub(super) async fn start_attempt(
+        &mut self,
+        last_event: Option<u64>,
+    ) -> Result<ActiveAttempt, Option<Reply>> {
+        let is_stream = self.route.kind.is_stream();
+        let (engine, prefill) = match is_stream {
+            true => self.choose_for_stream().await?,
+            false => self.choose_for_exchange()?,
+        };
+        let job = self.begin_job(&engine, prefill);
+        let handover = match is_stream {
+            true => self.handover().unwrap_or_default(),
+            false => Duration::ZERO,
+        };
+        let silence_limit = self.attempt_timeout(handover);
+        let started = clock::now();
+        let channel = match connect::for_request(&self.shared, &self.pool, &self.incoming, &engine).await {
+            Ok(channel) => channel,
+            Err(failure) => {
+                drop(job);
+                return Err(self.on_failure(&engine, &failure));
+            }
+        };
+        self.request_sent.notify_one();
+        let parts = AttemptParts {
+            shared: self.shared.clone(),
+            pool: self.pool.clone(),
+            incoming: self.incoming.clone(),
+            prefilled: self.prefilled.take(),
+            last_event,
+            is_stream,
+            silence_limit,
+            started,
+        };
+        Ok(ActiveAttempt::new(engine, job, channel, parts))
+    }
+
+    fn choose_for_exchange(&mut self) -> Result<(Engine, Duration), Option<Reply>> {
         let selected = self.select(|selector, engines| {
             let engine = selector.least_loaded(engines)?;
             (!selector.is_full(engine, MAX_LOAD_FACTOR)).then(|| engine.clone())
         });
-        let Some(engine) = selected else {
-            return Err(Some(self.refuse()));
-        };
-        let _job = self.begin_job(&engine, Duration::ZERO);
-        let sent = clock::now();
-        let result = self.exchange(&engine).await;
-        if result
-            .as_ref()
-            .err()
-            .is_none_or(|failure| !failure.end.proves_not_run())
-        {
-            self.on_begun(sent);
-        }
-        match result {
-            Ok((answer, body)) => {
-                let end = end_of(&answer);
-                if end == End::Failed && self.may_retry(end) {
-                    self.switch_engine(&engine, answer);
-                    return Err(None);
-                }
-                self.record_end(&engine, end);
-                let response = full_response(&answer.head.headers, answer.head.status.as_u16(), body);
-                self.pool.keep(engine.entry.address, answer);
-                self.count(end.label());
-                let took = clock::now().since(self.incoming.arrived);
-                self.shared.metrics.observe_first_event(&self.path(), took);
-                Ok(response)
-            }
-            Err(failure) => Err(self.on_failure(&engine, &failure)),
+        match selected {
+            Some(engine) => Ok((engine, Duration::ZERO)),
+            None => Err(Some(self.refuse())),
         }
     }
 
-    async fn exchange(&self, engine: &Engine) -> Result<(Answer, Bytes), AttemptFailure> {
-        let attempt_timeout = self.attempt_timeout(Duration::ZERO);
-        let options = AttemptOptions::default();
-        let mut answer = self.send_to(engine, attempt_timeout, &options).await?;
-        let body = answer.read(MAX_ANSWER_BYTES, self.incoming.time_left()).await?;
-        Ok((answer, body))
-    }
-
-    /// Makes one attempt at a stream, up to its first event. `Err(None)` means that another attempt may follow.
-    pub async fn open(&mut self, last_event: Option<u64>) -> Result<OpenedStream, Option<Reply>> {
+    /// Has the prefill computed if that is another engine's task, and chooses the engine that generates the answer.
+    async fn choose_for_stream(&mut self) -> Result<(Engine, Duration), Option<Reply>> {
         let is_fresh = self.attempts.sent() == 0;
         if self.prefilled.is_none() && self.wants_prefill_engine() {
             self.run_prefill(is_fresh).await?;
@@ -284,56 +293,33 @@
             true => self.choose_prefill_and_decode(is_fresh),
             false => self.choose_decode(is_fresh),
         };
-        let Some((engine, prefill)) = selected else {
-            return Err(Some(self.refuse()));
-        };
-        let job = self.begin_job(&engine, prefill);
-        let started = clock::now();
-        let opened = self.generate(&engine, job, last_event).await;
-        match opened {
-            Ok(opened) => {
-                if !opened.is_failure() {
-                    self.on_opened(&engine, started);
-                }
-                Ok(opened)
-            }
-            Err(failure) => Err(self.on_failure(&engine, &failure)),
-        }
+        selected.ok_or_else(|| Some(self.refuse()))
     }
 
-    async fn generate(
-        &mut self,
-        engine: &Engine,
-        job: JobGuard,
-        last_event: Option<u64>,
-    ) -> Result<OpenedStream, AttemptFailure> {
-        let attempt_timeout = self.attempt_timeout(self.handover().unwrap_or_default());
-        let options = AttemptOptions {
-            prompt_source: self.prefilled.as_ref().map(PrefilledPrompt::source),
-            last_event,
-            ..AttemptOptions::default()
-        };
-        let sent = self.send_to(engine, attempt_timeout, &options).await;
-        let is_not_run = sent.as_ref().is_err_and(|failure| failure.end.proves_not_run());
-        if !is_not_run && let Some(mut prefilled) = self.prefilled.take() {
-            prefilled.taken = true;
+    /// Records the first time that an engine delivers.
+    pub(super) fn on_ready(&mut self, attempt: &mut ActiveAttempt) {
+        if attempt.has_delivered() {
+            return;
+        }
+        attempt.set_delivered();
+        attempt.take_prefilled();
+        if !self.route.kind.is_stream() {
+            self.on_run(attempt);
+        } else if !attempt.is_failure() {
+            if attempt.error_body().is_none() {
+                attempt.finish_prefill();
+            }
+            let engine = attempt.engine().clone();
+            self.on_opened(&engine, attempt.started());
         }
-        let opened = stream::open(sent?, engine.clone(), job, self.incoming.time_left());
-        self.with_attempt_timeout(engine, attempt_timeout, opened).await
     }
 
-    /// Connects to the engine that is to answer, sends the request and returns the head of the answer. `attempt_timeout`
-    /// doesn't include the time to connect.
-    async fn send_to(
-        &self,
-        engine: &Engine,
-        attempt_timeout: Option<Duration>,
-        options: &AttemptOptions,
-    ) -> Result<Answer, AttemptFailure> {
-        let channel = connect::for_request(&self.shared, &self.pool, &self.incoming, engine).await?;
-        self.request_sent.notify_one();
-        let attempt = send(&self.shared, &self.pool, &self.incoming, engine, channel, options);
-        self.with_attempt_timeout(engine, attempt_timeout, attempt).await
+    /// Records that an engine may have run a request whose answer is not a stream. A stream is recorded once its first
+    /// event has arrived.
+    pub(super) fn on_run(&mut self, attempt: &ActiveAttempt) {
+        if !self.route.kind.is_stream() {
+            self.on_begun(attempt.started());
+        }
     }
 
     /// Counts the request for its workspace, at most once.
@@ -431,7 +417,3 @@
     }
     builder
 }
-
-fn full_response(headers: &HeaderMap, status: u16, body: Bytes) -> HttpResponse {
-    response_head(headers, status).body(body)
-}
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -6,13 +6,15 @@
 //! exchanges load and status with the other instances; `counted` counts the calls to the store. [`lead`] holds the
 //! lease of the leader, the one instance that calls the cloud API for all through `cloud`: `usage` reports the usage,
 //! `scaling` orders engines. These tasks publish a view that the traffic thread reads: [`server`] accepts requests,
-//! `head` parses their heads, [`forward`] makes the attempts, `retries` decides what follows each, `pick` chooses
-//! engines, [`connect`] connects to them, `reading` has prefills computed, [`stream`] passes events on, `idle` closes
+//! `head` parses their heads, [`forward`] takes each to its final answer, `deliver` makes attempts until an engine delivers,
+//! `attempt` is one of them, `retries` decides what follows each, `pick` chooses engines, [`connect`] connects to them, `reading` has prefills computed, [`stream`] passes events on, `idle` closes
 //! connections that are no longer used and probes detached engines. `gauges` sets the gauges on the page of metrics.
 
+mod attempt;
 mod cloud;
 pub mod connect;
 mod counted;
+mod deliver;
 pub mod edge;
 pub mod follow;
 pub mod forward;
--- a/src/ops/relay/retries.rs
+++ b/src/ops/relay/retries.rs
@@ -1,6 +1,5 @@
 //! What follows the end of an attempt: its records, and whether another attempt may be made.
 
-use std::pin::pin;
 use std::time::Duration;
 
 use sequoiastream_core::attempt::End;
@@ -9,9 +8,9 @@
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::suspects::CrashNote;
 use sequoiastream_core::retry;
-use tokio::time::timeout;
 
 use crate::log_event;
+use crate::ops::relay::attempt::ActiveAttempt;
 use crate::ops::relay::forward::ForwardedRequest;
 use crate::ops::relay::pick::MAX_LOAD_FACTOR;
 use crate::ops::relay::reply::Reply;
@@ -52,7 +51,7 @@
     /// Handles the failure of an attempt that has already been counted because its engine was silent. Returns `None` if
     /// another attempt may follow, otherwise the final answer.
     pub(super) fn on_failure_after_silence(
-        &self,
+        &mut self,
         engine: &Engine,
         failure: &AttemptFailure,
     ) -> Option<Reply> {
@@ -64,8 +63,9 @@
         }
     }
 
-    fn record_failure(&self, engine: &Engine, failure: &AttemptFailure) {
+    fn record_failure(&mut self, engine: &Engine, failure: &AttemptFailure) {
         self.log_failure(engine, failure, "send");
+        self.last_failure = Some((engine.entry.id.clone(), failure.reason.clone()));
         self.record_end(engine, failure.end);
         self.record_crash(engine, failure.end);
     }
@@ -90,6 +90,17 @@
         self.reserved = None;
     }
 
+    /// Abandons an engine that answered with a server error before any of its answer was passed on, so that the request
+    /// can be sent to another one.
+    pub(super) fn switch_engine(&mut self, attempt: ActiveAttempt) {
+        let engine = attempt.engine().clone();
+        let failure = AttemptFailure::new(End::Failed, "the engine answered with a server error");
+        self.log_failure(&engine, &failure, "send");
+        self.record_end(&engine, End::Failed);
+        self.tried.push(engine.key);
+        attempt.finish(&self.pool);
+    }
+
     /// Whether another attempt may follow one that ended with `end`. Depends on whether the request may have run, and
     /// on the instance's share of the budget of extra attempts.
     pub(super) fn may_retry(&mut self, end: End) -> bool {
@@ -110,36 +121,6 @@
         may_retry.then(|| retry::first_token_timeout(left, expected, 0))
     }
 
-    /// Awaits an attempt at `engine`. After each `attempt_timeout`, the attempt is cancelled if another engine can be
-    /// asked and the budget has an extra attempt. Otherwise it continues, at most until the request's own time limit.
-    ///
-    /// Guards against a request that fails because its engine was briefly silent, although no other engine could be
-    /// asked.
-    pub(super) async fn with_attempt_timeout<T, F>(
-        &self,
-        engine: &Engine,
-        attempt_timeout: Option<Duration>,
-        attempt: F,
-    ) -> Result<T, AttemptFailure>
-    where
-        F: Future<Output = Result<T, AttemptFailure>>,
-    {
-        let mut attempt = pin!(attempt);
-        while let Some(attempt_timeout) = attempt_timeout.filter(|limit| !limit.is_zero()) {
-            match timeout(attempt_timeout, &mut attempt).await {
-                Ok(result) => return result,
-                Err(_) if self.reserve_extra_attempt(engine) => {
-                    return Err(AttemptFailure::new(
-                        End::Silent,
-                        "no answer within the time limit",
-                    ));
-                }
-                Err(_) => {}
-            }
-        }
-        attempt.await
-    }
-
     /// Takes an extra attempt from the budget in advance, for a retry at another engine than `engine`; `false` if there
     /// is no such engine with room, or the budget is exhausted.
     pub(super) fn reserve_extra_attempt(&self, engine: &Engine) -> bool {
--- a/tests/testsuite/relay/silence.rs
+++ b/tests/testsuite/relay/silence.rs
@@ -296,6 +296,79 @@
     }
 }
 
+/// An engine that answers an idempotent request or a stream of two events in full once it is notified.
+async fn waiting_engine(kind: RouteKind, notify: &Rc<Notify>) -> ScriptedEngine {
+    let notify = notify.clone();
+    ScriptedEngine::start(move |_, request| {
+        let whole = match kind {
+            RouteKind::Idempotent => answer(request, "whole"),
+            _ => Action::Send(event_stream(request, 1..=2) + "0\r\n\r\n"),
+        };
+        vec![Action::Await(notify.clone()), whole]
+    })
+    .await
+}
+
+/// Guards against a request that fails with the error of another engine, although its engine, silent before the first
+/// byte of the answer, would have answered.
+#[actix_web::test]
+async fn answer_other_fails() {
+    let failure = "HTTP/1.1 500 Internal Server Error\r\nx-seal: s\r\ncontent-length: 4\r\n\r\noops";
+    for kind in [RouteKind::Idempotent, RouteKind::Resumable] {
+        let notify = Rc::new(Notify::new());
+        let first = waiting_engine(kind, &notify).await;
+        let failing = ScriptedEngine::start(move |_, _| vec![Action::Send(failure.to_string())]).await;
+        let engines = [(&first, Stage::Whole), (&failing, Stage::Whole)];
+        let instance = Instance::start(kind, &engines, |route| route.max_attempts = 2);
+        let resume = async {
+            failing.wait_for(|log| log.requests.len() == 1).await;
+            wait_for_duration(PAST_OVERLAP).await;
+            notify.notify_one();
+        };
+        let (got, ()) = futures_util::join!(instance.get("/r/x", "q1", ""), resume);
+        assert_eq!(status(&got), "200", "{kind:?} {got}");
+    }
+}
+
+/// Guards against a request that fails although its engine, silent before the first byte of the answer, answers soon
+/// after another engine was asked, which never does. The connection to the other engine must be closed.
+#[actix_web::test]
+async fn answer_other_silent() {
+    for kind in [RouteKind::Idempotent, RouteKind::Resumable] {
+        let notify = Rc::new(Notify::new());
+        let first = waiting_engine(kind, &notify).await;
+        let stuck = ScriptedEngine::start(|_, _| vec![Action::Hold]).await;
+        let engines = [(&first, Stage::Whole), (&stuck, Stage::Whole)];
+        let instance = Instance::start(kind, &engines, |_| {});
+        let resume = async {
+            stuck.wait_for(|log| log.requests.len() == 1).await;
+            notify.notify_one();
+        };
+        let (got, ()) = futures_util::join!(instance.get("/r/x", "q1", ""), resume);
+        assert_eq!(status(&got), "200", "{kind:?} {got}");
+        stuck.wait_for(|log| log.disconnects == 1).await;
+    }
+}
+
+/// Guards against two engines that work on the same request without a time limit. The connection to the silent engine
+/// must be closed even if the next engine has not answered yet.
+#[actix_web::test]
+async fn answer_silent_closed() {
+    for kind in [RouteKind::Idempotent, RouteKind::Resumable] {
+        let notify = Rc::new(Notify::new());
+        let silent = ScriptedEngine::start(|_, _| vec![Action::Hold]).await;
+        let slow = waiting_engine(kind, &notify).await;
+        let engines = [(&silent, Stage::Whole), (&slow, Stage::Whole)];
+        let instance = Instance::start(kind, &engines, |_| {});
+        let resume = async {
+            silent.wait_for(|log| log.disconnects == 1).await;
+            notify.notify_one();
+        };
+        let (got, ()) = futures_util::join!(instance.get("/r/x", "q1", ""), resume);
+        assert_eq!(status(&got), "200", "{kind:?} {got}");
+    }
+}
+
 /// Guards against a request that fails although its silent engine would have answered: the engine is abandoned for one
 /// that has no room.
 #[actix_web::test]
