Tests: addresses of the loopback range are reserved on the whole machine

What was seen: two test binaries that run at once and have neighbouring process ids use the same loopback addresses; relay::follow once failed so with "Address already in use".

Cause: the address was computed from the low bytes of the process id. The second subnet of a process is the first one of the next process, and ids that differ by 256 may share all subnets.

--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -3,8 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use actix_web::dev::ServerHandle;
@@ -50,22 +48,7 @@
 use tokio::net::TcpStream;
 
 use super::engine::ScriptedEngine;
-
-/// Number of addresses given out so far.
-static ALLOCATED_ADDRESSES: AtomicU32 = AtomicU32::new(0);
-
-/// Number of addresses used in each subnet. When more were given out than a subnet has, the first ones were given out
-/// again, and a test reached the server of another test.
-const ADDRESSES_PER_SUBNET: u32 = 250;
-
-/// An address of the loopback range that no other test of this run uses.
-pub fn unique_address(port: u16) -> SocketAddr {
-    let number = ALLOCATED_ADDRESSES.fetch_add(1, Ordering::Relaxed);
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let last = u8::try_from(number % ADDRESSES_PER_SUBNET).expect("below 250") + 1;
-    let subnet = u8::try_from(number / ADDRESSES_PER_SUBNET).expect("fewer than 64,000 addresses");
-    SocketAddr::from(([127, high | 1, low.wrapping_add(subnet), last], port))
-}
+use super::loopback::unique_address;
 
 /// A dialect for tests: an engine is stored as `SERVICE ADDRESS STAGE SEQUENCE`, a configuration as `VERSION PREFIX`.
 #[derive(Debug)]
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -17,6 +17,7 @@
 mod limit_fleet;
 mod limit_reports;
 mod limits;
+mod loopback;
 mod metrics;
 mod notices;
 mod orders;
--- a/tests/testsuite/relay/pauses.rs
+++ b/tests/testsuite/relay/pauses.rs
@@ -18,7 +18,7 @@
 use super::engine::decline;
 use super::instance::Instance;
 use super::instance::status;
-use super::instance::unique_address;
+use super::loopback::unique_address;
 use super::request_kinds::BRIEF_PAUSE;
 use super::request_kinds::EngineGroup;
 use super::request_kinds::FAILED;
