Log why no engine accepts a request

A refusal for lack of engines (event 401) didn't say which engines were left out for what. Event 410 names the engines that were tried, that are on hold and that are away by their last report.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -101,6 +101,8 @@
     408 KEY_REFUSED = "key-refused";
     /// A request was dropped before its final answer: its caller disconnected, or this instance stopped.
     409 ABANDONED = "abandoned";
+    /// No engine of the service accepts a request.
+    410 NO_ENGINE = "no-engine";
     /// This instance acquired the authority over a service.
     500 AUTHORITY_TAKEN = "authority-taken";
     /// This instance no longer holds the authority over a service.
--- a/src/ops/dispatch/suspects.rs
+++ b/src/ops/dispatch/suspects.rs
@@ -112,10 +112,23 @@
             return PickResult::Engine(target);
         }
         let must_wait = engines_of(snapshot, request).any(|e| held.contains(&e) && !tried.contains(&e));
-        match must_wait {
-            true => PickResult::Busy,
-            false => PickResult::NoEngine,
+        if must_wait {
+            return PickResult::Busy;
         }
+        self.log_no_engine(snapshot, request, tried);
+        PickResult::NoEngine
+    }
+
+    /// Logs why no engine of the service accepts the request.
+    fn log_no_engine(&self, snapshot: &Snapshot, request: &Request, tried: &[Name]) {
+        let now = clock::now();
+        let (hold, away) = {
+            let router = self.shared.router();
+            let is_away = |name: &Name| router.engine_load(name).is_some_and(|l| !l.is_present(now));
+            let away: Vec<Name> = engines_of(snapshot, request).filter(is_away).collect();
+            (self.shared.held_engines(now), away)
+        };
+        log_event!(info, log_event::NO_ENGINE, request = %request.id, ?tried, ?hold, ?away);
     }
 
     fn route(&self, snapshot: &Snapshot, request: &Request, except: &[Name]) -> Option<Target> {
