Hold the next engine once all instances use the changed one again

What callers saw: while operators change the roles of several engines of a service, a request is refused with 503 no-engine, not-run, although an engine is free.

Cause: the holder reads the report of the engine that it changes every 25 ms and goes on to the next engine as soon as the first is back. Other instances read reports every 500 ms. One that read a report during the change considers the engine unavailable for up to half a second longer, holds the next one, and has no engine left.

Change: an instance that is told that it may use an engine again reads a new report before it confirms this, and the holder holds the next engine once the others have confirmed, or after a call's timeout: a confirmation may be lost. authority::machine::hold_next_after_return fails without the condition; hold_next_confirmation_lost guards the timeout.

Why it holds: the report that ends the wait is read after the holder saw the engine back, so no instance that confirmed takes it for away. Not covered: an instance that doesn't answer in time, and a holder that takes over just then.

--- a/crates/core/src/authority/event.rs
+++ b/crates/core/src/authority/event.rs
@@ -201,6 +201,8 @@
         /// Outcome of the order.
         answer: OrderAnswer,
     },
+    /// The reachable instances use an engine again after its change.
+    Unheld(Name),
     /// The process that opened an order was asked for its outcome.
     Settled {
         /// The engine.
@@ -251,7 +253,7 @@
     Probe(Name),
     /// Ask all listed instances to route no new requests to an engine.
     Hold(Name),
-    /// Tell the instances that the engine may get requests again.
+    /// Tell the instances that the engine may get requests again, and report with [`Event::Unheld`] when they use it.
     Unhold(Name),
     /// Ask the weight store whether the weights of a model can be read.
     AskWeights {
--- a/crates/core/src/authority/machine.rs
+++ b/crates/core/src/authority/machine.rs
@@ -65,6 +65,14 @@
     next: Time,
 }
 
+/// An engine whose change has ended.
+#[derive(Debug, Clone)]
+pub(super) struct Returning {
+    pub(super) engine: Name,
+    /// When it is no longer waited for; set by the next decision.
+    pub(super) until: Option<Time>,
+}
+
 /// State machine of one instance for the authority of one service.
 #[derive(Debug, Clone)]
 pub struct Authority {
@@ -74,6 +82,8 @@
     pub(super) engines: BTreeMap<Name, EngineState>,
     pub(super) model: String,
     pub(super) changing: Option<Name>,
+    /// The engine whose change has ended, until the instances use it again.
+    pub(super) returning: Option<Returning>,
     /// Fencing token under which this tenure took over.
     pub(super) tenure_fence: Fence,
     /// Highest fencing token that an engine reported having seen.
@@ -104,6 +114,7 @@
             engines: BTreeMap::new(),
             model: String::new(),
             changing: None,
+            returning: None,
             tenure_fence: Fence::default(),
             fence_floor: Fence::default(),
             stage: Stage::Follower(None),
@@ -315,6 +326,7 @@
             self.held = true;
             self.tenure_fence = self.record.fence;
             self.changing = None;
+            self.returning = None;
             for engine in self.engines.values_mut() {
                 engine.start_tenure(now);
             }
--- a/crates/core/src/authority/orders.rs
+++ b/crates/core/src/authority/orders.rs
@@ -17,6 +17,7 @@
 use crate::authority::engine::FenceRaise;
 use crate::authority::engine::SendState;
 use crate::authority::engine::Weights;
+use crate::authority::machine::Returning;
 use crate::config::Fencing;
 use crate::engine::Target;
 use crate::invariant::Violation;
@@ -47,6 +48,9 @@
                     drain.on_answers(asked, done, &answers, timing.absence_timeout);
                 }
             }),
+            Event::Unheld(engine) => {
+                self.returning.take_if(|returning| returning.engine == engine);
+            }
             Event::WeightsChecked { engine, ready } => self.update_engine(&engine, |e| {
                 e.weights = match ready {
                     true => Weights::Ready,
@@ -101,6 +105,7 @@
     /// view.
     pub(super) fn decide(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.mark_timed_out(now);
+        self.expire_return(now);
         if self.close_settled(now, actions) {
             return;
         }
@@ -445,8 +450,21 @@
         }
     }
 
+    /// Ends the wait for the instances to use an engine again: their answers may be lost.
+    fn expire_return(&mut self, now: Time) {
+        let timeout = self.settings.timing.call_timeout;
+        self.returning
+            .take_if(|returning| now >= *returning.until.get_or_insert(now + timeout));
+    }
+
     /// Claims the slot for changes: only one engine of a service is changed at a time.
+    ///
+    /// Guards against requests that are refused because their instance still considers the engine that was changed last
+    /// unavailable when the next one is held.
     fn claim_change_slot(&mut self, name: &Name) -> bool {
+        if self.returning.as_ref().is_some_and(|r| r.engine != *name) {
+            return false;
+        }
         *self.changing.get_or_insert_with(|| name.clone()) == *name
     }
 
@@ -497,11 +515,14 @@
             return;
         }
         self.changing = None;
-        self.update_engine(name, |engine| {
-            if engine.drain.take().is_some() {
-                actions.push(Action::Unhold(name.clone()));
-            }
-        });
+        let drain = self.engines.get_mut(name).and_then(|engine| engine.drain.take());
+        if drain.is_some() {
+            self.returning = Some(Returning {
+                engine: name.clone(),
+                until: None,
+            });
+            actions.push(Action::Unhold(name.clone()));
+        }
     }
 }
 
--- a/src/ops/control/authority/drain.rs
+++ b/src/ops/control/authority/drain.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use actix::Addr;
+use futures_util::future::join;
 use futures_util::future::join_all;
 use sequoiastream_core::authority::Event;
 use sequoiastream_core::authority::HoldAnswer;
@@ -15,23 +17,44 @@
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
 use sequoiastream_peer::message::SettleOrder;
+use tokio::time::timeout;
 
 use crate::ops::control::authority::AskSettlement;
+use crate::ops::control::load::LoadActor;
+use crate::ops::control::load::RefreshLoad;
 use crate::ops::shared::Shared;
 use crate::util::clock;
 
+/// Removes the hold on `engine` from this instance, and waits for a new load report of it.
+///
+/// Guards against an instance that sends the engine no requests although its change has ended, because its last report
+/// was taken during the change.
+pub async fn unhold(shared: &Shared, load: &Addr<LoadActor>, engine: Name) {
+    shared.unhold(&engine);
+    if let Err(error) = load.send(RefreshLoad(engine)).await {
+        tracing::debug!(%error, "load reports have ended");
+    }
+}
+
 /// Client for calls to the other instances.
 pub struct PeerClient {
     shared: Arc<Shared>,
+    load: Addr<LoadActor>,
     kv: KvClient,
     call_client: CallClient,
 }
 
 impl PeerClient {
     /// Creates a client that calls through `call_client`.
-    pub fn new(shared: Arc<Shared>, kv: KvClient, call_client: CallClient) -> PeerClient {
+    pub fn new(
+        shared: Arc<Shared>,
+        load: Addr<LoadActor>,
+        kv: KvClient,
+        call_client: CallClient,
+    ) -> PeerClient {
         PeerClient {
             shared,
+            load,
             kv,
             call_client,
         }
@@ -69,17 +92,24 @@
         })
     }
 
-    /// Tells all listed instances that `engine` may get requests again. If a call fails, the hold of that instance
-    /// expires.
-    pub async fn unhold(&self, engine: Name) {
-        self.shared.unhold(&engine);
-        let others = self.others().await.unwrap_or_default();
-        let timeout = self.shared.settings.lease_ttl / 10;
-        let request = Request::Unhold(engine);
-        let calls = others
-            .values()
-            .map(|address| self.call_client.call(*address, &request, timeout));
-        join_all(calls).await;
+    /// Tells all listed instances that `engine` may get requests again, and waits until they use it. If a call fails,
+    /// the hold of that instance expires.
+    pub async fn unhold(&self, engine: Name) -> Event {
+        let limit = self.shared.settings.lease_ttl / 10;
+        let request = Request::Unhold(engine.clone());
+        let own = timeout(limit, unhold(&self.shared, &self.load, engine.clone()));
+        let others = async {
+            let others = self.others().await.unwrap_or_default();
+            let calls = others
+                .values()
+                .map(|address| self.call_client.call(*address, &request, limit));
+            join_all(calls).await;
+        };
+        let (own, ()) = join(own, others).await;
+        if own.is_err() {
+            tracing::debug!(%engine, "no load report after a change");
+        }
+        Event::Unheld(engine)
     }
 
     /// Asks the instance that opened an order for its outcome. `None` if the instance is unknown or did not answer.
--- a/src/ops/control/authority/mod.rs
+++ b/src/ops/control/authority/mod.rs
@@ -7,6 +7,8 @@
 mod kv;
 mod tables;
 
+pub use drain::unhold;
+
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -14,6 +16,7 @@
 
 use actix::Actor;
 use actix::ActorFutureExt;
+use actix::Addr;
 use actix::AsyncContext;
 use actix::Context;
 use actix::Handler;
@@ -53,6 +56,7 @@
 use crate::ops::control::Shutdown;
 use crate::ops::control::authority::drain::PeerClient;
 use crate::ops::control::authority::kv::Acquired;
+use crate::ops::control::load::LoadActor;
 use crate::ops::shared::Shared;
 use crate::util::clock;
 
@@ -137,9 +141,14 @@
 
 impl AuthorityActor {
     /// Creates an actor that holds no authority.
-    pub fn new(shared: Arc<Shared>, kv: KvClient, call_client: CallClient) -> AuthorityActor {
+    pub fn new(
+        shared: Arc<Shared>,
+        load: Addr<LoadActor>,
+        kv: KvClient,
+        call_client: CallClient,
+    ) -> AuthorityActor {
         AuthorityActor {
-            peers: Rc::new(PeerClient::new(shared.clone(), kv.clone(), call_client)),
+            peers: Rc::new(PeerClient::new(shared.clone(), load, kv.clone(), call_client)),
             shared,
             kv,
             engines: EngineClient::new(),
@@ -278,7 +287,7 @@
             }
             Action::Unhold(engine) => {
                 let peers = self.peers.clone();
-                context.spawn(async move { peers.unhold(engine).await }.into_actor(self));
+                self.spawn_event(service, async move { peers.unhold(engine).await }, context);
             }
             Action::AskWeights { engine, model } => {
                 self.spawn_event(service, kv::ask_weights(kv, engine, model), context);
--- a/src/ops/control/load.rs
+++ b/src/ops/control/load.rs
@@ -11,6 +11,9 @@
 use actix::ActorFutureExt;
 use actix::AsyncContext;
 use actix::Context;
+use actix::Handler;
+use actix::Message;
+use actix::ResponseActFuture;
 use actix::WrapFuture;
 use sequoiastream_core::config::ServiceKind;
 use sequoiastream_core::engine::Speed;
@@ -90,13 +93,19 @@
         chosen
     }
 
+    /// Polls an engine and passes the result to the router.
+    fn poll(&self, engine: &EngineView, context: &mut Context<Self>) {
+        let poll = self.request_load(engine).into_actor(self);
+        context.spawn(poll.map(|result, actor, _| actor.on_polled(result)));
+    }
+
     /// Requests an engine's load and its cache events after the last one received.
-    fn poll(&mut self, engine: &EngineView, context: &mut Context<Self>) {
+    fn request_load(&self, engine: &EngineView) -> impl Future<Output = PollResult> + use<> {
         let client = self.engines.clone();
         let name = engine.name.clone();
         let address = engine.address;
         let after = self.event_numbers.get(&name).copied().unwrap_or(0);
-        let poll = async move {
+        async move {
             let load = client.load(address).await;
             // If the load request fails, the cache events are not requested.
             let events = match load.is_ok() {
@@ -104,11 +113,7 @@
                 false => Vec::new(),
             };
             PollResult { name, load, events }
-        };
-        context.spawn(
-            poll.into_actor(self)
-                .map(|result, actor, _| actor.on_polled(result)),
-        );
+        }
     }
 
     /// Passes a poll's result to the router. A gap between the numbers of cache events means that events were missed.
@@ -134,6 +139,30 @@
     }
 }
 
+/// Polls the engine with this name at once; answered when the router has its report or the poll has failed.
+#[derive(Debug)]
+pub struct RefreshLoad(pub Name);
+
+impl Message for RefreshLoad {
+    type Result = ();
+}
+
+impl Handler<RefreshLoad> for LoadActor {
+    type Result = ResponseActFuture<Self, ()>;
+
+    fn handle(&mut self, RefreshLoad(name): RefreshLoad, _: &mut Context<Self>) -> Self::Result {
+        let snapshot = self.shared.snapshot.load();
+        let engine = snapshot.engines.iter().find(|(_, e)| e.name == name);
+        match engine {
+            Some((_, engine)) => {
+                let poll = self.request_load(engine).into_actor(self);
+                Box::pin(poll.map(|result, actor, _| actor.on_polled(result)))
+            }
+            None => Box::pin(actix::fut::ready(())),
+        }
+    }
+}
+
 impl Actor for LoadActor {
     type Context = Context<Self>;
 
--- a/src/ops/control/mod.rs
+++ b/src/ops/control/mod.rs
@@ -162,13 +162,15 @@
     );
     let membership = membership.start();
     let claims = ClaimsActor::new(shared.clone(), kv_client(&shared), call_client.clone()).start();
-    let authority = AuthorityActor::new(shared.clone(), kv_client(&shared), call_client).start();
-    LoadActor::new(shared.clone()).start();
+    let load = LoadActor::new(shared.clone()).start();
+    let authority =
+        AuthorityActor::new(shared.clone(), load.clone(), kv_client(&shared), call_client).start();
     RolesActor::new(shared.clone(), authority.clone()).start();
     let responder = PeerResponder {
         authority: authority.clone(),
         config: config.clone(),
         claims: claims.clone(),
+        load,
         shared: shared.clone(),
     };
     actix::spawn(serve(listener, key, responder));
--- a/src/ops/control/peers.rs
+++ b/src/ops/control/peers.rs
@@ -16,12 +16,14 @@
 
 use crate::ops::control::authority::AskSettlement;
 use crate::ops::control::authority::AuthorityActor;
+use crate::ops::control::authority::unhold;
 use crate::ops::control::claims::ClaimsActor;
 use crate::ops::control::claims::EditClaim;
 use crate::ops::control::claims::QueryClaim;
 use crate::ops::control::claims::RequestClaim;
 use crate::ops::control::config::ConfigActor;
 use crate::ops::control::config::UpdateAfter;
+use crate::ops::control::load::LoadActor;
 use crate::ops::shared::Shared;
 use crate::util::clock;
 
@@ -34,6 +36,8 @@
     pub authority: Addr<AuthorityActor>,
     /// Owns the claims of this instance's shards.
     pub claims: Addr<ClaimsActor>,
+    /// Polls the engines' load.
+    pub load: Addr<LoadActor>,
     /// State that is shared between the control thread and the traffic threads.
     pub shared: Arc<Shared>,
 }
@@ -56,7 +60,7 @@
                 Response::InFlight(self.shared.hold(hold.engine, until))
             }
             Request::Unhold(engine) => {
-                self.shared.unhold(&engine);
+                unhold(&self.shared, &self.load, engine).await;
                 Response::Accepted
             }
             Request::Settle(order) => {
--- a/tests/testsuite/authority/machine.rs
+++ b/tests/testsuite/authority/machine.rs
@@ -28,16 +28,26 @@
     Name::new(text).expect("a name")
 }
 
-/// An authority state machine whose calls to the key-value service all succeed, with one idle engine.
+/// An authority state machine whose calls to the key-value service all succeed, with idle engines.
 struct Harness {
     machine: Authority,
     now: Time,
     version: u64,
     sent_calls: Vec<CallId>,
+    /// Engines that the instances were asked to hold.
+    held: Vec<Name>,
+    /// Roles of the engines that were changed.
+    roles: BTreeMap<Name, Role>,
+    /// Whether the instances confirm that they use an engine again.
+    confirms_unhold: bool,
 }
 
 impl Harness {
     fn new() -> Harness {
+        Harness::with_engines(&["e0"])
+    }
+
+    fn with_engines(engines: &[&str]) -> Harness {
         let settings = Settings {
             service: name("s"),
             instance: name("i0"),
@@ -49,16 +59,19 @@
             now: Time::from_millis(1_000),
             version: 0,
             sent_calls: Vec::new(),
+            held: Vec::new(),
+            roles: BTreeMap::new(),
+            confirms_unhold: true,
         };
-        let config = EngineConfig {
-            name: name("e0"),
+        let configs = engines.iter().map(|engine| EngineConfig {
+            name: name(engine),
             fencing: Fencing::Ignored,
             role: Some(Role::Decode),
             released_sequence: 0,
-        };
+        });
         harness.handle_event(Event::Configured {
             model: "m".to_string(),
-            engines: vec![config],
+            engines: configs.collect(),
         });
         harness.handle_event(Event::Vacant);
         harness
@@ -90,15 +103,19 @@
                 })
             }
             Action::Probe(engine) => Some(Event::Reported {
+                report: self.report(&engine),
                 engine,
-                report: self.report(),
-            }),
-            Action::Hold(engine) => Some(Event::HoldAnswered {
-                engine,
-                asked: self.now,
-                done: self.now,
-                answers: BTreeMap::from([(name("i0"), HoldAnswer::InFlight(0))]),
             }),
+            Action::Hold(engine) => {
+                self.held.push(engine.clone());
+                Some(Event::HoldAnswered {
+                    engine,
+                    asked: self.now,
+                    done: self.now,
+                    answers: BTreeMap::from([(name("i0"), HoldAnswer::InFlight(0))]),
+                })
+            }
+            Action::Unhold(engine) => self.confirms_unhold.then_some(Event::Unheld(engine)),
             Action::Send(send) => {
                 self.sent_calls.push(send.call);
                 None
@@ -108,10 +125,10 @@
         }
     }
 
-    fn report(&self) -> Report {
+    fn report(&self, engine: &Name) -> Report {
         Report {
             target: Target {
-                role: Role::Mixed,
+                role: self.roles.get(engine).copied().unwrap_or(Role::Mixed),
                 model: "m".to_string(),
                 adapter: None,
                 version: 1,
@@ -141,6 +158,19 @@
         }
     }
 
+    /// Applies the last order, which went to `engine`.
+    fn apply_order(&mut self, engine: &str) {
+        let call = *self.sent_calls.last().expect("an order was sent");
+        // Reports from before the answer don't show the change.
+        self.now = self.now + Duration::from_millis(1);
+        self.roles.insert(name(engine), Role::Decode);
+        self.handle_event(Event::Answered {
+            call,
+            engine: name(engine),
+            answer: OrderAnswer::Applied,
+        });
+    }
+
     fn answer_unsent(&mut self, call: CallId) {
         self.handle_event(Event::Answered {
             call,
@@ -164,3 +194,29 @@
     harness.run(60);
     assert_eq!(harness.sent_calls.len(), 2);
 }
+
+/// Guards against requests that are refused during the changes of two engines: the second engine is held while some
+/// instances still consider the first one unavailable, and these have no engine left.
+#[test]
+fn hold_next_after_return() {
+    let mut harness = Harness::with_engines(&["e0", "e1"]);
+    harness.confirms_unhold = false;
+    harness.run_until_sent(1);
+    harness.apply_order("e0");
+    harness.run(20);
+    assert!(!harness.held.contains(&name("e1")), "{:?}", harness.held);
+    harness.handle_event(Event::Unheld(name("e0")));
+    harness.run_until_sent(2);
+    assert!(harness.held.contains(&name("e1")), "{:?}", harness.held);
+}
+
+/// Guards against changes that never continue because the confirmation of the instances was lost.
+#[test]
+fn hold_next_confirmation_lost() {
+    let mut harness = Harness::with_engines(&["e0", "e1"]);
+    harness.confirms_unhold = false;
+    harness.run_until_sent(1);
+    harness.apply_order("e0");
+    harness.run_until_sent(2);
+    assert!(harness.held.contains(&name("e1")), "{:?}", harness.held);
+}
--- a/tests/testsuite/authority/processes.rs
+++ b/tests/testsuite/authority/processes.rs
@@ -337,8 +337,24 @@
 /// running requests end.
 #[actix_web::test]
 async fn role_changes_under_load() {
+    change_roles_under_load(small_fleet("checked")).await;
+}
+
+/// The same with changes that take longer than the interval between two load reports, so that every instance learns that
+/// the first engine is unavailable. Guards against callers that are refused for lack of engines: the change of the
+/// second engine begins while some instances haven't learned yet that the first one is back.
+#[actix_web::test]
+async fn role_changes_slow() {
+    let builder = fleet()
+        .daemons(2)
+        .daemon_arg("--lease-ms=1000")
+        .engine_arg("--away=700");
+    change_roles_under_load(builder).await;
+}
+
+async fn change_roles_under_load(builder: FleetBuilder) {
     const CALLERS: usize = 6;
-    let fleet = small_fleet("checked").engines(2).start_configured().await;
+    let fleet = builder.engines(2).start_configured().await;
     wait_for_holder(&fleet, 0, None).await;
     let changed = std::cell::Cell::new(false);
     let callers = (0..CALLERS).map(|caller| {
--- a/tests/testsuite/authority/seeded.rs
+++ b/tests/testsuite/authority/seeded.rs
@@ -335,6 +335,7 @@
                 let event = self.hold_answers(engine);
                 self.send_answer(node, incarnation, event);
             }
+            Action::Unhold(engine) => self.send_answer(node, incarnation, Event::Unheld(engine)),
             Action::AskWeights { engine, .. } => {
                 self.send_answer(node, incarnation, Event::WeightsChecked { engine, ready: true });
             }
--- a/tests/testsuite/whole/holders.rs
+++ b/tests/testsuite/whole/holders.rs
@@ -100,6 +100,7 @@
                 let event = self.hold_answers(engine);
                 self.send_authority_event(to, event);
             }
+            Action::Unhold(engine) => self.send_authority_event(to, Event::Unheld(engine)),
             Action::AskWeights { engine, .. } => {
                 self.send_authority_event(to, Event::WeightsChecked { engine, ready: true });
             }
