Peer: the client of calls and the server in modules of their own

call and tunnel imported each other: the server that answers calls also opens tunnels, and a tunnel is opened by the interface of that server. The interface (responder) and the server (serve) are modules now; call holds only the client. Reachability::on_tunnel_failed took a time that it didn't use.

--- a/crates/core/src/relay/reachability.rs
+++ b/crates/core/src/relay/reachability.rs
@@ -155,8 +155,8 @@
     }
 
     /// Records that a peer could not open a tunnel. After [`MAX_TUNNEL_FAILURES`] in a row the engine is no longer
-    /// detached; the times of the failures don't matter.
-    pub fn on_tunnel_failed(&mut self, _now: Time, engine: EngineKey) {
+    /// detached.
+    pub fn on_tunnel_failed(&mut self, engine: EngineKey) {
         self.engines.get_or_default(engine).on_tunnel_failed();
     }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -10,7 +10,10 @@
 pub mod datagram;
 mod error;
 pub mod message;
+pub mod responder;
 pub mod seal;
+mod serve;
 pub mod tunnel;
 
 pub use error::PeerError;
+pub use serve::serve;
--- a/crates/peer/src/tunnel.rs
+++ b/crates/peer/src/tunnel.rs
@@ -7,7 +7,6 @@
 //! cut off: an answer without a length is delimited by the end of its connection, and a truncated one must not look
 //! complete.
 
-use std::any::Any;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::io::ErrorKind;
@@ -36,20 +35,16 @@
 use tokio::time::timeout;
 use tokio_util::io::StreamReader;
 
-use crate::call::Responder;
 use crate::channel::Channel;
 use crate::channel::FrameReceiver;
 use crate::channel::FrameSender;
 use crate::error::PeerError;
 use crate::message::Request;
 use crate::message::Response;
+use crate::responder::Responder;
+use crate::responder::Upstream;
 use crate::seal::ClusterKey;
 
-/// Maximum number of tunnels that an instance serves at the same time.
-///
-/// Guards against an instance running out of file descriptors when many peers have lost their links.
-pub const MAX_TUNNELS: usize = 512;
-
 /// Maximum number of relayed bytes in a frame: bounds the memory of a tunnel and how long a frame delays the next one.
 const MAX_DATA: usize = 64 * 1024;
 
@@ -252,32 +247,6 @@
     }
 }
 
-/// Connection to an upstream that a [`Responder`] opened for a tunnel.
-#[derive(Debug)]
-pub struct Upstream {
-    stream: TcpStream,
-    _guard: Box<dyn Any>,
-}
-
-impl Upstream {
-    /// Creates a connection for a tunnel. `guard` is dropped when the tunnel ends.
-    pub fn new<G>(stream: TcpStream, guard: G) -> Upstream
-    where
-        G: 'static,
-    {
-        Upstream {
-            stream,
-            _guard: Box::new(guard),
-        }
-    }
-}
-
-impl From<TcpStream> for Upstream {
-    fn from(stream: TcpStream) -> Upstream {
-        Upstream::new(stream, ())
-    }
-}
-
 /// Connection to an upstream that occupies a tunnel slot.
 #[derive(Debug)]
 pub(crate) struct UpstreamConnection {
--- a/src/ops/control/peers.rs
+++ b/src/ops/control/peers.rs
@@ -8,11 +8,11 @@
 use actix::MailboxError;
 use sequoiastream_core::authority::Settlement;
 use sequoiastream_core::claims::Verdict;
-use sequoiastream_peer::call::Responder;
 use sequoiastream_peer::message::PoisonRequest;
 use sequoiastream_peer::message::PoisonResponse;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
+use sequoiastream_peer::responder::Responder;
 
 use crate::ops::control::authority::AskSettlement;
 use crate::ops::control::authority::AuthorityActor;
--- a/src/ops/relay/connect.rs
+++ b/src/ops/relay/connect.rs
@@ -16,8 +16,8 @@
 use sequoiastream_core::relay::reachability::HEDGE_DELAY;
 use sequoiastream_core::relay::reachability::Path;
 use sequoiastream_core::relay::tunnel_peers;
+use sequoiastream_peer::responder::Upstream;
 use sequoiastream_peer::tunnel;
-use sequoiastream_peer::tunnel::Upstream;
 use sequoiastream_upstream::channel::Channel;
 use sequoiastream_upstream::channel::ChannelError;
 use sequoiastream_upstream::channel::Pool;
@@ -243,11 +243,10 @@
             failure = ChannelError::Unsent(error);
         }
         if !peers.is_empty() {
-            let now = clock::now();
             self.shared
                 .traffic()
                 .reachability
-                .on_tunnel_failed(now, self.engine.key);
+                .on_tunnel_failed(self.engine.key);
         }
         Err(failure)
     }
--- a/src/ops/relay/peers/mod.rs
+++ b/src/ops/relay/peers/mod.rs
@@ -38,15 +38,14 @@
 use sequoiastream_core::relay::watchers::FleetRank;
 use sequoiastream_core::time::Time;
 use sequoiastream_peer::PeerError;
-use sequoiastream_peer::call;
 use sequoiastream_peer::call::CallClient;
-use sequoiastream_peer::call::Responder;
 use sequoiastream_peer::datagram::DatagramSocket;
 use sequoiastream_peer::datagram::MAX_DATAGRAM;
 use sequoiastream_peer::message::Datagram;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
-use sequoiastream_peer::tunnel::Upstream;
+use sequoiastream_peer::responder::Responder;
+use sequoiastream_peer::responder::Upstream;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use uuid::Uuid;
@@ -235,7 +234,7 @@
         ..Limits::default()
     };
     let key = shared.key.clone();
-    actix_rt::spawn(call::serve(
+    actix_rt::spawn(sequoiastream_peer::serve(
         sockets.calls,
         key.clone(),
         PeerResponder::new(known.clone(), shared.clone()),
--- a/tests/testsuite/peer.rs
+++ b/tests/testsuite/peer.rs
@@ -9,16 +9,16 @@
 use sequoiastream_peer::PeerError;
 use sequoiastream_peer::call::CallClient;
 use sequoiastream_peer::call::MAX_FRAME;
-use sequoiastream_peer::call::Responder;
-use sequoiastream_peer::call::serve;
 use sequoiastream_peer::datagram::DatagramSocket;
 use sequoiastream_peer::message::Datagram;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
 use sequoiastream_peer::message::StoreItem;
 use sequoiastream_peer::message::StorePage;
+use sequoiastream_peer::responder::Responder;
 use sequoiastream_peer::seal::ClusterKey;
 use sequoiastream_peer::seal::ReplayWindow;
+use sequoiastream_peer::serve;
 use tokio::net::TcpListener;
 use uuid::Uuid;
 
--- a/tests/testsuite/peer_tunnel/leaving.rs
+++ b/tests/testsuite/peer_tunnel/leaving.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use sequoiastream_peer::call::Responder;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
+use sequoiastream_peer::responder::Responder;
+use sequoiastream_peer::responder::Upstream;
 use sequoiastream_peer::tunnel;
-use sequoiastream_peer::tunnel::Upstream;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::Notify;
--- a/tests/testsuite/peer_tunnel/serving.rs
+++ b/tests/testsuite/peer_tunnel/serving.rs
@@ -5,9 +5,9 @@
 
 use sequoiastream_peer::PeerError;
 use sequoiastream_peer::call::CallClient;
-use sequoiastream_peer::call::Responder;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
+use sequoiastream_peer::responder::Responder;
 use sequoiastream_peer::seal::ClusterKey;
 use sequoiastream_peer::tunnel;
 
--- a/tests/testsuite/relay/reachability.rs
+++ b/tests/testsuite/relay/reachability.rs
@@ -88,7 +88,7 @@
     for millis in 0..100 {
         assert_eq!(reachability.plan(at(millis), ENGINE), ConnectPlan::Direct);
         reachability.on_direct_failed(at(millis), ENGINE);
-        reachability.on_tunnel_failed(at(millis), ENGINE);
+        reachability.on_tunnel_failed(ENGINE);
     }
     assert!(!reachability.is_detached(at(100), ENGINE));
     assert!(!reachability.lost_engines(at(100), 1));
@@ -133,7 +133,7 @@
 fn tunnel_failures_end() {
     let mut reachability = state_after(at(0), at(5));
     for _ in 1..MAX_TUNNEL_FAILURES {
-        reachability.on_tunnel_failed(at(10), ENGINE);
+        reachability.on_tunnel_failed(ENGINE);
     }
     assert!(
         reachability.is_detached(at(10), ENGINE),
@@ -142,7 +142,7 @@
     reachability.on_connected(at(11), ENGINE, Path::Tunnel);
     for number in 1..=MAX_TUNNEL_FAILURES {
         assert!(reachability.is_detached(at(12), ENGINE), "{number}");
-        reachability.on_tunnel_failed(at(12), ENGINE);
+        reachability.on_tunnel_failed(ENGINE);
     }
     assert!(!reachability.is_detached(at(12), ENGINE));
     reachability.on_connected(at(13), ENGINE, Path::Tunnel);
@@ -280,7 +280,7 @@
                         reachability.on_connected(now, key, Path::Tunnel);
                         times.tunnel = Some(now);
                     }
-                    Step::TunnelFailed => reachability.on_tunnel_failed(now, key),
+                    Step::TunnelFailed => reachability.on_tunnel_failed(key),
                     Step::Plan => check_plan(reachability.plan(now, key), now, times),
                 }
                 times.detached = match reachability.is_detached(now, key) {
--- a/tests/testsuite/relay/tunnels.rs
+++ b/tests/testsuite/relay/tunnels.rs
@@ -15,11 +15,10 @@
 use sequoiastream_core::relay::reachability::Path;
 use sequoiastream_core::relay::routes::RouteKind;
 use sequoiastream_core::relay::tunnel_peers::TunnelPeer;
-use sequoiastream_peer::call;
-use sequoiastream_peer::call::Responder;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
-use sequoiastream_peer::tunnel::Upstream;
+use sequoiastream_peer::responder::Responder;
+use sequoiastream_peer::responder::Upstream;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -56,7 +55,7 @@
     async fn start(&self, instance: &Instance) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
         let address = listener.local_addr().expect("a bound listener");
-        let serve = call::serve(listener, instance.shared.key.clone(), self.clone());
+        let serve = sequoiastream_peer::serve(listener, instance.shared.key.clone(), self.clone());
         actix_web::rt::spawn(serve);
         address
     }
