Relay: connect no longer depends on a module that depends on it

send imported connect only for the call that frees the result of a prefill, which is now where prefills are: connect uses the types of send, and send doesn't use connect.

--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -3,12 +3,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http_body_util::Full;
 use sequoiastream_core::attempt::End;
 use sequoiastream_core::log_event;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::placement::PrefillPlan;
 use sequoiastream_core::retry;
+use sequoiastream_upstream::channel;
 use sequoiastream_upstream::channel::Pool;
 use tokio::time::timeout;
 
@@ -21,8 +27,8 @@
 use crate::ops::relay::send::AttemptFailure;
 use crate::ops::relay::send::AttemptOptions;
 use crate::ops::relay::send::MAX_ANSWER_BYTES;
-use crate::ops::relay::send::release;
 use crate::ops::relay::send::send;
+use crate::ops::relay::shared::AnswerHead;
 use crate::ops::relay::shared::Shared;
 use crate::util::clock;
 
@@ -242,3 +248,30 @@
             || passed + expected <= self.route.latency_target.mul_f64(ON_TIME_PART)
     }
 }
+
+/// Asks an engine to free the result of a prefill that no other engine will fetch.
+async fn release(
+    shared: &Shared,
+    pool: &Pool,
+    engine: &Engine,
+    path: &str,
+    limit: Duration,
+) -> Result<(), AttemptFailure> {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.method_mut() = Method::DELETE;
+    *request.uri_mut() = path
+        .parse()
+        .map_err(|e: http::uri::InvalidUri| AttemptFailure::new(End::Unsent, e))?;
+    let address = engine.entry.address;
+    let host =
+        HeaderValue::from_str(&address.to_string()).map_err(|e| AttemptFailure::new(End::Unsent, e))?;
+    request.headers_mut().insert(http::header::HOST, host);
+    let begun = clock::now();
+    let channel = connect::take(shared, pool, engine, limit).await?;
+    shared.on_send(engine);
+    let sent = clock::now();
+    let left = limit.saturating_sub(sent.since(begun));
+    let answer = channel::exchange(pool, address, channel, request, MAX_ANSWER_BYTES, left).await?;
+    shared.on_engine_answer(engine, &AnswerHead::of_call(sent, &answer));
+    Ok(())
+}
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -15,13 +15,11 @@
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::prompt::Prompt;
 use sequoiastream_core::time::Time;
-use sequoiastream_upstream::channel;
 use sequoiastream_upstream::channel::Answer;
 use sequoiastream_upstream::channel::Channel;
 use sequoiastream_upstream::channel::ChannelError;
 use sequoiastream_upstream::channel::Pool;
 
-use crate::ops::relay::connect;
 use crate::ops::relay::edge::HeaderNames;
 use crate::ops::relay::shared::AnswerHead;
 use crate::ops::relay::shared::Shared;
@@ -255,30 +253,3 @@
         false => End::Answered,
     }
 }
-
-/// Asks an engine to free the result of a prefill that no other engine will fetch.
-pub async fn release(
-    shared: &Shared,
-    pool: &Pool,
-    engine: &Engine,
-    path: &str,
-    limit: Duration,
-) -> Result<(), AttemptFailure> {
-    let mut request = Request::new(Full::new(Bytes::new()));
-    *request.method_mut() = Method::DELETE;
-    *request.uri_mut() = path
-        .parse()
-        .map_err(|e: http::uri::InvalidUri| AttemptFailure::new(End::Unsent, e))?;
-    let address = engine.entry.address;
-    let host =
-        HeaderValue::from_str(&address.to_string()).map_err(|e| AttemptFailure::new(End::Unsent, e))?;
-    request.headers_mut().insert(http::header::HOST, host);
-    let begun = clock::now();
-    let channel = connect::take(shared, pool, engine, limit).await?;
-    shared.on_send(engine);
-    let sent = clock::now();
-    let left = limit.saturating_sub(sent.since(begun));
-    let answer = channel::exchange(pool, address, channel, request, MAX_ANSWER_BYTES, left).await?;
-    shared.on_engine_answer(engine, &AnswerHead::of_call(sent, &answer));
-    Ok(())
-}
