--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -370,13 +370,16 @@
     /// Sends a request for `path` with the request id `id` and the header lines `more` on a new connection, and returns
     /// everything received.
     pub async fn get(&self, path: &str, id: &str, more: &str) -> String {
-        let raw = format!(
-            "GET {path} HTTP/1.1\r\nhost: shop.example\r\nx-request: {id}\r\nconnection: close\r\n{more}\r\n"
-        );
+        let raw = get_request(path, id, &format!("connection: close\r\n{more}"));
         self.exchange(&raw).await
     }
 }
 
+/// A GET request for `path` with the request id `id` and the header lines `more`.
+pub fn get_request(path: &str, id: &str, more: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: shop.example\r\nx-request: {id}\r\n{more}\r\n")
+}
+
 impl Drop for Instance {
     fn drop(&mut self) {
         let server = self.server.clone();
--- a/tests/testsuite/relay/limits.rs
+++ b/tests/testsuite/relay/limits.rs
@@ -16,6 +16,7 @@
 use super::engine::decline;
 use super::follow::follow_store;
 use super::instance::Instance;
+use super::instance::get_request;
 use super::instance::options;
 use super::instance::shared;
 use super::instance::status;
@@ -211,9 +212,7 @@
     wait_until(has_room).await;
     let mut caller = instance.connect().await;
     let lines = kind.header_lines(1);
-    let request = format!(
-        "GET /r/x HTTP/1.1\r\nhost: shop.example\r\nx-request: q1\r\nconnection: close\r\n{lines}\r\n"
-    );
+    let request = get_request("/r/x", "q1", &format!("connection: close\r\n{lines}"));
     caller.send(&request).await;
     prefill.wait_for(|log| log.requests.len() == 2).await;
     let got = send_request(&instance, kind, 2).await;
@@ -400,8 +399,7 @@
     for count in 1..=3 {
         let mut caller = instance.connect().await;
         let lines = kind.header_lines(count);
-        let request =
-            format!("GET /r/x HTTP/1.1\r\nhost: shop.example\r\nx-request: q{count}\r\n{lines}\r\n");
+        let request = get_request("/r/x", &format!("q{count}"), &lines);
         caller.send(&request).await;
         callers.push(caller);
     }
--- a/tests/testsuite/relay/metrics.rs
+++ b/tests/testsuite/relay/metrics.rs
@@ -9,6 +9,7 @@
 use super::engine::answer;
 use super::instance::Caller;
 use super::instance::Instance;
+use super::instance::get_request;
 
 /// The samples of the metric families with these name prefixes.
 pub(super) async fn samples(instance: &Instance, names: &[&str]) -> Vec<String> {
@@ -59,9 +60,7 @@
     let engine = ScriptedEngine::start(|_, _| vec![Action::Hold]).await;
     let instance = Instance::start(RouteKind::Once, &[(&engine, Stage::Whole)], |_| {});
     let mut caller = instance.connect().await;
-    caller
-        .send("GET /r/x HTTP/1.1\r\nhost: shop.example\r\nx-request: q\r\n\r\n")
-        .await;
+    caller.send(&get_request("/r/x", "q", "")).await;
     engine.wait_for(|log| log.requests.len() == 1).await;
     drop(caller);
     engine.wait_for(|log| log.disconnects == 1).await;
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -25,6 +25,7 @@
 mod parts;
 mod pauses;
 mod place;
+mod prefills;
 mod proofs;
 mod reachability;
 mod records;
--- a/tests/testsuite/relay/pauses.rs
+++ b/tests/testsuite/relay/pauses.rs
@@ -17,6 +17,7 @@
 use super::engine::ScriptedEngine;
 use super::engine::decline;
 use super::instance::Instance;
+use super::instance::get_request;
 use super::instance::status;
 use super::loopback::unique_address;
 use super::request_kinds::BRIEF_PAUSE;
@@ -96,7 +97,7 @@
     let instance = Instance::start(RouteKind::Stream, &engines, |_| {});
     let mut caller = instance.connect().await;
     let lines = RequestKind::Prefill.header_lines(0);
-    let request = format!("GET /r/x HTTP/1.1\r\nhost: shop.example\r\nx-request: q0\r\n{lines}\r\n");
+    let request = get_request("/r/x", "q0", &lines);
     caller.send(&request).await;
     decode.wait_for(|log| log.requests.len() == 1).await;
     send_request(&instance, RequestKind::Prefill, 1).await;
--- a/tests/testsuite/relay/request_kinds.rs
+++ b/tests/testsuite/relay/request_kinds.rs
@@ -17,6 +17,7 @@
 use super::engine::head;
 use super::instance::Caller;
 use super::instance::Instance;
+use super::instance::get_request;
 use super::instance::status;
 use super::keys::require_keys;
 
@@ -242,7 +243,7 @@
 pub async fn start_request(instance: &Instance) -> Caller {
     let mut caller = instance.connect().await;
     caller
-        .send("GET /r/x HTTP/1.1\r\nhost: shop.example\r\nx-request: q\r\nconnection: close\r\n\r\n")
+        .send(&get_request("/r/x", "q", "connection: close\r\n"))
         .await;
     caller
 }
--- a/tests/testsuite/relay/requests.rs
+++ b/tests/testsuite/relay/requests.rs
@@ -13,6 +13,7 @@
 use super::engine::answer;
 use super::instance::Caller;
 use super::instance::Instance;
+use super::instance::get_request;
 use super::instance::status;
 
 async fn echo() -> ScriptedEngine {
@@ -67,7 +68,7 @@
 async fn smuggled_refused() {
     let engine = echo().await;
     let instance = Instance::start(RouteKind::Once, &[(&engine, Stage::Whole)], |_| {});
-    let inner = "GET /r/inner HTTP/1.1\r\nhost: shop.example\r\nx-request: inner\r\n\r\n";
+    let inner = &get_request("/r/inner", "inner", "");
     let framings = [
         format!(
             "content-length: {}\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n{inner}",
@@ -205,9 +206,7 @@
     instance.shared.leave(clock::now());
     assert_eq!(fetch(&instance, "ready").await, "503");
     let mut caller = instance.connect().await;
-    caller
-        .send("GET /r/x HTTP/1.1\r\nhost: shop.example\r\nx-request: q\r\n\r\n")
-        .await;
+    caller.send(&get_request("/r/x", "q", "")).await;
     let got = caller.read_to_end().await;
     assert!(
         status(&got) == "200" && got.contains("connection: close"),
--- a/tests/testsuite/relay/stops.rs
+++ b/tests/testsuite/relay/stops.rs
@@ -9,6 +9,7 @@
 use super::engine::ScriptedEngine;
 use super::engine::answer;
 use super::instance::Instance;
+use super::instance::get_request;
 use super::wait_until;
 
 /// Length of an answer that doesn't fit into the buffers of a connection.
@@ -22,7 +23,7 @@
     let instance = Instance::start(RouteKind::Idempotent, &[(&engine, Stage::Whole)], |_| {});
     let mut caller = instance.connect().await;
     caller
-        .send("GET /r/x HTTP/1.1\r\nhost: shop.example\r\nx-request: q\r\nconnection: close\r\n\r\n")
+        .send(&get_request("/r/x", "q", "connection: close\r\n"))
         .await;
     engine.wait_for(|log| log.requests.len() == 1).await;
     wait_until(|| instance.shared.running() == 0).await;
@@ -54,9 +55,7 @@
     let engine = ScriptedEngine::start(|_, request| vec![answer(request, "whole")]).await;
     let instance = Instance::start(RouteKind::Idempotent, &[(&engine, Stage::Whole)], |_| {});
     let mut caller = instance.connect().await;
-    caller
-        .send("GET /r/x HTTP/1.1\r\nhost: shop.example\r\nx-request: q\r\n\r\n")
-        .await;
+    caller.send(&get_request("/r/x", "q", "")).await;
     caller.read_until("whole").await;
     let begun = Instant::now();
     futures_util::join!(caller.read_to_end(), instance.stop(LIMIT));
--- a/tests/testsuite/relay/tunnels.rs
+++ b/tests/testsuite/relay/tunnels.rs
@@ -31,6 +31,7 @@
 use super::engine::answer;
 use super::engine::head;
 use super::instance::Instance;
+use super::instance::get_request;
 use super::instance::status;
 use super::wait_until;
 
@@ -233,9 +234,7 @@
     let peer = Peer::new(Some(engine.address()));
     detach(&instance, unreachable.address, &[peer.start(&instance).await]);
     let mut caller = instance.connect().await;
-    caller
-        .send("GET /r/x HTTP/1.1\r\nhost: shop.example\r\nx-request: q\r\n\r\n")
-        .await;
+    caller.send(&get_request("/r/x", "q", "")).await;
     engine.wait_for(|log| log.requests.len() == 1).await;
     drop(caller);
     engine.wait_for(|log| log.disconnects == 1).await;
