--- a/tests/testsuite/relay/limits.rs
+++ b/tests/testsuite/relay/limits.rs
@@ -31,6 +31,7 @@
 use super::request_kinds::broken_stream;
 use super::request_kinds::constant_engine;
 use super::request_kinds::is_refusal;
+use super::request_kinds::pausing_engine;
 use super::request_kinds::request_count;
 use super::request_kinds::requests_refused;
 use super::request_kinds::requests_with_other_idle;
@@ -85,17 +86,8 @@
 #[actix_web::test]
 async fn limited_stream_runs_on() {
     let notify = Rc::new(Notify::new());
-    let awaited = notify.clone();
     let kind = RequestKind::Stream;
-    let engine = ScriptedEngine::start(move |_, request| {
-        let Action::Send(text) = LIMITED.answer(kind, request) else {
-            unreachable!("an answer is sent");
-        };
-        let (first, rest) = text.split_at(text.find("id: 2").expect("an event") - 4);
-        let [first, rest] = [first, rest].map(|part| Action::Send(part.to_string()));
-        vec![first, Action::Await(awaited.clone()), rest]
-    })
-    .await;
+    let engine = pausing_engine(LIMITED, kind, &notify).await;
     let instance = start(kind, [&engine]).await;
     let mut caller = start_request(&instance).await;
     caller.read_until("token 1").await;
--- a/tests/testsuite/relay/notices.rs
+++ b/tests/testsuite/relay/notices.rs
@@ -24,6 +24,7 @@
 use super::request_kinds::broken_stream;
 use super::request_kinds::constant_engine;
 use super::request_kinds::is_refusal;
+use super::request_kinds::pausing_engine;
 use super::request_kinds::request_count;
 use super::request_kinds::requests_refused;
 use super::request_kinds::scripted_answer;
@@ -83,19 +84,7 @@
     let mut seen = Vec::new();
     for kind in kinds {
         let notify = Rc::new(Notify::new());
-        let awaited = notify.clone();
-        let engine = ScriptedEngine::start(move |number, request| {
-            let Action::Send(text) = LEAVING.answer(kind, request) else {
-                unreachable!("an answer is sent");
-            };
-            let (first, rest) = text.split_at(text.find("id: 2").expect("an event") - 4);
-            let [first, rest] = [first, rest].map(|part| Action::Send(part.to_string()));
-            match number {
-                0 => vec![first, Action::Await(awaited.clone()), rest],
-                _ => vec![first, rest],
-            }
-        })
-        .await;
+        let engine = pausing_engine(LEAVING, kind, &notify).await;
         let instance = start(kind, [&engine]).await;
         let mut caller = start_request(&instance).await;
         caller.read_until("token 1").await;
--- a/tests/testsuite/relay/request_kinds.rs
+++ b/tests/testsuite/relay/request_kinds.rs
@@ -131,6 +131,27 @@
     ScriptedAnswer { status, lines }
 }
 
+/// An engine that sends `answer`, a stream; for the first request it awaits `notify` after the first event.
+pub async fn pausing_engine(
+    answer: ScriptedAnswer,
+    kind: RequestKind,
+    notify: &Rc<Notify>,
+) -> ScriptedEngine {
+    let notify = notify.clone();
+    ScriptedEngine::start(move |number, request| {
+        let Action::Send(text) = answer.answer(kind, request) else {
+            unreachable!("an answer is sent");
+        };
+        let (first, rest) = text.split_at(text.find("id: 2").expect("an event") - 4);
+        let [first, rest] = [first, rest].map(|part| Action::Send(part.to_string()));
+        match number {
+            0 => vec![first, Action::Await(notify.clone()), rest],
+            _ => vec![first, rest],
+        }
+    })
+    .await
+}
+
 impl ScriptedAnswer {
     /// The answer to `request` with this status and these lines. With status 200, it carries the name of a prefill, the
     /// events of a stream up to number 4, or a body.
