Tests: processes of a fleet have process groups of their own

Cause: the tests, not the product. The daemons were in the process group of the tests. When the shell that started the tests in the background exits, the group loses its last link to the session, and the kernel sends SIGHUP and SIGCONT to its processes if one of them is stopped, as it is in tests with SIGSTOP.

--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -4,6 +4,7 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::net::SocketAddr;
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::process::Child;
 use std::process::Command;
@@ -34,6 +35,9 @@
             .env("RUST_LOG", level)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
+            // The kernel resumes and hangs up stopped processes whose group loses its last link to the session, as when
+            // the shell exits that started the tests in the background.
+            .process_group(0)
             .spawn()
             .unwrap_or_else(|e| {
                 let hint = "the tests need all binaries: run `cargo build --workspace --bins` first";
--- a/tests/testsuite/ci.rs
+++ b/tests/testsuite/ci.rs
@@ -1,8 +1,10 @@
-//! Tests that CI skips because they are known to fail.
+//! Tests that CI skips because they are known to fail, and processes that tests start.
 
 use std::collections::BTreeSet;
 use std::process::Command;
 
+use crate::support::fleet;
+
 /// Returns the names of the tests that this suite would run with these arguments.
 fn list_tests(arguments: &[&str]) -> BTreeSet<String> {
     let suite = std::env::current_exe().expect("the path of this suite");
@@ -37,3 +39,19 @@
         assert!(all.contains(name), "{name} is not a test of this suite");
     }
 }
+
+/// The process group of a process.
+fn process_group(id: u32) -> String {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).expect("a running process");
+    let (_, fields) = stat.rsplit_once(')').expect("a name in parentheses");
+    fields.split_whitespace().nth(2).expect("a group").to_string()
+}
+
+/// Guards against paused daemons that are resumed or killed by the kernel because the shell that started the tests in
+/// the background exits: the processes of a fleet must not belong to the group of the tests.
+#[actix_web::test]
+async fn process_group_own() {
+    let fleet = fleet().start().await;
+    let id = fleet.daemons[0].id();
+    assert_eq!(process_group(id), id.to_string());
+}
