Log the fingerprint of failed attempts, and count suspect and blocked requests

Change: event 400 has the fingerprint, or none where the request is not recognised when it comes again; gauges relay_suspect_requests and relay_blocked_requests.

--- a/crates/core/src/relay/suspects.rs
+++ b/crates/core/src/relay/suspects.rs
@@ -47,6 +47,15 @@
     pub engine: u64,
 }
 
+/// Numbers of requests, by what is known of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SuspectCounts {
+    /// Requests that engines broke off lately, including the blocked ones.
+    pub suspect: usize,
+    /// Requests that are blocked.
+    pub blocked: usize,
+}
+
 /// The notes of all instances.
 #[derive(Debug, Clone, Default)]
 pub struct Suspects {
@@ -103,6 +112,16 @@
         engines.is_some_and(|engines| engines.values().filter(recent).count() >= MIN_CRASHES)
     }
 
+    /// The numbers of suspect and of blocked requests.
+    pub fn counts(&self, now: Time) -> SuspectCounts {
+        let is_recent = |at: &Time| now.since(*at) < NOTE_TTL;
+        let recent = |engines: &BTreeMap<u64, Time>| engines.values().any(is_recent);
+        SuspectCounts {
+            suspect: self.requests.values().filter(|engines| recent(engines)).count(),
+            blocked: self.requests.keys().filter(|r| self.is_blocked(now, **r)).count(),
+        }
+    }
+
     fn evict(&mut self, now: Time) {
         self.requests.retain(|_, engines| {
             engines.retain(|_, at| now.since(*at) < NOTE_TTL);
--- a/src/ops/relay/gauges.rs
+++ b/src/ops/relay/gauges.rs
@@ -32,6 +32,9 @@
     metrics
         .detached_engines
         .set(count(traffic.reachability.detached_count(now)));
+    let suspects = traffic.suspects.counts(now);
+    metrics.suspect_requests.set(count(suspects.suspect));
+    metrics.blocked_requests.set(count(suspects.blocked));
     metrics.clear_services();
     for (service, engines) in view.engines() {
         let own = sum(engines.iter().map(|e| traffic.load.own_work(e.key)));
--- a/src/ops/relay/retries.rs
+++ b/src/ops/relay/retries.rs
@@ -6,6 +6,7 @@
 use sequoiastream_core::attempt::NextStep;
 use sequoiastream_core::log_event;
 use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_core::relay::hash;
 use sequoiastream_core::relay::suspects::CrashNote;
 use sequoiastream_core::retry;
 
@@ -35,7 +36,8 @@
 
     pub(super) fn log_failure(&self, engine: &Engine, failure: &AttemptFailure, call: &str) {
         log_event!(info, log_event::ATTEMPT_FAILED, request = self.id(), route = %self.route.name,
-            engine = %engine.entry.id, end = ?failure.end, why = failure.reason, call);
+            engine = %engine.entry.id, end = ?failure.end, why = failure.reason, call,
+            fingerprint = self.incoming.fingerprint.map(hash::to_hex));
     }
 
     /// Handles a failed attempt. Returns `None` if another attempt may follow, otherwise the final answer.
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -110,6 +110,10 @@
     pub limited_engines: Gauge,
     /// Number of engines that this instance currently reaches only through a peer.
     pub detached_engines: Gauge,
+    /// Number of requests under which an engine ended lately.
+    pub suspect_requests: Gauge,
+    /// Number of requests that are blocked because they crash engines.
+    pub blocked_requests: Gauge,
     /// Number of instances listed to callers.
     pub instances: Gauge,
     registry: Mutex<Registry>,
@@ -146,6 +150,8 @@
             engines: Gauge::default(),
             limited_engines: Gauge::default(),
             detached_engines: Gauge::default(),
+            suspect_requests: Gauge::default(),
+            blocked_requests: Gauge::default(),
             instances: Gauge::default(),
             registry: Mutex::default(),
         };
@@ -262,6 +268,16 @@
             "Engines that this instance currently reaches only through a peer",
             self.detached_engines.clone(),
         );
+        registry.register(
+            "relay_suspect_requests",
+            "Requests under which an engine ended lately, as far as this instance knows",
+            self.suspect_requests.clone(),
+        );
+        registry.register(
+            "relay_blocked_requests",
+            "Requests that this instance blocks because they crash engines",
+            self.blocked_requests.clone(),
+        );
         registry.register(
             "relay_instances",
             "Instances listed to callers",
