--- /dev/null
+++ b/tests/testsuite/relay/crashes.rs
@@ -0,0 +1,60 @@
+//! Requests that crash engines, at whole instances.
+
+use sequoiastream_core::relay::engines::Stage;
+use sequoiastream_core::relay::routes::RouteKind;
+use sequoiastream_core::relay::suspects::MIN_CRASHES;
+
+use super::engine::Action;
+use super::engine::ReceivedRequest;
+use super::engine::ScriptedEngine;
+use super::engine::answer;
+use super::instance::Instance;
+use super::instance::status;
+
+/// Path of the request that crashes the engines of [`crashing_engine`].
+const POISON: &str = "/r/poison";
+
+fn is_poison(request: &ReceivedRequest) -> bool {
+    request.head.contains(POISON)
+}
+
+/// An engine that crashes under requests for [`POISON`] and answers all others.
+async fn crashing_engine() -> ScriptedEngine {
+    ScriptedEngine::start(|_, request| match is_poison(request) {
+        true => vec![Action::Crash],
+        false => vec![answer(request, "whole")],
+    })
+    .await
+}
+
+fn crashes(engines: &[ScriptedEngine]) -> usize {
+    engines.iter().filter(|engine| engine.log().crashed).count()
+}
+
+async fn crashing_engines(count: usize) -> Vec<ScriptedEngine> {
+    let mut engines = Vec::new();
+    for _ in 0..count {
+        engines.push(crashing_engine().await);
+    }
+    engines
+}
+
+fn start(kind: RouteKind, engines: &[ScriptedEngine]) -> Instance {
+    let engines: Vec<_> = engines.iter().map(|engine| (engine, Stage::Whole)).collect();
+    Instance::start(kind, &engines, |_| {})
+}
+
+/// Guards against a request without a body that crashes one engine after the other, because only requests with a body
+/// are recognised when they come again.
+#[actix_web::test]
+async fn block_without_body() {
+    let engines = crashing_engines(6).await;
+    let instance = start(RouteKind::Idempotent, &engines);
+    for attempt in 0..6 {
+        let got = instance.get(POISON, &format!("q{attempt}"), "").await;
+        assert!(crashes(&engines) <= MIN_CRASHES, "attempt {attempt}");
+        assert_eq!(status(&got), "502", "{got}");
+    }
+    let got = instance.get("/r/other", "q9", "").await;
+    assert_eq!(status(&got), "200", "{got}");
+}
--- a/tests/testsuite/relay/engine.rs
+++ b/tests/testsuite/relay/engine.rs
@@ -26,6 +26,8 @@
     Close,
     /// Resets the connection.
     Reset,
+    /// Ends the engine: all its connections are closed, and new ones are refused.
+    Crash,
     /// Keeps the connection open until the peer closes it.
     Hold,
     /// Waits until the test notifies the engine.
@@ -62,6 +64,8 @@
     pub connections: usize,
     /// Number of connections that the peer closed during [`Action::Hold`].
     pub disconnects: usize,
+    /// Whether the engine has ended by [`Action::Crash`].
+    pub crashed: bool,
 }
 
 /// A running scripted engine.
@@ -83,15 +87,35 @@
             log: Rc::new(watch::Sender::new(Log::default())),
         };
         let (state, script) = (engine.clone(), Rc::new(script));
-        spawn_local(async move {
+        let accept = async move {
             while let Ok((stream, _)) = listener.accept().await {
                 state.log.send_modify(|log| log.connections += 1);
-                spawn_local(serve(stream, state.clone(), script.clone()));
+                let (engine, script) = (state.clone(), script.clone());
+                spawn_local(async move {
+                    tokio::select! {
+                        () = engine.crashed() => {}
+                        () = serve(stream, engine.clone(), script) => {}
+                    }
+                });
+            }
+        };
+        let crashing = engine.clone();
+        spawn_local(async move {
+            tokio::select! {
+                () = crashing.crashed() => {}
+                () = accept => {}
             }
         });
         engine
     }
 
+    /// Waits until the engine has ended by [`Action::Crash`].
+    async fn crashed(&self) {
+        let mut log = self.log.subscribe();
+        // The sender lives as long as this engine.
+        let _ = log.wait_for(|log| log.crashed).await;
+    }
+
     /// Address on which it listens.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -134,6 +158,7 @@
                 }
                 Action::Await(notify) => notify.notified().await,
                 Action::Close => return,
+                Action::Crash => engine.log.send_modify(|log| log.crashed = true),
                 Action::Reset => {
                     stream.set_zero_linger().expect("a socket");
                     return;
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -5,6 +5,7 @@
 mod book;
 mod budget;
 mod confirmations;
+mod crashes;
 mod digest;
 mod directory;
 mod engine;
