Check before each attempt whether a request crashes engines

What callers saw: a request that had ended three engines was sent to one more. Cause: a request was checked on its arrival only, not before the second attempt at it, which follows within milliseconds of the crash that makes it known. Evidence: relay::crashes::block_before_retry failed before with 4 engines ended, bound 3; it passes now. Why it works: every attempt of a request, also one that continues a stream, begins in start_attempt.

--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -133,13 +133,7 @@
 
     /// Makes the attempts and returns the final answer.
     pub async fn run(self) -> HttpResponse {
-        if let Some(fingerprint) = self.incoming.fingerprint
-            && self
-                .shared
-                .traffic()
-                .suspects
-                .is_blocked(clock::now(), fingerprint)
-        {
+        if self.is_blocked() {
             return self.finish(Reply::Convicted);
         }
         if let Some(service) = &self.service {
@@ -234,11 +228,20 @@
         self.shared.metrics.count_answer(&self.path(), outcome);
     }
 
+    /// Whether no engine may run the request, because it crashes the engines that do.
+    fn is_blocked(&self) -> bool {
+        let fingerprint = self.incoming.fingerprint;
+        fingerprint.is_some_and(|f| self.shared.traffic().suspects.is_blocked(clock::now(), f))
+    }
+
     /// Chooses an engine and connects to it. `Err(None)` means that another attempt may follow.
     pub(super) async fn start_attempt(
         &mut self,
         last_event: Option<u64>,
     ) -> Result<ActiveAttempt, Option<Reply>> {
+        if self.is_blocked() {
+            return Err(Some(Reply::Convicted));
+        }
         let is_stream = self.route.kind.is_stream();
         let (engine, prefill) = match is_stream {
             true => self.choose_for_stream().await?,
--- a/tests/testsuite/relay/crashes.rs
+++ b/tests/testsuite/relay/crashes.rs
@@ -58,3 +58,20 @@
     let got = instance.get("/r/other", "q9", "").await;
     assert_eq!(status(&got), "200", "{got}");
 }
+
+/// Guards against a request that crashes one engine more than allowed because only its first attempt is checked, not the
+/// attempts that follow it.
+#[actix_web::test]
+async fn block_before_retry() {
+    let engines = crashing_engines(6).await;
+    let instance = start(RouteKind::Idempotent, &engines);
+    for attempt in 0..6 {
+        let raw = format!(
+            "POST {POISON} HTTP/1.1\r\nhost: shop.example\r\nx-request: q{attempt}\r\nconnection: close\r\n\
+             content-length: 2\r\n\r\nab"
+        );
+        let got = instance.exchange(&raw).await;
+        assert!(crashes(&engines) <= MIN_CRASHES, "attempt {attempt}");
+        assert_eq!(status(&got), "502", "{got}");
+    }
+}
