Recognise requests without a body that crash engines

Cause: only requests with a body had a fingerprint, since different callers send the same request without one; so nobody counted its crashes. Why it works: such a request is now known by method, path and the caller's address. Requests with a body are known as before.

--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -230,8 +230,10 @@
 
     /// Whether no engine may run the request, because it crashes the engines that do.
     fn is_blocked(&self) -> bool {
-        let fingerprint = self.incoming.fingerprint;
-        fingerprint.is_some_and(|f| self.shared.traffic().suspects.is_blocked(clock::now(), f))
+        let traffic = self.shared.traffic();
+        traffic
+            .suspects
+            .is_blocked(clock::now(), self.incoming.fingerprint)
     }
 
     /// Chooses an engine and connects to it. `Err(None)` means that another attempt may follow.
--- a/src/ops/relay/head.rs
+++ b/src/ops/relay/head.rs
@@ -1,5 +1,6 @@
 //! Parses the head of a request, refuses invalid ones, and removes the headers that are never forwarded.
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use actix_web::HttpRequest;
@@ -49,6 +50,8 @@
     pub id: HeaderValue,
     /// Key of the caller.
     pub key: Option<HeaderValue>,
+    /// Address of the caller.
+    caller: Option<IpAddr>,
 }
 
 impl RequestHead {
@@ -92,6 +95,7 @@
             headers,
             id,
             key,
+            caller: request.peer_addr().map(|address| address.ip()),
         })
     }
 
@@ -122,7 +126,8 @@
         };
         let name = workspace.map(|w| HeaderValue::from_str(&w.name)).transpose();
         let deadline = arrived + time_limit;
-        let fingerprint = (!body.is_empty()).then(|| fingerprint(&self.method, &self.uri, &body));
+        let caller = self.caller.filter(|_| body.is_empty());
+        let fingerprint = fingerprint(&self.method, &self.uri, &body, caller);
         Ok(IncomingRequest {
             fingerprint,
             prompt,
@@ -156,10 +161,12 @@
 /// A header does not contain a valid number.
 struct InvalidNumber;
 
-fn fingerprint(method: &Method, uri: &Uri, body: &[u8]) -> u64 {
+/// Identifies equal requests: a hash of method, path and body, and of the address of the caller if it is given.
+fn fingerprint(method: &Method, uri: &Uri, body: &[u8], caller: Option<IpAddr>) -> u64 {
     let path = uri.path_and_query().map_or("", |path| path.as_str());
-    let hash = Hash::new().with(method.as_str().as_bytes());
-    hash.with(path.as_bytes()).with(body).value()
+    let caller = caller.map(|address| address.to_string()).unwrap_or_default();
+    let hash = Hash::new().with(method.as_str().as_bytes()).with(path.as_bytes());
+    hash.with(body).with(caller.as_bytes()).value()
 }
 
 /// Parses the structure of the prompt. If that fails, the request is forwarded without it: whether the prompt is valid
--- a/src/ops/relay/retries.rs
+++ b/src/ops/relay/retries.rs
@@ -37,7 +37,7 @@
     pub(super) fn log_failure(&self, engine: &Engine, failure: &AttemptFailure, call: &str) {
         log_event!(info, log_event::ATTEMPT_FAILED, request = self.id(), route = %self.route.name,
             engine = %engine.entry.id, end = ?failure.end, why = failure.reason, call,
-            fingerprint = self.incoming.fingerprint.map(hash::to_hex));
+            fingerprint = hash::to_hex(self.incoming.fingerprint));
     }
 
     /// Handles a failed attempt. Returns `None` if another attempt may follow, otherwise the final answer.
@@ -74,10 +74,10 @@
 
     /// Records that an engine broke off this request, which may have crashed it.
     fn record_crash(&self, engine: &Engine, end: End) {
-        let Some(request) = self.incoming.fingerprint.filter(|_| end == End::Broken) else {
+        if end != End::Broken {
             return;
-        };
-        let engine = engine.hash;
+        }
+        let (request, engine) = (self.incoming.fingerprint, engine.hash);
         let mut ledger = self.shared.traffic();
         ledger
             .suspects
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -44,9 +44,9 @@
     pub body: Bytes,
     /// Id that the caller gave this attempt.
     pub id: HeaderValue,
-    /// Hash of method, path and body, which identifies requests that crash engines. `None` if there is no body: then
-    /// different callers send the same request.
-    pub fingerprint: Option<u64>,
+    /// Identifies requests that crash engines: a hash of method, path and body. Without a body, different callers send the
+    /// same request, which may fail for one of them only: then it is a hash of method, path and the caller's address.
+    pub fingerprint: u64,
     /// Structure of the prompt, if the request carries one.
     pub prompt: Option<Prompt>,
     /// Name of the workspace that sent the request, if callers need keys.
