Count a request's crash only if its engine has ended

What callers saw: a request that many send is answered 502 for two minutes because links lost its answers at three engines, which all run on. Cause: a connection that breaks under a request was counted as a crash of its engine. Why it works: after such a break the instance connects to the engine; only an engine that refuses connections has ended. The connection replaces the broken one in the pool. A request that one more crash would block waits for the check before its next attempt. An engine that this instance reaches only through a peer is not counted, nor one whose host falls silent.

--- a/crates/core/src/relay/suspects.rs
+++ b/crates/core/src/relay/suspects.rs
@@ -105,11 +105,16 @@
         due.map(|(_, note)| *note).take(MAX_NOTES).collect()
     }
 
-    /// Whether a request is blocked.
-    pub fn is_blocked(&self, now: Time, request: u64) -> bool {
+    /// Number of engines that ended under a request lately.
+    pub fn crashes(&self, now: Time, request: u64) -> usize {
         let engines = self.requests.get(&request);
         let recent = |at: &&Time| now.since(**at) < NOTE_TTL;
-        engines.is_some_and(|engines| engines.values().filter(recent).count() >= MIN_CRASHES)
+        engines.map_or(0, |engines| engines.values().filter(recent).count())
+    }
+
+    /// Whether a request is blocked.
+    pub fn is_blocked(&self, now: Time, request: u64) -> bool {
+        self.crashes(now, request) >= MIN_CRASHES
     }
 
     /// The numbers of suspect and of blocked requests.
--- a/crates/upstream/src/channel.rs
+++ b/crates/upstream/src/channel.rs
@@ -7,6 +7,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -63,6 +64,9 @@
     /// Nothing was sent.
     #[error("could not send the request: {0}")]
     Unsent(String),
+    /// Nothing was sent: nothing listens at the address.
+    #[error("could not send the request: {0}")]
+    Refused(String),
     /// The request was sent, at least in part, and may have run.
     #[error("could not read the answer: {0}")]
     Broken(String),
@@ -101,9 +105,12 @@
     ///
     /// # Errors
     ///
-    /// [`ChannelError::Unsent`] if no connection can be established.
+    /// [`ChannelError::Refused`] or [`ChannelError::Unsent`] if no connection can be established.
     pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Channel, ChannelError> {
-        let unsent = |e: std::io::Error| ChannelError::Unsent(e.to_string());
+        let unsent = |e: std::io::Error| match e.kind() {
+            ErrorKind::ConnectionRefused => ChannelError::Refused(e.to_string()),
+            _ => ChannelError::Unsent(e.to_string()),
+        };
         let connected = timeout(limit, TcpStream::connect(address)).await;
         let stream = connected
             .map_err(|_| ChannelError::Unsent("no connection in time".to_string()))?
@@ -142,6 +149,11 @@
         })
     }
 
+    /// Whether the upstream has not closed the connection.
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
     fn is_usable(&self) -> bool {
         let is_expired = self.path == Path::Tunnel && self.opened.elapsed() >= MAX_TUNNEL_AGE;
         self.sender.is_ready() && self.idle_since.elapsed() < self.keep_alive && !is_expired
--- a/src/ops/relay/connect.rs
+++ b/src/ops/relay/connect.rs
@@ -41,6 +41,9 @@
 /// the peer in time.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 
+/// Time within which an engine that ends closes all its connections and refuses new ones.
+const END_TIME: Duration = Duration::from_millis(50);
+
 /// A connection to `engine` for `incoming`.
 ///
 /// # Errors
@@ -164,6 +167,46 @@
     join_all(probes).await;
 }
 
+/// Whether an engine that broke off a request has ended: it refuses connections. `false` if that is not certain, because
+/// it can't be reached or this instance reaches it only through a peer. A connection that is opened is kept.
+///
+/// Failure guarded against: a link loses the answers to a request, or an engine breaks off some answers, and the request
+/// is taken for one that crashes engines.
+pub async fn has_ended(shared: &Shared, pool: &Pool, engine: &Engine) -> bool {
+    if shared
+        .traffic()
+        .reachability
+        .is_detached(clock::now(), engine.key)
+    {
+        return false;
+    }
+    let limit = CONNECT_TIMEOUT;
+    let opener = Opener {
+        shared,
+        pool,
+        engine,
+        limit,
+    };
+    let opened = match opener.connect().await {
+        Ok(channel) => {
+            // An engine that is ending may still have accepted the connection.
+            tokio::time::sleep(END_TIME).await;
+            match channel.is_open() {
+                true => Ok(channel),
+                false => opener.connect().await,
+            }
+        }
+        failed => failed,
+    };
+    match opened {
+        Ok(channel) => {
+            pool.put(engine.entry.address, channel);
+            false
+        }
+        Err(error) => matches!(error, ChannelError::Refused(_)),
+    }
+}
+
 /// Opens one connection.
 struct Opener<'a> {
     shared: &'a Shared,
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -23,6 +23,7 @@
 use sequoiastream_core::time::Time;
 use sequoiastream_upstream::channel::Pool;
 use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 
 use crate::log_event;
 use crate::ops::relay::attempt::ActiveAttempt;
@@ -76,6 +77,8 @@
     outcome_counted: Cell<bool>,
     /// Engine and reason of the last failed attempt, for the log.
     pub(super) last_failure: Option<(String, String)>,
+    /// The check whether the engine that last broke off this request has ended.
+    pub(super) crash_check: Option<JoinHandle<()>>,
     /// Whether the next attempt has already been taken from the budget of extra attempts.
     pub(super) attempt_reserved: Cell<bool>,
     /// Notified when the request is about to be sent to the engine that is to answer.
@@ -124,6 +127,7 @@
             answer_begun: false,
             outcome_counted: Cell::new(false),
             last_failure: None,
+            crash_check: None,
             attempt_reserved: Cell::new(false),
             request_sent: Rc::new(Notify::new()),
             draw,
@@ -132,8 +136,8 @@
     }
 
     /// Makes the attempts and returns the final answer.
-    pub async fn run(self) -> HttpResponse {
-        if self.is_blocked() {
+    pub async fn run(mut self) -> HttpResponse {
+        if self.is_blocked().await {
             return self.finish(Reply::Convicted);
         }
         if let Some(service) = &self.service {
@@ -228,20 +232,12 @@
         self.shared.metrics.count_answer(&self.path(), outcome);
     }
 
-    /// Whether no engine may run the request, because it crashes the engines that do.
-    fn is_blocked(&self) -> bool {
-        let traffic = self.shared.traffic();
-        traffic
-            .suspects
-            .is_blocked(clock::now(), self.incoming.fingerprint)
-    }
-
     /// Chooses an engine and connects to it. `Err(None)` means that another attempt may follow.
     pub(super) async fn start_attempt(
         &mut self,
         last_event: Option<u64>,
     ) -> Result<ActiveAttempt, Option<Reply>> {
-        if self.is_blocked() {
+        if self.is_blocked().await {
             return Err(Some(Reply::Convicted));
         }
         let is_stream = self.route.kind.is_stream();
--- a/src/ops/relay/retries.rs
+++ b/src/ops/relay/retries.rs
@@ -8,14 +8,17 @@
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::hash;
 use sequoiastream_core::relay::suspects::CrashNote;
+use sequoiastream_core::relay::suspects::MIN_CRASHES;
 use sequoiastream_core::retry;
 
 use crate::log_event;
 use crate::ops::relay::attempt::ActiveAttempt;
+use crate::ops::relay::connect;
 use crate::ops::relay::forward::ForwardedRequest;
 use crate::ops::relay::pick::MAX_LOAD_FACTOR;
 use crate::ops::relay::reply::Reply;
 use crate::ops::relay::send::AttemptFailure;
+use crate::ops::relay::shared::Shared;
 use crate::util::clock;
 
 impl ForwardedRequest {
@@ -69,19 +72,38 @@
         self.log_failure(engine, failure, "send");
         self.last_failure = Some((engine.entry.id.clone(), failure.reason.clone()));
         self.record_end(engine, failure.end);
-        self.record_crash(engine, failure.end);
+        self.check_crash(engine, failure.end);
     }
 
-    /// Records that an engine broke off this request, which may have crashed it.
-    fn record_crash(&self, engine: &Engine, end: End) {
+    /// Starts to check whether an engine that broke off this request has ended, and records it if so: the request may
+    /// have crashed it.
+    pub(super) fn check_crash(&mut self, engine: &Engine, end: End) {
         if end != End::Broken {
             return;
         }
-        let (request, engine) = (self.incoming.fingerprint, engine.hash);
-        let mut ledger = self.shared.traffic();
-        ledger
-            .suspects
-            .on_engine_broke(clock::now(), CrashNote { request, engine });
+        let (shared, pool, engine) = (self.shared.clone(), self.pool.clone(), engine.clone());
+        let request = self.incoming.fingerprint;
+        self.crash_check = Some(actix_rt::spawn(async move {
+            if connect::has_ended(&shared, &pool, &engine).await {
+                on_crash(&shared, &engine, request);
+            }
+        }));
+    }
+
+    /// Whether no engine may run the request, because it crashes the engines that do. If one more crash would block it, a
+    /// check that is still running is awaited.
+    pub(super) async fn is_blocked(&mut self) -> bool {
+        let crashes = || {
+            let traffic = self.shared.traffic();
+            traffic.suspects.crashes(clock::now(), self.incoming.fingerprint)
+        };
+        if crashes() + 1 == MIN_CRASHES
+            && let Some(check) = self.crash_check.take()
+            && let Err(error) = check.await
+        {
+            log_event!(warn, log_event::ATTEMPT_FAILED, request = self.id(), %error, call = "check");
+        }
+        crashes() >= MIN_CRASHES
     }
 
     /// Records an attempt that was cancelled before its result was known, and discards its prefill and its reservation.
@@ -156,3 +178,17 @@
         allowed
     }
 }
+
+/// Records that an engine ended while it ran `request`.
+fn on_crash(shared: &Shared, engine: &Engine, request: u64) {
+    let now = clock::now();
+    let note = CrashNote {
+        request,
+        engine: engine.hash,
+    };
+    let mut traffic = shared.traffic();
+    traffic.suspects.on_engine_broke(now, note);
+    let crashes = traffic.suspects.crashes(now, request);
+    drop(traffic);
+    log_event!(warn, log_event::ENGINE_CRASHED, engine = %engine.entry.id, fingerprint = hash::to_hex(request), crashes);
+}
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -107,7 +107,7 @@
 impl From<ChannelError> for AttemptFailure {
     fn from(error: ChannelError) -> AttemptFailure {
         let end = match &error {
-            ChannelError::Unsent(_) => End::Unsent,
+            ChannelError::Unsent(_) | ChannelError::Refused(_) => End::Unsent,
             ChannelError::Broken(_) | ChannelError::TooLong(_) => End::Broken,
             ChannelError::Timeout => End::Silent,
         };
--- a/tests/testsuite/relay/crashes.rs
+++ b/tests/testsuite/relay/crashes.rs
@@ -75,3 +75,25 @@
         assert_eq!(status(&got), "502", "{got}");
     }
 }
+
+/// Guards against blocking a request that many callers send, because links lost its answers: the engines that lost them
+/// run on.
+#[actix_web::test]
+async fn serve_after_lost_answers() {
+    let mut engines = Vec::new();
+    for _ in 0..4 {
+        let engine = ScriptedEngine::start(|number, request| match number {
+            0 | 1 => vec![Action::Reset],
+            _ => vec![answer(request, "whole")],
+        });
+        engines.push(engine.await);
+    }
+    let instance = start(RouteKind::Idempotent, &engines);
+    let mut served = 0;
+    for attempt in 0..12 {
+        let got = instance.get("/r/popular", &format!("q{attempt}"), "").await;
+        served += usize::from(status(&got) == "200");
+    }
+    // At most four engines, two answers each, two attempts at each request.
+    assert!(served >= 8, "{served}");
+}
