Pass on what is known of requests that crash engines

What callers saw: a request that had ended three engines ended one more at each instance that started, or was paused or cut off, after the crashes. Cause: only the instance that saw a crash sent it again, and it may be gone; a message took the latest 32 notes, so that older ones were never sent again after a crash with many neighbours; in a fleet of hundreds, messages about load go to busy peers of the zone only, so that other zones never heard. Evidence: relay::suspects::convict_writer_gone and convict_among_many failed before (later instances didn't know) and pass now. Why it works: each instance passes on what is new to it in three messages to four peers each, and a part of all it knows five times a second, in turn, so that each peer gets everything from any other; notes carry their age, so that passing on doesn't keep them alive. Messages of their own, by the rotation that limits of engines use, reach all peers at any size of the fleet. An engine that started again under its id counts as another one. A request that arrives while earlier crashes of it are being checked waits for the checks where its answer depends on them (relay::crashes::block_without_body failed now and then without). Requests are identified by the fingerprint of core::poison, and the module has moved there: its model stays, with evidence, completion and crashes of incarnations; what the relay adds is counting without votes. Two tests said that one engine ended under many requests one after the other; an engine ends once, so their crashes are distinct now (relay::seeded::poison_known_to_all, relay::suspects::memory_bounded), with the same checks.

--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison/mod.rs
@@ -15,12 +15,16 @@
 //! engine that is merely silent may be unreachable from this instance only; this raises suspicion for a shorter time
 //! and never confirms a request.
 //!
+//! Requests that are forwarded unchanged are watched by [`suspects`], which takes no holds.
+//!
 //! To run, a suspect needs a hold on both an engine and its own fingerprint. An instance takes a hold only if all
 //! peers that answer agree; if two instances ask at the same time, the lower fingerprint goes first.
 
+mod fingerprint;
+pub mod suspects;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::fmt;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -29,6 +33,7 @@
 
 use crate::invariant;
 use crate::name::Name;
+pub use crate::poison::fingerprint::Fingerprint;
 use crate::time::Time;
 
 /// How long a crash with [`Evidence::Crashed`] raises suspicion.
@@ -45,38 +50,6 @@
 /// Number of crashes after which a request isn't run any more.
 const CRASH_THRESHOLD: usize = 2;
 
-/// Identifies equal requests: a hash of product, model, prompt and token limit.
-///
-/// Request ids and seeds are left out, since most callers generate new ones with each repetition.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Fingerprint([u8; 16]);
-
-impl Fingerprint {
-    /// Computes the fingerprint of a request.
-    pub fn of(product: &Name, model: &str, prompt: &str, limit: u32) -> Fingerprint {
-        let mut hasher = blake3::Hasher::new();
-        for part in [product.as_str(), model, prompt] {
-            hasher.update(&(part.len() as u64).to_be_bytes());
-            hasher.update(part.as_bytes());
-        }
-        hasher.update(&limit.to_be_bytes());
-        let mut bytes = [0; 16];
-        hasher.finalize_xof().fill(&mut bytes);
-        Fingerprint(bytes)
-    }
-
-    /// The first byte, by which suspects are spread over engines.
-    pub fn first_byte(self) -> u8 {
-        self.0[0]
-    }
-}
-
-impl fmt::Display for Fingerprint {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&hex::encode(self.0))
-    }
-}
-
 /// One crash of one engine, that is, the end of one of its incarnations.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Incident {
--- a/crates/core/src/relay/engines.rs
+++ b/crates/core/src/relay/engines.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::relay::hash::Hash;
+use crate::relay::hash::hash_pair;
 use crate::time::Time;
 
 /// How long an engine may still get work if its entry disappeared around an outage of the store. Entries that expired
@@ -41,6 +42,13 @@
     pub started: Option<u64>,
 }
 
+impl Incarnation {
+    /// Hash of the incarnation.
+    pub fn hash(self) -> u64 {
+        hash_pair(self.id, self.started.unwrap_or_default())
+    }
+}
+
 /// Registration of an engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Entry {
--- a/crates/core/src/relay/hash.rs
+++ b/crates/core/src/relay/hash.rs
@@ -22,11 +22,6 @@
     }
 }
 
-/// Formats a hash for logs.
-pub fn to_hex(hash: u64) -> String {
-    format!("{hash:016x}")
-}
-
 /// Hashes a pair of hashes. It is cheap, since each request computes it for many pairs.
 pub fn hash_pair(first: u64, second: u64) -> u64 {
     mix(mix(first ^ second.rotate_left(32)) ^ second)
--- a/crates/core/src/relay/load_message.rs
+++ b/crates/core/src/relay/load_message.rs
@@ -9,7 +9,6 @@
 
 use crate::relay::cached_parts::PrefillRecord;
 use crate::relay::load_tracker::Work;
-use crate::relay::suspects::CrashNote;
 use crate::relay::watchers::ConfirmationId;
 use crate::relay::watchers::ConfirmedStatus;
 use crate::relay::watchers::SyncStatus;
@@ -48,8 +47,6 @@
 pub struct LoadMessage {
     /// The sender's load on each engine.
     pub shares: Vec<EngineLoad>,
-    /// Engines that recently broke off a request.
-    pub notes: Vec<CrashNote>,
     /// Prompts that the sender recently had processed.
     pub reads: Vec<PrefillRecord>,
     /// Revision of the store up to which the sender knows the engines.
@@ -68,11 +65,7 @@
 
 impl LoadMessage {
     /// A message with the load `work`, without a status of the store.
-    pub fn new(
-        work: BTreeMap<String, Work>,
-        notes: Vec<CrashNote>,
-        reads: Vec<PrefillRecord>,
-    ) -> LoadMessage {
+    pub fn new(work: BTreeMap<String, Work>, reads: Vec<PrefillRecord>) -> LoadMessage {
         let shares = work.into_iter().map(|(engine, work)| EngineLoad {
             engine,
             requests: work.requests,
@@ -80,7 +73,6 @@
         });
         LoadMessage {
             shares: shares.collect(),
-            notes,
             reads,
             revision: 0,
             age: u32::MAX,
@@ -152,7 +144,7 @@
 pub enum Report {
     /// No work, and nothing that changed.
     Nothing,
-    /// Load, notes about suspect requests, or records of processed prompts.
+    /// Load, or records of processed prompts.
     Work,
     /// The direct links to the engines were lost or regained.
     Change,
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! A route maps a host and a path prefix to services. [`routes`] looks it up, [`engines`] tracks the engines of each
 //! service, [`placement`] picks an engine, [`attempt`](crate::attempt) decides what the end of an attempt proves and
-//! whether another may follow, [`budget`] limits extra attempts over the whole fleet, [`stages`] splits the engines of
-//! a service into those that process prompts and those that generate, and [`suspects`] detects requests that crash
-//! engines.
+//! whether another may follow, [`budget`] limits extra attempts over the whole fleet, and [`stages`] splits the
+//! engines of a service into those that process prompts and those that generate. Requests that crash engines are
+//! detected by [`poison::suspects`](crate::poison::suspects).
 
 pub mod absence;
 pub mod budget;
@@ -30,7 +30,6 @@
 pub mod routes;
 pub mod scale;
 pub mod stages;
-pub mod suspects;
 pub mod token_bucket;
 pub mod true_time;
 pub mod tunnel_peers;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -17,6 +17,7 @@
 use sequoiastream_core::poison::CrashReport;
 use sequoiastream_core::poison::Fingerprint;
 use sequoiastream_core::poison::HoldRequest;
+use sequoiastream_core::poison::suspects::Note;
 use sequoiastream_core::relay::limit_report::PeerLimitReport;
 use sequoiastream_core::relay::load_message::LoadMessage;
 use sequoiastream_core::relay::usage::CountsMessage;
@@ -43,6 +44,8 @@
     Counts(CountsMessage),
     /// Request limits that engines reported to the sender.
     Limits(Vec<PeerLimitReport>),
+    /// Requests under which engines ended.
+    Crashes(Vec<Note>),
 }
 
 /// A request over TCP.
--- a/src/ops/control/membership.rs
+++ b/src/ops/control/membership.rs
@@ -238,7 +238,7 @@
                 self.shared.metrics.membership.heartbeats_received.inc();
                 self.handle_event(Event::Heartbeat(name, heartbeat));
             }
-            Ok((_, Datagram::Ping | Datagram::Load(_) | Datagram::Limits(_))) => {}
+            Ok((_, Datagram::Ping | Datagram::Load(_) | Datagram::Limits(_) | Datagram::Crashes(_))) => {}
             Ok((_, Datagram::Prove(_) | Datagram::Proof(_) | Datagram::Counts(_))) => {}
             Err(error) => log_event!(debug, log_event::PEER_REFUSED, %error),
         }
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -23,7 +23,6 @@
 use sequoiastream_core::time::Time;
 use sequoiastream_upstream::channel::Pool;
 use tokio::sync::Notify;
-use tokio::task::JoinHandle;
 
 use crate::log_event;
 use crate::ops::relay::attempt::ActiveAttempt;
@@ -77,8 +76,6 @@
     outcome_counted: Cell<bool>,
     /// Engine and reason of the last failed attempt, for the log.
     pub(super) last_failure: Option<(String, String)>,
-    /// The check whether the engine that last broke off this request has ended.
-    pub(super) crash_check: Option<JoinHandle<()>>,
     /// Whether the next attempt has already been taken from the budget of extra attempts.
     pub(super) attempt_reserved: Cell<bool>,
     /// Notified when the request is about to be sent to the engine that is to answer.
@@ -127,7 +124,6 @@
             answer_begun: false,
             outcome_counted: Cell::new(false),
             last_failure: None,
-            crash_check: None,
             attempt_reserved: Cell::new(false),
             request_sent: Rc::new(Notify::new()),
             draw,
@@ -136,7 +132,7 @@
     }
 
     /// Makes the attempts and returns the final answer.
-    pub async fn run(mut self) -> HttpResponse {
+    pub async fn run(self) -> HttpResponse {
         if self.is_blocked().await {
             return self.finish(Reply::Convicted);
         }
@@ -184,7 +180,7 @@
         };
         let end = end_of(answer);
         let mut builder = response_head(&answer.head.headers, answer.head.status.as_u16());
-        self.record_end(attempt.engine(), end);
+        self.record_completion(attempt.engine(), end);
         self.count(end.label());
         if !self.route.kind.is_stream() {
             let took = clock::now().since(self.incoming.arrived);
--- a/src/ops/relay/head.rs
+++ b/src/ops/relay/head.rs
@@ -12,7 +12,7 @@
 use http::Uri;
 use http::header;
 use sequoiastream_core::log_event;
-use sequoiastream_core::relay::hash::Hash;
+use sequoiastream_core::poison::Fingerprint;
 use sequoiastream_core::relay::prompt::Prompt;
 use sequoiastream_core::relay::routes::Route;
 use sequoiastream_core::relay::workspaces::Workspace;
@@ -126,8 +126,8 @@
         };
         let name = workspace.map(|w| HeaderValue::from_str(&w.name)).transpose();
         let deadline = arrived + time_limit;
-        let caller = self.caller.filter(|_| body.is_empty());
-        let fingerprint = fingerprint(&self.method, &self.uri, &body, caller);
+        let path = self.uri.path_and_query().map_or("", |path| path.as_str());
+        let fingerprint = Fingerprint::of_forwarded(self.method.as_str(), path, &body, self.caller);
         Ok(IncomingRequest {
             fingerprint,
             prompt,
@@ -161,14 +161,6 @@
 /// A header does not contain a valid number.
 struct InvalidNumber;
 
-/// Identifies equal requests: a hash of method, path and body, and of the address of the caller if it is given.
-fn fingerprint(method: &Method, uri: &Uri, body: &[u8], caller: Option<IpAddr>) -> u64 {
-    let path = uri.path_and_query().map_or("", |path| path.as_str());
-    let caller = caller.map(|address| address.to_string()).unwrap_or_default();
-    let hash = Hash::new().with(method.as_str().as_bytes()).with(path.as_bytes());
-    hash.with(body).with(caller.as_bytes()).value()
-}
-
 /// Parses the structure of the prompt. If that fails, the request is forwarded without it: whether the prompt is valid
 /// is for the engine to decide.
 fn parse_prompt(shared: &Shared, headers: &HeaderMap) -> Option<Prompt> {
--- a/src/ops/relay/peers/mod.rs
+++ b/src/ops/relay/peers/mod.rs
@@ -3,6 +3,7 @@
 
 mod ask;
 mod counts;
+mod crashes;
 mod limits;
 mod prove;
 mod roster;
@@ -188,6 +189,8 @@
     turn: Cell<u32>,
     /// Number of messages about request limits sent.
     limit_turn: Cell<u32>,
+    /// Number of messages about crashes sent.
+    crash_turn: Cell<u32>,
     calls: CallClient,
     known: StoreReplica,
     /// Addresses of the peers that are currently heard, as of the last roster: those of this zone, then those of other
@@ -256,6 +259,7 @@
         detached_peers: RefCell::default(),
         turn: Cell::new(0),
         limit_turn: Cell::new(0),
+        crash_turn: Cell::new(rand::random()),
         started: clock::now(),
         watch_rank: Cell::default(),
         updates: Notify::new(),
@@ -276,6 +280,7 @@
             Ok((_, Datagram::Proof(proof))) => fleet.on_proof(proof),
             Ok((name, Datagram::Counts(message))) => fleet.on_counts(&name, message),
             Ok((_, Datagram::Limits(reports))) => fleet.on_limits(&reports),
+            Ok((_, Datagram::Crashes(notes))) => fleet.on_crashes(notes),
             Ok((_, Datagram::Ping)) => {}
             Err(PeerError::Broken(error)) => {
                 log_event!(warn, log_event::PEER_FAILED, %error, call = "receive");
@@ -446,9 +451,6 @@
             .collect();
         let mut ledger = self.0.shared.traffic();
         ledger.load.on_peer_report(now, name.as_str(), work);
-        for note in message.notes {
-            ledger.suspects.on_note(now, note);
-        }
         let view = self.0.shared.view.load();
         for read in message.reads {
             // An engine that is not yet or no longer known here gets no work from this instance.
@@ -491,17 +493,18 @@
         let turn = self.0.turn.get();
         self.0.turn.set(turn.wrapping_add(1));
         self.send_limits(now, turn);
+        self.send_crashes(now);
         let changed = self.update_detached(now);
         let (peers, turns) = self.load_recipients(now, turn);
-        let (load, notes, reads) = {
+        let (load, reads) = {
             let mut ledger = self.0.shared.traffic();
             let reads = ledger
                 .load
                 .cached_parts
                 .records_to_send(u32::try_from(turns).unwrap_or(u32::MAX));
-            (ledger.load.own_by_engine(), ledger.suspects.notes(now), reads)
+            (ledger.load.own_by_engine(), reads)
         };
-        let report = match load.is_empty() && notes.is_empty() && reads.is_empty() {
+        let report = match load.is_empty() && reads.is_empty() {
             _ if changed => Report::Change,
             true => Report::Nothing,
             false => Report::Work,
@@ -513,8 +516,7 @@
         let work = load
             .into_iter()
             .filter_map(|(key, work)| Some((ids.get(&key)?.clone(), work)));
-        let message =
-            LoadMessage::new(work.collect(), notes, reads).with_sync_status(self.0.known.sync_status(now));
+        let message = LoadMessage::new(work.collect(), reads).with_sync_status(self.0.known.sync_status(now));
         let message = message.with_clock(clock::wall_micros(), self.0.known.proof_status(now));
         let mut message = message.with_detached(self.0.detached.get());
         for peer in peers {
--- a/src/ops/relay/retries.rs
+++ b/src/ops/relay/retries.rs
@@ -5,10 +5,8 @@
 use sequoiastream_core::attempt::End;
 use sequoiastream_core::attempt::NextStep;
 use sequoiastream_core::log_event;
+use sequoiastream_core::poison::Fingerprint;
 use sequoiastream_core::relay::engines::Engine;
-use sequoiastream_core::relay::hash;
-use sequoiastream_core::relay::suspects::CrashNote;
-use sequoiastream_core::relay::suspects::MIN_CRASHES;
 use sequoiastream_core::retry;
 
 use crate::log_event;
@@ -40,7 +38,7 @@
     pub(super) fn log_failure(&self, engine: &Engine, failure: &AttemptFailure, call: &str) {
         log_event!(info, log_event::ATTEMPT_FAILED, request = self.id(), route = %self.route.name,
             engine = %engine.entry.id, end = ?failure.end, why = failure.reason, call,
-            fingerprint = hash::to_hex(self.incoming.fingerprint));
+            fingerprint = %self.incoming.fingerprint);
     }
 
     /// Handles a failed attempt. Returns `None` if another attempt may follow, otherwise the final answer.
@@ -77,33 +75,41 @@
 
     /// Starts to check whether an engine that broke off this request has ended, and records it if so: the request may
     /// have crashed it.
-    pub(super) fn check_crash(&mut self, engine: &Engine, end: End) {
+    pub(super) fn check_crash(&self, engine: &Engine, end: End) {
         if end != End::Broken {
             return;
         }
         let (shared, pool, engine) = (self.shared.clone(), self.pool.clone(), engine.clone());
         let request = self.incoming.fingerprint;
-        self.crash_check = Some(actix_rt::spawn(async move {
-            if connect::has_ended(&shared, &pool, &engine).await {
-                on_crash(&shared, &engine, request);
-            }
-        }));
+        shared.traffic().suspects.on_check_started(request);
+        actix_rt::spawn(async move {
+            let has_ended = connect::has_ended(&shared, &pool, &engine).await;
+            on_checked(&shared, &engine, request, has_ended);
+        });
     }
 
-    /// Whether no engine may run the request, because it crashes the engines that do. If one more crash would block it, a
-    /// check that is still running is awaited.
-    pub(super) async fn is_blocked(&mut self) -> bool {
-        let crashes = || {
+    /// Whether no engine may run the request, because it crashes the engines that do. Waits for checks of which the
+    /// answer depends.
+    pub(super) async fn is_blocked(&self) -> bool {
+        let request = self.incoming.fingerprint;
+        loop {
+            let checked = self.shared.checked.notified();
             let traffic = self.shared.traffic();
-            traffic.suspects.crashes(clock::now(), self.incoming.fingerprint)
-        };
-        if crashes() + 1 == MIN_CRASHES
-            && let Some(check) = self.crash_check.take()
-            && let Err(error) = check.await
-        {
-            log_event!(warn, log_event::ATTEMPT_FAILED, request = self.id(), %error, call = "check");
+            if !traffic.suspects.must_wait(clock::now(), request) {
+                return traffic.suspects.is_blocked(clock::now(), request);
+            }
+            drop(traffic);
+            checked.await;
         }
-        crashes() >= MIN_CRASHES
+    }
+
+    /// Records that an engine answered the request completely, with a success or with an error of its own.
+    pub(super) fn record_completion(&self, engine: &Engine, end: End) {
+        self.record_end(engine, end);
+        let mut traffic = self.shared.traffic();
+        traffic
+            .suspects
+            .on_completed(clock::now(), self.incoming.fingerprint);
     }
 
     /// Records an attempt that was cancelled before its result was known, and discards its prefill and its reservation.
@@ -120,7 +126,7 @@
         let engine = attempt.engine().clone();
         let failure = AttemptFailure::new(End::Failed, "the engine answered with a server error");
         self.log_failure(&engine, &failure, "send");
-        self.record_end(&engine, End::Failed);
+        self.record_completion(&engine, End::Failed);
         self.tried.push(engine.key);
         attempt.finish(&self.pool);
     }
@@ -179,16 +185,19 @@
     }
 }
 
-/// Records that an engine ended while it ran `request`.
-fn on_crash(shared: &Shared, engine: &Engine, request: u64) {
+/// Records whether an engine that broke off `request` has ended.
+fn on_checked(shared: &Shared, engine: &Engine, request: Fingerprint, has_ended: bool) {
     let now = clock::now();
-    let note = CrashNote {
-        request,
-        engine: engine.hash,
-    };
     let mut traffic = shared.traffic();
-    traffic.suspects.on_engine_broke(now, note);
+    traffic.suspects.on_check_ended(request);
+    if has_ended {
+        let incarnation = engine.incarnation().hash();
+        traffic.suspects.on_crash(now, request, incarnation);
+    }
     let crashes = traffic.suspects.crashes(now, request);
     drop(traffic);
-    log_event!(warn, log_event::ENGINE_CRASHED, engine = %engine.entry.id, fingerprint = hash::to_hex(request), crashes);
+    shared.checked.notify_waiters();
+    if has_ended {
+        log_event!(warn, log_event::ENGINE_CRASHED, engine = %engine.entry.id, fingerprint = %request, crashes);
+    }
 }
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -12,6 +12,7 @@
 use http::Uri;
 use http_body_util::Full;
 use sequoiastream_core::attempt::End;
+use sequoiastream_core::poison::Fingerprint;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::prompt::Prompt;
 use sequoiastream_core::time::Time;
@@ -44,9 +45,8 @@
     pub body: Bytes,
     /// Id that the caller gave this attempt.
     pub id: HeaderValue,
-    /// Identifies requests that crash engines: a hash of method, path and body. Without a body, different callers send the
-    /// same request, which may fail for one of them only: then it is a hash of method, path and the caller's address.
-    pub fingerprint: u64,
+    /// Identifies the request over all its repetitions.
+    pub fingerprint: Fingerprint,
     /// Structure of the prompt, if the request carries one.
     pub prompt: Option<Prompt>,
     /// Name of the workspace that sent the request, if callers need keys.
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -15,6 +15,7 @@
 use http::Response;
 use http::StatusCode;
 use sequoiastream_core::log_event;
+use sequoiastream_core::poison::suspects::Suspects;
 use sequoiastream_core::relay::budget::RetryBudget;
 use sequoiastream_core::relay::directory::Endpoint;
 use sequoiastream_core::relay::engines::Engine;
@@ -29,13 +30,13 @@
 use sequoiastream_core::relay::reachability::Reachability;
 use sequoiastream_core::relay::return_schedule::ReturnSchedule;
 use sequoiastream_core::relay::routes::RoutingTable;
-use sequoiastream_core::relay::suspects::Suspects;
 use sequoiastream_core::relay::tunnel_peers::TunnelPeer;
 use sequoiastream_core::relay::usage::Tally;
 use sequoiastream_core::relay::usage::Window;
 use sequoiastream_core::relay::workspaces::StoreAges;
 use sequoiastream_core::time::Time;
 use sequoiastream_peer::seal::ClusterKey;
+use tokio::sync::Notify;
 
 use crate::log_event;
 use crate::ops::relay::edge::Translate;
@@ -178,6 +179,8 @@
     /// How far true time is ahead of the monotonic clock, in microseconds; zero until it is known.
     true_offset: AtomicU64,
     traffic: Mutex<TrafficState>,
+    /// Notified when a check whether an engine has ended is complete.
+    pub(super) checked: Notify,
     running: Arc<AtomicUsize>,
 }
 
@@ -216,6 +219,7 @@
             proven: AtomicU64::default(),
             true_offset: AtomicU64::default(),
             traffic: Mutex::new(traffic),
+            checked: Notify::new(),
             running: Arc::default(),
         }
     }
--- a/src/ops/relay/stream.rs
+++ b/src/ops/relay/stream.rs
@@ -86,7 +86,7 @@
 
 impl ResponseStream {
     fn close(&self, attempt: ActiveAttempt) {
-        self.forward.record_end(attempt.engine(), End::Answered);
+        self.forward.record_completion(attempt.engine(), End::Answered);
         self.forward.count(End::Answered.label());
         attempt.finish(&self.forward.pool);
     }
--- a/tests/testsuite/relay/crashes.rs
+++ b/tests/testsuite/relay/crashes.rs
@@ -1,8 +1,8 @@
 //! Requests that crash engines, at whole instances.
 
+use sequoiastream_core::poison::suspects::MIN_CRASHES;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::routes::RouteKind;
-use sequoiastream_core::relay::suspects::MIN_CRASHES;
 
 use super::engine::Action;
 use super::engine::ReceivedRequest;
--- a/tests/testsuite/relay/digest.rs
+++ b/tests/testsuite/relay/digest.rs
@@ -93,7 +93,7 @@
         part,
         tokens: 1,
     });
-    let message = LoadMessage::new(all.collect(), Vec::new(), reads.collect());
+    let message = LoadMessage::new(all.collect(), reads.collect());
     let full_length = postcard::to_allocvec(&message)
         .expect("a serializable message")
         .len();
--- a/tests/testsuite/relay/reachability.rs
+++ b/tests/testsuite/relay/reachability.rs
@@ -378,7 +378,7 @@
 
 #[test]
 fn message_with_detached() {
-    let message = LoadMessage::new(BTreeMap::new(), Vec::new(), Vec::new());
+    let message = LoadMessage::new(BTreeMap::new(), Vec::new());
     assert!(!message.detached);
     let message = message.with_detached(true);
     let bytes = postcard::to_allocvec(&message).expect("a serializable message");
--- a/tests/testsuite/relay/seeded.rs
+++ b/tests/testsuite/relay/seeded.rs
@@ -12,6 +12,9 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use sequoiastream_core::poison::Fingerprint;
+use sequoiastream_core::poison::suspects::MIN_CRASHES;
+use sequoiastream_core::poison::suspects::Suspects;
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::engines::EngineUpdate;
 use sequoiastream_core::relay::engines::Engines;
@@ -19,9 +22,6 @@
 use sequoiastream_core::relay::engines::REREGISTRATION_GRACE;
 use sequoiastream_core::relay::engines::STORE_FAILURE_WINDOW;
 use sequoiastream_core::relay::engines::Stage;
-use sequoiastream_core::relay::suspects::CrashNote;
-use sequoiastream_core::relay::suspects::MIN_CRASHES;
-use sequoiastream_core::relay::suspects::Suspects;
 use sequoiastream_core::time::Time;
 
 use super::entry;
@@ -45,7 +45,7 @@
 const INSTANCES: usize = 5;
 const IDS: u32 = 8;
 
-/// Time between two messages about load, which carry notes of crashes too.
+/// Time between two messages about crashes.
 const MESSAGE_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Number of message intervals for which an instance hears nothing: two seconds.
@@ -424,6 +424,10 @@
     }
 }
 
+fn fingerprint(request: u64) -> Fingerprint {
+    Fingerprint::of_forwarded("POST", "/", &request.to_be_bytes(), None)
+}
+
 /// Guards against a request that crashes one engine after the other because each instance saw fewer than three of its
 /// crashes, and against blocking a harmless request. Sequence: instances lose two in five of each other's messages, get
 /// some twice, and are paused or cut off for two seconds. Cause: a crash is reported for half a second only.
@@ -440,13 +444,13 @@
         for _ in 0..1_200 {
             now = now + MESSAGE_INTERVAL;
             if random.random_bool(0.02) {
-                let note = CrashNote {
-                    request: random.random_range(0..6),
-                    engine: random.random_range(0..8),
-                };
-                instances[random.random_range(0..INSTANCES)].on_engine_broke(now, note);
-                let engines = crashes.entry(note.request).or_default();
-                engines.entry(note.engine).or_insert(now);
+                let request: u64 = random.random_range(0..6);
+                // An engine ends once, so no two requests have a crash in common here.
+                let engine = request * 8 + random.random_range(0..8);
+                let index = random.random_range(0..INSTANCES);
+                instances[index].on_crash(now, fingerprint(request), engine);
+                let engines = crashes.entry(request).or_default();
+                engines.entry(engine).or_insert(now);
             }
             if random.random_bool(0.01) {
                 deaf[random.random_range(0..INSTANCES)] = DEAF_MESSAGES;
@@ -471,7 +475,7 @@
                 times.sort();
                 let third = times.get(MIN_CRASHES - 1).copied();
                 for instance in &instances {
-                    let is_blocked = instance.is_blocked(now, *request);
+                    let is_blocked = instance.is_blocked(now, fingerprint(*request));
                     assert!(
                         third.is_some() || !is_blocked,
                         "request {request} has {engines:?}"
--- a/tests/testsuite/relay/suspects.rs
+++ b/tests/testsuite/relay/suspects.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use sequoiastream_core::relay::suspects::CrashNote;
-use sequoiastream_core::relay::suspects::MIN_CRASHES;
-use sequoiastream_core::relay::suspects::NOTE_TTL;
-use sequoiastream_core::relay::suspects::Suspects;
+use sequoiastream_core::poison::Fingerprint;
+use sequoiastream_core::poison::suspects::MIN_CRASHES;
+use sequoiastream_core::poison::suspects::NOTE_TTL;
+use sequoiastream_core::poison::suspects::Suspects;
 use sequoiastream_core::time::Time;
 
-fn note(request: u64, engine: u64) -> CrashNote {
-    CrashNote { request, engine }
+fn fingerprint(number: u64) -> Fingerprint {
+    Fingerprint::of_forwarded("POST", "/", &number.to_be_bytes(), None)
 }
 
 /// Guards against a request that crashes one engine after the other: it is sent to another instance each time, and each
@@ -19,8 +19,12 @@
     let mut instances = vec![Suspects::new(); 4];
     for engine in 0..MIN_CRASHES as u64 {
         let index = engine as usize;
-        assert!(instances.iter().all(|i| !i.is_blocked(Time::ZERO, 7)));
-        instances[index].on_engine_broke(Time::ZERO, note(7, engine));
+        assert!(
+            instances
+                .iter()
+                .all(|i| !i.is_blocked(Time::ZERO, fingerprint(7)))
+        );
+        instances[index].on_crash(Time::ZERO, fingerprint(7), engine);
         let notes = instances[index].notes(Time::ZERO);
         for other in &mut instances {
             // A message may arrive twice.
@@ -33,7 +37,7 @@
     assert!(
         instances
             .iter()
-            .all(|i| i.is_blocked(Time::ZERO, 7) && !i.is_blocked(Time::ZERO, 8))
+            .all(|i| i.is_blocked(Time::ZERO, fingerprint(7)) && !i.is_blocked(Time::ZERO, fingerprint(8)))
     );
 }
 
@@ -43,17 +47,17 @@
 fn convict_needs_engines() {
     let mut suspects = Suspects::new();
     for _ in 0..20 {
-        suspects.on_engine_broke(Time::ZERO, note(7, 1));
+        suspects.on_crash(Time::ZERO, fingerprint(7), 1);
     }
-    assert!(!suspects.is_blocked(Time::ZERO, 7));
+    assert!(!suspects.is_blocked(Time::ZERO, fingerprint(7)));
 }
 
 #[test]
 fn convict_expires() {
     let mut suspects = Suspects::new();
-    (0..9).for_each(|engine| suspects.on_engine_broke(Time::ZERO, note(7, engine)));
-    assert!(suspects.is_blocked(Time::ZERO + NOTE_TTL - Duration::from_millis(1), 7));
-    assert!(!suspects.is_blocked(Time::ZERO + NOTE_TTL, 7));
+    (0..9).for_each(|engine| suspects.on_crash(Time::ZERO, fingerprint(7), engine));
+    assert!(suspects.is_blocked(Time::ZERO + NOTE_TTL - Duration::from_millis(1), fingerprint(7)));
+    assert!(!suspects.is_blocked(Time::ZERO + NOTE_TTL, fingerprint(7)));
 }
 
 /// Guards against a request that is not blocked again when it crashes the same engines after its first notes expired,
@@ -63,8 +67,8 @@
     let mut suspects = Suspects::new();
     let later = Time::ZERO + NOTE_TTL + Duration::from_secs(9);
     for at in [Time::ZERO, later] {
-        (0..MIN_CRASHES as u64).for_each(|engine| suspects.on_engine_broke(at, note(7, engine)));
-        assert!(suspects.is_blocked(at, 7), "at {at}");
+        (0..MIN_CRASHES as u64).for_each(|engine| suspects.on_crash(at, fingerprint(7), engine));
+        assert!(suspects.is_blocked(at, fingerprint(7)), "at {at}");
     }
 }
 
@@ -73,10 +77,49 @@
     let mut suspects = Suspects::new();
     for request in 0..3_000 {
         let now = Time::from_millis(request);
-        (0..3).for_each(|engine| suspects.on_note(now, note(request, engine)));
+        // An engine ends once, so no two requests have a crash in common here.
+        (0..3).for_each(|engine| suspects.on_crash(now, fingerprint(request), request * 3 + engine));
     }
     let now = Time::from_millis(3_000);
-    let blocked = (0..3_000).filter(|r| suspects.is_blocked(now, *r)).count();
+    let blocked = (0..3_000)
+        .filter(|r| suspects.is_blocked(now, fingerprint(*r)))
+        .count();
     assert!((1_000..=1_024).contains(&blocked), "{blocked}");
-    assert!(suspects.is_blocked(now, 2_999));
+    assert!(suspects.is_blocked(now, fingerprint(2_999)));
+}
+
+/// Lets `from` send its notes to `to` for three seconds, a message every 25 ms.
+fn tell(from: &mut Suspects, to: &mut Suspects, start: Time) -> Time {
+    let step = Duration::from_millis(25);
+    (0..120).fold(start, |now, _| {
+        from.notes(now).iter().for_each(|note| to.on_note(now, *note));
+        now + step
+    })
+}
+
+/// Guards against a request that crashes one engine more at each instance that started after the instance that saw its
+/// crashes was gone: the others know them, and do not pass them on.
+#[test]
+fn convict_writer_gone() {
+    let mut writer = Suspects::new();
+    (0..3).for_each(|engine| writer.on_crash(Time::ZERO, fingerprint(7), engine));
+    let (mut other, mut later) = (Suspects::new(), Suspects::new());
+    let now = tell(&mut writer, &mut other, Time::ZERO);
+    let now = tell(&mut other, &mut later, now);
+    assert!(later.is_blocked(now, fingerprint(7)));
+    // Passing notes on must not keep them alive.
+    let end = Time::ZERO + NOTE_TTL + Duration::from_secs(1);
+    assert!(!other.is_blocked(end, fingerprint(7)) && !later.is_blocked(end, fingerprint(7)));
+}
+
+/// Guards against a request that goes on crashing engines because the notes about it are never sent again: a message has
+/// room for the latest notes only, and later crashes left more than that.
+#[test]
+fn convict_among_many() {
+    let mut suspects = Suspects::new();
+    (0..3).for_each(|engine| suspects.on_crash(Time::ZERO, fingerprint(7), engine));
+    (0..90).for_each(|request| suspects.on_crash(Time::ZERO, fingerprint(100 + request), 50 + request));
+    let mut later = Suspects::new();
+    let now = tell(&mut suspects, &mut later, Time::ZERO + Duration::from_secs(1));
+    assert!(later.is_blocked(now, fingerprint(7)));
 }
