Don't block harmless requests that ran beside one that crashes engines

What callers saw: a harmless request that was at the same engines as one that crashes them, and was repeated as often, was answered 502 for two minutes. Cause: each engine that ended counted against all requests that ran there. Evidence: relay::suspects::convict_not_neighbour failed before and passes now. Why it works: a crash counts against a request only if no other in it was in more crashes; requests that were in exactly the same crashes may run until they differ, five crashes at most. A request that an engine answered completely is cleared, everywhere.

--- a/crates/core/src/poison/suspects.rs
+++ b/crates/core/src/poison/suspects.rs
@@ -4,8 +4,12 @@
 //! engine after the other fails. Crashes are counted over all instances: each passes on what it saw and what it was
 //! told, so that an instance that starts later, or was paused or cut off, learns it from any other.
 //!
-//! A request that an engine answered completely does not crash engines, and its crashes so far no longer count.
+//! All requests that ran on an engine when it ended are in its crash, most of them harmless. A crash counts against a
+//! request only if no other request in it was in more crashes. Requests that were in exactly the same crashes can't be
+//! told apart: they may run until they differ, up to [`MAX_CRASHES`]. A request that an engine answered completely does
+//! not crash engines, and its crashes so far no longer count.
 
+use std::cmp::Ordering;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::ops::Bound;
@@ -20,6 +24,9 @@
 /// Number of crashes after which a request is blocked.
 pub const MIN_CRASHES: usize = 3;
 
+/// Number of crashes after which a request is blocked even if another one was in all of them.
+pub const MAX_CRASHES: usize = 5;
+
 /// How long a crash counts: crashed engines are back after some seconds, and callers retry within minutes.
 pub const NOTE_TTL: Duration = Duration::from_secs(120);
 
@@ -234,7 +241,27 @@
 
     /// Whether a request is blocked.
     pub fn is_blocked(&self, now: Time, request: Fingerprint) -> bool {
-        self.crashes(now, request) >= MIN_CRASHES
+        if self.crashes(now, request) < MIN_CRASHES {
+            return false;
+        }
+        let own: Vec<u64> = self.crashes_of(now, request).collect();
+        let mut counted = own.clone();
+        for (other, record) in &self.requests {
+            let is_in = |crash: &u64| {
+                record
+                    .get(&Outcome::Crashed(*crash))
+                    .is_some_and(|s| s.is_recent(now))
+            };
+            if *other == request || !own.iter().any(is_in) {
+                continue;
+            }
+            match self.crashes(now, *other).cmp(&own.len()) {
+                Ordering::Greater => counted.retain(|crash| !is_in(crash)),
+                Ordering::Equal if own.len() < MAX_CRASHES && own.iter().all(is_in) => return false,
+                Ordering::Equal | Ordering::Less => {}
+            }
+        }
+        counted.len() >= MIN_CRASHES
     }
 
     /// The numbers of suspect and of blocked requests.
--- a/tests/testsuite/relay/suspects.rs
+++ b/tests/testsuite/relay/suspects.rs
@@ -123,3 +123,20 @@
     let now = tell(&mut suspects, &mut later, Time::ZERO + Duration::from_secs(1));
     assert!(later.is_blocked(now, fingerprint(7)));
 }
+
+/// Guards against blocking a harmless request that was at the same engines as one that crashes them.
+#[test]
+fn convict_not_neighbour() {
+    let mut suspects = Suspects::new();
+    for engine in 0..3 {
+        suspects.on_crash(Time::ZERO, fingerprint(7), engine);
+        suspects.on_crash(Time::ZERO, fingerprint(8), engine);
+    }
+    assert!(
+        !suspects.is_blocked(Time::ZERO, fingerprint(8)),
+        "both are alike so far"
+    );
+    suspects.on_crash(Time::ZERO, fingerprint(7), 3);
+    assert!(suspects.is_blocked(Time::ZERO, fingerprint(7)));
+    assert!(!suspects.is_blocked(Time::ZERO, fingerprint(8)));
+}
