Count crashes of engines that process prompts

What callers saw: a request whose prompt ends the engine that processes it ended one such engine after the other. Cause: only failed attempts to generate the answer were counted, and only these were held back. Evidence: relay::crashes::block_prefill failed before (4 engines and more, bound 3) and passes now. Why it works: a failed call for a prefill is checked like an attempt, and a further call is made only if the request isn't blocked.

--- a/crates/core/src/poison/suspects.rs
+++ b/crates/core/src/poison/suspects.rs
@@ -129,10 +129,11 @@
         };
     }
 
-    /// Whether a request may be blocked once the checks that are running have ended, and must wait for them.
-    pub fn must_wait(&self, now: Time, request: Fingerprint) -> bool {
+    /// Whether a request is blocked; `None` if it may be once the checks that are running have ended.
+    pub fn verdict(&self, now: Time, request: Fingerprint) -> Option<bool> {
         let checks = self.checks.get(&request).copied().unwrap_or_default();
-        checks > 0 && self.crashes(now, request) + checks >= MIN_CRASHES
+        let must_wait = checks > 0 && self.crashes(now, request) + checks >= MIN_CRASHES;
+        (!must_wait).then(|| self.is_blocked(now, request))
     }
 
     /// Records that the engine with this hash of its incarnation ended while it ran a request.
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -104,6 +104,9 @@
     /// Has the prefill computed by another engine. If there is none, the engine that generates the answer computes it.
     pub(super) async fn run_prefill(&mut self, is_fresh: bool) -> Result<(), Option<Reply>> {
         for attempt in 0..MAX_PREFILL_ATTEMPTS {
+            if attempt > 0 && self.is_blocked().await {
+                return Err(Some(Reply::Convicted));
+            }
             let Some(plan) = self.choose_prefill(Stage::Prefill) else {
                 return Ok(());
             };
@@ -133,6 +136,7 @@
                 Err(failure) => {
                     self.log_failure(&plan.engine, &failure, "prefill");
                     self.record_end(&plan.engine, failure.end);
+                    self.check_crash(&plan.engine, failure.end);
                     self.tried.push(plan.engine.key);
                 }
             }
--- a/src/ops/relay/retries.rs
+++ b/src/ops/relay/retries.rs
@@ -94,11 +94,9 @@
         let request = self.incoming.fingerprint;
         loop {
             let checked = self.shared.checked.notified();
-            let traffic = self.shared.traffic();
-            if !traffic.suspects.must_wait(clock::now(), request) {
-                return traffic.suspects.is_blocked(clock::now(), request);
+            if let Some(is_blocked) = self.shared.traffic().suspects.verdict(clock::now(), request) {
+                return is_blocked;
             }
-            drop(traffic);
             checked.await;
         }
     }
--- a/tests/testsuite/relay/crashes.rs
+++ b/tests/testsuite/relay/crashes.rs
@@ -97,3 +97,20 @@
     // At most four engines, two answers each, two attempts at each request.
     assert!(served >= 8, "{served}");
 }
+
+/// Guards against a request that crashes engines where their prompts are processed: only the ends of attempts to generate
+/// the answer were counted.
+#[actix_web::test]
+async fn block_prefill() {
+    let engines = crashing_engines(6).await;
+    let decode = ScriptedEngine::start(|_, request| vec![answer(request, "whole")]).await;
+    let mut stages: Vec<_> = engines.iter().map(|engine| (engine, Stage::Prefill)).collect();
+    stages.push((&decode, Stage::Decode));
+    let instance = Instance::start(RouteKind::Resumable, &stages, |_| {});
+    for attempt in 0..6 {
+        let got = instance
+            .get(POISON, &format!("q{attempt}"), "x-tokens: 9000\r\n")
+            .await;
+        assert!(crashes(&engines) <= MIN_CRASHES, "attempt {attempt} {got}");
+    }
+}
--- a/tests/testsuite/relay/suspects.rs
+++ b/tests/testsuite/relay/suspects.rs
@@ -140,3 +140,21 @@
     assert!(suspects.is_blocked(Time::ZERO, fingerprint(7)));
     assert!(!suspects.is_blocked(Time::ZERO, fingerprint(8)));
 }
+
+/// Guards against blocking a harmless request that was in several crashes: an engine has answered it since, at another
+/// instance, and notes of the crashes arrive after that of the answer.
+#[test]
+fn convict_not_completed() {
+    let (mut crashed, mut completed, mut third) = (Suspects::new(), Suspects::new(), Suspects::new());
+    (0..2).for_each(|engine| crashed.on_crash(Time::ZERO, fingerprint(7), engine));
+    let now = tell(&mut crashed, &mut completed, Time::ZERO);
+    completed.on_completed(now, fingerprint(7));
+    let now = tell(&mut completed, &mut third, now);
+    let now = tell(&mut crashed, &mut third, now);
+    let now = tell(&mut completed, &mut crashed, now);
+    for instance in [&mut crashed, &mut completed, &mut third] {
+        assert_eq!(instance.crashes(now, fingerprint(7)), 0);
+        instance.on_crash(now, fingerprint(7), 2);
+        assert!(!instance.is_blocked(now, fingerprint(7)));
+    }
+}
