Ask peers too before an engine counts as ended

What callers saw: nothing yet; found while the same check was looked for elsewhere. An instance that is cut off from an engine in a way that refuses connections took it for ended, and one that had seen a single refusal didn't check at all. Evidence: relay::crashes::ended_not_if_peer_connects failed before and passes now. Why it works: the check connects like a request does, directly and through peers; only if all are refused the engine has ended.

--- a/src/ops/relay/connect.rs
+++ b/src/ops/relay/connect.rs
@@ -167,19 +167,12 @@
     join_all(probes).await;
 }
 
-/// Whether an engine that broke off a request has ended: it refuses connections. `false` if that is not certain, because
-/// it can't be reached or this instance reaches it only through a peer. A connection that is opened is kept.
+/// Whether an engine that broke off a request has ended: it refuses connections, and no peer can connect to it either.
+/// `false` if that is not certain because it can't be reached. A connection that is opened is kept.
 ///
 /// Failure guarded against: a link loses the answers to a request, or an engine breaks off some answers, and the request
 /// is taken for one that crashes engines.
 pub async fn has_ended(shared: &Shared, pool: &Pool, engine: &Engine) -> bool {
-    if shared
-        .traffic()
-        .reachability
-        .is_detached(clock::now(), engine.key)
-    {
-        return false;
-    }
     let limit = CONNECT_TIMEOUT;
     let opener = Opener {
         shared,
@@ -187,13 +180,13 @@
         engine,
         limit,
     };
-    let opened = match opener.connect().await {
+    let opened = match opener.open(ConnectPlan::Direct).await {
         Ok(channel) => {
             // An engine that is ending may still have accepted the connection.
             tokio::time::sleep(END_TIME).await;
             match channel.is_open() {
                 true => Ok(channel),
-                false => opener.connect().await,
+                false => opener.open(ConnectPlan::Direct).await,
             }
         }
         failed => failed,
--- a/tests/testsuite/relay/crashes.rs
+++ b/tests/testsuite/relay/crashes.rs
@@ -1,15 +1,20 @@
 //! Requests that crash engines, at whole instances.
 
+use sequoiastream::ops::relay::connect;
 use sequoiastream_core::poison::suspects::MIN_CRASHES;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::routes::RouteKind;
+use sequoiastream_upstream::channel::Pool;
 
 use super::engine::Action;
 use super::engine::ReceivedRequest;
 use super::engine::ScriptedEngine;
+use super::engine::UnreachableAddress;
 use super::engine::answer;
 use super::instance::Instance;
 use super::instance::status;
+use super::tunnels::Peer;
+use super::tunnels::detach;
 
 /// Path of the request that crashes the engines of [`crashing_engine`].
 const POISON: &str = "/r/poison";
@@ -114,3 +119,22 @@
         assert!(crashes(&engines) <= MIN_CRASHES, "attempt {attempt} {got}");
     }
 }
+
+/// Guards against blocking a harmless request because this instance, and not the engines, was cut off while it ran: new
+/// connections are refused, but a peer reaches the engines.
+#[actix_web::test]
+async fn ended_not_if_peer_connects() {
+    let engine = ScriptedEngine::start(|_, request| vec![answer(request, "whole")]).await;
+    let instance = start(RouteKind::Idempotent, std::slice::from_ref(&engine));
+    let refusing = UnreachableAddress::refusing();
+    for (reached, has_ended) in [(Some(engine.address()), false), (None, true)] {
+        let peer = Peer::new(reached).start(&instance).await;
+        detach(&instance, refusing.address, &[peer]);
+        let known = instance.shared.view.load().engines()["chat"][0].clone();
+        let pool = Pool::new();
+        assert_eq!(
+            connect::has_ended(&instance.shared, &pool, &known).await,
+            has_ended
+        );
+    }
+}
--- a/tests/testsuite/relay/tunnels.rs
+++ b/tests/testsuite/relay/tunnels.rs
@@ -37,7 +37,7 @@
 
 /// A peer that reaches the engine.
 #[derive(Clone)]
-struct Peer {
+pub(super) struct Peer {
     /// Address at which the peer finds the engine; `None` if it can't connect either.
     engine: Option<SocketAddr>,
     /// Number of tunnels that it was asked for.
@@ -45,7 +45,7 @@
 }
 
 impl Peer {
-    fn new(engine: Option<SocketAddr>) -> Peer {
+    pub(super) fn new(engine: Option<SocketAddr>) -> Peer {
         Peer {
             engine,
             asked: Rc::default(),
@@ -53,7 +53,7 @@
     }
 
     /// Starts to serve and returns its address.
-    async fn start(&self, instance: &Instance) -> SocketAddr {
+    pub(super) async fn start(&self, instance: &Instance) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
         let address = listener.local_addr().expect("a bound listener");
         let serve = sequoiastream_peer::serve(listener, instance.shared.key.clone(), self.clone());
@@ -105,7 +105,7 @@
 }
 
 /// Sets the instance's only engine to one at `address`, and its tunnel peers to `peers`.
-fn detach(instance: &Instance, address: SocketAddr, peers: &[SocketAddr]) {
+pub(super) fn detach(instance: &Instance, address: SocketAddr, peers: &[SocketAddr]) {
     let entry = Entry {
         address,
         ..super::entry("e0", Stage::Whole)
