Recognise requests without a body whose callers change their address

Evidence: relay::suspects::convict_other_callers failed with the address in the fingerprint; convict_one_caller with it left out. Why it works: such a request is counted by method and path, and by these with its caller (its key, else its address) as well. It is blocked if either count says so; an answer to another caller clears only the first.

--- a/crates/core/src/poison/fingerprint.rs
+++ b/crates/core/src/poison/fingerprint.rs
@@ -1,7 +1,6 @@
 //! What identifies a request over all its repetitions.
 
 use std::fmt;
-use std::net::IpAddr;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -21,17 +20,14 @@
         Fingerprint::hash(&parts, &limit.to_be_bytes())
     }
 
-    /// The fingerprint of a request that is forwarded unchanged: a hash of method, path and body. Without a body,
-    /// different callers send the same request, which may fail for one of them only: then it is a hash of method, path
-    /// and the address of the caller.
-    pub fn of_forwarded(method: &str, path: &str, body: &[u8], caller: Option<IpAddr>) -> Fingerprint {
-        let caller = caller.filter(|_| body.is_empty()).map(|c| c.to_string());
-        let parts = [
-            method.as_bytes(),
-            path.as_bytes(),
-            caller.as_deref().unwrap_or_default().as_bytes(),
-        ];
-        Fingerprint::hash(&parts, body)
+    /// The fingerprint of a request that is forwarded unchanged: a hash of method, path and body.
+    pub fn of_forwarded(method: &str, path: &str, body: &[u8]) -> Fingerprint {
+        Fingerprint::hash(&[method.as_bytes(), path.as_bytes()], body)
+    }
+
+    /// This fingerprint together with the caller of the request.
+    pub fn from_caller(self, caller: &[u8]) -> Fingerprint {
+        Fingerprint::hash(&[&self.0], caller)
     }
 
     fn hash(parts: &[&[u8]], rest: &[u8]) -> Fingerprint {
--- a/crates/core/src/poison/suspects.rs
+++ b/crates/core/src/poison/suspects.rs
@@ -46,6 +46,50 @@
 /// Maximum number of requests remembered. Those with the fewest crashes are removed first, of these the oldest.
 const MAX_REQUESTS: usize = 1_024;
 
+/// What is counted as one request. Requests are compared only with others that are counted in the same way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum RequestKey {
+    /// A request of any caller.
+    Any(Fingerprint),
+    /// A request of one caller.
+    Caller(Fingerprint),
+}
+
+/// A request as it is recognised when it comes again.
+///
+/// Without a body, different callers send the same request. If it crashes engines for one of them only, the answers to
+/// the others must not clear it; if it comes from other addresses of its caller, the address must not hide it. Such a
+/// request is therefore counted in both ways.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestIdentity {
+    /// Whoever sends it.
+    pub any: Fingerprint,
+    /// With its caller, if it has no body.
+    pub caller: Option<Fingerprint>,
+}
+
+impl RequestIdentity {
+    /// The identity of a request that is forwarded unchanged.
+    pub fn new(method: &str, path: &str, body: &[u8], caller: &[u8]) -> RequestIdentity {
+        let any = Fingerprint::of_forwarded(method, path, body);
+        RequestIdentity {
+            any,
+            caller: body.is_empty().then(|| any.from_caller(caller)),
+        }
+    }
+
+    fn keys(self) -> impl Iterator<Item = RequestKey> {
+        let caller = self.caller.map(RequestKey::Caller);
+        [RequestKey::Any(self.any)].into_iter().chain(caller)
+    }
+}
+
+impl From<Fingerprint> for RequestIdentity {
+    fn from(any: Fingerprint) -> RequestIdentity {
+        RequestIdentity { any, caller: None }
+    }
+}
+
 /// What happened to a request at an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Outcome {
@@ -59,7 +103,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Note {
     /// The request.
-    pub request: Fingerprint,
+    pub request: RequestKey,
     /// What happened to it.
     pub outcome: Outcome,
     /// Milliseconds since then.
@@ -99,11 +143,11 @@
 /// The crashes that this instance knows of.
 #[derive(Debug, Clone, Default)]
 pub struct Suspects {
-    requests: BTreeMap<Fingerprint, Record>,
+    requests: BTreeMap<RequestKey, Record>,
     /// Number of checks that are running, by request.
     checks: BTreeMap<Fingerprint, usize>,
     /// The last note of the last message with notes that are not new.
-    cursor: Option<(Fingerprint, Outcome)>,
+    cursor: Option<(RequestKey, Outcome)>,
     last_resend: Time,
     /// Whether any note may be new.
     has_new: bool,
@@ -116,35 +160,39 @@
     }
 
     /// Records that an engine broke off a request, and that it is being checked whether the engine has ended.
-    pub fn on_check_started(&mut self, request: Fingerprint) {
-        *self.checks.entry(request).or_default() += 1;
+    pub fn on_check_started(&mut self, request: RequestIdentity) {
+        *self.checks.entry(request.any).or_default() += 1;
     }
 
     /// Records the end of a check. If it was the last one of the request, nothing is left to wait for.
-    pub fn on_check_ended(&mut self, request: Fingerprint) {
-        let left = self.checks.get(&request).map_or(0, |checks| checks - 1);
+    pub fn on_check_ended(&mut self, request: RequestIdentity) {
+        let left = self.checks.get(&request.any).map_or(0, |checks| checks - 1);
         match left {
-            0 => self.checks.remove(&request),
-            _ => self.checks.insert(request, left),
+            0 => self.checks.remove(&request.any),
+            _ => self.checks.insert(request.any, left),
         };
     }
 
     /// Whether a request is blocked; `None` if it may be once the checks that are running have ended.
-    pub fn verdict(&self, now: Time, request: Fingerprint) -> Option<bool> {
-        let checks = self.checks.get(&request).copied().unwrap_or_default();
+    pub fn verdict(&self, now: Time, request: RequestIdentity) -> Option<bool> {
+        let checks = self.checks.get(&request.any).copied().unwrap_or_default();
         let must_wait = checks > 0 && self.crashes(now, request) + checks >= MIN_CRASHES;
         (!must_wait).then(|| self.is_blocked(now, request))
     }
 
     /// Records that the engine with this hash of its incarnation ended while it ran a request.
-    pub fn on_crash(&mut self, now: Time, request: Fingerprint, engine: u64) {
-        self.record(now, now, request, Outcome::Crashed(engine));
+    pub fn on_crash(&mut self, now: Time, request: RequestIdentity, engine: u64) {
+        for key in request.keys() {
+            self.record(now, now, key, Outcome::Crashed(engine));
+        }
     }
 
     /// Records that an engine answered a request completely, if the request is suspect.
-    pub fn on_completed(&mut self, now: Time, request: Fingerprint) {
-        if self.crashes(now, request) > 0 {
-            self.record(now, now, request, Outcome::Completed);
+    pub fn on_completed(&mut self, now: Time, request: RequestIdentity) {
+        for key in request.keys() {
+            if self.crashes_of(now, key).next().is_some() {
+                self.record(now, now, key, Outcome::Completed);
+            }
         }
     }
 
@@ -156,7 +204,7 @@
         }
     }
 
-    fn record(&mut self, now: Time, at: Time, request: Fingerprint, outcome: Outcome) {
+    fn record(&mut self, now: Time, at: Time, request: RequestKey, outcome: Outcome) {
         let record = self.requests.entry(request).or_default();
         record.retain(|_, seen| seen.is_recent(now));
         let completed = record.get(&Outcome::Completed).map(|seen| seen.at);
@@ -192,7 +240,7 @@
         if !self.has_new {
             return Vec::new();
         }
-        let mut new: Vec<(Reverse<usize>, Fingerprint, Outcome)> = Vec::new();
+        let mut new: Vec<(Reverse<usize>, RequestKey, Outcome)> = Vec::new();
         for (request, record) in &self.requests {
             let is_new = |seen: &Seen| seen.rounds > 0 && seen.is_recent(now);
             let outcomes = record.iter().filter(|(_, seen)| is_new(seen));
@@ -236,13 +284,18 @@
     }
 
     /// Number of engines that ended under a request lately, and since an engine last answered it.
-    pub fn crashes(&self, now: Time, request: Fingerprint) -> usize {
-        self.crashes_of(now, request).count()
+    pub fn crashes(&self, now: Time, request: RequestIdentity) -> usize {
+        let counts = request.keys().map(|key| self.crashes_of(now, key).count());
+        counts.max().unwrap_or_default()
     }
 
     /// Whether a request is blocked.
-    pub fn is_blocked(&self, now: Time, request: Fingerprint) -> bool {
-        if self.crashes(now, request) < MIN_CRASHES {
+    pub fn is_blocked(&self, now: Time, request: RequestIdentity) -> bool {
+        request.keys().any(|key| self.is_key_blocked(now, key))
+    }
+
+    fn is_key_blocked(&self, now: Time, request: RequestKey) -> bool {
+        if self.crashes_of(now, request).count() < MIN_CRASHES {
             return false;
         }
         let own: Vec<u64> = self.crashes_of(now, request).collect();
@@ -253,10 +306,14 @@
                     .get(&Outcome::Crashed(*crash))
                     .is_some_and(|s| s.is_recent(now))
             };
-            if *other == request || !own.iter().any(is_in) {
+            let is_alike = matches!(
+                (other, request),
+                (RequestKey::Any(_), RequestKey::Any(_)) | (RequestKey::Caller(_), RequestKey::Caller(_))
+            );
+            if *other == request || !is_alike || !own.iter().any(is_in) {
                 continue;
             }
-            match self.crashes(now, *other).cmp(&own.len()) {
+            match self.crashes_of(now, *other).count().cmp(&own.len()) {
                 Ordering::Greater => counted.retain(|crash| !is_in(crash)),
                 Ordering::Equal if own.len() < MAX_CRASHES && own.iter().all(is_in) => return false,
                 Ordering::Equal | Ordering::Less => {}
@@ -269,12 +326,14 @@
     pub fn counts(&self, now: Time) -> SuspectCounts {
         let requests = || self.requests.keys();
         SuspectCounts {
-            suspect: requests().filter(|r| self.crashes(now, **r) > 0).count(),
-            blocked: requests().filter(|r| self.is_blocked(now, **r)).count(),
+            suspect: requests()
+                .filter(|r| self.crashes_of(now, **r).next().is_some())
+                .count(),
+            blocked: requests().filter(|r| self.is_key_blocked(now, **r)).count(),
         }
     }
 
-    fn crashes_of(&self, now: Time, request: Fingerprint) -> impl Iterator<Item = u64> {
+    fn crashes_of(&self, now: Time, request: RequestKey) -> impl Iterator<Item = u64> {
         let record = self.requests.get(&request).into_iter().flatten();
         let recent = record.filter(move |(_, seen)| seen.is_recent(now));
         recent.filter_map(|(outcome, _)| match outcome {
@@ -284,7 +343,7 @@
     }
 
     /// Removes requests beyond the limit, but not `new`: otherwise nothing could be learned while the others count.
-    fn evict(&mut self, now: Time, new: Fingerprint) {
+    fn evict(&mut self, now: Time, new: RequestKey) {
         self.requests.retain(|_, record| {
             record.retain(|_, seen| seen.is_recent(now));
             !record.is_empty()
@@ -301,7 +360,7 @@
     }
 }
 
-fn note(now: Time, request: Fingerprint, outcome: Outcome, seen: Seen) -> Note {
+fn note(now: Time, request: RequestKey, outcome: Outcome, seen: Seen) -> Note {
     let age = now.since(seen.at).as_millis();
     Note {
         request,
--- a/src/ops/relay/head.rs
+++ b/src/ops/relay/head.rs
@@ -12,7 +12,7 @@
 use http::Uri;
 use http::header;
 use sequoiastream_core::log_event;
-use sequoiastream_core::poison::Fingerprint;
+use sequoiastream_core::poison::suspects::RequestIdentity;
 use sequoiastream_core::relay::prompt::Prompt;
 use sequoiastream_core::relay::routes::Route;
 use sequoiastream_core::relay::workspaces::Workspace;
@@ -127,9 +127,11 @@
         let name = workspace.map(|w| HeaderValue::from_str(&w.name)).transpose();
         let deadline = arrived + time_limit;
         let path = self.uri.path_and_query().map_or("", |path| path.as_str());
-        let fingerprint = Fingerprint::of_forwarded(self.method.as_str(), path, &body, self.caller);
+        let address = self.caller.map(|address| address.to_string()).unwrap_or_default();
+        let caller = self.key.as_ref().map_or(address.as_bytes(), |key| key.as_bytes());
+        let identity = RequestIdentity::new(self.method.as_str(), path, &body, caller);
         Ok(IncomingRequest {
-            fingerprint,
+            identity,
             prompt,
             workspace: name.map_err(|_| "workspace name is not a valid header value")?,
             priority: workspace.and_then(|w| w.priority),
--- a/src/ops/relay/retries.rs
+++ b/src/ops/relay/retries.rs
@@ -5,7 +5,7 @@
 use sequoiastream_core::attempt::End;
 use sequoiastream_core::attempt::NextStep;
 use sequoiastream_core::log_event;
-use sequoiastream_core::poison::Fingerprint;
+use sequoiastream_core::poison::suspects::RequestIdentity;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::retry;
 
@@ -38,7 +38,7 @@
     pub(super) fn log_failure(&self, engine: &Engine, failure: &AttemptFailure, call: &str) {
         log_event!(info, log_event::ATTEMPT_FAILED, request = self.id(), route = %self.route.name,
             engine = %engine.entry.id, end = ?failure.end, why = failure.reason, call,
-            fingerprint = %self.incoming.fingerprint);
+            fingerprint = %self.incoming.identity.any);
     }
 
     /// Handles a failed attempt. Returns `None` if another attempt may follow, otherwise the final answer.
@@ -80,7 +80,7 @@
             return;
         }
         let (shared, pool, engine) = (self.shared.clone(), self.pool.clone(), engine.clone());
-        let request = self.incoming.fingerprint;
+        let request = self.incoming.identity;
         shared.traffic().suspects.on_check_started(request);
         actix_rt::spawn(async move {
             let has_ended = connect::has_ended(&shared, &pool, &engine).await;
@@ -91,7 +91,7 @@
     /// Whether no engine may run the request, because it crashes the engines that do. Waits for checks of which the
     /// answer depends.
     pub(super) async fn is_blocked(&self) -> bool {
-        let request = self.incoming.fingerprint;
+        let request = self.incoming.identity;
         loop {
             let checked = self.shared.checked.notified();
             if let Some(is_blocked) = self.shared.traffic().suspects.verdict(clock::now(), request) {
@@ -107,7 +107,7 @@
         let mut traffic = self.shared.traffic();
         traffic
             .suspects
-            .on_completed(clock::now(), self.incoming.fingerprint);
+            .on_completed(clock::now(), self.incoming.identity);
     }
 
     /// Records an attempt that was cancelled before its result was known, and discards its prefill and its reservation.
@@ -184,7 +184,7 @@
 }
 
 /// Records whether an engine that broke off `request` has ended.
-fn on_checked(shared: &Shared, engine: &Engine, request: Fingerprint, has_ended: bool) {
+fn on_checked(shared: &Shared, engine: &Engine, request: RequestIdentity, has_ended: bool) {
     let now = clock::now();
     let mut traffic = shared.traffic();
     traffic.suspects.on_check_ended(request);
@@ -196,6 +196,6 @@
     drop(traffic);
     shared.checked.notify_waiters();
     if has_ended {
-        log_event!(warn, log_event::ENGINE_CRASHED, engine = %engine.entry.id, fingerprint = %request, crashes);
+        log_event!(warn, log_event::ENGINE_CRASHED, engine = %engine.entry.id, fingerprint = %request.any, crashes);
     }
 }
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -12,7 +12,7 @@
 use http::Uri;
 use http_body_util::Full;
 use sequoiastream_core::attempt::End;
-use sequoiastream_core::poison::Fingerprint;
+use sequoiastream_core::poison::suspects::RequestIdentity;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::prompt::Prompt;
 use sequoiastream_core::time::Time;
@@ -46,7 +46,7 @@
     /// Id that the caller gave this attempt.
     pub id: HeaderValue,
     /// Identifies the request over all its repetitions.
-    pub fingerprint: Fingerprint,
+    pub identity: RequestIdentity,
     /// Structure of the prompt, if the request carries one.
     pub prompt: Option<Prompt>,
     /// Name of the workspace that sent the request, if callers need keys.
--- a/tests/testsuite/relay/seeded.rs
+++ b/tests/testsuite/relay/seeded.rs
@@ -12,8 +12,8 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use sequoiastream_core::poison::Fingerprint;
 use sequoiastream_core::poison::suspects::MIN_CRASHES;
+use sequoiastream_core::poison::suspects::RequestIdentity;
 use sequoiastream_core::poison::suspects::Suspects;
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::engines::EngineUpdate;
@@ -424,8 +424,8 @@
     }
 }
 
-fn fingerprint(request: u64) -> Fingerprint {
-    Fingerprint::of_forwarded("POST", "/", &request.to_be_bytes(), None)
+fn fingerprint(request: u64) -> RequestIdentity {
+    RequestIdentity::new("POST", "/", &request.to_be_bytes(), b"")
 }
 
 /// Guards against a request that crashes one engine after the other because each instance saw fewer than three of its
--- a/tests/testsuite/relay/suspects.rs
+++ b/tests/testsuite/relay/suspects.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use sequoiastream_core::poison::Fingerprint;
 use sequoiastream_core::poison::suspects::MIN_CRASHES;
 use sequoiastream_core::poison::suspects::NOTE_TTL;
+use sequoiastream_core::poison::suspects::RequestIdentity;
 use sequoiastream_core::poison::suspects::Suspects;
 use sequoiastream_core::time::Time;
 
-fn fingerprint(number: u64) -> Fingerprint {
-    Fingerprint::of_forwarded("POST", "/", &number.to_be_bytes(), None)
+fn fingerprint(number: u64) -> RequestIdentity {
+    RequestIdentity::new("POST", "/", &number.to_be_bytes(), b"")
 }
 
 /// Guards against a request that crashes one engine after the other: it is sent to another instance each time, and each
@@ -158,3 +158,29 @@
         assert!(!instance.is_blocked(now, fingerprint(7)));
     }
 }
+
+/// Guards against a request without a body that goes on crashing engines because it comes from another address each time.
+#[test]
+fn convict_other_callers() {
+    let mut suspects = Suspects::new();
+    for (engine, caller) in [(0, "a"), (1, "b"), (2, "c")] {
+        let request = RequestIdentity::new("GET", "/order", b"", caller.as_bytes());
+        suspects.on_crash(Time::ZERO, request, engine);
+    }
+    let request = RequestIdentity::new("GET", "/order", b"", b"d");
+    assert!(suspects.is_blocked(Time::ZERO, request));
+}
+
+/// Guards against a request without a body that crashes engines for one caller only, and goes on because others send the
+/// same and are answered, and against blocking the others.
+#[test]
+fn convict_one_caller() {
+    let mut suspects = Suspects::new();
+    let of = |caller: &str| RequestIdentity::new("GET", "/popular", b"", caller.as_bytes());
+    for engine in 0..3 {
+        suspects.on_crash(Time::ZERO, of("a"), engine);
+        suspects.on_completed(Time::ZERO, of("b"));
+    }
+    assert!(suspects.is_blocked(Time::ZERO, of("a")));
+    assert!(!suspects.is_blocked(Time::ZERO, of("b")));
+}
