Log the software versions of engines that serve streams

Change: the version in an engine's entry is decoded; event 405 has it, with the attempt that a request resumes; event 406 has both versions. Nothing decides by them yet.

--- a/crates/core/benches/relay.rs
+++ b/crates/core/benches/relay.rs
@@ -57,6 +57,7 @@
         slots: 16,
         leaving: false,
         stage,
+        version: "v1".to_string(),
         spot: false,
         sequence: 1,
         create_revision: 1,
--- a/crates/core/src/relay/engines.rs
+++ b/crates/core/src/relay/engines.rs
@@ -66,6 +66,8 @@
     pub leaving: bool,
     /// Part of the work that it does.
     pub stage: Stage,
+    /// Version of its software; empty if not reported.
+    pub version: String,
     /// Whether it is a spot machine: cheaper, and may be reclaimed at any time.
     pub spot: bool,
     /// Sequence number of the engine's own updates to its entry.
--- a/src/ops/relay/edge.rs
+++ b/src/ops/relay/edge.rs
@@ -46,6 +46,8 @@
     pub deadline: HeaderName,
     /// Id of the last event that the caller has received.
     pub last_event: HeaderName,
+    /// Id of the caller's attempt that brought the first event of the stream which this attempt is to continue.
+    pub resumes: HeaderName,
     /// Signature of an answer by its engine.
     pub signature: HeaderName,
     /// Id of the engine that the request is for; any other engine declines it.
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -214,6 +214,12 @@
         String::from_utf8_lossy(self.incoming.id.as_bytes()).into_owned()
     }
 
+    /// The id of the caller's attempt that began the stream, for the log.
+    fn resumes(&self) -> Option<String> {
+        let resumes = self.incoming.resumes.as_ref();
+        resumes.map(|id| String::from_utf8_lossy(id.as_bytes()).into_owned())
+    }
+
     /// The labels of the request in metrics: its service and kind.
     fn path(&self) -> RouteLabels {
         RouteLabels {
@@ -343,7 +349,8 @@
             self.shared.metrics.observe_prediction_error(first, predicted);
         }
         log_event!(info, log_event::FORWARDED, request = self.id(), route = %self.route.name, engine = %engine.entry.id,
-            first = first.as_millis() as u64, handover = now.since(started).as_millis() as u64, requests);
+            first = first.as_millis() as u64, handover = now.since(started).as_millis() as u64, requests,
+            version = engine.entry.version, resumes = self.resumes(), after = self.incoming.last_event);
         if self.prefilled_at.is_some() && requests < engine.entry.slots {
             self.shared
                 .traffic()
--- a/src/ops/relay/head.rs
+++ b/src/ops/relay/head.rs
@@ -124,6 +124,7 @@
             true => parse_prompt(shared, &self.headers),
             false => None,
         };
+        let resumes = self.headers.get(&names.resumes).cloned();
         let name = workspace.map(|w| HeaderValue::from_str(&w.name)).transpose();
         let deadline = arrived + time_limit;
         let path = self.uri.path_and_query().map_or("", |path| path.as_str());
@@ -136,6 +137,7 @@
             workspace: name.map_err(|_| "workspace name is not a valid header value")?,
             priority: workspace.and_then(|w| w.priority),
             last_event,
+            resumes: resumes.filter(|_| route.kind.is_stream()),
             arrived,
             deadline,
             expires_at: deadline.min(arrived + route.timeout),
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -55,6 +55,8 @@
     pub priority: Option<u8>,
     /// Id of the last event that the caller has received.
     pub last_event: Option<u64>,
+    /// Id of the caller's attempt that brought the first event of the stream which this one is to continue.
+    pub resumes: Option<HeaderValue>,
     /// When the request arrived.
     pub arrived: Time,
     /// When the request expires: at the caller's deadline or the route's timeout, whichever is earlier.
--- a/src/ops/relay/stream.rs
+++ b/src/ops/relay/stream.rs
@@ -69,7 +69,8 @@
     };
     if !Rc::ptr_eq(&from, attempt.engine()) {
         log_event!(info, log_event::RESUMED, request = stream.forward.id(), after = stream.last_event,
-            from = %from.entry.id, to = %attempt.engine().entry.id);
+            from = %from.entry.id, to = %attempt.engine().entry.id,
+            from_version = from.entry.version, to_version = attempt.engine().entry.version);
     }
     match attempt.take_event() {
         Some(event) => {
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -63,6 +63,7 @@
                 request: name("x-request"),
                 deadline: name("x-deadline"),
                 last_event: name("x-resume"),
+                resumes: name("x-resumes"),
                 signature: name("x-seal"),
                 target_engine: name("x-expect"),
                 declined: name("x-declined"),
@@ -149,6 +150,7 @@
             } else {
                 Stage::Decode
             },
+            version: "v1".to_string(),
             spot: false,
             sequence: sequence.parse().map_err(|e| Malformed::new("engine", e))?,
             create_revision: item.created,
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -68,6 +68,7 @@
         slots: 16,
         leaving: false,
         stage,
+        version: "v1".to_string(),
         spot: false,
         sequence: 1,
         create_revision: 1,
