Tests: streams that go on at another software version (failing)

The tests begin streams before engines of two versions: within one answer, on the caller's next try, and at another instance.

--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -46,6 +46,7 @@
 mod tunnel_peers;
 mod tunnels;
 mod usage;
+mod versions;
 mod watchers;
 mod withdrawals;
 mod workspaces;
--- /dev/null
+++ b/tests/testsuite/relay/versions.rs
@@ -0,0 +1,193 @@
+//! Streams while engines of several software versions serve: a stream goes on only at the version that began it.
+
+use std::collections::BTreeSet;
+
+use sequoiastream::ops::relay::known::StoreReplica;
+use sequoiastream::ops::relay::peers;
+use sequoiastream::ops::relay::peers::Fleet;
+use sequoiastream::ops::relay::register::ListedInstance;
+use sequoiastream_core::membership::Listing;
+use sequoiastream_core::membership::MemberState;
+use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_core::relay::engines::EngineKey;
+use sequoiastream_core::relay::engines::Entry;
+use sequoiastream_core::relay::engines::Stage;
+use sequoiastream_core::relay::routes::CallerLimits;
+use sequoiastream_core::relay::routes::RouteKind;
+use sequoiastream_core::relay::routes::RoutingTable;
+
+use super::engine::Action;
+use super::engine::ReceivedRequest;
+use super::engine::ScriptedEngine;
+use super::engine::chunk;
+use super::engine::head;
+use super::instance::Instance;
+use super::instance::options;
+use super::instance::route;
+use super::instance::shared;
+use super::wait_until;
+
+/// The head and the event `id` of a stream of an engine of `version`.
+fn stream(request: &ReceivedRequest, version: &str, id: u64) -> String {
+    let event = format!("id: {id}\ndata: {version}\n\n");
+    head(request, "transfer-encoding: chunked\r\n") + &chunk(&event)
+}
+
+/// An engine that breaks off a new stream after its first event, and completes a stream that it is to continue.
+async fn versioned_engine(version: &'static str) -> ScriptedEngine {
+    ScriptedEngine::start(move |_, request| match request.header("x-resume") {
+        None => vec![Action::Send(stream(request, version, 1)), Action::Close],
+        Some(_) => vec![Action::Send(stream(request, version, 2) + "0\r\n\r\n")],
+    })
+    .await
+}
+
+/// Engines and their versions.
+struct Engines(Vec<(ScriptedEngine, &'static str)>);
+
+impl Engines {
+    async fn start(versions: &[&'static str]) -> Engines {
+        let mut engines = Vec::new();
+        for version in versions {
+            engines.push((versioned_engine(version).await, *version));
+        }
+        Engines(engines)
+    }
+
+    /// The registrations of all engines.
+    fn listed(&self) -> Vec<Engine> {
+        let engines = self.0.iter().zip(0..).map(|((engine, version), index)| {
+            let entry = Entry {
+                address: engine.address(),
+                version: version.to_string(),
+                started: Some(1),
+                ..super::entry(&format!("e{index}"), Stage::Whole)
+            };
+            Engine::new(EngineKey(index), entry)
+        });
+        engines.collect()
+    }
+
+    /// Starts an instance with this name before the engines. Each request has `attempts` attempts.
+    fn instance(&self, name: &str, attempts: u32) -> Instance {
+        let mut options = options();
+        options.name = name.parse().expect("a name");
+        let shared = shared(options);
+        let mut route = route(RouteKind::Resumable, "/r/");
+        route.max_attempts = attempts;
+        let limits = CallerLimits {
+            max_body: 1 << 20,
+            ..CallerLimits::default()
+        };
+        shared.publish(|view| {
+            view.table = std::sync::Arc::new(RoutingTable::new(3, limits, vec![route], Vec::new()));
+            view.instances = 1;
+        });
+        list(&shared, self.listed());
+        Instance::serve(shared)
+    }
+}
+
+/// Replaces the engines that an instance knows.
+fn list(shared: &sequoiastream::ops::relay::shared::Shared, engines: Vec<Engine>) {
+    shared.publish(|view| view.set_engines([("chat".to_string(), engines)].into()));
+}
+
+/// Starts the exchange of messages of an instance with its peers.
+async fn join(instance: &Instance) -> Fleet {
+    let sockets = peers::Sockets::bind(&instance.shared)
+        .await
+        .expect("an unused address");
+    let fleet = peers::start(instance.shared.clone(), sockets, StoreReplica::new());
+    fleet.on_version(3);
+    fleet
+}
+
+fn listing(instance: &Instance) -> ListedInstance {
+    let options = &instance.shared.options;
+    ListedInstance {
+        listing: Listing {
+            name: options.name.clone(),
+            zone: options.zone.clone(),
+            address: options.front,
+            peer_address: options.peer,
+            state: MemberState::Live,
+        },
+        capacity: 250,
+    }
+}
+
+/// Starts the messages of all instances, and waits until each hears all others.
+async fn link(instances: &[&Instance]) -> Vec<Fleet> {
+    let mut fleets = Vec::new();
+    for instance in instances {
+        let fleet = join(instance).await;
+        fleet.on_listed(instances.iter().map(|i| listing(i)).collect());
+        fleets.push(fleet);
+    }
+    let hears_all = |i: &&Instance| i.shared.view.load().tunnel_peers.len() + 1 == instances.len();
+    wait_until(|| instances.iter().all(hears_all)).await;
+    fleets
+}
+
+fn ids(answer: &str) -> Vec<&str> {
+    answer.lines().filter_map(|l| l.strip_prefix("id: ")).collect()
+}
+
+/// The versions of the engines that made the events.
+fn versions(answer: &str) -> BTreeSet<&str> {
+    let data = answer.lines().filter_map(|l| l.strip_prefix("data: "));
+    data.collect()
+}
+
+/// Begins a stream that breaks off after its first event, and returns its version.
+async fn begin(instance: &Instance, id: &str) -> String {
+    let got = instance.get("/r/x", id, "").await;
+    assert_eq!(ids(&got), ["1"], "{got}");
+    versions(&got).into_iter().collect()
+}
+
+/// Takes up the stream that the attempt `first` began.
+async fn take_up(instance: &Instance, id: &str, first: &str) -> String {
+    let more = format!("x-resume: 1\r\nx-resumes: {first}\r\n");
+    instance.get("/r/x", id, &more).await
+}
+
+/// Guards against a stream that holds events of two versions because it is continued by any engine, within one answer.
+#[actix_web::test]
+async fn continue_same_version() {
+    let engines = Engines::start(&["v1", "v2", "v1", "v2"]).await;
+    let instance = engines.instance("one", 3);
+    for number in 0..12 {
+        let got = instance.get("/r/x", &format!("q{number}"), "").await;
+        assert_eq!(ids(&got), ["1", "2"], "{got}");
+        assert_eq!(versions(&got).len(), 1, "{got}");
+    }
+}
+
+/// Guards against a stream that holds events of two versions because a caller's next try goes to any engine.
+#[actix_web::test]
+async fn take_up_same_version() {
+    let engines = Engines::start(&["v1", "v2", "v1", "v2"]).await;
+    let instance = engines.instance("one", 1);
+    for number in 0..12 {
+        let version = begin(&instance, &format!("q{number}")).await;
+        let got = take_up(&instance, &format!("r{number}"), &format!("q{number}")).await;
+        assert_eq!(ids(&got), ["2"], "{got}");
+        assert_eq!(versions(&got), BTreeSet::from([version.as_str()]));
+    }
+}
+
+/// Guards against a stream that holds events of two versions because its caller takes it up at another instance.
+#[actix_web::test]
+async fn take_up_other_instance() {
+    let engines = Engines::start(&["v1", "v2", "v1", "v2"]).await;
+    let (one, two) = (engines.instance("one", 1), engines.instance("two", 1));
+    link(&[&one, &two]).await;
+    for number in 0..12 {
+        let version = begin(&one, &format!("q{number}")).await;
+        let got = take_up(&two, &format!("r{number}"), &format!("q{number}")).await;
+        assert_eq!(ids(&got), ["2"], "{got}");
+        assert_eq!(versions(&got), BTreeSet::from([version.as_str()]));
+    }
+}
