Keep each stream at the software version that began it

Cause: the version in an engine's entry did not bind where a stream goes on, within one answer or when its caller takes it up, and nothing read which attempt began the stream. Why it works: the first event binds a stream to its engine's version; only engines of that version are chosen from then on, with more room than new streams have, since others can take those. The instance that passes on the first event records the version under the attempt's id and tells eight peers, the same that every instance computes; an instance that doesn't know a stream asks them. The record lasts as long as the caller waits. Without any record, the version is certain only if the service has had no other for a minute; otherwise, and when no engine has the version any more, the caller is refused at once. An engine that is known to have ended is not used for such streams until its entry says that it started anew: it may have come back with another version.

--- a/crates/core/src/poison/suspects.rs
+++ b/crates/core/src/poison/suspects.rs
@@ -34,6 +34,9 @@
 /// passes it on in turn, so that all instances of a large fleet hear of it within a few messages.
 const NEW_NOTE_ROUNDS: u8 = 3;
 
+/// How long an engine that has ended may still be listed: its entry expires after some heartbeats.
+const ENDED_TIME: Duration = Duration::from_secs(6);
+
 /// Interval at which an instance sends some of all notes again, in turn, for as long as they count.
 ///
 /// Guards against an instance that was paused, cut off or started later, never hears of a crash, and sends the request
@@ -144,6 +147,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Suspects {
     requests: BTreeMap<RequestKey, Record>,
+    /// When each of the engines that ended lately did, by the hash of its incarnation.
+    ended: BTreeMap<u64, Time>,
     /// Number of checks that are running, by request.
     checks: BTreeMap<Fingerprint, usize>,
     /// The last note of the last message with notes that are not new.
@@ -187,6 +192,18 @@
         }
     }
 
+    /// Records that the engine with this hash of its incarnation has ended.
+    pub fn on_ended(&mut self, now: Time, engine: u64) {
+        self.ended.retain(|_, at| now.since(*at) < ENDED_TIME);
+        self.ended.insert(engine, now);
+    }
+
+    /// Whether the engine with this hash of its incarnation ended lately.
+    pub fn has_ended(&self, now: Time, engine: u64) -> bool {
+        let ended = self.ended.get(&engine);
+        ended.is_some_and(|at| now.since(*at) < ENDED_TIME)
+    }
+
     /// Records that an engine answered a request completely, if the request is suspect.
     pub fn on_completed(&mut self, now: Time, request: RequestIdentity) {
         for key in request.keys() {
@@ -205,6 +222,9 @@
     }
 
     fn record(&mut self, now: Time, at: Time, request: RequestKey, outcome: Outcome) {
+        if let Outcome::Crashed(engine) = outcome {
+            self.on_ended(at, engine);
+        }
         let record = self.requests.entry(request).or_default();
         record.retain(|_, seen| seen.is_recent(now));
         let completed = record.get(&Outcome::Completed).map(|seen| seen.at);
--- a/crates/core/src/relay/engines.rs
+++ b/crates/core/src/relay/engines.rs
@@ -7,6 +7,7 @@
 
 use crate::relay::hash::Hash;
 use crate::relay::hash::hash_pair;
+use crate::relay::streams::SoftwareVersion;
 use crate::time::Time;
 
 /// How long an engine may still get work if its entry disappeared around an outage of the store. Entries that expired
@@ -88,13 +89,21 @@
     pub entry: Entry,
     /// Hash of its id.
     pub hash: u64,
+    /// Version of its software.
+    pub version: SoftwareVersion,
 }
 
 impl Engine {
     /// Creates an engine from its registration.
     pub fn new(key: EngineKey, entry: Entry) -> Engine {
         let hash = Hash::new().with(entry.id.as_bytes()).value();
-        Engine { key, entry, hash }
+        let version = SoftwareVersion::of(&entry.version);
+        Engine {
+            key,
+            entry,
+            hash,
+            version,
+        }
     }
 
     /// Returns the incarnation of the engine.
@@ -210,14 +219,14 @@
             }
             known.revision = revision;
             // The revision is assigned by the store, the sequence number by the engine.
-            let known_entry = &mut known.engine.entry;
+            let known_entry = &known.engine.entry;
             if EntryVersion::of(known_entry) > EntryVersion::of(&entry) {
                 return false;
             }
             known.missing_since = None;
             if (known_entry.create_revision, known_entry.started) == (entry.create_revision, entry.started) {
                 let changed = *known_entry != entry;
-                *known_entry = entry;
+                known.engine = Engine::new(known.engine.key, entry);
                 return changed;
             }
         }
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! A route maps a host and a path prefix to services. [`routes`] looks it up, [`engines`] tracks the engines of each
 //! service, [`placement`] picks an engine, [`attempt`](crate::attempt) decides what the end of an attempt proves and
-//! whether another may follow, [`budget`] limits extra attempts over the whole fleet, and [`stages`] splits the
+//! whether another may follow, [`budget`] limits extra attempts over the whole fleet, [`streams`] knows which
+//! version of the engines began each stream, and [`stages`] splits the
 //! engines of a service into those that process prompts and those that generate. Requests that crash engines are
 //! detected by [`poison::suspects`](crate::poison::suspects).
 
@@ -30,6 +31,7 @@
 pub mod routes;
 pub mod scale;
 pub mod stages;
+pub mod streams;
 pub mod token_bucket;
 pub mod true_time;
 pub mod tunnel_peers;
--- /dev/null
+++ b/crates/core/src/relay/streams.rs
@@ -0,0 +1,197 @@
+//! Which software version of the engines began each stream.
+//!
+//! Failure guarded against: a stream holds events of engines of two versions, which do not fit together. It is broken
+//! off and continued by another engine, within one answer or when its caller takes it up, at any instance. Engines
+//! don't check this.
+//!
+//! The instance that passes on the first event of a stream records the version and tells the [`homes`] of the stream, a
+//! few peers that every instance computes alike. An instance at which the stream is taken up and that does not know it
+//! asks them. A record lasts as long as the caller of the stream waits. Where no record is found, the version is
+//! certain only if the engines of the service have had no other one for as long as a stream may last.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::relay::engines::Engine;
+use crate::relay::engines::Stage;
+use crate::relay::hash::Hash;
+use crate::relay::hash::hash_pair;
+use crate::relay::tunnel_peers::address_hash;
+use crate::time::Time;
+
+/// Number of peers that are told of a stream. If three in five instances are killed at the same time, one of 50 streams
+/// is known to none of them any more; fewer peers would lose far more, more would cost each instance of a large fleet
+/// more than it may spend on control.
+pub const HOMES: usize = 8;
+
+/// Maximum time for which a record is kept: callers wait less for a stream.
+pub const MAX_LIFETIME: Duration = Duration::from_secs(60);
+
+/// Maximum number of records; those that expire first are removed first. Two megabytes.
+const MAX_RECORDS: usize = 32_768;
+
+/// Identifies a stream: a hash of the id of the caller's attempt that brought its first event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct StreamId(u64);
+
+impl StreamId {
+    /// The stream that the attempt with this id began.
+    pub fn of(attempt: &[u8]) -> StreamId {
+        StreamId(Hash::new().with(attempt).value())
+    }
+}
+
+/// A software version of engines: a hash of its name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct SoftwareVersion(u64);
+
+impl SoftwareVersion {
+    /// The version with this name.
+    pub fn of(name: &str) -> SoftwareVersion {
+        SoftwareVersion(Hash::new().with(name.as_bytes()).value())
+    }
+}
+
+/// The version of a stream, as instances tell each other. Their clocks can't be compared, so it contains a remaining
+/// time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamRecord {
+    /// The stream.
+    pub stream: StreamId,
+    /// The version that began it.
+    pub version: SoftwareVersion,
+    /// Milliseconds for which its caller still waits.
+    pub left: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    version: SoftwareVersion,
+    until: Time,
+}
+
+/// The streams that this instance knows, and the versions that have served.
+#[derive(Debug, Clone, Default)]
+pub struct Streams {
+    known: BTreeMap<StreamId, Known>,
+    /// Streams that peers are still to be told of.
+    unsent: Vec<StreamId>,
+    /// When each version of a service was last seen to serve; `None` while it does.
+    served: BTreeMap<(String, SoftwareVersion), Option<Time>>,
+}
+
+impl Streams {
+    /// No streams.
+    pub fn new() -> Streams {
+        Streams::default()
+    }
+
+    /// Records that an engine of this version delivered the first event of a stream whose caller waits for `left`.
+    pub fn on_begun(&mut self, now: Time, stream: StreamId, version: SoftwareVersion, left: Duration) {
+        self.insert(now, stream, version, left);
+        self.unsent.push(stream);
+    }
+
+    /// Records what a peer reports.
+    pub fn on_record(&mut self, now: Time, record: StreamRecord) {
+        let left = Duration::from_millis(u64::from(record.left));
+        self.insert(now, record.stream, record.version, left);
+    }
+
+    /// A stream has one version for ever, so a record is never replaced by a different one.
+    fn insert(&mut self, now: Time, stream: StreamId, version: SoftwareVersion, left: Duration) {
+        let until = now + left.min(MAX_LIFETIME);
+        let known = self.known.entry(stream).or_insert(Known { version, until });
+        known.until = known.until.max(until);
+        if self.known.len() > MAX_RECORDS {
+            self.known.retain(|_, known| known.until > now);
+        }
+        while self.known.len() > MAX_RECORDS {
+            let first = self.known.iter().min_by_key(|(_, known)| known.until);
+            let Some(stream) = first.map(|(stream, _)| *stream) else {
+                break;
+            };
+            self.known.remove(&stream);
+        }
+    }
+
+    /// The record of a stream.
+    pub fn record(&self, now: Time, stream: StreamId) -> Option<StreamRecord> {
+        let known = self.known.get(&stream).filter(|known| known.until > now)?;
+        let left = known.until.since(now).as_millis();
+        Some(StreamRecord {
+            stream,
+            version: known.version,
+            left: u32::try_from(left).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// The records that peers are to be told, each once.
+    pub fn take_unsent(&mut self, now: Time) -> Vec<StreamRecord> {
+        let unsent = std::mem::take(&mut self.unsent);
+        unsent
+            .into_iter()
+            .filter_map(|stream| self.record(now, stream))
+            .collect()
+    }
+
+    /// Removes the records that have expired.
+    pub fn expire(&mut self, now: Time) {
+        self.known.retain(|_, known| known.until > now);
+    }
+
+    /// Records which versions serve from now on.
+    pub fn on_engines(&mut self, now: Time, engines: &BTreeMap<String, Vec<Engine>>) {
+        for ended in self.served.values_mut() {
+            ended.get_or_insert(now);
+        }
+        for (service, engines) in engines {
+            for engine in engines.iter().filter(|e| e.entry.stage != Stage::Prefill) {
+                self.served.insert((service.clone(), engine.version), None);
+            }
+        }
+        self.served
+            .retain(|_, ended| ended.is_none_or(|at| now.since(at) < MAX_LIFETIME));
+    }
+
+    /// The version of all streams of a service: the only one that has served for as long as a stream may last.
+    pub fn only_version(&self, now: Time, service: &str) -> Option<SoftwareVersion> {
+        let recent = |ended: &Option<Time>| ended.is_none_or(|at| now.since(at) < MAX_LIFETIME);
+        let served = self
+            .served
+            .iter()
+            .filter(|((s, _), ended)| s == service && recent(ended));
+        let mut versions = served.map(|((_, version), _)| *version);
+        let first = versions.next()?;
+        versions.next().is_none().then_some(first)
+    }
+
+    /// Number of records.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Whether there are no records.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+}
+
+/// The peers that are told of a stream, and asked for it: the same at every instance that has the same peers.
+pub fn homes<I>(peers: I, stream: StreamId) -> Vec<SocketAddr>
+where
+    I: Iterator<Item = SocketAddr>,
+{
+    let mut ranked: Vec<(u64, SocketAddr)> = peers
+        .map(|peer| (hash_pair(stream.0, address_hash(peer)), peer))
+        .collect();
+    if ranked.len() > HOMES {
+        ranked.select_nth_unstable(HOMES);
+        ranked.truncate(HOMES);
+    }
+    ranked.into_iter().map(|(_, peer)| peer).collect()
+}
--- a/crates/core/src/relay/tunnel_peers.rs
+++ b/crates/core/src/relay/tunnel_peers.rs
@@ -42,7 +42,8 @@
         .collect()
 }
 
-fn address_hash(address: SocketAddr) -> u64 {
+/// Hash of an address.
+pub(crate) fn address_hash(address: SocketAddr) -> u64 {
     let hash = match address.ip() {
         IpAddr::V4(ip) => Hash::new().with(&ip.octets()),
         IpAddr::V6(ip) => Hash::new().with(&ip.octets()),
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -20,6 +20,8 @@
 use sequoiastream_core::poison::suspects::Note;
 use sequoiastream_core::relay::limit_report::PeerLimitReport;
 use sequoiastream_core::relay::load_message::LoadMessage;
+use sequoiastream_core::relay::streams::StreamId;
+use sequoiastream_core::relay::streams::StreamRecord;
 use sequoiastream_core::relay::usage::CountsMessage;
 use sequoiastream_core::relay::watchers::ConfirmationId;
 use sequoiastream_core::time::WallTime;
@@ -46,6 +48,8 @@
     Limits(Vec<PeerLimitReport>),
     /// Requests under which engines ended.
     Crashes(Vec<Note>),
+    /// Versions of streams that began at the sender.
+    Streams(Vec<StreamRecord>),
 }
 
 /// A request over TCP.
@@ -79,6 +83,8 @@
     /// Asks the peer to connect to this address of an engine and to turn the connection into a tunnel to it
     /// ([`crate::tunnel`]).
     Connect(SocketAddr),
+    /// Requests the version of the engines that began a stream.
+    Stream(StreamId),
 }
 
 /// Response to a request over TCP.
@@ -116,6 +122,8 @@
     Connected,
     /// Response to [`Request::Connect`]: the peer can't reach the address or serves too many tunnels.
     Unreachable,
+    /// Response to [`Request::Stream`]; `None` if the peer does not know the stream.
+    Stream(Option<StreamRecord>),
 }
 
 /// Asks a peer not to send new work to an engine before it is changed. Repeated while the change is in progress.
--- a/src/ops/control/membership.rs
+++ b/src/ops/control/membership.rs
@@ -239,7 +239,8 @@
                 self.handle_event(Event::Heartbeat(name, heartbeat));
             }
             Ok((_, Datagram::Ping | Datagram::Load(_) | Datagram::Limits(_) | Datagram::Crashes(_))) => {}
-            Ok((_, Datagram::Prove(_) | Datagram::Proof(_) | Datagram::Counts(_))) => {}
+            Ok((_, Datagram::Prove(_) | Datagram::Proof(_) | Datagram::Counts(_) | Datagram::Streams(_))) => {
+            }
             Err(error) => log_event!(debug, log_event::PEER_REFUSED, %error),
         }
     }
--- a/src/ops/control/peers.rs
+++ b/src/ops/control/peers.rs
@@ -46,7 +46,9 @@
     async fn respond(&self, request: Request) -> Response {
         match request {
             Request::Ping => Response::Pong,
-            Request::Page(_) | Request::Since(_) | Request::Connect(_) => Response::NotServed,
+            Request::Page(_) | Request::Since(_) | Request::Connect(_) | Request::Stream(_) => {
+                Response::NotServed
+            }
             Request::Claim(request) => verdict_response(self.claims.send(RequestClaim(request)).await),
             Request::Lookup(claim) => verdict_response(self.claims.send(QueryClaim(claim)).await),
             Request::Clock => Response::Clock(clock::wall_time()),
--- a/src/ops/relay/connect.rs
+++ b/src/ops/relay/connect.rs
@@ -96,6 +96,10 @@
         limit,
     };
     let opened = timeout(limit, opener.open(plan)).await;
+    if let Ok(Err(ChannelError::Refused(_))) = &opened {
+        let incarnation = engine.incarnation().hash();
+        shared.traffic().suspects.on_ended(clock::now(), incarnation);
+    }
     opened.unwrap_or_else(|_| {
         if plan != ConnectPlan::Tunnel {
             opener.on_direct_failed();
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -21,6 +21,7 @@
 use sequoiastream_core::relay::hash::Hash;
 use sequoiastream_core::relay::routes::Route;
 use sequoiastream_core::time::Time;
+use sequoiastream_peer::call::CallClient;
 use sequoiastream_upstream::channel::Pool;
 use tokio::sync::Notify;
 
@@ -38,6 +39,7 @@
 use crate::ops::relay::shared::Shared;
 use crate::ops::relay::shared::View;
 use crate::ops::relay::stream;
+use crate::ops::relay::versions::StreamVersion;
 use crate::util::clock;
 use crate::util::metrics::RouteLabels;
 
@@ -47,6 +49,8 @@
     pub shared: Arc<Shared>,
     /// Connections to engines.
     pub pool: Pool,
+    /// Connections to peers.
+    pub calls: CallClient,
     /// The view of routes and engines at the request's arrival.
     pub view: Arc<View>,
     /// The route that the request matches.
@@ -67,6 +71,8 @@
     /// Predicted time from the arrival to the first event.
     pub(super) predicted: Option<Duration>,
     pub(super) refusal: Option<Refusal>,
+    /// The version of the engines that may deliver events of this stream.
+    pub(super) version: StreamVersion,
     running: Option<Running>,
     /// Whether an engine has started the request, so that it has been counted for its workspace.
     started: bool,
@@ -97,6 +103,7 @@
     pub fn new(
         shared: Arc<Shared>,
         pool: Pool,
+        calls: CallClient,
         view: Arc<View>,
         route: Arc<Route>,
         incoming: IncomingRequest,
@@ -108,6 +115,7 @@
         ForwardedRequest {
             shared,
             pool,
+            calls,
             view,
             priority: incoming.priority.unwrap_or(route.priority),
             incoming: Rc::new(incoming),
@@ -119,6 +127,7 @@
             prefilled_at: None,
             predicted: None,
             refusal: None,
+            version: StreamVersion::Any,
             running: Some(running),
             started: false,
             answer_begun: false,
@@ -146,6 +155,9 @@
     }
 
     async fn stream(mut self) -> HttpResponse {
+        if let Err(reply) = self.find_version().await {
+            return self.finish(reply);
+        }
         match self.deliver(None, self.incoming.last_event).await {
             Ok(attempt) => {
                 let running = self.running.take();
@@ -363,6 +375,10 @@
     /// caller is told when one of them may be sent a request.
     pub(super) fn refuse(&mut self) -> Reply {
         let reply = self.give_up();
+        if let Some(refusal) = self.version_refusal() {
+            self.refusal = Some(refusal);
+            return reply;
+        }
         let (Some(service), Some(limited)) = (&self.service, self.limited_service()) else {
             return reply;
         };
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -7,7 +7,7 @@
 //! lease of the leader, the one instance that calls the cloud API for all through `cloud`: `usage` reports the usage,
 //! `scaling` orders engines. These tasks publish a view that the traffic thread reads: [`server`] accepts requests,
 //! `head` parses their heads, [`forward`] takes each to its final answer, `deliver` makes attempts until an engine delivers,
-//! `attempt` is one of them, `retries` decides what follows each, `pick` chooses engines, [`connect`] connects to them, `reading` has prefills computed, [`stream`] passes events on, `idle` closes
+//! `attempt` is one of them, `retries` decides what follows each, `pick` chooses engines, `versions` keeps each stream at the version that began it, [`connect`] connects to them, `reading` has prefills computed, [`stream`] passes events on, `idle` closes
 //! connections that are no longer used and probes detached engines. `gauges` sets the gauges on the page of metrics.
 
 mod attempt;
@@ -37,6 +37,7 @@
 pub mod shared;
 pub mod stream;
 mod usage;
+mod versions;
 
 use std::rc::Rc;
 use std::sync::Arc;
--- a/src/ops/relay/peers/mod.rs
+++ b/src/ops/relay/peers/mod.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod prove;
 mod roster;
+mod streams;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -164,6 +165,10 @@
                 let changes = self.known.changes_since(clock::now(), revision);
                 changes.map_or_else(|| self.page(""), Response::Changes)
             }
+            Request::Stream(stream) => {
+                let traffic = self.shared.traffic();
+                Response::Stream(traffic.streams.record(clock::now(), stream))
+            }
             _ => Response::NotServed,
         }
     }
@@ -281,6 +286,7 @@
             Ok((name, Datagram::Counts(message))) => fleet.on_counts(&name, message),
             Ok((_, Datagram::Limits(reports))) => fleet.on_limits(&reports),
             Ok((_, Datagram::Crashes(notes))) => fleet.on_crashes(notes),
+            Ok((_, Datagram::Streams(records))) => fleet.on_streams(records),
             Ok((_, Datagram::Ping)) => {}
             Err(PeerError::Broken(error)) => {
                 log_event!(warn, log_event::PEER_FAILED, %error, call = "receive");
@@ -295,6 +301,7 @@
 async fn tick(fleet: Fleet) {
     loop {
         fleet.on(Event::Tick);
+        fleet.0.shared.traffic().streams.expire(clock::now());
         tokio::time::sleep(HEARTBEAT_INTERVAL).await;
     }
 }
@@ -494,6 +501,7 @@
         self.0.turn.set(turn.wrapping_add(1));
         self.send_limits(now, turn);
         self.send_crashes(now);
+        self.send_streams(now);
         let changed = self.update_detached(now);
         let (peers, turns) = self.load_recipients(now, turn);
         let (load, reads) = {
--- a/src/ops/relay/pick.rs
+++ b/src/ops/relay/pick.rs
@@ -13,12 +13,14 @@
 use sequoiastream_core::relay::prefill_time::PrefillWork;
 use sequoiastream_core::relay::prompt::Prompt;
 use sequoiastream_core::relay::return_schedule::LimitedService;
+use sequoiastream_core::relay::routes::RouteKind;
 use sequoiastream_core::time::Time;
 
 use crate::ops::relay::forward::ForwardedRequest;
 use crate::ops::relay::shared::Shared;
 use crate::ops::relay::shared::TrafficState;
 use crate::ops::relay::shared::View;
+use crate::ops::relay::versions::StreamVersion;
 use crate::util::clock;
 
 /// Prompts with at most this many tokens are processed by the engine that generates the answer, which takes less time
@@ -88,10 +90,13 @@
             .prefilled
             .as_ref()
             .map(|prefilled| prefilled.engine.entry.zone.as_str());
+        let is_bound = self.version != StreamVersion::Any;
         let part = match (
             &self.prefilled,
             self.view.table.is_outranked(&self.route, self.priority),
         ) {
+            // Only some engines may continue a stream, and others can take the new ones.
+            _ if is_bound => MAX_LOAD_FACTOR,
             (Some(_), _) => MAX_LOAD_FACTOR,
             (None, false) => 1.0,
             (None, true) => LOW_PRIORITY_PART,
@@ -140,11 +145,14 @@
         let ledger = self.shared.traffic();
         let is_excluded = |e: &Engine| {
             is_unavailable(&view, &ledger, now, e)
+                || !self.may_deliver(&ledger, now, e)
                 || (self.reserved != Some(e.key) && !ledger.rate_limits.has_room(now, e.incarnation()))
         };
         // Engines are rarely excluded, so the list is copied only if one is.
-        let may_exclude =
-            view.orders.may_change(now) || ledger.notices.any_unavailable(now) || ledger.rate_limits.any();
+        let may_exclude = view.orders.may_change(now)
+            || ledger.notices.any_unavailable(now)
+            || ledger.rate_limits.any()
+            || self.route.kind == RouteKind::Resumable;
         let any = may_exclude && engines.iter().any(is_excluded);
         let staying: Cow<'_, [Engine]> = match any {
             true => engines.iter().filter(|e| !is_excluded(e)).cloned().collect(),
@@ -178,6 +186,7 @@
             if engine.entry.stage == Stage::Prefill
                 || self.tried.contains(&engine.key)
                 || is_unavailable(&view, &ledger, now, engine)
+                || !self.may_deliver(&ledger, now, engine)
             {
                 continue;
             }
--- a/src/ops/relay/server.rs
+++ b/src/ops/relay/server.rs
@@ -24,6 +24,7 @@
 use sequoiastream_core::relay::workspaces::KeyAccess;
 use sequoiastream_core::relay::workspaces::KeyDigest;
 use sequoiastream_core::relay::workspaces::StoreAges;
+use sequoiastream_peer::call::CallClient;
 use sequoiastream_upstream::channel::Pool;
 use tokio::time::timeout;
 
@@ -59,6 +60,7 @@
 struct Worker {
     shared: Arc<Shared>,
     pool: Pool,
+    calls: CallClient,
 }
 
 /// Starts the servers.
@@ -81,6 +83,7 @@
         let worker = Worker {
             shared: state.clone(),
             pool,
+            calls: CallClient::new(state.key.clone()),
         };
         App::new()
             .app_data(Data::new(worker))
@@ -225,6 +228,7 @@
     let forward = ForwardedRequest::new(
         shared.clone(),
         worker.pool.clone(),
+        worker.calls.clone(),
         view.clone(),
         route,
         incoming,
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -30,6 +30,7 @@
 use sequoiastream_core::relay::reachability::Reachability;
 use sequoiastream_core::relay::return_schedule::ReturnSchedule;
 use sequoiastream_core::relay::routes::RoutingTable;
+use sequoiastream_core::relay::streams::Streams;
 use sequoiastream_core::relay::tunnel_peers::TunnelPeer;
 use sequoiastream_core::relay::usage::Tally;
 use sequoiastream_core::relay::usage::Window;
@@ -154,6 +155,8 @@
     pub reachability: Reachability,
     /// Requests suspected of crashing engines.
     pub suspects: Suspects,
+    /// Which version of the engines began each stream.
+    pub streams: Streams,
     /// Requests that engines began, by window and workspace.
     pub tally: Tally,
 }
@@ -205,6 +208,7 @@
             returns: ReturnSchedule::new(),
             reachability: Reachability::new(),
             suspects: Suspects::new(),
+            streams: Streams::new(),
             tally: Tally::default(),
         };
         Shared {
@@ -247,8 +251,12 @@
     where
         F: FnOnce(&mut View),
     {
-        let mut view = View::clone(&self.view.load());
+        let before = self.view.load();
+        let mut view = View::clone(&before);
         change(&mut view);
+        if !Arc::ptr_eq(&before.engines, &view.engines) {
+            self.traffic().streams.on_engines(clock::now(), &view.engines);
+        }
         self.view.store(Arc::new(view));
     }
 
--- a/src/ops/relay/stream.rs
+++ b/src/ops/relay/stream.rs
@@ -48,6 +48,7 @@
     };
     let mut builder = response_head(&answer.head.headers, answer.head.status.as_u16());
     forward.answer_begun = true;
+    forward.on_stream_begun(attempt.engine());
     let stream = ResponseStream {
         last_event: forward.incoming.last_event,
         forward,
--- /dev/null
+++ b/src/ops/relay/versions.rs
@@ -0,0 +1,167 @@
+//! Keeps each stream at the software version of the engines that began it.
+
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use sequoiastream_core::log_event;
+use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_core::relay::engines::Stage;
+use sequoiastream_core::relay::routes::RouteKind;
+use sequoiastream_core::relay::streams;
+use sequoiastream_core::relay::streams::SoftwareVersion;
+use sequoiastream_core::relay::streams::StreamId;
+use sequoiastream_core::relay::streams::StreamRecord;
+use sequoiastream_core::time::Time;
+use sequoiastream_peer::message::Request;
+use sequoiastream_peer::message::Response;
+use std::net::SocketAddr;
+
+use crate::log_event;
+use crate::ops::relay::forward::ForwardedRequest;
+use crate::ops::relay::forward::Refusal;
+use crate::ops::relay::reply::Reply;
+use crate::ops::relay::shared::TrafficState;
+use crate::util::clock;
+
+/// Time limit for the answer of a peer that is asked for the version of a stream.
+const ASK_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Time for which a record is kept beyond the deadline of the caller, whose last try may take as long to arrive.
+const RECORD_MARGIN: Duration = Duration::from_secs(2);
+
+/// The version of the engines that may deliver events of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StreamVersion {
+    /// Any: no event has been delivered yet.
+    Any,
+    /// The one that began the stream.
+    Only(SoftwareVersion),
+    /// Events have been delivered, but it is not certain by which version.
+    Unknown,
+}
+
+impl ForwardedRequest {
+    /// Determines the version of the stream that the caller takes up, if it takes up one.
+    ///
+    /// # Errors
+    ///
+    /// The final answer if the version can't be determined.
+    pub(super) async fn find_version(&mut self) -> Result<(), Reply> {
+        let Some(stream) = self.resumed_stream() else {
+            return Ok(());
+        };
+        let known = self.shared.traffic().streams.record(clock::now(), stream);
+        let record = match known {
+            Some(record) => Some(record),
+            None => self.ask_homes(stream).await,
+        };
+        let version = record.map(|record| record.version);
+        let version = version.or_else(|| {
+            let traffic = self.shared.traffic();
+            traffic.streams.only_version(clock::now(), self.service.as_ref()?)
+        });
+        match version {
+            Some(version) => self.version = StreamVersion::Only(version),
+            None => {
+                self.version = StreamVersion::Unknown;
+                return Err(self.refuse());
+            }
+        }
+        Ok(())
+    }
+
+    fn resumed_stream(&self) -> Option<StreamId> {
+        let is_resumable = self.route.kind == RouteKind::Resumable;
+        let resumes = self.incoming.resumes.as_ref().filter(|_| is_resumable);
+        resumes.map(|id| StreamId::of(id.as_bytes()))
+    }
+
+    /// Asks the peers that are told of a stream for its version, and keeps their answer.
+    async fn ask_homes(&self, stream: StreamId) -> Option<StreamRecord> {
+        let peers = self.shared.view.load().tunnel_peers.clone();
+        let homes = streams::homes(peers.iter().map(|peer| peer.address), stream);
+        let mut answers: FuturesUnordered<_> = homes.into_iter().map(|peer| self.ask(peer, stream)).collect();
+        while let Some(answer) = answers.next().await {
+            if let Some(record) = answer {
+                self.shared.traffic().streams.on_record(clock::now(), record);
+                return Some(record);
+            }
+        }
+        None
+    }
+
+    async fn ask(&self, peer: SocketAddr, stream: StreamId) -> Option<StreamRecord> {
+        match self.calls.call(peer, &Request::Stream(stream), ASK_TIMEOUT).await {
+            Ok(Response::Stream(record)) => record,
+            Ok(_) => None,
+            Err(error) => {
+                log_event!(debug, log_event::PEER_FAILED, to = %peer, %error, call = "stream");
+                None
+            }
+        }
+    }
+
+    /// Binds a stream to the version of the engine that delivered its first event, and records it for the caller's next
+    /// tries.
+    pub(super) fn on_stream_begun(&mut self, engine: &Engine) {
+        if self.route.kind != RouteKind::Resumable || self.version != StreamVersion::Any {
+            return;
+        }
+        if self.is_reborn(engine) {
+            self.version = StreamVersion::Unknown;
+            return;
+        }
+        self.version = StreamVersion::Only(engine.version);
+        let now = clock::now();
+        let left = self.incoming.deadline.since(now) + RECORD_MARGIN;
+        let stream = StreamId::of(self.incoming.id.as_bytes());
+        let mut traffic = self.shared.traffic();
+        traffic.streams.on_begun(now, stream, engine.version, left);
+    }
+
+    /// Whether an engine has started again under its id since it was chosen: then its answer may come from either
+    /// process.
+    fn is_reborn(&self, engine: &Engine) -> bool {
+        let view = self.shared.view.load();
+        let now_there = view.keys().get(&engine.entry.id);
+        now_there.is_some_and(|key| *key != engine.key)
+    }
+
+    /// Whether an engine may deliver events of this stream. An engine that is known to have ended may have started again
+    /// with another version, of which the store says nothing yet.
+    pub(super) fn may_deliver(&self, traffic: &TrafficState, now: Time, engine: &Engine) -> bool {
+        if self.route.kind != RouteKind::Resumable || engine.entry.stage == Stage::Prefill {
+            return true;
+        }
+        let incarnation = engine.incarnation();
+        let may_be_reborn =
+            incarnation.started.is_some() && traffic.suspects.has_ended(now, incarnation.hash());
+        match self.version {
+            StreamVersion::Any => !may_be_reborn,
+            StreamVersion::Only(version) => engine.version == version && !may_be_reborn,
+            StreamVersion::Unknown => false,
+        }
+    }
+
+    /// Why no engine continues the stream, if that is because of its version.
+    pub(super) fn version_refusal(&self) -> Option<Refusal> {
+        let reason = match self.version {
+            StreamVersion::Any => return None,
+            StreamVersion::Only(version) => {
+                let view = self.shared.view.load();
+                let engines = self.service.as_ref().and_then(|s| view.engines().get(s));
+                let delivers = |e: &Engine| e.version == version && e.entry.stage != Stage::Prefill;
+                if engines.is_some_and(|engines| engines.iter().any(delivers)) {
+                    return None;
+                }
+                "no engine has the version that began the stream"
+            }
+            StreamVersion::Unknown => "the version that began the stream is not known",
+        };
+        Some(Refusal {
+            reason,
+            expected: None,
+        })
+    }
+}
--- a/tests/testsuite/relay/versions.rs
+++ b/tests/testsuite/relay/versions.rs
@@ -1,6 +1,8 @@
 //! Streams while engines of several software versions serve: a stream goes on only at the version that began it.
 
 use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
 
 use sequoiastream::ops::relay::known::StoreReplica;
 use sequoiastream::ops::relay::peers;
@@ -15,6 +17,7 @@
 use sequoiastream_core::relay::routes::CallerLimits;
 use sequoiastream_core::relay::routes::RouteKind;
 use sequoiastream_core::relay::routes::RoutingTable;
+use tokio::sync::Notify;
 
 use super::engine::Action;
 use super::engine::ReceivedRequest;
@@ -25,6 +28,7 @@
 use super::instance::options;
 use super::instance::route;
 use super::instance::shared;
+use super::instance::status;
 use super::wait_until;
 
 /// The head and the event `id` of a stream of an engine of `version`.
@@ -191,3 +195,132 @@
         assert_eq!(versions(&got), BTreeSet::from([version.as_str()]));
     }
 }
+
+/// Guards against a stream that holds events of two versions because the instance that began it is gone, and its caller
+/// takes it up at one that started later.
+#[actix_web::test]
+async fn take_up_later_instance() {
+    let engines = Engines::start(&["v1", "v2", "v1", "v2"]).await;
+    let (one, two) = (engines.instance("one", 1), engines.instance("two", 1));
+    let fleets = link(&[&one, &two]).await;
+    let mut begun = Vec::new();
+    for number in 0..12 {
+        begun.push(begin(&one, &format!("q{number}")).await);
+    }
+    wait_until(|| two.shared.traffic().streams.len() == begun.len()).await;
+    fleets[0].leave();
+    let three = engines.instance("three", 1);
+    let fleet = join(&three).await;
+    for fleet in [&fleets[1], &fleet] {
+        fleet.on_listed(vec![listing(&two), listing(&three)]);
+    }
+    let asked = two.shared.options.peer;
+    let hears_two = || {
+        let peers = three.shared.view.load().tunnel_peers.clone();
+        peers.len() == 1 && peers[0].address == asked
+    };
+    wait_until(hears_two).await;
+    for (number, version) in begun.iter().enumerate() {
+        let got = take_up(&three, &format!("r{number}"), &format!("q{number}")).await;
+        assert_eq!(ids(&got), ["2"], "{got}");
+        assert_eq!(versions(&got), BTreeSet::from([version.as_str()]));
+    }
+}
+
+/// Guards against a stream that goes on at another version once its own serves no longer, and against a caller that waits
+/// for it in vain.
+#[actix_web::test]
+async fn take_up_version_gone() {
+    let engines = Engines::start(&["v1", "v1", "v2", "v2"]).await;
+    let instance = engines.instance("one", 1);
+    let version = begin(&instance, "q0").await;
+    let others = engines
+        .listed()
+        .into_iter()
+        .filter(|e| e.entry.version != version);
+    list(&instance.shared, others.collect());
+    let asked = std::time::Instant::now();
+    let got = take_up(&instance, "r0", "q0").await;
+    assert_eq!(status(&got), "503", "{got}");
+    assert!(asked.elapsed() < Duration::from_secs(1));
+    // The version serves again.
+    list(&instance.shared, engines.listed());
+    let got = take_up(&instance, "r1", "q0").await;
+    assert_eq!(versions(&got), BTreeSet::from([version.as_str()]), "{got}");
+}
+
+/// Guards against a stream of which nothing is known and that goes on at any of several versions, and against refusing one
+/// where all engines have had the same version for as long as a stream may last.
+#[actix_web::test]
+async fn take_up_unknown() {
+    let engines = Engines::start(&["v1", "v1"]).await;
+    let instance = engines.instance("one", 1);
+    let got = take_up(&instance, "r0", "elsewhere").await;
+    assert_eq!(ids(&got), ["2"], "{got}");
+    let both = Engines::start(&["v1", "v2"]).await;
+    list(&instance.shared, both.listed());
+    let got = take_up(&instance, "r1", "elsewhere").await;
+    assert_eq!(status(&got), "503", "{got}");
+    // The stream may be of the version that is gone.
+    let newer = both.listed().into_iter().filter(|e| e.entry.version == "v2");
+    list(&instance.shared, newer.collect());
+    let got = take_up(&instance, "r2", "elsewhere").await;
+    assert_eq!(status(&got), "503", "{got}");
+}
+
+/// Guards against a stream that is taken for one of an engine's former version: the engine started again under its id
+/// with another version, and the first event came after that.
+#[actix_web::test]
+async fn begin_reborn() {
+    let notify = Rc::new(Notify::new());
+    let held = notify.clone();
+    let reborn = ScriptedEngine::start(move |_, request| {
+        vec![
+            Action::Await(held.clone()),
+            Action::Send(stream(request, "v2", 1)),
+            Action::Close,
+        ]
+    });
+    let engines = Engines(vec![(reborn.await, "v1")]);
+    let instance = engines.instance("one", 1);
+    let restart = async {
+        engines.0[0].0.wait_for(|log| log.requests.len() == 1).await;
+        let other = versioned_engine("v1").await;
+        let mut listed = Engines(vec![(engines.0[0].0.clone(), "v2"), (other, "v1")]).listed();
+        let entry = Entry {
+            started: Some(2),
+            ..listed[0].entry.clone()
+        };
+        listed[0] = Engine::new(EngineKey(7), entry);
+        list(&instance.shared, listed);
+        notify.notify_one();
+    };
+    let (version, ()) = futures_util::join!(begin(&instance, "q0"), restart);
+    assert_eq!(version, "v2");
+    let got = take_up(&instance, "r0", "q0").await;
+    assert_eq!(status(&got), "503", "{got}");
+}
+
+/// Guards against a stream that goes on at an engine that has started again under its id with another version, before the
+/// store says so: its former process is known to have ended.
+#[actix_web::test]
+async fn take_up_reborn() {
+    let engines = Engines::start(&["v1"]).await;
+    let instance = engines.instance("one", 1);
+    let version = begin(&instance, "q0").await;
+    let incarnation = engines.listed()[0].incarnation();
+    let now = sequoiastream::util::clock::now();
+    instance
+        .shared
+        .traffic()
+        .suspects
+        .on_ended(now, incarnation.hash());
+    let got = take_up(&instance, "r0", "q0").await;
+    assert_eq!(status(&got), "503", "{got}");
+    // It has the same version after its start.
+    let mut listed = engines.listed();
+    listed[0].entry.started = Some(2);
+    list(&instance.shared, listed);
+    let got = take_up(&instance, "r1", "q0").await;
+    assert_eq!(versions(&got), BTreeSet::from([version.as_str()]), "{got}");
+}
