Relay: attempts no longer depend on forwarding, choosing and prefills

Cause: forward, pick, reading, stream and attempt used each other in a circle. Change: jobs and results of prefills have modules of their own (job, prefilled), and the reason of a refusal stands beside the replies; attempt depends on these only. A bench for the peers that are told of a stream.

--- a/crates/core/benches/relay.rs
+++ b/crates/core/benches/relay.rs
@@ -29,6 +29,8 @@
 use sequoiastream_core::relay::routes::RouteTarget;
 use sequoiastream_core::relay::routes::RoutingTable;
 use sequoiastream_core::relay::stages::plan_orders;
+use sequoiastream_core::relay::streams::StreamId;
+use sequoiastream_core::relay::streams::homes;
 use sequoiastream_core::relay::workspaces::KeyDigest;
 use sequoiastream_core::relay::workspaces::Workspace;
 use sequoiastream_core::relay::workspaces::Workspaces;
@@ -243,5 +245,17 @@
     });
 }
 
-criterion_group!(benches, place, peers, stages, routes, keys, budget);
+/// Choosing the peers that are told of a stream, which each new stream does once at the instance where it began.
+fn streams(c: &mut Criterion) {
+    for count in [99_u32, 984] {
+        let address = |index: u32| SocketAddr::from(([10, 1, (index >> 8) as u8, index as u8], 7_660));
+        let peers: Vec<SocketAddr> = (0..count).map(address).collect();
+        let stream = StreamId::of(b"4620cddc69a83ac0");
+        c.bench_function(&format!("streams/homes/{count}"), |b| {
+            b.iter(|| homes(black_box(&peers).iter().copied(), stream));
+        });
+    }
+}
+
+criterion_group!(benches, place, peers, stages, routes, keys, budget, streams);
 criterion_main!(benches);
--- a/src/ops/relay/attempt.rs
+++ b/src/ops/relay/attempt.rs
@@ -16,8 +16,8 @@
 use sequoiastream_upstream::events::Event;
 use sequoiastream_upstream::events::EventReader;
 
-use crate::ops::relay::pick::JobGuard;
-use crate::ops::relay::reading::PrefilledPrompt;
+use crate::ops::relay::job::JobGuard;
+use crate::ops::relay::prefilled::PrefilledPrompt;
 use crate::ops::relay::send::AttemptFailure;
 use crate::ops::relay::send::AttemptOptions;
 use crate::ops::relay::send::IncomingRequest;
--- a/src/ops/relay/connect.rs
+++ b/src/ops/relay/connect.rs
@@ -90,10 +90,8 @@
     }
     let limit = limit.min(CONNECT_TIMEOUT);
     let opener = Opener {
-        shared,
-        pool,
-        engine,
         limit,
+        ..Opener::new(shared, pool, engine)
     };
     let opened = timeout(limit, opener.open(plan)).await;
     if let Ok(Err(ChannelError::Refused(_))) = &opened {
@@ -157,13 +155,7 @@
         .filter(|engine| detached.contains(&engine.key))
         .filter(|engine| shared.traffic().reachability.plan(now, engine.key) == ConnectPlan::Both)
         .map(|engine| async {
-            let limit = CONNECT_TIMEOUT;
-            let opener = Opener {
-                shared,
-                pool,
-                engine,
-                limit,
-            };
+            let opener = Opener::new(shared, pool, engine);
             if let Ok(channel) = opener.connect().await {
                 pool.put(engine.entry.address, channel);
             }
@@ -177,13 +169,7 @@
 /// Failure guarded against: a link loses the answers to a request, or an engine breaks off some answers, and the request
 /// is taken for one that crashes engines.
 pub async fn has_ended(shared: &Shared, pool: &Pool, engine: &Engine) -> bool {
-    let limit = CONNECT_TIMEOUT;
-    let opener = Opener {
-        shared,
-        pool,
-        engine,
-        limit,
-    };
+    let opener = Opener::new(shared, pool, engine);
     let opened = match opener.open(ConnectPlan::Direct).await {
         Ok(channel) => {
             // An engine that is ending may still have accepted the connection.
@@ -212,7 +198,16 @@
     limit: Duration,
 }
 
-impl Opener<'_> {
+impl<'a> Opener<'a> {
+    fn new(shared: &'a Shared, pool: &'a Pool, engine: &'a Engine) -> Opener<'a> {
+        Opener {
+            shared,
+            pool,
+            engine,
+            limit: CONNECT_TIMEOUT,
+        }
+    }
+
     async fn open(&self, plan: ConnectPlan) -> Result<Channel, ChannelError> {
         match plan {
             ConnectPlan::Direct => self.race(HEDGE_DELAY).await,
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -30,7 +30,8 @@
 use crate::ops::relay::attempt::AttemptParts;
 use crate::ops::relay::connect;
 use crate::ops::relay::pick::MAX_LOAD_FACTOR;
-use crate::ops::relay::reading::PrefilledPrompt;
+use crate::ops::relay::prefilled::PrefilledPrompt;
+use crate::ops::relay::reply::Refusal;
 use crate::ops::relay::reply::Reply;
 use crate::ops::relay::reply::max_retry_after;
 use crate::ops::relay::send::IncomingRequest;
@@ -90,14 +91,6 @@
     pub(super) draw: u64,
 }
 
-/// Why a request is refused before it is sent to an engine.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Refusal {
-    pub(super) reason: &'static str,
-    /// When the first event was expected, or an engine may be sent a request, if known.
-    pub(super) expected: Option<Duration>,
-}
-
 impl ForwardedRequest {
     /// Creates the state of a request that was read completely and has had no attempt yet.
     pub fn new(
--- /dev/null
+++ b/src/ops/relay/job.rs
@@ -0,0 +1,32 @@
+//! Jobs at engines, as this instance counts them.
+
+use std::sync::Arc;
+
+use sequoiastream_core::relay::load_tracker::JobId;
+
+use crate::ops::relay::shared::Shared;
+use crate::util::clock;
+
+/// A job recorded at an engine; it ends when this is dropped.
+pub struct JobGuard {
+    shared: Arc<Shared>,
+    id: JobId,
+}
+
+impl JobGuard {
+    /// The job `id`.
+    pub(super) fn new(shared: Arc<Shared>, id: JobId) -> JobGuard {
+        JobGuard { shared, id }
+    }
+
+    /// Records that the prefill is complete.
+    pub fn finish_prefill(&self) {
+        self.shared.traffic().load.finish_prefill(self.id);
+    }
+}
+
+impl Drop for JobGuard {
+    fn drop(&mut self) {
+        self.shared.traffic().load.finish(clock::now(), self.id);
+    }
+}
--- a/src/ops/relay/pick.rs
+++ b/src/ops/relay/pick.rs
@@ -1,13 +1,11 @@
 //! Chooses engines for a request and records its jobs at them.
 
 use std::borrow::Cow;
-use std::sync::Arc;
 use std::time::Duration;
 
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::load_message::turns;
-use sequoiastream_core::relay::load_tracker::JobId;
 use sequoiastream_core::relay::placement::EngineSelector;
 use sequoiastream_core::relay::placement::PrefillPlan;
 use sequoiastream_core::relay::prefill_time::PrefillWork;
@@ -17,7 +15,7 @@
 use sequoiastream_core::time::Time;
 
 use crate::ops::relay::forward::ForwardedRequest;
-use crate::ops::relay::shared::Shared;
+use crate::ops::relay::job::JobGuard;
 use crate::ops::relay::shared::TrafficState;
 use crate::ops::relay::shared::View;
 use crate::ops::relay::versions::StreamVersion;
@@ -39,25 +37,6 @@
 /// them.
 const LOW_PRIORITY_PART: f64 = 0.75;
 
-/// A job recorded at an engine; it ends when this is dropped.
-pub struct JobGuard {
-    shared: Arc<Shared>,
-    id: JobId,
-}
-
-impl JobGuard {
-    /// Records that the prefill is complete.
-    pub fn finish_prefill(&self) {
-        self.shared.traffic().load.finish_prefill(self.id);
-    }
-}
-
-impl Drop for JobGuard {
-    fn drop(&mut self) {
-        self.shared.traffic().load.finish(clock::now(), self.id);
-    }
-}
-
 impl ForwardedRequest {
     /// Chooses the engine that both processes a long prompt and generates the answer, preferably one that has the
     /// shared parts cached. Returns it with the time for which the prefill occupies it; `None` if the request is fresh
@@ -239,10 +218,7 @@
         }
         let id = ledger.load.begin(now, engine.key, prefill);
         drop(ledger);
-        JobGuard {
-            shared: self.shared.clone(),
-            id,
-        }
+        JobGuard::new(self.shared.clone(), id)
     }
 }
 
--- a/src/ops/relay/reply.rs
+++ b/src/ops/relay/reply.rs
@@ -41,6 +41,14 @@
     Convicted,
 }
 
+/// Why a request is refused before it is sent to an engine.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Refusal {
+    pub(super) reason: &'static str,
+    /// When the first event was expected, or an engine may be sent a request, if known.
+    pub(super) expected: Option<Duration>,
+}
+
 impl Reply {
     /// Refuses a request that did not run, or fails one that may have run. `left` is the time until it expires.
     pub fn refuse(attempts: &Attempts, left: Duration) -> Reply {
--- a/src/ops/relay/versions.rs
+++ b/src/ops/relay/versions.rs
@@ -1,5 +1,6 @@
 //! Keeps each stream at the software version of the engines that began it.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures_util::StreamExt;
@@ -15,11 +16,10 @@
 use sequoiastream_core::time::Time;
 use sequoiastream_peer::message::Request;
 use sequoiastream_peer::message::Response;
-use std::net::SocketAddr;
 
 use crate::log_event;
 use crate::ops::relay::forward::ForwardedRequest;
-use crate::ops::relay::forward::Refusal;
+use crate::ops::relay::reply::Refusal;
 use crate::ops::relay::reply::Reply;
 use crate::ops::relay::shared::TrafficState;
 use crate::util::clock;
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -268,6 +268,15 @@
             "Engines that this instance currently reaches only through a peer",
             self.detached_engines.clone(),
         );
+        registry.register(
+            "relay_instances",
+            "Instances listed to callers",
+            self.instances.clone(),
+        );
+        self.register_suspects(registry);
+    }
+
+    fn register_suspects(&self, registry: &mut Registry) {
         registry.register(
             "relay_suspect_requests",
             "Requests under which an engine ended lately, as far as this instance knows",
@@ -278,11 +287,6 @@
             "Requests that this instance blocks because they crash engines",
             self.blocked_requests.clone(),
         );
-        registry.register(
-            "relay_instances",
-            "Instances listed to callers",
-            self.instances.clone(),
-        );
     }
 
     /// Counts a final answer.
