Suspects: an old note doesn't make an engine's end look recent

Cause: found on reading: a note that is passed on again replaced the time at which the engine ended by an older one, and kept the map from being pruned. Change: ends older than the time for which they count are not recorded.

--- a/crates/core/src/poison/suspects.rs
+++ b/crates/core/src/poison/suspects.rs
@@ -169,7 +169,7 @@
         *self.checks.entry(request.any).or_default() += 1;
     }
 
-    /// Records the end of a check. If it was the last one of the request, nothing is left to wait for.
+    /// Records the end of a check.
     pub fn on_check_ended(&mut self, request: RequestIdentity) {
         let left = self.checks.get(&request.any).map_or(0, |checks| checks - 1);
         match left {
@@ -194,8 +194,14 @@
 
     /// Records that the engine with this hash of its incarnation has ended.
     pub fn on_ended(&mut self, now: Time, engine: u64) {
+        self.record_ended(now, now, engine);
+    }
+
+    fn record_ended(&mut self, now: Time, at: Time, engine: u64) {
         self.ended.retain(|_, at| now.since(*at) < ENDED_TIME);
-        self.ended.insert(engine, now);
+        if now.since(at) < ENDED_TIME {
+            self.ended.insert(engine, at);
+        }
     }
 
     /// Whether the engine with this hash of its incarnation ended lately.
@@ -223,7 +229,7 @@
 
     fn record(&mut self, now: Time, at: Time, request: RequestKey, outcome: Outcome) {
         if let Outcome::Crashed(engine) = outcome {
-            self.on_ended(at, engine);
+            self.record_ended(now, at, engine);
         }
         let record = self.requests.entry(request).or_default();
         record.retain(|_, seen| seen.is_recent(now));
@@ -296,11 +302,9 @@
             .take(max)
             .collect();
         self.cursor = next.last().map(|(request, outcome, _)| (*request, *outcome));
-        let notes: Vec<Note> = next
-            .into_iter()
-            .map(|(r, o, seen)| note(now, r, o, seen))
-            .collect();
-        notes
+        next.into_iter()
+            .map(|(request, outcome, seen)| note(now, request, outcome, seen))
+            .collect()
     }
 
     /// Number of engines that ended under a request lately, and since an engine last answered it.
