Count arrivals at engines, and say when an instance's data is outdated

For the incident of repeats beyond the budget and of an old configuration: neither logs nor metrics could tell its hypotheses apart.

- relay_requests and relay_arrivals (first, extra, prefill): added up over the instances, they are what the limit on extra attempts compares.
- Event 709 and relay_outdated_requests: data that nothing confirmed within the time for applying a change, and requests decided by it.
- Event 710: the control thread did not run.
Event 405 has the version of the configuration.

Test: relay::metrics::arrivals_counted. No decision changes.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -166,6 +166,10 @@
     707 PROOF = "proof";
     /// The keys of instances that sent no heartbeat for a long time are removed.
     708 INSTANCES_FORGOTTEN = "instances-forgotten";
+    /// The store last confirmed this instance's data longer ago than a change may take to apply, or has confirmed it again.
+    709 OUTDATED = "outdated";
+    /// The control thread did not run for a time.
+    710 CONTROL_DELAYED = "control-delayed";
     /// The planner proposes a role change.
     800 ROLE_PROPOSED = "role-proposed";
     /// An invariant was violated; the action was dropped.
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! A route maps a host and a path prefix to services. [`routes`] looks it up, [`engines`] tracks the engines of each
 //! service, [`placement`] picks an engine, [`attempt`](crate::attempt) decides what the end of an attempt proves and
-//! whether another may follow, [`budget`] limits extra attempts over the whole fleet, [`streams`] knows which
+//! whether another may follow, [`budget`] limits extra attempts over the whole fleet, which
+//! [`arrivals`] counts, [`streams`] knows which
 //! version of the engines began each stream, and [`stages`] splits the
 //! engines of a service into those that process prompts and those that generate. Requests that crash engines are
 //! detected by [`poison::suspects`](crate::poison::suspects).
 
 pub mod absence;
+pub mod arrivals;
 pub mod budget;
 pub mod cached_parts;
 pub mod directory;
--- a/crates/core/src/relay/watchers.rs
+++ b/crates/core/src/relay/watchers.rs
@@ -417,12 +417,14 @@
             .insert(process, AcceptedConfirmation { number, at: now });
     }
 
-    /// Notes that this instance runs; must be called more often than [`PAUSE_THRESHOLD`].
+    /// Notes that this instance runs; must be called more often than [`PAUSE_THRESHOLD`]. Returns how long it did not run
+    /// if it has resumed after a pause.
     ///
     /// Guards against an instance that is paused and then takes the messages that arrived meanwhile for current ones.
-    pub fn on_tick(&mut self, now: Time) {
+    pub fn on_tick(&mut self, now: Time) -> Option<Duration> {
         self.detect_pause(now);
-        self.last_tick = Some(now);
+        let last_tick = self.last_tick.replace(now)?;
+        Some(now.since(last_tick)).filter(|pause| *pause > PAUSE_THRESHOLD)
     }
 
     /// Records that this instance has resumed after a pause if its last tick is more than [`PAUSE_THRESHOLD`] ago. Also
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -140,6 +140,7 @@
         }
         if let Some(service) = &self.service {
             self.shared.traffic().budget.on_request(clock::now(), service);
+            self.shared.metrics.count_request(service);
         }
         match self.route.kind.is_stream() {
             true => self.stream().await,
@@ -355,7 +356,8 @@
         }
         log_event!(info, log_event::FORWARDED, request = self.id(), route = %self.route.name, engine = %engine.entry.id,
             first = first.as_millis() as u64, handover = now.since(started).as_millis() as u64, requests,
-            version = engine.entry.version, resumes = self.resumes(), after = self.incoming.last_event);
+            version = engine.entry.version, config = self.view.table.version, resumes = self.resumes(),
+            after = self.incoming.last_event);
         if self.prefilled_at.is_some() && requests < engine.entry.slots {
             self.shared
                 .traffic()
--- a/src/ops/relay/head.rs
+++ b/src/ops/relay/head.rs
@@ -1,5 +1,6 @@
 //! Parses the head of a request, refuses invalid ones, and removes the headers that are never forwarded.
 
+use std::cell::Cell;
 use std::net::IpAddr;
 use std::time::Duration;
 
@@ -146,6 +147,7 @@
             headers: self.headers,
             id: self.id,
             body,
+            arrivals: Cell::default(),
         })
     }
 }
--- a/src/ops/relay/known.rs
+++ b/src/ops/relay/known.rs
@@ -102,8 +102,8 @@
     }
 
     /// Notes that this instance runs, see [`SyncState::on_tick`].
-    pub fn on_tick(&self, now: Time) {
-        self.0.borrow_mut().sync.on_tick(now);
+    pub fn on_tick(&self, now: Time) -> Option<Duration> {
+        self.0.borrow_mut().sync.on_tick(now)
     }
 
     /// Replaces the replica by all `items` of the store as of `revision`, unless it has a higher revision already.
--- a/src/ops/relay/peers/mod.rs
+++ b/src/ops/relay/peers/mod.rs
@@ -205,6 +205,8 @@
     busy: RefCell<BTreeMap<SocketAddr, Time>>,
     /// Revision up to which each peer reported to have read the store.
     peer_revisions: RefCell<BTreeMap<Name, u64>>,
+    /// Whether the last confirmation is older than a change may take to apply, as last logged.
+    outdated: Cell<bool>,
     proofs: ProofState,
     usage: UsageState,
     started: Time,
@@ -255,6 +257,7 @@
         heard: RefCell::default(),
         busy: RefCell::default(),
         peer_revisions: RefCell::default(),
+        outdated: Cell::new(false),
         proofs: ProofState::default(),
         usage: UsageState::new(),
         members: RefCell::new(MemberTable::new(local, limits)),
@@ -494,7 +497,10 @@
     /// report.
     async fn send_load(&self) {
         let now = clock::now();
-        self.0.known.on_tick(now);
+        if let Some(pause) = self.0.known.on_tick(now) {
+            let pause = pause.as_millis() as u64;
+            log_event!(info, log_event::CONTROL_DELAYED, pause);
+        }
         self.update_proof(now);
         self.send_counts(now);
         let turn = self.0.turn.get();
--- a/src/ops/relay/peers/prove.rs
+++ b/src/ops/relay/peers/prove.rs
@@ -101,6 +101,7 @@
         let known = &self.0.known;
         if let Some(age) = known.age(now) {
             shared.on_store_answer(now - age);
+            self.set_outdated(age);
         }
         let Some(limit) = shared.max_proof_age() else {
             return;
@@ -124,6 +125,16 @@
         }
     }
 
+    /// Sets whether the data of this instance, last confirmed `age` ago, is older than a change may take to apply; logs a
+    /// change.
+    fn set_outdated(&self, age: Duration) {
+        let outdated = age > self.0.shared.reloadable().apply_limit.0;
+        if self.0.outdated.replace(outdated) != outdated {
+            let (age, revision) = (age.as_millis() as u64, self.0.known.revision());
+            log_event!(info, log_event::OUTDATED, outdated, age, revision);
+        }
+    }
+
     /// Sets whether this instance may admit requests with API keys; logs and publishes a change.
     fn set_proven(&self, proven: bool) {
         if self.0.proofs.proven.replace(proven) != proven {
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -1,5 +1,6 @@
 //! Sends one attempt to one engine, and receives the head of its answer and checks that it answers this request.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,6 +14,8 @@
 use http_body_util::Full;
 use sequoiastream_core::attempt::End;
 use sequoiastream_core::poison::suspects::RequestIdentity;
+use sequoiastream_core::relay::arrivals::ArrivalKind;
+use sequoiastream_core::relay::arrivals::Arrivals;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::prompt::Prompt;
 use sequoiastream_core::time::Time;
@@ -63,6 +66,8 @@
     pub expires_at: Time,
     /// When the caller stops waiting.
     pub deadline: Time,
+    /// Its arrivals at engines so far.
+    pub arrivals: Cell<Arrivals>,
 }
 
 impl IncomingRequest {
@@ -70,6 +75,34 @@
     pub fn time_left(&self) -> Duration {
         self.expires_at.since(clock::now())
     }
+
+    /// Updates the arrivals at engines.
+    fn update_arrivals<F, R>(&self, update: F) -> R
+    where
+        F: FnOnce(&mut Arrivals) -> R,
+    {
+        let mut arrivals = self.arrivals.get();
+        let result = update(&mut arrivals);
+        self.arrivals.set(arrivals);
+        result
+    }
+}
+
+/// Counts an arrival in the metrics when dropped, also if the attempt is cancelled.
+struct ArrivalGuard<'a> {
+    shared: &'a Shared,
+    engine: &'a Engine,
+    /// How it counts; `None` if nothing was sent.
+    kind: Option<ArrivalKind>,
+}
+
+impl Drop for ArrivalGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(kind) = self.kind {
+            let service = &self.engine.entry.service;
+            self.shared.metrics.count_arrival(service, kind.label());
+        }
+    }
 }
 
 /// What one attempt adds to the caller's request.
@@ -135,8 +168,23 @@
     let address = engine.entry.address;
     let request = build_request(names, incoming, engine, options)?;
     let sent = clock::now();
-    let answer = channel.send(request, incoming.time_left()).await?;
+    let mut arrival = ArrivalGuard {
+        shared,
+        engine,
+        kind: Some(incoming.update_arrivals(Arrivals::on_send)),
+    };
+    let answer = channel.send(request, incoming.time_left()).await;
+    let answer = answer.map_err(AttemptFailure::from).inspect_err(|failure| {
+        if failure.end == End::Unsent {
+            incoming.update_arrivals(Arrivals::on_unsent);
+            arrival.kind = None;
+        }
+    })?;
     let checked = check_answer(names, incoming, options, &answer);
+    if options.prefill && checked.is_ok() && answer.head.status.is_success() {
+        arrival.kind = incoming.update_arrivals(Arrivals::on_prefilled).or(arrival.kind);
+    }
+    drop(arrival);
     // An answer that failed any other check may not come from this engine.
     if checked.as_ref().err().is_none_or(|f| f.end == End::Declined) {
         let (status, headers) = (answer.head.status, &answer.head.headers);
--- a/src/ops/relay/server.rs
+++ b/src/ops/relay/server.rs
@@ -206,6 +206,9 @@
             return refuse(shared, Reply::Bad);
         }
     };
+    if ages.reported > shared.reloadable().apply_limit.0 {
+        shared.metrics.outdated_requests.inc();
+    }
     let Some(route) = view.table.find(&head.host, head.uri.path()) else {
         return refuse_unrouted(shared, &view, &head, ages);
     };
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -72,6 +72,12 @@
     service: String,
 }
 
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ArrivalLabels {
+    service: String,
+    kind: &'static str,
+}
+
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ScopeLabels {
     service: String,
@@ -85,6 +91,10 @@
     attempts: Family<ResultLabels, Counter>,
     store_calls: Family<CallLabels, Counter>,
     extra_attempts: Family<ResultLabels, Counter>,
+    requests: Family<ServiceLabels, Counter>,
+    arrivals: Family<ArrivalLabels, Counter>,
+    /// Requests that were decided by a view that nothing had confirmed within the time for applying a change.
+    pub outdated_requests: Counter,
     budget_left: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
     work: Family<ScopeLabels, Gauge>,
     first_event: Family<RouteLabels, Histogram, fn() -> Histogram>,
@@ -135,6 +145,9 @@
             attempts: Family::default(),
             store_calls: Family::default(),
             extra_attempts: Family::default(),
+            requests: Family::default(),
+            arrivals: Family::default(),
+            outdated_requests: Counter::default(),
             budget_left: Family::default(),
             work: Family::default(),
             first_event: Family::new_with_constructor(|| Histogram::new(FIRST_EVENT_BUCKETS)),
@@ -184,6 +197,21 @@
             "Extra attempts allowed or denied by the retry budget",
             self.extra_attempts.clone(),
         );
+        registry.register(
+            "relay_requests",
+            "Requests that callers sent on a route to a service",
+            self.requests.clone(),
+        );
+        registry.register(
+            "relay_arrivals",
+            "Arrivals of requests at the engines of a service, by how the retry budget counts them",
+            self.arrivals.clone(),
+        );
+        registry.register(
+            "relay_outdated_requests",
+            "Requests decided by data that was not confirmed within the time for applying a change",
+            self.outdated_requests.clone(),
+        );
         registry.register_with_unit(
             "relay_first_event",
             "Time from a request's arrival to the first event of its answer, or to the complete answer",
@@ -321,6 +349,20 @@
         self.extra_attempts.get_or_create(&ResultLabels { result }).inc();
     }
 
+    /// Counts a caller's request on a route to a service.
+    pub fn count_request(&self, service: &str) {
+        let service = self.service_label(service);
+        self.requests.get_or_create(&ServiceLabels { service }).inc();
+    }
+
+    /// Counts an arrival at an engine of a service.
+    pub fn count_arrival(&self, service: &str, kind: &'static str) {
+        let service = self.service_label(service);
+        self.arrivals
+            .get_or_create(&ArrivalLabels { service, kind })
+            .inc();
+    }
+
     /// Records the time to the first event of an answer, or to a complete answer.
     pub fn observe_first_event(&self, route: &RouteLabels, elapsed: Duration) {
         let labels = RouteLabels {
--- a/tests/testsuite/relay/metrics.rs
+++ b/tests/testsuite/relay/metrics.rs
@@ -1,12 +1,16 @@
 //! The metrics page of an instance.
 
+use std::cell::Cell;
+
 use sequoiastream::util::metrics::RouteLabels;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::routes::RouteKind;
 
+use super::answers::event_stream;
 use super::engine::Action;
 use super::engine::ScriptedEngine;
 use super::engine::answer;
+use super::engine::decline;
 use super::instance::Caller;
 use super::instance::Instance;
 use super::instance::get_request;
@@ -98,3 +102,34 @@
     let samples = self::samples(&instance, &names).await;
     assert_eq!(samples.len(), 65);
 }
+
+/// Guards against a sum of extra attempts over the fleet that can't be formed: the metrics must show each arrival at an
+/// engine as the retry budget counts it.
+#[actix_web::test]
+async fn arrivals_counted() {
+    let prefills = Cell::new(0);
+    let prefiller = ScriptedEngine::start(move |_, request| match prefills.replace(prefills.get() + 1) {
+        0 => vec![answer(request, "kept h7")],
+        _ => vec![decline(request)],
+    })
+    .await;
+    let decoder =
+        ScriptedEngine::start(|_, request| vec![Action::Send(event_stream(request, 1..=1) + "0\r\n\r\n")])
+            .await;
+    let engines = [(&prefiller, Stage::Prefill), (&decoder, Stage::Decode)];
+    let instance = Instance::start(RouteKind::Stream, &engines, |_| {});
+    for id in ["q1", "q2"] {
+        let got = instance.get("/r/x", id, "x-tokens: 9000\r\n").await;
+        assert!(got.contains("token 1"), "{got}");
+    }
+    let page = instance.shared.metrics.render();
+    let counts = [
+        "relay_requests_total{service=\"chat\"} 2",
+        "relay_arrivals_total{service=\"chat\",kind=\"prefill\"} 1",
+        "relay_arrivals_total{service=\"chat\",kind=\"first\"} 2",
+        "relay_arrivals_total{service=\"chat\",kind=\"extra\"} 1",
+    ];
+    for count in counts {
+        assert!(page.contains(count), "{count} is not in {page}");
+    }
+}
