Budget: charge the run that follows a rejected prefill

Callers saw nothing; engines got more extra arrivals than the fleet may send. Cause: the budget was asked by Attempts, which counts no calls for prefills. An engine that rejects such a call and no second engine to ask led to a run that counted as the first arrival, though it was the second. Class: two counters of the same thing, one of which the limit doesn't see.

Now one record for each request, core::relay::arrivals, counts every send where it is made, and says before each send how many extra attempts must be taken; nothing is sent uncovered. A request whose run isn't covered is refused as not run. A prefill call after one that wasn't sent is no longer charged.

--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -104,11 +104,6 @@
         self.ran
     }
 
-    /// Whether the next attempt is a retry, i.e. an attempt beyond the request itself.
-    pub fn next_is_retry(&self) -> bool {
-        self.sent > 0
-    }
-
     /// Whether another attempt could follow the one that is being sent, even if that one runs.
     pub fn allows_another(&self) -> bool {
         let max = match self.limit {
--- a/crates/core/src/relay/arrivals.rs
+++ b/crates/core/src/relay/arrivals.rs
@@ -2,7 +2,8 @@
 //! them.
 //!
 //! Each send of the request is an arrival, whether the engine accepts it or not, and so is each call for its prefill. Only
-//! the first call for a prefill that an engine accepts is not one.
+//! the first call for a prefill that an engine accepts is not one. All arrivals beyond the first must be taken from the
+//! budget before they are sent.
 
 /// How an arrival counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,6 +32,8 @@
 pub struct Arrivals {
     counted: u32,
     prefilled: bool,
+    /// Number of extra attempts that were taken from the budget.
+    taken: u32,
 }
 
 impl Arrivals {
@@ -44,6 +47,29 @@
         }
     }
 
+    /// Number of extra attempts to take from the budget before the request is sent once more.
+    pub fn due_for_request(&self) -> u32 {
+        self.due(1)
+    }
+
+    /// Number of extra attempts to take from the budget before a call for the prefill and the request that follows it. A
+    /// call that is accepted is free if it is the first one.
+    ///
+    /// Guards against a prefill that is computed although no attempt is left for the request.
+    pub fn due_for_prefill(&self) -> u32 {
+        self.due(1 + u32::from(self.prefilled))
+    }
+
+    fn due(&self, arrivals: u32) -> u32 {
+        let extras = (self.counted + arrivals).saturating_sub(1);
+        extras.saturating_sub(self.taken)
+    }
+
+    /// Records that an extra attempt was taken from the budget.
+    pub fn on_taken(&mut self) {
+        self.taken += 1;
+    }
+
     /// Records that a send that was counted did not take place.
     pub fn on_unsent(&mut self) {
         self.counted = self.counted.saturating_sub(1);
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -83,8 +83,6 @@
     outcome_counted: Cell<bool>,
     /// Engine and reason of the last failed attempt, for the log.
     pub(super) last_failure: Option<(String, String)>,
-    /// Whether the next attempt has already been taken from the budget of extra attempts.
-    pub(super) attempt_reserved: Cell<bool>,
     /// Notified when the request is about to be sent to the engine that is to answer.
     pub(super) request_sent: Rc<Notify>,
     /// Random value derived from the request id, used to choose a service and to break ties between engines.
@@ -126,7 +124,6 @@
             answer_begun: false,
             outcome_counted: Cell::new(false),
             last_failure: None,
-            attempt_reserved: Cell::new(false),
             request_sent: Rc::new(Notify::new()),
             draw,
             route,
@@ -249,8 +246,15 @@
             return Err(Some(Reply::Convicted));
         }
         let is_stream = self.route.kind.is_stream();
+        let is_fresh = self.attempts.sent() == 0;
+        if is_stream && self.prefilled.is_none() && self.wants_prefill_engine() {
+            self.run_prefill(is_fresh).await?;
+        }
+        if !self.cover_request() {
+            return Err(Some(self.refuse_uncovered()));
+        }
         let (engine, prefill) = match is_stream {
-            true => self.choose_for_stream().await?,
+            true => self.choose_for_stream(is_fresh)?,
             false => self.choose_for_exchange()?,
         };
         let job = self.begin_job(&engine, prefill);
@@ -292,12 +296,8 @@
         }
     }
 
-    /// Has the prefill computed if that is another engine's task, and chooses the engine that generates the answer.
-    async fn choose_for_stream(&mut self) -> Result<(Engine, Duration), Option<Reply>> {
-        let is_fresh = self.attempts.sent() == 0;
-        if self.prefilled.is_none() && self.wants_prefill_engine() {
-            self.run_prefill(is_fresh).await?;
-        }
+    /// Chooses the engine that generates the answer, and computes the prefill if no other engine has.
+    fn choose_for_stream(&mut self, is_fresh: bool) -> Result<(Engine, Duration), Option<Reply>> {
         let selected = match self.prefilled.is_none() && self.has_long_prompt() {
             true => self.choose_prefill_and_decode(is_fresh),
             false => self.choose_decode(is_fresh),
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -61,9 +61,7 @@
             if is_first && self.would_be_late(expected, plan.queue_time) {
                 break;
             }
-            // Only the first call for a prefill is free. Calls for further attempts are taken from the budget of extra
-            // attempts as well.
-            if !is_first && !self.take_extra_attempt() {
+            if !self.cover_prefill() {
                 break;
             }
             self.reserve_decode();
--- a/src/ops/relay/retries.rs
+++ b/src/ops/relay/retries.rs
@@ -6,6 +6,7 @@
 use sequoiastream_core::attempt::NextStep;
 use sequoiastream_core::log_event;
 use sequoiastream_core::poison::suspects::RequestIdentity;
+use sequoiastream_core::relay::arrivals::Arrivals;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::retry;
 
@@ -14,6 +15,7 @@
 use crate::ops::relay::connect;
 use crate::ops::relay::forward::ForwardedRequest;
 use crate::ops::relay::pick::MAX_LOAD_FACTOR;
+use crate::ops::relay::reply::Refusal;
 use crate::ops::relay::reply::Reply;
 use crate::ops::relay::send::AttemptFailure;
 use crate::ops::relay::shared::Shared;
@@ -60,7 +62,7 @@
     ) -> Option<Reply> {
         self.record_failure(engine, failure);
         let may_retry = self.attempts.next_step() == NextStep::Retry && !self.incoming.time_left().is_zero();
-        match may_retry && self.take_extra_attempt() {
+        match may_retry && self.cover_request() {
             true => None,
             false => Some(self.give_up()),
         }
@@ -135,7 +137,7 @@
         if self.attempts.on_end(end) != NextStep::Retry || self.incoming.time_left().is_zero() {
             return false;
         }
-        !self.attempts.next_is_retry() || self.take_extra_attempt()
+        self.cover_request()
     }
 
     /// How long to wait for an answer that is expected after `expected` before asking another engine. `None` if no
@@ -149,6 +151,15 @@
         may_retry.then(|| retry::first_token_timeout(left, expected, 0))
     }
 
+    /// The final answer if the budget of extra attempts has none left for the first send of the request, because an
+    /// engine has rejected a call for its prefill.
+    pub(super) fn refuse_uncovered(&mut self) -> Reply {
+        let reason = "the budget of extra attempts is exhausted";
+        let expected = None;
+        self.refusal = Some(Refusal { reason, expected });
+        self.give_up()
+    }
+
     /// Takes an extra attempt from the budget in advance, for a retry at another engine than `engine`; `false` if there
     /// is no such engine with room, or the budget is exhausted.
     pub(super) fn reserve_extra_attempt(&self, engine: &Engine) -> bool {
@@ -159,16 +170,25 @@
             let mut others = engines.iter().filter(is_other);
             others.find(|e| !selector.is_full(e, MAX_LOAD_FACTOR)).map(|_| ())
         });
-        let is_reserved = other.is_some() && self.take_extra_attempt();
-        self.attempt_reserved.set(is_reserved);
-        is_reserved
+        other.is_some() && self.cover_request()
     }
 
-    /// Takes an extra attempt from the budget that all instances share; `false` if the budget is exhausted.
-    pub(super) fn take_extra_attempt(&self) -> bool {
-        if self.attempt_reserved.take() {
-            return true;
-        }
+    /// Takes what one more send of the request needs from the budget of extra attempts that all instances share. Returns
+    /// `false` if the budget is exhausted. What was taken and not used remains for the next send.
+    pub(super) fn cover_request(&self) -> bool {
+        self.take_extra_attempts(self.incoming.arrivals.get().due_for_request())
+    }
+
+    /// As [`Self::cover_request`], for a call for the prefill and the request that follows it.
+    pub(super) fn cover_prefill(&self) -> bool {
+        self.take_extra_attempts(self.incoming.arrivals.get().due_for_prefill())
+    }
+
+    fn take_extra_attempts(&self, count: u32) -> bool {
+        (0..count).all(|_| self.take_extra_attempt())
+    }
+
+    fn take_extra_attempt(&self) -> bool {
         let Some(service) = &self.service else {
             return false;
         };
@@ -179,6 +199,9 @@
             .budget
             .try_take(clock::now(), service, instances);
         self.shared.metrics.count_extra(allowed);
+        if allowed {
+            self.incoming.update_arrivals(Arrivals::on_taken);
+        }
         allowed
     }
 }
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -77,7 +77,7 @@
     }
 
     /// Updates the arrivals at engines.
-    fn update_arrivals<F, R>(&self, update: F) -> R
+    pub(super) fn update_arrivals<F, R>(&self, update: F) -> R
     where
         F: FnOnce(&mut Arrivals) -> R,
     {
--- a/tests/testsuite/attempts.rs
+++ b/tests/testsuite/attempts.rs
@@ -61,12 +61,3 @@
     attempts.on_end(End::Declined);
     assert_eq!(attempts.give_up(), NextStep::Fail);
 }
-
-#[test]
-fn extra_only_after_sent() {
-    let mut attempts = Attempts::new(Repeat::Safe, AttemptLimit::Sent(3));
-    attempts.on_end(End::Unsent);
-    assert!(!attempts.next_is_retry());
-    attempts.on_end(End::Declined);
-    assert!(attempts.next_is_retry());
-}
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -2,6 +2,7 @@
 
 mod acts;
 mod answers;
+mod arrivals;
 mod book;
 mod budget;
 mod confirmations;
--- a/tests/testsuite/relay/prefills.rs
+++ b/tests/testsuite/relay/prefills.rs
@@ -174,6 +174,30 @@
     assert!((1..=bound).contains(&extras), "{extras}");
 }
 
+/// Guards against arrivals that no budget counts: the only engine that computes prefills rejects the call for one, so
+/// that the request is sent to an engine that generates. The rejected call is the first arrival of the request, and the
+/// run is an extra one.
+#[actix_web::test]
+async fn rejected_readings_bounded() {
+    let prefiller = ScriptedEngine::start(|_, request| vec![decline(request)]).await;
+    let decoder =
+        ScriptedEngine::start(|_, request| vec![Action::Send(event_stream(request, 1..=1) + "0\r\n\r\n")])
+            .await;
+    let engines = [(&prefiller, Stage::Prefill), (&decoder, Stage::Decode)];
+    let instance = Instance::start(RouteKind::Stream, &engines, |_| {});
+    let mut served = 0;
+    for number in 0..400 {
+        let got = instance
+            .get("/r/x", &format!("q{number}"), "x-tokens: 9000\r\n")
+            .await;
+        served += usize::from(status(&got) == "200");
+    }
+    assert_eq!(prefiller.log().requests.len(), 400);
+    assert_eq!(decoder.log().requests.len(), served);
+    let bound = (0.2 * 400.0) as usize + 56;
+    assert!((1..=bound).contains(&served), "{served}");
+}
+
 /// If an engine doesn't answer a prefill, another one computes it, also for a request that is executed at most once: a
 /// prefill doesn't count as an execution.
 #[actix_web::test]
