Budget: no share of the fixed allowance is used twice in a window

Engines got more extra arrivals than the fleet may send while instances were restarted or stopped. Cause: an instance divides the fixed allowance by the instances that it knows at that moment and remembers only what its own process has used. A process that starts has a whole share though the one before it may have used its own within the window, and while instances stop one after the other, those that remain take larger shares of what is partly used. Class: a limit over a window, kept in state that doesn't last for the window.

Now a starting process gets its share little by little over a window, an instance divides by the highest number of instances of the last window, and half of the fixed allowance is used instead of 0.7: a process and all that follow it within a window use two shares at most. Ways weighed: no share at all in the first window (no retry for 10 s after each start), and asking peers what the process before has used (nobody knows if all are killed).

The expected values of relay::metrics::page_after_answers and page_bounded follow the fraction of the allowance.

--- a/crates/core/benches/relay.rs
+++ b/crates/core/benches/relay.rs
@@ -234,13 +234,14 @@
         slack: 56.0,
     };
     let mut budget = RetryBudget::new(rule);
+    budget.on_fleet_size(NOW, 8);
     let mut now = NOW;
     c.bench_function("budget/request", |b| {
         b.iter(|| {
             // One instance gets 100 requests per second.
             now = now + Duration::from_millis(10);
             budget.on_request(now, black_box("assistente"));
-            budget.try_take(now, "assistente", 8)
+            budget.try_take(now, "assistente")
         });
     });
 }
--- a/crates/core/src/relay/budget.rs
+++ b/crates/core/src/relay/budget.rs
@@ -4,6 +4,10 @@
 //! overloaded by the repeats. Over any window, extra attempts at a service stay below a ratio of its requests plus a
 //! fixed allowance. Each instance counts its own requests and takes its share of the allowance, so that the sum stays
 //! within the limit whatever the other instances do.
+//!
+//! Instances come and go within a window, and no one remembers what a process used that has ended. So a process that
+//! starts gets its share of the allowance little by little over a window, and an instance divides the allowance by the
+//! highest number of instances that it has known during the last window.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -11,10 +15,14 @@
 
 use crate::time::Time;
 
-/// Fraction of the limit that is used: clocks and windows of instances differ, and a call may be counted later at an
-/// engine than here.
+/// Fraction of the extra attempts for requests that is used: clocks and windows of instances differ, and a call may be
+/// counted later at an engine than here.
 const USED_FRACTION: f64 = 0.7;
 
+/// Fraction of the fixed allowance that is used: a process and those that follow it may each use a share within the same
+/// window.
+const USED_SLACK_FRACTION: f64 = 0.5;
+
 /// Limits on extra attempts.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetLimits {
@@ -47,14 +55,43 @@
 pub struct RetryBudget {
     limits: BudgetLimits,
     services: BTreeMap<String, ServiceCounts>,
+    /// When the process started; `None` if that is longer ago than a window.
+    started: Option<Time>,
+    /// Numbers of instances, each with the time from which it was known, oldest first.
+    fleet_sizes: VecDeque<(Time, usize)>,
 }
 
 impl RetryBudget {
-    /// A budget without any requests or attempts counted.
+    /// The budget of the only instance, which has been running for longer than a window, without any requests or attempts
+    /// counted.
     pub fn new(limits: BudgetLimits) -> RetryBudget {
         RetryBudget {
             limits,
             services: BTreeMap::new(),
+            started: None,
+            fleet_sizes: VecDeque::new(),
+        }
+    }
+
+    /// Notes that the process has just started.
+    ///
+    /// Guards against a share of the allowance that is used twice in a window, by the process that ended and by this one.
+    pub fn on_start(&mut self, now: Time) {
+        self.started = Some(now);
+    }
+
+    /// Notes the number of instances of the fleet, this one included.
+    ///
+    /// Guards against instances that stop one after the other: what they have used still counts while those that remain
+    /// would already use larger shares.
+    pub fn on_fleet_size(&mut self, now: Time, instances: usize) {
+        if self.fleet_sizes.back().is_none_or(|(_, last)| *last != instances) {
+            self.fleet_sizes.push_back((now, instances));
+        }
+        let window = self.limits.window;
+        let is_replaced = |next: Option<&(Time, usize)>| next.is_some_and(|(at, _)| now.since(*at) > window);
+        while is_replaced(self.fleet_sizes.get(1)) {
+            self.fleet_sizes.pop_front();
         }
     }
 
@@ -71,25 +108,42 @@
         counts.requests.push_back(now);
     }
 
-    /// Uses one extra attempt at `service` if one remains, at one of `instances` instances. Returns whether it did.
-    pub fn try_take(&mut self, now: Time, service: &str, instances: usize) -> bool {
-        if self.remaining(now, service, instances) < 1.0 {
+    /// Uses one extra attempt at `service` if one remains. Returns whether it did.
+    pub fn try_take(&mut self, now: Time, service: &str) -> bool {
+        if self.remaining(now, service) < 1.0 {
             return false;
         }
         self.counts(service).extras.push_back(now);
         true
     }
 
-    /// Extra attempts at `service` that remain now at one of `instances` instances.
-    pub fn remaining(&mut self, now: Time, service: &str, instances: usize) -> f64 {
+    /// Extra attempts at `service` that remain now.
+    pub fn remaining(&mut self, now: Time, service: &str) -> f64 {
         let limits = self.limits;
+        let share = self.share(now);
         let counts = self.counts(service);
         counts.expire(now, limits.window);
-        let allowance = limits.slack / instances.max(1) as f64;
-        let allowed = USED_FRACTION * (limits.ratio * counts.requests.len() as f64 + allowance);
+        let allowed =
+            USED_FRACTION * limits.ratio * counts.requests.len() as f64 + USED_SLACK_FRACTION * share;
         (allowed - counts.extras.len() as f64).max(0.0)
     }
 
+    /// The part of the allowance that this instance may use in a window that ends now.
+    fn share(&self, now: Time) -> f64 {
+        let window = self.limits.window;
+        let known = self.fleet_sizes.iter().enumerate().filter(|(index, _)| {
+            let replaced = self.fleet_sizes.get(index + 1);
+            replaced.is_none_or(|(at, _)| now.since(*at) <= window)
+        });
+        let instances = known.map(|(_, (_, instances))| *instances).max();
+        let share = self.limits.slack / instances.unwrap_or(1).max(1) as f64;
+        let age = self.started.map_or(window, |at| now.since(at));
+        match age < window {
+            true => share * age.as_secs_f64() / window.as_secs_f64(),
+            false => share,
+        }
+    }
+
     fn counts(&mut self, service: &str) -> &mut ServiceCounts {
         if !self.services.contains_key(service) {
             self.services
--- a/src/ops/relay/gauges.rs
+++ b/src/ops/relay/gauges.rs
@@ -40,7 +40,7 @@
         let own = sum(engines.iter().map(|e| traffic.load.own_work(e.key)));
         let fleet = sum(engines.iter().map(|e| traffic.load.work(now, e.key)));
         let slots: u32 = engines.iter().map(|e| e.entry.slots).sum();
-        let remaining = traffic.budget.remaining(now, service, view.instances);
+        let remaining = traffic.budget.remaining(now, service);
         metrics.set_work(service, "own", own.requests);
         metrics.set_work(service, "fleet", fleet.requests);
         metrics.set_work(service, "slots", slots);
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -90,6 +90,7 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     let hangup = signal(SignalKind::hangup())?;
     let shared = Arc::new(Shared::new(options, translate, budget));
+    shared.traffic().budget.on_start(clock::now());
     let store: Rc<dyn Store> = Rc::new(CountingStore::new(store, shared.clone()));
     let server = server::start(shared.clone()).wrap_err("could not start the server")?;
     let sockets = peers::Sockets::bind(&shared)
--- a/src/ops/relay/peers/roster.rs
+++ b/src/ops/relay/peers/roster.rs
@@ -45,11 +45,15 @@
             .filter(|p| p.accepts_work() && p.name < self.0.shared.options.name);
         let rank = u32::try_from(before.count()).unwrap_or(u32::MAX);
         let live = roster.peers.iter().filter(|p| p.accepts_work()).count() + 1;
-        self.0.shared.traffic().rate_limits.set_position(FleetPosition {
+        let position = FleetPosition {
             rank,
             live,
             known: instances,
-        });
+        };
+        let mut traffic = self.0.shared.traffic();
+        traffic.rate_limits.set_position(position);
+        traffic.budget.on_fleet_size(clock::now(), instances);
+        drop(traffic);
         self.update_watchers(&roster);
         self.update_heard(&roster);
         let open = roster
--- a/src/ops/relay/retries.rs
+++ b/src/ops/relay/retries.rs
@@ -192,12 +192,7 @@
         let Some(service) = &self.service else {
             return false;
         };
-        let instances = self.shared.view.load().instances;
-        let allowed = self
-            .shared
-            .traffic()
-            .budget
-            .try_take(clock::now(), service, instances);
+        let allowed = self.shared.traffic().budget.try_take(clock::now(), service);
         self.shared.metrics.count_extra(allowed);
         if allowed {
             self.incoming.update_arrivals(Arrivals::on_taken);
--- a/tests/testsuite/relay/metrics.rs
+++ b/tests/testsuite/relay/metrics.rs
@@ -46,9 +46,9 @@
     assert_eq!(
         samples,
         [
-            // 0.7 of the slack of 56 for the single instance, plus 0.7 of 0.2 for each of two requests.
+            // Half of the slack of 56 for the single instance, plus 0.7 of 0.2 for each of two requests.
             "sequoiastream_relay_answers_total{service=\"chat\",kind=\"idempotent\",outcome=\"answered\"} 2",
-            "sequoiastream_relay_budget_left{service=\"chat\"} 39.48",
+            "sequoiastream_relay_budget_left{service=\"chat\"} 28.28",
             "sequoiastream_relay_first_event_seconds_count{service=\"chat\",kind=\"idempotent\"} 2",
             "sequoiastream_relay_refusals_total{reason=\"no route leads from there\"} 1",
             "sequoiastream_relay_work{service=\"chat\",scope=\"fleet\"} 0",
@@ -89,7 +89,7 @@
     let names = ["sequoiastream_relay_budget_left"];
     let samples = samples(&instance, &names).await;
     // Only `chat` exists, and it came after the first 64.
-    let chat = "sequoiastream_relay_budget_left{service=\"others\"} 39.";
+    let chat = "sequoiastream_relay_budget_left{service=\"others\"} 28.";
     assert!(samples.len() == 1 && samples[0].starts_with(chat), "{samples:?}");
     for number in 0..1_500 {
         let path = RouteLabels {
