Channels: close the idle connections of a peer or store that gives no answer in time

After a partition all open connections may be silent while new ones work. A call that got no answer closed its own connection, and the next one took the next idle connection and waited in vain as well: 0.7 s each at the store, 0.8 s each at a peer, where 2 s are left for a change. Requests to engines closed them already (record_end).

Tests: channel::silent_idle_closed and peer::call_after_silence; both failed before with a timeout of the second call.

--- a/crates/peer/src/call.rs
+++ b/crates/peer/src/call.rs
@@ -34,7 +34,11 @@
         }
     }
 
-    /// Sends `request` to the peer at `to` and waits up to `limit` for the response. Never sends a request twice.
+    /// Sends `request` to the peer at `to` and waits up to `limit` for the response. Never sends a request twice. If there
+    /// is no response in time, all idle connections to the peer are closed.
+    ///
+    /// Failure guarded against: all open connections are silent, as after a partition, and each of the next calls waits
+    /// in vain on another one of them although new connections work.
     ///
     /// # Errors
     ///
@@ -54,7 +58,11 @@
             self.keep(to, channel);
             Ok(response)
         };
-        match timeout(limit, call).await {
+        let result = timeout(limit, call).await;
+        if result.is_err() {
+            self.idle.borrow_mut().remove(&to);
+        }
+        match result {
             Ok(result) => result,
             Err(_) if *sent.borrow() => Err(PeerError::Timeout),
             Err(_) => Err(PeerError::Connect("timed out while connecting".to_string())),
--- a/crates/upstream/src/channel.rs
+++ b/crates/upstream/src/channel.rs
@@ -350,7 +350,11 @@
     }
 }
 
-/// Sends a request on a pooled or new connection and reads the complete answer, of at most `max_len` bytes.
+/// Sends a request on a pooled or new connection and reads the complete answer, of at most `max_len` bytes. If there is
+/// none in time, all idle connections to the address are closed.
+///
+/// Failure guarded against: all open connections are silent, as after a partition, and each of the next calls waits in
+/// vain on another one of them although new connections work.
 ///
 /// # Errors
 ///
@@ -364,15 +368,12 @@
 ) -> Result<Response<Bytes>, ChannelError> {
     let begun = Instant::now();
     let channel = pool.take(address, limit).await?;
-    exchange(
-        pool,
-        address,
-        channel,
-        request,
-        max_len,
-        limit.saturating_sub(begun.elapsed()),
-    )
-    .await
+    let left = limit.saturating_sub(begun.elapsed());
+    let answer = exchange(pool, address, channel, request, max_len, left).await;
+    if matches!(answer, Err(ChannelError::Timeout)) {
+        pool.close_idle(address, None);
+    }
+    answer
 }
 
 /// Sends a request on `channel`, reads the complete answer, of at most `max_len` bytes, and returns the connection to the
--- a/tests/testsuite/channel.rs
+++ b/tests/testsuite/channel.rs
@@ -8,7 +8,9 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
+use sequoiastream_upstream::channel::ChannelError;
 use sequoiastream_upstream::channel::Pool;
+use sequoiastream_upstream::channel::call;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -37,6 +39,23 @@
     assert_eq!(connections.get(), 1);
 }
 
+/// Guards against each call waiting in vain on another connection that has become silent, although new connections work.
+/// Sequence: two connections are idle, and the server answers on neither of them any more.
+#[actix_web::test]
+async fn silent_idle_closed() {
+    let address = serve_once().await;
+    let pool = Pool::new();
+    let request = |limit| call(&pool, address, empty_request(address), 64, limit);
+    let (first, second) = tokio::join!(request(LIMIT), request(LIMIT));
+    assert!(first.is_ok() && second.is_ok());
+    // A connection stays idle for a short time before it is used for the next request.
+    tokio::time::sleep(Duration::from_millis(60)).await;
+    let silent = request(Duration::from_millis(200)).await;
+    assert_eq!(silent.map(|_| ()), Err(ChannelError::Timeout));
+    let answered = request(LIMIT).await;
+    assert!(answered.is_ok(), "{answered:?}");
+}
+
 fn empty_request(address: SocketAddr) -> Request<Full<Bytes>> {
     let request = Request::builder().uri("/").header("host", address.to_string());
     request.body(Full::new(Bytes::new())).expect("a request")
@@ -62,3 +81,22 @@
     });
     address
 }
+
+/// Starts a server that answers only the first request on each connection.
+async fn serve_once() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            spawn_local(async move {
+                let mut buffer = [0; 1024];
+                if stream.read(&mut buffer).await.is_ok_and(|count| count > 0) {
+                    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab";
+                    stream.write_all(answer).await.expect("an open connection");
+                }
+                while stream.read(&mut buffer).await.is_ok_and(|count| count > 0) {}
+            });
+        }
+    });
+    address
+}
--- a/tests/testsuite/peer.rs
+++ b/tests/testsuite/peer.rs
@@ -1,5 +1,8 @@
 //! Messages between instances.
 
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use sequoiastream_core::config::Update;
@@ -19,7 +22,10 @@
 use sequoiastream_peer::seal::ClusterKey;
 use sequoiastream_peer::seal::ReplayWindow;
 use sequoiastream_peer::serve;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use uuid::Uuid;
 
 const LIMIT: Duration = Duration::from_secs(5);
@@ -189,3 +195,55 @@
         answer.is_ok()
     );
 }
+
+/// Passes connections on to `address`; those that were opened before `silent` is set pass nothing on any more. Returns
+/// its own address.
+async fn start_proxy(address: SocketAddr, silent: Rc<Cell<bool>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let own = listener.local_addr().expect("it is bound");
+    actix_web::rt::spawn(async move {
+        while let Ok((mut near, _)) = listener.accept().await {
+            let (silent, was_silent) = (silent.clone(), silent.get());
+            actix_web::rt::spawn(async move {
+                let mut far = TcpStream::connect(address).await.expect("the peer listens");
+                let (mut there, mut back) = ([0; 4_096], [0; 4_096]);
+                loop {
+                    let passed = tokio::select! {
+                        read = near.read(&mut there) => match read {
+                            Ok(count) if count > 0 && silent.get() == was_silent => far.write_all(&there[..count]).await,
+                            Ok(count) if count > 0 => Ok(()),
+                            _ => return,
+                        },
+                        read = far.read(&mut back) => match read {
+                            Ok(count) if count > 0 => near.write_all(&back[..count]).await,
+                            _ => return,
+                        },
+                    };
+                    passed.expect("an open connection");
+                }
+            });
+        }
+    });
+    own
+}
+
+/// Guards against each call waiting in vain on another connection that has become silent, although new connections work.
+#[actix_web::test]
+async fn call_after_silence() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    actix_web::rt::spawn(serve(listener, key(), PageResponder(1)));
+    let silent = Rc::new(Cell::new(false));
+    let proxy = start_proxy(address, silent.clone()).await;
+    let client = CallClient::new(key());
+    let request = Request::Page(String::new());
+    let (first, second) = tokio::join!(
+        client.call(proxy, &request, LIMIT),
+        client.call(proxy, &request, LIMIT)
+    );
+    assert!(first.is_ok() && second.is_ok());
+    silent.set(true);
+    let unanswered = client.call(proxy, &request, Duration::from_millis(200)).await;
+    assert_eq!(unanswered, Err(PeerError::Timeout));
+    assert!(client.call(proxy, &request, LIMIT).await.is_ok());
+}
