Streams: record a stream whose version follows from there being only one

A caller takes up a stream of which no record is found; it goes on because all engines have had the same version for a minute. It wasn't recorded, so that the caller's next try was refused, at this and at other instances, once another version served as well.

--- a/crates/core/src/relay/streams.rs
+++ b/crates/core/src/relay/streams.rs
@@ -90,7 +90,8 @@
         Streams::default()
     }
 
-    /// Records that an engine of this version delivered the first event of a stream whose caller waits for `left`.
+    /// Records that this version is that of a stream whose caller waits for `left`: an engine delivered its first event, or
+    /// it is taken up and can have no other version.
     pub fn on_begun(&mut self, now: Time, stream: StreamId, version: SoftwareVersion, left: Duration) {
         self.insert(now, stream, version, left);
         self.unsent.push(stream);
--- a/src/ops/relay/versions.rs
+++ b/src/ops/relay/versions.rs
@@ -56,11 +56,10 @@
             Some(record) => Some(record),
             None => self.ask_homes(stream).await,
         };
-        let version = record.map(|record| record.version);
-        let version = version.or_else(|| {
-            let traffic = self.shared.traffic();
-            traffic.streams.only_version(clock::now(), self.service.as_ref()?)
-        });
+        let version = match record {
+            Some(record) => Some(record.version),
+            None => self.record_only_version(stream),
+        };
         match version {
             Some(version) => self.version = StreamVersion::Only(version),
             None => {
@@ -71,6 +70,23 @@
         Ok(())
     }
 
+    /// The only version that a stream of which no record is found can have, if there is one. It is recorded, because
+    /// another version may serve by the caller's next try.
+    fn record_only_version(&self, stream: StreamId) -> Option<SoftwareVersion> {
+        let now = clock::now();
+        let mut traffic = self.shared.traffic();
+        let version = traffic.streams.only_version(now, self.service.as_ref()?)?;
+        traffic
+            .streams
+            .on_begun(now, stream, version, self.record_time(now));
+        Some(version)
+    }
+
+    /// How long a stream is recorded.
+    fn record_time(&self, now: Time) -> Duration {
+        self.incoming.deadline.since(now) + RECORD_MARGIN
+    }
+
     fn resumed_stream(&self) -> Option<StreamId> {
         let is_resumable = self.route.kind == RouteKind::Resumable;
         let resumes = self.incoming.resumes.as_ref().filter(|_| is_resumable);
@@ -114,10 +130,11 @@
         }
         self.version = StreamVersion::Only(engine.version);
         let now = clock::now();
-        let left = self.incoming.deadline.since(now) + RECORD_MARGIN;
         let stream = StreamId::of(self.incoming.id.as_bytes());
         let mut traffic = self.shared.traffic();
-        traffic.streams.on_begun(now, stream, engine.version, left);
+        traffic
+            .streams
+            .on_begun(now, stream, engine.version, self.record_time(now));
     }
 
     /// Whether an engine has started again under its id since it was chosen: then its answer may come from either
