--- a/crates/core/benches/relay.rs
+++ b/crates/core/benches/relay.rs
@@ -29,7 +29,10 @@
 use sequoiastream_core::relay::routes::RouteTarget;
 use sequoiastream_core::relay::routes::RoutingTable;
 use sequoiastream_core::relay::stages::plan_orders;
+use sequoiastream_core::relay::streams::SoftwareVersion;
 use sequoiastream_core::relay::streams::StreamId;
+use sequoiastream_core::relay::streams::StreamRecord;
+use sequoiastream_core::relay::streams::Streams;
 use sequoiastream_core::relay::streams::homes;
 use sequoiastream_core::relay::workspaces::KeyDigest;
 use sequoiastream_core::relay::workspaces::Workspace;
@@ -256,6 +259,17 @@
             b.iter(|| homes(black_box(&peers).iter().copied(), stream));
         });
     }
+    let mut streams = Streams::new();
+    let version = SoftwareVersion::of("v1");
+    let mut number = 0_u64;
+    let mut begin = |streams: &mut Streams| {
+        number += 1;
+        let stream = StreamId::of(&number.to_be_bytes());
+        let left = Duration::from_millis(15_000 + number % 1_000);
+        streams.on_record(NOW, StreamRecord::new(stream, version, left));
+    };
+    (0..40_000).for_each(|_| begin(&mut streams));
+    c.bench_function("streams/record/full", |b| b.iter(|| begin(&mut streams)));
 }
 
 criterion_group!(benches, place, peers, stages, routes, keys, budget, streams);
--- a/crates/core/src/relay/streams.rs
+++ b/crates/core/src/relay/streams.rs
@@ -10,6 +10,7 @@
 //! certain only if the engines of the service have had no other one for as long as a stream may last.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -68,6 +69,18 @@
     pub left: u32,
 }
 
+impl StreamRecord {
+    /// The record of a stream whose caller waits for `left`.
+    pub fn new(stream: StreamId, version: SoftwareVersion, left: Duration) -> StreamRecord {
+        let left = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+        StreamRecord {
+            stream,
+            version,
+            left,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Known {
     version: SoftwareVersion,
@@ -78,6 +91,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Streams {
     known: BTreeMap<StreamId, Known>,
+    /// Keys of `known`, by the time until which each is kept.
+    expiries: BTreeSet<(Time, StreamId)>,
     /// Streams that peers are still to be told of.
     unsent: Vec<StreamId>,
     /// When each version of a service was last seen to serve; `None` while it does.
@@ -107,15 +122,18 @@
     fn insert(&mut self, now: Time, stream: StreamId, version: SoftwareVersion, left: Duration) {
         let until = now + left.min(MAX_LIFETIME);
         let known = self.known.entry(stream).or_insert(Known { version, until });
-        known.until = known.until.max(until);
-        if self.known.len() > MAX_RECORDS {
-            self.known.retain(|_, known| known.until > now);
-        }
+        let before = known.until;
+        known.until = before.max(until);
+        self.expiries.remove(&(before, stream));
+        self.expiries.insert((known.until, stream));
         while self.known.len() > MAX_RECORDS {
-            let first = self.known.iter().min_by_key(|(_, known)| known.until);
-            let Some(stream) = first.map(|(stream, _)| *stream) else {
-                break;
-            };
+            self.remove_first();
+        }
+    }
+
+    /// Removes the record that expires first.
+    fn remove_first(&mut self) {
+        if let Some((_, stream)) = self.expiries.pop_first() {
             self.known.remove(&stream);
         }
     }
@@ -123,12 +141,7 @@
     /// The record of a stream.
     pub fn record(&self, now: Time, stream: StreamId) -> Option<StreamRecord> {
         let known = self.known.get(&stream).filter(|known| known.until > now)?;
-        let left = known.until.since(now).as_millis();
-        Some(StreamRecord {
-            stream,
-            version: known.version,
-            left: u32::try_from(left).unwrap_or(u32::MAX),
-        })
+        Some(StreamRecord::new(stream, known.version, known.until.since(now)))
     }
 
     /// The records that peers are to be told, each once.
@@ -142,7 +155,9 @@
 
     /// Removes the records that have expired.
     pub fn expire(&mut self, now: Time) {
-        self.known.retain(|_, known| known.until > now);
+        while self.expiries.first().is_some_and(|(until, _)| *until <= now) {
+            self.remove_first();
+        }
     }
 
     /// Records which versions serve from now on.
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -41,6 +41,7 @@
 mod starts;
 mod stops;
 mod store;
+mod streams;
 mod suspects;
 mod told;
 mod truth;
