--- a/tests/testsuite/peer.rs
+++ b/tests/testsuite/peer.rs
@@ -30,7 +30,7 @@
 
 const LIMIT: Duration = Duration::from_secs(5);
 
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 struct Pong;
 
 impl Responder for Pong {
@@ -156,7 +156,7 @@
 }
 
 /// Answers every request with a page of this many entries.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 struct PageResponder(u64);
 
 impl Responder for PageResponder {
--- a/tests/testsuite/peer_tunnel/leaving.rs
+++ b/tests/testsuite/peer_tunnel/leaving.rs
@@ -128,7 +128,7 @@
 }
 
 /// Peer whose connections to upstreams never succeed.
-#[derive(Clone, Default)]
+#[derive(Debug, Clone, Default)]
 struct Connecting {
     /// Notified when a connection is attempted.
     started: Rc<Notify>,
--- a/tests/testsuite/peer_tunnel/mod.rs
+++ b/tests/testsuite/peer_tunnel/mod.rs
@@ -45,7 +45,7 @@
 }
 
 /// Peer that connects to every upstream.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 struct Relay {
     /// Limit of concurrent tunnels.
     limit: usize,
--- a/tests/testsuite/peer_tunnel/proxy.rs
+++ b/tests/testsuite/peer_tunnel/proxy.rs
@@ -17,7 +17,7 @@
 const NONCE_LEN: usize = 16;
 
 /// What happens to the frames of one direction. Frames are numbered from 1.
-#[derive(Clone, Copy)]
+#[derive(Debug, Clone, Copy)]
 pub enum Change {
     None,
     /// A bit of this frame is flipped.
--- a/tests/testsuite/peer_tunnel/serving.rs
+++ b/tests/testsuite/peer_tunnel/serving.rs
@@ -29,7 +29,7 @@
 }
 
 /// Peer that serves no tunnels.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 struct Pong;
 
 impl Responder for Pong {
--- a/tests/testsuite/relay/tunnels.rs
+++ b/tests/testsuite/relay/tunnels.rs
@@ -36,7 +36,7 @@
 use super::wait_until;
 
 /// A peer that reaches the engine.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 pub(super) struct Peer {
     /// Address at which the peer finds the engine; `None` if it can't connect either.
     engine: Option<SocketAddr>,
