--- a/tests/testsuite/relay/watchers.rs
+++ b/tests/testsuite/relay/watchers/world.rs
@@ -1,7 +1,4 @@
-//! Which instances watch the store, and how old the data of the others may be.
-//!
-//! The seeded runs draw fleets of 1 to 400 instances in 1 to 12 availability zones. `SEQUOIASTREAM_SEEDS=1000..5000
-//! cargo test --release --test testsuite relay::watchers` runs other seeds, as many as wanted.
+//! A fleet that follows a store, with faults of both.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -10,22 +7,18 @@
 use rand::SeedableRng;
 use rand::seq::IteratorRandom;
 use rand_chacha::ChaCha8Rng;
-use sequoiastream_core::relay::watchers::ApplyLimit;
-use sequoiastream_core::relay::watchers::Candidate;
 use sequoiastream_core::relay::watchers::ConfirmedStatus;
 use sequoiastream_core::relay::watchers::FleetRank;
 use sequoiastream_core::relay::watchers::SyncState;
 use sequoiastream_core::relay::watchers::WatchAction;
-use sequoiastream_core::relay::watchers::most_advanced;
 use sequoiastream_core::relay::watchers::rank_candidates;
 use sequoiastream_core::relay::watchers::watcher_count;
 use sequoiastream_core::time::Time;
 use sequoiastream_kv::store::RESPONSE_TIMEOUT;
 
-use crate::claims::client::PrintSeedOnPanic;
-use crate::claims::client::seeds_or;
-
-const SEEDS: std::ops::Range<u64> = 0..16;
+use super::LIMIT;
+use super::at;
+use super::candidate;
 
 /// Time between two messages of an instance.
 const STEP: Duration = Duration::from_millis(25);
@@ -46,9 +39,6 @@
 /// A peer that has not been heard for longer than this doesn't count as a neighbour.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_800);
 
-/// Time within which a change must be applied, with the strictest configuration.
-pub const LIMIT: ApplyLimit = ApplyLimit(Duration::from_secs(2));
-
 /// How long a watcher waits after changes before it watches again.
 const BATCH_DELAY: Duration = Duration::from_millis(800);
 
@@ -61,64 +51,6 @@
 /// Duration of a call that the store answers at once.
 const CALL_TIME: Duration = Duration::from_millis(25);
 
-pub fn at(millis: u64) -> Time {
-    Time::from_millis(10_000 + millis)
-}
-
-#[test]
-fn count_by_members() {
-    assert_eq!(
-        [1, 2, 8, 64, 195, 985, 2_000].map(watcher_count),
-        [1, 2, 2, 2, 7, 31, 63]
-    );
-}
-
-fn candidate<'n>(zone: &'n str, capacity: u32, name: &'n str) -> Candidate<'n> {
-    Candidate { zone, capacity, name }
-}
-
-/// Guards against all watchers being in a single zone that is cut off.
-#[test]
-fn rank_across_zones() {
-    let fleet = vec![
-        candidate("a", 100, "a-1"),
-        candidate("a", 500, "a-2"),
-        candidate("a", 500, "a-3"),
-        candidate("b", 100, "b-1"),
-        candidate("c", 100, "c-2"),
-        candidate("c", 100, "c-1"),
-    ];
-    let ranked = rank_candidates(fleet);
-    let names: Vec<&str> = ranked.iter().map(|c| c.name).collect();
-    assert_eq!(names, ["a-2", "b-1", "c-1", "a-3", "c-2", "a-1"]);
-    assert_eq!(
-        FleetRank::among(&ranked, "c-2"),
-        FleetRank { rank: 4, members: 6 }
-    );
-}
-
-/// Guards against no instance watching when instances disagree on who is alive.
-#[test]
-fn seat_alone_watches() {
-    assert!(FleetRank::default().is_watcher());
-    for members in 1..400 {
-        let watchers = (0..members).filter(|rank| FleetRank { rank: *rank, members }.is_watcher());
-        assert_eq!(watchers.count(), watcher_count(members));
-    }
-}
-
-/// Guards against a change being applied on the last of three hundred instances only after 0.7 s. Sequence: all
-/// instances without a watch learn from the same two dozen peers which of them have the change, and all ask the same
-/// one of them.
-#[test]
-fn furthest_one_of_several() {
-    let known = [7, 9, 3, 9, 9];
-    let asked: Vec<usize> = (0..6).filter_map(|draw| most_advanced(&known, 8, draw)).collect();
-    assert_eq!(asked, [1, 3, 4, 1, 3, 4]);
-    assert_eq!(most_advanced(&known, 9, 0), None);
-    assert_eq!(most_advanced(&[], 0, 0), None);
-}
-
 /// State of an instance's calls to the store.
 #[derive(Debug, Clone, Copy)]
 enum Call {
@@ -159,6 +91,24 @@
     healthy_since: Time,
 }
 
+impl Instance {
+    /// Pauses after a call that got no answer.
+    fn on_failure(&mut self, now: Time, rank: FleetRank, jitter: f64) {
+        let pause = LIMIT.backoff(rank, self.failures, RESPONSE_TIMEOUT, jitter);
+        self.call = Call::Backoff(now + pause);
+        self.failures += 1;
+        self.last_failure = Some(now);
+    }
+
+    /// Forgets failed calls if its data was confirmed since.
+    fn detect_recovery(&mut self, now: Time) {
+        let confirmed = self.state.age(now).map(|age| now - age);
+        if confirmed > self.last_failure {
+            self.failures = 0;
+        }
+    }
+}
+
 /// A message in transit.
 #[derive(Debug, Clone, Copy)]
 struct Message {
@@ -169,14 +119,14 @@
 
 /// How long messages take, and when instances act.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Timing {
+pub enum Timing {
     /// Messages arrive immediately, and all instances act at the same time.
     Lockstep,
     /// Messages take [`TRANSIT_MILLIS`] or [`SLOW_TRANSIT_MILLIS`], and instances act at different times.
     Delayed,
 }
 
-struct World {
+pub struct World {
     random: ChaCha8Rng,
     timing: Timing,
     /// Messages in transit, by time of arrival.
@@ -194,7 +144,8 @@
 }
 
 impl World {
-    fn new(seed: u64, timing: Timing) -> World {
+    /// A fleet whose size the seed draws.
+    pub fn new(seed: u64, timing: Timing) -> World {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         // Most runs have up to 60 instances, as today's fleets do; one in eight has up to 400.
         let max_size = if seed.is_multiple_of(8) { 400 } else { 60 };
@@ -204,7 +155,7 @@
     }
 
     /// A world with this number of instances and of zones.
-    fn of(random: ChaCha8Rng, timing: Timing, size: usize, zones: usize) -> World {
+    pub fn of(random: ChaCha8Rng, timing: Timing, size: usize, zones: usize) -> World {
         let now = at(0);
         let instance = |index: usize| Instance {
             zone: index % zones,
@@ -234,7 +185,8 @@
         }
     }
 
-    fn run(mut self, seconds: u32) {
+    /// Runs with faults of all kinds.
+    pub fn run(mut self, seconds: u32) {
         let steps = seconds * 40;
         for step in 0..steps {
             self.advance(|world| {
@@ -254,7 +206,7 @@
     }
 
     /// Runs outages of the store for all instances. As the store returns, the instances that watched it are stopped.
-    fn run_outages(mut self, rounds: u32) {
+    pub fn run_outages(mut self, rounds: u32) {
         for _ in 0..rounds {
             self.run_checked(Duration::from_secs(6));
             let length = Duration::from_millis(self.random.random_range(7_000..12_000));
@@ -484,10 +436,7 @@
         let jitter = self.random.random();
         let instance = &mut self.instances[index];
         let is_reachable = instance.unreachable <= now;
-        let confirmed = instance.state.age(now).map(|age| now - age);
-        if confirmed > instance.last_failure {
-            instance.failures = 0;
-        }
+        instance.detect_recovery(now);
         match instance.call {
             Call::Backoff(until) | Call::Listening(until) | Call::Batching(until) if now < until => {}
             Call::None | Call::Backoff(_) | Call::Listening(_) | Call::Batching(_) => {
@@ -526,10 +475,7 @@
                         false => Call::None,
                     };
                 } else if now.since(sent) >= wait + RESPONSE_TIMEOUT {
-                    let pause = LIMIT.backoff(rank, instance.failures, RESPONSE_TIMEOUT, jitter);
-                    instance.call = Call::Backoff(now + pause);
-                    instance.failures += 1;
-                    instance.last_failure = Some(now);
+                    instance.on_failure(now, rank, jitter);
                 }
             }
         }
@@ -560,56 +506,3 @@
         }
     }
 }
-
-/// Guards against requests going to engines that have left, by routes that are no longer in force. Sequence: any mix of
-/// watchers that are killed, that are paused and resume with old data, whose calls the store refuses, or that get no
-/// answer on a connection that looks alive; faults of half of the fleet at once; zones cut off from each other.
-#[test]
-fn lag_within_bound() {
-    for seed in seeds_or(SEEDS) {
-        let _failing = PrintSeedOnPanic(seed);
-        World::new(seed, Timing::Lockstep).run(30);
-    }
-}
-
-/// Guards against the same failure when messages take time. Sequence: all watchers lose the store, the others keep
-/// reporting a recent confirmation to each other, and none calls the store itself.
-#[test]
-fn lag_within_bound_delayed() {
-    for seed in seeds_or(SEEDS) {
-        let _failing = PrintSeedOnPanic(seed);
-        World::new(seed, Timing::Delayed).run(30);
-    }
-}
-
-/// The longest pause, a call that is lost before it and one after it end within the limit, whatever the limit is, but for
-/// those that are shorter than a call may take.
-#[test]
-fn backoff_within_limit() {
-    for (millis, longest) in [
-        (500, 150),
-        (1_000, 200),
-        (2_000, 1_100),
-        (3_000, 2_000),
-        (9_000, 3_000),
-    ] {
-        let limit = ApplyLimit::within(Duration::from_millis(millis));
-        let rank = FleetRank { rank: 5, members: 8 };
-        let pause = limit.backoff(rank, 20, RESPONSE_TIMEOUT, 1.0);
-        assert_eq!(pause.as_micros().div_ceil(1_000), longest);
-        assert!(limit.0 < RESPONSE_TIMEOUT || RESPONSE_TIMEOUT + pause < limit.0);
-    }
-}
-
-/// Guards against instances that go on with old data although they reach the store again. Sequence: no instance reaches
-/// the store for so long that the pauses between their calls become as long as they get; as it returns, the watchers
-/// stop. The others must call it themselves in time.
-#[test]
-fn lag_after_outage() {
-    for seed in seeds_or(SEEDS) {
-        let _failing = PrintSeedOnPanic(seed);
-        let random = ChaCha8Rng::seed_from_u64(seed);
-        // Two watchers and one other instance: the more there are, the sooner one of them calls.
-        World::of(random, Timing::Delayed, 3, 1).run_outages(20);
-    }
-}
