--- a/crates/core/src/relay/budget.rs
+++ b/crates/core/src/relay/budget.rs
@@ -88,6 +88,11 @@
         if self.fleet_sizes.back().is_none_or(|(_, last)| *last != instances) {
             self.fleet_sizes.push_back((now, instances));
         }
+        self.expire_fleet_sizes(now);
+    }
+
+    /// Forgets the numbers of instances that were replaced by another one longer ago than a window.
+    fn expire_fleet_sizes(&mut self, now: Time) {
         let window = self.limits.window;
         let is_replaced = |next: Option<&(Time, usize)>| next.is_some_and(|(at, _)| now.since(*at) > window);
         while is_replaced(self.fleet_sizes.get(1)) {
@@ -129,13 +134,10 @@
     }
 
     /// The part of the allowance that this instance may use in a window that ends now.
-    fn share(&self, now: Time) -> f64 {
+    fn share(&mut self, now: Time) -> f64 {
+        self.expire_fleet_sizes(now);
         let window = self.limits.window;
-        let known = self.fleet_sizes.iter().enumerate().filter(|(index, _)| {
-            let replaced = self.fleet_sizes.get(index + 1);
-            replaced.is_none_or(|(at, _)| now.since(*at) <= window)
-        });
-        let instances = known.map(|(_, (_, instances))| *instances).max();
+        let instances = self.fleet_sizes.iter().map(|(_, instances)| *instances).max();
         let share = self.limits.slack / instances.unwrap_or(1).max(1) as f64;
         let age = self.started.map_or(window, |at| now.since(at));
         match age < window {
--- a/src/ops/relay/server.rs
+++ b/src/ops/relay/server.rs
@@ -206,17 +206,15 @@
             return refuse(shared, Reply::Bad);
         }
     };
-    if ages.reported > shared.reloadable().apply_limit.0 {
+    let tuning = shared.reloadable();
+    if ages.reported > tuning.apply_limit.0 {
         shared.metrics.outdated_requests.inc();
     }
     let Some(route) = view.table.find(&head.host, head.uri.path()) else {
         return refuse_unrouted(shared, &view, &head, ages);
     };
     let key = head.key.as_ref().map(|key| key.as_bytes());
-    let workspace = match view
-        .table
-        .grant(&route, key, ages, shared.reloadable().key_limits)
-    {
+    let workspace = match view.table.grant(&route, key, ages, tuning.key_limits) {
         KeyAccess::Open => None,
         KeyAccess::Granted(workspace) => Some(workspace),
         refused => return refuse_key(shared, &route, key, ages, refused),
