Follow: log which engine departs, how, and how old the data was

Event 304 says how many engines are open; a request that reaches an engine that left leaves no line that tells old data from an engine that is kept on purpose, because its removal is not trusted. No change of logic.

relay::engines::departures_by_kind.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -81,6 +81,8 @@
     310 ENGINES_LOST = "engines-lost";
     /// This instance reaches more than three quarters of the engines directly again.
     311 ENGINES_REGAINED = "engines-regained";
+    /// An engine gets no more work, or is kept although its entry has disappeared.
+    312 ENGINE_DEPARTED = "engine-departed";
     /// An attempt at an upstream failed.
     400 ATTEMPT_FAILED = "attempt-failed";
     /// A request was refused.
--- a/crates/core/src/relay/engines.rs
+++ b/crates/core/src/relay/engines.rs
@@ -155,6 +155,31 @@
     Removed(u64, String),
 }
 
+/// How an engine stopped being available for new work, or was kept although its entry has disappeared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Departure {
+    /// It announced that it is leaving.
+    Announced,
+    /// Its entry was removed.
+    Removed,
+    /// Its entry has disappeared, and it is kept because the removal is not trusted.
+    Missing,
+    /// Its entry did not come back in time.
+    Overdue,
+}
+
+impl Departure {
+    /// Name for the log.
+    pub fn label(self) -> &'static str {
+        match self {
+            Departure::Announced => "announced",
+            Departure::Removed => "removed",
+            Departure::Missing => "missing",
+            Departure::Overdue => "overdue",
+        }
+    }
+}
+
 /// All engines, as last seen in the store.
 ///
 /// Neither store revisions nor an engine's own updates may go backwards. Failure guarded against: an engine announces
@@ -167,6 +192,8 @@
     tombstones: BTreeMap<String, Tombstone>,
     next: u32,
     store_failure: Option<Time>,
+    /// What has happened since the last [`Engines::take_departures`].
+    departures: Vec<(String, Departure)>,
 }
 
 /// Maximum number of removed engines that are remembered to reject late updates from peers.
@@ -208,6 +235,11 @@
         changed
     }
 
+    /// Returns the engines that have departed since the last call, by id.
+    pub fn take_departures(&mut self) -> Vec<(String, Departure)> {
+        std::mem::take(&mut self.departures)
+    }
+
     fn on_entry(&mut self, revision: u64, entry: Entry) -> bool {
         let tombstone = self.tombstones.get(&entry.id);
         if tombstone.is_some_and(|t| t.revision >= revision || t.version >= EntryVersion::of(&entry)) {
@@ -226,6 +258,9 @@
             known.missing_since = None;
             if (known_entry.create_revision, known_entry.started) == (entry.create_revision, entry.started) {
                 let changed = *known_entry != entry;
+                if entry.leaving && !known_entry.leaving {
+                    self.departures.push((entry.id.clone(), Departure::Announced));
+                }
                 known.engine = Engine::new(known.engine.key, entry);
                 return changed;
             }
@@ -255,12 +290,16 @@
             Some(known) if known.revision > revision => false,
             Some(known) if is_untrusted && !known.engine.entry.leaving => {
                 known.revision = revision;
-                known.missing_since.get_or_insert(now);
+                if known.missing_since.is_none() {
+                    known.missing_since = Some(now);
+                    self.departures.push((id, Departure::Missing));
+                }
                 false
             }
             Some(known) => {
                 let version = EntryVersion::of(&known.engine.entry);
                 self.known.remove(&id);
+                self.departures.push((id.clone(), Departure::Removed));
                 self.add_tombstone(id, Tombstone { revision, version });
                 true
             }
@@ -309,6 +348,7 @@
             .collect();
         for (id, tombstone) in &overdue {
             self.known.remove(id);
+            self.departures.push((id.clone(), Departure::Overdue));
             self.add_tombstone(id.clone(), *tombstone);
         }
         !overdue.is_empty()
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -382,6 +382,7 @@
     /// Publishes the engines if any of them was removed because its entry did not come back in time.
     fn on_tick(&mut self) {
         if self.engines.on_tick(clock::now()) {
+            self.log_departures();
             self.publish_engines();
         }
     }
@@ -434,7 +435,8 @@
     }
 
     /// Publishes the parts that have changed.
-    fn publish(&self, changed: &Changed) {
+    fn publish(&mut self, changed: &Changed) {
+        self.log_departures();
         if changed.engines {
             self.publish_engines();
         }
@@ -451,6 +453,23 @@
         }
     }
 
+    /// Logs which engines have departed, and how long before that the store was last known to have nothing newer: what an
+    /// instance learns late is told from what it keeps on purpose.
+    fn log_departures(&mut self) {
+        let age = self.known.age(clock::now()).map(|age| age.as_millis() as u64);
+        for (engine, departure) in self.engines.take_departures() {
+            let how = departure.label();
+            log_event!(
+                info,
+                log_event::ENGINE_DEPARTED,
+                engine,
+                how,
+                age,
+                failures = self.failures
+            );
+        }
+    }
+
     /// Publishes the engines that may get work, and drops the load of those that are no longer known.
     fn publish_engines(&self) {
         let engines = self.engines.available();
--- a/tests/testsuite/relay/engines.rs
+++ b/tests/testsuite/relay/engines.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use sequoiastream_core::relay::engines::Departure;
 use sequoiastream_core::relay::engines::EngineUpdate;
 use sequoiastream_core::relay::engines::Engines;
 use sequoiastream_core::relay::engines::Entry;
@@ -149,3 +150,25 @@
     assert!(engines.on_snapshot(Time::ZERO, 9, Vec::new()));
     assert!(engines.is_empty());
 }
+
+/// Guards against logs that don't tell an engine that left from one that is kept although its entry has disappeared.
+#[test]
+fn departures_by_kind() {
+    let departed = |engines: &mut Engines| -> Vec<Departure> {
+        let departures = engines.take_departures();
+        departures.into_iter().map(|(_, departure)| departure).collect()
+    };
+    let mut engines = Engines::new();
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(5, ready(1, 1)));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(6, leaving(2)));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(7, leaving(3)));
+    engines.on_update(Time::ZERO, removal(8));
+    assert_eq!(departed(&mut engines), [Departure::Announced, Departure::Removed]);
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(9, ready(4, 9)));
+    engines.on_store_failure(Time::ZERO);
+    engines.on_snapshot(Time::ZERO, 10, Vec::new());
+    engines.on_snapshot(Time::ZERO, 11, Vec::new());
+    assert_eq!(departed(&mut engines), [Departure::Missing]);
+    engines.on_tick(Time::ZERO + REREGISTRATION_GRACE);
+    assert_eq!(departed(&mut engines), [Departure::Overdue]);
+}
