Tests: an engine that leaves while watches are cut (failing)

The entry of an engine is removed while watches hear nothing for a second; then the history is dropped and the watches are cut.

--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -521,3 +521,26 @@
     let min_delay = follow::batch_delay(listener.view.load().instances) * 4;
     assert!(clock::now().since(started) >= min_delay, "{min_delay:?}");
 }
+
+/// Guards against a request reaching an engine more than two seconds after the store has reported that it left.
+/// Sequence: watches hear nothing for a second, an engine's entry is removed meanwhile, the history is dropped and the
+/// watches are cut. Cause: the cut watch is taken for an outage in which the entry expired, and the engine is kept.
+#[actix_web::test]
+async fn leaving_while_watches_cut() {
+    let store = FakeStore::new();
+    store.put("config", "3 /a/");
+    store.put("engines/e1", "chat 127.0.0.1:9 ready 1");
+    let mut options = options();
+    options.reloadable.apply_limit = ApplyLimit(Duration::from_secs(2));
+    let shared = start(options, &store).await;
+    wait_until(|| version(&shared) == 3 && engines(&shared) == ["e1"]).await;
+    store.set_unresponsive(true);
+    store.remove("engines/e1");
+    let removed_at = clock::now();
+    let silence = Duration::from_secs(1);
+    wait_until(|| clock::now().since(removed_at) >= silence).await;
+    store.cut_watches().await;
+    wait_until(|| engines(&shared).is_empty()).await;
+    let kept = clock::now().since(removed_at);
+    assert!(kept < Duration::from_secs(2), "{kept:?}");
+}
--- a/tests/testsuite/relay/store.rs
+++ b/tests/testsuite/relay/store.rs
@@ -115,6 +115,16 @@
         self.revision.send_modify(|_| {});
     }
 
+    /// Drops the history of changes up to now and cuts the watches, as a store does that stops keeping them.
+    pub async fn cut_watches(&self) {
+        self.compact();
+        self.state.down.set(true);
+        self.set_unresponsive(false);
+        // The watches that are pending see this before it ends.
+        tokio::task::yield_now().await;
+        self.state.down.set(false);
+    }
+
     /// Sets the maximum number of items per page.
     pub fn set_page_size(&self, limit: usize) {
         self.state.page_size.set(Some(limit));
