Follow: engines whose entry is missing are checked on time while peers are ahead

Cause: a wait of 0.1 s before the next check is started anew whenever a message of a peer that is ahead arrives, forty times a second from each. Class: a timer that other events reset.

The timer now runs beside the watch, and the engines are checked at each step and after each message in a pause.

--- a/src/ops/relay/follow/listen.rs
+++ b/src/ops/relay/follow/listen.rs
@@ -42,6 +42,7 @@
     pub(super) async fn listen_during_pause(&mut self, until: Time) {
         while clock::now() < until {
             self.listen(until).await;
+            self.on_tick();
             self.detect_recovery(clock::now());
         }
     }
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -176,6 +176,7 @@
     /// Calls the store, or waits until a peer is ahead or the last confirmation becomes too old.
     async fn step(&mut self) {
         let now = clock::now();
+        self.on_tick();
         self.detect_recovery(now);
         if self.startup.is_joining() && self.known.revision() == 0 {
             return self.join(now).await;
@@ -259,10 +260,11 @@
         let sent = clock::now();
         let mut watch = store.watch(ALL_KEYS, revision, wait);
         let fleet = self.fleet.clone();
+        let mut ticks = tokio::time::interval(TICK_INTERVAL);
         let changes = loop {
             tokio::select! {
                 changes = &mut watch => break changes?,
-                () = tokio::time::sleep(TICK_INTERVAL), if self.engines.has_missing() => self.on_tick(),
+                _ = ticks.tick(), if self.engines.has_missing() => self.on_tick(),
                 // Other instances watch on behalf of this one again, and are ahead by now.
                 () = fleet.wait_for_update() => if !fleet.watch_rank().is_watcher() {
                     self.ask_peer().await;
