Follow: an instance whose watch is silent asks a peer that is ahead

Cause: an instance that watches the store for others ignores what its peers report while its own watch is open. If the watch is silent, on a connection that looks alive or because the store turns it away without an answer, it goes on with old data until the watch fails, 2.2 s later where the limit is 3 s, and then pauses and reads. Class: the one that tells others is told by nobody.

Once peers have been ahead of an open watch for 0.15 s, one is asked. If it gives no answer, the watch goes on and fails in time as before.

relay::follow::silent_watch_asks_peer failed before (nothing heard in 20 s from a store that never answers) and passes.

--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -54,6 +54,10 @@
 /// Interval at which engines whose entry is missing are checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long peers may be ahead of an instance whose own watch is open: then the watch is taken for silent, and a peer is
+/// asked. Watches of different instances are answered within less.
+const MAX_PEER_LEAD: Duration = Duration::from_millis(150);
+
 /// Maximum number of requests per second that all instances together send to their peers.
 const MAX_REQUESTS_PER_SECOND: u32 = 200;
 
@@ -261,14 +265,22 @@
         let mut watch = store.watch(ALL_KEYS, revision, wait);
         let fleet = self.fleet.clone();
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
+        let mut overtaken_at = None;
         let changes = loop {
             tokio::select! {
                 changes = &mut watch => break changes?,
                 _ = ticks.tick(), if self.engines.has_missing() => self.on_tick(),
-                // Other instances watch on behalf of this one again, and are ahead by now.
-                () = fleet.wait_for_update() => if !fleet.watch_rank().is_watcher() {
-                    self.ask_peer().await;
-                    return Ok(());
+                () = fleet.wait_for_update() => {
+                    // Other instances watch on behalf of this one again, or its own watch is silent.
+                    let is_listener = !fleet.watch_rank().is_watcher();
+                    if is_listener || self.is_watch_silent(&mut overtaken_at) {
+                        let is_updated = self.ask_peer().await;
+                        // Otherwise the watch may still be answered, and fails in time if not.
+                        if is_listener || is_updated {
+                            return Ok(());
+                        }
+                        overtaken_at = None;
+                    }
                 }
             }
         };
@@ -286,6 +298,17 @@
         Ok(())
     }
 
+    /// Whether peers have been ahead for so long that the open watch must be silent. `overtaken_at` is when the first one
+    /// was found ahead.
+    fn is_watch_silent(&self, overtaken_at: &mut Option<Time>) -> bool {
+        if !self.fleet.is_overtaken(self.known.revision()) {
+            *overtaken_at = None;
+            return false;
+        }
+        let now = clock::now();
+        now.since(*overtaken_at.get_or_insert(now)) >= MAX_PEER_LEAD
+    }
+
     /// Applies the answer to a watch for changes after the revision `since`. Returns the revision up to which all
     /// changes are known, or `None` if the answer may be truncated: such an answer confirms and proves nothing.
     fn on_watch_answer(&mut self, changes: Changes, since: u64) -> Option<u64> {
--- a/src/ops/relay/peers/ask.rs
+++ b/src/ops/relay/peers/ask.rs
@@ -64,6 +64,15 @@
         choose(heard(true)).or_else(|| choose(heard(false)).filter(|_| other_zones))
     }
 
+    /// Whether any peer has reported to have read the store beyond `revision`.
+    pub fn is_overtaken(&self, revision: u64) -> bool {
+        self.0
+            .peer_revisions
+            .borrow()
+            .values()
+            .any(|known| *known > revision)
+    }
+
     /// Asks a peer that is ahead for everything after `revision`; `None` if no peer is ahead or it did not answer with
     /// anything new. Peers of other zones are asked only if `other_zones` is set.
     pub async fn ask_for_changes(&self, revision: u64, other_zones: bool) -> Option<PeerAnswer> {
