Connect: no request to an engine that left while the connection was opened

Failure guarded against: a request reaches an engine that has left, or paused, since it was chosen. Nothing was checked between the choice and the send, which may be 0.4 s apart, or more through a peer.

The engine must still be listed and accept requests when its connection is open; otherwise nothing is sent, which costs no extra attempt.

relay::tunnels::engine_leaves_while_connecting failed before (the engine answered 200) and passes.

--- a/src/ops/relay/connect.rs
+++ b/src/ops/relay/connect.rs
@@ -48,8 +48,8 @@
 ///
 /// # Errors
 ///
-/// [`AttemptFailure`] with [`End::Unsent`] if neither this instance nor a peer can connect to the engine, or the request
-/// has expired.
+/// [`AttemptFailure`] with [`End::Unsent`] if neither this instance nor a peer can connect to the engine, or by then the
+/// request has expired or the engine must get no more requests.
 pub async fn for_request(
     shared: &Shared,
     pool: &Pool,
@@ -57,10 +57,24 @@
     engine: &Engine,
 ) -> Result<Channel, AttemptFailure> {
     let channel = take(shared, pool, engine, incoming.time_left()).await?;
-    match incoming.time_left().is_zero() {
-        true => Err(AttemptFailure::new(End::Unsent, "the request has expired")),
-        false => Ok(channel),
+    if incoming.time_left().is_zero() {
+        return Err(AttemptFailure::new(End::Unsent, "the request has expired"));
     }
+    if !is_available(shared, engine) {
+        pool.put(engine.entry.address, channel);
+        return Err(AttemptFailure::new(
+            End::Unsent,
+            "the engine is leaving or paused",
+        ));
+    }
+    Ok(channel)
+}
+
+/// Whether an engine that was chosen before may still get requests. Opening a connection may take almost a second.
+fn is_available(shared: &Shared, engine: &Engine) -> bool {
+    let is_listed = shared.view.load().ids().contains_key(&engine.key);
+    let traffic = shared.traffic();
+    is_listed && !traffic.notices.is_unavailable(clock::now(), engine.incarnation())
 }
 
 /// A connection to `engine`: an idle one that may be reused, or a new one that is opened within `limit` and
--- a/tests/testsuite/relay/tunnels.rs
+++ b/tests/testsuite/relay/tunnels.rs
@@ -359,3 +359,55 @@
     drop(tunnel);
     assert_eq!(shared.running(), 0);
 }
+
+/// A peer that reaches the engine, and during whose connection the instance learns that the engine has left.
+#[derive(Debug, Clone)]
+struct PeerOfLeavingEngine {
+    engine: SocketAddr,
+    /// Notified when the connection is asked for; the engine is gone when `left` is notified.
+    asked: Rc<Notify>,
+    left: Rc<Notify>,
+}
+
+impl Responder for PeerOfLeavingEngine {
+    async fn respond(&self, _: Request) -> Response {
+        Response::NotServed
+    }
+
+    async fn connect(&self, _: SocketAddr) -> Option<Upstream> {
+        self.asked.notify_one();
+        self.left.notified().await;
+        TcpStream::connect(self.engine).await.ok().map(Upstream::from)
+    }
+}
+
+/// Guards against a request reaching an engine that left while the connection to it was opened: nothing was checked between
+/// the choice of the engine and the send.
+#[actix_web::test]
+async fn engine_leaves_while_connecting() {
+    let engine = ScriptedEngine::start(|_, request| vec![answer(request, "whole")]).await;
+    let instance = Instance::start(RouteKind::Idempotent, &[(&engine, Stage::Whole)], |_| {});
+    let hanging = UnreachableAddress::hanging().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("a bound listener");
+    let peer = PeerOfLeavingEngine {
+        engine: engine.address(),
+        asked: Rc::default(),
+        left: Rc::default(),
+    };
+    actix_web::rt::spawn(sequoiastream_peer::serve(
+        listener,
+        instance.shared.key.clone(),
+        peer.clone(),
+    ));
+    detach(&instance, hanging.address, &[address]);
+    let (got, ()) = tokio::join!(instance.get("/r/x", "q1", ""), async {
+        peer.asked.notified().await;
+        instance
+            .shared
+            .publish(|view| view.set_engines(Default::default()));
+        peer.left.notify_one();
+    });
+    assert_eq!(status(&got), "503", "{got}");
+    assert_eq!(engine.log().requests.len(), 0);
+}
