Relay: the log names the parts of a prompt that others may share

Events 400 (attempt-failed) and 405 (forwarded) have `parts`: whether requests that crash engines have a part in common, and whether any engine began to answer with it, could not be read. No change of logic.

--- a/crates/core/src/relay/prompt.rs
+++ b/crates/core/src/relay/prompt.rs
@@ -29,6 +29,12 @@
         self.parts.get(others).copied()
     }
 
+    /// Returns the parts that other requests may share.
+    pub fn shared_parts(&self) -> &[Part] {
+        let shared = self.parts.len().saturating_sub(1);
+        &self.parts[..shared]
+    }
+
     /// Returns the number of tokens in the parts that other requests may share.
     pub fn shared_tokens(&self) -> u32 {
         let own = self.parts.last().map_or(self.input, |part| part.tokens);
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -357,7 +357,8 @@
         log_event!(info, log_event::FORWARDED, request = self.id(), route = %self.route.name, engine = %engine.entry.id,
             first = first.as_millis() as u64, handover = now.since(started).as_millis() as u64, requests,
             version = engine.entry.version, config = self.view.table.version, resumes = self.resumes(),
-            after = self.incoming.last_event, heard = self.shared.store_age(now).as_millis() as u64);
+            after = self.incoming.last_event, heard = self.shared.store_age(now).as_millis() as u64,
+            parts = self.incoming.shared_parts());
         if self.prefilled_at.is_some() && requests < engine.entry.slots {
             self.shared
                 .traffic()
--- a/src/ops/relay/retries.rs
+++ b/src/ops/relay/retries.rs
@@ -40,7 +40,7 @@
     pub(super) fn log_failure(&self, engine: &Engine, failure: &AttemptFailure, call: &str) {
         log_event!(info, log_event::ATTEMPT_FAILED, request = self.id(), route = %self.route.name,
             engine = %engine.entry.id, end = ?failure.end, why = failure.reason, call,
-            fingerprint = %self.incoming.identity.any);
+            fingerprint = %self.incoming.identity.any, parts = self.incoming.shared_parts());
     }
 
     /// Handles a failed attempt. Returns `None` if another attempt may follow, otherwise the final answer.
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -76,6 +76,13 @@
         self.expires_at.since(clock::now())
     }
 
+    /// The ids of the parts of the prompt that other requests may share, for the log.
+    pub(super) fn shared_parts(&self) -> String {
+        let parts = self.prompt.iter().flat_map(|prompt| prompt.shared_parts());
+        let ids: Vec<String> = parts.map(|part| format!("{:x}", part.id)).collect();
+        ids.join(",")
+    }
+
     /// Updates the arrivals at engines.
     pub(super) fn update_arrivals<F, R>(&self, update: F) -> R
     where
