--- a/tests/testsuite/relay/crashes.rs
+++ b/tests/testsuite/relay/crashes.rs
@@ -6,6 +6,7 @@
 use sequoiastream_core::relay::routes::RouteKind;
 use sequoiastream_upstream::channel::Pool;
 
+use super::answers::event_stream;
 use super::engine::Action;
 use super::engine::ReceivedRequest;
 use super::engine::ScriptedEngine;
@@ -138,3 +139,44 @@
         );
     }
 }
+
+/// The part of prompts that crashes engines of [`engine_of_parts`].
+const POISONOUS_PART: u64 = 13;
+
+/// The first part of all prompts.
+const FIRST_PART: u64 = 1;
+
+/// An engine that crashes when it begins to answer a prompt with [`POISONOUS_PART`], and streams an answer to all others.
+async fn engine_of_parts() -> ScriptedEngine {
+    let parts = format!("x-parts: {FIRST_PART},{POISONOUS_PART}\r\n");
+    ScriptedEngine::start(move |_, request| match request.head.contains(&parts) {
+        true => vec![Action::Crash],
+        false => vec![Action::Send(event_stream(request, 1..=2) + "0\r\n\r\n")],
+    })
+    .await
+}
+
+/// Guards against requests that crash one engine after the other though no two of them are alike: they have one part of
+/// their prompts in common, and only whole requests are recognised when they come again. Other requests with the same
+/// first part are served.
+#[actix_web::test]
+async fn block_part_of_prompt() {
+    for kind in [RouteKind::Stream, RouteKind::Resumable] {
+        let mut engines = Vec::new();
+        for _ in 0..8 {
+            engines.push(engine_of_parts().await);
+        }
+        let instance = start(kind, &engines);
+        for attempt in 0..7 {
+            let path = format!("/r/poison{attempt}");
+            let parts = format!("x-tokens: 100\r\nx-parts: {FIRST_PART},{POISONOUS_PART}\r\n");
+            let got = instance.get(&path, &format!("p{attempt}"), &parts).await;
+            assert!(crashes(&engines) <= MIN_CRASHES, "attempt {attempt}: {got}");
+            let parts = format!("x-tokens: 100\r\nx-parts: {FIRST_PART},{}\r\n", 100 + attempt);
+            let got = instance
+                .get(&format!("/r/sound{attempt}"), &format!("s{attempt}"), &parts)
+                .await;
+            assert_eq!(status(&got), "200", "{got}");
+        }
+    }
+}
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -163,22 +163,18 @@
     }
 
     fn prompt(&self, model: &str, tokens: &str, parts: &str) -> Result<Prompt, Malformed> {
-        let shared = parts.parse().unwrap_or(1);
         let input: u32 = tokens.parse().map_err(|e| Malformed::new("prompt", e))?;
+        let shared: Vec<u64> = parts.split(',').filter_map(|id| id.trim().parse().ok()).collect();
+        let shared = if shared.is_empty() { vec![1] } else { shared };
+        let tokens = input / 2 / u32::try_from(shared.len()).map_err(|e| Malformed::new("prompt", e))?;
+        let mut parts: Vec<Part> = shared.into_iter().map(|id| Part { id, tokens }).collect();
+        let own = input - parts.iter().map(|part| part.tokens).sum::<u32>();
+        parts.push(Part { id: 0, tokens: own });
         Ok(Prompt {
             model: model.to_string(),
             input,
             output: 1,
-            parts: vec![
-                Part {
-                    id: shared,
-                    tokens: input / 2,
-                },
-                Part {
-                    id: 0,
-                    tokens: input - input / 2,
-                },
-            ],
+            parts,
         })
     }
 
