Follow: a question to a peer doesn't delay the instance's own call to the store

Cause: an instance that hears no confirmation calls the store itself after 0.8 of the limit, but a question to a peer, begun just before, keeps it for up to 0.8 s if that peer gives no answer; the pause after a failed call began after such a question, too. Class: steps that each fit into the limit, in series.

Now a question ends 0.2 s after the call is due at the latest, the pause is counted from the failed call, and the batch delay after an answer ends when the call is due.

--- a/crates/core/src/relay/watchers.rs
+++ b/crates/core/src/relay/watchers.rs
@@ -76,12 +76,27 @@
 /// during the pause.
 const MAX_LISTENER_BACKOFF: Duration = Duration::from_millis(2_000);
 
+/// Shortest time that an instance waits for a peer's answer, also if a call to the store is due meanwhile: almost all answers
+/// arrive within it.
+const MIN_ASK_TIME: Duration = Duration::from_millis(200);
+
+/// Longest time that an instance waits for a peer's answer.
+const MAX_ASK_TIME: Duration = Duration::from_millis(800);
+
 /// Range of the random factor by which a pause is multiplied.
 const JITTER: Range<f64> = 0.5..1.5;
 
 /// Time to read everything once a call succeeds, as a fraction of the [`ApplyLimit`].
 const READ_FRACTION: f64 = 0.1;
 
+/// Time limit of a question to a peer, if this instance calls the store itself in `left`.
+///
+/// Guards against an instance that asks a peer right before it would call the store, and goes on with old data because the
+/// peer gives no answer.
+pub fn ask_timeout(left: Duration) -> Duration {
+    left.clamp(MIN_ASK_TIME, MAX_ASK_TIME)
+}
+
 /// The number of watchers in a fleet of `members` instances.
 pub fn watcher_count(members: usize) -> usize {
     members
--- a/src/ops/relay/follow/join.rs
+++ b/src/ops/relay/follow/join.rs
@@ -10,6 +10,7 @@
 
 use crate::ops::relay::follow::Follower;
 use crate::ops::relay::register;
+use crate::util::clock;
 
 /// Time after the start by which instances that start together have registered and can be listed.
 const REGISTRATION_TIME: Duration = Duration::from_millis(500);
@@ -82,7 +83,7 @@
             }
         }
         self.wait_for_update(RETRY_INTERVAL).await;
-        self.ask_peer().await;
+        self.ask_peer(clock::now()).await;
     }
 
     /// Whether peers of other zones may be asked. During startup, peers of this zone are preferred because a full
--- a/src/ops/relay/follow/listen.rs
+++ b/src/ops/relay/follow/listen.rs
@@ -6,6 +6,7 @@
 use sequoiastream_core::log_event;
 use sequoiastream_core::relay::engines::min_expiry_outage;
 use sequoiastream_core::relay::watchers::ConfirmedStatus;
+use sequoiastream_core::relay::watchers::ask_timeout;
 use sequoiastream_core::time::Time;
 use sequoiastream_kv::store::Change;
 use sequoiastream_kv::store::Item;
@@ -25,12 +26,13 @@
     pub(super) async fn listen(&mut self, until: Time) {
         self.wait_for_update(until.since(clock::now())).await;
         // Asks only once: while a fleet starts, some peer is always ahead, and a loop would ask without a pause.
-        let is_updated = self.ask_peer().await;
+        let is_updated = self.ask_peer(until).await;
         self.on_confirmed();
         if is_updated {
             // Later changes are fetched in one batch: the cost of applying changes grows with the size of the fleet,
             // however few they are.
-            self.wait(batch_delay(self.shared.view.load().instances)).await;
+            let delay = batch_delay(self.shared.view.load().instances);
+            self.wait(delay.min(until.since(clock::now()))).await;
         }
     }
 
@@ -56,12 +58,14 @@
         }
     }
 
-    /// Fetches and applies the changes of a peer that is ahead. Returns whether there was one and its changes were
-    /// applied.
-    pub(super) async fn ask_peer(&mut self) -> bool {
+    /// Fetches and applies the changes of a peer that is ahead; this instance calls the store itself at `next_call`.
+    /// Returns whether there was one and its changes were applied.
+    pub(super) async fn ask_peer(&mut self, next_call: Time) -> bool {
+        let now = clock::now();
+        let timeout = ask_timeout(next_call.since(now));
         let answer = self
             .fleet
-            .ask_for_changes(self.known.revision(), self.may_ask_other_zones(clock::now()))
+            .ask_for_changes(self.known.revision(), self.may_ask_other_zones(now), timeout)
             .await;
         let Some(PeerAnswer { peer, asked, parts }) = answer else {
             return false;
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -274,7 +274,7 @@
                     // Other instances watch on behalf of this one again, or its own watch is silent.
                     let is_listener = !fleet.watch_rank().is_watcher();
                     if is_listener || self.is_watch_silent(&mut overtaken_at) {
-                        let is_updated = self.ask_peer().await;
+                        let is_updated = self.ask_peer(clock::now()).await;
                         // Otherwise the watch may still be answered, and fails in time if not.
                         if is_listener || is_updated {
                             return Ok(());
@@ -565,7 +565,8 @@
             rand::random(),
         );
         self.failures += 1;
-        self.ask_peer().await;
-        self.listen_during_pause(clock::now() + pause).await;
+        let next_call = now + pause;
+        self.ask_peer(next_call).await;
+        self.listen_during_pause(next_call).await;
     }
 }
--- a/src/ops/relay/peers/ask.rs
+++ b/src/ops/relay/peers/ask.rs
@@ -17,9 +17,6 @@
 use crate::ops::relay::peers::Fleet;
 use crate::util::clock;
 
-/// Timeout of a request for the changes since a revision.
-const CHANGES_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// Timeout of a request for a page: eight peers may share the answering peer's link at the same time.
 const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -74,12 +71,17 @@
     }
 
     /// Asks a peer that is ahead for everything after `revision`; `None` if no peer is ahead or it did not answer with
-    /// anything new. Peers of other zones are asked only if `other_zones` is set.
-    pub async fn ask_for_changes(&self, revision: u64, other_zones: bool) -> Option<PeerAnswer> {
+    /// anything new within `timeout`. Peers of other zones are asked only if `other_zones` is set.
+    pub async fn ask_for_changes(
+        &self,
+        revision: u64,
+        other_zones: bool,
+        timeout: Duration,
+    ) -> Option<PeerAnswer> {
         let (name, peer) = self.most_advanced_peer(revision, other_zones)?;
         let (request, timeout) = match revision {
             0 => (Request::Page(String::new()), PAGE_TIMEOUT),
-            _ => (Request::Since(revision), CHANGES_TIMEOUT),
+            _ => (Request::Since(revision), timeout),
         };
         let asked = clock::now();
         let parts = match self.0.calls.call(peer, &request, timeout).await {
--- a/tests/testsuite/relay/watchers/world.rs
+++ b/tests/testsuite/relay/watchers/world.rs
@@ -11,6 +11,7 @@
 use sequoiastream_core::relay::watchers::FleetRank;
 use sequoiastream_core::relay::watchers::SyncState;
 use sequoiastream_core::relay::watchers::WatchAction;
+use sequoiastream_core::relay::watchers::ask_timeout;
 use sequoiastream_core::relay::watchers::rank_candidates;
 use sequoiastream_core::relay::watchers::watcher_count;
 use sequoiastream_core::time::Time;
@@ -87,10 +88,21 @@
     last_failure: Option<Time>,
     /// Whether its open watch never gets an answer.
     silent: bool,
+    /// The question to a peer that it waits for; it does nothing else meanwhile.
+    question: Option<Question>,
     /// Time since which it has had no fault of its own.
     healthy_since: Time,
 }
 
+/// A question to a peer that is ahead.
+#[derive(Debug, Clone, Copy)]
+struct Question {
+    /// When the wait for the answer ends.
+    until: Time,
+    /// When it was sent, and what the peer answers; `None` if the answer is lost.
+    answer: Option<(Time, ConfirmedStatus)>,
+}
+
 impl Instance {
     /// Pauses after a call that got no answer.
     fn on_failure(&mut self, now: Time, rank: FleetRank, jitter: f64) {
@@ -168,6 +180,7 @@
             failures: 0,
             last_failure: None,
             silent: false,
+            question: None,
             healthy_since: now,
         };
         World {
@@ -340,6 +353,7 @@
                     instance.paused = instance.paused.max(now + length);
                     instance.state = SyncState::new(now.as_micros() << 10 | index as u64);
                     instance.call = Call::None;
+                    instance.question = None;
                     instance.heard.fill(None);
                 }
                 // The store refuses its calls or doesn't answer.
@@ -406,9 +420,47 @@
         let now = self.now;
         self.instances[to].heard[from] = Some(now);
         let Some(status) = status else { return };
-        if self.instances[to].state.on_peer_status(now, status) {
-            self.instances[to].state.on_peer_changes(now, status);
+        if !self.instances[to].state.on_peer_status(now, status) {
+            return;
+        }
+        match self.timing {
+            Timing::Lockstep => self.instances[to].state.on_peer_changes(now, status),
+            Timing::Delayed => self.ask(to, status),
+        }
+    }
+
+    /// Asks a peer that is ahead, unless the instance is busy. One in ten answers is lost, as that of a peer that has just lost
+    /// its power.
+    fn ask(&mut self, index: usize, status: ConfirmedStatus) {
+        let now = self.now;
+        let transit = self.draw_transit_time() + self.draw_transit_time();
+        let is_lost = self.random.random_bool(0.1);
+        let instance = &mut self.instances[index];
+        let next_call = match instance.call {
+            Call::Listening(until) | Call::Backoff(until) => until,
+            Call::None | Call::Waiting { .. } | Call::Batching(_) => return,
+        };
+        if instance.question.is_none() {
+            let timeout = ask_timeout(next_call.since(now));
+            instance.question = Some(Question {
+                until: now + if is_lost { timeout } else { transit },
+                answer: (!is_lost).then_some((now, status)),
+            });
+        }
+    }
+
+    /// Whether the instance waits for the answer of a peer. Applies the answer that has arrived.
+    fn is_asking(&mut self, index: usize) -> bool {
+        let now = self.now;
+        let instance = &mut self.instances[index];
+        let Some(question) = instance.question.filter(|question| question.until <= now) else {
+            return instance.question.is_some();
+        };
+        instance.question = None;
+        if let Some((asked, status)) = question.answer {
+            instance.state.on_peer_changes(asked, status);
         }
+        false
     }
 
     fn rank(&self, index: usize) -> FleetRank {
@@ -421,7 +473,7 @@
     }
 
     fn follow_store(&mut self, index: usize) {
-        if !self.is_up(index) {
+        if !self.is_up(index) || self.is_asking(index) {
             return;
         }
         let now = self.now;
