Upstream: answers with neither a length nor chunks, on both roads

What callers saw (shown by tests): on the product's own road, a plain service's answer with neither a length nor chunks reached the caller as an empty one that looked whole; an engine's stream of that kind seemed to hold no pieces.

Cause: awc takes an answer of HTTP/1.1 with neither for one without a body. Plain calls and attempts now use the product's own connections, as forwarded requests do, which read such an answer to the end of its connection; the connector that checked a permit after connecting is gone, the permit is checked at the same moment. A stream that ends within a piece is now broken off, also if its framing ends properly.

--- a/crates/upstream/src/channel.rs
+++ b/crates/upstream/src/channel.rs
@@ -107,6 +107,22 @@
     ///
     /// [`ChannelError::Refused`] or [`ChannelError::Unsent`] if no connection can be established.
     pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Channel, ChannelError> {
+        Channel::connect_permitted(address, limit, || true).await
+    }
+
+    /// Connects directly within `limit`, and closes the connection at once if `permit` then returns `false`.
+    ///
+    /// # Errors
+    ///
+    /// [`ChannelError::Refused`] or [`ChannelError::Unsent`] if no connection can be established or is permitted.
+    pub async fn connect_permitted<P>(
+        address: SocketAddr,
+        limit: Duration,
+        permit: P,
+    ) -> Result<Channel, ChannelError>
+    where
+        P: FnOnce() -> bool,
+    {
         let unsent = |e: std::io::Error| match e.kind() {
             ErrorKind::ConnectionRefused => ChannelError::Refused(e.to_string()),
             _ => ChannelError::Unsent(e.to_string()),
@@ -116,6 +132,10 @@
             .map_err(|_| ChannelError::Unsent("no connection in time".to_string()))?
             .map_err(unsent)?;
         stream.set_nodelay(true).map_err(unsent)?;
+        if !permit() {
+            let reason = "the request is no longer permitted";
+            return Err(ChannelError::Unsent(reason.to_string()));
+        }
         Channel::handshake(stream, Path::Direct).await
     }
 
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -3,31 +3,28 @@
 use std::fmt;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::rc::Rc;
 use std::str::FromStr;
 use std::time::Duration;
 
-use actix_rt::net::TcpStream;
-use actix_service::Service;
-use actix_tls::connect::ConnectInfo;
-use actix_tls::connect::Connection;
 use awc::Client;
 use awc::Connector;
 use awc::error::ConnectError;
 use awc::error::SendRequestError;
-use awc::http::Uri;
 use awc::http::header::HeaderMap;
 use bytes::Bytes;
-use futures_util::Stream;
-use futures_util::StreamExt;
+use http::Request;
+use http::header;
+use http_body_util::Full;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use uuid::Uuid;
 
+use crate::channel::Answer;
+use crate::channel::Channel;
+use crate::channel::Pool;
 use crate::error::UpstreamError;
 use crate::lines::LineReader;
-use crate::permit::Permit;
-use crate::permit::PermitConnector;
 use crate::wire::CacheEvent;
 use crate::wire::CancelBody;
 use crate::wire::GenerateBody;
@@ -41,7 +38,7 @@
 use crate::wire::VERSION_MISMATCH;
 
 /// Timeout for connecting to an upstream.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Timeout for short calls: cancel, load, orders.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -53,9 +50,17 @@
 #[derive(Clone)]
 pub struct EngineClient {
     http: Client,
+    /// Connections of attempts. `awc` takes an answer with neither a length nor chunks for an empty one.
+    pool: Pool,
+    permit: Option<Permit>,
 }
 
-type Body = Pin<Box<dyn Stream<Item = Result<Bytes, awc::error::PayloadError>>>>;
+/// Called when a new connection for an attempt is open; returns whether the attempt may be sent on it.
+///
+/// Guards against a request to a drained engine: the process is paused while it connects, and operators drain the
+/// engine before it resumes. Connecting is the only wait between the choice of the engine and the request, so the
+/// permit detects such a pause before anything is sent.
+pub type Permit = Rc<dyn Fn() -> bool>;
 
 /// Result of probing whether an engine is running.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -76,7 +81,10 @@
     pub version: u32,
     /// The engine's incarnation, if it reports one.
     pub incarnation: Option<Uuid>,
-    body: Body,
+    /// The answer, until it has ended.
+    answer: Option<Answer>,
+    to: SocketAddr,
+    pool: Pool,
     lines: LineReader,
 }
 
@@ -89,15 +97,19 @@
 impl EngineClient {
     /// Creates a client with its own connection pool.
     pub fn new() -> EngineClient {
-        EngineClient { http: http_client() }
+        EngineClient {
+            http: http_client(),
+            pool: Pool::new(),
+            permit: None,
+        }
     }
 
-    /// Creates a client with its own connection pool that calls `permit` after each connection is established. If it
-    /// returns `false`, the request fails with [`UpstreamError::Connect`] and nothing is sent.
+    /// Creates a client with its own connection pool that calls `permit` once a new connection for an attempt is open.
+    /// If it returns `false`, the attempt fails with [`UpstreamError::Connect`] and nothing is sent.
     pub fn with_permit(permit: Permit) -> EngineClient {
-        let connector = Connector::new().connector(PermitConnector::new(permit));
         EngineClient {
-            http: client_with(connector),
+            permit: Some(permit),
+            ..EngineClient::new()
         }
     }
 
@@ -107,20 +119,32 @@
     ///
     /// [`UpstreamError`]; [`UpstreamError::is_not_started`] tells whether another attempt is safe.
     pub async fn generate(&self, to: SocketAddr, call: &GenerateBody) -> Result<EngineStream, UpstreamError> {
-        let url = format!("http://{to}/v1/generate");
-        let answer = self.http.post(url).send_json(call).await.map_err(send_error)?;
-        let status = answer.status().as_u16();
-        if !answer.status().is_success() {
-            return Err(match answer.headers().contains_key(NOT_STARTED) {
-                true if status == VERSION_MISMATCH => UpstreamError::VersionMismatch,
-                true => UpstreamError::NotStarted(status),
-                false => UpstreamError::Status(status),
+        let body = serde_json::to_vec(call).map_err(|e| UpstreamError::Connect(e.to_string()))?;
+        let request = Request::post("/v1/generate")
+            .header(header::HOST, to.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|e| UpstreamError::Connect(e.to_string()))?;
+        let is_permitted = || self.permit.as_ref().is_none_or(|permit| permit());
+        let channel = match self.pool.take_idle(to) {
+            Some(channel) => channel,
+            None => Channel::connect_permitted(to, CONNECT_TIMEOUT, is_permitted).await?,
+        };
+        let answer = channel.send(request, Duration::MAX).await?;
+        let (status, headers) = (answer.head.status, &answer.head.headers);
+        if !status.is_success() {
+            return Err(match headers.contains_key(NOT_STARTED) {
+                true if status.as_u16() == VERSION_MISMATCH => UpstreamError::VersionMismatch,
+                true => UpstreamError::NotStarted(status.as_u16()),
+                false => UpstreamError::Status(status.as_u16()),
             });
         }
         Ok(EngineStream {
-            version: header(answer.headers(), MODEL_VERSION).unwrap_or_default(),
-            incarnation: header(answer.headers(), INCARNATION),
-            body: Box::pin(answer),
+            version: parsed(headers.get(MODEL_VERSION).and_then(|v| v.to_str().ok())).unwrap_or_default(),
+            incarnation: parsed(headers.get(INCARNATION).and_then(|v| v.to_str().ok())),
+            answer: Some(answer),
+            to,
+            pool: self.pool.clone(),
             lines: LineReader::default(),
         })
     }
@@ -229,21 +253,32 @@
 }
 
 impl EngineStream {
-    /// The next piece; `None` when the engine closed the stream.
+    /// The next piece; `None` when the engine ended the stream.
     ///
     /// # Errors
     ///
-    /// [`UpstreamError::Broken`] if the connection broke, [`UpstreamError::Malformed`] for a line that is not a
-    /// valid piece.
+    /// [`UpstreamError::Broken`] if the connection broke or the stream ended within a piece,
+    /// [`UpstreamError::Malformed`] for a line that is not a valid piece.
     pub async fn next(&mut self) -> Result<Option<PieceBody>, UpstreamError> {
         loop {
             if let Some(piece) = self.lines.pop() {
                 return Ok(Some(piece));
             }
-            match self.body.next().await {
-                None => return Ok(None),
-                Some(Err(error)) => return Err(UpstreamError::Broken(error.to_string())),
-                Some(Ok(bytes)) => self.lines.push(&bytes)?,
+            let Some(answer) = &mut self.answer else {
+                return Ok(None);
+            };
+            match answer.next().await? {
+                Some(bytes) => self.lines.push(&bytes)?,
+                None if self.lines.has_rest() => {
+                    let reason = "the stream ended within a piece";
+                    return Err(UpstreamError::Broken(reason.to_string()));
+                }
+                None => {
+                    let ended = self.answer.take();
+                    ended
+                        .into_iter()
+                        .for_each(|answer| self.pool.keep(self.to, answer));
+                }
             }
         }
     }
@@ -253,25 +288,20 @@
 where
     T: FromStr,
 {
-    headers.get(name)?.to_str().ok()?.parse().ok()
+    parsed(headers.get(name)?.to_str().ok())
 }
 
-/// Creates an HTTP client that follows no redirects: following one would send a request twice.
-pub(crate) fn http_client() -> Client {
-    client_with(Connector::new())
-}
-
-fn client_with<S>(connector: Connector<S>) -> Client
+fn parsed<T>(value: Option<&str>) -> Option<T>
 where
-    S: Service<
-            ConnectInfo<Uri>,
-            Response = Connection<Uri, TcpStream>,
-            Error = actix_tls::connect::ConnectError,
-        > + Clone
-        + 'static,
+    T: FromStr,
 {
+    value?.parse().ok()
+}
+
+/// Creates an HTTP client that follows no redirects: following one would send a request twice.
+fn http_client() -> Client {
     Client::builder()
-        .connector(connector.timeout(CONNECT_TIMEOUT).limit(0))
+        .connector(Connector::new().timeout(CONNECT_TIMEOUT).limit(0))
         .disable_redirects()
         .disable_timeout()
         .finish()
@@ -283,7 +313,7 @@
 /// sent as `Connect(Disconnected)`, as if it had never been established; a caller that relied on this would
 /// retry an order that ran. Every other connect error occurs before the connection exists, so only this one is mapped
 /// to [`UpstreamError::Broken`].
-pub(crate) fn send_error(error: SendRequestError) -> UpstreamError {
+fn send_error(error: SendRequestError) -> UpstreamError {
     match error {
         SendRequestError::Connect(ConnectError::Disconnected) => {
             UpstreamError::Broken("closed without an answer".to_string())
--- a/crates/upstream/src/error.rs
+++ b/crates/upstream/src/error.rs
@@ -3,6 +3,8 @@
 use sequoiastream_core::attempt::End;
 use thiserror::Error;
 
+use crate::channel::ChannelError;
+
 /// Why an attempt at an upstream returned no complete answer.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum UpstreamError {
@@ -32,6 +34,17 @@
     Stale(u64),
 }
 
+impl From<ChannelError> for UpstreamError {
+    fn from(error: ChannelError) -> UpstreamError {
+        match error {
+            ChannelError::Unsent(_) | ChannelError::Refused(_) => UpstreamError::Connect(error.to_string()),
+            ChannelError::Broken(_) => UpstreamError::Broken(error.to_string()),
+            ChannelError::Timeout => UpstreamError::Timeout,
+            ChannelError::TooLong(_) => UpstreamError::Malformed(error.to_string()),
+        }
+    }
+}
+
 impl UpstreamError {
     /// How the attempt ended, which determines whether the request may have run.
     pub fn end(&self) -> End {
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -8,16 +8,15 @@
 mod error;
 pub mod events;
 mod lines;
-mod permit;
 mod plain;
 pub mod wire;
 
 pub use engine::EngineClient;
 pub use engine::EngineStream;
+pub use engine::Permit;
 pub use engine::Probe;
 pub use error::UpstreamError;
 pub use lines::LineReader;
-pub use permit::Permit;
 pub use plain::PlainCall;
 pub use plain::PlainClient;
 pub use plain::PlainReply;
--- a/crates/upstream/src/lines.rs
+++ b/crates/upstream/src/lines.rs
@@ -36,6 +36,11 @@
         }
     }
 
+    /// Whether a part of a line has arrived whose end has not.
+    pub fn has_rest(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// The next piece, if a complete one has arrived.
     pub fn pop(&mut self) -> Option<PieceBody> {
         self.ready.pop_front()
--- a/crates/upstream/src/plain.rs
+++ b/crates/upstream/src/plain.rs
@@ -1,17 +1,21 @@
 //! Client of plain services.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
-use awc::Client;
-use awc::ClientRequest;
 use awc::http::Method;
 use bytes::Bytes;
-use tokio::time::timeout;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Request;
+use http::header;
+use http_body_util::Full;
 
-use crate::engine::http_client;
-use crate::engine::send_error;
+use crate::channel::Answer;
+use crate::channel::Channel;
+use crate::channel::Pool;
+use crate::engine::CONNECT_TIMEOUT;
 use crate::error::UpstreamError;
 use crate::wire::NOT_STARTED;
 
@@ -43,25 +47,17 @@
 }
 
 /// Client of plain services; confined to one thread (not `Send`), cheap to clone.
-#[derive(Clone)]
+///
+/// `awc` takes an answer with neither a length nor chunks for an empty one, so this client uses [`Channel`].
+#[derive(Debug, Clone, Default)]
 pub struct PlainClient {
-    http: Client,
-    unpooled: Client,
-}
-
-impl Default for PlainClient {
-    fn default() -> Self {
-        PlainClient::new()
-    }
+    pool: Pool,
 }
 
 impl PlainClient {
     /// Creates a client with its own connection pool.
     pub fn new() -> PlainClient {
-        PlainClient {
-            http: http_client(),
-            unpooled: http_client(),
-        }
+        PlainClient::default()
     }
 
     /// Sends `call` once and reads the complete answer within `limit`.
@@ -75,17 +71,21 @@
         call: &PlainCall,
         limit: Duration,
     ) -> Result<PlainReply, UpstreamError> {
-        let request = request(&self.http, to, call);
-        timeout(limit, answer(request, call))
-            .await
-            .unwrap_or(Err(UpstreamError::Timeout))
+        let request = request(to, call)?;
+        let begun = Instant::now();
+        let channel = match self.pool.take_idle(to) {
+            Some(channel) => channel,
+            None => Channel::connect(to, limit.min(CONNECT_TIMEOUT)).await?,
+        };
+        let (reply, answer) = exchange(channel, request, limit.saturating_sub(begun.elapsed())).await?;
+        self.pool.keep(to, answer);
+        Ok(reply)
     }
 
     /// Like [`send`](PlainClient::send), on a new connection that is closed afterwards.
     ///
-    /// Failure guarded against: the upstream closes a pooled connection while the request is being sent on it, and the
-    /// HTTP client, or a proxy behind it, retries the request; an order would run twice. No connection is kept in
-    /// this client's pool, so no stale connection can be used.
+    /// Failure guarded against: the upstream closes a pooled connection while the request is being sent on it, and a
+    /// proxy behind it retries the request; an order would run twice.
     ///
     /// # Errors
     ///
@@ -96,48 +96,57 @@
         call: &PlainCall,
         limit: Duration,
     ) -> Result<PlainReply, UpstreamError> {
-        let request = request(&self.unpooled, to, call).force_close();
-        timeout(limit, answer(request, call))
-            .await
-            .unwrap_or(Err(UpstreamError::Timeout))
+        let mut request = request(to, call)?;
+        let close = HeaderValue::from_static("close");
+        request.headers_mut().insert(header::CONNECTION, close);
+        let begun = Instant::now();
+        let channel = Channel::connect(to, limit.min(CONNECT_TIMEOUT)).await?;
+        let (reply, _) = exchange(channel, request, limit.saturating_sub(begun.elapsed())).await?;
+        Ok(reply)
     }
 }
 
-fn request(http: &Client, to: SocketAddr, call: &PlainCall) -> ClientRequest {
-    let url = format!("http://{to}{}", call.path);
-    let mut request = http.request(call.method.clone(), url);
+fn request(to: SocketAddr, call: &PlainCall) -> Result<Request<Full<Bytes>>, UpstreamError> {
+    let mut builder = Request::builder()
+        .method(call.method.as_str())
+        .uri(&call.path)
+        .header(header::HOST, to.to_string());
     for (name, value) in &call.headers {
-        request = request.insert_header((name.as_str(), value.as_str()));
+        let name = HeaderName::from_bytes(name.as_bytes()).map_err(unsent)?;
+        builder = builder.header(name, HeaderValue::from_str(value).map_err(unsent)?);
     }
-    request
+    builder.body(Full::new(call.body.clone())).map_err(unsent)
+}
+
+/// The error of a call that can't be sent.
+fn unsent<E>(error: E) -> UpstreamError
+where
+    E: std::fmt::Display,
+{
+    UpstreamError::Connect(format!("the call is invalid: {error}"))
 }
 
-async fn answer(request: ClientRequest, call: &PlainCall) -> Result<PlainReply, UpstreamError> {
-    let sent = request.send_body(call.body.clone()).await;
-    let mut answer = sent.map_err(send_error)?;
-    let status = answer.status().as_u16();
-    if answer.headers().contains_key(NOT_STARTED) {
+/// Sends a request and reads the complete answer within `limit`.
+async fn exchange(
+    channel: Channel,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Result<(PlainReply, Answer), UpstreamError> {
+    let begun = Instant::now();
+    let mut answer = channel.send(request, limit).await?;
+    let status = answer.head.status.as_u16();
+    if answer.head.headers.contains_key(NOT_STARTED) {
         return Err(UpstreamError::NotStarted(status));
     }
-    let content = answer
-        .headers()
-        .get("content-type")
-        .and_then(|v| v.to_str().ok())
-        .map(str::to_string);
+    let content = answer.head.headers.get(header::CONTENT_TYPE);
+    let content = content.and_then(|v| v.to_str().ok()).map(str::to_string);
     let body = answer
-        .body()
-        .limit(MAX_ANSWER)
-        .await
-        .map_err(|e| UpstreamError::Broken(e.to_string()))?;
-    Ok(PlainReply {
+        .read(MAX_ANSWER, limit.saturating_sub(begun.elapsed()))
+        .await?;
+    let reply = PlainReply {
         status,
         content,
         body,
-    })
-}
-
-impl fmt::Debug for PlainClient {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("PlainClient").finish_non_exhaustive()
-    }
+    };
+    Ok((reply, answer))
 }
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -48,6 +48,7 @@
 mod truth;
 mod tunnel_peers;
 mod tunnels;
+mod unframed;
 mod usage;
 mod versions;
 mod watchers;
--- a/tests/testsuite/upstream.rs
+++ b/tests/testsuite/upstream.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -41,6 +42,21 @@
     }
 }
 
+fn generate_body() -> GenerateBody {
+    GenerateBody {
+        attempt: Uuid::from_u128(1),
+        model: "m".to_string(),
+        prompt: "short turn".to_string(),
+        limit: 3,
+        seed: 1,
+        offset: 0,
+        version: None,
+        prefix: None,
+        priority: 0,
+        import: None,
+    }
+}
+
 /// Guards against an order that runs twice. An upstream executes an order and dies before it answers; awc uses its
 /// connect error `Disconnected` also for a connection that closed after the request was sent. If that counted as a
 /// failure to connect, the instance would report `not-run` and the caller would order again.
@@ -82,18 +98,7 @@
         *connection.borrow_mut() = Some(stream);
         false
     }));
-    let body = GenerateBody {
-        attempt: Uuid::from_u128(1),
-        model: "m".to_string(),
-        prompt: "short turn".to_string(),
-        limit: 3,
-        seed: 1,
-        offset: 0,
-        version: None,
-        prefix: None,
-        priority: 0,
-        import: None,
-    };
+    let body = generate_body();
     let generated = tokio::time::timeout(Duration::from_secs(5), client.generate(address, &body)).await;
     let result = generated.expect("a refused request fails without waiting");
     let error = result.expect_err("not permitted");
@@ -106,3 +111,74 @@
         .expect("the connection is closed");
     assert_eq!(received, b"", "sent without a permit");
 }
+
+/// An upstream that reads a request and sends `answer`, then closes the connection.
+fn answer_and_close(answer: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut seen = Vec::new();
+        let mut buffer = [0; 4_096];
+        while !is_complete(&seen) {
+            let count = stream.read(&mut buffer).expect("the request");
+            seen.extend_from_slice(&buffer[..count]);
+        }
+        stream.write_all(answer.as_bytes()).expect("the answer");
+    });
+    address
+}
+
+/// Whether `request` contains the whole body that its head announces.
+fn is_complete(request: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(request);
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let length = head.lines().find_map(|line| {
+        line.to_ascii_lowercase()
+            .strip_prefix("content-length: ")?
+            .parse()
+            .ok()
+    });
+    body.len() >= length.unwrap_or(0)
+}
+
+/// Guards against a plain service's answer with neither a length nor chunks that reaches the caller as an empty one.
+#[actix_web::test]
+async fn send_unframed() {
+    for headers in ["", "connection: close\r\n"] {
+        let address = answer_and_close(format!("HTTP/1.1 200 OK\r\n{headers}\r\nwhole"));
+        let result = PlainClient::new()
+            .send(address, &order(), Duration::from_secs(5))
+            .await;
+        let reply = result.expect("an answer");
+        assert_eq!((reply.status, reply.body.as_ref()), (200, b"whole".as_ref()));
+    }
+}
+
+fn piece(offset: u32) -> String {
+    format!(
+        r#"{{"attempt":"{}","offset":{offset},"text":"t","finish":null}}"#,
+        Uuid::from_u128(1)
+    ) + "\n"
+}
+
+/// Guards against the stream of an engine with neither a length nor chunks that seems to hold no pieces, and against one
+/// that ends within a piece and seems to have ended after the piece before.
+#[actix_web::test]
+async fn generate_unframed() {
+    let half = &piece(1)[..20];
+    for (end, is_whole) in [("", true), (half, false)] {
+        let address = answer_and_close(format!("HTTP/1.1 200 OK\r\n\r\n{}{end}", piece(0)));
+        let generated = EngineClient::new().generate(address, &generate_body()).await;
+        let mut stream = generated.expect("an answer");
+        let first = stream.next().await.expect("a piece");
+        assert_eq!(first.map(|piece| piece.offset), Some(0));
+        let rest = stream.next().await;
+        match is_whole {
+            true => assert!(matches!(rest, Ok(None)), "{rest:?}"),
+            false => assert!(matches!(rest, Err(UpstreamError::Broken(_))), "{rest:?}"),
+        }
+    }
+}
