Placement: engines that keep declining prefills are left out

Each request tried the engine that declines first, and the run that followed was an extra arrival.

An engine that has declined four requests in a row is left out of the choice for prefills for 0.5 s, up to 8 s with further ones; then one request tries it again. If no other engine computes prefills, the engine that generates does, with no extra arrival.

--- a/crates/core/src/relay/load_tracker.rs
+++ b/crates/core/src/relay/load_tracker.rs
@@ -24,6 +24,10 @@
 /// again after about this time.
 const DECLINE_BACKOFF: Duration = Duration::from_millis(250);
 
+/// Number of requests that an engine declines in a row before it is left out. An engine that is briefly full declines
+/// some.
+const MIN_DECLINES: u32 = 4;
+
 /// Maximum number of doublings of [`BASE_BACKOFF`]: the limit is 8 s, the time a crashed engine takes to come back.
 const MAX_DOUBLINGS: u32 = 4;
 
@@ -108,6 +112,10 @@
     own: Work,
     consecutive_faults: u32,
     avoid_until: Option<Time>,
+    /// Requests that it declined since it last answered one.
+    declines: u32,
+    /// Until when it is left out, if it has declined [`MIN_DECLINES`] requests in a row.
+    left_out: Option<Time>,
     /// Time of the last update, and the mean rate of failed attempts.
     failure_rate: (Time, f64),
     /// Time of the last update, and the mean ratio of measured to expected prefill times.
@@ -119,6 +127,14 @@
 }
 
 impl EngineState {
+    /// Leaves the engine out for a while if it has declined several requests in a row; for longer with each further one.
+    fn leave_out(&mut self, now: Time) {
+        if let Some(doublings) = self.declines.checked_sub(MIN_DECLINES) {
+            let pause = BASE_BACKOFF * (1 << doublings.min(MAX_DOUBLINGS));
+            self.left_out = Some(now + pause);
+        }
+    }
+
     /// Returns the mean failure rate, decayed to `now`.
     ///
     /// Failure guarded against: an engine fails for a while, gets no more work and is excluded for ever, since there
@@ -162,6 +178,8 @@
         self.next_job += 1;
         let state = self.engines.get_or_default(engine);
         state.own = state.own.plus(Work { requests: 1, prefill });
+        // If this one tries an engine again that was left out, others wait for its result.
+        state.leave_out(now);
         let started_at = now;
         self.jobs.insert(
             id,
@@ -207,11 +225,17 @@
             End::Answered => {
                 state.consecutive_faults = 0;
                 state.avoid_until = None;
+                state.declines = 0;
+                state.left_out = None;
             }
             End::Failed => {}
             // Failure guarded against: an engine that declines all requests has no work, so it looks like the best
             // choice.
-            End::Declined => state.avoid_until = Some(now + DECLINE_BACKOFF),
+            End::Declined => {
+                state.avoid_until = Some(now + DECLINE_BACKOFF);
+                state.declines += 1;
+                state.leave_out(now);
+            }
             End::Unsent | End::Misdirected | End::Broken | End::Silent => {
                 let backoff = BASE_BACKOFF * (1 << state.consecutive_faults.min(MAX_DOUBLINGS));
                 state.consecutive_faults += 1;
@@ -220,6 +244,12 @@
         }
     }
 
+    /// Whether an engine has declined several requests in a row, and is not due for another try.
+    pub fn is_left_out(&self, now: Time, engine: EngineKey) -> bool {
+        let state = self.engines.get(engine);
+        state.and_then(|s| s.left_out).is_some_and(|until| now < until)
+    }
+
     /// Returns the model of the prefill time for a service; the default model if nothing has been measured.
     pub fn prefill_model(&self, service: &str) -> PrefillModel {
         self.prefill_models.get(service).cloned().unwrap_or_default()
--- a/crates/core/src/relay/placement.rs
+++ b/crates/core/src/relay/placement.rs
@@ -125,9 +125,13 @@
     }
 
     /// Returns the engine at `stage` that computes the prefill of `prompt`, with the expected times. `None` if every
-    /// engine at this stage has been tried.
+    /// engine at this stage has been tried, or those that only compute prefills keep declining them.
+    ///
+    /// Failure guarded against: engines that only compute prefills decline each of them, the budget of extra attempts is
+    /// used up by prompts that are tried there first, and callers are refused although engines that generate are free.
     pub fn choose_prefill(&self, engines: &[Engine], stage: Stage, prompt: &Prompt) -> Option<PrefillPlan> {
-        let candidates = self.candidates(at_stage(engines, stage));
+        let is_left_out = |e: &&Engine| stage == Stage::Prefill && self.loads.is_left_out(self.now, e.key);
+        let candidates = self.candidates(at_stage(engines, stage).filter(|e| !is_left_out(e)));
         let shared = prompt.shared();
         let homes = shared.map_or([None, None], |part| home_engines(&candidates, part.id));
         let is_cached = |e: &Engine| {
--- a/crates/core/src/relay/watchers.rs
+++ b/crates/core/src/relay/watchers.rs
@@ -411,8 +411,8 @@
     pub fn outage_end(&self, latest: Time, min_outage: Duration) -> Option<Time> {
         let from = self.confirmed?;
         let silence = Silence { from, until: latest };
-        let silences = self.silence.into_iter().chain([silence]);
-        let outage = silences.filter(|s| s.length() >= min_outage).next_back();
+        let mut silences = self.silence.into_iter().chain([silence]);
+        let outage = silences.rfind(|s| s.length() >= min_outage);
         outage.map(|outage| outage.until)
     }
 
