Suspects: parts are compared once after a change, not for each request

With 60 engines ended under twelve prompts of four parts each, checking whether a prompt may run took 1.5 ms where a part of it was in three crashes, and 75 us with five engines; each request does it several times. No change of what is blocked.

--- a/crates/core/benches/relay.rs
+++ b/crates/core/benches/relay.rs
@@ -1,5 +1,5 @@
-//! Time taken to find a route, choose an engine, merge the load of peers, plan the stages, look up an API key and
-//! draw on the retry budget, by fleet size.
+//! Time taken to find a route, choose an engine, merge the load of peers, plan the stages, look up an API key, draw on
+//! the retry budget, by fleet size, and check whether a request crashes engines.
 
 use std::collections::BTreeMap;
 use std::hint::black_box;
@@ -10,6 +10,8 @@
 use criterion::Criterion;
 use criterion::criterion_group;
 use criterion::criterion_main;
+use sequoiastream_core::poison::suspects::RequestIdentity;
+use sequoiastream_core::poison::suspects::Suspects;
 use sequoiastream_core::relay::budget::BudgetLimits;
 use sequoiastream_core::relay::budget::RetryBudget;
 use sequoiastream_core::relay::engines::Engine;
@@ -272,5 +274,54 @@
     c.bench_function("streams/record/full", |b| b.iter(|| begin(&mut streams)));
 }
 
-criterion_group!(benches, place, peers, stages, routes, keys, budget, streams);
+/// What is known after `engines` engines have ended with twelve prompts of four parts each, one of which crashes engines.
+fn suspects(engines: u64) -> Suspects {
+    let mut suspects = Suspects::new();
+    for engine in 0..engines {
+        for number in 0..12 {
+            let second = if number == 0 {
+                13
+            } else {
+                1_000 + engine * 12 + number
+            };
+            let prompt = prompt_with(engine * 100 + number, second);
+            suspects.on_crash(NOW, &prompt, engine);
+        }
+    }
+    suspects
+}
+
+fn prompt_with(number: u64, second: u64) -> RequestIdentity {
+    let parts = [1 + number % 4, second, second + 1];
+    RequestIdentity::new("POST", "/check", &number.to_be_bytes(), b"").with_parts(parts)
+}
+
+/// Checking whether a request may run, which each attempt does, and the notes that are passed on: of a crash of five
+/// engines, and of as many as are remembered.
+fn crashes(c: &mut Criterion) {
+    for engines in [5, 60] {
+        let mut known = suspects(engines);
+        for (name, second) in [("sound", 900), ("blocked", 13)] {
+            let prompt = prompt_with(999_999, second);
+            c.bench_function(&format!("crashes/verdict/{name}/{engines}"), |b| {
+                b.iter(|| known.verdict(NOW, black_box(&prompt)));
+            });
+        }
+        let note = known.notes(NOW)[0];
+        c.bench_function(&format!("crashes/note/{engines}"), |b| {
+            b.iter(|| known.on_note(NOW, black_box(note)));
+        });
+        let mut now = NOW;
+        c.bench_function(&format!("crashes/notes/{engines}"), |b| {
+            b.iter(|| {
+                now = now + Duration::from_millis(25);
+                known.notes(now)
+            });
+        });
+    }
+}
+
+criterion_group!(
+    benches, place, peers, stages, routes, keys, budget, streams, crashes
+);
 criterion_main!(benches);
--- a/crates/core/src/poison/suspects/mod.rs
+++ b/crates/core/src/poison/suspects/mod.rs
@@ -13,6 +13,7 @@
 
 pub mod parts;
 
+use std::cell::RefCell;
 use std::cmp::Ordering;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -24,6 +25,7 @@
 use serde::Serialize;
 
 use crate::poison::Fingerprint;
+use crate::poison::suspects::parts::ConvictedParts;
 use crate::poison::suspects::parts::PartKey;
 use crate::time::Time;
 
@@ -49,6 +51,9 @@
 /// to one more engine each time it arrives. Three seconds after such a fault it must know.
 const RESEND_INTERVAL: Duration = Duration::from_millis(200);
 
+/// How much later a repeated note may make an outcome appear: by the time that it took on its way.
+const MAX_NOTE_DELAY: Duration = Duration::from_secs(1);
+
 /// Maximum number of notes in a message: about a kilobyte, so that it fits into one packet.
 const MAX_NOTES: usize = 32;
 
@@ -213,6 +218,24 @@
 /// note about one of them is recognised: with each message that passes a note on, its crash appears a little later.
 type Record = BTreeMap<Outcome, Seen>;
 
+/// Whether an outcome at `at` is not known from the record already, or by an earlier note about the same one.
+fn is_news(record: &Record, outcome: Outcome, at: Time) -> bool {
+    let completed = record.get(&Outcome::Completed).map(|seen| seen.at);
+    if completed.is_some_and(|completed| completed >= at) {
+        return false;
+    }
+    let known = record.get(&outcome).map(|seen| seen.at);
+    let is_repeated = known.is_some_and(|known| at.since(known) < MAX_NOTE_DELAY);
+    match outcome {
+        Outcome::Crashed(_) => known.is_none(),
+        Outcome::Tried => !is_repeated,
+        Outcome::Completed => {
+            let mut later = record.values().filter(|seen| Some(seen.at) > completed);
+            !is_repeated || later.any(|seen| seen.at <= at)
+        }
+    }
+}
+
 /// The entries of a record that still count.
 fn counting(record: &Record, now: Time, ttl: Duration) -> impl Iterator<Item = (Outcome, Seen)> {
     let completed = record.get(&Outcome::Completed).map(|seen| seen.at);
@@ -239,6 +262,8 @@
     has_new: bool,
     /// When an engine last began to answer a prompt with a part, as seen by this instance.
     begun: BTreeMap<PartKey, Time>,
+    /// The parts that crash engines, until a crash or a begun answer is added.
+    convicted: RefCell<Option<ConvictedParts>>,
     /// Draws when this instance tries blocked parts again.
     seed: u64,
 }
@@ -345,20 +370,12 @@
         let ttl = request.note_ttl();
         let record = self.requests.entry(request).or_default();
         record.retain(|_, seen| seen.is_recent(now, ttl));
-        let completed = record.get(&Outcome::Completed).map(|seen| seen.at);
-        let tried = record.get(&Outcome::Tried).map(|seen| seen.at);
-        match outcome {
-            _ if completed.is_some_and(|completed| completed >= at) => {}
-            Outcome::Crashed(_) => {
-                record.entry(outcome).or_insert(Seen::new(at));
-            }
-            Outcome::Tried if tried.is_some_and(|tried| tried >= at) => {}
-            Outcome::Tried => {
-                record.insert(outcome, Seen::new(at));
-            }
-            Outcome::Completed => {
-                record.insert(outcome, Seen::new(at));
-            }
+        if !is_news(record, outcome, at) {
+            return;
+        }
+        record.insert(outcome, Seen::new(at));
+        if let RequestKey::Part(_) = request {
+            self.convicted.take();
         }
         self.has_new = true;
         if self.requests.len() > MAX_REQUESTS {
--- a/crates/core/src/poison/suspects/parts.rs
+++ b/crates/core/src/poison/suspects/parts.rs
@@ -12,6 +12,8 @@
 //! for [`TRIAL_FACTOR`] times as long.
 
 use std::cmp::Ordering;
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -43,6 +45,10 @@
 /// Number of crashes that no blocked part explains after which an earlier part of the same prompts is blocked as well.
 const MIN_UNEXPLAINED: usize = 2;
 
+/// How long the result of a comparison of all parts is used, unless a crash or a begun answer is added: notes expire
+/// meanwhile.
+const CONVICTED_TTL: Duration = Duration::from_secs(1);
+
 /// Number of parts that are remembered as begun before those begun longer ago than [`BEGUN_WINDOW`] are removed.
 const MAX_BEGUN: usize = 512;
 
@@ -55,6 +61,18 @@
     pub id: u64,
 }
 
+/// A part, and the crashes that count against it.
+type PartCrashes = (PartKey, BTreeSet<u64>);
+
+/// The parts that crash engines, as of a time.
+///
+/// Guards against comparing all parts for each request, which takes a millisecond after some dozen crashes.
+#[derive(Debug, Clone)]
+pub(super) struct ConvictedParts {
+    at: Time,
+    parts: BTreeSet<PartKey>,
+}
+
 impl PartKey {
     /// The parts with these ids, in the order of the prompt.
     pub(super) fn in_order<I>(ids: I) -> Arc<[PartKey]>
@@ -141,36 +159,34 @@
     }
 
     fn is_convicted(&self, now: Time, part: PartKey) -> bool {
-        let crashes: Vec<u64> = self.crashes_of(now, part.key()).collect();
-        if crashes.len() < MIN_CRASHES {
+        if !self.requests.contains_key(&part.key()) {
             return false;
         }
-        let mut unexplained = crashes.clone();
-        for other in self.parts().filter(|other| *other != part) {
-            let others: Vec<u64> = self.crashes_of(now, other.key()).collect();
-            if !crashes.iter().any(|crash| others.contains(crash)) {
-                continue;
-            }
-            let explains = match (other.depth.cmp(&part.depth), others.len().cmp(&crashes.len())) {
-                (Ordering::Less, _) => false,
-                (Ordering::Greater, _) => self.is_convicted(now, other),
-                (Ordering::Equal, Ordering::Less) => false,
-                (Ordering::Equal, Ordering::Greater) => true,
-                // They can't be told apart yet.
-                (Ordering::Equal, Ordering::Equal) if crashes.len() < MAX_CRASHES && others == crashes => {
-                    return false;
-                }
-                (Ordering::Equal, Ordering::Equal) => false,
-            };
-            if explains {
-                unexplained.retain(|crash| !others.contains(crash));
+        let mut cache = self.convicted.borrow_mut();
+        let is_current = |known: &ConvictedParts| now.since(known.at) < CONVICTED_TTL;
+        if !cache.as_ref().is_some_and(is_current) {
+            *cache = Some(self.find_convicted(now));
+        }
+        cache.as_ref().is_some_and(|known| known.parts.contains(&part))
+    }
+
+    /// Compares all parts that are known from crashes. Later parts are decided first, since they may explain the crashes
+    /// of earlier ones.
+    fn find_convicted(&self, now: Time) -> ConvictedParts {
+        let crashes = |part: PartKey| -> BTreeSet<u64> { self.crashes_of(now, part.key()).collect() };
+        let known: Vec<PartCrashes> = self.parts().map(|part| (part, crashes(part))).collect();
+        let mut suspects: Vec<&PartCrashes> = known
+            .iter()
+            .filter(|(_, crashes)| crashes.len() >= MIN_CRASHES)
+            .collect();
+        suspects.sort_by_key(|(part, _)| Reverse(part.depth));
+        let mut parts = BTreeSet::new();
+        for suspect in suspects {
+            if is_guilty(suspect, &known, &parts) {
+                parts.insert(suspect.0);
             }
         }
-        let min = match unexplained.len() == crashes.len() {
-            true => MIN_CRASHES,
-            false => MIN_UNEXPLAINED,
-        };
-        unexplained.len() >= min
+        ConvictedParts { at: now, parts }
     }
 
     /// Whether a blocked part may be tried. Instances wait for different times, so that the first one to try tells the
@@ -188,3 +204,33 @@
         last.is_none_or(|last| now.since(last) >= pause)
     }
 }
+
+/// Whether a part crashes engines, by comparison with all parts that are `known` from crashes; `convicted` has those of
+/// the later ones that do.
+fn is_guilty(suspect: &PartCrashes, known: &[PartCrashes], convicted: &BTreeSet<PartKey>) -> bool {
+    let (part, crashes) = suspect;
+    let mut unexplained = crashes.clone();
+    for (other, others) in known {
+        if other == part || crashes.is_disjoint(others) {
+            continue;
+        }
+        let explains = match (other.depth.cmp(&part.depth), others.len().cmp(&crashes.len())) {
+            (Ordering::Less, _) | (Ordering::Equal, Ordering::Less) => false,
+            (Ordering::Greater, _) => convicted.contains(other),
+            (Ordering::Equal, Ordering::Greater) => true,
+            // They can't be told apart yet.
+            (Ordering::Equal, Ordering::Equal) if crashes.len() < MAX_CRASHES && others == crashes => {
+                return false;
+            }
+            (Ordering::Equal, Ordering::Equal) => false,
+        };
+        if explains {
+            unexplained.retain(|crash| !others.contains(crash));
+        }
+    }
+    let min = match unexplained.len() == crashes.len() {
+        true => MIN_CRASHES,
+        false => MIN_UNEXPLAINED,
+    };
+    unexplained.len() >= min
+}
