--- a/tests/testsuite/relay/confirmations.rs
+++ b/tests/testsuite/relay/confirmations.rs
@@ -70,6 +70,18 @@
     assert_eq!(state.age(at(11_000)), Some(Duration::from_secs(9)));
 }
 
+/// Guards against the same failure with an answer that reports a change: it may have been sent as soon as the call
+/// arrived, and the store may have changed again since.
+#[test]
+fn change_after_pause_is_older() {
+    let mut state = SyncState::new(0);
+    state.on_store_answer(at(500), at(500), Duration::ZERO, 7);
+    state.on_store_answer(at(1_900), at(1_000), LIMIT.watch_timeout(), 8);
+    assert_eq!(state.age(at(1_900)), Some(Duration::from_millis(900)));
+    state.on_store_answer(at(11_000), at(2_000), LIMIT.watch_timeout(), 9);
+    assert_eq!(state.age(at(11_000)), Some(Duration::from_secs(9)));
+}
+
 /// Guards against the same failure with messages of peers that waited during a pause: they report the state at the time
 /// at which they were sent.
 #[test]
--- a/tests/testsuite/relay/requests.rs
+++ b/tests/testsuite/relay/requests.rs
@@ -147,6 +147,21 @@
     assert_eq!(fetch(&instance, "ready").await, "503");
 }
 
+/// Guards against a 404 for a route that an acknowledged configuration has added: the store has confirmed nothing for longer
+/// than a change may take to apply, and a caller that gets 404 doesn't come back.
+#[actix_web::test]
+async fn unconfirmed_not_404() {
+    let instance = Instance::start(RouteKind::Once, &[], |_| {});
+    let limit = instance.shared.reloadable().apply_limit.0;
+    instance.shared.on_store_answer(clock::now() - limit);
+    let got = instance.get("/added/x", "q", "").await;
+    assert_eq!(status(&got), "503");
+    assert!(got.contains("retry-after: 0.1"), "{got}");
+    instance.shared.on_store_answer(clock::now());
+    let got = instance.get("/added/x", "q", "").await;
+    assert_eq!(status(&got), "404");
+}
+
 async fn fetch(instance: &Instance, path: &str) -> String {
     let options = &instance.shared.options;
     let address = if path == "ready" {
--- a/tests/testsuite/relay/watchers/mod.rs
+++ b/tests/testsuite/relay/watchers/mod.rs
@@ -138,3 +138,15 @@
         World::of(random, Timing::Delayed, 3, 1).run_outages(20);
     }
 }
+
+/// Guards against data that counts as confirmed after a change that it lacks. Sequence: the watchers are paused while the
+/// store's answer waits for them, tell the others of it when they resume, and stop. The others must call the store in
+/// time for the change that followed.
+#[test]
+fn lag_after_late_answer() {
+    for seed in seeds_or(SEEDS) {
+        let _failing = PrintSeedOnPanic(seed);
+        let random = ChaCha8Rng::seed_from_u64(seed);
+        World::of(random, Timing::Delayed, 3, 1).run_late_answers(10);
+    }
+}
