Server: no 404 by a configuration that nothing has confirmed in time

Cause: an instance that knows that its data is older than a change may take to apply said that there is no such route. That answer is final: the caller doesn't come back. Keys are treated otherwise: beyond the age in which a key may be added, an unknown one gets 503.

Now a request without a route gets 503 with a delay for another try if the last confirmation is as old as ApplyLimit, 404 if it is younger. Class: a final answer by data of unknown age; of the other final answers 400, 413 and 401 depend on the request alone or on confirmed keys.

refuse_bad_requests, which expects 404 for paths without a route, now confirms the data before each request: the instance of that test has no store. Its expectations are as they were.

--- a/src/ops/relay/server.rs
+++ b/src/ops/relay/server.rs
@@ -238,10 +238,14 @@
     forward.run().await
 }
 
-/// Refuses a request that no route matches. Logs the version of the configuration and the time since the store's last
-/// confirmation, so that a route that had not reached this instance yet can be told from one that doesn't exist.
+/// Refuses a request that no route matches; for good only if the configuration is recent enough to have the routes that it
+/// must have. Logs the version of the configuration and the time since the store's last confirmation, so that a route that
+/// had not reached this instance yet can be told from one that doesn't exist.
 fn refuse_unrouted(shared: &Shared, view: &View, head: &RequestHead, ages: StoreAges) -> HttpResponse {
-    let reply = Reply::NoRoute;
+    let reply = match ages.reported >= shared.reloadable().apply_limit.0 {
+        true => Reply::Refused(RETRY_ELSEWHERE),
+        false => Reply::NoRoute,
+    };
     let request = String::from_utf8_lossy(head.id.as_bytes()).into_owned();
     log_event!(info, log_event::REFUSED, request, outcome = reply.label(), why = "no route matches it", host = %head.host,
         path = head.uri.path(), config = view.table.version, heard = ages.reported.as_millis() as u64);
--- a/tests/testsuite/relay/requests.rs
+++ b/tests/testsuite/relay/requests.rs
@@ -128,6 +128,7 @@
         (format!("{head}transfer-encoding: chunked\r\n\r\n{chunks}"), "413"),
     ];
     for (raw, expected) in cases {
+        instance.shared.on_store_answer(clock::now());
         // The answer arrives at once; the connection may stay open for a body that never arrives.
         let mut caller = instance.connect().await;
         caller.send(&raw).await;
