Watchers: an answer that reports a change confirms the data as of the call

Cause: the store's answer counted as given at the end of the wait that it was allowed, or when it was read. An answer that reports a change may have been given as soon as the call arrived. If it is read late (a pause, a link), the data counts as confirmed after changes that it lacks, for as long as a watch waits, a second with ConfigApplyMs 2,000; peers are told so, and their own calls come that much too late. Proofs for keys didn't have this fault (proven_until); the confirmation now uses the same rule.

So that this doesn't make all instances call the store after each change (the age after a change was up to 1.0 of the limit, they call at 0.7), a watch ends when the last confirmation reaches 0.6 of the limit.

--- a/crates/core/src/relay/watchers.rs
+++ b/crates/core/src/relay/watchers.rs
@@ -31,6 +31,10 @@
 /// watchers work, and it leaves time for the answer.
 const FALLBACK_FRACTION: f64 = 0.7;
 
+/// Age of the last confirmation at which a watch ends, as a fraction of the [`ApplyLimit`]: its answer reaches the other
+/// instances before they watch the store themselves.
+const CONFIRM_FRACTION: f64 = 0.6;
+
 /// Fraction of the limit over which the instances spread that call: the first one to ask spares the others theirs.
 const SPREAD_FRACTION: f64 = 0.1;
 
@@ -384,10 +388,10 @@
     /// to wait for `wait`.
     ///
     /// Guards against an instance that is paused during its watch and on resuming takes an old answer for a current
-    /// one. The store answered no later than the end of the wait.
+    /// one, and against an answer that a link holds back: see [`proven_until`].
     pub fn on_store_answer(&mut self, now: Time, sent: Time, wait: Duration, revision: u64) {
+        let answered = proven_until(now, sent, wait, revision <= self.revision);
         self.revision = self.revision.max(revision);
-        let answered = now.min(sent + wait);
         let confirmation = ConfirmationId {
             process: self.process,
             number: answered.as_micros(),
@@ -395,6 +399,13 @@
         self.confirm(answered, confirmation);
     }
 
+    /// How long a watch waits that is sent now, `wait` at most: an answer without changes then confirms the data before the
+    /// other instances watch the store themselves.
+    pub fn watch_wait(&self, limit: ApplyLimit, now: Time, wait: Duration) -> Duration {
+        let age = self.age(now).unwrap_or(Duration::MAX);
+        wait.min(limit.0.mul_f64(CONFIRM_FRACTION).saturating_sub(age))
+    }
+
     /// Records a confirmation as of `at`, unless a later one is known.
     fn confirm(&mut self, at: Time, confirmation: ConfirmationId) {
         if self.confirmed < Some(at) {
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -253,15 +253,12 @@
     async fn watch(&mut self, revision: u64) -> Result<(), StoreError> {
         let delay = std::mem::take(&mut self.watch_delay);
         self.wait(delay).await;
-        // The timeout is shorter by the delay, so that a silent watch is detected as early as without it.
-        let wait = self
-            .shared
-            .reloadable()
-            .apply_limit
-            .watch_timeout()
-            .saturating_sub(delay);
+        let limit = self.shared.reloadable().apply_limit;
         let store = self.store.clone();
         let sent = clock::now();
+        // The timeout is shorter by the delay, so that a silent watch is detected as early as without it.
+        let wait = limit.watch_timeout().saturating_sub(delay);
+        let wait = self.known.watch_wait(limit, sent, wait).max(POLL_WAIT);
         let mut watch = store.watch(ALL_KEYS, revision, wait);
         let fleet = self.fleet.clone();
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
--- a/src/ops/relay/known.rs
+++ b/src/ops/relay/known.rs
@@ -86,6 +86,11 @@
         self.0.borrow().sync.watch_action(rank, limit, now)
     }
 
+    /// How long a watch waits that is sent now, see [`SyncState::watch_wait`].
+    pub fn watch_wait(&self, limit: watchers::ApplyLimit, now: Time, wait: Duration) -> Duration {
+        self.0.borrow().sync.watch_wait(limit, now, wait)
+    }
+
     /// The status to send to peers, see [`SyncState::sync_status`].
     pub fn sync_status(&self, now: Time) -> Option<ConfirmedStatus> {
         self.0.borrow().sync.sync_status(now)
--- a/tests/testsuite/relay/confirmations.rs
+++ b/tests/testsuite/relay/confirmations.rs
@@ -66,6 +66,7 @@
 #[test]
 fn answer_after_pause_is_old() {
     let mut state = SyncState::new(0);
+    state.on_store_answer(at(1_000), at(1_000), Duration::ZERO, 7);
     state.on_store_answer(at(11_000), at(1_000), LIMIT.watch_timeout(), 7);
     assert_eq!(state.age(at(11_000)), Some(Duration::from_secs(9)));
 }
--- a/tests/testsuite/relay/watchers/world.rs
+++ b/tests/testsuite/relay/watchers/world.rs
@@ -598,6 +598,7 @@
                     (false, true) => LIMIT.watch_timeout() - BATCH_DELAY,
                     (false, false) => LIMIT.watch_timeout(),
                 };
+                let wait = instance.state.watch_wait(LIMIT, now, wait);
                 let revision = instance.state.revision();
                 // Only open connections go silent, not new ones; but a call that is sent during a partition is lost.
                 instance.silent = !is_reachable;
