Follow: log contents of the store that are older than what is known

No line named the revision that the store answered with, so a store whose revisions go back couldn't be told from one that refuses watches. Event 313 names both. No change of logic.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -83,6 +83,8 @@
     311 ENGINES_REGAINED = "engines-regained";
     /// An engine gets no more work, or is kept although its entry has disappeared.
     312 ENGINE_DEPARTED = "engine-departed";
+    /// The store, or a peer, showed contents as of an earlier revision than is known; they are not applied.
+    313 CONTENTS_OLDER = "contents-older";
     /// An attempt at an upstream failed.
     400 ATTEMPT_FAILED = "attempt-failed";
     /// A request was refused.
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -349,6 +349,10 @@
     fn on_snapshot(&mut self, latest: Time, revision: u64, items: &[Item]) {
         self.distrust_removals(latest);
         let now = clock::now();
+        let known = self.known.revision();
+        if revision < known {
+            log_event!(info, log_event::CONTENTS_OLDER, revision, known);
+        }
         self.known
             .on_snapshot(self.shared.translate.keys(), revision, items);
         let entries = items.iter().filter_map(|item| self.entry(item));
