Tests: a store that returns from an older copy (failing)

The store in memory refuses a watch from a revision that it doesn't have, and lets other tasks run at each call: without that, the instances' loop of reads and refused watches left no time for the tests' own limits.

--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -41,6 +41,9 @@
 use sequoiastream_core::relay::usage::Window;
 use sequoiastream_core::relay::watchers::ApplyLimit;
 use sequoiastream_core::relay::workspaces::KeyAgeLimits;
+use sequoiastream_core::relay::workspaces::KeyDigest;
+use sequoiastream_core::relay::workspaces::Workspace;
+use sequoiastream_core::relay::workspaces::Workspaces;
 use sequoiastream_core::time::Time;
 use sequoiastream_kv::store::Item;
 use tokio::io::AsyncReadExt;
@@ -50,7 +53,8 @@
 use super::engine::ScriptedEngine;
 use super::loopback::unique_address;
 
-/// A dialect for tests: an engine is stored as `SERVICE ADDRESS STAGE SEQUENCE`, a configuration as `VERSION PREFIX`.
+/// A dialect for tests: an engine is stored as `SERVICE ADDRESS STAGE SEQUENCE`, a configuration as `VERSION PREFIX`, with
+/// ` KEYS` after it if callers need a key: then the workspace `huka` has these, separated by commas.
 #[derive(Debug)]
 pub struct TestDialect(Dialect);
 
@@ -119,17 +123,25 @@
 
     fn config(&self, value: &[u8]) -> Result<RoutingTable, Malformed> {
         let text = String::from_utf8_lossy(value);
-        let (version, prefix) = text
-            .split_once(' ')
-            .ok_or_else(|| Malformed::new("config", &text))?;
+        let mut fields = text.splitn(3, ' ');
+        let (Some(version), Some(prefix)) = (fields.next(), fields.next()) else {
+            return Err(Malformed::new("config", &text));
+        };
         let version = version.parse().map_err(|e| Malformed::new("config", e))?;
         let route = route(RouteKind::Idempotent, prefix);
-        Ok(RoutingTable::new(
-            version,
-            CallerLimits::default(),
-            vec![route],
-            Vec::new(),
-        ))
+        let table = RoutingTable::new(version, CallerLimits::default(), vec![route], Vec::new());
+        let workspaces = fields.next().map(|keys| {
+            let keys = keys.split(',').map(|key| KeyDigest::of(key.as_bytes()));
+            Workspaces::new(vec![Workspace {
+                name: "huka".to_string(),
+                priority: None,
+                keys: keys.collect(),
+            }])
+        });
+        let workspaces = workspaces
+            .transpose()
+            .map_err(|e| Malformed::new("config", format!("{e:?}")))?;
+        Ok(table.with_workspaces(workspaces))
     }
 
     fn engine(&self, item: &Item) -> Result<Entry, Malformed> {
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -35,6 +35,7 @@
 mod records;
 mod request_kinds;
 mod requests;
+mod restores;
 mod routes;
 mod scale;
 mod seeded;
--- a/tests/testsuite/relay/store.rs
+++ b/tests/testsuite/relay/store.rs
@@ -20,6 +20,13 @@
 use sequoiastream_kv::store::Write;
 use tokio::sync::watch;
 
+/// A copy of the store's contents.
+#[derive(Debug, Clone)]
+pub struct Copy {
+    items: BTreeMap<String, Item>,
+    revision: u64,
+}
+
 /// The outcome of a write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WriteOutcome {
@@ -125,6 +132,28 @@
         self.state.down.set(false);
     }
 
+    /// Copies the contents.
+    pub fn copy(&self) -> Copy {
+        Copy {
+            items: self.state.items.borrow().clone(),
+            revision: *self.revision.borrow(),
+        }
+    }
+
+    /// Returns to a copy: what was written since is gone, and its revisions are given out again. Pending watches are cut.
+    pub async fn restore(&self, copy: &Copy) {
+        self.state.down.set(true);
+        *self.state.items.borrow_mut() = copy.items.clone();
+        self.state
+            .changes
+            .borrow_mut()
+            .retain(|change| revision_of(change) <= copy.revision);
+        self.revision.send_replace(copy.revision);
+        // The watches that are pending see this before it ends.
+        tokio::task::yield_now().await;
+        self.state.down.set(false);
+    }
+
     /// Sets the maximum number of items per page.
     pub fn set_page_size(&self, limit: usize) {
         self.state.page_size.set(Some(limit));
@@ -216,6 +245,8 @@
                 ranges: calls.ranges + 1,
                 ..calls
             });
+            // A store is never as fast as to leave no time for anything else.
+            tokio::task::yield_now().await;
             self.wait_until_responsive().await;
             self.check()?;
             let is_alternate = self.state.refuse_alternate.get() && calls.ranges % 2 == 1;
@@ -247,6 +278,7 @@
                 watches: calls.watches + 1,
                 ..calls
             });
+            tokio::task::yield_now().await;
             let mut revisions = self.revision.subscribe();
             self.check()?;
             if self.state.refuse_watches.get() {
@@ -255,10 +287,9 @@
             if after < self.state.compacted.get() {
                 return Err(StoreError::Compacted);
             }
-            let at = |change: &Change| match change {
-                Change::Put(item) => item.revision,
-                Change::Removed { revision, .. } => *revision,
-            };
+            if after > *revisions.borrow() {
+                return Err(StoreError::Compacted);
+            }
             if *revisions.borrow_and_update() <= after {
                 // A watch without changes is answered when its wait time ends.
                 let _ = tokio::time::timeout(wait, revisions.changed()).await;
@@ -269,10 +300,13 @@
                 return Err(StoreError::Compacted);
             }
             let changes = self.state.changes.borrow();
-            let newer: Vec<&Change> = changes.iter().filter(|change| at(change) > after).collect();
+            let newer: Vec<&Change> = changes
+                .iter()
+                .filter(|change| revision_of(change) > after)
+                .collect();
             let limit = self.state.batch_size.get().unwrap_or(newer.len());
             let revision = match newer.len() > limit {
-                true => at(newer[limit - 1]),
+                true => revision_of(newer[limit - 1]),
                 false => *self.revision.borrow(),
             };
             Ok(Changes {
@@ -319,3 +353,10 @@
         async move { self.check() }.boxed_local()
     }
 }
+
+fn revision_of(change: &Change) -> u64 {
+    match change {
+        Change::Put(item) => item.revision,
+        Change::Removed { revision, .. } => *revision,
+    }
+}
