--- a/crates/core/benches/relay.rs
+++ b/crates/core/benches/relay.rs
@@ -25,6 +25,7 @@
 use sequoiastream_core::relay::prefill_time::PrefillWork;
 use sequoiastream_core::relay::prompt::Part;
 use sequoiastream_core::relay::prompt::Prompt;
+use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_core::relay::routes::CallerLimits;
 use sequoiastream_core::relay::routes::Route;
 use sequoiastream_core::relay::routes::RouteKind;
@@ -67,7 +68,7 @@
         version: "v1".to_string(),
         spot: false,
         sequence: 1,
-        create_revision: 1,
+        create_revision: Revision::new(0, 1),
         started: None,
     };
     Engine::new(EngineKey(index), entry)
--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -85,6 +85,8 @@
     312 ENGINE_DEPARTED = "engine-departed";
     /// The store, or a peer, showed contents as of an earlier revision than is known; they are not applied.
     313 CONTENTS_OLDER = "contents-older";
+    /// The store was restored from an older copy of its contents.
+    314 STORE_RESTORED = "store-restored";
     /// An attempt at an upstream failed.
     400 ATTEMPT_FAILED = "attempt-failed";
     /// A request was refused.
--- a/crates/core/src/relay/engines.rs
+++ b/crates/core/src/relay/engines.rs
@@ -7,6 +7,7 @@
 
 use crate::relay::hash::Hash;
 use crate::relay::hash::hash_pair;
+use crate::relay::revision::Revision;
 use crate::relay::streams::SoftwareVersion;
 use crate::time::Time;
 
@@ -79,7 +80,7 @@
     /// Sequence number of the engine's own updates to its entry.
     pub sequence: u64,
     /// Store revision at which the registration was created.
-    pub create_revision: u64,
+    pub create_revision: Revision,
     /// Start time of the engine, in milliseconds since the Unix epoch; `None` if not reported. A restarted engine may
     /// have the same id.
     pub started: Option<u64>,
@@ -123,15 +124,17 @@
 #[derive(Debug, Clone)]
 struct KnownEngine {
     engine: Engine,
-    revision: u64,
+    revision: Revision,
     /// Until when it is kept although its entry has disappeared.
     kept_until: Option<Time>,
+    /// Revision of an entry that is no sign of life: its removal was seen, and the store was restored from a copy with it.
+    copied: Option<Revision>,
 }
 
 /// What is kept of an engine that was removed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 struct Tombstone {
-    revision: u64,
+    revision: Revision,
     version: EntryVersion,
 }
 
@@ -151,13 +154,22 @@
     }
 }
 
+/// Whether two entries under the same id are of the same run of the engine.
+///
+/// Guards against forgetting the load of all engines when the store is restored: entries are written again then, and their
+/// create revisions change. Only the start time tells a restarted engine after that.
+fn is_same_registration(known: &Entry, entry: &Entry) -> bool {
+    let is_restored = known.create_revision.epoch != entry.create_revision.epoch;
+    known.started == entry.started && (is_restored || known.create_revision == entry.create_revision)
+}
+
 /// A change to one engine in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EngineUpdate {
     /// The engine's entry, with its revision.
-    Entry(u64, Entry),
+    Entry(Revision, Entry),
     /// The engine with this id was removed at this revision.
-    Removed(u64, String),
+    Removed(Revision, String),
 }
 
 /// How an engine stopped being available for new work, or was kept although its entry has disappeared.
@@ -226,7 +238,7 @@
     }
 
     /// Applies the complete contents of the store as of `revision`; returns whether anything changed.
-    pub fn on_snapshot(&mut self, now: Time, revision: u64, entries: Vec<(u64, Entry)>) -> bool {
+    pub fn on_snapshot(&mut self, now: Time, revision: Revision, entries: Vec<(Revision, Entry)>) -> bool {
         let present: BTreeSet<String> = entries.iter().map(|(_, e)| e.id.clone()).collect();
         let mut changed = false;
         for (at, entry) in entries {
@@ -247,7 +259,7 @@
         std::mem::take(&mut self.departures)
     }
 
-    fn on_entry(&mut self, revision: u64, entry: Entry) -> bool {
+    fn on_entry(&mut self, revision: Revision, entry: Entry) -> bool {
         let tombstone = self.tombstones.get(&entry.id);
         if tombstone.is_some_and(|t| t.revision >= revision || t.version >= EntryVersion::of(&entry)) {
             return false;
@@ -256,14 +268,23 @@
             if known.revision > revision || (known.revision == revision && known.kept_until.is_none()) {
                 return false;
             }
+            let is_restored = revision.epoch > known.revision.epoch;
             known.revision = revision;
             // The revision is assigned by the store, the sequence number by the engine.
             let known_entry = &known.engine.entry;
             if EntryVersion::of(known_entry) > EntryVersion::of(&entry) {
                 return false;
             }
+            let is_unchanged = EntryVersion::of(known_entry) == EntryVersion::of(&entry);
+            if is_restored && is_unchanged && known.kept_until.is_some() {
+                known.copied = Some(revision);
+            }
+            if known.copied == Some(revision) {
+                return false;
+            }
             known.kept_until = None;
-            if (known_entry.create_revision, known_entry.started) == (entry.create_revision, entry.started) {
+            known.copied = None;
+            if is_same_registration(known_entry, &entry) {
                 let changed = *known_entry != entry;
                 if entry.leaving && !known_entry.leaving {
                     self.departures.push((entry.id.clone(), Departure::Announced));
@@ -280,6 +301,7 @@
             engine: Engine::new(key, entry),
             revision,
             kept_until: None,
+            copied: None,
         };
         self.known.insert(id, known);
         true
@@ -290,7 +312,7 @@
     /// within [`REREGISTRATION_GRACE`] of the store's return, its engine is kept until the end of that time, however
     /// late this instance learns of it. An engine that has really left is detected by its first refused connection at
     /// the latest.
-    fn on_removed(&mut self, now: Time, revision: u64, id: String) -> bool {
+    fn on_removed(&mut self, now: Time, revision: Revision, id: String) -> bool {
         let kept_until = self.distrust_until.filter(|until| now < *until);
         match self.known.get_mut(&id) {
             Some(known) if known.revision > revision => false,
--- a/crates/core/src/relay/leader_lease.rs
+++ b/crates/core/src/relay/leader_lease.rs
@@ -1,13 +1,14 @@
 //! Selects the instance that calls the platform's API on behalf of the fleet, and limits when it may.
 //!
-//! The leader is the holder of a lease in the store. The revision at which its record was created is its fencing
-//! token: that of a later holder is higher. The API may not check it, so a late call must be impossible, not just
+//! The leader is the holder of a lease in the store. The revision at which its record was created gives its fencing
+//! token: that of a later holder is higher, see [`Revision::token`]. The API may not check it, so a late call must be impossible, not just
 //! rejected: a holder counts its lease from when the renewal was sent and stops a margin before the lease ends, and a
 //! successor waits for the length of a lease before its first call.
 
 use std::time::Duration;
 
 use crate::authority::LocalLease;
+use crate::relay::revision::Revision;
 use crate::time::Time;
 
 /// Fraction of the lease after which it is renewed: a renewal may fail.
@@ -33,7 +34,7 @@
     /// The process: it changes with each start.
     pub process: String,
     /// Revision at which the record was created.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// The next call for the lease.
--- a/crates/core/src/relay/load_message.rs
+++ b/crates/core/src/relay/load_message.rs
@@ -9,6 +9,7 @@
 
 use crate::relay::cached_parts::PrefillRecord;
 use crate::relay::load_tracker::Work;
+use crate::relay::revision::Revision;
 use crate::relay::watchers::ConfirmationId;
 use crate::relay::watchers::ConfirmedStatus;
 use crate::relay::watchers::SyncStatus;
@@ -50,7 +51,7 @@
     /// Prompts that the sender recently had processed.
     pub reads: Vec<PrefillRecord>,
     /// Revision of the store up to which the sender knows the engines.
-    pub revision: u64,
+    pub revision: Revision,
     /// Milliseconds since the store had nothing beyond that revision; `u32::MAX` if the sender can't tell.
     pub age: u32,
     /// Milliseconds since the last proof of that; `u32::MAX` without one.
@@ -74,7 +75,7 @@
         LoadMessage {
             shares: shares.collect(),
             reads,
-            revision: 0,
+            revision: Revision::ZERO,
             age: u32::MAX,
             proof: u32::MAX,
             wall: 0,
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -30,6 +30,7 @@
 pub mod reachability;
 pub mod records;
 pub mod return_schedule;
+pub mod revision;
 pub mod routes;
 pub mod scale;
 pub mod stages;
--- a/crates/core/src/relay/watchers.rs
+++ b/crates/core/src/relay/watchers.rs
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::relay::revision::Revision;
 use crate::time::Time;
 
 /// Instances per watcher: answering their requests takes a small part of a watcher's time.
@@ -224,7 +225,7 @@
 ///
 /// Guards against all instances without a watch asking the same peer: on a small link the last one would get its answer
 /// only after a second.
-pub fn most_advanced(known: &[u64], revision: u64, draw: usize) -> Option<usize> {
+pub fn most_advanced(known: &[Revision], revision: Revision, draw: usize) -> Option<usize> {
     let highest = known
         .iter()
         .copied()
@@ -238,14 +239,14 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SyncStatus {
     /// Revision up to which it has read the store.
-    pub revision: u64,
+    pub revision: Revision,
     /// Time since the store had nothing beyond that revision.
     pub age: Duration,
 }
 
 impl SyncStatus {
     /// The status as carried in messages, with its age in milliseconds.
-    pub fn new(revision: u64, millis: u32) -> SyncStatus {
+    pub fn new(revision: Revision, millis: u32) -> SyncStatus {
         let age = Duration::from_millis(u64::from(millis));
         SyncStatus { revision, age }
     }
@@ -277,7 +278,7 @@
 
 impl ConfirmedStatus {
     /// The status as carried in messages, with its age in milliseconds.
-    pub fn new(revision: u64, millis: u32, confirmation: ConfirmationId) -> ConfirmedStatus {
+    pub fn new(revision: Revision, millis: u32, confirmation: ConfirmationId) -> ConfirmedStatus {
         ConfirmedStatus {
             status: SyncStatus::new(revision, millis),
             confirmation,
@@ -317,7 +318,7 @@
 /// How far this instance has read the store, and when that was last confirmed to be up to date.
 #[derive(Debug, Clone)]
 pub struct SyncState {
-    revision: u64,
+    revision: Revision,
     confirmed: Option<Time>,
     /// The longest of the recent times without a confirmation.
     silence: Option<Silence>,
@@ -362,7 +363,7 @@
     /// The state of an instance that has read nothing; `process` is the random ID of its process.
     pub fn new(process: u64) -> SyncState {
         SyncState {
-            revision: 0,
+            revision: Revision::ZERO,
             confirmed: None,
             silence: None,
             confirmation: ConfirmationId::default(),
@@ -375,7 +376,7 @@
     }
 
     /// Revision up to which all changes were read.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
@@ -388,8 +389,12 @@
     /// to wait for `wait`.
     ///
     /// Guards against an instance that is paused during its watch and on resuming takes an old answer for a current
-    /// one, and against an answer that a link holds back: see [`proven_until`].
-    pub fn on_store_answer(&mut self, now: Time, sent: Time, wait: Duration, revision: u64) {
+    /// one, and against an answer that a link holds back: see [`proven_until`]. An answer of an earlier epoch of the store
+    /// says nothing of what is known now.
+    pub fn on_store_answer(&mut self, now: Time, sent: Time, wait: Duration, revision: Revision) {
+        if revision.epoch < self.revision.epoch {
+            return;
+        }
         let answered = proven_until(now, sent, wait, revision <= self.revision);
         self.revision = self.revision.max(revision);
         let confirmation = ConfirmationId {
@@ -444,6 +449,9 @@
         if status.revision > self.revision {
             return true;
         }
+        if !self.is_comparable(status) {
+            return false;
+        }
         if asked.since(Time::ZERO) >= status.age {
             self.on_proof(asked - status.age);
         }
@@ -471,10 +479,21 @@
         self.proven.unwrap_or(Time::ZERO) + limit.mul_f64(ASK_STORE_FRACTION + SPREAD_FRACTION * fraction)
     }
 
+    /// Whether a status with a lower revision says that this instance has read all changes: not if it is of an earlier epoch of
+    /// the store.
+    ///
+    /// Guards against the holder of a revoked key being let in by data that the store no longer has.
+    fn is_comparable(&self, status: SyncStatus) -> bool {
+        status.revision.epoch == self.revision.epoch
+    }
+
     /// Records that all changes up to a peer's status, requested from the peer at `requested_at`, were applied.
     pub fn on_peer_changes(&mut self, requested_at: Time, status: ConfirmedStatus) {
         let ConfirmedStatus { status, confirmation } = status;
         self.revision = self.revision.max(status.revision);
+        if !self.is_comparable(status) {
+            return;
+        }
         // Counted from the request, the age is never too low, so the confirmation need not be recorded as accepted.
         if requested_at.since(Time::ZERO) >= status.age {
             self.confirm(requested_at - status.age, confirmation);
@@ -492,6 +511,9 @@
         if status.revision > self.revision {
             return true;
         }
+        if !self.is_comparable(status) {
+            return false;
+        }
         self.detect_pause(now);
         let is_in_backlog = self.resumed.is_some_and(|at| now.since(at) < BACKLOG_TIME);
         if !is_in_backlog && now.since(Time::ZERO) >= status.age && self.is_new(confirmation) {
--- a/crates/kv/src/store.rs
+++ b/crates/kv/src/store.rs
@@ -2,11 +2,15 @@
 //!
 //! Keys are text, values are bytes. A single revision counter covers all changes. A write states the revisions that it
 //! expects, so that reading back distinguishes a write whose response was lost from one that never took effect.
+//!
+//! A store may be restored from an older copy. What was written since is lost, leases too; the counter goes back, and the
+//! store's epoch rises, which is part of each revision and of each lease.
 
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
+use sequoiastream_core::relay::revision::Revision;
 use thiserror::Error;
 
 /// Time-out for a response, in addition to the wait time of a watch. Users specify 4 ms for their stores; a store that
@@ -21,9 +25,9 @@
     /// The value.
     pub value: Bytes,
     /// Revision of its last change.
-    pub revision: u64,
+    pub revision: Revision,
     /// Revision at which it was created.
-    pub created: u64,
+    pub created: Revision,
 }
 
 /// A change of a key.
@@ -36,7 +40,7 @@
         /// The key.
         key: String,
         /// Revision of the removal.
-        revision: u64,
+        revision: Revision,
     },
 }
 
@@ -48,7 +52,7 @@
     /// Whether further items follow the last one.
     pub more: bool,
     /// The store's revision.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// Changes after a revision.
@@ -57,12 +61,17 @@
     /// The changes, oldest first.
     pub changes: Vec<Change>,
     /// Revision from which to continue.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
-/// A lease: keys written under it are removed when it ends.
+/// A lease: keys written under it are removed when it ends. A store that was restored may give out the same number again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct LeaseId(pub u64);
+pub struct LeaseId {
+    /// Epoch of the store that granted it.
+    pub epoch: u64,
+    /// Number by which the store knows it.
+    pub number: u64,
+}
 
 /// A key to write.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -78,8 +87,9 @@
 /// An atomic write.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Write {
-    /// Keys and their expected revisions; 0 means that the key must not exist.
-    pub expect: Vec<(String, u64)>,
+    /// Keys and their expected revisions; [`Revision::ZERO`] means that the key must not exist. The store compares numbers
+    /// only: after it was restored, the number of an earlier epoch may be that of another change.
+    pub expect: Vec<(String, Revision)>,
     /// Keys to write.
     pub puts: Vec<Put>,
     /// Keys to remove.
@@ -128,22 +138,24 @@
     /// Returns a page of items whose keys start with `prefix` and sort after the key `after`.
     fn range<'a>(&'a self, prefix: &'a str, after: &'a str) -> LocalBoxFuture<'a, Result<Page, StoreError>>;
 
-    /// Waits up to `wait` for changes after revision `after` to keys that start with `prefix`.
+    /// Waits up to `wait` for changes after revision `after` to keys that start with `prefix`. The store compares numbers only:
+    /// if the answer is of another epoch than `after`, changes may be missing from it.
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> LocalBoxFuture<'a, Result<Changes, StoreError>>;
 
     /// Applies a write and returns its revision.
-    fn write<'a>(&'a self, write: Write) -> LocalBoxFuture<'a, Result<u64, StoreError>>;
+    fn write<'a>(&'a self, write: Write) -> LocalBoxFuture<'a, Result<Revision, StoreError>>;
 
     /// Grants a lease.
     fn grant<'a>(&'a self, ttl: Duration) -> LocalBoxFuture<'a, Result<LeaseId, StoreError>>;
 
-    /// Renews a lease; its time starts when the call arrives at the store.
-    fn renew<'a>(&'a self, lease: LeaseId) -> LocalBoxFuture<'a, Result<(), StoreError>>;
+    /// Renews a lease; its time starts when the call arrives at the store. Returns the lease that was renewed: of another epoch
+    /// if the store has been restored, and then somebody else's.
+    fn renew<'a>(&'a self, lease: LeaseId) -> LocalBoxFuture<'a, Result<LeaseId, StoreError>>;
 
     /// Ends a lease.
     fn revoke<'a>(&'a self, lease: LeaseId) -> LocalBoxFuture<'a, Result<(), StoreError>>;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,4 +1,8 @@
 //! Messages between instances.
+//!
+//! Instances of different versions exchange messages while a fleet is upgraded. A message whose contents change gets a new
+//! variant at the end of its type, and the old one becomes a variant without contents that is ignored: an instance that
+//! does not understand a message does not act on it.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -20,6 +24,7 @@
 use sequoiastream_core::poison::suspects::Note;
 use sequoiastream_core::relay::limit_report::PeerLimitReport;
 use sequoiastream_core::relay::load_message::LoadMessage;
+use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_core::relay::streams::StreamId;
 use sequoiastream_core::relay::streams::StreamRecord;
 use sequoiastream_core::relay::usage::CountsMessage;
@@ -36,12 +41,12 @@
     /// A heartbeat.
     #[serde(rename = "Beat")]
     Heartbeat(Heartbeat),
-    /// The sender's load on the engines.
-    Load(LoadMessage),
+    /// Was the load of the sender with the number of a revision, without the store's epoch.
+    RetiredLoad,
     /// Requests, with this number, a proof of the store revision that the peer knows.
     Prove(u64),
-    /// Response to [`Datagram::Prove`].
-    Proof(StoreProof),
+    /// Was a proof with the number of a revision, without the store's epoch.
+    RetiredProof,
     /// Number of requests that engines started for the sender.
     Counts(CountsMessage),
     /// Request limits that engines reported to the sender.
@@ -50,6 +55,10 @@
     Crashes(Vec<Note>),
     /// Versions of streams that began at the sender.
     Streams(Vec<StreamRecord>),
+    /// The sender's load on the engines.
+    Load(LoadMessage),
+    /// Response to [`Datagram::Prove`].
+    Proof(StoreProof),
 }
 
 /// A request over TCP.
@@ -76,15 +85,19 @@
     Unhold(Name),
     /// Requests the outcome of an order.
     Settle(SettleOrder),
-    /// Requests a page of the peer's copy of the store: the items after this key, in key order.
-    Page(String),
-    /// Requests the store changes after this revision that the peer knows.
-    Since(u64),
+    /// Was a request for a page without the store's epoch.
+    RetiredPage,
+    /// Was a request for changes without the store's epoch.
+    RetiredSince,
     /// Asks the peer to connect to this address of an engine and to turn the connection into a tunnel to it
     /// ([`crate::tunnel`]).
     Connect(SocketAddr),
     /// Requests the version of the engines that began a stream.
     Stream(StreamId),
+    /// Requests a page of the peer's copy of the store: the items after this key, in key order.
+    Page(String),
+    /// Requests the store changes after this revision that the peer knows.
+    Since(Revision),
 }
 
 /// Response to a request over TCP.
@@ -107,14 +120,12 @@
     InFlight(u32),
     /// Response to [`Request::Settle`].
     Settled(Settlement),
-    /// Response to [`Request::Page`]. Also the response to [`Request::Since`], as the first page, if the peer does not
-    /// know all changes since that revision.
-    Page(StorePage),
+    /// Was a page without the store's epoch.
+    RetiredPage,
     /// The peer has reached its limit of concurrent full transfers; retry later or ask another peer.
     Busy,
-    /// Response to [`Request::Since`].
-    #[serde(rename = "News")]
-    Changes(StoreChanges),
+    /// Were changes without the store's epoch.
+    RetiredChanges,
     /// This instance does not serve the request.
     #[serde(rename = "Unserved")]
     NotServed,
@@ -124,6 +135,11 @@
     Unreachable,
     /// Response to [`Request::Stream`]; `None` if the peer does not know the stream.
     Stream(Option<StreamRecord>),
+    /// Response to [`Request::Page`]. Also the response to [`Request::Since`], as the first page, if the peer does not
+    /// know all changes since that revision.
+    Page(StorePage),
+    /// Response to [`Request::Since`].
+    Changes(StoreChanges),
 }
 
 /// Asks a peer not to send new work to an engine before it is changed. Repeated while the change is in progress.
@@ -155,7 +171,7 @@
     /// Number of the [`Datagram::Prove`] message.
     pub question: u64,
     /// Revision up to which the sender knows the store.
-    pub revision: u64,
+    pub revision: Revision,
     /// Milliseconds since the store provably had no later changes.
     pub age: u32,
 }
@@ -164,7 +180,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StorePage {
     /// Revision up to which the sender knows the store.
-    pub revision: u64,
+    pub revision: Revision,
     /// Milliseconds since the store had no later changes.
     pub age: u32,
     /// The items.
@@ -179,15 +195,15 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreChanges {
     /// Revision up to which the sender knows the store.
-    pub revision: u64,
+    pub revision: Revision,
     /// Milliseconds since the store had no later changes.
     pub age: u32,
     /// Items that were written.
     pub items: Vec<StoreItem>,
     /// Removed keys with the revisions of their removal.
-    pub removed: Vec<(u64, String)>,
+    pub removed: Vec<(Revision, String)>,
     /// Revisions and keys of written items that are too large to be included.
-    pub large: Vec<(u64, String)>,
+    pub large: Vec<(Revision, String)>,
     /// The store's confirmation from which `age` is counted.
     pub confirmation: ConfirmationId,
 }
@@ -200,9 +216,9 @@
     /// The value.
     pub value: Vec<u8>,
     /// Revision of its last change.
-    pub revision: u64,
+    pub revision: Revision,
     /// Revision at which it was created.
-    pub created: u64,
+    pub created: Revision,
 }
 
 /// Messages between instances about requests that crash engines.
--- a/src/ops/control/peers.rs
+++ b/src/ops/control/peers.rs
@@ -49,6 +49,7 @@
             Request::Page(_) | Request::Since(_) | Request::Connect(_) | Request::Stream(_) => {
                 Response::NotServed
             }
+            Request::RetiredPage | Request::RetiredSince => Response::NotServed,
             Request::Claim(request) => verdict_response(self.claims.send(RequestClaim(request)).await),
             Request::Lookup(claim) => verdict_response(self.claims.send(QueryClaim(claim)).await),
             Request::Clock => Response::Clock(clock::wall_time()),
--- a/src/ops/relay/counted.rs
+++ b/src/ops/relay/counted.rs
@@ -6,6 +6,7 @@
 
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
+use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_kv::store::Changes;
 use sequoiastream_kv::store::LeaseId;
 use sequoiastream_kv::store::Page;
@@ -53,13 +54,13 @@
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> LocalBoxFuture<'a, Result<Changes, StoreError>> {
         self.count("watch", self.store.watch(prefix, after, wait))
     }
 
-    fn write<'a>(&'a self, write: Write) -> LocalBoxFuture<'a, Result<u64, StoreError>> {
+    fn write<'a>(&'a self, write: Write) -> LocalBoxFuture<'a, Result<Revision, StoreError>> {
         self.count("write", self.store.write(write))
     }
 
@@ -67,7 +68,7 @@
         self.count("grant", self.store.grant(ttl))
     }
 
-    fn renew<'a>(&'a self, lease: LeaseId) -> LocalBoxFuture<'a, Result<(), StoreError>> {
+    fn renew<'a>(&'a self, lease: LeaseId) -> LocalBoxFuture<'a, Result<LeaseId, StoreError>> {
         self.count("renew", self.store.renew(lease))
     }
 
--- a/src/ops/relay/follow/join.rs
+++ b/src/ops/relay/follow/join.rs
@@ -89,7 +89,7 @@
     /// Whether peers of other zones may be asked. During startup, peers of this zone are preferred because a full
     /// transfer between zones costs more.
     pub(super) fn may_ask_other_zones(&self, now: Time) -> bool {
-        if self.known.revision() > 0 {
+        if !self.known.revision().is_zero() {
             return true;
         }
         let fallback_age = self
--- a/src/ops/relay/follow/listen.rs
+++ b/src/ops/relay/follow/listen.rs
@@ -5,6 +5,7 @@
 
 use sequoiastream_core::log_event;
 use sequoiastream_core::relay::engines::min_expiry_outage;
+use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_core::relay::watchers::ConfirmedStatus;
 use sequoiastream_core::relay::watchers::ask_timeout;
 use sequoiastream_core::time::Time;
@@ -92,7 +93,7 @@
         self.on_snapshot(as_of(asked, page.age), revision, &items);
         self.known.on_peer_changes(asked, status);
         self.complete = true;
-        log_event!(info, log_event::PEER_TOLD, revision, items = items.len());
+        log_event!(info, log_event::PEER_TOLD, %revision, items = items.len());
     }
 
     /// Applies the changes since the known revision as sent by a peer in answer to a request sent at `asked`. Returns
@@ -117,7 +118,14 @@
             .map(|(revision, key)| Change::Removed { key, revision });
         let mut changes: Vec<Change> = items.into_iter().map(Change::Put).chain(removed).collect();
         changes.sort_by_key(change_revision);
-        self.on_changes(as_of(asked, news.age), changes);
+        let latest = as_of(asked, news.age);
+        let known = self.known.revision();
+        if news.revision.epoch > known.epoch {
+            let is_lost = |change: &&Change| matches!(change, Change::Removed { revision, .. } if revision.epoch > known.epoch);
+            let lost = changes.iter().filter(is_lost).count();
+            self.on_restored(latest, news.revision, lost);
+        }
+        self.on_changes(latest, changes);
         let status = ConfirmedStatus::new(news.revision, news.age, news.confirmation);
         self.known.on_peer_changes(asked, status);
         self.complete = true;
@@ -155,7 +163,7 @@
     /// Reads the item under a key from the store itself, at `revision` or later; `None` if it could not be read. An
     /// item that was removed meanwhile counts as not read: the caller then loads the peer's complete state, which shows
     /// the removal.
-    async fn fetch_large(&self, revision: u64, key: &str) -> Option<Item> {
+    async fn fetch_large(&self, revision: Revision, key: &str) -> Option<Item> {
         match self.store.range(key, "").await {
             Ok(page) => {
                 let found = page.items.into_iter().find(|item| item.key == key);
@@ -179,7 +187,7 @@
     }
 }
 
-fn change_revision(change: &Change) -> u64 {
+fn change_revision(change: &Change) -> Revision {
     match change {
         Change::Put(item) => item.revision,
         Change::Removed { revision, .. } => *revision,
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -26,6 +26,7 @@
 use sequoiastream_core::relay::engines::Engines;
 use sequoiastream_core::relay::engines::Entry;
 use sequoiastream_core::relay::leader_lease::LeaseRecord;
+use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_core::relay::routes::RoutingTable;
 use sequoiastream_core::relay::watchers;
 use sequoiastream_core::relay::watchers::ApplyLimit;
@@ -48,6 +49,7 @@
 use crate::ops::relay::orders::OrderRecords;
 use crate::ops::relay::peers::Fleet;
 use crate::ops::relay::register;
+use crate::ops::relay::shared::Restoration;
 use crate::ops::relay::shared::Shared;
 use crate::util::clock;
 
@@ -110,7 +112,7 @@
     /// Lease of the instance that acts for the fleet.
     lead: Option<LeaseRecord>,
     /// Revision of the configuration that is in force.
-    config_revision: u64,
+    config_revision: Revision,
     /// Number of calls that failed since the last success.
     failures: u32,
     /// When the last call failed.
@@ -163,7 +165,7 @@
         engines: Engines::new(),
         ordered: OrderRecords::default(),
         lead: None,
-        config_revision: 0,
+        config_revision: Revision::ZERO,
         failures: 0,
         last_failure: None,
         watch_delay: Duration::ZERO,
@@ -182,7 +184,7 @@
         let now = clock::now();
         self.on_tick();
         self.detect_recovery(now);
-        if self.startup.is_joining() && self.known.revision() == 0 {
+        if self.startup.is_joining() && self.known.revision().is_zero() {
             return self.join(now).await;
         }
         let tuning = self.shared.reloadable();
@@ -209,7 +211,7 @@
 
     /// Handles the result of a call to the store.
     async fn on_result(&mut self, result: Result<(), StoreError>) {
-        self.complete = result.is_ok() && self.known.revision() > 0;
+        self.complete = result.is_ok() && !self.known.revision().is_zero();
         match result {
             Ok(()) => self.on_success(),
             Err(error) => self.on_failure(&error).await,
@@ -226,7 +228,7 @@
             info,
             log_event::UNCONFIRMED,
             age,
-            revision = self.known.revision()
+            revision = %self.known.revision()
         );
     }
 
@@ -236,21 +238,21 @@
         let revision = self.known.revision();
         let sent = clock::now();
         let changes = self.store.watch(ALL_KEYS, revision, POLL_WAIT).await?;
-        self.on_poll_answer(sent, changes, revision);
-        Ok(())
+        self.on_poll_answer(sent, changes, revision)
     }
 
     /// Applies the answer to a watch for changes after the revision `since` that was sent at `sent` and did not wait.
-    fn on_poll_answer(&mut self, sent: Time, changes: Changes, since: u64) {
-        if let Some(revision) = self.on_watch_answer(changes, since) {
+    fn on_poll_answer(&mut self, sent: Time, changes: Changes, since: Revision) -> Result<(), StoreError> {
+        if let Some(revision) = self.on_watch_answer(changes, since)? {
             self.known
                 .on_store_answer(clock::now(), sent, POLL_WAIT, revision);
             self.known.on_proof(sent);
         }
+        Ok(())
     }
 
     /// Watches the store for changes after `revision` and applies them.
-    async fn watch(&mut self, revision: u64) -> Result<(), StoreError> {
+    async fn watch(&mut self, revision: Revision) -> Result<(), StoreError> {
         let delay = std::mem::take(&mut self.watch_delay);
         self.wait(delay).await;
         let limit = self.shared.reloadable().apply_limit;
@@ -282,7 +284,7 @@
             }
         };
         let is_quiet = changes.changes.is_empty();
-        let Some(revision) = self.on_watch_answer(changes, revision) else {
+        let Some(revision) = self.on_watch_answer(changes, revision)? else {
             return Ok(());
         };
         let now = clock::now();
@@ -308,7 +310,14 @@
 
     /// Applies the answer to a watch for changes after the revision `since`. Returns the revision up to which all
     /// changes are known, or `None` if the answer may be truncated: such an answer confirms and proves nothing.
-    fn on_watch_answer(&mut self, changes: Changes, since: u64) -> Option<u64> {
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Compacted`] if the store is of another epoch than `since`: it has no history from there.
+    fn on_watch_answer(&mut self, changes: Changes, since: Revision) -> Result<Option<Revision>, StoreError> {
+        if changes.revision.epoch != since.epoch {
+            return Err(StoreError::Compacted);
+        }
         let is_complete = !may_be_truncated(&changes.changes);
         let revision = changes.revision.max(since);
         self.on_changes(clock::now(), changes.changes);
@@ -316,7 +325,7 @@
             let unconfirmed = ConfirmedStatus::new(revision, u32::MAX, ConfirmationId::default());
             self.known.on_peer_changes(clock::now(), unconfirmed);
         }
-        is_complete.then_some(revision)
+        Ok(is_complete.then_some(revision))
     }
 
     /// Applies changes, in the order in which they occurred. They show the state of the store as of `latest`.
@@ -346,17 +355,28 @@
     }
 
     /// Applies the complete contents of the store as of `revision`, which show its state as of `latest`.
-    fn on_snapshot(&mut self, latest: Time, revision: u64, items: &[Item]) {
+    fn on_snapshot(&mut self, latest: Time, revision: Revision, items: &[Item]) {
         self.distrust_removals(latest);
         let now = clock::now();
         let known = self.known.revision();
         if revision < known {
-            log_event!(info, log_event::CONTENTS_OLDER, revision, known);
+            log_event!(info, log_event::CONTENTS_OLDER, %revision, %known);
+            return;
+        }
+        if revision.epoch > known.epoch && !known.is_zero() {
+            let keys: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
+            let lost = self
+                .known
+                .keys()
+                .iter()
+                .filter(|key| !keys.contains(key.as_str()))
+                .count();
+            self.on_restored(latest, revision, lost);
         }
         self.known
             .on_snapshot(self.shared.translate.keys(), revision, items);
         let entries = items.iter().filter_map(|item| self.entry(item));
-        let entries: Vec<(u64, Entry)> = entries.collect();
+        let entries: Vec<(Revision, Entry)> = entries.collect();
         let engines = self.engines.on_snapshot(now, revision, entries);
         self.ordered
             .on_snapshot(now, self.shared.translate.as_ref(), revision, items);
@@ -374,6 +394,25 @@
         self.fleet.on_listed(register::listings(&self.shared, items));
     }
 
+    /// Prepares for the contents as of `revision` of a store that was restored from a copy: `lost` keys that are known are not
+    /// among them.
+    ///
+    /// Guards against refusing requests until the engines have registered again. What was acknowledged before still holds:
+    /// no older configuration comes into force, and an engine that announced that it leaves gets no work.
+    fn on_restored(&mut self, latest: Time, revision: Revision, lost: usize) {
+        self.engines.on_outage_end(latest);
+        let before = self.known.revision();
+        let now = clock::now();
+        let age = now.since(latest).as_millis() as u64;
+        log_event!(warn, log_event::STORE_RESTORED, %before, after = %revision, lost, age);
+        self.shared.metrics.store_restorations.inc();
+        let restoration = Restoration {
+            epoch: revision.epoch,
+            noticed: now,
+        };
+        self.shared.publish(|view| view.restored = Some(restoration));
+    }
+
     /// Applies a change, and notes in `changed` what is to be published.
     fn on_change(&mut self, change: Change, changed: &mut Changed) {
         let now = clock::now();
@@ -391,7 +430,7 @@
             }
             Change::Removed { key, revision } => {
                 let translate = self.shared.translate.as_ref();
-                changed.orders |= self.ordered.on_removed(translate, key);
+                changed.orders |= self.ordered.on_removed(translate, key, *revision);
                 let is_lead = *key == translate.keys().leader;
                 if is_lead && self.lead.as_ref().is_some_and(|lead| lead.revision < *revision) {
                     self.lead = None;
@@ -415,12 +454,12 @@
 
     /// Decodes the entry of an engine, with its revision; `None` for other items. An entry that can't be decoded is
     /// logged and skipped, so that it doesn't affect other engines.
-    fn entry(&self, item: &Item) -> Option<(u64, Entry)> {
+    fn entry(&self, item: &Item) -> Option<(Revision, Entry)> {
         self.shared.translate.engine_id(&item.key)?;
         match self.shared.translate.engine(item) {
             Ok(entry) => Some((item.revision, entry)),
             Err(error) => {
-                log_event!(warn, log_event::ENTRY_UNREADABLE, key = %item.key, revision = item.revision, %error);
+                log_event!(warn, log_event::ENTRY_UNREADABLE, key = %item.key, revision = %item.revision, %error);
                 None
             }
         }
@@ -434,14 +473,14 @@
         match self.shared.translate.config(&item.value) {
             Ok(table) => self.install(item.revision, table),
             Err(error) => {
-                log_event!(error, log_event::CONFIG_UNREADABLE, revision = item.revision, %error);
+                log_event!(error, log_event::CONFIG_UNREADABLE, revision = %item.revision, %error);
             }
         }
     }
 
     /// Puts a configuration into force, unless its version is lower than that of the current one: versions never go
     /// backwards, wherever a configuration comes from.
-    fn install(&mut self, revision: u64, table: RoutingTable) {
+    fn install(&mut self, revision: Revision, table: RoutingTable) {
         let before = self.shared.view.load().table.version;
         if table.version < before {
             log_event!(warn, log_event::CONFIG_STALE, before, offered = table.version);
@@ -456,7 +495,7 @@
             log_event::CONFIG_IN_FORCE,
             before,
             after = version,
-            revision
+            %revision
         );
     }
 
--- a/src/ops/relay/follow/read.rs
+++ b/src/ops/relay/follow/read.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_core::time::Time;
 use sequoiastream_kv::store::Item;
 use sequoiastream_kv::store::StoreError;
@@ -25,7 +26,7 @@
 pub(super) struct PartialRead {
     items: Vec<Item>,
     /// Revision of the first page. The pages are not a snapshot: changes since then may be missing.
-    revision: u64,
+    revision: Option<Revision>,
     /// When the first page was requested.
     sent: Time,
     is_complete: bool,
@@ -35,7 +36,7 @@
     fn new(now: Time) -> PartialRead {
         PartialRead {
             items: Vec::new(),
-            revision: u64::MAX,
+            revision: None,
             sent: now,
             is_complete: false,
         }
@@ -67,7 +68,7 @@
         let known = self.known.revision();
         let partial = self.partial.take();
         partial
-            .filter(|read| now.since(read.sent) < MAX_READ_TIME && read.revision >= known)
+            .filter(|read| now.since(read.sent) < MAX_READ_TIME && read.revision >= Some(known))
             .unwrap_or_else(|| PartialRead::new(now))
     }
 
@@ -75,7 +76,13 @@
         while !read.is_complete {
             let after = read.items.last().map_or("", |item| &item.key);
             let page = self.store.range(ALL_KEYS, after).await?;
-            read.revision = read.revision.min(page.revision);
+            let first = *read.revision.get_or_insert(page.revision);
+            if page.revision.epoch != first.epoch {
+                // The store was restored meanwhile: the pages before are of contents that it no longer has.
+                *read = PartialRead::new(clock::now());
+                return Err(StoreError::Compacted);
+            }
+            read.revision = Some(first.min(page.revision));
             read.is_complete = !page.more || page.items.is_empty();
             read.items.extend(page.items);
             if !read.is_complete && self.startup.defer_large_read() {
@@ -85,10 +92,14 @@
         Ok(())
     }
 
+    /// Applies all pages, unless they were read before a restoration of the store of which a peer has told.
     fn apply_read(&mut self, read: &PartialRead) {
-        self.on_snapshot(clock::now(), read.revision, &read.items);
+        let Some(revision) = read.revision.filter(|r| r.epoch >= self.known.revision().epoch) else {
+            return;
+        };
+        self.on_snapshot(clock::now(), revision, &read.items);
         self.known
-            .on_store_answer(clock::now(), read.sent, Duration::ZERO, read.revision);
+            .on_store_answer(clock::now(), read.sent, Duration::ZERO, revision);
         self.known.on_proof(read.sent);
     }
 
@@ -96,7 +107,10 @@
     /// store does not begin with an old configuration or with engines that have left.
     async fn apply_checked(&mut self, read: PartialRead) -> Result<(), StoreError> {
         let sent = clock::now();
-        let changes = match self.store.watch(ALL_KEYS, read.revision, POLL_WAIT).await {
+        let Some(revision) = read.revision else {
+            return Ok(());
+        };
+        let changes = match self.store.watch(ALL_KEYS, revision, POLL_WAIT).await {
             Ok(changes) => changes,
             // The changes are no longer available: all pages are read again.
             Err(StoreError::Compacted) => return Err(StoreError::Compacted),
@@ -105,8 +119,10 @@
                 return Err(error);
             }
         };
-        self.on_snapshot(clock::now(), read.revision, &read.items);
-        self.on_poll_answer(sent, changes, read.revision);
-        Ok(())
+        if changes.revision.epoch != revision.epoch {
+            return Err(StoreError::Compacted);
+        }
+        self.on_snapshot(clock::now(), revision, &read.items);
+        self.on_poll_answer(sent, changes, revision)
     }
 }
--- a/src/ops/relay/known.rs
+++ b/src/ops/relay/known.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_core::relay::watchers;
 use sequoiastream_core::relay::watchers::ConfirmationId;
 use sequoiastream_core::relay::watchers::ConfirmedStatus;
@@ -42,16 +43,27 @@
 /// Maximum size of a page, in bytes of keys and values: a small instance sends it in a fifth of a second.
 const MAX_PAGE_BYTES: usize = 512 * 1024;
 
+/// An item, and since when it is as it is.
+#[derive(Debug, Clone)]
+struct Known {
+    item: Item,
+    /// Its revision. A restoration of the store does not change that of an item that it leaves as it was: then the item's own
+    /// revision is of a later epoch.
+    since: Revision,
+}
+
 #[derive(Debug)]
 struct State {
     sync: SyncState,
-    items: BTreeMap<String, Item>,
-    /// Keys of `items`, by revision. Finds the changes after a revision without a full scan.
-    revisions: BTreeSet<(u64, String)>,
+    items: BTreeMap<String, Known>,
+    /// Keys of `items`, by [`Known::since`]. Finds the changes after a revision without a full scan.
+    revisions: BTreeSet<(Revision, String)>,
     /// Removals, by revision.
-    removed: BTreeSet<(u64, String)>,
+    removed: BTreeSet<(Revision, String)>,
     /// All removals after this revision are kept.
-    compact_revision: u64,
+    compact_revision: Revision,
+    /// The last revision that was read of each earlier epoch of the store.
+    epoch_ends: BTreeMap<u64, u64>,
 }
 
 /// A replica of the items of the store that all instances share. Cheap to clone; stays on one thread.
@@ -72,12 +84,13 @@
             items: BTreeMap::new(),
             revisions: BTreeSet::new(),
             removed: BTreeSet::new(),
-            compact_revision: 0,
+            compact_revision: Revision::ZERO,
+            epoch_ends: BTreeMap::new(),
         })))
     }
 
     /// The revision up to which all changes were read.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.0.borrow().sync.revision()
     }
 
@@ -116,21 +129,28 @@
         self.0.borrow_mut().sync.on_tick(now)
     }
 
+    /// Keys of the items.
+    pub fn keys(&self) -> BTreeSet<String> {
+        self.0.borrow().items.keys().cloned().collect()
+    }
+
     /// Replaces the replica by all `items` of the store as of `revision`, unless it has a higher revision already.
-    pub fn on_snapshot(&self, keys: &StoreKeys, revision: u64, items: &[Item]) {
+    pub fn on_snapshot(&self, keys: &StoreKeys, revision: Revision, items: &[Item]) {
         let mut state = self.0.borrow_mut();
         if revision < state.sync.revision() {
             return;
         }
+        state.end_epoch(revision.epoch);
         let shared = items.iter().filter(|item| is_replicated(keys, &item.key));
-        let shared = shared.map(|item| (item.key.clone(), item.clone())).collect();
+        let shared = shared.map(|item| (item.key.clone(), state.to_known(item)));
+        let shared = shared.collect();
         let before = std::mem::replace(&mut state.items, shared);
         state.revisions = state
             .items
-            .values()
-            .map(|item| (item.revision, item.key.clone()))
+            .iter()
+            .map(|(key, known)| (known.since, key.clone()))
             .collect();
-        if state.sync.revision() == 0 {
+        if state.sync.revision().is_zero() {
             state.compact_revision = revision;
         }
         // Items that are missing were removed since the previous snapshot: peers that lag are sent just these removals.
@@ -155,7 +175,7 @@
     }
 
     /// Notes that an answer of the store was applied, see [`SyncState::on_store_answer`].
-    pub fn on_store_answer(&self, now: Time, sent: Time, wait: Duration, revision: u64) {
+    pub fn on_store_answer(&self, now: Time, sent: Time, wait: Duration, revision: Revision) {
         self.0
             .borrow_mut()
             .sync
@@ -196,12 +216,14 @@
 
     /// Notes that the changes of a peer, requested at `asked`, were applied: everything up to its status.
     pub fn on_peer_changes(&self, asked: Time, status: ConfirmedStatus) {
-        self.0.borrow_mut().sync.on_peer_changes(asked, status);
+        let mut state = self.0.borrow_mut();
+        state.end_epoch(status.status.revision.epoch);
+        state.sync.on_peer_changes(asked, status);
     }
 
     /// The item with this key, if there is one.
     pub fn item(&self, key: &str) -> Option<Item> {
-        self.0.borrow().items.get(key).cloned()
+        self.0.borrow().items.get(key).map(|known| known.item.clone())
     }
 
     /// Returns the page of items that follow the key `after`, for a peer that reads all items.
@@ -213,7 +235,7 @@
         let mut remaining = MAX_PAGE_BYTES;
         let mut items = Vec::new();
         let mut more = false;
-        for (key, item) in state
+        for (key, Known { item, .. }) in state
             .items
             .range::<str, _>((Bound::Excluded(after), Bound::Unbounded))
         {
@@ -236,23 +258,24 @@
     }
 
     /// Returns the changes after `revision`, for a peer that has read the store up to there; `None` if older removals
-    /// than those kept are needed.
-    pub fn changes_since(&self, now: Time, revision: u64) -> Option<StoreChanges> {
+    /// than those kept are needed, or if the peer knows more of an earlier epoch of the store than this instance did.
+    pub fn changes_since(&self, now: Time, revision: Revision) -> Option<StoreChanges> {
         let state = self.0.borrow();
-        if revision < state.compact_revision {
+        if revision < state.compact_revision || !state.includes(revision) {
             return None;
         }
-        let changed = state.revisions.range((revision + 1, String::new())..);
-        let changed: Vec<&Item> = changed.filter_map(|(_, key)| state.items.get(key)).collect();
+        let changed = state.revisions.range((revision.next(), String::new())..);
+        let changed: Vec<&Known> = changed.filter_map(|(_, key)| state.items.get(key)).collect();
         // A truncated answer must not confirm that the peer is up to date.
         let (last, (age, confirmation)) = match truncation_revision(&changed) {
             Some(last) => (last, (u32::MAX, ConfirmationId::default())),
             None => (state.sync.revision(), state.age(now)),
         };
-        let changed = changed.into_iter().filter(|item| item.revision <= last);
+        let changed = changed.into_iter().filter(|known| known.since <= last);
+        let changed = changed.map(|known| &known.item);
         let (large, small): (Vec<&Item>, Vec<&Item>) =
             changed.partition(|item| item.value.len() > MAX_INLINE_BYTES);
-        let removed = state.removed.range((revision + 1, String::new())..);
+        let removed = state.removed.range((revision.next(), String::new())..);
         let removed = removed.take_while(|(at, _)| *at <= last);
         Some(StoreChanges {
             revision: last,
@@ -270,12 +293,13 @@
 
 /// Returns the last revision whose changes fit into one answer, or `None` if all of `changed` fit. `changed` must be
 /// sorted by revision.
-fn truncation_revision(changed: &[&Item]) -> Option<u64> {
+fn truncation_revision(changed: &[&Known]) -> Option<Revision> {
     let mut remaining = MAX_PAGE_BYTES;
     for pair in changed.windows(2) {
-        remaining = remaining.saturating_sub(pair[0].key.len() + pair[0].value.len().min(MAX_INLINE_BYTES));
-        if remaining == 0 && pair[0].revision < pair[1].revision {
-            return Some(pair[0].revision);
+        let item = &pair[0].item;
+        remaining = remaining.saturating_sub(item.key.len() + item.value.len().min(MAX_INLINE_BYTES));
+        if remaining == 0 && pair[0].since < pair[1].since {
+            return Some(pair[0].since);
         }
     }
     None
@@ -291,17 +315,49 @@
         })
     }
 
+    /// Whether this replica has contained everything that a peer knows up to `revision`.
+    fn includes(&self, revision: Revision) -> bool {
+        let is_current = revision.epoch == self.sync.revision().epoch;
+        let end = self.epoch_ends.get(&revision.epoch);
+        is_current || end.is_some_and(|end| revision.number <= *end)
+    }
+
+    /// Notes that what is applied next is of `epoch`. Items that a restoration of the store left as they were now count as read
+    /// in that epoch.
+    fn end_epoch(&mut self, epoch: u64) {
+        let known = self.sync.revision();
+        if epoch <= known.epoch || known.is_zero() {
+            return;
+        }
+        self.epoch_ends.insert(known.epoch, known.number);
+        for known in self.items.values_mut() {
+            known.item.revision.epoch = epoch;
+            known.item.created.epoch = epoch;
+        }
+    }
+
+    /// An item of a snapshot; if it is known already, it counts as unchanged.
+    fn to_known(&self, item: &Item) -> Known {
+        let before = self.items.get(&item.key).filter(|known| known.item == *item);
+        Known {
+            item: item.clone(),
+            since: before.map_or(item.revision, |known| known.since),
+        }
+    }
+
     fn insert(&mut self, item: Item) {
-        self.revisions.insert((item.revision, item.key.clone()));
-        let before = self.items.insert(item.key.clone(), item.clone());
-        if let Some(before) = before.filter(|before| before.revision != item.revision) {
-            self.revisions.remove(&(before.revision, before.key));
+        let key = item.key.clone();
+        let since = item.revision;
+        let before = self.items.insert(key.clone(), Known { item, since });
+        if let Some(before) = before {
+            self.revisions.remove(&(before.since, key.clone()));
         }
+        self.revisions.insert((since, key));
     }
 
-    fn remove(&mut self, key: &str, revision: u64) {
-        if let Some(item) = self.items.remove(key) {
-            self.revisions.remove(&(item.revision, item.key));
+    fn remove(&mut self, key: &str, revision: Revision) {
+        if let Some(known) = self.items.remove(key) {
+            self.revisions.remove(&(known.since, known.item.key));
         }
         self.removed.insert((revision, key.to_string()));
         while self.removed.len() > MAX_REMOVED
--- a/src/ops/relay/lead.rs
+++ b/src/ops/relay/lead.rs
@@ -1,6 +1,7 @@
 //! Acquires and keeps the lease of the leader, the one instance that acts for all, as
 //! [`sequoiastream_core::relay::leader_lease`] decides.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -11,6 +12,7 @@
 use sequoiastream_core::relay::leader_lease::LeaderLease;
 use sequoiastream_core::relay::leader_lease::LeaseAction;
 use sequoiastream_core::relay::leader_lease::LeaseRecord;
+use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_core::time::Time;
 use sequoiastream_kv::store::Item;
 use sequoiastream_kv::store::LeaseId;
@@ -34,6 +36,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct HolderRecord {
     holder: String,
+    /// A random ID of the process and the number of its attempt: a record of an earlier attempt may come back when the store is
+    /// restored.
     process: String,
 }
 
@@ -44,7 +48,7 @@
     }
     // A record that can't be read still means that some instance holds the lease.
     let record = serde_json::from_slice::<HolderRecord>(&item.value).unwrap_or_else(|error| {
-        log_event!(warn, log_event::ENTRY_UNREADABLE, key = %item.key, revision = item.revision, %error);
+        log_event!(warn, log_event::ENTRY_UNREADABLE, key = %item.key, revision = %item.revision, %error);
         HolderRecord {
             holder: String::new(),
             process: String::new(),
@@ -62,6 +66,8 @@
     lease: RefCell<LeaderLease>,
     lease_id: RefCell<Option<LeaseId>>,
     process: String,
+    /// Number of attempts to acquire the lease.
+    attempts: Cell<u64>,
 }
 
 /// Whether this instance is the leader. Cheap to clone; stays on one thread.
@@ -81,6 +87,7 @@
         lease: RefCell::new(LeaderLease::new(lease)),
         lease_id: RefCell::default(),
         process: Uuid::new_v4().to_string(),
+        attempts: Cell::new(0),
     }));
     actix_rt::spawn(run(leadership.clone(), shared, store));
     leadership
@@ -90,7 +97,7 @@
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         if shared.is_leaving() {
-            return leadership.resign(store.as_ref()).await;
+            return leadership.resign(&shared, store.as_ref()).await;
         }
         let (is_free, rank) = {
             let view = shared.view.load();
@@ -101,6 +108,7 @@
             .metrics
             .is_leader
             .set(i64::from(leadership.fence(now).is_some()));
+        leadership.drop_void(&shared);
         let action = leadership.0.lease.borrow_mut().next_action(now, is_free, rank);
         match action {
             LeaseAction::Wait => {}
@@ -114,11 +122,18 @@
     async fn acquire(&self, shared: &Shared, store: &dyn Store) {
         let sent = clock::now();
         match self.create(shared, store).await {
-            Ok(Some((lease, fence))) => {
-                *self.0.lease_id.borrow_mut() = Some(lease);
-                self.0.lease.borrow_mut().on_acquired(clock::now(), sent, fence);
-                log_event!(info, log_event::LEAD_TAKEN, fence);
-            }
+            Ok(Some((lease, revision))) => match revision.token() {
+                Some(fence) if revision.epoch == lease.epoch => {
+                    *self.0.lease_id.borrow_mut() = Some(lease);
+                    self.0.lease.borrow_mut().on_acquired(clock::now(), sent, fence);
+                    log_event!(info, log_event::LEAD_TAKEN, fence);
+                }
+                // The record expires, or was lost when the store was restored after the grant.
+                token => {
+                    log_event!(warn, log_event::LEAD_LOST, %revision, ?token);
+                    self.0.lease.borrow_mut().on_failure(clock::now());
+                }
+            },
             Ok(None) => self.0.lease.borrow_mut().on_failure(clock::now()),
             Err(error) => {
                 log_event!(info, log_event::KV_FAILED, %error, call = "lead");
@@ -130,13 +145,19 @@
     /// Creates the record under a new lease. Returns the lease and the fencing token, or `None` if another instance has
     /// a record. If the answer to the write is lost, the record counts only if reading it back shows it: otherwise the
     /// write may still be applied later, and the record then expires with its lease.
-    async fn create(&self, shared: &Shared, store: &dyn Store) -> Result<Option<(LeaseId, u64)>, StoreError> {
+    async fn create(
+        &self,
+        shared: &Shared,
+        store: &dyn Store,
+    ) -> Result<Option<(LeaseId, Revision)>, StoreError> {
         let length = self.0.lease.borrow().lease();
         let lease = store.grant(length).await?;
         let key = shared.translate.keys().leader.clone();
+        let attempt = self.0.attempts.get() + 1;
+        self.0.attempts.set(attempt);
         let own_record = HolderRecord {
             holder: shared.options.name.to_string(),
-            process: self.0.process.clone(),
+            process: format!("{}/{attempt}", self.0.process),
         };
         let value = serde_json::to_vec(&own_record).map_err(|e| StoreError::Unreadable(e.to_string()))?;
         let put = Put {
@@ -145,7 +166,7 @@
             lease: Some(lease),
         };
         let write = Write {
-            expect: vec![(key.clone(), 0)],
+            expect: vec![(key.clone(), Revision::ZERO)],
             puts: vec![put],
             removes: Vec::new(),
         };
@@ -158,21 +179,30 @@
                     .items
                     .iter()
                     .filter_map(|i| record(shared.translate.as_ref(), i));
-                let own = records.into_iter().find(|r| r.process == self.0.process);
+                let own = records.into_iter().find(|r| r.process == own_record.process);
                 Ok(own.map(|own| (lease, own.revision)))
             }
             Err(error) => Err(error),
         }
     }
 
+    /// Gives up the lease if the store has been restored since it was granted: it is gone, and its number may be given out
+    /// again, so that no call may name it.
+    fn drop_void(&self, shared: &Shared) {
+        let lease = *self.0.lease_id.borrow();
+        if lease.is_some_and(|lease| shared.view.load().is_restored_since(lease.epoch)) {
+            self.on_lost();
+        }
+    }
+
     async fn renew(&self, store: &dyn Store) {
         let Some(lease) = *self.0.lease_id.borrow() else {
             return;
         };
         let sent = clock::now();
         match store.renew(lease).await {
-            Ok(()) => self.0.lease.borrow_mut().on_renewed(sent),
-            Err(StoreError::LeaseEnded) => self.on_lost(),
+            Ok(renewed) if renewed == lease => self.0.lease.borrow_mut().on_renewed(sent),
+            Ok(_) | Err(StoreError::LeaseEnded) => self.on_lost(),
             Err(error) => {
                 log_event!(info, log_event::KV_FAILED, %error, call = "renew the lease of the leader");
                 self.0.lease.borrow_mut().on_failure(clock::now());
@@ -187,7 +217,8 @@
     }
 
     /// Revokes the lease; no call is made under it any more.
-    async fn resign(&self, store: &dyn Store) {
+    async fn resign(&self, shared: &Shared, store: &dyn Store) {
+        self.drop_void(shared);
         let Some(lease) = self.0.lease_id.borrow_mut().take() else {
             return;
         };
--- a/src/ops/relay/orders.rs
+++ b/src/ops/relay/orders.rs
@@ -18,6 +18,7 @@
 use sequoiastream_core::relay::engines::Entry;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::records::AbsentEngines;
+use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_core::relay::stages::StageOrder;
 use sequoiastream_core::relay::stages::limit_prefill_fraction;
 use sequoiastream_core::relay::stages::plan_orders;
@@ -45,6 +46,10 @@
 /// change takes three. If an order is carried out later than that, the engine still shows it by declining requests.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Time after a restoration of the store in which no orders are given: a record that was lost with it may be that of an order
+/// that is still on its way, and engines carry orders out up to twelve seconds late.
+const RESTORATION_PAUSE: Duration = Duration::from_secs(15);
+
 /// Number of checks for which the engines must have stayed the same before any of them gets an order.
 const STABLE_CHECKS: u32 = 3;
 
@@ -70,7 +75,14 @@
 #[derive(Debug, Clone, Copy)]
 struct Seen {
     at: Time,
-    revision: u64,
+    revision: Revision,
+}
+
+impl Seen {
+    /// Whether the record counts although the contents of the store as of `revision` lack it.
+    fn is_binding(self, revision: Revision) -> bool {
+        self.revision > revision || self.revision.epoch < revision.epoch
+    }
 }
 
 /// The records of orders, as read from the store.
@@ -93,7 +105,7 @@
             Ok(record) if record.prefill => Stage::Prefill,
             Ok(_) => Stage::Decode,
             Err(error) => {
-                log_event!(warn, log_event::ENTRY_UNREADABLE, key = %item.key, revision = item.revision, %error);
+                log_event!(warn, log_event::ENTRY_UNREADABLE, key = %item.key, revision = %item.revision, %error);
                 Stage::Whole
             }
         };
@@ -107,29 +119,36 @@
     }
 
     /// Handles all items of the store as of `revision`: records that are not among them are dropped, except those with
-    /// a later revision.
-    pub fn on_snapshot(&mut self, now: Time, translate: &dyn Translate, revision: u64, items: &[Item]) {
+    /// a later revision, and those that a restoration of the store has lost: the engine got its order.
+    pub fn on_snapshot(&mut self, now: Time, translate: &dyn Translate, revision: Revision, items: &[Item]) {
         for item in items {
             self.on_item(now, translate, item);
         }
         let prefix = translate.keys().orders.as_str();
         let listed: BTreeSet<&str> = items.iter().filter_map(|i| i.key.strip_prefix(prefix)).collect();
         self.seen
-            .retain(|engine, seen| listed.contains(engine.as_str()) || seen.revision > revision);
+            .retain(|engine, seen| listed.contains(engine.as_str()) || seen.is_binding(revision));
         let seen = &self.seen;
         self.stages.retain(|engine, _| seen.contains_key(engine));
     }
 
     /// The revision of an engine's record, if it has one.
-    pub fn revision(&self, engine: &str) -> Option<u64> {
+    pub fn revision(&self, engine: &str) -> Option<Revision> {
         self.seen.get(engine).map(|seen| seen.revision)
     }
 
-    /// Handles the removal of a key. Returns whether a record was dropped.
-    pub fn on_removed(&mut self, translate: &dyn Translate, key: &str) -> bool {
+    /// Handles the removal of a key. Returns whether a record was dropped: not if a restoration of the store may have lost it.
+    pub fn on_removed(&mut self, translate: &dyn Translate, key: &str, revision: Revision) -> bool {
         let Some(engine) = key.strip_prefix(translate.keys().orders.as_str()) else {
             return false;
         };
+        if self
+            .seen
+            .get(engine)
+            .is_some_and(|seen| seen.is_binding(revision))
+        {
+            return false;
+        }
         self.seen.remove(engine);
         self.stages.remove(engine).is_some()
     }
@@ -168,6 +187,10 @@
         if shared.is_leaving() || !shared.view.load().is_configured() {
             continue;
         }
+        let restored = shared.view.load().restored;
+        if restored.is_some_and(|restored| clock::now().since(restored.noticed) < RESTORATION_PAUSE) {
+            continue;
+        }
         let is_stable = stability.is_stable(&shared);
         let orders = planned_orders(&shared, is_stable);
         let planned: BTreeSet<&str> = orders.iter().map(|(_, o)| o.engine.as_str()).collect();
@@ -258,7 +281,9 @@
 async fn remove_records(shared: &Shared, store: &dyn Store, engines: &[String]) {
     let view = shared.view.load_full();
     for engine in engines.iter().take(MAX_REMOVED) {
-        let Some(revision) = view.orders.revision(engine) else {
+        // A record of an earlier epoch is gone, or its revision is another's by now.
+        let revision = view.orders.revision(engine);
+        let Some(revision) = revision.filter(|r| !view.is_restored_since(r.epoch)) else {
             continue;
         };
         let key = format!("{}{engine}", shared.translate.keys().orders);
@@ -289,13 +314,17 @@
         prefill: order.stage == Stage::Prefill,
     };
     let fence = match create_record(shared, store, &order.engine, &record).await {
-        Ok(Some(fence)) => fence,
+        Ok(Some(revision)) => revision.token(),
         Ok(None) => return true,
         Err(error) => {
             log_event!(warn, log_event::ORDER_UNSETTLED, engine = %order.engine, %error);
             return !matches!(error, StoreError::Refused(_));
         }
     };
+    let Some(fence) = fence else {
+        log_event!(error, log_event::ORDER_UNSETTLED, engine = %order.engine, error = "the store's revision is too large for a fencing token");
+        return true;
+    };
     log_event!(info, log_event::ORDER_SENT, engine = %order.engine, stage = ?order.stage, fence);
     let body = shared.translate.order(order.stage, &record.holder, fence);
     match post_order(shared, pool, engine, body).await {
@@ -305,13 +334,13 @@
     true
 }
 
-/// Creates the record; its revision is the fencing token. Returns `None` if another instance has created it.
+/// Creates the record; its revision gives the fencing token. Returns `None` if another instance has created it.
 async fn create_record(
     shared: &Shared,
     store: &dyn Store,
     engine: &str,
     record: &OrderRecord,
-) -> Result<Option<u64>, StoreError> {
+) -> Result<Option<Revision>, StoreError> {
     let key = format!("{}{engine}", shared.translate.keys().orders);
     let value = serde_json::to_vec(record).map_err(|e| StoreError::Unreadable(e.to_string()))?;
     let put = Put {
@@ -320,7 +349,7 @@
         lease: None,
     };
     let write = Write {
-        expect: vec![(key.clone(), 0)],
+        expect: vec![(key.clone(), Revision::ZERO)],
         puts: vec![put],
         removes: Vec::new(),
     };
--- a/src/ops/relay/peers/ask.rs
+++ b/src/ops/relay/peers/ask.rs
@@ -6,6 +6,7 @@
 use sequoiastream_core::log_event;
 use sequoiastream_core::membership::Peer;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_core::relay::watchers::most_advanced;
 use sequoiastream_core::time::Time;
 use sequoiastream_peer::message::Request;
@@ -44,7 +45,7 @@
 impl Fleet {
     /// Selects a peer that has read the store beyond `revision`: one of those with the highest revision in this zone.
     /// If there is none and `other_zones` is set, one of those with the highest revision in the other zones.
-    fn most_advanced_peer(&self, revision: u64, other_zones: bool) -> Option<(Name, SocketAddr)> {
+    fn most_advanced_peer(&self, revision: Revision, other_zones: bool) -> Option<(Name, SocketAddr)> {
         let roster = self.0.members.borrow().roster(clock::now());
         let revisions = self.0.peer_revisions.borrow();
         let zone = &self.0.shared.options.zone;
@@ -54,7 +55,7 @@
         };
         let known = |peer: &&Peer| revisions.get(&peer.name).copied().unwrap_or_default();
         let choose = |peers: Vec<&Peer>| {
-            let known: Vec<u64> = peers.iter().map(known).collect();
+            let known: Vec<Revision> = peers.iter().map(known).collect();
             let asked = peers[most_advanced(&known, revision, rand::random::<u32>() as usize)?];
             Some((asked.name.clone(), asked.peer_address))
         };
@@ -62,7 +63,7 @@
     }
 
     /// Whether any peer has reported to have read the store beyond `revision`.
-    pub fn is_overtaken(&self, revision: u64) -> bool {
+    pub fn is_overtaken(&self, revision: Revision) -> bool {
         self.0
             .peer_revisions
             .borrow()
@@ -74,14 +75,14 @@
     /// anything new within `timeout`. Peers of other zones are asked only if `other_zones` is set.
     pub async fn ask_for_changes(
         &self,
-        revision: u64,
+        revision: Revision,
         other_zones: bool,
         timeout: Duration,
     ) -> Option<PeerAnswer> {
         let (name, peer) = self.most_advanced_peer(revision, other_zones)?;
-        let (request, timeout) = match revision {
-            0 => (Request::Page(String::new()), PAGE_TIMEOUT),
-            _ => (Request::Since(revision), timeout),
+        let (request, timeout) = match revision.is_zero() {
+            true => (Request::Page(String::new()), PAGE_TIMEOUT),
+            false => (Request::Since(revision), timeout),
         };
         let asked = clock::now();
         let parts = match self.0.calls.call(peer, &request, timeout).await {
--- a/src/ops/relay/peers/mod.rs
+++ b/src/ops/relay/peers/mod.rs
@@ -37,6 +37,7 @@
 use sequoiastream_core::relay::load_message::Report;
 use sequoiastream_core::relay::load_message::SendSchedule;
 use sequoiastream_core::relay::load_tracker::Work;
+use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_core::relay::watchers::FleetRank;
 use sequoiastream_core::time::Time;
 use sequoiastream_peer::PeerError;
@@ -204,7 +205,7 @@
     /// When each peer last reported work; filled only in a large fleet.
     busy: RefCell<BTreeMap<SocketAddr, Time>>,
     /// Revision up to which each peer reported to have read the store.
-    peer_revisions: RefCell<BTreeMap<Name, u64>>,
+    peer_revisions: RefCell<BTreeMap<Name, Revision>>,
     /// Whether the last confirmation is older than a change may take to apply, as last logged.
     outdated: Cell<bool>,
     proofs: ProofState,
@@ -290,7 +291,7 @@
             Ok((_, Datagram::Limits(reports))) => fleet.on_limits(&reports),
             Ok((_, Datagram::Crashes(notes))) => fleet.on_crashes(notes),
             Ok((_, Datagram::Streams(records))) => fleet.on_streams(records),
-            Ok((_, Datagram::Ping)) => {}
+            Ok((_, Datagram::Ping | Datagram::RetiredLoad | Datagram::RetiredProof)) => {}
             Err(PeerError::Broken(error)) => {
                 log_event!(warn, log_event::PEER_FAILED, %error, call = "receive");
                 tokio::time::sleep(SOCKET_RETRY_DELAY).await;
--- a/src/ops/relay/peers/prove.rs
+++ b/src/ops/relay/peers/prove.rs
@@ -131,7 +131,7 @@
         let outdated = age > self.0.shared.reloadable().apply_limit.0;
         if self.0.outdated.replace(outdated) != outdated {
             let (age, revision) = (age.as_millis() as u64, self.0.known.revision());
-            log_event!(info, log_event::OUTDATED, outdated, age, revision);
+            log_event!(info, log_event::OUTDATED, outdated, age, %revision);
         }
     }
 
--- a/src/ops/relay/register.rs
+++ b/src/ops/relay/register.rs
@@ -16,6 +16,7 @@
 use sequoiastream_core::membership::MemberState;
 use sequoiastream_core::name::Name;
 use sequoiastream_core::relay::records::AbsentEngines;
+use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_kv::store::Item;
 use sequoiastream_kv::store::Put;
 use sequoiastream_kv::store::Store;
@@ -131,7 +132,7 @@
     store: Rc<dyn Store>,
     fleet: Fleet,
     /// Store revision of this process's last write of its key.
-    written_revision: Option<u64>,
+    written_revision: Option<Revision>,
     /// Whether the next check lists the instances of the zone.
     needs_listing: bool,
     absences: AbsentEngines,
@@ -152,11 +153,12 @@
     /// Whether the key must be written: it is missing, or an earlier process wrote it with different contents.
     ///
     /// Guards against two processes with the same name overwriting each other's key forever: each replaces an existing
-    /// key at most once.
+    /// key at most once in each epoch of the store.
     fn needs_write(&self) -> bool {
         let known = self.fleet.known();
         match (known.item(&self.key()), self.written_revision) {
-            (Some(_), Some(_)) => false,
+            // After a restoration of the store, the key may be an earlier one.
+            (Some(item), Some(written)) => item.revision.epoch > written.epoch && item.value != self.record(),
             (Some(item), None) => item.value != self.record(),
             // The replica may predate the write.
             (None, Some(written)) => known.revision() > written,
@@ -176,7 +178,9 @@
         };
         let revision = self.store.write(write).await?;
         self.written_revision = Some(revision);
-        self.needs_listing = revision > self.fleet.known().revision() + MAX_REVISION_LAG;
+        let known = self.fleet.known().revision();
+        let is_far_behind = revision.number > known.number.saturating_add(MAX_REVISION_LAG);
+        self.needs_listing = revision.epoch > known.epoch || is_far_behind;
         Ok(())
     }
 
@@ -301,7 +305,7 @@
             capacity: record.capacity,
         }),
         Err(error) => {
-            log_event!(warn, log_event::ENTRY_UNREADABLE, key = %item.key, revision = item.revision, %error);
+            log_event!(warn, log_event::ENTRY_UNREADABLE, key = %item.key, revision = %item.revision, %error);
             None
         }
     }
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -74,9 +74,25 @@
     pub instances: usize,
     /// The holder of the lease of the leader, as the store shows it.
     pub leader: Option<LeaseRecord>,
+    /// The last restoration of the store that this process has noticed.
+    pub restored: Option<Restoration>,
+}
+
+/// A restoration of the store from a copy.
+#[derive(Debug, Clone, Copy)]
+pub struct Restoration {
+    /// The store's epoch since then.
+    pub epoch: u64,
+    /// When this process noticed it.
+    pub noticed: Time,
 }
 
 impl View {
+    /// Whether the store has been restored since `epoch`: leases and unfinished writes of that epoch are void.
+    pub fn is_restored_since(&self, epoch: u64) -> bool {
+        self.restored.is_some_and(|restored| restored.epoch > epoch)
+    }
+
     /// Whether a configuration is known.
     pub fn is_configured(&self) -> bool {
         self.table.version > 0
--- a/src/ops/relay/usage.rs
+++ b/src/ops/relay/usage.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use sequoiastream_core::log_event;
+use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_core::relay::usage::DecidedReports;
 use sequoiastream_core::relay::usage::Report;
 use sequoiastream_core::relay::usage::Window;
@@ -39,7 +40,7 @@
 #[derive(Debug, Clone)]
 struct ReportState {
     decided: DecidedReports,
-    revision: u64,
+    revision: Revision,
     accepted: Vec<Window>,
 }
 
@@ -107,7 +108,7 @@
             let decided = DecidedReports::starting_at(Window(0));
             return Ok(ReportState {
                 decided,
-                revision: 0,
+                revision: Revision::ZERO,
                 accepted: Vec::new(),
             });
         };
@@ -172,7 +173,7 @@
             info,
             log_event::USAGE_DECIDED,
             ?windows,
-            revision = state.revision
+            revision = %state.revision
         );
         Ok(())
     }
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -95,6 +95,8 @@
     arrivals: Family<ArrivalLabels, Counter>,
     /// Requests that were decided by a view that nothing had confirmed within the time for applying a change.
     pub outdated_requests: Counter,
+    /// Restorations of the store from a copy that this process has noticed.
+    pub store_restorations: Counter,
     budget_left: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
     work: Family<ScopeLabels, Gauge>,
     first_event: Family<RouteLabels, Histogram, fn() -> Histogram>,
@@ -150,6 +152,7 @@
             requests: Family::default(),
             arrivals: Family::default(),
             outdated_requests: Counter::default(),
+            store_restorations: Counter::default(),
             budget_left: Family::default(),
             work: Family::default(),
             first_event: Family::new_with_constructor(|| Histogram::new(FIRST_EVENT_BUCKETS)),
@@ -215,6 +218,11 @@
             "Requests decided by data that was not confirmed within the time for applying a change",
             self.outdated_requests.clone(),
         );
+        registry.register(
+            "relay_store_restorations",
+            "Times that the store was restored from an older copy of its contents",
+            self.store_restorations.clone(),
+        );
         registry.register_with_unit(
             "relay_first_event",
             "Time from a request's arrival to the first event of its answer, or to the complete answer",
--- a/tests/testsuite/peer.rs
+++ b/tests/testsuite/peer.rs
@@ -8,6 +8,7 @@
 use sequoiastream_core::config::Update;
 use sequoiastream_core::config::Version;
 use sequoiastream_core::name::Name;
+use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_core::relay::watchers::ConfirmationId;
 use sequoiastream_peer::PeerError;
 use sequoiastream_peer::call::CallClient;
@@ -143,11 +144,11 @@
             7
         )
         .into_bytes(),
-        revision: number,
-        created: number,
+        revision: Revision::new(0, number),
+        created: Revision::new(0, number),
     };
     StorePage {
-        revision: count,
+        revision: Revision::new(0, count),
         age: 3,
         confirmation: ConfirmationId::default(),
         items: (0..count).map(item).collect(),
--- a/tests/testsuite/relay/confirmations.rs
+++ b/tests/testsuite/relay/confirmations.rs
@@ -9,6 +9,7 @@
 use sequoiastream_core::relay::watchers::SyncStatus;
 use sequoiastream_core::relay::watchers::WatchAction;
 
+use crate::relay::rev;
 use crate::relay::watchers::LIMIT;
 use crate::relay::watchers::at;
 
@@ -18,7 +19,7 @@
         process: 1,
         number: revision,
     };
-    ConfirmedStatus::new(revision, millis, confirmation)
+    ConfirmedStatus::new(rev(revision), millis, confirmation)
 }
 
 #[test]
@@ -30,7 +31,7 @@
         WatchAction::Watch,
         "nothing is known yet"
     );
-    state.on_store_answer(at(10), at(0), Duration::ZERO, 7);
+    state.on_store_answer(at(10), at(0), Duration::ZERO, rev(7));
     assert_eq!(
         state.watch_action(rank, LIMIT, at(10)),
         WatchAction::Listen(at(1_500))
@@ -50,13 +51,13 @@
 #[test]
 fn word_ahead_confirms_nothing() {
     let mut state = SyncState::new(0);
-    state.on_store_answer(at(0), at(0), Duration::ZERO, 7);
+    state.on_store_answer(at(0), at(0), Duration::ZERO, rev(7));
     assert!(state.on_peer_status(at(1_000), status(8, 0)));
     assert_eq!(state.age(at(1_000)), Some(Duration::from_secs(1)));
     state.on_peer_changes(at(1_010), status(8, 5));
     assert_eq!(
         (state.revision(), state.age(at(1_010))),
-        (8, Some(Duration::from_millis(5)))
+        (rev(8), Some(Duration::from_millis(5)))
     );
 }
 
@@ -66,8 +67,8 @@
 #[test]
 fn answer_after_pause_is_old() {
     let mut state = SyncState::new(0);
-    state.on_store_answer(at(1_000), at(1_000), Duration::ZERO, 7);
-    state.on_store_answer(at(11_000), at(1_000), LIMIT.watch_timeout(), 7);
+    state.on_store_answer(at(1_000), at(1_000), Duration::ZERO, rev(7));
+    state.on_store_answer(at(11_000), at(1_000), LIMIT.watch_timeout(), rev(7));
     assert_eq!(state.age(at(11_000)), Some(Duration::from_secs(9)));
 }
 
@@ -76,10 +77,10 @@
 #[test]
 fn change_after_pause_is_older() {
     let mut state = SyncState::new(0);
-    state.on_store_answer(at(500), at(500), Duration::ZERO, 7);
-    state.on_store_answer(at(1_900), at(1_000), LIMIT.watch_timeout(), 8);
+    state.on_store_answer(at(500), at(500), Duration::ZERO, rev(7));
+    state.on_store_answer(at(1_900), at(1_000), LIMIT.watch_timeout(), rev(8));
     assert_eq!(state.age(at(1_900)), Some(Duration::from_millis(900)));
-    state.on_store_answer(at(11_000), at(2_000), LIMIT.watch_timeout(), 9);
+    state.on_store_answer(at(11_000), at(2_000), LIMIT.watch_timeout(), rev(9));
     assert_eq!(state.age(at(11_000)), Some(Duration::from_secs(9)));
 }
 
@@ -89,7 +90,7 @@
 fn word_after_pause_not_believed() {
     let mut state = SyncState::new(0);
     state.on_tick(at(0));
-    state.on_store_answer(at(0), at(0), Duration::ZERO, 7);
+    state.on_store_answer(at(0), at(0), Duration::ZERO, rev(7));
     state.on_tick(at(10_000));
     assert!(!state.on_peer_status(at(10_001), status(7, 20)));
     assert_eq!(state.age(at(10_001)), Some(Duration::from_millis(10_001)));
@@ -105,7 +106,7 @@
     let transit = Duration::from_millis(3);
     let mut states = [1, 2].map(SyncState::new);
     for state in &mut states {
-        state.on_store_answer(at(0), at(0), Duration::ZERO, 7);
+        state.on_store_answer(at(0), at(0), Duration::ZERO, rev(7));
     }
     for message in 1..=800 {
         let sent = at(message * 12);
@@ -127,7 +128,7 @@
 fn message_before_tick_not_believed() {
     let mut state = SyncState::new(0);
     state.on_tick(at(0));
-    state.on_store_answer(at(0), at(0), Duration::ZERO, 7);
+    state.on_store_answer(at(0), at(0), Duration::ZERO, rev(7));
     state.on_peer_status(at(10_000), status(7, 20));
     assert_eq!(state.age(at(10_000)), Some(Duration::from_secs(10)));
 }
@@ -148,15 +149,22 @@
 #[test]
 fn confirmation_counts_once() {
     let mut state = SyncState::new(0);
-    state.on_store_answer(at(0), at(0), Duration::ZERO, 7);
+    state.on_store_answer(at(0), at(0), Duration::ZERO, rev(7));
     state.on_peer_status(at(1_000), status(7, 0));
     let other = ConfirmationId {
         process: 2,
         number: 1,
     };
-    state.on_peer_status(at(16_000), ConfirmedStatus::new(7, 15_000, other));
+    state.on_peer_status(at(16_000), ConfirmedStatus::new(rev(7), 15_000, other));
     state.on_peer_status(at(16_000), status(7, 0));
     assert_eq!(state.age(at(16_000)), Some(Duration::from_secs(15)));
     let age = Duration::from_micros(15_000_001);
-    assert_eq!(SyncStatus { revision: 7, age }.age_millis(), 15_001);
+    assert_eq!(
+        SyncStatus {
+            revision: rev(7),
+            age
+        }
+        .age_millis(),
+        15_001
+    );
 }
--- a/tests/testsuite/relay/engines.rs
+++ b/tests/testsuite/relay/engines.rs
@@ -11,10 +11,11 @@
 use sequoiastream_core::time::Time;
 
 use super::entry;
+use super::rev;
 
 fn ready(sequence: u64, created: u64) -> Entry {
     let mut entry = entry("e", Stage::Decode);
-    (entry.sequence, entry.create_revision) = (sequence, created);
+    (entry.sequence, entry.create_revision) = (sequence, rev(created));
     entry
 }
 
@@ -25,7 +26,7 @@
 }
 
 fn removal(revision: u64) -> EngineUpdate {
-    EngineUpdate::Removed(revision, "e".to_string())
+    EngineUpdate::Removed(rev(revision), "e".to_string())
 }
 
 fn available_count(engines: &Engines) -> usize {
@@ -38,10 +39,10 @@
 #[test]
 fn leaving_older_word_late() {
     let mut engines = Engines::new();
-    engines.on_update(Time::ZERO, EngineUpdate::Entry(5, ready(7, 1)));
-    engines.on_update(Time::ZERO, EngineUpdate::Entry(6, leaving(9)));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(5), ready(7, 1)));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(6), leaving(9)));
     assert_eq!(available_count(&engines), 0);
-    engines.on_update(Time::ZERO, EngineUpdate::Entry(7, ready(8, 1)));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(7), ready(8, 1)));
     assert_eq!(available_count(&engines), 0);
 }
 
@@ -50,19 +51,19 @@
 #[test]
 fn gone_older_word_late() {
     let mut engines = Engines::new();
-    engines.on_update(Time::ZERO, EngineUpdate::Entry(5, ready(7, 1)));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(5), ready(7, 1)));
     engines.on_update(Time::ZERO, removal(6));
-    engines.on_update(Time::ZERO, EngineUpdate::Entry(8, ready(7, 8)));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(8), ready(7, 8)));
     assert_eq!(available_count(&engines), 0);
-    engines.on_update(Time::ZERO, EngineUpdate::Entry(9, ready(8, 8)));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(9), ready(8, 8)));
     assert_eq!(available_count(&engines), 1);
 }
 
 #[test]
 fn revision_never_back() {
     let mut engines = Engines::new();
-    engines.on_update(Time::ZERO, EngineUpdate::Entry(9, leaving(3)));
-    assert!(!engines.on_update(Time::ZERO, EngineUpdate::Entry(8, ready(2, 1))));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(9), leaving(3)));
+    assert!(!engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(8), ready(2, 1))));
     assert!(!engines.on_update(Time::ZERO, removal(8)));
     assert_eq!((engines.len(), available_count(&engines)), (1, 0));
 }
@@ -73,10 +74,10 @@
 #[test]
 fn lapse_with_outage() {
     let mut engines = Engines::new();
-    engines.on_update(Time::ZERO, EngineUpdate::Entry(5, ready(1, 1)));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(5), ready(1, 1)));
     let back = Time::from_millis(60_000);
     engines.on_outage_end(back);
-    engines.on_snapshot(back, 9, Vec::new());
+    engines.on_snapshot(back, rev(9), Vec::new());
     assert_eq!(available_count(&engines), 1);
     engines.on_tick(back + REREGISTRATION_GRACE - Duration::from_millis(1));
     assert_eq!(available_count(&engines), 1);
@@ -87,10 +88,10 @@
 #[test]
 fn lapse_and_return() {
     let mut engines = Engines::new();
-    engines.on_update(Time::ZERO, EngineUpdate::Entry(5, ready(1, 1)));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(5), ready(1, 1)));
     engines.on_outage_end(Time::ZERO);
-    engines.on_snapshot(Time::ZERO, 9, Vec::new());
-    engines.on_update(Time::ZERO, EngineUpdate::Entry(11, ready(2, 11)));
+    engines.on_snapshot(Time::ZERO, rev(9), Vec::new());
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(11), ready(2, 11)));
     engines.on_tick(Time::ZERO + REREGISTRATION_GRACE);
     assert_eq!(available_count(&engines), 1);
     assert!(!engines.has_missing());
@@ -102,7 +103,7 @@
 #[test]
 fn gone_long_after_outage() {
     let mut engines = Engines::new();
-    engines.on_update(Time::ZERO, EngineUpdate::Entry(5, ready(1, 1)));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(5), ready(1, 1)));
     engines.on_outage_end(Time::ZERO);
     assert!(engines.on_update(Time::ZERO + REREGISTRATION_GRACE, removal(6)));
     assert_eq!(available_count(&engines), 0);
@@ -114,10 +115,10 @@
 #[test]
 fn lapse_heard_late() {
     let mut engines = Engines::new();
-    engines.on_update(Time::ZERO, EngineUpdate::Entry(5, ready(1, 1)));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(5), ready(1, 1)));
     let back = Time::from_millis(60_000);
     engines.on_outage_end(back);
-    engines.on_snapshot(back + Duration::from_millis(1_200), 9, Vec::new());
+    engines.on_snapshot(back + Duration::from_millis(1_200), rev(9), Vec::new());
     assert_eq!(available_count(&engines), 1);
     engines.on_tick(back + REREGISTRATION_GRACE);
     assert_eq!(available_count(&engines), 0);
@@ -128,11 +129,11 @@
 #[test]
 fn key_new_with_birth() {
     let mut engines = Engines::new();
-    engines.on_update(Time::ZERO, EngineUpdate::Entry(5, ready(1, 1)));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(5), ready(1, 1)));
     let before = engines.available()["chat"][0].key;
-    engines.on_update(Time::ZERO, EngineUpdate::Entry(6, ready(2, 1)));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(6), ready(2, 1)));
     assert_eq!(engines.available()["chat"][0].key, before);
-    engines.on_update(Time::ZERO, EngineUpdate::Entry(7, ready(3, 7)));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(7), ready(3, 7)));
     assert_ne!(engines.available()["chat"][0].key, before);
 }
 
@@ -146,13 +147,13 @@
     };
     for removed in [false, true] {
         let mut engines = Engines::new();
-        engines.on_update(Time::ZERO, EngineUpdate::Entry(5, started(leaving(40), 1)));
+        engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(5), started(leaving(40), 1)));
         if removed {
             engines.on_update(Time::ZERO, removal(6));
         }
-        engines.on_update(Time::ZERO, EngineUpdate::Entry(7, started(ready(1, 5), 2)));
+        engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(7), started(ready(1, 5), 2)));
         assert_eq!(available_count(&engines), 1, "removed: {removed}");
-        assert!(!engines.on_update(Time::ZERO, EngineUpdate::Entry(8, started(leaving(41), 1))));
+        assert!(!engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(8), started(leaving(41), 1))));
         assert_eq!(available_count(&engines), 1, "removed: {removed}");
     }
 }
@@ -160,8 +161,8 @@
 #[test]
 fn all_drops_absent() {
     let mut engines = Engines::new();
-    engines.on_snapshot(Time::ZERO, 5, vec![(4, ready(1, 1))]);
-    assert!(engines.on_snapshot(Time::ZERO, 9, Vec::new()));
+    engines.on_snapshot(Time::ZERO, rev(5), vec![(rev(4), ready(1, 1))]);
+    assert!(engines.on_snapshot(Time::ZERO, rev(9), Vec::new()));
     assert!(engines.is_empty());
 }
 
@@ -173,15 +174,15 @@
         departures.into_iter().map(|(_, departure)| departure).collect()
     };
     let mut engines = Engines::new();
-    engines.on_update(Time::ZERO, EngineUpdate::Entry(5, ready(1, 1)));
-    engines.on_update(Time::ZERO, EngineUpdate::Entry(6, leaving(2)));
-    engines.on_update(Time::ZERO, EngineUpdate::Entry(7, leaving(3)));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(5), ready(1, 1)));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(6), leaving(2)));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(7), leaving(3)));
     engines.on_update(Time::ZERO, removal(8));
     assert_eq!(departed(&mut engines), [Departure::Announced, Departure::Removed]);
-    engines.on_update(Time::ZERO, EngineUpdate::Entry(9, ready(4, 9)));
+    engines.on_update(Time::ZERO, EngineUpdate::Entry(rev(9), ready(4, 9)));
     engines.on_outage_end(Time::ZERO);
-    engines.on_snapshot(Time::ZERO, 10, Vec::new());
-    engines.on_snapshot(Time::ZERO, 11, Vec::new());
+    engines.on_snapshot(Time::ZERO, rev(10), Vec::new());
+    engines.on_snapshot(Time::ZERO, rev(11), Vec::new());
     assert_eq!(departed(&mut engines), [Departure::Missing]);
     engines.on_tick(Time::ZERO + REREGISTRATION_GRACE);
     assert_eq!(departed(&mut engines), [Departure::Overdue]);
--- a/tests/testsuite/relay/metrics.rs
+++ b/tests/testsuite/relay/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 
+use sequoiastream::util::clock;
 use sequoiastream::util::metrics::RouteLabels;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::routes::RouteKind;
@@ -33,6 +34,7 @@
     let instance = Instance::start(RouteKind::Idempotent, &[(&engine, Stage::Whole)], |_| {});
     instance.get("/r/x", "q1", "").await;
     instance.get("/r/x", "q2", "").await;
+    instance.shared.on_store_answer(clock::now());
     instance.get("/nowhere/", "q3", "").await;
     let names = [
         "sequoiastream_relay_answers",
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -64,6 +64,12 @@
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::engines::Entry;
 use sequoiastream_core::relay::engines::Stage;
+use sequoiastream_core::relay::revision::Revision;
+
+/// The change `number` of a store that was never restored.
+fn rev(number: u64) -> Revision {
+    Revision::new(0, number)
+}
 
 /// The entry of a ready engine with 16 slots in zone `a`.
 fn entry(id: &str, stage: Stage) -> Entry {
@@ -78,7 +84,7 @@
         version: "v1".to_string(),
         spot: false,
         sequence: 1,
-        create_revision: 1,
+        create_revision: Revision::new(0, 1),
         started: None,
     }
 }
--- a/tests/testsuite/relay/orders.rs
+++ b/tests/testsuite/relay/orders.rs
@@ -23,6 +23,7 @@
 use super::instance::TestDialect;
 use super::instance::options;
 use super::instance::shared;
+use super::rev;
 use super::store::FakeStore;
 use super::store::WriteOutcome;
 use super::wait_until;
@@ -184,8 +185,8 @@
     Item {
         key: format!("orders/{engine}"),
         value: Bytes::from_static(br#"{"holder":"one/1","reader":true}"#),
-        revision,
-        created: revision,
+        revision: rev(revision),
+        created: rev(revision),
     }
 }
 
@@ -198,13 +199,16 @@
     let mut records = OrderRecords::default();
     records.on_item(Time::ZERO, &translate, &record("e1", 7));
     records.on_item(Time::ZERO, &translate, &record("e2", 9));
-    records.on_snapshot(Time::ZERO, &translate, 8, &[record("e1", 7)]);
+    records.on_snapshot(Time::ZERO, &translate, rev(8), &[record("e1", 7)]);
     assert_eq!(
         (records.revision("e1"), records.revision("e2")),
-        (Some(7), Some(9))
+        (Some(rev(7)), Some(rev(9)))
     );
     records.on_item(Time::ZERO, &translate, &record("e1", 12));
-    records.on_snapshot(Time::ZERO, &translate, 12, &[record("e1", 12)]);
-    assert_eq!((records.revision("e1"), records.revision("e2")), (Some(12), None));
+    records.on_snapshot(Time::ZERO, &translate, rev(12), &[record("e1", 12)]);
+    assert_eq!(
+        (records.revision("e1"), records.revision("e2")),
+        (Some(rev(12)), None)
+    );
     assert_eq!(records.stages().len(), 1);
 }
--- a/tests/testsuite/relay/proofs.rs
+++ b/tests/testsuite/relay/proofs.rs
@@ -1,5 +1,6 @@
 //! Proofs that an instance has read all changes of the store. The seeded run draws when the store changes, how long
-//! each message and each answer of the store is delayed, and which instances are paused.
+//! each message and each answer of the store is delayed, when the store is restored from a copy, and which instances are
+//! paused.
 //! `SEQUOIASTREAM_SEEDS=1000..5000` runs other seeds.
 
 use std::collections::BTreeMap;
@@ -8,6 +9,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_core::relay::watchers::ConfirmationId;
 use sequoiastream_core::relay::watchers::ConfirmedStatus;
 use sequoiastream_core::relay::watchers::FleetRank;
@@ -19,6 +21,7 @@
 
 use crate::claims::client::PrintSeedOnPanic;
 use crate::claims::client::seeds_or;
+use crate::relay::rev;
 
 const STEP: Duration = Duration::from_millis(20);
 
@@ -70,17 +73,20 @@
 fn peer_proof_counts_from_question() {
     let mut state = SyncState::new(0);
     let status = |revision, age| SyncStatus::new(revision, age);
-    assert!(state.on_peer_proof(at(0), status(3, 10)), "the peer knows more");
+    assert!(
+        state.on_peer_proof(at(0), status(rev(3), 10)),
+        "the peer knows more"
+    );
     assert_eq!(state.proof_age(at(0)), None);
     let confirmation = ConfirmationId {
         process: 1,
         number: 1,
     };
-    state.on_peer_changes(at(0), ConfirmedStatus::new(3, 10, confirmation));
-    assert!(!state.on_peer_proof(at(100), status(3, 10)));
+    state.on_peer_changes(at(0), ConfirmedStatus::new(rev(3), 10, confirmation));
+    assert!(!state.on_peer_proof(at(100), status(rev(3), 10)));
     assert_eq!(state.proof_age(at(5_000)), Some(Duration::from_millis(4_910)));
     assert!(
-        !state.on_peer_proof(at(50), status(2, 10)),
+        !state.on_peer_proof(at(50), status(rev(2), 10)),
         "an older answer changes nothing"
     );
     assert_eq!(state.proof_age(at(5_000)), Some(Duration::from_millis(4_910)));
@@ -95,13 +101,13 @@
     Response(Time, SyncStatus),
     /// The store's answer to a watch: the time at which the watch was sent, whether there was no change, and the
     /// revision that the answer reaches.
-    WatchAnswer(Time, bool, u64),
+    WatchAnswer(Time, bool, Revision),
 }
 
 struct World {
     rng: ChaCha8Rng,
-    /// Time of each change; the first one has revision 1.
-    changes: Vec<Time>,
+    /// Time and revision of each change. A restoration of the store is one too: the first of a new epoch.
+    changes: Vec<(Time, Revision)>,
     states: Vec<SyncState>,
     paused: Vec<Time>,
     watching: Vec<bool>,
@@ -133,14 +139,16 @@
         self.messages.insert((from + delay, self.count), (to, message));
     }
 
-    fn revision(&self, now: Time) -> u64 {
-        self.changes.iter().filter(|change| **change <= now).count() as u64
+    fn revision(&self, now: Time) -> Revision {
+        let changes = self.changes.iter().take_while(|(at, _)| *at <= now);
+        changes.last().map_or(Revision::ZERO, |(_, revision)| *revision)
     }
 
     /// Starts a watch. It is answered when there is a change, or when its timeout is over.
     fn watch(&mut self, now: Time, index: usize) {
         let known = self.states[index].revision();
-        let next = self.changes.get(usize::try_from(known).expect("few")).copied();
+        let next = self.changes.iter().find(|(_, revision)| *revision > known);
+        let next = next.map(|(at, _)| *at);
         let end = now + WATCH_TIMEOUT;
         let (answered, is_quiet) = match next {
             Some(change) if change <= end => (change.max(now), false),
@@ -172,6 +180,12 @@
             }
             Message::WatchAnswer(sent, is_quiet, revision) => {
                 self.watching[index] = false;
+                if revision.epoch != self.states[index].revision().epoch {
+                    // The watch has no answer from there: everything is read again.
+                    let revision = self.revision(now);
+                    self.states[index].on_store_answer(now, now, Duration::ZERO, revision);
+                    return self.states[index].on_proof(now);
+                }
                 self.states[index].on_store_answer(now, sent, WATCH_TIMEOUT, revision);
                 self.states[index].on_proof(proven_until(now, sent, WATCH_TIMEOUT, is_quiet));
             }
@@ -231,7 +245,19 @@
         let mut change = at(0);
         while change < at(40_000) {
             change = change + Duration::from_millis(world.rng.random_range(5..4_000));
-            world.changes.push(change);
+            let last = world
+                .changes
+                .last()
+                .map_or(Revision::ZERO, |(_, revision)| *revision);
+            let revision = match world.rng.random_bool(0.15) {
+                // Restored from a copy that lacks up to five changes.
+                true => Revision::new(
+                    last.epoch + 1,
+                    last.number.saturating_sub(world.rng.random_range(1..6)).max(1),
+                ),
+                false => last.next(),
+            };
+            world.changes.push((change, revision));
         }
         for step in 0..2_000 {
             let now = at(0) + STEP * step;
--- a/tests/testsuite/relay/seeded.rs
+++ b/tests/testsuite/relay/seeded.rs
@@ -1,7 +1,7 @@
 //! Seeded runs of what several instances know of engines and of requests that crash engines.
 //!
 //! Engines register, leave, expire and come back under their id; their writes reach the store late and out of order.
-//! Instances watch the store or read all of it, lose answers and get the same changes twice, are cut off and get the
+//! The store returns from older copies, which some instances learn of late. Instances watch the store or read all of it, lose answers and get the same changes twice, are cut off and get the
 //! data of a peer, are paused and killed. Time is simulated. `SEQUOIASTREAM_SEEDS=1000..100000 cargo test --release
 //! --test testsuite relay::seeded` runs other seeds, as many as wanted.
 
@@ -21,6 +21,7 @@
 use sequoiastream_core::relay::engines::Entry;
 use sequoiastream_core::relay::engines::REREGISTRATION_GRACE;
 use sequoiastream_core::relay::engines::Stage;
+use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_core::time::Time;
 
 use super::entry;
@@ -54,22 +55,33 @@
 /// the rules allow three seconds.
 const SPREAD_LIMIT: Duration = Duration::from_millis(2_900);
 
+/// Number of steps between two copies of the store: a second.
+const COPY_STEPS: u32 = 20;
+
+/// Number of copies that are kept.
+const MAX_COPIES: usize = 4;
+
+/// Number of steps within which everybody writes again after a restoration of the store.
+const REWRITE_STEPS: u32 = 24;
+
 /// Upper limit of the delay, in steps, with which an engine's write reaches the store.
 const MAX_DELAY_STEPS: u32 = 30;
 
-type StoreItems = BTreeMap<String, (u64, Entry)>;
+type StoreItems = BTreeMap<String, (Revision, Entry)>;
 
 /// The store: its items, and all changes.
 #[derive(Debug, Default)]
 struct Store {
-    revision: u64,
+    revision: Revision,
     items: StoreItems,
-    log: Vec<(u64, EngineUpdate)>,
+    log: Vec<(Revision, EngineUpdate)>,
+    /// Earlier contents, the latest last.
+    copies: Vec<(Revision, StoreItems)>,
 }
 
 impl Store {
     fn put(&mut self, mut entry: Entry) {
-        self.revision += 1;
+        self.revision = self.revision.next();
         entry.create_revision = self
             .items
             .get(&entry.id)
@@ -82,7 +94,7 @@
 
     fn remove(&mut self, id: &str) {
         if self.items.remove(id).is_some() {
-            self.revision += 1;
+            self.revision = self.revision.next();
             self.log.push((
                 self.revision,
                 EngineUpdate::Removed(self.revision, id.to_string()),
@@ -90,14 +102,37 @@
         }
     }
 
-    fn since(&self, revision: u64) -> Vec<EngineUpdate> {
+    fn since(&self, revision: Revision) -> Vec<EngineUpdate> {
         let later = self.log.iter().filter(|(at, _)| *at > revision);
         later.map(|(_, update)| update.clone()).collect()
     }
 
-    fn snapshot(&self) -> Vec<(u64, Entry)> {
+    fn snapshot(&self) -> Vec<(Revision, Entry)> {
         self.items.values().cloned().collect()
     }
+
+    fn copy(&mut self) {
+        self.copies.push((self.revision, self.items.clone()));
+        if self.copies.len() > MAX_COPIES {
+            self.copies.remove(0);
+        }
+    }
+
+    /// Returns to the oldest copy: what was written since is gone, and its revisions are given out again.
+    fn restore(&mut self) {
+        if self.copies.is_empty() {
+            return;
+        }
+        let (revision, items) = self.copies.remove(0);
+        let epoch = self.revision.epoch + 1;
+        self.revision = Revision::new(epoch, revision.number);
+        self.items = items;
+        for (revision, entry) in self.items.values_mut() {
+            (revision.epoch, entry.create_revision.epoch) = (epoch, epoch);
+        }
+        self.copies.clear();
+        self.log.clear();
+    }
 }
 
 /// The engines that use an id, one after the other. Writes are numbered across all of their lives.
@@ -106,6 +141,8 @@
     sequence: u64,
     leaving: bool,
     alive: bool,
+    /// When its entry is removed again, after a restoration of the store.
+    removal: Option<u32>,
     due: Vec<(u32, Entry)>,
 }
 
@@ -130,16 +167,16 @@
 #[derive(Debug, Default)]
 struct Instance {
     engines: Engines,
-    revision: u64,
+    revision: Revision,
     items: StoreItems,
     /// Revision up to which the updates of each engine were applied.
-    applied: BTreeMap<String, u64>,
+    applied: BTreeMap<String, Revision>,
     /// Sequence number of each engine's last entry that says that it leaves, of those that were applied here.
     last_leaving: BTreeMap<String, u64>,
     /// For each removed id, the time at which the removal was applied, and the sequence number of the last entry before
     /// it.
     removed: BTreeMap<String, (Time, u64)>,
-    keys: BTreeMap<EngineKey, (String, u64)>,
+    keys: BTreeMap<EngineKey, (String, Revision)>,
     paused: u32,
     cut: u32,
     started: bool,
@@ -174,7 +211,7 @@
         }
     }
 
-    fn on_watch(&mut self, now: Time, revision: u64, updates: Vec<EngineUpdate>) {
+    fn on_watch(&mut self, now: Time, revision: Revision, updates: Vec<EngineUpdate>) {
         for update in updates {
             self.note(now, &update);
             self.engines.on_update(now, update);
@@ -182,7 +219,10 @@
         self.revision = revision;
     }
 
-    fn on_snapshot(&mut self, now: Time, revision: u64, entries: Vec<(u64, Entry)>) {
+    fn on_snapshot(&mut self, now: Time, revision: Revision, entries: Vec<(Revision, Entry)>) {
+        if self.started && revision.epoch > self.revision.epoch {
+            self.engines.on_outage_end(now);
+        }
         let named: BTreeSet<&String> = entries.iter().map(|(_, e)| &e.id).collect();
         let absent = self.items.keys().filter(|id| !named.contains(id));
         let removed: Vec<EngineUpdate> = absent
@@ -216,13 +256,18 @@
                 let is_in_grace = now.since(*at) <= REREGISTRATION_GRACE + STEP;
                 assert!(
                     is_in_grace || entry.sequence > *last,
-                    "{id} was removed at {at} and is still available at {now}"
+                    "{id} was removed at {at} and is still available at {now}: {entry:?}, {:?}",
+                    self.engines
                 );
             }
             let owner = self
                 .keys
                 .entry(key)
                 .or_insert((id.clone(), entry.create_revision));
+            // A restoration of the store gives every entry another create revision.
+            if owner.1.epoch != entry.create_revision.epoch {
+                owner.1 = entry.create_revision;
+            }
             assert_eq!(
                 *owner,
                 (id, entry.create_revision),
@@ -303,6 +348,12 @@
                 self.expire_leases();
             }
         }
+        if self.step.is_multiple_of(COPY_STEPS) {
+            self.store.copy();
+        }
+        if self.outage == 0 && self.random.random_bool(0.004) {
+            self.restore();
+        }
         let ids: Vec<String> = self.engines.keys().cloned().collect();
         let id = &ids[self.random.random_range(0..ids.len())];
         let chance = self.random.random_range(0..100);
@@ -337,6 +388,19 @@
         }
     }
 
+    /// Has the store return from a copy. Running engines write again what they wrote, with a new sequence number, and what was
+    /// removed is removed again.
+    fn restore(&mut self) {
+        self.store.restore();
+        for (id, engine) in &mut self.engines {
+            let back = self.step + self.random.random_range(1..REWRITE_STEPS);
+            match engine.alive {
+                true => engine.write_entry(&mut self.random, back, id, engine.leaving),
+                false => engine.removal = Some(back),
+            }
+        }
+    }
+
     /// Ends all leases. Running engines register again within two seconds of the store's return, with a new sequence
     /// number: seed 1091 showed that without a new number, an earlier write that arrives last is rightly ignored.
     fn expire_leases(&mut self) {
@@ -352,8 +416,11 @@
     /// later ones may arrive first.
     fn deliver(&mut self) {
         self.step += 1;
-        for engine in self.engines.values_mut() {
+        for (id, engine) in &mut self.engines {
             let step = self.step;
+            if engine.removal.take_if(|at| *at <= step).is_some() && !engine.alive {
+                self.store.remove(id);
+            }
             let (arrived, on_way): (Vec<_>, Vec<_>) = engine.due.drain(..).partition(|(at, _)| *at <= step);
             engine.due = on_way;
             for (_, entry) in arrived {
@@ -376,7 +443,10 @@
             if is_unreachable {
                 instance.engines.on_outage_end(now);
                 self.ask_peer(index, now);
-            } else if !self.instances[index].started || self.random.random_bool(0.05) {
+            } else if !self.instances[index].started
+                || self.instances[index].revision.epoch != self.store.revision.epoch
+                || self.random.random_bool(0.05)
+            {
                 let (revision, all) = (self.store.revision, self.store.snapshot());
                 self.instances[index].on_snapshot(now, revision, all);
             } else {
@@ -388,7 +458,10 @@
                 } else {
                     0
                 };
-                let updates = self.store.since(instance.revision.saturating_sub(back));
+                let Revision { epoch, number } = instance.revision;
+                let updates = self
+                    .store
+                    .since(Revision::new(epoch, number.saturating_sub(back)));
                 instance.on_watch(now, self.store.revision, updates);
             }
             let instance = &mut self.instances[index];
@@ -404,7 +477,7 @@
             return;
         }
         let revision = self.instances[peer].revision;
-        let all: Vec<(u64, Entry)> = self.instances[peer].items.values().cloned().collect();
+        let all: Vec<(Revision, Entry)> = self.instances[peer].items.values().cloned().collect();
         self.instances[index].on_snapshot(now, revision, all);
     }
 }
--- a/tests/testsuite/relay/store.rs
+++ b/tests/testsuite/relay/store.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
+use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_kv::store::Change;
 use sequoiastream_kv::store::Changes;
 use sequoiastream_kv::store::Item;
@@ -52,6 +53,7 @@
     refuse_watches: Cell<bool>,
     batch_size: Cell<Option<usize>>,
     calls: Cell<Calls>,
+    epoch: Cell<u64>,
 }
 
 /// Number of calls to the store.
@@ -83,7 +85,8 @@
 
     /// Puts a value, as another client would.
     pub fn put(&self, key: &str, value: &str) {
-        let revision = *self.revision.borrow() + 1;
+        let number = *self.revision.borrow() + 1;
+        let revision = self.at(number);
         let created = self
             .state
             .items
@@ -101,19 +104,25 @@
             .borrow_mut()
             .insert(key.to_string(), item.clone());
         self.state.changes.borrow_mut().push(Change::Put(item));
-        self.revision.send_replace(revision);
+        self.revision.send_replace(number);
     }
 
     /// Removes a key, as another client would.
     pub fn remove(&self, key: &str) {
-        let revision = *self.revision.borrow() + 1;
+        let number = *self.revision.borrow() + 1;
+        let revision = self.at(number);
         self.state.items.borrow_mut().remove(key);
         let key = key.to_string();
         self.state
             .changes
             .borrow_mut()
             .push(Change::Removed { key, revision });
-        self.revision.send_replace(revision);
+        self.revision.send_replace(number);
+    }
+
+    /// The revision with this number in the current epoch.
+    fn at(&self, number: u64) -> Revision {
+        Revision::new(self.state.epoch.get(), number)
     }
 
     /// Drops the history of changes up to now and ends the watches.
@@ -143,11 +152,22 @@
     /// Returns to a copy: what was written since is gone, and its revisions are given out again. Pending watches are cut.
     pub async fn restore(&self, copy: &Copy) {
         self.state.down.set(true);
-        *self.state.items.borrow_mut() = copy.items.clone();
-        self.state
-            .changes
-            .borrow_mut()
-            .retain(|change| revision_of(change) <= copy.revision);
+        let epoch = self.state.epoch.get() + 1;
+        self.state.epoch.set(epoch);
+        let mut items = copy.items.clone();
+        for item in items.values_mut() {
+            (item.revision.epoch, item.created.epoch) = (epoch, epoch);
+        }
+        *self.state.items.borrow_mut() = items;
+        let mut changes = self.state.changes.borrow_mut();
+        changes.retain(|change| number_of(change) <= copy.revision);
+        for change in changes.iter_mut() {
+            match change {
+                Change::Put(item) => (item.revision.epoch, item.created.epoch) = (epoch, epoch),
+                Change::Removed { revision, .. } => revision.epoch = epoch,
+            }
+        }
+        drop(changes);
         self.revision.send_replace(copy.revision);
         // The watches that are pending see this before it ends.
         tokio::task::yield_now().await;
@@ -220,10 +240,15 @@
         while self.state.unresponsive.get() && revisions.changed().await.is_ok() {}
     }
 
-    fn apply(&self, write: Write) -> Result<u64, StoreError> {
+    fn apply(&self, write: Write) -> Result<Revision, StoreError> {
         for (key, expected) in &write.expect {
-            let found = self.state.items.borrow().get(key).map_or(0, |item| item.revision);
-            if found != *expected {
+            let found = self
+                .state
+                .items
+                .borrow()
+                .get(key)
+                .map_or(0, |item| item.revision.number);
+            if found != expected.number {
                 return Err(StoreError::Conflict);
             }
         }
@@ -233,20 +258,20 @@
         for put in write.puts {
             self.put(&put.key, &String::from_utf8_lossy(&put.value));
         }
-        Ok(*self.revision.borrow())
+        Ok(self.at(*self.revision.borrow()))
     }
 }
 
 impl Store for FakeStore {
     fn range<'a>(&'a self, prefix: &'a str, after: &'a str) -> LocalBoxFuture<'a, Result<Page, StoreError>> {
         async move {
+            // A store is never as fast as to leave no time for anything else.
+            tokio::task::yield_now().await;
             let calls = self.calls();
             self.state.calls.set(Calls {
                 ranges: calls.ranges + 1,
                 ..calls
             });
-            // A store is never as fast as to leave no time for anything else.
-            tokio::task::yield_now().await;
             self.wait_until_responsive().await;
             self.check()?;
             let is_alternate = self.state.refuse_alternate.get() && calls.ranges % 2 == 1;
@@ -260,7 +285,7 @@
             Ok(Page {
                 more: items.len() > limit,
                 items: items.into_iter().take(limit).collect(),
-                revision: *self.revision.borrow(),
+                revision: self.at(*self.revision.borrow()),
             })
         }
         .boxed_local()
@@ -269,55 +294,56 @@
     fn watch<'a>(
         &'a self,
         _: &'a str,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> LocalBoxFuture<'a, Result<Changes, StoreError>> {
         async move {
+            tokio::task::yield_now().await;
             let calls = self.calls();
             self.state.calls.set(Calls {
                 watches: calls.watches + 1,
                 ..calls
             });
-            tokio::task::yield_now().await;
             let mut revisions = self.revision.subscribe();
             self.check()?;
             if self.state.refuse_watches.get() {
                 return Err(StoreError::Refused(429));
             }
-            if after < self.state.compacted.get() {
+            if after.number < self.state.compacted.get() {
                 return Err(StoreError::Compacted);
             }
-            if after > *revisions.borrow() {
+            // Tests of peers have instances follow different stores, one of which is ahead; only a restored one lacks history.
+            if self.state.epoch.get() > 0 && after.number > *revisions.borrow() {
                 return Err(StoreError::Compacted);
             }
-            if *revisions.borrow_and_update() <= after {
+            if *revisions.borrow_and_update() <= after.number {
                 // A watch without changes is answered when its wait time ends.
                 let _ = tokio::time::timeout(wait, revisions.changed()).await;
             }
             self.wait_until_responsive().await;
             self.check()?;
-            if after < self.state.compacted.get() {
+            if after.number < self.state.compacted.get() {
                 return Err(StoreError::Compacted);
             }
             let changes = self.state.changes.borrow();
             let newer: Vec<&Change> = changes
                 .iter()
-                .filter(|change| revision_of(change) > after)
+                .filter(|change| number_of(change) > after.number)
                 .collect();
             let limit = self.state.batch_size.get().unwrap_or(newer.len());
             let revision = match newer.len() > limit {
-                true => revision_of(newer[limit - 1]),
+                true => number_of(newer[limit - 1]),
                 false => *self.revision.borrow(),
             };
             Ok(Changes {
                 changes: newer.into_iter().take(limit).cloned().collect(),
-                revision,
+                revision: self.at(revision),
             })
         }
         .boxed_local()
     }
 
-    fn write<'a>(&'a self, write: Write) -> LocalBoxFuture<'a, Result<u64, StoreError>> {
+    fn write<'a>(&'a self, write: Write) -> LocalBoxFuture<'a, Result<Revision, StoreError>> {
         async move {
             let calls = self.calls();
             self.state.calls.set(Calls {
@@ -342,11 +368,21 @@
     }
 
     fn grant<'a>(&'a self, _: Duration) -> LocalBoxFuture<'a, Result<LeaseId, StoreError>> {
-        async move { self.check().map(|()| LeaseId(7)) }.boxed_local()
+        async move {
+            self.check()?;
+            let epoch = self.state.epoch.get();
+            Ok(LeaseId { epoch, number: 7 })
+        }
+        .boxed_local()
     }
 
-    fn renew<'a>(&'a self, _: LeaseId) -> LocalBoxFuture<'a, Result<(), StoreError>> {
-        async move { self.check() }.boxed_local()
+    fn renew<'a>(&'a self, lease: LeaseId) -> LocalBoxFuture<'a, Result<LeaseId, StoreError>> {
+        async move {
+            self.check()?;
+            let epoch = self.state.epoch.get();
+            Ok(LeaseId { epoch, ..lease })
+        }
+        .boxed_local()
     }
 
     fn revoke<'a>(&'a self, _: LeaseId) -> LocalBoxFuture<'a, Result<(), StoreError>> {
@@ -354,9 +390,9 @@
     }
 }
 
-fn revision_of(change: &Change) -> u64 {
+fn number_of(change: &Change) -> u64 {
     match change {
-        Change::Put(item) => item.revision,
-        Change::Removed { revision, .. } => *revision,
+        Change::Put(item) => item.revision.number,
+        Change::Removed { revision, .. } => revision.number,
     }
 }
--- a/tests/testsuite/relay/watchers/mod.rs
+++ b/tests/testsuite/relay/watchers/mod.rs
@@ -20,6 +20,7 @@
 
 use crate::claims::client::PrintSeedOnPanic;
 use crate::claims::client::seeds_or;
+use crate::relay::rev;
 use crate::relay::watchers::world::Timing;
 use crate::relay::watchers::world::World;
 
@@ -79,11 +80,13 @@
 /// one of them.
 #[test]
 fn furthest_one_of_several() {
-    let known = [7, 9, 3, 9, 9];
-    let asked: Vec<usize> = (0..6).filter_map(|draw| most_advanced(&known, 8, draw)).collect();
+    let known = [7, 9, 3, 9, 9].map(rev);
+    let asked: Vec<usize> = (0..6)
+        .filter_map(|draw| most_advanced(&known, rev(8), draw))
+        .collect();
     assert_eq!(asked, [1, 3, 4, 1, 3, 4]);
-    assert_eq!(most_advanced(&known, 9, 0), None);
-    assert_eq!(most_advanced(&[], 0, 0), None);
+    assert_eq!(most_advanced(&known, rev(9), 0), None);
+    assert_eq!(most_advanced(&[], rev(0), 0), None);
 }
 
 /// Guards against requests going to engines that have left, by routes that are no longer in force. Sequence: any mix of
--- a/tests/testsuite/relay/watchers/world.rs
+++ b/tests/testsuite/relay/watchers/world.rs
@@ -7,6 +7,7 @@
 use rand::SeedableRng;
 use rand::seq::IteratorRandom;
 use rand_chacha::ChaCha8Rng;
+use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_core::relay::watchers::ConfirmedStatus;
 use sequoiastream_core::relay::watchers::FleetRank;
 use sequoiastream_core::relay::watchers::SyncState;
@@ -63,7 +64,7 @@
     Waiting {
         sent: Time,
         wait: Duration,
-        revision: u64,
+        revision: Revision,
         answer: Option<Answer>,
     },
     /// The last call failed; the next one begins at this time.
@@ -78,7 +79,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Answer {
     /// The store's revision when it answered.
-    revision: u64,
+    revision: Revision,
     /// When the answer reaches the instance, unless that is paused.
     arrives: Time,
 }
@@ -95,6 +96,8 @@
     paused: Time,
     /// The store doesn't answer it until this time.
     unreachable: Time,
+    /// Whether the next call reads everything.
+    must_read: bool,
     /// Number of calls that failed since its data was last confirmed.
     failures: u32,
     /// When the last call failed.
@@ -157,9 +160,11 @@
     /// Messages in transit, by time of arrival.
     in_transit: BTreeMap<Time, Vec<Message>>,
     now: Time,
-    revision: u64,
-    /// Time of each revision, from the first one.
+    revision: Revision,
+    /// Time of each change of the store's current epoch, from the first one.
     changed: Vec<Time>,
+    /// When the store was last restored from a copy.
+    restored: Time,
     instances: Vec<Instance>,
     names: Vec<String>,
     zones: Vec<String>,
@@ -190,6 +195,7 @@
             turn: index,
             paused: now,
             unreachable: now,
+            must_read: false,
             failures: 0,
             last_failure: None,
             silent: false,
@@ -201,8 +207,9 @@
             timing,
             in_transit: BTreeMap::new(),
             now,
-            revision: 1,
+            revision: Revision::new(1, 1),
             changed: vec![now],
+            restored: now,
             instances: (0..size).map(instance).collect(),
             names: (0..size).map(|index| format!("{index:03}")).collect(),
             zones: (0..zones).map(|zone| format!("{zone:02}")).collect(),
@@ -217,8 +224,10 @@
         for step in 0..steps {
             self.advance(|world| {
                 if world.random.random_bool(0.05) {
-                    world.revision += 1;
-                    world.changed.push(world.now);
+                    world.change();
+                }
+                if world.random.random_bool(0.002) {
+                    world.restore();
                 }
                 if world.random.random_bool(0.02) {
                     world.inject_fault();
@@ -280,8 +289,7 @@
     /// Changes the store, then runs for this time and checks each step.
     fn run_changed(&mut self, time: Duration) {
         let later = self.now + time;
-        self.revision += 1;
-        self.changed.push(self.now);
+        self.change();
         while self.now < later {
             self.advance(|_| {});
             self.check_lag();
@@ -294,14 +302,33 @@
         while self.now < later {
             self.advance(|world| {
                 if world.random.random_bool(0.05) {
-                    world.revision += 1;
-                    world.changed.push(world.now);
+                    world.change();
                 }
             });
             self.check_lag();
         }
     }
 
+    /// Changes the store.
+    fn change(&mut self) {
+        self.revision = self.revision.next();
+        self.changed.push(self.now);
+    }
+
+    /// Has the store return from a copy that lacks up to twenty changes. Open watches stay silent or are answered from the
+    /// restored store. The limit doesn't apply until a while later, as after a fault of every instance.
+    fn restore(&mut self) {
+        let lost = self.random.random_range(1..=20).min(self.revision.number - 1);
+        self.revision = Revision::new(self.revision.epoch + 1, self.revision.number - lost);
+        self.changed
+            .truncate(usize::try_from(self.revision.number).expect("a few"));
+        self.restored = self.now;
+        for instance in &mut self.instances {
+            instance.healthy_since = instance.healthy_since.max(self.now);
+            instance.silent |= self.random.random_bool(0.5);
+        }
+    }
+
     /// Runs for [`STEP`], in which each instance acts once. `on_start` is called at the start of the step.
     fn advance<F>(&mut self, on_start: F)
     where
@@ -592,7 +619,8 @@
                     return;
                 }
                 self.calls += 1;
-                let read = failed || instance.state.revision() == 0;
+                let read = failed || instance.must_read || instance.state.revision().is_zero();
+                instance.must_read = false;
                 let wait = match (read, is_after_batch) {
                     (true, _) => Duration::ZERO,
                     (false, true) => LIMIT.watch_timeout() - BATCH_DELAY,
@@ -616,10 +644,16 @@
                 answer,
             } => {
                 if let Some(answer) = answer.filter(|answer| answer.arrives <= now) {
+                    if wait > Duration::ZERO && answer.revision.epoch != revision.epoch {
+                        // The store has no history from there.
+                        instance.must_read = true;
+                        instance.call = Call::None;
+                        return;
+                    }
                     instance
                         .state
                         .on_store_answer(now, sent, wait.max(CALL_TIME), answer.revision);
-                    instance.call = match answer.revision > revision && revision > 0 {
+                    instance.call = match answer.revision > revision && !revision.is_zero() {
                         true => Call::Batching(now + BATCH_DELAY),
                         false => Call::None,
                     };
@@ -640,11 +674,13 @@
             if !is_stable || !self.is_up(index) {
                 continue;
             }
-            let missed = usize::try_from(instance.state.revision()).expect("a few");
-            let lag = self
-                .changed
-                .get(missed)
-                .map_or(Duration::ZERO, |at| now.since(*at));
+            let Revision { epoch, number } = instance.state.revision();
+            let missed = usize::try_from(number).expect("a few");
+            let missed = match epoch == self.revision.epoch {
+                true => self.changed.get(missed).copied(),
+                false => Some(self.restored),
+            };
+            let lag = missed.map_or(Duration::ZERO, |at| now.since(at));
             assert!(
                 lag <= LIMIT.0,
                 "instance {index} of {} lags by {lag:?} at {now}: {:?}, {:?}",
