Usage: a window that was reported isn't decided again after a store returns from a copy

What a process decided itself now holds against an earlier record, and leaders tell the instances that add up counts which windows are decided, so that the next one doesn't decide them again. If the leader ends within the same seconds before a report was accepted, that window is not reported by its successor: rather none than two.

--- a/crates/core/src/relay/usage.rs
+++ b/crates/core/src/relay/usage.rs
@@ -13,7 +13,7 @@
 const MAX_WINDOWS: usize = 12;
 
 /// A window of true time, counted from the Unix epoch.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Window(pub u64);
 
 impl Window {
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -28,6 +28,7 @@
 use sequoiastream_core::relay::streams::StreamId;
 use sequoiastream_core::relay::streams::StreamRecord;
 use sequoiastream_core::relay::usage::CountsMessage;
+use sequoiastream_core::relay::usage::Window;
 use sequoiastream_core::relay::watchers::ConfirmationId;
 use sequoiastream_core::time::WallTime;
 use serde::Deserialize;
@@ -59,6 +60,8 @@
     Load(LoadMessage),
     /// Response to [`Datagram::Prove`].
     Proof(StoreProof),
+    /// The usage of all windows before this one has been decided.
+    Decided(Window),
 }
 
 /// A request over TCP.
--- a/src/ops/relay/peers/counts.rs
+++ b/src/ops/relay/peers/counts.rs
@@ -42,6 +42,8 @@
     true_time: RefCell<TrueTime>,
     /// Instances that add up the counts besides the lease holder.
     standbys: RefCell<Vec<SocketAddr>>,
+    /// The first window that may still be decided, as far as this instance or a peer that told it knows.
+    decided_until: Cell<Window>,
     /// When counts were last sent.
     last_sent: Cell<Time>,
     /// Identifies this start of the instance; random.
@@ -74,6 +76,18 @@
         self.0.usage.totals.borrow_mut().on_counts(source, message.tally);
     }
 
+    /// Handles that all windows before `next` are decided, as this instance or a peer did.
+    pub fn on_decided(&self, next: Window) {
+        let known = &self.0.usage.decided_until;
+        known.set(known.get().max(next));
+    }
+
+    /// The first window that may still be decided. The record in the store may name an earlier one if the store was restored
+    /// from a copy.
+    pub fn decided_until(&self) -> Window {
+        self.0.usage.decided_until.get()
+    }
+
     /// Sets the standbys: the first of the live instances.
     pub(super) fn set_standbys(&self, standbys: Vec<SocketAddr>) {
         *self.0.usage.standbys.borrow_mut() = standbys;
@@ -95,13 +109,19 @@
         if let Some(offset) = usage.true_time.borrow_mut().offset(now) {
             shared.on_true_offset(offset);
         }
+        let aggregators = self.aggregators();
+        let decided = usage.decided_until.get();
+        if decided > Window::default() {
+            for peer in &aggregators {
+                self.send(*peer, Datagram::Decided(decided));
+            }
+        }
         let current = Window::at(shared.true_micros(now), acts.window);
         let first = Window((current.0 + 1).saturating_sub(REPORTED_WINDOWS));
         let tally = shared.traffic().tally.since(first);
         if tally.is_empty() {
             return;
         }
-        let aggregators = self.aggregators();
         let messages = tally
             .chunks(MAX_WORKSPACES)
             .into_iter()
--- a/src/ops/relay/peers/mod.rs
+++ b/src/ops/relay/peers/mod.rs
@@ -288,6 +288,7 @@
             Ok((name, Datagram::Prove(number))) => fleet.on_proof_request(&name, number),
             Ok((_, Datagram::Proof(proof))) => fleet.on_proof(proof),
             Ok((name, Datagram::Counts(message))) => fleet.on_counts(&name, message),
+            Ok((_, Datagram::Decided(next))) => fleet.on_decided(next),
             Ok((_, Datagram::Limits(reports))) => fleet.on_limits(&reports),
             Ok((_, Datagram::Crashes(notes))) => fleet.on_crashes(notes),
             Ok((_, Datagram::Streams(records))) => fleet.on_streams(records),
--- a/src/ops/relay/usage.rs
+++ b/src/ops/relay/usage.rs
@@ -44,6 +44,18 @@
     accepted: Vec<Window>,
 }
 
+impl ReportState {
+    /// What was decided, without the reports that the platform has accepted.
+    fn remaining(&self) -> DecidedReports {
+        let DecidedReports { next, open } = &self.decided;
+        let open = open.iter().filter(|r| !self.accepted.contains(&r.window));
+        DecidedReports {
+            next: *next,
+            open: open.cloned().collect(),
+        }
+    }
+}
+
 /// Reports windows while this instance is the leader.
 pub async fn run(
     shared: Arc<Shared>,
@@ -59,6 +71,7 @@
         cloud,
         length,
         state: None,
+        last: None,
     };
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
@@ -81,6 +94,8 @@
     cloud: CloudClient,
     length: Duration,
     state: Option<ReportState>,
+    /// What this process decided last, less what the platform has accepted.
+    last: Option<DecidedReports>,
 }
 
 impl Reporter {
@@ -95,28 +110,33 @@
             false => self.decide(&mut state, next, reports).await?,
         }
         self.send(&mut state).await;
+        self.last = Some(state.remaining());
         self.state = Some(state);
         Ok(())
     }
 
     /// Reads what earlier leaders decided. If there is no record, the windows before the first count are not reported.
+    ///
+    /// Guards against reporting a window again because the store was restored from a copy with an earlier record: what this
+    /// process decided later still holds, and no window is decided that peers know as decided.
     async fn read(&self) -> Result<ReportState, StoreError> {
         let key = &self.shared.translate.keys().usage;
         let page = self.store.range(key, "").await?;
         let item = page.items.into_iter().find(|item| item.key == *key);
-        let Some(item) = item else {
-            let decided = DecidedReports::starting_at(Window(0));
-            return Ok(ReportState {
-                decided,
-                revision: Revision::ZERO,
-                accepted: Vec::new(),
-            });
+        let (decided, revision) = match item {
+            Some(item) => {
+                let decided = serde_json::from_slice(&item.value);
+                let decided = decided.map_err(|e| StoreError::Unreadable(e.to_string()))?;
+                (decided, item.revision)
+            }
+            None => (DecidedReports::starting_at(Window(0)), Revision::ZERO),
         };
-        let decided =
-            serde_json::from_slice(&item.value).map_err(|e| StoreError::Unreadable(e.to_string()))?;
+        let last = self.last.clone().filter(|last| last.next > decided.next);
+        let mut decided = last.unwrap_or(decided);
+        decided.next = decided.next.max(self.fleet.decided_until());
         Ok(ReportState {
             decided,
-            revision: item.revision,
+            revision,
             accepted: Vec::new(),
         })
     }
@@ -169,6 +189,7 @@
         state.revision = self.store.write(write).await?;
         state.decided = decided;
         state.accepted.clear();
+        self.fleet.on_decided(next);
         log_event!(
             info,
             log_event::USAGE_DECIDED,
--- a/tests/testsuite/relay/acts.rs
+++ b/tests/testsuite/relay/acts.rs
@@ -2,6 +2,7 @@
 //! orders for engines.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use sequoiastream::ops::relay::known::StoreReplica;
 use sequoiastream::ops::relay::options::LeaderOptions;
 use sequoiastream::ops::relay::peers;
+use sequoiastream::ops::relay::shared::Restoration;
 use sequoiastream::ops::relay::shared::Shared;
 use sequoiastream::util::clock;
 use sequoiastream_core::relay::engines::Engine;
@@ -151,6 +153,36 @@
         .await;
 }
 
+/// Guards against a window that is reported again, with other counts: the store returns from a copy that lacks the record of
+/// what was reported, and more requests of that window are counted meanwhile.
+#[actix_web::test]
+async fn report_not_again_after_return() {
+    let store = FakeStore::new();
+    let copy = store.copy();
+    let api = api(&store, |_| 200).await;
+    let shared = start_leader(&api, &store, 0).await;
+    let counted_at = clock::now();
+    shared.on_begun(counted_at, "huka");
+    api.wait_for(|log| log.requests.iter().any(|r| r.head.contains("/usage")))
+        .await;
+    store.restore(&copy).await;
+    let restoration = Restoration {
+        epoch: 1,
+        noticed: clock::now(),
+    };
+    shared.publish(|view| view.restored = Some(restoration));
+    shared.on_begun(counted_at, "huka");
+    super::wait_until(|| shared.metrics.is_leader.get() == 0).await;
+    super::wait_until(|| shared.metrics.is_leader.get() == 1).await;
+    shared.on_begun(clock::now(), "huka");
+    let count = |log: &super::engine::Log| log.requests.iter().filter(|r| r.head.contains("/usage")).count();
+    api.wait_for(|log| count(log) >= 2).await;
+    let bodies = bodies(&api, "/usage");
+    let windows = bodies.iter().filter_map(|body| body.split(' ').next());
+    let windows: BTreeSet<&str> = windows.collect();
+    assert_eq!(windows.len(), bodies.len(), "{bodies:?}");
+}
+
 /// Engines are ordered under the lease, the cheaper ones first, and none are given back before those have started.
 #[actix_web::test]
 async fn engines_ordered() {
