--- a/crates/core/src/relay/watchers.rs
+++ b/crates/core/src/relay/watchers.rs
@@ -251,6 +251,11 @@
         SyncStatus { revision, age }
     }
 
+    /// The time whose state it shows, if its age counts from `from`; `None` if that is before the start of the clock.
+    pub fn as_of(self, from: Time) -> Option<Time> {
+        (from.since(Time::ZERO) >= self.age).then(|| from - self.age)
+    }
+
     /// Its age in milliseconds, rounded up so that it is not reported as shorter than it is; `u32::MAX`, the maximum in
     /// messages, if it is older.
     pub fn age_millis(self) -> u32 {
@@ -452,8 +457,8 @@
         if !self.is_comparable(status) {
             return false;
         }
-        if asked.since(Time::ZERO) >= status.age {
-            self.on_proof(asked - status.age);
+        if let Some(until) = status.as_of(asked) {
+            self.on_proof(until);
         }
         false
     }
@@ -495,8 +500,8 @@
             return;
         }
         // Counted from the request, the age is never too low, so the confirmation need not be recorded as accepted.
-        if requested_at.since(Time::ZERO) >= status.age {
-            self.confirm(requested_at - status.age, confirmation);
+        if let Some(at) = status.as_of(requested_at) {
+            self.confirm(at, confirmation);
         }
     }
 
@@ -516,9 +521,10 @@
         }
         self.detect_pause(now);
         let is_in_backlog = self.resumed.is_some_and(|at| now.since(at) < BACKLOG_TIME);
-        if !is_in_backlog && now.since(Time::ZERO) >= status.age && self.is_new(confirmation) {
+        let at = status.as_of(now);
+        if let Some(at) = at.filter(|_| !is_in_backlog && self.is_new(confirmation)) {
             self.accept(now, confirmation);
-            self.confirm(now - status.age, confirmation);
+            self.confirm(at, confirmation);
         }
         false
     }
--- a/src/ops/relay/follow/listen.rs
+++ b/src/ops/relay/follow/listen.rs
@@ -90,7 +90,7 @@
         let status = ConfirmedStatus::new(page.revision, page.age, page.confirmation);
         let revision = page.revision;
         let items: Vec<Item> = page.items.into_iter().map(known::from_message).collect();
-        self.on_snapshot(as_of(asked, page.age), revision, &items);
+        self.on_snapshot(as_of(asked, status), revision, &items);
         self.known.on_peer_changes(asked, status);
         self.complete = true;
         log_event!(info, log_event::PEER_TOLD, %revision, items = items.len());
@@ -118,7 +118,8 @@
             .map(|(revision, key)| Change::Removed { key, revision });
         let mut changes: Vec<Change> = items.into_iter().map(Change::Put).chain(removed).collect();
         changes.sort_by_key(change_revision);
-        let latest = as_of(asked, news.age);
+        let status = ConfirmedStatus::new(news.revision, news.age, news.confirmation);
+        let latest = as_of(asked, status);
         let known = self.known.revision();
         if news.revision.epoch > known.epoch {
             let is_lost = |change: &&Change| matches!(change, Change::Removed { revision, .. } if revision.epoch > known.epoch);
@@ -126,7 +127,6 @@
             self.on_restored(latest, news.revision, lost);
         }
         self.on_changes(latest, changes);
-        let status = ConfirmedStatus::new(news.revision, news.age, news.confirmation);
         self.known.on_peer_changes(asked, status);
         self.complete = true;
         true
@@ -178,13 +178,9 @@
 }
 
 /// The time whose state an answer shows that a peer gave to a request sent at `asked`: the store had confirmed it to the
-/// peer `age` milliseconds before.
-fn as_of(asked: Time, age: u32) -> Time {
-    let age = Duration::from_millis(u64::from(age));
-    match asked.since(Time::ZERO) >= age {
-        true => asked - age,
-        false => asked,
-    }
+/// peer before.
+fn as_of(asked: Time, status: ConfirmedStatus) -> Time {
+    status.status.as_of(asked).unwrap_or(asked)
 }
 
 fn change_revision(change: &Change) -> Revision {
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -12,6 +12,7 @@
 mod join;
 mod listen;
 mod read;
+mod snapshot;
 
 use std::cell::LazyCell;
 use std::collections::BTreeSet;
@@ -49,7 +50,6 @@
 use crate::ops::relay::orders::OrderRecords;
 use crate::ops::relay::peers::Fleet;
 use crate::ops::relay::register;
-use crate::ops::relay::shared::Restoration;
 use crate::ops::relay::shared::Shared;
 use crate::util::clock;
 
@@ -354,65 +354,6 @@
         }
     }
 
-    /// Applies the complete contents of the store as of `revision`, which show its state as of `latest`.
-    fn on_snapshot(&mut self, latest: Time, revision: Revision, items: &[Item]) {
-        self.distrust_removals(latest);
-        let now = clock::now();
-        let known = self.known.revision();
-        if revision < known {
-            log_event!(info, log_event::CONTENTS_OLDER, %revision, %known);
-            return;
-        }
-        if revision.epoch > known.epoch && !known.is_zero() {
-            let keys: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
-            let lost = self
-                .known
-                .keys()
-                .iter()
-                .filter(|key| !keys.contains(key.as_str()))
-                .count();
-            self.on_restored(latest, revision, lost);
-        }
-        self.known
-            .on_snapshot(self.shared.translate.keys(), revision, items);
-        let entries = items.iter().filter_map(|item| self.entry(item));
-        let entries: Vec<(Revision, Entry)> = entries.collect();
-        let engines = self.engines.on_snapshot(now, revision, entries);
-        self.ordered
-            .on_snapshot(now, self.shared.translate.as_ref(), revision, items);
-        for item in items {
-            self.on_config(item);
-        }
-        let translate = self.shared.translate.as_ref();
-        self.lead = items.iter().find_map(|item| lead::record(translate, item));
-        self.publish(&Changed {
-            engines,
-            orders: true,
-            instances: false,
-            lead: true,
-        });
-        self.fleet.on_listed(register::listings(&self.shared, items));
-    }
-
-    /// Prepares for the contents as of `revision` of a store that was restored from a copy: `lost` keys that are known are not
-    /// among them.
-    ///
-    /// Guards against refusing requests until the engines have registered again. What was acknowledged before still holds:
-    /// no older configuration comes into force, and an engine that announced that it leaves gets no work.
-    fn on_restored(&mut self, latest: Time, revision: Revision, lost: usize) {
-        self.engines.on_outage_end(latest);
-        let before = self.known.revision();
-        let now = clock::now();
-        let age = now.since(latest).as_millis() as u64;
-        log_event!(warn, log_event::STORE_RESTORED, %before, after = %revision, lost, age);
-        self.shared.metrics.store_restorations.inc();
-        let restoration = Restoration {
-            epoch: revision.epoch,
-            noticed: now,
-        };
-        self.shared.publish(|view| view.restored = Some(restoration));
-    }
-
     /// Applies a change, and notes in `changed` what is to be published.
     fn on_change(&mut self, change: Change, changed: &mut Changed) {
         let now = clock::now();
--- a/tests/testsuite/relay/store.rs
+++ b/tests/testsuite/relay/store.rs
@@ -152,6 +152,14 @@
     /// Returns to a copy: what was written since is gone, and its revisions are given out again. Pending watches are cut.
     pub async fn restore(&self, copy: &Copy) {
         self.state.down.set(true);
+        self.replace(copy);
+        // The watches that are pending see this before it ends.
+        tokio::task::yield_now().await;
+        self.state.down.set(false);
+    }
+
+    /// Replaces the contents and the history by those of a copy, in a new epoch.
+    fn replace(&self, copy: &Copy) {
         let epoch = self.state.epoch.get() + 1;
         self.state.epoch.set(epoch);
         let mut items = copy.items.clone();
@@ -167,11 +175,7 @@
                 Change::Removed { revision, .. } => revision.epoch = epoch,
             }
         }
-        drop(changes);
         self.revision.send_replace(copy.revision);
-        // The watches that are pending see this before it ends.
-        tokio::task::yield_now().await;
-        self.state.down.set(false);
     }
 
     /// Sets the maximum number of items per page.
--- a/tests/testsuite/relay/watchers/mod.rs
+++ b/tests/testsuite/relay/watchers/mod.rs
@@ -3,6 +3,7 @@
 //! The seeded runs draw fleets of 1 to 400 instances in 1 to 12 availability zones. `SEQUOIASTREAM_SEEDS=1000..5000
 //! cargo test --release --test testsuite relay::watchers` runs other seeds, as many as wanted.
 
+mod faults;
 mod world;
 
 use std::time::Duration;
--- a/tests/testsuite/relay/watchers/world.rs
+++ b/tests/testsuite/relay/watchers/world.rs
@@ -5,7 +5,6 @@
 
 use rand::RngExt;
 use rand::SeedableRng;
-use rand::seq::IteratorRandom;
 use rand_chacha::ChaCha8Rng;
 use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_core::relay::watchers::ConfirmedStatus;
@@ -58,7 +57,7 @@
 
 /// State of an instance's calls to the store.
 #[derive(Debug, Clone, Copy)]
-enum Call {
+pub(super) enum Call {
     None,
     /// A watch, or a read if `wait` is zero, that was sent at `sent`.
     Waiting {
@@ -77,7 +76,7 @@
 
 /// An answer of the store on its way to an instance.
 #[derive(Debug, Clone, Copy)]
-struct Answer {
+pub(super) struct Answer {
     /// The store's revision when it answered.
     revision: Revision,
     /// When the answer reaches the instance, unless that is paused.
@@ -85,34 +84,34 @@
 }
 
 #[derive(Debug)]
-struct Instance {
-    zone: usize,
-    state: SyncState,
-    call: Call,
+pub(super) struct Instance {
+    pub(super) zone: usize,
+    pub(super) state: SyncState,
+    pub(super) call: Call,
     /// Time at which each peer was last heard.
-    heard: Vec<Option<Time>>,
-    turn: usize,
+    pub(super) heard: Vec<Option<Time>>,
+    pub(super) turn: usize,
     /// Paused or stopped until this time.
-    paused: Time,
+    pub(super) paused: Time,
     /// The store doesn't answer it until this time.
-    unreachable: Time,
+    pub(super) unreachable: Time,
     /// Whether the next call reads everything.
-    must_read: bool,
+    pub(super) must_read: bool,
     /// Number of calls that failed since its data was last confirmed.
-    failures: u32,
+    pub(super) failures: u32,
     /// When the last call failed.
-    last_failure: Option<Time>,
+    pub(super) last_failure: Option<Time>,
     /// Whether its open watch never gets an answer.
-    silent: bool,
+    pub(super) silent: bool,
     /// The question to a peer that it waits for; it does nothing else meanwhile.
-    question: Option<Question>,
+    pub(super) question: Option<Question>,
     /// Time since which it has had no fault of its own.
-    healthy_since: Time,
+    pub(super) healthy_since: Time,
 }
 
 /// A question to a peer that is ahead.
 #[derive(Debug, Clone, Copy)]
-struct Question {
+pub(super) struct Question {
     /// When the wait for the answer ends.
     until: Time,
     /// When it was sent, and what the peer answers; `None` if the answer is lost.
@@ -155,22 +154,22 @@
 }
 
 pub struct World {
-    random: ChaCha8Rng,
-    timing: Timing,
+    pub(super) random: ChaCha8Rng,
+    pub(super) timing: Timing,
     /// Messages in transit, by time of arrival.
     in_transit: BTreeMap<Time, Vec<Message>>,
-    now: Time,
-    revision: Revision,
+    pub(super) now: Time,
+    pub(super) revision: Revision,
     /// Time of each change of the store's current epoch, from the first one.
-    changed: Vec<Time>,
+    pub(super) changed: Vec<Time>,
     /// When the store was last restored from a copy.
-    restored: Time,
-    instances: Vec<Instance>,
-    names: Vec<String>,
-    zones: Vec<String>,
+    pub(super) restored: Time,
+    pub(super) instances: Vec<Instance>,
+    pub(super) names: Vec<String>,
+    pub(super) zones: Vec<String>,
     /// Time until which each zone hears no other zone.
-    cut: Vec<Time>,
-    calls: u64,
+    pub(super) cut: Vec<Time>,
+    pub(super) calls: u64,
 }
 
 impl World {
@@ -277,15 +276,6 @@
         }
     }
 
-    /// Pauses these instances from now on.
-    fn pause(&mut self, indexes: &[usize], time: Duration) {
-        let until = self.now + time;
-        for index in indexes {
-            self.instances[*index].paused = until;
-            self.instances[*index].healthy_since = until;
-        }
-    }
-
     /// Changes the store, then runs for this time and checks each step.
     fn run_changed(&mut self, time: Duration) {
         let later = self.now + time;
@@ -315,20 +305,6 @@
         self.changed.push(self.now);
     }
 
-    /// Has the store return from a copy that lacks up to twenty changes. Open watches stay silent or are answered from the
-    /// restored store. The limit doesn't apply until a while later, as after a fault of every instance.
-    fn restore(&mut self) {
-        let lost = self.random.random_range(1..=20).min(self.revision.number - 1);
-        self.revision = Revision::new(self.revision.epoch + 1, self.revision.number - lost);
-        self.changed
-            .truncate(usize::try_from(self.revision.number).expect("a few"));
-        self.restored = self.now;
-        for instance in &mut self.instances {
-            instance.healthy_since = instance.healthy_since.max(self.now);
-            instance.silent |= self.random.random_bool(0.5);
-        }
-    }
-
     /// Runs for [`STEP`], in which each instance acts once. `on_start` is called at the start of the step.
     fn advance<F>(&mut self, on_start: F)
     where
@@ -428,61 +404,6 @@
         );
     }
 
-    fn inject_fault(&mut self) {
-        let now = self.now;
-        let length = Duration::from_millis(self.random.random_range(200..6_000));
-        let size = self.instances.len();
-        let zone = self.random.random_range(0..self.cut.len());
-        let count = *[1, 1, 2, size.div_ceil(2), size]
-            .iter()
-            .choose(&mut self.random)
-            .expect("some");
-        let zonal = self.random.random_bool(0.3);
-        let kind = self.random.random_range(0..8);
-        if kind >= 6 {
-            // The store refuses the calls of just those instances that watch, everywhere or in a zone that hears no
-            // other zone.
-            let zones = self.cut.len();
-            self.cut[zone] = now + length;
-            for index in (0..size.min(3 * zones)).filter(|index| kind == 6 || index % zones == zone) {
-                let instance = &mut self.instances[index];
-                instance.unreachable = instance.unreachable.max(now + length);
-                instance.healthy_since = instance.healthy_since.max(now + length);
-            }
-            return;
-        }
-        if kind == 5 {
-            // Cut off from the other zones but not from the store: a fault that doesn't exempt an instance from the
-            // limit.
-            self.cut[zone] = now + length;
-            return;
-        }
-        let chosen = (0..size).filter(|index| !zonal || self.instances[*index].zone == zone);
-        let chosen = chosen.sample(&mut self.random, count);
-        for index in chosen {
-            let instance = &mut self.instances[index];
-            // Faults overlap: the later one may end first.
-            let healthy_since = if kind == 4 { now } else { now + length };
-            instance.healthy_since = instance.healthy_since.max(healthy_since);
-            match kind {
-                // Paused: resumes with its state, its calls and its messages.
-                0 => instance.paused = instance.paused.max(now + length),
-                // Killed and restarted.
-                1 => {
-                    instance.paused = instance.paused.max(now + length);
-                    instance.state = SyncState::new(now.as_micros() << 10 | index as u64);
-                    instance.call = Call::None;
-                    instance.question = None;
-                    instance.heard.fill(None);
-                }
-                // The store refuses its calls or doesn't answer.
-                2 | 3 => instance.unreachable = instance.unreachable.max(now + length),
-                // Its open connection to the store never gets an answer again; new connections work.
-                _ => instance.silent = true,
-            }
-        }
-    }
-
     fn is_up(&self, index: usize) -> bool {
         self.instances[index].paused <= self.now
     }
