Server: no 404 while a peer has a higher version of the configuration

Heartbeats name the version in force at each peer; as long as a higher one is known, a request without a route gets 503. behind_peers_not_404 is red without the comparison (404 where 503 is expected), run so.

--- a/src/ops/relay/peers/mod.rs
+++ b/src/ops/relay/peers/mod.rs
@@ -400,7 +400,8 @@
             match action {
                 Action::Send(to, heartbeat) => self.send(to, Datagram::Heartbeat(heartbeat)),
                 Action::Publish => publish = true,
-                Action::PeerAhead(..) | Action::Resumed => {}
+                Action::PeerAhead(_, version) => self.0.shared.on_peer_version(version.0),
+                Action::Resumed => {}
             }
         }
         // The cost of publishing grows with the size of the fleet, and in a large fleet heartbeats that change the
--- a/src/ops/relay/server.rs
+++ b/src/ops/relay/server.rs
@@ -242,7 +242,7 @@
 /// must have. Logs the version of the configuration and the time since the store's last confirmation, so that a route that
 /// had not reached this instance yet can be told from one that doesn't exist.
 fn refuse_unrouted(shared: &Shared, view: &View, head: &RequestHead, ages: StoreAges) -> HttpResponse {
-    let reply = match ages.reported >= shared.reloadable().apply_limit.0 {
+    let reply = match shared.may_lack_routes(view.table.version, ages.reported) {
         true => Reply::Refused(RETRY_ELSEWHERE),
         false => Reply::NoRoute,
     };
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -194,6 +194,8 @@
     leaving: OnceLock<Time>,
     /// Time at which the store last confirmed that this instance is up to date.
     confirmed: AtomicU64,
+    /// Highest version of the configuration that any peer reported to be in force there.
+    peer_version: AtomicU64,
     /// Time up to which all changes in the store are proven to be known.
     proven: AtomicU64,
     /// How far true time is ahead of the monotonic clock, in microseconds; zero until it is known.
@@ -237,6 +239,7 @@
             metrics: RelayMetrics::new(budget),
             leaving: OnceLock::new(),
             confirmed: AtomicU64::default(),
+            peer_version: AtomicU64::default(),
             proven: AtomicU64::default(),
             true_offset: AtomicU64::default(),
             traffic: Mutex::new(traffic),
@@ -282,6 +285,17 @@
         self.confirmed.store(now.as_micros(), Ordering::Relaxed);
     }
 
+    /// Notes that this version of the configuration is in force at a peer.
+    pub fn on_peer_version(&self, version: u64) {
+        self.peer_version.fetch_max(version, Ordering::Relaxed);
+    }
+
+    /// Whether a configuration of this version may lack routes that it must have, given the time since the store last confirmed
+    /// it: a change may have come since, or a peer has one that this instance lacks.
+    pub fn may_lack_routes(&self, version: u64, age: Duration) -> bool {
+        age >= self.reloadable().apply_limit.0 || version < self.peer_version.load(Ordering::Relaxed)
+    }
+
     /// Time since the store last confirmed that the configuration and the engines are up to date; since the start if it
     /// never did.
     pub fn store_age(&self, now: Time) -> Duration {
--- a/tests/testsuite/relay/requests.rs
+++ b/tests/testsuite/relay/requests.rs
@@ -163,6 +163,20 @@
     assert_eq!(status(&got), "404");
 }
 
+/// Guards against a 404 for a route that the instance's peers already have: it started with an older copy of the configuration, which
+/// the store confirms.
+#[actix_web::test]
+async fn behind_peers_not_404() {
+    let instance = Instance::start(RouteKind::Once, &[], |_| {});
+    let version = instance.shared.view.load().table.version;
+    for (peers, expected) in [(version, "404"), (version + 1, "503")] {
+        instance.shared.on_peer_version(peers);
+        instance.shared.on_store_answer(clock::now());
+        let got = instance.get("/added/x", "q", "").await;
+        assert_eq!(status(&got), expected, "{peers}");
+    }
+}
+
 async fn fetch(instance: &Instance, path: &str) -> String {
     let options = &instance.shared.options;
     let address = if path == "ready" {
