--- a/tests/testsuite/relay/restores.rs
+++ b/tests/testsuite/relay/restores.rs
@@ -33,6 +33,7 @@
 use super::instance::options;
 use super::instance::shared;
 use super::rev;
+use super::store::Copy;
 use super::store::FakeStore;
 use super::wait_until;
 
@@ -50,21 +51,27 @@
     store.put("engines/e1", "chat 127.0.0.1:9 ready 2");
 }
 
-/// Guards against an instance that goes on with an old configuration and sends requests to an engine that has left.
-/// Sequence: the store returns from a copy; the operator and the engine write again, and change what they wrote. The
-/// revisions of these changes are lower than those that the instance knows.
-#[actix_web::test]
-async fn changes_after_return() {
-    let store = FakeStore::new();
+/// Starts an instance with two engines that knows more than the copy of the store that is returned with it.
+async fn start_beyond_copy(store: &FakeStore) -> (Arc<Shared>, Copy) {
     store.put("config", "3 /a/");
     store.put("engines/e1", "chat 127.0.0.1:9 ready 1");
     store.put("engines/e2", "chat 127.0.0.1:9 ready 1");
-    let shared = start(options(), &store).await;
+    let shared = start(options(), store).await;
     wait_until(|| version(&shared) == 3).await;
     let copy = store.copy();
-    write_often(&store, LOST);
-    write_again(&store);
+    write_often(store, LOST);
+    write_again(store);
     wait_until(|| version(&shared) == 5).await;
+    (shared, copy)
+}
+
+/// Guards against an instance that goes on with an old configuration and sends requests to an engine that has left.
+/// Sequence: the store returns from a copy; the operator and the engine write again, and change what they wrote. The
+/// revisions of these changes are lower than those that the instance knows.
+#[actix_web::test]
+async fn changes_after_return() {
+    let store = FakeStore::new();
+    let (shared, copy) = start_beyond_copy(&store).await;
     store.restore(&copy).await;
     write_again(&store);
     store.put("engines/e1", "chat 127.0.0.1:9 leaving 3");
@@ -77,15 +84,7 @@
 #[actix_web::test]
 async fn changes_after_return_overtaken() {
     let store = FakeStore::new();
-    store.put("config", "3 /a/");
-    store.put("engines/e1", "chat 127.0.0.1:9 ready 1");
-    store.put("engines/e2", "chat 127.0.0.1:9 ready 1");
-    let shared = start(options(), &store).await;
-    wait_until(|| version(&shared) == 3).await;
-    let copy = store.copy();
-    write_often(&store, LOST);
-    write_again(&store);
-    wait_until(|| version(&shared) == 5).await;
+    let (shared, copy) = start_beyond_copy(&store).await;
     store.set_unresponsive(true);
     store.restore(&copy).await;
     write_again(&store);
