Leader: a lease that can't be used has an event of its own

It logged lead-lost though the instance never held the lead. The new event lease-unusable names the revision and the token that were unusable; nothing else changes.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -139,6 +139,8 @@
     513 CLOUD_FAILED = "cloud-failed";
     /// Engines of a service may be purchased, but none are requested.
     514 SCALE_HELD = "scale-held";
+    /// A lease of the leader was granted and can't be used: the store was restored since, or its revision is no token.
+    518 LEASE_UNUSABLE = "lease-unusable";
     /// Claims can't be written because the key-value service is failing.
     600 CLAIMS_OUT = "claims-out";
     /// Claims can be written again.
--- a/src/ops/relay/lead.rs
+++ b/src/ops/relay/lead.rs
@@ -130,7 +130,7 @@
                 }
                 // The record expires, or was lost when the store was restored after the grant.
                 token => {
-                    log_event!(warn, log_event::LEAD_LOST, %revision, ?token);
+                    log_event!(warn, log_event::LEASE_UNUSABLE, %revision, ?token);
                     self.0.lease.borrow_mut().on_failure(clock::now());
                 }
             },
