--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -106,10 +106,19 @@
 
     /// Whether another attempt could follow the one that is being sent, even if that one runs.
     pub fn allows_another(&self) -> bool {
+        self.allows_after(1)
+    }
+
+    /// Whether another attempt could follow two that are being sent, even if both run.
+    pub fn allows_another_after_two(&self) -> bool {
+        self.allows_after(2)
+    }
+
+    fn allows_after(&self, running: u32) -> bool {
         let max = match self.limit {
             AttemptLimit::Sent(max) | AttemptLimit::WithoutProgress(max) => max,
         };
-        self.repeat != Repeat::Never && self.used() + 1 < max
+        self.repeat != Repeat::Never && self.used() + running < max
     }
 
     /// Records that an attempt is running on an upstream, before its ending is known.
--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -109,6 +109,8 @@
     409 ABANDONED = "abandoned";
     /// No engine of the service accepts a request.
     410 NO_ENGINE = "no-engine";
+    /// A request was sent to a second engine as well because the first one takes unusually long.
+    414 HEDGED = "hedged";
     /// This instance acquired the authority over a service.
     500 AUTHORITY_TAKEN = "authority-taken";
     /// This instance no longer holds the authority over a service.
--- a/crates/core/src/poison/suspects/mod.rs
+++ b/crates/core/src/poison/suspects/mod.rs
@@ -464,6 +464,12 @@
         counts.max().unwrap_or_default()
     }
 
+    /// Whether any engine ended lately under a request or a part of its prompt, or may have: a check is running.
+    pub fn is_suspect(&self, now: Time, request: &RequestIdentity) -> bool {
+        let mut keys = request.checked_keys().chain(request.keys());
+        keys.any(|key| self.checks_of(key) > 0 || self.crashes_of(now, key).next().is_some())
+    }
+
     /// Whether a request is blocked.
     pub fn is_blocked(&self, now: Time, request: &RequestIdentity) -> bool {
         matches!(
--- a/crates/core/src/relay/budget.rs
+++ b/crates/core/src/relay/budget.rs
@@ -124,13 +124,17 @@
 
     /// Extra attempts at `service` that remain now.
     pub fn remaining(&mut self, now: Time, service: &str) -> f64 {
+        let allowed = self.allowed(now, service);
+        (allowed - self.counts(service).extras.len() as f64).max(0.0)
+    }
+
+    /// Extra attempts at `service` that are allowed in a window that ends now, including those already used in it.
+    pub fn allowed(&mut self, now: Time, service: &str) -> f64 {
         let limits = self.limits;
         let share = self.share(now);
         let counts = self.counts(service);
         counts.expire(now, limits.window);
-        let allowed =
-            USED_FRACTION * limits.ratio * counts.requests.len() as f64 + USED_SLACK_FRACTION * share;
-        (allowed - counts.extras.len() as f64).max(0.0)
+        USED_FRACTION * limits.ratio * counts.requests.len() as f64 + USED_SLACK_FRACTION * share
     }
 
     /// The part of the allowance that this instance may use in a window that ends now.
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -3,7 +3,7 @@
 //! A route maps a host and a path prefix to services. [`routes`] looks it up, [`engines`] tracks the engines of each
 //! service, [`placement`] picks an engine, [`attempt`](crate::attempt) decides what the end of an attempt proves and
 //! whether another may follow, [`budget`] limits extra attempts over the whole fleet, which
-//! [`arrivals`] counts, [`streams`] knows which
+//! [`arrivals`] counts, [`hedging`] sends slow requests to a second engine, [`streams`] knows which
 //! version of the engines began each stream, and [`stages`] splits the
 //! engines of a service into those that process prompts and those that generate. Requests that crash engines are
 //! detected by [`poison::suspects`](crate::poison::suspects).
@@ -16,6 +16,7 @@
 pub mod engine_map;
 pub mod engines;
 pub mod hash;
+pub mod hedging;
 pub mod leader_lease;
 pub mod limit_report;
 pub mod limit_share;
--- a/src/ops/relay/attempt.rs
+++ b/src/ops/relay/attempt.rs
@@ -25,6 +25,7 @@
 use crate::ops::relay::send::end_of;
 use crate::ops::relay::send::send;
 use crate::ops::relay::shared::Shared;
+use crate::util::clock;
 
 /// An attempt whose request is being sent or was sent to an engine. Dropping it closes the connection.
 pub struct ActiveAttempt {
@@ -36,6 +37,8 @@
     silence_limit: Option<Duration>,
     /// When the engine was chosen.
     started: Time,
+    /// When the request was about to be sent, with a connection at hand.
+    sent_at: Time,
     /// The result of a prefill that the engine was told to fetch, until the engine answers.
     prefilled: Option<PrefilledPrompt>,
     /// Whether the attempt has been counted as one whose engine was silent.
@@ -115,6 +118,7 @@
             progress: Progress::Waiting,
             silence_limit: parts.silence_limit,
             started: parts.started,
+            sent_at: clock::now(),
             prefilled: parts.prefilled,
             counted: false,
             delivered: false,
@@ -131,6 +135,11 @@
         self.started
     }
 
+    /// When the request was about to be sent.
+    pub(super) fn sent_at(&self) -> Time {
+        self.sent_at
+    }
+
     /// How long the engine may be silent before it delivers, if another attempt may follow.
     pub(super) fn silence_limit(&self) -> Option<Duration> {
         self.silence_limit
--- a/src/ops/relay/deliver.rs
+++ b/src/ops/relay/deliver.rs
@@ -3,13 +3,15 @@
 //! An engine that has been silent for too long may still deliver. Its connection therefore stays open for a limited time
 //! while another engine is asked, and whichever engine delivers first is used. If the other attempt fails in this time,
 //! or none may follow, the request stays with the silent engine. This holds before the first byte of an answer and
-//! between the events of a stream.
+//! between the events of a stream. Where hedged requests are enabled, `hedge` asks another engine as well before the
+//! first one counts as silent.
 
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use sequoiastream_core::attempt::End;
+use sequoiastream_core::relay::engines::Engine;
 use tokio::sync::Notify;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -29,18 +31,20 @@
 
 /// Maximum time for which the connection to a silent engine stays open after the request is sent to another engine.
 /// Limits the time in which both engines may work on the request.
-const MAX_OVERLAP: Duration = Duration::from_millis(300);
+pub(super) const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
 /// What became of an attempt.
-enum Outcome {
+pub(super) enum Outcome {
     /// The engine delivers.
     Ready(ActiveAttempt),
     /// The engine has been silent for too long, and another attempt has been taken from the budget.
     Silent(ActiveAttempt),
+    /// The engine takes unusually long, and another attempt at this engine has been taken from the budget.
+    Slow(ActiveAttempt, Engine),
 }
 
 /// An [`Outcome`], or the failure of an attempt: the final answer, or `None` if another attempt may follow.
-type AttemptResult = Result<Outcome, Option<Reply>>;
+pub(super) type AttemptResult = Result<Outcome, Option<Reply>>;
 
 impl ForwardedRequest {
     /// Waits until `current` delivers, or makes a first attempt if there is none, and makes further attempts as far as
@@ -67,6 +71,10 @@
                     Ok(attempt) => return Ok(attempt),
                     Err(reply) => reply,
                 },
+                Ok(Outcome::Slow(attempt, engine)) => {
+                    result = self.run_hedge(attempt, engine, last_event).await;
+                    continue;
+                }
                 Ok(Outcome::Silent(mut attempt)) => {
                     let reply = self.on_silence(&mut attempt);
                     // Of two silent attempts, the later one is closed.
@@ -94,22 +102,33 @@
     }
 
     /// Waits until `attempt` delivers or fails, or its engine has been silent for too long and another one can be asked.
-    /// The head of an answer and each event are limited separately.
-    async fn wait(&mut self, mut attempt: ActiveAttempt) -> AttemptResult {
+    /// The head of an answer and each event are limited separately. Also returns if the engine takes unusually long and
+    /// the request is to be sent to another one as well.
+    pub(super) async fn wait(&mut self, mut attempt: ActiveAttempt) -> AttemptResult {
+        // Part of the current limit that passed before it was decided whether to ask another engine as well.
+        let mut waited = Duration::ZERO;
         while !attempt.is_ready() {
             let left = self.incoming.time_left();
-            let limit = self.silence_limit(&attempt).map_or(left, |limit| limit.min(left));
-            match timeout(limit, attempt.advance()).await {
-                Ok(Ok(())) => {}
+            let silence_limit = self.silence_limit(&attempt);
+            let limit = silence_limit.map_or(left, |limit| limit.saturating_sub(waited).min(left));
+            let delay = self.hedge_delay(&attempt).filter(|delay| *delay < limit);
+            match timeout(delay.unwrap_or(limit), attempt.advance()).await {
+                Ok(Ok(())) => waited = Duration::ZERO,
                 Ok(Err(failure)) => return Err(self.on_attempt_failure(attempt, &failure)),
                 Err(_) if self.incoming.time_left().is_zero() => {
                     let failure = AttemptFailure::new(End::Silent, "no answer before the request expired");
                     return Err(self.on_attempt_failure(attempt, &failure));
                 }
+                Err(_) if delay.is_some() => {
+                    if let Some(engine) = self.choose_hedge(&attempt) {
+                        return Ok(Outcome::Slow(attempt, engine));
+                    }
+                    waited = delay.unwrap_or_default();
+                }
                 Err(_) if limit < left && self.reserve_extra_attempt(attempt.engine()) => {
                     return Ok(Outcome::Silent(attempt));
                 }
-                Err(_) => {}
+                Err(_) => waited = Duration::ZERO,
             }
         }
         self.on_ready(&mut attempt);
@@ -164,6 +183,8 @@
         let failure = AttemptFailure::new(End::Silent, "no answer within the time limit");
         let engine = attempt.engine().clone();
         attempt.take_prefilled();
+        // Another engine is asked already.
+        self.hedge.close();
         if attempt.is_counted() {
             return self.on_failure_after_silence(&engine, &failure);
         }
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -499,6 +499,7 @@
         let incarnations = LazyCell::new(|| self.engines.incarnations());
         let mut ledger = self.shared.traffic();
         ledger.load.retain(|key| known.contains(&key));
+        ledger.hedging.races.retain(|key| known.contains(&key));
         ledger.reachability.retain(|key| known.contains(&key));
         ledger
             .notices
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -29,6 +29,7 @@
 use crate::ops::relay::attempt::ActiveAttempt;
 use crate::ops::relay::attempt::AttemptParts;
 use crate::ops::relay::connect;
+use crate::ops::relay::hedge::HedgeState;
 use crate::ops::relay::pick::MAX_LOAD_FACTOR;
 use crate::ops::relay::prefilled::PrefilledPrompt;
 use crate::ops::relay::reply::Refusal;
@@ -72,6 +73,8 @@
     /// Predicted time from the arrival to the first event.
     pub(super) predicted: Option<Duration>,
     pub(super) refusal: Option<Refusal>,
+    /// Whether the request may be sent to a second engine because the first one is slow.
+    pub(super) hedge: HedgeState,
     /// The version of the engines that may deliver events of this stream.
     pub(super) version: StreamVersion,
     running: Option<Running>,
@@ -103,6 +106,7 @@
         let draw = Hash::new().with(incoming.id.as_bytes()).value();
         let attempts = Attempts::new(route.kind.repeat(), AttemptLimit::Sent(route.max_attempts));
         let service = route.service(draw).map(str::to_string);
+        let hedge_ratio = shared.reloadable().hedge_ratio;
         ForwardedRequest {
             shared,
             pool,
@@ -118,6 +122,7 @@
             prefilled_at: None,
             predicted: None,
             refusal: None,
+            hedge: HedgeState::new(hedge_ratio, route.kind),
             version: StreamVersion::Any,
             running: Some(running),
             started: false,
@@ -136,7 +141,11 @@
             return self.finish(reply);
         }
         if let Some(service) = &self.service {
-            self.shared.traffic().budget.on_request(clock::now(), service);
+            let now = clock::now();
+            self.shared.traffic().budget.on_request(now, service);
+            if self.hedge.is_enabled() {
+                self.shared.traffic().hedging.limiter.on_request(now, service);
+            }
             self.shared.metrics.count_request(service);
         }
         match self.route.kind.is_stream() {
@@ -314,6 +323,7 @@
         }
         attempt.set_delivered();
         attempt.take_prefilled();
+        self.on_delivered(attempt);
         if !attempt.is_failure() && attempt.error_body().is_none() {
             let identity = &self.incoming.identity;
             self.shared.traffic().suspects.on_begun(clock::now(), identity);
--- a/src/ops/relay/options.rs
+++ b/src/ops/relay/options.rs
@@ -5,6 +5,8 @@
 
 use sequoiastream_core::name::Name;
 use sequoiastream_core::relay::budget::BudgetLimits;
+use sequoiastream_core::relay::hedging;
+use sequoiastream_core::relay::hedging::HedgeLimits;
 use sequoiastream_core::relay::watchers::ApplyLimit;
 use sequoiastream_core::relay::workspaces::KeyAgeLimits;
 
@@ -86,6 +88,9 @@
     pub budget_limits: BudgetLimits,
     /// Fraction of a service's model engines that compute prefills for the others, 0 to 1.
     pub prefill_fraction: f64,
+    /// Maximum number of requests that are sent to a second engine because the first one is slow, for each request of a
+    /// service, 0 to [`hedging::MAX_RATIO`]; 0 for none.
+    pub hedge_ratio: f64,
     /// Time within which a change in the store must be applied at this instance.
     pub apply_limit: ApplyLimit,
     /// Interval at which engines renew their entries in the store. Entries expire after three of them.
@@ -97,5 +102,15 @@
     pub retention: Duration,
 }
 
+impl ReloadableOptions {
+    /// Limits on the requests that are sent to a second engine. They are counted in the same window as retries.
+    pub fn hedge_limits(&self) -> HedgeLimits {
+        HedgeLimits {
+            ratio: self.hedge_ratio.clamp(0.0, hedging::MAX_RATIO),
+            window: self.budget_limits.window,
+        }
+    }
+}
+
 /// Reads the settings again.
 pub type Reload = Box<dyn Fn() -> Result<Options, String>>;
--- a/src/ops/relay/pick.rs
+++ b/src/ops/relay/pick.rs
@@ -27,7 +27,7 @@
 
 /// How many times longer a prefill takes at an engine that generates for other requests. The prefill runs between the
 /// steps that generate their tokens, at half the speed.
-const DECODE_PREFILL_SLOWDOWN: u32 = 2;
+pub(super) const DECODE_PREFILL_SLOWDOWN: u32 = 2;
 
 /// Maximum number of requests at an engine, as a multiple of its slots: for each request in a slot, one more may wait.
 pub(super) const MAX_LOAD_FACTOR: f64 = 2.0;
--- a/src/ops/relay/retries.rs
+++ b/src/ops/relay/retries.rs
@@ -69,7 +69,7 @@
         }
     }
 
-    fn record_failure(&mut self, engine: &Engine, failure: &AttemptFailure) {
+    pub(super) fn record_failure(&mut self, engine: &Engine, failure: &AttemptFailure) {
         self.log_failure(engine, failure, "send");
         self.last_failure = Some((engine.entry.id.clone(), failure.reason.clone()));
         self.record_end(engine, failure.end);
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -21,6 +21,7 @@
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::hash::Hash;
+use sequoiastream_core::relay::hedging::Hedging;
 use sequoiastream_core::relay::leader_lease::LeaseRecord;
 use sequoiastream_core::relay::limit_report::LimitReport;
 use sequoiastream_core::relay::limit_report::RequestRate;
@@ -162,6 +163,8 @@
     pub load: LoadTracker,
     /// Retry budget.
     pub budget: RetryBudget,
+    /// Requests that are sent to a second engine because the first one is slow.
+    pub hedging: Hedging,
     /// State that engines have reported in their answers.
     pub notices: EngineNotices,
     /// Limits on requests per second that engines have reported.
@@ -222,6 +225,7 @@
         let traffic = TrafficState {
             load: LoadTracker::new(),
             budget: RetryBudget::new(options.reloadable.budget_limits),
+            hedging: Hedging::new(options.reloadable.hedge_limits()),
             notices: EngineNotices::new(),
             rate_limits: RateLimits::new(),
             returns: ReturnSchedule::new(),
@@ -256,6 +260,7 @@
     /// Applies changed settings.
     pub fn reload(&self, options: ReloadableOptions) {
         self.traffic().budget.set_limits(options.budget_limits);
+        self.traffic().hedging.limiter.set_limits(options.hedge_limits());
         self.reloadable.store(Arc::new(options));
     }
 
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -91,6 +91,8 @@
     attempts: Family<ResultLabels, Counter>,
     store_calls: Family<CallLabels, Counter>,
     extra_attempts: Family<ResultLabels, Counter>,
+    hedges: Family<ResultLabels, Counter>,
+    hedges_denied: Family<ReasonLabels, Counter>,
     requests: Family<ServiceLabels, Counter>,
     arrivals: Family<ArrivalLabels, Counter>,
     /// Requests that were decided by a view that nothing had confirmed within the time for applying a change.
@@ -149,6 +151,8 @@
             attempts: Family::default(),
             store_calls: Family::default(),
             extra_attempts: Family::default(),
+            hedges: Family::default(),
+            hedges_denied: Family::default(),
             requests: Family::default(),
             arrivals: Family::default(),
             outdated_requests: Counter::default(),
@@ -235,10 +239,24 @@
             Unit::Seconds,
             self.prediction_error.clone(),
         );
+        self.register_hedges(registry);
         self.register_work(registry);
         self.register_knowledge(registry);
     }
 
+    fn register_hedges(&self, registry: &mut Registry) {
+        registry.register(
+            "relay_hedges",
+            "Requests sent to a second engine because the first one was slow, and which of the two delivered first",
+            self.hedges.clone(),
+        );
+        registry.register(
+            "relay_hedges_denied",
+            "Requests not sent to a second engine although the first one was slow, by reason",
+            self.hedges_denied.clone(),
+        );
+    }
+
     fn register_work(&self, registry: &mut Registry) {
         registry.register("relay_running", "Running requests", self.running.clone());
         registry.register(
@@ -365,6 +383,17 @@
         self.extra_attempts.get_or_create(&ResultLabels { result }).inc();
     }
 
+    /// Counts a request that was sent to a second engine, or which of the two delivered first.
+    pub fn count_hedge(&self, result: &str) {
+        let result = result.to_string();
+        self.hedges.get_or_create(&ResultLabels { result }).inc();
+    }
+
+    /// Counts a request that was not sent to a second engine although the first one was slow.
+    pub fn count_hedge_denied(&self, reason: &'static str) {
+        self.hedges_denied.get_or_create(&ReasonLabels { reason }).inc();
+    }
+
     /// Counts a caller's request on a route to a service.
     pub fn count_request(&self, service: &str) {
         let service = self.service_label(service);
