--- a/tests/testsuite/relay/engine.rs
+++ b/tests/testsuite/relay/engine.rs
@@ -81,7 +81,15 @@
     where
         F: Fn(usize, &ReceivedRequest) -> Vec<Action> + 'static,
     {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        ScriptedEngine::start_on("127.0.0.1", script).await
+    }
+
+    /// As [`ScriptedEngine::start`], on the machine with this loopback address.
+    pub async fn start_on<F>(machine: &str, script: F) -> ScriptedEngine
+    where
+        F: Fn(usize, &ReceivedRequest) -> Vec<Action> + 'static,
+    {
+        let listener = TcpListener::bind((machine, 0)).await.expect("a port is free");
         let engine = ScriptedEngine {
             address: listener.local_addr().expect("a bound listener"),
             log: Rc::new(watch::Sender::new(Log::default())),
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -14,6 +14,8 @@
 mod engine;
 mod engines;
 mod follow;
+mod hedging;
+mod hedging_load;
 mod instance;
 mod keys;
 mod known;
