--- a/crates/core/src/relay/hedging.rs
+++ b/crates/core/src/relay/hedging.rs
@@ -356,8 +356,14 @@
 }
 
 /// Returns the engine that takes a request beside `first`: on another machine, of the same stage and software version,
-/// healthy and with a free slot; preferably in another zone, and of those the one with the shortest wait.
-pub fn second_engine(selector: &EngineSelector<'_>, engines: &[Engine], first: &Engine) -> Option<Engine> {
+/// healthy and with a free slot among the fraction `part` of its slots; preferably in another zone, and of those the one
+/// with the shortest wait.
+pub fn second_engine(
+    selector: &EngineSelector<'_>,
+    engines: &[Engine],
+    first: &Engine,
+    part: f64,
+) -> Option<Engine> {
     let is_eligible = |e: &&Engine| {
         e.key != first.key
             && e.entry.address.ip() != first.entry.address.ip()
@@ -366,7 +372,7 @@
             && !selector.tried.contains(&e.key)
             && !selector.loads.is_avoided(selector.now, e.key)
             && !selector.loads.is_left_out(selector.now, e.key)
-            && !selector.is_full(e, 1.0)
+            && !selector.is_full(e, part)
     };
     let eligible: Vec<Engine> = engines.iter().filter(is_eligible).cloned().collect();
     let is_far = |e: &&Engine| e.entry.zone != first.entry.zone;
--- a/src/ops/relay/hedge.rs
+++ b/src/ops/relay/hedge.rs
@@ -24,6 +24,7 @@
 use crate::ops::relay::deliver::Outcome;
 use crate::ops::relay::forward::ForwardedRequest;
 use crate::ops::relay::pick::DECODE_PREFILL_SLOWDOWN;
+use crate::ops::relay::pick::LOW_PRIORITY_PART;
 use crate::ops::relay::send::AttemptFailure;
 use crate::util::clock;
 
@@ -124,8 +125,9 @@
     fn decide_hedge(&self, first: &ActiveAttempt) -> Option<Result<Engine, Denial>> {
         let service = self.service.as_ref()?;
         let latency = self.route_latency()?;
+        let part = self.hedge_part();
         let second =
-            self.select(|selector, engines| hedging::second_engine(selector, engines, first.engine()));
+            self.select(|selector, engines| hedging::second_engine(selector, engines, first.engine(), part));
         let table = self.shared.view.load().table.clone();
         let now = clock::now();
         let mut traffic = self.shared.traffic();
@@ -150,6 +152,16 @@
         Some(decision)
     }
 
+    /// Fraction of an engine's slots up to which it takes the request as a second engine: a stream leaves as many to
+    /// those of higher priority as without a hedge.
+    fn hedge_part(&self) -> f64 {
+        let is_outranked = || self.view.table.is_outranked(&self.route, self.priority);
+        match self.route.kind.is_stream() && is_outranked() {
+            true => LOW_PRIORITY_PART,
+            false => 1.0,
+        }
+    }
+
     /// Sends the request to `engine` as well, and waits until one of the two delivers.
     pub(super) async fn run_hedge(
         &mut self,
--- a/src/ops/relay/pick.rs
+++ b/src/ops/relay/pick.rs
@@ -35,7 +35,7 @@
 /// Fraction of an engine's slots up to which it accepts requests that have a lower priority than others of the service.
 /// Long answers hold a slot for seconds; if no slots were reserved, requests with a higher priority would wait for
 /// them.
-const LOW_PRIORITY_PART: f64 = 0.75;
+pub(super) const LOW_PRIORITY_PART: f64 = 0.75;
 
 impl ForwardedRequest {
     /// Chooses the engine that both processes a long prompt and generates the answer, preferably one that has the
--- a/tests/testsuite/relay/hedging_load.rs
+++ b/tests/testsuite/relay/hedging/load.rs
@@ -103,7 +103,7 @@
         let engine = |number: u8| {
             let entry = Entry {
                 address: SocketAddr::from(([10, 0, 0, number], 80)),
-                ..super::entry(&format!("e{number}"), Stage::Whole)
+                ..crate::relay::entry(&format!("e{number}"), Stage::Whole)
             };
             Engine::new(EngineKey(u32::from(number)), entry)
         };
@@ -192,7 +192,7 @@
             return;
         }
         let first = &self.requests[number].jobs[0].0;
-        let second = hedging::second_engine(&self.selector(now), &self.engines, first);
+        let second = hedging::second_engine(&self.selector(now), &self.engines, first, 1.0);
         let latency = self.hedging.latencies.latency(now, "r").expect("known latency");
         let candidate = HedgeCandidate {
             service: "chat",
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -15,7 +15,6 @@
 mod engines;
 mod follow;
 mod hedging;
-mod hedging_load;
 mod instance;
 mod keys;
 mod known;
