--- a/tests/testsuite/relay/hedging/mod.rs
+++ b/tests/testsuite/relay/hedging/mod.rs
@@ -265,9 +265,13 @@
     }
 }
 
+/// Makes one condition fail.
+type Change = fn(&mut HedgeCandidate<'static>);
+
+/// Guards against a hedge although one of its conditions doesn't hold.
 #[test]
 fn decide_each_reason() {
-    let cases: [(fn(&mut HedgeCandidate<'static>), Denial); 5] = [
+    let cases: [(Change, Denial); 5] = [
         (|c| c.has_attempts = false, Denial::Attempts),
         (|c| c.is_current = false, Denial::Version),
         (|c| c.is_suspect = true, Denial::Suspect),
