--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -14,6 +14,7 @@
 mod engine;
 mod engines;
 mod follow;
+mod hedging;
 mod instance;
 mod keys;
 mod known;
