--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -139,6 +139,8 @@
     513 CLOUD_FAILED = "cloud-failed";
     /// Engines of a service may be purchased, but none are requested.
     514 SCALE_HELD = "scale-held";
+    /// The load of many instances is unknown, so that the number of ordered engines is not lowered; or it is known again.
+    515 SCALE_REPORTS = "scale-reports";
     /// Claims can't be written because the key-value service is failing.
     600 CLAIMS_OUT = "claims-out";
     /// Claims can be written again.
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -33,6 +33,8 @@
 pub mod revision;
 pub mod routes;
 pub mod scale;
+pub mod scale_need;
+pub mod scale_target;
 pub mod stages;
 pub mod streams;
 pub mod token_bucket;
--- a/crates/core/src/relay/routes.rs
+++ b/crates/core/src/relay/routes.rs
@@ -245,6 +245,16 @@
         None
     }
 
+    /// The lowest latency target of the routes to a service; `None` if none of them has one.
+    pub fn latency_target(&self, service: &str) -> Option<Duration> {
+        let routes = self.hosts.values().flat_map(BTreeMap::values);
+        let routes = routes.filter(|route| route.targets.iter().any(|t| t.service == service));
+        routes
+            .map(|route| route.latency_target)
+            .filter(|target| !target.is_zero())
+            .min()
+    }
+
     /// Whether another route to one of the same services has a higher priority than a request of this `priority`.
     pub fn is_outranked(&self, route: &Route, priority: u8) -> bool {
         let rank = |target: &RouteTarget| self.ranks.get(&target.service).copied();
--- a/crates/core/src/relay/scale.rs
+++ b/crates/core/src/relay/scale.rs
@@ -5,6 +5,7 @@
 //! addition when any one zone has lost its spot engines.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::relay::engines::Entry;
@@ -34,6 +35,19 @@
     pub zone_prices: BTreeMap<String, f64>,
 }
 
+impl ScalePolicy {
+    /// Number of reserved engines that are kept in each zone.
+    pub fn reserved(&self) -> u32 {
+        self.min.max(1).min(self.max)
+    }
+
+    /// The same numbers in every zone.
+    fn in_all_zones(&self, counts: EngineCounts) -> BTreeMap<String, EngineCounts> {
+        let zones = self.zone_prices.keys();
+        zones.map(|zone| (zone.clone(), counts)).collect()
+    }
+}
+
 /// Number of engines of a service in a zone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct EngineCounts {
@@ -60,7 +74,8 @@
         zones
     }
 
-    fn total(self) -> u32 {
+    /// Their number, of both kinds.
+    pub fn total(self) -> u32 {
         self.spot + self.reserved
     }
 }
@@ -85,10 +100,10 @@
     pub count: u32,
 }
 
-/// The target numbers for a zone; `None` unless spot engines are the cheaper ones.
+/// The highest target numbers for a zone; `None` unless spot engines are the cheaper ones.
 pub fn target_counts(scale: &ScalePolicy) -> Option<EngineCounts> {
     scale.spot_price.filter(|price| (0.0..1.0).contains(price))?;
-    let reserved = scale.min.max(1).min(scale.max);
+    let reserved = scale.reserved();
     let spot = scale.max - reserved;
     Some(EngineCounts { spot, reserved })
 }
@@ -111,6 +126,8 @@
     count: u32,
     at: Time,
     accepted: bool,
+    /// Whether the platform refused it.
+    refused: bool,
     /// Nothing is ordered before.
     paused_until: Time,
 }
@@ -120,7 +137,7 @@
 pub struct Planner(BTreeMap<EngineGroup, OrderState>);
 
 impl Planner {
-    /// The orders that are due for a service whose engines are `present`.
+    /// The orders that are due for a service whose engines are `present`, if the maximum is wanted in every zone.
     pub fn due(
         &self,
         now: Time,
@@ -131,8 +148,21 @@
         let Some(target) = target_counts(scale) else {
             return Vec::new();
         };
-        let orders = scale.zone_prices.keys().flat_map(|zone| {
+        self.due_for(now, service, scale, &scale.in_all_zones(target), present)
+    }
+
+    /// The orders that are due for a service whose engines are `present`, if `targets` are wanted in each zone.
+    pub fn due_for(
+        &self,
+        now: Time,
+        service: &str,
+        scale: &ScalePolicy,
+        targets: &BTreeMap<String, EngineCounts>,
+        present: &BTreeMap<String, EngineCounts>,
+    ) -> Vec<ScaleOrder> {
+        let orders = targets.iter().flat_map(|(zone, target)| {
             let present_here = present.get(zone).copied().unwrap_or_default();
+            let target = *target;
             let next = next_counts(scale, target, present_here);
             let kinds = [
                 (true, next.spot, present_here.spot),
@@ -164,24 +194,36 @@
         last.count != count || !last.accepted || is_missing
     }
 
+    /// The zones in which the platform refused the last order for spot engines of a service.
+    pub fn refused_zones(&self, service: &str) -> BTreeSet<String> {
+        let refused = self
+            .0
+            .iter()
+            .filter(|(group, state)| state.refused && group.spot && group.service == service);
+        refused.map(|(group, _)| group.zone.clone()).collect()
+    }
+
     /// Notes that an order was accepted.
     pub fn on_accepted(&mut self, now: Time, order: ScaleOrder) {
-        self.note(now, order, true, now);
+        let ordered = OrderState {
+            count: order.count,
+            at: now,
+            accepted: true,
+            refused: false,
+            paused_until: now,
+        };
+        self.0.insert(order.group, ordered);
     }
 
     /// Notes that an order was refused, or that its answer was lost.
     pub fn on_failed(&mut self, now: Time, order: ScaleOrder, refused: bool) {
-        let paused_until = now + if refused { REFUSED_PAUSE } else { UNANSWERED_PAUSE };
-        self.note(now, order, false, paused_until);
-    }
-
-    fn note(&mut self, at: Time, order: ScaleOrder, accepted: bool, paused_until: Time) {
-        let count = order.count;
+        let pause = if refused { REFUSED_PAUSE } else { UNANSWERED_PAUSE };
         let ordered = OrderState {
-            count,
-            at,
-            accepted,
-            paused_until,
+            count: order.count,
+            at: now,
+            accepted: false,
+            refused,
+            paused_until: now + pause,
         };
         self.0.insert(order.group, ordered);
     }
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -136,7 +136,11 @@
             return self.finish(reply);
         }
         if let Some(service) = &self.service {
-            self.shared.traffic().budget.on_request(clock::now(), service);
+            let now = clock::now();
+            let mut traffic = self.shared.traffic();
+            traffic.budget.on_request(now, service);
+            traffic.capacity_refusals.on_request(now, service);
+            drop(traffic);
             self.shared.metrics.count_request(service);
         }
         match self.route.kind.is_stream() {
@@ -209,9 +213,23 @@
             sent = self.attempts.sent(), tried = self.tried.len(), config = self.view.table.version);
         self.count(reply.label());
         self.shared.metrics.count_refusal(reason);
+        self.count_capacity_refusal(reply);
         reply.into_response()
     }
 
+    /// Counts a request that was refused because the engines have no capacity for it. A refusal for another reason has no
+    /// expected time; a request that was refused after failed attempts says nothing about capacity.
+    fn count_capacity_refusal(&self, reply: Reply) {
+        let lacks_capacity = self.refusal.as_ref().is_none_or(|r| r.expected.is_some());
+        if let (Reply::Refused(_), Some(service)) = (reply, &self.service)
+            && lacks_capacity
+            && self.tried.is_empty()
+        {
+            let now = clock::now();
+            self.shared.traffic().capacity_refusals.on_refused(now, service);
+        }
+    }
+
     /// The request id, for the log.
     pub fn id(&self) -> String {
         String::from_utf8_lossy(self.incoming.id.as_bytes()).into_owned()
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -140,7 +140,7 @@
         actix_rt::spawn(usage::run(shared, store, fleet, cloud.clone(), options.window));
     }
     if options.scale {
-        actix_rt::spawn(scaling::run(shared.clone(), cloud));
+        actix_rt::spawn(scaling::run(shared.clone(), fleet.clone(), cloud));
     }
 }
 
--- a/src/ops/relay/options.rs
+++ b/src/ops/relay/options.rs
@@ -86,6 +86,8 @@
     pub budget_limits: BudgetLimits,
     /// Fraction of a service's model engines that compute prefills for the others, 0 to 1.
     pub prefill_fraction: f64,
+    /// Engines that are ordered beyond the predicted need, as a fraction of it. `None` orders the maximum.
+    pub scale_headroom: Option<f64>,
     /// Time within which a change in the store must be applied at this instance.
     pub apply_limit: ApplyLimit,
     /// Interval at which engines renew their entries in the store. Entries expire after three of them.
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -31,6 +31,7 @@
 use sequoiastream_core::relay::reachability::Reachability;
 use sequoiastream_core::relay::return_schedule::ReturnSchedule;
 use sequoiastream_core::relay::routes::RoutingTable;
+use sequoiastream_core::relay::scale_need::CapacityRefusals;
 use sequoiastream_core::relay::streams::Streams;
 use sequoiastream_core::relay::tunnel_peers::TunnelPeer;
 use sequoiastream_core::relay::usage::Tally;
@@ -168,6 +169,8 @@
     pub rate_limits: RateLimits,
     /// When callers that were refused because of these limits return.
     pub returns: ReturnSchedule,
+    /// Requests that were refused for lack of capacity.
+    pub capacity_refusals: CapacityRefusals,
     /// Which engines this instance reaches only through a peer.
     pub reachability: Reachability,
     /// Requests suspected of crashing engines.
@@ -225,6 +228,7 @@
             notices: EngineNotices::new(),
             rate_limits: RateLimits::new(),
             returns: ReturnSchedule::new(),
+            capacity_refusals: CapacityRefusals::default(),
             reachability: Reachability::new(),
             suspects: Suspects::with_seed(Hash::new().with(options.name.as_str().as_bytes()).value()),
             streams: Streams::new(),
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -84,6 +84,13 @@
     scope: &'static str,
 }
 
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ScaleLabels {
+    service: String,
+    zone: String,
+    kind: &'static str,
+}
+
 /// Metrics of the forwarding of requests by route.
 pub struct RelayMetrics {
     answers: Family<RouteOutcomeLabels, Counter>,
@@ -99,6 +106,8 @@
     pub store_restorations: Counter,
     budget_left: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
     work: Family<ScopeLabels, Gauge>,
+    scale_target: Family<ScaleLabels, Gauge>,
+    scale_need: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
     first_event: Family<RouteLabels, Histogram, fn() -> Histogram>,
     prediction_error: Histogram,
     /// Seconds since the store last confirmed this instance's copy of the configuration and the engines.
@@ -155,6 +164,8 @@
             store_restorations: Counter::default(),
             budget_left: Family::default(),
             work: Family::default(),
+            scale_target: Family::default(),
+            scale_need: Family::default(),
             first_event: Family::new_with_constructor(|| Histogram::new(FIRST_EVENT_BUCKETS)),
             store_age: Gauge::default(),
             peers_age: Gauge::default(),
@@ -256,6 +267,20 @@
             "Extra attempts left in the retry budget of this instance",
             self.budget_left.clone(),
         );
+        self.register_scale(registry);
+    }
+
+    fn register_scale(&self, registry: &mut Registry) {
+        registry.register(
+            "relay_scale_target",
+            "Engines that the leader wants in a zone, by kind, if the number follows the load",
+            self.scale_target.clone(),
+        );
+        registry.register(
+            "relay_scale_need",
+            "Engines that the load of a service needs, as the leader predicts",
+            self.scale_need.clone(),
+        );
     }
 
     fn register_knowledge(&self, registry: &mut Registry) {
@@ -418,6 +443,27 @@
             .set(left);
     }
 
+    /// Clears what the leader wants of all services, before the current values are set or when the leader has changed.
+    pub fn clear_scale(&self) {
+        self.scale_target.clear();
+        self.scale_need.clear();
+    }
+
+    /// Sets the number of engines that the load of a service needs.
+    pub fn set_scale_need(&self, service: &str, need: f64) {
+        let service = self.service_label(service);
+        self.scale_need
+            .get_or_create(&ServiceLabels { service })
+            .set(need);
+    }
+
+    /// Sets the number of engines of a kind that the leader wants in a zone.
+    pub fn set_scale_target(&self, service: &str, zone: &str, kind: &'static str, engines: u32) {
+        let (service, zone) = (self.service_label(service), zone.to_string());
+        let labels = ScaleLabels { service, zone, kind };
+        self.scale_target.get_or_create(&labels).set(i64::from(engines));
+    }
+
     /// The label of a service: its name, or [`OTHER_SERVICES`] once [`MAX_SERVICES`] names are in use.
     fn service_label(&self, service: &str) -> String {
         let mut names = self
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -305,6 +305,7 @@
                 slack: 56.0,
             },
             prefill_fraction: 0.5,
+            scale_headroom: None,
             apply_limit: ApplyLimit(Duration::from_millis(400)),
             heartbeat: Duration::from_millis(100),
             key_limits: KeyAgeLimits {
