Relay: plain engines are chosen by the time that their requests take

Cause: a request in progress counted half a millisecond whatever the engine's speed, its slots and the route's work, so that slow engines had a queue beside fast ones with free slots.

Change: an instance learns how long plain engines take for its requests (core::relay::service_time), apart for nearly full engines, drawn towards the median of the service as observations age. least_loaded compares that time multiplied by the requests for each slot, plus a round trip to another zone; at model engines, and without observations, it chooses as before. Event 516 engine-slow, gauge relay_service_time.

A wired test shows that errors don't count.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -141,6 +141,8 @@
     514 SCALE_HELD = "scale-held";
     /// The load of many instances is unknown, so that the number of ordered engines is not lowered; or it is known again.
     515 SCALE_REPORTS = "scale-reports";
+    /// A plain engine takes at least twice as long as usual for its service, or no longer does.
+    516 ENGINE_SLOW = "engine-slow";
     /// Claims can't be written because the key-value service is failing.
     600 CLAIMS_OUT = "claims-out";
     /// Claims can be written again.
--- a/crates/core/src/relay/load_tracker.rs
+++ b/crates/core/src/relay/load_tracker.rs
@@ -14,6 +14,8 @@
 use crate::relay::peer_work::PeerWork;
 use crate::relay::placement::PrefillPlan;
 use crate::relay::prefill_time::PrefillModel;
+use crate::relay::service_time::Occupancy;
+use crate::relay::service_time::ServiceTimes;
 use crate::time::Time;
 
 /// How long an engine gets no new work after its first fault, if another engine can take it; doubles with each further
@@ -105,6 +107,8 @@
     engine: EngineKey,
     prefill: Duration,
     started_at: Time,
+    /// Requests at the engine at the start of this one, including it.
+    requests: u32,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -162,6 +166,8 @@
     next_job: u64,
     /// Model of the prefill time for each service.
     prefill_models: BTreeMap<String, PrefillModel>,
+    /// Service times of plain engines.
+    pub service_times: ServiceTimes,
     /// Shared prompt parts that each engine has cached.
     pub cached_parts: CachedParts,
 }
@@ -181,12 +187,14 @@
         // If this one tries an engine again that was left out, others wait for its result.
         state.leave_out(now);
         let started_at = now;
+        let requests = self.work(now, engine).requests;
         self.jobs.insert(
             id,
             Job {
                 engine,
                 prefill,
                 started_at,
+                requests,
             },
         );
         id
@@ -215,6 +223,20 @@
         state.mean_residence = Some(mean + RESIDENCE_GAIN * (residence - mean));
     }
 
+    /// Records that a plain engine with `slots` answered a job completely, of which `network` was the time of the
+    /// round trip.
+    pub fn on_answer(&mut self, now: Time, id: JobId, slots: u32, network: Duration) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let took = now.since(job.started_at).saturating_sub(network);
+        let occupancy = Occupancy {
+            requests: job.requests,
+            slots,
+        };
+        self.service_times.on_answer(now, job.engine, took, occupancy);
+    }
+
     /// Updates the health of an engine from the outcome of an attempt.
     pub fn on_attempt_end(&mut self, now: Time, engine: EngineKey, end: End) {
         let state = self.engines.get_or_default(engine);
@@ -391,6 +413,7 @@
         {
             *state = EngineState::default();
             self.cached_parts.forget(key);
+            self.service_times.forget(key);
         }
     }
 }
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -35,6 +35,7 @@
 pub mod scale;
 pub mod scale_need;
 pub mod scale_target;
+pub mod service_time;
 pub mod stages;
 pub mod streams;
 pub mod token_bucket;
--- a/crates/core/src/relay/placement.rs
+++ b/crates/core/src/relay/placement.rs
@@ -16,6 +16,7 @@
 use crate::relay::load_tracker::LoadTracker;
 use crate::relay::prefill_time::PrefillWork;
 use crate::relay::prompt::Prompt;
+use crate::relay::service_time::Occupancy;
 use crate::time::Time;
 
 /// Cost of one request in progress when wait times are compared: about the duration of one batch step, which every
@@ -34,6 +35,13 @@
 /// Cost of an engine in another availability zone: half a round trip.
 const CROSS_ZONE_COST: Duration = Duration::from_micros(750);
 
+/// Additional time of a request to an engine in another availability zone.
+pub const CROSS_ZONE_ROUND_TRIP: Duration = Duration::from_micros(1_500);
+
+/// Requests at a plain engine, as a multiple of its slots, from which it is chosen only if all others have as many: the
+/// request would be refused.
+const MAX_PLAIN_LOAD: f64 = 2.0;
+
 /// Mean failure rate from which an engine counts as failing, provided that another engine of its service has at most
 /// half of its rate.
 const FAILING_RATE: f64 = 0.3;
@@ -118,10 +126,34 @@
 }
 
 impl EngineSelector<'_> {
-    /// Returns the engine for a request without a prompt: a healthy one with the shortest wait, where another
-    /// availability zone counts as half a round trip. `None` if every engine has been tried.
+    /// Returns the engine for a request without a prompt: a healthy one with the shortest expected time, where another
+    /// availability zone costs a round trip. While no service times of the engines are known, as at model engines, it is
+    /// the one with the shortest wait, where another zone counts as half a round trip. `None` if every engine has been
+    /// tried.
     pub fn least_loaded<'e>(&self, engines: &'e [Engine]) -> Option<&'e Engine> {
-        self.least_wait(engines.iter())
+        let times = &self.loads.service_times;
+        let Some(usual) = times.usual(self.now, engines.iter().map(|e| e.key)) else {
+            return self.least_wait(engines.iter());
+        };
+        let candidates = self.candidates(engines.iter()).into_iter();
+        candidates.min_by_key(|e| {
+            let is_full = self.is_full(e, MAX_PLAIN_LOAD);
+            (is_full, self.expected_time(e, usual), self.tie_rank(e), e.key)
+        })
+    }
+
+    /// Returns the expected time until a plain engine has answered one more request.
+    fn expected_time(&self, engine: &Engine, usual: f64) -> Duration {
+        let occupancy = Occupancy {
+            requests: self.loads.work(self.now, engine.key).requests + 1,
+            slots: engine.entry.slots,
+        };
+        let times = &self.loads.service_times;
+        let network = match engine.entry.zone == self.zone {
+            true => Duration::ZERO,
+            false => CROSS_ZONE_ROUND_TRIP,
+        };
+        times.expected(self.now, engine.key, usual, occupancy) + network
     }
 
     /// Returns the engine at `stage` that computes the prefill of `prompt`, with the expected times. `None` if every
@@ -225,14 +257,18 @@
     where
         I: Iterator<Item = &'e Engine>,
     {
-        let tie_breaker = |e: &Engine| match self.report_turns {
-            0 | 1 => 0,
-            _ => hash_pair(e.hash, self.tie_breaker),
-        };
         let candidates = self.candidates(engines);
         candidates
             .into_iter()
-            .min_by_key(|e| (self.wait_time(e), tie_breaker(e), e.key))
+            .min_by_key(|e| (self.wait_time(e), self.tie_rank(e), e.key))
+    }
+
+    /// Returns the rank of an engine among equal ones.
+    fn tie_rank(&self, engine: &Engine) -> u64 {
+        match self.report_turns {
+            0 | 1 => 0,
+            _ => hash_pair(engine.hash, self.tie_breaker),
+        }
     }
 
     /// Whether the requests at an engine fill at least the fraction `part` of its slots.
--- a/src/ops/relay/attempt.rs
+++ b/src/ops/relay/attempt.rs
@@ -266,6 +266,11 @@
         self.delivered = true;
     }
 
+    /// Records that the engine, a plain one, has answered; `network` was the time of the round trip.
+    pub(super) fn record_service_time(&self, network: Duration) {
+        self.job.on_answer(self.engine.entry.slots, network);
+    }
+
     /// Records that the engine has completed the prefill.
     pub(super) fn finish_prefill(&self) {
         self.job.finish_prefill();
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -192,6 +192,7 @@
         if !self.route.kind.is_stream() {
             let took = clock::now().since(self.incoming.arrived);
             self.shared.metrics.observe_first_event(&self.path(), took);
+            self.record_service_time(&attempt);
         }
         attempt.finish(&self.pool);
         builder.body(body)
--- a/src/ops/relay/gauges.rs
+++ b/src/ops/relay/gauges.rs
@@ -46,6 +46,10 @@
         metrics.set_work(service, "fleet", fleet.requests);
         metrics.set_work(service, "slots", slots);
         metrics.set_retry_budget(service, remaining);
+        let keys = engines.iter().map(|e| e.key);
+        if let Some(usual) = traffic.load.service_times.usual(now, keys) {
+            metrics.set_service_time(service, usual);
+        }
     }
     drop(traffic);
     metrics.render()
--- a/src/ops/relay/job.rs
+++ b/src/ops/relay/job.rs
@@ -1,6 +1,7 @@
 //! Jobs at engines, as this instance counts them.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use sequoiastream_core::relay::load_tracker::JobId;
 
@@ -23,6 +24,12 @@
     pub fn finish_prefill(&self) {
         self.shared.traffic().load.finish_prefill(self.id);
     }
+
+    /// Records that a plain engine with `slots` answered the job, of which `network` was the time of the round trip.
+    pub fn on_answer(&self, slots: u32, network: Duration) {
+        let mut traffic = self.shared.traffic();
+        traffic.load.on_answer(clock::now(), self.id, slots, network);
+    }
 }
 
 impl Drop for JobGuard {
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -106,6 +106,7 @@
     pub store_restorations: Counter,
     budget_left: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
     work: Family<ScopeLabels, Gauge>,
+    service_time: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
     scale_target: Family<ScaleLabels, Gauge>,
     scale_need: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
     first_event: Family<RouteLabels, Histogram, fn() -> Histogram>,
@@ -164,6 +165,7 @@
             store_restorations: Counter::default(),
             budget_left: Family::default(),
             work: Family::default(),
+            service_time: Family::default(),
             scale_target: Family::default(),
             scale_need: Family::default(),
             first_event: Family::new_with_constructor(|| Histogram::new(FIRST_EVENT_BUCKETS)),
@@ -267,6 +269,12 @@
             "Extra attempts left in the retry budget of this instance",
             self.budget_left.clone(),
         );
+        registry.register_with_unit(
+            "relay_service_time",
+            "Usual time in service at the engines of a service without model engines",
+            Unit::Seconds,
+            self.service_time.clone(),
+        );
         self.register_scale(registry);
     }
 
@@ -426,6 +434,15 @@
     pub fn clear_services(&self) {
         self.work.clear();
         self.budget_left.clear();
+        self.service_time.clear();
+    }
+
+    /// Sets the usual time in service at the plain engines of a service, in seconds.
+    pub fn set_service_time(&self, service: &str, seconds: f64) {
+        let service = self.service_label(service);
+        self.service_time
+            .get_or_create(&ServiceLabels { service })
+            .set(seconds);
     }
 
     /// Sets the number of requests at the engines of a service.
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -40,6 +40,7 @@
 mod routes;
 mod scale;
 mod seeded;
+mod service_time;
 mod silence;
 mod stages;
 mod starts;
