--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -141,6 +141,10 @@
     513 CLOUD_FAILED = "cloud-failed";
     /// Engines of a service may be purchased, but none are requested.
     514 SCALE_HELD = "scale-held";
+    /// The load of many instances is unknown, so that the number of ordered engines is not lowered; or it is known again.
+    515 SCALE_REPORTS = "scale-reports";
+    /// A plain engine takes at least twice as long as usual for its service, or no longer does.
+    516 ENGINE_SLOW = "engine-slow";
     /// A lease of the leader was granted and can't be used: the store was restored since, or its revision is no token.
     518 LEASE_UNUSABLE = "lease-unusable";
     /// Claims can't be written because the key-value service is failing.
--- a/src/ops/relay/options.rs
+++ b/src/ops/relay/options.rs
@@ -91,6 +91,8 @@
     /// Maximum number of requests that are sent to a second engine because the first one is slow, for each request of a
     /// service, 0 to [`hedging::MAX_RATIO`]; 0 for none.
     pub hedge_ratio: f64,
+    /// Engines that are ordered beyond the predicted need, as a fraction of it. `None` orders the maximum.
+    pub scale_headroom: Option<f64>,
     /// Time within which a change in the store must be applied at this instance.
     pub apply_limit: ApplyLimit,
     /// Interval at which engines renew their entries in the store. Entries expire after three of them.
