Limit: lending and the factor on the capacity as parts of their own

Workspaces are to share engines by the same rules as products, and Limiter held lending and the factor on the capacity in its own fields. They are a module now, lending, with equal_share, which lends what borrowers leave again; Usage can remove a cost that was added, and decay_seconds gives the time in which use falls to a share. Limiter computes as before: its tests are unchanged.

--- a/crates/core/src/limit/mod.rs
+++ b/crates/core/src/limit/mod.rs
@@ -5,6 +5,7 @@
 //! A request whose deadline can't be met is refused immediately. No other instance is called: each instance admits a
 //! fraction of each product's share, and the fractions follow demand (see [`Limiter::set_fraction`]).
 
+mod lending;
 mod services;
 mod usage;
 
@@ -15,25 +16,25 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+pub use lending::CapacityFactor;
+pub use lending::UPDATE_INTERVAL;
+pub use lending::equal_share;
 pub use services::Limits;
 pub use usage::TIME_CONSTANT;
 pub use usage::Usage;
+pub use usage::decay_seconds;
 
 use crate::config::Role;
 use crate::config::Share;
 use crate::engine::RoleProfile;
 use crate::engine::Speed;
 use crate::engine::step_time;
+use crate::limit::lending::Lending;
+use crate::limit::lending::ShareUse;
 use crate::name::Name;
 use crate::outcome::Reason;
 use crate::time::Time;
 
-/// How often the capacity that may be lent is computed.
-const UPDATE_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Fraction of the capacity that may be in use before nothing more is lent.
-const MAX_LENT: f64 = 0.9;
-
 /// Maximum expected duration of a borrowing request, as a fraction of the time left to its deadline.
 const BORROW_TIME: f64 = 0.8;
 
@@ -43,12 +44,6 @@
 /// A request is refused as too late if its expected duration exceeds this multiple of the time left.
 const TOO_LATE: f64 = 1.0;
 
-/// Factor applied to the capacity factor after each [`UPDATE_INTERVAL`] in which the service was congested.
-const CAPACITY_DECREASE: f64 = 0.9;
-
-/// Factor applied to it after each interval without congestion.
-const CAPACITY_INCREASE: f64 = 1.03;
-
 /// Minimum of the capacity factor.
 const MIN_CAPACITY_FACTOR: f64 = 0.2;
 
@@ -122,10 +117,9 @@
     accounts: BTreeMap<Name, Account>,
     capacity: f64,
     even_fraction: f64,
-    capacity_factor: f64,
+    capacity_factor: CapacityFactor,
     congested: bool,
-    spare: f64,
-    borrowers: f64,
+    lending: Lending,
     updated_at: Option<Time>,
     rng: ChaCha8Rng,
 }
@@ -143,10 +137,9 @@
             accounts: BTreeMap::new(),
             capacity: 0.0,
             even_fraction: 1.0,
-            capacity_factor: 1.0,
+            capacity_factor: CapacityFactor::new(MIN_CAPACITY_FACTOR),
             congested: false,
-            spare: 0.0,
-            borrowers: 0.0,
+            lending: Lending::default(),
             updated_at: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -179,7 +172,7 @@
 
     /// Returns the factor from 0 to 1 on the capacity, which is lowered while requests are late.
     pub fn capacity_factor(&self) -> f64 {
-        self.capacity_factor
+        self.capacity_factor.value()
     }
 
     /// Returns the expected number of tokens of an answer of `product` with at most `limit` tokens.
@@ -227,11 +220,7 @@
         }
         if !within && !self.may_borrow(product, rate, request) {
             let entitled = self.accounts.get(product).map_or(0.0, |a| a.entitled);
-            let over = rate / entitled.max(f64::MIN_POSITIVE);
-            return self.refuse(
-                Reason::OverShare,
-                TIME_CONSTANT.as_secs_f64() * over.max(1.0).ln(),
-            );
+            return self.refuse(Reason::OverShare, decay_seconds(rate, entitled));
         }
         if let Some(account) = self.accounts.get_mut(product) {
             account.usage.add(now, request.cost);
@@ -248,39 +237,21 @@
         let Some(account) = self.accounts.get(product) else {
             return false;
         };
-        let weight = match self.borrowers > 0.0 {
-            true => account.share.max(0.01) / self.borrowers.max(account.share.max(0.01)),
-            false => 1.0,
-        };
-        rate <= account.entitled + self.spare * weight && request.total <= BORROW_TIME * request.left
+        rate <= account.entitled + self.lending.part(account.share)
+            && request.total <= BORROW_TIME * request.left
     }
 
     /// Computes the spare capacity, and adjusts the capacity factor.
-    ///
-    /// Failure guarded against: the capacity is taken too high (engines lost, roles that don't fit the mix of
-    /// requests, costs estimated too low). All products would then be within their shares, and the one with the most
-    /// requests would take capacity from the others. The guard lowers the assumed capacity until the admitted
-    /// requests complete in time.
     fn update_capacity(&mut self, now: Time, engines: usize) {
         self.updated_at = Some(now);
-        let factor = if self.congested {
-            CAPACITY_DECREASE
-        } else {
-            CAPACITY_INCREASE
-        };
-        self.capacity_factor = (self.capacity_factor * factor).clamp(MIN_CAPACITY_FACTOR, 1.0);
-        self.congested = false;
-        self.capacity = engines as f64 * self.capacity_factor;
-        let mut used = 0.0;
-        self.borrowers = 0.0;
-        for account in self.accounts.values() {
-            let rate = account.usage.rate(now);
-            used += rate.min(account.entitled);
-            if rate > account.entitled * MAX_LENT {
-                self.borrowers += account.share.max(0.01);
-            }
-        }
-        self.spare = (self.capacity * self.even_fraction * MAX_LENT - used).max(0.0);
+        let congested = std::mem::replace(&mut self.congested, false);
+        self.capacity = engines as f64 * self.capacity_factor.update(congested);
+        let uses = self.accounts.values().map(|account| ShareUse {
+            rate: account.usage.rate(now),
+            entitled: account.entitled,
+            weight: account.share,
+        });
+        self.lending = Lending::new(self.capacity * self.even_fraction, uses);
     }
 
     fn refuse(&mut self, reason: Reason, seconds: f64) -> Admission {
--- a/crates/core/src/limit/usage.rs
+++ b/crates/core/src/limit/usage.rs
@@ -1,4 +1,4 @@
-//! How much engine time a product uses, as an exponentially decaying mean over a few seconds.
+//! How much engine time a product or a workspace uses, as an exponentially decaying mean over a few seconds.
 
 use std::time::Duration;
 
@@ -30,4 +30,18 @@
         self.rate = self.with(now, cost);
         self.at = now;
     }
+
+    /// Removes `cost` engine seconds that were added at `added`, as far as they are still contained in the rate.
+    pub fn remove(&mut self, now: Time, cost: f64, added: Time) {
+        let mut removed = Usage::default();
+        removed.add(added, cost);
+        self.rate = (self.rate(now) - removed.rate(now)).max(0.0);
+        self.at = now;
+    }
+}
+
+/// Returns the seconds in which an unused `rate` falls to `target`; zero if it is not higher.
+pub fn decay_seconds(rate: f64, target: f64) -> f64 {
+    let over = rate / target.max(f64::MIN_POSITIVE);
+    TIME_CONSTANT.as_secs_f64() * over.max(1.0).ln()
 }
