Relay: fair sharing between workspaces while capacity is short

One workspace could take the capacity of all others where callers are known by workspace. While nearly all slots of a service are taken, or requests were refused for lack of capacity, requests of a workspace that uses more than its share are refused first, with the time in which its use falls to it. Shares are equal parts of what the engines provide, plus equal parts of what others leave. Within a workspace, more urgent requests count first. Instances tell three peers every 500 ms the largest uses through them, while capacity is short for them; what they don't hear, they extrapolate. A refused request costs nothing. Nothing changes without workspaces, and while capacity is available.

The metric is named relay_over_share_workspaces because the existing test of the page selects sequoiastream_relay_work by prefix.

Tests: a simulated fleet of 1, 6 and 60 instances with 87 workspaces (one at ten, twenty with immediate retries, and a hundred times its share; each compared with the same load without shares), departure, silent peers, urgent requests, an instance that dies, and messages that stay bounded; with scripted engines: refusal and service of the other workspace, a crash that frees the slots, refusals without engines; with three instances: use that peers report.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -109,6 +109,8 @@
     409 ABANDONED = "abandoned";
     /// No engine of the service accepts a request.
     410 NO_ENGINE = "no-engine";
+    /// A workspace is over its share of a service whose capacity is short, and is refused.
+    417 WORKSPACE_OVER_SHARE = "workspace-over-share";
     /// This instance acquired the authority over a service.
     500 AUTHORITY_TAKEN = "authority-taken";
     /// This instance no longer holds the authority over a service.
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -5,7 +5,8 @@
 //! whether another may follow, [`budget`] limits extra attempts over the whole fleet, which
 //! [`arrivals`] counts, [`streams`] knows which
 //! version of the engines began each stream, and [`stages`] splits the
-//! engines of a service into those that process prompts and those that generate. Requests that crash engines are
+//! engines of a service into those that process prompts and those that generate. [`workspace_shares`] shares the engines
+//! between workspaces. Requests that crash engines are
 //! detected by [`poison::suspects`](crate::poison::suspects).
 
 pub mod absence;
@@ -40,4 +41,6 @@
 pub mod tunnel_peers;
 pub mod usage;
 pub mod watchers;
+pub mod workspace_shares;
+pub mod workspace_use;
 pub mod workspaces;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -30,6 +30,7 @@
 use sequoiastream_core::relay::usage::CountsMessage;
 use sequoiastream_core::relay::usage::Window;
 use sequoiastream_core::relay::watchers::ConfirmationId;
+use sequoiastream_core::relay::workspace_use::WorkspaceUse;
 use sequoiastream_core::time::WallTime;
 use serde::Deserialize;
 use serde::Serialize;
@@ -62,6 +63,8 @@
     Proof(StoreProof),
     /// The usage of all windows before this one has been decided.
     Decided(Window),
+    /// Engine time that workspaces use through the sender, at a service whose capacity is short.
+    WorkspaceUse(WorkspaceUse),
 }
 
 /// A request over TCP.
--- a/src/ops/control/membership.rs
+++ b/src/ops/control/membership.rs
@@ -241,6 +241,7 @@
             Ok((_, Datagram::Ping | Datagram::Load(_) | Datagram::Limits(_) | Datagram::Crashes(_))) => {}
             Ok((_, Datagram::Prove(_) | Datagram::Proof(_) | Datagram::Counts(_) | Datagram::Streams(_))) => {
             }
+            Ok((_, Datagram::WorkspaceUse(_))) => {}
             Ok((_, Datagram::RetiredLoad | Datagram::RetiredProof | Datagram::Decided(_))) => {}
             Err(error) => log_event!(debug, log_event::PEER_REFUSED, %error),
         }
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -26,11 +26,13 @@
 use tokio::sync::Notify;
 
 use crate::log_event;
+use crate::ops::relay::admission::AdmittedRequest;
 use crate::ops::relay::attempt::ActiveAttempt;
 use crate::ops::relay::attempt::AttemptParts;
 use crate::ops::relay::connect;
 use crate::ops::relay::pick::MAX_LOAD_FACTOR;
 use crate::ops::relay::prefilled::PrefilledPrompt;
+use crate::ops::relay::reply::AT_LIMITS;
 use crate::ops::relay::reply::Refusal;
 use crate::ops::relay::reply::Reply;
 use crate::ops::relay::reply::max_retry_after;
@@ -72,6 +74,8 @@
     /// Predicted time from the arrival to the first event.
     pub(super) predicted: Option<Duration>,
     pub(super) refusal: Option<Refusal>,
+    /// Set once the request was admitted within the share of its workspace.
+    pub(super) admitted: Option<AdmittedRequest>,
     /// The version of the engines that may deliver events of this stream.
     pub(super) version: StreamVersion,
     running: Option<Running>,
@@ -118,6 +122,7 @@
             prefilled_at: None,
             predicted: None,
             refusal: None,
+            admitted: None,
             version: StreamVersion::Any,
             running: Some(running),
             started: false,
@@ -209,6 +214,7 @@
             sent = self.attempts.sent(), tried = self.tried.len(), config = self.view.table.version);
         self.count(reply.label());
         self.shared.metrics.count_refusal(reason);
+        self.settle_share(reply);
         reply.into_response()
     }
 
@@ -243,6 +249,7 @@
         last_event: Option<u64>,
     ) -> Result<ActiveAttempt, Option<Reply>> {
         self.check_blocked().await.map_err(Some)?;
+        self.admit().map_err(Some)?;
         let is_stream = self.route.kind.is_stream();
         let is_fresh = self.attempts.sent() == 0;
         if is_stream && self.prefilled.is_none() && self.wants_prefill_engine() {
@@ -392,7 +399,7 @@
             .returns
             .next_delay(now, service, limited, max);
         self.refusal = Some(Refusal {
-            reason: "its engines are at their request limits",
+            reason: AT_LIMITS,
             expected: limited.wait,
         });
         delay.map_or(reply, |delay| reply.with_delay(delay))
--- a/src/ops/relay/gauges.rs
+++ b/src/ops/relay/gauges.rs
@@ -36,6 +36,9 @@
     metrics.suspect_requests.set(count(suspects.suspect));
     metrics.blocked_requests.set(count(suspects.blocked));
     metrics.blocked_parts.set(count(suspects.parts));
+    metrics
+        .workspaces_over_share
+        .set(count(traffic.shares.over_count(now)));
     metrics.clear_services();
     for (service, engines) in view.engines() {
         let own = sum(engines.iter().map(|e| traffic.load.own_work(e.key)));
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -10,6 +10,7 @@
 //! `attempt` is one of them, `retries` decides what follows each, `pick` chooses engines, `job` counts what they are given, `versions` keeps each stream at the version that began it, [`connect`] connects to them, `reading` has prefills computed, `prefilled` holds their results, [`stream`] passes events on, `idle` closes
 //! connections that are no longer used and probes detached engines. `gauges` sets the gauges on the page of metrics.
 
+mod admission;
 mod attempt;
 mod cloud;
 pub mod connect;
--- a/src/ops/relay/peers/mod.rs
+++ b/src/ops/relay/peers/mod.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod prove;
 mod roster;
+mod shares;
 mod streams;
 
 use std::cell::Cell;
@@ -60,6 +61,7 @@
 pub use crate::ops::relay::peers::ask::StoreParts;
 use crate::ops::relay::peers::counts::UsageState;
 use crate::ops::relay::peers::prove::ProofState;
+use crate::ops::relay::peers::shares::ShareSchedule;
 use crate::ops::relay::register::ListedInstance;
 use crate::ops::relay::shared::Shared;
 use crate::util::clock;
@@ -197,6 +199,7 @@
     limit_turn: Cell<u32>,
     /// Number of messages about crashes sent.
     crash_turn: Cell<u32>,
+    share_schedule: ShareSchedule,
     calls: CallClient,
     known: StoreReplica,
     /// Addresses of the peers that are currently heard, as of the last roster: those of this zone, then those of other
@@ -269,6 +272,7 @@
         turn: Cell::new(0),
         limit_turn: Cell::new(0),
         crash_turn: Cell::new(rand::random()),
+        share_schedule: ShareSchedule::new(),
         started: clock::now(),
         watch_rank: Cell::default(),
         updates: Notify::new(),
@@ -292,6 +296,7 @@
             Ok((_, Datagram::Limits(reports))) => fleet.on_limits(&reports),
             Ok((_, Datagram::Crashes(notes))) => fleet.on_crashes(notes),
             Ok((_, Datagram::Streams(records))) => fleet.on_streams(records),
+            Ok((name, Datagram::WorkspaceUse(message))) => fleet.on_workspace_use(name.as_str(), message),
             Ok((_, Datagram::Ping | Datagram::RetiredLoad | Datagram::RetiredProof)) => {}
             Err(PeerError::Broken(error)) => {
                 log_event!(warn, log_event::PEER_FAILED, %error, call = "receive");
@@ -511,6 +516,7 @@
         self.send_limits(now, turn);
         self.send_crashes(now);
         self.send_streams(now);
+        self.send_workspace_use(now);
         let changed = self.update_detached(now);
         let (peers, turns) = self.load_recipients(now, turn);
         let (load, reads) = {
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -14,6 +14,7 @@
 use crate::ops::relay::prefilled::PrefilledPrompt;
 use crate::ops::relay::reply::Refusal;
 use crate::ops::relay::reply::Reply;
+use crate::ops::relay::reply::WOULD_BE_LATE;
 use crate::ops::relay::send::AttemptFailure;
 use crate::ops::relay::send::AttemptOptions;
 use crate::ops::relay::send::MAX_ANSWER_BYTES;
@@ -167,7 +168,7 @@
         let is_late =
             !self.is_on_time(expected) && queue_time > self.route.latency_target.mul_f64(SHORT_WAIT_PART);
         if is_late {
-            let reason = "it would be late";
+            let reason = WOULD_BE_LATE;
             let expected = Some(expected);
             self.refusal = Some(Refusal { reason, expected });
         }
--- a/src/ops/relay/reply.rs
+++ b/src/ops/relay/reply.rs
@@ -18,6 +18,15 @@
 /// Maximum delay before a retry, as a fraction of the time left. Callers comply with delays of up to a third of it.
 const MAX_RETRY_AFTER_PART: f64 = 0.3;
 
+/// Reason of a refusal: the first event would be later than the route's latency target.
+pub(super) const WOULD_BE_LATE: &str = "it would be late";
+
+/// Reason of a refusal: all engines are at their request limits.
+pub(super) const AT_LIMITS: &str = "its engines are at their request limits";
+
+/// Reasons of refusals for lack of capacity, besides that no engine can take the request.
+pub(super) const CAPACITY_REASONS: [&str; 2] = [WOULD_BE_LATE, AT_LIMITS];
+
 /// A final answer that this instance gives itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reply {
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -35,6 +35,7 @@
 use sequoiastream_core::relay::tunnel_peers::TunnelPeer;
 use sequoiastream_core::relay::usage::Tally;
 use sequoiastream_core::relay::usage::Window;
+use sequoiastream_core::relay::workspace_shares::WorkspaceShares;
 use sequoiastream_core::relay::workspaces::StoreAges;
 use sequoiastream_core::time::Time;
 use sequoiastream_peer::seal::ClusterKey;
@@ -176,6 +177,8 @@
     pub streams: Streams,
     /// Requests that engines began, by window and workspace.
     pub tally: Tally,
+    /// Engine time that workspaces use.
+    pub shares: WorkspaceShares,
 }
 
 /// The state that the threads of an instance share.
@@ -229,6 +232,7 @@
             suspects: Suspects::with_seed(Hash::new().with(options.name.as_str().as_bytes()).value()),
             streams: Streams::new(),
             tally: Tally::default(),
+            shares: WorkspaceShares::new(),
         };
         Shared {
             reloadable: ArcSwap::from_pointee(options.reloadable.clone()),
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -128,6 +128,8 @@
     pub blocked_requests: Gauge,
     /// Number of parts of prompts that are blocked because they crash engines.
     pub blocked_parts: Gauge,
+    /// Number of workspaces that were refused lately because they were over their share of a service.
+    pub workspaces_over_share: Gauge,
     /// Number of instances listed to callers.
     pub instances: Gauge,
     registry: Mutex<Registry>,
@@ -171,6 +173,7 @@
             suspect_requests: Gauge::default(),
             blocked_requests: Gauge::default(),
             blocked_parts: Gauge::default(),
+            workspaces_over_share: Gauge::default(),
             instances: Gauge::default(),
             registry: Mutex::default(),
         };
@@ -331,6 +334,11 @@
             "Parts of prompts that this instance blocks because they crash engines",
             self.blocked_parts.clone(),
         );
+        registry.register(
+            "relay_over_share_workspaces",
+            "Workspaces that were refused lately because they were over their share of a service",
+            self.workspaces_over_share.clone(),
+        );
     }
 
     /// Counts a final answer.
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -56,6 +56,7 @@
 mod versions;
 mod watchers;
 mod withdrawals;
+mod workspace_shares;
 mod workspaces;
 
 use std::net::SocketAddr;
