--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -111,6 +111,8 @@
     410 NO_ENGINE = "no-engine";
     /// A request was sent to a second engine as well because the first one takes unusually long.
     414 HEDGED = "hedged";
+    /// A workspace is over its share of a service whose capacity is short, and is refused.
+    417 WORKSPACE_OVER_SHARE = "workspace-over-share";
     /// This instance acquired the authority over a service.
     500 AUTHORITY_TAKEN = "authority-taken";
     /// This instance no longer holds the authority over a service.
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -26,12 +26,14 @@
 use tokio::sync::Notify;
 
 use crate::log_event;
+use crate::ops::relay::admission::AdmittedRequest;
 use crate::ops::relay::attempt::ActiveAttempt;
 use crate::ops::relay::attempt::AttemptParts;
 use crate::ops::relay::connect;
 use crate::ops::relay::hedge::HedgeState;
 use crate::ops::relay::pick::MAX_LOAD_FACTOR;
 use crate::ops::relay::prefilled::PrefilledPrompt;
+use crate::ops::relay::reply::AT_LIMITS;
 use crate::ops::relay::reply::Refusal;
 use crate::ops::relay::reply::Reply;
 use crate::ops::relay::reply::max_retry_after;
@@ -75,6 +77,8 @@
     pub(super) refusal: Option<Refusal>,
     /// Whether the request may be sent to a second engine because the first one is slow.
     pub(super) hedge: HedgeState,
+    /// Set once the request was admitted within the share of its workspace.
+    pub(super) admitted: Option<AdmittedRequest>,
     /// The version of the engines that may deliver events of this stream.
     pub(super) version: StreamVersion,
     running: Option<Running>,
@@ -123,6 +127,7 @@
             predicted: None,
             refusal: None,
             hedge: HedgeState::new(hedge_ratio, route.kind),
+            admitted: None,
             version: StreamVersion::Any,
             running: Some(running),
             started: false,
@@ -222,23 +227,11 @@
             sent = self.attempts.sent(), tried = self.tried.len(), config = self.view.table.version);
         self.count(reply.label());
         self.shared.metrics.count_refusal(reason);
+        self.settle_share(reply);
         self.count_capacity_refusal(reply);
         reply.into_response()
     }
 
-    /// Counts a request that was refused because the engines have no capacity for it. A refusal for another reason has no
-    /// expected time; a request that was refused after failed attempts says nothing about capacity.
-    fn count_capacity_refusal(&self, reply: Reply) {
-        let lacks_capacity = self.refusal.as_ref().is_none_or(|r| r.expected.is_some());
-        if let (Reply::Refused(_), Some(service)) = (reply, &self.service)
-            && lacks_capacity
-            && self.tried.is_empty()
-        {
-            let now = clock::now();
-            self.shared.traffic().capacity_refusals.on_refused(now, service);
-        }
-    }
-
     /// The request id, for the log.
     pub fn id(&self) -> String {
         String::from_utf8_lossy(self.incoming.id.as_bytes()).into_owned()
@@ -270,6 +263,7 @@
         last_event: Option<u64>,
     ) -> Result<ActiveAttempt, Option<Reply>> {
         self.check_blocked().await.map_err(Some)?;
+        self.admit().map_err(Some)?;
         let is_stream = self.route.kind.is_stream();
         let is_fresh = self.attempts.sent() == 0;
         if is_stream && self.prefilled.is_none() && self.wants_prefill_engine() {
@@ -420,7 +414,7 @@
             .returns
             .next_delay(now, service, limited, max);
         self.refusal = Some(Refusal {
-            reason: "its engines are at their request limits",
+            reason: AT_LIMITS,
             expected: limited.wait,
         });
         delay.map_or(reply, |delay| reply.with_delay(delay))
