Relay: engines are told the priority of a request

An engine orders its queue by the header Request-Priority, and treats all requests alike if none is set. Urgent streams waited behind bulk requests of the same service.

Where the routes of a service differ in priority, the header is set on requests and on calls for a prefill, from the priority of the workspace or else the route. Callers still can't set it. Services whose routes are alike get no header.

relay::rank shows the header on both calls, and its absence elsewhere.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -26,6 +26,7 @@
 pub mod placement;
 pub mod prefill_time;
 pub mod prompt;
+pub mod rank;
 pub mod rate_limits;
 pub mod reachability;
 pub mod records;
--- a/crates/core/src/relay/routes.rs
+++ b/crates/core/src/relay/routes.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::config::Repeat;
+use crate::relay::rank::Ranks;
 use crate::relay::scale::ScalePolicy;
 use crate::relay::workspaces;
 use crate::relay::workspaces::KeyAccess;
@@ -175,8 +176,8 @@
     /// The workspaces, if callers need keys.
     pub workspaces: Option<Workspaces>,
     hosts: BTreeMap<String, BTreeMap<String, Arc<Route>>>,
-    /// The highest priority of the routes to each service.
-    ranks: BTreeMap<String, u8>,
+    /// The priorities of the routes to each service.
+    ranks: BTreeMap<String, Ranks>,
 }
 
 impl RoutingTable {
@@ -192,11 +193,11 @@
             let host = hosts.entry(route.host.to_ascii_lowercase()).or_default();
             host.insert(route.prefix.clone(), Arc::new(route));
         }
-        let mut ranks: BTreeMap<String, u8> = BTreeMap::new();
+        let mut ranks: BTreeMap<String, Ranks> = BTreeMap::new();
         for route in hosts.values().flat_map(BTreeMap::values) {
             for target in &route.targets {
-                let rank = ranks.entry(target.service.clone()).or_insert(route.priority);
-                *rank = route.priority.min(*rank);
+                let ranks = ranks.entry(target.service.clone()).or_default();
+                ranks.add(route.priority, route.latency_target);
             }
         }
         let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
@@ -247,8 +248,14 @@
 
     /// Whether another route to one of the same services has a higher priority than a request of this `priority`.
     pub fn is_outranked(&self, route: &Route, priority: u8) -> bool {
-        let rank = |target: &RouteTarget| self.ranks.get(&target.service).copied();
-        let mut ranks = route.targets.iter().filter_map(rank);
-        ranks.any(|rank| rank < priority)
+        let ranks = |target: &RouteTarget| self.ranks.get(&target.service);
+        let mut ranks = route.targets.iter().filter_map(ranks);
+        ranks.any(|ranks| ranks.is_outranked(priority))
+    }
+
+    /// The priorities of the routes to a service, if they differ. Otherwise, no request goes before another because of
+    /// them.
+    pub fn differing_ranks(&self, service: &str) -> Option<&Ranks> {
+        self.ranks.get(service).filter(|ranks| ranks.differ())
     }
 }
--- a/src/ops/relay/edge.rs
+++ b/src/ops/relay/edge.rs
@@ -73,6 +73,8 @@
     pub key: HeaderName,
     /// Workspace that sent the request.
     pub workspace: HeaderName,
+    /// Priority by which an engine orders its queue; 0 is served first.
+    pub priority: HeaderName,
     /// Instance that makes a call as the leader of all instances.
     pub leader: HeaderName,
     /// Fencing token of the leader.
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -19,6 +19,7 @@
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::hash::Hash;
+use sequoiastream_core::relay::rank::engine_priority;
 use sequoiastream_core::relay::routes::Route;
 use sequoiastream_core::time::Time;
 use sequoiastream_peer::call::CallClient;
@@ -97,18 +98,21 @@
         calls: CallClient,
         view: Arc<View>,
         route: Arc<Route>,
-        incoming: IncomingRequest,
+        mut incoming: IncomingRequest,
         running: Running,
     ) -> ForwardedRequest {
         let draw = Hash::new().with(incoming.id.as_bytes()).value();
         let attempts = Attempts::new(route.kind.repeat(), AttemptLimit::Sent(route.max_attempts));
         let service = route.service(draw).map(str::to_string);
+        let priority = incoming.priority.unwrap_or(route.priority);
+        let ranks = service.as_ref().and_then(|s| view.table.differing_ranks(s));
+        incoming.engine_priority = ranks.map(|_| engine_priority(priority));
         ForwardedRequest {
             shared,
             pool,
             calls,
             view,
-            priority: incoming.priority.unwrap_or(route.priority),
+            priority,
             incoming: Rc::new(incoming),
             attempts,
             tried: Vec::new(),
--- a/src/ops/relay/head.rs
+++ b/src/ops/relay/head.rs
@@ -139,6 +139,7 @@
             prompt,
             workspace: name.map_err(|_| "workspace name is not a valid header value")?,
             priority: workspace.and_then(|w| w.priority),
+            engine_priority: None,
             last_event,
             resumes: resumes.filter(|_| route.kind.is_stream()),
             arrived,
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -56,6 +56,8 @@
     pub workspace: Option<HeaderValue>,
     /// Priority of the workspace, which overrides that of the route, if it is set.
     pub priority: Option<u8>,
+    /// Priority that engines are told; `None` if the routes to the service don't differ in it.
+    pub engine_priority: Option<u8>,
     /// Id of the last event that the caller has received.
     pub last_event: Option<u64>,
     /// Id of the caller's attempt that brought the first event of the stream which this one is to continue.
@@ -241,6 +243,9 @@
     if let Some(workspace) = &incoming.workspace {
         headers.insert(&names.workspace, workspace.clone());
     }
+    if let Some(priority) = incoming.engine_priority {
+        headers.insert(&names.priority, HeaderValue::from(u16::from(priority)));
+    }
     if options.prefill {
         headers.insert(&names.stage, HeaderValue::from_static(names.prefill));
     }
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -80,6 +80,7 @@
                 parts: name("x-parts"),
                 key: name("x-key"),
                 workspace: name("x-workspace"),
+                priority: name("x-priority"),
                 leader: name("x-holder"),
                 fence: name("x-fence"),
                 reserved: [
@@ -89,6 +90,7 @@
                     "x-fetch",
                     "x-key",
                     "x-workspace",
+                    "x-priority",
                 ]
                 .map(name)
                 .to_vec(),
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -31,6 +31,7 @@
 mod place;
 mod prefills;
 mod proofs;
+mod rank;
 mod reachability;
 mod records;
 mod request_kinds;
