--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -205,11 +205,6 @@
             "Extra attempts allowed or denied by the retry budget",
             self.extra_attempts.clone(),
         );
-        registry.register(
-            "relay_returns",
-            "Refused callers that returned when told, by result",
-            self.returns.clone(),
-        );
         registry.register(
             "relay_requests",
             "Requests that callers sent on a route to a service",
@@ -263,6 +258,11 @@
             "Extra attempts left in the retry budget of this instance",
             self.budget_left.clone(),
         );
+        registry.register(
+            "relay_returns",
+            "Refused callers that returned when told, by result",
+            self.returns.clone(),
+        );
     }
 
     fn register_knowledge(&self, registry: &mut Registry) {
