--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -113,6 +113,8 @@
     414 HEDGED = "hedged";
     /// A workspace is over its share of a service whose capacity is short, and is refused.
     417 WORKSPACE_OVER_SHARE = "workspace-over-share";
+    /// A request was refused because the rest of the capacity is for more urgent ones.
+    420 OUTRANKED = "outranked";
     /// This instance acquired the authority over a service.
     500 AUTHORITY_TAKEN = "authority-taken";
     /// This instance no longer holds the authority over a service.
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -19,6 +19,7 @@
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::EngineKey;
 use sequoiastream_core::relay::hash::Hash;
+use sequoiastream_core::relay::rank::engine_priority;
 use sequoiastream_core::relay::routes::Route;
 use sequoiastream_core::time::Time;
 use sequoiastream_peer::call::CallClient;
@@ -31,8 +32,8 @@
 use crate::ops::relay::attempt::AttemptParts;
 use crate::ops::relay::connect;
 use crate::ops::relay::hedge::HedgeState;
-use crate::ops::relay::pick::MAX_LOAD_FACTOR;
 use crate::ops::relay::prefilled::PrefilledPrompt;
+use crate::ops::relay::rank;
 use crate::ops::relay::reply::AT_LIMITS;
 use crate::ops::relay::reply::Refusal;
 use crate::ops::relay::reply::Reply;
@@ -63,6 +64,8 @@
     pub incoming: Rc<IncomingRequest>,
     /// Priority; 0 is served first.
     pub priority: u8,
+    /// Whether the caller was refused before and returns when told, where the routes to the service differ in priority.
+    pub(super) is_return: bool,
     /// Record of the attempts so far.
     pub attempts: Attempts,
     pub(super) tried: Vec<EngineKey>,
@@ -104,19 +107,24 @@
         calls: CallClient,
         view: Arc<View>,
         route: Arc<Route>,
-        incoming: IncomingRequest,
+        mut incoming: IncomingRequest,
         running: Running,
     ) -> ForwardedRequest {
         let draw = Hash::new().with(incoming.id.as_bytes()).value();
         let attempts = Attempts::new(route.kind.repeat(), AttemptLimit::Sent(route.max_attempts));
         let service = route.service(draw).map(str::to_string);
         let hedge_ratio = shared.reloadable().hedge_ratio;
+        let priority = incoming.priority.unwrap_or(route.priority);
+        let ranks = service.as_ref().and_then(|s| view.table.differing_ranks(s));
+        incoming.engine_priority = ranks.map(|_| engine_priority(priority));
+        let is_return = ranks.is_some() && rank::is_return(&shared, &incoming, route.timeout);
         ForwardedRequest {
             shared,
             pool,
             calls,
             view,
-            priority: incoming.priority.unwrap_or(route.priority),
+            priority,
+            is_return,
             incoming: Rc::new(incoming),
             attempts,
             tried: Vec::new(),
@@ -254,6 +262,7 @@
     /// Counts the final answer in the metrics.
     pub fn count(&self, outcome: &str) {
         self.outcome_counted.set(true);
+        self.count_return(outcome);
         self.shared.metrics.count_answer(&self.path(), outcome);
     }
 
@@ -276,6 +285,9 @@
             true => self.choose_for_stream(is_fresh)?,
             false => self.choose_for_exchange()?,
         };
+        if is_fresh {
+            self.on_accepted();
+        }
         let job = self.begin_job(&engine, prefill);
         let handover = match is_stream {
             true => self.handover().unwrap_or_default(),
@@ -311,7 +323,7 @@
     fn choose_for_exchange(&mut self) -> Result<(Engine, Duration), Option<Reply>> {
         let selected = self.select(|selector, engines| {
             let engine = selector.least_loaded(engines)?;
-            (!selector.is_full(engine, MAX_LOAD_FACTOR)).then(|| engine.clone())
+            (!selector.is_full(engine, self.call_part())).then(|| engine.clone())
         });
         match selected {
             Some(engine) => Ok((engine, Duration::ZERO)),
@@ -404,7 +416,7 @@
             return reply;
         }
         let (Some(service), Some(limited)) = (&self.service, self.limited_service()) else {
-            return reply;
+            return self.refuse_by_rank(reply);
         };
         let max = max_retry_after(self.incoming.time_left());
         let now = clock::now();
--- a/src/ops/relay/hedge.rs
+++ b/src/ops/relay/hedge.rs
@@ -24,7 +24,6 @@
 use crate::ops::relay::deliver::Outcome;
 use crate::ops::relay::forward::ForwardedRequest;
 use crate::ops::relay::pick::DECODE_PREFILL_SLOWDOWN;
-use crate::ops::relay::pick::LOW_PRIORITY_PART;
 use crate::ops::relay::send::AttemptFailure;
 use crate::util::clock;
 
@@ -155,11 +154,8 @@
     /// Fraction of an engine's slots up to which it takes the request as a second engine: a stream leaves as many to
     /// those of higher priority as without a hedge.
     fn hedge_part(&self) -> f64 {
-        let is_outranked = || self.view.table.is_outranked(&self.route, self.priority);
-        match self.route.kind.is_stream() && is_outranked() {
-            true => LOW_PRIORITY_PART,
-            false => 1.0,
-        }
+        let part = self.ranked_part().filter(|_| self.route.kind.is_stream());
+        part.map_or(1.0, |part| part.min(1.0))
     }
 
     /// Sends the request to `engine` as well, and waits until one of the two delivers.
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -27,6 +27,7 @@
 use sequoiastream_core::relay::limit_report::RequestRate;
 use sequoiastream_core::relay::load_tracker::LoadTracker;
 use sequoiastream_core::relay::notices::EngineNotices;
+use sequoiastream_core::relay::rank::RankWork;
 use sequoiastream_core::relay::rate_limits::LimitChange;
 use sequoiastream_core::relay::rate_limits::RateLimits;
 use sequoiastream_core::relay::reachability::Reachability;
@@ -175,6 +176,8 @@
     pub returns: ReturnSchedule,
     /// Requests that were refused for lack of capacity.
     pub capacity_refusals: CapacityRefusals,
+    /// Prefill time sent to services whose routes differ in priority.
+    pub rank_work: RankWork,
     /// Which engines this instance reaches only through a peer.
     pub reachability: Reachability,
     /// Requests suspected of crashing engines.
@@ -236,6 +239,7 @@
             rate_limits: RateLimits::new(),
             returns: ReturnSchedule::new(),
             capacity_refusals: CapacityRefusals::default(),
+            rank_work: RankWork::default(),
             reachability: Reachability::new(),
             suspects: Suspects::with_seed(Hash::new().with(options.name.as_str().as_bytes()).value()),
             streams: Streams::new(),
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -100,6 +100,7 @@
     extra_attempts: Family<ResultLabels, Counter>,
     hedges: Family<ResultLabels, Counter>,
     hedges_denied: Family<ReasonLabels, Counter>,
+    returns: Family<ResultLabels, Counter>,
     requests: Family<ServiceLabels, Counter>,
     arrivals: Family<ArrivalLabels, Counter>,
     /// Requests that were decided by a view that nothing had confirmed within the time for applying a change.
@@ -165,6 +166,7 @@
             extra_attempts: Family::default(),
             hedges: Family::default(),
             hedges_denied: Family::default(),
+            returns: Family::default(),
             requests: Family::default(),
             arrivals: Family::default(),
             outdated_requests: Counter::default(),
@@ -310,6 +312,11 @@
             "Engines that the load of a service needs, as the leader predicts",
             self.scale_need.clone(),
         );
+        registry.register(
+            "relay_returns",
+            "Refused callers that returned when told, by result",
+            self.returns.clone(),
+        );
     }
 
     fn register_knowledge(&self, registry: &mut Registry) {
@@ -435,6 +442,12 @@
         self.hedges_denied.get_or_create(&ReasonLabels { reason }).inc();
     }
 
+    /// Counts a refused caller that returned when told, and was served or refused.
+    pub fn count_return(&self, result: &str) {
+        let result = result.to_string();
+        self.returns.get_or_create(&ResultLabels { result }).inc();
+    }
+
     /// Counts a caller's request on a route to a service.
     pub fn count_request(&self, service: &str) {
         let service = self.service_label(service);
