Relay: choose the engines of streams by their pace of events

Engines of one service differ in speed by a factor of two, and a stream's engine was chosen by the number of requests alone, so that long streams were late at slow engines.

EventPace learns the mean interval of each engine and, for each service, how far single intervals exceed it. choose_decode is given what the stream needs (gap target, number of events, time left for the first event): a stream with pauses goes to an engine with a free slot whose predicted pause is within the gap target, single events leave the fast engines to others, and so do short streams while these have few free slots. Where engines are alike, or the route has no gap target, the choice is as before. Prompt has an optional expected length, which nothing sets yet.

The calls in relay::place, relay::book, relay::pace and the benchmark got the new parameter and field; their assertions are unchanged.

--- a/crates/core/benches/relay.rs
+++ b/crates/core/benches/relay.rs
@@ -32,6 +32,7 @@
 use sequoiastream_core::relay::routes::RouteTarget;
 use sequoiastream_core::relay::routes::RoutingTable;
 use sequoiastream_core::relay::stages::plan_orders;
+use sequoiastream_core::relay::stream_needs::StreamNeeds;
 use sequoiastream_core::relay::streams::SoftwareVersion;
 use sequoiastream_core::relay::streams::StreamId;
 use sequoiastream_core::relay::streams::StreamRecord;
@@ -113,6 +114,7 @@
         model: "m".to_string(),
         input: 9_190,
         output: 2,
+        expected: None,
         parts: vec![part(77, 6_300), part(78, 2_890)],
     }
 }
@@ -139,7 +141,7 @@
             b.iter(|| chooser.choose_prefill(black_box(&all), Stage::Prefill, &prompt));
         });
         group.bench_function(BenchmarkId::new("generator", engines), |b| {
-            b.iter(|| chooser.choose_decode(black_box(&all), Stage::Decode));
+            b.iter(|| chooser.choose_decode(black_box(&all), Stage::Decode, &StreamNeeds::default()));
         });
     }
     group.finish();
--- a/crates/core/src/relay/load_tracker.rs
+++ b/crates/core/src/relay/load_tracker.rs
@@ -10,7 +10,9 @@
 use crate::relay::cached_parts::CachedParts;
 use crate::relay::cached_parts::PrefillRecord;
 use crate::relay::engine_map::EngineMap;
+use crate::relay::engines::Engine;
 use crate::relay::engines::EngineKey;
+use crate::relay::event_pace::EventPace;
 use crate::relay::peer_work::PeerWork;
 use crate::relay::placement::PrefillPlan;
 use crate::relay::prefill_time::PrefillModel;
@@ -164,6 +166,8 @@
     prefill_models: BTreeMap<String, PrefillModel>,
     /// Shared prompt parts that each engine has cached.
     pub cached_parts: CachedParts,
+    /// Pace at which each engine delivers the events of streams.
+    pub event_pace: EventPace,
 }
 
 impl LoadTracker {
@@ -325,6 +329,20 @@
         self.engines.get_or_default(engine).handover = Some((now, mean));
     }
 
+    /// Records the interval between two events of a stream at an engine.
+    pub fn on_interval(&mut self, now: Time, engine: &Engine, interval: Duration) {
+        let requests = self.work(now, engine.key).requests;
+        self.event_pace.on_interval(now, engine, interval, requests);
+    }
+
+    /// Returns the pause between two events that a further stream has to expect at an engine; `None` without
+    /// observations of its service.
+    pub fn predicted_pause(&self, now: Time, engine: &Engine) -> Option<Duration> {
+        let requests = self.work(now, engine.key).requests;
+        self.event_pace
+            .predicted_pause(now, engine, requests.saturating_add(1))
+    }
+
     /// Returns the expected time from the end of a prefill to the first event at an engine.
     ///
     /// Failure guarded against: links are slow for a while, the mean grows beyond what any request can wait, all
@@ -383,6 +401,7 @@
     where
         F: Fn(EngineKey) -> bool,
     {
+        self.event_pace.retain(&known);
         let is_gone = |key: EngineKey, state: &EngineState| !known(key) && state.own.requests == 0;
         for (key, state) in self
             .engines
--- a/crates/core/src/relay/placement.rs
+++ b/crates/core/src/relay/placement.rs
@@ -16,6 +16,8 @@
 use crate::relay::load_tracker::LoadTracker;
 use crate::relay::prefill_time::PrefillWork;
 use crate::relay::prompt::Prompt;
+use crate::relay::stream_needs::DecodeOption;
+use crate::relay::stream_needs::StreamNeeds;
 use crate::time::Time;
 
 /// Cost of one request in progress when wait times are compared: about the duration of one batch step, which every
@@ -121,7 +123,7 @@
     /// Returns the engine for a request without a prompt: a healthy one with the shortest wait, where another
     /// availability zone counts as half a round trip. `None` if every engine has been tried.
     pub fn least_loaded<'e>(&self, engines: &'e [Engine]) -> Option<&'e Engine> {
-        self.least_wait(engines.iter())
+        self.least_wait(self.candidates(engines.iter()))
     }
 
     /// Returns the engine at `stage` that computes the prefill of `prompt`, with the expected times. `None` if every
@@ -211,26 +213,47 @@
         }
     }
 
-    /// Returns the engine at `stage` that generates the answer. `None` if every engine at this stage has been tried.
-    pub fn choose_decode<'e>(&self, engines: &'e [Engine], stage: Stage) -> Option<&'e Engine> {
-        self.least_wait(at_stage(engines, stage))
+    /// Returns the engine at `stage` that generates the answer: the one with the shortest wait of those whose pace suits
+    /// the stream. `None` if every engine at this stage has been tried.
+    pub fn choose_decode<'e>(
+        &self,
+        engines: &'e [Engine],
+        stage: Stage,
+        needs: &StreamNeeds,
+    ) -> Option<&'e Engine> {
+        let candidates = self.candidates(at_stage(engines, stage));
+        match self.suitable(&candidates, needs) {
+            Some(suitable) => self.least_wait(suitable),
+            None => self.least_wait(candidates),
+        }
+    }
+
+    /// Returns those of the engines whose pace suits a stream; `None` if pace makes no difference.
+    fn suitable<'e>(&self, engines: &[&'e Engine], needs: &StreamNeeds) -> Option<Vec<&'e Engine>> {
+        if needs.gap_target.is_zero() {
+            return None;
+        }
+        let service = &engines.first()?.entry.service;
+        let paces = self.loads.event_pace.differing(self.now, service)?;
+        let options = engines.iter().map(|engine| DecodeOption {
+            engine,
+            alone: paces.interval(engine.key),
+            requests: self.loads.work(self.now, engine.key).requests,
+        });
+        needs.suitable(paces, options.collect())
     }
 
-    /// Returns the healthy engine with the shortest wait. Ties are broken at random if peers learn of each other's
+    /// Returns the engine with the shortest wait. Ties are broken at random if peers learn of each other's
     /// choices with a delay.
     ///
     /// Failure guarded against: many instances each send to the first of the idle engines, which is the same one for
     /// all, and requests wait there while the other engines stay idle.
-    fn least_wait<'e, I>(&self, engines: I) -> Option<&'e Engine>
-    where
-        I: Iterator<Item = &'e Engine>,
-    {
+    fn least_wait<'e>(&self, engines: Vec<&'e Engine>) -> Option<&'e Engine> {
         let tie_breaker = |e: &Engine| match self.report_turns {
             0 | 1 => 0,
             _ => hash_pair(e.hash, self.tie_breaker),
         };
-        let candidates = self.candidates(engines);
-        candidates
+        engines
             .into_iter()
             .min_by_key(|e| (self.wait_time(e), tie_breaker(e), e.key))
     }
--- a/crates/core/src/relay/prompt.rs
+++ b/crates/core/src/relay/prompt.rs
@@ -18,11 +18,19 @@
     pub input: u32,
     /// Maximum number of tokens in the answer.
     pub output: u32,
+    /// Number of tokens that the caller expects in the answer, if it sent an estimate.
+    pub expected: Option<u32>,
     /// The parts in order; the last one is specific to the request or its conversation.
     pub parts: Vec<Part>,
 }
 
 impl Prompt {
+    /// Returns the number of tokens that the answer may have.
+    pub fn answer_tokens(&self) -> u32 {
+        self.expected
+            .map_or(self.output, |expected| expected.min(self.output))
+    }
+
     /// Returns the last part that other requests may share: the key for cache affinity.
     pub fn shared(&self) -> Option<Part> {
         let others = self.parts.len().checked_sub(2)?;
--- a/src/ops/relay/pick.rs
+++ b/src/ops/relay/pick.rs
@@ -12,6 +12,7 @@
 use sequoiastream_core::relay::prompt::Prompt;
 use sequoiastream_core::relay::return_schedule::LimitedService;
 use sequoiastream_core::relay::routes::RouteKind;
+use sequoiastream_core::relay::stream_needs::StreamNeeds;
 use sequoiastream_core::time::Time;
 
 use crate::ops::relay::forward::ForwardedRequest;
@@ -80,9 +81,10 @@
             (None, false) => 1.0,
             (None, true) => LOW_PRIORITY_PART,
         };
+        let needs = self.stream_needs(part);
         self.select_near(zone, |selector, engines| {
             let reserved = engines.iter().find(|e| self.reserved == Some(e.key));
-            let engine = reserved.or_else(|| decode_engine(selector, engines))?;
+            let engine = reserved.or_else(|| decode_engine(selector, engines, &needs))?;
             let has_room = !is_fresh || !selector.is_full(engine, part);
             let prefill = match (&self.prefilled, &self.incoming.prompt) {
                 (None, Some(prompt)) => {
@@ -95,6 +97,26 @@
         })
     }
 
+    /// What the stream requires of the pace of an engine that may be sent it up to the fraction `max_load` of its slots.
+    pub(super) fn stream_needs(&self, max_load: f64) -> StreamNeeds {
+        let passed = clock::now().since(self.incoming.arrived);
+        let target = self.route.latency_target;
+        let first_event = match target.is_zero() {
+            true => Duration::MAX,
+            false => target.saturating_sub(passed),
+        };
+        StreamNeeds {
+            gap_target: self.route.gap_target,
+            events: self
+                .incoming
+                .prompt
+                .as_ref()
+                .map_or(u32::MAX, Prompt::answer_tokens),
+            first_event,
+            max_load,
+        }
+    }
+
     pub(super) fn prompt_tokens(&self) -> u64 {
         self.incoming.prompt.as_ref().map_or(0, |p| u64::from(p.input))
     }
@@ -197,7 +219,8 @@
         if self.reserved.is_some() || !self.shared.traffic().rate_limits.any() {
             return;
         }
-        let engine = self.select(|selector, engines| decode_engine(selector, engines).cloned());
+        let needs = self.stream_needs(MAX_LOAD_FACTOR);
+        let engine = self.select(|selector, engines| decode_engine(selector, engines, &needs).cloned());
         let now = clock::now();
         let mut ledger = self.shared.traffic();
         let limited = engine.filter(|e| ledger.rate_limits.wait(now, e.incarnation()).is_some());
@@ -228,7 +251,11 @@
 }
 
 /// The engine that generates the answer: one that only generates, otherwise one that also computes prefills.
-pub(super) fn decode_engine<'e>(selector: &EngineSelector<'_>, engines: &'e [Engine]) -> Option<&'e Engine> {
-    let decode = selector.choose_decode(engines, Stage::Decode);
-    decode.or_else(|| selector.choose_decode(engines, Stage::Whole))
+pub(super) fn decode_engine<'e>(
+    selector: &EngineSelector<'_>,
+    engines: &'e [Engine],
+    needs: &StreamNeeds,
+) -> Option<&'e Engine> {
+    let decode = selector.choose_decode(engines, Stage::Decode, needs);
+    decode.or_else(|| selector.choose_decode(engines, Stage::Whole, needs))
 }
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -10,6 +10,7 @@
 
 use crate::ops::relay::connect;
 use crate::ops::relay::forward::ForwardedRequest;
+use crate::ops::relay::pick::MAX_LOAD_FACTOR;
 use crate::ops::relay::pick::decode_engine;
 use crate::ops::relay::prefilled::PrefilledPrompt;
 use crate::ops::relay::reply::Refusal;
@@ -87,8 +88,9 @@
     /// Expected time from the end of the prefill to the first event, at the engine with the shortest wait; `None` if no
     /// engine may generate the answer.
     pub(super) fn handover(&self) -> Option<Duration> {
+        let needs = self.stream_needs(MAX_LOAD_FACTOR);
         self.select(|selector, engines| {
-            let engine = decode_engine(selector, engines)?;
+            let engine = decode_engine(selector, engines, &needs)?;
             let queue = selector
                 .loads
                 .queue_time(selector.now, engine.key, engine.entry.slots);
--- a/tests/testsuite/relay/book.rs
+++ b/tests/testsuite/relay/book.rs
@@ -107,6 +107,7 @@
         model: "m".to_string(),
         input: 8_000,
         output: 2,
+        expected: None,
         parts: Vec::new(),
     };
     let plan = selector
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -186,6 +186,7 @@
             model: model.to_string(),
             input,
             output: 1,
+            expected: None,
             parts,
         })
     }
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -13,6 +13,7 @@
 mod directory;
 mod engine;
 mod engines;
+mod event_pace;
 mod follow;
 mod instance;
 mod keys;
--- a/tests/testsuite/relay/pace.rs
+++ b/tests/testsuite/relay/pace.rs
@@ -20,6 +20,7 @@
         model: "m".to_string(),
         input,
         output: 2,
+        expected: None,
         parts: Vec::new(),
     }
 }
--- a/tests/testsuite/relay/place.rs
+++ b/tests/testsuite/relay/place.rs
@@ -14,6 +14,7 @@
 use sequoiastream_core::relay::prefill_time::PrefillWork;
 use sequoiastream_core::relay::prompt::Part;
 use sequoiastream_core::relay::prompt::Prompt;
+use sequoiastream_core::relay::stream_needs::StreamNeeds;
 use sequoiastream_core::time::Time;
 
 use super::fleet;
@@ -37,6 +38,7 @@
         model: "m".to_string(),
         input: 9_000,
         output: 2,
+        expected: None,
         parts: vec![part(1, 2_000), part(session, 4_000), part(session ^ 77, 3_000)],
     }
 }
@@ -221,9 +223,16 @@
     let engines = fleet(&[Stage::Prefill, Stage::Decode, Stage::Whole]);
     let tracker = LoadTracker::new();
     let selector = selector(&tracker, &[]);
-    let picked = [Stage::Decode, Stage::Whole].map(|s| selector.choose_decode(&engines, s).map(|e| e.key));
+    let picked = [Stage::Decode, Stage::Whole].map(|s| {
+        selector
+            .choose_decode(&engines, s, &StreamNeeds::default())
+            .map(|e| e.key)
+    });
     assert_eq!(picked, [Some(EngineKey(1)), Some(EngineKey(2))]);
-    assert_eq!(selector.choose_decode(&engines[..1], Stage::Decode), None);
+    assert_eq!(
+        selector.choose_decode(&engines[..1], Stage::Decode, &StreamNeeds::default()),
+        None
+    );
 }
 
 #[test]
@@ -318,7 +327,10 @@
             tie_breaker: tie_breaker.wrapping_mul(0x9e37_79b9_7f4a_7c15),
             ..selector(&tracker, &[])
         };
-        selector.choose_decode(&engines, Stage::Decode).expect("one").key
+        selector
+            .choose_decode(&engines, Stage::Decode, &StreamNeeds::default())
+            .expect("one")
+            .key
     };
     let mut counts: BTreeMap<EngineKey, u32> = BTreeMap::new();
     for tie_breaker in 0..1_000 {
