--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -109,6 +109,8 @@
     409 ABANDONED = "abandoned";
     /// No engine of the service accepts a request.
     410 NO_ENGINE = "no-engine";
+    /// A long stream was sent to an engine at which a longer pause is expected than its route allows.
+    411 PACE_MISSED = "pace-missed";
     /// A request was sent to a second engine as well because the first one takes unusually long.
     414 HEDGED = "hedged";
     /// A workspace is over its share of a service whose capacity is short, and is refused.
--- a/crates/core/src/relay/routes.rs
+++ b/crates/core/src/relay/routes.rs
@@ -256,6 +256,11 @@
             .min()
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.hosts.values().flat_map(BTreeMap::values).map(Arc::as_ref)
+    }
+
     /// Whether another route to one of the same services has a higher priority than a request of this `priority`.
     pub fn is_outranked(&self, route: &Route, priority: u8) -> bool {
         let ranks = |target: &RouteTarget| self.ranks.get(&target.service);
--- a/src/ops/control/membership.rs
+++ b/src/ops/control/membership.rs
@@ -243,6 +243,7 @@
             }
             Ok((_, Datagram::WorkspaceUse(_))) => {}
             Ok((_, Datagram::RetiredLoad | Datagram::RetiredProof | Datagram::Decided(_))) => {}
+            Ok((_, Datagram::Pace(_))) => {}
             Err(error) => log_event!(debug, log_event::PEER_REFUSED, %error),
         }
     }
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -429,6 +429,10 @@
         }
         self.config_revision = revision;
         let version = table.version;
+        let routes: BTreeSet<&str> = table.routes().map(|route| route.name.as_str()).collect();
+        let mut ledger = self.shared.traffic();
+        ledger.load.stream_lengths.retain(|route| routes.contains(route));
+        drop(ledger);
         self.shared.publish(|view| view.table = Arc::new(table));
         self.fleet.on_version(version);
         log_event!(
--- a/src/ops/relay/gauges.rs
+++ b/src/ops/relay/gauges.rs
@@ -53,6 +53,8 @@
         if let Some(usual) = traffic.load.service_times.usual(now, keys) {
             metrics.set_service_time(service, usual);
         }
+        let slow = traffic.load.event_pace.slow_count(now, service);
+        metrics.set_slow_engines(service, count(slow));
     }
     drop(traffic);
     metrics.render()
--- a/src/ops/relay/peers/mod.rs
+++ b/src/ops/relay/peers/mod.rs
@@ -5,6 +5,7 @@
 mod counts;
 mod crashes;
 mod limits;
+mod pace;
 mod prove;
 mod roster;
 mod shares;
@@ -297,6 +298,7 @@
             Ok((_, Datagram::Crashes(notes))) => fleet.on_crashes(notes),
             Ok((_, Datagram::Streams(records))) => fleet.on_streams(records),
             Ok((name, Datagram::WorkspaceUse(message))) => fleet.on_workspace_use(name.as_str(), message),
+            Ok((_, Datagram::Pace(message))) => fleet.on_pace(&message),
             Ok((_, Datagram::Ping | Datagram::RetiredLoad | Datagram::RetiredProof)) => {}
             Err(PeerError::Broken(error)) => {
                 log_event!(warn, log_event::PEER_FAILED, %error, call = "receive");
@@ -517,6 +519,7 @@
         self.send_crashes(now);
         self.send_streams(now);
         self.send_workspace_use(now);
+        self.send_pace(now, turn);
         let changed = self.update_detached(now);
         let (peers, turns) = self.load_recipients(now, turn);
         let (load, reads) = {
--- a/src/ops/relay/pick.rs
+++ b/src/ops/relay/pick.rs
@@ -3,6 +3,7 @@
 use std::borrow::Cow;
 use std::time::Duration;
 
+use sequoiastream_core::log_event;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::load_message::turns;
@@ -14,10 +15,13 @@
 pub(super) use sequoiastream_core::relay::rank::MAX_LOAD_FACTOR;
 use sequoiastream_core::relay::return_schedule::LimitedService;
 use sequoiastream_core::relay::routes::RouteKind;
+use sequoiastream_core::relay::stream_needs::StreamNeeds;
 use sequoiastream_core::time::Time;
 
+use crate::log_event;
 use crate::ops::relay::forward::ForwardedRequest;
 use crate::ops::relay::job::JobGuard;
+use crate::ops::relay::reading::ON_TIME_PART;
 use crate::ops::relay::shared::TrafficState;
 use crate::ops::relay::shared::View;
 use crate::ops::relay::versions::StreamVersion;
@@ -78,9 +82,10 @@
             (None, true) => LEAST_URGENT_PART,
         };
         let part = self.ranked_part().unwrap_or(part);
-        self.select_near(zone, |selector, engines| {
+        let needs = self.stream_needs(part, Duration::ZERO);
+        let (engine, prefill, pause) = self.select_near(zone, |selector, engines| {
             let reserved = engines.iter().find(|e| self.reserved == Some(e.key));
-            let engine = reserved.or_else(|| decode_engine(selector, engines))?;
+            let engine = reserved.or_else(|| decode_engine(selector, engines, &needs))?;
             let has_room = !is_fresh
                 || !selector.is_full(engine, part) && (is_bound || self.waits_in_time(selector, engine));
             let prefill = match (&self.prefilled, &self.incoming.prompt) {
@@ -90,8 +95,49 @@
                 }
                 _ => Duration::ZERO,
             };
-            has_room.then(|| (engine.clone(), prefill))
-        })
+            let pause = selector.loads.predicted_pause(selector.now, engine);
+            has_room.then(|| (engine.clone(), prefill, pause))
+        })?;
+        if let Some(pause) = pause.filter(|pause| needs.is_exceeded(*pause)) {
+            self.on_pace_missed(&engine, pause);
+        }
+        Some((engine, prefill))
+    }
+
+    /// Counts and logs that a long stream is sent to an engine at which too long a pause is expected.
+    fn on_pace_missed(&self, engine: &Engine, pause: Duration) {
+        self.shared.metrics.count_slow_stream(&engine.entry.service);
+        let (pause, target) = (pause.as_millis() as u64, self.route.gap_target.as_millis() as u64);
+        log_event!(info, log_event::PACE_MISSED, request = self.id(), route = %self.route.name,
+            engine = %engine.entry.id, pause, target);
+    }
+
+    /// What the stream requires of the pace of an engine that may be sent it up to the fraction `max_load` of its slots,
+    /// once its prefill is complete after `prefill`.
+    pub(super) fn stream_needs(&self, max_load: f64, prefill: Duration) -> StreamNeeds {
+        let passed = clock::now().since(self.incoming.arrived) + prefill;
+        let target = self.route.latency_target.mul_f64(ON_TIME_PART);
+        let first_event = match target.is_zero() {
+            true => Duration::MAX,
+            false => target.saturating_sub(passed),
+        };
+        let tokens = self
+            .incoming
+            .prompt
+            .as_ref()
+            .map_or(u32::MAX, Prompt::answer_tokens);
+        let usual = self
+            .shared
+            .traffic()
+            .load
+            .stream_lengths
+            .expected(&self.route.name);
+        StreamNeeds {
+            gap_target: self.route.gap_target,
+            events: usual.map_or(tokens, |usual| usual.min(tokens)),
+            first_event,
+            max_load,
+        }
     }
 
     pub(super) fn prompt_tokens(&self) -> u64 {
@@ -189,15 +235,17 @@
         }
     }
 
-    /// Chooses the engine that is to generate the answer if it limits its requests, and counts this request there.
+    /// Chooses the engine that is to generate the answer, after a prefill that takes `prefill`, if it limits its
+    /// requests, and counts this request there.
     ///
     /// Guards against several prompts that are prefilled at the same time although an engine may generate the answer to
     /// one of them only.
-    pub(super) fn reserve_decode(&mut self) {
+    pub(super) fn reserve_decode(&mut self, prefill: Duration) {
         if self.reserved.is_some() || !self.shared.traffic().rate_limits.any() {
             return;
         }
-        let engine = self.select(|selector, engines| decode_engine(selector, engines).cloned());
+        let needs = self.stream_needs(MAX_LOAD_FACTOR, prefill);
+        let engine = self.select(|selector, engines| decode_engine(selector, engines, &needs).cloned());
         let now = clock::now();
         let mut ledger = self.shared.traffic();
         let limited = engine.filter(|e| ledger.rate_limits.wait(now, e.incarnation()).is_some());
@@ -228,7 +276,11 @@
 }
 
 /// The engine that generates the answer: one that only generates, otherwise one that also computes prefills.
-pub(super) fn decode_engine<'e>(selector: &EngineSelector<'_>, engines: &'e [Engine]) -> Option<&'e Engine> {
-    let decode = selector.choose_decode(engines, Stage::Decode);
-    decode.or_else(|| selector.choose_decode(engines, Stage::Whole))
+pub(super) fn decode_engine<'e>(
+    selector: &EngineSelector<'_>,
+    engines: &'e [Engine],
+    needs: &StreamNeeds,
+) -> Option<&'e Engine> {
+    let decode = selector.choose_decode(engines, Stage::Decode, needs);
+    decode.or_else(|| selector.choose_decode(engines, Stage::Whole, needs))
 }
--- a/src/ops/relay/rank.rs
+++ b/src/ops/relay/rank.rs
@@ -105,9 +105,10 @@
 
     /// Whether the engine that is to generate the answer after this prefill is filled to less than `part` of its slots.
     fn has_slot(&self, plan: &PrefillPlan, part: f64) -> bool {
+        let needs = self.stream_needs(part, plan.total_time);
         let free = self.select(|selector, engines| {
             let engine = match plan.engine.entry.stage {
-                Stage::Prefill => decode_engine(selector, engines)?,
+                Stage::Prefill => decode_engine(selector, engines, &needs)?,
                 Stage::Decode | Stage::Whole => &plan.engine,
             };
             (!selector.is_full(engine, part)).then_some(())
--- a/tests/testsuite/relay/rank.rs
+++ b/tests/testsuite/relay/rank.rs
@@ -24,6 +24,7 @@
 use sequoiastream_core::relay::routes::Route;
 use sequoiastream_core::relay::routes::RouteKind;
 use sequoiastream_core::relay::routes::RoutingTable;
+use sequoiastream_core::relay::stream_needs::StreamNeeds;
 use sequoiastream_core::time::Time;
 use tokio::sync::Notify;
 
@@ -248,7 +249,7 @@
                 tie_breaker: number,
             };
             let engine = selector
-                .choose_decode(&engines, Stage::Decode)
+                .choose_decode(&engines, Stage::Decode, &StreamNeeds::default())
                 .expect("an engine");
             let is_served = !selector.is_full(engine, part(priority));
             let is_delayed = selector.is_full(engine, 1.0);
