Hedges: a slow call for a prefill is made at a second engine as well

Streams with a long prompt wait for the engine that computes its prefill. One that hangs or stalls was replaced only after first_token_timeout, 500 ms at least, which is above the latency targets.

The first result is used and the connection to the other engine is closed; if one call fails, the other goes on. Limiter, share of the budget, denials and metrics are those of other hedges; the field `call` of event 414 tells them apart. The second call takes its extra attempt before it is sent, also if the first one is still connecting.

Tests: the percentile, the target, the arrivals, and instances whose engines hang, fail, answer late or are at the limits; without the ratio the engine is replaced as before. HedgeCandidate has the expected time instead of the route's latency, of which only the median was used; the tests that build one follow, with the same values. That a second result which arrives at the same time is freed has no test.

--- a/crates/core/src/relay/arrivals.rs
+++ b/crates/core/src/relay/arrivals.rs
@@ -60,6 +60,13 @@
         self.due(1 + u32::from(self.prefilled))
     }
 
+    /// As [`Self::due_for_prefill`], for a call beside one that was begun at `before` and has no result yet. That one may
+    /// still be connecting, so that its send is not counted.
+    pub fn due_for_second_prefill(&self, before: Arrivals) -> u32 {
+        let is_pending = self.counted == before.counted;
+        self.due(1 + u32::from(self.prefilled) + u32::from(is_pending))
+    }
+
     fn due(&self, arrivals: u32) -> u32 {
         let extras = (self.counted + arrivals).saturating_sub(1);
         extras.saturating_sub(self.taken)
--- a/crates/core/src/relay/hedging.rs
+++ b/crates/core/src/relay/hedging.rs
@@ -2,7 +2,8 @@
 //! two answers is used.
 //!
 //! Guards against a request that is late because its one engine is briefly slow, although other engines have free slots.
-//! Only requests that may run more than once are hedged. [`LatencyTracker`] says what is unusually long on a route,
+//! Only requests that may run more than once are hedged, and calls for prefills on each route. [`LatencyTracker`] says
+//! what is unusually long on a route, [`PrefillTracker`] for a prefill,
 //! [`HedgeLimiter`] limits the extra work, and [`decide`] checks the conditions. [`LostRaces`] recognises an engine that
 //! has become silent: its requests are answered by others before it would be noticed.
 
@@ -13,7 +14,10 @@
 use crate::relay::budget::RetryBudget;
 use crate::relay::engines::Engine;
 use crate::relay::engines::EngineKey;
+use crate::relay::engines::Stage;
 use crate::relay::placement::EngineSelector;
+use crate::relay::placement::PrefillPlan;
+use crate::relay::prompt::Prompt;
 use crate::relay::routes::Route;
 use crate::relay::routes::RouteKind;
 use crate::relay::routes::RoutingTable;
@@ -56,17 +60,17 @@
     pub slow: Duration,
 }
 
-/// The recent answers on one route.
+/// What was measured of recent answers: their latencies, or their ratios to the latencies that were predicted.
 #[derive(Debug, Clone, Default)]
-struct Answers {
+struct Answers<T> {
     /// Oldest first.
-    recent: VecDeque<(Time, Duration)>,
-    /// The latencies of `recent`, in ascending order.
-    sorted: Vec<Duration>,
+    recent: VecDeque<(Time, T)>,
+    /// The values of `recent`, in ascending order.
+    sorted: Vec<T>,
 }
 
-impl Answers {
-    fn add(&mut self, now: Time, took: Duration) {
+impl<T: Copy + PartialOrd> Answers<T> {
+    fn add(&mut self, now: Time, took: T) {
         if self.recent.len() == MAX_ANSWERS {
             self.remove_oldest();
         }
@@ -76,8 +80,7 @@
     }
 
     fn expire(&mut self, now: Time) {
-        let is_expired =
-            |oldest: Option<&(Time, Duration)>| oldest.is_some_and(|(at, _)| now.since(*at) > MAX_AGE);
+        let is_expired = |oldest: Option<&(Time, T)>| oldest.is_some_and(|(at, _)| now.since(*at) > MAX_AGE);
         while is_expired(self.recent.front()) {
             self.remove_oldest();
         }
@@ -90,15 +93,18 @@
         }
     }
 
-    fn quantile(&self, quantile: f64) -> Option<Duration> {
+    /// `None` if there are too few answers.
+    fn quantile(&self, quantile: f64) -> Option<T> {
+        if self.sorted.len() < MIN_ANSWERS {
+            return None;
+        }
         let rank = (quantile * self.sorted.len() as f64).ceil() as usize;
         self.sorted.get(rank.saturating_sub(1)).copied()
     }
+}
 
+impl Answers<Duration> {
     fn latency(&self) -> Option<RouteLatency> {
-        if self.sorted.len() < MIN_ANSWERS {
-            return None;
-        }
         Some(RouteLatency {
             median: self.quantile(0.5)?,
             slow: self.quantile(SLOW_QUANTILE)?,
@@ -106,9 +112,36 @@
     }
 }
 
+/// Answers by the name of a route or service.
+#[derive(Debug, Clone, Default)]
+struct AnswersByName<T>(BTreeMap<String, Answers<T>>);
+
+impl<T: Copy + Default + PartialOrd> AnswersByName<T> {
+    fn add(&mut self, now: Time, name: &str, took: T) {
+        if !self.0.contains_key(name) {
+            // Forgets names that are no longer used, so that the memory is bounded by those in use.
+            self.0.retain(|_, answers| {
+                answers.expire(now);
+                !answers.recent.is_empty()
+            });
+            self.0.insert(name.to_string(), Answers::default());
+        }
+        if let Some(answers) = self.0.get_mut(name) {
+            answers.expire(now);
+            answers.add(now, took);
+        }
+    }
+
+    fn get(&mut self, now: Time, name: &str) -> Option<&Answers<T>> {
+        let answers = self.0.get_mut(name)?;
+        answers.expire(now);
+        Some(answers)
+    }
+}
+
 /// Latency of the recent answers of each route at this instance.
 #[derive(Debug, Clone, Default)]
-pub struct LatencyTracker(BTreeMap<String, Answers>);
+pub struct LatencyTracker(AnswersByName<Duration>);
 
 impl LatencyTracker {
     /// No answers.
@@ -122,25 +155,44 @@
     /// Guards against a percentile that falls with each hedge: if the slow answers that a hedge replaces were left out, the
     /// slowest of the others would be hedged next.
     pub fn on_answer(&mut self, now: Time, route: &str, took: Duration) {
-        if !self.0.contains_key(route) {
-            // Forgets routes that are no longer used, so that the memory is bounded by the routes in use.
-            self.0.retain(|_, answers| {
-                answers.expire(now);
-                !answers.recent.is_empty()
-            });
-            self.0.insert(route.to_string(), Answers::default());
-        }
-        if let Some(answers) = self.0.get_mut(route) {
-            answers.expire(now);
-            answers.add(now, took);
-        }
+        self.0.add(now, route, took);
     }
 
     /// Latency of a route; `None` if there were too few answers recently.
     pub fn latency(&mut self, now: Time, route: &str) -> Option<RouteLatency> {
-        let answers = self.0.get_mut(route)?;
-        answers.expire(now);
-        answers.latency()
+        self.0.get(now, route)?.latency()
+    }
+}
+
+/// Ratio of the time that recent calls for a prefill took to the time predicted for them, for each service at this
+/// instance. The prediction depends on the prompt and the engine, so that prompts of all lengths can be compared.
+#[derive(Debug, Clone, Default)]
+pub struct PrefillTracker(AnswersByName<f64>);
+
+impl PrefillTracker {
+    /// No calls.
+    pub fn new() -> PrefillTracker {
+        PrefillTracker::default()
+    }
+
+    /// Records that a call for a prefill took this long until its result, or until its connection was closed because the
+    /// engine was silent or another one delivered first.
+    ///
+    /// Calls for which a queue was predicted don't count: the queue depends on the reports of peers, and the percentile
+    /// would be that of their delay.
+    pub fn on_prefill(&mut self, now: Time, plan: &PrefillPlan, took: Duration) {
+        let predicted = plan.total_time.as_secs_f64();
+        if plan.queue_time.is_zero() && predicted > 0.0 {
+            let service = &plan.engine.entry.service;
+            self.0.add(now, service, took.as_secs_f64() / predicted);
+        }
+    }
+
+    /// Time after which a call for a prefill counts as unusually slow; `None` if the service had too few calls recently.
+    pub fn slow_after(&mut self, now: Time, plan: &PrefillPlan) -> Option<Duration> {
+        let answers = self.0.get(now, &plan.engine.entry.service)?;
+        let ratio = answers.quantile(SLOW_QUANTILE)?;
+        Duration::try_from_secs_f64(plan.total_time.as_secs_f64() * ratio).ok()
     }
 }
 
@@ -250,6 +302,8 @@
 pub struct Hedging {
     /// Latency of the recent answers.
     pub latencies: LatencyTracker,
+    /// Duration of the recent calls for prefills.
+    pub prefills: PrefillTracker,
     /// Limit on hedges.
     pub limiter: HedgeLimiter,
     /// Hedges that engines lost.
@@ -261,6 +315,7 @@
     pub fn new(limits: HedgeLimits) -> Hedging {
         Hedging {
             latencies: LatencyTracker::new(),
+            prefills: PrefillTracker::new(),
             limiter: HedgeLimiter::new(limits),
             races: LostRaces::default(),
         }
@@ -301,23 +356,23 @@
     }
 }
 
-/// What is known of a request whose engine takes unusually long.
+/// What is known of a request, or a call for its prefill, whose engine takes unusually long.
 #[derive(Debug, Clone)]
-pub struct HedgeCandidate<'a> {
+pub struct HedgeCandidate<'a, S = Engine> {
     /// The service chosen at its arrival.
     pub service: &'a str,
-    /// Latency of its route.
-    pub latency: RouteLatency,
+    /// Time that another engine is expected to take.
+    pub expected: Duration,
     /// Time until it expires.
     pub left: Duration,
     /// Whether its route allows another attempt beside the running one.
     pub has_attempts: bool,
-    /// Whether the current configuration leads it to its service, see [`leads_to`].
+    /// Whether the current configuration leads it to its service, see [`leads_to`] and [`leads_prefill_to`].
     pub is_current: bool,
     /// Whether it, or a part of its prompt, may have crashed an engine.
     pub is_suspect: bool,
-    /// The engine that would be sent it, see [`second_engine`].
-    pub second: Option<Engine>,
+    /// The engine that would be sent it, see [`second_engine`] and [`second_prefill`].
+    pub second: Option<S>,
 }
 
 /// Returns the second engine for a request, or the reason for not hedging. Nothing is counted.
@@ -325,12 +380,12 @@
 /// # Errors
 ///
 /// [`Denial`] if a condition doesn't hold.
-pub fn decide(
+pub fn decide<S>(
     now: Time,
-    candidate: HedgeCandidate<'_>,
+    candidate: HedgeCandidate<'_, S>,
     limiter: &mut HedgeLimiter,
     budget: &mut RetryBudget,
-) -> Result<Engine, Denial> {
+) -> Result<S, Denial> {
     if !candidate.has_attempts {
         return Err(Denial::Attempts);
     }
@@ -340,7 +395,7 @@
     if candidate.is_suspect {
         return Err(Denial::Suspect);
     }
-    if candidate.left < candidate.latency.median {
+    if candidate.left < candidate.expected {
         return Err(Denial::Time);
     }
     let second = candidate.second.ok_or(Denial::Overload)?;
@@ -381,13 +436,42 @@
     selector.least_loaded(&preferred).cloned()
 }
 
+/// Returns the engine that computes a prefill beside `first`, which has had the call for `waited`: the best one by
+/// [`EngineSelector::choose_prefill`] that is healthy and on another machine. `None` if its queue is as long as the wait.
+pub fn second_prefill(
+    selector: &EngineSelector<'_>,
+    engines: &[Engine],
+    prompt: &Prompt,
+    first: &Engine,
+    waited: Duration,
+) -> Option<PrefillPlan> {
+    let mut tried = selector.tried.to_vec();
+    tried.push(first.key);
+    let selector = EngineSelector {
+        tried: &tried,
+        ..*selector
+    };
+    let is_eligible = |e: &&Engine| {
+        e.entry.address.ip() != first.entry.address.ip() && !selector.loads.is_avoided(selector.now, e.key)
+    };
+    let eligible: Vec<Engine> = engines.iter().filter(is_eligible).cloned().collect();
+    let plan = selector.choose_prefill(&eligible, Stage::Prefill, prompt)?;
+    (plan.queue_time < waited).then_some(plan)
+}
+
 /// Whether a configuration leads the requests of `route` with this path to `service`, and lets them run more than once.
 pub fn leads_to(table: &RoutingTable, route: &Route, path: &str, service: &str) -> bool {
-    let leads = |current: &Route| {
-        let mut targets = current.targets.iter();
-        is_eligible(current.kind) && targets.any(|target| target.service == service && target.weight > 0)
-    };
-    table
-        .find(&route.host, path)
-        .is_some_and(|current| leads(&current))
+    let current = table.find(&route.host, path);
+    current.is_some_and(|current| is_eligible(current.kind) && has_target(&current, service))
+}
+
+/// As [`leads_to`], for calls for a prefill, which may be repeated on each route.
+pub fn leads_prefill_to(table: &RoutingTable, route: &Route, path: &str, service: &str) -> bool {
+    let current = table.find(&route.host, path);
+    current.is_some_and(|current| has_target(&current, service))
+}
+
+fn has_target(route: &Route, service: &str) -> bool {
+    let mut targets = route.targets.iter();
+    targets.any(|target| target.service == service && target.weight > 0)
 }
--- a/src/ops/relay/hedge.rs
+++ b/src/ops/relay/hedge.rs
@@ -35,6 +35,8 @@
     is_enabled: bool,
     /// Whether it may still be considered.
     is_open: bool,
+    /// Whether a call for its prefill may still be considered.
+    is_prefill_open: bool,
 }
 
 impl HedgeState {
@@ -44,6 +46,7 @@
         HedgeState {
             is_enabled,
             is_open: is_enabled && hedging::is_eligible(kind),
+            is_prefill_open: is_enabled,
         }
     }
 
@@ -56,6 +59,17 @@
     pub(super) fn close(&mut self) {
         self.is_open = false;
     }
+
+    /// Whether a call for the prefill of the request may be hedged.
+    pub(super) fn is_prefill_open(self) -> bool {
+        self.is_prefill_open
+    }
+
+    /// Excludes the calls for the prefill of the request, and the request itself, from hedging from now on.
+    pub(super) fn close_prefill(&mut self) {
+        self.is_prefill_open = false;
+        self.is_open = false;
+    }
 }
 
 /// What ended the wait for two engines.
@@ -133,7 +147,7 @@
         let mut traffic = self.shared.traffic();
         let candidate = HedgeCandidate {
             service,
-            latency,
+            expected: latency.median,
             left: self.incoming.time_left(),
             has_attempts: self.attempts.allows_another(),
             is_current: hedging::leads_to(&table, &self.route, self.incoming.uri.path(), service),
@@ -220,7 +234,8 @@
             self.pool.put(engine.entry.address, channel);
             return Ok(None);
         }
-        self.on_hedge_sent(first, &engine);
+        let waited = clock::now().since(first.sent_at());
+        self.on_hedge_sent(first.engine(), &engine, waited, "send");
         let parts = AttemptParts {
             shared: self.shared.clone(),
             pool: self.pool.clone(),
@@ -248,12 +263,12 @@
         model.busy_time(PrefillWork::new(prompt, prompt.input)) * DECODE_PREFILL_SLOWDOWN
     }
 
-    fn on_hedge_sent(&self, first: &ActiveAttempt, second: &Engine) {
-        let waited = clock::now().since(first.sent_at());
+    /// Records that an engine is sent the request, or a call for its prefill, beside the one that has had it for `waited`.
+    pub(super) fn on_hedge_sent(&self, first: &Engine, second: &Engine, waited: Duration, call: &str) {
         self.shared.metrics.count_hedge("sent");
         log_event!(info, log_event::HEDGED, request = self.id(), route = %self.route.name,
-            from = %first.engine().entry.id, to = %second.entry.id, waited = waited.as_millis() as u64,
-            left = self.incoming.time_left().as_millis() as u64);
+            from = %first.entry.id, to = %second.entry.id, waited = waited.as_millis() as u64,
+            left = self.incoming.time_left().as_millis() as u64, call);
     }
 
     /// Waits until one of two engines delivers, fails, or has been silent for too long, and ends one of the two attempts.
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -7,7 +7,7 @@
 //! lease of the leader, the one instance that calls the cloud API for all through `cloud`: `usage` reports the usage,
 //! `scaling` orders engines. These tasks publish a view that the traffic thread reads: [`server`] accepts requests,
 //! `head` parses their heads, [`forward`] takes each to its final answer, `deliver` makes attempts until an engine delivers,
-//! `attempt` is one of them, `hedge` makes two at a time, `retries` decides what follows each, `pick` chooses engines, `job` counts what they are given, `versions` keeps each stream at the version that began it, [`connect`] connects to them, `reading` has prefills computed, `prefilled` holds their results, [`stream`] passes events on, `idle` closes
+//! `attempt` is one of them, `hedge` makes two at a time, `hedge_prefill` does so with calls for prefills, `retries` decides what follows each, `pick` chooses engines, `job` counts what they are given, `versions` keeps each stream at the version that began it, [`connect`] connects to them, `reading` has prefills computed, `prefilled` holds their results, [`stream`] passes events on, `idle` closes
 //! connections that are no longer used and probes detached engines. `gauges` sets the gauges on the page of metrics.
 
 mod attempt;
@@ -21,6 +21,7 @@
 mod gauges;
 mod head;
 mod hedge;
+mod hedge_prefill;
 mod idle;
 mod job;
 pub mod known;
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use sequoiastream_core::attempt::End;
+use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::placement::PrefillPlan;
 use sequoiastream_core::retry;
+use sequoiastream_core::time::Time;
+use sequoiastream_upstream::channel::Pool;
 use tokio::time::timeout;
 
 use crate::ops::relay::connect;
@@ -16,8 +19,10 @@
 use crate::ops::relay::reply::Reply;
 use crate::ops::relay::send::AttemptFailure;
 use crate::ops::relay::send::AttemptOptions;
+use crate::ops::relay::send::IncomingRequest;
 use crate::ops::relay::send::MAX_ANSWER_BYTES;
 use crate::ops::relay::send::send;
+use crate::ops::relay::shared::Shared;
 use crate::util::clock;
 
 /// Maximum number of engines that are asked to compute a prefill, one after the other.
@@ -68,14 +73,16 @@
             let may_repeat = attempt + 1 < MAX_PREFILL_ATTEMPTS;
             let attempt_timeout =
                 may_repeat.then(|| retry::first_token_timeout(self.incoming.time_left(), plan.total_time, 0));
-            match self.prefill_at(&plan, attempt_timeout).await {
-                Ok(()) => return Ok(()),
-                Err(failure) => {
-                    self.log_failure(&plan.engine, &failure, "prefill");
-                    self.record_end(&plan.engine, failure.end);
-                    self.check_crash(&plan.engine, failure.end);
-                    self.tried.push(plan.engine.key);
+            let result = match self.prefill_hedge_delay(&plan) {
+                Some(delay) => self.prefill_hedged(plan, attempt_timeout, delay).await,
+                None => {
+                    let result = self.prefill_at(&plan, attempt_timeout).await;
+                    result.map_err(|failure| (Box::new(plan.engine), failure))
                 }
+            };
+            match result {
+                Ok(()) => return Ok(()),
+                Err((engine, failure)) => self.on_prefill_failure(&engine, &failure),
             }
             if self.incoming.time_left().is_zero() {
                 break;
@@ -96,7 +103,7 @@
         })
     }
 
-    pub(super) async fn prefill_at(
+    async fn prefill_at(
         &mut self,
         plan: &PrefillPlan,
         attempt_timeout: Option<Duration>,
@@ -104,7 +111,14 @@
         self.record_prefill_sent(plan);
         let _job = self.begin_job(&plan.engine, plan.busy_time);
         let started = clock::now();
-        let name = self.call_prefill(plan, attempt_timeout).await?;
+        let result = call_prefill(&self.shared, &self.pool, &self.incoming, plan, attempt_timeout).await;
+        self.record_prefill_time(plan, started, &result);
+        self.on_prefilled(plan, started, result?);
+        Ok(())
+    }
+
+    /// Records that an engine holds the result of the prefill as `name`.
+    pub(super) fn on_prefilled(&mut self, plan: &PrefillPlan, started: Time, name: String) {
         let now = clock::now();
         let mut ledger = self.shared.traffic();
         ledger.load.on_attempt_end(now, plan.engine.key, End::Answered);
@@ -113,48 +127,14 @@
         self.prefilled_at = Some(now);
         let (shared, pool) = (self.shared.clone(), self.pool.clone());
         self.prefilled = Some(PrefilledPrompt::new(shared, pool, plan.engine.clone(), name));
-        Ok(())
     }
 
-    pub(super) async fn call_prefill(
-        &self,
-        plan: &PrefillPlan,
-        attempt_timeout: Option<Duration>,
-    ) -> Result<String, AttemptFailure> {
-        let engine = &plan.engine;
-        let options = AttemptOptions {
-            prefill: true,
-            fetch_from: plan.fetch_from,
-            ..AttemptOptions::default()
-        };
-        let channel = connect::for_request(&self.shared, &self.pool, &self.incoming, engine).await?;
-        let left = self.incoming.time_left();
-        let limit = attempt_timeout.map_or(left, |attempt_timeout| attempt_timeout.min(left));
-        let answer = timeout(
-            limit,
-            send(
-                &self.shared,
-                &self.pool,
-                &self.incoming,
-                engine,
-                channel,
-                &options,
-            ),
-        )
-        .await;
-        let mut answer =
-            answer.map_err(|_| AttemptFailure::new(End::Silent, "no answer within the time limit"))??;
-        let status = answer.head.status;
-        let body = answer.read(MAX_ANSWER_BYTES, self.incoming.time_left()).await?;
-        self.pool.keep(engine.entry.address, answer);
-        if !status.is_success() {
-            return Err(AttemptFailure::new(
-                End::Failed,
-                format!("prefill answered with status {status}"),
-            ));
-        }
-        let prefilled = self.shared.translate.prefilled_name(&body);
-        prefilled.map_err(|e| AttemptFailure::new(End::Broken, e))
+    /// Records that a call for a prefill failed.
+    pub(super) fn on_prefill_failure(&mut self, engine: &Engine, failure: &AttemptFailure) {
+        self.log_failure(engine, failure, "prefill");
+        self.record_end(engine, failure.end);
+        self.check_crash(engine, failure.end);
+        self.tried.push(engine.key);
     }
 
     /// Whether a request whose first event is expected after `expected` would be too late; if so, records this as the
@@ -184,3 +164,36 @@
             || passed + expected <= self.route.latency_target.mul_f64(ON_TIME_PART)
     }
 }
+
+/// Has the prefill of `incoming` computed according to `plan`. Returns the name of the result.
+pub(super) async fn call_prefill(
+    shared: &Shared,
+    pool: &Pool,
+    incoming: &IncomingRequest,
+    plan: &PrefillPlan,
+    attempt_timeout: Option<Duration>,
+) -> Result<String, AttemptFailure> {
+    let engine = &plan.engine;
+    let options = AttemptOptions {
+        prefill: true,
+        fetch_from: plan.fetch_from,
+        ..AttemptOptions::default()
+    };
+    let channel = connect::for_request(shared, pool, incoming, engine).await?;
+    let left = incoming.time_left();
+    let limit = attempt_timeout.map_or(left, |attempt_timeout| attempt_timeout.min(left));
+    let answer = timeout(limit, send(shared, pool, incoming, engine, channel, &options)).await;
+    let mut answer =
+        answer.map_err(|_| AttemptFailure::new(End::Silent, "no answer within the time limit"))??;
+    let status = answer.head.status;
+    let body = answer.read(MAX_ANSWER_BYTES, incoming.time_left()).await?;
+    pool.keep(engine.entry.address, answer);
+    if !status.is_success() {
+        return Err(AttemptFailure::new(
+            End::Failed,
+            format!("prefill answered with status {status}"),
+        ));
+    }
+    let prefilled = shared.translate.prefilled_name(&body);
+    prefilled.map_err(|e| AttemptFailure::new(End::Broken, e))
+}
--- a/src/ops/relay/retries.rs
+++ b/src/ops/relay/retries.rs
@@ -215,6 +215,11 @@
         self.take_extra_attempts(self.incoming.arrivals.get().due_for_prefill())
     }
 
+    /// As [`Self::cover_prefill`], for a call beside one that was begun at `before`.
+    pub(super) fn cover_second_prefill(&self, before: Arrivals) -> bool {
+        self.take_extra_attempts(self.incoming.arrivals.get().due_for_second_prefill(before))
+    }
+
     fn take_extra_attempts(&self, count: u32) -> bool {
         (0..count).all(|_| self.take_extra_attempt())
     }
--- a/tests/testsuite/relay/arrivals.rs
+++ b/tests/testsuite/relay/arrivals.rs
@@ -73,3 +73,31 @@
     arrivals.on_send();
     assert_eq!((arrivals.due_for_request(), arrivals.due_for_prefill()), (1, 2));
 }
+
+/// Guards against extra arrivals that were not taken from the budget, of two calls for a prefill that run at the same
+/// time: the first one may still be connecting when the second one is decided.
+#[test]
+fn take_for_two_prefills() {
+    for is_sent in [true, false] {
+        for accepted in 0..=2 {
+            let before = Arrivals::default();
+            let mut arrivals = before;
+            if is_sent {
+                arrivals.on_send();
+            }
+            let mut taken = arrivals.due_for_second_prefill(before);
+            assert_eq!(taken, 1);
+            arrivals.on_taken();
+            (0..2 - u32::from(is_sent)).for_each(|_| {
+                arrivals.on_send();
+            });
+            (0..accepted).for_each(|_| {
+                arrivals.on_prefilled();
+            });
+            taken += arrivals.due_for_request();
+            // Two calls and the request are three arrivals. The first one is free, and so is an accepted call.
+            let extras = if accepted == 0 { 2 } else { 1 };
+            assert_eq!(taken, extras, "{is_sent} {accepted}");
+        }
+    }
+}
--- a/tests/testsuite/relay/hedging/instances.rs
+++ b/tests/testsuite/relay/hedging/instances.rs
@@ -96,7 +96,7 @@
 }
 
 /// The hedges on the page of metrics, such as `sent 1`.
-async fn hedges(instance: &Instance) -> Vec<String> {
+pub(super) async fn hedges(instance: &Instance) -> Vec<String> {
     let samples = samples(instance, &[HEDGES]).await;
     let mut values: Vec<String> = samples
         .iter()
@@ -107,7 +107,7 @@
 }
 
 /// Waits until the page of metrics shows `value` among the hedges.
-async fn wait_for_hedge(instance: &Instance, value: &str) {
+pub(super) async fn wait_for_hedge(instance: &Instance, value: &str) {
     let wait = async {
         while !hedges(instance).await.iter().any(|shown| shown == value) {
             tokio::task::yield_now().await;
--- a/tests/testsuite/relay/hedging/load.rs
+++ b/tests/testsuite/relay/hedging/load.rs
@@ -196,7 +196,7 @@
         let latency = self.hedging.latencies.latency(now, "r").expect("known latency");
         let candidate = HedgeCandidate {
             service: "chat",
-            latency,
+            expected: latency.median,
             left: Duration::from_secs(5),
             has_attempts: true,
             is_current: true,
--- a/tests/testsuite/relay/hedging/mod.rs
+++ b/tests/testsuite/relay/hedging/mod.rs
@@ -2,6 +2,7 @@
 
 mod instances;
 mod load;
+mod prefills;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -253,10 +254,7 @@
 fn candidate() -> HedgeCandidate<'static> {
     HedgeCandidate {
         service: "s",
-        latency: RouteLatency {
-            median: millis(20),
-            slow: millis(50),
-        },
+        expected: millis(20),
         left: millis(20),
         has_attempts: true,
         is_current: true,
