Hedges: calls of a route with few answers use those of its service

An instance of a large fleet gets less than one idempotent call a second, over several routes, and a route's percentile is known only after 30 answers within two minutes.

A route of calls that has fewer uses the answers of all routes to the same service that are not streams, those that run at most once included: the same engines answer them. Streams have no substitute.

Tests: the tracker, an instance whose route had no answers, and which answers count.

--- a/crates/core/src/relay/hedging.rs
+++ b/crates/core/src/relay/hedging.rs
@@ -141,7 +141,11 @@
 
 /// Latency of the recent answers of each route at this instance.
 #[derive(Debug, Clone, Default)]
-pub struct LatencyTracker(AnswersByName<Duration>);
+pub struct LatencyTracker {
+    routes: AnswersByName<Duration>,
+    /// Answers that are not streams, of all routes to each service.
+    calls: AnswersByName<Duration>,
+}
 
 impl LatencyTracker {
     /// No answers.
@@ -155,12 +159,29 @@
     /// Guards against a percentile that falls with each hedge: if the slow answers that a hedge replaces were left out, the
     /// slowest of the others would be hedged next.
     pub fn on_answer(&mut self, now: Time, route: &str, took: Duration) {
-        self.0.add(now, route, took);
+        self.routes.add(now, route, took);
+    }
+
+    /// As [`Self::on_answer`], for an answer that is not a stream, by an engine of `service`: whether its request may run
+    /// more than once or not.
+    pub fn on_call(&mut self, now: Time, service: &str, took: Duration) {
+        self.calls.add(now, service, took);
     }
 
     /// Latency of a route; `None` if there were too few answers recently.
     pub fn latency(&mut self, now: Time, route: &str) -> Option<RouteLatency> {
-        self.0.get(now, route)?.latency()
+        self.routes.get(now, route)?.latency()
+    }
+
+    /// Latency of a route whose answers are not streams: its own, or that of all such routes to `service` if it had too
+    /// few answers recently.
+    ///
+    /// Guards against calls that are never hedged: in a large fleet an instance gets less than one call in four seconds on
+    /// a route, so that its own latency stays unknown. The same engines answer the calls of the other routes. Streams
+    /// don't count, since the time to their first event is another quantity.
+    pub fn call_latency(&mut self, now: Time, route: &str, service: &str) -> Option<RouteLatency> {
+        let own = self.latency(now, route);
+        own.or_else(|| self.calls.get(now, service)?.latency())
     }
 }
 
--- a/src/ops/relay/hedge.rs
+++ b/src/ops/relay/hedge.rs
@@ -99,18 +99,29 @@
     /// Records how long an engine has taken, if the answers on this route are tracked and this one is comparable: a
     /// separate prefill, or the events that were delivered before, would make it shorter.
     fn record_latency(&self, attempt: &ActiveAttempt) {
-        let is_whole = !self.answer_begun && self.prefilled_at.is_none();
-        if is_whole && hedging::is_eligible(self.route.kind) {
-            let now = clock::now();
-            let took = now.since(attempt.sent_at());
-            let mut traffic = self.shared.traffic();
-            traffic.hedging.latencies.on_answer(now, &self.route.name, took);
+        if self.answer_begun || self.prefilled_at.is_some() {
+            return;
+        }
+        let now = clock::now();
+        let took = now.since(attempt.sent_at());
+        let mut traffic = self.shared.traffic();
+        let latencies = &mut traffic.hedging.latencies;
+        if hedging::is_eligible(self.route.kind) {
+            latencies.on_answer(now, &self.route.name, took);
+        }
+        if !self.route.kind.is_stream() {
+            latencies.on_call(now, &attempt.engine().entry.service, took);
         }
     }
 
     fn route_latency(&self) -> Option<RouteLatency> {
+        let now = clock::now();
         let mut traffic = self.shared.traffic();
-        traffic.hedging.latencies.latency(clock::now(), &self.route.name)
+        let latencies = &mut traffic.hedging.latencies;
+        match self.route.kind.is_stream() {
+            true => latencies.latency(now, &self.route.name),
+            false => latencies.call_latency(now, &self.route.name, self.service.as_ref()?),
+        }
     }
 
     /// Time until `attempt` counts as unusually slow; `None` if the request is not hedged.
--- a/tests/testsuite/relay/hedging/instances.rs
+++ b/tests/testsuite/relay/hedging/instances.rs
@@ -175,6 +175,51 @@
     }
 }
 
+/// Guards against calls that are never hedged because their route had few answers at this instance, and against streams
+/// that are hedged by the latency of calls.
+#[actix_web::test]
+async fn calls_of_service() {
+    for kind in KINDS {
+        let slow = ScriptedEngine::start(|_, _| vec![Action::Hold]).await;
+        let quick = quick_engine(kind).await;
+        let engines = [(&slow, Stage::Whole), (&quick, Stage::Whole)];
+        let instance = Instance::start(kind, &engines, |route| route.name = "other".to_string());
+        enable(&instance, millis(1));
+        for _ in 0..40 {
+            let now = clock::now();
+            let mut traffic = instance.shared.traffic();
+            traffic.hedging.latencies.on_call(now, "chat", millis(1));
+        }
+        let got = instance.get("/r/x", "q1", "").await;
+        assert_eq!(status(&got), "200", "{kind:?} {got}");
+        let is_hedged = hedges(&instance).await == ["sent 1", "won 1"];
+        assert_eq!(is_hedged, kind == RouteKind::Idempotent, "{kind:?}");
+    }
+}
+
+/// Guards against answers that are left out: the calls that may run only once say as well how long a service takes.
+/// Streams say nothing about calls.
+#[actix_web::test]
+async fn calls_counted() {
+    for kind in [RouteKind::Idempotent, RouteKind::Once, RouteKind::Stream] {
+        let quick = quick_engine(kind).await;
+        let instance = Instance::start(kind, &[(&quick, Stage::Whole)], |_| {});
+        let mut options = (*instance.shared.reloadable()).clone();
+        options.hedge_ratio = 0.2;
+        instance.shared.reload(options);
+        for number in 0..30 {
+            let got = instance.get("/r/x", &format!("q{number}"), "").await;
+            assert_eq!(status(&got), "200", "{kind:?} {got}");
+        }
+        let mut traffic = instance.shared.traffic();
+        let latency = traffic
+            .hedging
+            .latencies
+            .call_latency(clock::now(), "other", "chat");
+        assert_eq!(latency.is_some(), !kind.is_stream(), "{kind:?}");
+    }
+}
+
 /// Guards against a second engine that goes on working after the first one has answered.
 #[actix_web::test]
 async fn first_delivers_first() {
--- a/tests/testsuite/relay/hedging/mod.rs
+++ b/tests/testsuite/relay/hedging/mod.rs
@@ -67,6 +67,25 @@
     assert_eq!(tracker(100).latency(Time::ZERO, "r"), Some(latency));
 }
 
+/// Guards against calls that are never hedged because their route has few of them, and against the answers of other
+/// routes or another service that count although there are enough of its own.
+#[test]
+fn latency_of_service() {
+    let mut tracker = tracker(29);
+    (0..29).for_each(|_| tracker.on_call(Time::ZERO, "s", millis(500)));
+    assert_eq!(tracker.call_latency(Time::ZERO, "r", "s"), None);
+    tracker.on_call(Time::ZERO, "s", millis(500));
+    let slow = |tracker: &mut LatencyTracker, service| {
+        let latency = tracker.call_latency(Time::ZERO, "r", service);
+        latency.map(|latency| latency.slow)
+    };
+    assert_eq!(slow(&mut tracker, "s"), Some(millis(500)));
+    assert_eq!(slow(&mut tracker, "other"), None);
+    assert_eq!(tracker.latency(Time::ZERO, "r"), None);
+    tracker.on_answer(Time::ZERO, "r", millis(30));
+    assert_eq!(slow(&mut tracker, "s"), Some(millis(29)));
+}
+
 /// Guards against a percentile of old answers: after the engines have become slower, each request would be hedged.
 #[test]
 fn latency_recent_only() {
