--- a/src/ops/relay/hedge_prefill.rs
+++ b/src/ops/relay/hedge_prefill.rs
@@ -110,10 +110,9 @@
         let second = self.select(|selector, engines| {
             hedging::second_prefill(selector, engines, prompt, &first.plan.engine, waited)
         });
-        let handover = self.handover().unwrap_or_default();
-        let expected = second
-            .as_ref()
-            .map_or(Duration::ZERO, |plan| plan.total_time + handover);
+        let expected = second.as_ref().map_or(Duration::ZERO, |plan| {
+            plan.total_time + self.handover(plan.total_time).unwrap_or_default()
+        });
         let table = self.shared.view.load().table.clone();
         let path = self.incoming.uri.path();
         let now = clock::now();
