--- a/tests/testsuite/relay/hedging/prefills.rs
+++ b/tests/testsuite/relay/hedging/prefills.rs
@@ -47,6 +47,7 @@
         model: "m".to_string(),
         input: 9_000,
         output: 2,
+        expected: None,
         parts: vec![part(1, 6_000), part(0, 3_000)],
     }
 }
