--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -115,7 +115,9 @@
         let service = route.service(draw).map(str::to_string);
         let hedge_ratio = shared.reloadable().hedge_ratio;
         let priority = incoming.priority.unwrap_or(route.priority);
-        let ranks = service.as_ref().and_then(|s| view.table.differing_ranks(s));
+        let by_priority = shared.reloadable().priority_admission;
+        let ranked = service.as_ref().filter(|_| by_priority);
+        let ranks = ranked.and_then(|s| view.table.differing_ranks(s));
         incoming.engine_priority = ranks.map(|_| engine_priority(priority));
         let is_return = ranks.is_some() && rank::is_return(&shared, &incoming, route.timeout);
         ForwardedRequest {
--- a/src/ops/relay/options.rs
+++ b/src/ops/relay/options.rs
@@ -91,6 +91,9 @@
     /// Maximum number of requests that are sent to a second engine because the first one is slow, for each request of a
     /// service, 0 to [`hedging::MAX_RATIO`]; 0 for none.
     pub hedge_ratio: f64,
+    /// Whether requests go before others by the priority of their routes: in the queues of engines, in the slots and queues
+    /// that less urgent ones leave to them, and in when refused callers return.
+    pub priority_admission: bool,
     /// Engines that are ordered beyond the predicted need, as a fraction of it. `None` orders the maximum.
     pub scale_headroom: Option<f64>,
     /// Time within which a change in the store must be applied at this instance.
--- a/src/ops/relay/rank.rs
+++ b/src/ops/relay/rank.rs
@@ -33,9 +33,11 @@
 const NO_SLOT: &str = "no slots are left for its priority";
 
 impl ForwardedRequest {
-    /// The priorities of the routes to the service, if they differ.
+    /// The priorities of the routes to the service, if they differ and the settings let requests go before others by them.
     fn ranks(&self) -> Option<&Ranks> {
-        self.view.table.differing_ranks(self.service.as_ref()?)
+        let is_enabled = self.shared.reloadable().priority_admission;
+        let service = self.service.as_ref().filter(|_| is_enabled)?;
+        self.view.table.differing_ranks(service)
     }
 
     /// As [`Self::ranks`], if one of them is more urgent than this request.
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -310,6 +310,7 @@
             },
             prefill_fraction: 0.5,
             hedge_ratio: 0.0,
+            priority_admission: true,
             scale_headroom: None,
             apply_limit: ApplyLimit(Duration::from_millis(400)),
             heartbeat: Duration::from_millis(100),
--- a/tests/testsuite/relay/rank.rs
+++ b/tests/testsuite/relay/rank.rs
@@ -111,6 +111,21 @@
     assert_eq!(priorities(&decoder), expected);
 }
 
+/// Guards against an effect of the priorities at deployments whose operators haven't set that they count.
+#[actix_web::test]
+async fn disabled_as_without_ranks() {
+    let engine = ScriptedEngine::start(|_, request| vec![stream(request)]).await;
+    let instance = start(routes([0, 2]), &[(&engine, Stage::Whole)]);
+    let mut options = (*instance.shared.reloadable()).clone();
+    options.priority_admission = false;
+    instance.shared.reload(options);
+    for path in ["/u/x", "/b/x"] {
+        let got = instance.get(path, "q1", "").await;
+        assert!(got.contains("token 1"), "{got}");
+    }
+    assert_eq!(priorities(&engine), [None, None]);
+}
+
 /// Guards against callers that choose their own priority, and against a change for services whose routes are alike.
 #[actix_web::test]
 async fn header_not_from_callers() {
