Tests: the test of unconfirmed data waits until the process is old enough

unconfirmed_not_404 failed in each run by itself (3 of 3): it set the last confirmation to 400 ms ago, and in a younger process that is the time 0, which is not too old yet. Among other tests the process was older.

--- a/tests/testsuite/relay/requests.rs
+++ b/tests/testsuite/relay/requests.rs
@@ -7,6 +7,7 @@
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::routes::RouteKind;
 use sequoiastream_core::relay::routes::Service;
+use sequoiastream_core::time::Time;
 
 use super::engine::Action;
 use super::engine::ScriptedEngine;
@@ -15,6 +16,7 @@
 use super::instance::Instance;
 use super::instance::get_request;
 use super::instance::status;
+use super::wait_until;
 
 async fn echo() -> ScriptedEngine {
     ScriptedEngine::start(|_, request| vec![answer(request, &request.body)]).await
@@ -154,6 +156,8 @@
 async fn unconfirmed_not_404() {
     let instance = Instance::start(RouteKind::Once, &[], |_| {});
     let limit = instance.shared.reloadable().apply_limit.0;
+    // The clock starts with the process, and no time is before its start.
+    wait_until(|| clock::now().since(Time::ZERO) > limit).await;
     instance.shared.on_store_answer(clock::now() - limit);
     let got = instance.get("/added/x", "q", "").await;
     assert_eq!(status(&got), "503");
