--- a/review/standin/src/base64.rs
+++ b/review/standin/src/base64.rs
@@ -5,10 +5,17 @@
 pub fn encode(bytes: &[u8]) -> String {
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let group = chunk.iter().fold(0u32, |group, byte| group << 8 | u32::from(*byte)) << (8 * (3 - chunk.len()));
+        let group = chunk
+            .iter()
+            .fold(0u32, |group, byte| group << 8 | u32::from(*byte))
+            << (8 * (3 - chunk.len()));
         for place in 0..4 {
             let index = (group >> (18 - 6 * place)) as usize & 63;
-            text.push(if place <= chunk.len() { ALPHABET[index] as char } else { '=' });
+            text.push(if place <= chunk.len() {
+                ALPHABET[index] as char
+            } else {
+                '='
+            });
         }
     }
     text
--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -123,7 +123,6 @@
         fs::write(&file, text)?;
         let process = spawn(&file)?;
         Ok(Instance {
-
             front: format!("{ip}:{front}").parse().expect("an address"),
             process,
         })
@@ -136,7 +135,10 @@
 }
 
 fn spawn(file: &Path) -> io::Result<Child> {
-    let log = File::options().create(true).append(true).open(file.with_extension("log"))?;
+    let log = File::options()
+        .create(true)
+        .append(true)
+        .open(file.with_extension("log"))?;
     Command::new(program()?)
         .env("SEQUOIASTREAM_CLUSTER_KEY", CLUSTER_KEY)
         .env("SEQUOIASTREAM_NODE_FILE", file)
@@ -163,7 +165,9 @@
     let path = PathBuf::from("target/release/sequoiastream-instance");
     match path.exists() {
         true => Ok(path),
-        false => Err(io::Error::other("target/release/sequoiastream-instance is missing: build as in deploy/system.toml")),
+        false => Err(io::Error::other(
+            "target/release/sequoiastream-instance is missing: build as in deploy/system.toml",
+        )),
     }
 }
 
--- a/review/standin/src/engine.rs
+++ b/review/standin/src/engine.rs
@@ -48,7 +48,14 @@
 
 impl Engine {
     /// Starts an engine and registers it. `handle` tells what comes of each request that it begins to run.
-    pub fn start<H>(ip: &str, id: &str, service: &str, zone: &str, store: &Store, handle: H) -> io::Result<Engine>
+    pub fn start<H>(
+        ip: &str,
+        id: &str,
+        service: &str,
+        zone: &str,
+        store: &Store,
+        handle: H,
+    ) -> io::Result<Engine>
     where
         H: Fn(&Message) -> Run + Send + Sync + 'static,
     {
@@ -63,7 +70,9 @@
             open: Mutex::default(),
         });
         thread::spawn(move || accept(listener, &served));
-        let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let born = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap_or_default();
         let entry = json!({
             "Service": service, "Address": address.to_string(), "Zone": zone, "Version": "v1", "Slots": 6,
             "State": "ready", "ColdRemainingMs": 0, "Seq": 1, "born": born.as_millis() as u64,
@@ -89,7 +98,9 @@
     while !served.has_ended.load(Ordering::SeqCst) {
         match listener.accept() {
             Ok((stream, _)) => {
-                let ready = stream.set_nonblocking(false).and_then(|()| stream.set_nodelay(true));
+                let ready = stream
+                    .set_nonblocking(false)
+                    .and_then(|()| stream.set_nodelay(true));
                 if let (Ok(()), Ok(copy)) = (ready, stream.try_clone()) {
                     served.open.lock().expect("the connections").push(copy);
                     let served = served.clone();
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -45,7 +45,9 @@
     pub fn query(&self, name: &str) -> String {
         let query = self.target().split_once('?').map_or("", |(_, query)| query);
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(n, _)| *n == name).map_or_else(String::new, |(_, value)| decode(value))
+        pairs
+            .find(|(n, _)| *n == name)
+            .map_or_else(String::new, |(_, value)| decode(value))
     }
 }
 
--- a/review/standin/src/leader.rs
+++ b/review/standin/src/leader.rs
@@ -69,10 +69,17 @@
     let mut engines = Vec::new();
     for (number, zone) in ["a", "b"].into_iter().enumerate() {
         let runs = runs.clone();
-        let engine = Engine::start(&platform, &format!("i-{number}"), "desk", zone, &store, move |_| {
-            runs.fetch_add(1, Ordering::Relaxed);
-            Run::Answer
-        })?;
+        let engine = Engine::start(
+            &platform,
+            &format!("i-{number}"),
+            "desk",
+            zone,
+            &store,
+            move |_| {
+                runs.fetch_add(1, Ordering::Relaxed);
+                Run::Answer
+            },
+        )?;
         engines.push(engine);
     }
     let is_armed = Arc::new(AtomicBool::new(false));
@@ -99,16 +106,21 @@
     });
     let callers: Vec<_> = callers.collect();
     // The first report of the first leader shows that the deployment works.
-    let works = wait_for(Duration::from_secs(30), || !calls.lock().expect("the calls").is_empty());
+    let works = wait_for(Duration::from_secs(30), || {
+        !calls.lock().expect("the calls").is_empty()
+    });
     if !works {
         return Err(io::Error::other("no leader reported the usage"));
     }
     is_armed.store(trouble, Ordering::SeqCst);
-    let is_cut = |links: &BTreeMap<String, Link>| links.values().find_map(|l| Some((l.machine.clone(), l.cut()?)));
+    let is_cut =
+        |links: &BTreeMap<String, Link>| links.values().find_map(|l| Some((l.machine.clone(), l.cut()?)));
     let left = || RUN_TIME.saturating_sub(record.now());
     if trouble {
         if !wait_for(left(), || is_cut(&links).is_some()) {
-            return Err(io::Error::other("no call was on its way as late after a renewal as is asked"));
+            return Err(io::Error::other(
+                "no call was on its way as late after a renewal as is asked",
+            ));
         }
         // Until the last retransmission and some more reports.
         thread::sleep(Duration::from_secs(14));
@@ -125,10 +137,17 @@
     let broken = violations(&calls.lock().expect("the calls"), cut.as_ref());
     if let Some((machine, cut)) = &cut {
         let at = |instant: Instant| instant.saturating_duration_since(record.started).as_secs_f64();
-        record.sum(format!("{machine} was cut off from the platform from {:.3} s to {:.3} s", at(cut.begun), at(cut.healed)));
+        record.sum(format!(
+            "{machine} was cut off from the platform from {:.3} s to {:.3} s",
+            at(cut.begun),
+            at(cut.healed)
+        ));
     }
     let outcomes = outcomes.lock().expect("the outcomes");
-    record.sum(format!("requests by status (0: no answer): {outcomes:?}; run by engines: {}", runs.load(Ordering::SeqCst)));
+    record.sum(format!(
+        "requests by status (0: no answer): {outcomes:?}; run by engines: {}",
+        runs.load(Ordering::SeqCst)
+    ));
     record.write(folder, &broken)?;
     if !running {
         return Err(io::Error::other("an instance has ended by itself"));
@@ -163,7 +182,10 @@
         let is_due = renewed.is_some_and(|at| at.elapsed() >= MIN_RENEWAL_AGE);
         if bytes.starts_with(b"POST /usage") && is_due && is_armed.swap(false, Ordering::SeqCst) {
             link.begin_cut(CUT_LENGTH);
-            record.note(format!("{} has sent a report; its link to the platform is cut", link.machine));
+            record.note(format!(
+                "{} has sent a report; its link to the platform is cut",
+                link.machine
+            ));
         }
     })
 }
@@ -183,7 +205,10 @@
                 fence: request.header("fencing-token").parse().unwrap_or_default(),
                 body: String::from_utf8_lossy(&request.body).into_owned(),
             };
-            record.note(format!("arrives: {} holder {} token {} {}", call.subject, call.holder, call.fence, call.body));
+            record.note(format!(
+                "arrives: {} holder {} token {} {}",
+                call.subject, call.holder, call.fence, call.body
+            ));
             calls.lock().expect("the calls").push(call);
             if http::write_answer(&mut stream, 200, &[], b"").is_err() {
                 return;
@@ -222,7 +247,12 @@
         if call.fence < seen.0 && !is_excused {
             broken.push(format!(
                 "ONE: {:.3} s: {} of {} has token {}, after token {} of {}",
-                call.at.as_secs_f64(), call.subject, call.holder, call.fence, seen.0, seen.1
+                call.at.as_secs_f64(),
+                call.subject,
+                call.holder,
+                call.fence,
+                seen.0,
+                seen.1
             ));
         }
         if call.fence >= seen.0 {
--- a/review/standin/src/poison.rs
+++ b/review/standin/src/poison.rs
@@ -112,8 +112,16 @@
     let begun = Instant::now();
     for number in 0..TRIES {
         let front = fronts[number % fronts.len()];
-        let status = send(front, &format!("{:016x}", 0xbad_0000 + number), CALLERS[0].1, BODY);
-        record.note(format!("t1 tries at instance {}: status {status}", number % fronts.len()));
+        let status = send(
+            front,
+            &format!("{:016x}", 0xbad_0000 + number),
+            CALLERS[0].1,
+            BODY,
+        );
+        record.note(format!(
+            "t1 tries at instance {}: status {status}",
+            number % fronts.len()
+        ));
         *answers.entry(status).or_default() += 1;
         let next = RETRY_INTERVAL * (number as u32 + 1);
         thread::sleep(next.saturating_sub(begun.elapsed()));
@@ -126,7 +134,10 @@
     drop(instances);
     let broken = violations(&seen, trouble, &record);
     record.sum(format!("answers to t1 by status (0: no answer): {answers:?}"));
-    record.sum(format!("answers to t2 by status (0: no answer): {:?}", outcomes.lock().expect("the outcomes")));
+    record.sum(format!(
+        "answers to t2 by status (0: no answer): {:?}",
+        outcomes.lock().expect("the outcomes")
+    ));
     record.write(folder, &broken)?;
     match running {
         true => Ok(broken.is_empty()),
@@ -166,7 +177,10 @@
             if request.header("tenant") != CALLERS[0].0 {
                 return Run::Answer;
             }
-            seen.arrivals.lock().expect("the arrivals").push((noted.now(), own.clone()));
+            seen.arrivals
+                .lock()
+                .expect("the arrivals")
+                .push((noted.now(), own.clone()));
             noted.note(format!("engine {own} begins to run the request of t1"));
             if trouble { Run::Crash } else { Run::Answer }
         };
@@ -201,7 +215,13 @@
 }
 
 /// Sends the requests of the other caller to one instance, until the run is over.
-fn call_on(number: usize, front: SocketAddr, body: &str, outcomes: &Mutex<BTreeMap<u16, u64>>, is_over: &AtomicBool) {
+fn call_on(
+    number: usize,
+    front: SocketAddr,
+    body: &str,
+    outcomes: &Mutex<BTreeMap<u16, u64>>,
+    is_over: &AtomicBool,
+) {
     let mut count = 0;
     while !is_over.load(Ordering::SeqCst) {
         count += 1;
@@ -216,18 +236,26 @@
 fn violations(seen: &Seen, trouble: bool, record: &Record) -> Vec<String> {
     let arrivals = seen.arrivals.lock().expect("the arrivals");
     let crashes = if trouble { arrivals.len() } else { 0 };
-    record.sum(format!("the request of t1 reached engines {} times and crashed {crashes}", arrivals.len()));
+    record.sum(format!(
+        "the request of t1 reached engines {} times and crashed {crashes}",
+        arrivals.len()
+    ));
     let Some((third, _)) = arrivals.get(2).filter(|_| trouble) else {
         return Vec::new();
     };
-    let late = arrivals.iter().filter(|(at, _)| *at > *third + STABLE_WINDOW).count();
+    let late = arrivals
+        .iter()
+        .filter(|(at, _)| *at > *third + STABLE_WINDOW)
+        .count();
     record.sum(format!(
         "third crash at {:.3} s; arrivals later than {:.1} s after it: {late}",
         third.as_secs_f64(),
         STABLE_WINDOW.as_secs_f64()
     ));
     match late > MAX_RETRIES {
-        true => vec![format!("BUDGET: {late} retries reached engines later than that, {MAX_RETRIES} are allowed")],
+        true => vec![format!(
+            "BUDGET: {late} retries reached engines later than that, {MAX_RETRIES} are allowed"
+        )],
         false => Vec::new(),
     }
 }
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -51,7 +51,8 @@
             created,
             lease,
         };
-        self.history.push((self.revision, key.to_string(), body(key, &item)));
+        self.history
+            .push((self.revision, key.to_string(), body(key, &item)));
         self.items.insert(key.to_string(), item);
     }
 
@@ -152,7 +153,9 @@
                 self.watch(&request.query("PathPrefix"), after, Duration::from_millis(wait))
             }
             ("POST", "/v1/kv-txn") => self.write(&serde_json::from_slice(&request.body).unwrap_or_default()),
-            ("POST", "/v1/kv-lease") => self.grant(&serde_json::from_slice(&request.body).unwrap_or_default()),
+            ("POST", "/v1/kv-lease") => {
+                self.grant(&serde_json::from_slice(&request.body).unwrap_or_default())
+            }
             ("POST", path) if path.starts_with("/v1/kv-keep/") => self.keep(number(path)),
             ("DELETE", path) if path.starts_with("/v1/kv-lease-end/") => {
                 let mut state = self.0.0.lock().expect("the state");
@@ -181,7 +184,10 @@
         let items = state.items.iter();
         let items = items.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
         let items: Vec<Value> = items.map(|(key, item)| body(key, item)).collect();
-        (200, json!({"items": items, "HasMore": false, "AsOf": state.revision}))
+        (
+            200,
+            json!({"items": items, "HasMore": false, "AsOf": state.revision}),
+        )
     }
 
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, Value) {
@@ -204,7 +210,10 @@
         let rows = |name: &str| call[name].as_array().cloned().unwrap_or_default();
         let text = |value: &Value| value.as_str().unwrap_or_default().to_string();
         let holds = |row: &Value| {
-            let known = state.items.get(&text(&row["Key"])).map_or(0, |item| item.revision);
+            let known = state
+                .items
+                .get(&text(&row["Key"]))
+                .map_or(0, |item| item.revision);
             row["Revision"].as_u64() == Some(known)
         };
         if !rows("Precondition").iter().all(holds) {
