Relay: log when a call of the leader is sent and when it is given up

Events 511 and 513 have neither the token nor the time of sending, and nothing says when a call was given up.

Event 519 cloud-sent and 520 cloud-abandoned have a number of the call, the token and, for 520, the age.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -153,6 +153,10 @@
     516 ENGINE_SLOW = "engine-slow";
     /// A lease of the leader was granted and can't be used: the store was restored since, or its revision is no token.
     518 LEASE_UNUSABLE = "lease-unusable";
+    /// The leader sends a call to the platform's API.
+    519 CLOUD_SENT = "cloud-sent";
+    /// The leader closed the connection of a call to the platform's API that had no complete answer.
+    520 CLOUD_ABANDONED = "cloud-abandoned";
     /// Claims can't be written because the key-value service is failing.
     600 CLAIMS_OUT = "claims-out";
     /// Claims can be written again.
--- a/src/ops/relay/cloud.rs
+++ b/src/ops/relay/cloud.rs
@@ -1,6 +1,8 @@
 //! Calls to the cloud API, which the leader makes for all instances.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,11 +10,15 @@
 use http::HeaderValue;
 use http::Method;
 use http::Request;
+use http::StatusCode;
 use http::header;
 use http_body_util::Full;
+use sequoiastream_core::log_event;
 use sequoiastream_upstream::channel::Channel;
+use sequoiastream_upstream::channel::ChannelError;
 use thiserror::Error;
 
+use crate::log_event;
 use crate::ops::relay::lead::Leadership;
 use crate::ops::relay::shared::Shared;
 use crate::util::clock;
@@ -46,6 +52,8 @@
     shared: Arc<Shared>,
     address: SocketAddr,
     leadership: Leadership,
+    /// Number of calls that were sent.
+    sent: Rc<Cell<u64>>,
 }
 
 impl CloudClient {
@@ -55,6 +63,7 @@
             shared,
             address,
             leadership,
+            sent: Rc::default(),
         }
     }
 
@@ -91,18 +100,25 @@
             .header(&names.fence, HeaderValue::from(fence))
             .body(Full::new(Bytes::from(body)))
             .map_err(|e| unanswered(&e))?;
-        let mut answer = channel
-            .send(request, ANSWER_TIMEOUT)
-            .await
-            .map_err(|e| unanswered(&e))?;
-        let status = answer.head.status;
-        answer
-            .read(MAX_ANSWER_BYTES, ANSWER_TIMEOUT)
-            .await
-            .map_err(|e| unanswered(&e))?;
+        let number = self.sent.get() + 1;
+        self.sent.set(number);
+        let sent = clock::now();
+        log_event!(info, log_event::CLOUD_SENT, number, path, fence);
+        let status = exchange(channel, request).await.map_err(|error| {
+            let age = clock::now().since(sent).as_millis() as u64;
+            log_event!(info, log_event::CLOUD_ABANDONED, number, path, fence, age, %error);
+            unanswered(&error)
+        })?;
         match status.is_success() {
             true => Ok(()),
             false => Err(CloudError::Refused(status.as_u16())),
         }
     }
 }
+
+/// Sends a request and reads the complete answer. Returns its status.
+async fn exchange(channel: Channel, request: Request<Full<Bytes>>) -> Result<StatusCode, ChannelError> {
+    let mut answer = channel.send(request, ANSWER_TIMEOUT).await?;
+    answer.read(MAX_ANSWER_BYTES, ANSWER_TIMEOUT).await?;
+    Ok(answer.head.status)
+}
