Relay: a call of the leader can't arrive after its lease has ended

The leader had sent the report when its link was cut for 5.5 s, gave it up after 4 s and closed the connection; the next leader reported; 0.7 s after the cut had healed, the kernel sent the report once more.

Cause: the limit on how long a call is on its way was a time-out of the future that waits for the answer. What it had handed to the kernel was sent again until it arrived, also after an orderly close, the end of the lease, and the end of the process. The design's "on its way for less than 3.9 s" was enforced by nothing; the time-out alone was longer.

upstream::delivery sets the socket up before anything is written: it is reset when closed, in whatever way the process ends, and the kernel stops sending after what is left of the lease. Before each write and every 100 ms it is checked that the lease still holds, by the clock that counts suspensions; otherwise the connection is reset. A renewal puts the end off, so that a slow API costs nothing, and a whole answer is read before the reset. POST /scale goes the same way.

Why this works: each byte is with the process, the kernel or the network. The first two let go of it at the end of the lease, and the next leader waits for another lease from then.

--- a/crates/core/src/authority/lease.rs
+++ b/crates/core/src/authority/lease.rs
@@ -44,6 +44,12 @@
         self.expires_at.is_some_and(|expires_at| now < expires_at)
     }
 
+    /// When the lease itself ends, after the margin in which the holder no longer acts on it; [`Time::ZERO`] if none is held.
+    pub fn ends_at(&self) -> Time {
+        self.expires_at
+            .map_or(Time::ZERO, |expires_at| expires_at + self.clock_margin)
+    }
+
     /// When the lease expires by the local view; [`Time::ZERO`] if none is held.
     pub fn expires_at(&self) -> Time {
         self.expires_at.unwrap_or(Time::ZERO)
--- a/crates/core/src/relay/leader_lease.rs
+++ b/crates/core/src/relay/leader_lease.rs
@@ -1,9 +1,10 @@
 //! Selects the instance that calls the platform's API on behalf of the fleet, and limits when it may.
 //!
 //! The leader is the holder of a lease in the store. The revision at which its record was created gives its fencing
-//! token: that of a later holder is higher, see [`Revision::token`]. The API may not check it, so a late call must be impossible, not just
-//! rejected: a holder counts its lease from when the renewal was sent and stops a margin before the lease ends, and a
-//! successor waits for the length of a lease before its first call.
+//! token: that of a later holder is higher, see [`Revision::token`]. The API may not check it, so a late call must be
+//! impossible, not just rejected: a holder counts its lease from when the renewal was sent, begins no call in a margin before
+//! the lease ends, and gives up each call that is on its way when it ends. A successor waits for the length of a lease before
+//! its first call.
 
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 /// Fraction of the lease after which it is renewed: a renewal may fail.
 const RENEW_FRACTION: f64 = 0.33;
 
-/// Fraction of the lease that a holder doesn't use: a call that it begins has been sent by then.
+/// Fraction of the lease, at its end, in which a holder begins no call: there is time for one that was begun before.
 const MARGIN_FRACTION: f64 = 0.3;
 
 /// Delay between the attempts of successive instances to acquire the lease: the store may reject the first ones.
@@ -37,6 +38,15 @@
     pub revision: Revision,
 }
 
+/// Permission for a call under the lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallPermit {
+    /// Fencing token of the call.
+    pub fence: u64,
+    /// When the lease ends unless it is renewed: the call must not arrive later.
+    pub until: Time,
+}
+
 /// The next call for the lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LeaseAction {
@@ -100,8 +110,8 @@
 
     /// Notes that the lease was acquired with this fencing token, by a grant sent at `sent`.
     ///
-    /// Guards against a last call of the former holder that is still on its way, also if this instance was the holder
-    /// before that one: no call is sent until the length of a lease has passed.
+    /// Guards against two holders that act alternately, and against a last call of the former holder that is delayed in the
+    /// network after it was sent for the last time: no call is sent until the length of a lease has passed.
     pub fn on_acquired(&mut self, now: Time, sent: Time, fence: u64) {
         self.belief.confirm(sent);
         self.held = Some((fence, now + self.lease));
@@ -137,4 +147,18 @@
         let (fence, from) = self.held?;
         (now >= from && self.belief.is_valid(now)).then_some(fence)
     }
+
+    /// Permission for a call that is sent now; `None` if none may be sent.
+    pub fn permit(&self, now: Time) -> Option<CallPermit> {
+        let fence = self.fence(now)?;
+        let until = self.belief.ends_at();
+        Some(CallPermit { fence, until })
+    }
+
+    /// Whether a call that was sent under `fence` may still arrive: this instance has not lost that lease, and it has not
+    /// ended.
+    pub fn is_valid(&self, now: Time, fence: u64) -> bool {
+        let is_same = self.held.is_some_and(|(held, _)| held == fence);
+        is_same && now < self.belief.ends_at()
+    }
 }
--- a/crates/upstream/src/channel.rs
+++ b/crates/upstream/src/channel.rs
@@ -123,15 +123,7 @@
     where
         P: FnOnce() -> bool,
     {
-        let unsent = |e: std::io::Error| match e.kind() {
-            ErrorKind::ConnectionRefused => ChannelError::Refused(e.to_string()),
-            _ => ChannelError::Unsent(e.to_string()),
-        };
-        let connected = timeout(limit, TcpStream::connect(address)).await;
-        let stream = connected
-            .map_err(|_| ChannelError::Unsent("no connection in time".to_string()))?
-            .map_err(unsent)?;
-        stream.set_nodelay(true).map_err(unsent)?;
+        let stream = open(address, limit).await?;
         if !permit() {
             let reason = "the request is no longer permitted";
             return Err(ChannelError::Unsent(reason.to_string()));
@@ -210,6 +202,24 @@
     }
 }
 
+/// Opens a TCP connection within `limit`.
+///
+/// # Errors
+///
+/// [`ChannelError::Refused`] or [`ChannelError::Unsent`] if none can be established.
+pub async fn open(address: SocketAddr, limit: Duration) -> Result<TcpStream, ChannelError> {
+    let unsent = |e: std::io::Error| match e.kind() {
+        ErrorKind::ConnectionRefused => ChannelError::Refused(e.to_string()),
+        _ => ChannelError::Unsent(e.to_string()),
+    };
+    let connected = timeout(limit, TcpStream::connect(address)).await;
+    let stream = connected
+        .map_err(|_| ChannelError::Unsent("no connection in time".to_string()))?
+        .map_err(unsent)?;
+    stream.set_nodelay(true).map_err(unsent)?;
+    Ok(stream)
+}
+
 /// How long the connection may be reused according to the answer's headers; zero if it may not be.
 fn reuse_period(headers: &HeaderMap) -> Duration {
     let named = |name: header::HeaderName| headers.get(name).and_then(|v| v.to_str().ok());
@@ -410,11 +420,22 @@
     max_len: usize,
     limit: Duration,
 ) -> Result<Response<Bytes>, ChannelError> {
+    let (response, answer) = round_trip(channel, request, max_len, limit).await?;
+    pool.keep(address, answer);
+    Ok(response)
+}
+
+/// Sends a request on `channel` and reads the complete answer, of at most `max_len` bytes, within `limit`.
+pub(crate) async fn round_trip(
+    channel: Channel,
+    request: Request<Full<Bytes>>,
+    max_len: usize,
+    limit: Duration,
+) -> Result<(Response<Bytes>, Answer), ChannelError> {
     let begun = Instant::now();
     let left = || limit.saturating_sub(begun.elapsed());
     let mut answer = channel.send(request, left()).await?;
     let body = answer.read(max_len, left()).await?;
     let response = Response::from_parts(answer.head.clone(), body);
-    pool.keep(address, answer);
-    Ok(response)
+    Ok((response, answer))
 }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -4,6 +4,7 @@
 //! request by themselves and follow no redirects: the core decides whether an attempt may be retried.
 
 pub mod channel;
+pub mod delivery;
 mod engine;
 mod error;
 pub mod events;
--- a/src/ops/relay/cloud.rs
+++ b/src/ops/relay/cloud.rs
@@ -10,12 +10,16 @@
 use http::HeaderValue;
 use http::Method;
 use http::Request;
-use http::StatusCode;
 use http::header;
 use http_body_util::Full;
 use sequoiastream_core::log_event;
-use sequoiastream_upstream::channel::Channel;
+use sequoiastream_core::relay::leader_lease::CallPermit;
+use sequoiastream_core::time::Time;
+use sequoiastream_upstream::channel;
 use sequoiastream_upstream::channel::ChannelError;
+use sequoiastream_upstream::delivery;
+use sequoiastream_upstream::delivery::DeliveryError;
+use sequoiastream_upstream::delivery::Permit;
 use thiserror::Error;
 
 use crate::log_event;
@@ -26,7 +30,7 @@
 /// Timeout of a new connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Timeout of an answer: the API may be very slow.
+/// Timeout of an answer while the lease is held: the API may be very slow.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Maximum size of an answer, in bytes.
@@ -38,9 +42,15 @@
     /// This instance is not the leader, or its lease ends too soon for a call.
     #[error("this instance does not hold the lease of the leader")]
     NotLeader,
-    /// The call may have arrived.
+    /// No connection could be opened; nothing was sent.
+    #[error("could not connect: {0}")]
+    Connect(#[source] ChannelError),
+    /// The request can't be built; nothing was sent.
+    #[error("could not build the request: {0}")]
+    Request(#[source] http::Error),
+    /// The call may have arrived, and can't arrive any more.
     #[error("no answer: {0}")]
-    Unanswered(String),
+    Unanswered(#[source] DeliveryError),
     /// The API refused the call with this status.
     #[error("refused with status {0}")]
     Refused(u16),
@@ -72,53 +82,65 @@
         self.leadership.fence(clock::now()).is_some()
     }
 
-    /// Makes a call, once.
+    /// Makes a call, once, on a connection of its own.
     ///
-    /// Guards against a call that waits for a connection while the lease ends, and arrives after the calls of the next
-    /// leader. Whether the call may be sent is checked once the connection is open, and each call has a connection of
-    /// its own.
+    /// Guards against a call that arrives after those of the next leader, because it waited for a connection or was not
+    /// delivered while the lease ended. Whether it may be sent is checked once the connection is open, and it is given up
+    /// when the lease ends or is lost.
     ///
     /// # Errors
     ///
-    /// [`CloudError`] tells whether the call may have arrived.
+    /// [`CloudError`] tells whether the call may have arrived. It doesn't arrive after this returns.
     pub async fn post(&self, path: &str, body: String) -> Result<(), CloudError> {
-        let unanswered = |e: &dyn std::fmt::Display| CloudError::Unanswered(e.to_string());
         if !self.is_leader() {
             return Err(CloudError::NotLeader);
         }
-        let channel = Channel::connect(self.address, CONNECT_TIMEOUT).await;
-        let channel = channel.map_err(|e| unanswered(&e))?;
-        let fence = self.leadership.fence(clock::now()).ok_or(CloudError::NotLeader)?;
-        let names = self.shared.translate.names();
-        let holder = HeaderValue::from_str(self.shared.options.name.as_str());
-        let request = Request::builder()
-            .method(Method::POST)
-            .uri(path)
-            .header(header::HOST, self.address.to_string())
-            .header(header::CONTENT_TYPE, "application/json")
-            .header(&names.leader, holder.map_err(|e| unanswered(&e))?)
-            .header(&names.fence, HeaderValue::from(fence))
-            .body(Full::new(Bytes::from(body)))
-            .map_err(|e| unanswered(&e))?;
+        let stream = channel::open(self.address, CONNECT_TIMEOUT).await;
+        let stream = stream.map_err(CloudError::Connect)?;
+        let sent = clock::now();
+        let permit = self.leadership.permit(sent).ok_or(CloudError::NotLeader)?;
+        let fence = permit.fence;
+        let request = self.request(path, body, fence);
+        let request = request.map_err(CloudError::Request)?;
         let number = self.sent.get() + 1;
         self.sent.set(number);
-        let sent = clock::now();
         log_event!(info, log_event::CLOUD_SENT, number, path, fence);
-        let status = exchange(channel, request).await.map_err(|error| {
+        let permit = self.delivery_permit(permit, sent);
+        let answered = delivery::call(stream, permit, request, MAX_ANSWER_BYTES, ANSWER_TIMEOUT).await;
+        let answer = answered.map_err(|error| {
             let age = clock::now().since(sent).as_millis() as u64;
             log_event!(info, log_event::CLOUD_ABANDONED, number, path, fence, age, %error);
-            unanswered(&error)
+            CloudError::Unanswered(error)
         })?;
-        match status.is_success() {
+        match answer.status().is_success() {
             true => Ok(()),
-            false => Err(CloudError::Refused(status.as_u16())),
+            false => Err(CloudError::Refused(answer.status().as_u16())),
         }
     }
-}
 
-/// Sends a request and reads the complete answer. Returns its status.
-async fn exchange(channel: Channel, request: Request<Full<Bytes>>) -> Result<StatusCode, ChannelError> {
-    let mut answer = channel.send(request, ANSWER_TIMEOUT).await?;
-    answer.read(MAX_ANSWER_BYTES, ANSWER_TIMEOUT).await?;
-    Ok(answer.head.status)
+    fn request(&self, path: &str, body: String, fence: u64) -> Result<Request<Full<Bytes>>, http::Error> {
+        let names = self.shared.translate.names();
+        let holder = HeaderValue::from_str(self.shared.options.name.as_str())?;
+        Request::builder()
+            .method(Method::POST)
+            .uri(path)
+            .header(header::HOST, self.address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .header(&names.leader, holder)
+            .header(&names.fence, HeaderValue::from(fence))
+            .body(Full::new(Bytes::from(body)))
+    }
+
+    /// Permits the delivery of a call that is sent at `now` until the end of the lease, which renewals put off.
+    fn delivery_permit(
+        &self,
+        permit: CallPermit,
+        now: Time,
+    ) -> Permit<impl Fn() -> bool + Clone + Unpin + use<>> {
+        let leadership = self.leadership.clone();
+        Permit {
+            limit: permit.until.since(now),
+            is_valid: move || leadership.is_valid(clock::now(), permit.fence),
+        }
+    }
 }
--- a/src/ops/relay/lead.rs
+++ b/src/ops/relay/lead.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use sequoiastream_core::log_event;
+use sequoiastream_core::relay::leader_lease::CallPermit;
 use sequoiastream_core::relay::leader_lease::LeaderLease;
 use sequoiastream_core::relay::leader_lease::LeaseAction;
 use sequoiastream_core::relay::leader_lease::LeaseRecord;
@@ -79,6 +80,16 @@
     pub fn fence(&self, now: Time) -> Option<u64> {
         self.0.lease.borrow().fence(now)
     }
+
+    /// Permission for a call that is sent now; `None` if none may be sent.
+    pub fn permit(&self, now: Time) -> Option<CallPermit> {
+        self.0.lease.borrow().permit(now)
+    }
+
+    /// Whether a call that was sent under `fence` may still arrive.
+    pub fn is_valid(&self, now: Time, fence: u64) -> bool {
+        self.0.lease.borrow().is_valid(now, fence)
+    }
 }
 
 /// Starts to compete for the lease, with the length `lease`, and to renew it once it is acquired.
@@ -216,7 +227,7 @@
         log_event!(info, log_event::LEAD_LOST);
     }
 
-    /// Revokes the lease; no call is made under it any more.
+    /// Revokes the lease; no call is made under it any more, and those on their way are given up.
     async fn resign(&self, shared: &Shared, store: &dyn Store) {
         self.drop_void(shared);
         let Some(lease) = self.0.lease_id.borrow_mut().take() else {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod config_fleet;
 mod config_keeper;
 mod config_run;
+mod delivery;
 mod explain;
 mod grammar;
 mod log_events;
--- a/tests/testsuite/relay/acts.rs
+++ b/tests/testsuite/relay/acts.rs
@@ -22,6 +22,7 @@
 use sequoiastream_core::relay::routes::Service;
 use sequoiastream_core::relay::scale::ScalePolicy;
 use sequoiastream_kv::store::Store;
+use tokio::sync::Notify;
 
 use super::engine::Action;
 use super::engine::ScriptedEngine;
@@ -30,6 +31,9 @@
 use super::store::FakeStore;
 use super::store::WriteOutcome;
 
+/// Length of the lease.
+const LEASE: Duration = Duration::from_millis(300);
+
 /// Starts an instance that is the only one, and therefore the leader, and calls `api`. Engines of its service `chat`
 /// may be ordered; it has `engines` engines in the zone `a`.
 async fn start_leader(api: &ScriptedEngine, store: &FakeStore, engines: u32) -> Arc<Shared> {
@@ -38,7 +42,7 @@
         address: api.address(),
         usage: true,
         scale: true,
-        lease: Duration::from_millis(300),
+        lease: LEASE,
         window: Duration::from_secs(1),
     });
     let shared = shared(options);
@@ -134,6 +138,49 @@
     assert!(fence > 0);
 }
 
+/// Guards against a report that is delivered after the leader has lost its lease, because its connection is closed in order.
+#[actix_web::test]
+async fn report_reset_with_lease() {
+    let store = FakeStore::new();
+    let api = ScriptedEngine::start(|_, request| match request.head.starts_with("POST /usage ") {
+        true => vec![Action::Hold],
+        false => status_response(200),
+    })
+    .await;
+    let shared = start_leader(&api, &store, 0).await;
+    shared.on_begun(clock::now(), "huka");
+    api.wait_for(|log| log.requests.iter().any(|r| r.head.contains("/usage")))
+        .await;
+    store.set_down(true);
+    api.wait_for(|log| log.disconnects == 1).await;
+    assert_eq!(api.log().resets, 1);
+}
+
+/// Guards against a sound report that is cut off and sent again: its answer takes longer than the lease, which is renewed.
+#[actix_web::test]
+async fn report_awaited_while_leading() {
+    let store = FakeStore::new();
+    let answer = Rc::new(Notify::new());
+    let awaited = answer.clone();
+    let api = ScriptedEngine::start(move |_, request| match request.head.starts_with("POST /usage ") {
+        true => [vec![Action::Await(awaited.clone())], status_response(200)].concat(),
+        false => status_response(200),
+    })
+    .await;
+    let shared = start_leader(&api, &store, 0).await;
+    shared.on_begun(clock::now(), "huka");
+    let count = |log: &super::engine::Log| log.requests.iter().filter(|r| r.head.contains("/usage")).count();
+    api.wait_for(|log| count(log) == 1).await;
+    let sent = clock::now();
+    super::wait_until(|| clock::now().since(sent) > LEASE * 4).await;
+    answer.notify_one();
+    // The next report shows that this one was answered.
+    shared.on_begun(clock::now(), "huka");
+    api.wait_for(|log| count(log) == 2).await;
+    let bodies = bodies(&api, "/usage");
+    assert_ne!(bodies[0], bodies[1]);
+}
+
 /// Guards against sending a report that may not have been decided: the write of the decision gets no answer, and the
 /// store goes down. No report is sent before the instance knows what was decided.
 #[actix_web::test]
--- a/tests/testsuite/relay/engine.rs
+++ b/tests/testsuite/relay/engine.rs
@@ -64,6 +64,8 @@
     pub connections: usize,
     /// Number of connections that the peer closed during [`Action::Hold`].
     pub disconnects: usize,
+    /// Number of connections that the peer reset during [`Action::Hold`].
+    pub resets: usize,
     /// Whether the engine has ended by [`Action::Crash`].
     pub crashed: bool,
 }
@@ -172,10 +174,11 @@
                     return;
                 }
                 Action::Hold => {
-                    let mut rest = [0; 64];
-                    // An error is a reset, with which the peer has closed the connection as well.
-                    while stream.read(&mut rest).await.is_ok_and(|n| n > 0) {}
-                    engine.log.send_modify(|log| log.disconnects += 1);
+                    let is_reset = read_to_end(&mut stream).await.is_err();
+                    engine.log.send_modify(|log| {
+                        log.disconnects += 1;
+                        log.resets += usize::from(is_reset);
+                    });
                     return;
                 }
             }
@@ -183,6 +186,13 @@
     }
 }
 
+/// Reads until the peer closes the connection; an error if the peer resets it.
+async fn read_to_end(stream: &mut TcpStream) -> std::io::Result<()> {
+    let mut rest = [0; 64];
+    while stream.read(&mut rest).await? > 0 {}
+    Ok(())
+}
+
 /// Reads the next request; `None` at the end of the connection.
 async fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<ReceivedRequest> {
     let end = loop {
--- a/tests/testsuite/relay/lead.rs
+++ b/tests/testsuite/relay/lead.rs
@@ -1,5 +1,6 @@
 //! The lease of the leader, the one instance that acts for the fleet. The seeded runs draw pauses, outages for some
-//! instances, lost answers and slow links, and check the calls in the order in which the API receives them.
+//! instances, lost answers, slow links and partitions that outlast the lease, and check the calls in the order in which
+//! the API receives them.
 //! `SEQUOIASTREAM_SEEDS=1000..5000` runs other seeds.
 
 use std::collections::BTreeMap;
@@ -17,6 +18,9 @@
 
 const LEASE: Duration = Duration::from_secs(3);
 
+/// Lengths of the lease in the seeded runs.
+const LEASES: [Duration; 3] = [Duration::from_secs(1), LEASE, Duration::from_secs(8)];
+
 /// Simulated time per step of a run.
 const STEP: Duration = Duration::from_millis(20);
 
@@ -64,6 +68,25 @@
     assert!(!leader.is_held());
 }
 
+/// Guards against a call that is on its way beyond the lease: the end of its permit follows the renewals, and a later lease
+/// of the same instance doesn't permit it again.
+#[test]
+fn permit_ends_with_lease() {
+    let mut leader = LeaderLease::new(LEASE);
+    leader.on_acquired(at(10), at(0), 7);
+    leader.on_renewed(at(2_000));
+    let permit = leader.permit(at(4_099)).expect("the lease is valid");
+    assert_eq!((permit.fence, permit.until), (7, at(5_000)));
+    assert!(leader.is_valid(at(4_999), 7));
+    assert!(!leader.is_valid(at(5_000), 7));
+    leader.on_renewed(at(4_000));
+    assert!(leader.is_valid(at(6_999), 7), "it was renewed");
+    leader.on_lost(at(6_000));
+    assert!(!leader.is_valid(at(6_000), 7));
+    leader.on_acquired(at(6_500), at(6_400), 9);
+    assert!(!leader.is_valid(at(6_500), 7), "of an earlier lease");
+}
+
 #[test]
 fn step_renews_and_rests_after_failure() {
     let mut leader = LeaderLease::new(LEASE);
@@ -101,8 +124,9 @@
     sees_free: bool,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Store {
+    lease: Duration,
     revision: u64,
     leases: BTreeMap<u64, Time>,
     record: Option<(u64, u64)>,
@@ -123,7 +147,7 @@
     /// Returns the lease and the fencing token. The error says whether the lease has ended.
     fn call(&mut self, now: Time, call: Call) -> Result<(u64, u64), bool> {
         self.revision += 1;
-        let until = now + LEASE;
+        let until = now + self.lease;
         match call {
             Call::Acquire if self.record.is_some() => Err(false),
             Call::Acquire => {
@@ -143,22 +167,33 @@
     }
 }
 
+/// A call to the API that is in transit, ordered by its arrival.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct ApiCall {
+    arrives: Time,
+    /// Index of the calling instance.
+    caller: usize,
+    fence: u64,
+    /// When the kernel of the caller stops to send it again.
+    until: Time,
+}
+
 struct Run {
     rng: ChaCha8Rng,
+    lease: Duration,
     store: Store,
     instances: Vec<Instance>,
-    /// Calls to the API in transit: time of arrival, index of the calling instance, fencing token.
-    calls: BTreeSet<(Time, usize, u64)>,
+    calls: BTreeSet<ApiCall>,
     /// Calls in the order in which they arrived.
     arrived: Vec<(Time, usize, u64)>,
 }
 
 impl Run {
-    fn new(seed: u64) -> Run {
+    fn new(seed: u64, lease: Duration) -> Run {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let count = rng.random_range(1..9);
         let instance = |_| Instance {
-            leader: LeaderLease::new(LEASE),
+            leader: LeaderLease::new(lease),
             lease: None,
             pending: None,
             paused: Time::ZERO,
@@ -167,7 +202,13 @@
         };
         Run {
             rng,
-            store: Store::default(),
+            lease,
+            store: Store {
+                lease,
+                revision: 0,
+                leases: BTreeMap::new(),
+                record: None,
+            },
             instances: (0..count).map(instance).collect(),
             calls: BTreeSet::new(),
             arrived: Vec::new(),
@@ -183,8 +224,15 @@
         Duration::from_millis(self.rng.random_range(1..=limit.max(2)))
     }
 
+    /// Time that a call to the API is in transit: in one of ten cases as long as a partition that outlasts the lease.
+    fn api_delay(&mut self) -> Duration {
+        let limit = self.lease.as_millis() as u64;
+        self.delay(limit * 4)
+    }
+
     fn inject_fault(&mut self, now: Time) {
-        let length = Duration::from_millis(self.rng.random_range(200..9_000));
+        let limit = self.lease.as_millis() as u64 * 3;
+        let length = Duration::from_millis(self.rng.random_range(200..limit));
         let index = self.rng.random_range(0..self.instances.len());
         match self.rng.random_bool(0.5) {
             true => self.instances[index].paused = now + length,
@@ -197,15 +245,11 @@
         if self.rng.random_bool(0.02) {
             self.inject_fault(now);
         }
-        let due: Vec<_> = self
-            .calls
-            .iter()
-            .take_while(|call| call.0 <= now)
-            .copied()
-            .collect();
-        for call in due {
+        while let Some(call) = self.calls.first().copied().filter(|call| call.arrives <= now) {
             self.calls.remove(&call);
-            self.arrived.push(call);
+            if call.arrives < call.until {
+                self.arrived.push((call.arrives, call.caller, call.fence));
+            }
         }
         for index in 0..self.instances.len() {
             self.deliver(now, index);
@@ -229,7 +273,7 @@
     fn run_instance(&mut self, now: Time, index: usize) {
         let is_free = self.store.record.is_none();
         let refreshes = self.rng.random_bool(0.3);
-        let delays = [self.delay(800), self.delay(800), self.delay(3_000)];
+        let delays = [self.delay(800), self.delay(800), self.api_delay()];
         let is_lost = self.rng.random_bool(0.05);
         let instance = &mut self.instances[index];
         if refreshes && now >= instance.unreachable {
@@ -250,8 +294,13 @@
                 result: None,
             });
         }
-        if let Some(fence) = instance.leader.fence(now) {
-            self.calls.insert((now + delays[2], index, fence));
+        if let Some(permit) = instance.leader.permit(now) {
+            self.calls.insert(ApiCall {
+                arrives: now + delays[2],
+                caller: index,
+                fence: permit.fence,
+                until: permit.until,
+            });
         }
     }
 }
@@ -282,32 +331,34 @@
 }
 
 /// Guards against two instances acting at once or alternately, and against a late call that arrives after a call of a
-/// later holder. Sequence: pauses, outages for some instances, lost answers and calls that take up to three seconds to
-/// arrive, drawn for each seed.
+/// later holder. Sequence: pauses, outages for some instances, lost answers and calls that are held up for up to four times
+/// the length of the lease, drawn for each seed, with a short, an ordinary and a long lease.
 #[test]
 fn fence_never_falls_seeded() {
-    let mut acted = 0;
-    for seed in seeds_or(0..48) {
-        let mut run = Run::new(seed);
-        for step in 0..4_000 {
-            run.step(at(0) + STEP * step);
+    for lease in LEASES {
+        let mut acted = 0;
+        for seed in seeds_or(0..48) {
+            let mut run = Run::new(seed, lease);
+            for step in 0..4_000 {
+                run.step(at(0) + STEP * step);
+            }
+            check_calls(seed, lease, &run.arrived);
+            acted += usize::from(!run.arrived.is_empty());
         }
-        check_calls(seed, &run.arrived);
-        acted += usize::from(!run.arrived.is_empty());
+        assert!(acted > 0, "some instance acts");
     }
-    assert!(acted > 0, "some instance acts");
 }
 
-fn check_calls(seed: u64, arrived: &[(Time, usize, u64)]) {
+fn check_calls(seed: u64, lease: Duration, arrived: &[(Time, usize, u64)]) {
     for pair in arrived.windows(2) {
         assert!(
             pair[0].2 <= pair[1].2,
-            "seed {seed}: a lower fencing token after a higher one: {pair:?}"
+            "seed {seed}, lease {lease:?}: a lower fencing token after a higher one: {pair:?}"
         );
         let is_same = pair[0].1 == pair[1].1;
         assert!(
             is_same || pair[0].2 < pair[1].2,
-            "seed {seed}: two instances with the same fencing token: {pair:?}"
+            "seed {seed}, lease {lease:?}: two instances with the same fencing token: {pair:?}"
         );
     }
     let mut holders: Vec<(Time, Time, usize)> = Vec::new();
@@ -318,10 +369,10 @@
         }
     }
     for terms in holders.windows(3) {
-        let is_turn = terms[0].2 == terms[2].2 && terms[2].0.since(terms[0].1) < LEASE;
+        let is_turn = terms[0].2 == terms[2].2 && terms[2].0.since(terms[0].1) < lease;
         assert!(
             !is_turn,
-            "seed {seed}: two instances alternate within the duration of a lease: {terms:?}"
+            "seed {seed}, lease {lease:?}: two instances alternate within the duration of a lease: {terms:?}"
         );
     }
 }
@@ -329,10 +380,10 @@
 /// Another instance acts soon after the holder is lost.
 #[test]
 fn fence_after_holder_lost() {
-    let mut run = Run::new(3);
+    let mut run = Run::new(3, LEASE);
     run.instances.truncate(2);
     while run.instances.len() < 2 {
-        run.instances.push(Run::new(4).instances.remove(0));
+        run.instances.push(Run::new(4, LEASE).instances.remove(0));
     }
     let mut now = at(0);
     let mut acts = |run: &mut Run, index: usize, limit: u32| {
