Relay: an order to change stage can't arrive after it was given up

An order leaves once, and only its record keeps other instances from giving the engine another one. After the store came back from a copy without the record, the others wait 15 s. Nothing limited the order itself to less: it was given up after 2 s by dropping its connection, and a partition or a process that was paused between the write of the record and the send could let it arrive at any later time, after the other order.

The order must now be on its way within 3 s of the write of its record, by upstream::delivery, on a connection of its own; with the 12 s that engines take at most this makes the pause of 15 s, which is their sum in the code.

Failed before: relay::orders::unanswered_reset (the connection was closed in order), record_confirmed_late_not_sent (an order left more than 3 s after its record).

--- a/src/ops/relay/orders.rs
+++ b/src/ops/relay/orders.rs
@@ -28,10 +28,14 @@
 use sequoiastream_kv::store::Store;
 use sequoiastream_kv::store::StoreError;
 use sequoiastream_kv::store::Write;
-use sequoiastream_upstream::channel::Pool;
-use sequoiastream_upstream::channel::call;
+use sequoiastream_upstream::channel;
+use sequoiastream_upstream::channel::ChannelError;
+use sequoiastream_upstream::delivery;
+use sequoiastream_upstream::delivery::DeliveryError;
+use sequoiastream_upstream::delivery::Permit;
 use serde::Deserialize;
 use serde::Serialize;
+use thiserror::Error;
 
 use crate::log_event;
 use crate::ops::relay::edge::Translate;
@@ -46,13 +50,19 @@
 /// change takes three. If an order is carried out later than that, the engine still shows it by declining requests.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Maximum time after its arrival at which an engine carries an order out.
+const MAX_EXECUTION_DELAY: Duration = Duration::from_secs(12);
+
 /// Time after a restoration of the store in which no orders are given: a record that was lost with it may be that of an order
-/// that is still on its way, and engines carry orders out up to twelve seconds late.
-const RESTORATION_PAUSE: Duration = Duration::from_secs(15);
+/// that is on its way, or that its engine has not carried out yet.
+const RESTORATION_PAUSE: Duration = ORDER_TIMEOUT.saturating_add(MAX_EXECUTION_DELAY);
 
 /// Number of checks for which the engines must have stayed the same before any of them gets an order.
 const STABLE_CHECKS: u32 = 3;
 
+/// Maximum time from the write of its record in which an order may be on its way to its engine.
+pub const ORDER_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Timeout of the answer of an engine to an order.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -177,7 +187,6 @@
 
 /// Checks the plan periodically and gives the orders that are for this instance to give.
 pub async fn run(shared: Arc<Shared>, store: Rc<dyn Store>) {
-    let pool = Pool::new();
     let mut attempted: BTreeSet<String> = BTreeSet::new();
     let mut due_checks: BTreeMap<String, u32> = BTreeMap::new();
     let mut stability = StabilityCheck::default();
@@ -206,7 +215,7 @@
                 continue;
             }
             attempted.insert(order.engine.clone());
-            if !issue(&shared, store.as_ref(), &pool, &engine, &order).await {
+            if !issue(&shared, store.as_ref(), &engine, &order).await {
                 attempted.remove(&order.engine);
             }
         }
@@ -304,11 +313,12 @@
 ///
 /// Guards against two instances that give an engine different orders, and against an instance that repeats an order
 /// that may still be on its way. The record is created once and never written again, and only its creator sends the
-/// order, once. If the answer of the store is lost, reading back shows whose record it is; if that can't be found out,
-/// nothing is sent.
+/// order, once, and within [`ORDER_TIMEOUT`]. If the answer of the store is lost, reading back shows whose record it is; if
+/// that can't be found out, nothing is sent.
 ///
 /// Returns `false` if nothing was done and the order may be tried again.
-async fn issue(shared: &Shared, store: &dyn Store, pool: &Pool, engine: &Engine, order: &StageOrder) -> bool {
+async fn issue(shared: &Shared, store: &dyn Store, engine: &Engine, order: &StageOrder) -> bool {
+    let deadline = clock::now() + ORDER_TIMEOUT;
     let record = OrderRecord {
         holder: format!("{}/{}", shared.options.name, uuid::Uuid::new_v4()),
         prefill: order.stage == Stage::Prefill,
@@ -327,9 +337,9 @@
     };
     log_event!(info, log_event::ORDER_SENT, engine = %order.engine, stage = ?order.stage, fence);
     let body = shared.translate.order(order.stage, &record.holder, fence);
-    match post_order(shared, pool, engine, body).await {
+    match post_order(shared, engine, body, deadline).await {
         Ok(status) => log_event!(info, log_event::ORDER_CLOSED, engine = %order.engine, status),
-        Err(error) => log_event!(warn, log_event::ORDER_UNANSWERED, engine = %order.engine, error),
+        Err(error) => log_event!(warn, log_event::ORDER_UNANSWERED, engine = %order.engine, %error),
     }
     true
 }
@@ -368,23 +378,57 @@
     }
 }
 
-async fn post_order(shared: &Shared, pool: &Pool, engine: &Engine, body: String) -> Result<u16, String> {
-    let address = engine.entry.address;
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(shared.translate.paths().order.as_str())
-        .header(header::HOST, address.to_string())
-        .header(header::CONTENT_TYPE, "application/json")
-        .header(
-            &shared.translate.names().target_engine,
-            HeaderValue::from_str(&engine.entry.id).map_err(|e| e.to_string())?,
-        )
-        .body(Full::new(Bytes::from(body)))
-        .map_err(|e| e.to_string())?;
+/// Why an order got no answer.
+#[derive(Debug, Error)]
+enum OrderError {
+    /// No connection could be opened; nothing was sent.
+    #[error("could not connect: {0}")]
+    Connect(#[source] ChannelError),
+    /// The request can't be built; nothing was sent.
+    #[error("could not build the request: {0}")]
+    Request(#[source] http::Error),
+    /// The order may have arrived, and can't arrive any more.
+    #[error("no answer: {0}")]
+    Unanswered(#[source] DeliveryError),
+}
+
+/// Sends an order on a connection of its own. Returns the status of the answer.
+///
+/// Guards against an order that arrives after the deadline, when another instance may have given another one because the
+/// store lost the record.
+async fn post_order(
+    shared: &Shared,
+    engine: &Engine,
+    body: String,
+    deadline: Time,
+) -> Result<u16, OrderError> {
+    let request = order_request(shared, engine, body).map_err(OrderError::Request)?;
+    let left = || deadline.since(clock::now());
+    let stream = channel::open(engine.entry.address, left().min(ANSWER_TIMEOUT)).await;
+    let stream = stream.map_err(OrderError::Connect)?;
+    let permit = Permit {
+        limit: left(),
+        is_valid: move || clock::now() < deadline,
+    };
     shared.on_send(engine);
     let sent = clock::now();
-    let answer = call(pool, address, request, MAX_ANSWER_BYTES, ANSWER_TIMEOUT).await;
-    let answer = answer.map_err(|e| e.to_string())?;
+    let answer = delivery::call(stream, permit, request, MAX_ANSWER_BYTES, ANSWER_TIMEOUT).await;
+    let answer = answer.map_err(OrderError::Unanswered)?;
     shared.on_engine_answer(engine, &AnswerHead::of_call(sent, &answer));
     Ok(answer.status().as_u16())
 }
+
+fn order_request(
+    shared: &Shared,
+    engine: &Engine,
+    body: String,
+) -> Result<Request<Full<Bytes>>, http::Error> {
+    let id = HeaderValue::from_str(&engine.entry.id)?;
+    Request::builder()
+        .method(Method::POST)
+        .uri(shared.translate.paths().order.as_str())
+        .header(header::HOST, engine.entry.address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .header(&shared.translate.names().target_engine, id)
+        .body(Full::new(Bytes::from(body)))
+}
--- a/tests/testsuite/relay/orders.rs
+++ b/tests/testsuite/relay/orders.rs
@@ -181,6 +181,42 @@
     assert_eq!(orders_sent, 1);
 }
 
+/// Guards against an order that is delivered after it was given up, when another instance may have given another one since
+/// because the store lost the record.
+#[actix_web::test]
+async fn unanswered_reset() {
+    let engine = ScriptedEngine::start(|_, _| vec![Action::Hold]).await;
+    actix_web::rt::spawn(orders::run(instance(&engine), Rc::new(FakeStore::new())));
+    engine.wait_for(|log| log.disconnects == 1).await;
+    assert_eq!(engine.log().resets, 1);
+}
+
+/// Guards against an order that leaves long after its record was written, when another instance may have given another one
+/// since because the store lost the record. Sequence: the answer to the write is lost, and the record is read back late.
+#[actix_web::test]
+async fn record_confirmed_late_not_sent() {
+    let engine = accepting_engine().await;
+    let store = FakeStore::new();
+    let shared = instance(&engine);
+    store.set_next_write(WriteOutcome::AppliedUnanswered);
+    store.set_unresponsive(true);
+    actix_web::rt::spawn(orders::run(shared.clone(), Rc::new(store.clone())));
+    wait_until(|| store.calls().ranges == 1).await;
+    let written = clock::now();
+    wait_until(|| clock::now().since(written) > orders::ORDER_TIMEOUT).await;
+    store.set_unresponsive(false);
+    // Another engine gets an order later: by the time that this order arrives, the first one would have arrived.
+    let mut engines: Vec<Engine> = shared.view.load().engines()["chat"].clone();
+    let late_engine = Entry {
+        address: engine.address(),
+        ..super::entry("e9", Stage::Decode)
+    };
+    engines.push(Engine::new(EngineKey(9), late_engine));
+    shared.publish(|view| view.set_engines([("chat".to_string(), engines)].into()));
+    engine.wait_for(|log| !log.requests.is_empty()).await;
+    assert_eq!(engine.log().requests[0].header("x-expect"), Some("e9"));
+}
+
 fn record(engine: &str, revision: u64) -> Item {
     Item {
         key: format!("orders/{engine}"),
