Registration: the key of an instance is written only if nobody else has written it

The write had no condition, so its effect depended on when it arrived: one of an earlier process with the same name at another address, held up on its way, replaced the key of the process that runs. That one replaces an existing key once at most, so that its peers sent their messages to the old address for good.

The write now expects the revision that is known, or that there is none. After a conflict the key is read, since the replica may lag behind the store, and the next check writes on the condition of what was read.

Failed before: relay::restores::registration_of_earlier_process_late. registration_beside_unknown_key guards the new way.

--- a/src/ops/relay/register.rs
+++ b/src/ops/relay/register.rs
@@ -100,6 +100,7 @@
             store,
             fleet,
             written_revision: None,
+            conflicting: None,
             needs_listing: false,
             absences: AbsentEngines::new(),
         };
@@ -133,6 +134,8 @@
     fleet: Fleet,
     /// Store revision of this process's last write of its key.
     written_revision: Option<Revision>,
+    /// Revision of the key as the store showed it after a write that expected another one.
+    conflicting: Option<Revision>,
     /// Whether the next check lists the instances of the zone.
     needs_listing: bool,
     absences: AbsentEngines,
@@ -166,22 +169,50 @@
         }
     }
 
+    /// Writes the key on the condition that nobody else has written it.
+    ///
+    /// Guards against a write of an earlier process with this name that arrives late and replaces the key of this one.
     async fn write(&mut self) -> Result<(), StoreError> {
+        let known = self.fleet.known().item(&self.key()).map(|item| item.revision);
+        let expected = self.conflicting.take().or(known).unwrap_or(Revision::ZERO);
         let put = Put {
             key: self.key(),
             value: self.record(),
             lease: None,
         };
         let write = Write {
+            expect: vec![(self.key(), expected)],
             puts: vec![put],
-            ..Write::default()
+            removes: Vec::new(),
+        };
+        let revision = match self.store.write(write).await {
+            Ok(revision) => revision,
+            Err(StoreError::Conflict) => return self.read_own().await,
+            Err(error) => return Err(error),
         };
-        let revision = self.store.write(write).await?;
+        self.on_written(revision);
+        Ok(())
+    }
+
+    /// Reads the key, of which the replica has another revision than the store. An earlier write of this process may have
+    /// been applied without an answer.
+    async fn read_own(&mut self) -> Result<(), StoreError> {
+        let key = self.key();
+        let page = self.store.range(&key, "").await?;
+        let item = page.items.into_iter().find(|item| item.key == key);
+        match item {
+            Some(item) if item.value == self.record() => self.on_written(item.revision),
+            Some(item) => self.conflicting = Some(item.revision),
+            None => self.conflicting = Some(Revision::ZERO),
+        }
+        Ok(())
+    }
+
+    fn on_written(&mut self, revision: Revision) {
         self.written_revision = Some(revision);
         let known = self.fleet.known().revision();
         let is_far_behind = revision.number > known.number.saturating_add(MAX_REVISION_LAG);
         self.needs_listing = revision.epoch > known.epoch || is_far_behind;
-        Ok(())
     }
 
     /// Removes the keys of instances that have sent no heartbeat for a long time, if this instance ranks first.
--- a/tests/testsuite/relay/restores.rs
+++ b/tests/testsuite/relay/restores.rs
@@ -35,6 +35,7 @@
 use super::rev;
 use super::store::Copy;
 use super::store::FakeStore;
+use super::store::WriteOutcome;
 use super::wait_until;
 
 /// Number of changes that the copy lacks.
@@ -317,6 +318,45 @@
     assert!(second > first, "{first}, {second}");
 }
 
+/// Guards against an instance that its peers don't find, because a write of an earlier process with its name, at another
+/// address, arrives at the store after its own.
+#[actix_web::test]
+async fn registration_of_earlier_process_late() {
+    let store = FakeStore::new();
+    store.put("config", "3 /a/");
+    let (earlier, fleet) = start_with_fleet(options(), &store).await;
+    store.set_next_write(WriteOutcome::Delayed);
+    let registration = register::start(earlier, Rc::new(store.clone()), fleet);
+    wait_until(|| store.calls().writes == 1).await;
+    registration.end().await;
+    let (shared, fleet) = start_with_fleet(options(), &store).await;
+    let own = format!("\"front\":\"{}\"", shared.options.front);
+    let _registration = register::start(shared, Rc::new(store.clone()), fleet);
+    let is_listed = || store.value("own/a/one").is_some_and(|value| value.contains(&own));
+    wait_until(is_listed).await;
+    store.deliver_delayed();
+    assert!(is_listed(), "{:?}", store.value("own/a/one"));
+}
+
+/// Guards against an instance that never registers, because its replica of the store lacks the key of an earlier process.
+#[actix_web::test]
+async fn registration_beside_unknown_key() {
+    let store = FakeStore::new();
+    store.put("config", "3 /a/");
+    let (shared, fleet) = start_with_fleet(options(), &store).await;
+    wait_until(|| fleet.known().revision() > Revision::ZERO).await;
+    store.set_unresponsive(true);
+    store.put(
+        "own/a/one",
+        r#"{"zone":"a","front":"127.0.0.1:1","peer":"127.0.0.1:2"}"#,
+    );
+    let own = format!("\"front\":\"{}\"", shared.options.front);
+    let _registration = register::start(shared, Rc::new(store.clone()), fleet);
+    wait_until(|| store.calls().writes >= 1).await;
+    store.set_unresponsive(false);
+    wait_until(|| store.value("own/a/one").is_some_and(|value| value.contains(&own))).await;
+}
+
 /// Guards against an instance that its peers don't find, because the store has lost its key or has one of an earlier process.
 #[actix_web::test]
 async fn registration_after_return() {
--- a/tests/testsuite/relay/store.rs
+++ b/tests/testsuite/relay/store.rs
@@ -37,6 +37,8 @@
     DroppedUnanswered,
     /// It is refused with status 429.
     Refused,
+    /// It gets no answer, and arrives when [`FakeStore::deliver_delayed`] is called.
+    Delayed,
 }
 
 #[derive(Debug, Default)]
@@ -44,6 +46,7 @@
     items: RefCell<BTreeMap<String, Item>>,
     changes: RefCell<Vec<Change>>,
     outcomes: RefCell<VecDeque<WriteOutcome>>,
+    delayed: RefCell<Vec<Write>>,
     down: Cell<bool>,
     unresponsive: Cell<bool>,
     compacted: Cell<u64>,
@@ -221,6 +224,14 @@
         self.state.outcomes.borrow_mut().push_back(outcome);
     }
 
+    /// Applies the delayed writes whose conditions hold now.
+    pub fn deliver_delayed(&self) {
+        for write in self.state.delayed.take() {
+            // A write whose conditions don't hold any more has no effect.
+            let _ = self.apply(write);
+        }
+    }
+
     /// Number of calls so far.
     pub fn calls(&self) -> Calls {
         self.state.calls.get()
@@ -374,6 +385,10 @@
                     Err(unknown())
                 }
                 Some(WriteOutcome::Refused) => Err(StoreError::Refused(429)),
+                Some(WriteOutcome::Delayed) => {
+                    self.state.delayed.borrow_mut().push(write);
+                    Err(unknown())
+                }
             }
         }
         .boxed_local()
