Suspects: a request that crashes engines for one caller is known with its caller, also if it has a body

Crashes are now counted in both ways for all requests: by method, path and body, and for these with the caller. The first count blocks a request whose caller comes from other addresses, the second one a request that others may send. Callers that return are recognised as before (rank).

Failed before: relay::suspects::convict_one_caller, with a body. New beside it, not run on the code before: convict_caller_not_neighbour, relay::seeded::poison_of_caller_known_to_all.

--- a/crates/core/src/poison/suspects/mod.rs
+++ b/crates/core/src/poison/suspects/mod.rs
@@ -87,14 +87,14 @@
 
 /// A request as it is recognised when it comes again.
 ///
-/// Without a body, different callers send the same request. If it crashes engines for one of them only, the answers to
-/// the others must not clear it; if it comes from other addresses of its caller, the address must not hide it. Such a
-/// request is therefore counted in both ways.
+/// Different callers send the same request. If it crashes engines for one of them only, the answers to the others must not
+/// clear it; if it comes from other addresses of its caller, the address must not hide it. A request is therefore counted in
+/// both ways.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RequestIdentity {
     /// Whoever sends it.
     pub any: Fingerprint,
-    /// With its caller, if it has no body.
+    /// With its caller, if it is known.
     pub caller: Option<Fingerprint>,
     /// The parts of its prompt that other requests may share.
     pub parts: Arc<[PartKey]>,
@@ -106,7 +106,7 @@
         let any = Fingerprint::of_forwarded(method, path, body);
         RequestIdentity {
             any,
-            caller: body.is_empty().then(|| any.from_caller(caller)),
+            caller: (!caller.is_empty()).then(|| any.from_caller(caller)),
             parts: Arc::default(),
         }
     }
--- a/src/ops/relay/rank.rs
+++ b/src/ops/relay/rank.rs
@@ -5,6 +5,7 @@
 
 use sequoiastream_core::log_event;
 use sequoiastream_core::poison::Fingerprint;
+use sequoiastream_core::poison::suspects::RequestIdentity;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::placement::EngineSelector;
@@ -212,7 +213,8 @@
         .is_return(clock::now(), id, left, timeout)
 }
 
-/// Identifies a request over its repetitions, if possible together with its caller.
+/// Identifies a request over its repetitions; one without a body, which many callers send, together with its caller.
 fn caller_id(incoming: &IncomingRequest) -> Fingerprint {
-    incoming.identity.caller.unwrap_or(incoming.identity.any)
+    let RequestIdentity { any, caller, .. } = incoming.identity;
+    caller.filter(|_| incoming.body.is_empty()).unwrap_or(any)
 }
--- a/tests/testsuite/relay/seeded.rs
+++ b/tests/testsuite/relay/seeded.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::ops::Range;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -28,7 +29,7 @@
 use crate::claims::client::PrintSeedOnPanic;
 use crate::claims::client::seeds_or;
 
-const SEEDS: std::ops::Range<u64> = 0..200;
+const SEEDS: Range<u64> = 0..200;
 
 const STEP: Duration = Duration::from_millis(50);
 
@@ -501,7 +502,29 @@
 /// some twice, and are paused or cut off for two seconds. Cause: a crash is reported for half a second only.
 #[test]
 fn poison_known_to_all() {
-    for seed in seeds_or(SEEDS) {
+    check_poison_known(SEEDS, fingerprint, None::<fn(u64) -> RequestIdentity>);
+}
+
+/// Guards against the same for a request that crashes engines for one caller only: another one sends it as well, to all
+/// instances, and is answered.
+#[test]
+fn poison_of_caller_known_to_all() {
+    let of = |request: u64, caller| RequestIdentity::new("POST", "/", &request.to_be_bytes(), caller);
+    check_poison_known(
+        0..8,
+        |request| of(request, b"a"),
+        Some(|request| of(request, b"b")),
+    );
+}
+
+/// Checks that all instances block `poisonous` requests in time, and none before the third crash; `answered` are requests of
+/// another caller that engines answer.
+fn check_poison_known<P, A>(seeds: Range<u64>, poisonous: P, answered: Option<A>)
+where
+    P: Fn(u64) -> RequestIdentity,
+    A: Fn(u64) -> RequestIdentity,
+{
+    for seed in seeds_or(seeds) {
         let _failing = PrintSeedOnPanic(seed);
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let mut instances = vec![Suspects::new(); INSTANCES];
@@ -516,10 +539,16 @@
                 // An engine ends once, so no two requests have a crash in common here.
                 let engine = request * 8 + random.random_range(0..8);
                 let index = random.random_range(0..INSTANCES);
-                instances[index].on_crash(now, &fingerprint(request), engine);
+                instances[index].on_crash(now, &poisonous(request), engine);
                 let engines = crashes.entry(request).or_default();
                 engines.entry(engine).or_insert(now);
             }
+            if let Some(answered) = &answered
+                && random.random_bool(0.2)
+            {
+                let index = random.random_range(0..INSTANCES);
+                instances[index].on_completed(now, &answered(random.random_range(0..6)));
+            }
             if random.random_bool(0.01) {
                 deaf[random.random_range(0..INSTANCES)] = DEAF_MESSAGES;
             }
@@ -543,7 +572,7 @@
                 times.sort();
                 let third = times.get(MIN_CRASHES - 1).copied();
                 for instance in &instances {
-                    let is_blocked = instance.is_blocked(now, &fingerprint(*request));
+                    let is_blocked = instance.is_blocked(now, &poisonous(*request));
                     assert!(
                         third.is_some() || !is_blocked,
                         "request {request} has {engines:?}"
--- a/tests/testsuite/relay/suspects.rs
+++ b/tests/testsuite/relay/suspects.rs
@@ -171,16 +171,35 @@
     assert!(suspects.is_blocked(Time::ZERO, &request));
 }
 
-/// Guards against a request without a body that crashes engines for one caller only, and goes on because others send the
-/// same and are answered, and against blocking the others.
+/// Guards against a request that crashes engines for one caller only, and goes on because others send the same and are
+/// answered, and against blocking the others.
 #[test]
 fn convict_one_caller() {
+    for body in [&b""[..], b"{}"] {
+        let mut suspects = Suspects::new();
+        let of = |caller: &str| RequestIdentity::new("POST", "/popular", body, caller.as_bytes());
+        for engine in 0..3 {
+            suspects.on_crash(Time::ZERO, &of("a"), engine);
+            suspects.on_completed(Time::ZERO, &of("b"));
+        }
+        assert!(suspects.is_blocked(Time::ZERO, &of("a")), "{body:?}");
+        assert!(!suspects.is_blocked(Time::ZERO, &of("b")), "{body:?}");
+    }
+}
+
+/// Guards against blocking a request for one caller because it ran beside another one that crashes engines: neighbours are
+/// told apart by caller as well.
+#[test]
+fn convict_caller_not_neighbour() {
     let mut suspects = Suspects::new();
-    let of = |caller: &str| RequestIdentity::new("GET", "/popular", b"", caller.as_bytes());
-    for engine in 0..3 {
-        suspects.on_crash(Time::ZERO, &of("a"), engine);
-        suspects.on_completed(Time::ZERO, &of("b"));
+    let guilty = RequestIdentity::new("POST", "/a", b"{}", b"a");
+    let harmless = RequestIdentity::new("POST", "/b", b"{}", b"b");
+    for engine in 0..4 {
+        suspects.on_crash(Time::ZERO, &guilty, engine);
+        if engine < 3 {
+            suspects.on_crash(Time::ZERO, &harmless, engine);
+        }
     }
-    assert!(suspects.is_blocked(Time::ZERO, &of("a")));
-    assert!(!suspects.is_blocked(Time::ZERO, &of("b")));
+    assert!(suspects.is_blocked(Time::ZERO, &guilty));
+    assert!(!suspects.is_blocked(Time::ZERO, &harmless));
 }
