Readability: modules of the relay as a list, one error for both kinds of limited calls, smaller functions

What the relay's modules do is listed by task. Failures to connect are reported as DeliveryError, which says already that nothing was sent. No change of behaviour but the wording of an error.

--- a/src/ops/relay/cloud.rs
+++ b/src/ops/relay/cloud.rs
@@ -16,7 +16,6 @@
 use sequoiastream_core::relay::leader_lease::CallPermit;
 use sequoiastream_core::time::Time;
 use sequoiastream_upstream::channel;
-use sequoiastream_upstream::channel::ChannelError;
 use sequoiastream_upstream::delivery;
 use sequoiastream_upstream::delivery::DeliveryError;
 use sequoiastream_upstream::delivery::Permit;
@@ -42,15 +41,12 @@
     /// This instance is not the leader, or its lease ends too soon for a call.
     #[error("this instance does not hold the lease of the leader")]
     NotLeader,
-    /// No connection could be opened; nothing was sent.
-    #[error("could not connect: {0}")]
-    Connect(#[source] ChannelError),
     /// The request can't be built; nothing was sent.
     #[error("could not build the request: {0}")]
     Request(#[source] http::Error),
-    /// The call may have arrived, and can't arrive any more.
+    /// Unless nothing was sent, the call may have arrived. It can't arrive any more.
     #[error("no answer: {0}")]
-    Unanswered(#[source] DeliveryError),
+    Unanswered(#[from] DeliveryError),
     /// The API refused the call with this status.
     #[error("refused with status {0}")]
     Refused(u16),
@@ -96,7 +92,7 @@
             return Err(CloudError::NotLeader);
         }
         let stream = channel::open(self.address, CONNECT_TIMEOUT).await;
-        let stream = stream.map_err(CloudError::Connect)?;
+        let stream = stream.map_err(DeliveryError::from)?;
         let sent = clock::now();
         let permit = self.leadership.permit(sent).ok_or(CloudError::NotLeader)?;
         let fence = permit.fence;
@@ -110,7 +106,7 @@
         let answer = answered.map_err(|error| {
             let age = clock::now().since(sent).as_millis() as u64;
             log_event!(info, log_event::CLOUD_ABANDONED, number, path, fence, age, %error);
-            CloudError::Unanswered(error)
+            error
         })?;
         match answer.status().is_success() {
             true => Ok(()),
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -1,14 +1,27 @@
 //! Forwards requests unchanged between callers and upstreams that both speak a protocol defined elsewhere.
 //!
 //! [`edge`] is the interface to that protocol: the names of headers, and the decoding of what the store and the engines
-//! send. Control state lives on the thread that runs [`run`]: [`follow`] keeps up with the configuration and the
-//! engines, [`orders`] orders engines to a stage, [`register`] registers this instance in the store, [`peers`]
-//! exchanges load and status with the other instances; `counted` counts the calls to the store. [`lead`] holds the
-//! lease of the leader, the one instance that calls the cloud API for all through `cloud`: `usage` reports the usage,
-//! `scaling` orders engines. These tasks publish a view that the traffic thread reads: [`server`] accepts requests,
-//! `head` parses their heads, [`forward`] takes each to its final answer, `deliver` makes attempts until an engine delivers,
-//! `attempt` is one of them, `hedge` makes two at a time, `hedge_prefill` does so with calls for prefills, `retries` decides what follows each, `pick` chooses engines, `rank` limits how far less urgent requests fill them, `job` counts what they are given, `service_time` records how long plain engines take, `versions` keeps each stream at the version that began it, [`connect`] connects to them, `reading` has prefills computed, `prefilled` holds their results, [`stream`] passes events on, `idle` closes
-//! connections that are no longer used and probes detached engines. `gauges` sets the gauges on the page of metrics.
+//! send.
+//!
+//! Control state lives on the thread that runs [`run`]. Its tasks publish a view that the traffic thread reads:
+//!
+//! - [`follow`] keeps up with the configuration and the engines, `counted` counts the calls to the store;
+//! - [`register`] registers this instance in the store, [`peers`] exchanges load and status with the other instances;
+//! - [`orders`] orders engines to a stage;
+//! - [`lead`] holds the lease of the leader, the one instance that calls the cloud API for all through `cloud`: `usage`
+//!   reports the usage, `scaling` orders engines.
+//!
+//! On the traffic thread:
+//!
+//! - [`server`] accepts requests, `head` parses their heads;
+//! - [`forward`] takes each request to its final answer: `deliver` makes attempts until an engine delivers, `attempt` is
+//!   one of them, `hedge` makes two at a time, `hedge_prefill` does so with calls for prefills, and `retries` decides what
+//!   follows each;
+//! - `pick` chooses engines, `rank` limits how far less urgent requests fill them, `job` counts what they are given,
+//!   `service_time` records how long plain engines take, `versions` keeps each stream at the version that began it;
+//! - [`connect`] connects to engines, `idle` closes connections that are no longer used and probes detached engines;
+//! - `reading` has prefills computed, `prefilled` holds their results, [`stream`] passes events on;
+//! - `gauges` sets the gauges on the page of metrics.
 
 mod admission;
 mod attempt;
--- a/src/ops/relay/orders.rs
+++ b/src/ops/relay/orders.rs
@@ -29,7 +29,6 @@
 use sequoiastream_kv::store::StoreError;
 use sequoiastream_kv::store::Write;
 use sequoiastream_upstream::channel;
-use sequoiastream_upstream::channel::ChannelError;
 use sequoiastream_upstream::delivery;
 use sequoiastream_upstream::delivery::DeliveryError;
 use sequoiastream_upstream::delivery::Permit;
@@ -381,15 +380,12 @@
 /// Why an order got no answer.
 #[derive(Debug, Error)]
 enum OrderError {
-    /// No connection could be opened; nothing was sent.
-    #[error("could not connect: {0}")]
-    Connect(#[source] ChannelError),
     /// The request can't be built; nothing was sent.
     #[error("could not build the request: {0}")]
-    Request(#[source] http::Error),
-    /// The order may have arrived, and can't arrive any more.
-    #[error("no answer: {0}")]
-    Unanswered(#[source] DeliveryError),
+    Request(#[from] http::Error),
+    /// Unless nothing was sent, the order may have arrived. It can't arrive any more.
+    #[error(transparent)]
+    Unanswered(#[from] DeliveryError),
 }
 
 /// Sends an order on a connection of its own. Returns the status of the answer.
@@ -402,18 +398,17 @@
     body: String,
     deadline: Time,
 ) -> Result<u16, OrderError> {
-    let request = order_request(shared, engine, body).map_err(OrderError::Request)?;
+    let request = order_request(shared, engine, body)?;
     let left = || deadline.since(clock::now());
     let stream = channel::open(engine.entry.address, left().min(ANSWER_TIMEOUT)).await;
-    let stream = stream.map_err(OrderError::Connect)?;
+    let stream = stream.map_err(DeliveryError::from)?;
     let permit = Permit {
         limit: left(),
         is_valid: move || clock::now() < deadline,
     };
     shared.on_send(engine);
     let sent = clock::now();
-    let answer = delivery::call(stream, permit, request, MAX_ANSWER_BYTES, ANSWER_TIMEOUT).await;
-    let answer = answer.map_err(OrderError::Unanswered)?;
+    let answer = delivery::call(stream, permit, request, MAX_ANSWER_BYTES, ANSWER_TIMEOUT).await?;
     shared.on_engine_answer(engine, &AnswerHead::of_call(sent, &answer));
     Ok(answer.status().as_u16())
 }
--- a/src/util/metrics/mod.rs
+++ b/src/util/metrics/mod.rs
@@ -5,6 +5,7 @@
 
 mod authority;
 mod claims;
+mod dropped_lines;
 mod membership;
 mod platform;
 mod policy;
