Tests: the limits on a leader's calls are each seen red

Two guards could be taken out of the code without a test noticing (trial on a scratch copy): the check before each write, and the wait of the next leader in the seeded run, whose calls no longer arrived later than they left. Calls now take up to nine tenths of a lease through the network after the kernel has sent them for the last time, and the permit of a call ends between the first check and the write.

Seen red: without the check, delivery::call_expired_unsent; without the wait, relay::lead::fence_never_falls_seeded and fence_after_a_lease; without the limit, fence_never_falls_seeded.

--- a/tests/testsuite/delivery.rs
+++ b/tests/testsuite/delivery.rs
@@ -80,18 +80,18 @@
     request.body(Full::new(body)).expect("a request")
 }
 
-/// Makes a call with a permit that the kernel is told to end after `limit`, and that is valid as long as `is_valid` is set.
-async fn call(
+/// Makes a call with a permit that the kernel is told to end after `limit`.
+async fn call<P>(
     address: SocketAddr,
     limit: Duration,
-    is_valid: Rc<Cell<bool>>,
+    is_valid: P,
     body: Bytes,
-) -> Result<Bytes, DeliveryError> {
+) -> Result<Bytes, DeliveryError>
+where
+    P: Fn() -> bool + Clone + Unpin + 'static,
+{
     let stream = open(address, LIMIT).await.expect("a connection");
-    let permit = Permit {
-        limit,
-        is_valid: move || is_valid.get(),
-    };
+    let permit = Permit { limit, is_valid };
     let answered = delivery::call(stream, permit, request(address, body), 1 << 20, LIMIT).await;
     answered.map(http::Response::into_body)
 }
@@ -106,7 +106,8 @@
         count
     });
     let is_valid = Rc::new(Cell::new(true));
-    let called = call(server.address, LIMIT, is_valid.clone(), Bytes::new());
+    let permitted = is_valid.clone();
+    let called = call(server.address, LIMIT, move || permitted.get(), Bytes::new());
     let mut called = std::pin::pin!(called);
     tokio::select! {
         answered = &mut called => panic!("{answered:?} before it expires"),
@@ -119,14 +120,19 @@
     assert_eq!(server.received().end, Err(ErrorKind::ConnectionReset));
 }
 
-/// Guards against a request that is written although its permit ended after the connection was opened.
+/// Guards against a request that is written although its permit ended after the connection was opened: before the call
+/// begins, or between the first check and the write.
 #[actix_web::test]
 async fn call_expired_unsent() {
-    let server = Server::start(|_| 0);
-    let answered = call(server.address, LIMIT, Rc::new(Cell::new(false)), Bytes::new()).await;
-    assert!(answered.is_err(), "{answered:?}");
-    tokio::task::yield_now().await;
-    assert_eq!(server.received().count, 0);
+    for valid_checks in [0, 1] {
+        let server = Server::start(|_| 0);
+        let checks = Rc::new(Cell::new(0));
+        let is_valid = move || checks.replace(checks.get() + 1) < valid_checks;
+        let answered = call(server.address, LIMIT, is_valid, Bytes::new()).await;
+        assert!(answered.is_err(), "{answered:?}");
+        tokio::task::yield_now().await;
+        assert_eq!(server.received().count, 0, "after {valid_checks} checks");
+    }
 }
 
 /// Guards against bytes that the kernel delivers after the permit while this thread doesn't run: it is blocked until the
@@ -139,9 +145,8 @@
         assert_eq!(pause.recv_timeout(limit * 4), Err(RecvTimeoutError::Timeout));
         0
     });
-    let is_valid = Rc::new(Cell::new(true));
     let body = Bytes::from(vec![b'x'; LONG_BODY]);
-    let called = call(server.address, limit, is_valid.clone(), body);
+    let called = call(server.address, limit, || true, body);
     let mut called = std::pin::pin!(called);
     // Writes as much as the kernel accepts.
     let moment = tokio::time::timeout(Duration::from_millis(100), &mut called).await;
@@ -163,7 +168,7 @@
         stream.write_all(&vec![b'y'; ANSWER]).expect("the body is sent");
         count
     });
-    let answered = call(server.address, LIMIT, Rc::new(Cell::new(true)), Bytes::new()).await;
+    let answered = call(server.address, LIMIT, || true, Bytes::new()).await;
     assert_eq!(answered.expect("an answer").len(), ANSWER);
     tokio::task::yield_now().await;
     assert_eq!(server.received().end, Err(ErrorKind::ConnectionReset));
--- a/tests/testsuite/relay/lead.rs
+++ b/tests/testsuite/relay/lead.rs
@@ -174,8 +174,6 @@
     /// Index of the calling instance.
     caller: usize,
     fence: u64,
-    /// When the kernel of the caller stops to send it again.
-    until: Time,
 }
 
 struct Run {
@@ -224,12 +222,19 @@
         Duration::from_millis(self.rng.random_range(1..=limit.max(2)))
     }
 
-    /// Time that a call to the API is in transit: in one of ten cases as long as a partition that outlasts the lease.
+    /// Time for which the kernel of the caller holds a call to the API: in one of ten cases as long as a partition that
+    /// outlasts the lease.
     fn api_delay(&mut self) -> Duration {
         let limit = self.lease.as_millis() as u64;
         self.delay(limit * 4)
     }
 
+    /// Time that a call to the API takes through the network, less than a lease.
+    fn transit_delay(&mut self) -> Duration {
+        let limit = self.lease.as_millis() as u64;
+        self.delay(limit * 9 / 10)
+    }
+
     fn inject_fault(&mut self, now: Time) {
         let limit = self.lease.as_millis() as u64 * 3;
         let length = Duration::from_millis(self.rng.random_range(200..limit));
@@ -247,9 +252,7 @@
         }
         while let Some(call) = self.calls.first().copied().filter(|call| call.arrives <= now) {
             self.calls.remove(&call);
-            if call.arrives < call.until {
-                self.arrived.push((call.arrives, call.caller, call.fence));
-            }
+            self.arrived.push((call.arrives, call.caller, call.fence));
         }
         for index in 0..self.instances.len() {
             self.deliver(now, index);
@@ -273,7 +276,8 @@
     fn run_instance(&mut self, now: Time, index: usize) {
         let is_free = self.store.record.is_none();
         let refreshes = self.rng.random_bool(0.3);
-        let delays = [self.delay(800), self.delay(800), self.api_delay()];
+        let delays = [self.delay(800), self.delay(800)];
+        let (held, transit) = (self.api_delay(), self.transit_delay());
         let is_lost = self.rng.random_bool(0.05);
         let instance = &mut self.instances[index];
         if refreshes && now >= instance.unreachable {
@@ -294,12 +298,13 @@
                 result: None,
             });
         }
-        if let Some(permit) = instance.leader.permit(now) {
+        // The kernel discards a call that it could not send before the permit ends.
+        let permit = instance.leader.permit(now);
+        if let Some(permit) = permit.filter(|permit| now + held < permit.until) {
             self.calls.insert(ApiCall {
-                arrives: now + delays[2],
+                arrives: now + held + transit,
                 caller: index,
                 fence: permit.fence,
-                until: permit.until,
             });
         }
     }
@@ -332,7 +337,8 @@
 
 /// Guards against two instances acting at once or alternately, and against a late call that arrives after a call of a
 /// later holder. Sequence: pauses, outages for some instances, lost answers and calls that are held up for up to four times
-/// the length of the lease, drawn for each seed, with a short, an ordinary and a long lease.
+/// the length of the lease and then take nearly a lease through the network, drawn for each seed, with a short, an ordinary
+/// and a long lease.
 #[test]
 fn fence_never_falls_seeded() {
     for lease in LEASES {
