--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -155,7 +155,7 @@
     518 LEASE_UNUSABLE = "lease-unusable";
     /// The leader sends a call to the platform's API.
     519 CLOUD_SENT = "cloud-sent";
-    /// The leader closed the connection of a call to the platform's API that had no complete answer.
+    /// The leader reset the connection of a call to the platform's API that had no complete answer.
     520 CLOUD_ABANDONED = "cloud-abandoned";
     /// Claims can't be written because the key-value service is failing.
     600 CLAIMS_OUT = "claims-out";
--- a/crates/upstream/src/delivery.rs
+++ b/crates/upstream/src/delivery.rs
@@ -36,7 +36,7 @@
 /// Why a call has no complete answer. Unless nothing was sent, it may have arrived before.
 #[derive(Debug, Error)]
 pub enum DeliveryError {
-    /// The call is no longer permitted; it can't arrive any more.
+    /// The call is no longer permitted.
     #[error("the call is no longer permitted")]
     Expired,
     /// The connection can't be set up; nothing was sent.
@@ -64,7 +64,8 @@
 ///
 /// # Errors
 ///
-/// [`DeliveryError`]; after [`DeliveryError::Expired`] the call can't arrive any more.
+/// [`DeliveryError`]. Its connection is reset as soon as the task of the connection runs, and by the kernel at the latest when
+/// the permit ends.
 pub async fn call<P>(
     stream: TcpStream,
     permit: Permit<P>,
--- a/src/ops/relay/cloud.rs
+++ b/src/ops/relay/cloud.rs
@@ -44,7 +44,7 @@
     /// The request can't be built; nothing was sent.
     #[error("could not build the request: {0}")]
     Request(#[source] http::Error),
-    /// Unless nothing was sent, the call may have arrived. It can't arrive any more.
+    /// Unless nothing was sent, the call may have arrived. Its connection is reset.
     #[error("no answer: {0}")]
     Unanswered(#[from] DeliveryError),
     /// The API refused the call with this status.
@@ -86,7 +86,7 @@
     ///
     /// # Errors
     ///
-    /// [`CloudError`] tells whether the call may have arrived. It doesn't arrive after this returns.
+    /// [`CloudError`] tells whether the call may have arrived. It doesn't arrive after the lease has ended.
     pub async fn post(&self, path: &str, body: String) -> Result<(), CloudError> {
         if !self.is_leader() {
             return Err(CloudError::NotLeader);
--- a/src/ops/relay/orders.rs
+++ b/src/ops/relay/orders.rs
@@ -383,7 +383,7 @@
     /// The request can't be built; nothing was sent.
     #[error("could not build the request: {0}")]
     Request(#[from] http::Error),
-    /// Unless nothing was sent, the order may have arrived. It can't arrive any more.
+    /// Unless nothing was sent, the order may have arrived. Its connection is reset.
     #[error(transparent)]
     Unanswered(#[from] DeliveryError),
 }
