Channel: an upstream that sends bytes without end is left before the deadline

A test of 11 places in an answer on 4 kinds of routes found two where the instance read until the deadline of the request, 160 MB in 10 s (debug build): provisional answers (1xx) and the size of a chunk, which the HTTP library skips without a limit. On a small instance that is its link and its processor for as long. Callers got 504, nothing was promised wrongly. The other places were bounded already: by the size of the head, of an answer and of an event.

A connection now fails once 256 KB were received without a head or a part of a body among them, and counts like any that breaks during an answer.

Failed before: relay::endless::endless_answer_closed (Provisional; ChunkSize ran until the deadline too).

--- a/crates/upstream/src/channel.rs
+++ b/crates/upstream/src/channel.rs
@@ -34,6 +34,9 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use crate::limited_read::LimitedRead;
+use crate::limited_read::UnusedBytes;
+
 /// A connection isn't reused within this time before the upstream's idle timeout: a request must reach the upstream
 /// before it closes the connection.
 const CLOSE_MARGIN: Duration = Duration::from_millis(1_000);
@@ -84,6 +87,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     /// Closes the connection on drop.
     _task: Closer,
+    unused: UnusedBytes,
     path: Path,
     opened: Instant,
     idle_since: Instant,
@@ -140,7 +144,8 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + 'static,
     {
-        let io = TokioIo::new(stream);
+        let unused = UnusedBytes::default();
+        let io = TokioIo::new(LimitedRead::new(stream, unused.clone()));
         let mut builder = http1::Builder::new();
         let opened = builder.max_buf_size(READ_BUFFER).handshake(io).await;
         let (sender, connection) = opened.map_err(|e| ChannelError::Unsent(e.to_string()))?;
@@ -154,6 +159,7 @@
         Ok(Channel {
             sender,
             _task: Closer(handle),
+            unused,
             path,
             opened: Instant::now(),
             idle_since: Instant::now(),
@@ -185,12 +191,14 @@
         request: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Result<Answer, ChannelError> {
+        self.unused.reset();
         let sent = timeout(limit, self.sender.try_send_request(request)).await;
         let answered = sent.map_err(|_| ChannelError::Timeout)?;
         let answer = answered.map_err(|mut error| match error.take_message() {
             Some(_) => ChannelError::Unsent(error.into_error().to_string()),
             None => ChannelError::Broken(error.into_error().to_string()),
         })?;
+        self.unused.reset();
         let (head, body) = answer.into_parts();
         self.keep_alive = reuse_period(&head.headers);
         Ok(Answer {
@@ -262,6 +270,7 @@
         while let Some(frame) = self.body.frame().await {
             let frame = frame.map_err(|e| ChannelError::Broken(e.to_string()))?;
             if let Ok(data) = frame.into_data() {
+                self.channel.unused.reset();
                 return Ok(Some(data));
             }
         }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod error;
 pub mod events;
+mod limited_read;
 mod lines;
 mod plain;
 pub mod wire;
--- a/tests/testsuite/relay/engine.rs
+++ b/tests/testsuite/relay/engine.rs
@@ -22,6 +22,8 @@
 pub enum Action {
     /// Sends this text as it is.
     Send(String),
+    /// Sends this text again and again until the peer closes the connection.
+    SendEndlessly(String),
     /// Closes the connection.
     Close,
     /// Resets the connection.
@@ -62,10 +64,12 @@
     pub requests: Vec<ReceivedRequest>,
     /// Number of accepted connections.
     pub connections: usize,
-    /// Number of connections that the peer closed during [`Action::Hold`].
+    /// Number of connections that the peer closed during [`Action::Hold`] or [`Action::SendEndlessly`].
     pub disconnects: usize,
     /// Number of connections that the peer reset during [`Action::Hold`].
     pub resets: usize,
+    /// Largest number of bytes that were accepted from one [`Action::SendEndlessly`].
+    pub endless: usize,
     /// Whether the engine has ended by [`Action::Crash`].
     pub crashed: bool,
 }
@@ -166,6 +170,14 @@
                         return;
                     }
                 }
+                Action::SendEndlessly(text) => {
+                    let sent = send_endlessly(&mut stream, &text).await;
+                    engine.log.send_modify(|log| {
+                        log.disconnects += 1;
+                        log.endless = log.endless.max(sent);
+                    });
+                    return;
+                }
                 Action::Await(notify) => notify.notified().await,
                 Action::Close => return,
                 Action::Crash => engine.log.send_modify(|log| log.crashed = true),
@@ -186,6 +198,16 @@
     }
 }
 
+/// Sends `text` until the peer closes the connection. Returns the number of bytes that were accepted.
+async fn send_endlessly(stream: &mut TcpStream, text: &str) -> usize {
+    let mut sent = 0;
+    while stream.write_all(text.as_bytes()).await.is_ok() {
+        sent += text.len();
+        tokio::task::yield_now().await;
+    }
+    sent
+}
+
 /// Reads until the peer closes the connection; an error if the peer resets it.
 async fn read_to_end(stream: &mut TcpStream) -> std::io::Result<()> {
     let mut rest = [0; 64];
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -11,6 +11,7 @@
 mod departures;
 mod digest;
 mod directory;
+mod endless;
 mod engine;
 mod engines;
 mod event_pace;
