Relay: a refusal's log line names the prompt and the engine that was judged; answers are counted by priority and size

The report that some callers were never served left no logs, and what we log can't tell who is refused: event 401 had neither the prompt's parts nor its length nor the engine whose load decided, and both kinds of streams of a service have one label in the metrics.

Event 401 now has priority, tokens, parts, engine, requests and queue; the metric relay_prompts counts final answers by service, priority, size and outcome.

--- a/crates/core/src/relay/prompt.rs
+++ b/crates/core/src/relay/prompt.rs
@@ -49,6 +49,12 @@
         self.input.saturating_sub(own)
     }
 
+    /// Returns the largest power of two that is at most the number of tokens in the prompt: prompts of the same size
+    /// differ by less than a factor of two.
+    pub fn size(&self) -> u32 {
+        1 << self.input.max(1).ilog2()
+    }
+
     /// Returns the number of tokens that no other request shares.
     pub fn own_tokens(&self) -> u32 {
         self.input - self.shared_tokens()
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -32,6 +32,7 @@
 use crate::ops::relay::attempt::AttemptParts;
 use crate::ops::relay::connect;
 use crate::ops::relay::hedge::HedgeState;
+use crate::ops::relay::pick::JudgedEngine;
 use crate::ops::relay::prefilled::PrefilledPrompt;
 use crate::ops::relay::rank;
 use crate::ops::relay::reply::AT_LIMITS;
@@ -46,6 +47,7 @@
 use crate::ops::relay::stream;
 use crate::ops::relay::versions::StreamVersion;
 use crate::util::clock;
+use crate::util::metrics::PromptLabels;
 use crate::util::metrics::RouteLabels;
 
 /// One request that is being forwarded.
@@ -78,6 +80,8 @@
     /// Predicted time from the arrival to the first event.
     pub(super) predicted: Option<Duration>,
     pub(super) refusal: Option<Refusal>,
+    /// The engine whose load decided whether the request is refused, for the log.
+    pub(super) judged: Option<JudgedEngine>,
     /// Whether the request may be sent to a second engine because the first one is slow.
     pub(super) hedge: HedgeState,
     /// Set once the request was admitted within the share of its workspace.
@@ -136,6 +140,7 @@
             prefilled_at: None,
             predicted: None,
             refusal: None,
+            judged: None,
             hedge: HedgeState::new(hedge_ratio, route.kind),
             admitted: None,
             version: StreamVersion::Any,
@@ -232,9 +237,13 @@
         };
         let expected = self.refusal.as_ref().and_then(|r| r.expected);
         let expected = expected.map(|expected| expected.as_millis() as u64);
+        let judged = self.judged.as_ref();
         log_event!(info, log_event::REFUSED, request = self.id(), route = %self.route.name, outcome = reply.label(),
             why = reason, takes = expected, waited, left = self.incoming.time_left().as_millis() as u64,
-            sent = self.attempts.sent(), tried = self.tried.len(), config = self.view.table.version);
+            sent = self.attempts.sent(), tried = self.tried.len(), config = self.view.table.version,
+            priority = self.priority, tokens = self.prompt_tokens(), parts = self.incoming.shared_parts(),
+            engine = judged.map(|j| j.engine.as_str()), queue = judged.map(|j| j.queue.as_millis() as u64),
+            requests = judged.map(|j| j.requests));
         self.count(reply.label());
         self.shared.metrics.count_refusal(reason);
         self.settle_share(reply);
@@ -266,6 +275,14 @@
         self.outcome_counted.set(true);
         self.count_return(outcome);
         self.shared.metrics.count_answer(&self.path(), outcome);
+        if let Some(prompt) = &self.incoming.prompt {
+            self.shared.metrics.count_prompt(PromptLabels {
+                service: self.service.clone().unwrap_or_default(),
+                priority: u32::from(self.priority),
+                size: prompt.size(),
+                outcome: outcome.to_string(),
+            });
+        }
     }
 
     /// Chooses an engine and connects to it. `Err(None)` means that another attempt may follow.
--- a/src/ops/relay/pick.rs
+++ b/src/ops/relay/pick.rs
@@ -35,6 +35,28 @@
 /// steps that generate their tokens, at half the speed.
 pub(super) const DECODE_PREFILL_SLOWDOWN: u32 = 2;
 
+/// An engine whose load decided whether a request is refused.
+#[derive(Debug, Clone)]
+pub(super) struct JudgedEngine {
+    /// Id of the engine.
+    pub(super) engine: String,
+    /// Requests there.
+    pub(super) requests: u32,
+    /// Time for which the request would wait there.
+    pub(super) queue: Duration,
+}
+
+impl JudgedEngine {
+    /// An engine, as known to `selector`, at which a request would wait for `queue`.
+    fn new(selector: &EngineSelector<'_>, engine: &Engine, queue: Duration) -> JudgedEngine {
+        JudgedEngine {
+            engine: engine.entry.id.clone(),
+            requests: selector.loads.work(selector.now, engine.key).requests,
+            queue,
+        }
+    }
+}
+
 impl ForwardedRequest {
     /// Chooses the engine that both processes a long prompt and generates the answer, preferably one that has the
     /// shared parts cached. Returns it with the time for which the prefill occupies it; `None` if the request is fresh
@@ -58,14 +80,20 @@
     }
 
     /// Chooses the engine at `stage` that computes the prefill.
-    pub(super) fn choose_prefill(&self, stage: Stage) -> Option<PrefillPlan> {
+    pub(super) fn choose_prefill(&mut self, stage: Stage) -> Option<PrefillPlan> {
         let prompt = self.incoming.prompt.as_ref()?;
-        self.select(|selector, engines| selector.choose_prefill(engines, stage, prompt))
+        let (plan, judged) = self.select(|selector, engines| {
+            let plan = selector.choose_prefill(engines, stage, prompt)?;
+            let judged = JudgedEngine::new(selector, &plan.engine, plan.queue_time);
+            Some((plan, judged))
+        })?;
+        self.judged = Some(judged);
+        Some(plan)
     }
 
     /// Chooses the engine that generates the answer, near the one that computed the prefill. Returns it with the time
     /// for which it is occupied by a prefill that is still to be computed.
-    pub(super) fn choose_decode(&self, is_fresh: bool) -> Option<(Engine, Duration)> {
+    pub(super) fn choose_decode(&mut self, is_fresh: bool) -> Option<(Engine, Duration)> {
         let zone = self
             .prefilled
             .as_ref()
@@ -83,9 +111,14 @@
         };
         let part = self.ranked_part().unwrap_or(part);
         let needs = self.stream_needs(part, Duration::ZERO);
-        let (engine, prefill, pause) = self.select_near(zone, |selector, engines| {
+        let mut judged = None;
+        let chosen = self.select_near(zone, |selector, engines| {
             let reserved = engines.iter().find(|e| self.reserved == Some(e.key));
             let engine = reserved.or_else(|| decode_engine(selector, engines, &needs))?;
+            let queue = selector
+                .loads
+                .queue_time(selector.now, engine.key, engine.entry.slots);
+            judged = Some(JudgedEngine::new(selector, engine, queue));
             let has_room = !is_fresh
                 || !selector.is_full(engine, part) && (is_bound || self.waits_in_time(selector, engine));
             let prefill = match (&self.prefilled, &self.incoming.prompt) {
@@ -97,7 +130,9 @@
             };
             let pause = selector.loads.predicted_pause(selector.now, engine);
             has_room.then(|| (engine.clone(), prefill, pause))
-        })?;
+        });
+        self.judged = judged;
+        let (engine, prefill, pause) = chosen?;
         if let Some(pause) = pause.filter(|pause| needs.is_exceeded(*pause)) {
             self.on_pace_missed(&engine, pause);
         }
--- a/src/util/metrics/mod.rs
+++ b/src/util/metrics/mod.rs
@@ -24,6 +24,7 @@
 pub use claims::ClaimMetrics;
 pub use membership::MembershipMetrics;
 pub use policy::PolicyMetrics;
+pub use relay::PromptLabels;
 pub use relay::RelayMetrics;
 pub use relay::RouteLabels;
 pub use traffic::TokenMetrics;
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -50,6 +50,19 @@
     outcome: String,
 }
 
+/// Labels of a request with a prompt: what decides whether it is refused when capacity is short.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct PromptLabels {
+    /// The service that the route leads to.
+    pub service: String,
+    /// Priority of the request; 0 is served first.
+    pub priority: u32,
+    /// Largest power of two that is at most the number of tokens in the prompt.
+    pub size: u32,
+    /// The final answer.
+    pub outcome: String,
+}
+
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ResultLabels {
     result: String,
@@ -93,6 +106,7 @@
 /// Metrics of the forwarding of requests by route.
 pub struct RelayMetrics {
     answers: Family<RouteOutcomeLabels, Counter>,
+    prompts: Family<PromptLabels, Counter>,
     refusals: Family<ReasonLabels, Counter>,
     attempts: Family<ResultLabels, Counter>,
     store_calls: Family<CallLabels, Counter>,
@@ -162,6 +176,7 @@
         let mut registry = Registry::with_prefix(PREFIX);
         let metrics = RelayMetrics {
             answers: Family::default(),
+            prompts: Family::default(),
             refusals: Family::default(),
             attempts: Family::default(),
             store_calls: Family::default(),
@@ -215,6 +230,11 @@
             "Final answers, by service, kind of route and outcome",
             self.answers.clone(),
         );
+        registry.register(
+            "relay_prompts",
+            "Final answers to requests with a prompt, by service, priority, size of the prompt and outcome",
+            self.prompts.clone(),
+        );
         registry.register(
             "relay_refusals",
             "Final answers produced by this instance itself, by reason",
@@ -434,6 +454,13 @@
         self.answers.get_or_create(&labels).inc();
     }
 
+    /// Counts a final answer to a request with a prompt.
+    pub fn count_prompt(&self, labels: PromptLabels) {
+        let service = self.service_label(&labels.service);
+        let labels = PromptLabels { service, ..labels };
+        self.prompts.get_or_create(&labels).inc();
+    }
+
     /// Counts a final answer produced by this instance itself.
     pub fn count_refusal(&self, reason: &'static str) {
         self.refusals.get_or_create(&ReasonLabels { reason }).inc();
