Relay: no kind and no size of request is refused for as long as others are served

Cause: whether there is room for a request was judged by the request alone: a less urgent stream gets a slot while fewer than three quarters are taken by whomever, a prompt must fit into what its target leaves beside the queue. Others that need less fill the room again at once, so under a lasting overload the same requests are refused each time, without a bound. Class: a limit that is right for each request and has no bound on how often it hits the same ones.

Change: each instance counts, for each kind and within a kind for each size and each amount of uncached work, what it accepts (core::relay::fairness, deficit counters, at most 1,024 groups). A group below its floor (0.3 of the service's, 0.5 and 0.3 of the kind's acceptance rate) is overdue: its next request may take any free slot, wait at an engine once that didn't suffice, and join a queue as long as the target. No messages, no setting.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -6,7 +6,7 @@
 //! [`arrivals`] counts, [`hedging`] sends slow requests to a second engine, [`streams`] knows which
 //! version of the engines began each stream, and [`stages`] splits the
 //! engines of a service into those that process prompts and those that generate. [`workspace_shares`] shares the engines
-//! between workspaces. Requests that crash engines are
+//! between workspaces, and [`fairness`] between kinds of requests and sizes of prompts. Requests that crash engines are
 //! detected by [`poison::suspects`](crate::poison::suspects).
 
 pub mod absence;
@@ -18,6 +18,7 @@
 pub mod engine_map;
 pub mod engines;
 pub mod event_pace;
+pub mod fairness;
 pub mod hash;
 pub mod hedging;
 pub mod interval_spread;
--- a/crates/core/src/relay/prefill_time.rs
+++ b/crates/core/src/relay/prefill_time.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Tokens that the engine processes.
+    pub fn tokens(self) -> u32 {
+        self.tokens as u32
+    }
+
     fn features(self) -> [f64; COEFFICIENTS] {
         [1.0, self.tokens / 1e3, self.pairs / 1e6]
     }
--- a/src/ops/relay/admission.rs
+++ b/src/ops/relay/admission.rs
@@ -141,15 +141,19 @@
         }
     }
 
+    /// Whether the request, if it is refused, is so for lack of capacity.
+    pub(super) fn lacks_capacity(&self) -> bool {
+        match &self.refusal {
+            Some(refusal) => CAPACITY_REASONS.contains(&refusal.reason),
+            None => self.tried.is_empty(),
+        }
+    }
+
     /// Counts a request that was refused for lack of capacity, for the shares of workspaces and for the number of engines
     /// that are ordered.
     pub(super) fn count_capacity_refusal(&self, reply: Reply) {
-        let lacks_capacity = match &self.refusal {
-            Some(refusal) => CAPACITY_REASONS.contains(&refusal.reason),
-            None => self.tried.is_empty(),
-        };
         if let (Reply::Refused(_) | Reply::Expired, true, Some(service)) =
-            (reply, lacks_capacity, &self.service)
+            (reply, self.lacks_capacity(), &self.service)
         {
             let now = clock::now();
             let mut traffic = self.shared.traffic();
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -80,6 +80,8 @@
     /// Predicted time from the arrival to the first event.
     pub(super) predicted: Option<Duration>,
     pub(super) refusal: Option<Refusal>,
+    /// Tokens of the prompt that are still to be processed, as far as is known.
+    pub(super) work_tokens: u32,
     /// The engine whose load decided whether the request is refused, for the log.
     pub(super) judged: Option<JudgedEngine>,
     /// Whether the request may be sent to a second engine because the first one is slow.
@@ -123,6 +125,7 @@
         let ranked = service.as_ref().filter(|_| by_priority);
         let ranks = ranked.and_then(|s| view.table.differing_ranks(s));
         incoming.engine_priority = ranks.map(|_| engine_priority(priority));
+        let work_tokens = incoming.prompt.as_ref().map_or(0, |prompt| prompt.input);
         let is_return = ranks.is_some() && rank::is_return(&shared, &incoming, route.timeout);
         ForwardedRequest {
             shared,
@@ -140,6 +143,7 @@
             prefilled_at: None,
             predicted: None,
             refusal: None,
+            work_tokens,
             judged: None,
             hedge: HedgeState::new(hedge_ratio, route.kind),
             admitted: None,
@@ -247,6 +251,7 @@
         self.count(reply.label());
         self.shared.metrics.count_refusal(reason);
         self.settle_share(reply);
+        self.count_refused(reply);
         self.count_capacity_refusal(reply);
         reply.into_response()
     }
@@ -306,6 +311,7 @@
         };
         if is_fresh {
             self.on_accepted();
+            self.count_accepted();
         }
         let job = self.begin_job(&engine, prefill);
         let handover = match is_stream {
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -17,7 +17,7 @@
 //! - [`forward`] takes each request to its final answer: `deliver` makes attempts until an engine delivers, `attempt` is
 //!   one of them, `hedge` makes two at a time, `hedge_prefill` does so with calls for prefills, and `retries` decides what
 //!   follows each;
-//! - `pick` chooses engines, `rank` limits how far less urgent requests fill them, `job` counts what they are given,
+//! - `pick` chooses engines, `rank` limits how far less urgent requests fill them, `fairness` accepts overdue ones beyond that, `job` counts what they are given,
 //!   `service_time` records how long plain engines take, `versions` keeps each stream at the version that began it;
 //! - [`connect`] connects to engines, `idle` closes connections that are no longer used and probes detached engines;
 //! - `reading` has prefills computed, `prefilled` holds their results, [`stream`] passes events on;
@@ -30,6 +30,7 @@
 mod counted;
 mod deliver;
 pub mod edge;
+mod fairness;
 pub mod follow;
 pub mod forward;
 mod gauges;
--- a/src/ops/relay/pick.rs
+++ b/src/ops/relay/pick.rs
@@ -88,6 +88,7 @@
             Some((plan, judged))
         })?;
         self.judged = Some(judged);
+        self.work_tokens = plan.work.tokens();
         Some(plan)
     }
 
@@ -110,6 +111,8 @@
             (None, true) => LEAST_URGENT_PART,
         };
         let part = self.ranked_part().unwrap_or(part);
+        let overdue = self.overdue_part().filter(|_| self.prefilled.is_none());
+        let part = overdue.map_or(part, |overdue| overdue.max(part));
         let needs = self.stream_needs(part, Duration::ZERO);
         let mut judged = None;
         let chosen = self.select_near(zone, |selector, engines| {
@@ -120,7 +123,8 @@
                 .queue_time(selector.now, engine.key, engine.entry.slots);
             judged = Some(JudgedEngine::new(selector, engine, queue));
             let has_room = !is_fresh
-                || !selector.is_full(engine, part) && (is_bound || self.waits_in_time(selector, engine));
+                || !selector.is_full(engine, part)
+                    && (is_bound || overdue.is_some() || self.waits_in_time(selector, engine));
             let prefill = match (&self.prefilled, &self.incoming.prompt) {
                 (None, Some(prompt)) => {
                     let model = selector.loads.prefill_model(&engine.entry.service);
--- a/src/ops/relay/rank.rs
+++ b/src/ops/relay/rank.rs
@@ -33,6 +33,11 @@
 /// Reason of a refusal: the slots for requests of this priority are taken.
 const NO_SLOT: &str = "no slots are left for its priority";
 
+/// Whether this reason of a refusal is that capacity is left to more urgent requests.
+pub(super) fn is_rank_reason(reason: &str) -> bool {
+    [NO_QUEUE, NO_SLOT].contains(&reason)
+}
+
 impl ForwardedRequest {
     /// The priorities of the routes to the service, if they differ and the settings let requests go before others by them.
     fn ranks(&self) -> Option<&Ranks> {
@@ -54,7 +59,7 @@
     }
 
     /// Whether only some engines may continue the stream. Others can take the new ones, so it is not limited by rank.
-    fn is_bound(&self) -> bool {
+    pub(super) fn is_bound(&self) -> bool {
         self.version != StreamVersion::Any
     }
 
@@ -94,6 +99,9 @@
         let Some(ranks) = self.outranking().filter(|_| !self.is_bound()) else {
             return false;
         };
+        if self.overdue().is_some() {
+            return false;
+        }
         let part = ranks.part(self.ranked_request(), SlotUse::Stream);
         let max_queue = ranks.max_queue(self.ranked_request());
         let reason = match max_queue.is_some_and(|max| plan.queue_time > max) {
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -39,6 +39,9 @@
 /// short for a queue of prefills.
 const SHORT_WAIT_PART: f64 = 0.1;
 
+/// As [`SHORT_WAIT_PART`], for requests that are overdue.
+const OVERDUE_WAIT_PART: f64 = 1.0;
+
 impl ForwardedRequest {
     /// Whether another engine is to compute the prefill: the service has engines that do nothing else, and the prompt
     /// is long enough for computing it there to be worth the handover.
@@ -150,10 +153,14 @@
     ///
     /// Failure guarded against: the longest prompts take longer than the latency target even on an idle engine, and
     /// would be refused for ever. A request that waits for little but its own prefill is therefore accepted, even if it
-    /// will be late.
+    /// will be late. So is one that is overdue, as long as its queue isn't longer than the target: under a lasting
+    /// overload, shorter prompts fill the queues again at once.
     pub(super) fn would_be_late(&mut self, expected: Duration, queue_time: Duration) -> bool {
-        let is_late =
-            !self.is_on_time(expected) && queue_time > self.route.latency_target.mul_f64(SHORT_WAIT_PART);
+        let wait_part = match self.overdue() {
+            Some(_) => OVERDUE_WAIT_PART,
+            None => SHORT_WAIT_PART,
+        };
+        let is_late = !self.is_on_time(expected) && queue_time > self.route.latency_target.mul_f64(wait_part);
         if is_late {
             let reason = WOULD_BE_LATE;
             let expected = Some(expected);
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -20,6 +20,7 @@
 use sequoiastream_core::relay::directory::Endpoint;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::EngineKey;
+use sequoiastream_core::relay::fairness::FairAdmission;
 use sequoiastream_core::relay::hash::Hash;
 use sequoiastream_core::relay::hedging::Hedging;
 use sequoiastream_core::relay::leader_lease::LeaseRecord;
@@ -176,6 +177,8 @@
     pub returns: ReturnSchedule,
     /// Requests that were refused for lack of capacity.
     pub capacity_refusals: CapacityRefusals,
+    /// Which kinds and sizes of requests are owed an acceptance.
+    pub fairness: FairAdmission,
     /// Prefill time sent to services whose routes differ in priority.
     pub rank_work: RankWork,
     /// Which engines this instance reaches only through a peer.
@@ -239,6 +242,7 @@
             rate_limits: RateLimits::new(),
             returns: ReturnSchedule::new(),
             capacity_refusals: CapacityRefusals::default(),
+            fairness: FairAdmission::new(),
             rank_work: RankWork::default(),
             reachability: Reachability::new(),
             suspects: Suspects::with_seed(Hash::new().with(options.name.as_str().as_bytes()).value()),
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -114,6 +114,7 @@
     hedges: Family<ResultLabels, Counter>,
     hedges_denied: Family<ReasonLabels, Counter>,
     returns: Family<ResultLabels, Counter>,
+    overdue: Family<ResultLabels, Counter>,
     requests: Family<ServiceLabels, Counter>,
     arrivals: Family<ArrivalLabels, Counter>,
     /// Requests that were decided by a view that nothing had confirmed within the time for applying a change.
@@ -184,6 +185,7 @@
             hedges: Family::default(),
             hedges_denied: Family::default(),
             returns: Family::default(),
+            overdue: Family::default(),
             requests: Family::default(),
             arrivals: Family::default(),
             outdated_requests: Counter::default(),
@@ -362,6 +364,11 @@
             "Refused callers that returned when told, by result",
             self.returns.clone(),
         );
+        registry.register(
+            "relay_overdue",
+            "Requests of a kind or size that was refused more often than it may be, by whether they were accepted",
+            self.overdue.clone(),
+        );
     }
 
     fn register_knowledge(&self, registry: &mut Registry) {
@@ -500,6 +507,12 @@
         self.returns.get_or_create(&ResultLabels { result }).inc();
     }
 
+    /// Counts a request of a kind or size that was refused more often than it may be.
+    pub fn count_overdue(&self, is_accepted: bool) {
+        let result = if is_accepted { "accepted" } else { "refused" }.to_string();
+        self.overdue.get_or_create(&ResultLabels { result }).inc();
+    }
+
     /// Counts a caller's request on a route to a service.
     pub fn count_request(&self, service: &str) {
         let service = self.service_label(service);
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -15,6 +15,7 @@
 mod engine;
 mod engines;
 mod event_pace;
+mod fairness;
 mod follow;
 mod hedging;
 mod instance;
