Server: connections are closed after an answer while many are open

On a real machine, 1,024 is a usual limit.

Cause: refused callers return on new connections and leave the old ones open. Class: a kept resource without a bound.

Change: beyond half of the descriptors that the system or the settings (MaxFds) allow, every answer closes its connection.

--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -13,7 +13,7 @@
 //!
 //! On the traffic thread:
 //!
-//! - [`server`] accepts requests, `head` parses their heads;
+//! - [`server`] accepts requests, `head` parses their heads, `connections` limits how many connections are kept;
 //! - [`forward`] takes each request to its final answer: `deliver` makes attempts until an engine delivers, `attempt` is
 //!   one of them, `hedge` makes two at a time, `hedge_prefill` does so with calls for prefills, and `retries` decides what
 //!   follows each;
@@ -27,6 +27,7 @@
 mod attempt;
 mod cloud;
 pub mod connect;
+mod connections;
 mod counted;
 mod deliver;
 pub mod edge;
--- a/src/ops/relay/options.rs
+++ b/src/ops/relay/options.rs
@@ -54,6 +54,8 @@
     pub peer: SocketAddr,
     /// Capacity of this instance in thousandths of a core; 0 if it isn't known.
     pub capacity: u32,
+    /// Maximum number of descriptors that the process may have open, if it is lower than the system's limit.
+    pub descriptors: Option<u64>,
     /// Secret that all instances of the deployment share.
     pub cluster_key: String,
     /// Settings of the leader, if it has any tasks.
--- a/src/ops/relay/server.rs
+++ b/src/ops/relay/server.rs
@@ -29,6 +29,7 @@
 use tokio::time::timeout;
 
 use crate::log_event;
+use crate::ops::relay::connections::Connections;
 use crate::ops::relay::edge::Directory;
 use crate::ops::relay::forward::ForwardedRequest;
 use crate::ops::relay::gauges;
@@ -61,6 +62,7 @@
     shared: Arc<Shared>,
     pool: Pool,
     calls: CallClient,
+    connections: Connections,
 }
 
 /// Starts the servers.
@@ -77,6 +79,8 @@
     addresses.sort();
     addresses.dedup();
     let state = shared.clone();
+    let connections = Connections::new(options.descriptors);
+    let accepted = connections.clone();
     let mut server = HttpServer::new(move || {
         let pool = Pool::new();
         actix_rt::spawn(idle::sweep(state.clone(), pool.clone()));
@@ -84,11 +88,15 @@
             shared: state.clone(),
             pool,
             calls: CallClient::new(state.key.clone()),
+            connections: connections.clone(),
         };
         App::new()
             .app_data(Data::new(worker))
             .default_service(web::to(handle))
     })
+    .on_connect(move |_, extensions| {
+        extensions.insert(accepted.accept());
+    })
     .workers(1)
     .backlog(BACKLOG)
     .keep_alive(KEEP_ALIVE)
@@ -130,7 +138,7 @@
         Some(response) => response,
         None => forward_request(&worker, &request, payload).await,
     };
-    if shared.is_leaving() {
+    if shared.is_leaving() || worker.connections.are_many() {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
     response
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -298,6 +298,7 @@
         metrics: Some(unique_address(7_005)),
         peer: unique_address(7_004),
         capacity: 250,
+        descriptors: None,
         cluster_key: "a secret of the tests".to_string(),
         leader: None,
         reloadable: ReloadableOptions {
