--- a/src/util/metrics/mod.rs
+++ b/src/util/metrics/mod.rs
@@ -10,6 +10,7 @@
 mod platform;
 mod policy;
 mod relay;
+mod relay_labels;
 mod traffic;
 
 use std::fmt;
@@ -24,9 +25,9 @@
 pub use claims::ClaimMetrics;
 pub use membership::MembershipMetrics;
 pub use policy::PolicyMetrics;
-pub use relay::PromptLabels;
 pub use relay::RelayMetrics;
-pub use relay::RouteLabels;
+pub use relay_labels::PromptLabels;
+pub use relay_labels::RouteLabels;
 pub use traffic::TokenMetrics;
 pub use traffic::TrafficMetrics;
 
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -6,7 +6,6 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -17,6 +16,16 @@
 use crate::util::logging::SharedBudget;
 use crate::util::metrics::PREFIX;
 use crate::util::metrics::dropped_lines::DroppedLineCollector;
+use crate::util::metrics::relay_labels::ArrivalLabels;
+use crate::util::metrics::relay_labels::CallLabels;
+use crate::util::metrics::relay_labels::PromptLabels;
+use crate::util::metrics::relay_labels::ReasonLabels;
+use crate::util::metrics::relay_labels::ResultLabels;
+use crate::util::metrics::relay_labels::RouteLabels;
+use crate::util::metrics::relay_labels::RouteOutcomeLabels;
+use crate::util::metrics::relay_labels::ScaleLabels;
+use crate::util::metrics::relay_labels::ScopeLabels;
+use crate::util::metrics::relay_labels::ServiceLabels;
 
 /// Bucket bounds of the time to the first event, in seconds. They are dense around the users' targets of 0.1 to 0.2.
 const FIRST_EVENT_BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.4, 0.8, 1.6, 5.0];
@@ -34,75 +43,6 @@
 /// Label of all services beyond [`MAX_SERVICES`].
 const OTHER_SERVICES: &str = "others";
 
-/// Labels of a request: its service and the kind of its route.
-#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
-pub struct RouteLabels {
-    /// The service that the route leads to.
-    pub service: String,
-    /// The kind of the route.
-    pub kind: &'static str,
-}
-
-#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct RouteOutcomeLabels {
-    service: String,
-    kind: &'static str,
-    outcome: String,
-}
-
-/// Labels of a request with a prompt: what decides whether it is refused when capacity is short.
-#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
-pub struct PromptLabels {
-    /// The service that the route leads to.
-    pub service: String,
-    /// Priority of the request; 0 is served first.
-    pub priority: u32,
-    /// Largest power of two that is at most the number of tokens in the prompt.
-    pub size: u32,
-    /// The final answer.
-    pub outcome: String,
-}
-
-#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct ResultLabels {
-    result: String,
-}
-
-#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct CallLabels {
-    call: &'static str,
-    result: &'static str,
-}
-
-#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct ReasonLabels {
-    reason: &'static str,
-}
-
-#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct ServiceLabels {
-    service: String,
-}
-
-#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct ArrivalLabels {
-    service: String,
-    kind: &'static str,
-}
-
-#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct ScopeLabels {
-    service: String,
-    scope: &'static str,
-}
-
-#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct ScaleLabels {
-    service: String,
-    zone: String,
-    kind: &'static str,
-}
-
 /// Metrics of the forwarding of requests by route.
 pub struct RelayMetrics {
     answers: Family<RouteOutcomeLabels, Counter>,
