Streams: the log and metrics say what determined the version of a stream that is taken up

Event 421 names the source, the age of the process and of what it knows of the store; relay_take_ups counts by source. No logic changed.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -117,6 +117,8 @@
     417 WORKSPACE_OVER_SHARE = "workspace-over-share";
     /// A request was refused because the rest of the capacity is for more urgent ones.
     420 OUTRANKED = "outranked";
+    /// A caller took a stream up, and the version that began it was determined or not.
+    421 TAKEN_UP = "taken-up";
     /// This instance acquired the authority over a service.
     500 AUTHORITY_TAKEN = "authority-taken";
     /// This instance no longer holds the authority over a service.
--- a/crates/core/src/relay/streams.rs
+++ b/crates/core/src/relay/streams.rs
@@ -11,6 +11,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -50,6 +51,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct SoftwareVersion(u64);
 
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 impl SoftwareVersion {
     /// The version with this name.
     pub fn of(name: &str) -> SoftwareVersion {
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -262,7 +262,7 @@
     }
 
     /// The id of the caller's attempt that began the stream, for the log.
-    fn resumes(&self) -> Option<String> {
+    pub(super) fn resumes(&self) -> Option<String> {
         let resumes = self.incoming.resumes.as_ref();
         resumes.map(|id| String::from_utf8_lossy(id.as_bytes()).into_owned())
     }
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -216,6 +216,8 @@
     /// How far true time is ahead of the monotonic clock, in microseconds; zero until it is known.
     true_offset: AtomicU64,
     traffic: Mutex<TrafficState>,
+    /// When this process started.
+    started: Time,
     /// Notified when a check whether an engine has ended is complete.
     pub(super) checked: Notify,
     running: Arc<AtomicUsize>,
@@ -263,11 +265,17 @@
             proven: AtomicU64::default(),
             true_offset: AtomicU64::default(),
             traffic: Mutex::new(traffic),
+            started: clock::now(),
             checked: Notify::new(),
             running: Arc::default(),
         }
     }
 
+    /// Time since this process started.
+    pub fn uptime(&self, now: Time) -> Duration {
+        now.since(self.started)
+    }
+
     /// The settings that may change while the instance runs.
     pub fn reloadable(&self) -> Arc<ReloadableOptions> {
         self.reloadable.load_full()
--- a/src/ops/relay/versions.rs
+++ b/src/ops/relay/versions.rs
@@ -41,6 +41,31 @@
     Unknown,
 }
 
+/// What determined the version of a stream that is taken up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum VersionSource {
+    /// A record of this instance.
+    Record,
+    /// A record of a peer.
+    Peer,
+    /// No other version has served for as long as a stream may last.
+    OnlyVersion,
+    /// Nothing: the version is not known.
+    None,
+}
+
+impl VersionSource {
+    /// Label in metrics and the log.
+    fn label(self) -> &'static str {
+        match self {
+            VersionSource::Record => "record",
+            VersionSource::Peer => "peer",
+            VersionSource::OnlyVersion => "only-version",
+            VersionSource::None => "none",
+        }
+    }
+}
+
 impl ForwardedRequest {
     /// Determines the version of the stream that the caller takes up, if it takes up one.
     ///
@@ -51,15 +76,8 @@
         let Some(stream) = self.resumed_stream() else {
             return Ok(());
         };
-        let known = self.shared.traffic().streams.record(clock::now(), stream);
-        let record = match known {
-            Some(record) => Some(record),
-            None => self.ask_homes(stream).await,
-        };
-        let version = match record {
-            Some(record) => Some(record.version),
-            None => self.record_only_version(stream),
-        };
+        let (version, source) = self.determine_version(stream).await;
+        self.log_take_up(version, source);
         match version {
             Some(version) => self.version = StreamVersion::Only(version),
             None => {
@@ -70,6 +88,39 @@
         Ok(())
     }
 
+    /// The version of a stream that is taken up, and what determined it.
+    async fn determine_version(&mut self, stream: StreamId) -> (Option<SoftwareVersion>, VersionSource) {
+        let known = self.shared.traffic().streams.record(clock::now(), stream);
+        if let Some(record) = known {
+            return (Some(record.version), VersionSource::Record);
+        }
+        if let Some(record) = self.ask_homes(stream).await {
+            return (Some(record.version), VersionSource::Peer);
+        }
+        match self.record_only_version(stream) {
+            Some(version) => (Some(version), VersionSource::OnlyVersion),
+            None => (None, VersionSource::None),
+        }
+    }
+
+    /// Logs and counts how the version of a stream that is taken up was determined.
+    fn log_take_up(&self, version: Option<SoftwareVersion>, source: VersionSource) {
+        let now = clock::now();
+        let source = source.label();
+        self.shared.metrics.count_take_up(source);
+        log_event!(
+            info,
+            log_event::TAKEN_UP,
+            request = self.id(),
+            resumes = self.resumes(),
+            after = self.incoming.last_event,
+            source,
+            version = version.map(|v| v.to_string()),
+            uptime = self.shared.uptime(now).as_millis() as u64,
+            heard = self.shared.store_age(now).as_millis() as u64
+        );
+    }
+
     /// The only version that a stream of which no record is found can have, if there is one. It is recorded, because
     /// another version may serve by the caller's next try.
     fn record_only_version(&self, stream: StreamId) -> Option<SoftwareVersion> {
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -26,6 +26,7 @@
 use crate::util::metrics::relay_labels::ScaleLabels;
 use crate::util::metrics::relay_labels::ScopeLabels;
 use crate::util::metrics::relay_labels::ServiceLabels;
+use crate::util::metrics::relay_labels::SourceLabels;
 
 /// Bucket bounds of the time to the first event, in seconds. They are dense around the users' targets of 0.1 to 0.2.
 const FIRST_EVENT_BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.4, 0.8, 1.6, 5.0];
@@ -55,6 +56,7 @@
     hedges_denied: Family<ReasonLabels, Counter>,
     returns: Family<ResultLabels, Counter>,
     overdue: Family<ResultLabels, Counter>,
+    take_ups: Family<SourceLabels, Counter>,
     requests: Family<ServiceLabels, Counter>,
     arrivals: Family<ArrivalLabels, Counter>,
     /// Requests that were decided by a view that nothing had confirmed within the time for applying a change.
@@ -126,6 +128,7 @@
             hedges_denied: Family::default(),
             returns: Family::default(),
             overdue: Family::default(),
+            take_ups: Family::default(),
             requests: Family::default(),
             arrivals: Family::default(),
             outdated_requests: Counter::default(),
@@ -309,6 +312,11 @@
             "Requests of a kind or size that was refused more often than it may be, by whether they were accepted",
             self.overdue.clone(),
         );
+        registry.register(
+            "relay_take_ups",
+            "Streams that callers took up, by what determined the version of their engines",
+            self.take_ups.clone(),
+        );
     }
 
     fn register_knowledge(&self, registry: &mut Registry) {
@@ -453,6 +461,11 @@
         self.overdue.get_or_create(&ResultLabels { result }).inc();
     }
 
+    /// Counts a stream that a caller took up, by what determined its version.
+    pub fn count_take_up(&self, source: &'static str) {
+        self.take_ups.get_or_create(&SourceLabels { source }).inc();
+    }
+
     /// Counts a caller's request on a route to a service.
     pub fn count_request(&self, service: &str) {
         let service = self.service_label(service);
--- a/src/util/metrics/relay_labels.rs
+++ b/src/util/metrics/relay_labels.rs
@@ -47,6 +47,11 @@
     pub(super) reason: &'static str,
 }
 
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(super) struct SourceLabels {
+    pub(super) source: &'static str,
+}
+
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(super) struct ServiceLabels {
     pub(super) service: String,
