--- a/tests/testsuite/relay/versions.rs
+++ b/tests/testsuite/relay/versions.rs
@@ -343,3 +343,16 @@
     let got = take_up(&instance, "r1", "q0").await;
     assert_eq!(versions(&got), BTreeSet::from([version.as_str()]), "{got}");
 }
+
+/// Guards against a stream that goes on at another version because its own left, and all instances that knew of it ended,
+/// before the one at which it is taken up started.
+#[actix_web::test]
+async fn take_up_restarted() {
+    let before = Engines::start(&["v1", "v1"]).await;
+    let one = before.instance("one", 1);
+    assert_eq!(begin(&one, "q0").await, "v1");
+    let after = Engines::start(&["v2", "v2"]).await;
+    let two = after.instance("two", 1);
+    let got = take_up(&two, "r0", "q0").await;
+    assert_eq!(status(&got), "503", "{got}");
+}
