Streams: what is known of versions and streams outlives the instances

Callers saw answers joined from two software versions after all instances were killed behind a release, and streams refused although their version served after a kill amid one. Cause: the versions that have served and the records of streams lived in processes only.

The version of a stream without a record is concluded only from a complete and recent history: the store holds the versions that may have begun a stream that still runs, written when the set changes, also of engines that leave. While no version is certain, each process keeps the records of its streams under a leased key of its own; a take-up that nobody knows reads them. With one version nothing is written. A take-up that doesn't name its attempt is bound to the certain version or refused.

--- a/crates/core/src/relay/engines.rs
+++ b/crates/core/src/relay/engines.rs
@@ -9,6 +9,7 @@
 use crate::relay::hash::hash_pair;
 use crate::relay::revision::Revision;
 use crate::relay::streams::SoftwareVersion;
+use crate::relay::version_history::ServiceVersion;
 use crate::time::Time;
 
 /// How long after the store's return an engine whose entry has disappeared may still get work. Entries that expired
@@ -112,6 +113,14 @@
         }
     }
 
+    /// The version that it serves its service at; `None` if it only computes prefills for other engines.
+    pub fn service_version(&self) -> Option<ServiceVersion> {
+        (self.entry.stage != Stage::Prefill).then(|| ServiceVersion {
+            service: self.entry.service.clone(),
+            version: self.version,
+        })
+    }
+
     /// Returns the incarnation of the engine.
     pub fn incarnation(&self) -> Incarnation {
         Incarnation {
@@ -212,6 +221,8 @@
     distrust_until: Option<Time>,
     /// What has happened since the last [`Engines::take_departures`].
     departures: Vec<(String, Departure)>,
+    /// Versions of engines that have gone since the last [`Engines::take_versions`].
+    gone: BTreeSet<ServiceVersion>,
 }
 
 /// Maximum number of removed engines that are remembered to reject late updates from peers.
@@ -259,6 +270,14 @@
         std::mem::take(&mut self.departures)
     }
 
+    /// Returns the versions that serve, at engines that leave too, and those of engines that have gone since the last call:
+    /// an engine may come and go between two calls.
+    pub fn take_versions(&mut self) -> BTreeSet<ServiceVersion> {
+        let mut versions = std::mem::take(&mut self.gone);
+        versions.extend(self.known.values().filter_map(|k| k.engine.service_version()));
+        versions
+    }
+
     fn on_entry(&mut self, revision: Revision, entry: Entry) -> bool {
         let tombstone = self.tombstones.get(&entry.id);
         if tombstone.is_some_and(|t| t.revision >= revision || t.version >= EntryVersion::of(&entry)) {
@@ -289,7 +308,9 @@
                 if entry.leaving && !known_entry.leaving {
                     self.departures.push((entry.id.clone(), Departure::Announced));
                 }
-                known.engine = Engine::new(known.engine.key, entry);
+                let engine = Engine::new(known.engine.key, entry);
+                let before = std::mem::replace(&mut known.engine, engine);
+                self.gone.extend(before.service_version());
                 return changed;
             }
         }
@@ -303,7 +324,9 @@
             kept_until: None,
             copied: None,
         };
-        self.known.insert(id, known);
+        let before = self.known.insert(id, known);
+        self.gone
+            .extend(before.and_then(|known| known.engine.service_version()));
         true
     }
 
@@ -326,6 +349,7 @@
             }
             Some(known) => {
                 let version = EntryVersion::of(&known.engine.entry);
+                self.gone.extend(known.engine.service_version());
                 self.known.remove(&id);
                 self.departures.push((id.clone(), Departure::Removed));
                 self.add_tombstone(id, Tombstone { revision, version });
@@ -371,7 +395,9 @@
             .map(|(id, known)| (id.clone(), tombstone(known)))
             .collect();
         for (id, tombstone) in &overdue {
-            self.known.remove(id);
+            let removed = self.known.remove(id);
+            self.gone
+                .extend(removed.and_then(|known| known.engine.service_version()));
             self.departures.push((id.clone(), Departure::Overdue));
             self.add_tombstone(id.clone(), *tombstone);
         }
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -52,6 +52,7 @@
 pub mod true_time;
 pub mod tunnel_peers;
 pub mod usage;
+pub mod version_history;
 pub mod watchers;
 pub mod workspace_shares;
 pub mod workspace_use;
--- a/crates/core/src/relay/streams.rs
+++ b/crates/core/src/relay/streams.rs
@@ -6,8 +6,9 @@
 //!
 //! The instance that passes on the first event of a stream records the version and tells the [`homes`] of the stream, a
 //! few peers that every instance computes alike. An instance at which the stream is taken up and that does not know it
-//! asks them. A record lasts as long as the caller of the stream waits. Where no record is found, the version is
-//! certain only if the engines of the service have had no other one for as long as a stream may last.
+//! asks them. A record lasts as long as the caller of the stream waits. Where no record is found, the version may follow
+//! from the [`version_history`](crate::relay::version_history). While it does not, instances also keep the records of
+//! their own streams in the store, for the case that all of them end at once.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -18,8 +19,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::relay::engines::Engine;
-use crate::relay::engines::Stage;
 use crate::relay::hash::Hash;
 use crate::relay::hash::hash_pair;
 use crate::relay::tunnel_peers::address_hash;
@@ -86,15 +85,22 @@
             left,
         }
     }
+
+    /// Time for which its caller still waits.
+    fn left(&self) -> Duration {
+        Duration::from_millis(u64::from(self.left))
+    }
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Known {
     version: SoftwareVersion,
     until: Time,
+    /// Service of the stream, if this instance has begun or continued it.
+    owner: Option<String>,
 }
 
-/// The streams that this instance knows, and the versions that have served.
+/// The streams that this instance knows.
 #[derive(Debug, Clone, Default)]
 pub struct Streams {
     known: BTreeMap<StreamId, Known>,
@@ -102,8 +108,6 @@
     expiries: BTreeSet<(Time, StreamId)>,
     /// Streams that peers are still to be told of.
     unsent: Vec<StreamId>,
-    /// When each version of a service was last seen to serve; `None` while it does.
-    served: BTreeMap<(String, SoftwareVersion), Option<Time>>,
 }
 
 impl Streams {
@@ -112,23 +116,30 @@
         Streams::default()
     }
 
-    /// Records that this version is that of a stream whose caller waits for `left`: an engine delivered its first event, or
-    /// it is taken up and can have no other version.
-    pub fn on_begun(&mut self, now: Time, stream: StreamId, version: SoftwareVersion, left: Duration) {
-        self.insert(now, stream, version, left);
-        self.unsent.push(stream);
+    /// Records a stream of `service`: an engine delivered its first event, or it is taken up and can have no other version.
+    pub fn on_begun(&mut self, now: Time, service: &str, record: StreamRecord) {
+        self.on_record(now, record);
+        self.on_continued(service, record.stream);
+        self.unsent.push(record.stream);
     }
 
-    /// Records what a peer reports.
-    pub fn on_record(&mut self, now: Time, record: StreamRecord) {
-        let left = Duration::from_millis(u64::from(record.left));
-        self.insert(now, record.stream, record.version, left);
+    /// Records that this instance continues a stream of `service` that it has a record of.
+    pub fn on_continued(&mut self, service: &str, stream: StreamId) {
+        if let Some(known) = self.known.get_mut(&stream) {
+            known.owner.get_or_insert_with(|| service.to_string());
+        }
     }
 
-    /// A stream has one version for ever, so a record is never replaced by a different one.
-    fn insert(&mut self, now: Time, stream: StreamId, version: SoftwareVersion, left: Duration) {
-        let until = now + left.min(MAX_LIFETIME);
-        let known = self.known.entry(stream).or_insert(Known { version, until });
+    /// Records what a peer or the store reports. A stream has one version for ever, so a record is never replaced by a
+    /// different one.
+    pub fn on_record(&mut self, now: Time, record: StreamRecord) {
+        let StreamRecord { stream, version, .. } = record;
+        let until = now + record.left().min(MAX_LIFETIME);
+        let known = self.known.entry(stream).or_insert(Known {
+            version,
+            until,
+            owner: None,
+        });
         let before = known.until;
         known.until = before.max(until);
         self.expiries.remove(&(before, stream));
@@ -167,30 +178,15 @@
         }
     }
 
-    /// Records which versions serve from now on.
-    pub fn on_engines(&mut self, now: Time, engines: &BTreeMap<String, Vec<Engine>>) {
-        for ended in self.served.values_mut() {
-            ended.get_or_insert(now);
-        }
-        for (service, engines) in engines {
-            for engine in engines.iter().filter(|e| e.entry.stage != Stage::Prefill) {
-                self.served.insert((service.clone(), engine.version), None);
-            }
-        }
-        self.served
-            .retain(|_, ended| ended.is_none_or(|at| now.since(at) < MAX_LIFETIME));
-    }
-
-    /// The version of all streams of a service: the only one that has served for as long as a stream may last.
-    pub fn only_version(&self, now: Time, service: &str) -> Option<SoftwareVersion> {
-        let recent = |ended: &Option<Time>| ended.is_none_or(|at| now.since(at) < MAX_LIFETIME);
-        let served = self
-            .served
-            .iter()
-            .filter(|((s, _), ended)| s == service && recent(ended));
-        let mut versions = served.map(|((_, version), _)| *version);
-        let first = versions.next()?;
-        versions.next().is_none().then_some(first)
+    /// The records of the streams that this instance has begun or continued, of the services that `is_wanted` selects.
+    pub fn own_records<F>(&self, now: Time, is_wanted: F) -> Vec<StreamRecord>
+    where
+        F: Fn(&str) -> bool,
+    {
+        let wanted = |known: &Known| known.until > now && known.owner.as_deref().is_some_and(&is_wanted);
+        let own = self.known.iter().filter(|(_, known)| wanted(known));
+        own.map(|(stream, known)| StreamRecord::new(*stream, known.version, known.until.since(now)))
+            .collect()
     }
 
     /// Number of records.
--- a/src/ops/relay/edge.rs
+++ b/src/ops/relay/edge.rs
@@ -100,6 +100,10 @@
     pub leader: String,
     /// The usage reports that have been decided.
     pub usage: String,
+    /// The versions of the engines that may have begun a stream that still runs.
+    pub versions: String,
+    /// Prefix of the keys of the instances' records of streams.
+    pub streams: String,
 }
 
 /// Paths of the calls that an instance accepts, and of those that it makes to engines and to the platform's API.
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -51,6 +51,7 @@
 use crate::ops::relay::peers::Fleet;
 use crate::ops::relay::register;
 use crate::ops::relay::shared::Shared;
+use crate::ops::relay::version_record;
 use crate::util::clock;
 
 /// Interval at which engines whose entry is missing are checked.
@@ -360,6 +361,7 @@
         let update = match &change {
             Change::Put(item) => {
                 self.on_config(item);
+                self.on_versions(item);
                 let translate = self.shared.translate.as_ref();
                 changed.orders |= self.ordered.on_item(now, translate, item);
                 if let Some(record) = lead::record(translate, item) {
@@ -419,6 +421,16 @@
         }
     }
 
+    /// Handles the record of the versions of the engines if the item is that.
+    fn on_versions(&self, item: &Item) -> bool {
+        let Some(record) = version_record::record(&self.shared.translate.keys().versions, item) else {
+            return false;
+        };
+        self.shared.traffic().history.on_record(clock::now(), &record);
+        self.shared.on_history_changed();
+        true
+    }
+
     /// Puts a configuration into force, unless its version is lower than that of the current one: versions never go
     /// backwards, wherever a configuration comes from.
     fn install(&mut self, revision: Revision, table: RoutingTable) {
@@ -481,10 +493,14 @@
     }
 
     /// Publishes the engines that may get work, and drops the load of those that are no longer known.
-    fn publish_engines(&self) {
+    fn publish_engines(&mut self) {
         let engines = self.engines.available();
         let count = self.engines.len();
-        self.shared.publish(|view| view.set_engines(engines));
+        let versions = self.engines.take_versions();
+        self.shared.publish(|view| {
+            view.set_engines(engines);
+            view.add_versions(versions);
+        });
         let view = self.shared.view.load();
         let known: BTreeSet<EngineKey> = view.keys().values().copied().collect();
         self.remove_absent_engines(&known);
--- a/src/ops/relay/follow/read.rs
+++ b/src/ops/relay/follow/read.rs
@@ -21,6 +21,9 @@
 /// Age of the first page from which on the changes since then are fetched before anything is applied.
 const MAX_UNCHECKED_TIME: Duration = Duration::from_millis(500);
 
+/// Sorts after the names of all records of streams, which are hexadecimal numbers.
+const AFTER_STREAMS: char = '~';
+
 /// Pages of the store that were read one after the other.
 #[derive(Debug)]
 pub(super) struct PartialRead {
@@ -74,8 +77,8 @@
 
     async fn read_pages(&mut self, read: &mut PartialRead) -> Result<(), StoreError> {
         while !read.is_complete {
-            let after = read.items.last().map_or("", |item| &item.key);
-            let page = self.store.range(ALL_KEYS, after).await?;
+            let after = self.next_key(&read.items);
+            let page = self.store.range(ALL_KEYS, &after).await?;
             let first = *read.revision.get_or_insert(page.revision);
             if page.revision.epoch != first.epoch {
                 // The store was restored meanwhile: the pages before are of contents that it no longer has.
@@ -85,13 +88,31 @@
             read.revision = Some(first.min(page.revision));
             read.is_complete = !page.more || page.items.is_empty();
             read.items.extend(page.items);
-            if !read.is_complete && self.startup.defer_large_read() {
+            let is_large =
+                !read.is_complete && !read.items.last().is_some_and(|item| self.is_stream_record(item));
+            if is_large && self.startup.defer_large_read() {
                 return Ok(());
             }
         }
         Ok(())
     }
 
+    /// The key after which the page that follows `items` begins. Records of streams are skipped: there may be many, and they
+    /// are read when they are needed.
+    fn next_key(&self, items: &[Item]) -> String {
+        match items.last() {
+            None => String::new(),
+            Some(item) if self.is_stream_record(item) => {
+                format!("{}{AFTER_STREAMS}", self.shared.translate.keys().streams)
+            }
+            Some(item) => item.key.clone(),
+        }
+    }
+
+    fn is_stream_record(&self, item: &Item) -> bool {
+        item.key.starts_with(&self.shared.translate.keys().streams)
+    }
+
     /// Applies all pages, unless they were read before a restoration of the store of which a peer has told.
     fn apply_read(&mut self, read: &PartialRead) {
         let Some(revision) = read.revision.filter(|r| r.epoch >= self.known.revision().epoch) else {
--- a/src/ops/relay/follow/snapshot.rs
+++ b/src/ops/relay/follow/snapshot.rs
@@ -46,6 +46,7 @@
         for item in items {
             self.on_config(item);
         }
+        self.on_version_snapshot(items);
         let translate = self.shared.translate.as_ref();
         self.lead = items.iter().find_map(|item| lead::record(translate, item));
         self.publish(&Changed {
@@ -57,6 +58,19 @@
         self.fleet.on_listed(register::listings(&self.shared, items));
     }
 
+    /// Handles the record of the versions of the engines, or its absence.
+    fn on_version_snapshot(&self, items: &[Item]) {
+        if items.iter().filter(|item| self.on_versions(item)).count() > 0 {
+            return;
+        }
+        let is_unused = !self.shared.view.load().is_configured();
+        self.shared
+            .traffic()
+            .history
+            .on_no_record(clock::now(), is_unused);
+        self.shared.on_history_changed();
+    }
+
     /// Prepares for the contents as of `revision` of a store that was restored from a copy: `lost` keys that are known are not
     /// among them.
     ///
--- a/src/ops/relay/known.rs
+++ b/src/ops/relay/known.rs
@@ -389,5 +389,6 @@
 
 fn is_replicated(keys: &StoreKeys, key: &str) -> bool {
     let prefixes = [&keys.engines, &keys.orders, &keys.instances];
-    key == keys.config || key == keys.leader || prefixes.iter().any(|prefix| key.starts_with(prefix.as_str()))
+    let single = [&keys.config, &keys.leader, &keys.versions];
+    single.iter().any(|name| *name == key) || prefixes.iter().any(|prefix| key.starts_with(prefix.as_str()))
 }
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -8,6 +8,8 @@
 //! - [`follow`] keeps up with the configuration and the engines, `counted` counts the calls to the store;
 //! - [`register`] registers this instance in the store, [`peers`] exchanges load and status with the other instances;
 //! - [`orders`] orders engines to a stage;
+//! - [`version_record`] records in the store which versions of the engines serve, [`stream_store`] which of them began
+//!   each stream while there are several;
 //! - [`lead`] holds the lease of the leader, the one instance that calls the cloud API for all through `cloud`: `usage`
 //!   reports the usage, `scaling` orders engines.
 //!
@@ -58,7 +60,9 @@
 mod service_time;
 pub mod shared;
 pub mod stream;
+pub mod stream_store;
 mod usage;
+pub mod version_record;
 mod versions;
 
 use std::rc::Rc;
@@ -120,6 +124,8 @@
     let fleet = peers::start(shared.clone(), sockets, known.clone());
     actix_rt::spawn(follow::run(shared.clone(), store.clone(), fleet.clone(), known));
     actix_rt::spawn(orders::run(shared.clone(), store.clone()));
+    actix_rt::spawn(version_record::run(shared.clone(), store.clone(), fleet.clone()));
+    stream_store::start(&shared, &store);
     start_leader_tasks(&shared, &store, &fleet);
     let registration = register::start(shared.clone(), store, fleet.clone());
     actix_rt::spawn(reload_on_hangup(hangup, shared.clone(), reload));
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -1,6 +1,7 @@
 //! State that the control thread and the traffic thread share.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -35,10 +36,13 @@
 use sequoiastream_core::relay::return_schedule::ReturnSchedule;
 use sequoiastream_core::relay::routes::RoutingTable;
 use sequoiastream_core::relay::scale_need::CapacityRefusals;
+use sequoiastream_core::relay::streams::SoftwareVersion;
 use sequoiastream_core::relay::streams::Streams;
 use sequoiastream_core::relay::tunnel_peers::TunnelPeer;
 use sequoiastream_core::relay::usage::Tally;
 use sequoiastream_core::relay::usage::Window;
+use sequoiastream_core::relay::version_history::ServiceVersion;
+use sequoiastream_core::relay::version_history::VersionHistory;
 use sequoiastream_core::relay::workspace_shares::WorkspaceShares;
 use sequoiastream_core::relay::workspaces::StoreAges;
 use sequoiastream_core::time::Time;
@@ -50,6 +54,7 @@
 use crate::ops::relay::options::Options;
 use crate::ops::relay::options::ReloadableOptions;
 use crate::ops::relay::orders::OrderRecords;
+use crate::ops::relay::stream_store::StreamStore;
 use crate::util::clock;
 use crate::util::logging::SharedBudget;
 use crate::util::metrics::RelayMetrics;
@@ -67,6 +72,8 @@
     keys: Arc<BTreeMap<String, EngineKey>>,
     hashes: Arc<BTreeMap<u64, EngineKey>>,
     ids: Arc<BTreeMap<EngineKey, String>>,
+    /// Versions that serve, also at engines that leave.
+    versions: BTreeSet<ServiceVersion>,
     /// Instances that callers may be sent to, including this one.
     pub endpoints: Vec<Endpoint>,
     /// Peers that may be asked for a tunnel to an engine.
@@ -131,8 +138,18 @@
         self.hashes = Arc::new(hashes.collect());
         let ids = engines.values().flatten().map(|e| (e.key, e.entry.id.clone()));
         self.ids = Arc::new(ids.collect());
+        self.versions = engines
+            .values()
+            .flatten()
+            .filter_map(Engine::service_version)
+            .collect();
         self.engines = Arc::new(engines);
     }
+
+    /// Adds versions that serve at engines which get no requests, or did lately.
+    pub fn add_versions(&mut self, versions: BTreeSet<ServiceVersion>) {
+        self.versions.extend(versions);
+    }
 }
 
 /// The head of an engine's answer to a call.
@@ -187,6 +204,8 @@
     pub suspects: Suspects,
     /// Which version of the engines began each stream.
     pub streams: Streams,
+    /// Which versions of the engines have served each service.
+    pub history: VersionHistory,
     /// Requests that engines began, by window and workspace.
     pub tally: Tally,
     /// Engine time that workspaces use.
@@ -218,6 +237,10 @@
     traffic: Mutex<TrafficState>,
     /// When this process started.
     started: Time,
+    /// Access to the records of streams in the store.
+    pub(super) stream_store: StreamStore,
+    /// Notified when the history of the versions changes.
+    pub(super) versions_changed: Notify,
     /// Notified when a check whether an engine has ended is complete.
     pub(super) checked: Notify,
     running: Arc<AtomicUsize>,
@@ -249,6 +272,7 @@
             reachability: Reachability::new(),
             suspects: Suspects::with_seed(Hash::new().with(options.name.as_str().as_bytes()).value()),
             streams: Streams::new(),
+            history: VersionHistory::new(),
             tally: Tally::default(),
             shares: WorkspaceShares::new(),
         };
@@ -266,6 +290,8 @@
             true_offset: AtomicU64::default(),
             traffic: Mutex::new(traffic),
             started: clock::now(),
+            stream_store: StreamStore::default(),
+            versions_changed: Notify::new(),
             checked: Notify::new(),
             running: Arc::default(),
         }
@@ -304,11 +330,27 @@
         let mut view = View::clone(&before);
         change(&mut view);
         if !Arc::ptr_eq(&before.engines, &view.engines) {
-            self.traffic().streams.on_engines(clock::now(), &view.engines);
+            self.traffic().history.on_served(clock::now(), &view.versions);
+            self.on_history_changed();
         }
         self.view.store(Arc::new(view));
     }
 
+    /// Notes that other versions of the engines serve than before, or that more is known of those before.
+    pub fn on_history_changed(&self) {
+        self.versions_changed.notify_one();
+        self.stream_store.notify();
+    }
+
+    /// The version of all streams of a service for which there is no record; `None` if it is not certain. What this instance
+    /// knows must be recent: another version may have begun to serve since.
+    pub fn only_version(&self, now: Time, service: &str) -> Option<SoftwareVersion> {
+        if self.store_age(now) >= self.reloadable().apply_limit.0 {
+            return None;
+        }
+        self.traffic().history.only_version(now, service)
+    }
+
     /// Notes that the store confirmed at `now` that this instance is up to date.
     pub fn on_store_answer(&self, now: Time) {
         self.confirmed.store(now.as_micros(), Ordering::Relaxed);
--- a/src/ops/relay/versions.rs
+++ b/src/ops/relay/versions.rs
@@ -27,6 +27,9 @@
 /// Time limit for the answer of a peer that is asked for the version of a stream.
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time limit for reading the records in the store, for a caller that stops waiting for an event after two seconds.
+const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time for which a record is kept beyond the deadline of the caller, whose last try may take as long to arrive.
 const RECORD_MARGIN: Duration = Duration::from_secs(2);
 
@@ -50,6 +53,8 @@
     Peer,
     /// No other version has served for as long as a stream may last.
     OnlyVersion,
+    /// A record in the store.
+    Store,
     /// Nothing: the version is not known.
     None,
 }
@@ -61,6 +66,7 @@
             VersionSource::Record => "record",
             VersionSource::Peer => "peer",
             VersionSource::OnlyVersion => "only-version",
+            VersionSource::Store => "store",
             VersionSource::None => "none",
         }
     }
@@ -73,10 +79,10 @@
     ///
     /// The final answer if the version can't be determined.
     pub(super) async fn find_version(&mut self) -> Result<(), Reply> {
-        let Some(stream) = self.resumed_stream() else {
+        if self.route.kind != RouteKind::Resumable || !self.is_take_up() {
             return Ok(());
-        };
-        let (version, source) = self.determine_version(stream).await;
+        }
+        let (version, source) = self.determine_version().await;
         self.log_take_up(version, source);
         match version {
             Some(version) => self.version = StreamVersion::Only(version),
@@ -88,21 +94,58 @@
         Ok(())
     }
 
+    /// Whether the caller has received events of the stream before, even if it does not name the attempt that brought them.
+    fn is_take_up(&self) -> bool {
+        self.incoming.resumes.is_some() || self.incoming.last_event.is_some()
+    }
+
     /// The version of a stream that is taken up, and what determined it.
-    async fn determine_version(&mut self, stream: StreamId) -> (Option<SoftwareVersion>, VersionSource) {
-        let known = self.shared.traffic().streams.record(clock::now(), stream);
-        if let Some(record) = known {
-            return (Some(record.version), VersionSource::Record);
+    async fn determine_version(&mut self) -> (Option<SoftwareVersion>, VersionSource) {
+        let Some(stream) = self.resumed_stream() else {
+            let only = self.service.as_ref();
+            let only = only.and_then(|service| self.shared.only_version(clock::now(), service));
+            let source = only.map_or(VersionSource::None, |_| VersionSource::OnlyVersion);
+            return (only, source);
+        };
+        if let Some(version) = self.recorded_version(stream) {
+            return (Some(version), VersionSource::Record);
         }
         if let Some(record) = self.ask_homes(stream).await {
+            self.keep_record(record);
             return (Some(record.version), VersionSource::Peer);
         }
-        match self.record_only_version(stream) {
-            Some(version) => (Some(version), VersionSource::OnlyVersion),
+        if let Some(version) = self.record_only_version(stream) {
+            return (Some(version), VersionSource::OnlyVersion);
+        }
+        self.shared
+            .stream_store
+            .read(STORE_TIMEOUT.min(self.incoming.time_left() / 3))
+            .await;
+        match self.recorded_version(stream) {
+            Some(version) => (Some(version), VersionSource::Store),
             None => (None, VersionSource::None),
         }
     }
 
+    /// The version in the record of this instance. The record is kept for the caller's next tries too.
+    fn recorded_version(&self, stream: StreamId) -> Option<SoftwareVersion> {
+        let record = self.shared.traffic().streams.record(clock::now(), stream)?;
+        self.keep_record(record);
+        Some(record.version)
+    }
+
+    /// Keeps a record as one of a stream that this instance continues.
+    fn keep_record(&self, record: StreamRecord) {
+        let Some(service) = &self.service else {
+            return;
+        };
+        let mut traffic = self.shared.traffic();
+        traffic.streams.on_record(clock::now(), record);
+        traffic.streams.on_continued(service, record.stream);
+        drop(traffic);
+        self.shared.stream_store.notify();
+    }
+
     /// Logs and counts how the version of a stream that is taken up was determined.
     fn log_take_up(&self, version: Option<SoftwareVersion>, source: VersionSource) {
         let now = clock::now();
@@ -124,35 +167,42 @@
     /// The only version that a stream of which no record is found can have, if there is one. It is recorded, because
     /// another version may serve by the caller's next try.
     fn record_only_version(&self, stream: StreamId) -> Option<SoftwareVersion> {
-        let now = clock::now();
-        let mut traffic = self.shared.traffic();
-        let version = traffic.streams.only_version(now, self.service.as_ref()?)?;
-        traffic
-            .streams
-            .on_begun(now, stream, version, self.record_time(now));
+        let service = self.service.as_ref()?;
+        let version = self.shared.only_version(clock::now(), service)?;
+        self.record_begun(stream, version);
         Some(version)
     }
 
+    /// Records the version of a stream here, at the homes of the stream and, if need be, in the store.
+    fn record_begun(&self, stream: StreamId, version: SoftwareVersion) {
+        let Some(service) = &self.service else {
+            return;
+        };
+        let now = clock::now();
+        let record = StreamRecord::new(stream, version, self.record_time(now));
+        self.shared.traffic().streams.on_begun(now, service, record);
+        self.shared.stream_store.notify();
+    }
+
     /// How long a stream is recorded.
     fn record_time(&self, now: Time) -> Duration {
         self.incoming.deadline.since(now) + RECORD_MARGIN
     }
 
+    /// The stream that the caller names.
     fn resumed_stream(&self) -> Option<StreamId> {
-        let is_resumable = self.route.kind == RouteKind::Resumable;
-        let resumes = self.incoming.resumes.as_ref().filter(|_| is_resumable);
+        let resumes = self.incoming.resumes.as_ref();
         resumes.map(|id| StreamId::of(id.as_bytes()))
     }
 
-    /// Asks the peers that are told of a stream for its version, and keeps their answer.
+    /// Asks the peers that are told of a stream for its record.
     async fn ask_homes(&self, stream: StreamId) -> Option<StreamRecord> {
         let peers = self.shared.view.load().tunnel_peers.clone();
         let homes = streams::homes(peers.iter().map(|peer| peer.address), stream);
         let mut answers: FuturesUnordered<_> = homes.into_iter().map(|peer| self.ask(peer, stream)).collect();
         while let Some(answer) = answers.next().await {
-            if let Some(record) = answer {
-                self.shared.traffic().streams.on_record(clock::now(), record);
-                return Some(record);
+            if answer.is_some() {
+                return answer;
             }
         }
         None
@@ -180,12 +230,7 @@
             return;
         }
         self.version = StreamVersion::Only(engine.version);
-        let now = clock::now();
-        let stream = StreamId::of(self.incoming.id.as_bytes());
-        let mut traffic = self.shared.traffic();
-        traffic
-            .streams
-            .on_begun(now, stream, engine.version, self.record_time(now));
+        self.record_begun(StreamId::of(self.incoming.id.as_bytes()), engine.version);
     }
 
     /// Whether an engine has started again under its id since it was chosen: then its answer may come from either
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -103,6 +103,8 @@
                 orders: "orders/".to_string(),
                 leader: "lead".to_string(),
                 usage: "usage".to_string(),
+                versions: "versions".to_string(),
+                streams: "versions/".to_string(),
             },
             paths: Paths {
                 ready: "/ready".to_string(),
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -62,6 +62,7 @@
 mod tunnels;
 mod unframed;
 mod usage;
+mod version_history;
 mod versions;
 mod watchers;
 mod withdrawals;
--- a/tests/testsuite/relay/store.rs
+++ b/tests/testsuite/relay/store.rs
@@ -88,6 +88,10 @@
 
     /// Puts a value, as another client would.
     pub fn put(&self, key: &str, value: &str) {
+        self.put_bytes(key, Bytes::from(value.to_string()));
+    }
+
+    fn put_bytes(&self, key: &str, value: Bytes) {
         let number = *self.revision.borrow() + 1;
         let revision = self.at(number);
         let created = self
@@ -98,7 +102,7 @@
             .map_or(revision, |item| item.created);
         let item = Item {
             key: key.to_string(),
-            value: Bytes::from(value.to_string()),
+            value,
             revision,
             created,
         };
@@ -250,6 +254,13 @@
         self.state.items.borrow().contains_key(key)
     }
 
+    /// The values under keys with this prefix.
+    pub fn values(&self, prefix: &str) -> Vec<Bytes> {
+        let items = self.state.items.borrow();
+        let items = items.values().filter(|item| item.key.starts_with(prefix));
+        items.map(|item| item.value.clone()).collect()
+    }
+
     fn check(&self) -> Result<(), StoreError> {
         match self.state.down.get() {
             true => Err(StoreError::Unknown("the store is down".to_string())),
@@ -279,7 +290,7 @@
             self.remove(&key);
         }
         for put in write.puts {
-            self.put(&put.key, &String::from_utf8_lossy(&put.value));
+            self.put_bytes(&put.key, put.value);
         }
         Ok(self.at(*self.revision.borrow()))
     }
--- a/tests/testsuite/relay/streams.rs
+++ b/tests/testsuite/relay/streams.rs
@@ -23,7 +23,8 @@
 fn begin(streams: &mut Streams, first: u64, count: u64) {
     let version = SoftwareVersion::of("v1");
     for number in first..first + count {
-        streams.on_begun(at(0), stream(number), version, Duration::from_millis(number));
+        let record = StreamRecord::new(stream(number), version, Duration::from_millis(number));
+        streams.on_begun(at(0), "chat", record);
     }
 }
 
--- a/tests/testsuite/relay/versions.rs
+++ b/tests/testsuite/relay/versions/mod.rs
@@ -1,5 +1,7 @@
 //! Streams while engines of several software versions serve: a stream goes on only at the version that began it.
 
+mod store;
+
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,19 +19,25 @@
 use sequoiastream_core::relay::routes::CallerLimits;
 use sequoiastream_core::relay::routes::RouteKind;
 use sequoiastream_core::relay::routes::RoutingTable;
+use sequoiastream_core::relay::streams::SoftwareVersion;
+use sequoiastream_core::relay::version_history::VersionRecord;
+use sequoiastream_core::relay::watchers::ApplyLimit;
 use tokio::sync::Notify;
 
-use super::engine::Action;
-use super::engine::ReceivedRequest;
-use super::engine::ScriptedEngine;
-use super::engine::chunk;
-use super::engine::head;
-use super::instance::Instance;
-use super::instance::options;
-use super::instance::route;
-use super::instance::shared;
-use super::instance::status;
-use super::wait_until;
+use crate::relay::engine::Action;
+use crate::relay::engine::ReceivedRequest;
+use crate::relay::engine::ScriptedEngine;
+use crate::relay::engine::chunk;
+use crate::relay::engine::head;
+use crate::relay::instance::Instance;
+use crate::relay::instance::options;
+use crate::relay::instance::route;
+use crate::relay::instance::shared;
+use crate::relay::instance::status;
+use crate::relay::wait_until;
+
+/// Longer than a test lasts: what an instance knows is always recent.
+const APPLY_LIMIT: ApplyLimit = ApplyLimit(Duration::from_secs(60));
 
 /// The head and the event `id` of a stream of an engine of `version`.
 fn stream(request: &ReceivedRequest, version: &str, id: u64) -> String {
@@ -65,17 +73,26 @@
                 address: engine.address(),
                 version: version.to_string(),
                 started: Some(1),
-                ..super::entry(&format!("e{index}"), Stage::Whole)
+                ..crate::relay::entry(&format!("e{index}"), Stage::Whole)
             };
             Engine::new(EngineKey(index), entry)
         });
         engines.collect()
     }
 
-    /// Starts an instance with this name before the engines. Each request has `attempts` attempts.
+    /// Starts an instance with this name before the engines, which knows that no others have served. Each request has
+    /// `attempts` attempts.
     fn instance(&self, name: &str, attempts: u32) -> Instance {
+        let instance = self.new_instance(name, attempts);
+        know_versions(&instance.shared, &[]);
+        instance
+    }
+
+    /// Starts an instance that does not know which engines have served before it started.
+    fn new_instance(&self, name: &str, attempts: u32) -> Instance {
         let mut options = options();
         options.name = name.parse().expect("a name");
+        options.reloadable.apply_limit = APPLY_LIMIT;
         let shared = shared(options);
         let mut route = route(RouteKind::Resumable, "/r/");
         route.max_attempts = attempts;
@@ -92,6 +109,17 @@
     }
 }
 
+/// Tells an instance that the store has confirmed what it knows, and that engines of these versions have served.
+fn know_versions(shared: &sequoiastream::ops::relay::shared::Shared, versions: &[&str]) {
+    let now = sequoiastream::util::clock::now();
+    let versions = versions.iter().map(|version| SoftwareVersion::of(version));
+    let record = VersionRecord {
+        services: [("chat".to_string(), versions.collect())].into(),
+    };
+    shared.traffic().history.on_record(now, &record);
+    shared.on_store_answer(now);
+}
+
 /// Replaces the engines that an instance knows.
 fn list(shared: &sequoiastream::ops::relay::shared::Shared, engines: Vec<Engine>) {
     shared.publish(|view| view.set_engines([("chat".to_string(), engines)].into()));
@@ -352,7 +380,51 @@
     let one = before.instance("one", 1);
     assert_eq!(begin(&one, "q0").await, "v1");
     let after = Engines::start(&["v2", "v2"]).await;
-    let two = after.instance("two", 1);
+    let two = after.new_instance("two", 1);
+    let got = take_up(&two, "r0", "q0").await;
+    assert_eq!(status(&got), "503", "{got}");
+    know_versions(&two.shared, &["v1", "v2"]);
+    let got = take_up(&two, "r1", "q0").await;
+    assert_eq!(status(&got), "503", "{got}");
+}
+
+/// Guards against refusing streams after all instances ended, although their version has been the only one.
+#[actix_web::test]
+async fn take_up_restarted_one_version() {
+    let engines = Engines::start(&["v1", "v1"]).await;
+    let one = engines.instance("one", 1);
+    assert_eq!(begin(&one, "q0").await, "v1");
+    let two = engines.new_instance("two", 1);
+    know_versions(&two.shared, &["v1"]);
     let got = take_up(&two, "r0", "q0").await;
+    assert_eq!(versions(&got), BTreeSet::from(["v1"]), "{got}");
+}
+
+/// Guards against a stream that goes on at another version because its caller does not name the attempt that began it.
+#[actix_web::test]
+async fn take_up_unnamed() {
+    let engines = Engines::start(&["v1", "v2"]).await;
+    let instance = engines.instance("one", 1);
+    let got = instance.get("/r/x", "r0", "x-resume: 1\r\n").await;
+    assert_eq!(status(&got), "503", "{got}");
+    let one_version = Engines::start(&["v1", "v1"]).await;
+    let instance = one_version.instance("two", 1);
+    let got = instance.get("/r/x", "r1", "x-resume: 1\r\n").await;
+    assert_eq!(versions(&got), BTreeSet::from(["v1"]), "{got}");
+}
+
+/// Guards against a stream that goes on at the only version an instance knows, while it is cut off and another version has
+/// begun to serve.
+#[actix_web::test]
+async fn take_up_cut_off() {
+    let engines = Engines::start(&["v1", "v1"]).await;
+    let instance = engines.instance("one", 1);
+    let now = sequoiastream::util::clock::now();
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let mut options = (*instance.shared.reloadable()).clone();
+    options.apply_limit = ApplyLimit(Duration::from_millis(10));
+    instance.shared.reload(options);
+    instance.shared.on_store_answer(now);
+    let got = take_up(&instance, "r0", "elsewhere").await;
     assert_eq!(status(&got), "503", "{got}");
 }
