--- a/src/ops/relay/versions.rs
+++ b/src/ops/relay/versions.rs
@@ -143,7 +143,15 @@
         traffic.streams.on_record(clock::now(), record);
         traffic.streams.on_continued(service, record.stream);
         drop(traffic);
-        self.shared.stream_store.notify();
+        self.store_records(service);
+    }
+
+    /// Has the records of own streams written to the store if the version of the service is not certain.
+    fn store_records(&self, service: &str) {
+        let only = self.shared.traffic().history.only_version(clock::now(), service);
+        if only.is_none() {
+            self.shared.stream_store.notify();
+        }
     }
 
     /// Logs and counts how the version of a stream that is taken up was determined.
@@ -181,7 +189,7 @@
         let now = clock::now();
         let record = StreamRecord::new(stream, version, self.record_time(now));
         self.shared.traffic().streams.on_begun(now, service, record);
-        self.shared.stream_store.notify();
+        self.store_records(service);
     }
 
     /// How long a stream is recorded.
