Retry budget: less of the ratio within a window of a start

All instances killed at once have used what they may right before; those that start again know nothing of it and use it once more within the same window.

Within a window of its start a process uses 0.2 of the ratio instead of 0.7: the sum of both is below 1 whatever the number of starts, since a process that is older than a window can only be the first of those that overlap it. The cost, fewer repeats in the first window after each start, isn't measured.

--- a/crates/core/src/relay/budget.rs
+++ b/crates/core/src/relay/budget.rs
@@ -6,8 +6,9 @@
 //! within the limit whatever the other instances do.
 //!
 //! Instances come and go within a window, and no one remembers what a process used that has ended. So a process that
-//! starts gets its share of the allowance little by little over a window, and an instance divides the allowance by the
-//! highest number of instances that it has known during the last window.
+//! starts gets its share of the allowance little by little over a window, uses only the part of the ratio for a window
+//! that no process before it can have used, and an instance divides the allowance by the highest number of instances
+//! that it has known during the last window.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -19,6 +20,10 @@
 /// counted later at an engine than here.
 const USED_FRACTION: f64 = 0.7;
 
+/// Fraction of the extra attempts for requests that a process uses within a window of its start: the one before it may
+/// have used [`USED_FRACTION`] right before it ended, and both count in the same window.
+const STARTING_FRACTION: f64 = 0.2;
+
 /// Fraction of the fixed allowance that is used: a process and those that follow it may each use a share within the same
 /// window.
 const USED_SLACK_FRACTION: f64 = 0.5;
@@ -132,9 +137,14 @@
     pub fn allowed(&mut self, now: Time, service: &str) -> f64 {
         let limits = self.limits;
         let share = self.share(now);
+        let is_starting = self.started.is_some_and(|at| now.since(at) <= limits.window);
+        let fraction = match is_starting {
+            true => STARTING_FRACTION,
+            false => USED_FRACTION,
+        };
         let counts = self.counts(service);
         counts.expire(now, limits.window);
-        USED_FRACTION * limits.ratio * counts.requests.len() as f64 + USED_SLACK_FRACTION * share
+        fraction * limits.ratio * counts.requests.len() as f64 + USED_SLACK_FRACTION * share
     }
 
     /// The part of the allowance that this instance may use in a window that ends now.
--- a/tests/testsuite/relay/budget.rs
+++ b/tests/testsuite/relay/budget.rs
@@ -96,6 +96,56 @@
     }
 }
 
+/// Guards against a budget that is used twice in a window: all instances have used what they may when they are killed at
+/// the same moment, once or several times in a row, and those that start again know nothing of it.
+#[test]
+fn take_sum_after_kills_of_all() {
+    for seed in 0..50 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut instances = vec![budget_of(8); 8];
+        let mut requests = Vec::new();
+        let mut extras = Vec::new();
+        let rate = 20 + random.next_u32() % 400;
+        let kill = Time::ZERO + LIMITS.window * 2;
+        let gap = Duration::from_millis(500 + u64::from(random.next_u32() % 9_000));
+        let kills = (0..1 + random.next_u32() % 3).map(|number| kill + gap * number);
+        let mut kills: Vec<Time> = kills.rev().collect();
+        // Engines begin to fail shortly before the first kill, so that nothing was taken until then.
+        let failure = kill - Duration::from_millis(200);
+        let mut now = Time::ZERO;
+        while now < kill + gap * 3 + LIMITS.window * 2 {
+            now = now + Duration::from_secs(1) / rate;
+            if kills.pop_if(|at| *at <= now).is_some() {
+                for budget in &mut instances {
+                    *budget = RetryBudget::new(LIMITS);
+                    budget.on_start(now);
+                    budget.on_fleet_size(now, 8);
+                }
+            }
+            let budget = &mut instances[random.next_u32() as usize % 8];
+            budget.on_request(now, "s");
+            requests.push(now);
+            while now >= failure && budget.try_take(now, "s") {
+                extras.push(now);
+            }
+        }
+        check_sum(seed, &requests, &extras);
+    }
+}
+
+/// Guards against an instance that never retries again because it was started once.
+#[test]
+fn take_all_a_window_after_start() {
+    let mut budget = RetryBudget::new(LIMITS);
+    budget.on_start(Time::ZERO);
+    let mut old = RetryBudget::new(LIMITS);
+    let now = Time::ZERO + LIMITS.window + Duration::from_millis(1);
+    for budget in [&mut budget, &mut old] {
+        (0..100).for_each(|_| budget.on_request(now, "s"));
+    }
+    assert_eq!(budget.allowed(now, "s"), old.allowed(now, "s"));
+}
+
 /// Guards against larger shares for those that remain while instances stop one after the other: what the others have
 /// used still counts.
 #[test]
