Suspects: crashes from before the start keep their order

Notes carry ages. On an instance that has just started, everything that is older than its process fell on the origin of its clock: a request that was answered a minute before it crashed three engines counted as answered since, and the instance let it through. Failing first: relay::suspects::convict_before_start (assertion is_blocked).

--- a/crates/core/src/poison/suspects/mod.rs
+++ b/crates/core/src/poison/suspects/mod.rs
@@ -196,7 +196,15 @@
     pub parts: usize,
 }
 
-/// When something happened, and in how many further messages it is sent as new.
+/// The time by the clock of notes, which begins so long before the process that all notes that count are from later.
+///
+/// Guards against an instance that starts, for which everything that its peers tell would have happened at its start: a
+/// request that was answered before it crashed engines would be cleared.
+fn note_clock(now: Time) -> Time {
+    now + parts::NOTE_TTL
+}
+
+/// When something happened, by [`note_clock`], and in how many further messages it is sent as new.
 #[derive(Debug, Clone, Copy)]
 struct Seen {
     at: Time,
@@ -209,8 +217,12 @@
         Seen { at, rounds }
     }
 
+    fn age(self, now: Time) -> Duration {
+        note_clock(now).since(self.at)
+    }
+
     fn is_recent(self, now: Time, ttl: Duration) -> bool {
-        now.since(self.at) < ttl
+        self.age(now) < ttl
     }
 }
 
@@ -323,20 +335,20 @@
     /// Records that the engine with this hash of its incarnation ended while it ran a request.
     pub fn on_crash(&mut self, now: Time, request: &RequestIdentity, engine: u64) {
         for key in request.keys() {
-            self.record(now, now, key, Outcome::Crashed(engine));
+            self.record(now, Duration::ZERO, key, Outcome::Crashed(engine));
         }
         self.on_crash_of_parts(now, request, engine);
     }
 
     /// Records that the engine with this hash of its incarnation has ended.
     pub fn on_ended(&mut self, now: Time, engine: u64) {
-        self.record_ended(now, now, engine);
+        self.record_ended(now, Duration::ZERO, engine);
     }
 
-    fn record_ended(&mut self, now: Time, at: Time, engine: u64) {
+    fn record_ended(&mut self, now: Time, age: Duration, engine: u64) {
         self.ended.retain(|_, at| now.since(*at) < ENDED_TIME);
-        if now.since(at) < ENDED_TIME {
-            self.ended.insert(engine, at);
+        if age < ENDED_TIME {
+            self.ended.insert(engine, now - age);
         }
     }
 
@@ -350,7 +362,7 @@
     pub fn on_completed(&mut self, now: Time, request: &RequestIdentity) {
         for key in request.keys() {
             if self.crashes_of(now, key).next().is_some() {
-                self.record(now, now, key, Outcome::Completed);
+                self.record(now, Duration::ZERO, key, Outcome::Completed);
             }
         }
     }
@@ -359,14 +371,15 @@
     pub fn on_note(&mut self, now: Time, note: Note) {
         let age = Duration::from_millis(u64::from(note.age));
         if age < note.request.note_ttl() {
-            self.record(now, now - age, note.request, note.outcome);
+            self.record(now, age, note.request, note.outcome);
         }
     }
 
-    fn record(&mut self, now: Time, at: Time, request: RequestKey, outcome: Outcome) {
+    fn record(&mut self, now: Time, age: Duration, request: RequestKey, outcome: Outcome) {
         if let Outcome::Crashed(engine) = outcome {
-            self.record_ended(now, at, engine);
+            self.record_ended(now, age, engine);
         }
+        let at = note_clock(now) - age;
         let ttl = request.note_ttl();
         let record = self.requests.entry(request).or_default();
         record.retain(|_, seen| seen.is_recent(now, ttl));
@@ -547,7 +560,7 @@
 }
 
 fn note(now: Time, request: RequestKey, outcome: Outcome, seen: Seen) -> Note {
-    let age = now.since(seen.at).as_millis();
+    let age = seen.age(now).as_millis();
     Note {
         request,
         outcome,
--- a/crates/core/src/poison/suspects/parts.rs
+++ b/crates/core/src/poison/suspects/parts.rs
@@ -94,7 +94,7 @@
         for part in request.parts.iter() {
             self.begun.insert(*part, now);
             if self.crashes_of(now, part.key()).next().is_some() {
-                self.record(now, now, part.key(), Outcome::Completed);
+                self.record(now, Duration::ZERO, part.key(), Outcome::Completed);
             }
         }
         if self.begun.len() > MAX_BEGUN {
@@ -105,7 +105,7 @@
     pub(super) fn on_crash_of_parts(&mut self, now: Time, request: &RequestIdentity, engine: u64) {
         for part in request.parts.iter() {
             if !self.is_begun(now, *part) {
-                self.record(now, now, part.key(), Outcome::Crashed(engine));
+                self.record(now, Duration::ZERO, part.key(), Outcome::Crashed(engine));
             }
         }
     }
@@ -133,7 +133,7 @@
             return false;
         }
         for part in suspects {
-            self.record(now, now, part.key(), Outcome::Tried);
+            self.record(now, Duration::ZERO, part.key(), Outcome::Tried);
         }
         true
     }
@@ -195,13 +195,13 @@
         let Some(record) = self.requests.get(&part.key()) else {
             return true;
         };
-        let last = record.values().map(|seen| seen.at).max();
+        let last = record.values().map(|seen| seen.age(now)).min();
         let crashes = self.crashes_of(now, part.key()).count();
         let exponent = u32::try_from(crashes.saturating_sub(MIN_CRASHES)).unwrap_or(u32::MAX);
         let factor = TRIAL_FACTOR.saturating_pow(exponent.min(8));
         let spread = hash_pair(self.seed, part.id) as f64 / u64::MAX as f64;
         let pause = TRIAL_INTERVAL.saturating_mul(factor).mul_f64(1.0 + spread);
-        last.is_none_or(|last| now.since(last) >= pause)
+        last.is_none_or(|age| age >= pause)
     }
 }
 
--- a/tests/testsuite/relay/suspects.rs
+++ b/tests/testsuite/relay/suspects.rs
@@ -4,7 +4,10 @@
 
 use sequoiastream_core::poison::suspects::MIN_CRASHES;
 use sequoiastream_core::poison::suspects::NOTE_TTL;
+use sequoiastream_core::poison::suspects::Note;
+use sequoiastream_core::poison::suspects::Outcome;
 use sequoiastream_core::poison::suspects::RequestIdentity;
+use sequoiastream_core::poison::suspects::RequestKey;
 use sequoiastream_core::poison::suspects::Suspects;
 use sequoiastream_core::time::Time;
 
@@ -203,3 +206,33 @@
     assert!(suspects.is_blocked(Time::ZERO, &guilty));
     assert!(!suspects.is_blocked(Time::ZERO, &harmless));
 }
+
+/// Guards against an instance that starts and forgets the crashes that its peers tell of, because everything before its
+/// start seems to have happened at once, and the request was answered before it began to crash engines.
+#[test]
+fn convict_before_start() {
+    let started = Time::from_millis(100);
+    let mut suspects = Suspects::new();
+    let crashes = (0..MIN_CRASHES as u64).map(|engine| (Outcome::Crashed(engine), 9_000));
+    for (outcome, age) in [(Outcome::Completed, 60_000)].into_iter().chain(crashes) {
+        let request = RequestKey::Any(fingerprint(7).any);
+        suspects.on_note(
+            started,
+            Note {
+                request,
+                outcome,
+                age,
+            },
+        );
+    }
+    assert!(suspects.is_blocked(started, &fingerprint(7)));
+    suspects.on_note(
+        started,
+        Note {
+            request: RequestKey::Any(fingerprint(7).any),
+            outcome: Outcome::Completed,
+            age: 5_000,
+        },
+    );
+    assert!(!suspects.is_blocked(started, &fingerprint(7)));
+}
