Tests: the leader's lease with kills of all instances

50 seeds, three lengths of the lease, kills once or in series, calls of the killed still on their way, the store away from some after the start.

--- a/tests/testsuite/relay/lead.rs
+++ b/tests/testsuite/relay/lead.rs
@@ -184,20 +184,15 @@
     calls: BTreeSet<ApiCall>,
     /// Calls in the order in which they arrived.
     arrived: Vec<(Time, usize, u64)>,
+    /// Calls to the store that are in transit and whose senders were killed.
+    orphans: Vec<(Time, Call)>,
 }
 
 impl Run {
     fn new(seed: u64, lease: Duration) -> Run {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let count = rng.random_range(1..9);
-        let instance = |_| Instance {
-            leader: LeaderLease::new(lease),
-            lease: None,
-            pending: None,
-            paused: Time::ZERO,
-            unreachable: Time::ZERO,
-            sees_free: true,
-        };
+        let instance = |_| Instance::started(lease);
         Run {
             rng,
             lease,
@@ -210,6 +205,23 @@
             instances: (0..count).map(instance).collect(),
             calls: BTreeSet::new(),
             arrived: Vec::new(),
+            orphans: Vec::new(),
+        }
+    }
+
+    /// Kills all instances and starts them again. What they have sent is still delivered.
+    fn kill_all(&mut self, now: Time) {
+        let is_store_away = self.rng.random_bool(0.5);
+        let limit = self.lease.as_millis() as u64 * 2;
+        for index in 0..self.instances.len() {
+            let away = Duration::from_millis(self.rng.random_range(0..limit));
+            let killed = std::mem::replace(&mut self.instances[index], Instance::started(self.lease));
+            let sent = killed.pending.filter(|pending| pending.result.is_none());
+            self.orphans
+                .extend(sent.map(|pending| (pending.arrives.max(killed.unreachable), pending.call)));
+            if is_store_away {
+                self.instances[index].unreachable = now + away;
+            }
         }
     }
 
@@ -250,6 +262,14 @@
         if self.rng.random_bool(0.02) {
             self.inject_fault(now);
         }
+        let (due, left) = std::mem::take(&mut self.orphans)
+            .into_iter()
+            .partition(|(arrives, _)| *arrives <= now);
+        self.orphans = left;
+        for (_, call) in due {
+            // Nobody is left to hear the answer.
+            let _ = self.store.call(now, call);
+        }
         while let Some(call) = self.calls.first().copied().filter(|call| call.arrives <= now) {
             self.calls.remove(&call);
             self.arrived.push((call.arrives, call.caller, call.fence));
@@ -311,6 +331,18 @@
 }
 
 impl Instance {
+    /// An instance that has just started, and knows nothing.
+    fn started(lease: Duration) -> Instance {
+        Instance {
+            leader: LeaderLease::new(lease),
+            lease: None,
+            pending: None,
+            paused: Time::ZERO,
+            unreachable: Time::ZERO,
+            sees_free: true,
+        }
+    }
+
     fn handle_answer(&mut self, now: Time) {
         let Some(pending) = &self.pending else { return };
         let (call, sent) = (pending.call, pending.sent);
@@ -355,6 +387,34 @@
     }
 }
 
+/// Guards against two holders at once or alternately after all instances were killed at the same moment, once or several
+/// times in a row: none of those that start again knows who held the lease, and calls of the killed ones are still on their
+/// way.
+#[test]
+fn fence_never_falls_with_kills_of_all() {
+    for lease in LEASES {
+        let mut acted = 0;
+        for seed in seeds_or(0..50) {
+            let mut run = Run::new(seed, lease);
+            let mut next_kill = 400;
+            for step in 0..4_000 {
+                if step == next_kill {
+                    run.kill_all(at(0) + STEP * step);
+                    let is_series = run.rng.random_bool(0.5);
+                    next_kill += match is_series {
+                        true => run.rng.random_range(5..100),
+                        false => run.rng.random_range(300..900),
+                    };
+                }
+                run.step(at(0) + STEP * step);
+            }
+            check_calls(seed, lease, &run.arrived);
+            acted += usize::from(!run.arrived.is_empty());
+        }
+        assert!(acted > 0, "some instance acts");
+    }
+}
+
 fn check_calls(seed: u64, lease: Duration, arrived: &[(Time, usize, u64)]) {
     for pair in arrived.windows(2) {
         assert!(
