--- a/crates/kv/src/store.rs
+++ b/crates/kv/src/store.rs
@@ -96,6 +96,17 @@
     pub removes: Vec<String>,
 }
 
+impl Write {
+    /// A write of one key that must have the revision `expected`.
+    pub fn conditional(put: Put, expected: Revision) -> Write {
+        Write {
+            expect: vec![(put.key.clone(), expected)],
+            puts: vec![put],
+            removes: Vec::new(),
+        }
+    }
+}
+
 /// Reason why a store call failed.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum StoreError {
--- a/src/ops/relay/lead.rs
+++ b/src/ops/relay/lead.rs
@@ -176,11 +176,7 @@
             value: Bytes::from(value),
             lease: Some(lease),
         };
-        let write = Write {
-            expect: vec![(key.clone(), Revision::ZERO)],
-            puts: vec![put],
-            removes: Vec::new(),
-        };
+        let write = Write::conditional(put, Revision::ZERO);
         match store.write(write).await {
             Ok(revision) => Ok(Some((lease, revision))),
             Err(StoreError::Conflict) => Ok(None),
--- a/src/ops/relay/orders.rs
+++ b/src/ops/relay/orders.rs
@@ -357,11 +357,7 @@
         value: Bytes::from(value),
         lease: None,
     };
-    let write = Write {
-        expect: vec![(key.clone(), Revision::ZERO)],
-        puts: vec![put],
-        removes: Vec::new(),
-    };
+    let write = Write::conditional(put, Revision::ZERO);
     match store.write(write).await {
         Ok(revision) => Ok(Some(revision)),
         Err(StoreError::Conflict) => Ok(None),
--- a/src/ops/relay/register.rs
+++ b/src/ops/relay/register.rs
@@ -180,11 +180,7 @@
             value: self.record(),
             lease: None,
         };
-        let write = Write {
-            expect: vec![(self.key(), expected)],
-            puts: vec![put],
-            removes: Vec::new(),
-        };
+        let write = Write::conditional(put, expected);
         let revision = match self.store.write(write).await {
             Ok(revision) => revision,
             Err(StoreError::Conflict) => return self.read_own().await,
--- a/src/ops/relay/stream_store.rs
+++ b/src/ops/relay/stream_store.rs
@@ -270,11 +270,7 @@
             value: Bytes::from(value),
             lease: self.lease.map(|lease| lease.id),
         };
-        let write = Write {
-            expect: vec![(self.key.clone(), self.revision)],
-            puts: vec![put],
-            removes: Vec::new(),
-        };
+        let write = Write::conditional(put, self.revision);
         match self.store.write(write).await {
             Ok(revision) => {
                 self.revision = revision;
--- a/src/ops/relay/usage.rs
+++ b/src/ops/relay/usage.rs
@@ -173,18 +173,13 @@
         let decided = state
             .decided
             .advance(next, reports, &state.accepted, MAX_OPEN_REPORTS);
-        let key = self.shared.translate.keys().usage.clone();
         let value = serde_json::to_vec(&decided).map_err(|e| StoreError::Unreadable(e.to_string()))?;
         let put = Put {
-            key: key.clone(),
+            key: self.shared.translate.keys().usage.clone(),
             value: Bytes::from(value),
             lease: None,
         };
-        let write = Write {
-            expect: vec![(key, state.revision)],
-            puts: vec![put],
-            removes: Vec::new(),
-        };
+        let write = Write::conditional(put, state.revision);
         // If the answer is lost, everything is read again: the store then holds what was decided.
         state.revision = self.store.write(write).await?;
         state.decided = decided;
--- a/src/ops/relay/version_record.rs
+++ b/src/ops/relay/version_record.rs
@@ -100,18 +100,13 @@
     }
 
     async fn write(&self, expected: Revision, record: &VersionRecord) -> Result<(), StoreError> {
-        let key = self.shared.translate.keys().versions.clone();
         let value = serde_json::to_vec(record).map_err(|e| StoreError::Unreadable(e.to_string()))?;
         let put = Put {
-            key: key.clone(),
+            key: self.shared.translate.keys().versions.clone(),
             value: Bytes::from(value),
             lease: None,
         };
-        let write = Write {
-            expect: vec![(key, expected)],
-            puts: vec![put],
-            removes: Vec::new(),
-        };
+        let write = Write::conditional(put, expected);
         match self.store.write(write).await {
             // Another instance was first, or an earlier write was applied: the replica will show it.
             Ok(_) | Err(StoreError::Conflict) => Ok(()),
