--- a/tests/testsuite/relay/version_history.rs
+++ b/tests/testsuite/relay/version_history.rs
@@ -119,6 +119,36 @@
     );
 }
 
+/// Guards against a created record that lacks a version which left half a minute before, and may have begun streams that run.
+#[test]
+fn next_record_created_late() {
+    let mut history = VersionHistory::new();
+    history.on_no_record(at(0), false);
+    history.on_served(at(0), &serving(&["v1", "v2"]));
+    history.on_served(at(20), &serving(&["v2"]));
+    let record = history.next_record(at(60), None, true).expect("a record");
+    assert_eq!(record, self::record(&["v1", "v2"]));
+    let mut restarted = VersionHistory::new();
+    restarted.on_served(at(61), &serving(&["v2"]));
+    restarted.on_record(at(61), &record);
+    assert_eq!(only(&restarted, 61), None);
+}
+
+/// Guards against a version that never leaves the record, because each new process adds what it has only read there.
+#[test]
+fn next_record_read_only() {
+    let both = record(&["v1", "v2"]);
+    let mut old = new_history();
+    old.on_served(at(0), &serving(&["v1", "v2"]));
+    old.on_served(at(1), &serving(&["v2"]));
+    let mut new = VersionHistory::new();
+    new.on_served(at(50), &serving(&["v2"]));
+    new.on_record(at(50), &both);
+    let removed = old.next_record(at(61), Some(&both), true);
+    assert_eq!(removed, Some(record(&["v2"])));
+    assert_eq!(new.next_record(at(61), removed.as_ref(), false), None);
+}
+
 fn update(revision: u64, version: &str, leaving: bool) -> EngineUpdate {
     let entry = Entry {
         version: version.to_string(),
--- a/tests/testsuite/relay/versions/mod.rs
+++ b/tests/testsuite/relay/versions/mod.rs
@@ -428,3 +428,26 @@
     let got = take_up(&instance, "r0", "elsewhere").await;
     assert_eq!(status(&got), "503", "{got}");
 }
+
+/// Guards against a stream that goes on at the only version in the contents of the store that a peer sent which is cut off,
+/// because an instance that started a moment ago takes its own age for that of the contents.
+#[actix_web::test]
+async fn take_up_unconfirmed() {
+    let engines = Engines::start(&["v1", "v1"]).await;
+    let instance = engines.instance("one", 1);
+    let unconfirmed = engines.new_instance("two", 1);
+    for instance in [&instance, &unconfirmed] {
+        let mut options = (*instance.shared.reloadable()).clone();
+        options.apply_limit = ApplyLimit(Duration::from_secs(24 * 60 * 60));
+        instance.shared.reload(options);
+    }
+    let got = take_up(&instance, "r0", "elsewhere").await;
+    assert_eq!(versions(&got), BTreeSet::from(["v1"]), "{got}");
+    let now = sequoiastream::util::clock::now();
+    let record = VersionRecord {
+        services: [("chat".to_string(), [SoftwareVersion::of("v1")].into())].into(),
+    };
+    unconfirmed.shared.traffic().history.on_record(now, &record);
+    let got = take_up(&unconfirmed, "r1", "elsewhere").await;
+    assert_eq!(status(&got), "503", "{got}");
+}
--- a/tests/testsuite/relay/versions/store.rs
+++ b/tests/testsuite/relay/versions/store.rs
@@ -4,9 +4,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use sequoiastream::ops::relay::stream_store;
+use sequoiastream_core::relay::revision::Revision;
+use sequoiastream_core::relay::streams::SoftwareVersion;
+use sequoiastream_core::relay::streams::StreamId;
 use sequoiastream_core::relay::streams::StreamRecord;
+use sequoiastream_kv::store::Put;
 use sequoiastream_kv::store::Store;
+use sequoiastream_kv::store::Write;
 
 use crate::relay::instance::Instance;
 use crate::relay::instance::status;
@@ -157,3 +163,70 @@
     assert_eq!(status(&got), "503", "{got}");
     assert!(asked.elapsed() < Duration::from_secs(2));
 }
+
+/// Puts the records of streams of `v1` into the store, as a process of the number `process` does.
+async fn put_records(
+    store: &FakeStore,
+    process: usize,
+    attempts: impl Iterator<Item = String>,
+    left: Duration,
+) {
+    let version = SoftwareVersion::of("v1");
+    let records = attempts.map(|id| StreamRecord::new(StreamId::of(id.as_bytes()), version, left));
+    let records: Vec<StreamRecord> = records.collect();
+    let key = format!("{RECORDS}{process:04}");
+    let put = Put {
+        key: key.clone(),
+        value: Bytes::from(postcard::to_stdvec(&records).expect("records")),
+        lease: None,
+    };
+    let write = Write {
+        expect: vec![(key, Revision::ZERO)],
+        puts: vec![put],
+        removes: Vec::new(),
+    };
+    store.write(write).await.expect("written");
+}
+
+/// Guards against a stream that is refused although the store has its record, and against losing what this instance knows,
+/// because the store has more records than an instance keeps.
+#[actix_web::test]
+async fn take_up_many_records() {
+    let store = FakeStore::new();
+    put_records(&store, 0, ["q0".to_string()].into_iter(), Duration::from_secs(20)).await;
+    for process in 1..=40 {
+        let ids = (0..1_000).map(|number| format!("{process}-{number}"));
+        put_records(&store, process, ids, Duration::from_secs(30)).await;
+    }
+    let engines = Engines::start(&["v1", "v2", "v1", "v2"]).await;
+    let one = engines.instance("one", 1);
+    connect(&one, &store);
+    let begun = begin(&one, "own").await;
+    let got = take_up(&one, "r0", "q0").await;
+    assert_eq!(versions(&got), BTreeSet::from(["v1"]), "{got}");
+    let own = StreamId::of(b"own");
+    let now = sequoiastream::util::clock::now();
+    let kept = one
+        .shared
+        .traffic()
+        .streams
+        .record(now, own)
+        .map(|record| record.version);
+    assert_eq!(kept, Some(SoftwareVersion::of(&begun)));
+}
+
+/// Guards against a store that is kept overloaded by the instances of a large fleet, which all repeat refused writes at once.
+#[actix_web::test]
+async fn record_write_refused_large_fleet() {
+    let store = FakeStore::new();
+    let engines = Engines::start(&["v1", "v2"]).await;
+    let one = engines.instance("one", 1);
+    one.shared.publish(|view| view.instances = 985);
+    connect(&one, &store);
+    for _ in 0..100 {
+        store.set_next_write(WriteOutcome::Refused);
+    }
+    begin(&one, "q0").await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert!(store.calls().writes <= 3, "{:?}", store.calls());
+}
