Versions: a created record names all that a stream may be of, and a version that was only read isn't added again

A record that is created lacked versions that had ended 30 to 60 s before: a stream of one of them was taken up at the next version by instances that started then. A new process took a version that it had read in the record for one that ended at its start, and added it again after the first-ranked instance had removed it, so with a start a minute it never left. relay::version_history::next_record_created_late and next_record_read_only failed before.

--- a/crates/core/src/relay/version_history.rs
+++ b/crates/core/src/relay/version_history.rs
@@ -64,11 +64,31 @@
     Everything,
 }
 
+/// What is known of a version.
+#[derive(Debug, Clone, Copy)]
+struct Served {
+    /// When it was last seen to serve; `None` while it does.
+    ended: Option<Time>,
+    /// Whether this process has seen it serve, and not only read it in the record.
+    is_seen: bool,
+}
+
+impl Served {
+    /// Whether it may have begun a stream that still runs.
+    fn is_recent(self, now: Time) -> bool {
+        self.ended.is_none_or(|at| now.since(at) < MAX_LIFETIME)
+    }
+
+    /// Whether it is added to a record that lacks it.
+    fn is_added(self, now: Time) -> bool {
+        self.is_seen && self.ended.is_none_or(|at| now.since(at) < MAX_ADDED_AGE)
+    }
+}
+
 /// The versions that have served lately.
 #[derive(Debug, Clone, Default)]
 pub struct VersionHistory {
-    /// When each version was last seen to serve; `None` while it does.
-    served: BTreeMap<ServiceVersion, Option<Time>>,
+    served: BTreeMap<ServiceVersion, Served>,
     coverage: Coverage,
 }
 
@@ -80,11 +100,15 @@
 
     /// Records which versions serve from now on, at engines that leave too.
     pub fn on_served(&mut self, now: Time, serving: &BTreeSet<ServiceVersion>) {
-        for ended in self.served.values_mut() {
-            ended.get_or_insert(now);
+        for served in self.served.values_mut() {
+            served.ended.get_or_insert(now);
         }
+        let served = Served {
+            ended: None,
+            is_seen: true,
+        };
         for entry in serving {
-            self.served.insert(entry.clone(), None);
+            self.served.insert(entry.clone(), served);
         }
         self.expire(now);
     }
@@ -92,8 +116,12 @@
     /// Handles the record in the store. Only instances with a complete history create it, so it covers the time before
     /// this process.
     pub fn on_record(&mut self, now: Time, record: &VersionRecord) {
+        let served = Served {
+            ended: Some(now),
+            is_seen: false,
+        };
         for entry in record.entries() {
-            self.served.entry(entry).or_insert(Some(now));
+            self.served.entry(entry).or_insert(served);
         }
         self.coverage = Coverage::Everything;
     }
@@ -116,7 +144,7 @@
             return None;
         }
         let served = self.served.iter();
-        let mut recent = served.filter(|(entry, ended)| entry.service == service && is_recent(now, **ended));
+        let mut recent = served.filter(|(entry, served)| entry.service == service && served.is_recent(now));
         let (first, _) = recent.next()?;
         recent.next().is_none().then_some(first.version)
     }
@@ -140,8 +168,8 @@
         for entry in current.iter().flat_map(|record| record.entries()).filter(is_kept) {
             next.add(&entry);
         }
-        for (entry, ended) in &self.served {
-            if ended.is_none_or(|at| now.since(at) < MAX_ADDED_AGE) {
+        for (entry, served) in &self.served {
+            if current.is_none() || served.is_added(now) {
                 next.add(entry);
             }
         }
@@ -157,11 +185,6 @@
     }
 
     fn expire(&mut self, now: Time) {
-        self.served.retain(|_, ended| is_recent(now, *ended));
+        self.served.retain(|_, served| served.is_recent(now));
     }
 }
-
-/// Whether a version that serves, or has ended at `ended`, may have begun a stream that still runs.
-fn is_recent(now: Time, ended: Option<Time>) -> bool {
-    ended.is_none_or(|at| now.since(at) < MAX_LIFETIME)
-}
