Versions: contents of the store without any confirmation make no version certain

The age of the last confirmation counts from the start of the process where there was none, so in the first moments after a start the contents sent by a peer that is cut off counted as recent. relay::versions::take_up_unconfirmed failed before.

--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -343,9 +343,11 @@
     }
 
     /// The version of all streams of a service for which there is no record; `None` if it is not certain. What this instance
-    /// knows must be recent: another version may have begun to serve since.
+    /// knows must be recent: another version may have begun to serve since. Contents that the store has never confirmed are
+    /// not, however young this process is: a peer that is cut off may have sent them.
     pub fn only_version(&self, now: Time, service: &str) -> Option<SoftwareVersion> {
-        if self.store_age(now) >= self.reloadable().apply_limit.0 {
+        let is_confirmed = self.confirmed.load(Ordering::Relaxed) > 0;
+        if !is_confirmed || self.store_age(now) >= self.reloadable().apply_limit.0 {
             return None;
         }
         self.traffic().history.only_version(now, service)
