Streams: a read of the store's records displaces neither own ones nor those that are asked for

relay::versions::store::take_up_many_records failed before: with more records in the store than an instance keeps, the wanted one was removed on arrival, and the instance's own, which then left the store with its next write.

--- a/crates/core/src/relay/streams.rs
+++ b/crates/core/src/relay/streams.rs
@@ -189,6 +189,11 @@
             .collect()
     }
 
+    /// Whether there is room for records that nobody has asked for, beside those that this instance must keep.
+    pub fn has_spare_room(&self) -> bool {
+        self.known.len() < MAX_RECORDS / 2
+    }
+
     /// Number of records.
     pub fn len(&self) -> usize {
         self.known.len()
--- a/src/ops/relay/stream_store.rs
+++ b/src/ops/relay/stream_store.rs
@@ -58,8 +58,16 @@
 #[derive(Debug, Default)]
 pub struct StreamStore {
     changed: Notify,
-    /// Requests to read the records, each answered with whether they were read.
-    reads: OnceLock<mpsc::UnboundedSender<oneshot::Sender<bool>>>,
+    reads: OnceLock<mpsc::UnboundedSender<ReadRequest>>,
+}
+
+/// A request to read the records.
+#[derive(Debug)]
+struct ReadRequest {
+    /// The stream whose record is wanted.
+    stream: StreamId,
+    /// Answered with whether the records were read.
+    done: oneshot::Sender<bool>,
 }
 
 impl StreamStore {
@@ -68,16 +76,16 @@
         self.changed.notify_one();
     }
 
-    /// Reads the records of all instances into [`TrafficState::streams`](super::shared::TrafficState::streams), within
-    /// `limit`. Returns whether they were read.
-    pub async fn read(&self, limit: Duration) -> bool {
+    /// Reads the record of `stream` into [`TrafficState::streams`](super::shared::TrafficState::streams), within `limit`, and
+    /// those of others as long as there is room. Returns whether the records were read.
+    pub async fn read(&self, stream: StreamId, limit: Duration) -> bool {
         let Some(reads) = self.reads.get() else {
             return false;
         };
         let read = async {
             loop {
-                let (sender, receiver) = oneshot::channel();
-                if reads.send(sender).is_err() {
+                let (done, receiver) = oneshot::channel();
+                if reads.send(ReadRequest { stream, done }).is_err() {
                     return false;
                 }
                 if receiver.await == Ok(true) {
@@ -111,26 +119,30 @@
 async fn answer_reads(
     shared: Arc<Shared>,
     store: Rc<dyn Store>,
-    mut requests: mpsc::UnboundedReceiver<oneshot::Sender<bool>>,
+    mut requests: mpsc::UnboundedReceiver<ReadRequest>,
 ) {
     while let Some(first) = requests.recv().await {
         let mut waiting = vec![first];
         while let Ok(next) = requests.try_recv() {
             waiting.push(next);
         }
-        let result = read_all(&shared, store.as_ref()).await;
+        let wanted: BTreeSet<StreamId> = waiting.iter().map(|request| request.stream).collect();
+        let result = read_all(&shared, store.as_ref(), &wanted).await;
         if let Err(error) = &result {
             log_event!(info, log_event::KV_FAILED, %error, call = "streams");
             tokio::time::sleep(RETRY_DELAY).await;
         }
         for request in waiting {
             // A caller that has gone meanwhile needs no answer.
-            let _ = request.send(result.is_ok());
+            let _ = request.done.send(result.is_ok());
         }
     }
 }
 
-async fn read_all(shared: &Shared, store: &dyn Store) -> Result<(), StoreError> {
+/// Reads all records, of which those of the `wanted` streams are kept in any case.
+///
+/// Guards against a large fleet's records, which are more than an instance keeps, displacing its own and the wanted ones.
+async fn read_all(shared: &Shared, store: &dyn Store, wanted: &BTreeSet<StreamId>) -> Result<(), StoreError> {
     let prefix = &shared.translate.keys().streams;
     let mut after = String::new();
     loop {
@@ -140,9 +152,11 @@
             match postcard::from_bytes::<Vec<StreamRecord>>(&item.value) {
                 Ok(records) => {
                     let mut traffic = shared.traffic();
-                    records
-                        .into_iter()
-                        .for_each(|record| traffic.streams.on_record(now, record));
+                    for record in records {
+                        if wanted.contains(&record.stream) || traffic.streams.has_spare_room() {
+                            traffic.streams.on_record(now, record);
+                        }
+                    }
                 }
                 Err(error) => {
                     log_event!(warn, log_event::ENTRY_UNREADABLE, key = %item.key, revision = %item.revision, %error);
--- a/src/ops/relay/versions.rs
+++ b/src/ops/relay/versions.rs
@@ -119,7 +119,7 @@
         }
         self.shared
             .stream_store
-            .read(STORE_TIMEOUT.min(self.incoming.time_left() / 3))
+            .read(stream, STORE_TIMEOUT.min(self.incoming.time_left() / 3))
             .await;
         match self.recorded_version(stream) {
             Some(version) => (Some(version), VersionSource::Store),
