Streams: a refused write of records is repeated no sooner than the fleet's share of writes allows

relay::versions::store::record_write_refused_large_fleet failed before: 15 writes in 1.5 s of one instance, which is 9,850 a second for 985.

--- a/src/ops/relay/stream_store.rs
+++ b/src/ops/relay/stream_store.rs
@@ -44,7 +44,7 @@
 /// Time between two checks of whether the lease is to be renewed.
 const CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Pause after a call that failed.
+/// Shortest pause after a call that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Time between two writes of an instance, for each instance of the fleet: all of them write 100 times a second at most,
@@ -200,7 +200,7 @@
                 Ok(true) => tokio::time::sleep(self.write_interval()).await,
                 Err(error) => {
                     log_event!(info, log_event::KV_FAILED, %error, call = "write streams");
-                    tokio::time::sleep(RETRY_DELAY).await;
+                    tokio::time::sleep(RETRY_DELAY.max(self.write_interval())).await;
                     self.shared.stream_store.notify();
                 }
             }
