Streams: a take-up goes to the service that its first attempt drew; only a recent view removes versions from the record

On a route that is split over two services, each attempt drew anew, so a stream went on at the other service or was refused (relay::versions::take_up_split_route failed before). Now the attempt that began the stream draws. The records of streams have a prefix that differs from the key of the versions.

--- a/crates/core/src/relay/engines.rs
+++ b/crates/core/src/relay/engines.rs
@@ -221,8 +221,8 @@
     distrust_until: Option<Time>,
     /// What has happened since the last [`Engines::take_departures`].
     departures: Vec<(String, Departure)>,
-    /// Versions of engines that have gone since the last [`Engines::take_versions`].
-    gone: BTreeSet<ServiceVersion>,
+    /// Versions that entries had which were replaced or removed since the last [`Engines::take_versions`].
+    seen_versions: BTreeSet<ServiceVersion>,
 }
 
 /// Maximum number of removed engines that are remembered to reject late updates from peers.
@@ -273,7 +273,7 @@
     /// Returns the versions that serve, at engines that leave too, and those of engines that have gone since the last call:
     /// an engine may come and go between two calls.
     pub fn take_versions(&mut self) -> BTreeSet<ServiceVersion> {
-        let mut versions = std::mem::take(&mut self.gone);
+        let mut versions = std::mem::take(&mut self.seen_versions);
         versions.extend(self.known.values().filter_map(|k| k.engine.service_version()));
         versions
     }
@@ -310,7 +310,7 @@
                 }
                 let engine = Engine::new(known.engine.key, entry);
                 let before = std::mem::replace(&mut known.engine, engine);
-                self.gone.extend(before.service_version());
+                self.seen_versions.extend(before.service_version());
                 return changed;
             }
         }
@@ -325,7 +325,7 @@
             copied: None,
         };
         let before = self.known.insert(id, known);
-        self.gone
+        self.seen_versions
             .extend(before.and_then(|known| known.engine.service_version()));
         true
     }
@@ -349,7 +349,7 @@
             }
             Some(known) => {
                 let version = EntryVersion::of(&known.engine.entry);
-                self.gone.extend(known.engine.service_version());
+                self.seen_versions.extend(known.engine.service_version());
                 self.known.remove(&id);
                 self.departures.push((id.clone(), Departure::Removed));
                 self.add_tombstone(id, Tombstone { revision, version });
@@ -396,7 +396,7 @@
             .collect();
         for (id, tombstone) in &overdue {
             let removed = self.known.remove(id);
-            self.gone
+            self.seen_versions
                 .extend(removed.and_then(|known| known.engine.service_version()));
             self.departures.push((id.clone(), Departure::Overdue));
             self.add_tombstone(id.clone(), *tombstone);
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -101,7 +101,7 @@
     pub(super) last_failure: Option<(String, String)>,
     /// Notified when the request is about to be sent to the engine that is to answer.
     pub(super) request_sent: Rc<Notify>,
-    /// Random value derived from the request id, used to choose a service and to break ties between engines.
+    /// Random value derived from the request id, used to break ties between engines.
     pub(super) draw: u64,
 }
 
@@ -118,7 +118,10 @@
     ) -> ForwardedRequest {
         let draw = Hash::new().with(incoming.id.as_bytes()).value();
         let attempts = Attempts::new(route.kind.repeat(), AttemptLimit::Sent(route.max_attempts));
-        let service = route.service(draw).map(str::to_string);
+        // A stream that is taken up belongs to the service that its first attempt drew.
+        let first = incoming.resumes.as_ref().unwrap_or(&incoming.id);
+        let service_draw = Hash::new().with(first.as_bytes()).value();
+        let service = route.service(service_draw).map(str::to_string);
         let hedge_ratio = shared.reloadable().hedge_ratio;
         let priority = incoming.priority.unwrap_or(route.priority);
         let by_priority = shared.reloadable().priority_admission;
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -345,7 +345,7 @@
     /// The version of all streams of a service for which there is no record; `None` if it is not certain. What this instance
     /// knows must be recent: another version may have begun to serve since. Contents that the store has never confirmed are
     /// not, however young this process is: a peer that is cut off may have sent them.
-    pub fn only_version(&self, now: Time, service: &str) -> Option<SoftwareVersion> {
+    pub fn certain_version(&self, now: Time, service: &str) -> Option<SoftwareVersion> {
         let is_confirmed = self.confirmed.load(Ordering::Relaxed) > 0;
         if !is_confirmed || self.store_age(now) >= self.reloadable().apply_limit.0 {
             return None;
--- a/src/ops/relay/stream_store.rs
+++ b/src/ops/relay/stream_store.rs
@@ -77,23 +77,21 @@
     }
 
     /// Reads the record of `stream` into [`TrafficState::streams`](super::shared::TrafficState::streams), within `limit`, and
-    /// those of others as long as there is room. Returns whether the records were read.
-    pub async fn read(&self, stream: StreamId, limit: Duration) -> bool {
+    /// those of others as long as there is room.
+    pub async fn read(&self, stream: StreamId, limit: Duration) {
         let Some(reads) = self.reads.get() else {
-            return false;
+            return;
         };
         let read = async {
             loop {
                 let (done, receiver) = oneshot::channel();
-                if reads.send(ReadRequest { stream, done }).is_err() {
-                    return false;
-                }
-                if receiver.await == Ok(true) {
-                    return true;
+                if reads.send(ReadRequest { stream, done }).is_err() || receiver.await == Ok(true) {
+                    return;
                 }
             }
         };
-        tokio::time::timeout(limit, read).await.unwrap_or(false)
+        // A record that was not read in time counts as one that does not exist.
+        let _ = tokio::time::timeout(limit, read).await;
     }
 }
 
--- a/src/ops/relay/version_record.rs
+++ b/src/ops/relay/version_record.rs
@@ -90,12 +90,14 @@
         let key = &self.shared.translate.keys().versions;
         let item = self.fleet.known().item(key);
         let current = item.as_ref().and_then(|item| record(key, item));
-        let may_remove = self.fleet.watch_rank().rank == 0;
+        let now = clock::now();
+        let is_recent = self.shared.store_age(now) < self.shared.reloadable().apply_limit.0;
+        let may_remove = is_recent && self.fleet.watch_rank().rank == 0;
         let next = self
             .shared
             .traffic()
             .history
-            .next_record(clock::now(), current.as_ref(), may_remove)?;
+            .next_record(now, current.as_ref(), may_remove)?;
         Some((item.map_or(Revision::ZERO, |item| item.revision), next))
     }
 
--- a/src/ops/relay/versions.rs
+++ b/src/ops/relay/versions.rs
@@ -103,7 +103,7 @@
     async fn determine_version(&mut self) -> (Option<SoftwareVersion>, VersionSource) {
         let Some(stream) = self.resumed_stream() else {
             let only = self.service.as_ref();
-            let only = only.and_then(|service| self.shared.only_version(clock::now(), service));
+            let only = only.and_then(|service| self.shared.certain_version(clock::now(), service));
             let source = only.map_or(VersionSource::None, |_| VersionSource::OnlyVersion);
             return (only, source);
         };
@@ -176,7 +176,7 @@
     /// another version may serve by the caller's next try.
     fn record_only_version(&self, stream: StreamId) -> Option<SoftwareVersion> {
         let service = self.service.as_ref()?;
-        let version = self.shared.only_version(clock::now(), service)?;
+        let version = self.shared.certain_version(clock::now(), service)?;
         self.record_begun(stream, version);
         Some(version)
     }
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -104,7 +104,7 @@
                 leader: "lead".to_string(),
                 usage: "usage".to_string(),
                 versions: "versions".to_string(),
-                streams: "versions/".to_string(),
+                streams: "streams/".to_string(),
             },
             paths: Paths {
                 ready: "/ready".to_string(),
--- a/tests/testsuite/relay/versions/mod.rs
+++ b/tests/testsuite/relay/versions/mod.rs
@@ -18,6 +18,7 @@
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::routes::CallerLimits;
 use sequoiastream_core::relay::routes::RouteKind;
+use sequoiastream_core::relay::routes::RouteTarget;
 use sequoiastream_core::relay::routes::RoutingTable;
 use sequoiastream_core::relay::streams::SoftwareVersion;
 use sequoiastream_core::relay::version_history::VersionRecord;
@@ -451,3 +452,34 @@
     let got = take_up(&unconfirmed, "r1", "elsewhere").await;
     assert_eq!(status(&got), "503", "{got}");
 }
+
+/// Guards against a stream that goes on at another service than the one that began it, or is refused because that has other
+/// versions: its route is split over both, and each attempt draws one.
+#[actix_web::test]
+async fn take_up_split_route() {
+    let engines = Engines::start(&["v1", "v1"]).await;
+    let instance = engines.instance("one", 1);
+    let mut listed = engines.listed();
+    listed[1].entry.service = "talk".to_string();
+    listed[1].entry.version = "v2".to_string();
+    let (chat, talk) = (vec![listed[0].clone()], vec![listed[1].clone()]);
+    let target = |service: &str| RouteTarget {
+        service: service.to_string(),
+        weight: 50,
+    };
+    let mut split = route(RouteKind::Resumable, "/r/");
+    split.targets = vec![target("chat"), target("talk")];
+    instance.shared.publish(|view| {
+        let limits = CallerLimits::default();
+        view.table = std::sync::Arc::new(RoutingTable::new(4, limits, vec![split], Vec::new()));
+        view.set_engines([("chat".to_string(), chat), ("talk".to_string(), talk)].into());
+    });
+    let requests = || [0, 1].map(|index: usize| engines.0[index].0.log().requests.len());
+    for number in 0..24 {
+        begin(&instance, &format!("first-{number}")).await;
+        let got = take_up(&instance, &format!("again-{number}"), &format!("first-{number}")).await;
+        assert_eq!(ids(&got), ["2"], "{number}: {got}");
+        assert!(requests().iter().all(|count| count.is_multiple_of(2)));
+    }
+    assert!(requests().iter().all(|count| *count > 0));
+}
--- a/tests/testsuite/relay/versions/store.rs
+++ b/tests/testsuite/relay/versions/store.rs
@@ -26,7 +26,7 @@
 use crate::relay::wait_until;
 
 /// Prefix of the records of streams in the store.
-const RECORDS: &str = "versions/";
+const RECORDS: &str = "streams/";
 
 /// Starts the exchange of records between an instance and the store.
 fn connect(instance: &Instance, store: &FakeStore) {
