Crashes: kept in the store, so that they outlive a kill of all instances

Callers and engines saw: after all instances were killed at the same moment, a request that crashes engines, or a part of prompts that does, took three more engines for each kill, six after two kills where three are allowed.

Cause: crashes were remembered nowhere but in the instances.

Each process now keeps the crashes of requests and parts with two or more under a key of its own in the store, under a lease that outlives it, and all take them in with the rest of the store when they start. What is kept is decided in core. A write states the revision that it replaces, so that a late one doesn't undo a newer one, and is repeated until it is through. A crash that was read appears younger than it is: it is not passed on, gives way to what peers tell, and counts as earlier than any completion, so that a request that was answered stays cleared.

--- a/crates/core/src/poison/suspects/mod.rs
+++ b/crates/core/src/poison/suspects/mod.rs
@@ -11,6 +11,7 @@
 //!
 //! Requests that differ may have a part of their prompts in common that crashes engines: see [`parts`].
 
+pub mod durable;
 pub mod parts;
 
 use std::cell::RefCell;
@@ -205,16 +206,25 @@
 }
 
 /// When something happened, by [`note_clock`], and in how many further messages it is sent as new.
+///
+/// What was read from the store appears later than it was. It is not passed on, gives way to the notes of peers, and counts as
+/// earlier than any completion.
 #[derive(Debug, Clone, Copy)]
 struct Seen {
     at: Time,
     rounds: u8,
+    is_stored: bool,
 }
 
 impl Seen {
     fn new(at: Time) -> Seen {
         let rounds = NEW_NOTE_ROUNDS;
-        Seen { at, rounds }
+        let is_stored = false;
+        Seen {
+            at,
+            rounds,
+            is_stored,
+        }
     }
 
     fn age(self, now: Time) -> Duration {
@@ -239,7 +249,7 @@
     let known = record.get(&outcome).map(|seen| seen.at);
     let is_repeated = known.is_some_and(|known| at.since(known) < MAX_NOTE_DELAY);
     match outcome {
-        Outcome::Crashed(_) => known.is_none(),
+        Outcome::Crashed(_) => record.get(&outcome).is_none_or(|seen| seen.is_stored),
         Outcome::Tried => !is_repeated,
         Outcome::Completed => {
             let mut later = record.values().filter(|seen| Some(seen.at) > completed);
@@ -383,14 +393,21 @@
         let ttl = request.note_ttl();
         let record = self.requests.entry(request).or_default();
         record.retain(|_, seen| seen.is_recent(now, ttl));
+        if outcome == Outcome::Completed {
+            durable::date_before(record, at);
+        }
         if !is_news(record, outcome, at) {
             return;
         }
         record.insert(outcome, Seen::new(at));
+        self.has_new = true;
+        self.on_added(now, request);
+    }
+
+    fn on_added(&mut self, now: Time, request: RequestKey) {
         if let RequestKey::Part(_) = request {
             self.convicted.take();
         }
-        self.has_new = true;
         if self.requests.len() > MAX_REQUESTS {
             self.evict(now, request);
         }
@@ -447,6 +464,7 @@
         let notes = most.iter().flat_map(|(_, key)| {
             let record = self.requests.get(key).into_iter();
             let entries = record.flat_map(|record| counting(record, now, key.note_ttl()));
+            let entries = entries.filter(|(_, seen)| !seen.is_stored);
             entries.map(|(outcome, seen)| note(now, *key, outcome, seen))
         });
         notes.take(MAX_URGENT_NOTES).collect()
@@ -460,7 +478,8 @@
         let after = self.requests.range((first, Bound::Unbounded));
         let all = after.chain(&self.requests);
         let all = all.flat_map(|(request, record)| {
-            counting(record, now, request.note_ttl()).map(|(outcome, seen)| (*request, outcome, seen))
+            let entries = counting(record, now, request.note_ttl()).filter(|(_, seen)| !seen.is_stored);
+            entries.map(|(outcome, seen)| (*request, outcome, seen))
         });
         let cursor = self.cursor;
         let next = all.skip_while(|(request, outcome, _)| cursor.is_some_and(|c| (*request, *outcome) <= c));
--- a/src/ops/relay/edge.rs
+++ b/src/ops/relay/edge.rs
@@ -104,6 +104,8 @@
     pub versions: String,
     /// Prefix of the keys of the instances' records of streams.
     pub streams: String,
+    /// Prefix of the keys of the instances' notes of crashes.
+    pub crashes: String,
 }
 
 /// Paths of the calls that an instance accepts, and of those that it makes to engines and to the platform's API.
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -43,6 +43,7 @@
 use sequoiastream_kv::store::StoreError;
 
 use crate::log_event;
+use crate::ops::relay::crash_store;
 use crate::ops::relay::follow::join::Startup;
 use crate::ops::relay::follow::read::PartialRead;
 use crate::ops::relay::known::StoreReplica;
@@ -362,6 +363,7 @@
             Change::Put(item) => {
                 self.on_config(item);
                 self.on_versions(item);
+                crash_store::on_items(&self.shared, std::slice::from_ref(item));
                 let translate = self.shared.translate.as_ref();
                 changed.orders |= self.ordered.on_item(now, translate, item);
                 if let Some(record) = lead::record(translate, item) {
--- a/src/ops/relay/follow/snapshot.rs
+++ b/src/ops/relay/follow/snapshot.rs
@@ -9,6 +9,7 @@
 use sequoiastream_kv::store::Item;
 
 use crate::log_event;
+use crate::ops::relay::crash_store;
 use crate::ops::relay::follow::Changed;
 use crate::ops::relay::follow::Follower;
 use crate::ops::relay::lead;
@@ -36,6 +37,9 @@
                 .count();
             self.on_restored(latest, revision, lost);
         }
+        if known.is_zero() {
+            crash_store::on_items(&self.shared, items);
+        }
         self.known
             .on_snapshot(self.shared.translate.keys(), revision, items);
         let entries = items.iter().filter_map(|item| self.entry(item));
--- a/src/ops/relay/known.rs
+++ b/src/ops/relay/known.rs
@@ -388,7 +388,7 @@
 }
 
 fn is_replicated(keys: &StoreKeys, key: &str) -> bool {
-    let prefixes = [&keys.engines, &keys.orders, &keys.instances];
+    let prefixes = [&keys.engines, &keys.orders, &keys.instances, &keys.crashes];
     let single = [&keys.config, &keys.leader, &keys.versions];
     single.iter().any(|name| *name == key) || prefixes.iter().any(|prefix| key.starts_with(prefix.as_str()))
 }
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -10,6 +10,7 @@
 //! - [`orders`] orders engines to a stage;
 //! - [`version_record`] records in the store which versions of the engines serve, [`stream_store`] which of them began
 //!   each stream while there are several;
+//! - [`crash_store`] keeps in the store under which requests several engines ended;
 //! - [`lead`] holds the lease of the leader, the one instance that calls the cloud API for all through `cloud`: `usage`
 //!   reports the usage, `scaling` orders engines.
 //!
@@ -31,6 +32,7 @@
 pub mod connect;
 mod connections;
 mod counted;
+pub mod crash_store;
 mod deliver;
 pub mod edge;
 mod fairness;
@@ -126,6 +128,7 @@
     actix_rt::spawn(orders::run(shared.clone(), store.clone()));
     actix_rt::spawn(version_record::run(shared.clone(), store.clone(), fleet.clone()));
     stream_store::start(&shared, &store);
+    actix_rt::spawn(crash_store::run(shared.clone(), store.clone()));
     start_leader_tasks(&shared, &store, &fleet);
     let registration = register::start(shared.clone(), store, fleet.clone());
     actix_rt::spawn(reload_on_hangup(hangup, shared.clone(), reload));
--- a/src/ops/relay/retries.rs
+++ b/src/ops/relay/retries.rs
@@ -250,6 +250,7 @@
     drop(traffic);
     shared.checked.notify_waiters();
     if has_ended {
+        shared.crashes_changed.notify_one();
         log_event!(warn, log_event::ENGINE_CRASHED, engine = %engine.entry.id, fingerprint = %request.any, crashes);
     }
 }
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -241,6 +241,8 @@
     pub(super) stream_store: StreamStore,
     /// Notified when the history of the versions changes.
     pub(super) versions_changed: Notify,
+    /// Notified when an engine has ended under a request.
+    pub(super) crashes_changed: Notify,
     /// Notified when a check whether an engine has ended is complete.
     pub(super) checked: Notify,
     running: Arc<AtomicUsize>,
@@ -292,6 +294,7 @@
             started: clock::now(),
             stream_store: StreamStore::default(),
             versions_changed: Notify::new(),
+            crashes_changed: Notify::new(),
             checked: Notify::new(),
             running: Arc::default(),
         }
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -105,6 +105,7 @@
                 usage: "usage".to_string(),
                 versions: "versions".to_string(),
                 streams: "versions/".to_string(),
+                crashes: "crashes/".to_string(),
             },
             paths: Paths {
                 ready: "/ready".to_string(),
--- a/tests/testsuite/relay/restarts.rs
+++ b/tests/testsuite/relay/restarts.rs
@@ -2,13 +2,17 @@
 //!
 //! Each instance here is a whole fleet: no peer is left that could tell it anything.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use sequoiastream::ops::relay::crash_store;
 use sequoiastream::ops::relay::orders;
 use sequoiastream::util::clock;
 use sequoiastream_core::poison::suspects::MIN_CRASHES;
+use sequoiastream_core::poison::suspects::Note;
+use sequoiastream_core::poison::suspects::Outcome;
 use sequoiastream_core::relay::engines::EngineUpdate;
 use sequoiastream_core::relay::engines::Engines;
 use sequoiastream_core::relay::engines::Stage;
@@ -32,6 +36,7 @@
 use super::instance::shared;
 use super::rev;
 use super::store::FakeStore;
+use super::store::WriteOutcome;
 use super::wait_until;
 
 /// Number of further engines that a request may reach after it has crashed the third.
@@ -44,6 +49,7 @@
 async fn start(kind: RouteKind, store: &FakeStore, expected: &[String]) -> Instance {
     let shared = shared(options());
     follow_store(&shared, store).await;
+    actix_web::rt::spawn(crash_store::run(shared.clone(), Rc::new(store.clone())));
     wait_until(|| version(&shared) == 3 && engines(&shared) == expected).await;
     let routes = vec![route(kind, "/r/")];
     shared.publish(|view| {
@@ -113,6 +119,55 @@
     assert!(late <= MAX_LATE_CRASHES, "{crashes:?}");
 }
 
+/// Number of engines under which a request ended, by the notes in the store.
+fn stored_crashes(store: &FakeStore) -> usize {
+    let values = store.values("crashes/");
+    let notes = values
+        .iter()
+        .flat_map(|value| postcard::from_bytes::<Vec<Note>>(value).expect("notes"));
+    let engines = notes.filter_map(|note| match note.outcome {
+        Outcome::Crashed(engine) => Some(engine),
+        Outcome::Completed | Outcome::Tried => None,
+    });
+    engines.collect::<BTreeSet<u64>>().len()
+}
+
+/// Guards against notes of crashes that are lost because the store refuses a write, applies it without an answer, or applies
+/// it after later ones.
+#[actix_web::test]
+async fn block_after_failed_write() {
+    for outcome in [
+        WriteOutcome::Refused,
+        WriteOutcome::AppliedUnanswered,
+        WriteOutcome::Delayed,
+    ] {
+        let store = FakeStore::new();
+        store.put("config", "3 /r/");
+        store.set_next_write(outcome);
+        let path = |_| "/r/poison".to_string();
+        let first = crash_after_start(&store, 0, RouteKind::Idempotent, path, "").await;
+        assert_eq!(first, MIN_CRASHES, "{outcome:?}");
+        wait_until(|| stored_crashes(&store) == MIN_CRASHES).await;
+        store.deliver_delayed();
+        let second = crash_after_start(&store, 1, RouteKind::Idempotent, path, "").await;
+        assert_eq!(second, 0, "{outcome:?}");
+    }
+}
+
+/// Guards against writes to the store for engines that end by themselves, with requests that are harmless.
+#[actix_web::test]
+async fn first_crash_not_written() {
+    let engine = ScriptedEngine::start(|_, _| vec![Action::Crash]).await;
+    let store = FakeStore::new();
+    store.put("config", "3 /r/");
+    store.put("engines/e", &format!("chat {} ready 1", engine.address()));
+    let instance = start(RouteKind::Idempotent, &store, &["e".to_string()]).await;
+    instance.get("/r/harmless", "q", "").await;
+    wait_until(|| instance.shared.traffic().suspects.counts(clock::now()).suspect > 0).await;
+    actix_web::rt::time::sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(store.calls().writes, 0);
+}
+
 /// An engine that accepts each order.
 async fn accepting_engine() -> ScriptedEngine {
     let accepted = "HTTP/1.1 202 Accepted\r\ncontent-length: 0\r\n\r\n";
--- a/tests/testsuite/relay/suspects.rs
+++ b/tests/testsuite/relay/suspects.rs
@@ -9,6 +9,7 @@
 use sequoiastream_core::poison::suspects::RequestIdentity;
 use sequoiastream_core::poison::suspects::RequestKey;
 use sequoiastream_core::poison::suspects::Suspects;
+use sequoiastream_core::poison::suspects::durable::MAX_DURABLE_NOTES;
 use sequoiastream_core::time::Time;
 
 fn fingerprint(number: u64) -> RequestIdentity {
@@ -236,3 +237,85 @@
     );
     assert!(!suspects.is_blocked(started, &fingerprint(7)));
 }
+
+/// Time at which crashes are kept, later than the start.
+const KEPT_AT: Time = Time::from_millis(30_000);
+
+/// What an instance keeps that saw a request crash `count` engines.
+fn kept_crashes(count: u64) -> Vec<Note> {
+    let mut suspects = Suspects::new();
+    (0..count).for_each(|engine| suspects.on_crash(KEPT_AT, &fingerprint(7), engine));
+    suspects.durable_notes(KEPT_AT)
+}
+
+/// Guards against writes for each engine that ends, and against a crash that nobody keeps.
+#[test]
+fn durable_from_second_crash() {
+    assert_eq!(kept_crashes(1), Vec::new());
+    assert_eq!(kept_crashes(2).len(), 2);
+    let mut started = Suspects::new();
+    started.on_durable_notes(Time::ZERO, &kept_crashes(2));
+    assert!(!started.is_blocked(Time::ZERO, &fingerprint(7)));
+    started.on_crash(Time::ZERO, &fingerprint(7), 9);
+    assert!(started.is_blocked(Time::ZERO, &fingerprint(7)));
+    assert_eq!(started.durable_notes(Time::ZERO).len(), MIN_CRASHES);
+}
+
+/// Guards against blocking a request again that an engine has answered, because an instance starts and reads earlier crashes:
+/// their writer has ended, and another instance or a peer tells of the answer.
+#[test]
+fn durable_cleared_stays_cleared() {
+    let kept = kept_crashes(MIN_CRASHES as u64);
+    let mut peer = Suspects::new();
+    peer.on_durable_notes(KEPT_AT, &kept);
+    assert!(peer.is_blocked(KEPT_AT, &fingerprint(7)));
+    peer.on_completed(KEPT_AT, &fingerprint(7));
+    let cleared = peer.durable_notes(KEPT_AT);
+    assert!(cleared.iter().all(|note| note.outcome == Outcome::Completed));
+    let mut started = Suspects::new();
+    started.on_durable_notes(KEPT_AT, &[kept.clone(), cleared].concat());
+    assert!(!started.is_blocked(KEPT_AT, &fingerprint(7)));
+    let later = KEPT_AT + Duration::from_secs(20);
+    let mut told = Suspects::new();
+    told.on_durable_notes(later, &kept);
+    assert!(told.is_blocked(later, &fingerprint(7)));
+    let notes = peer.notes(later);
+    notes.iter().for_each(|note| told.on_note(later, *note));
+    assert!(!told.is_blocked(later, &fingerprint(7)));
+    told.on_durable_notes(later, &kept);
+    assert!(!told.is_blocked(later, &fingerprint(7)));
+}
+
+/// Guards against an old completion in the store that clears crashes which this instance saw since.
+#[test]
+fn durable_completion_keeps_seen() {
+    let mut suspects = Suspects::new();
+    (0..MIN_CRASHES as u64).for_each(|engine| suspects.on_crash(KEPT_AT, &fingerprint(7), engine));
+    let completed = Note {
+        request: RequestKey::Any(fingerprint(7).any),
+        outcome: Outcome::Completed,
+        age: 0,
+    };
+    suspects.on_durable_notes(KEPT_AT + Duration::from_secs(1), &[completed]);
+    assert!(suspects.is_blocked(KEPT_AT + Duration::from_secs(1), &fingerprint(7)));
+}
+
+/// Guards against a crash that appears to be recent each time that it is read, and so never ends for the peers.
+#[test]
+fn durable_not_passed_on() {
+    let mut started = Suspects::new();
+    started.on_durable_notes(KEPT_AT, &kept_crashes(MIN_CRASHES as u64));
+    assert_eq!(started.notes(KEPT_AT), Vec::new());
+}
+
+/// Guards against a value that the store refuses, or that instances don't pass on with the changes.
+#[test]
+fn durable_size_bounded() {
+    let mut suspects = Suspects::new();
+    for engine in 0..8 {
+        (0..500).for_each(|number| suspects.on_crash(KEPT_AT, &fingerprint(number), u64::MAX - engine));
+    }
+    let notes = suspects.durable_notes(KEPT_AT);
+    assert_eq!(notes.len(), MAX_DURABLE_NOTES);
+    assert!(postcard::to_stdvec(&notes).expect("notes").len() < 48 * 1024);
+}
