--- a/tests/testsuite/relay/stages.rs
+++ b/tests/testsuite/relay/stages.rs
@@ -6,6 +6,7 @@
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::stages::limit_prefill_fraction;
 use sequoiastream_core::relay::stages::plan_orders;
+use sequoiastream_core::relay::streams::SoftwareVersion;
 
 use super::fleet;
 
@@ -127,3 +128,54 @@
     let distinct: std::collections::BTreeSet<&String> = zones.iter().collect();
     assert_eq!((zones.len(), distinct.len()), (3, 3));
 }
+
+/// Engines of version 1 followed by engines of version 2, as numbers of prefill and decode engines.
+fn split_versions(first: (usize, usize), second: (usize, usize)) -> Vec<Engine> {
+    let mut stages = vec![Stage::Prefill; first.0];
+    stages.extend(vec![Stage::Decode; first.1]);
+    stages.extend(vec![Stage::Prefill; second.0]);
+    stages.extend(vec![Stage::Decode; second.1]);
+    let mut engines = fleet(&stages);
+    for (index, engine) in engines.iter_mut().enumerate() {
+        let version = if index < first.0 + first.1 { "1" } else { "2" };
+        engine.entry.version = version.to_string();
+        engine.version = SoftwareVersion::of(version);
+    }
+    engines
+}
+
+/// Number of engines of each of the two versions that generate once the orders have been carried out.
+fn generators(engines: &[Engine], ordered: &BTreeMap<String, Stage>) -> (usize, usize) {
+    let count = |version: &str| {
+        let engines = engines.iter().filter(|e| e.entry.version == version);
+        let stages = engines.map(|e| ordered.get(&e.entry.id).unwrap_or(&e.entry.stage));
+        stages.filter(|stage| **stage == Stage::Decode).count()
+    };
+    (count("1"), count("2"))
+}
+
+/// Guards against streams that no engine may continue, while engines of their version only compute prefills.
+#[test]
+fn plan_replaces_lost_decode_engines_of_a_version() {
+    let cases = [
+        ((3, 0), (0, 4)),
+        ((3, 1), (0, 4)),
+        ((2, 0), (3, 3)),
+        ((1, 0), (2, 4)),
+        ((0, 5), (0, 4)),
+        ((4, 3), (3, 0)),
+    ];
+    for (first, second) in cases {
+        let engines = split_versions(first, second);
+        let mut ordered = BTreeMap::new();
+        for _ in 0..2 {
+            ordered = apply_orders(&engines, &ordered, 0.65);
+        }
+        let (old, new) = generators(&engines, &ordered);
+        let wanted = |engines: (usize, usize)| (engines.0 + engines.1).min(2);
+        assert!(
+            old >= wanted(first) && new >= wanted(second),
+            "{first:?} and {second:?}: {old} and {new} engines generate"
+        );
+    }
+}
