Stages: each version of a service keeps two engines that generate

Cause: the plan kept two generators of a service, whatever their version.

Now versions below two generators get their orders first, and an engine is ordered to prefill only if its version keeps two.

Ordering only after the loss was judged by the trace, not played.

--- a/crates/core/src/relay/stages.rs
+++ b/crates/core/src/relay/stages.rs
@@ -10,8 +10,9 @@
 
 use crate::relay::engines::Engine;
 use crate::relay::engines::Stage;
+use crate::relay::streams::SoftwareVersion;
 
-/// Minimum number of engines that generate: one may be lost.
+/// Minimum number of engines of each version that generate: one may be lost.
 const MIN_DECODE_ENGINES: usize = 2;
 
 /// Deviation from the wanted number of prefill engines that is tolerated once a service has been split: an engine that
@@ -63,19 +64,22 @@
 
 /// Returns the orders that bring a service to the split in which `prefill_fraction` of its engines, 0 to 1, compute
 /// prefills. `ordered` contains the orders that engines have been given already.
+///
+/// Engines of each version that can generate come first: a stream may go on only at the version that began it.
 pub fn plan_orders(
     engines: &[Engine],
     ordered: &BTreeMap<String, Stage>,
     prefill_fraction: f64,
 ) -> Vec<StageOrder> {
     let staged: Vec<&Engine> = engines.iter().filter(|e| e.entry.stage != Stage::Whole).collect();
-    let max_prefill = staged.len().saturating_sub(MIN_DECODE_ENGINES);
+    let versions = count_by_version(&staged, ordered);
+    let replacements = plan_replacements(&staged, ordered, &versions);
+    if !replacements.is_empty() {
+        return replacements;
+    }
+    let max_prefill = versions.values().map(|v| v.total() - v.min_generating()).sum();
     let wanted = ((staged.len() as f64 * prefill_fraction).round() as usize).min(max_prefill);
-    // An engine with an order counts as what it will become.
-    let prefilling = staged
-        .iter()
-        .filter(|e| target_stage(e, ordered) == Stage::Prefill)
-        .count();
+    let prefilling: usize = versions.values().map(|v| v.prefilling).sum();
     let generating = staged.len() - prefilling;
     let is_split = staged.iter().any(|e| ordered.contains_key(&e.entry.id));
     let tolerance = if is_split { TOLERANCE } else { 0 };
@@ -85,23 +89,96 @@
     if is_close && is_operational {
         return Vec::new();
     }
-    let (stage, count) = match prefilling.cmp(&wanted) {
-        std::cmp::Ordering::Less => (Stage::Prefill, wanted - prefilling),
-        std::cmp::Ordering::Equal => return Vec::new(),
-        std::cmp::Ordering::Greater => (Stage::Decode, prefilling - wanted),
-    };
-    let mut candidates = StageCandidates::new(
-        staged.into_iter().filter(|e| target_stage(e, ordered) != stage),
-        ordered,
-    );
+    match prefilling.cmp(&wanted) {
+        std::cmp::Ordering::Less => {
+            let mut spare = versions;
+            let is_spare = |engine: &Engine| {
+                spare
+                    .get_mut(&engine.version)
+                    .is_some_and(StageCounts::take_generator)
+            };
+            choose(&staged, ordered, Stage::Prefill, wanted - prefilling, is_spare)
+        }
+        std::cmp::Ordering::Equal => Vec::new(),
+        std::cmp::Ordering::Greater => choose(&staged, ordered, Stage::Decode, prefilling - wanted, |_| true),
+    }
+}
+
+/// Orders that replace the engines that are missing for the minimum of each version.
+fn plan_replacements(
+    staged: &[&Engine],
+    ordered: &BTreeMap<String, Stage>,
+    versions: &BTreeMap<SoftwareVersion, StageCounts>,
+) -> Vec<StageOrder> {
+    let orders = versions.iter().flat_map(|(version, counts)| {
+        let missing = counts.min_generating().saturating_sub(counts.generating);
+        let engines: Vec<&Engine> = staged.iter().copied().filter(|e| e.version == *version).collect();
+        choose(&engines, ordered, Stage::Decode, missing, |_| true)
+    });
+    orders.collect()
+}
+
+/// Orders for up to `count` of the engines to change to `stage`, of those that `may_change`.
+fn choose(
+    engines: &[&Engine],
+    ordered: &BTreeMap<String, Stage>,
+    stage: Stage,
+    count: usize,
+    mut may_change: impl FnMut(&Engine) -> bool,
+) -> Vec<StageOrder> {
+    let others = engines.iter().copied();
+    let mut candidates = StageCandidates::new(others.filter(|e| target_stage(e, ordered) != stage), ordered);
     let next = std::iter::from_fn(|| candidates.next());
-    let orders = next.take(count).map(|engine| StageOrder {
+    let chosen = next.filter(|engine| may_change(engine)).take(count);
+    let orders = chosen.map(|engine| StageOrder {
         engine: engine.entry.id.clone(),
         stage,
     });
     orders.collect()
 }
 
+/// Engines of one version at each stage; an engine with an order counts as what it will become.
+#[derive(Debug, Clone, Copy, Default)]
+struct StageCounts {
+    prefilling: usize,
+    generating: usize,
+}
+
+impl StageCounts {
+    fn total(&self) -> usize {
+        self.prefilling + self.generating
+    }
+
+    fn min_generating(&self) -> usize {
+        MIN_DECODE_ENGINES.min(self.total())
+    }
+
+    /// Lets an engine that generates change its stage, if enough others do. Returns whether it may.
+    fn take_generator(&mut self) -> bool {
+        let is_spare = self.generating > self.min_generating();
+        if is_spare {
+            self.generating -= 1;
+            self.prefilling += 1;
+        }
+        is_spare
+    }
+}
+
+fn count_by_version(
+    staged: &[&Engine],
+    ordered: &BTreeMap<String, Stage>,
+) -> BTreeMap<SoftwareVersion, StageCounts> {
+    let mut versions: BTreeMap<SoftwareVersion, StageCounts> = BTreeMap::new();
+    for engine in staged {
+        let counts = versions.entry(engine.version).or_default();
+        match target_stage(engine, ordered) {
+            Stage::Prefill => counts.prefilling += 1,
+            Stage::Decode | Stage::Whole => counts.generating += 1,
+        }
+    }
+    versions
+}
+
 /// Engines that could change their stage, by availability zone.
 struct StageCandidates<'e> {
     zones: BTreeMap<&'e str, ZoneCandidates<'e>>,
