--- a/src/ops/relay/stream_store.rs
+++ b/src/ops/relay/stream_store.rs
@@ -105,7 +105,7 @@
     let writer = Writer {
         shared: shared.clone(),
         store: store.clone(),
-        key: format!("{}{}", shared.translate.keys().streams, Uuid::new_v4().simple()),
+        key: new_key(shared),
         lease: None,
         written: BTreeSet::new(),
         revision: Revision::ZERO,
@@ -246,11 +246,11 @@
         }
     }
 
-    /// Forgets the lease and the key, which has been removed with it.
+    /// Forgets the lease and what was written under it.
     fn forget_lease(&mut self) {
         self.lease = None;
         self.written.clear();
-        self.revision = Revision::ZERO;
+        self.change_key();
     }
 
     /// Makes sure that there is a lease with enough time left.
@@ -273,8 +273,8 @@
         Ok(())
     }
 
-    /// Replaces the records, on the condition that they are as last written: an earlier write whose answer was lost must not
-    /// be applied after this one.
+    /// Writes all records. After a write without an answer, another key is used: the write may be applied later, and must
+    /// not replace what was written after it.
     async fn write(&mut self, records: Vec<StreamRecord>) -> Result<(), StoreError> {
         let value = postcard::to_stdvec(&records).map_err(|e| StoreError::Unreadable(e.to_string()))?;
         let put = Put {
@@ -282,29 +282,26 @@
             value: Bytes::from(value),
             lease: self.lease.map(|lease| lease.id),
         };
-        let write = Write::conditional(put, self.revision);
-        match self.store.write(write).await {
+        let result = self.store.write(Write::conditional(put, self.revision)).await;
+        match &result {
             Ok(revision) => {
-                self.revision = revision;
+                self.revision = *revision;
                 self.written = records.iter().map(|record| record.stream).collect();
-                Ok(())
-            }
-            Err(StoreError::LeaseEnded) => {
-                self.forget_lease();
-                Err(StoreError::LeaseEnded)
-            }
-            Err(StoreError::Conflict) => {
-                self.revision = self.read_revision().await?;
-                Err(StoreError::Conflict)
             }
-            Err(error) => Err(error),
+            Err(StoreError::LeaseEnded) => self.forget_lease(),
+            Err(StoreError::Refused(_)) => {}
+            Err(_) => self.change_key(),
         }
+        result.map(|_| ())
     }
 
-    /// The revision of the key in the store.
-    async fn read_revision(&self) -> Result<Revision, StoreError> {
-        let page = self.store.range(&self.key, "").await?;
-        let item = page.items.into_iter().find(|item| item.key == self.key);
-        Ok(item.map_or(Revision::ZERO, |item| item.revision))
+    fn change_key(&mut self) {
+        self.key = new_key(&self.shared);
+        self.revision = Revision::ZERO;
     }
 }
+
+/// A key that no process has used.
+fn new_key(shared: &Shared) -> String {
+    format!("{}{}", shared.translate.keys().streams, Uuid::new_v4().simple())
+}
