--- a/src/ops/relay/crash_store.rs
+++ b/src/ops/relay/crash_store.rs
@@ -182,12 +182,7 @@
             value: Bytes::from(value),
             lease: self.lease.map(|lease| lease.id),
         };
-        let write = Write {
-            expect: vec![(self.key.clone(), self.revision)],
-            puts: vec![put],
-            removes: Vec::new(),
-        };
-        match self.store.write(write).await {
+        match self.store.write(Write::conditional(put, self.revision)).await {
             Ok(revision) => {
                 self.revision = revision;
                 Ok(())
