Events: an engine's error that is passed on is logged and counted; a take-up says how long it waited

The record of the incident can't tell an engine's own promise from one of this instance: passing an engine's error on wrote nothing. Event 422 and sequoiastream_relay_engine_errors do; event 421 has the time since the request arrived, so that knowledge older than the request shows. No logic changed.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -119,6 +119,8 @@
     420 OUTRANKED = "outranked";
     /// A caller took a stream up, and the version that began it was determined or not.
     421 TAKEN_UP = "taken-up";
+    /// An engine's own error was passed on to the caller.
+    422 ERROR_PASSED_ON = "error-passed-on";
     /// This instance acquired the authority over a service.
     500 AUTHORITY_TAKEN = "authority-taken";
     /// This instance no longer holds the authority over a service.
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -23,6 +23,7 @@
 use sequoiastream_core::relay::routes::Route;
 use sequoiastream_core::time::Time;
 use sequoiastream_peer::call::CallClient;
+use sequoiastream_upstream::channel::Answer;
 use sequoiastream_upstream::channel::Pool;
 use tokio::sync::Notify;
 
@@ -221,6 +222,9 @@
             return self.finish(self.give_up());
         };
         let end = end_of(answer);
+        if attempt.error_body().is_some() {
+            self.log_error(answer, attempt.engine());
+        }
         let mut builder = response_head(&answer.head.headers, answer.head.status.as_u16());
         self.record_completion(attempt.engine(), end);
         self.count(end.label());
@@ -233,6 +237,16 @@
         builder.body(body)
     }
 
+    /// Logs and counts an engine's error that is passed on.
+    fn log_error(&self, answer: &Answer, engine: &Engine) {
+        let status = answer.head.status.as_u16();
+        let names = self.shared.translate.names();
+        let signed = answer.head.headers.contains_key(&names.signature);
+        self.shared.metrics.count_engine_error(status);
+        log_event!(info, log_event::ERROR_PASSED_ON, request = self.id(), route = %self.route.name,
+            engine = %engine.entry.id, status, signed);
+    }
+
     pub(super) fn finish(&self, reply: Reply) -> HttpResponse {
         let waited = clock::now().since(self.incoming.arrived).as_millis() as u64;
         let reason = match (reply, &self.refusal) {
--- a/src/ops/relay/versions.rs
+++ b/src/ops/relay/versions.rs
@@ -168,7 +168,8 @@
             source,
             version = version.map(|v| v.to_string()),
             uptime = self.shared.uptime(now).as_millis() as u64,
-            heard = self.shared.store_age(now).as_millis() as u64
+            heard = self.shared.store_age(now).as_millis() as u64,
+            waited = now.since(self.incoming.arrived).as_millis() as u64
         );
     }
 
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -27,6 +27,7 @@
 use crate::util::metrics::relay_labels::ScopeLabels;
 use crate::util::metrics::relay_labels::ServiceLabels;
 use crate::util::metrics::relay_labels::SourceLabels;
+use crate::util::metrics::relay_labels::StatusLabels;
 
 /// Bucket bounds of the time to the first event, in seconds. They are dense around the users' targets of 0.1 to 0.2.
 const FIRST_EVENT_BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.4, 0.8, 1.6, 5.0];
@@ -57,6 +58,7 @@
     returns: Family<ResultLabels, Counter>,
     overdue: Family<ResultLabels, Counter>,
     take_ups: Family<SourceLabels, Counter>,
+    engine_errors: Family<StatusLabels, Counter>,
     requests: Family<ServiceLabels, Counter>,
     arrivals: Family<ArrivalLabels, Counter>,
     /// Requests that were decided by a view that nothing had confirmed within the time for applying a change.
@@ -129,6 +131,7 @@
             returns: Family::default(),
             overdue: Family::default(),
             take_ups: Family::default(),
+            engine_errors: Family::default(),
             requests: Family::default(),
             arrivals: Family::default(),
             outdated_requests: Counter::default(),
@@ -317,6 +320,11 @@
             "Streams that callers took up, by what determined the version of their engines",
             self.take_ups.clone(),
         );
+        registry.register(
+            "relay_engine_errors",
+            "Errors of engines that were passed on to their callers, by status",
+            self.engine_errors.clone(),
+        );
     }
 
     fn register_knowledge(&self, registry: &mut Registry) {
@@ -466,6 +474,12 @@
         self.take_ups.get_or_create(&SourceLabels { source }).inc();
     }
 
+    /// Counts an engine's error that was passed on to its caller.
+    pub fn count_engine_error(&self, status: u16) {
+        let status = u32::from(status);
+        self.engine_errors.get_or_create(&StatusLabels { status }).inc();
+    }
+
     /// Counts a caller's request on a route to a service.
     pub fn count_request(&self, service: &str) {
         let service = self.service_label(service);
--- a/src/util/metrics/relay_labels.rs
+++ b/src/util/metrics/relay_labels.rs
@@ -75,3 +75,8 @@
     pub(super) zone: String,
     pub(super) kind: &'static str,
 }
+
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(super) struct StatusLabels {
+    pub(super) status: u32,
+}
