--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -62,6 +62,7 @@
 mod tunnel_peers;
 mod tunnels;
 mod unframed;
+mod unproven;
 mod usage;
 mod version_history;
 mod versions;
