Promises: an engine's 503, 429 or 408 that does not confirm that the request did not run is never passed on

Callers of requests that may not be repeated got 503 though the request had reached an engine that may have run it (REFUSED).

Cause: Reply::refuse was taken for the only place that promises; the status of an engine's own error was a second one. An engine that failed with 503, 429 or 408 without the confirming header counted as answered (429, 408) or failed (503), and for kinds that may not be repeated its answer was passed on. Class: a status is passed on whose meaning this instance vouches for, without the proof.

Change: check_answer takes such a status for a failed attempt whatever the kind: another engine is asked where the route allows it, else the caller gets 502 without the engine's signature, which promises nothing.

--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -195,7 +195,11 @@
     }
     drop(arrival);
     // An answer that failed any other check may not come from this engine.
-    if checked.as_ref().err().is_none_or(|f| f.end == End::Declined) {
+    if checked
+        .as_ref()
+        .err()
+        .is_none_or(|f| matches!(f.end, End::Declined | End::Failed))
+    {
         let (status, headers) = (answer.head.status, &answer.head.headers);
         let head = AnswerHead {
             sent,
@@ -268,6 +272,9 @@
 /// Failure guarded against: where the answer to this request is expected, the engine sends a second answer to an
 /// earlier request, or an answer to another caller's request arrives. The request id in the answer reveals this. An
 /// answer that declines proves that the request did not run; a successful answer must be signed.
+///
+/// Failure guarded against: an engine fails with a status that promises the caller that its request did not run, without
+/// confirming this. Such a status is never passed on: the request counts as one that ran and failed.
 fn check_answer(
     names: &HeaderNames,
     incoming: &IncomingRequest,
@@ -295,6 +302,12 @@
             format!("declined with status {status}"),
         ));
     }
+    if promises_not_run(status) {
+        return Err(AttemptFailure::new(
+            End::Failed,
+            format!("answered {status} without confirming that it did not run the request"),
+        ));
+    }
     if status.is_success() && !options.prefill && !headers.contains_key(&names.signature) {
         return Err(AttemptFailure::new(End::Broken, "the answer is not signed"));
     }
@@ -307,6 +320,14 @@
     Ok(())
 }
 
+/// Whether a status tells the caller that the request did not run and will not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::REQUEST_TIMEOUT
+    )
+}
+
 /// What a complete answer says about its engine. Only server errors count as the engine's failure: other errors are
 /// caused by the request itself.
 pub fn end_of(answer: &Answer) -> End {
