Streams: a version is certain only if the store confirms it after the take-up arrived

Cause: certain_version took knowledge up to that time old for proof that no other version serves. Engines can register, begin a stream and break off within it. Class: what was not heard of is taken for what did not happen, because the last word is recent.

Change: Confirmations asks the store, by one call for all take-ups that wait, sent after they arrived; changes of engines or of the record of versions must be applied before the only version counts. certain_version is gone.

The stand-in of these tests now confirms by a store of their own instead of by a time; take_up_cut_off no longer needs an apply limit of 10 ms: it holds however recent the last confirmation is.

Why it works: the entry of an engine is in the store before its streams begin, so an answer to a call sent after the take-up covers it.

--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -157,6 +157,20 @@
     changes.len() >= TRUNCATION_CHANGES || changes.iter().map(size).sum::<usize>() >= TRUNCATION_BYTES
 }
 
+/// Asks the store for all changes after `known`, without waiting for further ones; `None` if it may have more than the answer
+/// contains.
+///
+/// # Errors
+///
+/// [`StoreError::Compacted`] if the store has no history from there, also because it is of another epoch.
+pub(super) async fn poll_changes(store: &dyn Store, known: Revision) -> Result<Option<Changes>, StoreError> {
+    let changes = store.watch(ALL_KEYS, known, POLL_WAIT).await?;
+    if changes.revision.epoch != known.epoch {
+        return Err(StoreError::Compacted);
+    }
+    Ok((!may_be_truncated(&changes.changes)).then_some(changes))
+}
+
 /// Follows the store until the process ends.
 pub async fn run(shared: Arc<Shared>, store: Rc<dyn Store>, fleet: Fleet, known: StoreReplica) {
     let mut follower = Follower {
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -29,6 +29,7 @@
 mod admission;
 mod attempt;
 mod cloud;
+pub mod confirm;
 pub mod connect;
 mod connections;
 mod counted;
@@ -124,10 +125,16 @@
         .wrap_err("could not bind the sockets for peers")?;
     let known = StoreReplica::new();
     let fleet = peers::start(shared.clone(), sockets, known.clone());
-    actix_rt::spawn(follow::run(shared.clone(), store.clone(), fleet.clone(), known));
+    actix_rt::spawn(follow::run(
+        shared.clone(),
+        store.clone(),
+        fleet.clone(),
+        known.clone(),
+    ));
     actix_rt::spawn(orders::run(shared.clone(), store.clone()));
     actix_rt::spawn(version_record::run(shared.clone(), store.clone(), fleet.clone()));
     stream_store::start(&shared, &store);
+    confirm::start(&shared, &store, known);
     actix_rt::spawn(crash_store::run(shared.clone(), store.clone()));
     start_leader_tasks(&shared, &store, &fleet);
     let registration = register::start(shared.clone(), store, fleet.clone());
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -36,7 +36,6 @@
 use sequoiastream_core::relay::return_schedule::ReturnSchedule;
 use sequoiastream_core::relay::routes::RoutingTable;
 use sequoiastream_core::relay::scale_need::CapacityRefusals;
-use sequoiastream_core::relay::streams::SoftwareVersion;
 use sequoiastream_core::relay::streams::Streams;
 use sequoiastream_core::relay::tunnel_peers::TunnelPeer;
 use sequoiastream_core::relay::usage::Tally;
@@ -50,6 +49,7 @@
 use tokio::sync::Notify;
 
 use crate::log_event;
+use crate::ops::relay::confirm::Confirmations;
 use crate::ops::relay::edge::Translate;
 use crate::ops::relay::options::Options;
 use crate::ops::relay::options::ReloadableOptions;
@@ -239,6 +239,8 @@
     started: Time,
     /// Access to the records of streams in the store.
     pub(super) stream_store: StreamStore,
+    /// Confirmations by the store that what is known here is complete.
+    pub(super) confirmations: Confirmations,
     /// Notified when the history of the versions changes.
     pub(super) versions_changed: Notify,
     /// Notified when an engine has ended under a request.
@@ -293,6 +295,7 @@
             traffic: Mutex::new(traffic),
             started: clock::now(),
             stream_store: StreamStore::default(),
+            confirmations: Confirmations::default(),
             versions_changed: Notify::new(),
             crashes_changed: Notify::new(),
             checked: Notify::new(),
@@ -345,17 +348,6 @@
         self.stream_store.notify();
     }
 
-    /// The version of all streams of a service for which there is no record; `None` if it is not certain. What this instance
-    /// knows must be recent: another version may have begun to serve since. Contents that the store has never confirmed are
-    /// not, however young this process is: a peer that is cut off may have sent them.
-    pub fn certain_version(&self, now: Time, service: &str) -> Option<SoftwareVersion> {
-        let is_confirmed = self.confirmed.load(Ordering::Relaxed) > 0;
-        if !is_confirmed || self.store_age(now) >= self.reloadable().apply_limit.0 {
-            return None;
-        }
-        self.traffic().history.only_version(now, service)
-    }
-
     /// Notes that the store confirmed at `now` that this instance is up to date.
     pub fn on_store_answer(&self, now: Time) {
         self.confirmed.store(now.as_micros(), Ordering::Relaxed);
--- a/src/ops/relay/versions.rs
+++ b/src/ops/relay/versions.rs
@@ -27,7 +27,7 @@
 /// Time limit for the answer of a peer that is asked for the version of a stream.
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Time limit for reading the records in the store, for a caller that stops waiting for an event after two seconds.
+/// Time limit for asking the store, for a caller that stops waiting for an event after two seconds.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Time for which a record is kept beyond the deadline of the caller, whose last try may take as long to arrive.
@@ -101,32 +101,53 @@
 
     /// The version of a stream that is taken up, and what determined it.
     async fn determine_version(&mut self) -> (Option<SoftwareVersion>, VersionSource) {
-        let Some(stream) = self.resumed_stream() else {
-            let only = self.service.as_ref();
-            let only = only.and_then(|service| self.shared.certain_version(clock::now(), service));
-            let source = only.map_or(VersionSource::None, |_| VersionSource::OnlyVersion);
-            return (only, source);
-        };
-        if let Some(version) = self.recorded_version(stream) {
-            return (Some(version), VersionSource::Record);
-        }
-        if let Some(record) = self.ask_homes(stream).await {
-            self.keep_record(record);
-            return (Some(record.version), VersionSource::Peer);
+        let stream = self.resumed_stream();
+        if let Some(stream) = stream {
+            if let Some(version) = self.recorded_version(stream) {
+                return (Some(version), VersionSource::Record);
+            }
+            if let Some(record) = self.ask_homes(stream).await {
+                self.keep_record(record);
+                return (Some(record.version), VersionSource::Peer);
+            }
         }
-        if let Some(version) = self.record_only_version(stream) {
+        let asked = clock::now();
+        let limit = STORE_TIMEOUT.min(self.incoming.time_left() / 3);
+        if let Some(version) = self.confirm_only_version(limit).await {
+            // Another version may serve by the caller's next try.
+            if let Some(stream) = stream {
+                self.record_begun(stream, version);
+            }
             return (Some(version), VersionSource::OnlyVersion);
         }
-        self.shared
-            .stream_store
-            .read(stream, STORE_TIMEOUT.min(self.incoming.time_left() / 3))
-            .await;
+        let Some(stream) = stream else {
+            return (None, VersionSource::None);
+        };
+        let left = limit.saturating_sub(clock::now().since(asked));
+        self.shared.stream_store.read(stream, left).await;
         match self.recorded_version(stream) {
             Some(version) => (Some(version), VersionSource::Store),
             None => (None, VersionSource::None),
         }
     }
 
+    /// The version of all streams of the service of which no record is found; `None` if it is not certain. The store must
+    /// confirm within `limit` that no other version has begun to serve: one may have done so, and have begun the stream, at
+    /// any moment before the caller took it up.
+    async fn confirm_only_version(&self, limit: Duration) -> Option<SoftwareVersion> {
+        self.only_version()?;
+        if !self.shared.confirmations.confirm(limit).await {
+            return None;
+        }
+        self.only_version()
+    }
+
+    /// The only version that has served the service for as long as a stream may last, as far as is known here.
+    fn only_version(&self) -> Option<SoftwareVersion> {
+        let service = self.service.as_ref()?;
+        self.shared.traffic().history.only_version(clock::now(), service)
+    }
+
     /// The version in the record of this instance. The record is kept for the caller's next tries too.
     fn recorded_version(&self, stream: StreamId) -> Option<SoftwareVersion> {
         let record = self.shared.traffic().streams.record(clock::now(), stream)?;
@@ -173,15 +194,6 @@
         );
     }
 
-    /// The only version that a stream of which no record is found can have, if there is one. It is recorded, because
-    /// another version may serve by the caller's next try.
-    fn record_only_version(&self, stream: StreamId) -> Option<SoftwareVersion> {
-        let service = self.service.as_ref()?;
-        let version = self.shared.certain_version(clock::now(), service)?;
-        self.record_begun(stream, version);
-        Some(version)
-    }
-
     /// Records the version of a stream here, at the homes of the stream and, if need be, in the store.
     fn record_begun(&self, stream: StreamId, version: SoftwareVersion) {
         let Some(service) = &self.service else {
--- a/tests/testsuite/relay/store.rs
+++ b/tests/testsuite/relay/store.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Revision of its last change.
+    pub fn revision(&self) -> Revision {
+        self.at(*self.revision.borrow())
+    }
+
     /// Puts a value, as another client would.
     pub fn put(&self, key: &str, value: &str) {
         self.put_bytes(key, Bytes::from(value.to_string()));
--- a/tests/testsuite/relay/versions/mod.rs
+++ b/tests/testsuite/relay/versions/mod.rs
@@ -4,12 +4,15 @@
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use sequoiastream::ops::relay::confirm;
 use sequoiastream::ops::relay::known::StoreReplica;
 use sequoiastream::ops::relay::peers;
 use sequoiastream::ops::relay::peers::Fleet;
 use sequoiastream::ops::relay::register::ListedInstance;
+use sequoiastream::ops::relay::shared::Shared;
 use sequoiastream_core::membership::Listing;
 use sequoiastream_core::membership::MemberState;
 use sequoiastream_core::relay::engines::Engine;
@@ -23,6 +26,7 @@
 use sequoiastream_core::relay::streams::SoftwareVersion;
 use sequoiastream_core::relay::version_history::VersionRecord;
 use sequoiastream_core::relay::watchers::ApplyLimit;
+use sequoiastream_kv::store::Store;
 use tokio::sync::Notify;
 
 use crate::relay::engine::Action;
@@ -35,6 +39,7 @@
 use crate::relay::instance::route;
 use crate::relay::instance::shared;
 use crate::relay::instance::status;
+use crate::relay::store::FakeStore;
 use crate::relay::wait_until;
 
 /// Longer than a test lasts: what an instance knows is always recent.
@@ -102,7 +107,7 @@
             ..CallerLimits::default()
         };
         shared.publish(|view| {
-            view.table = std::sync::Arc::new(RoutingTable::new(3, limits, vec![route], Vec::new()));
+            view.table = Arc::new(RoutingTable::new(3, limits, vec![route], Vec::new()));
             view.instances = 1;
         });
         list(&shared, self.listed());
@@ -110,8 +115,14 @@
     }
 }
 
-/// Tells an instance that the store has confirmed what it knows, and that engines of these versions have served.
-fn know_versions(shared: &sequoiastream::ops::relay::shared::Shared, versions: &[&str]) {
+/// Tells an instance that engines of these versions have served, and gives it a store that confirms this.
+fn know_versions(shared: &Arc<Shared>, versions: &[&str]) {
+    read_versions(shared, versions);
+    confirm_by(shared, &FakeStore::new());
+}
+
+/// Tells an instance that the store, when it was read, showed that engines of these versions have served.
+fn read_versions(shared: &Shared, versions: &[&str]) {
     let now = sequoiastream::util::clock::now();
     let versions = versions.iter().map(|version| SoftwareVersion::of(version));
     let record = VersionRecord {
@@ -121,8 +132,18 @@
     shared.on_store_answer(now);
 }
 
+/// Has an instance, which knows what the store holds now, ask it for confirmations. Returns what it knows of the store.
+fn confirm_by(shared: &Arc<Shared>, store: &FakeStore) -> StoreReplica {
+    let known = StoreReplica::new();
+    let now = sequoiastream::util::clock::now();
+    known.on_store_answer(now, now, Duration::ZERO, store.revision());
+    let store: Rc<dyn Store> = Rc::new(store.clone());
+    confirm::start(shared, &store, known.clone());
+    known
+}
+
 /// Replaces the engines that an instance knows.
-fn list(shared: &sequoiastream::ops::relay::shared::Shared, engines: Vec<Engine>) {
+fn list(shared: &Shared, engines: Vec<Engine>) {
     shared.publish(|view| view.set_engines([("chat".to_string(), engines)].into()));
 }
 
@@ -415,19 +436,78 @@
 }
 
 /// Guards against a stream that goes on at the only version an instance knows, while it is cut off and another version has
-/// begun to serve.
+/// begun to serve, however short a time ago the store confirmed what it knows.
 #[actix_web::test]
 async fn take_up_cut_off() {
     let engines = Engines::start(&["v1", "v1"]).await;
-    let instance = engines.instance("one", 1);
-    let now = sequoiastream::util::clock::now();
-    tokio::time::sleep(Duration::from_millis(20)).await;
-    let mut options = (*instance.shared.reloadable()).clone();
-    options.apply_limit = ApplyLimit(Duration::from_millis(10));
-    instance.shared.reload(options);
-    instance.shared.on_store_answer(now);
+    let instance = engines.new_instance("one", 1);
+    read_versions(&instance.shared, &["v1"]);
+    let store = FakeStore::new();
+    confirm_by(&instance.shared, &store);
+    store.set_unresponsive(true);
+    let asked = std::time::Instant::now();
+    for attempt in ["r0", "r1"] {
+        let got = take_up(&instance, attempt, "elsewhere").await;
+        assert_eq!(status(&got), "503", "{got}");
+    }
+    assert!(asked.elapsed() < Duration::from_secs(4));
+    store.set_unresponsive(false);
+    let got = take_up(&instance, "r2", "elsewhere").await;
+    assert_eq!(versions(&got), BTreeSet::from(["v1"]), "{got}");
+}
+
+/// Guards against a stream that goes on at the only version an instance knows, because its process stood still while another
+/// version began to serve, which the store shows and the instance has not read yet.
+#[actix_web::test]
+async fn take_up_out_of_step() {
+    for key in ["engines/e7", "versions"] {
+        let engines = Engines::start(&["v1", "v1"]).await;
+        let instance = engines.new_instance("one", 1);
+        read_versions(&instance.shared, &["v1"]);
+        let store = FakeStore::new();
+        let known = confirm_by(&instance.shared, &store);
+        store.put(key, "another version");
+        let (first, second, both) = (
+            take_up(&instance, "r0", "elsewhere"),
+            take_up(&instance, "r1", "elsewhere"),
+            Engines::start(&["v1", "v2"]),
+        );
+        let (first, second, both) = futures_util::join!(first, second, both);
+        assert_eq!(
+            [status(&first), status(&second)],
+            ["503"; 2],
+            "{key}: {first} {second}"
+        );
+        // The instance reads it: both versions are known, so that nothing is certain.
+        list(&instance.shared, both.listed());
+        let now = sequoiastream::util::clock::now();
+        known.on_store_answer(now, now, Duration::ZERO, store.revision());
+        let got = take_up(&instance, "r2", "elsewhere").await;
+        assert_eq!(status(&got), "503", "{key}: {got}");
+    }
+}
+
+/// Guards against refusing streams of the only version because of changes in the store that concern no engine, or engines
+/// of the same version.
+#[actix_web::test]
+async fn take_up_other_change() {
+    let engines = Engines::start(&["v1", "v1"]).await;
+    let instance = engines.new_instance("one", 1);
+    read_versions(&instance.shared, &["v1"]);
+    let store = FakeStore::new();
+    let known = confirm_by(&instance.shared, &store);
+    store.put("orders/e0", "none");
     let got = take_up(&instance, "r0", "elsewhere").await;
-    assert_eq!(status(&got), "503", "{got}");
+    assert_eq!(versions(&got), BTreeSet::from(["v1"]), "{got}");
+    store.put("engines/e7", "the same version");
+    let revision = store.revision();
+    let read = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let now = sequoiastream::util::clock::now();
+        known.on_store_answer(now, now, Duration::ZERO, revision);
+    };
+    let (got, ()) = futures_util::join!(take_up(&instance, "r1", "another"), read);
+    assert_eq!(versions(&got), BTreeSet::from(["v1"]), "{got}");
 }
 
 /// Guards against a stream that goes on at the only version in the contents of the store that a peer sent which is cut off,
@@ -437,11 +517,6 @@
     let engines = Engines::start(&["v1", "v1"]).await;
     let instance = engines.instance("one", 1);
     let unconfirmed = engines.new_instance("two", 1);
-    for instance in [&instance, &unconfirmed] {
-        let mut options = (*instance.shared.reloadable()).clone();
-        options.apply_limit = ApplyLimit(Duration::from_secs(24 * 60 * 60));
-        instance.shared.reload(options);
-    }
     let got = take_up(&instance, "r0", "elsewhere").await;
     assert_eq!(versions(&got), BTreeSet::from(["v1"]), "{got}");
     let now = sequoiastream::util::clock::now();
@@ -449,6 +524,9 @@
         services: [("chat".to_string(), [SoftwareVersion::of("v1")].into())].into(),
     };
     unconfirmed.shared.traffic().history.on_record(now, &record);
+    let store = FakeStore::new();
+    confirm_by(&unconfirmed.shared, &store);
+    store.set_down(true);
     let got = take_up(&unconfirmed, "r1", "elsewhere").await;
     assert_eq!(status(&got), "503", "{got}");
 }
@@ -471,7 +549,7 @@
     split.targets = vec![target("chat"), target("talk")];
     instance.shared.publish(|view| {
         let limits = CallerLimits::default();
-        view.table = std::sync::Arc::new(RoutingTable::new(4, limits, vec![split], Vec::new()));
+        view.table = Arc::new(RoutingTable::new(4, limits, vec![split], Vec::new()));
         view.set_engines([("chat".to_string(), chat), ("talk".to_string(), talk)].into());
     });
     let requests = || [0, 1].map(|index: usize| engines.0[index].0.log().requests.len());
