--- a/src/ops/relay/confirm.rs
+++ b/src/ops/relay/confirm.rs
@@ -6,7 +6,6 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::OnceLock;
 use std::time::Duration;
 
 use sequoiastream_core::log_event;
@@ -15,13 +14,12 @@
 use sequoiastream_kv::store::Changes;
 use sequoiastream_kv::store::Store;
 use sequoiastream_kv::store::StoreError;
-use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 
 use crate::log_event;
 use crate::ops::relay::follow;
 use crate::ops::relay::known::StoreReplica;
 use crate::ops::relay::shared::Shared;
+use crate::ops::relay::shared_call::Requests;
 use crate::util::clock;
 
 /// Pause after a call that confirmed nothing.
@@ -33,47 +31,17 @@
 /// Time between two checks of whether it has.
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
-/// How the traffic thread asks for a confirmation.
-#[derive(Debug, Default)]
-pub struct Confirmations {
-    /// Each request is answered with whether the store has confirmed.
-    requests: OnceLock<mpsc::UnboundedSender<oneshot::Sender<bool>>>,
-}
-
-impl Confirmations {
-    /// Whether the store confirms, within `limit`, that all engines and versions which it holds after this call are known
-    /// here.
-    pub async fn confirm(&self, limit: Duration) -> bool {
-        let Some(requests) = self.requests.get() else {
-            return false;
-        };
-        let confirmed = async {
-            loop {
-                let (done, receiver) = oneshot::channel();
-                if requests.send(done).is_err() {
-                    return false;
-                }
-                if receiver.await == Ok(true) {
-                    return true;
-                }
-            }
-        };
-        tokio::time::timeout(limit, confirmed).await.unwrap_or(false)
-    }
-}
-
-/// Starts to answer requests. `known` is what this instance knows of the store.
+/// Starts to answer the requests for confirmations. `known` is what this instance knows of the store.
 pub fn start(shared: &Arc<Shared>, store: &Rc<dyn Store>, known: StoreReplica) {
-    let (sender, receiver) = mpsc::unbounded_channel();
-    if shared.confirmations.requests.set(sender).is_err() {
+    let Some(requests) = shared.confirmations.requests() else {
         return;
-    }
+    };
     let confirmer = Confirmer {
         shared: shared.clone(),
         store: store.clone(),
         known,
     };
-    actix_rt::spawn(confirmer.run(receiver));
+    actix_rt::spawn(confirmer.run(requests));
 }
 
 struct Confirmer {
@@ -83,13 +51,8 @@
 }
 
 impl Confirmer {
-    /// Answers all requests that wait by one call, one call after the other.
-    async fn run(self, mut requests: mpsc::UnboundedReceiver<oneshot::Sender<bool>>) {
-        while let Some(first) = requests.recv().await {
-            let mut waiting = vec![first];
-            while let Ok(next) = requests.try_recv() {
-                waiting.push(next);
-            }
+    async fn run(self, mut requests: Requests<()>) {
+        while let Some(batch) = requests.next().await {
             let is_confirmed = self.confirm().await.unwrap_or_else(|error| {
                 log_event!(info, log_event::KV_FAILED, %error, call = "confirm");
                 false
@@ -97,10 +60,7 @@
             if !is_confirmed {
                 tokio::time::sleep(RETRY_DELAY).await;
             }
-            for request in waiting {
-                // A caller that has gone meanwhile needs no answer.
-                let _ = request.send(is_confirmed);
-            }
+            batch.answer(is_confirmed);
         }
     }
 
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -62,6 +62,7 @@
 pub mod server;
 mod service_time;
 pub mod shared;
+mod shared_call;
 pub mod stream;
 pub mod stream_store;
 mod usage;
--- a/src/ops/relay/shared.rs
+++ b/src/ops/relay/shared.rs
@@ -49,11 +49,11 @@
 use tokio::sync::Notify;
 
 use crate::log_event;
-use crate::ops::relay::confirm::Confirmations;
 use crate::ops::relay::edge::Translate;
 use crate::ops::relay::options::Options;
 use crate::ops::relay::options::ReloadableOptions;
 use crate::ops::relay::orders::OrderRecords;
+use crate::ops::relay::shared_call::SharedCall;
 use crate::ops::relay::stream_store::StreamStore;
 use crate::util::clock;
 use crate::util::logging::SharedBudget;
@@ -239,8 +239,10 @@
     started: Time,
     /// Access to the records of streams in the store.
     pub(super) stream_store: StreamStore,
-    /// Confirmations by the store that what is known here is complete.
-    pub(super) confirmations: Confirmations,
+    /// Confirmations by the store that all engines and versions which it holds are known here, see [`confirm`].
+    ///
+    /// [`confirm`]: super::confirm
+    pub(super) confirmations: SharedCall<()>,
     /// Notified when the history of the versions changes.
     pub(super) versions_changed: Notify,
     /// Notified when an engine has ended under a request.
@@ -295,7 +297,7 @@
             traffic: Mutex::new(traffic),
             started: clock::now(),
             stream_store: StreamStore::default(),
-            confirmations: Confirmations::default(),
+            confirmations: SharedCall::default(),
             versions_changed: Notify::new(),
             crashes_changed: Notify::new(),
             checked: Notify::new(),
--- a/src/ops/relay/stream_store.rs
+++ b/src/ops/relay/stream_store.rs
@@ -11,7 +11,6 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -27,12 +26,12 @@
 use sequoiastream_kv::store::StoreError;
 use sequoiastream_kv::store::Write;
 use tokio::sync::Notify;
-use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use uuid::Uuid;
 
 use crate::log_event;
 use crate::ops::relay::shared::Shared;
+use crate::ops::relay::shared_call::Requests;
+use crate::ops::relay::shared_call::SharedCall;
 use crate::util::clock;
 
 /// Length of the lease of a process's records, which outlive it by half of that at least.
@@ -58,16 +57,7 @@
 #[derive(Debug, Default)]
 pub struct StreamStore {
     changed: Notify,
-    reads: OnceLock<mpsc::UnboundedSender<ReadRequest>>,
-}
-
-/// A request to read the records.
-#[derive(Debug)]
-struct ReadRequest {
-    /// The stream whose record is wanted.
-    stream: StreamId,
-    /// Answered with whether the records were read.
-    done: oneshot::Sender<bool>,
+    reads: SharedCall<StreamId>,
 }
 
 impl StreamStore {
@@ -79,29 +69,17 @@
     /// Reads the record of `stream` into [`TrafficState::streams`](super::shared::TrafficState::streams), within `limit`, and
     /// those of others as long as there is room.
     pub async fn read(&self, stream: StreamId, limit: Duration) {
-        let Some(reads) = self.reads.get() else {
-            return;
-        };
-        let read = async {
-            loop {
-                let (done, receiver) = oneshot::channel();
-                if reads.send(ReadRequest { stream, done }).is_err() || receiver.await == Ok(true) {
-                    return;
-                }
-            }
-        };
         // A record that was not read in time counts as one that does not exist.
-        let _ = tokio::time::timeout(limit, read).await;
+        self.reads.request(stream, limit).await;
     }
 }
 
 /// Starts to write and to read records.
 pub fn start(shared: &Arc<Shared>, store: &Rc<dyn Store>) {
-    let (sender, receiver) = mpsc::unbounded_channel();
-    if shared.stream_store.reads.set(sender).is_err() {
+    let Some(requests) = shared.stream_store.reads.requests() else {
         return;
-    }
-    actix_rt::spawn(answer_reads(shared.clone(), store.clone(), receiver));
+    };
+    actix_rt::spawn(answer_reads(shared.clone(), store.clone(), requests));
     let writer = Writer {
         shared: shared.clone(),
         store: store.clone(),
@@ -114,26 +92,15 @@
 }
 
 /// Reads the records for all requests that wait, one read after the other.
-async fn answer_reads(
-    shared: Arc<Shared>,
-    store: Rc<dyn Store>,
-    mut requests: mpsc::UnboundedReceiver<ReadRequest>,
-) {
-    while let Some(first) = requests.recv().await {
-        let mut waiting = vec![first];
-        while let Ok(next) = requests.try_recv() {
-            waiting.push(next);
-        }
-        let wanted: BTreeSet<StreamId> = waiting.iter().map(|request| request.stream).collect();
+async fn answer_reads(shared: Arc<Shared>, store: Rc<dyn Store>, mut requests: Requests<StreamId>) {
+    while let Some(batch) = requests.next().await {
+        let wanted: BTreeSet<StreamId> = batch.subjects().copied().collect();
         let result = read_all(&shared, store.as_ref(), &wanted).await;
         if let Err(error) = &result {
             log_event!(info, log_event::KV_FAILED, %error, call = "streams");
             tokio::time::sleep(RETRY_DELAY).await;
         }
-        for request in waiting {
-            // A caller that has gone meanwhile needs no answer.
-            let _ = request.done.send(result.is_ok());
-        }
+        batch.answer(result.is_ok());
     }
 }
 
--- a/src/ops/relay/versions.rs
+++ b/src/ops/relay/versions.rs
@@ -136,7 +136,7 @@
     /// any moment before the caller took it up.
     async fn confirm_only_version(&self, limit: Duration) -> Option<SoftwareVersion> {
         self.only_version()?;
-        if !self.shared.confirmations.confirm(limit).await {
+        if !self.shared.confirmations.request((), limit).await {
             return None;
         }
         self.only_version()
