Store: one item that can't be read is skipped alone

Callers would have seen old routes and requests at engines that had left, operators kv-failed without an end: one item in the store's answer with a value that is no base64, or with a field of another type, failed the whole page and the whole watch, so that neither engines nor configurations were followed any more, and an instance that started never served.

Cause: the answer was parsed as a whole. Each item is now parsed by itself. One that can't be read is listed as such and logged once for its key (entry-unreadable); if its key can be read, it appears with an empty value, which nothing is parsed from, so that its presence and the place where the next page begins are known.

--- a/crates/kv/src/store.rs
+++ b/crates/kv/src/store.rs
@@ -44,11 +44,23 @@
     },
 }
 
+/// An item or a change that the store sent and that could not be read. If its key could be, it is also among the others, with
+/// an empty value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnreadableItem {
+    /// The key, if it could be read.
+    pub key: Option<String>,
+    /// Why it could not be read.
+    pub reason: String,
+}
+
 /// A page of the items under a key prefix.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Page {
     /// The items.
     pub items: Vec<Item>,
+    /// Those that could not be read.
+    pub unreadable: Vec<UnreadableItem>,
     /// Whether further items follow the last one.
     pub more: bool,
     /// The store's revision.
@@ -60,6 +72,8 @@
 pub struct Changes {
     /// The changes, oldest first.
     pub changes: Vec<Change>,
+    /// Those that could not be read.
+    pub unreadable: Vec<UnreadableItem>,
     /// Revision from which to continue.
     pub revision: Revision,
 }
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -13,6 +13,7 @@
 mod listen;
 mod read;
 mod snapshot;
+mod unreadable;
 
 use std::cell::LazyCell;
 use std::collections::BTreeSet;
@@ -46,6 +47,7 @@
 use crate::ops::relay::crash_store;
 use crate::ops::relay::follow::join::Startup;
 use crate::ops::relay::follow::read::PartialRead;
+use crate::ops::relay::follow::unreadable::UnreadableKeys;
 use crate::ops::relay::known::StoreReplica;
 use crate::ops::relay::lead;
 use crate::ops::relay::orders::OrderRecords;
@@ -126,6 +128,7 @@
     complete: bool,
     /// Pages that were read before a call to the store failed.
     partial: Option<PartialRead>,
+    unreadable: UnreadableKeys,
     startup: Startup,
 }
 
@@ -173,6 +176,7 @@
         watch_delay: Duration::ZERO,
         complete: false,
         partial: None,
+        unreadable: UnreadableKeys::default(),
         startup: Startup::new(clock::now()),
     };
     loop {
@@ -320,6 +324,7 @@
         if changes.revision.epoch != since.epoch {
             return Err(StoreError::Compacted);
         }
+        self.unreadable.on_items(&changes.unreadable);
         let is_complete = !may_be_truncated(&changes.changes);
         let revision = changes.revision.max(since);
         self.on_changes(clock::now(), changes.changes);
@@ -374,6 +379,7 @@
                 self.entry(item).map(|(at, entry)| EngineUpdate::Entry(at, entry))
             }
             Change::Removed { key, revision } => {
+                self.unreadable.on_readable(key);
                 let translate = self.shared.translate.as_ref();
                 changed.orders |= self.ordered.on_removed(translate, key, *revision);
                 let is_lead = *key == translate.keys().leader;
@@ -397,14 +403,19 @@
         }
     }
 
-    /// Decodes the entry of an engine, with its revision; `None` for other items. An entry that can't be decoded is
-    /// logged and skipped, so that it doesn't affect other engines.
-    fn entry(&self, item: &Item) -> Option<(Revision, Entry)> {
+    /// Decodes the entry of an engine, with its revision; `None` for other items, and for an entry that can't be decoded:
+    /// what was known of its engine still holds, and other engines are not affected.
+    fn entry(&mut self, item: &Item) -> Option<(Revision, Entry)> {
         self.shared.translate.engine_id(&item.key)?;
         match self.shared.translate.engine(item) {
-            Ok(entry) => Some((item.revision, entry)),
+            Ok(entry) => {
+                self.unreadable.on_readable(&item.key);
+                Some((item.revision, entry))
+            }
             Err(error) => {
-                log_event!(warn, log_event::ENTRY_UNREADABLE, key = %item.key, revision = %item.revision, %error);
+                if self.unreadable.is_new(&item.key) {
+                    log_event!(warn, log_event::ENTRY_UNREADABLE, key = %item.key, revision = %item.revision, %error);
+                }
                 None
             }
         }
--- a/src/ops/relay/follow/read.rs
+++ b/src/ops/relay/follow/read.rs
@@ -79,6 +79,7 @@
         while !read.is_complete {
             let after = self.next_key(&read.items);
             let page = self.store.range(ALL_KEYS, &after).await?;
+            self.unreadable.on_items(&page.unreadable);
             let first = *read.revision.get_or_insert(page.revision);
             if page.revision.epoch != first.epoch {
                 // The store was restored meanwhile: the pages before are of contents that it no longer has.
--- a/tests/testsuite/relay/store.rs
+++ b/tests/testsuite/relay/store.rs
@@ -317,6 +317,7 @@
             let items: Vec<Item> = items.filter(|item| item.key.as_str() > after).cloned().collect();
             let limit = self.state.page_size.get().unwrap_or(items.len());
             Ok(Page {
+                unreadable: Vec::new(),
                 more: items.len() > limit,
                 items: items.into_iter().take(limit).collect(),
                 revision: self.at(*self.revision.borrow()),
@@ -370,6 +371,7 @@
                 false => *self.revision.borrow(),
             };
             Ok(Changes {
+                unreadable: Vec::new(),
                 changes: newer.into_iter().take(limit).cloned().collect(),
                 revision: self.at(revision),
             })
