Engines: an entry that can't be read is not one that is gone

Callers saw requests of a service refused though its engines ran, once somebody had overwritten their entries with text that can't be read and the instance read the whole store again (after lost history, a restored store, or from a peer). With a watch alone the engine stayed: what an instance knew depended on how it had learnt it.

Entries that exist and can't be read are now listed beside the others, and their engines stay as they were known until the key is removed or can be read again. Decided for callers: to refuse would serve nobody, and an engine that has left shows it by its first refused connection.

Evidence: relay::follow::odd_entry_kept_at_full_read failed before (engines were ["e2"], ["e1", "e2"] expected) and passes; relay::follow::odd_entry_removed passed before and holds the other side.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -63,7 +63,7 @@
     301 KV_BACK = "kv-back";
     /// A response of the key-value service was lost; the outcome was determined by reading the key back.
     302 KV_RESOLVED = "kv-resolved";
-    /// The entry of an engine or an instance can't be decoded; it is ignored.
+    /// An entry in the store can't be decoded; what was known under its key still holds.
     303 ENTRY_UNREADABLE = "entry-unreadable";
     /// The set of known engines, or of engines that may receive requests, changed.
     304 ENGINES_CHANGED = "engines-changed";
--- a/crates/core/src/relay/engines.rs
+++ b/crates/core/src/relay/engines.rs
@@ -181,6 +181,22 @@
     Removed(Revision, String),
 }
 
+/// All entries in the store.
+#[derive(Debug, Clone, Default)]
+pub struct EngineList {
+    /// The entries that could be read, each with its revision.
+    pub entries: Vec<(Revision, Entry)>,
+    /// Ids of engines whose entry exists and could not be read.
+    pub unreadable: BTreeSet<String>,
+}
+
+impl From<Vec<(Revision, Entry)>> for EngineList {
+    fn from(entries: Vec<(Revision, Entry)>) -> EngineList {
+        let unreadable = BTreeSet::new();
+        EngineList { entries, unreadable }
+    }
+}
+
 /// How an engine stopped being available for new work, or was kept although its entry has disappeared.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Departure {
@@ -249,8 +265,18 @@
     }
 
     /// Applies the complete contents of the store as of `revision`; returns whether anything changed.
-    pub fn on_snapshot(&mut self, now: Time, revision: Revision, entries: Vec<(Revision, Entry)>) -> bool {
-        let present: BTreeSet<String> = entries.iter().map(|(_, e)| e.id.clone()).collect();
+    ///
+    /// An engine whose entry can't be read stays as it was known until its entry is removed or can be read again: to refuse its
+    /// requests would serve nobody. If it has left, its first refused connection shows that at the latest.
+    pub fn on_snapshot<L>(&mut self, now: Time, revision: Revision, list: L) -> bool
+    where
+        L: Into<EngineList>,
+    {
+        let EngineList {
+            entries,
+            unreadable: mut present,
+        } = list.into();
+        present.extend(entries.iter().map(|(_, e)| e.id.clone()));
         let mut changed = false;
         for (at, entry) in entries {
             changed |= self.on_entry(at, entry);
--- a/src/ops/relay/follow/snapshot.rs
+++ b/src/ops/relay/follow/snapshot.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use sequoiastream_core::log_event;
-use sequoiastream_core::relay::engines::Entry;
+use sequoiastream_core::relay::engines::EngineList;
 use sequoiastream_core::relay::revision::Revision;
 use sequoiastream_core::time::Time;
 use sequoiastream_kv::store::Item;
@@ -42,9 +42,8 @@
         }
         self.known
             .on_snapshot(self.shared.translate.keys(), revision, items);
-        let entries = items.iter().filter_map(|item| self.entry(item));
-        let entries: Vec<(Revision, Entry)> = entries.collect();
-        let engines = self.engines.on_snapshot(now, revision, entries);
+        let list = self.engine_list(items);
+        let engines = self.engines.on_snapshot(now, revision, list);
         self.ordered
             .on_snapshot(now, self.shared.translate.as_ref(), revision, items);
         for item in items {
@@ -62,6 +61,21 @@
         self.fleet.on_listed(register::listings(&self.shared, items));
     }
 
+    /// The entries of engines among all items of the store.
+    fn engine_list(&mut self, items: &[Item]) -> EngineList {
+        let mut list = EngineList::default();
+        for item in items {
+            match self.entry(item) {
+                Some(entry) => list.entries.push(entry),
+                None => {
+                    let id = self.shared.translate.engine_id(&item.key);
+                    list.unreadable.extend(id.map(str::to_string));
+                }
+            }
+        }
+        list
+    }
+
     /// Handles the record of the versions of the engines, or its absence.
     fn on_version_snapshot(&self, items: &[Item]) {
         if items.iter().filter(|item| self.on_versions(item)).count() > 0 {
--- a/tests/testsuite/relay/follow.rs
+++ b/tests/testsuite/relay/follow.rs
@@ -157,6 +157,43 @@
     wait_until(|| engines(&shared).is_empty() && version(&shared) == 9).await;
 }
 
+/// Guards against all requests of a service being refused although its engines run. Sequence: somebody overwrites the entry
+/// of an engine with text that can't be read, and everything is read again. Cause: an entry that can't be read is taken for
+/// one that is gone.
+#[actix_web::test]
+async fn odd_entry_kept_at_full_read() {
+    let store = FakeStore::new();
+    store.put("config", "3 /a/");
+    store.put("engines/e1", "chat 127.0.0.1:9 ready 1");
+    let shared = start(options(), &store).await;
+    wait_until(|| engines(&shared) == ["e1"]).await;
+    store.set_down(true);
+    store.put("engines/e1", "no entry");
+    store.put("engines/e2", "chat 127.0.0.1:9 ready 1");
+    store.compact();
+    store.set_down(false);
+    wait_until(|| engines(&shared).contains(&"e2".to_string())).await;
+    assert_eq!(engines(&shared), ["e1", "e2"]);
+    store.put("engines/e1", "chat 127.0.0.1:9 leaving 2");
+    wait_until(|| engines(&shared) == ["e2"]).await;
+}
+
+/// Guards against an engine being kept for good once its entry could not be read: the removal of the key ends it.
+#[actix_web::test]
+async fn odd_entry_removed() {
+    let store = FakeStore::new();
+    store.put("config", "3 /a/");
+    store.put("engines/e1", "chat 127.0.0.1:9 ready 1");
+    let shared = start(options(), &store).await;
+    wait_until(|| engines(&shared) == ["e1"]).await;
+    store.put("engines/e1", "no entry");
+    store.put("config", "4 /a/");
+    wait_until(|| version(&shared) == 4).await;
+    assert_eq!(engines(&shared), ["e1"]);
+    store.remove("engines/e1");
+    wait_until(|| engines(&shared).is_empty()).await;
+}
+
 /// Guards against a return to an earlier configuration. Sequence: an older version is written over a newer one.
 /// Versions never decrease.
 #[actix_web::test]
