Instances: an absurd capacity in an entry is bounded

Where two entries of instances named the highest capacity that a number holds, the leader's sum over all instances was out of range: its task ends in builds with overflow checks, and elsewhere the fleet counts as too small to keep engines for prefills busy. A capacity now counts as a thousand cores at most.

Evidence: relay::odd::odd_capacity_bounded failed before (no sum; each) and passes. With it: any bytes, parts of entries and notes of crashes under each key that an instance reads, followed to what is made of them and to the replica of a peer (relay::odd::entries_any, odd_notes_and_versions); these passed on the code before as well.

--- a/src/ops/relay/register.rs
+++ b/src/ops/relay/register.rs
@@ -50,6 +50,10 @@
 /// those that registered earlier, all send their heartbeats to these few, and for seconds each acts as a watcher.
 const MAX_REVISION_LAG: u64 = 64;
 
+/// Highest capacity that an instance is taken to have, in thousandths of a core: that of a thousand cores. The capacities of
+/// all instances add up to a number in range.
+const MAX_CAPACITY: u32 = 1_000_000;
+
 /// The record of an instance, as stored in JSON.
 #[derive(Debug, Serialize, Deserialize)]
 struct InstanceRecord {
@@ -329,7 +333,7 @@
                 peer_address: record.peer,
                 state: MemberState::Live,
             },
-            capacity: record.capacity,
+            capacity: record.capacity.min(MAX_CAPACITY),
         }),
         Err(error) => {
             log_event!(warn, log_event::ENTRY_UNREADABLE, key = %item.key, revision = %item.revision, %error);
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -28,6 +28,7 @@
 mod loopback;
 mod metrics;
 mod notices;
+mod odd;
 mod orders;
 mod pace;
 mod paced_streams;
