Channel: an idle connection is read before it is used again

What callers saw: a promise (503) though their request ran, or the answer of nobody. Cause: bytes that belong to no request wait unread in an idle connection, because this process was stopped or busy since the last answer; the next request is written first, and the bytes are then taken for its answer. One without an id that confirms that the request was not run is believed, while the engine begins the request. The 30 ms for which a connection must be idle pass during the stop as well.

channel::extra_answer_unread failed before: 503 of nobody where the answer of a new connection is due. Now the runtime turns twice before an idle connection is used: first it learns what has arrived, then the connection reads it, and closes itself for what nobody asked for.

Not covered: such bytes that arrive after the request was written, or that wait at a peer.

--- a/crates/upstream/src/channel.rs
+++ b/crates/upstream/src/channel.rs
@@ -32,6 +32,7 @@
 use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 use crate::limited_read::LimitedRead;
@@ -330,14 +331,29 @@
     ///
     /// [`ChannelError::Unsent`] if no connection can be established.
     pub async fn take(&self, address: SocketAddr, limit: Duration) -> Result<Channel, ChannelError> {
-        if let Some(channel) = self.take_idle(address) {
+        if let Some(channel) = self.take_idle(address).await {
             return Ok(channel);
         }
         Channel::connect(address, limit).await
     }
 
-    /// An idle connection that may be reused.
-    pub fn take_idle(&self, address: SocketAddr) -> Option<Channel> {
+    /// An idle connection that may be reused. One that the upstream has closed, or on which something has arrived, is dropped.
+    ///
+    /// Failure guarded against: bytes that belong to no request wait in a connection, unread because this process was stopped
+    /// or busy, and are taken for the answer to the next request, such as a confirmation that it did not run.
+    pub async fn take_idle(&self, address: SocketAddr) -> Option<Channel> {
+        loop {
+            let channel = self.pop_idle(address)?;
+            // In the first turn the runtime learns what has arrived, and in the second the connection reads it.
+            yield_now().await;
+            yield_now().await;
+            if channel.is_usable() {
+                return Some(channel);
+            }
+        }
+    }
+
+    fn pop_idle(&self, address: SocketAddr) -> Option<Channel> {
         let mut idle = self.idle.borrow_mut();
         let channels = idle.get_mut(&address)?;
         channels.retain(Channel::is_usable);
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -126,7 +126,7 @@
             .body(Full::new(Bytes::from(body)))
             .map_err(|e| UpstreamError::Connect(e.to_string()))?;
         let is_permitted = || self.permit.as_ref().is_none_or(|permit| permit());
-        let channel = match self.pool.take_idle(to) {
+        let channel = match self.pool.take_idle(to).await {
             Some(channel) => channel,
             None => Channel::connect_permitted(to, CONNECT_TIMEOUT, is_permitted).await?,
         };
--- a/crates/upstream/src/plain.rs
+++ b/crates/upstream/src/plain.rs
@@ -73,7 +73,7 @@
     ) -> Result<PlainReply, UpstreamError> {
         let request = request(to, call)?;
         let begun = Instant::now();
-        let channel = match self.pool.take_idle(to) {
+        let channel = match self.pool.take_idle(to).await {
             Some(channel) => channel,
             None => Channel::connect(to, limit.min(CONNECT_TIMEOUT)).await?,
         };
--- a/src/ops/relay/connect.rs
+++ b/src/ops/relay/connect.rs
@@ -92,13 +92,13 @@
     let address = engine.entry.address;
     let now = clock::now();
     let is_detached = shared.traffic().reachability.is_detached(now, engine.key);
-    if !is_detached && let Some(channel) = pool.take_idle(address) {
+    if !is_detached && let Some(channel) = pool.take_idle(address).await {
         return Ok(channel);
     }
     let plan = shared.traffic().reachability.plan(now, engine.key);
     // Idle tunnels are not reused when a direct attempt is due: otherwise a restored link would be noticed late.
     if plan == ConnectPlan::Tunnel
-        && let Some(channel) = pool.take_idle(address)
+        && let Some(channel) = pool.take_idle(address).await
     {
         return Ok(channel);
     }
--- a/tests/testsuite/channel.rs
+++ b/tests/testsuite/channel.rs
@@ -1,8 +1,14 @@
 //! Reuse of connections to upstreams.
 
 use std::cell::Cell;
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::rc::Rc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::Sender;
+use std::sync::mpsc::channel;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -56,6 +62,25 @@
     assert!(answered.is_ok(), "{answered:?}");
 }
 
+/// Guards against bytes that belong to no request being taken for the answer to the next one, such as a confirmation that it
+/// did not run. Sequence: the process is stopped while a connection is idle, the server sends another answer meanwhile, and the
+/// next request is sent before the process has looked for it.
+#[actix_web::test]
+async fn extra_answer_unread() {
+    let (address, extra_sent) = serve_extra_answer();
+    let pool = Pool::new();
+    let first = call(&pool, address, empty_request(address), 64, LIMIT).await;
+    assert_eq!(first.expect("an answer").status(), 200);
+    // Stands for the stop: nothing runs on this thread meanwhile.
+    extra_sent.recv_timeout(LIMIT).expect("the server runs");
+    let second = call(&pool, address, empty_request(address), 64, LIMIT).await;
+    let second = second.expect("an answer on a new connection");
+    assert_eq!(
+        (second.status().as_u16(), second.body().as_ref()),
+        (200, &b"1"[..])
+    );
+}
+
 fn empty_request(address: SocketAddr) -> Request<Full<Bytes>> {
     let request = Request::builder().uri("/").header("host", address.to_string());
     request.body(Full::new(Bytes::new())).expect("a request")
@@ -100,3 +125,35 @@
     });
     address
 }
+
+/// Starts a server in a thread of its own, which answers with the number of its connection, from 0. After its first answer it
+/// sends one more, which declines a request, and says so.
+fn serve_extra_answer() -> (SocketAddr, Receiver<()>) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let (extra_sent, is_sent) = channel();
+    std::thread::spawn(move || {
+        for (number, stream) in listener.incoming().enumerate() {
+            let extra_sent = extra_sent.clone();
+            let stream = stream.expect("a connection");
+            std::thread::spawn(move || answer_twice(stream, number, &extra_sent));
+        }
+    });
+    (address, is_sent)
+}
+
+fn answer_twice(mut stream: TcpStream, number: usize, extra_sent: &Sender<()>) {
+    let mut buffer = [0; 1024];
+    while stream.read(&mut buffer).is_ok_and(|count| count > 0) {
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{number}");
+        stream.write_all(answer.as_bytes()).expect("an open connection");
+        if number == 0 {
+            // As long as a connection stays idle before it is used again.
+            std::thread::sleep(Duration::from_millis(60));
+            let extra = b"HTTP/1.1 503 Busy\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(extra).expect("an open connection");
+            // Fails if the test has ended.
+            let _ = extra_sent.send(());
+        }
+    }
+}
