--- a/crates/standin/src/plain/mod.rs
+++ b/crates/standin/src/plain/mod.rs
@@ -7,6 +7,7 @@
 
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
+use actix_web::http::StatusCode;
 use actix_web::web;
 use actix_web::web::Bytes;
 use actix_web::web::Data;
@@ -28,6 +29,8 @@
     pub redirect: bool,
     /// Calls are refused with 503 and marked as not started.
     pub refuse: bool,
+    /// Status of the answers to calls that have run; that of a success if 0.
+    pub status: u16,
 }
 
 #[derive(Debug, Default)]
@@ -86,6 +89,9 @@
         let broken = futures_util::stream::iter([Err::<Bytes, _>(std::io::Error::other("lost"))]);
         return HttpResponse::Ok().streaming(broken);
     }
+    if let Some(status) = StatusCode::from_u16(fault.status).ok() {
+        return HttpResponse::build(status).finish();
+    }
     match fault.redirect {
         true => HttpResponse::TemporaryRedirect()
             .insert_header(("location", path))
--- a/tests/testsuite/channel.rs
+++ b/tests/testsuite/channel.rs
@@ -81,6 +81,21 @@
     );
 }
 
+/// Guards against a request that counts as unsent although a part of it was written: the server resets the connection amid
+/// the body.
+#[actix_web::test]
+async fn reset_amid_write() {
+    let address = serve_reset();
+    let pool = Pool::new();
+    for _ in 0..20 {
+        let mut request = empty_request(address);
+        *request.method_mut() = http::Method::POST;
+        *request.body_mut() = Full::new(Bytes::from(vec![b'x'; 16 << 20]));
+        let failed = call(&pool, address, request, 64, LIMIT).await;
+        assert!(matches!(failed, Err(ChannelError::Broken(_))), "{failed:?}");
+    }
+}
+
 fn empty_request(address: SocketAddr) -> Request<Full<Bytes>> {
     let request = Request::builder().uri("/").header("host", address.to_string());
     request.body(Full::new(Bytes::new())).expect("a request")
@@ -157,3 +172,20 @@
         }
     }
 }
+
+/// Starts a server that resets each connection after the first bytes of a request.
+fn serve_reset() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut buffer = [0; 1024];
+            // A connection that is dropped while it holds unread bytes is reset.
+            stream
+                .expect("a connection")
+                .read_exact(&mut buffer)
+                .expect("a request");
+        }
+    });
+    address
+}
--- a/tests/testsuite/claims/upstreams.rs
+++ b/tests/testsuite/claims/upstreams.rs
@@ -44,6 +44,26 @@
     assert_eq!(runs(&fleet).await.get(&key), Some(&1));
 }
 
+/// Guards against callers that repeat an order that has run, because the upstream's own status is taken for the promise that it
+/// has not: the outcome says that the answer is whole, whatever the status.
+#[actix_web::test]
+async fn order_refused_after_run() {
+    let fleet = start_three_daemons().await;
+    for own in [503, 429, 408, 421] {
+        let fault = PlainFault {
+            status: own,
+            ..PlainFault::default()
+        };
+        plain_fault(&fleet, &fault).await;
+        let key = new_key();
+        for _ in 0..2 {
+            let reply = order(&fleet, 0, &key, "pellets").await;
+            assert_eq!((reply.status, reply.outcome.as_deref()), (own, Some("whole")));
+        }
+        assert_eq!(runs(&fleet).await.get(&key), Some(&1), "{own}");
+    }
+}
+
 /// The upstream runs an order, but the connection breaks before the answer, and the client repeats the order through
 /// the other instances. If the broken connection counted as an order that did not run, the order would run twice.
 #[actix_web::test]
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -35,6 +35,7 @@
 mod pauses;
 mod place;
 mod prefills;
+mod promises;
 mod proofs;
 mod rank;
 mod reachability;
