--- a/crates/standin/src/plain/mod.rs
+++ b/crates/standin/src/plain/mod.rs
@@ -89,7 +89,7 @@
         let broken = futures_util::stream::iter([Err::<Bytes, _>(std::io::Error::other("lost"))]);
         return HttpResponse::Ok().streaming(broken);
     }
-    if let Some(status) = StatusCode::from_u16(fault.status).ok() {
+    if let Ok(status) = StatusCode::from_u16(fault.status) {
         return HttpResponse::build(status).finish();
     }
     match fault.redirect {
