Server: streams are refused to callers that speak HTTP/1.0

Callers saw: over HTTP/1.0, a stream that was broken off came as `HTTP/1.0 200 OK` with `transfer-encoding: chunked`, a framing that protocol doesn't have; a caller that reads to the end of the connection takes it for complete.

Cause: streams have no length, and the end of an HTTP/1.0 answer without one is the end of its connection, whether the stream is whole or not.

Now such a request to a route of streams is refused with 505 before an engine is asked. Other routes answer with a length and stay as they are. Weighed: collecting the stream and sending it with a length; it would hold each event back until the last.

Evidence: relay::old_callers::old_caller_gets_no_stream got 200 with chunks before, 505 and no request at the engine now. old_caller_gets_length and broken_off_without_last_chunk (HTTP/1.1 with and without `connection: close`) passed before too.

--- a/src/ops/relay/reply.rs
+++ b/src/ops/relay/reply.rs
@@ -38,6 +38,8 @@
     Denied,
     /// The body exceeds the size limit.
     TooLong,
+    /// The answer would be a stream, and the caller's version of HTTP has no framing that shows where a stream ends.
+    OldVersion,
     /// The request did not run; the caller may retry after this time.
     Refused(Duration),
     /// The request did not run, and it has expired.
@@ -84,6 +86,7 @@
             Reply::NoRoute => "no-route",
             Reply::Denied => "denied",
             Reply::TooLong => "too-long",
+            Reply::OldVersion => "old-version",
             Reply::Refused(_) => "refused",
             Reply::Expired => "expired",
             Reply::Failed => "failed",
@@ -99,6 +102,7 @@
             Reply::NoRoute => StatusCode::NOT_FOUND,
             Reply::Denied => StatusCode::UNAUTHORIZED,
             Reply::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Reply::OldVersion => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Reply::Refused(_) | Reply::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Reply::Failed | Reply::Convicted => StatusCode::BAD_GATEWAY,
             Reply::Late => StatusCode::GATEWAY_TIMEOUT,
--- a/src/ops/relay/server.rs
+++ b/src/ops/relay/server.rs
@@ -11,6 +11,7 @@
 use actix_web::HttpServer;
 use actix_web::dev::ServerHandle;
 use actix_web::http::ConnectionType;
+use actix_web::http::Version;
 use actix_web::web;
 use actix_web::web::Data;
 use actix_web::web::Payload;
@@ -227,6 +228,10 @@
         KeyAccess::Granted(workspace) => Some(workspace),
         refused => return refuse_key(shared, &route, key, ages, refused),
     };
+    // Such a caller takes a stream that is broken off for one that has ended.
+    if route.kind.is_stream() && request.version() < Version::HTTP_11 {
+        return refuse(shared, Reply::OldVersion);
+    }
     let incoming = match head.into_incoming(shared, &route, workspace, arrived, body) {
         Ok(incoming) => incoming,
         Err(reason) => {
@@ -284,6 +289,7 @@
         Reply::NoRoute => "no route leads from there",
         Reply::TooLong => "the body is too long",
         Reply::Denied => "nobody holds the key",
+        Reply::OldVersion => "the caller's version of HTTP has no streams",
         Reply::Refused(_) => "the instance is not ready",
         _ => "the request can't be read",
     });
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -28,6 +28,7 @@
 mod loopback;
 mod metrics;
 mod notices;
+mod old_callers;
 mod orders;
 mod pace;
 mod paced_streams;
