Streams: an event whose id isn't above the last one breaks the attempt

Callers saw: an event twice. After an engine broke off, the engine that was to continue the stream ignored the id of the last event and started again; its first events followed the second event of the engine before (1, 2, 1, 2, 3, 4), and the stream ended as complete. The same for a caller that came back with its last id, and for an engine that repeats an event itself.

Cause: the id of an event was noted for the next resumption, but never compared with the one before.

The events of an attempt have their own module, which knows the id of the last event, also that of the engine before. An event whose id isn't higher ends the attempt as broken: another engine continues the stream where that is allowed, else it is broken off. Skipping the repeated events and going on was weighed: they are of a run that began anew, and its later events would be joined to another run. Ids may skip, since an event may hold several tokens, so a gap isn't judged. A route that can't be resumed says nothing about the id that its caller names, so only the order within its answer counts.

--- a/src/ops/relay/attempt.rs
+++ b/src/ops/relay/attempt.rs
@@ -9,13 +9,14 @@
 use futures_util::future::LocalBoxFuture;
 use sequoiastream_core::attempt::End;
 use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_core::relay::routes::RouteKind;
 use sequoiastream_core::time::Time;
 use sequoiastream_upstream::channel::Answer;
 use sequoiastream_upstream::channel::Channel;
 use sequoiastream_upstream::channel::Pool;
 use sequoiastream_upstream::events::Event;
-use sequoiastream_upstream::events::EventReader;
 
+use crate::ops::relay::event_stream::EventStream;
 use crate::ops::relay::job::JobGuard;
 use crate::ops::relay::prefilled::PrefilledPrompt;
 use crate::ops::relay::send::AttemptFailure;
@@ -54,7 +55,7 @@
     pub(super) incoming: Rc<IncomingRequest>,
     pub(super) prefilled: Option<PrefilledPrompt>,
     pub(super) last_event: Option<u64>,
-    pub(super) is_stream: bool,
+    pub(super) kind: RouteKind,
     pub(super) silence_limit: Option<Duration>,
     pub(super) started: Time,
 }
@@ -64,7 +65,7 @@
     /// The request is being sent, or the head of the answer has not arrived.
     Sent(LocalBoxFuture<'static, Result<Source, AttemptFailure>>),
     /// A stream of events.
-    Events(Box<(Answer, EventReader)>),
+    Events(Box<EventStream>),
     /// A successful answer that is not a stream; its body has not been read.
     Body(Box<Answer>),
     /// A complete answer whose status is not a success.
@@ -96,7 +97,8 @@
             shared,
             pool,
             incoming,
-            is_stream,
+            kind,
+            last_event,
             ..
         } = parts;
         let target = engine.clone();
@@ -106,9 +108,11 @@
                 let body = answer.read(MAX_ANSWER_BYTES, incoming.time_left()).await?;
                 return Ok(Source::Error(Box::new((answer, body))));
             }
-            Ok(match is_stream {
-                true => Source::Events(Box::new((answer, EventReader::new()))),
-                false => Source::Body(Box::new(answer)),
+            Ok(match kind {
+                RouteKind::Resumable => Source::Events(Box::new(EventStream::new(answer, last_event))),
+                // Engines need not continue a stream that can't be resumed.
+                RouteKind::Stream => Source::Events(Box::new(EventStream::new(answer, None))),
+                RouteKind::Once | RouteKind::Idempotent => Source::Body(Box::new(answer)),
             })
         };
         ActiveAttempt {
@@ -178,8 +182,7 @@
                 };
             }
             Source::Events(stream) => {
-                let (answer, reader) = stream.as_mut();
-                self.progress = Progress::Event(next_event(answer, reader).await?);
+                self.progress = Progress::Event(stream.next().await?);
             }
             Source::Body(_) | Source::Error(_) => {}
         }
@@ -206,7 +209,7 @@
     pub(super) fn answer(&self) -> Option<&Answer> {
         match &self.source {
             Source::Sent(_) => None,
-            Source::Events(stream) => Some(&stream.0),
+            Source::Events(stream) => Some(stream.answer()),
             Source::Body(answer) => Some(answer),
             Source::Error(error) => Some(&error.0),
         }
@@ -237,7 +240,7 @@
         let address = self.engine.entry.address;
         match self.source {
             Source::Sent(_) => {}
-            Source::Events(stream) => pool.keep(address, stream.0),
+            Source::Events(stream) => pool.keep(address, stream.into_answer()),
             Source::Body(answer) => pool.keep(address, *answer),
             Source::Error(error) => pool.keep(address, error.0),
         }
@@ -285,28 +288,3 @@
         self.job.finish_prefill();
     }
 }
-
-/// Returns the next event of a stream, or `None` if the stream ended properly.
-async fn next_event(answer: &mut Answer, reader: &mut EventReader) -> Result<Option<Event>, AttemptFailure> {
-    loop {
-        if let Some(event) = reader.next_event() {
-            return Ok(Some(event));
-        }
-        if reader.is_too_long() {
-            return Err(AttemptFailure::new(
-                End::Broken,
-                "an event exceeds the size limit",
-            ));
-        }
-        match answer.next().await? {
-            Some(data) => reader.push(&data),
-            None if reader.has_rest() => {
-                return Err(AttemptFailure::new(
-                    End::Broken,
-                    "the stream ended within an event",
-                ));
-            }
-            None => return Ok(None),
-        }
-    }
-}
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -341,7 +341,7 @@
             incoming: self.incoming.clone(),
             prefilled: self.prefilled.take(),
             last_event,
-            is_stream,
+            kind: self.route.kind,
             silence_limit,
             started,
         };
--- a/src/ops/relay/hedge.rs
+++ b/src/ops/relay/hedge.rs
@@ -249,7 +249,7 @@
             incoming: self.incoming.clone(),
             prefilled: None,
             last_event,
-            is_stream: self.route.kind.is_stream(),
+            kind: self.route.kind,
             silence_limit: first.silence_limit(),
             started,
         };
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -40,6 +40,7 @@
 mod rank;
 mod reachability;
 mod records;
+mod repeated_events;
 mod request_kinds;
 mod requests;
 mod restarts;
--- a/tests/testsuite/relay/versions/mod.rs
+++ b/tests/testsuite/relay/versions/mod.rs
@@ -111,7 +111,7 @@
 }
 
 /// Tells an instance that the store has confirmed what it knows, and that engines of these versions have served.
-fn know_versions(shared: &sequoiastream::ops::relay::shared::Shared, versions: &[&str]) {
+pub(super) fn know_versions(shared: &sequoiastream::ops::relay::shared::Shared, versions: &[&str]) {
     let now = sequoiastream::util::clock::now();
     let versions = versions.iter().map(|version| SoftwareVersion::of(version));
     let record = VersionRecord {
