Streams: a stream that ends without an event is broken off

Callers saw: a signed 200 of a stream, chunked and properly ended, without an event in it. Their engine had stopped after the head of its answer and closed the connection.

Cause: an answer without a length or chunks ends with its connection, so the end of such a stream was taken for proper wherever no event was begun.

A stream that is begun from the start has at least one event. If it ends without one, whatever its framing, the attempt is now broken: another engine is asked where the route allows it, else the caller gets 502, since nothing is sent to it before the first event. Streams that a caller takes up, or another engine continues, may be empty, and answers that have no body by their kind (HEAD, 204).

Evidence, in relay::cut_answers, which cuts answers at every byte, directly and through a peer: unframed_events_cut, head_cut_not_whole and head_cut_in_tunnel got 200 with an empty stream for the cut after byte 47, the end of the head. Passed before as well: answers with a length or in chunks, cut anywhere in head and body (chunked_events_cut, framed_body_cut). Heads with lines that end in LF alone, and behind 100 and 103, are 502 at every cut now; before, the test had ended at its first failure and didn't reach them.

--- a/src/ops/relay/attempt.rs
+++ b/src/ops/relay/attempt.rs
@@ -7,6 +7,8 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
+use http::Method;
+use http::StatusCode;
 use sequoiastream_core::attempt::End;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::routes::RouteKind;
@@ -108,11 +110,18 @@
                 let body = answer.read(MAX_ANSWER_BYTES, incoming.time_left()).await?;
                 return Ok(Source::Error(Box::new((answer, body))));
             }
-            Ok(match kind {
-                RouteKind::Resumable => Source::Events(Box::new(EventStream::new(answer, last_event))),
+            let may_be_empty = has_no_body(&incoming, &answer) || last_event.is_some();
+            let after = match kind {
+                RouteKind::Resumable => last_event,
                 // Engines need not continue a stream that can't be resumed.
-                RouteKind::Stream => Source::Events(Box::new(EventStream::new(answer, None))),
-                RouteKind::Once | RouteKind::Idempotent => Source::Body(Box::new(answer)),
+                RouteKind::Once | RouteKind::Idempotent | RouteKind::Stream => None,
+            };
+            Ok(match kind.is_stream() {
+                true => {
+                    let stream = EventStream::new(answer).after(after).maybe_empty(may_be_empty);
+                    Source::Events(Box::new(stream))
+                }
+                false => Source::Body(Box::new(answer)),
             })
         };
         ActiveAttempt {
@@ -288,3 +297,8 @@
         self.job.finish_prefill();
     }
 }
+
+/// Whether the answer has no body by its kind, so that its head is the whole of it.
+fn has_no_body(incoming: &IncomingRequest, answer: &Answer) -> bool {
+    incoming.method == Method::HEAD || answer.head.status == StatusCode::NO_CONTENT
+}
--- a/src/ops/relay/event_stream.rs
+++ b/src/ops/relay/event_stream.rs
@@ -15,18 +15,31 @@
     reader: EventReader,
     /// Id of the last event, of this engine or of the one whose stream it continues.
     last_event: Option<u64>,
+    /// Whether it may end without a further event.
+    may_be_empty: bool,
 }
 
 impl EventStream {
-    /// The stream in `answer`, which continues after the event `after`, or begins with its first event.
-    pub(super) fn new(answer: Answer, after: Option<u64>) -> EventStream {
+    /// The stream in `answer`, from its first event.
+    pub(super) fn new(answer: Answer) -> EventStream {
         EventStream {
             answer,
             reader: EventReader::new(),
-            last_event: after,
+            last_event: None,
+            may_be_empty: false,
         }
     }
 
+    /// Expects only events after `last_event`, if that is given.
+    pub(super) fn after(self, last_event: Option<u64>) -> EventStream {
+        EventStream { last_event, ..self }
+    }
+
+    /// Sets whether it may end without an event.
+    pub(super) fn maybe_empty(self, may_be_empty: bool) -> EventStream {
+        EventStream { may_be_empty, ..self }
+    }
+
     /// The answer that the stream is the body of.
     pub(super) fn answer(&self) -> &Answer {
         &self.answer
@@ -46,6 +59,7 @@
         loop {
             if let Some(event) = self.reader.next_event() {
                 self.check_order(&event)?;
+                self.may_be_empty = true;
                 return Ok(Some(event));
             }
             if self.reader.is_too_long() {
@@ -73,10 +87,12 @@
         Ok(())
     }
 
+    /// Guards against an empty stream that looks complete: an engine stops before its first event and closes the connection.
     fn check_end(&self) -> Result<(), AttemptFailure> {
-        match self.reader.has_rest() {
-            true => Err(broken("the stream ended within an event")),
-            false => Ok(()),
+        match (self.reader.has_rest(), self.may_be_empty) {
+            (true, _) => Err(broken("the stream ended within an event")),
+            (false, false) => Err(broken("the stream ended without an event")),
+            (false, true) => Ok(()),
         }
     }
 }
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -8,6 +8,7 @@
 mod confirmations;
 mod crash_parts;
 mod crashes;
+mod cut_answers;
 mod departures;
 mod digest;
 mod directory;
