Attempts: an empty success whose end only the connection shows is broken off

Callers saw: a signed 200 with `content-length: 0`. Their engine had stopped after the head of an answer with neither a length nor chunks, and closed the connection.

Cause: such an answer is whole when its connection closes, also if that comes before the first byte of its body. A server that has an empty body says so (`Content-Length: 0`, an empty last chunk, 204), so nothing after such a head says that the body is missing.

It is now broken: tried elsewhere where the route allows it, else 502. An engine that answers with an empty body, no length and no 204 is refused wrongly; it can't be told from one that stopped. Answers of errors stay as they are.

Evidence: relay::cut_answers::head_cut_not_whole and head_cut_in_tunnel, now for all kinds of routes, got 200 with `content-length: 0` for the cut after byte 47, the end of the head (Once, Direct and Tunnel).

--- a/crates/upstream/src/channel.rs
+++ b/crates/upstream/src/channel.rs
@@ -201,10 +201,12 @@
         self.unused.reset();
         let (head, body) = answer.into_parts();
         self.keep_alive = reuse_period(&head.headers);
+        let is_framed = body.size_hint().exact().is_some() || is_chunked(&head.headers);
         Ok(Answer {
             head,
             body,
             ended: false,
+            ends_with_connection: !is_framed,
             channel: self,
         })
     }
@@ -249,6 +251,14 @@
     }
 }
 
+/// Whether the body comes in chunks, of which the last one shows the end.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).into_iter();
+    let last = codings.next_back().and_then(|value| value.to_str().ok());
+    let last = last.and_then(|value| value.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// The head of an answer, with a reader for its body.
 #[derive(Debug)]
 pub struct Answer {
@@ -257,10 +267,16 @@
     body: Incoming,
     /// Whether the body was read to its regular end.
     ended: bool,
+    ends_with_connection: bool,
     channel: Channel,
 }
 
 impl Answer {
+    /// Whether the body has neither a length nor chunks, so that only the end of the connection shows its end.
+    pub fn ends_with_connection(&self) -> bool {
+        self.ends_with_connection
+    }
+
     /// The next bytes of the body; `None` at its regular end.
     ///
     /// # Errors
--- a/src/ops/relay/attempt.rs
+++ b/src/ops/relay/attempt.rs
@@ -237,7 +237,11 @@
     pub(super) async fn read_body(&mut self, limit: Duration) -> Result<Bytes, AttemptFailure> {
         match &mut self.source {
             Source::Error(error) => Ok(error.1.clone()),
-            Source::Body(answer) => Ok(answer.read(MAX_ANSWER_BYTES, limit).await?),
+            Source::Body(answer) => {
+                let body = answer.read(MAX_ANSWER_BYTES, limit).await?;
+                check_empty(answer, &body)?;
+                Ok(body)
+            }
             Source::Sent(_) | Source::Events(_) => {
                 Err(AttemptFailure::new(End::Broken, "the answer has no single body"))
             }
@@ -302,3 +306,14 @@
 fn has_no_body(incoming: &IncomingRequest, answer: &Answer) -> bool {
     incoming.method == Method::HEAD || answer.head.status == StatusCode::NO_CONTENT
 }
+
+/// Guards against an empty body that looks complete: an engine stops after the head of its answer and closes the connection.
+fn check_empty(answer: &Answer, body: &Bytes) -> Result<(), AttemptFailure> {
+    match body.is_empty() && answer.ends_with_connection() {
+        true => Err(AttemptFailure::new(
+            End::Broken,
+            "the connection ended where a body was to begin",
+        )),
+        false => Ok(()),
+    }
+}
--- a/tests/testsuite/relay/cut_answers.rs
+++ b/tests/testsuite/relay/cut_answers.rs
@@ -18,6 +18,13 @@
 use super::tunnels::Peer;
 use super::tunnels::detach;
 
+const KINDS: [RouteKind; 4] = [
+    RouteKind::Once,
+    RouteKind::Idempotent,
+    RouteKind::Stream,
+    RouteKind::Resumable,
+];
+
 const STREAM_KINDS: [RouteKind; 2] = [RouteKind::Stream, RouteKind::Resumable];
 
 const BODY_KINDS: [RouteKind; 2] = [RouteKind::Once, RouteKind::Idempotent];
@@ -131,7 +138,7 @@
         length_head,
         chunked_head,
     ];
-    for kind in STREAM_KINDS {
+    for kind in KINDS {
         for (form, head) in heads.iter().enumerate() {
             for (cut, got) in Setup::cuts(kind, Link::Direct, *head).await.iter().enumerate() {
                 assert_eq!(status(got), "502", "{kind:?}, head {form} cut at {cut}: {got}");
@@ -143,7 +150,7 @@
 /// Guards against an empty success as [`head_cut_not_whole`] does, if a peer relays the answer.
 #[actix_web::test]
 async fn head_cut_in_tunnel() {
-    for kind in STREAM_KINDS {
+    for kind in KINDS {
         for (cut, got) in Setup::cuts(kind, Link::Tunnel, unframed_head)
             .await
             .iter()
