Attempts: an answer that ends with its connection is broken if its engine has ended

Callers saw: a signed 200 with half a body and a fitting `content-length`, and streams that ended properly after one event, when the process of the engine was killed (SIGKILL) amid an answer with neither a length nor chunks.

Cause: the kernel of a killed process closes its connections with FIN where nothing is unread, exactly as the process would have at the end of such an answer. Only a reset counted as broken off.

At the end of such an answer, and only of such, connect::has_ended now says whether its engine still accepts connections; if not, the attempt is broken, and tried elsewhere, resumed, broken off or answered with 502 as any other. The connection that the check opens is kept, and as nothing was ever sent on it, it may be used by the next request without the pause that follows an answer.

Tried first: one new connection without has_ended's 50 ms, on the assumption that a kernel closes the listening socket before the connections.

Evidence: relay::killed_engines::body_not_whole and stream_not_whole kill real processes, directly and behind a peer. Before: 200 with "half" as the whole body, and a stream of one event with its last chunk.

--- a/crates/upstream/src/channel.rs
+++ b/crates/upstream/src/channel.rs
@@ -90,6 +90,8 @@
     unused: UnusedBytes,
     path: Path,
     opened: Instant,
+    /// Whether a request was sent on it.
+    is_used: bool,
     idle_since: Instant,
     keep_alive: Duration,
 }
@@ -162,6 +164,7 @@
             unused,
             path,
             opened: Instant::now(),
+            is_used: false,
             idle_since: Instant::now(),
             keep_alive: DEFAULT_KEEP_ALIVE,
         })
@@ -178,7 +181,7 @@
     }
 
     fn can_reuse(&self) -> bool {
-        self.idle_since.elapsed() >= REUSE_DELAY
+        !self.is_used || self.idle_since.elapsed() >= REUSE_DELAY
     }
 
     /// Sends `request` and waits for the head of the answer.
@@ -192,6 +195,7 @@
         limit: Duration,
     ) -> Result<Answer, ChannelError> {
         self.unused.reset();
+        self.is_used = true;
         let sent = timeout(limit, self.sender.try_send_request(request)).await;
         let answered = sent.map_err(|_| ChannelError::Timeout)?;
         let answer = answered.map_err(|mut error| match error.take_message() {
--- a/src/ops/relay/attempt.rs
+++ b/src/ops/relay/attempt.rs
@@ -18,6 +18,7 @@
 use sequoiastream_upstream::channel::Pool;
 use sequoiastream_upstream::events::Event;
 
+use crate::ops::relay::ending::Ending;
 use crate::ops::relay::event_stream::EventStream;
 use crate::ops::relay::job::JobGuard;
 use crate::ops::relay::prefilled::PrefilledPrompt;
@@ -35,6 +36,7 @@
     engine: Rc<Engine>,
     job: JobGuard,
     source: Source,
+    ending: Rc<Ending>,
     progress: Progress,
     /// How long the engine may be silent before it delivers, if another attempt may follow.
     silence_limit: Option<Duration>,
@@ -104,10 +106,13 @@
             ..
         } = parts;
         let target = engine.clone();
+        let ending = Rc::new(Ending::new(shared.clone(), pool.clone(), engine.clone()));
+        let error_ending = ending.clone();
         let sent = async move {
             let mut answer = send(&shared, &pool, &incoming, &target, channel, &options).await?;
             if !answer.head.status.is_success() {
                 let body = answer.read(MAX_ANSWER_BYTES, incoming.time_left()).await?;
+                error_ending.check(&answer).await?;
                 return Ok(Source::Error(Box::new((answer, body))));
             }
             let may_be_empty = has_no_body(&incoming, &answer) || last_event.is_some();
@@ -128,6 +133,7 @@
             engine,
             job,
             source: Source::Sent(sent.boxed_local()),
+            ending,
             progress: Progress::Waiting,
             silence_limit: parts.silence_limit,
             started: parts.started,
@@ -191,7 +197,11 @@
                 };
             }
             Source::Events(stream) => {
-                self.progress = Progress::Event(stream.next().await?);
+                let event = stream.next().await?;
+                if event.is_none() {
+                    self.ending.check(stream.answer()).await?;
+                }
+                self.progress = Progress::Event(event);
             }
             Source::Body(_) | Source::Error(_) => {}
         }
@@ -240,6 +250,7 @@
             Source::Body(answer) => {
                 let body = answer.read(MAX_ANSWER_BYTES, limit).await?;
                 check_empty(answer, &body)?;
+                self.ending.check(answer).await?;
                 Ok(body)
             }
             Source::Sent(_) | Source::Events(_) => {
--- a/src/ops/relay/connect.rs
+++ b/src/ops/relay/connect.rs
@@ -180,8 +180,9 @@
 /// Whether an engine that broke off a request has ended: it refuses connections, and no peer can connect to it either.
 /// `false` if that is not certain because it can't be reached. A connection that is opened is kept.
 ///
-/// Failure guarded against: a link loses the answers to a request, or an engine breaks off some answers, and the request
-/// is taken for one that crashes engines.
+/// Failures guarded against: a link loses the answers to a request, or an engine breaks off some answers, and the request
+/// is taken for one that crashes engines; an engine that is killed still accepts a connection after it has closed that of an
+/// answer, which is taken for complete.
 pub async fn has_ended(shared: &Shared, pool: &Pool, engine: &Engine) -> bool {
     let opener = Opener::new(shared, pool, engine);
     let opened = match opener.open(ConnectPlan::Direct).await {
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -35,6 +35,7 @@
 pub mod crash_store;
 mod deliver;
 pub mod edge;
+mod ending;
 mod event_stream;
 mod fairness;
 pub mod follow;
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -21,6 +21,7 @@
 mod hedging;
 mod instance;
 mod keys;
+mod killed_engines;
 mod known;
 mod lead;
 mod limit_fleet;
