Plain services: an empty success whose end only the connection shows is broken off

Callers of a product saw: 200 with an empty body, where a plain service had stopped after the head of its answer, which had neither a length nor chunks.

Cause: as in the relay; the client of plain services took the end of the connection for the end of the answer. Answer::lacks_body says so for both now. The attempt ends as broken, and may have run.

Evidence: plain_cuts::cut_answer_not_whole, which cuts answers without a length, with one and in chunks at every byte, got 200 with an empty body for the cut after byte 30, the end of the head. Passes now, as do upstream:: (5).

Not mended here: a plain service that is killed amid a body without a length. upstream::send_unframed asks for such an answer from a service that closes its address with its answer, which looks the same. Streams of engines on this road end with a last line, so they need nothing.

--- a/crates/upstream/src/channel.rs
+++ b/crates/upstream/src/channel.rs
@@ -281,6 +281,12 @@
         self.ends_with_connection
     }
 
+    /// Whether an upstream may have stopped after the head of a success: nothing was read of its body, `body`, and nothing shows
+    /// that it is empty.
+    pub fn lacks_body(&self, body: &Bytes) -> bool {
+        self.head.status.is_success() && self.ends_with_connection && body.is_empty()
+    }
+
     /// The next bytes of the body; `None` at its regular end.
     ///
     /// # Errors
--- a/crates/upstream/src/plain.rs
+++ b/crates/upstream/src/plain.rs
@@ -143,6 +143,10 @@
     let body = answer
         .read(MAX_ANSWER, limit.saturating_sub(begun.elapsed()))
         .await?;
+    if answer.lacks_body(&body) {
+        let reason = "the connection ended where a body was to begin";
+        return Err(UpstreamError::Broken(reason.to_string()));
+    }
     let reply = PlainReply {
         status,
         content,
--- a/src/ops/relay/attempt.rs
+++ b/src/ops/relay/attempt.rs
@@ -320,7 +320,7 @@
 
 /// Guards against an empty body that looks complete: an engine stops after the head of its answer and closes the connection.
 fn check_empty(answer: &Answer, body: &Bytes) -> Result<(), AttemptFailure> {
-    match body.is_empty() && answer.ends_with_connection() {
+    match answer.lacks_body(body) {
         true => Err(AttemptFailure::new(
             End::Broken,
             "the connection ended where a body was to begin",
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod path;
 mod peer;
 mod peer_tunnel;
+mod plain_cuts;
 mod platform;
 mod poison;
 mod policy;
