Upstream channel: two heads that were read as one are no answer

Callers saw: a signed 200 with the body of an engine's 500. On a kept connection, the beginning of another head (`HTTP/1.1 200 `) came before the head of the answer, and both were read as one.

Cause: the status line of the answer is a valid reason phrase, and a valid end of a header's value, of the head before. A kept connection rests before it is used again, which shows such bytes only if they arrive in that time.

A head whose reason or headers hold a status line is now broken; ordinary reasons and header values like `Via: 1.1 name` do not match (a status must follow the version).

Evidence: relay::cut_answers::head_after_other_head got 200 with `why`, the body of the failure, for the beginnings `HTTP/1.1 200 `; the test ended there, so the later beginnings (`HTTP/1.1 200 OK`, and a header) weren't seen to fail before.

--- a/crates/upstream/src/channel.rs
+++ b/crates/upstream/src/channel.rs
@@ -34,6 +34,7 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use crate::joined_head;
 use crate::limited_read::LimitedRead;
 use crate::limited_read::UnusedBytes;
 
@@ -204,6 +205,10 @@
         })?;
         self.unused.reset();
         let (head, body) = answer.into_parts();
+        if joined_head::holds_status_line(&head) {
+            let reason = "the head of another answer precedes that of the answer";
+            return Err(ChannelError::Broken(reason.to_string()));
+        }
         self.keep_alive = reuse_period(&head.headers);
         let is_framed = body.size_hint().exact().is_some() || is_chunked(&head.headers);
         Ok(Answer {
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod error;
 pub mod events;
+mod joined_head;
 mod limited_read;
 mod lines;
 mod plain;
--- a/tests/testsuite/relay/cut_answers.rs
+++ b/tests/testsuite/relay/cut_answers.rs
@@ -10,6 +10,7 @@
 use super::engine::ReceivedRequest;
 use super::engine::ScriptedEngine;
 use super::engine::UnreachableAddress;
+use super::engine::answer;
 use super::engine::chunk;
 use super::engine::event;
 use super::engine::head;
@@ -235,3 +236,36 @@
         }
     }
 }
+
+/// Guards against the failure of an engine that reaches the caller as a success: on a kept connection, the beginning of another
+/// head comes before the head of the answer, and both are read as one.
+#[actix_web::test]
+async fn head_after_other_head() {
+    let begun = [
+        "HTTP/1.1 200",
+        "HTTP/1.1 200 ",
+        "HTTP/1.1 200 OK",
+        "HTTP/1.1 200 OK\r\nserver: s",
+    ];
+    for other in begun {
+        let engine = ScriptedEngine::start(move |_, request| match request.prior_requests {
+            0 => vec![answer(request, "first")],
+            _ => {
+                let failure = head(request, "content-length: 3\r\n").replace("200 OK", "500 No");
+                vec![Action::Send(other.to_string() + &failure + "why"), Action::Close]
+            }
+        })
+        .await;
+        let instance = Instance::start(RouteKind::Once, &[(&engine, Stage::Whole)], |_| {});
+        // A connection stays idle for a moment before it is reused.
+        for number in 0.. {
+            let got = instance
+                .get(&format!("/r/{number}"), &format!("q{number}"), "")
+                .await;
+            if engine.log().requests[number].prior_requests > 0 {
+                assert_ne!(status(&got), "200", "{other:?}: {got}");
+                break;
+            }
+        }
+    }
+}
