--- a/crates/upstream/src/channel.rs
+++ b/crates/upstream/src/channel.rs
@@ -35,6 +35,7 @@
 use tokio::task::yield_now;
 use tokio::time::timeout;
 
+use crate::joined_head;
 use crate::limited_read::LimitedRead;
 use crate::limited_read::UnusedBytes;
 
@@ -91,6 +92,8 @@
     unused: UnusedBytes,
     path: Path,
     opened: Instant,
+    /// Whether a request was sent on it.
+    is_used: bool,
     idle_since: Instant,
     keep_alive: Duration,
 }
@@ -163,6 +166,7 @@
             unused,
             path,
             opened: Instant::now(),
+            is_used: false,
             idle_since: Instant::now(),
             keep_alive: DEFAULT_KEEP_ALIVE,
         })
@@ -179,7 +183,7 @@
     }
 
     fn can_reuse(&self) -> bool {
-        self.idle_since.elapsed() >= REUSE_DELAY
+        !self.is_used || self.idle_since.elapsed() >= REUSE_DELAY
     }
 
     /// Sends `request` and waits for the head of the answer.
@@ -193,6 +197,7 @@
         limit: Duration,
     ) -> Result<Answer, ChannelError> {
         self.unused.reset();
+        self.is_used = true;
         let sent = timeout(limit, self.sender.try_send_request(request)).await;
         let answered = sent.map_err(|_| ChannelError::Timeout)?;
         let answer = answered.map_err(|mut error| match error.take_message() {
@@ -201,11 +206,17 @@
         })?;
         self.unused.reset();
         let (head, body) = answer.into_parts();
+        if joined_head::holds_status_line(&head) {
+            let reason = "the head of another answer precedes that of the answer";
+            return Err(ChannelError::Broken(reason.to_string()));
+        }
         self.keep_alive = reuse_period(&head.headers);
+        let is_framed = body.size_hint().exact().is_some() || is_chunked(&head.headers);
         Ok(Answer {
             head,
             body,
             ended: false,
+            ends_with_connection: !is_framed,
             channel: self,
         })
     }
@@ -250,6 +261,14 @@
     }
 }
 
+/// Whether the body comes in chunks, of which the last one shows the end.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).into_iter();
+    let last = codings.next_back().and_then(|value| value.to_str().ok());
+    let last = last.and_then(|value| value.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// The head of an answer, with a reader for its body.
 #[derive(Debug)]
 pub struct Answer {
@@ -258,10 +277,22 @@
     body: Incoming,
     /// Whether the body was read to its regular end.
     ended: bool,
+    ends_with_connection: bool,
     channel: Channel,
 }
 
 impl Answer {
+    /// Whether the body has neither a length nor chunks, so that only the end of the connection shows its end.
+    pub fn ends_with_connection(&self) -> bool {
+        self.ends_with_connection
+    }
+
+    /// Whether an upstream may have stopped after the head of a success: nothing was read of its body, `body`, and nothing shows
+    /// that it is empty.
+    pub fn lacks_body(&self, body: &Bytes) -> bool {
+        self.head.status.is_success() && self.ends_with_connection && body.is_empty()
+    }
+
     /// The next bytes of the body; `None` at its regular end.
     ///
     /// # Errors
--- a/src/ops/relay/attempt.rs
+++ b/src/ops/relay/attempt.rs
@@ -7,15 +7,19 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
+use http::Method;
+use http::StatusCode;
 use sequoiastream_core::attempt::End;
 use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_core::relay::routes::RouteKind;
 use sequoiastream_core::time::Time;
 use sequoiastream_upstream::channel::Answer;
 use sequoiastream_upstream::channel::Channel;
 use sequoiastream_upstream::channel::Pool;
 use sequoiastream_upstream::events::Event;
-use sequoiastream_upstream::events::EventReader;
 
+use crate::ops::relay::ending::Ending;
+use crate::ops::relay::event_stream::EventStream;
 use crate::ops::relay::job::JobGuard;
 use crate::ops::relay::prefilled::PrefilledPrompt;
 use crate::ops::relay::send::AttemptFailure;
@@ -32,6 +36,7 @@
     engine: Rc<Engine>,
     job: JobGuard,
     source: Source,
+    ending: Rc<Ending>,
     progress: Progress,
     /// How long the engine may be silent before it delivers, if another attempt may follow.
     silence_limit: Option<Duration>,
@@ -54,7 +59,7 @@
     pub(super) incoming: Rc<IncomingRequest>,
     pub(super) prefilled: Option<PrefilledPrompt>,
     pub(super) last_event: Option<u64>,
-    pub(super) is_stream: bool,
+    pub(super) kind: RouteKind,
     pub(super) silence_limit: Option<Duration>,
     pub(super) started: Time,
 }
@@ -64,7 +69,7 @@
     /// The request is being sent, or the head of the answer has not arrived.
     Sent(LocalBoxFuture<'static, Result<Source, AttemptFailure>>),
     /// A stream of events.
-    Events(Box<(Answer, EventReader)>),
+    Events(Box<EventStream>),
     /// A successful answer that is not a stream; its body has not been read.
     Body(Box<Answer>),
     /// A complete answer whose status is not a success.
@@ -96,18 +101,31 @@
             shared,
             pool,
             incoming,
-            is_stream,
+            kind,
+            last_event,
             ..
         } = parts;
         let target = engine.clone();
+        let ending = Rc::new(Ending::new(shared.clone(), pool.clone(), engine.clone()));
+        let error_ending = ending.clone();
         let sent = async move {
             let mut answer = send(&shared, &pool, &incoming, &target, channel, &options).await?;
             if !answer.head.status.is_success() {
                 let body = answer.read(MAX_ANSWER_BYTES, incoming.time_left()).await?;
+                error_ending.check(&answer).await?;
                 return Ok(Source::Error(Box::new((answer, body))));
             }
-            Ok(match is_stream {
-                true => Source::Events(Box::new((answer, EventReader::new()))),
+            let may_be_empty = has_no_body(&incoming, &answer) || last_event.is_some();
+            let after = match kind {
+                RouteKind::Resumable => last_event,
+                // Engines need not continue a stream that can't be resumed.
+                RouteKind::Once | RouteKind::Idempotent | RouteKind::Stream => None,
+            };
+            Ok(match kind.is_stream() {
+                true => {
+                    let stream = EventStream::new(answer).after(after).maybe_empty(may_be_empty);
+                    Source::Events(Box::new(stream))
+                }
                 false => Source::Body(Box::new(answer)),
             })
         };
@@ -115,6 +133,7 @@
             engine,
             job,
             source: Source::Sent(sent.boxed_local()),
+            ending,
             progress: Progress::Waiting,
             silence_limit: parts.silence_limit,
             started: parts.started,
@@ -178,8 +197,11 @@
                 };
             }
             Source::Events(stream) => {
-                let (answer, reader) = stream.as_mut();
-                self.progress = Progress::Event(next_event(answer, reader).await?);
+                let event = stream.next().await?;
+                if event.is_none() {
+                    self.ending.check(stream.answer()).await?;
+                }
+                self.progress = Progress::Event(event);
             }
             Source::Body(_) | Source::Error(_) => {}
         }
@@ -206,7 +228,7 @@
     pub(super) fn answer(&self) -> Option<&Answer> {
         match &self.source {
             Source::Sent(_) => None,
-            Source::Events(stream) => Some(&stream.0),
+            Source::Events(stream) => Some(stream.answer()),
             Source::Body(answer) => Some(answer),
             Source::Error(error) => Some(&error.0),
         }
@@ -225,7 +247,12 @@
     pub(super) async fn read_body(&mut self, limit: Duration) -> Result<Bytes, AttemptFailure> {
         match &mut self.source {
             Source::Error(error) => Ok(error.1.clone()),
-            Source::Body(answer) => Ok(answer.read(MAX_ANSWER_BYTES, limit).await?),
+            Source::Body(answer) => {
+                let body = answer.read(MAX_ANSWER_BYTES, limit).await?;
+                check_empty(answer, &body)?;
+                self.ending.check(answer).await?;
+                Ok(body)
+            }
             Source::Sent(_) | Source::Events(_) => {
                 Err(AttemptFailure::new(End::Broken, "the answer has no single body"))
             }
@@ -237,7 +264,7 @@
         let address = self.engine.entry.address;
         match self.source {
             Source::Sent(_) => {}
-            Source::Events(stream) => pool.keep(address, stream.0),
+            Source::Events(stream) => pool.keep(address, stream.into_answer()),
             Source::Body(answer) => pool.keep(address, *answer),
             Source::Error(error) => pool.keep(address, error.0),
         }
@@ -286,27 +313,18 @@
     }
 }
 
-/// Returns the next event of a stream, or `None` if the stream ended properly.
-async fn next_event(answer: &mut Answer, reader: &mut EventReader) -> Result<Option<Event>, AttemptFailure> {
-    loop {
-        if let Some(event) = reader.next_event() {
-            return Ok(Some(event));
-        }
-        if reader.is_too_long() {
-            return Err(AttemptFailure::new(
-                End::Broken,
-                "an event exceeds the size limit",
-            ));
-        }
-        match answer.next().await? {
-            Some(data) => reader.push(&data),
-            None if reader.has_rest() => {
-                return Err(AttemptFailure::new(
-                    End::Broken,
-                    "the stream ended within an event",
-                ));
-            }
-            None => return Ok(None),
-        }
+/// Whether the answer has no body by its kind, so that its head is the whole of it.
+fn has_no_body(incoming: &IncomingRequest, answer: &Answer) -> bool {
+    incoming.method == Method::HEAD || answer.head.status == StatusCode::NO_CONTENT
+}
+
+/// Guards against an empty body that looks complete: an engine stops after the head of its answer and closes the connection.
+fn check_empty(answer: &Answer, body: &Bytes) -> Result<(), AttemptFailure> {
+    match answer.lacks_body(body) {
+        true => Err(AttemptFailure::new(
+            End::Broken,
+            "the connection ended where a body was to begin",
+        )),
+        false => Ok(()),
     }
 }
--- a/tests/testsuite/relay/versions/mod.rs
+++ b/tests/testsuite/relay/versions/mod.rs
@@ -116,7 +116,7 @@
 }
 
 /// Tells an instance that engines of these versions have served, and gives it a store that confirms this.
-fn know_versions(shared: &Arc<Shared>, versions: &[&str]) {
+pub(super) fn know_versions(shared: &Arc<Shared>, versions: &[&str]) {
     read_versions(shared, versions);
     confirm_by(shared, &FakeStore::new());
 }
