Channel: an answer that is there at the time limit is read, also after a stop

What callers saw: after a stop (SIGSTOP) of their instance a failure, though the engine's answer waited in the connection.

channel::answer_there_after_stop failed without the last look (Timeout for 200). patience::within lets the runtime turn twice after the limit, as before an idle connection is used, and looks once more. Used for heads and bodies of answers in channel.

--- a/crates/upstream/src/channel.rs
+++ b/crates/upstream/src/channel.rs
@@ -32,11 +32,12 @@
 use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
-use tokio::task::yield_now;
 use tokio::time::timeout;
 
 use crate::limited_read::LimitedRead;
 use crate::limited_read::UnusedBytes;
+use crate::patience::take_turns;
+use crate::patience::within;
 
 /// A connection isn't reused within this time before the upstream's idle timeout: a request must reach the upstream
 /// before it closes the connection.
@@ -193,8 +194,8 @@
         limit: Duration,
     ) -> Result<Answer, ChannelError> {
         self.unused.reset();
-        let sent = timeout(limit, self.sender.try_send_request(request)).await;
-        let answered = sent.map_err(|_| ChannelError::Timeout)?;
+        let sent = within(limit, self.sender.try_send_request(request)).await;
+        let answered = sent.ok_or(ChannelError::Timeout)?;
         let answer = answered.map_err(|mut error| match error.take_message() {
             Some(_) => ChannelError::Unsent(error.into_error().to_string()),
             None => ChannelError::Broken(error.into_error().to_string()),
@@ -285,9 +286,8 @@
     ///
     /// [`ChannelError`] if the body is incomplete, too long, or not read in time.
     pub async fn read(&mut self, max_len: usize, limit: Duration) -> Result<Bytes, ChannelError> {
-        timeout(limit, self.collect(max_len))
-            .await
-            .map_err(|_| ChannelError::Timeout)?
+        let read = within(limit, self.collect(max_len)).await;
+        read.ok_or(ChannelError::Timeout)?
     }
 
     async fn collect(&mut self, max_len: usize) -> Result<Bytes, ChannelError> {
@@ -344,9 +344,7 @@
     pub async fn take_idle(&self, address: SocketAddr) -> Option<Channel> {
         loop {
             let channel = self.pop_idle(address)?;
-            // In the first turn the runtime learns what has arrived, and in the second the connection reads it.
-            yield_now().await;
-            yield_now().await;
+            take_turns().await;
             if channel.is_usable() {
                 return Some(channel);
             }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod events;
 mod limited_read;
 mod lines;
+pub mod patience;
 mod plain;
 pub mod wire;
 
--- a/tests/testsuite/channel.rs
+++ b/tests/testsuite/channel.rs
@@ -81,6 +81,23 @@
     );
 }
 
+/// Guards against an answer that is dropped although it was there in time, because the process was stopped until after the time
+/// limit.
+#[actix_web::test]
+async fn answer_there_after_stop() {
+    let (address, is_answered) = serve_late();
+    let pool = Pool::new();
+    let limit = Duration::from_millis(200);
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        // Stands for the stop: nothing runs on this thread meanwhile.
+        is_answered.recv_timeout(LIMIT).expect("the server runs");
+        std::thread::sleep(limit);
+    };
+    let (answered, ()) = tokio::join!(call(&pool, address, empty_request(address), 64, limit), stop);
+    assert_eq!(answered.map(|answer| answer.status().as_u16()), Ok(200));
+}
+
 /// Guards against a request that counts as unsent although a part of it was written: the server resets the connection amid
 /// the body.
 #[actix_web::test]
@@ -189,3 +206,22 @@
     });
     address
 }
+
+/// Starts a server in a thread of its own that answers one request after a time, and says so.
+fn serve_late() -> (SocketAddr, Receiver<()>) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let (answered, is_answered) = channel();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut buffer = [0; 1024];
+        let count = stream.read(&mut buffer).expect("a request");
+        assert!(count > 0, "the caller asks");
+        std::thread::sleep(Duration::from_millis(60));
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab";
+        stream.write_all(answer).expect("an open connection");
+        // Fails if the test has ended.
+        let _ = answered.send(());
+    });
+    (address, is_answered)
+}
