--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -11,6 +11,7 @@
 mod joined_head;
 mod limited_read;
 mod lines;
+pub mod patience;
 mod plain;
 pub mod wire;
 
