--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -153,9 +153,12 @@
     fn engine(&self, item: &Item) -> Result<Entry, Malformed> {
         let text = String::from_utf8_lossy(&item.value);
         let fields: Vec<&str> = text.split(' ').collect();
-        let &[service, address, stage, sequence] = fields.as_slice() else {
+        let (&[service, address, stage, sequence] | &[service, address, stage, sequence, _]) =
+            fields.as_slice()
+        else {
             return Err(Malformed::new("engine", &text));
         };
+        let version = fields.get(4).copied().unwrap_or("v1");
         Ok(Entry {
             id: item.key.replacen("engines/", "", 1),
             service: service.to_string(),
@@ -168,7 +171,7 @@
             } else {
                 Stage::Decode
             },
-            version: "v1".to_string(),
+            version: version.to_string(),
             spot: false,
             sequence: sequence.parse().map_err(|e| Malformed::new("engine", e))?,
             create_revision: item.created,
--- a/tests/testsuite/relay/unproven.rs
+++ b/tests/testsuite/relay/unproven.rs
@@ -1,5 +1,7 @@
 //! Statuses that promise that a request did not run, from engines that do not confirm it.
 
+use std::time::Duration;
+
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::routes::RouteKind;
 
@@ -81,3 +83,27 @@
         }
     }
 }
+
+/// Guards against an order that runs twice, or is refused though it runs: an engine sends additional bytes after a complete
+/// answer, which look like one that declines, but bear no request id.
+#[actix_web::test]
+async fn decline_without_id_proves_nothing() {
+    for promise in ["503 Service Unavailable", "421 Misdirected Request"] {
+        let engine = ScriptedEngine::start(move |_, request| match request.prior_requests {
+            0 => vec![answer(request, "first")],
+            _ => {
+                let extra = format!("HTTP/1.1 {promise}\r\nx-declined: full\r\ncontent-length: 0\r\n\r\n");
+                vec![Action::Send(extra), answer(request, "second")]
+            }
+        })
+        .await;
+        let instance = Instance::start(RouteKind::Once, &[(&engine, Stage::Whole)], |_| {});
+        let got = instance.get("/r/x", "q0", "").await;
+        assert_eq!(status(&got), "200", "{promise}: {got}");
+        // A connection rests before it is used again.
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        let got = instance.get("/r/x", "q1", "").await;
+        assert_eq!(engine.log().connections, 1, "{promise}");
+        assert_eq!(status(&got), "502", "{promise}: {got}");
+    }
+}
--- a/tests/testsuite/relay/version_history.rs
+++ b/tests/testsuite/relay/version_history.rs
@@ -69,6 +69,17 @@
     assert_eq!(only(&history, 61), v("v2"));
 }
 
+/// Guards against forgetting a version that served again unseen: the record named it half a minute ago, and this process saw
+/// its engines leave before that.
+#[test]
+fn only_version_recorded_again() {
+    let mut history = new_history();
+    history.on_served(at(0), &serving(&["v1", "v2"]));
+    history.on_served(at(1), &serving(&["v2"]));
+    history.on_record(at(50), &record(&["v1", "v2"]));
+    assert_eq!(only(&history, 61), None);
+}
+
 /// Guards against taking a version for gone while streams that it began still run.
 #[test]
 fn only_version_just_gone() {
--- a/tests/testsuite/relay/versions/mod.rs
+++ b/tests/testsuite/relay/versions/mod.rs
@@ -1,6 +1,7 @@
 //! Streams while engines of several software versions serve: a stream goes on only at the version that began it.
 
 mod store;
+mod unseen;
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
