--- a/src/ops/relay/attempt.rs
+++ b/src/ops/relay/attempt.rs
@@ -115,7 +115,8 @@
                 error_ending.check(&answer).await?;
                 return Ok(Source::Error(Box::new((answer, body))));
             }
-            let may_be_empty = has_no_body(&incoming, &answer) || last_event.is_some();
+            let is_continuation = last_event.is_some() && !answer.ends_with_connection();
+            let may_be_empty = has_no_body(&incoming, &answer) || is_continuation;
             let after = match kind {
                 RouteKind::Resumable => last_event,
                 // Engines need not continue a stream that can't be resumed.
