Streams: an engine that started again since it was chosen continues no stream

An event of another version reached a stream bound to the one before: only the first event of a new stream was checked against a new start under the same id. relay::versions::unseen::continue_reborn (the reviewer's) failed before.

--- a/src/ops/relay/deliver.rs
+++ b/src/ops/relay/deliver.rs
@@ -228,6 +228,11 @@
             let failure = AttemptFailure::new(End::Failed, "the answer is not a stream");
             return Err(self.on_attempt_failure(attempt, &failure));
         }
+        if self.is_continued_by_reborn(attempt.engine()) {
+            let failure =
+                AttemptFailure::new(End::Broken, "the engine has started again since it was chosen");
+            return Err(self.on_attempt_failure(attempt, &failure));
+        }
         if !attempt.is_failure() {
             return Ok(attempt);
         }
--- a/src/ops/relay/versions.rs
+++ b/src/ops/relay/versions.rs
@@ -254,6 +254,12 @@
         self.record_begun(StreamId::of(self.incoming.id.as_bytes()), engine.version);
     }
 
+    /// Whether an engine that continues a stream has started again under its id since it was chosen, perhaps with another
+    /// version.
+    pub(super) fn is_continued_by_reborn(&self, engine: &Engine) -> bool {
+        matches!(self.version, StreamVersion::Only(_)) && self.is_reborn(engine)
+    }
+
     /// Whether an engine has started again under its id since it was chosen: then its answer may come from either
     /// process.
     fn is_reborn(&self, engine: &Engine) -> bool {
