Versions: what came and went unseen, and what the record names again, leaves no version certain

A stream could go on at another version where an engine registered and left between two readings (a peer sends only the removal), where the store came back from a copy without its entry, or where the record named a version again that was seen to end before.

Cause: a confirmation proves that nothing changed since the last reading, not that the history before it is complete; the history of versions had no notion of a gap. Change: a removal of an engine that was never known, and a restoration of the store, are a gap, for a minute after which no version is certain (streams are recorded in the store meanwhile); reading the record dates the versions in it anew.

Not closed: the same behind a history that the store has dropped (known red).

--- a/crates/core/src/relay/engines.rs
+++ b/crates/core/src/relay/engines.rs
@@ -361,6 +361,11 @@
     /// within [`REREGISTRATION_GRACE`] of the store's return, its engine is kept until the end of that time, however
     /// late this instance learns of it. An engine that has really left is detected by its first refused connection at
     /// the latest.
+    /// Whether the entry of an engine is known, or was until it was removed.
+    pub fn has_known(&self, id: &str) -> bool {
+        self.known.contains_key(id) || self.tombstones.contains_key(id)
+    }
+
     fn on_removed(&mut self, now: Time, revision: Revision, id: String) -> bool {
         let kept_until = self.distrust_until.filter(|until| now < *until);
         match self.known.get_mut(&id) {
--- a/crates/core/src/relay/version_history.rs
+++ b/crates/core/src/relay/version_history.rs
@@ -90,6 +90,8 @@
 pub struct VersionHistory {
     served: BTreeMap<ServiceVersion, Served>,
     coverage: Coverage,
+    /// When engines may last have served unseen.
+    gap: Option<Time>,
 }
 
 impl VersionHistory {
@@ -113,15 +115,21 @@
         self.expire(now);
     }
 
+    /// Notes that an engine may have served and left unseen: for as long as its streams may last, no version is certain.
+    pub fn on_gap(&mut self, now: Time) {
+        self.gap = Some(now);
+    }
+
     /// Handles the record in the store. Only instances with a complete history create it, so it covers the time before
-    /// this process.
+    /// this process. A version that it names may have served again until now, even if it was seen to end before.
     pub fn on_record(&mut self, now: Time, record: &VersionRecord) {
         let served = Served {
             ended: Some(now),
             is_seen: false,
         };
         for entry in record.entries() {
-            self.served.entry(entry).or_insert(served);
+            let known = self.served.entry(entry).or_insert(served);
+            known.ended = known.ended.map(|_| now);
         }
         self.coverage = Coverage::Everything;
     }
@@ -177,6 +185,9 @@
     }
 
     fn is_complete(&self, now: Time) -> bool {
+        if self.gap.is_some_and(|at| now.since(at) < MAX_LIFETIME) {
+            return false;
+        }
         match self.coverage {
             Coverage::Nothing => false,
             Coverage::Since(start) => now.since(start) >= MAX_LIFETIME,
--- a/src/ops/relay/follow/mod.rs
+++ b/src/ops/relay/follow/mod.rs
@@ -403,12 +403,21 @@
                 }
                 changed.instances |= self.fleet.on_removed(register::name(&self.shared, key));
                 let id = self.shared.translate.engine_id(key);
+                if id.is_some_and(|id| !self.engines.has_known(id)) {
+                    self.on_unseen_engine();
+                }
                 id.map(|id| EngineUpdate::Removed(*revision, id.to_string()))
             }
         };
         changed.engines |= update.is_some_and(|update| self.engines.on_update(now, update));
     }
 
+    /// Notes that an engine has registered and left, or may have, of which this instance has not known the version.
+    fn on_unseen_engine(&self) {
+        self.shared.traffic().history.on_gap(clock::now());
+        self.shared.on_history_changed();
+    }
+
     /// Publishes the engines if any of them was removed because its entry did not come back in time.
     fn on_tick(&mut self) {
         if self.engines.on_tick(clock::now()) {
--- a/src/ops/relay/follow/snapshot.rs
+++ b/src/ops/relay/follow/snapshot.rs
@@ -96,6 +96,7 @@
     /// no older configuration comes into force, and an engine that announced that it leaves gets no work.
     pub(super) fn on_restored(&mut self, latest: Time, revision: Revision, lost: usize) {
         self.engines.on_outage_end(latest);
+        self.on_unseen_engine();
         let before = self.known.revision();
         let now = clock::now();
         let age = now.since(latest).as_millis() as u64;
