--- a/crates/upstream/src/patience.rs
+++ b/crates/upstream/src/patience.rs
@@ -4,14 +4,13 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use futures_util::FutureExt;
 use tokio::task::yield_now;
 use tokio::time::timeout;
 
 /// Waits for `future` for `limit`; `None` if it is not ready by then.
 ///
 /// Failure guarded against: the process was stopped or busy until after the limit, and an answer that waits in its connection
-/// is dropped, because the timer is looked at before the connection.
+/// is dropped, because the timer is looked at before the connection. May be nested: the future goes on during the turns.
 pub async fn within<F>(limit: Duration, future: F) -> Option<F::Output>
 where
     F: Future,
@@ -20,8 +19,11 @@
     if let Ok(output) = timeout(limit, &mut future).await {
         return Some(output);
     }
-    take_turns().await;
-    future.now_or_never()
+    tokio::select! {
+        biased;
+        output = future => Some(output),
+        () = take_turns() => None,
+    }
 }
 
 /// Lets the runtime learn what has arrived, and then the connections read it.
--- a/tests/testsuite/channel.rs
+++ b/tests/testsuite/channel.rs
@@ -17,6 +17,7 @@
 use sequoiastream_upstream::channel::ChannelError;
 use sequoiastream_upstream::channel::Pool;
 use sequoiastream_upstream::channel::call;
+use sequoiastream_upstream::patience::within;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -94,7 +95,9 @@
         is_answered.recv_timeout(LIMIT).expect("the server runs");
         std::thread::sleep(limit);
     };
-    let (answered, ()) = tokio::join!(call(&pool, address, empty_request(address), 64, limit), stop);
+    let asked = within(limit, call(&pool, address, empty_request(address), 64, limit));
+    let (answered, ()) = tokio::join!(asked, stop);
+    let answered = answered.expect("in time");
     assert_eq!(answered.map(|answer| answer.status().as_u16()), Ok(200));
 }
 
