--- a/src/ops/relay/deliver.rs
+++ b/src/ops/relay/deliver.rs
@@ -12,9 +12,9 @@
 
 use sequoiastream_core::attempt::End;
 use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_upstream::patience::within;
 use tokio::sync::Notify;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
 use crate::ops::relay::attempt::ActiveAttempt;
 use crate::ops::relay::forward::ForwardedRequest;
@@ -112,23 +112,23 @@
             let silence_limit = self.silence_limit(&attempt);
             let limit = silence_limit.map_or(left, |limit| limit.saturating_sub(waited).min(left));
             let delay = self.hedge_delay(&attempt).filter(|delay| *delay < limit);
-            match timeout(delay.unwrap_or(limit), attempt.advance()).await {
-                Ok(Ok(())) => waited = Duration::ZERO,
-                Ok(Err(failure)) => return Err(self.on_attempt_failure(attempt, &failure)),
-                Err(_) if self.incoming.time_left().is_zero() => {
+            match within(delay.unwrap_or(limit), attempt.advance()).await {
+                Some(Ok(())) => waited = Duration::ZERO,
+                Some(Err(failure)) => return Err(self.on_attempt_failure(attempt, &failure)),
+                None if self.incoming.time_left().is_zero() => {
                     let failure = AttemptFailure::new(End::Silent, "no answer before the request expired");
                     return Err(self.on_attempt_failure(attempt, &failure));
                 }
-                Err(_) if delay.is_some() => {
+                None if delay.is_some() => {
                     if let Some(engine) = self.choose_hedge(&attempt) {
                         return Ok(Outcome::Slow(attempt, engine));
                     }
                     waited = delay.unwrap_or_default();
                 }
-                Err(_) if limit < left && self.reserve_extra_attempt(attempt.engine()) => {
+                None if limit < left && self.reserve_extra_attempt(attempt.engine()) => {
                     return Ok(Outcome::Silent(attempt));
                 }
-                Err(_) => waited = Duration::ZERO,
+                None => waited = Duration::ZERO,
             }
         }
         self.on_ready(&mut attempt);
