--- a/crates/upstream/src/channel.rs
+++ b/crates/upstream/src/channel.rs
@@ -198,7 +198,7 @@
         limit: Duration,
     ) -> Result<Answer, ChannelError> {
         self.unused.reset();
-        self.is_used = true;
+        let is_reused = std::mem::replace(&mut self.is_used, true);
         let sent = within(limit, self.sender.try_send_request(request)).await;
         let answered = sent.ok_or(ChannelError::Timeout)?;
         let answer = answered.map_err(|mut error| match error.take_message() {
@@ -218,6 +218,7 @@
             body,
             ended: false,
             ends_with_connection: !is_framed,
+            is_reused,
             channel: self,
         })
     }
@@ -279,6 +280,8 @@
     /// Whether the body was read to its regular end.
     ended: bool,
     ends_with_connection: bool,
+    /// Whether the connection had carried another request before.
+    is_reused: bool,
     channel: Channel,
 }
 
@@ -288,6 +291,11 @@
         self.ends_with_connection
     }
 
+    /// Whether the connection had carried another request before this one, of which an extra answer may still arrive.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Whether an upstream may have stopped after the head of a success: nothing was read of its body, `body`, and nothing shows
     /// that it is empty.
     pub fn lacks_body(&self, body: &Bytes) -> bool {
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -270,8 +270,8 @@
 /// Checks that an answer is the intended engine's answer to this request.
 ///
 /// Failure guarded against: where the answer to this request is expected, the engine sends a second answer to an
-/// earlier request, or an answer to another caller's request arrives. The request id in the answer reveals this. An
-/// answer that declines proves that the request did not run; a successful answer must be signed.
+/// earlier request, or an answer to another caller's request arrives. The request id in the answer reveals this; without
+/// one, an answer on a connection that was used before proves nothing. An answer that declines proves that the request did not run; a successful answer must be signed.
 ///
 /// Failure guarded against: an engine fails with a status that promises the caller that its request did not run, without
 /// confirming this. Such a status is never passed on: the request counts as one that ran and failed.
@@ -290,6 +290,13 @@
             "the answer belongs to another request",
         ));
     }
+    let is_proof = status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&names.declined);
+    if is_proof && answer.is_reused() && !headers.contains_key(&names.request) {
+        return Err(AttemptFailure::new(
+            End::Broken,
+            "the answer names no request, and may be an extra one to an earlier request",
+        ));
+    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Err(AttemptFailure::new(
             End::Misdirected,
