--- a/src/ops/relay/prefilled.rs
+++ b/src/ops/relay/prefilled.rs
@@ -99,9 +99,10 @@
     let host =
         HeaderValue::from_str(&address.to_string()).map_err(|e| AttemptFailure::new(End::Unsent, e))?;
     request.headers_mut().insert(http::header::HOST, host);
+    // Before the connection is there, so that no other call is allowed meanwhile.
+    shared.on_send(engine);
     let begun = clock::now();
     let channel = connect::take(shared, pool, engine, limit).await?;
-    shared.on_send(engine);
     let sent = clock::now();
     let left = limit.saturating_sub(sent.since(begun));
     let answer = channel::exchange(pool, address, channel, request, MAX_ANSWER_BYTES, left).await?;
