--- a/src/ops/relay/attempt.rs
+++ b/src/ops/relay/attempt.rs
@@ -124,7 +124,7 @@
             };
             Ok(match kind.is_stream() {
                 true => {
-                    let stream = EventStream::new(answer).after(after).maybe_empty(may_be_empty);
+                    let stream = EventStream::new(answer).after(after).allow_empty(may_be_empty);
                     Source::Events(Box::new(stream))
                 }
                 false => Source::Body(Box::new(answer)),
--- a/src/ops/relay/event_stream.rs
+++ b/src/ops/relay/event_stream.rs
@@ -16,7 +16,7 @@
     /// Id of the last event, of this engine or of the one whose stream it continues.
     last_event: Option<u64>,
     /// Whether it may end without a further event.
-    may_be_empty: bool,
+    allow_empty: bool,
 }
 
 impl EventStream {
@@ -26,7 +26,7 @@
             answer,
             reader: EventReader::new(),
             last_event: None,
-            may_be_empty: false,
+            allow_empty: false,
         }
     }
 
@@ -36,8 +36,8 @@
     }
 
     /// Sets whether it may end without an event.
-    pub(super) fn maybe_empty(self, may_be_empty: bool) -> EventStream {
-        EventStream { may_be_empty, ..self }
+    pub(super) fn allow_empty(self, allow_empty: bool) -> EventStream {
+        EventStream { allow_empty, ..self }
     }
 
     /// The answer that the stream is the body of.
@@ -59,7 +59,7 @@
         loop {
             if let Some(event) = self.reader.next_event() {
                 self.check_order(&event)?;
-                self.may_be_empty = true;
+                self.allow_empty = true;
                 return Ok(Some(event));
             }
             if self.reader.is_too_long() {
@@ -89,7 +89,7 @@
 
     /// Guards against an empty stream that looks complete: an engine stops before its first event and closes the connection.
     fn check_end(&self) -> Result<(), AttemptFailure> {
-        match (self.reader.has_rest(), self.may_be_empty) {
+        match (self.reader.has_rest(), self.allow_empty) {
             (true, _) => Err(broken("the stream ended within an event")),
             (false, false) => Err(broken("the stream ended without an event")),
             (false, true) => Ok(()),
--- a/tests/testsuite/metrics.rs
+++ b/tests/testsuite/metrics.rs
@@ -4,14 +4,25 @@
 use std::fs;
 use std::path::Path;
 
+/// The sources in a folder and those below it.
+fn sources(folder: &Path) -> Vec<String> {
+    let mut found = Vec::new();
+    for entry in fs::read_dir(folder).expect("a folder of sources") {
+        let path = entry.expect("an entry").path();
+        match path.is_dir() {
+            true => found.extend(sources(&path)),
+            false => found.push(fs::read_to_string(path).expect("a source")),
+        }
+    }
+    found
+}
+
 /// Returns the metric names that the sources register: the first string literal after each call of `register`, or after
 /// the encoder that a collector passes to its families.
 fn registered() -> BTreeSet<String> {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("src/util/metrics");
     let mut names = BTreeSet::new();
-    for entry in fs::read_dir(folder).expect("the folder of metrics") {
-        let path = entry.expect("an entry").path();
-        let source = fs::read_to_string(path).expect("a source");
+    for source in sources(&folder) {
         let families = source.split("&mut encoder,").skip(1);
         names.extend(families.filter_map(|call| {
             let rest = call.trim_start().strip_prefix('"')?;
