Streams: the store is asked for a confirmation and for the record of a stream at the same time

A confirmation whose answer is lost used up the second that a take-up has for the store, and the record of its stream was not read any more.

--- a/src/ops/relay/versions.rs
+++ b/src/ops/relay/versions.rs
@@ -1,9 +1,12 @@
 //! Keeps each stream at the software version of the engines that began it.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
 use futures_util::StreamExt;
+use futures_util::future::Either;
+use futures_util::future::select;
 use futures_util::stream::FuturesUnordered;
 use sequoiastream_core::log_event;
 use sequoiastream_core::relay::engines::Engine;
@@ -111,26 +114,48 @@
                 return (Some(record.version), VersionSource::Peer);
             }
         }
-        let asked = clock::now();
         let limit = STORE_TIMEOUT.min(self.incoming.time_left() / 3);
-        if let Some(version) = self.confirm_only_version(limit).await {
-            // Another version may serve by the caller's next try.
-            if let Some(stream) = stream {
-                self.record_begun(stream, version);
-            }
-            return (Some(version), VersionSource::OnlyVersion);
+        let (version, source) = self.ask_store(stream, limit).await;
+        // Another version may serve by the caller's next try.
+        if let (Some(stream), Some(version), VersionSource::OnlyVersion) = (stream, version, source) {
+            self.record_begun(stream, version);
         }
-        let Some(stream) = stream else {
-            return (None, VersionSource::None);
+        (version, source)
+    }
+
+    /// The version that the store shows within `limit`: by a record of the stream, or because no other one has served. Asks for
+    /// both at the same time, since an answer of the store may be lost.
+    async fn ask_store(
+        &self,
+        stream: Option<StreamId>,
+        limit: Duration,
+    ) -> (Option<SoftwareVersion>, VersionSource) {
+        let only = pin!(self.confirm_only_version(limit));
+        let stored = pin!(self.read_stored_version(stream, limit));
+        let (only, stored) = match select(only, stored).await {
+            Either::Left((None, stored)) => (None, stored.await),
+            Either::Right((None, only)) => (only.await, None),
+            Either::Left((only, _)) => (only, None),
+            Either::Right((stored, _)) => (None, stored),
         };
-        let left = limit.saturating_sub(clock::now().since(asked));
-        self.shared.stream_store.read(stream, left).await;
-        match self.recorded_version(stream) {
-            Some(version) => (Some(version), VersionSource::Store),
-            None => (None, VersionSource::None),
+        match (only, stored) {
+            (Some(version), _) => (Some(version), VersionSource::OnlyVersion),
+            (None, Some(version)) => (Some(version), VersionSource::Store),
+            (None, None) => (None, VersionSource::None),
         }
     }
 
+    /// The version in the store's record of `stream`, read within `limit`.
+    async fn read_stored_version(
+        &self,
+        stream: Option<StreamId>,
+        limit: Duration,
+    ) -> Option<SoftwareVersion> {
+        let stream = stream?;
+        self.shared.stream_store.read(stream, limit).await;
+        self.recorded_version(stream)
+    }
+
     /// The version of all streams of the service of which no record is found; `None` if it is not certain. The store must
     /// confirm within `limit` that no other version has begun to serve: one may have done so, and have begun the stream, at
     /// any moment before the caller took it up.
