Attempts: the log says what an answer showed about whether its request ran

Event 400 said how an attempt ended, but not which bytes were taken for a proof, so that the hypotheses of the incident could not be told apart. It has the status, whether the confirmation was there, the request id in the answer, and what the connection had carried before; event 401 has the ends of all attempts, on which a promise rests. A connection remembers the ids of the last 16 requests. No decision has changed.

--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt/mod.rs
@@ -5,6 +5,8 @@
 //! engine confirms that it did not execute the request, or the response came from another engine than the intended
 //! one. After any other ending the request counts as run.
 
+pub mod evidence;
+
 use crate::config::Repeat;
 
 /// How an attempt ended.
--- a/crates/upstream/src/channel.rs
+++ b/crates/upstream/src/channel.rs
@@ -7,6 +7,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,6 +27,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use sequoiastream_core::attempt::evidence::PriorUse;
 use sequoiastream_core::relay::reachability::Path;
 use thiserror::Error;
 use tokio::io::AsyncRead;
@@ -61,6 +63,10 @@
 /// Maximum number of idle connections to one upstream.
 const MAX_IDLE: usize = 24;
 
+/// Number of requests whose ids a connection remembers. An extra answer to an earlier one would have been read instead of one
+/// of the answers since.
+const MAX_REMEMBERED: usize = 16;
+
 /// Maximum size of a connection's read buffer: bytes read ahead of what the caller consumes.
 const READ_BUFFER: usize = 16 * 1024;
 
@@ -95,6 +101,8 @@
     opened: Instant,
     /// Whether a request was sent on it.
     is_used: bool,
+    /// Hashes of the ids of the last requests that were sent on it.
+    remembered: VecDeque<u64>,
     idle_since: Instant,
     keep_alive: Duration,
 }
@@ -168,6 +176,7 @@
             path,
             opened: Instant::now(),
             is_used: false,
+            remembered: VecDeque::new(),
             idle_since: Instant::now(),
             keep_alive: DEFAULT_KEEP_ALIVE,
         })
@@ -192,13 +201,23 @@
     /// # Errors
     ///
     /// [`ChannelError`] says whether anything was sent. The connection is closed on an error.
-    pub async fn send(
+    pub async fn send(self, request: Request<Full<Bytes>>, limit: Duration) -> Result<Answer, ChannelError> {
+        self.send_with_id(None, request, limit).await
+    }
+
+    /// As [`Self::send`], for a request whose id, of which `id` is a hash, answers contain.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::send`].
+    pub async fn send_with_id(
         mut self,
+        id: Option<u64>,
         request: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Result<Answer, ChannelError> {
         self.unused.reset();
-        let is_reused = std::mem::replace(&mut self.is_used, true);
+        let prior = self.on_send(id);
         let sent = within(limit, self.sender.try_send_request(request)).await;
         let answered = sent.ok_or(ChannelError::Timeout)?;
         let answer = answered.map_err(|mut error| match error.take_message() {
@@ -218,10 +237,26 @@
             body,
             ended: false,
             ends_with_connection: !is_framed,
-            is_reused,
+            prior,
             channel: self,
         })
     }
+
+    /// Records that a request is sent. Returns what the connection carried before.
+    fn on_send(&mut self, id: Option<u64>) -> PriorUse {
+        let is_repeated = id.is_some_and(|id| self.remembered.contains(&id));
+        let prior = match (self.is_used, is_repeated) {
+            (false, _) => PriorUse::None,
+            (true, false) => PriorUse::OtherIds,
+            (true, true) => PriorUse::SameId,
+        };
+        self.is_used = true;
+        if self.remembered.len() == MAX_REMEMBERED {
+            self.remembered.pop_front();
+        }
+        self.remembered.extend(id);
+        prior
+    }
 }
 
 /// Opens a TCP connection within `limit`.
@@ -280,8 +315,8 @@
     /// Whether the body was read to its regular end.
     ended: bool,
     ends_with_connection: bool,
-    /// Whether the connection had carried another request before.
-    is_reused: bool,
+    /// What the connection had carried before.
+    prior: PriorUse,
     channel: Channel,
 }
 
@@ -291,9 +326,9 @@
         self.ends_with_connection
     }
 
-    /// Whether the connection had carried another request before this one, of which an extra answer may still arrive.
-    pub fn is_reused(&self) -> bool {
-        self.is_reused
+    /// What the connection had carried before this request, to which an extra answer may still arrive.
+    pub fn prior_use(&self) -> PriorUse {
+        self.prior
     }
 
     /// Whether an upstream may have stopped after the head of a success: nothing was read of its body, `body`, and nothing shows
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -98,6 +98,8 @@
     pub(super) answer_begun: bool,
     /// Whether the outcome has been counted in the metrics.
     outcome_counted: Cell<bool>,
+    /// How the failed attempts ended, for the log.
+    pub(super) ends: Vec<&'static str>,
     /// Engine and reason of the last failed attempt, for the log.
     pub(super) last_failure: Option<(String, String)>,
     /// Notified when the request is about to be sent to the engine that is to answer.
@@ -156,6 +158,7 @@
             started: false,
             answer_begun: false,
             outcome_counted: Cell::new(false),
+            ends: Vec::new(),
             last_failure: None,
             request_sent: Rc::new(Notify::new()),
             draw,
@@ -261,7 +264,8 @@
         let judged = self.judged.as_ref();
         log_event!(info, log_event::REFUSED, request = self.id(), route = %self.route.name, outcome = reply.label(),
             why = reason, takes = expected, waited, left = self.incoming.time_left().as_millis() as u64,
-            sent = self.attempts.sent(), tried = self.tried.len(), config = self.view.table.version,
+            sent = self.attempts.sent(), ends = self.ends.join(","), tried = self.tried.len(),
+            config = self.view.table.version,
             priority = self.priority, tokens = self.prompt_tokens(), parts = self.incoming.shared_parts(),
             engine = judged.map(|j| j.engine.as_str()), queue = judged.map(|j| j.queue.as_millis() as u64),
             requests = judged.map(|j| j.requests));
--- a/src/ops/relay/retries.rs
+++ b/src/ops/relay/retries.rs
@@ -39,8 +39,11 @@
     }
 
     pub(super) fn log_failure(&self, engine: &Engine, failure: &AttemptFailure, call: &str) {
+        let evidence = failure.evidence.as_ref();
         log_event!(info, log_event::ATTEMPT_FAILED, request = self.id(), route = %self.route.name,
             engine = %engine.entry.id, end = ?failure.end, why = failure.reason, call,
+            status = evidence.map(|e| e.status), confirmed = evidence.map(|e| e.is_confirmed),
+            id = evidence.map(|e| e.id.label()), prior = evidence.map(|e| e.prior.label()),
             fingerprint = %self.incoming.identity.any, parts = self.incoming.shared_parts());
     }
 
@@ -71,6 +74,7 @@
 
     pub(super) fn record_failure(&mut self, engine: &Engine, failure: &AttemptFailure) {
         self.log_failure(engine, failure, "send");
+        self.ends.push(failure.end.label());
         self.last_failure = Some((engine.entry.id.clone(), failure.reason.clone()));
         self.record_end(engine, failure.end);
         self.check_crash(engine, failure.end);
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -13,10 +13,14 @@
 use http::Uri;
 use http_body_util::Full;
 use sequoiastream_core::attempt::End;
+use sequoiastream_core::attempt::evidence::AnswerEvidence;
+use sequoiastream_core::attempt::evidence::AnswerId;
+use sequoiastream_core::attempt::evidence::PriorUse;
 use sequoiastream_core::poison::suspects::RequestIdentity;
 use sequoiastream_core::relay::arrivals::ArrivalKind;
 use sequoiastream_core::relay::arrivals::Arrivals;
 use sequoiastream_core::relay::engines::Engine;
+use sequoiastream_core::relay::hash::Hash;
 use sequoiastream_core::relay::prompt::Prompt;
 use sequoiastream_core::time::Time;
 use sequoiastream_upstream::channel::Answer;
@@ -135,6 +139,8 @@
     pub end: End,
     /// Reason for the log.
     pub reason: String,
+    /// What the answer showed, if one arrived.
+    pub evidence: Option<AnswerEvidence>,
 }
 
 impl AttemptFailure {
@@ -144,7 +150,16 @@
         W: std::fmt::Display,
     {
         let reason = reason.to_string();
-        AttemptFailure { end, reason }
+        AttemptFailure {
+            end,
+            reason,
+            evidence: None,
+        }
+    }
+
+    fn with_evidence(mut self, evidence: AnswerEvidence) -> AttemptFailure {
+        self.evidence = Some(evidence);
+        self
     }
 }
 
@@ -182,14 +197,19 @@
         engine,
         kind: Some(incoming.update_arrivals(Arrivals::on_send)),
     };
-    let answer = channel.send(request, incoming.time_left()).await;
+    let id = Hash::new().with(incoming.id.as_bytes()).value();
+    let answer = channel
+        .send_with_id(Some(id), request, incoming.time_left())
+        .await;
     let answer = answer.map_err(AttemptFailure::from).inspect_err(|failure| {
         if failure.end == End::Unsent {
             incoming.update_arrivals(Arrivals::on_unsent);
             arrival.kind = None;
         }
     })?;
+    let evidence = evidence_of(names, incoming, &answer);
     let checked = check_answer(names, incoming, options, &answer);
+    let checked = checked.map_err(|failure| failure.with_evidence(evidence));
     if options.prefill && checked.is_ok() && answer.head.status.is_success() {
         arrival.kind = incoming.update_arrivals(Arrivals::on_prefilled).or(arrival.kind);
     }
@@ -267,6 +287,20 @@
     Ok(request)
 }
 
+fn evidence_of(names: &HeaderNames, incoming: &IncomingRequest, answer: &Answer) -> AnswerEvidence {
+    let headers = &answer.head.headers;
+    AnswerEvidence {
+        status: answer.head.status.as_u16(),
+        is_confirmed: headers.contains_key(&names.declined),
+        id: match headers.get(&names.request) {
+            Some(id) if *id == incoming.id => AnswerId::Same,
+            Some(_) => AnswerId::Other,
+            None => AnswerId::Missing,
+        },
+        prior: answer.prior_use(),
+    }
+}
+
 /// Checks that an answer is the intended engine's answer to this request.
 ///
 /// Failure guarded against: where the answer to this request is expected, the engine sends a second answer to an
@@ -291,7 +325,7 @@
         ));
     }
     let is_proof = status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&names.declined);
-    if is_proof && answer.is_reused() && !headers.contains_key(&names.request) {
+    if is_proof && answer.prior_use() != PriorUse::None && !headers.contains_key(&names.request) {
         return Err(AttemptFailure::new(
             End::Broken,
             "the answer names no request, and may be an extra one to an earlier request",
