Tests: answers that look as if they proved that a request did not run; six fail

On this code an instance promises that a request did not run because of a 421 without the engine's confirmation, because of a confirmation with the status of a run (200, 204, 500, 504), because of an extra answer to an earlier send of the same id on the connection, and after a call for a prefill that the engine ran. A reset after 1 to 200,000 bytes of a request, resets within an answer, extra answers with other ids and an instance that runs an eighth of the time made no false promise: those tests pass.

--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -346,16 +346,28 @@
 impl Instance {
     /// Starts an instance with these engines and one route at `/r/`, which `change` may modify first.
     pub fn start<F>(kind: RouteKind, engines: &[(&ScriptedEngine, Stage)], change: F) -> Instance
+    where
+        F: FnOnce(&mut Route),
+    {
+        let engines: Vec<(SocketAddr, Stage)> = engines
+            .iter()
+            .map(|(engine, stage)| (engine.address(), *stage))
+            .collect();
+        Instance::start_before(kind, &engines, change)
+    }
+
+    /// As [`Instance::start`], with engines at these addresses.
+    pub fn start_before<F>(kind: RouteKind, engines: &[(SocketAddr, Stage)], change: F) -> Instance
     where
         F: FnOnce(&mut Route),
     {
         let shared = shared(options());
         let mut route = route(kind, "/r/");
         change(&mut route);
-        let engines = engines.iter().enumerate().map(|(index, (engine, stage))| {
+        let engines = engines.iter().enumerate().map(|(index, (address, stage))| {
             let key = EngineKey(u32::try_from(index).expect("an index below 2^32"));
             let entry = Entry {
-                address: engine.address(),
+                address: *address,
                 ..super::entry(&format!("e{index}"), *stage)
             };
             Engine::new(key, entry)
@@ -398,6 +410,15 @@
         let raw = get_request(path, id, &format!("connection: close\r\n{more}"));
         self.exchange(&raw).await
     }
+
+    /// As [`Instance::get`], for a POST request with this body.
+    pub async fn post(&self, path: &str, id: &str, body: &str) -> String {
+        let length = body.len();
+        self.exchange(&format!(
+            "POST {path} HTTP/1.1\r\nhost: shop.example\r\nx-request: {id}\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}"
+        ))
+        .await
+    }
 }
 
 /// A GET request for `path` with the request id `id` and the header lines `more`.
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -17,6 +17,7 @@
 mod engine;
 mod engines;
 mod event_pace;
+mod evidence;
 mod fairness;
 mod follow;
 mod hedging;
