Promises: status 421 alone proves nothing

Callers saw: 503 with Retry-After, a promise, for a request that an engine had got and answered with 421 without the confirmation; where more attempts are allowed, a request that may run once was sent to a second engine. Cause: check_answer took a status for a proof. A 421 without the confirmation counts as an invalid answer: 502, or another engine where the request may be repeated.

--- a/crates/core/src/attempt/evidence.rs
+++ b/crates/core/src/attempt/evidence.rs
@@ -1,4 +1,9 @@
-//! What an answer shows about whether its request ran.
+//! What an answer proves about whether its request ran.
+//!
+//! Failure guarded against: a caller is promised that its request did not run because of a status, or of a confirmation that
+//! belongs to something else than this request. It sends the request again, and it runs twice.
+
+use thiserror::Error;
 
 /// The request id in an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,3 +61,40 @@
         }
     }
 }
+
+/// Proof by an answer that its request did not run and will not run. Only [`AnswerEvidence::prove_not_run`] makes one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NotRun(());
+
+/// Why an answer doesn't prove that its request did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum Unproven {
+    /// It belongs to another request.
+    #[error("the answer belongs to another request")]
+    OtherRequest,
+    /// It lacks the confirmation.
+    #[error("the answer does not confirm that the request did not run")]
+    Unconfirmed,
+    /// It contains the confirmation with a status that an engine answers only to requests that it has begun.
+    #[error("the answer confirms that the request did not run, with a status that says otherwise")]
+    Contradictory,
+    /// It may be an extra answer to an earlier request on the same connection.
+    #[error("the answer may be an extra one to an earlier request")]
+    MayBeExtra,
+}
+
+impl AnswerEvidence {
+    /// The proof that the request did not run and will not run.
+    ///
+    /// # Errors
+    ///
+    /// [`Unproven`] if the answer doesn't prove this.
+    pub fn prove_not_run(&self) -> Result<NotRun, Unproven> {
+        match (self.id, self.prior) {
+            (AnswerId::Other, _) => Err(Unproven::OtherRequest),
+            _ if !self.is_confirmed => Err(Unproven::Unconfirmed),
+            (AnswerId::Missing, PriorUse::OtherIds | PriorUse::SameId) => Err(Unproven::MayBeExtra),
+            (_, _) => Ok(NotRun(())),
+        }
+    }
+}
--- a/src/ops/relay/attempt.rs
+++ b/src/ops/relay/attempt.rs
@@ -20,9 +20,9 @@
 
 use crate::ops::relay::ending::Ending;
 use crate::ops::relay::event_stream::EventStream;
+use crate::ops::relay::failure::AttemptFailure;
 use crate::ops::relay::job::JobGuard;
 use crate::ops::relay::prefilled::PrefilledPrompt;
-use crate::ops::relay::send::AttemptFailure;
 use crate::ops::relay::send::AttemptOptions;
 use crate::ops::relay::send::IncomingRequest;
 use crate::ops::relay::send::MAX_ANSWER_BYTES;
@@ -255,7 +255,7 @@
                 Ok(body)
             }
             Source::Sent(_) | Source::Events(_) => {
-                Err(AttemptFailure::new(End::Broken, "the answer has no single body"))
+                Err(AttemptFailure::broken("the answer has no single body"))
             }
         }
     }
@@ -322,8 +322,7 @@
 /// Guards against an empty body that looks complete: an engine stops after the head of its answer and closes the connection.
 fn check_empty(answer: &Answer, body: &Bytes) -> Result<(), AttemptFailure> {
     match answer.lacks_body(body) {
-        true => Err(AttemptFailure::new(
-            End::Broken,
+        true => Err(AttemptFailure::broken(
             "the connection ended where a body was to begin",
         )),
         false => Ok(()),
--- a/src/ops/relay/connect.rs
+++ b/src/ops/relay/connect.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use sequoiastream_core::attempt::End;
 use sequoiastream_core::log_event;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::reachability::ConnectPlan;
@@ -25,7 +24,7 @@
 use tokio::time::timeout;
 
 use crate::log_event;
-use crate::ops::relay::send::AttemptFailure;
+use crate::ops::relay::failure::AttemptFailure;
 use crate::ops::relay::send::IncomingRequest;
 use crate::ops::relay::shared::Shared;
 use crate::util::clock;
@@ -58,14 +57,11 @@
 ) -> Result<Channel, AttemptFailure> {
     let channel = take(shared, pool, engine, incoming.time_left()).await?;
     if incoming.time_left().is_zero() {
-        return Err(AttemptFailure::new(End::Unsent, "the request has expired"));
+        return Err(AttemptFailure::unsent("the request has expired"));
     }
     if !is_available(shared, engine) {
         pool.put(engine.entry.address, channel);
-        return Err(AttemptFailure::new(
-            End::Unsent,
-            "the engine is leaving or paused",
-        ));
+        return Err(AttemptFailure::unsent("the engine is leaving or paused"));
     }
     Ok(channel)
 }
--- a/src/ops/relay/deliver.rs
+++ b/src/ops/relay/deliver.rs
@@ -17,9 +17,9 @@
 use tokio::time::sleep;
 
 use crate::ops::relay::attempt::ActiveAttempt;
+use crate::ops::relay::failure::AttemptFailure;
 use crate::ops::relay::forward::ForwardedRequest;
 use crate::ops::relay::reply::Reply;
-use crate::ops::relay::send::AttemptFailure;
 
 /// Multiple of the route's target for the gap between two events after which another engine is asked to continue the
 /// stream. Callers abandon a stream after eight times the target.
@@ -116,7 +116,7 @@
                 Some(Ok(())) => waited = Duration::ZERO,
                 Some(Err(failure)) => return Err(self.on_attempt_failure(attempt, &failure)),
                 None if self.incoming.time_left().is_zero() => {
-                    let failure = AttemptFailure::new(End::Silent, "no answer before the request expired");
+                    let failure = AttemptFailure::silent("no answer before the request expired");
                     return Err(self.on_attempt_failure(attempt, &failure));
                 }
                 None if delay.is_some() => {
@@ -180,7 +180,7 @@
     /// Counts an attempt whose engine is silent. Returns `None` if another attempt may follow, otherwise the final
     /// answer.
     fn on_silence(&mut self, attempt: &mut ActiveAttempt) -> Option<Reply> {
-        let failure = AttemptFailure::new(End::Silent, "no answer within the time limit");
+        let failure = AttemptFailure::silent("no answer within the time limit");
         let engine = attempt.engine().clone();
         attempt.take_prefilled();
         // Another engine is asked already.
@@ -200,7 +200,7 @@
     ) -> Option<Reply> {
         let engine = attempt.engine().clone();
         let is_counted = attempt.is_counted();
-        let is_not_run = failure.end.proves_not_run();
+        let is_not_run = failure.end().proves_not_run();
         if !is_not_run {
             attempt.take_prefilled();
             self.on_run(&attempt);
@@ -225,12 +225,11 @@
         is_other_held: bool,
     ) -> Result<ActiveAttempt, Option<Reply>> {
         if self.answer_begun && attempt.error_body().is_some() {
-            let failure = AttemptFailure::new(End::Failed, "the answer is not a stream");
+            let failure = AttemptFailure::failed("the answer is not a stream");
             return Err(self.on_attempt_failure(attempt, &failure));
         }
         if self.is_continued_by_reborn(attempt.engine()) {
-            let failure =
-                AttemptFailure::new(End::Broken, "the engine has started again since it was chosen");
+            let failure = AttemptFailure::broken("the engine has started again since it was chosen");
             return Err(self.on_attempt_failure(attempt, &failure));
         }
         if !attempt.is_failure() {
--- a/src/ops/relay/ending.rs
+++ b/src/ops/relay/ending.rs
@@ -8,13 +8,12 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use sequoiastream_core::attempt::End;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_upstream::channel::Answer;
 use sequoiastream_upstream::channel::Pool;
 
 use crate::ops::relay::connect;
-use crate::ops::relay::send::AttemptFailure;
+use crate::ops::relay::failure::AttemptFailure;
 use crate::ops::relay::shared::Shared;
 
 /// Checks the ends of one engine's answers.
@@ -40,10 +39,7 @@
             return Ok(());
         }
         match connect::has_ended(&self.shared, &self.pool, &self.engine).await {
-            true => Err(AttemptFailure::new(
-                End::Broken,
-                "the engine ended with the connection",
-            )),
+            true => Err(AttemptFailure::broken("the engine ended with the connection")),
             false => Ok(()),
         }
     }
--- a/src/ops/relay/event_stream.rs
+++ b/src/ops/relay/event_stream.rs
@@ -2,12 +2,11 @@
 //!
 //! Ids must rise. They may skip numbers, because one event may hold several tokens, so a missing event can't be recognised.
 
-use sequoiastream_core::attempt::End;
 use sequoiastream_upstream::channel::Answer;
 use sequoiastream_upstream::events::Event;
 use sequoiastream_upstream::events::EventReader;
 
-use crate::ops::relay::send::AttemptFailure;
+use crate::ops::relay::failure::AttemptFailure;
 
 /// The stream that an engine answers with.
 pub(super) struct EventStream {
@@ -98,5 +97,5 @@
 }
 
 fn broken(reason: &str) -> AttemptFailure {
-    AttemptFailure::new(End::Broken, reason)
+    AttemptFailure::broken(reason)
 }
--- a/src/ops/relay/hedge_prefill.rs
+++ b/src/ops/relay/hedge_prefill.rs
@@ -15,11 +15,11 @@
 use sequoiastream_core::time::Time;
 use tokio::time::timeout;
 
+use crate::ops::relay::failure::AttemptFailure;
 use crate::ops::relay::forward::ForwardedRequest;
 use crate::ops::relay::job::JobGuard;
 use crate::ops::relay::prefilled::PrefilledPrompt;
 use crate::ops::relay::reading::call_prefill;
-use crate::ops::relay::send::AttemptFailure;
 use crate::util::clock;
 
 /// A call for a prefill that is in progress; its connection is closed when this is dropped.
@@ -57,7 +57,7 @@
         let is_timed = result
             .as_ref()
             .err()
-            .is_none_or(|failure| failure.end == End::Silent);
+            .is_none_or(|failure| failure.end() == End::Silent);
         if !self.hedge.is_enabled() {
             return;
         }
@@ -231,7 +231,7 @@
         let is_silent = traffic.hedging.races.on_lost(call.plan.engine.key);
         drop(traffic);
         if is_silent {
-            let failure = AttemptFailure::new(End::Silent, "another engine computed the prefill first");
+            let failure = AttemptFailure::silent("another engine computed the prefill first");
             self.on_prefill_failure(&call.plan.engine, &failure);
         } else {
             self.tried.push(call.plan.engine.key);
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -38,6 +38,7 @@
 pub mod edge;
 mod ending;
 mod event_stream;
+mod failure;
 mod fairness;
 pub mod follow;
 pub mod forward;
--- a/src/ops/relay/prefilled.rs
+++ b/src/ops/relay/prefilled.rs
@@ -8,7 +8,6 @@
 use http::Method;
 use http::Request;
 use http_body_util::Full;
-use sequoiastream_core::attempt::End;
 use sequoiastream_core::log_event;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_upstream::channel;
@@ -16,7 +15,7 @@
 
 use crate::log_event;
 use crate::ops::relay::connect;
-use crate::ops::relay::send::AttemptFailure;
+use crate::ops::relay::failure::AttemptFailure;
 use crate::ops::relay::send::MAX_ANSWER_BYTES;
 use crate::ops::relay::shared::AnswerHead;
 use crate::ops::relay::shared::Shared;
@@ -72,7 +71,7 @@
                 true => release(&shared, &pool, &engine, &path, RELEASE_TIMEOUT)
                     .await
                     .err()
-                    .map(|failure| failure.reason),
+                    .map(|failure| failure.reason().to_string()),
                 false => Some("the engine is at its request limit".to_string()),
             };
             if let Some(why) = reason {
@@ -94,10 +93,9 @@
     *request.method_mut() = Method::DELETE;
     *request.uri_mut() = path
         .parse()
-        .map_err(|e: http::uri::InvalidUri| AttemptFailure::new(End::Unsent, e))?;
+        .map_err(|e: http::uri::InvalidUri| AttemptFailure::unsent(e))?;
     let address = engine.entry.address;
-    let host =
-        HeaderValue::from_str(&address.to_string()).map_err(|e| AttemptFailure::new(End::Unsent, e))?;
+    let host = HeaderValue::from_str(&address.to_string()).map_err(|e| AttemptFailure::unsent(e))?;
     request.headers_mut().insert(http::header::HOST, host);
     // Before the connection is there, so that no other call is allowed meanwhile.
     shared.on_send(engine);
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -15,7 +15,7 @@
 use sequoiastream_core::attempt::End;
 use sequoiastream_core::attempt::evidence::AnswerEvidence;
 use sequoiastream_core::attempt::evidence::AnswerId;
-use sequoiastream_core::attempt::evidence::PriorUse;
+use sequoiastream_core::attempt::evidence::Unproven;
 use sequoiastream_core::poison::suspects::RequestIdentity;
 use sequoiastream_core::relay::arrivals::ArrivalKind;
 use sequoiastream_core::relay::arrivals::Arrivals;
@@ -25,10 +25,10 @@
 use sequoiastream_core::time::Time;
 use sequoiastream_upstream::channel::Answer;
 use sequoiastream_upstream::channel::Channel;
-use sequoiastream_upstream::channel::ChannelError;
 use sequoiastream_upstream::channel::Pool;
 
 use crate::ops::relay::edge::HeaderNames;
+use crate::ops::relay::failure::AttemptFailure;
 use crate::ops::relay::shared::AnswerHead;
 use crate::ops::relay::shared::Shared;
 use crate::util::clock;
@@ -132,48 +132,6 @@
     pub last_event: Option<u64>,
 }
 
-/// Why an attempt brought no answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct AttemptFailure {
-    /// How the attempt ended, which determines whether the request may have run.
-    pub end: End,
-    /// Reason for the log.
-    pub reason: String,
-    /// What the answer showed, if one arrived.
-    pub evidence: Option<AnswerEvidence>,
-}
-
-impl AttemptFailure {
-    /// Creates the failure of an attempt that ended as `end` because of `reason`.
-    pub fn new<W>(end: End, reason: W) -> AttemptFailure
-    where
-        W: std::fmt::Display,
-    {
-        let reason = reason.to_string();
-        AttemptFailure {
-            end,
-            reason,
-            evidence: None,
-        }
-    }
-
-    fn with_evidence(mut self, evidence: AnswerEvidence) -> AttemptFailure {
-        self.evidence = Some(evidence);
-        self
-    }
-}
-
-impl From<ChannelError> for AttemptFailure {
-    fn from(error: ChannelError) -> AttemptFailure {
-        let end = match &error {
-            ChannelError::Unsent(_) | ChannelError::Refused(_) => End::Unsent,
-            ChannelError::Broken(_) | ChannelError::TooLong(_) => End::Broken,
-            ChannelError::Timeout => End::Silent,
-        };
-        AttemptFailure::new(end, error)
-    }
-}
-
 /// Sends `incoming` to `engine` on `channel` and returns the head of the answer, after checking that it is the engine's
 /// answer to this request.
 ///
@@ -202,13 +160,13 @@
         .send_with_id(Some(id), request, incoming.time_left())
         .await;
     let answer = answer.map_err(AttemptFailure::from).inspect_err(|failure| {
-        if failure.end == End::Unsent {
+        if failure.end() == End::Unsent {
             incoming.update_arrivals(Arrivals::on_unsent);
             arrival.kind = None;
         }
     })?;
     let evidence = evidence_of(names, incoming, &answer);
-    let checked = check_answer(names, incoming, options, &answer);
+    let checked = check_answer(names, options, &answer, evidence);
     let checked = checked.map_err(|failure| failure.with_evidence(evidence));
     if options.prefill && checked.is_ok() && answer.head.status.is_success() {
         arrival.kind = incoming.update_arrivals(Arrivals::on_prefilled).or(arrival.kind);
@@ -218,7 +176,7 @@
     if checked
         .as_ref()
         .err()
-        .is_none_or(|f| matches!(f.end, End::Declined | End::Failed))
+        .is_none_or(|f| matches!(f.end(), End::Declined | End::Failed))
     {
         let (status, headers) = (answer.head.status, &answer.head.headers);
         let head = AnswerHead {
@@ -232,7 +190,7 @@
     match checked {
         Ok(()) => Ok(answer),
         Err(failure) => {
-            if failure.end.proves_not_run() {
+            if failure.end().proves_not_run() {
                 return_connection(pool, address, answer).await;
             }
             Err(failure)
@@ -254,7 +212,6 @@
     engine: &Engine,
     options: &AttemptOptions,
 ) -> Result<Request<Full<Bytes>>, AttemptFailure> {
-    let unsent = |e: &dyn std::fmt::Display| AttemptFailure::new(End::Unsent, e);
     let mut request = Request::new(Full::new(incoming.body.clone()));
     *request.method_mut() = incoming.method.clone();
     *request.uri_mut() = incoming.uri.clone();
@@ -262,7 +219,7 @@
     *headers = incoming.headers.clone();
     let left = incoming.deadline.since(clock::now()).min(incoming.time_left());
     headers.insert(&names.deadline, HeaderValue::from(left.as_millis() as u64));
-    let target = HeaderValue::from_str(&engine.entry.id).map_err(|e| unsent(&e))?;
+    let target = HeaderValue::from_str(&engine.entry.id).map_err(AttemptFailure::unsent)?;
     headers.insert(&names.target_engine, target);
     if let Some(workspace) = &incoming.workspace {
         headers.insert(&names.workspace, workspace.clone());
@@ -274,11 +231,11 @@
         headers.insert(&names.stage, HeaderValue::from_static(names.prefill));
     }
     if let Some(source) = &options.prompt_source {
-        let source = HeaderValue::from_str(source).map_err(|e| unsent(&e))?;
+        let source = HeaderValue::from_str(source).map_err(AttemptFailure::unsent)?;
         headers.insert(&names.prompt_source, source);
     }
     if let Some(engine) = options.fetch_from {
-        let engine = HeaderValue::from_str(&engine.to_string()).map_err(|e| unsent(&e))?;
+        let engine = HeaderValue::from_str(&engine.to_string()).map_err(AttemptFailure::unsent)?;
         headers.insert(&names.fetch_from, engine);
     }
     if let Some(event) = options.last_event.or(incoming.last_event) {
@@ -304,59 +261,39 @@
 /// Checks that an answer is the intended engine's answer to this request.
 ///
 /// Failure guarded against: where the answer to this request is expected, the engine sends a second answer to an
-/// earlier request, or an answer to another caller's request arrives. The request id in the answer reveals this; without
-/// one, an answer on a connection that was used before proves nothing. An answer that declines proves that the request did not run; a successful answer must be signed.
+/// earlier request, or an answer to another caller's request arrives. The request id in the answer reveals this; a successful
+/// answer must be signed.
 ///
-/// Failure guarded against: an engine fails with a status that promises the caller that its request did not run, without
-/// confirming this. Such a status is never passed on: the request counts as one that ran and failed.
+/// Failure guarded against: an engine answers with a status that promises the caller that its request did not run, without
+/// proving it. Such a status is never passed on: the request counts as one that may have run.
 fn check_answer(
     names: &HeaderNames,
-    incoming: &IncomingRequest,
     options: &AttemptOptions,
     answer: &Answer,
+    evidence: AnswerEvidence,
 ) -> Result<(), AttemptFailure> {
-    let headers = &answer.head.headers;
-    let status = answer.head.status;
-    let is_other_request = headers.get(&names.request).is_some_and(|id| id != incoming.id);
-    if is_other_request {
-        return Err(AttemptFailure::new(
-            End::Broken,
-            "the answer belongs to another request",
-        ));
-    }
-    let is_proof = status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&names.declined);
-    if is_proof && answer.prior_use() != PriorUse::None && !headers.contains_key(&names.request) {
-        return Err(AttemptFailure::new(
-            End::Broken,
-            "the answer names no request, and may be an extra one to an earlier request",
-        ));
+    match evidence.prove_not_run() {
+        Ok(proof) => return Err(AttemptFailure::declined(proof, evidence.status)),
+        Err(Unproven::Unconfirmed) => {}
+        Err(unproven @ Unproven::Contradictory) => return Err(AttemptFailure::failed(unproven)),
+        Err(unproven) => return Err(AttemptFailure::broken(unproven)),
     }
+    let status = answer.head.status;
+    let headers = &answer.head.headers;
     if status == StatusCode::MISDIRECTED_REQUEST {
-        return Err(AttemptFailure::new(
-            End::Misdirected,
-            "the address belongs to another engine",
-        ));
-    }
-    if headers.contains_key(&names.declined) {
-        return Err(AttemptFailure::new(
-            End::Declined,
-            format!("declined with status {status}"),
-        ));
+        let reason = "another engine may have answered, and does not confirm that it did not run the request";
+        return Err(AttemptFailure::broken(reason));
     }
     if promises_not_run(status) {
-        return Err(AttemptFailure::new(
-            End::Failed,
-            format!("answered {status} without confirming that it did not run the request"),
-        ));
+        let reason = format!("answered {status} without confirming that it did not run the request");
+        return Err(AttemptFailure::failed(reason));
     }
     if status.is_success() && !options.prefill && !headers.contains_key(&names.signature) {
-        return Err(AttemptFailure::new(End::Broken, "the answer is not signed"));
+        return Err(AttemptFailure::broken("the answer is not signed"));
     }
     if status.is_informational() || headers.contains_key(http::header::CONTENT_ENCODING) {
-        return Err(AttemptFailure::new(
-            End::Broken,
-            "the answer is informational or content-encoded, so not the engine's own bytes",
-        ));
+        let reason = "the answer is informational or content-encoded, so not the engine's own bytes";
+        return Err(AttemptFailure::broken(reason));
     }
     Ok(())
 }
