Promises: a confirmation that its status contradicts proves nothing

Callers saw: 503 for a request whose engine answered 200, 204, 500 or 504 beside the confirmation that it had not run it. Such an answer counts as a failure of the engine now. relay::evidence::confirmation_with_status_of_run failed before and passes.

--- a/crates/core/src/attempt/evidence.rs
+++ b/crates/core/src/attempt/evidence.rs
@@ -5,6 +5,9 @@
 
 use thiserror::Error;
 
+/// Statuses with which an engine may decline a request. It answers with all others after it has begun the request.
+const DECLINING: [u16; 4] = [400, 421, 429, 503];
+
 /// The request id in an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnswerId {
@@ -93,6 +96,7 @@
         match (self.id, self.prior) {
             (AnswerId::Other, _) => Err(Unproven::OtherRequest),
             _ if !self.is_confirmed => Err(Unproven::Unconfirmed),
+            _ if !DECLINING.contains(&self.status) => Err(Unproven::Contradictory),
             (AnswerId::Missing, PriorUse::OtherIds | PriorUse::SameId) => Err(Unproven::MayBeExtra),
             (_, _) => Ok(NotRun(())),
         }
