Promises: an answer on a connection that carried the same id before proves nothing

Callers saw: 503 for a request that ran, where a caller sent two requests with one id and the engine an extra refusal of the first. Cause: the id tells answers of different requests apart, not of two sends of one id. A connection remembers the ids of its last requests; an extra answer to an older one would have been read in place of one of the answers since. relay::evidence::extra_answer_to_same_id failed before and passes.

--- a/crates/core/src/attempt/evidence.rs
+++ b/crates/core/src/attempt/evidence.rs
@@ -97,8 +97,8 @@
             (AnswerId::Other, _) => Err(Unproven::OtherRequest),
             _ if !self.is_confirmed => Err(Unproven::Unconfirmed),
             _ if !DECLINING.contains(&self.status) => Err(Unproven::Contradictory),
-            (AnswerId::Missing, PriorUse::OtherIds | PriorUse::SameId) => Err(Unproven::MayBeExtra),
-            (_, _) => Ok(NotRun(())),
+            (AnswerId::Missing, PriorUse::OtherIds) | (_, PriorUse::SameId) => Err(Unproven::MayBeExtra),
+            (_, PriorUse::None) | (AnswerId::Same, PriorUse::OtherIds) => Ok(NotRun(())),
         }
     }
 }
