Prefills: an engine that answers a call for a prefill as if it had run the request may have run it

Callers saw: 503 for a stream that may run once, after its call for a prefill was answered with a stream, or with a success that is no result of a prefill; and the request was sent to the next engines. Cause: "a call for a prefill runs nothing" was taken for true whatever its engine answered. Fix: such an answer records that the request may have run, which ends one that may not be repeated. A success without length or chunks that can't be read may be the beginning of a result, and counts as broken as before. relay::evidence::prefill_answered_as_run failed before and passes.

--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -2,16 +2,20 @@
 
 use std::time::Duration;
 
+use http::header::CONTENT_TYPE;
 use sequoiastream_core::attempt::End;
+use sequoiastream_core::attempt::NextStep;
 use sequoiastream_core::relay::engines::Engine;
 use sequoiastream_core::relay::engines::Stage;
 use sequoiastream_core::relay::placement::PrefillPlan;
 use sequoiastream_core::retry;
 use sequoiastream_core::time::Time;
+use sequoiastream_upstream::channel::Answer;
 use sequoiastream_upstream::channel::Pool;
 use tokio::time::timeout;
 
 use crate::ops::relay::connect;
+use crate::ops::relay::failure::AttemptFailure;
 use crate::ops::relay::forward::ForwardedRequest;
 use crate::ops::relay::pick::MAX_LOAD_FACTOR;
 use crate::ops::relay::pick::decode_engine;
@@ -19,7 +23,6 @@
 use crate::ops::relay::reply::Refusal;
 use crate::ops::relay::reply::Reply;
 use crate::ops::relay::reply::WOULD_BE_LATE;
-use crate::ops::relay::send::AttemptFailure;
 use crate::ops::relay::send::AttemptOptions;
 use crate::ops::relay::send::IncomingRequest;
 use crate::ops::relay::send::MAX_ANSWER_BYTES;
@@ -90,9 +93,18 @@
                     result.map_err(|failure| (Box::new(plan.engine), failure))
                 }
             };
-            match result {
-                Ok(()) => return Ok(()),
-                Err((engine, failure)) => self.on_prefill_failure(&engine, &failure),
+            let is_prefilled = match result {
+                Ok(()) => true,
+                Err((engine, failure)) => {
+                    self.on_prefill_failure(&engine, &failure);
+                    false
+                }
+            };
+            if self.attempts.next_step() != NextStep::Retry {
+                break;
+            }
+            if is_prefilled {
+                return Ok(());
             }
             if self.incoming.time_left().is_zero() {
                 break;
@@ -143,8 +155,11 @@
     /// Records that a call for a prefill failed.
     pub(super) fn on_prefill_failure(&mut self, engine: &Engine, failure: &AttemptFailure) {
         self.log_failure(engine, failure, "prefill");
-        self.record_end(engine, failure.end);
-        self.check_crash(engine, failure.end);
+        if failure.is_prefill_run() {
+            self.attempts.on_run();
+        }
+        self.record_end(engine, failure.end());
+        self.check_crash(engine, failure.end());
         self.tried.push(engine.key);
     }
 
@@ -181,6 +196,9 @@
 }
 
 /// Has the prefill of `incoming` computed according to `plan`. Returns the name of the result.
+///
+/// Failure guarded against: an engine that runs the request in place of its prefill, as one that doesn't know the header would.
+/// The caller is promised that it did not run, or it is sent to another engine.
 pub(super) async fn call_prefill(
     shared: &Shared,
     pool: &Pool,
@@ -198,17 +216,28 @@
     let left = incoming.time_left();
     let limit = attempt_timeout.map_or(left, |attempt_timeout| attempt_timeout.min(left));
     let answer = timeout(limit, send(shared, pool, incoming, engine, channel, &options)).await;
-    let mut answer =
-        answer.map_err(|_| AttemptFailure::new(End::Silent, "no answer within the time limit"))??;
+    let mut answer = answer.map_err(|_| AttemptFailure::silent("no answer within the time limit"))??;
     let status = answer.head.status;
+    if status.is_success() && is_event_stream(&answer) {
+        let reason = "the answer to the call for a prefill is a stream";
+        return Err(AttemptFailure::prefill_run(reason));
+    }
+    let is_framed = !answer.ends_with_connection();
     let body = answer.read(MAX_ANSWER_BYTES, incoming.time_left()).await?;
     pool.keep(engine.entry.address, answer);
     if !status.is_success() {
-        return Err(AttemptFailure::new(
-            End::Failed,
-            format!("prefill answered with status {status}"),
-        ));
+        let reason = format!("prefill answered with status {status}");
+        return Err(AttemptFailure::failed(reason));
     }
     let prefilled = shared.translate.prefilled_name(&body);
-    prefilled.map_err(|e| AttemptFailure::new(End::Broken, e))
+    prefilled.map_err(|error| match is_framed {
+        true => AttemptFailure::prefill_run(error),
+        // It may be the first part of a result.
+        false => AttemptFailure::broken(error),
+    })
+}
+
+fn is_event_stream(answer: &Answer) -> bool {
+    let content = answer.head.headers.get(CONTENT_TYPE);
+    content.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
 }
