Attempts: a request may have run from the moment at which it is sent, not from the recorded end

Cause looked for: a way out that leaves an attempt without recording its end refused truly by the record. None was found that callers can reach (ForwardedRequest::respond without an answer is one by its types), so nobody is known to have seen it.

--- a/crates/core/src/attempt/mod.rs
+++ b/crates/core/src/attempt/mod.rs
@@ -81,6 +81,8 @@
     limit: AttemptLimit,
     sent: u32,
     without_progress: u32,
+    /// Number of attempts that were sent, and whose endings are not known.
+    pending: u32,
     ran: bool,
 }
 
@@ -92,6 +94,7 @@
             limit,
             sent: 0,
             without_progress: 0,
+            pending: 0,
             ran: false,
         }
     }
@@ -101,9 +104,9 @@
         self.sent
     }
 
-    /// Whether the request may have run.
+    /// Whether the request may have run, or may be running.
     pub fn may_have_run(&self) -> bool {
-        self.ran
+        self.ran || self.pending > 0
     }
 
     /// Whether another attempt could follow the one that is being sent, even if that one runs.
@@ -123,6 +126,18 @@
         self.repeat != Repeat::Never && self.used() + running < max
     }
 
+    /// Records that an attempt is about to be sent. Until its ending is recorded, it may have run.
+    ///
+    /// Guards against a promise that the request did not run on a path that leaves an attempt without recording its ending.
+    pub fn on_send(&mut self) {
+        self.pending += 1;
+    }
+
+    /// Records an attempt that ended before it was sent, and returns what may follow.
+    pub fn on_unsent(&mut self) -> NextStep {
+        self.next_step()
+    }
+
     /// Records that an attempt is running on an upstream, before its ending is known.
     pub fn on_run(&mut self) {
         self.ran = true;
@@ -136,6 +151,7 @@
 
     /// Records the ending of an attempt and returns what may follow.
     pub fn on_end(&mut self, end: End) -> NextStep {
+        self.pending = self.pending.saturating_sub(1);
         if end != End::Unsent {
             self.sent += 1;
         }
@@ -148,7 +164,7 @@
 
     /// What to do after the attempts recorded so far.
     pub fn next_step(&self) -> NextStep {
-        let may_repeat = !self.ran || self.repeat != Repeat::Never;
+        let may_repeat = !self.may_have_run() || self.repeat != Repeat::Never;
         match may_repeat && !self.is_exhausted() {
             true => NextStep::Retry,
             false => self.give_up(),
@@ -157,7 +173,7 @@
 
     /// What to do with the request if there is no further attempt.
     pub fn give_up(&self) -> NextStep {
-        match self.ran {
+        match self.may_have_run() {
             true => NextStep::Fail,
             false => NextStep::Refuse,
         }
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -345,7 +345,7 @@
             Ok(channel) => channel,
             Err(failure) => {
                 drop(job);
-                return Err(self.on_failure(&engine, &failure));
+                return Err(self.on_connect_failure(&engine, &failure));
             }
         };
         if let Err(reply) = self.begin_run() {
@@ -353,6 +353,7 @@
             return Err(Some(reply));
         }
         self.request_sent.notify_one();
+        self.attempts.on_send();
         let parts = AttemptParts {
             shared: self.shared.clone(),
             pool: self.pool.clone(),
--- a/src/ops/relay/hedge.rs
+++ b/src/ops/relay/hedge.rs
@@ -22,9 +22,9 @@
 use crate::ops::relay::deliver::AttemptResult;
 use crate::ops::relay::deliver::MAX_OVERLAP;
 use crate::ops::relay::deliver::Outcome;
+use crate::ops::relay::failure::AttemptFailure;
 use crate::ops::relay::forward::ForwardedRequest;
 use crate::ops::relay::pick::DECODE_PREFILL_SLOWDOWN;
-use crate::ops::relay::send::AttemptFailure;
 use crate::util::clock;
 
 /// Whether a request is hedged. A request is considered once.
@@ -231,7 +231,9 @@
         let channel = match channel {
             Ok(channel) => channel,
             Err(failure) => {
-                self.on_hedged_failure(&engine, &failure);
+                self.record_failure(&engine, &failure);
+                self.tried.push(engine.key);
+                self.attempts.on_unsent();
                 return Ok(None);
             }
         };
@@ -243,6 +245,7 @@
         }
         let waited = clock::now().since(first.sent_at());
         self.on_hedge_sent(first.engine(), &engine, waited, "send");
+        self.attempts.on_send();
         let parts = AttemptParts {
             shared: self.shared.clone(),
             pool: self.pool.clone(),
@@ -306,7 +309,7 @@
                 first
             }
             RaceEnd::TimeOver if self.incoming.time_left().is_zero() => {
-                let failure = AttemptFailure::new(End::Silent, "no answer before the request expired");
+                let failure = AttemptFailure::silent("no answer before the request expired");
                 self.end_hedged(second, Err(failure));
                 first
             }
@@ -342,7 +345,7 @@
         drop(first);
         match is_overdue || is_silent {
             true => {
-                let failure = AttemptFailure::new(End::Silent, "another engine answered first");
+                let failure = AttemptFailure::silent("another engine answered first");
                 self.on_hedged_failure(&engine, &failure);
             }
             false => {
@@ -356,7 +359,7 @@
     fn end_hedged(&mut self, mut attempt: ActiveAttempt, result: Result<(), AttemptFailure>) {
         match result {
             Err(failure) => {
-                if !failure.end.proves_not_run() {
+                if !failure.end().proves_not_run() {
                     self.on_run(&attempt);
                 }
                 self.on_hedged_failure(attempt.engine(), &failure);
@@ -374,6 +377,6 @@
     fn on_hedged_failure(&mut self, engine: &Engine, failure: &AttemptFailure) {
         self.record_failure(engine, failure);
         self.tried.push(engine.key);
-        self.attempts.on_end(failure.end);
+        self.attempts.on_end(failure.end());
     }
 }
--- a/src/ops/relay/retries.rs
+++ b/src/ops/relay/retries.rs
@@ -14,11 +14,11 @@
 use crate::log_event;
 use crate::ops::relay::attempt::ActiveAttempt;
 use crate::ops::relay::connect;
+use crate::ops::relay::failure::AttemptFailure;
 use crate::ops::relay::forward::ForwardedRequest;
 use crate::ops::relay::pick::MAX_LOAD_FACTOR;
 use crate::ops::relay::reply::Refusal;
 use crate::ops::relay::reply::Reply;
-use crate::ops::relay::send::AttemptFailure;
 use crate::ops::relay::shared::Shared;
 use crate::util::clock;
 
@@ -39,9 +39,9 @@
     }
 
     pub(super) fn log_failure(&self, engine: &Engine, failure: &AttemptFailure, call: &str) {
-        let evidence = failure.evidence.as_ref();
+        let evidence = failure.evidence();
         log_event!(info, log_event::ATTEMPT_FAILED, request = self.id(), route = %self.route.name,
-            engine = %engine.entry.id, end = ?failure.end, why = failure.reason, call,
+            engine = %engine.entry.id, end = ?failure.end(), why = failure.reason(), call,
             status = evidence.map(|e| e.status), confirmed = evidence.map(|e| e.is_confirmed),
             id = evidence.map(|e| e.id.label()), prior = evidence.map(|e| e.prior.label()),
             fingerprint = %self.incoming.identity.any, parts = self.incoming.shared_parts());
@@ -51,7 +51,19 @@
     pub fn on_failure(&mut self, engine: &Engine, failure: &AttemptFailure) -> Option<Reply> {
         self.record_failure(engine, failure);
         self.tried.push(engine.key);
-        match self.may_retry(failure.end) {
+        match self.may_retry(failure.end()) {
+            true => None,
+            false => Some(self.give_up()),
+        }
+    }
+
+    /// Handles the failure of an attempt before it was sent. Returns `None` if another attempt may follow, otherwise the final
+    /// answer.
+    pub(super) fn on_connect_failure(&mut self, engine: &Engine, failure: &AttemptFailure) -> Option<Reply> {
+        self.record_failure(engine, failure);
+        self.tried.push(engine.key);
+        let next = self.attempts.on_unsent();
+        match self.may_follow(next) {
             true => None,
             false => Some(self.give_up()),
         }
@@ -65,8 +77,7 @@
         failure: &AttemptFailure,
     ) -> Option<Reply> {
         self.record_failure(engine, failure);
-        let may_retry = self.attempts.next_step() == NextStep::Retry && !self.incoming.time_left().is_zero();
-        match may_retry && self.cover_request() {
+        match self.may_follow(self.attempts.next_step()) {
             true => None,
             false => Some(self.give_up()),
         }
@@ -74,10 +85,10 @@
 
     pub(super) fn record_failure(&mut self, engine: &Engine, failure: &AttemptFailure) {
         self.log_failure(engine, failure, "send");
-        self.ends.push(failure.end.label());
-        self.last_failure = Some((engine.entry.id.clone(), failure.reason.clone()));
-        self.record_end(engine, failure.end);
-        self.check_crash(engine, failure.end);
+        self.ends.push(failure.end().label());
+        self.last_failure = Some((engine.entry.id.clone(), failure.reason().to_string()));
+        self.record_end(engine, failure.end());
+        self.check_crash(engine, failure.end());
     }
 
     /// Starts to check whether an engine that broke off this request has ended, and records it if so: the request may
@@ -162,7 +173,7 @@
     /// can be sent to another one.
     pub(super) fn switch_engine(&mut self, attempt: ActiveAttempt) {
         let engine = attempt.engine().clone();
-        let failure = AttemptFailure::new(End::Failed, "the engine answered with a server error");
+        let failure = AttemptFailure::failed("the engine answered with a server error");
         self.log_failure(&engine, &failure, "send");
         self.record_completion(&engine, End::Failed);
         self.tried.push(engine.key);
@@ -172,10 +183,12 @@
     /// Whether another attempt may follow one that ended with `end`. Depends on whether the request may have run, and
     /// on the instance's share of the budget of extra attempts.
     pub(super) fn may_retry(&mut self, end: End) -> bool {
-        if self.attempts.on_end(end) != NextStep::Retry || self.incoming.time_left().is_zero() {
-            return false;
-        }
-        self.cover_request()
+        let next = self.attempts.on_end(end);
+        self.may_follow(next)
+    }
+
+    fn may_follow(&self, next: NextStep) -> bool {
+        next == NextStep::Retry && !self.incoming.time_left().is_zero() && self.cover_request()
     }
 
     /// How long to wait for an answer that is expected after `expected` before asking another engine. `None` if no
--- a/tests/testsuite/attempts.rs
+++ b/tests/testsuite/attempts.rs
@@ -61,3 +61,19 @@
     attempts.on_end(End::Declined);
     assert_eq!(attempts.give_up(), NextStep::Fail);
 }
+
+/// Guards against a request that is refused as not run while an attempt at it is on its way: its ending was not recorded.
+#[test]
+fn refuse_not_while_sent() {
+    for repeat in [Repeat::Never, Repeat::Safe] {
+        let mut attempts = Attempts::new(repeat, AttemptLimit::Sent(5));
+        assert_eq!(attempts.on_unsent(), NextStep::Retry);
+        assert_eq!(attempts.give_up(), NextStep::Refuse);
+        attempts.on_send();
+        assert_eq!(attempts.give_up(), NextStep::Fail);
+        attempts.on_unsent();
+        assert_eq!(attempts.give_up(), NextStep::Fail, "the other one is on its way");
+        attempts.on_end(End::Declined);
+        assert_eq!(attempts.give_up(), NextStep::Refuse);
+    }
+}
