Upstreams: a guarantee on a used connection must bear the id of its attempt

Each attempt has an id in a header, which stand-ins repeat in the guarantee; without it the guarantee counts on a new connection only. upstream::refusal_of_earlier_attempt is new.

--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -20,6 +20,7 @@
 use futures_util::StreamExt;
 use sequoiastream_core::config::Role;
 use sequoiastream_core::prefix::block_digests;
+use sequoiastream_upstream::wire::ATTEMPT;
 use sequoiastream_upstream::wire::CancelBody;
 use sequoiastream_upstream::wire::FinishBody;
 use sequoiastream_upstream::wire::GenerateBody;
@@ -326,12 +327,14 @@
         if away || state.fault.refuse || body.model != state.target.model {
             return HttpResponse::ServiceUnavailable()
                 .insert_header((NOT_STARTED, "1"))
+                .insert_header((ATTEMPT, body.attempt.to_string()))
                 .finish();
         }
         let version = state.target.version;
         if body.version.is_some_and(|wanted| wanted != version) {
             return HttpResponse::PreconditionFailed()
                 .insert_header((NOT_STARTED, "1"))
+                .insert_header((ATTEMPT, body.attempt.to_string()))
                 .finish();
         }
         admit(&mut state, body, sender);
--- a/crates/standin/src/plain/mod.rs
+++ b/crates/standin/src/plain/mod.rs
@@ -13,6 +13,7 @@
 use actix_web::web::Data;
 use actix_web::web::Json;
 use actix_web::web::ServiceConfig;
+use sequoiastream_upstream::wire::ATTEMPT;
 use sequoiastream_upstream::wire::NOT_STARTED;
 use serde::Deserialize;
 use serde::Serialize;
@@ -63,6 +64,16 @@
     }
 }
 
+/// Refuses a request, with the guarantee that it did not start.
+fn refusal(request: &HttpRequest) -> HttpResponse {
+    let mut answer = HttpResponse::ServiceUnavailable();
+    answer.insert_header((NOT_STARTED, "1"));
+    if let Some(attempt) = request.headers().get(ATTEMPT) {
+        answer.insert_header((ATTEMPT, attempt.clone()));
+    }
+    answer.finish()
+}
+
 async fn run(plain: Data<PlainService>, request: HttpRequest, _body: Bytes) -> HttpResponse {
     let key = request.headers().get("idempotency-key");
     let key = key.and_then(|v| v.to_str().ok()).unwrap_or("-").to_string();
@@ -72,9 +83,7 @@
             .lock()
             .expect("no thread panics while it holds the state");
         if state.fault.refuse {
-            return HttpResponse::ServiceUnavailable()
-                .insert_header((NOT_STARTED, "1"))
-                .finish();
+            return refusal(&request);
         }
         let run = state.runs.entry(key.clone()).or_default();
         *run += 1;
--- a/crates/upstream/src/channel.rs
+++ b/crates/upstream/src/channel.rs
@@ -35,12 +35,15 @@
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
+use uuid::Uuid;
 
 use crate::joined_head;
 use crate::limited_read::LimitedRead;
 use crate::limited_read::UnusedBytes;
 use crate::patience::take_turns;
 use crate::patience::within;
+use crate::wire::ATTEMPT;
+use crate::wire::NOT_STARTED;
 
 /// A connection isn't reused within this time before the upstream's idle timeout: a request must reach the upstream
 /// before it closes the connection.
@@ -331,6 +334,21 @@
         self.prior
     }
 
+    /// Whether the upstream guarantees that it did not start the attempt with this id.
+    ///
+    /// Failure guarded against: on a connection that was used before, an extra answer to an earlier attempt is taken for the
+    /// guarantee, and the caller is told that its request did not run.
+    pub(crate) fn is_not_started(&self, attempt: Uuid) -> bool {
+        let headers = &self.head.headers;
+        if !headers.contains_key(NOT_STARTED) {
+            return false;
+        }
+        match headers.get(ATTEMPT) {
+            Some(id) => id.to_str().is_ok_and(|id| id.parse() == Ok(attempt)),
+            None => self.prior == PriorUse::None,
+        }
+    }
+
     /// Whether an upstream may have stopped after the head of a success: nothing was read of its body, `body`, and nothing shows
     /// that it is empty.
     pub fn lacks_body(&self, body: &Bytes) -> bool {
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -25,13 +25,13 @@
 use crate::channel::Pool;
 use crate::error::UpstreamError;
 use crate::lines::LineReader;
+use crate::wire::ATTEMPT;
 use crate::wire::CacheEvent;
 use crate::wire::CancelBody;
 use crate::wire::GenerateBody;
 use crate::wire::INCARNATION;
 use crate::wire::LoadBody;
 use crate::wire::MODEL_VERSION;
-use crate::wire::NOT_STARTED;
 use crate::wire::OrderBody;
 use crate::wire::PieceBody;
 use crate::wire::StaleBody;
@@ -123,6 +123,7 @@
         let request = Request::post("/v1/generate")
             .header(header::HOST, to.to_string())
             .header(header::CONTENT_TYPE, "application/json")
+            .header(ATTEMPT, call.attempt.to_string())
             .body(Full::new(Bytes::from(body)))
             .map_err(|e| UpstreamError::Connect(e.to_string()))?;
         let is_permitted = || self.permit.as_ref().is_none_or(|permit| permit());
@@ -133,7 +134,7 @@
         let answer = channel.send(request, Duration::MAX).await?;
         let (status, headers) = (answer.head.status, &answer.head.headers);
         if !status.is_success() {
-            return Err(match headers.contains_key(NOT_STARTED) {
+            return Err(match answer.is_not_started(call.attempt) {
                 true if status.as_u16() == VERSION_MISMATCH => UpstreamError::VersionMismatch,
                 true => UpstreamError::NotStarted(status.as_u16()),
                 false => UpstreamError::Status(status.as_u16()),
--- a/crates/upstream/src/plain.rs
+++ b/crates/upstream/src/plain.rs
@@ -11,12 +11,14 @@
 use http::Request;
 use http::header;
 use http_body_util::Full;
+use uuid::Uuid;
 
 use crate::channel::Answer;
 use crate::channel::Channel;
 use crate::channel::Pool;
 use crate::engine::CONNECT_TIMEOUT;
 use crate::error::UpstreamError;
+use crate::wire::ATTEMPT;
 use crate::wire::NOT_STARTED;
 
 /// Maximum size of a plain service's answer, in bytes.
@@ -71,13 +73,15 @@
         call: &PlainCall,
         limit: Duration,
     ) -> Result<PlainReply, UpstreamError> {
-        let request = request(to, call)?;
+        let attempt = Uuid::new_v4();
+        let request = request(to, call, attempt)?;
         let begun = Instant::now();
         let channel = match self.pool.take_idle(to).await {
             Some(channel) => channel,
             None => Channel::connect(to, limit.min(CONNECT_TIMEOUT)).await?,
         };
-        let (reply, answer) = exchange(channel, request, limit.saturating_sub(begun.elapsed())).await?;
+        let (reply, answer) =
+            exchange(channel, request, attempt, limit.saturating_sub(begun.elapsed())).await?;
         self.pool.keep(to, answer);
         Ok(reply)
     }
@@ -96,17 +100,18 @@
         call: &PlainCall,
         limit: Duration,
     ) -> Result<PlainReply, UpstreamError> {
-        let mut request = request(to, call)?;
+        let attempt = Uuid::new_v4();
+        let mut request = request(to, call, attempt)?;
         let close = HeaderValue::from_static("close");
         request.headers_mut().insert(header::CONNECTION, close);
         let begun = Instant::now();
         let channel = Channel::connect(to, limit.min(CONNECT_TIMEOUT)).await?;
-        let (reply, _) = exchange(channel, request, limit.saturating_sub(begun.elapsed())).await?;
+        let (reply, _) = exchange(channel, request, attempt, limit.saturating_sub(begun.elapsed())).await?;
         Ok(reply)
     }
 }
 
-fn request(to: SocketAddr, call: &PlainCall) -> Result<Request<Full<Bytes>>, UpstreamError> {
+fn request(to: SocketAddr, call: &PlainCall, attempt: Uuid) -> Result<Request<Full<Bytes>>, UpstreamError> {
     let mut builder = Request::builder()
         .method(call.method.as_str())
         .uri(&call.path)
@@ -115,6 +120,7 @@
         let name = HeaderName::from_bytes(name.as_bytes()).map_err(unsent)?;
         builder = builder.header(name, HeaderValue::from_str(value).map_err(unsent)?);
     }
+    builder = builder.header(ATTEMPT, attempt.to_string());
     builder.body(Full::new(call.body.clone())).map_err(unsent)
 }
 
@@ -130,13 +136,17 @@
 async fn exchange(
     channel: Channel,
     request: Request<Full<Bytes>>,
+    attempt: Uuid,
     limit: Duration,
 ) -> Result<(PlainReply, Answer), UpstreamError> {
     let begun = Instant::now();
     let mut answer = channel.send(request, limit).await?;
     let status = answer.head.status.as_u16();
     if answer.head.headers.contains_key(NOT_STARTED) {
-        return Err(UpstreamError::NotStarted(status));
+        return Err(match answer.is_not_started(attempt) {
+            true => UpstreamError::NotStarted(status),
+            false => UpstreamError::Status(status),
+        });
     }
     let content = answer.head.headers.get(header::CONTENT_TYPE);
     let content = content.and_then(|v| v.to_str().ok()).map(str::to_string);
--- a/crates/upstream/src/wire.rs
+++ b/crates/upstream/src/wire.rs
@@ -11,6 +11,9 @@
 /// Response header by which an upstream guarantees that a request it refused did not start.
 pub const NOT_STARTED: &str = "x-not-started";
 
+/// Header with the id of an attempt, in a request and in an upstream's guarantee that it did not start.
+pub const ATTEMPT: &str = "x-attempt";
+
 /// Response header with the version of the model that answers.
 pub const MODEL_VERSION: &str = "x-model-version";
 
--- a/tests/testsuite/upstream.rs
+++ b/tests/testsuite/upstream.rs
@@ -5,6 +5,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::rc::Rc;
 use std::thread;
 use std::time::Duration;
@@ -23,16 +24,21 @@
     let address = listener.local_addr().expect("it is bound");
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
-        let mut seen = Vec::new();
-        let mut buffer = [0; 1024];
-        while !seen.ends_with(b"two pellets") {
-            let count = stream.read(&mut buffer).expect("the request");
-            seen.extend_from_slice(&buffer[..count]);
-        }
+        read_order(&mut stream);
     });
     address
 }
 
+/// Reads a whole [`order`].
+fn read_order(stream: &mut TcpStream) {
+    let mut seen = Vec::new();
+    let mut buffer = [0; 1024];
+    while !seen.ends_with(b"two pellets") {
+        let count = stream.read(&mut buffer).expect("the request");
+        seen.extend_from_slice(&buffer[..count]);
+    }
+}
+
 fn order() -> PlainCall {
     PlainCall {
         method: Method::POST,
@@ -182,3 +188,39 @@
         }
     }
 }
+
+/// A plain service that serves the first call on each connection, and then sends a refusal that bears `extra` where the answer
+/// to the second one is expected.
+fn refuse_second(extra: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the client connects");
+        let refusal = format!(
+            "HTTP/1.1 503 Service Unavailable\r\nx-not-started: 1\r\n{extra}content-length: 0\r\n\r\n"
+        );
+        for answer in ["HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", &refusal] {
+            read_order(&mut stream);
+            stream.write_all(answer.as_bytes()).expect("the client reads");
+        }
+    });
+    address
+}
+
+/// Guards against a caller that is told that its request did not run because of an extra answer to an earlier one on the same
+/// connection.
+#[actix_web::test]
+async fn refusal_of_earlier_attempt() {
+    for extra in ["", "x-attempt: 00000000-0000-0000-0000-000000000001\r\n"] {
+        let address = refuse_second(extra);
+        let client = PlainClient::new();
+        let limit = Duration::from_secs(5);
+        let first = client.send(address, &order(), limit).await;
+        assert!(first.is_ok(), "{first:?}");
+        // A connection rests before it is used again.
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        let error = client.send(address, &order(), limit).await;
+        let error = error.expect_err("the second call is refused");
+        assert!(!error.is_not_started(), "{extra:?}: {error:?}");
+    }
+}
