--- a/crates/core/src/attempt/evidence.rs
+++ b/crates/core/src/attempt/evidence.rs
@@ -6,7 +6,7 @@
 use thiserror::Error;
 
 /// Statuses with which an engine may decline a request. It answers with all others after it has begun the request.
-const DECLINING: [u16; 4] = [400, 421, 429, 503];
+pub const DECLINING: [u16; 4] = [400, 421, 429, 503];
 
 /// The request id in an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,6 +44,22 @@
 }
 
 impl AnswerId {
+    /// Compares all ids in an answer to that of the request.
+    pub fn of<I, F>(ids: I, is_same: F) -> AnswerId
+    where
+        I: IntoIterator,
+        F: Fn(I::Item) -> bool,
+    {
+        let mut found = AnswerId::Missing;
+        for id in ids {
+            if !is_same(id) {
+                return AnswerId::Other;
+            }
+            found = AnswerId::Same;
+        }
+        found
+    }
+
     /// The value in the log.
     pub fn label(self) -> &'static str {
         match self {
@@ -87,17 +103,17 @@
 }
 
 impl AnswerEvidence {
-    /// The proof that the request did not run and will not run.
+    /// The proof that the request did not run and will not run, if upstreams decline with the statuses in `declining`.
     ///
     /// # Errors
     ///
     /// [`Unproven`] if the answer doesn't prove this.
-    pub fn prove_not_run(&self) -> Result<NotRun, Unproven> {
+    pub fn prove_not_run(&self, declining: &[u16]) -> Result<NotRun, Unproven> {
         match (self.id, self.prior) {
             (AnswerId::Other, _) => Err(Unproven::OtherRequest),
             _ if !self.is_confirmed => Err(Unproven::Unconfirmed),
-            _ if !DECLINING.contains(&self.status) => Err(Unproven::Contradictory),
             (AnswerId::Missing, PriorUse::OtherIds) | (_, PriorUse::SameId) => Err(Unproven::MayBeExtra),
+            _ if !declining.contains(&self.status) => Err(Unproven::Contradictory),
             (_, PriorUse::None) | (AnswerId::Same, PriorUse::OtherIds) => Ok(NotRun(())),
         }
     }
--- a/crates/upstream/src/channel.rs
+++ b/crates/upstream/src/channel.rs
@@ -7,7 +7,6 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,6 +17,7 @@
 use futures_util::future::AbortHandle;
 use futures_util::future::Abortable;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::header;
@@ -27,6 +27,8 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use sequoiastream_core::attempt::evidence::AnswerEvidence;
+use sequoiastream_core::attempt::evidence::AnswerId;
 use sequoiastream_core::attempt::evidence::PriorUse;
 use sequoiastream_core::relay::reachability::Path;
 use thiserror::Error;
@@ -44,6 +46,7 @@
 use crate::patience::within;
 use crate::wire::ATTEMPT;
 use crate::wire::NOT_STARTED;
+use crate::wire::REFUSING;
 
 /// A connection isn't reused within this time before the upstream's idle timeout: a request must reach the upstream
 /// before it closes the connection.
@@ -66,9 +69,8 @@
 /// Maximum number of idle connections to one upstream.
 const MAX_IDLE: usize = 24;
 
-/// Number of requests whose ids a connection remembers. An extra answer to an earlier one would have been read instead of one
-/// of the answers since.
-const MAX_REMEMBERED: usize = 16;
+/// Maximum number of requests on one connection, which remembers all their ids.
+const MAX_REQUESTS: usize = 512;
 
 /// Maximum size of a connection's read buffer: bytes read ahead of what the caller consumes.
 const READ_BUFFER: usize = 16 * 1024;
@@ -104,8 +106,8 @@
     opened: Instant,
     /// Whether a request was sent on it.
     is_used: bool,
-    /// Hashes of the ids of the last requests that were sent on it.
-    remembered: VecDeque<u64>,
+    /// Hashes of the ids of the requests that were sent on it.
+    ids: Vec<u64>,
     idle_since: Instant,
     keep_alive: Duration,
 }
@@ -179,7 +181,7 @@
             path,
             opened: Instant::now(),
             is_used: false,
-            remembered: VecDeque::new(),
+            ids: Vec::new(),
             idle_since: Instant::now(),
             keep_alive: DEFAULT_KEEP_ALIVE,
         })
@@ -247,17 +249,14 @@
 
     /// Records that a request is sent. Returns what the connection carried before.
     fn on_send(&mut self, id: Option<u64>) -> PriorUse {
-        let is_repeated = id.is_some_and(|id| self.remembered.contains(&id));
+        let is_repeated = id.is_some_and(|id| self.ids.contains(&id));
         let prior = match (self.is_used, is_repeated) {
             (false, _) => PriorUse::None,
             (true, false) => PriorUse::OtherIds,
             (true, true) => PriorUse::SameId,
         };
         self.is_used = true;
-        if self.remembered.len() == MAX_REMEMBERED {
-            self.remembered.pop_front();
-        }
-        self.remembered.extend(id);
+        self.ids.extend(id);
         prior
     }
 }
@@ -329,24 +328,28 @@
         self.ends_with_connection
     }
 
+    /// The length of the body, if its head says it.
+    pub fn length(&self) -> Option<usize> {
+        let length = self.body.size_hint().exact()?;
+        usize::try_from(length).ok()
+    }
+
     /// What the connection had carried before this request, to which an extra answer may still arrive.
     pub fn prior_use(&self) -> PriorUse {
         self.prior
     }
 
     /// Whether the upstream guarantees that it did not start the attempt with this id.
-    ///
-    /// Failure guarded against: on a connection that was used before, an extra answer to an earlier attempt is taken for the
-    /// guarantee, and the caller is told that its request did not run.
     pub(crate) fn is_not_started(&self, attempt: Uuid) -> bool {
         let headers = &self.head.headers;
-        if !headers.contains_key(NOT_STARTED) {
-            return false;
-        }
-        match headers.get(ATTEMPT) {
-            Some(id) => id.to_str().is_ok_and(|id| id.parse() == Ok(attempt)),
-            None => self.prior == PriorUse::None,
-        }
+        let is_same = |id: &HeaderValue| id.to_str().is_ok_and(|id| id.parse() == Ok(attempt));
+        let evidence = AnswerEvidence {
+            status: self.head.status.as_u16(),
+            is_confirmed: headers.contains_key(NOT_STARTED),
+            id: AnswerId::of(headers.get_all(ATTEMPT), is_same),
+            prior: self.prior,
+        };
+        evidence.prove_not_run(&REFUSING).is_ok()
     }
 
     /// Whether an upstream may have stopped after the head of a success: nothing was read of its body, `body`, and nothing shows
@@ -397,7 +400,8 @@
     /// end of a chunked body is known only after reading it.
     pub fn finish(self) -> Option<Channel> {
         let mut channel = self.channel;
-        let reusable = (self.ended || self.body.is_end_stream()) && !channel.keep_alive.is_zero();
+        let has_ended = self.ended || self.body.is_end_stream();
+        let reusable = has_ended && !channel.keep_alive.is_zero() && channel.ids.len() < MAX_REQUESTS;
         channel.idle_since = Instant::now();
         reusable.then_some(channel)
     }
--- a/crates/upstream/src/wire.rs
+++ b/crates/upstream/src/wire.rs
@@ -23,6 +23,9 @@
 /// Status by which an engine refuses an attempt that requires a different model version than it has loaded.
 pub const VERSION_MISMATCH: u16 = 412;
 
+/// Statuses with which an upstream may refuse a request that it did not start.
+pub const REFUSING: [u16; 5] = [400, VERSION_MISMATCH, 421, 429, 503];
+
 /// Request to generate tokens.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GenerateBody {
--- a/src/ops/relay/hedge_prefill.rs
+++ b/src/ops/relay/hedge_prefill.rs
@@ -209,15 +209,17 @@
     /// Closes the connection to the engine that didn't deliver first, and has its result freed if it has arrived as well.
     /// The first engine counts with the time until now, and as silent if it has lost several times.
     fn close_prefill(&mut self, mut call: PrefillCall, is_first: bool) {
-        if let Some(Ok(name)) = (&mut call.result).now_or_never() {
-            let engine = call.plan.engine.clone();
-            drop(PrefilledPrompt::new(
-                self.shared.clone(),
-                self.pool.clone(),
-                engine,
-                name,
-            ));
-            return;
+        match (&mut call.result).now_or_never() {
+            Some(Ok(name)) => {
+                let (shared, pool) = (self.shared.clone(), self.pool.clone());
+                drop(PrefilledPrompt::new(shared, pool, call.plan.engine, name));
+                return;
+            }
+            Some(Err(failure)) if failure.is_prefill_run() => {
+                self.on_prefill_failure(&call.plan.engine, &failure);
+                return;
+            }
+            Some(Err(_)) | None => {}
         }
         if !is_first {
             return;
--- a/src/ops/relay/prefilled.rs
+++ b/src/ops/relay/prefilled.rs
@@ -95,7 +95,7 @@
         .parse()
         .map_err(|e: http::uri::InvalidUri| AttemptFailure::unsent(e))?;
     let address = engine.entry.address;
-    let host = HeaderValue::from_str(&address.to_string()).map_err(|e| AttemptFailure::unsent(e))?;
+    let host = HeaderValue::from_str(&address.to_string()).map_err(AttemptFailure::unsent)?;
     request.headers_mut().insert(http::header::HOST, host);
     // Before the connection is there, so that no other call is allowed meanwhile.
     shared.on_send(engine);
--- a/src/ops/relay/reading.rs
+++ b/src/ops/relay/reading.rs
@@ -239,5 +239,6 @@
 
 fn is_event_stream(answer: &Answer) -> bool {
     let content = answer.head.headers.get(CONTENT_TYPE);
-    content.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+    let content = content.map(|value| value.as_bytes().to_ascii_lowercase());
+    content.is_some_and(|content| content.starts_with(b"text/event-stream"))
 }
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -15,6 +15,7 @@
 use sequoiastream_core::attempt::End;
 use sequoiastream_core::attempt::evidence::AnswerEvidence;
 use sequoiastream_core::attempt::evidence::AnswerId;
+use sequoiastream_core::attempt::evidence::DECLINING;
 use sequoiastream_core::attempt::evidence::Unproven;
 use sequoiastream_core::poison::suspects::RequestIdentity;
 use sequoiastream_core::relay::arrivals::ArrivalKind;
@@ -249,11 +250,7 @@
     AnswerEvidence {
         status: answer.head.status.as_u16(),
         is_confirmed: headers.contains_key(&names.declined),
-        id: match headers.get(&names.request) {
-            Some(id) if *id == incoming.id => AnswerId::Same,
-            Some(_) => AnswerId::Other,
-            None => AnswerId::Missing,
-        },
+        id: AnswerId::of(headers.get_all(&names.request), |id| *id == incoming.id),
         prior: answer.prior_use(),
     }
 }
@@ -272,7 +269,7 @@
     answer: &Answer,
     evidence: AnswerEvidence,
 ) -> Result<(), AttemptFailure> {
-    match evidence.prove_not_run() {
+    match evidence.prove_not_run(&DECLINING) {
         Ok(proof) => return Err(AttemptFailure::declined(proof, evidence.status)),
         Err(Unproven::Unconfirmed) => {}
         Err(unproven @ Unproven::Contradictory) => return Err(AttemptFailure::failed(unproven)),
--- a/tests/testsuite/promises.rs
+++ b/tests/testsuite/promises.rs
@@ -4,10 +4,14 @@
 use std::path::Path;
 use std::path::PathBuf;
 
-/// The tests of this suite and of that of the platform's adapter, as `module::function`.
+/// The tests of this suite and of those of the platform's adapter, as `module::function`.
 pub fn tests_of_suites() -> Vec<String> {
     let root = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
-    let suites = ["tests/testsuite", "platform/tests/testsuite"];
+    let suites = [
+        "tests/testsuite",
+        "platform/tests/testsuite",
+        "platform/tests/crowds",
+    ];
     suites
         .iter()
         .flat_map(|suite| tests(&root.join(suite), ""))
--- a/tests/testsuite/relay/answers.rs
+++ b/tests/testsuite/relay/answers.rs
@@ -170,7 +170,7 @@
 fn misdirect(request: &super::engine::ReceivedRequest) -> Action {
     let id = request.header("x-request").unwrap_or_default();
     Action::Send(format!(
-        "HTTP/1.1 421 Misdirected Request\r\nx-request: {id}\r\ncontent-length: 0\r\n\r\n"
+        "HTTP/1.1 421 Misdirected Request\r\nx-request: {id}\r\nx-declined: 1\r\ncontent-length: 0\r\n\r\n"
     ))
 }
 
--- a/tests/testsuite/relay/evidence.rs
+++ b/tests/testsuite/relay/evidence.rs
@@ -104,6 +104,65 @@
     assert_eq!(status(&got), "502", "{got}");
 }
 
+/// Guards against a promise by an extra answer that arrives after many others, to a send that nobody remembers.
+#[actix_web::test]
+async fn extra_answer_to_same_id_late() {
+    const BETWEEN: usize = 20;
+    let engine = ScriptedEngine::start(|number, request| match number {
+        n if n == BETWEEN + 1 => vec![decline(request), answer(request, "second")],
+        _ => vec![answer(request, "first")],
+    });
+    let engine = engine.await;
+    let instance = Instance::start(RouteKind::Once, &[(&engine, Stage::Whole)], |_| {});
+    for number in 0..=BETWEEN {
+        let id = if number == 0 {
+            "q".to_string()
+        } else {
+            format!("q{number}")
+        };
+        let got = instance.get("/r/x", &id, "").await;
+        assert_eq!(status(&got), "200", "{got}");
+        tokio::time::sleep(REST).await;
+    }
+    let got = instance.get("/r/x", "q", "").await;
+    assert_eq!(engine.log().connections, 1);
+    assert_eq!(status(&got), "502", "{got}");
+}
+
+/// Guards against a promise by an answer that names two requests.
+#[actix_web::test]
+async fn two_ids() {
+    for ids in [
+        "x-request: q1\r\nx-request: q0\r\n",
+        "x-request: q0\r\nx-request: q1\r\n",
+    ] {
+        let declined =
+            format!("HTTP/1.1 503 Service Unavailable\r\n{ids}x-declined: 1\r\ncontent-length: 0\r\n\r\n");
+        let engine = ScriptedEngine::start(move |_, _| vec![Action::Send(declined.clone())]).await;
+        let instance = Instance::start(RouteKind::Once, &[(&engine, Stage::Whole)], |_| {});
+        let got = instance.get("/r/x", "q1", "").await;
+        assert_eq!(status(&got), "502", "{ids}: {got}");
+    }
+}
+
+/// Guards against another caller's answer, which names no request and arrives where an answer is expected.
+#[actix_web::test]
+async fn answer_without_id_on_used_connection() {
+    let engine = ScriptedEngine::start(|_, request| match request.prior_requests {
+        0 => vec![answer(request, "first")],
+        _ => {
+            let extra = "HTTP/1.1 200 OK\r\nx-seal: s\r\ncontent-length: 5\r\n\r\nextra".to_string();
+            vec![Action::Send(extra), answer(request, "second")]
+        }
+    });
+    let engine = engine.await;
+    let instance = Instance::start(RouteKind::Once, &[(&engine, Stage::Whole)], |_| {});
+    instance.get("/r/x", "q0", "").await;
+    tokio::time::sleep(REST).await;
+    let got = instance.get("/r/x", "q1", "").await;
+    assert!(!got.contains("extra"), "{got}");
+}
+
 /// Guards against a promise after a call for a prefill that the engine ran as the request itself: its answer is no result of a
 /// prefill. Nor is the request sent to another engine.
 #[actix_web::test]
--- a/tests/testsuite/relay/hedging/prefills.rs
+++ b/tests/testsuite/relay/hedging/prefills.rs
@@ -391,3 +391,22 @@
     assert!(!ends(&fleet.instance, "silent").await.is_empty());
     assert_eq!(hedges(&fleet.instance).await, Vec::<String>::new());
 }
+
+/// Guards against a stream that runs twice: of two calls for its prefill at the same time, the one that loses was run as the
+/// request itself, and its answer is there.
+#[actix_web::test]
+async fn loser_ran() {
+    let notifies = [Rc::new(Notify::new()), Rc::new(Notify::new())];
+    let ran: Act = |request| Action::Send(event_stream(request, 1..=1) + "0\r\n\r\n");
+    let scripts = [waiting(&notifies[0], result), waiting(&notifies[1], ran)];
+    let fleet = Fleet::start(RouteKind::Stream, 0.2, scripts).await;
+    let before = fleet._decoder.log().requests.len();
+    let resume = async {
+        fleet.wait_for_second().await;
+        notifies[1].notify_one();
+        notifies[0].notify_one();
+    };
+    let (got, ()) = futures_util::join!(fleet.get(), resume);
+    let decoded = fleet._decoder.log().requests.len() - before;
+    assert_eq!((status(&got), decoded), ("502", 0), "{got}");
+}
--- a/tests/testsuite/relay/limits.rs
+++ b/tests/testsuite/relay/limits.rs
@@ -369,7 +369,9 @@
     ] {
         assert_ignored(scripted_answer("200 OK", lines)).await;
     }
-    assert_ignored(scripted_answer("421 Misdirected Request", LIMITED.lines)).await;
+    for lines in [LIMITED.lines, LIMITED_DECLINED.lines] {
+        assert_ignored(scripted_answer("421 Misdirected Request", lines)).await;
+    }
 }
 
 /// Guards against the calls that release prefill results reaching an engine beyond its limit.
--- a/tests/testsuite/relay/notices.rs
+++ b/tests/testsuite/relay/notices.rs
@@ -358,7 +358,12 @@
 /// with 421 comes from that other engine.
 #[actix_web::test]
 async fn misdirected_ignored() {
-    for lines in ["x-leaving: 1\r\n", "retry-after: 30\r\n"] {
+    for lines in [
+        "x-leaving: 1\r\n",
+        "retry-after: 30\r\n",
+        "x-declined: 1\r\nx-leaving: 1\r\n",
+        "x-declined: 1\r\nretry-after: 30\r\n",
+    ] {
         assert_ignored(scripted_answer("421 Misdirected Request", lines)).await;
     }
 }
--- a/tests/testsuite/relay/pauses.rs
+++ b/tests/testsuite/relay/pauses.rs
@@ -127,7 +127,7 @@
         move |request: &ReceivedRequest| vec![scripted_answer(status, lines).answer(kind, request)]
     };
     type Script = Box<dyn Fn(&ReceivedRequest) -> Vec<Action>>;
-    let cases: [(&str, Script, bool); 5] = [
+    let cases: [(&str, Script, bool); 6] = [
         ("paused", Box::new(constant(PAUSED.status, PAUSED.lines)), true),
         (
             "full",
@@ -136,9 +136,14 @@
         ),
         (
             "misdirected",
-            Box::new(constant("421 Misdirected Request", "")),
+            Box::new(constant("421 Misdirected Request", "x-declined: 1\r\n")),
             true,
         ),
+        (
+            "misdirected, unconfirmed",
+            Box::new(constant("421 Misdirected Request", "")),
+            false,
+        ),
         ("failed", Box::new(constant(FAILED.status, "")), false),
         ("broken", Box::new(move |_| close()), false),
     ];
--- a/tests/testsuite/relay/request_kinds.rs
+++ b/tests/testsuite/relay/request_kinds.rs
@@ -117,7 +117,7 @@
 impl ScriptedAnswer {
     /// Whether its status promises that the request did not run, but nothing in it confirms this.
     fn is_unproven(self) -> bool {
-        let promises = ["503", "429", "408"];
+        let promises = ["503", "429", "408", "421"];
         let promises = promises.iter().any(|status| self.status.starts_with(status));
         promises && !self.lines.contains("x-declined: 1")
     }
--- a/tests/testsuite/upstream.rs
+++ b/tests/testsuite/upstream.rs
@@ -224,3 +224,38 @@
         assert!(!error.is_not_started(), "{extra:?}: {error:?}");
     }
 }
+
+/// A plain service that answers the first request with this status, and guarantees that it did not start the attempt.
+fn contradict(status: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the client connects");
+        read_order(&mut stream);
+        let answer = format!("HTTP/1.1 {status}\r\nx-not-started: 1\r\ncontent-length: 0\r\n\r\n");
+        stream.write_all(answer.as_bytes()).expect("the client reads");
+    });
+    address
+}
+
+/// Guards against an order that is told to its caller as not run because of a guarantee that its status contradicts.
+#[actix_web::test]
+async fn refusal_contradicted() {
+    let limit = Duration::from_secs(5);
+    for status in [
+        "200 OK",
+        "204 No Content",
+        "500 Internal Server Error",
+        "504 Gateway Timeout",
+    ] {
+        let error = PlainClient::new()
+            .send_once(contradict(status), &order(), limit)
+            .await;
+        let error = error.expect_err("no answer can be passed on");
+        assert!(!error.is_not_started(), "{status}: {error:?}");
+    }
+    let error = PlainClient::new()
+        .send_once(contradict("503 Service Unavailable"), &order(), limit)
+        .await;
+    assert!(error.is_err_and(|error| error.is_not_started()));
+}
