--- a/crates/peer/src/channel.rs
+++ b/crates/peer/src/channel.rs
@@ -210,8 +210,13 @@
         self.received += 1;
         let mut frame = prefix(self.other, self.received);
         let head = frame.len();
-        frame.resize(head + length, 0);
-        self.stream.read_exact(&mut frame[head..]).await.map_err(broken)?;
+        // Grows with what arrives, not with what is announced.
+        let mut body = (&mut self.stream).take(length as u64);
+        if body.read_to_end(&mut frame).await.map_err(broken)? < length {
+            return Err(PeerError::Broken(
+                "the connection ended within a frame".to_string(),
+            ));
+        }
         let message = self.key.open(&frame)?;
         Ok(postcard::from_bytes(&decode(&message[head..])?)?)
     }
