Callers: what they make an instance hold is limited, and the slowest goes

Seen (crowds, before): 40 bodies of 4 MiB that stop short of their end take 187 to 244 MB, 100 in chunks of one byte 185 MB, unread answers 202 MB, 800 connections 827 descriptors; a refused body is read without end. Cause: each body had a limit, all of them together none, nor a time; all that a read brought was parsed at once, in pieces of 32 bytes for each byte; a connection that gets no answer was never closed; a chunked body that nobody reads is drained by the HTTP library for ever. Change: bodies (until their requests end) and answers of 64 KiB or more (until they are read) count against a quarter of the machine's memory. If it is exceeded, the connection goes that moved the fewest bytes per second; one that has just begun is refused with 503, which is true, as nothing was forwarded; a body alone is always served. A long answer is read from its engine once there is room. Of too many connections the one goes that has carried no request for longest. A body has the caller's own deadline, 30 s at most (408). Refusals by the head alone are given before the body; the rest of a refused body is dropped for 1 s, then the connection is closed. A connection is read 8 KiB a turn; the kernel is asked to receive 64 KiB for each.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -121,6 +121,8 @@
     421 TAKEN_UP = "taken-up";
     /// An engine's own error was passed on to the caller.
     422 ERROR_PASSED_ON = "error-passed-on";
+    /// A caller's connection was given up because memory or descriptors ran short.
+    423 CALLER_EVICTED = "caller-evicted";
     /// This instance acquired the authority over a service.
     500 AUTHORITY_TAKEN = "authority-taken";
     /// This instance no longer holds the authority over a service.
--- /dev/null
+++ b/crates/core/src/relay/connections.rs
@@ -0,0 +1,260 @@
+//! Which connections of callers an instance gives up when its memory or its descriptors run short.
+//!
+//! Failure guarded against: callers that don't behave send many large bodies and stop short of their ends, leave answers
+//! unread, or open connections and say nothing. The process runs out of memory or descriptors, and ordinary callers get no
+//! answers.
+//!
+//! What callers make an instance hold counts against one limit for all of them: the bodies that they send, until their
+//! requests are answered, and long answers until they have read them. If the limit is exceeded, the connection goes that has moved
+//! the fewest bytes per second; one that has just begun only if there is no other. A request that an engine may have begun never
+//! goes. Of connections beyond their limit, the one goes that has carried no request for the longest time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// Age from which the rate of a body or an answer says something about its caller.
+const MIN_AGE: Duration = Duration::from_secs(1);
+
+/// Limits on what all callers take together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionLimits {
+    /// Bytes that are held for callers.
+    pub memory: usize,
+    /// Open connections.
+    pub connections: usize,
+}
+
+/// A connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ConnectionKey(u64);
+
+/// What happens to a connection that goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Eviction {
+    /// Its request is refused, which has not been forwarded. Then it is closed.
+    Refuse(ConnectionKey),
+    /// It is closed.
+    Close(ConnectionKey),
+}
+
+/// What a connection carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// No request, or the head of one.
+    Idle,
+    /// A body, from the caller.
+    Receiving,
+    /// A request that is being handled.
+    Handling,
+    /// A long answer, to the caller.
+    Answering,
+    /// Nothing that matters: it is being closed.
+    Closing,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Connection {
+    phase: Phase,
+    /// When the phase began.
+    since: Time,
+    /// Bytes that were moved in this phase.
+    moved: usize,
+    /// Bytes that are held for it.
+    held: usize,
+}
+
+impl Connection {
+    fn age(&self, now: Time) -> Duration {
+        now.since(self.since)
+    }
+
+    /// Bytes per second in this phase.
+    fn rate(&self, now: Time) -> f64 {
+        self.moved as f64 / self.age(now).max(MIN_AGE).as_secs_f64()
+    }
+
+    fn enter(&mut self, now: Time, phase: Phase) {
+        // One that is being closed stays so.
+        if self.phase != Phase::Closing {
+            self.phase = phase;
+            self.since = now;
+            self.moved = 0;
+        }
+    }
+}
+
+/// The open connections of callers.
+#[derive(Debug)]
+pub struct ConnectionTable {
+    limits: ConnectionLimits,
+    connections: BTreeMap<ConnectionKey, Connection>,
+    /// Bytes that are held for all of them, and for those that were closed and whose requests are still handled.
+    held: usize,
+    accepted: u64,
+}
+
+impl ConnectionTable {
+    /// No connections yet.
+    pub fn new(limits: ConnectionLimits) -> ConnectionTable {
+        ConnectionTable {
+            limits,
+            connections: BTreeMap::new(),
+            held: 0,
+            accepted: 0,
+        }
+    }
+
+    /// Number of open connections.
+    pub fn open(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Bytes that are held for callers.
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
+    /// Records a connection that was accepted. Returns its key, and which one goes for it.
+    pub fn on_accept(&mut self, now: Time) -> (ConnectionKey, Option<Eviction>) {
+        let key = ConnectionKey(self.accepted);
+        self.accepted += 1;
+        let connection = Connection {
+            phase: Phase::Idle,
+            since: now,
+            moved: 0,
+            held: 0,
+        };
+        self.connections.insert(key, connection);
+        let open = self.connections.values().filter(|c| c.phase != Phase::Closing);
+        let is_over = open.count() > self.limits.connections;
+        let evicted = is_over.then(|| self.evict(now, self.least_used(now, key)));
+        (key, evicted)
+    }
+
+    /// Records that the body of a request begins to arrive.
+    pub fn on_body(&mut self, now: Time, key: ConnectionKey) {
+        self.enter(now, key, Phase::Receiving);
+    }
+
+    /// Records that a request is handled, of which nothing more is to arrive.
+    pub fn on_handle(&mut self, now: Time, key: ConnectionKey) {
+        self.enter(now, key, Phase::Handling);
+    }
+
+    /// Records that a long answer begins to leave.
+    pub fn on_answer(&mut self, now: Time, key: ConnectionKey) {
+        self.enter(now, key, Phase::Answering);
+    }
+
+    /// Records that the answer has left.
+    pub fn on_answered(&mut self, now: Time, key: ConnectionKey) {
+        self.enter(now, key, Phase::Idle);
+    }
+
+    /// Records that bytes of a body or an answer were moved.
+    pub fn on_moved(&mut self, key: ConnectionKey, bytes: usize) {
+        if let Some(connection) = self.connections.get_mut(&key) {
+            connection.moved += bytes;
+        }
+    }
+
+    /// Records that a connection was closed.
+    pub fn on_close(&mut self, key: ConnectionKey) {
+        self.connections.remove(&key);
+    }
+
+    /// Takes this many bytes for a connection. Returns which ones go for them, which may be this one.
+    pub fn take(&mut self, now: Time, key: ConnectionKey, bytes: usize) -> Vec<Eviction> {
+        self.held += bytes;
+        if let Some(connection) = self.connections.get_mut(&key) {
+            connection.held += bytes;
+        }
+        self.make_room(now, key, 0)
+    }
+
+    /// Whether this many bytes fit beside those that are held, or nothing else is held.
+    pub fn has_room(&self, bytes: usize) -> bool {
+        self.held == 0 || self.held + bytes <= self.limits.memory
+    }
+
+    /// Returns which connections go so that there is room for this many bytes more for `key`, as far as any can.
+    pub fn make_room(&mut self, now: Time, key: ConnectionKey, bytes: usize) -> Vec<Eviction> {
+        let mut evicted = Vec::new();
+        let mut expected = self.held + bytes;
+        while expected > self.limits.memory {
+            let Some(victim) = self.slowest(now, key) else {
+                break;
+            };
+            expected = expected.saturating_sub(self.connections[&victim].held);
+            evicted.push(self.evict(now, victim));
+        }
+        evicted
+    }
+
+    /// Gives back bytes that were taken for a connection.
+    pub fn give_back(&mut self, key: ConnectionKey, bytes: usize) {
+        self.held = self.held.saturating_sub(bytes);
+        if let Some(connection) = self.connections.get_mut(&key) {
+            connection.held = connection.held.saturating_sub(bytes);
+        }
+    }
+
+    fn enter(&mut self, now: Time, key: ConnectionKey, phase: Phase) {
+        if let Some(connection) = self.connections.get_mut(&key) {
+            connection.enter(now, phase);
+        }
+    }
+
+    fn evict(&mut self, now: Time, key: ConnectionKey) -> Eviction {
+        let Some(connection) = self.connections.get_mut(&key) else {
+            return Eviction::Close(key);
+        };
+        let phase = connection.phase;
+        connection.enter(now, Phase::Closing);
+        match phase {
+            Phase::Receiving => Eviction::Refuse(key),
+            _ => Eviction::Close(key),
+        }
+    }
+
+    /// The connection that goes when memory is short and `taker` takes more; `None` if nobody else holds any that can be given
+    /// up, so that `taker` is served alone, or if it is being handled.
+    fn slowest(&self, now: Time, taker: ConnectionKey) -> Option<ConnectionKey> {
+        let can_go = |c: &Connection| c.held > 0 && matches!(c.phase, Phase::Receiving | Phase::Answering);
+        let others = || {
+            self.connections
+                .iter()
+                .filter(|(key, c)| **key != taker && can_go(c))
+        };
+        let old = others().filter(|(_, c)| c.age(now) >= MIN_AGE);
+        if let Some((key, _)) = old.min_by(|(_, a), (_, b)| a.rate(now).total_cmp(&b.rate(now))) {
+            return Some(*key);
+        }
+        let is_alone = self.connections.get(&taker).is_some_and(|c| c.held >= self.held);
+        let is_receiving = self
+            .connections
+            .get(&taker)
+            .is_some_and(|c| c.phase == Phase::Receiving);
+        if is_receiving && !is_alone {
+            return Some(taker);
+        }
+        // An answer that is there goes before bodies that have just begun.
+        let receiving = others().filter(|(_, c)| c.phase == Phase::Receiving);
+        receiving.map(|(key, _)| *key).next_back()
+    }
+
+    /// The connection that goes when there are too many, of which `newest` is one.
+    fn least_used(&self, now: Time, newest: ConnectionKey) -> ConnectionKey {
+        let others = || self.connections.iter().filter(|(key, _)| **key != newest);
+        let idle = others().filter(|(_, c)| c.phase == Phase::Idle);
+        if let Some((key, _)) = idle.min_by_key(|(_, c)| c.since) {
+            return *key;
+        }
+        let moving = others().filter(|(_, c)| matches!(c.phase, Phase::Receiving | Phase::Answering));
+        let old = moving.filter(|(_, c)| c.age(now) >= MIN_AGE);
+        let slowest = old.min_by(|(_, a), (_, b)| a.rate(now).total_cmp(&b.rate(now)));
+        slowest.map_or(newest, |(key, _)| *key)
+    }
+}
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -13,6 +13,7 @@
 pub mod arrivals;
 pub mod budget;
 pub mod cached_parts;
+pub mod connections;
 pub mod decaying_sum;
 pub mod directory;
 pub mod engine_map;
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -25,6 +25,7 @@
 use sequoiastream_peer::call::CallClient;
 use sequoiastream_upstream::channel::Answer;
 use sequoiastream_upstream::channel::Pool;
+use sequoiastream_upstream::patience::within;
 use tokio::sync::Notify;
 
 use crate::log_event;
@@ -32,7 +33,10 @@
 use crate::ops::relay::attempt::ActiveAttempt;
 use crate::ops::relay::attempt::AttemptParts;
 use crate::ops::relay::connect;
+use crate::ops::relay::connections::CallerMemory;
 use crate::ops::relay::hedge::HedgeState;
+use crate::ops::relay::long_answer;
+use crate::ops::relay::long_answer::LongAnswer;
 use crate::ops::relay::pick::JudgedEngine;
 use crate::ops::relay::prefilled::PrefilledPrompt;
 use crate::ops::relay::rank;
@@ -208,8 +212,9 @@
                 Ok(attempt) => attempt,
                 Err(reply) => return self.finish(reply),
             };
+            let memory = self.memory_for_answer(&attempt).await;
             match attempt.read_body(self.incoming.time_left()).await {
-                Ok(body) => return self.respond(attempt, body),
+                Ok(body) => return self.respond_held(attempt, body, memory),
                 Err(failure) => {
                     if let Some(reply) = self.on_attempt_failure(attempt, &failure) {
                         return self.finish(reply);
@@ -219,8 +224,28 @@
         }
     }
 
+    /// Memory for the answer, if its head says that it is a long one; waits until there is room for it.
+    async fn memory_for_answer(&self, attempt: &ActiveAttempt) -> Option<CallerMemory> {
+        let length = attempt
+            .answer()?
+            .length()
+            .filter(|length| *length >= long_answer::MIN_LENGTH)?;
+        let room = self.incoming.memory.caller().room_for(length);
+        within(self.incoming.time_left(), room).await
+    }
+
     /// Passes on a complete answer.
     pub(super) fn respond(&self, attempt: ActiveAttempt, body: Bytes) -> HttpResponse {
+        self.respond_held(attempt, body, None)
+    }
+
+    /// As [`Self::respond`], for an answer that takes `memory`, if that was taken already.
+    fn respond_held(
+        &self,
+        attempt: ActiveAttempt,
+        body: Bytes,
+        memory: Option<CallerMemory>,
+    ) -> HttpResponse {
         let Some(answer) = attempt.answer() else {
             return self.finish(self.give_up());
         };
@@ -237,7 +262,15 @@
             self.record_service_time(&attempt);
         }
         attempt.finish(&self.pool);
-        builder.body(body)
+        if body.len() < long_answer::MIN_LENGTH {
+            return builder.body(body);
+        }
+        let memory = memory.unwrap_or_else(|| {
+            let mut memory = self.incoming.memory.caller().memory();
+            memory.take(body.len());
+            memory
+        });
+        builder.body(LongAnswer::new(body, memory))
     }
 
     /// Logs and counts an engine's error that is passed on.
@@ -488,6 +521,9 @@
 impl Drop for ForwardedRequest {
     /// Counts and logs a request that is dropped before its final answer, which is recorded nowhere else.
     fn drop(&mut self) {
+        if self.answer_begun {
+            self.incoming.memory.caller().on_answered();
+        }
         if self.outcome_counted.get() {
             return;
         }
--- a/src/ops/relay/head.rs
+++ b/src/ops/relay/head.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use actix_web::HttpRequest;
-use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -20,6 +19,7 @@
 use sequoiastream_core::time::Time;
 
 use crate::log_event;
+use crate::ops::relay::body::ReceivedBody;
 use crate::ops::relay::edge::HeaderNames;
 use crate::ops::relay::send::IncomingRequest;
 use crate::ops::relay::shared::Shared;
@@ -100,6 +100,13 @@
         })
     }
 
+    /// How long the caller will wait, as far as its head says.
+    pub fn time_limit(&self, names: &HeaderNames) -> Duration {
+        let millis: Option<f64> = parse_number(&self.headers, &names.deadline).ok().flatten();
+        let limit = millis.and_then(|millis| Duration::try_from_secs_f64(millis / 1_000.0).ok());
+        limit.unwrap_or(DEFAULT_DEADLINE)
+    }
+
     /// Parses the remaining headers and adds the body. A deadline or last event id that is invalid is refused: if it
     /// were ignored, the caller would be kept waiting beyond its deadline, or would receive events twice.
     pub fn into_incoming(
@@ -108,7 +115,7 @@
         route: &Route,
         workspace: Option<&Workspace>,
         arrived: Time,
-        body: Bytes,
+        received: ReceivedBody,
     ) -> Result<IncomingRequest, &'static str> {
         let names = shared.translate.names();
         let deadline: Option<f64> =
@@ -131,6 +138,7 @@
         let path = self.uri.path_and_query().map_or("", |path| path.as_str());
         let address = self.caller.map(|address| address.to_string()).unwrap_or_default();
         let caller = self.key.as_ref().map_or(address.as_bytes(), |key| key.as_bytes());
+        let ReceivedBody { bytes: body, memory } = received;
         let parts = prompt.iter().flat_map(|prompt: &Prompt| prompt.shared_parts());
         let identity = RequestIdentity::new(self.method.as_str(), path, &body, caller)
             .with_parts(parts.map(|part| part.id));
@@ -150,6 +158,7 @@
             headers: self.headers,
             id: self.id,
             body,
+            memory,
             arrivals: Cell::default(),
         })
     }
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -28,6 +28,7 @@
 
 mod admission;
 mod attempt;
+mod body;
 mod cloud;
 pub mod confirm;
 pub mod connect;
@@ -43,6 +44,7 @@
 pub mod follow;
 pub mod forward;
 mod gauges;
+mod guarded_stream;
 mod head;
 mod hedge;
 mod hedge_prefill;
@@ -50,6 +52,7 @@
 mod job;
 pub mod known;
 pub mod lead;
+mod long_answer;
 pub mod options;
 pub mod orders;
 pub mod peers;
--- a/src/ops/relay/options.rs
+++ b/src/ops/relay/options.rs
@@ -56,6 +56,8 @@
     pub capacity: u32,
     /// Maximum number of descriptors that the process may have open, if it is lower than the system's limit.
     pub descriptors: Option<u64>,
+    /// Memory of the machine, in bytes, if the settings name it.
+    pub memory: Option<u64>,
     /// Secret that all instances of the deployment share.
     pub cluster_key: String,
     /// Settings of the leader, if it has any tasks.
--- a/src/ops/relay/reply.rs
+++ b/src/ops/relay/reply.rs
@@ -18,6 +18,9 @@
 /// Maximum delay before a retry, as a fraction of the time left. Callers comply with delays of up to a third of it.
 const MAX_RETRY_AFTER_PART: f64 = 0.3;
 
+/// Delay after which a caller may retry at another instance.
+pub(super) const RETRY_ELSEWHERE: Duration = Duration::from_millis(100);
+
 /// Reason of a refusal: the first event would be later than the route's latency target.
 pub(super) const WOULD_BE_LATE: &str = "it would be late";
 
@@ -40,6 +43,8 @@
     TooLong,
     /// The answer would be a stream, and the caller's version of HTTP has no framing that shows where a stream ends.
     OldVersion,
+    /// The body did not arrive in time. The request did not run.
+    Incomplete,
     /// The request did not run; the caller may retry after this time.
     Refused(Duration),
     /// The request did not run, and it has expired.
@@ -86,6 +91,7 @@
             Reply::NoRoute => "no-route",
             Reply::Denied => "denied",
             Reply::TooLong => "too-long",
+            Reply::Incomplete => "incomplete",
             Reply::OldVersion => "old-version",
             Reply::Refused(_) => "refused",
             Reply::Expired => "expired",
@@ -102,6 +108,7 @@
             Reply::NoRoute => StatusCode::NOT_FOUND,
             Reply::Denied => StatusCode::UNAUTHORIZED,
             Reply::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Reply::Incomplete => StatusCode::REQUEST_TIMEOUT,
             Reply::OldVersion => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Reply::Refused(_) | Reply::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Reply::Failed | Reply::Convicted => StatusCode::BAD_GATEWAY,
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -28,6 +28,7 @@
 use sequoiastream_upstream::channel::Channel;
 use sequoiastream_upstream::channel::Pool;
 
+use crate::ops::relay::connections::CallerMemory;
 use crate::ops::relay::edge::HeaderNames;
 use crate::ops::relay::failure::AttemptFailure;
 use crate::ops::relay::shared::AnswerHead;
@@ -41,7 +42,7 @@
 pub const MAX_ANSWER_BYTES: usize = 8 << 20;
 
 /// A caller's request, with its headers parsed.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct IncomingRequest {
     /// Method.
     pub method: Method,
@@ -51,6 +52,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Memory of the body.
+    pub memory: CallerMemory,
     /// Id that the caller gave this attempt.
     pub id: HeaderValue,
     /// Identifies the request over all its repetitions.
--- a/src/ops/relay/server.rs
+++ b/src/ops/relay/server.rs
@@ -1,14 +1,28 @@
 //! HTTP servers: for callers' requests, for queries for addresses, for readiness checks and for metrics.
 
 use std::collections::BTreeMap;
+use std::future::ready;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use actix_http::HttpService;
+use actix_http::error::DispatchError;
+use actix_rt::net::TcpStream;
+use actix_server::GracefulShutdownSignal;
+use actix_server::Server;
+use actix_service::IntoServiceFactory;
+use actix_service::ServiceFactory;
+use actix_service::ServiceFactoryExt;
+use actix_service::fn_service;
+use actix_service::map_config;
 use actix_web::App;
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
-use actix_web::HttpServer;
+use actix_web::body::BodySize;
+use actix_web::body::MessageBody;
+use actix_web::dev::AppConfig;
+use actix_web::dev::Extensions;
 use actix_web::dev::ServerHandle;
 use actix_web::http::ConnectionType;
 use actix_web::http::Version;
@@ -16,9 +30,6 @@
 use actix_web::web::Data;
 use actix_web::web::Payload;
 use actix_web::web::Query;
-use bytes::Bytes;
-use bytes::BytesMut;
-use futures_util::StreamExt;
 use sequoiastream_core::log_event;
 use sequoiastream_core::relay::directory;
 use sequoiastream_core::relay::routes::Route;
@@ -27,15 +38,23 @@
 use sequoiastream_core::relay::workspaces::StoreAges;
 use sequoiastream_peer::call::CallClient;
 use sequoiastream_upstream::channel::Pool;
+use tokio::net::TcpSocket;
 use tokio::time::timeout;
 
 use crate::log_event;
+use crate::ops::relay::body;
+use crate::ops::relay::body::BodyLimits;
+use crate::ops::relay::body::MAX_BODY_TIME;
+use crate::ops::relay::connections::Caller;
 use crate::ops::relay::connections::Connections;
 use crate::ops::relay::edge::Directory;
 use crate::ops::relay::forward::ForwardedRequest;
 use crate::ops::relay::gauges;
+use crate::ops::relay::guarded_stream::GuardedStream;
 use crate::ops::relay::head::RequestHead;
 use crate::ops::relay::idle;
+use crate::ops::relay::long_answer;
+use crate::ops::relay::reply::RETRY_ELSEWHERE;
 use crate::ops::relay::reply::Reply;
 use crate::ops::relay::shared::Shared;
 use crate::ops::relay::shared::View;
@@ -54,8 +73,20 @@
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
-/// Delay after which a caller may retry, at another instance.
-const RETRY_ELSEWHERE: Duration = Duration::from_millis(100);
+/// Maximum number of bytes that the kernel receives for a connection and that are not read yet, as asked of it; it may hold
+/// twice as many.
+const RECEIVE_BYTES: u32 = 64 << 10;
+
+/// Time for which the rest of a refused body is read and dropped, so that its caller sees the answer.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+
+/// The connection on which a request arrived.
+#[derive(Debug)]
+struct Arrival {
+    caller: Caller,
+    /// Address at which it was accepted.
+    address: SocketAddr,
+}
 
 /// State of one traffic thread.
 #[derive(Clone)]
@@ -79,35 +110,17 @@
     addresses.extend(options.metrics);
     addresses.sort();
     addresses.dedup();
-    let state = shared.clone();
-    let connections = Connections::new(options.descriptors);
-    let accepted = connections.clone();
-    let mut server = HttpServer::new(move || {
-        let pool = Pool::new();
-        actix_rt::spawn(idle::sweep(state.clone(), pool.clone()));
-        let worker = Worker {
-            shared: state.clone(),
-            pool,
-            calls: CallClient::new(state.key.clone()),
-            connections: connections.clone(),
-        };
-        App::new()
-            .app_data(Data::new(worker))
-            .default_service(web::to(handle))
-    })
-    .on_connect(move |_, extensions| {
-        extensions.insert(accepted.accept());
-    })
-    .workers(1)
-    .backlog(BACKLOG)
-    .keep_alive(KEEP_ALIVE)
-    .client_request_timeout(HEAD_TIMEOUT)
-    .h1_allow_half_closed(false)
-    .disable_signals();
+    let connections = Connections::new(options, shared.clone());
+    let mut builder = Server::build().workers(1).disable_signals();
+    let stopping = builder.graceful_shutdown_signal();
     for address in addresses {
-        server = server.bind(address)?;
+        let listener = listen(address)?;
+        let (shared, connections, stopping) = (shared.clone(), connections.clone(), stopping.clone());
+        builder = builder.listen(address.to_string(), listener, move || {
+            service(&shared, &connections, address, &stopping)
+        })?;
     }
-    let server = server.run();
+    let server = builder.run();
     let handle = server.handle();
     actix_rt::spawn(async move {
         if let Err(error) = server.await {
@@ -117,6 +130,66 @@
     Ok(handle)
 }
 
+/// Listens at an address, with a limit on what the kernel receives for a connection.
+fn listen(address: SocketAddr) -> std::io::Result<std::net::TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BYTES) {
+        tracing::debug!(%error, "could not limit the receive buffers of callers");
+    }
+    socket.bind(address)?;
+    socket.listen(BACKLOG)?.into_std()
+}
+
+/// Serves the connections to one address.
+fn service(
+    shared: &Arc<Shared>,
+    connections: &Connections,
+    address: SocketAddr,
+    stopping: &GracefulShutdownSignal,
+) -> impl ServiceFactory<TcpStream, Config = (), Response = (), Error = DispatchError, InitError = ()> + use<>
+{
+    let pool = Pool::new();
+    actix_rt::spawn(idle::sweep(shared.clone(), pool.clone()));
+    let worker = Worker {
+        shared: shared.clone(),
+        pool,
+        calls: CallClient::new(shared.key.clone()),
+        connections: connections.clone(),
+    };
+    let app = App::new()
+        .app_data(Data::new(worker))
+        .default_service(web::to(handle))
+        .into_factory()
+        .map_err(|error| error.error_response());
+    let stopping = stopping.clone();
+    let http = HttpService::build()
+        .graceful_shutdown_signal(move || {
+            let stopping = stopping.clone();
+            async move { stopping.notified().await }
+        })
+        .keep_alive(KEEP_ALIVE)
+        .client_request_timeout(HEAD_TIMEOUT)
+        .client_disconnect_timeout(LINGER_TIME)
+        .h1_allow_half_closed(false)
+        .local_addr(address)
+        .on_connect_ext(move |stream: &GuardedStream, extensions: &mut Extensions| {
+            let caller = stream.caller().clone();
+            extensions.insert(Arrival { caller, address });
+        })
+        .h1(map_config(app, |_| AppConfig::default()));
+    let connections = connections.clone();
+    fn_service(move |stream: TcpStream| {
+        let peer = stream.peer_addr().ok();
+        let stream = GuardedStream::new(stream, connections.accept());
+        ready(Ok::<_, DispatchError>((stream, peer)))
+    })
+    .and_then(http)
+}
+
 /// Stops the servers: idle connections are closed at once, the others when their answers are written. Returns after
 /// `limit` at the latest; connections that are still open end with the process.
 ///
@@ -132,19 +205,36 @@
     }
 }
 
-async fn handle(request: HttpRequest, payload: Payload, worker: Data<Worker>) -> HttpResponse {
+async fn handle(request: HttpRequest, mut payload: Payload, worker: Data<Worker>) -> HttpResponse {
     let shared = &worker.shared;
-    let local = request.app_config().local_addr();
-    let mut response = match handle_own_call(shared, local, &request) {
+    let Some(Arrival { caller, address }) = request.conn_data::<Arrival>() else {
+        return HttpResponse::InternalServerError().finish();
+    };
+    let mut response = match handle_own_call(shared, *address, &request) {
         Some(response) => response,
-        None => forward_request(&worker, &request, payload).await,
+        None => forward_request(&worker, &request, &mut payload, caller).await,
     };
+    if is_short(&response) {
+        caller.on_answered();
+    }
+    // Kept until the head of the response is written: the rest of a body that nobody has read is then dropped with the
+    // connection. Without it, chunks are read without end.
+    response.extensions_mut().insert(payload);
     if shared.is_leaving() || worker.connections.are_many() {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
     response
 }
 
+/// Whether the response leaves at once: neither a stream nor a long answer, which record their ends themselves.
+fn is_short(response: &HttpResponse) -> bool {
+    match response.body().size() {
+        BodySize::None => true,
+        BodySize::Sized(length) => length < long_answer::MIN_LENGTH as u64,
+        BodySize::Stream => false,
+    }
+}
+
 /// Answers a call to this instance itself; `None` if the request is to be forwarded.
 fn handle_own_call(shared: &Shared, local: SocketAddr, request: &HttpRequest) -> Option<HttpResponse> {
     let options = &shared.options;
@@ -190,25 +280,27 @@
     HttpResponse::Ok().content_type("application/json").body(body)
 }
 
-async fn forward_request(worker: &Worker, request: &HttpRequest, payload: Payload) -> HttpResponse {
+async fn forward_request(
+    worker: &Worker,
+    request: &HttpRequest,
+    payload: &mut Payload,
+    caller: &Caller,
+) -> HttpResponse {
     let arrived = clock::now();
     let shared = &worker.shared;
     let running = shared.begin();
     // Read before the view, so that the view contains every change that these ages cover.
     let ages = shared.ages(arrived);
     let view = shared.view.load_full();
+    if !view.is_configured() || shared.is_closed(arrived) {
+        return refuse(shared, Reply::Refused(RETRY_ELSEWHERE));
+    }
     let max_body = view.table.limits.max_body;
     if content_length(request) > max_body {
         return refuse(shared, Reply::TooLong);
     }
-    let body = match read_body(payload, max_body).await {
-        Ok(body) => body,
-        Err(reply) => return refuse(shared, reply),
-    };
-    if !view.is_configured() || shared.is_closed(arrived) {
-        return refuse(shared, Reply::Refused(RETRY_ELSEWHERE));
-    }
-    let head = match RequestHead::read(request, shared.translate.names()) {
+    let names = shared.translate.names();
+    let head = match RequestHead::read(request, names) {
         Ok(head) => head,
         Err(reason) => {
             log_event!(warn, log_event::REFUSED, why = reason, path = request.path());
@@ -232,6 +324,17 @@
     if route.kind.is_stream() && request.version() < Version::HTTP_11 {
         return refuse(shared, Reply::OldVersion);
     }
+    let limits = BodyLimits {
+        length: max_body,
+        time: head.time_limit(names).min(MAX_BODY_TIME),
+    };
+    let body = match body::receive(caller, payload, limits).await {
+        Ok(body) => body,
+        Err(reply) => return refuse(shared, reply),
+    };
+    if shared.is_closed(arrived) {
+        return refuse(shared, Reply::Refused(RETRY_ELSEWHERE));
+    }
     let incoming = match head.into_incoming(shared, &route, workspace, arrived, body) {
         Ok(incoming) => incoming,
         Err(reason) => {
@@ -288,6 +391,7 @@
     shared.metrics.count_refusal(match reply {
         Reply::NoRoute => "no route leads from there",
         Reply::TooLong => "the body is too long",
+        Reply::Incomplete => "the body did not arrive in time",
         Reply::Denied => "nobody holds the key",
         Reply::OldVersion => "the caller's version of HTTP has no streams",
         Reply::Refused(_) => "the instance is not ready",
@@ -302,19 +406,3 @@
     let length = length.and_then(|value| value.to_str().ok());
     length.and_then(|text| text.parse().ok()).unwrap_or_default()
 }
-
-async fn read_body(mut payload: Payload, max_body: usize) -> Result<Bytes, Reply> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|error| {
-            // The caller disconnected, or sent a body with invalid framing.
-            log_event!(debug, log_event::REFUSED, %error, why = "the body is incomplete or has invalid framing");
-            Reply::Bad
-        })?;
-        if body.len() + chunk.len() > max_body {
-            return Err(Reply::TooLong);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
-}
--- a/src/util/metrics/relay.rs
+++ b/src/util/metrics/relay.rs
@@ -60,6 +60,7 @@
     overdue: Family<ResultLabels, Counter>,
     take_ups: Family<SourceLabels, Counter>,
     engine_errors: Family<StatusLabels, Counter>,
+    evictions: Family<ResultLabels, Counter>,
     requests: Family<ServiceLabels, Counter>,
     arrivals: Family<ArrivalLabels, Counter>,
     /// Requests that were decided by a view that nothing had confirmed within the time for applying a change.
@@ -133,6 +134,7 @@
             overdue: Family::default(),
             take_ups: Family::default(),
             engine_errors: Family::default(),
+            evictions: Family::default(),
             requests: Family::default(),
             arrivals: Family::default(),
             outdated_requests: Counter::default(),
@@ -246,6 +248,12 @@
         self.engine_errors.get_or_create(&StatusLabels { status }).inc();
     }
 
+    /// Counts a caller's connection that was given up because memory or descriptors ran short.
+    pub fn count_eviction(&self, how: &'static str) {
+        let result = how.to_string();
+        self.evictions.get_or_create(&ResultLabels { result }).inc();
+    }
+
     /// Counts a caller's request on a route to a service.
     pub fn count_request(&self, service: &str) {
         let service = self.service_label(service);
--- a/src/util/metrics/relay/registration.rs
+++ b/src/util/metrics/relay/registration.rs
@@ -159,6 +159,11 @@
             "Errors of engines that were passed on to their callers, by status",
             self.engine_errors.clone(),
         );
+        registry.register(
+            "relay_evictions",
+            "Connections of callers that were given up for lack of memory or descriptors, by whether a request was refused",
+            self.evictions.clone(),
+        );
     }
 
     fn register_knowledge(&self, registry: &mut Registry) {
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -305,6 +305,7 @@
         peer: unique_address(7_004),
         capacity: 250,
         descriptors: None,
+        memory: None,
         cluster_key: "a secret of the tests".to_string(),
         leader: None,
         reloadable: ReloadableOptions {
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -6,6 +6,7 @@
 mod book;
 mod budget;
 mod confirmations;
+mod connections;
 mod continued_empty;
 mod crash_parts;
 mod crashes;
