--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -405,6 +405,14 @@
         caller.read_to_end().await
     }
 
+    /// As [`Instance::exchange`], from a caller that sends nothing after `raw`.
+    pub async fn exchange_cut(&self, raw: &str) -> String {
+        let mut caller = self.connect().await;
+        caller.send(raw).await;
+        caller.finish().await;
+        caller.read_to_end().await
+    }
+
     /// Sends a request for `path` with the request id `id` and the header lines `more` on a new connection, and returns
     /// everything received.
     pub async fn get(&self, path: &str, id: &str, more: &str) -> String {
@@ -456,6 +464,12 @@
             .expect("an open connection");
     }
 
+    /// Sends nothing more.
+    pub async fn finish(&mut self) {
+        // The instance may have closed the connection.
+        let _ = self.stream.shutdown().await;
+    }
+
     /// Returns everything received until the connection is closed or reset; panics if that takes more than 30 seconds.
     pub async fn read_to_end(&mut self) -> String {
         let limit = Duration::from_secs(30);
--- a/tests/testsuite/relay/mod.rs
+++ b/tests/testsuite/relay/mod.rs
@@ -5,6 +5,7 @@
 mod arrivals;
 mod book;
 mod budget;
+mod chunked;
 mod confirmations;
 mod connections;
 mod continued_empty;
