--- a/src/ops/relay/failure.rs
+++ b/src/ops/relay/failure.rs
@@ -17,7 +17,8 @@
     end: End,
     reason: String,
     evidence: Option<AnswerEvidence>,
-    is_prefill_run: bool,
+    /// Whether the engine may have run the request in place of its prefill.
+    prefill_run: bool,
 }
 
 impl AttemptFailure {
@@ -29,7 +30,7 @@
             end,
             reason: reason.to_string(),
             evidence: None,
-            is_prefill_run: false,
+            prefill_run: false,
         }
     }
 
@@ -79,7 +80,7 @@
         W: Display,
     {
         AttemptFailure {
-            is_prefill_run: true,
+            prefill_run: true,
             ..AttemptFailure::failed(reason)
         }
     }
@@ -109,7 +110,7 @@
 
     /// Whether the engine may have run the request in place of its prefill.
     pub fn is_prefill_run(&self) -> bool {
-        self.is_prefill_run
+        self.prefill_run
     }
 }
 
--- a/src/ops/relay/mod.rs
+++ b/src/ops/relay/mod.rs
@@ -52,6 +52,7 @@
 mod job;
 pub mod known;
 pub mod lead;
+pub mod listen;
 mod long_answer;
 pub mod options;
 pub mod orders;
@@ -126,7 +127,7 @@
     let shared = Arc::new(Shared::new(options, translate, budget));
     shared.traffic().budget.on_start(clock::now());
     let store: Rc<dyn Store> = Rc::new(CountingStore::new(store, shared.clone()));
-    let server = server::start(shared.clone()).wrap_err("could not start the server")?;
+    let server = listen::start(shared.clone()).wrap_err("could not start the server")?;
     let sockets = peers::Sockets::bind(&shared)
         .await
         .wrap_err("could not bind the sockets for peers")?;
@@ -161,7 +162,7 @@
         .reloadable()
         .grace_period
         .saturating_sub(clock::now().since(begun));
-    server::stop(&server, left.saturating_sub(PROCESS_END_TIME)).await;
+    listen::stop(&server, left.saturating_sub(PROCESS_END_TIME)).await;
     log_event!(info, log_event::STOPPED, running = shared.running());
     Ok(())
 }
--- a/src/ops/relay/server.rs
+++ b/src/ops/relay/server.rs
@@ -1,32 +1,15 @@
-//! HTTP servers: for callers' requests, for queries for addresses, for readiness checks and for metrics.
+//! Answers callers' requests, queries for addresses, readiness checks and queries for metrics. `listen` accepts them.
 
 use std::collections::BTreeMap;
-use std::future::ready;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
-use actix_http::HttpService;
-use actix_http::error::DispatchError;
-use actix_rt::net::TcpStream;
-use actix_server::GracefulShutdownSignal;
-use actix_server::Server;
-use actix_service::IntoServiceFactory;
-use actix_service::ServiceFactory;
-use actix_service::ServiceFactoryExt;
-use actix_service::fn_service;
-use actix_service::map_config;
-use actix_web::App;
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::body::BodySize;
 use actix_web::body::MessageBody;
-use actix_web::dev::AppConfig;
-use actix_web::dev::Extensions;
-use actix_web::dev::ServerHandle;
 use actix_web::http::ConnectionType;
 use actix_web::http::Version;
-use actix_web::web;
 use actix_web::web::Data;
 use actix_web::web::Payload;
 use actix_web::web::Query;
@@ -36,10 +19,9 @@
 use sequoiastream_core::relay::workspaces::KeyAccess;
 use sequoiastream_core::relay::workspaces::KeyDigest;
 use sequoiastream_core::relay::workspaces::StoreAges;
+use sequoiastream_core::time::Time;
 use sequoiastream_peer::call::CallClient;
 use sequoiastream_upstream::channel::Pool;
-use tokio::net::TcpSocket;
-use tokio::time::timeout;
 
 use crate::log_event;
 use crate::ops::relay::body;
@@ -50,9 +32,7 @@
 use crate::ops::relay::edge::Directory;
 use crate::ops::relay::forward::ForwardedRequest;
 use crate::ops::relay::gauges;
-use crate::ops::relay::guarded_stream::GuardedStream;
 use crate::ops::relay::head::RequestHead;
-use crate::ops::relay::idle;
 use crate::ops::relay::long_answer;
 use crate::ops::relay::reply::RETRY_ELSEWHERE;
 use crate::ops::relay::reply::Reply;
@@ -60,152 +40,28 @@
 use crate::ops::relay::shared::View;
 use crate::util::clock;
 
-/// How long an idle connection of a caller is kept open: longer than callers reuse one, so that no request is sent
-/// while the connection is being closed.
-const KEEP_ALIVE: Duration = Duration::from_secs(75);
-
-/// Time limit for a caller to send the head of a request. The limit in the configuration is never longer.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Maximum number of connections waiting to be accepted. If this queue is full, a connection is delayed by seconds.
-const BACKLOG: u32 = 2_048;
-
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
-/// Maximum number of bytes that the kernel receives for a connection and that are not read yet, as asked of it; it may hold
-/// twice as many.
-const RECEIVE_BYTES: u32 = 64 << 10;
-
-/// Time for which the rest of a refused body is read and dropped, so that its caller sees the answer.
-const LINGER_TIME: Duration = Duration::from_secs(1);
-
 /// The connection on which a request arrived.
 #[derive(Debug)]
-struct Arrival {
-    caller: Caller,
+pub(super) struct Arrival {
+    pub(super) caller: Caller,
     /// Address at which it was accepted.
-    address: SocketAddr,
+    pub(super) address: SocketAddr,
 }
 
 /// State of one traffic thread.
 #[derive(Clone)]
-struct Worker {
-    shared: Arc<Shared>,
-    pool: Pool,
-    calls: CallClient,
-    connections: Connections,
-}
-
-/// Starts the servers.
-///
-/// # Errors
-///
-/// If an address can't be bound.
-pub fn start(shared: Arc<Shared>) -> std::io::Result<ServerHandle> {
-    let options = &shared.options;
-    let mut addresses = vec![options.front];
-    addresses.extend(options.ready);
-    addresses.extend(options.directory);
-    addresses.extend(options.metrics);
-    addresses.sort();
-    addresses.dedup();
-    let connections = Connections::new(options, shared.clone());
-    let mut builder = Server::build().workers(1).disable_signals();
-    let stopping = builder.graceful_shutdown_signal();
-    for address in addresses {
-        let listener = listen(address)?;
-        let (shared, connections, stopping) = (shared.clone(), connections.clone(), stopping.clone());
-        builder = builder.listen(address.to_string(), listener, move || {
-            service(&shared, &connections, address, &stopping)
-        })?;
-    }
-    let server = builder.run();
-    let handle = server.handle();
-    actix_rt::spawn(async move {
-        if let Err(error) = server.await {
-            log_event!(error, log_event::SERVER_FAILED, %error);
-        }
-    });
-    Ok(handle)
-}
-
-/// Listens at an address, with a limit on what the kernel receives for a connection.
-fn listen(address: SocketAddr) -> std::io::Result<std::net::TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BYTES) {
-        tracing::debug!(%error, "could not limit the receive buffers of callers");
-    }
-    socket.bind(address)?;
-    socket.listen(BACKLOG)?.into_std()
+pub(super) struct Worker {
+    pub(super) shared: Arc<Shared>,
+    pub(super) pool: Pool,
+    pub(super) calls: CallClient,
+    pub(super) connections: Connections,
 }
 
-/// Serves the connections to one address.
-fn service(
-    shared: &Arc<Shared>,
-    connections: &Connections,
-    address: SocketAddr,
-    stopping: &GracefulShutdownSignal,
-) -> impl ServiceFactory<TcpStream, Config = (), Response = (), Error = DispatchError, InitError = ()> + use<>
-{
-    let pool = Pool::new();
-    actix_rt::spawn(idle::sweep(shared.clone(), pool.clone()));
-    let worker = Worker {
-        shared: shared.clone(),
-        pool,
-        calls: CallClient::new(shared.key.clone()),
-        connections: connections.clone(),
-    };
-    let app = App::new()
-        .app_data(Data::new(worker))
-        .default_service(web::to(handle))
-        .into_factory()
-        .map_err(|error| error.error_response());
-    let stopping = stopping.clone();
-    let http = HttpService::build()
-        .graceful_shutdown_signal(move || {
-            let stopping = stopping.clone();
-            async move { stopping.notified().await }
-        })
-        .keep_alive(KEEP_ALIVE)
-        .client_request_timeout(HEAD_TIMEOUT)
-        .client_disconnect_timeout(LINGER_TIME)
-        .h1_allow_half_closed(false)
-        .local_addr(address)
-        .on_connect_ext(move |stream: &GuardedStream, extensions: &mut Extensions| {
-            let caller = stream.caller().clone();
-            extensions.insert(Arrival { caller, address });
-        })
-        .h1(map_config(app, |_| AppConfig::default()));
-    let connections = connections.clone();
-    fn_service(move |stream: TcpStream| {
-        let peer = stream.peer_addr().ok();
-        let stream = GuardedStream::new(stream, connections.accept());
-        ready(Ok::<_, DispatchError>((stream, peer)))
-    })
-    .and_then(http)
-}
-
-/// Stops the servers: idle connections are closed at once, the others when their answers are written. Returns after
-/// `limit` at the latest; connections that are still open end with the process.
-///
-/// Guards against answers that are cut by a shutdown: a request counts as answered before its answer is written, and
-/// callers may read slowly.
-pub async fn stop(server: &ServerHandle, limit: Duration) {
-    if timeout(limit, server.stop(true)).await.is_err() {
-        log_event!(
-            warn,
-            log_event::SERVER_FAILED,
-            error = "answers were not written in time"
-        );
-    }
-}
-
-async fn handle(request: HttpRequest, mut payload: Payload, worker: Data<Worker>) -> HttpResponse {
+/// Answers a request, and has its connection closed if there are too many or this instance is leaving.
+pub(super) async fn handle(request: HttpRequest, mut payload: Payload, worker: Data<Worker>) -> HttpResponse {
     let shared = &worker.shared;
     let Some(Arrival { caller, address }) = request.conn_data::<Arrival>() else {
         return HttpResponse::InternalServerError().finish();
@@ -292,20 +148,9 @@
     // Read before the view, so that the view contains every change that these ages cover.
     let ages = shared.ages(arrived);
     let view = shared.view.load_full();
-    if !view.is_configured() || shared.is_closed(arrived) {
-        return refuse(shared, Reply::Refused(RETRY_ELSEWHERE));
-    }
-    let max_body = view.table.limits.max_body;
-    if content_length(request) > max_body {
-        return refuse(shared, Reply::TooLong);
-    }
-    let names = shared.translate.names();
-    let head = match RequestHead::read(request, names) {
+    let head = match read_head(shared, &view, request, arrived) {
         Ok(head) => head,
-        Err(reason) => {
-            log_event!(warn, log_event::REFUSED, why = reason, path = request.path());
-            return refuse(shared, Reply::Bad);
-        }
+        Err(reply) => return refuse(shared, reply),
     };
     let tuning = shared.reloadable();
     if ages.reported > tuning.apply_limit.0 {
@@ -325,8 +170,8 @@
         return refuse(shared, Reply::OldVersion);
     }
     let limits = BodyLimits {
-        length: max_body,
-        time: head.time_limit(names).min(MAX_BODY_TIME),
+        length: view.table.limits.max_body,
+        time: head.time_limit(shared.translate.names()).min(MAX_BODY_TIME),
     };
     let body = match body::receive(caller, payload, limits).await {
         Ok(body) => body,
@@ -354,6 +199,25 @@
     forward.run().await
 }
 
+/// Reads the head of a request, and refuses what can be refused by it alone.
+fn read_head(
+    shared: &Shared,
+    view: &View,
+    request: &HttpRequest,
+    arrived: Time,
+) -> Result<RequestHead, Reply> {
+    if !view.is_configured() || shared.is_closed(arrived) {
+        return Err(Reply::Refused(RETRY_ELSEWHERE));
+    }
+    if content_length(request) > view.table.limits.max_body {
+        return Err(Reply::TooLong);
+    }
+    RequestHead::read(request, shared.translate.names()).map_err(|reason| {
+        log_event!(warn, log_event::REFUSED, why = reason, path = request.path());
+        Reply::Bad
+    })
+}
+
 /// Refuses a request that no route matches; for good only if the configuration is recent enough to have the routes that it
 /// must have. Logs the version of the configuration and the time since the store's last confirmation, so that a route that
 /// had not reached this instance yet can be told from one that doesn't exist.
--- a/tests/testsuite/relay/instance.rs
+++ b/tests/testsuite/relay/instance.rs
@@ -18,9 +18,9 @@
 use sequoiastream::ops::relay::edge::Paths;
 use sequoiastream::ops::relay::edge::StoreKeys;
 use sequoiastream::ops::relay::edge::Translate;
+use sequoiastream::ops::relay::listen;
 use sequoiastream::ops::relay::options::Options;
 use sequoiastream::ops::relay::options::ReloadableOptions;
-use sequoiastream::ops::relay::server;
 use sequoiastream::ops::relay::shared::Shared;
 use sequoiastream::util::log_budget::LogBudget;
 use sequoiastream_core::relay::budget::BudgetLimits;
@@ -384,13 +384,13 @@
 
     /// Starts the server of an instance with this state.
     pub fn serve(shared: Arc<Shared>) -> Instance {
-        let server = server::start(shared.clone()).expect("an unused address");
+        let server = listen::start(shared.clone()).expect("an unused address");
         Instance { shared, server }
     }
 
     /// Stops the server as at the end of a shutdown.
     pub async fn stop(&self, limit: Duration) {
-        server::stop(&self.server, limit).await;
+        listen::stop(&self.server, limit).await;
     }
 
     /// Opens a connection of a caller.
