--- a/crates/core/src/relay/connections.rs
+++ b/crates/core/src/relay/connections.rs
@@ -1,13 +1,13 @@
-//! Which connections of callers an instance gives up when its memory or its descriptors run short.
+//! Decides which connections of callers are evicted when an instance runs short of memory or descriptors.
 //!
 //! Failure guarded against: callers that don't behave send many large bodies and stop short of their ends, leave answers
 //! unread, or open connections and say nothing. The process runs out of memory or descriptors, and ordinary callers get no
 //! answers.
 //!
-//! What callers make an instance hold counts against one limit for all of them: the bodies that they send, until their
-//! requests are answered, and long answers until they have read them. If the limit is exceeded, the connection goes that has moved
-//! the fewest bytes per second; one that has just begun only if there is no other. A request that an engine may have begun never
-//! goes. Of connections beyond their limit, the one goes that has carried no request for the longest time.
+//! Memory that is reserved for callers counts against one limit for all of them: bodies that are received, until their
+//! requests have ended, and long answers, until their callers have read them. Beyond the limit, the connection with the lowest
+//! transfer rate is evicted; one that has just begun only if there is no other. A request that an engine may have begun is
+//! never evicted. Beyond the limit on connections, the least recently used idle one is evicted.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -20,7 +20,7 @@
 /// Limits on what all callers take together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionLimits {
-    /// Bytes that are held for callers.
+    /// Bytes that are reserved for callers.
     pub memory: usize,
     /// Open connections.
     pub connections: usize,
@@ -30,7 +30,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ConnectionKey(u64);
 
-/// What happens to a connection that goes.
+/// How a connection is evicted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Eviction {
     /// Its request is refused, which has not been forwarded. Then it is closed.
@@ -61,8 +61,8 @@
     since: Time,
     /// Bytes that were moved in this phase.
     moved: usize,
-    /// Bytes that are held for it.
-    held: usize,
+    /// Bytes that are reserved for it.
+    reserved: usize,
 }
 
 impl Connection {
@@ -90,8 +90,8 @@
 pub struct ConnectionTable {
     limits: ConnectionLimits,
     connections: BTreeMap<ConnectionKey, Connection>,
-    /// Bytes that are held for all of them, and for those that were closed and whose requests are still handled.
-    held: usize,
+    /// Bytes that are reserved for all of them, and for those that were closed and whose requests are still handled.
+    reserved: usize,
     accepted: u64,
 }
 
@@ -101,7 +101,7 @@
         ConnectionTable {
             limits,
             connections: BTreeMap::new(),
-            held: 0,
+            reserved: 0,
             accepted: 0,
         }
     }
@@ -111,12 +111,12 @@
         self.connections.len()
     }
 
-    /// Bytes that are held for callers.
-    pub fn held(&self) -> usize {
-        self.held
+    /// Bytes that are reserved for callers.
+    pub fn reserved(&self) -> usize {
+        self.reserved
     }
 
-    /// Records a connection that was accepted. Returns its key, and which one goes for it.
+    /// Records a connection that was accepted. Returns its key, and which one is evicted for it.
     pub fn on_accept(&mut self, now: Time) -> (ConnectionKey, Option<Eviction>) {
         let key = ConnectionKey(self.accepted);
         self.accepted += 1;
@@ -124,7 +124,7 @@
             phase: Phase::Idle,
             since: now,
             moved: 0,
-            held: 0,
+            reserved: 0,
         };
         self.connections.insert(key, connection);
         let open = self.connections.values().filter(|c| c.phase != Phase::Closing);
@@ -165,39 +165,39 @@
         self.connections.remove(&key);
     }
 
-    /// Takes this many bytes for a connection. Returns which ones go for them, which may be this one.
-    pub fn take(&mut self, now: Time, key: ConnectionKey, bytes: usize) -> Vec<Eviction> {
-        self.held += bytes;
+    /// Reserves this many bytes for a connection. Returns which ones are evicted for them, which may be this one.
+    pub fn reserve(&mut self, now: Time, key: ConnectionKey, bytes: usize) -> Vec<Eviction> {
+        self.reserved += bytes;
         if let Some(connection) = self.connections.get_mut(&key) {
-            connection.held += bytes;
+            connection.reserved += bytes;
         }
         self.make_room(now, key, 0)
     }
 
-    /// Whether this many bytes fit beside those that are held, or nothing else is held.
+    /// Whether this many bytes can be reserved within the limit, or nothing else is reserved.
     pub fn has_room(&self, bytes: usize) -> bool {
-        self.held == 0 || self.held + bytes <= self.limits.memory
+        self.reserved == 0 || self.reserved + bytes <= self.limits.memory
     }
 
-    /// Returns which connections go so that there is room for this many bytes more for `key`, as far as any can.
+    /// Evicts connections until this many bytes more can be reserved for `key`, as far as any may be evicted.
     pub fn make_room(&mut self, now: Time, key: ConnectionKey, bytes: usize) -> Vec<Eviction> {
         let mut evicted = Vec::new();
-        let mut expected = self.held + bytes;
+        let mut expected = self.reserved + bytes;
         while expected > self.limits.memory {
             let Some(victim) = self.slowest(now, key) else {
                 break;
             };
-            expected = expected.saturating_sub(self.connections[&victim].held);
+            expected = expected.saturating_sub(self.connections[&victim].reserved);
             evicted.push(self.evict(now, victim));
         }
         evicted
     }
 
-    /// Gives back bytes that were taken for a connection.
-    pub fn give_back(&mut self, key: ConnectionKey, bytes: usize) {
-        self.held = self.held.saturating_sub(bytes);
+    /// Releases bytes that were reserved for a connection.
+    pub fn release(&mut self, key: ConnectionKey, bytes: usize) {
+        self.reserved = self.reserved.saturating_sub(bytes);
         if let Some(connection) = self.connections.get_mut(&key) {
-            connection.held = connection.held.saturating_sub(bytes);
+            connection.reserved = connection.reserved.saturating_sub(bytes);
         }
     }
 
@@ -219,10 +219,11 @@
         }
     }
 
-    /// The connection that goes when memory is short and `taker` takes more; `None` if nobody else holds any that can be given
-    /// up, so that `taker` is served alone, or if it is being handled.
+    /// The connection that is evicted when memory is short and `taker` reserves more; `None` if no other one may be evicted and
+    /// `taker` is alone or is being handled.
     fn slowest(&self, now: Time, taker: ConnectionKey) -> Option<ConnectionKey> {
-        let can_go = |c: &Connection| c.held > 0 && matches!(c.phase, Phase::Receiving | Phase::Answering);
+        let can_go =
+            |c: &Connection| c.reserved > 0 && matches!(c.phase, Phase::Receiving | Phase::Answering);
         let others = || {
             self.connections
                 .iter()
@@ -232,7 +233,10 @@
         if let Some((key, _)) = old.min_by(|(_, a), (_, b)| a.rate(now).total_cmp(&b.rate(now))) {
             return Some(*key);
         }
-        let is_alone = self.connections.get(&taker).is_some_and(|c| c.held >= self.held);
+        let is_alone = self
+            .connections
+            .get(&taker)
+            .is_some_and(|c| c.reserved >= self.reserved);
         let is_receiving = self
             .connections
             .get(&taker)
@@ -240,12 +244,12 @@
         if is_receiving && !is_alone {
             return Some(taker);
         }
-        // An answer that is there goes before bodies that have just begun.
+        // An answer that is ready takes precedence over bodies that have just begun.
         let receiving = others().filter(|(_, c)| c.phase == Phase::Receiving);
         receiving.map(|(key, _)| *key).next_back()
     }
 
-    /// The connection that goes when there are too many, of which `newest` is one.
+    /// The connection that is evicted when there are too many, of which `newest` is one.
     fn least_used(&self, now: Time, newest: ConnectionKey) -> ConnectionKey {
         let others = || self.connections.iter().filter(|(key, _)| **key != newest);
         let idle = others().filter(|(_, c)| c.phase == Phase::Idle);
--- a/src/ops/relay/body.rs
+++ b/src/ops/relay/body.rs
@@ -10,7 +10,7 @@
 
 use crate::log_event;
 use crate::ops::relay::connections::Caller;
-use crate::ops::relay::connections::CallerMemory;
+use crate::ops::relay::connections::Reservation;
 use crate::ops::relay::reply::RETRY_ELSEWHERE;
 use crate::ops::relay::reply::Reply;
 
@@ -20,13 +20,13 @@
 /// Least number of bytes by which the memory of a body grows.
 const MIN_GROWTH: usize = 4 << 10;
 
-/// A body that has arrived, and the memory that it takes until this is dropped.
+/// A body that has arrived, and the memory that is reserved for it until this is dropped.
 #[derive(Debug)]
 pub struct ReceivedBody {
     /// The body.
     pub bytes: Bytes,
     /// Its memory.
-    pub memory: CallerMemory,
+    pub memory: Reservation,
 }
 
 /// Limits on one body.
@@ -45,7 +45,7 @@
 ///
 /// # Errors
 ///
-/// [`Reply`] if it is too long, incomplete or has invalid framing, doesn't arrive in time, or has to go because memory is short.
+/// [`Reply`] if it is too long, incomplete or has invalid framing, doesn't arrive in time, or is evicted because memory is short.
 pub(super) async fn receive(
     caller: &Caller,
     payload: &mut Payload,
@@ -62,7 +62,7 @@
 }
 
 async fn collect(caller: &Caller, payload: &mut Payload, max_length: usize) -> Result<ReceivedBody, Reply> {
-    let mut memory = caller.memory();
+    let mut memory = caller.reservation();
     let mut body = Vec::new();
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|error| {
@@ -78,7 +78,7 @@
             let growth = (length - body.capacity())
                 .max(body.capacity() / 4)
                 .max(MIN_GROWTH);
-            memory.take(growth);
+            memory.grow(growth);
             if caller.is_refused() {
                 return Err(Reply::Refused(RETRY_ELSEWHERE));
             }
--- a/src/ops/relay/connections.rs
+++ b/src/ops/relay/connections.rs
@@ -1,5 +1,5 @@
-//! The open connections of callers, and what they make this instance hold. `core::relay::connections` decides which ones go
-//! when memory or descriptors run short; this carries it out.
+//! The open connections of callers, and the memory that is reserved for them. `core::relay::connections` decides which ones are
+//! evicted when memory or descriptors run short; this carries it out.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -35,8 +35,8 @@
 /// Fraction of the descriptors that callers' connections may take at all.
 const MAX_PART: f64 = 0.75;
 
-/// Fraction of the memory of the machine that bodies and long answers may take.
-const HELD_PART: f64 = 0.25;
+/// Fraction of the memory of the machine that is reserved for bodies and long answers at most.
+const RESERVED_PART: f64 = 0.25;
 
 /// Fraction of the memory of the machine that the buffers of connections may take.
 const BUFFER_PART: f64 = 0.25;
@@ -57,8 +57,8 @@
     /// Number beyond which connections are closed after an answer.
     max_kept: usize,
     shared: Arc<Shared>,
-    /// Notified when something is given back.
-    freed: Arc<Notify>,
+    /// Notified when memory is released.
+    released: Arc<Notify>,
 }
 
 impl fmt::Debug for Connections {
@@ -73,7 +73,7 @@
     signals: BTreeMap<ConnectionKey, Arc<Signals>>,
 }
 
-/// How a connection is told that it goes.
+/// How a connection is told that it is evicted.
 #[derive(Debug, Default)]
 struct Signals {
     is_refused: AtomicBool,
@@ -91,7 +91,7 @@
         let part = |part: f64| descriptors.map_or(usize::MAX, |max| (max as f64 * part) as usize);
         let memory = options.memory.unwrap_or(DEFAULT_MEMORY) as f64;
         let limits = ConnectionLimits {
-            memory: (memory * HELD_PART) as usize,
+            memory: (memory * RESERVED_PART) as usize,
             connections: part(MAX_PART).min((memory * BUFFER_PART / BUFFER_BYTES) as usize),
         };
         let state = State {
@@ -102,7 +102,7 @@
             state: Arc::new(Mutex::new(state)),
             max_kept: part(KEPT_PART).min(limits.connections),
             shared,
-            freed: Arc::default(),
+            released: Arc::default(),
         }
     }
 
@@ -136,23 +136,23 @@
     where
         E: IntoIterator<Item = Eviction>,
     {
-        let (open, held) = (state.table.open(), state.table.held());
+        let (open, reserved) = (state.table.open(), state.table.reserved());
         for eviction in evicted {
             let (key, how) = match eviction {
                 Eviction::Refuse(key) => (key, "refused"),
                 Eviction::Close(key) => (key, "closed"),
             };
             self.shared.metrics.count_eviction(how);
-            log_event!(info, log_event::CALLER_EVICTED, how, open, held);
+            log_event!(info, log_event::CALLER_EVICTED, how, open, reserved);
             if let Some(signals) = state.signals.get(&key) {
-                signals.give_up(eviction);
+                signals.evict(eviction);
             }
         }
     }
 }
 
 impl Signals {
-    fn give_up(&self, eviction: Eviction) {
+    fn evict(&self, eviction: Eviction) {
         match eviction {
             Eviction::Refuse(_) => {
                 self.is_refused.store(true, Ordering::Relaxed);
@@ -234,73 +234,73 @@
         self.signals.task.register(task);
     }
 
-    /// Memory for this caller, none yet.
-    pub(super) fn memory(&self) -> CallerMemory {
-        CallerMemory {
+    /// A reservation for this caller, of no memory yet.
+    pub(super) fn reservation(&self) -> Reservation {
+        Reservation {
             caller: self.clone(),
             bytes: 0,
         }
     }
 
-    /// Takes memory for a long answer once there is room for it.
+    /// Reserves memory for a long answer once there is room for it.
     ///
     /// Guards against many long answers that are read from engines at the same time.
-    pub(super) async fn room_for(&self, bytes: usize) -> CallerMemory {
+    pub(super) async fn reserve(&self, bytes: usize) -> Reservation {
         loop {
-            let freed = self.connections.freed.notified();
-            if let Some(memory) = self.take_room(bytes) {
-                return memory;
+            let released = self.connections.released.notified();
+            if let Some(reservation) = self.try_reserve(bytes) {
+                return reservation;
             }
-            // Those that hold memory may be given up once they are slow.
-            let _ = timeout(ROOM_INTERVAL, freed).await;
+            // Others may be evicted once they have been slow for long enough.
+            let _ = timeout(ROOM_INTERVAL, released).await;
         }
     }
 
-    /// Takes memory if there is room for it, and has others go for it.
-    fn take_room(&self, bytes: usize) -> Option<CallerMemory> {
+    /// Reserves memory if there is room for it, for which others may be evicted.
+    fn try_reserve(&self, bytes: usize) -> Option<Reservation> {
         let mut state = self.connections.state();
         let evicted = state.table.make_room(clock::now(), self.key, bytes);
         self.connections.evict(&state, evicted);
         let has_room = state.table.has_room(bytes);
         drop(state);
         has_room.then(|| {
-            let mut memory = self.memory();
-            memory.take(bytes);
-            memory
+            let mut reservation = self.reservation();
+            reservation.grow(bytes);
+            reservation
         })
     }
 }
 
-/// Memory that is held for a caller, until this is dropped.
+/// Memory that is reserved for a caller until this is dropped.
 #[derive(Debug)]
-pub struct CallerMemory {
+pub struct Reservation {
     caller: Caller,
     bytes: usize,
 }
 
-impl CallerMemory {
-    /// Takes more.
-    pub(super) fn take(&mut self, bytes: usize) {
+impl Reservation {
+    /// Reserves more, for which others or this caller may be evicted.
+    pub(super) fn grow(&mut self, bytes: usize) {
         self.bytes += bytes;
         let connections = &self.caller.connections;
         let mut state = connections.state();
-        let evicted = state.table.take(clock::now(), self.caller.key, bytes);
+        let evicted = state.table.reserve(clock::now(), self.caller.key, bytes);
         connections.evict(&state, evicted);
     }
 
-    /// The caller that it is held for.
+    /// The caller that it is reserved for.
     pub(super) fn caller(&self) -> &Caller {
         &self.caller
     }
 }
 
-impl Drop for CallerMemory {
+impl Drop for Reservation {
     fn drop(&mut self) {
         if self.bytes == 0 {
             return;
         }
         let connections = &self.caller.connections;
-        connections.state().table.give_back(self.caller.key, self.bytes);
-        connections.freed.notify_waiters();
+        connections.state().table.release(self.caller.key, self.bytes);
+        connections.released.notify_waiters();
     }
 }
--- a/src/ops/relay/forward.rs
+++ b/src/ops/relay/forward.rs
@@ -33,7 +33,7 @@
 use crate::ops::relay::attempt::ActiveAttempt;
 use crate::ops::relay::attempt::AttemptParts;
 use crate::ops::relay::connect;
-use crate::ops::relay::connections::CallerMemory;
+use crate::ops::relay::connections::Reservation;
 use crate::ops::relay::hedge::HedgeState;
 use crate::ops::relay::long_answer;
 use crate::ops::relay::long_answer::LongAnswer;
@@ -225,12 +225,12 @@
     }
 
     /// Memory for the answer, if its head says that it is a long one; waits until there is room for it.
-    async fn memory_for_answer(&self, attempt: &ActiveAttempt) -> Option<CallerMemory> {
+    async fn memory_for_answer(&self, attempt: &ActiveAttempt) -> Option<Reservation> {
         let length = attempt
             .answer()?
             .length()
             .filter(|length| *length >= long_answer::MIN_LENGTH)?;
-        let room = self.incoming.memory.caller().room_for(length);
+        let room = self.incoming.memory.caller().reserve(length);
         within(self.incoming.time_left(), room).await
     }
 
@@ -240,12 +240,7 @@
     }
 
     /// As [`Self::respond`], for an answer that takes `memory`, if that was taken already.
-    fn respond_held(
-        &self,
-        attempt: ActiveAttempt,
-        body: Bytes,
-        memory: Option<CallerMemory>,
-    ) -> HttpResponse {
+    fn respond_held(&self, attempt: ActiveAttempt, body: Bytes, memory: Option<Reservation>) -> HttpResponse {
         let Some(answer) = attempt.answer() else {
             return self.finish(self.give_up());
         };
@@ -266,8 +261,8 @@
             return builder.body(body);
         }
         let memory = memory.unwrap_or_else(|| {
-            let mut memory = self.incoming.memory.caller().memory();
-            memory.take(body.len());
+            let mut memory = self.incoming.memory.caller().reservation();
+            memory.grow(body.len());
             memory
         });
         builder.body(LongAnswer::new(body, memory))
--- a/src/ops/relay/long_answer.rs
+++ b/src/ops/relay/long_answer.rs
@@ -9,7 +9,7 @@
 use actix_web::body::MessageBody;
 use bytes::Bytes;
 
-use crate::ops::relay::connections::CallerMemory;
+use crate::ops::relay::connections::Reservation;
 
 /// Length from which an answer is a long one, in bytes.
 pub(super) const MIN_LENGTH: usize = 64 << 10;
@@ -21,12 +21,12 @@
 #[derive(Debug)]
 pub(super) struct LongAnswer {
     rest: Bytes,
-    memory: CallerMemory,
+    memory: Reservation,
 }
 
 impl LongAnswer {
     /// A body that is held in `memory`.
-    pub(super) fn new(body: Bytes, memory: CallerMemory) -> LongAnswer {
+    pub(super) fn new(body: Bytes, memory: Reservation) -> LongAnswer {
         memory.caller().on_answer();
         LongAnswer { rest: body, memory }
     }
--- a/src/ops/relay/send.rs
+++ b/src/ops/relay/send.rs
@@ -28,7 +28,7 @@
 use sequoiastream_upstream::channel::Channel;
 use sequoiastream_upstream::channel::Pool;
 
-use crate::ops::relay::connections::CallerMemory;
+use crate::ops::relay::connections::Reservation;
 use crate::ops::relay::edge::HeaderNames;
 use crate::ops::relay::failure::AttemptFailure;
 use crate::ops::relay::shared::AnswerHead;
@@ -53,7 +53,7 @@
     /// Body.
     pub body: Bytes,
     /// Memory of the body.
-    pub memory: CallerMemory,
+    pub memory: Reservation,
     /// Id that the caller gave this attempt.
     pub id: HeaderValue,
     /// Identifies the request over all its repetitions.
--- a/tests/testsuite/relay/connections.rs
+++ b/tests/testsuite/relay/connections.rs
@@ -1,4 +1,4 @@
-//! Which connections of callers go when memory or descriptors run short.
+//! Which connections of callers are evicted when memory or descriptors run short.
 
 use std::time::Duration;
 
@@ -31,8 +31,8 @@
 fn alone_may_exceed() {
     let mut table = ConnectionTable::new(LIMITS);
     let key = receiving(&mut table, at(0));
-    assert_eq!(table.take(at(0), key, 3_000), []);
-    assert_eq!(table.take(at(5), key, 3_000), []);
+    assert_eq!(table.reserve(at(0), key, 3_000), []);
+    assert_eq!(table.reserve(at(5), key, 3_000), []);
 }
 
 /// Guards against a caller that makes progress and goes for one that has stalled or trickles.
@@ -40,13 +40,13 @@
 fn slowest_goes() {
     let mut table = ConnectionTable::new(LIMITS);
     let [stalled, trickling, fast] = [0, 0, 3].map(|second| receiving(&mut table, at(second)));
-    table.take(at(0), stalled, 400);
+    table.reserve(at(0), stalled, 400);
     table.on_moved(stalled, 400);
-    table.take(at(0), trickling, 400);
+    table.reserve(at(0), trickling, 400);
     table.on_moved(trickling, 450);
-    table.take(at(3), fast, 100);
+    table.reserve(at(3), fast, 100);
     table.on_moved(fast, 100_000);
-    assert_eq!(table.take(at(4), fast, 200), [Eviction::Refuse(stalled)]);
+    assert_eq!(table.reserve(at(4), fast, 200), [Eviction::Refuse(stalled)]);
 }
 
 /// Guards against a request that an engine may have begun and that goes for a body.
@@ -54,13 +54,13 @@
 fn handled_never_goes() {
     let mut table = ConnectionTable::new(LIMITS);
     let handled = receiving(&mut table, at(0));
-    table.take(at(0), handled, 900);
+    table.reserve(at(0), handled, 900);
     table.on_handle(at(1), handled);
     let newest = receiving(&mut table, at(9));
-    assert_eq!(table.take(at(9), newest, 200), [Eviction::Refuse(newest)]);
-    table.give_back(handled, 900);
+    assert_eq!(table.reserve(at(9), newest, 200), [Eviction::Refuse(newest)]);
+    table.release(handled, 900);
     let next = receiving(&mut table, at(9));
-    assert_eq!(table.take(at(9), next, 500), []);
+    assert_eq!(table.reserve(at(9), next, 500), []);
 }
 
 /// Guards against an answer that is there and goes for a body that has just begun.
@@ -68,10 +68,10 @@
 fn answer_before_new_body() {
     let mut table = ConnectionTable::new(LIMITS);
     let body = receiving(&mut table, at(0));
-    table.take(at(0), body, 900);
+    table.reserve(at(0), body, 900);
     let (answered, _) = table.on_accept(at(0));
     table.on_answer(at(0), answered);
-    assert_eq!(table.take(at(0), answered, 300), [Eviction::Refuse(body)]);
+    assert_eq!(table.reserve(at(0), answered, 300), [Eviction::Refuse(body)]);
 }
 
 /// Guards against connections in use that go for new ones while others carry nothing.
@@ -116,14 +116,14 @@
                     table.on_body(now, *key);
                     table.on_moved(*key, bytes);
                     *held += bytes;
-                    table.take(now, *key, bytes)
+                    table.reserve(now, *key, bytes)
                 }
                 (5, Some((key, held, is_handled))) => {
                     *is_handled = !*is_handled;
                     match *is_handled {
                         true => table.on_handle(now, *key),
                         false => {
-                            table.give_back(*key, std::mem::take(held));
+                            table.release(*key, std::mem::take(held));
                             table.on_answered(now, *key);
                         }
                     }
@@ -136,7 +136,7 @@
                 let position = open.iter().position(|(other, ..)| *other == key);
                 let (_, held, is_handled) = open.remove(position.expect("it is open"));
                 assert!(!is_handled, "seed {seed}, step {step}");
-                table.give_back(key, held);
+                table.release(key, held);
                 table.on_close(key);
             }
             let handled = open.iter().filter(|(.., is_handled)| *is_handled).count();
@@ -145,7 +145,7 @@
                 "seed {seed}, step {step}"
             );
             let held: usize = open.iter().map(|(_, held, _)| held).sum();
-            assert_eq!(table.held(), held, "seed {seed}, step {step}");
+            assert_eq!(table.reserved(), held, "seed {seed}, step {step}");
             let holders = open
                 .iter()
                 .filter(|(_, held, is_handled)| *held > 0 && !is_handled);
