--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod dark_poison;
 mod ended_engine;
 mod extra_bytes;
 mod foreign_entry;
@@ -18,6 +19,7 @@
 /// Runs a case.
 pub fn run(name: &str, record: &str, trouble: bool) -> std::io::Result<Verdict> {
     match name {
+        "dark-poison" => dark_poison::run(record, trouble),
         "foreign-entry" => foreign_entry::run(record, trouble),
         "ended-engine" => ended_engine::run(record, trouble),
         "extra-bytes" => extra_bytes::run(record, trouble),
--- a/review/standin-2/src/cases/ended_engine.rs
+++ b/review/standin-2/src/cases/ended_engine.rs
@@ -127,7 +127,7 @@
             &EVENTS.to_string(),
             &EVENT_GAP.to_string(),
         ])
-        .stdin(Stdio::null())
+        .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .spawn()?;
     let output = child.stdout.take();
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -20,6 +20,18 @@
             }
             _ => return ExitCode::from(2),
         },
+        ["orders", address, id, crash, work] => match (address.parse(), work.parse()) {
+            (Ok(address), Ok(work)) => {
+                let crash = match *crash {
+                    "dark" => engine::Crash::Dark,
+                    "ends" => engine::Crash::Ends,
+                    _ => engine::Crash::Not,
+                };
+                let work = std::time::Duration::from_millis(work);
+                engine::run_orders(address, id.to_string(), crash, work).map(|()| cases::Verdict::Held)
+            }
+            _ => return ExitCode::from(2),
+        },
         ["case", name, record] => cases::run(name, record, std::env::var("TROUBLE").as_deref() != Ok("0")),
         _ => {
             eprintln!("usage: review-standin-2 case NAME RECORD");
