--- a/review/standin-2/src/cases/foreign_entry.rs
+++ b/review/standin-2/src/cases/foreign_entry.rs
@@ -15,40 +15,42 @@
 use crate::engine;
 use crate::engine::Answer;
 use crate::http::Head;
+use crate::world::MWANGAZA_FARES;
 use crate::world::World;
 
-const CONFIG: &str = r#"{"Version":7,"Routes":[{"Name":"slot-lock","Host":"desk.example","PathPrefix":"/slots/","Service":"ordini","Kind":"non_idempotent","TimeoutMs":800,"TargetLatencyMs":100,"Priority":2,"MaxAttempts":1}],"Services":[{"Name":"ordini","HealthPath":"/healthz","MaxConnections":110}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":5000,"IdleTimeoutMs":10000}}"#;
+const CONFIG: &str = r#"{"Version":7,"Routes":[{"Name":"wallet-debit","Host":"desk.example","PathPrefix":"/wallets/","Service":"fare-core","Kind":"non_idempotent","TimeoutMs":3000,"TargetLatencyMs":300,"Priority":2,"MaxAttempts":1}],"Services":[{"Name":"fare-core","HealthPath":"/healthz","MaxConnections":440}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":5000,"IdleTimeoutMs":10000}}"#;
 
-/// Orders of each of the requesters, and the pause between two.
-const ORDERS: usize = 150;
+/// Debits of each of the requesters, and the pause between two.
+const DEBITS: usize = 150;
 const PAUSE: Duration = Duration::from_millis(150);
 
 /// Requesters at each instance.
 const REQUESTERS: usize = 8;
 
-/// Work of an order at an engine.
-const WORK: Duration = Duration::from_millis(15);
+/// Work of a debit at an engine.
+const WORK: Duration = Duration::from_millis(60);
 
 pub fn run(record: &str, trouble: bool) -> std::io::Result<Verdict> {
     let mut world = World::new(record)?;
+    world.site = MWANGAZA_FARES;
     world.configure(CONFIG);
     let runs = Arc::new(Mutex::new(Vec::<String>::new()));
     let mut engines = Vec::new();
-    for (index, zone) in ["lodi-a", "lodi-a", "lodi-b", "lodi-b"].into_iter().enumerate() {
+    for (index, zone) in [0, 0, 1, 1].into_iter().enumerate() {
         let address = world.address(8_080)?;
         let id = format!("i-{:08x}", 0x5a10_0000 + index);
         engine::serve(
             address,
-            orders_engine(id.clone(), runs.clone(), world.record.clone()),
+            wallet_engine(id.clone(), runs.clone(), world.record.clone()),
         )?;
-        engines.push(world.register(&id, "ordini", zone, address, 6));
+        engines.push(world.register(&id, "fare-core", world.site.zones[zone], address, 6));
     }
     let foreign = world.address(8_090)?;
     let strays = Arc::new(AtomicUsize::new(0));
     engine::serve(foreign, web_server(strays.clone(), world.record.clone()))?;
     let instances = [
-        world.start_instance("lodi-a", "")?,
-        world.start_instance("lodi-b", "")?,
+        world.start_instance(MWANGAZA_FARES.zones[0], "")?,
+        world.start_instance(MWANGAZA_FARES.zones[1], "")?,
     ];
     if !instances.iter().all(|instance| world.wait_ready(instance)) {
         return Ok(Verdict::NotRun);
@@ -56,14 +58,14 @@
     thread::sleep(Duration::from_secs(4));
     if trouble {
         let entry =
-            format!("{{\"Service\":\"ordini\",\"Address\":\"{foreign}\",\"Slots\":6,\"State\":\"ready\"}}");
-        world.store.put("servers/receipt-printer-7", &entry);
+            format!("{{\"Service\":\"fare-core\",\"Address\":\"{foreign}\",\"Slots\":6,\"State\":\"ready\"}}");
+        world.store.put("servers/ticket-printer-7", &entry);
         world
             .record
-            .note(&format!("another writer: servers/receipt-printer-7 = {entry}"));
+            .note(&format!("another writer: servers/ticket-printer-7 = {entry}"));
     }
-    // Three seconds later every machine is in touch again, whatever the entry counts as.
-    thread::sleep(Duration::from_secs(4));
+    // `StableWindowMs` later every machine is in touch again, whatever the entry counts as.
+    thread::sleep(Duration::from_secs(5));
     let (sent, denied) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
     let served = Arc::new(AtomicUsize::new(0));
     let mut threads = Vec::new();
@@ -72,12 +74,12 @@
         let (sent, denied, served) = (sent.clone(), denied.clone(), served.clone());
         let record = world.record.clone();
         threads.push(thread::spawn(move || {
-            for order in 0..ORDERS {
-                let id = format!("{requester:04x}{order:012x}");
-                let bytes = client::request("POST", "/slots/bay", &id, 1_000, "", b"slot 14, truck 9");
+            for debit in 0..DEBITS {
+                let id = format!("{requester:04x}{debit:012x}");
+                let bytes = client::request("POST", "/wallets/7421/debit", &id, 3_000, "", b"fare 600");
                 sent.fetch_add(1, Ordering::SeqCst);
                 record.note(&format!("requester {requester} sends {id} to {front}"));
-                let seen = client::exchange(front, &bytes, Duration::from_millis(1_200));
+                let seen = client::exchange(front, &bytes, Duration::from_millis(3_200));
                 let seal = if seen.is_sealed() { "sealed" } else { "no seal" };
                 record.note(&format!(
                     "requester {requester} gets {} ({seal}, {:?}) for {id}",
@@ -101,7 +103,7 @@
     let runs = runs.lock().expect("no thread panics with the lock").len();
     let allowed = 5 + sent / 500;
     let summary = format!(
-        "{sent} orders sent, {served} served, {runs} run by engines, {strays} reached the other writer's server, {denied} ended with an unsealed 3xx or 4xx (DENIED allows {allowed})"
+        "{sent} debits sent, {served} served, {runs} run by engines, {strays} reached the other writer's server, {denied} ended with an unsealed 3xx or 4xx (DENIED allows {allowed})"
     );
     world.record.note(&summary);
     println!("{summary}");
@@ -113,8 +115,8 @@
     })
 }
 
-/// An engine of the order desk.
-fn orders_engine(id: String, runs: Arc<Mutex<Vec<String>>>, record: crate::world::Record) -> Answer {
+/// An engine of the wallets.
+fn wallet_engine(id: String, runs: Arc<Mutex<Vec<String>>>, record: crate::world::Record) -> Answer {
     Arc::new(move |head: &Head, _: &[u8], writer: &mut TcpStream| {
         if engine::rejects(&id, head, writer) {
             return true;
@@ -125,7 +127,7 @@
             .expect("no thread panics with the lock")
             .push(request.clone());
         thread::sleep(WORK);
-        let body = format!("reserved by {id} for {request}");
+        let body = format!("debited by {id} for {request}");
         let answer = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Seal: seal.{id}.{request}\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -27,6 +27,39 @@
 /// Longest time until an instance is ready.
 const START_TIME: Duration = Duration::from_secs(10);
 
+/// What differs between the deployments that cases are like: from their sheets and the settings of their machines.
+#[derive(Clone, Copy)]
+pub struct Site {
+    pub region: &'static str,
+    pub zones: [&'static str; 2],
+    contracts: &'static str,
+    limits: &'static str,
+    bounds: &'static str,
+    calls: &'static str,
+    /// Whether engines say when they started.
+    has_born: bool,
+}
+
+pub const GSP_DISPATCH: Site = Site {
+    region: "padania",
+    zones: ["lodi-a", "lodi-b"],
+    contracts: r#"["base", "drain", "config", "cost", "retry", "recover", "split", "stream", "engine", "platform"]"#,
+    limits: "CpuShare = 0.25\nCpus = 1\nMemoryMb = 260\nMaxFds = 4100\nBandwidthMbps = 1000.0",
+    bounds: "StableWindowMs = 3000\nAckTimeoutMs = 4000\nCatchUpS = 4\nDrainMs = 2000\nConfigApplyMs = 2000\nMaxSkewMs = 5000\nBudgetSlack = 56\nRecoveryS = 12\nTransitMs = 120\nReuseWindowS = 4.5",
+    calls: "WritesPerS = 400\nReadsPerS = 2000",
+    has_born: false,
+};
+
+pub const MWANGAZA_FARES: Site = Site {
+    region: "dar-east",
+    zones: ["dar-ubungo", "dar-kariakoo"],
+    contracts: r#"["base", "drain", "config", "cost", "retry", "recover", "health", "pool", "split", "stream", "engine", "platform"]"#,
+    limits: "CpuShare = 0.5\nCpus = 1\nMemoryMb = 512\nMaxFds = 8192\nBandwidthMbps = 200.0",
+    bounds: "StableWindowMs = 4000\nAckTimeoutMs = 6000\nCatchUpS = 6\nDrainMs = 3000\nConfigApplyMs = 3000\nMaxSkewMs = 6000\nBudgetSlack = 166\nRecoveryS = 15\nTransitMs = 200\nReuseWindowS = 3",
+    calls: "WritesPerS = 1200\nReadsPerS = 6000",
+    has_born: true,
+};
+
 /// Writes what happens, with the time since the start.
 #[derive(Clone)]
 pub struct Record(Arc<Mutex<File>>, Instant);
@@ -80,6 +113,7 @@
     pub store: Store,
     pub store_address: SocketAddr,
     pub folder: PathBuf,
+    pub site: Site,
     net: (u8, u8),
     next_host: u8,
 }
@@ -101,6 +135,7 @@
             store,
             store_address,
             folder,
+            site: GSP_DISPATCH,
             net,
             next_host: 10,
         })
@@ -129,6 +164,7 @@
         std::fs::write(
             &file,
             settings(
+                &self.site,
                 &name,
                 zone,
                 &ip.to_string(),
@@ -190,9 +226,13 @@
         let (service, zone) = (service.to_string(), zone.to_string());
         self.record
             .note(&format!("engine {id} of {service} at {address} registers"));
+        let born = match self.site.has_born {
+            true => format!(",\"born\":{}", unix_ms()),
+            false => String::new(),
+        };
         let entry = move |sequence: u64| {
             format!(
-                "{{\"Service\":\"{service}\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\"Version\":\"v1\",\"Slots\":{slots},\"State\":\"ready\",\"ColdRemainingMs\":0,\"Seq\":{sequence}}}"
+                "{{\"Service\":\"{service}\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\"Version\":\"v1\",\"Slots\":{slots},\"State\":\"ready\",\"ColdRemainingMs\":0,\"Seq\":{sequence}{born}}}"
             )
         };
         store.put(&key, &entry(1));
@@ -212,6 +252,12 @@
     }
 }
 
+/// The time of day in milliseconds.
+fn unix_ms() -> u128 {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    time.as_millis()
+}
+
 impl Drop for World {
     fn drop(&mut self) {
         if std::env::var("KEEP").is_err() {
@@ -220,7 +266,8 @@
     }
 }
 
-fn settings(name: &str, zone: &str, ip: &str, store: &str, more: &str) -> String {
+fn settings(site: &Site, name: &str, zone: &str, ip: &str, store: &str, more: &str) -> String {
+    let Site { region, zones: [first, second], contracts, limits, bounds, calls, .. } = site;
     format!(
         r#"Node = "{name}"
 Role = "instance"
@@ -228,7 +275,7 @@
 Serves = ["edge", "registry"]
 Ip = "{ip}"
 Zone = "{zone}"
-Region = "padania"
+Region = "{region}"
 PortRange = [7660, 7675]
 Seeds = []
 Bootstrap = true
@@ -236,44 +283,31 @@
 Discovery = "platform"
 Entry = "registry"
 HeartbeatMs = 1200
-Contracts = ["base", "drain", "config", "cost", "retry", "recover", "split", "stream", "engine", "platform"]
+Contracts = {contracts}
 [Zones]
-lodi-a = "padania"
-lodi-b = "padania"
+{first} = "{region}"
+{second} = "{region}"
 [Listen]
 Front = "{ip}:8144"
 Ready = "{ip}:8140"
 Control = "{ip}:8146"
 Directory = "{ip}:8143"
 [Limits]
-CpuShare = 0.25
-Cpus = 1
-MemoryMb = 260
-MaxFds = 4100
-BandwidthMbps = 1000.0
+{limits}
 DiskMb = 0
 [FaultTolerance]
 Machines = 2
 Zones = 0
 Regions = 0
 [Bounds]
+{bounds}
 SeedLagS = 3
 ReuseAfterS = 2
-StableWindowMs = 3000
-AckTimeoutMs = 4000
-CatchUpS = 4
-DrainMs = 2000
 GraceS = 8
 LossSlackMs = 200
-ConfigApplyMs = 2000
 RollbackSlackMs = 250
-MaxSkewMs = 5000
 RetryBudgetRatio = 0.2
 BudgetWindowS = 10
-BudgetSlack = 56
-RecoveryS = 12
-TransitMs = 120
-ReuseWindowS = 4.5
 RequireFencing = false
 LeaseMs = 3000
 ThawMs = 300
@@ -282,8 +316,7 @@
 [Platform]
 Address = "{store}"
 form = "kv"
-WritesPerS = 400
-ReadsPerS = 2000
+{calls}
 HistoryS = 20
 ValueBytes = 1048576
 MinTtlMs = 1000
